--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Developer commands. `make demo` and `make test` set everything up themselves.
+PYTHON ?= python3
+VENV := .venv
+PY := $(VENV)/bin/python
+ENTRIES ?= 2
+ENGINES ?= 4
+SERVICES ?= 1
+
+.PHONY: demo test serve lint model binary clean
+
+$(VENV)/ready: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/ready
+	@$(PY) -m tests.fakes.demo
+
+test: $(VENV)/ready
+	@$(PY) -m tests.run
+
+serve: $(VENV)/ready
+	@exec $(PY) -m tests.fakes.system --entries=$(ENTRIES) \
+		--engines=$(ENGINES) --services=$(SERVICES)
+
+lint: $(VENV)/ready
+	@bash .ci/lint
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints JSON with its seed."""
--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""The specification of the core protocol and its checker."""
--- /dev/null
+++ b/pollenthread/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports, and the borders of the system."""
--- /dev/null
+++ b/pollenthread/adapters/admin_http.py
@@ -0,0 +1,49 @@
+"""Administration of one process over HTTP."""
+
+from collections.abc import Callable
+from typing import Any
+
+from pollenthread.adapters import http_server
+from pollenthread.core import account, errors
+
+__all__ = ['AdminHandler', 'account_rows']
+
+_Document = Callable[[], Any]
+
+
+class AdminHandler(http_server.Handler):
+    """Answers `GET` of the given documents by path."""
+
+    def __init__(self, *, documents_by_path: dict[str, _Document]) -> None:
+        self._documents_by_path = documents_by_path
+
+    async def handle(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        document = self._documents_by_path.get(request.path)
+        if document is None:
+            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+        elif request.method != 'GET':
+            await response.send_problem(
+                errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
+        else:
+            await response.send_json(200, document())
+
+
+def account_rows(tally: account.Tally) -> list[dict[str, Any]]:
+    """The account as rows, one for each workspace and class."""
+    return [_row(tally, key) for key in tally.accepted_by_key]
+
+
+def _row(tally: account.Tally, key: account.TallyKey) -> dict[str, Any]:
+    outcomes = tally.outcomes_by_key[key]
+    return {
+        'workspace': key.workspace,
+        'class': key.work_class,
+        'accepted': tally.accepted_by_key[key],
+        'repeats': tally.repeats_by_key[key],
+        'attempts': tally.attempts_by_key[key],
+        'open': tally.open_requests(key),
+        **{
+            outcome.value: outcomes[outcome] for outcome in account.Outcome
+        },
+    }
--- /dev/null
+++ b/pollenthread/adapters/link.py
@@ -0,0 +1,346 @@
+"""Links over TCP: length-framed messages, pings both ways.
+
+A link that stays silent for too long is dead. It is closed and a new
+connection is opened; nothing that comes on the old one is read any more.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import struct
+import types
+from collections.abc import Callable, Mapping
+from typing import Self
+
+from absl import logging
+
+from pollenthread.adapters import wire
+from pollenthread.core import messages
+from pollenthread.ports import link as link_port
+
+__all__ = ['Dialer', 'DialerSet', 'LinkServer', 'LinkTimes', 'TcpLink']
+
+_LENGTH = struct.Struct('>I')
+_MAX_FRAME_BYTES = 4 * 1024 * 1024
+_HIGH_WATER_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkTimes:
+    """When a link is asked for life and when it is given up."""
+
+    ping_interval_s: float = 1.0
+    silence_limit_s: float = 2.5
+    hello_timeout_s: float = 2.0
+    redial_min_s: float = 0.1
+    redial_max_s: float = 2.0
+
+
+class TcpLink(asyncio.Protocol, link_port.Link):
+    """One end of a link."""
+
+    def __init__(self, *, hello: messages.Hello, handler: link_port.LinkHandler,
+                 accepted: bool, times: LinkTimes,
+                 config_version: Callable[[], int]) -> None:
+        self._hello = hello
+        self._handler = handler
+        self._accepted = accepted
+        self._times = times
+        self._config_version = config_version
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._peer: messages.Hello | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._closed = asyncio.get_running_loop().create_future()
+        self._close_reason = 'the connection was closed'
+        self._heard_at = 0.0
+        self._ping_seq = 0
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def peer(self) -> messages.Hello:
+        assert self._peer is not None
+        return self._peer
+
+    @property
+    def session(self) -> str:
+        return self._hello.session if self._accepted else self.peer.session
+
+    @property
+    def is_open(self) -> bool:
+        return (self._peer is not None and self._transport is not None and
+                not self._transport.is_closing())
+
+    def send(self, message: messages.Message) -> None:
+        if self._transport is None or self._transport.is_closing():
+            raise link_port.LinkLost(self._close_reason)
+        data = wire.encode(message)
+        self._transport.write(_LENGTH.pack(len(data)) + data)
+
+    async def drain(self) -> None:
+        await self._writable.wait()
+
+    def close(self, reason: str) -> None:
+        self._close_reason = reason
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Waits until the connection is gone."""
+        await asyncio.shield(self._closed)
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
+        loop = asyncio.get_running_loop()
+        self._heard_at = loop.time()
+        self._timer = loop.call_later(self._times.hello_timeout_s,
+                                      self._check_hello)
+        if not self._accepted:
+            self.send(self._hello)
+
+    def data_received(self, data: bytes) -> None:
+        self._heard_at = asyncio.get_running_loop().time()
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        try:
+            while len(buffer) - start >= _LENGTH.size:
+                (size,) = _LENGTH.unpack_from(buffer, start)
+                if size > _MAX_FRAME_BYTES:
+                    raise wire.MalformedMessage(f'a frame of {size} bytes')
+                end = start + _LENGTH.size + size
+                if len(buffer) < end:
+                    break
+                frame = bytes(buffer[start + _LENGTH.size:end])
+                start = end
+                self._receive(wire.decode(frame))
+                if self._transport is None or self._transport.is_closing():
+                    return
+        except wire.MalformedMessage as error:
+            self.close(f'malformed message: {error}')
+            return
+        del buffer[:start]
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._writable.set()
+        if not self._closed.done():
+            self._closed.set_result(None)
+        if self._peer is not None:
+            self._handler.on_close(self, self._close_reason)
+
+    def _receive(self, message: messages.Message) -> None:
+        if isinstance(message, messages.Ping):
+            self.send(messages.Pong(message.seq, self._config_version()))
+            self._handler.on_message(self, message)
+        elif isinstance(message, messages.Hello):
+            self._greet(message)
+        elif self._peer is None:
+            self.close('the peer did not greet')
+        else:
+            self._handler.on_message(self, message)
+
+    def _greet(self, hello: messages.Hello) -> None:
+        if self._peer is not None:
+            self.close('the peer greeted twice')
+            return
+        self._peer = hello
+        if self._accepted:
+            self.send(self._hello)
+        self._schedule_ping()
+        self._handler.on_open(self)
+
+    def _check_hello(self) -> None:
+        if self._peer is None:
+            self.close('the peer did not greet in time')
+
+    def _schedule_ping(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(
+            self._times.ping_interval_s, self._ping)
+
+    def _ping(self) -> None:
+        silent_s = asyncio.get_running_loop().time() - self._heard_at
+        if silent_s > self._times.silence_limit_s:
+            self.close(f'silent for {silent_s:.1f} s')
+            return
+        self._ping_seq += 1
+        with contextlib.suppress(link_port.LinkLost):
+            self.send(messages.Ping(self._ping_seq, self._config_version()))
+        self._schedule_ping()
+
+
+def _no_version() -> int:
+    return 0
+
+
+class LinkServer:
+    """Accepts links and names their sessions."""
+
+    def __init__(self,
+                 *,
+                 hello: messages.Hello,
+                 handler: link_port.LinkHandler,
+                 host: str = '127.0.0.1',
+                 port: int = 0,
+                 times: LinkTimes = LinkTimes(),
+                 config_version: Callable[[], int] = _no_version) -> None:
+        self._hello = hello
+        self._handler = handler
+        self._host = host
+        self._port = port
+        self._times = times
+        self._config_version = config_version
+        self._sessions = 0
+        self._server: asyncio.Server | None = None
+        self._links: list[TcpLink] = []
+
+    @property
+    def address(self) -> str:
+        """The bound `ip:port`."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def __aenter__(self) -> Self:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, self._host,
+                                                self._port)
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None,
+                        error: BaseException | None,
+                        trace: types.TracebackType | None) -> None:
+        assert self._server is not None
+        self._server.close()
+        for link in self._links:
+            link.close('the process stopped')
+
+    def _accept(self) -> TcpLink:
+        self._sessions += 1
+        session = f'{self._hello.incarnation}:{self._sessions}'
+        link = TcpLink(hello=dataclasses.replace(self._hello, session=session),
+                       handler=self._handler,
+                       accepted=True,
+                       times=self._times,
+                       config_version=self._config_version)
+        self._links = [old for old in self._links if old.is_open]
+        self._links.append(link)
+        return link
+
+
+class DialerSet:
+    """Keeps one dialer for each wanted host; owns them."""
+
+    def __init__(self,
+                 *,
+                 hello: messages.Hello,
+                 handler: link_port.LinkHandler,
+                 times: LinkTimes = LinkTimes(),
+                 config_version: Callable[[], int] = _no_version) -> None:
+        self._hello = hello
+        self._handler = handler
+        self._times = times
+        self._config_version = config_version
+        self._by_host: dict[str, Dialer] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None,
+                        error: BaseException | None,
+                        trace: types.TracebackType | None) -> None:
+        await self.keep({})
+
+    async def keep(self, address_by_host: Mapping[str, str]) -> None:
+        """Dials what is new or has moved; drops what is not wanted."""
+        for host, dialer in list(self._by_host.items()):
+            if address_by_host.get(host) != dialer.address:
+                del self._by_host[host]
+                await dialer.stop()
+        for host, address in address_by_host.items():
+            if host not in self._by_host:
+                self._by_host[host] = self._start(address)
+
+    def _start(self, address: str) -> 'Dialer':
+        dialer = Dialer(address=address,
+                        hello=self._hello,
+                        handler=self._handler,
+                        times=self._times,
+                        config_version=self._config_version)
+        dialer.start()
+        return dialer
+
+
+class Dialer:
+    """Keeps a link to one address: opens a new one when it is lost."""
+
+    def __init__(self,
+                 *,
+                 address: str,
+                 hello: messages.Hello,
+                 handler: link_port.LinkHandler,
+                 times: LinkTimes = LinkTimes(),
+                 config_version: Callable[[], int] = _no_version) -> None:
+        self._address = address
+        self._hello = hello
+        self._handler = handler
+        self._times = times
+        self._config_version = config_version
+        self._task: asyncio.Task[None] | None = None
+        self._link: TcpLink | None = None
+
+    @property
+    def address(self) -> str:
+        """The address that is dialed."""
+        return self._address
+
+    def start(self) -> None:
+        """Begins to dial."""
+        self._task = asyncio.create_task(self._keep())
+
+    async def stop(self) -> None:
+        """Closes the link and dials no more."""
+        assert self._task is not None
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        if self._link is not None:
+            self._link.close('the link is no longer wanted')
+
+    async def _keep(self) -> None:
+        pause_s = self._times.redial_min_s
+        while True:
+            try:
+                async with asyncio.timeout(self._times.hello_timeout_s):
+                    self._link = await self._dial()
+                await self._link.wait_closed()
+                pause_s = self._times.redial_min_s
+            except (OSError, TimeoutError) as error:
+                logging.debug('dialing %s: %s', self._address, error)
+                pause_s = min(pause_s * 2, self._times.redial_max_s)
+            await asyncio.sleep(pause_s)
+
+    async def _dial(self) -> TcpLink:
+        host, _, port = self._address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        _, link = await loop.create_connection(
+            lambda: TcpLink(hello=self._hello,
+                            handler=self._handler,
+                            accepted=False,
+                            times=self._times,
+                            config_version=self._config_version), host,
+            int(port))
+        return link
--- /dev/null
+++ b/pollenthread/adapters/upstream_http.py
@@ -0,0 +1,62 @@
+"""The engine or plain service beside an agent, over HTTP on loopback."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from pollenthread.adapters import http_client
+from pollenthread.core import messages
+from pollenthread.ports import engine
+
+__all__ = ['HttpUpstream']
+
+_HOP_HEADERS = frozenset({
+    'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'te',
+    'trailer', 'upgrade', 'proxy-authenticate', 'proxy-connection'
+})
+
+
+class _HttpExchange(engine.Exchange):
+    """Adapts an exchange of the HTTP client."""
+
+    def __init__(self, *, exchange: http_client.ClientExchange) -> None:
+        self._exchange = exchange
+
+    @property
+    def status(self) -> int:
+        return self._exchange.status
+
+    @property
+    def headers(self) -> tuple[messages.Header, ...]:
+        return tuple((name, value)
+                     for name, value in self._exchange.headers
+                     if name not in _HOP_HEADERS)
+
+    def read(self) -> AsyncIterator[bytes]:
+        return self._exchange.read()
+
+
+class HttpUpstream(engine.Upstream):
+    """Calls one address."""
+
+    def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
+        self._client = client
+        self._address = address
+
+    @contextlib.asynccontextmanager
+    async def _call(
+            self,
+            request: engine.UpstreamRequest) -> AsyncIterator[engine.Exchange]:
+        try:
+            async with self._client.request(self._address,
+                                            request.method,
+                                            request.path,
+                                            headers=request.headers,
+                                            body=request.body) as exchange:
+                yield _HttpExchange(exchange=exchange)
+        except http_client.ConnectFailed as error:
+            raise engine.UpstreamUnavailable(str(error)) from error
+
+    def call(
+        self, request: engine.UpstreamRequest
+    ) -> contextlib.AbstractAsyncContextManager[engine.Exchange]:
+        return self._call(request)
--- /dev/null
+++ b/pollenthread/adapters/wire.capnp
@@ -0,0 +1,84 @@
+@0xd3a1c07f5b2e9461;
+# Messages between the system's own processes, one per frame of a link.
+
+struct Header { name @0 :Text; value @1 :Text; }
+
+struct Hello {
+  host @0 :Text;
+  role @1 :Text;
+  incarnation @2 :Text;
+  dataCentre @3 :Text;
+  region @4 :Text;
+  session @5 :Text;
+  kind @6 :Text;
+  name @7 :Text;
+  models @8 :List(Text);
+}
+
+struct Ping { seq @0 :UInt64; configVersion @1 :UInt64; }
+struct Pong { seq @0 :UInt64; configVersion @1 :UInt64; }
+
+struct Begin {
+  attempt @0 :Text;
+  session @1 :Text;
+  workspace @2 :Text;
+  workClass @3 :Text;
+  importance @4 :UInt8;
+  repeatable @5 :Bool;
+  key @6 :Text;
+  deadlineMs @7 :UInt32;
+  stream @8 :Bool;
+  window @9 :UInt64;
+  method @10 :Text;
+  path @11 :Text;
+  headers @12 :List(Header);
+  body @13 :Data;
+}
+
+struct Head { attempt @0 :Text; status @1 :UInt16; headers @2 :List(Header); }
+
+struct Chunk {
+  attempt @0 :Text;
+  offset @1 :UInt64;
+  count @2 :UInt64;
+  data @3 :Data;
+}
+
+struct End { attempt @0 :Text; offset @1 :UInt64; }
+struct Fail { attempt @0 :Text; kind @1 :Text; detail @2 :Text; ran @3 :Text; }
+struct Credit { attempt @0 :Text; offset @1 :UInt64; window @2 :UInt64; }
+struct Cancel { attempt @0 :Text; }
+struct Seal { attempt @0 :Text; session @1 :Text; }
+struct Sealed { attempt @0 :Text; state @1 :Text; }
+struct Resume { attempt @0 :Text; offset @1 :UInt64; window @2 :UInt64; }
+struct Confirm { attempt @0 :Text; }
+
+struct Load {
+  running @0 :UInt32;
+  queued @1 :UInt32;
+  firstTokenMs @2 :UInt32;
+  tokenUs @3 :UInt32;
+}
+
+struct Leaving { host @0 :Text; }
+
+struct Message {
+  union {
+    hello @0 :Hello;
+    ping @1 :Ping;
+    pong @2 :Pong;
+    begin @3 :Begin;
+    head @4 :Head;
+    chunk @5 :Chunk;
+    end @6 :End;
+    fail @7 :Fail;
+    credit @8 :Credit;
+    cancel @9 :Cancel;
+    seal @10 :Seal;
+    sealed @11 :Sealed;
+    resume @12 :Resume;
+    confirm @13 :Confirm;
+    load @14 :Load;
+    leaving @15 :Leaving;
+  }
+}
--- /dev/null
+++ b/pollenthread/adapters/wire.py
@@ -0,0 +1,115 @@
+"""Encodes messages with Cap'n Proto.
+
+The field names of `core.messages` and of wire.capnp correspond, so that one
+table built from the data classes serves every message.
+"""
+
+import dataclasses
+import pathlib
+import typing
+from collections.abc import Callable
+from typing import Any
+
+import capnp
+
+from pollenthread.core import errors, messages
+
+__all__ = ['MalformedMessage', 'decode', 'encode']
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('wire.capnp')))
+_MAX_WORDS = 1 << 20
+
+
+class MalformedMessage(Exception):
+    """The bytes are not a message of the schema."""
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split('_')
+    return first + ''.join(part.capitalize() for part in rest)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Field:
+    """How one field of a message is written and read."""
+
+    name: str
+    wire_name: str
+    write: Callable[[Any], Any] | None
+    read: Callable[[Any], Any] | None
+
+
+def _write_headers(headers: tuple[messages.Header, ...]) -> list[Any]:
+    return [{'name': name, 'value': value} for name, value in headers]
+
+
+def _read_headers(headers: Any) -> tuple[messages.Header, ...]:
+    return tuple((header.name, header.value) for header in headers)
+
+
+def _enum_value(item: Any) -> str:
+    return str(item.value)
+
+
+_CONVERSIONS: dict[Any, tuple[Any, Any]] = {
+    bytes: (None, bytes),
+    tuple[str, ...]: (list, tuple),
+    tuple[messages.Header, ...]: (_write_headers, _read_headers),
+    errors.Kind: (_enum_value, errors.Kind),
+    errors.Ran: (_enum_value, errors.Ran),
+    messages.SealState: (_enum_value, messages.SealState),
+}
+
+
+def _fields(cls: type[Any]) -> tuple[_Field, ...]:
+    hints = typing.get_type_hints(cls)
+    fields = []
+    for field in dataclasses.fields(cls):
+        write, read = _CONVERSIONS.get(hints[field.name], (None, None))
+        fields.append(_Field(field.name, _camel(field.name), write, read))
+    return tuple(fields)
+
+
+_FIELDS_BY_CLASS = {
+    cls: _fields(cls) for cls in typing.get_args(messages.Message)
+}
+_TAG_BY_CLASS = {cls: cls.__name__.lower() for cls in _FIELDS_BY_CLASS}
+_CLASS_BY_TAG = {tag: cls for cls, tag in _TAG_BY_CLASS.items()}
+
+
+def encode(message: messages.Message) -> bytes:
+    """Writes one message."""
+    cls = type(message)
+    frame = _schema.Message.new_message()
+    body = frame.init(_TAG_BY_CLASS[cls])
+    for field in _FIELDS_BY_CLASS[cls]:
+        value = getattr(message, field.name)
+        if field.write is not None:
+            value = field.write(value)
+        setattr(body, field.wire_name, value)
+    data: bytes = frame.to_bytes()
+    return data
+
+
+def decode(data: bytes) -> messages.Message:
+    """Reads one message.
+
+    Raises:
+        MalformedMessage: the bytes do not follow the schema.
+    """
+    try:
+        with _schema.Message.from_bytes(
+                data, traversal_limit_in_words=_MAX_WORDS) as frame:
+            tag = str(frame.which())
+            body = getattr(frame, tag)
+            cls = _CLASS_BY_TAG[tag]
+            values = [_read(body, field) for field in _FIELDS_BY_CLASS[cls]]
+            message: messages.Message = cls(*values)
+            return message
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def _read(body: Any, field: _Field) -> Any:
+    value = getattr(body, field.wire_name)
+    return value if field.read is None else field.read(value)
--- /dev/null
+++ b/pollenthread/app/__init__.py
@@ -0,0 +1,1 @@
+"""Application services: what the processes do, over the ports."""
--- /dev/null
+++ b/pollenthread/app/claim_keeper.py
@@ -0,0 +1,227 @@
+"""Keeps claims in the table for work that may not be repeated."""
+
+import base64
+import dataclasses
+import hashlib
+import json
+from urllib import parse
+
+import result
+
+from pollenthread.app import pool as pool_module
+from pollenthread.core import claims, errors
+from pollenthread.ports import table
+
+__all__ = [
+    'Attach', 'ClaimKeeper', 'Granted', 'Replay', 'request_digest', 'row_key'
+]
+
+_MAX_ROUNDS = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """The attempt may be handed to the agent."""
+
+    key: str
+    claim: claims.Claim
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Replay:
+    """The work is done: this is its kept outcome."""
+
+    outcome: claims.Outcome
+
+
+@dataclasses.dataclass(frozen=True)
+class Attach:
+    """Another attempt holds the claim and its answer can be had."""
+
+    key: str
+    claim: claims.Claim
+    version: int
+    upstream: pool_module.Upstream
+
+
+Decision = Granted | Replay | Attach
+
+
+def request_digest(method: str, path: str, work_class: str, body: bytes) -> str:
+    """Digest that tells whether a repeat carries the same request."""
+    head = f'{method}\0{path}\0{work_class}\0'.encode()
+    return hashlib.sha256(head + body).hexdigest()
+
+
+class ClaimKeeper:
+    """Claims keys, takes claims over, and records outcomes."""
+
+    def __init__(self, *, table_service: table.TableService,
+                 pool: pool_module.Pool) -> None:
+        self._table = table_service
+        self._pool = pool
+
+    async def acquire(
+            self, key: str,
+            wanted: claims.Claim) -> result.Result[Decision, errors.Failure]:
+        """Claims a key for an attempt.
+
+        Args:
+            key: the row's key, from `row_key`.
+            wanted: the claim to insert.
+
+        Returns:
+            Leave to begin, an outcome to replay, or an attempt to attach to;
+            a failure proves that this call let nothing run.
+        """
+        for _ in range(_MAX_ROUNDS):
+            inserted = await self._table.put(key,
+                                             _dump(wanted),
+                                             expect=table.ABSENT)
+            if isinstance(inserted, result.Ok):
+                return result.Ok(Granted(key, wanted, inserted.ok_value))
+            if not _may_have_row(inserted.err_value):
+                return result.Err(_table_failure())
+            found = await self._table.get(key)
+            if isinstance(found, result.Err):
+                return result.Err(_table_failure())
+            row = found.ok_value
+            if row is None:
+                continue
+            decision = await self._decide(row, wanted)
+            if decision is not None:
+                return decision
+        return result.Err(_table_failure())
+
+    async def move(
+            self, granted: Granted,
+            wanted: claims.Claim) -> result.Result[Granted, errors.Failure]:
+        """Moves a claim whose attempt is proved not to have run."""
+        version = await self._replace(granted.key, granted.version, wanted)
+        if version is None:
+            return result.Err(_table_failure())
+        return result.Ok(Granted(granted.key, wanted, version))
+
+    async def release(self, granted: Granted) -> None:
+        """Deletes a claim whose attempt is proved not to have run."""
+        await self._table.commit(
+            [table.Write(granted.key, None, granted.version)])
+
+    async def record(self, held: Granted | Attach,
+                     outcome: claims.Outcome | None) -> bool:
+        """Keeps how the work ended.
+
+        Args:
+            held: the claim.
+            outcome: the whole answer, or None when the outcome is unknown.
+
+        Returns:
+            False when the table does not hold an ending yet.
+        """
+        state = (claims.ClaimState.UNKNOWN
+                 if outcome is None else claims.ClaimState.DONE)
+        done = dataclasses.replace(held.claim, state=state, outcome=outcome)
+        version = await self._replace(held.key, held.version, done)
+        if version is not None:
+            return True
+        found = await self._table.get(held.key)
+        if isinstance(found, result.Err) or found.ok_value is None:
+            return False
+        return (_load(found.ok_value.value).state
+                is not claims.ClaimState.CLAIMED)
+
+    async def _decide(
+            self, row: table.Row, wanted: claims.Claim
+    ) -> result.Result[Decision, errors.Failure] | None:
+        """Decides from a row; None asks for another round."""
+        claim = _load(row.value)
+        step = claims.first_step(claim,
+                                 attempt=wanted.attempt,
+                                 digest=wanted.digest)
+        if step is claims.Step.ASK_SEAL:
+            return await self._ask_seal(row, claim, wanted)
+        match step:
+            case claims.Step.BEGIN:
+                return result.Ok(Granted(row.key, claim, row.version))
+            case claims.Step.REPLAY:
+                assert claim.outcome is not None
+                return result.Ok(Replay(claim.outcome))
+            case claims.Step.REFUSE_REUSED:
+                return result.Err(errors.failure(errors.Kind.KEY_REUSED))
+            case _:
+                return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
+
+    async def _ask_seal(
+            self, row: table.Row, claim: claims.Claim, wanted: claims.Claim
+    ) -> result.Result[Decision, errors.Failure] | None:
+        upstream = self._pool.by_host.get(claim.host)
+        state = None
+        incarnation = ''
+        if upstream is not None:
+            incarnation = upstream.hello.incarnation
+            if incarnation == claim.incarnation:
+                state = await upstream.seal(claim.attempt, claim.session)
+        step = claims.after_seal(claim, incarnation=incarnation, state=state)
+        if step is claims.Step.TAKE_OVER:
+            version = await self._replace(row.key, row.version, wanted)
+            if version is None:
+                return None
+            return result.Ok(Granted(row.key, wanted, version))
+        if step is claims.Step.ATTACH:
+            assert upstream is not None
+            return result.Ok(Attach(row.key, claim, row.version, upstream))
+        if incarnation and incarnation != claim.incarnation:
+            unknown = dataclasses.replace(claim,
+                                          state=claims.ClaimState.UNKNOWN)
+            await self._replace(row.key, row.version, unknown)
+        return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
+
+    async def _replace(self, key: str, version: int,
+                       claim: claims.Claim) -> int | None:
+        """Compare-and-set; settles a lost answer by reading again."""
+        value = _dump(claim)
+        written = await self._table.put(key, value, expect=version)
+        if isinstance(written, result.Ok):
+            return written.ok_value
+        if written.err_value is not table.TableFault.UNKNOWN:
+            return None
+        found = await self._table.get(key)
+        if isinstance(found, result.Err) or found.ok_value is None:
+            return None
+        row = found.ok_value
+        return row.version if row.value == value else None
+
+
+def row_key(workspace: str, key: str) -> str:
+    """The key of the row for an idempotency key."""
+    return f'claims/{workspace}/{parse.quote(key, safe="")}'
+
+
+def _may_have_row(fault: table.TableFault) -> bool:
+    return fault in (table.TableFault.CONFLICT, table.TableFault.UNKNOWN)
+
+
+def _table_failure() -> errors.Failure:
+    return errors.failure(errors.Kind.TABLE_UNAVAILABLE, ran=errors.Ran.NO)
+
+
+def _dump(claim: claims.Claim) -> bytes:
+    fields = dataclasses.asdict(claim)
+    if claim.outcome is not None:
+        body = base64.b64encode(claim.outcome.body).decode()
+        fields['outcome']['body'] = body
+    return json.dumps(fields, sort_keys=True).encode()
+
+
+def _load(value: bytes) -> claims.Claim:
+    fields = json.loads(value)
+    kept = fields.pop('outcome')
+    outcome = None
+    if kept is not None:
+        headers = tuple((name, text) for name, text in kept['headers'])
+        outcome = claims.Outcome(status=kept['status'],
+                                 headers=headers,
+                                 body=base64.b64decode(kept['body']))
+    state = claims.ClaimState(fields.pop('state'))
+    return claims.Claim(**fields, state=state, outcome=outcome)
--- /dev/null
+++ b/pollenthread/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/pollenthread/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no input or output, no clock, no randomness."""
--- /dev/null
+++ b/pollenthread/core/addresses.py
@@ -0,0 +1,50 @@
+"""Which entry hosts a caller should use, in the order to try."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ['EntryHost', 'order']
+
+_MAX_ADDRESSES = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryHost:
+    """One entry host as another one sees it.
+
+    Attributes:
+        host: its name.
+        address: `host:port` for callers.
+        overloaded: whether it asks callers to go elsewhere.
+    """
+
+    host: str
+    address: str
+    overloaded: bool = False
+
+
+def order(entries: Iterable[EntryHost],
+          caller: str,
+          *,
+          limit: int = _MAX_ADDRESSES) -> list[EntryHost]:
+    """Ranks usable entry hosts for one caller.
+
+    Every entry host computes the same order from the same hosts, and callers
+    spread evenly over them.
+
+    Args:
+        entries: the hosts that may be used.
+        caller: the caller's name.
+        limit: the number of hosts to return at most.
+    """
+
+    def rank(entry: EntryHost) -> tuple[bool, bytes]:
+        return entry.overloaded, _score(entry.host, caller)
+
+    return sorted(entries, key=rank)[:limit]
+
+
+def _score(host: str, caller: str) -> bytes:
+    text = f'{host}\0{caller}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/pollenthread/core/claims.py
@@ -0,0 +1,120 @@
+"""Claims that let work which may not be repeated run at most once.
+
+A claim is one row of the table, inserted before an agent begins. It names the
+attempt, the agent's incarnation and the link session that may begin it. A
+repeat of the request never begins a second attempt before the agent that holds
+the first has sealed it.
+"""
+
+import dataclasses
+import enum
+
+from pollenthread.core import messages
+
+__all__ = [
+    'Claim', 'ClaimState', 'Outcome', 'Step', 'after_seal', 'digest_matches',
+    'first_step'
+]
+
+
+class ClaimState(enum.StrEnum):
+    """How far the claimed attempt is known to have come."""
+
+    CLAIMED = 'claimed'
+    DONE = 'done'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """The kept answer of a finished attempt.
+
+    Attributes:
+        status: the HTTP status code.
+        headers: the answer's headers.
+        body: the whole body.
+    """
+
+    status: int
+    headers: tuple[messages.Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """One row: who may begin the work under one idempotency key.
+
+    Attributes:
+        attempt: the attempt that holds the claim.
+        host: the upstream host whose agent may begin it.
+        incarnation: that agent's incarnation.
+        session: the link session that the attempt is bound to.
+        digest: a digest of the request that claimed the key.
+        state: how far the attempt came.
+        outcome: the kept answer once done.
+    """
+
+    attempt: str
+    host: str
+    incarnation: str
+    session: str
+    digest: str
+    state: ClaimState = ClaimState.CLAIMED
+    outcome: Outcome | None = None
+
+
+class Step(enum.Enum):
+    """What an entry host does next about a key."""
+
+    BEGIN = 'begin'
+    INSERT = 'insert'
+    REPLAY = 'replay'
+    REFUSE_REUSED = 'refuse_reused'
+    ASK_SEAL = 'ask_seal'
+    TAKE_OVER = 'take_over'
+    ATTACH = 'attach'
+    REPORT_UNKNOWN = 'report_unknown'
+
+
+def digest_matches(claim: Claim, digest: str) -> bool:
+    """Whether a repeat carries the same request as the claim's."""
+    return claim.digest == digest
+
+
+def first_step(claim: Claim | None, *, attempt: str, digest: str) -> Step:
+    """Decides from the row that the table holds.
+
+    Args:
+        claim: the row, or None when the key has none.
+        attempt: the caller's own attempt.
+        digest: the digest of the caller's request.
+    """
+    if claim is None:
+        return Step.INSERT
+    if not digest_matches(claim, digest):
+        return Step.REFUSE_REUSED
+    if claim.state is ClaimState.DONE:
+        return Step.REPLAY
+    if claim.state is ClaimState.UNKNOWN:
+        return Step.REPORT_UNKNOWN
+    if claim.attempt == attempt:
+        return Step.BEGIN
+    return Step.ASK_SEAL
+
+
+def after_seal(claim: Claim, *, incarnation: str,
+               state: messages.SealState | None) -> Step:
+    """Decides from what the claimed agent answered to a seal.
+
+    Args:
+        claim: the row that the seal was asked for.
+        incarnation: the incarnation that answered; empty when none did.
+        state: the agent's answer, or None when none came.
+    """
+    if state is None or incarnation != claim.incarnation:
+        return Step.REPORT_UNKNOWN
+    if state is messages.SealState.SEALED:
+        return Step.TAKE_OVER
+    if state in (messages.SealState.RUNNING, messages.SealState.DONE):
+        return Step.ATTACH
+    return Step.REPORT_UNKNOWN
--- /dev/null
+++ b/pollenthread/core/messages.py
@@ -0,0 +1,229 @@
+"""Messages between the system's own processes."""
+
+import dataclasses
+import enum
+
+from pollenthread.core import errors
+
+__all__ = [
+    'Begin', 'Cancel', 'Chunk', 'Confirm', 'Credit', 'End', 'Fail', 'Head',
+    'Header', 'Hello', 'Leaving', 'Load', 'Message', 'Ping', 'Pong', 'Resume',
+    'Seal', 'SealState', 'Sealed'
+]
+
+Header = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """Opens a link: who is at this end.
+
+    Attributes:
+        host: the sender's host name.
+        role: 'entry' or 'agent'.
+        incarnation: changes with each start of the process.
+        data_centre: where the host is.
+        region: the region of the data centre.
+        session: the accepting side's name for this link, unique for its
+            incarnation; empty from the dialing side.
+        kind: 'engine' or 'service' from an agent, else empty.
+        name: the model group's or service's name from an agent.
+        models: models that the upstream holds.
+    """
+
+    host: str
+    role: str
+    incarnation: str
+    data_centre: str
+    region: str
+    session: str = ''
+    kind: str = ''
+    name: str = ''
+    models: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks whether the link still carries messages."""
+
+    seq: int
+    config_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong:
+    """Answers a ping."""
+
+    seq: int
+    config_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begin:
+    """Hands one attempt to an agent.
+
+    Attributes:
+        attempt: the attempt's id.
+        session: the link session that the attempt is bound to.
+        workspace: the workspace's name.
+        work_class: the class's name.
+        importance: the class's importance.
+        repeatable: whether running twice does no harm.
+        key: the idempotency key, or empty.
+        deadline_ms: milliseconds left to the deadline.
+        stream: whether the answer is a stream of events.
+        window: units that may be sent before credit is given.
+        method: the HTTP method for the upstream.
+        path: the path and query for the upstream.
+        headers: the headers for the upstream.
+        body: the request body.
+    """
+
+    attempt: str
+    session: str
+    workspace: str
+    work_class: str
+    importance: int
+    repeatable: bool
+    key: str
+    deadline_ms: int
+    stream: bool
+    window: int
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The head of the upstream's answer."""
+
+    attempt: str
+    status: int
+    headers: tuple[Header, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """A part of an answer.
+
+    Attributes:
+        attempt: the attempt's id.
+        offset: units before this part: events of a stream, else bytes.
+        count: units in this part.
+        data: the bytes to pass to the caller.
+    """
+
+    attempt: str
+    offset: int
+    count: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """The end marker: the answer is whole with `offset` units."""
+
+    attempt: str
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fail:
+    """The attempt failed; `ran` is what the agent can prove."""
+
+    attempt: str
+    kind: errors.Kind
+    detail: str
+    ran: errors.Ran
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Credit:
+    """The first `offset` units have left; `window` more may be sent."""
+
+    attempt: str
+    offset: int
+    window: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Nobody waits for the answer any more."""
+
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seal:
+    """Asks the agent never to begin an attempt.
+
+    Attributes:
+        attempt: the attempt's id.
+        session: the link session that the attempt is bound to.
+    """
+
+    attempt: str
+    session: str
+
+
+class SealState(enum.StrEnum):
+    """What an agent answers to a seal."""
+
+    SEALED = 'sealed'
+    RUNNING = 'running'
+    DONE = 'done'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sealed:
+    """Answers a seal with one of the states of `SealState`."""
+
+    attempt: str
+    state: SealState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Asks for an attempt's answer from a unit on."""
+
+    attempt: str
+    offset: int
+    window: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirm:
+    """The attempt's outcome is kept in the table: it may be forgotten."""
+
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """An agent's report.
+
+    Attributes:
+        running: attempts at the upstream.
+        queued: attempts that wait at the agent.
+        first_token_ms: recent mean time to the first token.
+        token_us: recent mean microseconds between tokens.
+    """
+
+    running: int
+    queued: int
+    first_token_ms: int
+    token_us: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """The sender takes no new work."""
+
+    host: str
+
+
+Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
+           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving)
--- /dev/null
+++ b/pollenthread/core/targets.py
@@ -0,0 +1,79 @@
+"""Targets that operators set for classes of work."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+__all__ = ['Importance', 'Latency', 'Targets', 'WorkClass', 'Workspace']
+
+
+class Importance(enum.IntEnum):
+    """Which class of work gives way first when capacity is short."""
+
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Latency:
+    """The latency target of a class: for a stream or for a whole answer.
+
+    Attributes:
+        first_token_ms: milliseconds to the first token, or None.
+        between_tokens_ms: milliseconds between tokens, or None.
+        answer_ms: milliseconds to the whole answer, or None.
+    """
+
+    first_token_ms: int | None = None
+    between_tokens_ms: int | None = None
+    answer_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkClass:
+    """One class of work.
+
+    Attributes:
+        name: unique in its workspace.
+        latency: the target.
+        retries: how many more attempts one request may make.
+        repeatable: whether running a request twice does no harm.
+        importance: higher gives way later.
+    """
+
+    name: str
+    latency: Latency
+    retries: int
+    repeatable: bool
+    importance: Importance = Importance.NORMAL
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """One customer's classes of work.
+
+    Attributes:
+        name: unique in the system.
+        models: names of the models that it may use.
+        services: names of the plain services that it may use.
+        class_by_name: its classes of work.
+    """
+
+    name: str
+    models: frozenset[str]
+    services: frozenset[str]
+    class_by_name: Mapping[str, WorkClass]
+
+
+@dataclasses.dataclass(frozen=True)
+class Targets:
+    """One version of everything that operators have set.
+
+    Attributes:
+        version: rises by one with each accepted change.
+        workspace_by_name: all workspaces.
+    """
+
+    version: int
+    workspace_by_name: Mapping[str, Workspace]
--- /dev/null
+++ b/pollenthread/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract base classes for everything outside the decisions."""
--- /dev/null
+++ b/pollenthread/ports/engine.py
@@ -0,0 +1,61 @@
+"""What an agent asks of the model engine or plain service beside it."""
+
+import abc
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+from pollenthread.core import messages
+
+__all__ = ['Exchange', 'Upstream', 'UpstreamRequest', 'UpstreamUnavailable']
+
+
+class UpstreamUnavailable(Exception):
+    """The upstream could not be reached, so nothing was sent to it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """One call."""
+
+    method: str
+    path: str
+    headers: tuple[messages.Header, ...]
+    body: bytes
+
+
+class Exchange(abc.ABC):
+    """A call in progress."""
+
+    @property
+    @abc.abstractmethod
+    def status(self) -> int:
+        """The HTTP status of the answer."""
+
+    @property
+    @abc.abstractmethod
+    def headers(self) -> tuple[messages.Header, ...]:
+        """The headers of the answer."""
+
+    @abc.abstractmethod
+    def read(self) -> AsyncIterator[bytes]:
+        """Yields the body as it comes.
+
+        Raises:
+            ConnectionError: the answer broke off.
+        """
+
+
+class Upstream(abc.ABC):
+    """The engine or service."""
+
+    @abc.abstractmethod
+    def call(
+        self, request: UpstreamRequest
+    ) -> contextlib.AbstractAsyncContextManager[Exchange]:
+        """Sends a request; leaving the context early cancels it.
+
+        Raises:
+            UpstreamUnavailable: nothing was sent.
+            ConnectionError: the connection broke after something was sent.
+        """
--- /dev/null
+++ b/pollenthread/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The processes: wiring of services and adapters."""
--- /dev/null
+++ b/pollenthread/roles/agent.py
@@ -0,0 +1,96 @@
+"""The process in the slot of an upstream host."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from pollenthread.adapters import (admin_http, http_client, http_server, link as
+                                   link_module, settings, upstream_http)
+from pollenthread.app import gate as gate_module
+from pollenthread.core import messages
+from pollenthread.roles import process
+
+__all__ = ['run']
+
+_REPORT_INTERVAL_S = 0.25
+_LEAVE_NOTICE_S = 2.0
+_IDLE_CHECK_S = 0.05
+
+
+async def run(config: settings.AgentSettings) -> None:
+    """Runs until a stop is done."""
+    agent = _Agent(config=config)
+    async with contextlib.AsyncExitStack() as stack:
+        await agent.start(stack)
+        await agent.stop_when_asked()
+
+
+class _Agent:
+    """Owns the parts of an agent."""
+
+    def __init__(self, *, config: settings.AgentSettings) -> None:
+        self._config = config
+        self._signal = process.StopSignal()
+        self._hello = messages.Hello(host=config.host,
+                                     role='agent',
+                                     incarnation=process.new_incarnation(),
+                                     data_centre=config.data_centre,
+                                     region=config.region,
+                                     kind=config.upstream.kind,
+                                     name=config.upstream.name,
+                                     models=tuple(config.upstream.models))
+        self._client = http_client.HttpClient()
+        self._gate = gate_module.Gate(upstream=upstream_http.HttpUpstream(
+            client=self._client, address=config.upstream.address))
+        host, port = process.split_address(config.links)
+        self._links = link_module.LinkServer(hello=self._hello,
+                                             handler=self._gate,
+                                             host=host,
+                                             port=port)
+        host, port = process.split_address(config.admin)
+        self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
+            documents_by_path={'/status': self._status}),
+                                             host=host,
+                                             port=port)
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        """Starts the parts and says where they listen."""
+        for owner in (self._client, self._links, self._admin):
+            await stack.enter_async_context(owner)
+        stack.callback(asyncio.create_task(self._report()).cancel)
+        process.announce({
+            'event': 'ready',
+            'role': 'agent',
+            'host': self._config.host,
+            'links': self._links.address,
+            'admin': self._admin.address
+        })
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(_REPORT_INTERVAL_S)
+            self._gate.broadcast(self._gate.load)
+
+    def _status(self) -> dict[str, Any]:
+        load = self._gate.load
+        return {
+            'host': self._config.host,
+            'role': 'agent',
+            'incarnation': self._hello.incarnation,
+            'leaving': self._signal.planned.is_set(),
+            'running': load.running,
+            'queued': load.queued,
+            'begun': self._gate.begun_count,
+            'unconfirmed': self._gate.unconfirmed
+        }
+
+    async def stop_when_asked(self) -> None:
+        """Stops by plan: refuse new work, finish the work, then go."""
+        await self._signal.planned.wait()
+        self._gate.leave(self._config.host)
+        if not await self._signal.wait_now(_LEAVE_NOTICE_S):
+            while self._gate.unfinished or self._gate.unconfirmed:
+                if await self._signal.wait_now(_IDLE_CHECK_S):
+                    break
+        cut = await self._gate.cancel_all()
+        process.announce({'event': 'stopped', 'cut': cut})
--- /dev/null
+++ b/pollenthread/roles/process.py
@@ -0,0 +1,59 @@
+"""What every process does: say that it is ready, and stop when asked."""
+
+import asyncio
+import json
+import secrets
+import signal
+import sys
+from typing import Any
+
+from absl import logging
+
+__all__ = ['StopSignal', 'announce', 'new_incarnation', 'split_address']
+
+_INCARNATION_BYTES = 6
+
+
+class StopSignal:
+    """SIGTERM or SIGINT: once for a planned stop, twice for now."""
+
+    def __init__(self) -> None:
+        self.planned = asyncio.Event()
+        self.now = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._receive)
+
+    def _receive(self) -> None:
+        if self.planned.is_set():
+            logging.info('stop now')
+            self.now.set()
+        else:
+            logging.info('planned stop')
+            self.planned.set()
+
+    async def wait_now(self, seconds: float) -> bool:
+        """Waits for the second signal; whether it came."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.now.wait()
+            return True
+        except TimeoutError:
+            return False
+
+
+def new_incarnation() -> str:
+    """A name that no other start of any process has."""
+    return secrets.token_hex(_INCARNATION_BYTES)
+
+
+def announce(document: dict[str, Any]) -> None:
+    """Writes one line of JSON to standard output."""
+    sys.stdout.write(json.dumps(document) + '\n')
+    sys.stdout.flush()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits `ip:port`."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, and the stand-ins for what lies outside the system."""
--- /dev/null
+++ b/tests/fakes/engine.py
@@ -0,0 +1,112 @@
+"""Stand-in for a model engine with a chat completions endpoint.
+
+Its tokens derive from the request's body, so that a caller can compute the
+whole answer by itself with `expected_tokens`.
+"""
+
+import asyncio
+import hashlib
+import json
+from typing import Any
+
+from pollenthread.adapters import http_server
+from tests.fakes import serving
+
+__all__ = ['EngineHandler', 'expected_text', 'expected_tokens']
+
+_DEFAULT_TOKENS = 16
+
+
+def expected_tokens(document: dict[str, Any]) -> list[str]:
+    """The tokens that any engine answers to a request document."""
+    canonical = json.dumps(document, sort_keys=True).encode()
+    seed = hashlib.sha256(canonical).hexdigest()
+    count = int(document.get('max_tokens', _DEFAULT_TOKENS))
+    return [
+        hashlib.sha256(f'{seed}{i}'.encode()).hexdigest()[:6] + ' '
+        for i in range(count)
+    ]
+
+
+def expected_text(document: dict[str, Any]) -> str:
+    """The whole text that any engine answers."""
+    return ''.join(expected_tokens(document))
+
+
+class EngineHandler(serving.FakeHandler):
+    """Answers deterministically; counts what it began and cancelled."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._counts = {'begun': 0, 'finished': 0, 'cancelled': 0}
+        self._last_document: dict[str, Any] = {}
+
+    async def answer(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        if request.path == '/counts':
+            await response.send_json(200, self._counts)
+            return
+        document = json.loads(request.body)
+        self._counts['begun'] += 1
+        try:
+            await self._complete(request, response, document)
+        except asyncio.CancelledError:
+            self._counts['cancelled'] += 1
+            raise
+        self._counts['finished'] += 1
+
+    async def _complete(self, request: http_server.Request,
+                        response: http_server.Response,
+                        document: dict[str, Any]) -> None:
+        if self.take('crash'):
+            response.abort()
+            return
+        request_id = request.header('x-request-id') or 'none'
+        tokens = expected_tokens(document)
+        if self.take('crossed'):
+            request_id = 'another-request'
+            tokens = expected_tokens({'another': 'request'})
+        await asyncio.sleep(self.faults.get('delay_s', 0))
+        headers = [('x-request-id', request_id)]
+        if document.get('stream'):
+            await self._stream(response, headers, tokens)
+        else:
+            await asyncio.sleep(self.faults.get('token_s', 0) * len(tokens))
+            await response.send_json(
+                200, {
+                    'id':
+                        request_id,
+                    'object':
+                        'chat.completion',
+                    'choices': [{
+                        'index': 0,
+                        'finish_reason': 'stop',
+                        'message': {
+                            'role': 'assistant',
+                            'content': ''.join(tokens)
+                        }
+                    }]
+                }, headers)
+
+    async def _stream(self, response: http_server.Response,
+                      headers: list[tuple[str,
+                                          str]], tokens: list[str]) -> None:
+        await response.send_head(
+            200, [('content-type', 'text/event-stream'), *headers])
+        stall_after = self.faults.get('stall_after_tokens')
+        truncate_after = self.faults.get('truncate_after_tokens')
+        for i, token in enumerate(tokens):
+            if i == truncate_after:
+                response.abort()
+                return
+            if i == stall_after:
+                await asyncio.sleep(3600)
+            await asyncio.sleep(self.faults.get('token_s', 0))
+            event = {'choices': [{'index': 0, 'delta': {'content': token}}]}
+            await response.write(f'data: {json.dumps(event)}\n\n'.encode())
+        await response.write(b'data: [DONE]\n\n')
+        await response.finish()
+
+
+if __name__ == '__main__':
+    serving.run(EngineHandler())
--- /dev/null
+++ b/tests/fakes/host_list.py
@@ -0,0 +1,46 @@
+"""Stand-in for the platform's list of hosts.
+
+`GET /hosts` shows the list. `PUT /hosts/NAME` adds or changes a host;
+`DELETE /hosts/NAME` takes it away.
+"""
+
+import json
+from typing import Any
+
+from pollenthread.adapters import http_server
+from tests.fakes import serving
+
+__all__ = ['HostListHandler']
+
+_PREFIX = '/hosts/'
+
+
+class HostListHandler(serving.FakeHandler):
+    """Hosts in memory; the fault `frozen` shows an old list."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._by_name: dict[str, dict[str, Any]] = {}
+        self._shown: list[dict[str, Any]] = []
+
+    async def answer(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        if self.faults.get('down'):
+            await response.send(503, [], b'')
+            return
+        name = request.path[len(_PREFIX):]
+        if request.method == 'PUT':
+            known = self._by_name.get(name, {})
+            self._by_name[name] = {
+                **known, 'name': name,
+                **json.loads(request.body)
+            }
+        elif request.method == 'DELETE':
+            self._by_name.pop(name, None)
+        if not self.faults.get('frozen'):
+            self._shown = [dict(host) for host in self._by_name.values()]
+        await response.send_json(200, self._shown)
+
+
+if __name__ == '__main__':
+    serving.run(HostListHandler())
--- /dev/null
+++ b/tests/fakes/object_store.py
@@ -0,0 +1,30 @@
+"""Stand-in for the platform's object store: `PUT` and `GET /objects/KEY`."""
+
+from pollenthread.adapters import http_server
+from tests.fakes import serving
+
+__all__ = ['ObjectStoreHandler']
+
+
+class ObjectStoreHandler(serving.FakeHandler):
+    """Objects in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._objects_by_path: dict[str, bytes] = {}
+
+    async def answer(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        if self.faults.get('down'):
+            await response.send(503, [], b'')
+        elif request.method == 'PUT':
+            self._objects_by_path[request.path] = request.body
+            await response.send(204, [], b'')
+        elif request.path in self._objects_by_path:
+            await response.send(200, [], self._objects_by_path[request.path])
+        else:
+            await response.send(404, [], b'')
+
+
+if __name__ == '__main__':
+    serving.run(ObjectStoreHandler())
--- /dev/null
+++ b/tests/fakes/service.py
@@ -0,0 +1,48 @@
+"""Stand-in for a plain service whose effects are counted by key.
+
+Every `POST` has one effect under its `idempotency-key`; the service itself
+does not recognise repeats. `GET /tally` shows the effects.
+"""
+
+import asyncio
+import hashlib
+
+from pollenthread.adapters import http_server
+from tests.fakes import serving
+
+__all__ = ['ServiceHandler', 'expected_receipt']
+
+
+def expected_receipt(body: bytes) -> str:
+    """The receipt that the service gives for a body."""
+    return hashlib.sha256(body).hexdigest()[:16]
+
+
+class ServiceHandler(serving.FakeHandler):
+    """Counts effects."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._effects_by_key: dict[str, int] = {}
+
+    async def answer(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        if request.path == '/tally':
+            await response.send_json(200, self._effects_by_key)
+            return
+        await asyncio.sleep(self.faults.get('delay_s', 0))
+        if request.method == 'POST':
+            key = request.header('idempotency-key') or ''
+            self._effects_by_key[key] = self._effects_by_key.get(key, 0) + 1
+        if self.take('crash_after_effect'):
+            response.abort()
+            return
+        await asyncio.sleep(self.faults.get('delay_after_effect_s', 0))
+        await response.send_json(200, {
+            'receipt': expected_receipt(request.body),
+            'path': request.target
+        }, [('x-request-id', request.header('x-request-id') or '')])
+
+
+if __name__ == '__main__':
+    serving.run(ServiceHandler())
--- /dev/null
+++ b/tests/path/steps/whole_path.py
@@ -0,0 +1,100 @@
+"""Steps for a request's whole path."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from tests import scenario
+from tests.fakes import caller as caller_module, system as system_module
+
+_PAYMENT = b'{"order": "mug", "amount_birr": 450}'
+_PAYMENT_PATH = '/services/orders/payments'
+
+
+def chat_document(tokens: int, stream: bool = True) -> dict[str, Any]:
+    """A chat completion request."""
+    return {
+        'model': system_module.MODEL,
+        'stream': stream,
+        'max_tokens': tokens,
+        'messages': [{
+            'role': 'user',
+            'content': f'{tokens} words'
+        }]
+    }
+
+
+@given('a system with {entries:d} entry hosts, {engines:d} engines and '
+       '{services:d} service')
+def step_system(context: Any, entries: int, engines: int,
+                services: int) -> None:
+    scenario.start_system(context,
+                          entries=entries,
+                          engines=engines,
+                          services=services)
+
+
+@when('the caller streams {tokens:d} tokens of class "{work_class}"')
+def step_stream(context: Any, tokens: int, work_class: str) -> None:
+    context.document = chat_document(tokens)
+    context.answer = scenario.run(
+        context,
+        context.caller.chat(context.system.entry_addresses[0], work_class,
+                            context.document))
+
+
+@then('the answer is whole and its own')
+def step_own(context: Any) -> None:
+    assert caller_module.Caller.is_own_answer(context.document, context.answer)
+
+
+@when('the payment "{key}" is sent to each entry host in turn')
+def step_pay_each(context: Any, key: str) -> None:
+    context.answers = [
+        scenario.run(
+            context,
+            context.caller.post(address,
+                                'payment-confirmation',
+                                _PAYMENT_PATH,
+                                _PAYMENT,
+                                idempotency_key=key))
+        for address in context.system.entry_addresses
+    ]
+
+
+@then('both answers carry the same receipt')
+def step_same_receipt(context: Any) -> None:
+    receipts = {answer.json['receipt'] for answer in context.answers}
+    assert len(receipts) == 1, receipts
+
+
+@then('the service has had one effect under "{key}"')
+def step_one_effect(context: Any, key: str) -> None:
+    tally = scenario.run(
+        context,
+        context.system.call(context.system.address('service-1'), 'GET',
+                            '/tally'))
+    assert tally.get(key) == 1, tally
+
+
+@when('the caller sends a payment without an idempotency key')
+def step_pay_without_key(context: Any) -> None:
+    context.answer = scenario.run(
+        context,
+        context.caller.post(context.system.entry_addresses[0],
+                            'payment-confirmation', _PAYMENT_PATH, _PAYMENT))
+
+
+@then('the answer is the problem "{kind}" with ran "{ran}"')
+def step_problem(context: Any, kind: str, ran: str) -> None:
+    problem = context.answer.json
+    assert (problem['kind'], problem['ran']) == (kind, ran), problem
+
+
+@then('no upstream was touched')
+def step_untouched(context: Any) -> None:
+    for process in context.system.named('agent-'):
+        status = scenario.run(
+            context,
+            context.system.call(process.ready['admin'], 'GET', '/status'))
+        assert status['begun'] == 0, status
