--- /dev/null
+++ b/pollenthread/core/versions.py
@@ -0,0 +1,119 @@
+"""Versions of the configuration: which to adopt, and what their age allows.
+
+A version is proved current at the moment before a read of the table was sent
+that found none newer. A peer passes its proof on as an age; the receiver counts
+it from the moment before it asked, so that delays only make a proof look older.
+"""
+
+import dataclasses
+import enum
+
+__all__ = [
+    'Freshness', 'Permission', 'PROOF_LIMIT_S', 'Reachable', 'may_adopt',
+    'merge', 'must_fetch', 'permit', 'proof_from_peer', 'should_poll'
+]
+
+PROOF_LIMIT_S = 10.0
+POLLER_INTERVAL_S = 1.0
+SELF_HELP_AGE_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freshness:
+    """What a process can prove about its configuration.
+
+    Attributes:
+        version: the version in force; 0 before the first.
+        proved_at: monotonic seconds at which it was newest, or None.
+    """
+
+    version: int = 0
+    proved_at: float | None = None
+
+    def age_s(self, now: float) -> float | None:
+        """Seconds since the version was proved newest, or None."""
+        return None if self.proved_at is None else now - self.proved_at
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reachable:
+    """Which entry hosts of its own region a host hears.
+
+    Attributes:
+        heard: hosts heard within the link's limits, itself included.
+        listed: hosts on the host list, itself included.
+    """
+
+    heard: int
+    listed: int
+
+    @property
+    def is_majority(self) -> bool:
+        """Whether no other part of the region is as large."""
+        return self.heard * 2 > self.listed
+
+
+class Permission(enum.StrEnum):
+    """What a process may do with its configuration."""
+
+    SERVE = 'serve'
+    SERVE_UNPROVED = 'serve_unproved'
+    REFUSE = 'refuse'
+
+
+def may_adopt(current: int, offered: int) -> bool:
+    """Whether a version may come into force: versions only rise."""
+    return offered > current
+
+
+def must_fetch(current: int, announced: int) -> bool:
+    """Whether a peer's version shows a gap that has to be fetched."""
+    return announced > current
+
+
+def merge(known: Freshness, *, version: int, proved_at: float) -> Freshness:
+    """Takes in a proof that `version` was newest at `proved_at`.
+
+    A proof of an older version than the one in force proves nothing: it comes
+    from an old read.
+    """
+    if version < known.version:
+        return known
+    if version > known.version or known.proved_at is None:
+        return Freshness(version, proved_at)
+    return Freshness(version, max(proved_at, known.proved_at))
+
+
+def proof_from_peer(*, asked_at: float, age_s: float) -> float:
+    """When a peer's version was newest, by the own clock.
+
+    Args:
+        asked_at: monotonic seconds before the question was sent.
+        age_s: the age of the proof when the peer answered.
+    """
+    return asked_at - age_s
+
+
+def permit(known: Freshness, reachable: Reachable, now: float) -> Permission:
+    """What a host may do, by the age of its proof.
+
+    Beyond the limit a host that hears most of its region goes on: none of them
+    can read the table, so this is an outage of the table or of the region's way
+    to it, and serving must go on. A host that hears fewer is itself cut off.
+    """
+    age_s = known.age_s(now)
+    if age_s is None:
+        return Permission.REFUSE
+    if age_s <= PROOF_LIMIT_S:
+        return Permission.SERVE
+    if reachable.is_majority:
+        return Permission.SERVE_UNPROVED
+    return Permission.REFUSE
+
+
+def should_poll(known: Freshness, *, is_poller: bool, now: float) -> bool:
+    """Whether to read the table now: pollers always, others when in need."""
+    if is_poller:
+        return True
+    age_s = known.age_s(now)
+    return age_s is None or age_s > SELF_HELP_AGE_S
