Spread configuration over links, keep leases, and give orders through agents

Change: two hosts of each data centre read the table, the others ask peers and take gaps from them; a host without a proof for 10 s refuses new work unless it hears most of the peers that it watches. Agents check the key, the number and the incarnation, and answer a repeat with the first result. Entry hosts keep links to a bounded number of peers and upstreams; death and leaving are passed on between them.

--- a/pollenthread/adapters/host_list_http.py
+++ b/pollenthread/adapters/host_list_http.py
@@ -21,6 +21,7 @@
     address: str
     callers: str = ''
     admin: str = ''
+    serves: str = ''
     state: str = 'live'
 
 
@@ -61,4 +62,5 @@
                           address=model.address,
                           callers=model.callers,
                           admin=model.admin,
+                          serves=model.serves,
                           leaving=model.state == 'leaving')
--- /dev/null
+++ b/pollenthread/adapters/orders_admin.py
@@ -0,0 +1,113 @@
+"""Orders over the administration port.
+
+`PUT /orders/HOST/ID` with a kind and arguments takes an order in; a repeat of
+the same id never has a second effect. `GET /orders/HOST/ID` shows it.
+"""
+
+import json
+from typing import Any
+from urllib import parse
+
+import pydantic
+import result
+
+from pollenthread.adapters import http_server
+from pollenthread.app import order_desk, order_journal, peers as peers_module
+from pollenthread.app import targets_document
+from pollenthread.core import errors, messages, orders
+from pollenthread.ports import table
+
+__all__ = ['OrdersHandler']
+
+
+class _OrderModel(targets_document.Strict):
+    """The body of an order."""
+
+    kind: targets_document.Name
+    arguments: dict[str, Any] = {}
+
+
+class OrdersHandler(http_server.Handler):
+    """Takes orders in and shows how they ended."""
+
+    def __init__(self, *, journal: order_journal.OrderJournal,
+                 desk: order_desk.OrderDesk, peers: peers_module.Peers) -> None:
+        self._journal = journal
+        self._desk = desk
+        self._peers = peers
+
+    async def handle(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        parts = [parse.unquote(part) for part in request.path.split('/')[2:]]
+        if len(parts) != 2 or not all(parts):
+            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+        elif request.method == 'PUT':
+            await self._submit(parts[0], parts[1], request, response)
+        elif request.method == 'GET':
+            await self._show(parts[0], parts[1], response)
+        else:
+            await response.send_problem(
+                errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
+
+    async def _submit(self, host: str, order_id: str,
+                      request: http_server.Request,
+                      response: http_server.Response) -> None:
+        try:
+            model = _OrderModel.model_validate_json(request.body)
+        except pydantic.ValidationError as error:
+            await response.send_problem(
+                errors.failure(errors.Kind.BAD_JSON,
+                               targets_document.explain('order', error)))
+            return
+        arguments = json.dumps(model.arguments, sort_keys=True)
+        done = await self._journal.submit(order_id=order_id,
+                                          host=host,
+                                          kind=model.kind,
+                                          arguments=arguments)
+        if isinstance(done, result.Err):
+            await response.send_problem(_table_failure(done.err_value))
+            return
+        submitted = done.ok_value
+        order = submitted.order
+        if (order.kind, order.arguments) != (model.kind, arguments):
+            await response.send_problem(
+                errors.failure(errors.Kind.KEY_REUSED,
+                               'This id belongs to another order.'))
+            return
+        self._desk.wake()
+        self._peers.broadcast(messages.DutyNews(orders.duty_of(host)))
+        await response.send_json(202, _document(submitted))
+
+    async def _show(self, host: str, order_id: str,
+                    response: http_server.Response) -> None:
+        found = await self._journal.find(host, order_id)
+        if isinstance(found, result.Err):
+            await response.send_problem(_table_failure(found.err_value))
+        elif found.ok_value is None:
+            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+        else:
+            await response.send_json(200, _document(found.ok_value))
+
+
+def _document(submitted: order_journal.Submitted) -> dict[str, Any]:
+    order, row = submitted.order, submitted.row
+    document: dict[str, Any] = {
+        'id': order.id,
+        'host': order.host,
+        'kind': order.kind,
+        'duty': order.duty,
+        'number': order.number,
+        'fencing': order.fencing,
+        'state': 'waiting' if row is None else row.state.value
+    }
+    if row is not None and row.result is not None:
+        document['done'] = row.result.done
+        document['detail'] = row.result.detail
+    return document
+
+
+def _table_failure(fault: table.TableFault) -> errors.Failure:
+    if fault is table.TableFault.UNKNOWN:
+        return errors.failure(errors.Kind.OUTCOME_UNKNOWN,
+                              'Repeat the order with the same id.')
+    return errors.failure(errors.Kind.TABLE_UNAVAILABLE)
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -8,10 +8,11 @@
 import yaml
 
 from pollenthread.app import targets_document
+from pollenthread.core import signing
 
 __all__ = [
-    'AgentSettings', 'EntrySettings', 'PlatformSettings', 'UpstreamSettings',
-    'load_process', 'load_targets', 'load_yaml'
+    'AgentSettings', 'EntrySettings', 'OrderKeySettings', 'PlatformSettings',
+    'UpstreamSettings', 'load_process', 'load_targets', 'load_yaml'
 ]
 
 _Address = Annotated[str, pydantic.Field(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
@@ -25,6 +26,13 @@
     host_list: _Address
 
 
+class OrderKeySettings(targets_document.Strict):
+    """A key that signs orders; the first of a list signs, all are valid."""
+
+    id: targets_document.Name
+    secret: Annotated[str, pydantic.Field(min_length=16)]
+
+
 class _ProcessSettings(targets_document.Strict):
     """What every process is told."""
 
@@ -34,6 +42,15 @@
     links: _Address
     admin: _Address
     platform: PlatformSettings
+    order_keys: list[OrderKeySettings] = []
+
+    @property
+    def key_ring(self) -> signing.KeyRing:
+        """The keys that sign orders and check them."""
+        return signing.KeyRing(
+            tuple(
+                signing.Key(key.id, key.secret.encode())
+                for key in self.order_keys))
 
 
 class EntrySettings(_ProcessSettings):
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -62,6 +62,49 @@
 
 struct Leaving { host @0 :Text; }
 
+struct ConfigNews { version @0 :UInt64; }
+struct ConfigAsk { seq @0 :UInt64; version @1 :UInt64; }
+
+struct ConfigGive {
+  seq @0 :UInt64;
+  version @1 :UInt64;
+  isProved @2 :Bool;
+  ageMs @3 :UInt64;
+  document @4 :Data;
+}
+
+struct HostNews {
+  host @0 :Text;
+  incarnation @1 :Text;
+  state @2 :Text;
+  reporter @3 :Text;
+  reporterIncarnation @4 :Text;
+  number @5 :UInt64;
+}
+
+struct DutyNews { duty @0 :Text; }
+
+struct OrderSend {
+  id @0 :Text;
+  duty @1 :Text;
+  number @2 :UInt64;
+  host @3 :Text;
+  kind @4 :Text;
+  arguments @5 :Text;
+  fencing @6 :UInt64;
+  incarnation @7 :Text;
+  settledBelow @8 :UInt64;
+  keyId @9 :Text;
+  signature @10 :Data;
+}
+
+struct OrderReply {
+  id @0 :Text;
+  answer @1 :Text;
+  done @2 :Bool;
+  detail @3 :Text;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -80,5 +123,12 @@
     confirm @13 :Confirm;
     load @14 :Load;
     leaving @15 :Leaving;
+    confignews @16 :ConfigNews;
+    configask @17 :ConfigAsk;
+    configgive @18 :ConfigGive;
+    hostnews @19 :HostNews;
+    dutynews @20 :DutyNews;
+    ordersend @21 :OrderSend;
+    orderreply @22 :OrderReply;
   }
 }
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -38,8 +38,14 @@
     """Begins attempts at most once and streams their answers back."""
 
     def __init__(
-        self, *, upstream: engine.Upstream,
-        limits: GateLimits = GateLimits()) -> None:
+        self,
+        *,
+        upstream: engine.Upstream,
+        limits: GateLimits = GateLimits(),
+        on_order: Callable[[link_port.Link, messages.OrderSend], None] |
+        None = None
+    ) -> None:
+        self._on_order = on_order
         self._upstream = upstream
         self._limits = limits
         self._attempts_by_id: dict[str, _Attempt] = {}
@@ -125,6 +131,8 @@
                 self._resume(link, message)
             case messages.Confirm():
                 self._confirm(message)
+            case messages.OrderSend() if self._on_order is not None:
+                self._on_order(link, message)
             case _:
                 pass
 
--- a/pollenthread/app/peers.py
+++ b/pollenthread/app/peers.py
@@ -1,5 +1,6 @@
 """Links between entry hosts: who is alive and who leaves."""
 
+import abc
 from collections.abc import Callable
 from typing import Any
 
@@ -8,21 +9,38 @@
 from pollenthread.core import messages
 from pollenthread.ports import link as link_port
 
-__all__ = ['Peers']
+__all__ = ['LinkWatcher', 'Peers']
 
 _OnMessage = Callable[[link_port.Link, Any], None]
 
 
+class LinkWatcher(abc.ABC):
+    """Is told of links to other entry hosts."""
+
+    @abc.abstractmethod
+    def on_peer_linked(self, link: link_port.Link) -> None:
+        """A link is ready."""
+
+    @abc.abstractmethod
+    def on_peer_lost(self, link: link_port.Link) -> None:
+        """The only link to a host is gone."""
+
+
 class Peers(link_port.LinkHandler):
     """Entry hosts by name, and what to do with their messages."""
 
     def __init__(self) -> None:
         self.links_by_host: dict[str, link_port.Link] = {}
-        self._handlers_by_type: dict[type[Any], _OnMessage] = {}
+        self._handlers_by_type: dict[type[Any], list[_OnMessage]] = {}
+        self._watchers: list[LinkWatcher] = []
 
     def subscribe(self, message_type: type[Any], handler: _OnMessage) -> None:
-        """Sets who handles messages of a type from other entry hosts."""
-        self._handlers_by_type[message_type] = handler
+        """Adds who handles messages of a type from other entry hosts."""
+        self._handlers_by_type.setdefault(message_type, []).append(handler)
+
+    def watch(self, watcher: 'LinkWatcher') -> None:
+        """Adds who is told of links that open and close."""
+        self._watchers.append(watcher)
 
     def broadcast(self, message: messages.Message) -> None:
         """Sends a message to every linked entry host."""
@@ -35,14 +53,17 @@
     def on_open(self, link: link_port.Link) -> None:
         self.links_by_host[link.peer.host] = link
         logging.info('peer linked host=%s', link.peer.host)
+        for watcher in self._watchers:
+            watcher.on_peer_linked(link)
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
         if self.links_by_host.get(link.peer.host) is link:
             del self.links_by_host[link.peer.host]
             logging.info('peer lost host=%s reason=%s', link.peer.host, reason)
+            for watcher in self._watchers:
+                watcher.on_peer_lost(link)
 
     def on_message(self, link: link_port.Link,
                    message: messages.Message) -> None:
-        handler = self._handlers_by_type.get(type(message))
-        if handler is not None:
+        for handler in self._handlers_by_type.get(type(message), ()):
             handler(link, message)
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Callable
+from typing import Any
 
 from absl import logging
 
@@ -13,6 +15,7 @@
 
 _SEAL_TIMEOUT_S = 2.0
 
+_OnMessage = Callable[[link_port.Link, Any], None]
 _SealAnswer = asyncio.Future[messages.SealState | None]
 
 
@@ -100,6 +103,11 @@
         self.by_host: dict[str, Upstream] = {}
         self.misrouted_count = 0
         self._changed = asyncio.Event()
+        self._handlers_by_type: dict[type[Any], _OnMessage] = {}
+
+    def subscribe(self, message_type: type[Any], handler: _OnMessage) -> None:
+        """Sets who handles messages of a type that the pool does not."""
+        self._handlers_by_type[message_type] = handler
 
     def candidates(self, kind: str, name: str) -> list[Upstream]:
         """Upstreams that can take new work for a model or service."""
@@ -172,7 +180,9 @@
                 upstream.leaving = True
                 logging.info('upstream leaving host=%s', link.peer.host)
             case _:
-                pass
+                handler = self._handlers_by_type.get(type(message))
+                if handler is not None:
+                    handler(link, message)
 
     def misrouted(self, upstream: Upstream, detail: str) -> errors.Failure:
         """Counts an answer out of order and distrusts its link."""
--- a/pollenthread/core/membership.py
+++ b/pollenthread/core/membership.py
@@ -8,16 +8,19 @@
 import dataclasses
 import enum
 import hashlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 __all__ = [
-    'Evidence', 'MAX_DEAD_SHARE', 'Member', 'State', 'View', 'judge',
-    'linked_peers', 'pollers', 'ranked', 'takes_new_work', 'upstream_subset'
+    'Evidence', 'MAX_DEAD_SHARE', 'Member', 'REPORT_LIFE_S', 'Report', 'State',
+    'View', 'dead_reports', 'hear', 'judge', 'linked_peers', 'pollers',
+    'ranked', 'takes_new_work', 'upstream_subset'
 ]
 
 SUSPECT_AFTER_S = 1.5
 DEAD_AFTER_S = 3.0
 MAX_DEAD_SHARE = 0.34
+REPORTS_TO_BELIEVE = 2
+REPORT_LIFE_S = 30.0
 POLLERS_PER_DATA_CENTRE = 2
 PEERS_IN_DATA_CENTRE = 3
 PEERS_IN_REGION = 4
@@ -25,6 +28,22 @@
 UPSTREAM_SUBSET = 32
 
 
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What others have said of one host.
+
+    Attributes:
+        incarnation: the start of its process that is meant.
+        is_leaving: whether that one leaves.
+        dead_by_reporter: when each host reported it dead, monotonic seconds.
+    """
+
+    incarnation: str
+    is_leaving: bool = False
+    dead_by_reporter: Mapping[str,
+                              float] = dataclasses.field(default_factory=dict)
+
+
 class State(enum.StrEnum):
     """What a host is held for."""
 
@@ -60,11 +79,13 @@
         listed_leaving: whether the host list says that it leaves.
         said_leaving: whether the host itself, or a peer, says so.
         silent_s: seconds since it was heard; None when it is not watched.
+        dead_reports: how many hosts that watch it report it dead.
     """
 
     listed_leaving: bool = False
     said_leaving: bool = False
     silent_s: float | None = None
+    dead_reports: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,16 +116,17 @@
 def judge(evidence_by_host: Mapping[str, Evidence]) -> View:
     """Judges every host of a fleet.
 
-    Panic: when more than `MAX_DEAD_SHARE` of the watched hosts are silent, the
-    fault is more likely on this side; silent hosts are then only suspects.
+    Panic: when more than `MAX_DEAD_SHARE` of the hosts that this one watches,
+    or of the whole fleet, are silent, the fault is more likely on this side;
+    silent hosts are then only suspects.
     Leaving hosts stay out in any case, for that is said and not guessed.
     """
-    watched = [
+    own_watch = [
         evidence for evidence in evidence_by_host.values()
         if evidence.silent_s is not None and not _is_leaving(evidence)
     ]
-    dead = sum(1 for evidence in watched if _is_silent(evidence))
-    is_panic = dead > 1 and dead > MAX_DEAD_SHARE * len(watched)
+    fleet = [e for e in evidence_by_host.values() if not _is_leaving(e)]
+    is_panic = _too_many_silent(own_watch) or _too_many_silent(fleet)
     return View(state_by_host={
         host: _state(evidence, is_panic)
         for host, evidence in evidence_by_host.items()
@@ -116,18 +138,53 @@
     return evidence.listed_leaving or evidence.said_leaving
 
 
+def _too_many_silent(fleet: Sequence[Evidence]) -> bool:
+    silent = sum(1 for evidence in fleet if _is_silent(evidence))
+    return silent > 1 and silent > MAX_DEAD_SHARE * len(fleet)
+
+
 def _is_silent(evidence: Evidence) -> bool:
-    return evidence.silent_s is not None and evidence.silent_s >= DEAD_AFTER_S
+    """Whether a host seems dead: by one's own watch, or else by reports."""
+    if evidence.silent_s is None:
+        return evidence.dead_reports >= REPORTS_TO_BELIEVE
+    return evidence.silent_s >= DEAD_AFTER_S
 
 
 def _state(evidence: Evidence, is_panic: bool) -> State:
     if _is_leaving(evidence):
         return State.LEAVING
-    if evidence.silent_s is None or evidence.silent_s < SUSPECT_AFTER_S:
-        return State.LIVE
-    if _is_silent(evidence) and not is_panic:
-        return State.DEAD
-    return State.SUSPECT
+    if _is_silent(evidence):
+        return State.SUSPECT if is_panic else State.DEAD
+    if evidence.silent_s is not None and evidence.silent_s >= SUSPECT_AFTER_S:
+        return State.SUSPECT
+    return State.LIVE
+
+
+def hear(known: Report | None, *, incarnation: str, state: State, reporter: str,
+         now: float) -> Report:
+    """Takes in what a reporter says of a host.
+
+    News of another start of the host's process replaces what was known. A host
+    that has said it leaves does not come back in the same start.
+    """
+    if known is None or known.incarnation != incarnation:
+        known = Report(incarnation=incarnation)
+    dead_by_reporter = {
+        name: at
+        for name, at in known.dead_by_reporter.items()
+        if name != reporter and now - at < REPORT_LIFE_S
+    }
+    if state is State.DEAD:
+        dead_by_reporter[reporter] = now
+    return Report(incarnation=incarnation,
+                  is_leaving=known.is_leaving or state is State.LEAVING,
+                  dead_by_reporter=dead_by_reporter)
+
+
+def dead_reports(known: Report, now: float) -> int:
+    """How many reports of a host's death still count."""
+    return sum(
+        1 for at in known.dead_by_reporter.values() if now - at < REPORT_LIFE_S)
 
 
 def ranked(hosts: Iterable[str], subject: str) -> list[str]:
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -6,9 +6,10 @@
 from pollenthread.core import errors
 
 __all__ = [
-    'Begin', 'Cancel', 'Chunk', 'Confirm', 'Credit', 'End', 'Fail', 'Head',
-    'Header', 'Hello', 'Leaving', 'Load', 'Message', 'Ping', 'Pong', 'Resume',
-    'Seal', 'SealState', 'Sealed'
+    'Begin', 'Cancel', 'Chunk', 'ConfigAsk', 'ConfigGive', 'ConfigNews',
+    'Confirm', 'Credit', 'End', 'Fail', 'Head', 'Header', 'Hello', 'Leaving',
+    'Load', 'Message', 'DutyNews', 'HostNews', 'OrderReply', 'OrderSend',
+    'Ping', 'Pong', 'Resume', 'Seal', 'SealState', 'Sealed'
 ]
 
 Header = tuple[str, str]
@@ -225,5 +226,106 @@
     host: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigNews:
+    """The sender has put a version in force."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigAsk:
+    """Asks for the receiver's version.
+
+    Attributes:
+        seq: echoed in the answer.
+        version: the version in force at the sender.
+    """
+
+    seq: int
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigGive:
+    """Answers a `ConfigAsk`.
+
+    Attributes:
+        seq: the question's number.
+        version: the version in force at the sender.
+        is_proved: whether the sender has ever proved a version newest.
+        age_ms: milliseconds since it was proved newest.
+        document: the stored version, if the asker's is lower.
+    """
+
+    seq: int
+    version: int
+    is_proved: bool
+    age_ms: int
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostNews:
+    """What one entry host says of another; passed on once by each host.
+
+    Attributes:
+        host: the host that it is about.
+        incarnation: the start of its process that it is about.
+        state: 'live', 'leaving' or 'dead'.
+        reporter: the host that says so.
+        number: rises with each news of one start of the reporter.
+        reporter_incarnation: the reporter's incarnation.
+    """
+
+    host: str
+    incarnation: str
+    state: str
+    reporter: str
+    reporter_incarnation: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyNews:
+    """The row or the journal of a duty has changed: read it."""
+
+    duty: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderSend:
+    """An order to an agent; the fields are those of `core.orders.Order`.
+
+    Attributes:
+        key_id: which key signed it.
+        signature: HMAC over all other fields.
+    """
+
+    id: str
+    duty: str
+    number: int
+    host: str
+    kind: str
+    arguments: str
+    fencing: int
+    incarnation: str
+    settled_below: int
+    key_id: str
+    signature: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderReply:
+    """An agent's answer to an order; `answer` is one of `orders.Answer`."""
+
+    id: str
+    answer: str
+    done: bool
+    detail: str
+
+
 Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
-           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving)
+           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving |
+           ConfigNews | ConfigAsk | ConfigGive | HostNews | DutyNews |
+           OrderSend | OrderReply)
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -8,15 +8,17 @@
 
 import dataclasses
 import enum
+import zlib
 from collections.abc import Iterable, Mapping
 
 __all__ = [
     'Answer', 'Fence', 'JournalRow', 'Order', 'OrderState', 'Result', 'Step',
-    'Verdict', 'close', 'decide', 'finish', 'journal', 'next_step',
-    'raise_fence', 'reissue', 'settled_below'
+    'Verdict', 'all_duties', 'close', 'decide', 'duty_of', 'finish', 'journal',
+    'next_step', 'raise_fence', 'reissue', 'settled_below'
 ]
 
 MAX_KEPT_ORDERS = 1024
+DUTIES = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,10 +55,17 @@
     Attributes:
         done: whether it took effect.
         detail: what the engine said.
+        is_known: whether the engine answered; if not, `done` says nothing.
     """
 
     done: bool
     detail: str
+    is_known: bool = True
+
+    @property
+    def answer(self) -> 'Answer':
+        """What an agent says of an order with this result."""
+        return Answer.ENDED if self.is_known else Answer.UNKNOWN
 
 
 class OrderState(enum.StrEnum):
@@ -91,10 +100,22 @@
     OTHER_INCARNATION = 'other_incarnation'
     FENCE_UNKNOWN = 'fence_unknown'
     NOT_AUTHENTICATED = 'not_authenticated'
+    UNKNOWN = 'unknown'
     SETTLED = 'settled'
     FULL = 'full'
 
 
+def duty_of(host: str) -> str:
+    """The duty whose holder gives orders to a host."""
+    shard = zlib.crc32(host.encode()) % DUTIES
+    return f'orders/{shard:02d}'
+
+
+def all_duties() -> tuple[str, ...]:
+    """Every duty of giving orders."""
+    return tuple(f'orders/{shard:02d}' for shard in range(DUTIES))
+
+
 class Step(enum.Enum):
     """What the holder of the duty does next about an order."""
 
@@ -181,14 +202,14 @@
     """The row after an agent's answer; None when the order stays open."""
     if answer is Answer.ENDED and result is not None:
         return dataclasses.replace(row, state=OrderState.ENDED, result=result)
-    if answer is Answer.OTHER_INCARNATION:
+    if answer in (Answer.OTHER_INCARNATION, Answer.UNKNOWN):
         return dataclasses.replace(row, state=OrderState.UNKNOWN)
     return None
 
 
 def raise_fence(fence: Fence, duty: str, fencing: int) -> Fence:
     """Remembers a fencing number if it is the highest for its duty."""
-    if fencing <= fence.highest_by_duty.get(duty, 0):
+    if fencing <= fence.highest_by_duty.get(duty, -1):
         return fence
     return dataclasses.replace(fence,
                                highest_by_duty={
--- a/pollenthread/core/versions.py
+++ b/pollenthread/core/versions.py
@@ -74,14 +74,15 @@
 def merge(known: Freshness, *, version: int, proved_at: float) -> Freshness:
     """Takes in a proof that `version` was newest at `proved_at`.
 
-    A proof of an older version than the one in force proves nothing: it comes
-    from an old read.
+    A proof says that nothing newer than its version was accepted then, which
+    holds for any higher version as well. A proof of a lower version than the
+    one in force comes from an old read and proves nothing.
     """
     if version < known.version:
         return known
-    if version > known.version or known.proved_at is None:
-        return Freshness(version, proved_at)
-    return Freshness(version, max(proved_at, known.proved_at))
+    if known.proved_at is not None:
+        proved_at = max(proved_at, known.proved_at)
+    return Freshness(version, proved_at)
 
 
 def proof_from_peer(*, asked_at: float, age_s: float) -> float:
--- a/pollenthread/ports/host_list.py
+++ b/pollenthread/ports/host_list.py
@@ -20,6 +20,8 @@
         address: `ip:port` of its links.
         callers: `ip:port` for callers; empty for upstreams.
         admin: `ip:port` of its administration; may be empty.
+        serves: for an upstream, the name of the group of hosts that serve the
+            same; may be empty.
         leaving: whether the platform is taking it away.
     """
 
@@ -30,6 +32,7 @@
     address: str
     callers: str = ''
     admin: str = ''
+    serves: str = ''
     leaving: bool = False
 
 
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from pollenthread.adapters import (admin_http, http_client, http_server, link as
-                                   link_module, settings, upstream_http)
-from pollenthread.app import gate as gate_module
+                                   link_module, order_http, settings,
+                                   table_http, upstream_http)
+from pollenthread.app import gate as gate_module, order_gate
 from pollenthread.core import messages
 from pollenthread.roles import process
 
@@ -40,8 +41,17 @@
                                      name=config.upstream.name,
                                      models=tuple(config.upstream.models))
         self._client = http_client.HttpClient()
+        self._orders = order_gate.OrderGate(
+            host=config.host,
+            incarnation=self._hello.incarnation,
+            table_service=table_http.HttpTable(client=self._client,
+                                               address=config.platform.table),
+            executor=order_http.HttpOrderExecutor(
+                client=self._client, address=config.upstream.address),
+            keys=config.key_ring)
         self._gate = gate_module.Gate(upstream=upstream_http.HttpUpstream(
-            client=self._client, address=config.upstream.address))
+            client=self._client, address=config.upstream.address),
+                                      on_order=self._orders.on_order)
         host, port = process.split_address(config.links)
         self._links = link_module.LinkServer(hello=self._hello,
                                              handler=self._gate,
@@ -81,7 +91,9 @@
             'running': load.running,
             'queued': load.queued,
             'begun': self._gate.begun_count,
-            'unconfirmed': self._gate.unconfirmed
+            'unconfirmed': self._gate.unconfirmed,
+            'orders_running': self._orders.busy,
+            'orders_refused': self._orders.refused_count
         }
 
     async def stop_when_asked(self) -> None:
@@ -89,7 +101,8 @@
         await self._signal.planned.wait()
         self._gate.leave(self._config.host)
         if not await self._signal.wait_now(_LEAVE_NOTICE_S):
-            while self._gate.unfinished or self._gate.unconfirmed:
+            while (self._gate.unfinished or self._gate.unconfirmed or
+                   self._orders.busy):
                 if await self._signal.wait_now(_IDLE_CHECK_S):
                     break
         cut = await self._gate.cancel_all()
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -7,11 +7,13 @@
 
 from pollenthread.adapters import (admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
-                                   link as link_module, settings, table_http)
-from pollenthread.app import (claim_keeper, config_store, directory, gateway,
-                              peers as peers_module, pool as pool_module)
-from pollenthread.core import account, ids, messages
-from pollenthread.ports import link as link_port
+                                   link as link_module, orders_admin, settings,
+                                   table_http)
+from pollenthread.app import (claim_keeper, config_spread, config_store,
+                              directory, gateway, heartbeats, lease_keeper,
+                              order_desk, order_journal, peers as peers_module,
+                              pool as pool_module)
+from pollenthread.core import account, ids, membership, messages, orders
 from pollenthread.roles import process
 
 __all__ = ['run']
@@ -50,19 +52,43 @@
         self._client = http_client.HttpClient()
         table = table_http.HttpTable(client=self._client,
                                      address=self._config.platform.table)
-        self._targets = config_store.ConfigStore(table_service=table, time=time)
+        draw = random.Random()
+        self._peers = peers_module.Peers()
+        self._heartbeats = heartbeats.Heartbeats(own=self._hello,
+                                                 peers=self._peers,
+                                                 time=time)
         self._directory = directory.Directory(hosts=host_list_http.HttpHostList(
             client=self._client, address=self._config.platform.host_list),
                                               time=time,
-                                              own_host=self._config.host)
+                                              own=self._member(),
+                                              heartbeats=self._heartbeats)
+        self._targets = config_store.ConfigStore(
+            table_service=table, time=time, reachable=self._directory.reachable)
+        self._spread = config_spread.ConfigSpread(store=self._targets,
+                                                  peers=self._peers,
+                                                  directory=self._directory,
+                                                  time=time,
+                                                  draw=draw)
         self._pool = pool_module.Pool()
-        self._peers = peers_module.Peers()
-        self._peers.subscribe(messages.Leaving, self._on_peer_leaving)
+        self._leases = lease_keeper.LeaseKeeper(
+            table_service=table,
+            directory=self._directory,
+            time=time,
+            host=self._config.host,
+            incarnation=self._hello.incarnation,
+            duties=orders.all_duties())
+        self._journal = order_journal.OrderJournal(table_service=table)
+        self._desk = order_desk.OrderDesk(keeper=self._leases,
+                                          journal=self._journal,
+                                          pool=self._pool,
+                                          peers=self._peers,
+                                          directory=self._directory,
+                                          keys=self._config.key_ring)
         keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
                                         time=time,
-                                        draw=random.Random())
+                                        draw=draw)
         self._caller_handler = caller_http.CallerHandler(
             gate=self._gateway,
             config=self._targets,
@@ -73,6 +99,11 @@
             tally=self._tally,
             is_refusing=lambda: self._refusing)
 
+    def _member(self) -> membership.Member:
+        return membership.Member(host=self._config.host,
+                                 data_centre=self._config.data_centre,
+                                 region=self._config.region)
+
     def _build_borders(self) -> None:
         config = self._config
         host, port = process.split_address(config.callers)
@@ -84,6 +115,12 @@
             documents_by_path={
                 '/status': self._status,
                 '/account': lambda: admin_http.account_rows(self._tally)
+            },
+            handlers_by_root={
+                'orders':
+                    orders_admin.OrdersHandler(journal=self._journal,
+                                               desk=self._desk,
+                                               peers=self._peers)
             }),
                                              host=host,
                                              port=port)
@@ -107,8 +144,8 @@
         for owner in (self._client, self._callers, self._admin, self._links,
                       self._upstream_dialers, self._peer_dialers):
             await stack.enter_async_context(owner)
-        for work in (self._targets.poll(), self._directory.poll(),
-                     self._keep_links()):
+        for work in (self._spread.run(), self._directory.poll(),
+                     self._keep_links(), self._leases.run(), self._desk.run()):
             stack.callback(asyncio.create_task(work).cancel)
         process.announce({
             'event': 'ready',
@@ -129,10 +166,6 @@
                     upstream.leaving = True
             await asyncio.sleep(_DIAL_INTERVAL_S)
 
-    def _on_peer_leaving(self, _: link_port.Link,
-                         message: messages.Leaving) -> None:
-        self._directory.mark_leaving(message.host)
-
     def _status(self) -> dict[str, Any]:
         return {
             'host': self._config.host,
@@ -141,6 +174,13 @@
             'leaving': self._signal.planned.is_set(),
             'targets_version': self._targets.version,
             'targets_age_s': self._targets.age_s,
+            'targets_permission': self._targets.permission,
+            'is_poller': self._directory.is_poller,
+            'entries': self._directory.view.state_by_host,
+            'duties': self._leases.duties(),
+            'duties_acquired': self._leases.acquired_count,
+            'duties_lost': self._leases.lost_count,
+            'membership_panic': self._directory.view.is_panic,
             'peers': sorted(self._peers.links_by_host),
             'upstreams': {
                 name: {
@@ -154,8 +194,9 @@
     async def stop_when_asked(self) -> None:
         """Stops by plan: leave the addresses, finish the work, then go."""
         await self._signal.planned.wait()
-        self._directory.mark_leaving(self._config.host)
-        self._peers.broadcast(messages.Leaving(self._config.host))
+        await self._leases.release_all()
+        self._heartbeats.tell_own_leaving()
+        self._directory.judge()
         if not await self._signal.wait_now(_LEAVE_NOTICE_S):
             self._refusing = True
             self._callers.stop_listening()
--- /dev/null
+++ b/tests/agreed/steps/configuration.py
@@ -0,0 +1,195 @@
+"""Steps for configuration."""
+
+import asyncio
+import signal
+from typing import Any
+
+import result
+from behave import given, then, when
+
+from pollenthread.app import config_store
+from tests import scenario
+from tests.fakes import caller as caller_module, operator, system as system_module
+
+_SERVE_TIMEOUT_S = 30.0
+_CAPTION = {
+    'model': system_module.MODEL,
+    'stream': True,
+    'max_tokens': 4,
+    'messages': []
+}
+
+
+@given('a system with {entries:d} entry hosts, {engines:d} engines and '
+       '{services:d} service')
+def step_system(context: Any, entries: int, engines: int,
+                services: int) -> None:
+    scenario.start_system(context,
+                          entries=entries,
+                          engines=engines,
+                          services=services)
+    context.operator = operator.Operator(system=context.system)
+    context.newest = 1
+
+
+async def _compete(context: Any, base: int) -> list[operator.Published]:
+    return list(await asyncio.gather(
+        context.operator.publish(base, base % 10, 'abebe'),
+        context.operator.publish(base, (base + 1) % 10, 'dawn')))
+
+
+@when('two operators publish at once {times:d} times')
+def step_compete(context: Any, times: int) -> None:
+    context.rounds = []
+    context.seen_by_entry = []
+    for _ in range(times):
+        context.rounds.append(
+            scenario.run(context, _compete(context, context.newest)))
+        context.newest += 1
+        context.seen_by_entry.append(
+            scenario.run(context, context.operator.versions()))
+
+
+@then('each time one has won and the other was shown what changed')
+def step_one_won(context: Any) -> None:
+    for done in context.rounds:
+        won = [item for item in done if isinstance(item, result.Ok)]
+        lost = [item for item in done if isinstance(item, result.Err)]
+        assert len(won) == len(lost) == 1, done
+        conflict = lost[0].err_value
+        assert isinstance(conflict, config_store.Conflict), conflict
+        assert conflict.newest.version == won[0].ok_value, done
+        paths = {change.path for change in conflict.changes}
+        assert paths <= {'workspaces/buna/classes/caption/retries'}, paths
+
+
+@then('no entry host has ever gone back')
+def step_never_back(context: Any) -> None:
+    for host_versions in zip(*context.seen_by_entry):
+        assert list(host_versions) == sorted(host_versions), host_versions
+
+
+@then('every entry host has the newest version')
+def step_newest(context: Any) -> None:
+
+    async def check() -> bool:
+        return set(await context.operator.versions()) == {context.newest}
+
+    scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
+
+
+@when('the table loses the answers to the next {count:d} writes')
+def step_lose(context: Any, count: int) -> None:
+    scenario.run(context, context.system.fault('table', lost_answers=count))
+
+
+@when('an operator publishes')
+def step_publish(context: Any) -> None:
+    context.published = scenario.run(
+        context, context.operator.publish(context.newest, 7, 'abebe'))
+    context.newest += 1
+
+
+@then('the operator is told that version {version:d} is accepted')
+def step_told(context: Any, version: int) -> None:
+    assert context.published == result.Ok(version), context.published
+
+
+@when('the next {count:d} reads of the table are old')
+def step_old_reads(context: Any, count: int) -> None:
+    scenario.run(context, context.system.fault('table', old_reads=count))
+
+
+@then('no entry host goes back within {seconds:d} seconds')
+def step_not_back_within(context: Any, seconds: int) -> None:
+
+    async def watch() -> None:
+        for _ in range(seconds * 4):
+            found = await context.operator.versions()
+            assert min(found) >= context.newest, found
+            await asyncio.sleep(0.25)
+
+    scenario.run(context, watch())
+
+
+@when('the table is down')
+def step_table_down(context: Any) -> None:
+    scenario.run(context, context.system.fault('table', down=True))
+
+
+@when('the table is up')
+def step_table_up(context: Any) -> None:
+    scenario.run(context, context.system.fault('table'))
+
+
+async def _replace(context: Any, number: int) -> None:
+    await context.system.by_name[f'entry-{number}'].kill()
+    await context.system.start_entry(number)
+
+
+@when('entry host {number:d} is killed and replaced')
+def step_replace(context: Any, number: int) -> None:
+    scenario.run(context, _replace(context, number))
+
+
+@when('entry hosts {first:d} and {second:d} are killed and replaced at once')
+def step_replace_two(context: Any, first: int, second: int) -> None:
+
+    async def both() -> None:
+        await asyncio.gather(_replace(context, first),
+                             _replace(context, second))
+
+    scenario.run(context, both())
+
+
+def _signal(context: Any, hosts: tuple[int, ...],
+            number: signal.Signals) -> None:
+    for host in hosts:
+        context.system.by_name[f'entry-{host}'].signal(number)
+
+
+@when('entry hosts {first:d} and {second:d} are paused')
+def step_pause(context: Any, first: int, second: int) -> None:
+    _signal(context, (first, second), signal.SIGSTOP)
+
+
+@when('entry hosts {first:d} and {second:d} go on')
+def step_continue(context: Any, first: int, second: int) -> None:
+    _signal(context, (first, second), signal.SIGCONT)
+
+
+async def _ask(context: Any, number: int) -> caller_module.Answer:
+    process = context.system.by_name[f'entry-{number}']
+    answer: caller_module.Answer = await context.caller.chat(
+        process.ready['callers'], 'caption', _CAPTION)
+    return answer
+
+
+@then('entry host {number:d} refuses with "{kind}"')
+def step_refuses(context: Any, number: int, kind: str) -> None:
+
+    async def check() -> bool:
+        answer = await _ask(context, number)
+        return answer.status != 200 and answer.json['kind'] == kind
+
+    scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
+
+
+@then('entry host {number:d} serves')
+def step_serves(context: Any, number: int) -> None:
+
+    async def check() -> bool:
+        answer = await _ask(context, number)
+        return caller_module.Caller.is_own_answer(_CAPTION, answer)
+
+    scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
+
+
+@then('entry host {number:d} shows "{permission}"')
+def step_shows(context: Any, number: int, permission: str) -> None:
+
+    async def check() -> bool:
+        status = await context.operator.status(f'entry-{number}')
+        return bool(status['targets_permission'] == permission)
+
+    scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
--- /dev/null
+++ b/tests/agreed/steps/leases_and_orders.py
@@ -0,0 +1,240 @@
+"""Steps for leases and orders over real processes."""
+
+import asyncio
+import signal
+from typing import Any
+
+from behave import given, then, when
+
+from pollenthread.adapters import link as link_module
+from pollenthread.core import messages, orders, signing
+from pollenthread.ports import link as link_port
+from tests import scenario
+
+_AGENT = 'agent-engine-1'
+_DUTY = orders.duty_of(_AGENT)
+_TIMEOUT_S = 40.0
+
+
+def _eventually(context: Any, check: Any) -> None:
+    scenario.run(context, scenario.eventually(check, _TIMEOUT_S))
+
+
+def _lease(context: Any) -> Any:
+    return scenario.run(context, context.operator.lease())
+
+
+def _remember_holder(context: Any) -> Any:
+    lease = _lease(context)
+    context.old_lease = lease
+    context.holder = lease.holder.partition(':')[0]
+    return context.system.by_name[context.holder]
+
+
+def _other_entry(context: Any) -> str:
+    holder = getattr(context, 'holder', '')
+    return next(process.name
+                for process in context.system.named('entry-')
+                if process.name != holder and process.is_running)
+
+
+@given('every duty is held')
+def step_all_held(context: Any) -> None:
+
+    async def check() -> bool:
+        held = 0
+        for process in context.system.named('entry-'):
+            held += len((await context.operator.status(process.name))['duties'])
+        return held == len(orders.all_duties())
+
+    _eventually(context, check)
+
+
+@when('the order "{order_id}" is submitted to every entry host')
+def step_submit_all(context: Any, order_id: str) -> None:
+
+    async def submit() -> None:
+        await asyncio.gather(
+            *(context.operator.order_until_taken(order_id, process.name)
+              for process in context.system.named('entry-')))
+
+    scenario.run(context, submit())
+
+
+@when('the order "{order_id}" is submitted')
+@when('the order "{order_id}" is submitted again until it is taken')
+def step_submit(context: Any, order_id: str) -> None:
+    scenario.run(
+        context,
+        context.operator.order_until_taken(order_id, _other_entry(context)))
+
+
+@then('the order "{order_id}" is refused')
+def step_refused(context: Any, order_id: str) -> None:
+    status = scenario.run(
+        context, context.operator.order(order_id, _other_entry(context)))
+    assert status == 503, status
+
+
+@then('the order "{order_id}" ends as "{state}"')
+def step_ends(context: Any, order_id: str, state: str) -> None:
+
+    async def check() -> bool:
+        found = await context.operator.order_state(order_id,
+                                                   _other_entry(context))
+        assert found in ('none', 'waiting', 'issued', state), found
+        return bool(found == state)
+
+    _eventually(context, check)
+
+
+@then('the engine has had these effects: {ids}')
+def step_effects(context: Any, ids: str) -> None:
+    found = scenario.run(context, context.operator.effects())
+    assert found == ids.split(', '), found
+
+
+@then('the engine has had at most one effect of "{order_id}"')
+def step_at_most_one(context: Any, order_id: str) -> None:
+    found = scenario.run(context, context.operator.effects())
+    assert found in ([], [order_id]), found
+
+
+@when('the holder of the engine\'s duty is paused')
+def step_pause_holder(context: Any) -> None:
+    _remember_holder(context).signal(signal.SIGSTOP)
+
+
+@when('the holder of the engine\'s duty is killed')
+def step_kill_holder(context: Any) -> None:
+    scenario.run(context, _remember_holder(context).kill())
+
+
+@when('the holder of the engine\'s duty is asked to stop')
+def step_stop_holder(context: Any) -> None:
+    _remember_holder(context).signal(signal.SIGTERM)
+
+
+@when('the paused holder goes on')
+def step_holder_goes_on(context: Any) -> None:
+    context.system.by_name[context.holder].signal(signal.SIGCONT)
+
+
+@then('the paused holder knows that it has lost the duty')
+def step_knows(context: Any) -> None:
+
+    async def check() -> bool:
+        status = await context.operator.status(context.holder)
+        return _DUTY not in status['duties'] and status['duties_lost'] > 0
+
+    _eventually(context, check)
+
+
+@then('another host holds the engine\'s duty')
+def step_moved(context: Any) -> None:
+
+    async def check() -> bool:
+        lease = await context.operator.lease()
+        return bool(lease.holder and
+                    lease.holder != context.old_lease.holder and
+                    lease.fencing > context.old_lease.fencing)
+
+    _eventually(context, check)
+
+
+@then('the lease was released before it was taken')
+def step_released(context: Any) -> None:
+    log = context.system.log_text(context.holder)
+    assert f'duty={_DUTY} lost' not in log, log
+
+
+@when('the engine ignores fencing numbers and takes {seconds:d} seconds for '
+      'an order')
+def step_slow_engine(context: Any, seconds: int) -> None:
+    scenario.run(
+        context,
+        context.system.fault('engine-1', ignores_fencing=True, order_s=seconds))
+
+
+@when('the engine loses the answer to the next order')
+def step_lost_order(context: Any) -> None:
+    scenario.run(context, context.system.fault('engine-1', lost_orders=1))
+
+
+@when('the agent carries an order out')
+def step_carries(context: Any) -> None:
+
+    async def check() -> bool:
+        return bool((await context.operator.status(_AGENT))['orders_running'])
+
+    _eventually(context, check)
+
+
+@when('the agent is killed and replaced')
+def step_replace_agent(context: Any) -> None:
+
+    async def replace() -> None:
+        await context.system.by_name[_AGENT].kill()
+        await context.system.start_agent('engine', 1)
+
+    scenario.run(context, replace())
+
+
+class _OrderGiver(link_port.LinkHandler):
+    """Sends one order to an agent and keeps its answers."""
+
+    def __init__(self, *, keys: signing.KeyRing) -> None:
+        self._keys = keys
+        self.answers: list[str] = []
+
+    def on_open(self, link: link_port.Link) -> None:
+        order = orders.Order(id='load-9',
+                             duty='orders/other',
+                             number=1,
+                             host=_AGENT,
+                             kind='load-model',
+                             arguments='{}',
+                             fencing=1,
+                             incarnation=link.peer.incarnation)
+        link.send(self._keys.sign(order))
+
+    def on_message(self, link: link_port.Link,
+                   message: messages.Message) -> None:
+        if isinstance(message, messages.OrderReply):
+            self.answers.append(message.answer)
+
+    def on_close(self, link: link_port.Link, reason: str) -> None:
+        pass
+
+
+def _give_signed(context: Any, key: signing.Key) -> None:
+    hello = messages.Hello('entry-9', 'entry', 'x', 'dc-1', 'region-1')
+    giver = _OrderGiver(keys=signing.KeyRing((key,)))
+
+    async def give() -> None:
+        async with link_module.DialerSet(hello=hello, handler=giver) as dialers:
+            address = context.system.by_name[_AGENT].ready['links']
+            await dialers.keep({'agent': address})
+
+            async def answered() -> bool:
+                return bool(giver.answers)
+
+            await scenario.eventually(answered)
+
+    scenario.run(context, give())
+    context.answers = giver.answers
+
+
+@when('an order signed with a key that is not valid is sent to the agent')
+def step_bad_key(context: Any) -> None:
+    _give_signed(context, signing.Key('key-1', b'a guess of the secret'))
+
+
+@when('an order signed with the second key is sent to the agent')
+def step_second_key(context: Any) -> None:
+    _give_signed(context, signing.Key('key-2', b'order-secret-number-2'))
+
+
+@then('the agent answers "{answer}"')
+def step_agent_answers(context: Any, answer: str) -> None:
+    assert context.answers == [answer], context.answers
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -40,12 +40,17 @@
         super().__init__()
         self._counts = {'begun': 0, 'finished': 0, 'cancelled': 0}
         self._last_document: dict[str, Any] = {}
+        self._effects: list[dict[str, Any]] = []
+        self._highest_by_duty: dict[str, int] = {}
 
     async def answer(self, request: http_server.Request,
                      response: http_server.Response) -> None:
         if request.path == '/counts':
             await response.send_json(200, self._counts)
             return
+        if request.path == '/orders':
+            await self._order(request, response)
+            return
         document = json.loads(request.body)
         self._counts['begun'] += 1
         try:
@@ -55,6 +60,30 @@
             raise
         self._counts['finished'] += 1
 
+    async def _order(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        """Takes an order; `GET` shows what took effect, in order.
+
+        Faults: `ignores_fencing`, `order_s` seconds before the effect, and
+        `lost_orders`, answers that are lost after the effect.
+        """
+        if request.method == 'GET':
+            await response.send_json(200, self._effects)
+            return
+        order = json.loads(request.body)
+        await asyncio.sleep(self.faults.get('order_s', 0))
+        highest = self._highest_by_duty.get(order['duty'], 0)
+        if order['fencing'] < highest and not self.faults.get(
+                'ignores_fencing'):
+            await response.send_json(409, {'highest': highest})
+            return
+        self._highest_by_duty[order['duty']] = max(highest, order['fencing'])
+        self._effects.append(order)
+        if self.take('lost_orders'):
+            response.abort()
+            return
+        await response.send_json(200, {'done': order['kind']})
+
     async def _complete(self, request: http_server.Request,
                         response: http_server.Response,
                         document: dict[str, Any]) -> None:
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -151,6 +151,10 @@
         self._stack = contextlib.AsyncExitStack()
         self.by_name: dict[str, Process] = {}
         self.client = http_client.HttpClient()
+        self.order_keys = [{
+            'id': f'key-{i}',
+            'secret': f'order-secret-number-{i}'
+        } for i in (1, 2)]
         self.folder: pathlib.Path
 
     async def __aenter__(self) -> Self:
@@ -282,10 +286,12 @@
         settings = self._settings('agent', host, number)
         settings['upstream'] = upstream
         process = await self._start_role('agent', host, settings)
-        await self.list_host(host, {
-            'role': 'upstream',
-            'address': process.ready['links']
-        }, number)
+        await self.list_host(
+            host, {
+                'role': 'upstream',
+                'address': process.ready['links'],
+                'serves': SERVICE if kind == 'service' else MODEL
+            }, number)
         return process
 
     async def start_entry(self, number: int) -> Process:
@@ -327,6 +333,7 @@
             'region': _REGION,
             'links': _LOOPBACK,
             'admin': _LOOPBACK,
+            'order_keys': self.order_keys,
             'platform': {
                 'table': self.address('table'),
                 'object_store': self.address('object_store'),
