--- a/tests/agreed/steps/configuration.py
+++ b/tests/agreed/steps/configuration.py
@@ -32,7 +32,7 @@
     context.newest = 1
 
 
-async def _compete(context: Any, base: int) -> list[operator.Published]:
+async def _compete(context: Any, base: int) -> list[Any]:
     return list(await asyncio.gather(
         context.operator.publish(base, base % 10, 'abebe'),
         context.operator.publish(base, (base + 1) % 10, 'dawn')))
