Check the claims protocol and its guards by model checking

Change: models/ holds the specification; its transitions call core/claims.py and the new core/gate_rules.py, which the agent's gate uses too.

--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,8 @@
 lint: $(VENV)/ready
 	@bash .ci/lint
 
+model: $(VENV)/ready
+	@$(PY) -m models --large
+
 clean:
 	rm -rf $(VENV) build dist
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 
-from pollenthread.core import errors, events, messages
+from pollenthread.core import errors, events, gate_rules, messages
 from pollenthread.ports import engine, link as link_port
 
 __all__ = ['Gate', 'GateLimits']
@@ -137,11 +137,11 @@
     def _refusal(self, link: link_port.Link,
                  begin: messages.Begin) -> errors.Kind | None:
         """Why an attempt must not begin, or None."""
-        if begin.session != link.session:
-            return errors.Kind.SEALED
-        if begin.attempt in self._sealed_by_session.get(link.session, ()):
-            return errors.Kind.SEALED
-        if begin.attempt in self._attempts_by_id:
+        sealed = self._sealed_by_session.get(link.session, ())
+        if not gate_rules.is_beginnable(bound_session=begin.session,
+                                        link_session=link.session,
+                                        is_sealed=begin.attempt in sealed,
+                                        phase=self._phase(begin.attempt)):
             return errors.Kind.SEALED
         if self._leaving:
             return errors.Kind.LEAVING
@@ -205,12 +205,14 @@
         return True
 
     def _seal(self, seal: messages.Seal) -> messages.SealState:
-        attempt = self._attempts_by_id.get(seal.attempt)
-        if attempt is not None:
-            return attempt.seal_state
-        if seal.session in self._links_by_session:
+        phase = self._phase(seal.attempt)
+        if phase is None and seal.session in self._links_by_session:
             self._sealed_by_session[seal.session].add(seal.attempt)
-        return messages.SealState.SEALED
+        return gate_rules.seal_answer(phase)
+
+    def _phase(self, attempt_id: str) -> gate_rules.Phase | None:
+        attempt = self._attempts_by_id.get(attempt_id)
+        return None if attempt is None else attempt.phase
 
     def _resume(self, link: link_port.Link, resume: messages.Resume) -> None:
         attempt = self._attempts_by_id.get(resume.attempt)
@@ -254,21 +256,22 @@
         return not self.begin.repeatable
 
     @property
-    def must_be_kept(self) -> bool:
-        """Whether forgetting this attempt could let it run twice."""
-        return self.kept and not (isinstance(self._last, messages.Fail) and
-                                  self._last.ran is errors.Ran.NO)
-
-    @property
-    def seal_state(self) -> messages.SealState:
-        """What to answer when somebody wants this attempt sealed."""
+    def phase(self) -> gate_rules.Phase:
+        """How far the attempt has come."""
         if not self.finished:
-            return messages.SealState.RUNNING
+            return gate_rules.Phase.RUNNING
         if self.outcome_known:
-            return messages.SealState.DONE
-        if self.must_be_kept:
-            return messages.SealState.UNKNOWN
-        return messages.SealState.SEALED
+            return gate_rules.Phase.DONE
+        if (isinstance(self._last, messages.Fail) and
+                self._last.ran is errors.Ran.NO):
+            return gate_rules.Phase.ENDED_NOT_RUN
+        return gate_rules.Phase.ENDED_UNKNOWN
+
+    @property
+    def must_be_kept(self) -> bool:
+        """Whether forgetting this attempt could let it run twice."""
+        return gate_rules.must_be_kept(self.phase,
+                                       repeatable=self.begin.repeatable)
 
     async def run(self, upstream: engine.Upstream) -> None:
         """Calls the upstream and passes its answer on."""
--- /dev/null
+++ b/pollenthread/core/gate_rules.py
@@ -0,0 +1,52 @@
+"""What an agent decides about beginning, sealing and forgetting attempts."""
+
+import enum
+
+from pollenthread.core import messages
+
+__all__ = ['Phase', 'is_beginnable', 'must_be_kept', 'seal_answer']
+
+
+class Phase(enum.Enum):
+    """How far an attempt has come at its agent."""
+
+    RUNNING = 'running'
+    DONE = 'done'
+    ENDED_UNKNOWN = 'ended_unknown'
+    ENDED_NOT_RUN = 'ended_not_run'
+
+
+def is_beginnable(*, bound_session: str, link_session: str, is_sealed: bool,
+                  phase: Phase | None) -> bool:
+    """Whether an attempt that is handed over may begin.
+
+    Args:
+        bound_session: the session that the attempt is bound to.
+        link_session: the session of the link over which it came.
+        is_sealed: whether the attempt was sealed in that session.
+        phase: how far an attempt of this id has come, or None.
+    """
+    return bound_session == link_session and not is_sealed and phase is None
+
+
+def seal_answer(phase: Phase | None) -> messages.SealState:
+    """What to answer when somebody wants an attempt sealed.
+
+    Args:
+        phase: how far the attempt has come; None when it is not known, so that
+            it never begins once its session is sealed for it or has closed.
+    """
+    match phase:
+        case Phase.RUNNING:
+            return messages.SealState.RUNNING
+        case Phase.DONE:
+            return messages.SealState.DONE
+        case Phase.ENDED_UNKNOWN:
+            return messages.SealState.UNKNOWN
+        case _:
+            return messages.SealState.SEALED
+
+
+def must_be_kept(phase: Phase, *, repeatable: bool) -> bool:
+    """Whether forgetting an unconfirmed attempt could let it run twice."""
+    return not repeatable and phase is not Phase.ENDED_NOT_RUN
