--- a/pollenthread/adapters/admin_http.py
+++ b/pollenthread/adapters/admin_http.py
@@ -1,5 +1,6 @@
 """Administration of one process over HTTP."""
 
+import dataclasses
 from collections.abc import Callable
 from typing import Any
 
@@ -31,19 +32,9 @@
 
 def account_rows(tally: account.Tally) -> list[dict[str, Any]]:
     """The account as rows, one for each workspace and class."""
-    return [_row(tally, key) for key in tally.accepted_by_key]
-
-
-def _row(tally: account.Tally, key: account.TallyKey) -> dict[str, Any]:
-    outcomes = tally.outcomes_by_key[key]
-    return {
+    return [{
         'workspace': key.workspace,
         'class': key.work_class,
-        'accepted': tally.accepted_by_key[key],
-        'repeats': tally.repeats_by_key[key],
-        'attempts': tally.attempts_by_key[key],
-        'open': tally.open_requests(key),
-        **{
-            outcome.value: outcomes[outcome] for outcome in account.Outcome
-        },
-    }
+        'open': counts.open,
+        **dataclasses.asdict(counts)
+    } for key, counts in tally.counts_by_key.items()]
--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -9,7 +9,7 @@
 
 from pollenthread.adapters import http_server
 from pollenthread.app import config_store, directory, gateway
-from pollenthread.core import (account, addresses, errors, ids, messages,
+from pollenthread.core import (account, addresses, errors, ids, messages, pace,
                                targets)
 from pollenthread.ports import clock
 
@@ -120,17 +120,21 @@
         started_at = self._time.monotonic()
         self._tally.accept(call.tally_key)
         sink = _ResponseSink(response=response, request_id=call.request_id)
-        report = gateway.Report()
-        outcome = account.Outcome.UNKNOWN
+        report = gateway.Report(started_at=started_at)
         try:
-            report = await self._gateway.serve(call, sink)
-            outcome = _outcome(call.work_class, report, started_at,
-                               self._time.monotonic())
+            await self._gateway.serve(call, sink, report)
+        except BaseException:
+            report.failure = errors.failure(
+                errors.Kind.CALLER_GONE,
+                ran=errors.Ran.UNKNOWN if report.attempts else errors.Ran.NO)
+            raise
         finally:
             self._tally.end(call.tally_key,
-                            outcome,
+                            _outcome(call.work_class, report, started_at,
+                                     self._time.monotonic()),
                             attempts=report.attempts,
-                            repeat=report.repeat)
+                            repeat=report.repeat,
+                            retries_allowed=call.work_class.retries)
         if report.failure is not None:
             await sink.fail(report.failure, report.attempts)
 
@@ -288,11 +292,6 @@
         if failure.ran is errors.Ran.UNKNOWN and not work_class.repeatable:
             return account.Outcome.UNKNOWN
         return account.Outcome.FAILED
-    latency = work_class.latency
-    total_ms = (ended_at - started_at) * 1000
-    first_ms = ((report.first_unit_at or ended_at) - started_at) * 1000
-    limits = ((latency.answer_ms, total_ms), (latency.first_token_ms, first_ms))
-    for limit, measured in limits:
-        if limit is not None and measured > limit:
-            return account.Outcome.LATE
-    return account.Outcome.IN_TIME
+    if pace.is_in_time(work_class.latency, report.pace, ended_at - started_at):
+        return account.Outcome.IN_TIME
+    return account.Outcome.LATE
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -1,20 +1,36 @@
 """Settings of a process, and documents of targets, read from YAML."""
 
+import difflib
+import ipaddress
 import pathlib
-from collections.abc import Mapping
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
 import pydantic
-import yaml
 
-from pollenthread.app import targets_document
+from pollenthread.adapters import yaml_document
+from pollenthread.app import explanation, targets_document
 
 __all__ = [
-    'AgentSettings', 'EntrySettings', 'PlatformSettings', 'UpstreamSettings',
-    'load_process', 'load_targets', 'load_yaml'
+    'AgentSettings', 'EntrySettings', 'LinkSecurity', 'OperatorSettings',
+    'PlatformSettings', 'TraceSettings', 'UpstreamSettings', 'check_file',
+    'load_process', 'load_targets'
 ]
 
-_Address = Annotated[str, pydantic.Field(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
+_MAX_PORT = 65_535
+_ADDRESS_PATTERN = r'^[0-9.]+:[0-9]{1,5}$'
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(':')
+    ipaddress.IPv4Address(host)
+    if int(port) > _MAX_PORT:
+        raise ValueError(f'the port {port} is not between 0 and {_MAX_PORT}')
+    return value
+
+
+_Address = Annotated[str,
+                     pydantic.Field(pattern=_ADDRESS_PATTERN),
+                     pydantic.AfterValidator(_check_address)]
 
 
 class PlatformSettings(targets_document.Strict):
@@ -25,6 +41,49 @@
     host_list: _Address
 
 
+class OperatorSettings(targets_document.Strict):
+    """Somebody who may use the administration port.
+
+    Attributes:
+        name: stands in the audit record.
+        key_sha256: SHA-256 of the operator's key, in hexadecimal.
+        workspaces: what the operator sees; `*` is every workspace and hosts.
+        may: whether the operator may only look.
+    """
+
+    name: targets_document.Name
+    key_sha256: Annotated[str, pydantic.Field(pattern=r'^[0-9a-f]{64}$')]
+    workspaces: Annotated[list[targets_document.Name] | Literal['*'],
+                          pydantic.Field(union_mode='left_to_right')]
+    may: Literal['read', 'change'] = 'read'
+
+
+class LinkSecurity(targets_document.Strict):
+    """Files with which links prove who they are.
+
+    Attributes:
+        certificate_file: this host's certificate, PEM.
+        key_file: its private key, PEM.
+        authority_file: the certificates that peers' must be signed by, PEM.
+    """
+
+    certificate_file: str
+    key_file: str
+    authority_file: str
+
+
+class TraceSettings(targets_document.Strict):
+    """Where spans go.
+
+    Attributes:
+        collector: address of an OTLP/HTTP collector.
+        sample_per_thousand: requests of a thousand that are traced.
+    """
+
+    collector: _Address | None = None
+    sample_per_thousand: Annotated[int, pydantic.Field(ge=0, le=1000)] = 10
+
+
 class _ProcessSettings(targets_document.Strict):
     """What every process is told."""
 
@@ -34,6 +93,29 @@
     links: _Address
     admin: _Address
     platform: PlatformSettings
+    operators: list[OperatorSettings] = []
+    link_security: LinkSecurity | None = None
+
+    @pydantic.model_validator(mode='after')
+    def _addresses_differ(self) -> '_ProcessSettings':
+        key_by_address: dict[str, str] = {}
+        for key in ('links', 'admin', 'callers'):
+            address = getattr(self, key, None)
+            if address is None or address.endswith(':0'):
+                continue
+            if address in key_by_address:
+                raise ValueError(f'{key} and {key_by_address[address]} '
+                                 f'both listen on {address}')
+            key_by_address[address] = key
+        return self
+
+    @pydantic.field_validator('operators')
+    @classmethod
+    def _operators_differ(
+            cls, operators: list[OperatorSettings]) -> list[OperatorSettings]:
+        targets_document.unique([operator.name for operator in operators])
+        targets_document.unique([o.key_sha256 for o in operators])
+        return operators
 
 
 class EntrySettings(_ProcessSettings):
@@ -41,6 +123,8 @@
 
     role: Literal['entry']
     callers: _Address
+    account_interval_s: Annotated[int, pydantic.Field(ge=1, le=600)] = 60
+    traces: TraceSettings = TraceSettings()
 
 
 class UpstreamSettings(targets_document.Strict):
@@ -59,10 +143,10 @@
     upstream: UpstreamSettings
 
 
-class _ProcessDocument(
-        pydantic.RootModel[Annotated[EntrySettings | AgentSettings,
-                                     pydantic.Field(discriminator='role')]]):
-    """Either kind of settings."""
+_MODEL_BY_ROLE: dict[str, type[EntrySettings] | type[AgentSettings]] = {
+    'entry': EntrySettings,
+    'agent': AgentSettings
+}
 
 
 def load_process(path: pathlib.Path) -> EntrySettings | AgentSettings:
@@ -71,11 +155,7 @@
     Raises:
         InvalidDocument: the file cannot be read or is not valid.
     """
-    try:
-        return _ProcessDocument.model_validate(load_yaml(path)).root
-    except pydantic.ValidationError as error:
-        raise targets_document.InvalidDocument(
-            targets_document.explain(str(path), error)) from error
+    return _parse_process(yaml_document.load(path))
 
 
 def load_targets(path: pathlib.Path) -> targets_document.TargetsModel:
@@ -84,20 +164,45 @@
     Raises:
         InvalidDocument: the file cannot be read or is not valid.
     """
-    return targets_document.parse_targets(load_yaml(path), str(path))
+    document = yaml_document.load(path)
+    return targets_document.parse_targets(document.value, document.name,
+                                          document.line_of)
 
 
-def load_yaml(path: pathlib.Path) -> Any:
-    """Reads a YAML file with keys and values at its top.
+def check_file(path: pathlib.Path) -> None:
+    """Checks a file of either kind.
 
     Raises:
         InvalidDocument: the file cannot be read or is not valid.
     """
+    if 'workspaces' in yaml_document.load(path).value:
+        load_targets(path)
+    else:
+        load_process(path)
+
+
+def _parse_process(
+        document: yaml_document.YamlDocument) -> EntrySettings | AgentSettings:
+    role = document.value.get('role')
+    model = _MODEL_BY_ROLE.get(role) if isinstance(role, str) else None
+    if model is None:
+        raise targets_document.InvalidDocument(_without_role(document, role))
     try:
-        document = yaml.safe_load(path.read_text('utf-8'))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        raise targets_document.InvalidDocument(f'{path}: {error}') from error
-    if not isinstance(document, Mapping):
+        return model.model_validate(document.value)
+    except pydantic.ValidationError as error:
         raise targets_document.InvalidDocument(
-            f'{path}: expected keys and values at the top')
-    return document
+            explanation.explain(document.name,
+                                error,
+                                model=model,
+                                line_of=document.line_of)) from error
+
+
+def _without_role(document: yaml_document.YamlDocument, role: object) -> str:
+    allowed = f'(allowed: {", ".join(_MODEL_BY_ROLE)})'
+    if 'role' in document.value:
+        line = document.line_of(('role',))
+        return f'{document.name}:{line}: role: found {role!r} {allowed}'
+    keys = [str(key) for key in document.value]
+    near = difflib.get_close_matches('role', keys, n=1)
+    hint = f'; {near[0]} is no known key' if near else ''
+    return f'{document.name}:1: role: the key is missing {allowed}{hint}'
--- /dev/null
+++ b/pollenthread/app/account_rows.py
@@ -0,0 +1,111 @@
+"""Rows of the account as the table holds them."""
+
+import datetime
+from typing import Annotated, Literal
+
+import pydantic
+
+from pollenthread.core import account, ledger
+
+__all__ = ['day_of', 'day_prefix', 'decode', 'encode', 'row_key']
+
+_Count = Annotated[int, pydantic.Field(ge=0)]
+
+
+class _CountsRow(pydantic.BaseModel):
+    """Counts of one workspace and class; zeros are left out."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True)
+
+    w: str
+    c: str
+    accepted: _Count = 0
+    in_time: _Count = 0
+    late: _Count = 0
+    refused_not_run: _Count = 0
+    failed: _Count = 0
+    outcome_unknown: _Count = 0
+    repeats: _Count = 0
+    attempts: _Count = 0
+    retries: _Count = 0
+    retries_allowed: _Count = 0
+
+
+class _IntervalRow(pydantic.BaseModel):
+    """One row."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True)
+
+    format: Literal[1] = 1
+    host: str
+    incarnation: str
+    first: _Count
+    last: _Count
+    began_s: float
+    ended_s: float
+    is_final: bool
+    counts: list[_CountsRow]
+
+
+def day_of(at_s: float) -> str:
+    """The day, in UTC, of a time in Unix seconds."""
+    moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
+    return moment.strftime('%Y-%m-%d')
+
+
+def day_prefix(day: str) -> str:
+    """What the keys of a day's rows begin with."""
+    return f'account/intervals/{day}/'
+
+
+def row_key(row: ledger.Interval) -> str:
+    """The key of a row: the same row always has the same key."""
+    return (f'{day_prefix(day_of(row.began_s))}{row.host}/{row.incarnation}/'
+            f'{row.first:08d}-{row.last:08d}')
+
+
+def encode(row: ledger.Interval) -> bytes:
+    """The bytes of a row."""
+    return _IntervalRow(host=row.host,
+                        incarnation=row.incarnation,
+                        first=row.first,
+                        last=row.last,
+                        began_s=row.began_s,
+                        ended_s=row.ended_s,
+                        is_final=row.is_final,
+                        counts=[
+                            _counts_row(key, counts)
+                            for key, counts in sorted(row.counts_by_key.items())
+                        ]).model_dump_json(exclude_defaults=True).encode()
+
+
+def _counts_row(key: account.TallyKey, counts: account.Counts) -> _CountsRow:
+    names = account.Counts.names()
+    return _CountsRow(w=key.workspace,
+                      c=key.work_class,
+                      **dict(zip(names, counts.values())))
+
+
+def decode(data: bytes) -> ledger.Interval:
+    """Reads what `encode` wrote.
+
+    Raises:
+        ValueError: it is not a row.
+    """
+    row = _IntervalRow.model_validate_json(data)
+    return ledger.Interval(host=row.host,
+                           incarnation=row.incarnation,
+                           first=row.first,
+                           last=row.last,
+                           began_s=row.began_s,
+                           ended_s=row.ended_s,
+                           is_final=row.is_final,
+                           counts_by_key={
+                               account.TallyKey(item.w, item.c): _counts(item)
+                               for item in row.counts
+                           })
+
+
+def _counts(item: _CountsRow) -> account.Counts:
+    return account.Counts(
+        **{name: getattr(item, name) for name in account.Counts.names()})
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -9,7 +9,7 @@
 
 from pollenthread.app import claim_keeper, pool as pool_module
 from pollenthread.core import (account, choice, claims, errors, ids, messages,
-                               targets)
+                               pace as pace_module, targets)
 from pollenthread.ports import clock, link as link_port
 
 __all__ = ['Call', 'Gateway', 'Report', 'Sink']
@@ -65,15 +65,15 @@
         attempts: attempts that were handed to agents.
         failure: why there is no whole answer, or None.
         repeat: whether the answer is a kept outcome.
-        first_unit_at: monotonic seconds of the first part, or None.
-        units: events or bytes delivered.
+        started_at: monotonic seconds at which the request came.
+        pace: when the parts of the answer came.
     """
 
     attempts: int = 0
     failure: errors.Failure | None = None
     repeat: bool = False
-    first_unit_at: float | None = None
-    units: int = 0
+    started_at: float = 0.0
+    pace: pace_module.Pace = dataclasses.field(default_factory=pace_module.Pace)
 
 
 class Sink(abc.ABC):
@@ -110,9 +110,8 @@
         """Outcomes that are still on their way to the table."""
         return len(self._recordings)
 
-    async def serve(self, call: Call, sink: Sink) -> Report:
+    async def serve(self, call: Call, sink: Sink, report: Report) -> None:
         """Serves one request; the report says how it went."""
-        report = Report()
         serving = _Serving(call=call, sink=sink, report=report)
         try:
             async with asyncio.timeout(call.deadline - self._time.monotonic()):
@@ -121,7 +120,6 @@
             ran = errors.Ran.UNKNOWN if report.attempts else errors.Ran.NO
             report.failure = errors.failure(errors.Kind.DEADLINE_PASSED,
                                             ran=ran)
-        return report
 
     async def _serve(self, serving: '_Serving') -> None:
         call = serving.call
@@ -287,9 +285,7 @@
 
     async def deliver(self, data: bytes, count: int, now: float) -> None:
         """Passes a part on."""
-        if self.report.first_unit_at is None:
-            self.report.first_unit_at = now
-        self.report.units += count
+        self.report.pace.observe(now - self.report.started_at, count)
         await self.sink.data(data)
 
     async def deliver_outcome(self, outcome: claims.Outcome) -> None:
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -4,11 +4,12 @@
 
 import pydantic
 
+from pollenthread.app import explanation
 from pollenthread.core import targets
 
 __all__ = [
-    'InvalidDocument', 'Name', 'Strict', 'TargetsModel', 'explain',
-    'parse_targets'
+    'InvalidDocument', 'Name', 'Strict', 'TargetsModel', 'WorkspaceModel',
+    'parse_targets', 'unique'
 ]
 
 Name = Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
@@ -34,9 +35,15 @@
     answer_ms: Annotated[int, pydantic.Field(ge=5, le=3_600_000)] | None = None
 
     @pydantic.model_validator(mode='after')
-    def _has_target(self) -> '_LatencyModel':
+    def _is_possible(self) -> '_LatencyModel':
         if self.first_token_ms is None and self.answer_ms is None:
             raise ValueError('set first_token_ms or answer_ms')
+        if self.between_tokens_ms is not None and self.first_token_ms is None:
+            raise ValueError('between_tokens_ms needs first_token_ms')
+        if (self.first_token_ms is not None and self.answer_ms is not None and
+                self.first_token_ms > self.answer_ms):
+            raise ValueError('first_token_ms must not exceed answer_ms: '
+                             'the first token is a part of the answer')
         return self
 
 
@@ -49,29 +56,47 @@
     importance: Literal['low', 'normal', 'high'] = 'normal'
 
 
-class _WorkspaceModel(Strict):
+class WorkspaceModel(Strict):
     """One workspace."""
 
     models: list[Name] = []
     services: list[Name] = []
-    classes: dict[Name, _ClassModel]
+    classes: Annotated[dict[Name, _ClassModel], pydantic.Field(min_length=1)]
+
+    @pydantic.field_validator('models', 'services')
+    @classmethod
+    def _each_once(cls, names: list[str]) -> list[str]:
+        return unique(names)
+
+    @pydantic.model_validator(mode='after')
+    def _has_upstream(self) -> 'WorkspaceModel':
+        if not self.models and not self.services:
+            raise ValueError('name at least one entry in models or services')
+        return self
 
 
 class TargetsModel(Strict):
     """The document of targets that operators edit."""
 
-    workspaces: dict[Name, _WorkspaceModel]
+    workspaces: dict[Name, WorkspaceModel]
+    draining: list[Name] = []
+
+    @pydantic.field_validator('draining')
+    @classmethod
+    def _each_once(cls, names: list[str]) -> list[str]:
+        return unique(names)
 
     def to_targets(self, version: int) -> targets.Targets:
         """Makes the inner form of this document."""
         return targets.Targets(version=version,
+                               draining=frozenset(self.draining),
                                workspace_by_name={
                                    name: _workspace(name, model)
                                    for name, model in self.workspaces.items()
                                })
 
 
-def _workspace(name: str, model: _WorkspaceModel) -> targets.Workspace:
+def _workspace(name: str, model: WorkspaceModel) -> targets.Workspace:
     return targets.Workspace(
         name=name,
         models=frozenset(model.models),
@@ -93,7 +118,22 @@
         importance=targets.Importance[model.importance.upper()])
 
 
-def parse_targets(document: Any, name: str = 'targets') -> TargetsModel:
+def unique(names: list[str]) -> list[str]:
+    """Returns the names.
+
+    Raises:
+        ValueError: a name stands twice.
+    """
+    for name in names:
+        if names.count(name) > 1:
+            raise ValueError(f'{name} stands twice')
+    return names
+
+
+def parse_targets(
+        document: Any,
+        name: str = 'targets',
+        line_of: explanation.LineOf = explanation.no_lines) -> TargetsModel:
     """Checks a document of targets.
 
     Raises:
@@ -102,13 +142,8 @@
     try:
         return TargetsModel.model_validate(document)
     except pydantic.ValidationError as error:
-        raise InvalidDocument(explain(name, error)) from error
-
-
-def explain(name: str, error: pydantic.ValidationError) -> str:
-    """One line for each key that is wrong."""
-    lines = []
-    for item in error.errors():
-        key = '.'.join(str(part) for part in item['loc'])
-        lines.append(f'{name}: {key}: {item["msg"]}')
-    return '\n'.join(lines)
+        raise InvalidDocument(
+            explanation.explain(name,
+                                error,
+                                model=TargetsModel,
+                                line_of=line_of)) from error
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -67,9 +67,5 @@
 
 
 def _check(path: pathlib.Path) -> None:
-    document = settings.load_yaml(path)
-    if 'role' in document:
-        settings.load_process(path)
-    else:
-        targets_document.parse_targets(document, str(path))
+    settings.check_file(path)
     print(f'{path}: valid')
--- a/pollenthread/core/account.py
+++ b/pollenthread/core/account.py
@@ -3,8 +3,9 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Mapping
 
-__all__ = ['Outcome', 'Tally', 'TallyKey']
+__all__ = ['Counts', 'Outcome', 'Tally', 'TallyKey']
 
 
 class Outcome(enum.StrEnum):
@@ -17,7 +18,7 @@
     UNKNOWN = 'outcome_unknown'
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, order=True)
 class TallyKey:
     """What a count belongs to."""
 
@@ -25,22 +26,88 @@
     work_class: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counts:
+    """Counts of one workspace and class.
+
+    Attributes:
+        accepted: requests that were taken on.
+        in_time: whole answers within the target.
+        late: whole answers past the target.
+        refused_not_run: requests that were refused and proved not to have run.
+        failed: requests that ran, or may be run again, without a whole answer.
+        outcome_unknown: requests that may or may not have taken effect.
+        repeats: answers that came from a kept outcome.
+        attempts: attempts that were handed to agents.
+        retries: attempts after the first of each request.
+        retries_allowed: retries that the class would have allowed.
+    """
+
+    accepted: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused_not_run: int = 0
+    failed: int = 0
+    outcome_unknown: int = 0
+    repeats: int = 0
+    attempts: int = 0
+    retries: int = 0
+    retries_allowed: int = 0
+
+    @property
+    def ended(self) -> int:
+        """Requests that have an outcome."""
+        return (self.in_time + self.late + self.refused_not_run + self.failed +
+                self.outcome_unknown)
+
+    @property
+    def open(self) -> int:
+        """Accepted requests without an outcome."""
+        return self.accepted - self.ended
+
+    def __add__(self, other: 'Counts') -> 'Counts':
+        return Counts(*(a + b for a, b in zip(self.values(), other.values())))
+
+    def __sub__(self, other: 'Counts') -> 'Counts':
+        return Counts(*(a - b for a, b in zip(self.values(), other.values())))
+
+    def values(self) -> tuple[int, ...]:
+        """The counts in the order of the attributes."""
+        return tuple(getattr(self, name) for name in self.names())
+
+    @classmethod
+    def names(cls) -> tuple[str, ...]:
+        """The names of the counts in the order of the attributes."""
+        return tuple(field.name for field in dataclasses.fields(cls))
+
+
 class Tally:
     """Counts of accepted requests and of how they ended."""
 
     def __init__(self) -> None:
-        self.accepted_by_key = collections.Counter[TallyKey]()
-        self.repeats_by_key = collections.Counter[TallyKey]()
-        self.attempts_by_key = collections.Counter[TallyKey]()
-        self.outcomes_by_key = collections.defaultdict[
-            TallyKey, collections.Counter[Outcome]](collections.Counter)
+        self._count_by_key = collections.defaultdict[TallyKey,
+                                                     collections.Counter[str]](
+                                                         collections.Counter)
+        self._taken_by_key: dict[TallyKey, Counts] = {}
+        self._changed: set[TallyKey] = set()
+
+    @property
+    def counts_by_key(self) -> Mapping[TallyKey, Counts]:
+        """All counts since the process started."""
+        return {key: Counts(**c) for key, c in self._count_by_key.items()}
 
     def accept(self, key: TallyKey) -> None:
         """Counts a request that was taken on."""
-        self.accepted_by_key[key] += 1
+        self._count_by_key[key]['accepted'] += 1
+        self._changed.add(key)
 
-    def end(self, key: TallyKey, outcome: Outcome, *, attempts: int,
-            repeat: bool) -> None:
+    def end(self,
+            key: TallyKey,
+            outcome: Outcome,
+            *,
+            attempts: int,
+            repeat: bool,
+            retries_allowed: int = 0) -> None:
         """Counts how a request ended.
 
         Args:
@@ -48,12 +115,22 @@
             outcome: how it ended.
             attempts: how many attempts it made.
             repeat: whether it was answered from a kept outcome.
+            retries_allowed: how many retries its class allows.
         """
-        self.outcomes_by_key[key][outcome] += 1
-        self.attempts_by_key[key] += attempts
-        self.repeats_by_key[key] += int(repeat)
-
-    def open_requests(self, key: TallyKey) -> int:
-        """Accepted requests that have not ended."""
-        ended = sum(self.outcomes_by_key[key].values())
-        return self.accepted_by_key[key] - ended
+        count = self._count_by_key[key]
+        count[outcome.value] += 1
+        count['repeats'] += int(repeat)
+        count['attempts'] += attempts
+        count['retries'] += max(0, attempts - 1)
+        count['retries_allowed'] += retries_allowed
+        self._changed.add(key)
+
+    def take(self) -> dict[TallyKey, Counts]:
+        """Returns what was counted since the last call."""
+        taken = {}
+        for key in self._changed:
+            counts = Counts(**self._count_by_key[key])
+            taken[key] = counts - self._taken_by_key.get(key, Counts())
+            self._taken_by_key[key] = counts
+        self._changed.clear()
+        return taken
--- a/pollenthread/core/targets.py
+++ b/pollenthread/core/targets.py
@@ -73,7 +73,9 @@
     Attributes:
         version: rises by one with each accepted change.
         workspace_by_name: all workspaces.
+        draining: hosts that operators have taken out of service.
     """
 
     version: int
     workspace_by_name: Mapping[str, Workspace]
+    draining: frozenset[str] = frozenset()
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -3,13 +3,15 @@
 import asyncio
 import contextlib
 import random
+import time as wall_time
 from typing import Any
 
 from pollenthread.adapters import (admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, settings, table_http)
-from pollenthread.app import (claim_keeper, config_store, directory, gateway,
-                              peers as peers_module, pool as pool_module)
+from pollenthread.app import (account_keeper, claim_keeper, config_store,
+                              directory, gateway, peers as peers_module, pool as
+                              pool_module)
 from pollenthread.core import account, ids, messages
 from pollenthread.ports import link as link_port
 from pollenthread.roles import process
@@ -19,6 +21,7 @@
 _DIAL_INTERVAL_S = 0.2
 _LEAVE_NOTICE_S = caller_http.ADDRESS_TTL_S + 1.0
 _IDLE_CHECK_S = 0.05
+_ACCOUNT_TIMEOUT_S = 5.0
 
 
 async def run(config: settings.EntrySettings) -> None:
@@ -58,6 +61,14 @@
         self._pool = pool_module.Pool()
         self._peers = peers_module.Peers()
         self._peers.subscribe(messages.Leaving, self._on_peer_leaving)
+        self._account = account_keeper.AccountKeeper(
+            table_service=table,
+            tally=self._tally,
+            host=self._config.host,
+            incarnation=self._hello.incarnation,
+            time=time,
+            wall=wall_time.time,
+            interval_s=self._config.account_interval_s)
         keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
@@ -108,7 +119,7 @@
                       self._upstream_dialers, self._peer_dialers):
             await stack.enter_async_context(owner)
         for work in (self._targets.poll(), self._directory.poll(),
-                     self._keep_links()):
+                     self._keep_links(), self._account.run()):
             stack.callback(asyncio.create_task(work).cancel)
         process.announce({
             'event': 'ready',
@@ -162,4 +173,5 @@
             while self._callers.busy or self._gateway.recordings:
                 if await self._signal.wait_now(_IDLE_CHECK_S):
                     break
+        await self._account.finish(_ACCOUNT_TIMEOUT_S)
         process.announce({'event': 'stopped', 'cut': self._callers.busy})
