--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -117,7 +117,7 @@
         reader = account_reader.AccountReader(table_service=self.table,
                                               wall=lambda: self.now_s,
                                               interval_s=_INTERVAL_S)
-        return (await reader.read(days=2)).ok_value
+        return (await reader.read(days=2)).expect('the table answers')
 
 
 def _run_ledger(context: Any) -> Any:
