--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -12,8 +12,9 @@
 import result
 
 from pollenthread.adapters import http_server
-from pollenthread.app import order_desk, order_journal, peers as peers_module
-from pollenthread.app import targets_document
+from pollenthread.app import (explanation, order_desk, order_journal, peers as
+                              peers_module, targets_document)
+
 from pollenthread.core import errors, messages, orders
 from pollenthread.ports import table
 
@@ -57,7 +58,7 @@
         except pydantic.ValidationError as error:
             await response.send_problem(
                 errors.failure(errors.Kind.BAD_JSON,
-                               targets_document.explain('order', error)))
+                               explanation.explain('order', error)))
             return
         arguments = json.dumps(model.arguments, sort_keys=True)
         done = await self._journal.submit(order_id=order_id,
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -3,16 +3,17 @@
 import asyncio
 import contextlib
 import random
+import time as wall_time
 from typing import Any
 
 from pollenthread.adapters import (admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
-from pollenthread.app import (claim_keeper, config_spread, config_store,
-                              directory, gateway, heartbeats, lease_keeper,
-                              order_desk, order_journal, peers as peers_module,
-                              pool as pool_module)
+from pollenthread.app import (account_keeper, claim_keeper, config_spread,
+                              config_store, directory, gateway, heartbeats,
+                              lease_keeper, order_desk, order_journal, peers as
+                              peers_module, pool as pool_module)
 from pollenthread.core import account, ids, membership, messages, orders
 from pollenthread.roles import process
 
@@ -21,6 +22,7 @@
 _DIAL_INTERVAL_S = 0.2
 _LEAVE_NOTICE_S = caller_http.ADDRESS_TTL_S + 1.0
 _IDLE_CHECK_S = 0.05
+_ACCOUNT_TIMEOUT_S = 5.0
 
 
 async def run(config: settings.EntrySettings) -> None:
@@ -84,6 +86,14 @@
                                           peers=self._peers,
                                           directory=self._directory,
                                           keys=self._config.key_ring)
+        self._account = account_keeper.AccountKeeper(
+            table_service=table,
+            tally=self._tally,
+            host=self._config.host,
+            incarnation=self._hello.incarnation,
+            time=time,
+            wall=wall_time.time,
+            interval_s=self._config.account_interval_s)
         keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
@@ -145,7 +155,8 @@
                       self._upstream_dialers, self._peer_dialers):
             await stack.enter_async_context(owner)
         for work in (self._spread.run(), self._directory.poll(),
-                     self._keep_links(), self._leases.run(), self._desk.run()):
+                     self._keep_links(), self._leases.run(), self._desk.run(),
+                     self._account.run()):
             stack.callback(asyncio.create_task(work).cancel)
         process.announce({
             'event': 'ready',
@@ -203,4 +214,5 @@
             while self._callers.busy or self._gateway.recordings:
                 if await self._signal.wait_now(_IDLE_CHECK_S):
                     break
+        await self._account.finish(_ACCOUNT_TIMEOUT_S)
         process.announce({'event': 'stopped', 'cut': self._callers.busy})
--- a/tests/agreed/steps/configuration.py
+++ b/tests/agreed/steps/configuration.py
@@ -58,6 +58,7 @@
         assert len(won) == len(lost) == 1, done
         conflict = lost[0].err_value
         assert isinstance(conflict, config_store.Conflict), conflict
+        assert conflict.newest is not None
         assert conflict.newest.version == won[0].ok_value, done
         paths = {change.path for change in conflict.changes}
         assert paths <= {'workspaces/buna/classes/caption/retries'}, paths
