--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -14,7 +14,6 @@
 from pollenthread.adapters import http_server
 from pollenthread.app import (explanation, order_desk, order_journal, peers as
                               peers_module, targets_document)
-
 from pollenthread.core import errors, messages, orders
 from pollenthread.ports import table
 
@@ -57,8 +56,9 @@
             model = _OrderModel.model_validate_json(request.body)
         except pydantic.ValidationError as error:
             await response.send_problem(
-                errors.failure(errors.Kind.BAD_JSON,
-                               explanation.explain('order', error)))
+                errors.failure(
+                    errors.Kind.BAD_JSON,
+                    explanation.explain('order', error, model=_OrderModel)))
             return
         arguments = json.dumps(model.arguments, sort_keys=True)
         done = await self._journal.submit(order_id=order_id,
