--- a/pollenthread/app/claim_keeper.py
+++ b/pollenthread/app/claim_keeper.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import json
+from collections.abc import Callable
 from urllib import parse
 
 import result
@@ -13,10 +14,14 @@
 from pollenthread.ports import table
 
 __all__ = [
-    'Attach', 'ClaimKeeper', 'Granted', 'Replay', 'request_digest', 'row_key'
+    'Attach', 'ClaimKeeper', 'Granted', 'Replay', 'SHARDS', 'parse_claim',
+    'request_digest', 'row_key', 'shard_prefix'
 ]
 
+SHARDS = 4096
+_SHARD_DIGITS = 3
 _MAX_ROUNDS = 8
+_LINK_TIMEOUT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,9 +63,12 @@
     """Claims keys, takes claims over, and records outcomes."""
 
     def __init__(self, *, table_service: table.TableService,
-                 pool: pool_module.Pool) -> None:
+                 pool: pool_module.Pool, want_upstream: Callable[[str], bool],
+                 wall: Callable[[], float]) -> None:
         self._table = table_service
         self._pool = pool
+        self._want_upstream = want_upstream
+        self._wall = wall
 
     async def acquire(
             self, key: str,
@@ -75,6 +83,7 @@
             Leave to begin, an outcome to replay, or an attempt to attach to;
             a failure proves that this call let nothing run.
         """
+        wanted = dataclasses.replace(wanted, claimed_at_s=int(self._wall()))
         for _ in range(_MAX_ROUNDS):
             inserted = await self._table.put(key,
                                              _dump(wanted),
@@ -98,6 +107,8 @@
             self, granted: Granted,
             wanted: claims.Claim) -> result.Result[Granted, errors.Failure]:
         """Moves a claim whose attempt is proved not to have run."""
+        wanted = dataclasses.replace(wanted,
+                                     claimed_at_s=granted.claim.claimed_at_s)
         version = await self._replace(granted.key, granted.version, wanted)
         if version is None:
             return result.Err(_table_failure())
@@ -128,14 +139,14 @@
         found = await self._table.get(held.key)
         if isinstance(found, result.Err) or found.ok_value is None:
             return False
-        return (_load(found.ok_value.value).state
+        return (parse_claim(found.ok_value.value).state
                 is not claims.ClaimState.CLAIMED)
 
     async def _decide(
             self, row: table.Row, wanted: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
         """Decides from a row; None asks for another round."""
-        claim = _load(row.value)
+        claim = parse_claim(row.value)
         step = claims.first_step(claim,
                                  attempt=wanted.attempt,
                                  digest=wanted.digest)
@@ -156,6 +167,9 @@
             self, row: table.Row, claim: claims.Claim, wanted: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
         upstream = self._pool.by_host.get(claim.host)
+        if upstream is None and self._want_upstream(claim.host):
+            upstream = await self._pool.wait_for(claim.host, claim.incarnation,
+                                                 _LINK_TIMEOUT_S)
         state = None
         incarnation = ''
         if upstream is not None:
@@ -195,7 +209,14 @@
 
 def row_key(workspace: str, key: str) -> str:
     """The key of the row for an idempotency key."""
-    return f'claims/{workspace}/{parse.quote(key, safe="")}'
+    digest = hashlib.sha256(f'{workspace}\0{key}'.encode()).hexdigest()
+    name = parse.quote(key, safe='')
+    return f'{shard_prefix(digest[:_SHARD_DIGITS])}{workspace}/{name}'
+
+
+def shard_prefix(shard: str) -> str:
+    """The prefix of the rows of one of `SHARDS` parts of all claims."""
+    return f'claims/{shard}/'
 
 
 def _may_have_row(fault: table.TableFault) -> bool:
@@ -214,7 +235,8 @@
     return json.dumps(fields, sort_keys=True).encode()
 
 
-def _load(value: bytes) -> claims.Claim:
+def parse_claim(value: bytes) -> claims.Claim:
+    """Reads the value of a claim's row."""
     fields = json.loads(value)
     kept = fields.pop('outcome')
     outcome = None
--- a/pollenthread/app/order_desk.py
+++ b/pollenthread/app/order_desk.py
@@ -57,7 +57,8 @@
     async def step(self) -> None:
         """Records replies, takes orders up, and sends the open ones."""
         await self._record_replies()
-        for duty in self._keeper.duties():
+        for duty in set(orders.all_duties()).intersection(
+                self._keeper.duties()):
             if await self._load(duty):
                 await self._take_up(duty)
                 await self._advance(duty)
--- a/pollenthread/core/claims.py
+++ b/pollenthread/core/claims.py
@@ -12,10 +12,12 @@
 from pollenthread.core import messages
 
 __all__ = [
-    'Claim', 'ClaimState', 'Outcome', 'Step', 'after_seal', 'digest_matches',
-    'first_step'
+    'Claim', 'ClaimState', 'Outcome', 'RETENTION_S', 'Step', 'after_seal',
+    'digest_matches', 'first_step', 'is_expired'
 ]
 
+RETENTION_S = 24 * 3600
+
 
 class ClaimState(enum.StrEnum):
     """How far the claimed attempt is known to have come."""
@@ -52,6 +54,7 @@
         digest: a digest of the request that claimed the key.
         state: how far the attempt came.
         outcome: the kept answer once done.
+        claimed_at_s: when the key was claimed first, seconds since 1970.
     """
 
     attempt: str
@@ -61,6 +64,7 @@
     digest: str
     state: ClaimState = ClaimState.CLAIMED
     outcome: Outcome | None = None
+    claimed_at_s: int = 0
 
 
 class Step(enum.Enum):
@@ -76,6 +80,16 @@
     REPORT_UNKNOWN = 'report_unknown'
 
 
+def is_expired(claim: Claim, now_s: float) -> bool:
+    """Whether a claim is so old that its key may be used again.
+
+    Args:
+        claim: the row.
+        now_s: seconds since 1970.
+    """
+    return now_s - claim.claimed_at_s >= RETENTION_S
+
+
 def digest_matches(claim: Claim, digest: str) -> bool:
     """Whether a repeat carries the same request as the claim's."""
     return claim.digest == digest
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -10,10 +10,11 @@
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
-from pollenthread.app import (account_keeper, claim_keeper, config_spread,
-                              config_store, directory, gateway, heartbeats,
-                              lease_keeper, order_desk, order_journal, peers as
-                              peers_module, pool as pool_module)
+from pollenthread.app import (account_keeper, claim_keeper, claim_sweeper,
+                              config_spread, config_store, directory, gateway,
+                              heartbeats, lease_keeper, order_desk,
+                              order_journal, peers as peers_module, pool as
+                              pool_module, write_batcher)
 from pollenthread.core import account, ids, membership, messages, orders
 from pollenthread.roles import process
 
@@ -22,6 +23,7 @@
 _DIAL_INTERVAL_S = 0.2
 _LEAVE_NOTICE_S = caller_http.ADDRESS_TTL_S + 1.0
 _IDLE_CHECK_S = 0.05
+_CLAIM_ROWS_PER_S = 300.0
 _ACCOUNT_TIMEOUT_S = 5.0
 
 
@@ -78,7 +80,7 @@
             time=time,
             host=self._config.host,
             incarnation=self._hello.incarnation,
-            duties=orders.all_duties())
+            duties=(*orders.all_duties(), *claim_sweeper.SWEEP_DUTIES))
         self._journal = order_journal.OrderJournal(table_service=table)
         self._desk = order_desk.OrderDesk(keeper=self._leases,
                                           journal=self._journal,
@@ -94,7 +96,16 @@
             time=time,
             wall=wall_time.time,
             interval_s=self._config.account_interval_s)
-        keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
+        self._batcher = write_batcher.WriteBatcher(
+            table_service=table, time=time, rows_per_s=self._claim_rows_per_s)
+        self._sweeper = claim_sweeper.ClaimSweeper(table_service=table,
+                                                   keeper=self._leases,
+                                                   wall=wall_time.time)
+        keeper = claim_keeper.ClaimKeeper(
+            table_service=self._batcher,
+            pool=self._pool,
+            want_upstream=self._directory.want_upstream,
+            wall=wall_time.time)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
                                         time=time,
@@ -114,6 +125,10 @@
                                  data_centre=self._config.data_centre,
                                  region=self._config.region)
 
+    def _claim_rows_per_s(self) -> float:
+        """This host's part of the writes that claims may use."""
+        return _CLAIM_ROWS_PER_S / max(1, len(self._directory.entries()))
+
     def _build_borders(self) -> None:
         config = self._config
         host, port = process.split_address(config.callers)
@@ -151,12 +166,12 @@
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the parts and says where they listen."""
-        for owner in (self._client, self._callers, self._admin, self._links,
-                      self._upstream_dialers, self._peer_dialers):
+        for owner in (self._client, self._batcher, self._callers, self._admin,
+                      self._links, self._upstream_dialers, self._peer_dialers):
             await stack.enter_async_context(owner)
         for work in (self._spread.run(), self._directory.poll(),
                      self._keep_links(), self._leases.run(), self._desk.run(),
-                     self._account.run()):
+                     self._sweeper.run(), self._account.run()):
             stack.callback(asyncio.create_task(work).cancel)
         process.announce({
             'event': 'ready',
@@ -188,6 +203,9 @@
             'targets_permission': self._targets.permission,
             'is_poller': self._directory.is_poller,
             'entries': self._directory.view.state_by_host,
+            'claim_rows': self._batcher.rows_count,
+            'claim_transactions': self._batcher.transactions_count,
+            'claims_refused': self._batcher.refused_count,
             'duties': self._leases.duties(),
             'duties_acquired': self._leases.acquired_count,
             'duties_lost': self._leases.lost_count,
