Test claims over processes

Change: payments at every entry host at once with lost answers and old reads, a table that is down or slow, an entry host or an agent killed in the middle, more payments than the write budget, and expiry. The steps name entry hosts by name, since the order of addresses is that of starting.

--- a/pollenthread/app/claim_keeper.py
+++ b/pollenthread/app/claim_keeper.py
@@ -14,8 +14,8 @@
 from pollenthread.ports import table
 
 __all__ = [
-    'Attach', 'ClaimKeeper', 'Granted', 'Replay', 'SHARDS', 'parse_claim',
-    'request_digest', 'row_key', 'shard_prefix'
+    'Attach', 'ClaimKeeper', 'Granted', 'Replay', 'SHARDS', 'dump_claim',
+    'parse_claim', 'request_digest', 'row_key', 'shard_prefix'
 ]
 
 SHARDS = 4096
@@ -86,7 +86,7 @@
         wanted = dataclasses.replace(wanted, claimed_at_s=int(self._wall()))
         for _ in range(_MAX_ROUNDS):
             inserted = await self._table.put(key,
-                                             _dump(wanted),
+                                             dump_claim(wanted),
                                              expect=table.ABSENT)
             if isinstance(inserted, result.Ok):
                 return result.Ok(Granted(key, wanted, inserted.ok_value))
@@ -194,7 +194,7 @@
     async def _replace(self, key: str, version: int,
                        claim: claims.Claim) -> int | None:
         """Compare-and-set; settles a lost answer by reading again."""
-        value = _dump(claim)
+        value = dump_claim(claim)
         written = await self._table.put(key, value, expect=version)
         if isinstance(written, result.Ok):
             return written.ok_value
@@ -227,7 +227,8 @@
     return errors.failure(errors.Kind.TABLE_UNAVAILABLE, ran=errors.Ran.NO)
 
 
-def _dump(claim: claims.Claim) -> bytes:
+def dump_claim(claim: claims.Claim) -> bytes:
+    """The value of a claim's row."""
     fields = dataclasses.asdict(claim)
     if claim.outcome is not None:
         body = base64.b64encode(claim.outcome.body).decode()
--- a/pollenthread/app/claim_sweeper.py
+++ b/pollenthread/app/claim_sweeper.py
@@ -5,7 +5,7 @@
 
 import result
 
-from pollenthread.app import claim_keeper, lease_keeper
+from pollenthread.app import claim_keeper
 from pollenthread.core import claims
 from pollenthread.ports import table
 
@@ -21,10 +21,10 @@
     """Goes through the shards of the duties that this host holds."""
 
     def __init__(self, *, table_service: table.TableService,
-                 keeper: lease_keeper.LeaseKeeper,
-                 wall: Callable[[], float]) -> None:
+                 holds: Callable[[str], bool], wall: Callable[[],
+                                                              float]) -> None:
         self._table = table_service
-        self._keeper = keeper
+        self._holds = holds
         self._wall = wall
         self._next_by_duty: dict[str, int] = {}
         self.deleted_count = 0
@@ -38,7 +38,7 @@
     async def step(self) -> None:
         """Sweeps one shard of each duty held here."""
         for duty in SWEEP_DUTIES:
-            if self._keeper.held(duty) is not None:
+            if self._holds(duty):
                 number = self._next_by_duty.get(duty, 0)
                 self._next_by_duty[duty] = (number + 1) % _SHARDS_PER_DUTY
                 first = duty.partition('/')[2]
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -99,7 +99,7 @@
         self._batcher = write_batcher.WriteBatcher(
             table_service=table, time=time, rows_per_s=self._claim_rows_per_s)
         self._sweeper = claim_sweeper.ClaimSweeper(table_service=table,
-                                                   keeper=self._leases,
+                                                   holds=self._holds,
                                                    wall=wall_time.time)
         keeper = claim_keeper.ClaimKeeper(
             table_service=self._batcher,
@@ -125,6 +125,9 @@
                                  data_centre=self._config.data_centre,
                                  region=self._config.region)
 
+    def _holds(self, duty: str) -> bool:
+        return self._leases.held(duty) is not None
+
     def _claim_rows_per_s(self) -> float:
         """This host's part of the writes that claims may use."""
         return _CLAIM_ROWS_PER_S / max(1, len(self._directory.entries()))
--- /dev/null
+++ b/tests/agreed/steps/claims.py
@@ -0,0 +1,222 @@
+"""Steps for claims."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from pollenthread.app import claim_keeper, claim_sweeper
+from pollenthread.core import claims
+from pollenthread.ports import table
+from tests import scenario
+from tests.fakes import caller as caller_module, memory, service
+
+_CLASS = 'payment-confirmation'
+_PATH = '/services/orders/payments'
+_NOW_S = 1_000_000
+_REPEAT_S = 0.3
+_TIMEOUT_S = 90.0
+
+
+async def _pay(context: Any, key: str, entry: int) -> Any:
+    address = context.system.by_name[f'entry-{entry}'].ready['callers']
+    return await context.caller.post(address,
+                                     _CLASS,
+                                     _PATH,
+                                     key.encode(),
+                                     idempotency_key=key)
+
+
+async def _pay_or_none(context: Any, key: str,
+                       entry: int) -> caller_module.Answer | None:
+    try:
+        answer: caller_module.Answer = await _pay(context, key, entry)
+    except ConnectionError:
+        return None
+    return answer
+
+
+def _effects(context: Any) -> dict[str, int]:
+    found: dict[str, int] = scenario.run(
+        context,
+        context.system.call(context.system.address('service-1'), 'GET',
+                            '/tally'))
+    return found
+
+
+def _note(context: Any, *keys: str) -> None:
+    context.keys = [*getattr(context, 'keys', []), *keys]
+
+
+@when('{count:d} payments are each sent to every entry host at once')
+def step_pay_all(context: Any, count: int) -> None:
+    keys = [f'cup-{i}' for i in range(count)]
+    _note(context, *keys)
+    hosts = range(1, len(context.system.entry_addresses) + 1)
+
+    async def pay() -> None:
+        await asyncio.gather(*(_pay_or_none(context, key, entry)
+                               for key in keys
+                               for entry in hosts))
+
+    scenario.run(context, pay())
+
+
+@when('each payment is sent again until it has an answer')
+def step_pay_again(context: Any) -> None:
+    last = len(context.system.entry_addresses)
+
+    async def insist(key: str) -> caller_module.Answer:
+        while True:
+            answer = await _pay_or_none(context, key, last)
+            if answer is not None and answer.status == 200:
+                return answer
+            await asyncio.sleep(_REPEAT_S)
+
+    async def insist_all() -> list[caller_module.Answer]:
+        return list(await asyncio.gather(*map(insist, context.keys)))
+
+    context.answers = scenario.run(context, insist_all(), _TIMEOUT_S)
+
+
+@then('every payment has had one effect and one receipt')
+def step_one_effect(context: Any) -> None:
+    assert _effects(context) == {key: 1 for key in context.keys}
+    for key, answer in zip(context.keys, context.answers):
+        receipt = service.expected_receipt(key.encode())
+        assert answer.json['receipt'] == receipt, answer
+
+
+@then('the payment "{key}" is refused as not run at entry host {entry:d}')
+def step_not_run(context: Any, key: str, entry: int) -> None:
+    _note(context, key)
+    answer = scenario.run(context, _pay(context, key, entry))
+    assert answer.status != 200 and answer.json['ran'] == 'no', answer
+    assert key not in _effects(context)
+
+
+@when('the table takes {seconds:f} seconds')
+def step_slow_table(context: Any, seconds: float) -> None:
+    scenario.run(context, context.system.fault('table', delay_s=seconds))
+
+
+@when('the service takes {seconds:d} seconds after its effect')
+def step_slow_service(context: Any, seconds: int) -> None:
+    scenario.run(
+        context, context.system.fault('service-1',
+                                      delay_after_effect_s=seconds))
+
+
+async def _pay_and_kill(context: Any, key: str, victim: str) -> None:
+    paying = asyncio.create_task(_pay_or_none(context, key, 1))
+
+    async def has_effect() -> bool:
+        return key in await context.system.call(
+            context.system.address('service-1'), 'GET', '/tally')
+
+    await scenario.eventually(has_effect)
+    await context.system.by_name[victim].kill()
+    await paying
+
+
+@when('the payment "{key}" is sent and entry host 1 is killed')
+def step_kill_entry(context: Any, key: str) -> None:
+    _note(context, key)
+    scenario.run(context, _pay_and_kill(context, key, 'entry-1'))
+
+
+@when('the payment "{key}" is sent and its agent is killed and replaced')
+def step_kill_agent(context: Any, key: str) -> None:
+    _note(context, key)
+
+    async def act() -> None:
+        await _pay_and_kill(context, key, 'agent-service-1')
+        await context.system.start_agent('service', 1)
+
+    scenario.run(context, act())
+
+
+@then('the payment "{key}" is answered with "{kind}"')
+def step_kind(context: Any, key: str, kind: str) -> None:
+
+    async def check() -> bool:
+        answer = await _pay(context, key, 2)
+        assert answer.status != 200, answer
+        return bool(answer.json['kind'] == kind)
+
+    scenario.run(context, scenario.eventually(check))
+
+
+@then('no payment has had more than one effect')
+def step_at_most_one(context: Any) -> None:
+    assert all(count == 1 for count in _effects(context).values())
+
+
+@when('{count:d} payments are sent at once')
+def step_burst(context: Any, count: int) -> None:
+    _note(context, *(f'cup-{i}' for i in range(count)))
+
+    async def pay() -> list[caller_module.Answer | None]:
+        return list(await
+                    asyncio.gather(*(_pay_or_none(context, key, 1 + i % 2)
+                                     for i, key in enumerate(context.keys))))
+
+    context.answers = scenario.run(context, pay())
+
+
+@then('some were refused as not run and had no effect')
+def step_some_refused(context: Any) -> None:
+    refused = [
+        key for key, answer in zip(context.keys, context.answers)
+        if answer is not None and answer.status == 503 and
+        answer.json['ran'] == 'no'
+    ]
+    assert refused
+    assert not set(refused) & set(_effects(context))
+
+
+@then('every payment that was answered has had one effect')
+def step_answered_once(context: Any) -> None:
+    effects = _effects(context)
+    for key, answer in zip(context.keys, context.answers):
+        if answer is not None and answer.status == 200:
+            assert effects[key] == 1, key
+    assert all(count == 1 for count in effects.values())
+
+
+@given('claims of which {old:d} are older than a day and {young:d} are not')
+def step_claims(context: Any, old: int, young: int) -> None:
+    context.memory = memory.MemoryTable()
+    for i in range(old + young):
+        age_s = claims.RETENTION_S + 1 if i < old else 60
+        claim = claims.Claim(f'a-{i}.1',
+                             'agent',
+                             'x',
+                             's',
+                             'd',
+                             claimed_at_s=_NOW_S - age_s)
+        row = claim_keeper.dump_claim(claim)
+        scenario.run(
+            context,
+            context.memory.put(claim_keeper.row_key('buna', f'{i}'),
+                               row,
+                               expect=table.ABSENT))
+
+
+@when('the claims are swept')
+def step_sweep(context: Any) -> None:
+    sweeper = claim_sweeper.ClaimSweeper(table_service=context.memory,
+                                         holds=lambda _: True,
+                                         wall=lambda: _NOW_S)
+
+    async def sweep() -> None:
+        for shard in range(claim_keeper.SHARDS):
+            await sweeper.sweep(f'{shard:03x}')
+
+    scenario.run(context, sweep())
+
+
+@then('{count:d} claims are left')
+def step_left(context: Any, count: int) -> None:
+    found = scenario.run(context, context.memory.scan('claims/'))
+    assert len(found.ok_value) == count
--- a/tests/agreed/steps/decisions.py
+++ b/tests/agreed/steps/decisions.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-from collections.abc import Sequence
 from typing import Any
 
 import result
@@ -10,66 +9,15 @@
 
 from pollenthread.app import config_store
 from pollenthread.core import document_diff, leases, orders, versions
-from pollenthread.ports import clock, table
+from pollenthread.ports import table
 from tests import scenario
-from tests.fakes import operator, system as system_module
+from tests.fakes import memory, operator, system as system_module
 
 _SEED = 5
 _ROUNDS = 2000
 _DURATION_S = 5.0
 
 
-class _FakeClock(clock.Clock):
-    """Time that a scenario sets."""
-
-    def __init__(self) -> None:
-        self.now = 1000.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    async def sleep(self, seconds: float) -> None:
-        self.now += seconds
-
-
-class _MemoryTable(table.TableService):
-    """Rows in memory."""
-
-    def __init__(self) -> None:
-        self.is_down = False
-        self._rows_by_key: dict[str, table.Row] = {}
-        self._version = 0
-
-    async def get(
-            self,
-            key: str) -> result.Result[table.Row | None, table.TableFault]:
-        if self.is_down:
-            return result.Err(table.TableFault.UNAVAILABLE)
-        return result.Ok(self._rows_by_key.get(key))
-
-    async def scan(
-            self,
-            prefix: str) -> result.Result[list[table.Row], table.TableFault]:
-        raise NotImplementedError(prefix)
-
-    async def commit(
-        self, writes: Sequence[table.Write]
-    ) -> result.Result[list[int], table.TableFault]:
-        if self.is_down:
-            return result.Err(table.TableFault.UNAVAILABLE)
-        for write in writes:
-            row = self._rows_by_key.get(write.key)
-            if (0 if row is None else row.version) != write.expect:
-                return result.Err(table.TableFault.CONFLICT)
-        for write in writes:
-            self._version += 1
-            self._rows_by_key.pop(write.key, None)
-            if write.value is not None:
-                self._rows_by_key[write.key] = table.Row(
-                    write.key, write.value, self._version)
-        return result.Ok([self._version] * len(writes))
-
-
 @then('for clock rates within the bound no two hosts act on one lease')
 def step_drift(_: Any) -> None:
     draw = random.Random(_SEED)
@@ -93,8 +41,8 @@
 
 @given('three configuration stores on one table and a fake clock')
 def step_stores(context: Any) -> None:
-    context.clock = _FakeClock()
-    context.memory = _MemoryTable()
+    context.clock = memory.MemoryClock()
+    context.memory = memory.MemoryTable()
     context.stores = [
         config_store.ConfigStore(table_service=context.memory,
                                  time=context.clock,
--- /dev/null
+++ b/tests/fakes/memory.py
@@ -0,0 +1,67 @@
+"""A clock and a table in memory, for tests without processes."""
+
+from collections.abc import Sequence
+
+import result
+
+from pollenthread.ports import clock, table
+
+__all__ = ['MemoryClock', 'MemoryTable']
+
+
+class MemoryClock(clock.Clock):
+    """Time that a test sets."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+class MemoryTable(table.TableService):
+    """Rows in memory."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self._rows_by_key: dict[str, table.Row] = {}
+        self._version = 0
+
+    async def get(
+            self,
+            key: str) -> result.Result[table.Row | None, table.TableFault]:
+        if self.is_down:
+            return result.Err(table.TableFault.UNAVAILABLE)
+        return result.Ok(self._rows_by_key.get(key))
+
+    async def scan(
+            self,
+            prefix: str) -> result.Result[list[table.Row], table.TableFault]:
+        if self.is_down:
+            return result.Err(table.TableFault.UNAVAILABLE)
+        return result.Ok([
+            row for key, row in sorted(self._rows_by_key.items())
+            if key.startswith(prefix)
+        ])
+
+    async def commit(
+        self, writes: Sequence[table.Write]
+    ) -> result.Result[list[int], table.TableFault]:
+        if self.is_down:
+            return result.Err(table.TableFault.UNAVAILABLE)
+        for write in writes:
+            row = self._rows_by_key.get(write.key)
+            if (table.ABSENT if row is None else row.version) != write.expect:
+                return result.Err(table.TableFault.CONFLICT)
+        return result.Ok([self._apply(write) for write in writes])
+
+    def _apply(self, write: table.Write) -> int:
+        self._version += 1
+        self._rows_by_key.pop(write.key, None)
+        if write.value is not None:
+            self._rows_by_key[write.key] = table.Row(write.key, write.value,
+                                                     self._version)
+        return self._version
