The account in the table, the report, operators' keys and the command line

An entry host hands its counts over in rows of its own; a report adds the rows of all hosts and shows lost hosts and rows as gaps. Operators have keys and rights by workspace; the audit record is worked out from the versions. The command line prints tables, JSON, and the report as one page with plots.

--- a/pollenthread/adapters/admin_http.py
+++ b/pollenthread/adapters/admin_http.py
@@ -1,7 +1,7 @@
 """Administration of one process over HTTP."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from pollenthread.adapters import http_server
@@ -13,13 +13,27 @@
 
 
 class AdminHandler(http_server.Handler):
-    """Answers `GET` of the given documents by path."""
+    """Answers `GET` of the given documents by path.
 
-    def __init__(self, *, documents_by_path: dict[str, _Document]) -> None:
+    Paths below one of `handlers_by_root` go to that handler.
+    """
+
+    def __init__(
+        self,
+        *,
+        documents_by_path: dict[str, _Document],
+        handlers_by_root: Mapping[str, http_server.Handler] | None = None
+    ) -> None:
         self._documents_by_path = documents_by_path
+        self._handlers_by_root = dict(handlers_by_root or {})
 
     async def handle(self, request: http_server.Request,
                      response: http_server.Response) -> None:
+        root = request.path.strip('/').partition('/')[0]
+        handler = self._handlers_by_root.get(root)
+        if handler is not None:
+            await handler.handle(request, response)
+            return
         document = self._documents_by_path.get(request.path)
         if document is None:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -9,6 +9,7 @@
 
 from pollenthread.adapters import yaml_document
 from pollenthread.app import explanation, targets_document
+from pollenthread.core import operators
 
 __all__ = [
     'AgentSettings', 'EntrySettings', 'LinkSecurity', 'OperatorSettings',
@@ -57,6 +58,15 @@
                           pydantic.Field(union_mode='left_to_right')]
     may: Literal['read', 'change'] = 'read'
 
+    def to_operator(self) -> operators.Operator:
+        """Makes the inner form."""
+        sees_all = self.workspaces == '*'
+        return operators.Operator(
+            name=self.name,
+            key_sha256=self.key_sha256,
+            workspaces=None if sees_all else frozenset(self.workspaces),
+            may_change=self.may == 'change')
+
 
 class LinkSecurity(targets_document.Strict):
     """Files with which links prove who they are.
@@ -112,10 +122,10 @@
     @pydantic.field_validator('operators')
     @classmethod
     def _operators_differ(
-            cls, operators: list[OperatorSettings]) -> list[OperatorSettings]:
-        targets_document.unique([operator.name for operator in operators])
-        targets_document.unique([o.key_sha256 for o in operators])
-        return operators
+            cls, found: list[OperatorSettings]) -> list[OperatorSettings]:
+        targets_document.unique([operator.name for operator in found])
+        targets_document.unique([operator.key_sha256 for operator in found])
+        return found
 
 
 class EntrySettings(_ProcessSettings):
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -23,6 +23,7 @@
         self._own_host = own_host
         self._leaving: set[str] = set()
         self.by_name: dict[str, host_list.Host] = {}
+        self.draining: frozenset[str] = frozenset()
         self._read_at: float | None = None
 
     @property
@@ -46,7 +47,8 @@
         return [
             addresses.EntryHost(host=host.name, address=host.callers)
             for host in self.by_name.values()
-            if host.role == 'entry' and not self.is_leaving(host.name)
+            if host.role == 'entry' and not self.is_leaving(host.name) and
+            host.name not in self.draining
         ]
 
     def upstreams(self) -> dict[str, str]:
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -98,6 +98,7 @@
 
     def __init__(self) -> None:
         self.by_host: dict[str, Upstream] = {}
+        self.draining: frozenset[str] = frozenset()
         self.misrouted_count = 0
         self._changed = asyncio.Event()
 
@@ -106,7 +107,7 @@
         return [
             upstream for upstream in self.by_host.values()
             if upstream.serves(kind, name) and not upstream.leaving and
-            upstream.link.is_open
+            upstream.hello.host not in self.draining and upstream.link.is_open
         ]
 
     def knows(self, kind: str, name: str) -> bool:
--- /dev/null
+++ b/pollenthread/app/report_document.py
@@ -0,0 +1,55 @@
+"""The report as a document that programs and pages are made from."""
+
+import dataclasses
+from typing import Any
+
+from pollenthread.core import cost, report
+
+__all__ = ['to_document']
+
+
+def to_document(made: report.Report) -> dict[str, Any]:
+    """The report as keys and values; both departments' views use it."""
+    return {
+        'from_day': made.from_day,
+        'to_day': made.to_day,
+        'targets_version': made.targets_version,
+        'adds_up': made.adds_up,
+        'total': _counts(made.total),
+        'classes': [_class(line) for line in made.classes],
+        'costs': [_cost(row) for row in made.costs],
+        'orders': [dataclasses.asdict(line) for line in made.orders],
+        'gaps': [dataclasses.asdict(gap) for gap in made.gaps],
+        'hosts': made.hosts,
+    }
+
+
+def _counts(counts: Any) -> dict[str, Any]:
+    return {**dataclasses.asdict(counts), 'open': counts.open}
+
+
+def _class(line: report.ClassLine) -> dict[str, Any]:
+    return {
+        'workspace': line.workspace,
+        'class': line.work_class,
+        'target': {
+            'first_token_ms': line.first_token_ms,
+            'between_tokens_ms': line.between_tokens_ms,
+            'answer_ms': line.answer_ms,
+            'retries': line.retries_limit,
+        },
+        'at_most_once': line.is_at_most_once,
+        **_counts(line.counts),
+        'lost_with_host': line.lost_with_host,
+        'in_time_share': line.in_time_share,
+        'retries_share': line.retries_share,
+    }
+
+
+def _cost(row: cost.GroupCost) -> dict[str, Any]:
+    document = dataclasses.asdict(row)
+    document['skew_mean'] = row.skew_mean
+    bound = row.skew_bound(0.99)
+    document['skew_p99_at_most'] = None if bound == float('inf') else bound
+    document['net_s'] = row.net_s
+    return document
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -9,7 +9,7 @@
 
 __all__ = [
     'InvalidDocument', 'Name', 'Strict', 'TargetsModel', 'WorkspaceModel',
-    'parse_targets', 'unique'
+    'explain', 'parse_targets', 'unique'
 ]
 
 Name = Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
@@ -147,3 +147,8 @@
                                 error,
                                 model=TargetsModel,
                                 line_of=line_of)) from error
+
+
+def explain(name: str, error: pydantic.ValidationError) -> str:
+    """One line for each key that is wrong, without its allowed range."""
+    return explanation.explain(name, error, model=Strict)
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -1,71 +1,205 @@
 """The `pollenthread` command and its subcommands."""
 
 import asyncio
+import dataclasses
 import pathlib
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
-from absl import app, logging
+from absl import flags, logging
 
 import pollenthread
 from pollenthread.adapters import settings
 from pollenthread.app import targets_document
+from pollenthread.cli import commands, exit_codes
 from pollenthread.roles import agent, entry
 
 __all__ = ['run']
 
-_USAGE = """Usage: pollenthread COMMAND ...
+_HELP = flags.DEFINE_boolean('help', False, 'Print help and exit.')
 
-  entry FILE     run an entry host with the settings in FILE
-  agent FILE     run an agent with the settings in FILE
-  check FILE     check a file of settings or targets
-  version        print the version
-"""
-_EXIT_OK = 0
-_EXIT_USAGE = 2
-_EXIT_INVALID = 3
 
+@dataclasses.dataclass(frozen=True)
+class _Command:
+    """One subcommand.
 
-def run() -> None:
-    """Runs the command line and exits."""
-    app.run(_main)
+    Attributes:
+        words: the words that name it.
+        arguments: names of its arguments.
+        summary: what it does.
+        example: a command line.
+        run: does it; takes the arguments.
+        formats: values of --format that it takes.
+    """
 
+    words: tuple[str, ...]
+    arguments: tuple[str, ...]
+    summary: str
+    example: str
+    run: Callable[..., None]
+    formats: tuple[str, ...] = ('table', 'json')
 
-def _main(args: Sequence[str]) -> int:
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    try:
-        return _dispatch(list(args[1:]))
-    except targets_document.InvalidDocument as error:
-        print(error, file=sys.stderr)
-        return _EXIT_INVALID
-
-
-def _dispatch(args: list[str]) -> int:
-    match args:
-        case ['version']:
-            print(pollenthread.__version__)
-        case ['entry' | 'agent' as role, path]:
-            _run_role(role, pathlib.Path(path))
-        case ['check', path]:
-            _check(pathlib.Path(path))
-        case _:
-            print(_USAGE, file=sys.stderr)
-            return _EXIT_USAGE
-    return _EXIT_OK
-
-
-def _run_role(role: str, path: pathlib.Path) -> None:
-    config = settings.load_process(path)
-    if config.role != role:
-        raise targets_document.InvalidDocument(
-            f'{path}: role: expected {role}, found {config.role}')
-    if isinstance(config, settings.EntrySettings):
-        asyncio.run(entry.run(config))
-    else:
-        asyncio.run(agent.run(config))
+    @property
+    def usage(self) -> str:
+        """The words and arguments."""
+        return ' '.join((*self.words, *self.arguments))
 
 
-def _check(path: pathlib.Path) -> None:
-    settings.check_file(path)
+def _check(path: str) -> None:
+    settings.check_file(pathlib.Path(path))
     print(f'{path}: valid')
+
+
+def _version() -> None:
+    print(pollenthread.__version__)
+
+
+def _run_entry(path: str) -> None:
+    config = settings.load_process(pathlib.Path(path))
+    if not isinstance(config, settings.EntrySettings):
+        raise targets_document.InvalidDocument(
+            f'{path}:1: role: found {config.role} (allowed: entry)')
+    asyncio.run(entry.run(config))
+
+
+def _run_agent(path: str) -> None:
+    config = settings.load_process(pathlib.Path(path))
+    if not isinstance(config, settings.AgentSettings):
+        raise targets_document.InvalidDocument(
+            f'{path}:1: role: found {config.role} (allowed: agent)')
+    asyncio.run(agent.run(config))
+
+
+_COMMANDS = (
+    _Command(('entry',), ('FILE',), 'run an entry host',
+             'pollenthread entry examples/buna/entry.yaml', _run_entry,
+             ('table',)),
+    _Command(('agent',), ('FILE',), 'run the agent of an upstream host',
+             'pollenthread agent examples/buna/agent.yaml', _run_agent,
+             ('table',)),
+    _Command(('check',), ('FILE',), 'check a file of settings or targets',
+             'pollenthread check examples/buna/targets.yaml', _check,
+             ('table',)),
+    _Command(('config', 'get'), (), 'print the newest targets',
+             'pollenthread config get --workspace=mugs', commands.config_get),
+    _Command(('config', 'set'), ('FILE',), 'publish targets from a file',
+             'pollenthread config set mugs.yaml --workspace=mugs --base=41',
+             commands.config_set),
+    _Command(('config', 'history'), (), 'print who changed what',
+             'pollenthread config history', commands.config_history),
+    _Command(('config', 'diff'), ('OLDER', 'NEWER'),
+             'print what differs between two versions',
+             'pollenthread config diff 41 42', commands.config_diff),
+    _Command(('config', 'rollback-as-new-version'), ('VERSION',),
+             'publish an old version as a new one',
+             'pollenthread config rollback-as-new-version 41',
+             commands.config_rollback),
+    _Command(('drain',), ('HOST',), 'take a host out of service',
+             'pollenthread drain buna-model-1', commands.drain),
+    _Command(('undrain',), ('HOST',), 'take a host into service again',
+             'pollenthread undrain buna-model-1', commands.undrain),
+    _Command(('status',), (), 'print who is alive, leaving and stale',
+             'pollenthread status --admin=10.0.1.11:9090', commands.status),
+    _Command(('report',), (), 'print the account for both departments',
+             'pollenthread report --days=7 --format=html --output=week.html',
+             commands.report, ('table', 'json', 'html')),
+    _Command(('trace',), ('ID',), 'print the spans of one request',
+             'pollenthread trace 4bf92f3577b34da6a3ce929d0e0e4736',
+             commands.trace),
+    _Command(('version',), (), 'print the version', 'pollenthread version',
+             _version, ('table',)),
+)
+
+
+def run() -> None:
+    """Runs the command line and exits."""
+    try:
+        _main(sys.argv)
+    except targets_document.InvalidDocument as error:
+        _exit(exit_codes.ExitCode.INVALID, str(error))
+    except exit_codes.CommandFailed as error:
+        _exit(error.code, str(error))
+    except flags.Error as error:
+        _exit(exit_codes.ExitCode.USAGE, f'{error}; see `pollenthread --help`.')
+    except KeyboardInterrupt:
+        _exit(exit_codes.ExitCode.FAILED, 'Interrupted.')
+    except BrokenPipeError:
+        sys.stderr.close()
+        sys.exit(exit_codes.ExitCode.FAILED)
+
+
+def _exit(code: exit_codes.ExitCode, sentence: str) -> None:
+    print(f'pollenthread: {sentence}', file=sys.stderr)
+    sys.exit(code)
+
+
+def _main(argv: Sequence[str]) -> None:
+    flags.FLAGS.set_gnu_getopt(True)
+    args = flags.FLAGS(argv)[1:]
+    logging.use_absl_handler()
+    if 'verbosity' not in flags.FLAGS or not flags.FLAGS['verbosity'].present:
+        logging.set_verbosity(logging.INFO)
+    command = _find(args)
+    if _HELP.value or args[:1] == ['help']:
+        print(_command_help(command) if command else _help())
+        return
+    if command is None:
+        raise exit_codes.CommandFailed(exit_codes.ExitCode.USAGE,
+                                       _not_understood(args))
+    given = args[len(command.words):]
+    if len(given) != len(command.arguments):
+        raise exit_codes.CommandFailed(
+            exit_codes.ExitCode.USAGE,
+            f'Use it as `pollenthread {command.usage}`.')
+    if commands.FORMAT.value not in command.formats:
+        raise exit_codes.CommandFailed(
+            exit_codes.ExitCode.USAGE, f'`{" ".join(command.words)}` prints '
+            f'{" or ".join(command.formats)}: change --format.')
+    command.run(*given)
+
+
+def _find(args: Sequence[str]) -> _Command | None:
+    words = tuple(args[1:] if args[:1] == ['help'] else args)
+    for command in _COMMANDS:
+        if words[:len(command.words)] == command.words:
+            return command
+    return None
+
+
+def _not_understood(args: Sequence[str]) -> str:
+    first = args[0] if args else ''
+    near = [c.usage for c in _COMMANDS if first and c.words[0] == first]
+    if near:
+        return f'Use one of: {"; ".join(near)}.'
+    return (f'There is no command {first!r}'
+            if first else 'Give a command') + '; see `pollenthread --help`.'
+
+
+def _help() -> str:
+    width = max(len(command.usage) for command in _COMMANDS)
+    usages = '\n'.join(
+        f'  {c.usage.ljust(width)}  {c.summary}' for c in _COMMANDS)
+    examples = '\n'.join(f'  {c.example}' for c in _COMMANDS
+                         if c.words[0] in ('check', 'report', 'drain'))
+    return (f'Usage: pollenthread COMMAND [FLAGS]\n\n{usages}\n\n'
+            f'Flags:\n{_flags_help()}\n\nExamples:\n{examples}\n\n'
+            f'Exit status:\n{exit_codes.table()}\n\n'
+            '`pollenthread help COMMAND` says more about one command.')
+
+
+def _command_help(command: _Command) -> str:
+    text = (f'Usage: pollenthread {command.usage} [FLAGS]\n\n'
+            f'  {command.summary}\n\nExample:\n  {command.example}\n')
+    if len(command.formats) > 1:
+        text += (f'\nFlags:\n{_flags_help()}\n\n'
+                 f'--format takes {", ".join(command.formats)} here.\n')
+    return text + f'\nExit status:\n{exit_codes.table()}'
+
+
+def _flags_help() -> str:
+    own = [
+        flag for module in (commands, 'pollenthread.cli.admin_client')
+        for flag in flags.FLAGS.get_key_flags_for_module(
+            module if isinstance(module, str) else module.__name__)
+    ]
+    return '\n'.join(f'  --{flag.name}: {flag.help}' for flag in own)
--- /dev/null
+++ b/pollenthread/cli/tables.py
@@ -0,0 +1,47 @@
+"""Tables for people."""
+
+from collections.abc import Sequence
+from typing import Any
+
+__all__ = ['render']
+
+
+def render(title: str, heads: Sequence[str],
+           rows: Sequence[Sequence[Any]]) -> str:
+    """A title and aligned columns; numbers to the right."""
+    if not rows:
+        return f'{title}: none\n'
+    cells = [[_text(value) for value in row] for row in rows]
+    widths = [
+        max(len(head), *(len(row[i])
+                         for row in cells))
+        for i, head in enumerate(heads)
+    ]
+    is_number = [
+        all(isinstance(row[i], int | float | None)
+            for row in rows)
+        for i in range(len(heads))
+    ]
+    lines = [title, _line(heads, widths, is_number)]
+    lines.append('  ' + '  '.join('-' * width for width in widths))
+    lines += [_line(row, widths, is_number) for row in cells]
+    return '\n'.join(lines) + '\n'
+
+
+def _line(cells: Sequence[str], widths: Sequence[int],
+          is_number: Sequence[bool]) -> str:
+    padded = (cell.rjust(width) if right else cell.ljust(width)
+              for cell, width, right in zip(cells, widths, is_number))
+    return ('  ' + '  '.join(padded)).rstrip()
+
+
+def _text(value: Any) -> str:
+    if value is None:
+        return '-'
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    if isinstance(value, float):
+        return f'{value:.3f}'
+    if isinstance(value, int):
+        return f'{value:,}'
+    return str(value)
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -6,11 +6,12 @@
 import time as wall_time
 from typing import Any
 
-from pollenthread.adapters import (admin_http, caller_http, clock,
+from pollenthread.adapters import (admin_api, admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, settings, table_http)
-from pollenthread.app import (account_keeper, claim_keeper, config_store,
-                              directory, gateway, peers as peers_module, pool as
+from pollenthread.app import (account_keeper, account_reader, administration,
+                              claim_keeper, cost_book, config_store, directory,
+                              gateway, peers as peers_module, pool as
                               pool_module)
 from pollenthread.core import account, ids, messages
 from pollenthread.ports import link as link_port
@@ -69,6 +70,16 @@
             time=time,
             wall=wall_time.time,
             interval_s=self._config.account_interval_s)
+        self._administration = administration.Administration(
+            store=self._targets,
+            accounts=account_reader.AccountReader(
+                table_service=table,
+                wall=wall_time.time,
+                interval_s=self._config.account_interval_s),
+            costs=cost_book.CostBook(table_service=table),
+            status=self._status,
+            wall=wall_time.time,
+            find_trace=lambda _: None)
         keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
@@ -95,7 +106,8 @@
             documents_by_path={
                 '/status': self._status,
                 '/account': lambda: admin_http.account_rows(self._tally)
-            }),
+            },
+            handlers_by_root={'v1': self._admin_api()}),
                                              host=host,
                                              port=port)
         host, port = process.split_address(config.links)
@@ -110,6 +122,11 @@
                                                    handler=self._peers,
                                                    config_version=self._version)
 
+    def _admin_api(self) -> admin_api.AdminApi:
+        return admin_api.AdminApi(
+            admin=self._administration,
+            operator_list=[o.to_operator() for o in self._config.operators])
+
     def _version(self) -> int:
         return self._targets.version
 
@@ -138,8 +155,15 @@
             for name, upstream in self._pool.by_host.items():
                 if self._directory.is_leaving(name):
                     upstream.leaving = True
+            self._apply_draining()
             await asyncio.sleep(_DIAL_INTERVAL_S)
 
+    def _apply_draining(self) -> None:
+        current = self._targets.current
+        if current is not None:
+            self._pool.draining = current.draining
+            self._directory.draining = current.draining
+
     def _on_peer_leaving(self, _: link_port.Link,
                          message: messages.Leaving) -> None:
         self._directory.mark_leaving(message.host)
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -22,8 +22,12 @@
 
 from pollenthread.adapters import clock, http_client, table_http
 from pollenthread.app import config_store
+from pollenthread.core import operators
 
-__all__ = ['MODEL', 'Process', 'SERVICE', 'System', 'TARGETS']
+__all__ = [
+    'MODEL', 'ON_CALL_KEY', 'OTHER_KEY', 'Process', 'READER_KEY', 'SERVICE',
+    'System', 'TARGETS', 'WORKSPACE_KEY'
+]
 
 MODEL = 'assistant-small'
 SERVICE = 'orders'
@@ -33,6 +37,23 @@
 _DATA_CENTRES = ('dc-1', 'dc-2', 'dc-3')
 _REGION = 'region-1'
 
+ON_CALL_KEY = 'key-of-the-operator-on-call'
+WORKSPACE_KEY = 'key-of-the-operator-of-buna'
+OTHER_KEY = 'key-of-the-operator-of-another-workspace'
+READER_KEY = 'key-of-the-accounts-department'
+
+OPERATORS: list[dict[str, Any]] = [{
+    'name': name,
+    'key_sha256': operators.key_digest(key),
+    'workspaces': workspaces,
+    'may': may
+} for name, key, workspaces, may in (
+    ('on-call', ON_CALL_KEY, '*', 'change'),
+    ('buna-operator', WORKSPACE_KEY, ['buna'], 'change'),
+    ('other-operator', OTHER_KEY, ['other'], 'change'),
+    ('accounts', READER_KEY, '*', 'read'),
+)]
+
 TARGETS: dict[str, Any] = {
     'workspaces': {
         'buna': {
@@ -293,6 +314,8 @@
         host = f'entry-{number}'
         settings = self._settings('entry', host, number)
         settings['callers'] = _LOOPBACK
+        settings['account_interval_s'] = 1
+        settings['operators'] = OPERATORS
         process = await self._start_role('entry', host, settings)
         await self.list_host(
             host, {
--- a/tests/product/account.feature
+++ b/tests/product/account.feature
@@ -35,3 +35,12 @@
     And the entry host stops by plan
     And the third row is lost
     Then the account shows a gap because "rows are missing"
+
+  Scenario: The account of running hosts equals what the callers saw
+    Given a system with operators' keys
+    When each entry host answers 5 captions and a payment sent twice
+    Then every outcome in the report is what the callers saw
+    When the first entry host is killed with a request in progress
+    Then the report shows a gap for the first entry host
+    And every accepted request has one outcome
+    And the report can be read as a table and as one page
