--- /dev/null
+++ b/tests/pages.py
@@ -0,0 +1,82 @@
+"""Pages that are generated from the code.
+
+    python -m tests.pages --write    writes them
+    python -m tests.pages            fails when one is not current
+"""
+
+import argparse
+import json
+import pathlib
+import sys
+from collections.abc import Callable
+
+from pollenthread.adapters import admin_api
+from pollenthread.core import errors
+
+__all__: list[str] = []
+
+_DOCS = pathlib.Path(__file__).resolve().parent.parent / 'docs'
+_RAN_WORDS = {
+    errors.Ran.NO: 'it did not run',
+    errors.Ran.YES: 'it ran',
+    errors.Ran.UNKNOWN: 'not known',
+}
+
+
+def _kinds() -> str:
+    lines = [
+        '# Kinds of errors', '',
+        'Generated from `pollenthread/core/errors.py` by '
+        '`python -m tests.pages --write`.', '',
+        'Every failure that a caller or an operator sees is one of these. The '
+        'answer is a problem document (RFC 9457) with `kind`, `status`, '
+        '`title`, `detail` and `ran`. A request may carry a better proof of '
+        'whether it ran than its kind alone: read `ran` in the answer.', '',
+        '| kind | status | what the caller is told | did it run? '
+        '| repeat after | connection |', '|---|---|---|---|---|---|'
+    ]
+    for kind in errors.Kind:
+        answer = errors.ANSWERS[kind]
+        after = ('' if answer.retry_after_s is None else
+                 f'{answer.retry_after_s} s')
+        lines.append(f'| `{kind.value}` | {answer.status} | {answer.title} '
+                     f'| {_RAN_WORDS[answer.ran]} | {after} '
+                     f'| {"closed" if answer.close else "kept"} |')
+    return '\n'.join(lines) + '\n'
+
+
+def _openapi() -> str:
+    return json.dumps(admin_api.openapi(), indent=2) + '\n'
+
+
+_PAGES: dict[str, Callable[[], str]] = {
+    'KINDS.md': _kinds,
+    'openapi.json': _openapi,
+}
+
+
+def main() -> int:
+    """Writes or checks the pages.
+
+    Returns:
+        The exit status: 1 when a page is not current.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--write', action='store_true')
+    args = parser.parse_args()
+    status = 0
+    for name, make in _PAGES.items():
+        path = _DOCS / name
+        if args.write:
+            path.write_text(make(), 'utf-8')
+        elif not path.exists() or path.read_text('utf-8') != make():
+            print(
+                f'docs/{name} is not current: run '
+                '`python -m tests.pages --write`',
+                file=sys.stderr)
+            status = 1
+    return status
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/product/steps/documents.py
+++ b/tests/product/steps/documents.py
@@ -1,5 +1,6 @@
 """Steps for pages that are worked out or generated."""
 
+import json
 import pathlib
 import subprocess
 import sys
@@ -7,6 +8,8 @@
 
 from behave import then
 
+from tests import scenario
+
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
 
 
@@ -23,3 +26,44 @@
 def step_capacity(_: Any) -> None:
     done = _run('bench.capacity', '--check')
     assert done.returncode == 0, done.stderr
+
+
+@then('the pages of error kinds and of the administration API are current')
+def step_generated(_: Any) -> None:
+    done = _run('tests.pages')
+    assert done.returncode == 0, done.stderr
+
+
+@then('an entry host serves the committed description of its API')
+def step_served(context: Any) -> None:
+    committed = json.loads((_ROOT / 'docs' / 'openapi.json').read_text('utf-8'))
+    process = context.system.by_name['entry-1']
+    served = scenario.run(
+        context,
+        context.system.call(process.ready['admin'], 'GET', '/v1/openapi.json'))
+    assert served == committed
+
+
+@then('the help shows every command with flags, examples and exit statuses')
+def step_help(_: Any) -> None:
+    done = _run('pollenthread', '--help')
+    assert done.returncode == 0, done.stderr
+    words = ('entry', 'agent', 'check', 'get', 'set', 'history', 'diff',
+             'rollback-as-new-version', 'drain', 'undrain', 'status', 'report',
+             'trace', 'version', '--format', '--admin', 'Examples', 'status')
+    for word in words:
+        assert word in done.stdout, word
+    for command in ('report', 'config set', 'drain'):
+        done = _run('pollenthread', 'help', *command.split())
+        assert done.returncode == 0 and 'Example' in done.stdout, done
+
+
+@then('a command line that is not understood ends with status 2 and a sentence')
+def step_not_understood(_: Any) -> None:
+    for args in ((), ('confg',), ('config',), ('drain',), ('status',
+                                                           '--fromat=json'),
+                 ('status', '--format=html'), ('version', '--days=x')):
+        done = _run('pollenthread', *args)
+        assert done.returncode == 2, (args, done)
+        assert not done.stdout, (args, done)
+        assert len(done.stderr.strip().splitlines()) == 1, (args, done.stderr)
