--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -6,12 +6,13 @@
 import time as wall_time
 from typing import Any
 
-from pollenthread.adapters import (admin_http, caller_http, clock,
+from pollenthread.adapters import (admin_api, admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
-from pollenthread.app import (account_keeper, claim_keeper, config_spread,
-                              config_store, directory, gateway, heartbeats,
+from pollenthread.app import (account_keeper, account_reader, administration,
+                              claim_keeper, config_spread, config_store,
+                              cost_book, directory, gateway, heartbeats,
                               lease_keeper, order_desk, order_journal, peers as
                               peers_module, pool as pool_module)
 from pollenthread.core import account, ids, membership, messages, orders
@@ -94,6 +95,16 @@
             time=time,
             wall=wall_time.time,
             interval_s=self._config.account_interval_s)
+        self._administration = administration.Administration(
+            store=self._targets,
+            accounts=account_reader.AccountReader(
+                table_service=table,
+                wall=wall_time.time,
+                interval_s=self._config.account_interval_s),
+            costs=cost_book.CostBook(table_service=table),
+            status=self._status,
+            wall=wall_time.time,
+            find_trace=lambda _: None)
         keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
@@ -127,6 +138,8 @@
                 '/account': lambda: admin_http.account_rows(self._tally)
             },
             handlers_by_root={
+                'v1':
+                    self._admin_api(),
                 'orders':
                     orders_admin.OrdersHandler(journal=self._journal,
                                                desk=self._desk,
@@ -146,6 +159,11 @@
                                                    handler=self._peers,
                                                    config_version=self._version)
 
+    def _admin_api(self) -> admin_api.AdminApi:
+        return admin_api.AdminApi(
+            admin=self._administration,
+            operator_list=[o.to_operator() for o in self._config.operators])
+
     def _version(self) -> int:
         return self._targets.version
 
@@ -175,8 +193,15 @@
             for name, upstream in self._pool.by_host.items():
                 if self._directory.is_leaving(name):
                     upstream.leaving = True
+            self._apply_draining()
             await asyncio.sleep(_DIAL_INTERVAL_S)
 
+    def _apply_draining(self) -> None:
+        current = self._targets.current
+        if current is not None:
+            self._pool.draining = current.draining
+            self._directory.draining = current.draining
+
     def _status(self) -> dict[str, Any]:
         return {
             'host': self._config.host,
