--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -33,6 +33,7 @@
         self._upstreams: frozenset[str] = frozenset()
         self._view = membership.View({}, False)
         self._extra_until_by_host: dict[str, float] = {}
+        self.draining: frozenset[str] = frozenset()
         self._read_at: float | None = None
         self.pollers: frozenset[str] = frozenset()
 
@@ -66,7 +67,7 @@
         return [
             addresses.EntryHost(host=host.name, address=host.callers)
             for host in self.by_name.values()
-            if host.name in usable
+            if host.name in usable and host.name not in self.draining
         ]
 
     def live_entries(self) -> list[str]:
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -6,12 +6,13 @@
 import time as wall_time
 from typing import Any
 
-from pollenthread.adapters import (admin_http, caller_http, clock,
+from pollenthread.adapters import (admin_api, admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
-from pollenthread.app import (account_keeper, claim_keeper, claim_sweeper,
-                              config_spread, config_store, directory, gateway,
+from pollenthread.app import (account_keeper, account_reader, administration,
+                              claim_keeper, claim_sweeper, config_spread,
+                              config_store, cost_book, directory, gateway,
                               heartbeats, lease_keeper, order_desk,
                               order_journal, peers as peers_module, pool as
                               pool_module, write_batcher)
@@ -106,6 +107,16 @@
             pool=self._pool,
             want_upstream=self._directory.want_upstream,
             wall=wall_time.time)
+        self._administration = administration.Administration(
+            store=self._targets,
+            accounts=account_reader.AccountReader(
+                table_service=table,
+                wall=wall_time.time,
+                interval_s=self._config.account_interval_s),
+            costs=cost_book.CostBook(table_service=table),
+            status=self._status,
+            wall=wall_time.time,
+            find_trace=lambda _: None)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
                                         time=time,
@@ -145,6 +156,8 @@
                 '/account': lambda: admin_http.account_rows(self._tally)
             },
             handlers_by_root={
+                'v1':
+                    self._admin_api(),
                 'orders':
                     orders_admin.OrdersHandler(journal=self._journal,
                                                desk=self._desk,
@@ -164,6 +177,11 @@
                                                    handler=self._peers,
                                                    config_version=self._version)
 
+    def _admin_api(self) -> admin_api.AdminApi:
+        return admin_api.AdminApi(
+            admin=self._administration,
+            operator_list=[o.to_operator() for o in self._config.operators])
+
     def _version(self) -> int:
         return self._targets.version
 
@@ -193,8 +211,15 @@
             for name, upstream in self._pool.by_host.items():
                 if self._directory.is_leaving(name):
                     upstream.leaving = True
+            self._apply_draining()
             await asyncio.sleep(_DIAL_INTERVAL_S)
 
+    def _apply_draining(self) -> None:
+        current = self._targets.current
+        if current is not None:
+            self._pool.draining = current.draining
+            self._directory.draining = current.draining
+
     def _status(self) -> dict[str, Any]:
         return {
             'host': self._config.host,
