--- a/pollenthread/app/claim_sweeper.py
+++ b/pollenthread/app/claim_sweeper.py
@@ -9,16 +9,16 @@
 from pollenthread.core import claims
 from pollenthread.ports import table
 
-__all__ = ['ClaimSweeper', 'SWEEP_DUTIES']
+__all__ = ['ClaimSweeper', 'SWEEP_DUTY']
 
-SWEEP_DUTIES = tuple(f'claims/{first:x}' for first in range(16))
-_SHARDS_PER_DUTY = claim_keeper.SHARDS // len(SWEEP_DUTIES)
+SWEEP_DUTY = 'claims/sweep'
+_SHARD_DIGITS = 3
 _ROUND_S = claims.RETENTION_S / 4
 _DELETED_AT_ONCE = 32
 
 
 class ClaimSweeper:
-    """Goes through the shards of the duties that this host holds."""
+    """Goes through all shards, one after another, while it holds the duty."""
 
     def __init__(self, *, table_service: table.TableService,
                  holds: Callable[[str], bool], wall: Callable[[],
@@ -26,23 +26,16 @@
         self._table = table_service
         self._holds = holds
         self._wall = wall
-        self._next_by_duty: dict[str, int] = {}
+        self._next = 0
         self.deleted_count = 0
 
     async def run(self) -> None:
         """Sweeps until cancelled."""
         while True:
-            await asyncio.sleep(_ROUND_S / _SHARDS_PER_DUTY)
-            await self.step()
-
-    async def step(self) -> None:
-        """Sweeps one shard of each duty held here."""
-        for duty in SWEEP_DUTIES:
-            if self._holds(duty):
-                number = self._next_by_duty.get(duty, 0)
-                self._next_by_duty[duty] = (number + 1) % _SHARDS_PER_DUTY
-                first = duty.partition('/')[2]
-                await self.sweep(f'{first}{number:02x}')
+            await asyncio.sleep(_ROUND_S / claim_keeper.SHARDS)
+            if self._holds(SWEEP_DUTY):
+                await self.sweep(f'{self._next:0{_SHARD_DIGITS}x}')
+                self._next = (self._next + 1) % claim_keeper.SHARDS
 
     async def sweep(self, shard: str) -> None:
         """Deletes the expired claims of one shard."""
--- a/pollenthread/app/lease_keeper.py
+++ b/pollenthread/app/lease_keeper.py
@@ -24,6 +24,8 @@
     DURATION_S = 5.0
     RENEW_S = 1.5
     STEP_S = 0.5
+    WATCH_S = 1.0
+    HAND_OVER_S = 10.0
 
 
 def lease_key(duty: str) -> str:
@@ -52,6 +54,8 @@
         self._known_by_duty: dict[str, leases.Observation] = {}
         self._version_by_duty: dict[str, int] = {}
         self._renewed_at_by_duty: dict[str, float] = {}
+        self._watched_at_by_duty: dict[str, float] = {}
+        self._preferred_at_by_duty: dict[str, float] = {}
         self._locks_by_duty = {duty: asyncio.Lock() for duty in self._duties}
         self._wake = asyncio.Event()
         self._stopping = False
@@ -91,11 +95,30 @@
     async def _keep(self, duty: str, live: Sequence[str]) -> None:
         async with self._locks_by_duty[duty]:
             held = self._held_by_duty.get(duty)
-            if held is not None:
+            now = self._time.monotonic()
+            is_candidate = self._is_candidate(duty, live)
+            if held is not None and not is_candidate and self._may_hand_over(
+                    duty, now):
+                await self._let_go(duty, held)
+            elif held is not None:
+                if is_candidate:
+                    self._preferred_at_by_duty[duty] = now
                 await self._renew(duty, held)
-            elif not self._stopping and self._is_candidate(duty, live):
+            elif is_candidate and self._may_watch(duty, now):
+                self._watched_at_by_duty[duty] = now
                 await self._try(duty)
 
+    def _may_hand_over(self, duty: str, now: float) -> bool:
+        """Whether other hosts have been preferred for long enough."""
+        since = self._preferred_at_by_duty.setdefault(duty, now)
+        return now - since >= LeaseTimes.HAND_OVER_S
+
+    def _may_watch(self, duty: str, now: float) -> bool:
+        if self._stopping:
+            return False
+        watched_at = self._watched_at_by_duty.get(duty)
+        return watched_at is None or now - watched_at >= LeaseTimes.WATCH_S
+
     def _is_candidate(self, duty: str, live: Sequence[str]) -> bool:
         return self._host in membership.ranked(live, duty)[:_CANDIDATES]
 
@@ -228,5 +251,10 @@
         async with self._locks_by_duty[duty]:
             held = self._held_by_duty.get(duty)
             if held is not None:
-                await self._write(duty, leases.release(held), held.version)
-                self._held_by_duty.pop(duty, None)
+                await self._let_go(duty, held)
+
+    async def _let_go(self, duty: str, held: leases.Held) -> None:
+        await self._write(duty, leases.release(held), held.version)
+        self._held_by_duty.pop(duty, None)
+        self._preferred_at_by_duty.pop(duty, None)
+        logging.info('duty=%s released', duty)
--- a/pollenthread/app/order_desk.py
+++ b/pollenthread/app/order_desk.py
@@ -16,7 +16,7 @@
 
 __all__ = ['OrderDesk']
 
-_STEP_S = 0.5
+_STEP_S = 1.0
 _JOURNAL_KEPT = 64
 
 
