--- /dev/null
+++ b/bench/balance.py
@@ -0,0 +1,176 @@
+"""Measures skew and its price by policy and trace.
+
+Run `python -m bench.balance --seed N [--quick]`.
+"""
+
+import argparse
+import dataclasses
+import statistics
+import time
+from collections.abc import Callable
+from typing import Any
+
+import numpy as np
+
+from bench import balance_group, balance_traces, common
+from pollenthread.core import (expert_map, moves, placement, popularity,
+                               rebalance)
+
+__all__: list[str] = []
+
+SMALL = balance_group.Size('8x32', 8, 32, 8, 5, 4)
+LARGE = balance_group.Size('32x64', 32, 64, 58, 3, 4)
+INTERVAL_S = 300.0
+COSTS = rebalance.Costs(expert_bytes=44_000_000,
+                        store_bytes_per_s=100e6,
+                        slowdown=0.2,
+                        stall_s=0.05)
+BUNA = rebalance.Policy(skew=1.10, budget_share=0.005)
+TAGLINE = rebalance.Policy(skew=1.01, budget_share=0.05)
+UNLIMITED = rebalance.Policy(skew=1.0, budget_share=1.0)
+_THRESHOLD = 1.2
+_CONTROL_SHARE = 0.027
+
+Decide = Callable[[popularity.Popularity, float, bool],
+                  expert_map.ExpertMap | None]
+"""Gives the map to switch to, or None, from the estimate, time and load."""
+
+
+class _Ours:
+    """The planner of the product."""
+
+    def __init__(self, planner: rebalance.Planner,
+                 start: expert_map.ExpertMap) -> None:
+        self._planner = planner
+        self._state = rebalance.GroupState(current=start)
+
+    def __call__(self, estimate: popularity.Popularity, time_s: float,
+                 is_loading: bool) -> expert_map.ExpertMap | None:
+        if is_loading:
+            return None
+        self._state, result = rebalance.plan(self._planner,
+                                             self._state,
+                                             estimate,
+                                             now_s=time_s)
+        return result.target
+
+
+class _Replan:
+    """Plans anew once the skew passes a threshold."""
+
+    def __init__(self, group: placement.Group, threshold: float,
+                 start: expert_map.ExpertMap) -> None:
+        self._group = group
+        self._threshold = threshold
+        self._current = start
+
+    def __call__(self, estimate: popularity.Popularity, time_s: float,
+                 is_loading: bool) -> expert_map.ExpertMap | None:
+        shares = [popularity.shares(layer) for layer in estimate.layers]
+        if is_loading or expert_map.skew(self._current,
+                                         shares) < self._threshold:
+            return None
+        layouts = [moves.place(self._group, row) for row in shares]
+        self._current = expert_map.map_of(layouts, shares)
+        return self._current
+
+
+def _never(_: popularity.Popularity, __: float,
+           ___: bool) -> expert_map.ExpertMap | None:
+    return None
+
+
+def _policies(size: balance_group.Size,
+              start: expert_map.ExpertMap) -> dict[str, Decide]:
+    group = size.group
+
+    def ours(policy: rebalance.Policy, **off: bool) -> Decide:
+        planner = rebalance.Planner(group, policy, COSTS, INTERVAL_S)
+        return _Ours(dataclasses.replace(planner, **off), start)
+
+    return {
+        'never': _never,
+        'full': _Replan(group, 0.0, start),
+        'threshold': _Replan(group, _THRESHOLD, start),
+        'buna': ours(BUNA),
+        'tagline': ours(TAGLINE),
+        'tagline-no-history': ours(TAGLINE, use_history=False),
+        'tagline-no-split': ours(TAGLINE, use_split=False),
+        'tagline-no-fixing': ours(TAGLINE, use_fixing=False),
+        'unlimited': ours(UNLIMITED)
+    }
+
+
+def _run(size: balance_group.Size, trace_name: str, policy_name: str, seed: int,
+         hours: float) -> dict[str, Any]:
+    draw = np.random.default_rng(seed)
+    trace = balance_traces.TRACES[trace_name](draw, size.layers, size.experts)
+    rows = balance_group.rows_of(trace(0.0))
+    start = expert_map.map_of([moves.place(size.group, row) for row in rows],
+                              rows)
+    decide = _policies(size, start)[policy_name]
+    model = balance_group.GroupModel(size=size,
+                                     trace=trace,
+                                     costs=COSTS,
+                                     interval_s=INTERVAL_S,
+                                     seed=seed + 1,
+                                     start=start)
+    estimate = popularity.new(layers=size.layers,
+                              experts=size.experts,
+                              at_s=0.0)
+    for i in range(round(hours * 3600 / INTERVAL_S)):
+        time_s = i * INTERVAL_S
+        began = time.process_time()
+        for counts in model.reports(time_s):
+            estimate = popularity.observe(estimate, counts)
+        target = decide(estimate, time_s, model.is_loading)
+        model.totals.planning_s += time.process_time() - began
+        model.totals.plans += 1
+        if target is not None:
+            model.switch(target, time_s)
+        model.run_interval(time_s)
+    return _row(size, trace_name, policy_name, model.totals)
+
+
+def _row(size: balance_group.Size, trace: str, policy: str,
+         totals: balance_group.Totals) -> dict[str, Any]:
+    mean = statistics.fmean(totals.skews)
+    return {
+        'size': size.name,
+        'trace': trace,
+        'policy': policy,
+        'skew_mean': round(mean, 4),
+        'skew_p99': round(float(np.quantile(totals.skews, 0.99)), 4),
+        'skew_over_bound': round(mean - statistics.fmean(totals.bounds), 4),
+        'skew_lost_capacity_s': round(totals.skew_lost_s, 1),
+        'loading_lost_capacity_s': round(totals.loading_lost_s, 1),
+        'stalled_capacity_s': round(totals.stalled_s, 1),
+        'cost_capacity_s': round(totals.cost_s, 1),
+        'reloaded_gb': round(totals.loads * COSTS.expert_bytes / 1e9, 3),
+        'experts_moved': totals.loads,
+        'moved_back': totals.undone,
+        'loads_per_expert_hour': totals.loads_per_expert_hour,
+        'switches': totals.switches,
+        'planning_ms': round(1e3 * totals.planning_s / totals.plans, 2)
+    }
+
+
+def main() -> None:
+    """Runs all rows and prints them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--quick', action='store_true')
+    args = parser.parse_args()
+    hours = 5.0 if args.quick else 8.0
+    rows = []
+    names = list(_policies(SMALL, ()))
+    for trace in balance_traces.TRACES:
+        for policy in names:
+            row = _run(SMALL, trace, policy, args.seed, hours)
+            rows.append(row)
+            print(row, flush=True)
+    common.emit(args.seed, rows, [])
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/pollenthread/core/expert_map.py
@@ -0,0 +1,71 @@
+"""Expert maps: which ranks hold an expert, and how its traffic divides."""
+
+import dataclasses
+from collections.abc import Sequence
+
+from pollenthread.core import placement
+
+__all__ = [
+    'ExpertMap', 'LayerMap', 'layer_map', 'loads_by_rank', 'map_of', 'skew',
+    'with_split'
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class LayerMap:
+    """One layer of an expert map.
+
+    Attributes:
+        layout: the experts of each rank.
+        fractions: for each expert the ranks that hold it, with the fraction of
+            its traffic.
+    """
+
+    layout: placement.Layout
+    fractions: tuple[tuple[tuple[int, float], ...], ...]
+
+
+ExpertMap = tuple[LayerMap, ...]
+"""The whole map of a group, by layer."""
+
+
+def layer_map(layout: placement.Layout, shares: Sequence[float]) -> LayerMap:
+    """A layer with the best split for the shares."""
+    return with_split(layout, placement.split(layout, shares))
+
+
+def with_split(layout: placement.Layout, split: placement.Split) -> LayerMap:
+    """A layer with a given split."""
+    fractions = []
+    for parts in split.load_by_replica:
+        total = sum(part for _, part in parts)
+        fractions.append(
+            tuple((rank, part / total if total else 1 / len(parts))
+                  for rank, part in parts))
+    return LayerMap(layout, tuple(fractions))
+
+
+def map_of(layouts: Sequence[placement.Layout],
+           shares: Sequence[Sequence[float]]) -> ExpertMap:
+    """A map with the best split for the shares."""
+    return tuple(
+        layer_map(layout, part) for layout, part in zip(layouts, shares))
+
+
+def loads_by_rank(layer: LayerMap, shares: Sequence[float]) -> list[float]:
+    """Each rank's load under a map, in units of the mean load."""
+    load = [0.0] * len(layer.layout)
+    scale = len(load) / sum(shares)
+    for share, fractions in zip(shares, layer.fractions):
+        for rank, fraction in fractions:
+            load[rank] += share * fraction * scale
+    return load
+
+
+def skew(expert_map: ExpertMap, shares: Sequence[Sequence[float]]) -> float:
+    """The group's skew: each layer waits for its slowest rank."""
+    worst = [
+        max(loads_by_rank(layer, part))
+        for layer, part in zip(expert_map, shares)
+    ]
+    return sum(worst) / len(worst)
--- /dev/null
+++ b/pollenthread/core/moves.py
@@ -0,0 +1,160 @@
+"""Single steps that improve the layout of one layer.
+
+A step puts an expert of the hottest rank on a cool rank, in place of a replica
+that can be spared there or in exchange for another expert.
+"""
+
+import dataclasses
+from collections.abc import Iterator, Sequence
+
+from pollenthread.core import placement
+
+__all__ = ['Load', 'Step', 'best_step', 'place', 'smooth_skew']
+
+_MAX_STEPS = 64
+_LEAST_GAIN = 1e-3
+_COOL_RANKS = 3
+_HOT_EXPERTS = 3
+_SWAPS = 1
+_EXPONENT = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """One expert that a rank has to load, and the one that it drops."""
+
+    rank: int
+    expert: int
+    dropped: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One step and what it leads to.
+
+    Attributes:
+        loads: what ranks have to load.
+        layout: the layout after the step.
+        split: the traffic after the step.
+    """
+
+    loads: tuple[Load, ...]
+    layout: placement.Layout
+    split: placement.Split
+
+
+def smooth_skew(split: placement.Split) -> float:
+    """Close to the skew, but lower when fewer ranks share the greatest load."""
+    total = sum(load**_EXPONENT for load in split.load_by_rank)
+    smooth: float = total**(1 / _EXPONENT)
+    return smooth
+
+
+def place(group: placement.Group, shares: Sequence[float]) -> placement.Layout:
+    """The best layout found without regard to what lies where."""
+    layout = placement.pack(group, shares)
+    split = placement.split(layout, shares)
+    for _ in range(_MAX_STEPS):
+        step = best_step(group, layout, shares, split)
+        if step is None:
+            break
+        layout, split = step.layout, step.split
+    return layout
+
+
+def best_step(
+    group: placement.Group,
+    layout: placement.Layout,
+    shares: Sequence[float],
+    split: placement.Split,
+    fixed: frozenset[int] = frozenset()) -> Step | None:
+    """The step that lowers the skew most for each expert loaded, or None.
+
+    Args:
+        group: the shape of the group.
+        layout: what lies where.
+        shares: the share of the layer's traffic by expert.
+        split: the traffic with that layout.
+        fixed: experts that are neither loaded nor dropped.
+    """
+    before = smooth_skew(split)
+    best: Step | None = None
+    best_rate = 0.0
+    for loads in _candidates(group, layout, split):
+        if any(load.expert in fixed or load.dropped in fixed for load in loads):
+            continue
+        after = layout
+        for load in loads:
+            after = placement.replace_slot(after, load.rank, load.dropped,
+                                           load.expert)
+        result = placement.split(after, shares)
+        gain = before - smooth_skew(result)
+        if gain > _LEAST_GAIN and gain / len(loads) > best_rate:
+            best_rate = gain / len(loads)
+            best = Step(loads, after, result)
+    return best
+
+
+def _candidates(group: placement.Group, layout: placement.Layout,
+                split: placement.Split) -> Iterator[tuple[Load, ...]]:
+    load = split.load_by_rank
+    by_load = sorted(range(group.ranks), key=lambda rank: (load[rank], rank))
+    hot_rank = by_load[-1]
+    for expert in _hottest(layout[hot_rank], hot_rank, split):
+        cool = [
+            rank for rank in by_load[:-1] if expert not in layout[rank] and
+            _may_hold(group, rank, expert, split)
+        ]
+        for rank in cool[:_COOL_RANKS]:
+            yield from _replacements(layout, rank, expert, split)
+            yield from _swaps(group, layout, hot_rank, rank, expert, split)
+
+
+def _hottest(experts: Sequence[int], rank: int,
+             split: placement.Split) -> list[int]:
+    """The experts that give a rank the most load."""
+    return sorted(experts, key=lambda e:
+                  (-_part(split, e, rank), e))[:_HOT_EXPERTS]
+
+
+def _part(split: placement.Split, expert: int, rank: int) -> float:
+    for holder, part in split.load_by_replica[expert]:
+        if holder == rank:
+            return part
+    return 0.0
+
+
+def _may_hold(group: placement.Group, rank: int, expert: int,
+              split: placement.Split) -> bool:
+    """Whether a replica here is on a host of its own, while there are any."""
+    hosts = {
+        group.host_by_rank[holder]
+        for holder, _ in split.load_by_replica[expert]
+    }
+    return (group.host_by_rank[rank] not in hosts or
+            len(hosts) == len(set(group.host_by_rank)))
+
+
+def _replacements(layout: placement.Layout, rank: int, expert: int,
+                  split: placement.Split) -> Iterator[tuple[Load, ...]]:
+    spare = [
+        held for held in layout[rank] if len(split.load_by_replica[held]) > 1
+    ]
+    if spare:
+        dropped = min(spare, key=lambda held: (_part(split, held, rank), held))
+        yield (Load(rank, expert, dropped),)
+
+
+def _swaps(group: placement.Group, layout: placement.Layout, hot_rank: int,
+           rank: int, expert: int,
+           split: placement.Split) -> Iterator[tuple[Load, ...]]:
+    wanted = _part(split, expert, hot_rank) - (split.load_by_rank[hot_rank] -
+                                               split.load_by_rank[rank]) / 2
+    others = [
+        held for held in layout[rank] if held not in layout[hot_rank] and
+        (len(split.load_by_replica[held]) == 1 or
+         _may_hold(group, hot_rank, held, split))
+    ]
+    others.sort(key=lambda held: (abs(_part(split, held, rank) - wanted), held))
+    for other in others[:_SWAPS]:
+        yield (Load(rank, expert, other), Load(hot_rank, other, expert))
