--- a/bench/balance.py
+++ b/bench/balance.py
@@ -221,18 +221,22 @@
                if name == policy)
 
 
+def _at_most(name: str, bound: float, value: float) -> common.Target:
+    return common.Target(name, bound, value, value <= bound)
+
+
 def _targets(rows: Sequence[dict[str, Any]],
              placements: Sequence[dict[str, Any]]) -> list[common.Target]:
     targets = [
-        common.Target('tagline mean skew over instant full replan', 1.05,
-                      _ratio(rows, 'skew_mean', 'tagline', 'full-instant')),
-        common.Target('tagline bytes over full replan', 0.2,
-                      _ratio(rows, 'reloaded_gb', 'tagline', 'full')),
-        common.Target('buna bytes over full replan', 0.05,
-                      _ratio(rows, 'reloaded_gb', 'buna', 'full')),
-        common.Target('buna cost over never', 1.0,
-                      _ratio(rows, 'cost_capacity_s', 'buna', 'never')),
-        common.Target(
+        _at_most('tagline mean skew over instant full replan', 1.05,
+                 _ratio(rows, 'skew_mean', 'tagline', 'full-instant')),
+        _at_most('tagline bytes over full replan', 0.2,
+                 _ratio(rows, 'reloaded_gb', 'tagline', 'full')),
+        _at_most('buna bytes over full replan', 0.05,
+                 _ratio(rows, 'reloaded_gb', 'buna', 'full')),
+        _at_most('buna cost over never', 1.0,
+                 _ratio(rows, 'cost_capacity_s', 'buna', 'never')),
+        _at_most(
             'planning 32x64x58, share of a core', _CONTROL_SHARE,
             max(row['planning_share']
                 for row in rows
@@ -241,7 +245,7 @@
     ]
     for column in ('loads_per_expert_hour', 'undone_per_expert_hour'):
         targets.append(
-            common.Target(
+            _at_most(
                 f'{column} on burst and see-saw', 1,
                 max(row[column]
                     for row in rows
@@ -249,8 +253,8 @@
                     ('buna', 'tagline'))))
     for row in placements:
         targets.append(
-            common.Target(f'placement {row["size"]} over lower bound', 1.03,
-                          row['placement_over_bound']))
+            _at_most(f'placement {row["size"]} over lower bound', 1.03,
+                     row['placement_over_bound']))
     return targets
 
 
--- a/bench/common.py
+++ b/bench/common.py
@@ -1,8 +1,8 @@
-"""What all measurements print at their end."""
+"""What the measurements share: targets and the last line of output."""
 
 import dataclasses
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 __all__ = ['Target', 'emit']
@@ -10,34 +10,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """A stated bound and what was measured.
-
-    Attributes:
-        name: what is bounded.
-        bound: the greatest value that holds.
-        value: what was measured.
-    """
+    """A stated bound and what was measured against it."""
 
     name: str
     bound: float
     value: float
-
-    @property
-    def holds(self) -> bool:
-        """Whether the value is within the bound."""
-        return self.value <= self.bound
+    holds: bool
 
 
-def emit(seed: int, rows: Sequence[Mapping[str, Any]],
+def emit(seed: int, rows: Sequence[dict[str, Any]],
          targets: Sequence[Target]) -> None:
-    """Prints one JSON object on one line."""
+    """Prints the result as one JSON object on one line."""
     print(
         json.dumps({
-            'seed':
-                seed,
-            'rows':
-                list(rows),
-            'targets': [{
-                **dataclasses.asdict(target), 'holds': target.holds
-            } for target in targets]
+            'seed': seed,
+            'rows': list(rows),
+            'targets': [dataclasses.asdict(target) for target in targets]
         }))
