--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,10 @@
 .PHONY: demo test serve lint model binary clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
-	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
-		-r requirements-dev.txt
-	touch $@
+	@$(PYTHON) -m venv $(VENV) >&2
+	@$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt >&2
+	@touch $@
 
 demo: $(VENV)/ready
 	@$(PY) -m tests.fakes.demo
--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -22,8 +22,9 @@
 _MAX_TIMEOUT_MS = 600_000
 _CHAT_PATH = '/v1/chat/completions'
 _SERVICES_PREFIX = '/services/'
+_OWN_HEADERS = frozenset({'x-request-id', 'x-attempts', 'date', 'server'})
 _TRACEPARENT = re.compile(r'^00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$')
-_PASSED_HEADERS = frozenset({'accept', 'content-type', 'traceparent'})
+_PASSED_HEADERS = ('accept', 'content-type', 'traceparent')
 
 
 class _Refused(Exception):
@@ -62,6 +63,7 @@
         self._time = time
         self._tally = tally
         self._is_refusing = is_refusing
+        self.open_requests: set[str] = set()
 
     async def handle(self, request: http_server.Request,
                      response: http_server.Response) -> None:
@@ -119,6 +121,7 @@
                      response: http_server.Response) -> None:
         started_at = self._time.monotonic()
         self._tally.accept(call.tally_key)
+        self.open_requests.add(call.request_id)
         sink = _ResponseSink(response=response, request_id=call.request_id)
         report = gateway.Report(started_at=started_at)
         try:
@@ -129,6 +132,7 @@
                 ran=errors.Ran.UNKNOWN if report.attempts else errors.Ran.NO)
             raise
         finally:
+            self.open_requests.discard(call.request_id)
             self._tally.end(call.tally_key,
                             _outcome(call.work_class, report, started_at,
                                      self._time.monotonic()),
@@ -154,9 +158,9 @@
 
     async def head(self, status: int, headers: tuple[messages.Header, ...],
                    attempts: int) -> None:
-        passed = [(name, value)
-                  for name, value in headers
-                  if name not in ('x-request-id', 'date', 'server')]
+        passed = [
+            (name, value) for name, value in headers if name not in _OWN_HEADERS
+        ]
         self._is_stream = any(
             name == 'content-type' and value.startswith('text/event-stream')
             for name, value in passed)
@@ -193,6 +197,13 @@
     return request.header(name) or ''
 
 
+def _optional_header(request: http_server.Request, name: str) -> str | None:
+    if request.header_count(name) > 1:
+        raise _refuse(errors.Kind.BAD_HEADER,
+                      f'Give the {name} header at most once.')
+    return request.header(name)
+
+
 def _workspace(request: http_server.Request,
                current: targets.Targets) -> targets.Workspace:
     name = _single_header(request, 'x-workspace')
@@ -251,7 +262,7 @@
 
 
 def _key(request: http_server.Request, work_class: targets.WorkClass) -> str:
-    key = request.header('idempotency-key') or ''
+    key = _optional_header(request, 'idempotency-key') or ''
     if not work_class.repeatable and not key:
         raise _refuse(errors.Kind.KEY_MISSING)
     if len(key) > _MAX_KEY_CHARS or not (key.isascii() or not key):
@@ -263,7 +274,7 @@
 
 
 def _timeout_s(request: http_server.Request, stream: bool) -> float:
-    text = request.header('x-timeout-ms')
+    text = _optional_header(request, 'x-timeout-ms')
     if text is None:
         return _STREAM_TIMEOUT_S if stream else _ANSWER_TIMEOUT_S
     if not text.isdecimal() or not 1 <= int(text) <= _MAX_TIMEOUT_MS:
@@ -274,10 +285,15 @@
 
 def _passed_headers(request: http_server.Request,
                     key: str) -> tuple[messages.Header, ...]:
-    passed = [(name, value)
-              for name, value in request.headers
-              if name in _PASSED_HEADERS and
-              (name != 'traceparent' or _TRACEPARENT.match(value))]
+    passed = []
+    for name in _PASSED_HEADERS:
+        value = _optional_header(request, name)
+        if value is None or (name == 'traceparent' and
+                             not _TRACEPARENT.match(value)):
+            continue
+        if not value.isascii():
+            raise _refuse(errors.Kind.BAD_HEADER, f'{name} must be ASCII.')
+        passed.append((name, value))
     if key:
         passed.append(('idempotency-key', key))
     return tuple(passed)
--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -15,6 +15,7 @@
 _READ_BYTES = 64 * 1024
 _MAX_HEAD_BYTES = 32 * 1024
 _MAX_IDLE_PER_ADDRESS = 64
+_BODILESS_STATUSES = (204, 304)
 
 
 class ConnectFailed(ConnectionError):
@@ -40,6 +41,11 @@
         return tuple((name.decode('ascii'), value.decode('latin-1'))
                      for name, value in self._head.headers)
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether a body that breaks off can be told from a whole one."""
+        return self._connection.is_delimited(self._head)
+
     async def read(self) -> AsyncIterator[bytes]:
         """Yields the body as it comes.
 
@@ -150,6 +156,7 @@
         self._address = address
         self._reader = reader
         self._writer = writer
+        self._method = ''
         self._http = h11.Connection(h11.CLIENT,
                                     max_incomplete_event_size=_MAX_HEAD_BYTES)
 
@@ -162,9 +169,14 @@
                    headers: Sequence[messages.Header],
                    body: bytes) -> h11.Response:
         """Sends a request and reads the answer's head."""
+        self._method = method
         all_headers = [('host', self._address), *headers,
                        ('content-length', str(len(body)))]
-        request = h11.Request(method=method, target=target, headers=all_headers)
+        request = h11.Request(method=method.encode('ascii'),
+                              target=target.encode('ascii'),
+                              headers=[(name.encode('ascii'),
+                                        value.encode('latin-1'))
+                                       for name, value in all_headers])
         parts = [self._http.send(request)]
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
@@ -178,6 +190,13 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionError(f'{self._address} sent no answer')
 
+    def is_delimited(self, head: h11.Response) -> bool:
+        """Whether the body has a length or an end marker."""
+        if self._method == 'HEAD' or head.status_code in _BODILESS_STATUSES:
+            return True
+        return any(name in (b'content-length', b'transfer-encoding')
+                   for name, _ in head.headers)
+
     async def read_data(self) -> bytes | None:
         """Reads a part of the body; None at its end."""
         event = await self._next_event()
--- a/pollenthread/adapters/upstream_http.py
+++ b/pollenthread/adapters/upstream_http.py
@@ -31,6 +31,10 @@
                      for name, value in self._exchange.headers
                      if name not in _HOP_HEADERS)
 
+    @property
+    def is_delimited(self) -> bool:
+        return self._exchange.is_delimited
+
     def read(self) -> AsyncIterator[bytes]:
         return self._exchange.read()
 
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -62,6 +62,13 @@
 
 struct Leaving { host @0 :Text; }
 
+struct Unconfirmed {
+  attempt @0 :Text;
+  workspace @1 :Text;
+  key @2 :Text;
+  stream @3 :Bool;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -80,5 +87,6 @@
     confirm @13 :Confirm;
     load @14 :Load;
     leaving @15 :Leaving;
+    unconfirmed @16 :Unconfirmed;
   }
 }
--- a/pollenthread/app/claim_keeper.py
+++ b/pollenthread/app/claim_keeper.py
@@ -94,6 +94,33 @@
                 return decision
         return result.Err(_table_failure())
 
+    async def look_up(
+            self, key: str,
+            digest: str) -> result.Result[Replay | None, errors.Failure]:
+        """Finds how the work under a key ended, without claiming it.
+
+        Args:
+            key: the row's key, from `row_key`.
+            digest: the digest of the caller's request.
+
+        Returns:
+            The kept outcome, or None when nothing has claimed the key.
+        """
+        found = await self._table.get(key)
+        if isinstance(found, result.Err):
+            return result.Err(_table_failure())
+        if found.ok_value is None:
+            return result.Ok(None)
+        claim = _load(found.ok_value.value)
+        match claims.first_step(claim, attempt='', digest=digest):
+            case claims.Step.REPLAY:
+                assert claim.outcome is not None
+                return result.Ok(Replay(claim.outcome))
+            case claims.Step.REFUSE_REUSED:
+                return result.Err(errors.failure(errors.Kind.KEY_REUSED))
+            case _:
+                return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
+
     async def move(
             self, granted: Granted,
             wanted: claims.Claim) -> result.Result[Granted, errors.Failure]:
@@ -103,10 +130,41 @@
             return result.Err(_table_failure())
         return result.Ok(Granted(granted.key, wanted, version))
 
-    async def release(self, granted: Granted) -> None:
-        """Deletes a claim whose attempt is proved not to have run."""
-        await self._table.commit(
+    async def release(self, granted: Granted) -> bool:
+        """Deletes a claim whose attempt is proved not to have run.
+
+        Returns:
+            Whether it is sure that nobody has taken the claim over.
+        """
+        released = await self._table.commit(
             [table.Write(granted.key, None, granted.version)])
+        return isinstance(released, result.Ok)
+
+    async def find(
+        self, key: str, attempt: str, upstream: pool_module.Upstream
+    ) -> result.Result[Attach | None, errors.Failure]:
+        """Finds the claim of an attempt that an agent has finished.
+
+        Args:
+            key: the row's key, from `row_key`.
+            attempt: the finished attempt.
+            upstream: where the attempt ran.
+
+        Returns:
+            The claim, or None when the table needs no outcome from this
+            attempt; a failure when the table does not say.
+        """
+        found = await self._table.get(key)
+        if isinstance(found, result.Err):
+            return result.Err(_table_failure())
+        row = found.ok_value
+        if row is None:
+            return result.Ok(None)
+        claim = _load(row.value)
+        if (claim.attempt != attempt or
+                claim.state is not claims.ClaimState.CLAIMED):
+            return result.Ok(None)
+        return result.Ok(Attach(key, claim, row.version, upstream))
 
     async def record(self, held: Granted | Attach,
                      outcome: claims.Outcome | None) -> bool:
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -3,17 +3,15 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable
 
 from absl import logging
 
-from pollenthread.core import errors, events, gate_rules, messages
+from pollenthread.app import attempt as attempt_module
+from pollenthread.core import errors, gate_rules, messages
 from pollenthread.ports import engine, link as link_port
 
 __all__ = ['Gate', 'GateLimits']
 
-_MISROUTED_HEADER = 'x-request-id'
-
 
 @dataclasses.dataclass(frozen=True)
 class GateLimits:
@@ -23,15 +21,13 @@
         max_running: attempts at the upstream at once.
         max_queued: attempts that wait for their turn.
         max_kept: finished outcomes that wait for a confirmation.
-        resume_grace_s: seconds that an attempt goes on without a link.
-        max_outcome_bytes: size of a kept outcome.
+        attempt: bounds on each attempt.
     """
 
     max_running: int = 64
     max_queued: int = 256
     max_kept: int = 4096
-    resume_grace_s: float = 10.0
-    max_outcome_bytes: int = 1024 * 1024
+    attempt: attempt_module.AttemptLimits = attempt_module.AttemptLimits()
 
 
 class Gate(link_port.LinkHandler):
@@ -42,7 +38,7 @@
         limits: GateLimits = GateLimits()) -> None:
         self._upstream = upstream
         self._limits = limits
-        self._attempts_by_id: dict[str, _Attempt] = {}
+        self._attempts_by_id: dict[str, attempt_module.Attempt] = {}
         self._links_by_session: dict[str, link_port.Link] = {}
         self._sealed_by_session = collections.defaultdict[str, set[str]](set)
         self._turns = asyncio.Semaphore(limits.max_running)
@@ -67,9 +63,9 @@
 
     @property
     def unconfirmed(self) -> int:
-        """Finished outcomes that the table may not hold yet."""
-        return sum(1 for attempt in self._attempts_by_id.values()
-                   if attempt.kept and attempt.finished)
+        """Finished answers that no entry host has confirmed yet."""
+        return sum(
+            1 for attempt in self._attempts_by_id.values() if attempt.finished)
 
     def leave(self, host: str) -> None:
         """Refuses new work from now on and tells every link."""
@@ -79,16 +75,29 @@
     def broadcast(self, message: messages.Message) -> None:
         """Sends a message on every open link."""
         for link in list(self._links_by_session.values()):
-            _send(link, message)
+            link_port.send_if_open(link, message)
 
-    async def cancel_all(self) -> int:
-        """Cuts everything in progress; returns how many attempts were cut."""
+    async def cancel_all(self) -> list[str]:
+        """Cuts everything in progress; returns the ids of what was cut."""
         cut = [a for a in self._attempts_by_id.values() if not a.finished]
         for attempt in cut:
             attempt.cancel()
         await asyncio.gather(*(a.task for a in cut if a.task),
                              return_exceptions=True)
-        return len(cut)
+        return [a.begin.attempt for a in cut]
+
+    def report_unconfirmed(self) -> None:
+        """Asks a linked entry host to record outcomes that none follows."""
+        links = list(self._links_by_session.values())
+        if not links:
+            return
+        for attempt in self._attempts_by_id.values():
+            if attempt.kept and attempt.finished and not attempt.links:
+                begin = attempt.begin
+                link_port.send_if_open(
+                    links[0],
+                    messages.Unconfirmed(begin.attempt, begin.workspace,
+                                         begin.key, begin.stream))
 
     # Link events.
 
@@ -96,9 +105,9 @@
         self._links_by_session[link.session] = link
         logging.info('link open host=%s session=%s', link.peer.host,
                      link.session)
-        _send(link, self.load)
+        link_port.send_if_open(link, self.load)
         if self._leaving:
-            _send(link, messages.Leaving(''))
+            link_port.send_if_open(link, messages.Leaving(''))
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
         self._links_by_session.pop(link.session, None)
@@ -106,8 +115,7 @@
         logging.info('link closed host=%s session=%s reason=%s', link.peer.host,
                      link.session, reason)
         for attempt in list(self._attempts_by_id.values()):
-            if attempt.link is link:
-                attempt.detach(self._limits.resume_grace_s)
+            attempt.detach(link)
 
     def on_message(self, link: link_port.Link,
                    message: messages.Message) -> None:
@@ -115,12 +123,15 @@
             case messages.Begin():
                 self._begin(link, message)
             case messages.Credit():
-                self._with_attempt(message.attempt, lambda a: a.credit(message))
+                attempt = self._attempts_by_id.get(message.attempt)
+                if attempt is not None:
+                    attempt.credit(message)
             case messages.Cancel():
-                self._with_attempt(message.attempt, _Attempt.abandon)
+                self._cancel(message)
             case messages.Seal():
                 state = self._seal(message)
-                _send(link, messages.Sealed(message.attempt, state))
+                link_port.send_if_open(link,
+                                       messages.Sealed(message.attempt, state))
             case messages.Resume():
                 self._resume(link, message)
             case messages.Confirm():
@@ -128,11 +139,14 @@
             case _:
                 pass
 
-    def _with_attempt(self, attempt_id: str, act: Callable[['_Attempt'],
-                                                           None]) -> None:
-        attempt = self._attempts_by_id.get(attempt_id)
-        if attempt is not None:
-            act(attempt)
+    def _cancel(self, cancel: messages.Cancel) -> None:
+        """Stops work that nobody waits for; what must be kept goes on."""
+        attempt = self._attempts_by_id.get(cancel.attempt)
+        if attempt is None or attempt.kept:
+            return
+        attempt.cancel()
+        if attempt.finished:
+            del self._attempts_by_id[cancel.attempt]
 
     def _refusal(self, link: link_port.Link,
                  begin: messages.Begin) -> errors.Kind | None:
@@ -156,21 +170,36 @@
         return sum(1 for a in self._attempts_by_id.values() if a.kept)
 
     def _begin(self, link: link_port.Link, begin: messages.Begin) -> None:
+        if begin.attempt in self._attempts_by_id:
+            return
         kind = self._refusal(link, begin)
         if kind is not None:
             self.refused_by_kind[kind] += 1
             problem = errors.failure(kind)
-            _send(
+            link_port.send_if_open(
                 link,
                 messages.Fail(begin.attempt, kind, problem.detail,
                               errors.Ran.NO))
             return
-        attempt = _Attempt(begin=begin, link=link, limits=self._limits)
+        attempt = attempt_module.Attempt(begin=begin,
+                                         link=link,
+                                         limits=self._limits.attempt)
         self._attempts_by_id[begin.attempt] = attempt
+        self._queued += 1
         attempt.task = asyncio.create_task(self._serve(attempt))
+        attempt.task.add_done_callback(lambda _: self._on_done(attempt))
+
+    def _on_done(self, attempt: attempt_module.Attempt) -> None:
+        """Ends an attempt, also one that was cut before its first step."""
+        if not attempt.started:
+            self._queued -= 1
+            attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
+        if not attempt.must_be_kept:
+            attempt.release_later(
+                lambda: self._attempts_by_id.pop(attempt.begin.attempt, None))
 
-    async def _serve(self, attempt: '_Attempt') -> None:
-        attempt_id = attempt.begin.attempt
+    async def _serve(self, attempt: attempt_module.Attempt) -> None:
+        attempt.started = True
         try:
             if await self._wait_turn(attempt):
                 try:
@@ -181,23 +210,21 @@
         except asyncio.CancelledError:
             attempt.fail(errors.failure(errors.Kind.STOPPED))
         except Exception as error:  # pylint: disable=broad-exception-caught
-            logging.exception('attempt %s failed', attempt_id)
+            logging.exception('attempt %s failed', attempt.begin.attempt)
             attempt.fail(errors.failure(errors.Kind.INTERNAL, str(error)))
-        finally:
-            if not attempt.must_be_kept:
-                attempt.release_when_sent(
-                    lambda: self._attempts_by_id.pop(attempt_id, None))
 
-    async def _wait_turn(self, attempt: '_Attempt') -> bool:
+    async def _wait_turn(self, attempt: attempt_module.Attempt) -> bool:
         """Waits in the queue; False when the attempt must not begin."""
-        self._queued += 1
         try:
-            async with asyncio.timeout(attempt.begin.deadline_ms / 1000):
+            async with asyncio.timeout_at(attempt.deadline):
                 await self._turns.acquire()
-        except (TimeoutError, asyncio.CancelledError):
+        except TimeoutError:
             attempt.fail(
                 errors.failure(errors.Kind.DEADLINE_PASSED, ran=errors.Ran.NO))
             return False
+        except asyncio.CancelledError:
+            attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
+            return False
         finally:
             self._queued -= 1
         self._running += 1
@@ -219,7 +246,7 @@
         if attempt is None or not attempt.attach(link, resume):
             problem = errors.failure(errors.Kind.LINK_LOST,
                                      'The answer is no longer held.')
-            _send(
+            link_port.send_if_open(
                 link,
                 messages.Fail(resume.attempt, problem.kind, problem.detail,
                               problem.ran))
@@ -228,206 +255,3 @@
         attempt = self._attempts_by_id.get(confirm.attempt)
         if attempt is not None and attempt.finished:
             del self._attempts_by_id[confirm.attempt]
-
-
-class _Attempt:
-    """One attempt at the upstream and the part of its answer not yet taken."""
-
-    def __init__(self, *, begin: messages.Begin, link: link_port.Link,
-                 limits: GateLimits) -> None:
-        self.begin = begin
-        self.link: link_port.Link | None = link
-        self.task: asyncio.Task[None] | None = None
-        self.finished = False
-        self.outcome_known = False
-        self._limits = limits
-        self._head: messages.Head | None = None
-        self._unsent: list[messages.Chunk] = []
-        self._unsent_bytes = 0
-        self._offset = 0
-        self._allowed = begin.window
-        self._credit = asyncio.Event()
-        self._last: messages.End | messages.Fail | None = None
-        self._grace: asyncio.TimerHandle | None = None
-
-    @property
-    def kept(self) -> bool:
-        """Whether the whole answer is held until it is confirmed."""
-        return not self.begin.repeatable
-
-    @property
-    def phase(self) -> gate_rules.Phase:
-        """How far the attempt has come."""
-        if not self.finished:
-            return gate_rules.Phase.RUNNING
-        if self.outcome_known:
-            return gate_rules.Phase.DONE
-        if (isinstance(self._last, messages.Fail) and
-                self._last.ran is errors.Ran.NO):
-            return gate_rules.Phase.ENDED_NOT_RUN
-        return gate_rules.Phase.ENDED_UNKNOWN
-
-    @property
-    def must_be_kept(self) -> bool:
-        """Whether forgetting this attempt could let it run twice."""
-        return gate_rules.must_be_kept(self.phase,
-                                       repeatable=self.begin.repeatable)
-
-    async def run(self, upstream: engine.Upstream) -> None:
-        """Calls the upstream and passes its answer on."""
-        begin = self.begin
-        request = engine.UpstreamRequest(method=begin.method,
-                                         path=begin.path,
-                                         headers=(*begin.headers,
-                                                  (_MISROUTED_HEADER,
-                                                   begin.attempt)),
-                                         body=begin.body)
-        try:
-            async with asyncio.timeout(begin.deadline_ms / 1000):
-                async with upstream.call(request) as exchange:
-                    await self._relay(exchange)
-        except engine.UpstreamUnavailable as error:
-            self.fail(
-                errors.failure(errors.Kind.NO_UPSTREAM,
-                               str(error),
-                               ran=errors.Ran.NO))
-        except TimeoutError:
-            self.fail(errors.failure(errors.Kind.DEADLINE_PASSED))
-        except (ConnectionError, events.EventTooLarge) as error:
-            self.fail(errors.failure(errors.Kind.UPSTREAM_TRUNCATED,
-                                     str(error)))
-
-    async def _relay(self, exchange: engine.Exchange) -> None:
-        if _is_misrouted(exchange, self.begin.attempt):
-            raise_kind = errors.Kind.UPSTREAM_MISROUTED
-            self.fail(errors.failure(raise_kind))
-            return
-        self._head = messages.Head(self.begin.attempt, exchange.status,
-                                   exchange.headers)
-        self._emit(self._head)
-        if not self._is_event_stream(exchange):
-            async for data in exchange.read():
-                await self._pass_on(len(data), data)
-            self._end()
-            return
-        splitter = events.EventSplitter()
-        async for data in exchange.read():
-            count, whole = splitter.feed(data)
-            if count:
-                await self._pass_on(count, whole)
-        if splitter.done:
-            self._end()
-        else:
-            self.fail(errors.failure(errors.Kind.UPSTREAM_TRUNCATED))
-
-    def _is_event_stream(self, exchange: engine.Exchange) -> bool:
-        return self.begin.stream and any(
-            name == 'content-type' and value.startswith('text/event-stream')
-            for name, value in exchange.headers)
-
-    async def _pass_on(self, count: int, data: bytes) -> None:
-        chunk = messages.Chunk(self.begin.attempt, self._offset, count, data)
-        self._offset += count
-        self._unsent.append(chunk)
-        self._unsent_bytes += len(data)
-        if self.kept and self._unsent_bytes > self._limits.max_outcome_bytes:
-            raise ConnectionError('the outcome is too large to keep')
-        self._emit(chunk)
-        while not self.kept and self._offset >= self._allowed:
-            self._credit.clear()
-            await self._credit.wait()
-        if self.link is not None:
-            await self.link.drain()
-
-    def _end(self) -> None:
-        self.outcome_known = True
-        self._finish(messages.End(self.begin.attempt, self._offset))
-
-    def fail(self, problem: errors.Failure) -> None:
-        """Ends the attempt with a failure, unless it has ended."""
-        if not self.finished:
-            self._finish(
-                messages.Fail(self.begin.attempt, problem.kind, problem.detail,
-                              problem.ran))
-
-    def _finish(self, last: messages.End | messages.Fail) -> None:
-        self.finished = True
-        self._last = last
-        self._emit(last)
-
-    def _emit(self, message: messages.Message) -> None:
-        if self.link is not None:
-            _send(self.link, message)
-
-    def credit(self, credit: messages.Credit) -> None:
-        """Forgets what the entry host has passed on; allows more."""
-        self._allowed = credit.offset + credit.window
-        if not self.kept:
-            self._unsent = [
-                chunk for chunk in self._unsent
-                if chunk.offset + chunk.count > credit.offset
-            ]
-        self._credit.set()
-
-    def detach(self, grace_s: float) -> None:
-        """Goes on without a link for a while."""
-        self.link = None
-        if self.kept:
-            return
-        loop = asyncio.get_running_loop()
-        self._grace = loop.call_later(grace_s, self.cancel)
-
-    def attach(self, link: link_port.Link, resume: messages.Resume) -> bool:
-        """Continues the answer on a link; False when a part is gone."""
-        held = [
-            chunk for chunk in self._unsent
-            if chunk.offset + chunk.count > resume.offset
-        ]
-        if held and held[0].offset > resume.offset:
-            return False
-        if not held and self._offset != resume.offset:
-            return False
-        if self._grace is not None:
-            self._grace.cancel()
-        self.link = link
-        if self._head is not None:
-            self._emit(self._head)
-        for chunk in held:
-            self._emit(chunk)
-        self._allowed = resume.offset + resume.window
-        self._credit.set()
-        if self._last is not None:
-            self._emit(self._last)
-        return True
-
-    def abandon(self) -> None:
-        """Stops work that nobody waits for; kept work goes on."""
-        if not self.kept:
-            self.cancel()
-
-    def cancel(self) -> None:
-        """Stops the work at the upstream."""
-        if self.task is not None:
-            self.task.cancel()
-
-    def release_when_sent(self, release: Callable[[], object]) -> None:
-        """Calls `release` once nobody can ask to resume any more."""
-        if self.link is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(self._limits.resume_grace_s, release)
-        else:
-            release()
-
-
-def _is_misrouted(exchange: engine.Exchange, attempt: str) -> bool:
-    """Whether the upstream answers with another request's id."""
-    return any(name == _MISROUTED_HEADER and value != attempt
-               for name, value in exchange.headers)
-
-
-def _send(link: link_port.Link, message: messages.Message) -> None:
-    """Sends on a link that may have closed meanwhile."""
-    try:
-        link.send(message)
-    except link_port.LinkLost:
-        pass
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -4,19 +4,21 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Coroutine
+from typing import Any
 
 import result
 
-from pollenthread.app import claim_keeper, pool as pool_module
+from pollenthread.app import (claim_keeper, pool as pool_module, relay as
+                              relay_module)
 from pollenthread.core import (account, choice, claims, errors, ids, messages,
                                pace as pace_module, targets)
 from pollenthread.ports import clock, link as link_port
 
 __all__ = ['Call', 'Gateway', 'Report', 'Sink']
 
-_EVENT_WINDOW = 1024
-_BYTE_WINDOW = 256 * 1024
-_RELINK_TIMEOUT_S = 3.0
+_RECORD_PAUSE_MIN_S = 0.1
+_RECORD_PAUSE_MAX_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,6 +106,8 @@
         self._time = time
         self._draw = draw
         self._recordings: set[asyncio.Task[None]] = set()
+        self._kept_by_attempt: dict[str, relay_module.KeptAnswer] = {}
+        pool.on_unconfirmed = self._adopt
 
     @property
     def recordings(self) -> int:
@@ -117,9 +121,8 @@
             async with asyncio.timeout(call.deadline - self._time.monotonic()):
                 await self._serve(serving)
         except TimeoutError:
-            ran = errors.Ran.UNKNOWN if report.attempts else errors.Ran.NO
             report.failure = errors.failure(errors.Kind.DEADLINE_PASSED,
-                                            ran=ran)
+                                            ran=serving.ran)
 
     async def _serve(self, serving: '_Serving') -> None:
         call = serving.call
@@ -130,17 +133,22 @@
         for _ in range(call.work_class.retries + 1):
             upstream = self._choose(call, failed)
             if upstream is None:
+                if granted is None and not call.work_class.repeatable:
+                    problem = await self._look_up(serving, problem)
                 break
-            if not call.work_class.repeatable:
-                decided = await self._claim(call, attempt, upstream, granted)
+            if call.work_class.repeatable:
+                failure = await self._attempt(serving, attempt, upstream)
+            else:
+                decided = await self._claim(serving, attempt, upstream, granted)
+                granted = None
                 if isinstance(decided, result.Err):
                     problem = decided.err_value
                     break
-                if not isinstance(decided.ok_value, claim_keeper.Granted):
-                    await self._answer_repeat(serving, decided.ok_value)
-                    return
-                granted = decided.ok_value
-            failure = await self._attempt(serving, attempt, upstream, granted)
+                decision = decided.ok_value
+                if isinstance(decision, claim_keeper.Granted):
+                    granted = decision
+                failure = await self._carry_out(serving, attempt, upstream,
+                                                decision)
             if failure is None:
                 return
             problem = failure
@@ -149,8 +157,23 @@
                 break
             attempt = attempt.next
         if granted is not None and problem.ran is errors.Ran.NO:
-            await self._keeper.release(granted)
-        serving.report.failure = problem
+            if not await self._keeper.release(granted):
+                serving.may_have_run = True
+        if not serving.answered:
+            serving.fail(problem)
+
+    async def _look_up(self, serving: '_Serving',
+                       problem: errors.Failure) -> errors.Failure:
+        """Answers from a kept outcome when no upstream is there."""
+        call = serving.call
+        found = await self._keeper.look_up(
+            claim_keeper.row_key(call.workspace, call.key), _digest(call))
+        if isinstance(found, result.Err):
+            return found.err_value
+        if found.ok_value is not None:
+            serving.report.repeat = True
+            await serving.deliver_outcome(found.ok_value.outcome)
+        return problem
 
     def _choose(self, call: Call,
                 failed: set[str]) -> pool_module.Upstream | None:
@@ -162,46 +185,96 @@
         return None if view is None else self._pool.by_host[view.host]
 
     async def _claim(
-        self, call: Call, attempt: ids.AttemptId,
+        self, serving: '_Serving', attempt: ids.AttemptId,
         upstream: pool_module.Upstream, granted: claim_keeper.Granted | None
     ) -> result.Result[claim_keeper.Decision, errors.Failure]:
+        call = serving.call
         wanted = claims.Claim(attempt=str(attempt),
                               host=upstream.hello.host,
                               incarnation=upstream.hello.incarnation,
                               session=upstream.link.session,
-                              digest=claim_keeper.request_digest(
-                                  call.method, call.path, call.work_class.name,
-                                  call.body))
+                              digest=_digest(call))
         if granted is not None:
-            return await self._keeper.move(granted, wanted)
+            moved = await self._keeper.move(granted, wanted)
+            if isinstance(moved, result.Ok):
+                return moved
+            # Another request with this key may have taken the claim over.
+            serving.may_have_run = True
         key = claim_keeper.row_key(call.workspace, call.key)
         return await self._keeper.acquire(key, wanted)
 
-    async def _attempt(
+    async def _carry_out(
             self, serving: '_Serving', attempt: ids.AttemptId,
             upstream: pool_module.Upstream,
-            granted: claim_keeper.Granted | None) -> errors.Failure | None:
-        """Hands one attempt over; None when the answer is whole."""
-        call = serving.call
-        begin = self._begin(call, attempt, upstream)
-        stream = upstream.open(begin.attempt)
-        try:
-            upstream.link.send(begin)
-        except link_port.LinkLost:
-            upstream.close(begin.attempt)
+            decision: claim_keeper.Decision) -> errors.Failure | None:
+        """Does what was decided about a key; None for a whole answer."""
+        match decision:
+            case claim_keeper.Replay():
+                serving.report.repeat = True
+                await serving.deliver_outcome(decision.outcome)
+                return None
+            case claim_keeper.Attach():
+                serving.report.repeat = True
+                serving.may_have_run = True
+                return await self._join(serving, decision)
+            case _:
+                return await self._hand_over(serving, attempt, upstream,
+                                             decision)
+
+    async def _attempt(self, serving: '_Serving', attempt: ids.AttemptId,
+                       upstream: pool_module.Upstream) -> errors.Failure | None:
+        """Makes one repeatable attempt; None when the answer is whole."""
+        stream = await self._send_begin(serving, attempt, upstream)
+        if stream is None:
             return errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
-        upstream.sent_since += 1
-        serving.report.attempts += 1
-        relay = _Relay(serving=serving, attempt=begin.attempt, pool=self._pool)
+        relay = self._relay(str(attempt), serving.call.stream)
+        relay.upstream = upstream
         try:
-            failure = await relay.run(upstream, stream)
+            failure = await relay.run(upstream, stream, serving)
         except BaseException:
             relay.cancel()
             raise
-        if granted is not None and _has_ended(failure):
-            self._record(granted, relay)
+        relay.confirm()
         return failure
 
+    async def _hand_over(
+            self, serving: '_Serving', attempt: ids.AttemptId,
+            upstream: pool_module.Upstream,
+            granted: claim_keeper.Granted) -> errors.Failure | None:
+        """Makes the claimed attempt; None when the answer is whole."""
+        stream = await self._send_begin(serving, attempt, upstream)
+        if stream is None:
+            return errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
+        kept = self._keep(granted, upstream, stream, serving.call.stream)
+        return await kept.follow(serving)
+
+    async def _join(self, serving: '_Serving',
+                    held: claim_keeper.Attach) -> errors.Failure | None:
+        """Follows an attempt that another request with this key began."""
+        kept = self._kept_by_attempt.get(held.claim.attempt)
+        if kept is None:
+            kept = self._resume(held, held.upstream, serving.call.stream)
+        return await kept.follow(serving)
+
+    def _relay(self, attempt: str, stream: bool) -> relay_module.Relay:
+        return relay_module.Relay(attempt=attempt,
+                                  stream=stream,
+                                  pool=self._pool)
+
+    async def _send_begin(
+            self, serving: '_Serving', attempt: ids.AttemptId,
+            upstream: pool_module.Upstream) -> pool_module.AttemptStream | None:
+        """Hands an attempt over; None when it is sure that it was not."""
+        await upstream.link.drain()
+        begin = self._begin(serving.call, attempt, upstream)
+        stream = upstream.open(begin.attempt)
+        if not link_port.send_if_open(upstream.link, begin):
+            upstream.close(begin.attempt)
+            return None
+        upstream.sent_since += 1
+        serving.report.attempts += 1
+        return stream
+
     def _begin(self, call: Call, attempt: ids.AttemptId,
                upstream: pool_module.Upstream) -> messages.Begin:
         left_s = max(0.0, call.deadline - self._time.monotonic())
@@ -214,195 +287,152 @@
                               key=call.key,
                               deadline_ms=int(left_s * 1000),
                               stream=call.stream,
-                              window=_window(call),
+                              window=relay_module.window(call.stream),
                               method=call.method,
                               path=call.path,
                               headers=call.headers,
                               body=call.body)
 
-    async def _answer_repeat(
-            self, serving: '_Serving',
-            decision: claim_keeper.Replay | claim_keeper.Attach) -> None:
-        serving.report.repeat = True
-        if isinstance(decision, claim_keeper.Replay):
-            await serving.deliver_outcome(decision.outcome)
-            return
-        attempt = decision.claim.attempt
-        relay = _Relay(serving=serving, attempt=attempt, pool=self._pool)
-        stream = decision.upstream.open(attempt)
-        try:
-            decision.upstream.link.send(
-                messages.Resume(attempt, 0, _window(serving.call)))
-        except link_port.LinkLost:
-            stream.put(None)
-        failure = await relay.run(decision.upstream, stream)
-        serving.report.failure = failure
-        if _has_ended(failure):
-            self._record(decision, relay)
+    # Work that may not be repeated goes on without its caller.
 
-    def _record(self, held: claim_keeper.Granted | claim_keeper.Attach,
-                relay: '_Relay') -> None:
-        """Keeps the outcome in the table without holding up the caller."""
-        task = asyncio.create_task(self._record_and_confirm(held, relay))
+    def _resume(self, held: claim_keeper.Attach, upstream: pool_module.Upstream,
+                streamed: bool) -> relay_module.KeptAnswer:
+        """Asks an agent for the whole of a kept answer."""
+        attempt = held.claim.attempt
+        stream = upstream.open(attempt)
+        resume = messages.Resume(attempt, 0, relay_module.window(streamed))
+        if not link_port.send_if_open(upstream.link, resume):
+            stream.put(None)
+        return self._keep(held, upstream, stream, streamed)
+
+    def _keep(self, held: claim_keeper.Granted | claim_keeper.Attach,
+              upstream: pool_module.Upstream, stream: pool_module.AttemptStream,
+              streamed: bool) -> relay_module.KeptAnswer:
+        """Starts to collect an answer and to record it in the table."""
+        kept = relay_module.KeptAnswer()
+        self._kept_by_attempt[held.claim.attempt] = kept
+        relay = self._relay(held.claim.attempt, streamed)
+        self._start(self._collect(held, relay, upstream, stream, kept))
+        return kept
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
         self._recordings.add(task)
         task.add_done_callback(self._recordings.discard)
 
-    async def _record_and_confirm(self, held: claim_keeper.Granted |
-                                  claim_keeper.Attach, relay: '_Relay') -> None:
-        pause_s = 0.1
-        while not await self._keeper.record(held, relay.outcome):
-            await self._time.sleep(pause_s)
-            pause_s = min(pause_s * 2, 5.0)
+    async def _collect(self, held: claim_keeper.Granted | claim_keeper.Attach,
+                       relay: relay_module.Relay,
+                       upstream: pool_module.Upstream,
+                       stream: pool_module.AttemptStream,
+                       kept: relay_module.KeptAnswer) -> None:
+        failure: errors.Failure | None = errors.failure(errors.Kind.INTERNAL)
         try:
-            relay.upstream.link.send(messages.Confirm(held.claim.attempt))
-        except link_port.LinkLost:
-            pass
+            failure = await relay.run(upstream, stream, kept)
+        finally:
+            kept.finish(failure)
+            del self._kept_by_attempt[held.claim.attempt]
+        if _has_ended(failure):
+            await self._record(held, relay, kept.outcome)
+
+    async def _record(self, held: claim_keeper.Granted | claim_keeper.Attach,
+                      relay: relay_module.Relay,
+                      outcome: claims.Outcome | None) -> None:
+        """Keeps an outcome in the table, then lets the agent forget it."""
+        pause_s = _RECORD_PAUSE_MIN_S
+        while not await self._keeper.record(held, outcome):
+            await self._time.sleep(pause_s)
+            pause_s = min(pause_s * 2, _RECORD_PAUSE_MAX_S)
+        relay.confirm()
+
+    def _adopt(self, upstream: pool_module.Upstream,
+               message: messages.Unconfirmed) -> None:
+        """Records an outcome whose entry host did not."""
+        if message.attempt not in self._kept_by_attempt:
+            self._start(self._record_unconfirmed(upstream, message))
+
+    async def _record_unconfirmed(self, upstream: pool_module.Upstream,
+                                  message: messages.Unconfirmed) -> None:
+        key = claim_keeper.row_key(message.workspace, message.key)
+        found = await self._keeper.find(key, message.attempt, upstream)
+        if isinstance(found, result.Err):
+            return
+        if found.ok_value is None:
+            link_port.send_if_open(upstream.link,
+                                   messages.Confirm(message.attempt))
+        elif message.attempt not in self._kept_by_attempt:
+            self._resume(found.ok_value, upstream, message.stream)
 
 
 @dataclasses.dataclass
-class _Serving:
-    """One request on its way."""
+class _Serving(relay_module.Receiver):
+    """One request on its way.
+
+    Attributes:
+        call: the request.
+        sink: where its answer goes.
+        report: how it went.
+        head_sent: whether the caller has a part of the answer.
+        may_have_run: whether there is no proof that nothing ran.
+        answered: whether a kept outcome has been delivered.
+    """
 
     call: Call
     sink: Sink
     report: Report
     head_sent: bool = False
+    may_have_run: bool = False
+    answered: bool = False
+
+    @property
+    def ran(self) -> errors.Ran:
+        """What is proved when the request ends without an answer."""
+        if self.report.attempts or self.may_have_run:
+            return errors.Ran.UNKNOWN
+        return errors.Ran.NO
+
+    def fail(self, problem: errors.Failure) -> None:
+        """Ends the request with its last attempt's failure."""
+        if problem.ran is errors.Ran.NO and self.may_have_run:
+            problem = dataclasses.replace(problem, ran=errors.Ran.UNKNOWN)
+        self.report.failure = problem
 
     def may_retry(self, failure: errors.Failure) -> bool:
         """Whether another attempt is allowed after a failure."""
+        if failure.ran is not errors.Ran.NO:
+            self.may_have_run = True
         if self.head_sent:
             return False
         if failure.ran is errors.Ran.NO:
             return True
         return self.call.work_class.repeatable
 
-    async def deliver_head(self, head: messages.Head) -> None:
-        """Passes the head on once."""
+    async def take_head(self, head: messages.Head) -> None:
         if not self.head_sent:
             self.head_sent = True
             await self.sink.head(head.status, head.headers,
                                  self.report.attempts)
 
-    async def deliver(self, data: bytes, count: int, now: float) -> None:
-        """Passes a part on."""
+    async def take_data(self, data: bytes, count: int) -> None:
+        now = asyncio.get_running_loop().time()
         self.report.pace.observe(now - self.report.started_at, count)
         await self.sink.data(data)
 
+    async def take_end(self) -> None:
+        await self.sink.end()
+
     async def deliver_outcome(self, outcome: claims.Outcome) -> None:
         """Answers with a kept outcome."""
         self.head_sent = True
+        self.answered = True
         await self.sink.head(outcome.status, outcome.headers,
                              self.report.attempts)
         await self.sink.data(outcome.body)
         await self.sink.end()
 
 
-class _Relay:
-    """Passes the answer of one attempt on, over more than one link if need be.
-    """
-
-    def __init__(self, *, serving: _Serving, attempt: str,
-                 pool: pool_module.Pool) -> None:
-        self._serving = serving
-        self._attempt = attempt
-        self._pool = pool
-        self._offset = 0
-        self._head: messages.Head | None = None
-        self._kept: list[bytes] = []
-        self._whole = False
-        self.upstream: pool_module.Upstream
-
-    @property
-    def outcome(self) -> claims.Outcome | None:
-        """The whole answer, for keeping; None when it is not whole."""
-        if not self._whole or self._head is None:
-            return None
-        return claims.Outcome(status=self._head.status,
-                              headers=self._head.headers,
-                              body=b''.join(self._kept))
-
-    async def run(self, upstream: pool_module.Upstream,
-                  stream: pool_module.AttemptStream) -> errors.Failure | None:
-        """Relays until the end marker; None when the answer is whole."""
-        self.upstream = upstream
-        while True:
-            message = await stream.get()
-            if message is None:
-                resumed = await self._resume()
-                if resumed is None:
-                    return errors.failure(errors.Kind.LINK_LOST)
-                stream = resumed
-                continue
-            done, failure = await self._take(message)
-            if done:
-                self.upstream.close(self._attempt)
-                return failure
-
-    async def _take(
-            self,
-            message: messages.Message) -> tuple[bool, errors.Failure | None]:
-        """Handles a message; whether it was the last, and what went wrong."""
-        match message:
-            case messages.Head():
-                self._head = message
-                await self._serving.deliver_head(message)
-            case messages.Chunk():
-                if message.offset != self._offset:
-                    return True, self._pool.misrouted(
-                        self.upstream,
-                        f'part {message.offset} came at {self._offset}')
-                await self._deliver(message)
-            case messages.End():
-                if message.offset != self._offset:
-                    return True, errors.failure(errors.Kind.UPSTREAM_TRUNCATED)
-                self._whole = True
-                await self._serving.sink.end()
-                return True, None
-            case messages.Fail():
-                return True, errors.failure(message.kind,
-                                            message.detail,
-                                            ran=message.ran)
-            case _:
-                pass
-        return False, None
-
-    async def _deliver(self, chunk: messages.Chunk) -> None:
-        now = asyncio.get_running_loop().time()
-        self._offset += chunk.count
-        if not self._serving.call.work_class.repeatable:
-            self._kept.append(chunk.data)
-        await self._serving.deliver(chunk.data, chunk.count, now)
-        try:
-            self.upstream.link.send(
-                messages.Credit(self._attempt, self._offset,
-                                _window(self._serving.call)))
-        except link_port.LinkLost:
-            pass
-
-    async def _resume(self) -> pool_module.AttemptStream | None:
-        """Asks the same incarnation for the rest over a new link."""
-        hello = self.upstream.hello
-        upstream = await self._pool.wait_for(hello.host, hello.incarnation,
-                                             _RELINK_TIMEOUT_S)
-        if upstream is None:
-            return None
-        self.upstream = upstream
-        stream = upstream.open(self._attempt)
-        try:
-            upstream.link.send(
-                messages.Resume(self._attempt, self._offset,
-                                _window(self._serving.call)))
-        except link_port.LinkLost:
-            stream.put(None)
-        return stream
-
-    def cancel(self) -> None:
-        """Tells the agent that nobody waits."""
-        self.upstream.close(self._attempt)
-        try:
-            self.upstream.link.send(messages.Cancel(self._attempt))
-        except link_port.LinkLost:
-            pass
+def _digest(call: Call) -> str:
+    return claim_keeper.request_digest(call.method, call.path,
+                                       call.work_class.name, call.body)
 
 
 def _has_ended(failure: errors.Failure | None) -> bool:
@@ -411,7 +441,3 @@
         return True
     return (failure.kind is not errors.Kind.LINK_LOST and
             failure.ran is not errors.Ran.NO)
-
-
-def _window(call: Call) -> int:
-    return _EVENT_WINDOW if call.stream else _BYTE_WINDOW
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from absl import logging
 
@@ -28,12 +29,17 @@
         self._queue.append(message)
         self._ready.set()
 
-    async def get(self) -> messages.Message | None:
-        """Takes the next message; None when the link is lost."""
+    async def get_burst(self) -> list[messages.Message | None]:
+        """Takes all messages that have come, at least one.
+
+        A last message of None says that the link is lost.
+        """
         while not self._queue:
             self._ready.clear()
             await self._ready.wait()
-        return self._queue.popleft()
+        burst = list(self._queue)
+        self._queue.clear()
+        return burst
 
 
 @dataclasses.dataclass
@@ -80,6 +86,15 @@
         """Stops collecting an attempt's messages."""
         self.streams_by_attempt.pop(attempt, None)
 
+    def lose(self) -> None:
+        """Tells all who wait that the link is gone."""
+        for stream in self.streams_by_attempt.values():
+            stream.put(None)
+        for answers in self.seals_by_attempt.values():
+            for answer in answers:
+                if not answer.done():
+                    answer.set_result(None)
+
     async def seal(self, attempt: str,
                    session: str) -> messages.SealState | None:
         """Asks the agent never to begin an attempt; None when it is silent."""
@@ -100,6 +115,8 @@
         self.by_host: dict[str, Upstream] = {}
         self.misrouted_count = 0
         self._changed = asyncio.Event()
+        self.on_unconfirmed: Callable[[Upstream, messages.Unconfirmed],
+                                      None] | None = None
 
     def candidates(self, kind: str, name: str) -> list[Upstream]:
         """Upstreams that can take new work for a model or service."""
@@ -129,6 +146,9 @@
             return None
 
     def on_open(self, link: link_port.Link) -> None:
+        old = self.by_host.get(link.peer.host)
+        if old is not None:
+            old.lose()
         self.by_host[link.peer.host] = Upstream(link=link,
                                                 load=messages.Load(0, 0, 0, 0))
         self._changed.set()
@@ -142,12 +162,7 @@
         del self.by_host[link.peer.host]
         self._changed.set()
         logging.info('upstream lost host=%s reason=%s', link.peer.host, reason)
-        for stream in upstream.streams_by_attempt.values():
-            stream.put(None)
-        for answers in upstream.seals_by_attempt.values():
-            for answer in answers:
-                if not answer.done():
-                    answer.set_result(None)
+        upstream.lose()
 
     def on_message(self, link: link_port.Link,
                    message: messages.Message) -> None:
@@ -165,6 +180,9 @@
                         message.attempt, []):
                     if not answer.done():
                         answer.set_result(message.state)
+            case messages.Unconfirmed():
+                if self.on_unconfirmed is not None:
+                    self.on_unconfirmed(upstream, message)
             case messages.Load():
                 upstream.load = message
                 upstream.sent_since = 0
--- /dev/null
+++ b/pollenthread/app/relay.py
@@ -0,0 +1,221 @@
+"""Passes the answer of one attempt on, over more than one link if need be."""
+
+import abc
+import asyncio
+import dataclasses
+
+from pollenthread.app import pool as pool_module
+from pollenthread.core import claims, errors, messages
+from pollenthread.ports import link as link_port
+
+__all__ = ['KeptAnswer', 'Receiver', 'Relay', 'window']
+
+_EVENT_WINDOW = 1024
+_BYTE_WINDOW = 256 * 1024
+_CREDIT_BYTES = 64 * 1024
+_RELINK_TIMEOUT_S = 3.0
+
+
+def window(stream: bool) -> int:
+    """Units that an agent may send before it gets credit."""
+    return _EVENT_WINDOW if stream else _BYTE_WINDOW
+
+
+class Receiver(abc.ABC):
+    """Takes the answer of an attempt."""
+
+    @abc.abstractmethod
+    async def take_head(self, head: messages.Head) -> None:
+        """Takes the head; it may come again after a resume."""
+
+    @abc.abstractmethod
+    async def take_data(self, data: bytes, count: int) -> None:
+        """Takes a part with `count` units; waits while the caller is slow."""
+
+    @abc.abstractmethod
+    async def take_end(self) -> None:
+        """Takes the end marker."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Ending:
+    """How an attempt ended: a failure, or None for a whole answer."""
+
+    failure: errors.Failure | None
+
+
+class Relay:
+    """Follows one attempt at an agent to its end."""
+
+    def __init__(self, *, attempt: str, stream: bool,
+                 pool: pool_module.Pool) -> None:
+        self._attempt = attempt
+        self._window = window(stream)
+        self._pool = pool
+        self._offset = 0
+        self._credited = 0
+        self._uncredited_bytes = 0
+        self.upstream: pool_module.Upstream
+
+    async def run(self, upstream: pool_module.Upstream,
+                  stream: pool_module.AttemptStream,
+                  receiver: Receiver) -> errors.Failure | None:
+        """Relays until the end marker; None when the answer is whole."""
+        self.upstream = upstream
+        while True:
+            burst = await stream.get_burst()
+            ending = await self._take_burst(burst, receiver)
+            if ending is not None:
+                self.upstream.close(self._attempt)
+                return ending.failure
+            if burst[-1] is None:
+                resumed = await self._resume()
+                if resumed is None:
+                    return errors.failure(errors.Kind.LINK_LOST)
+                stream = resumed
+
+    async def _take_burst(self, burst: list[messages.Message | None],
+                          receiver: Receiver) -> _Ending | None:
+        """Handles messages that came together; how the attempt ended."""
+        parts: list[bytes] = []
+        start = self._offset
+        ending: _Ending | None = None
+        for message in burst:
+            match message:
+                case messages.Chunk():
+                    if message.offset != self._offset:
+                        ending = self._misplaced(message)
+                        break
+                    self._offset += message.count
+                    parts.append(message.data)
+                case messages.Head():
+                    await receiver.take_head(message)
+                case messages.End():
+                    ending = self._end(message)
+                    break
+                case messages.Fail():
+                    ending = _Ending(
+                        errors.failure(message.kind,
+                                       message.detail,
+                                       ran=message.ran))
+                    break
+                case _:
+                    pass
+        if parts:
+            await self._pass_on(b''.join(parts), self._offset - start, receiver)
+        if ending is not None and ending.failure is None:
+            await receiver.take_end()
+        return ending
+
+    def _misplaced(self, chunk: messages.Chunk) -> _Ending:
+        return _Ending(
+            self._pool.misrouted(self.upstream,
+                                 f'part {chunk.offset} came at {self._offset}'))
+
+    def _end(self, end: messages.End) -> _Ending:
+        if end.offset == self._offset:
+            return _Ending(None)
+        return _Ending(errors.failure(errors.Kind.UPSTREAM_TRUNCATED))
+
+    async def _pass_on(self, data: bytes, count: int,
+                       receiver: Receiver) -> None:
+        """Passes a part on, then lets the agent send more."""
+        await receiver.take_data(data, count)
+        self._uncredited_bytes += len(data)
+        if (self._offset - self._credited < self._window // 2 and
+                self._uncredited_bytes < _CREDIT_BYTES):
+            return
+        self._credited = self._offset
+        self._uncredited_bytes = 0
+        link_port.send_if_open(
+            self.upstream.link,
+            messages.Credit(self._attempt, self._offset, self._window))
+
+    async def _resume(self) -> pool_module.AttemptStream | None:
+        """Asks the same incarnation for the rest over a new link."""
+        hello = self.upstream.hello
+        upstream = await self._pool.wait_for(hello.host, hello.incarnation,
+                                             _RELINK_TIMEOUT_S)
+        if upstream is None:
+            return None
+        self.upstream = upstream
+        stream = upstream.open(self._attempt)
+        resume = messages.Resume(self._attempt, self._offset, self._window)
+        if not link_port.send_if_open(upstream.link, resume):
+            stream.put(None)
+        return stream
+
+    def cancel(self) -> None:
+        """Tells the agent that nobody waits."""
+        self.upstream.close(self._attempt)
+        link_port.send_if_open(self.upstream.link,
+                               messages.Cancel(self._attempt))
+
+    def confirm(self) -> None:
+        """Tells the agent that it may forget the attempt."""
+        link_port.send_if_open(self.upstream.link,
+                               messages.Confirm(self._attempt))
+
+
+class KeptAnswer(Receiver):
+    """The answer of an attempt that may not be repeated.
+
+    It is collected whole, whether or not a caller still waits, and any number
+    of callers can follow it from its start.
+    """
+
+    def __init__(self) -> None:
+        self._head: messages.Head | None = None
+        self._parts: list[tuple[bytes, int]] = []
+        self._whole = False
+        self._ending: _Ending | None = None
+        self._changed = asyncio.Event()
+
+    @property
+    def outcome(self) -> claims.Outcome | None:
+        """The whole answer, for keeping; None when it is not whole."""
+        if not self._whole or self._head is None:
+            return None
+        return claims.Outcome(status=self._head.status,
+                              headers=self._head.headers,
+                              body=b''.join(data for data, _ in self._parts))
+
+    async def take_head(self, head: messages.Head) -> None:
+        self._head = head
+        self._notify()
+
+    async def take_data(self, data: bytes, count: int) -> None:
+        self._parts.append((data, count))
+        self._notify()
+
+    async def take_end(self) -> None:
+        self._whole = True
+
+    def finish(self, failure: errors.Failure | None) -> None:
+        """Says how the attempt ended."""
+        self._ending = _Ending(failure)
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def follow(self, receiver: Receiver) -> errors.Failure | None:
+        """Passes everything on to a receiver; None when it was whole."""
+        head_passed = False
+        passed = 0
+        while True:
+            changed = self._changed
+            if self._head is not None and not head_passed:
+                head_passed = True
+                await receiver.take_head(self._head)
+            while passed < len(self._parts):
+                data, count = self._parts[passed]
+                passed += 1
+                await receiver.take_data(data, count)
+            if self._ending is not None:
+                if self._ending.failure is None:
+                    await receiver.take_end()
+                return self._ending.failure
+            if not changed.is_set():
+                await changed.wait()
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -8,7 +8,7 @@
 __all__ = [
     'Begin', 'Cancel', 'Chunk', 'Confirm', 'Credit', 'End', 'Fail', 'Head',
     'Header', 'Hello', 'Leaving', 'Load', 'Message', 'Ping', 'Pong', 'Resume',
-    'Seal', 'SealState', 'Sealed'
+    'Seal', 'SealState', 'Sealed', 'Unconfirmed'
 ]
 
 Header = tuple[str, str]
@@ -201,6 +201,23 @@
     attempt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unconfirmed:
+    """A finished attempt whose outcome no entry host has confirmed.
+
+    Attributes:
+        attempt: the attempt's id.
+        workspace: the workspace's name.
+        key: the idempotency key.
+        stream: whether the answer is a stream of events.
+    """
+
+    attempt: str
+    workspace: str
+    key: str
+    stream: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """An agent's report.
@@ -226,4 +243,5 @@
 
 
 Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
-           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving)
+           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving |
+           Unconfirmed)
--- a/pollenthread/ports/engine.py
+++ b/pollenthread/ports/engine.py
@@ -37,6 +37,18 @@
     def headers(self) -> tuple[messages.Header, ...]:
         """The headers of the answer."""
 
+    @property
+    @abc.abstractmethod
+    def is_delimited(self) -> bool:
+        """Whether a body that breaks off can be told from a whole one."""
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body is a stream of server-sent events."""
+        return any(
+            name == 'content-type' and value.startswith('text/event-stream')
+            for name, value in self.headers)
+
     @abc.abstractmethod
     def read(self) -> AsyncIterator[bytes]:
         """Yields the body as it comes.
--- a/pollenthread/ports/link.py
+++ b/pollenthread/ports/link.py
@@ -4,7 +4,7 @@
 
 from pollenthread.core import messages
 
-__all__ = ['Link', 'LinkHandler', 'LinkLost']
+__all__ = ['Link', 'LinkHandler', 'LinkLost', 'send_if_open']
 
 
 class LinkLost(Exception):
@@ -60,3 +60,12 @@
     @abc.abstractmethod
     def on_close(self, link: Link, reason: str) -> None:
         """The link is gone."""
+
+
+def send_if_open(link: Link, message: messages.Message) -> bool:
+    """Sends on a link that may have closed meanwhile; whether it was open."""
+    try:
+        link.send(message)
+    except LinkLost:
+        return False
+    return True
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -70,6 +70,7 @@
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
             self._gate.broadcast(self._gate.load)
+            self._gate.report_unconfirmed()
 
     def _status(self) -> dict[str, Any]:
         load = self._gate.load
@@ -93,4 +94,8 @@
                 if await self._signal.wait_now(_IDLE_CHECK_S):
                     break
         cut = await self._gate.cancel_all()
-        process.announce({'event': 'stopped', 'cut': cut})
+        process.announce({
+            'event': 'stopped',
+            'cut': len(cut),
+            'cut_attempts': cut
+        })
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -20,6 +20,7 @@
 
 _DIAL_INTERVAL_S = 0.2
 _LEAVE_NOTICE_S = caller_http.ADDRESS_TTL_S + 1.0
+_REFUSE_NOTICE_S = 1.0
 _IDLE_CHECK_S = 0.05
 _ACCOUNT_TIMEOUT_S = 5.0
 
@@ -167,11 +168,24 @@
         await self._signal.planned.wait()
         self._directory.mark_leaving(self._config.host)
         self._peers.broadcast(messages.Leaving(self._config.host))
-        if not await self._signal.wait_now(_LEAVE_NOTICE_S):
-            self._refusing = True
-            self._callers.stop_listening()
-            while self._callers.busy or self._gateway.recordings:
-                if await self._signal.wait_now(_IDLE_CHECK_S):
-                    break
+        self._callers.announce_leaving()
+        await self._finish_requests()
         await self._account.finish(_ACCOUNT_TIMEOUT_S)
-        process.announce({'event': 'stopped', 'cut': self._callers.busy})
+        cut = sorted(self._caller_handler.open_requests)
+        process.announce({
+            'event': 'stopped',
+            'cut': len(cut),
+            'cut_requests': cut
+        })
+
+    async def _finish_requests(self) -> None:
+        """Waits out cached addresses, refuses, and finishes what runs."""
+        if await self._signal.wait_now(_LEAVE_NOTICE_S):
+            return
+        self._refusing = True
+        if await self._signal.wait_now(_REFUSE_NOTICE_S):
+            return
+        self._callers.stop_listening()
+        while self._callers.busy or self._gateway.recordings:
+            if await self._signal.wait_now(_IDLE_CHECK_S):
+                return
--- a/tests/fakes/caller.py
+++ b/tests/fakes/caller.py
@@ -1,5 +1,6 @@
 """A caller that checks its own answers."""
 
+import asyncio
 import dataclasses
 import json
 from typing import Any
@@ -7,7 +8,14 @@
 from pollenthread.adapters import http_client
 from tests.fakes import engine
 
-__all__ = ['Answer', 'Caller', 'stream_text']
+__all__ = [
+    'Answer', 'Caller', 'Following', 'PAYMENT', 'PAYMENT_PATH', 'chat_document',
+    'stream_text'
+]
+
+PAYMENT = b'{"order": "mug", "amount_birr": 450}'
+PAYMENT_PATH = '/services/orders/payments'
+_MODEL = 'assistant-small'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,6 +38,19 @@
         return json.loads(self.body)
 
 
+def chat_document(tokens: int, stream: bool = True) -> dict[str, Any]:
+    """A chat completion request."""
+    return {
+        'model': _MODEL,
+        'stream': stream,
+        'max_tokens': tokens,
+        'messages': [{
+            'role': 'user',
+            'content': f'{tokens} words'
+        }]
+    }
+
+
 def stream_text(body: bytes) -> str:
     """The text of a stream of events.
 
@@ -98,6 +119,22 @@
                                   headers=self._headers(work_class, headers),
                                   body=body)
 
+    def follow_chat(self, address: str, work_class: str,
+                    document: dict[str, Any], **headers: str) -> 'Following':
+        """Starts a chat completion request in the background."""
+        return Following.start(self._client,
+                               address,
+                               '/v1/chat/completions',
+                               self._headers(work_class, headers),
+                               json.dumps(document).encode(),
+                               document=document)
+
+    def follow_post(self, address: str, work_class: str, path: str, body: bytes,
+                    **headers: str) -> 'Following':
+        """Starts a request to a plain service in the background."""
+        return Following.start(self._client, address, path,
+                               self._headers(work_class, headers), body)
+
     def _headers(self, work_class: str, more: dict[str, str]) -> dict[str, str]:
         named = {name.replace('_', '-'): value for name, value in more.items()}
         return {
@@ -117,3 +154,51 @@
         else:
             text = answer.json['choices'][0]['message']['content']
         return text == engine.expected_text(document)
+
+
+class Following:
+    """A request in the background and the part of its answer so far.
+
+    Attributes:
+        document: the request's document, or None.
+        answer: the whole answer, once it has come.
+        error: why there is no whole answer.
+        body: the part of the body so far.
+    """
+
+    def __init__(self, *, document: dict[str, Any] | None) -> None:
+        self.document = document
+        self.answer: Answer | None = None
+        self.error: ConnectionError | None = None
+        self.body = b''
+        self.task: asyncio.Task[None]
+
+    @classmethod
+    def start(cls,
+              client: http_client.HttpClient,
+              address: str,
+              target: str,
+              headers: dict[str, str],
+              body: bytes,
+              document: dict[str, Any] | None = None) -> 'Following':
+        """Sends a request and follows its answer."""
+        following = cls(document=document)
+        following.task = asyncio.create_task(
+            following._follow(client, address, target, headers, body))
+        return following
+
+    async def _follow(self, client: http_client.HttpClient, address: str,
+                      target: str, headers: dict[str,
+                                                 str], body: bytes) -> None:
+        try:
+            async with client.request(address,
+                                      'POST',
+                                      target,
+                                      headers=list(headers.items()),
+                                      body=body) as exchange:
+                async for data in exchange.read():
+                    self.body += data
+                self.answer = Answer(exchange.status, dict(exchange.headers),
+                                     self.body)
+        except ConnectionError as error:
+            self.error = error
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -5,8 +5,12 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
+import heapq
 import json
+import re
+from collections.abc import AsyncIterator
 from typing import Any
 
 from pollenthread.adapters import http_server
@@ -15,6 +19,9 @@
 __all__ = ['EngineHandler', 'expected_text', 'expected_tokens']
 
 _DEFAULT_TOKENS = 16
+_DEFAULT_RUNNING = 1024
+_DEFAULT_URGENCY = 3
+_URGENCY = re.compile(r'\bu=([0-7])\b')
 
 
 def expected_tokens(document: dict[str, Any]) -> list[str]:
@@ -33,13 +40,51 @@
     return ''.join(expected_tokens(document))
 
 
+def _urgency(request: http_server.Request) -> int:
+    """The urgency of RFC 9218: 0 is served first, 7 last."""
+    found = _URGENCY.search(request.header('priority') or '')
+    return int(found.group(1)) if found else _DEFAULT_URGENCY
+
+
+class _Turns:
+    """Lets a number of requests run at once, the most urgent first."""
+
+    def __init__(self) -> None:
+        self._running = 0
+        self._count = 0
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @contextlib.asynccontextmanager
+    async def take(self, urgency: int, limit: int) -> AsyncIterator[None]:
+        """Waits for a turn and holds it."""
+        if self._running >= limit:
+            turn = asyncio.get_running_loop().create_future()
+            self._count += 1
+            heapq.heappush(self._waiting, (urgency, self._count, turn))
+            await turn
+        else:
+            self._running += 1
+        try:
+            yield
+        finally:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        while self._waiting:
+            _, _, turn = heapq.heappop(self._waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._running -= 1
+
+
 class EngineHandler(serving.FakeHandler):
     """Answers deterministically; counts what it began and cancelled."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._counts = {'begun': 0, 'finished': 0, 'cancelled': 0}
-        self._last_document: dict[str, Any] = {}
+        self._counts = {'begun': 0, 'finished': 0, 'cancelled': 0, 'tokens': 0}
+        self._turns = _Turns()
 
     async def answer(self, request: http_server.Request,
                      response: http_server.Response) -> None:
@@ -49,8 +94,10 @@
         document = json.loads(request.body)
         self._counts['begun'] += 1
         try:
-            await self._complete(request, response, document)
-        except asyncio.CancelledError:
+            limit = self.faults.get('max_running', _DEFAULT_RUNNING)
+            async with self._turns.take(_urgency(request), limit):
+                await self._complete(request, response, document)
+        except (asyncio.CancelledError, ConnectionError):
             self._counts['cancelled'] += 1
             raise
         self._counts['finished'] += 1
@@ -101,9 +148,11 @@
                 return
             if i == stall_after:
                 await asyncio.sleep(3600)
-            await asyncio.sleep(self.faults.get('token_s', 0))
+            if self.faults.get('token_s'):
+                await asyncio.sleep(self.faults['token_s'])
             event = {'choices': [{'index': 0, 'delta': {'content': token}}]}
             await response.write(f'data: {json.dumps(event)}\n\n'.encode())
+            self._counts['tokens'] += 1
         await response.write(b'data: [DONE]\n\n')
         await response.finish()
 
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import hashlib
+import json
 
 from pollenthread.adapters import http_server
 from tests.fakes import serving
@@ -38,10 +39,22 @@
             response.abort()
             return
         await asyncio.sleep(self.faults.get('delay_after_effect_s', 0))
-        await response.send_json(200, {
+        request_id = request.header('x-request-id') or ''
+        if self.take('crossed'):
+            request_id = 'another-request'
+        body = json.dumps({
             'receipt': expected_receipt(request.body),
             'path': request.target
-        }, [('x-request-id', request.header('x-request-id') or '')])
+        }).encode()
+        headers = [('content-type', 'application/json'),
+                   ('x-request-id', request_id)]
+        if self.take('truncate'):
+            await response.send_head(
+                200, [*headers, ('content-length', str(len(body)))])
+            await response.write(body[:-1])
+            response.abort()
+            return
+        await response.send(200, headers, body)
 
 
 if __name__ == '__main__':
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -30,6 +30,7 @@
 _LOOPBACK = '127.0.0.1:0'
 _READY_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 20.0
+_SECOND_SIGNAL_S = 0.1
 _DATA_CENTRES = ('dc-1', 'dc-2', 'dc-3')
 _REGION = 'region-1'
 
@@ -171,6 +172,7 @@
         for process in self.by_name.values():
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
+        await asyncio.sleep(_SECOND_SIGNAL_S)
         for process in self.by_name.values():
             process.signal(signal.SIGTERM)
         for process in self.by_name.values():
@@ -182,10 +184,10 @@
         await self._stack.aclose()
 
     def named(self, prefix: str) -> list[Process]:
-        """Processes whose names begin with a prefix, such as 'entry-'."""
-        return [
-            p for name, p in self.by_name.items() if name.startswith(prefix)
-        ]
+        """Processes whose names begin with a prefix, in order of number."""
+        names = [name for name in self.by_name if name.startswith(prefix)]
+        names.sort(key=lambda name: (len(name), name))
+        return [self.by_name[name] for name in names]
 
     @property
     def entry_addresses(self) -> list[str]:
--- a/tests/path/steps/whole_path.py
+++ b/tests/path/steps/whole_path.py
@@ -5,23 +5,7 @@
 from behave import given, then, when
 
 from tests import scenario
-from tests.fakes import caller as caller_module, system as system_module
-
-_PAYMENT = b'{"order": "mug", "amount_birr": 450}'
-_PAYMENT_PATH = '/services/orders/payments'
-
-
-def chat_document(tokens: int, stream: bool = True) -> dict[str, Any]:
-    """A chat completion request."""
-    return {
-        'model': system_module.MODEL,
-        'stream': stream,
-        'max_tokens': tokens,
-        'messages': [{
-            'role': 'user',
-            'content': f'{tokens} words'
-        }]
-    }
+from tests.fakes import caller as caller_module
 
 
 @given('a system with {entries:d} entry hosts, {engines:d} engines and '
@@ -36,7 +20,7 @@
 
 @when('the caller streams {tokens:d} tokens of class "{work_class}"')
 def step_stream(context: Any, tokens: int, work_class: str) -> None:
-    context.document = chat_document(tokens)
+    context.document = caller_module.chat_document(tokens)
     context.answer = scenario.run(
         context,
         context.caller.chat(context.system.entry_addresses[0], work_class,
@@ -55,8 +39,8 @@
             context,
             context.caller.post(address,
                                 'payment-confirmation',
-                                _PAYMENT_PATH,
-                                _PAYMENT,
+                                caller_module.PAYMENT_PATH,
+                                caller_module.PAYMENT,
                                 idempotency_key=key))
         for address in context.system.entry_addresses
     ]
@@ -82,7 +66,8 @@
     context.answer = scenario.run(
         context,
         context.caller.post(context.system.entry_addresses[0],
-                            'payment-confirmation', _PAYMENT_PATH, _PAYMENT))
+                            'payment-confirmation', caller_module.PAYMENT_PATH,
+                            caller_module.PAYMENT))
 
 
 @then('the answer is the problem "{kind}" with ran "{ran}"')
