--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from absl import logging
 
