Set up the pool's callback where the pool is made

Cause: a merge left an assignment in the wrong method, so that the callback was set anew with each subscription. Change: it moved to the constructor.

--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -119,12 +119,12 @@
         self.misrouted_count = 0
         self._changed = asyncio.Event()
         self._handlers_by_type: dict[type[Any], _OnMessage] = {}
+        self.on_unconfirmed: Callable[[Upstream, messages.Unconfirmed],
+                                      None] | None = None
 
     def subscribe(self, message_type: type[Any], handler: _OnMessage) -> None:
         """Sets who handles messages of a type that the pool does not."""
         self._handlers_by_type[message_type] = handler
-        self.on_unconfirmed: Callable[[Upstream, messages.Unconfirmed],
-                                      None] | None = None
 
     def candidates(self, kind: str, name: str) -> list[Upstream]:
         """Upstreams that can take new work for a model or service."""
