--- a/pollenthread/app/claim_keeper.py
+++ b/pollenthread/app/claim_keeper.py
@@ -120,7 +120,7 @@
             return result.Err(_table_failure())
         if found.ok_value is None:
             return result.Ok(None)
-        claim = _load(found.ok_value.value)
+        claim = parse_claim(found.ok_value.value)
         match claims.first_step(claim, attempt='', digest=digest):
             case claims.Step.REPLAY:
                 assert claim.outcome is not None
@@ -171,7 +171,7 @@
         row = found.ok_value
         if row is None:
             return result.Ok(None)
-        claim = _load(row.value)
+        claim = parse_claim(row.value)
         if (claim.attempt != attempt or
                 claim.state is not claims.ClaimState.CLAIMED):
             return result.Ok(None)
