Ask for the host list only when it has changed

Cause: at 1,700 hosts the list is some 300 KB, polled twice a second by every entry host. Change: conditional requests by entity tag, one poll a second; the judgement stays at two a second.

--- a/pollenthread/adapters/host_list_http.py
+++ b/pollenthread/adapters/host_list_http.py
@@ -1,4 +1,8 @@
-"""The host list over HTTP: `GET /hosts` answers with JSON."""
+"""The host list over HTTP: `GET /hosts` answers with JSON.
+
+The list is large and seldom changes, so a conditional request (RFC 9110) asks
+for it by the entity tag of the last answer.
+"""
 
 import asyncio
 
@@ -10,6 +14,8 @@
 
 __all__ = ['HttpHostList']
 
+_NOT_MODIFIED = 304
+
 
 class _HostModel(pydantic.BaseModel):
     """One host as the platform writes it."""
@@ -39,19 +45,28 @@
         self._client = client
         self._address = address
         self._timeout_s = timeout_s
+        self._tag: str | None = None
+        self._by_name: dict[str, host_list.Host] = {}
 
     async def read(self) -> result.Result[dict[str, host_list.Host], str]:
+        headers = [] if self._tag is None else [('if-none-match', self._tag)]
         try:
             async with asyncio.timeout(self._timeout_s):
-                async with self._client.request(self._address, 'GET',
-                                                '/hosts') as exchange:
+                async with self._client.request(self._address,
+                                                'GET',
+                                                '/hosts',
+                                                headers=headers) as exchange:
                     body = await exchange.read_all()
+            if exchange.status == _NOT_MODIFIED:
+                return result.Ok(self._by_name)
             if exchange.status != 200:
                 return result.Err(f'the host list answered {exchange.status}')
             hosts = _HOSTS.validate_json(body)
         except (ConnectionError, TimeoutError, ValueError) as error:
             return result.Err(f'the host list cannot be read: {error}')
-        return result.Ok({model.name: _host(model) for model in hosts})
+        self._by_name = {model.name: _host(model) for model in hosts}
+        self._tag = dict(exchange.headers).get('etag')
+        return result.Ok(self._by_name)
 
 
 def _host(model: _HostModel) -> host_list.Host:
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -13,7 +13,8 @@
 
 __all__ = ['Directory']
 
-_POLL_INTERVAL_S = 0.5
+_JUDGE_INTERVAL_S = 0.5
+_JUDGEMENTS_PER_POLL = 2
 _EXTRA_LINK_S = 30.0
 
 
@@ -184,8 +185,9 @@
         """Follows the list until cancelled."""
         while True:
             await self.refresh()
-            self.judge()
-            await asyncio.sleep(_POLL_INTERVAL_S)
+            for _ in range(_JUDGEMENTS_PER_POLL):
+                self.judge()
+                await asyncio.sleep(_JUDGE_INTERVAL_S)
 
 
 def _dead(view: membership.View) -> Iterable[str]:
