--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -16,6 +16,7 @@
 _JUDGE_INTERVAL_S = 0.5
 _JUDGEMENTS_PER_POLL = 2
 _EXTRA_LINK_S = 30.0
+_RESTART_SETTLE_S = 3.0
 
 
 class Directory:
@@ -65,15 +66,21 @@
     def entries(self) -> list[addresses.EntryHost]:
         """Entry hosts that callers may use."""
         usable = set(self._view.usable())
+        settled = {host for host in usable if not self._may_have_moved(host)}
         return [
             addresses.EntryHost(host=host.name, address=host.callers)
             for host in self.by_name.values()
-            if host.name in usable and host.name not in self.draining
+            if host.name in (settled or usable)
         ]
 
+    def _may_have_moved(self, host: str) -> bool:
+        """Whether the list may still show where an earlier start listened."""
+        restarted_s = self._heartbeats.restarted_s(host)
+        return restarted_s is not None and restarted_s < _RESTART_SETTLE_S
+
     def live_entries(self) -> list[str]:
         """Names of entry hosts that may take duties."""
-        return [host.host for host in self.entries()]
+        return sorted(set(self._view.usable()) & self.by_name.keys())
 
     def upstreams(self) -> dict[str, str]:
         """Link addresses of the upstream hosts to keep links to, by name."""
--- a/pollenthread/app/heartbeats.py
+++ b/pollenthread/app/heartbeats.py
@@ -31,6 +31,7 @@
         self._silent_since_by_host: dict[str, float] = {}
         self._incarnation_by_host: dict[str, str] = {}
         self._reported_at_by_host: dict[str, float] = {}
+        self._restarted_at_by_host: dict[str, float] = {}
         self._report_by_host: dict[str, membership.Report] = {}
         self._seen = collections.OrderedDict[tuple[str, str, int], None]()
         peers.watch(self)
@@ -46,6 +47,17 @@
                                    silent_s=self._silent_s(host, now),
                                    dead_reports=reports)
 
+    def restarted_s(self, host: str) -> float | None:
+        """Seconds since another start of a known host was seen, or None."""
+        at = self._restarted_at_by_host.get(host)
+        return None if at is None else self._time.monotonic() - at
+
+    def _note_start(self, host: str, incarnation: str) -> None:
+        known = self._incarnation_by_host.get(host)
+        if known is not None and known != incarnation:
+            self._restarted_at_by_host[host] = self._time.monotonic()
+        self._incarnation_by_host[host] = incarnation
+
     def _silent_s(self, host: str, now: float) -> float | None:
         if host in self._peers.links_by_host or host == self._own.host:
             return 0.0
@@ -80,7 +92,7 @@
 
     def on_peer_linked(self, link: link_port.Link) -> None:
         host = link.peer.host
-        self._incarnation_by_host[host] = link.peer.incarnation
+        self._note_start(host, link.peer.incarnation)
         report = self._report_by_host.get(host)
         is_new = report is not None and (report.incarnation
                                          != link.peer.incarnation)
@@ -120,6 +132,8 @@
             incarnation = news.incarnation
             if known is not None and incarnation == _UNKNOWN_START:
                 incarnation = known.incarnation
+            if news.incarnation != _UNKNOWN_START:
+                self._note_start(news.host, news.incarnation)
             self._report_by_host[news.host] = membership.hear(
                 known,
                 incarnation=incarnation,
