Switch expert maps over running agents in lock-step

The agent of rank 0 holds the group's row and decides; each agent keeps links to two neighbours, along which a decision spreads. An agent keeps nothing: its part is stored by the engine, which goes by it, so an agent may be restarted at any stage. The wanted map stands in a row, so that the planner may run anywhere; naming another one gives up a prepare that has stalled.

--- /dev/null
+++ b/pollenthread/adapters/rank_engine_http.py
@@ -0,0 +1,56 @@
+"""One rank of a group over HTTP on loopback."""
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+from pollenthread.adapters import http_client
+from pollenthread.ports import rank_engine
+
+__all__ = ['HttpRankEngine']
+
+_TIMEOUT_S = 2.0
+_LOAD_TIMEOUT_S = 600.0
+
+
+class HttpRankEngine(rank_engine.RankEngine):
+    """Calls one address for one rank."""
+
+    def __init__(self, *, client: http_client.HttpClient, address: str,
+                 index: int) -> None:
+        self._client = client
+        self._address = address
+        self._path = f'/ranks/{index}'
+
+    async def read(self) -> rank_engine.RankView:
+        _, body = await self._call('GET', '', None, _TIMEOUT_S)
+        return rank_engine.RankView(incarnation=body['incarnation'],
+                                    step=body['step'],
+                                    state=base64.b64decode(body['state']))
+
+    async def write(self, state: bytes, *, incarnation: int) -> bool:
+        status, _ = await self._call('PUT', '/state', {
+            'state': base64.b64encode(state).decode(),
+            'incarnation': incarnation
+        }, _TIMEOUT_S)
+        return status == 200
+
+    async def load(self, version: int) -> bool:
+        status, _ = await self._call('POST', '/load', {'version': version},
+                                     _LOAD_TIMEOUT_S)
+        return status == 200
+
+    async def _call(self, method: str, path: str, document: Any,
+                    timeout_s: float) -> tuple[int, Any]:
+        body = b'' if document is None else json.dumps(document).encode()
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._client.request(self._address,
+                                                method,
+                                                self._path + path,
+                                                body=body) as exchange:
+                    data = await exchange.read_all()
+                    return exchange.status, json.loads(data)
+        except (OSError, TimeoutError, ValueError) as error:
+            raise rank_engine.RankUnavailable(str(error)) from error
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -12,8 +12,8 @@
 
 __all__ = [
     'AgentSettings', 'EntrySettings', 'LinkSecurity', 'OperatorSettings',
-    'PlatformSettings', 'TraceSettings', 'UpstreamSettings', 'check_file',
-    'load_process', 'load_targets'
+    'PlatformSettings', 'RankSettings', 'TraceSettings', 'UpstreamSettings',
+    'check_file', 'load_process', 'load_targets'
 ]
 
 _MAX_PORT = 65_535
@@ -136,11 +136,35 @@
     models: list[targets_document.Name] = []
 
 
+class RankSettings(targets_document.Strict):
+    """The rank beside an agent.
+
+    Attributes:
+        group: the rank group's name.
+        index: the rank's number in its group; rank 0's agent decides switches.
+        size: ranks in the group.
+        address: where the rank takes orders.
+    """
+
+    group: targets_document.Name
+    index: Annotated[int, pydantic.Field(ge=0, le=1023)]
+    size: Annotated[int, pydantic.Field(ge=1, le=1024)]
+    address: _Address
+
+    @pydantic.model_validator(mode='after')
+    def _is_in_group(self) -> 'RankSettings':
+        if self.index >= self.size:
+            raise ValueError(f'the index {self.index} is not below the size '
+                             f'{self.size}')
+        return self
+
+
 class AgentSettings(_ProcessSettings):
     """Settings of an agent."""
 
     role: Literal['agent']
     upstream: UpstreamSettings
+    rank: RankSettings | None = None
 
 
 _MODEL_BY_ROLE: dict[str, type[EntrySettings] | type[AgentSettings]] = {
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -62,6 +62,8 @@
 
 struct Leaving { host @0 :Text; }
 
+struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -80,5 +82,6 @@
     confirm @13 :Confirm;
     load @14 :Load;
     leaving @15 :Leaving;
+    group @16 :Group;
   }
 }
--- /dev/null
+++ b/pollenthread/app/link_router.py
@@ -0,0 +1,34 @@
+"""Passes an agent's links to the part that they are for."""
+
+from pollenthread.core import messages
+from pollenthread.ports import link as link_port
+
+__all__ = ['LinkRouter']
+
+
+class LinkRouter(link_port.LinkHandler):
+    """Links from agents go to the rank group, all others to the gate."""
+
+    def __init__(self, *, gate: link_port.LinkHandler,
+                 group: link_port.LinkHandler | None) -> None:
+        self._gate = gate
+        self._group = group
+
+    def on_open(self, link: link_port.Link) -> None:
+        handler = self._handler(link)
+        if handler is not None:
+            handler.on_open(link)
+
+    def on_close(self, link: link_port.Link, reason: str) -> None:
+        handler = self._handler(link)
+        if handler is not None:
+            handler.on_close(link, reason)
+
+    def on_message(self, link: link_port.Link,
+                   message: messages.Message) -> None:
+        handler = self._handler(link)
+        if handler is not None:
+            handler.on_message(link, message)
+
+    def _handler(self, link: link_port.Link) -> link_port.LinkHandler | None:
+        return self._group if link.peer.role == 'agent' else self._gate
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -6,9 +6,9 @@
 from pollenthread.core import errors
 
 __all__ = [
-    'Begin', 'Cancel', 'Chunk', 'Confirm', 'Credit', 'End', 'Fail', 'Head',
-    'Header', 'Hello', 'Leaving', 'Load', 'Message', 'Ping', 'Pong', 'Resume',
-    'Seal', 'SealState', 'Sealed'
+    'Begin', 'Cancel', 'Chunk', 'Confirm', 'Credit', 'End', 'Fail', 'Group',
+    'Head', 'Header', 'Hello', 'Leaving', 'Load', 'Message', 'Ping', 'Pong',
+    'Resume', 'Seal', 'SealState', 'Sealed'
 ]
 
 Header = tuple[str, str]
@@ -225,5 +225,20 @@
     host: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """A message between the ranks of a group; see `switch`.
+
+    Attributes:
+        group: the model group's name.
+        kind: the name of the message's class.
+        body: its fields, as JSON text.
+    """
+
+    group: str
+    kind: str
+    body: bytes
+
+
 Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
-           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving)
+           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving | Group)
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+from collections.abc import Mapping
 from typing import Any
 
-from pollenthread.adapters import (admin_http, http_client, http_server, link as
-                                   link_module, settings, upstream_http)
-from pollenthread.app import gate as gate_module
+from pollenthread.adapters import (admin_http, clock, http_client, http_server,
+                                   link as link_module, rank_engine_http,
+                                   settings, table_http, upstream_http)
+from pollenthread.app import gate as gate_module, group_member, link_router
 from pollenthread.core import messages
 from pollenthread.roles import process
 
@@ -42,9 +44,14 @@
         self._client = http_client.HttpClient()
         self._gate = gate_module.Gate(upstream=upstream_http.HttpUpstream(
             client=self._client, address=config.upstream.address))
+        self._group = (None if config.rank is None else self._join_group(
+            config.rank))
+        router = link_router.LinkRouter(gate=self._gate, group=self._group)
+        self._rank_dialers = link_module.DialerSet(hello=self._hello,
+                                                   handler=router)
         host, port = process.split_address(config.links)
         self._links = link_module.LinkServer(hello=self._hello,
-                                             handler=self._gate,
+                                             handler=router,
                                              host=host,
                                              port=port)
         host, port = process.split_address(config.admin)
@@ -53,10 +60,34 @@
                                              host=host,
                                              port=port)
 
+    def _join_group(self,
+                    rank: settings.RankSettings) -> group_member.GroupMember:
+        place = group_member.Place(group=rank.group,
+                                   index=rank.index,
+                                   size=rank.size,
+                                   host=self._config.host)
+        return group_member.GroupMember(
+            place=place,
+            engine=rank_engine_http.HttpRankEngine(client=self._client,
+                                                   address=rank.address,
+                                                   index=rank.index),
+            table_service=table_http.HttpTable(
+                client=self._client, address=self._config.platform.table),
+            time=clock.SystemClock(),
+            keep_links=self._dial_ranks)
+
+    async def _dial_ranks(self, address_by_host: Mapping[str, str]) -> None:
+        await self._rank_dialers.keep(address_by_host)
+
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the parts and says where they listen."""
-        for owner in (self._client, self._links, self._admin):
+        for owner in (self._client, self._links, self._admin,
+                      self._rank_dialers):
             await stack.enter_async_context(owner)
+        if self._group is not None:
+            await stack.enter_async_context(self._group)
+            announcing = self._group.announce(self._links.address)
+            stack.callback(asyncio.create_task(announcing).cancel)
         stack.callback(asyncio.create_task(self._report()).cancel)
         process.announce({
             'event': 'ready',
@@ -81,7 +112,8 @@
             'running': load.running,
             'queued': load.queued,
             'begun': self._gate.begun_count,
-            'unconfirmed': self._gate.unconfirmed
+            'unconfirmed': self._gate.unconfirmed,
+            'rank': self._group.status() if self._group else None
         }
 
     async def stop_when_asked(self) -> None:
