--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -6,9 +6,11 @@
 from typing import Any
 
 from pollenthread.adapters import (admin_http, clock, http_client, http_server,
-                                   link as link_module, rank_engine_http,
-                                   settings, table_http, upstream_http)
-from pollenthread.app import gate as gate_module, group_member, link_router
+                                   link as link_module, order_http,
+                                   rank_engine_http, settings, table_http,
+                                   upstream_http)
+from pollenthread.app import (gate as gate_module, group_member, link_router,
+                              order_gate)
 from pollenthread.core import messages
 from pollenthread.roles import process
 
@@ -42,8 +44,17 @@
                                      name=config.upstream.name,
                                      models=tuple(config.upstream.models))
         self._client = http_client.HttpClient()
+        self._orders = order_gate.OrderGate(
+            host=config.host,
+            incarnation=self._hello.incarnation,
+            table_service=table_http.HttpTable(client=self._client,
+                                               address=config.platform.table),
+            executor=order_http.HttpOrderExecutor(
+                client=self._client, address=config.upstream.address),
+            keys=config.key_ring)
         self._gate = gate_module.Gate(upstream=upstream_http.HttpUpstream(
-            client=self._client, address=config.upstream.address))
+            client=self._client, address=config.upstream.address),
+                                      on_order=self._orders.on_order)
         self._group = (None if config.rank is None else self._join_group(
             config.rank))
         router = link_router.LinkRouter(gate=self._gate, group=self._group)
@@ -113,7 +124,9 @@
             'queued': load.queued,
             'begun': self._gate.begun_count,
             'unconfirmed': self._gate.unconfirmed,
-            'rank': self._group.status() if self._group else None
+            'rank': self._group.status() if self._group else None,
+            'orders_running': self._orders.busy,
+            'orders_refused': self._orders.refused_count
         }
 
     async def stop_when_asked(self) -> None:
@@ -121,7 +134,8 @@
         await self._signal.planned.wait()
         self._gate.leave(self._config.host)
         if not await self._signal.wait_now(_LEAVE_NOTICE_S):
-            while self._gate.unfinished or self._gate.unconfirmed:
+            while (self._gate.unfinished or self._gate.unconfirmed or
+                   self._orders.busy):
                 if await self._signal.wait_now(_IDLE_CHECK_S):
                     break
         cut = await self._gate.cancel_all()
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -22,8 +22,12 @@
 
 from pollenthread.adapters import clock, http_client, table_http
 from pollenthread.app import config_store
+from pollenthread.core import operators
 
-__all__ = ['MODEL', 'Process', 'SERVICE', 'System', 'TARGETS']
+__all__ = [
+    'MODEL', 'ON_CALL_KEY', 'OTHER_KEY', 'Process', 'READER_KEY', 'SERVICE',
+    'System', 'TARGETS', 'WORKSPACE_KEY'
+]
 
 MODEL = 'assistant-small'
 SERVICE = 'orders'
@@ -33,6 +37,23 @@
 _DATA_CENTRES = ('dc-1', 'dc-2', 'dc-3')
 _REGION = 'region-1'
 
+ON_CALL_KEY = 'key-of-the-operator-on-call'
+WORKSPACE_KEY = 'key-of-the-operator-of-buna'
+OTHER_KEY = 'key-of-the-operator-of-another-workspace'
+READER_KEY = 'key-of-the-accounts-department'
+
+OPERATORS: list[dict[str, Any]] = [{
+    'name': name,
+    'key_sha256': operators.key_digest(key),
+    'workspaces': workspaces,
+    'may': may
+} for name, key, workspaces, may in (
+    ('on-call', ON_CALL_KEY, '*', 'change'),
+    ('buna-operator', WORKSPACE_KEY, ['buna'], 'change'),
+    ('other-operator', OTHER_KEY, ['other'], 'change'),
+    ('accounts', READER_KEY, '*', 'read'),
+)]
+
 TARGETS: dict[str, Any] = {
     'workspaces': {
         'buna': {
@@ -151,6 +172,10 @@
         self._stack = contextlib.AsyncExitStack()
         self.by_name: dict[str, Process] = {}
         self.client = http_client.HttpClient()
+        self.order_keys = [{
+            'id': f'key-{i}',
+            'secret': f'order-secret-number-{i}'
+        } for i in (1, 2)]
         self.folder: pathlib.Path
 
     async def __aenter__(self) -> Self:
@@ -282,10 +307,12 @@
         settings = self._settings('agent', host, number)
         settings['upstream'] = upstream
         process = await self._start_role('agent', host, settings)
-        await self.list_host(host, {
-            'role': 'upstream',
-            'address': process.ready['links']
-        }, number)
+        await self.list_host(
+            host, {
+                'role': 'upstream',
+                'address': process.ready['links'],
+                'serves': SERVICE if kind == 'service' else MODEL
+            }, number)
         return process
 
     async def start_entry(self, number: int) -> Process:
@@ -293,6 +320,8 @@
         host = f'entry-{number}'
         settings = self._settings('entry', host, number)
         settings['callers'] = _LOOPBACK
+        settings['account_interval_s'] = 1
+        settings['operators'] = OPERATORS
         process = await self._start_role('entry', host, settings)
         await self.list_host(
             host, {
@@ -327,6 +356,7 @@
             'region': _REGION,
             'links': _LOOPBACK,
             'admin': _LOOPBACK,
+            'order_keys': self.order_keys,
             'platform': {
                 'table': self.address('table'),
                 'object_store': self.address('object_store'),
