--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -111,6 +111,7 @@
   key @2 :Text;
   stream @3 :Bool;
 }
+struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
 
 struct Message {
   union {
@@ -138,5 +139,6 @@
     ordersend @21 :OrderSend;
     orderreply @22 :OrderReply;
     unconfirmed @23 :Unconfirmed;
+    group @24 :Group;
   }
 }
