--- /dev/null
+++ b/bench/build_binary.py
@@ -0,0 +1,80 @@
+"""Builds the one file that is shipped.
+
+    python -m bench.build_binary --output dist/pollenthread
+
+The file is a zip archive with a Python shebang: the package and the pinned
+libraries of this environment, put together by shiv.
+"""
+
+import argparse
+import importlib.metadata
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+
+__all__ = ['build']
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_ENTRY_POINT = 'pollenthread.cli.main:run'
+_SHEBANG = '/usr/bin/env python3.11'
+
+
+def _pinned() -> list[str]:
+    """Names of the libraries that a running process needs."""
+    lines = (_ROOT / 'requirements.txt').read_text('utf-8').splitlines()
+    names = (re.match(r'[A-Za-z0-9._-]+', line) for line in lines)
+    return [name.group() for name in names if name]
+
+
+def _stage(folder: pathlib.Path) -> None:
+    """Copies libraries and the package into a folder."""
+    for name in _pinned():
+        found = importlib.metadata.distribution(name)
+        for file in found.files or ():
+            if '..' in file.parts or '__pycache__' in file.parts:
+                continue
+            target = folder / file
+            target.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(str(file.locate()), target)
+    shutil.copytree(_ROOT / 'pollenthread',
+                    folder / 'pollenthread',
+                    ignore=shutil.ignore_patterns('__pycache__'))
+
+
+def build(output: pathlib.Path) -> None:
+    """Builds the file.
+
+    Raises:
+        CalledProcessError: shiv failed.
+    """
+    output.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        staged = pathlib.Path(folder) / 'site'
+        _stage(staged)
+        subprocess.run([
+            sys.executable, '-m', 'shiv', '--site-packages',
+            str(staged), '--entry-point', _ENTRY_POINT, '--python', _SHEBANG,
+            '--compressed', '--reproducible', '--output-file',
+            str(output)
+        ],
+                       check=True,
+                       capture_output=True)
+
+
+def main() -> None:
+    """Builds the file that --output names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--output',
+                        type=pathlib.Path,
+                        default=_ROOT / 'dist' / 'pollenthread')
+    args = parser.parse_args()
+    build(args.output)
+    size_mb = args.output.stat().st_size / 1e6
+    print(f'{args.output}: {size_mb:.1f} MB')
+
+
+if __name__ == '__main__':
+    main()
--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -54,7 +54,8 @@
     def __init__(self, *, gate: gateway.Gateway,
                  config: config_store.ConfigStore, hosts: directory.Directory,
                  request_ids: ids.IdSource, time: clock.Clock,
-                 tally: account.Tally, is_refusing: Callable[[], bool]) -> None:
+                 tally: account.Tally, is_refusing: Callable[[], bool],
+                 observe: Callable[[pace.Pace, float], None]) -> None:
         self._gateway = gate
         self._config = config
         self._hosts = hosts
@@ -62,6 +63,7 @@
         self._time = time
         self._tally = tally
         self._is_refusing = is_refusing
+        self._observe = observe
 
     async def handle(self, request: http_server.Request,
                      response: http_server.Response) -> None:
@@ -135,7 +137,9 @@
                             attempts=report.attempts,
                             repeat=report.repeat,
                             retries_allowed=call.work_class.retries)
-        if report.failure is not None:
+        if report.failure is None:
+            self._observe(report.pace, self._time.monotonic() - started_at)
+        else:
             await sink.fail(report.failure, report.attempts)
 
 
--- /dev/null
+++ b/pollenthread/adapters/metrics.py
@@ -0,0 +1,136 @@
+"""Latency histograms and the scrape endpoint of a process.
+
+Counts are by outcome only: a series for each workspace and class would grow
+with the number of workspaces, and the account has those.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import prometheus_client
+from hdrh import histogram
+from prometheus_client import core as prometheus, registry
+
+from pollenthread.adapters import http_server
+from pollenthread.core import account, errors, pace
+
+__all__ = ['Latencies', 'MetricsHandler']
+
+_MAX_US = 3_600_000_000
+_DIGITS = 2
+_US_PER_S = 1_000_000
+_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.07, 0.1, 0.25, 0.5, 1.0, 1.8, 3.0, 5.0,
+             10.0, 30.0, 60.0, 120.0)
+_PREFIX = 'pollenthread'
+
+Gauges = Callable[[], Mapping[str, float]]
+
+
+class Latencies:
+    """Histograms that add up over hosts without loss."""
+
+    def __init__(self) -> None:
+        self.by_name = {
+            name: histogram.HdrHistogram(1, _MAX_US, _DIGITS)
+            for name in ('first_token', 'between_tokens', 'answer')
+        }
+
+    def observe(self, times: pace.Pace, total_s: float) -> None:
+        """Takes note of a whole answer."""
+        self._record('answer', total_s)
+        if times.first_s is not None:
+            self._record('first_token', times.first_s)
+        if times.mean_gap_s is not None:
+            self._record('between_tokens', times.mean_gap_s)
+
+    def _record(self, name: str, seconds: float) -> None:
+        value = min(max(1, round(seconds * _US_PER_S)), _MAX_US)
+        self.by_name[name].record_value(value)
+
+    def encoded(self) -> dict[str, str]:
+        """The histograms in the library's own form, for merging."""
+        return {
+            name: found.encode().decode('ascii')
+            for name, found in self.by_name.items()
+        }
+
+    def merge(self, encoded: Mapping[str, str]) -> None:
+        """Adds histograms of another host."""
+        for name, text in encoded.items():
+            self.by_name[name].decode_and_add(text.encode('ascii'))
+
+
+class _Collector(registry.Collector):
+    """Makes the series at each scrape."""
+
+    def __init__(self, *, tally: account.Tally, latencies: Latencies,
+                 gauges: Gauges) -> None:
+        self._tally = tally
+        self._latencies = latencies
+        self._gauges = gauges
+
+    def collect(self) -> Iterable[prometheus.Metric]:
+        """Yields every series."""
+        total = account.Counts()
+        for counts in self._tally.counts_by_key.values():
+            total += counts
+        ended = prometheus.CounterMetricFamily(f'{_PREFIX}_requests',
+                                               'Requests by how they ended.',
+                                               labels=['outcome'])
+        for outcome in account.Outcome:
+            ended.add_metric([outcome.value], getattr(total, outcome.value))
+        yield ended
+        for name in ('accepted', 'attempts', 'retries', 'repeats'):
+            yield prometheus.CounterMetricFamily(f'{_PREFIX}_{name}',
+                                                 f'Requests: {name}.',
+                                                 value=getattr(total, name))
+        for name, value in self._gauges().items():
+            yield prometheus.GaugeMetricFamily(f'{_PREFIX}_{name}',
+                                               f'Process: {name}.',
+                                               value=value)
+        for name, found in self._latencies.by_name.items():
+            yield _histogram(name, found)
+
+
+def _histogram(name: str, found: histogram.HdrHistogram) -> prometheus.Metric:
+    """Cumulative buckets; their bounds are exact to the library's precision."""
+    counts = [0] * len(_BOUNDS_S)
+    total_us = 0
+    for item in found.get_recorded_iterator():
+        value_us = item.value_iterated_to
+        total_us += value_us * item.count_added_in_this_iter_step
+        for i, bound in enumerate(_BOUNDS_S):
+            if value_us <= bound * _US_PER_S:
+                counts[i] += item.count_added_in_this_iter_step
+    buckets = [
+        (str(bound), float(count)) for bound, count in zip(_BOUNDS_S, counts)
+    ]
+    buckets.append(('+Inf', float(found.total_count)))
+    return prometheus.HistogramMetricFamily(f'{_PREFIX}_{name}_seconds',
+                                            f'Whole answers: {name}.',
+                                            buckets=buckets,
+                                            sum_value=total_us / _US_PER_S)
+
+
+class MetricsHandler(http_server.Handler):
+    """Answers scrapes."""
+
+    def __init__(self, *, tally: account.Tally, latencies: Latencies,
+                 gauges: Gauges) -> None:
+        self._latencies = latencies
+        self._registry = prometheus_client.CollectorRegistry()
+        self._registry.register(
+            _Collector(tally=tally, latencies=latencies, gauges=gauges))
+
+    async def handle(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        if request.method != 'GET':
+            await response.send_problem(
+                errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
+        elif request.path == '/metrics':
+            await response.send(
+                200, [('content-type', prometheus_client.CONTENT_TYPE_LATEST)],
+                prometheus_client.generate_latest(self._registry))
+        elif request.path == '/metrics/histograms':
+            await response.send_json(200, self._latencies.encoded())
+        else:
+            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
--- a/pollenthread/cli/report_html.py
+++ b/pollenthread/cli/report_html.py
@@ -25,6 +25,7 @@
 .gap { background: #fff3cd; padding: .5rem 1rem; }
 """
 _COLOURS = ('#2a9d5c', '#e9c46a', '#8d99ae', '#d1495b', '#5b2a86')
+_MAX_BARS = 20
 _OUTCOMES = ('in_time', 'late', 'refused_not_run', 'failed', 'outcome_unknown')
 
 
@@ -98,9 +99,11 @@
 
 
 def _plot_outcomes(report: dict[str, Any], figure: Any) -> Any:
-    """Each class as one bar of shares by outcome."""
-    lines = [line for line in report['classes'] if line['accepted']]
-    drawn = figure.Figure(figsize=(9, 1.2 + 0.4 * len(lines)))
+    """The largest classes as one bar each, of shares by outcome."""
+    lines = sorted((line for line in report['classes'] if line['accepted']),
+                   key=lambda line: -int(line['accepted']))[:_MAX_BARS]
+    drawn = figure.Figure(figsize=(9, 1.2 + 0.4 * len(lines)),
+                          layout='constrained')
     axes = drawn.subplots()
     names = [f'{line["workspace"]} / {line["class"]}' for line in lines]
     left = [0.0] * len(lines)
@@ -115,18 +118,17 @@
     axes.set_xlabel('% of accepted requests')
     axes.set_xlim(0, 100)
     axes.invert_yaxis()
-    axes.legend(loc='upper center',
-                bbox_to_anchor=(0.5, -0.35),
-                ncols=len(_OUTCOMES),
-                frameon=False)
+    drawn.legend(loc='outside lower center',
+                 ncols=len(_OUTCOMES),
+                 frameon=False)
     return drawn
 
 
 def _plot_costs(report: dict[str, Any], figure: Any) -> Any:
-    """Mean skew, and capacity saved and lost, by group and day."""
-    rows = report['costs']
-    names = [f'{row["group"]}\n{row["day"]}' for row in rows]
-    drawn = figure.Figure(figsize=(9, 3.5))
+    """Skew, and capacity saved and lost, of the groups with the least net."""
+    rows = sorted(report['costs'], key=lambda row: row['net_s'])[:_MAX_BARS]
+    names = [f'{row["group"]} {row["day"]}' for row in rows]
+    drawn = figure.Figure(figsize=(9, 4), layout='constrained')
     skew, seconds = drawn.subplots(1, 2)
     skew.bar(names, [row['skew_mean'] or 0 for row in rows], color=_COLOURS[2])
     skew.set_ylabel('slowest rank / mean rank')
@@ -141,5 +143,6 @@
     seconds.axhline(0, color='#222', linewidth=0.8)
     seconds.set_ylabel('seconds of one rank')
     seconds.legend(frameon=False)
-    drawn.tight_layout()
+    for axes in (skew, seconds):
+        axes.tick_params(axis='x', rotation=60)
     return drawn
--- /dev/null
+++ b/pollenthread/roles/bookkeeping.py
@@ -0,0 +1,76 @@
+"""The parts of an entry host that count, report and answer operators."""
+
+import time as wall_time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from pollenthread.adapters import (admin_api, http_server, metrics, settings)
+from pollenthread.app import (account_keeper, account_reader, administration,
+                              config_store, cost_book)
+from pollenthread.core import account
+from pollenthread.ports import clock, table
+
+__all__ = ['Bookkeeping']
+
+_FINISH_TIMEOUT_S = 5.0
+
+
+class Bookkeeping:
+    """Owns the account, the metrics and the administration API."""
+
+    def __init__(self, *, config: settings.EntrySettings, incarnation: str,
+                 table_service: table.TableService, time: clock.Clock,
+                 store: config_store.ConfigStore, status: Callable[[],
+                                                                   dict[str,
+                                                                        Any]],
+                 gauges: Callable[[], Mapping[str, float]]) -> None:
+        self.tally = account.Tally()
+        self.latencies = metrics.Latencies()
+        self._gauges = gauges
+        self._operators = [item.to_operator() for item in config.operators]
+        self._keeper = account_keeper.AccountKeeper(
+            table_service=table_service,
+            tally=self.tally,
+            host=config.host,
+            incarnation=incarnation,
+            time=time,
+            wall=wall_time.time,
+            interval_s=config.account_interval_s)
+        self._administration = administration.Administration(
+            store=store,
+            accounts=account_reader.AccountReader(
+                table_service=table_service,
+                wall=wall_time.time,
+                interval_s=config.account_interval_s),
+            costs=cost_book.CostBook(table_service=table_service),
+            status=status,
+            wall=wall_time.time,
+            find_trace=lambda _: None)
+
+    @property
+    def handlers_by_root(self) -> dict[str, http_server.Handler]:
+        """What answers on the administration port, by first part of the path.
+        """
+        return {
+            'v1':
+                admin_api.AdminApi(admin=self._administration,
+                                   operator_list=self._operators),
+            'metrics':
+                metrics.MetricsHandler(tally=self.tally,
+                                       latencies=self.latencies,
+                                       gauges=self._all_gauges)
+        }
+
+    def _all_gauges(self) -> dict[str, float]:
+        return {
+            'account_faults': sum(self._keeper.faults.values()),
+            **self._gauges()
+        }
+
+    async def run(self) -> None:
+        """Hands counts over until cancelled."""
+        await self._keeper.run()
+
+    async def finish(self) -> None:
+        """Hands the last counts over at a planned stop."""
+        await self._keeper.finish(_FINISH_TIMEOUT_S)
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -3,26 +3,22 @@
 import asyncio
 import contextlib
 import random
-import time as wall_time
 from typing import Any
 
-from pollenthread.adapters import (admin_api, admin_http, caller_http, clock,
+from pollenthread.adapters import (admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, settings, table_http)
-from pollenthread.app import (account_keeper, account_reader, administration,
-                              claim_keeper, cost_book, config_store, directory,
-                              gateway, peers as peers_module, pool as
-                              pool_module)
-from pollenthread.core import account, ids, messages
+from pollenthread.app import (claim_keeper, config_store, directory, gateway,
+                              peers as peers_module, pool as pool_module)
+from pollenthread.core import ids, messages
 from pollenthread.ports import link as link_port
-from pollenthread.roles import process
+from pollenthread.roles import bookkeeping, process
 
 __all__ = ['run']
 
 _DIAL_INTERVAL_S = 0.2
 _LEAVE_NOTICE_S = caller_http.ADDRESS_TTL_S + 1.0
 _IDLE_CHECK_S = 0.05
-_ACCOUNT_TIMEOUT_S = 5.0
 
 
 async def run(config: settings.EntrySettings) -> None:
@@ -45,7 +41,6 @@
                                      incarnation=process.new_incarnation(),
                                      data_centre=config.data_centre,
                                      region=config.region)
-        self._tally = account.Tally()
         self._build_services()
         self._build_borders()
 
@@ -62,24 +57,14 @@
         self._pool = pool_module.Pool()
         self._peers = peers_module.Peers()
         self._peers.subscribe(messages.Leaving, self._on_peer_leaving)
-        self._account = account_keeper.AccountKeeper(
-            table_service=table,
-            tally=self._tally,
-            host=self._config.host,
+        self._books = bookkeeping.Bookkeeping(
+            config=self._config,
             incarnation=self._hello.incarnation,
+            table_service=table,
             time=time,
-            wall=wall_time.time,
-            interval_s=self._config.account_interval_s)
-        self._administration = administration.Administration(
             store=self._targets,
-            accounts=account_reader.AccountReader(
-                table_service=table,
-                wall=wall_time.time,
-                interval_s=self._config.account_interval_s),
-            costs=cost_book.CostBook(table_service=table),
             status=self._status,
-            wall=wall_time.time,
-            find_trace=lambda _: None)
+            gauges=self._gauges)
         keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
@@ -92,8 +77,9 @@
             request_ids=ids.IdSource(host=self._config.host,
                                      incarnation=self._hello.incarnation),
             time=time,
-            tally=self._tally,
-            is_refusing=lambda: self._refusing)
+            tally=self._books.tally,
+            is_refusing=lambda: self._refusing,
+            observe=self._books.latencies.observe)
 
     def _build_borders(self) -> None:
         config = self._config
@@ -105,9 +91,9 @@
         self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
             documents_by_path={
                 '/status': self._status,
-                '/account': lambda: admin_http.account_rows(self._tally)
+                '/account': lambda: admin_http.account_rows(self._books.tally)
             },
-            handlers_by_root={'v1': self._admin_api()}),
+            handlers_by_root=self._books.handlers_by_root),
                                              host=host,
                                              port=port)
         host, port = process.split_address(config.links)
@@ -122,10 +108,14 @@
                                                    handler=self._peers,
                                                    config_version=self._version)
 
-    def _admin_api(self) -> admin_api.AdminApi:
-        return admin_api.AdminApi(
-            admin=self._administration,
-            operator_list=[o.to_operator() for o in self._config.operators])
+    def _gauges(self) -> dict[str, float]:
+        return {
+            'targets_version': self._targets.version,
+            'targets_age_s': self._targets.age_s or 0.0,
+            'upstream_links': len(self._pool.by_host),
+            'peer_links': len(self._peers.links_by_host),
+            'caller_connections': self._callers.open_connections,
+        }
 
     def _version(self) -> int:
         return self._targets.version
@@ -136,7 +126,7 @@
                       self._upstream_dialers, self._peer_dialers):
             await stack.enter_async_context(owner)
         for work in (self._targets.poll(), self._directory.poll(),
-                     self._keep_links(), self._account.run()):
+                     self._keep_links(), self._books.run()):
             stack.callback(asyncio.create_task(work).cancel)
         process.announce({
             'event': 'ready',
@@ -197,5 +187,5 @@
             while self._callers.busy or self._gateway.recordings:
                 if await self._signal.wait_now(_IDLE_CHECK_S):
                     break
-        await self._account.finish(_ACCOUNT_TIMEOUT_S)
+        await self._books.finish()
         process.announce({'event': 'stopped', 'cut': self._callers.busy})
