--- a/tests/product/steps/administration.py
+++ b/tests/product/steps/administration.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import copy
-import dataclasses
 import json
 import os
 import pathlib
@@ -12,7 +11,7 @@
 import yaml
 from behave import given, then, when
 
-from tests import scenario
+from tests import commands, scenario
 from tests.fakes import system as system_module
 
 _KEYS = {
@@ -24,17 +23,8 @@
 }
 
 
-@dataclasses.dataclass(frozen=True)
-class Done:
-    """How a command ended."""
-
-    status: int
-    output: str
-    said: str
-
-
 async def _command(context: Any, operator: str, args: list[str],
-                   entry: str) -> Done:
+                   entry: str) -> commands.Done:
     admin = context.system.by_name[entry].ready['admin']
     child = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -48,17 +38,17 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE)
     output, said = await child.communicate()
-    return Done(child.returncode or 0, output.decode(), said.decode())
+    return commands.Done(child.returncode or 0, output.decode(), said.decode())
 
 
 def run_command(context: Any,
                 operator: str,
                 *args: str,
-                entry: str = 'entry-1') -> Done:
+                entry: str = 'entry-1') -> commands.Done:
     """Runs the command line as an operator."""
     context.done = scenario.run(context,
                                 _command(context, operator, list(args), entry))
-    done: Done = context.done
+    done: commands.Done = context.done
     return done
 
 
--- a/tests/product/steps/binary.py
+++ b/tests/product/steps/binary.py
@@ -12,8 +12,7 @@
 from behave import given, then, when
 
 from bench import build_binary
-from steps import administration
-from tests import scenario
+from tests import commands, scenario
 from tests.fakes import caller as caller_module, system as system_module
 
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -37,7 +36,7 @@
     scenario.start_system(context, entries=entries, engines=1, services=1)
 
 
-async def _check(context: Any) -> administration.Done:
+async def _check(context: Any) -> commands.Done:
     child = await asyncio.create_subprocess_exec(str(context.binary),
                                                  'check',
                                                  str(_ROOT / 'examples' /
@@ -46,8 +45,7 @@
                                                  stdout=asyncio.subprocess.PIPE,
                                                  stderr=asyncio.subprocess.PIPE)
     output, said = await child.communicate()
-    return administration.Done(child.returncode or 0, output.decode(),
-                               said.decode())
+    return commands.Done(child.returncode or 0, output.decode(), said.decode())
 
 
 @when('the built file checks the examples')
