--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -10,6 +10,7 @@
 import heapq
 import json
 import re
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -116,7 +117,8 @@
         await asyncio.sleep(self.faults.get('delay_s', 0))
         headers = [('x-request-id', request_id)]
         if document.get('stream'):
-            await self._stream(response, headers, tokens)
+            await self._stream(response, headers, tokens,
+                               bool(document.get('stamp')))
         else:
             await asyncio.sleep(self.faults.get('token_s', 0) * len(tokens))
             await response.send_json(
@@ -136,8 +138,8 @@
                 }, headers)
 
     async def _stream(self, response: http_server.Response,
-                      headers: list[tuple[str,
-                                          str]], tokens: list[str]) -> None:
+                      headers: list[tuple[str, str]], tokens: list[str],
+                      stamped: bool) -> None:
         await response.send_head(
             200, [('content-type', 'text/event-stream'), *headers])
         stall_after = self.faults.get('stall_after_tokens')
@@ -150,7 +152,16 @@
                 await asyncio.sleep(3600)
             if self.faults.get('token_s'):
                 await asyncio.sleep(self.faults['token_s'])
-            event = {'choices': [{'index': 0, 'delta': {'content': token}}]}
+            event: dict[str, Any] = {
+                'choices': [{
+                    'index': 0,
+                    'delta': {
+                        'content': token
+                    }
+                }]
+            }
+            if stamped:
+                event['at_ns'] = time.monotonic_ns()
             await response.write(f'data: {json.dumps(event)}\n\n'.encode())
             self._counts['tokens'] += 1
         await response.write(b'data: [DONE]\n\n')
