Pass a part of an answer on without waking a task; one write a burst

Cause: each token woke a task at every hop, cost its own write, and each chunk of an upstream's burst became its own message. Change: links write once a turn of the loop; the HTTP client joins what came together; a part that needs no waiting goes from the link to the caller's connection at once; messages are decoded with one attribute getter. The stand-in engine gives all its streams their token in the same step.

--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -170,6 +170,9 @@
     async def data(self, data: bytes) -> None:
         await self._response.write(data)
 
+    def data_at_once(self, data: bytes) -> bool:
+        return self._response.write_at_once(data)
+
     async def end(self) -> None:
         await self._response.finish()
 
--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -157,6 +157,7 @@
         self._reader = reader
         self._writer = writer
         self._method = ''
+        self._ended = False
         self._http = h11.Connection(h11.CLIENT,
                                     max_incomplete_event_size=_MAX_HEAD_BYTES)
 
@@ -170,6 +171,7 @@
                    body: bytes) -> h11.Response:
         """Sends a request and reads the answer's head."""
         self._method = method
+        self._ended = False
         all_headers = [('host', self._address), *headers,
                        ('content-length', str(len(body)))]
         request = h11.Request(method=method.encode('ascii'),
@@ -198,13 +200,27 @@
                    for name, _ in head.headers)
 
     async def read_data(self) -> bytes | None:
-        """Reads a part of the body; None at its end."""
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            return None
-        raise ConnectionError(f'{self._address} broke off its answer')
+        """Reads what has come of the body; None at its end."""
+        parts: list[bytes] = []
+        while not self._ended:
+            event = self._next_ready()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._ended = True
+            elif parts:
+                break
+            elif event is h11.NEED_DATA:
+                self._http.receive_data(await self._reader.read(_READ_BYTES))
+            else:
+                raise ConnectionError(f'{self._address} broke off its answer')
+        return b''.join(parts) if parts else None
+
+    def _next_ready(self) -> Any:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            return error
 
     def finish(self) -> bool:
         """Readies the connection for the next exchange if it can be."""
@@ -219,13 +235,11 @@
         self._writer.close()
 
     async def _next_event(self) -> Any:
-        try:
-            while True:
-                event = self._http.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                data = await self._reader.read(_READ_BYTES)
-                self._http.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            raise ConnectionError(
-                f'{self._address} broke off its answer: {error}') from error
+        while True:
+            event = self._next_ready()
+            if isinstance(event, h11.RemoteProtocolError):
+                raise ConnectionError(
+                    f'{self._address} broke off its answer: {event}')
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._reader.read(_READ_BYTES))
--- a/pollenthread/adapters/http_connection.py
+++ b/pollenthread/adapters/http_connection.py
@@ -68,11 +68,20 @@
 
     # What a response uses.
 
+    @property
+    def is_writable(self) -> bool:
+        return self._writable is None and not self._transport.is_closing()
+
     def emit(self, *events: h11.Event) -> None:
         if self._transport.is_closing():
             raise ConnectionResetError('the caller left')
-        data = [self._http.send(event) for event in events]
-        self._transport.write(b''.join(part for part in data if part))
+        if len(events) == 1:
+            data = self._http.send(events[0])
+        else:
+            parts = [self._http.send(event) for event in events]
+            data = b''.join(part for part in parts if part)
+        if data:
+            self._transport.write(data)
 
     async def drain(self) -> None:
         if self._writable is not None:
--- a/pollenthread/adapters/http_message.py
+++ b/pollenthread/adapters/http_message.py
@@ -81,6 +81,11 @@
     closing: bool
     method: str
 
+    @property
+    @abc.abstractmethod
+    def is_writable(self) -> bool:
+        """Whether the connection is open and few bytes are unsent."""
+
     @abc.abstractmethod
     def emit(self, *events: h11.Event) -> None:
         """Writes events in one go.
@@ -142,6 +147,13 @@
         self._connection.emit(*self._data(data))
         await self._connection.drain()
 
+    def write_at_once(self, data: bytes) -> bool:
+        """Sends a part of the body unless the caller is slow or gone."""
+        if not self._connection.is_writable:
+            return False
+        self._connection.emit(*self._data(data))
+        return True
+
     async def finish(self, data: bytes = b'') -> None:
         """Sends the last part, if any, and ends the answer."""
         self._finished = True
--- a/pollenthread/adapters/link.py
+++ b/pollenthread/adapters/link.py
@@ -49,6 +49,8 @@
         self._config_version = config_version
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
         self._peer: messages.Hello | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -76,7 +78,23 @@
         if self._transport is None or self._transport.is_closing():
             raise link_port.LinkLost(self._close_reason)
         data = wire.encode(message)
-        self._transport.write(_LENGTH.pack(len(data)) + data)
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent.append(_LENGTH.pack(len(data)))
+        self._unsent.append(data)
+        self._unsent_bytes += len(data)
+        if self._unsent_bytes > _HIGH_WATER_BYTES:
+            self._flush()
+
+    def _flush(self) -> None:
+        """Writes what was sent since the loop's last turn in one go."""
+        if not self._unsent or self._transport is None:
+            return
+        data = b''.join(self._unsent)
+        self._unsent.clear()
+        self._unsent_bytes = 0
+        if not self._transport.is_closing():
+            self._transport.write(data)
 
     async def drain(self) -> None:
         await self._writable.wait()
@@ -84,6 +102,7 @@
     def close(self, reason: str) -> None:
         self._close_reason = reason
         if self._transport is not None:
+            self._flush()
             self._transport.abort()
 
     async def wait_closed(self) -> None:
--- a/pollenthread/adapters/wire.py
+++ b/pollenthread/adapters/wire.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import operator
 import pathlib
 import typing
 from collections.abc import Callable
@@ -52,7 +53,6 @@
 
 
 _CONVERSIONS: dict[Any, tuple[Any, Any]] = {
-    bytes: (None, bytes),
     tuple[str, ...]: (list, tuple),
     tuple[messages.Header, ...]: (_write_headers, _read_headers),
     errors.Kind: (_enum_value, errors.Kind),
@@ -77,6 +77,26 @@
 _CLASS_BY_TAG = {tag: cls for cls, tag in _TAG_BY_CLASS.items()}
 
 
+def _reader(cls: type[Any]) -> Callable[[Any], Any]:
+    """Makes a function that reads the body of a message."""
+    fields = _FIELDS_BY_CLASS[cls]
+    reads = [field.read for field in fields]
+    names = [field.wire_name for field in fields]
+    if len(names) > 1 and not any(reads):
+        getter = operator.attrgetter(*names)
+        return lambda body: cls(*getter(body))
+
+    def read(body: Any) -> Any:
+        values = [getattr(body, name) for name in names]
+        return cls(*(value if convert is None else convert(value)
+                     for value, convert in zip(values, reads)))
+
+    return read
+
+
+_READER_BY_TAG = {tag: _reader(cls) for tag, cls in _CLASS_BY_TAG.items()}
+
+
 def encode(message: messages.Message) -> bytes:
     """Writes one message."""
     cls = type(message)
@@ -102,14 +122,7 @@
                 data, traversal_limit_in_words=_MAX_WORDS) as frame:
             tag = str(frame.which())
             body = getattr(frame, tag)
-            cls = _CLASS_BY_TAG[tag]
-            values = [_read(body, field) for field in _FIELDS_BY_CLASS[cls]]
-            message: messages.Message = cls(*values)
+            message: messages.Message = _READER_BY_TAG[tag](body)
             return message
     except (capnp.KjException, ValueError, KeyError) as error:
         raise MalformedMessage(str(error)) from error
-
-
-def _read(body: Any, field: _Field) -> Any:
-    value = getattr(body, field.wire_name)
-    return value if field.read is None else field.read(value)
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -90,6 +90,11 @@
     async def data(self, data: bytes) -> None:
         """Takes a part; waits while the caller is slow."""
 
+    def data_at_once(self, data: bytes) -> bool:
+        """Takes a part if that needs no waiting; whether it did."""
+        del data
+        return False
+
     @abc.abstractmethod
     async def end(self) -> None:
         """Takes the end marker."""
@@ -417,6 +422,13 @@
         self.report.pace.observe(now - self.report.started_at, count)
         await self.sink.data(data)
 
+    def take_at_once(self, data: bytes, count: int) -> bool:
+        if not self.head_sent or not self.sink.data_at_once(data):
+            return False
+        now = asyncio.get_running_loop().time()
+        self.report.pace.observe(now - self.report.started_at, count)
+        return True
+
     async def take_end(self) -> None:
         await self.sink.end()
 
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -23,9 +23,20 @@
     def __init__(self) -> None:
         self._queue = collections.deque[messages.Message | None]()
         self._ready = asyncio.Event()
+        self._waiting = False
+        self.take_at_once: Callable[[messages.Chunk], bool] | None = None
 
     def put(self, message: messages.Message | None) -> None:
-        """Adds a message; None says that the link is lost."""
+        """Adds a message; None says that the link is lost.
+
+        A part of an answer that can be passed on at once does not wake the
+        task that waits.
+        """
+        if (self._waiting and not self._queue and
+                self.take_at_once is not None and
+                isinstance(message, messages.Chunk) and
+                self.take_at_once(message)):
+            return
         self._queue.append(message)
         self._ready.set()
 
@@ -34,9 +45,13 @@
 
         A last message of None says that the link is lost.
         """
-        while not self._queue:
-            self._ready.clear()
-            await self._ready.wait()
+        self._waiting = True
+        try:
+            while not self._queue:
+                self._ready.clear()
+                await self._ready.wait()
+        finally:
+            self._waiting = False
         burst = list(self._queue)
         self._queue.clear()
         return burst
--- a/pollenthread/app/relay.py
+++ b/pollenthread/app/relay.py
@@ -32,6 +32,11 @@
     async def take_data(self, data: bytes, count: int) -> None:
         """Takes a part with `count` units; waits while the caller is slow."""
 
+    def take_at_once(self, data: bytes, count: int) -> bool:
+        """Takes a part if that needs no waiting; whether it did."""
+        del data, count
+        return False
+
     @abc.abstractmethod
     async def take_end(self) -> None:
         """Takes the end marker."""
@@ -55,6 +60,7 @@
         self._offset = 0
         self._credited = 0
         self._uncredited_bytes = 0
+        self._receiver: Receiver
         self.upstream: pool_module.Upstream
 
     async def run(self, upstream: pool_module.Upstream,
@@ -62,7 +68,9 @@
                   receiver: Receiver) -> errors.Failure | None:
         """Relays until the end marker; None when the answer is whole."""
         self.upstream = upstream
+        self._receiver = receiver
         while True:
+            stream.take_at_once = self._take_at_once
             burst = await stream.get_burst()
             ending = await self._take_burst(burst, receiver)
             if ending is not None:
@@ -119,8 +127,21 @@
 
     async def _pass_on(self, data: bytes, count: int,
                        receiver: Receiver) -> None:
-        """Passes a part on, then lets the agent send more."""
+        """Passes a part on."""
         await receiver.take_data(data, count)
+        self._give_credit(data)
+
+    def _take_at_once(self, chunk: messages.Chunk) -> bool:
+        """Passes a part on without waking the task; whether that was done."""
+        if (chunk.offset != self._offset or
+                not self._receiver.take_at_once(chunk.data, chunk.count)):
+            return False
+        self._offset += chunk.count
+        self._give_credit(chunk.data)
+        return True
+
+    def _give_credit(self, data: bytes) -> None:
+        """Lets the agent send more once half of its window has left."""
         self._uncredited_bytes += len(data)
         if (self._offset - self._credited < self._window // 2 and
                 self._uncredited_bytes < _CREDIT_BYTES):
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -9,6 +9,7 @@
 import hashlib
 import heapq
 import json
+import math
 import re
 import time
 from collections.abc import AsyncIterator
@@ -86,6 +87,7 @@
         super().__init__()
         self._counts = {'begun': 0, 'finished': 0, 'cancelled': 0, 'tokens': 0}
         self._turns = _Turns()
+        self._step: asyncio.Future[None] | None = None
 
     async def answer(self, request: http_server.Request,
                      response: http_server.Response) -> None:
@@ -137,6 +139,18 @@
                     }]
                 }, headers)
 
+    async def _next_step(self) -> None:
+        """Waits for the engine's next step, the same for all streams."""
+        step_s = self.faults.get('token_s')
+        if not step_s:
+            return
+        loop = asyncio.get_running_loop()
+        if self._step is None or self._step.done():
+            at = (math.floor(loop.time() / step_s) + 1) * step_s
+            self._step = loop.create_future()
+            loop.call_at(at, self._step.set_result, None)
+        await asyncio.shield(self._step)
+
     async def _stream(self, response: http_server.Response,
                       headers: list[tuple[str, str]], tokens: list[str],
                       stamped: bool) -> None:
@@ -150,8 +164,7 @@
                 return
             if i == stall_after:
                 await asyncio.sleep(3600)
-            if self.faults.get('token_s'):
-                await asyncio.sleep(self.faults['token_s'])
+            await self._next_step()
             event: dict[str, Any] = {
                 'choices': [{
                     'index': 0,
