--- a/bench/path.py
+++ b/bench/path.py
@@ -8,13 +8,12 @@
 import argparse
 import asyncio
 import dataclasses
-import pathlib
 import random
 import sys
 import time
 from typing import Any
 
-from bench import common, stream_client
+from bench import common, processes, stream_client
 from tests.fakes import caller, system as system_module
 
 __all__: list[str] = []
@@ -27,6 +26,7 @@
 _PAIR_TOKENS = 20
 _PAIR_TOKEN_S = 0.005
 _SHORT_REQUESTS = 300
+_IDLE_S = 3.0
 _ENTRY_SHARE_BOUND = 0.1
 _FIRST_TOKEN_BOUND_MS = 1800.0
 _GAP_BOUND_MS = 70.0
@@ -44,13 +44,9 @@
 _FULL = _Plan(pairs=200, load_s=40.0)
 
 
-def _cpu_us(processes: list[system_module.Process]) -> float:
+def _cpu_us(found: list[system_module.Process]) -> float:
     """Processor time of processes so far, in microseconds."""
-    total_ns = 0
-    for process in processes:
-        text = pathlib.Path(f'/proc/{process.pid}/schedstat').read_text('ascii')
-        total_ns += int(text.split()[0])
-    return total_ns / 1000
+    return sum(processes.cpu_us(process.pid) for process in found)
 
 
 def _document(tokens: int, nonce: int, stamped: bool = True) -> dict[str, Any]:
@@ -91,15 +87,30 @@
             await self._system.fault(process.name, token_s=token_s)
 
     async def short_requests(self) -> dict[str, float]:
-        """Processor time of a request with a single token, by role."""
+        """Processor time of a request with a single token, by role.
+
+        What the roles use without requests is taken off.
+        """
         await self._set_token_s(0)
+        idle_by_role = await self._idle_us_per_s()
         before = self._cpu()
+        started = time.monotonic()
         for number in range(_SHORT_REQUESTS):
             request = stream_client.request_bytes(_document(1, number, False))
             stream = await stream_client.Stream.run(self._entry, request)
             assert stream.whole
+        elapsed_s = time.monotonic() - started
+        return {
+            role: (after - before[role] - idle_by_role[role] * elapsed_s) /
+                  _SHORT_REQUESTS for role, after in self._cpu().items()
+        }
+
+    async def _idle_us_per_s(self) -> dict[str, float]:
+        """Processor time that the roles use without requests."""
+        before = self._cpu()
+        await asyncio.sleep(_IDLE_S)
         return {
-            role: (after - before[role]) / _SHORT_REQUESTS
+            role: (after - before[role]) / _IDLE_S
             for role, after in self._cpu().items()
         }
 
