--- a/bench/idle.py
+++ b/bench/idle.py
@@ -46,14 +46,11 @@
 
 def _growth_row(name: str, before: dict[str, float], after: dict[str, float],
                 count: int) -> dict[str, Any]:
-    return {
-        'name': name,
-        'count': count,
-        **{
-            f'{role}_mib_per_thousand':
-                round((after[role] - before[role]) / 1024 / count * 1000, 2) for role in before
-        }
-    }
+    row: dict[str, Any] = {'name': name, 'count': count}
+    for role, kib in before.items():
+        grown_mib = (after[role] - kib) / 1024
+        row[f'{role}_mib_per_thousand'] = round(grown_mib / count * 1000, 2)
+    return row
 
 
 async def _streams_row(system: system_module.System,
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -9,11 +9,12 @@
 
 from pollenthread.adapters import yaml_document
 from pollenthread.app import explanation, targets_document
+from pollenthread.core import operators, signing
 
 __all__ = [
     'AgentSettings', 'EntrySettings', 'LinkSecurity', 'OperatorSettings',
-    'PlatformSettings', 'TraceSettings', 'UpstreamSettings', 'check_file',
-    'load_process', 'load_targets'
+    'OrderKeySettings', 'PlatformSettings', 'TraceSettings', 'UpstreamSettings',
+    'check_file', 'load_process', 'load_targets'
 ]
 
 _MAX_PORT = 65_535
@@ -41,6 +42,13 @@
     host_list: _Address
 
 
+class OrderKeySettings(targets_document.Strict):
+    """A key that signs orders; the first of a list signs, all are valid."""
+
+    id: targets_document.Name
+    secret: Annotated[str, pydantic.Field(min_length=16)]
+
+
 class OperatorSettings(targets_document.Strict):
     """Somebody who may use the administration port.
 
@@ -57,6 +65,15 @@
                           pydantic.Field(union_mode='left_to_right')]
     may: Literal['read', 'change'] = 'read'
 
+    def to_operator(self) -> operators.Operator:
+        """Makes the inner form."""
+        sees_all = self.workspaces == '*'
+        return operators.Operator(
+            name=self.name,
+            key_sha256=self.key_sha256,
+            workspaces=None if sees_all else frozenset(self.workspaces),
+            may_change=self.may == 'change')
+
 
 class LinkSecurity(targets_document.Strict):
     """Files with which links prove who they are.
@@ -93,6 +110,8 @@
     links: _Address
     admin: _Address
     platform: PlatformSettings
+    order_keys: list[OrderKeySettings] = []
+
     operators: list[OperatorSettings] = []
     link_security: LinkSecurity | None = None
 
@@ -112,10 +131,18 @@
     @pydantic.field_validator('operators')
     @classmethod
     def _operators_differ(
-            cls, operators: list[OperatorSettings]) -> list[OperatorSettings]:
-        targets_document.unique([operator.name for operator in operators])
-        targets_document.unique([o.key_sha256 for o in operators])
-        return operators
+            cls, found: list[OperatorSettings]) -> list[OperatorSettings]:
+        targets_document.unique([operator.name for operator in found])
+        targets_document.unique([operator.key_sha256 for operator in found])
+        return found
+
+    @property
+    def key_ring(self) -> signing.KeyRing:
+        """The keys that sign orders and check them."""
+        return signing.KeyRing(
+            tuple(
+                signing.Key(key.id, key.secret.encode())
+                for key in self.order_keys))
 
 
 class EntrySettings(_ProcessSettings):
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -112,7 +112,7 @@
         self._draw = draw
         self._recordings: set[asyncio.Task[None]] = set()
         self._kept_by_attempt: dict[str, relay_module.KeptAnswer] = {}
-        pool.on_unconfirmed = self._adopt
+        pool.subscribe(messages.Unconfirmed, self._adopt)
 
     @property
     def recordings(self) -> int:
@@ -349,9 +349,12 @@
             pause_s = min(pause_s * 2, _RECORD_PAUSE_MAX_S)
         relay.confirm()
 
-    def _adopt(self, upstream: pool_module.Upstream,
+    def _adopt(self, link: link_port.Link,
                message: messages.Unconfirmed) -> None:
         """Records an outcome whose entry host did not."""
+        upstream = self._pool.by_host.get(link.peer.host)
+        if upstream is None:
+            return
         if message.attempt not in self._kept_by_attempt:
             self._start(self._record_unconfirmed(upstream, message))
 
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 from collections.abc import Callable
+from typing import Any
 
 from absl import logging
 
@@ -14,6 +15,7 @@
 
 _SEAL_TIMEOUT_S = 2.0
 
+_OnMessage = Callable[[link_port.Link, Any], None]
 _SealAnswer = asyncio.Future[messages.SealState | None]
 
 
@@ -128,17 +130,21 @@
 
     def __init__(self) -> None:
         self.by_host: dict[str, Upstream] = {}
+        self.draining: frozenset[str] = frozenset()
         self.misrouted_count = 0
         self._changed = asyncio.Event()
-        self.on_unconfirmed: Callable[[Upstream, messages.Unconfirmed],
-                                      None] | None = None
+        self._handlers_by_type: dict[type[Any], _OnMessage] = {}
+
+    def subscribe(self, message_type: type[Any], handler: _OnMessage) -> None:
+        """Sets who handles messages of a type that the pool does not."""
+        self._handlers_by_type[message_type] = handler
 
     def candidates(self, kind: str, name: str) -> list[Upstream]:
         """Upstreams that can take new work for a model or service."""
         return [
             upstream for upstream in self.by_host.values()
             if upstream.serves(kind, name) and not upstream.leaving and
-            upstream.link.is_open
+            upstream.hello.host not in self.draining and upstream.link.is_open
         ]
 
     def knows(self, kind: str, name: str) -> bool:
@@ -195,9 +201,6 @@
                         message.attempt, []):
                     if not answer.done():
                         answer.set_result(message.state)
-            case messages.Unconfirmed():
-                if self.on_unconfirmed is not None:
-                    self.on_unconfirmed(upstream, message)
             case messages.Load():
                 upstream.load = message
                 upstream.sent_since = 0
@@ -205,7 +208,9 @@
                 upstream.leaving = True
                 logging.info('upstream leaving host=%s', link.peer.host)
             case _:
-                pass
+                handler = self._handlers_by_type.get(type(message))
+                if handler is not None:
+                    handler(link, message)
 
     def misrouted(self, upstream: Upstream, detail: str) -> errors.Failure:
         """Counts an answer out of order and distrusts its link."""
