--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -32,6 +32,7 @@
         self.by_name: dict[str, host_list.Host] = {}
         self._members: list[membership.Member] = []
         self._chosen: frozenset[str] = frozenset()
+        self._dialed: frozenset[str] = frozenset()
         self._upstreams: frozenset[str] = frozenset()
         self._view = membership.View({}, False)
         self._extra_until_by_host: dict[str, float] = {}
@@ -115,8 +116,8 @@
         """
         return {
             host: self.by_name[host].address
-            for host in self._chosen
-            if host in self.by_name and not self._dials_us(host)
+            for host in self._dialed
+            if host in self.by_name
         }
 
     def _dials_us(self, host: str) -> bool:
@@ -165,6 +166,8 @@
                         for host in self.by_name.values()
                         if host.role == 'upstream'))
         self._chosen = membership.linked_peers(self._own, self._members)
+        self._dialed = frozenset(
+            host for host in self._chosen if not self._dials_us(host))
 
     def judge(self) -> None:
         """Judges the entry hosts anew and tells others of dead ones."""
