--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -13,8 +13,10 @@
 
 __all__ = ['Directory']
 
-_POLL_INTERVAL_S = 0.5
+_JUDGE_INTERVAL_S = 0.5
+_JUDGEMENTS_PER_POLL = 2
 _EXTRA_LINK_S = 30.0
+_RESTART_SETTLE_S = 3.0
 
 
 class Directory:
@@ -30,6 +32,7 @@
         self.by_name: dict[str, host_list.Host] = {}
         self._members: list[membership.Member] = []
         self._chosen: frozenset[str] = frozenset()
+        self._dialed: frozenset[str] = frozenset()
         self._upstreams: frozenset[str] = frozenset()
         self._view = membership.View({}, False)
         self._extra_until_by_host: dict[str, float] = {}
@@ -64,15 +67,21 @@
     def entries(self) -> list[addresses.EntryHost]:
         """Entry hosts that callers may use."""
         usable = set(self._view.usable())
+        settled = {host for host in usable if not self._may_have_moved(host)}
         return [
             addresses.EntryHost(host=host.name, address=host.callers)
             for host in self.by_name.values()
-            if host.name in usable and host.name not in self.draining
+            if host.name in (settled or usable)
         ]
 
+    def _may_have_moved(self, host: str) -> bool:
+        """Whether the list may still show where an earlier start listened."""
+        restarted_s = self._heartbeats.restarted_s(host)
+        return restarted_s is not None and restarted_s < _RESTART_SETTLE_S
+
     def live_entries(self) -> list[str]:
         """Names of entry hosts that may take duties."""
-        return [host.host for host in self.entries()]
+        return sorted(set(self._view.usable()) & self.by_name.keys())
 
     def upstreams(self) -> dict[str, str]:
         """Link addresses of the upstream hosts to keep links to, by name."""
@@ -107,8 +116,8 @@
         """
         return {
             host: self.by_name[host].address
-            for host in self._chosen
-            if host in self.by_name and not self._dials_us(host)
+            for host in self._dialed
+            if host in self.by_name
         }
 
     def _dials_us(self, host: str) -> bool:
@@ -157,6 +166,8 @@
                         for host in self.by_name.values()
                         if host.role == 'upstream'))
         self._chosen = membership.linked_peers(self._own, self._members)
+        self._dialed = frozenset(
+            host for host in self._chosen if not self._dials_us(host))
 
     def judge(self) -> None:
         """Judges the entry hosts anew and tells others of dead ones."""
@@ -184,8 +195,9 @@
         """Follows the list until cancelled."""
         while True:
             await self.refresh()
-            self.judge()
-            await asyncio.sleep(_POLL_INTERVAL_S)
+            for _ in range(_JUDGEMENTS_PER_POLL):
+                self.judge()
+                await asyncio.sleep(_JUDGE_INTERVAL_S)
 
 
 def _dead(view: membership.View) -> Iterable[str]:
