--- a/pollenthread/adapters/link.py
+++ b/pollenthread/adapters/link.py
@@ -58,6 +58,7 @@
         self._close_reason = 'the connection was closed'
         self._heard_at = 0.0
         self._ping_seq = 0
+        self._ping_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -193,11 +194,16 @@
     def _schedule_ping(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_later(
-            self._times.ping_interval_s, self._ping)
+        loop = asyncio.get_running_loop()
+        self._ping_at = loop.time() + self._times.ping_interval_s
+        self._timer = loop.call_at(self._ping_at, self._ping)
 
     def _ping(self) -> None:
-        silent_s = asyncio.get_running_loop().time() - self._heard_at
+        now = asyncio.get_running_loop().time()
+        if now - self._ping_at > self._times.ping_interval_s:
+            # This process was paused: the silence is its own.
+            self._heard_at = now
+        silent_s = now - self._heard_at
         if silent_s > self._times.silence_limit_s:
             self.close(f'silent for {silent_s:.1f} s')
             return
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -62,13 +62,6 @@
 
 struct Leaving { host @0 :Text; }
 
-struct Unconfirmed {
-  attempt @0 :Text;
-  workspace @1 :Text;
-  key @2 :Text;
-  stream @3 :Bool;
-}
-
 struct ConfigNews { version @0 :UInt64; }
 struct ConfigAsk { seq @0 :UInt64; version @1 :UInt64; }
 
@@ -112,6 +105,13 @@
   detail @3 :Text;
 }
 
+struct Unconfirmed {
+  attempt @0 :Text;
+  workspace @1 :Text;
+  key @2 :Text;
+  stream @3 :Bool;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -7,9 +7,9 @@
 
 __all__ = [
     'Begin', 'Cancel', 'Chunk', 'ConfigAsk', 'ConfigGive', 'ConfigNews',
-    'Confirm', 'Credit', 'End', 'Fail', 'Head', 'Header', 'Hello', 'Leaving',
-    'Load', 'Message', 'DutyNews', 'HostNews', 'OrderReply', 'OrderSend',
-    'Ping', 'Pong', 'Resume', 'Seal', 'SealState', 'Sealed', 'Unconfirmed'
+    'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Head', 'Header', 'Hello',
+    'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply', 'OrderSend', 'Ping',
+    'Pong', 'Resume', 'Seal', 'SealState', 'Sealed', 'Unconfirmed'
 ]
 
 Header = tuple[str, str]
