--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -86,10 +86,10 @@
     def __init__(self) -> None:
         super().__init__()
         self._counts = {'begun': 0, 'finished': 0, 'cancelled': 0, 'tokens': 0}
-        self._turns = _Turns()
-        self._step: asyncio.Future[None] | None = None
         self._effects: list[dict[str, Any]] = []
         self._highest_by_duty: dict[str, int] = {}
+        self._turns = _Turns()
+        self._step: asyncio.Future[None] | None = None
 
     async def answer(self, request: http_server.Request,
                      response: http_server.Response) -> None:
