--- a/tests/fakes/operator.py
+++ b/tests/fakes/operator.py
@@ -18,7 +18,7 @@
 _ENGINE_HOST = 'agent-engine-1'
 _RETRY_S = 0.2
 
-_Published = result.Result[int, config_store.Conflict | table.TableFault]
+_PUBLISHED = result.Result[int, config_store.Conflict | table.TableFault]
 
 
 def changed_targets(retries: int) -> dict[str, Any]:
@@ -37,7 +37,7 @@
         self.store = config_store.ConfigStore(table_service=system.table,
                                               time=clock.SystemClock())
 
-    async def publish(self, base: int, retries: int, author: str) -> _Published:
+    async def publish(self, base: int, retries: int, author: str) -> _PUBLISHED:
         """Publishes a changed document over a version."""
         return await self.store.publish(changed_targets(retries),
                                         author=author,
