--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -9,12 +9,12 @@
 
 from pollenthread.adapters import yaml_document
 from pollenthread.app import explanation, targets_document
-from pollenthread.core import operators
+from pollenthread.core import operators, signing
 
 __all__ = [
     'AgentSettings', 'EntrySettings', 'LinkSecurity', 'OperatorSettings',
-    'PlatformSettings', 'TraceSettings', 'UpstreamSettings', 'check_file',
-    'load_process', 'load_targets'
+    'OrderKeySettings', 'PlatformSettings', 'TraceSettings', 'UpstreamSettings',
+    'check_file', 'load_process', 'load_targets'
 ]
 
 _MAX_PORT = 65_535
@@ -42,6 +42,13 @@
     host_list: _Address
 
 
+class OrderKeySettings(targets_document.Strict):
+    """A key that signs orders; the first of a list signs, all are valid."""
+
+    id: targets_document.Name
+    secret: Annotated[str, pydantic.Field(min_length=16)]
+
+
 class OperatorSettings(targets_document.Strict):
     """Somebody who may use the administration port.
 
@@ -103,6 +110,8 @@
     links: _Address
     admin: _Address
     platform: PlatformSettings
+    order_keys: list[OrderKeySettings] = []
+
     operators: list[OperatorSettings] = []
     link_security: LinkSecurity | None = None
 
@@ -127,6 +136,14 @@
         targets_document.unique([operator.key_sha256 for operator in found])
         return found
 
+    @property
+    def key_ring(self) -> signing.KeyRing:
+        """The keys that sign orders and check them."""
+        return signing.KeyRing(
+            tuple(
+                signing.Key(key.id, key.secret.encode())
+                for key in self.order_keys))
+
 
 class EntrySettings(_ProcessSettings):
     """Settings of an entry host."""
