--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -16,16 +16,20 @@
 import pathlib
 import random
 import statistics
+import subprocess
+import sys
+import tempfile
 import time
 import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
 from bench import common
-from pollenthread.adapters import link as link_module, wire
+from pollenthread.adapters import link as link_module, link_tls, wire
 from pollenthread.app import account_rows, targets_document
 from pollenthread.core import account, ledger, messages
 from pollenthread.ports import host_list, link as link_port
+from tests.fakes import certificates
 
 __all__: list[str] = []
 
@@ -68,8 +72,18 @@
     return _row(name, unit, [value])
 
 
+_PRINT_RESIDENT = """
+import pathlib, pollenthread.roles.entry
+print(pathlib.Path('/proc/self/status').read_text('ascii'))
+"""
+
+
 def _resident_mb() -> float:
-    status = pathlib.Path('/proc/self/status').read_text('ascii')
+    """Resident size of a process that has imported an entry host."""
+    status = subprocess.run([sys.executable, '-c', _PRINT_RESIDENT],
+                            capture_output=True,
+                            text=True,
+                            check=True).stdout
     for line in status.splitlines():
         if line.startswith('VmRSS:'):
             return int(line.split()[1]) / 1024
@@ -159,11 +173,16 @@
                           region='region-1')
 
 
-async def _link_us(count: int) -> float:
+async def _link_us(count: int, tls_by_host: dict[str,
+                                                 link_tls.LinkTls]) -> float:
     """CPU of both ends for one message that travels alone."""
     near, far = _Counting(), _Counting()
-    server = link_module.LinkServer(hello=_hello('far'), handler=far)
-    dialers = link_module.DialerSet(hello=_hello('near'), handler=near)
+    server = link_module.LinkServer(hello=_hello('far'),
+                                    handler=far,
+                                    tls=tls_by_host.get('far'))
+    dialers = link_module.DialerSet(hello=_hello('near'),
+                                    handler=near,
+                                    tls=tls_by_host.get('near'))
     async with server, dialers:
         await dialers.keep({'far': server.address})
         async with asyncio.timeout(10):
@@ -178,8 +197,30 @@
 
 
 def _link_rows(work: _Work) -> list[dict[str, Any]]:
-    values = [asyncio.run(_link_us(work.messages)) for _ in range(_ROUNDS)]
-    return [_row('link_message_us', 'us', values)]
+    with tempfile.TemporaryDirectory() as folder:
+        tls_by_host = _certificates(pathlib.Path(folder))
+        plain, encrypted = [], []
+        for _ in range(_ROUNDS):
+            plain.append(asyncio.run(_link_us(work.messages, {})))
+            encrypted.append(asyncio.run(_link_us(work.messages, tls_by_host)))
+    ratios = [b / a for a, b in zip(plain, encrypted)]
+    return [
+        _row('link_message_us', 'us', plain),
+        _row('link_message_tls_us', 'us', encrypted),
+        _row('link_tls_ratio', '', ratios)
+    ]
+
+
+def _certificates(folder: pathlib.Path) -> dict[str, link_tls.LinkTls]:
+    authority = certificates.Authority(folder=folder, name='authority')
+    found = {}
+    for host in ('near', 'far'):
+        paths = authority.issue(host)
+        found[host] = link_tls.LinkTls(files=link_tls.LinkFiles(
+            certificate=pathlib.Path(paths['certificate_file']),
+            key=pathlib.Path(paths['key_file']),
+            authority=pathlib.Path(paths['authority_file'])))
+    return found
 
 
 def _targets(workspaces: int, draw: random.Random) -> dict[str, Any]:
--- a/pollenthread/adapters/link.py
+++ b/pollenthread/adapters/link.py
@@ -14,7 +14,7 @@
 
 from absl import logging
 
-from pollenthread.adapters import wire
+from pollenthread.adapters import link_tls, wire
 from pollenthread.core import messages
 from pollenthread.ports import link as link_port
 
@@ -156,12 +156,23 @@
         if self._peer is not None:
             self.close('the peer greeted twice')
             return
+        if not self._is_proved(hello.host):
+            self.close(f'the certificate does not name {hello.host}')
+            return
         self._peer = hello
         if self._accepted:
             self.send(self._hello)
         self._schedule_ping()
         self._handler.on_open(self)
 
+    def _is_proved(self, host: str) -> bool:
+        """Whether the peer is who it says, as far as the link can tell."""
+        assert self._transport is not None
+        if self._transport.get_extra_info('ssl_object') is None:
+            return True
+        certificate = self._transport.get_extra_info('peercert')
+        return link_tls.names_host(certificate, host)
+
     def _check_hello(self) -> None:
         if self._peer is None:
             self.close('the peer did not greet in time')
@@ -197,13 +208,15 @@
                  host: str = '127.0.0.1',
                  port: int = 0,
                  times: LinkTimes = LinkTimes(),
-                 config_version: Callable[[], int] = _no_version) -> None:
+                 config_version: Callable[[], int] = _no_version,
+                 tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
         self._handler = handler
         self._host = host
         self._port = port
         self._times = times
         self._config_version = config_version
+        self._tls = tls
         self._sessions = 0
         self._server: asyncio.Server | None = None
         self._links: list[TcpLink] = []
@@ -217,8 +230,11 @@
 
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, self._host,
-                                                self._port)
+        self._server = await loop.create_server(
+            self._accept,
+            self._host,
+            self._port,
+            ssl=None if self._tls is None else self._tls.server)
         return self
 
     async def __aexit__(self, kind: type[BaseException] | None,
@@ -250,11 +266,13 @@
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
                  times: LinkTimes = LinkTimes(),
-                 config_version: Callable[[], int] = _no_version) -> None:
+                 config_version: Callable[[], int] = _no_version,
+                 tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
         self._handler = handler
         self._times = times
         self._config_version = config_version
+        self._tls = tls
         self._by_host: dict[str, Dialer] = {}
 
     async def __aenter__(self) -> Self:
@@ -280,7 +298,8 @@
                         hello=self._hello,
                         handler=self._handler,
                         times=self._times,
-                        config_version=self._config_version)
+                        config_version=self._config_version,
+                        tls=self._tls)
         dialer.start()
         return dialer
 
@@ -294,12 +313,14 @@
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
                  times: LinkTimes = LinkTimes(),
-                 config_version: Callable[[], int] = _no_version) -> None:
+                 config_version: Callable[[], int] = _no_version,
+                 tls: link_tls.LinkTls | None = None) -> None:
         self._address = address
         self._hello = hello
         self._handler = handler
         self._times = times
         self._config_version = config_version
+        self._tls = tls
         self._task: asyncio.Task[None] | None = None
         self._link: TcpLink | None = None
 
@@ -341,6 +362,8 @@
                             handler=self._handler,
                             accepted=False,
                             times=self._times,
-                            config_version=self._config_version), host,
-            int(port))
+                            config_version=self._config_version),
+            host,
+            int(port),
+            ssl=None if self._tls is None else self._tls.client)
         return link
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -3,11 +3,12 @@
 import difflib
 import ipaddress
 import pathlib
+import ssl
 from typing import Annotated, Literal
 
 import pydantic
 
-from pollenthread.adapters import yaml_document
+from pollenthread.adapters import link_tls, yaml_document
 from pollenthread.app import explanation, targets_document
 from pollenthread.core import operators, signing
 
@@ -88,6 +89,22 @@
     key_file: str
     authority_file: str
 
+    def to_tls(self) -> link_tls.LinkTls:
+        """Reads the files.
+
+        Raises:
+            InvalidDocument: they cannot be used.
+        """
+        files = link_tls.LinkFiles(certificate=pathlib.Path(
+            self.certificate_file),
+                                   key=pathlib.Path(self.key_file),
+                                   authority=pathlib.Path(self.authority_file))
+        try:
+            return link_tls.LinkTls(files=files)
+        except (OSError, ssl.SSLError) as error:
+            raise targets_document.InvalidDocument(
+                f'link_security: the files cannot be used: {error}') from error
+
 
 class TraceSettings(targets_document.Strict):
     """Where spans go.
@@ -115,6 +132,15 @@
     operators: list[OperatorSettings] = []
     link_security: LinkSecurity | None = None
 
+    def link_tls(self) -> link_tls.LinkTls | None:
+        """What links prove themselves with; None when they do not.
+
+        Raises:
+            InvalidDocument: the files cannot be used.
+        """
+        security = self.link_security
+        return None if security is None else security.to_tls()
+
     @pydantic.model_validator(mode='after')
     def _addresses_differ(self) -> '_ProcessSettings':
         key_by_address: dict[str, str] = {}
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -53,10 +53,12 @@
             client=self._client, address=config.upstream.address),
                                       on_order=self._orders.on_order)
         host, port = process.split_address(config.links)
+        self._tls = config.link_tls()
         self._links = link_module.LinkServer(hello=self._hello,
                                              handler=self._gate,
                                              host=host,
-                                             port=port)
+                                             port=port,
+                                             tls=self._tls)
         host, port = process.split_address(config.admin)
         self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
             documents_by_path={'/status': self._status}),
@@ -68,6 +70,8 @@
         for owner in (self._client, self._links, self._admin):
             await stack.enter_async_context(owner)
         stack.callback(asyncio.create_task(self._report()).cancel)
+        if self._tls is not None:
+            stack.callback(asyncio.create_task(self._tls.follow()).cancel)
         process.announce({
             'event': 'ready',
             'role': 'agent',
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -43,6 +43,7 @@
                                      incarnation=process.new_incarnation(),
                                      data_centre=config.data_centre,
                                      region=config.region)
+        self._tls = config.link_tls()
         self._build_services()
         self._build_borders()
 
@@ -137,12 +138,17 @@
                                              handler=self._peers,
                                              host=host,
                                              port=port,
-                                             config_version=self._version)
+                                             config_version=self._version,
+                                             tls=self._tls)
         self._upstream_dialers = link_module.DialerSet(
-            hello=self._hello, handler=self._pool, config_version=self._version)
+            hello=self._hello,
+            handler=self._pool,
+            config_version=self._version,
+            tls=self._tls)
         self._peer_dialers = link_module.DialerSet(hello=self._hello,
                                                    handler=self._peers,
-                                                   config_version=self._version)
+                                                   config_version=self._version,
+                                                   tls=self._tls)
 
     def _gauges(self) -> dict[str, float]:
         return {
@@ -165,6 +171,8 @@
                      self._keep_links(), self._leases.run(), self._desk.run(),
                      self._books.run()):
             stack.callback(asyncio.create_task(work).cancel)
+        if self._tls is not None:
+            stack.callback(asyncio.create_task(self._tls.follow()).cancel)
         process.announce({
             'event': 'ready',
             'role': 'entry',
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -15,7 +15,7 @@
 import sys
 import tempfile
 import types
-from collections.abc import Awaitable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, Self
 
 import yaml
@@ -157,18 +157,21 @@
 class System:
     """Owns the processes of one system."""
 
-    def __init__(self,
-                 *,
-                 entries: int = 2,
-                 engines: int = 4,
-                 services: int = 1,
-                 targets: Mapping[str, Any] | None = None) -> None:
+    def __init__(
+            self,
+            *,
+            entries: int = 2,
+            engines: int = 4,
+            services: int = 1,
+            targets: Mapping[str, Any] | None = None,
+            security: Callable[[str], dict[str, str]] | None = None) -> None:
         self._counts = {
             'entry': entries,
             'engine': engines,
             'service': services
         }
         self._targets = dict(targets or TARGETS)
+        self._security = security
         self._stack = contextlib.AsyncExitStack()
         self.by_name: dict[str, Process] = {}
         self.client = http_client.HttpClient()
@@ -366,6 +369,8 @@
 
     async def _start_role(self, role: str, host: str,
                           settings: dict[str, Any]) -> Process:
+        if self._security is not None:
+            settings['link_security'] = self._security(host)
         path = self.folder / f'{host}.yaml'
         path.write_text(yaml.safe_dump(settings), 'utf-8')
         process = await Process.start(
