--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -7,9 +7,9 @@
 
 __all__ = [
     'Begin', 'Cancel', 'Chunk', 'ConfigAsk', 'ConfigGive', 'ConfigNews',
-    'Confirm', 'Credit', 'End', 'Fail', 'Head', 'Header', 'Hello', 'Leaving',
-    'Load', 'Message', 'DutyNews', 'HostNews', 'OrderReply', 'OrderSend',
-    'Ping', 'Pong', 'Resume', 'Seal', 'SealState', 'Sealed'
+    'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Head', 'Header', 'Hello',
+    'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply', 'OrderSend', 'Ping',
+    'Pong', 'Resume', 'Seal', 'SealState', 'Sealed', 'Unconfirmed'
 ]
 
 Header = tuple[str, str]
@@ -202,6 +202,23 @@
     attempt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unconfirmed:
+    """A finished attempt whose outcome no entry host has confirmed.
+
+    Attributes:
+        attempt: the attempt's id.
+        workspace: the workspace's name.
+        key: the idempotency key.
+        stream: whether the answer is a stream of events.
+    """
+
+    attempt: str
+    workspace: str
+    key: str
+    stream: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """An agent's report.
@@ -328,4 +345,4 @@
 Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
            Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving |
            ConfigNews | ConfigAsk | ConfigGive | HostNews | DutyNews |
-           OrderSend | OrderReply)
+           OrderSend | OrderReply | Unconfirmed)
--- a/tests/product/account.feature
+++ b/tests/product/account.feature
@@ -29,6 +29,12 @@
     Then the account shows 3 requests lost with their host
     And the account shows a gap because "the host was lost"
 
+  Scenario: Requests that a stop cuts are unknown outcomes
+    Given an entry host's account
+    When 2 requests are accepted and the entry host stops now
+    Then the account shows 2 requests lost with their host
+    And the account shows no gap
+
   Scenario: A missing row is a gap and not zero
     Given an entry host's account
     When 50 requests end in random ways over 5 intervals with seed 10
