Traces with a span for each hop, exported from the process's own loop

The agent says how long a sampled attempt queued and ran; the entry host makes all spans, so no clocks are compared and the agent needs no exporter. The SDK's batch processor would use a thread: spans are queued here, encoded by the library and sent by the process's own client; what is not taken is dropped and counted.

--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -8,9 +8,10 @@
 from urllib import parse
 
 from pollenthread.adapters import http_server
-from pollenthread.app import config_store, directory, gateway
+from pollenthread.app import (config_store, directory, gateway, tracer as
+                              tracer_module)
 from pollenthread.core import (account, addresses, errors, ids, messages, pace,
-                               targets)
+                               spans, targets)
 from pollenthread.ports import clock
 
 __all__ = ['ADDRESS_TTL_S', 'CallerHandler']
@@ -56,7 +57,8 @@
                  config: config_store.ConfigStore, hosts: directory.Directory,
                  request_ids: ids.IdSource, time: clock.Clock,
                  tally: account.Tally, is_refusing: Callable[[], bool],
-                 observe: Callable[[pace.Pace, float], None]) -> None:
+                 observe: Callable[[pace.Pace, float],
+                                   None], tracer: tracer_module.Tracer) -> None:
         self._gateway = gate
         self._config = config
         self._hosts = hosts
@@ -65,6 +67,7 @@
         self._tally = tally
         self._is_refusing = is_refusing
         self._observe = observe
+        self._tracer = tracer
         self.open_requests: set[str] = set()
 
     async def handle(self, request: http_server.Request,
@@ -126,6 +129,9 @@
         self.open_requests.add(call.request_id)
         sink = _ResponseSink(response=response, request_id=call.request_id)
         report = gateway.Report(started_at=started_at)
+        trace = self._tracer.start(call.headers)
+        if trace is not None:
+            call = _traced(call, trace)
         try:
             await self._gateway.serve(call, sink, report)
         except BaseException:
@@ -141,11 +147,30 @@
                             attempts=report.attempts,
                             repeat=report.repeat,
                             retries_allowed=call.work_class.retries)
+            if trace is not None:
+                self._finish_trace(trace, call, report)
         if report.failure is None:
             self._observe(report.pace, self._time.monotonic() - started_at)
         else:
             await sink.fail(report.failure, report.attempts)
 
+    def _finish_trace(self, trace: spans.Context, call: gateway.Call,
+                      report: gateway.Report) -> None:
+        failure = report.failure
+        self._tracer.finish(
+            trace, call.request_id, report.started_at, self._time.monotonic(),
+            report.hops, {
+                'workspace': call.workspace,
+                'class': call.work_class.name,
+                'result': 'whole' if failure is None else failure.kind.value
+            })
+
+
+def _traced(call: gateway.Call, trace: spans.Context) -> gateway.Call:
+    headers = tuple(
+        header for header in call.headers if header[0] != spans.TRACEPARENT)
+    return dataclasses.replace(call, headers=(*headers, trace.header))
+
 
 class _ResponseSink(gateway.Sink):
     """Writes an answer to the caller."""
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -112,6 +112,12 @@
   stream @3 :Bool;
 }
 
+struct Served {
+  attempt @0 :Text;
+  queuedUs @1 :UInt64;
+  upstreamUs @2 :UInt64;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -138,5 +144,6 @@
     ordersend @21 :OrderSend;
     orderreply @22 :OrderReply;
     unconfirmed @23 :Unconfirmed;
+    served @24 :Served;
   }
 }
--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -4,9 +4,12 @@
 import dataclasses
 from collections.abc import Callable
 
-from pollenthread.core import errors, events, gate_rules, messages, targets
+from pollenthread.core import (errors, events, gate_rules, messages, targets,
+                               spans)
 from pollenthread.ports import engine, link as link_port
 
+_US_PER_S = 1_000_000
+
 __all__ = ['Attempt', 'AttemptLimits']
 
 _ID_HEADER = 'x-request-id'
@@ -58,8 +61,9 @@
         self._credit = asyncio.Event()
         self._last: messages.End | messages.Fail | None = None
         self._grace: asyncio.TimerHandle | None = None
-        self._deadline = (asyncio.get_running_loop().time() +
-                          begin.deadline_ms / 1000)
+        self._came_at = asyncio.get_running_loop().time()
+        self._began_at: float | None = None
+        self._deadline = self._came_at + begin.deadline_ms / 1000
 
     @property
     def deadline(self) -> float:
@@ -91,6 +95,7 @@
 
     async def run(self, upstream: engine.Upstream) -> None:
         """Calls the upstream and passes its answer on."""
+        self._began_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout_at(self._deadline):
                 async with upstream.call(_request(self.begin)) as exchange:
@@ -172,9 +177,19 @@
 
     def _finish(self, last: messages.End | messages.Fail) -> None:
         self.finished = True
+        if spans.is_sampled(self.begin.headers):
+            self._emit(self._served())
         self._last = last
         self._emit(last)
 
+    def _served(self) -> messages.Served:
+        now = asyncio.get_running_loop().time()
+        began_at = now if self._began_at is None else self._began_at
+        return messages.Served(attempt=self.begin.attempt,
+                               queued_us=round(
+                                   (began_at - self._came_at) * _US_PER_S),
+                               upstream_us=round((now - began_at) * _US_PER_S))
+
     def _emit(self, message: messages.Message) -> None:
         for link in self.links:
             link_port.send_if_open(link, message)
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -12,7 +12,7 @@
 from pollenthread.app import (claim_keeper, pool as pool_module, relay as
                               relay_module)
 from pollenthread.core import (account, choice, claims, errors, ids, messages,
-                               pace as pace_module, targets)
+                               pace as pace_module, targets, spans)
 from pollenthread.ports import clock, link as link_port
 
 __all__ = ['Call', 'Gateway', 'Report', 'Sink']
@@ -69,6 +69,7 @@
         repeat: whether the answer is a kept outcome.
         started_at: monotonic seconds at which the request came.
         pace: when the parts of the answer came.
+        hops: where its attempts went.
     """
 
     attempts: int = 0
@@ -76,6 +77,7 @@
     repeat: bool = False
     started_at: float = 0.0
     pace: pace_module.Pace = dataclasses.field(default_factory=pace_module.Pace)
+    hops: list[spans.Hop] = dataclasses.field(default_factory=list)
 
 
 class Sink(abc.ABC):
@@ -273,6 +275,10 @@
             return None
         upstream.sent_since += 1
         serving.report.attempts += 1
+        serving.report.hops.append(
+            spans.Hop(attempt=begin.attempt,
+                      host=upstream.hello.host,
+                      sent_at=self._time.monotonic()))
         return stream
 
     def _begin(self, call: Call, attempt: ids.AttemptId,
@@ -420,6 +426,12 @@
     async def take_end(self) -> None:
         await self.sink.end()
 
+    def take_served(self, served: messages.Served) -> None:
+        now = asyncio.get_running_loop().time()
+        for hop in self.report.hops:
+            if hop.attempt == served.attempt:
+                hop.settle(served, now)
+
     async def deliver_outcome(self, outcome: claims.Outcome) -> None:
         """Answers with a kept outcome."""
         self.head_sent = True
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -179,7 +179,7 @@
             return
         match message:
             case (messages.Head() | messages.Chunk() | messages.End() |
-                  messages.Fail()):
+                  messages.Fail() | messages.Served()):
                 stream = upstream.streams_by_attempt.get(message.attempt)
                 if stream is not None:
                     stream.put(message)
--- a/pollenthread/app/relay.py
+++ b/pollenthread/app/relay.py
@@ -36,6 +36,10 @@
     async def take_end(self) -> None:
         """Takes the end marker."""
 
+    @abc.abstractmethod
+    def take_served(self, served: messages.Served) -> None:
+        """Takes how long a traced attempt took at its agent."""
+
 
 @dataclasses.dataclass(frozen=True)
 class _Ending:
@@ -90,6 +94,8 @@
                     parts.append(message.data)
                 case messages.Head():
                     await receiver.take_head(message)
+                case messages.Served():
+                    receiver.take_served(message)
                 case messages.End():
                     ending = self._end(message)
                     break
@@ -168,6 +174,7 @@
         self._head: messages.Head | None = None
         self._parts: list[tuple[bytes, int]] = []
         self._whole = False
+        self._served: messages.Served | None = None
         self._ending: _Ending | None = None
         self._changed = asyncio.Event()
 
@@ -191,6 +198,9 @@
     async def take_end(self) -> None:
         self._whole = True
 
+    def take_served(self, served: messages.Served) -> None:
+        self._served = served
+
     def finish(self, failure: errors.Failure | None) -> None:
         """Says how the attempt ended."""
         self._ending = _Ending(failure)
@@ -214,6 +224,8 @@
                 passed += 1
                 await receiver.take_data(data, count)
             if self._ending is not None:
+                if self._served is not None:
+                    receiver.take_served(self._served)
                 if self._ending.failure is None:
                     await receiver.take_end()
                 return self._ending.failure
--- /dev/null
+++ b/pollenthread/app/tracer.py
@@ -0,0 +1,94 @@
+"""Decides which requests are traced, and keeps the newest traces."""
+
+import collections
+import random
+from collections.abc import Callable
+from typing import Any
+
+from pollenthread.core import messages, spans
+
+__all__ = ['Tracer']
+
+_KEPT_TRACES = 200
+_PER_THOUSAND = 1000
+_TRACE_BITS = 128
+_SPAN_BITS = 64
+_NS_PER_MS = 1_000_000
+
+Export = Callable[[list[spans.Span]], None]
+
+
+class Tracer:
+    """Makes the spans of sampled requests at an entry host."""
+
+    def __init__(self, *, host: str, sample_per_thousand: int,
+                 draw: random.Random, wall_offset_s: Callable[[], float],
+                 export: Export | None) -> None:
+        self._host = host
+        self._sample_per_thousand = sample_per_thousand
+        self._draw = draw
+        self._wall_offset_s = wall_offset_s
+        self._export = export
+        self._spans_by_trace = collections.OrderedDict[str, list[spans.Span]]()
+        self._trace_by_request: dict[str, str] = {}
+
+    def start(self, headers: tuple[messages.Header,
+                                   ...]) -> spans.Context | None:
+        """The trace of a request, or None when it is not sampled.
+
+        A caller that samples its own trace is followed.
+        """
+        found = spans.parse(headers)
+        if found is not None and found[2]:
+            return spans.Context(found[0], self._new_id(), found[1])
+        if self._draw.randrange(_PER_THOUSAND) >= self._sample_per_thousand:
+            return None
+        trace = f'{self._draw.getrandbits(_TRACE_BITS):032x}'
+        return spans.Context(trace, self._new_id())
+
+    def _new_id(self) -> str:
+        return f'{self._draw.getrandbits(_SPAN_BITS):016x}'
+
+    def finish(self, context: spans.Context, request_id: str, began_at: float,
+               ended_at: float, hops: list[spans.Hop],
+               attributes: dict[str, str]) -> None:
+        """Keeps and exports the spans of a request."""
+        made = spans.spans_of(context=context,
+                              host=self._host,
+                              began_at=began_at,
+                              ended_at=ended_at,
+                              wall_offset_s=self._wall_offset_s(),
+                              hops=hops,
+                              attributes={
+                                  'request_id': request_id,
+                                  **attributes
+                              },
+                              new_id=self._new_id)
+        self._spans_by_trace.setdefault(context.trace_id, []).extend(made)
+        self._trace_by_request[request_id] = context.trace_id
+        while len(self._spans_by_trace) > _KEPT_TRACES:
+            dropped, _ = self._spans_by_trace.popitem(last=False)
+            self._trace_by_request = {
+                request: trace
+                for request, trace in self._trace_by_request.items()
+                if trace != dropped
+            }
+        if self._export is not None:
+            self._export(made)
+
+    def find(self, name: str) -> list[dict[str, Any]] | None:
+        """The spans of a trace or request id; None when it is not kept."""
+        found = self._spans_by_trace.get(self._trace_by_request.get(name, name))
+        if found is None:
+            return None
+        first_ns = min(span.began_ns for span in found)
+        return [{
+            'name': span.name,
+            'host': span.host,
+            'trace_id': span.trace_id,
+            'span_id': span.span_id,
+            'parent_id': span.parent_id,
+            'began_ms': (span.began_ns - first_ns) / _NS_PER_MS,
+            'took_ms': (span.ended_ns - span.began_ns) / _NS_PER_MS,
+            'attributes': dict(span.attributes)
+        } for span in found]
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -9,7 +9,7 @@
     'Begin', 'Cancel', 'Chunk', 'ConfigAsk', 'ConfigGive', 'ConfigNews',
     'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Head', 'Header', 'Hello',
     'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply', 'OrderSend', 'Ping',
-    'Pong', 'Resume', 'Seal', 'SealState', 'Sealed', 'Unconfirmed'
+    'Pong', 'Resume', 'Seal', 'SealState', 'Sealed', 'Served', 'Unconfirmed'
 ]
 
 Header = tuple[str, str]
@@ -140,6 +140,21 @@
     ran: errors.Ran
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """How long a traced attempt took at its agent; comes before its end.
+
+    Attributes:
+        attempt: the attempt's id.
+        queued_us: microseconds until it began at the upstream.
+        upstream_us: microseconds at the upstream.
+    """
+
+    attempt: str
+    queued_us: int
+    upstream_us: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Credit:
     """The first `offset` units have left; `window` more may be sent."""
@@ -345,4 +360,4 @@
 Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
            Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving |
            ConfigNews | ConfigAsk | ConfigGive | HostNews | DutyNews |
-           OrderSend | OrderReply | Unconfirmed)
+           OrderSend | OrderReply | Unconfirmed | Served)
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/bookkeeping.py
@@ -1,12 +1,15 @@
 """The parts of an entry host that count, report and answer operators."""
 
+import asyncio
+import random
 import time as wall_time
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from pollenthread.adapters import (admin_api, http_server, metrics, settings)
+from pollenthread.adapters import (admin_api, http_client, http_server, metrics,
+                                   otlp, settings)
 from pollenthread.app import (account_keeper, account_reader, administration,
-                              config_store, cost_book)
+                              config_store, cost_book, tracer)
 from pollenthread.core import account
 from pollenthread.ports import clock, table
 
@@ -19,6 +22,7 @@
     """Owns the account, the metrics and the administration API."""
 
     def __init__(self, *, config: settings.EntrySettings, incarnation: str,
+                 client: http_client.HttpClient,
                  table_service: table.TableService, time: clock.Clock,
                  store: config_store.ConfigStore, status: Callable[[],
                                                                    dict[str,
@@ -27,6 +31,18 @@
         self.tally = account.Tally()
         self.latencies = metrics.Latencies()
         self._gauges = gauges
+        self._exporter: otlp.SpanExporter | None = None
+        if config.traces.collector is not None:
+            self._exporter = otlp.SpanExporter(
+                client=client,
+                collector=config.traces.collector,
+                host=config.host)
+        self.tracer = tracer.Tracer(
+            host=config.host,
+            sample_per_thousand=config.traces.sample_per_thousand,
+            draw=random.Random(),
+            wall_offset_s=lambda: wall_time.time() - time.monotonic(),
+            export=None if self._exporter is None else self._exporter.export)
         self._operators = [item.to_operator() for item in config.operators]
         self._keeper = account_keeper.AccountKeeper(
             table_service=table_service,
@@ -45,7 +61,7 @@
             costs=cost_book.CostBook(table_service=table_service),
             status=status,
             wall=wall_time.time,
-            find_trace=lambda _: None)
+            find_trace=self.tracer.find)
 
     @property
     def handlers_by_root(self) -> dict[str, http_server.Handler]:
@@ -63,13 +79,21 @@
 
     def _all_gauges(self) -> dict[str, float]:
         return {
-            'account_faults': sum(self._keeper.faults.values()),
+            'account_faults':
+                sum(self._keeper.faults.values()),
+            'spans_dropped':
+                0 if self._exporter is None else self._exporter.dropped_count,
             **self._gauges()
         }
 
     async def run(self) -> None:
-        """Hands counts over until cancelled."""
-        await self._keeper.run()
+        """Hands counts and spans over until cancelled."""
+        if self._exporter is None:
+            await self._keeper.run()
+            return
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._keeper.run())
+            group.create_task(self._exporter.run())
 
     async def finish(self) -> None:
         """Hands the last counts over at a planned stop."""
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -88,6 +88,7 @@
         self._books = bookkeeping.Bookkeeping(
             config=self._config,
             incarnation=self._hello.incarnation,
+            client=self._client,
             table_service=table,
             time=time,
             store=self._targets,
@@ -107,7 +108,8 @@
             time=time,
             tally=self._books.tally,
             is_refusing=lambda: self._refusing,
-            observe=self._books.latencies.observe)
+            observe=self._books.latencies.observe,
+            tracer=self._books.tracer)
 
     def _member(self) -> membership.Member:
         return membership.Member(host=self._config.host,
