--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 model: $(VENV)/ready
 	@$(PY) -m models --large
 
+binary: $(VENV)/ready
+	@$(PY) -m bench.build_binary
+
 clean:
 	rm -rf $(VENV) build dist
--- a/pollenthread/cli/commands.py
+++ b/pollenthread/cli/commands.py
@@ -5,6 +5,7 @@
 from typing import Any
 from urllib import parse
 
+import yaml
 from absl import flags
 
 from pollenthread.adapters import yaml_document
@@ -76,7 +77,11 @@
     found = admin_client.call('GET', '/v1/config')
     if _WORKSPACE.value is not None:
         found['document'] = _workspace(found['document'], _WORKSPACE.value)
-    _show_json(found)
+    if _is_json():
+        _show_json(found)
+        return
+    text = yaml.safe_dump(found['document'], sort_keys=False)
+    show(f'# version {found["version"]}\n{text}')
 
 
 def _workspace(document: dict[str, Any], name: str) -> Any:
