--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -60,16 +60,32 @@
 
     @classmethod
     def load(cls, folder: pathlib.Path) -> Self:
-        """Reads the rows of every JSON file that name a value."""
+        """Reads every JSON file that a bench wrote.
+
+        A row with a name and a value is known by its name; any other number of
+        a named row is known as FILE.NAME.FIELD.
+        """
         values: dict[str, float] = {}
         for path in sorted(folder.glob('*.json')):
             document: dict[str, Any] = json.loads(path.read_text('utf-8'))
             for row in document.get('rows', []):
-                if 'name' in row and 'value' in row:
-                    values[row['name']] = float(row['value'])
+                values.update(_values(path.stem, row))
         return cls(value_by_name=values)
 
 
+def _values(stem: str, row: dict[str, Any]) -> dict[str, float]:
+    name = row.get('name')
+    if name is None:
+        return {}
+    if 'value' in row:
+        return {name: float(row['value'])}
+    return {
+        f'{stem}.{name}.{field}': float(value)
+        for field, value in row.items()
+        if isinstance(value, int | float)
+    }
+
+
 @dataclasses.dataclass(frozen=True)
 class Figure:
     """One derived figure.
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -270,6 +270,7 @@
         await upstream.link.drain()
         begin = self._begin(serving.call, attempt, upstream)
         stream = upstream.open(begin.attempt)
+        sent_at = self._time.monotonic()
         if not link_port.send_if_open(upstream.link, begin):
             upstream.close(begin.attempt)
             return None
@@ -278,7 +279,7 @@
         serving.report.hops.append(
             spans.Hop(attempt=begin.attempt,
                       host=upstream.hello.host,
-                      sent_at=self._time.monotonic()))
+                      sent_at=sent_at))
         return stream
 
     def _begin(self, call: Call, attempt: ids.AttemptId,
