--- a/tests/product/steps/binary.py
+++ b/tests/product/steps/binary.py
@@ -125,4 +125,8 @@
         found: dict[str, Any] = json.loads(line)
         return found
 
-    assert scenario.run(context, stop()) == {'event': 'stopped', 'cut': 0}
+    assert scenario.run(context, stop()) == {
+        'event': 'stopped',
+        'cut': 0,
+        'cut_requests': []
+    }
