--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -111,6 +111,7 @@
   key @2 :Text;
   stream @3 :Bool;
 }
+struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
 
 struct Served {
   attempt @0 :Text;
@@ -144,6 +145,7 @@
     ordersend @21 :OrderSend;
     orderreply @22 :OrderReply;
     unconfirmed @23 :Unconfirmed;
-    served @24 :Served;
+    group @24 :Group;
+    served @25 :Served;
   }
 }
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -92,6 +92,11 @@
     async def data(self, data: bytes) -> None:
         """Takes a part; waits while the caller is slow."""
 
+    def data_at_once(self, data: bytes) -> bool:
+        """Takes a part if that needs no waiting; whether it did."""
+        del data
+        return False
+
     @abc.abstractmethod
     async def end(self) -> None:
         """Takes the end marker."""
@@ -109,7 +114,7 @@
         self._draw = draw
         self._recordings: set[asyncio.Task[None]] = set()
         self._kept_by_attempt: dict[str, relay_module.KeptAnswer] = {}
-        pool.on_unconfirmed = self._adopt
+        pool.subscribe(messages.Unconfirmed, self._adopt)
 
     @property
     def recordings(self) -> int:
@@ -351,9 +356,12 @@
             pause_s = min(pause_s * 2, _RECORD_PAUSE_MAX_S)
         relay.confirm()
 
-    def _adopt(self, upstream: pool_module.Upstream,
+    def _adopt(self, link: link_port.Link,
                message: messages.Unconfirmed) -> None:
         """Records an outcome whose entry host did not."""
+        upstream = self._pool.by_host.get(link.peer.host)
+        if upstream is None:
+            return
         if message.attempt not in self._kept_by_attempt:
             self._start(self._record_unconfirmed(upstream, message))
 
@@ -424,6 +432,13 @@
         self.report.pace.observe(now - self.report.started_at, count)
         await self.sink.data(data)
 
+    def take_at_once(self, data: bytes, count: int) -> bool:
+        if not self.head_sent or not self.sink.data_at_once(data):
+            return False
+        now = asyncio.get_running_loop().time()
+        self.report.pace.observe(now - self.report.started_at, count)
+        return True
+
     async def take_end(self) -> None:
         await self.sink.end()
 
