--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,6 +10,7 @@
 """
 
 import argparse
+import json
 import pathlib
 import sys
 
@@ -54,11 +55,28 @@
     return '\n'.join(lines) + '\n'
 
 
+def _measured() -> str:
+    """Every stated bound that a bench has measured itself."""
+    lines = [
+        '| bench | bound on | bound | measured | |', '|---|---|---|---|---|'
+    ]
+    for path in sorted(_MEASUREMENTS.glob('*.json')):
+        document = json.loads(path.read_text('utf-8'))
+        for target in document.get('targets', []):
+            verdict = 'holds' if target['holds'] else '**missed**'
+            lines.append(f'| {path.stem} (seed {document["seed"]}) '
+                         f'| {target["name"]} | {_number(target["bound"])} '
+                         f'| {_number(target["value"])} | {verdict} |')
+    return '\n'.join(lines) + '\n'
+
+
 def _page_with(figures: list[model.Figure]) -> str:
     text = _PAGE.read_text('utf-8')
     head, _, rest = text.partition(_BEGIN)
     _, _, tail = rest.partition(_END)
-    return f'{head}{_BEGIN}\n{_rows(figures)}\n{_END}{tail}'
+    derived = (f'{_rows(figures)}\n### Bounds measured by the benches\n\n'
+               f'{_measured()}')
+    return f'{head}{_BEGIN}\n{derived}\n{_END}{tail}'
 
 
 def _targets(figures: list[model.Figure]) -> list[common.Target]:
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Any, Self
 
+from pollenthread.core import membership
+
 __all__ = ['Figure', 'Fleet', 'Slopes', 'figures']
 
 _US = 1e-6
@@ -28,6 +30,11 @@
     changes_per_day: int = 1700
     restarts_per_day: int = 610
     bytes_per_token: int = 160
+    serving_groups: int = 4
+    links_per_group: int = membership.UPSTREAM_SUBSET
+    peer_links: int = 2 * (membership.PEERS_IN_DATA_CENTRE +
+                           membership.PEERS_IN_REGION +
+                           5 * membership.PEERS_IN_OTHER_REGION)
     ping_interval_s: float = 1.0
     load_interval_s: float = 0.25
     config_poll_s: float = 1.0
@@ -133,6 +140,22 @@
                             1 / fleet.load_interval_s)
 
 
+def _subset_links(fleet: Fleet) -> int:
+    """Upstream links of an entry host."""
+    return fleet.serving_groups * fleet.links_per_group
+
+
+def _subset_messages_per_s(fleet: Fleet) -> float:
+    upstream = _link_messages_per_s(fleet) + 1 / fleet.load_interval_s
+    return (_subset_links(fleet) * upstream +
+            fleet.peer_links * _link_messages_per_s(fleet))
+
+
+def _agent_subset_messages_per_s(fleet: Fleet) -> float:
+    links = fleet.entries * _subset_links(fleet) / fleet.upstreams
+    return links * (_link_messages_per_s(fleet) + 1 / fleet.load_interval_s)
+
+
 def _message_bytes(slopes: Slopes) -> float:
     return slopes['ping_bytes'] + slopes['packet_header_bytes']
 
@@ -184,6 +207,30 @@
         ('entry', 'upstream links that 2.7% of a core carry',
          'bound / (messages a link x link_message_us / 2)', 'links',
          lambda s, f: f.control_core / _upstream_link_core(s, f), None),
+        ('entry', 'links, as built',
+         'serving groups x links a group + peer links', 'links',
+         lambda s, f: _subset_links(f) + f.peer_links, None),
+        ('entry', 'control CPU, as built',
+         '(upstream links x 8 + peer links x 4) x link_message_us / 2', 'core',
+         lambda s, f: _subset_messages_per_s(f) * s[
+             'link_message_us'] / 2 * _US, lambda f: f.control_core),
+        ('entry', 'control CPU, as built, with TLS',
+         '(upstream links x 8 + peer links x 4) x link_message_tls_us / 2',
+         'core', lambda s, f: _subset_messages_per_s(f) * s[
+             'link_message_tls_us'] / 2 * _US, lambda f: f.control_core),
+        ('entry', 'control bytes, as built',
+         '(upstream links x 8 + peer links x 4) x message bytes', 'B/s',
+         lambda s, f: _subset_messages_per_s(f) * _message_bytes(s),
+         lambda f: f.control_bytes_per_s),
+        ('agent', 'links, as built', 'entries x upstream links / upstreams',
+         'links', lambda s, f: f.entries * _subset_links(f) / f.upstreams,
+         None),
+        ('agent', 'control CPU, as built', 'links x 8 x link_message_us / 2',
+         'core', lambda s, f: _agent_subset_messages_per_s(f) * s[
+             'link_message_us'] / 2 * _US, lambda f: f.control_core),
+        ('agent', 'control bytes, as built', 'links x 8 x message bytes', 'B/s',
+         lambda s, f: _agent_subset_messages_per_s(f) * _message_bytes(s),
+         lambda f: f.control_bytes_per_s),
         ('entry', 'account CPU', 'requests per entry x tally_request_us',
          'core',
          lambda s, f: f.requests_per_entry * s['tally_request_us'] * _US, None),
