--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -113,6 +113,12 @@
 }
 struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
 
+struct Served {
+  attempt @0 :Text;
+  queuedUs @1 :UInt64;
+  upstreamUs @2 :UInt64;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -140,5 +146,6 @@
     orderreply @22 :OrderReply;
     unconfirmed @23 :Unconfirmed;
     group @24 :Group;
+    served @25 :Served;
   }
 }
--- a/pollenthread/core/ledger.py
+++ b/pollenthread/core/ledger.py
@@ -137,11 +137,11 @@
             self._counts_by_key[key] += counts
         self._hosts += bool(counted)
         last = ordered[-1]
-        if last.is_final or self._now_s - last.ended_s <= self._silence_s:
+        is_silent = self._now_s - last.ended_s > self._silence_s
+        if last.ended_s < self._from_s or not (last.is_final or is_silent):
             return
-        if last.ended_s < self._from_s:
-            return
-        self._gaps.append(_lost(last))
+        if not last.is_final:
+            self._gaps.append(_lost(last))
         for key, counts in _sum(ordered).items():
             if counts.open > 0:
                 self._lost_by_key[key] += counts.open
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -10,7 +10,7 @@
     'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Group', 'Head', 'Header',
     'Hello', 'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply',
     'OrderSend', 'Ping', 'Pong', 'Resume', 'Seal', 'SealState', 'Sealed',
-    'Unconfirmed'
+    'Served', 'Unconfirmed'
 ]
 
 Header = tuple[str, str]
@@ -141,6 +141,21 @@
     ran: errors.Ran
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """How long a traced attempt took at its agent; comes before its end.
+
+    Attributes:
+        attempt: the attempt's id.
+        queued_us: microseconds until it began at the upstream.
+        upstream_us: microseconds at the upstream.
+    """
+
+    attempt: str
+    queued_us: int
+    upstream_us: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Credit:
     """The first `offset` units have left; `window` more may be sent."""
@@ -361,4 +376,4 @@
 Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
            Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving | Group |
            ConfigNews | ConfigAsk | ConfigGive | HostNews | DutyNews |
-           OrderSend | OrderReply | Unconfirmed)
+           OrderSend | OrderReply | Unconfirmed | Served)
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -61,10 +61,12 @@
         self._rank_dialers = link_module.DialerSet(hello=self._hello,
                                                    handler=router)
         host, port = process.split_address(config.links)
+        self._tls = config.link_tls()
         self._links = link_module.LinkServer(hello=self._hello,
                                              handler=router,
                                              host=host,
-                                             port=port)
+                                             port=port,
+                                             tls=self._tls)
         host, port = process.split_address(config.admin)
         self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
             documents_by_path={'/status': self._status}),
@@ -100,6 +102,8 @@
             announcing = self._group.announce(self._links.address)
             stack.callback(asyncio.create_task(announcing).cancel)
         stack.callback(asyncio.create_task(self._report()).cancel)
+        if self._tls is not None:
+            stack.callback(asyncio.create_task(self._tls.follow()).cancel)
         process.announce({
             'event': 'ready',
             'role': 'agent',
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -46,6 +46,7 @@
                                      incarnation=process.new_incarnation(),
                                      data_centre=config.data_centre,
                                      region=config.region)
+        self._tls = config.link_tls()
         self._build_services()
         self._build_borders()
 
@@ -89,6 +90,7 @@
         self._books = bookkeeping.Bookkeeping(
             config=self._config,
             incarnation=self._hello.incarnation,
+            client=self._client,
             table_service=table,
             time=time,
             store=self._targets,
@@ -117,7 +119,8 @@
             time=time,
             tally=self._books.tally,
             is_refusing=lambda: self._refusing,
-            observe=self._books.latencies.observe)
+            observe=self._books.latencies.observe,
+            tracer=self._books.tracer)
 
     def _member(self) -> membership.Member:
         return membership.Member(host=self._config.host,
@@ -156,12 +159,17 @@
                                              handler=self._peers,
                                              host=host,
                                              port=port,
-                                             config_version=self._version)
+                                             config_version=self._version,
+                                             tls=self._tls)
         self._upstream_dialers = link_module.DialerSet(
-            hello=self._hello, handler=self._pool, config_version=self._version)
+            hello=self._hello,
+            handler=self._pool,
+            config_version=self._version,
+            tls=self._tls)
         self._peer_dialers = link_module.DialerSet(hello=self._hello,
                                                    handler=self._peers,
-                                                   config_version=self._version)
+                                                   config_version=self._version,
+                                                   tls=self._tls)
 
     def _gauges(self) -> dict[str, float]:
         return {
@@ -184,6 +192,8 @@
                      self._keep_links(), self._leases.run(), self._desk.run(),
                      self._sweeper.run(), self._books.run()):
             stack.callback(asyncio.create_task(work).cancel)
+        if self._tls is not None:
+            stack.callback(asyncio.create_task(self._tls.follow()).cancel)
         process.announce({
             'event': 'ready',
             'role': 'entry',
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -167,6 +167,13 @@
     scenario.run(context, context.host.lose(requests))
 
 
+@when('{requests:d} requests are accepted and the entry host stops now')
+def step_cut(context: Any, requests: int) -> None:
+    for _ in range(requests):
+        context.host.tally.accept(account.TallyKey('a', 'x'))
+    assert scenario.run(context, context.host.keeper.finish(5.0))
+
+
 @when('the third row is lost')
 def step_lose_row(context: Any) -> None:
     rows = context.host.table.rows_by_key
