Lead the step to arm by measured time; targets for balance

Cause: the step to arm lay 20 steps ahead, less than ranks need to arm and hear the decision, so the group waited there. The counter of stalls was wrong too: it counted the stand-in's own work in every step; it counts waits now.

Change: the lead is twice the time that the last arming took, turned into steps by the group's measured rate.

--- a/bench/balance.py
+++ b/bench/balance.py
@@ -14,7 +14,7 @@
 
 from bench import balance_group, balance_traces, common
 from pollenthread.core import (expert_map, moves, placement, popularity,
-                               rebalance)
+                               rebalance, targets)
 
 __all__: list[str] = []
 
@@ -25,9 +25,9 @@
                         store_bytes_per_s=33e6,
                         slowdown=0.2,
                         stall_s=0.05)
-BUNA = rebalance.Policy(skew=1.10, budget_share=0.005)
-TAGLINE = rebalance.Policy(skew=1.01, budget_share=0.05)
-UNLIMITED = rebalance.Policy(skew=1.0, budget_share=1.0)
+BUNA = targets.Balance(skew=1.10, budget_share=0.005)
+TAGLINE = targets.Balance(skew=1.01, budget_share=0.05)
+UNLIMITED = targets.Balance(skew=1.0, budget_share=1.0)
 _THRESHOLD = 1.2
 _CONTROL_SHARE = 0.027
 _HOURS = 8.0
@@ -90,7 +90,7 @@
               start: expert_map.ExpertMap) -> dict[str, Decide]:
     group = size.group
 
-    def ours(policy: rebalance.Policy, without: str = '') -> Decide:
+    def ours(policy: targets.Balance, without: str = '') -> Decide:
         planner = rebalance.Planner(group,
                                     policy,
                                     COSTS,
@@ -227,7 +227,7 @@
 
 def _targets(rows: Sequence[dict[str, Any]],
              placements: Sequence[dict[str, Any]]) -> list[common.Target]:
-    targets = [
+    found = [
         _at_most('tagline mean skew over instant full replan', 1.05,
                  _ratio(rows, 'skew_mean', 'tagline', 'full-instant')),
         _at_most('tagline bytes over full replan', 0.2,
@@ -244,7 +244,7 @@
                                                                    'tagline')))
     ]
     for column in ('loads_per_expert_hour', 'undone_per_expert_hour'):
-        targets.append(
+        found.append(
             _at_most(
                 f'{column} on burst and see-saw', 1,
                 max(row[column]
@@ -252,10 +252,10 @@
                     if row['trace'] in ('burst', 'seesaw') and row['policy'] in
                     ('buna', 'tagline'))))
     for row in placements:
-        targets.append(
+        found.append(
             _at_most(f'placement {row["size"]} over lower bound', 1.03,
                      row['placement_over_bound']))
-    return targets
+    return found
 
 
 def main() -> None:
--- a/pollenthread/app/switch_duty.py
+++ b/pollenthread/app/switch_duty.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 from collections.abc import Callable
 
 from absl import logging
@@ -14,7 +15,10 @@
     'wanted_key'
 ]
 
-ARM_MARGIN_STEPS = 20
+LEAST_MARGIN_STEPS = 4
+FIRST_LEAD_S = 0.25
+MOST_LEAD_S = 2.0
+_LEAD_RATIO = 2.0
 RESEND_S = 0.3
 PREPARE_TIMEOUT_S = 60.0
 ARM_TIMEOUT_S = 5.0
@@ -83,6 +87,8 @@
         self._phase_since = 0.0
         self._started_at = 0.0
         self._sent_at = 0.0
+        self._lead_s = FIRST_LEAD_S
+        self._seen_step = (0, 0.0)
         self.counts = SwitchCounts()
 
     @property
@@ -132,7 +138,7 @@
                 self._apply(
                     switch_decider.on_prepared(decider,
                                                reply,
-                                               margin=ARM_MARGIN_STEPS))
+                                               margin=self._margin(reply.step)))
             case switch.Armed():
                 self._apply(switch_decider.on_armed(decider, reply))
             case switch.Noted():
@@ -217,15 +223,32 @@
         self._decider = after.decider
         now = self._time.monotonic()
         if before is None or before.phase is not after.decider.phase:
-            self._phase_since = self._sent_at = now
             self._count(after.decider, now)
+            self._phase_since = self._sent_at = now
         for item in after.sends:
             self._send(item.index, item.order)
 
+    def _margin(self, step: int) -> int:
+        """Steps that the group makes while its ranks arm and hear the decision.
+
+        The rate is that since the last switch, the time twice what the last
+        arming took.
+        """
+        now = self._time.monotonic()
+        last_step, last_s = self._seen_step
+        rate = (step - last_step) / (now - last_s) if step > last_step else 0.0
+        return max(LEAST_MARGIN_STEPS, math.ceil(rate * self._lead_s))
+
+    def _learn_lead(self, decider: switch_decider.Decider, now: float) -> None:
+        """Remembers how long arming took, and where the group was."""
+        self._lead_s = min(MOST_LEAD_S, _LEAD_RATIO * (now - self._phase_since))
+        self._seen_step = (decider.step, now)
+
     def _count(self, decider: switch_decider.Decider, now: float) -> None:
         if decider.phase is not switch_decider.Phase.DECIDED:
             return
         if decider.commit:
+            self._learn_lead(decider, now)
             self.counts.committed += 1
             self.counts.last_ms = 1e3 * (now - self._started_at)
         else:
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -12,6 +12,8 @@
     'explain', 'parse_targets', 'unique'
 ]
 
+_PERCENT = 100.0
+
 Name = Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
@@ -75,11 +77,20 @@
         return self
 
 
+class _BalanceModel(Strict):
+    """How even ranks shall be, and what that may cost."""
+
+    skew: Annotated[float, pydantic.Field(ge=1.0, le=10.0)] = 1.05
+    rebalancing_budget_percent: Annotated[float,
+                                          pydantic.Field(ge=0.0, le=50.0)] = 1.0
+
+
 class TargetsModel(Strict):
     """The document of targets that operators edit."""
 
     workspaces: dict[Name, WorkspaceModel]
     draining: list[Name] = []
+    balance: _BalanceModel = _BalanceModel()
 
     @pydantic.field_validator('draining')
     @classmethod
@@ -90,12 +101,19 @@
         """Makes the inner form of this document."""
         return targets.Targets(version=version,
                                draining=frozenset(self.draining),
+                               balance=_balance(self.balance),
                                workspace_by_name={
                                    name: _workspace(name, model)
                                    for name, model in self.workspaces.items()
                                })
 
 
+def _balance(model: _BalanceModel) -> targets.Balance:
+    return targets.Balance(skew=model.skew,
+                           budget_share=model.rebalancing_budget_percent /
+                           _PERCENT)
+
+
 def _workspace(name: str, model: WorkspaceModel) -> targets.Workspace:
     return targets.Workspace(
         name=name,
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -10,11 +10,11 @@
 from collections.abc import Mapping, Sequence
 
 from pollenthread.core import (expert_map, moves, placement, popularity,
-                               snapshots)
+                               snapshots, targets)
 
 __all__ = [
-    'Costs', 'GroupState', 'LayerLoads', 'Plan', 'Planner', 'Policy',
-    'Spending', 'Verdict', 'plan'
+    'Costs', 'GroupState', 'LayerLoads', 'Plan', 'Planner', 'Spending',
+    'Verdict', 'plan'
 ]
 
 BUDGET_WINDOW_S = 3600.0
@@ -26,19 +26,6 @@
 _MAX_LIFE_S = 4 * 3600.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Policy:
-    """What operators set.
-
-    Attributes:
-        skew: the slowest rank over the mean rank that they accept.
-        budget_share: the share of the capacity that reloading may take.
-    """
-
-    skew: float
-    budget_share: float
-
-
 @dataclasses.dataclass(frozen=True)
 class Costs:
     """What the platform makes a load and a switch cost.
@@ -151,7 +138,7 @@
 
     Attributes:
         group: the shape of the group.
-        policy: the operators' targets.
+        balance: the operators' targets.
         costs: what loads and switches cost.
         interval_s: the time between plans, in seconds.
         use_history: whether a load must pay over what was observed.
@@ -160,7 +147,7 @@
     """
 
     group: placement.Group
-    policy: Policy
+    balance: targets.Balance
     costs: Costs
     interval_s: float
     use_history: bool = True
@@ -228,7 +215,7 @@
                     sum(item.saving for item in loads),
                     stall + sum(item.price for item in loads))
     saving = ranks * planner.interval_s * (before - after) / before
-    is_needed = before > planner.policy.skew
+    is_needed = before > planner.balance.skew
     if planner.use_split and is_needed and saving > stall:
         return Plan(Verdict.SPLIT, tuple(layers), (), saving, stall)
     return Plan(Verdict.KEEP, state.current)
@@ -241,12 +228,12 @@
                   now_s: float) -> list[LayerLoads]:
     """The loads that pay, best first, within target and budget."""
     total = sum(split.skew for split in splits)
-    wanted = planner.policy.skew * len(splits)
+    wanted = planner.balance.skew * len(splits)
     if total <= wanted:
         return []
     options = []
     for layer, split in enumerate(splits):
-        if split.skew <= planner.policy.skew:
+        if split.skew <= planner.balance.skew:
             continue
         life_s = _life_s(estimate.layers[layer])
         chain = _chain(planner, state, layer, shares[layer], split, now_s)
@@ -278,7 +265,7 @@
         fixed = _fixed(state, layer, now_s)
     layout = state.current[layer].layout
     chain: list[moves.Step] = []
-    while len(chain) < _CHAIN_LENGTH and split.skew > planner.policy.skew:
+    while len(chain) < _CHAIN_LENGTH and split.skew > planner.balance.skew:
         step = moves.best_step(planner.group, layout, shares, split, fixed)
         if step is None:
             break
@@ -357,7 +344,7 @@
 
 def _allowance(planner: Planner, state: GroupState) -> float:
     """Capacity-seconds that the budget still allows."""
-    budget = (planner.policy.budget_share * planner.group.ranks *
+    budget = (planner.balance.budget_share * planner.group.ranks *
               BUDGET_WINDOW_S)
     return budget - sum(item.capacity_s for item in state.spendings)
 
--- a/pollenthread/core/targets.py
+++ b/pollenthread/core/targets.py
@@ -4,7 +4,9 @@
 import enum
 from collections.abc import Mapping
 
-__all__ = ['Importance', 'Latency', 'Targets', 'WorkClass', 'Workspace']
+__all__ = [
+    'Balance', 'Importance', 'Latency', 'Targets', 'WorkClass', 'Workspace'
+]
 
 
 class Importance(enum.IntEnum):
@@ -66,6 +68,19 @@
     class_by_name: Mapping[str, WorkClass]
 
 
+@dataclasses.dataclass(frozen=True)
+class Balance:
+    """How even ranks shall be, and what that may cost.
+
+    Attributes:
+        skew: the slowest rank over the mean rank that is accepted.
+        budget_share: the share of a group's capacity that reloading may take.
+    """
+
+    skew: float = 1.05
+    budget_share: float = 0.01
+
+
 @dataclasses.dataclass(frozen=True)
 class Targets:
     """One version of everything that operators have set.
@@ -74,8 +89,10 @@
         version: rises by one with each accepted change.
         workspace_by_name: all workspaces.
         draining: hosts that operators have taken out of service.
+        balance: the targets of all rank groups.
     """
 
     version: int
     workspace_by_name: Mapping[str, Workspace]
     draining: frozenset[str] = frozenset()
+    balance: Balance = Balance()
--- a/tests/fakes/rank_group.py
+++ b/tests/fakes/rank_group.py
@@ -13,7 +13,6 @@
 import base64
 import dataclasses
 import json
-import statistics
 import time
 from typing import Any
 
@@ -65,7 +64,7 @@
         self._client = http_client.HttpClient()
         self._completed = 0
         self._violations: list[dict[str, Any]] = []
-        self._stall_s: list[float] = []
+        self._stalled_s = 0.0
         self._in_force: dict[int, float] = {}
         self._loads = [1 / (i + 1) for i in range(size * _EXPERTS_PER_RANK)]
         self._step_s_by_version: dict[int, float] = {}
@@ -138,11 +137,9 @@
 
     async def _run(self) -> None:
         while True:
-            began = time.monotonic()
             step = self._completed + 1
-            while not self._enter(step):
-                await asyncio.sleep(_POLL_S)
-            waited_s = time.monotonic() - began
+            if not self._enter(step):
+                await self._wait_to_enter(step)
             versions = {rank.version for rank in self._ranks}
             if len(versions) != 1:
                 self._violations.append({
@@ -154,9 +151,15 @@
             version = max(versions)
             if version not in self._in_force:
                 self._in_force[version] = time.time()
-                self._stall_s.append(waited_s)
             await asyncio.sleep(self._step_s(version))
 
+    async def _wait_to_enter(self, step: int) -> None:
+        """The group stalls until its last rank may enter."""
+        began = time.monotonic()
+        while not self._enter(step):
+            await asyncio.sleep(_POLL_S)
+        self._stalled_s += time.monotonic() - began
+
     def _enter(self, step: int) -> bool:
         """Lets each rank enter that may; whether all have."""
         for rank in self._ranks:
@@ -195,9 +198,8 @@
                 for item in known
             ],
             'in_force_at_s': self._in_force,
-            'stalls_s': self._stall_s,
-            'step_s': self._step_s_by_version,
-            'mean_stall_s': statistics.fmean(self._stall_s or [0.0])
+            'stalled_s': self._stalled_s,
+            'step_s': self._step_s_by_version
         }
 
 
