--- a/pollenthread/app/switch_duty.py
+++ b/pollenthread/app/switch_duty.py
@@ -19,6 +19,7 @@
 FIRST_LEAD_S = 0.25
 MOST_LEAD_S = 2.0
 _LEAD_RATIO = 2.0
+_COLLECTING = switch_decider.Phase.COLLECTING
 RESEND_S = 0.3
 PREPARE_TIMEOUT_S = 60.0
 ARM_TIMEOUT_S = 5.0
@@ -222,6 +223,8 @@
         before = self._decider
         self._decider = after.decider
         now = self._time.monotonic()
+        if before is not None and before.phase is _COLLECTING:
+            self._seen_step = (after.decider.step, now)
         if before is None or before.phase is not after.decider.phase:
             self._count(after.decider, now)
             self._phase_since = self._sent_at = now
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -20,6 +20,7 @@
 BUDGET_WINDOW_S = 3600.0
 FIXED_S = 3600.0
 MAX_ERROR = 0.03
+SPLIT_GAIN = 0.02
 _CHAIN_LENGTH = 6
 _DRIFT_OF_A_LIFE = 0.25
 _MIN_LIFE_S = 900.0
@@ -215,7 +216,7 @@
                     sum(item.saving for item in loads),
                     stall + sum(item.price for item in loads))
     saving = ranks * planner.interval_s * (before - after) / before
-    is_needed = before > planner.balance.skew
+    is_needed = (before > planner.balance.skew or before - after > SPLIT_GAIN)
     if planner.use_split and is_needed and saving > stall:
         return Plan(Verdict.SPLIT, tuple(layers), (), saving, stall)
     return Plan(Verdict.KEEP, state.current)
