--- a/bench/balance.py
+++ b/bench/balance.py
@@ -252,10 +252,11 @@
         found.append(
             _at_most(
                 f'{column} on burst and see-saw', 1,
-                max(row[column]
-                    for row in rows
-                    if row['trace'] in ('burst', 'seesaw') and row['policy'] in
-                    ('buna', 'tagline'))))
+                max((row[column]
+                     for row in rows
+                     if row['trace'] in ('burst', 'seesaw') and row['policy'] in
+                     ('buna', 'tagline')),
+                    default=0)))
     for row in placements:
         found.append(
             _at_most(f'placement {row["size"]} over lower bound', 1.03,
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -106,6 +106,12 @@
 }
 
 struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
+struct Unconfirmed {
+  attempt @0 :Text;
+  workspace @1 :Text;
+  key @2 :Text;
+  stream @3 :Bool;
+}
 
 struct Message {
   union {
@@ -132,6 +138,7 @@
     dutynews @20 :DutyNews;
     ordersend @21 :OrderSend;
     orderreply @22 :OrderReply;
-    group @23 :Group;
+    unconfirmed @23 :Unconfirmed;
+    group @24 :Group;
   }
 }
