--- a/bench/balance.py
+++ b/bench/balance.py
@@ -28,6 +28,7 @@
 BUNA = targets.Balance(skew=1.10, budget_share=0.005)
 TAGLINE = targets.Balance(skew=1.01, budget_share=0.05)
 UNLIMITED = targets.Balance(skew=1.0, budget_share=1.0)
+SWEEP = (1.01, 1.03, 1.06, 1.1, 1.2, 1.3)
 _THRESHOLD = 1.2
 _CONTROL_SHARE = 0.027
 _HOURS = 8.0
@@ -35,6 +36,9 @@
 _LARGE_HOURS = 3.5
 _LARGE_QUICK_HOURS = 0.34
 _QUICK = ('steady', 'drift', 'flip', 'burst', 'seesaw')
+_ALL = ('never', 'full', 'full-instant', 'threshold', 'buna', 'tagline',
+        'tagline-no-history', 'tagline-no-split', 'tagline-no-fixing',
+        'unlimited')
 _MAIN = ('never', 'full', 'full-instant', 'buna', 'tagline')
 
 Decide = Callable[[popularity.Popularity, float, bool],
@@ -100,8 +104,12 @@
                                     use_fixing=without != 'fixing')
         return _Ours(planner, start)
 
+    swept = {
+        f'skew-{skew}': ours(targets.Balance(skew, TAGLINE.budget_share))
+        for skew in SWEEP
+    }
     return {
-        'never': _never,
+        **swept, 'never': _never,
         'full': _Replan(group, 0.0, start),
         'full-instant': _Replan(group, 0.0, start),
         'threshold': _Replan(group, _THRESHOLD, start),
@@ -122,8 +130,9 @@
     return expert_map.map_of(layouts, rows)
 
 
-def _run(size: balance_group.Size, trace_name: str, policy_name: str, seed: int,
-         hours: float) -> dict[str, Any]:
+def run(size: balance_group.Size, trace_name: str, policy_name: str, seed: int,
+        hours: float) -> dict[str, Any]:
+    """One row: one policy on one trace."""
     draw = np.random.default_rng(seed)
     trace = balance_traces.TRACES[trace_name](draw, size.layers, size.experts)
     rows = balance_group.rows_of(trace(0.0))
@@ -273,7 +282,7 @@
     args = parser.parse_args()
     small = [(SMALL, trace, policy, _QUICK_HOURS if args.quick else _HOURS)
              for trace in (_QUICK if args.quick else balance_traces.TRACES)
-             for policy in (_MAIN if args.quick else _policies(SMALL, ()))]
+             for policy in (_MAIN if args.quick else _ALL)]
     large = [(LARGE, trace, policy,
               _LARGE_QUICK_HOURS if args.quick else _LARGE_HOURS)
              for trace in (('drift',) if args.quick else ('drift', 'burst'))
@@ -282,7 +291,7 @@
     for size, trace, policy, hours in small + large:
         if args.size not in (None, size.name):
             continue
-        row = _run(size, trace, policy, args.seed, hours)
+        row = run(size, trace, policy, args.seed, hours)
         rows.append(row)
         print(row, flush=True)
     placements = [_placement_row(size, args.seed) for size in (SMALL, LARGE)]
--- /dev/null
+++ b/bench/balance_plot.py
@@ -0,0 +1,78 @@
+"""Draws skew against reloaded bytes for a range of the operators' target.
+
+Run `python -m bench.balance_plot --seed N --out FILE.png`.
+"""
+
+import argparse
+from collections.abc import Sequence
+
+from matplotlib import figure as figure_module
+
+from bench import balance
+
+__all__: list[str] = []
+
+_TRACES = ('drift', 'correlated', 'burst', 'seesaw')
+_BASELINES = {
+    'never': 'o',
+    'full': 's',
+    'threshold': '^',
+    'buna': 'P',
+    'tagline': '*'
+}
+_HOURS = 4.0
+_LEAST_GB = 0.05
+_DPI = 130
+
+
+def _points(trace: str, policies: Sequence[str],
+            seed: int) -> list[tuple[float, float]]:
+    rows = [
+        balance.run(balance.SMALL, trace, policy, seed, _HOURS)
+        for policy in policies
+    ]
+    return [
+        (max(_LEAST_GB, row['reloaded_gb']), row['skew_mean']) for row in rows
+    ]
+
+
+def _draw(seed: int, path: str) -> None:
+    figure = figure_module.Figure(figsize=(10, 7.5))
+    grid = figure.subplots(2, 2, sharex=True)
+    swept = [f'skew-{skew}' for skew in balance.SWEEP]
+    for axes, trace in zip(grid.flat, _TRACES):
+        curve = _points(trace, swept, seed)
+        axes.plot(*zip(*curve), '.-', color='tab:blue', label='ours, by target')
+        for (gigabytes, skew), target in zip(curve, balance.SWEEP):
+            axes.annotate(f'{target}', (gigabytes, skew),
+                          fontsize=7,
+                          xytext=(3, 4),
+                          textcoords='offset points')
+        for (name, marker), point in zip(_BASELINES.items(),
+                                         _points(trace, list(_BASELINES),
+                                                 seed)):
+            axes.plot(*point, marker, markersize=9, linestyle='', label=name)
+        axes.set_xscale('log')
+        axes.set_title(trace)
+        axes.grid(alpha=0.3)
+    for axes in grid[-1]:
+        axes.set_xlabel('reloaded in 4 h, GB (0.05 stands for none)')
+    for axes in grid[:, 0]:
+        axes.set_ylabel('mean skew')
+    grid[0, 0].legend(fontsize=8)
+    figure.suptitle(f'8 ranks, 32 experts, 8 layers; seed {seed}')
+    figure.tight_layout()
+    figure.savefig(path, dpi=_DPI)
+
+
+def main() -> None:
+    """Draws one figure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--out', required=True)
+    args = parser.parse_args()
+    _draw(args.seed, args.out)
+
+
+if __name__ == '__main__':
+    main()
