--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -55,7 +55,8 @@
     def __init__(self, *, gate: gateway.Gateway,
                  config: config_store.ConfigStore, hosts: directory.Directory,
                  request_ids: ids.IdSource, time: clock.Clock,
-                 tally: account.Tally, is_refusing: Callable[[], bool]) -> None:
+                 tally: account.Tally, is_refusing: Callable[[], bool],
+                 observe: Callable[[pace.Pace, float], None]) -> None:
         self._gateway = gate
         self._config = config
         self._hosts = hosts
@@ -64,6 +65,7 @@
         self._tally = tally
         self._is_refusing = is_refusing
         self.open_requests: set[str] = set()
+        self._observe = observe
 
     async def handle(self, request: http_server.Request,
                      response: http_server.Response) -> None:
@@ -139,7 +141,9 @@
                             attempts=report.attempts,
                             repeat=report.repeat,
                             retries_allowed=call.work_class.retries)
-        if report.failure is not None:
+        if report.failure is None:
+            self._observe(report.pace, self._time.monotonic() - started_at)
+        else:
             await sink.fail(report.failure, report.attempts)
 
 
@@ -170,6 +174,9 @@
     async def data(self, data: bytes) -> None:
         await self._response.write(data)
 
+    def data_at_once(self, data: bytes) -> bool:
+        return self._response.write_at_once(data)
+
     async def end(self) -> None:
         await self._response.finish()
 
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -105,13 +105,13 @@
   detail @3 :Text;
 }
 
-struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
 struct Unconfirmed {
   attempt @0 :Text;
   workspace @1 :Text;
   key @2 :Text;
   stream @3 :Bool;
 }
+struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
 
 struct Message {
   union {
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -3,20 +3,18 @@
 import asyncio
 import contextlib
 import random
-import time as wall_time
 from typing import Any
 
-from pollenthread.adapters import (admin_api, admin_http, caller_http, clock,
+from pollenthread.adapters import (admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
-from pollenthread.app import (account_keeper, account_reader, administration,
-                              claim_keeper, config_spread, config_store,
-                              cost_book, directory, gateway, heartbeats,
-                              lease_keeper, order_desk, order_journal, peers as
-                              peers_module, pool as pool_module)
-from pollenthread.core import account, ids, membership, messages, orders
-from pollenthread.roles import process
+from pollenthread.app import (claim_keeper, config_spread, config_store,
+                              directory, gateway, heartbeats, lease_keeper,
+                              order_desk, order_journal, peers as peers_module,
+                              pool as pool_module)
+from pollenthread.core import ids, membership, messages, orders
+from pollenthread.roles import bookkeeping, process
 
 __all__ = ['run']
 
@@ -24,7 +22,6 @@
 _LEAVE_NOTICE_S = caller_http.ADDRESS_TTL_S + 1.0
 _REFUSE_NOTICE_S = 1.0
 _IDLE_CHECK_S = 0.05
-_ACCOUNT_TIMEOUT_S = 5.0
 
 
 async def run(config: settings.EntrySettings) -> None:
@@ -47,7 +44,6 @@
                                      incarnation=process.new_incarnation(),
                                      data_centre=config.data_centre,
                                      region=config.region)
-        self._tally = account.Tally()
         self._build_services()
         self._build_borders()
 
@@ -88,24 +84,14 @@
                                           peers=self._peers,
                                           directory=self._directory,
                                           keys=self._config.key_ring)
-        self._account = account_keeper.AccountKeeper(
-            table_service=table,
-            tally=self._tally,
-            host=self._config.host,
+        self._books = bookkeeping.Bookkeeping(
+            config=self._config,
             incarnation=self._hello.incarnation,
+            table_service=table,
             time=time,
-            wall=wall_time.time,
-            interval_s=self._config.account_interval_s)
-        self._administration = administration.Administration(
             store=self._targets,
-            accounts=account_reader.AccountReader(
-                table_service=table,
-                wall=wall_time.time,
-                interval_s=self._config.account_interval_s),
-            costs=cost_book.CostBook(table_service=table),
             status=self._status,
-            wall=wall_time.time,
-            find_trace=lambda _: None)
+            gauges=self._gauges)
         keeper = claim_keeper.ClaimKeeper(table_service=table, pool=self._pool)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
@@ -118,8 +104,9 @@
             request_ids=ids.IdSource(host=self._config.host,
                                      incarnation=self._hello.incarnation),
             time=time,
-            tally=self._tally,
-            is_refusing=lambda: self._refusing)
+            tally=self._books.tally,
+            is_refusing=lambda: self._refusing,
+            observe=self._books.latencies.observe)
 
     def _member(self) -> membership.Member:
         return membership.Member(host=self._config.host,
@@ -136,12 +123,10 @@
         self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
             documents_by_path={
                 '/status': self._status,
-                '/account': lambda: admin_http.account_rows(self._tally)
+                '/account': lambda: admin_http.account_rows(self._books.tally)
             },
             handlers_by_root={
-                'v1':
-                    self._admin_api(),
-                'orders':
+                **self._books.handlers_by_root, 'orders':
                     orders_admin.OrdersHandler(journal=self._journal,
                                                desk=self._desk,
                                                peers=self._peers)
@@ -160,10 +145,14 @@
                                                    handler=self._peers,
                                                    config_version=self._version)
 
-    def _admin_api(self) -> admin_api.AdminApi:
-        return admin_api.AdminApi(
-            admin=self._administration,
-            operator_list=[o.to_operator() for o in self._config.operators])
+    def _gauges(self) -> dict[str, float]:
+        return {
+            'targets_version': self._targets.version,
+            'targets_age_s': self._targets.age_s or 0.0,
+            'upstream_links': len(self._pool.by_host),
+            'peer_links': len(self._peers.links_by_host),
+            'caller_connections': self._callers.open_connections,
+        }
 
     def _version(self) -> int:
         return self._targets.version
@@ -175,7 +164,7 @@
             await stack.enter_async_context(owner)
         for work in (self._spread.run(), self._directory.poll(),
                      self._keep_links(), self._leases.run(), self._desk.run(),
-                     self._account.run()):
+                     self._books.run()):
             stack.callback(asyncio.create_task(work).cancel)
         process.announce({
             'event': 'ready',
@@ -236,7 +225,7 @@
         self._directory.judge()
         self._callers.announce_leaving()
         await self._finish_requests()
-        await self._account.finish(_ACCOUNT_TIMEOUT_S)
+        await self._books.finish()
         cut = sorted(self._caller_handler.open_requests)
         process.announce({
             'event': 'stopped',
