--- /dev/null
+++ b/pollenthread/core/affinity.py
@@ -0,0 +1,41 @@
+"""Which upstream is likely to hold a prompt's prefix in its cache."""
+
+import bisect
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ['PrefixRing', 'prefix_digest']
+
+_POINTS_PER_HOST = 32
+_PREFIX_BYTES = 512
+
+
+def prefix_digest(body: bytes) -> bytes:
+    """Names the prefix of a request body."""
+    return hashlib.blake2b(body[:_PREFIX_BYTES], digest_size=8).digest()
+
+
+class PrefixRing:
+    """Consistent hashing from prefixes to hosts.
+
+    All entry hosts that see the same upstreams agree without a message, and a
+    change of hosts moves only the prefixes of the hosts that changed.
+    """
+
+    def __init__(self, hosts: Iterable[str]) -> None:
+        points = sorted((_hash(f'{host}\0{i}'.encode()), host)
+                        for host in hosts
+                        for i in range(_POINTS_PER_HOST))
+        self._keys = [key for key, _ in points]
+        self._hosts = [host for _, host in points]
+
+    def host_of(self, prefix: bytes) -> str:
+        """The host that a prefix belongs to, or empty without hosts."""
+        if not self._keys:
+            return ''
+        i = bisect.bisect_left(self._keys, _hash(prefix)) % len(self._keys)
+        return self._hosts[i]
+
+
+def _hash(data: bytes) -> bytes:
+    return hashlib.blake2b(data, digest_size=8).digest()
--- /dev/null
+++ b/pollenthread/core/estimate.py
@@ -0,0 +1,67 @@
+"""Corrects late load reports by what an entry host knows by itself."""
+
+import dataclasses
+import math
+
+from pollenthread.core import slots
+
+__all__ = ['OthersMean', 'Report', 'expected_load']
+
+_SMOOTHING = 0.1
+_MIN_HOLD_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """One load report as it came over a link.
+
+    Attributes:
+        reading: the state of the upstream.
+        own: attempts of that state that came over this link.
+        made_at: when it was made, as far as the receiver can tell; seconds.
+    """
+
+    reading: slots.Reading
+    own: int
+    made_at: float
+
+    @property
+    def others(self) -> int:
+        """Attempts of other entry hosts."""
+        return self.reading.running + sum(self.reading.queued) - self.own
+
+
+class OthersMean:
+    """What other entry hosts have at an upstream on average, per turn."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+
+    def learn(self, report: Report) -> None:
+        """Takes a report."""
+        if report.reading.limit:
+            share = report.others / report.reading.limit
+            self._share += _SMOOTHING * (share - self._share)
+
+    def of(self, report: Report) -> float:
+        """The average for an upstream with this limit."""
+        return self._share * report.reading.limit
+
+
+def expected_load(report: Report, *, own: int, mean: OthersMean,
+                  now: float) -> float:
+    """Attempts that are expected to run or wait at an upstream now.
+
+    The own ones are known exactly. What others had there is believed the less
+    the older the report is against the time that attempts take; the rest of
+    the belief goes to the average.
+
+    Args:
+        report: the last report.
+        own: attempts handed over and not yet ended.
+        mean: the average over the upstreams.
+        now: seconds.
+    """
+    hold_s = max(report.reading.hold_s, _MIN_HOLD_S)
+    trust = math.exp(-max(0.0, now - report.made_at) / hold_s)
+    return own + mean.of(report) + trust * (report.others - mean.of(report))
--- /dev/null
+++ b/pollenthread/core/retries.py
@@ -0,0 +1,48 @@
+"""Whether and when a request makes another attempt."""
+
+from pollenthread.core import errors, targets
+
+__all__ = ['RetryBudget', 'back_off_s', 'is_safe']
+
+_SHARE = 0.1
+_MAX_SAVED = 10.0
+_RESERVED = 3.0
+_FIRST_PAUSE_S = 0.01
+_MAX_PAUSE_S = 0.5
+
+
+class RetryBudget:
+    """Retries that successes have earned: a tenth of an attempt for each."""
+
+    def __init__(self) -> None:
+        self._saved = _MAX_SAVED
+
+    def earn(self) -> None:
+        """Counts a success."""
+        self._saved = min(_MAX_SAVED, self._saved + _SHARE)
+
+    def spend(self, importance: targets.Importance) -> bool:
+        """Takes one retry out; False when there is none.
+
+        Less important work leaves a part to what is above it.
+        """
+        above = targets.Importance.HIGH - importance
+        if self._saved < 1.0 + above * _RESERVED:
+            return False
+        self._saved -= 1.0
+        return True
+
+
+def is_safe(work_class: targets.WorkClass, ran: errors.Ran) -> bool:
+    """Whether another attempt cannot run the work a second time in vain."""
+    return work_class.repeatable or ran is errors.Ran.NO
+
+
+def back_off_s(failures: int, draw: float) -> float:
+    """Seconds to wait after a number of failures; full jitter.
+
+    Args:
+        failures: attempts that have failed, from 1.
+        draw: a number from [0, 1).
+    """
+    return draw * min(_MAX_PAUSE_S, _FIRST_PAUSE_S * 2**failures)
--- /dev/null
+++ b/pollenthread/core/slots.py
@@ -0,0 +1,224 @@
+"""Turns at an upstream: who runs, who waits and who is refused."""
+
+import dataclasses
+import enum
+
+from pollenthread.core import admission, errors, limits, service_times
+
+__all__ = ['Decision', 'Reading', 'Slots']
+
+_MAX_QUEUED = 512
+_SMOOTHING = 0.1
+_INITIAL_HOLD_S = 0.5
+_STALL_S = 1.5
+_STALL_FACTOR = 3.0
+_MIN_TARGET_S = 1e-3
+_RESERVE_S = 5.0
+_RESERVE_SHARE = 0.1
+_WAIT_MARGIN = 1.5
+
+
+class Decision(enum.Enum):
+    """What becomes of an attempt that asks for its turn."""
+
+    RUN = 'run'
+    WAIT = 'wait'
+    REFUSE = 'refuse'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """What is reported of an upstream.
+
+    Attributes:
+        running: attempts at the upstream.
+        queued: attempts that wait, by importance.
+        limit: attempts that may run at once; zero while it is stalled.
+        hold_s: recent mean seconds that an attempt runs.
+        first_s: recent mean seconds from its beginning to its first unit.
+        token_s: recent mean seconds between tokens; zero when unknown.
+    """
+
+    running: int
+    queued: tuple[int, ...]
+    limit: int
+    hold_s: float
+    first_s: float
+    token_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    """One attempt at the upstream."""
+
+    ticket: admission.Ticket
+    began_at: float
+    first_at: float | None = None
+    last_at: float = 0.0
+
+
+class Slots:
+    """Admits attempts to one upstream; time is passed in."""
+
+    def __init__(self, *, now: float) -> None:
+        self._limit = limits.ConcurrencyLimit(now=now)
+        self._queue = admission.AdmissionQueue()
+        self._running_by_attempt: dict[str, _Running] = {}
+        self._waiting_by_attempt: dict[str, admission.Ticket] = {}
+        self._times = service_times.ServiceTimes(
+            initial_hold_s=_INITIAL_HOLD_S)
+        self._token_s = 0.0
+        self._progress_at = now
+        self._seen_at = [-_RESERVE_S] * admission.LEVELS
+
+    @property
+    def running(self) -> int:
+        """Attempts at the upstream."""
+        return len(self._running_by_attempt)
+
+    @property
+    def queued(self) -> int:
+        """Attempts that wait."""
+        return len(self._queue)
+
+    def reading(self, now: float) -> Reading:
+        """What to report."""
+        limit = 0 if self.is_stalled(now) else self._limit.value
+        return Reading(running=self.running,
+                       queued=tuple(self._queue.lengths),
+                       limit=limit,
+                       hold_s=self._times.overall.hold_s,
+                       first_s=self._times.overall.first_s,
+                       token_s=self._token_s if self.running else 0.0)
+
+    def is_stalled(self, now: float) -> bool:
+        """Whether attempts run and none has had a part for too long."""
+        if not self._running_by_attempt:
+            return False
+        patience_s = max(_STALL_S, _STALL_FACTOR * self._times.overall.first_s)
+        return now - self._progress_at > patience_s
+
+    def offer(self, ticket: admission.Ticket,
+              now: float) -> tuple[Decision, errors.Kind | None]:
+        """Decides on an attempt that has come; refusals name their kind."""
+        if self.is_stalled(now):
+            return Decision.REFUSE, errors.Kind.OVERLOADED
+        ahead = self._queue.ahead_of(ticket)
+        self._seen_at[ticket.importance] = now
+        if not ahead and self.running < self._room(ticket.importance, now):
+            self._queue.note_served(ticket.workspace)
+            self._start(ticket, now)
+            return Decision.RUN, None
+        if len(self._queue) >= _MAX_QUEUED:
+            return Decision.REFUSE, errors.Kind.OVERLOADED
+        if now + _WAIT_MARGIN * (ahead + 1) * self._pace_s > self._latest_start(ticket):
+            return Decision.REFUSE, errors.Kind.DEADLINE_TOO_SHORT
+        self._queue.push(ticket)
+        self._waiting_by_attempt[ticket.attempt] = ticket
+        return Decision.WAIT, None
+
+    def progress(self, attempt: str, now: float, units: int = 1) -> None:
+        """Notes that an attempt has had a part of its answer."""
+        self._progress_at = now
+        run = self._running_by_attempt.get(attempt)
+        if run is None:
+            return
+        if run.first_at is None:
+            run.first_at = now
+        elif units and run.ticket.between_tokens_s:
+            self.observe_gap((now - run.last_at) / units,
+                             run.ticket.between_tokens_s, now)
+        run.last_at = now
+
+    def observe_gap(self, gap_s: float, target_s: float, now: float) -> None:
+        """Learns from the time between two tokens."""
+        if not self._token_s:
+            self._token_s = gap_s
+        self._token_s += _SMOOTHING * (gap_s - self._token_s)
+        self._limit.observe(limits.Measure.BETWEEN_TOKENS, gap_s / target_s,
+                            now)
+
+    def finish(self, attempt: str, now: float) -> float:
+        """Frees the turn, or the place in the queue, of an attempt.
+
+        Returns:
+            Seconds that it had its turn.
+        """
+        waiting = self._waiting_by_attempt.pop(attempt, None)
+        if waiting is not None:
+            self._queue.remove(waiting)
+            return 0.0
+        run = self._running_by_attempt.pop(attempt, None)
+        if run is None:
+            return 0.0
+        self._limit.note_running(self.running)
+        self._progress_at = now
+        hold_s = now - run.began_at
+        first_s = hold_s if run.first_at is None else run.first_at - run.began_at
+        self._times.learn(run.ticket.work_class, first_s, hold_s)
+        if not run.ticket.between_tokens_s:
+            target_s = max(run.ticket.due_at - run.ticket.arrived_at,
+                           _MIN_TARGET_S)
+            self._limit.observe(limits.Measure.ANSWER, hold_s / target_s, now)
+        return hold_s
+
+    def advance(self, now: float) -> tuple[list[str], list[str]]:
+        """Gives out free turns.
+
+        Returns:
+            Attempts that begin now, and waiting ones that are refused because
+            they can no longer be answered in time.
+        """
+        refused = self._drop_late(now)
+        started = []
+        while not self.is_stalled(now):
+            importance = self._queue.next_importance
+            if importance is None or self.running >= self._room(
+                    importance, now):
+                break
+            ticket = self._queue.pop()
+            assert ticket is not None
+            del self._waiting_by_attempt[ticket.attempt]
+            if now > self._latest_start(ticket):
+                refused.append(ticket.attempt)
+                continue
+            self._start(ticket, now)
+            started.append(ticket.attempt)
+        return started, refused
+
+    def _drop_late(self, now: float) -> list[str]:
+        if not len(self._queue):
+            return []
+        horizon = float('inf') if self.is_stalled(now) else now
+        dropped = self._queue.drop_due_before(horizon)
+        for ticket in dropped:
+            del self._waiting_by_attempt[ticket.attempt]
+        return [ticket.attempt for ticket in dropped]
+
+    def _room(self, importance: int, now: float) -> int:
+        """The part of the limit that a level may fill.
+
+        Levels above that have had work lately keep a reserve, because they
+        could not wait for long attempts of the levels below.
+        """
+        above = sum(now - seen_at < _RESERVE_S
+                    for seen_at in self._seen_at[importance + 1:])
+        return max(1, int(self._limit.value * (1 - _RESERVE_SHARE * above)))
+
+    @property
+    def _pace_s(self) -> float:
+        """Expected seconds from one turn to the next."""
+        return self._times.overall.hold_s / self._limit.value
+
+    def _latest_start(self, ticket: admission.Ticket) -> float:
+        """When a start is too late for the ticket's target."""
+        times = self._times.of(ticket.work_class)
+        service_s = times.first_s if ticket.between_tokens_s else times.hold_s
+        return ticket.due_at - service_s
+
+    def _start(self, ticket: admission.Ticket, now: float) -> None:
+        if not self._running_by_attempt:
+            self._progress_at = now
+        self._running_by_attempt[ticket.attempt] = _Running(ticket, now,
+                                                            last_at=now)
+        self._limit.note_running(self.running)
