Policy: learned reserves, refusals as load news, one budget

Cause: more important work waited behind long attempts of the rest; stale reports sent attempts to full upstreams; hedges had a budget of their own. Change: refusals of a level raise a reserve for it that decays; a refusal updates the load estimate; retries and hedges share one budget.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -34,8 +34,7 @@
              fakes.Kind('caption', 0.5, 'engine', _NORMAL, 60, _FIRST_S,
                         _GAP_S),
              fakes.Kind('payment', 0.2, 'service', _HIGH, 5, 2.0, 0.0, False)),
-    'tagline': (fakes.Kind('lookup', 0.5, 'engine', _HIGH, 8, 1.2,
-                           spread=0.3),
+    'tagline': (fakes.Kind('lookup', 0.5, 'engine', _HIGH, 8, 1.2, spread=0.3),
                 fakes.Kind('release', 0.15, 'service', _HIGH, 5, 2.0, 0.0,
                            False),
                 fakes.Kind('question', 0.35, 'engine', _LOW, 80, _FIRST_S,
@@ -57,9 +56,8 @@
                  locality=False)
     for name in ('random', 'round_robin', 'least_outstanding', 'two_reported'))
 _ORACLE = dataclasses.replace(_OURS, name='oracle', oracle=True)
-_MECHANISMS = ('unseen', 'affinity', 'deadlines', 'entry_admission',
-               'fairness', 'learned_limit', 'ejection', 'budget', 'hedges',
-               'locality')
+_MECHANISMS = ('unseen', 'affinity', 'deadlines', 'entry_admission', 'fairness',
+               'learned_limit', 'ejection', 'budget', 'hedges', 'locality')
 _ABLATIONS = tuple(
     dataclasses.replace(_OURS, name=f'ours without {name}', **{name: False})
     for name in _MECHANISMS)
@@ -95,7 +93,7 @@
                                    rng=random.Random(draws.random()))
                 for i in range(_ENTRIES)
             ] for pool, agents in (('engine', self.engines), ('service',
-                                                              services))
+                                                             services))
         }
         self.requests: list[fakes.Request] = []
         self._held: list[fakes.Request] = []
@@ -206,8 +204,8 @@
             world.loop.at(time_s, act)
 
 
-def _share(requests: list[fakes.Request],
-           test: Callable[[fakes.Request], bool]) -> float:
+def _share(requests: list[fakes.Request], test: Callable[[fakes.Request],
+                                                         bool]) -> float:
     return sum(map(test, requests)) / len(requests) if requests else 1.0
 
 
@@ -234,21 +232,33 @@
         return request.in_time()
 
     return {
-        'policy': cell.policy.name,
-        'mix': cell.mix,
-        'load': cell.load,
-        'lag_s': cell.lag_s,
-        'fault': cell.fault,
-        'goodput': round(sum(map(in_time, engine)) / seconds, 2),
-        'offered': round(len(engine) / seconds, 2),
-        'in_time_of_admitted': round(_share(admitted, in_time), 4),
-        'high_in_time': round(_share(high, in_time), 4),
-        'small_in_time': round(_share(small, in_time), 4),
-        'attempts': round(
-            sum(r.attempts for r in engine) / max(1, len(engine)), 3),
-        'after_fault': round(_share(after, in_time), 4),
-        'near': round(_share([r for r in engine if r.attempts],
-                             lambda r: r.near), 3)
+        'policy':
+            cell.policy.name,
+        'mix':
+            cell.mix,
+        'load':
+            cell.load,
+        'lag_s':
+            cell.lag_s,
+        'fault':
+            cell.fault,
+        'goodput':
+            round(sum(map(in_time, engine)) / seconds, 2),
+        'offered':
+            round(len(engine) / seconds, 2),
+        'in_time_of_admitted':
+            round(_share(admitted, in_time), 4),
+        'high_in_time':
+            round(_share(high, in_time), 4),
+        'small_in_time':
+            round(_share(small, in_time), 4),
+        'attempts':
+            round(sum(r.attempts for r in engine) / max(1, len(engine)), 3),
+        'after_fault':
+            round(_share(after, in_time), 4),
+        'near':
+            round(_share([r for r in engine if r.attempts], lambda r: r.near),
+                  3)
     }
 
 
@@ -273,9 +283,9 @@
     if not quick:
         for policy in _ABLATIONS:
             for mix in mixes:
-                for load, fault in ((0.8, 'none'), (1.0, 'none'),
-                                    (1.3, 'none'), (2.0, 'none'),
-                                    *((0.8, f) for f in _FAULTS)):
+                for load, fault in ((0.8, 'none'), (1.0, 'none'), (1.3, 'none'),
+                                    (2.0,
+                                     'none'), *((0.8, f) for f in _FAULTS)):
                     yield Cell(policy, mix, load, 1.0, fault)
 
 
--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -64,7 +64,6 @@
         self.health = health.HealthBook()
         self.others_mean = estimate.OthersMean()
         self._budget = retries.RetryBudget()
-        self._hedges = retries.RetryBudget()
         self._times = service_times.ServiceTimes()
         self._rng = rng
         self._turn = rng.randrange(len(agents))
@@ -99,7 +98,8 @@
             self._plan_hedge(request)
         peer.agent.offer(name, request, self)
 
-    def _choose(self, request: fakes.Request,
+    def _choose(self,
+                request: fakes.Request,
                 hedge: bool = False) -> str | None:
         peers = [p for p in self._tiers[-1] if p.agent.up]
         if not peers:
@@ -114,20 +114,23 @@
                 return min(peers, key=lambda p: p.outstanding).host
             case 'two_reported':
                 pair = (self._rng.choice(peers), self._rng.choice(peers))
-                return min(pair, key=lambda p: sum(
-                    (p.report.reading.running, *p.report.reading.queued))).host
+                return min(pair,
+                           key=lambda p: sum((p.report.reading.running, *p.
+                                              report.reading.queued))).host
         kind = request.kind
         preferred = (self._ring.host_of(request.prefix)
                      if self.policy.affinity else '')
         left_s = request.arrived_at + kind.first_s - self.loop.now
-        demand = choice.Demand(importance=kind.importance,
-                               left_s=left_s,
-                               answer_s=0.0 if kind.gap_s else
-                               self._times.of(kind.name).hold_s,
-                               avoid=request.failed_hosts)
+        demand = choice.Demand(
+            importance=kind.importance,
+            left_s=left_s,
+            answer_s=0.0 if kind.gap_s else self._times.of(kind.name).hold_s,
+            avoid=request.failed_hosts)
         if self.policy.oracle:
             return min(choice.rank(peer, demand) for peer in peers).host
-        chosen = choice.choose(self._tiers, demand, draw=self._rng.random,
+        chosen = choice.choose(self._tiers,
+                               demand,
+                               draw=self._rng.random,
                                preferred=self._peers.get(preferred))
         if chosen is None:
             return None
@@ -146,7 +149,7 @@
             request.failed_hosts.update(a.host for a in request.live.values())
             host = self._choose(request, hedge=True)
             importance = targets.Importance(request.kind.importance)
-            if host is not None and self._hedges.spend(importance):
+            if host is not None and self._budget.spend(importance):
                 self._send(request, host)
 
     def first(self, name: str, request: fakes.Request,
@@ -158,18 +161,18 @@
         for other, loser in list(request.live.items()):
             if other != name:
                 self._end(other, request, loser)
-                self.health.note_answer(loser.host, good=False,
+                self.health.note_answer(loser.host,
+                                        good=False,
                                         now=self.loop.now)
                 loser.cancel(other)
         return True
 
-    def done(self, name: str, request: fakes.Request,
-             agent: fakes.Agent, service_s: float) -> None:
+    def done(self, name: str, request: fakes.Request, agent: fakes.Agent,
+             service_s: float) -> None:
         self._end(name, request, agent)
         self._times.learn(request.kind.name, 0.0, service_s)
         request.done_at = self.loop.now
         self._budget.earn()
-        self._hedges.earn()
         self.health.note_answer(agent.host, good=True, now=self.loop.now)
 
     def failed(self, name: str, request: fakes.Request, agent: fakes.Agent,
@@ -178,7 +181,12 @@
         request.failed_hosts.add(agent.host)
         if request.live or name == request.winner:
             return
-        if ran is not errors.Ran.NO:
+        peer = self._peers[agent.host]
+        if ran is errors.Ran.NO:
+            peer.report = estimate.after_refusal(peer.report,
+                                                 own=peer.outstanding,
+                                                 now=self.loop.now)
+        else:
             self.health.note_answer(agent.host, good=False, now=self.loop.now)
         safe = request.kind.repeatable or ran is errors.Ran.NO
         left = request.attempts <= _CLASS_RETRIES and safe
--- a/bench/policy_fakes.py
+++ b/bench/policy_fakes.py
@@ -10,8 +10,7 @@
 
 from pollenthread.core import admission, choice, errors, estimate, slots
 
-__all__ = ['Agent', 'Kind', 'Loop', 'Policy', 'Receiver', 'Reports',
-           'Request']
+__all__ = ['Agent', 'Kind', 'Loop', 'Policy', 'Receiver', 'Reports', 'Request']
 
 _REPORT_S = 0.25
 _TICK_S = 0.1
@@ -205,9 +204,10 @@
         kind = request.kind
         self._requests[name] = (request, entry)
         workspace = request.workspace if self.policy.fairness else 'all'
-        ticket = admission.Ticket(name, workspace, kind.name, kind.importance
-                                  if self.policy.deadlines else 0, now,
-                                  request.arrived_at + kind.first_s, kind.gap_s)
+        ticket = admission.Ticket(
+            name, workspace, kind.name,
+            kind.importance if self.policy.deadlines else 0, now,
+            request.arrived_at + kind.first_s, kind.gap_s)
         decision, _ = self.slots.offer(ticket, now)
         if decision is slots.Decision.RUN:
             self._begin(name)
@@ -339,9 +339,10 @@
                          lambda: self._deliver(reports))
 
     def _make_report(self) -> 'Reports':
-        return Reports(self.slots.reading(self.loop.now), self.loop.now,
-                       collections.Counter(
-                           id(entry) for _, entry in self._requests.values()))
+        return Reports(
+            self.slots.reading(self.loop.now), self.loop.now,
+            collections.Counter(
+                id(entry) for _, entry in self._requests.values()))
 
     def _deliver(self, reports: 'Reports') -> None:
         self.reported = reports
--- a/pollenthread/core/choice.py
+++ b/pollenthread/core/choice.py
@@ -7,11 +7,14 @@
 
 from pollenthread.core import slots
 
-__all__ = ['Candidate', 'Chosen', 'Demand', 'Ranked', 'View', 'choose', 'predict', 'rank']
+__all__ = [
+    'Candidate', 'Chosen', 'Demand', 'Ranked', 'View', 'choose', 'predict',
+    'rank'
+]
 
 _MAX_DRAWS = 8
 _CHOICES = 2
-_AFFINITY_SLACK = 0.25
+_AFFINITY_SLACK = 0.1
 _SPILL_OCCUPANCY = 1.0
 _COMFORT = 0.5
 _MIN_HOLD_S = 1e-3
--- a/pollenthread/core/estimate.py
+++ b/pollenthread/core/estimate.py
@@ -5,7 +5,7 @@
 
 from pollenthread.core import slots
 
-__all__ = ['OthersMean', 'Report', 'expected_load']
+__all__ = ['OthersMean', 'Report', 'after_refusal', 'expected_load']
 
 _SMOOTHING = 0.1
 _MIN_HOLD_S = 0.05
@@ -65,3 +65,11 @@
     hold_s = max(report.reading.hold_s, _MIN_HOLD_S)
     trust = math.exp(-max(0.0, now - report.made_at) / hold_s)
     return own + mean.of(report) + trust * (report.others - mean.of(report))
+
+
+def after_refusal(report: Report, *, own: int, now: float) -> Report:
+    """What is known once an agent has refused an attempt for want of room."""
+    short = report.reading.limit + 1 - sum(report.reading.queued)
+    running = max(report.reading.running, short)
+    return Report(dataclasses.replace(report.reading, running=running), own,
+                  now)
--- a/pollenthread/core/health.py
+++ b/pollenthread/core/health.py
@@ -54,8 +54,8 @@
     def is_usable(self, host: str, now: float) -> bool:
         """Whether a host takes work; an ejected one does for a probe."""
         record = self._record_by_host.get(host)
-        return record is None or not record.ejected or (now >=
-                                                        record.next_probe_at)
+        return record is None or not record.ejected or (now
+                                                        >= record.next_probe_at)
 
     def note_sent(self, host: str, now: float) -> None:
         """Counts an attempt; for an ejected host it is the probe."""
--- a/pollenthread/core/retries.py
+++ b/pollenthread/core/retries.py
@@ -5,8 +5,8 @@
 __all__ = ['RetryBudget', 'back_off_s', 'is_safe']
 
 _SHARE = 0.1
-_MAX_SAVED = 10.0
-_RESERVED = 3.0
+_MAX_SAVED = 5.0
+_RESERVED = 1.5
 _FIRST_PAUSE_S = 0.01
 _MAX_PAUSE_S = 0.5
 
--- a/pollenthread/core/slots.py
+++ b/pollenthread/core/slots.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from pollenthread.core import admission, errors, limits, service_times
 
@@ -13,9 +14,10 @@
 _STALL_S = 1.5
 _STALL_FACTOR = 3.0
 _MIN_TARGET_S = 1e-3
-_RESERVE_S = 5.0
-_RESERVE_SHARE = 0.1
-_WAIT_MARGIN = 1.5
+_RESERVE_DECAY_S = 10.0
+_RESERVE_STEP = 0.1
+_MAX_RESERVE = 0.5
+_WAIT_MARGIN = 1.2
 
 
 class Decision(enum.Enum):
@@ -57,6 +59,23 @@
     last_at: float = 0.0
 
 
+class _Reserve:
+    """The share of the limit kept for a level; refusals raise it, time not."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._at = 0.0
+
+    def share_at(self, now: float) -> float:
+        """The share at a time."""
+        return self._share * math.exp((self._at - now) / _RESERVE_DECAY_S)
+
+    def raise_at(self, now: float) -> None:
+        """Counts a refusal."""
+        self._share = min(_MAX_RESERVE, self.share_at(now) + _RESERVE_STEP)
+        self._at = now
+
+
 class Slots:
     """Admits attempts to one upstream; time is passed in."""
 
@@ -65,11 +84,10 @@
         self._queue = admission.AdmissionQueue()
         self._running_by_attempt: dict[str, _Running] = {}
         self._waiting_by_attempt: dict[str, admission.Ticket] = {}
-        self._times = service_times.ServiceTimes(
-            initial_hold_s=_INITIAL_HOLD_S)
+        self._times = service_times.ServiceTimes(initial_hold_s=_INITIAL_HOLD_S)
         self._token_s = 0.0
         self._progress_at = now
-        self._seen_at = [-_RESERVE_S] * admission.LEVELS
+        self._reserves = [_Reserve() for _ in range(admission.LEVELS)]
 
     @property
     def running(self) -> int:
@@ -104,14 +122,15 @@
         if self.is_stalled(now):
             return Decision.REFUSE, errors.Kind.OVERLOADED
         ahead = self._queue.ahead_of(ticket)
-        self._seen_at[ticket.importance] = now
         if not ahead and self.running < self._room(ticket.importance, now):
             self._queue.note_served(ticket.workspace)
             self._start(ticket, now)
             return Decision.RUN, None
         if len(self._queue) >= _MAX_QUEUED:
             return Decision.REFUSE, errors.Kind.OVERLOADED
-        if now + _WAIT_MARGIN * (ahead + 1) * self._pace_s > self._latest_start(ticket):
+        wait_s = _WAIT_MARGIN * (ahead + 1) * self._pace_s
+        if now + wait_s > self._latest_start(ticket):
+            self._reserves[ticket.importance].raise_at(now)
             return Decision.REFUSE, errors.Kind.DEADLINE_TOO_SHORT
         self._queue.push(ticket)
         self._waiting_by_attempt[ticket.attempt] = ticket
@@ -180,6 +199,7 @@
             assert ticket is not None
             del self._waiting_by_attempt[ticket.attempt]
             if now > self._latest_start(ticket):
+                self._reserves[ticket.importance].raise_at(now)
                 refused.append(ticket.attempt)
                 continue
             self._start(ticket, now)
@@ -193,17 +213,19 @@
         dropped = self._queue.drop_due_before(horizon)
         for ticket in dropped:
             del self._waiting_by_attempt[ticket.attempt]
+            self._reserves[ticket.importance].raise_at(now)
         return [ticket.attempt for ticket in dropped]
 
     def _room(self, importance: int, now: float) -> int:
         """The part of the limit that a level may fill.
 
-        Levels above that have had work lately keep a reserve, because they
-        could not wait for long attempts of the levels below.
+        Levels above that had to be refused lately keep a reserve, because
+        they cannot wait for long attempts of the levels below.
         """
-        above = sum(now - seen_at < _RESERVE_S
-                    for seen_at in self._seen_at[importance + 1:])
-        return max(1, int(self._limit.value * (1 - _RESERVE_SHARE * above)))
+        kept = sum(
+            reserve.share_at(now)
+            for reserve in self._reserves[importance + 1:])
+        return max(1, int(self._limit.value * (1 - min(_MAX_RESERVE, kept))))
 
     @property
     def _pace_s(self) -> float:
@@ -219,6 +241,7 @@
     def _start(self, ticket: admission.Ticket, now: float) -> None:
         if not self._running_by_attempt:
             self._progress_at = now
-        self._running_by_attempt[ticket.attempt] = _Running(ticket, now,
+        self._running_by_attempt[ticket.attempt] = _Running(ticket,
+                                                            now,
                                                             last_at=now)
         self._limit.note_running(self.running)
