Policy: no control on latencies older than the last decrease

Cause: late first-unit times of attempts that began before a decrease of the limit were taken as its effect, so that it fell again and again; entry hosts refused on service times, which are then never learned anew. Change: latencies count only if they began after the last decrease; where there is room an attempt is always handed over; the first unit is a measure of the limit; affinity takes what prefill is of the work as its bound.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -39,6 +39,22 @@
                            False),
                 fakes.Kind('question', 0.35, 'engine', _LOW, 80, _FIRST_S,
                            _GAP_S)),
+    'prefixes': (fakes.Kind('chat',
+                            0.3,
+                            'engine',
+                            _HIGH,
+                            20,
+                            _FIRST_S,
+                            _GAP_S,
+                            prompt=900),
+                 fakes.Kind('caption',
+                            0.7,
+                            'engine',
+                            _NORMAL,
+                            20,
+                            _FIRST_S,
+                            _GAP_S,
+                            prompt=900))
 }
 _OURS = fakes.Policy()
 _BASELINES = tuple(
@@ -194,6 +210,9 @@
     if fault in ('reports lost', 'third gone, reports lost'):
         begin.append(lambda: change(sick, reports_lost=True))
         end.append(lambda: change(sick, reports_lost=False))
+    if fault == 'broken':
+        begin.append(lambda: change(sick[:1], broken=True))
+        end.append(lambda: change(sick[:1], broken=False))
     if fault == 'cold restart':
         begin.append(lambda: crash(sick))
         end.append(lambda: change(sick, up=True))
@@ -262,8 +281,9 @@
     }
 
 
-_FAULTS = ('stalled', 'slow', 'third gone', 'reports lost', 'retry storm',
-           'cold restart', 'stalled and slow', 'third gone, reports lost')
+_FAULTS = ('stalled', 'slow', 'broken', 'third gone', 'reports lost',
+           'retry storm', 'cold restart', 'stalled and slow',
+           'third gone, reports lost')
 
 
 def _cells(quick: bool) -> Iterator[Cell]:
--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -134,7 +134,7 @@
                                preferred=self._peers.get(preferred))
         if chosen is None:
             return None
-        if self.policy.entry_admission and chosen.predicted_s > left_s:
+        if self.policy.entry_admission and not choice.admits(chosen, left_s):
             return None
         return chosen.host if chosen.has_room or not hedge else None
 
--- a/bench/policy_fakes.py
+++ b/bench/policy_fakes.py
@@ -112,7 +112,7 @@
     def note_running(self, running: int) -> None:
         """Learns nothing."""
 
-    def observe(self, measure: int, ratio: float, now: float) -> None:
+    def observe(self, *_: object) -> None:
         """Learns nothing."""
 
 
@@ -158,6 +158,7 @@
         self.step = step
         self.slowness = 1.0
         self.stalled = False
+        self.broken = False
         self.up = True
         self.reports_lost = False
         self.listeners: list[Callable[['Reports'], None]] = []
@@ -207,9 +208,11 @@
         ticket = admission.Ticket(
             name, workspace, kind.name,
             kind.importance if self.policy.deadlines else 0, now,
-            request.arrived_at + kind.first_s, kind.gap_s)
+            request.arrived_at + kind.first_s, not kind.gap_s, kind.gap_s)
         decision, _ = self.slots.offer(ticket, now)
-        if decision is slots.Decision.RUN:
+        if self.broken:
+            self._break(name)
+        elif decision is slots.Decision.RUN:
             self._begin(name)
         elif decision is slots.Decision.REFUSE:
             self._refuse(name)
@@ -230,6 +233,11 @@
         for name, (request, entry) in lost:
             entry.failed(name, request, self, errors.Ran.UNKNOWN)
 
+    def _break(self, name: str) -> None:
+        self.slots.finish(name, self.loop.now)
+        request, entry = self._requests.pop(name)
+        entry.failed(name, request, self, errors.Ran.UNKNOWN)
+
     def _refuse(self, name: str) -> None:
         request, entry = self._requests.pop(name)
         entry.failed(name, request, self, errors.Ran.NO)
--- a/pollenthread/core/admission.py
+++ b/pollenthread/core/admission.py
@@ -19,8 +19,8 @@
         importance: 0 to 2; higher goes first.
         arrived_at: seconds.
         due_at: seconds by which its first unit, or its whole answer, is due.
-        between_tokens_s: target between tokens; zero when the whole answer is
-            the target.
+        whole: whether the whole answer, not the first unit, is due then.
+        between_tokens_s: target between tokens, or zero.
     """
 
     attempt: str
@@ -29,6 +29,7 @@
     importance: int
     arrived_at: float
     due_at: float
+    whole: bool = False
     between_tokens_s: float = 0.0
 
 
--- a/pollenthread/core/choice.py
+++ b/pollenthread/core/choice.py
@@ -8,13 +8,13 @@
 from pollenthread.core import slots
 
 __all__ = [
-    'Candidate', 'Chosen', 'Demand', 'Ranked', 'View', 'choose', 'predict',
-    'rank'
+    'Candidate', 'Chosen', 'Demand', 'Ranked', 'View', 'admits', 'choose',
+    'predict', 'rank'
 ]
 
 _MAX_DRAWS = 8
 _CHOICES = 2
-_AFFINITY_SLACK = 0.1
+_MAX_AFFINITY_SLACK = 0.3
 _SPILL_OCCUPANCY = 1.0
 _COMFORT = 0.5
 _MIN_HOLD_S = 1e-3
@@ -149,7 +149,8 @@
         return None
     if preferred is not None and _may_take(preferred, demand):
         wanted = rank(preferred, demand)
-        if wanted.occupancy <= min(1.0, best.occupancy + _AFFINITY_SLACK):
+        slack = _affinity_slack(preferred.view.reading)
+        if wanted.occupancy <= min(1.0, best.occupancy + slack):
             best = wanted
     return Chosen(best.host, best.predicted_s, best.occupancy < 1.0)
 
@@ -162,10 +163,26 @@
     return Ranked(overrun_s, view.occupancy, predicted_s, candidate.host)
 
 
+def _affinity_slack(reading: slots.Reading) -> float:
+    """How much fuller the preferred one may be: what prefill is of the work."""
+    if not reading.hold_s:
+        return 0.0
+    return min(_MAX_AFFINITY_SLACK, reading.first_s / reading.hold_s)
+
+
 def _may_take(candidate: Candidate, demand: Demand) -> bool:
     return candidate.is_usable and candidate.host not in demand.avoid
 
 
+def admits(chosen: Chosen, left_s: float) -> bool:
+    """Whether an attempt is worth handing over.
+
+    Where there is room it always is: service times are learned from what is
+    tried.
+    """
+    return chosen.has_room or chosen.predicted_s <= left_s
+
+
 def _draw(tier: Sequence[Candidate], demand: Demand,
           draw: Callable[[], float]) -> list[Candidate]:
     found: list[Candidate] = []
--- a/pollenthread/core/limits.py
+++ b/pollenthread/core/limits.py
@@ -19,6 +19,7 @@
 
     BETWEEN_TOKENS = 0
     ANSWER = 1
+    FIRST_UNIT = 2
 
 
 class ConcurrencyLimit:
@@ -32,6 +33,7 @@
         self._limit = float(_INITIAL_LIMIT)
         self._starting = True
         self._window_ends_at = now + _WINDOW_S
+        self._decreased_at = now
         self._running = 0
         self._peak = 0
         self._sums = [0.0] * len(Measure)
@@ -47,8 +49,22 @@
         self._running = running
         self._peak = max(self._peak, running)
 
-    def observe(self, measure: Measure, ratio: float, now: float) -> None:
-        """Takes one latency as a share of its target."""
+    def observe(self,
+                measure: Measure,
+                ratio: float,
+                now: float,
+                since: float | None = None) -> None:
+        """Takes one latency as a share of its target.
+
+        Args:
+            measure: which latency.
+            ratio: its share of the target.
+            now: seconds.
+            since: when it began; what began before the last decrease says
+                nothing of the limit in force.
+        """
+        if since is not None and since < self._decreased_at:
+            return
         self._sums[measure] += ratio
         self._counts[measure] += 1
         if now >= self._window_ends_at:
@@ -60,6 +76,7 @@
                     if count)
         if ratio > _SATURATION:
             self._starting = False
+            self._decreased_at = now
             cut = max(_MIN_DECREASE, _AIM / ratio)
             self._limit = max(1.0, min(self._limit, self._peak) * cut)
         elif self._peak >= self.value:
--- a/pollenthread/core/slots.py
+++ b/pollenthread/core/slots.py
@@ -17,6 +17,7 @@
 _RESERVE_DECAY_S = 10.0
 _RESERVE_STEP = 0.1
 _MAX_RESERVE = 0.5
+_FIRST_UNIT_SHARE = 0.5
 _WAIT_MARGIN = 1.2
 
 
@@ -87,6 +88,7 @@
         self._times = service_times.ServiceTimes(initial_hold_s=_INITIAL_HOLD_S)
         self._token_s = 0.0
         self._progress_at = now
+        self._suspect = False
         self._reserves = [_Reserve() for _ in range(admission.LEVELS)]
 
     @property
@@ -111,10 +113,21 @@
 
     def is_stalled(self, now: float) -> bool:
         """Whether attempts run and none has had a part for too long."""
-        if not self._running_by_attempt:
+        if (not self._running_by_attempt or
+                now - self._progress_at <= _STALL_S):
             return False
-        patience_s = max(_STALL_S, _STALL_FACTOR * self._times.overall.first_s)
-        return now - self._progress_at > patience_s
+        self._suspect = self._suspect or any(
+            now - max(self._progress_at, run.began_at) > self._patience_s(run)
+            for run in self._running_by_attempt.values())
+        return self._suspect
+
+    def _patience_s(self, run: _Running) -> float:
+        """How long an attempt may have no part before that is a stall."""
+        if run.first_at is not None and not run.ticket.whole:
+            return _STALL_S
+        times = self._times.of(run.ticket.work_class)
+        usual_s = times.hold_s if run.ticket.whole else times.first_s
+        return max(_STALL_S, _STALL_FACTOR * usual_s, _target_s(run.ticket))
 
     def offer(self, ticket: admission.Ticket,
               now: float) -> tuple[Decision, errors.Kind | None]:
@@ -139,11 +152,17 @@
     def progress(self, attempt: str, now: float, units: int = 1) -> None:
         """Notes that an attempt has had a part of its answer."""
         self._progress_at = now
+        self._suspect = False
         run = self._running_by_attempt.get(attempt)
         if run is None:
             return
         if run.first_at is None:
             run.first_at = now
+            if not run.ticket.whole:
+                target_s = _FIRST_UNIT_SHARE * _target_s(run.ticket)
+                self._limit.observe(limits.Measure.FIRST_UNIT,
+                                    (now - run.began_at) / target_s, now,
+                                    run.began_at)
         elif units and run.ticket.between_tokens_s:
             self.observe_gap((now - run.last_at) / units,
                              run.ticket.between_tokens_s, now)
@@ -171,14 +190,13 @@
         if run is None:
             return 0.0
         self._limit.note_running(self.running)
-        self._progress_at = now
         hold_s = now - run.began_at
         first_s = hold_s if run.first_at is None else run.first_at - run.began_at
         self._times.learn(run.ticket.work_class, first_s, hold_s)
-        if not run.ticket.between_tokens_s:
-            target_s = max(run.ticket.due_at - run.ticket.arrived_at,
-                           _MIN_TARGET_S)
-            self._limit.observe(limits.Measure.ANSWER, hold_s / target_s, now)
+        if run.ticket.whole:
+            self._limit.observe(limits.Measure.ANSWER,
+                                hold_s / _target_s(run.ticket), now,
+                                run.began_at)
         return hold_s
 
     def advance(self, now: float) -> tuple[list[str], list[str]]:
@@ -225,6 +243,8 @@
         kept = sum(
             reserve.share_at(now)
             for reserve in self._reserves[importance + 1:])
+        if self._suspect:
+            return 1
         return max(1, int(self._limit.value * (1 - min(_MAX_RESERVE, kept))))
 
     @property
@@ -235,7 +255,7 @@
     def _latest_start(self, ticket: admission.Ticket) -> float:
         """When a start is too late for the ticket's target."""
         times = self._times.of(ticket.work_class)
-        service_s = times.first_s if ticket.between_tokens_s else times.hold_s
+        service_s = times.hold_s if ticket.whole else times.first_s
         return ticket.due_at - service_s
 
     def _start(self, ticket: admission.Ticket, now: float) -> None:
@@ -245,3 +265,7 @@
                                                             now,
                                                             last_at=now)
         self._limit.note_running(self.running)
+
+
+def _target_s(ticket: admission.Ticket) -> float:
+    return max(ticket.due_at - ticket.arrived_at, _MIN_TARGET_S)
