Run the policy in the entry host and the agent

Cause: the processes chose by two draws on reported load, with a fixed limit and no admission. Change: the agent's queue is app/turns.py over core/slots; load reports carry the limit, service times, the queue by importance and what came over the link; entry hosts choose, admit, retry and hedge through app/chooser.py. A class that may not be repeated is refused by agents only, because its key may have an outcome. Run: tests/path, tests/product and the demo pass.

--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -97,6 +97,9 @@
                           repeatable=True,
                           key='',
                           deadline_ms=120_000,
+                          target_ms=1_800,
+                          whole=False,
+                          between_tokens_ms=70,
                           stream=True,
                           window=1024,
                           method='POST',
@@ -114,7 +117,7 @@
         'ping':
             messages.Ping(17, 42),
         'load':
-            messages.Load(12, 3, 400, 30_000),
+            messages.Load(12, (0, 3, 0), 16, 4_000_000, 400_000, 30_000, 2, 99),
         'begin':
             _begin(),
         'chunk':
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -74,9 +74,17 @@
 _ORACLE = dataclasses.replace(_OURS, name='oracle', oracle=True)
 _MECHANISMS = ('unseen', 'affinity', 'deadlines', 'entry_admission', 'fairness',
                'learned_limit', 'ejection', 'budget', 'hedges', 'locality')
-_ABLATIONS = tuple(
-    dataclasses.replace(_OURS, name=f'ours without {name}', **{name: False})
-    for name in _MECHANISMS)
+
+
+def _without(mechanism: str) -> fakes.Policy:
+    changes: dict[str, Any] = {
+        'name': f'ours without {mechanism}',
+        mechanism: False
+    }
+    return dataclasses.replace(_OURS, **changes)
+
+
+_ABLATIONS = tuple(_without(name) for name in _MECHANISMS)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -27,15 +27,23 @@
   repeatable @5 :Bool;
   key @6 :Text;
   deadlineMs @7 :UInt32;
-  stream @8 :Bool;
-  window @9 :UInt64;
-  method @10 :Text;
-  path @11 :Text;
-  headers @12 :List(Header);
-  body @13 :Data;
+  targetMs @8 :UInt32;
+  whole @9 :Bool;
+  betweenTokensMs @10 :UInt32;
+  stream @11 :Bool;
+  window @12 :UInt64;
+  method @13 :Text;
+  path @14 :Text;
+  headers @15 :List(Header);
+  body @16 :Data;
 }
 
-struct Head { attempt @0 :Text; status @1 :UInt16; headers @2 :List(Header); }
+struct Head {
+  attempt @0 :Text;
+  status @1 :UInt16;
+  headers @2 :List(Header);
+  waitedMs @3 :UInt32;
+}
 
 struct Chunk {
   attempt @0 :Text;
@@ -55,9 +63,13 @@
 
 struct Load {
   running @0 :UInt32;
-  queued @1 :UInt32;
-  firstTokenMs @2 :UInt32;
-  tokenUs @3 :UInt32;
+  queued @1 :List(UInt32);
+  limit @2 :UInt32;
+  holdUs @3 :UInt64;
+  firstUnitUs @4 :UInt64;
+  tokenUs @5 :UInt32;
+  own @6 :UInt32;
+  seen @7 :UInt64;
 }
 
 struct Leaving { host @0 :Text; }
--- a/pollenthread/adapters/wire.py
+++ b/pollenthread/adapters/wire.py
@@ -54,6 +54,7 @@
 _CONVERSIONS: dict[Any, tuple[Any, Any]] = {
     bytes: (None, bytes),
     tuple[str, ...]: (list, tuple),
+    tuple[int, ...]: (list, tuple),
     tuple[messages.Header, ...]: (_write_headers, _read_headers),
     errors.Kind: (_enum_value, errors.Kind),
     errors.Ran: (_enum_value, errors.Ran),
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from pollenthread.app import turns as turns_module
 from pollenthread.core import errors, events, gate_rules, messages
 from pollenthread.ports import engine, link as link_port
 
@@ -20,15 +21,11 @@
     """Bounds on what an agent holds.
 
     Attributes:
-        max_running: attempts at the upstream at once.
-        max_queued: attempts that wait for their turn.
         max_kept: finished outcomes that wait for a confirmation.
         resume_grace_s: seconds that an attempt goes on without a link.
         max_outcome_bytes: size of a kept outcome.
     """
 
-    max_running: int = 64
-    max_queued: int = 256
     max_kept: int = 4096
     resume_grace_s: float = 10.0
     max_outcome_bytes: int = 1024 * 1024
@@ -45,25 +42,52 @@
         self._attempts_by_id: dict[str, _Attempt] = {}
         self._links_by_session: dict[str, link_port.Link] = {}
         self._sealed_by_session = collections.defaultdict[str, set[str]](set)
-        self._turns = asyncio.Semaphore(limits.max_running)
-        self._running = 0
-        self._queued = 0
+        self._turns = turns_module.Turns()
+        self._seen_by_session = collections.Counter[str]()
         self._leaving = False
         self.begun_count = 0
         self.refused_by_kind = collections.Counter[errors.Kind]()
 
     @property
-    def load(self) -> messages.Load:
-        """What the agent reports to entry hosts."""
-        return messages.Load(running=self._running,
-                             queued=self._queued,
-                             first_token_ms=0,
-                             token_us=0)
+    def running(self) -> int:
+        """Attempts at the upstream."""
+        return self._turns.running
+
+    @property
+    def queued(self) -> int:
+        """Attempts that wait for their turn."""
+        return self._turns.queued
+
+    @property
+    def limit(self) -> int:
+        """Attempts that may run at once; zero while the upstream is stalled.
+        """
+        return self._turns.reading.limit
+
+    def report_load(self) -> None:
+        """Tells every link the load and its part of it."""
+        own_by_session = collections.Counter(
+            attempt.link.session
+            for attempt in self._attempts_by_id.values()
+            if attempt.link is not None and not attempt.finished)
+        for link in list(self._links_by_session.values()):
+            _send(link, self._load(link, own_by_session[link.session]))
+
+    def _load(self, link: link_port.Link, own: int) -> messages.Load:
+        reading = self._turns.reading
+        return messages.Load(running=reading.running,
+                             queued=reading.queued,
+                             limit=reading.limit,
+                             hold_us=int(reading.hold_s * 1e6),
+                             first_unit_us=int(reading.first_s * 1e6),
+                             token_us=int(reading.token_s * 1e6),
+                             own=own,
+                             seen=self._seen_by_session[link.session])
 
     @property
     def unfinished(self) -> int:
         """Attempts that wait or run."""
-        return self._running + self._queued
+        return self._turns.running + self._turns.queued
 
     @property
     def unconfirmed(self) -> int:
@@ -96,13 +120,14 @@
         self._links_by_session[link.session] = link
         logging.info('link open host=%s session=%s', link.peer.host,
                      link.session)
-        _send(link, self.load)
+        _send(link, self._load(link, 0))
         if self._leaving:
             _send(link, messages.Leaving(''))
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
         self._links_by_session.pop(link.session, None)
         self._sealed_by_session.pop(link.session, None)
+        self._seen_by_session.pop(link.session, None)
         logging.info('link closed host=%s session=%s reason=%s', link.peer.host,
                      link.session, reason)
         for attempt in list(self._attempts_by_id.values()):
@@ -145,8 +170,6 @@
             return errors.Kind.SEALED
         if self._leaving:
             return errors.Kind.LEAVING
-        if self._queued >= self._limits.max_queued:
-            return errors.Kind.OVERLOADED
         if not begin.repeatable and self._kept >= self._limits.max_kept:
             return errors.Kind.OVERLOADED
         return None
@@ -156,6 +179,7 @@
         return sum(1 for a in self._attempts_by_id.values() if a.kept)
 
     def _begin(self, link: link_port.Link, begin: messages.Begin) -> None:
+        self._seen_by_session[link.session] += 1
         kind = self._refusal(link, begin)
         if kind is not None:
             self.refused_by_kind[kind] += 1
@@ -165,7 +189,10 @@
                 messages.Fail(begin.attempt, kind, problem.detail,
                               errors.Ran.NO))
             return
-        attempt = _Attempt(begin=begin, link=link, limits=self._limits)
+        attempt = _Attempt(begin=begin,
+                           link=link,
+                           limits=self._limits,
+                           turns=self._turns)
         self._attempts_by_id[begin.attempt] = attempt
         attempt.task = asyncio.create_task(self._serve(attempt))
 
@@ -176,8 +203,7 @@
                 try:
                     await attempt.run(self._upstream)
                 finally:
-                    self._running -= 1
-                    self._turns.release()
+                    self._turns.release(attempt_id)
         except asyncio.CancelledError:
             attempt.fail(errors.failure(errors.Kind.STOPPED))
         except Exception as error:  # pylint: disable=broad-exception-caught
@@ -190,17 +216,17 @@
 
     async def _wait_turn(self, attempt: '_Attempt') -> bool:
         """Waits in the queue; False when the attempt must not begin."""
-        self._queued += 1
+        ticket = turns_module.ticket_of(attempt.begin)
         try:
-            async with asyncio.timeout(attempt.begin.deadline_ms / 1000):
-                await self._turns.acquire()
-        except (TimeoutError, asyncio.CancelledError):
-            attempt.fail(
-                errors.failure(errors.Kind.DEADLINE_PASSED, ran=errors.Ran.NO))
+            kind = await self._turns.acquire(ticket)
+        except asyncio.CancelledError:
+            kind = errors.Kind.DEADLINE_PASSED
+        if kind is not None:
+            self.refused_by_kind[kind] += 1
+            attempt.fail(errors.failure(kind, ran=errors.Ran.NO))
             return False
-        finally:
-            self._queued -= 1
-        self._running += 1
+        waited_s = asyncio.get_running_loop().time() - ticket.arrived_at
+        attempt.waited_ms = int(waited_s * 1000)
         self.begun_count += 1
         return True
 
@@ -234,13 +260,15 @@
     """One attempt at the upstream and the part of its answer not yet taken."""
 
     def __init__(self, *, begin: messages.Begin, link: link_port.Link,
-                 limits: GateLimits) -> None:
+                 limits: GateLimits, turns: turns_module.Turns) -> None:
         self.begin = begin
         self.link: link_port.Link | None = link
         self.task: asyncio.Task[None] | None = None
         self.finished = False
         self.outcome_known = False
+        self.waited_ms = 0
         self._limits = limits
+        self._turns = turns
         self._head: messages.Head | None = None
         self._unsent: list[messages.Chunk] = []
         self._unsent_bytes = 0
@@ -283,7 +311,8 @@
                                                    begin.attempt)),
                                          body=begin.body)
         try:
-            async with asyncio.timeout(begin.deadline_ms / 1000):
+            async with asyncio.timeout(
+                (begin.deadline_ms - self.waited_ms) / 1000):
                 async with upstream.call(request) as exchange:
                     await self._relay(exchange)
         except engine.UpstreamUnavailable as error:
@@ -303,7 +332,7 @@
             self.fail(errors.failure(raise_kind))
             return
         self._head = messages.Head(self.begin.attempt, exchange.status,
-                                   exchange.headers)
+                                   exchange.headers, self.waited_ms)
         self._emit(self._head)
         if not self._is_event_stream(exchange):
             async for data in exchange.read():
@@ -326,6 +355,7 @@
             for name, value in exchange.headers)
 
     async def _pass_on(self, count: int, data: bytes) -> None:
+        self._turns.progress(self.begin.attempt, count)
         chunk = messages.Chunk(self.begin.attempt, self._offset, count, data)
         self._offset += count
         self._unsent.append(chunk)
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -7,8 +7,9 @@
 
 import result
 
-from pollenthread.app import claim_keeper, pool as pool_module
-from pollenthread.core import (account, choice, claims, errors, ids, messages,
+from pollenthread.app import (chooser as chooser_module, claim_keeper, pool as
+                              pool_module)
+from pollenthread.core import (account, claims, errors, ids, messages, retries,
                                pace as pace_module, targets)
 from pollenthread.ports import clock, link as link_port
 
@@ -17,6 +18,7 @@
 _EVENT_WINDOW = 1024
 _BYTE_WINDOW = 256 * 1024
 _RELINK_TIMEOUT_S = 3.0
+_MIN_DUE_S = 1e-3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,7 +104,7 @@
         self._pool = pool
         self._keeper = keeper
         self._time = time
-        self._draw = draw
+        self.chooser = chooser_module.Chooser(pool=pool, time=time, draw=draw)
         self._recordings: set[asyncio.Task[None]] = set()
 
     @property
@@ -112,7 +114,10 @@
 
     async def serve(self, call: Call, sink: Sink, report: Report) -> None:
         """Serves one request; the report says how it went."""
-        serving = _Serving(call=call, sink=sink, report=report)
+        serving = _Serving(call=call,
+                           sink=sink,
+                           report=report,
+                           need=_need(call, self._time.monotonic()))
         try:
             async with asyncio.timeout(call.deadline - self._time.monotonic()):
                 await self._serve(serving)
@@ -123,14 +128,16 @@
 
     async def _serve(self, serving: '_Serving') -> None:
         call = serving.call
-        attempt = ids.AttemptId(call.request_id, 1)
-        failed: set[str] = set()
+        need = serving.need
         granted: claim_keeper.Granted | None = None
-        problem = errors.failure(errors.Kind.NO_UPSTREAM)
-        for _ in range(call.work_class.retries + 1):
-            upstream = self._choose(call, failed)
-            if upstream is None:
+        problem: errors.Failure | None = None
+        while True:
+            chosen = self.chooser.choose(need)
+            if isinstance(chosen, result.Err):
+                problem = problem or chosen.err_value
                 break
+            upstream = chosen.ok_value
+            attempt = serving.next_attempt()
             if not call.work_class.repeatable:
                 decided = await self._claim(call, attempt, upstream, granted)
                 if isinstance(decided, result.Err):
@@ -140,27 +147,17 @@
                     await self._answer_repeat(serving, decided.ok_value)
                     return
                 granted = decided.ok_value
-            failure = await self._attempt(serving, attempt, upstream, granted)
-            if failure is None:
+            problem = await self._attempt(serving, attempt, upstream, granted)
+            if problem is None:
                 return
-            problem = failure
-            failed.add(upstream.hello.host)
-            if not serving.may_retry(failure):
+            if not serving.may_retry(problem):
+                break
+            if not await self.chooser.pause_before_retry(need):
                 break
-            attempt = attempt.next
         if granted is not None and problem.ran is errors.Ran.NO:
             await self._keeper.release(granted)
         serving.report.failure = problem
 
-    def _choose(self, call: Call,
-                failed: set[str]) -> pool_module.Upstream | None:
-        candidates = self._pool.candidates(call.kind, call.name)
-        draws = (self._draw.random(), self._draw.random())
-        view = choice.choose([u.view for u in candidates],
-                             avoid=failed,
-                             draws=draws)
-        return None if view is None else self._pool.by_host[view.host]
-
     async def _claim(
         self, call: Call, attempt: ids.AttemptId,
         upstream: pool_module.Upstream, granted: claim_keeper.Granted | None
@@ -181,30 +178,80 @@
             self, serving: '_Serving', attempt: ids.AttemptId,
             upstream: pool_module.Upstream,
             granted: claim_keeper.Granted | None) -> errors.Failure | None:
-        """Hands one attempt over; None when the answer is whole."""
-        call = serving.call
-        begin = self._begin(call, attempt, upstream)
+        """Makes one attempt; None when the answer is whole."""
+        handed = self._hand_over(serving, attempt, upstream)
+        if handed is None:
+            failure = errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
+            self.chooser.note_failure(serving.need, upstream, failure)
+            return failure
+        handed = await self._hedge(serving, handed)
+        relay = _Relay(serving=serving, attempt=handed.attempt, pool=self._pool)
+        try:
+            failed = await relay.run(handed.upstream, handed.stream)
+        except BaseException:
+            relay.cancel()
+            raise
+        self._learn(serving, handed, relay, failed)
+        if granted is not None and _has_ended(failed):
+            self._record(granted, relay)
+        return failed
+
+    def _learn(self, serving: '_Serving', handed: '_Handed', relay: '_Relay',
+               failed: errors.Failure | None) -> None:
+        if failed is not None:
+            self.chooser.note_failure(serving.need, handed.upstream, failed)
+            return
+        taken_s = self._time.monotonic() - handed.sent_at
+        self.chooser.note_success(serving.need, handed.upstream,
+                                  taken_s - relay.waited_s)
+
+    def _hand_over(self, serving: '_Serving', attempt: ids.AttemptId,
+                   upstream: pool_module.Upstream) -> '_Handed | None':
+        """Sends an attempt to an agent; None when the link is lost."""
+        begin = self._begin(serving, attempt, upstream)
         stream = upstream.open(begin.attempt)
         try:
             upstream.link.send(begin)
         except link_port.LinkLost:
             upstream.close(begin.attempt)
-            return errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
-        upstream.sent_since += 1
+            return None
+        upstream.note_sent()
         serving.report.attempts += 1
-        relay = _Relay(serving=serving, attempt=begin.attempt, pool=self._pool)
+        return _Handed(attempt=begin.attempt,
+                       upstream=upstream,
+                       stream=stream,
+                       sent_at=self._time.monotonic())
+
+    async def _hedge(self, serving: '_Serving', first: '_Handed') -> '_Handed':
+        """Waits for a part; makes a second attempt when there is none."""
+        after_s = self.chooser.hedge_after_s(serving.need)
+        if after_s is None:
+            return first
         try:
-            failure = await relay.run(upstream, stream)
+            if await first.has_part_within(after_s):
+                return first
+            serving.need.failed_hosts.add(first.upstream.host)
+            upstream = self.chooser.choose_hedge(serving.need)
+            second = upstream and self._hand_over(
+                serving, serving.next_attempt(), upstream)
         except BaseException:
-            relay.cancel()
+            first.cancel()
             raise
-        if granted is not None and _has_ended(failure):
-            self._record(granted, relay)
-        return failure
-
-    def _begin(self, call: Call, attempt: ids.AttemptId,
+        if not second:
+            return first
+        winner, loser = await _race(first, second)
+        loser.cancel()
+        if loser is first:
+            first.upstream.note_answer(good=False)
+        return winner
+
+    def _begin(self, serving: '_Serving', attempt: ids.AttemptId,
                upstream: pool_module.Upstream) -> messages.Begin:
-        left_s = max(0.0, call.deadline - self._time.monotonic())
+        call = serving.call
+        need = serving.need
+        now = self._time.monotonic()
+        left_s = max(0.0, call.deadline - now)
+        due_s = max(_MIN_DUE_S, need.due_at - now)
         return messages.Begin(attempt=str(attempt),
                               session=upstream.link.session,
                               workspace=call.workspace,
@@ -213,6 +260,9 @@
                               repeatable=call.work_class.repeatable,
                               key=call.key,
                               deadline_ms=int(left_s * 1000),
+                              target_ms=int(due_s * 1000),
+                              whole=need.whole,
+                              between_tokens_ms=need.between_tokens_ms,
                               stream=call.stream,
                               window=_window(call),
                               method=call.method,
@@ -266,15 +316,21 @@
     call: Call
     sink: Sink
     report: Report
+    need: chooser_module.Need
     head_sent: bool = False
+    last_attempt: int = 0
+
+    def next_attempt(self) -> ids.AttemptId:
+        """Names another attempt."""
+        self.last_attempt += 1
+        return ids.AttemptId(self.call.request_id, self.last_attempt)
 
     def may_retry(self, failure: errors.Failure) -> bool:
         """Whether another attempt is allowed after a failure."""
-        if self.head_sent:
+        retries_made = max(0, self.last_attempt - 1)
+        if self.head_sent or retries_made >= self.call.work_class.retries:
             return False
-        if failure.ran is errors.Ran.NO:
-            return True
-        return self.call.work_class.repeatable
+        return retries.is_safe(self.call.work_class, failure.ran)
 
     async def deliver_head(self, head: messages.Head) -> None:
         """Passes the head on once."""
@@ -297,6 +353,61 @@
         await self.sink.end()
 
 
+@dataclasses.dataclass(frozen=True)
+class _Handed:
+    """One attempt that an agent has."""
+
+    attempt: str
+    upstream: pool_module.Upstream
+    stream: pool_module.AttemptStream
+    sent_at: float
+
+    async def has_part_within(self, timeout_s: float) -> bool:
+        """Whether a part of the answer, or a failure, comes in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.stream.wait_for_part()
+        except TimeoutError:
+            return False
+        return True
+
+    async def has_answer(self) -> bool:
+        """Waits for a part of the answer; False for a failure."""
+        part = await self.stream.wait_for_part()
+        return isinstance(part, (messages.Chunk, messages.End))
+
+    def cancel(self) -> None:
+        """Tells the agent that nobody waits."""
+        self.upstream.close(self.attempt)
+        try:
+            self.upstream.link.send(messages.Cancel(self.attempt))
+        except link_port.LinkLost:
+            pass
+
+
+async def _race(first: _Handed, second: _Handed) -> tuple[_Handed, _Handed]:
+    """Waits for a part of either; the winner, and the loser."""
+    tasks = {
+        asyncio.create_task(first.has_answer()): (first, second),
+        asyncio.create_task(second.has_answer()): (second, first)
+    }
+    try:
+        waiting = set(tasks)
+        while True:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                if task.result() or not waiting:
+                    return tasks[task]
+    except BaseException:
+        first.cancel()
+        second.cancel()
+        raise
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
 class _Relay:
     """Passes the answer of one attempt on, over more than one link if need be.
     """
@@ -321,6 +432,11 @@
                               headers=self._head.headers,
                               body=b''.join(self._kept))
 
+    @property
+    def waited_s(self) -> float:
+        """Seconds that the attempt waited for its turn at the agent."""
+        return 0.0 if self._head is None else self._head.waited_ms / 1000
+
     async def run(self, upstream: pool_module.Upstream,
                   stream: pool_module.AttemptStream) -> errors.Failure | None:
         """Relays until the end marker; None when the answer is whole."""
@@ -413,5 +529,16 @@
             failure.ran is not errors.Ran.NO)
 
 
+def _need(call: Call, now: float) -> chooser_module.Need:
+    return chooser_module.Need(workspace=call.workspace,
+                               work_class=call.work_class,
+                               kind=call.kind,
+                               name=call.name,
+                               stream=call.stream,
+                               body=call.body,
+                               accepted_at=now,
+                               deadline=call.deadline)
+
+
 def _window(call: Call) -> int:
     return _EVENT_WINDOW if call.stream else _BYTE_WINDOW
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -3,16 +3,20 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Sequence
 
 from absl import logging
 
-from pollenthread.core import choice, errors, messages
+from pollenthread.core import (affinity, choice, errors, estimate, health,
+                               messages, slots)
 from pollenthread.ports import link as link_port
 
-__all__ = ['AttemptStream', 'Pool', 'Upstream']
+__all__ = ['AttemptStream', 'Group', 'Pool', 'Shared', 'Upstream']
 
 _SEAL_TIMEOUT_S = 2.0
 
+_NOTHING_KNOWN = slots.Reading(0, (0, 0, 0), 1, 0.0, 0.0, 0.0)
+
 _SealAnswer = asyncio.Future[messages.SealState | None]
 
 
@@ -28,6 +32,19 @@
         self._queue.append(message)
         self._ready.set()
 
+    async def wait_for_part(self) -> messages.Message | None:
+        """Waits for more than a head, which stays in the queue.
+
+        Returns:
+            The part of the answer, or the failure; None for a lost link.
+        """
+        while True:
+            for message in self._queue:
+                if not isinstance(message, messages.Head):
+                    return message
+            self._ready.clear()
+            await self._ready.wait()
+
     async def get(self) -> messages.Message | None:
         """Takes the next message; None when the link is lost."""
         while not self._queue:
@@ -36,18 +53,17 @@
         return self._queue.popleft()
 
 
-@dataclasses.dataclass
-class Upstream:
+class Upstream(choice.Candidate):
     """One upstream behind an open link."""
 
-    link: link_port.Link
-    load: messages.Load
-    sent_since: int = 0
-    leaving: bool = False
-    streams_by_attempt: dict[str, AttemptStream] = dataclasses.field(
-        default_factory=dict)
-    seals_by_attempt: dict[str, list[_SealAnswer]] = dataclasses.field(
-        default_factory=dict)
+    def __init__(self, *, link: link_port.Link, shared: 'Shared') -> None:
+        self.link = link
+        self.leaving = False
+        self.report = estimate.Report(_NOTHING_KNOWN, 0, shared.now())
+        self.streams_by_attempt: dict[str, AttemptStream] = {}
+        self.seals_by_attempt: dict[str, list[_SealAnswer]] = {}
+        self._sent = estimate.SentLog()
+        self._shared = shared
 
     @property
     def hello(self) -> messages.Hello:
@@ -55,12 +71,53 @@
         return self.link.peer
 
     @property
-    def view(self) -> choice.UpstreamView:
-        """What the choice needs to know."""
-        return choice.UpstreamView(host=self.hello.host,
-                                   reported=self.load.running +
-                                   self.load.queued,
-                                   sent_since=self.sent_since)
+    def host(self) -> str:
+        return self.hello.host
+
+    @property
+    def view(self) -> choice.View:
+        shared = self._shared
+        return choice.View(
+            self.report.reading,
+            estimate.expected_load(self.report,
+                                   own=len(self.streams_by_attempt),
+                                   mean=shared.others,
+                                   now=shared.now()))
+
+    @property
+    def is_usable(self) -> bool:
+        return (self.link.is_open and not self.leaving and
+                self._shared.health.is_usable(self.host, self._shared.now()))
+
+    def note_sent(self) -> None:
+        """Counts an attempt that was handed over."""
+        now = self._shared.now()
+        self._sent.note(now)
+        self._shared.health.note_sent(self.host, now)
+
+    def note_load(self, load: messages.Load) -> None:
+        """Takes a load report."""
+        made_at = self._sent.made_at(load.seen, self._shared.now())
+        reading = slots.Reading(running=load.running,
+                                queued=load.queued,
+                                limit=load.limit,
+                                hold_s=load.hold_us / 1e6,
+                                first_s=load.first_unit_us / 1e6,
+                                token_s=load.token_us / 1e6)
+        self.report = estimate.Report(reading, load.own, made_at)
+        self._shared.others.learn(self.report)
+
+    def note_refusal(self) -> None:
+        """Learns from a refusal for want of room."""
+        self.report = estimate.after_refusal(self.report,
+                                             own=len(self.streams_by_attempt),
+                                             now=self._shared.now())
+
+    def note_answer(self, *, good: bool) -> None:
+        """Takes the end of an attempt that was not refused."""
+        self._shared.health.note_answer(self.host,
+                                        good=good,
+                                        now=self._shared.now())
 
     def serves(self, kind: str, name: str) -> bool:
         """Whether it holds the model, or is the service, of this name."""
@@ -93,21 +150,69 @@
             return None
 
 
+class Shared:
+    """What the upstreams of a pool have in common."""
+
+    def __init__(self) -> None:
+        self.others = estimate.OthersMean()
+        self.health = health.HealthBook()
+
+    @staticmethod
+    def now() -> float:
+        """Seconds of the event loop."""
+        return asyncio.get_running_loop().time()
+
+
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """The upstreams of one model or service.
+
+    Attributes:
+        tiers: from those of the own data centre, over the region, to all.
+        ring: where prompts' prefixes belong.
+    """
+
+    tiers: tuple[Sequence[Upstream], ...]
+    ring: affinity.PrefixRing
+
+
 class Pool(link_port.LinkHandler):
     """Upstreams by host, kept current by their links."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, data_centre: str = '', region: str = '') -> None:
+        self._data_centre = data_centre
+        self._region = region
+        self._shared = Shared()
+        self._group_by_name: dict[tuple[str, str], Group] = {}
         self.by_host: dict[str, Upstream] = {}
         self.misrouted_count = 0
         self._changed = asyncio.Event()
 
-    def candidates(self, kind: str, name: str) -> list[Upstream]:
-        """Upstreams that can take new work for a model or service."""
-        return [
-            upstream for upstream in self.by_host.values()
-            if upstream.serves(kind, name) and not upstream.leaving and
-            upstream.link.is_open
+    @property
+    def ejected(self) -> list[str]:
+        """Hosts that take no work but probes."""
+        return self._shared.health.ejected
+
+    def group(self, kind: str, name: str) -> Group:
+        """The upstreams of a model or service; kept until they change."""
+        group = self._group_by_name.get((kind, name))
+        if group is None:
+            group = self._make_group(kind, name)
+            self._group_by_name[kind, name] = group
+        return group
+
+    def _make_group(self, kind: str, name: str) -> Group:
+        everywhere = [u for u in self.by_host.values() if u.serves(kind, name)]
+        near = [
+            u for u in everywhere if u.hello.data_centre == self._data_centre
         ]
+        region = [u for u in everywhere if u.hello.region == self._region]
+        tiers: list[Sequence[Upstream]] = []
+        for tier in (near, region, everywhere):
+            if tier and (not tiers or len(tier) > len(tiers[-1])):
+                tiers.append(tier)
+        return Group(tuple(tiers),
+                     affinity.PrefixRing(u.host for u in everywhere))
 
     def knows(self, kind: str, name: str) -> bool:
         """Whether any upstream, leaving or not, serves this name."""
@@ -129,8 +234,9 @@
             return None
 
     def on_open(self, link: link_port.Link) -> None:
-        self.by_host[link.peer.host] = Upstream(link=link,
-                                                load=messages.Load(0, 0, 0, 0))
+        self.by_host[link.peer.host] = Upstream(link=link, shared=self._shared)
+        self._shared.health.add(link.peer.host)
+        self._group_by_name.clear()
         self._changed.set()
         logging.info('upstream linked host=%s incarnation=%s', link.peer.host,
                      link.peer.incarnation)
@@ -140,6 +246,8 @@
         if upstream is None or upstream.link is not link:
             return
         del self.by_host[link.peer.host]
+        self._shared.health.remove(link.peer.host)
+        self._group_by_name.clear()
         self._changed.set()
         logging.info('upstream lost host=%s reason=%s', link.peer.host, reason)
         for stream in upstream.streams_by_attempt.values():
@@ -166,8 +274,7 @@
                     if not answer.done():
                         answer.set_result(message.state)
             case messages.Load():
-                upstream.load = message
-                upstream.sent_since = 0
+                upstream.note_load(message)
             case messages.Leaving():
                 upstream.leaving = True
                 logging.info('upstream leaving host=%s', link.peer.host)
--- a/pollenthread/core/estimate.py
+++ b/pollenthread/core/estimate.py
@@ -1,11 +1,12 @@
 """Corrects late load reports by what an entry host knows by itself."""
 
+import collections
 import dataclasses
 import math
 
 from pollenthread.core import slots
 
-__all__ = ['OthersMean', 'Report', 'after_refusal', 'expected_load']
+__all__ = ['OthersMean', 'Report', 'SentLog', 'after_refusal', 'expected_load']
 
 _SMOOTHING = 0.1
 _MIN_HOLD_S = 0.05
@@ -31,6 +32,34 @@
         return self.reading.running + sum(self.reading.queued) - self.own
 
 
+class SentLog:
+    """When attempts were sent, to tell how old a report is.
+
+    Clocks of two hosts are not compared: a report that does not count an
+    attempt is at least as old as the attempt's sending.
+    """
+
+    def __init__(self) -> None:
+        self._sent = 0
+        self._unseen = collections.deque[float]()
+
+    def note(self, now: float) -> None:
+        """Counts an attempt."""
+        self._sent += 1
+        self._unseen.append(now)
+
+    def made_at(self, seen: int, now: float) -> float:
+        """When a report was made at the latest.
+
+        Args:
+            seen: attempts that had come by then.
+            now: seconds.
+        """
+        while self._unseen and self._sent - len(self._unseen) < seen:
+            self._unseen.popleft()
+        return self._unseen[0] if self._unseen else now
+
+
 class OthersMean:
     """What other entry hosts have at an upstream on average, per turn."""
 
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -71,6 +71,9 @@
         repeatable: whether running twice does no harm.
         key: the idempotency key, or empty.
         deadline_ms: milliseconds left to the deadline.
+        target_ms: milliseconds left to the latency target; zero without one.
+        whole: whether the target is for the whole answer.
+        between_tokens_ms: target between tokens; zero without one.
         stream: whether the answer is a stream of events.
         window: units that may be sent before credit is given.
         method: the HTTP method for the upstream.
@@ -87,6 +90,9 @@
     repeatable: bool
     key: str
     deadline_ms: int
+    target_ms: int
+    whole: bool
+    between_tokens_ms: int
     stream: bool
     window: int
     method: str
@@ -97,11 +103,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
-    """The head of the upstream's answer."""
+    """The head of the upstream's answer.
+
+    Attributes:
+        attempt: the attempt's id.
+        status: the HTTP status.
+        headers: the headers.
+        waited_ms: milliseconds that the attempt waited for its turn.
+    """
 
     attempt: str
     status: int
     headers: tuple[Header, ...]
+    waited_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,15 +221,23 @@
 
     Attributes:
         running: attempts at the upstream.
-        queued: attempts that wait at the agent.
-        first_token_ms: recent mean time to the first token.
+        queued: attempts that wait at the agent, by importance from the lowest.
+        limit: attempts that may run at once; zero while it is stalled.
+        hold_us: recent mean microseconds that an attempt runs.
+        first_unit_us: recent mean microseconds to the first unit.
         token_us: recent mean microseconds between tokens.
+        own: running and waiting attempts that came over this link.
+        seen: attempts that have come over this link since it opened.
     """
 
     running: int
-    queued: int
-    first_token_ms: int
+    queued: tuple[int, ...]
+    limit: int
+    hold_us: int
+    first_unit_us: int
     token_us: int
+    own: int
+    seen: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenthread/core/slots.py
+++ b/pollenthread/core/slots.py
@@ -191,7 +191,8 @@
             return 0.0
         self._limit.note_running(self.running)
         hold_s = now - run.began_at
-        first_s = hold_s if run.first_at is None else run.first_at - run.began_at
+        first_at = now if run.first_at is None else run.first_at
+        first_s = first_at - run.began_at
         self._times.learn(run.ticket.work_class, first_s, hold_s)
         if run.ticket.whole:
             self._limit.observe(limits.Measure.ANSWER,
@@ -225,7 +226,7 @@
         return started, refused
 
     def _drop_late(self, now: float) -> list[str]:
-        if not len(self._queue):
+        if not self.queued:
             return []
         horizon = float('inf') if self.is_stalled(now) else now
         dropped = self._queue.drop_due_before(horizon)
--- a/pollenthread/core/targets.py
+++ b/pollenthread/core/targets.py
@@ -29,6 +29,14 @@
     between_tokens_ms: int | None = None
     answer_ms: int | None = None
 
+    def is_whole(self, stream: bool) -> bool:
+        """Whether the target is for the whole answer of a request."""
+        return not stream or self.first_token_ms is None
+
+    def target_ms(self, stream: bool) -> int | None:
+        """The target for the first token of a stream, or for the answer."""
+        return self.answer_ms if self.is_whole(stream) else self.first_token_ms
+
 
 @dataclasses.dataclass(frozen=True)
 class WorkClass:
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -69,17 +69,17 @@
     async def _report(self) -> None:
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
-            self._gate.broadcast(self._gate.load)
+            self._gate.report_load()
 
     def _status(self) -> dict[str, Any]:
-        load = self._gate.load
         return {
             'host': self._config.host,
             'role': 'agent',
             'incarnation': self._hello.incarnation,
             'leaving': self._signal.planned.is_set(),
-            'running': load.running,
-            'queued': load.queued,
+            'running': self._gate.running,
+            'queued': self._gate.queued,
+            'limit': self._gate.limit,
             'begun': self._gate.begun_count,
             'unconfirmed': self._gate.unconfirmed
         }
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -58,7 +58,8 @@
             client=self._client, address=self._config.platform.host_list),
                                               time=time,
                                               own_host=self._config.host)
-        self._pool = pool_module.Pool()
+        self._pool = pool_module.Pool(data_centre=self._config.data_centre,
+                                      region=self._config.region)
         self._peers = peers_module.Peers()
         self._peers.subscribe(messages.Leaving, self._on_peer_leaving)
         self._account = account_keeper.AccountKeeper(
@@ -155,8 +156,8 @@
             'peers': sorted(self._peers.links_by_host),
             'upstreams': {
                 name: {
-                    'running': upstream.load.running,
-                    'queued': upstream.load.queued,
+                    'running': upstream.report.reading.running,
+                    'queued': sum(upstream.report.reading.queued),
                     'leaving': upstream.leaving
                 } for name, upstream in self._pool.by_host.items()
             }
