--- /dev/null
+++ b/tests/policy/steps/overload.py
@@ -0,0 +1,136 @@
+"""Steps for more work than capacity."""
+
+import asyncio
+import collections
+from typing import Any
+
+from behave import given, then, when
+
+from tests import scenario
+from tests.fakes import caller as caller_module, system as system_module
+from tests.policy.steps import faults
+
+_TOKENS = 20
+_LATENCY = {'first_token_ms': 4000, 'between_tokens_ms': 400}
+
+
+def _work_class(importance: str) -> dict[str, Any]:
+    return {
+        'latency': _LATENCY,
+        'retries': 0,
+        'repeatable': True,
+        'importance': importance
+    }
+
+
+def _targets() -> dict[str, Any]:
+    classes = {'question': _work_class('low'), 'lookup': _work_class('high')}
+    return {
+        'workspaces': {
+            name: {
+                'models': [system_module.MODEL],
+                'services': [],
+                'classes': classes
+            } for name in ('large', 'small')
+        }
+    }
+
+
+async def _send(context: Any, workspace: str, work_class: str, i: int) -> None:
+    caller = caller_module.Caller(client=context.system.client,
+                                  workspace=workspace)
+    addresses = context.system.entry_addresses
+    end = await faults.send(caller, addresses[i % len(addresses)], work_class,
+                            faults.document(i, _TOKENS))
+    context.ends_by_sender[workspace, work_class].append(end)
+
+
+async def _start(context: Any, workspace: str, work_class: str,
+                 count: int) -> None:
+    first = len(context.sending)
+    context.sending += [
+        asyncio.create_task(_send(context, workspace, work_class, i))
+        for i in range(first, first + count)
+    ]
+    await scenario.eventually(lambda: _has_queue(context))
+
+
+async def _has_queue(context: Any) -> bool:
+    """Whether work waits at the agent, or has all ended."""
+    agent = context.system.by_name['agent-engine-1']
+    status = await context.system.call(agent.ready['admin'], 'GET', '/status')
+    return bool(status['queued'])
+
+
+def _finish(context: Any) -> None:
+
+    async def wait_all() -> None:
+        await asyncio.gather(*context.sending)
+
+    scenario.run(context, wait_all())
+
+
+@given(
+    'an engine of {token_ms:d} ms for a token behind {entries:d} entry hosts')
+def step_engine(context: Any, token_ms: int, entries: int) -> None:
+    scenario.start_system(context,
+                          entries=entries,
+                          engines=1,
+                          services=0,
+                          targets=_targets())
+    scenario.run(context,
+                 context.system.fault('engine-1', token_s=token_ms / 1000))
+    context.sending = []
+    context.ends_by_sender = collections.defaultdict(list)
+
+
+@when('{count:d} questions of low importance come at once')
+def step_low(context: Any, count: int) -> None:
+    scenario.run(context, _start(context, 'large', 'question', count))
+
+
+@when('{count:d} lookups of high importance come while they wait')
+def step_high(context: Any, count: int) -> None:
+    scenario.run(context, _start(context, 'large', 'lookup', count))
+    _finish(context)
+
+
+@when('{count:d} questions of the large workspace come at once')
+def step_large(context: Any, count: int) -> None:
+    scenario.run(context, _start(context, 'large', 'question', count))
+
+
+@when('{count:d} questions of the small workspace come while they wait')
+def step_small(context: Any, count: int) -> None:
+    scenario.run(context, _start(context, 'small', 'question', count))
+    _finish(context)
+
+
+@then('every lookup is answered whole')
+def step_lookups_whole(context: Any) -> None:
+    ends = context.ends_by_sender['large', 'lookup']
+    assert set(ends) == {'whole'}, ends
+
+
+@then('every question of the small workspace is answered whole')
+def step_small_whole(context: Any) -> None:
+    ends = context.ends_by_sender['small', 'question']
+    assert set(ends) == {'whole'}, ends
+
+
+@then('some questions are refused as not run')
+def step_some_refused(context: Any) -> None:
+    ends = context.ends_by_sender['large', 'question']
+    refused = [end for end in ends if end != 'whole']
+    assert refused
+    assert all(end.endswith('ran no') for end in refused), refused
+
+
+@then('the engine has begun exactly what was not refused')
+def step_begun(context: Any) -> None:
+    counts = scenario.run(
+        context,
+        context.system.call(context.system.address('engine-1'), 'GET',
+                            '/counts'))
+    ends = sum(context.ends_by_sender.values(), [])
+    assert counts['begun'] == ends.count('whole'), (counts, ends)
