--- a/pollenthread/core/affinity.py
+++ b/pollenthread/core/affinity.py
@@ -6,7 +6,7 @@
 
 __all__ = ['PrefixRing', 'prefix_digest']
 
-_POINTS_PER_HOST = 32
+_POINTS_PER_HOST = 64
 _PREFIX_BYTES = 512
 
 
--- /dev/null
+++ b/tests/policy/steps/decisions.py
@@ -0,0 +1,254 @@
+"""Steps for the policy's pure decisions."""
+
+import random
+from typing import Any
+
+from behave import given, then, when
+
+from pollenthread.core import (admission, choice, errors, estimate, health,
+                               retries, slots, targets)
+
+_LIMIT = 50
+
+
+def _ticket(name: str, workspace: str, importance: int, now: float,
+            due_at: float) -> admission.Ticket:
+    return admission.Ticket(attempt=name,
+                            workspace=workspace,
+                            work_class='question',
+                            importance=importance,
+                            arrived_at=now,
+                            due_at=due_at,
+                            between_tokens_s=0.07)
+
+
+@given('a queue with {large:d} tickets of "large", then {small:d} of "small", '
+       'then {important:d} important of "large"')
+def step_queue(context: Any, large: int, small: int, important: int) -> None:
+    queue = admission.AdmissionQueue()
+    plan = [('large', 1)] * large + [('small', 1)] * small
+    plan += [('large', 2)] * important
+    for i, (workspace, importance) in enumerate(plan):
+        queue.push(_ticket(str(i), workspace, importance, 0.0, 9.0))
+    context.turns = []
+    while (ticket := queue.pop()) is not None:
+        context.turns.append(ticket)
+
+
+@then('the turns go to "{workspaces}"')
+def step_turns(context: Any, workspaces: str) -> None:
+    found = ' '.join(ticket.workspace for ticket in context.turns)
+    assert found == workspaces, found
+
+
+@then('the first turn goes to the important ticket')
+def step_first(context: Any) -> None:
+    assert context.turns[0].importance == 2
+
+
+@given('slots whose {count:d} turns are taken for {hold_s:d} s each')
+def step_slots(context: Any, count: int, hold_s: int) -> None:
+    context.now = 0.0
+    context.slots = slots.Slots(now=0.0)
+    for i in range(40):
+        context.slots.offer(_ticket(f'past-{i}', 'a', 1, context.now, 1e9),
+                            context.now)
+        context.slots.progress(f'past-{i}', context.now)
+        context.now += hold_s
+        context.slots.finish(f'past-{i}', context.now)
+    context.held = [f'held-{i}' for i in range(count)]
+    for name in context.held:
+        ticket = _ticket(name, 'a', 1, context.now, context.now + 2)
+        decision, _ = context.slots.offer(ticket, context.now)
+        assert decision is slots.Decision.RUN, decision
+        context.slots.progress(name, context.now)
+
+
+def _offer(context: Any, name: str, target_s: float) -> None:
+    ticket = _ticket(name, 'a', 1, context.now, context.now + target_s)
+    context.decision, context.kind = context.slots.offer(ticket, context.now)
+
+
+@when('an attempt with a target of {target_ms:d} ms comes')
+def step_offer(context: Any, target_ms: int) -> None:
+    _offer(context, f'new-{target_ms}', target_ms / 1000)
+
+
+@when('no part comes for {silent_s:d} s')
+def step_silent(context: Any, silent_s: int) -> None:
+    context.now += silent_s
+    _offer(context, 'stalled', 60.0)
+
+
+@then('it is refused with "{kind}"')
+@then('an attempt is refused with "{kind}"')
+def step_refused(context: Any, kind: str) -> None:
+    assert context.decision is slots.Decision.REFUSE, context.decision
+    assert context.kind is errors.Kind(kind), context.kind
+
+
+@then('it waits')
+def step_waits(context: Any) -> None:
+    assert context.decision is slots.Decision.WAIT, context.decision
+
+
+@when('all {count:d} attempts are given up')
+def step_give_up(context: Any, count: int) -> None:
+    for name in context.held[:count]:
+        context.slots.finish(name, context.now)
+
+
+@then('of {count:d} attempts {begun:d} begins')
+def step_probe(context: Any, count: int, begun: int) -> None:
+    decisions = []
+    for i in range(count):
+        _offer(context, f'probe-{i}', 60.0)
+        decisions.append(context.decision)
+    assert decisions.count(slots.Decision.RUN) == begun, decisions
+
+
+def _reading(running: int, limit: int = _LIMIT) -> slots.Reading:
+    return slots.Reading(running, (0, 0, 0), limit, 4.0, 0.1, 0.03)
+
+
+@given('a report of {others:d} attempts of others against a mean of {mean:d}')
+def step_report(context: Any, others: int, mean: int) -> None:
+    context.mean = estimate.OthersMean()
+    for _ in range(200):
+        context.mean.learn(estimate.Report(_reading(mean), 0, 0.0))
+    context.report = estimate.Report(_reading(others), 0, 0.0)
+
+
+@then('after {age_s:d} s the expected load is about {load:d}')
+def step_expected(context: Any, age_s: int, load: int) -> None:
+    found = estimate.expected_load(context.report,
+                                   own=0,
+                                   mean=context.mean,
+                                   now=float(age_s))
+    assert abs(found - load) < 1.0, found
+
+
+@when('the upstream refuses an attempt')
+def step_refusal(context: Any) -> None:
+    context.report = estimate.after_refusal(context.report, own=0, now=0.0)
+
+
+@then('it is expected to be full')
+def step_full(context: Any) -> None:
+    load = estimate.expected_load(context.report,
+                                  own=0,
+                                  mean=context.mean,
+                                  now=0.0)
+    assert load >= _LIMIT, load
+
+
+@given('a health book of {count:d} hosts with answers of all of them')
+def step_health(context: Any, count: int) -> None:
+    context.health = health.HealthBook()
+    context.hosts = [f'host-{i}' for i in range(count)]
+    for host in context.hosts:
+        context.health.add(host)
+    for _ in range(20):
+        for host in context.hosts:
+            context.health.note_answer(host, good=True, now=0.0)
+
+
+@when('{count:d} of them fail {times:d} times each')
+def step_fail(context: Any, count: int, times: int) -> None:
+    for i in range(times):
+        for number, host in enumerate(context.hosts):
+            context.health.note_answer(host, good=number >= count, now=i * 0.01)
+
+
+@when('an ejected one answers a probe well')
+def step_probe_well(context: Any) -> None:
+    context.health.note_answer(context.health.ejected[0], good=True, now=9.0)
+
+
+@then('{count:d} of them are ejected')
+def step_ejected(context: Any, count: int) -> None:
+    assert len(context.health.ejected) == count, context.health.ejected
+
+
+@given('a retry budget without savings')
+def step_budget(context: Any) -> None:
+    context.budget = retries.RetryBudget()
+    while context.budget.spend(targets.Importance.HIGH):
+        pass
+
+
+@when('{count:d} requests succeed')
+def step_succeed(context: Any, count: int) -> None:
+    for _ in range(count):
+        context.budget.earn()
+
+
+@then('{count:d} retries of {importance} importance are allowed')
+def step_allowed(context: Any, count: int, importance: str) -> None:
+    level = targets.Importance[importance.upper()]
+    allowed = 0
+    while context.budget.spend(level):
+        allowed += 1
+    assert allowed == count, allowed
+
+
+class _Upstream(choice.Candidate):
+    """An upstream that counts how often it is looked at."""
+
+    def __init__(self, name: str, load: int, limit: int) -> None:
+        self._name = name
+        self._view = choice.View(_reading(load, limit), load)
+        self.looks = 0
+
+    @property
+    def host(self) -> str:
+        return self._name
+
+    @property
+    def view(self) -> choice.View:
+        self.looks += 1
+        return self._view
+
+    @property
+    def is_usable(self) -> bool:
+        return True
+
+
+@then('a choice looks at as many of {many:d} upstreams as of {few:d}')
+def step_looks(_: Any, many: int, few: int) -> None:
+    looks = []
+    for count in (many, few):
+        upstreams = [_Upstream(f'u-{i}', 5, 10) for i in range(count)]
+        draw = random.Random(1)
+        for _ in range(100):
+            choice.choose([upstreams],
+                          choice.Demand(importance=1),
+                          draw=draw.random)
+        looks.append(sum(upstream.looks for upstream in upstreams))
+    assert looks[0] <= looks[1], looks
+
+
+@given('{near:d} near upstreams with load {near_load:d} of {limit:d} and '
+       '{far:d} far ones with load {far_load:d} of 10')
+def step_places(context: Any, near: int, near_load: int, limit: int, far: int,
+                far_load: int) -> None:
+    context.near = [
+        _Upstream(f'near-{i}', near_load, limit) for i in range(near)
+    ]
+    context.far = [_Upstream(f'far-{i}', far_load, limit) for i in range(far)]
+
+
+@then('all of {count:d} choices are {place}')
+def step_place(context: Any, count: int, place: str) -> None:
+    draw = random.Random(1)
+    tiers = [context.near, [*context.near, *context.far]]
+    found = set()
+    for _ in range(count):
+        chosen = choice.choose(tiers,
+                               choice.Demand(importance=1, left_s=1.8),
+                               draw=draw.random)
+        assert chosen is not None
+        found.add(chosen.host.split('-')[0])
+    assert place in found, found
+    if place == 'near':
+        assert found == {'near'}, found
--- a/tests/policy/steps/faults.py
+++ b/tests/policy/steps/faults.py
@@ -44,11 +44,14 @@
 
 
 async def _send_captions(context: Any, count: int) -> list[str]:
+    """Sends captions that no scenario's step has sent before."""
+    first = getattr(context, 'sent_count', 0)
+    context.sent_count = first + count
     addresses = context.system.entry_addresses
     return list(await asyncio.gather(*(
         send(context.caller, addresses[i %
                                        len(addresses)], 'caption', document(i))
-        for i in range(count))))
+        for i in range(first, first + count))))
 
 
 async def _counts(context: Any, number: int) -> dict[str, int]:
