--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import Any
 
 from absl import logging
 
@@ -17,6 +18,7 @@
 
 _NOTHING_KNOWN = slots.Reading(0, (0, 0, 0), 1, 0.0, 0.0, 0.0)
 
+_OnMessage = Callable[[link_port.Link, Any], None]
 _SealAnswer = asyncio.Future[messages.SealState | None]
 
 
@@ -87,6 +89,7 @@
     @property
     def is_usable(self) -> bool:
         return (self.link.is_open and not self.leaving and
+                self.host not in self._shared.draining and
                 self._shared.health.is_usable(self.host, self._shared.now()))
 
     def note_sent(self) -> None:
@@ -156,6 +159,7 @@
     def __init__(self) -> None:
         self.others = estimate.OthersMean()
         self.health = health.HealthBook()
+        self.draining: frozenset[str] = frozenset()
 
     @staticmethod
     def now() -> float:
@@ -187,6 +191,20 @@
         self.by_host: dict[str, Upstream] = {}
         self.misrouted_count = 0
         self._changed = asyncio.Event()
+        self._handlers_by_type: dict[type[Any], _OnMessage] = {}
+
+    def subscribe(self, message_type: type[Any], handler: _OnMessage) -> None:
+        """Sets who handles messages of a type that the pool does not."""
+        self._handlers_by_type[message_type] = handler
+
+    @property
+    def draining(self) -> frozenset[str]:
+        """Hosts that operators have taken out of service."""
+        return self._shared.draining
+
+    @draining.setter
+    def draining(self, hosts: frozenset[str]) -> None:
+        self._shared.draining = hosts
 
     @property
     def ejected(self) -> list[str]:
@@ -279,7 +297,9 @@
                 upstream.leaving = True
                 logging.info('upstream leaving host=%s', link.peer.host)
             case _:
-                pass
+                handler = self._handlers_by_type.get(type(message))
+                if handler is not None:
+                    handler(link, message)
 
     def misrouted(self, upstream: Upstream, detail: str) -> errors.Failure:
         """Counts an answer out of order and distrusts its link."""
--- a/tests/policy/steps/overload.py
+++ b/tests/policy/steps/overload.py
@@ -132,5 +132,5 @@
         context,
         context.system.call(context.system.address('engine-1'), 'GET',
                             '/counts'))
-    ends = sum(context.ends_by_sender.values(), [])
+    ends = [e for found in context.ends_by_sender.values() for e in found]
     assert counts['begun'] == ends.count('whole'), (counts, ends)
