--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -20,7 +20,8 @@
         self.entry = entry
         self.agent = agent
         self.outstanding = 0
-        self.report = agent.reported.to(entry)
+        self.sent = estimate.SentLog()
+        self.report = agent.reported.to(entry, self.sent, 0.0)
         agent.listeners.append(self._on_report)
 
     @property
@@ -48,7 +49,7 @@
                                    now=self.entry.loop.now))
 
     def _on_report(self, reports: fakes.Reports) -> None:
-        self.report = reports.to(self.entry)
+        self.report = reports.to(self.entry, self.sent, self.entry.loop.now)
         self.entry.others_mean.learn(self.report)
 
 
@@ -93,6 +94,7 @@
         request.live[name] = peer.agent
         request.near = peer.agent.place == self.place
         peer.outstanding += 1
+        peer.sent.note(self.loop.now)
         self.health.note_sent(host, self.loop.now)
         if self.policy.hedges and self.policy.choose == 'ours':
             self._plan_hedge(request)
