--- a/bench/policy.py
+++ b/bench/policy.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from bench import common, policy_entry, policy_fakes as fakes
+from bench import common, policy_entry, policy_fakes as fakes, policy_types
 
 __all__: list[str] = []
 
@@ -30,53 +30,61 @@
 _HIGH, _NORMAL, _LOW = 2, 1, 0
 
 _MIXES = {
-    'buna': (fakes.Kind('chat', 0.3, 'engine', _HIGH, 60, _FIRST_S, _GAP_S),
-             fakes.Kind('caption', 0.5, 'engine', _NORMAL, 60, _FIRST_S,
-                        _GAP_S),
-             fakes.Kind('payment', 0.2, 'service', _HIGH, 5, 2.0, 0.0, False)),
-    'tagline': (fakes.Kind('lookup', 0.5, 'engine', _HIGH, 8, 1.2, spread=0.3),
-                fakes.Kind('release', 0.15, 'service', _HIGH, 5, 2.0, 0.0,
-                           False),
-                fakes.Kind('question', 0.35, 'engine', _LOW, 80, _FIRST_S,
-                           _GAP_S)),
-    'prefixes': (fakes.Kind('chat',
-                            0.3,
-                            'engine',
-                            _HIGH,
-                            20,
-                            _FIRST_S,
-                            _GAP_S,
-                            prompt=900),
-                 fakes.Kind('caption',
-                            0.7,
-                            'engine',
-                            _NORMAL,
-                            20,
-                            _FIRST_S,
-                            _GAP_S,
-                            prompt=900))
+    'buna': (policy_types.Kind('chat', 0.3, 'engine', _HIGH, 60, _FIRST_S,
+                               _GAP_S),
+             policy_types.Kind('caption', 0.5, 'engine', _NORMAL, 60, _FIRST_S,
+                               _GAP_S),
+             policy_types.Kind('payment', 0.2, 'service', _HIGH, 5, 2.0, 0.0,
+                               False)),
+    'tagline': (policy_types.Kind('lookup',
+                                  0.5,
+                                  'engine',
+                                  _HIGH,
+                                  8,
+                                  1.2,
+                                  spread=0.3),
+                policy_types.Kind('release', 0.15, 'service', _HIGH, 5, 2.0,
+                                  0.0, False),
+                policy_types.Kind('question', 0.35, 'engine', _LOW, 80,
+                                  _FIRST_S, _GAP_S)),
+    'prefixes': (policy_types.Kind('chat',
+                                   0.3,
+                                   'engine',
+                                   _HIGH,
+                                   20,
+                                   _FIRST_S,
+                                   _GAP_S,
+                                   prompt=900),
+                 policy_types.Kind('caption',
+                                   0.7,
+                                   'engine',
+                                   _NORMAL,
+                                   20,
+                                   _FIRST_S,
+                                   _GAP_S,
+                                   prompt=900))
 }
-_OURS = fakes.Policy()
+_OURS = policy_types.Policy()
 _BASELINES = tuple(
-    fakes.Policy(name=name,
-                 choose=name,
-                 unseen=False,
-                 affinity=False,
-                 deadlines=False,
-                 entry_admission=False,
-                 fairness=False,
-                 learned_limit=False,
-                 ejection=False,
-                 budget=False,
-                 hedges=False,
-                 locality=False)
+    policy_types.Policy(name=name,
+                        choose=name,
+                        unseen=False,
+                        affinity=False,
+                        deadlines=False,
+                        entry_admission=False,
+                        fairness=False,
+                        learned_limit=False,
+                        ejection=False,
+                        budget=False,
+                        hedges=False,
+                        locality=False)
     for name in ('random', 'round_robin', 'least_outstanding', 'two_reported'))
 _ORACLE = dataclasses.replace(_OURS, name='oracle', oracle=True)
 _MECHANISMS = ('unseen', 'affinity', 'deadlines', 'entry_admission', 'fairness',
                'learned_limit', 'ejection', 'budget', 'hedges', 'locality')
 
 
-def _without(mechanism: str) -> fakes.Policy:
+def _without(mechanism: str) -> policy_types.Policy:
     changes: dict[str, Any] = {
         'name': f'ours without {mechanism}',
         mechanism: False
@@ -91,7 +99,7 @@
 class Cell:
     """One measured combination."""
 
-    policy: fakes.Policy
+    policy: policy_types.Policy
     mix: str
     load: float
     lag_s: float = 0.1
@@ -103,7 +111,7 @@
 
     def __init__(self, cell: Cell, seed: int) -> None:
         self.cell = cell
-        self.loop = fakes.Loop()
+        self.loop = policy_types.Loop()
         self._rng = random.Random(f'{seed} {cell.mix} {cell.load}')
         draws = random.Random(f'{seed} draws')
         self.engines = self._agents('engine', _ENGINES, _STEP)
@@ -119,8 +127,8 @@
             ] for pool, agents in (('engine', self.engines), ('service',
                                                              services))
         }
-        self.requests: list[fakes.Request] = []
-        self._held: list[fakes.Request] = []
+        self.requests: list[policy_types.Request] = []
+        self._held: list[policy_types.Request] = []
         self._burst = 1.0
         _plan_faults(self)
         self.loop.at(0.0, self._arrive)
@@ -165,7 +173,7 @@
             else:
                 self._send(request)
 
-    def _draw_request(self, now: float) -> fakes.Request:
+    def _draw_request(self, now: float) -> policy_types.Request:
         rng = self._rng
         kinds = _MIXES[self.cell.mix]
         kind = rng.choices(kinds, [k.share for k in kinds])[0]
@@ -173,14 +181,14 @@
         prefix = min(int(rng.paretovariate(0.8)) - 1, _PREFIXES - 1)
         sigma = kind.spread
         tokens = kind.tokens * rng.lognormvariate(-sigma * sigma / 2, sigma)
-        return fakes.Request(ident=len(self.requests),
-                             kind=kind,
-                             workspace=workspace,
-                             prefix=f'{prefix}'.encode(),
-                             tokens=max(1, int(tokens)),
-                             arrived_at=now)
-
-    def _send(self, request: fakes.Request) -> None:
+        return policy_types.Request(ident=len(self.requests),
+                                    kind=kind,
+                                    workspace=workspace,
+                                    prefix=f'{prefix}'.encode(),
+                                    tokens=max(1, int(tokens)),
+                                    arrived_at=now)
+
+    def _send(self, request: policy_types.Request) -> None:
         entries = self._entries_by_pool[request.kind.pool]
         uneven = int(_ENTRIES * self._rng.random()**1.3)
         entries[uneven].take(request)
@@ -231,13 +239,13 @@
             world.loop.at(time_s, act)
 
 
-def _share(requests: list[fakes.Request], test: Callable[[fakes.Request],
-                                                         bool]) -> float:
+def _share(requests: list[policy_types.Request],
+           test: Callable[[policy_types.Request], bool]) -> float:
     return sum(map(test, requests)) / len(requests) if requests else 1.0
 
 
-def _between(requests: list[fakes.Request], begin_s: float,
-             end_s: float) -> list[fakes.Request]:
+def _between(requests: list[policy_types.Request], begin_s: float,
+             end_s: float) -> list[policy_types.Request]:
     return [r for r in requests if begin_s <= r.arrived_at < end_s]
 
 
@@ -255,7 +263,7 @@
     after = _between(engine, _FAULT_ENDS_S + 10.0, _END_S)
     seconds = _END_S - _WARM_S
 
-    def in_time(request: fakes.Request) -> bool:
+    def in_time(request: policy_types.Request) -> bool:
         return request.in_time()
 
     return {
--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Sequence
 
-from bench import policy_fakes as fakes
+from bench import policy_fakes as fakes, policy_types
 from pollenthread.core import (affinity, choice, errors, estimate, health,
                                retries, service_times, targets)
 
@@ -56,7 +56,7 @@
 class Entry(fakes.Receiver):
     """Chooses upstreams for the requests that come to it."""
 
-    def __init__(self, *, loop: fakes.Loop, policy: fakes.Policy,
+    def __init__(self, *, loop: policy_types.Loop, policy: policy_types.Policy,
                  agents: Sequence[fakes.Agent], place: int,
                  rng: random.Random) -> None:
         self.loop = loop
@@ -77,7 +77,7 @@
         for host in self._peers:
             self.health.add(host)
 
-    def take(self, request: fakes.Request) -> None:
+    def take(self, request: policy_types.Request) -> None:
         """Makes an attempt, or refuses the request."""
         if request.done_at is not None:
             return
@@ -87,7 +87,7 @@
         else:
             self._send(request, host)
 
-    def _send(self, request: fakes.Request, host: str) -> None:
+    def _send(self, request: policy_types.Request, host: str) -> None:
         peer = self._peers[host]
         request.attempts += 1
         name = f'{request.ident}.{request.attempts}'
@@ -101,7 +101,7 @@
         peer.agent.offer(name, request, self)
 
     def _choose(self,
-                request: fakes.Request,
+                request: policy_types.Request,
                 hedge: bool = False) -> str | None:
         peers = [p for p in self._tiers[-1] if p.agent.up]
         if not peers:
@@ -140,13 +140,13 @@
             return None
         return chosen.host if chosen.has_room or not hedge else None
 
-    def _plan_hedge(self, request: fakes.Request) -> None:
+    def _plan_hedge(self, request: policy_types.Request) -> None:
         kind = request.kind
         if kind.repeatable and request.attempts == 1:
             self.loop.at(self.loop.now + _HEDGE_SHARE * kind.first_s,
                          lambda: self._hedge(request))
 
-    def _hedge(self, request: fakes.Request) -> None:
+    def _hedge(self, request: policy_types.Request) -> None:
         if request.first_at is None and len(request.live) == 1:
             request.failed_hosts.update(a.host for a in request.live.values())
             host = self._choose(request, hedge=True)
@@ -154,7 +154,7 @@
             if host is not None and self._budget.spend(importance):
                 self._send(request, host)
 
-    def first(self, name: str, request: fakes.Request,
+    def first(self, name: str, request: policy_types.Request,
               agent: fakes.Agent) -> bool:
         if request.first_at is not None:
             return False
@@ -169,7 +169,7 @@
                 loser.cancel(other)
         return True
 
-    def done(self, name: str, request: fakes.Request, agent: fakes.Agent,
+    def done(self, name: str, request: policy_types.Request, agent: fakes.Agent,
              service_s: float) -> None:
         self._end(name, request, agent)
         self._times.learn(request.kind.name, 0.0, service_s)
@@ -177,8 +177,8 @@
         self._budget.earn()
         self.health.note_answer(agent.host, good=True, now=self.loop.now)
 
-    def failed(self, name: str, request: fakes.Request, agent: fakes.Agent,
-               ran: errors.Ran) -> None:
+    def failed(self, name: str, request: policy_types.Request,
+               agent: fakes.Agent, ran: errors.Ran) -> None:
         self._end(name, request, agent)
         request.failed_hosts.add(agent.host)
         if request.live or name == request.winner:
@@ -200,7 +200,7 @@
                    if self.policy.budget else 0.001)
         self.loop.at(self.loop.now + pause_s, lambda: self.take(request))
 
-    def _end(self, name: str, request: fakes.Request,
+    def _end(self, name: str, request: policy_types.Request,
              agent: fakes.Agent) -> None:
         request.live.pop(name, None)
         self._peers[agent.host].outstanding -= 1
--- a/bench/policy_fakes.py
+++ b/bench/policy_fakes.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from bench import policy_types
 from pollenthread.core import admission, choice, errors, estimate, slots
 
-__all__ = ['Agent', 'Kind', 'Loop', 'Policy', 'Receiver', 'Reports', 'Request']
+__all__ = ['Agent', 'Receiver', 'Reports']
 
 _REPORT_S = 0.25
 _TICK_S = 0.1
@@ -18,91 +19,6 @@
 _CACHED_PREFIXES = 12
 
 
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """One class of the users' work."""
-
-    name: str
-    share: float
-    pool: str
-    importance: int
-    tokens: float
-    first_s: float
-    gap_s: float = 0.0
-    repeatable: bool = True
-    prompt: int = 250
-    spread: float = 0.8
-
-
-@dataclasses.dataclass(frozen=True)
-class Policy:
-    """Which mechanisms are on."""
-
-    name: str = 'ours'
-    choose: str = 'ours'
-    unseen: bool = True
-    affinity: bool = True
-    deadlines: bool = True
-    entry_admission: bool = True
-    fairness: bool = True
-    learned_limit: bool = True
-    ejection: bool = True
-    budget: bool = True
-    hedges: bool = True
-    locality: bool = True
-    oracle: bool = False
-
-
-@dataclasses.dataclass
-class Request:
-    """One request and what came of it."""
-
-    ident: int
-    kind: Kind
-    workspace: str
-    prefix: bytes
-    tokens: int
-    arrived_at: float
-    attempts: int = 0
-    failed_hosts: set[str] = dataclasses.field(default_factory=set)
-    live: dict[str, 'Agent'] = dataclasses.field(default_factory=dict)
-    first_at: float | None = None
-    done_at: float | None = None
-    winner: str = ''
-    refused: bool = False
-    near: bool = False
-
-    def in_time(self) -> bool:
-        """Whether the answer met its class's targets."""
-        if self.done_at is None or self.first_at is None:
-            return False
-        if not self.kind.gap_s:
-            return self.done_at - self.arrived_at <= self.kind.first_s
-        gap_s = (self.done_at - self.first_at) / max(1, self.tokens)
-        return (self.first_at - self.arrived_at <= self.kind.first_s and
-                gap_s <= self.kind.gap_s)
-
-
-class Loop:
-    """Virtual time."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._seq = 0
-
-    def at(self, time_s: float, act: Callable[[], None]) -> None:
-        """Calls `act` at a time."""
-        self._seq += 1
-        heapq.heappush(self._heap, (time_s, self._seq, act))
-
-    def run(self, until_s: float) -> None:
-        """Runs until a time."""
-        while self._heap and self._heap[0][0] <= until_s:
-            self.now, _, act = heapq.heappop(self._heap)
-            act()
-
-
 class _FixedLimit:
     """The baselines' limit."""
 
@@ -133,16 +49,17 @@
     """Who gets an attempt's answer."""
 
     @abc.abstractmethod
-    def first(self, name: str, request: Request, agent: 'Agent') -> bool:
+    def first(self, name: str, request: policy_types.Request,
+              agent: 'Agent') -> bool:
         """Takes the first unit; False when nobody waits for the rest."""
 
     @abc.abstractmethod
-    def done(self, name: str, request: Request, agent: 'Agent',
+    def done(self, name: str, request: policy_types.Request, agent: 'Agent',
              service_s: float) -> None:
         """Takes the end marker and the time without the wait."""
 
     @abc.abstractmethod
-    def failed(self, name: str, request: Request, agent: 'Agent',
+    def failed(self, name: str, request: policy_types.Request, agent: 'Agent',
                ran: errors.Ran) -> None:
         """Takes a failure."""
 
@@ -150,7 +67,8 @@
 class Agent(choice.Candidate):
     """An agent with its engine: serial prefill, then shared decoding steps."""
 
-    def __init__(self, *, loop: Loop, name: str, policy: Policy, lag_s: float,
+    def __init__(self, *, loop: policy_types.Loop, name: str,
+                 policy: policy_types.Policy, lag_s: float,
                  step: tuple[float, float], place: int) -> None:
         self.loop = loop
         self.policy = policy
@@ -180,7 +98,7 @@
         self._cache.clear()
         self._prefilling: collections.deque[str] = collections.deque()
         self._decoding: list[tuple[float, str]] = []
-        self._requests: dict[str, tuple[Request, Receiver]] = {}
+        self._requests: dict[str, tuple[policy_types.Request, Receiver]] = {}
         self._progress = 0.0
         self._moved_at = now
         self._epoch = getattr(self, '_epoch', 0) + 1
@@ -200,7 +118,8 @@
         reading = self.slots.reading(self.loop.now)
         return choice.View(reading, reading.running + sum(reading.queued))
 
-    def offer(self, name: str, request: Request, entry: Receiver) -> None:
+    def offer(self, name: str, request: policy_types.Request,
+              entry: Receiver) -> None:
         """Takes an attempt from an entry host."""
         now = self.loop.now
         kind = request.kind
--- a/pollenthread/core/affinity.py
+++ b/pollenthread/core/affinity.py
@@ -1,5 +1,6 @@
 """Which upstream is likely to hold a prompt's prefix in its cache."""
 
+import array
 import bisect
 import hashlib
 from collections.abc import Iterable
@@ -23,19 +24,20 @@
     """
 
     def __init__(self, hosts: Iterable[str]) -> None:
-        points = sorted((_hash(f'{host}\0{i}'.encode()), host)
-                        for host in hosts
+        self._names = sorted(hosts)
+        points = sorted((_hash(f'{host}\0{i}'.encode()), number)
+                        for number, host in enumerate(self._names)
                         for i in range(_POINTS_PER_HOST))
-        self._keys = [key for key, _ in points]
-        self._hosts = [host for _, host in points]
+        self._keys = array.array('Q', (key for key, _ in points))
+        self._numbers = array.array('L', (number for _, number in points))
 
     def host_of(self, prefix: bytes) -> str:
         """The host that a prefix belongs to, or empty without hosts."""
         if not self._keys:
             return ''
         i = bisect.bisect_left(self._keys, _hash(prefix)) % len(self._keys)
-        return self._hosts[i]
+        return self._names[self._numbers[i]]
 
 
-def _hash(data: bytes) -> bytes:
-    return hashlib.blake2b(data, digest_size=8).digest()
+def _hash(data: bytes) -> int:
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), 'big')
