--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -123,6 +123,7 @@
   key @2 :Text;
   stream @3 :Bool;
 }
+struct Group { group @0 :Text; kind @1 :Text; body @2 :Data; }
 
 struct Message {
   union {
@@ -150,5 +151,6 @@
     ordersend @21 :OrderSend;
     orderreply @22 :OrderReply;
     unconfirmed @23 :Unconfirmed;
+    group @24 :Group;
   }
 }
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -7,9 +7,10 @@
 
 __all__ = [
     'Begin', 'Cancel', 'Chunk', 'ConfigAsk', 'ConfigGive', 'ConfigNews',
-    'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Head', 'Header', 'Hello',
-    'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply', 'OrderSend', 'Ping',
-    'Pong', 'Resume', 'Seal', 'SealState', 'Sealed', 'Unconfirmed'
+    'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Group', 'Head', 'Header',
+    'Hello', 'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply',
+    'OrderSend', 'Ping', 'Pong', 'Resume', 'Seal', 'SealState', 'Sealed',
+    'Unconfirmed'
 ]
 
 Header = tuple[str, str]
@@ -364,7 +365,22 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """A message between the ranks of a group; see `switch`.
+
+    Attributes:
+        group: the model group's name.
+        kind: the name of the message's class.
+        body: its fields, as JSON text.
+    """
+
+    group: str
+    kind: str
+    body: bytes
+
+
 Message = (Hello | Ping | Pong | Begin | Head | Chunk | End | Fail | Credit |
-           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving |
+           Cancel | Seal | Sealed | Resume | Confirm | Load | Leaving | Group |
            ConfigNews | ConfigAsk | ConfigGive | HostNews | DutyNews |
            OrderSend | OrderReply | Unconfirmed)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -9,7 +9,9 @@
 import hashlib
 import heapq
 import json
+import math
 import re
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -87,6 +89,7 @@
         self._effects: list[dict[str, Any]] = []
         self._highest_by_duty: dict[str, int] = {}
         self._turns = _Turns()
+        self._step: asyncio.Future[None] | None = None
 
     async def answer(self, request: http_server.Request,
                      response: http_server.Response) -> None:
@@ -145,7 +148,8 @@
         await asyncio.sleep(self.faults.get('delay_s', 0))
         headers = [('x-request-id', request_id)]
         if document.get('stream'):
-            await self._stream(response, headers, tokens)
+            await self._stream(response, headers, tokens,
+                               bool(document.get('stamp')))
         else:
             await asyncio.sleep(self.faults.get('token_s', 0) * len(tokens))
             await response.send_json(
@@ -164,9 +168,21 @@
                     }]
                 }, headers)
 
+    async def _next_step(self) -> None:
+        """Waits for the engine's next step, the same for all streams."""
+        step_s = self.faults.get('token_s')
+        if not step_s:
+            return
+        loop = asyncio.get_running_loop()
+        if self._step is None or self._step.done():
+            at = (math.floor(loop.time() / step_s) + 1) * step_s
+            self._step = loop.create_future()
+            loop.call_at(at, self._step.set_result, None)
+        await asyncio.shield(self._step)
+
     async def _stream(self, response: http_server.Response,
-                      headers: list[tuple[str,
-                                          str]], tokens: list[str]) -> None:
+                      headers: list[tuple[str, str]], tokens: list[str],
+                      stamped: bool) -> None:
         await response.send_head(
             200, [('content-type', 'text/event-stream'), *headers])
         stall_after = self.faults.get('stall_after_tokens')
@@ -177,9 +193,17 @@
                 return
             if i == stall_after:
                 await asyncio.sleep(3600)
-            if self.faults.get('token_s'):
-                await asyncio.sleep(self.faults['token_s'])
-            event = {'choices': [{'index': 0, 'delta': {'content': token}}]}
+            await self._next_step()
+            event: dict[str, Any] = {
+                'choices': [{
+                    'index': 0,
+                    'delta': {
+                        'content': token
+                    }
+                }]
+            }
+            if stamped:
+                event['at_ns'] = time.monotonic_ns()
             await response.write(f'data: {json.dumps(event)}\n\n'.encode())
             self._counts['tokens'] += 1
         await response.write(b'data: [DONE]\n\n')
