--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from pollenthread.app import turns as turns_module
 from pollenthread.core import (errors, events, gate_rules, messages, targets,
                                spans)
 from pollenthread.ports import engine, link as link_port
@@ -45,14 +46,16 @@
     """
 
     def __init__(self, *, begin: messages.Begin, link: link_port.Link,
-                 limits: AttemptLimits) -> None:
+                 limits: AttemptLimits, turns: turns_module.Turns) -> None:
         self.begin = begin
         self.links: list[link_port.Link] = [link]
         self.task: asyncio.Task[None] | None = None
         self.started = False
         self.finished = False
         self.outcome_known = False
+        self.waited_ms = 0
         self._limits = limits
+        self._turns = turns
         self._head: messages.Head | None = None
         self._unsent: list[messages.Chunk] = []
         self._unsent_bytes = 0
@@ -116,7 +119,7 @@
             self.fail(errors.failure(errors.Kind.UPSTREAM_MISROUTED))
             return
         self._head = messages.Head(self.begin.attempt, exchange.status,
-                                   exchange.headers)
+                                   exchange.headers, self.waited_ms)
         self._emit(self._head)
         if self.begin.stream and exchange.is_event_stream:
             await self._relay_events(exchange)
@@ -144,6 +147,7 @@
             self.fail(errors.failure(errors.Kind.UPSTREAM_TRUNCATED))
 
     async def _pass_on(self, count: int, data: bytes) -> None:
+        self._turns.progress(self.begin.attempt, count)
         chunk = messages.Chunk(self.begin.attempt, self._offset, count, data)
         self._offset += count
         self._unsent.append(chunk)
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from pollenthread.app import attempt as attempt_module
+from pollenthread.app import attempt as attempt_module, turns as turns_module
 from pollenthread.core import errors, gate_rules, messages
 from pollenthread.ports import engine, link as link_port
 
@@ -20,14 +20,10 @@
     """Bounds on what an agent holds.
 
     Attributes:
-        max_running: attempts at the upstream at once.
-        max_queued: attempts that wait for their turn.
         max_kept: finished outcomes that wait for a confirmation.
         attempt: bounds on each attempt.
     """
 
-    max_running: int = 64
-    max_queued: int = 256
     max_kept: int = 4096
     attempt: attempt_module.AttemptLimits = attempt_module.AttemptLimits()
 
@@ -49,25 +45,52 @@
         self._attempts_by_id: dict[str, attempt_module.Attempt] = {}
         self._links_by_session: dict[str, link_port.Link] = {}
         self._sealed_by_session = collections.defaultdict[str, set[str]](set)
-        self._turns = asyncio.Semaphore(limits.max_running)
-        self._running = 0
-        self._queued = 0
+        self._turns = turns_module.Turns()
+        self._seen_by_session = collections.Counter[str]()
         self._leaving = False
         self.begun_count = 0
         self.refused_by_kind = collections.Counter[errors.Kind]()
 
     @property
-    def load(self) -> messages.Load:
-        """What the agent reports to entry hosts."""
-        return messages.Load(running=self._running,
-                             queued=self._queued,
-                             first_token_ms=0,
-                             token_us=0)
+    def running(self) -> int:
+        """Attempts at the upstream."""
+        return self._turns.running
+
+    @property
+    def queued(self) -> int:
+        """Attempts that wait for their turn."""
+        return self._turns.queued
+
+    @property
+    def limit(self) -> int:
+        """Attempts that may run at once; zero while the upstream is stalled.
+        """
+        return self._turns.reading.limit
+
+    def report_load(self) -> None:
+        """Tells every link the load and its part of it."""
+        own_by_session = collections.Counter(
+            link.session for attempt in self._attempts_by_id.values()
+            if not attempt.finished for link in attempt.links)
+        for link in list(self._links_by_session.values()):
+            link_port.send_if_open(
+                link, self._load(link, own_by_session[link.session]))
+
+    def _load(self, link: link_port.Link, own: int) -> messages.Load:
+        reading = self._turns.reading
+        return messages.Load(running=reading.running,
+                             queued=reading.queued,
+                             limit=reading.limit,
+                             hold_us=int(reading.hold_s * 1e6),
+                             first_unit_us=int(reading.first_s * 1e6),
+                             token_us=int(reading.token_s * 1e6),
+                             own=own,
+                             seen=self._seen_by_session[link.session])
 
     @property
     def unfinished(self) -> int:
         """Attempts that wait or run."""
-        return self._running + self._queued
+        return self._turns.running + self._turns.queued
 
     @property
     def unconfirmed(self) -> int:
@@ -113,13 +136,14 @@
         self._links_by_session[link.session] = link
         logging.info('link open host=%s session=%s', link.peer.host,
                      link.session)
-        link_port.send_if_open(link, self.load)
+        link_port.send_if_open(link, self._load(link, 0))
         if self._leaving:
             link_port.send_if_open(link, messages.Leaving(''))
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
         self._links_by_session.pop(link.session, None)
         self._sealed_by_session.pop(link.session, None)
+        self._seen_by_session.pop(link.session, None)
         logging.info('link closed host=%s session=%s reason=%s', link.peer.host,
                      link.session, reason)
         for attempt in list(self._attempts_by_id.values()):
@@ -169,8 +193,6 @@
             return errors.Kind.SEALED
         if self._leaving:
             return errors.Kind.LEAVING
-        if self._queued >= self._limits.max_queued:
-            return errors.Kind.OVERLOADED
         if not begin.repeatable and self._kept >= self._limits.max_kept:
             return errors.Kind.OVERLOADED
         return None
@@ -180,6 +202,7 @@
         return sum(1 for a in self._attempts_by_id.values() if a.kept)
 
     def _begin(self, link: link_port.Link, begin: messages.Begin) -> None:
+        self._seen_by_session[link.session] += 1
         if begin.attempt in self._attempts_by_id:
             return
         kind = self._refusal(link, begin)
@@ -193,9 +216,9 @@
             return
         attempt = attempt_module.Attempt(begin=begin,
                                          link=link,
-                                         limits=self._limits.attempt)
+                                         limits=self._limits.attempt,
+                                         turns=self._turns)
         self._attempts_by_id[begin.attempt] = attempt
-        self._queued += 1
         attempt.task = asyncio.create_task(self._serve(attempt))
         attempt.task.add_done_callback(functools.partial(
             self._on_done, attempt))
@@ -204,7 +227,6 @@
                  _: asyncio.Task[None]) -> None:
         """Ends an attempt, also one that was cut before its first step."""
         if not attempt.started:
-            self._queued -= 1
             attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
         if not attempt.must_be_kept:
             # The timer must not hold the request's body.
@@ -219,8 +241,7 @@
                 try:
                     await attempt.run(self._upstream)
                 finally:
-                    self._running -= 1
-                    self._turns.release()
+                    self._turns.release(attempt.begin.attempt)
         except asyncio.CancelledError:
             attempt.fail(errors.failure(errors.Kind.STOPPED))
         except Exception as error:  # pylint: disable=broad-exception-caught
@@ -229,19 +250,17 @@
 
     async def _wait_turn(self, attempt: attempt_module.Attempt) -> bool:
         """Waits in the queue; False when the attempt must not begin."""
+        ticket = turns_module.ticket_of(attempt.begin)
         try:
-            async with asyncio.timeout_at(attempt.deadline):
-                await self._turns.acquire()
-        except TimeoutError:
-            attempt.fail(
-                errors.failure(errors.Kind.DEADLINE_PASSED, ran=errors.Ran.NO))
-            return False
+            kind = await self._turns.acquire(ticket)
         except asyncio.CancelledError:
-            attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
+            kind = errors.Kind.STOPPED
+        if kind is not None:
+            self.refused_by_kind[kind] += 1
+            attempt.fail(errors.failure(kind, ran=errors.Ran.NO))
             return False
-        finally:
-            self._queued -= 1
-        self._running += 1
+        waited_s = asyncio.get_running_loop().time() - ticket.arrived_at
+        attempt.waited_ms = int(waited_s * 1000)
         self.begun_count += 1
         return True
 
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -9,9 +9,9 @@
 
 import result
 
-from pollenthread.app import (claim_keeper, pool as pool_module, relay as
-                              relay_module)
-from pollenthread.core import (account, choice, claims, errors, ids, messages,
+from pollenthread.app import (chooser as chooser_module, claim_keeper, hedge,
+                              pool as pool_module, relay as relay_module)
+from pollenthread.core import (account, claims, errors, ids, messages, retries,
                                pace as pace_module, targets, spans)
 from pollenthread.ports import clock, link as link_port
 
@@ -19,6 +19,8 @@
 
 _RECORD_PAUSE_MIN_S = 0.1
 _RECORD_PAUSE_MAX_S = 5.0
+_MIN_DUE_S = 1e-3
+_HEDGE_PAUSE_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -111,7 +113,7 @@
         self._pool = pool
         self._keeper = keeper
         self._time = time
-        self._draw = draw
+        self.chooser = chooser_module.Chooser(pool=pool, time=time, draw=draw)
         self._recordings: set[asyncio.Task[None]] = set()
         self._kept_by_attempt: dict[str, relay_module.KeptAnswer] = {}
         pool.subscribe(messages.Unconfirmed, self._adopt)
@@ -123,7 +125,10 @@
 
     async def serve(self, call: Call, sink: Sink, report: Report) -> None:
         """Serves one request; the report says how it went."""
-        serving = _Serving(call=call, sink=sink, report=report)
+        serving = _Serving(call=call,
+                           sink=sink,
+                           report=report,
+                           need=_need(call, self._time.monotonic()))
         try:
             async with asyncio.timeout(call.deadline - self._time.monotonic()):
                 await self._serve(serving)
@@ -133,18 +138,19 @@
 
     async def _serve(self, serving: '_Serving') -> None:
         call = serving.call
-        attempt = ids.AttemptId(call.request_id, 1)
-        failed: set[str] = set()
         granted: claim_keeper.Granted | None = None
-        problem = errors.failure(errors.Kind.NO_UPSTREAM)
-        for _ in range(call.work_class.retries + 1):
-            upstream = self._choose(call, failed)
-            if upstream is None:
+        problem: errors.Failure | None = None
+        while True:
+            chosen = self.chooser.choose(serving.need)
+            if isinstance(chosen, result.Err):
+                problem = problem or chosen.err_value
                 if granted is None and not call.work_class.repeatable:
                     problem = await self._look_up(serving, problem)
                 break
+            upstream = chosen.ok_value
+            attempt = serving.next_attempt()
             if call.work_class.repeatable:
-                failure = await self._attempt(serving, attempt, upstream)
+                problem = await self._attempt(serving, attempt, upstream)
             else:
                 decided = await self._claim(serving, attempt, upstream, granted)
                 granted = None
@@ -154,15 +160,14 @@
                 decision = decided.ok_value
                 if isinstance(decision, claim_keeper.Granted):
                     granted = decision
-                failure = await self._carry_out(serving, attempt, upstream,
+                problem = await self._carry_out(serving, attempt, upstream,
                                                 decision)
-            if failure is None:
+            if problem is None:
                 return
-            problem = failure
-            failed.add(upstream.hello.host)
-            if not serving.may_retry(failure):
+            if not serving.may_retry(problem):
+                break
+            if not await self.chooser.pause_before_retry(serving.need):
                 break
-            attempt = attempt.next
         if granted is not None and problem.ran is errors.Ran.NO:
             if not await self._keeper.release(granted):
                 serving.may_have_run = True
@@ -182,15 +187,6 @@
             await serving.deliver_outcome(found.ok_value.outcome)
         return problem
 
-    def _choose(self, call: Call,
-                failed: set[str]) -> pool_module.Upstream | None:
-        candidates = self._pool.candidates(call.kind, call.name)
-        draws = (self._draw.random(), self._draw.random())
-        view = choice.choose([u.view for u in candidates],
-                             avoid=failed,
-                             draws=draws)
-        return None if view is None else self._pool.by_host[view.host]
-
     async def _claim(
         self, serving: '_Serving', attempt: ids.AttemptId,
         upstream: pool_module.Upstream, granted: claim_keeper.Granted | None
@@ -231,21 +227,24 @@
     async def _attempt(self, serving: '_Serving', attempt: ids.AttemptId,
                        upstream: pool_module.Upstream) -> errors.Failure | None:
         """Makes one repeatable attempt; None when the answer is whole."""
-        stream = await self._send_begin(serving, attempt, upstream)
-        if stream is None:
-            return errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
+        handed = await self._send_begin(serving, attempt, upstream)
+        if handed is None:
+            return self._not_sent(serving, upstream)
+        handed = await self._hedge(serving, handed)
+        chosen = handed.upstream
         relay = relay_module.Relay(
-            attempt=str(attempt),
+            attempt=handed.attempt,
             stream=serving.call.stream,
             pool=self._pool,
-            moves_on=lambda: self._can_move_on(serving, upstream))
-        relay.upstream = upstream
+            moves_on=lambda: self._can_move_on(serving, chosen))
+        relay.upstream = chosen
         try:
-            failure = await relay.run(upstream, stream, serving)
+            failure = await relay.run(handed.upstream, handed.stream, serving)
         except BaseException:
             relay.cancel()
             raise
         relay.confirm()
+        self._learn(serving, handed, failure)
         return failure
 
     def _can_move_on(self, serving: '_Serving',
@@ -255,20 +254,64 @@
         if (serving.head_sent or
                 serving.report.attempts > call.work_class.retries):
             return False
-        host = upstream.hello.host
-        return any(other.hello.host != host
-                   for other in self._pool.candidates(call.kind, call.name))
+        everywhere = self._pool.group(call.kind, call.name).tiers[-1]
+        return any(other.host != upstream.host and other.link.is_open and
+                   not other.leaving for other in everywhere)
 
     async def _hand_over(
             self, serving: '_Serving', attempt: ids.AttemptId,
             upstream: pool_module.Upstream,
             granted: claim_keeper.Granted) -> errors.Failure | None:
         """Makes the claimed attempt; None when the answer is whole."""
-        stream = await self._send_begin(serving, attempt, upstream)
-        if stream is None:
-            return errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
-        kept = self._keep(granted, upstream, stream, serving.call.stream)
-        return await kept.follow(serving)
+        handed = await self._send_begin(serving, attempt, upstream)
+        if handed is None:
+            return self._not_sent(serving, upstream)
+        kept = self._keep(granted, upstream, handed.stream, serving.call.stream)
+        failure = await kept.follow(serving)
+        self._learn(serving, handed, failure)
+        return failure
+
+    def _not_sent(self, serving: '_Serving',
+                  upstream: pool_module.Upstream) -> errors.Failure:
+        failure = errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
+        self.chooser.note_failure(serving.need, upstream, failure)
+        return failure
+
+    def _learn(self, serving: '_Serving', handed: hedge.Handed,
+               failure: errors.Failure | None) -> None:
+        if failure is not None:
+            self.chooser.note_failure(serving.need, handed.upstream, failure)
+            return
+        taken_s = self._time.monotonic() - handed.sent_at
+        self.chooser.note_success(serving.need, handed.upstream,
+                                  taken_s - serving.waited_s)
+
+    async def _hedge(self, serving: '_Serving',
+                     first: hedge.Handed) -> hedge.Handed:
+        """Waits for a part; makes a second attempt when there is none."""
+        after_s = self.chooser.hedge_after_s(serving.need)
+        if after_s is None:
+            return first
+        second = None
+        try:
+            while second is None:
+                if await first.has_part_within(after_s):
+                    return first
+                after_s = _HEDGE_PAUSE_S
+                serving.need.failed_hosts.add(first.upstream.host)
+                upstream = self.chooser.choose_hedge(serving.need)
+                if upstream is not None:
+                    second = await self._send_begin(serving,
+                                                    serving.next_attempt(),
+                                                    upstream)
+        except BaseException:
+            first.cancel()
+            raise
+        winner, loser = await hedge.race(first, second)
+        loser.cancel()
+        if loser is first:
+            first.upstream.note_answer(good=False)
+        return winner
 
     async def _join(self, serving: '_Serving',
                     held: claim_keeper.Attach) -> errors.Failure | None:
@@ -285,26 +328,33 @@
 
     async def _send_begin(
             self, serving: '_Serving', attempt: ids.AttemptId,
-            upstream: pool_module.Upstream) -> pool_module.AttemptStream | None:
+            upstream: pool_module.Upstream) -> hedge.Handed | None:
         """Hands an attempt over; None when it is sure that it was not."""
         await upstream.link.drain()
-        begin = self._begin(serving.call, attempt, upstream)
+        begin = self._begin(serving, attempt, upstream)
         stream = upstream.open(begin.attempt)
         sent_at = self._time.monotonic()
         if not link_port.send_if_open(upstream.link, begin):
             upstream.close(begin.attempt)
             return None
-        upstream.sent_since += 1
+        upstream.note_sent()
         serving.report.attempts += 1
         serving.report.hops.append(
             spans.Hop(attempt=begin.attempt,
                       host=upstream.hello.host,
                       sent_at=sent_at))
-        return stream
+        return hedge.Handed(attempt=begin.attempt,
+                            upstream=upstream,
+                            stream=stream,
+                            sent_at=sent_at)
 
-    def _begin(self, call: Call, attempt: ids.AttemptId,
+    def _begin(self, serving: '_Serving', attempt: ids.AttemptId,
                upstream: pool_module.Upstream) -> messages.Begin:
-        left_s = max(0.0, call.deadline - self._time.monotonic())
+        call = serving.call
+        need = serving.need
+        now = self._time.monotonic()
+        left_s = max(0.0, call.deadline - now)
+        due_s = max(_MIN_DUE_S, need.due_at - now)
         return messages.Begin(attempt=str(attempt),
                               session=upstream.link.session,
                               workspace=call.workspace,
@@ -313,6 +363,9 @@
                               repeatable=call.work_class.repeatable,
                               key=call.key,
                               deadline_ms=int(left_s * 1000),
+                              target_ms=max(1, int(due_s * 1000)),
+                              whole=need.whole,
+                              between_tokens_ms=need.between_tokens_ms,
                               stream=call.stream,
                               window=relay_module.window(call.stream),
                               method=call.method,
@@ -404,14 +457,24 @@
         head_sent: whether the caller has a part of the answer.
         may_have_run: whether there is no proof that nothing ran.
         answered: whether a kept outcome has been delivered.
+        last_attempt: the number of the newest attempt.
+        waited_s: seconds that the answered attempt waited for its turn.
     """
 
     call: Call
     sink: Sink
     report: Report
+    need: chooser_module.Need
     head_sent: bool = False
     may_have_run: bool = False
     answered: bool = False
+    last_attempt: int = 0
+    waited_s: float = 0.0
+
+    def next_attempt(self) -> ids.AttemptId:
+        """Names another attempt."""
+        self.last_attempt += 1
+        return ids.AttemptId(self.call.request_id, self.last_attempt)
 
     @property
     def ran(self) -> errors.Ran:
@@ -430,13 +493,13 @@
         """Whether another attempt is allowed after a failure."""
         if failure.ran is not errors.Ran.NO:
             self.may_have_run = True
-        if self.head_sent:
+        retries_made = self.last_attempt - 1
+        if self.head_sent or retries_made >= self.call.work_class.retries:
             return False
-        if failure.ran is errors.Ran.NO:
-            return True
-        return self.call.work_class.repeatable
+        return retries.is_safe(self.call.work_class, failure.ran)
 
     async def take_head(self, head: messages.Head) -> None:
+        self.waited_s = head.waited_ms / 1000
         if not self.head_sent:
             self.head_sent = True
             await self.sink.head(head.status, head.headers,
@@ -478,6 +541,17 @@
                                        call.work_class.name, call.body)
 
 
+def _need(call: Call, now: float) -> chooser_module.Need:
+    return chooser_module.Need(workspace=call.workspace,
+                               work_class=call.work_class,
+                               kind=call.kind,
+                               name=call.name,
+                               stream=call.stream,
+                               body=call.body,
+                               accepted_at=now,
+                               deadline=call.deadline)
+
+
 def _has_ended(failure: errors.Failure | None) -> bool:
     """Whether the agent has said how the attempt ended, run or not."""
     if failure is None:
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -72,7 +72,8 @@
                                                   directory=self._directory,
                                                   time=time,
                                                   draw=draw)
-        self._pool = pool_module.Pool()
+        self._pool = pool_module.Pool(data_centre=self._config.data_centre,
+                                      region=self._config.region)
         self._leases = lease_keeper.LeaseKeeper(
             table_service=table,
             directory=self._directory,
@@ -241,8 +242,8 @@
             'peers': sorted(self._peers.links_by_host),
             'upstreams': {
                 name: {
-                    'running': upstream.load.running,
-                    'queued': upstream.load.queued,
+                    'running': upstream.report.reading.running,
+                    'queued': sum(upstream.report.reading.queued),
                     'leaving': upstream.leaving
                 } for name, upstream in self._pool.by_host.items()
             }
