--- /dev/null
+++ b/pollenthread/adapters/json_log.py
@@ -0,0 +1,79 @@
+"""Structured log lines on standard output.
+
+Lines beyond a rate are dropped and counted, those of ordinary requests first.
+A reader that stops reading costs lines, never time.
+"""
+
+import json
+import os
+import time
+from typing import Any
+
+from pollenthread.core import budget, log_events
+from pollenthread.ports import event_log
+
+__all__ = ['JsonLog']
+
+_LINES_PER_S = 60.0
+_BURST_LINES = 300.0
+_RESERVED_LINES = 150.0
+_MAX_UNSENT_BYTES = 64 * 1024
+_STANDARD_OUTPUT = 1
+
+
+class JsonLog(event_log.EventLog):
+    """Writes JSON lines to a descriptor without ever waiting."""
+
+    def __init__(self, *, host: str, descriptor: int = _STANDARD_OUTPUT) -> None:
+        self._host = host
+        self._descriptor = descriptor
+        self._unsent = bytearray()
+        self._budget = budget.Budget(_LINES_PER_S, _BURST_LINES, _BURST_LINES,
+                                     time.monotonic())
+        self.dropped = 0
+        self._dropped_untold = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, event: log_events.LogEvent, *, important: bool = True,
+              **fields: Any) -> None:
+        now = time.monotonic()
+        if not self._may_write(important, now):
+            self.dropped += 1
+            self._dropped_untold += 1
+            return
+        if self._dropped_untold:
+            count, self._dropped_untold = self._dropped_untold, 0
+            self._append(log_events.LogEvent.LINES_DROPPED, now,
+                         {'count': count})
+        self._append(event, now, fields)
+        self._flush()
+
+    def _may_write(self, important: bool, now: float) -> bool:
+        self._budget = budget.refill(self._budget, now)
+        floor = 1.0 if important else _RESERVED_LINES
+        if self._budget.units < floor or len(self._unsent) > _MAX_UNSENT_BYTES:
+            return False
+        self._budget = budget.spend(self._budget, 1.0, now)
+        return True
+
+    def _append(self, event: log_events.LogEvent, now: float,
+                fields: dict[str, Any]) -> None:
+        line = {
+            't': round(now, 4),
+            'host': self._host,
+            'event': event.value,
+            **fields
+        }
+        self._unsent += json.dumps(line, separators=(',', ':'),
+                                   default=str).encode() + b'\n'
+
+    def _flush(self) -> None:
+        try:
+            sent = os.write(self._descriptor, self._unsent)
+            del self._unsent[:sent]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody can read the lines any more.
+            self.dropped += 1
+            self._unsent.clear()
--- /dev/null
+++ b/pollenthread/app/forwarder.py
@@ -0,0 +1,360 @@
+"""Takes a caller's request to a server and the answer back."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator
+
+from pollenthread.app import serving_state
+from pollenthread.core import (caller_request, errors, event_stream, fleet,
+                               load_board, log_events, routing_config)
+from pollenthread.ports import clock, event_log, reply, upstream
+
+__all__ = ['Forwarder']
+
+_OK = 200
+_SERVER_ERROR = 500
+_DEFAULT_PATIENCE_S = 30.0
+_MIN_TIME_LEFT_S = 0.02
+_URGENCY = 5
+_MAX_URGENCY = 9
+# The part of a request's time after which a silent server of a request that
+# may be repeated is given up.
+_FIRST_ATTEMPT_SHARE = 0.6
+# Callers give a stream up after two seconds without an event.
+_SILENT_STREAM_S = 1.7
+_MAX_WHOLE_BYTES = 16 * 1024 * 1024
+
+
+class _Failed(Exception):
+    """The request ends with a failure of the product's own."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+@dataclasses.dataclass
+class _Job:
+    """One request on its way.
+
+    Attributes:
+        request: the caller's request.
+        route: its route.
+        service: the service that serves it.
+        workspace: the holder of its key, or None.
+        deadline: monotonic seconds at which its answer is of no use.
+        answer: where the answer goes.
+        tried: ids of the servers that were tried.
+        sent: how many servers it was sent to.
+        may_have_run: whether a server may have run it.
+        splitter: the events sent to the caller, for a stream.
+        cause: the last failure of an attempt.
+    """
+
+    request: caller_request.CallerRequest
+    route: routing_config.Route
+    service: str
+    workspace: routing_config.Workspace | None
+    deadline: float
+    answer: reply.Reply
+    tried: list[str] = dataclasses.field(default_factory=list)
+    sent: int = 0
+    may_have_run: bool = False
+    splitter: event_stream.EventSplitter = dataclasses.field(
+        default_factory=event_stream.EventSplitter)
+    cause: str = ''
+
+    @property
+    def last_event_id(self) -> str | None:
+        """Where a stream goes on."""
+        return self.splitter.last_id or self.request.last_event_id
+
+
+class Forwarder:
+    """Serves requests by the configuration in force."""
+
+    def __init__(self, *, state: serving_state.ServingState,
+                 servers: upstream.Upstream, time: clock.Clock,
+                 log: event_log.EventLog) -> None:
+        self._state = state
+        self._servers = servers
+        self._clock = time
+        self._log = log
+        self.counts: dict[str, int] = {}
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    async def serve(self, request: caller_request.CallerRequest,
+                    answer: reply.Reply) -> None:
+        """Answers one request; cancelled when the caller leaves."""
+        try:
+            job = self._accept(request, answer)
+            await self._attempt_until_done(job)
+            self._count('answered')
+        except _Failed as failed:
+            await self._fail(request, answer, failed.failure)
+        except asyncio.CancelledError:
+            self._count('caller_left')
+            self._log.write(log_events.LogEvent.CALLER_LEFT,
+                            important=False,
+                            id=request.id,
+                            after_s=self._age(request))
+            raise
+
+    def _age(self, request: caller_request.CallerRequest) -> float:
+        return round(self._clock.monotonic() - request.received_at, 4)
+
+    async def _fail(self, request: caller_request.CallerRequest,
+                    answer: reply.Reply, failure: errors.Failure) -> None:
+        self._count(failure.kind.value)
+        not_run = failure.ran is errors.Ran.NO
+        event = (log_events.LogEvent.REQUEST_REFUSED
+                 if not_run else log_events.LogEvent.REQUEST_FAILED)
+        self._log.write(event,
+                        id=request.id,
+                        kind=failure.kind.value,
+                        detail=failure.detail,
+                        after_s=self._age(request),
+                        begun=answer.has_begun)
+        if answer.has_begun:
+            answer.break_off()
+        else:
+            await answer.refuse(failure)
+
+    # Before a server is chosen.
+
+    def _accept(self, request: caller_request.CallerRequest,
+                answer: reply.Reply) -> _Job:
+        config = self._state.config
+        if config is None:
+            raise _Failed(errors.failure(errors.Kind.STALE_CONFIGURATION))
+        route = routing_config.find_route(config, request.host, request.path)
+        if route is None:
+            raise _Failed(errors.failure(errors.Kind.NOT_FOUND))
+        workspace = _authenticate(config, route, request)
+        service = self._state.pick_service(route)
+        now = self._clock.monotonic()
+        self._state.budget(service).note_request(now)
+        patience_s = (_DEFAULT_PATIENCE_S
+                      if request.patience_s is None else request.patience_s)
+        deadline = request.received_at + min(patience_s, route.timeout_s)
+        return _Job(request, route, service, workspace, deadline, answer)
+
+    # Attempts.
+
+    async def _attempt_until_done(self, job: _Job) -> None:
+        while True:
+            server = self._choose(job)
+            if await self._attempt(job, server):
+                return
+            self._check_repeat(job)
+
+    def _choose(self, job: _Job) -> fleet.Server:
+        now = self._clock.monotonic()
+        if job.deadline - now < _MIN_TIME_LEFT_S:
+            raise _Failed(self._timed_out(job))
+        server = self._state.loads.choose(
+            self._state.fleet.ready(job.service),
+            excluded=job.tried,
+            data_centre=self._state.data_centre,
+            now=now)
+        if server is None:
+            raise _Failed(self._given_up(job, errors.Kind.NO_UPSTREAM))
+        self._log.write(log_events.LogEvent.ATTEMPT,
+                        important=False,
+                        id=job.request.id,
+                        server=server.id,
+                        load=self._state.loads.load(server.id, now),
+                        config=self._state.config and
+                        self._state.config.version,
+                        left_s=round(job.deadline - now, 3))
+        return server
+
+    async def _attempt(self, job: _Job, server: fleet.Server) -> bool:
+        """Sends the request to a server; whether the request is done."""
+        job.tried.append(server.id)
+        job.sent += 1
+        self._state.loads.begin(server.id)
+        try:
+            async with asyncio.timeout_at(self._give_up_at(job)):
+                return await self._exchange(job, server)
+        except TimeoutError:
+            self._note_failure(job, server, 'silent', ran=True)
+            if self._clock.monotonic() >= job.deadline:
+                raise _Failed(self._timed_out(job)) from None
+            return False
+        except upstream.ConnectFailed as error:
+            self._state.loads.fail(server.id, self._clock.monotonic())
+            self._note_failure(job, server, str(error), ran=False)
+            job.sent -= 1
+            return False
+        except upstream.UpstreamBroken as error:
+            self._note_failure(job, server, str(error), ran=True)
+            return False
+        finally:
+            self._state.loads.end(server.id)
+
+    def _give_up_at(self, job: _Job) -> float:
+        """When a server that has not answered is given up."""
+        if (job.route.kind is not routing_config.RequestKind.IDEMPOTENT or
+                job.sent >= job.route.max_attempts):
+            return job.deadline
+        now = self._clock.monotonic()
+        return now + (job.deadline - now) * _FIRST_ATTEMPT_SHARE
+
+    async def _exchange(self, job: _Job, server: fleet.Server) -> bool:
+        attempt = upstream.UpstreamRequest(
+            server=server,
+            request=job.request,
+            time_left_s=job.deadline - self._clock.monotonic(),
+            workspace=job.workspace.name if job.workspace else None,
+            last_event_id=job.last_event_id,
+            urgency=_urgency(job))
+        async with self._servers.send(attempt) as found:
+            self._note_load(server, found)
+            if not found.has_run:
+                self._note_failure(job, server, f'not run, {found.status}',
+                                   ran=False)
+                return False
+            if _is_stream(job, found):
+                return await self._pass_stream(job, server, found)
+            return await self._pass_whole(job, server, found)
+
+    def _note_load(self, server: fleet.Server,
+                   found: upstream.UpstreamAnswer) -> None:
+        if found.load is not None:
+            self._state.loads.report(
+                server.id,
+                load_board.LoadReport(found.load.running, found.load.waiting,
+                                      found.load.slots),
+                self._clock.monotonic())
+
+    async def _pass_whole(self, job: _Job, server: fleet.Server,
+                          found: upstream.UpstreamAnswer) -> bool:
+        body = b''.join([part async for part in found.read()])
+        if (found.status >= _SERVER_ERROR and
+                job.route.is_repeatable and self._may_repeat(job)):
+            self._note_failure(job, server, f'answered {found.status}',
+                               ran=True)
+            return False
+        if found.status < _SERVER_ERROR:
+            self._state.loads.succeed(server.id)
+        await job.answer.send_whole(found.status, found.headers, body)
+        self._note_answer(job, server, found.status)
+        return True
+
+    async def _pass_stream(self, job: _Job, server: fleet.Server,
+                           found: upstream.UpstreamAnswer) -> bool:
+        body = found.read()
+        while (data := await self._next_part(body)) is not None:
+            events = job.splitter.feed(data)
+            if not events:
+                continue
+            if not job.answer.has_begun:
+                await job.answer.begin(found.status, found.headers)
+            await job.answer.write(events)
+        if job.splitter.has_partial or not job.answer.has_begun:
+            raise upstream.UpstreamBroken('the stream ended within an event')
+        self._state.loads.succeed(server.id)
+        await job.answer.finish()
+        self._note_answer(job, server, found.status)
+        return True
+
+    async def _next_part(self, body: AsyncIterator[bytes]) -> bytes | None:
+        try:
+            async with asyncio.timeout(_SILENT_STREAM_S):
+                return await anext(body, None)
+        except TimeoutError:
+            raise upstream.UpstreamBroken('the stream fell silent') from None
+
+    # After an attempt.
+
+    def _note_answer(self, job: _Job, server: fleet.Server,
+                     status: int) -> None:
+        self._log.write(log_events.LogEvent.REQUEST_ANSWERED,
+                        important=job.sent > 1,
+                        id=job.request.id,
+                        route=job.route.name,
+                        server=server.id,
+                        status=status,
+                        attempts=job.sent,
+                        events=job.splitter.events,
+                        after_s=self._age(job.request))
+
+    def _note_failure(self, job: _Job, server: fleet.Server, cause: str, *,
+                      ran: bool) -> None:
+        job.cause = cause
+        job.may_have_run = job.may_have_run or ran
+        job.splitter.drop_partial()
+        if ran:
+            self._state.loads.fail(server.id, self._clock.monotonic())
+        self._log.write(log_events.LogEvent.ATTEMPT_ENDED,
+                        id=job.request.id,
+                        server=server.id,
+                        cause=cause,
+                        may_have_run=ran,
+                        events=job.splitter.events)
+
+    def _may_repeat(self, job: _Job) -> bool:
+        """Whether rules allow one more attempt; takes no budget."""
+        if job.sent >= job.route.max_attempts:
+            return False
+        return not job.may_have_run or job.route.is_repeatable
+
+    def _check_repeat(self, job: _Job) -> None:
+        """Ends the request unless it may be sent once more."""
+        if not self._may_repeat(job):
+            raise _Failed(self._given_up(job, errors.Kind.UPSTREAM_FAILED))
+        if not job.sent:
+            return
+        budget = self._state.budget(job.service)
+        now = self._clock.monotonic()
+        if not budget.take(now, self._state.entry_hosts):
+            raise _Failed(self._given_up(job, errors.Kind.OVERLOADED))
+        if job.answer.has_begun:
+            self._log.write(log_events.LogEvent.STREAM_RESUMED,
+                            id=job.request.id,
+                            last_event_id=job.last_event_id)
+
+    def _given_up(self, job: _Job, kind: errors.Kind) -> errors.Failure:
+        if job.may_have_run:
+            return errors.failure(errors.Kind.UPSTREAM_FAILED, job.cause)
+        if kind is errors.Kind.UPSTREAM_FAILED:
+            kind = errors.Kind.OVERLOADED
+        return errors.failure(kind, job.cause)
+
+    def _timed_out(self, job: _Job) -> errors.Failure:
+        if job.may_have_run:
+            return errors.failure(errors.Kind.DEADLINE_PASSED, job.cause)
+        return errors.failure(errors.Kind.DEADLINE_TOO_SHORT, job.cause)
+
+
+def _authenticate(
+    config: routing_config.RoutingConfig, route: routing_config.Route,
+    request: caller_request.CallerRequest
+) -> routing_config.Workspace | None:
+    """The holder of the request's key.
+
+    Raises:
+        _Failed: the route needs a key that somebody holds.
+    """
+    if config.workspaces_by_key is None or route.is_public:
+        return None
+    workspace = config.workspaces_by_key.get(request.key or '')
+    if workspace is None:
+        raise _Failed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
+    return workspace
+
+
+def _is_stream(job: _Job, found: upstream.UpstreamAnswer) -> bool:
+    return (job.route.kind is routing_config.RequestKind.STREAM and
+            found.status == _OK)
+
+
+def _urgency(job: _Job) -> int:
+    """The server's order of admission, by workspace and then by route."""
+    priority = job.route.priority
+    if job.workspace is not None and job.workspace.priority is not None:
+        priority = job.workspace.priority
+    return min(_MAX_URGENCY, _URGENCY + priority) if priority else _URGENCY
--- a/pollenthread/core/errors.py
+++ b/pollenthread/core/errors.py
@@ -68,7 +68,7 @@
     status: int
     title: str
     ran: Ran = Ran.NO
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
     close: bool = False
 
 
@@ -166,7 +166,7 @@
     kind: Kind
     detail: str
     ran: Ran
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
     @property
     def answer(self) -> Answer:
@@ -178,7 +178,7 @@
             detail: str = '',
             *,
             ran: Ran | None = None,
-            retry_after_s: int | None = None) -> Failure:
+            retry_after_s: float | None = None) -> Failure:
     """Makes a failure whose unset parts come from the table."""
     answer = ANSWERS[kind]
     if retry_after_s is None:
