Entry hosts know each other, and leave without cutting a request

Cause: the directory named only the host itself, and a stop cut what ran. Change: hosts register in the store, beat by datagram and hand each other what they know of it; a planned stop answers on until callers know.

--- /dev/null
+++ b/pollenthread/adapters/peer_codec.py
@@ -0,0 +1,153 @@
+"""Encodes peer messages with Cap'n Proto.
+
+Fields of the data classes and of peer.capnp have the same names.
+"""
+
+import dataclasses
+import enum
+import functools
+import pathlib
+import struct
+import typing
+from typing import Any, TypeVar
+
+import capnp
+
+from pollenthread.core import peer_messages
+
+__all__ = [
+    'MalformedMessage', 'decode', 'decode_datagram', 'encode',
+    'encode_datagram'
+]
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
+_DATAGRAM_TYPES = (peer_messages.EntryBeat, peer_messages.ServerLoad,
+                   peer_messages.RankState, peer_messages.ExpertCounts)
+
+_NUMBER_BYTES = 4
+_NUMBERS = tuple[int, ...]
+_PLAIN_TYPES = (str, int, bool)
+
+_T = TypeVar('_T')
+
+
+class MalformedMessage(Exception):
+    """The bytes are not a message of the schema."""
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split('_')
+    return first + ''.join(part.capitalize() for part in rest)
+
+
+_UNION_NAME_BY_TYPE = {
+    kind: kind.__name__[0].lower() + kind.__name__[1:]
+    for kind in _DATAGRAM_TYPES
+}
+_TYPE_BY_UNION_NAME = {name: kind for kind, name in _UNION_NAME_BY_TYPE.items()}
+
+
+def encode(message: Any) -> bytes:
+    """Encodes one data class."""
+    builder = getattr(_schema, type(message).__name__).new_message()
+    _fill(builder, message)
+    data: bytes = builder.to_bytes_packed()
+    return data
+
+
+def encode_datagram(message: Any) -> bytes:
+    """Encodes one data class with its type."""
+    builder = _schema.Datagram.new_message()
+    _fill(builder.init(_UNION_NAME_BY_TYPE[type(message)]), message)
+    data: bytes = builder.to_bytes_packed()
+    return data
+
+
+def decode(kind: type[_T], data: bytes) -> _T:
+    """Decodes one data class.
+
+    Raises:
+        MalformedMessage: the bytes are not such a message.
+    """
+    try:
+        reader = getattr(_schema, kind.__name__).from_bytes_packed(data)
+        found: _T = _read(kind, reader)
+        return found
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def decode_datagram(data: bytes) -> Any:
+    """Decodes a data class with its type.
+
+    Raises:
+        MalformedMessage: the bytes are not such a message.
+    """
+    try:
+        reader = _schema.Datagram.from_bytes_packed(data)
+        name = str(reader.which())
+        return _read(_TYPE_BY_UNION_NAME[name], getattr(reader, name))
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def _fill(builder: Any, message: Any) -> None:
+    for field in dataclasses.fields(message):
+        name = _camel(field.name)
+        value = getattr(message, field.name)
+        if dataclasses.is_dataclass(value):
+            _fill(builder.init(name), value)
+        elif isinstance(value, tuple) and value and dataclasses.is_dataclass(
+                value[0]):
+            items = builder.init(name, len(value))
+            for item, found in zip(items, value):
+                _fill(item, found)
+        elif isinstance(value, enum.Enum):
+            setattr(builder, name, value.value)
+        elif isinstance(value, tuple) and value and isinstance(value[0], int):
+            setattr(builder, name, struct.pack(f'<{len(value)}I', *value))
+        elif isinstance(value, tuple):
+            setattr(builder, name, _lists(value))
+        else:
+            setattr(builder, name, value)
+
+
+def _lists(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return [_lists(item) for item in value]
+    return value
+
+
+def _numbers(data: bytes) -> tuple[int, ...]:
+    count = len(data) // _NUMBER_BYTES
+    return struct.unpack(f'<{count}I', data[:count * _NUMBER_BYTES])
+
+
+@functools.cache
+def _fields(kind: type[Any]) -> tuple[tuple[str, str, Any], ...]:
+    """The name, wire name and type of each field."""
+    hints = typing.get_type_hints(kind)
+    return tuple((name, _camel(name), hint) for name, hint in hints.items())
+
+
+def _read(kind: type[Any], reader: Any) -> Any:
+    return kind(
+        **{
+            name: _value(hint, getattr(reader, wire_name))
+            for name, wire_name, hint in _fields(kind)
+        })
+
+
+def _value(hint: Any, value: Any) -> Any:
+    if hint in _PLAIN_TYPES:
+        return value
+    if hint == _NUMBERS and isinstance(value, bytes):
+        return _numbers(value)
+    if typing.get_origin(hint) is tuple:
+        item = typing.get_args(hint)[0]
+        return tuple(_value(item, found) for found in value)
+    if dataclasses.is_dataclass(hint):
+        return _read(typing.cast(type[Any], hint), value)
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return hint(str(value))
+    return bytes(value) if hint is bytes else value
--- /dev/null
+++ b/pollenthread/adapters/peer_network.py
@@ -0,0 +1,179 @@
+"""Messages between hosts: datagrams, and HTTP where an answer is needed."""
+
+import asyncio
+import socket
+import types
+from collections.abc import Callable
+from typing import Any, Self
+
+from pollenthread.adapters import (http_client, http_message, http_server,
+                                   peer_codec)
+from pollenthread.core import errors, peer_messages
+from pollenthread.ports import peers
+
+__all__ = ['HttpPeerNetwork']
+
+_SNAPSHOT_PATH = '/peer/snapshot'
+_ORDER_PATH = '/peer/order'
+_METRICS_PATH = '/metrics'
+_ANSWER_TIMEOUT_S = 0.8
+_CONTENT_TYPE = ('content-type', 'application/octet-stream')
+_MAX_DATAGRAM_BYTES = 60_000
+
+MetricsPage = Callable[[], tuple[str, bytes]]
+
+
+class HttpPeerNetwork(peers.PeerNetwork, http_message.Handler):
+    """One UDP socket and one HTTP server on the same port number."""
+
+    def __init__(self, *, client: http_client.HttpClient, host: str,
+                 port: int) -> None:
+        self._client = client
+        self._host = host
+        self._port = port
+        self._take_by_type: dict[type[Any], Callable[[Any], None]] = {}
+        self._make_snapshot: Callable[[], peer_messages.Snapshot |
+                                      None] | None = None
+        self._carry_out: peers.OrderHandler | None = None
+        self._metrics: MetricsPage | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+        self._server = http_server.HttpServer(handler=self,
+                                              host=host,
+                                              port=port)
+        self.malformed = 0
+
+    async def __aenter__(self) -> Self:
+        loop = asyncio.get_running_loop()
+        await self._server.__aenter__()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _DatagramProtocol(self.receive),
+            local_addr=(self._host, self._port),
+            family=socket.AF_INET)
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None,
+                        error: BaseException | None,
+                        trace: types.TracebackType | None) -> None:
+        if self._transport is not None:
+            self._transport.close()
+        await self._server.__aexit__(kind, error, trace)
+
+    # Datagrams.
+
+    def on_datagram(self, kind: type[Any], take: Callable[[Any],
+                                                          None]) -> None:
+        self._take_by_type[kind] = take
+
+    def send(self, address: str, *messages: Any) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        host, _, port = address.rpartition(':')
+        for message in messages:
+            data = peer_codec.encode_datagram(message)
+            if len(data) <= _MAX_DATAGRAM_BYTES:
+                self._transport.sendto(data, (host, int(port)))
+
+    def send_encoded(self, address: str, data: bytes) -> None:
+        """Sends a datagram that was encoded once for many peers."""
+        if self._transport is not None and not self._transport.is_closing():
+            host, _, port = address.rpartition(':')
+            self._transport.sendto(data, (host, int(port)))
+
+    def receive(self, data: bytes) -> None:
+        """Takes a datagram."""
+        try:
+            message = peer_codec.decode_datagram(data)
+        except peer_codec.MalformedMessage:
+            self.malformed += 1
+            return
+        take = self._take_by_type.get(type(message))
+        if take is not None:
+            take(message)
+
+    # Calls.
+
+    def serve_snapshots(
+            self, make: Callable[[], peer_messages.Snapshot | None]) -> None:
+        self._make_snapshot = make
+
+    def serve_orders(self, carry_out: peers.OrderHandler) -> None:
+        self._carry_out = carry_out
+
+    def serve_metrics(self, page: MetricsPage) -> None:
+        """Answers scrapes with a content type and a page."""
+        self._metrics = page
+
+    async def handle(self, request: http_message.Request,
+                     response: http_message.Response) -> None:
+        if request.path == _SNAPSHOT_PATH and self._make_snapshot is not None:
+            await self._answer(response, self._make_snapshot())
+        elif request.path == _ORDER_PATH and self._carry_out is not None:
+            await self._answer_order(request, response)
+        elif request.path == _METRICS_PATH and self._metrics is not None:
+            content_type, page = self._metrics()
+            await response.send(200, [('content-type', content_type)], page)
+        else:
+            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+
+    async def _answer_order(self, request: http_message.Request,
+                            response: http_message.Response) -> None:
+        assert self._carry_out is not None
+        try:
+            order = peer_codec.decode(peer_messages.RankOrder, request.body)
+        except peer_codec.MalformedMessage as error:
+            self.malformed += 1
+            await response.send_problem(
+                errors.failure(errors.Kind.BAD_HEADER, str(error)))
+            return
+        await self._answer(response, await self._carry_out(order))
+
+    @staticmethod
+    async def _answer(response: http_message.Response, message: Any) -> None:
+        if message is None:
+            await response.send_problem(
+                errors.failure(errors.Kind.NO_UPSTREAM))
+            return
+        await response.send(200, [_CONTENT_TYPE], peer_codec.encode(message))
+
+    async def fetch_snapshot(self,
+                             address: str) -> peer_messages.Snapshot | None:
+        return await self._call('GET', address, _SNAPSHOT_PATH, b'',
+                                peer_messages.Snapshot)
+
+    async def order(
+            self, address: str,
+            order: peer_messages.RankOrder) -> peer_messages.RankAnswer | None:
+        return await self._call('POST', address, _ORDER_PATH,
+                                peer_codec.encode(order),
+                                peer_messages.RankAnswer)
+
+    async def _call(self, method: str, address: str, path: str, body: bytes,
+                    kind: type[Any]) -> Any:
+        try:
+            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+                async with self._client.request(address,
+                                                method,
+                                                path,
+                                                body=body) as exchange:
+                    data = await exchange.read_all()
+                    if exchange.status != 200:
+                        return None
+                    return peer_codec.decode(kind, data)
+        except peer_codec.MalformedMessage:
+            self.malformed += 1
+            return None
+        except (OSError, TimeoutError):
+            return None
+
+
+class _DatagramProtocol(asyncio.DatagramProtocol):
+    """Hands on what arrives; what cannot be sent is lost like any datagram."""
+
+    def __init__(self, receive: Callable[[bytes], None]) -> None:
+        self._receive = receive
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._receive(data)
+
+    def error_received(self, exc: Exception) -> None:
+        return
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
-from pollenthread.app import serving_state
+from pollenthread.app import planned_stop, serving_state
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
                                load_board, log_events, routing_config)
 from pollenthread.ports import clock, event_log, reply, upstream
@@ -74,10 +74,12 @@
     """Serves requests by the configuration in force."""
 
     def __init__(self, *, state: serving_state.ServingState,
-                 servers: upstream.Upstream, time: clock.Clock,
+                 servers: upstream.Upstream,
+                 stop_plan: planned_stop.StopPlan, time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._state = state
         self._servers = servers
+        self._stop_plan = stop_plan
         self._clock = time
         self._log = log
         self.counts: dict[str, int] = {}
@@ -133,6 +135,7 @@
         if route is None:
             raise _Failed(errors.failure(errors.Kind.NOT_FOUND))
         workspace = _authenticate(config, route, request)
+        self._check_leaving(route)
         service = self._state.pick_service(route)
         now = self._clock.monotonic()
         self._state.budget(service).note_request(now)
@@ -141,6 +144,16 @@
         deadline = request.received_at + min(patience_s, route.timeout_s)
         return _Job(request, route, service, workspace, deadline, answer)
 
+    def _check_leaving(self, route: routing_config.Route) -> None:
+        """Refuses what could not end before this host does."""
+        if self._state.leaving_since is None:
+            return
+        elapsed_s = self._clock.monotonic() - self._state.leaving_since
+        is_stream = route.kind is routing_config.RequestKind.STREAM
+        if not planned_stop.takes_work(
+                self._stop_plan, elapsed_s, is_stream=is_stream):
+            raise _Failed(errors.failure(errors.Kind.LEAVING))
+
     # Attempts.
 
     async def _attempt_until_done(self, job: _Job) -> None:
--- a/pollenthread/app/knowledge.py
+++ b/pollenthread/app/knowledge.py
@@ -43,12 +43,12 @@
         self._state = state
         self._clock = time
         self._log = log
-        self._table = table
+        self.table = table
 
     def take_fault(self, fault: row_store.StoreFault) -> None:
         if self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_LOST,
-                            table=self._table,
+                            table=self.table,
                             fault=fault.value)
         self.contact.is_up = False
 
@@ -56,7 +56,7 @@
         now = self._clock.monotonic()
         if not self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_REGAINED,
-                            table=self._table,
+                            table=self.table,
                             version=version,
                             away_s=round(now - self.contact.last_at, 3))
         self.contact.is_up = True
@@ -70,7 +70,7 @@
                  log: event_log.EventLog, table: str, key: str,
                  decode: ConfigDecoder) -> None:
         super().__init__(state=state, time=time, log=log, table=table)
-        self._key = key
+        self.key = key
         self._decode = decode
         self.document: bytes | None = None
 
@@ -79,7 +79,7 @@
 
     def take_changes(self, rows: Sequence[row_store.Change]) -> None:
         for row in rows:
-            if row.key == self._key and row.value is not None:
+            if row.key == self.key and row.value is not None:
                 self.apply(row.value, source='store')
 
     def apply(self, document: bytes, *, source: str) -> None:
@@ -112,8 +112,28 @@
         super().__init__(state=state, time=time, log=log, table=table)
         self._decode = decode
         self.version = -1
+        self.rows_by_key: dict[str, tuple[bytes, int]] = {}
+
+    def take_snapshot(self, rows: Sequence[row_store.Change], version: int, *,
+                      is_fresh: bool) -> None:
+        """Takes the list of a peer.
+
+        Args:
+            rows: the whole list.
+            version: the store's counter that it covers.
+            is_fresh: whether the peer reaches the store now.
+        """
+        self.version = version
+        if is_fresh:
+            self._state.fleet.end_outage(self._clock.monotonic())
+        self.take_table(rows)
 
     def take_table(self, rows: Sequence[row_store.Change]) -> None:
+        self.rows_by_key = {
+            row.key: (row.value, row.version)
+            for row in rows
+            if row.value is not None
+        }
         decoded = [self._decode_row(row) for row in rows]
         servers = [server for server in decoded if server is not None]
         now = self._clock.monotonic()
@@ -127,8 +147,11 @@
     def take_changes(self, rows: Sequence[row_store.Change]) -> None:
         for row in rows:
             if row.value is None:
+                self.rows_by_key.pop(row.key, None)
                 self._remove(row.key)
-            elif (server := self._decode_row(row)) is not None:
+                continue
+            self.rows_by_key[row.key] = (row.value, row.version)
+            if (server := self._decode_row(row)) is not None:
                 self._put(server)
 
     def take_fault(self, fault: row_store.StoreFault) -> None:
--- a/pollenthread/core/addresses.py
+++ b/pollenthread/core/addresses.py
@@ -4,7 +4,7 @@
 import hashlib
 from collections.abc import Iterable
 
-__all__ = ['EntryHost', 'order']
+__all__ = ['EntryHost', 'near', 'order']
 
 _MAX_ADDRESSES = 4
 
@@ -17,11 +17,13 @@
         host: its name.
         address: `host:port` for callers.
         overloaded: whether it asks callers to go elsewhere.
+        data_centre: where it is.
     """
 
     host: str
     address: str
     overloaded: bool = False
+    data_centre: str = ''
 
 
 def order(entries: Iterable[EntryHost],
@@ -45,6 +47,22 @@
     return sorted(entries, key=rank)[:limit]
 
 
+def near(entries: Iterable[EntryHost], data_centre: str, *,
+         at_least: int) -> list[str]:
+    """Addresses of the hosts in a data centre, or of all if those are few.
+
+    Args:
+        entries: the hosts that may be used.
+        data_centre: where the caller is.
+        at_least: hosts in the data centre below which all are told.
+    """
+    known = list(entries)
+    found = [entry for entry in known if entry.data_centre == data_centre]
+    if len(found) < at_least:
+        found = known
+    return sorted(entry.address for entry in found)
+
+
 def _score(host: str, caller: str) -> bytes:
     text = f'{host}\0{caller}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/pollenthread/core/fleet.py
+++ b/pollenthread/core/fleet.py
@@ -58,6 +58,7 @@
         self._outage_ended_at: float | None = None
         self._in_outage = False
         self._ready_by_service: dict[str, tuple[Server, ...]] | None = None
+        self._id_by_address: dict[str, str] | None = None
 
     @property
     def listed_by_id(self) -> Mapping[str, Server]:
@@ -88,12 +89,12 @@
         """Takes an entry of the list."""
         self._lapsed_by_id.pop(server.id, None)
         self._listed_by_id[server.id] = server
-        self._ready_by_service = None
+        self._drop_indexes()
 
     def remove(self, server_id: str, now: float) -> None:
         """An entry has left the list."""
         server = self._listed_by_id.pop(server_id, None)
-        self._ready_by_service = None
+        self._drop_indexes()
         if server is not None and self._may_be_false(server, now):
             self._lapsed_by_id[server_id] = server
 
@@ -103,7 +104,7 @@
             return []
         gone = list(self._lapsed_by_id)
         self._lapsed_by_id.clear()
-        self._ready_by_service = None
+        self._drop_indexes()
         return gone
 
     def get(self, server_id: str) -> Server | None:
@@ -111,12 +112,26 @@
         return (self._listed_by_id.get(server_id) or
                 self._lapsed_by_id.get(server_id))
 
+    def at_address(self, address: str) -> Server | None:
+        """The youngest server that is listed with an address."""
+        if self._id_by_address is None:
+            known = sorted((*self._lapsed_by_id.values(),
+                            *self._listed_by_id.values()),
+                           key=lambda server: server.born_ms)
+            self._id_by_address = {s.address: s.id for s in known}
+        server_id = self._id_by_address.get(address)
+        return None if server_id is None else self.get(server_id)
+
     def ready(self, service: str) -> tuple[Server, ...]:
         """The servers of a service that take new work."""
         if self._ready_by_service is None:
             self._ready_by_service = self._index()
         return self._ready_by_service.get(service, ())
 
+    def _drop_indexes(self) -> None:
+        self._ready_by_service = None
+        self._id_by_address = None
+
     def _index(self) -> dict[str, tuple[Server, ...]]:
         found: dict[str, list[Server]] = {}
         for server in (*self._listed_by_id.values(),
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -29,12 +29,16 @@
         slots: requests that it works on at once.
         stalled_s: seconds since its group's last pass began, while it has
             work.
+        group: the group that it is a rank of; empty without.
+        pass_s: how long a pass of its group lasted lately; 0 when unknown.
     """
 
     running: int
     waiting: int
     slots: int
     stalled_s: float = 0.0
+    group: str = ''
+    pass_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/pollenthread/core/peer_messages.py
@@ -0,0 +1,177 @@
+"""What hosts tell each other on the prepared platform."""
+
+import dataclasses
+import enum
+
+__all__ = [
+    'EntryBeat', 'ExpertCounts', 'OrderKind', 'RankAnswer', 'RankOrder',
+    'RankState', 'Row', 'ServerLoad', 'Snapshot'
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryBeat:
+    """A heartbeat of an entry host.
+
+    Attributes:
+        host: its name.
+        is_ready: whether callers should connect there.
+        is_leaving: whether it is stopping.
+        config_version: the version of its configuration, or 0.
+        store_age_ms: milliseconds since the store last answered it.
+    """
+
+    host: str
+    is_ready: bool
+    is_leaving: bool
+    config_version: int
+    store_age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """The load of the server beside an agent.
+
+    Attributes:
+        address: the server's address.
+        running: requests that it works on.
+        waiting: requests in its queue.
+        slots: requests that it works on at once.
+        stalled_ms: time since its group's last pass began, while it has work.
+        group: its group.
+        pass_us: how long a pass of its group lasted lately.
+    """
+
+    address: str
+    running: int
+    waiting: int
+    slots: int
+    stalled_ms: int
+    group: str
+    pass_us: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankState:
+    """One rank of a group, as the agent beside it sees it.
+
+    Attributes:
+        group: the group's name.
+        host: the agent's host.
+        rank: the rank's number.
+        size: ranks in the group.
+        epoch: rises each time the group is formed anew.
+        is_open: whether the group works.
+        born_ms: Unix milliseconds of the server's start.
+        step: the last pass that was begun.
+        map_version: the map in use.
+        prepared_version: the map that is copied whole, or 0.
+        armed_version: the map that the rank will switch to, or 0.
+        armed_step: the pass with which it will switch.
+        held_step: the pass that the group must not begin, or 0.
+        is_busy: whether an order is in progress.
+        pace_percent: over 100 when the server is slow.
+    """
+
+    group: str
+    host: str
+    rank: int
+    size: int
+    epoch: int
+    is_open: bool
+    born_ms: int
+    step: int
+    map_version: int
+    prepared_version: int
+    armed_version: int
+    armed_step: int
+    held_step: int
+    is_busy: bool
+    pace_percent: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpertCounts:
+    """How often a rank's requests have chosen each expert since its start.
+
+    Attributes:
+        group: the group's name.
+        rank: the rank's number.
+        epoch: the group's epoch.
+        born_ms: Unix milliseconds of the server's start.
+        step: the last pass that was begun.
+        first_set: the set that the first row of counts is about.
+        experts: experts in a set.
+        counts: choices by set and then by expert, from the first set on.
+    """
+
+    group: str
+    rank: int
+    epoch: int
+    born_ms: int
+    step: int
+    first_set: int
+    experts: int
+    counts: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A row of the store as another host has read it."""
+
+    table: str
+    key: str
+    value: bytes
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What a host knows of the store.
+
+    Attributes:
+        servers_version: the store's counter at the newest list of servers.
+        store_age_ms: milliseconds since the store last answered the host.
+        rows: the rows.
+    """
+
+    servers_version: int
+    store_age_ms: int
+    rows: tuple[Row, ...]
+
+
+class OrderKind(enum.Enum):
+    """What a rank can be told to do."""
+
+    PREPARE = 'prepare'
+    ARM = 'arm'
+    DISARM = 'disarm'
+    HOLD = 'hold'
+    GO = 'go'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankOrder:
+    """An order for one rank.
+
+    Attributes:
+        kind: what to do.
+        epoch: the epoch in which it holds.
+        version: the map's version, or 0.
+        step: the pass, or 0.
+        layouts: the experts by set and rank, to prepare.
+    """
+
+    kind: OrderKind
+    epoch: int
+    version: int = 0
+    step: int = 0
+    layouts: tuple[tuple[tuple[int, ...], ...], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankAnswer:
+    """What a rank's server said, 0 for nothing, and its state after that."""
+
+    status: int
+    state: RankState
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -2,29 +2,37 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
+import signal
+import types
+from typing import Self
 
 import result
 
-from pollenthread.adapters import (clock, http_client, http_message,
-                                   http_server, json_log)
-from pollenthread.app import (forwarder, knowledge, serving_state,
-                              store_follower)
-from pollenthread.core import errors, log_events, routing_config
-from pollenthread.platform import (caller_border, config_document, names,
-                                   process_settings, row_store_http,
-                                   server_entry, upstream_http)
-from pollenthread.roles import process
+from pollenthread.adapters import (clock, http_client, http_server, json_log,
+                                   peer_network)
+from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
+                              roster, serving_state, store_follower)
+from pollenthread.core import host_record, log_events, routing_config
+from pollenthread.platform import (config_document, names, process_settings,
+                                   row_store_http, server_entry, upstream_http)
+from pollenthread.roles import platform_handlers, process
 
 __all__ = ['run']
 
 _CONFIG_WAIT_S = 20.0
 _CONFIG_PAUSE_S = 0.05
 _SERVERS_PAUSE_S = 0.4
+_HOSTS_WAIT_S = 20.0
+_HOSTS_PAUSE_S = 0.5
 _RETURN_S = 2.2
-_TTL_S = 2
+_TTL_S = 1.0
+# Some callers keep an address answer three times as long as they were told.
+_MAX_TTL_FACTOR = 3
 _CONNECT_TIMEOUT_S = 0.4
 _STORE_CONNECT_TIMEOUT_S = 0.5
+_STOP_CHECK_S = 0.05
 
 
 def _decode_config(
@@ -35,114 +43,184 @@
         return result.Err(str(error))
 
 
-class _CallerHandler(http_message.Handler):
-    """Serves callers."""
-
-    def __init__(self, *, service: forwarder.Forwarder) -> None:
-        self._service = service
-
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
-        found = caller_border.decode(request)
-        answer = caller_border.HttpReply(response=response,
-                                         request_id=found.id)
-        await self._service.serve(found, answer)
-
-
-class _ReadyHandler(http_message.Handler):
-    """Says whether the host is ready."""
-
-    def __init__(self, *, state: serving_state.ServingState) -> None:
-        self._state = state
-
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
-        if request.path != names.Path.READY:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
-            return
-        await response.send(200 if self._state.is_ready else 503, [], b'')
-
-
-class _DirectoryHandler(http_message.Handler):
-    """Tells callers which entry hosts to use."""
+class _Entry:
+    """Wires an entry host; a context manager that owns its servers."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
         self._settings = settings
-
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
-        if request.path != names.Path.RESOLVE:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+        self._stack = contextlib.AsyncExitStack()
+        self._rng = random.Random(settings.host)
+        self._clock = clock.SystemClock()
+        self.log = json_log.JsonLog(host=settings.host)
+        self.state = serving_state.ServingState(
+            data_centre=settings.data_centre,
+            retry_bounds=serving_state.RetryBounds(settings.retry_ratio,
+                                                   settings.retry_extra,
+                                                   settings.retry_window_s),
+            return_s=_RETURN_S,
+            rng=self._rng)
+        self._hosts = roster.Roster()
+        self._store_client = http_client.HttpClient(
+            connect_timeout_s=_STORE_CONNECT_TIMEOUT_S)
+        self._peer_client = http_client.HttpClient(
+            connect_timeout_s=_CONNECT_TIMEOUT_S)
+        self._server_client = http_client.HttpClient(
+            connect_timeout_s=_CONNECT_TIMEOUT_S)
+        self._store = row_store_http.HttpRowStore(
+            client=self._store_client, address=settings.store_address)
+        self._config = knowledge.ConfigListener(state=self.state,
+                                                time=self._clock,
+                                                log=self.log,
+                                                table=names.Table.OPERATOR,
+                                                key=names.Table.CONFIG_KEY,
+                                                decode=_decode_config)
+        self._servers = knowledge.ServerListener(state=self.state,
+                                                 time=self._clock,
+                                                 log=self.log,
+                                                 table=names.Table.SERVERS,
+                                                 decode=server_entry.decode)
+        self._network = peer_network.HttpPeerNetwork(
+            client=self._peer_client,
+            host=settings.ip,
+            port=settings.peer_ports[0])
+        self._own = host_record.HostRecord(
+            host=settings.host,
+            role=host_record.Role.ENTRY,
+            data_centre=settings.data_centre,
+            peer_address=f'{settings.ip}:{settings.peer_ports[0]}',
+            caller_address=settings.caller_address)
+        self.peers = entry_peers.EntryPeers(own=self._own,
+                                            hosts=self._hosts,
+                                            seeds=settings.seeds,
+                                            network=self._network,
+                                            state=self.state,
+                                            config=self._config,
+                                            servers=self._servers,
+                                            time=self._clock,
+                                            log=self.log,
+                                            rng=self._rng)
+        self._stop_plan = planned_stop.StopPlan(
+            grace_s=settings.grace_s, caches_s=_TTL_S * _MAX_TTL_FACTOR)
+        forward = forwarder.Forwarder(
+            state=self.state,
+            servers=upstream_http.HttpUpstream(client=self._server_client),
+            stop_plan=self._stop_plan,
+            time=self._clock,
+            log=self.log)
+        self._callers = platform_handlers.CallerHandler(forward=forward)
+        self._caller_server = self._server(settings.caller_address,
+                                           self._callers)
+
+    @staticmethod
+    def _server(address: str,
+                handler: http_server.Handler) -> http_server.HttpServer:
+        host, port = process.split_address(address)
+        return http_server.HttpServer(handler=handler, host=host, port=port)
+
+    async def __aenter__(self) -> Self:
+        settings = self._settings
+        await self._stack.__aenter__()
+        for client in (self._store_client, self._peer_client,
+                       self._server_client):
+            await self._stack.enter_async_context(client)
+        await self._stack.enter_async_context(self._network)
+        ready = platform_handlers.ReadyHandler(state=self.state)
+        directory = platform_handlers.DirectoryHandler(peers=self.peers,
+                                                       ttl_s=_TTL_S)
+        servers = [
+            self._caller_server,
+            self._server(settings.ready_address, ready),
+            self._server(settings.directory_address, directory)
+        ]
+        if settings.control_address:
+            servers.append(
+                self._server(settings.control_address, self._network))
+        for server in servers:
+            await self._stack.enter_async_context(server)
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None,
+                        error: BaseException | None,
+                        trace: types.TracebackType | None) -> None:
+        await self._stack.__aexit__(kind, error, trace)
+
+    def _follower(self, table: str, listener: store_follower.TableListener,
+                  wait_s: float,
+                  pause_s: float) -> store_follower.StoreFollower:
+        return store_follower.StoreFollower(store=self._store,
+                                            table=table,
+                                            listener=listener,
+                                            time=self._clock,
+                                            wait_s=wait_s,
+                                            pause_s=pause_s,
+                                            rng=self._rng)
+
+    async def work(self) -> None:
+        """Follows the store and the peers until cancelled."""
+        followers = (self._follower(names.Table.OPERATOR, self._config,
+                                    _CONFIG_WAIT_S, _CONFIG_PAUSE_S),
+                     self._follower(names.Table.SERVERS, self._servers, 0.0,
+                                    _SERVERS_PAUSE_S),
+                     self._follower(roster.TABLE, self._hosts, _HOSTS_WAIT_S,
+                                    _HOSTS_PAUSE_S))
+        async with asyncio.TaskGroup() as group:
+            for follower in followers:
+                group.create_task(follower.run())
+            group.create_task(
+                roster.register(store=self._store,
+                                time=self._clock,
+                                roster=self._hosts,
+                                record=self._own))
+            group.create_task(self.peers.run())
+            group.create_task(self.peers.follow_peers())
+
+    async def leave(self) -> None:
+        """Ends what runs, and says that no more should come."""
+        began_at = self._clock.monotonic()
+        self.state.leaving_since = began_at
+        self._caller_server.announce_leaving()
+        self.peers.beat()
+        self.log.write(log_events.LogEvent.STOPPING,
+                       in_progress=self._callers.in_progress)
+        while not planned_stop.is_done(self._stop_plan,
+                                       self._clock.monotonic() - began_at,
+                                       self._callers.in_progress):
+            await self._clock.sleep(_STOP_CHECK_S)
+        self.log.write(log_events.LogEvent.STOPPED,
+                       cut=self._callers.in_progress)
+
+    def reload(self) -> None:
+        """Reads the settings again; addresses stay as they are."""
+        try:
+            found = process_settings.load()
+        except process_settings.InvalidSettings as error:
+            self.log.write(log_events.LogEvent.RELOADED, error=str(error))
             return
-        await response.send_json(
-            200, {
-                'addresses': [self._settings.caller_address],
-                'ttl_s': _TTL_S
-            })
+        changed = [
+            field.name
+            for field in dataclasses.fields(found)
+            if getattr(found, field.name) != getattr(self._settings, field.name)
+        ]
+        self._settings = found
+        self.peers.seeds = found.seeds
+        self.log.write(log_events.LogEvent.RELOADED, changed=changed)
 
 
 async def run() -> None:
     """Serves until SIGTERM."""
     settings = process_settings.load()
-    log = json_log.JsonLog(host=settings.host)
-    rng = random.Random(settings.host)
-    time = clock.SystemClock()
     stop = process.StopSignal()
-    state = serving_state.ServingState(
-        data_centre=settings.data_centre,
-        retry_bounds=serving_state.RetryBounds(settings.retry_ratio,
-                                               settings.retry_extra,
-                                               settings.retry_window_s),
-        return_s=_RETURN_S,
-        rng=rng)
-    async with contextlib.AsyncExitStack() as stack:
-        store_client = await stack.enter_async_context(
-            http_client.HttpClient(connect_timeout_s=_STORE_CONNECT_TIMEOUT_S))
-        server_client = await stack.enter_async_context(
-            http_client.HttpClient(connect_timeout_s=_CONNECT_TIMEOUT_S))
-        store = row_store_http.HttpRowStore(client=store_client,
-                                            address=settings.store_address)
-        config = knowledge.ConfigListener(state=state,
-                                          time=time,
-                                          log=log,
-                                          table=names.Table.OPERATOR,
-                                          key=names.Table.CONFIG_KEY,
-                                          decode=_decode_config)
-        servers = knowledge.ServerListener(state=state,
-                                           time=time,
-                                           log=log,
-                                           table=names.Table.SERVERS,
-                                           decode=server_entry.decode)
-        followers = [
-            store_follower.StoreFollower(store=store,
-                                         table=names.Table.OPERATOR,
-                                         listener=config,
-                                         time=time,
-                                         wait_s=_CONFIG_WAIT_S,
-                                         pause_s=_CONFIG_PAUSE_S,
-                                         rng=rng),
-            store_follower.StoreFollower(store=store,
-                                         table=names.Table.SERVERS,
-                                         listener=servers,
-                                         time=time,
-                                         wait_s=0.0,
-                                         pause_s=_SERVERS_PAUSE_S,
-                                         rng=rng)
-        ]
-        forward = forwarder.Forwarder(
-            state=state,
-            servers=upstream_http.HttpUpstream(client=server_client),
-            time=time,
-            log=log)
-        for address, handler in (
-            (settings.caller_address, _CallerHandler(service=forward)),
-            (settings.ready_address, _ReadyHandler(state=state)),
-            (settings.directory_address, _DirectoryHandler(settings=settings))):
-            host, port = process.split_address(address)
-            await stack.enter_async_context(
-                http_server.HttpServer(handler=handler, host=host, port=port))
-        log.write(log_events.LogEvent.STARTED, address=settings.caller_address)
-        tasks = asyncio.create_task(store_follower.run_all(followers))
-        await stop.planned.wait()
-        tasks.cancel()
-        log.write(log_events.LogEvent.STOPPED)
+    async with _Entry(settings=settings) as entry:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, entry.reload)
+        entry.log.write(log_events.LogEvent.STARTED,
+                        callers=settings.caller_address,
+                        data_centre=settings.data_centre)
+        work = asyncio.create_task(entry.work())
+        stopped = asyncio.create_task(stop.planned.wait())
+        await asyncio.wait((work, stopped),
+                           return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            work.result()
+        await entry.leave()
+        work.cancel()
