Even ranks on the platform: small copies, often

Cause: the most loaded rank carried 3.4 times the mean, so half of all streams paused too long. Change: agents tell the holder of their group's duty what experts are chosen; it adds the replicas that even the work most, two a rank at once, and has all ranks switch with one held pass.

--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -39,6 +39,7 @@
   heldStep @12 :UInt64;
   isBusy @13 :Bool;
   pacePercent @14 :UInt32;
+  dutyVersion @15 :UInt64;
 }
 
 struct ExpertCounts {
@@ -94,3 +95,10 @@
   status @0 :UInt16;
   state @1 :RankState;
 }
+
+struct RankLayout {
+  epoch @0 :UInt64;
+  version @1 :UInt64;
+  # By set.
+  experts @2 :List(List(UInt16));
+}
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import types
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Self
 
 from pollenthread.adapters import (http_client, http_message, http_server,
@@ -15,6 +15,7 @@
 
 _SNAPSHOT_PATH = '/peer/snapshot'
 _ORDER_PATH = '/peer/order'
+_LAYOUT_PATH = '/peer/layout'
 _METRICS_PATH = '/metrics'
 _ANSWER_TIMEOUT_S = 0.8
 _CONTENT_TYPE = ('content-type', 'application/octet-stream')
@@ -35,6 +36,8 @@
         self._make_snapshot: Callable[[], peer_messages.Snapshot |
                                       None] | None = None
         self._carry_out: peers.OrderHandler | None = None
+        self._make_layout: Callable[
+            [], Awaitable[peer_messages.RankLayout | None]] | None = None
         self._metrics: MetricsPage | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._server = http_server.HttpServer(handler=self,
@@ -99,6 +102,11 @@
     def serve_orders(self, carry_out: peers.OrderHandler) -> None:
         self._carry_out = carry_out
 
+    def serve_layouts(
+        self, make: Callable[[], Awaitable[peer_messages.RankLayout | None]]
+    ) -> None:
+        self._make_layout = make
+
     def serve_metrics(self, page: MetricsPage) -> None:
         """Answers scrapes with a content type and a page."""
         self._metrics = page
@@ -109,6 +117,8 @@
             await self._answer(response, self._make_snapshot())
         elif request.path == _ORDER_PATH and self._carry_out is not None:
             await self._answer_order(request, response)
+        elif request.path == _LAYOUT_PATH and self._make_layout is not None:
+            await self._answer(response, await self._make_layout())
         elif request.path == _METRICS_PATH and self._metrics is not None:
             content_type, page = self._metrics()
             await response.send(200, [('content-type', content_type)], page)
@@ -140,6 +150,11 @@
         return await self._call('GET', address, _SNAPSHOT_PATH, b'',
                                 peer_messages.Snapshot)
 
+    async def fetch_layout(self,
+                           address: str) -> peer_messages.RankLayout | None:
+        return await self._call('GET', address, _LAYOUT_PATH, b'',
+                                peer_messages.RankLayout)
+
     async def order(
             self, address: str,
             order: peer_messages.RankOrder) -> peer_messages.RankAnswer | None:
--- /dev/null
+++ b/pollenthread/app/map_duty.py
@@ -0,0 +1,310 @@
+"""One agent of each group plans its maps and has the ranks switch.
+
+The duty is a row in the store that is taken with a conditional write. The
+store's counter at that write is the fencing token: all versions of maps begin
+with it, so ranks refuse the maps of a holder that was replaced.
+"""
+
+import asyncio
+import dataclasses
+
+import result
+
+from pollenthread.app import group_view, roster
+from pollenthread.core import (expert_demand, log_events, map_switch,
+                               peer_messages, replication, routing_config)
+from pollenthread.ports import clock, event_log, peers, row_store
+
+__all__ = ['MapDuty']
+
+TABLE = 'pollenthread_duties'
+_VERSIONS_A_TERM = 1 << 16
+_TICK_S = 0.02
+_PLAN_TICK_S = 0.05
+_STAGGER_S = 0.15
+_WAIT_FOR_HOLDER_S = 1.3
+_RETRY_DUTY_S = 0.5
+_RESEND_S = 0.15
+_MAX_PREPARE_S = 4.0
+_MAX_COPIES = 2
+_MAX_NEW_A_SET = 2
+_MIN_SAVING = 0.06
+
+
+@dataclasses.dataclass
+class MapAccount:
+    """What keeping ranks even has cost and brought.
+
+    Attributes:
+        switches: maps that came into use.
+        abandoned: switches that did not.
+        copies: experts copied.
+        orders: orders given to ranks, by kind.
+        skew: the mean over sets of the greatest load, as last estimated.
+    """
+
+    switches: int = 0
+    abandoned: int = 0
+    copies: int = 0
+    orders: dict[str, int] = dataclasses.field(default_factory=dict)
+    skew: float = 0.0
+
+
+class MapDuty:
+    """Plans and carries out maps while this agent holds the duty."""
+
+    def __init__(self, *, host: str, incarnation: str,
+                 store: row_store.RowStore, hosts: roster.Roster,
+                 view: group_view.GroupView, network: peers.PeerNetwork,
+                 time: clock.Clock, log: event_log.EventLog) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._store = store
+        self._hosts = hosts
+        self._view = view
+        self._network = network
+        self._clock = time
+        self._log = log
+        self.engine: routing_config.EngineFigures | None = None
+        self.account = MapAccount()
+        self._term = 0
+        self._used_versions = 0
+        self._demand: expert_demand.Demand | None = None
+        self._layouts: tuple[replication.Layout, ...] | None = None
+        self._layouts_of = (0, 0)
+        self._holderless_since = time.monotonic()
+        view.on_counts = self._take_counts
+
+    # The duty.
+
+    async def run(self) -> None:
+        """Takes the duty when nobody has it, and does it; until cancelled."""
+        while True:
+            await self._clock.sleep(_PLAN_TICK_S)
+            engine = self.engine
+            if engine is None or not engine.sets or not self._view.is_whole():
+                continue
+            if self._holds_duty():
+                await self._work(engine)
+            elif self._view.holder() is not None:
+                self._holderless_since = self._clock.monotonic()
+            elif self._is_my_turn():
+                await self._take_duty(engine)
+
+    def _holds_duty(self) -> bool:
+        if not self._term:
+            return False
+        newest = max(
+            max(s.map_version, s.prepared_version, s.duty_version)
+            for s in self._view.states().values())
+        if newest >= (self._term + 1) * _VERSIONS_A_TERM or any(
+                s.duty_version > self._term
+                for s in self._view.states().values()):
+            self._drop_duty('replaced')
+            return False
+        return True
+
+    def _drop_duty(self, reason: str) -> None:
+        self._log.write(log_events.LogEvent.DUTY_LOST,
+                        group=self._view.group,
+                        term=self._term,
+                        reason=reason)
+        self._term = 0
+        self._view.duty_version = 0
+
+    def _is_my_turn(self) -> bool:
+        own = self._view.own_state
+        assert own is not None
+        waited_s = self._clock.monotonic() - self._holderless_since
+        return waited_s > _WAIT_FOR_HOLDER_S + own.rank * _STAGGER_S
+
+    async def _take_duty(self, engine: routing_config.EngineFigures) -> None:
+        group = self._view.group
+        name = f'{self._host} {self._incarnation}'.encode()
+        known = await self._store.read(TABLE)
+        if isinstance(known, result.Err):
+            await self._clock.sleep(_RETRY_DUTY_S)
+            return
+        row = next((r for r in known.ok_value.changes if r.key == group), None)
+        write = row_store.RowWrite(TABLE, group, name,
+                                   row.version if row else 0)
+        done = await self._store.write([write])
+        if isinstance(done, result.Err):
+            # A lost answer is settled by the next read: a term that was taken
+            # without being known is simply never used.
+            self._holderless_since = self._clock.monotonic()
+            return
+        self._term = done.ok_value
+        self._used_versions = 0
+        self._layouts = None
+        self._demand = expert_demand.Demand(sets=engine.sets,
+                                            experts=engine.experts)
+        self._view.duty_version = self._term
+        self._log.write(log_events.LogEvent.DUTY_TAKEN,
+                        group=group,
+                        term=self._term)
+
+    def _take_counts(self, news: peer_messages.ExpertCounts) -> None:
+        if self._demand is not None and self._term:
+            self._demand.take(news.rank, (news.born_ms, news.epoch),
+                              news.first_set * news.experts, news.counts)
+
+    # Planning.
+
+    async def _work(self, engine: routing_config.EngineFigures) -> None:
+        states = self._view.states()
+        if not await self._know_layouts():
+            return
+        assert self._layouts is not None and self._demand is not None
+        if map_switch.needs_recovery(states):
+            await self._recover(states)
+            return
+        if any(state.armed_version for state in states.values()):
+            return
+        self._demand.close_window()
+        if not self._demand.is_known:
+            return
+        step = replication.plan_step(
+            self._layouts, self._demand.shares_by_set,
+            replication.Shape(places=engine.places,
+                              max_new=min(engine.spare, _MAX_NEW_A_SET),
+                              max_copies=_MAX_COPIES))
+        self.account.skew = step.before
+        if not step.copies or step.before - step.after < _MIN_SAVING:
+            return
+        self._log.write(log_events.LogEvent.MAP_PLANNED,
+                        important=False,
+                        group=self._view.group,
+                        copies=step.copies,
+                        busiest=step.copies_of_busiest,
+                        before=round(step.before, 3),
+                        after=round(step.after, 3))
+        await self._switch(step.layouts, step.copies)
+
+    async def _know_layouts(self) -> bool:
+        """Makes sure that the map in use is known."""
+        states = self._view.states()
+        versions = {(s.epoch, s.map_version) for s in states.values()}
+        if len(versions) != 1:
+            return False
+        if self._layouts is not None and self._layouts_of in versions:
+            return True
+        found = await asyncio.gather(
+            *(self._network.fetch_layout(self._address(rank))
+              for rank in sorted(states)))
+        held = [layout for layout in found if layout is not None]
+        if len(held) < len(states) or {
+            (layout.epoch, layout.version) for layout in held
+        } != versions:
+            return False
+        self._layouts = tuple(
+            tuple(frozenset(layout.experts[index]) for layout in held)
+            for index in range(len(held[0].experts)))
+        self._layouts_of = versions.pop()
+        return True
+
+    def _address(self, rank: int) -> str:
+        host = self._view.states()[rank].host
+        record = self._hosts.records_by_host.get(host)
+        return record.peer_address if record else ''
+
+    def _next_version(self) -> int:
+        self._used_versions += 1
+        return self._term * _VERSIONS_A_TERM + self._used_versions
+
+    # Switching.
+
+    async def _switch(self, layouts: tuple[replication.Layout, ...],
+                      copies: int) -> None:
+        epoch = next(iter(self._view.states().values())).epoch
+        switch = map_switch.Switch(self._next_version(), epoch,
+                                   _encoded(layouts))
+        done = await self._drive(switch)
+        if done.phase is map_switch.Phase.DONE:
+            self._layouts = layouts
+            self._layouts_of = (epoch, done.version)
+            self.account.copies += copies
+
+    async def _recover(self, states: map_switch.States) -> None:
+        assert self._layouts is not None
+        switch = map_switch.recover(states, _encoded(self._layouts),
+                                    self._next_version())
+        self._log.write(log_events.LogEvent.MAP_RECOVERED,
+                        group=self._view.group,
+                        version=switch.version,
+                        phase=switch.phase.value,
+                        held=states[map_switch.HOLDING_RANK].held_step)
+        self._layouts = None
+        await self._drive(switch)
+
+    async def _drive(self, switch: map_switch.Switch) -> map_switch.Switch:
+        """Gives orders until the switch is done or abandoned."""
+        began_at = self._clock.monotonic()
+        sent_at: dict[tuple[int, peer_messages.OrderKind], float] = {}
+        last_phase = switch.phase
+        while True:
+            switch, orders = map_switch.advance(switch, self._view.states())
+            now = self._clock.monotonic()
+            if switch.phase is map_switch.Phase.DONE:
+                self._note_done(switch, now - began_at)
+                return switch
+            if (switch.phase is map_switch.Phase.ABANDONED or
+                (switch.phase is map_switch.Phase.PREPARING and
+                 now - began_at > _MAX_PREPARE_S)):
+                self._note_abandoned(switch, now - began_at)
+                return dataclasses.replace(switch,
+                                           phase=map_switch.Phase.ABANDONED)
+            due = {
+                rank: order for rank, order in orders.items()
+                if now - sent_at.get((rank, order.kind), -1e9) > _RESEND_S
+            }
+            for rank, order in due.items():
+                sent_at[rank, order.kind] = now
+            if due:
+                await asyncio.gather(
+                    *(self._order(rank, order) for rank, order in due.items()))
+            if not due or switch.phase is last_phase:
+                await self._clock.sleep(_TICK_S)
+            last_phase = switch.phase
+
+    async def _order(self, rank: int, order: peer_messages.RankOrder) -> None:
+        kind = order.kind.value
+        self.account.orders[kind] = self.account.orders.get(kind, 0) + 1
+        answer = await self._network.order(self._address(rank), order)
+        if answer is not None:
+            self._view.take(answer.state)
+        if answer is None or answer.status not in (200, 202):
+            self._log.write(log_events.LogEvent.ORDER_FAILED,
+                            group=self._view.group,
+                            rank=rank,
+                            order=kind,
+                            version=order.version,
+                            step=order.step,
+                            status=answer.status if answer else None)
+
+    def _note_done(self, switch: map_switch.Switch, took_s: float) -> None:
+        self.account.switches += 1
+        self._log.write(log_events.LogEvent.MAP_SWITCHED,
+                        important=False,
+                        group=self._view.group,
+                        version=switch.version,
+                        step=switch.step,
+                        took_s=round(took_s, 3))
+
+    def _note_abandoned(self, switch: map_switch.Switch,
+                        took_s: float) -> None:
+        self.account.abandoned += 1
+        self._layouts = None
+        self._log.write(log_events.LogEvent.ORDER_FAILED,
+                        group=self._view.group,
+                        version=switch.version,
+                        abandoned_in=switch.phase.value,
+                        took_s=round(took_s, 3))
+
+
+def _encoded(
+    layouts: tuple[replication.Layout, ...]
+) -> tuple[tuple[tuple[int, ...], ...], ...]:
+    return tuple(
+        tuple(tuple(sorted(experts)) for experts in layout)
+        for layout in layouts)
--- /dev/null
+++ b/pollenthread/app/rank_agent.py
@@ -0,0 +1,141 @@
+"""The agent beside a model server: its load, its rank, its orders."""
+
+import dataclasses
+
+from pollenthread.app import group_view, roster
+from pollenthread.core import host_record, peer_messages
+from pollenthread.ports import clock, peers, rank_server
+
+__all__ = ['RankAgent']
+
+_POLL_S = 0.1
+_BUSY_POLL_S = 0.03
+_ALONE_POLL_S = 1.0
+_MS_PER_S = 1000
+_US_PER_S = 1_000_000
+_PASS_SMOOTHING = 0.3
+_MAX_PASS_S = 2.0
+_COUNTS_A_DATAGRAM = 256
+
+
+class RankAgent:
+    """Watches one server and tells the hosts that need to know."""
+
+    def __init__(self, *, own: host_record.HostRecord, slots: int,
+                 server: rank_server.RankServer, hosts: roster.Roster,
+                 view: group_view.GroupView, network: peers.PeerNetwork,
+                 time: clock.Clock) -> None:
+        self._own = own
+        self.slots = slots
+        self._server = server
+        self._hosts = hosts
+        self._view = view
+        self._network = network
+        self._clock = time
+        self._stepped_at = time.monotonic()
+        self._last_step = -1
+        self._pass_s = 0.0
+        self.experts = 0
+        network.serve_orders(self.carry_out)
+        network.serve_layouts(self._layout)
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        while True:
+            await self._clock.sleep(await self._poll())
+
+    async def _poll(self) -> float:
+        try:
+            report = await self._server.report()
+        except rank_server.RankSilent:
+            return _POLL_S
+        state = self._take(report)
+        self._tell_entries(report)
+        if not report.is_in_group:
+            return _ALONE_POLL_S if not report.running else _POLL_S
+        self._tell_group(state)
+        await self._tell_counts(state)
+        is_switching = (state.is_busy or state.armed_version or
+                        state.held_step or state.prepared_version)
+        return _BUSY_POLL_S if is_switching else _POLL_S
+
+    def _take(self,
+              report: rank_server.RankReport) -> peer_messages.RankState:
+        now = self._clock.monotonic()
+        state = dataclasses.replace(report.state,
+                                    host=self._own.host,
+                                    duty_version=self._view.duty_version)
+        passes = state.step - self._last_step
+        if passes != 0 or not report.running:
+            if 0 < passes < 100 and self._last_step >= 0:
+                pass_s = min(_MAX_PASS_S, (now - self._stepped_at) / passes)
+                self._pass_s += _PASS_SMOOTHING * (pass_s - self._pass_s)
+            self._last_step = state.step
+            self._stepped_at = now
+        self._view.take_own(state)
+        return state
+
+    def _tell_entries(self, report: rank_server.RankReport) -> None:
+        stalled_s = self._clock.monotonic() - self._stepped_at
+        news = peer_messages.ServerLoad(
+            address=self._own.engine_address,
+            running=report.running,
+            waiting=report.waiting,
+            slots=self.slots,
+            stalled_ms=int(stalled_s * _MS_PER_S) if report.running else 0,
+            group=report.state.group,
+            pass_us=int(self._pass_s * _US_PER_S))
+        for record in self._hosts.with_role(host_record.Role.ENTRY):
+            self._network.send(record.peer_address, news)
+
+    def _tell_group(self, state: peer_messages.RankState) -> None:
+        for record in self._hosts.with_role(host_record.Role.AGENT):
+            if (record.host != self._own.host and
+                    self._view.may_be_in_group(record.host)):
+                self._network.send(record.peer_address, state)
+
+    async def _tell_counts(self, state: peer_messages.RankState) -> None:
+        holder = self._view.holder()
+        if holder is None or not self.experts:
+            return
+        try:
+            found = await self._server.counts()
+        except rank_server.RankSilent:
+            return
+        sets_a_datagram = max(1, _COUNTS_A_DATAGRAM // self.experts)
+        size = sets_a_datagram * self.experts
+        for begin in range(0, len(found.counts), size):
+            news = peer_messages.ExpertCounts(
+                group=state.group,
+                rank=state.rank,
+                epoch=found.epoch,
+                born_ms=state.born_ms,
+                step=found.step,
+                first_set=begin // self.experts,
+                experts=self.experts,
+                counts=found.counts[begin:begin + size])
+            if holder == self._own.host:
+                self._view.take_counts(news)
+            elif (record := self._hosts.records_by_host.get(holder)):
+                self._network.send(record.peer_address, news)
+
+    async def carry_out(
+        self, order: peer_messages.RankOrder
+    ) -> peer_messages.RankAnswer | None:
+        """Gives the server an order and tells what it says after that."""
+        status = 0
+        try:
+            status = await self._server.order(order)
+            report = await self._server.report()
+        except rank_server.RankSilent:
+            state = self._view.own_state
+            if state is None or status == 0:
+                return None
+            return peer_messages.RankAnswer(status, state)
+        return peer_messages.RankAnswer(status, self._take(report))
+
+    async def _layout(self) -> peer_messages.RankLayout | None:
+        try:
+            return await self._server.layout()
+        except rank_server.RankSilent:
+            return None
--- /dev/null
+++ b/pollenthread/core/expert_demand.py
@@ -0,0 +1,108 @@
+"""Which experts requests choose now, from counts that only rise.
+
+Demand stays the same for seconds and then changes at once. So a short window
+that differs much from what came before begins the estimate anew; one that
+agrees is added to it.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+__all__ = ['Demand', 'RankCounter']
+
+_CHANGED_DISTANCE = 0.35
+_SUSPICIOUS_DISTANCE = 0.2
+_KEEP = 0.7
+_MIN_WINDOW = 2_000
+
+
+@dataclasses.dataclass(slots=True)
+class RankCounter:
+    """The newest counts of one rank.
+
+    Attributes:
+        life: what makes counts begin anew: the server's start and the epoch.
+        counts: choices since then, by set and then by expert.
+    """
+
+    life: tuple[int, int]
+    counts: tuple[int, ...]
+
+
+class Demand:
+    """The shares of the experts of one group."""
+
+    def __init__(self, *, sets: int, experts: int) -> None:
+        """Makes an estimate of nothing.
+
+        Args:
+            sets: sets of layers.
+            experts: experts in a set.
+        """
+        self._experts = experts
+        self._counter_by_rank: dict[int, RankCounter] = {}
+        self._window = [0.0] * (sets * experts)
+        self._estimate_by_set: list[list[float]] = [
+            [0.0] * experts for _ in range(sets)
+        ]
+        self.changes = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether every set has been observed."""
+        return all(any(shares) for shares in self._estimate_by_set)
+
+    @property
+    def shares_by_set(self) -> Sequence[Sequence[float]]:
+        """Weights of the experts, by set."""
+        return self._estimate_by_set
+
+    def take(self, rank: int, life: tuple[int, int], first: int,
+             counts: Sequence[int]) -> None:
+        """Takes counts of a rank.
+
+        Args:
+            rank: the rank's number.
+            life: what makes counts begin anew.
+            first: the index of the first count, over all sets.
+            counts: choices since the beginning of that life.
+        """
+        counter = self._counter_by_rank.get(rank)
+        if counter is None or counter.life != life:
+            counter = RankCounter(life, ())
+            self._counter_by_rank[rank] = counter
+        size = len(self._window)
+        known = counter.counts or (-1,) * size
+        after = list(known)
+        for index, count in enumerate(counts, start=first):
+            if index >= size:
+                break
+            if known[index] >= 0:
+                self._window[index] += max(0, count - known[index])
+            after[index] = count
+        counter.counts = tuple(after)
+
+    def close_window(self) -> None:
+        """Brings what was counted since the last call into the estimate."""
+        experts = self._experts
+        for index, estimate in enumerate(self._estimate_by_set):
+            begin = index * experts
+            window = self._window[begin:begin + experts]
+            if sum(window) < _MIN_WINDOW:
+                continue
+            self._window[begin:begin + experts] = [0.0] * experts
+            self._estimate_by_set[index] = self._merge(estimate, window)
+
+    def _merge(self, estimate: list[float],
+               window: list[float]) -> list[float]:
+        total = sum(estimate)
+        if not total:
+            return window
+        share = sum(window)
+        distance = sum(
+            abs(a / total - b / share) for a, b in zip(estimate, window))
+        if distance > _CHANGED_DISTANCE:
+            self.changes += 1
+            return window
+        keep = _KEEP if distance < _SUSPICIOUS_DISTANCE else _KEEP / 2
+        return [a * keep + b for a, b in zip(estimate, window)]
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -4,7 +4,7 @@
 import enum
 
 __all__ = [
-    'EntryBeat', 'ExpertCounts', 'OrderKind', 'RankAnswer', 'RankOrder',
+    'EntryBeat', 'ExpertCounts', 'OrderKind', 'RankAnswer', 'RankLayout', 'RankOrder',
     'RankState', 'Row', 'ServerLoad', 'Snapshot'
 ]
 
@@ -71,6 +71,8 @@
         held_step: the pass that the group must not begin, or 0.
         is_busy: whether an order is in progress.
         pace_percent: over 100 when the server is slow.
+        duty_version: the fencing token of the agent's lease on the group's
+            duty, or 0 without.
     """
 
     group: str
@@ -88,6 +90,7 @@
     held_step: int
     is_busy: bool
     pace_percent: int
+    duty_version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,3 +178,18 @@
 
     status: int
     state: RankState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankLayout:
+    """The experts that a rank holds by the map in use.
+
+    Attributes:
+        epoch: the group's epoch.
+        version: the map's version.
+        experts: by set.
+    """
+
+    epoch: int
+    version: int
+    experts: tuple[tuple[int, ...], ...]
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -3,11 +3,12 @@
 import json
 
 import pydantic
+import result
 
 from pollenthread.core import routing_config
 from pollenthread.platform import names
 
-__all__ = ['InvalidConfig', 'decode']
+__all__ = ['InvalidConfig', 'decode', 'decode_result']
 
 _MS_PER_S = 1000.0
 _BITS_PER_BYTE = 8
@@ -120,6 +121,15 @@
         workspaces_by_key=_workspaces(document.tenants))
 
 
+def decode_result(
+        data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
+    """Decodes a whole document, or says what is wrong with it."""
+    try:
+        return result.Ok(decode(data))
+    except InvalidConfig as error:
+        return result.Err(str(error))
+
+
 def _route(found: _Route) -> routing_config.Route:
     if found.traffic_split:
         shares = tuple(
--- a/pollenthread/ports/peers.py
+++ b/pollenthread/ports/peers.py
@@ -33,6 +33,17 @@
     def serve_orders(self, carry_out: OrderHandler) -> None:
         """Carries out peers' orders for the server beside this host."""
 
+    @abc.abstractmethod
+    def serve_layouts(
+        self, make: Callable[[], Awaitable[peer_messages.RankLayout | None]]
+    ) -> None:
+        """Answers peers that ask which experts this host's rank holds."""
+
+    @abc.abstractmethod
+    async def fetch_layout(self,
+                           address: str) -> peer_messages.RankLayout | None:
+        """Asks which experts a peer's rank holds; None without an answer."""
+
     @abc.abstractmethod
     async def fetch_snapshot(self,
                              address: str) -> peer_messages.Snapshot | None:
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -1,35 +1,155 @@
 """The agent beside a model server on the prepared platform."""
 
 import asyncio
+import contextlib
+import random
+import types
+from typing import Self
 
-from pollenthread.adapters import http_client, json_log
-from pollenthread.core import log_events
-from pollenthread.platform import names, process_settings
+from pollenthread.adapters import (clock, http_client, json_log, peer_network)
+from pollenthread.app import (group_view, knowledge, map_duty, rank_agent,
+                              roster, serving_state, store_follower)
+from pollenthread.core import host_record, log_events
+from pollenthread.platform import (config_document, names, process_settings,
+                                   rank_server_http, row_store_http)
 from pollenthread.roles import process
 
 __all__ = ['run']
 
+_CONFIG_WAIT_S = 20.0
+_CONFIG_PAUSE_S = 0.5
+_HOSTS_WAIT_S = 20.0
+_HOSTS_PAUSE_S = 0.5
+_FIGURES_CHECK_S = 0.25
+_CONNECT_TIMEOUT_S = 0.4
+
+
+class _Agent:
+    """Wires an agent; a context manager that owns its servers."""
+
+    def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
+        self._settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._rng = random.Random(settings.host)
+        self._clock = clock.SystemClock()
+        self.log = json_log.JsonLog(host=settings.host)
+        self._clients = {
+            name: http_client.HttpClient(connect_timeout_s=_CONNECT_TIMEOUT_S)
+            for name in ('store', 'peers', 'engine')
+        }
+        self._store = row_store_http.HttpRowStore(
+            client=self._clients['store'], address=settings.store_address)
+        self._network = peer_network.HttpPeerNetwork(
+            client=self._clients['peers'],
+            host=settings.ip,
+            port=settings.peer_ports[0])
+        self._own = host_record.HostRecord(
+            host=settings.host,
+            role=host_record.Role.AGENT,
+            data_centre=settings.data_centre,
+            peer_address=f'{settings.ip}:{settings.peer_ports[0]}',
+            engine_address=settings.engine_address)
+        self._hosts = roster.Roster()
+        self._state = serving_state.ServingState(
+            data_centre=settings.data_centre,
+            retry_bounds=serving_state.RetryBounds(0.0, 0.0, 1.0),
+            return_s=0.0,
+            rng=self._rng)
+        self._config = knowledge.ConfigListener(
+            state=self._state,
+            time=self._clock,
+            log=self.log,
+            table=names.Table.OPERATOR,
+            key=names.Table.CONFIG_KEY,
+            decode=config_document.decode_result)
+        self._view = group_view.GroupView(network=self._network,
+                                          time=self._clock)
+        self._agent = rank_agent.RankAgent(
+            own=self._own,
+            slots=1,
+            server=rank_server_http.HttpRankServer(
+                client=self._clients['engine'],
+                address=settings.engine_address),
+            hosts=self._hosts,
+            view=self._view,
+            network=self._network,
+            time=self._clock)
+        self._duty = map_duty.MapDuty(host=settings.host,
+                                      incarnation=process.new_incarnation(),
+                                      store=self._store,
+                                      hosts=self._hosts,
+                                      view=self._view,
+                                      network=self._network,
+                                      time=self._clock,
+                                      log=self.log)
+
+    async def __aenter__(self) -> Self:
+        await self._stack.__aenter__()
+        for client in self._clients.values():
+            await self._stack.enter_async_context(client)
+        await self._stack.enter_async_context(self._network)
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None,
+                        error: BaseException | None,
+                        trace: types.TracebackType | None) -> None:
+        await self._stack.__aexit__(kind, error, trace)
+
+    def _follower(self, table: str, listener: store_follower.TableListener,
+                  wait_s: float,
+                  pause_s: float) -> store_follower.StoreFollower:
+        return store_follower.StoreFollower(store=self._store,
+                                            table=table,
+                                            listener=listener,
+                                            time=self._clock,
+                                            wait_s=wait_s,
+                                            pause_s=pause_s,
+                                            rng=self._rng)
+
+    async def work(self) -> None:
+        """Watches the server and does the group's duty until cancelled."""
+        config = self._follower(names.Table.OPERATOR, self._config,
+                                _CONFIG_WAIT_S, _CONFIG_PAUSE_S)
+        hosts = self._follower(roster.TABLE, self._hosts, _HOSTS_WAIT_S,
+                               _HOSTS_PAUSE_S)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(config.run())
+            group.create_task(hosts.run())
+            group.create_task(
+                roster.register(store=self._store,
+                                time=self._clock,
+                                roster=self._hosts,
+                                record=self._own))
+            group.create_task(self._follow_figures())
+            group.create_task(self._agent.run())
+            group.create_task(self._duty.run())
+
+    async def _follow_figures(self) -> None:
+        """Takes the engine's figures from the newest configuration."""
+        while True:
+            await self._clock.sleep(_FIGURES_CHECK_S)
+            config = self._state.config
+            service = (config.services_by_name.get(
+                self._settings.engine_service) if config else None)
+            if service is not None and service.engine is not None:
+                self._agent.slots = service.engine.slots
+                self._agent.experts = service.engine.experts
+                self._duty.engine = service.engine
+
 
 async def run() -> None:
     """Serves until SIGTERM."""
     settings = process_settings.load()
-    log = json_log.JsonLog(host=settings.host)
     stop = process.StopSignal()
-    async with http_client.HttpClient() as client:
-        log.write(log_events.LogEvent.STARTED, address=settings.engine_address)
-        n = 0
-        while not stop.planned.is_set():
-            await asyncio.sleep(0.25)
-            try:
-                out = {}
-                for path in (names.Path.REPORT, names.Path.EXPERT_COUNTS,
-                             names.Path.EXPERT_COUNTS + '?lists=1'):
-                    async with client.request(settings.engine_address, 'GET',
-                                              path) as e:
-                        out[path] = (await e.read_all()).decode()[:1500]
-                n += 1
-                log.write(log_events.LogEvent.MAP_PLANNED,
-                          **{k: v for k, v in out.items()} if n % 20 == 1 else
-                          {'r': out[names.Path.REPORT]})
-            except OSError as error:
-                log.write(log_events.LogEvent.ORDER_FAILED, e=repr(error))
+    async with _Agent(settings=settings) as agent:
+        agent.log.write(log_events.LogEvent.STARTED,
+                        engine=settings.engine_address,
+                        service=settings.engine_service)
+        work = asyncio.create_task(agent.work())
+        stopped = asyncio.create_task(stop.planned.wait())
+        await asyncio.wait((work, stopped),
+                           return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            work.result()
+        work.cancel()
+        agent.log.write(log_events.LogEvent.STOPPED)
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -8,13 +8,11 @@
 import types
 from typing import Self
 
-import result
-
 from pollenthread.adapters import (clock, http_client, http_server, json_log,
                                    peer_network)
 from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
                               roster, serving_state, store_follower)
-from pollenthread.core import host_record, log_events, routing_config
+from pollenthread.core import host_record, log_events
 from pollenthread.platform import (config_document, names, process_settings,
                                    row_store_http, server_entry, upstream_http)
 from pollenthread.roles import platform_handlers, process
@@ -35,14 +33,6 @@
 _STOP_CHECK_S = 0.05
 
 
-def _decode_config(
-        data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
-    try:
-        return result.Ok(config_document.decode(data))
-    except config_document.InvalidConfig as error:
-        return result.Err(str(error))
-
-
 class _Entry:
     """Wires an entry host; a context manager that owns its servers."""
 
@@ -73,7 +63,7 @@
                                                 log=self.log,
                                                 table=names.Table.OPERATOR,
                                                 key=names.Table.CONFIG_KEY,
-                                                decode=_decode_config)
+                                                decode=config_document.decode_result)
         self._servers = knowledge.ServerListener(state=self.state,
                                                  time=self._clock,
                                                  log=self.log,
