Agents poll and tell less

Change: tell what changed, to who needs it; poll slower while nothing switches; make no step that saves under 0.12 of the mean load.

--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -19,8 +19,8 @@
 
 TABLE = 'pollenthread_duties'
 _VERSIONS_A_TERM = 1 << 16
-_TICK_S = 0.02
-_PLAN_TICK_S = 0.05
+_TICK_S = 0.03
+_PLAN_TICK_S = 0.1
 _STAGGER_S = 0.15
 _WAIT_FOR_HOLDER_S = 1.3
 _RETRY_DUTY_S = 0.5
@@ -28,7 +28,7 @@
 _MAX_PREPARE_S = 4.0
 _MAX_COPIES = 2
 _MAX_NEW_A_SET = 2
-_MIN_SAVING = 0.06
+_MIN_SAVING = 0.12
 
 
 @dataclasses.dataclass
@@ -241,7 +241,6 @@
         """Gives orders until the switch is done or abandoned."""
         began_at = self._clock.monotonic()
         sent_at: dict[tuple[int, peer_messages.OrderKind], float] = {}
-        last_phase = switch.phase
         while True:
             switch, orders = map_switch.advance(switch, self._view.states())
             now = self._clock.monotonic()
@@ -263,9 +262,8 @@
             if due:
                 await asyncio.gather(
                     *(self._order(rank, order) for rank, order in due.items()))
-            if not due or switch.phase is last_phase:
+            else:
                 await self._clock.sleep(_TICK_S)
-            last_phase = switch.phase
 
     async def _order(self, rank: int, order: peer_messages.RankOrder) -> None:
         kind = order.kind.value
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -8,14 +8,45 @@
 
 __all__ = ['RankAgent']
 
-_POLL_S = 0.1
-_BUSY_POLL_S = 0.03
+_POLL_S = 0.14
+_IDLE_POLL_S = 0.3
+_SWITCHING_POLL_S = 0.05
 _ALONE_POLL_S = 1.0
+_COUNTS_S = 0.13
+_LOAD_CHANGED_S = 0.2
+_LOAD_SAME_S = 0.6
+_STATE_SAME_S = 0.25
 _MS_PER_S = 1000
 _US_PER_S = 1_000_000
 _PASS_SMOOTHING = 0.3
 _MAX_PASS_S = 2.0
-_COUNTS_A_DATAGRAM = 256
+_STALLED_S = 0.5
+_COUNTS_A_DATAGRAM = 512
+
+
+@dataclasses.dataclass
+class _Told:
+    """What was told last, and when."""
+
+    news: object = None
+    at: float = float('-inf')
+
+    def is_due(self, news: object, now: float, *, same_s: float,
+               changed_s: float) -> bool:
+        """Whether to tell now; takes it as told if so.
+
+        Args:
+            news: what would be told.
+            now: monotonic seconds.
+            same_s: the pause when nothing has changed, in seconds.
+            changed_s: the pause when something has, in seconds.
+        """
+        pause_s = same_s if news == self.news else changed_s
+        if now - self.at < pause_s:
+            return False
+        self.news = news
+        self.at = now
+        return True
 
 
 class RankAgent:
@@ -36,6 +67,9 @@
         self._last_step = -1
         self._pass_s = 0.0
         self.experts = 0
+        self._load_told = _Told()
+        self._state_told = _Told()
+        self._counts_told = _Told()
         network.serve_orders(self.carry_out)
         network.serve_layouts(self._layout)
 
@@ -55,9 +89,9 @@
             return _ALONE_POLL_S if not report.running else _POLL_S
         self._tell_group(state)
         await self._tell_counts(state)
-        is_switching = (state.is_busy or state.armed_version or
-                        state.held_step or state.prepared_version)
-        return _BUSY_POLL_S if is_switching else _POLL_S
+        if state.is_busy or state.armed_version or state.held_step:
+            return _SWITCHING_POLL_S
+        return _POLL_S if report.running else _IDLE_POLL_S
 
     def _take(self,
               report: rank_server.RankReport) -> peer_messages.RankState:
@@ -76,7 +110,13 @@
         return state
 
     def _tell_entries(self, report: rank_server.RankReport) -> None:
-        stalled_s = self._clock.monotonic() - self._stepped_at
+        now = self._clock.monotonic()
+        stalled_s = now - self._stepped_at
+        is_stalled = bool(report.running) and stalled_s > _STALLED_S
+        if not self._load_told.is_due(
+            (report.running, report.waiting, is_stalled), now,
+                same_s=_LOAD_SAME_S, changed_s=_LOAD_CHANGED_S):
+            return
         news = peer_messages.ServerLoad(
             address=self._own.engine_address,
             running=report.running,
@@ -89,6 +129,17 @@
             self._network.send(record.peer_address, news)
 
     def _tell_group(self, state: peer_messages.RankState) -> None:
+        """Tells the holder; all, while there is none or this is it."""
+        now = self._clock.monotonic()
+        news = dataclasses.replace(state, step=0)
+        if not self._state_told.is_due(
+                news, now, same_s=_STATE_SAME_S, changed_s=0.0):
+            return
+        holder = self._view.holder()
+        record = self._hosts.records_by_host.get(holder or '')
+        if record is not None and holder != self._own.host:
+            self._network.send(record.peer_address, state)
+            return
         for record in self._hosts.with_role(host_record.Role.AGENT):
             if (record.host != self._own.host and
                     self._view.may_be_in_group(record.host)):
@@ -96,7 +147,8 @@
 
     async def _tell_counts(self, state: peer_messages.RankState) -> None:
         holder = self._view.holder()
-        if holder is None or not self.experts:
+        if holder is None or not self.experts or not self._counts_told.is_due(
+                None, self._clock.monotonic(), same_s=_COUNTS_S, changed_s=0.0):
             return
         try:
             found = await self._server.counts()
