Agents take SIGHUP; check the switch of maps by model; design note

Change: a handler, as entry hosts have. The model holds exhaustively (222,629 states) and all five mutants are caught.

--- /dev/null
+++ b/models/map_switch.py
@@ -0,0 +1,323 @@
+"""The switch of expert maps on the prepared platform.
+
+Ranks do not compare maps, orders may take effect at any later time and more
+than once, deciders see ranks as they were, and a second decider may begin at
+any time while the first goes on.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from models import checking
+from pollenthread.core import map_switch, peer_messages
+
+__all__ = ['LARGE', 'MUTANTS', 'Rules', 'SMALL', 'specification']
+
+_EPOCH = 1
+_Kind = peer_messages.OrderKind
+
+
+@dataclasses.dataclass(frozen=True)
+class Rules:
+    """The project's decisions; a mutant replaces one of them."""
+
+    advance: Callable[..., tuple[map_switch.Switch,
+                                 map_switch.Orders]] = map_switch.advance
+    recover: Callable[..., map_switch.Switch] = map_switch.recover
+    has_own_versions: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Limits of the state space."""
+
+    ranks: int
+    steps: int
+    deciders: int
+
+
+SMALL = Bounds(ranks=2, steps=3, deciders=2)
+LARGE = Bounds(ranks=2, steps=4, deciders=2)
+
+
+class _Rank(NamedTuple):
+    """One rank.
+
+    Attributes:
+        map: the map in use, as version and author.
+        prepared: the map that is copied, or zeros.
+        armed_version: the map to switch to, or 0.
+        armed_step: the pass with which to switch, or 0.
+    """
+
+    map: tuple[int, int]
+    prepared: tuple[int, int]
+    armed_version: int
+    armed_step: int
+
+
+class _Order(NamedTuple):
+    """An order that may take effect at any time."""
+
+    rank: int
+    kind: str
+    version: int
+    step: int
+    author: int
+
+
+class _Decider(NamedTuple):
+    """A decider and what it has seen of each rank."""
+
+    switch: map_switch.Switch
+    seen: tuple[peer_messages.RankState, ...]
+
+
+class _State(NamedTuple):
+    """The whole group.
+
+    Attributes:
+        step: the last pass that was begun.
+        held: the pass that rank 0 holds back, or 0.
+        ranks: the ranks.
+        flight: orders that were sent.
+        deciders: deciders by number; those that have not begun are missing.
+        was_split: whether a pass began with two maps.
+    """
+
+    step: int
+    held: int
+    ranks: tuple[_Rank, ...]
+    flight: frozenset[_Order]
+    deciders: tuple[_Decider, ...]
+    was_split: bool
+
+
+_Successors = Iterator[tuple[str, _State]]
+
+
+class _Model:
+    """Successors of a state under a set of rules."""
+
+    def __init__(self, *, rules: Rules, bounds: Bounds) -> None:
+        self._rules = rules
+        self._bounds = bounds
+
+    def transitions(self, state: _State) -> _Successors:
+        """Every step that some part of the group may take."""
+        yield from self._passes(state)
+        for order in sorted(state.flight):
+            after = _carry_out(state, order)
+            if after != state:
+                yield f'rank {order.rank} {order.kind} {order.version}', after
+        for number in range(len(state.deciders)):
+            yield from self._looks(state, number)
+            yield from self._decides(state, number)
+        if len(state.deciders) < self._bounds.deciders:
+            yield from self._begins(state)
+
+    def _passes(self, state: _State) -> _Successors:
+        step = state.step + 1
+        if step > self._bounds.steps or state.held == step:
+            return
+        ranks = tuple(_enter(rank, step) for rank in state.ranks)
+        was_split = len({rank.map for rank in ranks}) > 1
+        flight = frozenset(
+            order for order in state.flight if not _is_void(order, step))
+        yield f'pass {step}', state._replace(step=step,
+                                             ranks=ranks,
+                                             flight=flight,
+                                             was_split=was_split)
+
+    def _looks(self, state: _State, number: int) -> _Successors:
+        decider = state.deciders[number]
+        for rank, seen in enumerate(_views(state)):
+            if decider.seen[rank] == seen:
+                continue
+            views = list(decider.seen)
+            views[rank] = seen
+            yield f'{number} looks at {rank}', _with(
+                state, number, decider._replace(seen=tuple(views)))
+
+    def _decides(self, state: _State, number: int) -> _Successors:
+        decider = state.deciders[number]
+        states = dict(enumerate(decider.seen))
+        switch, orders = self._rules.advance(decider.switch, states)
+        if switch.step > self._bounds.steps + 1:
+            return
+        sent = frozenset(
+            _Order(rank, order.kind.value, order.version, order.step, number)
+            for rank, order in orders.items())
+        after = _with(state, number, decider._replace(switch=switch))
+        after = after._replace(
+            flight=state.flight |
+            {order for order in sent if not _is_void(order, state.step)})
+        if after != state:
+            yield f'{number} decides {switch.phase.value}', after
+
+    def _begins(self, state: _State) -> _Successors:
+        number = len(state.deciders)
+        version = number + 1 if self._rules.has_own_versions else 1
+        seen = _views(state)
+        states = dict(enumerate(seen))
+        if map_switch.needs_recovery(states):
+            switch = self._rules.recover(states, (), version)
+        else:
+            switch = map_switch.Switch(version, _EPOCH, ())
+        yield f'{number} begins', state._replace(
+            deciders=(*state.deciders, _Decider(switch, seen)))
+
+
+def _with(state: _State, number: int, decider: _Decider) -> _State:
+    deciders = list(state.deciders)
+    deciders[number] = decider
+    return state._replace(deciders=tuple(deciders))
+
+
+def _views(state: _State) -> tuple[peer_messages.RankState, ...]:
+    return tuple(
+        peer_messages.RankState(group='g',
+                                host='',
+                                rank=number,
+                                size=len(state.ranks),
+                                epoch=_EPOCH,
+                                is_open=True,
+                                born_ms=0,
+                                step=state.step,
+                                map_version=rank.map[0],
+                                prepared_version=rank.prepared[0],
+                                armed_version=rank.armed_version,
+                                armed_step=rank.armed_step,
+                                held_step=state.held if number == 0 else 0,
+                                is_busy=False,
+                                pace_percent=100,
+                                duty_version=0)
+        for number, rank in enumerate(state.ranks))
+
+
+def _enter(rank: _Rank, step: int) -> _Rank:
+    if rank.armed_version and rank.armed_step == step:
+        return _Rank(rank.prepared, (0, 0), 0, 0)
+    return rank
+
+
+def _is_void(order: _Order, step: int) -> bool:
+    """Whether an order can have no effect any more."""
+    return order.kind in (_Kind.ARM.value, _Kind.HOLD.value,
+                          _Kind.GO.value) and order.step <= step
+
+
+def _carry_out(state: _State, order: _Order) -> _State:
+    rank = state.ranks[order.rank]
+    if order.kind == _Kind.HOLD.value:
+        if state.held or order.step <= state.step:
+            return state
+        return state._replace(held=order.step)
+    if order.kind == _Kind.GO.value:
+        return state._replace(held=0) if state.held == order.step else state
+    if order.kind == _Kind.PREPARE.value:
+        newest = max(rank.map[0], rank.prepared[0])
+        if rank.armed_version or order.version <= newest:
+            return state
+        rank = rank._replace(prepared=(order.version, order.author))
+    elif order.kind == _Kind.ARM.value:
+        if rank.prepared[0] != order.version or order.step <= state.step:
+            return state
+        rank = rank._replace(armed_version=order.version, armed_step=order.step)
+    elif rank.armed_version == order.version:
+        rank = rank._replace(armed_version=0, armed_step=0)
+    ranks = list(state.ranks)
+    ranks[order.rank] = rank
+    return state._replace(ranks=tuple(ranks))
+
+
+def specification(rules: Rules, bounds: Bounds) -> checking.Specification:
+    """The specification under a set of rules."""
+    model = _Model(rules=rules, bounds=bounds)
+    rank = _Rank((0, 0), (0, 0), 0, 0)
+    initial = _State(step=1,
+                     held=0,
+                     ranks=(rank,) * bounds.ranks,
+                     flight=frozenset(),
+                     deciders=(),
+                     was_split=False)
+
+    def transitions(state: checking.State) -> _Successors:
+        return model.transitions(_State(*state))
+
+    return checking.Specification(name='map switch on the platform',
+                                  fields=_State._fields,
+                                  initial=initial,
+                                  transitions=transitions,
+                                  invariants={
+                                      'all ranks begin a pass with one map':
+                                          lambda fields: not fields['was_split']
+                                  })
+
+
+# What each guard is needed for.
+
+
+def _advance_without_hold(
+        switch: map_switch.Switch, states: map_switch.States
+) -> tuple[map_switch.Switch, map_switch.Orders]:
+    """Arms for a coming pass that nobody holds back."""
+    after, orders = map_switch.advance(switch, states)
+    if after.phase is map_switch.Phase.HOLDING:
+        after = dataclasses.replace(after, phase=map_switch.Phase.ARMING)
+        orders = {}
+    return after, orders
+
+
+def _advance_releasing_early(
+        switch: map_switch.Switch, states: map_switch.States
+) -> tuple[map_switch.Switch, map_switch.Orders]:
+    """Releases the pass once an arming was sent to every rank."""
+    after, orders = map_switch.advance(switch, states)
+    if after.phase is map_switch.Phase.ARMING and orders and any(
+            s.armed_version == switch.version for s in states.values()):
+        orders = {
+            **orders, map_switch.HOLDING_RANK:
+                peer_messages.RankOrder(_Kind.GO, _EPOCH, switch.version,
+                                        after.step)
+        }
+    return after, orders
+
+
+def _advance_disarming(
+        switch: map_switch.Switch, states: map_switch.States
+) -> tuple[map_switch.Switch, map_switch.Orders]:
+    """Disarms whatever another decider has armed."""
+    after, orders = map_switch.advance(switch, states)
+    if after.phase is map_switch.Phase.PREPARING:
+        orders = dict(orders)
+        for rank, state in states.items():
+            if state.armed_version and state.armed_version != switch.version:
+                orders[rank] = peer_messages.RankOrder(_Kind.DISARM, _EPOCH,
+                                                       state.armed_version)
+    return after, orders
+
+
+def _recover_by_releasing(states: map_switch.States,
+                          layouts: tuple[tuple[tuple[int, ...], ...], ...],
+                          version: int) -> map_switch.Switch:
+    """Lets a held pass go without a look at who is armed."""
+    found = map_switch.recover(states, layouts, version)
+    return dataclasses.replace(found,
+                               phase=map_switch.Phase.RELEASING,
+                               step=states[map_switch.HOLDING_RANK].held_step)
+
+
+MUTANTS = {
+    'arms without holding the pass':
+        Rules(advance=_advance_without_hold),
+    'releases before all are seen armed':
+        Rules(advance=_advance_releasing_early),
+    'disarms although all may have been seen armed':
+        Rules(advance=_advance_disarming),
+    'releases what an earlier decider held':
+        Rules(recover=_recover_by_releasing),
+    'gives two maps one version':
+        Rules(has_own_versions=False),
+}
--- a/pollenthread/adapters/client_connection.py
+++ b/pollenthread/adapters/client_connection.py
@@ -123,8 +123,8 @@
             pass
         rest, _ = self._http.trailing_data
         self._http = self._new_http()
-        self._http.send(h11.Request(method=b'GET', target=b'/',
-                                    headers=[(b'host', b'x')]))
+        self._http.send(
+            h11.Request(method=b'GET', target=b'/', headers=[(b'host', b'x')]))
         self._http.send(h11.EndOfMessage())
         self._ended = False
         if rest:
@@ -236,6 +236,6 @@
     found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in ((socket.TCP_USER_TIMEOUT, _UNACKED_TIMEOUT_MS),
                           (socket.TCP_KEEPIDLE, _PROBE_IDLE_S),
-                          (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
-                          (socket.TCP_KEEPCNT, _PROBES)):
+                          (socket.TCP_KEEPINTVL,
+                           _PROBE_INTERVAL_S), (socket.TCP_KEEPCNT, _PROBES)):
         found.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -92,8 +92,8 @@
 
     def __init__(self, *, connect_timeout_s: float = 2.0) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._idle_by_address: dict[str, list[
-            client_connection.ClientConnection]] = {}
+        self._idle_by_address: dict[
+            str, list[client_connection.ClientConnection]] = {}
         self.connections_opened = 0
 
     async def __aenter__(self) -> Self:
--- a/pollenthread/adapters/json_log.py
+++ b/pollenthread/adapters/json_log.py
@@ -24,7 +24,10 @@
 class JsonLog(event_log.EventLog):
     """Writes JSON lines to a descriptor without ever waiting."""
 
-    def __init__(self, *, host: str, descriptor: int = _STANDARD_OUTPUT) -> None:
+    def __init__(self,
+                 *,
+                 host: str,
+                 descriptor: int = _STANDARD_OUTPUT) -> None:
         self._host = host
         self._descriptor = descriptor
         self._unsent = bytearray()
@@ -34,7 +37,10 @@
         self._dropped_untold = 0
         os.set_blocking(descriptor, False)
 
-    def write(self, event: log_events.LogEvent, *, important: bool = True,
+    def write(self,
+              event: log_events.LogEvent,
+              *,
+              important: bool = True,
               **fields: Any) -> None:
         now = time.monotonic()
         if not self._may_write(important, now):
--- a/pollenthread/adapters/peer_codec.py
+++ b/pollenthread/adapters/peer_codec.py
@@ -16,8 +16,7 @@
 from pollenthread.core import peer_messages
 
 __all__ = [
-    'MalformedMessage', 'decode', 'decode_datagram', 'encode',
-    'encode_datagram'
+    'MalformedMessage', 'decode', 'decode_datagram', 'encode', 'encode_datagram'
 ]
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -36,8 +36,8 @@
         self._make_snapshot: Callable[[], peer_messages.Snapshot |
                                       None] | None = None
         self._carry_out: peers.OrderHandler | None = None
-        self._make_layout: Callable[
-            [], Awaitable[peer_messages.RankLayout | None]] | None = None
+        self._make_layout: Callable[[], Awaitable[peer_messages.RankLayout |
+                                                  None]] | None = None
         self._metrics: MetricsPage | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._server = http_server.HttpServer(handler=self,
@@ -63,8 +63,7 @@
 
     # Datagrams.
 
-    def on_datagram(self, kind: type[Any], take: Callable[[Any],
-                                                          None]) -> None:
+    def on_datagram(self, kind: type[Any], take: Callable[[Any], None]) -> None:
         self._take_by_type[kind] = take
 
     def send(self, address: str, *messages: Any) -> None:
@@ -103,8 +102,9 @@
         self._carry_out = carry_out
 
     def serve_layouts(
-        self, make: Callable[[], Awaitable[peer_messages.RankLayout | None]]
-    ) -> None:
+            self,
+            make: Callable[[],
+                           Awaitable[peer_messages.RankLayout | None]]) -> None:
         self._make_layout = make
 
     def serve_metrics(self, page: MetricsPage) -> None:
@@ -140,8 +140,7 @@
     @staticmethod
     async def _answer(response: http_message.Response, message: Any) -> None:
         if message is None:
-            await response.send_problem(
-                errors.failure(errors.Kind.NO_UPSTREAM))
+            await response.send_problem(errors.failure(errors.Kind.NO_UPSTREAM))
             return
         await response.send(200, [_CONTENT_TYPE], peer_codec.encode(message))
 
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -26,9 +26,8 @@
 class EntryPeers:
     """Knows which entry hosts are alive."""
 
-    def __init__(self, *, own: host_record.HostRecord,
-                 hosts: roster.Roster, seeds: Sequence[str],
-                 network: peers.PeerNetwork,
+    def __init__(self, *, own: host_record.HostRecord, hosts: roster.Roster,
+                 seeds: Sequence[str], network: peers.PeerNetwork,
                  state: serving_state.ServingState,
                  config: knowledge.ConfigListener,
                  servers: knowledge.ServerListener, time: clock.Clock,
@@ -79,7 +78,8 @@
     def usable(self, data_centre: str) -> list[str]:
         """Caller addresses of the entry hosts to use from a data centre."""
         found = [
-            addresses.EntryHost(record.host, record.caller_address,
+            addresses.EntryHost(record.host,
+                                record.caller_address,
                                 data_centre=record.data_centre)
             for record in self._others()
             if self._takes_callers(record.host)
@@ -92,7 +92,8 @@
         if not found:
             # Nobody is heard from: the fault may well be on this side.
             found = [
-                addresses.EntryHost(record.host, record.caller_address,
+                addresses.EntryHost(record.host,
+                                    record.caller_address,
                                     data_centre=record.data_centre)
                 for record in (*self._others(), self._own)
             ]
@@ -229,5 +230,6 @@
                     self._hosts.take_row(row.key, row.value)
         if snapshot.servers_version > self._servers.version:
             is_fresh = snapshot.store_age_ms < _STORE_STALE_S * _MS_PER_S
-            self._servers.take_snapshot(server_rows, snapshot.servers_version,
+            self._servers.take_snapshot(server_rows,
+                                        snapshot.servers_version,
                                         is_fresh=is_fresh)
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -74,9 +74,8 @@
     """Serves requests by the configuration in force."""
 
     def __init__(self, *, state: serving_state.ServingState,
-                 servers: upstream.Upstream,
-                 stop_plan: planned_stop.StopPlan, time: clock.Clock,
-                 log: event_log.EventLog) -> None:
+                 servers: upstream.Upstream, stop_plan: planned_stop.StopPlan,
+                 time: clock.Clock, log: event_log.EventLog) -> None:
         self._state = state
         self._servers = servers
         self._stop_plan = stop_plan
@@ -167,11 +166,10 @@
         now = self._clock.monotonic()
         if job.deadline - now < _MIN_TIME_LEFT_S:
             raise _Failed(self._timed_out(job))
-        server = self._state.loads.choose(
-            self._state.fleet.ready(job.service),
-            excluded=job.tried,
-            data_centre=self._state.data_centre,
-            now=now)
+        server = self._state.loads.choose(self._state.fleet.ready(job.service),
+                                          excluded=job.tried,
+                                          data_centre=self._state.data_centre,
+                                          now=now)
         if server is None:
             raise _Failed(self._given_up(job, errors.Kind.NO_UPSTREAM))
         self._log.write(log_events.LogEvent.ATTEMPT,
@@ -227,7 +225,9 @@
         async with self._servers.send(attempt) as found:
             self._note_load(server, found)
             if not found.has_run:
-                self._note_failure(job, server, f'not run, {found.status}',
+                self._note_failure(job,
+                                   server,
+                                   f'not run, {found.status}',
                                    ran=False)
                 return False
             if _is_stream(job, found):
@@ -239,16 +239,18 @@
         if found.load is not None:
             self._state.loads.report(
                 server.id,
-                load_board.LoadReport(found.load.running, found.load.waiting,
-                                      found.load.slots),
+                load_board.LoadReport(found.load.running,
+                                      found.load.waiting, found.load.slots),
                 self._clock.monotonic())
 
     async def _pass_whole(self, job: _Job, server: fleet.Server,
                           found: upstream.UpstreamAnswer) -> bool:
         body = b''.join([part async for part in found.read()])
-        if (found.status >= _SERVER_ERROR and
-                job.route.is_repeatable and self._may_repeat(job)):
-            self._note_failure(job, server, f'answered {found.status}',
+        if (found.status >= _SERVER_ERROR and job.route.is_repeatable and
+                self._may_repeat(job)):
+            self._note_failure(job,
+                               server,
+                               f'answered {found.status}',
                                ran=True)
             return False
         if found.status < _SERVER_ERROR:
@@ -344,8 +346,8 @@
 
 
 def _authenticate(
-    config: routing_config.RoutingConfig, route: routing_config.Route,
-    request: caller_request.CallerRequest
+        config: routing_config.RoutingConfig, route: routing_config.Route,
+        request: caller_request.CallerRequest
 ) -> routing_config.Workspace | None:
     """The holder of the request's key.
 
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -22,7 +22,8 @@
         self._state_by_rank: dict[int, peer_messages.RankState] = {}
         self._seen_at_by_rank: dict[int, float] = {}
         self._group_by_host: dict[str, str] = {}
-        self.on_counts: Callable[[peer_messages.ExpertCounts], None] | None = None
+        self.on_counts: Callable[[peer_messages.ExpertCounts],
+                                 None] | None = None
         network.on_datagram(peer_messages.RankState, self.take)
         network.on_datagram(peer_messages.ExpertCounts, self.take_counts)
 
@@ -81,8 +82,8 @@
         now = self._clock.monotonic()
         holders = [
             state for rank, state in self._state_by_rank.items()
-            if state.duty_version and
-            now - self._seen_at_by_rank[rank] < _HOLDER_SILENT_S
+            if state.duty_version and now -
+            self._seen_at_by_rank[rank] < _HOLDER_SILENT_S
         ]
         if not holders:
             return None
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -198,7 +198,8 @@
         } != versions:
             return False
         self._layouts = tuple(
-            tuple(frozenset(layout.experts[index]) for layout in held)
+            tuple(frozenset(layout.experts[index])
+                  for layout in held)
             for index in range(len(held[0].experts)))
         self._layouts_of = versions.pop()
         return True
@@ -254,7 +255,8 @@
                 return dataclasses.replace(switch,
                                            phase=map_switch.Phase.ABANDONED)
             due = {
-                rank: order for rank, order in orders.items()
+                rank: order
+                for rank, order in orders.items()
                 if now - sent_at.get((rank, order.kind), -1e9) > _RESEND_S
             }
             for rank, order in due.items():
@@ -289,8 +291,7 @@
                         step=switch.step,
                         took_s=round(took_s, 3))
 
-    def _note_abandoned(self, switch: map_switch.Switch,
-                        took_s: float) -> None:
+    def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
         self.account.abandoned += 1
         self._layouts = None
         self._log.write(log_events.LogEvent.ORDER_FAILED,
@@ -304,5 +305,6 @@
     layouts: tuple[replication.Layout, ...]
 ) -> tuple[tuple[tuple[int, ...], ...], ...]:
     return tuple(
-        tuple(tuple(sorted(experts)) for experts in layout)
+        tuple(tuple(sorted(experts))
+              for experts in layout)
         for layout in layouts)
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -93,8 +93,7 @@
             return _SWITCHING_POLL_S
         return _POLL_S if report.running else _IDLE_POLL_S
 
-    def _take(self,
-              report: rank_server.RankReport) -> peer_messages.RankState:
+    def _take(self, report: rank_server.RankReport) -> peer_messages.RankState:
         now = self._clock.monotonic()
         state = dataclasses.replace(report.state,
                                     host=self._own.host,
@@ -114,8 +113,10 @@
         stalled_s = now - self._stepped_at
         is_stalled = bool(report.running) and stalled_s > _STALLED_S
         if not self._load_told.is_due(
-            (report.running, report.waiting, is_stalled), now,
-                same_s=_LOAD_SAME_S, changed_s=_LOAD_CHANGED_S):
+            (report.running, report.waiting, is_stalled),
+                now,
+                same_s=_LOAD_SAME_S,
+                changed_s=_LOAD_CHANGED_S):
             return
         news = peer_messages.ServerLoad(
             address=self._own.engine_address,
@@ -157,23 +158,23 @@
         sets_a_datagram = max(1, _COUNTS_A_DATAGRAM // self.experts)
         size = sets_a_datagram * self.experts
         for begin in range(0, len(found.counts), size):
-            news = peer_messages.ExpertCounts(
-                group=state.group,
-                rank=state.rank,
-                epoch=found.epoch,
-                born_ms=state.born_ms,
-                step=found.step,
-                first_set=begin // self.experts,
-                experts=self.experts,
-                counts=found.counts[begin:begin + size])
+            news = peer_messages.ExpertCounts(group=state.group,
+                                              rank=state.rank,
+                                              epoch=found.epoch,
+                                              born_ms=state.born_ms,
+                                              step=found.step,
+                                              first_set=begin // self.experts,
+                                              experts=self.experts,
+                                              counts=found.counts[begin:begin +
+                                                                  size])
             if holder == self._own.host:
                 self._view.take_counts(news)
             elif (record := self._hosts.records_by_host.get(holder)):
                 self._network.send(record.peer_address, news)
 
     async def carry_out(
-        self, order: peer_messages.RankOrder
-    ) -> peer_messages.RankAnswer | None:
+            self,
+            order: peer_messages.RankOrder) -> peer_messages.RankAnswer | None:
         """Gives the server an order and tells what it says after that."""
         status = 0
         try:
--- a/pollenthread/app/roster.py
+++ b/pollenthread/app/roster.py
@@ -48,8 +48,7 @@
     def take_contact(self, version: int) -> None:
         return
 
-    def with_role(self,
-                  role: host_record.Role) -> list[host_record.HostRecord]:
+    def with_role(self, role: host_record.Role) -> list[host_record.HostRecord]:
         """The hosts of one role."""
         return [r for r in self.records_by_host.values() if r.role is role]
 
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -44,9 +44,10 @@
         """The service's budget of repeats."""
         found = self._budget_by_service.get(service)
         if found is None:
-            found = retry_budget.RetryBudget(ratio=self._retry_bounds.ratio,
-                                             extra=self._retry_bounds.extra,
-                                             window_s=self._retry_bounds.window_s)
+            found = retry_budget.RetryBudget(
+                ratio=self._retry_bounds.ratio,
+                extra=self._retry_bounds.extra,
+                window_s=self._retry_bounds.window_s)
             self._budget_by_service[service] = found
         return found
 
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -87,8 +87,7 @@
         self._take(answer.ok_value)
         return None
 
-    def _take_fault(self,
-                    fault: row_store.StoreFault) -> row_store.StoreFault:
+    def _take_fault(self, fault: row_store.StoreFault) -> row_store.StoreFault:
         if fault is row_store.StoreFault.HISTORY_LOST:
             self.version = _UNKNOWN
         else:
--- a/pollenthread/core/expert_demand.py
+++ b/pollenthread/core/expert_demand.py
@@ -93,8 +93,7 @@
             self._window[begin:begin + experts] = [0.0] * experts
             self._estimate_by_set[index] = self._merge(estimate, window)
 
-    def _merge(self, estimate: list[float],
-               window: list[float]) -> list[float]:
+    def _merge(self, estimate: list[float], window: list[float]) -> list[float]:
         total = sum(estimate)
         if not total:
             return window
--- a/pollenthread/core/fleet.py
+++ b/pollenthread/core/fleet.py
@@ -115,9 +115,9 @@
     def at_address(self, address: str) -> Server | None:
         """The youngest server that is listed with an address."""
         if self._id_by_address is None:
-            known = sorted((*self._lapsed_by_id.values(),
-                            *self._listed_by_id.values()),
-                           key=lambda server: server.born_ms)
+            known = sorted(
+                (*self._lapsed_by_id.values(), *self._listed_by_id.values()),
+                key=lambda server: server.born_ms)
             self._id_by_address = {s.address: s.id for s in known}
         server_id = self._id_by_address.get(address)
         return None if server_id is None else self.get(server_id)
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -152,5 +152,5 @@
               now: float) -> tuple[bool, float, bool, float]:
         load = self.load(server.id, now) / server.slots
         is_stalled = self.stalled_s(server.id, now) > 0.5
-        return (is_stalled, load, server.data_centre != data_centre,
-                self._rng.random())
+        return (is_stalled, load, server.data_centre
+                != data_centre, self._rng.random())
--- a/pollenthread/core/map_switch.py
+++ b/pollenthread/core/map_switch.py
@@ -104,8 +104,8 @@
             orders[rank] = _order(switch,
                                   peer_messages.OrderKind.PREPARE,
                                   layouts=switch.layouts)
-    if all(state.prepared_version == switch.version and
-           not state.armed_version for state in states.values()):
+    if all(state.prepared_version == switch.version and not state.armed_version
+           for state in states.values()):
         return _hold(dataclasses.replace(switch, phase=Phase.HOLDING), states)
     return switch, orders
 
@@ -118,8 +118,8 @@
 def _hold(switch: Switch, states: States) -> tuple[Switch, Orders]:
     held = states[HOLDING_RANK].held_step
     if held:
-        return _arm(
-            dataclasses.replace(switch, phase=Phase.ARMING, step=held), states)
+        return _arm(dataclasses.replace(switch, phase=Phase.ARMING, step=held),
+                    states)
     step = max(state.step for state in states.values())
     if switch.step <= step:
         ahead = max(_MIN_STEP, step) + _STEPS_AHEAD
@@ -156,12 +156,13 @@
     return switch, {HOLDING_RANK: order}
 
 
-def _order(switch: Switch,
-           kind: peer_messages.OrderKind,
-           *,
-           version: int | None = None,
-           layouts: tuple[tuple[tuple[int, ...], ...], ...] = ()
-          ) -> peer_messages.RankOrder:
+def _order(
+    switch: Switch,
+    kind: peer_messages.OrderKind,
+    *,
+    version: int | None = None,
+    layouts: tuple[tuple[tuple[int, ...], ...], ...] = ()
+) -> peer_messages.RankOrder:
     return peer_messages.RankOrder(
         kind=kind,
         epoch=switch.epoch,
@@ -194,11 +195,9 @@
     """
     epoch = states[HOLDING_RANK].epoch
     held = states[HOLDING_RANK].held_step
-    armed = {
-        (state.armed_version, state.armed_step)
-        for state in states.values()
-        if state.armed_version
-    }
+    armed = {(state.armed_version, state.armed_step)
+             for state in states.values()
+             if state.armed_version}
     if len(armed) == 1:
         found, step = next(iter(armed))
         can_go_on = held == step and all(
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -4,8 +4,8 @@
 import enum
 
 __all__ = [
-    'EntryBeat', 'ExpertCounts', 'OrderKind', 'RankAnswer', 'RankLayout', 'RankOrder',
-    'RankState', 'Row', 'ServerLoad', 'Snapshot'
+    'EntryBeat', 'ExpertCounts', 'OrderKind', 'RankAnswer', 'RankLayout',
+    'RankOrder', 'RankState', 'Row', 'ServerLoad', 'Snapshot'
 ]
 
 
--- a/pollenthread/core/replication.py
+++ b/pollenthread/core/replication.py
@@ -11,7 +11,9 @@
 import heapq
 from collections.abc import Sequence
 
-__all__ = ['Layout', 'Shape', 'Step', 'greatest_load', 'plan_step', 'rank_loads']
+__all__ = [
+    'Layout', 'Shape', 'Step', 'greatest_load', 'plan_step', 'rank_loads'
+]
 
 Layout = tuple[frozenset[int], ...]
 """The experts of one set that each rank holds, by rank."""
@@ -71,7 +73,8 @@
            holders: Sequence[int]) -> list[float]:
     scale = len(layout) / (sum(shares) or 1.0)
     return [
-        scale * sum(shares[e] / holders[e] for e in experts)
+        scale * sum(shares[e] / holders[e]
+                    for e in experts)
         for experts in layout
     ]
 
@@ -116,8 +119,8 @@
     return Step(layouts=tuple(found.layout() for found in sets),
                 copies=sum(copies),
                 copies_of_busiest=max(copies),
-                before=_mean([greatest_load(l, s)
-                              for l, s in zip(layouts, shares)]),
+                before=_mean(
+                    [greatest_load(l, s) for l, s in zip(layouts, shares)]),
                 after=_mean([max(found.loads) for found in sets]))
 
 
@@ -179,7 +182,8 @@
     def _heavy_experts(self) -> list[int]:
         """The experts that weigh most on the most loaded rank."""
         rank = max(range(len(self.loads)), key=lambda r: self.loads[r])
-        return heapq.nlargest(_CANDIDATE_EXPERTS, self._held[rank],
+        return heapq.nlargest(_CANDIDATE_EXPERTS,
+                              self._held[rank],
                               key=self._part)
 
     def _part(self, expert: int) -> float:
--- a/pollenthread/core/retry_budget.py
+++ b/pollenthread/core/retry_budget.py
@@ -31,8 +31,8 @@
         self._bucket_s = window_s / _BUCKETS
         self._requests_by_bucket: collections.Counter[
             int] = collections.Counter()
-        self._repeats_by_bucket: collections.Counter[
-            int] = collections.Counter()
+        self._repeats_by_bucket: collections.Counter[int] = collections.Counter(
+        )
 
     def note_request(self, now: float) -> None:
         """A caller's request for the service has come."""
--- a/pollenthread/platform/caller_border.py
+++ b/pollenthread/platform/caller_border.py
@@ -34,10 +34,9 @@
         method=request.method,
         target=request.target,
         host=host.partition(':')[0].lower(),
-        headers=tuple(
-            (name, value)
-            for name, value in request.headers
-            if name not in _NOT_PASSED_ON and name not in named),
+        headers=tuple((name, value)
+                      for name, value in request.headers
+                      if name not in _NOT_PASSED_ON and name not in named),
         body=request.body,
         key=_key(request.header(names.Header.AUTHORIZATION)),
         patience_s=_seconds(request.header(names.Header.DEADLINE_MS)),
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -209,6 +209,5 @@
         return None
     return {
         key: routing_config.Workspace(tenant.name, tenant.priority)
-        for tenant in tenants
-        for key in tenant.api_keys
+        for tenant in tenants for key in tenant.api_keys
     }
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -33,15 +33,16 @@
     async def counts(self) -> rank_server.RankCounts:
         _, found = await self._call('GET', names.Path.EXPERT_COUNTS)
         try:
-            return rank_server.RankCounts(
-                step=int(found['step']),
-                epoch=int(found['epoch']),
-                counts=tuple(map(int, found['counts'])))
+            return rank_server.RankCounts(step=int(found['step']),
+                                          epoch=int(found['epoch']),
+                                          counts=tuple(map(
+                                              int, found['counts'])))
         except (KeyError, TypeError, ValueError) as error:
             raise rank_server.RankSilent(repr(error)) from error
 
     async def layout(self) -> peer_messages.RankLayout:
-        _, found = await self._call('GET', f'{names.Path.EXPERT_COUNTS}?lists=1')
+        _, found = await self._call('GET',
+                                    f'{names.Path.EXPERT_COUNTS}?lists=1')
         try:
             return peer_messages.RankLayout(
                 epoch=int(found['epoch']),
@@ -70,7 +71,9 @@
                                      json.dumps(body).encode())
         return status
 
-    async def _call(self, method: str, target: str,
+    async def _call(self,
+                    method: str,
+                    target: str,
                     body: bytes = b'') -> tuple[int, Any]:
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -56,7 +56,7 @@
             start = page['rows'][-1]['key'] + '\0'
 
     async def watch(
-            self, table: str, after: int, wait_s: float
+        self, table: str, after: int, wait_s: float
     ) -> result.Result[row_store.Changes, row_store.StoreFault]:
         query = {
             'table': table,
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -16,8 +16,7 @@
 # Headers that concern one connection, or that the product writes anew.
 _NOT_PASSED_ON = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
-    'transfer-encoding', 'upgrade', 'content-length',
-    names.Header.NOT_RUN
+    'transfer-encoding', 'upgrade', 'content-length', names.Header.NOT_RUN
 })
 
 
@@ -34,12 +33,11 @@
     ) -> AsyncIterator[upstream.UpstreamAnswer]:
         request = attempt.request
         try:
-            async with self._client.request(
-                    attempt.server.address,
-                    request.method,
-                    request.target,
-                    headers=_headers(attempt),
-                    body=request.body) as exchange:
+            async with self._client.request(attempt.server.address,
+                                            request.method,
+                                            request.target,
+                                            headers=_headers(attempt),
+                                            body=request.body) as exchange:
                 await self._skip_stale(exchange, request.id)
                 yield _Answer(exchange)
         except http_client.ConnectFailed as error:
--- a/pollenthread/ports/event_log.py
+++ b/pollenthread/ports/event_log.py
@@ -12,7 +12,10 @@
     """Takes one line for each decision; never blocks."""
 
     @abc.abstractmethod
-    def write(self, event: log_events.LogEvent, *, important: bool = True,
+    def write(self,
+              event: log_events.LogEvent,
+              *,
+              important: bool = True,
               **fields: Any) -> None:
         """Writes a line.
 
--- a/pollenthread/ports/peers.py
+++ b/pollenthread/ports/peers.py
@@ -16,8 +16,7 @@
     """Sends to peers by address; nothing sent is sure to arrive."""
 
     @abc.abstractmethod
-    def on_datagram(self, kind: type[Any], take: Callable[[Any],
-                                                          None]) -> None:
+    def on_datagram(self, kind: type[Any], take: Callable[[Any], None]) -> None:
         """Hands arriving messages of a type to a function."""
 
     @abc.abstractmethod
@@ -35,8 +34,9 @@
 
     @abc.abstractmethod
     def serve_layouts(
-        self, make: Callable[[], Awaitable[peer_messages.RankLayout | None]]
-    ) -> None:
+            self,
+            make: Callable[[],
+                           Awaitable[peer_messages.RankLayout | None]]) -> None:
         """Answers peers that ask which experts this host's rank holds."""
 
     @abc.abstractmethod
--- a/pollenthread/ports/row_store.py
+++ b/pollenthread/ports/row_store.py
@@ -83,6 +83,5 @@
 
     @abc.abstractmethod
     async def write(
-            self,
-            writes: Sequence[RowWrite]) -> result.Result[int, StoreFault]:
+            self, writes: Sequence[RowWrite]) -> result.Result[int, StoreFault]:
         """Applies all writes or none; returns the new version."""
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import types
 from typing import Self
 
@@ -106,6 +107,10 @@
                                             pause_s=pause_s,
                                             rng=self._rng)
 
+    def reload(self) -> None:
+        """Says that nothing an agent uses can change while it runs."""
+        self.log.write(log_events.LogEvent.RELOADED, changed=[])
+
     async def work(self) -> None:
         """Watches the server and does the group's duty until cancelled."""
         config = self._follower(names.Table.OPERATOR, self._config,
@@ -142,13 +147,14 @@
     settings = process_settings.load()
     stop = process.StopSignal()
     async with _Agent(settings=settings) as agent:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, agent.reload)
         agent.log.write(log_events.LogEvent.STARTED,
                         engine=settings.engine_address,
                         service=settings.engine_service)
         work = asyncio.create_task(agent.work())
         stopped = asyncio.create_task(stop.planned.wait())
-        await asyncio.wait((work, stopped),
-                           return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait((work, stopped), return_when=asyncio.FIRST_COMPLETED)
         if work.done():
             work.result()
         work.cancel()
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -58,12 +58,13 @@
             connect_timeout_s=_CONNECT_TIMEOUT_S)
         self._store = row_store_http.HttpRowStore(
             client=self._store_client, address=settings.store_address)
-        self._config = knowledge.ConfigListener(state=self.state,
-                                                time=self._clock,
-                                                log=self.log,
-                                                table=names.Table.OPERATOR,
-                                                key=names.Table.CONFIG_KEY,
-                                                decode=config_document.decode_result)
+        self._config = knowledge.ConfigListener(
+            state=self.state,
+            time=self._clock,
+            log=self.log,
+            table=names.Table.OPERATOR,
+            key=names.Table.CONFIG_KEY,
+            decode=config_document.decode_result)
         self._servers = knowledge.ServerListener(state=self.state,
                                                  time=self._clock,
                                                  log=self.log,
@@ -89,8 +90,9 @@
                                             time=self._clock,
                                             log=self.log,
                                             rng=self._rng)
-        self._stop_plan = planned_stop.StopPlan(
-            grace_s=settings.grace_s, caches_s=_TTL_S * _MAX_TTL_FACTOR)
+        self._stop_plan = planned_stop.StopPlan(grace_s=settings.grace_s,
+                                                caches_s=_TTL_S *
+                                                _MAX_TTL_FACTOR)
         forward = forwarder.Forwarder(
             state=self.state,
             servers=upstream_http.HttpUpstream(client=self._server_client),
@@ -123,8 +125,8 @@
             self._server(settings.directory_address, directory)
         ]
         if settings.control_address:
-            servers.append(
-                self._server(settings.control_address, self._network))
+            servers.append(self._server(settings.control_address,
+                                        self._network))
         for server in servers:
             await self._stack.enter_async_context(server)
         return self
@@ -208,8 +210,7 @@
                         data_centre=settings.data_centre)
         work = asyncio.create_task(entry.work())
         stopped = asyncio.create_task(stop.planned.wait())
-        await asyncio.wait((work, stopped),
-                           return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait((work, stopped), return_when=asyncio.FIRST_COMPLETED)
         if work.done():
             work.result()
         await entry.leave()
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -20,8 +20,7 @@
     async def handle(self, request: http_message.Request,
                      response: http_message.Response) -> None:
         found = caller_border.decode(request)
-        answer = caller_border.HttpReply(response=response,
-                                         request_id=found.id)
+        answer = caller_border.HttpReply(response=response, request_id=found.id)
         self.in_progress += 1
         try:
             await self._forward.serve(found, answer)
@@ -57,8 +56,7 @@
             return
         query = parse.parse_qs(request.target.partition('?')[2])
         data_centre = query.get('zone', [''])[0]
-        await response.send_json(
-            200, {
-                'addresses': self._peers.usable(data_centre),
-                'ttl_s': self._ttl_s
-            })
+        await response.send_json(200, {
+            'addresses': self._peers.usable(data_centre),
+            'ttl_s': self._ttl_s
+        })
