--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -19,6 +19,7 @@
   stalledMs @4 :UInt32;
   group @5 :Text;
   passUs @6 :UInt32;
+  isOpen @7 :Bool;
 }
 
 struct RankState {
--- a/pollenthread/adapters/peer_codec.py
+++ b/pollenthread/adapters/peer_codec.py
@@ -5,7 +5,6 @@
 
 import dataclasses
 import enum
-import functools
 import pathlib
 import struct
 import typing
@@ -27,6 +26,8 @@
 _NUMBERS = tuple[int, ...]
 _PLAIN_TYPES = (str, int, bool)
 
+_fields_by_type: dict[type[Any], tuple[tuple[str, str, Any], ...]] = {}
+
 _T = TypeVar('_T')
 
 
@@ -122,11 +123,15 @@
     return struct.unpack(f'<{count}I', data[:count * _NUMBER_BYTES])
 
 
-@functools.cache
 def _fields(kind: type[Any]) -> tuple[tuple[str, str, Any], ...]:
     """The name, wire name and type of each field."""
-    hints = typing.get_type_hints(kind)
-    return tuple((name, _camel(name), hint) for name, hint in hints.items())
+    found = _fields_by_type.get(kind)
+    if found is None:
+        hints = typing.get_type_hints(kind)
+        found = tuple(
+            (name, _camel(name), hint) for name, hint in hints.items())
+        _fields_by_type[kind] = found
+    return found
 
 
 def _read(kind: type[Any], reader: Any) -> Any:
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -140,6 +140,7 @@
                                   waiting=news.waiting,
                                   slots=news.slots,
                                   stalled_s=news.stalled_ms / _MS_PER_S,
+                                  is_open=news.is_open,
                                   group=news.group,
                                   pass_s=news.pass_us / 1e6),
             self._clock.monotonic())
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -22,7 +22,9 @@
 _FIRST_ATTEMPT_SHARE = 0.6
 # Callers give a stream up after two seconds without an event.
 _SILENT_STREAM_S = 1.7
-_MAX_WHOLE_BYTES = 16 * 1024 * 1024
+# Servers that restarted take new work again after some seconds.
+_RETURN_S = 2.5
+_RETURN_SHARE = 0.33
 
 
 class _Failed(Exception):
@@ -224,6 +226,8 @@
             urgency=_urgency(job))
         async with self._servers.send(attempt) as found:
             self._note_load(server, found)
+            if found.is_other_server:
+                self._state.fleet.replace_dead(server.id)
             if not found.has_run:
                 self._note_failure(job,
                                    server,
@@ -337,7 +341,11 @@
             return errors.failure(errors.Kind.UPSTREAM_FAILED, job.cause)
         if kind is errors.Kind.UPSTREAM_FAILED:
             kind = errors.Kind.OVERLOADED
-        return errors.failure(kind, job.cause)
+        left_s = job.deadline - self._clock.monotonic()
+        return errors.failure(kind,
+                              job.cause,
+                              retry_after_s=round(
+                                  min(_RETURN_S, left_s * _RETURN_SHARE), 2))
 
     def _timed_out(self, job: _Job) -> errors.Failure:
         if job.may_have_run:
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -8,7 +8,7 @@
 __all__ = ['GroupView']
 
 _FRESH_S = 0.6
-_HOLDER_SILENT_S = 1.2
+_HOLDER_SILENT_S = 0.8
 
 
 class GroupView:
@@ -22,8 +22,8 @@
         self._state_by_rank: dict[int, peer_messages.RankState] = {}
         self._seen_at_by_rank: dict[int, float] = {}
         self._group_by_host: dict[str, str] = {}
-        self.on_counts: Callable[[peer_messages.ExpertCounts],
-                                 None] | None = None
+        self._count_takers: list[Callable[[peer_messages.ExpertCounts],
+                                          None]] = []
         network.on_datagram(peer_messages.RankState, self.take)
         network.on_datagram(peer_messages.ExpertCounts, self.take_counts)
 
@@ -50,10 +50,16 @@
         self._state_by_rank[state.rank] = state
         self._seen_at_by_rank[state.rank] = self._clock.monotonic()
 
+    def on_counts(self, take: Callable[[peer_messages.ExpertCounts],
+                                       None]) -> None:
+        """Hands the counts of this group's ranks to a function."""
+        self._count_takers.append(take)
+
     def take_counts(self, counts: peer_messages.ExpertCounts) -> None:
         """Takes counts of a rank of this group."""
-        if self.on_counts is not None and counts.group == self.group:
-            self.on_counts(counts)
+        if counts.group == self.group:
+            for take in self._count_takers:
+                take(counts)
 
     def may_be_in_group(self, host: str) -> bool:
         """Whether an agent's rank may be in this group."""
--- a/pollenthread/app/knowledge.py
+++ b/pollenthread/app/knowledge.py
@@ -4,6 +4,7 @@
 counted and logged, and what was known before holds.
 """
 
+import abc
 import dataclasses
 from collections.abc import Callable, Sequence
 
@@ -45,6 +46,14 @@
         self._log = log
         self.table = table
 
+    @abc.abstractmethod
+    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+        ...
+
+    @abc.abstractmethod
+    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+        ...
+
     def take_fault(self, fault: row_store.StoreFault) -> None:
         if self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_LOST,
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -6,11 +6,10 @@
 """
 
 import asyncio
-import dataclasses
 
 import result
 
-from pollenthread.app import group_view, roster
+from pollenthread.app import group_view, switch_driver
 from pollenthread.core import (expert_demand, log_events, map_switch,
                                peer_messages, replication, routing_config)
 from pollenthread.ports import clock, event_log, peers, row_store
@@ -19,61 +18,43 @@
 
 TABLE = 'pollenthread_duties'
 _VERSIONS_A_TERM = 1 << 16
-_TICK_S = 0.03
 _PLAN_TICK_S = 0.1
 _STAGGER_S = 0.15
-_WAIT_FOR_HOLDER_S = 1.3
+_WAIT_FOR_HOLDER_S = 0.2
 _RETRY_DUTY_S = 0.5
-_RESEND_S = 0.15
-_MAX_PREPARE_S = 4.0
 _MAX_COPIES = 2
 _MAX_NEW_A_SET = 2
 _MIN_SAVING = 0.12
 
 
-@dataclasses.dataclass
-class MapAccount:
-    """What keeping ranks even has cost and brought.
-
-    Attributes:
-        switches: maps that came into use.
-        abandoned: switches that did not.
-        copies: experts copied.
-        orders: orders given to ranks, by kind.
-        skew: the mean over sets of the greatest load, as last estimated.
-    """
-
-    switches: int = 0
-    abandoned: int = 0
-    copies: int = 0
-    orders: dict[str, int] = dataclasses.field(default_factory=dict)
-    skew: float = 0.0
-
-
 class MapDuty:
     """Plans and carries out maps while this agent holds the duty."""
 
     def __init__(self, *, host: str, incarnation: str,
-                 store: row_store.RowStore, hosts: roster.Roster,
-                 view: group_view.GroupView, network: peers.PeerNetwork,
+                 store: row_store.RowStore, view: group_view.GroupView,
+                 driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
                  time: clock.Clock, log: event_log.EventLog) -> None:
         self._host = host
         self._incarnation = incarnation
         self._store = store
-        self._hosts = hosts
         self._view = view
+        self._driver = driver
         self._network = network
         self._clock = time
         self._log = log
         self.engine: routing_config.EngineFigures | None = None
-        self.account = MapAccount()
         self._term = 0
         self._used_versions = 0
         self._demand: expert_demand.Demand | None = None
         self._layouts: tuple[replication.Layout, ...] | None = None
         self._layouts_of = (0, 0)
         self._holderless_since = time.monotonic()
-        view.on_counts = self._take_counts
+        view.on_counts(self._take_counts)
+
+    @property
+    def term(self) -> int:
+        """The fencing token of the duty, or 0 while another agent has it."""
+        return self._term
 
     # The duty.
 
@@ -169,7 +150,7 @@
             replication.Shape(places=engine.places,
                               max_new=min(engine.spare, _MAX_NEW_A_SET),
                               max_copies=_MAX_COPIES))
-        self.account.skew = step.before
+        self._driver.account.skew = step.before
         if not step.copies or step.before - step.after < _MIN_SAVING:
             return
         self._log.write(log_events.LogEvent.MAP_PLANNED,
@@ -190,7 +171,7 @@
         if self._layouts is not None and self._layouts_of in versions:
             return True
         found = await asyncio.gather(
-            *(self._network.fetch_layout(self._address(rank))
+            *(self._network.fetch_layout(self._driver.address(rank))
               for rank in sorted(states)))
         held = [layout for layout in found if layout is not None]
         if len(held) < len(states) or {
@@ -204,11 +185,6 @@
         self._layouts_of = versions.pop()
         return True
 
-    def _address(self, rank: int) -> str:
-        host = self._view.states()[rank].host
-        record = self._hosts.records_by_host.get(host)
-        return record.peer_address if record else ''
-
     def _next_version(self) -> int:
         self._used_versions += 1
         return self._term * _VERSIONS_A_TERM + self._used_versions
@@ -220,11 +196,13 @@
         epoch = next(iter(self._view.states().values())).epoch
         switch = map_switch.Switch(self._next_version(), epoch,
                                    _encoded(layouts))
-        done = await self._drive(switch)
+        done = await self._driver.drive(switch)
         if done.phase is map_switch.Phase.DONE:
             self._layouts = layouts
             self._layouts_of = (epoch, done.version)
-            self.account.copies += copies
+            self._driver.account.copies += copies
+        else:
+            self._layouts = None
 
     async def _recover(self, states: map_switch.States) -> None:
         assert self._layouts is not None
@@ -236,69 +214,7 @@
                         phase=switch.phase.value,
                         held=states[map_switch.HOLDING_RANK].held_step)
         self._layouts = None
-        await self._drive(switch)
-
-    async def _drive(self, switch: map_switch.Switch) -> map_switch.Switch:
-        """Gives orders until the switch is done or abandoned."""
-        began_at = self._clock.monotonic()
-        sent_at: dict[tuple[int, peer_messages.OrderKind], float] = {}
-        while True:
-            switch, orders = map_switch.advance(switch, self._view.states())
-            now = self._clock.monotonic()
-            if switch.phase is map_switch.Phase.DONE:
-                self._note_done(switch, now - began_at)
-                return switch
-            if (switch.phase is map_switch.Phase.ABANDONED or
-                (switch.phase is map_switch.Phase.PREPARING and
-                 now - began_at > _MAX_PREPARE_S)):
-                self._note_abandoned(switch, now - began_at)
-                return dataclasses.replace(switch,
-                                           phase=map_switch.Phase.ABANDONED)
-            due = {
-                rank: order
-                for rank, order in orders.items()
-                if now - sent_at.get((rank, order.kind), -1e9) > _RESEND_S
-            }
-            for rank, order in due.items():
-                sent_at[rank, order.kind] = now
-            if due:
-                await asyncio.gather(
-                    *(self._order(rank, order) for rank, order in due.items()))
-            else:
-                await self._clock.sleep(_TICK_S)
-
-    async def _order(self, rank: int, order: peer_messages.RankOrder) -> None:
-        kind = order.kind.value
-        self.account.orders[kind] = self.account.orders.get(kind, 0) + 1
-        answer = await self._network.order(self._address(rank), order)
-        if answer is not None:
-            self._view.take(answer.state)
-        if answer is None or answer.status not in (200, 202):
-            self._log.write(log_events.LogEvent.ORDER_FAILED,
-                            group=self._view.group,
-                            rank=rank,
-                            order=kind,
-                            version=order.version,
-                            step=order.step,
-                            status=answer.status if answer else None)
-
-    def _note_done(self, switch: map_switch.Switch, took_s: float) -> None:
-        self.account.switches += 1
-        self._log.write(log_events.LogEvent.MAP_SWITCHED,
-                        important=False,
-                        group=self._view.group,
-                        version=switch.version,
-                        step=switch.step,
-                        took_s=round(took_s, 3))
-
-    def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
-        self.account.abandoned += 1
-        self._layouts = None
-        self._log.write(log_events.LogEvent.ORDER_FAILED,
-                        group=self._view.group,
-                        version=switch.version,
-                        abandoned_in=switch.phase.value,
-                        took_s=round(took_s, 3))
+        await self._driver.drive(switch)
 
 
 def _encoded(
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -65,6 +65,7 @@
         self._clock = time
         self._stepped_at = time.monotonic()
         self._last_step = -1
+        self._has_work = False
         self._pass_s = 0.0
         self.experts = 0
         self._load_told = _Told()
@@ -95,6 +96,7 @@
 
     def _take(self, report: rank_server.RankReport) -> peer_messages.RankState:
         now = self._clock.monotonic()
+        self._has_work = report.running > 0
         state = dataclasses.replace(report.state,
                                     host=self._own.host,
                                     duty_version=self._view.duty_version)
@@ -108,24 +110,31 @@
         self._view.take_own(state)
         return state
 
+    def stalled_s(self) -> float:
+        """How long the group has begun no pass though this rank has work."""
+        if not self._has_work:
+            return 0.0
+        return self._clock.monotonic() - self._stepped_at
+
     def _tell_entries(self, report: rank_server.RankReport) -> None:
         now = self._clock.monotonic()
-        stalled_s = now - self._stepped_at
-        is_stalled = bool(report.running) and stalled_s > _STALLED_S
+        stalled_s = self.stalled_s()
+        is_stalled = stalled_s > _STALLED_S
+        is_open = report.state.is_open or not report.is_in_group
         if not self._load_told.is_due(
-            (report.running, report.waiting, is_stalled),
+            (report.running, report.waiting, is_stalled, is_open),
                 now,
                 same_s=_LOAD_SAME_S,
                 changed_s=_LOAD_CHANGED_S):
             return
-        news = peer_messages.ServerLoad(
-            address=self._own.engine_address,
-            running=report.running,
-            waiting=report.waiting,
-            slots=self.slots,
-            stalled_ms=int(stalled_s * _MS_PER_S) if report.running else 0,
-            group=report.state.group,
-            pass_us=int(self._pass_s * _US_PER_S))
+        news = peer_messages.ServerLoad(address=self._own.engine_address,
+                                        running=report.running,
+                                        waiting=report.waiting,
+                                        slots=self.slots,
+                                        stalled_ms=int(stalled_s * _MS_PER_S),
+                                        is_open=is_open,
+                                        group=report.state.group,
+                                        pass_us=int(self._pass_s * _US_PER_S))
         for record in self._hosts.with_role(host_record.Role.ENTRY):
             self._network.send(record.peer_address, news)
 
--- /dev/null
+++ b/pollenthread/app/switch_driver.py
@@ -0,0 +1,162 @@
+"""Gives ranks the orders of a switch until it is done."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from pollenthread.app import group_view, roster
+from pollenthread.core import (host_record, log_events, map_switch,
+                               peer_messages)
+from pollenthread.ports import clock, event_log, peers, rank_server
+
+__all__ = ['MapAccount', 'SwitchDriver']
+
+_TICK_S = 0.03
+_RESEND_S = 0.12
+_MAX_PREPARE_S = 4.0
+_ORDER_TIMEOUT_S = 0.25
+_DONE_STATUSES = (200, 202)
+
+ServerMaker = Callable[[str], rank_server.RankServer]
+
+
+@dataclasses.dataclass
+class MapAccount:
+    """What keeping ranks even has cost and brought.
+
+    Attributes:
+        switches: maps that came into use.
+        abandoned: switches that did not.
+        copies: experts copied.
+        orders: orders given to ranks, by kind.
+        skew: the mean over sets of the greatest load, as last estimated.
+    """
+
+    switches: int = 0
+    abandoned: int = 0
+    copies: int = 0
+    orders: dict[str, int] = dataclasses.field(default_factory=dict)
+    skew: float = 0.0
+
+
+class SwitchDriver:
+    """Carries out switches of one group.
+
+    Orders go through the agent beside each rank. When an agent does not
+    answer, its server gets them directly.
+    """
+
+    def __init__(self, *, hosts: roster.Roster, view: group_view.GroupView,
+                 network: peers.PeerNetwork, make_server: ServerMaker,
+                 time: clock.Clock, log: event_log.EventLog) -> None:
+        self._hosts = hosts
+        self._view = view
+        self._network = network
+        self._make_server = make_server
+        self._clock = time
+        self._log = log
+        self.account = MapAccount()
+
+    async def drive(self, switch: map_switch.Switch) -> map_switch.Switch:
+        """Gives orders until the switch is done or abandoned."""
+        began_at = self._clock.monotonic()
+        sent_at: dict[tuple[int, peer_messages.OrderKind], float] = {}
+        while True:
+            switch, orders = map_switch.advance(switch, self._view.states())
+            now = self._clock.monotonic()
+            if switch.phase is map_switch.Phase.DONE:
+                self._note_done(switch, now - began_at)
+                return switch
+            if (switch.phase is map_switch.Phase.ABANDONED or
+                (switch.phase is map_switch.Phase.PREPARING and
+                 now - began_at > _MAX_PREPARE_S)):
+                self._note_abandoned(switch, now - began_at)
+                return dataclasses.replace(switch,
+                                           phase=map_switch.Phase.ABANDONED)
+            due = {
+                rank: order
+                for rank, order in orders.items()
+                if now - sent_at.get((rank, order.kind), -1e9) > _RESEND_S
+            }
+            for rank, order in due.items():
+                sent_at[rank, order.kind] = now
+            if due:
+                await asyncio.gather(
+                    *(self._order(rank, order) for rank, order in due.items()))
+            else:
+                await self._clock.sleep(_TICK_S)
+
+    async def look(self, rank: int) -> peer_messages.RankState | None:
+        """Asks a rank's server for its state, past its agent."""
+        record = self._record(rank)
+        if record is None:
+            return None
+        try:
+            report = await self._make_server(record.engine_address).report()
+        except rank_server.RankSilent:
+            return None
+        state = dataclasses.replace(report.state, host=record.host)
+        self._view.take(state)
+        return state
+
+    def address(self, rank: int) -> str:
+        """The peer address of a rank's agent; empty when unknown."""
+        record = self._record(rank)
+        return record.peer_address if record else ''
+
+    def _record(self, rank: int) -> host_record.HostRecord | None:
+        state = self._view.states().get(rank)
+        return self._hosts.records_by_host.get(state.host) if state else None
+
+    async def _order(self, rank: int, order: peer_messages.RankOrder) -> None:
+        kind = order.kind.value
+        self.account.orders[kind] = self.account.orders.get(kind, 0) + 1
+        answer = None
+        try:
+            async with asyncio.timeout(_ORDER_TIMEOUT_S):
+                answer = await self._network.order(self.address(rank), order)
+        except TimeoutError:
+            answer = await self._order_directly(rank, order)
+        if answer is not None:
+            self._view.take(answer.state)
+        if answer is None or answer.status not in _DONE_STATUSES:
+            self._log.write(log_events.LogEvent.ORDER_FAILED,
+                            group=self._view.group,
+                            rank=rank,
+                            order=kind,
+                            version=order.version,
+                            step=order.step,
+                            status=answer.status if answer else None)
+
+    async def _order_directly(
+            self, rank: int,
+            order: peer_messages.RankOrder) -> peer_messages.RankAnswer | None:
+        """Gives a server an order past its agent, which did not answer."""
+        record = self._record(rank)
+        if record is None:
+            return None
+        server = self._make_server(record.engine_address)
+        try:
+            status = await server.order(order)
+            report = await server.report()
+        except rank_server.RankSilent:
+            return None
+        state = dataclasses.replace(report.state, host=record.host)
+        return peer_messages.RankAnswer(status, state)
+
+    def _note_done(self, switch: map_switch.Switch, took_s: float) -> None:
+        self.account.switches += 1
+        self._log.write(log_events.LogEvent.MAP_SWITCHED,
+                        important=False,
+                        group=self._view.group,
+                        version=switch.version,
+                        step=switch.step,
+                        took_s=round(took_s, 3))
+
+    def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
+        self.account.abandoned += 1
+        self._log.write(log_events.LogEvent.ORDER_FAILED,
+                        group=self._view.group,
+                        version=switch.version,
+                        abandoned_in=switch.phase.value,
+                        took_s=round(took_s, 3))
--- a/pollenthread/core/fleet.py
+++ b/pollenthread/core/fleet.py
@@ -57,6 +57,7 @@
         self._lapsed_by_id: dict[str, Server] = {}
         self._outage_ended_at: float | None = None
         self._in_outage = False
+        self._ended: set[str] = set()
         self._ready_by_service: dict[str, tuple[Server, ...]] | None = None
         self._id_by_address: dict[str, str] | None = None
 
@@ -94,6 +95,7 @@
     def remove(self, server_id: str, now: float) -> None:
         """An entry has left the list."""
         server = self._listed_by_id.pop(server_id, None)
+        self._ended.discard(server_id)
         self._drop_indexes()
         if server is not None and self._may_be_false(server, now):
             self._lapsed_by_id[server_id] = server
@@ -107,6 +109,14 @@
         self._drop_indexes()
         return gone
 
+    def replace_dead(self, server_id: str) -> None:
+        """Another server answers at a server's address: it has ended.
+
+        Its entry stays in the store for a few heartbeats more.
+        """
+        self._ended.add(server_id)
+        self._drop_indexes()
+
     def get(self, server_id: str) -> Server | None:
         """A server that is listed or may return."""
         return (self._listed_by_id.get(server_id) or
@@ -136,7 +146,8 @@
         found: dict[str, list[Server]] = {}
         for server in (*self._listed_by_id.values(),
                        *self._lapsed_by_id.values()):
-            if server.state is ServerState.READY:
+            if (server.state is ServerState.READY and
+                    server.id not in self._ended):
                 found.setdefault(server.service, []).append(server)
         return {service: tuple(servers) for service, servers in found.items()}
 
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -29,6 +29,7 @@
         slots: requests that it works on at once.
         stalled_s: seconds since its group's last pass began, while it has
             work.
+        is_open: whether its group works.
         group: the group that it is a rank of; empty without.
         pass_s: how long a pass of its group lasted lately; 0 when unknown.
     """
@@ -37,6 +38,7 @@
     waiting: int
     slots: int
     stalled_s: float = 0.0
+    is_open: bool = True
     group: str = ''
     pass_s: float = 0.0
 
@@ -51,6 +53,7 @@
         change: own requests begun less own requests ended since then.
         own: own requests at the server.
         stalled_s: as last reported.
+        is_open: as last reported.
         failures: failures in a row.
         paused_until: no new work before this time.
     """
@@ -60,6 +63,7 @@
     change: int = 0
     own: int = 0
     stalled_s: float = 0.0
+    is_open: bool = True
     failures: int = 0
     paused_until: float = -1e9
 
@@ -85,6 +89,7 @@
         load.reported_at = now
         load.change = 0
         load.stalled_s = report.stalled_s
+        load.is_open = report.is_open
 
     def begin(self, server_id: str) -> None:
         """One more own request is at the server."""
@@ -141,13 +146,21 @@
             data_centre: where this host is; it breaks ties.
             now: monotonic seconds.
         """
-        usable = [s for s in servers if s.id not in excluded]
+        usable = [
+            s for s in servers
+            if s.id not in excluded and self._is_open(s, now)
+        ]
         calm = [s for s in usable if self._get(s.id).paused_until <= now]
         candidates = calm or usable
         if not candidates:
             return None
         return min(candidates, key=lambda s: self._rank(s, data_centre, now))
 
+    def _is_open(self, server: fleet.Server, now: float) -> bool:
+        """False if the server's group has said lately that it is closed."""
+        load = self._get(server.id)
+        return load.is_open or now - load.reported_at > _REPORT_LIFE_S
+
     def _rank(self, server: fleet.Server, data_centre: str,
               now: float) -> tuple[bool, float, bool, float]:
         load = self.load(server.id, now) / server.slots
--- a/pollenthread/core/map_switch.py
+++ b/pollenthread/core/map_switch.py
@@ -21,7 +21,9 @@
 
 from pollenthread.core import peer_messages
 
-__all__ = ['Phase', 'Switch', 'advance', 'needs_recovery', 'recover']
+__all__ = [
+    'Phase', 'Switch', 'advance', 'complete', 'needs_recovery', 'recover'
+]
 
 HOLDING_RANK = 0
 _STEPS_AHEAD = 2
@@ -180,6 +182,26 @@
     return bool(states[HOLDING_RANK].held_step)
 
 
+def complete(states: States) -> Switch | None:
+    """The switch that an earlier decider began, if it can be completed.
+
+    It can if every rank is armed for the held pass with one version or has
+    that version prepared.
+    """
+    held = states[HOLDING_RANK].held_step
+    versions = {
+        state.armed_version or state.prepared_version
+        for state in states.values()
+    }
+    steps = {
+        state.armed_step for state in states.values() if state.armed_version
+    }
+    if not held or len(versions) != 1 or 0 in versions or not steps <= {held}:
+        return None
+    epoch = states[HOLDING_RANK].epoch
+    return Switch(versions.pop(), epoch, (), Phase.ARMING, held)
+
+
 def recover(states: States, layouts: tuple[tuple[tuple[int, ...], ...], ...],
             version: int) -> Switch:
     """Takes over an unfinished switch.
@@ -194,15 +216,4 @@
         version: a version that no decider has used.
     """
     epoch = states[HOLDING_RANK].epoch
-    held = states[HOLDING_RANK].held_step
-    armed = {(state.armed_version, state.armed_step)
-             for state in states.values()
-             if state.armed_version}
-    if len(armed) == 1:
-        found, step = next(iter(armed))
-        can_go_on = held == step and all(
-            found in (state.armed_version, state.prepared_version)
-            for state in states.values())
-        if can_go_on:
-            return Switch(found, epoch, (), Phase.ARMING, step)
-    return Switch(version, epoch, layouts)
+    return complete(states) or Switch(version, epoch, layouts)
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -38,6 +38,7 @@
         waiting: requests in its queue.
         slots: requests that it works on at once.
         stalled_ms: time since its group's last pass began, while it has work.
+        is_open: whether its group works; True without a group.
         group: its group.
         pass_us: how long a pass of its group lasted lately.
     """
@@ -47,6 +48,7 @@
     waiting: int
     slots: int
     stalled_ms: int
+    is_open: bool
     group: str
     pass_us: int
 
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -25,7 +25,7 @@
 }
 _JSON = (('content-type', 'application/json'),)
 
-_Answer = result.Result[dict[str, Any], row_store.StoreFault]
+Answer = result.Result[dict[str, Any], row_store.StoreFault]
 
 
 class HttpRowStore(row_store.RowStore):
@@ -75,12 +75,12 @@
         return answer.map(lambda page: int(page['ver']))
 
     async def _get(self, path: str, query: dict[str, str],
-                   wait_s: float) -> _Answer:
+                   wait_s: float) -> Answer:
         return await self._call('GET', f'{path}?{parse.urlencode(query)}', b'',
                                 wait_s)
 
     async def _call(self, method: str, target: str, body: bytes,
-                    wait_s: float) -> _Answer:
+                    wait_s: float) -> Answer:
         answer = await self._exchange(method, target, body, wait_s)
         outcome = 'ok' if answer.is_ok() else answer.unwrap_err().value
         self.calls_by_outcome[outcome] = self.calls_by_outcome.get(outcome,
@@ -88,7 +88,7 @@
         return answer
 
     async def _exchange(self, method: str, target: str, body: bytes,
-                        wait_s: float) -> _Answer:
+                        wait_s: float) -> Answer:
         try:
             async with asyncio.timeout(wait_s + _ANSWER_TIMEOUT_S):
                 async with self._client.request(self._address,
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -27,6 +27,8 @@
         self._client = client
         self.stale_answers = 0
 
+    # A decorated generator is the context manager that the port asks for.
+    # pylint: disable-next=invalid-overridden-method
     @contextlib.asynccontextmanager
     async def send(
         self, attempt: upstream.UpstreamRequest
@@ -81,11 +83,14 @@
                              for name, value in exchange.headers
                              if name not in _NOT_PASSED_ON)
         not_run = exchange.header(names.Header.NOT_RUN) is not None
-        self.has_run = not (not_run or self.status == _MISDIRECTED)
+        self.is_other_server = self.status == _MISDIRECTED
+        self.has_run = not (not_run or self.is_other_server)
         self.load = _load(exchange.header(names.Header.SERVER_LOAD))
         connection = exchange.header('connection') or ''
         self.is_leaving = 'close' in connection.lower()
 
+    # An async generator is the iterator that the port asks for.
+    # pylint: disable-next=invalid-overridden-method
     async def read(self) -> AsyncIterator[bytes]:
         try:
             async for data in self._exchange.read():
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -58,6 +58,7 @@
         status: the HTTP status.
         headers: what a caller may see of the headers.
         has_run: False when the server says that it did not run the request.
+        is_other_server: whether another server has the address by now.
         load: what the server says of its load, or None.
         is_leaving: whether the server closes the connection after it.
     """
@@ -65,6 +66,7 @@
     status: int
     headers: tuple[messages.Header, ...]
     has_run: bool
+    is_other_server: bool
     load: ServerLoad | None
     is_leaving: bool
 
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -9,7 +9,8 @@
 
 from pollenthread.adapters import (clock, http_client, json_log, peer_network)
 from pollenthread.app import (group_view, knowledge, map_duty, rank_agent,
-                              roster, serving_state, store_follower)
+                              roster, serving_state, stall_watch,
+                              store_follower, switch_driver)
 from pollenthread.core import host_record, log_events
 from pollenthread.platform import (config_document, names, process_settings,
                                    rank_server_http, row_store_http)
@@ -65,25 +66,38 @@
             decode=config_document.decode_result)
         self._view = group_view.GroupView(network=self._network,
                                           time=self._clock)
-        self._agent = rank_agent.RankAgent(
-            own=self._own,
-            slots=1,
-            server=rank_server_http.HttpRankServer(
-                client=self._clients['engine'],
-                address=settings.engine_address),
-            hosts=self._hosts,
-            view=self._view,
-            network=self._network,
-            time=self._clock)
+        self._agent = rank_agent.RankAgent(own=self._own,
+                                           slots=1,
+                                           server=self._server_at(
+                                               settings.engine_address),
+                                           hosts=self._hosts,
+                                           view=self._view,
+                                           network=self._network,
+                                           time=self._clock)
+        self._driver = switch_driver.SwitchDriver(hosts=self._hosts,
+                                                  view=self._view,
+                                                  network=self._network,
+                                                  make_server=self._server_at,
+                                                  time=self._clock,
+                                                  log=self.log)
+        self._stalls = stall_watch.StallWatch(agent=self._agent,
+                                              view=self._view,
+                                              driver=self._driver,
+                                              time=self._clock,
+                                              log=self.log)
         self._duty = map_duty.MapDuty(host=settings.host,
                                       incarnation=process.new_incarnation(),
                                       store=self._store,
-                                      hosts=self._hosts,
                                       view=self._view,
+                                      driver=self._driver,
                                       network=self._network,
                                       time=self._clock,
                                       log=self.log)
 
+    def _server_at(self, address: str) -> rank_server_http.HttpRankServer:
+        return rank_server_http.HttpRankServer(client=self._clients['engine'],
+                                               address=address)
+
     async def __aenter__(self) -> Self:
         await self._stack.__aenter__()
         for client in self._clients.values():
@@ -128,6 +142,7 @@
             group.create_task(self._follow_figures())
             group.create_task(self._agent.run())
             group.create_task(self._duty.run())
+            group.create_task(self._stalls.run())
 
     async def _follow_figures(self) -> None:
         """Takes the engine's figures from the newest configuration."""
