--- a/pollenthread/adapters/client_connection.py
+++ b/pollenthread/adapters/client_connection.py
@@ -1,7 +1,9 @@
 """One connection of the HTTP client, with one exchange in flight."""
 
 import asyncio
+import contextlib
 import socket
+import struct
 from collections.abc import Sequence
 from typing import Any
 
@@ -19,6 +21,8 @@
 _PROBE_IDLE_S = 1
 _PROBE_INTERVAL_S = 1
 _PROBES = 2
+# The option's struct: on, and no seconds to linger.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -176,7 +180,16 @@
         return True
 
     def close(self) -> None:
-        """Closes the connection at once."""
+        """Closes the connection at once.
+
+        In the middle of an exchange it is reset, so that what the server has
+        not received yet does not reach it later.
+        """
+        found = self._transport.get_extra_info('socket')
+        if self._in_exchange and found is not None:
+            with contextlib.suppress(OSError):
+                found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                 _RESET_ON_CLOSE)
         self._transport.abort()
 
     # Reading.
--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -40,7 +40,13 @@
   heldStep @12 :UInt64;
   isBusy @13 :Bool;
   pacePercent @14 :UInt32;
-  dutyVersion @15 :UInt64;
+}
+
+struct DutyBeat {
+  # The holder of a group's duty is alive.
+  group @0 :Text;
+  host @1 :Text;
+  term @2 :UInt64;
 }
 
 struct ExpertCounts {
@@ -62,6 +68,7 @@
     serverLoad @1 :ServerLoad;
     rankState @2 :RankState;
     expertCounts @3 :ExpertCounts;
+    dutyBeat @4 :DutyBeat;
   }
 }
 
--- a/pollenthread/adapters/peer_codec.py
+++ b/pollenthread/adapters/peer_codec.py
@@ -20,7 +20,8 @@
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
 _DATAGRAM_TYPES = (peer_messages.EntryBeat, peer_messages.ServerLoad,
-                   peer_messages.RankState, peer_messages.ExpertCounts)
+                   peer_messages.RankState, peer_messages.ExpertCounts,
+                   peer_messages.DutyBeat)
 
 _NUMBER_BYTES = 4
 _NUMBERS = tuple[int, ...]
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -16,6 +16,7 @@
 _SNAPSHOT_PATH = '/peer/snapshot'
 _ORDER_PATH = '/peer/order'
 _LAYOUT_PATH = '/peer/layout'
+_STATE_PATH = '/peer/state'
 _METRICS_PATH = '/metrics'
 _ANSWER_TIMEOUT_S = 0.8
 _CONTENT_TYPE = ('content-type', 'application/octet-stream')
@@ -36,6 +37,8 @@
         self._make_snapshot: Callable[[], peer_messages.Snapshot |
                                       None] | None = None
         self._carry_out: peers.OrderHandler | None = None
+        self._make_state: Callable[
+            [], Awaitable[peer_messages.RankState | None]] | None = None
         self._make_layout: Callable[[], Awaitable[peer_messages.RankLayout |
                                                   None]] | None = None
         self._metrics: MetricsPage | None = None
@@ -101,6 +104,11 @@
     def serve_orders(self, carry_out: peers.OrderHandler) -> None:
         self._carry_out = carry_out
 
+    def serve_states(
+        self, make: Callable[[], Awaitable[peer_messages.RankState | None]]
+    ) -> None:
+        self._make_state = make
+
     def serve_layouts(
             self,
             make: Callable[[],
@@ -117,6 +125,8 @@
             await self._answer(response, self._make_snapshot())
         elif request.path == _ORDER_PATH and self._carry_out is not None:
             await self._answer_order(request, response)
+        elif request.path == _STATE_PATH and self._make_state is not None:
+            await self._answer(response, await self._make_state())
         elif request.path == _LAYOUT_PATH and self._make_layout is not None:
             await self._answer(response, await self._make_layout())
         elif request.path == _METRICS_PATH and self._metrics is not None:
@@ -149,6 +159,11 @@
         return await self._call('GET', address, _SNAPSHOT_PATH, b'',
                                 peer_messages.Snapshot)
 
+    async def fetch_state(self,
+                          address: str) -> peer_messages.RankState | None:
+        return await self._call('GET', address, _STATE_PATH, b'',
+                                peer_messages.RankState)
+
     async def fetch_layout(self,
                            address: str) -> peer_messages.RankLayout | None:
         return await self._call('GET', address, _LAYOUT_PATH, b'',
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -1,70 +1,40 @@
-"""What an agent knows of its group: all ranks' states and counts."""
+"""What an agent knows of the groups of ranks: states, counts and duties."""
 
 from collections.abc import Callable
 
 from pollenthread.core import peer_messages
 from pollenthread.ports import clock, peers
 
-__all__ = ['GroupView']
+__all__ = ['HOLDER_SILENT_S', 'GroupBook', 'GroupView']
 
 _FRESH_S = 0.6
-_HOLDER_SILENT_S = 0.8
+HOLDER_SILENT_S = 0.8
+
+CountsTaker = Callable[[peer_messages.ExpertCounts], None]
 
 
 class GroupView:
-    """Collects what agents tell about the ranks of one group."""
+    """One group: all ranks' states, and who holds its duty."""
 
-    def __init__(self, *, network: peers.PeerNetwork,
-                 time: clock.Clock) -> None:
+    def __init__(self, *, name: str, time: clock.Clock) -> None:
+        self.name = name
         self._clock = time
-        self.own_state: peer_messages.RankState | None = None
-        self.duty_version = 0
         self._state_by_rank: dict[int, peer_messages.RankState] = {}
         self._seen_at_by_rank: dict[int, float] = {}
-        self._group_by_host: dict[str, str] = {}
-        self._count_takers: list[Callable[[peer_messages.ExpertCounts],
-                                          None]] = []
-        network.on_datagram(peer_messages.RankState, self.take)
-        network.on_datagram(peer_messages.ExpertCounts, self.take_counts)
-
-    @property
-    def group(self) -> str:
-        """The name of this agent's group; empty before it is known."""
-        return self.own_state.group if self.own_state else ''
+        self._holder: peer_messages.DutyBeat | None = None
+        self._holder_seen_at = time.monotonic()
+        self._count_takers: list[CountsTaker] = []
 
-    def take_own(self, state: peer_messages.RankState) -> None:
-        """Takes the state of the server beside this agent."""
-        if self.own_state is not None and self.own_state.group != state.group:
-            self._state_by_rank.clear()
-        self.own_state = state
-        self.take(state)
+    # Ranks.
 
     def take(self, state: peer_messages.RankState) -> None:
-        """Takes the state of any rank, and keeps those of this group."""
-        self._group_by_host[state.host] = state.group
-        if state.group != self.group:
-            return
+        """Takes the state of a rank."""
         known = self._state_by_rank.get(state.rank)
         if known is not None and _is_older(state, known):
             return
         self._state_by_rank[state.rank] = state
         self._seen_at_by_rank[state.rank] = self._clock.monotonic()
 
-    def on_counts(self, take: Callable[[peer_messages.ExpertCounts],
-                                       None]) -> None:
-        """Hands the counts of this group's ranks to a function."""
-        self._count_takers.append(take)
-
-    def take_counts(self, counts: peer_messages.ExpertCounts) -> None:
-        """Takes counts of a rank of this group."""
-        if counts.group == self.group:
-            for take in self._count_takers:
-                take(counts)
-
-    def may_be_in_group(self, host: str) -> bool:
-        """Whether an agent's rank may be in this group."""
-        return self._group_by_host.get(host, self.group) == self.group
-
     def states(self) -> dict[int, peer_messages.RankState]:
         """The newest state of each rank that was heard from."""
         return dict(self._state_by_rank)
@@ -77,23 +47,95 @@
 
     def is_whole(self) -> bool:
         """Whether all ranks are heard from, open and in one epoch."""
-        if self.own_state is None:
+        states = self._state_by_rank.values()
+        if not states or len(states) < next(iter(states)).size:
             return False
-        return (all(map(self.is_fresh, range(self.own_state.size))) and
-                len({s.epoch for s in self._state_by_rank.values()}) == 1 and
-                all(s.is_open for s in self._state_by_rank.values()))
+        return (all(map(self.is_fresh, self._state_by_rank)) and
+                len({state.epoch for state in states}) == 1 and
+                all(state.is_open for state in states))
+
+    # Counts.
+
+    def on_counts(self, take: CountsTaker) -> None:
+        """Hands the counts of the group's ranks to a function."""
+        self._count_takers.append(take)
+
+    def take_counts(self, counts: peer_messages.ExpertCounts) -> None:
+        """Takes counts of a rank."""
+        for take in self._count_takers:
+            take(counts)
+
+    # The duty.
+
+    def take_duty(self, beat: peer_messages.DutyBeat) -> None:
+        """Takes a sign of life of a holder; a newer term counts more."""
+        if self._holder is None or beat.term >= self._holder.term:
+            self._holder = beat
+            self._holder_seen_at = self._clock.monotonic()
+
+    @property
+    def newest_term(self) -> int:
+        """The highest fencing token that was heard of."""
+        return self._holder.term if self._holder else 0
+
+    def holder_silent_s(self) -> float:
+        """Seconds since a holder was last heard."""
+        return self._clock.monotonic() - self._holder_seen_at
 
     def holder(self) -> str | None:
-        """The host whose agent holds the group's duty, if one is heard."""
-        now = self._clock.monotonic()
-        holders = [
-            state for rank, state in self._state_by_rank.items()
-            if state.duty_version and now -
-            self._seen_at_by_rank[rank] < _HOLDER_SILENT_S
-        ]
-        if not holders:
+        """The host whose agent holds the duty, if it is heard."""
+        if self._holder is None or self.holder_silent_s() > HOLDER_SILENT_S:
             return None
-        return max(holders, key=lambda state: state.duty_version).host
+        return self._holder.host
+
+
+class GroupBook:
+    """All groups that this agent hears of."""
+
+    def __init__(self, *, network: peers.PeerNetwork,
+                 time: clock.Clock) -> None:
+        self._clock = time
+        self.own_state: peer_messages.RankState | None = None
+        self._view_by_group: dict[str, GroupView] = {}
+        network.on_datagram(peer_messages.RankState, self.take)
+        network.on_datagram(peer_messages.ExpertCounts, self.take_counts)
+        network.on_datagram(peer_messages.DutyBeat, self.take_duty)
+
+    @property
+    def own_group(self) -> str:
+        """The name of this agent's group; empty before it is known."""
+        return self.own_state.group if self.own_state else ''
+
+    @property
+    def groups(self) -> tuple[str, ...]:
+        """Names of all groups."""
+        return tuple(self._view_by_group)
+
+    def view(self, group: str) -> GroupView:
+        """The view of a group."""
+        found = self._view_by_group.get(group)
+        if found is None:
+            found = GroupView(name=group, time=self._clock)
+            self._view_by_group[group] = found
+        return found
+
+    def take_own(self, state: peer_messages.RankState) -> None:
+        """Takes the state of the server beside this agent."""
+        self.own_state = state
+        self.take(state)
+
+    def take(self, state: peer_messages.RankState) -> None:
+        """Takes the state of any rank."""
+        if state.group:
+            self.view(state.group).take(state)
+
+    def take_counts(self, counts: peer_messages.ExpertCounts) -> None:
+        """Takes counts of any rank."""
+        self.view(counts.group).take_counts(counts)
+
+    def take_duty(self, beat: peer_messages.DutyBeat) -> None:
+        """Takes a sign of life of any holder."""
+        self.view(beat.group).take_duty(beat)
 
 
 def _is_older(state: peer_messages.RankState,
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -1,4 +1,7 @@
-"""One agent of each group plans its maps and has the ranks switch.
+"""One agent plans the maps of each group and has its ranks switch.
+
+It is an agent of another group if there is one: when its host fails in the
+middle of a switch, all ranks of the group can still be reached.
 
 The duty is a row in the store that is taken with a conditional write. The
 store's counter at that write is the fencing token: all versions of maps begin
@@ -6,12 +9,14 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import result
 
-from pollenthread.app import group_view, switch_driver
-from pollenthread.core import (expert_demand, log_events, map_switch,
-                               peer_messages, replication, routing_config)
+from pollenthread.app import group_view, roster, switch_driver
+from pollenthread.core import (expert_demand, host_record, log_events,
+                               map_switch, peer_messages, replication,
+                               routing_config)
 from pollenthread.ports import clock, event_log, peers, row_store
 
 __all__ = ['MapDuty']
@@ -19,88 +24,134 @@
 TABLE = 'pollenthread_duties'
 _VERSIONS_A_TERM = 1 << 16
 _PLAN_TICK_S = 0.1
+_BEAT_S = 0.25
 _STAGGER_S = 0.15
-_WAIT_FOR_HOLDER_S = 0.2
+# Agents of the group itself wait until no other has taken its duty.
+_MEMBER_PATIENCE_S = 3.0
 _RETRY_DUTY_S = 0.5
 _MAX_COPIES = 2
 _MAX_NEW_A_SET = 2
 _MIN_SAVING = 0.12
 
+Figures = Callable[[str], routing_config.EngineFigures | None]
+
 
 class MapDuty:
-    """Plans and carries out maps while this agent holds the duty."""
+    """Plans and carries out the maps of one group while it holds its duty."""
 
     def __init__(self, *, host: str, incarnation: str,
-                 store: row_store.RowStore, view: group_view.GroupView,
+                 store: row_store.RowStore, hosts: roster.Roster,
+                 book: group_view.GroupBook, view: group_view.GroupView,
                  driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
-                 time: clock.Clock, log: event_log.EventLog) -> None:
+                 figures: Figures, time: clock.Clock,
+                 log: event_log.EventLog) -> None:
+        """Makes a duty that nobody holds.
+
+        Args:
+            host: this agent's host.
+            incarnation: names this start of the agent.
+            store: the platform's store.
+            hosts: the hosts of the deployment.
+            book: all groups.
+            view: the group.
+            driver: carries out switches of the group.
+            network: reaches other agents.
+            figures: the engine figures of a service.
+            time: the clock.
+            log: the log.
+        """
         self._host = host
         self._incarnation = incarnation
         self._store = store
+        self._hosts = hosts
+        self._book = book
         self._view = view
         self._driver = driver
         self._network = network
+        self._figures = figures
         self._clock = time
         self._log = log
-        self.engine: routing_config.EngineFigures | None = None
         self._term = 0
         self._used_versions = 0
         self._demand: expert_demand.Demand | None = None
         self._layouts: tuple[replication.Layout, ...] | None = None
         self._layouts_of = (0, 0)
-        self._holderless_since = time.monotonic()
         view.on_counts(self._take_counts)
 
     @property
-    def term(self) -> int:
-        """The fencing token of the duty, or 0 while another agent has it."""
-        return self._term
+    def account(self) -> switch_driver.MapAccount:
+        """What keeping the group's ranks even has cost and brought."""
+        return self._driver.account
 
     # The duty.
 
     async def run(self) -> None:
         """Takes the duty when nobody has it, and does it; until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._beat())
+            tasks.create_task(self._serve())
+
+    async def _beat(self) -> None:
+        while True:
+            await self._clock.sleep(_BEAT_S)
+            if not self._term:
+                continue
+            beat = peer_messages.DutyBeat(self._view.name, self._host,
+                                          self._term)
+            for record in self._hosts.with_role(host_record.Role.AGENT):
+                if record.host != self._host:
+                    self._network.send(record.peer_address, beat)
+
+    async def _serve(self) -> None:
         while True:
             await self._clock.sleep(_PLAN_TICK_S)
-            engine = self.engine
-            if engine is None or not engine.sets or not self._view.is_whole():
+            if not self._view.is_whole():
+                continue
+            engine = self._figures(self._service())
+            if engine is None or not engine.sets:
                 continue
             if self._holds_duty():
                 await self._work(engine)
-            elif self._view.holder() is not None:
-                self._holderless_since = self._clock.monotonic()
             elif self._is_my_turn():
                 await self._take_duty(engine)
 
+    def _service(self) -> str:
+        """The service of the group's servers."""
+        for state in self._view.states().values():
+            record = self._hosts.records_by_host.get(state.host)
+            if record is not None:
+                return record.service
+        return ''
+
     def _holds_duty(self) -> bool:
         if not self._term:
             return False
         newest = max(
-            max(s.map_version, s.prepared_version, s.duty_version)
-            for s in self._view.states().values())
-        if newest >= (self._term + 1) * _VERSIONS_A_TERM or any(
-                s.duty_version > self._term
-                for s in self._view.states().values()):
-            self._drop_duty('replaced')
+            max(state.map_version, state.prepared_version)
+            for state in self._view.states().values())
+        if (newest >= (self._term + 1) * _VERSIONS_A_TERM or
+                self._view.newest_term > self._term):
+            self._log.write(log_events.LogEvent.DUTY_LOST,
+                            group=self._view.name,
+                            term=self._term,
+                            newer_term=self._view.newest_term,
+                            newest_version=newest)
+            self._term = 0
             return False
         return True
 
-    def _drop_duty(self, reason: str) -> None:
-        self._log.write(log_events.LogEvent.DUTY_LOST,
-                        group=self._view.group,
-                        term=self._term,
-                        reason=reason)
-        self._term = 0
-        self._view.duty_version = 0
-
     def _is_my_turn(self) -> bool:
-        own = self._view.own_state
-        assert own is not None
-        waited_s = self._clock.monotonic() - self._holderless_since
-        return waited_s > _WAIT_FOR_HOLDER_S + own.rank * _STAGGER_S
+        own = self._book.own_state
+        if own is None or self._view.holder() is not None:
+            return False
+        patience_s = (1 + own.rank) * _STAGGER_S
+        if own.group == self._view.name:
+            patience_s += _MEMBER_PATIENCE_S
+        return self._view.holder_silent_s() > group_view.HOLDER_SILENT_S + (
+            patience_s)
 
     async def _take_duty(self, engine: routing_config.EngineFigures) -> None:
-        group = self._view.group
+        group = self._view.name
         name = f'{self._host} {self._incarnation}'.encode()
         known = await self._store.read(TABLE)
         if isinstance(known, result.Err):
@@ -111,16 +162,17 @@
                                    row.version if row else 0)
         done = await self._store.write([write])
         if isinstance(done, result.Err):
-            # A lost answer is settled by the next read: a term that was taken
-            # without being known is simply never used.
-            self._holderless_since = self._clock.monotonic()
+            # After a lost answer the term may be taken without being known;
+            # then it is never used, and the next one is higher.
+            await self._clock.sleep(_RETRY_DUTY_S)
             return
         self._term = done.ok_value
         self._used_versions = 0
         self._layouts = None
         self._demand = expert_demand.Demand(sets=engine.sets,
                                             experts=engine.experts)
-        self._view.duty_version = self._term
+        self._book.take_duty(
+            peer_messages.DutyBeat(group, self._host, self._term))
         self._log.write(log_events.LogEvent.DUTY_TAKEN,
                         group=group,
                         term=self._term)
@@ -155,7 +207,7 @@
             return
         self._log.write(log_events.LogEvent.MAP_PLANNED,
                         important=False,
-                        group=self._view.group,
+                        group=self._view.name,
                         copies=step.copies,
                         busiest=step.copies_of_busiest,
                         before=round(step.before, 3),
@@ -209,7 +261,7 @@
         switch = map_switch.recover(states, _encoded(self._layouts),
                                     self._next_version())
         self._log.write(log_events.LogEvent.MAP_RECOVERED,
-                        group=self._view.group,
+                        group=self._view.name,
                         version=switch.version,
                         phase=switch.phase.value,
                         held=states[map_switch.HOLDING_RANK].held_step)
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -54,13 +54,13 @@
 
     def __init__(self, *, own: host_record.HostRecord, slots: int,
                  server: rank_server.RankServer, hosts: roster.Roster,
-                 view: group_view.GroupView, network: peers.PeerNetwork,
+                 book: group_view.GroupBook, network: peers.PeerNetwork,
                  time: clock.Clock) -> None:
         self._own = own
         self.slots = slots
         self._server = server
         self._hosts = hosts
-        self._view = view
+        self._book = book
         self._network = network
         self._clock = time
         self._stepped_at = time.monotonic()
@@ -73,6 +73,7 @@
         self._counts_told = _Told()
         network.serve_orders(self.carry_out)
         network.serve_layouts(self._layout)
+        network.serve_states(self._state)
 
     async def run(self) -> None:
         """Watches until cancelled."""
@@ -97,9 +98,7 @@
     def _take(self, report: rank_server.RankReport) -> peer_messages.RankState:
         now = self._clock.monotonic()
         self._has_work = report.running > 0
-        state = dataclasses.replace(report.state,
-                                    host=self._own.host,
-                                    duty_version=self._view.duty_version)
+        state = dataclasses.replace(report.state, host=self._own.host)
         passes = state.step - self._last_step
         if passes != 0 or not report.running:
             if 0 < passes < 100 and self._last_step >= 0:
@@ -107,7 +106,7 @@
                 self._pass_s += _PASS_SMOOTHING * (pass_s - self._pass_s)
             self._last_step = state.step
             self._stepped_at = now
-        self._view.take_own(state)
+        self._book.take_own(state)
         return state
 
     def stalled_s(self) -> float:
@@ -139,24 +138,23 @@
             self._network.send(record.peer_address, news)
 
     def _tell_group(self, state: peer_messages.RankState) -> None:
-        """Tells the holder; all, while there is none or this is it."""
+        """Tells the holder of the group's duty; all, while there is none."""
         now = self._clock.monotonic()
         news = dataclasses.replace(state, step=0)
         if not self._state_told.is_due(
                 news, now, same_s=_STATE_SAME_S, changed_s=0.0):
             return
-        holder = self._view.holder()
+        holder = self._book.view(state.group).holder()
         record = self._hosts.records_by_host.get(holder or '')
-        if record is not None and holder != self._own.host:
+        if record is not None:
             self._network.send(record.peer_address, state)
             return
         for record in self._hosts.with_role(host_record.Role.AGENT):
-            if (record.host != self._own.host and
-                    self._view.may_be_in_group(record.host)):
+            if record.host != self._own.host:
                 self._network.send(record.peer_address, state)
 
     async def _tell_counts(self, state: peer_messages.RankState) -> None:
-        holder = self._view.holder()
+        holder = self._book.view(state.group).holder()
         if holder is None or not self.experts or not self._counts_told.is_due(
                 None, self._clock.monotonic(), same_s=_COUNTS_S, changed_s=0.0):
             return
@@ -177,7 +175,7 @@
                                               counts=found.counts[begin:begin +
                                                                   size])
             if holder == self._own.host:
-                self._view.take_counts(news)
+                self._book.take_counts(news)
             elif (record := self._hosts.records_by_host.get(holder)):
                 self._network.send(record.peer_address, news)
 
@@ -190,12 +188,18 @@
             status = await self._server.order(order)
             report = await self._server.report()
         except rank_server.RankSilent:
-            state = self._view.own_state
+            state = self._book.own_state
             if state is None or status == 0:
                 return None
             return peer_messages.RankAnswer(status, state)
         return peer_messages.RankAnswer(status, self._take(report))
 
+    async def _state(self) -> peer_messages.RankState | None:
+        try:
+            return self._take(await self._server.report())
+        except rank_server.RankSilent:
+            return None
+
     async def _layout(self) -> peer_messages.RankLayout | None:
         try:
             return await self._server.layout()
--- a/pollenthread/app/stall_watch.py
+++ b/pollenthread/app/stall_watch.py
@@ -5,7 +5,7 @@
 are the same whoever gives them.
 """
 
-import dataclasses
+from collections.abc import Callable
 
 from pollenthread.app import group_view, rank_agent, switch_driver
 from pollenthread.core import log_events, map_switch
@@ -17,18 +17,19 @@
 _STALLED_S = 0.4
 _STAGGER_S = 0.12
 _PAUSE_S = 0.5
-_MAX_HELP_S = 3.0
+
+DriverMaker = Callable[[group_view.GroupView], switch_driver.SwitchDriver]
 
 
 class StallWatch:
     """Watches for a group that stands still behind a held pass."""
 
     def __init__(self, *, agent: rank_agent.RankAgent,
-                 view: group_view.GroupView, driver: switch_driver.SwitchDriver,
+                 book: group_view.GroupBook, make_driver: DriverMaker,
                  time: clock.Clock, log: event_log.EventLog) -> None:
         self._agent = agent
-        self._view = view
-        self._driver = driver
+        self._book = book
+        self._make_driver = make_driver
         self._clock = time
         self._log = log
 
@@ -36,31 +37,32 @@
         """Watches until cancelled."""
         while True:
             await self._clock.sleep(_CHECK_S)
-            own = self._view.own_state
-            if own is None or not own.is_open or self._view.duty_version:
+            own = self._book.own_state
+            if own is None or not own.is_open:
                 continue
             # Ranks look one after another, so that one of them helps.
             patience_s = _STALLED_S + own.rank * _STAGGER_S
             if self._agent.stalled_s() > patience_s:
-                await self._help()
+                await self._help(self._book.view(own.group))
                 await self._clock.sleep(_PAUSE_S)
 
-    async def _help(self) -> None:
-        holding = await self._driver.look(map_switch.HOLDING_RANK)
+    async def _help(self, view: group_view.GroupView) -> None:
+        driver = self._make_driver(view)
+        holding = await driver.look(map_switch.HOLDING_RANK)
         if holding is None or not holding.held_step:
             return
-        for rank in self._view.states():
-            if not self._view.is_fresh(rank):
-                await self._driver.look(rank)
-        states = self._view.states()
+        for rank in view.states():
+            if not view.is_fresh(rank):
+                await driver.look(rank)
+        states = view.states()
         if len(states) < holding.size:
             return
         switch = map_switch.complete(states)
         if switch is None:
             return
         self._log.write(log_events.LogEvent.MAP_RECOVERED,
-                        group=self._view.group,
+                        group=view.name,
                         version=switch.version,
                         held=holding.held_step,
                         by='stall watch')
-        await self._driver.drive(dataclasses.replace(switch))
+        await driver.drive(switch)
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -16,6 +16,7 @@
 _MAX_PREPARE_S = 4.0
 _ORDER_TIMEOUT_S = 0.25
 _DONE_STATUSES = (200, 202)
+_DIRECT_KINDS = (peer_messages.OrderKind.HOLD, peer_messages.OrderKind.GO)
 
 ServerMaker = Callable[[str], rank_server.RankServer]
 
@@ -42,8 +43,9 @@
 class SwitchDriver:
     """Carries out switches of one group.
 
-    Orders go through the agent beside each rank. When an agent does not
-    answer, its server gets them directly.
+    Orders go through the agent beside each rank, which costs nothing. The
+    holding rank is held and released directly: if the host that gives such an
+    order fails right after it, the rank can still be reached by others.
     """
 
     def __init__(self, *, hosts: roster.Roster, view: group_view.GroupView,
@@ -112,43 +114,54 @@
         kind = order.kind.value
         self.account.orders[kind] = self.account.orders.get(kind, 0) + 1
         answer = None
-        try:
-            async with asyncio.timeout(_ORDER_TIMEOUT_S):
-                answer = await self._network.order(self.address(rank), order)
-        except TimeoutError:
+        if order.kind in _DIRECT_KINDS:
             answer = await self._order_directly(rank, order)
+        if answer is None:
+            answer = await self._order_agent(rank, order)
         if answer is not None:
             self._view.take(answer.state)
         if answer is None or answer.status not in _DONE_STATUSES:
             self._log.write(log_events.LogEvent.ORDER_FAILED,
-                            group=self._view.group,
+                            group=self._view.name,
                             rank=rank,
                             order=kind,
                             version=order.version,
                             step=order.step,
                             status=answer.status if answer else None)
 
+    async def _order_agent(
+            self, rank: int,
+            order: peer_messages.RankOrder) -> peer_messages.RankAnswer | None:
+        """Gives an order through the agent, or past one that is silent."""
+        try:
+            async with asyncio.timeout(_ORDER_TIMEOUT_S):
+                return await self._network.order(self.address(rank), order)
+        except TimeoutError:
+            return await self._order_directly(rank, order)
+
     async def _order_directly(
             self, rank: int,
             order: peer_messages.RankOrder) -> peer_messages.RankAnswer | None:
-        """Gives a server an order past its agent, which did not answer."""
+        """Gives a server an order past its agent."""
         record = self._record(rank)
         if record is None:
             return None
         server = self._make_server(record.engine_address)
         try:
             status = await server.order(order)
-            report = await server.report()
+            state = await self._network.fetch_state(record.peer_address)
+            if state is None:
+                report = await server.report()
+                state = dataclasses.replace(report.state, host=record.host)
         except rank_server.RankSilent:
             return None
-        state = dataclasses.replace(report.state, host=record.host)
         return peer_messages.RankAnswer(status, state)
 
     def _note_done(self, switch: map_switch.Switch, took_s: float) -> None:
         self.account.switches += 1
         self._log.write(log_events.LogEvent.MAP_SWITCHED,
                         important=False,
-                        group=self._view.group,
+                        group=self._view.name,
                         version=switch.version,
                         step=switch.step,
                         took_s=round(took_s, 3))
@@ -156,7 +169,7 @@
     def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
         self.account.abandoned += 1
         self._log.write(log_events.LogEvent.ORDER_FAILED,
-                        group=self._view.group,
+                        group=self._view.name,
                         version=switch.version,
                         abandoned_in=switch.phase.value,
                         took_s=round(took_s, 3))
--- a/pollenthread/core/host_record.py
+++ b/pollenthread/core/host_record.py
@@ -27,6 +27,7 @@
         peer_address: where peers reach it, by TCP and UDP.
         caller_address: where callers connect; empty for an agent.
         engine_address: the server beside an agent; empty for an entry host.
+        service: the service of that server; empty for an entry host.
     """
 
     host: str
@@ -35,6 +36,7 @@
     peer_address: str
     caller_address: str = ''
     engine_address: str = ''
+    service: str = ''
 
 
 def encode(record: HostRecord) -> bytes:
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -15,6 +15,9 @@
 __all__ = ['LoadBoard', 'LoadReport']
 
 _REPORT_LIFE_S = 1.5
+# Agents tell the load at least each 0.6 s.
+_SILENT_S = 1.0
+_STALLED_S = 0.5
 _FAILURE_PAUSE_S = 1.0
 _MAX_FAILURE_PAUSE_S = 8.0
 
@@ -54,6 +57,7 @@
         own: own requests at the server.
         stalled_s: as last reported.
         is_open: as last reported.
+        has_agent: whether an agent tells its load, again and again.
         failures: failures in a row.
         paused_until: no new work before this time.
     """
@@ -64,6 +68,7 @@
     own: int = 0
     stalled_s: float = 0.0
     is_open: bool = True
+    has_agent: bool = False
     failures: int = 0
     paused_until: float = -1e9
 
@@ -90,6 +95,7 @@
         load.change = 0
         load.stalled_s = report.stalled_s
         load.is_open = report.is_open
+        load.has_agent = load.has_agent or bool(report.group)
 
     def begin(self, server_id: str) -> None:
         """One more own request is at the server."""
@@ -128,6 +134,11 @@
         """Own requests at the server."""
         return self._get(server_id).own
 
+    def is_silent(self, server_id: str, now: float) -> bool:
+        """Whether the agent beside a server has stopped telling its load."""
+        load = self._get(server_id)
+        return load.has_agent and now - load.reported_at > _SILENT_S
+
     def stalled_s(self, server_id: str, now: float) -> float:
         """How long the server's group has made no pass, as far as known."""
         load = self._get(server_id)
@@ -164,6 +175,7 @@
     def _rank(self, server: fleet.Server, data_centre: str,
               now: float) -> tuple[bool, float, bool, float]:
         load = self.load(server.id, now) / server.slots
-        is_stalled = self.stalled_s(server.id, now) > 0.5
-        return (is_stalled, load, server.data_centre
+        is_doubtful = (self.is_silent(server.id, now) or
+                       self.stalled_s(server.id, now) > _STALLED_S)
+        return (is_doubtful, load, server.data_centre
                 != data_centre, self._rng.random())
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -4,8 +4,8 @@
 import enum
 
 __all__ = [
-    'EntryBeat', 'ExpertCounts', 'OrderKind', 'RankAnswer', 'RankLayout',
-    'RankOrder', 'RankState', 'Row', 'ServerLoad', 'Snapshot'
+    'DutyBeat', 'EntryBeat', 'ExpertCounts', 'OrderKind', 'RankAnswer',
+    'RankLayout', 'RankOrder', 'RankState', 'Row', 'ServerLoad', 'Snapshot'
 ]
 
 
@@ -73,8 +73,6 @@
         held_step: the pass that the group must not begin, or 0.
         is_busy: whether an order is in progress.
         pace_percent: over 100 when the server is slow.
-        duty_version: the fencing token of the agent's lease on the group's
-            duty, or 0 without.
     """
 
     group: str
@@ -92,7 +90,21 @@
     held_step: int
     is_busy: bool
     pace_percent: int
-    duty_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyBeat:
+    """A heartbeat of the agent that holds a group's duty.
+
+    Attributes:
+        group: the group's name.
+        host: the agent's host.
+        term: the fencing token of the duty.
+    """
+
+    group: str
+    host: str
+    term: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -106,8 +106,7 @@
         armed_step=int(armed.get('step', 0)) if isinstance(armed, dict) else 0,
         held_step=_step(found.get('held')),
         is_busy=bool(found.get('busy')),
-        pace_percent=int(float(found.get('pace', 1.0)) * _PERCENT),
-        duty_version=0)
+        pace_percent=int(float(found.get('pace', 1.0)) * _PERCENT))
     return rank_server.RankReport(state=state,
                                   running=int(found['running']),
                                   waiting=int(found['waiting']),
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -25,7 +25,7 @@
 }
 _JSON = (('content-type', 'application/json'),)
 
-Answer = result.Result[dict[str, Any], row_store.StoreFault]
+_Page = dict[str, Any]
 
 
 class HttpRowStore(row_store.RowStore):
@@ -75,20 +75,22 @@
         return answer.map(lambda page: int(page['ver']))
 
     async def _get(self, path: str, query: dict[str, str],
-                   wait_s: float) -> Answer:
+                   wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
         return await self._call('GET', f'{path}?{parse.urlencode(query)}', b'',
                                 wait_s)
 
-    async def _call(self, method: str, target: str, body: bytes,
-                    wait_s: float) -> Answer:
+    async def _call(
+            self, method: str, target: str, body: bytes,
+            wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
         answer = await self._exchange(method, target, body, wait_s)
         outcome = 'ok' if answer.is_ok() else answer.unwrap_err().value
         self.calls_by_outcome[outcome] = self.calls_by_outcome.get(outcome,
                                                                    0) + 1
         return answer
 
-    async def _exchange(self, method: str, target: str, body: bytes,
-                        wait_s: float) -> Answer:
+    async def _exchange(
+            self, method: str, target: str, body: bytes,
+            wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
         try:
             async with asyncio.timeout(wait_s + _ANSWER_TIMEOUT_S):
                 async with self._client.request(self._address,
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -28,9 +28,8 @@
         self.stale_answers = 0
 
     # A decorated generator is the context manager that the port asks for.
-    # pylint: disable-next=invalid-overridden-method
     @contextlib.asynccontextmanager
-    async def send(
+    async def send(  # pylint: disable=invalid-overridden-method
         self, attempt: upstream.UpstreamRequest
     ) -> AsyncIterator[upstream.UpstreamAnswer]:
         request = attempt.request
--- a/pollenthread/ports/peers.py
+++ b/pollenthread/ports/peers.py
@@ -32,6 +32,17 @@
     def serve_orders(self, carry_out: OrderHandler) -> None:
         """Carries out peers' orders for the server beside this host."""
 
+    @abc.abstractmethod
+    def serve_states(
+        self, make: Callable[[], Awaitable[peer_messages.RankState | None]]
+    ) -> None:
+        """Answers peers that ask for the state of this host's rank."""
+
+    @abc.abstractmethod
+    async def fetch_state(self,
+                          address: str) -> peer_messages.RankState | None:
+        """Asks for the state of a peer's rank; None without an answer."""
+
     @abc.abstractmethod
     def serve_layouts(
             self,
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -11,7 +11,7 @@
 from pollenthread.app import (group_view, knowledge, map_duty, rank_agent,
                               roster, serving_state, stall_watch,
                               store_follower, switch_driver)
-from pollenthread.core import host_record, log_events
+from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (config_document, names, process_settings,
                                    rank_server_http, row_store_http)
 from pollenthread.roles import process
@@ -50,7 +50,8 @@
             role=host_record.Role.AGENT,
             data_centre=settings.data_centre,
             peer_address=f'{settings.ip}:{settings.peer_ports[0]}',
-            engine_address=settings.engine_address)
+            engine_address=settings.engine_address,
+            service=settings.engine_service)
         self._hosts = roster.Roster()
         self._state = serving_state.ServingState(
             data_centre=settings.data_centre,
@@ -64,35 +65,52 @@
             table=names.Table.OPERATOR,
             key=names.Table.CONFIG_KEY,
             decode=config_document.decode_result)
-        self._view = group_view.GroupView(network=self._network,
+        self._book = group_view.GroupBook(network=self._network,
                                           time=self._clock)
         self._agent = rank_agent.RankAgent(own=self._own,
                                            slots=1,
                                            server=self._server_at(
                                                settings.engine_address),
                                            hosts=self._hosts,
-                                           view=self._view,
+                                           book=self._book,
                                            network=self._network,
                                            time=self._clock)
-        self._driver = switch_driver.SwitchDriver(hosts=self._hosts,
-                                                  view=self._view,
-                                                  network=self._network,
-                                                  make_server=self._server_at,
-                                                  time=self._clock,
-                                                  log=self.log)
         self._stalls = stall_watch.StallWatch(agent=self._agent,
-                                              view=self._view,
-                                              driver=self._driver,
+                                              book=self._book,
+                                              make_driver=self._make_driver,
                                               time=self._clock,
                                               log=self.log)
-        self._duty = map_duty.MapDuty(host=settings.host,
-                                      incarnation=process.new_incarnation(),
-                                      store=self._store,
-                                      view=self._view,
-                                      driver=self._driver,
-                                      network=self._network,
-                                      time=self._clock,
-                                      log=self.log)
+        self._incarnation = process.new_incarnation()
+        self._duties_by_group: dict[str, map_duty.MapDuty] = {}
+
+    def _make_driver(
+            self, view: group_view.GroupView) -> switch_driver.SwitchDriver:
+        return switch_driver.SwitchDriver(hosts=self._hosts,
+                                          view=view,
+                                          network=self._network,
+                                          make_server=self._server_at,
+                                          time=self._clock,
+                                          log=self.log)
+
+    def _make_duty(self, group: str) -> map_duty.MapDuty:
+        view = self._book.view(group)
+        return map_duty.MapDuty(host=self._settings.host,
+                                incarnation=self._incarnation,
+                                store=self._store,
+                                hosts=self._hosts,
+                                book=self._book,
+                                view=view,
+                                driver=self._make_driver(view),
+                                network=self._network,
+                                figures=self._figures,
+                                time=self._clock,
+                                log=self.log)
+
+    def _figures(self, service: str) -> routing_config.EngineFigures | None:
+        """The figures of a service by the newest configuration."""
+        config = self._state.config
+        found = config.services_by_name.get(service) if config else None
+        return found.engine if found is not None else None
 
     def _server_at(self, address: str) -> rank_server_http.HttpRankServer:
         return rank_server_http.HttpRankServer(client=self._clients['engine'],
@@ -139,22 +157,23 @@
                                 time=self._clock,
                                 roster=self._hosts,
                                 record=self._own))
-            group.create_task(self._follow_figures())
             group.create_task(self._agent.run())
-            group.create_task(self._duty.run())
             group.create_task(self._stalls.run())
+            await self._follow_groups(group)
 
-    async def _follow_figures(self) -> None:
-        """Takes the engine's figures from the newest configuration."""
+    async def _follow_groups(self, tasks: asyncio.TaskGroup) -> None:
+        """Stands for the duty of each group that is heard of."""
         while True:
             await self._clock.sleep(_FIGURES_CHECK_S)
-            config = self._state.config
-            service = (config.services_by_name.get(
-                self._settings.engine_service) if config else None)
-            if service is not None and service.engine is not None:
-                self._agent.slots = service.engine.slots
-                self._agent.experts = service.engine.experts
-                self._duty.engine = service.engine
+            engine = self._figures(self._settings.engine_service)
+            if engine is not None:
+                self._agent.slots = engine.slots
+                self._agent.experts = engine.experts
+            for name in self._book.groups:
+                if name not in self._duties_by_group:
+                    duty = self._make_duty(name)
+                    self._duties_by_group[name] = duty
+                    tasks.create_task(duty.run())
 
 
 async def run() -> None:
