--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -93,14 +93,16 @@
 
     async def _beat(self) -> None:
         while True:
+            if self._term:
+                self._tell_duty()
             await self._clock.sleep(_BEAT_S)
-            if not self._term:
-                continue
-            beat = peer_messages.DutyBeat(self._view.name, self._host,
-                                          self._term)
-            for record in self._hosts.with_role(host_record.Role.AGENT):
-                if record.host != self._host:
-                    self._network.send(record.peer_address, beat)
+
+    def _tell_duty(self) -> None:
+        beat = peer_messages.DutyBeat(self._view.name, self._host, self._term)
+        self._book.take_duty(beat)
+        for record in self._hosts.with_role(host_record.Role.AGENT):
+            if record.host != self._host:
+                self._network.send(record.peer_address, beat)
 
     async def _serve(self) -> None:
         while True:
@@ -171,8 +173,7 @@
         self._layouts = None
         self._demand = expert_demand.Demand(sets=engine.sets,
                                             experts=engine.experts)
-        self._book.take_duty(
-            peer_messages.DutyBeat(group, self._host, self._term))
+        self._tell_duty()
         self._log.write(log_events.LogEvent.DUTY_TAKEN,
                         group=group,
                         term=self._term)
