--- a/models/suite.py
+++ b/models/suite.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from models import checking, claims, configuration, leases, switch
+from models import (checking, claims, configuration, leases, map_switch, switch)
 
 __all__ = ['SUBJECTS', 'Subject']
 
@@ -52,6 +52,13 @@
     'switch with a restart':
         _switch(switch.WITH_RESTART, switch.THREE_RANKS,
                 switch.RESTART_MUTANTS),
+    'map switch on the platform':
+        Subject(small=functools.partial(map_switch.specification,
+                                        bounds=map_switch.SMALL),
+                large=functools.partial(map_switch.specification,
+                                        bounds=map_switch.LARGE),
+                rules=map_switch.Rules(),
+                mutants=map_switch.MUTANTS),
     'switch with a takeover':
         _switch(switch.WITH_TAKEOVER, switch.WITH_BOTH,
                 switch.TAKEOVER_MUTANTS),
--- /dev/null
+++ b/tests/fakes/platform_site.py
@@ -0,0 +1,279 @@
+"""Starts entry hosts and stand-ins as the prepared platform would.
+
+Each host has a loopback address of its own, and all use the same ports.
+"""
+
+import asyncio
+import asyncio.subprocess as aio_subprocess
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import types
+from collections.abc import Sequence
+from typing import Any, Self
+
+from pollenthread.adapters import http_client
+from tests.fakes import system
+
+__all__ = ['CONFIG', 'KEY', 'PlatformSite']
+
+KEY = 'key-of-buna'
+_HOST_NAME = 'site.example'
+_CALLERS_PORT = 18081
+_READY_PORT = 18082
+_DIRECTORY_PORT = 18083
+_CONTROL_PORT = 18084
+_PEER_PORT = 18090
+_STOP_TIMEOUT_S = 12.0
+_ADDRESS_SPACE = 250
+
+CONFIG: dict[str, Any] = {
+    'version': 1,
+    'routes': [{
+        'name': kind,
+        'host': _HOST_NAME,
+        'path_prefix': f'/{kind}/',
+        'kind': word,
+        'timeout_ms': timeout_ms,
+        'target_latency_ms': 400,
+        'priority': 1,
+        'service': 'svc',
+        'max_attempts': attempts,
+        'can_resume': kind == 'text',
+        'gap_aim_ms': 120
+    } for kind, word, timeout_ms, attempts in (('text', 'streaming', 8000, 2),
+                                               ('pay', 'non_idempotent', 1500,
+                                                1), ('look', 'idempotent', 1500,
+                                                     2))],
+    'services': [{
+        'name': 'svc',
+        'health_path': '/healthz',
+        'max_connections': 100
+    }],
+    'tenants': [{
+        'name': 'buna',
+        'api_keys': [KEY],
+        'priority': 1
+    }]
+}
+
+
+class PlatformSite:
+    """Owns the processes of one site."""
+
+    def __init__(self, *, entries: int = 2, servers: int = 2) -> None:
+        self._entries = entries
+        self._servers = servers
+        self._stack = contextlib.AsyncExitStack()
+        self.folder = pathlib.Path()
+        self.client = http_client.HttpClient()
+        self.by_name: dict[str, system.Process] = {}
+        self.child_by_entry: dict[str, aio_subprocess.Process] = {}
+        number = os.getpid()
+        self._net = (f'127.{1 + number // _ADDRESS_SPACE % _ADDRESS_SPACE}.'
+                     f'{1 + number % _ADDRESS_SPACE}')
+
+    async def __aenter__(self) -> Self:
+        folder = self._stack.enter_context(
+            tempfile.TemporaryDirectory(prefix='pollenthread-site-'))
+        self.folder = pathlib.Path(folder)
+        await self._stack.enter_async_context(self.client)
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None,
+                        error: BaseException | None,
+                        trace: types.TracebackType | None) -> None:
+        for child in self.child_by_entry.values():
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
+        for process in self.by_name.values():
+            process.signal(signal.SIGTERM)
+            try:
+                async with asyncio.timeout(_STOP_TIMEOUT_S):
+                    await process.child.wait()
+            except TimeoutError:
+                await process.kill()
+        await self._stack.aclose()
+
+    async def _start_all(self) -> None:
+        for name in ('store', 'store-2'):
+            await self._start_fake(name, 'tests.fakes.platform_store')
+        for i in range(1, self._servers + 1):
+            await self._start_fake(f'server-{i}', 'tests.fakes.platform_server')
+        await self.put_config(CONFIG)
+        for i in range(1, self._servers + 1):
+            await self.put_server(i)
+        for i in range(1, self._entries + 1):
+            await self.start_entry(i)
+        await self.wait_ready()
+
+    async def _start_fake(self, name: str, module: str) -> None:
+        self.by_name[name] = await system.Process.start(
+            name, [module], self.folder / f'{name}.log')
+
+    def address(self, name: str) -> str:
+        """The address of a stand-in."""
+        found: str = self.by_name[name].ready['address']
+        return found
+
+    def _ip(self, number: int) -> str:
+        return f'{self._net}.{number}'
+
+    def callers(self, number: int) -> str:
+        """Where callers reach an entry host."""
+        return f'{self._ip(number)}:{_CALLERS_PORT}'
+
+    async def start_entry(self, number: int, *, store: str = 'store') -> None:
+        """Starts, or starts again, an entry host."""
+        name = f'entry-{number}'
+        path = self.folder / f'{name}.toml'
+        path.write_text(self._settings(number, store), 'utf-8')
+        with (self.folder / f'{name}.out').open('ab') as log:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'pollenthread',
+                'platform',
+                'entry',
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ, 'POLLENTHREAD_CONFIG': str(path)
+                })
+        self.child_by_entry[name] = child
+
+    def _settings(self, number: int, store: str) -> str:
+        ip = self._ip(number)
+        return '\n'.join((
+            f'node_name = "entry-{number}"',
+            f'ip = "{ip}"',
+            'zone = "dc-1"',
+            f'internal_ports = [{_PEER_PORT}, {_PEER_PORT + 5}]',
+            f'seeds = ["{self._ip(1)}:{_CONTROL_PORT}"]',
+            'an_unknown_field = true',
+            '[listen]',
+            f'front = "{ip}:{_CALLERS_PORT}"',
+            f'ready = "{ip}:{_READY_PORT}"',
+            f'directory = "{ip}:{_DIRECTORY_PORT}"',
+            f'control = "{ip}:{_CONTROL_PORT}"',
+            '[bounds]',
+            'budget_extra_tries = 94',
+            '[platform]',
+            f'address = "{self.address(store)}"',
+        ))
+
+    async def put_row(self, table: str, key: str, value: str | None) -> None:
+        """Writes a row as the operator or a server does, in every store."""
+        body = json.dumps({'table': table, 'key': key, 'value': value})
+        for name in ('store', 'store-2'):
+            async with self.client.request(self.address(name),
+                                           'POST',
+                                           '/operator',
+                                           body=body.encode()) as exchange:
+                await exchange.read_all()
+
+    async def put_config(self, config: dict[str, Any]) -> None:
+        """Publishes a configuration."""
+        await self.put_row('op', 'config', json.dumps(config))
+
+    async def put_server(self, number: int, **changes: Any) -> None:
+        """Lists a server."""
+        entry = {
+            'service': 'svc',
+            'address': self.address(f'server-{number}'),
+            'zone': 'dc-1',
+            'slots': 6,
+            'state': 'ready',
+            **changes
+        }
+        await self.put_row('servers', f'i-{number}', json.dumps(entry))
+
+    async def fault(self, name: str, **faults: Any) -> None:
+        """Orders faults from a stand-in; none ends them."""
+        await self.call(self.address(name), 'POST', '/fault',
+                        json.dumps(faults).encode())
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        headers: Sequence[tuple[str, str]] = ()
+    ) -> tuple[int, bytes]:
+        """One exchange; status 0 when it broke."""
+        try:
+            async with self.client.request(address,
+                                           method,
+                                           target,
+                                           headers=headers,
+                                           body=body) as exchange:
+                return exchange.status, await exchange.read_all()
+        except OSError:
+            return 0, b''
+
+    async def request(self,
+                      number: int,
+                      target: str,
+                      *,
+                      method: str = 'POST',
+                      request_id: str = 'r-1',
+                      key: str = KEY) -> tuple[int, bytes]:
+        """Acts as a caller of an entry host."""
+        headers = [('host', _HOST_NAME),
+                   ('pollenthread-request-id', request_id),
+                   ('pollenthread-deadline-ms', '8000'),
+                   ('authorization', f'Bearer {key}'),
+                   ('pollenthread-tenant', 'forged')]
+        return await self.call(self.callers(number),
+                               method,
+                               target,
+                               headers=headers)
+
+    async def is_ready(self, number: int) -> bool:
+        """Whether an entry host says that it is ready."""
+        status, _ = await self.call(f'{self._ip(number)}:{_READY_PORT}', 'GET',
+                                    '/pollenthread/readyz')
+        return status == 200
+
+    async def directory(self, number: int) -> list[str]:
+        """The addresses that an entry host tells callers."""
+        status, body = await self.call(
+            f'{self._ip(number)}:{_DIRECTORY_PORT}', 'GET',
+            '/pollenthread/resolve?name=site.example&region=r&zone=dc-1')
+        return json.loads(body)['addresses'] if status == 200 else []
+
+    async def seen(self, number: int) -> dict[str, Any]:
+        """What a server has seen."""
+        _, body = await self.call(self.address(f'server-{number}'), 'GET',
+                                  '/seen')
+        found: dict[str, Any] = json.loads(body)
+        return found
+
+    async def wait_ready(self) -> None:
+        """Waits until all entry hosts are ready and know each other."""
+        async with asyncio.timeout(_STOP_TIMEOUT_S):
+            for i in range(1, self._entries + 1):
+                while not await self.is_ready(i):
+                    await asyncio.sleep(0.05)
+                while len(await self.directory(i)) < self._entries:
+                    await asyncio.sleep(0.05)
+
+    def logs(self, number: int) -> list[dict[str, Any]]:
+        """The structured log of an entry host."""
+        text = (self.folder / f'entry-{number}.out').read_text('utf-8')
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith('{')
+        ]
--- /dev/null
+++ b/tests/fakes/platform_store.py
@@ -0,0 +1,110 @@
+"""Stand-in for the prepared platform's store of rows.
+
+Faults: `down` answers 503; `forget` answers 410 to a feed once for each count.
+The operator's tables are written here with `POST /operator` too.
+"""
+
+import asyncio
+import base64
+import json
+from typing import Any
+from urllib import parse
+
+from pollenthread.adapters import http_server
+from tests.fakes import serving
+
+__all__ = ['PlatformStoreHandler']
+
+_FEED_TICK_S = 0.02
+
+
+class PlatformStoreHandler(serving.FakeHandler):
+    """Rows in memory, with their history."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._version = 0
+        self._row_by_name: dict[tuple[str, str], dict[str, Any]] = {}
+
+    async def answer(self, request: http_server.Request,
+                     response: http_server.Response) -> None:
+        query = dict(parse.parse_qsl(request.target.partition('?')[2]))
+        if request.path == '/operator':
+            self._put(json.loads(request.body))
+            await response.send_json(200, {})
+        elif self.faults.get('down'):
+            await response.send(503, [], b'')
+        elif request.path == '/pollenthread/rows-get':
+            await self._send_rows(response, query['table'], 0)
+        elif request.path == '/pollenthread/rows-feed':
+            await self._feed(response, query)
+        elif request.path == '/pollenthread/rows-tx':
+            await self._transact(json.loads(request.body), response)
+        else:
+            await response.send(404, [], b'')
+
+    def _put(self, row: dict[str, Any]) -> None:
+        """Writes a row whose value is text; None removes it."""
+        self._version += 1
+        name = (row['table'], row['key'])
+        value = row['value']
+        self._row_by_name[name] = {
+            'table': row['table'],
+            'part': '',
+            'key': row['key'],
+            'ver': self._version,
+            'removed': value is None,
+            'value': base64.b64encode((value or '').encode()).decode()
+        }
+
+    def _changed(self, table: str, after: int) -> list[dict[str, Any]]:
+        rows = [
+            row for (name, _), row in self._row_by_name.items()
+            if name == table and row['ver'] > after and
+            (after or not row['removed'])
+        ]
+        return sorted(rows, key=lambda row: row['ver'])
+
+    async def _send_rows(self, response: http_server.Response, table: str,
+                         after: int) -> None:
+        await response.send_json(
+            200, {
+                'rows': self._changed(table, after),
+                'ver': self._version,
+                'now_ms': 0,
+                'has_more': False
+            })
+
+    async def _feed(self, response: http_server.Response,
+                    query: dict[str, str]) -> None:
+        if self.take('forget'):
+            await response.send(410, [], b'')
+            return
+        after = int(query['after'])
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(query['wait_ms']) / 1000
+        while (not self._changed(query['table'], after) and
+               loop.time() < end and not self.faults.get('down')):
+            await asyncio.sleep(_FEED_TICK_S)
+        if self.faults.get('down'):
+            await response.send(503, [], b'')
+            return
+        await self._send_rows(response, query['table'], after)
+
+    async def _transact(self, call: dict[str, Any],
+                        response: http_server.Response) -> None:
+        for expected in call['expected_revision']:
+            name = (expected['table'], expected['key'])
+            row = self._row_by_name.get(name)
+            found = row['ver'] if row and not row['removed'] else 0
+            if found != expected['ver']:
+                await response.send_json(412, {'rows': []})
+                return
+        for row in call['puts']:
+            value = base64.b64decode(row['value']).decode()
+            self._put({**row, 'value': value})
+        await response.send_json(200, {'ver': self._version, 'now_ms': 0})
+
+
+if __name__ == '__main__':
+    serving.run(PlatformStoreHandler())
--- a/tests/models/invariants.feature
+++ b/tests/models/invariants.feature
@@ -12,3 +12,4 @@
       | configuration          |
       | switch with a restart  |
       | switch with a takeover |
+      | map switch on the platform |
