--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -37,8 +37,8 @@
         self._make_snapshot: Callable[[], peer_messages.Snapshot |
                                       None] | None = None
         self._carry_out: peers.OrderHandler | None = None
-        self._make_state: Callable[
-            [], Awaitable[peer_messages.RankState | None]] | None = None
+        self._make_state: Callable[[], Awaitable[peer_messages.RankState |
+                                                 None]] | None = None
         self._make_layout: Callable[[], Awaitable[peer_messages.RankLayout |
                                                   None]] | None = None
         self._metrics: MetricsPage | None = None
@@ -105,8 +105,9 @@
         self._carry_out = carry_out
 
     def serve_states(
-        self, make: Callable[[], Awaitable[peer_messages.RankState | None]]
-    ) -> None:
+            self,
+            make: Callable[[],
+                           Awaitable[peer_messages.RankState | None]]) -> None:
         self._make_state = make
 
     def serve_layouts(
@@ -159,8 +160,7 @@
         return await self._call('GET', address, _SNAPSHOT_PATH, b'',
                                 peer_messages.Snapshot)
 
-    async def fetch_state(self,
-                          address: str) -> peer_messages.RankState | None:
+    async def fetch_state(self, address: str) -> peer_messages.RankState | None:
         return await self._call('GET', address, _STATE_PATH, b'',
                                 peer_messages.RankState)
 
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -6,7 +6,7 @@
 
 from pollenthread.app import planned_stop, serving_state
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
-                               load_board, log_events, routing_config)
+                               log_events, routing_config, service_forecast)
 from pollenthread.ports import clock, event_log, reply, upstream
 
 __all__ = ['Forwarder']
@@ -22,6 +22,7 @@
 _FIRST_ATTEMPT_SHARE = 0.6
 # Callers give a stream up after two seconds without an event.
 _SILENT_STREAM_S = 1.7
+_WATCH_S = 0.2
 # Servers that restarted take new work again after some seconds.
 _RETURN_S = 2.5
 _RETURN_SHARE = 0.33
@@ -72,6 +73,21 @@
         return self.splitter.last_id or self.request.last_event_id
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class _Pending:
+    """An attempt that a server has not ended.
+
+    Attributes:
+        job: the request.
+        server: where it was sent.
+        timeout: ends the attempt.
+    """
+
+    job: _Job
+    server: fleet.Server
+    timeout: asyncio.Timeout
+
+
 class Forwarder:
     """Serves requests by the configuration in force."""
 
@@ -84,6 +100,7 @@
         self._clock = time
         self._log = log
         self.counts: dict[str, int] = {}
+        self._pending: set[_Pending] = set()
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -171,6 +188,7 @@
         server = self._state.loads.choose(self._state.fleet.ready(job.service),
                                           excluded=job.tried,
                                           data_centre=self._state.data_centre,
+                                          need=self._need(job, now),
                                           now=now)
         if server is None:
             raise _Failed(self._given_up(job, errors.Kind.NO_UPSTREAM))
@@ -184,13 +202,28 @@
                         left_s=round(job.deadline - now, 3))
         return server
 
+    def _need(self, job: _Job, now: float) -> service_forecast.Need:
+        config = self._state.config
+        service = config.services_by_name.get(job.service) if config else None
+        if (service is None or service.engine is None or
+                job.route.kind is not routing_config.RequestKind.STREAM):
+            return service_forecast.Need(job.deadline - now)
+        engine = service.engine
+        return service_forecast.Need(time_left_s=job.deadline - now,
+                                     max_gap_s=job.route.max_gap_s,
+                                     passes=engine.usual_answer_tokens /
+                                     engine.steps_per_pass)
+
     async def _attempt(self, job: _Job, server: fleet.Server) -> bool:
         """Sends the request to a server; whether the request is done."""
         job.tried.append(server.id)
         job.sent += 1
         self._state.loads.begin(server.id)
+        timeout = asyncio.timeout_at(self._give_up_at(job))
+        pending = _Pending(job, server, timeout)
+        self._pending.add(pending)
         try:
-            async with asyncio.timeout_at(self._give_up_at(job)):
+            async with timeout:
                 return await self._exchange(job, server)
         except TimeoutError:
             self._note_failure(job, server, 'silent', ran=True)
@@ -206,8 +239,23 @@
             self._note_failure(job, server, str(error), ran=True)
             return False
         finally:
+            self._pending.discard(pending)
             self._state.loads.end(server.id)
 
+    async def watch(self) -> None:
+        """Gives up servers whose hosts fell silent; until cancelled.
+
+        Only for requests that may be sent to another server.
+        """
+        while True:
+            await self._clock.sleep(_WATCH_S)
+            now = self._clock.monotonic()
+            for pending in list(self._pending):
+                if (self._state.loads.is_silent(pending.server.id, now) and
+                        pending.job.route.is_repeatable and
+                        self._may_repeat(pending.job)):
+                    pending.timeout.reschedule(now)
+
     def _give_up_at(self, job: _Job) -> float:
         """When a server that has not answered is given up."""
         if (job.route.kind is not routing_config.RequestKind.IDEMPOTENT or
@@ -241,11 +289,9 @@
     def _note_load(self, server: fleet.Server,
                    found: upstream.UpstreamAnswer) -> None:
         if found.load is not None:
-            self._state.loads.report(
-                server.id,
-                load_board.LoadReport(found.load.running,
-                                      found.load.waiting, found.load.slots),
-                self._clock.monotonic())
+            self._state.loads.count(server.id,
+                                    found.load.running + found.load.waiting,
+                                    self._clock.monotonic())
 
     async def _pass_whole(self, job: _Job, server: fleet.Server,
                           found: upstream.UpstreamAnswer) -> bool:
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -11,8 +11,8 @@
 
 __all__ = ['MapAccount', 'SwitchDriver']
 
-_TICK_S = 0.03
-_RESEND_S = 0.12
+_TICK_S = 0.02
+_RESEND_S = 0.06
 _MAX_PREPARE_S = 4.0
 _ORDER_TIMEOUT_S = 0.25
 _DONE_STATUSES = (200, 202)
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Collection, Iterable
 
-from pollenthread.core import fleet
+from pollenthread.core import fleet, service_forecast
 
 __all__ = ['LoadBoard', 'LoadReport']
 
@@ -18,6 +18,11 @@
 # Agents tell the load at least each 0.6 s.
 _SILENT_S = 1.0
 _STALLED_S = 0.5
+_PASS_SMOOTHING = 0.2
+# Seconds that weigh in a choice as much as these reasons do.
+_DOUBTFUL_S = 20.0
+_OTHER_DATA_CENTRE_S = 0.004
+_TIE_BREAK_S = 0.01
 _FAILURE_PAUSE_S = 1.0
 _MAX_FAILURE_PAUSE_S = 8.0
 
@@ -58,6 +63,7 @@
         stalled_s: as last reported.
         is_open: as last reported.
         has_agent: whether an agent tells its load, again and again.
+        group: the group that it is a rank of; empty without.
         failures: failures in a row.
         paused_until: no new work before this time.
     """
@@ -69,6 +75,7 @@
     stalled_s: float = 0.0
     is_open: bool = True
     has_agent: bool = False
+    group: str = ''
     failures: int = 0
     paused_until: float = -1e9
 
@@ -79,6 +86,7 @@
     def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
         self._load_by_id: dict[str, _Load] = {}
+        self._pass_s_by_group: dict[str, float] = {}
 
     def _get(self, server_id: str) -> _Load:
         return self._load_by_id.setdefault(server_id, _Load())
@@ -96,6 +104,20 @@
         load.stalled_s = report.stalled_s
         load.is_open = report.is_open
         load.has_agent = load.has_agent or bool(report.group)
+        load.group = report.group
+        if report.group and report.pass_s:
+            known = self._pass_s_by_group.get(report.group, report.pass_s)
+            self._pass_s_by_group[report.group] = known + _PASS_SMOOTHING * (
+                report.pass_s - known)
+
+    def count(self, server_id: str, requests: int, now: float) -> None:
+        """Takes the number of requests that a server tells in an answer."""
+        load = self._get(server_id)
+        if load.has_agent and now - load.reported_at < _REPORT_LIFE_S:
+            return
+        load.reported = requests
+        load.reported_at = now
+        load.change = 0
 
     def begin(self, server_id: str) -> None:
         """One more own request is at the server."""
@@ -148,34 +170,52 @@
 
     def choose(self, servers: Iterable[fleet.Server], *,
                excluded: Collection[str], data_centre: str,
-               now: float) -> fleet.Server | None:
-        """The server with the most room.
+               need: service_forecast.Need, now: float) -> fleet.Server | None:
+        """The server that is expected to serve a request best.
 
         Args:
             servers: the candidates.
             excluded: ids that must not be used.
             data_centre: where this host is; it breaks ties.
+            need: what the request asks.
             now: monotonic seconds.
+
+        Returns:
+            None if no candidate would begin in time.
         """
         usable = [
             s for s in servers
             if s.id not in excluded and self._is_open(s, now)
         ]
         calm = [s for s in usable if self._get(s.id).paused_until <= now]
-        candidates = calm or usable
+        candidates = [
+            s for s in calm or usable
+            if not service_forecast.is_hopeless(need, self._outlook(s, now))
+        ]
         if not candidates:
             return None
-        return min(candidates, key=lambda s: self._rank(s, data_centre, now))
+        return min(candidates,
+                   key=lambda s: self._cost(s, data_centre, need, now))
 
     def _is_open(self, server: fleet.Server, now: float) -> bool:
         """False if the server's group has said lately that it is closed."""
         load = self._get(server.id)
         return load.is_open or now - load.reported_at > _REPORT_LIFE_S
 
-    def _rank(self, server: fleet.Server, data_centre: str,
-              now: float) -> tuple[bool, float, bool, float]:
-        load = self.load(server.id, now) / server.slots
-        is_doubtful = (self.is_silent(server.id, now) or
-                       self.stalled_s(server.id, now) > _STALLED_S)
-        return (is_doubtful, load, server.data_centre
-                != data_centre, self._rng.random())
+    def _outlook(self, server: fleet.Server,
+                 now: float) -> service_forecast.ServerOutlook:
+        group = self._get(server.id).group
+        return service_forecast.ServerOutlook(load=self.load(server.id, now),
+                                              slots=server.slots,
+                                              pass_s=self._pass_s_by_group.get(
+                                                  group, 0.0))
+
+    def _cost(self, server: fleet.Server, data_centre: str,
+              need: service_forecast.Need, now: float) -> float:
+        total = service_forecast.cost(need, self._outlook(server, now))
+        if (self.is_silent(server.id, now) or
+                self.stalled_s(server.id, now) > _STALLED_S):
+            total += _DOUBTFUL_S
+        if server.data_centre != data_centre:
+            total += _OTHER_DATA_CENTRE_S
+        return total + self._rng.random() * _TIE_BREAK_S
--- a/pollenthread/core/replication.py
+++ b/pollenthread/core/replication.py
@@ -12,7 +12,8 @@
 from collections.abc import Sequence
 
 __all__ = [
-    'Layout', 'Shape', 'Step', 'greatest_load', 'plan_step', 'rank_loads'
+    'Layout', 'Shape', 'Step', 'greatest_load', 'mean_greatest_load',
+    'plan_step', 'rank_loads'
 ]
 
 Layout = tuple[frozenset[int], ...]
@@ -69,6 +70,12 @@
     return max(rank_loads(layout, shares))
 
 
+def mean_greatest_load(layouts: Sequence[Layout],
+                       shares: Sequence[Sequence[float]]) -> float:
+    """The mean over sets of the greatest load."""
+    return _mean([greatest_load(l, s) for l, s in zip(layouts, shares)])
+
+
 def _loads(layout: Layout, shares: Sequence[float],
            holders: Sequence[int]) -> list[float]:
     scale = len(layout) / (sum(shares) or 1.0)
@@ -119,8 +126,7 @@
     return Step(layouts=tuple(found.layout() for found in sets),
                 copies=sum(copies),
                 copies_of_busiest=max(copies),
-                before=_mean(
-                    [greatest_load(l, s) for l, s in zip(layouts, shares)]),
+                before=mean_greatest_load(layouts, shares),
                 after=_mean([max(found.loads) for found in sets]))
 
 
--- /dev/null
+++ b/pollenthread/core/service_forecast.py
@@ -0,0 +1,80 @@
+"""When a server would answer a request, from its load and its passes.
+
+Answers the load patterns "one group works much slower than the other" and
+"all places are taken": work goes where it is expected to be answered soonest,
+and what no server could begin in time is refused at once.
+"""
+
+import dataclasses
+
+__all__ = ['Need', 'ServerOutlook', 'cost', 'is_hopeless']
+
+_USUAL_PASS_S = 0.06
+_FIRST_PASSES = 2.0
+_CROWDING_S = 0.1
+_LATE_PAUSES_S = 0.5
+_TOO_LATE_S = 10.0
+_HOPELESS_SHARE = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a request asks of its server.
+
+    Attributes:
+        time_left_s: seconds until its answer is of no use.
+        max_gap_s: the longest pause between events in time; 0 for none.
+        passes: passes that its answer is expected to take; 0 if it is short.
+    """
+
+    time_left_s: float
+    max_gap_s: float = 0.0
+    passes: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerOutlook:
+    """What is believed of a server.
+
+    Attributes:
+        load: requests at the server.
+        slots: requests that it works on at once.
+        pass_s: how long a pass lasts; 0 when unknown.
+    """
+
+    load: float
+    slots: int
+    pass_s: float
+
+    def pass_or_usual_s(self) -> float:
+        """How long a pass lasts, as far as known."""
+        return self.pass_s or _USUAL_PASS_S
+
+
+def _wait_s(need: Need, outlook: ServerOutlook) -> float:
+    """Seconds until a place is free, if answers take as long as this one."""
+    ahead = max(0.0, outlook.load - outlook.slots + 1)
+    return ahead / outlook.slots * need.passes * outlook.pass_or_usual_s()
+
+
+def cost(need: Need, outlook: ServerOutlook) -> float:
+    """Seconds by which servers are compared; less is better."""
+    wait_s = _wait_s(need, outlook)
+    pass_s = outlook.pass_or_usual_s()
+    total = wait_s + _CROWDING_S * outlook.load / outlook.slots
+    if not need.passes:
+        return total
+    total += _FIRST_PASSES * pass_s
+    if need.max_gap_s and pass_s > need.max_gap_s:
+        total += _LATE_PAUSES_S
+    if wait_s + need.passes * pass_s > need.time_left_s:
+        total += _TOO_LATE_S
+    return total
+
+
+def is_hopeless(need: Need, outlook: ServerOutlook) -> bool:
+    """Whether the server is not expected to begin in time."""
+    if not need.passes:
+        return False
+    begin_s = _wait_s(need, outlook) + outlook.pass_or_usual_s()
+    return begin_s > need.time_left_s * _HOPELESS_SHARE
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -11,7 +11,7 @@
 
 __all__ = ['HttpRankServer']
 
-_ANSWER_TIMEOUT_S = 0.12
+_ANSWER_TIMEOUT_S = 0.08
 _JSON = (('content-type', 'application/json'),)
 _PERCENT = 100
 
--- a/pollenthread/ports/peers.py
+++ b/pollenthread/ports/peers.py
@@ -34,13 +34,13 @@
 
     @abc.abstractmethod
     def serve_states(
-        self, make: Callable[[], Awaitable[peer_messages.RankState | None]]
-    ) -> None:
+            self,
+            make: Callable[[],
+                           Awaitable[peer_messages.RankState | None]]) -> None:
         """Answers peers that ask for the state of this host's rank."""
 
     @abc.abstractmethod
-    async def fetch_state(self,
-                          address: str) -> peer_messages.RankState | None:
+    async def fetch_state(self, address: str) -> peer_messages.RankState | None:
         """Asks for the state of a peer's rank; None without an answer."""
 
     @abc.abstractmethod
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -83,8 +83,8 @@
         self._incarnation = process.new_incarnation()
         self._duties_by_group: dict[str, map_duty.MapDuty] = {}
 
-    def _make_driver(
-            self, view: group_view.GroupView) -> switch_driver.SwitchDriver:
+    def _make_driver(self,
+                     view: group_view.GroupView) -> switch_driver.SwitchDriver:
         return switch_driver.SwitchDriver(hosts=self._hosts,
                                           view=view,
                                           network=self._network,
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -99,6 +99,7 @@
             stop_plan=self._stop_plan,
             time=self._clock,
             log=self.log)
+        self._forward = forward
         self._callers = platform_handlers.CallerHandler(forward=forward)
         self._caller_server = self._server(settings.caller_address,
                                            self._callers)
@@ -163,6 +164,7 @@
                                 time=self._clock,
                                 roster=self._hosts,
                                 record=self._own))
+            group.create_task(self._forward.watch())
             group.create_task(self.peers.run())
             group.create_task(self.peers.follow_peers())
 
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -7,12 +7,13 @@
 
 from pollenthread.app import planned_stop
 from pollenthread.core import (addresses, event_stream, fleet, load_board,
-                               retry_budget)
+                               retry_budget, service_forecast)
 
 _RETURN_S = 2.2
 _RATIO = 0.2
 _EXTRA = 94.0
 _WINDOW_S = 10.0
+_SHORT = service_forecast.Need(time_left_s=1.0)
 
 
 def _server(server_id: str,
@@ -91,6 +92,7 @@
     found: fleet.Server | None = context.loads.choose(context.servers,
                                                       excluded=(),
                                                       data_centre='a',
+                                                      need=_SHORT,
                                                       now=context.now)
     return found
 
