--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -42,6 +42,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
+    def set_limits(self, limits: Limits) -> None:
+        """Sets what connections that are made from now on may take."""
+        self._limits = limits
+
     @property
     def open_connections(self) -> int:
         """Connections that callers hold."""
--- a/pollenthread/app/knowledge.py
+++ b/pollenthread/app/knowledge.py
@@ -82,6 +82,8 @@
         self.key = key
         self._decode = decode
         self.document: bytes | None = None
+        self.on_applied: list[Callable[[routing_config.RoutingConfig],
+                                       None]] = []
 
     def take_table(self, rows: Sequence[row_store.Change]) -> None:
         self.take_changes(rows)
@@ -106,6 +108,8 @@
             return
         self._state.config = config
         self.document = document
+        for act in self.on_applied:
+            act(config)
         self._log.write(log_events.LogEvent.CONFIG_APPLIED,
                         version=config.version,
                         before=present.version if present else None,
@@ -134,7 +138,7 @@
         """
         self.version = version
         if is_fresh:
-            self._state.fleet.end_outage(self._clock.monotonic())
+            self._state.fleet.trust_list()
         self.take_table(rows)
 
     def take_table(self, rows: Sequence[row_store.Change]) -> None:
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -29,10 +29,7 @@
 # Agents of the group itself wait until no other has taken its duty.
 _MEMBER_PATIENCE_S = 3.0
 _RETRY_DUTY_S = 0.5
-# A step is shorter while ranks are very uneven: the first replicas help most.
 _MAX_COPIES = 2
-_MAX_COPIES_UNEVEN = 1
-_VERY_UNEVEN = 2.0
 _MAX_NEW_A_SET = 2
 _MIN_SAVING = 0.12
 
@@ -201,7 +198,11 @@
         self._demand.close_window()
         if not self._demand.is_known:
             return
-        step = self._plan(engine)
+        step = replication.plan_step(
+            self._layouts, self._demand.shares_by_set,
+            replication.Shape(places=engine.places,
+                              max_new=min(engine.spare, _MAX_NEW_A_SET),
+                              max_copies=_MAX_COPIES))
         self._driver.account.skew = step.before
         if not step.copies or step.before - step.after < _MIN_SAVING:
             return
@@ -214,17 +215,6 @@
                         after=round(step.after, 3))
         await self._switch(step.layouts, step.copies)
 
-    def _plan(self, engine: routing_config.EngineFigures) -> replication.Step:
-        assert self._layouts is not None and self._demand is not None
-        shares = self._demand.shares_by_set
-        skew = replication.mean_greatest_load(self._layouts, shares)
-        copies = _MAX_COPIES_UNEVEN if skew > _VERY_UNEVEN else _MAX_COPIES
-        return replication.plan_step(
-            self._layouts, shares,
-            replication.Shape(places=engine.places,
-                              max_new=min(engine.spare, _MAX_NEW_A_SET),
-                              max_copies=copies))
-
     async def _know_layouts(self) -> bool:
         """Makes sure that the map in use is known."""
         states = self._view.states()
--- a/pollenthread/core/fleet.py
+++ b/pollenthread/core/fleet.py
@@ -76,6 +76,13 @@
             self._in_outage = False
             self._outage_ended_at = now
 
+    def trust_list(self) -> None:
+        """The list comes from a host that the store answers.
+
+        Then only this host was cut off, and servers could renew their entries.
+        """
+        self._in_outage = False
+
     def replace_all(self, servers: Iterable[Server], now: float) -> list[str]:
         """Takes a whole list; returns the ids that left it."""
         new_by_id = {server.id: server for server in servers}
--- a/pollenthread/core/retry_budget.py
+++ b/pollenthread/core/retry_budget.py
@@ -12,7 +12,8 @@
 
 _BUCKETS = 10
 _RATIO_SHARE = 0.8
-_EXTRA_SHARE = 0.6
+# All hosts may restart within one window, and then take their part twice.
+_EXTRA_SHARE = 0.45
 
 
 class RetryBudget:
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -12,14 +12,14 @@
                                    peer_network)
 from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
                               roster, serving_state, store_follower)
-from pollenthread.core import host_record, log_events
+from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (config_document, names, process_settings,
                                    row_store_http, server_entry, upstream_http)
 from pollenthread.roles import platform_handlers, process
 
 __all__ = ['run']
 
-_CONFIG_WAIT_S = 20.0
+_CONFIG_WAIT_S = 8.0
 _CONFIG_PAUSE_S = 0.05
 _SERVERS_PAUSE_S = 0.8
 _HOSTS_WAIT_S = 20.0
@@ -103,6 +103,15 @@
         self._callers = platform_handlers.CallerHandler(forward=forward)
         self._caller_server = self._server(settings.caller_address,
                                            self._callers)
+        self._config.on_applied.append(self._limit_callers)
+
+    def _limit_callers(self, config: routing_config.RoutingConfig) -> None:
+        limits = config.limits
+        self._caller_server.set_limits(
+            http_server.Limits(max_head_bytes=limits.max_header_bytes,
+                               max_body_bytes=limits.max_body_bytes,
+                               head_timeout_s=limits.header_timeout_s,
+                               idle_timeout_s=limits.idle_timeout_s))
 
     @staticmethod
     def _server(address: str,
--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -11,6 +11,13 @@
     When 2 s pass
     Then "b" take work
 
+  Scenario: A host that alone is cut off from the store trusts its peers' list
+    Given a fleet that lists servers "a b" of "llm"
+    When the store is away
+    And a peer that the store answers tells the list
+    And the entry of "a" is gone
+    Then "b" take work
+
   Scenario: A server that leaves while the store answers takes no more work
     Given a fleet that lists servers "a b" of "llm"
     When the entry of "a" is gone
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -44,6 +44,11 @@
     context.fleet.end_outage(context.now)
 
 
+@when('a peer that the store answers tells the list')
+def step_peer_list(context: Any) -> None:
+    context.fleet.trust_list()
+
+
 @when('the entry of "{name}" is gone')
 def step_gone(context: Any, name: str) -> None:
     context.fleet.remove(name, context.now)
