--- /dev/null
+++ b/pollenthread/adapters/platform_metrics.py
@@ -0,0 +1,105 @@
+"""Counters and latency histograms of a process on the prepared platform.
+
+The libraries are loaded at the first observation or scrape: a restarted host is
+out for as long as its imports take.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+__all__ = ['LatencyBook', 'MetricsPage']
+
+_MAX_US = 3_600_000_000
+_DIGITS = 2
+_US_PER_S = 1_000_000
+_PREFIX = 'pollenthread'
+_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+Series = Callable[[], Mapping[str, float]]
+
+
+class LatencyBook:
+    """Latencies by name."""
+
+    def __init__(self) -> None:
+        self._histogram_by_name: dict[str, Any] = {}
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Takes note of one latency."""
+        found = self._histogram_by_name.get(name)
+        if found is None:
+            # pylint: disable-next=import-outside-toplevel
+            from hdrh import histogram
+            found = histogram.HdrHistogram(1, _MAX_US, _DIGITS)
+            self._histogram_by_name[name] = found
+        found.record_value(min(max(1, round(seconds * _US_PER_S)), _MAX_US))
+
+    def buckets(self, name: str) -> list[tuple[str, float]]:
+        """Cumulative counts by upper bound."""
+        found = self._histogram_by_name[name]
+        counts = []
+        for bound in _BOUNDS_S:
+            below = sum(item.count_added_in_this_iter_step
+                        for item in found.get_recorded_iterator()
+                        if item.value_iterated_to <= bound * _US_PER_S)
+            counts.append((str(bound), float(below)))
+        return [*counts, ('+Inf', float(found.total_count))]
+
+    def sum_s(self, name: str) -> float:
+        """The sum of all latencies of a name."""
+        found = self._histogram_by_name[name]
+        return float(found.get_mean_value() * found.total_count / _US_PER_S)
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """All names that were observed."""
+        return tuple(self._histogram_by_name)
+
+
+class MetricsPage:
+    """Makes the page that is scraped."""
+
+    def __init__(self, *, counters: Series, gauges: Series,
+                 latencies: LatencyBook) -> None:
+        self._counters = counters
+        self._gauges = gauges
+        self._latencies = latencies
+
+    def __call__(self) -> tuple[str, bytes]:
+        """The content type and the page."""
+        # pylint: disable=import-outside-toplevel
+        import prometheus_client
+        from prometheus_client import core, registry
+
+        page = self
+
+        class _Collector(registry.Collector):
+
+            def collect(self) -> Any:
+                yield from page.families(core)
+
+        found = prometheus_client.CollectorRegistry()
+        found.register(_Collector())
+        return (prometheus_client.CONTENT_TYPE_LATEST,
+                prometheus_client.generate_latest(found))
+
+    def families(self, core: Any) -> Any:
+        """Yields every series.
+
+        Args:
+            core: the library's module of metric families.
+        """
+        for name, value in sorted(self._counters().items()):
+            yield core.CounterMetricFamily(f'{_PREFIX}_{name}',
+                                           f'Count: {name}.',
+                                           value=value)
+        for name, value in sorted(self._gauges().items()):
+            yield core.GaugeMetricFamily(f'{_PREFIX}_{name}',
+                                         f'Now: {name}.',
+                                         value=value)
+        for name in self._latencies.names:
+            yield core.HistogramMetricFamily(
+                f'{_PREFIX}_{name}_seconds',
+                f'Latency: {name}.',
+                buckets=self._latencies.buckets(name),
+                sum_value=self._latencies.sum_s(name))
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from pollenthread.app import planned_stop, serving_state
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
@@ -93,13 +93,15 @@
 
     def __init__(self, *, state: serving_state.ServingState,
                  servers: upstream.Upstream, stop_plan: planned_stop.StopPlan,
-                 time: clock.Clock, log: event_log.EventLog) -> None:
+                 observe: Callable[[str, float], None], time: clock.Clock,
+                 log: event_log.EventLog) -> None:
         self._state = state
         self._servers = servers
         self._stop_plan = stop_plan
         self._clock = time
         self._log = log
         self.counts: dict[str, int] = {}
+        self._observe = observe
         self._pending: set[_Pending] = set()
 
     def _count(self, name: str) -> None:
@@ -317,6 +319,7 @@
             if not events:
                 continue
             if not job.answer.has_begun:
+                self._observe('first_event', self._age(job.request))
                 await job.answer.begin(found.status, found.headers)
             await job.answer.write(events)
         if job.splitter.has_partial or not job.answer.has_begun:
@@ -337,6 +340,7 @@
 
     def _note_answer(self, job: _Job, server: fleet.Server,
                      status: int) -> None:
+        self._observe('answer', self._age(job.request))
         self._log.write(log_events.LogEvent.REQUEST_ANSWERED,
                         important=job.sent > 1,
                         id=job.request.id,
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -7,12 +7,12 @@
 """
 
 import dataclasses
-import random
 from collections.abc import Collection, Iterable
+from typing import Protocol
 
 from pollenthread.core import fleet, service_forecast
 
-__all__ = ['LoadBoard', 'LoadReport']
+__all__ = ['LoadBoard', 'LoadReport', 'RandomSource']
 
 _REPORT_LIFE_S = 1.5
 # Agents tell the load at least each 0.6 s.
@@ -80,10 +80,20 @@
     paused_until: float = -1e9
 
 
+class RandomSource(Protocol):
+    """Where randomness comes from."""
+
+    def random(self) -> float:
+        """A number from 0 to 1."""
+
+    def uniform(self, a: float, b: float) -> float:
+        """A number from `a` to `b`."""
+
+
 class LoadBoard:
     """Load by server."""
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(self, *, rng: RandomSource) -> None:
         self._rng = rng
         self._load_by_id: dict[str, _Load] = {}
         self._pass_s_by_group: dict[str, float] = {}
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -7,7 +7,8 @@
 import types
 from typing import Self
 
-from pollenthread.adapters import (clock, http_client, json_log, peer_network)
+from pollenthread.adapters import (clock, http_client, json_log, peer_network,
+                                   platform_metrics)
 from pollenthread.app import (group_view, knowledge, map_duty, rank_agent,
                               roster, serving_state, stall_watch,
                               store_follower, switch_driver)
@@ -82,6 +83,31 @@
                                               log=self.log)
         self._incarnation = process.new_incarnation()
         self._duties_by_group: dict[str, map_duty.MapDuty] = {}
+        self._network.serve_metrics(
+            platform_metrics.MetricsPage(
+                counters=self._counters,
+                gauges=self._gauges,
+                latencies=platform_metrics.LatencyBook()))
+
+    def _counters(self) -> dict[str, float]:
+        """What keeping ranks even has cost, over all duties held here."""
+        found: dict[str, float] = {'log_lines_dropped': self.log.dropped}
+        for duty in self._duties_by_group.values():
+            account = duty.account
+            for name, count in (('map_switches', account.switches),
+                                ('map_switches_abandoned', account.abandoned),
+                                ('experts_copied', account.copies)):
+                found[name] = found.get(name, 0) + count
+            for kind, count in account.orders.items():
+                name = f'rank_orders_{kind}'
+                found[name] = found.get(name, 0) + count
+        return found
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            f'skew_{group.replace("-", "_")}': duty.account.skew
+            for group, duty in self._duties_by_group.items()
+        }
 
     def _make_driver(self,
                      view: group_view.GroupView) -> switch_driver.SwitchDriver:
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -9,7 +9,7 @@
 from typing import Self
 
 from pollenthread.adapters import (clock, http_client, http_server, json_log,
-                                   peer_network)
+                                   peer_network, platform_metrics)
 from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
                               roster, serving_state, store_follower)
 from pollenthread.core import host_record, log_events, routing_config
@@ -93,10 +93,12 @@
         self._stop_plan = planned_stop.StopPlan(grace_s=settings.grace_s,
                                                 caches_s=_TTL_S *
                                                 _MAX_TTL_FACTOR)
+        self._latencies = platform_metrics.LatencyBook()
         forward = forwarder.Forwarder(
             state=self.state,
             servers=upstream_http.HttpUpstream(client=self._server_client),
             stop_plan=self._stop_plan,
+            observe=self._latencies.observe,
             time=self._clock,
             log=self.log)
         self._forward = forward
@@ -104,6 +106,35 @@
         self._caller_server = self._server(settings.caller_address,
                                            self._callers)
         self._config.on_applied.append(self._limit_callers)
+        self._network.serve_metrics(
+            platform_metrics.MetricsPage(counters=self._counters,
+                                         gauges=self._gauges,
+                                         latencies=self._latencies))
+
+    def _counters(self) -> dict[str, float]:
+        found: dict[str, float] = {
+            f'requests_{name}': count
+            for name, count in self._forward.counts.items()
+        }
+        for outcome, count in self._store.calls_by_outcome.items():
+            found[f'store_calls_{outcome}'] = count
+        found['server_connections'] = self._server_client.connections_opened
+        found['entries_rejected'] = self._servers.rejected
+        found['configs_rejected'] = self._config.rejected
+        found['peer_snapshots'] = self.peers.snapshots_taken
+        found['log_lines_dropped'] = self.log.dropped
+        return found
+
+    def _gauges(self) -> dict[str, float]:
+        config = self.state.config
+        return {
+            'in_progress': self._callers.in_progress,
+            'entry_hosts': self.state.entry_hosts,
+            'servers': len(self.state.fleet.listed_by_id),
+            'config_version': config.version if config else 0,
+            'store_up': float(self._servers.contact.is_up),
+            'ready': float(self.state.is_ready)
+        }
 
     def _limit_callers(self, config: routing_config.RoutingConfig) -> None:
         limits = config.limits
--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -246,6 +246,11 @@
                                     '/pollenthread/readyz')
         return status == 200
 
+    async def metrics(self, number: int) -> tuple[int, bytes]:
+        """The metrics page of an entry host."""
+        return await self.call(f'{self._ip(number)}:{_PEER_PORT}', 'GET',
+                               '/metrics')
+
     async def directory(self, number: int) -> list[str]:
         """The addresses that an entry host tells callers."""
         status, body = await self.call(
--- a/tests/platform/steps/whole_path.py
+++ b/tests/platform/steps/whole_path.py
@@ -144,6 +144,16 @@
     assert 7000 < int(headers['pollenthread-deadline-ms']) <= 8000, headers
 
 
+@then('the metrics page counts 1 answered request and its first event')
+def step_metrics(context: Any) -> None:
+    status, page = _run(context, context.site.metrics(1))
+    assert status == 200
+    lines = page.decode().splitlines()
+    assert 'pollenthread_requests_answered_total 1.0' in lines, lines
+    assert 'pollenthread_first_event_seconds_count 1.0' in lines, lines
+    assert 'pollenthread_ready 1.0' in lines, lines
+
+
 @then('a request with an unknown key is answered {status:d}')
 def step_unknown_key(context: Any, status: int) -> None:
     found = _run(context, context.site.request(1, '/look/x', key='unknown'))
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -7,6 +7,11 @@
     And the server got the workspace "buna" and no key
     And the server was named in the request, with the time that is left
 
+  Scenario: Counters and latencies are served
+    Given a site
+    When a caller asks for a stream of 5 events
+    Then the metrics page counts 1 answered request and its first event
+
   Scenario: Who may ask for what
     Given a site
     Then a request with an unknown key is answered 401
