Explain a request from logs; events documented from the code

Cause: on-call has logs and metrics only. Change: pollenthread explain ID; docs/EVENTS.md generated from the closed list. Measured: tests only.

--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -11,7 +11,7 @@
 import pollenthread
 from pollenthread.adapters import settings
 from pollenthread.app import targets_document
-from pollenthread.cli import commands, exit_codes
+from pollenthread.cli import commands, exit_codes, explain
 from pollenthread.roles import agent, entry
 
 __all__ = ['run']
@@ -50,6 +50,13 @@
     print(f'{path}: valid')
 
 
+def _explain(request_id: str) -> None:
+    found = explain.explain(request_id, sys.stdin)
+    for line in found.lines:
+        print(line)
+    print(found.verdict)
+
+
 def _version() -> None:
     print(pollenthread.__version__)
 
@@ -106,6 +113,10 @@
     _Command(('trace',), ('ID',), 'print the spans of one request',
              'pollenthread trace 4bf92f3577b34da6a3ce929d0e0e4736',
              commands.trace),
+    _Command(('explain',), ('ID',),
+             'tell from logs on standard input what became of a request',
+             'cat *.log | pollenthread explain 9c41d07be2a35f68', _explain,
+             ('table',)),
     _Command(('version',), (), 'print the version', 'pollenthread version',
              _version, ('table',)),
 )
--- a/tests/pages.py
+++ b/tests/pages.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from pollenthread.adapters import admin_api
-from pollenthread.core import errors
+from pollenthread.core import errors, log_events
 
 __all__: list[str] = []
 
@@ -45,11 +45,27 @@
     return '\n'.join(lines) + '\n'
 
 
+def _events() -> str:
+    lines = [
+        '# Events of the structured log', '',
+        'Generated from `pollenthread/core/log_events.py` by '
+        '`python -m tests.pages --write`.', '',
+        'Each line on standard output is one JSON object: `t` (steady seconds '
+        'of the process), `host`, `event`, and fields of the event. `id` is the '
+        "request's id.", '', '| event | meaning |', '|---|---|'
+    ]
+    lines += [
+        f'| `{event.word}` | {event.meaning} |' for event in log_events.LogEvent
+    ]
+    return '\n'.join(lines) + '\n'
+
+
 def _openapi() -> str:
     return json.dumps(admin_api.openapi(), indent=2) + '\n'
 
 
 _PAGES: dict[str, Callable[[], str]] = {
+    'EVENTS.md': _events,
     'KINDS.md': _kinds,
     'openapi.json': _openapi,
 }
