Answers that cannot be read count as no answer; pages for operators and developers

Cause: reading the diff: an answer of the store or a server that is JSON of another shape, or a record with a bad address, would have ended the process.

--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -178,6 +178,8 @@
 
     async def _call(self, method: str, address: str, path: str, body: bytes,
                     kind: type[Any]) -> Any:
+        if not address:
+            return None
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 async with self._client.request(address,
--- a/pollenthread/core/host_record.py
+++ b/pollenthread/core/host_record.py
@@ -55,6 +55,9 @@
         fields = json.loads(data)
         names = [field.name for field in dataclasses.fields(HostRecord)]
         texts = {name: str(fields[name]) for name in names if name != 'role'}
-        return result.Ok(HostRecord(role=Role(fields['role']), **texts))
+        record = HostRecord(role=Role(fields['role']), **texts)
+        if not record.peer_address.rpartition(':')[2].isdecimal():
+            return result.Err(f'peer address {record.peer_address!r}')
+        return result.Ok(record)
     except (ValueError, KeyError, TypeError) as error:
         return result.Err(repr(error))
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -14,6 +14,7 @@
 _ANSWER_TIMEOUT_S = 0.08
 _JSON = (('content-type', 'application/json'),)
 _PERCENT = 100
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class HttpRankServer(rank_server.RankServer):
@@ -27,7 +28,7 @@
         _, found = await self._call('GET', names.Path.REPORT)
         try:
             return _report(found)
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise rank_server.RankSilent(repr(error)) from error
 
     async def counts(self) -> rank_server.RankCounts:
@@ -37,7 +38,7 @@
                                           epoch=int(found['epoch']),
                                           counts=tuple(map(
                                               int, found['counts'])))
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise rank_server.RankSilent(repr(error)) from error
 
     async def layout(self) -> peer_messages.RankLayout:
@@ -49,7 +50,7 @@
                 version=int(found['map']['version']),
                 experts=tuple(
                     tuple(map(int, held)) for held in found['map']['experts']))
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise rank_server.RankSilent(repr(error)) from error
 
     async def order(self, order: peer_messages.RankOrder) -> int:
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import dataclasses
 import json
 from collections.abc import Sequence
 from typing import Any
@@ -25,7 +26,20 @@
 }
 _JSON = (('content-type', 'application/json'),)
 
-_Page = dict[str, Any]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    """One answer of the store.
+
+    Attributes:
+        changes: the rows.
+        version: the store's counter.
+        has_more: whether the table goes on.
+    """
+
+    changes: tuple[row_store.Change, ...]
+    version: int
+    has_more: bool
 
 
 class HttpRowStore(row_store.RowStore):
@@ -49,11 +63,11 @@
             if isinstance(answer, result.Err):
                 return result.Err(answer.err_value)
             page = answer.ok_value
-            changes += _changes(page)
-            if not page.get('has_more') or not page['rows']:
-                return result.Ok(
-                    row_store.Changes(tuple(changes), int(page['ver'])))
-            start = page['rows'][-1]['key'] + '\0'
+            changes += page.changes
+            if not page.has_more or not page.changes:
+                return result.Ok(row_store.Changes(tuple(changes),
+                                                   page.version))
+            start = page.changes[-1].key + '\0'
 
     async def watch(
         self, table: str, after: int, wait_s: float
@@ -64,15 +78,15 @@
             'wait_ms': str(round(wait_s * 1000))
         }
         answer = await self._get(names.Path.WATCH, query, wait_s)
-        return answer.map(lambda page: row_store.Changes(
-            tuple(_changes(page)), int(page['ver'])))
+        return answer.map(
+            lambda page: row_store.Changes(page.changes, page.version))
 
     async def write(
         self, writes: Sequence[row_store.RowWrite]
     ) -> result.Result[int, row_store.StoreFault]:
         body = json.dumps(_transaction(writes)).encode()
         answer = await self._call('POST', names.Path.COMMIT, body, 0.0)
-        return answer.map(lambda page: int(page['ver']))
+        return answer.map(lambda page: page.version)
 
     async def _get(self, path: str, query: dict[str, str],
                    wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
@@ -104,15 +118,25 @@
                             _FAULT_BY_STATUS.get(
                                 exchange.status,
                                 row_store.StoreFault.UNAVAILABLE))
-                    page = json.loads(data)
-                    page['ver'] = int(page['ver'])
-                    return result.Ok(page)
+                    return result.Ok(_page(json.loads(data)))
         except http_client.ConnectFailed:
             return result.Err(row_store.StoreFault.UNAVAILABLE)
-        except (OSError, TimeoutError, ValueError, KeyError, TypeError):
+        except (OSError, TimeoutError, ValueError, KeyError, TypeError,
+                AttributeError):
             return result.Err(row_store.StoreFault.UNKNOWN)
 
 
+def _page(found: Any) -> _Page:
+    """Checks an answer.
+
+    Raises:
+        ValueError, KeyError, TypeError, AttributeError: it is no answer.
+    """
+    return _Page(changes=tuple(_changes(found)),
+                 version=int(found['ver']),
+                 has_more=bool(found.get('has_more')))
+
+
 def _changes(page: dict[str, Any]) -> list[row_store.Change]:
     """The rows of an answer; a row that cannot be read has empty bytes."""
     changes = []
--- a/tests/pages.py
+++ b/tests/pages.py
@@ -54,9 +54,8 @@
         'of the process), `host`, `event`, and fields of the event. `id` is the '
         "request's id.", '', '| event | meaning |', '|---|---|'
     ]
-    lines += [
-        f'| `{event.word}` | {event.meaning} |' for event in log_events.LogEvent
-    ]
+    for event in log_events.LogEvent:
+        lines.append(f'| `{event.word}` | {event.meaning} |')
     return '\n'.join(lines) + '\n'
 
 
