--- a/tests/pages.py
+++ b/tests/pages.py
@@ -51,7 +51,7 @@
         'Generated from `pollenthread/core/log_events.py` by '
         '`python -m tests.pages --write`.', '',
         'Each line on standard output is one JSON object: `t` (steady seconds '
-        'of the process), `host`, `event`, and fields of the event. `id` is the '
+        'of the process), `host`, `event`, and its own fields. `id` is the '
         "request's id.", '', '| event | meaning |', '|---|---|'
     ]
     for event in log_events.LogEvent:
