Find the only usable upstream whatever is drawn first

Cause: a choice draws at random with replacement, four times among two upstreams. With one of two listed as leaving, 1 of 16 requests drew it four times and was answered 503 no_upstream though the other was live. Ruled out: the rewritten HTTP client, the link and the health book (x-attempts was 0 and nobody was ejected). Change: where all draws met unusable candidates the tier is looked through once from a random place.

--- a/pollenthread/core/choice.py
+++ b/pollenthread/core/choice.py
@@ -129,7 +129,8 @@
            preferred: Candidate | None = None) -> Chosen | None:
     """Takes the better of two drawn candidates of the nearest tier with room.
 
-    The cost does not depend on the number of candidates.
+    The cost does not depend on the number of candidates, unless most of them
+    are unusable.
 
     Args:
         tiers: candidates from near to far; each tier holds the nearer ones.
@@ -197,4 +198,13 @@
         found.append(candidate)
         if len(found) == _CHOICES:
             break
-    return found or avoided[:1]
+    return found or avoided[:1] or _scan(tier, demand, draw)
+
+
+def _scan(tier: Sequence[Candidate], demand: Demand,
+          draw: Callable[[], float]) -> list[Candidate]:
+    """Looks at a whole tier of which each draw met an unusable candidate."""
+    start = int(draw() * len(tier))
+    usable = [c for c in (*tier[start:], *tier[:start]) if c.is_usable]
+    fresh = [c for c in usable if c.host not in demand.avoid]
+    return (fresh or usable)[:1]
--- a/tests/policy/decisions.feature
+++ b/tests/policy/decisions.feature
@@ -51,3 +51,9 @@
     Then all of 50 choices are near
     Given 4 near upstreams with load 15 of 10 and 4 far ones with load 2 of 10
     Then all of 50 choices are far
+
+  Scenario: The only usable upstream is found whatever is drawn first
+    Given 2 upstreams of which only the last is usable
+    Then each of 1000 choices finds it
+    Given 1300 upstreams of which only the last is usable
+    Then each of 20 choices finds it
--- a/tests/policy/steps/decisions.py
+++ b/tests/policy/steps/decisions.py
@@ -195,9 +195,15 @@
 class _Upstream(choice.Candidate):
     """An upstream that counts how often it is looked at."""
 
-    def __init__(self, name: str, load: int, limit: int) -> None:
+    def __init__(self,
+                 name: str,
+                 load: int,
+                 limit: int,
+                 *,
+                 usable: bool = True) -> None:
         self._name = name
         self._view = choice.View(_reading(load, limit), load)
+        self._usable = usable
         self.looks = 0
 
     @property
@@ -211,7 +217,25 @@
 
     @property
     def is_usable(self) -> bool:
-        return True
+        return self._usable
+
+
+@given('{count:d} upstreams of which only the last is usable')
+def step_one_usable(context: Any, count: int) -> None:
+    context.upstreams = [
+        _Upstream(f'u-{i}', 0, 10, usable=i == count - 1) for i in range(count)
+    ]
+
+
+@then('each of {count:d} choices finds it')
+def step_found(context: Any, count: int) -> None:
+    draw = random.Random(1)
+    chosen = [
+        choice.choose([context.upstreams],
+                      choice.Demand(importance=1),
+                      draw=draw.random) for _ in range(count)
+    ]
+    assert None not in chosen, f'{chosen.count(None)} of {count} found none'
 
 
 @then('a choice looks at as many of {many:d} upstreams as of {few:d}')
