--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -10,8 +10,8 @@
 from pollenthread.adapters import http_server
 from pollenthread.app import (config_store, directory, gateway, tracer as
                               tracer_module)
-from pollenthread.core import (account, addresses, errors, ids, messages, pace,
-                               spans, targets)
+from pollenthread.core import (account, addresses, errors, http_headers, ids,
+                               pace, spans, targets)
 from pollenthread.ports import clock
 
 __all__ = ['ADDRESS_TTL_S', 'CallerHandler']
@@ -181,11 +181,11 @@
         self._request_id = request_id
         self._is_stream = False
 
-    def _own_headers(self, attempts: int) -> list[messages.Header]:
+    def _own_headers(self, attempts: int) -> list[http_headers.Header]:
         return [('x-request-id', self._request_id),
                 ('x-attempts', str(attempts))]
 
-    async def head(self, status: int, headers: tuple[messages.Header, ...],
+    async def head(self, status: int, headers: tuple[http_headers.Header, ...],
                    attempts: int) -> None:
         passed = [
             (name, value) for name, value in headers if name not in _OWN_HEADERS
@@ -316,7 +316,7 @@
 
 
 def _passed_headers(request: http_server.Request,
-                    key: str) -> tuple[messages.Header, ...]:
+                    key: str) -> tuple[http_headers.Header, ...]:
     passed = []
     for name in _PASSED_HEADERS:
         value = _optional_header(request, name)
--- a/pollenthread/adapters/client_connection.py
+++ b/pollenthread/adapters/client_connection.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from pollenthread.core import messages
+from pollenthread.core import http_headers
 
 __all__ = ['ClientConnection', 'connect']
 
@@ -86,7 +86,7 @@
         return not (self._at_eof or self._transport.is_closing())
 
     async def send(self, method: str, target: str,
-                   headers: Sequence[messages.Header],
+                   headers: Sequence[http_headers.Header],
                    body: bytes) -> h11.Response:
         """Sends a request and reads the answer's head.
 
--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -10,7 +10,7 @@
 import h11
 
 from pollenthread.adapters import client_connection
-from pollenthread.core import messages
+from pollenthread.core import http_headers
 
 __all__ = ['ClientExchange', 'ConnectFailed', 'HttpClient']
 
@@ -116,7 +116,7 @@
                       method: str,
                       target: str,
                       *,
-                      headers: Sequence[messages.Header] = (),
+                      headers: Sequence[http_headers.Header] = (),
                       body: bytes = b'') -> AsyncIterator[ClientExchange]:
         """Sends a request; leaving the context early closes the connection.
 
@@ -171,7 +171,7 @@
         idle.append(connection)
 
 
-def _decode_headers(head: h11.Response) -> tuple[messages.Header, ...]:
+def _decode_headers(head: h11.Response) -> tuple[http_headers.Header, ...]:
     return tuple((name.decode('ascii'), value.decode('latin-1'))
                  for name, value in head.headers)
 
--- a/pollenthread/adapters/http_message.py
+++ b/pollenthread/adapters/http_message.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from pollenthread.core import errors, messages
+from pollenthread.core import errors, http_headers
 
 __all__ = ['Handler', 'Limits', 'Request', 'Response', 'Writer', 'problem_body']
 
@@ -55,7 +55,7 @@
 
     method: str
     target: str
-    headers: tuple[messages.Header, ...]
+    headers: tuple[http_headers.Header, ...]
     body: bytes
     peer: str
 
@@ -126,7 +126,7 @@
         return self._finished
 
     def _head(self, status: int,
-              headers: Iterable[messages.Header]) -> h11.Response:
+              headers: Iterable[http_headers.Header]) -> h11.Response:
         self._head_sent = True
         encoded = [(name.encode('ascii'), value.encode('latin-1', 'replace'))
                    for name, value in headers]
@@ -141,7 +141,7 @@
         return [h11.Data(data=data)]
 
     async def send_head(self, status: int,
-                        headers: Iterable[messages.Header]) -> None:
+                        headers: Iterable[http_headers.Header]) -> None:
         """Sends the status line and headers."""
         self._connection.emit(self._head(status, headers))
         await self._connection.drain()
@@ -164,7 +164,7 @@
         self._connection.emit(*self._data(data), h11.EndOfMessage())
         await self._connection.drain()
 
-    async def send(self, status: int, headers: Iterable[messages.Header],
+    async def send(self, status: int, headers: Iterable[http_headers.Header],
                    body: bytes) -> None:
         """Sends a whole answer."""
         length = ('content-length', str(len(body)))
@@ -174,16 +174,20 @@
         await self._connection.drain()
 
     async def send_json(
-        self, status: int, value: Any,
-        headers: Iterable[messages.Header] = ()) -> None:
+        self,
+        status: int,
+        value: Any,
+        headers: Iterable[http_headers.Header] = ()) -> None:
         """Sends a whole JSON answer."""
         body = json.dumps(value).encode() + b'\n'
         await self.send(status,
                         [('content-type', 'application/json'), *headers], body)
 
     async def send_problem(
-        self, problem: errors.Failure,
-        headers: Iterable[messages.Header] = ()) -> None:
+        self,
+        problem: errors.Failure,
+        headers: Iterable[http_headers.Header] = ()
+    ) -> None:
         """Sends a failure as RFC 9457 problem details."""
         answer = problem.answer
         extra = [('content-type', 'application/problem+json'), *headers]
--- a/pollenthread/adapters/upstream_http.py
+++ b/pollenthread/adapters/upstream_http.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 from pollenthread.adapters import http_client
-from pollenthread.core import messages
+from pollenthread.core import http_headers
 from pollenthread.ports import engine
 
 __all__ = ['HttpUpstream']
@@ -26,7 +26,7 @@
         return self._exchange.status
 
     @property
-    def headers(self) -> tuple[messages.Header, ...]:
+    def headers(self) -> tuple[http_headers.Header, ...]:
         return tuple((name, value)
                      for name, value in self._exchange.headers
                      if name not in _HOP_HEADERS)
--- a/pollenthread/adapters/wire.py
+++ b/pollenthread/adapters/wire.py
@@ -13,7 +13,7 @@
 
 import capnp
 
-from pollenthread.core import errors, messages
+from pollenthread.core import errors, http_headers, messages
 
 __all__ = ['MalformedMessage', 'decode', 'encode']
 
@@ -40,11 +40,11 @@
     read: Callable[[Any], Any] | None
 
 
-def _write_headers(headers: tuple[messages.Header, ...]) -> list[Any]:
+def _write_headers(headers: tuple[http_headers.Header, ...]) -> list[Any]:
     return [{'name': name, 'value': value} for name, value in headers]
 
 
-def _read_headers(headers: Any) -> tuple[messages.Header, ...]:
+def _read_headers(headers: Any) -> tuple[http_headers.Header, ...]:
     return tuple((header.name, header.value) for header in headers)
 
 
@@ -55,7 +55,7 @@
 _CONVERSIONS: dict[Any, tuple[Any, Any]] = {
     tuple[str, ...]: (list, tuple),
     tuple[int, ...]: (list, tuple),
-    tuple[messages.Header, ...]: (_write_headers, _read_headers),
+    tuple[http_headers.Header, ...]: (_write_headers, _read_headers),
     errors.Kind: (_enum_value, errors.Kind),
     errors.Ran: (_enum_value, errors.Ran),
     messages.SealState: (_enum_value, messages.SealState),
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -11,8 +11,9 @@
 
 from pollenthread.app import (chooser as chooser_module, claim_keeper, hedge,
                               pool as pool_module, relay as relay_module)
-from pollenthread.core import (account, claims, errors, ids, messages, retries,
-                               pace as pace_module, targets, spans)
+from pollenthread.core import (account, claims, errors, http_headers, ids,
+                               messages, pace as pace_module, retries, spans,
+                               targets)
 from pollenthread.ports import clock, link as link_port
 
 __all__ = ['Call', 'Gateway', 'Report', 'Sink']
@@ -52,7 +53,7 @@
     stream: bool
     method: str
     path: str
-    headers: tuple[messages.Header, ...]
+    headers: tuple[http_headers.Header, ...]
     body: bytes
 
     @property
@@ -86,7 +87,7 @@
     """Where an answer goes."""
 
     @abc.abstractmethod
-    async def head(self, status: int, headers: tuple[messages.Header, ...],
+    async def head(self, status: int, headers: tuple[http_headers.Header, ...],
                    attempts: int) -> None:
         """Takes the head of the answer."""
 
--- a/pollenthread/app/tracer.py
+++ b/pollenthread/app/tracer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from pollenthread.core import messages, spans
+from pollenthread.core import http_headers, spans
 
 __all__ = ['Tracer']
 
@@ -32,7 +32,7 @@
         self._spans_by_trace = collections.OrderedDict[str, list[spans.Span]]()
         self._trace_by_request: dict[str, str] = {}
 
-    def start(self, headers: tuple[messages.Header,
+    def start(self, headers: tuple[http_headers.Header,
                                    ...]) -> spans.Context | None:
         """The trace of a request, or None when it is not sampled.
 
--- a/pollenthread/core/caller_request.py
+++ b/pollenthread/core/caller_request.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from pollenthread.core import messages
+from pollenthread.core import http_headers
 
 __all__ = ['CallerRequest', 'PromptPart']
 
@@ -39,7 +39,7 @@
     method: str
     target: str
     host: str
-    headers: tuple[messages.Header, ...]
+    headers: tuple[http_headers.Header, ...]
     body: bytes
     key: str | None
     patience_s: float | None
--- a/pollenthread/core/claims.py
+++ b/pollenthread/core/claims.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 
-from pollenthread.core import messages
+from pollenthread.core import http_headers, messages
 
 __all__ = [
     'Claim', 'ClaimState', 'Outcome', 'RETENTION_S', 'Step', 'after_seal',
@@ -38,7 +38,7 @@
     """
 
     status: int
-    headers: tuple[messages.Header, ...]
+    headers: tuple[http_headers.Header, ...]
     body: bytes
 
 
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -3,18 +3,15 @@
 import dataclasses
 import enum
 
-from pollenthread.core import errors
+from pollenthread.core import errors, http_headers
 
 __all__ = [
     'Begin', 'Cancel', 'Chunk', 'ConfigAsk', 'ConfigGive', 'ConfigNews',
-    'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Group', 'Head', 'Header',
-    'Hello', 'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply',
-    'OrderSend', 'Ping', 'Pong', 'Resume', 'Seal', 'SealState', 'Sealed',
-    'Served', 'Unconfirmed'
+    'Confirm', 'Credit', 'DutyNews', 'End', 'Fail', 'Group', 'Head', 'Hello',
+    'HostNews', 'Leaving', 'Load', 'Message', 'OrderReply', 'OrderSend', 'Ping',
+    'Pong', 'Resume', 'Seal', 'SealState', 'Sealed', 'Served', 'Unconfirmed'
 ]
 
-Header = tuple[str, str]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
@@ -99,7 +96,7 @@
     window: int
     method: str
     path: str
-    headers: tuple[Header, ...]
+    headers: tuple[http_headers.Header, ...]
     body: bytes
 
 
@@ -116,7 +113,7 @@
 
     attempt: str
     status: int
-    headers: tuple[Header, ...]
+    headers: tuple[http_headers.Header, ...]
     waited_ms: int = 0
 
 
--- a/pollenthread/core/spans.py
+++ b/pollenthread/core/spans.py
@@ -4,7 +4,7 @@
 import re
 from collections.abc import Callable, Iterable, Mapping
 
-from pollenthread.core import messages
+from pollenthread.core import http_headers, messages
 
 __all__ = [
     'TRACEPARENT', 'Context', 'Hop', 'Span', 'is_sampled', 'parse', 'spans_of'
@@ -33,7 +33,7 @@
     parent_id: str = ''
 
     @property
-    def header(self) -> messages.Header:
+    def header(self) -> http_headers.Header:
         """What the agent and the upstream are told."""
         return (TRACEPARENT, f'00-{self.trace_id}-{self.span_id}-01')
 
@@ -87,7 +87,8 @@
         self.ended_at = now
 
 
-def parse(headers: Iterable[messages.Header]) -> tuple[str, str, bool] | None:
+def parse(
+        headers: Iterable[http_headers.Header]) -> tuple[str, str, bool] | None:
     """Trace, span and whether it is sampled, from a valid header; or None."""
     for name, value in headers:
         found = _FORM.match(value) if name == TRACEPARENT else None
@@ -97,7 +98,7 @@
     return None
 
 
-def is_sampled(headers: Iterable[messages.Header]) -> bool:
+def is_sampled(headers: Iterable[http_headers.Header]) -> bool:
     """Whether a request is traced."""
     found = parse(headers)
     return found is not None and found[2]
--- a/pollenthread/platform/caller_border.py
+++ b/pollenthread/platform/caller_border.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from pollenthread.adapters import http_message
-from pollenthread.core import caller_request, errors, messages
+from pollenthread.core import caller_request, errors, http_headers
 from pollenthread.platform import names
 from pollenthread.ports import reply
 
@@ -94,12 +94,13 @@
             headers.append((names.Header.REQUEST_ID, self._request_id))
         await self._response.send_problem(failure, headers)
 
-    async def send_whole(self, status: int, headers: Sequence[messages.Header],
+    async def send_whole(self, status: int,
+                         headers: Sequence[http_headers.Header],
                          body: bytes) -> None:
         await self._response.send(status, headers, body)
 
     async def begin(self, status: int,
-                    headers: Sequence[messages.Header]) -> None:
+                    headers: Sequence[http_headers.Header]) -> None:
         await self._response.send_head(
             status, [*headers, ('transfer-encoding', 'chunked')])
 
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -2,11 +2,10 @@
 
 import json
 
-import pydantic
 import result
 
 from pollenthread.core import routing_config
-from pollenthread.platform import names
+from pollenthread.platform import fields, names
 
 __all__ = ['InvalidConfig', 'decode', 'decode_result']
 
@@ -19,87 +18,6 @@
     """The document is not a configuration."""
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='ignore')
-
-
-class _Split(_Model):
-    service: str
-    weight: float = 1.0
-
-
-class _Route(_Model):
-    name: str = ''
-    host: str
-    path_prefix: str
-    kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 0
-    service: str | None = None
-    traffic_split: list[_Split] = []
-    max_attempts: int = 1
-    public: bool = False
-    can_resume: bool = False
-    gap_aim_ms: float = 0.0
-
-
-class _Usual(_Model):
-    prompt: float = 500.0
-    answer: float = 100.0
-
-
-class _Engine(_Model):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
-    step_ms: float = 0.0
-    per_seq_ms: float = 0.0
-    # Milliseconds for each 1,000 tokens of context.
-    context_per_k: float = 0.0
-    # Prompt tokens in a second.
-    read_per_s: float = 0.0
-    # Milliseconds for each million pairs of tokens.
-    pairs_per_m: float = 0.0
-    chunk: int = 0
-    stride: int = 1
-    usual: _Usual = _Usual()
-    link_mbps: float = 0.0
-    sets: int = 0
-    experts: int = 0
-    places: int = 0
-    spare: int = 0
-    expert_mb: float = 0.0
-    expert_share: float = 0.0
-
-
-class _Service(_Model):
-    name: str
-    health_path: str = '/'
-    max_connections: int = 100
-    engine: _Engine | None = None
-
-
-class _Limits(_Model):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
-
-
-class _Tenant(_Model):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-
-
-class _Document(_Model):
-    version: int
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = _Limits()
-    tenants: list[_Tenant] | None = None
-
-
 def decode(data: bytes) -> routing_config.RoutingConfig:
     """Decodes a whole document.
 
@@ -107,18 +25,9 @@
         InvalidConfig: it is not JSON or lacks what a configuration needs.
     """
     try:
-        document = _Document.model_validate(json.loads(data))
-        routes = [_route(found) for found in document.routes]
+        return _config(fields.Fields(json.loads(data)))
     except (ValueError, KeyError, RecursionError) as error:
         raise InvalidConfig(str(error)) from error
-    return routing_config.RoutingConfig(
-        version=document.version,
-        routes_by_host=_by_host(routes),
-        services_by_name={
-            found.name: _service(found) for found in document.services
-        },
-        limits=_limits(document.limits),
-        workspaces_by_key=_workspaces(document.tenants))
 
 
 def decode_result(
@@ -130,26 +39,48 @@
         return result.Err(str(error))
 
 
-def _route(found: _Route) -> routing_config.Route:
-    if found.traffic_split:
-        shares = tuple(
-            routing_config.ServiceShare(part.service, part.weight)
-            for part in found.traffic_split
-            if part.weight > 0)
-    else:
-        shares = (routing_config.ServiceShare(found.service or '', 1.0),)
-    return routing_config.Route(name=found.name,
-                                host=found.host,
-                                path_prefix=found.path_prefix,
-                                kind=names.KIND_WORDS[found.kind],
-                                timeout_s=found.timeout_ms / _MS_PER_S,
-                                target_s=found.target_latency_ms / _MS_PER_S,
-                                priority=found.priority,
-                                shares=shares,
-                                max_attempts=max(1, found.max_attempts),
-                                is_public=found.public,
-                                is_resumable=found.can_resume,
-                                max_gap_s=found.gap_aim_ms / _MS_PER_S)
+def _config(document: fields.Fields) -> routing_config.RoutingConfig:
+    services = map(_service, _required(document, 'services'))
+    return routing_config.RoutingConfig(
+        version=document.whole('version'),
+        routes_by_host=_by_host(
+            [_route(found) for found in _required(document, 'routes')]),
+        services_by_name={service.name: service for service in services},
+        limits=_limits(document.fields('limits')),
+        workspaces_by_key=_workspaces(document))
+
+
+def _required(document: fields.Fields, name: str) -> list[fields.Fields]:
+    if not document.has(name):
+        raise fields.InvalidField(f'{name} is missing')
+    return document.each(name)
+
+
+def _route(found: fields.Fields) -> routing_config.Route:
+    return routing_config.Route(
+        name=found.text('name', ''),
+        host=found.text('host'),
+        path_prefix=found.text('path_prefix'),
+        kind=names.KIND_WORDS[found.text('kind')],
+        timeout_s=found.number('timeout_ms') / _MS_PER_S,
+        target_s=found.number('target_latency_ms', 1000.0) / _MS_PER_S,
+        priority=found.whole('priority', 0),
+        shares=_shares(found),
+        max_attempts=max(1, found.whole('max_attempts', 1)),
+        is_public=found.flag('public', False),
+        is_resumable=found.flag('can_resume', False),
+        max_gap_s=found.number('gap_aim_ms', 0.0) / _MS_PER_S)
+
+
+def _shares(route: fields.Fields) -> tuple[routing_config.ServiceShare, ...]:
+    parts = route.each('traffic_split')
+    if not parts:
+        only = routing_config.ServiceShare(route.text('service', ''), 1.0)
+        return (only,)
+    shares = (routing_config.ServiceShare(part.text('service'),
+                                          part.number('weight', 1.0))
+              for part in parts)
+    return tuple(share for share in shares if share.weight > 0)
 
 
 def _by_host(
@@ -164,50 +95,60 @@
     }
 
 
-def _service(found: _Service) -> routing_config.Service:
-    engine = _engine(found.engine) if found.engine else None
-    return routing_config.Service(name=found.name,
-                                  health_path=found.health_path,
-                                  max_connections=found.max_connections,
+def _service(found: fields.Fields) -> routing_config.Service:
+    engine = _engine(found.fields('engine')) if found.has('engine') else None
+    return routing_config.Service(name=found.text('name'),
+                                  health_path=found.text('health_path', '/'),
+                                  max_connections=found.whole(
+                                      'max_connections', 100),
                                   engine=engine)
 
 
-def _engine(found: _Engine) -> routing_config.EngineFigures:
+def _engine(found: fields.Fields) -> routing_config.EngineFigures:
+    usual = found.fields('usual')
     return routing_config.EngineFigures(
-        slots=found.slots,
-        kv_tokens=found.kv_capacity_tokens,
-        step_s=found.step_ms / _MS_PER_S,
-        per_sequence_s=found.per_seq_ms / _MS_PER_S,
-        per_context_token_s=found.context_per_k / 1000 / _MS_PER_S,
-        prompt_tokens_per_s=found.read_per_s,
-        per_pair_s=found.pairs_per_m / _MEGA / _MS_PER_S,
-        chunk_tokens=found.chunk,
-        steps_per_pass=found.stride,
-        usual_prompt_tokens=found.usual.prompt,
-        usual_answer_tokens=found.usual.answer,
-        link_bytes_per_s=found.link_mbps * _MEGA / _BITS_PER_BYTE,
-        sets=found.sets,
-        experts=found.experts,
-        places=found.places,
-        spare=found.spare,
-        expert_bytes=found.expert_mb * _MEGA,
-        expert_share=found.expert_share)
-
-
-def _limits(found: _Limits) -> routing_config.CallerLimits:
+        slots=found.whole('slots', 1),
+        kv_tokens=found.whole('kv_capacity_tokens', 0),
+        step_s=found.number('step_ms', 0.0) / _MS_PER_S,
+        per_sequence_s=found.number('per_seq_ms', 0.0) / _MS_PER_S,
+        # Milliseconds for each 1,000 tokens of context.
+        per_context_token_s=found.number('context_per_k', 0.0) / 1000 /
+        _MS_PER_S,
+        # Prompt tokens in a second.
+        prompt_tokens_per_s=found.number('read_per_s', 0.0),
+        # Milliseconds for each million pairs of tokens.
+        per_pair_s=found.number('pairs_per_m', 0.0) / _MEGA / _MS_PER_S,
+        chunk_tokens=found.whole('chunk', 0),
+        steps_per_pass=found.whole('stride', 1),
+        usual_prompt_tokens=usual.number('prompt', 500.0),
+        usual_answer_tokens=usual.number('answer', 100.0),
+        link_bytes_per_s=found.number('link_mbps', 0.0) * _MEGA /
+        _BITS_PER_BYTE,
+        sets=found.whole('sets', 0),
+        experts=found.whole('experts', 0),
+        places=found.whole('places', 0),
+        spare=found.whole('spare', 0),
+        expert_bytes=found.number('expert_mb', 0.0) * _MEGA,
+        expert_share=found.number('expert_share', 0.0))
+
+
+def _limits(found: fields.Fields) -> routing_config.CallerLimits:
     return routing_config.CallerLimits(
-        max_header_bytes=found.max_header_bytes,
-        max_body_bytes=found.max_body_bytes,
-        header_timeout_s=found.header_timeout_ms / _MS_PER_S,
-        idle_timeout_s=found.idle_timeout_ms / _MS_PER_S)
+        max_header_bytes=found.whole('max_header_bytes', 16_384),
+        max_body_bytes=found.whole('max_body_bytes', 4_194_304),
+        header_timeout_s=found.number('header_timeout_ms', 3_000.0) / _MS_PER_S,
+        idle_timeout_s=found.number('idle_timeout_ms', 15_000.0) / _MS_PER_S)
 
 
 def _workspaces(
-    tenants: list[_Tenant] | None
-) -> dict[str, routing_config.Workspace] | None:
-    if tenants is None:
+        document: fields.Fields) -> dict[str, routing_config.Workspace] | None:
+    if not document.has('tenants'):
         return None
-    return {
-        key: routing_config.Workspace(tenant.name, tenant.priority)
-        for tenant in tenants for key in tenant.api_keys
-    }
+    workspaces = {}
+    for tenant in document.each('tenants'):
+        priority = (tenant.whole('priority')
+                    if tenant.has('priority') else None)
+        workspace = routing_config.Workspace(tenant.text('name'), priority)
+        for key in tenant.texts('api_keys'):
+            workspaces[key] = workspace
+    return workspaces
--- /dev/null
+++ b/pollenthread/platform/fields.py
@@ -0,0 +1,150 @@
+"""Reads fields of decoded JSON or TOML, and says which one is wrong.
+
+A process is back sooner after a restart without a library of models: to import
+one and build the models takes a third of the time until it serves.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import Any, Self
+
+__all__ = ['Fields', 'InvalidField']
+
+
+class InvalidField(ValueError):
+    """A field is missing or holds something else than it should."""
+
+
+class Fields:
+    """One object with named fields; those it does not know are ignored."""
+
+    def __init__(self, found: Any, *, place: str = '') -> None:
+        """Takes an object.
+
+        Args:
+            found: what was decoded.
+            place: where it stands in the document.
+
+        Raises:
+            InvalidField: it is no object.
+        """
+        if not isinstance(found, Mapping):
+            raise InvalidField(f'{place or "the document"} is no object')
+        self._found = found
+        self._place = place
+
+    def has(self, name: str) -> bool:
+        """Whether the field is there and not null."""
+        return self._found.get(name) is not None
+
+    def _path(self, name: str) -> str:
+        return f'{self._place}.{name}' if self._place else name
+
+    def _get(self, name: str, default: Any) -> Any:
+        value = self._found.get(name)
+        if value is not None:
+            return value
+        if default is None:
+            raise InvalidField(f'{self._path(name)} is missing')
+        return default
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """A text; a field without a default must be there.
+
+        Raises:
+            InvalidField: it is missing or no text.
+        """
+        return self._check(name, self._get(name, default), str, 'text')
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """A finite number.
+
+        Raises:
+            InvalidField: it is missing or no number.
+        """
+        value = self._get(name, default)
+        if (isinstance(value, bool) or not isinstance(value, (int, float)) or
+                not math.isfinite(value)):
+            raise InvalidField(f'{self._path(name)} is no number: {value!r}')
+        return float(value)
+
+    def whole(self, name: str, default: int | None = None) -> int:
+        """A whole number.
+
+        Raises:
+            InvalidField: it is missing or no whole number.
+        """
+        value = self._get(name, default)
+        if (isinstance(value, bool) or not isinstance(value, (int, float)) or
+                value != value // 1):
+            raise InvalidField(
+                f'{self._path(name)} is no whole number: {value!r}')
+        return int(value)
+
+    def flag(self, name: str, default: bool) -> bool:
+        """True or false.
+
+        Raises:
+            InvalidField: it is neither.
+        """
+        return self._check(name, self._get(name, default), bool, 'flag')
+
+    def fields(self, name: str) -> Self:
+        """An object; without fields where it is left out.
+
+        Raises:
+            InvalidField: it is no object.
+        """
+        return type(self)(self._get(name, {}), place=self._path(name))
+
+    def each(self, name: str) -> list[Self]:
+        """A list of objects; empty where it is left out.
+
+        Raises:
+            InvalidField: it is no list of objects.
+        """
+        found = self._check(name, self._get(name, []), list, 'list')
+        return [
+            type(self)(value, place=f'{self._path(name)}[{index}]')
+            for index, value in enumerate(found)
+        ]
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """A list of texts; empty where it is left out.
+
+        Raises:
+            InvalidField: it is no list of texts.
+        """
+        found = self._check(name, self._get(name, []), list, 'list')
+        return tuple(
+            self._check(f'{name}[{index}]', value, str, 'text')
+            for index, value in enumerate(found))
+
+    def wholes(self, name: str, *, count: int) -> tuple[int, ...]:
+        """A list of so many whole numbers.
+
+        Raises:
+            InvalidField: it is missing or something else.
+        """
+        found = self._check(name, self._get(name, None), list, 'list')
+        if len(found) != count or not all(type(v) is int for v in found):
+            raise InvalidField(
+                f'{self._path(name)} is not {count} whole numbers: {found!r}')
+        return tuple(found)
+
+    def text_by_name(self, name: str) -> dict[str, str]:
+        """An object whose fields are texts; empty where it is left out.
+
+        Raises:
+            InvalidField: it is something else.
+        """
+        found = self._check(name, self._get(name, {}), Mapping, 'object')
+        return {
+            str(key): self._check(f'{name}.{key}', value, str, 'text')
+            for key, value in found.items()
+        }
+
+    def _check(self, name: str, value: Any, kind: Any, word: str) -> Any:
+        if not isinstance(value, kind):
+            raise InvalidField(f'{self._path(name)} is no {word}: {value!r}')
+        return value
--- a/pollenthread/platform/process_settings.py
+++ b/pollenthread/platform/process_settings.py
@@ -5,7 +5,7 @@
 import pathlib
 import tomllib
 
-import pydantic
+from pollenthread.platform import fields
 
 __all__ = ['InvalidSettings', 'ProcessSettings', 'load']
 
@@ -71,49 +71,6 @@
     stall_s: float
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='ignore')
-
-
-class _Listen(_Model):
-    front: str = ''
-    ready: str = ''
-    control: str = ''
-    directory: str = ''
-
-
-class _Bounds(_Model):
-    drain_ms: float = 2000.0
-    grace_s: float = 8.0
-    config_ms: float = 2000.0
-    ttl_max_s: float = 5.0
-    budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
-    # Repeats beyond the ratio, in one window, by all hosts together.
-    budget_extra_tries: float = 0.0
-    stall_ms: float = 1500.0
-
-
-class _Platform(_Model):
-    address: str
-
-
-class _File(_Model):
-    node_name: str
-    ip: str
-    zone: str
-    region: str = ''
-    internal_ports: tuple[int, int]
-    seeds: list[str] = []
-    # The address of the model server on the same host.
-    app: str = ''
-    service: str = ''
-    zones: dict[str, str] = {}
-    listen: _Listen = _Listen()
-    bounds: _Bounds = _Bounds()
-    platform: _Platform
-
-
 def load(path: pathlib.Path | None = None) -> ProcessSettings:
     """Reads and checks the file.
 
@@ -123,33 +80,41 @@
     if path is None:
         path = pathlib.Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
     try:
-        found = _File.model_validate(tomllib.loads(path.read_text('utf-8')))
+        return _settings(fields.Fields(tomllib.loads(path.read_text('utf-8'))))
     except (OSError, ValueError) as error:
         raise InvalidSettings(f'{path}: {error}') from error
-    return _settings(found)
-
-
-def _settings(found: _File) -> ProcessSettings:
-    bounds = found.bounds
-    return ProcessSettings(host=found.node_name,
-                           ip=found.ip,
-                           data_centre=found.zone,
-                           region=found.region,
-                           region_by_data_centre=dict(found.zones),
-                           peer_ports=found.internal_ports,
-                           seeds=tuple(found.seeds),
-                           caller_address=found.listen.front,
-                           ready_address=found.listen.ready,
-                           directory_address=found.listen.directory,
-                           control_address=found.listen.control,
-                           engine_address=found.app,
-                           engine_service=found.service,
-                           store_address=found.platform.address,
-                           drain_s=bounds.drain_ms / _MS_PER_S,
-                           grace_s=bounds.grace_s,
-                           config_s=bounds.config_ms / _MS_PER_S,
-                           max_ttl_s=bounds.ttl_max_s,
-                           retry_ratio=bounds.budget_ratio,
-                           retry_window_s=bounds.budget_window_s,
-                           retry_extra=bounds.budget_extra_tries,
-                           stall_s=bounds.stall_ms / _MS_PER_S)
+
+
+def _settings(found: fields.Fields) -> ProcessSettings:
+    bounds = found.fields('bounds')
+    listen = found.fields('listen')
+    return ProcessSettings(
+        host=found.text('node_name'),
+        ip=found.text('ip'),
+        data_centre=found.text('zone'),
+        region=found.text('region', ''),
+        region_by_data_centre=found.text_by_name('zones'),
+        peer_ports=_ports(found),
+        seeds=found.texts('seeds'),
+        caller_address=listen.text('front', ''),
+        ready_address=listen.text('ready', ''),
+        directory_address=listen.text('directory', ''),
+        control_address=listen.text('control', ''),
+        # The address of the model server on the same host.
+        engine_address=found.text('app', ''),
+        engine_service=found.text('service', ''),
+        store_address=found.fields('platform').text('address'),
+        drain_s=bounds.number('drain_ms', 2000.0) / _MS_PER_S,
+        grace_s=bounds.number('grace_s', 8.0),
+        config_s=bounds.number('config_ms', 2000.0) / _MS_PER_S,
+        max_ttl_s=bounds.number('ttl_max_s', 5.0),
+        retry_ratio=bounds.number('budget_ratio', 0.2),
+        retry_window_s=bounds.number('budget_window_s', 10.0),
+        # Repeats beyond the ratio, in one window, by all hosts together.
+        retry_extra=bounds.number('budget_extra_tries', 0.0),
+        stall_s=bounds.number('stall_ms', 1500.0) / _MS_PER_S)
+
+
+def _ports(found: fields.Fields) -> tuple[int, int]:
+    first, last = found.wholes('internal_ports', count=2)
+    return first, last
--- a/pollenthread/platform/server_entry.py
+++ b/pollenthread/platform/server_entry.py
@@ -2,26 +2,14 @@
 
 import json
 
-import pydantic
 import result
 
 from pollenthread.core import fleet
-from pollenthread.platform import names
+from pollenthread.platform import fields, names
 
 __all__ = ['decode']
 
 
-class _Entry(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
-
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 1
-    born: int = 0
-
-
 def decode(server_id: str, data: bytes) -> result.Result[fleet.Server, str]:
     """Decodes one entry.
 
@@ -29,18 +17,18 @@
         The server, or why the entry names none.
     """
     try:
-        entry = _Entry.model_validate(json.loads(data))
-        host, _, port = entry.address.rpartition(':')
-        state = names.STATE_WORDS[entry.state]
+        entry = fields.Fields(json.loads(data))
+        address = entry.text('address')
+        host, _, port = address.rpartition(':')
         if not host or not 0 < int(port) < 65536:
-            return result.Err(f'address {entry.address!r}')
+            return result.Err(f'address {address!r}')
+        return result.Ok(
+            fleet.Server(id=server_id,
+                         service=entry.text('service'),
+                         address=address,
+                         data_centre=entry.text('zone'),
+                         slots=max(1, entry.whole('slots', 1)),
+                         state=names.STATE_WORDS[entry.text('state')],
+                         born_ms=entry.whole('born', 0)))
     except (ValueError, KeyError, RecursionError) as error:
         return result.Err(str(error))
-    return result.Ok(
-        fleet.Server(id=server_id,
-                     service=entry.service,
-                     address=entry.address,
-                     data_centre=entry.zone,
-                     slots=max(1, entry.slots),
-                     state=state,
-                     born_ms=entry.born))
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 from pollenthread.adapters import http_client
-from pollenthread.core import messages
+from pollenthread.core import http_headers
 from pollenthread.platform import names
 from pollenthread.ports import upstream
 
@@ -58,7 +58,7 @@
         raise ConnectionError('only answers to other requests came')
 
 
-def _headers(attempt: upstream.UpstreamRequest) -> list[messages.Header]:
+def _headers(attempt: upstream.UpstreamRequest) -> list[http_headers.Header]:
     request = attempt.request
     time_left_ms = max(1, int(attempt.time_left_s * _MS_PER_S))
     headers = [('host', request.host), *request.headers,
--- a/pollenthread/ports/engine.py
+++ b/pollenthread/ports/engine.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
-from pollenthread.core import messages
+from pollenthread.core import http_headers
 
 __all__ = ['Exchange', 'Upstream', 'UpstreamRequest', 'UpstreamUnavailable']
 
@@ -20,7 +20,7 @@
 
     method: str
     path: str
-    headers: tuple[messages.Header, ...]
+    headers: tuple[http_headers.Header, ...]
     body: bytes
 
 
@@ -34,7 +34,7 @@
 
     @property
     @abc.abstractmethod
-    def headers(self) -> tuple[messages.Header, ...]:
+    def headers(self) -> tuple[http_headers.Header, ...]:
         """The headers of the answer."""
 
     @property
--- a/pollenthread/ports/reply.py
+++ b/pollenthread/ports/reply.py
@@ -3,7 +3,7 @@
 import abc
 from collections.abc import Sequence
 
-from pollenthread.core import errors, messages
+from pollenthread.core import errors, http_headers
 
 __all__ = ['Reply']
 
@@ -21,13 +21,14 @@
         """Answers with a failure of the product's own."""
 
     @abc.abstractmethod
-    async def send_whole(self, status: int, headers: Sequence[messages.Header],
+    async def send_whole(self, status: int,
+                         headers: Sequence[http_headers.Header],
                          body: bytes) -> None:
         """Sends a server's whole answer."""
 
     @abc.abstractmethod
     async def begin(self, status: int,
-                    headers: Sequence[messages.Header]) -> None:
+                    headers: Sequence[http_headers.Header]) -> None:
         """Begins a streamed answer."""
 
     @abc.abstractmethod
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
-from pollenthread.core import caller_request, fleet, messages
+from pollenthread.core import caller_request, fleet, http_headers
 
 __all__ = [
     'ConnectFailed', 'ServerLoad', 'Upstream', 'UpstreamAnswer',
@@ -64,7 +64,7 @@
     """
 
     status: int
-    headers: tuple[messages.Header, ...]
+    headers: tuple[http_headers.Header, ...]
     has_run: bool
     is_other_server: bool
     load: ServerLoad | None
--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -93,3 +93,20 @@
     When 3 requests are sent to "a" after its report
     And the agent of "a" is silent for 2 s
     Then the load of "a" is 3
+
+  Scenario Outline: A document that cannot be used says which field is wrong
+    When a configuration is read whose <field> is <value>
+    Then it is rejected with "<reason>"
+
+    Examples:
+      | field      | value            | reason                       |
+      | version    | "7"              | version is no whole number   |
+      | version    | null             | version is missing           |
+      | version    | 1.5              | version is no whole number   |
+      | version    | true             | version is no whole number   |
+      | routes     | {}               | routes is no list            |
+      | routes     | [3]              | routes[0] is no object       |
+      | routes     | [{}]             | routes[0].host is missing    |
+      | services   | [{"name": []}]   | services[0].name is no text  |
+      | limits     | 5                | limits is no object          |
+      | tenants    | [{"name": "w", "api_keys": [1]}] | api_keys[0] is no text |
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -1,13 +1,16 @@
 """Steps for pure decisions on the prepared platform."""
 
+import json
 import random
 from typing import Any
 
+import result
 from behave import given, then, when
 
 from pollenthread.app import planned_stop
 from pollenthread.core import (addresses, event_stream, fleet, load_board,
                                retry_budget, service_forecast)
+from pollenthread.platform import config_document
 
 _RETURN_S = 2.2
 _RATIO = 0.2
@@ -273,3 +276,16 @@
 def step_told(context: Any, place: str, names: str) -> None:
     found = addresses.near(context.entries, place, at_least=2)
     assert found == names.split(), found
+
+
+@when('a configuration is read whose {field} is {value}')
+def step_read_bad(context: Any, field: str, value: str) -> None:
+    document: dict[str, Any] = {'version': 1, 'routes': [], 'services': []}
+    document[field] = json.loads(value)
+    context.read = config_document.decode_result(json.dumps(document).encode())
+
+
+@then('it is rejected with "{reason}"')
+def step_rejected(context: Any, reason: str) -> None:
+    assert isinstance(context.read, result.Err), context.read
+    assert reason in context.read.err_value, context.read
