Let new callers pass those who come back, and spread work by own requests

Change: (1) a stream whose caller has missed its aim by its own patience gets a lower urgency at servers and waits up to 1.2 s for a place that leaves a third of a server free; (2) servers' costs are spread by 0.1 s and own requests weigh 0.3 s a full server; (3) agents tell when the server beside them was started. Three changes in one commit because the one load shows all three.

--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -20,6 +20,7 @@
   group @5 :Text;
   passUs @6 :UInt32;
   isOpen @7 :Bool;
+  bornMs @8 :UInt64;
 }
 
 struct RankState {
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -131,7 +131,7 @@
     # Load.
 
     def _take_load(self, news: peer_messages.ServerLoad) -> None:
-        server = self._state.fleet.at_address(news.address)
+        server = self._state.fleet.note_start(news.address, news.born_ms)
         if server is None:
             return
         self._state.loads.report(
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -6,7 +6,8 @@
 
 from pollenthread.app import planned_stop, serving_state
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
-                               log_events, routing_config, service_forecast)
+                               lateness, log_events, routing_config,
+                               service_forecast)
 from pollenthread.ports import clock, event_log, reply, upstream
 
 __all__ = ['Forwarder']
@@ -17,6 +18,12 @@
 _MIN_TIME_LEFT_S = 0.02
 _URGENCY = 5
 _MAX_URGENCY = 9
+_LATE_PRIORITY = 2
+# Callers give a stream up after two seconds without an event.
+_LATE_WAIT_S = 1.2
+_LATE_LOOK_S = 0.06
+_LATE_WAIT_SHARE = 0.25
+_LATE_SPARE_SHARE = 0.33
 # The part of a request's time after which a silent server of a request that
 # may be repeated is given up.
 _FIRST_ATTEMPT_SHARE = 0.6
@@ -52,6 +59,7 @@
         may_have_run: whether a server may have run it.
         splitter: the events sent to the caller, for a stream.
         cause: the last failure of an attempt.
+        is_late: whether the caller has missed its aim before this try.
     """
 
     request: caller_request.CallerRequest
@@ -60,6 +68,7 @@
     workspace: routing_config.Workspace | None
     deadline: float
     answer: reply.Reply
+    is_late: bool = False
     tried: list[str] = dataclasses.field(default_factory=list)
     sent: int = 0
     may_have_run: bool = False
@@ -103,6 +112,7 @@
         self.counts: dict[str, int] = {}
         self._observe = observe
         self._pending: set[_Pending] = set()
+        self._patience = lateness.PatienceBook()
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -162,7 +172,10 @@
         patience_s = (_DEFAULT_PATIENCE_S
                       if request.patience_s is None else request.patience_s)
         deadline = request.received_at + min(patience_s, route.timeout_s)
-        return _Job(request, route, service, workspace, deadline, answer)
+        is_late = (request.patience_s is not None and
+                   self._patience.has_missed_aim(route, request.patience_s))
+        return _Job(request, route, service, workspace, deadline, answer,
+                    is_late)
 
     def _check_leaving(self, route: routing_config.Route) -> None:
         """Refuses what could not end before this host does."""
@@ -178,22 +191,53 @@
 
     async def _attempt_until_done(self, job: _Job) -> None:
         while True:
-            server = self._choose(job)
+            server = await self._find_place(job)
             if await self._attempt(job, server):
                 return
             self._check_repeat(job)
 
-    def _choose(self, job: _Job) -> fleet.Server:
+    async def _find_place(self, job: _Job) -> fleet.Server:
+        """Chooses a server.
+
+        Who has missed its aim already waits a little for a place that nobody
+        else needs: the answer is worth the same then, and to be turned away
+        again might be the end of it.
+        """
         now = self._clock.monotonic()
+        patient_until = now
+        if (job.is_late and not job.sent and
+                job.route.kind is routing_config.RequestKind.STREAM):
+            patient_until += min(_LATE_WAIT_S,
+                                 (job.deadline - now) * _LATE_WAIT_SHARE)
+        while (now := self._clock.monotonic()) < patient_until:
+            server = self._choose(job, now, spare_share=_LATE_SPARE_SHARE)
+            if server is not None:
+                return server
+            await self._clock.sleep(_LATE_LOOK_S)
+        server = self._choose(job, now)
+        if server is None:
+            raise _Failed(self._given_up(job, errors.Kind.NO_UPSTREAM))
+        return server
+
+    def _choose(self,
+                job: _Job,
+                now: float,
+                *,
+                spare_share: float = 0.0) -> fleet.Server | None:
         if job.deadline - now < _MIN_TIME_LEFT_S:
             raise _Failed(self._timed_out(job))
+        need = dataclasses.replace(self._need(job, now),
+                                   spare_share=spare_share)
         server = self._state.loads.choose(self._state.fleet.ready(job.service),
                                           excluded=job.tried,
                                           data_centre=self._state.data_centre,
-                                          need=self._need(job, now),
+                                          need=need,
                                           now=now)
-        if server is None:
-            raise _Failed(self._given_up(job, errors.Kind.NO_UPSTREAM))
+        if server is not None:
+            self._log_attempt(job, server, now)
+        return server
+
+    def _log_attempt(self, job: _Job, server: fleet.Server, now: float) -> None:
         self._log.write(log_events.LogEvent.ATTEMPT,
                         important=False,
                         id=job.request.id,
@@ -202,7 +246,6 @@
                         config=self._state.config and
                         self._state.config.version,
                         left_s=round(job.deadline - now, 3))
-        return server
 
     def _need(self, job: _Job, now: float) -> service_forecast.Need:
         config = self._state.config
@@ -426,8 +469,13 @@
 
 
 def _urgency(job: _Job) -> int:
-    """The server's order of admission, by workspace and then by route."""
+    """The server's order of admission; 0 is first.
+
+    By workspace, then by route, and new callers before those who come back.
+    """
     priority = job.route.priority
     if job.workspace is not None and job.workspace.priority is not None:
         priority = job.workspace.priority
+    if job.is_late:
+        priority += _LATE_PRIORITY
     return min(_MAX_URGENCY, _URGENCY + priority) if priority else _URGENCY
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -133,7 +133,8 @@
                                         stalled_ms=int(stalled_s * _MS_PER_S),
                                         is_open=is_open,
                                         group=report.state.group,
-                                        pass_us=int(self._pass_s * _US_PER_S))
+                                        pass_us=int(self._pass_s * _US_PER_S),
+                                        born_ms=report.state.born_ms)
         for record in self._hosts.with_role(host_record.Role.ENTRY):
             self._network.send(record.peer_address, news)
 
--- a/pollenthread/core/fleet.py
+++ b/pollenthread/core/fleet.py
@@ -124,6 +124,22 @@
         self._ended.add(server_id)
         self._drop_indexes()
 
+    def note_start(self, address: str, born_ms: int) -> Server | None:
+        """Takes the news that the server at an address was started then.
+
+        Args:
+            address: `ip:port`.
+            born_ms: Unix milliseconds of the start; 0 when unknown.
+
+        Returns:
+            The listed server, or None if what is listed there has ended.
+        """
+        server = self.at_address(address)
+        if server is not None and 0 < server.born_ms < born_ms:
+            self.replace_dead(server.id)
+            return None
+        return server
+
     def get(self, server_id: str) -> Server | None:
         """A server that is listed or may return."""
         return (self._listed_by_id.get(server_id) or
--- /dev/null
+++ b/pollenthread/core/lateness.py
@@ -0,0 +1,41 @@
+"""How long a caller has waited already, from what it says it will still wait.
+
+Answers the load pattern "all callers come back at once after an outage": those
+who come back have missed their aim already, and an answer is worth the same to
+them some seconds later. New callers pass them wherever requests queue, so that
+a wave of returns does not make everybody late for as long as it drains.
+"""
+
+from pollenthread.core import routing_config
+
+__all__ = ['PatienceBook']
+
+_FULL_SHARE = 0.97
+_MAX_ROUTES = 10_000
+
+
+class PatienceBook:
+    """The longest time that callers of each route were willing to wait."""
+
+    def __init__(self) -> None:
+        self._longest_s_by_route: dict[str, float] = {}
+
+    def waited_s(self, route: routing_config.Route, patience_s: float) -> float:
+        """Seconds that a caller has waited before this try.
+
+        Args:
+            route: the route of its request.
+            patience_s: how long it will still wait.
+        """
+        longest_s = max(patience_s, self._longest_s_by_route.get(route.name, 0))
+        if len(self._longest_s_by_route) >= _MAX_ROUTES:
+            self._longest_s_by_route.clear()
+        self._longest_s_by_route[route.name] = longest_s
+        if patience_s > longest_s * _FULL_SHARE:
+            return 0.0
+        return longest_s - patience_s
+
+    def has_missed_aim(self, route: routing_config.Route,
+                       patience_s: float) -> bool:
+        """Whether no answer can be within the route's aim any more."""
+        return self.waited_s(route, patience_s) > route.target_s
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -22,7 +22,11 @@
 # Seconds that weigh in a choice as much as these reasons do.
 _DOUBTFUL_S = 20.0
 _OTHER_DATA_CENTRE_S = 0.004
-_TIE_BREAK_S = 0.01
+# Hosts decide alone with news that is up to a quarter of a second old. If each
+# took the emptiest server, all would take the same one and fill it.
+_SPREAD_S = 0.1
+# Own requests are known at once: each host spreads its own evenly.
+_OWN_CROWDING_S = 0.3
 _FAILURE_PAUSE_S = 1.0
 _MAX_FAILURE_PAUSE_S = 8.0
 
@@ -198,15 +202,18 @@
             if s.id not in excluded and self._is_open(s, now)
         ]
         calm = [s for s in usable if self._get(s.id).paused_until <= now]
-        candidates = [
-            s for s in calm or usable
-            if not service_forecast.is_hopeless(need, self._outlook(s, now))
-        ]
+        candidates = [s for s in calm or usable if self._suits(s, need, now)]
         if not candidates:
             return None
         return min(candidates,
                    key=lambda s: self._cost(s, data_centre, need, now))
 
+    def _suits(self, server: fleet.Server, need: service_forecast.Need,
+               now: float) -> bool:
+        outlook = self._outlook(server, now)
+        return (service_forecast.leaves_room(need, outlook) and
+                not service_forecast.is_hopeless(need, outlook))
+
     def _is_open(self, server: fleet.Server, now: float) -> bool:
         """False if the server's group has said lately that it is closed."""
         load = self._get(server.id)
@@ -223,9 +230,10 @@
     def _cost(self, server: fleet.Server, data_centre: str,
               need: service_forecast.Need, now: float) -> float:
         total = service_forecast.cost(need, self._outlook(server, now))
+        total += _OWN_CROWDING_S * self.own(server.id) / server.slots
         if (self.is_silent(server.id, now) or
                 self.stalled_s(server.id, now) > _STALLED_S):
             total += _DOUBTFUL_S
         if server.data_centre != data_centre:
             total += _OTHER_DATA_CENTRE_S
-        return total + self._rng.random() * _TIE_BREAK_S
+        return total + self._rng.random() * _SPREAD_S
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -41,6 +41,7 @@
         is_open: whether its group works; True without a group.
         group: its group.
         pass_us: how long a pass of its group lasted lately.
+        born_ms: Unix milliseconds of the server's start, or 0.
     """
 
     address: str
@@ -51,6 +52,7 @@
     is_open: bool
     group: str
     pass_us: int
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenthread/core/service_forecast.py
+++ b/pollenthread/core/service_forecast.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-__all__ = ['Need', 'ServerOutlook', 'cost', 'is_hopeless']
+__all__ = ['Need', 'ServerOutlook', 'cost', 'is_hopeless', 'leaves_room']
 
 _USUAL_PASS_S = 0.06
 _FIRST_PASSES = 2.0
@@ -25,11 +25,13 @@
         time_left_s: seconds until its answer is of no use.
         max_gap_s: the longest pause between events in time; 0 for none.
         passes: passes that its answer is expected to take; 0 if it is short.
+        spare_share: the share of places that it leaves free for others.
     """
 
     time_left_s: float
     max_gap_s: float = 0.0
     passes: float = 0.0
+    spare_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +74,13 @@
     return total
 
 
+def leaves_room(need: Need, outlook: ServerOutlook) -> bool:
+    """Whether enough places stay free at the server."""
+    if not need.spare_share:
+        return True
+    return outlook.load + 1 <= outlook.slots * (1 - need.spare_share)
+
+
 def is_hopeless(need: Need, outlook: ServerOutlook) -> bool:
     """Whether the server is not expected to begin in time."""
     if not need.passes:
--- /dev/null
+++ b/tests/fakes/busy_servers.py
@@ -0,0 +1,126 @@
+"""Servers in memory with places and queues, for loads in virtual time."""
+
+import asyncio
+import contextlib
+import dataclasses
+import heapq
+import itertools
+from collections.abc import AsyncIterator, Iterable
+
+from pollenthread.core import fleet, http_headers, load_board
+from pollenthread.ports import upstream
+
+__all__ = ['BusyServers', 'Pace']
+
+_OK = 200
+_NOT_RUN = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """How servers work.
+
+    Attributes:
+        slots: requests that a server works on at once.
+        queue: requests that wait there at most.
+        first_s: seconds from a place to the first event.
+        gap_s: seconds between events.
+        events: events of an answer.
+    """
+
+    slots: int = 6
+    queue: int = 6
+    first_s: float = 0.12
+    gap_s: float = 0.055
+    events: int = 26
+
+
+class _Answer(upstream.UpstreamAnswer):
+    """An answer; one that was not run has no body."""
+
+    def __init__(self, pace: Pace, *, has_run: bool) -> None:
+        self.status = _OK if has_run else _NOT_RUN
+        self.headers: tuple[http_headers.Header, ...] = ()
+        self.has_run = has_run
+        self.is_other_server = False
+        self.load = None
+        self.is_leaving = False
+        self._pace = pace
+
+    async def read(self) -> AsyncIterator[bytes]:
+        await asyncio.sleep(self._pace.first_s)
+        for number in range(self._pace.events):
+            yield f'id: {number}\ndata: x\n\n'.encode()
+            await asyncio.sleep(self._pace.gap_s)
+
+
+class _Server:
+    """One server: the most urgent of those who wait gets the next place."""
+
+    def __init__(self, pace: Pace) -> None:
+        self.running = 0
+        self._pace = pace
+        self._numbers = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return sum(not place.cancelled() for _, _, place in self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it takes nothing more."""
+        return (self.running >= self._pace.slots and
+                self.waiting >= self._pace.queue)
+
+    async def enter(self, urgency: int) -> None:
+        """Waits for a place."""
+        if self.running >= self._pace.slots:
+            place = asyncio.get_running_loop().create_future()
+            heapq.heappush(self._waiting, (urgency, next(self._numbers), place))
+            await place
+        else:
+            self.running += 1
+
+    def leave(self) -> None:
+        """Hands the place on."""
+        while self._waiting:
+            _, _, place = heapq.heappop(self._waiting)
+            if not place.done():
+                place.set_result(None)
+                return
+        self.running -= 1
+
+
+class BusyServers(upstream.Upstream):
+    """Servers of one group, which is closed at times."""
+
+    def __init__(self, *, servers: Iterable[fleet.Server], pace: Pace) -> None:
+        self.is_open = True
+        self._pace = pace
+        self._server_by_id = {server.id: _Server(pace) for server in servers}
+
+    @contextlib.asynccontextmanager
+    async def send(  # pylint: disable=invalid-overridden-method
+        self, attempt: upstream.UpstreamRequest
+    ) -> AsyncIterator[upstream.UpstreamAnswer]:
+        server = self._server_by_id[attempt.server.id]
+        if not self.is_open or server.is_full:
+            yield _Answer(self._pace, has_run=False)
+            return
+        await server.enter(attempt.urgency)
+        try:
+            yield _Answer(self._pace, has_run=True)
+        finally:
+            server.leave()
+
+    def report(self, server_id: str) -> load_board.LoadReport:
+        """What the agent beside a server tells."""
+        server = self._server_by_id[server_id]
+        return load_board.LoadReport(running=server.running,
+                                     waiting=server.waiting,
+                                     slots=self._pace.slots,
+                                     is_open=self.is_open,
+                                     group='g',
+                                     pass_s=self._pace.gap_s)
--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -33,6 +33,15 @@
     When another server answers at the address of "old"
     Then "b" take work
 
+  Scenario: After a power cut, the agent beside a server tells of its new start
+    Given a fleet that lists servers "old b" of "llm"
+    When the agent beside "old" tells of a start at 900 ms
+    Then "old b" take work
+    When the agent beside "old" tells of a start at 1000 ms
+    Then "old b" take work
+    When the agent beside "old" tells of a start at 5000 ms
+    Then "b" take work
+
   Scenario: A host that freezes takes its server out of the choice
     Given servers "a b" with an agent each
     When the agent of "a" is silent for 2 s
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -26,7 +26,8 @@
                         address=f'10.0.0.1:{sum(server_id.encode())}',
                         data_centre='a',
                         slots=6,
-                        state=state)
+                        state=state,
+                        born_ms=1000)
 
 
 @given('a fleet that lists servers "{names}" of "llm"')
@@ -67,6 +68,11 @@
     context.fleet.replace_dead(name)
 
 
+@when('the agent beside "{name}" tells of a start at {born_ms:d} ms')
+def step_started(context: Any, name: str, born_ms: int) -> None:
+    context.fleet.note_start(_server(name).address, born_ms)
+
+
 @when('{seconds:d} s pass')
 def step_pass(context: Any, seconds: int) -> None:
     context.now += seconds
--- /dev/null
+++ b/tests/platform/waves.feature
@@ -0,0 +1,16 @@
+Feature: Callers who come back all at once
+
+  After an outage everybody who was turned away comes back within the same few
+  seconds, while new callers go on to come. No answer can be in time for those
+  who come back; for new callers it can.
+
+  Scenario: New callers are in time while the returned ones are served
+    Given 16 servers and 9 entry hosts with 37 streams a second
+    When no server works from second 3 to 5 and callers come back once
+    Then of those who first came from second 6 to 12 a fifth fewer miss the aim than if nobody told its patience
+    And no fewer callers are served than then
+
+  Scenario: Steady load stays in time
+    Given 16 servers and 9 entry hosts with 37 streams a second
+    When no server works from second 1 to 1 and callers come back once
+    Then of those who first came from second 1 to 12 over 95 in 100 are in aim
