--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -4,10 +4,10 @@
 import dataclasses
 from collections.abc import AsyncIterator, Callable
 
-from pollenthread.app import planned_stop, serving_state
-from pollenthread.core import (caller_request, errors, event_stream, fleet,
-                               lateness, log_events, routing_config,
-                               service_forecast)
+from pollenthread.app import (place_finder, planned_stop, request_job,
+                              serving_state)
+from pollenthread.core import (caller_request, errors, fleet, lateness,
+                               log_events, routing_config)
 from pollenthread.ports import clock, event_log, reply, upstream
 
 __all__ = ['Forwarder']
@@ -15,71 +15,12 @@
 _OK = 200
 _SERVER_ERROR = 500
 _DEFAULT_PATIENCE_S = 30.0
-_MIN_TIME_LEFT_S = 0.02
-_URGENCY = 5
-_MAX_URGENCY = 9
-_LATE_PRIORITY = 2
-# Callers give a stream up after two seconds without an event.
-_LATE_WAIT_S = 1.2
-_LATE_LOOK_S = 0.06
-_LATE_WAIT_SHARE = 0.25
-_LATE_SPARE_SHARE = 0.33
 # The part of a request's time after which a silent server of a request that
 # may be repeated is given up.
 _FIRST_ATTEMPT_SHARE = 0.6
 # Callers give a stream up after two seconds without an event.
 _SILENT_STREAM_S = 1.7
 _WATCH_S = 0.2
-# Servers that restarted take new work again after some seconds.
-_RETURN_S = 2.5
-_RETURN_SHARE = 0.33
-
-
-class _Failed(Exception):
-    """The request ends with a failure of the product's own."""
-
-    def __init__(self, failure: errors.Failure) -> None:
-        super().__init__(failure.detail)
-        self.failure = failure
-
-
-@dataclasses.dataclass
-class _Job:
-    """One request on its way.
-
-    Attributes:
-        request: the caller's request.
-        route: its route.
-        service: the service that serves it.
-        workspace: the holder of its key, or None.
-        deadline: monotonic seconds at which its answer is of no use.
-        answer: where the answer goes.
-        tried: ids of the servers that were tried.
-        sent: how many servers it was sent to.
-        may_have_run: whether a server may have run it.
-        splitter: the events sent to the caller, for a stream.
-        cause: the last failure of an attempt.
-        is_late: whether the caller has missed its aim before this try.
-    """
-
-    request: caller_request.CallerRequest
-    route: routing_config.Route
-    service: str
-    workspace: routing_config.Workspace | None
-    deadline: float
-    answer: reply.Reply
-    is_late: bool = False
-    tried: list[str] = dataclasses.field(default_factory=list)
-    sent: int = 0
-    may_have_run: bool = False
-    splitter: event_stream.EventSplitter = dataclasses.field(
-        default_factory=event_stream.EventSplitter)
-    cause: str = ''
-
-    @property
-    def last_event_id(self) -> str | None:
-        """Where a stream goes on."""
-        return self.splitter.last_id or self.request.last_event_id
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -92,7 +33,7 @@
         timeout: ends the attempt.
     """
 
-    job: _Job
+    job: request_job.Job
     server: fleet.Server
     timeout: asyncio.Timeout
 
@@ -113,6 +54,7 @@
         self._observe = observe
         self._pending: set[_Pending] = set()
         self._patience = lateness.PatienceBook()
+        self._places = place_finder.PlaceFinder(state=state, time=time, log=log)
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -124,7 +66,7 @@
             job = self._accept(request, answer)
             await self._attempt_until_done(job)
             self._count('answered')
-        except _Failed as failed:
+        except request_job.Failed as failed:
             await self._fail(request, answer, failed.failure)
         except asyncio.CancelledError:
             self._count('caller_left')
@@ -157,13 +99,14 @@
     # Before a server is chosen.
 
     def _accept(self, request: caller_request.CallerRequest,
-                answer: reply.Reply) -> _Job:
+                answer: reply.Reply) -> request_job.Job:
         config = self._state.config
         if config is None:
-            raise _Failed(errors.failure(errors.Kind.STALE_CONFIGURATION))
+            raise request_job.Failed(
+                errors.failure(errors.Kind.STALE_CONFIGURATION))
         route = routing_config.find_route(config, request.host, request.path)
         if route is None:
-            raise _Failed(errors.failure(errors.Kind.NOT_FOUND))
+            raise request_job.Failed(errors.failure(errors.Kind.NOT_FOUND))
         workspace = _authenticate(config, route, request)
         self._check_leaving(route)
         service = self._state.pick_service(route)
@@ -174,8 +117,8 @@
         deadline = request.received_at + min(patience_s, route.timeout_s)
         is_late = (request.patience_s is not None and
                    self._patience.has_missed_aim(route, request.patience_s))
-        return _Job(request, route, service, workspace, deadline, answer,
-                    is_late)
+        return request_job.Job(request, route, service, workspace, deadline,
+                               answer, is_late)
 
     def _check_leaving(self, route: routing_config.Route) -> None:
         """Refuses what could not end before this host does."""
@@ -185,81 +128,19 @@
         is_stream = route.kind is routing_config.RequestKind.STREAM
         if not planned_stop.takes_work(
                 self._stop_plan, elapsed_s, is_stream=is_stream):
-            raise _Failed(errors.failure(errors.Kind.LEAVING))
+            raise request_job.Failed(errors.failure(errors.Kind.LEAVING))
 
     # Attempts.
 
-    async def _attempt_until_done(self, job: _Job) -> None:
+    async def _attempt_until_done(self, job: request_job.Job) -> None:
         while True:
-            server = await self._find_place(job)
+            server = await self._places.find(job)
             if await self._attempt(job, server):
                 return
             self._check_repeat(job)
 
-    async def _find_place(self, job: _Job) -> fleet.Server:
-        """Chooses a server.
-
-        Who has missed its aim already waits a little for a place that nobody
-        else needs: the answer is worth the same then, and to be turned away
-        again might be the end of it.
-        """
-        now = self._clock.monotonic()
-        patient_until = now
-        if (job.is_late and not job.sent and
-                job.route.kind is routing_config.RequestKind.STREAM):
-            patient_until += min(_LATE_WAIT_S,
-                                 (job.deadline - now) * _LATE_WAIT_SHARE)
-        while (now := self._clock.monotonic()) < patient_until:
-            server = self._choose(job, now, spare_share=_LATE_SPARE_SHARE)
-            if server is not None:
-                return server
-            await self._clock.sleep(_LATE_LOOK_S)
-        server = self._choose(job, now)
-        if server is None:
-            raise _Failed(self._given_up(job, errors.Kind.NO_UPSTREAM))
-        return server
-
-    def _choose(self,
-                job: _Job,
-                now: float,
-                *,
-                spare_share: float = 0.0) -> fleet.Server | None:
-        if job.deadline - now < _MIN_TIME_LEFT_S:
-            raise _Failed(self._timed_out(job))
-        need = dataclasses.replace(self._need(job, now),
-                                   spare_share=spare_share)
-        server = self._state.loads.choose(self._state.fleet.ready(job.service),
-                                          excluded=job.tried,
-                                          data_centre=self._state.data_centre,
-                                          need=need,
-                                          now=now)
-        if server is not None:
-            self._log_attempt(job, server, now)
-        return server
-
-    def _log_attempt(self, job: _Job, server: fleet.Server, now: float) -> None:
-        self._log.write(log_events.LogEvent.ATTEMPT,
-                        important=False,
-                        id=job.request.id,
-                        server=server.id,
-                        load=self._state.loads.load(server.id, now),
-                        config=self._state.config and
-                        self._state.config.version,
-                        left_s=round(job.deadline - now, 3))
-
-    def _need(self, job: _Job, now: float) -> service_forecast.Need:
-        config = self._state.config
-        service = config.services_by_name.get(job.service) if config else None
-        if (service is None or service.engine is None or
-                job.route.kind is not routing_config.RequestKind.STREAM):
-            return service_forecast.Need(job.deadline - now)
-        engine = service.engine
-        return service_forecast.Need(time_left_s=job.deadline - now,
-                                     max_gap_s=job.route.max_gap_s,
-                                     passes=engine.usual_answer_tokens /
-                                     engine.steps_per_pass)
-
-    async def _attempt(self, job: _Job, server: fleet.Server) -> bool:
+    async def _attempt(self, job: request_job.Job,
+                       server: fleet.Server) -> bool:
         """Sends the request to a server; whether the request is done."""
         job.tried.append(server.id)
         job.sent += 1
@@ -273,7 +154,7 @@
         except TimeoutError:
             self._note_failure(job, server, 'silent', ran=True)
             if self._clock.monotonic() >= job.deadline:
-                raise _Failed(self._timed_out(job)) from None
+                raise request_job.Failed(job.timed_out()) from None
             return False
         except upstream.ConnectFailed as error:
             self._state.loads.fail(server.id, self._clock.monotonic())
@@ -301,7 +182,7 @@
                         self._may_repeat(pending.job)):
                     pending.timeout.reschedule(now)
 
-    def _give_up_at(self, job: _Job) -> float:
+    def _give_up_at(self, job: request_job.Job) -> float:
         """When a server that has not answered is given up."""
         if (job.route.kind is not routing_config.RequestKind.IDEMPOTENT or
                 job.sent >= job.route.max_attempts):
@@ -309,14 +190,15 @@
         now = self._clock.monotonic()
         return now + (job.deadline - now) * _FIRST_ATTEMPT_SHARE
 
-    async def _exchange(self, job: _Job, server: fleet.Server) -> bool:
+    async def _exchange(self, job: request_job.Job,
+                        server: fleet.Server) -> bool:
         attempt = upstream.UpstreamRequest(
             server=server,
             request=job.request,
             time_left_s=job.deadline - self._clock.monotonic(),
             workspace=job.workspace.name if job.workspace else None,
             last_event_id=job.last_event_id,
-            urgency=_urgency(job))
+            urgency=job.urgency)
         async with self._servers.send(attempt) as found:
             self._note_load(server, found)
             if found.is_other_server:
@@ -338,7 +220,7 @@
                                     found.load.running + found.load.waiting,
                                     self._clock.monotonic())
 
-    async def _pass_whole(self, job: _Job, server: fleet.Server,
+    async def _pass_whole(self, job: request_job.Job, server: fleet.Server,
                           found: upstream.UpstreamAnswer) -> bool:
         body = b''.join([part async for part in found.read()])
         if (found.status >= _SERVER_ERROR and job.route.is_repeatable and
@@ -354,7 +236,7 @@
         self._note_answer(job, server, found.status)
         return True
 
-    async def _pass_stream(self, job: _Job, server: fleet.Server,
+    async def _pass_stream(self, job: request_job.Job, server: fleet.Server,
                            found: upstream.UpstreamAnswer) -> bool:
         body = found.read()
         while (data := await self._next_part(body)) is not None:
@@ -381,7 +263,7 @@
 
     # After an attempt.
 
-    def _note_answer(self, job: _Job, server: fleet.Server,
+    def _note_answer(self, job: request_job.Job, server: fleet.Server,
                      status: int) -> None:
         self._observe('answer', self._age(job.request))
         self._log.write(log_events.LogEvent.REQUEST_ANSWERED,
@@ -394,8 +276,8 @@
                         events=job.splitter.events,
                         after_s=self._age(job.request))
 
-    def _note_failure(self, job: _Job, server: fleet.Server, cause: str, *,
-                      ran: bool) -> None:
+    def _note_failure(self, job: request_job.Job, server: fleet.Server,
+                      cause: str, *, ran: bool) -> None:
         job.cause = cause
         job.may_have_run = job.may_have_run or ran
         job.splitter.drop_partial()
@@ -408,43 +290,30 @@
                         may_have_run=ran,
                         events=job.splitter.events)
 
-    def _may_repeat(self, job: _Job) -> bool:
+    def _may_repeat(self, job: request_job.Job) -> bool:
         """Whether rules allow one more attempt; takes no budget."""
         if job.sent >= job.route.max_attempts:
             return False
         return not job.may_have_run or job.route.is_repeatable
 
-    def _check_repeat(self, job: _Job) -> None:
+    def _check_repeat(self, job: request_job.Job) -> None:
         """Ends the request unless it may be sent once more."""
         if not self._may_repeat(job):
-            raise _Failed(self._given_up(job, errors.Kind.UPSTREAM_FAILED))
+            raise request_job.Failed(
+                job.given_up(errors.Kind.UPSTREAM_FAILED,
+                             self._clock.monotonic()))
         if not job.sent:
             return
         budget = self._state.budget(job.service)
         now = self._clock.monotonic()
         if not budget.take(now, self._state.entry_hosts):
-            raise _Failed(self._given_up(job, errors.Kind.OVERLOADED))
+            raise request_job.Failed(
+                job.given_up(errors.Kind.OVERLOADED, self._clock.monotonic()))
         if job.answer.has_begun:
             self._log.write(log_events.LogEvent.STREAM_RESUMED,
                             id=job.request.id,
                             last_event_id=job.last_event_id)
 
-    def _given_up(self, job: _Job, kind: errors.Kind) -> errors.Failure:
-        if job.may_have_run:
-            return errors.failure(errors.Kind.UPSTREAM_FAILED, job.cause)
-        if kind is errors.Kind.UPSTREAM_FAILED:
-            kind = errors.Kind.OVERLOADED
-        left_s = job.deadline - self._clock.monotonic()
-        return errors.failure(kind,
-                              job.cause,
-                              retry_after_s=round(
-                                  min(_RETURN_S, left_s * _RETURN_SHARE), 2))
-
-    def _timed_out(self, job: _Job) -> errors.Failure:
-        if job.may_have_run:
-            return errors.failure(errors.Kind.DEADLINE_PASSED, job.cause)
-        return errors.failure(errors.Kind.DEADLINE_TOO_SHORT, job.cause)
-
 
 def _authenticate(
         config: routing_config.RoutingConfig, route: routing_config.Route,
@@ -453,29 +322,15 @@
     """The holder of the request's key.
 
     Raises:
-        _Failed: the route needs a key that somebody holds.
+        request_job.Failed: the route needs a key that somebody holds.
     """
     if config.workspaces_by_key is None or route.is_public:
         return None
     workspace = config.workspaces_by_key.get(request.key or '')
     if workspace is None:
-        raise _Failed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
+        raise request_job.Failed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
     return workspace
 
 
-def _is_stream(job: _Job, found: upstream.UpstreamAnswer) -> bool:
-    return (job.route.kind is routing_config.RequestKind.STREAM and
-            found.status == _OK)
-
-
-def _urgency(job: _Job) -> int:
-    """The server's order of admission; 0 is first.
-
-    By workspace, then by route, and new callers before those who come back.
-    """
-    priority = job.route.priority
-    if job.workspace is not None and job.workspace.priority is not None:
-        priority = job.workspace.priority
-    if job.is_late:
-        priority += _LATE_PRIORITY
-    return min(_MAX_URGENCY, _URGENCY + priority) if priority else _URGENCY
+def _is_stream(job: request_job.Job, found: upstream.UpstreamAnswer) -> bool:
+    return job.is_stream and found.status == _OK
--- /dev/null
+++ b/pollenthread/app/place_finder.py
@@ -0,0 +1,92 @@
+"""Finds a server for a request, and decides who waits for one."""
+
+import dataclasses
+
+from pollenthread.app import request_job, serving_state
+from pollenthread.core import errors, fleet, log_events, service_forecast
+from pollenthread.ports import clock, event_log
+
+__all__ = ['PlaceFinder']
+
+_MIN_TIME_LEFT_S = 0.02
+# Callers give a stream up after two seconds without an event.
+_LATE_WAIT_S = 1.2
+_LATE_WAIT_SHARE = 0.25
+_LATE_LOOK_S = 0.06
+_LATE_SPARE_SHARE = 0.33
+
+
+class PlaceFinder:
+    """Chooses servers by what is known of their load."""
+
+    def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
+                 log: event_log.EventLog) -> None:
+        self._state = state
+        self._clock = time
+        self._log = log
+
+    async def find(self, job: request_job.Job) -> fleet.Server:
+        """Chooses a server.
+
+        Who has missed its aim already waits a little for a place that nobody
+        else needs: the answer is worth the same then, and to be turned away
+        again might be the end of it.
+
+        Raises:
+            request_job.Failed: no server would begin in time.
+        """
+        now = self._clock.monotonic()
+        patient_until = now
+        if job.is_late and job.is_stream and not job.sent:
+            patient_until += min(_LATE_WAIT_S,
+                                 (job.deadline - now) * _LATE_WAIT_SHARE)
+        while (now := self._clock.monotonic()) < patient_until:
+            server = self._choose(job, now, spare_share=_LATE_SPARE_SHARE)
+            if server is not None:
+                return server
+            await self._clock.sleep(_LATE_LOOK_S)
+        server = self._choose(job, now)
+        if server is None:
+            raise request_job.Failed(job.given_up(errors.Kind.NO_UPSTREAM, now))
+        return server
+
+    def _choose(self,
+                job: request_job.Job,
+                now: float,
+                *,
+                spare_share: float = 0.0) -> fleet.Server | None:
+        if job.deadline - now < _MIN_TIME_LEFT_S:
+            raise request_job.Failed(job.timed_out())
+        need = dataclasses.replace(self._need(job, now),
+                                   spare_share=spare_share)
+        server = self._state.loads.choose(self._state.fleet.ready(job.service),
+                                          excluded=job.tried,
+                                          data_centre=self._state.data_centre,
+                                          need=need,
+                                          now=now)
+        if server is not None:
+            self._log_attempt(job, server, now)
+        return server
+
+    def _log_attempt(self, job: request_job.Job, server: fleet.Server,
+                     now: float) -> None:
+        config = self._state.config
+        self._log.write(log_events.LogEvent.ATTEMPT,
+                        important=False,
+                        id=job.request.id,
+                        server=server.id,
+                        load=self._state.loads.load(server.id, now),
+                        config=config.version if config else None,
+                        is_late=job.is_late,
+                        left_s=round(job.deadline - now, 3))
+
+    def _need(self, job: request_job.Job, now: float) -> service_forecast.Need:
+        config = self._state.config
+        service = config.services_by_name.get(job.service) if config else None
+        if service is None or service.engine is None or not job.is_stream:
+            return service_forecast.Need(job.deadline - now)
+        engine = service.engine
+        return service_forecast.Need(time_left_s=job.deadline - now,
+                                     max_gap_s=job.route.max_gap_s,
+                                     passes=engine.usual_answer_tokens /
+                                     engine.steps_per_pass)
--- a/pollenthread/platform/fields.py
+++ b/pollenthread/platform/fields.py
@@ -75,8 +75,7 @@
             InvalidField: it is missing or no whole number.
         """
         value = self._get(name, default)
-        if (isinstance(value, bool) or not isinstance(value, (int, float)) or
-                value != value // 1):
+        if not _is_whole(value):
             raise InvalidField(
                 f'{self._path(name)} is no whole number: {value!r}')
         return int(value)
@@ -127,7 +126,7 @@
             InvalidField: it is missing or something else.
         """
         found = self._check(name, self._get(name, None), list, 'list')
-        if len(found) != count or not all(type(v) is int for v in found):
+        if len(found) != count or not all(map(_is_whole, found)):
             raise InvalidField(
                 f'{self._path(name)} is not {count} whole numbers: {found!r}')
         return tuple(found)
@@ -148,3 +147,8 @@
         if not isinstance(value, kind):
             raise InvalidField(f'{self._path(name)} is no {word}: {value!r}')
         return value
+
+
+def _is_whole(value: Any) -> bool:
+    return (isinstance(value, (int, float)) and not isinstance(value, bool) and
+            value == value // 1)
