--- a/pollenthread/platform/fields.py
+++ b/pollenthread/platform/fields.py
@@ -129,7 +129,7 @@
         if len(found) != count or not all(map(_is_whole, found)):
             raise InvalidField(
                 f'{self._path(name)} is not {count} whole numbers: {found!r}')
-        return tuple(found)
+        return tuple(int(value) for value in found)
 
     def text_by_name(self, name: str) -> dict[str, str]:
         """An object whose fields are texts; empty where it is left out.
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -1,85 +1,55 @@
 """An entry host on the prepared platform."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
-import signal
-import types
 from typing import Self
 
-from pollenthread.adapters import (clock, http_client, http_server, json_log,
-                                   peer_network, platform_metrics)
+from pollenthread.adapters import http_server, platform_metrics
 from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
-                              roster, serving_state, store_follower)
+                              serving_state)
 from pollenthread.core import host_record, log_events, routing_config
-from pollenthread.platform import (config_document, names, process_settings,
-                                   row_store_http, server_entry, upstream_http)
-from pollenthread.roles import platform_handlers, process
+from pollenthread.platform import (names, process_settings, server_entry,
+                                   upstream_http)
+from pollenthread.roles import platform_handlers, platform_role, process
 
 __all__ = ['run']
 
 _CONFIG_WAIT_S = 8.0
 _CONFIG_PAUSE_S = 0.05
 _SERVERS_PAUSE_S = 0.8
-_HOSTS_WAIT_S = 20.0
-_HOSTS_PAUSE_S = 0.5
 _RETURN_S = 2.2
 _TTL_S = 1.0
 # Some callers keep an address answer three times as long as they were told.
 _MAX_TTL_FACTOR = 3
-_CONNECT_TIMEOUT_S = 0.4
-_STORE_CONNECT_TIMEOUT_S = 0.5
 _STOP_CHECK_S = 0.05
 
 
-class _Entry:
+class _Entry(platform_role.PlatformRole):
     """Wires an entry host; a context manager that owns its servers."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
-        self._settings = settings
-        self._stack = contextlib.AsyncExitStack()
-        self._rng = random.Random(settings.host)
-        self._clock = clock.SystemClock()
-        self.log = json_log.JsonLog(host=settings.host)
-        self.state = serving_state.ServingState(
-            data_centre=settings.data_centre,
-            retry_bounds=serving_state.RetryBounds(settings.retry_ratio,
-                                                   settings.retry_extra,
-                                                   settings.retry_window_s),
-            return_s=_RETURN_S,
-            rng=self._rng)
-        self._hosts = roster.Roster()
-        self._store_client = http_client.HttpClient(
-            connect_timeout_s=_STORE_CONNECT_TIMEOUT_S)
-        self._peer_client = http_client.HttpClient(
-            connect_timeout_s=_CONNECT_TIMEOUT_S)
-        self._server_client = http_client.HttpClient(
-            connect_timeout_s=_CONNECT_TIMEOUT_S)
-        self._store = row_store_http.HttpRowStore(
-            client=self._store_client, address=settings.store_address)
-        self._config = knowledge.ConfigListener(
-            state=self.state,
-            time=self._clock,
-            log=self.log,
-            table=names.Table.OPERATOR,
-            key=names.Table.CONFIG_KEY,
-            decode=config_document.decode_result)
+        rng = random.Random(settings.host)
+        super().__init__(settings=settings,
+                         own=host_record.HostRecord(
+                             host=settings.host,
+                             role=host_record.Role.ENTRY,
+                             data_centre=settings.data_centre,
+                             peer_address=platform_role.peer_address(settings),
+                             caller_address=settings.caller_address),
+                         state=serving_state.ServingState(
+                             data_centre=settings.data_centre,
+                             retry_bounds=serving_state.RetryBounds(
+                                 settings.retry_ratio, settings.retry_extra,
+                                 settings.retry_window_s),
+                             return_s=_RETURN_S,
+                             rng=rng),
+                         rng=rng)
         self._servers = knowledge.ServerListener(state=self.state,
                                                  time=self._clock,
                                                  log=self.log,
                                                  table=names.Table.SERVERS,
                                                  decode=server_entry.decode)
-        self._network = peer_network.HttpPeerNetwork(
-            client=self._peer_client,
-            host=settings.ip,
-            port=settings.peer_ports[0])
-        self._own = host_record.HostRecord(
-            host=settings.host,
-            role=host_record.Role.ENTRY,
-            data_centre=settings.data_centre,
-            peer_address=f'{settings.ip}:{settings.peer_ports[0]}',
-            caller_address=settings.caller_address)
         self.peers = entry_peers.EntryPeers(own=self._own,
                                             hosts=self._hosts,
                                             seeds=settings.seeds,
@@ -152,11 +122,7 @@
 
     async def __aenter__(self) -> Self:
         settings = self._settings
-        await self._stack.__aenter__()
-        for client in (self._store_client, self._peer_client,
-                       self._server_client):
-            await self._stack.enter_async_context(client)
-        await self._stack.enter_async_context(self._network)
+        await super().__aenter__()
         ready = platform_handlers.ReadyHandler(state=self.state)
         directory = platform_handlers.DirectoryHandler(peers=self.peers,
                                                        ttl_s=_TTL_S)
@@ -172,38 +138,16 @@
             await self._stack.enter_async_context(server)
         return self
 
-    async def __aexit__(self, kind: type[BaseException] | None,
-                        error: BaseException | None,
-                        trace: types.TracebackType | None) -> None:
-        await self._stack.__aexit__(kind, error, trace)
-
-    def _follower(self, table: str, listener: store_follower.TableListener,
-                  wait_s: float,
-                  pause_s: float) -> store_follower.StoreFollower:
-        return store_follower.StoreFollower(store=self._store,
-                                            table=table,
-                                            listener=listener,
-                                            time=self._clock,
-                                            wait_s=wait_s,
-                                            pause_s=pause_s,
-                                            rng=self._rng)
-
     async def work(self) -> None:
         """Follows the store and the peers until cancelled."""
         followers = (self._follower(names.Table.OPERATOR, self._config,
                                     _CONFIG_WAIT_S, _CONFIG_PAUSE_S),
                      self._follower(names.Table.SERVERS, self._servers, 0.0,
-                                    _SERVERS_PAUSE_S),
-                     self._follower(roster.TABLE, self._hosts, _HOSTS_WAIT_S,
-                                    _HOSTS_PAUSE_S))
+                                    _SERVERS_PAUSE_S))
         async with asyncio.TaskGroup() as group:
             for follower in followers:
                 group.create_task(follower.run())
-            group.create_task(
-                roster.register(store=self._store,
-                                time=self._clock,
-                                roster=self._hosts,
-                                record=self._own))
+            self._follow_hosts(group)
             group.create_task(self._forward.watch())
             group.create_task(self.peers.run())
             group.create_task(self.peers.follow_peers())
@@ -243,17 +187,6 @@
 async def run() -> None:
     """Serves until SIGTERM."""
     settings = process_settings.load()
-    stop = process.StopSignal()
-    async with _Entry(settings=settings) as entry:
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, entry.reload)
-        entry.log.write(log_events.LogEvent.STARTED,
-                        callers=settings.caller_address,
-                        data_centre=settings.data_centre)
-        work = asyncio.create_task(entry.work())
-        stopped = asyncio.create_task(stop.planned.wait())
-        await asyncio.wait((work, stopped), return_when=asyncio.FIRST_COMPLETED)
-        if work.done():
-            work.result()
-        await entry.leave()
-        work.cancel()
+    await platform_role.serve(_Entry(settings=settings),
+                              callers=settings.caller_address,
+                              data_centre=settings.data_centre)
--- /dev/null
+++ b/pollenthread/roles/platform_role.py
@@ -0,0 +1,131 @@
+"""What every role on the prepared platform owns, and how it runs."""
+
+import abc
+import asyncio
+import contextlib
+import random
+import signal
+import types
+from typing import Any, Self
+
+from pollenthread.adapters import clock, http_client, json_log, peer_network
+from pollenthread.app import knowledge, roster, serving_state, store_follower
+from pollenthread.core import host_record, log_events
+from pollenthread.platform import (config_document, names, process_settings,
+                                   row_store_http)
+from pollenthread.roles import process
+
+__all__ = ['PlatformRole', 'peer_address', 'serve']
+
+_HOSTS_WAIT_S = 20.0
+_HOSTS_PAUSE_S = 0.5
+_CONNECT_TIMEOUT_S = 0.4
+_STORE_CONNECT_TIMEOUT_S = 0.5
+
+
+def peer_address(settings: process_settings.ProcessSettings) -> str:
+    """Where peers reach a process."""
+    return f'{settings.ip}:{settings.peer_ports[0]}'
+
+
+class PlatformRole(abc.ABC):
+    """Wires a role; a context manager that owns clients and servers."""
+
+    def __init__(self, *, settings: process_settings.ProcessSettings,
+                 own: host_record.HostRecord, state: serving_state.ServingState,
+                 rng: random.Random) -> None:
+        self._settings = settings
+        self._own = own
+        self.state = state
+        self._rng = rng
+        self._stack = contextlib.AsyncExitStack()
+        self._clock = clock.SystemClock()
+        self.log = json_log.JsonLog(host=settings.host)
+        self._store_client = http_client.HttpClient(
+            connect_timeout_s=_STORE_CONNECT_TIMEOUT_S)
+        self._peer_client = http_client.HttpClient(
+            connect_timeout_s=_CONNECT_TIMEOUT_S)
+        self._server_client = http_client.HttpClient(
+            connect_timeout_s=_CONNECT_TIMEOUT_S)
+        self._store = row_store_http.HttpRowStore(
+            client=self._store_client, address=settings.store_address)
+        self._network = peer_network.HttpPeerNetwork(
+            client=self._peer_client,
+            host=settings.ip,
+            port=settings.peer_ports[0])
+        self._hosts = roster.Roster()
+        self._config = knowledge.ConfigListener(
+            state=state,
+            time=self._clock,
+            log=self.log,
+            table=names.Table.OPERATOR,
+            key=names.Table.CONFIG_KEY,
+            decode=config_document.decode_result)
+
+    async def __aenter__(self) -> Self:
+        await self._stack.__aenter__()
+        for client in (self._store_client, self._peer_client,
+                       self._server_client):
+            await self._stack.enter_async_context(client)
+        await self._stack.enter_async_context(self._network)
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None,
+                        error: BaseException | None,
+                        trace: types.TracebackType | None) -> None:
+        await self._stack.__aexit__(kind, error, trace)
+
+    def _follower(self, table: str, listener: store_follower.TableListener,
+                  wait_s: float,
+                  pause_s: float) -> store_follower.StoreFollower:
+        return store_follower.StoreFollower(store=self._store,
+                                            table=table,
+                                            listener=listener,
+                                            time=self._clock,
+                                            wait_s=wait_s,
+                                            pause_s=pause_s,
+                                            rng=self._rng)
+
+    def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
+        """Registers this host and follows the others."""
+        hosts = self._follower(roster.TABLE, self._hosts, _HOSTS_WAIT_S,
+                               _HOSTS_PAUSE_S)
+        tasks.create_task(hosts.run())
+        tasks.create_task(
+            roster.register(store=self._store,
+                            time=self._clock,
+                            roster=self._hosts,
+                            record=self._own))
+
+    @abc.abstractmethod
+    async def work(self) -> None:
+        """Does the role's work until cancelled."""
+
+    @abc.abstractmethod
+    async def leave(self) -> None:
+        """Ends what runs, before a planned stop."""
+
+    @abc.abstractmethod
+    def reload(self) -> None:
+        """Takes what may change in the settings while the role runs."""
+
+
+async def serve(role: PlatformRole, **started: Any) -> None:
+    """Serves until SIGTERM.
+
+    Args:
+        role: the role, not entered yet.
+        **started: what the line of the start tells.
+    """
+    stop = process.StopSignal()
+    async with role:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, role.reload)
+        role.log.write(log_events.LogEvent.STARTED, **started)
+        work = asyncio.create_task(role.work())
+        stopped = asyncio.create_task(stop.planned.wait())
+        await asyncio.wait((work, stopped), return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            work.result()
+        await role.leave()
+        work.cancel()
