--- a/pollenthread/core/fleet.py
+++ b/pollenthread/core/fleet.py
@@ -2,7 +2,8 @@
 
 A server that leaves the list takes no new work. While the list itself may be
 wrong, because servers could not renew their entries in the store, a server
-that was not announced as draining stays usable for a short time.
+that was not announced as draining stays usable for a short time. Of two servers
+that are listed with one address the older one has ended.
 """
 
 import dataclasses
@@ -167,10 +168,15 @@
 
     def _index(self) -> dict[str, tuple[Server, ...]]:
         found: dict[str, list[Server]] = {}
-        for server in (*self._listed_by_id.values(),
-                       *self._lapsed_by_id.values()):
+        known = (*self._listed_by_id.values(), *self._lapsed_by_id.values())
+        newest_by_address: dict[str, int] = {}
+        for server in known:
+            newest_by_address[server.address] = max(
+                server.born_ms, newest_by_address.get(server.address, 0))
+        for server in known:
             if (server.state is ServerState.READY and
-                    server.id not in self._ended):
+                    server.id not in self._ended and
+                    not 0 < server.born_ms < newest_by_address[server.address]):
                 found.setdefault(server.service, []).append(server)
         return {service: tuple(servers) for service, servers in found.items()}
 
--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -42,6 +42,11 @@
     When the agent beside "old" tells of a start at 5000 ms
     Then "b" take work
 
+  Scenario: After a power cut, old ids are listed for a while beside new ones
+    Given a fleet that lists servers "old b" of "llm"
+    When "new" is listed at the address of "old", started at 5000 ms
+    Then "new b" take work
+
   Scenario: A host that freezes takes its server out of the choice
     Given servers "a b" with an agent each
     When the agent of "a" is silent for 2 s
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -1,5 +1,6 @@
 """Steps for pure decisions on the prepared platform."""
 
+import dataclasses
 import json
 import random
 from typing import Any
@@ -68,6 +69,14 @@
     context.fleet.replace_dead(name)
 
 
+@when('"{name}" is listed at the address of "{old}", started at {born_ms:d} ms')
+def step_listed_again(context: Any, name: str, old: str, born_ms: int) -> None:
+    context.fleet.put(
+        dataclasses.replace(_server(name),
+                            address=_server(old).address,
+                            born_ms=born_ms))
+
+
 @when('the agent beside "{name}" tells of a start at {born_ms:d} ms')
 def step_started(context: Any, name: str, born_ms: int) -> None:
     context.fleet.note_start(_server(name).address, born_ms)
