Log when a group whose duty is held stands still and works again

Change: group_broken with the ranks that are missing, group_whole with the epoch, by the agent that holds the duty.

--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -54,6 +54,14 @@
                 len({state.epoch for state in states}) == 1 and
                 all(state.is_open for state in states))
 
+    def missing(self) -> list[int]:
+        """Ranks that are not heard or not open."""
+        size = max((s.size for s in self._state_by_rank.values()), default=0)
+        return [
+            rank for rank in range(size)
+            if not self.is_fresh(rank) or not self._state_by_rank[rank].is_open
+        ]
+
     # Counts.
 
     def on_counts(self, take: CountsTaker) -> None:
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -74,6 +74,7 @@
         self._clock = time
         self._log = log
         self._term = 0
+        self._was_whole = False
         self._used_versions = 0
         self._demand: expert_demand.Demand | None = None
         self._layouts: tuple[replication.Layout, ...] | None = None
@@ -109,7 +110,7 @@
     async def _serve(self) -> None:
         while True:
             await self._clock.sleep(_PLAN_TICK_S)
-            if not self._view.is_whole():
+            if not self._note_whole(self._view.is_whole()):
                 continue
             engine = self._figures(self._service())
             if engine is None or not engine.sets:
@@ -119,6 +120,19 @@
             elif self._is_my_turn():
                 await self._take_duty(engine)
 
+    def _note_whole(self, is_whole: bool) -> bool:
+        """Logs a change, if the duty is held here; returns what it is given."""
+        if is_whole != self._was_whole and self._term:
+            states = self._view.states().values()
+            epoch = max((state.epoch for state in states), default=0)
+            self._log.write(log_events.LogEvent.GROUP_WHOLE
+                            if is_whole else log_events.LogEvent.GROUP_BROKEN,
+                            group=self._view.name,
+                            epoch=epoch,
+                            missing=self._view.missing())
+        self._was_whole = is_whole
+        return is_whole
+
     def _service(self) -> str:
         """The service of the group's servers."""
         for state in self._view.states().values():
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -40,6 +40,9 @@
     STREAM_RESUMED = ('stream_resumed', 'A stream goes on at another server.')
     DUTY_TAKEN = ('duty_taken', 'This agent plans the maps of `group` now.')
     DUTY_LOST = ('duty_lost', 'Another agent holds a newer term of the duty.')
+    GROUP_BROKEN = ('group_broken', 'The group of a duty held here stands '
+                    'still or is not heard whole; `missing` ranks.')
+    GROUP_WHOLE = ('group_whole', 'All ranks of the group work, in `epoch`.')
     MAP_PLANNED = ('map_planned', 'Experts are to be copied; the mean of the '
                    'greatest loads falls from `before` to `after`.')
     MAP_SWITCHED = ('map_switched', 'All ranks change to a map with `step`.')
--- a/tests/platform/expert_maps.feature
+++ b/tests/platform/expert_maps.feature
@@ -87,3 +87,8 @@
     Given a group of 3 ranks in pass 10
     When a switch to version 7 is begun and the group gets a new epoch
     Then the switch is abandoned
+
+  Scenario: A group that stands still names the ranks that it misses
+    Given all 4 ranks of a group were heard
+    When 1 s passes and all but rank 2 are heard, rank 3 as closed
+    Then the group is not whole, and ranks "2 3" are missing
--- a/tests/platform/steps/expert_maps.py
+++ b/tests/platform/steps/expert_maps.py
@@ -5,8 +5,10 @@
 
 from behave import given, then, when
 
+from pollenthread.app import group_view
 from pollenthread.core import (expert_demand, map_switch, peer_messages,
                                replication)
+from tests.fakes import memory
 
 _KIND = peer_messages.OrderKind
 _EPOCH = 1
@@ -369,3 +371,34 @@
 def step_abandoned(context: Any) -> None:
     assert context.switch.phase is map_switch.Phase.ABANDONED
     assert not context.orders
+
+
+@given('all {ranks:d} ranks of a group were heard')
+def step_heard(context: Any, ranks: int) -> None:
+    context.clock = memory.MemoryClock()
+    context.view = group_view.GroupView(name='g', time=context.clock)
+    context.heard = [
+        dataclasses.replace(_state(rank, step=1), size=ranks)
+        for rank in range(ranks)
+    ]
+    for state in context.heard:
+        context.view.take(state)
+    assert context.view.is_whole() and not context.view.missing()
+
+
+@when('{seconds:d} s passes and all but rank {silent:d} are heard, rank '
+      '{closed:d} as closed')
+def step_heard_again(context: Any, seconds: int, silent: int,
+                     closed: int) -> None:
+    context.clock.now += seconds
+    for state in context.heard:
+        if state.rank != silent:
+            context.view.take(
+                dataclasses.replace(state, step=2, is_open=state.rank
+                                    != closed))
+
+
+@then('the group is not whole, and ranks "{ranks}" are missing')
+def step_missing(context: Any, ranks: str) -> None:
+    assert not context.view.is_whole()
+    assert context.view.missing() == [int(r) for r in ranks.split()]
