Who has missed its aim draws lots for the places that nobody needs

Change: who waits looks each 0.25 s and draws lots against all who wait at all hosts for the places beyond a quarter of each server; 0.8 s at most; their urgency at servers is that of others again.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -54,7 +54,10 @@
         self._observe = observe
         self._pending: set[_Pending] = set()
         self._patience = lateness.PatienceBook()
-        self._places = place_finder.PlaceFinder(state=state, time=time, log=log)
+        self._places = place_finder.PlaceFinder(state=state,
+                                                time=time,
+                                                log=log,
+                                                rng=state.rng)
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
--- a/pollenthread/app/place_finder.py
+++ b/pollenthread/app/place_finder.py
@@ -1,6 +1,7 @@
 """Finds a server for a request, and decides who waits for one."""
 
 import dataclasses
+import random
 
 from pollenthread.app import request_job, serving_state
 from pollenthread.core import errors, fleet, log_events, service_forecast
@@ -10,20 +11,23 @@
 
 _MIN_TIME_LEFT_S = 0.02
 # Callers give a stream up after two seconds without an event.
-_LATE_WAIT_S = 1.2
+_LATE_WAIT_S = 0.8
 _LATE_WAIT_SHARE = 0.25
-_LATE_LOOK_S = 0.06
-_LATE_SPARE_SHARE = 0.33
+# As often as agents tell the load.
+_LATE_LOOK_S = 0.25
+_LATE_SPARE_SHARE = 0.25
 
 
 class PlaceFinder:
     """Chooses servers by what is known of their load."""
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
-                 log: event_log.EventLog) -> None:
+                 log: event_log.EventLog, rng: random.Random) -> None:
         self._state = state
         self._clock = time
         self._log = log
+        self._rng = rng
+        self._waiting = 0
 
     async def find(self, job: request_job.Job) -> fleet.Server:
         """Chooses a server.
@@ -35,21 +39,47 @@
         Raises:
             request_job.Failed: no server would begin in time.
         """
-        now = self._clock.monotonic()
-        patient_until = now
-        if job.is_late and job.is_stream and not job.sent:
-            patient_until += min(_LATE_WAIT_S,
-                                 (job.deadline - now) * _LATE_WAIT_SHARE)
-        while (now := self._clock.monotonic()) < patient_until:
-            server = self._choose(job, now, spare_share=_LATE_SPARE_SHARE)
-            if server is not None:
-                return server
-            await self._clock.sleep(_LATE_LOOK_S)
-        server = self._choose(job, now)
+        server = await self._wait_for_room(job) if _is_patient(job) else None
         if server is None:
-            raise request_job.Failed(job.given_up(errors.Kind.NO_UPSTREAM, now))
+            now = self._clock.monotonic()
+            server = self._choose(job, now)
+            if server is None:
+                raise request_job.Failed(
+                    job.given_up(errors.Kind.NO_UPSTREAM, now))
         return server
 
+    async def _wait_for_room(self, job: request_job.Job) -> fleet.Server | None:
+        """Waits for a place that nobody else needs; None if none comes."""
+        now = self._clock.monotonic()
+        patient_until = now + min(_LATE_WAIT_S,
+                                  (job.deadline - now) * _LATE_WAIT_SHARE)
+        self._waiting += 1
+        try:
+            while now < patient_until:
+                if self._is_next(job, now):
+                    server = self._choose(job,
+                                          now,
+                                          spare_share=_LATE_SPARE_SHARE)
+                    if server is not None:
+                        return server
+                await self._clock.sleep(_LATE_LOOK_S *
+                                        self._rng.uniform(0.5, 1.5))
+                now = self._clock.monotonic()
+        finally:
+            self._waiting -= 1
+        return None
+
+    def _is_next(self, job: request_job.Job, now: float) -> bool:
+        """Draws lots among all who wait, so that not all hosts take one place.
+
+        Other hosts have as many waiting, and see the same places.
+        """
+        room = self._state.loads.room(self._state.fleet.ready(job.service),
+                                      spare_share=_LATE_SPARE_SHARE,
+                                      now=now)
+        rivals = self._waiting * self._state.entry_hosts
+        return self._rng.random() * rivals < room
+
     def _choose(self,
                 job: request_job.Job,
                 now: float,
@@ -90,3 +120,8 @@
                                      max_gap_s=job.route.max_gap_s,
                                      passes=engine.usual_answer_tokens /
                                      engine.steps_per_pass)
+
+
+def _is_patient(job: request_job.Job) -> bool:
+    """Whether the request waits rather than takes a place from others."""
+    return job.is_late and job.is_stream and not job.sent
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -10,7 +10,6 @@
 
 _URGENCY = 5
 _MAX_URGENCY = 9
-_LATE_PRIORITY = 2
 # Servers that restarted take new work again after some seconds.
 _RETURN_S = 2.5
 _RETURN_SHARE = 0.33
@@ -71,14 +70,11 @@
     def urgency(self) -> int:
         """The server's order of admission; 0 is first.
 
-        By workspace, then by route, and new callers before those who come
-        back.
+        By workspace, then by route.
         """
         priority = self.route.priority
         if self.workspace is not None and self.workspace.priority is not None:
             priority = self.workspace.priority
-        if self.is_late:
-            priority += _LATE_PRIORITY
         return min(_MAX_URGENCY, _URGENCY + priority) if priority else _URGENCY
 
     def given_up(self, kind: errors.Kind, now: float) -> errors.Failure:
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -36,7 +36,7 @@
         self.loads = load_board.LoadBoard(rng=rng)
         self.entry_hosts = 1
         self.leaving_since: float | None = None
-        self._rng = rng
+        self.rng = rng
         self._retry_bounds = retry_bounds
         self._budget_by_service: dict[str, retry_budget.RetryBudget] = {}
 
@@ -56,7 +56,7 @@
         if len(route.shares) == 1:
             return route.shares[0].service
         weights = [share.weight for share in route.shares]
-        return self._rng.choices(route.shares, weights)[0].service
+        return self.rng.choices(route.shares, weights)[0].service
 
     @property
     def is_ready(self) -> bool:
--- a/pollenthread/core/lateness.py
+++ b/pollenthread/core/lateness.py
@@ -2,8 +2,8 @@
 
 Answers the load pattern "all callers come back at once after an outage": those
 who come back have missed their aim already, and an answer is worth the same to
-them some seconds later. New callers pass them wherever requests queue, so that
-a wave of returns does not make everybody late for as long as it drains.
+them a second later. They leave places to new callers, so that a wave of returns
+does not make everybody late for as long as it drains.
 """
 
 from pollenthread.core import routing_config
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -208,6 +208,14 @@
         return min(candidates,
                    key=lambda s: self._cost(s, data_centre, need, now))
 
+    def room(self, servers: Iterable[fleet.Server], *, spare_share: float,
+             now: float) -> float:
+        """Requests that open servers can take beside the places they spare."""
+        return sum(
+            service_forecast.room(self._outlook(s, now), spare_share)
+            for s in servers
+            if self._is_open(s, now))
+
     def _suits(self, server: fleet.Server, need: service_forecast.Need,
                now: float) -> bool:
         outlook = self._outlook(server, now)
--- a/pollenthread/core/service_forecast.py
+++ b/pollenthread/core/service_forecast.py
@@ -7,7 +7,9 @@
 
 import dataclasses
 
-__all__ = ['Need', 'ServerOutlook', 'cost', 'is_hopeless', 'leaves_room']
+__all__ = [
+    'Need', 'ServerOutlook', 'cost', 'is_hopeless', 'leaves_room', 'room'
+]
 
 _USUAL_PASS_S = 0.06
 _FIRST_PASSES = 2.0
@@ -81,6 +83,11 @@
     return outlook.load + 1 <= outlook.slots * (1 - need.spare_share)
 
 
+def room(outlook: ServerOutlook, spare_share: float) -> float:
+    """Requests that a server can take while a share of its places is spared."""
+    return max(0.0, outlook.slots * (1 - spare_share) - outlook.load)
+
+
 def is_hopeless(need: Need, outlook: ServerOutlook) -> bool:
     """Whether the server is not expected to begin in time."""
     if not need.passes:
