--- a/pollenthread/core/fleet.py
+++ b/pollenthread/core/fleet.py
@@ -3,7 +3,7 @@
 A server that leaves the list takes no new work. While the list itself may be
 wrong, because servers could not renew their entries in the store, a server
 that was not announced as draining stays usable for a short time. Of two servers
-that are listed with one address the older one has ended.
+of a service that are listed with one address the older one has ended.
 """
 
 import dataclasses
@@ -169,14 +169,16 @@
     def _index(self) -> dict[str, tuple[Server, ...]]:
         found: dict[str, list[Server]] = {}
         known = (*self._listed_by_id.values(), *self._lapsed_by_id.values())
-        newest_by_address: dict[str, int] = {}
+        newest_by_place: dict[tuple[str, str], int] = {}
         for server in known:
-            newest_by_address[server.address] = max(
-                server.born_ms, newest_by_address.get(server.address, 0))
+            place = (server.service, server.address)
+            newest_by_place[place] = max(server.born_ms,
+                                         newest_by_place.get(place, 0))
         for server in known:
+            newest_ms = newest_by_place[server.service, server.address]
             if (server.state is ServerState.READY and
                     server.id not in self._ended and
-                    not 0 < server.born_ms < newest_by_address[server.address]):
+                    not 0 < server.born_ms < newest_ms):
                 found.setdefault(server.service, []).append(server)
         return {service: tuple(servers) for service, servers in found.items()}
 
--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -46,6 +46,8 @@
     Given a fleet that lists servers "old b" of "llm"
     When "new" is listed at the address of "old", started at 5000 ms
     Then "new b" take work
+    When an entry "odd" of "nobody" is listed at the address of "b", started at 9000 ms
+    Then "new b" take work
 
   Scenario: A host that freezes takes its server out of the choice
     Given servers "a b" with an agent each
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -77,6 +77,17 @@
                             born_ms=born_ms))
 
 
+@when('an entry "{name}" of "{service}" is listed at the address of "{old}", '
+      'started at {born_ms:d} ms')
+def step_listed_oddly(context: Any, name: str, service: str, old: str,
+                      born_ms: int) -> None:
+    context.fleet.put(
+        dataclasses.replace(_server(name),
+                            service=service,
+                            address=_server(old).address,
+                            born_ms=born_ms))
+
+
 @when('the agent beside "{name}" tells of a start at {born_ms:d} ms')
 def step_started(context: Any, name: str, born_ms: int) -> None:
     context.fleet.note_start(_server(name).address, born_ms)
