--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -47,7 +47,10 @@
         self.is_leaving = False
         self._pace = pace
 
-    async def read(self) -> AsyncIterator[bytes]:
+    def read(self) -> AsyncIterator[bytes]:
+        return self._events()
+
+    async def _events(self) -> AsyncIterator[bytes]:
         await asyncio.sleep(self._pace.first_s)
         for number in range(self._pace.events):
             yield f'id: {number}\ndata: x\n\n'.encode()
