--- a/pollenthread/app/place_finder.py
+++ b/pollenthread/app/place_finder.py
@@ -11,7 +11,7 @@
 
 _MIN_TIME_LEFT_S = 0.02
 # Callers give a stream up after two seconds without an event.
-_LATE_WAIT_S = 0.8
+_LATE_WAIT_S = 0.6
 _LATE_WAIT_SHARE = 0.25
 # As often as agents tell the load.
 _LATE_LOOK_S = 0.25
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -24,37 +24,41 @@
         slots: requests that a server works on at once.
         queue: requests that wait there at most.
         first_s: seconds from a place to the first event.
-        gap_s: seconds between events.
+        gap_s: seconds between events while nothing else runs.
+        gap_a_request_s: what each request at the fullest server adds to that:
+            servers of a group make their passes together.
         events: events of an answer.
     """
 
     slots: int = 6
     queue: int = 6
     first_s: float = 0.12
-    gap_s: float = 0.055
+    gap_s: float = 0.035
+    gap_a_request_s: float = 0.006
     events: int = 26
 
 
 class _Answer(upstream.UpstreamAnswer):
     """An answer; one that was not run has no body."""
 
-    def __init__(self, pace: Pace, *, has_run: bool) -> None:
+    def __init__(self, servers: 'BusyServers', *, has_run: bool) -> None:
         self.status = _OK if has_run else _NOT_RUN
         self.headers: tuple[http_headers.Header, ...] = ()
         self.has_run = has_run
         self.is_other_server = False
         self.load = None
         self.is_leaving = False
-        self._pace = pace
+        self._servers = servers
 
     def read(self) -> AsyncIterator[bytes]:
         return self._events()
 
     async def _events(self) -> AsyncIterator[bytes]:
-        await asyncio.sleep(self._pace.first_s)
-        for number in range(self._pace.events):
+        pace = self._servers.pace
+        await asyncio.sleep(pace.first_s)
+        for number in range(pace.events):
             yield f'id: {number}\ndata: x\n\n'.encode()
-            await asyncio.sleep(self._pace.gap_s)
+            await asyncio.sleep(self._servers.gap_s)
 
 
 class _Server:
@@ -101,20 +105,26 @@
 
     def __init__(self, *, servers: Iterable[fleet.Server], pace: Pace) -> None:
         self.is_open = True
-        self._pace = pace
+        self.pace = pace
         self._server_by_id = {server.id: _Server(pace) for server in servers}
 
+    @property
+    def gap_s(self) -> float:
+        """Seconds between events now."""
+        fullest = max(s.running for s in self._server_by_id.values())
+        return self.pace.gap_s + self.pace.gap_a_request_s * fullest
+
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
         self, attempt: upstream.UpstreamRequest
     ) -> AsyncIterator[upstream.UpstreamAnswer]:
         server = self._server_by_id[attempt.server.id]
         if not self.is_open or server.is_full:
-            yield _Answer(self._pace, has_run=False)
+            yield _Answer(self, has_run=False)
             return
         await server.enter(attempt.urgency)
         try:
-            yield _Answer(self._pace, has_run=True)
+            yield _Answer(self, has_run=True)
         finally:
             server.leave()
 
@@ -123,7 +133,7 @@
         server = self._server_by_id[server_id]
         return load_board.LoadReport(running=server.running,
                                      waiting=server.waiting,
-                                     slots=self._pace.slots,
+                                     slots=self.pace.slots,
                                      is_open=self.is_open,
                                      group='g',
-                                     pass_s=self._pace.gap_s)
+                                     pass_s=self.gap_s)
