Who claims endless patience does not make others look late

Cause: found by reading the diff: the longest patience of a route was taken from any caller, so one with 9000 s would have had all others wait for spare places. Change: no caller's patience counts beyond the route's timeout.

--- a/pollenthread/core/lateness.py
+++ b/pollenthread/core/lateness.py
@@ -11,6 +11,7 @@
 __all__ = ['PatienceBook']
 
 _FULL_SHARE = 0.97
+_SLACK = 1.02
 _MAX_ROUTES = 10_000
 
 
@@ -28,6 +29,9 @@
             patience_s: how long it will still wait.
         """
         longest_s = max(patience_s, self._longest_s_by_route.get(route.name, 0))
+        # Nobody is kept waiting longer than the route allows, so who claims
+        # more patience than that does not make others look late.
+        longest_s = min(longest_s, route.timeout_s * _SLACK)
         if len(self._longest_s_by_route) >= _MAX_ROUTES:
             self._longest_s_by_route.clear()
         self._longest_s_by_route[route.name] = longest_s
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -10,7 +10,7 @@
 
 from pollenthread.app import forwarder, planned_stop, serving_state
 from pollenthread.core import (caller_request, errors, fleet, http_headers,
-                               routing_config)
+                               lateness, routing_config)
 from pollenthread.ports import event_log, reply
 from tests.fakes import busy_servers, virtual_time
 
@@ -273,3 +273,19 @@
                          for c in world.callers) / len(world.callers)
                      for world in (context.world, context.plain_world))
     assert served >= plain - percent / 100, (served, plain)
+
+
+@given(
+    'callers of a route with a timeout of {timeout:f} s who had patience for '
+    '{patience:g} s')
+def step_known_patience(context: Any, timeout: float, patience: float) -> None:
+    context.route = dataclasses.replace(_ROUTE, timeout_s=timeout)
+    context.book = lateness.PatienceBook()
+    context.book.waited_s(context.route, patience)
+
+
+@then('one with patience for {patience:g} s has missed an aim of 403 ms: '
+      '{missed}')
+def step_missed(context: Any, patience: float, missed: str) -> None:
+    found = context.book.has_missed_aim(context.route, patience)
+    assert str(found) == missed, found
--- a/tests/platform/waves.feature
+++ b/tests/platform/waves.feature
@@ -10,6 +10,21 @@
     Then of those who first came from second 6 to 12 a fifth fewer miss the aim than if nobody told its patience
     And at most 1 in 100 callers more go without an answer than then
 
+  Scenario Outline: Who has waited already is known by its patience
+    Given callers of a route with a timeout of 8.0 s who had patience for <known> s
+    Then one with patience for <patience> s has missed an aim of 403 ms: <missed>
+
+    Examples:
+      | known | patience | missed |
+      | 8.05  | 8.05     | False  |
+      | 8.05  | 7.9      | False  |
+      | 8.05  | 7.6      | True   |
+      | 8.05  | 2.0      | True   |
+      | 2.0   | 8.05     | False  |
+      | 4.0   | 3.9      | False  |
+      | 9000  | 8.05     | False  |
+      | 9000  | 7.6      | True   |
+
   Scenario: Steady load stays in time
     Given 16 servers and 9 entry hosts with 37 streams a second
     When no server works from second 1 to 1 and callers come back once
