Wait 0.4 s at most for a spare place, so that a silent server is replaced in time

A caller who had come back waited 0.8 s for a spare place (the last look slept past the bound of 0.6 s), was sent to a server whose host froze right after, and gave up after two silent seconds, before the silence of the server was found (1.2 s); the frozen server ran the request when it woke. Ruled out: a refused reset (the connection was reset; a frozen host cannot read). Change: the wait is 0.4 s with the last look in it; 0.3 of a server's places are spared so that as many callers are served. Measured: the new step fails before (0.925 s), passes after.

--- a/pollenthread/app/place_finder.py
+++ b/pollenthread/app/place_finder.py
@@ -10,12 +10,13 @@
 __all__ = ['PlaceFinder']
 
 _MIN_TIME_LEFT_S = 0.02
-# Callers give a stream up after two seconds without an event.
-_LATE_WAIT_S = 0.6
+# Callers give a stream up after two seconds without an event. A server that falls
+# silent is found after 1.2 s, and another one needs some time to begin.
+_LATE_WAIT_S = 0.4
 _LATE_WAIT_SHARE = 0.25
 # As often as agents tell the load.
 _LATE_LOOK_S = 0.25
-_LATE_SPARE_SHARE = 0.25
+_LATE_SPARE_SHARE = 0.3
 
 
 class PlaceFinder:
@@ -62,8 +63,8 @@
                                           spare_share=_LATE_SPARE_SHARE)
                     if server is not None:
                         return server
-                await self._clock.sleep(_LATE_LOOK_S *
-                                        self._rng.uniform(0.5, 1.5))
+                pause_s = _LATE_LOOK_S * self._rng.uniform(0.5, 1.5)
+                await self._clock.sleep(min(pause_s, patient_until - now))
                 now = self._clock.monotonic()
         finally:
             self._waiting -= 1
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -105,6 +105,7 @@
 
     def __init__(self, *, servers: Iterable[fleet.Server], pace: Pace) -> None:
         self.is_open = True
+        self.longest_wait_s = 0.0
         self.pace = pace
         self._server_by_id = {server.id: _Server(pace) for server in servers}
 
@@ -118,6 +119,9 @@
     async def send(  # pylint: disable=invalid-overridden-method
         self, attempt: upstream.UpstreamRequest
     ) -> AsyncIterator[upstream.UpstreamAnswer]:
+        waited_s = (asyncio.get_running_loop().time() -
+                    attempt.request.received_at)
+        self.longest_wait_s = max(self.longest_wait_s, waited_s)
         server = self._server_by_id[attempt.server.id]
         if not self.is_open or server.is_full:
             yield _Answer(self, has_run=False)
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -137,13 +137,13 @@
                          slots=6,
                          state=fleet.ServerState.READY) for i in range(servers)
         ]
-        self._servers = busy_servers.BusyServers(servers=self._fleet,
-                                                 pace=busy_servers.Pace())
+        self.servers = busy_servers.BusyServers(servers=self._fleet,
+                                                pace=busy_servers.Pace())
         self._clock = virtual_time.LoopClock()
         self._states = [self._state(i, hosts) for i in range(hosts)]
         self._hosts = [
             forwarder.Forwarder(state=state,
-                                servers=self._servers,
+                                servers=self.servers,
                                 stop_plan=planned_stop.StopPlan(8.0, 1.0),
                                 observe=lambda name, value: None,
                                 time=self._clock,
@@ -169,9 +169,9 @@
         reports = [
             asyncio.create_task(self._report(server)) for server in self._fleet
         ]
-        loop.call_at(start + closed_at, setattr, self._servers, 'is_open',
+        loop.call_at(start + closed_at, setattr, self.servers, 'is_open',
                      closed_at == open_at)
-        loop.call_at(start + open_at, setattr, self._servers, 'is_open', True)
+        loop.call_at(start + open_at, setattr, self.servers, 'is_open', True)
         async with asyncio.TaskGroup() as group:
             at = 0.0
             while at < _LAST_ARRIVAL_S:
@@ -188,7 +188,7 @@
     async def _report(self, server: fleet.Server) -> None:
         """What the agent beside a server does."""
         while True:
-            news = self._servers.report(server.id)
+            news = self.servers.report(server.id)
             for state in self._states:
                 state.loads.report(server.id, news, self._clock.monotonic())
             await asyncio.sleep(_REPORT_S * self._rng.uniform(0.9, 1.1))
@@ -267,6 +267,12 @@
     assert late <= plain_late * 0.8, (late, plain_late)
 
 
+@then('nobody waited over {limit:d} ms before a server was asked')
+def step_waited(context: Any, limit: int) -> None:
+    longest_s = context.world.servers.longest_wait_s
+    assert 0 < longest_s * 1000 <= limit + 1, longest_s
+
+
 @then('at most {percent:d} in 100 callers more go without an answer than then')
 def step_served(context: Any, percent: int) -> None:
     served, plain = (sum(c.is_served
--- a/tests/platform/waves.feature
+++ b/tests/platform/waves.feature
@@ -8,6 +8,7 @@
     Given 16 servers and 9 entry hosts with 37 streams a second
     When no server works from second 3 to 5 and callers come back once
     Then of those who first came from second 6 to 12 a fifth fewer miss the aim than if nobody told its patience
+    And nobody waited over 400 ms before a server was asked
     And at most 1 in 100 callers more go without an answer than then
 
   Scenario Outline: Who has waited already is known by its patience
