--- a/pollenthread/app/place_finder.py
+++ b/pollenthread/app/place_finder.py
@@ -10,8 +10,8 @@
 __all__ = ['PlaceFinder']
 
 _MIN_TIME_LEFT_S = 0.02
-# Callers give a stream up after two seconds without an event. A server that falls
-# silent is found after 1.2 s, and another one needs some time to begin.
+# Callers give a stream up after two seconds without an event. A server that
+# falls silent is found after 1.2 s, and another one needs some time to begin.
 _LATE_WAIT_S = 0.4
 _LATE_WAIT_SHARE = 0.25
 # As often as agents tell the load.
