One silent log and one rank's state for the tests

Change: tests/fakes/memory.py has SilentLog, tests/fakes/running_group.py has rank_state; no step, check or bound differs, no product code is touched.

--- a/tests/fakes/memory.py
+++ b/tests/fakes/memory.py
@@ -1,12 +1,13 @@
 """A clock and a table in memory, for tests without processes."""
 
 from collections.abc import Sequence
+from typing import Any
 
 import result
 
-from pollenthread.ports import clock, table
+from pollenthread.ports import clock, event_log, table
 
-__all__ = ['MemoryClock', 'MemoryTable']
+__all__ = ['MemoryClock', 'MemoryTable', 'SilentLog']
 
 
 class MemoryClock(clock.Clock):
@@ -22,6 +23,17 @@
         self.now += seconds
 
 
+class SilentLog(event_log.EventLog):
+    """Forgets all lines."""
+
+    def write(self,
+              event: Any,
+              *,
+              important: bool = True,
+              **fields: Any) -> None:
+        return
+
+
 class MemoryTable(table.TableService):
     """Rows in memory."""
 
--- a/tests/fakes/running_group.py
+++ b/tests/fakes/running_group.py
@@ -9,7 +9,7 @@
 from pollenthread.core import peer_messages
 from pollenthread.ports import rank_server
 
-__all__ = ['RunningGroup']
+__all__ = ['GroupServer', 'RunningGroup', 'rank_state']
 
 _KIND = peer_messages.OrderKind
 _ORDER_S = 0.004
@@ -18,6 +18,26 @@
 _OK = 200
 
 
+def rank_state(rank: int, **changes: Any) -> peer_messages.RankState:
+    """An idle rank of an open group of three in pass 10, but for changes."""
+    state = peer_messages.RankState(group='g',
+                                    host=f'side-{rank}',
+                                    rank=rank,
+                                    size=3,
+                                    epoch=1,
+                                    is_open=True,
+                                    born_ms=1,
+                                    step=10,
+                                    map_version=0,
+                                    prepared_version=0,
+                                    armed_version=0,
+                                    armed_step=0,
+                                    held_step=0,
+                                    is_busy=False,
+                                    pace_percent=100)
+    return dataclasses.replace(state, **changes)
+
+
 class RunningGroup:
     """Begins a pass at fixed intervals, unless the pass is held."""
 
--- a/tests/platform/steps/expert_maps.py
+++ b/tests/platform/steps/expert_maps.py
@@ -8,7 +8,7 @@
 from pollenthread.app import group_view
 from pollenthread.core import (expert_demand, map_switch, peer_messages,
                                replication)
-from tests.fakes import memory
+from tests.fakes import memory, running_group
 
 _KIND = peer_messages.OrderKind
 _EPOCH = 1
@@ -181,32 +181,15 @@
     assert context.demand.changes == 0
 
 
-def _state(rank: int, **changes: Any) -> peer_messages.RankState:
-    state = peer_messages.RankState(group='g',
-                                    host=f'h{rank}',
-                                    rank=rank,
-                                    size=3,
-                                    epoch=_EPOCH,
-                                    is_open=True,
-                                    born_ms=1,
-                                    step=10,
-                                    map_version=0,
-                                    prepared_version=0,
-                                    armed_version=0,
-                                    armed_step=0,
-                                    held_step=0,
-                                    is_busy=False,
-                                    pace_percent=100)
-    return dataclasses.replace(state, **changes)
-
-
 def _change(context: Any, rank: int, **changes: Any) -> None:
     context.states[rank] = dataclasses.replace(context.states[rank], **changes)
 
 
 @given('a group of {ranks:d} ranks in pass {step:d}')
 def step_group(context: Any, ranks: int, step: int) -> None:
-    context.states = {rank: _state(rank, step=step) for rank in range(ranks)}
+    context.states = {
+        rank: running_group.rank_state(rank, step=step) for rank in range(ranks)
+    }
     context.given = []
 
 
@@ -378,7 +361,7 @@
     context.clock = memory.MemoryClock()
     context.view = group_view.GroupView(name='g', time=context.clock)
     context.heard = [
-        dataclasses.replace(_state(rank, step=1), size=ranks)
+        dataclasses.replace(running_group.rank_state(rank, step=1), size=ranks)
         for rank in range(ranks)
     ]
     for state in context.heard:
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -8,8 +8,7 @@
 
 from pollenthread.app import group_view, roster, switch_driver
 from pollenthread.core import host_record, map_switch, peer_messages
-from pollenthread.ports import event_log
-from tests.fakes import running_group, virtual_time
+from tests.fakes import memory, running_group, virtual_time
 
 _GROUP = 'g'
 _EPOCH = 1
@@ -19,17 +18,6 @@
 _TELL_S = 0.05
 
 
-class _NoLog(event_log.EventLog):
-    """Forgets all lines."""
-
-    def write(self,
-              event: Any,
-              *,
-              important: bool = True,
-              **fields: Any) -> None:
-        return
-
-
 class _Network:
     """The part of the peers' network that a driver uses."""
 
@@ -49,24 +37,6 @@
     return int(address.rpartition(':')[2])
 
 
-def _state(rank: int, size: int) -> peer_messages.RankState:
-    return peer_messages.RankState(group=_GROUP,
-                                   host=f'side-{rank}',
-                                   rank=rank,
-                                   size=size,
-                                   epoch=_EPOCH,
-                                   is_open=True,
-                                   born_ms=1,
-                                   step=1,
-                                   map_version=0,
-                                   prepared_version=0,
-                                   armed_version=0,
-                                   armed_step=0,
-                                   held_step=0,
-                                   is_busy=False,
-                                   pace_percent=100)
-
-
 @given('a group of {size:d} ranks that begins a pass each {pass_ms:d} ms')
 def step_running(context: Any, size: int, pass_ms: int) -> None:
     context.size = size
@@ -82,10 +52,12 @@
 
 @when('its map is switched')
 def step_switch(context: Any) -> None:
-    context.group = running_group.RunningGroup(
-        states={r: _state(r, context.size) for r in range(context.size)},
-        pass_s=context.pass_s,
-        lost=context.lost)
+    context.group = running_group.RunningGroup(states={
+        r: running_group.rank_state(r, size=context.size, step=1)
+        for r in range(context.size)
+    },
+                                               pass_s=context.pass_s,
+                                               lost=context.lost)
     virtual_time.run(_switch(context))
 
 
@@ -111,7 +83,7 @@
         make_server=lambda address: running_group.GroupServer(
             group=group, rank=_rank(address)),
         time=time,
-        log=_NoLog())
+        log=memory.SilentLog())
     passes = asyncio.create_task(group.run())
     news = asyncio.create_task(_tell_states(group, view))
     await asyncio.sleep(_PAUSE_BEFORE_S)
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -11,8 +11,8 @@
 from pollenthread.app import forwarder, planned_stop, serving_state
 from pollenthread.core import (caller_request, errors, fleet, http_headers,
                                lateness, routing_config)
-from pollenthread.ports import event_log, reply
-from tests.fakes import busy_servers, virtual_time
+from pollenthread.ports import reply
+from tests.fakes import busy_servers, memory, virtual_time
 
 _BUDGET_S = 8.05
 _AIM_S = 0.403
@@ -59,17 +59,6 @@
     workspaces_by_key=None)
 
 
-class _NoLog(event_log.EventLog):
-    """Forgets all lines."""
-
-    def write(self,
-              event: Any,
-              *,
-              important: bool = True,
-              **fields: Any) -> None:
-        return
-
-
 class _Reply(reply.Reply):
     """Notes when the first event came and how the answer ended."""
 
@@ -147,7 +136,8 @@
                                 stop_plan=planned_stop.StopPlan(8.0, 1.0),
                                 observe=lambda name, value: None,
                                 time=self._clock,
-                                log=_NoLog()) for state in self._states
+                                log=memory.SilentLog())
+            for state in self._states
         ]
 
     def _state(self, seed: int, hosts: int) -> serving_state.ServingState:
