--- a/pollenthread/core/pace.py
+++ b/pollenthread/core/pace.py
@@ -4,13 +4,13 @@
 
 from pollenthread.core import targets
 
-__all__ = ['Pace', 'is_in_time']
+__all__ = ['ResponseTiming', 'meets_target']
 
 _MS_PER_S = 1000
 
 
 @dataclasses.dataclass(slots=True)
-class Pace:
+class ResponseTiming:
     """The times of one answer's parts, in seconds since its request came.
 
     Attributes:
@@ -25,7 +25,7 @@
     longest_gap_s: float = 0.0
     units: int = 0
 
-    def observe(self, at_s: float, count: int) -> None:
+    def record(self, at_s: float, count: int) -> None:
         """Takes note of a part with `count` units."""
         if self.first_s is None:
             self.first_s = at_s
@@ -42,7 +42,7 @@
         return (self.last_s - self.first_s) / (self.units - 1)
 
 
-def is_in_time(latency: targets.Latency, pace: Pace, total_s: float) -> bool:
+def meets_target(latency: targets.LatencyTarget, pace: ResponseTiming, total_s: float) -> bool:
     """Whether a whole answer met its target.
 
     The time between tokens is met when the mean gap is within the target and no
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -148,7 +148,7 @@
     """
 
     group: placement.Group
-    balance: targets.Balance
+    balance: targets.RankBalance
     costs: Costs
     interval_s: float
     use_history: bool = True
--- a/pollenthread/core/report.py
+++ b/pollenthread/core/report.py
@@ -5,7 +5,7 @@
 
 from pollenthread.core import account, cost, ledger, targets
 
-__all__ = ['ClassLine', 'OrderLine', 'Report', 'build']
+__all__ = ['ClassLine', 'OrderLine', 'AccountReport', 'build_report']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,7 +31,7 @@
     answer_ms: int | None
     retries_limit: int | None
     is_at_most_once: bool | None
-    counts: account.Counts
+    counts: account.RequestCounts
     lost_with_host: int
 
     @property
@@ -59,7 +59,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Report:
+class AccountReport:
     """The account as both departments read it.
 
     Attributes:
@@ -83,9 +83,9 @@
     hosts: int
 
     @property
-    def total(self) -> account.Counts:
+    def total(self) -> account.RequestCounts:
         """The sums over all classes."""
-        total = account.Counts()
+        total = account.RequestCounts()
         for line in self.classes:
             total += line.counts
         return total
@@ -96,13 +96,13 @@
         return all(line.counts.open >= 0 for line in self.classes)
 
 
-def build(*,
-          book: ledger.Ledger,
+def build_report(*,
+          summary: ledger.AccountSummary,
           costs: tuple[cost.GroupCost, ...],
           orders: tuple[OrderLine, ...],
-          current: targets.Targets | None,
+          current_targets: targets.Targets | None,
           days: tuple[str, str],
-          workspaces: frozenset[str] | None = None) -> Report:
+          workspaces: frozenset[str] | None = None) -> AccountReport:
     """Makes a report.
 
     Args:
@@ -116,30 +116,30 @@
     """
     shown = {
         key: counts
-        for key, counts in book.counts_by_key.items()
+        for key, counts in summary.counts_by_key.items()
         if workspaces is None or key.workspace in workspaces
     }
     sees_all = workspaces is None
-    return Report(
+    return AccountReport(
         from_day=days[0],
         to_day=days[1],
-        targets_version=0 if current is None else current.version,
+        targets_version=0 if current_targets is None else current_targets.version,
         classes=tuple(
-            _class_line(key, counts, book.lost_with_host_by_key, current)
+            _class_line(key, counts, summary.lost_with_host_by_key, current_targets)
             for key, counts in shown.items()),
         costs=costs if sees_all else (),
         orders=orders if sees_all else (),
-        gaps=book.gaps if sees_all else tuple(
+        gaps=summary.gaps if sees_all else tuple(
             dataclasses.replace(gap, host='', incarnation='')
-            for gap in book.gaps),
-        hosts=book.hosts)
+            for gap in summary.gaps),
+        hosts=summary.hosts)
 
 
-def _class_line(key: account.TallyKey, counts: account.Counts,
-                lost_by_key: Mapping[account.TallyKey, int],
+def _class_line(key: account.CountKey, counts: account.RequestCounts,
+                lost_by_key: Mapping[account.CountKey, int],
                 current: targets.Targets | None) -> ClassLine:
     work_class = _find(key, current)
-    latency = targets.Latency() if work_class is None else work_class.latency
+    latency = targets.LatencyTarget() if work_class is None else work_class.latency
     return ClassLine(
         workspace=key.workspace,
         work_class=key.work_class,
@@ -153,7 +153,7 @@
         lost_with_host=lost_by_key.get(key, 0))
 
 
-def _find(key: account.TallyKey,
+def _find(key: account.CountKey,
           current: targets.Targets | None) -> targets.WorkClass | None:
     if current is None:
         return None
--- a/pollenthread/core/retries.py
+++ b/pollenthread/core/retries.py
@@ -2,7 +2,7 @@
 
 from pollenthread.core import errors, targets
 
-__all__ = ['RetryBudget', 'back_off_s', 'is_safe']
+__all__ = ['RetryTokenBucket', 'backoff_s', 'is_retry_safe']
 
 _SHARE = 0.1
 _MAX_SAVED = 5.0
@@ -11,17 +11,17 @@
 _MAX_PAUSE_S = 0.5
 
 
-class RetryBudget:
+class RetryTokenBucket:
     """Retries that successes have earned: a tenth of an attempt for each."""
 
     def __init__(self) -> None:
         self._saved = _MAX_SAVED
 
-    def earn(self) -> None:
+    def record_success(self) -> None:
         """Counts a success."""
         self._saved = min(_MAX_SAVED, self._saved + _SHARE)
 
-    def spend(self, importance: targets.Importance) -> bool:
+    def try_acquire(self, importance: targets.Importance) -> bool:
         """Takes one retry out; False when there is none.
 
         Less important work leaves a part to what is above it.
@@ -33,12 +33,12 @@
         return True
 
 
-def is_safe(work_class: targets.WorkClass, ran: errors.Ran) -> bool:
+def is_retry_safe(work_class: targets.WorkClass, ran: errors.Executed) -> bool:
     """Whether another attempt cannot run the work a second time in vain."""
-    return work_class.repeatable or ran is errors.Ran.NO
+    return work_class.repeatable or ran is errors.Executed.NO
 
 
-def back_off_s(failures: int, draw: float) -> float:
+def backoff_s(failures: int, draw: float) -> float:
     """Seconds to wait after a number of failures; full jitter.
 
     Args:
--- a/pollenthread/core/retry_budget.py
+++ b/pollenthread/core/retry_budget.py
@@ -8,7 +8,7 @@
 import collections
 import math
 
-__all__ = ['RetryBudget']
+__all__ = ['SharedRetryBudget']
 
 _BUCKETS = 10
 _RATIO_SHARE = 0.8
@@ -16,7 +16,7 @@
 _EXTRA_SHARE = 0.45
 
 
-class RetryBudget:
+class SharedRetryBudget:
     """Repeats to one service within a sliding window."""
 
     def __init__(self, *, ratio: float, extra: float, window_s: float) -> None:
@@ -35,11 +35,11 @@
         self._repeats_by_bucket: collections.Counter[int] = collections.Counter(
         )
 
-    def note_request(self, now: float) -> None:
+    def record_request(self, now: float) -> None:
         """A caller's request for the service has come."""
         self._requests_by_bucket[self._bucket(now)] += 1
 
-    def take(self, now: float, hosts: int) -> bool:
+    def try_acquire(self, now: float, entry_host_count: int) -> bool:
         """Takes one repeat if there is one left.
 
         Args:
@@ -48,7 +48,7 @@
         """
         self._forget(now)
         allowed = (self._ratio * self._requests_by_bucket.total() +
-                   math.floor(self._extra / max(1, hosts)))
+                   math.floor(self._extra / max(1, entry_host_count)))
         if self._repeats_by_bucket.total() + 1 > allowed:
             return False
         self._repeats_by_bucket[self._bucket(now)] += 1
--- a/pollenthread/core/routing_config.py
+++ b/pollenthread/core/routing_config.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 
 __all__ = [
-    'CallerLimits', 'EngineFigures', 'RequestKind', 'Route', 'RoutingConfig',
-    'Service', 'ServiceShare', 'Workspace', 'find_route'
+    'CallerLimits', 'EngineProfile', 'RequestKind', 'Route', 'RoutingConfig',
+    'Service', 'ServiceShare', 'KeyWorkspace', 'find_route'
 ]
 
 
@@ -66,7 +66,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class EngineFigures:
+class EngineProfile:
     """What the operator says of a model engine's speed and memory.
 
     Attributes:
@@ -99,8 +99,8 @@
     per_pair_s: float
     chunk_tokens: int
     steps_per_pass: int
-    usual_prompt_tokens: float
-    usual_answer_tokens: float
+    mean_prompt_tokens: float
+    mean_output_tokens: float
     link_bytes_per_s: float
     sets: int
     experts: int
@@ -124,7 +124,7 @@
     name: str
     health_path: str
     max_connections: int
-    engine: EngineFigures | None
+    engine: EngineProfile | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,7 +138,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Workspace:
+class KeyWorkspace:
     """The holder of keys; 0 is the most important priority, None unset."""
 
     name: str
@@ -161,7 +161,7 @@
     routes_by_host: Mapping[str, tuple[Route, ...]]
     services_by_name: Mapping[str, Service]
     limits: CallerLimits
-    workspaces_by_key: Mapping[str, Workspace] | None
+    workspaces_by_key: Mapping[str, KeyWorkspace] | None
 
 
 def find_route(config: RoutingConfig, host: str, path: str) -> Route | None:
--- a/pollenthread/core/service_forecast.py
+++ b/pollenthread/core/service_forecast.py
@@ -10,8 +10,8 @@
 import dataclasses
 
 __all__ = [
-    'Need', 'ServerOutlook', 'is_hopeless', 'leaves_room', 'misses_aim',
-    'penalty_s', 'place_s', 'room'
+    'RequestRequirements', 'ServerEstimate', 'cannot_start_in_time', 'keeps_reserved_slots', 'misses_first_event_target',
+    'penalty_s', 'cost_per_request_s', 'free_slots'
 ]
 
 _USUAL_PASS_S = 0.06
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Need:
+class RequestRequirements:
     """What a request asks of its server.
 
     Attributes:
@@ -39,12 +39,12 @@
     time_left_s: float
     max_gap_s: float = 0.0
     passes: float = 0.0
-    spare_share: float = 0.0
-    aim_left_s: float = 0.0
+    reserved_share: float = 0.0
+    target_left_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ServerOutlook:
+class ServerEstimate:
     """What is believed of a server.
 
     Attributes:
@@ -57,18 +57,18 @@
     slots: int
     pass_s: float
 
-    def pass_or_usual_s(self) -> float:
+    def pass_or_default_s(self) -> float:
         """How long a pass lasts, as far as known."""
         return self.pass_s or _USUAL_PASS_S
 
 
-def _wait_s(need: Need, outlook: ServerOutlook) -> float:
+def _wait_s(need: RequestRequirements, outlook: ServerEstimate) -> float:
     """Seconds until a place is free, if answers take as long as this one."""
     ahead = max(0.0, outlook.load - outlook.slots + 1)
-    return ahead / outlook.slots * need.passes * outlook.pass_or_usual_s()
+    return ahead / outlook.slots * need.passes * outlook.pass_or_default_s()
 
 
-def place_s(need: Need, outlook: ServerOutlook) -> float:
+def cost_per_request_s(need: RequestRequirements, outlook: ServerEstimate) -> float:
     """Seconds that each request ahead in a server's queue costs.
 
     The usual pass, not the server's own, so that loads of servers compare.
@@ -78,11 +78,11 @@
     return need.passes * _USUAL_PASS_S / outlook.slots
 
 
-def penalty_s(need: Need, outlook: ServerOutlook) -> float:
+def penalty_s(need: RequestRequirements, outlook: ServerEstimate) -> float:
     """Seconds that a server costs beside those of its load."""
     if not need.passes:
         return 0.0
-    pass_s = outlook.pass_or_usual_s()
+    pass_s = outlook.pass_or_default_s()
     wait_s = _wait_s(need, outlook)
     usual_wait_s = wait_s * _USUAL_PASS_S / pass_s
     total = _FIRST_PASSES * pass_s + wait_s - usual_wait_s
@@ -93,30 +93,30 @@
     return total
 
 
-def leaves_room(need: Need, outlook: ServerOutlook) -> bool:
+def keeps_reserved_slots(need: RequestRequirements, outlook: ServerEstimate) -> bool:
     """Whether enough places stay free at the server."""
-    if not need.spare_share:
+    if not need.reserved_share:
         return True
-    return outlook.load + 1 <= outlook.slots * (1 - need.spare_share)
+    return outlook.load + 1 <= outlook.slots * (1 - need.reserved_share)
 
 
-def room(outlook: ServerOutlook, spare_share: float) -> float:
+def free_slots(outlook: ServerEstimate, reserved_share: float) -> float:
     """Requests that a server can take while a share of its places is spared."""
-    return max(0.0, outlook.slots * (1 - spare_share) - outlook.load)
+    return max(0.0, outlook.slots * (1 - reserved_share) - outlook.load)
 
 
-def is_hopeless(need: Need, outlook: ServerOutlook) -> bool:
+def cannot_start_in_time(need: RequestRequirements, outlook: ServerEstimate) -> bool:
     """Whether the server is not expected to begin in time."""
     if not need.passes:
         return False
-    begin_s = _wait_s(need, outlook) + outlook.pass_or_usual_s()
+    begin_s = _wait_s(need, outlook) + outlook.pass_or_default_s()
     return begin_s > need.time_left_s * _HOPELESS_SHARE
 
 
-def misses_aim(need: Need, outlook: ServerOutlook) -> bool:
+def misses_first_event_target(need: RequestRequirements, outlook: ServerEstimate) -> bool:
     """Whether the wait for a place at the server would make an answer late."""
-    if not need.aim_left_s or not need.passes:
+    if not need.target_left_s or not need.passes:
         return False
     wait_s = _wait_s(need, outlook)
-    first_s = wait_s + _FIRST_PASSES * outlook.pass_or_usual_s()
-    return wait_s > 0 and first_s > need.aim_left_s
+    first_s = wait_s + _FIRST_PASSES * outlook.pass_or_default_s()
+    return wait_s > 0 and first_s > need.target_left_s
--- a/pollenthread/core/slots.py
+++ b/pollenthread/core/slots.py
@@ -6,7 +6,7 @@
 
 from pollenthread.core import admission, errors, limits, service_times
 
-__all__ = ['Decision', 'Reading', 'Slots']
+__all__ = ['AdmissionDecision', 'UpstreamLoad', 'AdmissionController']
 
 _MAX_QUEUED = 512
 _SMOOTHING = 0.1
@@ -21,7 +21,7 @@
 _WAIT_MARGIN = 1.2
 
 
-class Decision(enum.Enum):
+class AdmissionDecision(enum.Enum):
     """What becomes of an attempt that asks for its turn."""
 
     RUN = 'run'
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reading:
+class UpstreamLoad:
     """What is reported of an upstream.
 
     Attributes:
@@ -45,16 +45,16 @@
     running: int
     queued: tuple[int, ...]
     limit: int
-    hold_s: float
-    first_s: float
-    token_s: float
+    duration_s: float
+    first_unit_s: float
+    between_tokens_s: float
 
 
 @dataclasses.dataclass(slots=True)
 class _Running:
     """One attempt at the upstream."""
 
-    ticket: admission.Ticket
+    ticket: admission.AdmissionRequest
     began_at: float
     first_at: float | None = None
     last_at: float = 0.0
@@ -77,19 +77,19 @@
         self._at = now
 
 
-class Slots:
+class AdmissionController:
     """Admits attempts to one upstream; time is passed in."""
 
     def __init__(self, *, now: float) -> None:
         self._limit = limits.ConcurrencyLimit(now=now)
         self._queue = admission.AdmissionQueue()
         self._running_by_attempt: dict[str, _Running] = {}
-        self._waiting_by_attempt: dict[str, admission.Ticket] = {}
-        self._times = service_times.ServiceTimes(initial_hold_s=_INITIAL_HOLD_S)
+        self._waiting_by_attempt: dict[str, admission.AdmissionRequest] = {}
+        self._times = service_times.ServiceTimes(initial_duration_s=_INITIAL_HOLD_S)
         self._token_s = 0.0
         self._progress_at = now
         self._suspect = False
-        self._reserves = [_Reserve() for _ in range(admission.LEVELS)]
+        self._reserves = [_Reserve() for _ in range(admission.IMPORTANCE_LEVELS)]
 
     @property
     def running(self) -> int:
@@ -101,15 +101,15 @@
         """Attempts that wait."""
         return len(self._queue)
 
-    def reading(self, now: float) -> Reading:
+    def load(self, now: float) -> UpstreamLoad:
         """What to report."""
         limit = 0 if self.is_stalled(now) else self._limit.value
-        return Reading(running=self.running,
+        return UpstreamLoad(running=self.running,
                        queued=tuple(self._queue.lengths),
                        limit=limit,
-                       hold_s=self._times.overall.hold_s,
-                       first_s=self._times.overall.first_s,
-                       token_s=self._token_s if self.running else 0.0)
+                       duration_s=self._times.overall.duration_s,
+                       first_unit_s=self._times.overall.first_unit_s,
+                       between_tokens_s=self._token_s if self.running else 0.0)
 
     def is_stalled(self, now: float) -> bool:
         """Whether attempts run and none has had a part for too long."""
@@ -123,33 +123,33 @@
 
     def _patience_s(self, run: _Running) -> float:
         """How long an attempt may have no part before that is a stall."""
-        if run.first_at is not None and not run.ticket.whole:
+        if run.first_at is not None and not run.ticket.due_whole:
             return _STALL_S
-        times = self._times.of(run.ticket.work_class)
-        usual_s = times.hold_s if run.ticket.whole else times.first_s
+        times = self._times.for_class(run.ticket.work_class)
+        usual_s = times.duration_s if run.ticket.due_whole else times.first_unit_s
         return max(_STALL_S, _STALL_FACTOR * usual_s, _target_s(run.ticket))
 
-    def offer(self, ticket: admission.Ticket,
-              now: float) -> tuple[Decision, errors.Kind | None]:
+    def admit(self, ticket: admission.AdmissionRequest,
+              now: float) -> tuple[AdmissionDecision, errors.ErrorKind | None]:
         """Decides on an attempt that has come; refusals name their kind."""
         if self.is_stalled(now):
-            return Decision.REFUSE, errors.Kind.OVERLOADED
-        ahead = self._queue.ahead_of(ticket)
+            return AdmissionDecision.REFUSE, errors.ErrorKind.OVERLOADED
+        ahead = self._queue.count_ahead(ticket)
         if not ahead and self.running < self._room(ticket.importance, now):
-            self._queue.note_served(ticket.workspace)
+            self._queue.record_served(ticket.workspace)
             self._start(ticket, now)
-            return Decision.RUN, None
+            return AdmissionDecision.RUN, None
         if len(self._queue) >= _MAX_QUEUED:
-            return Decision.REFUSE, errors.Kind.OVERLOADED
+            return AdmissionDecision.REFUSE, errors.ErrorKind.OVERLOADED
         wait_s = _WAIT_MARGIN * (ahead + 1) * self._pace_s
         if now + wait_s > self._latest_start(ticket):
             self._reserves[ticket.importance].raise_at(now)
-            return Decision.REFUSE, errors.Kind.DEADLINE_TOO_SHORT
+            return AdmissionDecision.REFUSE, errors.ErrorKind.DEADLINE_TOO_SHORT
         self._queue.push(ticket)
         self._waiting_by_attempt[ticket.attempt] = ticket
-        return Decision.WAIT, None
+        return AdmissionDecision.WAIT, None
 
-    def progress(self, attempt: str, now: float, units: int = 1) -> None:
+    def record_progress(self, attempt: str, now: float, units: int = 1) -> None:
         """Notes that an attempt has had a part of its answer."""
         self._progress_at = now
         self._suspect = False
@@ -158,25 +158,25 @@
             return
         if run.first_at is None:
             run.first_at = now
-            if not run.ticket.whole:
+            if not run.ticket.due_whole:
                 target_s = _FIRST_UNIT_SHARE * _target_s(run.ticket)
-                self._limit.observe(limits.Measure.FIRST_UNIT,
+                self._limit.record_latency(limits.LatencyMetric.FIRST_UNIT,
                                     (now - run.began_at) / target_s, now,
                                     run.began_at)
         elif units and run.ticket.between_tokens_s:
-            self.observe_gap((now - run.last_at) / units,
+            self.record_token_gap((now - run.last_at) / units,
                              run.ticket.between_tokens_s, now)
         run.last_at = now
 
-    def observe_gap(self, gap_s: float, target_s: float, now: float) -> None:
+    def record_token_gap(self, gap_s: float, target_s: float, now: float) -> None:
         """Learns from the time between two tokens."""
         if not self._token_s:
             self._token_s = gap_s
         self._token_s += _SMOOTHING * (gap_s - self._token_s)
-        self._limit.observe(limits.Measure.BETWEEN_TOKENS, gap_s / target_s,
+        self._limit.record_latency(limits.LatencyMetric.BETWEEN_TOKENS, gap_s / target_s,
                             now)
 
-    def finish(self, attempt: str, now: float) -> float:
+    def release(self, attempt: str, now: float) -> float:
         """Frees the turn, or the place in the queue, of an attempt.
 
         Returns:
@@ -189,18 +189,18 @@
         run = self._running_by_attempt.pop(attempt, None)
         if run is None:
             return 0.0
-        self._limit.note_running(self.running)
+        self._limit.set_running(self.running)
         hold_s = now - run.began_at
         first_at = now if run.first_at is None else run.first_at
         first_s = first_at - run.began_at
-        self._times.learn(run.ticket.work_class, first_s, hold_s)
-        if run.ticket.whole:
-            self._limit.observe(limits.Measure.ANSWER,
+        self._times.record(run.ticket.work_class, first_s, hold_s)
+        if run.ticket.due_whole:
+            self._limit.record_latency(limits.LatencyMetric.ANSWER,
                                 hold_s / _target_s(run.ticket), now,
                                 run.began_at)
         return hold_s
 
-    def advance(self, now: float) -> tuple[list[str], list[str]]:
+    def start_waiting(self, now: float) -> tuple[list[str], list[str]]:
         """Gives out free turns.
 
         Returns:
@@ -229,7 +229,7 @@
         if not self.queued:
             return []
         horizon = float('inf') if self.is_stalled(now) else now
-        dropped = self._queue.drop_due_before(horizon)
+        dropped = self._queue.remove_due_before(horizon)
         for ticket in dropped:
             del self._waiting_by_attempt[ticket.attempt]
             self._reserves[ticket.importance].raise_at(now)
@@ -251,22 +251,22 @@
     @property
     def _pace_s(self) -> float:
         """Expected seconds from one turn to the next."""
-        return self._times.overall.hold_s / self._limit.value
+        return self._times.overall.duration_s / self._limit.value
 
-    def _latest_start(self, ticket: admission.Ticket) -> float:
+    def _latest_start(self, ticket: admission.AdmissionRequest) -> float:
         """When a start is too late for the ticket's target."""
-        times = self._times.of(ticket.work_class)
-        service_s = times.hold_s if ticket.whole else times.first_s
+        times = self._times.for_class(ticket.work_class)
+        service_s = times.duration_s if ticket.due_whole else times.first_unit_s
         return ticket.due_at - service_s
 
-    def _start(self, ticket: admission.Ticket, now: float) -> None:
+    def _start(self, ticket: admission.AdmissionRequest, now: float) -> None:
         if not self._running_by_attempt:
             self._progress_at = now
         self._running_by_attempt[ticket.attempt] = _Running(ticket,
                                                             now,
                                                             last_at=now)
-        self._limit.note_running(self.running)
+        self._limit.set_running(self.running)
 
 
-def _target_s(ticket: admission.Ticket) -> float:
+def _target_s(ticket: admission.AdmissionRequest) -> float:
     return max(ticket.due_at - ticket.arrived_at, _MIN_TARGET_S)
--- a/pollenthread/core/spans.py
+++ b/pollenthread/core/spans.py
@@ -7,7 +7,7 @@
 from pollenthread.core import http_headers, messages
 
 __all__ = [
-    'TRACEPARENT', 'Context', 'Hop', 'Span', 'is_sampled', 'parse', 'spans_of'
+    'TRACEPARENT', 'TraceContext', 'AttemptTrace', 'Span', 'is_sampled', 'parse_traceparent', 'build_spans'
 ]
 
 TRACEPARENT = 'traceparent'
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Context:
+class TraceContext:
     """Which trace a request belongs to.
 
     Attributes:
@@ -64,7 +64,7 @@
 
 
 @dataclasses.dataclass
-class Hop:
+class AttemptTrace:
     """One attempt's way to an agent and back.
 
     Attributes:
@@ -87,7 +87,7 @@
         self.ended_at = now
 
 
-def parse(
+def parse_traceparent(
         headers: Iterable[http_headers.Header]) -> tuple[str, str, bool] | None:
     """Trace, span and whether it is sampled, from a valid header; or None."""
     for name, value in headers:
@@ -100,12 +100,12 @@
 
 def is_sampled(headers: Iterable[http_headers.Header]) -> bool:
     """Whether a request is traced."""
-    found = parse(headers)
+    found = parse_traceparent(headers)
     return found is not None and found[2]
 
 
-def spans_of(*, context: Context, host: str, began_at: float, ended_at: float,
-             wall_offset_s: float, hops: Iterable[Hop],
+def build_spans(*, context: TraceContext, host: str, began_at: float, ended_at: float,
+             wall_offset_s: float, attempts: Iterable[AttemptTrace],
              attributes: Mapping[str,
                                  str], new_id: Callable[[], str]) -> list[Span]:
     """The spans of one request.
@@ -131,7 +131,7 @@
         Span(context.trace_id, context.span_id, context.parent_id, 'entry',
              host, unix_ns(began_at), unix_ns(ended_at), attributes)
     ]
-    for hop in hops:
+    for hop in attempts:
         hop_ended_at = ended_at if hop.ended_at is None else hop.ended_at
         link = Span(context.trace_id, new_id(), context.span_id, 'link', host,
                     unix_ns(hop.sent_at), unix_ns(hop_ended_at),
--- a/pollenthread/core/step_limits.py
+++ b/pollenthread/core/step_limits.py
@@ -44,7 +44,7 @@
         return step.before - step.after >= min_saving
 
 
-def limits_for(figures: routing_config.EngineFigures, ranks: int) -> StepLimits:
+def limits_for(figures: routing_config.EngineProfile, ranks: int) -> StepLimits:
     """The limits of one group.
 
     Args:
--- a/pollenthread/core/stream_timing.py
+++ b/pollenthread/core/stream_timing.py
@@ -7,16 +7,16 @@
 import dataclasses
 import enum
 
-__all__ = ['LateBy', 'StreamTiming']
+__all__ = ['LatenessCause', 'StreamTiming']
 
 
-class LateBy(enum.Enum):
+class LatenessCause(enum.Enum):
     """What a stream's lateness began with."""
 
     NOTHING = 'nothing'
-    PLACE = 'place'
+    SERVER_WAIT = 'place'
     FIRST_EVENT = 'first_event'
-    PAUSE = 'pause'
+    EVENT_GAP = 'pause'
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,21 +32,21 @@
     """
 
     received_at: float
-    placed_at: float | None = None
+    sent_at: float | None = None
     first_at: float | None = None
     last_at: float | None = None
-    longest_pause_s: float = 0.0
+    longest_gap_s: float = 0.0
 
-    def note_place(self, now: float) -> None:
+    def record_sent(self, now: float) -> None:
         """The request is sent to a server."""
-        self.placed_at = now
+        self.sent_at = now
 
-    def note_events(self, now: float) -> None:
+    def record_events(self, now: float) -> None:
         """Events are passed on."""
         if self.first_at is None or self.last_at is None:
             self.first_at = now
         else:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_at)
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
         self.last_at = now
 
     def first_s(self) -> float | None:
@@ -54,7 +54,7 @@
         return None if self.first_at is None else (self.first_at -
                                                    self.received_at)
 
-    def late_by(self, target_s: float, max_pause_s: float) -> LateBy:
+    def lateness_cause(self, target_s: float, max_gap_s: float) -> LatenessCause:
         """What made the stream late.
 
         Args:
@@ -63,9 +63,9 @@
         """
         first_s = self.first_s()
         if first_s is None or first_s > target_s:
-            is_placed = (self.placed_at is not None and
-                         self.placed_at - self.received_at <= target_s / 2)
-            return LateBy.FIRST_EVENT if is_placed else LateBy.PLACE
-        if max_pause_s and self.longest_pause_s > max_pause_s:
-            return LateBy.PAUSE
-        return LateBy.NOTHING
+            is_placed = (self.sent_at is not None and
+                         self.sent_at - self.received_at <= target_s / 2)
+            return LatenessCause.FIRST_EVENT if is_placed else LatenessCause.SERVER_WAIT
+        if max_gap_s and self.longest_gap_s > max_gap_s:
+            return LatenessCause.EVENT_GAP
+        return LatenessCause.NOTHING
--- a/pollenthread/core/targets.py
+++ b/pollenthread/core/targets.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 __all__ = [
-    'Balance', 'Importance', 'Latency', 'Targets', 'WorkClass', 'Workspace'
+    'RankBalance', 'Importance', 'LatencyTarget', 'Targets', 'WorkClass', 'WorkspaceTargets'
 ]
 
 
@@ -18,7 +18,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Latency:
+class LatencyTarget:
     """The latency target of a class: for a stream or for a whole answer.
 
     Attributes:
@@ -31,13 +31,13 @@
     between_tokens_ms: int | None = None
     answer_ms: int | None = None
 
-    def is_whole(self, stream: bool) -> bool:
+    def is_for_whole_response(self, stream: bool) -> bool:
         """Whether the target is for the whole answer of a request."""
         return not stream or self.first_token_ms is None
 
     def target_ms(self, stream: bool) -> int | None:
         """The target for the first token of a stream, or for the answer."""
-        return self.answer_ms if self.is_whole(stream) else self.first_token_ms
+        return self.answer_ms if self.is_for_whole_response(stream) else self.first_token_ms
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,14 +53,14 @@
     """
 
     name: str
-    latency: Latency
+    latency: LatencyTarget
     retries: int
     repeatable: bool
     importance: Importance = Importance.NORMAL
 
 
 @dataclasses.dataclass(frozen=True)
-class Workspace:
+class WorkspaceTargets:
     """One customer's classes of work.
 
     Attributes:
@@ -77,7 +77,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Balance:
+class RankBalance:
     """How even ranks shall be, and what that may cost.
 
     Attributes:
@@ -101,6 +101,6 @@
     """
 
     version: int
-    workspace_by_name: Mapping[str, Workspace]
+    workspace_by_name: Mapping[str, WorkspaceTargets]
     draining: frozenset[str] = frozenset()
-    balance: Balance = Balance()
+    balance: RankBalance = RankBalance()
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -104,9 +104,9 @@
                                   engine=engine)
 
 
-def _engine(found: fields.Fields) -> routing_config.EngineFigures:
+def _engine(found: fields.Fields) -> routing_config.EngineProfile:
     usual = found.fields('usual')
-    return routing_config.EngineFigures(
+    return routing_config.EngineProfile(
         slots=found.whole('slots', 1),
         kv_tokens=found.whole('kv_capacity_tokens', 0),
         step_s=found.number('step_ms', 0.0) / _MS_PER_S,
@@ -120,8 +120,8 @@
         per_pair_s=found.number('pairs_per_m', 0.0) / _MEGA / _MS_PER_S,
         chunk_tokens=found.whole('chunk', 0),
         steps_per_pass=found.whole('stride', 1),
-        usual_prompt_tokens=usual.number('prompt', 500.0),
-        usual_answer_tokens=usual.number('answer', 100.0),
+        mean_prompt_tokens=usual.number('prompt', 500.0),
+        mean_output_tokens=usual.number('answer', 100.0),
         link_bytes_per_s=found.number('link_mbps', 0.0) * _MEGA /
         _BITS_PER_BYTE,
         sets=found.whole('sets', 0),
@@ -141,14 +141,14 @@
 
 
 def _workspaces(
-        document: fields.Fields) -> dict[str, routing_config.Workspace] | None:
+        document: fields.Fields) -> dict[str, routing_config.KeyWorkspace] | None:
     if not document.has('tenants'):
         return None
     workspaces = {}
     for tenant in document.each('tenants'):
         priority = (tenant.whole('priority')
                     if tenant.has('priority') else None)
-        workspace = routing_config.Workspace(tenant.text('name'), priority)
+        workspace = routing_config.KeyWorkspace(tenant.text('name'), priority)
         for key in tenant.texts('api_keys'):
             workspaces[key] = workspace
     return workspaces
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/bookkeeping.py
@@ -28,7 +28,7 @@
                                                                    dict[str,
                                                                         Any]],
                  gauges: Callable[[], Mapping[str, float]]) -> None:
-        self.tally = account.Tally()
+        self.tally = account.RequestCounter()
         self.latencies = metrics.Latencies()
         self._gauges = gauges
         self._exporter: otlp.SpanExporter | None = None
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -115,7 +115,7 @@
             gate=self._gateway,
             config=self._targets,
             hosts=self._directory,
-            request_ids=ids.IdSource(host=self._config.host,
+            request_ids=ids.RequestIdGenerator(host=self._config.host,
                                      incarnation=self._hello.incarnation),
             time=time,
             tally=self._books.tally,
@@ -243,8 +243,8 @@
             'peers': sorted(self._peers.links_by_host),
             'upstreams': {
                 name: {
-                    'running': upstream.report.reading.running,
-                    'queued': sum(upstream.report.reading.queued),
+                    'running': upstream.report.load.running,
+                    'queued': sum(upstream.report.load.queued),
                     'leaving': upstream.leaving
                 } for name, upstream in self._pool.by_host.items()
             }
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -110,7 +110,7 @@
                                 time=self._clock,
                                 log=self.log)
 
-    def _figures(self, service: str) -> routing_config.EngineFigures | None:
+    def _figures(self, service: str) -> routing_config.EngineProfile | None:
         """The figures of a service by the newest configuration."""
         config = self.state.config
         found = config.services_by_name.get(service) if config else None
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -37,7 +37,7 @@
     async def handle(self, request: http_message.Request,
                      response: http_message.Response) -> None:
         if request.path != names.Path.READY:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+            await response.send_problem(errors.make_failure(errors.ErrorKind.NOT_FOUND))
             return
         await response.send(200 if self._state.is_ready else 503, [], b'')
 
@@ -52,7 +52,7 @@
     async def handle(self, request: http_message.Request,
                      response: http_message.Response) -> None:
         if request.path != names.Path.RESOLVE:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+            await response.send_problem(errors.make_failure(errors.ErrorKind.NOT_FOUND))
             return
         query = parse.parse_qs(request.target.partition('?')[2])
         data_centre = query.get('zone', [''])[0]
--- a/tests/agreed/steps/decisions.py
+++ b/tests/agreed/steps/decisions.py
@@ -130,7 +130,7 @@
 
 @then('the difference of two documents names the changed keys only')
 def step_difference(_: Any) -> None:
-    found = document_diff.changes(system_module.TARGETS,
+    found = document_diff.diff_documents(system_module.TARGETS,
                                   operator.changed_targets(7))
     assert found == (document_diff.Change(
         'workspaces/buna/classes/caption/retries', 2, 7),), found
--- a/tests/balance/steps/rebalance.py
+++ b/tests/balance/steps/rebalance.py
@@ -73,7 +73,7 @@
                                     names)
     context.layers = layers
     context.weights = [1 / (i + 1) for i in range(experts)]
-    context.balance = targets.Balance(skew=1.02, budget_share=0.05)
+    context.balance = targets.RankBalance(skew=1.02, budget_share=0.05)
     context.costs = rebalance.Costs(expert_bytes=44_000_000,
                                     store_bytes_per_s=33e6,
                                     slowdown=0.2,
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -132,10 +132,10 @@
         finally:
             server.leave()
 
-    def report(self, server_id: str) -> load_board.LoadReport:
+    def report(self, server_id: str) -> load_board.ServerLoadReport:
         """What the agent beside a server tells."""
         server = self._server_by_id[server_id]
-        return load_board.LoadReport(running=server.running,
+        return load_board.ServerLoadReport(running=server.running,
                                      waiting=server.waiting,
                                      slots=self.pace.slots,
                                      is_open=self.is_open,
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -83,7 +83,7 @@
     """Makes passes until cancelled."""
 
     def __init__(self, *, name: str, ranks: int,
-                 figures: routing_config.EngineFigures, streams_a_rank: float,
+                 figures: routing_config.EngineProfile, streams_a_rank: float,
                  change_s: float, seed: int) -> None:
         """Makes a group that has not begun.
 
--- a/tests/pages.py
+++ b/tests/pages.py
@@ -17,9 +17,9 @@
 
 _DOCS = pathlib.Path(__file__).resolve().parent.parent / 'docs'
 _RAN_WORDS = {
-    errors.Ran.NO: 'it did not run',
-    errors.Ran.YES: 'it ran',
-    errors.Ran.UNKNOWN: 'not known',
+    errors.Executed.NO: 'it did not run',
+    errors.Executed.YES: 'it ran',
+    errors.Executed.UNKNOWN: 'not known',
 }
 
 
@@ -35,12 +35,12 @@
         '| kind | status | what the caller is told | did it run? '
         '| repeat after | connection |', '|---|---|---|---|---|---|'
     ]
-    for kind in errors.Kind:
-        answer = errors.ANSWERS[kind]
+    for kind in errors.ErrorKind:
+        answer = errors.ERROR_RESPONSES[kind]
         after = ('' if answer.retry_after_s is None else
                  f'{answer.retry_after_s} s')
         lines.append(f'| `{kind.value}` | {answer.status} | {answer.title} '
-                     f'| {_RAN_WORDS[answer.ran]} | {after} '
+                     f'| {_RAN_WORDS[answer.executed]} | {after} '
                      f'| {"closed" if answer.close else "kept"} |')
     return '\n'.join(lines) + '\n'
 
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -18,7 +18,7 @@
 _EXTRA = 94.0
 _WINDOW_S = 10.0
 _HOSTS = 9
-_SHORT = service_forecast.Need(time_left_s=1.0)
+_SHORT = service_forecast.RequestRequirements(time_left_s=1.0)
 
 
 def _server(server_id: str,
@@ -35,7 +35,7 @@
 @given('a fleet that lists servers "{names}" of "llm"')
 def step_fleet(context: Any, names: str) -> None:
     context.now = 100.0
-    context.fleet = fleet.Fleet(return_s=_RETURN_S)
+    context.fleet = fleet.ServerRegistry(relisting_s=_RETURN_S)
     context.fleet.replace_all([_server(name) for name in names.split()],
                               context.now)
 
@@ -52,7 +52,7 @@
 
 @when('a peer that the store answers tells the list')
 def step_peer_list(context: Any) -> None:
-    context.fleet.trust_list()
+    context.fleet.cancel_outage()
 
 
 @when('the entry of "{name}" is gone')
@@ -67,7 +67,7 @@
 
 @when('another server answers at the address of "{name}"')
 def step_reused(context: Any, name: str) -> None:
-    context.fleet.replace_dead(name)
+    context.fleet.mark_replaced(name)
 
 
 @when('"{name}" is listed at the address of "{old}", started at {born_ms:d} ms')
@@ -91,13 +91,13 @@
 
 @when('the agent beside "{name}" tells of a start at {born_ms:d} ms')
 def step_started(context: Any, name: str, born_ms: int) -> None:
-    context.fleet.note_start(_server(name).address, born_ms)
+    context.fleet.record_start(_server(name).address, born_ms)
 
 
 @when('{seconds:d} s pass')
 def step_pass(context: Any, seconds: int) -> None:
     context.now += seconds
-    context.fleet.expire(context.now)
+    context.fleet.expire_lapsed(context.now)
 
 
 @then('"{names}" take work')
@@ -106,8 +106,8 @@
     assert found == sorted(names.split()), found
 
 
-def _report(waiting: int = 0, *, is_open: bool = True) -> load_board.LoadReport:
-    return load_board.LoadReport(running=0,
+def _report(waiting: int = 0, *, is_open: bool = True) -> load_board.ServerLoadReport:
+    return load_board.ServerLoadReport(running=0,
                                  waiting=waiting,
                                  slots=6,
                                  is_open=is_open,
@@ -118,16 +118,16 @@
 def step_servers(context: Any, names: str) -> None:
     context.now = 100.0
     context.servers = [_server(name) for name in names.split()]
-    context.loads = load_board.LoadBoard(rng=random.Random(1))
+    context.loads = load_board.ServerLoadTracker(rng=random.Random(1))
     for server in context.servers:
-        context.loads.report(server.id, _report(), context.now)
+        context.loads.record_report(server.id, _report(), context.now)
 
 
 def _choose(context: Any) -> fleet.Server | None:
-    found: fleet.Server | None = context.loads.choose(context.servers,
+    found: fleet.Server | None = context.loads.select(context.servers,
                                                       excluded=(),
                                                       data_centre='a',
-                                                      need=_SHORT,
+                                                      requirements=_SHORT,
                                                       hosts=_HOSTS,
                                                       now=context.now)
     return found
@@ -138,19 +138,19 @@
     context.now += seconds
     for server in context.servers:
         if server.id != name:
-            context.loads.report(server.id, _report(), context.now)
+            context.loads.record_report(server.id, _report(), context.now)
 
 
 @when('both say that their group is closed')
 def step_closed(context: Any) -> None:
     for server in context.servers:
-        context.loads.report(server.id, _report(is_open=False), context.now)
+        context.loads.record_report(server.id, _report(is_open=False), context.now)
 
 
 @when('{count:d} requests are sent to "{name}" after its report')
 def step_sent(context: Any, count: int, name: str) -> None:
     for _ in range(count):
-        context.loads.begin(name, context.now)
+        context.loads.record_start(name, context.now)
 
 
 @then('{count:d} choices all go to "{name}"')
@@ -174,7 +174,7 @@
     context.now = 100.0
     context.servers = [_server(f's{i}') for i in range(servers)]
     context.boards = [
-        load_board.LoadBoard(rng=random.Random(i)) for i in range(hosts)
+        load_board.ServerLoadTracker(rng=random.Random(i)) for i in range(hosts)
     ]
 
 
@@ -183,7 +183,7 @@
     context.chosen = []
     for board in context.boards:
         for server in context.servers:
-            board.report(server.id, _report(), context.now)
+            board.record_report(server.id, _report(), context.now)
         context.loads = board
         found = _choose(context)
         assert found is not None
@@ -201,18 +201,18 @@
     context.now = 100.0
     context.requests = requests
     context.budgets = [
-        retry_budget.RetryBudget(ratio=_RATIO, extra=_EXTRA, window_s=_WINDOW_S)
+        retry_budget.SharedRetryBudget(ratio=_RATIO, extra=_EXTRA, window_s=_WINDOW_S)
         for _ in range(hosts)
     ]
     for i in range(requests):
-        context.budgets[i % hosts].note_request(context.now)
+        context.budgets[i % hosts].record_request(context.now)
 
 
 @when('all repeat as much as they may')
 def step_repeat(context: Any) -> None:
     context.repeats = 0
     for budget in context.budgets:
-        while budget.take(context.now, len(context.budgets)):
+        while budget.try_acquire(context.now, len(context.budgets)):
             context.repeats += 1
 
 
@@ -234,12 +234,12 @@
 
 @then('a repeat is allowed again')
 def step_again(context: Any) -> None:
-    assert context.budgets[0].take(context.now, 1)
+    assert context.budgets[0].try_acquire(context.now, 1)
 
 
 @given('a stream in the parts "{first}", "{second}", "{third}"')
 def step_stream(context: Any, first: str, second: str, third: str) -> None:
-    context.splitter = event_stream.EventSplitter()
+    context.splitter = event_stream.ResumableEventSplitter()
     context.passed = b''
     for part in (first, second, third):
         data = part.replace(' data', '\ndata').replace(' da', '\nda')
@@ -302,7 +302,7 @@
 
 @then('a caller in "{place}" is told "{names}"')
 def step_told(context: Any, place: str, names: str) -> None:
-    found = addresses.near(context.entries, place, at_least=2)
+    found = addresses.addresses_near(context.entries, place, min_hosts=2)
     assert found == names.split(), found
 
 
--- a/tests/platform/steps/endless.py
+++ b/tests/platform/steps/endless.py
@@ -80,7 +80,7 @@
                                            headers=(),
                                            body=b'',
                                            key=None,
-                                           patience_s=5.0,
+                                           timeout_s=5.0,
                                            last_event_id=None,
                                            prompt_tokens=0,
                                            max_output_tokens=0,
@@ -103,7 +103,7 @@
 async def _ask(context: Any) -> None:
     context.taken_bytes = 0
     context.broken = None
-    splitter = event_stream.EventSplitter()
+    splitter = event_stream.ResumableEventSplitter()
     async with http_client.HttpClient() as client:
         servers = upstream_http.HttpUpstream(client=client)
         try:
@@ -114,7 +114,7 @@
                         context.taken_bytes += len(data)
                         if context.is_stream:
                             splitter.feed(data)
-        except (upstream.UpstreamBroken, event_stream.EventTooLong) as error:
+        except (upstream.UpstreamBroken, event_stream.EventTooLongError) as error:
             context.broken = error
 
 
--- a/tests/platform/steps/heavy_days.py
+++ b/tests/platform/steps/heavy_days.py
@@ -11,16 +11,16 @@
 _SERVERS = 8
 _SLOTS = 6
 _PASSES = 26.5
-_NEED = service_forecast.Need(time_left_s=8.0, max_gap_s=0.12, passes=_PASSES)
+_NEED = service_forecast.RequestRequirements(time_left_s=8.0, max_gap_s=0.12, passes=_PASSES)
 _SILENCE_S = 2.0
 _HOSTS = 9
 
 
 def _report(context: Any, server: fleet.Server, requests: int) -> None:
     group = server.id.partition('-')[0]
-    context.loads.report(
+    context.loads.record_report(
         server.id,
-        load_board.LoadReport(running=min(_SLOTS, requests),
+        load_board.ServerLoadReport(running=min(_SLOTS, requests),
                               waiting=max(0, requests - _SLOTS),
                               slots=_SLOTS,
                               group=group,
@@ -32,7 +32,7 @@
        'ms')
 def step_groups(context: Any, names: str, first: int, second: int) -> None:
     context.now = 100.0
-    context.loads = load_board.LoadBoard(rng=random.Random(1))
+    context.loads = load_board.ServerLoadTracker(rng=random.Random(1))
     context.pass_s_by_group = dict(
         zip(names.split(), (first / 1000, second / 1000)))
     context.servers = [
@@ -75,15 +75,15 @@
 def step_place(context: Any, count: int) -> None:
     context.placed = collections.Counter()
     for _ in range(count):
-        server = context.loads.choose(context.servers,
+        server = context.loads.select(context.servers,
                                       excluded=(),
                                       data_centre='a',
-                                      need=_NEED,
+                                      requirements=_NEED,
                                       hosts=_HOSTS,
                                       now=context.now)
         context.placed[server.id if server else None] += 1
         if server is not None:
-            context.loads.begin(server.id, context.now)
+            context.loads.record_start(server.id, context.now)
 
 
 @then('all of them go to "{group}"')
--- a/tests/platform/steps/timing.py
+++ b/tests/platform/steps/timing.py
@@ -12,13 +12,13 @@
 @given('a stream that was placed after {placed:d} ms')
 def step_placed(context: Any, placed: int) -> None:
     context.timing = stream_timing.StreamTiming(100.0)
-    context.timing.note_place(100.0 + placed / _MS_PER_S)
+    context.timing.record_sent(100.0 + placed / _MS_PER_S)
 
 
 @when('its events come after "{moments}" ms')
 def step_events(context: Any, moments: str) -> None:
     for moment in moments.split():
-        context.timing.note_events(100.0 + int(moment) / _MS_PER_S)
+        context.timing.record_events(100.0 + int(moment) / _MS_PER_S)
 
 
 @when('its events come after "" ms')
@@ -29,7 +29,7 @@
 @then('with an aim of {aim:d} ms and pauses of {pause:d} ms it is late by '
       '{cause}')
 def step_late(context: Any, aim: int, pause: int, cause: str) -> None:
-    found = context.timing.late_by(aim / _MS_PER_S, pause / _MS_PER_S)
+    found = context.timing.lateness_cause(aim / _MS_PER_S, pause / _MS_PER_S)
     assert found.value == cause, found
 
 
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -23,7 +23,7 @@
 _SILENCE_S = 2.0
 _LAST_ARRIVAL_S = 14.0
 _REPORT_S = 0.25
-_FIGURES = routing_config.EngineFigures(slots=6,
+_FIGURES = routing_config.EngineProfile(slots=6,
                                         kv_tokens=247_000,
                                         step_s=0.005,
                                         per_sequence_s=0.0,
@@ -32,8 +32,8 @@
                                         per_pair_s=0.0,
                                         chunk_tokens=512,
                                         steps_per_pass=6,
-                                        usual_prompt_tokens=835.0,
-                                        usual_answer_tokens=159.0,
+                                        mean_prompt_tokens=835.0,
+                                        mean_output_tokens=159.0,
                                         link_bytes_per_s=0.0,
                                         sets=0,
                                         experts=0,
@@ -189,7 +189,7 @@
         while True:
             news = self.servers.report(server.id)
             for state in self._states:
-                state.loads.report(server.id, news, self._clock.monotonic())
+                state.loads.record_report(server.id, news, self._clock.monotonic())
             await asyncio.sleep(_REPORT_S * self._rng.uniform(0.9, 1.1))
 
     async def _call(self, caller: _Caller, start: float) -> None:
@@ -216,7 +216,7 @@
             headers=(),
             body=b'',
             key=None,
-            patience_s=(deadline - now if self._tells_patience else None),
+            timeout_s=(deadline - now if self._tells_patience else None),
             last_event_id=None,
             prompt_tokens=835,
             max_output_tokens=159,
@@ -340,12 +340,12 @@
     '{patience:g} s')
 def step_known_patience(context: Any, timeout: float, patience: float) -> None:
     context.route = dataclasses.replace(_ROUTE, timeout_s=timeout)
-    context.book = lateness.PatienceBook()
+    context.book = lateness.CallerWaitEstimator()
     context.book.waited_s(context.route, patience)
 
 
 @then('one with patience for {patience:g} s has missed an aim of 403 ms: '
       '{missed}')
 def step_missed(context: Any, patience: float, missed: str) -> None:
-    found = context.book.has_missed_aim(context.route, patience)
+    found = context.book.has_missed_target(context.route, patience)
     assert str(found) == missed, found
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -22,7 +22,7 @@
 _STREAMS_A_RANK = 3.0
 _ENTRY_HOSTS = 8
 _SEED = 3
-_FIGURES = routing_config.EngineFigures(slots=5,
+_FIGURES = routing_config.EngineProfile(slots=5,
                                         kv_tokens=205_833,
                                         step_s=0.00484,
                                         per_sequence_s=0.00087,
@@ -31,8 +31,8 @@
                                         per_pair_s=0.0,
                                         chunk_tokens=512,
                                         steps_per_pass=7,
-                                        usual_prompt_tokens=835.0,
-                                        usual_answer_tokens=158.0,
+                                        mean_prompt_tokens=835.0,
+                                        mean_output_tokens=158.0,
                                         link_bytes_per_s=11.5e9,
                                         sets=12,
                                         experts=128,
@@ -108,7 +108,7 @@
     """Agents beside one group, and one agent outside that holds its duty."""
 
     def __init__(self, *, agents: int, megabits_per_s: float,
-                 figures: routing_config.EngineFigures) -> None:
+                 figures: routing_config.EngineProfile) -> None:
         self.agents = agents
         self.figures = figures
         self.fabric = thin_links.Fabric(megabits_per_s=megabits_per_s)
--- a/tests/policy/steps/decisions.py
+++ b/tests/policy/steps/decisions.py
@@ -12,8 +12,8 @@
 
 
 def _ticket(name: str, workspace: str, importance: int, now: float,
-            due_at: float) -> admission.Ticket:
-    return admission.Ticket(attempt=name,
+            due_at: float) -> admission.AdmissionRequest:
+    return admission.AdmissionRequest(attempt=name,
                             workspace=workspace,
                             work_class='question',
                             importance=importance,
@@ -49,24 +49,24 @@
 @given('slots whose {count:d} turns are taken for {hold_s:d} s each')
 def step_slots(context: Any, count: int, hold_s: int) -> None:
     context.now = 0.0
-    context.slots = slots.Slots(now=0.0)
+    context.slots = slots.AdmissionController(now=0.0)
     for i in range(40):
-        context.slots.offer(_ticket(f'past-{i}', 'a', 1, context.now, 1e9),
+        context.slots.admit(_ticket(f'past-{i}', 'a', 1, context.now, 1e9),
                             context.now)
-        context.slots.progress(f'past-{i}', context.now)
+        context.slots.record_progress(f'past-{i}', context.now)
         context.now += hold_s
-        context.slots.finish(f'past-{i}', context.now)
+        context.slots.release(f'past-{i}', context.now)
     context.held = [f'held-{i}' for i in range(count)]
     for name in context.held:
         ticket = _ticket(name, 'a', 1, context.now, context.now + 2)
-        decision, _ = context.slots.offer(ticket, context.now)
-        assert decision is slots.Decision.RUN, decision
-        context.slots.progress(name, context.now)
+        decision, _ = context.slots.admit(ticket, context.now)
+        assert decision is slots.AdmissionDecision.RUN, decision
+        context.slots.record_progress(name, context.now)
 
 
 def _offer(context: Any, name: str, target_s: float) -> None:
     ticket = _ticket(name, 'a', 1, context.now, context.now + target_s)
-    context.decision, context.kind = context.slots.offer(ticket, context.now)
+    context.decision, context.kind = context.slots.admit(ticket, context.now)
 
 
 @when('an attempt with a target of {target_ms:d} ms comes')
@@ -83,19 +83,19 @@
 @then('it is refused with "{kind}"')
 @then('an attempt is refused with "{kind}"')
 def step_refused(context: Any, kind: str) -> None:
-    assert context.decision is slots.Decision.REFUSE, context.decision
-    assert context.kind is errors.Kind(kind), context.kind
+    assert context.decision is slots.AdmissionDecision.REFUSE, context.decision
+    assert context.kind is errors.ErrorKind(kind), context.kind
 
 
 @then('it waits')
 def step_waits(context: Any) -> None:
-    assert context.decision is slots.Decision.WAIT, context.decision
+    assert context.decision is slots.AdmissionDecision.WAIT, context.decision
 
 
 @when('all {count:d} attempts are given up')
 def step_give_up(context: Any, count: int) -> None:
     for name in context.held[:count]:
-        context.slots.finish(name, context.now)
+        context.slots.release(name, context.now)
 
 
 @then('of {count:d} attempts {begun:d} begins')
@@ -104,19 +104,19 @@
     for i in range(count):
         _offer(context, f'probe-{i}', 60.0)
         decisions.append(context.decision)
-    assert decisions.count(slots.Decision.RUN) == begun, decisions
+    assert decisions.count(slots.AdmissionDecision.RUN) == begun, decisions
 
 
-def _reading(running: int, limit: int = _LIMIT) -> slots.Reading:
-    return slots.Reading(running, (0, 0, 0), limit, 4.0, 0.1, 0.03)
+def _reading(running: int, limit: int = _LIMIT) -> slots.UpstreamLoad:
+    return slots.UpstreamLoad(running, (0, 0, 0), limit, 4.0, 0.1, 0.03)
 
 
 @given('a report of {others:d} attempts of others against a mean of {mean:d}')
 def step_report(context: Any, others: int, mean: int) -> None:
-    context.mean = estimate.OthersMean()
+    context.mean = estimate.MeanOtherLoad()
     for _ in range(200):
-        context.mean.learn(estimate.Report(_reading(mean), 0, 0.0))
-    context.report = estimate.Report(_reading(others), 0, 0.0)
+        context.mean.record(estimate.UpstreamLoadReport(_reading(mean), 0, 0.0))
+    context.report = estimate.UpstreamLoadReport(_reading(others), 0, 0.0)
 
 
 @then('after {age_s:d} s the expected load is about {load:d}')
@@ -130,7 +130,7 @@
 
 @when('the upstream refuses an attempt')
 def step_refusal(context: Any) -> None:
-    context.report = estimate.after_refusal(context.report, own=0, now=0.0)
+    context.report = estimate.report_after_refusal(context.report, own=0, now=0.0)
 
 
 @then('it is expected to be full')
@@ -144,25 +144,25 @@
 
 @given('a health book of {count:d} hosts with answers of all of them')
 def step_health(context: Any, count: int) -> None:
-    context.health = health.HealthBook()
+    context.health = health.OutlierDetector()
     context.hosts = [f'host-{i}' for i in range(count)]
     for host in context.hosts:
         context.health.add(host)
     for _ in range(20):
         for host in context.hosts:
-            context.health.note_answer(host, good=True, now=0.0)
+            context.health.record_result(host, succeeded=True, now=0.0)
 
 
 @when('{count:d} of them fail {times:d} times each')
 def step_fail(context: Any, count: int, times: int) -> None:
     for i in range(times):
         for number, host in enumerate(context.hosts):
-            context.health.note_answer(host, good=number >= count, now=i * 0.01)
+            context.health.record_result(host, succeeded=number >= count, now=i * 0.01)
 
 
 @when('an ejected one answers a probe well')
 def step_probe_well(context: Any) -> None:
-    context.health.note_answer(context.health.ejected[0], good=True, now=9.0)
+    context.health.record_result(context.health.ejected[0], succeeded=True, now=9.0)
 
 
 @then('{count:d} of them are ejected')
@@ -172,22 +172,22 @@
 
 @given('a retry budget without savings')
 def step_budget(context: Any) -> None:
-    context.budget = retries.RetryBudget()
-    while context.budget.spend(targets.Importance.HIGH):
+    context.budget = retries.RetryTokenBucket()
+    while context.budget.try_acquire(targets.Importance.HIGH):
         pass
 
 
 @when('{count:d} requests succeed')
 def step_succeed(context: Any, count: int) -> None:
     for _ in range(count):
-        context.budget.earn()
+        context.budget.record_success()
 
 
 @then('{count:d} retries of {importance} importance are allowed')
 def step_allowed(context: Any, count: int, importance: str) -> None:
     level = targets.Importance[importance.upper()]
     allowed = 0
-    while context.budget.spend(level):
+    while context.budget.try_acquire(level):
         allowed += 1
     assert allowed == count, allowed
 
@@ -202,7 +202,7 @@
                  *,
                  usable: bool = True) -> None:
         self._name = name
-        self._view = choice.View(_reading(load, limit), load)
+        self._view = choice.UpstreamEstimate(_reading(load, limit), load)
         self._usable = usable
         self.looks = 0
 
@@ -211,7 +211,7 @@
         return self._name
 
     @property
-    def view(self) -> choice.View:
+    def estimate(self) -> choice.UpstreamEstimate:
         self.looks += 1
         return self._view
 
@@ -231,9 +231,9 @@
 def step_found(context: Any, count: int) -> None:
     draw = random.Random(1)
     chosen = [
-        choice.choose([context.upstreams],
-                      choice.Demand(importance=1),
-                      draw=draw.random) for _ in range(count)
+        choice.select([context.upstreams],
+                      choice.AttemptRequirements(importance=1),
+                      random_unit=draw.random) for _ in range(count)
     ]
     assert None not in chosen, f'{chosen.count(None)} of {count} found none'
 
@@ -245,9 +245,9 @@
         upstreams = [_Upstream(f'u-{i}', 5, 10) for i in range(count)]
         draw = random.Random(1)
         for _ in range(100):
-            choice.choose([upstreams],
-                          choice.Demand(importance=1),
-                          draw=draw.random)
+            choice.select([upstreams],
+                          choice.AttemptRequirements(importance=1),
+                          random_unit=draw.random)
         looks.append(sum(upstream.looks for upstream in upstreams))
     assert looks[0] <= looks[1], looks
 
@@ -268,9 +268,9 @@
     tiers = [context.near, [*context.near, *context.far]]
     found = set()
     for _ in range(count):
-        chosen = choice.choose(tiers,
-                               choice.Demand(importance=1, left_s=1.8),
-                               draw=draw.random)
+        chosen = choice.select(tiers,
+                               choice.AttemptRequirements(importance=1, time_left_s=1.8),
+                               random_unit=draw.random)
         assert chosen is not None
         found.add(chosen.host.split('-')[0])
     assert place in found, found
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -73,7 +73,7 @@
     def __init__(self, fold_rows: int = 60) -> None:
         self.now_s = _START_S
         self.table = _Table()
-        self.tally = account.Tally()
+        self.tally = account.RequestCounter()
         self.truth = collections.Counter[tuple[str, str]]()
         self.keeper = account_keeper.AccountKeeper(table_service=self.table,
                                                    tally=self.tally,
@@ -86,10 +86,10 @@
 
     async def serve(self, requests: int, intervals: int, seed: int) -> None:
         draw = random.Random(seed)
-        open_keys: list[account.TallyKey] = []
+        open_keys: list[account.CountKey] = []
         for _ in range(intervals):
             for _ in range(requests // intervals):
-                key = account.TallyKey(draw.choice('ab'), draw.choice('xyz'))
+                key = account.CountKey(draw.choice('ab'), draw.choice('xyz'))
                 self.tally.accept(key)
                 open_keys.append(key)
                 if draw.random() < 0.8:
@@ -102,14 +102,14 @@
         self.now_s += _INTERVAL_S
         await self.keeper.flush()
 
-    def _end(self, key: account.TallyKey, draw: random.Random) -> None:
-        outcome = draw.choice(list(account.Outcome))
+    def _end(self, key: account.CountKey, draw: random.Random) -> None:
+        outcome = draw.choice(list(account.RequestOutcome))
         self.truth[key.workspace + key.work_class, outcome.value] += 1
         self.tally.end(key, outcome, attempts=draw.randint(0, 3), repeat=False)
 
     async def lose(self, requests: int) -> None:
         for _ in range(requests):
-            self.tally.accept(account.TallyKey('a', 'x'))
+            self.tally.accept(account.CountKey('a', 'x'))
         await self._pass_interval()
         self.now_s += 10 * _INTERVAL_S
 
@@ -170,7 +170,7 @@
 @when('{requests:d} requests are accepted and the entry host stops now')
 def step_cut(context: Any, requests: int) -> None:
     for _ in range(requests):
-        context.host.tally.accept(account.TallyKey('a', 'x'))
+        context.host.tally.accept(account.CountKey('a', 'x'))
     assert scenario.run(context, context.host.keeper.finish(5.0))
 
 
@@ -186,7 +186,7 @@
         (key.workspace + key.work_class, outcome.value):
             getattr(counts, outcome.value)
         for key, counts in _run_ledger(context).counts_by_key.items()
-        for outcome in account.Outcome
+        for outcome in account.RequestOutcome
     }
     truth = context.host.truth
     assert {k: n for k, n in found.items() if n} == dict(truth), (found, truth)
--- a/tests/product/steps/fuzz.py
+++ b/tests/product/steps/fuzz.py
@@ -30,16 +30,16 @@
 
 
 def _read_events(data: bytes) -> None:
-    splitter = events.EventSplitter(max_event_bytes=64)
+    splitter = events.CountingEventSplitter(max_event_bytes=64)
     try:
         for i in range(0, len(data), 7):
             splitter.feed(data[i:i + 7])
-    except events.EventTooLarge:
+    except events.EventTooLargeError:
         pass
 
 
 def _read_trace(data: bytes) -> None:
-    spans.parse([('traceparent', data.decode('latin-1'))])
+    spans.parse_traceparent([('traceparent', data.decode('latin-1'))])
 
 
 def _read_row(data: bytes) -> None:
@@ -92,7 +92,7 @@
     """Parts are events' texts and, by their lengths, the places of cuts."""
     whole = b''.join(b'data: ' + part.hex().encode() + b'\n\n'
                      for part in parts) + events.DONE_EVENT + b'\n\n'
-    splitter = events.EventSplitter()
+    splitter = events.CountingEventSplitter()
     count, out, at = 0, b'', 0
     sizes = [1 + len(part) * 3 for part in parts] or [5]
     while at < len(whole):
--- a/tests/product/steps/metrics.py
+++ b/tests/product/steps/metrics.py
@@ -60,9 +60,9 @@
     context.one = metrics.Latencies()
     by_host = [metrics.Latencies() for _ in range(hosts)]
     for _ in range(count):
-        times = pace.Pace()
-        times.observe(draw.expovariate(1.0), 1)
-        times.observe(times.last_s + draw.expovariate(10.0), 4)
+        times = pace.ResponseTiming()
+        times.record(draw.expovariate(1.0), 1)
+        times.record(times.last_s + draw.expovariate(10.0), 4)
         total_s = times.last_s + 0.01
         context.one.observe(times, total_s)
         draw.choice(by_host).observe(times, total_s)
