Complete the wording of the decision modules

Remaining names such as silence_s and first_s did not say what they measure, and some docstrings named renamed attributes.

--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -185,7 +185,7 @@
             return
         peer = self._peers[agent.host]
         if ran is errors.Executed.NO:
-            peer.report = load_estimate.report_after_refusal(peer.report,
+            peer.report = load_estimate.report_after_rejection(peer.report,
                                                  own=peer.outstanding,
                                                  now=self.loop.now)
         else:
--- a/pollenthread/adapters/metrics.py
+++ b/pollenthread/adapters/metrics.py
@@ -37,8 +37,8 @@
     def observe(self, times: response_timing.ResponseTiming, total_s: float) -> None:
         """Takes note of a whole answer."""
         self._record('answer', total_s)
-        if times.first_s is not None:
-            self._record('first_token', times.first_s)
+        if times.first_chunk_s is not None:
+            self._record('first_token', times.first_chunk_s)
         if times.mean_gap_s is not None:
             self._record('between_tokens', times.mean_gap_s)
 
--- a/pollenthread/app/account_reader.py
+++ b/pollenthread/app/account_reader.py
@@ -44,7 +44,7 @@
         return result.Ok(
             account_summary.summarize(rows,
                           now_s=now_s,
-                          silence_s=self._interval_s * _SILENT_INTERVALS,
+                          lost_after_s=self._interval_s * _SILENT_INTERVALS,
                           from_s=from_s))
 
 
--- a/pollenthread/app/knowledge.py
+++ b/pollenthread/app/knowledge.py
@@ -183,7 +183,7 @@
         self.version = version
         now = self._clock.monotonic()
         self._state.fleet.end_outage(now)
-        for server_id in self._state.fleet.expire_lapsed(now):
+        for server_id in self._state.fleet.drop_expired(now):
             self._log_gone(server_id)
 
     def _decode_row(self, row: row_store.Change) -> server_registry.Server | None:
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -132,7 +132,7 @@
 
     def note_refusal(self) -> None:
         """Learns from a refusal for want of room."""
-        self.report = load_estimate.report_after_refusal(self.report,
+        self.report = load_estimate.report_after_rejection(self.report,
                                              own=len(self.streams_by_attempt),
                                              now=self._shared.now())
 
--- a/pollenthread/core/account_summary.py
+++ b/pollenthread/core/account_summary.py
@@ -96,7 +96,7 @@
 def summarize(rows: Iterable[AccountInterval],
               *,
               now_s: float,
-              silence_s: float,
+              lost_after_s: float,
               from_s: float = 0.0) -> AccountSummary:
     """Sums rows over all hosts.
 
@@ -105,10 +105,12 @@
             from before `from_s` are not summed; they show whether a process
             started before that time or a row is missing.
         now_s: the current time in Unix seconds.
-        silence_s: seconds without a new row after which a host counts as lost.
+        lost_after_s: seconds without a new row after which a host is lost.
         from_s: Unix seconds from which rows are summed.
     """
-    summarizer = _Summarizer(now_s=now_s, silence_s=silence_s, from_s=from_s)
+    summarizer = _Summarizer(now_s=now_s,
+                             lost_after_s=lost_after_s,
+                             from_s=from_s)
     by_incarnation = collections.defaultdict[tuple[str, str],
                                              list[AccountInterval]](list)
     for row in rows:
@@ -121,10 +123,10 @@
 class _Summarizer:
     """Sums rows, one incarnation at a time."""
 
-    def __init__(self, *, now_s: float, silence_s: float,
+    def __init__(self, *, now_s: float, lost_after_s: float,
                  from_s: float) -> None:
         self._now_s = now_s
-        self._silence_s = silence_s
+        self._lost_after_s = lost_after_s
         self._from_s = from_s
         self._counts_by_key = collections.defaultdict[account.CountKey,
                                                       account.RequestCounts](
@@ -141,8 +143,8 @@
             self._counts_by_key[key] += counts
         self._hosts += bool(counted)
         last = ordered[-1]
-        is_silent = self._now_s - last.ended_s > self._silence_s
-        if last.ended_s < self._from_s or not (last.is_final or is_silent):
+        is_overdue = self._now_s - last.ended_s > self._lost_after_s
+        if last.ended_s < self._from_s or not (last.is_final or is_overdue):
             return
         if not last.is_final:
             self._gaps.append(_host_lost_gap(last))
--- a/pollenthread/core/addresses.py
+++ b/pollenthread/core/addresses.py
@@ -44,10 +44,10 @@
         The hosts in the order in which the caller should try them.
     """
 
-    def rank(entry: EntryHost) -> tuple[bool, bytes]:
+    def sort_key(entry: EntryHost) -> tuple[bool, bytes]:
         return entry.is_overloaded, _rendezvous_hash(entry.host, caller)
 
-    return sorted(entries, key=rank)[:limit]
+    return sorted(entries, key=sort_key)[:limit]
 
 
 def addresses_near(entries: Iterable[EntryHost], data_centre: str, *,
--- a/pollenthread/core/admission_control.py
+++ b/pollenthread/core/admission_control.py
@@ -229,9 +229,9 @@
         first_unit_s = first_at - run.began_at
         self._times.record(run.request.work_class, first_unit_s, duration_s)
         if run.request.due_whole:
-            self._limit.record_latency(concurrency_limit.LatencyMetric.ANSWER,
-                                       duration_s / _target_s(run.request), now,
-                                       run.began_at)
+            self._limit.record_latency(
+                concurrency_limit.LatencyMetric.WHOLE_RESPONSE,
+                duration_s / _target_s(run.request), now, run.began_at)
         return duration_s
 
     def assign_slots(self, now: float) -> tuple[list[str], list[str]]:
--- a/pollenthread/core/concurrency_limit.py
+++ b/pollenthread/core/concurrency_limit.py
@@ -18,7 +18,7 @@
     """The kind of latency that is compared with its target."""
 
     BETWEEN_TOKENS = 0
-    ANSWER = 1
+    WHOLE_RESPONSE = 1
     FIRST_UNIT = 2
 
 
@@ -58,12 +58,12 @@
         """Records one measured latency.
 
         Args:
-            measure: the kind of latency.
+            metric: the kind of latency.
             ratio: the latency divided by its target.
             now: monotonic seconds.
-            since: monotonic seconds at which the attempt began. Attempts from
-                before the last decrease are ignored, since they ran under the
-                previous limit.
+            began_at: monotonic seconds at which the attempt began, or None.
+                Attempts from before the last decrease are ignored, because
+                they ran under the previous limit.
         """
         if began_at is not None and began_at < self._decreased_at:
             return
--- a/pollenthread/core/event_splitter.py
+++ b/pollenthread/core/event_splitter.py
@@ -1,4 +1,7 @@
-"""Splits a server-sent event stream at event boundaries."""
+"""Splits a server-sent event stream at event boundaries.
+
+Recognises `DONE_EVENT`, which ends a stream of a model engine.
+"""
 
 __all__ = ['DONE_EVENT', 'CountingEventSplitter', 'EventTooLargeError']
 
--- a/pollenthread/core/load_estimate.py
+++ b/pollenthread/core/load_estimate.py
@@ -11,7 +11,7 @@
 
 __all__ = [
     'MeanOtherLoad', 'UpstreamLoadReport', 'SentAttemptLog',
-    'report_after_refusal', 'expected_load'
+    'report_after_rejection', 'expected_load'
 ]
 
 _SMOOTHING = 0.1
@@ -25,7 +25,7 @@
     Attributes:
         load: the load of the upstream.
         own: attempts in that load that this entry host sent.
-        made_at: estimated time of the report, in monotonic seconds of the
+        created_at: estimated time of the report, in monotonic seconds of the
             receiver.
     """
 
@@ -42,8 +42,9 @@
 class SentAttemptLog:
     """Records when attempts were sent, to determine the age of a report.
 
-    The clocks of the two hosts are not compared: a report that does not
-    include an attempt was made before that attempt arrived.
+    The clocks of the two hosts are not compared. Instead, a report that does
+    not include an attempt counts as at least as old as the time at which that
+    attempt was sent.
     """
 
     def __init__(self) -> None:
@@ -105,8 +106,8 @@
                                                      mean.for_report(report))
 
 
-def report_after_refusal(report: UpstreamLoadReport, *, own: int,
-                         now: float) -> UpstreamLoadReport:
+def report_after_rejection(report: UpstreamLoadReport, *, own: int,
+                           now: float) -> UpstreamLoadReport:
     """Returns the report to assume after an agent rejected an attempt.
 
     A rejection for lack of capacity shows that running and queued attempts
--- a/pollenthread/core/report.py
+++ b/pollenthread/core/report.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from pollenthread.core import account, cost, account_summary, targets
+from pollenthread.core import account, account_summary, cost, targets
 
 __all__ = ['ClassReport', 'OrderLine', 'AccountReport', 'build_report']
 
@@ -129,7 +129,7 @@
         for key, counts in summary.counts_by_key.items()
         if workspaces is None or key.workspace in workspaces
     }
-    sees_all = workspaces is None
+    includes_all = workspaces is None
     return AccountReport(
         from_day=days[0],
         to_day=days[1],
@@ -139,9 +139,9 @@
             _class_report(key, counts, summary.lost_with_host_by_key,
                           current_targets)
             for key, counts in visible_counts.items()),
-        costs=costs if sees_all else (),
-        orders=orders if sees_all else (),
-        gaps=summary.gaps if sees_all else tuple(
+        costs=costs if includes_all else (),
+        orders=orders if includes_all else (),
+        gaps=summary.gaps if includes_all else tuple(
             dataclasses.replace(gap, host='', incarnation='')
             for gap in summary.gaps),
         hosts=summary.hosts)
--- a/pollenthread/core/response_timing.py
+++ b/pollenthread/core/response_timing.py
@@ -14,32 +14,33 @@
     """Arrival times of one response, in seconds since the request arrived.
 
     Attributes:
-        first_s: arrival of the first chunk, or None.
-        last_s: arrival of the last chunk so far.
+        first_chunk_s: arrival of the first chunk, or None.
+        last_chunk_s: arrival of the last chunk so far.
         longest_gap_s: longest time between two chunks, in seconds.
         units: number of events, or of bytes, received so far.
     """
 
-    first_s: float | None = None
-    last_s: float = 0.0
+    first_chunk_s: float | None = None
+    last_chunk_s: float = 0.0
     longest_gap_s: float = 0.0
     units: int = 0
 
     def record(self, at_s: float, count: int) -> None:
         """Records the arrival of a chunk with `count` units."""
-        if self.first_s is None:
-            self.first_s = at_s
+        if self.first_chunk_s is None:
+            self.first_chunk_s = at_s
         else:
-            self.longest_gap_s = max(self.longest_gap_s, at_s - self.last_s)
-        self.last_s = at_s
+            self.longest_gap_s = max(self.longest_gap_s,
+                                     at_s - self.last_chunk_s)
+        self.last_chunk_s = at_s
         self.units += count
 
     @property
     def mean_gap_s(self) -> float | None:
         """Mean seconds between units; None if there are fewer than two."""
-        if self.first_s is None or self.units < 2:
+        if self.first_chunk_s is None or self.units < 2:
             return None
-        return (self.last_s - self.first_s) / (self.units - 1)
+        return (self.last_chunk_s - self.first_chunk_s) / (self.units - 1)
 
 
 def meets_target(latency: targets.LatencyTarget, timing: ResponseTiming,
@@ -55,7 +56,7 @@
         timing: the arrival times of the response.
         total_s: seconds from the request to the end of the response.
     """
-    first_s = total_s if timing.first_s is None else timing.first_s
+    first_s = total_s if timing.first_chunk_s is None else timing.first_chunk_s
     mean_s = (timing.mean_gap_s
               if latency.between_tokens_ms is not None else None)
     gap_s = (timing.longest_gap_s
--- a/pollenthread/core/retries.py
+++ b/pollenthread/core/retries.py
@@ -33,12 +33,13 @@
         return True
 
 
-def is_retry_safe(work_class: targets.WorkClass, ran: errors.Executed) -> bool:
+def is_retry_safe(work_class: targets.WorkClass,
+                  executed: errors.Executed) -> bool:
     """Returns whether a retry is safe.
 
     It is safe if the work is repeatable or has not been executed.
     """
-    return work_class.repeatable or ran is errors.Executed.NO
+    return work_class.repeatable or executed is errors.Executed.NO
 
 
 def backoff_s(failures: int, random_unit: float) -> float:
--- a/pollenthread/core/retry_budget.py
+++ b/pollenthread/core/retry_budget.py
@@ -10,7 +10,7 @@
 
 __all__ = ['SharedRetryBudget']
 
-_BUCKETS = 10
+_BUCKET_COUNT = 10
 _RATIO_SAFETY_FACTOR = 0.8
 # Below half, because all hosts may restart within one window and then use their
 # part of the fixed allowance twice.
@@ -30,7 +30,7 @@
         """
         self._ratio = ratio * _RATIO_SAFETY_FACTOR
         self._extra = extra * _EXTRA_SAFETY_FACTOR
-        self._bucket_s = window_s / _BUCKETS
+        self._bucket_s = window_s / _BUCKET_COUNT
         self._requests_by_bucket: collections.Counter[
             int] = collections.Counter()
         self._retries_by_bucket: collections.Counter[int] = collections.Counter(
@@ -59,7 +59,7 @@
         return math.floor(now / self._bucket_s)
 
     def _drop_old_buckets(self, now: float) -> None:
-        oldest = self._bucket_of(now) - _BUCKETS
+        oldest = self._bucket_of(now) - _BUCKET_COUNT
         for counts in (self._requests_by_bucket, self._retries_by_bucket):
             for bucket in [b for b in counts if b < oldest]:
                 del counts[bucket]
--- a/pollenthread/core/server_registry.py
+++ b/pollenthread/core/server_registry.py
@@ -1,10 +1,10 @@
 """Tracks the servers that accept requests, as listed in the platform's store.
 
-A server that is removed from the list receives no new requests. During and
-shortly after an outage of the store, entries may expire because live servers
-could not renew them; until then a removed server stays usable unless it was
-draining. If two servers of a service are listed with the same address, the
-older one has ended.
+A server that is removed from the list receives no new requests. The exception
+is a removal during or shortly after an outage of the store, when entries may
+expire because live servers could not renew them: such a server stays usable for
+a short time, unless it was draining. If two servers of a service are listed
+with the same address, the older one has ended.
 """
 
 import dataclasses
@@ -110,7 +110,7 @@
         if server is not None and self._may_have_expired_wrongly(server, now):
             self._expired_by_id[server_id] = server
 
-    def expire_lapsed(self, now: float) -> list[str]:
+    def drop_expired(self, now: float) -> list[str]:
         """Drops expired servers that were not listed again in time.
 
         Returns:
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -97,7 +97,7 @@
 @when('{seconds:d} s pass')
 def step_pass(context: Any, seconds: int) -> None:
     context.now += seconds
-    context.fleet.expire_lapsed(context.now)
+    context.fleet.drop_expired(context.now)
 
 
 @then('"{names}" take work')
--- a/tests/policy/steps/decisions.py
+++ b/tests/policy/steps/decisions.py
@@ -130,7 +130,7 @@
 
 @when('the upstream refuses an attempt')
 def step_refusal(context: Any) -> None:
-    context.report = load_estimate.report_after_refusal(context.report, own=0, now=0.0)
+    context.report = load_estimate.report_after_rejection(context.report, own=0, now=0.0)
 
 
 @then('it is expected to be full')
--- a/tests/product/steps/metrics.py
+++ b/tests/product/steps/metrics.py
@@ -62,8 +62,8 @@
     for _ in range(count):
         times = response_timing.ResponseTiming()
         times.record(draw.expovariate(1.0), 1)
-        times.record(times.last_s + draw.expovariate(10.0), 4)
-        total_s = times.last_s + 0.01
+        times.record(times.last_chunk_s + draw.expovariate(10.0), 4)
+        total_s = times.last_chunk_s + 0.01
         context.one.observe(times, total_s)
         draw.choice(by_host).observe(times, total_s)
     context.merged = metrics.Latencies()
