--- a/bench/balance.py
+++ b/bench/balance.py
@@ -21,7 +21,7 @@
 SMALL = balance_group.Size('8x32', 8, 32, 8, 5, 4)
 LARGE = balance_group.Size('32x64', 32, 64, 58, 3, 4)
 INTERVAL_S = 300.0
-COSTS = rebalance.Costs(expert_bytes=44_000_000,
+COSTS = rebalance.LoadCosts(expert_bytes=44_000_000,
                         store_bytes_per_s=33e6,
                         slowdown=0.2,
                         stall_s=0.05)
@@ -49,26 +49,26 @@
 class _Ours:
     """The planner of the product."""
 
-    def __init__(self, planner: rebalance.Planner,
+    def __init__(self, planner: rebalance.PlannerConfig,
                  start: expert_map.ExpertMap) -> None:
         self._planner = planner
-        self._state = rebalance.GroupState(current=start)
+        self._state = rebalance.GroupState(current_map=start)
 
     def __call__(self, estimate: popularity.Popularity, time_s: float,
                  is_loading: bool) -> expert_map.ExpertMap | None:
         if is_loading:
             return None
-        self._state, result = rebalance.plan(self._planner,
+        self._state, result = rebalance.plan_rebalance(self._planner,
                                              self._state,
                                              estimate,
                                              now_s=time_s)
-        return result.target
+        return result.target_map
 
 
 class _Replan:
     """Plans anew once the skew passes a threshold."""
 
-    def __init__(self, group: placement.Group, threshold: float,
+    def __init__(self, group: placement.GroupShape, threshold: float,
                  start: expert_map.ExpertMap) -> None:
         self._group = group
         self._threshold = threshold
@@ -76,12 +76,12 @@
 
     def __call__(self, estimate: popularity.Popularity, time_s: float,
                  is_loading: bool) -> expert_map.ExpertMap | None:
-        shares = [popularity.shares(layer) for layer in estimate.layers]
+        shares = [popularity.expert_shares(layer) for layer in estimate.layers]
         if is_loading or expert_map.skew(self._current,
                                          shares) < self._threshold:
             return None
-        layouts = [moves.place(self._group, row) for row in shares]
-        self._current = expert_map.map_of(layouts, shares)
+        layouts = [moves.optimize_layout(self._group, row) for row in shares]
+        self._current = expert_map.build_map(layouts, shares)
         return self._current
 
 
@@ -95,13 +95,13 @@
     group = size.group
 
     def ours(policy: targets.Balance, without: str = '') -> Decide:
-        planner = rebalance.Planner(group,
+        planner = rebalance.PlannerConfig(group,
                                     policy,
                                     COSTS,
                                     INTERVAL_S,
                                     use_history=without != 'history',
-                                    use_split=without != 'split',
-                                    use_fixing=without != 'fixing')
+                                    use_split_changes=without != 'split',
+                                    use_load_cooldown=without != 'fixing')
         return _Ours(planner, start)
 
     swept = {
@@ -126,8 +126,8 @@
 def _start_map(size: balance_group.Size,
                rows: tuple[tuple[float, ...], ...]) -> expert_map.ExpertMap:
     """The map that fits the popularity at the start of a trace."""
-    layouts = [moves.place(size.group, row) for row in rows]
-    return expert_map.map_of(layouts, rows)
+    layouts = [moves.optimize_layout(size.group, row) for row in rows]
+    return expert_map.build_map(layouts, rows)
 
 
 def run(size: balance_group.Size, trace_name: str, policy_name: str, seed: int,
@@ -145,14 +145,14 @@
                                      seed=seed + 1,
                                      start=start,
                                      is_instant=policy_name == 'full-instant')
-    estimate = popularity.new(layers=size.layers,
+    estimate = popularity.empty_popularity(layers=size.layers,
                               experts=size.experts,
                               at_s=0.0)
     for i in range(round(hours * 3600 / INTERVAL_S)):
         time_s = i * INTERVAL_S
         began = time.process_time()
         for counts in model.reports(time_s):
-            estimate = popularity.observe(estimate, counts)
+            estimate = popularity.add_counts(estimate, counts)
         target = decide(estimate, time_s, model.is_loading)
         model.totals.planning_s += time.process_time() - began
         model.totals.plans += 1
@@ -211,8 +211,8 @@
     trace = balance_traces.TRACES['drift'](draw, size.layers, size.experts)
     group = size.group
     rows = balance_group.rows_of(trace(0.0))
-    bounds = [placement.lower_bound(group, row) for row in rows]
-    skews = [placement.split(moves.place(group, row), row).skew for row in rows]
+    bounds = [placement.skew_lower_bound(group, row) for row in rows]
+    skews = [placement.split_traffic(moves.optimize_layout(group, row), row).skew for row in rows]
     worst = max(skew / bound for skew, bound in zip(skews, bounds))
     return {
         'size': size.name,
--- a/bench/balance_group.py
+++ b/bench/balance_group.py
@@ -30,9 +30,9 @@
     hosts: int
 
     @property
-    def group(self) -> placement.Group:
+    def group(self) -> placement.GroupShape:
         """The shape for the planner."""
-        return placement.Group(
+        return placement.GroupShape(
             self.experts, (self.slots,) * self.ranks,
             tuple(f'host-{i * self.hosts // self.ranks}'
                   for i in range(self.ranks)))
@@ -65,7 +65,7 @@
     """Runs a map against the true popularity and reports lagging counts."""
 
     def __init__(self, *, size: Size, trace: balance_traces.Trace,
-                 costs: rebalance.Costs, interval_s: float, seed: int,
+                 costs: rebalance.LoadCosts, interval_s: float, seed: int,
                  start: expert_map.ExpertMap, is_instant: bool) -> None:
         self._size = size
         self._trace = trace
@@ -79,7 +79,7 @@
         self._dropped_at: dict[tuple[int, int, int], float] = {}
         self._loads_at: dict[tuple[int, int], list[float]] = {}
         self._undone_at: dict[tuple[int, int], list[float]] = {}
-        self._late: popularity.Counts | None = None
+        self._late: popularity.TokenCounts | None = None
         self.current = start
         self.totals = Totals()
 
@@ -88,7 +88,7 @@
         """Whether a change is under way."""
         return self._pending is not None
 
-    def reports(self, time_s: float) -> list[popularity.Counts]:
+    def reports(self, time_s: float) -> list[popularity.TokenCounts]:
         """The counts that arrive now: some are lost, some come late."""
         self._seq += 1
         tokens = tuple(
@@ -96,7 +96,7 @@
                 int(n)
                 for n in self._draw.multinomial(_REPORT_TOKENS, layer))
             for layer in self._trace(time_s - 1.0))
-        counts = popularity.Counts(self._seq, time_s, tokens)
+        counts = popularity.TokenCounts(self._seq, time_s, tokens)
         chance = self._draw.random()
         arrived = [] if self._late is None else [self._late]
         self._late = None
@@ -160,7 +160,7 @@
         rows = [tuple(float(x) for x in layer) for layer in shares]
         group = self._size.group
         self.totals.bounds.append(
-            sum(placement.lower_bound(group, row) for row in rows) / len(rows))
+            sum(placement.skew_lower_bound(group, row) for row in rows) / len(rows))
         if self._pending is not None:
             ready_s, target = self._pending
             if ready_s > time_s:
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -31,7 +31,7 @@
     restarts_per_day: int = 610
     bytes_per_token: int = 160
     serving_groups: int = 4
-    links_per_group: int = membership.UPSTREAM_SUBSET
+    links_per_group: int = membership.UPSTREAM_SUBSET_SIZE
     peer_links: int = 2 * (membership.PEERS_IN_DATA_CENTRE +
                            membership.PEERS_IN_REGION +
                            5 * membership.PEERS_IN_OTHER_REGION)
--- a/models/configuration.py
+++ b/models/configuration.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 from models import checking
-from pollenthread.core import versions
+from pollenthread.core import config_freshness
 
 __all__ = ['MUTANTS', 'Rules', 'specification']
 
@@ -26,9 +26,9 @@
         rereads: whether a lost answer to a publication is settled by reading.
     """
 
-    may_adopt: Callable[[int, int], bool] = versions.may_adopt
-    merge: Callable[..., versions.Freshness] = versions.merge
-    proof_from_peer: Callable[..., float] = versions.proof_from_peer
+    may_adopt: Callable[[int, int], bool] = config_freshness.may_adopt
+    merge: Callable[..., config_freshness.ConfigFreshness] = config_freshness.merge_proof
+    proof_from_peer: Callable[..., float] = config_freshness.peer_proof_time
     compares: bool = True
     rereads: bool = True
 
@@ -70,7 +70,7 @@
     accepted_at: tuple[int, ...]
     operators: tuple[_Operator, ...]
     accepted: frozenset[tuple[int, int]]
-    hosts: tuple[versions.Freshness, ...]
+    hosts: tuple[config_freshness.ConfigFreshness, ...]
     gives: frozenset[_Give]
     has_fallen: bool
     losses: int
@@ -220,7 +220,7 @@
                        accepted_at=(),
                        operators=(_Operator(), _Operator()),
                        accepted=frozenset(),
-                       hosts=(versions.Freshness(),) * 2,
+                       hosts=(config_freshness.ConfigFreshness(),) * 2,
                        gives=frozenset(),
                        has_fallen=False,
                        losses=0,
@@ -238,16 +238,16 @@
     return True
 
 
-def _merge_anything(known: versions.Freshness, *, version: int,
-                    proved_at: float) -> versions.Freshness:
+def _merge_anything(known: config_freshness.ConfigFreshness, *, version: int,
+                    proved_at: float) -> config_freshness.ConfigFreshness:
     del known
-    return versions.Freshness(version, proved_at)
+    return config_freshness.ConfigFreshness(version, proved_at)
 
 
-def _merge_old_proof(known: versions.Freshness, *, version: int,
-                     proved_at: float) -> versions.Freshness:
+def _merge_old_proof(known: config_freshness.ConfigFreshness, *, version: int,
+                     proved_at: float) -> config_freshness.ConfigFreshness:
     """Lets a proof of an older version refresh a newer one."""
-    return versions.merge(known,
+    return config_freshness.merge_proof(known,
                           version=max(version, known.version),
                           proved_at=proved_at)
 
--- a/models/leases.py
+++ b/models/leases.py
@@ -17,7 +17,7 @@
 _DUTY = 'duty'
 _DURATION_S = 1000.0
 _TICKS_S = (495, 15, 5)
-_RATES = (1 - leases.MAX_DRIFT, 1 + leases.MAX_DRIFT)
+_RATES = (1 - leases.MAX_CLOCK_DRIFT, 1 + leases.MAX_CLOCK_DRIFT)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,11 +32,11 @@
         settle: what a read proves about a lost answer.
     """
 
-    acquire: Callable[..., leases.Lease | None] = leases.acquire
+    acquire: Callable[..., leases.Lease | None] = leases.lease_to_acquire
     safe_until: Callable[[float, float], float] = leases.safe_until
     counts_from_answer: bool = False
     compares: bool = True
-    settle: Callable[..., leases.Settled] = leases.settle
+    settle: Callable[..., leases.WriteOutcome] = leases.resolve_write
 
 
 class _Write(NamedTuple):
@@ -58,9 +58,9 @@
 class _Process(NamedTuple):
     """One process that may hold the duty."""
 
-    known: leases.Observation | None = None
+    known: leases.LeaseObservation | None = None
     version: int = 0
-    held: leases.Held | None = None
+    held: leases.HeldLease | None = None
     write: _Write | None = None
 
 
@@ -105,7 +105,7 @@
             yield from self._in_flight(state, number, process, now)
             return
         if state.row is not None and state.version != process.version:
-            known = leases.observe(process.known, state.row, now)
+            known = leases.update_observation(process.known, state.row, now)
             yield f'{name} reads', _with(
                 state, number,
                 process._replace(known=known, version=state.version))
@@ -115,7 +115,7 @@
 
     def _acquire(self, state: _State, number: int, process: _Process,
                  now: float) -> _Successors:
-        if (process.held is not None and leases.is_safe(process.held, now) or
+        if (process.held is not None and leases.may_act(process.held, now) or
                 state.fencing >= self._max_fencing):
             return
         wanted = self._rules.acquire(process.known,
@@ -131,12 +131,12 @@
     def _keep(self, state: _State, number: int, process: _Process,
               now: float) -> _Successors:
         assert process.held is not None
-        renewed = leases.renew(process.held, now=now)
+        renewed = leases.lease_to_renew(process.held, now=now)
         if renewed is not None and renewed.renewals <= 1:
-            write = _Write(renewed, process.held.version, now)
+            write = _Write(renewed, process.held.row_version, now)
             yield f'process {number} renews', _with(
                 state, number, process._replace(write=write))
-        released = _Write(leases.release(process.held), process.held.version,
+        released = _Write(leases.lease_to_release(process.held), process.held.row_version,
                           now)
         yield f'process {number} releases', _with(
             state, number, process._replace(held=None, write=released))
@@ -178,11 +178,11 @@
             return process._replace(held=None, write=None)
         counted_from = now if self._rules.counts_from_answer else write.sent_at
         until = self._rules.safe_until(counted_from, _DURATION_S)
-        held = leases.Held(write.lease, version, until)
+        held = leases.HeldLease(write.lease, version, until)
         return process._replace(held=held,
                                 write=None,
                                 version=version,
-                                known=leases.observe(process.known, write.lease,
+                                known=leases.update_observation(process.known, write.lease,
                                                      write.sent_at))
 
     def _settle(self, state: _State, number: int, process: _Process,
@@ -192,10 +192,10 @@
         assert write is not None
         name = f'process {number}'
         settled = self._rules.settle(write.lease, state.row)
-        if settled is leases.Settled.WRITTEN:
+        if settled is leases.WriteOutcome.WRITTEN:
             yield f'{name} finds its write', _with(
                 state, number, self._told(process, state.version, now))
-        elif settled is leases.Settled.LOST:
+        elif settled is leases.WriteOutcome.LOST:
             yield f'{name} finds another write', _with(
                 state, number, process._replace(held=None, write=None))
 
@@ -211,7 +211,7 @@
         process.held
         for number, process in enumerate(state['processes'])
         if process.held is not None and
-        leases.is_safe(process.held, state['now'] * _RATES[number])
+        leases.may_act(process.held, state['now'] * _RATES[number])
     ]
     return len(safe) <= 1
 
@@ -241,19 +241,19 @@
         })
 
 
-def _acquire_at_once(known: leases.Observation | None, **named: Any) -> Any:
+def _acquire_at_once(known: leases.LeaseObservation | None, **named: Any) -> Any:
     if known is None:
-        return leases.acquire(known, **named)
+        return leases.lease_to_acquire(known, **named)
     released = dataclasses.replace(known.lease, holder='')
-    return leases.acquire(dataclasses.replace(known, lease=released), **named)
+    return leases.lease_to_acquire(dataclasses.replace(known, lease=released), **named)
 
 
-def _acquire_without_drift(known: leases.Observation | None, *, duty: str,
+def _acquire_without_drift(known: leases.LeaseObservation | None, *, duty: str,
                            holder: str, duration_s: float, now: float) -> Any:
     hurried = now if known is None else (known.first_seen_at +
                                          (now - known.first_seen_at) *
-                                         (1 + leases.MAX_DRIFT))
-    return leases.acquire(known,
+                                         (1 + leases.MAX_CLOCK_DRIFT))
+    return leases.lease_to_acquire(known,
                           duty=duty,
                           holder=holder,
                           duration_s=duration_s,
@@ -265,9 +265,9 @@
 
 
 def _settle_by_hope(wanted: leases.Lease,
-                    found: leases.Lease | None) -> leases.Settled:
+                    found: leases.Lease | None) -> leases.WriteOutcome:
     del wanted, found
-    return leases.Settled.WRITTEN
+    return leases.WriteOutcome.WRITTEN
 
 
 MUTANTS: dict[str, Rules] = {
--- a/models/map_switch.py
+++ b/models/map_switch.py
@@ -22,9 +22,9 @@
 class Rules:
     """The project's decisions; a mutant replaces one of them."""
 
-    advance: Callable[..., tuple[map_switch.Switch,
-                                 map_switch.Orders]] = map_switch.advance
-    recover: Callable[..., map_switch.Switch] = map_switch.recover
+    advance: Callable[..., tuple[map_switch.MapSwitch,
+                                 map_switch.RankOrders]] = map_switch.advance_switch
+    recover: Callable[..., map_switch.MapSwitch] = map_switch.recovery_switch
     has_own_versions: bool = True
 
 
@@ -78,7 +78,7 @@
 class _Decider(NamedTuple):
     """A decider and what it has seen of each rank."""
 
-    switch: map_switch.Switch
+    switch: map_switch.MapSwitch
     seen: tuple[peer_messages.RankState, ...]
 
 
@@ -176,7 +176,7 @@
         if map_switch.needs_recovery(states):
             switch = self._rules.recover(states, (), version)
         else:
-            switch = map_switch.Switch(version, _EPOCH, ())
+            switch = map_switch.MapSwitch(version, _EPOCH, ())
         yield f'{number} begins', state._replace(
             deciders=(*state.deciders, _Decider(switch, seen)))
 
@@ -271,22 +271,22 @@
 
 
 def _advance_without_hold(
-        switch: map_switch.Switch, states: map_switch.States
-) -> tuple[map_switch.Switch, map_switch.Orders]:
+        switch: map_switch.MapSwitch, states: map_switch.RankStates
+) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
     """Arms for a coming pass that nobody holds back."""
-    after, orders = map_switch.advance(switch, states)
-    if after.phase is map_switch.Phase.HOLDING:
-        after = dataclasses.replace(after, phase=map_switch.Phase.ARMING)
+    after, orders = map_switch.advance_switch(switch, states)
+    if after.phase is map_switch.MapSwitchPhase.HOLDING:
+        after = dataclasses.replace(after, phase=map_switch.MapSwitchPhase.ARMING)
         orders = {}
     return after, orders
 
 
 def _advance_releasing_early(
-        switch: map_switch.Switch, states: map_switch.States
-) -> tuple[map_switch.Switch, map_switch.Orders]:
+        switch: map_switch.MapSwitch, states: map_switch.RankStates
+) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
     """Releases the pass once an arming was sent to every rank."""
-    after, orders = map_switch.advance(switch, states)
-    if after.phase is map_switch.Phase.ARMING and orders and any(
+    after, orders = map_switch.advance_switch(switch, states)
+    if after.phase is map_switch.MapSwitchPhase.ARMING and orders and any(
             s.armed_version == switch.version for s in states.values()):
         orders = {
             **orders, map_switch.HOLDING_RANK:
@@ -297,11 +297,11 @@
 
 
 def _advance_disarming(
-        switch: map_switch.Switch, states: map_switch.States
-) -> tuple[map_switch.Switch, map_switch.Orders]:
+        switch: map_switch.MapSwitch, states: map_switch.RankStates
+) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
     """Disarms whatever another decider has armed."""
-    after, orders = map_switch.advance(switch, states)
-    if after.phase is map_switch.Phase.PREPARING:
+    after, orders = map_switch.advance_switch(switch, states)
+    if after.phase is map_switch.MapSwitchPhase.PREPARING:
         orders = dict(orders)
         for rank, state in states.items():
             if state.armed_version and state.armed_version != switch.version:
@@ -310,13 +310,13 @@
     return after, orders
 
 
-def _recover_by_releasing(states: map_switch.States,
+def _recover_by_releasing(states: map_switch.RankStates,
                           layouts: tuple[tuple[tuple[int, ...], ...], ...],
-                          version: int) -> map_switch.Switch:
+                          version: int) -> map_switch.MapSwitch:
     """Lets a held pass go without a look at who is armed."""
-    found = map_switch.recover(states, layouts, version)
+    found = map_switch.recovery_switch(states, layouts, version)
     return dataclasses.replace(found,
-                               phase=map_switch.Phase.RELEASING,
+                               phase=map_switch.MapSwitchPhase.RELEASING,
                                step=states[map_switch.HOLDING_RANK].held_step)
 
 
--- a/models/switch.py
+++ b/models/switch.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from models import checking
-from pollenthread.core import switch, switch_decider, switch_rank
+from pollenthread.core import switch, switch_coordinator, switch_rank
 
 __all__ = [
     'Bounds', 'RESTART_MUTANTS', 'Rules', 'TAKEOVER_MUTANTS', 'THREE_RANKS',
@@ -22,7 +22,7 @@
 _TARGET = 2
 _MARGIN = 1
 
-_Decided = switch_decider.DeciderResult
+_Decided = switch_coordinator.CoordinatorResult
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,14 +33,14 @@
     good, so that such messages need not be kept in flight.
     """
 
-    may_enter: Callable[[switch.Rank], bool] = switch_rank.may_enter
-    restart: Callable[..., switch.Rank] = switch_rank.restart
+    may_enter: Callable[[switch.Rank], bool] = switch_rank.may_enter_next_step
+    restart: Callable[..., switch.Rank] = switch_rank.restarted_rank
     on_arm: Callable[..., switch_rank.RankResult] = switch_rank.on_arm
     on_decide: Callable[..., switch_rank.RankResult] = switch_rank.on_decide
-    answer_ask: Callable[..., switch.Decide | None] = switch_rank.answer_ask
-    on_armed: Callable[..., _Decided] = switch_decider.on_armed
-    on_join: Callable[..., _Decided] = switch_decider.on_join
-    on_report: Callable[..., _Decided] = switch_decider.on_report
+    answer_ask: Callable[..., switch.Decide | None] = switch_rank.answer_decision_request
+    on_armed: Callable[..., _Decided] = switch_coordinator.on_armed
+    on_join: Callable[..., _Decided] = switch_coordinator.on_join
+    on_report: Callable[..., _Decided] = switch_coordinator.on_report
     fenced: bool = True
 
 
@@ -48,14 +48,14 @@
     """An order, or a decision from another rank, on its way."""
 
     rank: int
-    order: switch.Order
+    order: switch.CoordinatorMessage
 
 
 class _ToDecider(NamedTuple):
     """A reply on its way."""
 
     fence: int
-    reply: switch.Reply
+    reply: switch.RankMessage
 
 
 class _State(NamedTuple):
@@ -71,7 +71,7 @@
     """
 
     ranks: tuple[switch.Rank, ...]
-    deciders: tuple[switch_decider.Decider, ...]
+    deciders: tuple[switch_coordinator.Coordinator, ...]
     flight: frozenset[_ToRank | _ToDecider]
     used: frozenset[tuple[int, int, int]]
     restarts: int
@@ -135,7 +135,7 @@
             if (rank.step > slowest or rank.step >= self._bounds.steps or
                     not self._rules.may_enter(rank)):
                 continue
-            entered = switch_rank.advance(rank)
+            entered = switch_rank.enter_next_step(rank)
             assert entered.held is not None
             version = switch.map_version(entered.held, entered.step)
             used = state.used | {(rank.index, entered.step, version)}
@@ -153,7 +153,7 @@
 
     def _asks(self, state: _State) -> _Successors:
         for rank in state.ranks:
-            question = switch_rank.ask(rank)
+            question = switch_rank.decision_request(rank)
             if question is None:
                 continue
             for other in state.ranks:
@@ -193,13 +193,13 @@
             case switch.Report():
                 result = self._rules.on_report(decider, reply)
             case switch.Prepared():
-                result = switch_decider.on_prepared(decider,
+                result = switch_coordinator.on_prepared(decider,
                                                     reply,
-                                                    margin=_MARGIN)
+                                                    margin_steps=_MARGIN)
             case switch.Armed():
                 result = self._rules.on_armed(decider, reply)
             case switch.Noted():
-                result = switch_decider.on_noted(decider, reply)
+                result = switch_coordinator.on_noted(decider, reply)
             case switch.Join():
                 result = self._rules.on_join(decider, reply)
         label = f'decider {message.fence} takes {_shown(reply)}'
@@ -208,21 +208,21 @@
     def _decider_steps(self, state: _State) -> _Successors:
         for decider in state.deciders:
             name = f'decider {decider.fence}'
-            if (decider.phase is switch_decider.Phase.IDLE and
-                    decider.number == 0 and decider.fence == 1):
+            if (decider.phase is switch_coordinator.CoordinatorPhase.IDLE and
+                    decider.switch_count == 0 and decider.fence == 1):
                 yield (f'{name} starts a switch',
-                       _decided(state, switch_decider.start(decider, _TARGET)))
-            given_up = switch_decider.give_up(decider)
-            if given_up.decider is not decider:
+                       _decided(state, switch_coordinator.start_switch(decider, _TARGET)))
+            given_up = switch_coordinator.abort_undecided(decider)
+            if given_up.coordinator is not decider:
                 yield f'{name} gives up', _decided(state, given_up)
 
     def _faults(self, state: _State) -> _Successors:
         fence = len(state.deciders)
         if fence < self._bounds.deciders:
-            taken = switch_decider.take_over(fence=fence + 1,
-                                             size=self._bounds.ranks,
-                                             named=_BASE)
-            after = state._replace(deciders=(*state.deciders, taken.decider))
+            taken = switch_coordinator.start_coordinator(fence=fence + 1,
+                                             group_size=self._bounds.ranks,
+                                             initial_version=_BASE)
+            after = state._replace(deciders=(*state.deciders, taken.coordinator))
             yield f'decider {fence + 1} takes over', _decided(after, taken)
         if state.restarts < self._bounds.restarts:
             for rank in state.ranks:
@@ -239,10 +239,10 @@
         queries = {
             _ToRank(rank.index, switch.Query(decider.fence))
             for decider in state.deciders
-            if decider.phase is switch_decider.Phase.COLLECTING
+            if decider.phase is switch_coordinator.CoordinatorPhase.COLLECTING
         }
         after = after._replace(flight=after.flight | queries)
-        request = switch_rank.join(restarted)
+        request = switch_rank.join_request(restarted)
         if request is not None:
             joins = {
                 _ToDecider(decider.fence, request) for decider in state.deciders
@@ -264,14 +264,14 @@
         return _is_void_order(state.ranks[message.rank], message.order)
     decider = state.deciders[message.fence - 1]
     phase = decider.phase
-    is_over = phase is switch_decider.Phase.DECIDED or (
-        phase is switch_decider.Phase.IDLE and
-        (decider.number > 0 or decider.fence > 1))
+    is_over = phase is switch_coordinator.CoordinatorPhase.DECIDED or (
+        phase is switch_coordinator.CoordinatorPhase.IDLE and
+        (decider.switch_count > 0 or decider.fence > 1))
     match message.reply:
         case switch.Report():
-            return phase is not switch_decider.Phase.COLLECTING
+            return phase is not switch_coordinator.CoordinatorPhase.COLLECTING
         case switch.Prepared():
-            return is_over or phase is switch_decider.Phase.ARMING
+            return is_over or phase is switch_coordinator.CoordinatorPhase.ARMING
         case switch.Armed():
             return is_over
         case switch.Noted():
@@ -281,8 +281,8 @@
             return False
 
 
-def _is_void_order(rank: switch.Rank, order: switch.Order) -> bool:
-    closed = switch.NEVER if rank.held is None else rank.held.closed
+def _is_void_order(rank: switch.Rank, order: switch.CoordinatorMessage) -> bool:
+    closed = switch.NO_SWITCH if rank.held is None else rank.held.closed
     match order:
         case switch.Prepare() | switch.Arm():
             return order.id.fence < rank.fence or order.id <= closed
@@ -297,7 +297,7 @@
             return order.fence < rank.fence
 
 
-def _shown(message: switch.Order | switch.Reply) -> str:
+def _shown(message: switch.CoordinatorMessage | switch.RankMessage) -> str:
     name = type(message).__name__.lower()
     if isinstance(message, switch.Decide):
         return f'{name} {"commit" if message.commit else "abort"}'
@@ -318,10 +318,10 @@
     return state._replace(flight=state.flight | {message})
 
 
-def _decided(state: _State, result: switch_decider.DeciderResult) -> _State:
+def _decided(state: _State, result: switch_coordinator.CoordinatorResult) -> _State:
     deciders = list(state.deciders)
-    deciders[result.decider.fence - 1] = result.decider
-    sent = {_ToRank(send.index, send.order) for send in result.sends}
+    deciders[result.coordinator.fence - 1] = result.coordinator
+    sent = {_ToRank(send.rank_index, send.message) for send in result.messages}
     return state._replace(deciders=tuple(deciders), flight=state.flight | sent)
 
 
@@ -338,11 +338,11 @@
         switch.Rank(
             index=i, incarnation=1, fence=1, held=switch.Map(base=_BASE))
         for i in range(bounds.ranks))
-    decider = switch_decider.take_over(fence=1, size=bounds.ranks,
-                                       named=_BASE).decider
+    decider = switch_coordinator.start_coordinator(fence=1, group_size=bounds.ranks,
+                                       initial_version=_BASE).coordinator
     for rank in ranks:
-        decider = switch_decider.on_report(decider, switch.Report(1,
-                                                                  rank)).decider
+        decider = switch_coordinator.on_report(decider, switch.Report(1,
+                                                                  rank)).coordinator
     return checking.Specification(
         name='switch',
         fields=_State._fields,
@@ -363,7 +363,7 @@
 
 def _restart_with_old_map(rank: switch.Rank, *, fence: int,
                           step: int) -> switch.Rank:
-    restarted = switch_rank.restart(rank, fence=fence, step=step)
+    restarted = switch_rank.restarted_rank(rank, fence=fence, step=step)
     return dataclasses.replace(restarted, held=switch.Map(base=_BASE))
 
 
@@ -381,36 +381,36 @@
     return switch_rank.on_decide(rank, dataclasses.replace(order, fence=fence))
 
 
-def _commit_at_first_ack(decider: switch_decider.Decider,
-                         reply: switch.Armed) -> switch_decider.DeciderResult:
-    return switch_decider.on_armed(
+def _commit_at_first_ack(decider: switch_coordinator.Coordinator,
+                         reply: switch.Armed) -> switch_coordinator.CoordinatorResult:
+    return switch_coordinator.on_armed(
         dataclasses.replace(decider,
-                            acks=frozenset(range(decider.size)) -
+                            acknowledged_ranks=frozenset(range(decider.group_size)) -
                             {reply.index}), reply)
 
 
 def _ack_of_any_incarnation(
-        decider: switch_decider.Decider,
-        reply: switch.Armed) -> switch_decider.DeciderResult:
+        decider: switch_coordinator.Coordinator,
+        reply: switch.Armed) -> switch_coordinator.CoordinatorResult:
     incarnation = decider.incarnations[reply.index]
-    return switch_decider.on_armed(
+    return switch_coordinator.on_armed(
         decider, dataclasses.replace(reply, incarnation=incarnation, ok=True))
 
 
-def _join_without_abort(decider: switch_decider.Decider,
-                        request: switch.Join) -> switch_decider.DeciderResult:
+def _join_without_abort(decider: switch_coordinator.Coordinator,
+                        request: switch.Join) -> switch_coordinator.CoordinatorResult:
     """Names the map and goes on with the switch."""
-    joined = switch_decider.on_join(
-        dataclasses.replace(decider, phase=switch_decider.Phase.IDLE), request)
-    return switch_decider.DeciderResult(
-        dataclasses.replace(joined.decider, phase=decider.phase), joined.sends)
+    joined = switch_coordinator.on_join(
+        dataclasses.replace(decider, phase=switch_coordinator.CoordinatorPhase.IDLE), request)
+    return switch_coordinator.CoordinatorResult(
+        dataclasses.replace(joined.coordinator, phase=decider.phase), joined.messages)
 
 
-def _settle_without_all(decider: switch_decider.Decider,
-                        report: switch.Report) -> switch_decider.DeciderResult:
+def _settle_without_all(decider: switch_coordinator.Coordinator,
+                        report: switch.Report) -> switch_coordinator.CoordinatorResult:
     """Settles from the first report alone."""
-    alone = dataclasses.replace(decider, reports=(report.rank,) * decider.size)
-    return switch_decider.on_report(alone, report)
+    alone = dataclasses.replace(decider, rank_reports=(report.rank,) * decider.group_size)
+    return switch_coordinator.on_report(alone, report)
 
 
 RESTART_MUTANTS: dict[str, Rules] = {
--- a/pollenthread/adapters/json_log.py
+++ b/pollenthread/adapters/json_log.py
@@ -67,7 +67,7 @@
         line = {
             't': round(now, 4),
             'host': self._host,
-            'event': event.word,
+            'event': event.event_name,
             **fields
         }
         self._unsent += json.dumps(line, separators=(',', ':'),
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -76,7 +76,7 @@
                                'This id belongs to another order.'))
             return
         self._desk.wake()
-        self._peers.broadcast(messages.DutyNews(orders.duty_of(host)))
+        self._peers.broadcast(messages.DutyNews(orders.order_duty_for_host(host)))
         await response.send_json(202, _document(submitted))
 
     async def _show(self, host: str, order_id: str,
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -167,7 +167,7 @@
         """The keys that sign orders and check them."""
         return signing.KeyRing(
             tuple(
-                signing.Key(key.id, key.secret.encode())
+                signing.SigningKey(key.id, key.secret.encode())
                 for key in self.order_keys))
 
 
--- a/pollenthread/app/choice_teller.py
+++ b/pollenthread/app/choice_teller.py
@@ -79,7 +79,7 @@
         record = self._hosts.records_by_host.get(holder)
         size = max(1, _CHOICES_A_DATAGRAM // experts) * experts
         for begin in range(0, len(choices), size):
-            unit, packed = expert_choices.pack(choices[begin:begin + size],
+            unit, packed = expert_choices.pack_choices(choices[begin:begin + size],
                                                self._rng)
             news = peer_messages.ExpertChoices(group=state.group,
                                                rank=state.rank,
--- a/pollenthread/app/config_spread.py
+++ b/pollenthread/app/config_spread.py
@@ -10,7 +10,7 @@
 
 from pollenthread.app import (config_store, directory as directory_module, peers
                               as peers_module)
-from pollenthread.core import messages, versions
+from pollenthread.core import messages, config_freshness
 from pollenthread.ports import clock, link as link_port
 
 __all__ = ['ConfigSpread']
@@ -45,13 +45,13 @@
         while True:
             await self.step()
             spread = 1 + _JITTER * (2 * self._draw.random() - 1)
-            await self._time.sleep(versions.POLLER_INTERVAL_S * spread)
+            await self._time.sleep(config_freshness.POLL_INTERVAL_S * spread)
 
     async def step(self) -> None:
         """Asks peers, and reads the table if it is this host's turn."""
         for link in self._links_to_ask():
             self._ask(link)
-        if versions.should_poll(self._store.freshness,
+        if config_freshness.should_poll(self._store.freshness,
                                 is_poller=self._directory.is_poller,
                                 now=self._time.monotonic()):
             await self._store.refresh()
@@ -73,7 +73,7 @@
         self._asked_at_by_seq = {
             seq: at
             for seq, at in self._asked_at_by_seq.items()
-            if now - at < versions.PROOF_LIMIT_S
+            if now - at < config_freshness.MAX_PROOF_AGE_S
         }
         self._asked_at_by_seq[self._asks] = now
         _send(link, messages.ConfigAsk(self._asks, self._store.version))
@@ -82,7 +82,7 @@
         stored = self._store.stored
         age_s = self._store.age_s
         document = b''
-        if stored is not None and versions.must_fetch(ask.version,
+        if stored is not None and config_freshness.must_fetch(ask.version,
                                                       stored.version):
             document = stored.to_bytes()
         _send(
@@ -106,7 +106,7 @@
                 logging.error('a peer sent a malformed version: %s', error)
                 return
         if give.is_proved:
-            proved_at = versions.proof_from_peer(asked_at=asked_at,
+            proved_at = config_freshness.peer_proof_time(asked_at=asked_at,
                                                  age_s=give.age_ms / _MS_PER_S)
             self._store.prove(give.version, proved_at)
 
@@ -117,7 +117,7 @@
         self._close_gap(link, ping.config_version)
 
     def _close_gap(self, link: link_port.Link, announced: int) -> None:
-        if versions.must_fetch(self._store.version, announced):
+        if config_freshness.must_fetch(self._store.version, announced):
             self._ask(link)
 
     def _announce(self, version: int) -> None:
--- a/pollenthread/app/config_store.py
+++ b/pollenthread/app/config_store.py
@@ -17,7 +17,7 @@
 from absl import logging
 
 from pollenthread.app import targets_document
-from pollenthread.core import document_diff, targets, versions
+from pollenthread.core import document_diff, targets, config_freshness
 from pollenthread.ports import clock, table
 
 __all__ = ['ConfigStore', 'Conflict', 'StoredVersion']
@@ -72,8 +72,8 @@
     changes: tuple[document_diff.Change, ...] = ()
 
 
-def _hear_nobody() -> versions.Reachable:
-    return versions.Reachable(heard=0, listed=1)
+def _hear_nobody() -> config_freshness.RegionReachability:
+    return config_freshness.RegionReachability(reachable=0, listed=1)
 
 
 class ConfigStore:
@@ -84,7 +84,7 @@
         *,
         table_service: table.TableService,
         time: clock.Clock,
-        reachable: Callable[[], versions.Reachable] = _hear_nobody,
+        reachable: Callable[[], config_freshness.RegionReachability] = _hear_nobody,
         on_adopt: Callable[[int], None] | None = None,
     ) -> None:
         self._table = table_service
@@ -93,7 +93,7 @@
         self.on_adopt = on_adopt
         self._current: targets.Targets | None = None
         self._stored: StoredVersion | None = None
-        self._freshness = versions.Freshness()
+        self._freshness = config_freshness.ConfigFreshness()
 
     @property
     def current(self) -> targets.Targets | None:
@@ -103,14 +103,14 @@
     @property
     def usable(self) -> targets.Targets | None:
         """The targets to serve by; None when new work must be refused."""
-        if self.permission is versions.Permission.REFUSE:
+        if self.permission is config_freshness.ServingPermission.REFUSE:
             return None
         return self._current
 
     @property
-    def permission(self) -> versions.Permission:
+    def permission(self) -> config_freshness.ServingPermission:
         """What may be done with the version in force."""
-        return versions.permit(self._freshness, self._reachable(),
+        return config_freshness.serving_permission(self._freshness, self._reachable(),
                                self._time.monotonic())
 
     @property
@@ -124,7 +124,7 @@
         return self._freshness.version
 
     @property
-    def freshness(self) -> versions.Freshness:
+    def freshness(self) -> config_freshness.ConfigFreshness:
         """What can be proved about the version in force."""
         return self._freshness
 
@@ -140,7 +140,7 @@
         if isinstance(head, result.Err):
             return False
         newest = _head_version(head.ok_value)
-        if versions.may_adopt(self.version, newest):
+        if config_freshness.may_adopt(self.version, newest):
             stored = await self.read(newest)
             if stored is None:
                 return False
@@ -151,13 +151,13 @@
     def prove(self, version: int, proved_at: float) -> None:
         """Takes in that `version` was newest at a moment."""
         if version <= self.version:
-            self._freshness = versions.merge(self._freshness,
+            self._freshness = config_freshness.merge_proof(self._freshness,
                                              version=version,
                                              proved_at=proved_at)
 
     def adopt(self, stored: StoredVersion) -> None:
         """Puts a version in force if it is newer."""
-        if not versions.may_adopt(self.version, stored.version):
+        if not config_freshness.may_adopt(self.version, stored.version):
             return
         model = targets_document.parse_targets(stored.document)
         self._current = model.to_targets(stored.version)
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from pollenthread.app import heartbeats as heartbeats_module
-from pollenthread.core import addresses, membership, versions
+from pollenthread.core import addresses, membership, config_freshness
 from pollenthread.ports import clock, host_list
 
 __all__ = ['Directory']
@@ -34,7 +34,7 @@
         self._chosen: frozenset[str] = frozenset()
         self._dialed: frozenset[str] = frozenset()
         self._upstreams: frozenset[str] = frozenset()
-        self._view = membership.View({}, False)
+        self._view = membership.MembershipView({}, False)
         self._extra_until_by_host: dict[str, float] = {}
         self.draining: frozenset[str] = frozenset()
         self._read_at: float | None = None
@@ -48,7 +48,7 @@
         return self._time.monotonic() - self._read_at
 
     @property
-    def view(self) -> membership.View:
+    def view(self) -> membership.MembershipView:
         """The judgement over the entry hosts."""
         return self._view
 
@@ -62,7 +62,7 @@
         host = self.by_name.get(name)
         if host is not None and host.leaving:
             return True
-        return self._heartbeats.evidence(name).said_leaving
+        return self._heartbeats.evidence(name).reported_leaving
 
     def entries(self) -> list[addresses.EntryHost]:
         """Entry hosts that callers may use."""
@@ -124,14 +124,14 @@
         if host > self._own.host:
             return False
         member = self._member(host)
-        return member is not None and self._own.host in membership.linked_peers(
+        return member is not None and self._own.host in membership.select_linked_peers(
             member, self._members)
 
     def _member(self, name: str) -> membership.Member | None:
         host = self.by_name.get(name)
         return None if host is None else _to_member(host)
 
-    def reachable(self) -> versions.Reachable:
+    def reachable(self) -> config_freshness.RegionReachability:
         """How many of the watched hosts of the own region are heard."""
         watched = [
             host for host in self._chosen if host in self.by_name and
@@ -139,7 +139,7 @@
         ]
         heard = sum(1 for host in watched
                     if self._heartbeats.evidence(host).silent_s == 0.0)
-        return versions.Reachable(heard=heard + 1, listed=len(watched) + 1)
+        return config_freshness.RegionReachability(reachable=heard + 1, listed=len(watched) + 1)
 
     async def refresh(self) -> bool:
         """Reads the list once; False when it is silent."""
@@ -161,11 +161,11 @@
             for host in self.by_name.values()
             if host.role == 'entry'
         ]
-        self._upstreams = membership.upstream_subset(
+        self._upstreams = membership.select_upstreams(
             self._own, (_to_member(host)
                         for host in self.by_name.values()
                         if host.role == 'upstream'))
-        self._chosen = membership.linked_peers(self._own, self._members)
+        self._chosen = membership.select_linked_peers(self._own, self._members)
         self._dialed = frozenset(
             host for host in self._chosen if not self._dials_us(host))
 
@@ -173,7 +173,7 @@
         """Judges the entry hosts anew and tells others of dead ones."""
         self._heartbeats.expect(self._chosen)
         before = self._view
-        self._view = membership.judge({
+        self._view = membership.assess_fleet({
             member.host: self._evidence(member.host) for member in self._members
         })
         for host, state in self._view.state_by_host.items():
@@ -183,11 +183,11 @@
             logging.warning('membership panic=%s', self._view.is_panic)
         self._heartbeats.report(_dead(self._view))
         usable = set(self._view.usable()) - self.draining
-        self.pollers = membership.pollers(
+        self.pollers = membership.select_pollers(
             (m for m in self._members if m.host in usable),
             self._own.data_centre)
 
-    def _evidence(self, host: str) -> membership.Evidence:
+    def _evidence(self, host: str) -> membership.HostEvidence:
         return dataclasses.replace(self._heartbeats.evidence(host),
                                    listed_leaving=self.by_name[host].leaving)
 
@@ -200,9 +200,9 @@
                 await asyncio.sleep(_JUDGE_INTERVAL_S)
 
 
-def _dead(view: membership.View) -> Iterable[str]:
+def _dead(view: membership.MembershipView) -> Iterable[str]:
     return (host for host, state in view.state_by_host.items()
-            if state is membership.State.DEAD)
+            if state is membership.HostState.DEAD)
 
 
 def _to_member(host: host_list.Host) -> membership.Member:
--- a/pollenthread/app/group_member.py
+++ b/pollenthread/app/group_member.py
@@ -73,7 +73,7 @@
                                             read_fence=self._read_fence,
                                             on_reply=self._to_decider)
         self._duty: switch_duty.SwitchDuty | None = None
-        self._own_orders: asyncio.Queue[switch.Order] = asyncio.Queue()
+        self._own_orders: asyncio.Queue[switch.CoordinatorMessage] = asyncio.Queue()
         if place.index == _DECIDER:
             self._duty = switch_duty.SwitchDuty(group=place.group,
                                                 size=place.size,
@@ -154,10 +154,10 @@
             link, message = await self._inbox.get()
             if isinstance(message, switch.Ask):
                 rank = await self._rank.look()
-                known = rank and switch_rank.answer_ask(rank, message)
+                known = rank and switch_rank.answer_decision_request(rank, message)
                 if known:
                     self._send(link, known)
-            elif isinstance(message, switch.Reply):
+            elif isinstance(message, switch.RankMessage):
                 if self._duty is not None:
                     self._duty.receive(message)
             else:
@@ -181,10 +181,10 @@
             rank = await self._rank.look()
             if rank is None:
                 continue
-            request = switch_rank.join(rank)
+            request = switch_rank.join_request(rank)
             if request is not None:
                 self._to_decider(request)
-            question = switch_rank.ask(rank)
+            question = switch_rank.decision_request(rank)
             if question is not None:
                 for links in list(self._links_by_host.values()):
                     for link in links[-1:]:
@@ -222,7 +222,7 @@
         row = read.unwrap()
         return 0 if row is None else switch_duty.parse_row(row.value).fence
 
-    def _send_order(self, index: int, order: switch.Order) -> None:
+    def _send_order(self, index: int, order: switch.CoordinatorMessage) -> None:
         if index == self._place.index:
             self._own_orders.put_nowait(order)
             return
@@ -230,7 +230,7 @@
         if address is not None:
             self._send_host(address.host, order)
 
-    def _to_decider(self, reply: switch.Reply) -> None:
+    def _to_decider(self, reply: switch.RankMessage) -> None:
         """Sends to the agent that decides, which has dialed this one."""
         if self._duty is not None:
             self._duty.receive(reply)
--- a/pollenthread/app/heartbeats.py
+++ b/pollenthread/app/heartbeats.py
@@ -15,7 +15,7 @@
 __all__ = ['Heartbeats']
 
 _REMEMBERED_NEWS = 4096
-_REPEAT_S = membership.REPORT_LIFE_S / 3
+_REPEAT_S = membership.REPORT_TTL_S / 3
 _UNKNOWN_START = 'unknown'
 
 
@@ -32,20 +32,20 @@
         self._incarnation_by_host: dict[str, str] = {}
         self._reported_at_by_host: dict[str, float] = {}
         self._restarted_at_by_host: dict[str, float] = {}
-        self._report_by_host: dict[str, membership.Report] = {}
+        self._report_by_host: dict[str, membership.HostReport] = {}
         self._seen = collections.OrderedDict[tuple[str, str, int], None]()
         peers.watch(self)
         peers.subscribe(messages.HostNews, self._on_news)
 
-    def evidence(self, host: str) -> membership.Evidence:
+    def evidence(self, host: str) -> membership.HostEvidence:
         """What is known of an entry host, but for the host list."""
         now = self._time.monotonic()
         report = self._report_by_host.get(host)
         said_leaving = report is not None and report.is_leaving
-        reports = 0 if report is None else membership.dead_reports(report, now)
-        return membership.Evidence(said_leaving=said_leaving,
+        reports = 0 if report is None else membership.count_dead_reports(report, now)
+        return membership.HostEvidence(reported_leaving=said_leaving,
                                    silent_s=self._silent_s(host, now),
-                                   dead_reports=reports)
+                                   dead_report_count=reports)
 
     def restarted_s(self, host: str) -> float | None:
         """Seconds since another start of a known host was seen, or None."""
@@ -83,12 +83,12 @@
             reported_at = self._reported_at_by_host.get(host)
             if reported_at is None or now - reported_at >= _REPEAT_S:
                 self._reported_at_by_host[host] = now
-                self._tell(host, membership.State.DEAD)
+                self._tell(host, membership.HostState.DEAD)
 
     def tell_own_leaving(self) -> None:
         """Tells the others that this host leaves."""
         self._incarnation_by_host[self._own.host] = self._own.incarnation
-        self._tell(self._own.host, membership.State.LEAVING)
+        self._tell(self._own.host, membership.HostState.LEAVING)
 
     def on_peer_linked(self, link: link_port.Link) -> None:
         host = link.peer.host
@@ -98,13 +98,13 @@
                                          != link.peer.incarnation)
         if is_new or host in self._reported_at_by_host:
             self._reported_at_by_host.pop(host, None)
-            self._tell(host, membership.State.LIVE)
+            self._tell(host, membership.HostState.LIVE)
 
     def on_peer_lost(self, link: link_port.Link) -> None:
         if link.peer.host in self._silent_since_by_host:
             self._silent_since_by_host[link.peer.host] = self._time.monotonic()
 
-    def _tell(self, host: str, state: membership.State) -> None:
+    def _tell(self, host: str, state: membership.HostState) -> None:
         """Starts a news of this host's own."""
         self._numbers += 1
         self._take(
@@ -134,10 +134,10 @@
                 incarnation = known.incarnation
             if news.incarnation != _UNKNOWN_START:
                 self._note_start(news.host, news.incarnation)
-            self._report_by_host[news.host] = membership.hear(
+            self._report_by_host[news.host] = membership.merge_report(
                 known,
                 incarnation=incarnation,
-                state=membership.State(news.state),
+                state=membership.HostState(news.state),
                 reporter=news.reporter,
                 now=self._time.monotonic())
         self._peers.broadcast(news)
--- a/pollenthread/app/lease_keeper.py
+++ b/pollenthread/app/lease_keeper.py
@@ -50,8 +50,8 @@
         self._host = host
         self._holder = f'{host}:{incarnation}'
         self._duties = tuple(duties)
-        self._held_by_duty: dict[str, leases.Held] = {}
-        self._known_by_duty: dict[str, leases.Observation] = {}
+        self._held_by_duty: dict[str, leases.HeldLease] = {}
+        self._known_by_duty: dict[str, leases.LeaseObservation] = {}
         self._version_by_duty: dict[str, int] = {}
         self._renewed_at_by_duty: dict[str, float] = {}
         self._watched_at_by_duty: dict[str, float] = {}
@@ -63,10 +63,10 @@
         self.lost_count = 0
         self.on_acquire: Callable[[str], None] | None = None
 
-    def held(self, duty: str) -> leases.Held | None:
+    def held(self, duty: str) -> leases.HeldLease | None:
         """The lease of a duty if this host may act on it now."""
         held = self._held_by_duty.get(duty)
-        if held is None or not leases.is_safe(held, self._time.monotonic()):
+        if held is None or not leases.may_act(held, self._time.monotonic()):
             return None
         return held
 
@@ -120,15 +120,15 @@
         return watched_at is None or now - watched_at >= LeaseTimes.WATCH_S
 
     def _is_candidate(self, duty: str, live: Sequence[str]) -> bool:
-        return self._host in membership.ranked(live, duty)[:_CANDIDATES]
+        return self._host in membership.rank_by_rendezvous_hash(live, duty)[:_CANDIDATES]
 
-    async def _renew(self, duty: str, held: leases.Held) -> None:
+    async def _renew(self, duty: str, held: leases.HeldLease) -> None:
         now = self._time.monotonic()
-        wanted = leases.renew(held, now=now)
+        wanted = leases.lease_to_renew(held, now=now)
         if wanted is None:
             self._lose(duty)
         elif now - self._renewed_at_by_duty[duty] >= LeaseTimes.RENEW_S:
-            await self._write(duty, wanted, held.version)
+            await self._write(duty, wanted, held.row_version)
 
     async def _try(self, duty: str) -> None:
         """Takes a duty whose lease is free or has expired."""
@@ -139,11 +139,11 @@
         now = self._time.monotonic()
         if row is not None:
             lease = parse_lease(row.value)
-            known = leases.observe(self._known_by_duty.get(duty), lease, now)
+            known = leases.update_observation(self._known_by_duty.get(duty), lease, now)
             self._known_by_duty[duty] = known
             if known.lease == lease:
                 self._version_by_duty[duty] = row.version
-        wanted = leases.acquire(self._known_by_duty.get(duty),
+        wanted = leases.lease_to_acquire(self._known_by_duty.get(duty),
                                 duty=duty,
                                 holder=self._holder,
                                 duration_s=LeaseTimes.DURATION_S,
@@ -173,10 +173,10 @@
             held = self.held(duty)
             wanted = None
             if held is not None:
-                wanted = leases.renew(held, now=self._time.monotonic())
+                wanted = leases.lease_to_renew(held, now=self._time.monotonic())
             if held is None or wanted is None:
                 return result.Err(table.TableFault.CONFLICT)
-            return await self._write(duty, wanted, held.version, writes)
+            return await self._write(duty, wanted, held.row_version, writes)
 
     async def _write(
         self,
@@ -206,8 +206,8 @@
             return done
         row = found.ok_value
         lease = None if row is None else parse_lease(row.value)
-        settled = leases.settle(wanted, lease)
-        if settled is leases.Settled.WRITTEN and row is not None:
+        settled = leases.resolve_write(wanted, lease)
+        if settled is leases.WriteOutcome.WRITTEN and row is not None:
             self._hold(duty, wanted, row.version, sent_at)
             return result.Ok(None)
         held = self._held_by_duty.get(duty)
@@ -215,14 +215,14 @@
             self._follow(duty, held, lease, row.version)
         return done
 
-    def _follow(self, duty: str, held: leases.Held, found: leases.Lease,
+    def _follow(self, duty: str, held: leases.HeldLease, found: leases.Lease,
                 version: int) -> None:
         """Takes in the row that a held duty has now."""
         if (found.holder == self._holder and
                 found.fencing == held.lease.fencing):
-            self._held_by_duty[duty] = leases.Held(lease=found,
-                                                   version=version,
-                                                   until=held.until)
+            self._held_by_duty[duty] = leases.HeldLease(lease=found,
+                                                   row_version=version,
+                                                   safe_until=held.safe_until)
         elif found.fencing > held.lease.fencing:
             self._lose(duty)
 
@@ -232,9 +232,9 @@
             self._held_by_duty.pop(duty, None)
             return
         until = leases.safe_until(sent_at, lease.duration_s)
-        self._held_by_duty[duty] = leases.Held(lease=lease,
-                                               version=version,
-                                               until=until)
+        self._held_by_duty[duty] = leases.HeldLease(lease=lease,
+                                               row_version=version,
+                                               safe_until=until)
         self._renewed_at_by_duty[duty] = sent_at
 
     def _lose(self, duty: str) -> None:
@@ -253,8 +253,8 @@
             if held is not None:
                 await self._let_go(duty, held)
 
-    async def _let_go(self, duty: str, held: leases.Held) -> None:
-        await self._write(duty, leases.release(held), held.version)
+    async def _let_go(self, duty: str, held: leases.HeldLease) -> None:
+        await self._write(duty, leases.lease_to_release(held), held.row_version)
         self._held_by_duty.pop(duty, None)
         self._preferred_at_by_duty.pop(duty, None)
         logging.info('duty=%s released', duty)
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -78,9 +78,9 @@
         self._term = 0
         self._was_whole = False
         self._used_versions = 0
-        self._demand: expert_demand.Demand | None = None
+        self._demand: expert_demand.ExpertDemand | None = None
         self._skew_told_at = time.monotonic()
-        self._layouts: tuple[replication.Layout, ...] | None = None
+        self._layouts: tuple[replication.SetLayout, ...] | None = None
         self._layouts_of = (0, 0)
         view.on_choices(self._take_choices)
 
@@ -191,7 +191,7 @@
         self._term = done.ok_value
         self._used_versions = 0
         self._layouts = None
-        self._demand = expert_demand.Demand(sets=engine.sets,
+        self._demand = expert_demand.ExpertDemand(sets=engine.sets,
                                             experts=engine.experts,
                                             ranks=len(self._view.states()))
         self._tell_duty()
@@ -202,7 +202,7 @@
     def _take_choices(self, news: peer_messages.ExpertChoices) -> None:
         if self._demand is not None and self._term:
             self._demand.add(news.rank, news.first_set * news.experts,
-                             expert_choices.unpack(news.unit, news.packed))
+                             expert_choices.unpack_choices(news.unit, news.packed))
 
     # Planning.
 
@@ -218,19 +218,19 @@
             return
         self._demand.close_window()
         self._tell_skew()
-        if not self._demand.is_known:
+        if not self._demand.is_complete:
             return
         limits = step_limits.limits_for(engine, len(states))
-        step = replication.plan_step(self._layouts, self._demand.shares_by_set,
-                                     limits.shape, _paces(states))
+        step = replication.plan_replication_step(self._layouts, self._demand.shares_by_set,
+                                     limits.replication_limits, _paces(states))
         self._driver.account.skew = step.before
-        if not limits.is_worth(step):
+        if not limits.is_worthwhile(step):
             return
         self._log.write(log_events.LogEvent.MAP_PLANNED,
                         important=False,
                         group=self._view.name,
                         copies=step.copies,
-                        busiest=step.copies_of_busiest,
+                        busiest=step.max_copies_per_rank,
                         before=round(step.before, 3),
                         after=round(step.after, 3))
         await self._switch(step.layouts, step.copies)
@@ -242,11 +242,11 @@
         if window_s < _SKEW_LINE_S:
             return
         assert self._layouts is not None and self._demand is not None
-        seen = self._demand.seen_by_set()
+        seen = self._demand.take_observed_choices()
         self._skew_told_at = now
         if not all(map(any, seen)):
             return
-        skew = replication.mean_greatest_load(self._layouts, seen,
+        skew = replication.mean_max_rank_load(self._layouts, seen,
                                               _paces(self._view.states()))
         datagrams, self._demand.datagrams = self._demand.datagrams, 0
         self._driver.account.skew_seen = skew
@@ -289,24 +289,24 @@
 
     # Switching.
 
-    async def _switch(self, layouts: tuple[replication.Layout, ...],
+    async def _switch(self, layouts: tuple[replication.SetLayout, ...],
                       copies: int) -> None:
         epoch = next(iter(self._view.states().values())).epoch
-        switch = map_switch.Switch(self._next_version(),
+        switch = map_switch.MapSwitch(self._next_version(),
                                    epoch,
                                    _encoded(layouts),
-                                   lead=_LEAD_PASSES)
+                                   lead_passes=_LEAD_PASSES)
         done = await self._driver.drive(switch)
-        if done.phase is map_switch.Phase.DONE:
+        if done.phase is map_switch.MapSwitchPhase.DONE:
             self._layouts = layouts
             self._layouts_of = (epoch, done.version)
             self._driver.account.copies += copies
         else:
             self._layouts = None
 
-    async def _recover(self, states: map_switch.States) -> None:
+    async def _recover(self, states: map_switch.RankStates) -> None:
         assert self._layouts is not None
-        switch = map_switch.recover(states, _encoded(self._layouts),
+        switch = map_switch.recovery_switch(states, _encoded(self._layouts),
                                     self._next_version())
         self._log.write(log_events.LogEvent.MAP_RECOVERED,
                         group=self._view.name,
@@ -317,14 +317,14 @@
         await self._driver.drive(switch)
 
 
-def _paces(states: map_switch.States) -> list[float]:
+def _paces(states: map_switch.RankStates) -> list[float]:
     """How much longer than usual each rank takes, by its number."""
     paces = (states[rank].pace_percent / _PERCENT for rank in sorted(states))
     return [pace if pace >= _SLOW_PACE else 1.0 for pace in paces]
 
 
 def _encoded(
-    layouts: tuple[replication.Layout, ...]
+    layouts: tuple[replication.SetLayout, ...]
 ) -> tuple[tuple[tuple[int, ...], ...], ...]:
     return tuple(
         tuple(tuple(sorted(experts))
--- a/pollenthread/app/order_desk.py
+++ b/pollenthread/app/order_desk.py
@@ -57,7 +57,7 @@
     async def step(self) -> None:
         """Records replies, takes orders up, and sends the open ones."""
         await self._record_replies()
-        for duty in set(orders.all_duties()).intersection(
+        for duty in set(orders.order_duties()).intersection(
                 self._keeper.duties()):
             if await self._load(duty):
                 await self._take_up(duty)
@@ -102,7 +102,7 @@
                 await self._keeper.commit_under(duty, [done])
                 continue
             numbers = (entry.row.order.number for entry in entries.values())
-            row = orders.journal(
+            row = orders.new_journal_row(
                 dataclasses.replace(order,
                                     number=max(numbers, default=0) + 1,
                                     fencing=held.lease.fencing,
@@ -135,17 +135,17 @@
             return
         fencing = held.lease.fencing
         row = entry.row
-        step = orders.next_step(row,
+        step = orders.next_issuer_action(row,
                                 fencing=fencing,
                                 incarnation=self._incarnation(row.order.host))
-        if step is orders.Step.CLOSE_UNKNOWN:
-            await self._close(duty, entry, orders.Answer.OTHER_INCARNATION,
+        if step is orders.IssuerAction.CLOSE_UNKNOWN:
+            await self._close(duty, entry, orders.OrderAnswer.OTHER_INCARNATION,
                               None)
-        elif step is orders.Step.REISSUE:
-            row = orders.reissue(row, fencing=fencing)
+        elif step is orders.IssuerAction.REISSUE:
+            row = orders.reissued_row(row, fencing=fencing)
             if await self._store(duty, row, entry.version):
                 self._send(row.order)
-        elif step is orders.Step.SEND:
+        elif step is orders.IssuerAction.SEND:
             self._send(row.order)
 
     def _send(self, order: orders.Order) -> None:
@@ -153,7 +153,7 @@
         if upstream is None:
             return
         entries = self._entries_by_duty.get(order.duty, {})
-        settled = orders.settled_below(entry.row for entry in entries.values())
+        settled = orders.settled_below_number(entry.row for entry in entries.values())
         order = dataclasses.replace(order, settled_below=settled)
         with contextlib.suppress(link_port.LinkLost):
             upstream.link.send(self._keys.sign(order))
@@ -164,18 +164,18 @@
             for duty, entries in list(self._entries_by_duty.items()):
                 entry = entries.get(reply.id)
                 if entry is not None:
-                    await self._close(duty, entry, orders.Answer(reply.answer),
+                    await self._close(duty, entry, orders.OrderAnswer(reply.answer),
                                       orders.Result(reply.done, reply.detail))
 
     async def _close(self, duty: str, entry: order_journal.Entry,
-                     answer: orders.Answer,
+                     answer: orders.OrderAnswer,
                      ended: orders.Result | None) -> None:
         """Records an order's one result, if it has come to an end."""
         if entry.row.state is not orders.OrderState.ISSUED:
             return
-        row = orders.close(entry.row, answer, ended)
+        row = orders.closed_row(entry.row, answer, ended)
         if row is None:
-            if answer is not orders.Answer.RUNNING:
+            if answer is not orders.OrderAnswer.RUNNING:
                 logging.warning('order=%s answer=%s', entry.row.order.id,
                                 answer)
             return
--- a/pollenthread/app/order_gate.py
+++ b/pollenthread/app/order_gate.py
@@ -14,12 +14,12 @@
 __all__ = ['OrderGate']
 
 _ANSWER_BY_VERDICT = {
-    orders.Verdict.RUNNING: orders.Answer.RUNNING,
-    orders.Verdict.REFUSE_OLD: orders.Answer.OLD_FENCING,
-    orders.Verdict.REFUSE_INCARNATION: orders.Answer.OTHER_INCARNATION,
-    orders.Verdict.REFUSE_SETTLED: orders.Answer.SETTLED,
-    orders.Verdict.READ_FENCE: orders.Answer.FENCE_UNKNOWN,
-    orders.Verdict.REFUSE_FULL: orders.Answer.FULL,
+    orders.AgentAction.RUNNING: orders.OrderAnswer.RUNNING,
+    orders.AgentAction.REFUSE_OLD: orders.OrderAnswer.OLD_FENCING,
+    orders.AgentAction.REFUSE_INCARNATION: orders.OrderAnswer.OTHER_INCARNATION,
+    orders.AgentAction.REFUSE_SETTLED: orders.OrderAnswer.SETTLED,
+    orders.AgentAction.READ_FENCE: orders.OrderAnswer.FENCE_UNKNOWN,
+    orders.AgentAction.REFUSE_FULL: orders.OrderAnswer.FULL,
 }
 
 
@@ -35,7 +35,7 @@
         self._executor = executor
         self._executors_by_kind: dict[str, orders_port.OrderExecutor] = {}
         self._keys = keys
-        self._fence = orders.Fence(incarnation=incarnation)
+        self._fence = orders.AgentOrderState(incarnation=incarnation)
         self._tasks: set[asyncio.Task[None]] = set()
         self.refused_count = 0
 
@@ -55,9 +55,9 @@
         if order is None or order.host != self._host:
             self.refused_count += 1
             logging.warning('order=%s refused: no valid key', message.id)
-            _reply(link, message.id, orders.Answer.NOT_AUTHENTICATED)
+            _reply(link, message.id, orders.OrderAnswer.NOT_AUTHENTICATED)
             return
-        if order.duty in self._fence.highest_by_duty:
+        if order.duty in self._fence.highest_fencing_by_duty:
             self._decide(link, order)
         else:
             self._spawn(self._decide_after_read(link, order))
@@ -71,19 +71,19 @@
             fencing = 0
             if row is not None:
                 fencing = lease_keeper.parse_lease(row.value).fencing
-            self._fence = orders.raise_fence(self._fence, order.duty, fencing)
+            self._fence = orders.record_fencing(self._fence, order.duty, fencing)
         self._decide(link, order)
 
     def _decide(self, link: link_port.Link, order: orders.Order) -> None:
-        self._fence, verdict = orders.decide(self._fence, order)
-        if verdict is orders.Verdict.BEGIN:
+        self._fence, verdict = orders.handle_order(self._fence, order)
+        if verdict is orders.AgentAction.BEGIN:
             self._spawn(self._execute(link, order))
-        elif verdict is orders.Verdict.REPEAT:
+        elif verdict is orders.AgentAction.REPEAT:
             ended = self._fence.result_by_id[order.id]
             assert ended is not None
             _reply(link, order.id, ended.answer, ended)
         else:
-            self.refused_count += verdict is not orders.Verdict.RUNNING
+            self.refused_count += verdict is not orders.AgentAction.RUNNING
             _reply(link, order.id, _ANSWER_BY_VERDICT[verdict])
 
     async def _execute(self, link: link_port.Link, order: orders.Order) -> None:
@@ -93,7 +93,7 @@
         except orders_port.OrderOutcomeUnknown as error:
             logging.error('order=%s outcome unknown: %s', order.id, error)
             ended = orders.Result(False, str(error), is_known=False)
-        self._fence = orders.finish(self._fence, order.id, ended)
+        self._fence = orders.record_result(self._fence, order.id, ended)
         logging.info('order=%s done=%s', order.id, ended.done)
         _reply(link, order.id, ended.answer, ended)
 
@@ -105,7 +105,7 @@
 
 def _reply(link: link_port.Link,
            order_id: str,
-           answer: orders.Answer,
+           answer: orders.OrderAnswer,
            ended: orders.Result | None = None) -> None:
     done, detail = (False, '') if ended is None else (ended.done, ended.detail)
     try:
--- a/pollenthread/app/order_journal.py
+++ b/pollenthread/app/order_journal.py
@@ -68,7 +68,7 @@
             Where the order with this id stands, which may differ in content
             from what was submitted; UNKNOWN when that cannot be read.
         """
-        duty = orders.duty_of(host)
+        duty = orders.order_duty_for_host(host)
         wanted = orders.Order(id=order_id,
                               duty=duty,
                               number=0,
@@ -97,7 +97,7 @@
             self, host: str,
             order_id: str) -> result.Result[Submitted | None, table.TableFault]:
         """Where an order stands; None when there is none of this id."""
-        duty = orders.duty_of(host)
+        duty = orders.order_duty_for_host(host)
         found = await self._table.get(inbox_key(duty, order_id))
         if isinstance(found, result.Err):
             return found
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -100,7 +100,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def send_due(self, orders: map_switch.Orders) -> None:
+    def send_due(self, orders: map_switch.RankOrders) -> None:
         """Gives the orders that were not given just now."""
         now = self._clock.monotonic()
         ranks_by_order: dict[peer_messages.RankOrder, list[int]] = {}
--- a/pollenthread/app/rank_switch.py
+++ b/pollenthread/app/rank_switch.py
@@ -22,7 +22,7 @@
 
     def __init__(self, *, index: int, engine: rank_engine.RankEngine,
                  read_fence: Callable[[], Awaitable[int | None]],
-                 on_reply: Callable[[switch.Reply], None]) -> None:
+                 on_reply: Callable[[switch.RankMessage], None]) -> None:
         """Initializes the part.
 
         Args:
@@ -38,7 +38,7 @@
         self._on_reply = on_reply
         self._lock = asyncio.Lock()
         self._load: asyncio.Task[None] | None = None
-        self._loading = switch.NEVER
+        self._loading = switch.NO_SWITCH
 
     async def stop(self) -> None:
         """Waits for no load any more."""
@@ -46,7 +46,7 @@
             self._load.cancel()
             await asyncio.gather(self._load, return_exceptions=True)
 
-    async def handle(self, order: switch.Order) -> switch.Reply | None:
+    async def handle(self, order: switch.CoordinatorMessage) -> switch.RankMessage | None:
         """Carries out one order; None when there is no answer to it."""
         try:
             async with self._lock:
@@ -63,7 +63,7 @@
         except rank_engine.RankUnavailable:
             return None
 
-    async def _handle(self, order: switch.Order) -> switch.Reply | None:
+    async def _handle(self, order: switch.CoordinatorMessage) -> switch.RankMessage | None:
         rank = await self._read()
         if rank is None:
             return None
@@ -130,7 +130,7 @@
             self._on_reply(after.reply)
 
 
-def _apply(rank: switch.Rank, order: switch.Order) -> switch_rank.RankResult:
+def _apply(rank: switch.Rank, order: switch.CoordinatorMessage) -> switch_rank.RankResult:
     match order:
         case switch.Query():
             return switch_rank.on_query(rank, order)
--- a/pollenthread/app/stall_watch.py
+++ b/pollenthread/app/stall_watch.py
@@ -57,7 +57,7 @@
         states = view.states()
         if len(states) < holding.size:
             return
-        switch = map_switch.complete(states)
+        switch = map_switch.resumable_switch(states)
         if switch is None:
             return
         self._log.write(log_events.LogEvent.MAP_RECOVERED,
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -41,10 +41,10 @@
     def __init__(self, now: float) -> None:
         self.began_at = now
         self._entered_at = now
-        self._phase = map_switch.Phase.PREPARING
-        self._seconds_by_phase: dict[map_switch.Phase, float] = {}
+        self._phase = map_switch.MapSwitchPhase.PREPARING
+        self._seconds_by_phase: dict[map_switch.MapSwitchPhase, float] = {}
 
-    def note(self, phase: map_switch.Phase, now: float) -> None:
+    def note(self, phase: map_switch.MapSwitchPhase, now: float) -> None:
         """The switch is in a phase now."""
         if phase is self._phase:
             return
@@ -87,25 +87,25 @@
                                         time=self._clock,
                                         log=self._log)
 
-    async def drive(self, switch: map_switch.Switch) -> map_switch.Switch:
+    async def drive(self, switch: map_switch.MapSwitch) -> map_switch.MapSwitch:
         """Gives orders until the switch is done or abandoned."""
         times = _PhaseTimes(self._clock.monotonic())
         given = self.account.orders.total()
         async with self._sender() as sender:
             while True:
-                switch, orders = map_switch.advance(switch, self._view.states())
+                switch, orders = map_switch.advance_switch(switch, self._view.states())
                 now = self._clock.monotonic()
                 times.note(switch.phase, now)
-                if switch.phase is map_switch.Phase.DONE:
+                if switch.phase is map_switch.MapSwitchPhase.DONE:
                     count = self.account.orders.total() - given
                     self._note_done(switch, now, times, count)
                     return switch
-                if (switch.phase is map_switch.Phase.ABANDONED or
-                    (switch.phase is map_switch.Phase.PREPARING and
+                if (switch.phase is map_switch.MapSwitchPhase.ABANDONED or
+                    (switch.phase is map_switch.MapSwitchPhase.PREPARING and
                      now - times.began_at > _MAX_PREPARE_S)):
                     self._note_abandoned(switch, now - times.began_at)
                     return dataclasses.replace(switch,
-                                               phase=map_switch.Phase.ABANDONED)
+                                               phase=map_switch.MapSwitchPhase.ABANDONED)
                 sender.send_due(orders)
                 await sender.wait()
 
@@ -131,7 +131,7 @@
         state = self._view.states().get(rank)
         return self._hosts.records_by_host.get(state.host) if state else None
 
-    def _note_done(self, switch: map_switch.Switch, now: float,
+    def _note_done(self, switch: map_switch.MapSwitch, now: float,
                    times: _PhaseTimes, orders: int) -> None:
         self.account.switches += 1
         self._log.write(log_events.LogEvent.MAP_SWITCHED,
@@ -143,7 +143,7 @@
                         orders=orders,
                         **times.fields())
 
-    def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
+    def _note_abandoned(self, switch: map_switch.MapSwitch, took_s: float) -> None:
         self.account.abandoned += 1
         self._log.write(log_events.LogEvent.ORDER_FAILED,
                         group=self._view.name,
--- a/pollenthread/app/switch_duty.py
+++ b/pollenthread/app/switch_duty.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 
-from pollenthread.core import switch, switch_decider
+from pollenthread.core import switch, switch_coordinator
 from pollenthread.ports import clock, table
 
 __all__ = [
@@ -19,7 +19,7 @@
 FIRST_LEAD_S = 0.25
 MOST_LEAD_S = 2.0
 _LEAD_RATIO = 2.0
-_COLLECTING = switch_decider.Phase.COLLECTING
+_COLLECTING = switch_coordinator.CoordinatorPhase.COLLECTING
 RESEND_S = 0.3
 PREPARE_TIMEOUT_S = 60.0
 ARM_TIMEOUT_S = 5.0
@@ -76,13 +76,13 @@
 
     def __init__(self, *, group: str, size: int,
                  table_service: table.TableService, time: clock.Clock,
-                 send: Callable[[int, switch.Order], None]) -> None:
+                 send: Callable[[int, switch.CoordinatorMessage], None]) -> None:
         self._group = group
         self._size = size
         self._table = table_service
         self._time = time
         self._send = send
-        self._decider: switch_decider.Decider | None = None
+        self._decider: switch_coordinator.Coordinator | None = None
         self._row = GroupRow(0, 0)
         self._row_version = table.ABSENT
         self._phase_since = 0.0
@@ -102,7 +102,7 @@
         """The map decided last."""
         if self._decider is None:
             return 0
-        return switch.map_version(self._decider.held, 1 << 62)
+        return switch.map_version(self._decider.map_state, 1 << 62)
 
     async def take(self) -> bool:
         """Takes the group's row with the next fencing number."""
@@ -122,30 +122,30 @@
         self._row, self._row_version = row, written.unwrap()
         logging.info('group %s taken fence=%d', self._group, row.fence)
         self._apply(
-            switch_decider.take_over(fence=row.fence,
-                                     size=self._size,
-                                     named=row.map_version))
+            switch_coordinator.start_coordinator(fence=row.fence,
+                                     group_size=self._size,
+                                     initial_version=row.map_version))
         return True
 
-    def receive(self, reply: switch.Reply) -> None:
+    def receive(self, reply: switch.RankMessage) -> None:
         """Takes a rank's answer."""
         if self._decider is None:
             return
         decider = self._decider
         match reply:
             case switch.Report():
-                self._apply(switch_decider.on_report(decider, reply))
+                self._apply(switch_coordinator.on_report(decider, reply))
             case switch.Prepared():
                 self._apply(
-                    switch_decider.on_prepared(decider,
+                    switch_coordinator.on_prepared(decider,
                                                reply,
-                                               margin=self._margin(reply.step)))
+                                               margin_steps=self._margin(reply.step)))
             case switch.Armed():
-                self._apply(switch_decider.on_armed(decider, reply))
+                self._apply(switch_coordinator.on_armed(decider, reply))
             case switch.Noted():
-                self._apply(switch_decider.on_noted(decider, reply))
+                self._apply(switch_coordinator.on_noted(decider, reply))
             case switch.Join():
-                self._apply(switch_decider.on_join(decider, reply))
+                self._apply(switch_coordinator.on_join(decider, reply))
 
     def tick(self) -> None:
         """Sends again what was not answered; gives up what has stalled."""
@@ -156,11 +156,11 @@
         if now - self._phase_since > _timeout_s(decider.phase):
             logging.warning('group %s: switch given up phase=%s', self._group,
                             decider.phase)
-            self._apply(switch_decider.give_up(decider))
+            self._apply(switch_coordinator.abort_undecided(decider))
         elif now - self._sent_at > RESEND_S:
             self._sent_at = now
-            for item in switch_decider.resend(decider):
-                self._send(item.index, item.order)
+            for item in switch_coordinator.unanswered_messages(decider):
+                self._send(item.rank_index, item.message)
 
     async def follow_wanted(self) -> None:
         """Records what was decided, then starts the switch that is wanted."""
@@ -173,22 +173,22 @@
             return
         target = int(json.loads(row.value)['map_version'])
         self._abandon_unwanted(target)
-        if self._decider.phase is not switch_decider.Phase.IDLE:
+        if self._decider.phase is not switch_coordinator.CoordinatorPhase.IDLE:
             return
         if target == self.map_version or not await self._still_holds():
             return
         if self._decider is not None:
             self._started_at = self._time.monotonic()
             self.counts.started += 1
-            self._apply(switch_decider.start(self._decider, target))
+            self._apply(switch_coordinator.start_switch(self._decider, target))
 
     def _abandon_unwanted(self, target: int) -> None:
         """Gives up a switch that prepares a map which is no longer wanted."""
         decider = self._decider
-        if (decider is not None and decider.change is not None and
-                decider.phase is switch_decider.Phase.PREPARING and
-                decider.change.target != target):
-            self._apply(switch_decider.give_up(decider))
+        if (decider is not None and decider.current_change is not None and
+                decider.phase is switch_coordinator.CoordinatorPhase.PREPARING and
+                decider.current_change.target != target):
+            self._apply(switch_coordinator.abort_undecided(decider))
 
     async def _record(self) -> None:
         """Writes the decided map to the group's row; a lost row ends the duty.
@@ -219,17 +219,17 @@
         self._row_version = found.version
         return True
 
-    def _apply(self, after: switch_decider.DeciderResult) -> None:
+    def _apply(self, after: switch_coordinator.CoordinatorResult) -> None:
         before = self._decider
-        self._decider = after.decider
+        self._decider = after.coordinator
         now = self._time.monotonic()
         if before is not None and before.phase is _COLLECTING:
-            self._seen_step = (after.decider.step, now)
-        if before is None or before.phase is not after.decider.phase:
-            self._count(after.decider, now)
+            self._seen_step = (after.coordinator.max_step, now)
+        if before is None or before.phase is not after.coordinator.phase:
+            self._count(after.coordinator, now)
             self._phase_since = self._sent_at = now
-        for item in after.sends:
-            self._send(item.index, item.order)
+        for item in after.messages:
+            self._send(item.rank_index, item.message)
 
     def _margin(self, step: int) -> int:
         """Steps that the group makes while its ranks arm and hear the decision.
@@ -242,22 +242,22 @@
         rate = (step - last_step) / (now - last_s) if step > last_step else 0.0
         return max(LEAST_MARGIN_STEPS, math.ceil(rate * self._lead_s))
 
-    def _learn_lead(self, decider: switch_decider.Decider, now: float) -> None:
+    def _learn_lead(self, decider: switch_coordinator.Coordinator, now: float) -> None:
         """Remembers how long arming took, and where the group was."""
         self._lead_s = min(MOST_LEAD_S, _LEAD_RATIO * (now - self._phase_since))
-        self._seen_step = (decider.step, now)
+        self._seen_step = (decider.max_step, now)
 
-    def _count(self, decider: switch_decider.Decider, now: float) -> None:
-        if decider.phase is not switch_decider.Phase.DECIDED:
+    def _count(self, decider: switch_coordinator.Coordinator, now: float) -> None:
+        if decider.phase is not switch_coordinator.CoordinatorPhase.DECIDED:
             return
-        if decider.commit:
+        if decider.is_commit:
             self._learn_lead(decider, now)
             self.counts.committed += 1
             self.counts.last_ms = 1e3 * (now - self._started_at)
         else:
             self.counts.aborted += 1
         logging.info('group %s: switch %s map=%d', self._group,
-                     'committed' if decider.commit else 'aborted',
+                     'committed' if decider.is_commit else 'aborted',
                      self.map_version)
 
 
@@ -265,9 +265,9 @@
     return json.dumps(dataclasses.asdict(row)).encode()
 
 
-def _timeout_s(phase: switch_decider.Phase) -> float:
-    if phase is switch_decider.Phase.PREPARING:
+def _timeout_s(phase: switch_coordinator.CoordinatorPhase) -> float:
+    if phase is switch_coordinator.CoordinatorPhase.PREPARING:
         return PREPARE_TIMEOUT_S
-    if phase is switch_decider.Phase.ARMING:
+    if phase is switch_coordinator.CoordinatorPhase.ARMING:
         return ARM_TIMEOUT_S
     return float('inf')
--- a/pollenthread/core/balance_cost.py
+++ b/pollenthread/core/balance_cost.py
@@ -41,14 +41,14 @@
         return self.expected_saving_capacity_s - self.loading_lost_capacity_s
 
 
-def add_plan(cost: BalanceCost, plan: rebalance.Plan, *, expert_bytes: int,
-             stalled_steps: int) -> BalanceCost:
+def add_plan(cost: BalanceCost, plan: rebalance.RebalancePlan, *,
+             expert_bytes: int, stalled_steps: int) -> BalanceCost:
     """Adds a plan that was carried out."""
     return dataclasses.replace(
         cost,
         experts_moved=cost.experts_moved + plan.experts,
         bytes_reloaded=cost.bytes_reloaded + plan.experts * expert_bytes,
-        loading_lost_capacity_s=cost.loading_lost_capacity_s + plan.price,
+        loading_lost_capacity_s=cost.loading_lost_capacity_s + plan.cost,
         stalled_steps=cost.stalled_steps + stalled_steps,
         switches=cost.switches + 1,
         expected_saving_capacity_s=(cost.expected_saving_capacity_s +
--- a/pollenthread/core/versions.py
+++ b/pollenthread/core/config_freshness.py
@@ -9,17 +9,18 @@
 import enum
 
 __all__ = [
-    'Freshness', 'Permission', 'PROOF_LIMIT_S', 'Reachable', 'may_adopt',
-    'merge', 'must_fetch', 'permit', 'proof_from_peer', 'should_poll'
+    'ConfigFreshness', 'ServingPermission', 'MAX_PROOF_AGE_S',
+    'RegionReachability', 'may_adopt', 'merge_proof', 'must_fetch',
+    'serving_permission', 'peer_proof_time', 'should_poll'
 ]
 
-PROOF_LIMIT_S = 10.0
-POLLER_INTERVAL_S = 1.0
-SELF_HELP_AGE_S = 4.0
+MAX_PROOF_AGE_S = 10.0
+POLL_INTERVAL_S = 1.0
+FALLBACK_POLL_AGE_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Freshness:
+class ConfigFreshness:
     """What a process can prove about its configuration.
 
     Attributes:
@@ -36,7 +37,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reachable:
+class RegionReachability:
     """Which entry hosts of its own region a host hears.
 
     Attributes:
@@ -44,16 +45,16 @@
         listed: hosts on the host list, itself included.
     """
 
-    heard: int
+    reachable: int
     listed: int
 
     @property
     def is_majority(self) -> bool:
         """Whether no other part of the region is as large."""
-        return self.heard * 2 > self.listed
+        return self.reachable * 2 > self.listed
 
 
-class Permission(enum.StrEnum):
+class ServingPermission(enum.StrEnum):
     """What a process may do with its configuration."""
 
     SERVE = 'serve'
@@ -71,7 +72,8 @@
     return announced > current
 
 
-def merge(known: Freshness, *, version: int, proved_at: float) -> Freshness:
+def merge_proof(known: ConfigFreshness, *, version: int,
+                proved_at: float) -> ConfigFreshness:
     """Takes in a proof that `version` was newest at `proved_at`.
 
     A proof says that nothing newer than its version was accepted then, which
@@ -82,10 +84,10 @@
         return known
     if known.proved_at is not None:
         proved_at = max(proved_at, known.proved_at)
-    return Freshness(version, proved_at)
+    return ConfigFreshness(version, proved_at)
 
 
-def proof_from_peer(*, asked_at: float, age_s: float) -> float:
+def peer_proof_time(*, asked_at: float, age_s: float) -> float:
     """When a peer's version was newest, by the own clock.
 
     Args:
@@ -95,7 +97,8 @@
     return asked_at - age_s
 
 
-def permit(known: Freshness, reachable: Reachable, now: float) -> Permission:
+def serving_permission(known: ConfigFreshness, reachable: RegionReachability,
+                       now: float) -> ServingPermission:
     """What a host may do, by the age of its proof.
 
     Beyond the limit a host that hears most of its region goes on: none of them
@@ -104,17 +107,17 @@
     """
     age_s = known.age_s(now)
     if age_s is None:
-        return Permission.REFUSE
-    if age_s <= PROOF_LIMIT_S:
-        return Permission.SERVE
+        return ServingPermission.REFUSE
+    if age_s <= MAX_PROOF_AGE_S:
+        return ServingPermission.SERVE
     if reachable.is_majority:
-        return Permission.SERVE_UNPROVED
-    return Permission.REFUSE
+        return ServingPermission.SERVE_UNPROVED
+    return ServingPermission.REFUSE
 
 
-def should_poll(known: Freshness, *, is_poller: bool, now: float) -> bool:
+def should_poll(known: ConfigFreshness, *, is_poller: bool, now: float) -> bool:
     """Whether to read the table now: pollers always, others when in need."""
     if is_poller:
         return True
     age_s = known.age_s(now)
-    return age_s is None or age_s > SELF_HELP_AGE_S
+    return age_s is None or age_s > FALLBACK_POLL_AGE_S
--- a/pollenthread/core/expert_choices.py
+++ b/pollenthread/core/expert_choices.py
@@ -10,7 +10,7 @@
 
 from pollenthread.core import spreading
 
-__all__ = ['ChoiceCounter', 'pack', 'packed_size', 'unpack']
+__all__ = ['ChoiceCounter', 'pack_choices', 'packed_size', 'unpack_choices']
 
 _MAX_VALUE = 15
 _BITS = 4
@@ -49,8 +49,8 @@
     return (count + 1) // 2
 
 
-def pack(values: Sequence[int],
-         rng: spreading.RandomSource) -> tuple[int, bytes]:
+def pack_choices(values: Sequence[int],
+                 rng: spreading.RandomSource) -> tuple[int, bytes]:
     """Packs values into half a byte each.
 
     Returns:
@@ -64,7 +64,7 @@
         low | high << _BITS for low, high in zip(padded[::2], padded[1::2]))
 
 
-def unpack(unit: int, data: bytes) -> list[int]:
+def unpack_choices(unit: int, data: bytes) -> list[int]:
     """The values that were packed, and one more if they were odd in number."""
     values = bytearray(2 * len(data))
     values[::2] = data.translate(_LOW)
--- a/pollenthread/core/expert_demand.py
+++ b/pollenthread/core/expert_demand.py
@@ -8,7 +8,7 @@
 import operator
 from collections.abc import Sequence
 
-__all__ = ['Demand']
+__all__ = ['ExpertDemand']
 
 _CHANGED_DISTANCE = 0.35
 _SUSPICIOUS_DISTANCE = 0.2
@@ -17,7 +17,7 @@
 _HEARD_SHARE = 0.75
 
 
-class Demand:
+class ExpertDemand:
     """The shares of the experts of one group."""
 
     def __init__(self, *, sets: int, experts: int, ranks: int = 1) -> None:
@@ -42,7 +42,7 @@
         ]
 
     @property
-    def is_known(self) -> bool:
+    def is_complete(self) -> bool:
         """Whether every set has been observed."""
         return all(any(shares) for shares in self._estimate_by_set)
 
@@ -51,7 +51,7 @@
         """Weights of the experts, by set."""
         return self._estimate_by_set
 
-    def seen_by_set(self) -> list[list[float]]:
+    def take_observed_choices(self) -> list[list[float]]:
         """Choices by set since the last call."""
         seen = self._seen_by_set
         self._seen_by_set = [[0.0] * self._experts for _ in seen]
--- a/pollenthread/core/expert_map.py
+++ b/pollenthread/core/expert_map.py
@@ -6,8 +6,8 @@
 from pollenthread.core import placement
 
 __all__ = [
-    'ExpertMap', 'LayerMap', 'layer_map', 'loads_by_rank', 'map_of', 'skew',
-    'with_split'
+    'ExpertMap', 'LayerMap', 'build_layer_map', 'loads_by_rank', 'build_map',
+    'skew', 'layer_map_from_split'
 ]
 
 
@@ -21,7 +21,7 @@
             its traffic.
     """
 
-    layout: placement.Layout
+    layout: placement.LayerLayout
     fractions: tuple[tuple[tuple[int, float], ...], ...]
 
 
@@ -29,12 +29,14 @@
 """The whole map of a group, by layer."""
 
 
-def layer_map(layout: placement.Layout, shares: Sequence[float]) -> LayerMap:
+def build_layer_map(layout: placement.LayerLayout,
+                    shares: Sequence[float]) -> LayerMap:
     """A layer with the best split for the shares."""
-    return with_split(layout, placement.split(layout, shares))
+    return layer_map_from_split(layout, placement.split_traffic(layout, shares))
 
 
-def with_split(layout: placement.Layout, split: placement.Split) -> LayerMap:
+def layer_map_from_split(layout: placement.LayerLayout,
+                         split: placement.TrafficSplit) -> LayerMap:
     """A layer with a given split."""
     fractions = []
     for parts in split.load_by_replica:
@@ -45,11 +47,11 @@
     return LayerMap(layout, tuple(fractions))
 
 
-def map_of(layouts: Sequence[placement.Layout],
-           shares: Sequence[Sequence[float]]) -> ExpertMap:
+def build_map(layouts: Sequence[placement.LayerLayout],
+              shares: Sequence[Sequence[float]]) -> ExpertMap:
     """A map with the best split for the shares."""
     return tuple(
-        layer_map(layout, part) for layout, part in zip(layouts, shares))
+        build_layer_map(layout, part) for layout, part in zip(layouts, shares))
 
 
 def loads_by_rank(layer: LayerMap, shares: Sequence[float]) -> list[float]:
--- a/pollenthread/core/leases.py
+++ b/pollenthread/core/leases.py
@@ -10,12 +10,12 @@
 import enum
 
 __all__ = [
-    'Held', 'Lease', 'MAX_DRIFT', 'Observation', 'Settled', 'acquire',
-    'is_expired', 'is_safe', 'observe', 'release', 'renew', 'safe_until',
-    'settle'
+    'HeldLease', 'Lease', 'MAX_CLOCK_DRIFT', 'LeaseObservation', 'WriteOutcome',
+    'lease_to_acquire', 'is_expired', 'may_act', 'update_observation',
+    'lease_to_release', 'lease_to_renew', 'safe_until', 'resolve_write'
 ]
 
-MAX_DRIFT = 0.01
+MAX_CLOCK_DRIFT = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +38,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Observation:
+class LeaseObservation:
     """When an observer first saw a state of the row.
 
     Attributes:
@@ -51,7 +51,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Held:
+class HeldLease:
     """A lease as its holder knows it.
 
     Attributes:
@@ -61,11 +61,11 @@
     """
 
     lease: Lease
-    version: int
-    until: float
+    row_version: int
+    safe_until: float
 
 
-class Settled(enum.Enum):
+class WriteOutcome(enum.Enum):
     """What a read proves about a write whose answer was lost."""
 
     WRITTEN = 'written'
@@ -73,7 +73,8 @@
     LOST = 'lost'
 
 
-def observe(known: Observation | None, lease: Lease, now: float) -> Observation:
+def update_observation(known: LeaseObservation | None, lease: Lease,
+                       now: float) -> LeaseObservation:
     """Updates what an observer knows by a read.
 
     Args:
@@ -83,23 +84,23 @@
     """
     if known is not None and _order(lease) <= _order(known.lease):
         return known
-    return Observation(lease=lease, first_seen_at=now)
+    return LeaseObservation(lease=lease, first_seen_at=now)
 
 
 def _order(lease: Lease) -> tuple[int, int, bool]:
     return lease.fencing, lease.renewals, not lease.holder
 
 
-def is_expired(known: Observation, now: float) -> bool:
+def is_expired(known: LeaseObservation, now: float) -> bool:
     """Whether the holder must have stopped by itself, or has let go."""
     if not known.lease.holder:
         return True
     waited_s = now - known.first_seen_at
-    return waited_s >= known.lease.duration_s * (1 + MAX_DRIFT)
+    return waited_s >= known.lease.duration_s * (1 + MAX_CLOCK_DRIFT)
 
 
-def acquire(known: Observation | None, *, duty: str, holder: str,
-            duration_s: float, now: float) -> Lease | None:
+def lease_to_acquire(known: LeaseObservation | None, *, duty: str, holder: str,
+                     duration_s: float, now: float) -> Lease | None:
     """Decides what to write to take a duty; None when it must be left.
 
     Args:
@@ -119,14 +120,14 @@
                  duration_s=duration_s)
 
 
-def renew(held: Held, *, now: float) -> Lease | None:
+def lease_to_renew(held: HeldLease, *, now: float) -> Lease | None:
     """Decides what to write to keep a duty; None when it has lapsed."""
-    if not is_safe(held, now):
+    if not may_act(held, now):
         return None
     return dataclasses.replace(held.lease, renewals=held.lease.renewals + 1)
 
 
-def release(held: Held) -> Lease:
+def lease_to_release(held: HeldLease) -> Lease:
     """What to write to let a duty go; its fencing number stays."""
     return dataclasses.replace(held.lease,
                                holder='',
@@ -140,15 +141,15 @@
         sent_at: monotonic seconds before the write was sent.
         duration_s: the lease's duration.
     """
-    return sent_at + duration_s * (1 - MAX_DRIFT)
+    return sent_at + duration_s * (1 - MAX_CLOCK_DRIFT)
 
 
-def is_safe(held: Held, now: float) -> bool:
+def may_act(held: HeldLease, now: float) -> bool:
     """Whether the holder may act at `now`."""
-    return now < held.until
+    return now < held.safe_until
 
 
-def settle(wanted: Lease, found: Lease | None) -> Settled:
+def resolve_write(wanted: Lease, found: Lease | None) -> WriteOutcome:
     """Decides from a read after a write whose answer was lost.
 
     Args:
@@ -156,7 +157,7 @@
         found: the row that was read, which may be old.
     """
     if found == wanted:
-        return Settled.WRITTEN
+        return WriteOutcome.WRITTEN
     if found is None or _order(found) < _order(wanted):
-        return Settled.NOT_YET
-    return Settled.LOST
+        return WriteOutcome.NOT_YET
+    return WriteOutcome.LOST
--- a/pollenthread/core/load_board.py
+++ b/pollenthread/core/load_board.py
@@ -132,7 +132,7 @@
 
     def begin(self, server_id: str, now: float) -> None:
         """One more own request is at the server."""
-        self._rate.note(now)
+        self._rate.record_request(now)
         load = self._get(server_id)
         load.own += 1
         load.change += 1
@@ -223,8 +223,8 @@
         places = sum(s.slots for s in candidates)
         arrivals = min(places * _MAX_TURNOVER,
                        self._rate.per_s(now) * hosts * _NEWS_S)
-        parts = spreading.pour(loads, max(1.0, arrivals))
-        return candidates[spreading.pick(parts, self._rng)]
+        parts = spreading.water_fill(loads, max(1.0, arrivals))
+        return candidates[spreading.pick_weighted(parts, self._rng)]
 
     def room(self, servers: Iterable[fleet.Server], *, spare_share: float,
              now: float) -> float:
--- a/pollenthread/core/store_queue.py
+++ b/pollenthread/core/load_schedule.py
@@ -3,11 +3,11 @@
 import dataclasses
 from collections.abc import Sequence
 
-__all__ = ['Request', 'Turn', 'order']
+__all__ = ['LoadRequest', 'LoadSlot', 'schedule_loads']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Request:
+class LoadRequest:
     """What a group wants to load.
 
     Attributes:
@@ -22,11 +22,11 @@
     bytes: int
     saving_per_s: float
     life_s: float
-    price: float
+    cost: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Turn:
+class LoadSlot:
     """A group's turn.
 
     Attributes:
@@ -40,8 +40,8 @@
     end_s: float
 
 
-def order(requests: Sequence[Request], *,
-          store_bytes_per_s: float) -> list[Turn]:
+def schedule_loads(requests: Sequence[LoadRequest], *,
+                   store_bytes_per_s: float) -> list[LoadSlot]:
     """The turns of those groups whose loads still pay after the wait.
 
     The greatest saving for a byte goes first: that leaves the least saving to
@@ -53,11 +53,11 @@
     for item in by_worth:
         end_s = now_s + item.bytes / store_bytes_per_s
         saving = item.saving_per_s * max(0.0, item.life_s - end_s)
-        if saving > item.price:
-            turns.append(Turn(item.group, now_s, end_s))
+        if saving > item.cost:
+            turns.append(LoadSlot(item.group, now_s, end_s))
             now_s = end_s
     return turns
 
 
-def _worth(item: Request) -> float:
+def _worth(item: LoadRequest) -> float:
     return item.saving_per_s / item.bytes if item.bytes else float('inf')
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -59,5 +59,5 @@
     LINES_DROPPED = ('lines_dropped', '`count` lines were left out before.')
 
     def __init__(self, word: str, meaning: str) -> None:
-        self.word = word
+        self.event_name = word
         self.meaning = meaning
--- a/pollenthread/core/map_switch.py
+++ b/pollenthread/core/map_switch.py
@@ -22,18 +22,19 @@
 from pollenthread.core import peer_messages
 
 __all__ = [
-    'Phase', 'Switch', 'advance', 'complete', 'needs_recovery', 'recover'
+    'MapSwitchPhase', 'MapSwitch', 'advance_switch', 'resumable_switch',
+    'needs_recovery', 'recovery_switch'
 ]
 
 HOLDING_RANK = 0
 _MIN_LEAD = 2
 _MIN_STEP = 1
 
-States = Mapping[int, peer_messages.RankState]
-Orders = dict[int, peer_messages.RankOrder]
+RankStates = Mapping[int, peer_messages.RankState]
+RankOrders = dict[int, peer_messages.RankOrder]
 
 
-class Phase(enum.Enum):
+class MapSwitchPhase(enum.Enum):
     """How far a switch has come."""
 
     PREPARING = 'preparing'
@@ -45,7 +46,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Switch:
+class MapSwitch:
     """One change of a group's map.
 
     Attributes:
@@ -61,12 +62,13 @@
     version: int
     epoch: int
     layouts: tuple[tuple[tuple[int, ...], ...], ...]
-    phase: Phase = Phase.PREPARING
+    phase: MapSwitchPhase = MapSwitchPhase.PREPARING
     step: int = 0
-    lead: int = _MIN_LEAD
+    lead_passes: int = _MIN_LEAD
 
 
-def advance(switch: Switch, states: States) -> tuple[Switch, Orders]:
+def advance_switch(switch: MapSwitch,
+                   states: RankStates) -> tuple[MapSwitch, RankOrders]:
     """Goes on with a switch as far as the ranks' states allow.
 
     Args:
@@ -79,25 +81,27 @@
     """
     if any(state.epoch != switch.epoch or not state.is_open
            for state in states.values()):
-        return dataclasses.replace(switch, phase=Phase.ABANDONED), {}
-    if switch.phase is Phase.PREPARING:
+        return dataclasses.replace(switch, phase=MapSwitchPhase.ABANDONED), {}
+    if switch.phase is MapSwitchPhase.PREPARING:
         return _prepare(switch, states)
-    if switch.phase is Phase.HOLDING:
+    if switch.phase is MapSwitchPhase.HOLDING:
         return _hold(switch, states)
-    if switch.phase is Phase.ARMING:
+    if switch.phase is MapSwitchPhase.ARMING:
         return _arm(switch, states)
-    if switch.phase is Phase.RELEASING:
+    if switch.phase is MapSwitchPhase.RELEASING:
         return _release(switch, states)
     return switch, {}
 
 
-def _prepare(switch: Switch, states: States) -> tuple[Switch, Orders]:
-    orders: Orders = {}
+def _prepare(switch: MapSwitch,
+             states: RankStates) -> tuple[MapSwitch, RankOrders]:
+    orders: RankOrders = {}
     for rank, state in states.items():
         newest = max(state.map_version, state.prepared_version)
         if newest > switch.version:
             # Another decider has taken over.
-            return dataclasses.replace(switch, phase=Phase.ABANDONED), {}
+            return dataclasses.replace(switch,
+                                       phase=MapSwitchPhase.ABANDONED), {}
         if state.prepared_version == switch.version:
             continue
         if state.armed_version:
@@ -111,42 +115,45 @@
                                   layouts=switch.layouts)
     if all(state.prepared_version == switch.version and not state.armed_version
            for state in states.values()):
-        return _hold(dataclasses.replace(switch, phase=Phase.HOLDING), states)
+        return _hold(dataclasses.replace(switch, phase=MapSwitchPhase.HOLDING),
+                     states)
     return switch, orders
 
 
-def _is_overtaken(version: int, states: States) -> bool:
+def _is_overtaken(version: int, states: RankStates) -> bool:
     """Whether some rank can never be armed with a version again."""
     return any(state.prepared_version > version for state in states.values())
 
 
-def _hold(switch: Switch, states: States) -> tuple[Switch, Orders]:
+def _hold(switch: MapSwitch,
+          states: RankStates) -> tuple[MapSwitch, RankOrders]:
     held = states[HOLDING_RANK].held_step
     if held:
-        return _arm(dataclasses.replace(switch, phase=Phase.ARMING, step=held),
-                    states)
+        return _arm(
+            dataclasses.replace(switch, phase=MapSwitchPhase.ARMING, step=held),
+            states)
     step = max(state.step for state in states.values())
     if switch.step <= step:
-        ahead = max(_MIN_STEP, step) + switch.lead
+        ahead = max(_MIN_STEP, step) + switch.lead_passes
         switch = dataclasses.replace(switch, step=ahead)
     order = _order(switch, peer_messages.OrderKind.HOLD)
     return switch, {HOLDING_RANK: order}
 
 
-def _arm(switch: Switch, states: States) -> tuple[Switch, Orders]:
+def _arm(switch: MapSwitch, states: RankStates) -> tuple[MapSwitch, RankOrders]:
     if all(state.map_version == switch.version for state in states.values()):
-        return dataclasses.replace(switch, phase=Phase.DONE), {}
+        return dataclasses.replace(switch, phase=MapSwitchPhase.DONE), {}
     armed = {
         rank for rank, state in states.items()
         if state.armed_version == switch.version and
         state.armed_step == switch.step
     }
     if len(armed) == len(states):
-        return _release(dataclasses.replace(switch, phase=Phase.RELEASING),
-                        states)
+        return _release(
+            dataclasses.replace(switch, phase=MapSwitchPhase.RELEASING), states)
     if any(state.prepared_version > switch.version
            for state in states.values()):
-        return dataclasses.replace(switch, phase=Phase.ABANDONED), {}
+        return dataclasses.replace(switch, phase=MapSwitchPhase.ABANDONED), {}
     return switch, {
         rank: _order(switch, peer_messages.OrderKind.ARM)
         for rank in states
@@ -154,15 +161,16 @@
     }
 
 
-def _release(switch: Switch, states: States) -> tuple[Switch, Orders]:
+def _release(switch: MapSwitch,
+             states: RankStates) -> tuple[MapSwitch, RankOrders]:
     if states[HOLDING_RANK].held_step != switch.step:
-        return dataclasses.replace(switch, phase=Phase.DONE), {}
+        return dataclasses.replace(switch, phase=MapSwitchPhase.DONE), {}
     order = _order(switch, peer_messages.OrderKind.GO)
     return switch, {HOLDING_RANK: order}
 
 
 def _order(
-    switch: Switch,
+    switch: MapSwitch,
     kind: peer_messages.OrderKind,
     *,
     version: int | None = None,
@@ -176,7 +184,7 @@
         layouts=layouts)
 
 
-def needs_recovery(states: States) -> bool:
+def needs_recovery(states: RankStates) -> bool:
     """Whether an earlier decider has left a pass held back.
 
     Ranks are armed only while a pass is held, and released only when all are:
@@ -185,7 +193,7 @@
     return bool(states[HOLDING_RANK].held_step)
 
 
-def complete(states: States) -> Switch | None:
+def resumable_switch(states: RankStates) -> MapSwitch | None:
     """The switch that an earlier decider began, if it can be completed.
 
     It can if every rank is armed for the held pass with one version or has
@@ -202,11 +210,12 @@
     if not held or len(versions) != 1 or 0 in versions or not steps <= {held}:
         return None
     epoch = states[HOLDING_RANK].epoch
-    return Switch(versions.pop(), epoch, (), Phase.ARMING, held)
+    return MapSwitch(versions.pop(), epoch, (), MapSwitchPhase.ARMING, held)
 
 
-def recover(states: States, layouts: tuple[tuple[tuple[int, ...], ...], ...],
-            version: int) -> Switch:
+def recovery_switch(states: RankStates, layouts: tuple[tuple[tuple[int, ...],
+                                                             ...], ...],
+                    version: int) -> MapSwitch:
     """Takes over an unfinished switch.
 
     If every rank is armed with the same version, or can be, the switch goes
@@ -219,4 +228,4 @@
         version: a version that no decider has used.
     """
     epoch = states[HOLDING_RANK].epoch
-    return complete(states) or Switch(version, epoch, layouts)
+    return resumable_switch(states) or MapSwitch(version, epoch, layouts)
--- a/pollenthread/core/membership.py
+++ b/pollenthread/core/membership.py
@@ -11,25 +11,26 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 __all__ = [
-    'Evidence', 'MAX_DEAD_SHARE', 'Member', 'REPORT_LIFE_S', 'Report', 'State',
-    'View', 'dead_reports', 'hear', 'judge', 'linked_peers', 'pollers',
-    'ranked', 'takes_new_work', 'upstream_subset'
+    'HostEvidence', 'MAX_DEAD_SHARE', 'Member', 'REPORT_TTL_S', 'HostReport',
+    'HostState', 'MembershipView', 'count_dead_reports', 'merge_report',
+    'assess_fleet', 'select_linked_peers', 'select_pollers',
+    'rank_by_rendezvous_hash', 'accepts_new_work', 'select_upstreams'
 ]
 
 SUSPECT_AFTER_S = 1.5
 DEAD_AFTER_S = 3.0
 MAX_DEAD_SHARE = 0.34
-REPORTS_TO_BELIEVE = 2
-REPORT_LIFE_S = 30.0
+DEAD_REPORT_QUORUM = 2
+REPORT_TTL_S = 30.0
 POLLERS_PER_DATA_CENTRE = 2
 PEERS_IN_DATA_CENTRE = 3
 PEERS_IN_REGION = 4
 PEERS_IN_OTHER_REGION = 1
-UPSTREAM_SUBSET = 16
+UPSTREAM_SUBSET_SIZE = 16
 
 
 @dataclasses.dataclass(frozen=True)
-class Report:
+class HostReport:
     """What others have said of one host.
 
     Attributes:
@@ -44,7 +45,7 @@
                               float] = dataclasses.field(default_factory=dict)
 
 
-class State(enum.StrEnum):
+class HostState(enum.StrEnum):
     """What a host is held for."""
 
     LIVE = 'live'
@@ -72,7 +73,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Evidence:
+class HostEvidence:
     """What is known of one host.
 
     Attributes:
@@ -83,13 +84,13 @@
     """
 
     listed_leaving: bool = False
-    said_leaving: bool = False
+    reported_leaving: bool = False
     silent_s: float | None = None
-    dead_reports: int = 0
+    dead_report_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
-class View:
+class MembershipView:
     """The judgement over a fleet.
 
     Attributes:
@@ -97,23 +98,24 @@
         is_panic: whether silence is distrusted since too many are silent.
     """
 
-    state_by_host: Mapping[str, State]
+    state_by_host: Mapping[str, HostState]
     is_panic: bool
 
     def usable(self) -> list[str]:
         """Hosts that may take new work."""
         return [
             host for host, state in self.state_by_host.items()
-            if takes_new_work(state)
+            if accepts_new_work(state)
         ]
 
 
-def takes_new_work(state: State) -> bool:
+def accepts_new_work(state: HostState) -> bool:
     """Whether a host in this state may be sent new work."""
-    return state in (State.LIVE, State.SUSPECT)
+    return state in (HostState.LIVE, HostState.SUSPECT)
 
 
-def judge(evidence_by_host: Mapping[str, Evidence]) -> View:
+def assess_fleet(
+        evidence_by_host: Mapping[str, HostEvidence]) -> MembershipView:
     """Judges every host of a fleet.
 
     Panic: when more than `MAX_DEAD_SHARE` of the hosts that this one watches,
@@ -127,67 +129,67 @@
     ]
     fleet = [e for e in evidence_by_host.values() if not _is_leaving(e)]
     is_panic = _too_many_silent(own_watch) or _too_many_silent(fleet)
-    return View(state_by_host={
+    return MembershipView(state_by_host={
         host: _state(evidence, is_panic)
         for host, evidence in evidence_by_host.items()
     },
-                is_panic=is_panic)
+                          is_panic=is_panic)
 
 
-def _is_leaving(evidence: Evidence) -> bool:
-    return evidence.listed_leaving or evidence.said_leaving
+def _is_leaving(evidence: HostEvidence) -> bool:
+    return evidence.listed_leaving or evidence.reported_leaving
 
 
-def _too_many_silent(fleet: Sequence[Evidence]) -> bool:
+def _too_many_silent(fleet: Sequence[HostEvidence]) -> bool:
     silent = sum(1 for evidence in fleet if _is_silent(evidence))
     return silent > 1 and silent > MAX_DEAD_SHARE * len(fleet)
 
 
-def _is_silent(evidence: Evidence) -> bool:
+def _is_silent(evidence: HostEvidence) -> bool:
     """Whether a host seems dead: by one's own watch, or else by reports."""
     if evidence.silent_s is None:
-        return evidence.dead_reports >= REPORTS_TO_BELIEVE
+        return evidence.dead_report_count >= DEAD_REPORT_QUORUM
     return evidence.silent_s >= DEAD_AFTER_S
 
 
-def _state(evidence: Evidence, is_panic: bool) -> State:
+def _state(evidence: HostEvidence, is_panic: bool) -> HostState:
     if _is_leaving(evidence):
-        return State.LEAVING
+        return HostState.LEAVING
     if _is_silent(evidence):
-        return State.SUSPECT if is_panic else State.DEAD
+        return HostState.SUSPECT if is_panic else HostState.DEAD
     if evidence.silent_s is not None and evidence.silent_s >= SUSPECT_AFTER_S:
-        return State.SUSPECT
-    return State.LIVE
+        return HostState.SUSPECT
+    return HostState.LIVE
 
 
-def hear(known: Report | None, *, incarnation: str, state: State, reporter: str,
-         now: float) -> Report:
+def merge_report(known: HostReport | None, *, incarnation: str,
+                 state: HostState, reporter: str, now: float) -> HostReport:
     """Takes in what a reporter says of a host.
 
     News of another start of the host's process replaces what was known. A host
     that has said it leaves does not come back in the same start.
     """
     if known is None or known.incarnation != incarnation:
-        known = Report(incarnation=incarnation)
+        known = HostReport(incarnation=incarnation)
     dead_by_reporter = {
         name: at
         for name, at in known.dead_by_reporter.items()
-        if name != reporter and now - at < REPORT_LIFE_S
+        if name != reporter and now - at < REPORT_TTL_S
     }
-    if state is State.DEAD:
+    if state is HostState.DEAD:
         dead_by_reporter[reporter] = now
-    return Report(incarnation=incarnation,
-                  is_leaving=known.is_leaving or state is State.LEAVING,
-                  dead_by_reporter=dead_by_reporter)
+    return HostReport(incarnation=incarnation,
+                      is_leaving=known.is_leaving or state is HostState.LEAVING,
+                      dead_by_reporter=dead_by_reporter)
 
 
-def dead_reports(known: Report, now: float) -> int:
+def count_dead_reports(known: HostReport, now: float) -> int:
     """How many reports of a host's death still count."""
     return sum(
-        1 for at in known.dead_by_reporter.values() if now - at < REPORT_LIFE_S)
+        1 for at in known.dead_by_reporter.values() if now - at < REPORT_TTL_S)
 
 
-def ranked(hosts: Iterable[str], subject: str) -> list[str]:
+def rank_by_rendezvous_hash(hosts: Iterable[str], subject: str) -> list[str]:
     """Hosts by rendezvous hashing: the first is preferred for the subject."""
     return sorted(hosts, key=lambda host: _score(host, subject))
 
@@ -197,14 +199,17 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def pollers(members: Iterable[Member], data_centre: str) -> frozenset[str]:
+def select_pollers(members: Iterable[Member],
+                   data_centre: str) -> frozenset[str]:
     """The hosts of a data centre that read the table for the others."""
     hosts = (m.host for m in members if m.data_centre == data_centre)
     return frozenset(
-        ranked(hosts, f'poll\0{data_centre}')[:POLLERS_PER_DATA_CENTRE])
+        rank_by_rendezvous_hash(
+            hosts, f'poll\0{data_centre}')[:POLLERS_PER_DATA_CENTRE])
 
 
-def linked_peers(own: Member, members: Iterable[Member]) -> frozenset[str]:
+def select_linked_peers(own: Member,
+                        members: Iterable[Member]) -> frozenset[str]:
     """The entry hosts that a host chooses to keep links to.
 
     A link exists if either end chooses it. The next host on the ring of names
@@ -213,12 +218,13 @@
     others = [member for member in members if member.host != own.host]
     near = [m.host for m in others if m.data_centre == own.data_centre]
     region = [m.host for m in others if m.region == own.region]
-    chosen = set(ranked(near, own.host)[:PEERS_IN_DATA_CENTRE])
-    chosen.update(ranked(region, own.host)[:PEERS_IN_REGION])
+    chosen = set(rank_by_rendezvous_hash(near, own.host)[:PEERS_IN_DATA_CENTRE])
+    chosen.update(rank_by_rendezvous_hash(region, own.host)[:PEERS_IN_REGION])
     chosen.update(_next_on_ring(own.host, region))
     for other_region in {m.region for m in others} - {own.region}:
         far = [m.host for m in others if m.region == other_region]
-        chosen.update(ranked(far, own.host)[:PEERS_IN_OTHER_REGION])
+        chosen.update(
+            rank_by_rendezvous_hash(far, own.host)[:PEERS_IN_OTHER_REGION])
     return frozenset(chosen)
 
 
@@ -229,10 +235,10 @@
     return (after + ordered)[:2]
 
 
-def upstream_subset(own: Member,
-                    upstreams: Iterable[Member],
-                    *,
-                    size: int = UPSTREAM_SUBSET) -> frozenset[str]:
+def select_upstreams(own: Member,
+                     upstreams: Iterable[Member],
+                     *,
+                     size: int = UPSTREAM_SUBSET_SIZE) -> frozenset[str]:
     """The upstreams that an entry host keeps links to.
 
     For each group of upstreams that serve the same, a bounded number within the
@@ -250,5 +256,5 @@
     for members in by_group.values():
         near = [m.host for m in members if m.region == own.region]
         hosts = near or [m.host for m in members]
-        chosen.update(ranked(hosts, own.host)[:size])
+        chosen.update(rank_by_rendezvous_hash(hosts, own.host)[:size])
     return frozenset(chosen)
--- a/pollenthread/core/model_placement.py
+++ b/pollenthread/core/model_placement.py
@@ -8,11 +8,13 @@
 import dataclasses
 from collections.abc import Mapping, Sequence
 
-__all__ = ['Change', 'Demand', 'GroupModel', 'plan_models', 'rank_adapters']
+__all__ = [
+    'ModelChange', 'ModelDemand', 'GroupModel', 'plan_models', 'select_adapters'
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
+class ModelDemand:
     """What one model's classes ask for.
 
     Attributes:
@@ -44,7 +46,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class ModelChange:
     """An order to one group.
 
     Attributes:
@@ -58,8 +60,8 @@
     saving: float
 
 
-def plan_models(groups: Sequence[GroupModel], demands: Sequence[Demand], *,
-                load_s: float, budget: int) -> list[Change]:
+def plan_models(groups: Sequence[GroupModel], demands: Sequence[ModelDemand], *,
+                load_s: float, budget: int) -> list[ModelChange]:
     """The changes that pay, best first, at most `budget` of them.
 
     No model loses its last group while there is demand for it.
@@ -76,7 +78,7 @@
     by_model = {demand.model: demand for demand in demands}
     free = sorted((group for group in groups if group.is_free),
                   key=lambda group: group.group)
-    changes: list[Change] = []
+    changes: list[ModelChange] = []
     while len(changes) < budget:
         best = max((change for group in free for demand in demands
                     if (change := _change(group, demand, by_model, held, load_s)
@@ -93,8 +95,9 @@
     return changes
 
 
-def _change(group: GroupModel, demand: Demand, by_model: Mapping[str, Demand],
-            held: Mapping[str, int], load_s: float) -> Change | None:
+def _change(group: GroupModel, demand: ModelDemand,
+            by_model: Mapping[str, ModelDemand], held: Mapping[str, int],
+            load_s: float) -> ModelChange | None:
     if demand.model == group.model:
         return None
     source = by_model.get(group.model)
@@ -106,17 +109,18 @@
     gained = _used_by_last(demand, held[demand.model] + 1) * demand.weight
     useful_s = max(0.0, demand.life_s - load_s)
     saving = gained * useful_s - given * demand.life_s
-    return Change(group.group, demand.model, saving) if saving > 0 else None
+    return ModelChange(group.group, demand.model,
+                       saving) if saving > 0 else None
 
 
-def _used_by_last(demand: Demand, groups: int) -> float:
+def _used_by_last(demand: ModelDemand, groups: int) -> float:
     """The part of the last of some groups that the demand uses, 0 to 1."""
     return min(1.0, max(0.0, demand.groups - (groups - 1)))
 
 
-def rank_adapters(tokens_by_adapter: Mapping[str,
-                                             float], present: frozenset[str], *,
-                  slots: int, margin: float) -> tuple[str, ...]:
+def select_adapters(tokens_by_adapter: Mapping[str,
+                                               float], present: frozenset[str],
+                    *, slots: int, margin: float) -> tuple[str, ...]:
     """The adapters that a group holds: the busiest, with hysteresis.
 
     Args:
--- a/pollenthread/core/moves.py
+++ b/pollenthread/core/moves.py
@@ -10,7 +10,10 @@
 
 from pollenthread.core import placement
 
-__all__ = ['Fixed', 'Load', 'Step', 'best_step', 'place', 'smooth_skew']
+__all__ = [
+    'MoveConstraints', 'ExpertLoad', 'LayoutMove', 'best_move',
+    'optimize_layout', 'smooth_skew'
+]
 
 _MAX_STEPS = 64
 _LEAST_GAIN = 1e-3
@@ -21,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Load:
+class ExpertLoad:
     """One expert that a rank has to load, and the one that it drops."""
 
     rank: int
@@ -30,7 +33,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Fixed:
+class MoveConstraints:
     """What a step must leave alone.
 
     Attributes:
@@ -41,17 +44,17 @@
     experts: frozenset[int] = frozenset()
     replicas: frozenset[tuple[int, int]] = frozenset()
 
-    def allows(self, load: Load) -> bool:
+    def allows(self, load: ExpertLoad) -> bool:
         """Whether a load leaves them alone."""
         return (load.expert not in self.experts and
                 (load.rank, load.dropped) not in self.replicas)
 
 
-_NOTHING = Fixed()
+_NOTHING = MoveConstraints()
 
 
 @dataclasses.dataclass(frozen=True)
-class Step:
+class LayoutMove:
     """One step and what it leads to.
 
     Attributes:
@@ -60,35 +63,36 @@
         split: the traffic after the step.
     """
 
-    loads: tuple[Load, ...]
-    layout: placement.Layout
-    split: placement.Split
+    loads: tuple[ExpertLoad, ...]
+    layout: placement.LayerLayout
+    split: placement.TrafficSplit
 
 
-def smooth_skew(split: placement.Split) -> float:
+def smooth_skew(split: placement.TrafficSplit) -> float:
     """Close to the skew, but lower when fewer ranks share the greatest load."""
     total = sum(load**_EXPONENT for load in split.load_by_rank)
     smooth: float = total**(1 / _EXPONENT)
     return smooth
 
 
-def place(group: placement.Group, shares: Sequence[float]) -> placement.Layout:
+def optimize_layout(group: placement.GroupShape,
+                    shares: Sequence[float]) -> placement.LayerLayout:
     """The best layout found without regard to what lies where."""
-    layout = placement.pack(group, shares)
-    split = placement.split(layout, shares)
+    layout = placement.pack_layout(group, shares)
+    split = placement.split_traffic(layout, shares)
     for _ in range(_MAX_STEPS):
-        step = best_step(group, layout, shares, split)
+        step = best_move(group, layout, shares, split)
         if step is None:
             break
         layout, split = step.layout, step.split
     return layout
 
 
-def best_step(group: placement.Group,
-              layout: placement.Layout,
+def best_move(group: placement.GroupShape,
+              layout: placement.LayerLayout,
               shares: Sequence[float],
-              split: placement.Split,
-              fixed: Fixed = _NOTHING) -> Step | None:
+              split: placement.TrafficSplit,
+              constraints: MoveConstraints = _NOTHING) -> LayoutMove | None:
     """The step that lowers the skew most for each expert loaded, or None.
 
     Args:
@@ -99,25 +103,26 @@
         fixed: what must be left alone.
     """
     before = smooth_skew(split)
-    best: Step | None = None
+    best: LayoutMove | None = None
     best_rate = 0.0
     for loads in _candidates(group, layout, split):
-        if not all(fixed.allows(load) for load in loads):
+        if not all(constraints.allows(load) for load in loads):
             continue
         after = layout
         for load in loads:
             after = placement.replace_slot(after, load.rank, load.dropped,
                                            load.expert)
-        result = placement.split(after, shares)
+        result = placement.split_traffic(after, shares)
         gain = before - smooth_skew(result)
         if gain > _LEAST_GAIN and gain / len(loads) > best_rate:
             best_rate = gain / len(loads)
-            best = Step(loads, after, result)
+            best = LayoutMove(loads, after, result)
     return best
 
 
-def _candidates(group: placement.Group, layout: placement.Layout,
-                split: placement.Split) -> Iterator[tuple[Load, ...]]:
+def _candidates(
+        group: placement.GroupShape, layout: placement.LayerLayout,
+        split: placement.TrafficSplit) -> Iterator[tuple[ExpertLoad, ...]]:
     load = split.load_by_rank
     by_load = sorted(range(group.ranks), key=lambda rank: (load[rank], rank))
     hot_rank = by_load[-1]
@@ -133,20 +138,20 @@
 
 
 def _hottest(experts: Sequence[int], rank: int,
-             split: placement.Split) -> list[int]:
+             split: placement.TrafficSplit) -> list[int]:
     """The experts that give a rank the most load."""
     return sorted(experts, key=lambda e: (-_part(split, e, rank), e))
 
 
-def _part(split: placement.Split, expert: int, rank: int) -> float:
+def _part(split: placement.TrafficSplit, expert: int, rank: int) -> float:
     for holder, part in split.load_by_replica[expert]:
         if holder == rank:
             return part
     return 0.0
 
 
-def _may_hold(group: placement.Group, rank: int, expert: int,
-              split: placement.Split) -> bool:
+def _may_hold(group: placement.GroupShape, rank: int, expert: int,
+              split: placement.TrafficSplit) -> bool:
     """Whether a replica here is on a host of its own, while there are any."""
     hosts = {
         group.host_by_rank[holder]
@@ -156,19 +161,20 @@
             len(hosts) == len(set(group.host_by_rank)))
 
 
-def _replacements(layout: placement.Layout, rank: int, expert: int,
-                  split: placement.Split) -> Iterator[tuple[Load, ...]]:
+def _replacements(
+        layout: placement.LayerLayout, rank: int, expert: int,
+        split: placement.TrafficSplit) -> Iterator[tuple[ExpertLoad, ...]]:
     spare = [
         held for held in layout[rank] if len(split.load_by_replica[held]) > 1
     ]
     if spare:
         dropped = min(spare, key=lambda held: (_part(split, held, rank), held))
-        yield (Load(rank, expert, dropped),)
+        yield (ExpertLoad(rank, expert, dropped),)
 
 
-def _swaps(group: placement.Group, layout: placement.Layout, hot_rank: int,
-           rank: int, expert: int,
-           split: placement.Split) -> Iterator[tuple[Load, ...]]:
+def _swaps(group: placement.GroupShape, layout: placement.LayerLayout,
+           hot_rank: int, rank: int, expert: int,
+           split: placement.TrafficSplit) -> Iterator[tuple[ExpertLoad, ...]]:
     wanted = _part(split, expert, hot_rank) - (split.load_by_rank[hot_rank] -
                                                split.load_by_rank[rank]) / 2
     others = [
@@ -178,4 +184,5 @@
     ]
     others.sort(key=lambda held: (abs(_part(split, held, rank) - wanted), held))
     for other in others:
-        yield (Load(rank, expert, other), Load(hot_rank, other, expert))
+        yield (ExpertLoad(rank, expert,
+                          other), ExpertLoad(hot_rank, other, expert))
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -12,13 +12,15 @@
 from collections.abc import Iterable, Mapping
 
 __all__ = [
-    'Answer', 'Fence', 'JournalRow', 'Order', 'OrderState', 'Result', 'Step',
-    'Verdict', 'all_duties', 'close', 'decide', 'duty_of', 'finish', 'journal',
-    'next_step', 'raise_fence', 'reissue', 'settled_below'
+    'OrderAnswer', 'AgentOrderState', 'JournalRow', 'Order', 'OrderState',
+    'Result', 'IssuerAction', 'AgentAction', 'order_duties', 'closed_row',
+    'handle_order', 'order_duty_for_host', 'record_result', 'new_journal_row',
+    'next_issuer_action', 'record_fencing', 'reissued_row',
+    'settled_below_number'
 ]
 
-MAX_KEPT_ORDERS = 1024
-DUTIES = 16
+MAX_REMEMBERED_ORDERS = 1024
+ORDER_DUTY_COUNT = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,9 +65,9 @@
     is_known: bool = True
 
     @property
-    def answer(self) -> 'Answer':
+    def answer(self) -> 'OrderAnswer':
         """What an agent says of an order with this result."""
-        return Answer.ENDED if self.is_known else Answer.UNKNOWN
+        return OrderAnswer.ENDED if self.is_known else OrderAnswer.UNKNOWN
 
 
 class OrderState(enum.StrEnum):
@@ -91,7 +93,7 @@
     result: Result | None = None
 
 
-class Answer(enum.StrEnum):
+class OrderAnswer(enum.StrEnum):
     """What an agent says to an order."""
 
     ENDED = 'ended'
@@ -105,18 +107,18 @@
     FULL = 'full'
 
 
-def duty_of(host: str) -> str:
+def order_duty_for_host(host: str) -> str:
     """The duty whose holder gives orders to a host."""
-    shard = zlib.crc32(host.encode()) % DUTIES
+    shard = zlib.crc32(host.encode()) % ORDER_DUTY_COUNT
     return f'orders/{shard:02d}'
 
 
-def all_duties() -> tuple[str, ...]:
+def order_duties() -> tuple[str, ...]:
     """Every duty of giving orders."""
-    return tuple(f'orders/{shard:02d}' for shard in range(DUTIES))
+    return tuple(f'orders/{shard:02d}' for shard in range(ORDER_DUTY_COUNT))
 
 
-class Step(enum.Enum):
+class IssuerAction(enum.Enum):
     """What the holder of the duty does next about an order."""
 
     SEND = 'send'
@@ -126,7 +128,7 @@
     STOP = 'stop'
 
 
-class Verdict(enum.Enum):
+class AgentAction(enum.Enum):
     """What an agent does with an order."""
 
     BEGIN = 'begin'
@@ -140,7 +142,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Fence:
+class AgentOrderState:
     """What one incarnation of an agent remembers.
 
     Attributes:
@@ -153,21 +155,23 @@
     """
 
     incarnation: str
-    highest_by_duty: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    settled_by_duty: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    highest_fencing_by_duty: Mapping[str, int] = dataclasses.field(
+        default_factory=dict)
+    settled_below_by_duty: Mapping[str, int] = dataclasses.field(
+        default_factory=dict)
     result_by_id: Mapping[str, Result |
                           None] = dataclasses.field(default_factory=dict)
-    key_by_id: Mapping[str,
-                       tuple[str,
-                             int]] = dataclasses.field(default_factory=dict)
+    duty_and_number_by_id: Mapping[str, tuple[str, int]] = dataclasses.field(
+        default_factory=dict)
 
 
-def journal(order: Order) -> JournalRow:
+def new_journal_row(order: Order) -> JournalRow:
     """The row to insert before an order is sent for the first time."""
     return JournalRow(order=order)
 
 
-def next_step(row: JournalRow, *, fencing: int, incarnation: str) -> Step:
+def next_issuer_action(row: JournalRow, *, fencing: int,
+                       incarnation: str) -> IssuerAction:
     """Decides what a holder does with an order that the journal holds.
 
     Args:
@@ -176,17 +180,17 @@
         incarnation: the agent's incarnation now; empty when it has no link.
     """
     if row.state is not OrderState.ISSUED:
-        return Step.REPORT
+        return IssuerAction.REPORT
     if row.order.fencing > fencing:
-        return Step.STOP
+        return IssuerAction.STOP
     if incarnation and incarnation != row.order.incarnation:
-        return Step.CLOSE_UNKNOWN
+        return IssuerAction.CLOSE_UNKNOWN
     if row.order.fencing < fencing:
-        return Step.REISSUE
-    return Step.SEND
+        return IssuerAction.REISSUE
+    return IssuerAction.SEND
 
 
-def reissue(row: JournalRow, *, fencing: int) -> JournalRow:
+def reissued_row(row: JournalRow, *, fencing: int) -> JournalRow:
     """The row after a successor has taken an order over.
 
     The incarnation stays: only the agent that may have begun the order can
@@ -197,27 +201,30 @@
                                                          fencing=fencing))
 
 
-def close(row: JournalRow, answer: Answer,
-          result: Result | None) -> JournalRow | None:
+def closed_row(row: JournalRow, answer: OrderAnswer,
+               result: Result | None) -> JournalRow | None:
     """The row after an agent's answer; None when the order stays open."""
-    if answer is Answer.ENDED and result is not None:
+    if answer is OrderAnswer.ENDED and result is not None:
         return dataclasses.replace(row, state=OrderState.ENDED, result=result)
-    if answer in (Answer.OTHER_INCARNATION, Answer.UNKNOWN):
+    if answer in (OrderAnswer.OTHER_INCARNATION, OrderAnswer.UNKNOWN):
         return dataclasses.replace(row, state=OrderState.UNKNOWN)
     return None
 
 
-def raise_fence(fence: Fence, duty: str, fencing: int) -> Fence:
+def record_fencing(state: AgentOrderState, duty: str,
+                   fencing: int) -> AgentOrderState:
     """Remembers a fencing number if it is the highest for its duty."""
-    if fencing <= fence.highest_by_duty.get(duty, -1):
-        return fence
-    return dataclasses.replace(fence,
-                               highest_by_duty={
-                                   **fence.highest_by_duty, duty: fencing
+    if fencing <= state.highest_fencing_by_duty.get(duty, -1):
+        return state
+    return dataclasses.replace(state,
+                               highest_fencing_by_duty={
+                                   **state.highest_fencing_by_duty, duty:
+                                       fencing
                                })
 
 
-def decide(fence: Fence, order: Order) -> tuple[Fence, Verdict]:
+def handle_order(state: AgentOrderState,
+                 order: Order) -> tuple[AgentOrderState, AgentAction]:
     """Decides what an agent does with an order.
 
     An agent that has not yet read the duty's lease row reads it first, so that
@@ -227,35 +234,36 @@
         What the agent remembers from now on, and what to do. A result of None
         is remembered for an order that may begin.
     """
-    if order.duty not in fence.highest_by_duty:
-        return fence, Verdict.READ_FENCE
-    if order.fencing < fence.highest_by_duty[order.duty]:
-        return fence, Verdict.REFUSE_OLD
-    fence = raise_fence(fence, order.duty, order.fencing)
-    fence = _settle(fence, order.duty, order.settled_below)
-    if order.number < fence.settled_by_duty.get(order.duty, 0):
-        return fence, Verdict.REFUSE_SETTLED
-    if order.id in fence.result_by_id:
-        known = fence.result_by_id[order.id]
-        return fence, Verdict.RUNNING if known is None else Verdict.REPEAT
-    if order.incarnation != fence.incarnation:
-        return fence, Verdict.REFUSE_INCARNATION
-    if len(fence.result_by_id) >= MAX_KEPT_ORDERS:
-        return fence, Verdict.REFUSE_FULL
-    return _remember(fence, order), Verdict.BEGIN
-
-
-def finish(fence: Fence, order_id: str, result: Result) -> Fence:
+    if order.duty not in state.highest_fencing_by_duty:
+        return state, AgentAction.READ_FENCE
+    if order.fencing < state.highest_fencing_by_duty[order.duty]:
+        return state, AgentAction.REFUSE_OLD
+    state = record_fencing(state, order.duty, order.fencing)
+    state = _settle(state, order.duty, order.settled_below)
+    if order.number < state.settled_below_by_duty.get(order.duty, 0):
+        return state, AgentAction.REFUSE_SETTLED
+    if order.id in state.result_by_id:
+        known = state.result_by_id[order.id]
+        return state, AgentAction.RUNNING if known is None else AgentAction.REPEAT
+    if order.incarnation != state.incarnation:
+        return state, AgentAction.REFUSE_INCARNATION
+    if len(state.result_by_id) >= MAX_REMEMBERED_ORDERS:
+        return state, AgentAction.REFUSE_FULL
+    return _remember(state, order), AgentAction.BEGIN
+
+
+def record_result(state: AgentOrderState, order_id: str,
+                  result: Result) -> AgentOrderState:
     """Remembers the first result of an order."""
-    if fence.result_by_id.get(order_id, result) is not None:
-        return fence
-    return dataclasses.replace(fence,
+    if state.result_by_id.get(order_id, result) is not None:
+        return state
+    return dataclasses.replace(state,
                                result_by_id={
-                                   **fence.result_by_id, order_id: result
+                                   **state.result_by_id, order_id: result
                                })
 
 
-def settled_below(rows: Iterable[JournalRow]) -> int:
+def settled_below_number(rows: Iterable[JournalRow]) -> int:
     """The number below which the journal holds the end of every order.
 
     Args:
@@ -268,32 +276,32 @@
     return numbers[-1][0] + 1 if numbers else 0
 
 
-def _remember(fence: Fence, order: Order) -> Fence:
+def _remember(fence: AgentOrderState, order: Order) -> AgentOrderState:
     return dataclasses.replace(fence,
                                result_by_id={
                                    **fence.result_by_id, order.id: None
                                },
-                               key_by_id={
-                                   **fence.key_by_id, order.id:
+                               duty_and_number_by_id={
+                                   **fence.duty_and_number_by_id, order.id:
                                        (order.duty, order.number)
                                })
 
 
-def _settle(fence: Fence, duty: str, number: int) -> Fence:
+def _settle(fence: AgentOrderState, duty: str, number: int) -> AgentOrderState:
     """Forgets orders whose numbers are too low to be begun ever again."""
-    if number <= fence.settled_by_duty.get(duty, 0):
+    if number <= fence.settled_below_by_duty.get(duty, 0):
         return fence
     key_by_id = {
         order_id: key
-        for order_id, key in fence.key_by_id.items()
+        for order_id, key in fence.duty_and_number_by_id.items()
         if key[0] != duty or key[1] >= number
     }
     return dataclasses.replace(
         fence,
-        settled_by_duty={
-            **fence.settled_by_duty, duty: number
+        settled_below_by_duty={
+            **fence.settled_below_by_duty, duty: number
         },
-        key_by_id=key_by_id,
+        duty_and_number_by_id=key_by_id,
         result_by_id={
             order_id: result
             for order_id, result in fence.result_by_id.items()
--- a/pollenthread/core/placement.py
+++ b/pollenthread/core/placement.py
@@ -9,19 +9,19 @@
 from collections.abc import Sequence
 
 __all__ = [
-    'Group', 'Layout', 'Split', 'initial', 'lower_bound', 'pack',
-    'replace_slot', 'split'
+    'GroupShape', 'LayerLayout', 'TrafficSplit', 'initial_layout',
+    'skew_lower_bound', 'pack_layout', 'replace_slot', 'split_traffic'
 ]
 
 _SWEEPS = 12
 _SETTLED = 1e-3
 
-Layout = tuple[tuple[int, ...], ...]
+LayerLayout = tuple[tuple[int, ...], ...]
 """The experts that each rank holds in one layer, by rank."""
 
 
 @dataclasses.dataclass(frozen=True)
-class Group:
+class GroupShape:
     """The shape of a rank group.
 
     Attributes:
@@ -41,7 +41,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Split:
+class TrafficSplit:
     """How the traffic of a layer divides.
 
     Attributes:
@@ -59,20 +59,20 @@
         return max(self.load_by_rank)
 
 
-def initial(group: Group) -> Layout:
+def initial_layout(group: GroupShape) -> LayerLayout:
     """A map for unknown popularity: experts in order, then around again."""
     even = [1.0] * group.experts
-    return pack(group, even)
+    return pack_layout(group, even)
 
 
-def lower_bound(group: Group, shares: Sequence[float]) -> float:
+def skew_lower_bound(group: GroupShape, shares: Sequence[float]) -> float:
     """The least skew that any map with the group's slots allows."""
     counts = _replica_counts(group, shares)
     hottest = max(share / count for share, count in zip(shares, counts))
     return max(1.0, hottest * group.ranks / sum(shares))
 
 
-def pack(group: Group, shares: Sequence[float]) -> Layout:
+def pack_layout(group: GroupShape, shares: Sequence[float]) -> LayerLayout:
     """A new layout without regard to what lies where.
 
     Spare slots go to the experts with the greatest load per replica, the
@@ -81,7 +81,7 @@
     return _pack(group, shares, _replica_counts(group, shares))
 
 
-def split(layout: Layout, shares: Sequence[float]) -> Split:
+def split_traffic(layout: LayerLayout, shares: Sequence[float]) -> TrafficSplit:
     """Divides the traffic of each expert so that the skew is least.
 
     Each expert in turn fills its ranks to one level. This descends on the sum
@@ -112,7 +112,7 @@
                         shares[expert] * scale))
         if changed < _SETTLED:
             break
-    return Split(
+    return TrafficSplit(
         tuple(load),
         tuple(
             tuple(zip(ranks, part))
@@ -144,14 +144,15 @@
     raise ValueError('an expert without a rank')
 
 
-def replace_slot(layout: Layout, rank: int, old: int, new: int) -> Layout:
+def replace_slot(layout: LayerLayout, rank: int, old: int,
+                 new: int) -> LayerLayout:
     """The layout with one expert of one rank exchanged for another."""
     experts = tuple(
         sorted(new if expert == old else expert for expert in layout[rank]))
     return (*layout[:rank], experts, *layout[rank + 1:])
 
 
-def _replica_counts(group: Group, shares: Sequence[float]) -> list[int]:
+def _replica_counts(group: GroupShape, shares: Sequence[float]) -> list[int]:
     """How many replicas each expert gets: the hottest replica first."""
     counts = [1] * group.experts
     for _ in range(sum(group.slots_by_rank) - group.experts):
@@ -162,7 +163,8 @@
     return counts
 
 
-def _pack(group: Group, shares: Sequence[float], counts: list[int]) -> Layout:
+def _pack(group: GroupShape, shares: Sequence[float],
+          counts: list[int]) -> LayerLayout:
     """Puts replicas, the hottest first, on the least loaded ranks."""
     held: list[list[int]] = [[] for _ in group.slots_by_rank]
     load = [0.0] * group.ranks
@@ -182,7 +184,7 @@
     return tuple(tuple(sorted(experts)) for experts in held)
 
 
-def _coolest(group: Group, held: list[list[int]], load: list[float],
+def _coolest(group: GroupShape, held: list[list[int]], load: list[float],
              expert: int, hosts: list[str]) -> int | None:
     """The least loaded rank with a free slot, on a new host if there is one."""
     free = [
@@ -193,7 +195,8 @@
     return min(free)[-1] if free else None
 
 
-def _fill(group: Group, shares: Sequence[float], held: list[list[int]]) -> None:
+def _fill(group: GroupShape, shares: Sequence[float],
+          held: list[list[int]]) -> None:
     """Puts hot experts into the slots that packing has left free."""
     by_share = sorted(range(group.experts), key=lambda e: (-shares[e], e))
     for rank, experts in enumerate(held):
--- a/pollenthread/core/popularity.py
+++ b/pollenthread/core/popularity.py
@@ -4,12 +4,12 @@
 import math
 
 __all__ = [
-    'Counts', 'LayerPopularity', 'Popularity', 'distance', 'new', 'observe',
-    'shares', 'standard_error'
+    'TokenCounts', 'LayerPopularity', 'Popularity', 'total_variation_distance',
+    'empty_popularity', 'add_counts', 'expert_shares', 'standard_error'
 ]
 
 HALF_LIFE_S = 600.0
-JUMP_DISTANCE = 0.08
+SHIFT_DISTANCE = 0.08
 _NOISE_MARGIN = 4.0
 _KEEP_AFTER_JUMP = 0.25
 DRIFT_HALF_LIFE_S = 3600.0
@@ -20,7 +20,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Counts:
+class TokenCounts:
     """One report of an engine.
 
     Attributes:
@@ -65,13 +65,13 @@
     missed: int = 0
 
 
-def new(*, layers: int, experts: int, at_s: float) -> Popularity:
+def empty_popularity(*, layers: int, experts: int, at_s: float) -> Popularity:
     """An estimate that knows nothing yet."""
     empty = LayerPopularity((0.0,) * experts)
     return Popularity(at_s=at_s, layers=(empty,) * layers)
 
 
-def shares(layer: LayerPopularity) -> tuple[float, ...]:
+def expert_shares(layer: LayerPopularity) -> tuple[float, ...]:
     """The estimated share of each expert, drawn to even by a small prior."""
     prior = _PRIOR_TOKENS_PER_EXPERT
     total = sum(layer.weight) + prior * len(layer.weight)
@@ -84,12 +84,13 @@
     return min(1.0, math.sqrt(len(layer.weight) / (2 * math.pi * tokens)))
 
 
-def distance(first: tuple[float, ...], second: tuple[float, ...]) -> float:
+def total_variation_distance(first: tuple[float, ...],
+                             second: tuple[float, ...]) -> float:
     """The total variation distance of two distributions."""
     return sum(abs(x - y) for x, y in zip(first, second)) / 2
 
 
-def observe(popularity: Popularity, counts: Counts) -> Popularity:
+def add_counts(popularity: Popularity, counts: TokenCounts) -> Popularity:
     """Takes one report: late ones count less, repeats and stale ones nothing.
     """
     lag_s = max(0.0, popularity.at_s - counts.at_s)
@@ -123,7 +124,7 @@
     after = LayerPopularity(weight, layer.drift_per_h)
     if elapsed_s <= 0 or not any(layer.weight):
         return after
-    moved = distance(shares(layer), shares(after))
+    moved = total_variation_distance(expert_shares(layer), expert_shares(after))
     noise = standard_error(after) * math.sqrt(1 - decay)
     drift = max(0.0, moved - noise) * _S_PER_HOUR / elapsed_s
     keep = 0.5**(elapsed_s / DRIFT_HALF_LIFE_S)
@@ -137,5 +138,5 @@
     if not any(tokens) or not any(layer.weight):
         return False
     noise = standard_error(fresh) + standard_error(layer)
-    moved = distance(shares(fresh), shares(layer))
-    return moved > JUMP_DISTANCE + _NOISE_MARGIN * noise
+    moved = total_variation_distance(expert_shares(fresh), expert_shares(layer))
+    return moved > SHIFT_DISTANCE + _NOISE_MARGIN * noise
--- a/pollenthread/core/snapshots.py
+++ b/pollenthread/core/popularity_history.py
@@ -2,14 +2,14 @@
 
 import dataclasses
 
-__all__ = ['Snapshot', 'remember']
+__all__ = ['PopularitySnapshot', 'append_popularity']
 
 _SNAPSHOT_S = 900.0
 _SNAPSHOTS = 8
 
 
 @dataclasses.dataclass(frozen=True)
-class Snapshot:
+class PopularitySnapshot:
     """The mean popularity over some time.
 
     Attributes:
@@ -28,15 +28,15 @@
         return self.end_s - self.start_s
 
 
-def remember(snapshots: tuple[Snapshot, ...], shares: tuple[tuple[float, ...],
-                                                            ...],
-             now_s: float) -> tuple[Snapshot, ...]:
+def append_popularity(snapshots: tuple[PopularitySnapshot, ...],
+                      shares: tuple[tuple[float, ...], ...],
+                      now_s: float) -> tuple[PopularitySnapshot, ...]:
     """Merges the present into the newest snapshot, or begins another."""
     if not snapshots:
-        return (Snapshot(now_s, now_s, shares),)
+        return (PopularitySnapshot(now_s, now_s, shares),)
     last = snapshots[-1]
     if last.duration_s >= _SNAPSHOT_S:
-        fresh = Snapshot(last.end_s, now_s, shares)
+        fresh = PopularitySnapshot(last.end_s, now_s, shares)
         return (*snapshots[1 - _SNAPSHOTS:], fresh)
     elapsed_s = now_s - last.end_s
     length_s = now_s - last.start_s
@@ -47,4 +47,4 @@
         tuple(keep * old + (1 - keep) * new
               for old, new in zip(before, after))
         for before, after in zip(last.shares, shares))
-    return (*snapshots[:-1], Snapshot(last.start_s, now_s, mixed))
+    return (*snapshots[:-1], PopularitySnapshot(last.start_s, now_s, mixed))
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -10,17 +10,17 @@
 from collections.abc import Mapping, Sequence
 
 from pollenthread.core import (expert_map, moves, placement, popularity,
-                               snapshots, targets)
+                               popularity_history, targets)
 
 __all__ = [
-    'Costs', 'GroupState', 'LayerLoads', 'Plan', 'Planner', 'Spending',
-    'Verdict', 'plan'
+    'LoadCosts', 'GroupState', 'LayerLoads', 'RebalancePlan', 'PlannerConfig',
+    'Spending', 'PlanVerdict', 'plan_rebalance'
 ]
 
 BUDGET_WINDOW_S = 3600.0
-FIXED_S = 3600.0
-MAX_ERROR = 0.03
-SPLIT_GAIN = 0.02
+LOAD_COOLDOWN_S = 3600.0
+MAX_STANDARD_ERROR = 0.03
+MIN_SPLIT_GAIN = 0.02
 _CHAIN_LENGTH = 6
 _DRIFT_OF_A_LIFE = 0.25
 _MIN_LIFE_S = 900.0
@@ -28,7 +28,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Costs:
+class LoadCosts:
     """What the platform makes a load and a switch cost.
 
     Attributes:
@@ -70,8 +70,8 @@
         loaded_at_s: when each replica was loaded, by layer, rank and expert.
     """
 
-    current: expert_map.ExpertMap
-    past: tuple[snapshots.Snapshot, ...] = ()
+    current_map: expert_map.ExpertMap
+    popularity_history: tuple[popularity_history.PopularitySnapshot, ...] = ()
     spendings: tuple[Spending, ...] = ()
     loaded_at_s: Mapping[tuple[int, int, int],
                          float] = dataclasses.field(default_factory=dict)
@@ -91,14 +91,14 @@
     """
 
     layer: int
-    loads: tuple[moves.Load, ...]
-    layout: placement.Layout
+    loads: tuple[moves.ExpertLoad, ...]
+    layout: placement.LayerLayout
     skew: float
     saving: float
-    price: float
+    cost: float
 
 
-class Verdict:
+class PlanVerdict:
     """Why a plan is as it is."""
 
     DRAINING = 'the group is being drained'
@@ -110,7 +110,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Plan:
+class RebalancePlan:
     """What to do now.
 
     Attributes:
@@ -122,19 +122,19 @@
     """
 
     verdict: str
-    target: expert_map.ExpertMap
-    loads: tuple[LayerLoads, ...] = ()
+    target_map: expert_map.ExpertMap
+    layer_loads: tuple[LayerLoads, ...] = ()
     saving: float = 0.0
-    price: float = 0.0
+    cost: float = 0.0
 
     @property
     def experts(self) -> int:
         """Experts to load."""
-        return sum(len(layer.loads) for layer in self.loads)
+        return sum(len(layer.loads) for layer in self.layer_loads)
 
 
 @dataclasses.dataclass(frozen=True)
-class Planner:
+class PlannerConfig:
     """What stays the same from plan to plan.
 
     Attributes:
@@ -147,22 +147,22 @@
         use_fixing: whether an expert just loaded is left alone.
     """
 
-    group: placement.Group
+    group: placement.GroupShape
     balance: targets.Balance
-    costs: Costs
+    costs: LoadCosts
     interval_s: float
     use_history: bool = True
-    use_split: bool = True
-    use_fixing: bool = True
+    use_split_changes: bool = True
+    use_load_cooldown: bool = True
 
 
-def plan(planner: Planner,
-         state: GroupState,
-         estimate: popularity.Popularity,
-         *,
-         now_s: float,
-         draining: bool = False,
-         missing_ranks: int = 0) -> tuple[GroupState, Plan]:
+def plan_rebalance(planner: PlannerConfig,
+                   state: GroupState,
+                   estimate: popularity.Popularity,
+                   *,
+                   now_s: float,
+                   draining: bool = False,
+                   missing_ranks: int = 0) -> tuple[GroupState, RebalancePlan]:
     """Decides what to do now.
 
     Args:
@@ -176,56 +176,59 @@
     Returns:
         The state as if the plan has been carried out, and the plan.
     """
-    shares = tuple(popularity.shares(layer) for layer in estimate.layers)
-    if _error(estimate) > MAX_ERROR:
-        return state, Plan(Verdict.UNSURE, state.current)
-    state = dataclasses.replace(state,
-                                past=snapshots.remember(state.past, shares,
-                                                        now_s),
-                                spendings=_recent(state.spendings, now_s))
+    shares = tuple(popularity.expert_shares(layer) for layer in estimate.layers)
+    if _error(estimate) > MAX_STANDARD_ERROR:
+        return state, RebalancePlan(PlanVerdict.UNSURE, state.current_map)
+    state = dataclasses.replace(
+        state,
+        popularity_history=popularity_history.append_popularity(
+            state.popularity_history, shares, now_s),
+        spendings=_recent(state.spendings, now_s))
     if draining or missing_ranks:
-        verdict = Verdict.DRAINING if draining else Verdict.SHORT_OF_RANK
-        return state, Plan(verdict, state.current)
+        verdict = PlanVerdict.DRAINING if draining else PlanVerdict.SHORT_OF_RANK
+        return state, RebalancePlan(verdict, state.current_map)
     splits = [
-        placement.split(layer.layout, part)
-        for layer, part in zip(state.current, shares)
+        placement.split_traffic(layer.layout, part)
+        for layer, part in zip(state.current_map, shares)
     ]
     loads = _choose_loads(planner, state, estimate, shares, splits, now_s)
     result = _finish(planner, state, shares, splits, loads)
     return _carry_out(state, result, now_s), result
 
 
-def _finish(planner: Planner, state: GroupState,
+def _finish(planner: PlannerConfig, state: GroupState,
             shares: Sequence[Sequence[float]],
-            splits: Sequence[placement.Split],
-            loads: Sequence[LayerLoads]) -> Plan:
+            splits: Sequence[placement.TrafficSplit],
+            loads: Sequence[LayerLoads]) -> RebalancePlan:
     """Adds the new splits, and drops the plan if the stall is not worth it."""
-    before = expert_map.skew(state.current, shares)
+    before = expert_map.skew(state.current_map, shares)
     layers = [
-        expert_map.with_split(layer.layout, split)
-        for layer, split in zip(state.current, splits)
+        expert_map.layer_map_from_split(layer.layout, split)
+        for layer, split in zip(state.current_map, splits)
     ]
     for item in loads:
-        layers[item.layer] = expert_map.layer_map(item.layout,
-                                                  shares[item.layer])
+        layers[item.layer] = expert_map.build_layer_map(item.layout,
+                                                        shares[item.layer])
     after = expert_map.skew(tuple(layers), shares)
     ranks = planner.group.ranks
     stall = ranks * planner.costs.stall_s
     if loads:
-        return Plan(Verdict.LOAD, tuple(layers), tuple(loads),
-                    sum(item.saving for item in loads),
-                    stall + sum(item.price for item in loads))
+        return RebalancePlan(PlanVerdict.LOAD, tuple(layers), tuple(loads),
+                             sum(item.saving for item in loads),
+                             stall + sum(item.cost for item in loads))
     saving = ranks * planner.interval_s * (before - after) / before
-    is_needed = (before > planner.balance.skew or before - after > SPLIT_GAIN)
-    if planner.use_split and is_needed and saving > stall:
-        return Plan(Verdict.SPLIT, tuple(layers), (), saving, stall)
-    return Plan(Verdict.KEEP, state.current)
+    is_needed = (before > planner.balance.skew or
+                 before - after > MIN_SPLIT_GAIN)
+    if planner.use_split_changes and is_needed and saving > stall:
+        return RebalancePlan(PlanVerdict.SPLIT, tuple(layers), (), saving,
+                             stall)
+    return RebalancePlan(PlanVerdict.KEEP, state.current_map)
 
 
-def _choose_loads(planner: Planner, state: GroupState,
+def _choose_loads(planner: PlannerConfig, state: GroupState,
                   estimate: popularity.Popularity,
                   shares: Sequence[Sequence[float]],
-                  splits: Sequence[placement.Split],
+                  splits: Sequence[placement.TrafficSplit],
                   now_s: float) -> list[LayerLoads]:
     """The loads that pay, best first, within target and budget."""
     total = sum(split.skew for split in splits)
@@ -242,32 +245,32 @@
                               life_s)
         if option is not None:
             options.append(option)
-    options.sort(key=lambda item: (-item.saving / item.price, item.layer))
+    options.sort(key=lambda item: (-item.saving / item.cost, item.layer))
     allowance = _allowance(planner, state)
     chosen = []
     for option in options:
         if total <= wanted:
             break
-        if option.price <= allowance:
-            allowance -= option.price
+        if option.cost <= allowance:
+            allowance -= option.cost
             total -= splits[option.layer].skew - option.skew
             chosen.append(option)
     stall = planner.group.ranks * planner.costs.stall_s
-    net = sum(item.saving - item.price for item in chosen)
+    net = sum(item.saving - item.cost for item in chosen)
     return chosen if net > stall else []
 
 
-def _chain(planner: Planner, state: GroupState, layer: int,
-           shares: Sequence[float], split: placement.Split,
-           now_s: float) -> list[moves.Step]:
+def _chain(planner: PlannerConfig, state: GroupState, layer: int,
+           shares: Sequence[float], split: placement.TrafficSplit,
+           now_s: float) -> list[moves.LayoutMove]:
     """Steps after each other, each the best for the present popularity."""
-    fixed = moves.Fixed()
-    if planner.use_fixing:
+    fixed = moves.MoveConstraints()
+    if planner.use_load_cooldown:
         fixed = _fixed(state, layer, now_s)
-    layout = state.current[layer].layout
-    chain: list[moves.Step] = []
+    layout = state.current_map[layer].layout
+    chain: list[moves.LayoutMove] = []
     while len(chain) < _CHAIN_LENGTH and split.skew > planner.balance.skew:
-        step = moves.best_step(planner.group, layout, shares, split, fixed)
+        step = moves.best_move(planner.group, layout, shares, split, fixed)
         if step is None:
             break
         chain.append(step)
@@ -275,29 +278,34 @@
     return chain
 
 
-def _fixed(state: GroupState, layer: int, now_s: float) -> moves.Fixed:
+def _fixed(state: GroupState, layer: int,
+           now_s: float) -> moves.MoveConstraints:
     """What was loaded in a layer not long ago."""
     replicas = frozenset(
         (rank, expert)
         for (of_layer, rank, expert), at_s in state.loaded_at_s.items()
-        if of_layer == layer and now_s - at_s < FIXED_S)
-    return moves.Fixed(frozenset(expert for _, expert in replicas), replicas)
+        if of_layer == layer and now_s - at_s < LOAD_COOLDOWN_S)
+    return moves.MoveConstraints(frozenset(expert for _, expert in replicas),
+                                 replicas)
 
 
-def _best_prefix(planner: Planner, state: GroupState, layer: int,
-                 chain: Sequence[moves.Step], skew_now: float,
+def _best_prefix(planner: PlannerConfig, state: GroupState, layer: int,
+                 chain: Sequence[moves.LayoutMove], skew_now: float,
                  total_skew: float, life_s: float) -> LayerLoads | None:
     """The part of a chain that saves the most beyond its price."""
-    past = state.past if planner.use_history else ()
-    layout = state.current[layer].layout
-    before = [placement.split(layout, item.shares[layer]).skew for item in past]
+    past = state.popularity_history if planner.use_history else ()
+    layout = state.current_map[layer].layout
+    before = [
+        placement.split_traffic(layout, item.shares[layer]).skew
+        for item in past
+    ]
     per_skew = planner.group.ranks / total_skew
-    loads: tuple[moves.Load, ...] = ()
+    loads: tuple[moves.ExpertLoad, ...] = ()
     best: LayerLoads | None = None
     for step in chain:
         loads = (*loads, *step.loads)
         gains = [
-            old - placement.split(step.layout, item.shares[layer]).skew
+            old - placement.split_traffic(step.layout, item.shares[layer]).skew
             for old, item in zip(before, past)
         ]
         gain = _lasting_gain(skew_now - step.split.skew, past, gains, life_s)
@@ -306,13 +314,14 @@
                                        life_s - planner.costs.queue_s - load_s)
         price = load_s * planner.costs.slowdown * planner.group.ranks
         net = saving - price
-        if net > 0 and (best is None or net > best.saving - best.price):
+        if net > 0 and (best is None or net > best.saving - best.cost):
             best = LayerLoads(layer, loads, step.layout, step.split.skew,
                               saving, price)
     return best
 
 
-def _lasting_gain(now: float, past: Sequence[snapshots.Snapshot],
+def _lasting_gain(now: float,
+                  past: Sequence[popularity_history.PopularitySnapshot],
                   gains: Sequence[float], life_s: float) -> float:
     """The lower of the gain now and its mean with the gain in the past.
 
@@ -343,7 +352,7 @@
     return min(_MAX_LIFE_S, max(_MIN_LIFE_S, life_s))
 
 
-def _allowance(planner: Planner, state: GroupState) -> float:
+def _allowance(planner: PlannerConfig, state: GroupState) -> float:
     """Capacity-seconds that the budget still allows."""
     budget = (planner.balance.budget_share * planner.group.ranks *
               BUDGET_WINDOW_S)
@@ -356,20 +365,21 @@
         item for item in spendings if now_s - item.at_s < BUDGET_WINDOW_S)
 
 
-def _carry_out(state: GroupState, result: Plan, now_s: float) -> GroupState:
+def _carry_out(state: GroupState, result: RebalancePlan,
+               now_s: float) -> GroupState:
     """The state once the plan is in force."""
-    if not result.price:
+    if not result.cost:
         return state
     loaded = {
         key: at_s
         for key, at_s in state.loaded_at_s.items()
-        if now_s - at_s < FIXED_S
+        if now_s - at_s < LOAD_COOLDOWN_S
     }
-    for item in result.loads:
+    for item in result.layer_loads:
         for load in item.loads:
             loaded[item.layer, load.rank, load.expert] = now_s
     return dataclasses.replace(state,
-                               current=result.target,
+                               current_map=result.target_map,
                                spendings=(*state.spendings,
-                                          Spending(now_s, result.price)),
+                                          Spending(now_s, result.cost)),
                                loaded_at_s=loaded)
--- a/pollenthread/core/replication.py
+++ b/pollenthread/core/replication.py
@@ -12,11 +12,11 @@
 from collections.abc import Sequence
 
 __all__ = [
-    'Layout', 'Shape', 'Step', 'greatest_load', 'mean_greatest_load',
-    'plan_step', 'rank_loads'
+    'SetLayout', 'ReplicationLimits', 'ReplicationStep', 'max_rank_load',
+    'mean_max_rank_load', 'plan_replication_step', 'rank_loads'
 ]
 
-Layout = tuple[frozenset[int], ...]
+SetLayout = tuple[frozenset[int], ...]
 """The experts of one set that each rank holds, by rank."""
 
 _CANDIDATE_EXPERTS = 3
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Shape:
+class ReplicationLimits:
     """What a group allows.
 
     Attributes:
@@ -37,14 +37,14 @@
             units of the mean load, to be worth its bytes.
     """
 
-    places: int
-    max_new: int
+    max_experts_per_rank: int
+    max_new_per_set: int
     max_copies: int
     min_gain: float = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Step:
+class ReplicationStep:
     """The next map, and what it is expected to bring.
 
     Attributes:
@@ -55,16 +55,16 @@
         after: the same with the new map.
     """
 
-    layouts: tuple[Layout, ...]
+    layouts: tuple[SetLayout, ...]
     copies: int
-    copies_of_busiest: int
+    max_copies_per_rank: int
     before: float
     after: float
 
 
 def rank_loads(
-    layout: Layout, shares: Sequence[float],
-    paces: Sequence[float] = ()) -> list[float]:
+    layout: SetLayout, shares: Sequence[float],
+    slowdowns: Sequence[float] = ()) -> list[float]:
     """The load of each rank in units of the mean load.
 
     Args:
@@ -73,26 +73,27 @@
         paces: how much longer than others each rank takes for the same work;
             empty if all are equal.
     """
-    return _loads(layout, shares, _holders(layout, len(shares)), paces or
+    return _loads(layout, shares, _holders(layout, len(shares)), slowdowns or
                   (1.0,) * len(layout))
 
 
-def greatest_load(
-    layout: Layout, shares: Sequence[float],
-    paces: Sequence[float] = ()) -> float:
+def max_rank_load(
+    layout: SetLayout, shares: Sequence[float],
+    slowdowns: Sequence[float] = ()) -> float:
     """The load of the most loaded rank in units of the mean load."""
-    return max(rank_loads(layout, shares, paces))
+    return max(rank_loads(layout, shares, slowdowns))
 
 
-def mean_greatest_load(
-    layouts: Sequence[Layout],
+def mean_max_rank_load(
+    layouts: Sequence[SetLayout],
     shares: Sequence[Sequence[float]],
-    paces: Sequence[float] = ()) -> float:
+    slowdowns: Sequence[float] = ()) -> float:
     """The mean over sets of the greatest load."""
-    return _mean([greatest_load(l, s, paces) for l, s in zip(layouts, shares)])
+    return _mean(
+        [max_rank_load(l, s, slowdowns) for l, s in zip(layouts, shares)])
 
 
-def _loads(layout: Layout, shares: Sequence[float], holders: Sequence[int],
+def _loads(layout: SetLayout, shares: Sequence[float], holders: Sequence[int],
            paces: Sequence[float]) -> list[float]:
     scale = len(layout) / (sum(shares) or 1.0)
     return [
@@ -102,7 +103,7 @@
     ]
 
 
-def _holders(layout: Layout, experts: int) -> list[int]:
+def _holders(layout: SetLayout, experts: int) -> list[int]:
     holders = [0] * experts
     for held in layout:
         for expert in held:
@@ -110,10 +111,11 @@
     return holders
 
 
-def plan_step(layouts: Sequence[Layout],
-              shares: Sequence[Sequence[float]],
-              shape: Shape,
-              paces: Sequence[float] = ()) -> Step:
+def plan_replication_step(
+    layouts: Sequence[SetLayout],
+    shares: Sequence[Sequence[float]],
+    limits: ReplicationLimits,
+    slowdowns: Sequence[float] = ()) -> ReplicationStep:
     """Plans the next step.
 
     Args:
@@ -126,10 +128,10 @@
     Returns:
         The step; its `copies` is 0 when nothing is worth copying.
     """
-    paces = paces or (1.0,) * len(layouts[0])
-    copies_left = [shape.max_copies] * len(layouts[0])
+    slowdowns = slowdowns or (1.0,) * len(layouts[0])
+    copies_left = [limits.max_copies] * len(layouts[0])
     sets = [
-        _Set(layout, share, shape, paces, copies_left)
+        _Set(layout, share, limits, slowdowns, copies_left)
         for layout, share in zip(layouts, shares)
     ]
     heap = [(-best.gain, index, best)
@@ -143,12 +145,13 @@
         better = sets[index].best_replica()
         if better is not None:
             heapq.heappush(heap, (-better.gain, index, better))
-    copies = [shape.max_copies - left for left in copies_left]
-    return Step(layouts=tuple(found.layout() for found in sets),
-                copies=sum(copies),
-                copies_of_busiest=max(copies),
-                before=mean_greatest_load(layouts, shares, paces),
-                after=_mean([max(found.loads) for found in sets]))
+    copies = [limits.max_copies - left for left in copies_left]
+    return ReplicationStep(layouts=tuple(found.layout() for found in sets),
+                           copies=sum(copies),
+                           max_copies_per_rank=max(copies),
+                           before=mean_max_rank_load(layouts, shares,
+                                                     slowdowns),
+                           after=_mean([max(found.loads) for found in sets]))
 
 
 def _mean(values: Sequence[float]) -> float:
@@ -168,8 +171,9 @@
 class _Set:
     """One set of layers while replicas are added."""
 
-    def __init__(self, layout: Layout, shares: Sequence[float], shape: Shape,
-                 paces: Sequence[float], copies_left: list[int]) -> None:
+    def __init__(self, layout: SetLayout, shares: Sequence[float],
+                 shape: ReplicationLimits, paces: Sequence[float],
+                 copies_left: list[int]) -> None:
         total = sum(shares) or 1.0
         self._share = [share * len(layout) / total for share in shares]
         self._shape = shape
@@ -181,7 +185,7 @@
         self._added: set[tuple[int, int]] = set()
         self.loads = _loads(layout, shares, self._holders, paces)
 
-    def layout(self) -> Layout:
+    def layout(self) -> SetLayout:
         """The layout with all replicas that were added."""
         return tuple(frozenset(experts) for experts in self._held)
 
@@ -202,8 +206,8 @@
     def _free_ranks(self) -> list[int]:
         """Ranks that may copy, the least loaded first."""
         ranks = [
-            r for r in range(len(self._held))
-            if self._copies_left[r] > 0 and self._new[r] < self._shape.max_new
+            r for r in range(len(self._held)) if self._copies_left[r] > 0 and
+            self._new[r] < self._shape.max_new_per_set
         ]
         return sorted(ranks, key=lambda r: self.loads[r])
 
@@ -221,7 +225,7 @@
     def _weigh(self, rank: int, expert: int, now: float) -> _Replica | None:
         victim: int | None = None
         loads = list(self.loads)
-        if len(self._held[rank]) >= self._shape.places:
+        if len(self._held[rank]) >= self._shape.max_experts_per_rank:
             victim = self._victim(rank)
             if victim is None:
                 return None
--- a/pollenthread/core/signing.py
+++ b/pollenthread/core/signing.py
@@ -6,13 +6,13 @@
 
 from pollenthread.core import messages, orders
 
-__all__ = ['Key', 'KeyRing']
+__all__ = ['SigningKey', 'KeyRing']
 
 _DIGEST = hashlib.sha256
 
 
 @dataclasses.dataclass(frozen=True)
-class Key:
+class SigningKey:
     """One shared key.
 
     Attributes:
@@ -32,7 +32,7 @@
     one everywhere, then moved to the front, then the old one is taken away.
     """
 
-    keys: tuple[Key, ...] = ()
+    keys: tuple[SigningKey, ...] = ()
 
     def sign(self, order: orders.Order) -> messages.OrderSend:
         """Signs an order; without keys the signature is empty."""
@@ -43,7 +43,7 @@
 
     def verify(self, message: messages.OrderSend) -> orders.Order | None:
         """The order, or None when no valid key has signed it."""
-        order = order_of(message)
+        order = order_from_message(message)
         for key in self.keys:
             if key.id == message.key_id and hmac.compare_digest(
                     _signature(order, key), message.signature):
@@ -51,7 +51,7 @@
         return None
 
 
-def order_of(message: messages.OrderSend) -> orders.Order:
+def order_from_message(message: messages.OrderSend) -> orders.Order:
     """The order that a message carries, whoever signed it."""
     names = (field.name for field in dataclasses.fields(orders.Order))
     return orders.Order(**{name: getattr(message, name) for name in names})
@@ -66,7 +66,7 @@
     return messages.OrderSend(**fields, key_id=key_id, signature=signature)
 
 
-def _signature(order: orders.Order, key: Key) -> bytes:
+def _signature(order: orders.Order, key: SigningKey) -> bytes:
     parts = [key.id]
     parts.extend(
         str(getattr(order, field.name)) for field in dataclasses.fields(order))
--- a/pollenthread/core/spreading.py
+++ b/pollenthread/core/spreading.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-__all__ = ['ArrivalRate', 'RandomSource', 'pick', 'pour']
+__all__ = ['ArrivalRate', 'RandomSource', 'pick_weighted', 'water_fill']
 
 _MEMORY_S = 3.0
 
@@ -32,7 +32,7 @@
         self._count = 0.0
         self._at = 0.0
 
-    def note(self, now: float) -> None:
+    def record_request(self, now: float) -> None:
         """One more request came."""
         self._count = self._decayed(now) + 1.0
         self._at = now
@@ -46,7 +46,7 @@
         return self._count * max(0.0, 1.0 - elapsed / _MEMORY_S)
 
 
-def pour(loads: Sequence[float], amount: float) -> list[float]:
+def water_fill(loads: Sequence[float], amount: float) -> list[float]:
     """What each server gets when an amount is poured over all of them.
 
     Args:
@@ -68,7 +68,7 @@
     return [max(0.0, level - load) for load in loads]
 
 
-def pick(parts: Sequence[float], rng: RandomSource) -> int:
+def pick_weighted(parts: Sequence[float], rng: RandomSource) -> int:
     """An index, with the chance of its part."""
     point = rng.random() * sum(parts)
     for index, part in enumerate(parts):
--- a/pollenthread/core/step_limits.py
+++ b/pollenthread/core/step_limits.py
@@ -32,14 +32,14 @@
         copy_s: how long a rank copies one expert, in seconds.
     """
 
-    shape: replication.Shape
+    replication_limits: replication.ReplicationLimits
     copy_s: float
 
-    def is_worth(self, step: replication.Step) -> bool:
+    def is_worthwhile(self, step: replication.ReplicationStep) -> bool:
         """Whether a step brings enough for what it costs."""
         if not step.copies:
             return False
-        copying_s = step.copies_of_busiest * self.copy_s
+        copying_s = step.max_copies_per_rank * self.copy_s
         min_saving = _SAVING_A_SWITCH + _SAVING_A_COPY_S * copying_s
         return step.before - step.after >= min_saving
 
@@ -57,8 +57,9 @@
     max_copies = figures.sets * figures.spare
     if copy_s:
         max_copies = min(max_copies, math.ceil(_COPY_S / copy_s))
-    shape = replication.Shape(places=figures.places,
-                              max_new=figures.spare,
-                              max_copies=max(1, max_copies),
-                              min_gain=_GAIN_A_COPY_S * copy_s / ranks)
-    return StepLimits(shape=shape, copy_s=copy_s)
+    shape = replication.ReplicationLimits(max_experts_per_rank=figures.places,
+                                          max_new_per_set=figures.spare,
+                                          max_copies=max(1, max_copies),
+                                          min_gain=_GAIN_A_COPY_S * copy_s /
+                                          ranks)
+    return StepLimits(replication_limits=shape, copy_s=copy_s)
--- a/pollenthread/core/stragglers.py
+++ b/pollenthread/core/stragglers.py
@@ -8,10 +8,10 @@
 import statistics
 from collections.abc import Sequence
 
-__all__ = ['RankTimes', 'SlowRank', 'find_slow']
+__all__ = ['RankTimes', 'SlowRank', 'find_slow_ranks']
 
 SLOW_RATIO = 1.15
-LEAST_SAMPLES = 5
+MIN_WINDOWS = 5
 _LEAST_TOKENS = 1
 
 
@@ -41,9 +41,9 @@
     ratio: float
 
 
-def find_slow(windows: Sequence[RankTimes]) -> list[SlowRank]:
+def find_slow_ranks(windows: Sequence[RankTimes]) -> list[SlowRank]:
     """The ranks that were slow in most windows, the slowest first."""
-    if len(windows) < LEAST_SAMPLES:
+    if len(windows) < MIN_WINDOWS:
         return []
     ratios = [_ratios(window) for window in windows]
     found = []
--- a/pollenthread/core/switch.py
+++ b/pollenthread/core/switch.py
@@ -16,9 +16,10 @@
 import enum
 
 __all__ = [
-    'Arm', 'Armed', 'Ask', 'Change', 'Decide', 'Join', 'Map', 'NEVER', 'Name',
-    'Noted', 'Order', 'Prepare', 'Prepared', 'Query', 'Rank', 'Reply', 'Report',
-    'Stage', 'SwitchId', 'commit', 'latest_id', 'map_version'
+    'Arm', 'Armed', 'Ask', 'Change', 'Decide', 'Join', 'Map', 'NO_SWITCH',
+    'Name', 'Noted', 'CoordinatorMessage', 'Prepare', 'Prepared', 'Query',
+    'Rank', 'RankMessage', 'Report', 'Stage', 'SwitchId', 'map_after_commit',
+    'latest_switch_id', 'map_version'
 ]
 
 
@@ -35,7 +36,7 @@
     number: int
 
 
-NEVER = SwitchId(0, 0)
+NO_SWITCH = SwitchId(0, 0)
 
 
 class Stage(enum.StrEnum):
@@ -73,25 +74,27 @@
 
     base: int
     latest: Change | None = None
-    closed: SwitchId = NEVER
+    closed: SwitchId = NO_SWITCH
 
 
-def map_version(held: Map, step: int) -> int:
+def map_version(map_state: Map, step: int) -> int:
     """The version of the map that a step uses."""
-    if held.latest is not None and step >= held.latest.step:
-        return held.latest.target
-    return held.base
+    if map_state.latest is not None and step >= map_state.latest.step:
+        return map_state.latest.target
+    return map_state.base
 
 
-def commit(held: Map, change: Change) -> Map:
+def map_after_commit(map_state: Map, change: Change) -> Map:
     """The maps of a group after a switch was committed."""
-    base = held.base if held.latest is None else held.latest.target
-    return Map(base=base, latest=change, closed=max(held.closed, change.id))
+    base = map_state.base if map_state.latest is None else map_state.latest.target
+    return Map(base=base,
+               latest=change,
+               closed=max(map_state.closed, change.id))
 
 
-def latest_id(held: Map) -> SwitchId:
+def latest_switch_id(map_state: Map) -> SwitchId:
     """The switch committed last, or `NEVER`."""
-    return NEVER if held.latest is None else held.latest.id
+    return NO_SWITCH if map_state.latest is None else map_state.latest.id
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,5 +228,5 @@
     id: SwitchId
 
 
-Order = Query | Prepare | Arm | Decide | Name
-Reply = Report | Prepared | Armed | Noted | Join
+CoordinatorMessage = Query | Prepare | Arm | Decide | Name
+RankMessage = Report | Prepared | Armed | Noted | Join
--- a/pollenthread/core/switch_rank.py
+++ b/pollenthread/core/switch_rank.py
@@ -5,8 +5,10 @@
 from pollenthread.core import switch
 
 __all__ = [
-    'RankResult', 'advance', 'answer_ask', 'ask', 'join', 'may_enter', 'on_arm',
-    'on_decide', 'on_loaded', 'on_name', 'on_prepare', 'on_query', 'restart'
+    'RankResult', 'enter_next_step', 'answer_decision_request',
+    'decision_request', 'join_request', 'may_enter_next_step', 'on_arm',
+    'on_decide', 'on_loaded', 'on_name', 'on_prepare', 'on_query',
+    'restarted_rank'
 ]
 
 
@@ -15,10 +17,10 @@
     """A rank after a message, and its answer if it has one."""
 
     rank: switch.Rank
-    reply: switch.Reply | None = None
+    reply: switch.RankMessage | None = None
 
 
-def restart(rank: switch.Rank, *, fence: int, step: int) -> switch.Rank:
+def restarted_rank(rank: switch.Rank, *, fence: int, step: int) -> switch.Rank:
     """The rank after it has lost its memory.
 
     Args:
@@ -33,7 +35,7 @@
                        step=step)
 
 
-def may_enter(rank: switch.Rank) -> bool:
+def may_enter_next_step(rank: switch.Rank) -> bool:
     """Whether the rank may enter its next step."""
     if rank.held is None:
         return False
@@ -42,7 +44,7 @@
     return rank.step + 1 < rank.pending.step
 
 
-def advance(rank: switch.Rank) -> switch.Rank:
+def enter_next_step(rank: switch.Rank) -> switch.Rank:
     """Enters the next step; only if `may_enter`."""
     return dataclasses.replace(rank, step=rank.step + 1)
 
@@ -137,12 +139,12 @@
         return RankResult(rank)
     return RankResult(
         dataclasses.replace(rank,
-                            held=switch.commit(held, pending),
+                            held=switch.map_after_commit(held, pending),
                             pending=None,
                             decided_fence=order.fence), noted)
 
 
-def join(rank: switch.Rank) -> switch.Join | None:
+def join_request(rank: switch.Rank) -> switch.Join | None:
     """What a rank without a map asks the decider."""
     if rank.held is not None:
         return None
@@ -162,14 +164,15 @@
                             decided_fence=order.fence))
 
 
-def ask(rank: switch.Rank) -> switch.Ask | None:
+def decision_request(rank: switch.Rank) -> switch.Ask | None:
     """What a rank that waits at its armed step asks the others."""
-    if rank.pending is None or may_enter(rank):
+    if rank.pending is None or may_enter_next_step(rank):
         return None
     return switch.Ask(rank.pending.id)
 
 
-def answer_ask(rank: switch.Rank, question: switch.Ask) -> switch.Decide | None:
+def answer_decision_request(rank: switch.Rank,
+                            question: switch.Ask) -> switch.Decide | None:
     """Tells a decision with the fencing number that brought it.
 
     A greater number would be a lie: the later decider may not have heard of
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -80,7 +80,7 @@
             time=time,
             host=self._config.host,
             incarnation=self._hello.incarnation,
-            duties=(*orders.all_duties(), claim_sweeper.SWEEP_DUTY))
+            duties=(*orders.order_duties(), claim_sweeper.SWEEP_DUTY))
         self._journal = order_journal.OrderJournal(table_service=table)
         self._desk = order_desk.OrderDesk(keeper=self._leases,
                                           journal=self._journal,
--- a/tests/agreed/steps/decisions.py
+++ b/tests/agreed/steps/decisions.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from pollenthread.app import config_store
-from pollenthread.core import document_diff, leases, orders, versions
+from pollenthread.core import document_diff, leases, orders, config_freshness
 from pollenthread.ports import table
 from tests import scenario
 from tests.fakes import memory, operator, system as system_module
@@ -24,14 +24,14 @@
     lease = leases.Lease('duty', 'a', 1, _DURATION_S)
     for _ in range(_ROUNDS):
         rates = [
-            1 + draw.uniform(-leases.MAX_DRIFT, leases.MAX_DRIFT)
+            1 + draw.uniform(-leases.MAX_CLOCK_DRIFT, leases.MAX_CLOCK_DRIFT)
             for _ in range(2)
         ]
         sent_at = draw.uniform(0, 100)
         seen_at = sent_at + draw.uniform(0, 2)
         until = leases.safe_until(sent_at * rates[0], _DURATION_S) / rates[0]
-        known = leases.observe(None, lease, seen_at * rates[1])
-        taken = leases.acquire(known,
+        known = leases.update_observation(None, lease, seen_at * rates[1])
+        taken = leases.lease_to_acquire(known,
                                duty='duty',
                                holder='b',
                                duration_s=_DURATION_S,
@@ -46,7 +46,7 @@
     context.stores = [
         config_store.ConfigStore(table_service=context.memory,
                                  time=context.clock,
-                                 reachable=lambda: versions.Reachable(3, 3))
+                                 reachable=lambda: config_freshness.RegionReachability(3, 3))
         for _ in range(3)
     ]
     scenario.run(
@@ -91,8 +91,8 @@
 @then('each store went on unproved and none went back')
 def step_went_on(context: Any) -> None:
     allowed = {
-        (1, versions.Permission.SERVE),
-        (1, versions.Permission.SERVE_UNPROVED),
+        (1, config_freshness.ServingPermission.SERVE),
+        (1, config_freshness.ServingPermission.SERVE_UNPROVED),
     }
     assert set(context.seen) == allowed, set(context.seen)
 
@@ -108,24 +108,24 @@
     _refresh(context)
     for store in context.stores:
         assert store.version == 2
-        assert store.permission is versions.Permission.SERVE
+        assert store.permission is config_freshness.ServingPermission.SERVE
 
 
 @then('a late copy of a settled order is refused')
 def step_late_copy(_: Any) -> None:
     first = orders.Order('load-1', 'duty', 1, 'agent', 'load', '{}', 1, 'x')
-    fence = orders.raise_fence(orders.Fence('x'), 'duty', 1)
-    fence, verdict = orders.decide(fence, first)
-    assert verdict is orders.Verdict.BEGIN
-    fence = orders.finish(fence, 'load-1', orders.Result(True, ''))
-    fence, verdict = orders.decide(fence, first)
-    assert verdict is orders.Verdict.REPEAT
+    fence = orders.record_fencing(orders.AgentOrderState('x'), 'duty', 1)
+    fence, verdict = orders.handle_order(fence, first)
+    assert verdict is orders.AgentAction.BEGIN
+    fence = orders.record_result(fence, 'load-1', orders.Result(True, ''))
+    fence, verdict = orders.handle_order(fence, first)
+    assert verdict is orders.AgentAction.REPEAT
     second = dataclasses.replace(first, id='load-2', number=2, settled_below=2)
-    fence, verdict = orders.decide(fence, second)
-    assert verdict is orders.Verdict.BEGIN
+    fence, verdict = orders.handle_order(fence, second)
+    assert verdict is orders.AgentAction.BEGIN
     assert set(fence.result_by_id) == {'load-2'}
-    fence, verdict = orders.decide(fence, first)
-    assert verdict is orders.Verdict.REFUSE_SETTLED
+    fence, verdict = orders.handle_order(fence, first)
+    assert verdict is orders.AgentAction.REFUSE_SETTLED
 
 
 @then('the difference of two documents names the changed keys only')
--- a/tests/agreed/steps/leases_and_orders.py
+++ b/tests/agreed/steps/leases_and_orders.py
@@ -12,7 +12,7 @@
 from tests import scenario
 
 _AGENT = 'agent-engine-1'
-_DUTY = orders.duty_of(_AGENT)
+_DUTY = orders.order_duty_for_host(_AGENT)
 _TIMEOUT_S = 40.0
 
 
@@ -45,8 +45,8 @@
         held = 0
         for process in context.system.named('entry-'):
             duties = (await context.operator.status(process.name))['duties']
-            held += len(set(duties).intersection(orders.all_duties()))
-        return held == len(orders.all_duties())
+            held += len(set(duties).intersection(orders.order_duties()))
+        return held == len(orders.order_duties())
 
     _eventually(context, check)
 
@@ -208,7 +208,7 @@
         pass
 
 
-def _give_signed(context: Any, key: signing.Key) -> None:
+def _give_signed(context: Any, key: signing.SigningKey) -> None:
     hello = messages.Hello('entry-9', 'entry', 'x', 'dc-1', 'region-1')
     giver = _OrderGiver(keys=signing.KeyRing((key,)))
 
@@ -228,12 +228,12 @@
 
 @when('an order signed with a key that is not valid is sent to the agent')
 def step_bad_key(context: Any) -> None:
-    _give_signed(context, signing.Key('key-1', b'a guess of the secret'))
+    _give_signed(context, signing.SigningKey('key-1', b'a guess of the secret'))
 
 
 @when('an order signed with the second key is sent to the agent')
 def step_second_key(context: Any) -> None:
-    _give_signed(context, signing.Key('key-2', b'order-secret-number-2'))
+    _give_signed(context, signing.SigningKey('key-2', b'order-secret-number-2'))
 
 
 @then('the agent answers "{answer}"')
--- a/tests/agreed/steps/membership.py
+++ b/tests/agreed/steps/membership.py
@@ -163,10 +163,10 @@
 @given('{count:d} entry hosts of which {silent:d} are silent')
 def step_judge(context: Any, count: int, silent: int) -> None:
     evidence = {
-        f'entry-{i}': membership.Evidence(silent_s=10.0 if i < silent else 0.0)
+        f'entry-{i}': membership.HostEvidence(silent_s=10.0 if i < silent else 0.0)
         for i in range(count)
     }
-    context.view = membership.judge(evidence)
+    context.view = membership.assess_fleet(evidence)
 
 
 @then('the judgement is {mood} and {usable:d} hosts are usable')
@@ -191,7 +191,7 @@
 def step_connected(context: Any, most: int) -> None:
     links_by_host: dict[str, set[str]] = {m.host: set() for m in context.members}
     for member in context.members:
-        for peer in membership.linked_peers(member, context.members):
+        for peer in membership.select_linked_peers(member, context.members):
             links_by_host[member.host].add(peer)
             links_by_host[peer].add(member.host)
     largest = max(len(links) for links in links_by_host.values())
@@ -208,7 +208,7 @@
 @then('each data centre has {count:d} pollers')
 def step_pollers(context: Any, count: int) -> None:
     for i in range(context.centres):
-        found = membership.pollers(context.members, f'dc-{i}')
+        found = membership.select_pollers(context.members, f'dc-{i}')
         assert len(found) == count, found
 
 
@@ -222,5 +222,5 @@
                           serves=f'model-{i % 3}') for i in range(upstreams)
     ]
     for member in context.members:
-        found = membership.upstream_subset(member, served)
+        found = membership.select_upstreams(member, served)
         assert len(found) <= most, len(found)
