--- a/tests/balance/steps/rebalance.py
+++ b/tests/balance/steps/rebalance.py
@@ -7,15 +7,15 @@
 from behave import given, then, when
 
 from pollenthread.core import (expert_map, model_placement, moves, placement,
-                               popularity, rebalance, store_queue, stragglers,
+                               popularity, rebalance, load_schedule, stragglers,
                                targets)
 
 _INTERVAL_S = 300.0
 _TOKENS = 200_000
 
 
-def _planner(context: Any) -> rebalance.Planner:
-    return rebalance.Planner(context.group, context.balance, context.costs,
+def _planner(context: Any) -> rebalance.PlannerConfig:
+    return rebalance.PlannerConfig(context.group, context.balance, context.costs,
                              _INTERVAL_S)
 
 
@@ -31,17 +31,17 @@
            ] * context.layers
 
 
-def _run_plans(context: Any, count: int) -> list[rebalance.Plan]:
-    state = rebalance.GroupState(current=context.first_map)
-    estimate = popularity.new(layers=context.layers,
+def _run_plans(context: Any, count: int) -> list[rebalance.RebalancePlan]:
+    state = rebalance.GroupState(current_map=context.first_map)
+    estimate = popularity.empty_popularity(layers=context.layers,
                               experts=context.group.experts,
                               at_s=0.0)
     plans = []
     for i in range(1, count + 1):
         now_s = i * _INTERVAL_S
-        estimate = popularity.observe(
-            estimate, popularity.Counts(i, now_s, _tokens(context)))
-        state, plan = rebalance.plan(_planner(context),
+        estimate = popularity.add_counts(
+            estimate, popularity.TokenCounts(i, now_s, _tokens(context)))
+        state, plan = rebalance.plan_rebalance(_planner(context),
                                      state,
                                      estimate,
                                      now_s=now_s)
@@ -50,14 +50,14 @@
 
 
 def _plan_once(context: Any, **circumstances: Any) -> None:
-    state = rebalance.GroupState(current=context.first_map)
-    estimate = popularity.new(layers=context.layers,
+    state = rebalance.GroupState(current_map=context.first_map)
+    estimate = popularity.empty_popularity(layers=context.layers,
                               experts=context.group.experts,
                               at_s=0.0)
     if circumstances:
-        estimate = popularity.observe(
-            estimate, popularity.Counts(1, 1.0, _tokens(context)))
-    _, context.plan = rebalance.plan(_planner(context),
+        estimate = popularity.add_counts(
+            estimate, popularity.TokenCounts(1, 1.0, _tokens(context)))
+    _, context.plan = rebalance.plan_rebalance(_planner(context),
                                      state,
                                      estimate,
                                      now_s=1.0,
@@ -69,18 +69,18 @@
 def step_group(context: Any, ranks: int, hosts: int, experts: int,
                layers: int) -> None:
     names = tuple(f'host-{i * hosts // ranks}' for i in range(ranks))
-    context.group = placement.Group(experts, (experts // ranks + 1,) * ranks,
+    context.group = placement.GroupShape(experts, (experts // ranks + 1,) * ranks,
                                     names)
     context.layers = layers
     context.weights = [1 / (i + 1) for i in range(experts)]
     context.balance = targets.Balance(skew=1.02, budget_share=0.05)
-    context.costs = rebalance.Costs(expert_bytes=44_000_000,
+    context.costs = rebalance.LoadCosts(expert_bytes=44_000_000,
                                     store_bytes_per_s=33e6,
                                     slowdown=0.2,
                                     stall_s=0.05)
     rows = _shares(context)
-    context.first_map = expert_map.map_of(
-        [moves.place(context.group, row) for row in rows], rows)
+    context.first_map = expert_map.build_map(
+        [moves.optimize_layout(context.group, row) for row in rows], rows)
 
 
 @given('expert {expert:d} of each layer becomes {factor:d} times as popular')
@@ -116,7 +116,7 @@
 @then('the plan is "{verdict}" and moves nothing')
 def step_verdict(context: Any, verdict: str) -> None:
     assert context.plan.verdict == verdict, context.plan.verdict
-    assert context.plan.target == context.first_map
+    assert context.plan.target_map == context.first_map
 
 
 @when('{count:d} plans are carried out')
@@ -126,22 +126,22 @@
 
 @then('the skew is below {limit:g}')
 def step_skew(context: Any, limit: float) -> None:
-    skew = expert_map.skew(context.plans[-1].target, _shares(context))
+    skew = expert_map.skew(context.plans[-1].target_map, _shares(context))
     assert skew < limit, skew
 
 
 @then('the skew is lower than with the first map')
 def step_lower(context: Any) -> None:
-    after = expert_map.skew(context.plans[-1].target, _shares(context))
+    after = expert_map.skew(context.plans[-1].target_map, _shares(context))
     before = expert_map.skew(context.first_map, _shares(context))
     assert after < before, (after, before)
 
 
 @then('every load was paid by its saving')
 def step_paid(context: Any) -> None:
-    loads = [item for plan in context.plans for item in plan.loads]
-    assert loads
-    assert all(item.saving > item.price for item in loads)
+    layer_loads = [item for plan in context.plans for item in plan.layer_loads]
+    assert layer_loads
+    assert all(item.saving > item.cost for item in layer_loads)
 
 
 @then('no expert was loaded')
@@ -156,7 +156,7 @@
 
 @then('every expert with up to {most:d} replicas has each on a host of its own')
 def step_hosts(context: Any, most: int) -> None:
-    for layer in context.plans[-1].target:
+    for layer in context.plans[-1].target_map:
         hosts = collections.defaultdict[int, list[str]](list)
         for host, experts in zip(context.group.host_by_rank, layer.layout):
             for expert in experts:
@@ -168,11 +168,11 @@
 
 @when('report 3 comes before report 2, and report 2 twice')
 def step_late(context: Any) -> None:
-    estimate = popularity.new(layers=1, experts=2, at_s=0.0)
+    estimate = popularity.empty_popularity(layers=1, experts=2, at_s=0.0)
     for seq in (1, 3, 2, 2):
         tokens = ((0, 1000),) if seq == 2 else ((1000, 0),)
-        estimate = popularity.observe(
-            estimate, popularity.Counts(seq, 10.0 * seq, tokens))
+        estimate = popularity.add_counts(
+            estimate, popularity.TokenCounts(seq, 10.0 * seq, tokens))
     context.estimate = estimate
 
 
@@ -185,8 +185,8 @@
 
 @when('report 9 comes next')
 def step_gap(context: Any) -> None:
-    context.estimate = popularity.observe(
-        context.estimate, popularity.Counts(9, 90.0, ((1000, 0),)))
+    context.estimate = popularity.add_counts(
+        context.estimate, popularity.TokenCounts(9, 90.0, ((1000, 0),)))
 
 
 @then('the estimate misses {count:d} reports')
@@ -209,22 +209,22 @@
 @then('only the first is reported as slow')
 def step_only_slow(context: Any) -> None:
     window = stragglers.RankTimes(tuple(context.seconds), tuple(context.tokens))
-    slow = stragglers.find_slow([window] * stragglers.LEAST_SAMPLES)
+    slow = stragglers.find_slow_ranks([window] * stragglers.MIN_WINDOWS)
     assert [item.rank for item in slow] == [0], slow
 
 
 @given('groups that want to load from one store')
 def step_requests(context: Any) -> None:
     context.requests = [
-        store_queue.Request('short', 100, 2.0, 12.0, 1.0),
-        store_queue.Request('best', 100, 5.0, 100.0, 1.0),
-        store_queue.Request('good', 100, 3.0, 100.0, 1.0)
+        load_schedule.LoadRequest('short', 100, 2.0, 12.0, 1.0),
+        load_schedule.LoadRequest('best', 100, 5.0, 100.0, 1.0),
+        load_schedule.LoadRequest('good', 100, 3.0, 100.0, 1.0)
     ]
 
 
 @then('the best goes first and one that would wait too long does not load')
 def step_turns(context: Any) -> None:
-    turns = store_queue.order(context.requests, store_bytes_per_s=10.0)
+    turns = load_schedule.schedule_loads(context.requests, store_bytes_per_s=10.0)
     assert [(turn.group, turn.start_s) for turn in turns] == [('best', 0.0),
                                                               ('good', 10.0)]
 
@@ -241,8 +241,8 @@
 def step_changes(context: Any) -> None:
     for life_s, wanted in ((3600.0, ['b']), (100.0, [])):
         demands = [
-            model_placement.Demand('a', 1.6, life_s),
-            model_placement.Demand('b', 2.0, life_s)
+            model_placement.ModelDemand('a', 1.6, life_s),
+            model_placement.ModelDemand('b', 2.0, life_s)
         ]
         changes = model_placement.plan_models(context.models,
                                               demands,
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -139,7 +139,7 @@
                   for rank in self._ranks)
             for index in range(self.figures.sets)
         ]
-        return replication.mean_greatest_load(layouts, self._demand)
+        return replication.mean_max_rank_load(layouts, self._demand)
 
     def pass_s(self, skew: float) -> float:
         """How long a pass lasts."""
--- a/tests/fakes/operator.py
+++ b/tests/fakes/operator.py
@@ -56,7 +56,7 @@
 
     async def lease(self) -> leases.Lease | None:
         """The lease of the first engine's orders."""
-        key = lease_keeper.lease_key(orders.duty_of(_ENGINE_HOST))
+        key = lease_keeper.lease_key(orders.order_duty_for_host(_ENGINE_HOST))
         found = await self._system.table.get(key)
         if isinstance(found, result.Err) or found.ok_value is None:
             return None
--- a/tests/fakes/rank_group.py
+++ b/tests/fakes/rank_group.py
@@ -166,7 +166,7 @@
             known = rank.known
             if rank.step >= step or known is None or known.held is None:
                 continue
-            if switch_rank.may_enter(known):
+            if switch_rank.may_enter_next_step(known):
                 rank.step = step
                 rank.version = switch.map_version(known.held, step)
         return all(rank.step >= step for rank in self._ranks)
@@ -175,12 +175,12 @@
         """The time of the slowest rank, from the tokens on its experts."""
         if version not in self._step_s_by_version:
             size = len(self._ranks)
-            group = placement.Group(len(self._loads),
+            group = placement.GroupShape(len(self._loads),
                                     (_EXPERTS_PER_RANK + _SPARE_SLOTS,) * size,
                                     tuple(f'host-{i}' for i in range(size)))
-            layout = (placement.initial(group) if version == 1 else moves.place(
+            layout = (placement.initial_layout(group) if version == 1 else moves.optimize_layout(
                 group, self._loads))
-            layer = expert_map.layer_map(layout, self._loads)
+            layer = expert_map.build_layer_map(layout, self._loads)
             slowest = max(expert_map.loads_by_rank(layer, self._loads))
             self._step_s_by_version[version] = _STEP_S * slowest
         return self._step_s_by_version[version]
--- a/tests/pages.py
+++ b/tests/pages.py
@@ -55,7 +55,7 @@
         "request's id.", '', '| event | meaning |', '|---|---|'
     ]
     for event in log_events.LogEvent:
-        lines.append(f'| `{event.word}` | {event.meaning} |')
+        lines.append(f'| `{event.event_name}` | {event.meaning} |')
     return '\n'.join(lines) + '\n'
 
 
--- a/tests/platform/steps/expert_maps.py
+++ b/tests/platform/steps/expert_maps.py
@@ -44,16 +44,16 @@
 
 def _greatest(context: Any) -> float:
     return max(
-        replication.greatest_load(layout, shares)
+        replication.max_rank_load(layout, shares)
         for layout, shares in zip(context.layouts, context.shares))
 
 
 def _plan(context: Any, copies: int, min_gain: float = 0.01) -> None:
-    shape = replication.Shape(places=context.places,
-                              max_new=2,
+    shape = replication.ReplicationLimits(max_experts_per_rank=context.places,
+                              max_new_per_set=2,
                               max_copies=copies,
                               min_gain=min_gain)
-    context.step = replication.plan_step(context.layouts, context.shares, shape)
+    context.step = replication.plan_replication_step(context.layouts, context.shares, shape)
     context.before = context.layouts
     context.layouts = context.step.layouts
 
@@ -98,7 +98,7 @@
             len(after[rank] - before[rank])
             for before, after in zip(context.before, context.layouts))
         assert new <= copies, (rank, new)
-    assert context.step.copies_of_busiest <= copies
+    assert context.step.max_copies_per_rank <= copies
 
 
 @then('the greatest load falls from more than {high:f} to less than {low:f}')
@@ -152,7 +152,7 @@
 @given('demand that was for expert {hot:d} in {windows:d} windows')
 def step_demand(context: Any, hot: int, windows: int) -> None:
     context.experts = 16
-    context.demand = expert_demand.Demand(sets=1, experts=context.experts)
+    context.demand = expert_demand.ExpertDemand(sets=1, experts=context.experts)
     context.counters = [expert_choices.ChoiceCounter() for _ in (0, 1)]
     context.counts = {rank: [0] * context.experts for rank in (0, 1)}
     context.hot = hot
@@ -266,11 +266,11 @@
 
 
 def _drive(context: Any,
-           switch: map_switch.Switch,
+           switch: map_switch.MapSwitch,
            *,
            deaf_rank: int | None = None) -> None:
     for _ in range(_MAX_TICKS):
-        switch, orders = map_switch.advance(switch, context.states)
+        switch, orders = map_switch.advance_switch(switch, context.states)
         for rank, order in orders.items():
             if rank == deaf_rank and order.kind is _KIND.ARM:
                 continue
@@ -280,7 +280,7 @@
 
 @when('a switch to version {version:d} is driven and every order takes effect')
 def step_drive(context: Any, version: int) -> None:
-    _drive(context, map_switch.Switch(version, _EPOCH, _LAYOUTS))
+    _drive(context, map_switch.MapSwitch(version, _EPOCH, _LAYOUTS))
 
 
 @when('it is driven and every order takes effect')
@@ -292,29 +292,29 @@
       'arming')
 def step_drive_deaf(context: Any, version: int, rank: int) -> None:
     _drive(context,
-           map_switch.Switch(version, _EPOCH, _LAYOUTS),
+           map_switch.MapSwitch(version, _EPOCH, _LAYOUTS),
            deaf_rank=rank)
 
 
 @when('a newer decider prepares version {version:d}')
 def step_newer(context: Any, version: int) -> None:
-    switch = map_switch.Switch(version, _EPOCH, _LAYOUTS)
-    _, context.orders = map_switch.advance(switch, context.states)
+    switch = map_switch.MapSwitch(version, _EPOCH, _LAYOUTS)
+    _, context.orders = map_switch.advance_switch(switch, context.states)
 
 
 @when('the next holder recovers with version {version:d}')
 def step_recover(context: Any, version: int) -> None:
     assert map_switch.needs_recovery(context.states)
-    _drive(context, map_switch.recover(context.states, _LAYOUTS, version))
+    _drive(context, map_switch.recovery_switch(context.states, _LAYOUTS, version))
 
 
 @when('a switch to version {version:d} is begun and the group gets a new epoch')
 def step_new_epoch(context: Any, version: int) -> None:
-    switch = map_switch.Switch(version, _EPOCH, _LAYOUTS)
-    switch, _ = map_switch.advance(switch, context.states)
+    switch = map_switch.MapSwitch(version, _EPOCH, _LAYOUTS)
+    switch, _ = map_switch.advance_switch(switch, context.states)
     for rank in context.states:
         _change(context, rank, epoch=_EPOCH + 1)
-    context.switch, context.orders = map_switch.advance(switch, context.states)
+    context.switch, context.orders = map_switch.advance_switch(switch, context.states)
 
 
 @then('all ranks use version {version:d} and no pass is held')
@@ -322,7 +322,7 @@
     states = context.states.values()
     assert all(s.map_version == version for s in states), context.states
     assert not any(s.held_step for s in states)
-    assert context.switch.phase is map_switch.Phase.DONE
+    assert context.switch.phase is map_switch.MapSwitchPhase.DONE
 
 
 @then('pass {step:d} is held and no release was ordered')
@@ -349,19 +349,19 @@
 
 @then('the switch to version {version:d} can be completed by anybody')
 def step_can_complete(context: Any, version: int) -> None:
-    found = map_switch.complete(context.states)
+    found = map_switch.resumable_switch(context.states)
     assert found is not None and found.version == version
     context.switch = found
 
 
 @then('nobody can complete a switch')
 def step_cannot(context: Any) -> None:
-    assert map_switch.complete(context.states) is None
+    assert map_switch.resumable_switch(context.states) is None
 
 
 @then('the switch is abandoned')
 def step_abandoned(context: Any) -> None:
-    assert context.switch.phase is map_switch.Phase.ABANDONED
+    assert context.switch.phase is map_switch.MapSwitchPhase.ABANDONED
     assert not context.orders
 
 
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -109,7 +109,7 @@
     await asyncio.sleep(_PAUSE_BEFORE_S)
     begun_at = time.monotonic()
     layouts = ((tuple((rank,) for rank in range(context.size))),)
-    switch = await driver.drive(map_switch.Switch(_VERSION, _EPOCH, layouts))
+    switch = await driver.drive(map_switch.MapSwitch(_VERSION, _EPOCH, layouts))
     context.phase = switch.phase
     context.took_s = time.monotonic() - begun_at
     await asyncio.sleep(_PAUSE_BEFORE_S)
@@ -128,7 +128,7 @@
 
 @then('all ranks use the new map within {limit:d} ms')
 def step_done(context: Any, limit: int) -> None:
-    assert context.phase is map_switch.Phase.DONE, context.phase
+    assert context.phase is map_switch.MapSwitchPhase.DONE, context.phase
     assert all(state.map_version == _VERSION
                for state in context.group.state_by_rank.values())
     assert context.took_s * _MS_PER_S <= limit, context.took_s
--- a/tests/platform/steps/timing.py
+++ b/tests/platform/steps/timing.py
@@ -35,9 +35,9 @@
 
 @when('the choices seen since then are taken')
 def step_take(context: Any) -> None:
-    seen = context.demand.seen_by_set()
+    seen = context.demand.take_observed_choices()
     assert all(map(any, seen)), seen
-    context.seen = context.demand.seen_by_set()
+    context.seen = context.demand.take_observed_choices()
 
 
 @then('they are none')
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -69,15 +69,15 @@
                                   _FIGURES.link_bytes_per_s)
     limits = step_limits.limits_for(figures, ranks)
     for _ in range(count):
-        step = replication.plan_step(context.layouts, context.shares,
-                                     limits.shape, context.paces)
-        if limits.is_worth(step):
+        step = replication.plan_replication_step(context.layouts, context.shares,
+                                     limits.replication_limits, context.paces)
+        if limits.is_worthwhile(step):
             context.layouts = step.layouts
 
 
 @then('the mean over sets of the greatest load is less than {bound:f}')
 def step_mean_load(context: Any, bound: float) -> None:
-    found = replication.mean_greatest_load(context.layouts, context.shares,
+    found = replication.mean_max_rank_load(context.layouts, context.shares,
                                            context.paces)
     assert found < bound, found
 
