--- a/pollenthread/core/config_freshness.py
+++ b/pollenthread/core/config_freshness.py
@@ -1,17 +1,18 @@
-"""Versions of the configuration: which to adopt, and what their age allows.
+"""Adoption of configuration versions, and serving by the age of their proof.
 
-A version is proved current at the moment before a read of the table was sent
-that found none newer. A peer passes its proof on as an age; the receiver counts
-it from the moment before it asked, so that delays only make a proof look older.
+A read of the table that finds no newer version proves the version current at
+the moment before the read was sent. A peer transmits the age of its proof. The
+receiver subtracts that age from the moment before it asked, so that network
+delay can only make a proof older.
 """
 
 import dataclasses
 import enum
 
 __all__ = [
-    'ConfigFreshness', 'ServingPermission', 'MAX_PROOF_AGE_S',
-    'RegionReachability', 'may_adopt', 'merge_proof', 'must_fetch',
-    'serving_permission', 'peer_proof_time', 'should_poll'
+    'ConfigFreshness', 'MAX_PROOF_AGE_S', 'RegionReachability',
+    'ServingPermission', 'may_adopt', 'merge_proof', 'must_fetch',
+    'peer_proof_time', 'serving_permission', 'should_poll'
 ]
 
 MAX_PROOF_AGE_S = 10.0
@@ -21,28 +22,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigFreshness:
-    """What a process can prove about its configuration.
+    """The configuration version of a process and its latest proof.
 
     Attributes:
-        version: the version in force; 0 before the first.
-        proved_at: monotonic seconds at which it was newest, or None.
+        version: the version in effect; 0 before the first.
+        proved_at: the monotonic time at which the version was proved the
+            newest, in seconds, or None.
     """
 
     version: int = 0
     proved_at: float | None = None
 
     def age_s(self, now: float) -> float | None:
-        """Seconds since the version was proved newest, or None."""
+        """Returns the age of the proof in seconds, or None without a proof."""
         return None if self.proved_at is None else now - self.proved_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegionReachability:
-    """Which entry hosts of its own region a host hears.
+    """The number of entry hosts in its region that a host can reach.
 
     Attributes:
-        heard: hosts heard within the link's limits, itself included.
-        listed: hosts on the host list, itself included.
+        reachable: hosts with recent heartbeats, including itself.
+        listed: hosts on the host list, including itself.
     """
 
     reachable: int
@@ -50,12 +52,12 @@
 
     @property
     def is_majority(self) -> bool:
-        """Whether no other part of the region is as large."""
+        """Whether the reachable hosts are a majority of the region."""
         return self.reachable * 2 > self.listed
 
 
 class ServingPermission(enum.StrEnum):
-    """What a process may do with its configuration."""
+    """Whether a process may serve with its configuration."""
 
     SERVE = 'serve'
     SERVE_UNPROVED = 'serve_unproved'
@@ -63,22 +65,27 @@
 
 
 def may_adopt(current: int, offered: int) -> bool:
-    """Whether a version may come into force: versions only rise."""
+    """Returns whether to adopt an offered version; versions only increase."""
     return offered > current
 
 
 def must_fetch(current: int, announced: int) -> bool:
-    """Whether a peer's version shows a gap that has to be fetched."""
+    """Returns whether a peer announces a version that has to be fetched."""
     return announced > current
 
 
 def merge_proof(known: ConfigFreshness, *, version: int,
                 proved_at: float) -> ConfigFreshness:
-    """Takes in a proof that `version` was newest at `proved_at`.
+    """Merges a proof that `version` was the newest at `proved_at`.
 
-    A proof says that nothing newer than its version was accepted then, which
-    holds for any higher version as well. A proof of a lower version than the
-    one in force comes from an old read and proves nothing.
+    A proof states that no version newer than its own had been accepted by
+    then; the statement also holds for any higher version. A proof of a lower
+    version than the one in effect comes from an outdated read and is ignored.
+
+    Args:
+        known: the freshness so far.
+        version: the version that was proved the newest.
+        proved_at: the monotonic time of the proof, in seconds.
     """
     if version < known.version:
         return known
@@ -88,22 +95,23 @@
 
 
 def peer_proof_time(*, asked_at: float, age_s: float) -> float:
-    """When a peer's version was newest, by the own clock.
+    """Returns the time of a peer's proof on the local monotonic clock.
 
     Args:
-        asked_at: monotonic seconds before the question was sent.
-        age_s: the age of the proof when the peer answered.
+        asked_at: the monotonic time before the request was sent, in seconds.
+        age_s: the age of the proof when the peer answered, in seconds.
     """
     return asked_at - age_s
 
 
 def serving_permission(known: ConfigFreshness, reachable: RegionReachability,
                        now: float) -> ServingPermission:
-    """What a host may do, by the age of its proof.
+    """Returns whether a host may serve, by the age of its proof.
 
-    Beyond the limit a host that hears most of its region goes on: none of them
-    can read the table, so this is an outage of the table or of the region's way
-    to it, and serving must go on. A host that hears fewer is itself cut off.
+    Beyond `MAX_PROOF_AGE_S`, a host that reaches a majority of its region
+    continues to serve: no host of the majority can read the table, so the table
+    or the region's connection to it has failed. A host that reaches fewer hosts
+    is itself isolated and refuses.
     """
     age_s = known.age_s(now)
     if age_s is None:
@@ -116,7 +124,11 @@
 
 
 def should_poll(known: ConfigFreshness, *, is_poller: bool, now: float) -> bool:
-    """Whether to read the table now: pollers always, others when in need."""
+    """Returns whether to read the table now.
+
+    Pollers always do; other hosts do once their proof is older than
+    `FALLBACK_POLL_AGE_S`.
+    """
     if is_poller:
         return True
     age_s = known.age_s(now)
--- a/pollenthread/core/leases.py
+++ b/pollenthread/core/leases.py
@@ -1,18 +1,19 @@
-"""Leases with fencing numbers, one row for each duty.
+"""Leases with fencing numbers, one table row per duty.
 
-The row carries no time of day. An observer counts the duration from the moment
-at which it first saw the row's version, the holder from the moment before it
-sent the write, each on its own monotonic clock. The rates of two clocks may
-differ by `MAX_DRIFT` from true time.
+A duty is a role that at most one process holds at a time. The row contains no
+wall clock time. An observer measures the duration from the moment it first saw
+the row's version, and the holder from the moment before it sent the write,
+each on its own monotonic clock. The rate of each clock may differ from true
+time by the fraction `MAX_CLOCK_DRIFT`.
 """
 
 import dataclasses
 import enum
 
 __all__ = [
-    'HeldLease', 'Lease', 'MAX_CLOCK_DRIFT', 'LeaseObservation', 'WriteOutcome',
-    'lease_to_acquire', 'is_expired', 'may_act', 'update_observation',
-    'lease_to_release', 'lease_to_renew', 'safe_until', 'resolve_write'
+    'HeldLease', 'Lease', 'LeaseObservation', 'MAX_CLOCK_DRIFT', 'WriteOutcome',
+    'is_expired', 'lease_to_acquire', 'lease_to_release', 'lease_to_renew',
+    'may_act', 'resolve_write', 'safe_until', 'update_observation'
 ]
 
 MAX_CLOCK_DRIFT = 0.01
@@ -20,14 +21,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
-    """The row of a duty.
+    """The lease row of a duty.
 
     Attributes:
-        duty: the duty's name.
-        holder: the process that holds it; empty after a release.
-        fencing: rises with each acquisition and never falls.
-        duration_s: seconds that a write keeps the duty.
-        renewals: writes by the holder since it acquired the duty.
+        duty: the name of the duty.
+        holder: the process that holds the lease; empty after a release.
+        fencing: the fencing number; increases with each acquisition.
+        duration_s: the validity of each write, in seconds.
+        renewals: the number of writes by the holder since the acquisition.
     """
 
     duty: str
@@ -39,11 +40,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseObservation:
-    """When an observer first saw a state of the row.
+    """A state of the row and when an observer first saw it.
 
     Attributes:
-        lease: what the row held.
-        first_seen_at: the observer's monotonic seconds after the read.
+        lease: the content of the row.
+        first_seen_at: the observer's monotonic time after the read, in
+            seconds.
     """
 
     lease: Lease
@@ -52,12 +54,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldLease:
-    """A lease as its holder knows it.
+    """A lease from the point of view of its holder.
 
     Attributes:
-        lease: what the holder wrote last.
-        version: the row's version after that write.
-        until: the holder's monotonic seconds at which it must stop.
+        lease: the lease as last written by the holder.
+        row_version: the version of the row after that write.
+        safe_until: the holder's monotonic time at which it must stop acting,
+            in seconds.
     """
 
     lease: Lease
@@ -66,7 +69,7 @@
 
 
 class WriteOutcome(enum.Enum):
-    """What a read proves about a write whose answer was lost."""
+    """The outcome of an unanswered write, as established by a later read."""
 
     WRITTEN = 'written'
     NOT_YET = 'not_yet'
@@ -75,24 +78,24 @@
 
 def update_observation(known: LeaseObservation | None, lease: Lease,
                        now: float) -> LeaseObservation:
-    """Updates what an observer knows by a read.
+    """Returns the observation after a read of the row.
 
     Args:
-        known: what it knew, or None.
-        lease: the row that was read.
-        now: the observer's monotonic seconds after the read.
+        known: the previous observation, or None.
+        lease: the row as read; ignored if older than `known`.
+        now: the observer's monotonic time after the read, in seconds.
     """
-    if known is not None and _order(lease) <= _order(known.lease):
+    if known is not None and _write_order(lease) <= _write_order(known.lease):
         return known
     return LeaseObservation(lease=lease, first_seen_at=now)
 
 
-def _order(lease: Lease) -> tuple[int, int, bool]:
+def _write_order(lease: Lease) -> tuple[int, int, bool]:
     return lease.fencing, lease.renewals, not lease.holder
 
 
 def is_expired(known: LeaseObservation, now: float) -> bool:
-    """Whether the holder must have stopped by itself, or has let go."""
+    """Returns whether the lease has expired or was released."""
     if not known.lease.holder:
         return True
     waited_s = now - known.first_seen_at
@@ -101,14 +104,14 @@
 
 def lease_to_acquire(known: LeaseObservation | None, *, duty: str, holder: str,
                      duration_s: float, now: float) -> Lease | None:
-    """Decides what to write to take a duty; None when it must be left.
+    """Returns the lease to write to acquire a duty, or None if it is held.
 
     Args:
-        known: the row as observed, or None when there is no row.
-        duty: the duty's name.
-        holder: the process that wants it, unique to one start of it.
-        duration_s: seconds that the write would keep the duty.
-        now: monotonic seconds.
+        known: the row as observed, or None if there is no row.
+        duty: the name of the duty.
+        holder: the process to acquire it; unique to one start of the process.
+        duration_s: the validity of the write, in seconds.
+        now: the monotonic time, in seconds.
     """
     if known is None:
         return Lease(duty=duty, holder=holder, fencing=1, duration_s=duration_s)
@@ -121,43 +124,43 @@
 
 
 def lease_to_renew(held: HeldLease, *, now: float) -> Lease | None:
-    """Decides what to write to keep a duty; None when it has lapsed."""
+    """Returns the lease to write to renew it, or None if it has lapsed."""
     if not may_act(held, now):
         return None
     return dataclasses.replace(held.lease, renewals=held.lease.renewals + 1)
 
 
 def lease_to_release(held: HeldLease) -> Lease:
-    """What to write to let a duty go; its fencing number stays."""
+    """Returns the lease to write to release it; keeps the fencing number."""
     return dataclasses.replace(held.lease,
                                holder='',
                                renewals=held.lease.renewals + 1)
 
 
 def safe_until(sent_at: float, duration_s: float) -> float:
-    """Until when a holder may act, by its own clock.
+    """Returns until when a holder may act, in its own monotonic seconds.
 
     Args:
-        sent_at: monotonic seconds before the write was sent.
-        duration_s: the lease's duration.
+        sent_at: the monotonic time before the write was sent, in seconds.
+        duration_s: the duration of the lease, in seconds.
     """
     return sent_at + duration_s * (1 - MAX_CLOCK_DRIFT)
 
 
 def may_act(held: HeldLease, now: float) -> bool:
-    """Whether the holder may act at `now`."""
+    """Returns whether the holder may act at `now`, in monotonic seconds."""
     return now < held.safe_until
 
 
 def resolve_write(wanted: Lease, found: Lease | None) -> WriteOutcome:
-    """Decides from a read after a write whose answer was lost.
+    """Establishes the outcome of an unanswered write from a later read.
 
     Args:
-        wanted: what the write would have left in the row.
-        found: the row that was read, which may be old.
+        wanted: the row as the write would have left it.
+        found: the row as read, which may be out of date, or None.
     """
     if found == wanted:
         return WriteOutcome.WRITTEN
-    if found is None or _order(found) < _order(wanted):
+    if found is None or _write_order(found) < _write_order(wanted):
         return WriteOutcome.NOT_YET
     return WriteOutcome.LOST
--- a/pollenthread/core/map_switch.py
+++ b/pollenthread/core/map_switch.py
@@ -1,18 +1,19 @@
-"""How all ranks of a group change their map with the same pass.
-
-A switch prepares the map on every rank, has one rank hold a coming pass back,
-arms every rank for that pass, and releases the pass only when every rank has
-been seen armed. An order that gets no answer may be carried out seconds later,
-so nothing is concluded from sending one.
-
-Why no pass runs with two maps, also with several deciders at once:
-
-- A held pass is released only after all ranks were seen armed for it with one
-  version. Armed ranks take no other version, so that stays true.
-- Versions are unique to a decider, so one version never means two maps.
-- A rank is disarmed only if another rank holds a newer version, and so can
-  never be armed with the older one: nobody has seen, or will see, all armed.
-- An arming that arrives after its pass has begun is refused.
+"""Switches the expert map of all ranks of a group in the same pass.
+
+A switch prepares the map on every rank, makes one rank hold back a future
+pass, arms every rank for that pass, and releases the pass once every rank has
+reported itself armed. An order without an answer may still be executed
+seconds later, so the logic relies on reported rank states alone.
+
+No pass runs with two maps, even with several coordinators at once:
+
+- A held pass is released only after all ranks have reported themselves armed
+  for it with the same version. Armed ranks accept no other version.
+- A version is used by one coordinator only, so it identifies one map.
+- A rank is disarmed only if another rank has prepared a newer version. That
+  rank can no longer be armed with the older version, so no coordinator can
+  see all ranks armed with it.
+- A rank refuses to arm for a pass that has begun.
 """
 
 import dataclasses
@@ -22,12 +23,13 @@
 from pollenthread.core import peer_messages
 
 __all__ = [
-    'MapSwitchPhase', 'MapSwitch', 'advance_switch', 'resumable_switch',
-    'needs_recovery', 'recovery_switch'
+    'MapSwitch', 'MapSwitchPhase', 'advance_switch', 'needs_recovery',
+    'recovery_switch', 'resumable_switch'
 ]
 
+# The index of the rank that holds a pass back for the whole group.
 HOLDING_RANK = 0
-_MIN_LEAD = 2
+_MIN_LEAD_PASSES = 2
 _MIN_STEP = 1
 
 RankStates = Mapping[int, peer_messages.RankState]
@@ -35,7 +37,7 @@
 
 
 class MapSwitchPhase(enum.Enum):
-    """How far a switch has come."""
+    """The progress of a switch."""
 
     PREPARING = 'preparing'
     HOLDING = 'holding'
@@ -50,13 +52,14 @@
     """One change of a group's map.
 
     Attributes:
-        version: the map's version, which no other decider uses.
+        version: the version of the map, used by no other coordinator.
         epoch: the epoch of the group.
         layouts: the experts by set and rank.
-        phase: how far it has come.
-        step: the pass at which the ranks switch; 0 while it is open.
-        lead: how many passes ahead one is held. No pass waits if all ranks are
-            seen armed before it would begin.
+        phase: the progress of the switch.
+        step: the pass at which the ranks switch; 0 until chosen.
+        lead_passes: the distance from the current pass to the held one, in
+            passes. No pass is delayed if all ranks are armed before the held
+            pass is due.
     """
 
     version: int
@@ -64,20 +67,20 @@
     layouts: tuple[tuple[tuple[int, ...], ...], ...]
     phase: MapSwitchPhase = MapSwitchPhase.PREPARING
     step: int = 0
-    lead_passes: int = _MIN_LEAD
+    lead_passes: int = _MIN_LEAD_PASSES
 
 
 def advance_switch(switch: MapSwitch,
                    states: RankStates) -> tuple[MapSwitch, RankOrders]:
-    """Goes on with a switch as far as the ranks' states allow.
+    """Advances a switch as far as the states of the ranks allow.
 
     Args:
         switch: the switch.
-        states: the newest state of every rank.
+        states: the latest state of every rank, by rank index.
 
     Returns:
-        The switch, and the order that each rank should get now. An order is
-        given again until its effect is seen.
+        The updated switch, and the order to send to each rank now, by rank
+        index. An order is repeated until a rank state shows its effect.
     """
     if any(state.epoch != switch.epoch or not state.is_open
            for state in states.values()):
@@ -99,13 +102,13 @@
     for rank, state in states.items():
         newest = max(state.map_version, state.prepared_version)
         if newest > switch.version:
-            # Another decider has taken over.
+            # Another coordinator has taken over.
             return dataclasses.replace(switch,
                                        phase=MapSwitchPhase.ABANDONED), {}
         if state.prepared_version == switch.version:
             continue
         if state.armed_version:
-            if _is_overtaken(state.armed_version, states):
+            if _is_superseded(state.armed_version, states):
                 orders[rank] = _order(switch,
                                       peer_messages.OrderKind.DISARM,
                                       version=state.armed_version)
@@ -120,22 +123,23 @@
     return switch, orders
 
 
-def _is_overtaken(version: int, states: RankStates) -> bool:
-    """Whether some rank can never be armed with a version again."""
+def _is_superseded(version: int, states: RankStates) -> bool:
+    """Returns whether some rank can no longer be armed with a version."""
     return any(state.prepared_version > version for state in states.values())
 
 
 def _hold(switch: MapSwitch,
           states: RankStates) -> tuple[MapSwitch, RankOrders]:
-    held = states[HOLDING_RANK].held_step
-    if held:
+    held_step = states[HOLDING_RANK].held_step
+    if held_step:
         return _arm(
-            dataclasses.replace(switch, phase=MapSwitchPhase.ARMING, step=held),
-            states)
+            dataclasses.replace(switch,
+                                phase=MapSwitchPhase.ARMING,
+                                step=held_step), states)
     step = max(state.step for state in states.values())
     if switch.step <= step:
-        ahead = max(_MIN_STEP, step) + switch.lead_passes
-        switch = dataclasses.replace(switch, step=ahead)
+        held_step = max(_MIN_STEP, step) + switch.lead_passes
+        switch = dataclasses.replace(switch, step=held_step)
     order = _order(switch, peer_messages.OrderKind.HOLD)
     return switch, {HOLDING_RANK: order}
 
@@ -185,21 +189,22 @@
 
 
 def needs_recovery(states: RankStates) -> bool:
-    """Whether an earlier decider has left a pass held back.
+    """Returns whether an earlier coordinator has left a pass held back.
 
-    Ranks are armed only while a pass is held, and released only when all are:
-    armed ranks without a held pass will switch by themselves.
+    Ranks are armed only while a pass is held, and the pass is released only
+    once all ranks are armed. Armed ranks without a held pass therefore switch
+    without further orders.
     """
     return bool(states[HOLDING_RANK].held_step)
 
 
 def resumable_switch(states: RankStates) -> MapSwitch | None:
-    """The switch that an earlier decider began, if it can be completed.
+    """Returns an earlier coordinator's switch if it can be completed, or None.
 
-    It can if every rank is armed for the held pass with one version or has
-    that version prepared.
+    It can be completed if every rank is armed for the held pass with the same
+    version or has prepared that version.
     """
-    held = states[HOLDING_RANK].held_step
+    held_step = states[HOLDING_RANK].held_step
     versions = {
         state.armed_version or state.prepared_version
         for state in states.values()
@@ -207,25 +212,28 @@
     steps = {
         state.armed_step for state in states.values() if state.armed_version
     }
-    if not held or len(versions) != 1 or 0 in versions or not steps <= {held}:
+    if not held_step or len(
+            versions) != 1 or 0 in versions or not steps <= {held_step}:
         return None
     epoch = states[HOLDING_RANK].epoch
-    return MapSwitch(versions.pop(), epoch, (), MapSwitchPhase.ARMING, held)
+    return MapSwitch(versions.pop(), epoch, (), MapSwitchPhase.ARMING,
+                     held_step)
 
 
 def recovery_switch(states: RankStates, layouts: tuple[tuple[tuple[int, ...],
                                                              ...], ...],
                     version: int) -> MapSwitch:
-    """Takes over an unfinished switch.
+    """Returns the switch that replaces or completes an unfinished one.
 
-    If every rank is armed with the same version, or can be, the switch goes
-    on. Otherwise the map in use is prepared anew under a version of the
-    caller's, after which nobody can arm what was left, and is switched to.
+    If every rank is armed with the same version, or can be, that switch is
+    continued. Otherwise the result switches to the map in use, prepared again
+    under a new version. Once prepared, no rank can be armed with the
+    unfinished version.
 
     Args:
-        states: the newest state of every rank.
-        layouts: the map in use.
-        version: a version that no decider has used.
+        states: the latest state of every rank, by rank index.
+        layouts: the map in use, by set and rank.
+        version: a version that no coordinator has used.
     """
     epoch = states[HOLDING_RANK].epoch
     return resumable_switch(states) or MapSwitch(version, epoch, layouts)
--- a/pollenthread/core/membership.py
+++ b/pollenthread/core/membership.py
@@ -1,8 +1,10 @@
-"""Which hosts are alive, and which of them a host keeps links to.
+"""Failure detection of hosts, and selection of the hosts to link to.
 
-The host list gives the candidates and lags; links give heartbeats. Either one
-is enough to stop new work to a host that leaves. Silence alone calls a host
-dead only up to a share of the fleet: beyond it the signal is distrusted.
+The host list contains the candidates but lags; links carry heartbeats. Either
+source suffices to stop new work to a host that leaves. Missed heartbeats alone
+mark a host as dead only while the silent hosts are a limited share of the
+fleet. Beyond `MAX_DEAD_SHARE` the observer's own network is the likelier
+fault.
 """
 
 import dataclasses
@@ -11,10 +13,10 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 __all__ = [
-    'HostEvidence', 'MAX_DEAD_SHARE', 'Member', 'REPORT_TTL_S', 'HostReport',
-    'HostState', 'MembershipView', 'count_dead_reports', 'merge_report',
-    'assess_fleet', 'select_linked_peers', 'select_pollers',
-    'rank_by_rendezvous_hash', 'accepts_new_work', 'select_upstreams'
+    'HostEvidence', 'HostReport', 'HostState', 'MAX_DEAD_SHARE', 'Member',
+    'MembershipView', 'REPORT_TTL_S', 'accepts_new_work', 'assess_fleet',
+    'count_dead_reports', 'merge_report', 'rank_by_rendezvous_hash',
+    'select_linked_peers', 'select_pollers', 'select_upstreams'
 ]
 
 SUSPECT_AFTER_S = 1.5
@@ -31,12 +33,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class HostReport:
-    """What others have said of one host.
+    """The combined reports of other hosts about one host.
 
     Attributes:
-        incarnation: the start of its process that is meant.
-        is_leaving: whether that one leaves.
-        dead_by_reporter: when each host reported it dead, monotonic seconds.
+        incarnation: the incarnation of the reported host.
+        is_leaving: whether that incarnation was reported as leaving.
+        dead_by_reporter: the time of the last report of its failure by
+            reporting host, in monotonic seconds.
     """
 
     incarnation: str
@@ -46,7 +49,7 @@
 
 
 class HostState(enum.StrEnum):
-    """What a host is held for."""
+    """The assessed state of a host."""
 
     LIVE = 'live'
     SUSPECT = 'suspect'
@@ -56,14 +59,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """One host of the list.
+    """An entry of the host list.
 
     Attributes:
-        host: its name.
-        data_centre: where it is.
+        host: the name of the host.
+        data_centre: the data centre of the host.
         region: the region of the data centre.
-        serves: for an upstream, the platform's name of the group of hosts that
-            serve the same; empty when the list does not say.
+        serves: for an upstream, the platform's name of the group of
+            interchangeable hosts; empty if not listed.
     """
 
     host: str
@@ -74,13 +77,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostEvidence:
-    """What is known of one host.
+    """The information about one host that its state is derived from.
 
     Attributes:
-        listed_leaving: whether the host list says that it leaves.
-        said_leaving: whether the host itself, or a peer, says so.
-        silent_s: seconds since it was heard; None when it is not watched.
-        dead_reports: how many hosts that watch it report it dead.
+        listed_leaving: whether the host list marks it as leaving.
+        reported_leaving: whether the host itself or a peer reports that it
+            leaves.
+        silent_s: seconds since the last heartbeat; None if the host is not
+            monitored from here.
+        dead_report_count: the number of monitoring hosts that report it dead.
     """
 
     listed_leaving: bool = False
@@ -91,18 +96,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class MembershipView:
-    """The judgement over a fleet.
+    """The assessed states of a fleet.
 
     Attributes:
-        state_by_host: what each host is held for.
-        is_panic: whether silence is distrusted since too many are silent.
+        state_by_host: the state of each host.
+        is_panic: whether missed heartbeats are ignored because too many hosts
+            are silent.
     """
 
     state_by_host: Mapping[str, HostState]
     is_panic: bool
 
     def usable(self) -> list[str]:
-        """Hosts that may take new work."""
+        """Returns the hosts that may be sent new work."""
         return [
             host for host, state in self.state_by_host.items()
             if accepts_new_work(state)
@@ -110,25 +116,25 @@
 
 
 def accepts_new_work(state: HostState) -> bool:
-    """Whether a host in this state may be sent new work."""
+    """Returns whether a host in this state may be sent new work."""
     return state in (HostState.LIVE, HostState.SUSPECT)
 
 
 def assess_fleet(
         evidence_by_host: Mapping[str, HostEvidence]) -> MembershipView:
-    """Judges every host of a fleet.
+    """Assesses the state of every host of a fleet.
 
-    Panic: when more than `MAX_DEAD_SHARE` of the hosts that this one watches,
-    or of the whole fleet, are silent, the fault is more likely on this side;
-    silent hosts are then only suspects.
-    Leaving hosts stay out in any case, for that is said and not guessed.
+    If more than `MAX_DEAD_SHARE` of the hosts monitored from here, or of the
+    whole fleet, are silent, the fault is more likely local. Silent hosts are
+    then suspect instead of dead (panic mode). Leaving hosts are excluded in
+    any case, because leaving is announced and not inferred.
     """
-    own_watch = [
+    monitored = [
         evidence for evidence in evidence_by_host.values()
         if evidence.silent_s is not None and not _is_leaving(evidence)
     ]
     fleet = [e for e in evidence_by_host.values() if not _is_leaving(e)]
-    is_panic = _too_many_silent(own_watch) or _too_many_silent(fleet)
+    is_panic = _too_many_silent(monitored) or _too_many_silent(fleet)
     return MembershipView(state_by_host={
         host: _state(evidence, is_panic)
         for host, evidence in evidence_by_host.items()
@@ -146,7 +152,7 @@
 
 
 def _is_silent(evidence: HostEvidence) -> bool:
-    """Whether a host seems dead: by one's own watch, or else by reports."""
+    """Returns whether a host seems dead, by monitoring or else by reports."""
     if evidence.silent_s is None:
         return evidence.dead_report_count >= DEAD_REPORT_QUORUM
     return evidence.silent_s >= DEAD_AFTER_S
@@ -164,10 +170,17 @@
 
 def merge_report(known: HostReport | None, *, incarnation: str,
                  state: HostState, reporter: str, now: float) -> HostReport:
-    """Takes in what a reporter says of a host.
+    """Merges the report of one reporter about a host.
 
-    News of another start of the host's process replaces what was known. A host
-    that has said it leaves does not come back in the same start.
+    A report about another incarnation replaces the known reports. A host that
+    was reported as leaving remains so for the same incarnation.
+
+    Args:
+        known: the reports so far, or None.
+        incarnation: the incarnation of the reported host.
+        state: the reported state.
+        reporter: the name of the reporting host.
+        now: the monotonic time, in seconds.
     """
     if known is None or known.incarnation != incarnation:
         known = HostReport(incarnation=incarnation)
@@ -184,13 +197,13 @@
 
 
 def count_dead_reports(known: HostReport, now: float) -> int:
-    """How many reports of a host's death still count."""
+    """Returns the number of unexpired reports that a host is dead."""
     return sum(
         1 for at in known.dead_by_reporter.values() if now - at < REPORT_TTL_S)
 
 
 def rank_by_rendezvous_hash(hosts: Iterable[str], subject: str) -> list[str]:
-    """Hosts by rendezvous hashing: the first is preferred for the subject."""
+    """Orders hosts by rendezvous hashing for a subject, preferred first."""
     return sorted(hosts, key=lambda host: _score(host, subject))
 
 
@@ -201,7 +214,7 @@
 
 def select_pollers(members: Iterable[Member],
                    data_centre: str) -> frozenset[str]:
-    """The hosts of a data centre that read the table for the others."""
+    """Selects the hosts that read the table for their data centre."""
     hosts = (m.host for m in members if m.data_centre == data_centre)
     return frozenset(
         rank_by_rendezvous_hash(
@@ -210,10 +223,11 @@
 
 def select_linked_peers(own: Member,
                         members: Iterable[Member]) -> frozenset[str]:
-    """The entry hosts that a host chooses to keep links to.
+    """Selects the entry hosts that a host keeps links to.
 
-    A link exists if either end chooses it. The next host on the ring of names
-    is always chosen, so that the links of live hosts connect the region.
+    A link exists if either end selects it. The next hosts on the ring of
+    sorted names are always selected, so that the links of live hosts connect
+    the region.
     """
     others = [member for member in members if member.host != own.host]
     near = [m.host for m in others if m.data_centre == own.data_centre]
@@ -229,7 +243,7 @@
 
 
 def _next_on_ring(host: str, others: Iterable[str]) -> list[str]:
-    """The one or two names that follow a name on the ring."""
+    """Returns the one or two names after a name on the sorted ring."""
     ordered = sorted(others)
     after = [name for name in ordered if name > host]
     return (after + ordered)[:2]
@@ -239,15 +253,15 @@
                      upstreams: Iterable[Member],
                      *,
                      size: int = UPSTREAM_SUBSET_SIZE) -> frozenset[str]:
-    """The upstreams that an entry host keeps links to.
+    """Selects the upstreams that an entry host keeps links to.
 
-    For each group of upstreams that serve the same, a bounded number within the
-    host's region; or of all regions where its own has none.
+    From each group of interchangeable upstreams it selects up to `size` in the
+    region of the entry host, or in all regions if its own has none.
 
     Args:
         own: the entry host.
-        upstreams: upstream hosts of all regions.
-        size: the bound for each group.
+        upstreams: the upstream hosts of all regions.
+        size: the maximum number for each group.
     """
     by_group: dict[str, list[Member]] = {}
     for member in upstreams:
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -1,9 +1,10 @@
-"""Orders to engines: one effect and one recorded result for each order id.
+"""Orders to engines, executed at most once and with one recorded result.
 
-The holder of a duty writes an order to its journal row before it sends it. The
-row names the agent's incarnation that may carry it out. The agent refuses
-fencing numbers below the highest that it has seen, and answers a repeat of an
-order id with the first result.
+The issuer is the process that holds the lease of an order duty. It writes an
+order to a journal row before it sends the order. The row contains the
+incarnation of the agent that may execute the order. The agent refuses fencing
+numbers below the highest that it has seen, and answers a repeated order ID
+with the first result.
 """
 
 import dataclasses
@@ -12,10 +13,10 @@
 from collections.abc import Iterable, Mapping
 
 __all__ = [
-    'OrderAnswer', 'AgentOrderState', 'JournalRow', 'Order', 'OrderState',
-    'Result', 'IssuerAction', 'AgentAction', 'order_duties', 'closed_row',
-    'handle_order', 'order_duty_for_host', 'record_result', 'new_journal_row',
-    'next_issuer_action', 'record_fencing', 'reissued_row',
+    'AgentAction', 'AgentOrderState', 'IssuerAction', 'JournalRow', 'Order',
+    'OrderAnswer', 'OrderState', 'Result', 'closed_row', 'handle_order',
+    'new_journal_row', 'next_issuer_action', 'order_duties',
+    'order_duty_for_host', 'record_fencing', 'record_result', 'reissued_row',
     'settled_below_number'
 ]
 
@@ -25,18 +26,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """One order as it travels.
+    """An order as sent to an agent.
 
     Attributes:
-        id: unique for ever in its duty.
-        duty: the duty whose holder gives it.
-        number: rises with each order of the duty.
-        host: the upstream host that it is for.
-        kind: what to do, such as 'load_model'.
+        id: the order ID; never reused within a duty.
+        duty: the duty whose lease the issuer holds.
+        number: the sequence number, increasing within the duty.
+        host: the upstream host to execute the order.
+        kind: the action, such as 'load_model'.
         arguments: names and values, as JSON text.
-        fencing: the number of the lease under which it was sent.
-        incarnation: the agent's incarnation that may carry it out.
-        settled_below: every lower number has an ended row in the journal.
+        fencing: the fencing number of the lease under which it was sent.
+        incarnation: the incarnation of the agent that may execute it.
+        settled_below: all orders with a lower number are closed in the
+            journal.
     """
 
     id: str
@@ -52,12 +54,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
-    """How an order ended at the engine.
+    """The outcome of an order at the engine.
 
     Attributes:
-        done: whether it took effect.
-        detail: what the engine said.
-        is_known: whether the engine answered; if not, `done` says nothing.
+        done: whether the order took effect.
+        detail: the text that the engine returned.
+        is_known: whether the engine answered; if not, `done` has no meaning.
     """
 
     done: bool
@@ -66,12 +68,12 @@
 
     @property
     def answer(self) -> 'OrderAnswer':
-        """What an agent says of an order with this result."""
+        """The answer of an agent to an order with this result."""
         return OrderAnswer.ENDED if self.is_known else OrderAnswer.UNKNOWN
 
 
 class OrderState(enum.StrEnum):
-    """How far an order is known to have come."""
+    """The state of an order in the journal."""
 
     ISSUED = 'issued'
     ENDED = 'ended'
@@ -80,12 +82,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JournalRow:
-    """One order as the table keeps it.
+    """An order as stored in the table.
 
     Attributes:
-        order: the order as it was sent last.
-        state: how far it came.
-        result: the one result once it has ended.
+        order: the order as last sent.
+        state: the state of the order.
+        result: the result once the order has ended, or None.
     """
 
     order: Order
@@ -94,7 +96,7 @@
 
 
 class OrderAnswer(enum.StrEnum):
-    """What an agent says to an order."""
+    """The answer of an agent to an order."""
 
     ENDED = 'ended'
     RUNNING = 'running'
@@ -108,18 +110,18 @@
 
 
 def order_duty_for_host(host: str) -> str:
-    """The duty whose holder gives orders to a host."""
+    """Returns the duty whose lease holder issues orders to a host."""
     shard = zlib.crc32(host.encode()) % ORDER_DUTY_COUNT
     return f'orders/{shard:02d}'
 
 
 def order_duties() -> tuple[str, ...]:
-    """Every duty of giving orders."""
+    """Returns the names of all order duties."""
     return tuple(f'orders/{shard:02d}' for shard in range(ORDER_DUTY_COUNT))
 
 
 class IssuerAction(enum.Enum):
-    """What the holder of the duty does next about an order."""
+    """The next action of an issuer for an order in the journal."""
 
     SEND = 'send'
     REISSUE = 'reissue'
@@ -129,7 +131,7 @@
 
 
 class AgentAction(enum.Enum):
-    """What an agent does with an order."""
+    """The action of an agent on an order."""
 
     BEGIN = 'begin'
     REPEAT = 'repeat'
@@ -143,15 +145,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class AgentOrderState:
-    """What one incarnation of an agent remembers.
+    """The in-memory state of one incarnation of an agent.
 
     Attributes:
-        incarnation: the agent's incarnation.
-        highest_by_duty: the highest fencing number seen for each duty, from
-            the lease's row and from orders.
-        settled_by_duty: below this number the journal holds every result.
-        result_by_id: results of ended orders; None while one runs.
-        key_by_id: duty and number of the orders in `result_by_id`.
+        incarnation: the incarnation of the agent.
+        highest_fencing_by_duty: the highest fencing number seen for each duty,
+            in the lease row or in orders.
+        settled_below_by_duty: the number below which the journal has closed
+            all orders of a duty.
+        result_by_id: the results of ended orders by order ID; None for an
+            order that is running.
+        duty_and_number_by_id: the duty and number of each order in
+            `result_by_id`.
     """
 
     incarnation: str
@@ -166,18 +171,19 @@
 
 
 def new_journal_row(order: Order) -> JournalRow:
-    """The row to insert before an order is sent for the first time."""
+    """Returns the row to insert before an order is first sent."""
     return JournalRow(order=order)
 
 
 def next_issuer_action(row: JournalRow, *, fencing: int,
                        incarnation: str) -> IssuerAction:
-    """Decides what a holder does with an order that the journal holds.
+    """Returns the next action of an issuer for an order in the journal.
 
     Args:
-        row: the order's row.
-        fencing: the number of the holder's lease.
-        incarnation: the agent's incarnation now; empty when it has no link.
+        row: the row of the order.
+        fencing: the fencing number of the issuer's lease.
+        incarnation: the current incarnation of the agent; empty if there is no
+            link to it.
     """
     if row.state is not OrderState.ISSUED:
         return IssuerAction.REPORT
@@ -191,10 +197,10 @@
 
 
 def reissued_row(row: JournalRow, *, fencing: int) -> JournalRow:
-    """The row after a successor has taken an order over.
+    """Returns the row of an order that a new lease holder sends again.
 
-    The incarnation stays: only the agent that may have begun the order can
-    prove that it has not.
+    The incarnation is unchanged: only the incarnation that may have started
+    the order can confirm that it has not.
     """
     return dataclasses.replace(row,
                                order=dataclasses.replace(row.order,
@@ -203,7 +209,7 @@
 
 def closed_row(row: JournalRow, answer: OrderAnswer,
                result: Result | None) -> JournalRow | None:
-    """The row after an agent's answer; None when the order stays open."""
+    """Returns the row closed by an agent's answer; None if it stays open."""
     if answer is OrderAnswer.ENDED and result is not None:
         return dataclasses.replace(row, state=OrderState.ENDED, result=result)
     if answer in (OrderAnswer.OTHER_INCARNATION, OrderAnswer.UNKNOWN):
@@ -213,7 +219,7 @@
 
 def record_fencing(state: AgentOrderState, duty: str,
                    fencing: int) -> AgentOrderState:
-    """Remembers a fencing number if it is the highest for its duty."""
+    """Records a fencing number if it is the highest for its duty."""
     if fencing <= state.highest_fencing_by_duty.get(duty, -1):
         return state
     return dataclasses.replace(state,
@@ -227,34 +233,35 @@
                  order: Order) -> tuple[AgentOrderState, AgentAction]:
     """Decides what an agent does with an order.
 
-    An agent that has not yet read the duty's lease row reads it first, so that
-    a restart does not forget the highest number.
+    An agent first reads the lease row of the duty if it has no fencing number
+    for it, so that a restarted agent refuses outdated numbers as well.
 
     Returns:
-        What the agent remembers from now on, and what to do. A result of None
-        is remembered for an order that may begin.
+        The new state of the agent, and the action. For an order to begin, the
+        state has a result of None.
     """
     if order.duty not in state.highest_fencing_by_duty:
         return state, AgentAction.READ_FENCE
     if order.fencing < state.highest_fencing_by_duty[order.duty]:
         return state, AgentAction.REFUSE_OLD
     state = record_fencing(state, order.duty, order.fencing)
-    state = _settle(state, order.duty, order.settled_below)
+    state = _discard_settled(state, order.duty, order.settled_below)
     if order.number < state.settled_below_by_duty.get(order.duty, 0):
         return state, AgentAction.REFUSE_SETTLED
     if order.id in state.result_by_id:
         known = state.result_by_id[order.id]
-        return state, AgentAction.RUNNING if known is None else AgentAction.REPEAT
+        return state, (AgentAction.RUNNING
+                       if known is None else AgentAction.REPEAT)
     if order.incarnation != state.incarnation:
         return state, AgentAction.REFUSE_INCARNATION
     if len(state.result_by_id) >= MAX_REMEMBERED_ORDERS:
         return state, AgentAction.REFUSE_FULL
-    return _remember(state, order), AgentAction.BEGIN
+    return _record_started(state, order), AgentAction.BEGIN
 
 
 def record_result(state: AgentOrderState, order_id: str,
                   result: Result) -> AgentOrderState:
-    """Remembers the first result of an order."""
+    """Records the first result of an order; ignores later ones."""
     if state.result_by_id.get(order_id, result) is not None:
         return state
     return dataclasses.replace(state,
@@ -264,10 +271,10 @@
 
 
 def settled_below_number(rows: Iterable[JournalRow]) -> int:
-    """The number below which the journal holds the end of every order.
+    """Returns the number below which all orders in a journal are closed.
 
     Args:
-        rows: the duty's whole journal.
+        rows: all journal rows of one duty.
     """
     numbers = sorted((row.order.number, row.state) for row in rows)
     for number, state in numbers:
@@ -276,34 +283,35 @@
     return numbers[-1][0] + 1 if numbers else 0
 
 
-def _remember(fence: AgentOrderState, order: Order) -> AgentOrderState:
-    return dataclasses.replace(fence,
+def _record_started(state: AgentOrderState, order: Order) -> AgentOrderState:
+    return dataclasses.replace(state,
                                result_by_id={
-                                   **fence.result_by_id, order.id: None
+                                   **state.result_by_id, order.id: None
                                },
                                duty_and_number_by_id={
-                                   **fence.duty_and_number_by_id, order.id:
+                                   **state.duty_and_number_by_id, order.id:
                                        (order.duty, order.number)
                                })
 
 
-def _settle(fence: AgentOrderState, duty: str, number: int) -> AgentOrderState:
-    """Forgets orders whose numbers are too low to be begun ever again."""
-    if number <= fence.settled_below_by_duty.get(duty, 0):
-        return fence
+def _discard_settled(state: AgentOrderState, duty: str,
+                     number: int) -> AgentOrderState:
+    """Removes the results of orders that the journal has closed."""
+    if number <= state.settled_below_by_duty.get(duty, 0):
+        return state
     key_by_id = {
         order_id: key
-        for order_id, key in fence.duty_and_number_by_id.items()
+        for order_id, key in state.duty_and_number_by_id.items()
         if key[0] != duty or key[1] >= number
     }
     return dataclasses.replace(
-        fence,
+        state,
         settled_below_by_duty={
-            **fence.settled_below_by_duty, duty: number
+            **state.settled_below_by_duty, duty: number
         },
         duty_and_number_by_id=key_by_id,
         result_by_id={
             order_id: result
-            for order_id, result in fence.result_by_id.items()
+            for order_id, result in state.result_by_id.items()
             if order_id in key_by_id
         })
--- a/pollenthread/core/switch.py
+++ b/pollenthread/core/switch.py
@@ -1,35 +1,37 @@
-"""The lock-step switch of a rank group from one expert map to another.
-
-One decider, fenced by the group's row, asks every rank to prepare (load the
-weights), then to arm at a step. A rank that reaches that step armed and
-undecided waits. The decider commits once every rank has armed, and aborts
-otherwise. A later decider raises the fence at every rank before it decides:
-it commits what some rank has committed, and aborts anything else. A rank that
-has restarted takes part again only after the decider has named the map.
-
-This module has the state and the messages, `switch_rank` what a rank does and
-`switch_decider` what the decider does. Every function is pure: the same
-transitions run in the agents and in the model checker.
+"""State and messages of the two-phase switch of a group's expert map.
+
+All ranks of a group change the map at the same step. One coordinator, which
+holds a fencing number from the group's lease row, asks every rank to prepare
+(load the weights) and then to arm for a step. An armed rank blocks at that
+step until it receives the decision. The coordinator commits once every rank is
+armed, and aborts otherwise. A later coordinator first raises the fencing
+number at every rank. It then commits the pending switch if some rank has
+committed it, and aborts it otherwise. A restarted rank takes part again only
+after the coordinator has sent it the current map.
+
+`switch_rank` has the transitions of a rank and `switch_coordinator` those of
+the coordinator. All functions are pure, so that the agents and the model
+checker run the same code.
 """
 
 import dataclasses
 import enum
 
 __all__ = [
-    'Arm', 'Armed', 'Ask', 'Change', 'Decide', 'Join', 'Map', 'NO_SWITCH',
-    'Name', 'Noted', 'CoordinatorMessage', 'Prepare', 'Prepared', 'Query',
-    'Rank', 'RankMessage', 'Report', 'Stage', 'SwitchId', 'map_after_commit',
-    'latest_switch_id', 'map_version'
+    'Arm', 'Armed', 'Ask', 'Change', 'CoordinatorMessage', 'Decide', 'Join',
+    'Map', 'NO_SWITCH', 'Name', 'Noted', 'Prepare', 'Prepared', 'Query', 'Rank',
+    'RankMessage', 'Report', 'Stage', 'SwitchId', 'latest_switch_id',
+    'map_after_commit', 'map_version'
 ]
 
 
 @dataclasses.dataclass(frozen=True, order=True, slots=True)
 class SwitchId:
-    """Names one switch of a group; later ones are greater.
+    """Identifies one switch of a group; later switches compare greater.
 
     Attributes:
-        fence: the fencing number of the decider that started it.
-        number: counts the switches of that decider.
+        fence: the fencing number of the coordinator that started the switch.
+        number: the sequence number among that coordinator's switches.
     """
 
     fence: int
@@ -40,7 +42,7 @@
 
 
 class Stage(enum.StrEnum):
-    """How far a rank has come with a pending switch."""
+    """The progress of a pending switch at a rank."""
 
     LOADING = 'loading'
     PREPARED = 'prepared'
@@ -49,12 +51,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
-    """One switch as a rank knows it.
+    """The parameters of one switch.
 
     Attributes:
-        id: the switch.
-        target: the version of the map that it brings.
-        step: the first step with that map; 0 before it is armed.
+        id: the ID of the switch.
+        target: the version of the new map.
+        step: the first step that uses the new map; 0 until armed.
     """
 
     id: SwitchId
@@ -64,12 +66,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Map:
-    """Which map a group uses in every step.
+    """The map versions that a group uses, by step.
 
     Attributes:
-        base: the version used before `latest` comes into force.
-        latest: the switch committed last, or None.
-        closed: the greatest switch that was committed or aborted.
+        base: the version used before `latest` takes effect.
+        latest: the last committed switch, or None.
+        closed: the greatest ID of a committed or aborted switch.
     """
 
     base: int
@@ -78,38 +80,40 @@
 
 
 def map_version(map_state: Map, step: int) -> int:
-    """The version of the map that a step uses."""
+    """Returns the version of the map that a step uses."""
     if map_state.latest is not None and step >= map_state.latest.step:
         return map_state.latest.target
     return map_state.base
 
 
 def map_after_commit(map_state: Map, change: Change) -> Map:
-    """The maps of a group after a switch was committed."""
-    base = map_state.base if map_state.latest is None else map_state.latest.target
+    """Returns the map state after committing a switch."""
+    base = (map_state.base
+            if map_state.latest is None else map_state.latest.target)
     return Map(base=base,
                latest=change,
                closed=max(map_state.closed, change.id))
 
 
 def latest_switch_id(map_state: Map) -> SwitchId:
-    """The switch committed last, or `NEVER`."""
+    """Returns the ID of the last committed switch, or `NO_SWITCH`."""
     return NO_SWITCH if map_state.latest is None else map_state.latest.id
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rank:
-    """One rank's part.
+    """The state of one rank in the protocol.
 
     Attributes:
-        index: the rank's number in its group.
-        incarnation: rises with each restart of the rank.
-        fence: the highest fencing number it has seen; lower ones are refused.
-        step: the last step that it has entered; 0 for none.
-        held: the map, or None until the decider has named it.
-        pending: the switch that is not decided, or None.
-        stage: how far the pending switch has come.
-        decided_fence: the fencing number that brought the last decision.
+        index: the index of the rank in its group.
+        incarnation: increases with each restart of the rank.
+        fence: the highest fencing number seen; messages with a lower number
+            are ignored.
+        step: the last step that the rank has entered; 0 for none.
+        held: the map state, or None until received from the coordinator.
+        pending: the undecided switch, or None.
+        stage: the progress of the pending switch.
+        decided_fence: the fencing number that came with the last decision.
     """
 
     index: int
@@ -122,19 +126,19 @@
     decided_fence: int = 0
 
 
-# Messages of the decider to a rank.
+# Messages from the coordinator to a rank.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Query:
-    """Raises the fence at a rank and asks what it holds."""
+    """Raises the fencing number at a rank and requests its state."""
 
     fence: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepare:
-    """Asks a rank to load the weights of a map."""
+    """Requests a rank to load the weights of a map."""
 
     id: SwitchId
     target: int
@@ -142,7 +146,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arm:
-    """Asks a rank not to enter a step before the decision."""
+    """Requests a rank not to enter a step before the decision."""
 
     id: SwitchId
     step: int
@@ -150,12 +154,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decide:
-    """Tells a decision, from the decider or from a rank that knows it.
+    """Announces a decision; sent by the coordinator or an informed rank.
 
     Attributes:
-        fence: the fencing number under which it was decided.
-        id: the switch.
-        commit: whether the switch takes place.
+        fence: the fencing number under which the decision was made.
+        id: the ID of the switch.
+        commit: True to commit the switch, False to abort it.
     """
 
     fence: int
@@ -165,19 +169,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Name:
-    """Names the map to a rank that joins."""
+    """Sends the current map state to a rank that joins."""
 
     fence: int
     incarnation: int
     held: Map
 
 
-# Messages of a rank to the decider or to another rank.
+# Messages from a rank to the coordinator or to another rank.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """Answers a query with all that the rank holds."""
+    """Answers `Query` with the complete state of the rank."""
 
     fence: int
     rank: Rank
@@ -185,7 +189,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepared:
-    """Answers `Prepare`: whether the weights are there, and the step."""
+    """Answers `Prepare`: whether the weights are loaded, and the last step."""
 
     id: SwitchId
     index: int
@@ -196,7 +200,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Armed:
-    """Answers `Arm`: whether the rank will wait at the step."""
+    """Answers `Arm`: whether the rank will block at the step."""
 
     id: SwitchId
     index: int
@@ -206,7 +210,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Noted:
-    """Answers `Decide` from the decider."""
+    """Acknowledges `Decide` to the coordinator."""
 
     id: SwitchId
     index: int
@@ -215,7 +219,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Join:
-    """Asks the decider which map the group uses."""
+    """Requests the current map state from the coordinator."""
 
     index: int
     incarnation: int
@@ -223,7 +227,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
-    """Asks another rank whether it knows a decision."""
+    """Asks another rank for the decision on a switch."""
 
     id: SwitchId
 
--- a/pollenthread/core/switch_coordinator.py
+++ b/pollenthread/core/switch_coordinator.py
@@ -1,4 +1,4 @@
-"""What the decider of a switch of expert maps does; see `switch`."""
+"""State transitions of the coordinator of a map switch; see `switch`."""
 
 import dataclasses
 import enum
@@ -7,16 +7,16 @@
 from pollenthread.core import switch
 
 __all__ = [
-    'Coordinator', 'CoordinatorResult', 'CoordinatorPhase', 'OutgoingMessage',
+    'Coordinator', 'CoordinatorPhase', 'CoordinatorResult', 'OutgoingMessage',
     'abort_undecided', 'on_armed', 'on_join', 'on_noted', 'on_prepared',
-    'on_report', 'unanswered_messages', 'start_switch', 'start_coordinator'
+    'on_report', 'start_coordinator', 'start_switch', 'unanswered_messages'
 ]
 
 _T = TypeVar('_T')
 
 
 class CoordinatorPhase(enum.StrEnum):
-    """What the decider is about."""
+    """The phase of the coordinator."""
 
     COLLECTING = 'collecting'
     IDLE = 'idle'
@@ -27,21 +27,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Coordinator:
-    """The holder of a group's row.
+    """The state of the coordinator, which holds the lease of a group.
 
     Attributes:
-        fence: its fencing number.
-        size: ranks in the group.
-        held: the map that the group uses; from the row until a rank that
-            takes part has reported.
-        phase: what it is about.
-        number: counts its switches.
-        change: the switch in question, or None.
-        commit: the decision, once decided.
-        incarnations: each rank's incarnation as last heard; 0 for unheard.
-        reports: each rank's report while collecting.
-        acks: the ranks that have answered the present question with yes.
-        step: the greatest step that a rank has reported.
+        fence: the fencing number of the coordinator.
+        group_size: the number of ranks in the group.
+        map_state: the map that the group uses; taken from the lease row until
+            all ranks have reported.
+        phase: the phase of the coordinator.
+        switch_count: the number of switches started by this coordinator.
+        current_change: the switch under way, or None.
+        is_commit: whether the decision is to commit; valid once decided.
+        incarnations: the last known incarnation of each rank; 0 if unknown.
+        rank_reports: the report of each rank while collecting, or None.
+        acknowledged_ranks: the indexes of the ranks that have accepted the
+            current request.
+        max_step: the greatest step that a rank has reported.
     """
 
     fence: int
@@ -59,7 +60,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutgoingMessage:
-    """One message to one rank."""
+    """A message addressed to one rank."""
 
     rank_index: int
     message: switch.CoordinatorMessage
@@ -67,81 +68,90 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CoordinatorResult:
-    """A decider after a message, and what it sends."""
+    """The coordinator after an event, and the messages to send."""
 
     coordinator: Coordinator
     messages: tuple[OutgoingMessage, ...] = ()
 
 
-def _to_all(decider: Coordinator,
-            order: switch.CoordinatorMessage) -> tuple[OutgoingMessage, ...]:
-    return tuple(OutgoingMessage(i, order) for i in range(decider.group_size))
+def _broadcast(
+        coordinator: Coordinator,
+        message: switch.CoordinatorMessage) -> tuple[OutgoingMessage, ...]:
+    return tuple(
+        OutgoingMessage(i, message) for i in range(coordinator.group_size))
 
 
 def start_coordinator(*, fence: int, group_size: int,
                       initial_version: int) -> CoordinatorResult:
-    """Begins the duty: raises the fence at every rank.
+    """Starts a coordinator, which raises the fencing number at every rank.
 
     Args:
-        fence: the fencing number just written to the group's row.
-        size: ranks in the group.
-        named: the version that the row names, for a group that starts anew.
+        fence: the fencing number just written to the lease row of the group.
+        group_size: the number of ranks in the group.
+        initial_version: the map version in the lease row, used if no rank
+            holds a map.
     """
-    decider = Coordinator(fence=fence,
-                          group_size=group_size,
-                          map_state=switch.Map(base=initial_version),
-                          incarnations=(0,) * group_size,
-                          rank_reports=(None,) * group_size)
-    return CoordinatorResult(decider, _to_all(decider, switch.Query(fence)))
+    coordinator = Coordinator(fence=fence,
+                              group_size=group_size,
+                              map_state=switch.Map(base=initial_version),
+                              incarnations=(0,) * group_size,
+                              rank_reports=(None,) * group_size)
+    return CoordinatorResult(coordinator,
+                             _broadcast(coordinator, switch.Query(fence)))
 
 
 def on_report(coordinator: Coordinator,
               report: switch.Report) -> CoordinatorResult:
-    """Collects; once every rank has reported, settles what was left."""
+    """Records a report; resolves the pending switch once all are received."""
     rank = report.rank
-    if report.fence != coordinator.fence or coordinator.phase is not CoordinatorPhase.COLLECTING:
+    if (report.fence != coordinator.fence or
+            coordinator.phase is not CoordinatorPhase.COLLECTING):
         return CoordinatorResult(coordinator)
     if rank.incarnation < coordinator.incarnations[rank.index]:
         return CoordinatorResult(coordinator)
     coordinator = dataclasses.replace(
-        _hear(coordinator, rank.index, rank.incarnation),
-        rank_reports=_put(coordinator.rank_reports, rank.index, rank),
+        _record_incarnation(coordinator, rank.index, rank.incarnation),
+        rank_reports=_replace_item(coordinator.rank_reports, rank.index, rank),
         max_step=max(coordinator.max_step, rank.step))
     ranks = [item for item in coordinator.rank_reports if item is not None]
     if len(ranks) < coordinator.group_size:
         return CoordinatorResult(coordinator)
-    return _settle(coordinator, ranks)
+    return _resolve_pending(coordinator, ranks)
 
 
-def _settle(decider: Coordinator,
-            ranks: list[switch.Rank]) -> CoordinatorResult:
-    """Commits what some rank has committed and aborts anything else."""
-    held = decider.map_state
+def _resolve_pending(coordinator: Coordinator,
+                     ranks: list[switch.Rank]) -> CoordinatorResult:
+    """Commits the pending switch if some rank has, else aborts it."""
+    map_state = coordinator.map_state
     known = [rank.held for rank in ranks if rank.held is not None]
-    held = max(known, key=switch.latest_switch_id, default=decider.map_state)
+    map_state = max(known,
+                    key=switch.latest_switch_id,
+                    default=coordinator.map_state)
     closed = max((item.closed for item in known), default=switch.NO_SWITCH)
-    held = dataclasses.replace(held, closed=closed)
+    map_state = dataclasses.replace(map_state, closed=closed)
     pending = [rank.pending for rank in ranks if rank.pending is not None]
-    open_change = max(pending, key=lambda change: change.id, default=None)
-    decider = dataclasses.replace(decider,
-                                  map_state=held,
-                                  phase=CoordinatorPhase.IDLE)
-    sends = [
-        OutgoingMessage(rank.index,
-                        switch.Name(decider.fence, rank.incarnation, held))
+    pending_change = max(pending, key=lambda change: change.id, default=None)
+    coordinator = dataclasses.replace(coordinator,
+                                      map_state=map_state,
+                                      phase=CoordinatorPhase.IDLE)
+    messages = [
+        OutgoingMessage(
+            rank.index,
+            switch.Name(coordinator.fence, rank.incarnation, map_state))
         for rank in ranks
         if rank.held is None
     ]
-    if open_change is None:
-        return CoordinatorResult(decider, tuple(sends))
-    commit = switch.latest_switch_id(held) == open_change.id
-    decided = _decide(dataclasses.replace(decider, current_change=open_change),
-                      commit)
-    return CoordinatorResult(decided.coordinator, (*sends, *decided.messages))
+    if pending_change is None:
+        return CoordinatorResult(coordinator, tuple(messages))
+    commit = switch.latest_switch_id(map_state) == pending_change.id
+    decided = _decide(
+        dataclasses.replace(coordinator, current_change=pending_change), commit)
+    return CoordinatorResult(decided.coordinator,
+                             (*messages, *decided.messages))
 
 
 def start_switch(coordinator: Coordinator, target: int) -> CoordinatorResult:
-    """Starts a switch if none is under way."""
+    """Starts a switch to the map version `target` if none is under way."""
     if coordinator.phase is not CoordinatorPhase.IDLE:
         return CoordinatorResult(coordinator)
     number = coordinator.switch_count + 1
@@ -152,23 +162,24 @@
                                       current_change=change,
                                       acknowledged_ranks=frozenset())
     return CoordinatorResult(
-        coordinator, _to_all(coordinator, switch.Prepare(change.id, target)))
+        coordinator, _broadcast(coordinator, switch.Prepare(change.id, target)))
 
 
 def on_prepared(coordinator: Coordinator, reply: switch.Prepared, *,
                 margin_steps: int) -> CoordinatorResult:
-    """Counts a rank as prepared; arms once all are.
+    """Records that a rank is prepared; messages `Arm` once all ranks are.
 
     Args:
-        decider: the decider.
-        reply: the rank's answer.
-        margin: steps between the furthest rank and the step to arm.
+        coordinator: the coordinator.
+        reply: the answer of the rank.
+        margin_steps: the number of steps between the greatest reported step
+            and the step to arm.
     """
     if not _is_current(coordinator, reply, CoordinatorPhase.PREPARING):
         return CoordinatorResult(coordinator)
     if not reply.ok:
         return _decide(coordinator, False)
-    coordinator = _ack(coordinator, reply.index)
+    coordinator = _record_ack(coordinator, reply.index)
     coordinator = dataclasses.replace(coordinator,
                                       max_step=max(coordinator.max_step,
                                                    reply.step))
@@ -182,24 +193,25 @@
                                       current_change=change,
                                       acknowledged_ranks=frozenset())
     return CoordinatorResult(
-        coordinator, _to_all(coordinator, switch.Arm(change.id, change.step)))
+        coordinator, _broadcast(coordinator, switch.Arm(change.id,
+                                                        change.step)))
 
 
 def on_armed(coordinator: Coordinator,
              reply: switch.Armed) -> CoordinatorResult:
-    """Counts a rank as armed; commits once all are."""
+    """Records that a rank is armed; commits once all ranks are."""
     if not _is_current(coordinator, reply, CoordinatorPhase.ARMING):
         return CoordinatorResult(coordinator)
     if not reply.ok:
         return _decide(coordinator, False)
-    coordinator = _ack(coordinator, reply.index)
+    coordinator = _record_ack(coordinator, reply.index)
     if len(coordinator.acknowledged_ranks) < coordinator.group_size:
         return CoordinatorResult(coordinator)
     return _decide(coordinator, True)
 
 
 def abort_undecided(coordinator: Coordinator) -> CoordinatorResult:
-    """Aborts a switch that has stalled before its decision."""
+    """Aborts a switch that has stalled before the decision."""
     if coordinator.phase not in (CoordinatorPhase.PREPARING,
                                  CoordinatorPhase.ARMING):
         return CoordinatorResult(coordinator)
@@ -208,10 +220,10 @@
 
 def on_noted(coordinator: Coordinator,
              reply: switch.Noted) -> CoordinatorResult:
-    """Counts a rank that has the decision; ends the switch once all have."""
+    """Records an acknowledged decision; ends the switch once all have."""
     if not _is_current(coordinator, reply, CoordinatorPhase.DECIDED):
         return CoordinatorResult(coordinator)
-    coordinator = _ack(coordinator, reply.index)
+    coordinator = _record_ack(coordinator, reply.index)
     if len(coordinator.acknowledged_ranks) == coordinator.group_size:
         coordinator = dataclasses.replace(coordinator,
                                           phase=CoordinatorPhase.IDLE,
@@ -221,93 +233,105 @@
 
 def on_join(coordinator: Coordinator,
             request: switch.Join) -> CoordinatorResult:
-    """Names the map to a restarted rank; what is undecided is aborted.
+    """Sends the map to a restarted rank and aborts an undecided switch.
 
-    The rank that was lost may have been armed, and its successor is not.
+    The previous incarnation of the rank may have been armed; the new one is
+    not, so the switch cannot be committed.
     """
     known = coordinator.incarnations[request.index]
-    if coordinator.phase is CoordinatorPhase.COLLECTING or request.incarnation < known:
+    if (coordinator.phase is CoordinatorPhase.COLLECTING or
+            request.incarnation < known):
         return CoordinatorResult(coordinator)
-    coordinator = _hear(coordinator, request.index, request.incarnation)
-    sends: tuple[OutgoingMessage, ...] = ()
+    coordinator = _record_incarnation(coordinator, request.index,
+                                      request.incarnation)
+    messages: tuple[OutgoingMessage, ...] = ()
     if coordinator.phase in (CoordinatorPhase.PREPARING,
                              CoordinatorPhase.ARMING):
         decided = _decide(coordinator, False)
-        coordinator, sends = decided.coordinator, decided.messages
+        coordinator, messages = decided.coordinator, decided.messages
     name = switch.Name(coordinator.fence, request.incarnation,
                        coordinator.map_state)
     return CoordinatorResult(coordinator,
-                             (*sends, OutgoingMessage(request.index, name)))
+                             (*messages, OutgoingMessage(request.index, name)))
 
 
 def unanswered_messages(
         coordinator: Coordinator) -> tuple[OutgoingMessage, ...]:
-    """The messages that have not been answered; to be sent again."""
-    order = _open_order(coordinator)
-    if order is None:
+    """Returns the unanswered messages, for retransmission."""
+    message = _current_request(coordinator)
+    if message is None:
         return ()
     if coordinator.phase is CoordinatorPhase.COLLECTING:
-        done = frozenset(i for i, rank in enumerate(coordinator.rank_reports)
-                         if rank is not None)
+        answered = frozenset(
+            i for i, rank in enumerate(coordinator.rank_reports)
+            if rank is not None)
     else:
-        done = coordinator.acknowledged_ranks
+        answered = coordinator.acknowledged_ranks
     return tuple(
-        OutgoingMessage(i, order)
+        OutgoingMessage(i, message)
         for i in range(coordinator.group_size)
-        if i not in done)
+        if i not in answered)
 
 
-def _open_order(decider: Coordinator) -> switch.CoordinatorMessage | None:
-    change = decider.current_change
-    if decider.phase is CoordinatorPhase.COLLECTING:
-        return switch.Query(decider.fence)
+def _current_request(
+        coordinator: Coordinator) -> switch.CoordinatorMessage | None:
+    change = coordinator.current_change
+    if coordinator.phase is CoordinatorPhase.COLLECTING:
+        return switch.Query(coordinator.fence)
     if change is None:
         return None
-    if decider.phase is CoordinatorPhase.PREPARING:
+    if coordinator.phase is CoordinatorPhase.PREPARING:
         return switch.Prepare(change.id, change.target)
-    if decider.phase is CoordinatorPhase.ARMING:
+    if coordinator.phase is CoordinatorPhase.ARMING:
         return switch.Arm(change.id, change.step)
-    if decider.phase is CoordinatorPhase.DECIDED:
-        return switch.Decide(decider.fence, change.id, decider.is_commit)
+    if coordinator.phase is CoordinatorPhase.DECIDED:
+        return switch.Decide(coordinator.fence, change.id,
+                             coordinator.is_commit)
     return None
 
 
-def _decide(decider: Coordinator, commit: bool) -> CoordinatorResult:
-    change = decider.current_change
+def _decide(coordinator: Coordinator, commit: bool) -> CoordinatorResult:
+    change = coordinator.current_change
     assert change is not None
-    held = decider.map_state
-    if commit and switch.latest_switch_id(held) != change.id:
-        held = switch.map_after_commit(held, change)
-    held = dataclasses.replace(held, closed=max(held.closed, change.id))
-    decider = dataclasses.replace(decider,
-                                  phase=CoordinatorPhase.DECIDED,
-                                  map_state=held,
-                                  is_commit=commit,
-                                  acknowledged_ranks=frozenset())
+    map_state = coordinator.map_state
+    if commit and switch.latest_switch_id(map_state) != change.id:
+        map_state = switch.map_after_commit(map_state, change)
+    map_state = dataclasses.replace(map_state,
+                                    closed=max(map_state.closed, change.id))
+    coordinator = dataclasses.replace(coordinator,
+                                      phase=CoordinatorPhase.DECIDED,
+                                      map_state=map_state,
+                                      is_commit=commit,
+                                      acknowledged_ranks=frozenset())
     return CoordinatorResult(
-        decider,
-        _to_all(decider, switch.Decide(decider.fence, change.id, commit)))
+        coordinator,
+        _broadcast(coordinator,
+                   switch.Decide(coordinator.fence, change.id, commit)))
 
 
-def _is_current(decider: Coordinator,
+def _is_current(coordinator: Coordinator,
                 reply: switch.Prepared | switch.Armed | switch.Noted,
                 phase: CoordinatorPhase) -> bool:
-    return (decider.phase is phase and decider.current_change is not None and
-            reply.id == decider.current_change.id and
-            reply.incarnation == decider.incarnations[reply.index])
+    return (coordinator.phase is phase and
+            coordinator.current_change is not None and
+            reply.id == coordinator.current_change.id and
+            reply.incarnation == coordinator.incarnations[reply.index])
 
 
-def _ack(decider: Coordinator, index: int) -> Coordinator:
-    return dataclasses.replace(decider,
-                               acknowledged_ranks=decider.acknowledged_ranks |
-                               {index})
+def _record_ack(coordinator: Coordinator, index: int) -> Coordinator:
+    return dataclasses.replace(
+        coordinator,
+        acknowledged_ranks=coordinator.acknowledged_ranks | {index})
 
 
-def _hear(decider: Coordinator, index: int, incarnation: int) -> Coordinator:
-    return dataclasses.replace(decider,
-                               incarnations=_put(decider.incarnations, index,
-                                                 incarnation))
+def _record_incarnation(coordinator: Coordinator, index: int,
+                        incarnation: int) -> Coordinator:
+    return dataclasses.replace(coordinator,
+                               incarnations=_replace_item(
+                                   coordinator.incarnations, index,
+                                   incarnation))
 
 
-def _put(items: tuple[_T, ...], index: int, item: _T) -> tuple[_T, ...]:
+def _replace_item(items: tuple[_T, ...], index: int,
+                  item: _T) -> tuple[_T, ...]:
     return (*items[:index], item, *items[index + 1:])
--- a/pollenthread/core/switch_rank.py
+++ b/pollenthread/core/switch_rank.py
@@ -1,12 +1,12 @@
-"""What a rank does in a switch of expert maps; see `switch`."""
+"""State transitions of a rank in a map switch; see `switch`."""
 
 import dataclasses
 
 from pollenthread.core import switch
 
 __all__ = [
-    'RankResult', 'enter_next_step', 'answer_decision_request',
-    'decision_request', 'join_request', 'may_enter_next_step', 'on_arm',
+    'RankResult', 'answer_decision_request', 'decision_request',
+    'enter_next_step', 'join_request', 'may_enter_next_step', 'on_arm',
     'on_decide', 'on_loaded', 'on_name', 'on_prepare', 'on_query',
     'restarted_rank'
 ]
@@ -14,20 +14,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankResult:
-    """A rank after a message, and its answer if it has one."""
+    """A rank after an event, and its reply or None."""
 
     rank: switch.Rank
     reply: switch.RankMessage | None = None
 
 
 def restarted_rank(rank: switch.Rank, *, fence: int, step: int) -> switch.Rank:
-    """The rank after it has lost its memory.
+    """Returns the state of a rank after a restart.
 
     Args:
-        rank: what it was.
-        fence: the fencing number that the group's row holds, read after the
-            start, so that a decider replaced meanwhile is refused.
-        step: the last step that the whole group has completed.
+        rank: the state before the restart.
+        fence: the fencing number in the lease row of the group. It is read
+            after the start, so that messages of a replaced coordinator are
+            ignored.
+        step: the last step that all ranks of the group have completed.
     """
     return switch.Rank(index=rank.index,
                        incarnation=rank.incarnation + 1,
@@ -36,7 +37,7 @@
 
 
 def may_enter_next_step(rank: switch.Rank) -> bool:
-    """Whether the rank may enter its next step."""
+    """Returns whether the rank may enter its next step."""
     if rank.held is None:
         return False
     if rank.pending is None or rank.stage is not switch.Stage.ARMED:
@@ -45,12 +46,12 @@
 
 
 def enter_next_step(rank: switch.Rank) -> switch.Rank:
-    """Enters the next step; only if `may_enter`."""
+    """Enters the next step; requires `may_enter_next_step`."""
     return dataclasses.replace(rank, step=rank.step + 1)
 
 
 def on_query(rank: switch.Rank, order: switch.Query) -> RankResult:
-    """Raises the fence and reports."""
+    """Raises the fencing number and reports the state of the rank."""
     if order.fence < rank.fence:
         return RankResult(rank)
     rank = dataclasses.replace(rank, fence=order.fence)
@@ -58,7 +59,7 @@
 
 
 def on_prepare(rank: switch.Rank, order: switch.Prepare) -> RankResult:
-    """Begins to load; a repeat is answered from what is there."""
+    """Starts to load a map; answers a repeated request from the state."""
     held = rank.held
     if order.id.fence < rank.fence or held is None:
         return RankResult(rank)
@@ -76,7 +77,7 @@
 
 
 def _is_free(rank: switch.Rank, held: switch.Map) -> bool:
-    """Whether no earlier switch is undecided or yet to come into force."""
+    """Returns whether no earlier switch is armed or yet to take effect."""
     if rank.pending is not None and rank.stage is switch.Stage.ARMED:
         return False
     latest = held.latest
@@ -85,7 +86,7 @@
 
 def on_loaded(rank: switch.Rank, switch_id: switch.SwitchId, *,
               ok: bool) -> RankResult:
-    """The load of a pending switch's weights has ended."""
+    """Records that loading the weights of the pending switch has ended."""
     if (rank.pending is None or rank.pending.id != switch_id or
             rank.stage is not switch.Stage.LOADING):
         return RankResult(rank)
@@ -97,7 +98,7 @@
 
 
 def on_arm(rank: switch.Rank, order: switch.Arm) -> RankResult:
-    """Promises to wait at the step, unless it was entered already."""
+    """Arms the rank for a step, unless it has entered that step already."""
     if order.id.fence < rank.fence or rank.held is None:
         return RankResult(rank)
     pending = rank.pending
@@ -116,7 +117,7 @@
 
 
 def on_decide(rank: switch.Rank, order: switch.Decide) -> RankResult:
-    """Takes a decision, unless a later decider has been heard since."""
+    """Applies a decision, unless its fencing number is out of date."""
     held = rank.held
     if order.fence < rank.fence or held is None:
         return RankResult(rank)
@@ -145,14 +146,14 @@
 
 
 def join_request(rank: switch.Rank) -> switch.Join | None:
-    """What a rank without a map asks the decider."""
+    """Returns the request for the map state; None if the rank has one."""
     if rank.held is not None:
         return None
     return switch.Join(rank.index, rank.incarnation)
 
 
 def on_name(rank: switch.Rank, order: switch.Name) -> RankResult:
-    """Takes the map that the group names."""
+    """Adopts the map state sent by the coordinator."""
     if (order.fence < rank.fence or rank.held is not None or
             order.incarnation != rank.incarnation):
         return RankResult(rank)
@@ -165,7 +166,11 @@
 
 
 def decision_request(rank: switch.Rank) -> switch.Ask | None:
-    """What a rank that waits at its armed step asks the others."""
+    """Returns the request to other ranks for the decision.
+
+    Returns:
+        The request, or None unless the rank is blocked at its armed step.
+    """
     if rank.pending is None or may_enter_next_step(rank):
         return None
     return switch.Ask(rank.pending.id)
@@ -173,10 +178,10 @@
 
 def answer_decision_request(rank: switch.Rank,
                             question: switch.Ask) -> switch.Decide | None:
-    """Tells a decision with the fencing number that brought it.
+    """Returns the decision on a switch, or None if it is not known.
 
-    A greater number would be a lie: the later decider may not have heard of
-    this decision.
+    The decision carries the fencing number under which it was received, not
+    the current one: a later coordinator may not know this decision.
     """
     if rank.held is None or rank.held.closed != question.id:
         return None
