Rename the remaining local names of the placement and switch modules

Local variables and private constants get the same terms as the public names; constants whose meaning was unclear get a line of comment. The syntax trees without names and texts are unchanged.

--- a/pollenthread/core/expert_choices.py
+++ b/pollenthread/core/expert_choices.py
@@ -13,34 +13,35 @@
 
 __all__ = ['ChoiceCounter', 'pack_choices', 'packed_size', 'unpack_choices']
 
-_MAX_VALUE = 15
-_BITS = 4
-_LOW_NIBBLES = bytes(value & _MAX_VALUE for value in range(256))
-_HIGH_NIBBLES = bytes(value >> _BITS for value in range(256))
+_MAX_PACKED_VALUE = 15
+_BITS_PER_VALUE = 4
+_LOW_NIBBLES = bytes(value & _MAX_PACKED_VALUE for value in range(256))
+_HIGH_NIBBLES = bytes(value >> _BITS_PER_VALUE for value in range(256))
 
 
 class ChoiceCounter:
     """Converts the cumulative counts of a server into differences."""
 
     def __init__(self) -> None:
-        self._life: tuple[int, int] | None = None
+        self._counter_epoch: tuple[int, int] | None = None
         self._counts: Sequence[int] = ()
 
-    def take(self, life: tuple[int, int],
+    def take(self, counter_epoch: tuple[int, int],
              counts: Sequence[int]) -> list[int] | None:
         """Records cumulative counts and returns the difference to the last.
 
         Args:
-            life: the start time of the server and the epoch of its group;
-                counts restart from zero when either changes.
-            counts: the choices since then, by set and expert.
+            counter_epoch: the start time of the server and the epoch of its
+                group; counts restart from zero when either changes.
+            counts: the choices since that restart, by set and expert.
 
         Returns:
-            The differences, or None if the last counts had another `life`.
+            The differences, or None if the last counts had another
+            `counter_epoch`.
         """
-        before, known = self._counts, self._life
-        self._counts, self._life = counts, life
-        if known != life or len(before) != len(counts):
+        before, known = self._counts, self._counter_epoch
+        self._counts, self._counter_epoch = counts, counter_epoch
+        if known != counter_epoch or len(before) != len(counts):
             return None
         return [max(0, new - old) for new, old in zip(counts, before)]
 
@@ -61,12 +62,12 @@
     Returns:
         The unit that the packed values are multiples of, and the bytes.
     """
-    unit = max(1, -(-max(values, default=0) // _MAX_VALUE))
+    unit = max(1, -(-max(values, default=0) // _MAX_PACKED_VALUE))
     if unit > 1:
         values = [int(value / unit + rng.random()) for value in values]
     padded = [*values, 0] if len(values) % 2 else values
-    return unit, bytes(
-        low | high << _BITS for low, high in zip(padded[::2], padded[1::2]))
+    return unit, bytes(low | high << _BITS_PER_VALUE
+                       for low, high in zip(padded[::2], padded[1::2]))
 
 
 def unpack_choices(unit: int, data: bytes) -> list[int]:
--- a/pollenthread/core/expert_demand.py
+++ b/pollenthread/core/expert_demand.py
@@ -10,6 +10,7 @@
 
 __all__ = ['ExpertDemand']
 
+# Distances are the sums of the absolute differences of the shares, from 0 to 2.
 _SHIFT_DISTANCE = 0.35
 _POSSIBLE_SHIFT_DISTANCE = 0.2
 _RETAINED_SHARE = 0.7
--- a/pollenthread/core/load_schedule.py
+++ b/pollenthread/core/load_schedule.py
@@ -14,14 +14,14 @@
         group: the name of the group.
         bytes: the bytes of weights to load.
         saving_per_s: the capacity-seconds saved per second by the loads.
-        life_s: the expected useful life of the loads, in seconds.
+        useful_life_s: the expected useful life of the loads, in seconds.
         cost: the cost of the loads, in capacity-seconds.
     """
 
     group: str
     bytes: int
     saving_per_s: float
-    life_s: float
+    useful_life_s: float
     cost: float
 
 
@@ -57,7 +57,7 @@
     now_s = 0.0
     for item in prioritized:
         end_s = now_s + item.bytes / store_bytes_per_s
-        saving = item.saving_per_s * max(0.0, item.life_s - end_s)
+        saving = item.saving_per_s * max(0.0, item.useful_life_s - end_s)
         if saving > item.cost:
             slots.append(LoadSlot(item.group, now_s, end_s))
             now_s = end_s
--- a/pollenthread/core/map_switch.py
+++ b/pollenthread/core/map_switch.py
@@ -1,5 +1,8 @@
 """Switches the expert map of all ranks of a group in the same pass.
 
+The agents of the ranks execute orders and report rank states; the module
+`switch` has the protocol for ranks that exchange messages themselves.
+
 A switch prepares the map on every rank, makes one rank hold back a future
 pass, arms every rank for that pass, and releases the pass once every rank has
 reported itself armed. An order without an answer may still be executed
@@ -30,7 +33,7 @@
 # The index of the rank that holds a pass back for the whole group.
 HOLDING_RANK = 0
 _MIN_LEAD_PASSES = 2
-_MIN_STEP = 1
+_FIRST_STEP = 1
 
 RankStates = Mapping[int, peer_messages.RankState]
 RankOrders = dict[int, peer_messages.RankOrder]
@@ -138,8 +141,8 @@
                                 step=held_step), states)
     step = max(state.step for state in states.values())
     if switch.step <= step:
-        held_step = max(_MIN_STEP, step) + switch.lead_passes
-        switch = dataclasses.replace(switch, step=held_step)
+        switch_step = max(_FIRST_STEP, step) + switch.lead_passes
+        switch = dataclasses.replace(switch, step=switch_step)
     order = _order(switch, peer_messages.OrderKind.HOLD)
     return switch, {HOLDING_RANK: order}
 
--- a/pollenthread/core/membership.py
+++ b/pollenthread/core/membership.py
@@ -22,6 +22,7 @@
 SUSPECT_AFTER_S = 1.5
 DEAD_AFTER_S = 3.0
 MAX_DEAD_SHARE = 0.34
+# The number of reports that mark a host as dead which is not monitored locally.
 DEAD_REPORT_QUORUM = 2
 REPORT_TTL_S = 30.0
 POLLERS_PER_DATA_CENTRE = 2
--- a/pollenthread/core/model_placement.py
+++ b/pollenthread/core/model_placement.py
@@ -20,14 +20,14 @@
     Attributes:
         model: the name of the model.
         groups: the demand, in units of the capacity of one group.
-        life_s: the expected duration of the demand, in seconds.
+        duration_s: the expected duration of the demand, in seconds.
         weight: the value of a request served in time, by the importance of
             its class.
     """
 
     model: str
     groups: float
-    life_s: float
+    duration_s: float
     weight: float = 1.0
 
 
@@ -79,11 +79,11 @@
     for group in groups:
         group_counts[group.model] = group_counts.get(group.model, 0) + 1
     demand_by_model = {demand.model: demand for demand in demands}
-    free = sorted((group for group in groups if group.is_free),
-                  key=lambda group: group.group)
+    changeable = sorted((group for group in groups if group.is_free),
+                        key=lambda group: group.group)
     changes: list[ModelChange] = []
     while len(changes) < budget:
-        best = max((change for group in free for demand in demands
+        best = max((change for group in changeable for demand in demands
                     if (change := _change(group, demand, demand_by_model,
                                           group_counts, load_s)) is not None),
                    key=lambda change: change.saving,
@@ -91,10 +91,11 @@
         if best is None:
             break
         changes.append(best)
-        old = next(group for group in free if group.group == best.group)
-        group_counts[old.model] -= 1
+        changed_group = next(
+            group for group in changeable if group.group == best.group)
+        group_counts[changed_group.model] -= 1
         group_counts[best.model] += 1
-        free.remove(old)
+        changeable.remove(changed_group)
     return changes
 
 
@@ -105,16 +106,16 @@
     if demand.model == group.model:
         return None
     source = demand_by_model.get(group.model)
-    given = 0.0
+    lost = 0.0
     if source is not None:
         if group_counts[group.model] == 1 and source.groups > 0:
             return None
-        given = _last_group_utilization(
+        lost = _last_group_utilization(
             source, group_counts[group.model]) * source.weight
     gained = _last_group_utilization(
         demand, group_counts[demand.model] + 1) * demand.weight
-    useful_s = max(0.0, demand.life_s - load_s)
-    saving = gained * useful_s - given * demand.life_s
+    useful_s = max(0.0, demand.duration_s - load_s)
+    saving = gained * useful_s - lost * demand.duration_s
     return ModelChange(group.group, demand.model,
                        saving) if saving > 0 else None
 
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -299,7 +299,7 @@
     """Removes the results of orders that the journal has closed."""
     if number <= state.settled_below_by_duty.get(duty, 0):
         return state
-    key_by_id = {
+    duty_and_number_by_id = {
         order_id: key
         for order_id, key in state.duty_and_number_by_id.items()
         if key[0] != duty or key[1] >= number
@@ -309,9 +309,9 @@
         settled_below_by_duty={
             **state.settled_below_by_duty, duty: number
         },
-        duty_and_number_by_id=key_by_id,
+        duty_and_number_by_id=duty_and_number_by_id,
         result_by_id={
             order_id: result
             for order_id, result in state.result_by_id.items()
-            if order_id in key_by_id
+            if order_id in duty_and_number_by_id
         })
--- a/pollenthread/core/popularity.py
+++ b/pollenthread/core/popularity.py
@@ -10,7 +10,9 @@
 ]
 
 HALF_LIFE_S = 600.0
+# The total variation distance, beyond sampling noise, of an abrupt shift.
 SHIFT_DISTANCE = 0.08
+# In standard errors.
 _NOISE_MARGIN = 4.0
 _RETAINED_AFTER_SHIFT = 0.25
 DRIFT_HALF_LIFE_S = 3600.0
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -22,8 +22,11 @@
 BUDGET_WINDOW_S = 3600.0
 LOAD_COOLDOWN_S = 3600.0
 MAX_STANDARD_ERROR = 0.03
+# The minimum reduction of the skew for a change of the split alone, while the
+# skew is within the target.
 MIN_SPLIT_GAIN = 0.02
 _MAX_CHAIN_LENGTH = 6
+# The popularity has lost its use once this share of the traffic has drifted.
 _USEFUL_LIFE_DRIFT = 0.25
 _MIN_USEFUL_LIFE_S = 900.0
 _MAX_USEFUL_LIFE_S = 4 * 3600.0
--- a/pollenthread/core/replication.py
+++ b/pollenthread/core/replication.py
@@ -20,8 +20,8 @@
 SetLayout = tuple[frozenset[int], ...]
 """The experts of one set that each rank holds, by rank."""
 
-_CANDIDATE_EXPERTS = 3
-_CANDIDATE_RANKS = 3
+_MAX_CANDIDATE_EXPERTS = 3
+_MAX_CANDIDATE_RANKS = 3
 # The exponent of the load norm: accounts for all heavily loaded ranks, not
 # only for the most loaded one.
 _NORM_EXPONENT = 8
@@ -142,8 +142,8 @@
         for layout, share in zip(layouts, shares)
     ]
     heap = [(-best.gain, index, best)
-            for index, found in enumerate(sets)
-            if (best := found.best_replica()) is not None]
+            for index, planner in enumerate(sets)
+            if (best := planner.best_replica()) is not None]
     heapq.heapify(heap)
     while heap:
         _, index, replica = heapq.heappop(heap)
@@ -153,12 +153,13 @@
         if better is not None:
             heapq.heappush(heap, (-better.gain, index, better))
     copies = [limits.max_copies - left for left in copies_left]
-    return ReplicationStep(layouts=tuple(found.layout() for found in sets),
+    return ReplicationStep(layouts=tuple(planner.layout() for planner in sets),
                            copies=sum(copies),
                            max_copies_per_rank=max(copies),
                            before=mean_max_rank_load(layouts, shares,
                                                      slowdowns),
-                           after=_mean([max(found.loads) for found in sets]))
+                           after=_mean([max(planner.loads) for planner in sets
+                                       ]))
 
 
 def _mean(values: Sequence[float]) -> float:
@@ -182,7 +183,9 @@
                  limits: ReplicationLimits, slowdowns: Sequence[float],
                  copies_left: list[int]) -> None:
         total = sum(shares) or 1.0
-        self._share = [share * len(layout) / total for share in shares]
+        self._normalized_shares = [
+            share * len(layout) / total for share in shares
+        ]
         self._limits = limits
         self._slowdowns = slowdowns
         self._copies_left = copies_left
@@ -203,11 +206,11 @@
         ranks = self._free_ranks()
         for expert in self._heaviest_experts():
             for rank in [r for r in ranks if expert not in self._held[r]
-                        ][:_CANDIDATE_RANKS]:
-                found = self._evaluate(rank, expert, norm_before)
-                if found is not None and (best is None or
-                                          found.gain > best.gain):
-                    best = found
+                        ][:_MAX_CANDIDATE_RANKS]:
+                candidate = self._evaluate(rank, expert, norm_before)
+                if candidate is not None and (best is None or
+                                              candidate.gain > best.gain):
+                    best = candidate
         return best
 
     def _free_ranks(self) -> list[int]:
@@ -221,13 +224,13 @@
     def _heaviest_experts(self) -> list[int]:
         """Returns the experts with the highest load on the most loaded rank."""
         rank = max(range(len(self.loads)), key=lambda r: self.loads[r])
-        return heapq.nlargest(_CANDIDATE_EXPERTS,
+        return heapq.nlargest(_MAX_CANDIDATE_EXPERTS,
                               self._held[rank],
                               key=self._load_per_replica)
 
     def _load_per_replica(self, expert: int) -> float:
         """Returns the load of each replica of an expert."""
-        return self._share[expert] / self._replica_counts[expert]
+        return self._normalized_shares[expert] / self._replica_counts[expert]
 
     def _evaluate(self, rank: int, expert: int,
                   norm_before: float) -> _Replica | None:
@@ -258,7 +261,8 @@
                       change: int) -> None:
         """Applies an added (1) or removed (-1) replica to a list of loads."""
         before = self._load_per_replica(expert)
-        after = self._share[expert] / (self._replica_counts[expert] + change)
+        after = self._normalized_shares[expert] / (
+            self._replica_counts[expert] + change)
         for other, held in enumerate(self._held):
             if expert in held and other != rank:
                 loads[other] += (after - before) * self._slowdowns[other]
--- a/pollenthread/core/switch_rank.py
+++ b/pollenthread/core/switch_rank.py
@@ -60,15 +60,15 @@
 
 def on_prepare(rank: switch.Rank, order: switch.Prepare) -> RankResult:
     """Starts to load a map; answers a repeated request from the state."""
-    held = rank.held
-    if order.id.fence < rank.fence or held is None:
+    map_state = rank.held
+    if order.id.fence < rank.fence or map_state is None:
         return RankResult(rank)
     rank = dataclasses.replace(rank, fence=order.id.fence)
     if rank.pending is not None and rank.pending.id == order.id:
         if rank.stage is switch.Stage.LOADING:
             return RankResult(rank)
         return RankResult(rank, _prepared(rank, order.id, ok=True))
-    if order.id <= held.closed or not _is_free(rank, held):
+    if order.id <= map_state.closed or not _is_free(rank, map_state):
         return RankResult(rank, _prepared(rank, order.id, ok=False))
     return RankResult(
         dataclasses.replace(rank,
@@ -76,11 +76,11 @@
                             stage=switch.Stage.LOADING))
 
 
-def _is_free(rank: switch.Rank, held: switch.Map) -> bool:
+def _is_free(rank: switch.Rank, map_state: switch.Map) -> bool:
     """Returns whether no earlier switch is armed or yet to take effect."""
     if rank.pending is not None and rank.stage is switch.Stage.ARMED:
         return False
-    latest = held.latest
+    latest = map_state.latest
     return latest is None or rank.step >= latest.step
 
 
@@ -118,29 +118,31 @@
 
 def on_decide(rank: switch.Rank, order: switch.Decide) -> RankResult:
     """Applies a decision, unless its fencing number is out of date."""
-    held = rank.held
-    if order.fence < rank.fence or held is None:
+    map_state = rank.held
+    if order.fence < rank.fence or map_state is None:
         return RankResult(rank)
     rank = dataclasses.replace(rank, fence=order.fence)
     noted = switch.Noted(order.id, rank.index, rank.incarnation)
-    if order.id <= held.closed:
+    if order.id <= map_state.closed:
         return RankResult(rank, noted)
     pending = rank.pending
-    is_mine = pending is not None and pending.id == order.id
-    if pending is not None and not is_mine and rank.stage is switch.Stage.ARMED:
+    is_pending = pending is not None and pending.id == order.id
+    if (pending is not None and not is_pending and
+            rank.stage is switch.Stage.ARMED):
         return RankResult(rank)
     if not order.commit:
-        held = dataclasses.replace(held, closed=order.id)
+        map_state = dataclasses.replace(map_state, closed=order.id)
         return RankResult(
             dataclasses.replace(rank,
-                                held=held,
-                                pending=None if is_mine else pending,
+                                held=map_state,
+                                pending=None if is_pending else pending,
                                 decided_fence=order.fence), noted)
-    if pending is None or not is_mine or rank.stage is not switch.Stage.ARMED:
+    if (pending is None or not is_pending or
+            rank.stage is not switch.Stage.ARMED):
         return RankResult(rank)
     return RankResult(
         dataclasses.replace(rank,
-                            held=switch.map_after_commit(held, pending),
+                            held=switch.map_after_commit(map_state, pending),
                             pending=None,
                             decided_fence=order.fence), noted)
 
@@ -177,17 +179,17 @@
 
 
 def answer_decision_request(rank: switch.Rank,
-                            question: switch.Ask) -> switch.Decide | None:
+                            request: switch.Ask) -> switch.Decide | None:
     """Returns the decision on a switch, or None if it is not known.
 
     The decision carries the fencing number under which it was received, not
     the current one: a later coordinator may not know this decision.
     """
-    if rank.held is None or rank.held.closed != question.id:
+    if rank.held is None or rank.held.closed != request.id:
         return None
     latest = rank.held.latest
-    commit = latest is not None and latest.id == question.id
-    return switch.Decide(rank.decided_fence, question.id, commit)
+    commit = latest is not None and latest.id == request.id
+    return switch.Decide(rank.decided_fence, request.id, commit)
 
 
 def _prepared(rank: switch.Rank, switch_id: switch.SwitchId, *,
