--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -54,7 +54,7 @@
     """Checks callers' requests and serves them through the gateway."""
 
     def __init__(self, *, gate: gateway.Gateway,
-                 config: config_store.ConfigStore, hosts: directory.Directory,
+                 config: config_store.ConfigStore, hosts: directory.HostDirectory,
                  request_ids: ids.IdSource, time: clock.Clock,
                  tally: account.Tally, is_refusing: Callable[[], bool],
                  observe: Callable[[pace.Pace, float],
@@ -89,14 +89,14 @@
         if request.method != 'GET':
             raise _refuse(errors.Kind.METHOD_NOT_ALLOWED, 'Use GET.')
         caller = request.header('x-caller') or request.peer
-        hosts = addresses.order(self._hosts.entries(), caller)
+        hosts = addresses.order(self._hosts.usable_entries(), caller)
         await response.send_json(200, {
             'addresses': [host.address for host in hosts],
             'ttl_s': ADDRESS_TTL_S
         }, [('cache-control', f'max-age={ADDRESS_TTL_S}')])
 
     def _check(self, request: http_server.Request,
-               request_id: str) -> gateway.Call:
+               request_id: str) -> gateway.GatewayRequest:
         if self._is_refusing():
             raise _refuse(errors.Kind.LEAVING)
         current = self._config.usable
@@ -108,7 +108,7 @@
         work_class = _work_class(request, workspace)
         target = _target(request, workspace)
         key = _key(request, work_class)
-        return gateway.Call(request_id=request_id,
+        return gateway.GatewayRequest(request_id=request_id,
                             workspace=workspace.name,
                             work_class=work_class,
                             key=key,
@@ -122,13 +122,13 @@
                             headers=_passed_headers(request, key),
                             body=request.body)
 
-    async def _serve(self, call: gateway.Call,
+    async def _serve(self, call: gateway.GatewayRequest,
                      response: http_server.Response) -> None:
         started_at = self._time.monotonic()
         self._tally.accept(call.tally_key)
         self.open_requests.add(call.request_id)
         sink = _ResponseSink(response=response, request_id=call.request_id)
-        report = gateway.Report(started_at=started_at)
+        report = gateway.RequestReport(started_at=started_at)
         trace = self._tracer.start(call.headers)
         if trace is not None:
             call = _traced(call, trace)
@@ -145,17 +145,17 @@
                             _outcome(call.work_class, report, started_at,
                                      self._time.monotonic()),
                             attempts=report.attempts,
-                            repeat=report.repeat,
+                            repeat=report.is_replayed,
                             retries_allowed=call.work_class.retries)
             if trace is not None:
                 self._finish_trace(trace, call, report)
         if report.failure is None:
-            self._observe(report.pace, self._time.monotonic() - started_at)
+            self._observe(report.response_timing, self._time.monotonic() - started_at)
         else:
             await sink.fail(report.failure, report.attempts)
 
-    def _finish_trace(self, trace: spans.Context, call: gateway.Call,
-                      report: gateway.Report) -> None:
+    def _finish_trace(self, trace: spans.Context, call: gateway.GatewayRequest,
+                      report: gateway.RequestReport) -> None:
         failure = report.failure
         self._tracer.finish(
             trace, call.request_id, report.started_at, self._time.monotonic(),
@@ -166,13 +166,13 @@
             })
 
 
-def _traced(call: gateway.Call, trace: spans.Context) -> gateway.Call:
+def _traced(call: gateway.GatewayRequest, trace: spans.Context) -> gateway.GatewayRequest:
     headers = tuple(
         header for header in call.headers if header[0] != spans.TRACEPARENT)
     return dataclasses.replace(call, headers=(*headers, trace.header))
 
 
-class _ResponseSink(gateway.Sink):
+class _ResponseSink(gateway.ResponseSink):
     """Writes an answer to the caller."""
 
     def __init__(self, *, response: http_server.Response,
@@ -185,7 +185,7 @@
         return [('x-request-id', self._request_id),
                 ('x-attempts', str(attempts))]
 
-    async def head(self, status: int, headers: tuple[http_headers.Header, ...],
+    async def write_head(self, status: int, headers: tuple[http_headers.Header, ...],
                    attempts: int) -> None:
         passed = [
             (name, value) for name, value in headers if name not in _OWN_HEADERS
@@ -196,13 +196,13 @@
         await self._response.send_head(status,
                                        [*passed, *self._own_headers(attempts)])
 
-    async def data(self, data: bytes) -> None:
+    async def write_data(self, data: bytes) -> None:
         await self._response.write(data)
 
-    def data_at_once(self, data: bytes) -> bool:
+    def try_write_data(self, data: bytes) -> bool:
         return self._response.write_at_once(data)
 
-    async def end(self) -> None:
+    async def write_end(self) -> None:
         await self._response.finish()
 
     async def fail(self, problem: errors.Failure, attempts: int) -> None:
@@ -331,7 +331,7 @@
     return tuple(passed)
 
 
-def _outcome(work_class: targets.WorkClass, report: gateway.Report,
+def _outcome(work_class: targets.WorkClass, report: gateway.RequestReport,
              started_at: float, ended_at: float) -> account.Outcome:
     failure = report.failure
     if failure is not None:
@@ -340,6 +340,6 @@
         if failure.ran is errors.Ran.UNKNOWN and not work_class.repeatable:
             return account.Outcome.UNKNOWN
         return account.Outcome.FAILED
-    if pace.is_in_time(work_class.latency, report.pace, ended_at - started_at):
+    if pace.is_in_time(work_class.latency, report.response_timing, ended_at - started_at):
         return account.Outcome.IN_TIME
     return account.Outcome.LATE
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -12,7 +12,7 @@
 import result
 
 from pollenthread.adapters import http_server
-from pollenthread.app import (explanation, order_desk, order_journal, peers as
+from pollenthread.app import (explanation, order_desk, order_journal, peer_links as
                               peers_module, targets_document)
 from pollenthread.core import errors, messages, orders
 from pollenthread.ports import table
@@ -31,7 +31,7 @@
     """Takes orders in and shows how they ended."""
 
     def __init__(self, *, journal: order_journal.OrderJournal,
-                 desk: order_desk.OrderDesk, peers: peers_module.Peers) -> None:
+                 desk: order_desk.OrderDesk, peers: peers_module.PeerLinks) -> None:
         self._journal = journal
         self._desk = desk
         self._peers = peers
--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from pollenthread.app import turns as turns_module
+from pollenthread.app import slot_scheduler as turns_module
 from pollenthread.core import (errors, events, gate_rules, messages, targets,
                                spans)
 from pollenthread.ports import engine, link as link_port
@@ -46,7 +46,7 @@
     """
 
     def __init__(self, *, begin: messages.Begin, link: link_port.Link,
-                 limits: AttemptLimits, turns: turns_module.Turns) -> None:
+                 limits: AttemptLimits, turns: turns_module.SlotScheduler) -> None:
         self.begin = begin
         self.links: list[link_port.Link] = [link]
         self.task: asyncio.Task[None] | None = None
@@ -74,7 +74,7 @@
         return self._deadline
 
     @property
-    def kept(self) -> bool:
+    def is_retained(self) -> bool:
         """Whether the whole answer is held until it is confirmed."""
         return not self.begin.repeatable
 
@@ -91,7 +91,7 @@
         return gate_rules.Phase.ENDED_UNKNOWN
 
     @property
-    def must_be_kept(self) -> bool:
+    def must_be_remembered(self) -> bool:
         """Whether forgetting this attempt could let it run twice."""
         return gate_rules.must_be_kept(self.phase,
                                        repeatable=self.begin.repeatable)
@@ -147,13 +147,13 @@
             self.fail(errors.failure(errors.Kind.UPSTREAM_TRUNCATED))
 
     async def _pass_on(self, count: int, data: bytes) -> None:
-        self._turns.progress(self.begin.attempt, count)
+        self._turns.record_progress(self.begin.attempt, count)
         chunk = messages.Chunk(self.begin.attempt, self._offset, count, data)
         self._offset += count
         self._unsent.append(chunk)
         self._unsent_bytes += len(data)
         self._emit(chunk)
-        if self.kept:
+        if self.is_retained:
             if self._unsent_bytes > self._limits.max_outcome_bytes:
                 raise ConnectionError('the outcome is too large to keep')
             return
@@ -200,7 +200,7 @@
 
     def credit(self, credit: messages.Credit) -> None:
         """Forgets what the entry host has passed on; allows more."""
-        if self.kept:
+        if self.is_retained:
             return
         self._allowed = max(self._allowed, credit.offset + credit.window)
         kept_from = 0
@@ -217,7 +217,7 @@
         if link not in self.links:
             return
         self.links.remove(link)
-        if not self.kept and not self.finished:
+        if not self.is_retained and not self.finished:
             loop = asyncio.get_running_loop()
             self._grace = loop.call_later(self._limits.resume_grace_s,
                                           self.cancel)
@@ -242,7 +242,7 @@
         return True
 
     def _add_link(self, link: link_port.Link) -> None:
-        if not self.kept:
+        if not self.is_retained:
             self.links = [link]
         elif link not in self.links:
             self.links.append(link)
@@ -252,7 +252,7 @@
         if self.task is not None:
             self.task.cancel()
 
-    def release_later(self, release: Callable[[], object]) -> None:
+    def release_after_grace(self, release: Callable[[], object]) -> None:
         """Calls `release` once nobody can ask to resume any more."""
         loop = asyncio.get_running_loop()
         loop.call_later(self._limits.resume_grace_s, release)
--- a/pollenthread/app/choice_teller.py
+++ b/pollenthread/app/choice_teller.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Sequence
 
-from pollenthread.app import group_view, roster
+from pollenthread.app import group_view, host_registry
 from pollenthread.core import expert_choices, peer_messages
 from pollenthread.ports import clock, peers, rank_server
 
@@ -20,7 +20,7 @@
     """Tells at a pace at which all ranks of a group leave room on one link."""
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
-                 hosts: roster.Roster, book: group_view.GroupBook,
+                 hosts: host_registry.HostRegistry, book: group_view.GroupBook,
                  network: peers.PeerNetwork, link_bytes_per_s: float,
                  time: clock.Clock, rng: random.Random) -> None:
         """Makes a teller that has told nothing.
--- a/pollenthread/app/claim_keeper.py
+++ b/pollenthread/app/claim_store.py
@@ -9,16 +9,16 @@
 
 import result
 
-from pollenthread.app import pool as pool_module
+from pollenthread.app import upstream_pool as pool_module
 from pollenthread.core import claims, errors
 from pollenthread.ports import table
 
 __all__ = [
-    'Attach', 'ClaimKeeper', 'Granted', 'Replay', 'SHARDS', 'dump_claim',
-    'parse_claim', 'request_digest', 'row_key', 'shard_prefix'
+    'Attach', 'ClaimStore', 'Granted', 'Replay', 'SHARD_COUNT', 'encode_claim',
+    'decode_claim', 'request_digest', 'row_key', 'shard_prefix'
 ]
 
-SHARDS = 4096
+SHARD_COUNT = 4096
 _SHARD_DIGITS = 3
 _MAX_ROUNDS = 8
 _LINK_TIMEOUT_S = 3.0
@@ -47,7 +47,7 @@
     key: str
     claim: claims.Claim
     version: int
-    upstream: pool_module.Upstream
+    upstream: pool_module.LinkedUpstream
 
 
 Decision = Granted | Replay | Attach
@@ -59,16 +59,16 @@
     return hashlib.sha256(head + body).hexdigest()
 
 
-class ClaimKeeper:
+class ClaimStore:
     """Claims keys, takes claims over, and records outcomes."""
 
     def __init__(self, *, table_service: table.TableService,
-                 pool: pool_module.Pool, want_upstream: Callable[[str], bool],
-                 wall: Callable[[], float]) -> None:
+                 pool: pool_module.UpstreamPool, request_link: Callable[[str], bool],
+                 wall_clock: Callable[[], float]) -> None:
         self._table = table_service
         self._pool = pool
-        self._want_upstream = want_upstream
-        self._wall = wall
+        self._want_upstream = request_link
+        self._wall = wall_clock
 
     async def acquire(
             self, key: str,
@@ -86,7 +86,7 @@
         wanted = dataclasses.replace(wanted, claimed_at_s=int(self._wall()))
         for _ in range(_MAX_ROUNDS):
             inserted = await self._table.put(key,
-                                             dump_claim(wanted),
+                                             encode_claim(wanted),
                                              expect=table.ABSENT)
             if isinstance(inserted, result.Ok):
                 return result.Ok(Granted(key, wanted, inserted.ok_value))
@@ -120,7 +120,7 @@
             return result.Err(_table_failure())
         if found.ok_value is None:
             return result.Ok(None)
-        claim = parse_claim(found.ok_value.value)
+        claim = decode_claim(found.ok_value.value)
         match claims.first_step(claim, attempt='', digest=digest):
             case claims.Step.REPLAY:
                 assert claim.outcome is not None
@@ -130,7 +130,7 @@
             case _:
                 return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
 
-    async def move(
+    async def reassign(
             self, granted: Granted,
             wanted: claims.Claim) -> result.Result[Granted, errors.Failure]:
         """Moves a claim whose attempt is proved not to have run."""
@@ -151,8 +151,8 @@
             [table.Write(granted.key, None, granted.version)])
         return isinstance(released, result.Ok)
 
-    async def find(
-        self, key: str, attempt: str, upstream: pool_module.Upstream
+    async def find_claim(
+        self, key: str, attempt: str, upstream: pool_module.LinkedUpstream
     ) -> result.Result[Attach | None, errors.Failure]:
         """Finds the claim of an attempt that an agent has finished.
 
@@ -169,14 +169,14 @@
         if isinstance(found, result.Err):
             return result.Err(_table_failure())
         row = found.ok_value
-        claim = None if row is None else parse_claim(row.value)
+        claim = None if row is None else decode_claim(row.value)
         if claims.has_ended(claim):
             return result.Ok(None)
         if row is None or claim is None or claim.attempt != attempt:
             return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
         return result.Ok(Attach(key, claim, row.version, upstream))
 
-    async def record(self, held: Granted | Attach,
+    async def record_outcome(self, held: Granted | Attach,
                      outcome: claims.Outcome | None) -> bool:
         """Keeps how the work ended.
 
@@ -196,14 +196,14 @@
         found = await self._table.get(held.key)
         if isinstance(found, result.Err) or found.ok_value is None:
             return False
-        return (parse_claim(found.ok_value.value).state
+        return (decode_claim(found.ok_value.value).state
                 is not claims.ClaimState.CLAIMED)
 
     async def _decide(
             self, row: table.Row, wanted: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
         """Decides from a row; None asks for another round."""
-        claim = parse_claim(row.value)
+        claim = decode_claim(row.value)
         step = claims.first_step(claim,
                                  attempt=wanted.attempt,
                                  digest=wanted.digest)
@@ -225,7 +225,7 @@
     ) -> result.Result[Decision, errors.Failure] | None:
         upstream = self._pool.by_host.get(claim.host)
         if upstream is None and self._want_upstream(claim.host):
-            upstream = await self._pool.wait_for(claim.host, claim.incarnation,
+            upstream = await self._pool.wait_for_link(claim.host, claim.incarnation,
                                                  _LINK_TIMEOUT_S)
         state = None
         incarnation = ''
@@ -251,7 +251,7 @@
     async def _replace(self, key: str, version: int,
                        claim: claims.Claim) -> int | None:
         """Compare-and-set; settles a lost answer by reading again."""
-        value = dump_claim(claim)
+        value = encode_claim(claim)
         written = await self._table.put(key, value, expect=version)
         if isinstance(written, result.Ok):
             return written.ok_value
@@ -284,7 +284,7 @@
     return errors.failure(errors.Kind.TABLE_UNAVAILABLE, ran=errors.Ran.NO)
 
 
-def dump_claim(claim: claims.Claim) -> bytes:
+def encode_claim(claim: claims.Claim) -> bytes:
     """The value of a claim's row."""
     fields = dataclasses.asdict(claim)
     if claim.outcome is not None:
@@ -293,7 +293,7 @@
     return json.dumps(fields, sort_keys=True).encode()
 
 
-def parse_claim(value: bytes) -> claims.Claim:
+def decode_claim(value: bytes) -> claims.Claim:
     """Reads the value of a claim's row."""
     fields = json.loads(value)
     kept = fields.pop('outcome')
--- a/pollenthread/app/claim_sweeper.py
+++ b/pollenthread/app/claim_sweeper.py
@@ -5,7 +5,7 @@
 
 import result
 
-from pollenthread.app import claim_keeper
+from pollenthread.app import claim_store
 from pollenthread.core import claims
 from pollenthread.ports import table
 
@@ -21,32 +21,32 @@
     """Goes through all shards, one after another, while it holds the duty."""
 
     def __init__(self, *, table_service: table.TableService,
-                 holds: Callable[[str], bool], wall: Callable[[],
+                 holds_duty: Callable[[str], bool], wall_clock: Callable[[],
                                                               float]) -> None:
         self._table = table_service
-        self._holds = holds
-        self._wall = wall
+        self._holds = holds_duty
+        self._wall = wall_clock
         self._next = 0
         self.deleted_count = 0
 
     async def run(self) -> None:
         """Sweeps until cancelled."""
         while True:
-            await asyncio.sleep(_ROUND_S / claim_keeper.SHARDS)
+            await asyncio.sleep(_ROUND_S / claim_store.SHARD_COUNT)
             if self._holds(SWEEP_DUTY):
                 await self.sweep(f'{self._next:0{_SHARD_DIGITS}x}')
-                self._next = (self._next + 1) % claim_keeper.SHARDS
+                self._next = (self._next + 1) % claim_store.SHARD_COUNT
 
     async def sweep(self, shard: str) -> None:
         """Deletes the expired claims of one shard."""
-        found = await self._table.scan(claim_keeper.shard_prefix(shard))
+        found = await self._table.scan(claim_store.shard_prefix(shard))
         if isinstance(found, result.Err):
             return
         now_s = self._wall()
         writes = [
             table.Write(row.key, None, row.version)
             for row in found.ok_value
-            if claims.is_expired(claim_keeper.parse_claim(row.value), now_s)
+            if claims.is_expired(claim_store.decode_claim(row.value), now_s)
         ]
         for i in range(0, len(writes), _DELETED_AT_ONCE):
             batch = writes[i:i + _DELETED_AT_ONCE]
--- a/pollenthread/app/config_spread.py
+++ b/pollenthread/app/config_spread.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from pollenthread.app import (config_store, directory as directory_module, peers
+from pollenthread.app import (config_store, directory as directory_module, peer_links
                               as peers_module)
 from pollenthread.core import messages, versions
 from pollenthread.ports import clock, link as link_port
@@ -24,8 +24,8 @@
     """Asks, answers and announces versions over links."""
 
     def __init__(self, *, store: config_store.ConfigStore,
-                 peers: peers_module.Peers,
-                 directory: directory_module.Directory, time: clock.Clock,
+                 peers: peers_module.PeerLinks,
+                 directory: directory_module.HostDirectory, time: clock.Clock,
                  draw: random.Random) -> None:
         self._store = store
         self._peers = peers
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -7,11 +7,11 @@
 import result
 from absl import logging
 
-from pollenthread.app import heartbeats as heartbeats_module
+from pollenthread.app import liveness as heartbeats_module
 from pollenthread.core import addresses, membership, versions
 from pollenthread.ports import clock, host_list
 
-__all__ = ['Directory']
+__all__ = ['HostDirectory']
 
 _JUDGE_INTERVAL_S = 0.5
 _JUDGEMENTS_PER_POLL = 2
@@ -19,17 +19,17 @@
 _RESTART_SETTLE_S = 3.0
 
 
-class Directory:
+class HostDirectory:
     """Follows the host list; keeps the last one while it is silent."""
 
     def __init__(self, *, hosts: host_list.HostList, time: clock.Clock,
                  own: membership.Member,
-                 heartbeats: heartbeats_module.Heartbeats) -> None:
+                 heartbeats: heartbeats_module.LivenessTracker) -> None:
         self._hosts = hosts
         self._time = time
         self._own = own
         self._heartbeats = heartbeats
-        self.by_name: dict[str, host_list.Host] = {}
+        self.hosts_by_name: dict[str, host_list.Host] = {}
         self._members: list[membership.Member] = []
         self._chosen: frozenset[str] = frozenset()
         self._dialed: frozenset[str] = frozenset()
@@ -48,7 +48,7 @@
         return self._time.monotonic() - self._read_at
 
     @property
-    def view(self) -> membership.View:
+    def membership_view(self) -> membership.View:
         """The judgement over the entry hosts."""
         return self._view
 
@@ -59,29 +59,29 @@
 
     def is_leaving(self, name: str) -> bool:
         """Whether the list or the host itself says that it leaves."""
-        host = self.by_name.get(name)
+        host = self.hosts_by_name.get(name)
         if host is not None and host.leaving:
             return True
         return self._heartbeats.evidence(name).said_leaving
 
-    def entries(self) -> list[addresses.EntryHost]:
+    def usable_entries(self) -> list[addresses.EntryHost]:
         """Entry hosts that callers may use."""
         usable = set(self._view.usable()) - self.draining
         settled = {host for host in usable if not self._may_have_moved(host)}
         return [
             addresses.EntryHost(host=host.name, address=host.callers)
-            for host in self.by_name.values()
+            for host in self.hosts_by_name.values()
             if host.name in (settled or usable)
         ]
 
     def _may_have_moved(self, host: str) -> bool:
         """Whether the list may still show where an earlier start listened."""
-        restarted_s = self._heartbeats.restarted_s(host)
+        restarted_s = self._heartbeats.seconds_since_restart(host)
         return restarted_s is not None and restarted_s < _RESTART_SETTLE_S
 
     def live_entries(self) -> list[str]:
         """Names of entry hosts that may take duties."""
-        return sorted(set(self._view.usable()) & self.by_name.keys())
+        return sorted(set(self._view.usable()) & self.hosts_by_name.keys())
 
     def upstreams(self) -> dict[str, str]:
         """Link addresses of the upstream hosts to keep links to, by name."""
@@ -93,12 +93,12 @@
         }
         wanted = self._upstreams | self._extra_until_by_host.keys()
         return {
-            name: self.by_name[name].address
+            name: self.hosts_by_name[name].address
             for name in wanted
-            if name in self.by_name
+            if name in self.hosts_by_name
         }
 
-    def want_upstream(self, host: str) -> bool:
+    def request_upstream_link(self, host: str) -> bool:
         """Asks for a link to an upstream outside the subset for a while.
 
         Returns:
@@ -106,7 +106,7 @@
         """
         self._extra_until_by_host[host] = (self._time.monotonic() +
                                            _EXTRA_LINK_S)
-        return host in self.by_name
+        return host in self.hosts_by_name
 
     def peers_to_dial(self) -> dict[str, str]:
         """Link addresses of the entry hosts that this one dials, by name.
@@ -115,9 +115,9 @@
         dials.
         """
         return {
-            host: self.by_name[host].address
+            host: self.hosts_by_name[host].address
             for host in self._dialed
-            if host in self.by_name
+            if host in self.hosts_by_name
         }
 
     def _dials_us(self, host: str) -> bool:
@@ -128,14 +128,14 @@
             member, self._members)
 
     def _member(self, name: str) -> membership.Member | None:
-        host = self.by_name.get(name)
+        host = self.hosts_by_name.get(name)
         return None if host is None else _to_member(host)
 
-    def reachable(self) -> versions.Reachable:
+    def reachability(self) -> versions.Reachable:
         """How many of the watched hosts of the own region are heard."""
         watched = [
-            host for host in self._chosen if host in self.by_name and
-            self.by_name[host].region == self._own.region
+            host for host in self._chosen if host in self.hosts_by_name and
+            self.hosts_by_name[host].region == self._own.region
         ]
         heard = sum(1 for host in watched
                     if self._heartbeats.evidence(host).silent_s == 0.0)
@@ -146,10 +146,10 @@
         found = await self._hosts.read()
         if isinstance(found, result.Err):
             return False
-        if set(found.ok_value) != set(self.by_name):
+        if set(found.ok_value) != set(self.hosts_by_name):
             logging.info('host list changed hosts=%d', len(found.ok_value))
-        if found.ok_value != self.by_name:
-            self.by_name = found.ok_value
+        if found.ok_value != self.hosts_by_name:
+            self.hosts_by_name = found.ok_value
             self._choose()
         self._read_at = self._time.monotonic()
         return True
@@ -158,20 +158,20 @@
         """Chooses whom to keep links to."""
         self._members = [
             _to_member(host)
-            for host in self.by_name.values()
+            for host in self.hosts_by_name.values()
             if host.role == 'entry'
         ]
         self._upstreams = membership.upstream_subset(
             self._own, (_to_member(host)
-                        for host in self.by_name.values()
+                        for host in self.hosts_by_name.values()
                         if host.role == 'upstream'))
         self._chosen = membership.linked_peers(self._own, self._members)
         self._dialed = frozenset(
             host for host in self._chosen if not self._dials_us(host))
 
-    def judge(self) -> None:
+    def update_states(self) -> None:
         """Judges the entry hosts anew and tells others of dead ones."""
-        self._heartbeats.expect(self._chosen)
+        self._heartbeats.set_watched_hosts(self._chosen)
         before = self._view
         self._view = membership.judge({
             member.host: self._evidence(member.host) for member in self._members
@@ -181,7 +181,7 @@
                 logging.info('entry host=%s state=%s', host, state)
         if before.is_panic != self._view.is_panic:
             logging.warning('membership panic=%s', self._view.is_panic)
-        self._heartbeats.report(_dead(self._view))
+        self._heartbeats.report_dead(_dead(self._view))
         usable = set(self._view.usable()) - self.draining
         self.pollers = membership.pollers(
             (m for m in self._members if m.host in usable),
@@ -189,14 +189,14 @@
 
     def _evidence(self, host: str) -> membership.Evidence:
         return dataclasses.replace(self._heartbeats.evidence(host),
-                                   listed_leaving=self.by_name[host].leaving)
+                                   listed_leaving=self.hosts_by_name[host].leaving)
 
     async def poll(self) -> None:
         """Follows the list until cancelled."""
         while True:
             await self.refresh()
             for _ in range(_JUDGEMENTS_PER_POLL):
-                self.judge()
+                self.update_states()
                 await asyncio.sleep(_JUDGE_INTERVAL_S)
 
 
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Sequence
 
-from pollenthread.app import knowledge, roster, serving_state
+from pollenthread.app import store_listeners, host_registry, serving_state
 from pollenthread.core import (addresses, host_record, load_board, log_events,
                                peer_messages)
 from pollenthread.ports import clock, event_log, peers, row_store
@@ -29,11 +29,11 @@
 class EntryPeers:
     """Knows which entry hosts are alive."""
 
-    def __init__(self, *, own: host_record.HostRecord, hosts: roster.Roster,
+    def __init__(self, *, own: host_record.HostRecord, hosts: host_registry.HostRegistry,
                  seeds: Sequence[str], network: peers.PeerNetwork,
                  state: serving_state.ServingState,
-                 config: knowledge.ConfigListener,
-                 servers: knowledge.ServerListener, time: clock.Clock,
+                 config: store_listeners.ConfigListener,
+                 servers: store_listeners.ServerListener, time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
         self._own = own
         self._hosts = hosts
@@ -49,7 +49,7 @@
         self._beat_at_by_host: dict[str, float] = {}
         self._id_by_address: dict[str, str] = {}
         self._behind_since: float | None = None
-        self.snapshots_taken = 0
+        self.applied_snapshot_count = 0
         network.on_datagram(peer_messages.EntryBeat, self._take_beat)
         network.on_datagram(peer_messages.ServerLoad, self._take_load)
         network.serve_snapshots(self._snapshot)
@@ -77,9 +77,9 @@
                 self._log.write(log_events.LogEvent.PEER_SILENT,
                                 peer=host,
                                 silent_s=round(now - at, 3))
-        self._state.entry_hosts = len(self._others()) + 1
+        self._state.entry_host_count = len(self._others()) + 1
 
-    def usable(self, data_centre: str) -> list[str]:
+    def usable_addresses(self, data_centre: str) -> list[str]:
         """Caller addresses of the entry hosts to use from a data centre."""
         found = [
             addresses.EntryHost(record.host,
@@ -112,11 +112,11 @@
     async def run(self) -> None:
         """Beats until cancelled."""
         while True:
-            self.beat()
+            self.send_heartbeat()
             self._forget_silent()
             await self._clock.sleep(_BEAT_S * self._rng.uniform(0.9, 1.1))
 
-    def beat(self) -> None:
+    def send_heartbeat(self) -> None:
         """Tells the other entry hosts about this one."""
         config = self._state.config
         beat = peer_messages.EntryBeat(
@@ -162,7 +162,7 @@
                 peer_messages.Row(self._config.table, self._config.key,
                                   self._config.document, 0))
         rows += [
-            peer_messages.Row(roster.TABLE, host, value, 0)
+            peer_messages.Row(host_registry.HOSTS_TABLE, host, value, 0)
             for host, value in self._hosts.rows()
         ]
         return peer_messages.Snapshot(servers_version=max(
@@ -170,7 +170,7 @@
                                       store_age_ms=self._store_age_ms(),
                                       rows=tuple(rows))
 
-    async def follow_peers(self) -> None:
+    async def fetch_from_peers(self) -> None:
         """Asks peers while the store does not answer; until cancelled."""
         while True:
             await self._clock.sleep(_SNAPSHOT_PAUSE_S *
@@ -209,7 +209,7 @@
         snapshot = await self._network.fetch_snapshot(address)
         if snapshot is None:
             return
-        self.snapshots_taken += 1
+        self.applied_snapshot_count += 1
         self._log.write(log_events.LogEvent.PEER_SNAPSHOT,
                         important=False,
                         peer=address,
@@ -242,11 +242,11 @@
             elif row.table == self._servers.table:
                 server_rows.append(
                     row_store.Change(row.key, row.value, row.version))
-            elif row.table == roster.TABLE:
+            elif row.table == host_registry.HOSTS_TABLE:
                 if row.key not in self._hosts.records_by_host:
-                    self._hosts.take_row(row.key, row.value)
+                    self._hosts.apply_row(row.key, row.value)
         if snapshot.servers_version > self._servers.version:
             is_fresh = snapshot.store_age_ms < _STORE_STALE_S * _MS_PER_S
-            self._servers.take_snapshot(server_rows,
+            self._servers.apply_peer_snapshot(server_rows,
                                         snapshot.servers_version,
                                         is_fresh=is_fresh)
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from pollenthread.app import (place_finder, planned_stop, request_job,
+from pollenthread.app import (server_selector, graceful_shutdown, request_state,
                               serving_state)
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
                                lateness, log_events, routing_config)
@@ -34,7 +34,7 @@
         timeout: ends the attempt.
     """
 
-    job: request_job.Job
+    job: request_state.RequestState
     server: fleet.Server
     timeout: asyncio.Timeout
 
@@ -43,7 +43,7 @@
     """Serves requests by the configuration in force."""
 
     def __init__(self, *, state: serving_state.ServingState,
-                 servers: upstream.Upstream, stop_plan: planned_stop.StopPlan,
+                 servers: upstream.Upstream, stop_plan: graceful_shutdown.ShutdownPlan,
                  observe: Callable[[str, float], None], time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._state = state
@@ -55,7 +55,7 @@
         self._observe = observe
         self._pending: set[_Pending] = set()
         self._patience = lateness.PatienceBook()
-        self._places = place_finder.PlaceFinder(state=state,
+        self._places = server_selector.ServerSelector(state=state,
                                                 time=time,
                                                 log=log,
                                                 rng=state.rng)
@@ -64,14 +64,14 @@
         self.counts[name] = self.counts.get(name, 0) + 1
 
     async def serve(self, request: caller_request.CallerRequest,
-                    answer: reply.Reply) -> None:
+                    response: reply.Reply) -> None:
         """Answers one request; cancelled when the caller leaves."""
         try:
-            job = self._accept(request, answer)
+            job = self._accept(request, response)
             await self._attempt_until_done(job)
             self._count('answered')
-        except request_job.Failed as failed:
-            await self._fail(request, answer, failed.failure)
+        except request_state.RequestFailed as failed:
+            await self._fail(request, response, failed.failure)
         except asyncio.CancelledError:
             self._count('caller_left')
             self._log.write(log_events.LogEvent.CALLER_LEFT,
@@ -103,14 +103,14 @@
     # Before a server is chosen.
 
     def _accept(self, request: caller_request.CallerRequest,
-                answer: reply.Reply) -> request_job.Job:
+                answer: reply.Reply) -> request_state.RequestState:
         config = self._state.config
         if config is None:
-            raise request_job.Failed(
+            raise request_state.RequestFailed(
                 errors.failure(errors.Kind.STALE_CONFIGURATION))
         route = routing_config.find_route(config, request.host, request.path)
         if route is None:
-            raise request_job.Failed(errors.failure(errors.Kind.NOT_FOUND))
+            raise request_state.RequestFailed(errors.failure(errors.Kind.NOT_FOUND))
         workspace = _authenticate(config, route, request)
         self._check_leaving(route)
         service = self._state.pick_service(route)
@@ -121,7 +121,7 @@
         deadline = request.received_at + min(patience_s, route.timeout_s)
         is_late = (request.patience_s is not None and
                    self._patience.has_missed_aim(route, request.patience_s))
-        return request_job.Job(request, route, service, workspace, deadline,
+        return request_state.RequestState(request, route, service, workspace, deadline,
                                answer, is_late)
 
     def _check_leaving(self, route: routing_config.Route) -> None:
@@ -130,24 +130,24 @@
             return
         elapsed_s = self._clock.monotonic() - self._state.leaving_since
         is_stream = route.kind is routing_config.RequestKind.STREAM
-        if not planned_stop.takes_work(
+        if not graceful_shutdown.accepts_request(
                 self._stop_plan, elapsed_s, is_stream=is_stream):
-            raise request_job.Failed(errors.failure(errors.Kind.LEAVING))
+            raise request_state.RequestFailed(errors.failure(errors.Kind.LEAVING))
 
     # Attempts.
 
-    async def _attempt_until_done(self, job: request_job.Job) -> None:
+    async def _attempt_until_done(self, job: request_state.RequestState) -> None:
         while True:
-            server = await self._places.find(job)
+            server = await self._places.select(job)
             if await self._attempt(job, server):
                 return
             self._check_repeat(job)
 
-    async def _attempt(self, job: request_job.Job,
+    async def _attempt(self, job: request_state.RequestState,
                        server: fleet.Server) -> bool:
         """Sends the request to a server; whether the request is done."""
-        job.tried.append(server.id)
-        job.sent += 1
+        job.tried_server_ids.append(server.id)
+        job.attempt_count += 1
         now = self._clock.monotonic()
         job.timing.note_place(now)
         self._state.loads.begin(server.id, now)
@@ -160,12 +160,12 @@
         except TimeoutError:
             self._note_failure(job, server, 'silent', ran=True)
             if self._clock.monotonic() >= job.deadline:
-                raise request_job.Failed(job.timed_out()) from None
+                raise request_state.RequestFailed(job.timeout_failure()) from None
             return False
         except upstream.ConnectFailed as error:
             self._state.loads.fail(server.id, self._clock.monotonic())
             self._note_failure(job, server, str(error), ran=False)
-            job.sent -= 1
+            job.attempt_count -= 1
             return False
         except upstream.UpstreamBroken as error:
             self._note_failure(job, server, str(error), ran=True)
@@ -174,7 +174,7 @@
             self._pending.discard(pending)
             self._state.loads.end(server.id)
 
-    async def watch(self) -> None:
+    async def watch_silent_servers(self) -> None:
         """Gives up servers whose hosts fell silent; until cancelled.
 
         Only for requests that may be sent to another server.
@@ -188,15 +188,15 @@
                         self._may_repeat(pending.job)):
                     pending.timeout.reschedule(now)
 
-    def _give_up_at(self, job: request_job.Job) -> float:
+    def _give_up_at(self, job: request_state.RequestState) -> float:
         """When a server that has not answered is given up."""
         if (job.route.kind is not routing_config.RequestKind.IDEMPOTENT or
-                job.sent >= job.route.max_attempts):
+                job.attempt_count >= job.route.max_attempts):
             return job.deadline
         now = self._clock.monotonic()
         return now + (job.deadline - now) * _FIRST_ATTEMPT_SHARE
 
-    async def _exchange(self, job: request_job.Job,
+    async def _exchange(self, job: request_state.RequestState,
                         server: fleet.Server) -> bool:
         attempt = upstream.UpstreamRequest(
             server=server,
@@ -226,7 +226,7 @@
                                     found.load.running + found.load.waiting,
                                     self._clock.monotonic())
 
-    async def _pass_whole(self, job: request_job.Job, server: fleet.Server,
+    async def _pass_whole(self, job: request_state.RequestState, server: fleet.Server,
                           found: upstream.UpstreamAnswer) -> bool:
         body = b''.join([part async for part in found.read()])
         if (found.status >= _SERVER_ERROR and job.route.is_repeatable and
@@ -238,11 +238,11 @@
             return False
         if found.status < _SERVER_ERROR:
             self._state.loads.succeed(server.id)
-        await job.answer.send_whole(found.status, found.headers, body)
+        await job.response.send_whole(found.status, found.headers, body)
         self._note_answer(job, server, found.status)
         return True
 
-    async def _pass_stream(self, job: request_job.Job, server: fleet.Server,
+    async def _pass_stream(self, job: request_state.RequestState, server: fleet.Server,
                            found: upstream.UpstreamAnswer) -> bool:
         body = found.read()
         while (data := await self._next_part(body)) is not None:
@@ -253,14 +253,14 @@
             if not events:
                 continue
             job.timing.note_events(self._clock.monotonic())
-            if not job.answer.has_begun:
+            if not job.response.has_begun:
                 self._observe('first_event', self._age(job.request))
-                await job.answer.begin(found.status, found.headers)
-            await job.answer.write(events)
-        if job.splitter.has_partial or not job.answer.has_begun:
+                await job.response.begin(found.status, found.headers)
+            await job.response.write(events)
+        if job.splitter.has_partial or not job.response.has_begun:
             raise upstream.UpstreamBroken('the stream ended within an event')
         self._state.loads.succeed(server.id)
-        await job.answer.finish()
+        await job.response.finish()
         self._note_answer(job, server, found.status)
         return True
 
@@ -273,22 +273,22 @@
 
     # After an attempt.
 
-    def _note_answer(self, job: request_job.Job, server: fleet.Server,
+    def _note_answer(self, job: request_state.RequestState, server: fleet.Server,
                      status: int) -> None:
         self._observe('answer', self._age(job.request))
         timing = self._stream_fields(job) if job.is_stream else {}
         self._log.write(log_events.LogEvent.REQUEST_ANSWERED,
-                        important=job.sent > 1,
+                        important=job.attempt_count > 1,
                         id=job.request.id,
                         route=job.route.name,
                         server=server.id,
                         status=status,
-                        attempts=job.sent,
+                        attempts=job.attempt_count,
                         events=job.splitter.events,
                         after_s=self._age(job.request),
                         **timing)
 
-    def _stream_fields(self, job: request_job.Job) -> dict[str, Any]:
+    def _stream_fields(self, job: request_state.RequestState) -> dict[str, Any]:
         """Counts a whole stream by what made it late; what its line tells."""
         late_by = job.timing.late_by(job.route.target_s, job.route.max_gap_s)
         self._count(f'streams_late_by_{late_by.value}')
@@ -298,9 +298,9 @@
             'pause_s': round(job.timing.longest_pause_s, 4)
         }
 
-    def _note_failure(self, job: request_job.Job, server: fleet.Server,
+    def _note_failure(self, job: request_state.RequestState, server: fleet.Server,
                       cause: str, *, ran: bool) -> None:
-        job.cause = cause
+        job.last_failure = cause
         job.may_have_run = job.may_have_run or ran
         job.splitter.drop_partial()
         if ran:
@@ -312,26 +312,26 @@
                         may_have_run=ran,
                         events=job.splitter.events)
 
-    def _may_repeat(self, job: request_job.Job) -> bool:
+    def _may_repeat(self, job: request_state.RequestState) -> bool:
         """Whether rules allow one more attempt; takes no budget."""
-        if job.sent >= job.route.max_attempts:
+        if job.attempt_count >= job.route.max_attempts:
             return False
         return not job.may_have_run or job.route.is_repeatable
 
-    def _check_repeat(self, job: request_job.Job) -> None:
+    def _check_repeat(self, job: request_state.RequestState) -> None:
         """Ends the request unless it may be sent once more."""
         if not self._may_repeat(job):
-            raise request_job.Failed(
-                job.given_up(errors.Kind.UPSTREAM_FAILED,
+            raise request_state.RequestFailed(
+                job.rejection(errors.Kind.UPSTREAM_FAILED,
                              self._clock.monotonic()))
-        if not job.sent:
+        if not job.attempt_count:
             return
         budget = self._state.budget(job.service)
         now = self._clock.monotonic()
-        if not budget.take(now, self._state.entry_hosts):
-            raise request_job.Failed(
-                job.given_up(errors.Kind.OVERLOADED, self._clock.monotonic()))
-        if job.answer.has_begun:
+        if not budget.take(now, self._state.entry_host_count):
+            raise request_state.RequestFailed(
+                job.rejection(errors.Kind.OVERLOADED, self._clock.monotonic()))
+        if job.response.has_begun:
             self._log.write(log_events.LogEvent.STREAM_RESUMED,
                             id=job.request.id,
                             last_event_id=job.last_event_id)
@@ -350,9 +350,9 @@
         return None
     workspace = config.workspaces_by_key.get(request.key or '')
     if workspace is None:
-        raise request_job.Failed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
+        raise request_state.RequestFailed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
     return workspace
 
 
-def _is_stream(job: request_job.Job, found: upstream.UpstreamAnswer) -> bool:
+def _is_stream(job: request_state.RequestState, found: upstream.UpstreamAnswer) -> bool:
     return job.is_stream and found.status == _OK
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from pollenthread.app import attempt as attempt_module, turns as turns_module
+from pollenthread.app import attempt as attempt_module, slot_scheduler as turns_module
 from pollenthread.core import errors, gate_rules, messages
 from pollenthread.ports import engine, link as link_port
 
@@ -24,7 +24,7 @@
         attempt: bounds on each attempt.
     """
 
-    max_kept: int = 4096
+    max_retained: int = 4096
     attempt: attempt_module.AttemptLimits = attempt_module.AttemptLimits()
 
 
@@ -45,7 +45,7 @@
         self._attempts_by_id: dict[str, attempt_module.Attempt] = {}
         self._links_by_session: dict[str, link_port.Link] = {}
         self._sealed_by_session = collections.defaultdict[str, set[str]](set)
-        self._turns = turns_module.Turns()
+        self._turns = turns_module.SlotScheduler()
         self._seen_by_session = collections.Counter[str]()
         self._leaving = False
         self.begun_count = 0
@@ -67,7 +67,7 @@
         """
         return self._turns.reading.limit
 
-    def report_load(self) -> None:
+    def broadcast_load(self) -> None:
         """Tells every link the load and its part of it."""
         own_by_session = collections.Counter(
             link.session for attempt in self._attempts_by_id.values()
@@ -98,7 +98,7 @@
         return sum(
             1 for attempt in self._attempts_by_id.values() if attempt.finished)
 
-    def leave(self, host: str) -> None:
+    def start_leaving(self, host: str) -> None:
         """Refuses new work from now on and tells every link."""
         self._leaving = True
         self.broadcast(messages.Leaving(host))
@@ -123,7 +123,7 @@
         if not links:
             return
         for attempt in self._attempts_by_id.values():
-            if attempt.kept and attempt.finished and not attempt.links:
+            if attempt.is_retained and attempt.finished and not attempt.links:
                 begin = attempt.begin
                 link_port.send_if_open(
                     links[0],
@@ -176,7 +176,7 @@
     def _cancel(self, cancel: messages.Cancel) -> None:
         """Stops work that nobody waits for; what must be kept goes on."""
         attempt = self._attempts_by_id.get(cancel.attempt)
-        if attempt is None or attempt.kept:
+        if attempt is None or attempt.is_retained:
             return
         attempt.cancel()
         if attempt.finished:
@@ -193,13 +193,13 @@
             return errors.Kind.SEALED
         if self._leaving:
             return errors.Kind.LEAVING
-        if not begin.repeatable and self._kept >= self._limits.max_kept:
+        if not begin.repeatable and self._kept >= self._limits.max_retained:
             return errors.Kind.OVERLOADED
         return None
 
     @property
     def _kept(self) -> int:
-        return sum(1 for a in self._attempts_by_id.values() if a.kept)
+        return sum(1 for a in self._attempts_by_id.values() if a.is_retained)
 
     def _begin(self, link: link_port.Link, begin: messages.Begin) -> None:
         self._seen_by_session[link.session] += 1
@@ -228,10 +228,10 @@
         """Ends an attempt, also one that was cut before its first step."""
         if not attempt.started:
             attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
-        if not attempt.must_be_kept:
+        if not attempt.must_be_remembered:
             # The timer must not hold the request's body.
             attempt_id = attempt.begin.attempt
-            attempt.release_later(
+            attempt.release_after_grace(
                 lambda: self._attempts_by_id.pop(attempt_id, None))
 
     async def _serve(self, attempt: attempt_module.Attempt) -> None:
@@ -250,7 +250,7 @@
 
     async def _wait_turn(self, attempt: attempt_module.Attempt) -> bool:
         """Waits in the queue; False when the attempt must not begin."""
-        ticket = turns_module.ticket_of(attempt.begin)
+        ticket = turns_module.make_ticket(attempt.begin)
         try:
             kind = await self._turns.acquire(ticket)
         except asyncio.CancelledError:
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -9,14 +9,14 @@
 
 import result
 
-from pollenthread.app import (chooser as chooser_module, claim_keeper, hedge,
-                              pool as pool_module, relay as relay_module)
+from pollenthread.app import (upstream_selector as chooser_module, claim_store, hedge,
+                              upstream_pool as pool_module, relay as relay_module)
 from pollenthread.core import (account, claims, errors, http_headers, ids,
                                messages, pace as pace_module, retries, spans,
                                targets)
 from pollenthread.ports import clock, link as link_port
 
-__all__ = ['Call', 'Gateway', 'Report', 'Sink']
+__all__ = ['GatewayRequest', 'Gateway', 'RequestReport', 'ResponseSink']
 
 _RECORD_PAUSE_MIN_S = 0.1
 _RECORD_PAUSE_MAX_S = 5.0
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Call:
+class GatewayRequest:
     """One accepted request.
 
     Attributes:
@@ -63,7 +63,7 @@
 
 
 @dataclasses.dataclass
-class Report:
+class RequestReport:
     """How a request went.
 
     Attributes:
@@ -77,72 +77,72 @@
 
     attempts: int = 0
     failure: errors.Failure | None = None
-    repeat: bool = False
+    is_replayed: bool = False
     started_at: float = 0.0
-    pace: pace_module.Pace = dataclasses.field(default_factory=pace_module.Pace)
+    response_timing: pace_module.Pace = dataclasses.field(default_factory=pace_module.Pace)
     hops: list[spans.Hop] = dataclasses.field(default_factory=list)
 
 
-class Sink(abc.ABC):
+class ResponseSink(abc.ABC):
     """Where an answer goes."""
 
     @abc.abstractmethod
-    async def head(self, status: int, headers: tuple[http_headers.Header, ...],
+    async def write_head(self, status: int, headers: tuple[http_headers.Header, ...],
                    attempts: int) -> None:
         """Takes the head of the answer."""
 
     @abc.abstractmethod
-    async def data(self, data: bytes) -> None:
+    async def write_data(self, data: bytes) -> None:
         """Takes a part; waits while the caller is slow."""
 
-    def data_at_once(self, data: bytes) -> bool:
+    def try_write_data(self, data: bytes) -> bool:
         """Takes a part if that needs no waiting; whether it did."""
         del data
         return False
 
     @abc.abstractmethod
-    async def end(self) -> None:
+    async def write_end(self) -> None:
         """Takes the end marker."""
 
 
 class Gateway:
     """Serves requests through the pool of upstreams."""
 
-    def __init__(self, *, pool: pool_module.Pool,
-                 keeper: claim_keeper.ClaimKeeper, time: clock.Clock,
+    def __init__(self, *, pool: pool_module.UpstreamPool,
+                 keeper: claim_store.ClaimStore, time: clock.Clock,
                  draw: random.Random) -> None:
         self._pool = pool
         self._keeper = keeper
         self._time = time
-        self.chooser = chooser_module.Chooser(pool=pool, time=time, draw=draw)
+        self.upstream_selector = chooser_module.UpstreamSelector(pool=pool, time=time, draw=draw)
         self._recordings: set[asyncio.Task[None]] = set()
-        self._kept_by_attempt: dict[str, relay_module.KeptAnswer] = {}
+        self._kept_by_attempt: dict[str, relay_module.RetainedResponse] = {}
         pool.subscribe(messages.Unconfirmed, self._adopt)
 
     @property
-    def recordings(self) -> int:
+    def pending_recordings(self) -> int:
         """Outcomes that are still on their way to the table."""
         return len(self._recordings)
 
-    async def serve(self, call: Call, sink: Sink, report: Report) -> None:
+    async def serve(self, request: GatewayRequest, sink: ResponseSink, report: RequestReport) -> None:
         """Serves one request; the report says how it went."""
-        serving = _Serving(call=call,
+        serving = _RequestState(request=request,
                            sink=sink,
                            report=report,
-                           need=_need(call, self._time.monotonic()))
+                           requirements=_need(request, self._time.monotonic()))
         try:
-            async with asyncio.timeout(call.deadline - self._time.monotonic()):
+            async with asyncio.timeout(request.deadline - self._time.monotonic()):
                 await self._serve(serving)
         except TimeoutError:
             report.failure = errors.failure(errors.Kind.DEADLINE_PASSED,
                                             ran=serving.ran)
 
-    async def _serve(self, serving: '_Serving') -> None:
-        call = serving.call
-        granted: claim_keeper.Granted | None = None
+    async def _serve(self, serving: '_RequestState') -> None:
+        call = serving.request
+        granted: claim_store.Granted | None = None
         problem: errors.Failure | None = None
         while True:
-            chosen = self.chooser.choose(serving.need)
+            chosen = self.upstream_selector.select(serving.requirements)
             if isinstance(chosen, result.Err):
                 problem = problem or chosen.err_value
                 if granted is None and not call.work_class.repeatable:
@@ -159,85 +159,85 @@
                     problem = decided.err_value
                     break
                 decision = decided.ok_value
-                if isinstance(decision, claim_keeper.Granted):
+                if isinstance(decision, claim_store.Granted):
                     granted = decision
                 problem = await self._carry_out(serving, attempt, upstream,
                                                 decision)
             if problem is None:
                 return
-            if not serving.may_retry(problem):
+            if not serving.allows_retry(problem):
                 break
-            if not await self.chooser.pause_before_retry(serving.need):
+            if not await self.upstream_selector.back_off_before_retry(serving.requirements):
                 break
         if granted is not None and problem.ran is errors.Ran.NO:
             if not await self._keeper.release(granted):
                 serving.may_have_run = True
-        if not serving.answered:
+        if not serving.is_answered:
             serving.fail(problem)
 
-    async def _look_up(self, serving: '_Serving',
+    async def _look_up(self, serving: '_RequestState',
                        problem: errors.Failure) -> errors.Failure:
         """Answers from a kept outcome when no upstream is there."""
-        call = serving.call
+        call = serving.request
         found = await self._keeper.look_up(
-            claim_keeper.row_key(call.workspace, call.key), _digest(call))
+            claim_store.row_key(call.workspace, call.key), _digest(call))
         if isinstance(found, result.Err):
             return found.err_value
         if found.ok_value is not None:
-            serving.report.repeat = True
+            serving.report.is_replayed = True
             await serving.deliver_outcome(found.ok_value.outcome)
         return problem
 
     async def _claim(
-        self, serving: '_Serving', attempt: ids.AttemptId,
-        upstream: pool_module.Upstream, granted: claim_keeper.Granted | None
-    ) -> result.Result[claim_keeper.Decision, errors.Failure]:
-        call = serving.call
+        self, serving: '_RequestState', attempt: ids.AttemptId,
+        upstream: pool_module.LinkedUpstream, granted: claim_store.Granted | None
+    ) -> result.Result[claim_store.Decision, errors.Failure]:
+        call = serving.request
         wanted = claims.Claim(attempt=str(attempt),
                               host=upstream.hello.host,
                               incarnation=upstream.hello.incarnation,
                               session=upstream.link.session,
                               digest=_digest(call))
         if granted is not None:
-            moved = await self._keeper.move(granted, wanted)
+            moved = await self._keeper.reassign(granted, wanted)
             if isinstance(moved, result.Ok):
                 return moved
             # Another request with this key may have taken the claim over.
             serving.may_have_run = True
-        key = claim_keeper.row_key(call.workspace, call.key)
+        key = claim_store.row_key(call.workspace, call.key)
         return await self._keeper.acquire(key, wanted)
 
     async def _carry_out(
-            self, serving: '_Serving', attempt: ids.AttemptId,
-            upstream: pool_module.Upstream,
-            decision: claim_keeper.Decision) -> errors.Failure | None:
+            self, serving: '_RequestState', attempt: ids.AttemptId,
+            upstream: pool_module.LinkedUpstream,
+            decision: claim_store.Decision) -> errors.Failure | None:
         """Does what was decided about a key; None for a whole answer."""
         match decision:
-            case claim_keeper.Replay():
-                serving.report.repeat = True
+            case claim_store.Replay():
+                serving.report.is_replayed = True
                 await serving.deliver_outcome(decision.outcome)
                 return None
-            case claim_keeper.Attach():
-                serving.report.repeat = True
+            case claim_store.Attach():
+                serving.report.is_replayed = True
                 serving.may_have_run = True
                 return await self._join(serving, decision)
             case _:
                 return await self._hand_over(serving, attempt, upstream,
                                              decision)
 
-    async def _attempt(self, serving: '_Serving', attempt: ids.AttemptId,
-                       upstream: pool_module.Upstream) -> errors.Failure | None:
+    async def _attempt(self, serving: '_RequestState', attempt: ids.AttemptId,
+                       upstream: pool_module.LinkedUpstream) -> errors.Failure | None:
         """Makes one repeatable attempt; None when the answer is whole."""
         handed = await self._send_begin(serving, attempt, upstream)
         if handed is None:
             return self._not_sent(serving, upstream)
         handed = await self._hedge(serving, handed)
         chosen = handed.upstream
-        relay = relay_module.Relay(
+        relay = relay_module.ResponseRelay(
             attempt=handed.attempt,
-            stream=serving.call.stream,
+            stream=serving.request.stream,
             pool=self._pool,
-            moves_on=lambda: self._can_move_on(serving, chosen))
+            retries_elsewhere=lambda: self._can_move_on(serving, chosen))
         relay.upstream = chosen
         try:
             failure = await relay.run(handed.upstream, handed.stream, serving)
@@ -248,10 +248,10 @@
         self._learn(serving, handed, failure)
         return failure
 
-    def _can_move_on(self, serving: '_Serving',
-                     upstream: pool_module.Upstream) -> bool:
+    def _can_move_on(self, serving: '_RequestState',
+                     upstream: pool_module.LinkedUpstream) -> bool:
         """Whether another upstream can answer from the start."""
-        call = serving.call
+        call = serving.request
         if (serving.head_sent or
                 serving.report.attempts > call.work_class.retries):
             return False
@@ -260,47 +260,47 @@
                    not other.leaving for tier in tiers[-1:] for other in tier)
 
     async def _hand_over(
-            self, serving: '_Serving', attempt: ids.AttemptId,
-            upstream: pool_module.Upstream,
-            granted: claim_keeper.Granted) -> errors.Failure | None:
+            self, serving: '_RequestState', attempt: ids.AttemptId,
+            upstream: pool_module.LinkedUpstream,
+            granted: claim_store.Granted) -> errors.Failure | None:
         """Makes the claimed attempt; None when the answer is whole."""
         handed = await self._send_begin(serving, attempt, upstream)
         if handed is None:
             return self._not_sent(serving, upstream)
-        kept = self._keep(granted, upstream, handed.stream, serving.call.stream)
-        failure = await kept.follow(serving)
+        kept = self._keep(granted, upstream, handed.stream, serving.request.stream)
+        failure = await kept.relay_to(serving)
         self._learn(serving, handed, failure)
         return failure
 
-    def _not_sent(self, serving: '_Serving',
-                  upstream: pool_module.Upstream) -> errors.Failure:
+    def _not_sent(self, serving: '_RequestState',
+                  upstream: pool_module.LinkedUpstream) -> errors.Failure:
         failure = errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
-        self.chooser.note_failure(serving.need, upstream, failure)
+        self.upstream_selector.record_failure(serving.requirements, upstream, failure)
         return failure
 
-    def _learn(self, serving: '_Serving', handed: hedge.Handed,
+    def _learn(self, serving: '_RequestState', handed: hedge.SentAttempt,
                failure: errors.Failure | None) -> None:
         if failure is not None:
-            self.chooser.note_failure(serving.need, handed.upstream, failure)
+            self.upstream_selector.record_failure(serving.requirements, handed.upstream, failure)
             return
         taken_s = self._time.monotonic() - handed.sent_at
-        self.chooser.note_success(serving.need, handed.upstream,
+        self.upstream_selector.record_success(serving.requirements, handed.upstream,
                                   taken_s - serving.waited_s)
 
-    async def _hedge(self, serving: '_Serving',
-                     first: hedge.Handed) -> hedge.Handed:
+    async def _hedge(self, serving: '_RequestState',
+                     first: hedge.SentAttempt) -> hedge.SentAttempt:
         """Waits for a part; makes a second attempt when there is none."""
-        after_s = self.chooser.hedge_after_s(serving.need)
+        after_s = self.upstream_selector.hedge_delay_s(serving.requirements)
         if after_s is None:
             return first
         second = None
         try:
             while second is None:
-                if await first.has_part_within(after_s):
+                if await first.has_data_within(after_s):
                     return first
                 after_s = _HEDGE_PAUSE_S
-                serving.need.failed_hosts.add(first.upstream.host)
-                upstream = self.chooser.choose_hedge(serving.need)
+                serving.requirements.failed_hosts.add(first.upstream.host)
+                upstream = self.upstream_selector.select_for_hedge(serving.requirements)
                 if upstream is not None:
                     second = await self._send_begin(serving,
                                                     serving.next_attempt(),
@@ -311,48 +311,48 @@
         winner, loser = await hedge.race(first, second)
         loser.cancel()
         if loser is first:
-            first.upstream.note_answer(good=False)
+            first.upstream.record_result(is_success=False)
         return winner
 
-    async def _join(self, serving: '_Serving',
-                    held: claim_keeper.Attach) -> errors.Failure | None:
+    async def _join(self, serving: '_RequestState',
+                    held: claim_store.Attach) -> errors.Failure | None:
         """Follows an attempt that another request with this key began."""
         kept = self._kept_by_attempt.get(held.claim.attempt)
         if kept is None:
-            kept = self._resume(held, held.upstream, serving.call.stream)
-        return await kept.follow(serving)
+            kept = self._resume(held, held.upstream, serving.request.stream)
+        return await kept.relay_to(serving)
 
-    def _relay(self, attempt: str, stream: bool) -> relay_module.Relay:
-        return relay_module.Relay(attempt=attempt,
+    def _relay(self, attempt: str, stream: bool) -> relay_module.ResponseRelay:
+        return relay_module.ResponseRelay(attempt=attempt,
                                   stream=stream,
                                   pool=self._pool)
 
     async def _send_begin(
-            self, serving: '_Serving', attempt: ids.AttemptId,
-            upstream: pool_module.Upstream) -> hedge.Handed | None:
+            self, serving: '_RequestState', attempt: ids.AttemptId,
+            upstream: pool_module.LinkedUpstream) -> hedge.SentAttempt | None:
         """Hands an attempt over; None when it is sure that it was not."""
         await upstream.link.drain()
         begin = self._begin(serving, attempt, upstream)
-        stream = upstream.open(begin.attempt)
+        stream = upstream.open_stream(begin.attempt)
         sent_at = self._time.monotonic()
         if not link_port.send_if_open(upstream.link, begin):
-            upstream.close(begin.attempt)
+            upstream.close_stream(begin.attempt)
             return None
-        upstream.note_sent()
+        upstream.record_sent()
         serving.report.attempts += 1
         serving.report.hops.append(
             spans.Hop(attempt=begin.attempt,
                       host=upstream.hello.host,
                       sent_at=sent_at))
-        return hedge.Handed(attempt=begin.attempt,
+        return hedge.SentAttempt(attempt=begin.attempt,
                             upstream=upstream,
                             stream=stream,
                             sent_at=sent_at)
 
-    def _begin(self, serving: '_Serving', attempt: ids.AttemptId,
-               upstream: pool_module.Upstream) -> messages.Begin:
-        call = serving.call
-        need = serving.need
+    def _begin(self, serving: '_RequestState', attempt: ids.AttemptId,
+               upstream: pool_module.LinkedUpstream) -> messages.Begin:
+        call = serving.request
+        need = serving.requirements
         now = self._time.monotonic()
         left_s = max(0.0, call.deadline - now)
         due_s = max(_MIN_DUE_S, need.due_at - now)
@@ -365,10 +365,10 @@
                               key=call.key,
                               deadline_ms=int(left_s * 1000),
                               target_ms=max(1, int(due_s * 1000)),
-                              whole=need.whole,
+                              whole=need.is_whole_response,
                               between_tokens_ms=need.between_tokens_ms,
                               stream=call.stream,
-                              window=relay_module.window(call.stream),
+                              window=relay_module.flow_control_window(call.stream),
                               method=call.method,
                               path=call.path,
                               headers=call.headers,
@@ -376,21 +376,21 @@
 
     # Work that may not be repeated goes on without its caller.
 
-    def _resume(self, held: claim_keeper.Attach, upstream: pool_module.Upstream,
-                streamed: bool) -> relay_module.KeptAnswer:
+    def _resume(self, held: claim_store.Attach, upstream: pool_module.LinkedUpstream,
+                streamed: bool) -> relay_module.RetainedResponse:
         """Asks an agent for the whole of a kept answer."""
         attempt = held.claim.attempt
-        stream = upstream.open(attempt)
-        resume = messages.Resume(attempt, 0, relay_module.window(streamed))
+        stream = upstream.open_stream(attempt)
+        resume = messages.Resume(attempt, 0, relay_module.flow_control_window(streamed))
         if not link_port.send_if_open(upstream.link, resume):
             stream.put(None)
         return self._keep(held, upstream, stream, streamed)
 
-    def _keep(self, held: claim_keeper.Granted | claim_keeper.Attach,
-              upstream: pool_module.Upstream, stream: pool_module.AttemptStream,
-              streamed: bool) -> relay_module.KeptAnswer:
+    def _keep(self, held: claim_store.Granted | claim_store.Attach,
+              upstream: pool_module.LinkedUpstream, stream: pool_module.AttemptStream,
+              streamed: bool) -> relay_module.RetainedResponse:
         """Starts to collect an answer and to record it in the table."""
-        kept = relay_module.KeptAnswer()
+        kept = relay_module.RetainedResponse()
         self._kept_by_attempt[held.claim.attempt] = kept
         relay = self._relay(held.claim.attempt, streamed)
         self._start(self._collect(held, relay, upstream, stream, kept))
@@ -401,11 +401,11 @@
         self._recordings.add(task)
         task.add_done_callback(self._recordings.discard)
 
-    async def _collect(self, held: claim_keeper.Granted | claim_keeper.Attach,
-                       relay: relay_module.Relay,
-                       upstream: pool_module.Upstream,
+    async def _collect(self, held: claim_store.Granted | claim_store.Attach,
+                       relay: relay_module.ResponseRelay,
+                       upstream: pool_module.LinkedUpstream,
                        stream: pool_module.AttemptStream,
-                       kept: relay_module.KeptAnswer) -> None:
+                       kept: relay_module.RetainedResponse) -> None:
         failure: errors.Failure | None = errors.failure(errors.Kind.INTERNAL)
         try:
             failure = await relay.run(upstream, stream, kept)
@@ -413,14 +413,14 @@
             kept.finish(failure)
             del self._kept_by_attempt[held.claim.attempt]
         if _has_ended(failure):
-            await self._record(held, relay, kept.outcome)
+            await self._record(held, relay, kept.stored_response)
 
-    async def _record(self, held: claim_keeper.Granted | claim_keeper.Attach,
-                      relay: relay_module.Relay,
+    async def _record(self, held: claim_store.Granted | claim_store.Attach,
+                      relay: relay_module.ResponseRelay,
                       outcome: claims.Outcome | None) -> None:
         """Keeps an outcome in the table, then lets the agent forget it."""
         pause_s = _RECORD_PAUSE_MIN_S
-        while not await self._keeper.record(held, outcome):
+        while not await self._keeper.record_outcome(held, outcome):
             await self._time.sleep(pause_s)
             pause_s = min(pause_s * 2, _RECORD_PAUSE_MAX_S)
         relay.confirm()
@@ -434,10 +434,10 @@
         if message.attempt not in self._kept_by_attempt:
             self._start(self._record_unconfirmed(upstream, message))
 
-    async def _record_unconfirmed(self, upstream: pool_module.Upstream,
+    async def _record_unconfirmed(self, upstream: pool_module.LinkedUpstream,
                                   message: messages.Unconfirmed) -> None:
-        key = claim_keeper.row_key(message.workspace, message.key)
-        found = await self._keeper.find(key, message.attempt, upstream)
+        key = claim_store.row_key(message.workspace, message.key)
+        found = await self._keeper.find_claim(key, message.attempt, upstream)
         if isinstance(found, result.Err):
             return
         if found.ok_value is None:
@@ -448,7 +448,7 @@
 
 
 @dataclasses.dataclass
-class _Serving(relay_module.Receiver):
+class _RequestState(relay_module.ResponseReceiver):
     """One request on its way.
 
     Attributes:
@@ -462,20 +462,20 @@
         waited_s: seconds that the answered attempt waited for its turn.
     """
 
-    call: Call
-    sink: Sink
-    report: Report
-    need: chooser_module.Need
+    request: GatewayRequest
+    sink: ResponseSink
+    report: RequestReport
+    requirements: chooser_module.UpstreamRequirements
     head_sent: bool = False
     may_have_run: bool = False
-    answered: bool = False
+    is_answered: bool = False
     last_attempt: int = 0
     waited_s: float = 0.0
 
     def next_attempt(self) -> ids.AttemptId:
         """Names another attempt."""
         self.last_attempt += 1
-        return ids.AttemptId(self.call.request_id, self.last_attempt)
+        return ids.AttemptId(self.request.request_id, self.last_attempt)
 
     @property
     def ran(self) -> errors.Ran:
@@ -490,38 +490,38 @@
             problem = dataclasses.replace(problem, ran=errors.Ran.UNKNOWN)
         self.report.failure = problem
 
-    def may_retry(self, failure: errors.Failure) -> bool:
+    def allows_retry(self, failure: errors.Failure) -> bool:
         """Whether another attempt is allowed after a failure."""
         if failure.ran is not errors.Ran.NO:
             self.may_have_run = True
         retries_made = self.last_attempt - 1
-        if self.head_sent or retries_made >= self.call.work_class.retries:
+        if self.head_sent or retries_made >= self.request.work_class.retries:
             return False
-        return retries.is_safe(self.call.work_class, failure.ran)
+        return retries.is_safe(self.request.work_class, failure.ran)
 
-    async def take_head(self, head: messages.Head) -> None:
+    async def receive_head(self, head: messages.Head) -> None:
         self.waited_s = head.waited_ms / 1000
         if not self.head_sent:
             self.head_sent = True
-            await self.sink.head(head.status, head.headers,
+            await self.sink.write_head(head.status, head.headers,
                                  self.report.attempts)
 
-    async def take_data(self, data: bytes, count: int) -> None:
+    async def receive_data(self, data: bytes, count: int) -> None:
         now = asyncio.get_running_loop().time()
-        self.report.pace.observe(now - self.report.started_at, count)
-        await self.sink.data(data)
+        self.report.response_timing.observe(now - self.report.started_at, count)
+        await self.sink.write_data(data)
 
-    def take_at_once(self, data: bytes, count: int) -> bool:
-        if not self.head_sent or not self.sink.data_at_once(data):
+    def try_receive_data(self, data: bytes, count: int) -> bool:
+        if not self.head_sent or not self.sink.try_write_data(data):
             return False
         now = asyncio.get_running_loop().time()
-        self.report.pace.observe(now - self.report.started_at, count)
+        self.report.response_timing.observe(now - self.report.started_at, count)
         return True
 
-    async def take_end(self) -> None:
-        await self.sink.end()
+    async def receive_end(self) -> None:
+        await self.sink.write_end()
 
-    def take_served(self, served: messages.Served) -> None:
+    def receive_timing(self, served: messages.Served) -> None:
         now = asyncio.get_running_loop().time()
         for hop in self.report.hops:
             if hop.attempt == served.attempt:
@@ -530,20 +530,20 @@
     async def deliver_outcome(self, outcome: claims.Outcome) -> None:
         """Answers with a kept outcome."""
         self.head_sent = True
-        self.answered = True
-        await self.sink.head(outcome.status, outcome.headers,
+        self.is_answered = True
+        await self.sink.write_head(outcome.status, outcome.headers,
                              self.report.attempts)
-        await self.sink.data(outcome.body)
-        await self.sink.end()
+        await self.sink.write_data(outcome.body)
+        await self.sink.write_end()
 
 
-def _digest(call: Call) -> str:
-    return claim_keeper.request_digest(call.method, call.path,
+def _digest(call: GatewayRequest) -> str:
+    return claim_store.request_digest(call.method, call.path,
                                        call.work_class.name, call.body)
 
 
-def _need(call: Call, now: float) -> chooser_module.Need:
-    return chooser_module.Need(workspace=call.workspace,
+def _need(call: GatewayRequest, now: float) -> chooser_module.UpstreamRequirements:
+    return chooser_module.UpstreamRequirements(workspace=call.workspace,
                                work_class=call.work_class,
                                kind=call.kind,
                                name=call.name,
--- a/pollenthread/app/planned_stop.py
+++ b/pollenthread/app/graceful_shutdown.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-__all__ = ['StopPlan', 'is_done', 'takes_work']
+__all__ = ['ShutdownPlan', 'may_exit', 'accepts_request']
 
 _STREAMS_SHARE = 0.3
 _WHOLE_SHARE = 0.75
@@ -15,7 +15,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class StopPlan:
+class ShutdownPlan:
     """The times of a planned stop.
 
     Attributes:
@@ -24,17 +24,17 @@
     """
 
     grace_s: float
-    caches_s: float
+    discovery_cache_s: float
 
 
-def takes_work(plan: StopPlan, elapsed_s: float, *, is_stream: bool) -> bool:
+def accepts_request(plan: ShutdownPlan, elapsed_s: float, *, is_stream: bool) -> bool:
     """Whether a new request can end before the process does."""
     share = _STREAMS_SHARE if is_stream else _WHOLE_SHARE
     return elapsed_s < plan.grace_s * share
 
 
-def is_done(plan: StopPlan, elapsed_s: float, in_progress: int) -> bool:
+def may_exit(plan: ShutdownPlan, elapsed_s: float, in_progress: int) -> bool:
     """Whether the process may end."""
     if elapsed_s >= plan.grace_s - _LAST_MOMENT_S:
         return True
-    return in_progress == 0 and elapsed_s >= plan.caches_s
+    return in_progress == 0 and elapsed_s >= plan.discovery_cache_s
--- a/pollenthread/app/hedge.py
+++ b/pollenthread/app/hedge.py
@@ -3,15 +3,15 @@
 import asyncio
 import dataclasses
 
-from pollenthread.app import pool as pool_module
+from pollenthread.app import upstream_pool as pool_module
 from pollenthread.core import messages
 from pollenthread.ports import link as link_port
 
-__all__ = ['Handed', 'race']
+__all__ = ['SentAttempt', 'race']
 
 
 @dataclasses.dataclass(frozen=True)
-class Handed:
+class SentAttempt:
     """One attempt that an agent has.
 
     Attributes:
@@ -22,39 +22,39 @@
     """
 
     attempt: str
-    upstream: pool_module.Upstream
+    upstream: pool_module.LinkedUpstream
     stream: pool_module.AttemptStream
     sent_at: float
 
-    async def has_part_within(self, timeout_s: float) -> bool:
+    async def has_data_within(self, timeout_s: float) -> bool:
         """Whether a part of the answer, or a failure, comes in time."""
         try:
             async with asyncio.timeout(timeout_s):
-                await self.stream.wait_for_part()
+                await self.stream.wait_past_head()
         except TimeoutError:
             return False
         return True
 
-    async def has_answer(self) -> bool:
+    async def wait_for_success(self) -> bool:
         """Waits for a part of the answer; False for a failure."""
-        part = await self.stream.wait_for_part()
+        part = await self.stream.wait_past_head()
         return isinstance(part, (messages.Chunk, messages.End))
 
     def cancel(self) -> None:
         """Tells the agent that nobody waits."""
-        self.upstream.close(self.attempt)
+        self.upstream.close_stream(self.attempt)
         link_port.send_if_open(self.upstream.link,
                                messages.Cancel(self.attempt))
 
 
-async def race(first: Handed, second: Handed) -> tuple[Handed, Handed]:
+async def race(first: SentAttempt, second: SentAttempt) -> tuple[SentAttempt, SentAttempt]:
     """Waits for a part of either; the winner, and the loser.
 
     When both fail, the later failure wins.
     """
     tasks = {
-        asyncio.create_task(first.has_answer()): (first, second),
-        asyncio.create_task(second.has_answer()): (second, first)
+        asyncio.create_task(first.wait_for_success()): (first, second),
+        asyncio.create_task(second.wait_for_success()): (second, first)
     }
     try:
         waiting = set(tasks)
--- a/pollenthread/app/roster.py
+++ b/pollenthread/app/host_registry.py
@@ -8,32 +8,32 @@
 from pollenthread.core import host_record
 from pollenthread.ports import clock, row_store
 
-__all__ = ['Roster', 'register']
+__all__ = ['HostRegistry', 'register']
 
-TABLE = 'pollenthread_hosts'
+HOSTS_TABLE = 'pollenthread_hosts'
 _RETRY_S = 0.5
 
 
-class Roster(store_follower.TableListener):
+class HostRegistry(store_follower.TableListener):
     """Records by host."""
 
     def __init__(self) -> None:
         self.records_by_host: dict[str, host_record.HostRecord] = {}
-        self.rejected = 0
+        self.rejected_count = 0
 
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
-        self.take_changes(rows)
+    def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
+        self.on_changes(rows)
 
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def on_changes(self, rows: Sequence[row_store.Change]) -> None:
         for row in rows:
             if row.value is not None:
-                self.take_row(row.key, row.value)
+                self.apply_row(row.key, row.value)
 
-    def take_row(self, host: str, value: bytes) -> None:
+    def apply_row(self, host: str, value: bytes) -> None:
         """Takes one record; hosts at the same address replace each other."""
         decoded = host_record.decode(value)
         if isinstance(decoded, result.Err):
-            self.rejected += 1
+            self.rejected_count += 1
             return
         record = decoded.ok_value
         for other in list(self.records_by_host.values()):
@@ -42,17 +42,17 @@
                 del self.records_by_host[other.host]
         self.records_by_host[host] = record
 
-    def take_fault(self, fault: row_store.StoreFault) -> None:
+    def on_fault(self, fault: row_store.StoreFault) -> None:
         return
 
-    def take_contact(self, version: int) -> None:
+    def on_contact(self, version: int) -> None:
         return
 
     def with_role(self, role: host_record.Role) -> list[host_record.HostRecord]:
         """The hosts of one role."""
         return [r for r in self.records_by_host.values() if r.role is role]
 
-    def agents_beside(self, host: str) -> list[str]:
+    def other_agent_addresses(self, host: str) -> list[str]:
         """Peer addresses of all agents but the one on a host."""
         return [
             record.peer_address
@@ -67,13 +67,13 @@
 
 
 async def register(*, store: row_store.RowStore, time: clock.Clock,
-                   roster: Roster, record: host_record.HostRecord) -> None:
+                   roster: HostRegistry, record: host_record.HostRecord) -> None:
     """Writes a host's record, unless it is there already."""
     value = host_record.encode(record)
-    roster.take_row(record.host, value)
-    write = row_store.RowWrite(TABLE, record.host, value, expect=None)
+    roster.apply_row(record.host, value)
+    write = row_store.RowWrite(HOSTS_TABLE, record.host, value, expect=None)
     while True:
-        known = await store.read(TABLE)
+        known = await store.read(HOSTS_TABLE)
         if isinstance(known, result.Ok):
             rows = {row.key: row.value for row in known.ok_value.changes}
             if rows.get(record.host) == value:
--- a/pollenthread/app/lease_keeper.py
+++ b/pollenthread/app/lease_keeper.py
@@ -42,7 +42,7 @@
     """The duties of one entry host."""
 
     def __init__(self, *, table_service: table.TableService,
-                 directory: directory_module.Directory, time: clock.Clock,
+                 directory: directory_module.HostDirectory, time: clock.Clock,
                  host: str, incarnation: str, duties: Sequence[str]) -> None:
         self._table = table_service
         self._directory = directory
--- a/pollenthread/app/heartbeats.py
+++ b/pollenthread/app/liveness.py
@@ -8,21 +8,21 @@
 import collections
 from collections.abc import Iterable
 
-from pollenthread.app import peers as peers_module
+from pollenthread.app import peer_links as peers_module
 from pollenthread.core import membership, messages
 from pollenthread.ports import clock, link as link_port
 
-__all__ = ['Heartbeats']
+__all__ = ['LivenessTracker']
 
 _REMEMBERED_NEWS = 4096
 _REPEAT_S = membership.REPORT_LIFE_S / 3
 _UNKNOWN_START = 'unknown'
 
 
-class Heartbeats(peers_module.LinkWatcher):
+class LivenessTracker(peers_module.LinkWatcher):
     """Evidence about entry hosts, by host."""
 
-    def __init__(self, *, own: messages.Hello, peers: peers_module.Peers,
+    def __init__(self, *, own: messages.Hello, peers: peers_module.PeerLinks,
                  time: clock.Clock) -> None:
         self._own = own
         self._peers = peers
@@ -34,7 +34,7 @@
         self._restarted_at_by_host: dict[str, float] = {}
         self._report_by_host: dict[str, membership.Report] = {}
         self._seen = collections.OrderedDict[tuple[str, str, int], None]()
-        peers.watch(self)
+        peers.add_watcher(self)
         peers.subscribe(messages.HostNews, self._on_news)
 
     def evidence(self, host: str) -> membership.Evidence:
@@ -47,7 +47,7 @@
                                    silent_s=self._silent_s(host, now),
                                    dead_reports=reports)
 
-    def restarted_s(self, host: str) -> float | None:
+    def seconds_since_restart(self, host: str) -> float | None:
         """Seconds since another start of a known host was seen, or None."""
         at = self._restarted_at_by_host.get(host)
         return None if at is None else self._time.monotonic() - at
@@ -64,7 +64,7 @@
         since = self._silent_since_by_host.get(host)
         return None if since is None else now - since
 
-    def expect(self, hosts: Iterable[str]) -> None:
+    def set_watched_hosts(self, hosts: Iterable[str]) -> None:
         """Sets which hosts this one keeps links to and so watches."""
         wanted = set(hosts)
         now = self._time.monotonic()
@@ -74,7 +74,7 @@
             del self._silent_since_by_host[host]
             self._reported_at_by_host.pop(host, None)
 
-    def report(self, dead: Iterable[str]) -> None:
+    def report_dead(self, dead: Iterable[str]) -> None:
         """Tells the others which watched hosts are dead; repeats it."""
         now = self._time.monotonic()
         for host in dead:
@@ -85,7 +85,7 @@
                 self._reported_at_by_host[host] = now
                 self._tell(host, membership.State.DEAD)
 
-    def tell_own_leaving(self) -> None:
+    def announce_leaving(self) -> None:
         """Tells the others that this host leaves."""
         self._incarnation_by_host[self._own.host] = self._own.incarnation
         self._tell(self._own.host, membership.State.LEAVING)
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -13,7 +13,7 @@
 
 import result
 
-from pollenthread.app import group_view, roster, switch_driver
+from pollenthread.app import group_view, host_registry, switch_driver
 from pollenthread.core import (expert_choices, expert_demand, log_events,
                                map_switch, peer_messages, replication,
                                routing_config, step_limits)
@@ -44,7 +44,7 @@
     """Plans and carries out the maps of one group while it holds its duty."""
 
     def __init__(self, *, host: str, incarnation: str,
-                 store: row_store.RowStore, hosts: roster.Roster,
+                 store: row_store.RowStore, hosts: host_registry.HostRegistry,
                  book: group_view.GroupBook, view: group_view.GroupView,
                  driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
                  figures: Figures, time: clock.Clock,
@@ -106,7 +106,7 @@
     def _tell_duty(self) -> None:
         beat = peer_messages.DutyBeat(self._view.name, self._host, self._term)
         self._book.take_duty(beat)
-        self._network.send_all(self._hosts.agents_beside(self._host), beat)
+        self._network.send_all(self._hosts.other_agent_addresses(self._host), beat)
 
     async def _serve(self) -> None:
         while True:
--- a/pollenthread/app/order_desk.py
+++ b/pollenthread/app/order_desk.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from pollenthread.app import (directory as directory_module, lease_keeper,
-                              order_journal, peers as peers_module, pool as
+                              order_journal, peer_links as peers_module, upstream_pool as
                               pool_module)
 from pollenthread.core import messages, orders, signing
 from pollenthread.ports import link as link_port, table
@@ -24,9 +24,9 @@
     """Takes orders from inboxes to their recorded ends."""
 
     def __init__(self, *, keeper: lease_keeper.LeaseKeeper,
-                 journal: order_journal.OrderJournal, pool: pool_module.Pool,
-                 peers: peers_module.Peers,
-                 directory: directory_module.Directory,
+                 journal: order_journal.OrderJournal, pool: pool_module.UpstreamPool,
+                 peers: peers_module.PeerLinks,
+                 directory: directory_module.HostDirectory,
                  keys: signing.KeyRing) -> None:
         self._keeper = keeper
         self._journal = journal
@@ -113,7 +113,7 @@
         """The agent's incarnation; asks for a link when there is none."""
         upstream = self._pool.by_host.get(host)
         if upstream is None:
-            self._directory.want_upstream(host)
+            self._directory.request_upstream_link(host)
             return ''
         return upstream.hello.incarnation
 
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Self
 
-from pollenthread.app import group_view, roster
+from pollenthread.app import group_view, host_registry
 from pollenthread.core import (host_record, log_events, map_switch,
                                peer_messages)
 from pollenthread.ports import clock, event_log, peers, rank_server
@@ -63,7 +63,7 @@
     an order fails right after it, the rank can still be reached by others.
     """
 
-    def __init__(self, *, host: str, hosts: roster.Roster,
+    def __init__(self, *, host: str, hosts: host_registry.HostRegistry,
                  view: group_view.GroupView, network: peers.PeerNetwork,
                  make_server: ServerMaker, counts: collections.Counter[str],
                  time: clock.Clock, log: event_log.EventLog) -> None:
--- a/pollenthread/app/order_taker.py
+++ b/pollenthread/app/order_taker.py
@@ -10,7 +10,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from pollenthread.app import roster
+from pollenthread.app import host_registry
 from pollenthread.core import log_events, peer_messages
 from pollenthread.ports import event_log, peers, rank_server
 
@@ -29,7 +29,7 @@
     """Takes orders that arrive as datagrams."""
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
-                 take_report: StateTaker, hosts: roster.Roster,
+                 take_report: StateTaker, hosts: host_registry.HostRegistry,
                  network: peers.PeerNetwork, log: event_log.EventLog) -> None:
         """Makes a taker that carries out nothing until it runs.
 
--- a/pollenthread/app/peers.py
+++ b/pollenthread/app/peer_links.py
@@ -9,7 +9,7 @@
 from pollenthread.core import messages
 from pollenthread.ports import link as link_port
 
-__all__ = ['LinkWatcher', 'Peers']
+__all__ = ['LinkWatcher', 'PeerLinks']
 
 _OnMessage = Callable[[link_port.Link, Any], None]
 
@@ -26,7 +26,7 @@
         """The only link to a host is gone."""
 
 
-class Peers(link_port.LinkHandler):
+class PeerLinks(link_port.LinkHandler):
     """Entry hosts by name, and what to do with their messages."""
 
     def __init__(self) -> None:
@@ -38,7 +38,7 @@
         """Adds who handles messages of a type from other entry hosts."""
         self._handlers_by_type.setdefault(message_type, []).append(handler)
 
-    def watch(self, watcher: 'LinkWatcher') -> None:
+    def add_watcher(self, watcher: 'LinkWatcher') -> None:
         """Adds who is told of links that open and close."""
         self._watchers.append(watcher)
 
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from pollenthread.app import choice_teller, group_view, order_taker, roster
+from pollenthread.app import choice_teller, group_view, order_taker, host_registry
 from pollenthread.core import host_record, log_events, peer_messages
 from pollenthread.ports import clock, event_log, peers, rank_server
 
@@ -77,7 +77,7 @@
     """Watches one server and tells the hosts that need to know."""
 
     def __init__(self, *, own: host_record.HostRecord, slots: int,
-                 server: rank_server.RankServer, hosts: roster.Roster,
+                 server: rank_server.RankServer, hosts: host_registry.HostRegistry,
                  book: group_view.GroupBook, network: peers.PeerNetwork,
                  link_bytes_per_s: float, time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
@@ -229,7 +229,7 @@
         if record is not None:
             self._network.send(record.peer_address, state)
             return
-        self._network.send_all(self._hosts.agents_beside(self._own.host), state)
+        self._network.send_all(self._hosts.other_agent_addresses(self._own.host), state)
 
     # What peers ask.
 
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_state.py
@@ -6,7 +6,7 @@
                                routing_config, stream_timing)
 from pollenthread.ports import reply
 
-__all__ = ['Failed', 'Job']
+__all__ = ['RequestFailed', 'RequestState']
 
 _URGENCY = 5
 _MAX_URGENCY = 9
@@ -15,7 +15,7 @@
 _RETURN_SHARE = 0.33
 
 
-class Failed(Exception):
+class RequestFailed(Exception):
     """The request ends with a failure of the product's own."""
 
     def __init__(self, failure: errors.Failure) -> None:
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass
-class Job:
+class RequestState:
     """One request on its way.
 
     Attributes:
@@ -48,14 +48,14 @@
     service: str
     workspace: routing_config.Workspace | None
     deadline: float
-    answer: reply.Reply
-    is_late: bool = False
-    tried: list[str] = dataclasses.field(default_factory=list)
-    sent: int = 0
+    response: reply.Reply
+    has_missed_target: bool = False
+    tried_server_ids: list[str] = dataclasses.field(default_factory=list)
+    attempt_count: int = 0
     may_have_run: bool = False
     splitter: event_stream.EventSplitter = dataclasses.field(
         default_factory=event_stream.EventSplitter)
-    cause: str = ''
+    last_failure: str = ''
     timing: stream_timing.StreamTiming = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -82,7 +82,7 @@
             priority = self.workspace.priority
         return min(_MAX_URGENCY, _URGENCY + priority) if priority else _URGENCY
 
-    def given_up(self, kind: errors.Kind, now: float) -> errors.Failure:
+    def rejection(self, kind: errors.Kind, now: float) -> errors.Failure:
         """The failure of a request that no server is asked for any more.
 
         Args:
@@ -90,16 +90,16 @@
             now: monotonic seconds.
         """
         if self.may_have_run:
-            return errors.failure(errors.Kind.UPSTREAM_FAILED, self.cause)
+            return errors.failure(errors.Kind.UPSTREAM_FAILED, self.last_failure)
         if kind is errors.Kind.UPSTREAM_FAILED:
             kind = errors.Kind.OVERLOADED
         return_s = min(_RETURN_S, (self.deadline - now) * _RETURN_SHARE)
         return errors.failure(kind,
-                              self.cause,
+                              self.last_failure,
                               retry_after_s=round(return_s, 2))
 
-    def timed_out(self) -> errors.Failure:
+    def timeout_failure(self) -> errors.Failure:
         """The failure of a request whose time is over."""
         if self.may_have_run:
-            return errors.failure(errors.Kind.DEADLINE_PASSED, self.cause)
-        return errors.failure(errors.Kind.DEADLINE_TOO_SHORT, self.cause)
+            return errors.failure(errors.Kind.DEADLINE_PASSED, self.last_failure)
+        return errors.failure(errors.Kind.DEADLINE_TOO_SHORT, self.last_failure)
--- a/pollenthread/app/place_finder.py
+++ b/pollenthread/app/server_selector.py
@@ -3,11 +3,11 @@
 import dataclasses
 import random
 
-from pollenthread.app import request_job, serving_state
+from pollenthread.app import request_state, serving_state
 from pollenthread.core import errors, fleet, log_events, service_forecast
 from pollenthread.ports import clock, event_log
 
-__all__ = ['PlaceFinder']
+__all__ = ['ServerSelector']
 
 _MIN_TIME_LEFT_S = 0.02
 # Callers give a stream up after two seconds without an event. A server that
@@ -19,7 +19,7 @@
 _LATE_SPARE_SHARE = 0.3
 
 
-class PlaceFinder:
+class ServerSelector:
     """Chooses servers by what is known of their load."""
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
@@ -30,7 +30,7 @@
         self._rng = rng
         self._waiting = 0
 
-    async def find(self, job: request_job.Job) -> fleet.Server:
+    async def select(self, job: request_state.RequestState) -> fleet.Server:
         """Chooses a server.
 
         Who has missed its aim already waits a little for a place that nobody
@@ -48,10 +48,10 @@
                 has_servers = any(self._state.fleet.ready(job.service))
                 kind = (errors.Kind.OVERLOADED
                         if has_servers else errors.Kind.NO_UPSTREAM)
-                raise request_job.Failed(job.given_up(kind, now))
+                raise request_state.RequestFailed(job.rejection(kind, now))
         return server
 
-    async def _wait_for_room(self, job: request_job.Job) -> fleet.Server | None:
+    async def _wait_for_room(self, job: request_state.RequestState) -> fleet.Server | None:
         """Waits for a place that nobody else needs; None if none comes."""
         now = self._clock.monotonic()
         patient_until = now + min(_LATE_WAIT_S,
@@ -72,7 +72,7 @@
             self._waiting -= 1
         return None
 
-    def _is_next(self, job: request_job.Job, now: float) -> bool:
+    def _is_next(self, job: request_state.RequestState, now: float) -> bool:
         """Draws lots among all who wait, so that not all hosts take one place.
 
         Other hosts have as many waiting, and see the same places.
@@ -80,29 +80,29 @@
         room = self._state.loads.room(self._state.fleet.ready(job.service),
                                       spare_share=_LATE_SPARE_SHARE,
                                       now=now)
-        rivals = self._waiting * self._state.entry_hosts
+        rivals = self._waiting * self._state.entry_host_count
         return self._rng.random() * rivals < room
 
     def _choose(self,
-                job: request_job.Job,
+                job: request_state.RequestState,
                 now: float,
                 *,
                 spare_share: float = 0.0) -> fleet.Server | None:
         if job.deadline - now < _MIN_TIME_LEFT_S:
-            raise request_job.Failed(job.timed_out())
+            raise request_state.RequestFailed(job.timeout_failure())
         need = dataclasses.replace(self._need(job, now),
                                    spare_share=spare_share)
         server = self._state.loads.choose(self._state.fleet.ready(job.service),
-                                          excluded=job.tried,
+                                          excluded=job.tried_server_ids,
                                           data_centre=self._state.data_centre,
                                           need=need,
-                                          hosts=self._state.entry_hosts,
+                                          hosts=self._state.entry_host_count,
                                           now=now)
         if server is not None:
             self._log_attempt(job, server, now)
         return server
 
-    def _log_attempt(self, job: request_job.Job, server: fleet.Server,
+    def _log_attempt(self, job: request_state.RequestState, server: fleet.Server,
                      now: float) -> None:
         config = self._state.config
         self._log.write(log_events.LogEvent.ATTEMPT,
@@ -111,10 +111,10 @@
                         server=server.id,
                         **self._state.loads.belief(server, now),
                         config=config.version if config else None,
-                        is_late=job.is_late,
+                        is_late=job.has_missed_target,
                         left_s=round(job.deadline - now, 3))
 
-    def _need(self, job: request_job.Job, now: float) -> service_forecast.Need:
+    def _need(self, job: request_state.RequestState, now: float) -> service_forecast.Need:
         config = self._state.config
         service = config.services_by_name.get(job.service) if config else None
         if service is None or service.engine is None or not job.is_stream:
@@ -127,13 +127,13 @@
                                      engine.steps_per_pass)
 
 
-def _aim_left_s(job: request_job.Job, now: float) -> float:
+def _aim_left_s(job: request_state.RequestState, now: float) -> float:
     """Seconds until a request that is new here would be late; else 0."""
-    if job.is_late or job.sent or job.request.last_event_id is not None:
+    if job.has_missed_target or job.attempt_count or job.request.last_event_id is not None:
         return 0.0
     return max(0.0, job.request.received_at + job.route.target_s - now)
 
 
-def _is_patient(job: request_job.Job) -> bool:
+def _is_patient(job: request_state.RequestState) -> bool:
     """Whether the request waits rather than takes a place from others."""
-    return job.is_late and job.is_stream and not job.sent
+    return job.has_missed_target and job.is_stream and not job.attempt_count
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -5,11 +5,11 @@
 
 from pollenthread.core import fleet, load_board, retry_budget, routing_config
 
-__all__ = ['RetryBounds', 'ServingState']
+__all__ = ['RetryBudgetSettings', 'ServingState']
 
 
 @dataclasses.dataclass(frozen=True)
-class RetryBounds:
+class RetryBudgetSettings:
     """What all entry hosts together may repeat; see `RetryBudget`."""
 
     ratio: float
@@ -28,13 +28,13 @@
         leaving_since: when a planned stop began, or None.
     """
 
-    def __init__(self, *, data_centre: str, retry_bounds: RetryBounds,
+    def __init__(self, *, data_centre: str, retry_bounds: RetryBudgetSettings,
                  return_s: float, rng: random.Random) -> None:
         self.data_centre = data_centre
         self.config: routing_config.RoutingConfig | None = None
         self.fleet = fleet.Fleet(return_s=return_s)
         self.loads = load_board.LoadBoard(rng=rng)
-        self.entry_hosts = 1
+        self.entry_host_count = 1
         self.leaving_since: float | None = None
         self.rng = rng
         self._retry_bounds = retry_bounds
--- a/pollenthread/app/turns.py
+++ b/pollenthread/app/slot_scheduler.py
@@ -4,12 +4,12 @@
 
 from pollenthread.core import admission, errors, messages, slots
 
-__all__ = ['Turns', 'ticket_of']
+__all__ = ['SlotScheduler', 'make_ticket']
 
 _ADVANCE_INTERVAL_S = 0.05
 
 
-class Turns:
+class SlotScheduler:
     """Wakes attempts in the order that the slots decide."""
 
     def __init__(self) -> None:
@@ -51,7 +51,7 @@
         finally:
             self._waiters_by_attempt.pop(ticket.attempt, None)
 
-    def progress(self, attempt: str, units: int) -> None:
+    def record_progress(self, attempt: str, units: int) -> None:
         """Notes that an attempt has had a part of its answer."""
         self._slots.progress(attempt, _now(), units)
 
@@ -87,7 +87,7 @@
             self._arm()
 
 
-def ticket_of(begin: messages.Begin) -> admission.Ticket:
+def make_ticket(begin: messages.Begin) -> admission.Ticket:
     """The ticket of an attempt that has just come."""
     now = _now()
     due_ms = min(begin.target_ms or begin.deadline_ms, begin.deadline_ms)
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -24,19 +24,19 @@
     """Takes what a follower learns."""
 
     @abc.abstractmethod
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
         """The table holds these rows and no others."""
 
     @abc.abstractmethod
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def on_changes(self, rows: Sequence[row_store.Change]) -> None:
         """These rows have changed."""
 
     @abc.abstractmethod
-    def take_fault(self, fault: row_store.StoreFault) -> None:
+    def on_fault(self, fault: row_store.StoreFault) -> None:
         """The store did not answer."""
 
     @abc.abstractmethod
-    def take_contact(self, version: int) -> None:
+    def on_contact(self, version: int) -> None:
         """The store has answered; all changes up to `version` are known."""
 
 
@@ -91,7 +91,7 @@
         if fault is row_store.StoreFault.HISTORY_LOST:
             self.version = _UNKNOWN
         else:
-            self._listener.take_fault(fault)
+            self._listener.on_fault(fault)
         return fault
 
     def _take(self, found: row_store.Changes) -> None:
@@ -101,10 +101,10 @@
             return
         self.version = found.version
         if is_whole:
-            self._listener.take_table(found.changes)
+            self._listener.on_full_read(found.changes)
         elif found.changes:
-            self._listener.take_changes(found.changes)
-        self._listener.take_contact(found.version)
+            self._listener.on_changes(found.changes)
+        self._listener.on_contact(found.version)
 
 
 async def run_all(followers: Sequence[StoreFollower]) -> None:
--- a/pollenthread/app/knowledge.py
+++ b/pollenthread/app/store_listeners.py
@@ -14,7 +14,7 @@
 from pollenthread.core import fleet, log_events, routing_config
 from pollenthread.ports import clock, event_log, row_store
 
-__all__ = ['ConfigListener', 'Contact', 'ServerListener']
+__all__ = ['ConfigListener', 'StoreContact', 'ServerListener']
 
 ConfigDecoder = Callable[[bytes], result.Result[routing_config.RoutingConfig,
                                                 str]]
@@ -22,7 +22,7 @@
 
 
 @dataclasses.dataclass
-class Contact:
+class StoreContact:
     """When the store last answered, and whether it does now.
 
     Attributes:
@@ -34,34 +34,34 @@
     is_up: bool = False
 
 
-class _Listener(store_follower.TableListener):
+class _OutageListener(store_follower.TableListener):
     """Keeps track of the store's outages."""
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog, table: str) -> None:
-        self.contact = Contact()
-        self.rejected = 0
+        self.contact = StoreContact()
+        self.rejected_count = 0
         self._state = state
         self._clock = time
         self._log = log
         self.table = table
 
     @abc.abstractmethod
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
         ...
 
     @abc.abstractmethod
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def on_changes(self, rows: Sequence[row_store.Change]) -> None:
         ...
 
-    def take_fault(self, fault: row_store.StoreFault) -> None:
+    def on_fault(self, fault: row_store.StoreFault) -> None:
         if self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_LOST,
                             table=self.table,
                             fault=fault.value)
         self.contact.is_up = False
 
-    def take_contact(self, version: int) -> None:
+    def on_contact(self, version: int) -> None:
         now = self._clock.monotonic()
         if not self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_REGAINED,
@@ -72,7 +72,7 @@
         self.contact.last_at = now
 
 
-class ConfigListener(_Listener):
+class ConfigListener(_OutageListener):
     """Applies the newest configuration; versions only rise."""
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
@@ -85,10 +85,10 @@
         self.on_applied: list[Callable[[routing_config.RoutingConfig],
                                        None]] = []
 
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
-        self.take_changes(rows)
+    def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
+        self.on_changes(rows)
 
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def on_changes(self, rows: Sequence[row_store.Change]) -> None:
         for row in rows:
             if row.key == self.key and row.value is not None:
                 self.apply(row.value, source='store')
@@ -97,7 +97,7 @@
         """Applies a document if its version is higher than the present one."""
         decoded = self._decode(document)
         if isinstance(decoded, result.Err):
-            self.rejected += 1
+            self.rejected_count += 1
             self._log.write(log_events.LogEvent.CONFIG_REJECTED,
                             source=source,
                             reason=decoded.err_value)
@@ -116,7 +116,7 @@
                         source=source)
 
 
-class ServerListener(_Listener):
+class ServerListener(_OutageListener):
     """Keeps the list of servers."""
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
@@ -128,7 +128,7 @@
         self.changed_version = 0
         self.rows_by_key: dict[str, tuple[bytes, int]] = {}
 
-    def take_snapshot(self, rows: Sequence[row_store.Change], version: int, *,
+    def apply_peer_snapshot(self, rows: Sequence[row_store.Change], version: int, *,
                       is_fresh: bool) -> None:
         """Takes the list of a peer.
 
@@ -140,9 +140,9 @@
         self.version = version
         if is_fresh:
             self._state.fleet.trust_list()
-        self.take_table(rows)
+        self.on_full_read(rows)
 
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
         self.rows_by_key = {
             row.key: (row.value, row.version)
             for row in rows
@@ -163,7 +163,7 @@
         newest = max((row.version for row in rows), default=0)
         self.changed_version = max(self.changed_version, newest)
 
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def on_changes(self, rows: Sequence[row_store.Change]) -> None:
         self._note_versions(rows)
         for row in rows:
             if row.value is None:
@@ -174,12 +174,12 @@
             if (server := self._decode_row(row)) is not None:
                 self._put(server)
 
-    def take_fault(self, fault: row_store.StoreFault) -> None:
-        super().take_fault(fault)
+    def on_fault(self, fault: row_store.StoreFault) -> None:
+        super().on_fault(fault)
         self._state.fleet.begin_outage()
 
-    def take_contact(self, version: int) -> None:
-        super().take_contact(version)
+    def on_contact(self, version: int) -> None:
+        super().on_contact(version)
         self.version = version
         now = self._clock.monotonic()
         self._state.fleet.end_outage(now)
@@ -191,7 +191,7 @@
             return None
         decoded = self._decode(row.key, row.value)
         if isinstance(decoded, result.Err):
-            self.rejected += 1
+            self.rejected_count += 1
             self._log.write(log_events.LogEvent.SERVER_ENTRY_REJECTED,
                             important=False,
                             server=row.key,
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from pollenthread.app import group_view, order_sender, roster
+from pollenthread.app import group_view, order_sender, host_registry
 from pollenthread.core import (host_record, log_events, map_switch,
                                peer_messages)
 from pollenthread.ports import clock, event_log, peers, rank_server
@@ -64,7 +64,7 @@
 class SwitchDriver:
     """Carries out switches of one group."""
 
-    def __init__(self, *, host: str, hosts: roster.Roster,
+    def __init__(self, *, host: str, hosts: host_registry.HostRegistry,
                  view: group_view.GroupView, network: peers.PeerNetwork,
                  make_server: order_sender.ServerMaker, time: clock.Clock,
                  log: event_log.EventLog) -> None:
--- a/pollenthread/app/tracer.py
+++ b/pollenthread/app/tracer.py
@@ -76,7 +76,7 @@
         if self._export is not None:
             self._export(made)
 
-    def find(self, name: str) -> list[dict[str, Any]] | None:
+    def find_spans(self, name: str) -> list[dict[str, Any]] | None:
         """The spans of a trace or request id; None when it is not kept."""
         found = self._spans_by_trace.get(self._trace_by_request.get(name, name))
         if found is None:
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/upstream_pool.py
@@ -12,7 +12,7 @@
                                messages, slots)
 from pollenthread.ports import link as link_port
 
-__all__ = ['AttemptStream', 'Group', 'Pool', 'Shared', 'Upstream']
+__all__ = ['AttemptStream', 'UpstreamGroup', 'UpstreamPool', 'SharedUpstreamState', 'LinkedUpstream']
 
 _SEAL_TIMEOUT_S = 2.0
 
@@ -29,7 +29,7 @@
         self._queue = collections.deque[messages.Message | None]()
         self._ready = asyncio.Event()
         self._waiting = False
-        self.take_at_once: Callable[[messages.Chunk], bool] | None = None
+        self.deliver_immediately: Callable[[messages.Chunk], bool] | None = None
 
     def put(self, message: messages.Message | None) -> None:
         """Adds a message; None says that the link is lost.
@@ -38,14 +38,14 @@
         task that waits.
         """
         if (self._waiting and not self._queue and
-                self.take_at_once is not None and
+                self.deliver_immediately is not None and
                 isinstance(message, messages.Chunk) and
-                self.take_at_once(message)):
+                self.deliver_immediately(message)):
             return
         self._queue.append(message)
         self._ready.set()
 
-    async def wait_for_part(self) -> messages.Message | None:
+    async def wait_past_head(self) -> messages.Message | None:
         """Waits for more than a head, which stays in the queue.
 
         Returns:
@@ -58,7 +58,7 @@
             self._ready.clear()
             await self._ready.wait()
 
-    async def get_burst(self) -> list[messages.Message | None]:
+    async def get_available(self) -> list[messages.Message | None]:
         """Takes all messages that have come, at least one.
 
         A last message of None says that the link is lost.
@@ -75,10 +75,10 @@
         return burst
 
 
-class Upstream(choice.Candidate):
+class LinkedUpstream(choice.Candidate):
     """One upstream behind an open link."""
 
-    def __init__(self, *, link: link_port.Link, shared: 'Shared') -> None:
+    def __init__(self, *, link: link_port.Link, shared: 'SharedUpstreamState') -> None:
         self.link = link
         self.leaving = False
         self.report = estimate.Report(_NOTHING_KNOWN, 0, shared.now())
@@ -103,7 +103,7 @@
             self.report.reading,
             estimate.expected_load(self.report,
                                    own=len(self.streams_by_attempt),
-                                   mean=shared.others,
+                                   mean=shared.mean_load,
                                    now=shared.now()))
 
     @property
@@ -112,13 +112,13 @@
                 self.host not in self._shared.draining and
                 self._shared.health.is_usable(self.host, self._shared.now()))
 
-    def note_sent(self) -> None:
+    def record_sent(self) -> None:
         """Counts an attempt that was handed over."""
         now = self._shared.now()
         self._sent.note(now)
         self._shared.health.note_sent(self.host, now)
 
-    def note_load(self, load: messages.Load) -> None:
+    def record_load(self, load: messages.Load) -> None:
         """Takes a load report."""
         made_at = self._sent.made_at(load.seen, self._shared.now())
         reading = slots.Reading(running=load.running,
@@ -128,18 +128,18 @@
                                 first_s=load.first_unit_us / 1e6,
                                 token_s=load.token_us / 1e6)
         self.report = estimate.Report(reading, load.own, made_at)
-        self._shared.others.learn(self.report)
+        self._shared.mean_load.learn(self.report)
 
-    def note_refusal(self) -> None:
+    def record_refusal(self) -> None:
         """Learns from a refusal for want of room."""
         self.report = estimate.after_refusal(self.report,
                                              own=len(self.streams_by_attempt),
                                              now=self._shared.now())
 
-    def note_answer(self, *, good: bool) -> None:
+    def record_result(self, *, is_success: bool) -> None:
         """Takes the end of an attempt that was not refused."""
         self._shared.health.note_answer(self.host,
-                                        good=good,
+                                        good=is_success,
                                         now=self._shared.now())
 
     def serves(self, kind: str, name: str) -> bool:
@@ -150,17 +150,17 @@
             return name in self.hello.models
         return self.hello.name == name
 
-    def open(self, attempt: str) -> AttemptStream:
+    def open_stream(self, attempt: str) -> AttemptStream:
         """Starts to collect an attempt's messages."""
         stream = AttemptStream()
         self.streams_by_attempt[attempt] = stream
         return stream
 
-    def close(self, attempt: str) -> None:
+    def close_stream(self, attempt: str) -> None:
         """Stops collecting an attempt's messages."""
         self.streams_by_attempt.pop(attempt, None)
 
-    def lose(self) -> None:
+    def fail_pending(self) -> None:
         """Tells all who wait that the link is gone."""
         for stream in self.streams_by_attempt.values():
             stream.put(None)
@@ -182,11 +182,11 @@
             return None
 
 
-class Shared:
+class SharedUpstreamState:
     """What the upstreams of a pool have in common."""
 
     def __init__(self) -> None:
-        self.others = estimate.OthersMean()
+        self.mean_load = estimate.OthersMean()
         self.health = health.HealthBook()
         self.draining: frozenset[str] = frozenset()
 
@@ -197,7 +197,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Group:
+class UpstreamGroup:
     """The upstreams of one model or service.
 
     Attributes:
@@ -205,19 +205,19 @@
         ring: where prompts' prefixes belong.
     """
 
-    tiers: tuple[Sequence[Upstream], ...]
+    tiers: tuple[Sequence[LinkedUpstream], ...]
     ring: affinity.PrefixRing
 
 
-class Pool(link_port.LinkHandler):
+class UpstreamPool(link_port.LinkHandler):
     """Upstreams by host, kept current by their links."""
 
     def __init__(self, *, data_centre: str = '', region: str = '') -> None:
         self._data_centre = data_centre
         self._region = region
-        self._shared = Shared()
-        self._group_by_name: dict[tuple[str, str], Group] = {}
-        self.by_host: dict[str, Upstream] = {}
+        self._shared = SharedUpstreamState()
+        self._group_by_name: dict[tuple[str, str], UpstreamGroup] = {}
+        self.by_host: dict[str, LinkedUpstream] = {}
         self.misrouted_count = 0
         self._changed = asyncio.Event()
         self._handlers_by_type: dict[type[Any], _OnMessage] = {}
@@ -240,7 +240,7 @@
         """Hosts that take no work but probes."""
         return self._shared.health.ejected
 
-    def group(self, kind: str, name: str) -> Group:
+    def group(self, kind: str, name: str) -> UpstreamGroup:
         """The upstreams of a model or service; kept until they change."""
         group = self._group_by_name.get((kind, name))
         if group is None:
@@ -248,25 +248,25 @@
             self._group_by_name[kind, name] = group
         return group
 
-    def _make_group(self, kind: str, name: str) -> Group:
+    def _make_group(self, kind: str, name: str) -> UpstreamGroup:
         everywhere = [u for u in self.by_host.values() if u.serves(kind, name)]
         near = [
             u for u in everywhere if u.hello.data_centre == self._data_centre
         ]
         region = [u for u in everywhere if u.hello.region == self._region]
-        tiers: list[Sequence[Upstream]] = []
+        tiers: list[Sequence[LinkedUpstream]] = []
         for tier in (near, region, everywhere):
             if tier and (not tiers or len(tier) > len(tiers[-1])):
                 tiers.append(tier)
-        return Group(tuple(tiers),
+        return UpstreamGroup(tuple(tiers),
                      affinity.PrefixRing(u.host for u in everywhere))
 
-    def knows(self, kind: str, name: str) -> bool:
+    def has_upstream(self, kind: str, name: str) -> bool:
         """Whether any upstream, leaving or not, serves this name."""
         return any(u.serves(kind, name) for u in self.by_host.values())
 
-    async def wait_for(self, host: str, incarnation: str,
-                       timeout_s: float) -> Upstream | None:
+    async def wait_for_link(self, host: str, incarnation: str,
+                       timeout_s: float) -> LinkedUpstream | None:
         """Waits until a host is linked again in the same incarnation."""
         try:
             async with asyncio.timeout(timeout_s):
@@ -283,8 +283,8 @@
     def on_open(self, link: link_port.Link) -> None:
         old = self.by_host.get(link.peer.host)
         if old is not None:
-            old.lose()
-        self.by_host[link.peer.host] = Upstream(link=link, shared=self._shared)
+            old.fail_pending()
+        self.by_host[link.peer.host] = LinkedUpstream(link=link, shared=self._shared)
         self._shared.health.add(link.peer.host)
         self._group_by_name.clear()
         self._changed.set()
@@ -300,7 +300,7 @@
         self._group_by_name.clear()
         self._changed.set()
         logging.info('upstream lost host=%s reason=%s', link.peer.host, reason)
-        upstream.lose()
+        upstream.fail_pending()
 
     def on_message(self, link: link_port.Link,
                    message: messages.Message) -> None:
@@ -319,7 +319,7 @@
                     if not answer.done():
                         answer.set_result(message.state)
             case messages.Load():
-                upstream.note_load(message)
+                upstream.record_load(message)
             case messages.Leaving():
                 upstream.leaving = True
                 logging.info('upstream leaving host=%s', link.peer.host)
@@ -328,7 +328,7 @@
                 if handler is not None:
                     handler(link, message)
 
-    def misrouted(self, upstream: Upstream, detail: str) -> errors.Failure:
+    def report_misrouted(self, upstream: LinkedUpstream, detail: str) -> errors.Failure:
         """Counts an answer out of order and distrusts its link."""
         self.misrouted_count += 1
         upstream.link.close(f'answer misrouted: {detail}')
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -115,7 +115,7 @@
     async def _report(self) -> None:
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
-            self._gate.report_load()
+            self._gate.broadcast_load()
             self._gate.report_unconfirmed()
 
     def _status(self) -> dict[str, Any]:
@@ -137,7 +137,7 @@
     async def stop_when_asked(self) -> None:
         """Stops by plan: refuse new work, finish the work, then go."""
         await self._signal.planned.wait()
-        self._gate.leave(self._config.host)
+        self._gate.start_leaving(self._config.host)
         if not await self._signal.wait_now(_LEAVE_NOTICE_S):
             while (self._gate.unfinished or self._gate.unconfirmed or
                    self._orders.busy):
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/bookkeeping.py
@@ -61,7 +61,7 @@
             costs=cost_book.CostBook(table_service=table_service),
             status=status,
             wall=wall_time.time,
-            find_trace=self.tracer.find)
+            find_trace=self.tracer.find_spans)
 
     @property
     def handlers_by_root(self) -> dict[str, http_server.Handler]:
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -10,10 +10,10 @@
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
-from pollenthread.app import (claim_keeper, claim_sweeper, config_spread,
-                              config_store, directory, gateway, heartbeats,
-                              lease_keeper, order_desk, order_journal, peers as
-                              peers_module, pool as pool_module, write_batcher)
+from pollenthread.app import (claim_store, claim_sweeper, config_spread,
+                              config_store, directory, gateway, liveness,
+                              lease_keeper, order_desk, order_journal, peer_links as
+                              peers_module, upstream_pool as pool_module, write_batcher)
 from pollenthread.core import ids, membership, messages, orders
 from pollenthread.roles import bookkeeping, process
 
@@ -56,23 +56,23 @@
         table = table_http.HttpTable(client=self._client,
                                      address=self._config.platform.table)
         draw = random.Random()
-        self._peers = peers_module.Peers()
-        self._heartbeats = heartbeats.Heartbeats(own=self._hello,
+        self._peers = peers_module.PeerLinks()
+        self._heartbeats = liveness.LivenessTracker(own=self._hello,
                                                  peers=self._peers,
                                                  time=time)
-        self._directory = directory.Directory(hosts=host_list_http.HttpHostList(
+        self._directory = directory.HostDirectory(hosts=host_list_http.HttpHostList(
             client=self._client, address=self._config.platform.host_list),
                                               time=time,
                                               own=self._member(),
                                               heartbeats=self._heartbeats)
         self._targets = config_store.ConfigStore(
-            table_service=table, time=time, reachable=self._directory.reachable)
+            table_service=table, time=time, reachable=self._directory.reachability)
         self._spread = config_spread.ConfigSpread(store=self._targets,
                                                   peers=self._peers,
                                                   directory=self._directory,
                                                   time=time,
                                                   draw=draw)
-        self._pool = pool_module.Pool(data_centre=self._config.data_centre,
+        self._pool = pool_module.UpstreamPool(data_centre=self._config.data_centre,
                                       region=self._config.region)
         self._leases = lease_keeper.LeaseKeeper(
             table_service=table,
@@ -100,13 +100,13 @@
         self._batcher = write_batcher.WriteBatcher(
             table_service=table, time=time, rows_per_s=self._claim_rows_per_s)
         self._sweeper = claim_sweeper.ClaimSweeper(table_service=table,
-                                                   holds=self._holds,
-                                                   wall=wall_time.time)
-        keeper = claim_keeper.ClaimKeeper(
+                                                   holds_duty=self._holds,
+                                                   wall_clock=wall_time.time)
+        keeper = claim_store.ClaimStore(
             table_service=self._batcher,
             pool=self._pool,
-            want_upstream=self._directory.want_upstream,
-            wall=wall_time.time)
+            request_link=self._directory.request_upstream_link,
+            wall_clock=wall_time.time)
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
                                         time=time,
@@ -133,7 +133,7 @@
 
     def _claim_rows_per_s(self) -> float:
         """This host's part of the writes that claims may use."""
-        return _CLAIM_ROWS_PER_S / max(1, len(self._directory.entries()))
+        return _CLAIM_ROWS_PER_S / max(1, len(self._directory.usable_entries()))
 
     def _build_borders(self) -> None:
         config = self._config
@@ -232,14 +232,14 @@
             'targets_age_s': self._targets.age_s,
             'targets_permission': self._targets.permission,
             'is_poller': self._directory.is_poller,
-            'entries': self._directory.view.state_by_host,
+            'entries': self._directory.membership_view.state_by_host,
             'claim_rows': self._batcher.rows_count,
             'claim_transactions': self._batcher.transactions_count,
             'claims_refused': self._batcher.refused_count,
             'duties': self._leases.duties(),
             'duties_acquired': self._leases.acquired_count,
             'duties_lost': self._leases.lost_count,
-            'membership_panic': self._directory.view.is_panic,
+            'membership_panic': self._directory.membership_view.is_panic,
             'peers': sorted(self._peers.links_by_host),
             'upstreams': {
                 name: {
@@ -254,8 +254,8 @@
         """Stops by plan: leave the addresses, finish the work, then go."""
         await self._signal.planned.wait()
         await self._leases.release_all()
-        self._heartbeats.tell_own_leaving()
-        self._directory.judge()
+        self._heartbeats.announce_leaving()
+        self._directory.update_states()
         self._callers.announce_leaving()
         await self._finish_requests()
         await self._books.finish()
@@ -274,6 +274,6 @@
         if await self._signal.wait_now(_REFUSE_NOTICE_S):
             return
         self._callers.stop_listening()
-        while self._callers.busy or self._gateway.recordings:
+        while self._callers.busy or self._gateway.pending_recordings:
             if await self._signal.wait_now(_IDLE_CHECK_S):
                 return
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -6,7 +6,7 @@
 from typing import Self
 
 from pollenthread.adapters import http_server, platform_metrics
-from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
+from pollenthread.app import (entry_peers, forwarder, store_listeners, graceful_shutdown,
                               serving_state)
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (names, process_settings, server_entry,
@@ -42,13 +42,13 @@
                              caller_address=settings.caller_address),
                          state=serving_state.ServingState(
                              data_centre=settings.data_centre,
-                             retry_bounds=serving_state.RetryBounds(
+                             retry_bounds=serving_state.RetryBudgetSettings(
                                  settings.retry_ratio, settings.retry_extra,
                                  settings.retry_window_s),
                              return_s=_RETURN_S,
                              rng=rng),
                          rng=rng)
-        self._servers = knowledge.ServerListener(state=self.state,
+        self._servers = store_listeners.ServerListener(state=self.state,
                                                  time=self._clock,
                                                  log=self.log,
                                                  table=names.Table.SERVERS,
@@ -63,8 +63,8 @@
                                             time=self._clock,
                                             log=self.log,
                                             rng=self._rng)
-        self._stop_plan = planned_stop.StopPlan(grace_s=settings.grace_s,
-                                                caches_s=_TTL_S *
+        self._stop_plan = graceful_shutdown.ShutdownPlan(grace_s=settings.grace_s,
+                                                discovery_cache_s=_TTL_S *
                                                 _MAX_TTL_FACTOR)
         self._latencies = platform_metrics.LatencyBook()
         forward = forwarder.Forwarder(
@@ -93,9 +93,9 @@
             found[f'store_calls_{outcome}'] = count
         found.update(self._peer_counters())
         found['server_connections'] = self._server_client.connections_opened
-        found['entries_rejected'] = self._servers.rejected
-        found['configs_rejected'] = self._config.rejected
-        found['peer_snapshots'] = self.peers.snapshots_taken
+        found['entries_rejected'] = self._servers.rejected_count
+        found['configs_rejected'] = self._config.rejected_count
+        found['peer_snapshots'] = self.peers.applied_snapshot_count
         found['log_lines_dropped'] = self.log.dropped
         return found
 
@@ -103,7 +103,7 @@
         config = self.state.config
         return {
             'in_progress': self._callers.in_progress,
-            'entry_hosts': self.state.entry_hosts,
+            'entry_hosts': self.state.entry_host_count,
             'servers': len(self.state.fleet.listed_by_id),
             'config_version': config.version if config else 0,
             'store_up': float(self._servers.contact.is_up),
@@ -152,19 +152,19 @@
             for follower in followers:
                 group.create_task(follower.run())
             self._follow_hosts(group)
-            group.create_task(self._forward.watch())
+            group.create_task(self._forward.watch_silent_servers())
             group.create_task(self.peers.run())
-            group.create_task(self.peers.follow_peers())
+            group.create_task(self.peers.fetch_from_peers())
 
     async def leave(self) -> None:
         """Ends what runs, and says that no more should come."""
         began_at = self._clock.monotonic()
         self.state.leaving_since = began_at
         self._caller_server.announce_leaving()
-        self.peers.beat()
+        self.peers.send_heartbeat()
         self.log.write(log_events.LogEvent.STOPPING,
                        in_progress=self._callers.in_progress)
-        while not planned_stop.is_done(self._stop_plan,
+        while not graceful_shutdown.may_exit(self._stop_plan,
                                        self._clock.monotonic() - began_at,
                                        self._callers.in_progress):
             await self._clock.sleep(_STOP_CHECK_S)
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -57,6 +57,6 @@
         query = parse.parse_qs(request.target.partition('?')[2])
         data_centre = query.get('zone', [''])[0]
         await response.send_json(200, {
-            'addresses': self._peers.usable(data_centre),
+            'addresses': self._peers.usable_addresses(data_centre),
             'ttl_s': self._ttl_s
         })
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -9,7 +9,7 @@
 from typing import Any, Self
 
 from pollenthread.adapters import clock, http_client, json_log, peer_network
-from pollenthread.app import knowledge, roster, serving_state, store_follower
+from pollenthread.app import store_listeners, host_registry, serving_state, store_follower
 from pollenthread.core import host_record, log_events
 from pollenthread.platform import (config_document, names, process_settings,
                                    row_store_http)
@@ -53,8 +53,8 @@
             client=self._peer_client,
             host=settings.ip,
             port=settings.peer_ports[0])
-        self._hosts = roster.Roster()
-        self._config = knowledge.ConfigListener(
+        self._hosts = host_registry.HostRegistry()
+        self._config = store_listeners.ConfigListener(
             state=state,
             time=self._clock,
             log=self.log,
@@ -88,11 +88,11 @@
 
     def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
         """Registers this host and follows the others."""
-        hosts = self._follower(roster.TABLE, self._hosts, _HOSTS_WAIT_S,
+        hosts = self._follower(host_registry.HOSTS_TABLE, self._hosts, _HOSTS_WAIT_S,
                                _HOSTS_PAUSE_S)
         tasks.create_task(hosts.run())
         tasks.create_task(
-            roster.register(store=self._store,
+            host_registry.register(store=self._store,
                             time=self._clock,
                             roster=self._hosts,
                             record=self._own))
--- a/tests/agreed/steps/claims.py
+++ b/tests/agreed/steps/claims.py
@@ -6,7 +6,7 @@
 import result
 from behave import given, then, when
 
-from pollenthread.app import claim_keeper, claim_sweeper, write_batcher
+from pollenthread.app import claim_store, claim_sweeper, write_batcher
 from pollenthread.core import claims
 from pollenthread.ports import table
 from tests import scenario
@@ -195,10 +195,10 @@
                              's',
                              'd',
                              claimed_at_s=_NOW_S - age_s)
-        row = claim_keeper.dump_claim(claim)
+        row = claim_store.encode_claim(claim)
         scenario.run(
             context,
-            context.memory.put(claim_keeper.row_key('buna', f'{i}'),
+            context.memory.put(claim_store.row_key('buna', f'{i}'),
                                row,
                                expect=table.ABSENT))
 
@@ -206,11 +206,11 @@
 @when('the claims are swept')
 def step_sweep(context: Any) -> None:
     sweeper = claim_sweeper.ClaimSweeper(table_service=context.memory,
-                                         holds=lambda _: True,
-                                         wall=lambda: _NOW_S)
+                                         holds_duty=lambda _: True,
+                                         wall_clock=lambda: _NOW_S)
 
     async def sweep() -> None:
-        for shard in range(claim_keeper.SHARDS):
+        for shard in range(claim_store.SHARD_COUNT):
             await sweeper.sweep(f'{shard:03x}')
 
     scenario.run(context, sweep())
--- a/tests/path/steps/failures.py
+++ b/tests/path/steps/failures.py
@@ -8,7 +8,7 @@
 
 from behave import given, step, then, when
 
-from pollenthread.app import claim_keeper
+from pollenthread.app import claim_store
 from tests import scenario
 from tests.fakes import caller as caller_module, relay, service
 
@@ -180,7 +180,7 @@
             caller_module.PAYMENT_PATH,
             caller_module.PAYMENT,
             idempotency_key=key)
-        row_key = claim_keeper.row_key('buna', key)
+        row_key = claim_store.row_key('buna', key)
         while not (await context.system.table.get(row_key)).unwrap():
             await asyncio.sleep(0.02)
         return following
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -8,7 +8,7 @@
 import result
 from behave import given, then, when
 
-from pollenthread.app import planned_stop
+from pollenthread.app import graceful_shutdown
 from pollenthread.core import (addresses, event_stream, fleet, load_board,
                                retry_budget, service_forecast)
 from pollenthread.platform import config_document
@@ -261,12 +261,12 @@
 
 @given('a planned stop with {grace:d} s of grace')
 def step_stop(context: Any, grace: int) -> None:
-    context.plan = planned_stop.StopPlan(grace_s=grace, caches_s=3.0)
+    context.plan = graceful_shutdown.ShutdownPlan(grace_s=grace, discovery_cache_s=3.0)
 
 
 @then('a stream is taken after {taken:d} s and refused after {refused:d} s')
 def step_stream_taken(context: Any, taken: int, refused: int) -> None:
-    takes = planned_stop.takes_work
+    takes = graceful_shutdown.accepts_request
     assert takes(context.plan, taken, is_stream=True)
     assert not takes(context.plan, refused, is_stream=True)
 
@@ -274,7 +274,7 @@
 @then('a short request is taken after {taken:d} s and refused after '
       '{refused:d} s')
 def step_short_taken(context: Any, taken: int, refused: int) -> None:
-    takes = planned_stop.takes_work
+    takes = graceful_shutdown.accepts_request
     assert takes(context.plan, taken, is_stream=False)
     assert not takes(context.plan, refused, is_stream=False)
 
@@ -282,14 +282,14 @@
 @then('the stop is done after {done:d} s if nothing runs, and not before '
       '{early:d} s')
 def step_done(context: Any, done: int, early: int) -> None:
-    assert planned_stop.is_done(context.plan, done, 0)
-    assert not planned_stop.is_done(context.plan, early - 0.1, 0)
-    assert not planned_stop.is_done(context.plan, done, 1)
+    assert graceful_shutdown.may_exit(context.plan, done, 0)
+    assert not graceful_shutdown.may_exit(context.plan, early - 0.1, 0)
+    assert not graceful_shutdown.may_exit(context.plan, done, 1)
 
 
 @then('the stop is done after {seconds:f} s whatever runs')
 def step_forced(context: Any, seconds: float) -> None:
-    assert planned_stop.is_done(context.plan, seconds, 5)
+    assert graceful_shutdown.may_exit(context.plan, seconds, 5)
 
 
 @given('entry hosts "{names}" in data centres "{places}"')
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from pollenthread.app import group_view, roster, switch_driver
+from pollenthread.app import group_view, host_registry, switch_driver
 from pollenthread.core import host_record, map_switch, peer_messages
 from tests.fakes import memory, running_group, virtual_time
 
@@ -83,7 +83,7 @@
 async def _switch(context: Any) -> None:
     group = context.group
     time = virtual_time.LoopClock()
-    hosts = roster.Roster()
+    hosts = host_registry.HostRegistry()
     for rank in range(context.size):
         record = host_record.HostRecord(host=f'side-{rank}',
                                         role=host_record.Role.AGENT,
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 import result
 
-from pollenthread.app import entry_peers, knowledge, roster, serving_state
+from pollenthread.app import entry_peers, store_listeners, host_registry, serving_state
 from pollenthread.core import host_record, peer_messages, routing_config
 from tests.fakes import memory, virtual_time
 
@@ -67,7 +67,7 @@
 async def _play(network: _Network, version: int, seconds: float) -> None:
     time = virtual_time.LoopClock()
     state = serving_state.ServingState(data_centre='dc',
-                                       retry_bounds=serving_state.RetryBounds(
+                                       retry_bounds=serving_state.RetryBudgetSettings(
                                            0.2, 1.0, 10.0),
                                        return_s=2.0,
                                        rng=random.Random(1))
@@ -77,8 +77,8 @@
         'log': memory.SilentLog(),
         'decode': lambda *data: result.Err('none')
     }
-    config = knowledge.ConfigListener(table='op', key='config', **common)
-    servers = knowledge.ServerListener(table='servers', **common)
+    config = store_listeners.ConfigListener(table='op', key='config', **common)
+    servers = store_listeners.ServerListener(table='servers', **common)
     state.config = routing_config.RoutingConfig(
         version=1,
         routes_by_host={},
@@ -86,8 +86,8 @@
         limits=routing_config.CallerLimits(),
         workspaces_by_key=None)
     for listener in (config, servers):
-        listener.take_contact(_KNOWN_VERSION)
-    hosts = roster.Roster()
+        listener.on_contact(_KNOWN_VERSION)
+    hosts = host_registry.HostRegistry()
     for name in ('own', 'other'):
         hosts.records_by_host[name] = _record(name)
     host: Any = network
@@ -101,7 +101,7 @@
                                    time=time,
                                    log=memory.SilentLog(),
                                    rng=random.Random(1))
-    work = asyncio.create_task(found.follow_peers())
+    work = asyncio.create_task(found.fetch_from_peers())
     for _ in range(round(seconds / _BEAT_S)):
         network.take_by_type[peer_messages.EntryBeat](_beat(version))
         await asyncio.sleep(_BEAT_S)
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from pollenthread.app import forwarder, planned_stop, serving_state
+from pollenthread.app import forwarder, graceful_shutdown, serving_state
 from pollenthread.core import (caller_request, errors, fleet, http_headers,
                                lateness, routing_config)
 from pollenthread.ports import reply
@@ -142,7 +142,7 @@
         self._hosts = [
             forwarder.Forwarder(state=state,
                                 servers=self.servers,
-                                stop_plan=planned_stop.StopPlan(8.0, 1.0),
+                                stop_plan=graceful_shutdown.ShutdownPlan(8.0, 1.0),
                                 observe=lambda name, value: None,
                                 time=self._clock,
                                 log=memory.SilentLog())
@@ -152,11 +152,11 @@
     def _state(self, seed: int, hosts: int) -> serving_state.ServingState:
         state = serving_state.ServingState(
             data_centre='a',
-            retry_bounds=serving_state.RetryBounds(0.2, 94.0, 10.0),
+            retry_bounds=serving_state.RetryBudgetSettings(0.2, 94.0, 10.0),
             return_s=2.0,
             rng=random.Random(seed))
         state.config = self._config
-        state.entry_hosts = hosts
+        state.entry_host_count = hosts
         for server in self._fleet:
             state.fleet.put(server)
         return state
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 import result
 
-from pollenthread.app import (group_view, map_duty, rank_agent, roster,
+from pollenthread.app import (group_view, map_duty, rank_agent, host_registry,
                               switch_driver)
 from pollenthread.core import (host_record, replication, routing_config,
                                step_limits)
@@ -161,7 +161,7 @@
         number = int(own.host.rpartition('-')[2])
         network = thin_links.FabricNetwork(fabric=self.fabric,
                                            address=own.peer_address)
-        hosts = roster.Roster()
+        hosts = host_registry.HostRegistry()
         for record in records:
             hosts.records_by_host[record.host] = record
         book = group_view.GroupBook(network=network, time=self._time)
@@ -188,7 +188,7 @@
 
     async def _hold_duty(self, own: host_record.HostRecord,
                          network: thin_links.FabricNetwork,
-                         hosts: roster.Roster,
+                         hosts: host_registry.HostRegistry,
                          book: group_view.GroupBook) -> None:
         book.own_state = dataclasses.replace(self.group.states[0],
                                              group=_OUTSIDE)
