Reword the server and the upstream selector

Comments spoke of places, lots and aims. They name free slots, a random draw and latency targets. The syntax tree without names and texts is the same.

--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -1,4 +1,4 @@
-"""Finds a server for a request, and decides who waits for one."""
+"""Selects a server for a request, or waits until one has a free slot."""
 
 import dataclasses
 import random
@@ -10,17 +10,21 @@
 __all__ = ['ServerSelector']
 
 _MIN_TIME_LEFT_S = 0.02
-# Callers give a stream up after two seconds without an event. A server that
-# falls silent is found after 1.2 s, and another one needs some time to begin.
-_LATE_WAIT_S = 0.4
-_LATE_WAIT_SHARE = 0.25
-# As often as agents tell the load.
-_LATE_LOOK_S = 0.25
-_LATE_SPARE_SHARE = 0.3
+# Callers abandon a stream after 2 s without an event, and a silent server is
+# detected after 1.2 s; the rest is left for another server to start.
+_MAX_SLOT_WAIT_S = 0.4
+_SLOT_WAIT_SHARE = 0.25
+# Equals the interval at which agents report their load.
+_SLOT_POLL_INTERVAL_S = 0.25
+_RESERVED_SLOT_SHARE = 0.3
 
 
 class ServerSelector:
-    """Chooses servers by what is known of their load."""
+    """Selects servers by their reported load.
+
+    The load is an estimate: reports are periodic, and other entry hosts send
+    requests to the same servers.
+    """
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
@@ -28,22 +32,30 @@
         self._clock = time
         self._log = log
         self._rng = rng
-        self._waiting = 0
+        self._waiting_count = 0
 
     async def select(self, job: request_state.RequestState) -> fleet.Server:
-        """Chooses a server.
+        """Selects a server for the next attempt of a request.
+
+        A request that has already missed its latency target first waits for a
+        slot that no other request needs. A later response is worth as much to
+        its caller, whereas another refusal may make the caller give up.
 
-        Who has missed its aim already waits a little for a place that nobody
-        else needs: the answer is worth the same then, and to be turned away
-        again might be the end of it.
+        Args:
+            job: the request.
+
+        Returns:
+            The server to send the request to.
 
         Raises:
-            request_job.Failed: no server would begin in time.
+            request_state.RequestFailed: no server would start the request in
+                time.
         """
-        server = await self._wait_for_room(job) if _is_patient(job) else None
+        server = await self._wait_for_free_slot(job) if _waits_for_free_slot(
+            job) else None
         if server is None:
             now = self._clock.monotonic()
-            server = self._choose(job, now)
+            server = self._try_select(job, now)
             if server is None:
                 has_servers = any(self._state.fleet.ready(job.service))
                 kind = (errors.Kind.OVERLOADED
@@ -51,46 +63,50 @@
                 raise request_state.RequestFailed(job.rejection(kind, now))
         return server
 
-    async def _wait_for_room(self, job: request_state.RequestState) -> fleet.Server | None:
-        """Waits for a place that nobody else needs; None if none comes."""
+    async def _wait_for_free_slot(
+            self, job: request_state.RequestState) -> fleet.Server | None:
+        """Waits for a slot no other request needs; None after a timeout."""
         now = self._clock.monotonic()
-        patient_until = now + min(_LATE_WAIT_S,
-                                  (job.deadline - now) * _LATE_WAIT_SHARE)
-        self._waiting += 1
+        wait_until = now + min(_MAX_SLOT_WAIT_S,
+                               (job.deadline - now) * _SLOT_WAIT_SHARE)
+        self._waiting_count += 1
         try:
-            while now < patient_until:
-                if self._is_next(job, now):
-                    server = self._choose(job,
-                                          now,
-                                          spare_share=_LATE_SPARE_SHARE)
+            while now < wait_until:
+                if self._wins_draw(job, now):
+                    server = self._try_select(job,
+                                              now,
+                                              spare_share=_RESERVED_SLOT_SHARE)
                     if server is not None:
                         return server
-                pause_s = _LATE_LOOK_S * self._rng.uniform(0.5, 1.5)
-                await self._clock.sleep(min(pause_s, patient_until - now))
+                pause_s = _SLOT_POLL_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+                await self._clock.sleep(min(pause_s, wait_until - now))
                 now = self._clock.monotonic()
         finally:
-            self._waiting -= 1
+            self._waiting_count -= 1
         return None
 
-    def _is_next(self, job: request_state.RequestState, now: float) -> bool:
-        """Draws lots among all who wait, so that not all hosts take one place.
+    def _wins_draw(self, job: request_state.RequestState, now: float) -> bool:
+        """Draws at random whether this request may take a free slot now.
 
-        Other hosts have as many waiting, and see the same places.
+        All entry hosts see the same free slots, so without the draw they would
+        all send a request to one slot. The number of waiting requests is taken
+        to be the same on every entry host.
         """
-        room = self._state.loads.room(self._state.fleet.ready(job.service),
-                                      spare_share=_LATE_SPARE_SHARE,
-                                      now=now)
-        rivals = self._waiting * self._state.entry_host_count
-        return self._rng.random() * rivals < room
-
-    def _choose(self,
-                job: request_state.RequestState,
-                now: float,
-                *,
-                spare_share: float = 0.0) -> fleet.Server | None:
+        free_slots = self._state.loads.room(self._state.fleet.ready(
+            job.service),
+                                            spare_share=_RESERVED_SLOT_SHARE,
+                                            now=now)
+        waiting_count = self._waiting_count * self._state.entry_host_count
+        return self._rng.random() * waiting_count < free_slots
+
+    def _try_select(self,
+                    job: request_state.RequestState,
+                    now: float,
+                    *,
+                    spare_share: float = 0.0) -> fleet.Server | None:
         if job.deadline - now < _MIN_TIME_LEFT_S:
             raise request_state.RequestFailed(job.timeout_failure())
-        need = dataclasses.replace(self._need(job, now),
+        need = dataclasses.replace(self._requirements(job, now),
                                    spare_share=spare_share)
         server = self._state.loads.choose(self._state.fleet.ready(job.service),
                                           excluded=job.tried_server_ids,
@@ -102,8 +118,8 @@
             self._log_attempt(job, server, now)
         return server
 
-    def _log_attempt(self, job: request_state.RequestState, server: fleet.Server,
-                     now: float) -> None:
+    def _log_attempt(self, job: request_state.RequestState,
+                     server: fleet.Server, now: float) -> None:
         config = self._state.config
         self._log.write(log_events.LogEvent.ATTEMPT,
                         important=False,
@@ -114,7 +130,8 @@
                         is_late=job.has_missed_target,
                         left_s=round(job.deadline - now, 3))
 
-    def _need(self, job: request_state.RequestState, now: float) -> service_forecast.Need:
+    def _requirements(self, job: request_state.RequestState,
+                      now: float) -> service_forecast.Need:
         config = self._state.config
         service = config.services_by_name.get(job.service) if config else None
         if service is None or service.engine is None or not job.is_stream:
@@ -122,18 +139,22 @@
         engine = service.engine
         return service_forecast.Need(time_left_s=job.deadline - now,
                                      max_gap_s=job.route.max_gap_s,
-                                     aim_left_s=_aim_left_s(job, now),
+                                     aim_left_s=_target_left_s(job, now),
                                      passes=engine.usual_answer_tokens /
                                      engine.steps_per_pass)
 
 
-def _aim_left_s(job: request_state.RequestState, now: float) -> float:
-    """Seconds until a request that is new here would be late; else 0."""
+def _target_left_s(job: request_state.RequestState, now: float) -> float:
+    """Seconds until the first event is due.
+
+    Returns 0 for a retry, a resumed stream, and a request that has already
+    missed its target.
+    """
     if job.has_missed_target or job.attempt_count or job.request.last_event_id is not None:
         return 0.0
     return max(0.0, job.request.received_at + job.route.target_s - now)
 
 
-def _is_patient(job: request_state.RequestState) -> bool:
-    """Whether the request waits rather than takes a place from others."""
+def _waits_for_free_slot(job: request_state.RequestState) -> bool:
+    """Whether to wait for a slot that no other request needs."""
     return job.has_missed_target and job.is_stream and not job.attempt_count
--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -1,22 +1,39 @@
-"""Chooses upstreams for requests and learns from how attempts went."""
+"""Selects upstreams for requests and records the results of attempts."""
 
 import random
 
 import result
 
-from pollenthread.app import upstream_pool as pool_module
+from pollenthread.app import upstream_pool
 from pollenthread.core import (affinity, choice, errors, retries, service_times,
                                targets)
 from pollenthread.ports import clock
 
 __all__ = ['UpstreamSelector', 'UpstreamRequirements']
 
-_REFUSALS = frozenset({errors.Kind.OVERLOADED, errors.Kind.DEADLINE_TOO_SHORT})
-_HEDGE_SHARE = 0.5
+_REFUSAL_KINDS = frozenset(
+    {errors.Kind.OVERLOADED, errors.Kind.DEADLINE_TOO_SHORT})
+_HEDGE_DELAY_SHARE = 0.5
 
 
 class UpstreamRequirements:
-    """What a request asks of an upstream."""
+    """What a request requires of an upstream.
+
+    Attributes:
+        work_class: the class of the request, with its latency targets.
+        class_key: the names of the workspace and of the class.
+        kind: 'engine' or 'service'.
+        name: the model's or service's name.
+        is_whole_response: whether the target applies to the whole response
+            rather than to the start of a stream.
+        between_tokens_ms: the target for the time between tokens in
+            milliseconds, or 0.
+        prefix: digest of the prompt's prefix, for engines; None otherwise.
+        due_at: monotonic seconds by which the target or the deadline, if it is
+            earlier, is missed.
+        failed_hosts: hosts on which an attempt of the request has failed.
+        failures: the number of failed attempts.
+    """
 
     def __init__(self, *, workspace: str, work_class: targets.WorkClass,
                  kind: str, name: str, stream: bool, body: bytes,
@@ -40,9 +57,15 @@
 
 
 class UpstreamSelector:
-    """Applies the decisions of core to the pool."""
+    """Selects upstreams from the pool and limits retries and hedges.
 
-    def __init__(self, *, pool: pool_module.UpstreamPool, time: clock.Clock,
+    Attributes:
+        refused_count: requests that no upstream would serve in time.
+        retried_count: retries that were allowed.
+        hedged_count: second attempts that were allowed.
+    """
+
+    def __init__(self, *, pool: upstream_pool.UpstreamPool, time: clock.Clock,
                  draw: random.Random) -> None:
         self._pool = pool
         self._time = time
@@ -58,32 +81,39 @@
         requirements: UpstreamRequirements,
         *,
         needs_free_slot: bool = False
-    ) -> result.Result[pool_module.LinkedUpstream, errors.Failure]:
-        """Takes an upstream, or says why none is worth an attempt.
+    ) -> result.Result[upstream_pool.LinkedUpstream, errors.Failure]:
+        """Selects an upstream for an attempt.
 
-        A class that may not be repeated is refused by agents only: its key may
-        have an outcome already, which the claim tells.
+        A request of a class that may not be repeated is not refused here for
+        lack of time: its idempotency key may already have a stored response,
+        which only its claim shows. The agent refuses it instead.
 
         Args:
-            need: what the request asks for.
-            needs_room: whether only an upstream will do that begins at once.
+            requirements: what the request requires.
+            needs_free_slot: whether to accept only an upstream that would start
+                the attempt at once.
+
+        Returns:
+            The upstream, or the failure to report: no upstream is available, or
+            none would respond in time.
         """
         group = self._pool.group(requirements.kind, requirements.name)
         left_s = requirements.due_at - self._time.monotonic()
-        chosen = choice.choose(group.tiers,
-                               self._demand(requirements, left_s),
-                               draw=self._draw.random,
-                               preferred=self._preferred(requirements, group))
-        if chosen is None:
+        selected = choice.choose(group.tiers,
+                                 self._demand(requirements, left_s),
+                                 draw=self._draw.random,
+                                 preferred=self._preferred(requirements, group))
+        if selected is None:
             return result.Err(errors.failure(errors.Kind.NO_UPSTREAM))
-        late = (requirements.work_class.repeatable and
-                not choice.admits(chosen, left_s))
-        if late or (needs_free_slot and not chosen.has_room):
+        is_too_late = (requirements.work_class.repeatable and
+                       not choice.admits(selected, left_s))
+        if is_too_late or (needs_free_slot and not selected.has_room):
             self.refused_count += not needs_free_slot
             return result.Err(errors.failure(errors.Kind.DEADLINE_TOO_SHORT))
-        return result.Ok(self._pool.by_host[chosen.host])
+        return result.Ok(self._pool.by_host[selected.host])
 
-    def _demand(self, requirements: UpstreamRequirements, left_s: float) -> choice.Demand:
+    def _demand(self, requirements: UpstreamRequirements,
+                left_s: float) -> choice.Demand:
         answer_s = 0.0
         if requirements.is_whole_response:
             answer_s = self._times.of(requirements.class_key).hold_s
@@ -92,49 +122,78 @@
                              answer_s=answer_s,
                              avoid=requirements.failed_hosts)
 
-    def _preferred(self, requirements: UpstreamRequirements,
-                   group: pool_module.UpstreamGroup) -> pool_module.LinkedUpstream | None:
+    def _preferred(
+        self, requirements: UpstreamRequirements,
+        group: upstream_pool.UpstreamGroup
+    ) -> upstream_pool.LinkedUpstream | None:
         if requirements.prefix is None:
             return None
         return self._pool.by_host.get(group.ring.host_of(requirements.prefix))
 
     def hedge_delay_s(self, requirements: UpstreamRequirements) -> float | None:
-        """Seconds without a part after which to hedge; None for never."""
+        """Seconds without a response after which to hedge.
+
+        Returns:
+            The delay, or None when the class allows no second attempt.
+        """
         if not requirements.work_class.repeatable or not requirements.work_class.retries:
             return None
-        return max(0.0, _HEDGE_SHARE * (requirements.due_at - self._time.monotonic()))
-
-    def select_for_hedge(self, requirements: UpstreamRequirements) -> pool_module.LinkedUpstream | None:
-        """An idle upstream for a second attempt, if the budget has one."""
-        chosen = self.select(requirements, needs_free_slot=True)
-        if isinstance(chosen, result.Err):
+        return max(
+            0.0,
+            _HEDGE_DELAY_SHARE * (requirements.due_at - self._time.monotonic()))
+
+    def select_for_hedge(
+        self, requirements: UpstreamRequirements
+    ) -> upstream_pool.LinkedUpstream | None:
+        """Selects an upstream with a free slot for a second attempt.
+
+        Returns:
+            The upstream, or None when no other one has a free slot or the retry
+            budget is spent.
+        """
+        selected = self.select(requirements, needs_free_slot=True)
+        if isinstance(selected, result.Err):
             return None
-        if chosen.ok_value.host in requirements.failed_hosts:
+        if selected.ok_value.host in requirements.failed_hosts:
             return None
         if not self._budget.spend(requirements.work_class.importance):
             return None
         self.hedged_count += 1
-        return chosen.ok_value
+        return selected.ok_value
 
-    def record_success(self, requirements: UpstreamRequirements, upstream: pool_module.LinkedUpstream,
-                     service_s: float) -> None:
-        """Learns from a whole answer and its time without the wait."""
+    def record_success(self, requirements: UpstreamRequirements,
+                       upstream: upstream_pool.LinkedUpstream,
+                       service_s: float) -> None:
+        """Records a complete response.
+
+        Args:
+            requirements: what the request required.
+            upstream: where the attempt ran.
+            service_s: seconds from sending the attempt to the end of the
+                response, less the time in the agent's queue.
+        """
         upstream.record_result(is_success=True)
         self._budget.earn()
         self._times.learn(requirements.class_key, 0.0, max(0.0, service_s))
 
-    def record_failure(self, requirements: UpstreamRequirements, upstream: pool_module.LinkedUpstream,
-                     failure: errors.Failure) -> None:
-        """Learns from an attempt that failed."""
+    def record_failure(self, requirements: UpstreamRequirements,
+                       upstream: upstream_pool.LinkedUpstream,
+                       failure: errors.Failure) -> None:
+        """Records a failed attempt against its upstream and its request."""
         requirements.failed_hosts.add(upstream.host)
         requirements.failures += 1
-        if failure.kind in _REFUSALS:
+        if failure.kind in _REFUSAL_KINDS:
             upstream.record_refusal()
         elif failure.kind not in (errors.Kind.LEAVING, errors.Kind.SEALED):
             upstream.record_result(is_success=False)
 
-    async def back_off_before_retry(self, requirements: UpstreamRequirements) -> bool:
-        """Waits before another attempt; False when there is none to make."""
+    async def back_off_before_retry(self,
+                                    requirements: UpstreamRequirements) -> bool:
+        """Waits for the backoff delay before a retry.
+
+        Returns:
+            False, without a wait, when the retry budget is spent.
+        """
         if not self._budget.spend(requirements.work_class.importance):
             return False
         self.retried_count += 1
