--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -21,7 +21,7 @@
         self.agent = agent
         self.outstanding = 0
         self.sent = estimate.SentLog()
-        self.report = agent.reported.to(entry, self.sent, 0.0)
+        self.load_report = agent.reported.to(entry, self.sent, 0.0)
         agent.listeners.append(self._on_report)
 
     @property
@@ -38,19 +38,19 @@
     def view(self) -> choice.View:
         if self.entry.policy.oracle:
             return self.agent.view
-        reading = self.report.reading
+        reading = self.load_report.reading
         if not self.entry.policy.unseen:
             return choice.View(reading, reading.running + sum(reading.queued))
         return choice.View(
             reading,
-            estimate.expected_load(self.report,
+            estimate.expected_load(self.load_report,
                                    own=self.outstanding,
                                    mean=self.entry.others_mean,
                                    now=self.entry.loop.now))
 
     def _on_report(self, reports: fakes.Reports) -> None:
-        self.report = reports.to(self.entry, self.sent, self.entry.loop.now)
-        self.entry.others_mean.learn(self.report)
+        self.load_report = reports.to(self.entry, self.sent, self.entry.loop.now)
+        self.entry.others_mean.learn(self.load_report)
 
 
 class Entry(fakes.Receiver):
@@ -117,8 +117,8 @@
             case 'two_reported':
                 pair = (self._rng.choice(peers), self._rng.choice(peers))
                 return min(pair,
-                           key=lambda p: sum((p.report.reading.running, *p.
-                                              report.reading.queued))).host
+                           key=lambda p: sum((p.load_report.reading.running, *p.
+                                              load_report.reading.queued))).host
         kind = request.kind
         preferred = (self._ring.host_of(request.prefix)
                      if self.policy.affinity else '')
@@ -185,7 +185,7 @@
             return
         peer = self._peers[agent.host]
         if ran is errors.Ran.NO:
-            peer.report = estimate.after_refusal(peer.report,
+            peer.load_report = estimate.after_refusal(peer.load_report,
                                                  own=peer.outstanding,
                                                  now=self.loop.now)
         else:
--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -125,7 +125,7 @@
     async def _serve(self, call: gateway.GatewayRequest,
                      response: http_server.Response) -> None:
         started_at = self._time.monotonic()
-        self._tally.accept(call.tally_key)
+        self._tally.accept(call.count_key)
         self.open_requests.add(call.request_id)
         sink = _ResponseSink(response=response, request_id=call.request_id)
         report = gateway.RequestReport(started_at=started_at)
@@ -141,7 +141,7 @@
             raise
         finally:
             self.open_requests.discard(call.request_id)
-            self._tally.end(call.tally_key,
+            self._tally.end(call.count_key,
                             _outcome(call.work_class, report, started_at,
                                      self._time.monotonic()),
                             attempts=report.attempts,
--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -34,7 +34,7 @@
 
     resume_grace_s: float = 10.0
     max_unsent_bytes: int = 256 * 1024
-    max_outcome_bytes: int = 1024 * 1024
+    max_retained_bytes: int = 1024 * 1024
 
 
 class Attempt:
@@ -53,7 +53,7 @@
         self.started = False
         self.finished = False
         self.outcome_known = False
-        self.waited_ms = 0
+        self.queued_ms = 0
         self._limits = limits
         self._turns = turns
         self._head: messages.Head | None = None
@@ -119,7 +119,7 @@
             self.fail(errors.failure(errors.Kind.UPSTREAM_MISROUTED))
             return
         self._head = messages.Head(self.begin.attempt, exchange.status,
-                                   exchange.headers, self.waited_ms)
+                                   exchange.headers, self.queued_ms)
         self._emit(self._head)
         if self.begin.stream and exchange.is_event_stream:
             await self._relay_events(exchange)
@@ -154,7 +154,7 @@
         self._unsent_bytes += len(data)
         self._emit(chunk)
         if self.is_retained:
-            if self._unsent_bytes > self._limits.max_outcome_bytes:
+            if self._unsent_bytes > self._limits.max_retained_bytes:
                 raise ConnectionError('the outcome is too large to keep')
             return
         while self._must_wait:
@@ -198,7 +198,7 @@
         for link in self.links:
             link_port.send_if_open(link, message)
 
-    def credit(self, credit: messages.Credit) -> None:
+    def add_credit(self, credit: messages.Credit) -> None:
         """Forgets what the entry host has passed on; allows more."""
         if self.is_retained:
             return
--- a/pollenthread/app/claim_store.py
+++ b/pollenthread/app/claim_store.py
@@ -14,7 +14,7 @@
 from pollenthread.ports import table
 
 __all__ = [
-    'Attach', 'ClaimStore', 'Granted', 'Replay', 'SHARD_COUNT', 'encode_claim',
+    'AttachableClaim', 'ClaimStore', 'GrantedClaim', 'ReplayedResponse', 'SHARD_COUNT', 'encode_claim',
     'decode_claim', 'request_digest', 'row_key', 'shard_prefix'
 ]
 
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Granted:
+class GrantedClaim:
     """The attempt may be handed to the agent."""
 
     key: str
@@ -34,14 +34,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Replay:
+class ReplayedResponse:
     """The work is done: this is its kept outcome."""
 
     outcome: claims.Outcome
 
 
 @dataclasses.dataclass(frozen=True)
-class Attach:
+class AttachableClaim:
     """Another attempt holds the claim and its answer can be had."""
 
     key: str
@@ -50,7 +50,7 @@
     upstream: pool_module.LinkedUpstream
 
 
-Decision = Granted | Replay | Attach
+Decision = GrantedClaim | ReplayedResponse | AttachableClaim
 
 
 def request_digest(method: str, path: str, work_class: str, body: bytes) -> str:
@@ -89,7 +89,7 @@
                                              encode_claim(wanted),
                                              expect=table.ABSENT)
             if isinstance(inserted, result.Ok):
-                return result.Ok(Granted(key, wanted, inserted.ok_value))
+                return result.Ok(GrantedClaim(key, wanted, inserted.ok_value))
             if not _may_have_row(inserted.err_value):
                 return result.Err(_table_failure())
             found = await self._table.get(key)
@@ -105,7 +105,7 @@
 
     async def look_up(
             self, key: str,
-            digest: str) -> result.Result[Replay | None, errors.Failure]:
+            digest: str) -> result.Result[ReplayedResponse | None, errors.Failure]:
         """Finds how the work under a key ended, without claiming it.
 
         Args:
@@ -124,24 +124,24 @@
         match claims.first_step(claim, attempt='', digest=digest):
             case claims.Step.REPLAY:
                 assert claim.outcome is not None
-                return result.Ok(Replay(claim.outcome))
+                return result.Ok(ReplayedResponse(claim.outcome))
             case claims.Step.REFUSE_REUSED:
                 return result.Err(errors.failure(errors.Kind.KEY_REUSED))
             case _:
                 return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
 
     async def reassign(
-            self, granted: Granted,
-            wanted: claims.Claim) -> result.Result[Granted, errors.Failure]:
+            self, granted: GrantedClaim,
+            wanted: claims.Claim) -> result.Result[GrantedClaim, errors.Failure]:
         """Moves a claim whose attempt is proved not to have run."""
         wanted = dataclasses.replace(wanted,
                                      claimed_at_s=granted.claim.claimed_at_s)
         version = await self._replace(granted.key, granted.version, wanted)
         if version is None:
             return result.Err(_table_failure())
-        return result.Ok(Granted(granted.key, wanted, version))
+        return result.Ok(GrantedClaim(granted.key, wanted, version))
 
-    async def release(self, granted: Granted) -> bool:
+    async def release(self, granted: GrantedClaim) -> bool:
         """Deletes a claim whose attempt is proved not to have run.
 
         Returns:
@@ -153,7 +153,7 @@
 
     async def find_claim(
         self, key: str, attempt: str, upstream: pool_module.LinkedUpstream
-    ) -> result.Result[Attach | None, errors.Failure]:
+    ) -> result.Result[AttachableClaim | None, errors.Failure]:
         """Finds the claim of an attempt that an agent has finished.
 
         Args:
@@ -174,9 +174,9 @@
             return result.Ok(None)
         if row is None or claim is None or claim.attempt != attempt:
             return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
-        return result.Ok(Attach(key, claim, row.version, upstream))
+        return result.Ok(AttachableClaim(key, claim, row.version, upstream))
 
-    async def record_outcome(self, held: Granted | Attach,
+    async def record_outcome(self, held: GrantedClaim | AttachableClaim,
                      outcome: claims.Outcome | None) -> bool:
         """Keeps how the work ended.
 
@@ -211,10 +211,10 @@
             return await self._ask_seal(row, claim, wanted)
         match step:
             case claims.Step.BEGIN:
-                return result.Ok(Granted(row.key, claim, row.version))
+                return result.Ok(GrantedClaim(row.key, claim, row.version))
             case claims.Step.REPLAY:
                 assert claim.outcome is not None
-                return result.Ok(Replay(claim.outcome))
+                return result.Ok(ReplayedResponse(claim.outcome))
             case claims.Step.REFUSE_REUSED:
                 return result.Err(errors.failure(errors.Kind.KEY_REUSED))
             case _:
@@ -238,10 +238,10 @@
             version = await self._replace(row.key, row.version, wanted)
             if version is None:
                 return None
-            return result.Ok(Granted(row.key, wanted, version))
+            return result.Ok(GrantedClaim(row.key, wanted, version))
         if step is claims.Step.ATTACH:
             assert upstream is not None
-            return result.Ok(Attach(row.key, claim, row.version, upstream))
+            return result.Ok(AttachableClaim(row.key, claim, row.version, upstream))
         if incarnation and incarnation != claim.incarnation:
             unknown = dataclasses.replace(claim,
                                           state=claims.ClaimState.UNKNOWN)
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -83,7 +83,7 @@
         """Names of entry hosts that may take duties."""
         return sorted(set(self._view.usable()) & self.hosts_by_name.keys())
 
-    def upstreams(self) -> dict[str, str]:
+    def upstream_addresses(self) -> dict[str, str]:
         """Link addresses of the upstream hosts to keep links to, by name."""
         now = self._time.monotonic()
         self._extra_until_by_host = {
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -130,16 +130,16 @@
             self._network.send(record.peer_address, beat)
 
     def _store_age_ms(self) -> int:
-        age_s = self._clock.monotonic() - self._servers.contact.last_at
+        age_s = self._clock.monotonic() - self._servers.contact.last_answer_at
         return int(min(_MAX_AGE_MS, age_s * _MS_PER_S))
 
     # Load.
 
     def _take_load(self, news: peer_messages.ServerLoad) -> None:
-        server = self._state.fleet.note_start(news.address, news.born_ms)
+        server = self._state.server_registry.note_start(news.address, news.born_ms)
         if server is None:
             return
-        self._state.loads.report(
+        self._state.server_loads.report(
             server.id,
             load_board.LoadReport(running=news.running,
                                   waiting=news.waiting,
@@ -180,7 +180,7 @@
 
     def _needs_peers(self) -> bool:
         now = self._clock.monotonic()
-        return (now - self._servers.contact.last_at > _STORE_STALE_S or
+        return (now - self._servers.contact.last_answer_at > _STORE_STALE_S or
                 not self._config.contact.is_up or self._state.config is None or
                 self._is_behind() or self._lacks_servers(now))
 
@@ -238,7 +238,7 @@
         server_rows = []
         for row in snapshot.rows:
             if row.table == self._config.table and row.key == self._config.key:
-                self._config.apply(row.value, source='peer')
+                self._config.apply_document(row.value, source='peer')
             elif row.table == self._servers.table:
                 server_rows.append(
                     row_store.Change(row.key, row.value, row.version))
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from pollenthread.app import (server_selector, graceful_shutdown, request_state,
+from pollenthread.app import (server_selector, graceful_shutdown, request_job,
                               serving_state)
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
                                lateness, log_events, routing_config)
@@ -34,7 +34,7 @@
         timeout: ends the attempt.
     """
 
-    job: request_state.RequestState
+    job: request_job.RequestJob
     server: fleet.Server
     timeout: asyncio.Timeout
 
@@ -70,7 +70,7 @@
             job = self._accept(request, response)
             await self._attempt_until_done(job)
             self._count('answered')
-        except request_state.RequestFailed as failed:
+        except request_job.RequestFailed as failed:
             await self._fail(request, response, failed.failure)
         except asyncio.CancelledError:
             self._count('caller_left')
@@ -103,25 +103,25 @@
     # Before a server is chosen.
 
     def _accept(self, request: caller_request.CallerRequest,
-                answer: reply.Reply) -> request_state.RequestState:
+                answer: reply.Reply) -> request_job.RequestJob:
         config = self._state.config
         if config is None:
-            raise request_state.RequestFailed(
+            raise request_job.RequestFailed(
                 errors.failure(errors.Kind.STALE_CONFIGURATION))
         route = routing_config.find_route(config, request.host, request.path)
         if route is None:
-            raise request_state.RequestFailed(errors.failure(errors.Kind.NOT_FOUND))
+            raise request_job.RequestFailed(errors.failure(errors.Kind.NOT_FOUND))
         workspace = _authenticate(config, route, request)
         self._check_leaving(route)
         service = self._state.pick_service(route)
         now = self._clock.monotonic()
-        self._state.budget(service).note_request(now)
+        self._state.retry_budget_for(service).note_request(now)
         patience_s = (_DEFAULT_PATIENCE_S
                       if request.patience_s is None else request.patience_s)
         deadline = request.received_at + min(patience_s, route.timeout_s)
         is_late = (request.patience_s is not None and
                    self._patience.has_missed_aim(route, request.patience_s))
-        return request_state.RequestState(request, route, service, workspace, deadline,
+        return request_job.RequestJob(request, route, service, workspace, deadline,
                                answer, is_late)
 
     def _check_leaving(self, route: routing_config.Route) -> None:
@@ -132,25 +132,25 @@
         is_stream = route.kind is routing_config.RequestKind.STREAM
         if not graceful_shutdown.accepts_request(
                 self._stop_plan, elapsed_s, is_stream=is_stream):
-            raise request_state.RequestFailed(errors.failure(errors.Kind.LEAVING))
+            raise request_job.RequestFailed(errors.failure(errors.Kind.LEAVING))
 
     # Attempts.
 
-    async def _attempt_until_done(self, job: request_state.RequestState) -> None:
+    async def _attempt_until_done(self, job: request_job.RequestJob) -> None:
         while True:
             server = await self._places.select(job)
             if await self._attempt(job, server):
                 return
             self._check_repeat(job)
 
-    async def _attempt(self, job: request_state.RequestState,
+    async def _attempt(self, job: request_job.RequestJob,
                        server: fleet.Server) -> bool:
         """Sends the request to a server; whether the request is done."""
         job.tried_server_ids.append(server.id)
         job.attempt_count += 1
         now = self._clock.monotonic()
         job.timing.note_place(now)
-        self._state.loads.begin(server.id, now)
+        self._state.server_loads.begin(server.id, now)
         timeout = asyncio.timeout_at(self._give_up_at(job))
         pending = _Pending(job, server, timeout)
         self._pending.add(pending)
@@ -160,10 +160,10 @@
         except TimeoutError:
             self._note_failure(job, server, 'silent', ran=True)
             if self._clock.monotonic() >= job.deadline:
-                raise request_state.RequestFailed(job.timeout_failure()) from None
+                raise request_job.RequestFailed(job.timeout_failure()) from None
             return False
         except upstream.ConnectFailed as error:
-            self._state.loads.fail(server.id, self._clock.monotonic())
+            self._state.server_loads.fail(server.id, self._clock.monotonic())
             self._note_failure(job, server, str(error), ran=False)
             job.attempt_count -= 1
             return False
@@ -172,7 +172,7 @@
             return False
         finally:
             self._pending.discard(pending)
-            self._state.loads.end(server.id)
+            self._state.server_loads.end(server.id)
 
     async def watch_silent_servers(self) -> None:
         """Gives up servers whose hosts fell silent; until cancelled.
@@ -183,12 +183,12 @@
             await self._clock.sleep(_WATCH_S)
             now = self._clock.monotonic()
             for pending in list(self._pending):
-                if (self._state.loads.is_silent(pending.server.id, now) and
+                if (self._state.server_loads.is_silent(pending.server.id, now) and
                         pending.job.route.is_repeatable and
                         self._may_repeat(pending.job)):
                     pending.timeout.reschedule(now)
 
-    def _give_up_at(self, job: request_state.RequestState) -> float:
+    def _give_up_at(self, job: request_job.RequestJob) -> float:
         """When a server that has not answered is given up."""
         if (job.route.kind is not routing_config.RequestKind.IDEMPOTENT or
                 job.attempt_count >= job.route.max_attempts):
@@ -196,7 +196,7 @@
         now = self._clock.monotonic()
         return now + (job.deadline - now) * _FIRST_ATTEMPT_SHARE
 
-    async def _exchange(self, job: request_state.RequestState,
+    async def _exchange(self, job: request_job.RequestJob,
                         server: fleet.Server) -> bool:
         attempt = upstream.UpstreamRequest(
             server=server,
@@ -208,7 +208,7 @@
         async with self._servers.send(attempt) as found:
             self._note_load(server, found)
             if found.is_other_server:
-                self._state.fleet.replace_dead(server.id)
+                self._state.server_registry.replace_dead(server.id)
             if not found.has_run:
                 self._note_failure(job,
                                    server,
@@ -222,11 +222,11 @@
     def _note_load(self, server: fleet.Server,
                    found: upstream.UpstreamAnswer) -> None:
         if found.load is not None:
-            self._state.loads.count(server.id,
+            self._state.server_loads.count(server.id,
                                     found.load.running + found.load.waiting,
                                     self._clock.monotonic())
 
-    async def _pass_whole(self, job: request_state.RequestState, server: fleet.Server,
+    async def _pass_whole(self, job: request_job.RequestJob, server: fleet.Server,
                           found: upstream.UpstreamAnswer) -> bool:
         body = b''.join([part async for part in found.read()])
         if (found.status >= _SERVER_ERROR and job.route.is_repeatable and
@@ -237,12 +237,12 @@
                                ran=True)
             return False
         if found.status < _SERVER_ERROR:
-            self._state.loads.succeed(server.id)
+            self._state.server_loads.succeed(server.id)
         await job.response.send_whole(found.status, found.headers, body)
         self._note_answer(job, server, found.status)
         return True
 
-    async def _pass_stream(self, job: request_state.RequestState, server: fleet.Server,
+    async def _pass_stream(self, job: request_job.RequestJob, server: fleet.Server,
                            found: upstream.UpstreamAnswer) -> bool:
         body = found.read()
         while (data := await self._next_part(body)) is not None:
@@ -259,7 +259,7 @@
             await job.response.write(events)
         if job.splitter.has_partial or not job.response.has_begun:
             raise upstream.UpstreamBroken('the stream ended within an event')
-        self._state.loads.succeed(server.id)
+        self._state.server_loads.succeed(server.id)
         await job.response.finish()
         self._note_answer(job, server, found.status)
         return True
@@ -273,7 +273,7 @@
 
     # After an attempt.
 
-    def _note_answer(self, job: request_state.RequestState, server: fleet.Server,
+    def _note_answer(self, job: request_job.RequestJob, server: fleet.Server,
                      status: int) -> None:
         self._observe('answer', self._age(job.request))
         timing = self._stream_fields(job) if job.is_stream else {}
@@ -288,7 +288,7 @@
                         after_s=self._age(job.request),
                         **timing)
 
-    def _stream_fields(self, job: request_state.RequestState) -> dict[str, Any]:
+    def _stream_fields(self, job: request_job.RequestJob) -> dict[str, Any]:
         """Counts a whole stream by what made it late; what its line tells."""
         late_by = job.timing.late_by(job.route.target_s, job.route.max_gap_s)
         self._count(f'streams_late_by_{late_by.value}')
@@ -298,13 +298,13 @@
             'pause_s': round(job.timing.longest_pause_s, 4)
         }
 
-    def _note_failure(self, job: request_state.RequestState, server: fleet.Server,
+    def _note_failure(self, job: request_job.RequestJob, server: fleet.Server,
                       cause: str, *, ran: bool) -> None:
         job.last_failure = cause
         job.may_have_run = job.may_have_run or ran
         job.splitter.drop_partial()
         if ran:
-            self._state.loads.fail(server.id, self._clock.monotonic())
+            self._state.server_loads.fail(server.id, self._clock.monotonic())
         self._log.write(log_events.LogEvent.ATTEMPT_ENDED,
                         id=job.request.id,
                         server=server.id,
@@ -312,24 +312,24 @@
                         may_have_run=ran,
                         events=job.splitter.events)
 
-    def _may_repeat(self, job: request_state.RequestState) -> bool:
+    def _may_repeat(self, job: request_job.RequestJob) -> bool:
         """Whether rules allow one more attempt; takes no budget."""
         if job.attempt_count >= job.route.max_attempts:
             return False
         return not job.may_have_run or job.route.is_repeatable
 
-    def _check_repeat(self, job: request_state.RequestState) -> None:
+    def _check_repeat(self, job: request_job.RequestJob) -> None:
         """Ends the request unless it may be sent once more."""
         if not self._may_repeat(job):
-            raise request_state.RequestFailed(
+            raise request_job.RequestFailed(
                 job.rejection(errors.Kind.UPSTREAM_FAILED,
                              self._clock.monotonic()))
         if not job.attempt_count:
             return
-        budget = self._state.budget(job.service)
+        budget = self._state.retry_budget_for(job.service)
         now = self._clock.monotonic()
         if not budget.take(now, self._state.entry_host_count):
-            raise request_state.RequestFailed(
+            raise request_job.RequestFailed(
                 job.rejection(errors.Kind.OVERLOADED, self._clock.monotonic()))
         if job.response.has_begun:
             self._log.write(log_events.LogEvent.STREAM_RESUMED,
@@ -350,9 +350,9 @@
         return None
     workspace = config.workspaces_by_key.get(request.key or '')
     if workspace is None:
-        raise request_state.RequestFailed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
+        raise request_job.RequestFailed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
     return workspace
 
 
-def _is_stream(job: request_state.RequestState, found: upstream.UpstreamAnswer) -> bool:
+def _is_stream(job: request_job.RequestJob, found: upstream.UpstreamAnswer) -> bool:
     return job.is_stream and found.status == _OK
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -25,7 +25,7 @@
     """
 
     max_retained: int = 4096
-    attempt: attempt_module.AttemptLimits = attempt_module.AttemptLimits()
+    attempt_limits: attempt_module.AttemptLimits = attempt_module.AttemptLimits()
 
 
 class Gate(link_port.LinkHandler):
@@ -62,10 +62,10 @@
         return self._turns.queued
 
     @property
-    def limit(self) -> int:
+    def concurrency_limit(self) -> int:
         """Attempts that may run at once; zero while the upstream is stalled.
         """
-        return self._turns.reading.limit
+        return self._turns.load.limit
 
     def broadcast_load(self) -> None:
         """Tells every link the load and its part of it."""
@@ -77,7 +77,7 @@
                 link, self._load(link, own_by_session[link.session]))
 
     def _load(self, link: link_port.Link, own: int) -> messages.Load:
-        reading = self._turns.reading
+        reading = self._turns.load
         return messages.Load(running=reading.running,
                              queued=reading.queued,
                              limit=reading.limit,
@@ -157,7 +157,7 @@
             case messages.Credit():
                 attempt = self._attempts_by_id.get(message.attempt)
                 if attempt is not None:
-                    attempt.credit(message)
+                    attempt.add_credit(message)
             case messages.Cancel():
                 self._cancel(message)
             case messages.Seal():
@@ -216,7 +216,7 @@
             return
         attempt = attempt_module.Attempt(begin=begin,
                                          link=link,
-                                         limits=self._limits.attempt,
+                                         limits=self._limits.attempt_limits,
                                          turns=self._turns)
         self._attempts_by_id[begin.attempt] = attempt
         attempt.task = asyncio.create_task(self._serve(attempt))
@@ -260,7 +260,7 @@
             attempt.fail(errors.failure(kind, ran=errors.Ran.NO))
             return False
         waited_s = asyncio.get_running_loop().time() - ticket.arrived_at
-        attempt.waited_ms = int(waited_s * 1000)
+        attempt.queued_ms = int(waited_s * 1000)
         self.begun_count += 1
         return True
 
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -57,7 +57,7 @@
     body: bytes
 
     @property
-    def tally_key(self) -> account.TallyKey:
+    def count_key(self) -> account.TallyKey:
         """What the request counts to."""
         return account.TallyKey(self.workspace, self.work_class.name)
 
@@ -110,11 +110,11 @@
 
     def __init__(self, *, pool: pool_module.UpstreamPool,
                  keeper: claim_store.ClaimStore, time: clock.Clock,
-                 draw: random.Random) -> None:
+                 rng: random.Random) -> None:
         self._pool = pool
         self._keeper = keeper
         self._time = time
-        self.upstream_selector = chooser_module.UpstreamSelector(pool=pool, time=time, draw=draw)
+        self.upstream_selector = chooser_module.UpstreamSelector(pool=pool, time=time, rng=rng)
         self._recordings: set[asyncio.Task[None]] = set()
         self._kept_by_attempt: dict[str, relay_module.RetainedResponse] = {}
         pool.subscribe(messages.Unconfirmed, self._adopt)
@@ -139,7 +139,7 @@
 
     async def _serve(self, serving: '_RequestState') -> None:
         call = serving.request
-        granted: claim_store.Granted | None = None
+        granted: claim_store.GrantedClaim | None = None
         problem: errors.Failure | None = None
         while True:
             chosen = self.upstream_selector.select(serving.requirements)
@@ -159,7 +159,7 @@
                     problem = decided.err_value
                     break
                 decision = decided.ok_value
-                if isinstance(decision, claim_store.Granted):
+                if isinstance(decision, claim_store.GrantedClaim):
                     granted = decision
                 problem = await self._carry_out(serving, attempt, upstream,
                                                 decision)
@@ -190,7 +190,7 @@
 
     async def _claim(
         self, serving: '_RequestState', attempt: ids.AttemptId,
-        upstream: pool_module.LinkedUpstream, granted: claim_store.Granted | None
+        upstream: pool_module.LinkedUpstream, granted: claim_store.GrantedClaim | None
     ) -> result.Result[claim_store.Decision, errors.Failure]:
         call = serving.request
         wanted = claims.Claim(attempt=str(attempt),
@@ -213,11 +213,11 @@
             decision: claim_store.Decision) -> errors.Failure | None:
         """Does what was decided about a key; None for a whole answer."""
         match decision:
-            case claim_store.Replay():
+            case claim_store.ReplayedResponse():
                 serving.report.is_replayed = True
                 await serving.deliver_outcome(decision.outcome)
                 return None
-            case claim_store.Attach():
+            case claim_store.AttachableClaim():
                 serving.report.is_replayed = True
                 serving.may_have_run = True
                 return await self._join(serving, decision)
@@ -257,12 +257,12 @@
             return False
         tiers = self._pool.group(call.kind, call.name).tiers
         return any(other.host != upstream.host and other.link.is_open and
-                   not other.leaving for tier in tiers[-1:] for other in tier)
+                   not other.is_leaving for tier in tiers[-1:] for other in tier)
 
     async def _hand_over(
             self, serving: '_RequestState', attempt: ids.AttemptId,
             upstream: pool_module.LinkedUpstream,
-            granted: claim_store.Granted) -> errors.Failure | None:
+            granted: claim_store.GrantedClaim) -> errors.Failure | None:
         """Makes the claimed attempt; None when the answer is whole."""
         handed = await self._send_begin(serving, attempt, upstream)
         if handed is None:
@@ -315,7 +315,7 @@
         return winner
 
     async def _join(self, serving: '_RequestState',
-                    held: claim_store.Attach) -> errors.Failure | None:
+                    held: claim_store.AttachableClaim) -> errors.Failure | None:
         """Follows an attempt that another request with this key began."""
         kept = self._kept_by_attempt.get(held.claim.attempt)
         if kept is None:
@@ -376,7 +376,7 @@
 
     # Work that may not be repeated goes on without its caller.
 
-    def _resume(self, held: claim_store.Attach, upstream: pool_module.LinkedUpstream,
+    def _resume(self, held: claim_store.AttachableClaim, upstream: pool_module.LinkedUpstream,
                 streamed: bool) -> relay_module.RetainedResponse:
         """Asks an agent for the whole of a kept answer."""
         attempt = held.claim.attempt
@@ -386,7 +386,7 @@
             stream.put(None)
         return self._keep(held, upstream, stream, streamed)
 
-    def _keep(self, held: claim_store.Granted | claim_store.Attach,
+    def _keep(self, held: claim_store.GrantedClaim | claim_store.AttachableClaim,
               upstream: pool_module.LinkedUpstream, stream: pool_module.AttemptStream,
               streamed: bool) -> relay_module.RetainedResponse:
         """Starts to collect an answer and to record it in the table."""
@@ -401,7 +401,7 @@
         self._recordings.add(task)
         task.add_done_callback(self._recordings.discard)
 
-    async def _collect(self, held: claim_store.Granted | claim_store.Attach,
+    async def _collect(self, held: claim_store.GrantedClaim | claim_store.AttachableClaim,
                        relay: relay_module.ResponseRelay,
                        upstream: pool_module.LinkedUpstream,
                        stream: pool_module.AttemptStream,
@@ -415,7 +415,7 @@
         if _has_ended(failure):
             await self._record(held, relay, kept.stored_response)
 
-    async def _record(self, held: claim_store.Granted | claim_store.Attach,
+    async def _record(self, held: claim_store.GrantedClaim | claim_store.AttachableClaim,
                       relay: relay_module.ResponseRelay,
                       outcome: claims.Outcome | None) -> None:
         """Keeps an outcome in the table, then lets the agent forget it."""
--- a/pollenthread/app/request_state.py
+++ b/pollenthread/app/request_job.py
@@ -6,7 +6,7 @@
                                routing_config, stream_timing)
 from pollenthread.ports import reply
 
-__all__ = ['RequestFailed', 'RequestState']
+__all__ = ['RequestFailed', 'RequestJob']
 
 _URGENCY = 5
 _MAX_URGENCY = 9
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass
-class RequestState:
+class RequestJob:
     """One request on its way.
 
     Attributes:
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from pollenthread.app import request_state, serving_state
+from pollenthread.app import request_job, serving_state
 from pollenthread.core import errors, fleet, log_events, service_forecast
 from pollenthread.ports import clock, event_log
 
@@ -34,7 +34,7 @@
         self._rng = rng
         self._waiting_count = 0
 
-    async def select(self, job: request_state.RequestState) -> fleet.Server:
+    async def select(self, job: request_job.RequestJob) -> fleet.Server:
         """Selects a server for the next attempt of a request.
 
         A request that has already missed its latency target first waits for a
@@ -57,14 +57,14 @@
             now = self._clock.monotonic()
             server = self._try_select(job, now)
             if server is None:
-                has_servers = any(self._state.fleet.ready(job.service))
+                has_servers = any(self._state.server_registry.ready(job.service))
                 kind = (errors.Kind.OVERLOADED
                         if has_servers else errors.Kind.NO_UPSTREAM)
-                raise request_state.RequestFailed(job.rejection(kind, now))
+                raise request_job.RequestFailed(job.rejection(kind, now))
         return server
 
     async def _wait_for_free_slot(
-            self, job: request_state.RequestState) -> fleet.Server | None:
+            self, job: request_job.RequestJob) -> fleet.Server | None:
         """Waits for a slot no other request needs; None after a timeout."""
         now = self._clock.monotonic()
         wait_until = now + min(_MAX_SLOT_WAIT_S,
@@ -85,14 +85,14 @@
             self._waiting_count -= 1
         return None
 
-    def _wins_draw(self, job: request_state.RequestState, now: float) -> bool:
+    def _wins_draw(self, job: request_job.RequestJob, now: float) -> bool:
         """Draws at random whether this request may take a free slot now.
 
         All entry hosts see the same free slots, so without the draw they would
         all send a request to one slot. The number of waiting requests is taken
         to be the same on every entry host.
         """
-        free_slots = self._state.loads.room(self._state.fleet.ready(
+        free_slots = self._state.server_loads.room(self._state.server_registry.ready(
             job.service),
                                             spare_share=_RESERVED_SLOT_SHARE,
                                             now=now)
@@ -100,15 +100,15 @@
         return self._rng.random() * waiting_count < free_slots
 
     def _try_select(self,
-                    job: request_state.RequestState,
+                    job: request_job.RequestJob,
                     now: float,
                     *,
                     spare_share: float = 0.0) -> fleet.Server | None:
         if job.deadline - now < _MIN_TIME_LEFT_S:
-            raise request_state.RequestFailed(job.timeout_failure())
+            raise request_job.RequestFailed(job.timeout_failure())
         need = dataclasses.replace(self._requirements(job, now),
                                    spare_share=spare_share)
-        server = self._state.loads.choose(self._state.fleet.ready(job.service),
+        server = self._state.server_loads.choose(self._state.server_registry.ready(job.service),
                                           excluded=job.tried_server_ids,
                                           data_centre=self._state.data_centre,
                                           need=need,
@@ -118,19 +118,19 @@
             self._log_attempt(job, server, now)
         return server
 
-    def _log_attempt(self, job: request_state.RequestState,
+    def _log_attempt(self, job: request_job.RequestJob,
                      server: fleet.Server, now: float) -> None:
         config = self._state.config
         self._log.write(log_events.LogEvent.ATTEMPT,
                         important=False,
                         id=job.request.id,
                         server=server.id,
-                        **self._state.loads.belief(server, now),
+                        **self._state.server_loads.belief(server, now),
                         config=config.version if config else None,
                         is_late=job.has_missed_target,
                         left_s=round(job.deadline - now, 3))
 
-    def _requirements(self, job: request_state.RequestState,
+    def _requirements(self, job: request_job.RequestJob,
                       now: float) -> service_forecast.Need:
         config = self._state.config
         service = config.services_by_name.get(job.service) if config else None
@@ -144,7 +144,7 @@
                                      engine.steps_per_pass)
 
 
-def _target_left_s(job: request_state.RequestState, now: float) -> float:
+def _target_left_s(job: request_job.RequestJob, now: float) -> float:
     """Seconds until the first event is due.
 
     Returns 0 for a retry, a resumed stream, and a request that has already
@@ -155,6 +155,6 @@
     return max(0.0, job.request.received_at + job.route.target_s - now)
 
 
-def _waits_for_free_slot(job: request_state.RequestState) -> bool:
+def _waits_for_free_slot(job: request_job.RequestJob) -> bool:
     """Whether to wait for a slot that no other request needs."""
     return job.has_missed_target and job.is_stream and not job.attempt_count
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -32,15 +32,15 @@
                  return_s: float, rng: random.Random) -> None:
         self.data_centre = data_centre
         self.config: routing_config.RoutingConfig | None = None
-        self.fleet = fleet.Fleet(return_s=return_s)
-        self.loads = load_board.LoadBoard(rng=rng)
+        self.server_registry = fleet.Fleet(return_s=return_s)
+        self.server_loads = load_board.LoadBoard(rng=rng)
         self.entry_host_count = 1
         self.leaving_since: float | None = None
         self.rng = rng
         self._retry_bounds = retry_bounds
         self._budget_by_service: dict[str, retry_budget.RetryBudget] = {}
 
-    def budget(self, service: str) -> retry_budget.RetryBudget:
+    def retry_budget_for(self, service: str) -> retry_budget.RetryBudget:
         """The service's budget of repeats."""
         found = self._budget_by_service.get(service)
         if found is None:
@@ -62,4 +62,4 @@
     def is_ready(self) -> bool:
         """Whether callers should connect here."""
         return (self.config is not None and self.leaving_since is None and
-                bool(self.fleet.listed_by_id))
+                bool(self.server_registry.listed_by_id))
--- a/pollenthread/app/slot_scheduler.py
+++ b/pollenthread/app/slot_scheduler.py
@@ -29,7 +29,7 @@
         return self._slots.queued
 
     @property
-    def reading(self) -> slots.Reading:
+    def load(self) -> slots.Reading:
         """What to report of the upstream."""
         return self._slots.reading(_now())
 
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -13,7 +13,7 @@
 
 from pollenthread.ports import clock, row_store
 
-__all__ = ['StoreFollower', 'TableListener', 'run_all']
+__all__ = ['StoreFollower', 'TableListener', 'run_followers']
 
 _UNKNOWN = -1
 _RETRY_MIN_S = 0.2
@@ -107,7 +107,7 @@
         self._listener.on_contact(found.version)
 
 
-async def run_all(followers: Sequence[StoreFollower]) -> None:
+async def run_followers(followers: Sequence[StoreFollower]) -> None:
     """Runs followers side by side until cancelled."""
     async with asyncio.TaskGroup() as group:
         for follower in followers:
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -30,7 +30,7 @@
         is_up: whether the last call was answered.
     """
 
-    last_at: float = float('-inf')
+    last_answer_at: float = float('-inf')
     is_up: bool = False
 
 
@@ -67,9 +67,9 @@
             self._log.write(log_events.LogEvent.STORE_REGAINED,
                             table=self.table,
                             version=version,
-                            away_s=round(now - self.contact.last_at, 3))
+                            away_s=round(now - self.contact.last_answer_at, 3))
         self.contact.is_up = True
-        self.contact.last_at = now
+        self.contact.last_answer_at = now
 
 
 class ConfigListener(_OutageListener):
@@ -82,7 +82,7 @@
         self.key = key
         self._decode = decode
         self.document: bytes | None = None
-        self.on_applied: list[Callable[[routing_config.RoutingConfig],
+        self.applied_callbacks: list[Callable[[routing_config.RoutingConfig],
                                        None]] = []
 
     def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
@@ -91,9 +91,9 @@
     def on_changes(self, rows: Sequence[row_store.Change]) -> None:
         for row in rows:
             if row.key == self.key and row.value is not None:
-                self.apply(row.value, source='store')
+                self.apply_document(row.value, source='store')
 
-    def apply(self, document: bytes, *, source: str) -> None:
+    def apply_document(self, document: bytes, *, source: str) -> None:
         """Applies a document if its version is higher than the present one."""
         decoded = self._decode(document)
         if isinstance(decoded, result.Err):
@@ -108,7 +108,7 @@
             return
         self._state.config = config
         self.document = document
-        for act in self.on_applied:
+        for act in self.applied_callbacks:
             act(config)
         self._log.write(log_events.LogEvent.CONFIG_APPLIED,
                         version=config.version,
@@ -139,7 +139,7 @@
         """
         self.version = version
         if is_fresh:
-            self._state.fleet.trust_list()
+            self._state.server_registry.trust_list()
         self.on_full_read(rows)
 
     def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
@@ -152,8 +152,8 @@
         servers = [server for server in decoded if server is not None]
         self._note_versions(rows)
         now = self._clock.monotonic()
-        known = set(self._state.fleet.listed_by_id)
-        for server_id in self._state.fleet.replace_all(servers, now):
+        known = set(self._state.server_registry.listed_by_id)
+        for server_id in self._state.server_registry.replace_all(servers, now):
             self._log_gone(server_id)
         for server in servers:
             if server.id not in known:
@@ -176,14 +176,14 @@
 
     def on_fault(self, fault: row_store.StoreFault) -> None:
         super().on_fault(fault)
-        self._state.fleet.begin_outage()
+        self._state.server_registry.begin_outage()
 
     def on_contact(self, version: int) -> None:
         super().on_contact(version)
         self.version = version
         now = self._clock.monotonic()
-        self._state.fleet.end_outage(now)
-        for server_id in self._state.fleet.expire(now):
+        self._state.server_registry.end_outage(now)
+        for server_id in self._state.server_registry.expire(now):
             self._log_gone(server_id)
 
     def _decode_row(self, row: row_store.Change) -> fleet.Server | None:
@@ -200,10 +200,10 @@
         return decoded.ok_value
 
     def _put(self, server: fleet.Server) -> None:
-        before = self._state.fleet.listed_by_id.get(server.id)
+        before = self._state.server_registry.listed_by_id.get(server.id)
         if before == server:
             return
-        self._state.fleet.put(server)
+        self._state.server_registry.put(server)
         if before is None:
             self._log_listed(server)
         elif before.state is not server.state:
@@ -212,10 +212,10 @@
                             state=server.state.value)
 
     def _remove(self, server_id: str) -> None:
-        if server_id not in self._state.fleet.listed_by_id:
+        if server_id not in self._state.server_registry.listed_by_id:
             return
-        self._state.fleet.remove(server_id, self._clock.monotonic())
-        if self._state.fleet.get(server_id) is None:
+        self._state.server_registry.remove(server_id, self._clock.monotonic())
+        if self._state.server_registry.get(server_id) is None:
             self._log_gone(server_id)
 
     def _log_listed(self, server: fleet.Server) -> None:
@@ -226,5 +226,5 @@
                         state=server.state.value)
 
     def _log_gone(self, server_id: str) -> None:
-        self._state.loads.forget(server_id)
+        self._state.server_loads.forget(server_id)
         self._log.write(log_events.LogEvent.SERVER_GONE, server=server_id)
--- a/pollenthread/app/tracer.py
+++ b/pollenthread/app/tracer.py
@@ -15,18 +15,18 @@
 _SPAN_BITS = 64
 _NS_PER_MS = 1_000_000
 
-Export = Callable[[list[spans.Span]], None]
+SpanExporter = Callable[[list[spans.Span]], None]
 
 
 class Tracer:
     """Makes the spans of sampled requests at an entry host."""
 
     def __init__(self, *, host: str, sample_per_thousand: int,
-                 draw: random.Random, wall_offset_s: Callable[[], float],
-                 export: Export | None) -> None:
+                 rng: random.Random, wall_offset_s: Callable[[], float],
+                 export: SpanExporter | None) -> None:
         self._host = host
         self._sample_per_thousand = sample_per_thousand
-        self._draw = draw
+        self._draw = rng
         self._wall_offset_s = wall_offset_s
         self._export = export
         self._spans_by_trace = collections.OrderedDict[str, list[spans.Span]]()
--- a/pollenthread/app/upstream_pool.py
+++ b/pollenthread/app/upstream_pool.py
@@ -80,8 +80,8 @@
 
     def __init__(self, *, link: link_port.Link, shared: 'SharedUpstreamState') -> None:
         self.link = link
-        self.leaving = False
-        self.report = estimate.Report(_NOTHING_KNOWN, 0, shared.now())
+        self.is_leaving = False
+        self.load_report = estimate.Report(_NOTHING_KNOWN, 0, shared.now())
         self.streams_by_attempt: dict[str, AttemptStream] = {}
         self.seals_by_attempt: dict[str, list[_SealAnswer]] = {}
         self._sent = estimate.SentLog()
@@ -100,15 +100,15 @@
     def view(self) -> choice.View:
         shared = self._shared
         return choice.View(
-            self.report.reading,
-            estimate.expected_load(self.report,
+            self.load_report.reading,
+            estimate.expected_load(self.load_report,
                                    own=len(self.streams_by_attempt),
                                    mean=shared.mean_load,
                                    now=shared.now()))
 
     @property
     def is_usable(self) -> bool:
-        return (self.link.is_open and not self.leaving and
+        return (self.link.is_open and not self.is_leaving and
                 self.host not in self._shared.draining and
                 self._shared.health.is_usable(self.host, self._shared.now()))
 
@@ -127,12 +127,12 @@
                                 hold_s=load.hold_us / 1e6,
                                 first_s=load.first_unit_us / 1e6,
                                 token_s=load.token_us / 1e6)
-        self.report = estimate.Report(reading, load.own, made_at)
-        self._shared.mean_load.learn(self.report)
+        self.load_report = estimate.Report(reading, load.own, made_at)
+        self._shared.mean_load.learn(self.load_report)
 
     def record_refusal(self) -> None:
         """Learns from a refusal for want of room."""
-        self.report = estimate.after_refusal(self.report,
+        self.load_report = estimate.after_refusal(self.load_report,
                                              own=len(self.streams_by_attempt),
                                              now=self._shared.now())
 
@@ -321,7 +321,7 @@
             case messages.Load():
                 upstream.record_load(message)
             case messages.Leaving():
-                upstream.leaving = True
+                upstream.is_leaving = True
                 logging.info('upstream leaving host=%s', link.peer.host)
             case _:
                 handler = self._handlers_by_type.get(type(message))
--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -66,10 +66,10 @@
     """
 
     def __init__(self, *, pool: upstream_pool.UpstreamPool, time: clock.Clock,
-                 draw: random.Random) -> None:
+                 rng: random.Random) -> None:
         self._pool = pool
         self._time = time
-        self._draw = draw
+        self._draw = rng
         self._budget = retries.RetryBudget()
         self._times = service_times.ServiceTimes()
         self.refused_count = 0
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -126,7 +126,7 @@
             'leaving': self._signal.planned.is_set(),
             'running': self._gate.running,
             'queued': self._gate.queued,
-            'limit': self._gate.limit,
+            'limit': self._gate.concurrency_limit,
             'begun': self._gate.begun_count,
             'unconfirmed': self._gate.unconfirmed,
             'rank': self._group.status() if self._group else None,
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/bookkeeping.py
@@ -40,7 +40,7 @@
         self.tracer = tracer.Tracer(
             host=config.host,
             sample_per_thousand=config.traces.sample_per_thousand,
-            draw=random.Random(),
+            rng=random.Random(),
             wall_offset_s=lambda: wall_time.time() - time.monotonic(),
             export=None if self._exporter is None else self._exporter.export)
         self._operators = [item.to_operator() for item in config.operators]
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -110,7 +110,7 @@
         self._gateway = gateway.Gateway(pool=self._pool,
                                         keeper=keeper,
                                         time=time,
-                                        draw=draw)
+                                        rng=draw)
         self._caller_handler = caller_http.CallerHandler(
             gate=self._gateway,
             config=self._targets,
@@ -208,11 +208,11 @@
     async def _keep_links(self) -> None:
         """Keeps links to the listed upstreams and entry hosts."""
         while True:
-            await self._upstream_dialers.keep(self._directory.upstreams())
+            await self._upstream_dialers.keep(self._directory.upstream_addresses())
             await self._peer_dialers.keep(self._directory.peers_to_dial())
             for name, upstream in self._pool.by_host.items():
                 if self._directory.is_leaving(name):
-                    upstream.leaving = True
+                    upstream.is_leaving = True
             self._apply_draining()
             await asyncio.sleep(_DIAL_INTERVAL_S)
 
@@ -243,9 +243,9 @@
             'peers': sorted(self._peers.links_by_host),
             'upstreams': {
                 name: {
-                    'running': upstream.report.reading.running,
-                    'queued': sum(upstream.report.reading.queued),
-                    'leaving': upstream.leaving
+                    'running': upstream.load_report.reading.running,
+                    'queued': sum(upstream.load_report.reading.queued),
+                    'leaving': upstream.is_leaving
                 } for name, upstream in self._pool.by_host.items()
             }
         }
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -78,7 +78,7 @@
         self._callers = platform_handlers.CallerHandler(forward=forward)
         self._caller_server = self._server(settings.caller_address,
                                            self._callers)
-        self._config.on_applied.append(self._limit_callers)
+        self._config.applied_callbacks.append(self._limit_callers)
         self._network.serve_metrics(
             platform_metrics.MetricsPage(counters=self._counters,
                                          gauges=self._gauges,
@@ -104,7 +104,7 @@
         return {
             'in_progress': self._callers.in_progress,
             'entry_hosts': self.state.entry_host_count,
-            'servers': len(self.state.fleet.listed_by_id),
+            'servers': len(self.state.server_registry.listed_by_id),
             'config_version': config.version if config else 0,
             'store_up': float(self._servers.contact.is_up),
             'ready': float(self.state.is_ready)
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -158,7 +158,7 @@
         state.config = self._config
         state.entry_host_count = hosts
         for server in self._fleet:
-            state.fleet.put(server)
+            state.server_registry.put(server)
         return state
 
     async def run(self, closed_at: float, open_at: float) -> None:
@@ -189,7 +189,7 @@
         while True:
             news = self.servers.report(server.id)
             for state in self._states:
-                state.loads.report(server.id, news, self._clock.monotonic())
+                state.server_loads.report(server.id, news, self._clock.monotonic())
             await asyncio.sleep(_REPORT_S * self._rng.uniform(0.9, 1.1))
 
     async def _call(self, caller: _Caller, start: float) -> None:
