--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -1,4 +1,4 @@
-"""Takes a caller's request to a server and the answer back."""
+"""Forwards a caller's request to a server and relays the response."""
 
 import asyncio
 import dataclasses
@@ -15,23 +15,23 @@
 
 _OK = 200
 _SERVER_ERROR = 500
-_DEFAULT_PATIENCE_S = 30.0
-# The part of a request's time after which a silent server of a request that
-# may be repeated is given up.
-_FIRST_ATTEMPT_SHARE = 0.6
-# Callers give a stream up after two seconds without an event.
-_SILENT_STREAM_S = 1.7
-_WATCH_S = 0.2
+_DEFAULT_TIMEOUT_S = 30.0
+# Share of the remaining time after which an attempt at an idempotent request is
+# abandoned, so that a retry has time to complete.
+_ATTEMPT_TIMEOUT_SHARE = 0.6
+# Callers abandon a stream after 2 s without an event; the rest is for a retry.
+_STREAM_IDLE_TIMEOUT_S = 1.7
+_SILENCE_CHECK_INTERVAL_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
-class _Pending:
-    """An attempt that a server has not ended.
+class _PendingAttempt:
+    """An attempt in progress.
 
     Attributes:
         job: the request.
-        server: where it was sent.
-        timeout: ends the attempt.
+        server: the server it was sent to.
+        timeout: the timeout that ends the attempt.
     """
 
     job: request_job.RequestJob
@@ -40,10 +40,15 @@
 
 
 class Forwarder:
-    """Serves requests by the configuration in force."""
+    """Forwards requests according to the current configuration.
+
+    Attributes:
+        counts: requests by their result.
+    """
 
     def __init__(self, *, state: serving_state.ServingState,
-                 servers: upstream.Upstream, stop_plan: graceful_shutdown.ShutdownPlan,
+                 servers: upstream.Upstream,
+                 stop_plan: graceful_shutdown.ShutdownPlan,
                  observe: Callable[[str, float], None], time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._state = state
@@ -53,38 +58,46 @@
         self._log = log
         self.counts: dict[str, int] = {}
         self._observe = observe
-        self._pending: set[_Pending] = set()
-        self._patience = lateness.PatienceBook()
-        self._places = server_selector.ServerSelector(state=state,
-                                                time=time,
-                                                log=log,
-                                                rng=state.rng)
+        self._pending_attempts: set[_PendingAttempt] = set()
+        self._caller_timeouts = lateness.PatienceBook()
+        self._server_selector = server_selector.ServerSelector(state=state,
+                                                               time=time,
+                                                               log=log,
+                                                               rng=state.rng)
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
     async def serve(self, request: caller_request.CallerRequest,
-                    response: reply.Reply) -> None:
-        """Answers one request; cancelled when the caller leaves."""
+                    caller_response: reply.Reply) -> None:
+        """Serves one request to its end.
+
+        The caller of this method cancels it when the client disconnects.
+
+        Args:
+            request: the client's request.
+            caller_response: receives the response or the failure.
+        """
         try:
-            job = self._accept(request, response)
-            await self._attempt_until_done(job)
+            job = self._accept(request, caller_response)
+            await self._run_attempts(job)
             self._count('answered')
         except request_job.RequestFailed as failed:
-            await self._fail(request, response, failed.failure)
+            await self._fail(request, caller_response, failed.failure)
         except asyncio.CancelledError:
             self._count('caller_left')
             self._log.write(log_events.LogEvent.CALLER_LEFT,
                             important=False,
                             id=request.id,
-                            after_s=self._age(request))
+                            after_s=self._age_s(request))
             raise
 
-    def _age(self, request: caller_request.CallerRequest) -> float:
+    def _age_s(self, request: caller_request.CallerRequest) -> float:
         return round(self._clock.monotonic() - request.received_at, 4)
 
     async def _fail(self, request: caller_request.CallerRequest,
-                    answer: reply.Reply, failure: errors.Failure) -> None:
+                    caller_response: reply.Reply,
+                    failure: errors.Failure) -> None:
         self._count(failure.kind.value)
         not_run = failure.ran is errors.Ran.NO
         event = (log_events.LogEvent.REQUEST_REFUSED
@@ -93,39 +106,45 @@
                         id=request.id,
                         kind=failure.kind.value,
                         detail=failure.detail,
-                        after_s=self._age(request),
-                        begun=answer.has_begun)
-        if answer.has_begun:
-            answer.break_off()
+                        after_s=self._age_s(request),
+                        begun=caller_response.has_begun)
+        if caller_response.has_begun:
+            caller_response.break_off()
         else:
-            await answer.refuse(failure)
+            await caller_response.refuse(failure)
 
-    # Before a server is chosen.
+    # Admission, before a server is selected.
 
     def _accept(self, request: caller_request.CallerRequest,
-                answer: reply.Reply) -> request_job.RequestJob:
+                caller_response: reply.Reply) -> request_job.RequestJob:
         config = self._state.config
         if config is None:
             raise request_job.RequestFailed(
                 errors.failure(errors.Kind.STALE_CONFIGURATION))
         route = routing_config.find_route(config, request.host, request.path)
         if route is None:
-            raise request_job.RequestFailed(errors.failure(errors.Kind.NOT_FOUND))
+            raise request_job.RequestFailed(
+                errors.failure(errors.Kind.NOT_FOUND))
         workspace = _authenticate(config, route, request)
-        self._check_leaving(route)
+        self._check_shutdown(route)
         service = self._state.pick_service(route)
         now = self._clock.monotonic()
         self._state.retry_budget_for(service).note_request(now)
-        patience_s = (_DEFAULT_PATIENCE_S
+        patience_s = (_DEFAULT_TIMEOUT_S
                       if request.patience_s is None else request.patience_s)
         deadline = request.received_at + min(patience_s, route.timeout_s)
         is_late = (request.patience_s is not None and
-                   self._patience.has_missed_aim(route, request.patience_s))
-        return request_job.RequestJob(request, route, service, workspace, deadline,
-                               answer, is_late)
+                   self._caller_timeouts.has_missed_aim(route,
+                                                        request.patience_s))
+        return request_job.RequestJob(request, route, service, workspace,
+                                      deadline, caller_response, is_late)
 
-    def _check_leaving(self, route: routing_config.Route) -> None:
-        """Refuses what could not end before this host does."""
+    def _check_shutdown(self, route: routing_config.Route) -> None:
+        """Refuses a request that could not complete before the shutdown.
+
+        Raises:
+            request_job.RequestFailed: the host shuts down too soon.
+        """
         if self._state.leaving_since is None:
             return
         elapsed_s = self._clock.monotonic() - self._state.leaving_since
@@ -136,68 +155,76 @@
 
     # Attempts.
 
-    async def _attempt_until_done(self, job: request_job.RequestJob) -> None:
+    async def _run_attempts(self, job: request_job.RequestJob) -> None:
         while True:
-            server = await self._places.select(job)
+            server = await self._server_selector.select(job)
             if await self._attempt(job, server):
                 return
-            self._check_repeat(job)
+            self._check_retry(job)
 
     async def _attempt(self, job: request_job.RequestJob,
                        server: fleet.Server) -> bool:
-        """Sends the request to a server; whether the request is done."""
+        """Sends the request to a server.
+
+        Returns:
+            Whether the request is complete; False when it may be retried.
+
+        Raises:
+            request_job.RequestFailed: the request's deadline has passed.
+        """
         job.tried_server_ids.append(server.id)
         job.attempt_count += 1
         now = self._clock.monotonic()
         job.timing.note_place(now)
         self._state.server_loads.begin(server.id, now)
-        timeout = asyncio.timeout_at(self._give_up_at(job))
-        pending = _Pending(job, server, timeout)
-        self._pending.add(pending)
+        timeout = asyncio.timeout_at(self._attempt_deadline(job))
+        pending = _PendingAttempt(job, server, timeout)
+        self._pending_attempts.add(pending)
         try:
             async with timeout:
-                return await self._exchange(job, server)
+                return await self._send_and_relay(job, server)
         except TimeoutError:
-            self._note_failure(job, server, 'silent', ran=True)
+            self._record_failure(job, server, 'silent', ran=True)
             if self._clock.monotonic() >= job.deadline:
                 raise request_job.RequestFailed(job.timeout_failure()) from None
             return False
         except upstream.ConnectFailed as error:
             self._state.server_loads.fail(server.id, self._clock.monotonic())
-            self._note_failure(job, server, str(error), ran=False)
+            self._record_failure(job, server, str(error), ran=False)
             job.attempt_count -= 1
             return False
         except upstream.UpstreamBroken as error:
-            self._note_failure(job, server, str(error), ran=True)
+            self._record_failure(job, server, str(error), ran=True)
             return False
         finally:
-            self._pending.discard(pending)
+            self._pending_attempts.discard(pending)
             self._state.server_loads.end(server.id)
 
     async def watch_silent_servers(self) -> None:
-        """Gives up servers whose hosts fell silent; until cancelled.
+        """Ends attempts at servers whose agents stopped reporting load.
 
-        Only for requests that may be sent to another server.
+        Runs until cancelled. An attempt is ended only when its request may be
+        retried on another server.
         """
         while True:
-            await self._clock.sleep(_WATCH_S)
+            await self._clock.sleep(_SILENCE_CHECK_INTERVAL_S)
             now = self._clock.monotonic()
-            for pending in list(self._pending):
-                if (self._state.server_loads.is_silent(pending.server.id, now) and
-                        pending.job.route.is_repeatable and
-                        self._may_repeat(pending.job)):
+            for pending in list(self._pending_attempts):
+                if (self._state.server_loads.is_silent(pending.server.id, now)
+                        and pending.job.route.is_repeatable and
+                        self._may_retry(pending.job)):
                     pending.timeout.reschedule(now)
 
-    def _give_up_at(self, job: request_job.RequestJob) -> float:
-        """When a server that has not answered is given up."""
+    def _attempt_deadline(self, job: request_job.RequestJob) -> float:
+        """Returns the monotonic time at which to abandon an attempt."""
         if (job.route.kind is not routing_config.RequestKind.IDEMPOTENT or
                 job.attempt_count >= job.route.max_attempts):
             return job.deadline
         now = self._clock.monotonic()
-        return now + (job.deadline - now) * _FIRST_ATTEMPT_SHARE
+        return now + (job.deadline - now) * _ATTEMPT_TIMEOUT_SHARE
 
-    async def _exchange(self, job: request_job.RequestJob,
-                        server: fleet.Server) -> bool:
+    async def _send_and_relay(self, job: request_job.RequestJob,
+                              server: fleet.Server) -> bool:
         attempt = upstream.UpstreamRequest(
             server=server,
             request=job.request,
@@ -205,47 +232,50 @@
             workspace=job.workspace.name if job.workspace else None,
             last_event_id=job.last_event_id,
             urgency=job.urgency)
-        async with self._servers.send(attempt) as found:
-            self._note_load(server, found)
-            if found.is_other_server:
+        async with self._servers.send(attempt) as response:
+            self._record_load(server, response)
+            if response.is_other_server:
                 self._state.server_registry.replace_dead(server.id)
-            if not found.has_run:
-                self._note_failure(job,
-                                   server,
-                                   f'not run, {found.status}',
-                                   ran=False)
+            if not response.has_run:
+                self._record_failure(job,
+                                     server,
+                                     f'not run, {response.status}',
+                                     ran=False)
                 return False
-            if _is_stream(job, found):
-                return await self._pass_stream(job, server, found)
-            return await self._pass_whole(job, server, found)
-
-    def _note_load(self, server: fleet.Server,
-                   found: upstream.UpstreamAnswer) -> None:
-        if found.load is not None:
-            self._state.server_loads.count(server.id,
-                                    found.load.running + found.load.waiting,
-                                    self._clock.monotonic())
-
-    async def _pass_whole(self, job: request_job.RequestJob, server: fleet.Server,
-                          found: upstream.UpstreamAnswer) -> bool:
-        body = b''.join([part async for part in found.read()])
-        if (found.status >= _SERVER_ERROR and job.route.is_repeatable and
-                self._may_repeat(job)):
-            self._note_failure(job,
-                               server,
-                               f'answered {found.status}',
-                               ran=True)
+            if _is_stream(job, response):
+                return await self._relay_stream(job, server, response)
+            return await self._relay_whole(job, server, response)
+
+    def _record_load(self, server: fleet.Server,
+                     response: upstream.UpstreamAnswer) -> None:
+        if response.load is not None:
+            self._state.server_loads.count(
+                server.id, response.load.running + response.load.waiting,
+                self._clock.monotonic())
+
+    async def _relay_whole(self, job: request_job.RequestJob,
+                           server: fleet.Server,
+                           response: upstream.UpstreamAnswer) -> bool:
+        body = b''.join([part async for part in response.read()])
+        if (response.status >= _SERVER_ERROR and job.route.is_repeatable and
+                self._may_retry(job)):
+            self._record_failure(job,
+                                 server,
+                                 f'answered {response.status}',
+                                 ran=True)
             return False
-        if found.status < _SERVER_ERROR:
+        if response.status < _SERVER_ERROR:
             self._state.server_loads.succeed(server.id)
-        await job.response.send_whole(found.status, found.headers, body)
-        self._note_answer(job, server, found.status)
+        await job.caller_response.send_whole(response.status, response.headers,
+                                             body)
+        self._record_response(job, server, response.status)
         return True
 
-    async def _pass_stream(self, job: request_job.RequestJob, server: fleet.Server,
-                           found: upstream.UpstreamAnswer) -> bool:
-        body = found.read()
-        while (data := await self._next_part(body)) is not None:
+    async def _relay_stream(self, job: request_job.RequestJob,
+                            server: fleet.Server,
+                            response: upstream.UpstreamAnswer) -> bool:
+        body = response.read()
+        while (data := await self._next_chunk(body)) is not None:
             try:
                 events = job.splitter.feed(data)
             except event_stream.EventTooLong as error:
@@ -253,30 +283,31 @@
             if not events:
                 continue
             job.timing.note_events(self._clock.monotonic())
-            if not job.response.has_begun:
-                self._observe('first_event', self._age(job.request))
-                await job.response.begin(found.status, found.headers)
-            await job.response.write(events)
-        if job.splitter.has_partial or not job.response.has_begun:
+            if not job.caller_response.has_begun:
+                self._observe('first_event', self._age_s(job.request))
+                await job.caller_response.begin(response.status,
+                                                response.headers)
+            await job.caller_response.write(events)
+        if job.splitter.has_partial or not job.caller_response.has_begun:
             raise upstream.UpstreamBroken('the stream ended within an event')
         self._state.server_loads.succeed(server.id)
-        await job.response.finish()
-        self._note_answer(job, server, found.status)
+        await job.caller_response.finish()
+        self._record_response(job, server, response.status)
         return True
 
-    async def _next_part(self, body: AsyncIterator[bytes]) -> bytes | None:
+    async def _next_chunk(self, body: AsyncIterator[bytes]) -> bytes | None:
         try:
-            async with asyncio.timeout(_SILENT_STREAM_S):
+            async with asyncio.timeout(_STREAM_IDLE_TIMEOUT_S):
                 return await anext(body, None)
         except TimeoutError:
             raise upstream.UpstreamBroken('the stream fell silent') from None
 
-    # After an attempt.
+    # Recording of results.
 
-    def _note_answer(self, job: request_job.RequestJob, server: fleet.Server,
-                     status: int) -> None:
-        self._observe('answer', self._age(job.request))
-        timing = self._stream_fields(job) if job.is_stream else {}
+    def _record_response(self, job: request_job.RequestJob,
+                         server: fleet.Server, status: int) -> None:
+        self._observe('answer', self._age_s(job.request))
+        timing = self._stream_log_fields(job) if job.is_stream else {}
         self._log.write(log_events.LogEvent.REQUEST_ANSWERED,
                         important=job.attempt_count > 1,
                         id=job.request.id,
@@ -285,11 +316,15 @@
                         status=status,
                         attempts=job.attempt_count,
                         events=job.splitter.events,
-                        after_s=self._age(job.request),
+                        after_s=self._age_s(job.request),
                         **timing)
 
-    def _stream_fields(self, job: request_job.RequestJob) -> dict[str, Any]:
-        """Counts a whole stream by what made it late; what its line tells."""
+    def _stream_log_fields(self, job: request_job.RequestJob) -> dict[str, Any]:
+        """Counts a completed stream by the cause of its lateness, if any.
+
+        Returns:
+            Timing fields for the log event.
+        """
         late_by = job.timing.late_by(job.route.target_s, job.route.max_gap_s)
         self._count(f'streams_late_by_{late_by.value}')
         return {
@@ -298,8 +333,8 @@
             'pause_s': round(job.timing.longest_pause_s, 4)
         }
 
-    def _note_failure(self, job: request_job.RequestJob, server: fleet.Server,
-                      cause: str, *, ran: bool) -> None:
+    def _record_failure(self, job: request_job.RequestJob, server: fleet.Server,
+                        cause: str, *, ran: bool) -> None:
         job.last_failure = cause
         job.may_have_run = job.may_have_run or ran
         job.splitter.drop_partial()
@@ -312,18 +347,25 @@
                         may_have_run=ran,
                         events=job.splitter.events)
 
-    def _may_repeat(self, job: request_job.RequestJob) -> bool:
-        """Whether rules allow one more attempt; takes no budget."""
+    def _may_retry(self, job: request_job.RequestJob) -> bool:
+        """Whether the route allows a retry; spends no retry budget."""
         if job.attempt_count >= job.route.max_attempts:
             return False
         return not job.may_have_run or job.route.is_repeatable
 
-    def _check_repeat(self, job: request_job.RequestJob) -> None:
-        """Ends the request unless it may be sent once more."""
-        if not self._may_repeat(job):
+    def _check_retry(self, job: request_job.RequestJob) -> None:
+        """Spends retry budget for one more attempt.
+
+        Costs nothing while no attempt has reached a server.
+
+        Raises:
+            request_job.RequestFailed: the route allows no further attempt, or
+                the retry budget is spent.
+        """
+        if not self._may_retry(job):
             raise request_job.RequestFailed(
                 job.rejection(errors.Kind.UPSTREAM_FAILED,
-                             self._clock.monotonic()))
+                              self._clock.monotonic()))
         if not job.attempt_count:
             return
         budget = self._state.retry_budget_for(job.service)
@@ -331,7 +373,7 @@
         if not budget.take(now, self._state.entry_host_count):
             raise request_job.RequestFailed(
                 job.rejection(errors.Kind.OVERLOADED, self._clock.monotonic()))
-        if job.response.has_begun:
+        if job.caller_response.has_begun:
             self._log.write(log_events.LogEvent.STREAM_RESUMED,
                             id=job.request.id,
                             last_event_id=job.last_event_id)
@@ -341,18 +383,24 @@
         config: routing_config.RoutingConfig, route: routing_config.Route,
         request: caller_request.CallerRequest
 ) -> routing_config.Workspace | None:
-    """The holder of the request's key.
+    """Finds the workspace that owns the request's key.
+
+    Returns:
+        The workspace; None when the route needs no key.
 
     Raises:
-        request_job.Failed: the route needs a key that somebody holds.
+        request_job.RequestFailed: the route needs a valid key and the request
+            has none.
     """
     if config.workspaces_by_key is None or route.is_public:
         return None
     workspace = config.workspaces_by_key.get(request.key or '')
     if workspace is None:
-        raise request_job.RequestFailed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
+        raise request_job.RequestFailed(
+            errors.failure(errors.Kind.NOT_AUTHENTICATED))
     return workspace
 
 
-def _is_stream(job: request_job.RequestJob, found: upstream.UpstreamAnswer) -> bool:
-    return job.is_stream and found.status == _OK
+def _is_stream(job: request_job.RequestJob,
+               response: upstream.UpstreamAnswer) -> bool:
+    return job.is_stream and response.status == _OK
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -1,4 +1,4 @@
-"""One request on its way from a caller to a server and back."""
+"""The state of one request that an entry host forwards."""
 
 import dataclasses
 
@@ -8,15 +8,19 @@
 
 __all__ = ['RequestFailed', 'RequestJob']
 
-_URGENCY = 5
+_DEFAULT_URGENCY = 5
 _MAX_URGENCY = 9
-# Servers that restarted take new work again after some seconds.
-_RETURN_S = 2.5
-_RETURN_SHARE = 0.33
+# A restarted server accepts requests again after a few seconds.
+_MAX_RETRY_AFTER_S = 2.5
+_RETRY_AFTER_SHARE = 0.33
 
 
 class RequestFailed(Exception):
-    """The request ends with a failure of the product's own."""
+    """The request ends with a failure that the load balancer reports.
+
+    Attributes:
+        failure: the failure to send to the caller.
+    """
 
     def __init__(self, failure: errors.Failure) -> None:
         super().__init__(failure.detail)
@@ -25,22 +29,23 @@
 
 @dataclasses.dataclass
 class RequestJob:
-    """One request on its way.
+    """One request with the progress of its attempts.
 
     Attributes:
         request: the caller's request.
-        route: its route.
-        service: the service that serves it.
-        workspace: the holder of its key, or None.
-        deadline: monotonic seconds at which its answer is of no use.
-        answer: where the answer goes.
-        tried: ids of the servers that were tried.
-        sent: how many servers it was sent to.
-        may_have_run: whether a server may have run it.
-        splitter: the events sent to the caller, for a stream.
-        cause: the last failure of an attempt.
-        is_late: whether the caller has missed its aim before this try.
-        timing: when the parts of its answer came, for a stream.
+        route: the route that matches the request.
+        service: the service that the request is sent to.
+        workspace: the owner of the request's key, or None.
+        deadline: monotonic seconds after which the response is of no use.
+        caller_response: receives the response for the caller.
+        has_missed_target: whether the latency target was missed before this
+            request arrived, as a retry by its caller.
+        tried_server_ids: ids of the servers that an attempt was sent to.
+        attempt_count: attempts that may have reached a server.
+        may_have_run: whether a server may have executed the request.
+        splitter: splits a stream into events and tracks the last one sent.
+        last_failure: the cause of the latest failed attempt.
+        timing: arrival times of a stream's events.
     """
 
     request: caller_request.CallerRequest
@@ -48,7 +53,7 @@
     service: str
     workspace: routing_config.Workspace | None
     deadline: float
-    response: reply.Reply
+    caller_response: reply.Reply
     has_missed_target: bool = False
     tried_server_ids: list[str] = dataclasses.field(default_factory=list)
     attempt_count: int = 0
@@ -63,43 +68,50 @@
 
     @property
     def last_event_id(self) -> str | None:
-        """Where a stream goes on."""
+        """The id of the last event that the caller has; None at the start."""
         return self.splitter.last_id or self.request.last_event_id
 
     @property
     def is_stream(self) -> bool:
-        """Whether a stream is asked for."""
+        """Whether the response is a stream of events."""
         return self.route.kind is routing_config.RequestKind.STREAM
 
     @property
     def urgency(self) -> int:
-        """The server's order of admission; 0 is first.
+        """The priority for admission at the server, from 0 (first) to 9.
 
-        By workspace, then by route.
+        A priority of the workspace takes precedence over one of the route.
         """
         priority = self.route.priority
         if self.workspace is not None and self.workspace.priority is not None:
             priority = self.workspace.priority
-        return min(_MAX_URGENCY, _URGENCY + priority) if priority else _URGENCY
+        return min(_MAX_URGENCY, _DEFAULT_URGENCY +
+                   priority) if priority else _DEFAULT_URGENCY
 
     def rejection(self, kind: errors.Kind, now: float) -> errors.Failure:
-        """The failure of a request that no server is asked for any more.
+        """Returns the failure for a request that is not retried any more.
 
         Args:
-            kind: why, if no server may have run it.
+            kind: the kind to report if no server can have executed the request.
             now: monotonic seconds.
+
+        Returns:
+            The failure, with a retry delay if nothing was executed.
         """
         if self.may_have_run:
-            return errors.failure(errors.Kind.UPSTREAM_FAILED, self.last_failure)
+            return errors.failure(errors.Kind.UPSTREAM_FAILED,
+                                  self.last_failure)
         if kind is errors.Kind.UPSTREAM_FAILED:
             kind = errors.Kind.OVERLOADED
-        return_s = min(_RETURN_S, (self.deadline - now) * _RETURN_SHARE)
+        retry_after_s = min(_MAX_RETRY_AFTER_S,
+                            (self.deadline - now) * _RETRY_AFTER_SHARE)
         return errors.failure(kind,
                               self.last_failure,
-                              retry_after_s=round(return_s, 2))
+                              retry_after_s=round(retry_after_s, 2))
 
     def timeout_failure(self) -> errors.Failure:
-        """The failure of a request whose time is over."""
+        """Returns the failure for a request whose deadline has passed."""
         if self.may_have_run:
-            return errors.failure(errors.Kind.DEADLINE_PASSED, self.last_failure)
+            return errors.failure(errors.Kind.DEADLINE_PASSED,
+                                  self.last_failure)
         return errors.failure(errors.Kind.DEADLINE_TOO_SHORT, self.last_failure)
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -38,8 +38,8 @@
         """Selects a server for the next attempt of a request.
 
         A request that has already missed its latency target first waits for a
-        slot that no other request needs. A later response is worth as much to
-        its caller, whereas another refusal may make the caller give up.
+        slot that no other request needs: its response is late in any case, and
+        another refusal may make the caller give up.
 
         Args:
             job: the request.
@@ -48,7 +48,7 @@
             The server to send the request to.
 
         Raises:
-            request_state.RequestFailed: no server would start the request in
+            request_job.RequestFailed: no server would start the request in
                 time.
         """
         server = await self._wait_for_free_slot(job) if _waits_for_free_slot(
@@ -57,7 +57,8 @@
             now = self._clock.monotonic()
             server = self._try_select(job, now)
             if server is None:
-                has_servers = any(self._state.server_registry.ready(job.service))
+                has_servers = any(self._state.server_registry.ready(
+                    job.service))
                 kind = (errors.Kind.OVERLOADED
                         if has_servers else errors.Kind.NO_UPSTREAM)
                 raise request_job.RequestFailed(job.rejection(kind, now))
@@ -92,10 +93,10 @@
         all send a request to one slot. The number of waiting requests is taken
         to be the same on every entry host.
         """
-        free_slots = self._state.server_loads.room(self._state.server_registry.ready(
-            job.service),
-                                            spare_share=_RESERVED_SLOT_SHARE,
-                                            now=now)
+        free_slots = self._state.server_loads.room(
+            self._state.server_registry.ready(job.service),
+            spare_share=_RESERVED_SLOT_SHARE,
+            now=now)
         waiting_count = self._waiting_count * self._state.entry_host_count
         return self._rng.random() * waiting_count < free_slots
 
@@ -108,18 +109,19 @@
             raise request_job.RequestFailed(job.timeout_failure())
         need = dataclasses.replace(self._requirements(job, now),
                                    spare_share=spare_share)
-        server = self._state.server_loads.choose(self._state.server_registry.ready(job.service),
-                                          excluded=job.tried_server_ids,
-                                          data_centre=self._state.data_centre,
-                                          need=need,
-                                          hosts=self._state.entry_host_count,
-                                          now=now)
+        server = self._state.server_loads.choose(
+            self._state.server_registry.ready(job.service),
+            excluded=job.tried_server_ids,
+            data_centre=self._state.data_centre,
+            need=need,
+            hosts=self._state.entry_host_count,
+            now=now)
         if server is not None:
             self._log_attempt(job, server, now)
         return server
 
-    def _log_attempt(self, job: request_job.RequestJob,
-                     server: fleet.Server, now: float) -> None:
+    def _log_attempt(self, job: request_job.RequestJob, server: fleet.Server,
+                     now: float) -> None:
         config = self._state.config
         self._log.write(log_events.LogEvent.ATTEMPT,
                         important=False,
--- a/pollenthread/app/upstream_pool.py
+++ b/pollenthread/app/upstream_pool.py
@@ -1,4 +1,4 @@
-"""The upstreams that an entry host has links to."""
+"""Upstreams that an entry host has open links to."""
 
 import asyncio
 import collections
@@ -12,18 +12,26 @@
                                messages, slots)
 from pollenthread.ports import link as link_port
 
-__all__ = ['AttemptStream', 'UpstreamGroup', 'UpstreamPool', 'SharedUpstreamState', 'LinkedUpstream']
+__all__ = [
+    'AttemptStream', 'UpstreamGroup', 'UpstreamPool', 'SharedUpstreamState',
+    'LinkedUpstream'
+]
 
 _SEAL_TIMEOUT_S = 2.0
 
-_NOTHING_KNOWN = slots.Reading(0, (0, 0, 0), 1, 0.0, 0.0, 0.0)
+_INITIAL_LOAD = slots.Reading(0, (0, 0, 0), 1, 0.0, 0.0, 0.0)
 
 _OnMessage = Callable[[link_port.Link, Any], None]
-_SealAnswer = asyncio.Future[messages.SealState | None]
+_SealReply = asyncio.Future[messages.SealState | None]
 
 
 class AttemptStream:
-    """The messages that come for one attempt, in order."""
+    """Messages received for one attempt, in order.
+
+    Attributes:
+        deliver_immediately: passes a chunk on without waking the waiting task
+            and returns whether it did; None when no relay is attached.
+    """
 
     def __init__(self) -> None:
         self._queue = collections.deque[messages.Message | None]()
@@ -32,10 +40,10 @@
         self.deliver_immediately: Callable[[messages.Chunk], bool] | None = None
 
     def put(self, message: messages.Message | None) -> None:
-        """Adds a message; None says that the link is lost.
+        """Adds a message; None means that the link is lost.
 
-        A part of an answer that can be passed on at once does not wake the
-        task that waits.
+        A chunk that `deliver_immediately` passes on is not queued and does not
+        wake the waiting task.
         """
         if (self._waiting and not self._queue and
                 self.deliver_immediately is not None and
@@ -46,10 +54,10 @@
         self._ready.set()
 
     async def wait_past_head(self) -> messages.Message | None:
-        """Waits for more than a head, which stays in the queue.
+        """Waits for the first message other than a head, without removing it.
 
         Returns:
-            The part of the answer, or the failure; None for a lost link.
+            The chunk, end or failure; None for a lost link.
         """
         while True:
             for message in self._queue:
@@ -59,9 +67,10 @@
             await self._ready.wait()
 
     async def get_available(self) -> list[messages.Message | None]:
-        """Takes all messages that have come, at least one.
+        """Waits for at least one message and removes all that are queued.
 
-        A last message of None says that the link is lost.
+        Returns:
+            The messages; None in the last place means that the link is lost.
         """
         self._waiting = True
         try:
@@ -70,26 +79,35 @@
                 await self._ready.wait()
         finally:
             self._waiting = False
-        burst = list(self._queue)
+        available = list(self._queue)
         self._queue.clear()
-        return burst
+        return available
 
 
 class LinkedUpstream(choice.Candidate):
-    """One upstream behind an open link."""
+    """One upstream behind an open link.
+
+    Attributes:
+        link: the open link to its agent.
+        is_leaving: whether its agent has announced that it shuts down.
+        load_report: the latest load report, corrected by later refusals.
+        streams_by_attempt: attempts in progress, by attempt id.
+        seals_by_attempt: pending replies to seal requests, by attempt id.
+    """
 
-    def __init__(self, *, link: link_port.Link, shared: 'SharedUpstreamState') -> None:
+    def __init__(self, *, link: link_port.Link,
+                 shared: 'SharedUpstreamState') -> None:
         self.link = link
         self.is_leaving = False
-        self.load_report = estimate.Report(_NOTHING_KNOWN, 0, shared.now())
+        self.load_report = estimate.Report(_INITIAL_LOAD, 0, shared.now())
         self.streams_by_attempt: dict[str, AttemptStream] = {}
-        self.seals_by_attempt: dict[str, list[_SealAnswer]] = {}
-        self._sent = estimate.SentLog()
+        self.seals_by_attempt: dict[str, list[_SealReply]] = {}
+        self._sent_log = estimate.SentLog()
         self._shared = shared
 
     @property
     def hello(self) -> messages.Hello:
-        """What the agent said of itself."""
+        """The hello message in which the agent identified itself."""
         return self.link.peer
 
     @property
@@ -113,14 +131,14 @@
                 self._shared.health.is_usable(self.host, self._shared.now()))
 
     def record_sent(self) -> None:
-        """Counts an attempt that was handed over."""
+        """Records that an attempt was sent."""
         now = self._shared.now()
-        self._sent.note(now)
+        self._sent_log.note(now)
         self._shared.health.note_sent(self.host, now)
 
     def record_load(self, load: messages.Load) -> None:
-        """Takes a load report."""
-        made_at = self._sent.made_at(load.seen, self._shared.now())
+        """Records a load report from the agent."""
+        made_at = self._sent_log.made_at(load.seen, self._shared.now())
         reading = slots.Reading(running=load.running,
                                 queued=load.queued,
                                 limit=load.limit,
@@ -131,19 +149,25 @@
         self._shared.mean_load.learn(self.load_report)
 
     def record_refusal(self) -> None:
-        """Learns from a refusal for want of room."""
+        """Raises the load estimate after a refusal for lack of capacity."""
         self.load_report = estimate.after_refusal(self.load_report,
-                                             own=len(self.streams_by_attempt),
-                                             now=self._shared.now())
+                                                  own=len(
+                                                      self.streams_by_attempt),
+                                                  now=self._shared.now())
 
     def record_result(self, *, is_success: bool) -> None:
-        """Takes the end of an attempt that was not refused."""
+        """Records the result of an attempt that was not refused."""
         self._shared.health.note_answer(self.host,
                                         good=is_success,
                                         now=self._shared.now())
 
     def serves(self, kind: str, name: str) -> bool:
-        """Whether it holds the model, or is the service, of this name."""
+        """Whether this upstream serves a model or service.
+
+        Args:
+            kind: 'engine' or 'service'.
+            name: the model's or service's name.
+        """
         if self.hello.kind != kind:
             return False
         if kind == 'engine':
@@ -151,39 +175,54 @@
         return self.hello.name == name
 
     def open_stream(self, attempt: str) -> AttemptStream:
-        """Starts to collect an attempt's messages."""
+        """Starts collecting the messages of an attempt."""
         stream = AttemptStream()
         self.streams_by_attempt[attempt] = stream
         return stream
 
     def close_stream(self, attempt: str) -> None:
-        """Stops collecting an attempt's messages."""
+        """Stops collecting the messages of an attempt."""
         self.streams_by_attempt.pop(attempt, None)
 
     def fail_pending(self) -> None:
-        """Tells all who wait that the link is gone."""
+        """Reports the loss of the link to all waiting tasks."""
         for stream in self.streams_by_attempt.values():
             stream.put(None)
-        for answers in self.seals_by_attempt.values():
-            for answer in answers:
-                if not answer.done():
-                    answer.set_result(None)
+        for replies in self.seals_by_attempt.values():
+            for reply in replies:
+                if not reply.done():
+                    reply.set_result(None)
 
     async def seal(self, attempt: str,
                    session: str) -> messages.SealState | None:
-        """Asks the agent never to begin an attempt; None when it is silent."""
-        answer: _SealAnswer = asyncio.get_running_loop().create_future()
-        self.seals_by_attempt.setdefault(attempt, []).append(answer)
+        """Asks the agent never to start an attempt that it has not started.
+
+        Args:
+            attempt: the attempt's id.
+            session: the link session in which the attempt may start.
+
+        Returns:
+            The state of the attempt at the agent; None when the link is lost or
+            the agent does not reply in time.
+        """
+        reply: _SealReply = asyncio.get_running_loop().create_future()
+        self.seals_by_attempt.setdefault(attempt, []).append(reply)
         try:
             self.link.send(messages.Seal(attempt, session))
             async with asyncio.timeout(_SEAL_TIMEOUT_S):
-                return await answer
+                return await reply
         except (TimeoutError, link_port.LinkLost):
             return None
 
 
 class SharedUpstreamState:
-    """What the upstreams of a pool have in common."""
+    """State shared by the upstreams of a pool.
+
+    Attributes:
+        mean_load: the mean load that other entry hosts put on an upstream.
+        health: results of attempts, by host.
+        draining: hosts that operators have taken out of service.
+    """
 
     def __init__(self) -> None:
         self.mean_load = estimate.OthersMean()
@@ -192,7 +231,7 @@
 
     @staticmethod
     def now() -> float:
-        """Seconds of the event loop."""
+        """The time of the event loop in seconds."""
         return asyncio.get_running_loop().time()
 
 
@@ -201,8 +240,9 @@
     """The upstreams of one model or service.
 
     Attributes:
-        tiers: from those of the own data centre, over the region, to all.
-        ring: where prompts' prefixes belong.
+        tiers: the upstreams of the own data centre, those of the region, and
+            all of them; a tier that adds none to the one before is left out.
+        ring: assigns prompt prefixes to hosts.
     """
 
     tiers: tuple[Sequence[LinkedUpstream], ...]
@@ -210,20 +250,25 @@
 
 
 class UpstreamPool(link_port.LinkHandler):
-    """Upstreams by host, kept current by their links."""
+    """The linked upstreams, updated as links open and close.
+
+    Attributes:
+        by_host: the upstreams by host name.
+        misrouted_count: response messages received out of order.
+    """
 
     def __init__(self, *, data_centre: str = '', region: str = '') -> None:
         self._data_centre = data_centre
         self._region = region
         self._shared = SharedUpstreamState()
-        self._group_by_name: dict[tuple[str, str], UpstreamGroup] = {}
+        self._group_by_kind_and_name: dict[tuple[str, str], UpstreamGroup] = {}
         self.by_host: dict[str, LinkedUpstream] = {}
         self.misrouted_count = 0
-        self._changed = asyncio.Event()
+        self._links_changed = asyncio.Event()
         self._handlers_by_type: dict[type[Any], _OnMessage] = {}
 
     def subscribe(self, message_type: type[Any], handler: _OnMessage) -> None:
-        """Sets who handles messages of a type that the pool does not."""
+        """Sets the handler for a message type that the pool does not handle."""
         self._handlers_by_type[message_type] = handler
 
     @property
@@ -237,57 +282,70 @@
 
     @property
     def ejected(self) -> list[str]:
-        """Hosts that take no work but probes."""
+        """Hosts that were ejected as unhealthy and get probe requests only."""
         return self._shared.health.ejected
 
     def group(self, kind: str, name: str) -> UpstreamGroup:
-        """The upstreams of a model or service; kept until they change."""
-        group = self._group_by_name.get((kind, name))
+        """The upstreams of a model or service; cached until links change."""
+        group = self._group_by_kind_and_name.get((kind, name))
         if group is None:
-            group = self._make_group(kind, name)
-            self._group_by_name[kind, name] = group
+            group = self._build_group(kind, name)
+            self._group_by_kind_and_name[kind, name] = group
         return group
 
-    def _make_group(self, kind: str, name: str) -> UpstreamGroup:
-        everywhere = [u for u in self.by_host.values() if u.serves(kind, name)]
-        near = [
-            u for u in everywhere if u.hello.data_centre == self._data_centre
+    def _build_group(self, kind: str, name: str) -> UpstreamGroup:
+        all_upstreams = [
+            u for u in self.by_host.values() if u.serves(kind, name)
+        ]
+        same_data_centre = [
+            u for u in all_upstreams if u.hello.data_centre == self._data_centre
         ]
-        region = [u for u in everywhere if u.hello.region == self._region]
+        region = [u for u in all_upstreams if u.hello.region == self._region]
         tiers: list[Sequence[LinkedUpstream]] = []
-        for tier in (near, region, everywhere):
+        for tier in (same_data_centre, region, all_upstreams):
             if tier and (not tiers or len(tier) > len(tiers[-1])):
                 tiers.append(tier)
         return UpstreamGroup(tuple(tiers),
-                     affinity.PrefixRing(u.host for u in everywhere))
+                             affinity.PrefixRing(u.host for u in all_upstreams))
 
     def has_upstream(self, kind: str, name: str) -> bool:
-        """Whether any upstream, leaving or not, serves this name."""
+        """Whether any upstream serves this name, including leaving ones."""
         return any(u.serves(kind, name) for u in self.by_host.values())
 
     async def wait_for_link(self, host: str, incarnation: str,
-                       timeout_s: float) -> LinkedUpstream | None:
-        """Waits until a host is linked again in the same incarnation."""
+                            timeout_s: float) -> LinkedUpstream | None:
+        """Waits for an open link to a host.
+
+        Args:
+            host: the host's name.
+            incarnation: the expected incarnation of its process.
+            timeout_s: the longest wait in seconds.
+
+        Returns:
+            The upstream; None on a timeout, or when the host has linked with
+            another incarnation.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
                     upstream = self.by_host.get(host)
                     if upstream is not None and upstream.link.is_open:
-                        same = upstream.hello.incarnation == incarnation
-                        return upstream if same else None
-                    self._changed.clear()
-                    await self._changed.wait()
+                        is_same = upstream.hello.incarnation == incarnation
+                        return upstream if is_same else None
+                    self._links_changed.clear()
+                    await self._links_changed.wait()
         except TimeoutError:
             return None
 
     def on_open(self, link: link_port.Link) -> None:
-        old = self.by_host.get(link.peer.host)
-        if old is not None:
-            old.fail_pending()
-        self.by_host[link.peer.host] = LinkedUpstream(link=link, shared=self._shared)
+        replaced = self.by_host.get(link.peer.host)
+        if replaced is not None:
+            replaced.fail_pending()
+        self.by_host[link.peer.host] = LinkedUpstream(link=link,
+                                                      shared=self._shared)
         self._shared.health.add(link.peer.host)
-        self._group_by_name.clear()
-        self._changed.set()
+        self._group_by_kind_and_name.clear()
+        self._links_changed.set()
         logging.info('upstream linked host=%s incarnation=%s', link.peer.host,
                      link.peer.incarnation)
 
@@ -297,8 +355,8 @@
             return
         del self.by_host[link.peer.host]
         self._shared.health.remove(link.peer.host)
-        self._group_by_name.clear()
-        self._changed.set()
+        self._group_by_kind_and_name.clear()
+        self._links_changed.set()
         logging.info('upstream lost host=%s reason=%s', link.peer.host, reason)
         upstream.fail_pending()
 
@@ -314,10 +372,9 @@
                 if stream is not None:
                     stream.put(message)
             case messages.Sealed():
-                for answer in upstream.seals_by_attempt.pop(
-                        message.attempt, []):
-                    if not answer.done():
-                        answer.set_result(message.state)
+                for reply in upstream.seals_by_attempt.pop(message.attempt, []):
+                    if not reply.done():
+                        reply.set_result(message.state)
             case messages.Load():
                 upstream.record_load(message)
             case messages.Leaving():
@@ -328,8 +385,17 @@
                 if handler is not None:
                     handler(link, message)
 
-    def report_misrouted(self, upstream: LinkedUpstream, detail: str) -> errors.Failure:
-        """Counts an answer out of order and distrusts its link."""
+    def report_misrouted(self, upstream: LinkedUpstream,
+                         detail: str) -> errors.Failure:
+        """Counts a chunk received out of order and closes its link.
+
+        Args:
+            upstream: where the chunk came from.
+            detail: the expected and the received position.
+
+        Returns:
+            The failure of the attempt.
+        """
         self.misrouted_count += 1
-        upstream.link.close(f'answer misrouted: {detail}')
+        upstream.link.close(f'response misrouted: {detail}')
         return errors.failure(errors.Kind.UPSTREAM_MISROUTED, detail)
