--- a/pollenthread/app/__init__.py
+++ b/pollenthread/app/__init__.py
@@ -1,1 +1,1 @@
-"""Application services: what the processes do, over the ports."""
+"""Application services of the processes, built on the ports."""
--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -1,19 +1,18 @@
-"""One attempt at an agent: the call of the upstream and its answer."""
+"""One attempt at an agent: the upstream request and its response."""
 
 import asyncio
 import dataclasses
 from collections.abc import Callable
 
-from pollenthread.app import slot_scheduler as turns_module
-from pollenthread.core import (errors, events, gate_rules, messages, targets,
-                               spans)
+from pollenthread.app import slot_scheduler
+from pollenthread.core import (errors, events, gate_rules, messages, spans, targets)
 from pollenthread.ports import engine, link as link_port
 
 _US_PER_S = 1_000_000
 
 __all__ = ['Attempt', 'AttemptLimits']
 
-_ID_HEADER = 'x-request-id'
+_REQUEST_ID_HEADER = 'x-request-id'
 _URGENCY_BY_IMPORTANCE = {
     targets.Importance.LOW: 5,
     targets.Importance.NORMAL: 3,
@@ -23,30 +22,41 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptLimits:
-    """Bounds on one attempt.
+    """Limits for one attempt.
 
     Attributes:
-        resume_grace_s: seconds that an attempt goes on without a link, and
-            that a finished answer can still be resumed.
-        max_unsent_bytes: bytes held for an entry host that gives no credit.
-        max_outcome_bytes: size of a kept outcome.
+        resume_grace_s: seconds for which an attempt runs without a link, and
+            for which a finished response can still be resumed.
+        max_unacknowledged_bytes: bytes buffered for an entry host that grants
+            no credit; the upstream is not read beyond this.
+        max_retained_bytes: the largest response that is retained.
     """
 
     resume_grace_s: float = 10.0
-    max_unsent_bytes: int = 256 * 1024
+    max_unacknowledged_bytes: int = 256 * 1024
     max_retained_bytes: int = 1024 * 1024
 
 
 class Attempt:
-    """One attempt at the upstream and the part of its answer not yet taken.
+    """One attempt at the upstream with the buffered chunks of its response.
 
-    An answer that must be kept goes to every link that asked for it, whole.
-    Any other answer goes to one link, and only the part that the entry host
-    has not passed on is held.
+    The response of a non-repeatable attempt is retained in full and sent to
+    every link that asks for it. Any other response goes to one link, and only
+    the chunks that the entry host has not acknowledged by credit are buffered.
+
+    Attributes:
+        begin: the message that requested the attempt.
+        links: the links that receive the response.
+        task: runs the attempt; None before it is created.
+        started: whether the task has run its first step.
+        finished: whether the attempt has ended.
+        outcome_known: whether the response is complete.
+        queued_ms: milliseconds spent in the queue.
     """
 
     def __init__(self, *, begin: messages.Begin, link: link_port.Link,
-                 limits: AttemptLimits, turns: turns_module.SlotScheduler) -> None:
+                 limits: AttemptLimits,
+                 scheduler: slot_scheduler.SlotScheduler) -> None:
         self.begin = begin
         self.links: list[link_port.Link] = [link]
         self.task: asyncio.Task[None] | None = None
@@ -55,50 +65,50 @@
         self.outcome_known = False
         self.queued_ms = 0
         self._limits = limits
-        self._turns = turns
+        self._scheduler = scheduler
         self._head: messages.Head | None = None
-        self._unsent: list[messages.Chunk] = []
-        self._unsent_bytes = 0
+        self._unacknowledged_chunks: list[messages.Chunk] = []
+        self._unacknowledged_bytes = 0
         self._offset = 0
-        self._allowed = begin.window
-        self._credit = asyncio.Event()
-        self._last: messages.End | messages.Fail | None = None
-        self._grace: asyncio.TimerHandle | None = None
-        self._came_at = asyncio.get_running_loop().time()
-        self._began_at: float | None = None
-        self._deadline = self._came_at + begin.deadline_ms / 1000
+        self._send_limit = begin.window
+        self._credit_received = asyncio.Event()
+        self._final_message: messages.End | messages.Fail | None = None
+        self._cancel_timer: asyncio.TimerHandle | None = None
+        self._arrived_at = asyncio.get_running_loop().time()
+        self._started_at: float | None = None
+        self._deadline = self._arrived_at + begin.deadline_ms / 1000
 
     @property
     def deadline(self) -> float:
-        """When the attempt must have ended, by the loop's clock."""
+        """The event loop time by which the attempt must end."""
         return self._deadline
 
     @property
     def is_retained(self) -> bool:
-        """Whether the whole answer is held until it is confirmed."""
+        """Whether the whole response is retained until it is confirmed."""
         return not self.begin.repeatable
 
     @property
     def phase(self) -> gate_rules.Phase:
-        """How far the attempt has come."""
+        """The progress of the attempt."""
         if not self.finished:
             return gate_rules.Phase.RUNNING
         if self.outcome_known:
             return gate_rules.Phase.DONE
-        if (isinstance(self._last, messages.Fail) and
-                self._last.ran is errors.Ran.NO):
+        if (isinstance(self._final_message, messages.Fail) and
+                self._final_message.ran is errors.Ran.NO):
             return gate_rules.Phase.ENDED_NOT_RUN
         return gate_rules.Phase.ENDED_UNKNOWN
 
     @property
     def must_be_remembered(self) -> bool:
-        """Whether forgetting this attempt could let it run twice."""
+        """Whether removing this attempt would allow a second execution."""
         return gate_rules.must_be_kept(self.phase,
                                        repeatable=self.begin.repeatable)
 
     async def run(self, upstream: engine.Upstream) -> None:
-        """Calls the upstream and passes its answer on."""
-        self._began_at = asyncio.get_running_loop().time()
+        """Sends the request to the upstream and relays the response."""
+        self._started_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout_at(self._deadline):
                 async with upstream.call(_request(self.begin)) as exchange:
@@ -120,12 +130,12 @@
             return
         self._head = messages.Head(self.begin.attempt, exchange.status,
                                    exchange.headers, self.queued_ms)
-        self._emit(self._head)
+        self._send(self._head)
         if self.begin.stream and exchange.is_event_stream:
             await self._relay_events(exchange)
             return
         async for data in exchange.read():
-            await self._pass_on(len(data), data)
+            await self._send_chunk(len(data), data)
         if exchange.is_delimited:
             self._end()
         else:
@@ -136,9 +146,9 @@
     async def _relay_events(self, exchange: engine.Exchange) -> None:
         splitter = events.EventSplitter()
         async for data in exchange.read():
-            count, whole = splitter.feed(data)
+            count, whole_events = splitter.feed(data)
             if count:
-                await self._pass_on(count, whole)
+                await self._send_chunk(count, whole_events)
             if splitter.done:
                 break
         if splitter.done:
@@ -146,99 +156,112 @@
         else:
             self.fail(errors.failure(errors.Kind.UPSTREAM_TRUNCATED))
 
-    async def _pass_on(self, count: int, data: bytes) -> None:
-        self._turns.record_progress(self.begin.attempt, count)
+    async def _send_chunk(self, count: int, data: bytes) -> None:
+        self._scheduler.record_progress(self.begin.attempt, count)
         chunk = messages.Chunk(self.begin.attempt, self._offset, count, data)
         self._offset += count
-        self._unsent.append(chunk)
-        self._unsent_bytes += len(data)
-        self._emit(chunk)
+        self._unacknowledged_chunks.append(chunk)
+        self._unacknowledged_bytes += len(data)
+        self._send(chunk)
         if self.is_retained:
-            if self._unsent_bytes > self._limits.max_retained_bytes:
+            if self._unacknowledged_bytes > self._limits.max_retained_bytes:
                 raise ConnectionError('the outcome is too large to keep')
             return
-        while self._must_wait:
-            self._credit.clear()
-            await self._credit.wait()
+        while self._is_blocked:
+            self._credit_received.clear()
+            await self._credit_received.wait()
         for link in self.links:
             await link.drain()
 
     @property
-    def _must_wait(self) -> bool:
-        return (self._offset >= self._allowed or
-                self._unsent_bytes > self._limits.max_unsent_bytes)
+    def _is_blocked(self) -> bool:
+        return (self._offset >= self._send_limit or self._unacknowledged_bytes
+                > self._limits.max_unacknowledged_bytes)
 
     def _end(self) -> None:
         self.outcome_known = True
         self._finish(messages.End(self.begin.attempt, self._offset))
 
-    def fail(self, problem: errors.Failure) -> None:
+    def fail(self, failure: errors.Failure) -> None:
         """Ends the attempt with a failure, unless it has ended."""
         if not self.finished:
             self._finish(
-                messages.Fail(self.begin.attempt, problem.kind, problem.detail,
-                              problem.ran))
+                messages.Fail(self.begin.attempt, failure.kind, failure.detail,
+                              failure.ran))
 
-    def _finish(self, last: messages.End | messages.Fail) -> None:
+    def _finish(self, final: messages.End | messages.Fail) -> None:
         self.finished = True
         if spans.is_sampled(self.begin.headers):
-            self._emit(self._served())
-        self._last = last
-        self._emit(last)
+            self._send(self._timing_message())
+        self._final_message = final
+        self._send(final)
 
-    def _served(self) -> messages.Served:
+    def _timing_message(self) -> messages.Served:
         now = asyncio.get_running_loop().time()
-        began_at = now if self._began_at is None else self._began_at
+        started_at = now if self._started_at is None else self._started_at
         return messages.Served(attempt=self.begin.attempt,
                                queued_us=round(
-                                   (began_at - self._came_at) * _US_PER_S),
-                               upstream_us=round((now - began_at) * _US_PER_S))
+                                   (started_at - self._arrived_at) * _US_PER_S),
+                               upstream_us=round(
+                                   (now - started_at) * _US_PER_S))
 
-    def _emit(self, message: messages.Message) -> None:
+    def _send(self, message: messages.Message) -> None:
         for link in self.links:
             link_port.send_if_open(link, message)
 
     def add_credit(self, credit: messages.Credit) -> None:
-        """Forgets what the entry host has passed on; allows more."""
+        """Drops acknowledged chunks and allows the window beyond them."""
         if self.is_retained:
             return
-        self._allowed = max(self._allowed, credit.offset + credit.window)
-        kept_from = 0
-        for chunk in self._unsent:
+        self._send_limit = max(self._send_limit, credit.offset + credit.window)
+        acknowledged_count = 0
+        for chunk in self._unacknowledged_chunks:
             if chunk.offset + chunk.count > credit.offset:
                 break
-            kept_from += 1
-            self._unsent_bytes -= len(chunk.data)
-        del self._unsent[:kept_from]
-        self._credit.set()
+            acknowledged_count += 1
+            self._unacknowledged_bytes -= len(chunk.data)
+        del self._unacknowledged_chunks[:acknowledged_count]
+        self._credit_received.set()
 
     def detach(self, link: link_port.Link) -> None:
-        """Goes on without a link that was lost, for a while."""
+        """Removes a lost link.
+
+        A response that is not retained is cancelled unless a link resumes it
+        within the grace period.
+        """
         if link not in self.links:
             return
         self.links.remove(link)
         if not self.is_retained and not self.finished:
             loop = asyncio.get_running_loop()
-            self._grace = loop.call_later(self._limits.resume_grace_s,
-                                          self.cancel)
+            self._cancel_timer = loop.call_later(self._limits.resume_grace_s,
+                                                 self.cancel)
 
     def attach(self, link: link_port.Link, resume: messages.Resume) -> bool:
-        """Continues the answer on a link; False when a part is gone."""
-        held = [
-            chunk for chunk in self._unsent
+        """Resumes the response on a link.
+
+        Args:
+            link: the link to send the response to.
+            resume: the position to resume from.
+
+        Returns:
+            False when the chunk at that position is no longer buffered.
+        """
+        resent = [
+            chunk for chunk in self._unacknowledged_chunks
             if chunk.offset + chunk.count > resume.offset
         ]
-        start = held[0].offset if held else self._offset
-        if start != resume.offset:
+        first_offset = resent[0].offset if resent else self._offset
+        if first_offset != resume.offset:
             return False
-        if self._grace is not None:
-            self._grace.cancel()
+        if self._cancel_timer is not None:
+            self._cancel_timer.cancel()
         self._add_link(link)
-        for message in (self._head, *held, self._last):
+        for message in (self._head, *resent, self._final_message):
             if message is not None:
                 link_port.send_if_open(link, message)
-        self._allowed = max(self._allowed, resume.offset + resume.window)
-        self._credit.set()
+        self._send_limit = max(self._send_limit, resume.offset + resume.window)
+        self._credit_received.set()
         return True
 
     def _add_link(self, link: link_port.Link) -> None:
@@ -248,12 +271,12 @@
             self.links.append(link)
 
     def cancel(self) -> None:
-        """Stops the work at the upstream."""
+        """Cancels the upstream request."""
         if self.task is not None:
             self.task.cancel()
 
     def release_after_grace(self, release: Callable[[], object]) -> None:
-        """Calls `release` once nobody can ask to resume any more."""
+        """Calls `release` after the grace period for resuming."""
         loop = asyncio.get_running_loop()
         loop.call_later(self._limits.resume_grace_s, release)
 
@@ -263,13 +286,13 @@
     urgency = _URGENCY_BY_IMPORTANCE[importance]
     return engine.UpstreamRequest(method=begin.method,
                                   path=begin.path,
-                                  headers=(*begin.headers, (_ID_HEADER,
+                                  headers=(*begin.headers, (_REQUEST_ID_HEADER,
                                                             begin.attempt),
                                            ('priority', f'u={urgency}')),
                                   body=begin.body)
 
 
 def _is_misrouted(exchange: engine.Exchange, attempt: str) -> bool:
-    """Whether the upstream answers with another request's id."""
-    return any(name == _ID_HEADER and value != attempt
+    """Whether the response carries the id of another request."""
+    return any(name == _REQUEST_ID_HEADER and value != attempt
                for name, value in exchange.headers)
--- a/pollenthread/app/claim_store.py
+++ b/pollenthread/app/claim_store.py
@@ -1,4 +1,8 @@
-"""Keeps claims in the table for work that may not be repeated."""
+"""Stores the claims of non-repeatable requests in the table.
+
+A claim is a row under the idempotency key of a request. It allows a single
+attempt to run and later holds the response.
+"""
 
 import base64
 import dataclasses
@@ -9,24 +13,31 @@
 
 import result
 
-from pollenthread.app import upstream_pool as pool_module
+from pollenthread.app import upstream_pool
 from pollenthread.core import claims, errors
 from pollenthread.ports import table
 
 __all__ = [
-    'AttachableClaim', 'ClaimStore', 'GrantedClaim', 'ReplayedResponse', 'SHARD_COUNT', 'encode_claim',
-    'decode_claim', 'request_digest', 'row_key', 'shard_prefix'
+    'AttachableClaim', 'ClaimStore', 'GrantedClaim', 'ReplayedResponse',
+    'SHARD_COUNT', 'encode_claim', 'decode_claim', 'request_digest', 'row_key',
+    'shard_prefix'
 ]
 
 SHARD_COUNT = 4096
 _SHARD_DIGITS = 3
-_MAX_ROUNDS = 8
+_MAX_ACQUIRE_TRIES = 8
 _LINK_TIMEOUT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
 class GrantedClaim:
-    """The attempt may be handed to the agent."""
+    """A claim that allows its attempt to be sent to the agent.
+
+    Attributes:
+        key: the row's key.
+        claim: the claim.
+        version: the row's version.
+    """
 
     key: str
     claim: claims.Claim
@@ -35,44 +46,56 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplayedResponse:
-    """The work is done: this is its kept outcome."""
+    """The stored response of a completed request.
+
+    Attributes:
+        outcome: the response.
+    """
 
     outcome: claims.Outcome
 
 
 @dataclasses.dataclass(frozen=True)
 class AttachableClaim:
-    """Another attempt holds the claim and its answer can be had."""
+    """A claim of another attempt whose response its agent can send.
+
+    Attributes:
+        key: the row's key.
+        claim: the claim.
+        version: the row's version.
+        upstream: where the attempt runs or has run.
+    """
 
     key: str
     claim: claims.Claim
     version: int
-    upstream: pool_module.LinkedUpstream
+    upstream: upstream_pool.LinkedUpstream
 
 
 Decision = GrantedClaim | ReplayedResponse | AttachableClaim
 
 
 def request_digest(method: str, path: str, work_class: str, body: bytes) -> str:
-    """Digest that tells whether a repeat carries the same request."""
+    """Digest of a request, to detect the reuse of a key for another one."""
     head = f'{method}\0{path}\0{work_class}\0'.encode()
     return hashlib.sha256(head + body).hexdigest()
 
 
 class ClaimStore:
-    """Claims keys, takes claims over, and records outcomes."""
+    """Acquires and releases claims and records responses in them."""
 
     def __init__(self, *, table_service: table.TableService,
-                 pool: pool_module.UpstreamPool, request_link: Callable[[str], bool],
+                 pool: upstream_pool.UpstreamPool, request_link: Callable[[str],
+                                                                          bool],
                  wall_clock: Callable[[], float]) -> None:
         self._table = table_service
         self._pool = pool
-        self._want_upstream = request_link
-        self._wall = wall_clock
+        self._request_link = request_link
+        self._wall_clock = wall_clock
 
     async def acquire(
             self, key: str,
-            wanted: claims.Claim) -> result.Result[Decision, errors.Failure]:
+            new_claim: claims.Claim) -> result.Result[Decision, errors.Failure]:
         """Claims a key for an attempt.
 
         Args:
@@ -80,17 +103,19 @@
             wanted: the claim to insert.
 
         Returns:
-            Leave to begin, an outcome to replay, or an attempt to attach to;
-            a failure proves that this call let nothing run.
+            The granted claim, a stored response, or the claim of an attempt to
+            follow. After a failure, no attempt may be sent.
         """
-        wanted = dataclasses.replace(wanted, claimed_at_s=int(self._wall()))
-        for _ in range(_MAX_ROUNDS):
+        new_claim = dataclasses.replace(new_claim,
+                                        claimed_at_s=int(self._wall_clock()))
+        for _ in range(_MAX_ACQUIRE_TRIES):
             inserted = await self._table.put(key,
-                                             encode_claim(wanted),
+                                             encode_claim(new_claim),
                                              expect=table.ABSENT)
             if isinstance(inserted, result.Ok):
-                return result.Ok(GrantedClaim(key, wanted, inserted.ok_value))
-            if not _may_have_row(inserted.err_value):
+                return result.Ok(GrantedClaim(key, new_claim,
+                                              inserted.ok_value))
+            if not _row_may_exist(inserted.err_value):
                 return result.Err(_table_failure())
             found = await self._table.get(key)
             if isinstance(found, result.Err):
@@ -98,22 +123,22 @@
             row = found.ok_value
             if row is None:
                 continue
-            decision = await self._decide(row, wanted)
+            decision = await self._decide(row, new_claim)
             if decision is not None:
                 return decision
         return result.Err(_table_failure())
 
     async def look_up(
-            self, key: str,
-            digest: str) -> result.Result[ReplayedResponse | None, errors.Failure]:
-        """Finds how the work under a key ended, without claiming it.
+            self, key: str, digest: str
+    ) -> result.Result[ReplayedResponse | None, errors.Failure]:
+        """Looks up the stored response for a key without claiming the key.
 
         Args:
             key: the row's key, from `row_key`.
             digest: the digest of the caller's request.
 
         Returns:
-            The kept outcome, or None when nothing has claimed the key.
+            The stored response, or None when the key is not claimed.
         """
         found = await self._table.get(key)
         if isinstance(found, result.Err):
@@ -131,28 +156,36 @@
                 return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
 
     async def reassign(
-            self, granted: GrantedClaim,
-            wanted: claims.Claim) -> result.Result[GrantedClaim, errors.Failure]:
-        """Moves a claim whose attempt is proved not to have run."""
-        wanted = dataclasses.replace(wanted,
-                                     claimed_at_s=granted.claim.claimed_at_s)
-        version = await self._replace(granted.key, granted.version, wanted)
+            self, granted: GrantedClaim, new_claim: claims.Claim
+    ) -> result.Result[GrantedClaim, errors.Failure]:
+        """Reassigns a claim whose attempt has certainly not run.
+
+        Args:
+            granted: the claim.
+            wanted: the claim for the new attempt.
+
+        Returns:
+            The new claim; a failure when the table did not confirm it.
+        """
+        new_claim = dataclasses.replace(new_claim,
+                                        claimed_at_s=granted.claim.claimed_at_s)
+        version = await self._replace(granted.key, granted.version, new_claim)
         if version is None:
             return result.Err(_table_failure())
-        return result.Ok(GrantedClaim(granted.key, wanted, version))
+        return result.Ok(GrantedClaim(granted.key, new_claim, version))
 
     async def release(self, granted: GrantedClaim) -> bool:
-        """Deletes a claim whose attempt is proved not to have run.
+        """Deletes a claim whose attempt has certainly not run.
 
         Returns:
-            Whether it is sure that nobody has taken the claim over.
+            False when another request may have taken over the claim.
         """
         released = await self._table.commit(
             [table.Write(granted.key, None, granted.version)])
         return isinstance(released, result.Ok)
 
     async def find_claim(
-        self, key: str, attempt: str, upstream: pool_module.LinkedUpstream
+        self, key: str, attempt: str, upstream: upstream_pool.LinkedUpstream
     ) -> result.Result[AttachableClaim | None, errors.Failure]:
         """Finds the claim of an attempt that an agent has finished.
 
@@ -162,8 +195,9 @@
             upstream: where the attempt ran.
 
         Returns:
-            The claim to record an outcome for, or None when the table proves
-            that the key has ended; a failure when it proves neither.
+            The claim to record a response for, or None when the row already
+            holds a result; a failure when the row is missing or belongs to
+            another attempt.
         """
         found = await self._table.get(key)
         if isinstance(found, result.Err):
@@ -176,39 +210,41 @@
             return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
         return result.Ok(AttachableClaim(key, claim, row.version, upstream))
 
-    async def record_outcome(self, held: GrantedClaim | AttachableClaim,
-                     outcome: claims.Outcome | None) -> bool:
-        """Keeps how the work ended.
+    async def record_outcome(self, held_claim: GrantedClaim | AttachableClaim,
+                             outcome: claims.Outcome | None) -> bool:
+        """Records the result of an attempt in its claim.
 
         Args:
             held: the claim.
-            outcome: the whole answer, or None when the outcome is unknown.
+            outcome: the complete response, or None when the result is unknown.
 
         Returns:
-            False when the table does not hold an ending yet.
+            Whether the table holds a result for the key.
         """
         state = (claims.ClaimState.UNKNOWN
                  if outcome is None else claims.ClaimState.DONE)
-        done = dataclasses.replace(held.claim, state=state, outcome=outcome)
-        version = await self._replace(held.key, held.version, done)
+        ended = dataclasses.replace(held_claim.claim,
+                                    state=state,
+                                    outcome=outcome)
+        version = await self._replace(held_claim.key, held_claim.version, ended)
         if version is not None:
             return True
-        found = await self._table.get(held.key)
+        found = await self._table.get(held_claim.key)
         if isinstance(found, result.Err) or found.ok_value is None:
             return False
         return (decode_claim(found.ok_value.value).state
                 is not claims.ClaimState.CLAIMED)
 
     async def _decide(
-            self, row: table.Row, wanted: claims.Claim
+        self, row: table.Row, new_claim: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
-        """Decides from a row; None asks for another round."""
+        """Decides what a row allows; None when the row must be read again."""
         claim = decode_claim(row.value)
         step = claims.first_step(claim,
-                                 attempt=wanted.attempt,
-                                 digest=wanted.digest)
+                                 attempt=new_claim.attempt,
+                                 digest=new_claim.digest)
         if step is claims.Step.ASK_SEAL:
-            return await self._ask_seal(row, claim, wanted)
+            return await self._ask_seal(row, claim, new_claim)
         match step:
             case claims.Step.BEGIN:
                 return result.Ok(GrantedClaim(row.key, claim, row.version))
@@ -221,12 +257,13 @@
                 return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
 
     async def _ask_seal(
-            self, row: table.Row, claim: claims.Claim, wanted: claims.Claim
+        self, row: table.Row, claim: claims.Claim, new_claim: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
         upstream = self._pool.by_host.get(claim.host)
-        if upstream is None and self._want_upstream(claim.host):
-            upstream = await self._pool.wait_for_link(claim.host, claim.incarnation,
-                                                 _LINK_TIMEOUT_S)
+        if upstream is None and self._request_link(claim.host):
+            upstream = await self._pool.wait_for_link(claim.host,
+                                                      claim.incarnation,
+                                                      _LINK_TIMEOUT_S)
         state = None
         incarnation = ''
         if upstream is not None:
@@ -235,13 +272,14 @@
                 state = await upstream.seal(claim.attempt, claim.session)
         step = claims.after_seal(claim, incarnation=incarnation, state=state)
         if step is claims.Step.TAKE_OVER:
-            version = await self._replace(row.key, row.version, wanted)
+            version = await self._replace(row.key, row.version, new_claim)
             if version is None:
                 return None
-            return result.Ok(GrantedClaim(row.key, wanted, version))
+            return result.Ok(GrantedClaim(row.key, new_claim, version))
         if step is claims.Step.ATTACH:
             assert upstream is not None
-            return result.Ok(AttachableClaim(row.key, claim, row.version, upstream))
+            return result.Ok(
+                AttachableClaim(row.key, claim, row.version, upstream))
         if incarnation and incarnation != claim.incarnation:
             unknown = dataclasses.replace(claim,
                                           state=claims.ClaimState.UNKNOWN)
@@ -250,7 +288,13 @@
 
     async def _replace(self, key: str, version: int,
                        claim: claims.Claim) -> int | None:
-        """Compare-and-set; settles a lost answer by reading again."""
+        """Replaces a row if its version is unchanged.
+
+        Reads the row when the table's reply is lost.
+
+        Returns:
+            The new version; None if the row was not or may not be replaced.
+        """
         value = encode_claim(claim)
         written = await self._table.put(key, value, expect=version)
         if isinstance(written, result.Ok):
@@ -265,18 +309,18 @@
 
 
 def row_key(workspace: str, key: str) -> str:
-    """The key of the row for an idempotency key."""
+    """Returns the key of the row for an idempotency key."""
     digest = hashlib.sha256(f'{workspace}\0{key}'.encode()).hexdigest()
     name = parse.quote(key, safe='')
     return f'{shard_prefix(digest[:_SHARD_DIGITS])}{workspace}/{name}'
 
 
 def shard_prefix(shard: str) -> str:
-    """The prefix of the rows of one of `SHARDS` parts of all claims."""
+    """Returns the prefix of the rows in one of `SHARD_COUNT` shards."""
     return f'claims/{shard}/'
 
 
-def _may_have_row(fault: table.TableFault) -> bool:
+def _row_may_exist(fault: table.TableFault) -> bool:
     return fault in (table.TableFault.CONFLICT, table.TableFault.UNKNOWN)
 
 
@@ -285,7 +329,7 @@
 
 
 def encode_claim(claim: claims.Claim) -> bytes:
-    """The value of a claim's row."""
+    """Encodes a claim as the value of its row."""
     fields = dataclasses.asdict(claim)
     if claim.outcome is not None:
         body = base64.b64encode(claim.outcome.body).decode()
@@ -294,14 +338,14 @@
 
 
 def decode_claim(value: bytes) -> claims.Claim:
-    """Reads the value of a claim's row."""
+    """Decodes the value of a claim's row."""
     fields = json.loads(value)
-    kept = fields.pop('outcome')
+    stored = fields.pop('outcome')
     outcome = None
-    if kept is not None:
-        headers = tuple((name, text) for name, text in kept['headers'])
-        outcome = claims.Outcome(status=kept['status'],
+    if stored is not None:
+        headers = tuple((name, text) for name, text in stored['headers'])
+        outcome = claims.Outcome(status=stored['status'],
                                  headers=headers,
-                                 body=base64.b64decode(kept['body']))
+                                 body=base64.b64decode(stored['body']))
     state = claims.ClaimState(fields.pop('state'))
     return claims.Claim(**fields, state=state, outcome=outcome)
--- a/pollenthread/app/claim_sweeper.py
+++ b/pollenthread/app/claim_sweeper.py
@@ -1,4 +1,4 @@
-"""Deletes claims whose keys may be used again."""
+"""Deletes expired claims, so that their keys can be used again."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,43 +13,52 @@
 
 SWEEP_DUTY = 'claims/sweep'
 _SHARD_DIGITS = 3
-_ROUND_S = claims.RETENTION_S / 4
-_DELETED_AT_ONCE = 32
+_SWEEP_PERIOD_S = claims.RETENTION_S / 4
+_DELETE_BATCH_SIZE = 32
 
 
 class ClaimSweeper:
-    """Goes through all shards, one after another, while it holds the duty."""
+    """Sweeps the shards in turn while this host holds the sweep duty.
+
+    Attributes:
+        deleted_count: claims deleted so far.
+    """
 
     def __init__(self, *, table_service: table.TableService,
-                 holds_duty: Callable[[str], bool], wall_clock: Callable[[],
-                                                              float]) -> None:
+                 holds_duty: Callable[[str], bool],
+                 wall_clock: Callable[[], float]) -> None:
         self._table = table_service
-        self._holds = holds_duty
-        self._wall = wall_clock
-        self._next = 0
+        self._holds_duty = holds_duty
+        self._wall_clock = wall_clock
+        self._next_shard = 0
         self.deleted_count = 0
 
     async def run(self) -> None:
         """Sweeps until cancelled."""
         while True:
-            await asyncio.sleep(_ROUND_S / claim_store.SHARD_COUNT)
-            if self._holds(SWEEP_DUTY):
-                await self.sweep(f'{self._next:0{_SHARD_DIGITS}x}')
-                self._next = (self._next + 1) % claim_store.SHARD_COUNT
+            await asyncio.sleep(_SWEEP_PERIOD_S / claim_store.SHARD_COUNT)
+            if self._holds_duty(SWEEP_DUTY):
+                await self.sweep(f'{self._next_shard:0{_SHARD_DIGITS}x}')
+                self._next_shard = (self._next_shard +
+                                    1) % claim_store.SHARD_COUNT
 
     async def sweep(self, shard: str) -> None:
-        """Deletes the expired claims of one shard."""
+        """Deletes the expired claims of one shard.
+
+        Args:
+            shard: the shard as three hexadecimal digits.
+        """
         found = await self._table.scan(claim_store.shard_prefix(shard))
         if isinstance(found, result.Err):
             return
-        now_s = self._wall()
+        now_s = self._wall_clock()
         writes = [
             table.Write(row.key, None, row.version)
             for row in found.ok_value
             if claims.is_expired(claim_store.decode_claim(row.value), now_s)
         ]
-        for i in range(0, len(writes), _DELETED_AT_ONCE):
-            batch = writes[i:i + _DELETED_AT_ONCE]
+        for i in range(0, len(writes), _DELETE_BATCH_SIZE):
+            batch = writes[i:i + _DELETE_BATCH_SIZE]
             done = await self._table.commit(batch)
             if isinstance(done, result.Ok):
                 self.deleted_count += len(batch)
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -1,4 +1,4 @@
-"""Which hosts there are, by the host list and by what the hosts say."""
+"""Tracks the hosts of the host list and the liveness of the entry hosts."""
 
 import asyncio
 import dataclasses
@@ -7,34 +7,41 @@
 import result
 from absl import logging
 
-from pollenthread.app import liveness as heartbeats_module
+from pollenthread.app import liveness
 from pollenthread.core import addresses, membership, versions
 from pollenthread.ports import clock, host_list
 
 __all__ = ['HostDirectory']
 
-_JUDGE_INTERVAL_S = 0.5
-_JUDGEMENTS_PER_POLL = 2
-_EXTRA_LINK_S = 30.0
-_RESTART_SETTLE_S = 3.0
+_UPDATE_INTERVAL_S = 0.5
+_UPDATES_PER_READ = 2
+_EXTRA_LINK_LIFETIME_S = 30.0
+_ADDRESS_SETTLE_S = 3.0
 
 
 class HostDirectory:
-    """Follows the host list; keeps the last one while it is silent."""
+    """Follows the host list; keeps the last one while it cannot be read.
+
+    Attributes:
+        hosts_by_name: the hosts of the list.
+        draining: hosts that operators have taken out of service.
+        pollers: the entry hosts of the data centre that read the table for the
+            others.
+    """
 
     def __init__(self, *, hosts: host_list.HostList, time: clock.Clock,
                  own: membership.Member,
-                 heartbeats: heartbeats_module.LivenessTracker) -> None:
+                 heartbeats: liveness.LivenessTracker) -> None:
         self._hosts = hosts
         self._time = time
         self._own = own
-        self._heartbeats = heartbeats
+        self._liveness = heartbeats
         self.hosts_by_name: dict[str, host_list.Host] = {}
         self._members: list[membership.Member] = []
-        self._chosen: frozenset[str] = frozenset()
-        self._dialed: frozenset[str] = frozenset()
-        self._upstreams: frozenset[str] = frozenset()
-        self._view = membership.View({}, False)
+        self._watched_hosts: frozenset[str] = frozenset()
+        self._dialed_hosts: frozenset[str] = frozenset()
+        self._upstream_hosts: frozenset[str] = frozenset()
+        self._membership_view = membership.View({}, False)
         self._extra_until_by_host: dict[str, float] = {}
         self.draining: frozenset[str] = frozenset()
         self._read_at: float | None = None
@@ -42,15 +49,15 @@
 
     @property
     def age_s(self) -> float | None:
-        """Seconds since the list was read, or None."""
+        """Seconds since the list was last read; None before the first read."""
         if self._read_at is None:
             return None
         return self._time.monotonic() - self._read_at
 
     @property
     def membership_view(self) -> membership.View:
-        """The judgement over the entry hosts."""
-        return self._view
+        """The current states of the entry hosts."""
+        return self._membership_view
 
     @property
     def is_poller(self) -> bool:
@@ -58,40 +65,46 @@
         return self._own.host in self.pollers
 
     def is_leaving(self, name: str) -> bool:
-        """Whether the list or the host itself says that it leaves."""
+        """Whether the host list or the host itself reports a shutdown."""
         host = self.hosts_by_name.get(name)
         if host is not None and host.leaving:
             return True
-        return self._heartbeats.evidence(name).said_leaving
+        return self._liveness.evidence(name).said_leaving
 
     def usable_entries(self) -> list[addresses.EntryHost]:
-        """Entry hosts that callers may use."""
-        usable = set(self._view.usable()) - self.draining
-        settled = {host for host in usable if not self._may_have_moved(host)}
+        """Returns the entry hosts that callers may use.
+
+        Leaves out recently restarted hosts if any other host is usable.
+        """
+        usable = set(self._membership_view.usable()) - self.draining
+        settled_hosts = {
+            host for host in usable if not self._may_have_stale_address(host)
+        }
         return [
             addresses.EntryHost(host=host.name, address=host.callers)
             for host in self.hosts_by_name.values()
-            if host.name in (settled or usable)
+            if host.name in (settled_hosts or usable)
         ]
 
-    def _may_have_moved(self, host: str) -> bool:
-        """Whether the list may still show where an earlier start listened."""
-        restarted_s = self._heartbeats.seconds_since_restart(host)
-        return restarted_s is not None and restarted_s < _RESTART_SETTLE_S
+    def _may_have_stale_address(self, host: str) -> bool:
+        """Whether the list may still have the address before a restart."""
+        restarted_s = self._liveness.seconds_since_restart(host)
+        return restarted_s is not None and restarted_s < _ADDRESS_SETTLE_S
 
     def live_entries(self) -> list[str]:
-        """Names of entry hosts that may take duties."""
-        return sorted(set(self._view.usable()) & self.hosts_by_name.keys())
+        """Returns the sorted names of the entry hosts that may take duties."""
+        return sorted(
+            set(self._membership_view.usable()) & self.hosts_by_name.keys())
 
     def upstream_addresses(self) -> dict[str, str]:
-        """Link addresses of the upstream hosts to keep links to, by name."""
+        """Returns link addresses of the upstreams to link to, by host name."""
         now = self._time.monotonic()
         self._extra_until_by_host = {
             host: until
             for host, until in self._extra_until_by_host.items()
             if until > now
         }
-        wanted = self._upstreams | self._extra_until_by_host.keys()
+        wanted = self._upstream_hosts | self._extra_until_by_host.keys()
         return {
             name: self.hosts_by_name[name].address
             for name in wanted
@@ -99,28 +112,30 @@
         }
 
     def request_upstream_link(self, host: str) -> bool:
-        """Asks for a link to an upstream outside the subset for a while.
+        """Requests a temporary link to an upstream outside the subset.
+
+        Args:
+            host: the upstream's host name.
 
         Returns:
             Whether the host is listed.
         """
         self._extra_until_by_host[host] = (self._time.monotonic() +
-                                           _EXTRA_LINK_S)
+                                           _EXTRA_LINK_LIFETIME_S)
         return host in self.hosts_by_name
 
     def peers_to_dial(self) -> dict[str, str]:
-        """Link addresses of the entry hosts that this one dials, by name.
+        """Returns link addresses of the entry hosts to dial, by host name.
 
-        Of two hosts that choose each other the one whose name sorts first
-        dials.
+        If two hosts select each other, the one whose name sorts first dials.
         """
         return {
             host: self.hosts_by_name[host].address
-            for host in self._dialed
+            for host in self._dialed_hosts
             if host in self.hosts_by_name
         }
 
-    def _dials_us(self, host: str) -> bool:
+    def _is_dialed_by(self, host: str) -> bool:
         if host > self._own.host:
             return False
         member = self._member(host)
@@ -132,17 +147,19 @@
         return None if host is None else _to_member(host)
 
     def reachability(self) -> versions.Reachable:
-        """How many of the watched hosts of the own region are heard."""
+        """Counts the watched hosts of the own region that are reachable."""
         watched = [
-            host for host in self._chosen if host in self.hosts_by_name and
+            host for host in self._watched_hosts
+            if host in self.hosts_by_name and
             self.hosts_by_name[host].region == self._own.region
         ]
-        heard = sum(1 for host in watched
-                    if self._heartbeats.evidence(host).silent_s == 0.0)
-        return versions.Reachable(heard=heard + 1, listed=len(watched) + 1)
+        heard_count = sum(1 for host in watched
+                          if self._liveness.evidence(host).silent_s == 0.0)
+        return versions.Reachable(heard=heard_count + 1,
+                                  listed=len(watched) + 1)
 
     async def refresh(self) -> bool:
-        """Reads the list once; False when it is silent."""
+        """Reads the list once; False when it cannot be read."""
         found = await self._hosts.read()
         if isinstance(found, result.Err):
             return False
@@ -150,57 +167,59 @@
             logging.info('host list changed hosts=%d', len(found.ok_value))
         if found.ok_value != self.hosts_by_name:
             self.hosts_by_name = found.ok_value
-            self._choose()
+            self._select_links()
         self._read_at = self._time.monotonic()
         return True
 
-    def _choose(self) -> None:
-        """Chooses whom to keep links to."""
+    def _select_links(self) -> None:
+        """Selects the hosts to keep links to."""
         self._members = [
             _to_member(host)
             for host in self.hosts_by_name.values()
             if host.role == 'entry'
         ]
-        self._upstreams = membership.upstream_subset(
+        self._upstream_hosts = membership.upstream_subset(
             self._own, (_to_member(host)
                         for host in self.hosts_by_name.values()
                         if host.role == 'upstream'))
-        self._chosen = membership.linked_peers(self._own, self._members)
-        self._dialed = frozenset(
-            host for host in self._chosen if not self._dials_us(host))
+        self._watched_hosts = membership.linked_peers(self._own, self._members)
+        self._dialed_hosts = frozenset(host for host in self._watched_hosts
+                                       if not self._is_dialed_by(host))
 
     def update_states(self) -> None:
-        """Judges the entry hosts anew and tells others of dead ones."""
-        self._heartbeats.set_watched_hosts(self._chosen)
-        before = self._view
-        self._view = membership.judge({
+        """Updates the states of the entry hosts and reports dead ones."""
+        self._liveness.set_watched_hosts(self._watched_hosts)
+        before = self._membership_view
+        self._membership_view = membership.judge({
             member.host: self._evidence(member.host) for member in self._members
         })
-        for host, state in self._view.state_by_host.items():
+        for host, state in self._membership_view.state_by_host.items():
             if before.state_by_host.get(host) is not state:
                 logging.info('entry host=%s state=%s', host, state)
-        if before.is_panic != self._view.is_panic:
-            logging.warning('membership panic=%s', self._view.is_panic)
-        self._heartbeats.report_dead(_dead(self._view))
-        usable = set(self._view.usable()) - self.draining
+        if before.is_panic != self._membership_view.is_panic:
+            logging.warning('membership panic=%s',
+                            self._membership_view.is_panic)
+        self._liveness.report_dead(_dead_hosts(self._membership_view))
+        usable = set(self._membership_view.usable()) - self.draining
         self.pollers = membership.pollers(
             (m for m in self._members if m.host in usable),
             self._own.data_centre)
 
     def _evidence(self, host: str) -> membership.Evidence:
-        return dataclasses.replace(self._heartbeats.evidence(host),
-                                   listed_leaving=self.hosts_by_name[host].leaving)
+        return dataclasses.replace(
+            self._liveness.evidence(host),
+            listed_leaving=self.hosts_by_name[host].leaving)
 
     async def poll(self) -> None:
         """Follows the list until cancelled."""
         while True:
             await self.refresh()
-            for _ in range(_JUDGEMENTS_PER_POLL):
+            for _ in range(_UPDATES_PER_READ):
                 self.update_states()
-                await asyncio.sleep(_JUDGE_INTERVAL_S)
+                await asyncio.sleep(_UPDATE_INTERVAL_S)
 
 
-def _dead(view: membership.View) -> Iterable[str]:
+def _dead_hosts(view: membership.View) -> Iterable[str]:
     return (host for host, state in view.state_by_host.items()
             if state is membership.State.DEAD)
 
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -1,37 +1,42 @@
-"""Entry hosts' heartbeats, and what is learned through them.
+"""Exchanges heartbeats and store contents between entry hosts.
 
-A host that cannot reach the store asks a peer that can. So a configuration or
-a leaving server becomes known wherever any path is left.
+A host that cannot reach the store fetches its contents from a peer that can, so
+that configuration and server changes reach it over any remaining path.
 """
 
 import random
 from collections.abc import Sequence
 
-from pollenthread.app import store_listeners, host_registry, serving_state
+from pollenthread.app import host_registry, serving_state, store_listeners
 from pollenthread.core import (addresses, host_record, load_board, log_events,
                                peer_messages)
 from pollenthread.ports import clock, event_log, peers, row_store
 
 __all__ = ['EntryPeers']
 
-_BEAT_S = 0.4
-_SILENT_S = 1.3
-# Longer than a call to the store waits for a change.
-_STORE_STALE_S = 2.2
-# A change reaches all hosts that the store answers sooner than this.
-_BEHIND_S = 0.6
-_SNAPSHOT_PAUSE_S = 0.35
+_HEARTBEAT_INTERVAL_S = 0.4
+_HEARTBEAT_TIMEOUT_S = 1.3
+# Exceeds the time that a call to the store waits for a change.
+_STORE_TIMEOUT_S = 2.2
+# Time for a change to reach every host that can reach the store.
+_CHANGE_DELAY_S = 0.6
+_PEER_CHECK_INTERVAL_S = 0.35
 _MS_PER_S = 1000
 _MAX_AGE_MS = 2**31
-_MIN_NEAR_HOSTS = 2
+_MIN_NEARBY_HOSTS = 2
 
 
 class EntryPeers:
-    """Knows which entry hosts are alive."""
+    """Tracks live entry hosts and fetches store contents from them.
 
-    def __init__(self, *, own: host_record.HostRecord, hosts: host_registry.HostRegistry,
-                 seeds: Sequence[str], network: peers.PeerNetwork,
-                 state: serving_state.ServingState,
+    Attributes:
+        seeds: addresses of peers to use while no live one is known.
+        applied_snapshot_count: snapshots fetched from peers.
+    """
+
+    def __init__(self, *, own: host_record.HostRecord,
+                 hosts: host_registry.HostRegistry, seeds: Sequence[str],
+                 network: peers.PeerNetwork, state: serving_state.ServingState,
                  config: store_listeners.ConfigListener,
                  servers: store_listeners.ServerListener, time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
@@ -45,48 +50,52 @@
         self._clock = time
         self._log = log
         self._rng = rng
-        self._beat_by_host: dict[str, peer_messages.EntryBeat] = {}
-        self._beat_at_by_host: dict[str, float] = {}
+        self._heartbeat_by_host: dict[str, peer_messages.EntryBeat] = {}
+        self._heartbeat_at_by_host: dict[str, float] = {}
         self._id_by_address: dict[str, str] = {}
         self._behind_since: float | None = None
         self.applied_snapshot_count = 0
-        network.on_datagram(peer_messages.EntryBeat, self._take_beat)
-        network.on_datagram(peer_messages.ServerLoad, self._take_load)
-        network.serve_snapshots(self._snapshot)
+        network.on_datagram(peer_messages.EntryBeat, self._on_heartbeat)
+        network.on_datagram(peer_messages.ServerLoad, self._on_server_load)
+        network.serve_snapshots(self._make_snapshot)
 
-    # Who is alive.
+    # Liveness of the other entry hosts.
 
-    def _take_beat(self, beat: peer_messages.EntryBeat) -> None:
-        if beat.host not in self._beat_by_host:
-            self._log.write(log_events.LogEvent.PEER_FOUND, peer=beat.host)
-        self._beat_by_host[beat.host] = beat
-        self._beat_at_by_host[beat.host] = self._clock.monotonic()
+    def _on_heartbeat(self, heartbeat: peer_messages.EntryBeat) -> None:
+        if heartbeat.host not in self._heartbeat_by_host:
+            self._log.write(log_events.LogEvent.PEER_FOUND, peer=heartbeat.host)
+        self._heartbeat_by_host[heartbeat.host] = heartbeat
+        self._heartbeat_at_by_host[heartbeat.host] = self._clock.monotonic()
 
-    def _others(self) -> list[host_record.HostRecord]:
+    def _other_records(self) -> list[host_record.HostRecord]:
         return [
             record for record in self._hosts.with_role(host_record.Role.ENTRY)
             if record.host != self._own.host
         ]
 
-    def _forget_silent(self) -> None:
+    def _remove_silent_peers(self) -> None:
         now = self._clock.monotonic()
-        for host, at in list(self._beat_at_by_host.items()):
-            if now - at > _SILENT_S:
-                del self._beat_at_by_host[host]
-                del self._beat_by_host[host]
+        for host, at in list(self._heartbeat_at_by_host.items()):
+            if now - at > _HEARTBEAT_TIMEOUT_S:
+                del self._heartbeat_at_by_host[host]
+                del self._heartbeat_by_host[host]
                 self._log.write(log_events.LogEvent.PEER_SILENT,
                                 peer=host,
                                 silent_s=round(now - at, 3))
-        self._state.entry_host_count = len(self._others()) + 1
+        self._state.entry_host_count = len(self._other_records()) + 1
 
     def usable_addresses(self, data_centre: str) -> list[str]:
-        """Caller addresses of the entry hosts to use from a data centre."""
+        """Returns the addresses that callers in a data centre can use.
+
+        Args:
+            data_centre: the data centre of the callers.
+        """
         found = [
             addresses.EntryHost(record.host,
                                 record.caller_address,
                                 data_centre=record.data_centre)
-            for record in self._others()
-            if self._takes_callers(record.host)
+            for record in self._other_records()
+            if self._accepts_callers(record.host)
         ]
         if self._state.is_ready:
             found.append(
@@ -94,65 +103,67 @@
                                     self._own.caller_address,
                                     data_centre=self._own.data_centre))
         if not found:
-            # Nobody is heard from: the fault may well be on this side.
+            # Without any heartbeat, this host itself may be cut off.
             found = [
                 addresses.EntryHost(record.host,
                                     record.caller_address,
                                     data_centre=record.data_centre)
-                for record in (*self._others(), self._own)
+                for record in (*self._other_records(), self._own)
             ]
-        return addresses.near(found, data_centre, at_least=_MIN_NEAR_HOSTS)
+        return addresses.near(found, data_centre, at_least=_MIN_NEARBY_HOSTS)
 
-    def _takes_callers(self, host: str) -> bool:
-        beat = self._beat_by_host.get(host)
-        return beat is not None and beat.is_ready and not beat.is_leaving
+    def _accepts_callers(self, host: str) -> bool:
+        heartbeat = self._heartbeat_by_host.get(host)
+        return heartbeat is not None and heartbeat.is_ready and not heartbeat.is_leaving
 
     # Heartbeats.
 
     async def run(self) -> None:
-        """Beats until cancelled."""
+        """Sends heartbeats until cancelled."""
         while True:
             self.send_heartbeat()
-            self._forget_silent()
-            await self._clock.sleep(_BEAT_S * self._rng.uniform(0.9, 1.1))
+            self._remove_silent_peers()
+            await self._clock.sleep(_HEARTBEAT_INTERVAL_S *
+                                    self._rng.uniform(0.9, 1.1))
 
     def send_heartbeat(self) -> None:
-        """Tells the other entry hosts about this one."""
+        """Sends a heartbeat to every other entry host."""
         config = self._state.config
-        beat = peer_messages.EntryBeat(
+        heartbeat = peer_messages.EntryBeat(
             host=self._own.host,
             is_ready=self._state.is_ready,
             is_leaving=self._state.leaving_since is not None,
             config_version=config.version if config else 0,
             store_age_ms=self._store_age_ms(),
             servers_changed=self._servers.changed_version)
-        for record in self._others():
-            self._network.send(record.peer_address, beat)
+        for record in self._other_records():
+            self._network.send(record.peer_address, heartbeat)
 
     def _store_age_ms(self) -> int:
         age_s = self._clock.monotonic() - self._servers.contact.last_answer_at
         return int(min(_MAX_AGE_MS, age_s * _MS_PER_S))
 
-    # Load.
+    # Load of the servers.
 
-    def _take_load(self, news: peer_messages.ServerLoad) -> None:
-        server = self._state.server_registry.note_start(news.address, news.born_ms)
+    def _on_server_load(self, load: peer_messages.ServerLoad) -> None:
+        server = self._state.server_registry.note_start(load.address,
+                                                        load.born_ms)
         if server is None:
             return
         self._state.server_loads.report(
             server.id,
-            load_board.LoadReport(running=news.running,
-                                  waiting=news.waiting,
-                                  slots=news.slots,
-                                  stalled_s=news.stalled_ms / _MS_PER_S,
-                                  is_open=news.is_open,
-                                  group=news.group,
-                                  pass_s=news.pass_us / 1e6),
+            load_board.LoadReport(running=load.running,
+                                  waiting=load.waiting,
+                                  slots=load.slots,
+                                  stalled_s=load.stalled_ms / _MS_PER_S,
+                                  is_open=load.is_open,
+                                  group=load.group,
+                                  pass_s=load.pass_us / 1e6),
             self._clock.monotonic())
 
-    # What peers know of the store.
+    # Store contents from peers.
 
-    def _snapshot(self) -> peer_messages.Snapshot | None:
+    def _make_snapshot(self) -> peer_messages.Snapshot | None:
         rows = [
             peer_messages.Row(self._servers.table, key, value, version)
             for key, (value, version) in self._servers.rows_by_key.items()
@@ -171,39 +182,39 @@
                                       rows=tuple(rows))
 
     async def fetch_from_peers(self) -> None:
-        """Asks peers while the store does not answer; until cancelled."""
+        """Fetches snapshots from peers when the store lags; until cancelled."""
         while True:
-            await self._clock.sleep(_SNAPSHOT_PAUSE_S *
+            await self._clock.sleep(_PEER_CHECK_INTERVAL_S *
                                     self._rng.uniform(0.8, 1.2))
-            if self._needs_peers():
-                await self._ask_peer()
+            if self._needs_snapshot():
+                await self._fetch_from_peer()
 
-    def _needs_peers(self) -> bool:
+    def _needs_snapshot(self) -> bool:
         now = self._clock.monotonic()
-        return (now - self._servers.contact.last_answer_at > _STORE_STALE_S or
+        return (now - self._servers.contact.last_answer_at > _STORE_TIMEOUT_S or
                 not self._config.contact.is_up or self._state.config is None or
-                self._is_behind() or self._lacks_servers(now))
+                self._is_config_behind() or self._are_servers_behind(now))
 
-    def _lacks_servers(self, now: float) -> bool:
-        """Whether peers have known of a change of the servers for a while."""
-        known = self._servers.version
-        if all(beat.servers_changed <= known
-               for beat in self._beat_by_host.values()):
+    def _are_servers_behind(self, now: float) -> bool:
+        """Whether peers have had a newer server list for some time."""
+        known_version = self._servers.version
+        if all(heartbeat.servers_changed <= known_version
+               for heartbeat in self._heartbeat_by_host.values()):
             self._behind_since = None
             return False
         if self._behind_since is None:
             self._behind_since = now
-        return now - self._behind_since > _BEHIND_S
+        return now - self._behind_since > _CHANGE_DELAY_S
 
-    def _is_behind(self) -> bool:
+    def _is_config_behind(self) -> bool:
         """Whether a peer has a newer configuration."""
         config = self._state.config
         version = config.version if config else 0
-        return any(beat.config_version > version
-                   for beat in self._beat_by_host.values())
+        return any(heartbeat.config_version > version
+                   for heartbeat in self._heartbeat_by_host.values())
 
-    async def _ask_peer(self) -> None:
-        address = self._informed_peer()
+    async def _fetch_from_peer(self) -> None:
+        address = self._freshest_peer()
         if address is None:
             return
         snapshot = await self._network.fetch_snapshot(address)
@@ -217,22 +228,23 @@
                         store_age_ms=snapshot.store_age_ms)
         self._apply(snapshot)
 
-    def _informed_peer(self) -> str | None:
-        """The peer that has heard from the store last, among the live ones."""
-        live = [
-            record for record in self._others()
-            if record.host in self._beat_by_host
+    def _freshest_peer(self) -> str | None:
+        """The address of the live peer with the freshest store contents."""
+        live_records = [
+            record for record in self._other_records()
+            if record.host in self._heartbeat_by_host
         ]
-        if not live:
+        if not live_records:
             return self._rng.choice(self.seeds) if self.seeds else None
-        self._rng.shuffle(live)
-        best = min(live, key=self._staleness)
+        self._rng.shuffle(live_records)
+        best = min(live_records, key=self._staleness)
         return best.peer_address
 
     def _staleness(self, record: host_record.HostRecord) -> tuple[int, int]:
-        beat = self._beat_by_host[record.host]
-        is_fresh = beat.store_age_ms < _STORE_STALE_S * _MS_PER_S
-        return (0 if is_fresh else beat.store_age_ms, -beat.config_version)
+        heartbeat = self._heartbeat_by_host[record.host]
+        is_fresh = heartbeat.store_age_ms < _STORE_TIMEOUT_S * _MS_PER_S
+        return (0 if is_fresh else heartbeat.store_age_ms,
+                -heartbeat.config_version)
 
     def _apply(self, snapshot: peer_messages.Snapshot) -> None:
         server_rows = []
@@ -246,7 +258,7 @@
                 if row.key not in self._hosts.records_by_host:
                     self._hosts.apply_row(row.key, row.value)
         if snapshot.servers_version > self._servers.version:
-            is_fresh = snapshot.store_age_ms < _STORE_STALE_S * _MS_PER_S
+            is_fresh = snapshot.store_age_ms < _STORE_TIMEOUT_S * _MS_PER_S
             self._servers.apply_peer_snapshot(server_rows,
-                                        snapshot.servers_version,
-                                        is_fresh=is_fresh)
+                                              snapshot.servers_version,
+                                              is_fresh=is_fresh)
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from pollenthread.app import (server_selector, graceful_shutdown, request_job,
+from pollenthread.app import (graceful_shutdown, request_job, server_selector,
                               serving_state)
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
                                lateness, log_events, routing_config)
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -1,4 +1,4 @@
-"""The agent's gate: the last check before work begins at the upstream."""
+"""Admits attempts at an agent and sends their responses to entry hosts."""
 
 import asyncio
 import collections
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from pollenthread.app import attempt as attempt_module, slot_scheduler as turns_module
+from pollenthread.app import attempt as attempt_module, slot_scheduler
 from pollenthread.core import errors, gate_rules, messages
 from pollenthread.ports import engine, link as link_port
 
@@ -17,19 +17,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class GateLimits:
-    """Bounds on what an agent holds.
+    """Limits for the state that an agent holds.
 
     Attributes:
-        max_kept: finished outcomes that wait for a confirmation.
-        attempt: bounds on each attempt.
+        max_retained: non-repeatable attempts, running or waiting for their
+            confirmation.
+        attempt_limits: limits for each attempt.
     """
 
     max_retained: int = 4096
-    attempt_limits: attempt_module.AttemptLimits = attempt_module.AttemptLimits()
+    attempt_limits: attempt_module.AttemptLimits = attempt_module.AttemptLimits(
+    )
 
 
 class Gate(link_port.LinkHandler):
-    """Begins attempts at most once and streams their answers back."""
+    """Starts each attempt at most once and sends its response back.
+
+    Attributes:
+        begun_count: attempts that were started at the upstream.
+        refused_by_kind: attempts that were not started, by reason.
+    """
 
     def __init__(
         self,
@@ -45,39 +52,38 @@
         self._attempts_by_id: dict[str, attempt_module.Attempt] = {}
         self._links_by_session: dict[str, link_port.Link] = {}
         self._sealed_by_session = collections.defaultdict[str, set[str]](set)
-        self._turns = turns_module.SlotScheduler()
-        self._seen_by_session = collections.Counter[str]()
-        self._leaving = False
+        self._scheduler = slot_scheduler.SlotScheduler()
+        self._received_by_session = collections.Counter[str]()
+        self._is_leaving = False
         self.begun_count = 0
         self.refused_by_kind = collections.Counter[errors.Kind]()
 
     @property
     def running(self) -> int:
-        """Attempts at the upstream."""
-        return self._turns.running
+        """The number of attempts that run at the upstream."""
+        return self._scheduler.running
 
     @property
     def queued(self) -> int:
-        """Attempts that wait for their turn."""
-        return self._turns.queued
+        """The number of attempts that wait for a slot."""
+        return self._scheduler.queued
 
     @property
     def concurrency_limit(self) -> int:
-        """Attempts that may run at once; zero while the upstream is stalled.
-        """
-        return self._turns.load.limit
+        """The number of attempts that may run at once; 0 during a stall."""
+        return self._scheduler.load.limit
 
     def broadcast_load(self) -> None:
-        """Tells every link the load and its part of it."""
+        """Sends every link the load, and how much of it the link caused."""
         own_by_session = collections.Counter(
             link.session for attempt in self._attempts_by_id.values()
             if not attempt.finished for link in attempt.links)
         for link in list(self._links_by_session.values()):
             link_port.send_if_open(
-                link, self._load(link, own_by_session[link.session]))
+                link, self._load_message(link, own_by_session[link.session]))
 
-    def _load(self, link: link_port.Link, own: int) -> messages.Load:
-        reading = self._turns.load
+    def _load_message(self, link: link_port.Link, own: int) -> messages.Load:
+        reading = self._scheduler.load
         return messages.Load(running=reading.running,
                              queued=reading.queued,
                              limit=reading.limit,
@@ -85,22 +91,26 @@
                              first_unit_us=int(reading.first_s * 1e6),
                              token_us=int(reading.token_s * 1e6),
                              own=own,
-                             seen=self._seen_by_session[link.session])
+                             seen=self._received_by_session[link.session])
 
     @property
     def unfinished(self) -> int:
-        """Attempts that wait or run."""
-        return self._turns.running + self._turns.queued
+        """The number of attempts that wait or run."""
+        return self._scheduler.running + self._scheduler.queued
 
     @property
     def unconfirmed(self) -> int:
-        """Finished answers that no entry host has confirmed yet."""
+        """The number of finished attempts that are still held."""
         return sum(
             1 for attempt in self._attempts_by_id.values() if attempt.finished)
 
     def start_leaving(self, host: str) -> None:
-        """Refuses new work from now on and tells every link."""
-        self._leaving = True
+        """Refuses new attempts from now on and announces it on every link.
+
+        Args:
+            host: the name of this host.
+        """
+        self._is_leaving = True
         self.broadcast(messages.Leaving(host))
 
     def broadcast(self, message: messages.Message) -> None:
@@ -109,16 +119,16 @@
             link_port.send_if_open(link, message)
 
     async def cancel_all(self) -> list[str]:
-        """Cuts everything in progress; returns the ids of what was cut."""
-        cut = [a for a in self._attempts_by_id.values() if not a.finished]
-        for attempt in cut:
+        """Cancels all unfinished attempts and returns their ids."""
+        cancelled = [a for a in self._attempts_by_id.values() if not a.finished]
+        for attempt in cancelled:
             attempt.cancel()
-        await asyncio.gather(*(a.task for a in cut if a.task),
+        await asyncio.gather(*(a.task for a in cancelled if a.task),
                              return_exceptions=True)
-        return [a.begin.attempt for a in cut]
+        return [a.begin.attempt for a in cancelled]
 
     def report_unconfirmed(self) -> None:
-        """Asks a linked entry host to record outcomes that none follows."""
+        """Asks a linked entry host to record responses without a link."""
         links = list(self._links_by_session.values())
         if not links:
             return
@@ -136,14 +146,14 @@
         self._links_by_session[link.session] = link
         logging.info('link open host=%s session=%s', link.peer.host,
                      link.session)
-        link_port.send_if_open(link, self._load(link, 0))
-        if self._leaving:
+        link_port.send_if_open(link, self._load_message(link, 0))
+        if self._is_leaving:
             link_port.send_if_open(link, messages.Leaving(''))
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
         self._links_by_session.pop(link.session, None)
         self._sealed_by_session.pop(link.session, None)
-        self._seen_by_session.pop(link.session, None)
+        self._received_by_session.pop(link.session, None)
         logging.info('link closed host=%s session=%s reason=%s', link.peer.host,
                      link.session, reason)
         for attempt in list(self._attempts_by_id.values()):
@@ -174,7 +184,7 @@
                 pass
 
     def _cancel(self, cancel: messages.Cancel) -> None:
-        """Stops work that nobody waits for; what must be kept goes on."""
+        """Cancels a repeatable attempt; other attempts run to their end."""
         attempt = self._attempts_by_id.get(cancel.attempt)
         if attempt is None or attempt.is_retained:
             return
@@ -182,77 +192,78 @@
         if attempt.finished:
             del self._attempts_by_id[cancel.attempt]
 
-    def _refusal(self, link: link_port.Link,
-                 begin: messages.Begin) -> errors.Kind | None:
-        """Why an attempt must not begin, or None."""
+    def _refusal_kind(self, link: link_port.Link,
+                      begin: messages.Begin) -> errors.Kind | None:
+        """Why an attempt may not start, or None."""
         sealed = self._sealed_by_session.get(link.session, ())
         if not gate_rules.is_beginnable(bound_session=begin.session,
                                         link_session=link.session,
                                         is_sealed=begin.attempt in sealed,
                                         phase=self._phase(begin.attempt)):
             return errors.Kind.SEALED
-        if self._leaving:
+        if self._is_leaving:
             return errors.Kind.LEAVING
-        if not begin.repeatable and self._kept >= self._limits.max_retained:
+        if not begin.repeatable and self._retained >= self._limits.max_retained:
             return errors.Kind.OVERLOADED
         return None
 
     @property
-    def _kept(self) -> int:
+    def _retained(self) -> int:
         return sum(1 for a in self._attempts_by_id.values() if a.is_retained)
 
     def _begin(self, link: link_port.Link, begin: messages.Begin) -> None:
-        self._seen_by_session[link.session] += 1
+        self._received_by_session[link.session] += 1
         if begin.attempt in self._attempts_by_id:
             return
-        kind = self._refusal(link, begin)
+        kind = self._refusal_kind(link, begin)
         if kind is not None:
             self.refused_by_kind[kind] += 1
-            problem = errors.failure(kind)
+            failure = errors.failure(kind)
             link_port.send_if_open(
                 link,
-                messages.Fail(begin.attempt, kind, problem.detail,
+                messages.Fail(begin.attempt, kind, failure.detail,
                               errors.Ran.NO))
             return
         attempt = attempt_module.Attempt(begin=begin,
                                          link=link,
                                          limits=self._limits.attempt_limits,
-                                         turns=self._turns)
+                                         scheduler=self._scheduler)
         self._attempts_by_id[begin.attempt] = attempt
-        attempt.task = asyncio.create_task(self._serve(attempt))
+        attempt.task = asyncio.create_task(self._run(attempt))
         attempt.task.add_done_callback(functools.partial(
             self._on_done, attempt))
 
     def _on_done(self, attempt: attempt_module.Attempt,
                  _: asyncio.Task[None]) -> None:
-        """Ends an attempt, also one that was cut before its first step."""
+        """Cleans up an attempt, even one cancelled before its first step."""
         if not attempt.started:
             attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
         if not attempt.must_be_remembered:
-            # The timer must not hold the request's body.
+            # Captures only the id: the attempt would keep the request's body
+            # in memory until the timer fires.
             attempt_id = attempt.begin.attempt
             attempt.release_after_grace(
                 lambda: self._attempts_by_id.pop(attempt_id, None))
 
-    async def _serve(self, attempt: attempt_module.Attempt) -> None:
+    async def _run(self, attempt: attempt_module.Attempt) -> None:
         attempt.started = True
         try:
-            if await self._wait_turn(attempt):
+            if await self._wait_for_slot(attempt):
                 try:
                     await attempt.run(self._upstream)
                 finally:
-                    self._turns.release(attempt.begin.attempt)
+                    self._scheduler.release(attempt.begin.attempt)
         except asyncio.CancelledError:
             attempt.fail(errors.failure(errors.Kind.STOPPED))
         except Exception as error:  # pylint: disable=broad-exception-caught
             logging.exception('attempt %s failed', attempt.begin.attempt)
             attempt.fail(errors.failure(errors.Kind.INTERNAL, str(error)))
 
-    async def _wait_turn(self, attempt: attempt_module.Attempt) -> bool:
-        """Waits in the queue; False when the attempt must not begin."""
-        ticket = turns_module.make_ticket(attempt.begin)
+    async def _wait_for_slot(self, attempt: attempt_module.Attempt) -> bool:
+        """Waits for a slot; False if the attempt was refused or cancelled."""
+        ticket = slot_scheduler.make_ticket(attempt.begin)
         try:
-            kind = await self._turns.acquire(ticket)
+            kind = await self._scheduler.acquire(ticket)
         except asyncio.CancelledError:
             kind = errors.Kind.STOPPED
         if kind is not None:
@@ -277,12 +288,12 @@
     def _resume(self, link: link_port.Link, resume: messages.Resume) -> None:
         attempt = self._attempts_by_id.get(resume.attempt)
         if attempt is None or not attempt.attach(link, resume):
-            problem = errors.failure(errors.Kind.LINK_LOST,
+            failure = errors.failure(errors.Kind.LINK_LOST,
                                      'The answer is no longer held.')
             link_port.send_if_open(
                 link,
-                messages.Fail(resume.attempt, problem.kind, problem.detail,
-                              problem.ran))
+                messages.Fail(resume.attempt, failure.kind, failure.detail,
+                              failure.ran))
 
     def _confirm(self, confirm: messages.Confirm) -> None:
         attempt = self._attempts_by_id.get(confirm.attempt)
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -1,4 +1,4 @@
-"""Serves one request: claim, attempts, and the answer back to the caller."""
+"""Serves requests: claims keys, sends attempts and returns the response."""
 
 import abc
 import asyncio
@@ -9,8 +9,8 @@
 
 import result
 
-from pollenthread.app import (upstream_selector as chooser_module, claim_store, hedge,
-                              upstream_pool as pool_module, relay as relay_module)
+from pollenthread.app import (claim_store, hedge, relay as relay_module,
+                              upstream_pool, upstream_selector)
 from pollenthread.core import (account, claims, errors, http_headers, ids,
                                messages, pace as pace_module, retries, spans,
                                targets)
@@ -18,29 +18,29 @@
 
 __all__ = ['GatewayRequest', 'Gateway', 'RequestReport', 'ResponseSink']
 
-_RECORD_PAUSE_MIN_S = 0.1
-_RECORD_PAUSE_MAX_S = 5.0
-_MIN_DUE_S = 1e-3
-_HEDGE_PAUSE_S = 0.25
+_MIN_RECORD_RETRY_S = 0.1
+_MAX_RECORD_RETRY_S = 5.0
+_MIN_TARGET_S = 1e-3
+_HEDGE_RETRY_INTERVAL_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
 class GatewayRequest:
-    """One accepted request.
+    """One accepted request of a caller.
 
     Attributes:
         request_id: the request's id.
         workspace: the workspace's name.
-        work_class: the class with its targets.
+        work_class: the class of the request, with its latency targets.
         key: the idempotency key, or empty.
         kind: 'engine' or 'service'.
         name: the model's or service's name.
-        deadline: monotonic seconds.
-        stream: whether the answer is a stream of events.
-        method: the method for the upstream.
-        path: path and query for the upstream.
-        headers: headers for the upstream.
-        body: the whole body.
+        deadline: the time by which the response must end, in monotonic seconds.
+        stream: whether the response is a stream of events.
+        method: the HTTP method for the upstream.
+        path: the path and query for the upstream.
+        headers: the headers for the upstream.
+        body: the whole request body.
     """
 
     request_id: str
@@ -58,239 +58,292 @@
 
     @property
     def count_key(self) -> account.TallyKey:
-        """What the request counts to."""
+        """The key under which the request is counted."""
         return account.TallyKey(self.workspace, self.work_class.name)
 
 
 @dataclasses.dataclass
 class RequestReport:
-    """How a request went.
+    """The result of a request.
 
     Attributes:
-        attempts: attempts that were handed to agents.
-        failure: why there is no whole answer, or None.
-        repeat: whether the answer is a kept outcome.
-        started_at: monotonic seconds at which the request came.
-        pace: when the parts of the answer came.
-        hops: where its attempts went.
+        attempts: attempts that were sent to agents.
+        failure: why there is no complete response, or None.
+        is_replayed: whether the response belongs to an earlier request with the
+            same idempotency key.
+        started_at: monotonic seconds at which the request arrived.
+        response_timing: arrival times of the response's chunks.
+        hops: trace data of its attempts.
     """
 
     attempts: int = 0
     failure: errors.Failure | None = None
     is_replayed: bool = False
     started_at: float = 0.0
-    response_timing: pace_module.Pace = dataclasses.field(default_factory=pace_module.Pace)
+    response_timing: pace_module.Pace = dataclasses.field(
+        default_factory=pace_module.Pace)
     hops: list[spans.Hop] = dataclasses.field(default_factory=list)
 
 
 class ResponseSink(abc.ABC):
-    """Where an answer goes."""
+    """Writes a response to the caller."""
 
     @abc.abstractmethod
-    async def write_head(self, status: int, headers: tuple[http_headers.Header, ...],
-                   attempts: int) -> None:
-        """Takes the head of the answer."""
+    async def write_head(self, status: int, headers: tuple[http_headers.Header,
+                                                           ...],
+                         attempts: int) -> None:
+        """Writes the head of the response.
+
+        Args:
+            status: the HTTP status code.
+            headers: the response headers.
+            attempts: attempts sent for the request so far.
+        """
 
     @abc.abstractmethod
     async def write_data(self, data: bytes) -> None:
-        """Takes a part; waits while the caller is slow."""
+        """Writes a chunk; waits while the caller reads slowly."""
 
     def try_write_data(self, data: bytes) -> bool:
-        """Takes a part if that needs no waiting; whether it did."""
+        """Writes a chunk if that needs no wait; returns whether it did."""
         del data
         return False
 
     @abc.abstractmethod
     async def write_end(self) -> None:
-        """Takes the end marker."""
+        """Ends the response."""
 
 
 class Gateway:
-    """Serves requests through the pool of upstreams."""
+    """Serves requests through the pool of upstreams.
+
+    Attributes:
+        upstream_selector: selects an upstream for each attempt.
+    """
 
-    def __init__(self, *, pool: pool_module.UpstreamPool,
-                 keeper: claim_store.ClaimStore, time: clock.Clock,
+    def __init__(self, *, pool: upstream_pool.UpstreamPool,
+                 store: claim_store.ClaimStore, time: clock.Clock,
                  rng: random.Random) -> None:
         self._pool = pool
-        self._keeper = keeper
+        self._store = store
         self._time = time
-        self.upstream_selector = chooser_module.UpstreamSelector(pool=pool, time=time, rng=rng)
+        self.upstream_selector = upstream_selector.UpstreamSelector(pool=pool,
+                                                                    time=time,
+                                                                    rng=rng)
         self._recordings: set[asyncio.Task[None]] = set()
-        self._kept_by_attempt: dict[str, relay_module.RetainedResponse] = {}
-        pool.subscribe(messages.Unconfirmed, self._adopt)
+        self._retained_by_attempt: dict[str, relay_module.RetainedResponse] = {}
+        pool.subscribe(messages.Unconfirmed, self._on_unconfirmed)
 
     @property
     def pending_recordings(self) -> int:
-        """Outcomes that are still on their way to the table."""
+        """Responses that are being received or recorded in the table."""
         return len(self._recordings)
 
-    async def serve(self, request: GatewayRequest, sink: ResponseSink, report: RequestReport) -> None:
-        """Serves one request; the report says how it went."""
-        serving = _RequestState(request=request,
-                           sink=sink,
-                           report=report,
-                           requirements=_need(request, self._time.monotonic()))
+    async def serve(self, request: GatewayRequest, sink: ResponseSink,
+                    report: RequestReport) -> None:
+        """Serves one request.
+
+        Args:
+            request: the request.
+            sink: receives the response.
+            report: is filled in with the result.
+        """
+        state = _RequestState(request=request,
+                              sink=sink,
+                              report=report,
+                              requirements=_requirements(
+                                  request, self._time.monotonic()))
         try:
-            async with asyncio.timeout(request.deadline - self._time.monotonic()):
-                await self._serve(serving)
+            async with asyncio.timeout(request.deadline -
+                                       self._time.monotonic()):
+                await self._serve(state)
         except TimeoutError:
             report.failure = errors.failure(errors.Kind.DEADLINE_PASSED,
-                                            ran=serving.ran)
+                                            ran=state.ran)
 
-    async def _serve(self, serving: '_RequestState') -> None:
-        call = serving.request
+    async def _serve(self, state: '_RequestState') -> None:
+        request = state.request
         granted: claim_store.GrantedClaim | None = None
-        problem: errors.Failure | None = None
+        failure: errors.Failure | None = None
         while True:
-            chosen = self.upstream_selector.select(serving.requirements)
-            if isinstance(chosen, result.Err):
-                problem = problem or chosen.err_value
-                if granted is None and not call.work_class.repeatable:
-                    problem = await self._look_up(serving, problem)
+            selected = self.upstream_selector.select(state.requirements)
+            if isinstance(selected, result.Err):
+                failure = failure or selected.err_value
+                if granted is None and not request.work_class.repeatable:
+                    failure = await self._replay_stored_response(state, failure)
                 break
-            upstream = chosen.ok_value
-            attempt = serving.next_attempt()
-            if call.work_class.repeatable:
-                problem = await self._attempt(serving, attempt, upstream)
+            upstream = selected.ok_value
+            attempt = state.next_attempt()
+            if request.work_class.repeatable:
+                failure = await self._run_repeatable_attempt(
+                    state, attempt, upstream)
             else:
-                decided = await self._claim(serving, attempt, upstream, granted)
+                decided = await self._claim(state, attempt, upstream, granted)
                 granted = None
                 if isinstance(decided, result.Err):
-                    problem = decided.err_value
+                    failure = decided.err_value
                     break
                 decision = decided.ok_value
                 if isinstance(decision, claim_store.GrantedClaim):
                     granted = decision
-                problem = await self._carry_out(serving, attempt, upstream,
-                                                decision)
-            if problem is None:
+                failure = await self._apply_decision(state, attempt, upstream,
+                                                     decision)
+            if failure is None:
                 return
-            if not serving.allows_retry(problem):
+            if not state.allows_retry(failure):
                 break
-            if not await self.upstream_selector.back_off_before_retry(serving.requirements):
+            if not await self.upstream_selector.back_off_before_retry(
+                    state.requirements):
                 break
-        if granted is not None and problem.ran is errors.Ran.NO:
-            if not await self._keeper.release(granted):
-                serving.may_have_run = True
-        if not serving.is_answered:
-            serving.fail(problem)
-
-    async def _look_up(self, serving: '_RequestState',
-                       problem: errors.Failure) -> errors.Failure:
-        """Answers from a kept outcome when no upstream is there."""
-        call = serving.request
-        found = await self._keeper.look_up(
-            claim_store.row_key(call.workspace, call.key), _digest(call))
+        if granted is not None and failure.ran is errors.Ran.NO:
+            if not await self._store.release(granted):
+                state.may_have_run = True
+        if not state.is_answered:
+            state.fail(failure)
+
+    async def _replay_stored_response(
+            self, state: '_RequestState',
+            failure: errors.Failure) -> errors.Failure:
+        """Replays a stored response when no upstream is available.
+
+        Args:
+            state: the state of the request.
+            failure: why no upstream was selected.
+
+        Returns:
+            The failure to report if nothing was replayed.
+        """
+        request = state.request
+        found = await self._store.look_up(
+            claim_store.row_key(request.workspace, request.key),
+            _request_digest(request))
         if isinstance(found, result.Err):
             return found.err_value
         if found.ok_value is not None:
-            serving.report.is_replayed = True
-            await serving.deliver_outcome(found.ok_value.outcome)
-        return problem
+            state.report.is_replayed = True
+            await state.deliver_outcome(found.ok_value.outcome)
+        return failure
 
     async def _claim(
-        self, serving: '_RequestState', attempt: ids.AttemptId,
-        upstream: pool_module.LinkedUpstream, granted: claim_store.GrantedClaim | None
+        self, state: '_RequestState', attempt: ids.AttemptId,
+        upstream: upstream_pool.LinkedUpstream,
+        granted: claim_store.GrantedClaim | None
     ) -> result.Result[claim_store.Decision, errors.Failure]:
-        call = serving.request
-        wanted = claims.Claim(attempt=str(attempt),
-                              host=upstream.hello.host,
-                              incarnation=upstream.hello.incarnation,
-                              session=upstream.link.session,
-                              digest=_digest(call))
+        request = state.request
+        new_claim = claims.Claim(attempt=str(attempt),
+                                 host=upstream.hello.host,
+                                 incarnation=upstream.hello.incarnation,
+                                 session=upstream.link.session,
+                                 digest=_request_digest(request))
         if granted is not None:
-            moved = await self._keeper.reassign(granted, wanted)
-            if isinstance(moved, result.Ok):
-                return moved
-            # Another request with this key may have taken the claim over.
-            serving.may_have_run = True
-        key = claim_store.row_key(call.workspace, call.key)
-        return await self._keeper.acquire(key, wanted)
-
-    async def _carry_out(
-            self, serving: '_RequestState', attempt: ids.AttemptId,
-            upstream: pool_module.LinkedUpstream,
+            reassigned = await self._store.reassign(granted, new_claim)
+            if isinstance(reassigned, result.Ok):
+                return reassigned
+            # Another request with this key may have taken over the claim.
+            state.may_have_run = True
+        key = claim_store.row_key(request.workspace, request.key)
+        return await self._store.acquire(key, new_claim)
+
+    async def _apply_decision(
+            self, state: '_RequestState', attempt: ids.AttemptId,
+            upstream: upstream_pool.LinkedUpstream,
             decision: claim_store.Decision) -> errors.Failure | None:
-        """Does what was decided about a key; None for a whole answer."""
+        """Applies the decision for a key; None for a complete response."""
         match decision:
             case claim_store.ReplayedResponse():
-                serving.report.is_replayed = True
-                await serving.deliver_outcome(decision.outcome)
+                state.report.is_replayed = True
+                await state.deliver_outcome(decision.outcome)
                 return None
             case claim_store.AttachableClaim():
-                serving.report.is_replayed = True
-                serving.may_have_run = True
-                return await self._join(serving, decision)
+                state.report.is_replayed = True
+                state.may_have_run = True
+                return await self._follow_running_attempt(state, decision)
             case _:
-                return await self._hand_over(serving, attempt, upstream,
-                                             decision)
-
-    async def _attempt(self, serving: '_RequestState', attempt: ids.AttemptId,
-                       upstream: pool_module.LinkedUpstream) -> errors.Failure | None:
-        """Makes one repeatable attempt; None when the answer is whole."""
-        handed = await self._send_begin(serving, attempt, upstream)
-        if handed is None:
-            return self._not_sent(serving, upstream)
-        handed = await self._hedge(serving, handed)
-        chosen = handed.upstream
+                return await self._run_claimed_attempt(state, attempt, upstream,
+                                                       decision)
+
+    async def _run_repeatable_attempt(
+            self, state: '_RequestState', attempt: ids.AttemptId,
+            upstream: upstream_pool.LinkedUpstream) -> errors.Failure | None:
+        """Runs one repeatable attempt; None for a complete response."""
+        sent = await self._send_begin(state, attempt, upstream)
+        if sent is None:
+            return self._record_unsent(state, upstream)
+        sent = await self._hedge(state, sent)
+        selected = sent.upstream
         relay = relay_module.ResponseRelay(
-            attempt=handed.attempt,
-            stream=serving.request.stream,
+            attempt=sent.attempt,
+            stream=state.request.stream,
             pool=self._pool,
-            retries_elsewhere=lambda: self._can_move_on(serving, chosen))
-        relay.upstream = chosen
+            retries_elsewhere=lambda: self._can_retry_elsewhere(
+                state, selected))
+        relay.upstream = selected
         try:
-            failure = await relay.run(handed.upstream, handed.stream, serving)
+            failure = await relay.run(sent.upstream, sent.stream, state)
         except BaseException:
             relay.cancel()
             raise
         relay.confirm()
-        self._learn(serving, handed, failure)
+        self._record_result(state, sent, failure)
         return failure
 
-    def _can_move_on(self, serving: '_RequestState',
-                     upstream: pool_module.LinkedUpstream) -> bool:
-        """Whether another upstream can answer from the start."""
-        call = serving.request
-        if (serving.head_sent or
-                serving.report.attempts > call.work_class.retries):
+    def _can_retry_elsewhere(self, state: '_RequestState',
+                             upstream: upstream_pool.LinkedUpstream) -> bool:
+        """Whether the request can be restarted on another upstream."""
+        request = state.request
+        if (state.head_sent or
+                state.report.attempts > request.work_class.retries):
             return False
-        tiers = self._pool.group(call.kind, call.name).tiers
+        tiers = self._pool.group(request.kind, request.name).tiers
         return any(other.host != upstream.host and other.link.is_open and
-                   not other.is_leaving for tier in tiers[-1:] for other in tier)
+                   not other.is_leaving
+                   for tier in tiers[-1:]
+                   for other in tier)
 
-    async def _hand_over(
-            self, serving: '_RequestState', attempt: ids.AttemptId,
-            upstream: pool_module.LinkedUpstream,
+    async def _run_claimed_attempt(
+            self, state: '_RequestState', attempt: ids.AttemptId,
+            upstream: upstream_pool.LinkedUpstream,
             granted: claim_store.GrantedClaim) -> errors.Failure | None:
-        """Makes the claimed attempt; None when the answer is whole."""
-        handed = await self._send_begin(serving, attempt, upstream)
-        if handed is None:
-            return self._not_sent(serving, upstream)
-        kept = self._keep(granted, upstream, handed.stream, serving.request.stream)
-        failure = await kept.relay_to(serving)
-        self._learn(serving, handed, failure)
+        """Runs the claimed attempt; None for a complete response."""
+        sent = await self._send_begin(state, attempt, upstream)
+        if sent is None:
+            return self._record_unsent(state, upstream)
+        retained = self._retain_response(granted, upstream, sent.stream,
+                                         state.request.stream)
+        failure = await retained.relay_to(state)
+        self._record_result(state, sent, failure)
         return failure
 
-    def _not_sent(self, serving: '_RequestState',
-                  upstream: pool_module.LinkedUpstream) -> errors.Failure:
+    def _record_unsent(
+            self, state: '_RequestState',
+            upstream: upstream_pool.LinkedUpstream) -> errors.Failure:
         failure = errors.failure(errors.Kind.LINK_LOST, ran=errors.Ran.NO)
-        self.upstream_selector.record_failure(serving.requirements, upstream, failure)
+        self.upstream_selector.record_failure(state.requirements, upstream,
+                                              failure)
         return failure
 
-    def _learn(self, serving: '_RequestState', handed: hedge.SentAttempt,
-               failure: errors.Failure | None) -> None:
+    def _record_result(self, state: '_RequestState', sent: hedge.SentAttempt,
+                       failure: errors.Failure | None) -> None:
         if failure is not None:
-            self.upstream_selector.record_failure(serving.requirements, handed.upstream, failure)
+            self.upstream_selector.record_failure(state.requirements,
+                                                  sent.upstream, failure)
             return
-        taken_s = self._time.monotonic() - handed.sent_at
-        self.upstream_selector.record_success(serving.requirements, handed.upstream,
-                                  taken_s - serving.waited_s)
+        total_s = self._time.monotonic() - sent.sent_at
+        self.upstream_selector.record_success(state.requirements, sent.upstream,
+                                              total_s - state.waited_s)
 
-    async def _hedge(self, serving: '_RequestState',
+    async def _hedge(self, state: '_RequestState',
                      first: hedge.SentAttempt) -> hedge.SentAttempt:
-        """Waits for a part; makes a second attempt when there is none."""
-        after_s = self.upstream_selector.hedge_delay_s(serving.requirements)
+        """Sends a second attempt if the first has no response in time.
+
+        Args:
+            state: the state of the request.
+            first: the first attempt.
+
+        Returns:
+            The attempt whose response to use.
+        """
+        after_s = self.upstream_selector.hedge_delay_s(state.requirements)
         if after_s is None:
             return first
         second = None
@@ -298,12 +351,12 @@
             while second is None:
                 if await first.has_data_within(after_s):
                     return first
-                after_s = _HEDGE_PAUSE_S
-                serving.requirements.failed_hosts.add(first.upstream.host)
-                upstream = self.upstream_selector.select_for_hedge(serving.requirements)
+                after_s = _HEDGE_RETRY_INTERVAL_S
+                state.requirements.failed_hosts.add(first.upstream.host)
+                upstream = self.upstream_selector.select_for_hedge(
+                    state.requirements)
                 if upstream is not None:
-                    second = await self._send_begin(serving,
-                                                    serving.next_attempt(),
+                    second = await self._send_begin(state, state.next_attempt(),
                                                     upstream)
         except BaseException:
             first.cancel()
@@ -314,158 +367,177 @@
             first.upstream.record_result(is_success=False)
         return winner
 
-    async def _join(self, serving: '_RequestState',
-                    held: claim_store.AttachableClaim) -> errors.Failure | None:
-        """Follows an attempt that another request with this key began."""
-        kept = self._kept_by_attempt.get(held.claim.attempt)
-        if kept is None:
-            kept = self._resume(held, held.upstream, serving.request.stream)
-        return await kept.relay_to(serving)
-
-    def _relay(self, attempt: str, stream: bool) -> relay_module.ResponseRelay:
+    async def _follow_running_attempt(
+            self, state: '_RequestState',
+            held_claim: claim_store.AttachableClaim) -> errors.Failure | None:
+        """Relays the response of an earlier request's attempt with this key."""
+        retained = self._retained_by_attempt.get(held_claim.claim.attempt)
+        if retained is None:
+            retained = self._resume(held_claim, held_claim.upstream,
+                                    state.request.stream)
+        return await retained.relay_to(state)
+
+    def _new_relay(self, attempt: str,
+                   stream: bool) -> relay_module.ResponseRelay:
         return relay_module.ResponseRelay(attempt=attempt,
-                                  stream=stream,
-                                  pool=self._pool)
+                                          stream=stream,
+                                          pool=self._pool)
 
     async def _send_begin(
-            self, serving: '_RequestState', attempt: ids.AttemptId,
-            upstream: pool_module.LinkedUpstream) -> hedge.SentAttempt | None:
-        """Hands an attempt over; None when it is sure that it was not."""
+            self, state: '_RequestState', attempt: ids.AttemptId,
+            upstream: upstream_pool.LinkedUpstream) -> hedge.SentAttempt | None:
+        """Sends an attempt to its agent; None if it was certainly not sent."""
         await upstream.link.drain()
-        begin = self._begin(serving, attempt, upstream)
+        begin = self._begin_message(state, attempt, upstream)
         stream = upstream.open_stream(begin.attempt)
         sent_at = self._time.monotonic()
         if not link_port.send_if_open(upstream.link, begin):
             upstream.close_stream(begin.attempt)
             return None
         upstream.record_sent()
-        serving.report.attempts += 1
-        serving.report.hops.append(
+        state.report.attempts += 1
+        state.report.hops.append(
             spans.Hop(attempt=begin.attempt,
                       host=upstream.hello.host,
                       sent_at=sent_at))
         return hedge.SentAttempt(attempt=begin.attempt,
-                            upstream=upstream,
-                            stream=stream,
-                            sent_at=sent_at)
-
-    def _begin(self, serving: '_RequestState', attempt: ids.AttemptId,
-               upstream: pool_module.LinkedUpstream) -> messages.Begin:
-        call = serving.request
-        need = serving.requirements
+                                 upstream=upstream,
+                                 stream=stream,
+                                 sent_at=sent_at)
+
+    def _begin_message(
+            self, state: '_RequestState', attempt: ids.AttemptId,
+            upstream: upstream_pool.LinkedUpstream) -> messages.Begin:
+        request = state.request
+        requirements = state.requirements
         now = self._time.monotonic()
-        left_s = max(0.0, call.deadline - now)
-        due_s = max(_MIN_DUE_S, need.due_at - now)
+        time_left_s = max(0.0, request.deadline - now)
+        target_s = max(_MIN_TARGET_S, requirements.due_at - now)
         return messages.Begin(attempt=str(attempt),
                               session=upstream.link.session,
-                              workspace=call.workspace,
-                              work_class=call.work_class.name,
-                              importance=int(call.work_class.importance),
-                              repeatable=call.work_class.repeatable,
-                              key=call.key,
-                              deadline_ms=int(left_s * 1000),
-                              target_ms=max(1, int(due_s * 1000)),
-                              whole=need.is_whole_response,
-                              between_tokens_ms=need.between_tokens_ms,
-                              stream=call.stream,
-                              window=relay_module.flow_control_window(call.stream),
-                              method=call.method,
-                              path=call.path,
-                              headers=call.headers,
-                              body=call.body)
-
-    # Work that may not be repeated goes on without its caller.
-
-    def _resume(self, held: claim_store.AttachableClaim, upstream: pool_module.LinkedUpstream,
-                streamed: bool) -> relay_module.RetainedResponse:
-        """Asks an agent for the whole of a kept answer."""
-        attempt = held.claim.attempt
+                              workspace=request.workspace,
+                              work_class=request.work_class.name,
+                              importance=int(request.work_class.importance),
+                              repeatable=request.work_class.repeatable,
+                              key=request.key,
+                              deadline_ms=int(time_left_s * 1000),
+                              target_ms=max(1, int(target_s * 1000)),
+                              whole=requirements.is_whole_response,
+                              between_tokens_ms=requirements.between_tokens_ms,
+                              stream=request.stream,
+                              window=relay_module.flow_control_window(
+                                  request.stream),
+                              method=request.method,
+                              path=request.path,
+                              headers=request.headers,
+                              body=request.body)
+
+    # Non-repeatable attempts run to their end even if the caller disconnects.
+
+    def _resume(self, held_claim: claim_store.AttachableClaim,
+                upstream: upstream_pool.LinkedUpstream,
+                is_stream: bool) -> relay_module.RetainedResponse:
+        """Requests a retained response from its agent, from the beginning."""
+        attempt = held_claim.claim.attempt
         stream = upstream.open_stream(attempt)
-        resume = messages.Resume(attempt, 0, relay_module.flow_control_window(streamed))
+        resume = messages.Resume(attempt, 0,
+                                 relay_module.flow_control_window(is_stream))
         if not link_port.send_if_open(upstream.link, resume):
             stream.put(None)
-        return self._keep(held, upstream, stream, streamed)
-
-    def _keep(self, held: claim_store.GrantedClaim | claim_store.AttachableClaim,
-              upstream: pool_module.LinkedUpstream, stream: pool_module.AttemptStream,
-              streamed: bool) -> relay_module.RetainedResponse:
-        """Starts to collect an answer and to record it in the table."""
-        kept = relay_module.RetainedResponse()
-        self._kept_by_attempt[held.claim.attempt] = kept
-        relay = self._relay(held.claim.attempt, streamed)
-        self._start(self._collect(held, relay, upstream, stream, kept))
-        return kept
-
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        return self._retain_response(held_claim, upstream, stream, is_stream)
+
+    def _retain_response(self, held_claim: claim_store.GrantedClaim |
+                         claim_store.AttachableClaim,
+                         upstream: upstream_pool.LinkedUpstream,
+                         stream: upstream_pool.AttemptStream,
+                         is_stream: bool) -> relay_module.RetainedResponse:
+        """Starts a task to receive a response and record it in the table."""
+        retained = relay_module.RetainedResponse()
+        self._retained_by_attempt[held_claim.claim.attempt] = retained
+        relay = self._new_relay(held_claim.claim.attempt, is_stream)
+        self._start_recording(
+            self._receive_response(held_claim, relay, upstream, stream,
+                                   retained))
+        return retained
+
+    def _start_recording(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._recordings.add(task)
         task.add_done_callback(self._recordings.discard)
 
-    async def _collect(self, held: claim_store.GrantedClaim | claim_store.AttachableClaim,
-                       relay: relay_module.ResponseRelay,
-                       upstream: pool_module.LinkedUpstream,
-                       stream: pool_module.AttemptStream,
-                       kept: relay_module.RetainedResponse) -> None:
+    async def _receive_response(
+            self,
+            held_claim: claim_store.GrantedClaim | claim_store.AttachableClaim,
+            relay: relay_module.ResponseRelay,
+            upstream: upstream_pool.LinkedUpstream,
+            stream: upstream_pool.AttemptStream,
+            retained: relay_module.RetainedResponse) -> None:
         failure: errors.Failure | None = errors.failure(errors.Kind.INTERNAL)
         try:
-            failure = await relay.run(upstream, stream, kept)
+            failure = await relay.run(upstream, stream, retained)
         finally:
-            kept.finish(failure)
-            del self._kept_by_attempt[held.claim.attempt]
-        if _has_ended(failure):
-            await self._record(held, relay, kept.stored_response)
+            retained.finish(failure)
+            del self._retained_by_attempt[held_claim.claim.attempt]
+        if _has_recordable_end(failure):
+            await self._record(held_claim, relay, retained.stored_response)
 
-    async def _record(self, held: claim_store.GrantedClaim | claim_store.AttachableClaim,
+    async def _record(self, held_claim: claim_store.GrantedClaim |
+                      claim_store.AttachableClaim,
                       relay: relay_module.ResponseRelay,
                       outcome: claims.Outcome | None) -> None:
-        """Keeps an outcome in the table, then lets the agent forget it."""
-        pause_s = _RECORD_PAUSE_MIN_S
-        while not await self._keeper.record_outcome(held, outcome):
+        """Records a response in the table, then confirms it to the agent.
+
+        Retries with exponential backoff until the table holds it.
+        """
+        pause_s = _MIN_RECORD_RETRY_S
+        while not await self._store.record_outcome(held_claim, outcome):
             await self._time.sleep(pause_s)
-            pause_s = min(pause_s * 2, _RECORD_PAUSE_MAX_S)
+            pause_s = min(pause_s * 2, _MAX_RECORD_RETRY_S)
         relay.confirm()
 
-    def _adopt(self, link: link_port.Link,
-               message: messages.Unconfirmed) -> None:
-        """Records an outcome whose entry host did not."""
+    def _on_unconfirmed(self, link: link_port.Link,
+                        message: messages.Unconfirmed) -> None:
+        """Records a response that no entry host has confirmed."""
         upstream = self._pool.by_host.get(link.peer.host)
         if upstream is None:
             return
-        if message.attempt not in self._kept_by_attempt:
-            self._start(self._record_unconfirmed(upstream, message))
+        if message.attempt not in self._retained_by_attempt:
+            self._start_recording(self._record_unconfirmed(upstream, message))
 
-    async def _record_unconfirmed(self, upstream: pool_module.LinkedUpstream,
+    async def _record_unconfirmed(self, upstream: upstream_pool.LinkedUpstream,
                                   message: messages.Unconfirmed) -> None:
         key = claim_store.row_key(message.workspace, message.key)
-        found = await self._keeper.find_claim(key, message.attempt, upstream)
+        found = await self._store.find_claim(key, message.attempt, upstream)
         if isinstance(found, result.Err):
             return
         if found.ok_value is None:
             link_port.send_if_open(upstream.link,
                                    messages.Confirm(message.attempt))
-        elif message.attempt not in self._kept_by_attempt:
+        elif message.attempt not in self._retained_by_attempt:
             self._resume(found.ok_value, upstream, message.stream)
 
 
 @dataclasses.dataclass
 class _RequestState(relay_module.ResponseReceiver):
-    """One request on its way.
+    """The state of one request that is being served.
 
     Attributes:
-        call: the request.
-        sink: where its answer goes.
-        report: how it went.
-        head_sent: whether the caller has a part of the answer.
-        may_have_run: whether there is no proof that nothing ran.
-        answered: whether a kept outcome has been delivered.
+        request: the request.
+        sink: receives the response.
+        report: the result of the request.
+        requirements: what the request requires of an upstream.
+        head_sent: whether the response head was written to the caller.
+        may_have_run: whether an attempt may have been executed.
+        is_answered: whether a stored response was written to the caller.
         last_attempt: the number of the newest attempt.
-        waited_s: seconds that the answered attempt waited for its turn.
+        waited_s: seconds that the successful attempt spent in the agent's
+            queue.
     """
 
     request: GatewayRequest
     sink: ResponseSink
     report: RequestReport
-    requirements: chooser_module.UpstreamRequirements
+    requirements: upstream_selector.UpstreamRequirements
     head_sent: bool = False
     may_have_run: bool = False
     is_answered: bool = False
@@ -473,25 +545,29 @@
     waited_s: float = 0.0
 
     def next_attempt(self) -> ids.AttemptId:
-        """Names another attempt."""
+        """Returns the id of the next attempt."""
         self.last_attempt += 1
         return ids.AttemptId(self.request.request_id, self.last_attempt)
 
     @property
     def ran(self) -> errors.Ran:
-        """What is proved when the request ends without an answer."""
+        """Whether the request may have been executed, if it ends now."""
         if self.report.attempts or self.may_have_run:
             return errors.Ran.UNKNOWN
         return errors.Ran.NO
 
-    def fail(self, problem: errors.Failure) -> None:
-        """Ends the request with its last attempt's failure."""
-        if problem.ran is errors.Ran.NO and self.may_have_run:
-            problem = dataclasses.replace(problem, ran=errors.Ran.UNKNOWN)
-        self.report.failure = problem
+    def fail(self, failure: errors.Failure) -> None:
+        """Sets the failure that the request ends with.
+
+        Args:
+            failure: the failure of the last attempt.
+        """
+        if failure.ran is errors.Ran.NO and self.may_have_run:
+            failure = dataclasses.replace(failure, ran=errors.Ran.UNKNOWN)
+        self.report.failure = failure
 
     def allows_retry(self, failure: errors.Failure) -> bool:
-        """Whether another attempt is allowed after a failure."""
+        """Whether the request may be retried after a failure."""
         if failure.ran is not errors.Ran.NO:
             self.may_have_run = True
         retries_made = self.last_attempt - 1
@@ -504,7 +580,7 @@
         if not self.head_sent:
             self.head_sent = True
             await self.sink.write_head(head.status, head.headers,
-                                 self.report.attempts)
+                                       self.report.attempts)
 
     async def receive_data(self, data: bytes, count: int) -> None:
         now = asyncio.get_running_loop().time()
@@ -528,33 +604,37 @@
                 hop.settle(served, now)
 
     async def deliver_outcome(self, outcome: claims.Outcome) -> None:
-        """Answers with a kept outcome."""
+        """Writes a stored response to the caller."""
         self.head_sent = True
         self.is_answered = True
         await self.sink.write_head(outcome.status, outcome.headers,
-                             self.report.attempts)
+                                   self.report.attempts)
         await self.sink.write_data(outcome.body)
         await self.sink.write_end()
 
 
-def _digest(call: GatewayRequest) -> str:
-    return claim_store.request_digest(call.method, call.path,
-                                       call.work_class.name, call.body)
+def _request_digest(request: GatewayRequest) -> str:
+    return claim_store.request_digest(request.method, request.path,
+                                      request.work_class.name, request.body)
+
 
+def _requirements(request: GatewayRequest,
+                  now: float) -> upstream_selector.UpstreamRequirements:
+    return upstream_selector.UpstreamRequirements(workspace=request.workspace,
+                                                  work_class=request.work_class,
+                                                  kind=request.kind,
+                                                  name=request.name,
+                                                  stream=request.stream,
+                                                  body=request.body,
+                                                  accepted_at=now,
+                                                  deadline=request.deadline)
 
-def _need(call: GatewayRequest, now: float) -> chooser_module.UpstreamRequirements:
-    return chooser_module.UpstreamRequirements(workspace=call.workspace,
-                               work_class=call.work_class,
-                               kind=call.kind,
-                               name=call.name,
-                               stream=call.stream,
-                               body=call.body,
-                               accepted_at=now,
-                               deadline=call.deadline)
 
+def _has_recordable_end(failure: errors.Failure | None) -> bool:
+    """Whether an attempt may have run and its agent has reported the end.
 
-def _has_ended(failure: errors.Failure | None) -> bool:
-    """Whether the agent has said how the attempt ended, run or not."""
+    Only then is there a result to record in the table.
+    """
     if failure is None:
         return True
     return (failure.kind is not errors.Kind.LINK_LOST and
--- a/pollenthread/app/hedge.py
+++ b/pollenthread/app/hedge.py
@@ -1,9 +1,9 @@
-"""Two attempts of one repeatable request, of which the first to answer wins."""
+"""Hedged requests: two attempts of which the first to respond is used."""
 
 import asyncio
 import dataclasses
 
-from pollenthread.app import upstream_pool as pool_module
+from pollenthread.app import upstream_pool
 from pollenthread.core import messages
 from pollenthread.ports import link as link_port
 
@@ -12,22 +12,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class SentAttempt:
-    """One attempt that an agent has.
+    """One attempt that was sent to an agent.
 
     Attributes:
         attempt: the attempt's id.
-        upstream: where it is.
-        stream: its messages.
-        sent_at: monotonic seconds.
+        upstream: the upstream that it was sent to.
+        stream: the messages received for it.
+        sent_at: monotonic seconds at which it was sent.
     """
 
     attempt: str
-    upstream: pool_module.LinkedUpstream
-    stream: pool_module.AttemptStream
+    upstream: upstream_pool.LinkedUpstream
+    stream: upstream_pool.AttemptStream
     sent_at: float
 
     async def has_data_within(self, timeout_s: float) -> bool:
-        """Whether a part of the answer, or a failure, comes in time."""
+        """Whether a chunk of the response, or a failure, arrives in time.
+
+        Args:
+            timeout_s: the longest wait in seconds.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 await self.stream.wait_past_head()
@@ -36,33 +40,36 @@
         return True
 
     async def wait_for_success(self) -> bool:
-        """Waits for a part of the answer; False for a failure."""
-        part = await self.stream.wait_past_head()
-        return isinstance(part, (messages.Chunk, messages.End))
+        """Waits for a chunk of the response; False for a failure."""
+        message = await self.stream.wait_past_head()
+        return isinstance(message, (messages.Chunk, messages.End))
 
     def cancel(self) -> None:
-        """Tells the agent that nobody waits."""
+        """Cancels the attempt at its agent."""
         self.upstream.close_stream(self.attempt)
         link_port.send_if_open(self.upstream.link,
                                messages.Cancel(self.attempt))
 
 
-async def race(first: SentAttempt, second: SentAttempt) -> tuple[SentAttempt, SentAttempt]:
-    """Waits for a part of either; the winner, and the loser.
+async def race(first: SentAttempt,
+               second: SentAttempt) -> tuple[SentAttempt, SentAttempt]:
+    """Waits for the first response of two attempts.
 
-    When both fail, the later failure wins.
+    Returns:
+        The attempt that responded first and the other one. When both fail, the
+        one that failed last comes first.
     """
     tasks = {
         asyncio.create_task(first.wait_for_success()): (first, second),
         asyncio.create_task(second.wait_for_success()): (second, first)
     }
     try:
-        waiting = set(tasks)
+        pending = set(tasks)
         while True:
-            done, waiting = await asyncio.wait(
-                waiting, return_when=asyncio.FIRST_COMPLETED)
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
-                if task.result() or not waiting:
+                if task.result() or not pending:
                     return tasks[task]
     except BaseException:
         first.cancel()
--- a/pollenthread/app/host_registry.py
+++ b/pollenthread/app/host_registry.py
@@ -1,4 +1,4 @@
-"""The hosts of a deployment, as they register themselves in the store."""
+"""The hosts of a deployment, which register themselves in the store."""
 
 from collections.abc import Sequence
 
@@ -11,11 +11,16 @@
 __all__ = ['HostRegistry', 'register']
 
 HOSTS_TABLE = 'pollenthread_hosts'
-_RETRY_S = 0.5
+_RETRY_INTERVAL_S = 0.5
 
 
 class HostRegistry(store_follower.TableListener):
-    """Records by host."""
+    """Maintains the records of the registered hosts.
+
+    Attributes:
+        records_by_host: the records by host name.
+        rejected_count: records that could not be decoded.
+    """
 
     def __init__(self) -> None:
         self.records_by_host: dict[str, host_record.HostRecord] = {}
@@ -30,7 +35,12 @@
                 self.apply_row(row.key, row.value)
 
     def apply_row(self, host: str, value: bytes) -> None:
-        """Takes one record; hosts at the same address replace each other."""
+        """Applies one record; replaces other hosts at the same address.
+
+        Args:
+            host: the host's name.
+            value: the encoded record.
+        """
         decoded = host_record.decode(value)
         if isinstance(decoded, result.Err):
             self.rejected_count += 1
@@ -49,11 +59,11 @@
         return
 
     def with_role(self, role: host_record.Role) -> list[host_record.HostRecord]:
-        """The hosts of one role."""
+        """Returns the records of the hosts with a role."""
         return [r for r in self.records_by_host.values() if r.role is role]
 
     def other_agent_addresses(self, host: str) -> list[str]:
-        """Peer addresses of all agents but the one on a host."""
+        """Returns the peer addresses of all agents except that of a host."""
         return [
             record.peer_address
             for record in self.with_role(host_record.Role.AGENT)
@@ -61,24 +71,25 @@
         ]
 
     def rows(self) -> list[tuple[str, bytes]]:
-        """Keys and values, to hand to a peer."""
+        """Returns host names and encoded records, for a peer."""
         return [(host, host_record.encode(record))
                 for host, record in self.records_by_host.items()]
 
 
 async def register(*, store: row_store.RowStore, time: clock.Clock,
-                   roster: HostRegistry, record: host_record.HostRecord) -> None:
-    """Writes a host's record, unless it is there already."""
+                   roster: HostRegistry,
+                   record: host_record.HostRecord) -> None:
+    """Writes a host's record to the store unless it is there; retries."""
     value = host_record.encode(record)
     roster.apply_row(record.host, value)
     write = row_store.RowWrite(HOSTS_TABLE, record.host, value, expect=None)
     while True:
-        known = await store.read(HOSTS_TABLE)
-        if isinstance(known, result.Ok):
-            rows = {row.key: row.value for row in known.ok_value.changes}
+        found = await store.read(HOSTS_TABLE)
+        if isinstance(found, result.Ok):
+            rows = {row.key: row.value for row in found.ok_value.changes}
             if rows.get(record.host) == value:
                 return
-            done = await store.write([write])
-            if isinstance(done, result.Ok):
+            written = await store.write([write])
+            if isinstance(written, result.Ok):
                 return
-        await time.sleep(_RETRY_S)
+        await time.sleep(_RETRY_INTERVAL_S)
--- a/pollenthread/app/link_router.py
+++ b/pollenthread/app/link_router.py
@@ -1,4 +1,4 @@
-"""Passes an agent's links to the part that they are for."""
+"""Routes the links to an agent by the role of the other end."""
 
 from pollenthread.core import messages
 from pollenthread.ports import link as link_port
@@ -7,7 +7,10 @@
 
 
 class LinkRouter(link_port.LinkHandler):
-    """Links from agents go to the rank group, all others to the gate."""
+    """Routes links from agents to the rank group and all others to the gate.
+
+    Without a rank group, links from agents are ignored.
+    """
 
     def __init__(self, *, gate: link_port.LinkHandler,
                  group: link_port.LinkHandler | None) -> None:
--- a/pollenthread/app/peer_links.py
+++ b/pollenthread/app/peer_links.py
@@ -1,4 +1,4 @@
-"""Links between entry hosts: who is alive and who leaves."""
+"""Open links between entry hosts and the dispatch of their messages."""
 
 import abc
 from collections.abc import Callable
@@ -15,19 +15,23 @@
 
 
 class LinkWatcher(abc.ABC):
-    """Is told of links to other entry hosts."""
+    """Is notified when links to other entry hosts open and close."""
 
     @abc.abstractmethod
     def on_peer_linked(self, link: link_port.Link) -> None:
-        """A link is ready."""
+        """Called when a link is open."""
 
     @abc.abstractmethod
     def on_peer_lost(self, link: link_port.Link) -> None:
-        """The only link to a host is gone."""
+        """Called when the last link to a host has closed."""
 
 
 class PeerLinks(link_port.LinkHandler):
-    """Entry hosts by name, and what to do with their messages."""
+    """The open links to entry hosts.
+
+    Attributes:
+        links_by_host: the links by host name.
+    """
 
     def __init__(self) -> None:
         self.links_by_host: dict[str, link_port.Link] = {}
@@ -35,11 +39,11 @@
         self._watchers: list[LinkWatcher] = []
 
     def subscribe(self, message_type: type[Any], handler: _OnMessage) -> None:
-        """Adds who handles messages of a type from other entry hosts."""
+        """Adds a handler for messages of a type from other entry hosts."""
         self._handlers_by_type.setdefault(message_type, []).append(handler)
 
     def add_watcher(self, watcher: 'LinkWatcher') -> None:
-        """Adds who is told of links that open and close."""
+        """Adds a watcher of opened and closed links."""
         self._watchers.append(watcher)
 
     def broadcast(self, message: messages.Message) -> None:
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -152,7 +152,8 @@
     Returns 0 for a retry, a resumed stream, and a request that has already
     missed its target.
     """
-    if job.has_missed_target or job.attempt_count or job.request.last_event_id is not None:
+    if (job.has_missed_target or job.attempt_count or
+            job.request.last_event_id is not None):
         return 0.0
     return max(0.0, job.request.received_at + job.route.target_s - now)
 
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -1,4 +1,4 @@
-"""What an entry host knows of its surroundings."""
+"""The state by which an entry host forwards requests."""
 
 import dataclasses
 import random
@@ -10,7 +10,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class RetryBudgetSettings:
-    """What all entry hosts together may repeat; see `RetryBudget`."""
+    """Limits on the retries of all entry hosts together; see `RetryBudget`.
+
+    Attributes:
+        ratio: retries per request.
+        extra: further retries per window.
+        window_s: the length of the window in seconds.
+    """
 
     ratio: float
     extra: float
@@ -18,14 +24,17 @@
 
 
 class ServingState:
-    """Configuration, servers, load and budgets, shared by an entry host.
+    """Configuration, servers, load and retry budgets of an entry host.
 
     Attributes:
-        config: the newest configuration, or None before the first.
-        fleet: the listed servers.
-        loads: their load.
-        entry_hosts: live entry hosts, this one among them.
-        leaving_since: when a planned stop began, or None.
+        data_centre: the data centre of this host.
+        config: the current configuration; None before the first.
+        server_registry: the servers that are listed in the store.
+        server_loads: the load of each server.
+        entry_host_count: the number of live entry hosts, including this one.
+        leaving_since: monotonic seconds at which a graceful shutdown began, or
+            None.
+        rng: random numbers.
     """
 
     def __init__(self, *, data_centre: str, retry_bounds: RetryBudgetSettings,
@@ -37,22 +46,22 @@
         self.entry_host_count = 1
         self.leaving_since: float | None = None
         self.rng = rng
-        self._retry_bounds = retry_bounds
+        self._retry_settings = retry_bounds
         self._budget_by_service: dict[str, retry_budget.RetryBudget] = {}
 
     def retry_budget_for(self, service: str) -> retry_budget.RetryBudget:
-        """The service's budget of repeats."""
+        """Returns the retry budget of a service."""
         found = self._budget_by_service.get(service)
         if found is None:
             found = retry_budget.RetryBudget(
-                ratio=self._retry_bounds.ratio,
-                extra=self._retry_bounds.extra,
-                window_s=self._retry_bounds.window_s)
+                ratio=self._retry_settings.ratio,
+                extra=self._retry_settings.extra,
+                window_s=self._retry_settings.window_s)
             self._budget_by_service[service] = found
         return found
 
     def pick_service(self, route: routing_config.Route) -> str:
-        """One of the route's services, by weight."""
+        """Picks one of the route's services at random by weight."""
         if len(route.shares) == 1:
             return route.shares[0].service
         weights = [share.weight for share in route.shares]
@@ -60,6 +69,6 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers should connect here."""
+        """Whether callers should connect to this host."""
         return (self.config is not None and self.leaving_since is None and
                 bool(self.server_registry.listed_by_id))
--- a/pollenthread/app/slot_scheduler.py
+++ b/pollenthread/app/slot_scheduler.py
@@ -1,4 +1,4 @@
-"""Turns at the upstream, awaited by the attempts at an agent."""
+"""Schedules attempts at an agent into the concurrency slots of an upstream."""
 
 import asyncio
 
@@ -10,7 +10,10 @@
 
 
 class SlotScheduler:
-    """Wakes attempts in the order that the slots decide."""
+    """Lets attempts wait for a slot and starts them by priority.
+
+    `slots.Slots` decides the order and the concurrency limit.
+    """
 
     def __init__(self) -> None:
         self._slots = slots.Slots(now=_now())
@@ -20,21 +23,28 @@
 
     @property
     def running(self) -> int:
-        """Attempts at the upstream."""
+        """The number of attempts that hold a slot."""
         return self._slots.running
 
     @property
     def queued(self) -> int:
-        """Attempts that wait."""
+        """The number of attempts that wait for a slot."""
         return self._slots.queued
 
     @property
     def load(self) -> slots.Reading:
-        """What to report of the upstream."""
+        """The current load of the upstream, as reported to entry hosts."""
         return self._slots.reading(_now())
 
     async def acquire(self, ticket: admission.Ticket) -> errors.Kind | None:
-        """Waits for a turn; the kind of the refusal, or None to begin."""
+        """Waits for a slot.
+
+        Args:
+            ticket: the attempt's place in the queue, from `make_ticket`.
+
+        Returns:
+            None once the attempt holds a slot, or why it was refused.
+        """
         decision, kind = self._slots.offer(ticket, _now())
         if decision is slots.Decision.REFUSE:
             return kind
@@ -42,7 +52,7 @@
             return None
         waiter = asyncio.get_running_loop().create_future()
         self._waiters_by_attempt[ticket.attempt] = waiter
-        self._arm()
+        self._start_timer()
         try:
             return await waiter
         except asyncio.CancelledError:
@@ -52,30 +62,35 @@
             self._waiters_by_attempt.pop(ticket.attempt, None)
 
     def record_progress(self, attempt: str, units: int) -> None:
-        """Notes that an attempt has had a part of its answer."""
+        """Records that a chunk of an attempt's response has arrived.
+
+        Args:
+            attempt: the attempt's id.
+            units: the events or bytes in the chunk.
+        """
         self._slots.progress(attempt, _now(), units)
 
     def release(self, attempt: str) -> None:
-        """Ends an attempt's turn, or its wait."""
+        """Releases an attempt's slot, or removes it from the queue."""
         self._slots.finish(attempt, _now())
         self._advance()
 
     def _advance(self) -> None:
         started, refused = self._slots.advance(_now())
         for attempt in started:
-            if not self._wake(attempt, None):
+            if not self._resolve(attempt, None):
                 self._slots.finish(attempt, _now())
         for attempt in refused:
-            self._wake(attempt, errors.Kind.DEADLINE_TOO_SHORT)
+            self._resolve(attempt, errors.Kind.DEADLINE_TOO_SHORT)
 
-    def _wake(self, attempt: str, kind: errors.Kind | None) -> bool:
+    def _resolve(self, attempt: str, kind: errors.Kind | None) -> bool:
         waiter = self._waiters_by_attempt.get(attempt)
         if waiter is None or waiter.done():
             return False
         waiter.set_result(kind)
         return True
 
-    def _arm(self) -> None:
+    def _start_timer(self) -> None:
         if self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(_ADVANCE_INTERVAL_S, self._on_timer)
@@ -84,11 +99,11 @@
         self._timer = None
         self._advance()
         if self.queued:
-            self._arm()
+            self._start_timer()
 
 
 def make_ticket(begin: messages.Begin) -> admission.Ticket:
-    """The ticket of an attempt that has just come."""
+    """Returns the queue ticket of an attempt that has just arrived."""
     now = _now()
     due_ms = min(begin.target_ms or begin.deadline_ms, begin.deadline_ms)
     return admission.Ticket(attempt=begin.attempt,
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -1,7 +1,7 @@
 """Follows tables of the platform's store.
 
-A follower reads a table whole, then asks for what has changed. When the
-store's history does not reach back far enough it reads the table whole again.
+A follower reads the whole table once and then polls for changes. It reads the
+whole table again when the store no longer has the changes since its version.
 """
 
 import abc
@@ -15,47 +15,56 @@
 
 __all__ = ['StoreFollower', 'TableListener', 'run_followers']
 
-_UNKNOWN = -1
-_RETRY_MIN_S = 0.2
-_RETRY_MAX_S = 0.6
+_NO_VERSION = -1
+_MIN_RETRY_S = 0.2
+_MAX_RETRY_S = 0.6
 
 
 class TableListener(abc.ABC):
-    """Takes what a follower learns."""
+    """Receives the content of a followed table."""
 
     @abc.abstractmethod
     def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
-        """The table holds these rows and no others."""
+        """Called with all rows after a read of the whole table."""
 
     @abc.abstractmethod
     def on_changes(self, rows: Sequence[row_store.Change]) -> None:
-        """These rows have changed."""
+        """Called with changed rows; the value of a deleted row is None."""
 
     @abc.abstractmethod
     def on_fault(self, fault: row_store.StoreFault) -> None:
-        """The store did not answer."""
+        """Called when the store did not answer."""
 
     @abc.abstractmethod
     def on_contact(self, version: int) -> None:
-        """The store has answered; all changes up to `version` are known."""
+        """Called after each answer of the store.
+
+        Args:
+            version: the store's version up to which all changes are known.
+        """
 
 
 class StoreFollower:
-    """Follows one table."""
+    """Follows one table.
+
+    Attributes:
+        version: the store's version up to which changes are known; -1 before
+            the first read.
+    """
 
     def __init__(self, *, store: row_store.RowStore, table: str,
                  listener: TableListener, time: clock.Clock, wait_s: float,
                  pause_s: float, rng: random.Random) -> None:
-        """Makes a follower.
+        """Creates a follower.
 
         Args:
             store: the platform's store.
             table: the table's name.
-            listener: takes what is learned.
+            listener: receives the rows.
             time: the clock.
             wait_s: how long one call waits for a change, in seconds.
             pause_s: the pause between two calls, in seconds.
-            rng: spreads retries.
+            rng: randomizes the retry delay.
         """
         self._store = store
         self._table = table
@@ -64,43 +73,44 @@
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._rng = rng
-        self.version = _UNKNOWN
+        self.version = _NO_VERSION
 
     async def run(self) -> None:
         """Follows until it is cancelled."""
         while True:
-            fault = await self._step()
+            fault = await self._read_once()
             if fault is None:
                 await self._clock.sleep(self._pause_s)
             elif fault is not row_store.StoreFault.HISTORY_LOST:
                 await self._clock.sleep(
-                    self._rng.uniform(_RETRY_MIN_S, _RETRY_MAX_S))
+                    self._rng.uniform(_MIN_RETRY_S, _MAX_RETRY_S))
 
-    async def _step(self) -> row_store.StoreFault | None:
-        if self.version == _UNKNOWN:
+    async def _read_once(self) -> row_store.StoreFault | None:
+        if self.version == _NO_VERSION:
             answer = await self._store.read(self._table)
         else:
             answer = await self._store.watch(self._table, self.version,
                                              self._wait_s)
         if isinstance(answer, result.Err):
-            return self._take_fault(answer.err_value)
-        self._take(answer.ok_value)
+            return self._handle_fault(answer.err_value)
+        self._handle_changes(answer.ok_value)
         return None
 
-    def _take_fault(self, fault: row_store.StoreFault) -> row_store.StoreFault:
+    def _handle_fault(self,
+                      fault: row_store.StoreFault) -> row_store.StoreFault:
         if fault is row_store.StoreFault.HISTORY_LOST:
-            self.version = _UNKNOWN
+            self.version = _NO_VERSION
         else:
             self._listener.on_fault(fault)
         return fault
 
-    def _take(self, found: row_store.Changes) -> None:
-        is_whole = self.version == _UNKNOWN
+    def _handle_changes(self, found: row_store.Changes) -> None:
+        is_full_read = self.version == _NO_VERSION
         if found.version < self.version:
-            # The store's counter never falls: this is an old answer.
+            # The store's version never decreases, so this answer is outdated.
             return
         self.version = found.version
-        if is_whole:
+        if is_full_read:
             self._listener.on_full_read(found.changes)
         elif found.changes:
             self._listener.on_changes(found.changes)
@@ -108,7 +118,7 @@
 
 
 async def run_followers(followers: Sequence[StoreFollower]) -> None:
-    """Runs followers side by side until cancelled."""
+    """Runs followers concurrently until cancelled."""
     async with asyncio.TaskGroup() as group:
         for follower in followers:
             group.create_task(follower.run())
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -1,7 +1,7 @@
-"""Turns rows of the store into what an entry host knows.
+"""Applies configuration and server rows from the store to the serving state.
 
 The decoders come from the platform's adapter. A row that cannot be decoded is
-counted and logged, and what was known before holds.
+counted and logged, and the previous state stays in effect.
 """
 
 import abc
@@ -23,10 +23,11 @@
 
 @dataclasses.dataclass
 class StoreContact:
-    """When the store last answered, and whether it does now.
+    """The availability of the store.
 
     Attributes:
-        last_at: monotonic seconds of the last answer; -inf before the first.
+        last_answer_at: monotonic seconds of the last answer; -inf before the
+            first one.
         is_up: whether the last call was answered.
     """
 
@@ -35,7 +36,13 @@
 
 
 class _OutageListener(store_follower.TableListener):
-    """Keeps track of the store's outages."""
+    """Base of listeners that track outages of the store.
+
+    Attributes:
+        contact: the availability of the store.
+        rejected_count: rows that could not be decoded.
+        table: the name of the table.
+    """
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog, table: str) -> None:
@@ -73,7 +80,13 @@
 
 
 class ConfigListener(_OutageListener):
-    """Applies the newest configuration; versions only rise."""
+    """Applies new versions of the configuration; ignores older ones.
+
+    Attributes:
+        key: the key of the configuration's row.
+        document: the current configuration document; None before the first.
+        applied_callbacks: functions called with each new configuration.
+    """
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog, table: str, key: str,
@@ -83,7 +96,7 @@
         self._decode = decode
         self.document: bytes | None = None
         self.applied_callbacks: list[Callable[[routing_config.RoutingConfig],
-                                       None]] = []
+                                              None]] = []
 
     def on_full_read(self, rows: Sequence[row_store.Change]) -> None:
         self.on_changes(rows)
@@ -94,7 +107,12 @@
                 self.apply_document(row.value, source='store')
 
     def apply_document(self, document: bytes, *, source: str) -> None:
-        """Applies a document if its version is higher than the present one."""
+        """Applies a document if its version is higher than the current one.
+
+        Args:
+            document: the encoded configuration.
+            source: where it came from, for the log.
+        """
         decoded = self._decode(document)
         if isinstance(decoded, result.Err):
             self.rejected_count += 1
@@ -108,8 +126,8 @@
             return
         self._state.config = config
         self.document = document
-        for act in self.applied_callbacks:
-            act(config)
+        for callback in self.applied_callbacks:
+            callback(config)
         self._log.write(log_events.LogEvent.CONFIG_APPLIED,
                         version=config.version,
                         before=present.version if present else None,
@@ -117,7 +135,13 @@
 
 
 class ServerListener(_OutageListener):
-    """Keeps the list of servers."""
+    """Maintains the list of servers.
+
+    Attributes:
+        version: the store's version that the list is complete up to.
+        changed_version: the version of the newest row.
+        rows_by_key: value and version of each row.
+    """
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog, table: str,
@@ -128,14 +152,14 @@
         self.changed_version = 0
         self.rows_by_key: dict[str, tuple[bytes, int]] = {}
 
-    def apply_peer_snapshot(self, rows: Sequence[row_store.Change], version: int, *,
-                      is_fresh: bool) -> None:
-        """Takes the list of a peer.
+    def apply_peer_snapshot(self, rows: Sequence[row_store.Change],
+                            version: int, *, is_fresh: bool) -> None:
+        """Replaces the list with the list of a peer.
 
         Args:
-            rows: the whole list.
-            version: the store's counter that it covers.
-            is_fresh: whether the peer reaches the store now.
+            rows: all rows of the table.
+            version: the store's version that the rows are complete up to.
+            is_fresh: whether the peer can reach the store now.
         """
         self.version = version
         if is_fresh:
@@ -152,11 +176,11 @@
         servers = [server for server in decoded if server is not None]
         self._note_versions(rows)
         now = self._clock.monotonic()
-        known = set(self._state.server_registry.listed_by_id)
+        known_ids = set(self._state.server_registry.listed_by_id)
         for server_id in self._state.server_registry.replace_all(servers, now):
             self._log_gone(server_id)
         for server in servers:
-            if server.id not in known:
+            if server.id not in known_ids:
                 self._log_listed(server)
 
     def _note_versions(self, rows: Sequence[row_store.Change]) -> None:
--- a/pollenthread/app/tracer.py
+++ b/pollenthread/app/tracer.py
@@ -1,4 +1,4 @@
-"""Decides which requests are traced, and keeps the newest traces."""
+"""Samples requests for tracing and keeps the most recent traces."""
 
 import collections
 import random
@@ -9,7 +9,7 @@
 
 __all__ = ['Tracer']
 
-_KEPT_TRACES = 200
+_MAX_TRACES = 200
 _PER_THOUSAND = 1000
 _TRACE_BITS = 128
 _SPAN_BITS = 64
@@ -19,14 +19,14 @@
 
 
 class Tracer:
-    """Makes the spans of sampled requests at an entry host."""
+    """Creates the spans of sampled requests at an entry host."""
 
     def __init__(self, *, host: str, sample_per_thousand: int,
                  rng: random.Random, wall_offset_s: Callable[[], float],
                  export: SpanExporter | None) -> None:
         self._host = host
         self._sample_per_thousand = sample_per_thousand
-        self._draw = rng
+        self._rng = rng
         self._wall_offset_s = wall_offset_s
         self._export = export
         self._spans_by_trace = collections.OrderedDict[str, list[spans.Span]]()
@@ -34,39 +34,54 @@
 
     def start(self, headers: tuple[http_headers.Header,
                                    ...]) -> spans.Context | None:
-        """The trace of a request, or None when it is not sampled.
+        """Starts the trace of a request.
 
-        A caller that samples its own trace is followed.
+        A request that its caller has sampled is always traced.
+
+        Args:
+            headers: the request headers.
+
+        Returns:
+            The trace context, or None when the request is not sampled.
         """
         found = spans.parse(headers)
         if found is not None and found[2]:
             return spans.Context(found[0], self._new_id(), found[1])
-        if self._draw.randrange(_PER_THOUSAND) >= self._sample_per_thousand:
+        if self._rng.randrange(_PER_THOUSAND) >= self._sample_per_thousand:
             return None
-        trace = f'{self._draw.getrandbits(_TRACE_BITS):032x}'
+        trace = f'{self._rng.getrandbits(_TRACE_BITS):032x}'
         return spans.Context(trace, self._new_id())
 
     def _new_id(self) -> str:
-        return f'{self._draw.getrandbits(_SPAN_BITS):016x}'
+        return f'{self._rng.getrandbits(_SPAN_BITS):016x}'
 
     def finish(self, context: spans.Context, request_id: str, began_at: float,
                ended_at: float, hops: list[spans.Hop],
                attributes: dict[str, str]) -> None:
-        """Keeps and exports the spans of a request."""
-        made = spans.spans_of(context=context,
-                              host=self._host,
-                              began_at=began_at,
-                              ended_at=ended_at,
-                              wall_offset_s=self._wall_offset_s(),
-                              hops=hops,
-                              attributes={
-                                  'request_id': request_id,
-                                  **attributes
-                              },
-                              new_id=self._new_id)
-        self._spans_by_trace.setdefault(context.trace_id, []).extend(made)
+        """Stores and exports the spans of a request.
+
+        Args:
+            context: the trace context from `start`.
+            request_id: the request's id.
+            began_at: monotonic seconds at which the request arrived.
+            ended_at: monotonic seconds at which it ended.
+            hops: trace data of its attempts.
+            attributes: further attributes of the spans.
+        """
+        new_spans = spans.spans_of(context=context,
+                                   host=self._host,
+                                   began_at=began_at,
+                                   ended_at=ended_at,
+                                   wall_offset_s=self._wall_offset_s(),
+                                   hops=hops,
+                                   attributes={
+                                       'request_id': request_id,
+                                       **attributes
+                                   },
+                                   new_id=self._new_id)
+        self._spans_by_trace.setdefault(context.trace_id, []).extend(new_spans)
         self._trace_by_request[request_id] = context.trace_id
-        while len(self._spans_by_trace) > _KEPT_TRACES:
+        while len(self._spans_by_trace) > _MAX_TRACES:
             dropped, _ = self._spans_by_trace.popitem(last=False)
             self._trace_by_request = {
                 request: trace
@@ -74,10 +89,18 @@
                 if trace != dropped
             }
         if self._export is not None:
-            self._export(made)
+            self._export(new_spans)
 
     def find_spans(self, name: str) -> list[dict[str, Any]] | None:
-        """The spans of a trace or request id; None when it is not kept."""
+        """Returns the spans of a trace.
+
+        Args:
+            name: a trace id or request id.
+
+        Returns:
+            The spans, with times relative to the first one; None when the trace
+            is not stored.
+        """
         found = self._spans_by_trace.get(self._trace_by_request.get(name, name))
         if found is None:
             return None
--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -136,7 +136,8 @@
         Returns:
             The delay, or None when the class allows no second attempt.
         """
-        if not requirements.work_class.repeatable or not requirements.work_class.retries:
+        if (not requirements.work_class.repeatable or
+                not requirements.work_class.retries):
             return None
         return max(
             0.0,
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -108,7 +108,7 @@
             request_link=self._directory.request_upstream_link,
             wall_clock=wall_time.time)
         self._gateway = gateway.Gateway(pool=self._pool,
-                                        keeper=keeper,
+                                        store=keeper,
                                         time=time,
                                         rng=draw)
         self._caller_handler = caller_http.CallerHandler(
