Correct docstrings of claims, liveness and serving state

entry_host_count counts registered entry hosts, not live ones: records are never removed when a host falls silent. Argument names in docstrings follow the signatures.

--- a/pollenthread/app/claim_store.py
+++ b/pollenthread/app/claim_store.py
@@ -100,11 +100,12 @@
 
         Args:
             key: the row's key, from `row_key`.
-            wanted: the claim to insert.
+            new_claim: the claim to insert.
 
         Returns:
             The granted claim, a stored response, or the claim of an attempt to
-            follow. After a failure, no attempt may be sent.
+            follow. A failure means that this call has allowed no attempt to
+            run.
         """
         new_claim = dataclasses.replace(new_claim,
                                         claimed_at_s=int(self._wall_clock()))
@@ -162,7 +163,7 @@
 
         Args:
             granted: the claim.
-            wanted: the claim for the new attempt.
+            new_claim: the claim for the new attempt.
 
         Returns:
             The new claim; a failure when the table did not confirm it.
@@ -215,7 +216,7 @@
         """Records the result of an attempt in its claim.
 
         Args:
-            held: the claim.
+            held_claim: the claim.
             outcome: the complete response, or None when the result is unknown.
 
         Returns:
@@ -259,6 +260,7 @@
     async def _ask_seal(
         self, row: table.Row, claim: claims.Claim, new_claim: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
+        """Decides by the reply of the claim's agent to a seal request."""
         upstream = self._pool.by_host.get(claim.host)
         if upstream is None and self._request_link(claim.host):
             upstream = await self._pool.wait_for_link(claim.host,
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -15,7 +15,7 @@
 
 _UPDATE_INTERVAL_S = 0.5
 _UPDATES_PER_READ = 2
-_EXTRA_LINK_LIFETIME_S = 30.0
+_TEMPORARY_LINK_LIFETIME_S = 30.0
 _ADDRESS_SETTLE_S = 3.0
 
 
@@ -42,7 +42,7 @@
         self._dialed_hosts: frozenset[str] = frozenset()
         self._upstream_hosts: frozenset[str] = frozenset()
         self._membership_view = membership.View({}, False)
-        self._extra_until_by_host: dict[str, float] = {}
+        self._temporary_until_by_host: dict[str, float] = {}
         self.draining: frozenset[str] = frozenset()
         self._read_at: float | None = None
         self.pollers: frozenset[str] = frozenset()
@@ -99,12 +99,12 @@
     def upstream_addresses(self) -> dict[str, str]:
         """Returns link addresses of the upstreams to link to, by host name."""
         now = self._time.monotonic()
-        self._extra_until_by_host = {
+        self._temporary_until_by_host = {
             host: until
-            for host, until in self._extra_until_by_host.items()
+            for host, until in self._temporary_until_by_host.items()
             if until > now
         }
-        wanted = self._upstream_hosts | self._extra_until_by_host.keys()
+        wanted = self._upstream_hosts | self._temporary_until_by_host.keys()
         return {
             name: self.hosts_by_name[name].address
             for name in wanted
@@ -120,8 +120,8 @@
         Returns:
             Whether the host is listed.
         """
-        self._extra_until_by_host[host] = (self._time.monotonic() +
-                                           _EXTRA_LINK_LIFETIME_S)
+        self._temporary_until_by_host[host] = (self._time.monotonic() +
+                                               _TEMPORARY_LINK_LIFETIME_S)
         return host in self.hosts_by_name
 
     def peers_to_dial(self) -> dict[str, str]:
@@ -189,14 +189,14 @@
     def update_states(self) -> None:
         """Updates the states of the entry hosts and reports dead ones."""
         self._liveness.set_watched_hosts(self._watched_hosts)
-        before = self._membership_view
+        previous_view = self._membership_view
         self._membership_view = membership.judge({
             member.host: self._evidence(member.host) for member in self._members
         })
         for host, state in self._membership_view.state_by_host.items():
-            if before.state_by_host.get(host) is not state:
+            if previous_view.state_by_host.get(host) is not state:
                 logging.info('entry host=%s state=%s', host, state)
-        if before.is_panic != self._membership_view.is_panic:
+        if previous_view.is_panic != self._membership_view.is_panic:
             logging.warning('membership panic=%s',
                             self._membership_view.is_panic)
         self._liveness.report_dead(_dead_hosts(self._membership_view))
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -87,6 +87,9 @@
     def usable_addresses(self, data_centre: str) -> list[str]:
         """Returns the addresses that callers in a data centre can use.
 
+        If no entry host is known to be ready, returns those of all registered
+        ones.
+
         Args:
             data_centre: the data centre of the callers.
         """
@@ -114,7 +117,8 @@
 
     def _accepts_callers(self, host: str) -> bool:
         heartbeat = self._heartbeat_by_host.get(host)
-        return heartbeat is not None and heartbeat.is_ready and not heartbeat.is_leaving
+        return (heartbeat is not None and heartbeat.is_ready and
+                not heartbeat.is_leaving)
 
     # Heartbeats.
 
--- a/pollenthread/app/liveness.py
+++ b/pollenthread/app/liveness.py
@@ -54,8 +54,8 @@
         return None if at is None else self._time.monotonic() - at
 
     def _record_incarnation(self, host: str, incarnation: str) -> None:
-        known = self._incarnation_by_host.get(host)
-        if known is not None and known != incarnation:
+        previous = self._incarnation_by_host.get(host)
+        if previous is not None and previous != incarnation:
             self._restarted_at_by_host[host] = self._time.monotonic()
         self._incarnation_by_host[host] = incarnation
 
@@ -123,33 +123,36 @@
                               reporter_incarnation=self._own.incarnation,
                               number=self._last_number))
 
-    def _on_report(self, _: link_port.Link, news: messages.HostNews) -> None:
-        self._accept(news)
+    def _on_report(self, _: link_port.Link,
+                   host_report: messages.HostNews) -> None:
+        self._accept(host_report)
 
-    def _accept(self, news: messages.HostNews) -> None:
+    def _accept(self, host_report: messages.HostNews) -> None:
         """Applies and forwards a report, unless it was seen before."""
-        key = (news.reporter, news.reporter_incarnation, news.number)
+        key = (host_report.reporter, host_report.reporter_incarnation,
+               host_report.number)
         if key in self._seen_reports:
             return
         self._seen_reports[key] = None
         while len(self._seen_reports) > _MAX_SEEN_REPORTS:
             self._seen_reports.popitem(last=False)
-        if not self._contradicts_link(news):
-            known = self._report_by_host.get(news.host)
-            incarnation = news.incarnation
-            if known is not None and incarnation == _UNKNOWN_INCARNATION:
-                incarnation = known.incarnation
-            if news.incarnation != _UNKNOWN_INCARNATION:
-                self._record_incarnation(news.host, news.incarnation)
-            self._report_by_host[news.host] = membership.hear(
-                known,
+        if not self._contradicts_link(host_report):
+            previous = self._report_by_host.get(host_report.host)
+            incarnation = host_report.incarnation
+            if previous is not None and incarnation == _UNKNOWN_INCARNATION:
+                incarnation = previous.incarnation
+            if host_report.incarnation != _UNKNOWN_INCARNATION:
+                self._record_incarnation(host_report.host,
+                                         host_report.incarnation)
+            self._report_by_host[host_report.host] = membership.hear(
+                previous,
                 incarnation=incarnation,
-                state=membership.State(news.state),
-                reporter=news.reporter,
+                state=membership.State(host_report.state),
+                reporter=host_report.reporter,
                 now=self._time.monotonic())
-        self._peers.broadcast(news)
+        self._peers.broadcast(host_report)
 
-    def _contradicts_link(self, news: messages.HostNews) -> bool:
+    def _contradicts_link(self, host_report: messages.HostNews) -> bool:
         """Whether an open link to the host has another incarnation."""
-        link = self._peers.links_by_host.get(news.host)
-        return link is not None and link.peer.incarnation != news.incarnation
+        link = self._peers.links_by_host.get(host_report.host)
+        return link is not None and link.peer.incarnation != host_report.incarnation
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -31,7 +31,8 @@
         config: the current configuration; None before the first.
         server_registry: the servers that are listed in the store.
         server_loads: the load of each server.
-        entry_host_count: the number of live entry hosts, including this one.
+        entry_host_count: the number of registered entry hosts, including this
+            one.
         leaving_since: monotonic seconds at which a graceful shutdown began, or
             None.
         rng: random numbers.
--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -69,9 +69,9 @@
                  rng: random.Random) -> None:
         self._pool = pool
         self._time = time
-        self._draw = rng
-        self._budget = retries.RetryBudget()
-        self._times = service_times.ServiceTimes()
+        self._rng = rng
+        self._retry_budget = retries.RetryBudget()
+        self._service_times = service_times.ServiceTimes()
         self.refused_count = 0
         self.retried_count = 0
         self.hedged_count = 0
@@ -101,7 +101,7 @@
         left_s = requirements.due_at - self._time.monotonic()
         selected = choice.choose(group.tiers,
                                  self._demand(requirements, left_s),
-                                 draw=self._draw.random,
+                                 draw=self._rng.random,
                                  preferred=self._preferred(requirements, group))
         if selected is None:
             return result.Err(errors.failure(errors.Kind.NO_UPSTREAM))
@@ -116,7 +116,7 @@
                 left_s: float) -> choice.Demand:
         answer_s = 0.0
         if requirements.is_whole_response:
-            answer_s = self._times.of(requirements.class_key).hold_s
+            answer_s = self._service_times.of(requirements.class_key).hold_s
         return choice.Demand(importance=int(requirements.work_class.importance),
                              left_s=left_s,
                              answer_s=answer_s,
@@ -157,7 +157,7 @@
             return None
         if selected.ok_value.host in requirements.failed_hosts:
             return None
-        if not self._budget.spend(requirements.work_class.importance):
+        if not self._retry_budget.spend(requirements.work_class.importance):
             return None
         self.hedged_count += 1
         return selected.ok_value
@@ -174,8 +174,9 @@
                 response, less the time in the agent's queue.
         """
         upstream.record_result(is_success=True)
-        self._budget.earn()
-        self._times.learn(requirements.class_key, 0.0, max(0.0, service_s))
+        self._retry_budget.earn()
+        self._service_times.learn(requirements.class_key, 0.0,
+                                  max(0.0, service_s))
 
     def record_failure(self, requirements: UpstreamRequirements,
                        upstream: upstream_pool.LinkedUpstream,
@@ -195,9 +196,9 @@
         Returns:
             False, without a wait, when the retry budget is spent.
         """
-        if not self._budget.spend(requirements.work_class.importance):
+        if not self._retry_budget.spend(requirements.work_class.importance):
             return False
         self.retried_count += 1
         await self._time.sleep(
-            retries.back_off_s(requirements.failures, self._draw.random()))
+            retries.back_off_s(requirements.failures, self._rng.random()))
         return True
