--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -159,7 +159,7 @@
         failure = report.failure
         self._tracer.finish(
             trace, call.request_id, report.started_at, self._time.monotonic(),
-            report.hops, {
+            report.attempt_traces, {
                 'workspace': call.workspace,
                 'class': call.work_class.name,
                 'result': 'whole' if failure is None else failure.kind.value
--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -60,9 +60,9 @@
         self.begin = begin
         self.links: list[link_port.Link] = [link]
         self.task: asyncio.Task[None] | None = None
-        self.started = False
-        self.finished = False
-        self.outcome_known = False
+        self.has_started = False
+        self.is_finished = False
+        self.is_response_complete = False
         self.queued_ms = 0
         self._limits = limits
         self._scheduler = scheduler
@@ -91,9 +91,9 @@
     @property
     def phase(self) -> gate_rules.Phase:
         """The progress of the attempt."""
-        if not self.finished:
+        if not self.is_finished:
             return gate_rules.Phase.RUNNING
-        if self.outcome_known:
+        if self.is_response_complete:
             return gate_rules.Phase.DONE
         if (isinstance(self._final_message, messages.Fail) and
                 self._final_message.ran is errors.Ran.NO):
@@ -179,18 +179,18 @@
                 > self._limits.max_unacknowledged_bytes)
 
     def _end(self) -> None:
-        self.outcome_known = True
+        self.is_response_complete = True
         self._finish(messages.End(self.begin.attempt, self._offset))
 
     def fail(self, failure: errors.Failure) -> None:
         """Ends the attempt with a failure, unless it has ended."""
-        if not self.finished:
+        if not self.is_finished:
             self._finish(
                 messages.Fail(self.begin.attempt, failure.kind, failure.detail,
                               failure.ran))
 
     def _finish(self, final: messages.End | messages.Fail) -> None:
-        self.finished = True
+        self.is_finished = True
         if spans.is_sampled(self.begin.headers):
             self._send(self._timing_message())
         self._final_message = final
@@ -232,7 +232,7 @@
         if link not in self.links:
             return
         self.links.remove(link)
-        if not self.is_retained and not self.finished:
+        if not self.is_retained and not self.is_finished:
             loop = asyncio.get_running_loop()
             self._cancel_timer = loop.call_later(self._limits.resume_grace_s,
                                                  self.cancel)
--- a/pollenthread/app/claim_store.py
+++ b/pollenthread/app/claim_store.py
@@ -72,7 +72,7 @@
     upstream: upstream_pool.LinkedUpstream
 
 
-Decision = GrantedClaim | ReplayedResponse | AttachableClaim
+ClaimDecision = GrantedClaim | ReplayedResponse | AttachableClaim
 
 
 def request_digest(method: str, path: str, work_class: str, body: bytes) -> str:
@@ -95,7 +95,7 @@
 
     async def acquire(
             self, key: str,
-            new_claim: claims.Claim) -> result.Result[Decision, errors.Failure]:
+            new_claim: claims.Claim) -> result.Result[ClaimDecision, errors.Failure]:
         """Claims a key for an attempt.
 
         Args:
@@ -238,7 +238,7 @@
 
     async def _decide(
         self, row: table.Row, new_claim: claims.Claim
-    ) -> result.Result[Decision, errors.Failure] | None:
+    ) -> result.Result[ClaimDecision, errors.Failure] | None:
         """Decides what a row allows; None when the row must be read again."""
         claim = decode_claim(row.value)
         step = claims.first_step(claim,
@@ -259,7 +259,7 @@
 
     async def _ask_seal(
         self, row: table.Row, claim: claims.Claim, new_claim: claims.Claim
-    ) -> result.Result[Decision, errors.Failure] | None:
+    ) -> result.Result[ClaimDecision, errors.Failure] | None:
         """Decides by the reply of the claim's agent to a seal request."""
         upstream = self._pool.by_host.get(claim.host)
         if upstream is None and self._request_link(claim.host):
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -31,11 +31,11 @@
 
     def __init__(self, *, hosts: host_list.HostList, time: clock.Clock,
                  own: membership.Member,
-                 heartbeats: liveness.LivenessTracker) -> None:
+                 liveness_tracker: liveness.LivenessTracker) -> None:
         self._hosts = hosts
         self._time = time
         self._own = own
-        self._liveness = heartbeats
+        self._liveness = liveness_tracker
         self.hosts_by_name: dict[str, host_list.Host] = {}
         self._members: list[membership.Member] = []
         self._watched_hosts: frozenset[str] = frozenset()
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -277,7 +277,7 @@
         body = response.read()
         while (data := await self._next_chunk(body)) is not None:
             try:
-                events = job.splitter.feed(data)
+                events = job.event_splitter.feed(data)
             except event_stream.EventTooLong as error:
                 raise upstream.UpstreamBroken(str(error)) from error
             if not events:
@@ -288,7 +288,7 @@
                 await job.caller_response.begin(response.status,
                                                 response.headers)
             await job.caller_response.write(events)
-        if job.splitter.has_partial or not job.caller_response.has_begun:
+        if job.event_splitter.has_partial or not job.caller_response.has_begun:
             raise upstream.UpstreamBroken('the stream ended within an event')
         self._state.server_loads.succeed(server.id)
         await job.caller_response.finish()
@@ -315,7 +315,7 @@
                         server=server.id,
                         status=status,
                         attempts=job.attempt_count,
-                        events=job.splitter.events,
+                        events=job.event_splitter.events,
                         after_s=self._age_s(job.request),
                         **timing)
 
@@ -337,7 +337,7 @@
                         cause: str, *, ran: bool) -> None:
         job.last_failure = cause
         job.may_have_run = job.may_have_run or ran
-        job.splitter.drop_partial()
+        job.event_splitter.drop_partial()
         if ran:
             self._state.server_loads.fail(server.id, self._clock.monotonic())
         self._log.write(log_events.LogEvent.ATTEMPT_ENDED,
@@ -345,7 +345,7 @@
                         server=server.id,
                         cause=cause,
                         may_have_run=ran,
-                        events=job.splitter.events)
+                        events=job.event_splitter.events)
 
     def _may_retry(self, job: request_job.RequestJob) -> bool:
         """Whether the route allows a retry; spends no retry budget."""
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -25,7 +25,7 @@
         attempt_limits: limits for each attempt.
     """
 
-    max_retained: int = 4096
+    max_retained_attempts: int = 4096
     attempt_limits: attempt_module.AttemptLimits = attempt_module.AttemptLimits(
     )
 
@@ -55,7 +55,7 @@
         self._scheduler = slot_scheduler.SlotScheduler()
         self._received_by_session = collections.Counter[str]()
         self._is_leaving = False
-        self.begun_count = 0
+        self.started_count = 0
         self.refused_by_kind = collections.Counter[errors.Kind]()
 
     @property
@@ -77,7 +77,7 @@
         """Sends every link the load, and how much of it the link caused."""
         own_by_session = collections.Counter(
             link.session for attempt in self._attempts_by_id.values()
-            if not attempt.finished for link in attempt.links)
+            if not attempt.is_finished for link in attempt.links)
         for link in list(self._links_by_session.values()):
             link_port.send_if_open(
                 link, self._load_message(link, own_by_session[link.session]))
@@ -102,7 +102,7 @@
     def unconfirmed(self) -> int:
         """The number of finished attempts that are still held."""
         return sum(
-            1 for attempt in self._attempts_by_id.values() if attempt.finished)
+            1 for attempt in self._attempts_by_id.values() if attempt.is_finished)
 
     def start_leaving(self, host: str) -> None:
         """Refuses new attempts from now on and announces it on every link.
@@ -120,7 +120,7 @@
 
     async def cancel_all(self) -> list[str]:
         """Cancels all unfinished attempts and returns their ids."""
-        cancelled = [a for a in self._attempts_by_id.values() if not a.finished]
+        cancelled = [a for a in self._attempts_by_id.values() if not a.is_finished]
         for attempt in cancelled:
             attempt.cancel()
         await asyncio.gather(*(a.task for a in cancelled if a.task),
@@ -133,7 +133,7 @@
         if not links:
             return
         for attempt in self._attempts_by_id.values():
-            if attempt.is_retained and attempt.finished and not attempt.links:
+            if attempt.is_retained and attempt.is_finished and not attempt.links:
                 begin = attempt.begin
                 link_port.send_if_open(
                     links[0],
@@ -189,7 +189,7 @@
         if attempt is None or attempt.is_retained:
             return
         attempt.cancel()
-        if attempt.finished:
+        if attempt.is_finished:
             del self._attempts_by_id[cancel.attempt]
 
     def _refusal_kind(self, link: link_port.Link,
@@ -203,7 +203,7 @@
             return errors.Kind.SEALED
         if self._is_leaving:
             return errors.Kind.LEAVING
-        if not begin.repeatable and self._retained >= self._limits.max_retained:
+        if not begin.repeatable and self._retained >= self._limits.max_retained_attempts:
             return errors.Kind.OVERLOADED
         return None
 
@@ -236,7 +236,7 @@
     def _on_done(self, attempt: attempt_module.Attempt,
                  _: asyncio.Task[None]) -> None:
         """Cleans up an attempt, even one cancelled before its first step."""
-        if not attempt.started:
+        if not attempt.has_started:
             attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
         if not attempt.must_be_remembered:
             # Captures only the id: the attempt would keep the request's body
@@ -246,7 +246,7 @@
                 lambda: self._attempts_by_id.pop(attempt_id, None))
 
     async def _run(self, attempt: attempt_module.Attempt) -> None:
-        attempt.started = True
+        attempt.has_started = True
         try:
             if await self._wait_for_slot(attempt):
                 try:
@@ -272,7 +272,7 @@
             return False
         waited_s = asyncio.get_running_loop().time() - ticket.arrived_at
         attempt.queued_ms = int(waited_s * 1000)
-        self.begun_count += 1
+        self.started_count += 1
         return True
 
     def _seal(self, seal: messages.Seal) -> messages.SealState:
@@ -297,5 +297,5 @@
 
     def _confirm(self, confirm: messages.Confirm) -> None:
         attempt = self._attempts_by_id.get(confirm.attempt)
-        if attempt is not None and attempt.finished:
+        if attempt is not None and attempt.is_finished:
             del self._attempts_by_id[confirm.attempt]
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -82,7 +82,7 @@
     started_at: float = 0.0
     response_timing: pace_module.Pace = dataclasses.field(
         default_factory=pace_module.Pace)
-    hops: list[spans.Hop] = dataclasses.field(default_factory=list)
+    attempt_traces: list[spans.Hop] = dataclasses.field(default_factory=list)
 
 
 class ResponseSink(abc.ABC):
@@ -228,7 +228,7 @@
         self, state: '_RequestState', attempt: ids.AttemptId,
         upstream: upstream_pool.LinkedUpstream,
         granted: claim_store.GrantedClaim | None
-    ) -> result.Result[claim_store.Decision, errors.Failure]:
+    ) -> result.Result[claim_store.ClaimDecision, errors.Failure]:
         request = state.request
         new_claim = claims.Claim(attempt=str(attempt),
                                  host=upstream.hello.host,
@@ -247,7 +247,7 @@
     async def _apply_decision(
             self, state: '_RequestState', attempt: ids.AttemptId,
             upstream: upstream_pool.LinkedUpstream,
-            decision: claim_store.Decision) -> errors.Failure | None:
+            decision: claim_store.ClaimDecision) -> errors.Failure | None:
         """Applies the decision for a key; None for a complete response."""
         match decision:
             case claim_store.ReplayedResponse():
@@ -396,7 +396,7 @@
             return None
         upstream.record_sent()
         state.report.attempts += 1
-        state.report.hops.append(
+        state.report.attempt_traces.append(
             spans.Hop(attempt=begin.attempt,
                       host=upstream.hello.host,
                       sent_at=sent_at))
@@ -599,7 +599,7 @@
 
     def receive_timing(self, served: messages.Served) -> None:
         now = asyncio.get_running_loop().time()
-        for hop in self.report.hops:
+        for hop in self.report.attempt_traces:
             if hop.attempt == served.attempt:
                 hop.settle(served, now)
 
--- a/pollenthread/app/host_registry.py
+++ b/pollenthread/app/host_registry.py
@@ -77,11 +77,11 @@
 
 
 async def register(*, store: row_store.RowStore, time: clock.Clock,
-                   roster: HostRegistry,
+                   registry: HostRegistry,
                    record: host_record.HostRecord) -> None:
     """Writes a host's record to the store unless it is there; retries."""
     value = host_record.encode(record)
-    roster.apply_row(record.host, value)
+    registry.apply_row(record.host, value)
     write = row_store.RowWrite(HOSTS_TABLE, record.host, value, expect=None)
     while True:
         found = await store.read(HOSTS_TABLE)
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -58,7 +58,7 @@
     tried_server_ids: list[str] = dataclasses.field(default_factory=list)
     attempt_count: int = 0
     may_have_run: bool = False
-    splitter: event_stream.EventSplitter = dataclasses.field(
+    event_splitter: event_stream.EventSplitter = dataclasses.field(
         default_factory=event_stream.EventSplitter)
     last_failure: str = ''
     timing: stream_timing.StreamTiming = dataclasses.field(init=False)
@@ -69,7 +69,7 @@
     @property
     def last_event_id(self) -> str | None:
         """The id of the last event that the caller has; None at the start."""
-        return self.splitter.last_id or self.request.last_event_id
+        return self.event_splitter.last_id or self.request.last_event_id
 
     @property
     def is_stream(self) -> bool:
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -38,7 +38,7 @@
         rng: random numbers.
     """
 
-    def __init__(self, *, data_centre: str, retry_bounds: RetryBudgetSettings,
+    def __init__(self, *, data_centre: str, retry_settings: RetryBudgetSettings,
                  return_s: float, rng: random.Random) -> None:
         self.data_centre = data_centre
         self.config: routing_config.RoutingConfig | None = None
@@ -47,7 +47,7 @@
         self.entry_host_count = 1
         self.leaving_since: float | None = None
         self.rng = rng
-        self._retry_settings = retry_bounds
+        self._retry_settings = retry_settings
         self._budget_by_service: dict[str, retry_budget.RetryBudget] = {}
 
     def retry_budget_for(self, service: str) -> retry_budget.RetryBudget:
--- a/pollenthread/app/tracer.py
+++ b/pollenthread/app/tracer.py
@@ -56,7 +56,7 @@
         return f'{self._rng.getrandbits(_SPAN_BITS):016x}'
 
     def finish(self, context: spans.Context, request_id: str, began_at: float,
-               ended_at: float, hops: list[spans.Hop],
+               ended_at: float, attempt_traces: list[spans.Hop],
                attributes: dict[str, str]) -> None:
         """Stores and exports the spans of a request.
 
@@ -73,7 +73,7 @@
                                    began_at=began_at,
                                    ended_at=ended_at,
                                    wall_offset_s=self._wall_offset_s(),
-                                   hops=hops,
+                                   hops=attempt_traces,
                                    attributes={
                                        'request_id': request_id,
                                        **attributes
--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -53,7 +53,7 @@
         if target_ms is not None:
             self.due_at = min(deadline, accepted_at + target_ms / 1000)
         self.failed_hosts: set[str] = set()
-        self.failures = 0
+        self.failure_count = 0
 
 
 class UpstreamSelector:
@@ -183,7 +183,7 @@
                        failure: errors.Failure) -> None:
         """Records a failed attempt against its upstream and its request."""
         requirements.failed_hosts.add(upstream.host)
-        requirements.failures += 1
+        requirements.failure_count += 1
         if failure.kind in _REFUSAL_KINDS:
             upstream.record_refusal()
         elif failure.kind not in (errors.Kind.LEAVING, errors.Kind.SEALED):
@@ -200,5 +200,5 @@
             return False
         self.retried_count += 1
         await self._time.sleep(
-            retries.back_off_s(requirements.failures, self._rng.random()))
+            retries.back_off_s(requirements.failure_count, self._rng.random()))
         return True
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -127,7 +127,7 @@
             'running': self._gate.running,
             'queued': self._gate.queued,
             'limit': self._gate.concurrency_limit,
-            'begun': self._gate.begun_count,
+            'begun': self._gate.started_count,
             'unconfirmed': self._gate.unconfirmed,
             'rank': self._group.status() if self._group else None,
             'orders_running': self._orders.busy,
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -64,7 +64,7 @@
             client=self._client, address=self._config.platform.host_list),
                                               time=time,
                                               own=self._member(),
-                                              heartbeats=self._heartbeats)
+                                              liveness_tracker=self._heartbeats)
         self._targets = config_store.ConfigStore(
             table_service=table, time=time, reachable=self._directory.reachability)
         self._spread = config_spread.ConfigSpread(store=self._targets,
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -32,7 +32,7 @@
                              service=settings.engine_service),
                          state=serving_state.ServingState(
                              data_centre=settings.data_centre,
-                             retry_bounds=serving_state.RetryBudgetSettings(
+                             retry_settings=serving_state.RetryBudgetSettings(
                                  0.0, 0.0, 1.0),
                              return_s=0.0,
                              rng=rng),
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -42,7 +42,7 @@
                              caller_address=settings.caller_address),
                          state=serving_state.ServingState(
                              data_centre=settings.data_centre,
-                             retry_bounds=serving_state.RetryBudgetSettings(
+                             retry_settings=serving_state.RetryBudgetSettings(
                                  settings.retry_ratio, settings.retry_extra,
                                  settings.retry_window_s),
                              return_s=_RETURN_S,
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -94,7 +94,7 @@
         tasks.create_task(
             host_registry.register(store=self._store,
                             time=self._clock,
-                            roster=self._hosts,
+                            registry=self._hosts,
                             record=self._own))
 
     def _peer_counters(self) -> dict[str, float]:
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -67,7 +67,7 @@
 async def _play(network: _Network, version: int, seconds: float) -> None:
     time = virtual_time.LoopClock()
     state = serving_state.ServingState(data_centre='dc',
-                                       retry_bounds=serving_state.RetryBudgetSettings(
+                                       retry_settings=serving_state.RetryBudgetSettings(
                                            0.2, 1.0, 10.0),
                                        return_s=2.0,
                                        rng=random.Random(1))
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -152,7 +152,7 @@
     def _state(self, seed: int, hosts: int) -> serving_state.ServingState:
         state = serving_state.ServingState(
             data_centre='a',
-            retry_bounds=serving_state.RetryBudgetSettings(0.2, 94.0, 10.0),
+            retry_settings=serving_state.RetryBudgetSettings(0.2, 94.0, 10.0),
             return_s=2.0,
             rng=random.Random(seed))
         state.config = self._config
