--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from pollenthread.app import slot_scheduler
-from pollenthread.core import (errors, events, gate_rules, messages, spans, targets)
+from pollenthread.core import (errors, events, gate_rules, messages, spans,
+                               targets)
 from pollenthread.ports import engine, link as link_port
 
 _US_PER_S = 1_000_000
@@ -48,9 +49,9 @@
         begin: the message that requested the attempt.
         links: the links that receive the response.
         task: runs the attempt; None before it is created.
-        started: whether the task has run its first step.
-        finished: whether the attempt has ended.
-        outcome_known: whether the response is complete.
+        has_started: whether the task has run its first step.
+        is_finished: whether the attempt has ended.
+        is_response_complete: whether the response is complete.
         queued_ms: milliseconds spent in the queue.
     """
 
--- a/pollenthread/app/claim_store.py
+++ b/pollenthread/app/claim_store.py
@@ -19,7 +19,7 @@
 
 __all__ = [
     'AttachableClaim', 'ClaimStore', 'GrantedClaim', 'ReplayedResponse',
-    'SHARD_COUNT', 'encode_claim', 'decode_claim', 'request_digest', 'row_key',
+    'SHARD_COUNT', 'decode_claim', 'encode_claim', 'request_digest', 'row_key',
     'shard_prefix'
 ]
 
@@ -94,8 +94,8 @@
         self._wall_clock = wall_clock
 
     async def acquire(
-            self, key: str,
-            new_claim: claims.Claim) -> result.Result[ClaimDecision, errors.Failure]:
+        self, key: str, new_claim: claims.Claim
+    ) -> result.Result[ClaimDecision, errors.Failure]:
         """Claims a key for an attempt.
 
         Args:
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -20,7 +20,7 @@
 
 
 class HostDirectory:
-    """Follows the host list; keeps the last one while it cannot be read.
+    """Polls the host list; uses the last one while it cannot be read.
 
     Attributes:
         hosts_by_name: the hosts of the list.
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -256,7 +256,7 @@
     async def _relay_whole(self, job: request_job.RequestJob,
                            server: fleet.Server,
                            response: upstream.UpstreamAnswer) -> bool:
-        body = b''.join([part async for part in response.read()])
+        body = b''.join([chunk async for chunk in response.read()])
         if (response.status >= _SERVER_ERROR and job.route.is_repeatable and
                 self._may_retry(job)):
             self._record_failure(job,
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -20,8 +20,8 @@
     """Limits for the state that an agent holds.
 
     Attributes:
-        max_retained: non-repeatable attempts, running or waiting for their
-            confirmation.
+        max_retained_attempts: non-repeatable attempts, running or waiting for
+            their confirmation.
         attempt_limits: limits for each attempt.
     """
 
@@ -34,7 +34,7 @@
     """Starts each attempt at most once and sends its response back.
 
     Attributes:
-        begun_count: attempts that were started at the upstream.
+        started_count: attempts that were started at the upstream.
         refused_by_kind: attempts that were not started, by reason.
     """
 
@@ -101,8 +101,8 @@
     @property
     def unconfirmed(self) -> int:
         """The number of finished attempts that are still held."""
-        return sum(
-            1 for attempt in self._attempts_by_id.values() if attempt.is_finished)
+        return sum(1 for attempt in self._attempts_by_id.values()
+                   if attempt.is_finished)
 
     def start_leaving(self, host: str) -> None:
         """Refuses new attempts from now on and announces it on every link.
@@ -120,7 +120,9 @@
 
     async def cancel_all(self) -> list[str]:
         """Cancels all unfinished attempts and returns their ids."""
-        cancelled = [a for a in self._attempts_by_id.values() if not a.is_finished]
+        cancelled = [
+            a for a in self._attempts_by_id.values() if not a.is_finished
+        ]
         for attempt in cancelled:
             attempt.cancel()
         await asyncio.gather(*(a.task for a in cancelled if a.task),
@@ -133,7 +135,8 @@
         if not links:
             return
         for attempt in self._attempts_by_id.values():
-            if attempt.is_retained and attempt.is_finished and not attempt.links:
+            if (attempt.is_retained and attempt.is_finished and
+                    not attempt.links):
                 begin = attempt.begin
                 link_port.send_if_open(
                     links[0],
@@ -203,7 +206,8 @@
             return errors.Kind.SEALED
         if self._is_leaving:
             return errors.Kind.LEAVING
-        if not begin.repeatable and self._retained >= self._limits.max_retained_attempts:
+        if (not begin.repeatable and
+                self._retained >= self._limits.max_retained_attempts):
             return errors.Kind.OVERLOADED
         return None
 
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -16,7 +16,7 @@
                                targets)
 from pollenthread.ports import clock, link as link_port
 
-__all__ = ['GatewayRequest', 'Gateway', 'RequestReport', 'ResponseSink']
+__all__ = ['Gateway', 'GatewayRequest', 'RequestReport', 'ResponseSink']
 
 _MIN_RECORD_RETRY_S = 0.1
 _MAX_RECORD_RETRY_S = 5.0
@@ -73,7 +73,7 @@
             same idempotency key.
         started_at: monotonic seconds at which the request arrived.
         response_timing: arrival times of the response's chunks.
-        hops: trace data of its attempts.
+        attempt_traces: trace data of its attempts.
     """
 
     attempts: int = 0
@@ -460,8 +460,8 @@
                                    retained))
         return retained
 
-    def _start_recording(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+    def _start_recording(self, recording: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(recording)
         self._recordings.add(task)
         task.add_done_callback(self._recordings.discard)
 
--- a/pollenthread/app/graceful_shutdown.py
+++ b/pollenthread/app/graceful_shutdown.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-__all__ = ['ShutdownPlan', 'may_exit', 'accepts_request']
+__all__ = ['ShutdownPlan', 'accepts_request', 'may_exit']
 
 _STREAM_ACCEPT_SHARE = 0.3
 _WHOLE_ACCEPT_SHARE = 0.75
--- a/pollenthread/app/liveness.py
+++ b/pollenthread/app/liveness.py
@@ -155,4 +155,5 @@
     def _contradicts_link(self, host_report: messages.HostNews) -> bool:
         """Whether an open link to the host has another incarnation."""
         link = self._peers.links_by_host.get(host_report.host)
-        return link is not None and link.peer.incarnation != host_report.incarnation
+        return (link is not None and
+                link.peer.incarnation != host_report.incarnation)
--- a/pollenthread/app/relay.py
+++ b/pollenthread/app/relay.py
@@ -10,7 +10,7 @@
 from pollenthread.ports import link as link_port
 
 __all__ = [
-    'RetainedResponse', 'ResponseReceiver', 'ResponseRelay',
+    'ResponseReceiver', 'ResponseRelay', 'RetainedResponse',
     'flow_control_window'
 ]
 
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -43,7 +43,8 @@
         tried_server_ids: ids of the servers that an attempt was sent to.
         attempt_count: attempts that may have reached a server.
         may_have_run: whether a server may have executed the request.
-        splitter: splits a stream into events and tracks the last one sent.
+        event_splitter: splits a stream into events; holds the id of the
+            last one.
         last_failure: the cause of the latest failed attempt.
         timing: arrival times of a stream's events.
     """
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -90,8 +90,8 @@
         """Draws at random whether this request may take a free slot now.
 
         All entry hosts see the same free slots, so without the draw they would
-        all send a request to one slot. The number of waiting requests is taken
-        to be the same on every entry host.
+        all send a request to one slot. Assumes that as many requests wait on
+        every entry host as on this one.
         """
         free_slots = self._state.server_loads.room(
             self._state.server_registry.ready(job.service),
@@ -107,13 +107,13 @@
                     spare_share: float = 0.0) -> fleet.Server | None:
         if job.deadline - now < _MIN_TIME_LEFT_S:
             raise request_job.RequestFailed(job.timeout_failure())
-        need = dataclasses.replace(self._requirements(job, now),
-                                   spare_share=spare_share)
+        requirements = dataclasses.replace(self._requirements(job, now),
+                                           spare_share=spare_share)
         server = self._state.server_loads.choose(
             self._state.server_registry.ready(job.service),
             excluded=job.tried_server_ids,
             data_centre=self._state.data_centre,
-            need=need,
+            need=requirements,
             hosts=self._state.entry_host_count,
             now=now)
         if server is not None:
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -87,13 +87,13 @@
 
     async def _read_once(self) -> row_store.StoreFault | None:
         if self.version == _NO_VERSION:
-            answer = await self._store.read(self._table)
+            response = await self._store.read(self._table)
         else:
-            answer = await self._store.watch(self._table, self.version,
-                                             self._wait_s)
-        if isinstance(answer, result.Err):
-            return self._handle_fault(answer.err_value)
-        self._handle_changes(answer.ok_value)
+            response = await self._store.watch(self._table, self.version,
+                                               self._wait_s)
+        if isinstance(response, result.Err):
+            return self._handle_fault(response.err_value)
+        self._handle_changes(response.ok_value)
         return None
 
     def _handle_fault(self,
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -14,7 +14,7 @@
 from pollenthread.core import fleet, log_events, routing_config
 from pollenthread.ports import clock, event_log, row_store
 
-__all__ = ['ConfigListener', 'StoreContact', 'ServerListener']
+__all__ = ['ConfigListener', 'ServerListener', 'StoreContact']
 
 ConfigDecoder = Callable[[bytes], result.Result[routing_config.RoutingConfig,
                                                 str]]
@@ -121,8 +121,8 @@
                             reason=decoded.err_value)
             return
         config = decoded.ok_value
-        present = self._state.config
-        if present is not None and config.version <= present.version:
+        current = self._state.config
+        if current is not None and config.version <= current.version:
             return
         self._state.config = config
         self.document = document
@@ -130,7 +130,7 @@
             callback(config)
         self._log.write(log_events.LogEvent.CONFIG_APPLIED,
                         version=config.version,
-                        before=present.version if present else None,
+                        before=current.version if current else None,
                         source=source)
 
 
--- a/pollenthread/app/tracer.py
+++ b/pollenthread/app/tracer.py
@@ -65,7 +65,7 @@
             request_id: the request's id.
             began_at: monotonic seconds at which the request arrived.
             ended_at: monotonic seconds at which it ended.
-            hops: trace data of its attempts.
+            attempt_traces: trace data of its attempts.
             attributes: further attributes of the spans.
         """
         new_spans = spans.spans_of(context=context,
--- a/pollenthread/app/upstream_pool.py
+++ b/pollenthread/app/upstream_pool.py
@@ -13,8 +13,8 @@
 from pollenthread.ports import link as link_port
 
 __all__ = [
-    'AttemptStream', 'UpstreamGroup', 'UpstreamPool', 'SharedUpstreamState',
-    'LinkedUpstream'
+    'AttemptStream', 'LinkedUpstream', 'SharedUpstreamState', 'UpstreamGroup',
+    'UpstreamPool'
 ]
 
 _SEAL_TIMEOUT_S = 2.0
--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -9,7 +9,7 @@
                                targets)
 from pollenthread.ports import clock
 
-__all__ = ['UpstreamSelector', 'UpstreamRequirements']
+__all__ = ['UpstreamRequirements', 'UpstreamSelector']
 
 _REFUSAL_KINDS = frozenset(
     {errors.Kind.OVERLOADED, errors.Kind.DEADLINE_TOO_SHORT})
@@ -32,7 +32,7 @@
         due_at: monotonic seconds by which the target or the deadline, if it is
             earlier, is missed.
         failed_hosts: hosts on which an attempt of the request has failed.
-        failures: the number of failed attempts.
+        failure_count: the number of failed attempts.
     """
 
     def __init__(self, *, workspace: str, work_class: targets.WorkClass,
