--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -29,8 +29,8 @@
         between_tokens_ms: the target for the time between tokens in
             milliseconds, or 0.
         prefix: digest of the prompt's prefix, for engines; None otherwise.
-        due_at: monotonic seconds by which the target or the deadline, if it is
-            earlier, is missed.
+        due_at: the end of the target or of the deadline, whichever is earlier,
+            in monotonic seconds.
         failed_hosts: hosts on which an attempt of the request has failed.
         failure_count: the number of failed attempts.
     """
@@ -60,7 +60,7 @@
     """Selects upstreams from the pool and limits retries and hedges.
 
     Attributes:
-        refused_count: requests that no upstream would serve in time.
+        refused_count: selections that failed for lack of time.
         retried_count: retries that were allowed.
         hedged_count: second attempts that were allowed.
     """
