--- a/pollenthread/adapters/admin_api.py
+++ b/pollenthread/adapters/admin_api.py
@@ -211,8 +211,8 @@
             return
         try:
             answer = await self._answer(request)
-        except administration.Refused as refused:
-            await response.send_problem(refused.problem)
+        except administration.RequestRefused as refused:
+            await response.send_problem(refused.failure)
             return
         await response.send_json(200, answer)
 
@@ -241,8 +241,8 @@
         raise _refuse(errors.Kind.NOT_AUTHENTICATED)
 
 
-def _refuse(kind: errors.Kind, detail: str = '') -> administration.Refused:
-    return administration.Refused(errors.failure(kind, detail))
+def _refuse(kind: errors.Kind, detail: str = '') -> administration.RequestRefused:
+    return administration.RequestRefused(errors.failure(kind, detail))
 
 
 def openapi() -> dict[str, Any]:
--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -99,7 +99,7 @@
                request_id: str) -> gateway.Call:
         if self._is_refusing():
             raise _refuse(errors.Kind.LEAVING)
-        current = self._config.usable
+        current = self._config.usable_targets
         if current is None:
             raise _refuse(errors.Kind.STALE_CONFIGURATION)
         if not _is_served_path(request.path):
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -12,7 +12,7 @@
 import result
 
 from pollenthread.adapters import http_server
-from pollenthread.app import (explanation, order_desk, order_journal, peers as
+from pollenthread.app import (validation_errors, order_processor, order_journal, peers as
                               peers_module, targets_document)
 from pollenthread.core import errors, messages, orders
 from pollenthread.ports import table
@@ -20,7 +20,7 @@
 __all__ = ['OrdersHandler']
 
 
-class _OrderModel(targets_document.Strict):
+class _OrderModel(targets_document.StrictModel):
     """The body of an order."""
 
     kind: targets_document.Name
@@ -31,7 +31,7 @@
     """Takes orders in and shows how they ended."""
 
     def __init__(self, *, journal: order_journal.OrderJournal,
-                 desk: order_desk.OrderDesk, peers: peers_module.Peers) -> None:
+                 desk: order_processor.OrderProcessor, peers: peers_module.Peers) -> None:
         self._journal = journal
         self._desk = desk
         self._peers = peers
@@ -58,7 +58,7 @@
             await response.send_problem(
                 errors.failure(
                     errors.Kind.BAD_JSON,
-                    explanation.explain('order', error, model=_OrderModel)))
+                    validation_errors.describe_errors('order', error, model=_OrderModel)))
             return
         arguments = json.dumps(model.arguments, sort_keys=True)
         done = await self._journal.submit(order_id=order_id,
@@ -90,7 +90,7 @@
             await response.send_json(200, _document(found.ok_value))
 
 
-def _document(submitted: order_journal.Submitted) -> dict[str, Any]:
+def _document(submitted: order_journal.OrderStatus) -> dict[str, Any]:
     order, row = submitted.order, submitted.row
     document: dict[str, Any] = {
         'id': order.id,
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -9,7 +9,7 @@
 import pydantic
 
 from pollenthread.adapters import link_tls, yaml_document
-from pollenthread.app import explanation, targets_document
+from pollenthread.app import validation_errors, targets_document
 from pollenthread.core import operators, signing
 
 __all__ = [
@@ -35,7 +35,7 @@
                      pydantic.AfterValidator(_check_address)]
 
 
-class PlatformSettings(targets_document.Strict):
+class PlatformSettings(targets_document.StrictModel):
     """Where the platform's services are."""
 
     table: _Address
@@ -43,14 +43,14 @@
     host_list: _Address
 
 
-class OrderKeySettings(targets_document.Strict):
+class OrderKeySettings(targets_document.StrictModel):
     """A key that signs orders; the first of a list signs, all are valid."""
 
     id: targets_document.Name
     secret: Annotated[str, pydantic.Field(min_length=16)]
 
 
-class OperatorSettings(targets_document.Strict):
+class OperatorSettings(targets_document.StrictModel):
     """Somebody who may use the administration port.
 
     Attributes:
@@ -76,7 +76,7 @@
             may_change=self.may == 'change')
 
 
-class LinkSecurity(targets_document.Strict):
+class LinkSecurity(targets_document.StrictModel):
     """Files with which links prove who they are.
 
     Attributes:
@@ -106,7 +106,7 @@
                 f'link_security: the files cannot be used: {error}') from error
 
 
-class TraceSettings(targets_document.Strict):
+class TraceSettings(targets_document.StrictModel):
     """Where spans go.
 
     Attributes:
@@ -118,7 +118,7 @@
     sample_per_thousand: Annotated[int, pydantic.Field(ge=0, le=1000)] = 10
 
 
-class _ProcessSettings(targets_document.Strict):
+class _ProcessSettings(targets_document.StrictModel):
     """What every process is told."""
 
     host: targets_document.Name
@@ -158,8 +158,8 @@
     @classmethod
     def _operators_differ(
             cls, found: list[OperatorSettings]) -> list[OperatorSettings]:
-        targets_document.unique([operator.name for operator in found])
-        targets_document.unique([operator.key_sha256 for operator in found])
+        targets_document.check_unique([operator.name for operator in found])
+        targets_document.check_unique([operator.key_sha256 for operator in found])
         return found
 
     @property
@@ -180,7 +180,7 @@
     traces: TraceSettings = TraceSettings()
 
 
-class UpstreamSettings(targets_document.Strict):
+class UpstreamSettings(targets_document.StrictModel):
     """The engine or plain service beside an agent."""
 
     kind: Literal['engine', 'service']
@@ -189,7 +189,7 @@
     models: list[targets_document.Name] = []
 
 
-class RankSettings(targets_document.Strict):
+class RankSettings(targets_document.StrictModel):
     """The rank beside an agent.
 
     Attributes:
@@ -268,7 +268,7 @@
         return model.model_validate(document.value)
     except pydantic.ValidationError as error:
         raise targets_document.InvalidDocument(
-            explanation.explain(document.name,
+            validation_errors.describe_errors(document.name,
                                 error,
                                 model=model,
                                 line_of=document.line_of)) from error
--- a/pollenthread/adapters/yaml_document.py
+++ b/pollenthread/adapters/yaml_document.py
@@ -7,7 +7,7 @@
 
 import yaml
 
-from pollenthread.app import explanation, targets_document
+from pollenthread.app import validation_errors, targets_document
 
 __all__ = ['YamlDocument', 'load', 'parse']
 
@@ -28,7 +28,7 @@
     value: Mapping[str, Any]
     root: yaml.Node
 
-    def line_of(self, location: explanation.Location) -> int | None:
+    def line_of(self, location: validation_errors.Location) -> int | None:
         """The line, from 1, of the nearest key on the way to `location`."""
         node: yaml.Node | None = self.root
         line: int = self.root.start_mark.line
--- a/pollenthread/app/account_keeper.py
+++ b/pollenthread/app/account_writer.py
@@ -17,7 +17,7 @@
 from pollenthread.core import account, ledger
 from pollenthread.ports import clock, table
 
-__all__ = ['AccountKeeper']
+__all__ = ['AccountWriter']
 
 _FOLD_ROWS = 60
 _FINISH_PAUSE_S = 0.2
@@ -25,7 +25,7 @@
 _Written = tuple[ledger.Interval, int]
 
 
-class AccountKeeper:
+class AccountWriter:
     """Owns the rows of one start of an entry host."""
 
     def __init__(self,
@@ -37,7 +37,7 @@
                  time: clock.Clock,
                  wall: Callable[[], float],
                  interval_s: float,
-                 fold_rows: int = _FOLD_ROWS) -> None:
+                 merge_rows: int = _FOLD_ROWS) -> None:
         self._table = table_service
         self._tally = tally
         self._host = host
@@ -45,7 +45,7 @@
         self._time = time
         self._wall = wall
         self._interval_s = interval_s
-        self._fold_rows = fold_rows
+        self._fold_rows = merge_rows
         self._next = 0
         self._began_s = wall()
         self._pending: ledger.Interval | None = None
--- a/pollenthread/app/administration.py
+++ b/pollenthread/app/administration.py
@@ -8,12 +8,12 @@
 import result
 
 from pollenthread.app import (account_reader, account_rows, config_store,
-                              cost_book, report_document, targets_document)
+                              cost_store, report_document, targets_document)
 from pollenthread.core import (document_diff, errors, operators, report as
                                report_module)
 from pollenthread.ports import table
 
-__all__ = ['Administration', 'Refused']
+__all__ = ['Administration', 'RequestRefused']
 
 _REBASE_ATTEMPTS = 5
 _MAX_DAYS = 31
@@ -23,16 +23,16 @@
 _Document = dict[str, Any]
 
 
-class Refused(Exception):
+class RequestRefused(Exception):
     """The operator's request is refused."""
 
     def __init__(self, problem: errors.Failure) -> None:
         super().__init__(problem.detail)
-        self.problem = problem
+        self.failure = problem
 
 
-def _refuse(kind: errors.Kind, detail: str = '') -> Refused:
-    return Refused(errors.failure(kind, detail))
+def _refuse(kind: errors.Kind, detail: str = '') -> RequestRefused:
+    return RequestRefused(errors.failure(kind, detail))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,7 +48,7 @@
 
     def __init__(self, *, store: config_store.ConfigStore,
                  accounts: account_reader.AccountReader,
-                 costs: cost_book.CostBook, status: Callable[[], _Document],
+                 costs: cost_store.CostStore, status: Callable[[], _Document],
                  wall: Callable[[], float],
                  find_trace: Callable[[str], list[_Document] | None]) -> None:
         self._store = store
@@ -223,11 +223,11 @@
                 return {'version': newest.number}
             try:
                 return await self._publish(operator, document, newest.number)
-            except Refused as refused:
-                problem = refused.problem
+            except RequestRefused as refused:
+                problem = refused.failure
                 if problem.kind is not errors.Kind.CONFLICT:
                     raise
-        raise Refused(problem)
+        raise RequestRefused(problem)
 
     async def _publish(self, operator: operators.Operator, document: _Document,
                        base: int) -> _Document:
@@ -242,8 +242,8 @@
             return {'version': done.ok_value}
         fault = done.err_value
         if isinstance(fault, table.TableFault):
-            raise Refused(_table_failure(fault))
-        raise Refused(await self._conflict(base))
+            raise RequestRefused(_table_failure(fault))
+        raise RequestRefused(await self._conflict(base))
 
     async def _conflict(self, base: int) -> errors.Failure:
         newest = await self._newest()
@@ -296,5 +296,5 @@
 
 def _unwrap(found: result.Result[Any, table.TableFault]) -> Any:
     if isinstance(found, result.Err):
-        raise Refused(_table_failure(found.err_value))
+        raise RequestRefused(_table_failure(found.err_value))
     return found.ok_value
--- a/pollenthread/app/choice_teller.py
+++ b/pollenthread/app/choice_reporter.py
@@ -7,7 +7,7 @@
 from pollenthread.core import expert_choices, peer_messages
 from pollenthread.ports import clock, peers, rank_server
 
-__all__ = ['ChoiceTeller']
+__all__ = ['ChoiceReporter']
 
 _MIN_PAUSE_S = 0.13
 # All ranks of a group tell one host, whose link is like this one's.
@@ -16,11 +16,11 @@
 _CHOICES_A_DATAGRAM = 2048
 
 
-class ChoiceTeller:
+class ChoiceReporter:
     """Tells at a pace at which all ranks of a group leave room on one link."""
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
-                 hosts: roster.Roster, book: group_view.GroupBook,
+                 hosts: roster.Roster, registry: group_view.GroupRegistry,
                  network: peers.PeerNetwork, link_bytes_per_s: float,
                  time: clock.Clock, rng: random.Random) -> None:
         """Makes a teller that has told nothing.
@@ -38,7 +38,7 @@
         self._host = host
         self._server = server
         self._hosts = hosts
-        self._book = book
+        self._book = registry
         self._network = network
         self._link_bytes_per_s = link_bytes_per_s
         self._clock = time
@@ -46,7 +46,7 @@
         self._counter = expert_choices.ChoiceCounter()
         self._due_at = float('-inf')
 
-    async def tell(self, state: peer_messages.RankState, experts: int) -> None:
+    async def report_if_due(self, state: peer_messages.RankState, experts_per_set: int) -> None:
         """Tells what was chosen since the last time, if it is time to.
 
         Args:
@@ -55,7 +55,7 @@
         """
         holder = self._book.view(state.group).holder()
         now = self._clock.monotonic()
-        if holder is None or not experts or now < self._due_at:
+        if holder is None or not experts_per_set or now < self._due_at:
             return
         try:
             found = await self._server.counts()
@@ -65,7 +65,7 @@
         self._due_at = now + pause_s * self._rng.uniform(0.7, 1.3)
         choices = self._counter.take((state.born_ms, found.epoch), found.counts)
         if choices is not None:
-            self._send(state, holder, experts, choices)
+            self._send(state, holder, experts_per_set, choices)
 
     def _pause_s(self, ranks: int, choices: int) -> float:
         datagrams = -(-choices // _CHOICES_A_DATAGRAM)
@@ -88,6 +88,6 @@
                                                unit=unit,
                                                packed=packed)
             if holder == self._host:
-                self._book.take_choices(news)
+                self._book.publish_choices(news)
             elif record is not None:
                 self._network.send(record.peer_address, news)
--- a/pollenthread/app/config_spread.py
+++ b/pollenthread/app/config_distributor.py
@@ -13,28 +13,28 @@
 from pollenthread.core import messages, versions
 from pollenthread.ports import clock, link as link_port
 
-__all__ = ['ConfigSpread']
+__all__ = ['ConfigDistributor']
 
 _JITTER = 0.2
 _ASKED_AT_ONCE = 2
 _MS_PER_S = 1000
 
 
-class ConfigSpread:
+class ConfigDistributor:
     """Asks, answers and announces versions over links."""
 
     def __init__(self, *, store: config_store.ConfigStore,
                  peers: peers_module.Peers,
                  directory: directory_module.Directory, time: clock.Clock,
-                 draw: random.Random) -> None:
+                 rng: random.Random) -> None:
         self._store = store
         self._peers = peers
         self._directory = directory
         self._time = time
-        self._draw = draw
+        self._draw = rng
         self._asks = 0
         self._asked_at_by_seq: dict[int, float] = {}
-        store.on_adopt = self._announce
+        store.on_apply = self._announce
         peers.subscribe(messages.ConfigAsk, self._on_ask)
         peers.subscribe(messages.ConfigGive, self._on_give)
         peers.subscribe(messages.ConfigNews, self._on_news)
@@ -43,11 +43,11 @@
     async def run(self) -> None:
         """Keeps the version in force current until cancelled."""
         while True:
-            await self.step()
+            await self.run_once()
             spread = 1 + _JITTER * (2 * self._draw.random() - 1)
             await self._time.sleep(versions.POLLER_INTERVAL_S * spread)
 
-    async def step(self) -> None:
+    async def run_once(self) -> None:
         """Asks peers, and reads the table if it is this host's turn."""
         for link in self._links_to_ask():
             self._ask(link)
@@ -100,7 +100,7 @@
             return
         if give.document:
             try:
-                self._store.adopt(
+                self._store.apply(
                     config_store.StoredVersion.from_bytes(give.document))
             except ValueError as error:
                 logging.error('a peer sent a malformed version: %s', error)
@@ -108,7 +108,7 @@
         if give.is_proved:
             proved_at = versions.proof_from_peer(asked_at=asked_at,
                                                  age_s=give.age_ms / _MS_PER_S)
-            self._store.prove(give.version, proved_at)
+            self._store.confirm_newest(give.version, proved_at)
 
     def _on_news(self, link: link_port.Link, news: messages.ConfigNews) -> None:
         self._close_gap(link, news.version)
--- a/pollenthread/app/config_store.py
+++ b/pollenthread/app/config_store.py
@@ -20,7 +20,7 @@
 from pollenthread.core import document_diff, targets, versions
 from pollenthread.ports import clock, table
 
-__all__ = ['ConfigStore', 'Conflict', 'StoredVersion']
+__all__ = ['ConfigStore', 'VersionConflict', 'StoredVersion']
 
 _HEAD_KEY = 'config/head'
 _HISTORY_KEPT = 256
@@ -60,7 +60,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Conflict:
+class VersionConflict:
     """Somebody else published first.
 
     Attributes:
@@ -85,12 +85,12 @@
         table_service: table.TableService,
         time: clock.Clock,
         reachable: Callable[[], versions.Reachable] = _hear_nobody,
-        on_adopt: Callable[[int], None] | None = None,
+        on_apply: Callable[[int], None] | None = None,
     ) -> None:
         self._table = table_service
         self._time = time
         self._reachable = reachable
-        self.on_adopt = on_adopt
+        self.on_apply = on_apply
         self._current: targets.Targets | None = None
         self._stored: StoredVersion | None = None
         self._freshness = versions.Freshness()
@@ -101,7 +101,7 @@
         return self._current
 
     @property
-    def usable(self) -> targets.Targets | None:
+    def usable_targets(self) -> targets.Targets | None:
         """The targets to serve by; None when new work must be refused."""
         if self.permission is versions.Permission.REFUSE:
             return None
@@ -144,18 +144,18 @@
             stored = await self.read(newest)
             if stored is None:
                 return False
-            self.adopt(stored)
-        self.prove(newest, started_at)
+            self.apply(stored)
+        self.confirm_newest(newest, started_at)
         return True
 
-    def prove(self, version: int, proved_at: float) -> None:
+    def confirm_newest(self, version: int, proved_at: float) -> None:
         """Takes in that `version` was newest at a moment."""
         if version <= self.version:
             self._freshness = versions.merge(self._freshness,
                                              version=version,
                                              proved_at=proved_at)
 
-    def adopt(self, stored: StoredVersion) -> None:
+    def apply(self, stored: StoredVersion) -> None:
         """Puts a version in force if it is newer."""
         if not versions.may_adopt(self.version, stored.version):
             return
@@ -165,8 +165,8 @@
         self._freshness = dataclasses.replace(self._freshness,
                                               version=stored.version)
         logging.info('targets in force version=%d', stored.version)
-        if self.on_adopt is not None:
-            self.on_adopt(stored.version)
+        if self.on_apply is not None:
+            self.on_apply(stored.version)
 
     async def read(self, version: int) -> StoredVersion | None:
         """Reads one version; None when it cannot be had."""
@@ -186,7 +186,7 @@
 
     async def publish(
             self, document: dict[str, Any], *, author: str,
-            base: int) -> result.Result[int, Conflict | table.TableFault]:
+            base: int) -> result.Result[int, VersionConflict | table.TableFault]:
         """Publishes a document as the version after `base`.
 
         Raises:
@@ -235,13 +235,13 @@
             writes.append(table.Write(row.key, None, row.version))
         return writes
 
-    async def _conflict(self, base: int, newest: int) -> Conflict:
+    async def _conflict(self, base: int, newest: int) -> VersionConflict:
         theirs = await self.read(newest)
         started_from = await self.read(base)
         if theirs is None:
-            return Conflict(newest=None)
+            return VersionConflict(newest=None)
         before = {} if started_from is None else started_from.document
-        return Conflict(newest=theirs,
+        return VersionConflict(newest=theirs,
                         changes=document_diff.changes(before, theirs.document))
 
 
--- a/pollenthread/app/cost_book.py
+++ b/pollenthread/app/cost_store.py
@@ -8,12 +8,12 @@
 from pollenthread.core import cost
 from pollenthread.ports import table
 
-__all__ = ['CostBook']
+__all__ = ['CostStore']
 
 _ADAPTER = pydantic.TypeAdapter(cost.GroupCost)
 
 
-class CostBook:
+class CostStore:
     """Rows of cost by day, group and a name that its writer chooses."""
 
     def __init__(self, *, table_service: table.TableService) -> None:
--- a/pollenthread/app/group_member.py
+++ b/pollenthread/app/group_member.py
@@ -14,11 +14,11 @@
 
 from absl import logging
 
-from pollenthread.app import rank_switch, switch_codec, switch_duty
+from pollenthread.app import switch_participant, switch_codec, switch_coordinator
 from pollenthread.core import messages, switch, switch_rank
 from pollenthread.ports import clock, link as link_port, rank_engine, table
 
-__all__ = ['GroupMember', 'Place']
+__all__ = ['GroupMember', 'RankIdentity']
 
 _DECIDER = 0
 _NEIGHBOURS = 2
@@ -27,7 +27,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Place:
+class RankIdentity:
     """Where an agent is in its group.
 
     Attributes:
@@ -55,10 +55,10 @@
     """Owns the tasks of one rank."""
 
     def __init__(
-            self, *, place: Place, engine: rank_engine.RankEngine,
+            self, *, identity: RankIdentity, engine: rank_engine.RankEngine,
             table_service: table.TableService, time: clock.Clock,
             keep_links: Callable[[Mapping[str, str]], Awaitable[None]]) -> None:
-        self._place = place
+        self._place = identity
         self._table = table_service
         self._time = time
         self._keep_links = keep_links
@@ -68,15 +68,15 @@
                                          switch_codec.SwitchMessage]]
         self._inbox = asyncio.Queue()
         self._tasks: list[asyncio.Task[None]] = []
-        self._rank = rank_switch.RankSwitch(index=place.index,
+        self._rank = switch_participant.SwitchParticipant(index=identity.index,
                                             engine=engine,
-                                            read_fence=self._read_fence,
+                                            read_group_fence=self._read_fence,
                                             on_reply=self._to_decider)
-        self._duty: switch_duty.SwitchDuty | None = None
+        self._duty: switch_coordinator.SwitchCoordinator | None = None
         self._own_orders: asyncio.Queue[switch.Order] = asyncio.Queue()
-        if place.index == _DECIDER:
-            self._duty = switch_duty.SwitchDuty(group=place.group,
-                                                size=place.size,
+        if identity.index == _DECIDER:
+            self._duty = switch_coordinator.SwitchCoordinator(group=identity.group,
+                                                size=identity.size,
                                                 table_service=table_service,
                                                 time=time,
                                                 send=self._send_order)
@@ -114,7 +114,7 @@
             document['switches'] = dataclasses.asdict(self._duty.counts)
         return document
 
-    async def announce(self, address: str) -> None:
+    async def publish_address(self, address: str) -> None:
         """Writes the own address to the table, until it is there."""
         key = _rank_key(self._place.group, self._place.index)
         value = json.dumps({
@@ -153,13 +153,13 @@
         while True:
             link, message = await self._inbox.get()
             if isinstance(message, switch.Ask):
-                rank = await self._rank.look()
+                rank = await self._rank.read_rank()
                 known = rank and switch_rank.answer_ask(rank, message)
                 if known:
                     self._send(link, known)
             elif isinstance(message, switch.Reply):
                 if self._duty is not None:
-                    self._duty.receive(message)
+                    self._duty.on_reply(message)
             else:
                 reply = await self._rank.handle(message)
                 if reply is not None:
@@ -171,14 +171,14 @@
             order = await self._own_orders.get()
             reply = await self._rank.handle(order)
             if reply is not None and self._duty is not None:
-                self._duty.receive(reply)
+                self._duty.on_reply(reply)
 
     async def _tick(self) -> None:
         while True:
             await self._time.sleep(_TICK_S)
             if self._duty is not None:
                 self._duty.tick()
-            rank = await self._rank.look()
+            rank = await self._rank.read_rank()
             if rank is None:
                 continue
             request = switch_rank.join(rank)
@@ -194,8 +194,8 @@
         while True:
             if self._duty is not None:
                 if not self._is_holder:
-                    self._is_holder = await self._duty.take()
-                await self._duty.follow_wanted()
+                    self._is_holder = await self._duty.acquire()
+                await self._duty.pursue_wanted_map()
             await self._keep_linked()
             await self._time.sleep(_TABLE_POLL_S)
 
@@ -216,11 +216,11 @@
         await self._keep_links({item.host: item.address for item in wanted})
 
     async def _read_fence(self) -> int | None:
-        read = await self._table.get(switch_duty.group_key(self._place.group))
+        read = await self._table.get(switch_coordinator.group_key(self._place.group))
         if read.is_err():
             return None
         row = read.unwrap()
-        return 0 if row is None else switch_duty.parse_row(row.value).fence
+        return 0 if row is None else switch_coordinator.parse_row(row.value).fence
 
     def _send_order(self, index: int, order: switch.Order) -> None:
         if index == self._place.index:
@@ -233,7 +233,7 @@
     def _to_decider(self, reply: switch.Reply) -> None:
         """Sends to the agent that decides, which has dialed this one."""
         if self._duty is not None:
-            self._duty.receive(reply)
+            self._duty.on_reply(reply)
             return
         for host in list(self._links_by_host):
             self._send_host(host, reply)
@@ -255,7 +255,7 @@
     return f'ranks/{group}/' + ('' if index is None else str(index))
 
 
-def _dialed(place: Place) -> list[int]:
+def _dialed(place: RankIdentity) -> list[int]:
     """The ranks that an agent keeps links to."""
     if place.index == _DECIDER:
         return [i for i in range(place.size) if i != place.index]
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -5,12 +5,12 @@
 from pollenthread.core import peer_messages
 from pollenthread.ports import clock, peers
 
-__all__ = ['HOLDER_SILENT_S', 'GroupBook', 'GroupView']
+__all__ = ['HOLDER_TIMEOUT_S', 'GroupRegistry', 'GroupView']
 
 _FRESH_S = 0.6
-HOLDER_SILENT_S = 0.8
+HOLDER_TIMEOUT_S = 0.8
 
-ChoicesTaker = Callable[[peer_messages.ExpertChoices], None]
+ChoicesHandler = Callable[[peer_messages.ExpertChoices], None]
 
 
 class GroupView:
@@ -23,7 +23,7 @@
         self._seen_at_by_rank: dict[int, float] = {}
         self._holder: peer_messages.DutyBeat | None = None
         self._holder_seen_at = time.monotonic()
-        self._choice_takers: list[ChoicesTaker] = []
+        self._choice_takers: list[ChoicesHandler] = []
 
     # Ranks.
 
@@ -45,7 +45,7 @@
         return (seen_at is not None and
                 self._clock.monotonic() - seen_at < _FRESH_S)
 
-    def is_whole(self) -> bool:
+    def is_complete(self) -> bool:
         """Whether all ranks are heard from, open and in one epoch."""
         states = self._state_by_rank.values()
         if not states or len(states) < next(iter(states)).size:
@@ -54,7 +54,7 @@
                 len({state.epoch for state in states}) == 1 and
                 all(state.is_open for state in states))
 
-    def missing(self) -> list[int]:
+    def missing_ranks(self) -> list[int]:
         """Ranks that are not heard or not open."""
         size = max((s.size for s in self._state_by_rank.values()), default=0)
         return [
@@ -64,18 +64,18 @@
 
     # Choices of experts.
 
-    def on_choices(self, take: ChoicesTaker) -> None:
+    def subscribe_choices(self, take: ChoicesHandler) -> None:
         """Hands the choices that the group's ranks tell to a function."""
         self._choice_takers.append(take)
 
-    def take_choices(self, choices: peer_messages.ExpertChoices) -> None:
+    def publish_choices(self, choices: peer_messages.ExpertChoices) -> None:
         """Takes choices that a rank tells."""
         for take in self._choice_takers:
             take(choices)
 
     # The duty.
 
-    def take_duty(self, beat: peer_messages.DutyBeat) -> None:
+    def update_holder(self, beat: peer_messages.DutyBeat) -> None:
         """Takes a sign of life of a holder; a newer term counts more."""
         if self._holder is None or beat.term >= self._holder.term:
             self._holder = beat
@@ -86,18 +86,18 @@
         """The highest fencing token that was heard of."""
         return self._holder.term if self._holder else 0
 
-    def holder_silent_s(self) -> float:
+    def holder_silence_s(self) -> float:
         """Seconds since a holder was last heard."""
         return self._clock.monotonic() - self._holder_seen_at
 
     def holder(self) -> str | None:
         """The host whose agent holds the duty, if it is heard."""
-        if self._holder is None or self.holder_silent_s() > HOLDER_SILENT_S:
+        if self._holder is None or self.holder_silence_s() > HOLDER_TIMEOUT_S:
             return None
         return self._holder.host
 
 
-class GroupBook:
+class GroupRegistry:
     """All groups that this agent hears of."""
 
     def __init__(self, *, network: peers.PeerNetwork,
@@ -105,9 +105,9 @@
         self._clock = time
         self.own_state: peer_messages.RankState | None = None
         self._view_by_group: dict[str, GroupView] = {}
-        network.on_datagram(peer_messages.RankState, self.take)
-        network.on_datagram(peer_messages.ExpertChoices, self.take_choices)
-        network.on_datagram(peer_messages.DutyBeat, self.take_duty)
+        network.on_datagram(peer_messages.RankState, self.update_state)
+        network.on_datagram(peer_messages.ExpertChoices, self.publish_choices)
+        network.on_datagram(peer_messages.DutyBeat, self.update_holder)
 
     @property
     def own_group(self) -> str:
@@ -127,23 +127,23 @@
             self._view_by_group[group] = found
         return found
 
-    def take_own(self, state: peer_messages.RankState) -> None:
+    def update_own_state(self, state: peer_messages.RankState) -> None:
         """Takes the state of the server beside this agent."""
         self.own_state = state
-        self.take(state)
+        self.update_state(state)
 
-    def take(self, state: peer_messages.RankState) -> None:
+    def update_state(self, state: peer_messages.RankState) -> None:
         """Takes the state of any rank."""
         if state.group:
             self.view(state.group).take(state)
 
-    def take_choices(self, choices: peer_messages.ExpertChoices) -> None:
+    def publish_choices(self, choices: peer_messages.ExpertChoices) -> None:
         """Takes choices that any rank tells."""
-        self.view(choices.group).take_choices(choices)
+        self.view(choices.group).publish_choices(choices)
 
-    def take_duty(self, beat: peer_messages.DutyBeat) -> None:
+    def update_holder(self, beat: peer_messages.DutyBeat) -> None:
         """Takes a sign of life of any holder."""
-        self.view(beat.group).take_duty(beat)
+        self.view(beat.group).update_holder(beat)
 
 
 def _is_older(state: peer_messages.RankState,
--- a/pollenthread/app/lease_keeper.py
+++ b/pollenthread/app/lease_manager.py
@@ -12,18 +12,18 @@
 from pollenthread.core import leases, membership
 from pollenthread.ports import clock, table
 
-__all__ = ['LeaseKeeper', 'LeaseTimes', 'lease_key', 'parse_lease']
+__all__ = ['LeaseManager', 'LeaseTiming', 'lease_key', 'parse_lease']
 
 _CANDIDATES = 2
 _LEASE = pydantic.TypeAdapter(leases.Lease)
 
 
-class LeaseTimes:
+class LeaseTiming:
     """How long a lease lasts and how often it is written and watched."""
 
     DURATION_S = 5.0
     RENEW_S = 1.5
-    STEP_S = 0.5
+    CHECK_S = 0.5
     WATCH_S = 1.0
     HAND_OVER_S = 10.0
 
@@ -38,7 +38,7 @@
     return _LEASE.validate_json(value)
 
 
-class LeaseKeeper:
+class LeaseManager:
     """The duties of one entry host."""
 
     def __init__(self, *, table_service: table.TableService,
@@ -63,16 +63,16 @@
         self.lost_count = 0
         self.on_acquire: Callable[[str], None] | None = None
 
-    def held(self, duty: str) -> leases.Held | None:
+    def held_lease(self, duty: str) -> leases.Held | None:
         """The lease of a duty if this host may act on it now."""
         held = self._held_by_duty.get(duty)
         if held is None or not leases.is_safe(held, self._time.monotonic()):
             return None
         return held
 
-    def duties(self) -> list[str]:
+    def held_duties(self) -> list[str]:
         """The duties that this host may act on now."""
-        return [duty for duty in self._held_by_duty if self.held(duty)]
+        return [duty for duty in self._held_by_duty if self.held_lease(duty)]
 
     def wake(self) -> None:
         """Looks at the rows soon, since a holder may be gone."""
@@ -81,13 +81,13 @@
     async def run(self) -> None:
         """Keeps and takes duties until cancelled."""
         while True:
-            await self.step()
+            await self.run_once()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LeaseTimes.STEP_S):
+                async with asyncio.timeout(LeaseTiming.CHECK_S):
                     await self._wake.wait()
             self._wake.clear()
 
-    async def step(self) -> None:
+    async def run_once(self) -> None:
         """Renews what is held and tries what this host is a candidate for."""
         live = self._directory.live_entries()
         await asyncio.gather(*(self._keep(duty, live) for duty in self._duties))
@@ -111,13 +111,13 @@
     def _may_hand_over(self, duty: str, now: float) -> bool:
         """Whether other hosts have been preferred for long enough."""
         since = self._preferred_at_by_duty.setdefault(duty, now)
-        return now - since >= LeaseTimes.HAND_OVER_S
+        return now - since >= LeaseTiming.HAND_OVER_S
 
     def _may_watch(self, duty: str, now: float) -> bool:
         if self._stopping:
             return False
         watched_at = self._watched_at_by_duty.get(duty)
-        return watched_at is None or now - watched_at >= LeaseTimes.WATCH_S
+        return watched_at is None or now - watched_at >= LeaseTiming.WATCH_S
 
     def _is_candidate(self, duty: str, live: Sequence[str]) -> bool:
         return self._host in membership.ranked(live, duty)[:_CANDIDATES]
@@ -127,7 +127,7 @@
         wanted = leases.renew(held, now=now)
         if wanted is None:
             self._lose(duty)
-        elif now - self._renewed_at_by_duty[duty] >= LeaseTimes.RENEW_S:
+        elif now - self._renewed_at_by_duty[duty] >= LeaseTiming.RENEW_S:
             await self._write(duty, wanted, held.version)
 
     async def _try(self, duty: str) -> None:
@@ -146,7 +146,7 @@
         wanted = leases.acquire(self._known_by_duty.get(duty),
                                 duty=duty,
                                 holder=self._holder,
-                                duration_s=LeaseTimes.DURATION_S,
+                                duration_s=LeaseTiming.DURATION_S,
                                 now=now)
         if wanted is None:
             return
@@ -158,7 +158,7 @@
             if self.on_acquire is not None:
                 self.on_acquire(duty)
 
-    async def commit_under(
+    async def commit_if_held(
             self, duty: str, writes: Sequence[table.Write]
     ) -> result.Result[None, table.TableFault]:
         """Commits writes only if this host still holds a duty.
@@ -170,7 +170,7 @@
             An error of CONFLICT when the duty is lost or a row has changed.
         """
         async with self._locks_by_duty[duty]:
-            held = self.held(duty)
+            held = self.held_lease(duty)
             wanted = None
             if held is not None:
                 wanted = leases.renew(held, now=self._time.monotonic())
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_coordinator.py
@@ -19,7 +19,7 @@
                                routing_config, step_limits)
 from pollenthread.ports import clock, event_log, peers, row_store
 
-__all__ = ['MapDuty']
+__all__ = ['MapCoordinator']
 
 TABLE = 'pollenthread_duties'
 _VERSIONS_A_TERM = 1 << 16
@@ -40,12 +40,12 @@
 Figures = Callable[[str], routing_config.EngineFigures | None]
 
 
-class MapDuty:
+class MapCoordinator:
     """Plans and carries out the maps of one group while it holds its duty."""
 
     def __init__(self, *, host: str, incarnation: str,
                  store: row_store.RowStore, hosts: roster.Roster,
-                 book: group_view.GroupBook, view: group_view.GroupView,
+                 registry: group_view.GroupRegistry, view: group_view.GroupView,
                  driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
                  figures: Figures, time: clock.Clock,
                  log: event_log.EventLog) -> None:
@@ -68,7 +68,7 @@
         self._incarnation = incarnation
         self._store = store
         self._hosts = hosts
-        self._book = book
+        self._book = registry
         self._view = view
         self._driver = driver
         self._network = network
@@ -82,12 +82,12 @@
         self._skew_told_at = time.monotonic()
         self._layouts: tuple[replication.Layout, ...] | None = None
         self._layouts_of = (0, 0)
-        view.on_choices(self._take_choices)
+        view.subscribe_choices(self._take_choices)
 
     @property
-    def account(self) -> switch_driver.MapAccount:
+    def stats(self) -> switch_driver.MapStats:
         """What keeping the group's ranks even has cost and brought."""
-        return self._driver.account
+        return self._driver.stats
 
     # The duty.
 
@@ -105,13 +105,13 @@
 
     def _tell_duty(self) -> None:
         beat = peer_messages.DutyBeat(self._view.name, self._host, self._term)
-        self._book.take_duty(beat)
+        self._book.update_holder(beat)
         self._network.send_all(self._hosts.agents_beside(self._host), beat)
 
     async def _serve(self) -> None:
         while True:
             await self._clock.sleep(_PLAN_TICK_S)
-            if not self._note_whole(self._view.is_whole()):
+            if not self._note_whole(self._view.is_complete()):
                 continue
             engine = self._figures(self._service())
             if engine is None or not engine.sets:
@@ -130,7 +130,7 @@
                             if is_whole else log_events.LogEvent.GROUP_BROKEN,
                             group=self._view.name,
                             epoch=epoch,
-                            missing=self._view.missing())
+                            missing=self._view.missing_ranks())
         self._was_whole = is_whole
         return is_whole
 
@@ -166,7 +166,7 @@
         patience_s = (1 + own.rank) * _STAGGER_S
         if own.group == self._view.name:
             patience_s += _MEMBER_PATIENCE_S
-        return self._view.holder_silent_s() > group_view.HOLDER_SILENT_S + (
+        return self._view.holder_silence_s() > group_view.HOLDER_TIMEOUT_S + (
             patience_s)
 
     async def _take_duty(self, engine: routing_config.EngineFigures) -> None:
@@ -223,7 +223,7 @@
         limits = step_limits.limits_for(engine, len(states))
         step = replication.plan_step(self._layouts, self._demand.shares_by_set,
                                      limits.shape, _paces(states))
-        self._driver.account.skew = step.before
+        self._driver.stats.skew = step.before
         if not limits.is_worth(step):
             return
         self._log.write(log_events.LogEvent.MAP_PLANNED,
@@ -249,7 +249,7 @@
         skew = replication.mean_greatest_load(self._layouts, seen,
                                               _paces(self._view.states()))
         datagrams, self._demand.datagrams = self._demand.datagrams, 0
-        self._driver.account.skew_seen = skew
+        self._driver.stats.skew_seen = skew
         self._log.write(log_events.LogEvent.SKEW_SEEN,
                         important=False,
                         group=self._view.name,
@@ -269,7 +269,7 @@
         if self._layouts is not None and self._layouts_of in versions:
             return True
         found = await asyncio.gather(
-            *(self._network.fetch_layout(self._driver.address(rank))
+            *(self._network.fetch_layout(self._driver.agent_address(rank))
               for rank in sorted(states)))
         held = [layout for layout in found if layout is not None]
         if len(held) < len(states) or {
@@ -296,11 +296,11 @@
                                    epoch,
                                    _encoded(layouts),
                                    lead=_LEAD_PASSES)
-        done = await self._driver.drive(switch)
+        done = await self._driver.run(switch)
         if done.phase is map_switch.Phase.DONE:
             self._layouts = layouts
             self._layouts_of = (epoch, done.version)
-            self._driver.account.copies += copies
+            self._driver.stats.copies += copies
         else:
             self._layouts = None
 
@@ -314,7 +314,7 @@
                         phase=switch.phase.value,
                         held=states[map_switch.HOLDING_RANK].held_step)
         self._layouts = None
-        await self._driver.drive(switch)
+        await self._driver.run(switch)
 
 
 def _paces(states: map_switch.States) -> list[float]:
--- a/pollenthread/app/order_gate.py
+++ b/pollenthread/app/order_dispatcher.py
@@ -7,11 +7,11 @@
 import result
 from absl import logging
 
-from pollenthread.app import lease_keeper
+from pollenthread.app import lease_manager
 from pollenthread.core import messages, orders, signing
 from pollenthread.ports import (link as link_port, orders as orders_port, table)
 
-__all__ = ['OrderGate']
+__all__ = ['OrderDispatcher']
 
 _ANSWER_BY_VERDICT = {
     orders.Verdict.RUNNING: orders.Answer.RUNNING,
@@ -23,7 +23,7 @@
 }
 
 
-class OrderGate:
+class OrderDispatcher:
     """Carries out each order once, for whoever holds the duty."""
 
     def __init__(self, *, host: str, incarnation: str,
@@ -40,11 +40,11 @@
         self.refused_count = 0
 
     @property
-    def busy(self) -> int:
+    def running_count(self) -> int:
         """Orders that run."""
         return len(self._tasks)
 
-    def register(self, kind: str, executor: orders_port.OrderExecutor) -> None:
+    def register_executor(self, kind: str, executor: orders_port.OrderExecutor) -> None:
         """Sets who carries out orders of a kind."""
         self._executors_by_kind[kind] = executor
 
@@ -65,12 +65,12 @@
     async def _decide_after_read(self, link: link_port.Link,
                                  order: orders.Order) -> None:
         """Learns the duty's highest fencing number before the first order."""
-        found = await self._table.get(lease_keeper.lease_key(order.duty))
+        found = await self._table.get(lease_manager.lease_key(order.duty))
         if isinstance(found, result.Ok):
             row = found.ok_value
             fencing = 0
             if row is not None:
-                fencing = lease_keeper.parse_lease(row.value).fencing
+                fencing = lease_manager.parse_lease(row.value).fencing
             self._fence = orders.raise_fence(self._fence, order.duty, fencing)
         self._decide(link, order)
 
--- a/pollenthread/app/order_journal.py
+++ b/pollenthread/app/order_journal.py
@@ -10,7 +10,7 @@
 from pollenthread.ports import table
 
 __all__ = [
-    'Entry', 'OrderJournal', 'Submitted', 'dump', 'inbox_key', 'journal_key'
+    'JournalEntry', 'OrderJournal', 'OrderStatus', 'encode_row', 'inbox_key', 'journal_key'
 ]
 
 _ROW = pydantic.TypeAdapter(orders.JournalRow)
@@ -18,7 +18,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
+class JournalEntry:
     """A row of the journal with its version."""
 
     row: orders.JournalRow
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Submitted:
+class OrderStatus:
     """Where an order stands.
 
     Attributes:
@@ -48,7 +48,7 @@
     return f'journal/{duty}/{parse.quote(order_id, safe="")}'
 
 
-def dump(row: orders.JournalRow) -> bytes:
+def encode_row(row: orders.JournalRow) -> bytes:
     """The bytes of a journal row."""
     return _ROW.dump_json(row)
 
@@ -61,7 +61,7 @@
 
     async def submit(
             self, *, order_id: str, host: str, kind: str,
-            arguments: str) -> result.Result[Submitted, table.TableFault]:
+            arguments: str) -> result.Result[OrderStatus, table.TableFault]:
         """Takes an order in once, however often it is submitted.
 
         Returns:
@@ -84,7 +84,7 @@
                                         _ORDER.dump_json(wanted),
                                         expect=table.ABSENT)
         if isinstance(written, result.Ok):
-            return result.Ok(Submitted(wanted, None))
+            return result.Ok(OrderStatus(wanted, None))
         if written.err_value in (table.TableFault.UNAVAILABLE,
                                  table.TableFault.LIMITED):
             return written
@@ -95,7 +95,7 @@
 
     async def find(
             self, host: str,
-            order_id: str) -> result.Result[Submitted | None, table.TableFault]:
+            order_id: str) -> result.Result[OrderStatus | None, table.TableFault]:
         """Where an order stands; None when there is none of this id."""
         duty = orders.duty_of(host)
         found = await self._table.get(inbox_key(duty, order_id))
@@ -103,16 +103,16 @@
             return found
         if found.ok_value is not None:
             order = _ORDER.validate_json(found.ok_value.value)
-            return result.Ok(Submitted(order, None))
+            return result.Ok(OrderStatus(order, None))
         found = await self._table.get(journal_key(duty, order_id))
         if isinstance(found, result.Err):
             return found
         if found.ok_value is None:
             return result.Ok(None)
         row = _ROW.validate_json(found.ok_value.value)
-        return result.Ok(Submitted(row.order, row))
+        return result.Ok(OrderStatus(row.order, row))
 
-    async def inbox(
+    async def read_inbox(
         self, duty: str
     ) -> result.Result[list[tuple[orders.Order, int]], table.TableFault]:
         """Orders that wait, with the versions of their rows."""
@@ -120,10 +120,10 @@
         return found.map(lambda rows: [(_ORDER.validate_json(row.value), row.
                                         version) for row in rows])
 
-    async def entries(
-            self, duty: str) -> result.Result[list[Entry], table.TableFault]:
+    async def read_entries(
+            self, duty: str) -> result.Result[list[JournalEntry], table.TableFault]:
         """The whole journal of a duty."""
         found = await self._table.scan(f'journal/{duty}/')
         return found.map(
             lambda rows:
-            [Entry(_ROW.validate_json(row.value), row.version) for row in rows])
+            [JournalEntry(_ROW.validate_json(row.value), row.version) for row in rows])
--- a/pollenthread/app/order_desk.py
+++ b/pollenthread/app/order_processor.py
@@ -8,36 +8,36 @@
 import result
 from absl import logging
 
-from pollenthread.app import (directory as directory_module, lease_keeper,
+from pollenthread.app import (directory as directory_module, lease_manager,
                               order_journal, peers as peers_module, pool as
                               pool_module)
 from pollenthread.core import messages, orders, signing
 from pollenthread.ports import link as link_port, table
 
-__all__ = ['OrderDesk']
+__all__ = ['OrderProcessor']
 
 _STEP_S = 1.0
 _JOURNAL_KEPT = 64
 
 
-class OrderDesk:
+class OrderProcessor:
     """Takes orders from inboxes to their recorded ends."""
 
-    def __init__(self, *, keeper: lease_keeper.LeaseKeeper,
+    def __init__(self, *, leases: lease_manager.LeaseManager,
                  journal: order_journal.OrderJournal, pool: pool_module.Pool,
                  peers: peers_module.Peers,
                  directory: directory_module.Directory,
                  keys: signing.KeyRing) -> None:
-        self._keeper = keeper
+        self._keeper = leases
         self._journal = journal
         self._pool = pool
         self._directory = directory
         self._keys = keys
-        self._entries_by_duty: dict[str, dict[str, order_journal.Entry]] = {}
+        self._entries_by_duty: dict[str, dict[str, order_journal.JournalEntry]] = {}
         self._replies = collections.deque[messages.OrderReply]()
         self._wake = asyncio.Event()
         self.ended_by_state = collections.Counter[orders.OrderState]()
-        keeper.on_acquire = self._forget
+        leases.on_acquire = self._forget
         peers.subscribe(messages.DutyNews, self._on_news)
         pool.subscribe(messages.OrderReply, self._on_reply)
 
@@ -48,17 +48,17 @@
     async def run(self) -> None:
         """Works on orders until cancelled."""
         while True:
-            await self.step()
+            await self.run_once()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_STEP_S):
                     await self._wake.wait()
             self._wake.clear()
 
-    async def step(self) -> None:
+    async def run_once(self) -> None:
         """Records replies, takes orders up, and sends the open ones."""
         await self._record_replies()
         for duty in set(orders.all_duties()).intersection(
-                self._keeper.duties()):
+                self._keeper.held_duties()):
             if await self._load(duty):
                 await self._take_up(duty)
                 await self._advance(duty)
@@ -77,7 +77,7 @@
         """Reads the journal once after the duty was acquired."""
         if duty in self._entries_by_duty:
             return True
-        found = await self._journal.entries(duty)
+        found = await self._journal.read_entries(duty)
         if isinstance(found, result.Err):
             return False
         self._entries_by_duty[duty] = {
@@ -87,19 +87,19 @@
 
     async def _take_up(self, duty: str) -> None:
         """Numbers new orders and moves them from the inbox to the journal."""
-        found = await self._journal.inbox(duty)
+        found = await self._journal.read_inbox(duty)
         if isinstance(found, result.Err):
             return
         for order, version in found.ok_value:
             incarnation = self._incarnation(order.host)
-            held = self._keeper.held(duty)
+            held = self._keeper.held_lease(duty)
             if held is None or not incarnation:
                 continue
             entries = self._entries_by_duty.get(duty, {})
             done = table.Write(order_journal.inbox_key(duty, order.id), None,
                                version)
             if order.id in entries:
-                await self._keeper.commit_under(duty, [done])
+                await self._keeper.commit_if_held(duty, [done])
                 continue
             numbers = (entry.row.order.number for entry in entries.values())
             row = orders.journal(
@@ -129,8 +129,8 @@
                 hosts.add(entry.row.order.host)
                 await self._do_next(duty, entry)
 
-    async def _do_next(self, duty: str, entry: order_journal.Entry) -> None:
-        held = self._keeper.held(duty)
+    async def _do_next(self, duty: str, entry: order_journal.JournalEntry) -> None:
+        held = self._keeper.held_lease(duty)
         if held is None:
             return
         fencing = held.lease.fencing
@@ -167,7 +167,7 @@
                     await self._close(duty, entry, orders.Answer(reply.answer),
                                       orders.Result(reply.done, reply.detail))
 
-    async def _close(self, duty: str, entry: order_journal.Entry,
+    async def _close(self, duty: str, entry: order_journal.JournalEntry,
                      answer: orders.Answer,
                      ended: orders.Result | None) -> None:
         """Records an order's one result, if it has come to an end."""
@@ -208,7 +208,7 @@
         table may hold more than this host knows.
         """
         write = table.Write(order_journal.journal_key(duty, row.order.id),
-                            order_journal.dump(row), version)
-        done = await self._keeper.commit_under(duty, [write, *(more or ())])
+                            order_journal.encode_row(row), version)
+        done = await self._keeper.commit_if_held(duty, [write, *(more or ())])
         self._entries_by_duty.pop(duty, None)
         return isinstance(done, result.Ok) and await self._load(duty)
--- a/pollenthread/app/order_taker.py
+++ b/pollenthread/app/order_receiver.py
@@ -14,7 +14,7 @@
 from pollenthread.core import log_events, peer_messages
 from pollenthread.ports import event_log, peers, rank_server
 
-__all__ = ['OrderTaker']
+__all__ = ['OrderReceiver']
 
 _MAX_UNDER_WAY = 3
 _PREPARE_TRIES = 5
@@ -22,14 +22,14 @@
 
 _OrderKey = tuple[peer_messages.OrderKind, int, int]
 
-StateTaker = Callable[[rank_server.RankReport], peer_messages.RankState]
+ReportHandler = Callable[[rank_server.RankReport], peer_messages.RankState]
 
 
-class OrderTaker:
+class OrderReceiver:
     """Takes orders that arrive as datagrams."""
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
-                 take_report: StateTaker, hosts: roster.Roster,
+                 handle_report: ReportHandler, hosts: roster.Roster,
                  network: peers.PeerNetwork, log: event_log.EventLog) -> None:
         """Makes a taker that carries out nothing until it runs.
 
@@ -43,20 +43,20 @@
         """
         self._host = host
         self._server = server
-        self._take_report = take_report
+        self._take_report = handle_report
         self._hosts = hosts
         self._network = network
         self._log = log
         self._tasks: asyncio.TaskGroup | None = None
         self._under_way: collections.Counter[_OrderKey] = collections.Counter()
-        network.on_datagram(peer_messages.RankOrder, self.take)
+        network.on_datagram(peer_messages.RankOrder, self.on_order)
 
     async def run(self) -> None:
         """Carries out what arrives, until cancelled."""
         async with asyncio.TaskGroup() as self._tasks:
             await asyncio.Event().wait()
 
-    def take(self, order: peer_messages.RankOrder) -> None:
+    def on_order(self, order: peer_messages.RankOrder) -> None:
         """Hands an order on, and to the server."""
         if self._tasks is None:
             return
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -18,7 +18,7 @@
                                peer_messages)
 from pollenthread.ports import clock, event_log, peers, rank_server
 
-__all__ = ['OrderSender', 'ServerMaker']
+__all__ = ['OrderSender', 'RankServerFactory']
 
 _TICK_S = 0.01
 # While a pass is held every stream of the group waits, so an arming or a
@@ -31,7 +31,7 @@
 _DONE_STATUSES = (200, 202)
 _DIRECT_KINDS = (peer_messages.OrderKind.HOLD, peer_messages.OrderKind.GO)
 
-ServerMaker = Callable[[str], rank_server.RankServer]
+RankServerFactory = Callable[[str], rank_server.RankServer]
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,7 +65,7 @@
 
     def __init__(self, *, host: str, hosts: roster.Roster,
                  view: group_view.GroupView, network: peers.PeerNetwork,
-                 make_server: ServerMaker, counts: collections.Counter[str],
+                 make_server: RankServerFactory, counts: collections.Counter[str],
                  time: clock.Clock, log: event_log.EventLog) -> None:
         """Makes a sender that has given nothing.
 
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from pollenthread.app import choice_teller, group_view, order_taker, roster
+from pollenthread.app import choice_reporter, group_view, order_receiver, roster
 from pollenthread.core import host_record, log_events, peer_messages
 from pollenthread.ports import clock, event_log, peers, rank_server
 
@@ -78,7 +78,7 @@
 
     def __init__(self, *, own: host_record.HostRecord, slots: int,
                  server: rank_server.RankServer, hosts: roster.Roster,
-                 book: group_view.GroupBook, network: peers.PeerNetwork,
+                 registry: group_view.GroupRegistry, network: peers.PeerNetwork,
                  link_bytes_per_s: float, time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
         """Makes an agent that watches nothing yet.
@@ -99,7 +99,7 @@
         self.slots = slots
         self._server = server
         self._hosts = hosts
-        self._book = book
+        self._book = registry
         self._network = network
         self._clock = time
         self._stepped_at = time.monotonic()
@@ -108,21 +108,21 @@
         self._pass_s = 0.0
         self._passes = _PassLine(began_at=time.monotonic())
         self._log = log
-        self.experts = 0
+        self.experts_per_set = 0
         self._load_told = _Told()
         self._state_told = _Told()
-        self._choices = choice_teller.ChoiceTeller(
+        self._choices = choice_reporter.ChoiceReporter(
             host=own.host,
             server=server,
             hosts=hosts,
-            book=book,
+            registry=registry,
             network=network,
             link_bytes_per_s=link_bytes_per_s,
             time=time,
             rng=rng)
-        self._orders = order_taker.OrderTaker(host=own.host,
+        self._orders = order_receiver.OrderReceiver(host=own.host,
                                               server=server,
-                                              take_report=self._take,
+                                              handle_report=self._take,
                                               hosts=hosts,
                                               network=network,
                                               log=log)
@@ -149,7 +149,7 @@
         if not report.is_in_group:
             return _ALONE_POLL_S if not report.running else _POLL_S
         self._tell_group(state)
-        await self._choices.tell(state, self.experts)
+        await self._choices.report_if_due(state, self.experts_per_set)
         if state.is_busy or state.armed_version or state.held_step:
             return _SWITCHING_POLL_S
         return _POLL_S if report.running else _IDLE_POLL_S
@@ -166,7 +166,7 @@
                 self._passes.note(passes, pass_s)
             self._last_step = state.step
             self._stepped_at = now
-        self._book.take_own(state)
+        self._book.update_own_state(state)
         self._tell_passes(report, now)
         return state
 
--- a/pollenthread/app/report_document.py
+++ b/pollenthread/app/report_document.py
@@ -8,19 +8,19 @@
 __all__ = ['to_document']
 
 
-def to_document(made: report.Report) -> dict[str, Any]:
+def to_document(source: report.Report) -> dict[str, Any]:
     """The report as keys and values; both departments' views use it."""
     return {
-        'from_day': made.from_day,
-        'to_day': made.to_day,
-        'targets_version': made.targets_version,
-        'adds_up': made.adds_up,
-        'total': _counts(made.total),
-        'classes': [_class(line) for line in made.classes],
-        'costs': [_cost(row) for row in made.costs],
-        'orders': [dataclasses.asdict(line) for line in made.orders],
-        'gaps': [dataclasses.asdict(gap) for gap in made.gaps],
-        'hosts': made.hosts,
+        'from_day': source.from_day,
+        'to_day': source.to_day,
+        'targets_version': source.targets_version,
+        'adds_up': source.adds_up,
+        'total': _counts(source.total),
+        'classes': [_class(line) for line in source.classes],
+        'costs': [_cost(row) for row in source.costs],
+        'orders': [dataclasses.asdict(line) for line in source.orders],
+        'gaps': [dataclasses.asdict(gap) for gap in source.gaps],
+        'hosts': source.hosts,
     }
 
 
--- a/pollenthread/app/stall_watch.py
+++ b/pollenthread/app/stall_recovery.py
@@ -11,24 +11,24 @@
 from pollenthread.core import log_events, map_switch
 from pollenthread.ports import clock, event_log
 
-__all__ = ['StallWatch']
+__all__ = ['StallRecovery']
 
 _CHECK_S = 0.1
 _STALLED_S = 0.4
 _STAGGER_S = 0.12
 _PAUSE_S = 0.5
 
-DriverMaker = Callable[[group_view.GroupView], switch_driver.SwitchDriver]
+DriverFactory = Callable[[group_view.GroupView], switch_driver.SwitchDriver]
 
 
-class StallWatch:
+class StallRecovery:
     """Watches for a group that stands still behind a held pass."""
 
     def __init__(self, *, agent: rank_agent.RankAgent,
-                 book: group_view.GroupBook, make_driver: DriverMaker,
+                 registry: group_view.GroupRegistry, make_driver: DriverFactory,
                  time: clock.Clock, log: event_log.EventLog) -> None:
         self._agent = agent
-        self._book = book
+        self._book = registry
         self._make_driver = make_driver
         self._clock = time
         self._log = log
@@ -48,12 +48,12 @@
 
     async def _help(self, view: group_view.GroupView) -> None:
         driver = self._make_driver(view)
-        holding = await driver.look(map_switch.HOLDING_RANK)
+        holding = await driver.query_rank(map_switch.HOLDING_RANK)
         if holding is None or not holding.held_step:
             return
         for rank in view.states():
             if not view.is_fresh(rank):
-                await driver.look(rank)
+                await driver.query_rank(rank)
         states = view.states()
         if len(states) < holding.size:
             return
@@ -65,4 +65,4 @@
                         version=switch.version,
                         held=holding.held_step,
                         by='stall watch')
-        await driver.drive(switch)
+        await driver.run(switch)
--- a/pollenthread/app/switch_duty.py
+++ b/pollenthread/app/switch_coordinator.py
@@ -11,13 +11,13 @@
 from pollenthread.ports import clock, table
 
 __all__ = [
-    'GroupRow', 'SwitchCounts', 'SwitchDuty', 'group_key', 'parse_row',
+    'GroupRow', 'SwitchCounts', 'SwitchCoordinator', 'group_key', 'parse_row',
     'wanted_key'
 ]
 
-LEAST_MARGIN_STEPS = 4
-FIRST_LEAD_S = 0.25
-MOST_LEAD_S = 2.0
+MIN_MARGIN_STEPS = 4
+INITIAL_LEAD_S = 0.25
+MAX_LEAD_S = 2.0
 _LEAD_RATIO = 2.0
 _COLLECTING = switch_decider.Phase.COLLECTING
 RESEND_S = 0.3
@@ -70,7 +70,7 @@
     return GroupRow(**json.loads(value))
 
 
-class SwitchDuty:
+class SwitchCoordinator:
     """Runs the switches of one group while its fencing number is the highest.
     """
 
@@ -88,7 +88,7 @@
         self._phase_since = 0.0
         self._started_at = 0.0
         self._sent_at = 0.0
-        self._lead_s = FIRST_LEAD_S
+        self._lead_s = INITIAL_LEAD_S
         self._seen_step = (0, 0.0)
         self.counts = SwitchCounts()
 
@@ -104,7 +104,7 @@
             return 0
         return switch.map_version(self._decider.held, 1 << 62)
 
-    async def take(self) -> bool:
+    async def acquire(self) -> bool:
         """Takes the group's row with the next fencing number."""
         key = group_key(self._group)
         read = await self._table.get(key)
@@ -127,7 +127,7 @@
                                      named=row.map_version))
         return True
 
-    def receive(self, reply: switch.Reply) -> None:
+    def on_reply(self, reply: switch.Reply) -> None:
         """Takes a rank's answer."""
         if self._decider is None:
             return
@@ -162,7 +162,7 @@
             for item in switch_decider.resend(decider):
                 self._send(item.index, item.order)
 
-    async def follow_wanted(self) -> None:
+    async def pursue_wanted_map(self) -> None:
         """Records what was decided, then starts the switch that is wanted."""
         if self._decider is None:
             return
@@ -240,11 +240,11 @@
         now = self._time.monotonic()
         last_step, last_s = self._seen_step
         rate = (step - last_step) / (now - last_s) if step > last_step else 0.0
-        return max(LEAST_MARGIN_STEPS, math.ceil(rate * self._lead_s))
+        return max(MIN_MARGIN_STEPS, math.ceil(rate * self._lead_s))
 
     def _learn_lead(self, decider: switch_decider.Decider, now: float) -> None:
         """Remembers how long arming took, and where the group was."""
-        self._lead_s = min(MOST_LEAD_S, _LEAD_RATIO * (now - self._phase_since))
+        self._lead_s = min(MAX_LEAD_S, _LEAD_RATIO * (now - self._phase_since))
         self._seen_step = (decider.step, now)
 
     def _count(self, decider: switch_decider.Decider, now: float) -> None:
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -8,13 +8,13 @@
                                peer_messages)
 from pollenthread.ports import clock, event_log, peers, rank_server
 
-__all__ = ['MapAccount', 'SwitchDriver']
+__all__ = ['MapStats', 'SwitchDriver']
 
 _MAX_PREPARE_S = 4.0
 
 
 @dataclasses.dataclass
-class MapAccount:
+class MapStats:
     """What keeping ranks even has cost and brought.
 
     Attributes:
@@ -66,7 +66,7 @@
 
     def __init__(self, *, host: str, hosts: roster.Roster,
                  view: group_view.GroupView, network: peers.PeerNetwork,
-                 make_server: order_sender.ServerMaker, time: clock.Clock,
+                 make_server: order_sender.RankServerFactory, time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._host = host
         self._hosts = hosts
@@ -75,7 +75,7 @@
         self._make_server = make_server
         self._clock = time
         self._log = log
-        self.account = MapAccount()
+        self.stats = MapStats()
 
     def _sender(self) -> order_sender.OrderSender:
         return order_sender.OrderSender(host=self._host,
@@ -83,21 +83,21 @@
                                         view=self._view,
                                         network=self._network,
                                         make_server=self._make_server,
-                                        counts=self.account.orders,
+                                        counts=self.stats.orders,
                                         time=self._clock,
                                         log=self._log)
 
-    async def drive(self, switch: map_switch.Switch) -> map_switch.Switch:
+    async def run(self, switch: map_switch.Switch) -> map_switch.Switch:
         """Gives orders until the switch is done or abandoned."""
         times = _PhaseTimes(self._clock.monotonic())
-        given = self.account.orders.total()
+        given = self.stats.orders.total()
         async with self._sender() as sender:
             while True:
                 switch, orders = map_switch.advance(switch, self._view.states())
                 now = self._clock.monotonic()
                 times.note(switch.phase, now)
                 if switch.phase is map_switch.Phase.DONE:
-                    count = self.account.orders.total() - given
+                    count = self.stats.orders.total() - given
                     self._note_done(switch, now, times, count)
                     return switch
                 if (switch.phase is map_switch.Phase.ABANDONED or
@@ -109,7 +109,7 @@
                 sender.send_due(orders)
                 await sender.wait()
 
-    async def look(self, rank: int) -> peer_messages.RankState | None:
+    async def query_rank(self, rank: int) -> peer_messages.RankState | None:
         """Asks a rank's server for its state, past its agent."""
         record = self._record(rank)
         if record is None:
@@ -122,7 +122,7 @@
         self._view.take(state)
         return state
 
-    def address(self, rank: int) -> str:
+    def agent_address(self, rank: int) -> str:
         """The peer address of a rank's agent; empty when unknown."""
         record = self._record(rank)
         return record.peer_address if record else ''
@@ -133,7 +133,7 @@
 
     def _note_done(self, switch: map_switch.Switch, now: float,
                    times: _PhaseTimes, orders: int) -> None:
-        self.account.switches += 1
+        self.stats.switches += 1
         self._log.write(log_events.LogEvent.MAP_SWITCHED,
                         important=False,
                         group=self._view.name,
@@ -144,7 +144,7 @@
                         **times.fields())
 
     def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
-        self.account.abandoned += 1
+        self.stats.abandoned += 1
         self._log.write(log_events.LogEvent.ORDER_FAILED,
                         group=self._view.name,
                         version=switch.version,
--- a/pollenthread/app/rank_switch.py
+++ b/pollenthread/app/switch_participant.py
@@ -14,14 +14,14 @@
 from pollenthread.core import switch, switch_rank
 from pollenthread.ports import rank_engine
 
-__all__ = ['RankSwitch']
+__all__ = ['SwitchParticipant']
 
 
-class RankSwitch:
+class SwitchParticipant:
     """Applies one message after the other to the rank."""
 
     def __init__(self, *, index: int, engine: rank_engine.RankEngine,
-                 read_fence: Callable[[], Awaitable[int | None]],
+                 read_group_fence: Callable[[], Awaitable[int | None]],
                  on_reply: Callable[[switch.Reply], None]) -> None:
         """Initializes the part.
 
@@ -34,7 +34,7 @@
         """
         self._index = index
         self._engine = engine
-        self._read_fence = read_fence
+        self._read_fence = read_group_fence
         self._on_reply = on_reply
         self._lock = asyncio.Lock()
         self._load: asyncio.Task[None] | None = None
@@ -55,7 +55,7 @@
             logging.debug('rank %d: %s', self._index, error)
             return None
 
-    async def look(self) -> switch.Rank | None:
+    async def read_rank(self) -> switch.Rank | None:
         """The rank as it is now; None when the engine gives no answer."""
         try:
             async with self._lock:
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -4,12 +4,12 @@
 
 import pydantic
 
-from pollenthread.app import explanation
+from pollenthread.app import validation_errors
 from pollenthread.core import targets
 
 __all__ = [
-    'InvalidDocument', 'Name', 'Strict', 'TargetsModel', 'WorkspaceModel',
-    'explain', 'parse_targets', 'unique'
+    'InvalidDocument', 'Name', 'StrictModel', 'TargetsModel', 'WorkspaceModel',
+    'describe_errors', 'parse_targets', 'check_unique'
 ]
 
 _PERCENT = 100.0
@@ -21,13 +21,13 @@
     """The document cannot be used; the text says which key and why."""
 
 
-class Strict(pydantic.BaseModel):
+class StrictModel(pydantic.BaseModel):
     """Refuses unknown keys and silent conversions."""
 
     model_config = pydantic.ConfigDict(extra='forbid', strict=True, frozen=True)
 
 
-class _LatencyModel(Strict):
+class _LatencyModel(StrictModel):
     """A latency target."""
 
     first_token_ms: Annotated[int, pydantic.Field(ge=10, le=600_000)] | None = (
@@ -49,7 +49,7 @@
         return self
 
 
-class _ClassModel(Strict):
+class _ClassModel(StrictModel):
     """One class of work."""
 
     latency: _LatencyModel
@@ -58,7 +58,7 @@
     importance: Literal['low', 'normal', 'high'] = 'normal'
 
 
-class WorkspaceModel(Strict):
+class WorkspaceModel(StrictModel):
     """One workspace."""
 
     models: list[Name] = []
@@ -68,7 +68,7 @@
     @pydantic.field_validator('models', 'services')
     @classmethod
     def _each_once(cls, names: list[str]) -> list[str]:
-        return unique(names)
+        return check_unique(names)
 
     @pydantic.model_validator(mode='after')
     def _has_upstream(self) -> 'WorkspaceModel':
@@ -77,7 +77,7 @@
         return self
 
 
-class _BalanceModel(Strict):
+class _BalanceModel(StrictModel):
     """How even ranks shall be, and what that may cost."""
 
     skew: Annotated[float, pydantic.Field(ge=1.0, le=10.0)] = 1.05
@@ -85,7 +85,7 @@
                                           pydantic.Field(ge=0.0, le=50.0)] = 1.0
 
 
-class TargetsModel(Strict):
+class TargetsModel(StrictModel):
     """The document of targets that operators edit."""
 
     workspaces: dict[Name, WorkspaceModel]
@@ -95,7 +95,7 @@
     @pydantic.field_validator('draining')
     @classmethod
     def _each_once(cls, names: list[str]) -> list[str]:
-        return unique(names)
+        return check_unique(names)
 
     def to_targets(self, version: int) -> targets.Targets:
         """Makes the inner form of this document."""
@@ -136,7 +136,7 @@
         importance=targets.Importance[model.importance.upper()])
 
 
-def unique(names: list[str]) -> list[str]:
+def check_unique(names: list[str]) -> list[str]:
     """Returns the names.
 
     Raises:
@@ -151,7 +151,7 @@
 def parse_targets(
         document: Any,
         name: str = 'targets',
-        line_of: explanation.LineOf = explanation.no_lines) -> TargetsModel:
+        line_of: validation_errors.LineLookup = validation_errors.unknown_line) -> TargetsModel:
     """Checks a document of targets.
 
     Raises:
@@ -161,12 +161,12 @@
         return TargetsModel.model_validate(document)
     except pydantic.ValidationError as error:
         raise InvalidDocument(
-            explanation.explain(name,
+            validation_errors.describe_errors(name,
                                 error,
                                 model=TargetsModel,
                                 line_of=line_of)) from error
 
 
-def explain(name: str, error: pydantic.ValidationError) -> str:
+def describe_errors(name: str, error: pydantic.ValidationError) -> str:
     """One line for each key that is wrong, without its allowed range."""
-    return explanation.explain(name, error, model=Strict)
+    return validation_errors.describe_errors(name, error, model=StrictModel)
--- a/pollenthread/app/explanation.py
+++ b/pollenthread/app/validation_errors.py
@@ -10,10 +10,10 @@
 import pydantic
 from pydantic.fields import FieldInfo
 
-__all__ = ['Location', 'LineOf', 'explain', 'no_lines']
+__all__ = ['Location', 'LineLookup', 'describe_errors', 'unknown_line']
 
 Location = tuple[str | int, ...]
-LineOf = Callable[[Location], int | None]
+LineLookup = Callable[[Location], int | None]
 
 _PATTERN_WORDS = {
     r'^[a-z0-9][a-z0-9-]{0,62}$':
@@ -25,16 +25,16 @@
 }
 
 
-def no_lines(_: Location) -> int | None:
+def unknown_line(_: Location) -> int | None:
     """Knows no line of any key."""
     return None
 
 
-def explain(name: str,
+def describe_errors(name: str,
             error: pydantic.ValidationError,
             *,
             model: type[pydantic.BaseModel],
-            line_of: LineOf = no_lines) -> str:
+            line_of: LineLookup = unknown_line) -> str:
     """One line for each key that is wrong.
 
     Args:
@@ -51,7 +51,7 @@
 
 
 def _line(name: str, item: Any, model: type[pydantic.BaseModel],
-          line_of: LineOf) -> str:
+          line_of: LineLookup) -> str:
     location: Location = item['loc']
     line = line_of(location)
     place = name if line is None else f'{name}:{line}'
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -10,7 +10,7 @@
                                    rank_engine_http, settings, table_http,
                                    upstream_http)
 from pollenthread.app import (gate as gate_module, group_member, link_router,
-                              order_gate)
+                              order_dispatcher)
 from pollenthread.core import messages
 from pollenthread.roles import process
 
@@ -44,7 +44,7 @@
                                      name=config.upstream.name,
                                      models=tuple(config.upstream.models))
         self._client = http_client.HttpClient()
-        self._orders = order_gate.OrderGate(
+        self._orders = order_dispatcher.OrderDispatcher(
             host=config.host,
             incarnation=self._hello.incarnation,
             table_service=table_http.HttpTable(client=self._client,
@@ -75,12 +75,12 @@
 
     def _join_group(self,
                     rank: settings.RankSettings) -> group_member.GroupMember:
-        place = group_member.Place(group=rank.group,
+        place = group_member.RankIdentity(group=rank.group,
                                    index=rank.index,
                                    size=rank.size,
                                    host=self._config.host)
         return group_member.GroupMember(
-            place=place,
+            identity=place,
             engine=rank_engine_http.HttpRankEngine(client=self._client,
                                                    address=rank.address,
                                                    index=rank.index),
@@ -99,7 +99,7 @@
             await stack.enter_async_context(owner)
         if self._group is not None:
             await stack.enter_async_context(self._group)
-            announcing = self._group.announce(self._links.address)
+            announcing = self._group.publish_address(self._links.address)
             stack.callback(asyncio.create_task(announcing).cancel)
         stack.callback(asyncio.create_task(self._report()).cancel)
         if self._tls is not None:
@@ -130,7 +130,7 @@
             'begun': self._gate.begun_count,
             'unconfirmed': self._gate.unconfirmed,
             'rank': self._group.status() if self._group else None,
-            'orders_running': self._orders.busy,
+            'orders_running': self._orders.running_count,
             'orders_refused': self._orders.refused_count
         }
 
@@ -140,7 +140,7 @@
         self._gate.leave(self._config.host)
         if not await self._signal.wait_now(_LEAVE_NOTICE_S):
             while (self._gate.unfinished or self._gate.unconfirmed or
-                   self._orders.busy):
+                   self._orders.running_count):
                 if await self._signal.wait_now(_IDLE_CHECK_S):
                     break
         cut = await self._gate.cancel_all()
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/bookkeeping.py
@@ -8,8 +8,8 @@
 
 from pollenthread.adapters import (admin_api, http_client, http_server, metrics,
                                    operator_guard, otlp, settings)
-from pollenthread.app import (account_keeper, account_reader, administration,
-                              config_store, cost_book, tracer)
+from pollenthread.app import (account_writer, account_reader, administration,
+                              config_store, cost_store, tracer)
 from pollenthread.core import account
 from pollenthread.ports import clock, table
 
@@ -44,7 +44,7 @@
             wall_offset_s=lambda: wall_time.time() - time.monotonic(),
             export=None if self._exporter is None else self._exporter.export)
         self._operators = [item.to_operator() for item in config.operators]
-        self._keeper = account_keeper.AccountKeeper(
+        self._keeper = account_writer.AccountWriter(
             table_service=table_service,
             tally=self.tally,
             host=config.host,
@@ -58,7 +58,7 @@
                 table_service=table_service,
                 wall=wall_time.time,
                 interval_s=config.account_interval_s),
-            costs=cost_book.CostBook(table_service=table_service),
+            costs=cost_store.CostStore(table_service=table_service),
             status=status,
             wall=wall_time.time,
             find_trace=self.tracer.find)
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -10,9 +10,9 @@
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
-from pollenthread.app import (claim_keeper, claim_sweeper, config_spread,
+from pollenthread.app import (claim_keeper, claim_sweeper, config_distributor,
                               config_store, directory, gateway, heartbeats,
-                              lease_keeper, order_desk, order_journal, peers as
+                              lease_manager, order_processor, order_journal, peers as
                               peers_module, pool as pool_module, write_batcher)
 from pollenthread.core import ids, membership, messages, orders
 from pollenthread.roles import bookkeeping, process
@@ -67,14 +67,14 @@
                                               heartbeats=self._heartbeats)
         self._targets = config_store.ConfigStore(
             table_service=table, time=time, reachable=self._directory.reachable)
-        self._spread = config_spread.ConfigSpread(store=self._targets,
+        self._spread = config_distributor.ConfigDistributor(store=self._targets,
                                                   peers=self._peers,
                                                   directory=self._directory,
                                                   time=time,
-                                                  draw=draw)
+                                                  rng=draw)
         self._pool = pool_module.Pool(data_centre=self._config.data_centre,
                                       region=self._config.region)
-        self._leases = lease_keeper.LeaseKeeper(
+        self._leases = lease_manager.LeaseManager(
             table_service=table,
             directory=self._directory,
             time=time,
@@ -82,7 +82,7 @@
             incarnation=self._hello.incarnation,
             duties=(*orders.all_duties(), claim_sweeper.SWEEP_DUTY))
         self._journal = order_journal.OrderJournal(table_service=table)
-        self._desk = order_desk.OrderDesk(keeper=self._leases,
+        self._desk = order_processor.OrderProcessor(leases=self._leases,
                                           journal=self._journal,
                                           pool=self._pool,
                                           peers=self._peers,
@@ -129,7 +129,7 @@
                                  region=self._config.region)
 
     def _holds(self, duty: str) -> bool:
-        return self._leases.held(duty) is not None
+        return self._leases.held_lease(duty) is not None
 
     def _claim_rows_per_s(self) -> float:
         """This host's part of the writes that claims may use."""
@@ -236,7 +236,7 @@
             'claim_rows': self._batcher.rows_count,
             'claim_transactions': self._batcher.transactions_count,
             'claims_refused': self._batcher.refused_count,
-            'duties': self._leases.duties(),
+            'duties': self._leases.held_duties(),
             'duties_acquired': self._leases.acquired_count,
             'duties_lost': self._leases.lost_count,
             'membership_panic': self._directory.view.is_panic,
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -4,8 +4,8 @@
 import random
 
 from pollenthread.adapters import platform_metrics
-from pollenthread.app import (group_view, map_duty, rank_agent, serving_state,
-                              stall_watch, switch_driver)
+from pollenthread.app import (group_view, map_coordinator, rank_agent, serving_state,
+                              stall_recovery, switch_driver)
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import names, process_settings, rank_server_http
 from pollenthread.roles import platform_role, process
@@ -37,26 +37,26 @@
                              return_s=0.0,
                              rng=rng),
                          rng=rng)
-        self._book = group_view.GroupBook(network=self._network,
+        self._book = group_view.GroupRegistry(network=self._network,
                                           time=self._clock)
         self._agent = rank_agent.RankAgent(
             own=self._own,
             slots=1,
             server=self._server_at(settings.engine_address),
             hosts=self._hosts,
-            book=self._book,
+            registry=self._book,
             network=self._network,
             link_bytes_per_s=settings.link_bytes_per_s,
             time=self._clock,
             log=self.log,
             rng=rng)
-        self._stalls = stall_watch.StallWatch(agent=self._agent,
-                                              book=self._book,
+        self._stalls = stall_recovery.StallRecovery(agent=self._agent,
+                                              registry=self._book,
                                               make_driver=self._make_driver,
                                               time=self._clock,
                                               log=self.log)
         self._incarnation = process.new_incarnation()
-        self._duties_by_group: dict[str, map_duty.MapDuty] = {}
+        self._duties_by_group: dict[str, map_coordinator.MapCoordinator] = {}
         self._network.serve_metrics(
             platform_metrics.MetricsPage(
                 counters=self._counters,
@@ -68,7 +68,7 @@
         found = self._peer_counters()
         found['log_lines_dropped'] = self.log.dropped
         for duty in self._duties_by_group.values():
-            account = duty.account
+            account = duty.stats
             for name, count in (('map_switches', account.switches),
                                 ('map_switches_abandoned', account.abandoned),
                                 ('experts_copied', account.copies)):
@@ -82,8 +82,8 @@
         found = {}
         for group, duty in self._duties_by_group.items():
             name = group.replace('-', '_')
-            found[f'skew_{name}'] = duty.account.skew
-            found[f'skew_seen_{name}'] = duty.account.skew_seen
+            found[f'skew_{name}'] = duty.stats.skew
+            found[f'skew_seen_{name}'] = duty.stats.skew_seen
         return found
 
     def _make_driver(self,
@@ -96,13 +96,13 @@
                                           time=self._clock,
                                           log=self.log)
 
-    def _make_duty(self, group: str) -> map_duty.MapDuty:
+    def _make_duty(self, group: str) -> map_coordinator.MapCoordinator:
         view = self._book.view(group)
-        return map_duty.MapDuty(host=self._settings.host,
+        return map_coordinator.MapCoordinator(host=self._settings.host,
                                 incarnation=self._incarnation,
                                 store=self._store,
                                 hosts=self._hosts,
-                                book=self._book,
+                                registry=self._book,
                                 view=view,
                                 driver=self._make_driver(view),
                                 network=self._network,
@@ -145,7 +145,7 @@
             engine = self._figures(self._settings.engine_service)
             if engine is not None:
                 self._agent.slots = engine.slots
-                self._agent.experts = engine.experts
+                self._agent.experts_per_set = engine.experts
             for name in self._book.groups:
                 if name not in self._duties_by_group:
                     duty = self._make_duty(name)
--- a/tests/agreed/steps/configuration.py
+++ b/tests/agreed/steps/configuration.py
@@ -57,7 +57,7 @@
         lost = [item for item in done if isinstance(item, result.Err)]
         assert len(won) == len(lost) == 1, done
         conflict = lost[0].err_value
-        assert isinstance(conflict, config_store.Conflict), conflict
+        assert isinstance(conflict, config_store.VersionConflict), conflict
         assert conflict.newest is not None
         assert conflict.newest.version == won[0].ok_value, done
         paths = {change.path for change in conflict.changes}
--- a/tests/fakes/operator.py
+++ b/tests/fakes/operator.py
@@ -8,7 +8,7 @@
 import result
 
 from pollenthread.adapters import clock
-from pollenthread.app import config_store, lease_keeper
+from pollenthread.app import config_store, lease_manager
 from pollenthread.core import leases, orders
 from pollenthread.ports import table
 from tests.fakes import system as system_module
@@ -37,7 +37,7 @@
 
     async def publish(
         self, base: int, retries: int, author: str
-    ) -> result.Result[int, config_store.Conflict | table.TableFault]:
+    ) -> result.Result[int, config_store.VersionConflict | table.TableFault]:
         """Publishes a changed document over a version."""
         return await self.store.publish(changed_targets(retries),
                                         author=author,
@@ -56,11 +56,11 @@
 
     async def lease(self) -> leases.Lease | None:
         """The lease of the first engine's orders."""
-        key = lease_keeper.lease_key(orders.duty_of(_ENGINE_HOST))
+        key = lease_manager.lease_key(orders.duty_of(_ENGINE_HOST))
         found = await self._system.table.get(key)
         if isinstance(found, result.Err) or found.ok_value is None:
             return None
-        return lease_keeper.parse_lease(found.ok_value.value)
+        return lease_manager.parse_lease(found.ok_value.value)
 
     async def order(self,
                     order_id: str,
--- a/tests/platform/steps/expert_maps.py
+++ b/tests/platform/steps/expert_maps.py
@@ -375,7 +375,7 @@
     ]
     for state in context.heard:
         context.view.take(state)
-    assert context.view.is_whole() and not context.view.missing()
+    assert context.view.is_complete() and not context.view.missing_ranks()
 
 
 @when('{seconds:d} s passes and all but rank {silent:d} are heard, rank '
@@ -392,5 +392,5 @@
 
 @then('the group is not whole, and ranks "{ranks}" are missing')
 def step_missing(context: Any, ranks: str) -> None:
-    assert not context.view.is_whole()
-    assert context.view.missing() == [int(r) for r in ranks.split()]
+    assert not context.view.is_complete()
+    assert context.view.missing_ranks() == [int(r) for r in ranks.split()]
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -109,7 +109,7 @@
     await asyncio.sleep(_PAUSE_BEFORE_S)
     begun_at = time.monotonic()
     layouts = ((tuple((rank,) for rank in range(context.size))),)
-    switch = await driver.drive(map_switch.Switch(_VERSION, _EPOCH, layouts))
+    switch = await driver.run(map_switch.Switch(_VERSION, _EPOCH, layouts))
     context.phase = switch.phase
     context.took_s = time.monotonic() - begun_at
     await asyncio.sleep(_PAUSE_BEFORE_S)
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 import result
 
-from pollenthread.app import (group_view, map_duty, rank_agent, roster,
+from pollenthread.app import (group_view, map_coordinator, rank_agent, roster,
                               switch_driver)
 from pollenthread.core import (host_record, replication, routing_config,
                                step_limits)
@@ -164,20 +164,20 @@
         hosts = roster.Roster()
         for record in records:
             hosts.records_by_host[record.host] = record
-        book = group_view.GroupBook(network=network, time=self._time)
+        book = group_view.GroupRegistry(network=network, time=self._time)
         if number == self.agents:
             return [self._hold_duty(own, network, hosts, book)]
         agent = rank_agent.RankAgent(own=own,
                                      slots=self.figures.slots,
                                      server=self._server(own.engine_address),
                                      hosts=hosts,
-                                     book=book,
+                                     registry=book,
                                      network=network,
                                      link_bytes_per_s=self._link_bytes_per_s,
                                      time=self._time,
                                      log=memory.SilentLog(),
                                      rng=random.Random(number))
-        agent.experts = self.figures.experts
+        agent.experts_per_set = self.figures.experts
         return [agent.run()]
 
     def _server(self, address: str) -> emulated_group.EmulatedRank:
@@ -189,7 +189,7 @@
     async def _hold_duty(self, own: host_record.HostRecord,
                          network: thin_links.FabricNetwork,
                          hosts: roster.Roster,
-                         book: group_view.GroupBook) -> None:
+                         book: group_view.GroupRegistry) -> None:
         book.own_state = dataclasses.replace(self.group.states[0],
                                              group=_OUTSIDE)
         view = book.view(_GROUP)
@@ -200,11 +200,11 @@
                                             make_server=self._server,
                                             time=self._time,
                                             log=memory.SilentLog())
-        duty = map_duty.MapDuty(host=own.host,
+        duty = map_coordinator.MapCoordinator(host=own.host,
                                 incarnation='1',
                                 store=_Store(),
                                 hosts=hosts,
-                                book=book,
+                                registry=book,
                                 view=view,
                                 driver=driver,
                                 network=network,
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from pollenthread.adapters import clock
-from pollenthread.app import account_keeper, account_reader
+from pollenthread.app import account_writer, account_reader
 from pollenthread.core import account
 from pollenthread.ports import table
 from tests import scenario
@@ -75,14 +75,14 @@
         self.table = _Table()
         self.tally = account.Tally()
         self.truth = collections.Counter[tuple[str, str]]()
-        self.keeper = account_keeper.AccountKeeper(table_service=self.table,
+        self.keeper = account_writer.AccountWriter(table_service=self.table,
                                                    tally=self.tally,
                                                    host='entry-1',
                                                    incarnation='abc',
                                                    time=clock.SystemClock(),
                                                    wall=lambda: self.now_s,
                                                    interval_s=_INTERVAL_S,
-                                                   fold_rows=fold_rows)
+                                                   merge_rows=fold_rows)
 
     async def serve(self, requests: int, intervals: int, seed: int) -> None:
         draw = random.Random(seed)
