--- a/pollenthread/app/choice_reporter.py
+++ b/pollenthread/app/choice_reporter.py
@@ -1,4 +1,4 @@
-"""Tells the holder of a group's duty which experts a rank's requests choose."""
+"""Reports a rank's expert choices to the coordinator of its group."""
 
 import random
 from collections.abc import Sequence
@@ -9,36 +9,40 @@
 
 __all__ = ['ChoiceReporter']
 
-_MIN_PAUSE_S = 0.13
-# All ranks of a group tell one host, whose link is like this one's.
-_LINK_SHARE = 0.25
+_MIN_INTERVAL_S = 0.13
+# All ranks of a group report to one host, which is assumed to have a link of
+# the same bandwidth as this one.
+_MAX_LINK_SHARE = 0.25
 _DATAGRAM_HEADER_BYTES = 96
-_CHOICES_A_DATAGRAM = 2048
+_MAX_CHOICES_PER_DATAGRAM = 2048
 
 
 class ChoiceReporter:
-    """Tells at a pace at which all ranks of a group leave room on one link."""
+    """Sends reports, at a rate that the coordinator's link can take.
+
+    All ranks of a group together use a fixed share of that link.
+    """
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
                  hosts: roster.Roster, registry: group_view.GroupRegistry,
                  network: peers.PeerNetwork, link_bytes_per_s: float,
                  time: clock.Clock, rng: random.Random) -> None:
-        """Makes a teller that has told nothing.
+        """Initializes a reporter that has sent nothing.
 
         Args:
             host: this agent's host.
-            server: the server beside it.
+            server: the client of the model server on this host.
             hosts: the hosts of the deployment.
-            book: what is known of groups.
-            network: reaches peers.
-            link_bytes_per_s: the speed of this host's link.
+            registry: the known state of all groups.
+            network: sends messages to other hosts.
+            link_bytes_per_s: the bandwidth of this host's link.
             time: the clock.
-            rng: rounds choices, and spreads the moments at which ranks tell.
+            rng: rounds counts, and adds jitter to the report times of ranks.
         """
         self._host = host
         self._server = server
         self._hosts = hosts
-        self._book = registry
+        self._registry = registry
         self._network = network
         self._link_bytes_per_s = link_bytes_per_s
         self._clock = time
@@ -46,14 +50,15 @@
         self._counter = expert_choices.ChoiceCounter()
         self._due_at = float('-inf')
 
-    async def report_if_due(self, state: peer_messages.RankState, experts_per_set: int) -> None:
-        """Tells what was chosen since the last time, if it is time to.
+    async def report_if_due(self, state: peer_messages.RankState,
+                            experts_per_set: int) -> None:
+        """Reports the choices since the last report, if a report is due.
 
         Args:
             state: the rank's state.
-            experts: experts in a set.
+            experts_per_set: experts in a set.
         """
-        holder = self._book.view(state.group).holder()
+        holder = self._registry.view(state.group).holder()
         now = self._clock.monotonic()
         if holder is None or not experts_per_set or now < self._due_at:
             return
@@ -61,33 +66,33 @@
             found = await self._server.counts()
         except rank_server.RankSilent:
             return
-        pause_s = self._pause_s(state.size, len(found.counts))
-        self._due_at = now + pause_s * self._rng.uniform(0.7, 1.3)
+        interval_s = self._interval_s(state.size, len(found.counts))
+        self._due_at = now + interval_s * self._rng.uniform(0.7, 1.3)
         choices = self._counter.take((state.born_ms, found.epoch), found.counts)
         if choices is not None:
             self._send(state, holder, experts_per_set, choices)
 
-    def _pause_s(self, ranks: int, choices: int) -> float:
-        datagrams = -(-choices // _CHOICES_A_DATAGRAM)
-        size = (expert_choices.packed_size(choices) +
-                datagrams * _DATAGRAM_HEADER_BYTES)
-        allowed_bytes_per_s = self._link_bytes_per_s * _LINK_SHARE
-        return max(_MIN_PAUSE_S, ranks * size / allowed_bytes_per_s)
+    def _interval_s(self, ranks: int, choices: int) -> float:
+        datagrams = -(-choices // _MAX_CHOICES_PER_DATAGRAM)
+        size_bytes = (expert_choices.packed_size(choices) +
+                      datagrams * _DATAGRAM_HEADER_BYTES)
+        allowed_bytes_per_s = self._link_bytes_per_s * _MAX_LINK_SHARE
+        return max(_MIN_INTERVAL_S, ranks * size_bytes / allowed_bytes_per_s)
 
     def _send(self, state: peer_messages.RankState, holder: str, experts: int,
               choices: Sequence[int]) -> None:
         record = self._hosts.records_by_host.get(holder)
-        size = max(1, _CHOICES_A_DATAGRAM // experts) * experts
-        for begin in range(0, len(choices), size):
-            unit, packed = expert_choices.pack(choices[begin:begin + size],
-                                               self._rng)
-            news = peer_messages.ExpertChoices(group=state.group,
-                                               rank=state.rank,
-                                               first_set=begin // experts,
-                                               experts=experts,
-                                               unit=unit,
-                                               packed=packed)
+        chunk_size = max(1, _MAX_CHOICES_PER_DATAGRAM // experts) * experts
+        for begin in range(0, len(choices), chunk_size):
+            unit, packed = expert_choices.pack(
+                choices[begin:begin + chunk_size], self._rng)
+            message = peer_messages.ExpertChoices(group=state.group,
+                                                  rank=state.rank,
+                                                  first_set=begin // experts,
+                                                  experts=experts,
+                                                  unit=unit,
+                                                  packed=packed)
             if holder == self._host:
-                self._book.publish_choices(news)
+                self._registry.publish_choices(message)
             elif record is not None:
-                self._network.send(record.peer_address, news)
+                self._network.send(record.peer_address, message)
--- a/pollenthread/app/group_member.py
+++ b/pollenthread/app/group_member.py
@@ -1,8 +1,8 @@
-"""An agent's part in its rank group: links to other ranks and map switches.
+"""Membership of an agent in a rank group: links to ranks and map switches.
 
-Each agent writes its address to the table and keeps links to its next
-neighbours, along which a decision spreads when the decider is lost. The agent
-of rank 0 decides, and keeps links to all.
+Each agent writes its address to the table and keeps links to the next ranks.
+Along these links a decision spreads when the coordinator has failed. The agent
+of rank 0 is the coordinator and keeps links to all ranks.
 """
 
 import asyncio
@@ -14,27 +14,28 @@
 
 from absl import logging
 
-from pollenthread.app import switch_participant, switch_codec, switch_coordinator
+from pollenthread.app import (switch_codec, switch_coordinator,
+                              switch_participant)
 from pollenthread.core import messages, switch, switch_rank
 from pollenthread.ports import clock, link as link_port, rank_engine, table
 
 __all__ = ['GroupMember', 'RankIdentity']
 
-_DECIDER = 0
-_NEIGHBOURS = 2
-_TICK_S = 0.1
-_TABLE_POLL_S = 1.0
+_COORDINATOR_RANK = 0
+_LINKED_NEIGHBOURS = 2
+_TICK_INTERVAL_S = 0.1
+_TABLE_POLL_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
 class RankIdentity:
-    """Where an agent is in its group.
+    """Identifies a rank and its agent.
 
     Attributes:
         group: the group's name.
         index: the rank's number.
-        size: ranks in the group.
-        host: the agent's host name.
+        size: the number of ranks in the group.
+        host: the agent's host.
     """
 
     group: str
@@ -44,46 +45,57 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Address:
-    """Another rank's agent."""
+class _AgentAddress:
+    """Host and link address of another rank's agent."""
 
     host: str
     address: str
 
 
 class GroupMember(link_port.LinkHandler):
-    """Owns the tasks of one rank."""
+    """Runs the tasks of one rank; a context manager."""
 
     def __init__(
             self, *, identity: RankIdentity, engine: rank_engine.RankEngine,
             table_service: table.TableService, time: clock.Clock,
             keep_links: Callable[[Mapping[str, str]], Awaitable[None]]) -> None:
-        self._place = identity
+        """Initializes a member whose tasks do not run yet.
+
+        Args:
+            identity: the rank and its agent.
+            engine: the engine of the rank.
+            table_service: the table with the rows of the group.
+            time: the clock.
+            keep_links: keeps links to the given hosts, as addresses by host.
+        """
+        self._identity = identity
         self._table = table_service
         self._time = time
         self._keep_links = keep_links
         self._links_by_host: dict[str, list[link_port.Link]] = {}
-        self._address_by_index: dict[int, _Address] = {}
+        self._address_by_index: dict[int, _AgentAddress] = {}
         self._inbox: asyncio.Queue[tuple[link_port.Link,
                                          switch_codec.SwitchMessage]]
         self._inbox = asyncio.Queue()
         self._tasks: list[asyncio.Task[None]] = []
-        self._rank = switch_participant.SwitchParticipant(index=identity.index,
-                                            engine=engine,
-                                            read_group_fence=self._read_fence,
-                                            on_reply=self._to_decider)
-        self._duty: switch_coordinator.SwitchCoordinator | None = None
-        self._own_orders: asyncio.Queue[switch.Order] = asyncio.Queue()
-        if identity.index == _DECIDER:
-            self._duty = switch_coordinator.SwitchCoordinator(group=identity.group,
-                                                size=identity.size,
-                                                table_service=table_service,
-                                                time=time,
-                                                send=self._send_order)
-        self._is_holder = False
+        self._participant = switch_participant.SwitchParticipant(
+            index=identity.index,
+            engine=engine,
+            read_group_fence=self._read_fence,
+            on_reply=self._send_to_coordinator)
+        self._coordinator: switch_coordinator.SwitchCoordinator | None = None
+        self._local_orders: asyncio.Queue[switch.Order] = asyncio.Queue()
+        if identity.index == _COORDINATOR_RANK:
+            self._coordinator = switch_coordinator.SwitchCoordinator(
+                group=identity.group,
+                size=identity.size,
+                table_service=table_service,
+                time=time,
+                send=self._send_order)
+        self._is_elected = False
 
     async def __aenter__(self) -> Self:
-        for work in (self._receive(), self._carry_out_own(), self._tick(),
+        for work in (self._receive(), self._run_local_orders(), self._tick(),
                      self._poll_table()):
             self._tasks.append(asyncio.create_task(work))
         return self
@@ -94,31 +106,35 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._rank.stop()
+        await self._participant.stop()
 
     def status(self) -> dict[str, Any]:
-        """What operators see."""
+        """Returns the status document for operators."""
         document: dict[str, Any] = {
             'group':
-                self._place.group,
+                self._identity.group,
             'index':
-                self._place.index,
+                self._identity.index,
             'linked':
                 sorted(
                     host for host, links in self._links_by_host.items() if links
                 )
         }
-        if self._duty is not None:
-            document['phase'] = self._duty.phase
-            document['map_version'] = self._duty.map_version
-            document['switches'] = dataclasses.asdict(self._duty.counts)
+        if self._coordinator is not None:
+            document['phase'] = self._coordinator.phase
+            document['map_version'] = self._coordinator.map_version
+            document['switches'] = dataclasses.asdict(self._coordinator.counts)
         return document
 
     async def publish_address(self, address: str) -> None:
-        """Writes the own address to the table, until it is there."""
-        key = _rank_key(self._place.group, self._place.index)
+        """Writes this agent's address to the table; retries until stored.
+
+        Args:
+            address: the address at which other agents open links.
+        """
+        key = _rank_key(self._identity.group, self._identity.index)
         value = json.dumps({
-            'host': self._place.host,
+            'host': self._identity.host,
             'address': address
         }).encode()
         while True:
@@ -129,7 +145,7 @@
                     return
                 expect = table.ABSENT if row is None else row.version
                 await self._table.put(key, value, expect=expect)
-            await self._time.sleep(_TICK_S)
+            await self._time.sleep(_TICK_INTERVAL_S)
 
     def on_open(self, link: link_port.Link) -> None:
         self._links_by_host.setdefault(link.peer.host, []).append(link)
@@ -138,12 +154,13 @@
         links = self._links_by_host.get(link.peer.host, [])
         if link in links:
             links.remove(link)
-            logging.info('rank lost host=%s reason=%s', link.peer.host, reason)
+            logging.info('rank link closed host=%s reason=%s', link.peer.host,
+                         reason)
 
     def on_message(self, link: link_port.Link,
                    message: messages.Message) -> None:
         if (not isinstance(message, messages.Group) or
-                message.group != self._place.group):
+                message.group != self._identity.group):
             return
         decoded = switch_codec.decode(message)
         if decoded is not None:
@@ -153,111 +170,120 @@
         while True:
             link, message = await self._inbox.get()
             if isinstance(message, switch.Ask):
-                rank = await self._rank.read_rank()
-                known = rank and switch_rank.answer_ask(rank, message)
-                if known:
-                    self._send(link, known)
+                rank = await self._participant.read_rank()
+                answer = rank and switch_rank.answer_ask(rank, message)
+                if answer:
+                    self._send(link, answer)
             elif isinstance(message, switch.Reply):
-                if self._duty is not None:
-                    self._duty.on_reply(message)
+                if self._coordinator is not None:
+                    self._coordinator.on_reply(message)
             else:
-                reply = await self._rank.handle(message)
+                reply = await self._participant.handle(message)
                 if reply is not None:
                     self._send(link, reply)
 
-    async def _carry_out_own(self) -> None:
-        """Carries out the orders of the decider in this process."""
+    async def _run_local_orders(self) -> None:
+        """Carries out orders of the coordinator in this process."""
         while True:
-            order = await self._own_orders.get()
-            reply = await self._rank.handle(order)
-            if reply is not None and self._duty is not None:
-                self._duty.on_reply(reply)
+            order = await self._local_orders.get()
+            reply = await self._participant.handle(order)
+            if reply is not None and self._coordinator is not None:
+                self._coordinator.on_reply(reply)
 
     async def _tick(self) -> None:
         while True:
-            await self._time.sleep(_TICK_S)
-            if self._duty is not None:
-                self._duty.tick()
-            rank = await self._rank.read_rank()
+            await self._time.sleep(_TICK_INTERVAL_S)
+            if self._coordinator is not None:
+                self._coordinator.tick()
+            rank = await self._participant.read_rank()
             if rank is None:
                 continue
             request = switch_rank.join(rank)
             if request is not None:
-                self._to_decider(request)
-            question = switch_rank.ask(rank)
-            if question is not None:
+                self._send_to_coordinator(request)
+            query = switch_rank.ask(rank)
+            if query is not None:
                 for links in list(self._links_by_host.values()):
                     for link in links[-1:]:
-                        self._send(link, question)
+                        self._send(link, query)
 
     async def _poll_table(self) -> None:
         while True:
-            if self._duty is not None:
-                if not self._is_holder:
-                    self._is_holder = await self._duty.acquire()
-                await self._duty.pursue_wanted_map()
-            await self._keep_linked()
-            await self._time.sleep(_TABLE_POLL_S)
-
-    async def _keep_linked(self) -> None:
-        """Reads where the other ranks are and dials those that are needed."""
-        needed = _dialed(self._place)
-        if not needed:
+            if self._coordinator is not None:
+                if not self._is_elected:
+                    self._is_elected = await self._coordinator.acquire()
+                await self._coordinator.pursue_wanted_map()
+            await self._update_links()
+            await self._time.sleep(_TABLE_POLL_INTERVAL_S)
+
+    async def _update_links(self) -> None:
+        """Reads the addresses of other ranks and links to the required ones."""
+        required = _ranks_to_link(self._identity)
+        if not required:
             return
-        rows = await self._table.scan(_rank_key(self._place.group, None))
+        rows = await self._table.scan(_rank_key(self._identity.group, None))
         for row in rows.unwrap_or([]):
             index = int(row.key.rpartition('/')[2])
-            self._address_by_index[index] = _Address(**json.loads(row.value))
-        wanted = [
+            self._address_by_index[index] = _AgentAddress(
+                **json.loads(row.value))
+        addresses = [
             self._address_by_index[index]
-            for index in needed
+            for index in required
             if index in self._address_by_index
         ]
-        await self._keep_links({item.host: item.address for item in wanted})
+        await self._keep_links({item.host: item.address for item in addresses})
 
     async def _read_fence(self) -> int | None:
-        read = await self._table.get(switch_coordinator.group_key(self._place.group))
+        read = await self._table.get(
+            switch_coordinator.group_key(self._identity.group))
         if read.is_err():
             return None
         row = read.unwrap()
-        return 0 if row is None else switch_coordinator.parse_row(row.value).fence
+        return 0 if row is None else switch_coordinator.parse_row(
+            row.value).fence
 
     def _send_order(self, index: int, order: switch.Order) -> None:
-        if index == self._place.index:
-            self._own_orders.put_nowait(order)
+        if index == self._identity.index:
+            self._local_orders.put_nowait(order)
             return
         address = self._address_by_index.get(index)
         if address is not None:
-            self._send_host(address.host, order)
+            self._send_to_host(address.host, order)
+
+    def _send_to_coordinator(self, reply: switch.Reply) -> None:
+        """Sends a reply to the coordinator.
 
-    def _to_decider(self, reply: switch.Reply) -> None:
-        """Sends to the agent that decides, which has dialed this one."""
-        if self._duty is not None:
-            self._duty.on_reply(reply)
+        All linked hosts get it, as the coordinator opened the link to this one.
+        """
+        if self._coordinator is not None:
+            self._coordinator.on_reply(reply)
             return
         for host in list(self._links_by_host):
-            self._send_host(host, reply)
+            self._send_to_host(host, reply)
 
-    def _send_host(self, host: str,
-                   message: switch_codec.SwitchMessage) -> None:
+    def _send_to_host(self, host: str,
+                      message: switch_codec.SwitchMessage) -> None:
         for link in self._links_by_host.get(host, [])[-1:]:
             self._send(link, message)
 
     def _send(self, link: link_port.Link,
               message: switch_codec.SwitchMessage) -> None:
         try:
-            link.send(switch_codec.encode(self._place.group, message))
+            link.send(switch_codec.encode(self._identity.group, message))
         except link_port.LinkLost:
-            logging.debug('rank message lost host=%s', link.peer.host)
+            logging.debug('rank message not sent: link closed host=%s',
+                          link.peer.host)
 
 
 def _rank_key(group: str, index: int | None) -> str:
     return f'ranks/{group}/' + ('' if index is None else str(index))
 
 
-def _dialed(place: RankIdentity) -> list[int]:
-    """The ranks that an agent keeps links to."""
-    if place.index == _DECIDER:
-        return [i for i in range(place.size) if i != place.index]
-    near = ((place.index + i) % place.size for i in range(1, _NEIGHBOURS + 1))
-    return sorted({i for i in near if i not in (place.index, _DECIDER)})
+def _ranks_to_link(identity: RankIdentity) -> list[int]:
+    """Returns the ranks that an agent keeps links to."""
+    if identity.index == _COORDINATOR_RANK:
+        return [i for i in range(identity.size) if i != identity.index]
+    near = ((identity.index + i) % identity.size
+            for i in range(1, _LINKED_NEIGHBOURS + 1))
+    return sorted(
+        {i for i in near if i not in (identity.index, _COORDINATOR_RANK)})
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -1,4 +1,8 @@
-"""What an agent knows of the groups of ranks: states, counts and duties."""
+"""The state of rank groups as known to an agent.
+
+It is updated from datagrams: rank states, expert choices and heartbeats of
+coordinators.
+"""
 
 from collections.abc import Callable
 
@@ -7,46 +11,46 @@
 
 __all__ = ['HOLDER_TIMEOUT_S', 'GroupRegistry', 'GroupView']
 
-_FRESH_S = 0.6
+_FRESHNESS_LIMIT_S = 0.6
 HOLDER_TIMEOUT_S = 0.8
 
 ChoicesHandler = Callable[[peer_messages.ExpertChoices], None]
 
 
 class GroupView:
-    """One group: all ranks' states, and who holds its duty."""
+    """The last known rank states and the coordinator of one group."""
 
     def __init__(self, *, name: str, time: clock.Clock) -> None:
         self.name = name
         self._clock = time
         self._state_by_rank: dict[int, peer_messages.RankState] = {}
-        self._seen_at_by_rank: dict[int, float] = {}
-        self._holder: peer_messages.DutyBeat | None = None
-        self._holder_seen_at = time.monotonic()
-        self._choice_takers: list[ChoicesHandler] = []
+        self._received_at_by_rank: dict[int, float] = {}
+        self._heartbeat: peer_messages.DutyBeat | None = None
+        self._heartbeat_received_at = time.monotonic()
+        self._choice_handlers: list[ChoicesHandler] = []
 
     # Ranks.
 
     def take(self, state: peer_messages.RankState) -> None:
-        """Takes the state of a rank."""
+        """Records the state of a rank unless a newer one is known."""
         known = self._state_by_rank.get(state.rank)
         if known is not None and _is_older(state, known):
             return
         self._state_by_rank[state.rank] = state
-        self._seen_at_by_rank[state.rank] = self._clock.monotonic()
+        self._received_at_by_rank[state.rank] = self._clock.monotonic()
 
     def states(self) -> dict[int, peer_messages.RankState]:
-        """The newest state of each rank that was heard from."""
+        """Returns the newest state of each rank that has reported one."""
         return dict(self._state_by_rank)
 
     def is_fresh(self, rank: int) -> bool:
-        """Whether a rank was heard from lately."""
-        seen_at = self._seen_at_by_rank.get(rank)
-        return (seen_at is not None and
-                self._clock.monotonic() - seen_at < _FRESH_S)
+        """Returns whether a rank has reported its state recently."""
+        received_at = self._received_at_by_rank.get(rank)
+        return (received_at is not None and
+                self._clock.monotonic() - received_at < _FRESHNESS_LIMIT_S)
 
     def is_complete(self) -> bool:
-        """Whether all ranks are heard from, open and in one epoch."""
+        """Returns whether all ranks report, are open and in the same epoch."""
         states = self._state_by_rank.values()
         if not states or len(states) < next(iter(states)).size:
             return False
@@ -55,7 +59,7 @@
                 all(state.is_open for state in states))
 
     def missing_ranks(self) -> list[int]:
-        """Ranks that are not heard or not open."""
+        """Returns the ranks that do not report or are not open."""
         size = max((s.size for s in self._state_by_rank.values()), default=0)
         return [
             rank for rank in range(size)
@@ -64,41 +68,46 @@
 
     # Choices of experts.
 
-    def subscribe_choices(self, take: ChoicesHandler) -> None:
-        """Hands the choices that the group's ranks tell to a function."""
-        self._choice_takers.append(take)
+    def subscribe_choices(self, handler: ChoicesHandler) -> None:
+        """Registers a callback for expert choices reported by the ranks."""
+        self._choice_handlers.append(handler)
 
     def publish_choices(self, choices: peer_messages.ExpertChoices) -> None:
-        """Takes choices that a rank tells."""
-        for take in self._choice_takers:
-            take(choices)
+        """Passes reported expert choices to all subscribers."""
+        for handler in self._choice_handlers:
+            handler(choices)
 
-    # The duty.
+    # The coordinator.
 
-    def update_holder(self, beat: peer_messages.DutyBeat) -> None:
-        """Takes a sign of life of a holder; a newer term counts more."""
-        if self._holder is None or beat.term >= self._holder.term:
-            self._holder = beat
-            self._holder_seen_at = self._clock.monotonic()
+    def update_holder(self, heartbeat: peer_messages.DutyBeat) -> None:
+        """Records a heartbeat of a coordinator; older terms are ignored."""
+        if self._heartbeat is None or heartbeat.term >= self._heartbeat.term:
+            self._heartbeat = heartbeat
+            self._heartbeat_received_at = self._clock.monotonic()
 
     @property
     def newest_term(self) -> int:
-        """The highest fencing token that was heard of."""
-        return self._holder.term if self._holder else 0
+        """The highest fencing token received; 0 if there is none."""
+        return self._heartbeat.term if self._heartbeat else 0
 
     def holder_silence_s(self) -> float:
-        """Seconds since a holder was last heard."""
-        return self._clock.monotonic() - self._holder_seen_at
+        """Returns the seconds since the last heartbeat of a coordinator."""
+        return self._clock.monotonic() - self._heartbeat_received_at
 
     def holder(self) -> str | None:
-        """The host whose agent holds the duty, if it is heard."""
-        if self._holder is None or self.holder_silence_s() > HOLDER_TIMEOUT_S:
+        """Returns the coordinator's host, or None without recent heartbeat."""
+        if self._heartbeat is None or self.holder_silence_s(
+        ) > HOLDER_TIMEOUT_S:
             return None
-        return self._holder.host
+        return self._heartbeat.host
 
 
 class GroupRegistry:
-    """All groups that this agent hears of."""
+    """All groups from which this agent receives messages.
+
+    Attributes:
+        own_state: the state of the rank on this host, or None.
+    """
 
     def __init__(self, *, network: peers.PeerNetwork,
                  time: clock.Clock) -> None:
@@ -111,16 +120,16 @@
 
     @property
     def own_group(self) -> str:
-        """The name of this agent's group; empty before it is known."""
+        """The name of this agent's group; empty until it is known."""
         return self.own_state.group if self.own_state else ''
 
     @property
     def groups(self) -> tuple[str, ...]:
-        """Names of all groups."""
+        """The names of all known groups."""
         return tuple(self._view_by_group)
 
     def view(self, group: str) -> GroupView:
-        """The view of a group."""
+        """Returns the view of a group; creates it if there is none."""
         found = self._view_by_group.get(group)
         if found is None:
             found = GroupView(name=group, time=self._clock)
@@ -128,26 +137,29 @@
         return found
 
     def update_own_state(self, state: peer_messages.RankState) -> None:
-        """Takes the state of the server beside this agent."""
+        """Records the state of the rank on this host."""
         self.own_state = state
         self.update_state(state)
 
     def update_state(self, state: peer_messages.RankState) -> None:
-        """Takes the state of any rank."""
+        """Records the state of a rank; ignores servers without a group."""
         if state.group:
             self.view(state.group).take(state)
 
     def publish_choices(self, choices: peer_messages.ExpertChoices) -> None:
-        """Takes choices that any rank tells."""
+        """Passes reported expert choices to the subscribers of their group."""
         self.view(choices.group).publish_choices(choices)
 
-    def update_holder(self, beat: peer_messages.DutyBeat) -> None:
-        """Takes a sign of life of any holder."""
-        self.view(beat.group).update_holder(beat)
+    def update_holder(self, heartbeat: peer_messages.DutyBeat) -> None:
+        """Records a heartbeat of a group's coordinator."""
+        self.view(heartbeat.group).update_holder(heartbeat)
 
 
 def _is_older(state: peer_messages.RankState,
               known: peer_messages.RankState) -> bool:
-    """Whether a datagram was overtaken by a newer one."""
+    """Returns whether a state is older than the known one.
+
+    Datagrams may arrive out of order.
+    """
     return (state.born_ms, state.epoch, state.step) < (known.born_ms,
                                                        known.epoch, known.step)
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -1,11 +1,12 @@
-"""One agent plans the maps of each group and has its ranks switch.
+"""Plans the expert maps of a rank group and runs the map switches.
 
-It is an agent of another group if there is one: when its host fails in the
-middle of a switch, all ranks of the group can still be reached.
+One agent at a time coordinates a group. An agent of another group is preferred:
+if its host fails during a switch, all ranks of the group are still reachable.
 
-The duty is a row in the store that is taken with a conditional write. The
-store's counter at that write is the fencing token: all versions of maps begin
-with it, so ranks refuse the maps of a holder that was replaced.
+Coordinators are elected by a conditional write of one row per group in the
+store. The store's counter at that write is the fencing token (the term). It is
+the high part of every map version, so ranks reject maps of a coordinator that
+has been replaced.
 """
 
 import asyncio
@@ -22,120 +23,129 @@
 __all__ = ['MapCoordinator']
 
 TABLE = 'pollenthread_duties'
-_VERSIONS_A_TERM = 1 << 16
-_PLAN_TICK_S = 0.06
-_BEAT_S = 0.25
-_STAGGER_S = 0.15
-# Agents of the group itself wait until no other has taken its duty.
-_MEMBER_PATIENCE_S = 3.0
-_RETRY_DUTY_S = 0.5
-_SKEW_LINE_S = 0.5
-# Arming all ranks takes up to two passes where links are thin, and a rank's
-# step is known a pass late.
-_LEAD_PASSES = 4
+_VERSIONS_PER_TERM = 1 << 16
+_PLAN_INTERVAL_S = 0.06
+_HEARTBEAT_INTERVAL_S = 0.25
+_ELECTION_STAGGER_S = 0.15
+# Agents of the group itself wait longer, so that others are elected first.
+_MEMBER_ELECTION_DELAY_S = 3.0
+_ELECTION_RETRY_S = 0.5
+_SKEW_LOG_INTERVAL_S = 0.5
+# On slow links, arming all ranks takes up to two passes, and a rank's
+# step is reported one pass late.
+_SWITCH_LEAD_PASSES = 4
 _PERCENT = 100
-# A rank that takes only a little longer than others is not worth copies.
-_SLOW_PACE = 1.2
+# Ranks below this ratio count as normal: copying experts would not pay off.
+_SLOW_PACE_RATIO = 1.2
 
-Figures = Callable[[str], routing_config.EngineFigures | None]
+FiguresLookup = Callable[[str], routing_config.EngineFigures | None]
 
 
 class MapCoordinator:
-    """Plans and carries out the maps of one group while it holds its duty."""
+    """Coordinates the expert maps of one group while it holds the group's duty.
+
+    A duty is a task that one process performs at a time.
+    """
 
     def __init__(self, *, host: str, incarnation: str,
                  store: row_store.RowStore, hosts: roster.Roster,
                  registry: group_view.GroupRegistry, view: group_view.GroupView,
                  driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
-                 figures: Figures, time: clock.Clock,
+                 figures: FiguresLookup, time: clock.Clock,
                  log: event_log.EventLog) -> None:
-        """Makes a duty that nobody holds.
+        """Initializes a coordinator that does not hold the duty.
 
         Args:
             host: this agent's host.
-            incarnation: names this start of the agent.
-            store: the platform's store.
+            incarnation: identifies this start of the agent process.
+            store: the platform's store, which holds the row of the duty.
             hosts: the hosts of the deployment.
-            book: all groups.
-            view: the group.
-            driver: carries out switches of the group.
-            network: reaches other agents.
-            figures: the engine figures of a service.
+            registry: the known state of all groups.
+            view: the known state of the coordinated group.
+            driver: runs map switches of the group.
+            network: sends messages to other agents.
+            figures: returns the engine figures of a service, or None when they
+                are not known.
             time: the clock.
-            log: the log.
+            log: the structured log.
         """
         self._host = host
         self._incarnation = incarnation
         self._store = store
         self._hosts = hosts
-        self._book = registry
+        self._registry = registry
         self._view = view
         self._driver = driver
         self._network = network
-        self._figures = figures
+        self._lookup_figures = figures
         self._clock = time
         self._log = log
         self._term = 0
-        self._was_whole = False
-        self._used_versions = 0
+        self._was_complete = False
+        self._versions_used = 0
         self._demand: expert_demand.Demand | None = None
-        self._skew_told_at = time.monotonic()
+        self._skew_logged_at = time.monotonic()
         self._layouts: tuple[replication.Layout, ...] | None = None
-        self._layouts_of = (0, 0)
-        view.subscribe_choices(self._take_choices)
+        self._layouts_version = (0, 0)
+        view.subscribe_choices(self._on_choices)
 
     @property
     def stats(self) -> switch_driver.MapStats:
-        """What keeping the group's ranks even has cost and brought."""
+        """Statistics of rebalancing this group."""
         return self._driver.stats
 
-    # The duty.
+    # Election.
 
     async def run(self) -> None:
-        """Takes the duty when nobody has it, and does it; until cancelled."""
+        """Runs for election and performs the duty, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._beat())
-            tasks.create_task(self._serve())
+            tasks.create_task(self._send_heartbeats())
+            tasks.create_task(self._run_elections())
 
-    async def _beat(self) -> None:
+    async def _send_heartbeats(self) -> None:
         while True:
             if self._term:
-                self._tell_duty()
-            await self._clock.sleep(_BEAT_S)
+                self._announce_duty()
+            await self._clock.sleep(_HEARTBEAT_INTERVAL_S)
 
-    def _tell_duty(self) -> None:
-        beat = peer_messages.DutyBeat(self._view.name, self._host, self._term)
-        self._book.update_holder(beat)
-        self._network.send_all(self._hosts.agents_beside(self._host), beat)
+    def _announce_duty(self) -> None:
+        heartbeat = peer_messages.DutyBeat(self._view.name, self._host,
+                                           self._term)
+        self._registry.update_holder(heartbeat)
+        self._network.send_all(self._hosts.agents_beside(self._host), heartbeat)
 
-    async def _serve(self) -> None:
+    async def _run_elections(self) -> None:
         while True:
-            await self._clock.sleep(_PLAN_TICK_S)
-            if not self._note_whole(self._view.is_complete()):
+            await self._clock.sleep(_PLAN_INTERVAL_S)
+            if not self._log_completeness(self._view.is_complete()):
                 continue
-            engine = self._figures(self._service())
+            engine = self._lookup_figures(self._service())
             if engine is None or not engine.sets:
                 continue
             if self._holds_duty():
-                await self._work(engine)
-            elif self._is_my_turn():
-                await self._take_duty(engine)
+                await self._plan_and_switch(engine)
+            elif self._may_take_duty():
+                await self._acquire_duty(engine)
+
+    def _log_completeness(self, is_complete: bool) -> bool:
+        """Logs a change of completeness while the duty is held here.
 
-    def _note_whole(self, is_whole: bool) -> bool:
-        """Logs a change, if the duty is held here; returns what it is given."""
-        if is_whole != self._was_whole and self._term:
+        Returns:
+            The argument, unchanged.
+        """
+        if is_complete != self._was_complete and self._term:
             states = self._view.states().values()
             epoch = max((state.epoch for state in states), default=0)
-            self._log.write(log_events.LogEvent.GROUP_WHOLE
-                            if is_whole else log_events.LogEvent.GROUP_BROKEN,
+            self._log.write(log_events.LogEvent.GROUP_WHOLE if is_complete else
+                            log_events.LogEvent.GROUP_BROKEN,
                             group=self._view.name,
                             epoch=epoch,
                             missing=self._view.missing_ranks())
-        self._was_whole = is_whole
-        return is_whole
+        self._was_complete = is_complete
+        return is_complete
 
     def _service(self) -> str:
-        """The service of the group's servers."""
+        """Returns the service of the group's servers; empty when unknown."""
         for state in self._view.states().values():
             record = self._hosts.records_by_host.get(state.host)
             if record is not None:
@@ -145,70 +155,71 @@
     def _holds_duty(self) -> bool:
         if not self._term:
             return False
-        newest = max(
+        newest_version = max(
             max(state.map_version, state.prepared_version)
             for state in self._view.states().values())
-        if (newest >= (self._term + 1) * _VERSIONS_A_TERM or
+        if (newest_version >= (self._term + 1) * _VERSIONS_PER_TERM or
                 self._view.newest_term > self._term):
             self._log.write(log_events.LogEvent.DUTY_LOST,
                             group=self._view.name,
                             term=self._term,
                             newer_term=self._view.newest_term,
-                            newest_version=newest)
+                            newest_version=newest_version)
             self._term = 0
             return False
         return True
 
-    def _is_my_turn(self) -> bool:
-        own = self._book.own_state
+    def _may_take_duty(self) -> bool:
+        own = self._registry.own_state
         if own is None or self._view.holder() is not None:
             return False
-        patience_s = (1 + own.rank) * _STAGGER_S
+        delay_s = (1 + own.rank) * _ELECTION_STAGGER_S
         if own.group == self._view.name:
-            patience_s += _MEMBER_PATIENCE_S
+            delay_s += _MEMBER_ELECTION_DELAY_S
         return self._view.holder_silence_s() > group_view.HOLDER_TIMEOUT_S + (
-            patience_s)
+            delay_s)
 
-    async def _take_duty(self, engine: routing_config.EngineFigures) -> None:
+    async def _acquire_duty(self, engine: routing_config.EngineFigures) -> None:
         group = self._view.name
         name = f'{self._host} {self._incarnation}'.encode()
         known = await self._store.read(TABLE)
         if isinstance(known, result.Err):
-            await self._clock.sleep(_RETRY_DUTY_S)
+            await self._clock.sleep(_ELECTION_RETRY_S)
             return
-        if not self._is_my_turn():
-            # Another agent has taken it meanwhile.
+        if not self._may_take_duty():
+            # Another agent acquired the duty in the meantime.
             return
         row = next((r for r in known.ok_value.changes if r.key == group), None)
         write = row_store.RowWrite(TABLE, group, name,
                                    row.version if row else 0)
-        done = await self._store.write([write])
-        if isinstance(done, result.Err):
-            # After a lost answer the term may be taken without being known;
-            # then it is never used, and the next one is higher.
-            await self._clock.sleep(_RETRY_DUTY_S)
+        finished = await self._store.write([write])
+        if isinstance(finished, result.Err):
+            # If the response was lost, the write may have succeeded. That term
+            # is then never used, and the next one is higher.
+            await self._clock.sleep(_ELECTION_RETRY_S)
             return
-        self._term = done.ok_value
-        self._used_versions = 0
+        self._term = finished.ok_value
+        self._versions_used = 0
         self._layouts = None
         self._demand = expert_demand.Demand(sets=engine.sets,
                                             experts=engine.experts,
                                             ranks=len(self._view.states()))
-        self._tell_duty()
+        self._announce_duty()
         self._log.write(log_events.LogEvent.DUTY_TAKEN,
                         group=group,
                         term=self._term)
 
-    def _take_choices(self, news: peer_messages.ExpertChoices) -> None:
+    def _on_choices(self, news: peer_messages.ExpertChoices) -> None:
         if self._demand is not None and self._term:
             self._demand.add(news.rank, news.first_set * news.experts,
                              expert_choices.unpack(news.unit, news.packed))
 
     # Planning.
 
-    async def _work(self, engine: routing_config.EngineFigures) -> None:
+    async def _plan_and_switch(self,
+                               engine: routing_config.EngineFigures) -> None:
         states = self._view.states()
-        if not await self._know_layouts():
+        if not await self._fetch_layouts():
             return
         assert self._layouts is not None and self._demand is not None
         if map_switch.needs_recovery(states):
@@ -217,12 +228,12 @@
         if any(state.armed_version for state in states.values()):
             return
         self._demand.close_window()
-        self._tell_skew()
+        self._log_skew()
         if not self._demand.is_known:
             return
         limits = step_limits.limits_for(engine, len(states))
         step = replication.plan_step(self._layouts, self._demand.shares_by_set,
-                                     limits.shape, _paces(states))
+                                     limits.shape, _pace_ratios(states))
         self._driver.stats.skew = step.before
         if not limits.is_worth(step):
             return
@@ -235,19 +246,19 @@
                         after=round(step.after, 3))
         await self._switch(step.layouts, step.copies)
 
-    def _tell_skew(self) -> None:
-        """Logs how even the group was, not how even it was meant to be."""
+    def _log_skew(self) -> None:
+        """Logs the measured skew of the last window, not the planned one."""
         now = self._clock.monotonic()
-        window_s = now - self._skew_told_at
-        if window_s < _SKEW_LINE_S:
+        window_s = now - self._skew_logged_at
+        if window_s < _SKEW_LOG_INTERVAL_S:
             return
         assert self._layouts is not None and self._demand is not None
         seen = self._demand.seen_by_set()
-        self._skew_told_at = now
+        self._skew_logged_at = now
         if not all(map(any, seen)):
             return
         skew = replication.mean_greatest_load(self._layouts, seen,
-                                              _paces(self._view.states()))
+                                              _pace_ratios(self._view.states()))
         datagrams, self._demand.datagrams = self._demand.datagrams, 0
         self._driver.stats.skew_seen = skew
         self._log.write(log_events.LogEvent.SKEW_SEEN,
@@ -258,34 +269,38 @@
                         choices=int(sum(map(sum, seen))),
                         datagrams=datagrams,
                         demand_changes=self._demand.changes,
-                        map=self._layouts_of[1])
+                        map=self._layouts_version[1])
 
-    async def _know_layouts(self) -> bool:
-        """Makes sure that the map in use is known."""
+    async def _fetch_layouts(self) -> bool:
+        """Fetches the map in use from the ranks unless it is known.
+
+        Returns:
+            Whether all ranks use one map and its layouts are known.
+        """
         states = self._view.states()
         versions = {(s.epoch, s.map_version) for s in states.values()}
         if len(versions) != 1:
             return False
-        if self._layouts is not None and self._layouts_of in versions:
+        if self._layouts is not None and self._layouts_version in versions:
             return True
         found = await asyncio.gather(
             *(self._network.fetch_layout(self._driver.agent_address(rank))
               for rank in sorted(states)))
-        held = [layout for layout in found if layout is not None]
-        if len(held) < len(states) or {
-            (layout.epoch, layout.version) for layout in held
+        reported = [layout for layout in found if layout is not None]
+        if len(reported) < len(states) or {
+            (layout.epoch, layout.version) for layout in reported
         } != versions:
             return False
         self._layouts = tuple(
             tuple(frozenset(layout.experts[index])
-                  for layout in held)
-            for index in range(len(held[0].experts)))
-        self._layouts_of = versions.pop()
+                  for layout in reported)
+            for index in range(len(reported[0].experts)))
+        self._layouts_version = versions.pop()
         return True
 
     def _next_version(self) -> int:
-        self._used_versions += 1
-        return self._term * _VERSIONS_A_TERM + self._used_versions
+        self._versions_used += 1
+        return self._term * _VERSIONS_PER_TERM + self._versions_used
 
     # Switching.
 
@@ -294,19 +309,19 @@
         epoch = next(iter(self._view.states().values())).epoch
         switch = map_switch.Switch(self._next_version(),
                                    epoch,
-                                   _encoded(layouts),
-                                   lead=_LEAD_PASSES)
-        done = await self._driver.run(switch)
-        if done.phase is map_switch.Phase.DONE:
+                                   _encode_layouts(layouts),
+                                   lead=_SWITCH_LEAD_PASSES)
+        finished = await self._driver.run(switch)
+        if finished.phase is map_switch.Phase.DONE:
             self._layouts = layouts
-            self._layouts_of = (epoch, done.version)
+            self._layouts_version = (epoch, finished.version)
             self._driver.stats.copies += copies
         else:
             self._layouts = None
 
     async def _recover(self, states: map_switch.States) -> None:
         assert self._layouts is not None
-        switch = map_switch.recover(states, _encoded(self._layouts),
+        switch = map_switch.recover(states, _encode_layouts(self._layouts),
                                     self._next_version())
         self._log.write(log_events.LogEvent.MAP_RECOVERED,
                         group=self._view.name,
@@ -317,13 +332,13 @@
         await self._driver.run(switch)
 
 
-def _paces(states: map_switch.States) -> list[float]:
-    """How much longer than usual each rank takes, by its number."""
+def _pace_ratios(states: map_switch.States) -> list[float]:
+    """Returns each rank's slowdown relative to normal speed, in rank order."""
     paces = (states[rank].pace_percent / _PERCENT for rank in sorted(states))
-    return [pace if pace >= _SLOW_PACE else 1.0 for pace in paces]
+    return [pace if pace >= _SLOW_PACE_RATIO else 1.0 for pace in paces]
 
 
-def _encoded(
+def _encode_layouts(
     layouts: tuple[replication.Layout, ...]
 ) -> tuple[tuple[tuple[int, ...], ...], ...]:
     return tuple(
--- a/pollenthread/app/order_dispatcher.py
+++ b/pollenthread/app/order_dispatcher.py
@@ -1,4 +1,4 @@
-"""The agent's part in orders: who may order, in which order, and how often."""
+"""Executes orders at an agent: verifies, fences and deduplicates them."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -13,7 +13,7 @@
 
 __all__ = ['OrderDispatcher']
 
-_ANSWER_BY_VERDICT = {
+_REPLY_BY_VERDICT = {
     orders.Verdict.RUNNING: orders.Answer.RUNNING,
     orders.Verdict.REFUSE_OLD: orders.Answer.OLD_FENCING,
     orders.Verdict.REFUSE_INCARNATION: orders.Answer.OTHER_INCARNATION,
@@ -24,12 +24,26 @@
 
 
 class OrderDispatcher:
-    """Carries out each order once, for whoever holds the duty."""
+    """Executes each order once, if its sender holds the duty.
+
+    Attributes:
+        refused_count: orders that were refused.
+    """
 
     def __init__(self, *, host: str, incarnation: str,
                  table_service: table.TableService,
                  executor: orders_port.OrderExecutor,
                  keys: signing.KeyRing) -> None:
+        """Initializes a dispatcher.
+
+        Args:
+            host: this agent's host.
+            incarnation: identifies this start of the agent process.
+            table_service: the table with the leases of duties.
+            executor: executes orders of all kinds that have no executor of
+                their own.
+            keys: the keys that orders are signed with.
+        """
         self._host = host
         self._table = table_service
         self._executor = executor
@@ -41,16 +55,20 @@
 
     @property
     def running_count(self) -> int:
-        """Orders that run."""
+        """The number of orders that are being executed."""
         return len(self._tasks)
 
-    def register_executor(self, kind: str, executor: orders_port.OrderExecutor) -> None:
-        """Sets who carries out orders of a kind."""
+    def register_executor(self, kind: str,
+                          executor: orders_port.OrderExecutor) -> None:
+        """Sets the executor for orders of a kind."""
         self._executors_by_kind[kind] = executor
 
     def on_order(self, link: link_port.Link,
                  message: messages.OrderSend) -> None:
-        """Takes an order from a link."""
+        """Processes an order from a link and replies to it.
+
+        Orders with an invalid signature or for another host are refused.
+        """
         order = self._keys.verify(message)
         if order is None or order.host != self._host:
             self.refused_count += 1
@@ -58,13 +76,13 @@
             _reply(link, message.id, orders.Answer.NOT_AUTHENTICATED)
             return
         if order.duty in self._fence.highest_by_duty:
-            self._decide(link, order)
+            self._dispatch(link, order)
         else:
-            self._spawn(self._decide_after_read(link, order))
+            self._start_task(self._read_fence_and_dispatch(link, order))
 
-    async def _decide_after_read(self, link: link_port.Link,
-                                 order: orders.Order) -> None:
-        """Learns the duty's highest fencing number before the first order."""
+    async def _read_fence_and_dispatch(self, link: link_port.Link,
+                                       order: orders.Order) -> None:
+        """Reads the duty's fencing number from the table, then decides."""
         found = await self._table.get(lease_manager.lease_key(order.duty))
         if isinstance(found, result.Ok):
             row = found.ok_value
@@ -72,33 +90,33 @@
             if row is not None:
                 fencing = lease_manager.parse_lease(row.value).fencing
             self._fence = orders.raise_fence(self._fence, order.duty, fencing)
-        self._decide(link, order)
+        self._dispatch(link, order)
 
-    def _decide(self, link: link_port.Link, order: orders.Order) -> None:
+    def _dispatch(self, link: link_port.Link, order: orders.Order) -> None:
         self._fence, verdict = orders.decide(self._fence, order)
         if verdict is orders.Verdict.BEGIN:
-            self._spawn(self._execute(link, order))
+            self._start_task(self._execute(link, order))
         elif verdict is orders.Verdict.REPEAT:
-            ended = self._fence.result_by_id[order.id]
-            assert ended is not None
-            _reply(link, order.id, ended.answer, ended)
+            outcome = self._fence.result_by_id[order.id]
+            assert outcome is not None
+            _reply(link, order.id, outcome.answer, outcome)
         else:
             self.refused_count += verdict is not orders.Verdict.RUNNING
-            _reply(link, order.id, _ANSWER_BY_VERDICT[verdict])
+            _reply(link, order.id, _REPLY_BY_VERDICT[verdict])
 
     async def _execute(self, link: link_port.Link, order: orders.Order) -> None:
         executor = self._executors_by_kind.get(order.kind, self._executor)
         try:
-            ended = await executor.execute(order)
+            outcome = await executor.execute(order)
         except orders_port.OrderOutcomeUnknown as error:
             logging.error('order=%s outcome unknown: %s', order.id, error)
-            ended = orders.Result(False, str(error), is_known=False)
-        self._fence = orders.finish(self._fence, order.id, ended)
-        logging.info('order=%s done=%s', order.id, ended.done)
-        _reply(link, order.id, ended.answer, ended)
+            outcome = orders.Result(False, str(error), is_known=False)
+        self._fence = orders.finish(self._fence, order.id, outcome)
+        logging.info('order=%s done=%s', order.id, outcome.done)
+        _reply(link, order.id, outcome.answer, outcome)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -106,8 +124,9 @@
 def _reply(link: link_port.Link,
            order_id: str,
            answer: orders.Answer,
-           ended: orders.Result | None = None) -> None:
-    done, detail = (False, '') if ended is None else (ended.done, ended.detail)
+           outcome: orders.Result | None = None) -> None:
+    done, detail = (False, '') if outcome is None else (outcome.done,
+                                                        outcome.detail)
     try:
         link.send(messages.OrderReply(order_id, answer, done, detail))
     except link_port.LinkLost:
--- a/pollenthread/app/order_processor.py
+++ b/pollenthread/app/order_processor.py
@@ -1,4 +1,8 @@
-"""Gives orders to agents for the duties that this entry host holds."""
+"""Processes the orders of the duties that this entry host holds.
+
+Orders are read from the table, numbered, journalled and sent to the agents of
+their hosts. Their results are recorded in the journal.
+"""
 
 import asyncio
 import collections
@@ -16,90 +20,110 @@
 
 __all__ = ['OrderProcessor']
 
-_STEP_S = 1.0
-_JOURNAL_KEPT = 64
+_RUN_INTERVAL_S = 1.0
+_MAX_JOURNAL_ROWS = 64
 
 
 class OrderProcessor:
-    """Takes orders from inboxes to their recorded ends."""
+    """Processes orders from submission to their recorded results.
+
+    Attributes:
+        ended_by_state: number of orders that ended here, by final state.
+    """
 
     def __init__(self, *, leases: lease_manager.LeaseManager,
                  journal: order_journal.OrderJournal, pool: pool_module.Pool,
                  peers: peers_module.Peers,
                  directory: directory_module.Directory,
                  keys: signing.KeyRing) -> None:
-        self._keeper = leases
+        """Initializes a processor.
+
+        Args:
+            leases: the leases of this host's duties; its acquire callback is
+                set here.
+            journal: the rows of orders in the table.
+            pool: the agents that this host is linked to.
+            peers: links to the other entry hosts.
+            directory: the hosts of the deployment.
+            keys: the keys that orders are signed with.
+        """
+        self._leases = leases
         self._journal = journal
         self._pool = pool
         self._directory = directory
         self._keys = keys
-        self._entries_by_duty: dict[str, dict[str, order_journal.JournalEntry]] = {}
+        self._journal_by_duty: dict[str, dict[str,
+                                              order_journal.JournalEntry]] = {}
         self._replies = collections.deque[messages.OrderReply]()
         self._wake = asyncio.Event()
         self.ended_by_state = collections.Counter[orders.OrderState]()
-        leases.on_acquire = self._forget
-        peers.subscribe(messages.DutyNews, self._on_news)
+        leases.on_acquire = self._drop_journal
+        peers.subscribe(messages.DutyNews, self._on_duty_news)
         pool.subscribe(messages.OrderReply, self._on_reply)
 
     def wake(self) -> None:
-        """Looks at the inboxes soon."""
+        """Triggers the next iteration immediately."""
         self._wake.set()
 
     async def run(self) -> None:
-        """Works on orders until cancelled."""
+        """Processes orders until cancelled."""
         while True:
             await self.run_once()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_STEP_S):
+                async with asyncio.timeout(_RUN_INTERVAL_S):
                     await self._wake.wait()
             self._wake.clear()
 
     async def run_once(self) -> None:
-        """Records replies, takes orders up, and sends the open ones."""
+        """Records replies, accepts pending orders and sends the open ones."""
         await self._record_replies()
         for duty in set(orders.all_duties()).intersection(
-                self._keeper.held_duties()):
-            if await self._load(duty):
-                await self._take_up(duty)
-                await self._advance(duty)
+                self._leases.held_duties()):
+            if await self._load_journal(duty):
+                await self._accept_pending(duty)
+                await self._advance_open(duty)
 
-    def _forget(self, duty: str) -> None:
-        self._entries_by_duty.pop(duty, None)
+    def _drop_journal(self, duty: str) -> None:
+        self._journal_by_duty.pop(duty, None)
 
-    def _on_news(self, _: link_port.Link, __: messages.DutyNews) -> None:
+    def _on_duty_news(self, _: link_port.Link, __: messages.DutyNews) -> None:
         self._wake.set()
 
     def _on_reply(self, _: link_port.Link, reply: messages.OrderReply) -> None:
         self._replies.append(reply)
         self._wake.set()
 
-    async def _load(self, duty: str) -> bool:
-        """Reads the journal once after the duty was acquired."""
-        if duty in self._entries_by_duty:
+    async def _load_journal(self, duty: str) -> bool:
+        """Reads the journal of a duty unless it is cached.
+
+        Returns:
+            Whether the journal is cached now.
+        """
+        if duty in self._journal_by_duty:
             return True
         found = await self._journal.read_entries(duty)
         if isinstance(found, result.Err):
             return False
-        self._entries_by_duty[duty] = {
+        self._journal_by_duty[duty] = {
             entry.row.order.id: entry for entry in found.ok_value
         }
         return True
 
-    async def _take_up(self, duty: str) -> None:
-        """Numbers new orders and moves them from the inbox to the journal."""
+    async def _accept_pending(self, duty: str) -> None:
+        """Numbers pending orders and moves them to the journal."""
         found = await self._journal.read_inbox(duty)
         if isinstance(found, result.Err):
             return
         for order, version in found.ok_value:
             incarnation = self._incarnation(order.host)
-            held = self._keeper.held_lease(duty)
+            held = self._leases.held_lease(duty)
             if held is None or not incarnation:
                 continue
-            entries = self._entries_by_duty.get(duty, {})
-            done = table.Write(order_journal.inbox_key(duty, order.id), None,
-                               version)
+            entries = self._journal_by_duty.get(duty, {})
+            removal = table.Write(order_journal.inbox_key(duty, order.id), None,
+                                  version)
             if order.id in entries:
-                await self._keeper.commit_if_held(duty, [done])
+                await self._leases.commit_if_held(duty, [removal])
                 continue
             numbers = (entry.row.order.number for entry in entries.values())
             row = orders.journal(
@@ -107,19 +131,22 @@
                                     number=max(numbers, default=0) + 1,
                                     fencing=held.lease.fencing,
                                     incarnation=incarnation))
-            await self._store(duty, row, table.ABSENT, [done])
+            await self._write_row(duty, row, table.ABSENT, [removal])
 
     def _incarnation(self, host: str) -> str:
-        """The agent's incarnation; asks for a link when there is none."""
+        """Returns the incarnation of a host's agent.
+
+        Without a link to the agent, requests one and returns an empty string.
+        """
         upstream = self._pool.by_host.get(host)
         if upstream is None:
             self._directory.want_upstream(host)
             return ''
         return upstream.hello.incarnation
 
-    async def _advance(self, duty: str) -> None:
-        """Does what comes next for the lowest open order of each host."""
-        entries = self._entries_by_duty.get(duty, {})
+    async def _advance_open(self, duty: str) -> None:
+        """Advances the open order with the lowest number of each host."""
+        entries = self._journal_by_duty.get(duty, {})
         open_entries = sorted((entry for entry in entries.values()
                                if entry.row.state is orders.OrderState.ISSUED),
                               key=lambda entry: entry.row.order.number)
@@ -127,10 +154,11 @@
         for entry in open_entries:
             if entry.row.order.host not in hosts:
                 hosts.add(entry.row.order.host)
-                await self._do_next(duty, entry)
+                await self._run_next_step(duty, entry)
 
-    async def _do_next(self, duty: str, entry: order_journal.JournalEntry) -> None:
-        held = self._keeper.held_lease(duty)
+    async def _run_next_step(self, duty: str,
+                             entry: order_journal.JournalEntry) -> None:
+        held = self._leases.held_lease(duty)
         if held is None:
             return
         fencing = held.lease.fencing
@@ -139,11 +167,11 @@
                                 fencing=fencing,
                                 incarnation=self._incarnation(row.order.host))
         if step is orders.Step.CLOSE_UNKNOWN:
-            await self._close(duty, entry, orders.Answer.OTHER_INCARNATION,
-                              None)
+            await self._record_result(duty, entry,
+                                      orders.Answer.OTHER_INCARNATION, None)
         elif step is orders.Step.REISSUE:
             row = orders.reissue(row, fencing=fencing)
-            if await self._store(duty, row, entry.version):
+            if await self._write_row(duty, row, entry.version):
                 self._send(row.order)
         elif step is orders.Step.SEND:
             self._send(row.order)
@@ -152,7 +180,7 @@
         upstream = self._pool.by_host.get(order.host)
         if upstream is None:
             return
-        entries = self._entries_by_duty.get(order.duty, {})
+        entries = self._journal_by_duty.get(order.duty, {})
         settled = orders.settled_below(entry.row for entry in entries.values())
         order = dataclasses.replace(order, settled_below=settled)
         with contextlib.suppress(link_port.LinkLost):
@@ -161,35 +189,37 @@
     async def _record_replies(self) -> None:
         while self._replies:
             reply = self._replies.popleft()
-            for duty, entries in list(self._entries_by_duty.items()):
+            for duty, entries in list(self._journal_by_duty.items()):
                 entry = entries.get(reply.id)
                 if entry is not None:
-                    await self._close(duty, entry, orders.Answer(reply.answer),
-                                      orders.Result(reply.done, reply.detail))
-
-    async def _close(self, duty: str, entry: order_journal.JournalEntry,
-                     answer: orders.Answer,
-                     ended: orders.Result | None) -> None:
-        """Records an order's one result, if it has come to an end."""
+                    await self._record_result(
+                        duty, entry, orders.Answer(reply.answer),
+                        orders.Result(reply.done, reply.detail))
+
+    async def _record_result(self, duty: str, entry: order_journal.JournalEntry,
+                             answer: orders.Answer,
+                             outcome: orders.Result | None) -> None:
+        """Records the result of an open order if the reply is final."""
         if entry.row.state is not orders.OrderState.ISSUED:
             return
-        row = orders.close(entry.row, answer, ended)
+        row = orders.close(entry.row, answer, outcome)
         if row is None:
             if answer is not orders.Answer.RUNNING:
                 logging.warning('order=%s answer=%s', entry.row.order.id,
                                 answer)
             return
-        if await self._store(duty, row, entry.version, self._prune(duty)):
+        if await self._write_row(duty, row, entry.version,
+                                 self._prune_write(duty)):
             self.ended_by_state[row.state] += 1
             logging.info('order=%s state=%s', row.order.id, row.state)
 
-    def _prune(self, duty: str) -> list[table.Write]:
-        """Deletes the oldest ended orders beyond what is kept."""
-        entries = sorted(self._entries_by_duty.get(duty, {}).values(),
+    def _prune_write(self, duty: str) -> list[table.Write]:
+        """Returns the deletion of the oldest ended order beyond the limit."""
+        entries = sorted(self._journal_by_duty.get(duty, {}).values(),
                          key=lambda entry: entry.row.order.number)
         ended = [
             entry for entry in entries[:max(0,
-                                            len(entries) - _JOURNAL_KEPT)]
+                                            len(entries) - _MAX_JOURNAL_ROWS)]
             if entry.row.state is not orders.OrderState.ISSUED
         ]
         return [
@@ -197,18 +227,22 @@
                         e.version) for e in ended[:1]
         ]
 
-    async def _store(self,
-                     duty: str,
-                     row: orders.JournalRow,
-                     version: int,
-                     more: list[table.Write] | None = None) -> bool:
+    async def _write_row(self,
+                         duty: str,
+                         row: orders.JournalRow,
+                         version: int,
+                         other_writes: list[table.Write] | None = None) -> bool:
         """Writes a journal row under the duty's lease.
 
-        Whatever the outcome, the journal is read again before it is used: the
-        table may hold more than this host knows.
+        The cached journal is dropped whatever the outcome, because the table
+        may contain changes that this host does not know.
+
+        Returns:
+            Whether the row was written and the journal read again.
         """
         write = table.Write(order_journal.journal_key(duty, row.order.id),
                             order_journal.encode_row(row), version)
-        done = await self._keeper.commit_if_held(duty, [write, *(more or ())])
-        self._entries_by_duty.pop(duty, None)
-        return isinstance(done, result.Ok) and await self._load(duty)
+        written = await self._leases.commit_if_held(
+            duty, [write, *(other_writes or ())])
+        self._journal_by_duty.pop(duty, None)
+        return isinstance(written, result.Ok) and await self._load_journal(duty)
--- a/pollenthread/app/order_receiver.py
+++ b/pollenthread/app/order_receiver.py
@@ -1,8 +1,9 @@
-"""Carries out orders for the server beside an agent.
+"""Carries out the orders that an agent receives for its model server.
 
-An order is given to the server as often as it arrives, side by side if need be:
-the answer to the one before may be lost. Only a map, which is large, is
-repeated here and not over the link.
+A repeated order is passed to the server each time it arrives, concurrently if
+necessary, because the response to an earlier one may have been lost. A prepare
+order contains the map and is large, so the agent retries it locally instead of
+having it sent over the link again.
 """
 
 import asyncio
@@ -16,9 +17,9 @@
 
 __all__ = ['OrderReceiver']
 
-_MAX_UNDER_WAY = 3
-_PREPARE_TRIES = 5
-_DONE_STATUSES = (200, 202)
+_MAX_CONCURRENT = 3
+_PREPARE_ATTEMPTS = 5
+_ACCEPTED_STATUSES = (200, 202)
 
 _OrderKey = tuple[peer_messages.OrderKind, int, int]
 
@@ -26,85 +27,92 @@
 
 
 class OrderReceiver:
-    """Takes orders that arrive as datagrams."""
+    """Passes orders that arrive as datagrams to the server."""
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
                  handle_report: ReportHandler, hosts: roster.Roster,
                  network: peers.PeerNetwork, log: event_log.EventLog) -> None:
-        """Makes a taker that carries out nothing until it runs.
+        """Initializes a receiver; orders are ignored until `run` is called.
 
         Args:
             host: this agent's host.
-            server: the server beside it.
-            take_report: turns the server's report into the rank's state.
+            server: the client of the model server on this host.
+            handle_report: records a report of the server and returns the rank's
+                state.
             hosts: the hosts of the deployment.
-            network: brings orders, and tells their givers the rank's state.
-            log: the log.
+            network: delivers orders and returns the rank's state to their
+                senders.
+            log: the structured log.
         """
         self._host = host
         self._server = server
-        self._take_report = handle_report
+        self._handle_report = handle_report
         self._hosts = hosts
         self._network = network
         self._log = log
         self._tasks: asyncio.TaskGroup | None = None
-        self._under_way: collections.Counter[_OrderKey] = collections.Counter()
+        self._running_by_key: collections.Counter[
+            _OrderKey] = collections.Counter()
         network.on_datagram(peer_messages.RankOrder, self.on_order)
 
     async def run(self) -> None:
-        """Carries out what arrives, until cancelled."""
+        """Carries out received orders until cancelled."""
         async with asyncio.TaskGroup() as self._tasks:
             await asyncio.Event().wait()
 
     def on_order(self, order: peer_messages.RankOrder) -> None:
-        """Hands an order on, and to the server."""
+        """Relays an order to other agents and passes it to the server.
+
+        Args:
+            order: the order; ignored while too many equal ones are running.
+        """
         if self._tasks is None:
             return
         if order.relay_to:
             self._network.send_all(order.relay_to,
                                    dataclasses.replace(order, relay_to=()))
         key = (order.kind, order.version, order.step)
-        if self._under_way[key] < _MAX_UNDER_WAY:
-            self._under_way[key] += 1
-            self._tasks.create_task(self._carry_out(order, key))
-
-    async def _carry_out(self, order: peer_messages.RankOrder,
-                         key: _OrderKey) -> None:
-        tries = (_PREPARE_TRIES
-                 if order.kind is peer_messages.OrderKind.PREPARE else 1)
+        if self._running_by_key[key] < _MAX_CONCURRENT:
+            self._running_by_key[key] += 1
+            self._tasks.create_task(self._execute(order, key))
+
+    async def _execute(self, order: peer_messages.RankOrder,
+                       key: _OrderKey) -> None:
+        attempts = (_PREPARE_ATTEMPTS
+                    if order.kind is peer_messages.OrderKind.PREPARE else 1)
         try:
-            for _ in range(tries):
-                if await self._give(order):
+            for _ in range(attempts):
+                if await self._pass_to_server(order):
                     break
         finally:
-            self._under_way[key] -= 1
-            if not self._under_way[key]:
-                del self._under_way[key]
+            self._running_by_key[key] -= 1
+            if not self._running_by_key[key]:
+                del self._running_by_key[key]
 
-    async def _give(self, order: peer_messages.RankOrder) -> bool:
-        """Gives the server an order and tells the giver its state after that.
+    async def _pass_to_server(self, order: peer_messages.RankOrder) -> bool:
+        """Passes an order to the server and sends its new state to the sender.
 
         Returns:
-            Whether the server answered the order.
+            Whether the server responded to the order.
         """
         try:
             status = await self._server.order(order)
         except rank_server.RankSilent as error:
-            self._note_failed(order, None, str(error))
+            self._log_failure(order, None, str(error))
             return False
-        if status not in _DONE_STATUSES:
-            self._note_failed(order, status, '')
+        if status not in _ACCEPTED_STATUSES:
+            self._log_failure(order, status, '')
         try:
-            state = self._take_report(await self._server.report())
+            state = self._handle_report(await self._server.report())
         except rank_server.RankSilent:
-            # The state is told with the next look at the server.
+            # The next poll of the server sends the state.
             return True
         record = self._hosts.records_by_host.get(order.giver)
         if record is not None and record.host != self._host:
             self._network.send(record.peer_address, state)
         return True
 
-    def _note_failed(self, order: peer_messages.RankOrder, status: int | None,
+    def _log_failure(self, order: peer_messages.RankOrder, status: int | None,
                      cause: str) -> None:
         self._log.write(log_events.LogEvent.ORDER_FAILED,
                         important=False,
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -1,8 +1,9 @@
-"""Gives ranks the orders of one switch until they take effect.
+"""Sends the orders of one map switch to the ranks until they take effect.
 
-An order goes to the agent beside a rank as a datagram; the agent gives it to
-its server and tells the rank's state. One order is the same for many ranks, so
-it is encoded once, and a map, which is large, is handed on between agents.
+An order goes as a datagram to the agent of a rank, which passes it to its
+server and replies with the rank's state. The same order usually goes to many
+ranks and is encoded once. A prepare order contains the map and is large, so
+agents relay it to each other.
 """
 
 import asyncio
@@ -21,27 +22,27 @@
 __all__ = ['OrderSender', 'RankServerFactory']
 
 _TICK_S = 0.01
-# While a pass is held every stream of the group waits, so an arming or a
-# release whose effect is not seen is given again at once.
+# While a pass is held, all streams of the group wait, so an arm or
+# release order without a visible effect is resent quickly.
 _RESEND_S = 0.03
-# The agent itself gives its server a map again; this is for lost datagrams.
-_RESEND_PREPARE_S = 0.4
-# An agent that has not made its server act for so long is gone past.
-_AGENT_PATIENCE_S = 0.25
-_DONE_STATUSES = (200, 202)
+# Covers lost datagrams only: the agent itself retries a map with its server.
+_PREPARE_RESEND_S = 0.4
+# After this time without effect, the order also goes directly to the server.
+_AGENT_TIMEOUT_S = 0.25
+_ACCEPTED_STATUSES = (200, 202)
 _DIRECT_KINDS = (peer_messages.OrderKind.HOLD, peer_messages.OrderKind.GO)
 
 RankServerFactory = Callable[[str], rank_server.RankServer]
 
 
 @dataclasses.dataclass(slots=True)
-class _Given:
-    """When an order was given to a rank, in monotonic seconds.
+class _SendTimes:
+    """Times at which an order was sent to a rank, in monotonic seconds.
 
     Attributes:
-        first_at: for the first time.
-        last_at: for the last time.
-        direct_at: for the last time past the agent.
+        first_at: the first time.
+        last_at: the last time.
+        direct_at: the last time directly to the server; at first, `first_at`.
     """
 
     first_at: float
@@ -49,35 +50,36 @@
     direct_at: float
 
 
-def _resend_s(kind: peer_messages.OrderKind) -> float:
-    """Seconds after which an order whose effect is not seen is repeated."""
+def _resend_after_s(kind: peer_messages.OrderKind) -> float:
+    """Returns the seconds after which an order without effect is resent."""
     if kind is peer_messages.OrderKind.PREPARE:
-        return _RESEND_PREPARE_S
+        return _PREPARE_RESEND_S
     return _RESEND_S
 
 
 class OrderSender:
-    """Owns the orders under way; a context manager.
+    """Sends orders and owns the tasks that do so; a context manager.
 
-    The holding rank is held and released directly: if the host that gives such
-    an order fails right after it, the rank can still be reached by others.
+    HOLD and GO orders go directly to the server of the holding rank. If the
+    sending host fails right afterwards, other agents still reach that rank.
     """
 
     def __init__(self, *, host: str, hosts: roster.Roster,
                  view: group_view.GroupView, network: peers.PeerNetwork,
-                 make_server: RankServerFactory, counts: collections.Counter[str],
-                 time: clock.Clock, log: event_log.EventLog) -> None:
-        """Makes a sender that has given nothing.
+                 make_server: RankServerFactory,
+                 counts: collections.Counter[str], time: clock.Clock,
+                 log: event_log.EventLog) -> None:
+        """Initializes a sender that has sent nothing.
 
         Args:
-            host: this agent's host, which is told the ranks' states.
+            host: this agent's host, to which agents send their rank's state.
             hosts: the hosts of the deployment.
-            view: the group.
-            network: reaches other agents.
-            make_server: makes a client of the server at an address.
-            counts: orders given, by kind; counted up.
+            view: the known state of the group; updated from replies.
+            network: sends messages to other agents.
+            make_server: creates a client for the model server at an address.
+            counts: number of orders sent, by kind; incremented here.
             time: the clock.
-            log: the log.
+            log: the structured log.
         """
         self._host = host
         self._hosts = hosts
@@ -87,7 +89,8 @@
         self._counts = counts
         self._clock = time
         self._log = log
-        self._given: dict[tuple[int, peer_messages.OrderKind], _Given] = {}
+        self._times_by_order: dict[tuple[int, peer_messages.OrderKind],
+                                   _SendTimes] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
@@ -101,98 +104,103 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def send_due(self, orders: map_switch.Orders) -> None:
-        """Gives the orders that were not given just now."""
+        """Sends the orders that are new or due to be resent.
+
+        Args:
+            orders: the order that each rank should carry out now.
+        """
         now = self._clock.monotonic()
         ranks_by_order: dict[peer_messages.RankOrder, list[int]] = {}
         for rank, order in orders.items():
-            given = self._given.get((rank, order.kind))
-            if given is None:
-                given = _Given(now, now, now)
-                self._given[rank, order.kind] = given
-            elif now - given.last_at <= _resend_s(order.kind):
+            times = self._times_by_order.get((rank, order.kind))
+            if times is None:
+                times = _SendTimes(now, now, now)
+                self._times_by_order[rank, order.kind] = times
+            elif now - times.last_at <= _resend_after_s(order.kind):
                 continue
-            given.last_at = now
+            times.last_at = now
             self._counts[order.kind.value] += 1
             if order.kind in _DIRECT_KINDS:
-                self._begin(self._give_directly(rank, order))
+                self._start_task(self._send_directly(rank, order))
                 continue
             ranks_by_order.setdefault(order, []).append(rank)
-            if (now - given.direct_at > _AGENT_PATIENCE_S and
-                    self._may_go_past(rank, order)):
-                given.direct_at = now
-                self._begin(self._give_directly(rank, order))
+            if (now - times.direct_at > _AGENT_TIMEOUT_S and
+                    self._may_send_directly(rank, order)):
+                times.direct_at = now
+                self._start_task(self._send_directly(rank, order))
         for order, ranks in ranks_by_order.items():
-            self._give_agents(order, ranks)
+            self._send_through_agents(order, ranks)
 
-    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
 
     async def wait(self) -> None:
-        """Waits until it is time to look at the ranks again.
+        """Waits for one tick and removes finished tasks.
 
         Raises:
-            Exception: giving an order went wrong in an unforeseen way.
+            Exception: a task that sent an order failed unexpectedly.
         """
         await self._clock.sleep(_TICK_S)
         for task in [task for task in self._tasks if task.done()]:
             self._tasks.discard(task)
             task.result()
 
-    # Through agents.
+    # Sending through agents.
 
-    def _give_agents(self, order: peer_messages.RankOrder,
-                     ranks: Sequence[int]) -> None:
+    def _send_through_agents(self, order: peer_messages.RankOrder,
+                             ranks: Sequence[int]) -> None:
         order = dataclasses.replace(order, giver=self._host)
         addresses = [
-            address for rank in ranks if (address := self._address(rank))
+            address for rank in ranks if (address := self._agent_address(rank))
         ]
-        is_first = all(
-            given.first_at == given.last_at
-            for given in (self._given[rank, order.kind] for rank in ranks))
+        is_first = all(times.first_at == times.last_at for times in (
+            self._times_by_order[rank, order.kind] for rank in ranks))
         if order.kind is peer_messages.OrderKind.PREPARE and is_first:
             self._relay(order, addresses)
         elif not self._network.send_all(addresses, order):
-            self._give_all_directly(order, ranks)
+            self._send_all_directly(order, ranks)
 
     def _relay(self, order: peer_messages.RankOrder,
                addresses: Sequence[str]) -> None:
-        """Sends to a few agents, each of which hands the order on to a few."""
-        size = math.isqrt(len(addresses)) + 1
-        for begin in range(0, len(addresses), size):
-            first, *others = addresses[begin:begin + size]
+        """Sends to about sqrt(n) agents, each of which relays to as many."""
+        branch_size = math.isqrt(len(addresses)) + 1
+        for begin in range(0, len(addresses), branch_size):
+            first, *others = addresses[begin:begin + branch_size]
             self._network.send_all((first,),
                                    dataclasses.replace(order,
                                                        relay_to=tuple(others)))
 
-    def _may_go_past(self, rank: int, order: peer_messages.RankOrder) -> bool:
-        """Whether an order may be given past an agent.
+    def _may_send_directly(self, rank: int,
+                           order: peer_messages.RankOrder) -> bool:
+        """Returns whether an order may be sent directly to the server.
 
-        A map would fill this host's link, so only if the agent is not heard.
+        Sending a map to many ranks would saturate this host's link, so a
+        prepare order is sent directly only if the agent is unresponsive.
         """
         return (order.kind is not peer_messages.OrderKind.PREPARE or
                 not self._view.is_fresh(rank))
 
-    def _give_all_directly(self, order: peer_messages.RankOrder,
+    def _send_all_directly(self, order: peer_messages.RankOrder,
                            ranks: Sequence[int]) -> None:
-        """For an order that no datagram can hold."""
+        """Sends an order that is too large for a datagram."""
         for rank in ranks:
-            self._begin(self._give_directly(rank, order))
+            self._start_task(self._send_directly(rank, order))
 
-    def _address(self, rank: int) -> str:
-        record = self._record(rank)
+    def _agent_address(self, rank: int) -> str:
+        record = self._host_record(rank)
         return record.peer_address if record else ''
 
-    def _record(self, rank: int) -> host_record.HostRecord | None:
+    def _host_record(self, rank: int) -> host_record.HostRecord | None:
         state = self._view.states().get(rank)
         return self._hosts.records_by_host.get(state.host) if state else None
 
-    # Past agents.
+    # Sending directly to servers.
 
-    async def _give_directly(self, rank: int,
+    async def _send_directly(self, rank: int,
                              order: peer_messages.RankOrder) -> None:
-        """Gives a server an order past its agent."""
-        record = self._record(rank)
+        """Sends an order to a server directly and records its new state."""
+        record = self._host_record(rank)
         if record is None:
             return
         server = self._make_server(record.engine_address)
@@ -210,7 +218,7 @@
             if order.kind in _DIRECT_KINDS:
                 self._network.send(record.peer_address,
                                    dataclasses.replace(order, giver=self._host))
-        if status not in _DONE_STATUSES:
+        if status not in _ACCEPTED_STATUSES:
             self._log.write(log_events.LogEvent.ORDER_FAILED,
                             group=self._view.name,
                             rank=rank,
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -1,4 +1,8 @@
-"""The agent beside a model server: its load, its rank, its orders."""
+"""Monitors the model server on an agent's host.
+
+The agent polls the server, reports its load to the entry hosts and its rank's
+state to the coordinator of its group, and passes orders to the server.
+"""
 
 import asyncio
 import dataclasses
@@ -13,52 +17,58 @@
 _POLL_S = 0.14
 _IDLE_POLL_S = 0.3
 _SWITCHING_POLL_S = 0.05
-_ALONE_POLL_S = 1.0
-_LOAD_CHANGED_S = 0.25
-_LOAD_SAME_S = 0.6
-_STATE_SAME_S = 0.25
+_UNGROUPED_POLL_S = 1.0
+_CHANGED_LOAD_INTERVAL_S = 0.25
+_SAME_LOAD_INTERVAL_S = 0.6
+_SAME_STATE_INTERVAL_S = 0.25
 _MS_PER_S = 1000
 _US_PER_S = 1_000_000
 _PASS_SMOOTHING = 0.3
 _MAX_PASS_S = 2.0
-_STALLED_S = 0.5
-_PASSES_LINE_S = 1.0
+_STALL_THRESHOLD_S = 0.5
+_PASSES_LOG_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass
-class _Told:
-    """What was told last, and when."""
+class _ReportThrottle:
+    """Limits how often a report is sent.
+
+    Attributes:
+        content: the content of the last report.
+        sent_at: the time of the last report, in monotonic seconds.
+    """
 
-    news: object = None
-    at: float = float('-inf')
+    content: object = None
+    sent_at: float = float('-inf')
 
-    def is_due(self, news: object, now: float, *, same_s: float,
+    def is_due(self, content: object, now: float, *, same_s: float,
                changed_s: float) -> bool:
-        """Whether to tell now; takes it as told if so.
+        """Returns whether to send a report now, and records it as sent if so.
 
         Args:
-            news: what would be told.
+            content: the content that would be reported.
             now: monotonic seconds.
-            same_s: the pause when nothing has changed, in seconds.
-            changed_s: the pause when something has, in seconds.
+            same_s: the minimum interval for unchanged content, in seconds.
+            changed_s: the minimum interval for changed content, in seconds.
         """
-        pause_s = same_s if news == self.news else changed_s
-        if now - self.at < pause_s:
+        interval_s = same_s if content == self.content else changed_s
+        if now - self.sent_at < interval_s:
             return False
-        self.news = news
-        self.at = now
+        self.content = content
+        self.sent_at = now
         return True
 
 
 @dataclasses.dataclass(slots=True)
-class _PassLine:
-    """What the next line about passes will tell.
+class _PassStats:
+    """Statistics of passes for the next log line.
 
     Attributes:
-        began_at: monotonic seconds at which its time begins.
-        passes: passes that were begun.
-        seconds: what they lasted together.
-        longest_s: the longest; passes between two looks count as equal.
+        began_at: the start of the window, in monotonic seconds.
+        passes: number of passes that began.
+        seconds: their total duration.
+        longest_s: the longest pass, in seconds. Passes between two polls are
+            taken to be equally long.
     """
 
     began_at: float
@@ -66,52 +76,57 @@
     seconds: float = 0.0
     longest_s: float = 0.0
 
-    def note(self, passes: int, pass_s: float) -> None:
-        """Some passes of one length have begun."""
+    def add(self, passes: int, pass_s: float) -> None:
+        """Adds passes that each lasted `pass_s` seconds."""
         self.passes += passes
         self.seconds += passes * pass_s
         self.longest_s = max(self.longest_s, pass_s)
 
 
 class RankAgent:
-    """Watches one server and tells the hosts that need to know."""
+    """Monitors one model server and reports to other hosts.
+
+    Attributes:
+        slots: requests that the server works on at once.
+        experts_per_set: experts in a set; 0 until it is known.
+    """
 
     def __init__(self, *, own: host_record.HostRecord, slots: int,
                  server: rank_server.RankServer, hosts: roster.Roster,
                  registry: group_view.GroupRegistry, network: peers.PeerNetwork,
                  link_bytes_per_s: float, time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
-        """Makes an agent that watches nothing yet.
+        """Initializes an agent that has not polled the server.
 
         Args:
-            own: this agent's host.
+            own: the record of this agent's host.
             slots: requests that the server works on at once.
-            server: the server.
+            server: the client of the model server on this host.
             hosts: the hosts of the deployment.
-            book: what is known of groups.
-            network: reaches peers.
-            link_bytes_per_s: the speed of this host's link.
+            registry: the known state of all groups.
+            network: sends messages to other hosts and serves their queries.
+            link_bytes_per_s: the bandwidth of this host's link.
             time: the clock.
-            log: the log.
-            rng: rounds choices.
+            log: the structured log.
+            rng: the source of randomness for reports of expert choices.
         """
         self._own = own
         self.slots = slots
         self._server = server
         self._hosts = hosts
-        self._book = registry
+        self._registry = registry
         self._network = network
         self._clock = time
         self._stepped_at = time.monotonic()
         self._last_step = -1
         self._has_work = False
         self._pass_s = 0.0
-        self._passes = _PassLine(began_at=time.monotonic())
+        self._pass_stats = _PassStats(began_at=time.monotonic())
         self._log = log
         self.experts_per_set = 0
-        self._load_told = _Told()
-        self._state_told = _Told()
-        self._choices = choice_reporter.ChoiceReporter(
+        self._load_throttle = _ReportThrottle()
+        self._state_throttle = _ReportThrottle()
+        self._choice_reporter = choice_reporter.ChoiceReporter(
             host=own.host,
             server=server,
             hosts=hosts,
@@ -120,41 +135,43 @@
             link_bytes_per_s=link_bytes_per_s,
             time=time,
             rng=rng)
-        self._orders = order_receiver.OrderReceiver(host=own.host,
-                                              server=server,
-                                              handle_report=self._take,
-                                              hosts=hosts,
-                                              network=network,
-                                              log=log)
-        network.serve_layouts(self._layout)
-        network.serve_states(self._state)
+        self._order_receiver = order_receiver.OrderReceiver(
+            host=own.host,
+            server=server,
+            handle_report=self._record_report,
+            hosts=hosts,
+            network=network,
+            log=log)
+        network.serve_layouts(self._serve_layout)
+        network.serve_states(self._serve_state)
 
     async def run(self) -> None:
-        """Watches and carries out orders until cancelled."""
+        """Polls the server and carries out orders until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._orders.run())
-            tasks.create_task(self._watch())
+            tasks.create_task(self._order_receiver.run())
+            tasks.create_task(self._poll_server())
 
-    async def _watch(self) -> None:
+    async def _poll_server(self) -> None:
         while True:
-            await self._clock.sleep(await self._poll())
+            await self._clock.sleep(await self._poll_once())
 
-    async def _poll(self) -> float:
+    async def _poll_once(self) -> float:
         try:
             report = await self._server.report()
         except rank_server.RankSilent:
             return _POLL_S
-        state = self._take(report)
-        self._tell_entries(report)
+        state = self._record_report(report)
+        self._report_load(report)
         if not report.is_in_group:
-            return _ALONE_POLL_S if not report.running else _POLL_S
-        self._tell_group(state)
-        await self._choices.report_if_due(state, self.experts_per_set)
+            return _UNGROUPED_POLL_S if not report.running else _POLL_S
+        self._report_state(state)
+        await self._choice_reporter.report_if_due(state, self.experts_per_set)
         if state.is_busy or state.armed_version or state.held_step:
             return _SWITCHING_POLL_S
         return _POLL_S if report.running else _IDLE_POLL_S
 
-    def _take(self, report: rank_server.RankReport) -> peer_messages.RankState:
+    def _record_report(
+            self, report: rank_server.RankReport) -> peer_messages.RankState:
         now = self._clock.monotonic()
         self._has_work = report.running > 0
         state = dataclasses.replace(report.state, host=self._own.host)
@@ -163,83 +180,91 @@
             if 0 < passes < 100 and self._last_step >= 0:
                 pass_s = min(_MAX_PASS_S, (now - self._stepped_at) / passes)
                 self._pass_s += _PASS_SMOOTHING * (pass_s - self._pass_s)
-                self._passes.note(passes, pass_s)
+                self._pass_stats.add(passes, pass_s)
             self._last_step = state.step
             self._stepped_at = now
-        self._book.update_own_state(state)
-        self._tell_passes(report, now)
+        self._registry.update_own_state(state)
+        self._log_passes(report, now)
         return state
 
-    def _tell_passes(self, report: rank_server.RankReport, now: float) -> None:
-        """Logs the last second's passes; the ranks of a group share them."""
-        window_s = now - self._passes.began_at
-        if window_s < _PASSES_LINE_S:
+    def _log_passes(self, report: rank_server.RankReport, now: float) -> None:
+        """Logs the passes of the last window.
+
+        All ranks of a group run the same passes, so only rank 0 logs them.
+        """
+        window_s = now - self._pass_stats.began_at
+        if window_s < _PASSES_LOG_INTERVAL_S:
             return
-        line, self._passes = self._passes, _PassLine(began_at=now)
-        if report.state.rank == 0 and line.passes:
+        stats, self._pass_stats = self._pass_stats, _PassStats(began_at=now)
+        if report.state.rank == 0 and stats.passes:
             self._log.write(log_events.LogEvent.PASSES,
                             important=False,
                             group=report.state.group,
-                            passes=line.passes,
-                            mean_s=round(line.seconds / line.passes, 4),
-                            longest_s=round(line.longest_s, 4),
+                            passes=stats.passes,
+                            mean_s=round(stats.seconds / stats.passes, 4),
+                            longest_s=round(stats.longest_s, 4),
                             running=report.running,
                             waiting=report.waiting,
                             map=report.state.map_version)
 
     def stalled_s(self) -> float:
-        """How long the group has begun no pass though this rank has work."""
+        """Returns the seconds since the last pass began; 0 without requests."""
         if not self._has_work:
             return 0.0
         return self._clock.monotonic() - self._stepped_at
 
-    def _tell_entries(self, report: rank_server.RankReport) -> None:
+    def _report_load(self, report: rank_server.RankReport) -> None:
         now = self._clock.monotonic()
         stalled_s = self.stalled_s()
-        is_stalled = stalled_s > _STALLED_S
+        is_stalled = stalled_s > _STALL_THRESHOLD_S
         is_open = report.state.is_open or not report.is_in_group
-        if not self._load_told.is_due(
+        if not self._load_throttle.is_due(
             (report.running, report.waiting, is_stalled, is_open),
                 now,
-                same_s=_LOAD_SAME_S,
-                changed_s=_LOAD_CHANGED_S):
+                same_s=_SAME_LOAD_INTERVAL_S,
+                changed_s=_CHANGED_LOAD_INTERVAL_S):
             return
-        news = peer_messages.ServerLoad(address=self._own.engine_address,
-                                        running=report.running,
-                                        waiting=report.waiting,
-                                        slots=self.slots,
-                                        stalled_ms=int(stalled_s * _MS_PER_S),
-                                        is_open=is_open,
-                                        group=report.state.group,
-                                        pass_us=int(self._pass_s * _US_PER_S),
-                                        born_ms=report.state.born_ms)
+        message = peer_messages.ServerLoad(
+            address=self._own.engine_address,
+            running=report.running,
+            waiting=report.waiting,
+            slots=self.slots,
+            stalled_ms=int(stalled_s * _MS_PER_S),
+            is_open=is_open,
+            group=report.state.group,
+            pass_us=int(self._pass_s * _US_PER_S),
+            born_ms=report.state.born_ms)
         self._network.send_all(
             (record.peer_address
-             for record in self._hosts.with_role(host_record.Role.ENTRY)), news)
+             for record in self._hosts.with_role(host_record.Role.ENTRY)),
+            message)
+
+    def _report_state(self, state: peer_messages.RankState) -> None:
+        """Reports the state to the group's coordinator, or to all agents.
 
-    def _tell_group(self, state: peer_messages.RankState) -> None:
-        """Tells the holder of the group's duty; all, while there is none."""
+        All agents get it while no coordinator is known.
+        """
         now = self._clock.monotonic()
-        news = dataclasses.replace(state, step=0)
-        if not self._state_told.is_due(
-                news, now, same_s=_STATE_SAME_S, changed_s=0.0):
+        content = dataclasses.replace(state, step=0)
+        if not self._state_throttle.is_due(
+                content, now, same_s=_SAME_STATE_INTERVAL_S, changed_s=0.0):
             return
-        holder = self._book.view(state.group).holder()
+        holder = self._registry.view(state.group).holder()
         record = self._hosts.records_by_host.get(holder or '')
         if record is not None:
             self._network.send(record.peer_address, state)
             return
         self._network.send_all(self._hosts.agents_beside(self._own.host), state)
 
-    # What peers ask.
+    # Queries of other hosts.
 
-    async def _state(self) -> peer_messages.RankState | None:
+    async def _serve_state(self) -> peer_messages.RankState | None:
         try:
-            return self._take(await self._server.report())
+            return self._record_report(await self._server.report())
         except rank_server.RankSilent:
             return None
 
-    async def _layout(self) -> peer_messages.RankLayout | None:
+    async def _serve_layout(self) -> peer_messages.RankLayout | None:
         try:
             return await self._server.layout()
         except rank_server.RankSilent:
--- a/pollenthread/app/switch_codec.py
+++ b/pollenthread/app/switch_codec.py
@@ -1,4 +1,4 @@
-"""Writes and reads the messages and the kept state of a map switch."""
+"""Encodes the messages and the stored state of map switches."""
 
 from typing import Any
 
@@ -12,7 +12,8 @@
                  switch.Name | switch.Report | switch.Prepared | switch.Armed |
                  switch.Noted | switch.Join | switch.Ask)
 
-_RANK: pydantic.TypeAdapter[switch.Rank] = pydantic.TypeAdapter(switch.Rank)
+_RANK_ADAPTER: pydantic.TypeAdapter[switch.Rank] = pydantic.TypeAdapter(
+    switch.Rank)
 _ADAPTER_BY_KIND: dict[str, pydantic.TypeAdapter[Any]] = {
     cls.__name__: pydantic.TypeAdapter(cls)
     for cls in (switch.Query, switch.Prepare, switch.Arm, switch.Decide,
@@ -22,14 +23,14 @@
 
 
 def encode(group: str, message: SwitchMessage) -> messages.Group:
-    """Writes one message of a group."""
+    """Encodes a message to a group."""
     kind = type(message).__name__
     return messages.Group(group, kind,
                           _ADAPTER_BY_KIND[kind].dump_json(message))
 
 
 def decode(message: messages.Group) -> SwitchMessage | None:
-    """Reads one message; None when it is not one."""
+    """Decodes a message; None when its kind is unknown or it is invalid."""
     adapter = _ADAPTER_BY_KIND.get(message.kind)
     if adapter is None:
         return None
@@ -41,10 +42,10 @@
 
 
 def encode_rank(rank: switch.Rank) -> bytes:
-    """Writes what an engine keeps."""
-    return _RANK.dump_json(rank)
+    """Encodes the state that an engine stores for a rank."""
+    return _RANK_ADAPTER.dump_json(rank)
 
 
 def decode_rank(state: bytes) -> switch.Rank:
-    """Reads what an engine keeps."""
-    return _RANK.validate_json(state)
+    """Decodes the state that an engine stores for a rank."""
+    return _RANK_ADAPTER.validate_json(state)
--- a/pollenthread/app/switch_coordinator.py
+++ b/pollenthread/app/switch_coordinator.py
@@ -1,4 +1,7 @@
-"""The decider's part in map switches: holds the group's row and decides."""
+"""Coordinates the map switches of one rank group.
+
+The coordinator holds the group's row in the table, runs the two-phase switch
+and records the committed map."""
 
 import dataclasses
 import json
@@ -27,11 +30,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class GroupRow:
-    """What the table holds for a group.
+    """The table row of a group.
 
     Attributes:
-        fence: the fencing number of its decider.
-        map_version: the map that a group which starts anew uses.
+        fence: the fencing number of its coordinator.
+        map_version: the map that the group uses after a restart.
     """
 
     fence: int
@@ -40,13 +43,13 @@
 
 @dataclasses.dataclass
 class SwitchCounts:
-    """What the decider has done.
+    """Counters of map switches.
 
     Attributes:
-        started: switches begun.
-        committed: switches that took place.
-        aborted: switches given up, without harm.
-        last_ms: milliseconds from the start of the last commit to its decision.
+        started: switches that were started.
+        committed: switches that were committed.
+        aborted: switches that were aborted; the group keeps its map.
+        last_ms: milliseconds from start to commit of the last committed switch.
     """
 
     started: int = 0
@@ -56,27 +59,38 @@
 
 
 def group_key(group: str) -> str:
-    """The key of a group's row."""
+    """Returns the table key of a group's row."""
     return f'groups/{group}'
 
 
 def wanted_key(group: str) -> str:
-    """The key of the row that names the map which a group shall use."""
+    """Returns the table key of a group's requested map."""
     return f'wanted-maps/{group}'
 
 
 def parse_row(value: bytes) -> GroupRow:
-    """Reads a group's row."""
+    """Decodes a group's row."""
     return GroupRow(**json.loads(value))
 
 
 class SwitchCoordinator:
-    """Runs the switches of one group while its fencing number is the highest.
+    """Runs the map switches of one group.
+
+    It is active as long as its fencing number is the highest in the table.
     """
 
     def __init__(self, *, group: str, size: int,
                  table_service: table.TableService, time: clock.Clock,
                  send: Callable[[int, switch.Order], None]) -> None:
+        """Initializes a coordinator that does not hold the group's row.
+
+        Args:
+            group: the group's name.
+            size: the number of ranks in the group.
+            table_service: the table with the group's row.
+            time: the clock.
+            send: sends an order to the rank with the given number.
+        """
         self._group = group
         self._size = size
         self._table = table_service
@@ -85,27 +99,31 @@
         self._decider: switch_decider.Decider | None = None
         self._row = GroupRow(0, 0)
         self._row_version = table.ABSENT
-        self._phase_since = 0.0
+        self._phase_began_at = 0.0
         self._started_at = 0.0
         self._sent_at = 0.0
         self._lead_s = INITIAL_LEAD_S
-        self._seen_step = (0, 0.0)
+        self._step_sample = (0, 0.0)
         self.counts = SwitchCounts()
 
     @property
     def phase(self) -> str:
-        """What the decider is about; empty while it does not hold the row."""
+        """The phase of the switch; empty while the row is not held."""
         return '' if self._decider is None else self._decider.phase.value
 
     @property
     def map_version(self) -> int:
-        """The map decided last."""
+        """The map version committed last; 0 while the row is not held."""
         if self._decider is None:
             return 0
         return switch.map_version(self._decider.held, 1 << 62)
 
     async def acquire(self) -> bool:
-        """Takes the group's row with the next fencing number."""
+        """Acquires the group's row with the next fencing number.
+
+        Returns:
+            Whether the row was written.
+        """
         key = group_key(self._group)
         read = await self._table.get(key)
         if read.is_err():
@@ -120,7 +138,8 @@
         if written.is_err():
             return False
         self._row, self._row_version = row, written.unwrap()
-        logging.info('group %s taken fence=%d', self._group, row.fence)
+        logging.info('group %s: coordinator elected fence=%d', self._group,
+                     row.fence)
         self._apply(
             switch_decider.take_over(fence=row.fence,
                                      size=self._size,
@@ -128,7 +147,7 @@
         return True
 
     def on_reply(self, reply: switch.Reply) -> None:
-        """Takes a rank's answer."""
+        """Processes a reply from a rank."""
         if self._decider is None:
             return
         decider = self._decider
@@ -148,13 +167,13 @@
                 self._apply(switch_decider.on_join(decider, reply))
 
     def tick(self) -> None:
-        """Sends again what was not answered; gives up what has stalled."""
+        """Resends unanswered orders and aborts a switch that timed out."""
         decider = self._decider
         if decider is None:
             return
         now = self._time.monotonic()
-        if now - self._phase_since > _timeout_s(decider.phase):
-            logging.warning('group %s: switch given up phase=%s', self._group,
+        if now - self._phase_began_at > _timeout_s(decider.phase):
+            logging.warning('group %s: switch timed out phase=%s', self._group,
                             decider.phase)
             self._apply(switch_decider.give_up(decider))
         elif now - self._sent_at > RESEND_S:
@@ -163,10 +182,13 @@
                 self._send(item.index, item.order)
 
     async def pursue_wanted_map(self) -> None:
-        """Records what was decided, then starts the switch that is wanted."""
+        """Records the committed map and starts a switch to the requested one.
+
+        A switch that prepares another map is aborted.
+        """
         if self._decider is None:
             return
-        await self._record()
+        await self._record_map()
         read = await self._table.get(wanted_key(self._group))
         row = read.unwrap_or(None)
         if row is None or self._decider is None:
@@ -175,7 +197,7 @@
         self._abandon_unwanted(target)
         if self._decider.phase is not switch_decider.Phase.IDLE:
             return
-        if target == self.map_version or not await self._still_holds():
+        if target == self.map_version or not await self._check_fence():
             return
         if self._decider is not None:
             self._started_at = self._time.monotonic()
@@ -183,15 +205,17 @@
             self._apply(switch_decider.start(self._decider, target))
 
     def _abandon_unwanted(self, target: int) -> None:
-        """Gives up a switch that prepares a map which is no longer wanted."""
+        """Aborts a switch that prepares a map which is no longer requested."""
         decider = self._decider
         if (decider is not None and decider.change is not None and
                 decider.phase is switch_decider.Phase.PREPARING and
                 decider.change.target != target):
             self._apply(switch_decider.give_up(decider))
 
-    async def _record(self) -> None:
-        """Writes the decided map to the group's row; a lost row ends the duty.
+    async def _record_map(self) -> None:
+        """Writes the committed map to the group's row.
+
+        If the write fails, a greater fencing number in the row ends the duty.
         """
         if self.map_version == self._row.map_version:
             return
@@ -202,18 +226,22 @@
         if written.is_ok():
             self._row, self._row_version = row, written.unwrap()
             return
-        await self._still_holds()
+        await self._check_fence()
 
-    async def _still_holds(self) -> bool:
-        """Reads the row again; a greater fencing number ends the duty."""
+    async def _check_fence(self) -> bool:
+        """Reads the row again; a greater fencing number ends the duty.
+
+        Returns:
+            Whether this coordinator still holds the row.
+        """
         read = await self._table.get(group_key(self._group))
         found = read.unwrap_or(None)
         if found is None:
             return False
         fence = parse_row(found.value).fence
         if fence > self._row.fence:
-            logging.info('group %s: another decider fence=%d', self._group,
-                         fence)
+            logging.info('group %s: replaced by another coordinator fence=%d',
+                         self._group, fence)
             self._decider = None
             return False
         self._row_version = found.version
@@ -224,34 +252,37 @@
         self._decider = after.decider
         now = self._time.monotonic()
         if before is not None and before.phase is _COLLECTING:
-            self._seen_step = (after.decider.step, now)
+            self._step_sample = (after.decider.step, now)
         if before is None or before.phase is not after.decider.phase:
-            self._count(after.decider, now)
-            self._phase_since = self._sent_at = now
+            self._update_counts(after.decider, now)
+            self._phase_began_at = self._sent_at = now
         for item in after.sends:
             self._send(item.index, item.order)
 
     def _margin(self, step: int) -> int:
-        """Steps that the group makes while its ranks arm and hear the decision.
+        """Returns how many steps ahead a switch must be armed.
 
-        The rate is that since the last switch, the time twice what the last
-        arming took.
+        This is the number of steps that the group makes while its ranks arm and
+        receive the decision: the step rate since the last switch, times twice
+        the duration of the last arming.
         """
         now = self._time.monotonic()
-        last_step, last_s = self._seen_step
+        last_step, last_s = self._step_sample
         rate = (step - last_step) / (now - last_s) if step > last_step else 0.0
         return max(MIN_MARGIN_STEPS, math.ceil(rate * self._lead_s))
 
-    def _learn_lead(self, decider: switch_decider.Decider, now: float) -> None:
-        """Remembers how long arming took, and where the group was."""
-        self._lead_s = min(MAX_LEAD_S, _LEAD_RATIO * (now - self._phase_since))
-        self._seen_step = (decider.step, now)
+    def _update_lead(self, decider: switch_decider.Decider, now: float) -> None:
+        """Updates the expected arming time and the step-rate sample."""
+        self._lead_s = min(MAX_LEAD_S,
+                           _LEAD_RATIO * (now - self._phase_began_at))
+        self._step_sample = (decider.step, now)
 
-    def _count(self, decider: switch_decider.Decider, now: float) -> None:
+    def _update_counts(self, decider: switch_decider.Decider,
+                       now: float) -> None:
         if decider.phase is not switch_decider.Phase.DECIDED:
             return
         if decider.commit:
-            self._learn_lead(decider, now)
+            self._update_lead(decider, now)
             self.counts.committed += 1
             self.counts.last_ms = 1e3 * (now - self._started_at)
         else:
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -1,4 +1,4 @@
-"""Gives ranks the orders of a switch until it is done."""
+"""Runs a map switch: sends orders to the ranks until it completes."""
 
 import collections
 import dataclasses
@@ -10,20 +10,21 @@
 
 __all__ = ['MapStats', 'SwitchDriver']
 
-_MAX_PREPARE_S = 4.0
+_PREPARE_TIMEOUT_S = 4.0
 
 
 @dataclasses.dataclass
 class MapStats:
-    """What keeping ranks even has cost and brought.
+    """Statistics of rebalancing one group.
 
     Attributes:
-        switches: maps that came into use.
-        abandoned: switches that did not.
-        copies: experts copied.
-        orders: orders given to ranks, by kind.
-        skew: the mean over sets of the greatest load, as last estimated.
-        skew_seen: the same, from the choices of the last window.
+        switches: completed map switches.
+        abandoned: switches that were abandoned.
+        copies: experts copied to ranks.
+        orders: orders sent to ranks, by kind.
+        skew: estimated load of the busiest rank relative to the mean, averaged
+            over the expert sets.
+        skew_seen: the same ratio, measured over the last window.
     """
 
     switches: int = 0
@@ -36,7 +37,7 @@
 
 
 class _PhaseTimes:
-    """How long a switch has spent in each phase."""
+    """Seconds that a switch has spent in each phase."""
 
     def __init__(self, now: float) -> None:
         self.began_at = now
@@ -44,8 +45,8 @@
         self._phase = map_switch.Phase.PREPARING
         self._seconds_by_phase: dict[map_switch.Phase, float] = {}
 
-    def note(self, phase: map_switch.Phase, now: float) -> None:
-        """The switch is in a phase now."""
+    def enter(self, phase: map_switch.Phase, now: float) -> None:
+        """Records that the switch is in `phase` at time `now`."""
         if phase is self._phase:
             return
         spent_s = self._seconds_by_phase.get(self._phase, 0.0)
@@ -54,7 +55,7 @@
         self._entered_at = now
 
     def fields(self) -> dict[str, float]:
-        """What a line of the log tells."""
+        """Returns the log fields: seconds spent in each finished phase."""
         return {
             f'{phase.value}_s': round(seconds, 3)
             for phase, seconds in self._seconds_by_phase.items()
@@ -62,12 +63,23 @@
 
 
 class SwitchDriver:
-    """Carries out switches of one group."""
+    """Runs map switches of one group."""
 
     def __init__(self, *, host: str, hosts: roster.Roster,
                  view: group_view.GroupView, network: peers.PeerNetwork,
                  make_server: order_sender.RankServerFactory, time: clock.Clock,
                  log: event_log.EventLog) -> None:
+        """Initializes a driver without a switch.
+
+        Args:
+            host: this agent's host.
+            hosts: the hosts of the deployment.
+            view: the known state of the group.
+            network: sends messages to other agents.
+            make_server: creates a client for the model server at an address.
+            time: the clock.
+            log: the structured log.
+        """
         self._host = host
         self._hosts = hosts
         self._view = view
@@ -77,7 +89,7 @@
         self._log = log
         self.stats = MapStats()
 
-    def _sender(self) -> order_sender.OrderSender:
+    def _make_sender(self) -> order_sender.OrderSender:
         return order_sender.OrderSender(host=self._host,
                                         hosts=self._hosts,
                                         view=self._view,
@@ -88,30 +100,41 @@
                                         log=self._log)
 
     async def run(self, switch: map_switch.Switch) -> map_switch.Switch:
-        """Gives orders until the switch is done or abandoned."""
+        """Sends orders until the switch is done or abandoned.
+
+        Args:
+            switch: the switch, in any phase.
+
+        Returns:
+            The switch in phase DONE or ABANDONED.
+        """
         times = _PhaseTimes(self._clock.monotonic())
-        given = self.stats.orders.total()
-        async with self._sender() as sender:
+        orders_before = self.stats.orders.total()
+        async with self._make_sender() as sender:
             while True:
                 switch, orders = map_switch.advance(switch, self._view.states())
                 now = self._clock.monotonic()
-                times.note(switch.phase, now)
+                times.enter(switch.phase, now)
                 if switch.phase is map_switch.Phase.DONE:
-                    count = self.stats.orders.total() - given
-                    self._note_done(switch, now, times, count)
+                    order_count = self.stats.orders.total() - orders_before
+                    self._record_done(switch, now, times, order_count)
                     return switch
                 if (switch.phase is map_switch.Phase.ABANDONED or
                     (switch.phase is map_switch.Phase.PREPARING and
-                     now - times.began_at > _MAX_PREPARE_S)):
-                    self._note_abandoned(switch, now - times.began_at)
+                     now - times.began_at > _PREPARE_TIMEOUT_S)):
+                    self._record_abandoned(switch, now - times.began_at)
                     return dataclasses.replace(switch,
                                                phase=map_switch.Phase.ABANDONED)
                 sender.send_due(orders)
                 await sender.wait()
 
     async def query_rank(self, rank: int) -> peer_messages.RankState | None:
-        """Asks a rank's server for its state, past its agent."""
-        record = self._record(rank)
+        """Queries a rank's server for its state directly, without its agent.
+
+        Returns:
+            The state, or None when the server does not respond.
+        """
+        record = self._host_record(rank)
         if record is None:
             return None
         try:
@@ -123,16 +146,16 @@
         return state
 
     def agent_address(self, rank: int) -> str:
-        """The peer address of a rank's agent; empty when unknown."""
-        record = self._record(rank)
+        """Returns the peer address of a rank's agent; empty when unknown."""
+        record = self._host_record(rank)
         return record.peer_address if record else ''
 
-    def _record(self, rank: int) -> host_record.HostRecord | None:
+    def _host_record(self, rank: int) -> host_record.HostRecord | None:
         state = self._view.states().get(rank)
         return self._hosts.records_by_host.get(state.host) if state else None
 
-    def _note_done(self, switch: map_switch.Switch, now: float,
-                   times: _PhaseTimes, orders: int) -> None:
+    def _record_done(self, switch: map_switch.Switch, now: float,
+                     times: _PhaseTimes, orders: int) -> None:
         self.stats.switches += 1
         self._log.write(log_events.LogEvent.MAP_SWITCHED,
                         important=False,
@@ -143,7 +166,8 @@
                         orders=orders,
                         **times.fields())
 
-    def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
+    def _record_abandoned(self, switch: map_switch.Switch,
+                          took_s: float) -> None:
         self.stats.abandoned += 1
         self._log.write(log_events.LogEvent.ORDER_FAILED,
                         group=self._view.name,
--- a/pollenthread/app/switch_participant.py
+++ b/pollenthread/app/switch_participant.py
@@ -1,7 +1,7 @@
-"""A rank's part in map switches.
+"""The rank side of map switches.
 
-All that must outlast the agent is kept by the engine, so that an agent may be
-restarted at any stage.
+The engine stores all state that must survive a restart of the agent, so an
+agent may be restarted in any phase of a switch.
 """
 
 import asyncio
@@ -18,95 +18,99 @@
 
 
 class SwitchParticipant:
-    """Applies one message after the other to the rank."""
+    """Applies the orders of a coordinator to one rank, one at a time."""
 
     def __init__(self, *, index: int, engine: rank_engine.RankEngine,
                  read_group_fence: Callable[[], Awaitable[int | None]],
                  on_reply: Callable[[switch.Reply], None]) -> None:
-        """Initializes the part.
+        """Initializes a participant.
 
         Args:
             index: the rank's number in its group.
-            engine: the rank.
-            read_fence: reads the fencing number of the group's row; None when
-                the table gives no answer.
-            on_reply: takes the answer to `Prepare` once a load has ended.
+            engine: the engine of the rank.
+            read_group_fence: reads the fencing number of the group's row; None
+                when the table does not respond.
+            on_reply: receives the reply to `Prepare` when a load has finished.
         """
         self._index = index
         self._engine = engine
-        self._read_fence = read_group_fence
+        self._read_group_fence = read_group_fence
         self._on_reply = on_reply
         self._lock = asyncio.Lock()
-        self._load: asyncio.Task[None] | None = None
-        self._loading = switch.NEVER
+        self._load_task: asyncio.Task[None] | None = None
+        self._loading_id = switch.NEVER
 
     async def stop(self) -> None:
-        """Waits for no load any more."""
-        if self._load is not None:
-            self._load.cancel()
-            await asyncio.gather(self._load, return_exceptions=True)
+        """Cancels a load that is running."""
+        if self._load_task is not None:
+            self._load_task.cancel()
+            await asyncio.gather(self._load_task, return_exceptions=True)
 
     async def handle(self, order: switch.Order) -> switch.Reply | None:
-        """Carries out one order; None when there is no answer to it."""
+        """Carries out one order.
+
+        Returns:
+            The reply; None when there is none or the engine is unavailable.
+        """
         try:
             async with self._lock:
-                return await self._handle(order)
+                return await self._apply_order(order)
         except rank_engine.RankUnavailable as error:
             logging.debug('rank %d: %s', self._index, error)
             return None
 
     async def read_rank(self) -> switch.Rank | None:
-        """The rank as it is now; None when the engine gives no answer."""
+        """Reads the rank's state; None when the engine does not respond."""
         try:
             async with self._lock:
-                return await self._read()
+                return await self._read_state()
         except rank_engine.RankUnavailable:
             return None
 
-    async def _handle(self, order: switch.Order) -> switch.Reply | None:
-        rank = await self._read()
+    async def _apply_order(self, order: switch.Order) -> switch.Reply | None:
+        rank = await self._read_state()
         if rank is None:
             return None
-        after = _apply(rank, order)
-        if after.rank != rank and not await self._write(after.rank):
+        after = _apply_to_rank(rank, order)
+        if after.rank != rank and not await self._write_state(after.rank):
             if isinstance(order, switch.Arm):
                 return switch.Armed(order.id, rank.index, rank.incarnation,
                                     False)
             return None
-        self._keep_loading(after.rank)
+        self._ensure_loading(after.rank)
         return after.reply
 
-    async def _read(self) -> switch.Rank | None:
-        view = await self._engine.read()
-        if view.state:
-            return dataclasses.replace(switch_codec.decode_rank(view.state),
-                                       incarnation=view.incarnation,
-                                       step=view.step)
-        fence = await self._read_fence()
+    async def _read_state(self) -> switch.Rank | None:
+        snapshot = await self._engine.read()
+        if snapshot.state:
+            return dataclasses.replace(switch_codec.decode_rank(snapshot.state),
+                                       incarnation=snapshot.incarnation,
+                                       step=snapshot.step)
+        fence = await self._read_group_fence()
         if fence is None:
             return None
         rank = switch.Rank(index=self._index,
-                           incarnation=view.incarnation,
+                           incarnation=snapshot.incarnation,
                            fence=fence,
-                           step=view.step)
-        return rank if await self._write(rank) else None
+                           step=snapshot.step)
+        return rank if await self._write_state(rank) else None
 
-    async def _write(self, rank: switch.Rank) -> bool:
+    async def _write_state(self, rank: switch.Rank) -> bool:
         return await self._engine.write(switch_codec.encode_rank(rank),
                                         incarnation=rank.incarnation)
 
-    def _keep_loading(self, rank: switch.Rank) -> None:
-        """Starts the load of a pending switch unless it runs already."""
+    def _ensure_loading(self, rank: switch.Rank) -> None:
+        """Starts loading the pending switch's map unless that is running."""
         pending = rank.pending
         if pending is None or rank.stage is not switch.Stage.LOADING:
             return
-        runs = self._load is not None and not self._load.done()
-        if runs and self._loading == pending.id:
+        is_running = self._load_task is not None and not self._load_task.done()
+        if is_running and self._loading_id == pending.id:
             return
-        if self._load is not None:
-            self._load.cancel()
-        self._loading = pending.id
-        self._load = asyncio.create_task(self._load_weights(pending))
+        if self._load_task is not None:
+            self._load_task.cancel()
+        self._loading_id = pending.id
+        self._load_task = asyncio.create_task(self._load_weights(pending))
 
     async def _load_weights(self, pending: switch.Change) -> None:
         try:
@@ -117,11 +121,12 @@
             ok = False
         try:
             async with self._lock:
-                rank = await self._read()
+                rank = await self._read_state()
                 if rank is None:
                     return
                 after = switch_rank.on_loaded(rank, pending.id, ok=ok)
-                if after.rank != rank and not await self._write(after.rank):
+                if after.rank != rank and not await self._write_state(after.rank
+                                                                     ):
                     return
         except rank_engine.RankUnavailable as error:
             logging.debug('rank %d: %s', self._index, error)
@@ -130,7 +135,8 @@
             self._on_reply(after.reply)
 
 
-def _apply(rank: switch.Rank, order: switch.Order) -> switch_rank.RankResult:
+def _apply_to_rank(rank: switch.Rank,
+                   order: switch.Order) -> switch_rank.RankResult:
     match order:
         case switch.Query():
             return switch_rank.on_query(rank, order)
