Name the order issuer and the group coordinator after their roles

OrderProcessor and SwitchCoordinator become OrderIssuer and GroupCoordinator: the first is the issuing side of orders, the second would share its name with the pure switch logic in core/.

--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -12,7 +12,7 @@
 import result
 
 from pollenthread.adapters import http_server
-from pollenthread.app import (validation_errors, order_processor, order_journal, peers as
+from pollenthread.app import (validation_errors, order_issuer, order_journal, peers as
                               peers_module, targets_document)
 from pollenthread.core import errors, messages, orders
 from pollenthread.ports import table
@@ -31,7 +31,7 @@
     """Takes orders in and shows how they ended."""
 
     def __init__(self, *, journal: order_journal.OrderJournal,
-                 desk: order_processor.OrderProcessor, peers: peers_module.Peers) -> None:
+                 desk: order_issuer.OrderIssuer, peers: peers_module.Peers) -> None:
         self._journal = journal
         self._desk = desk
         self._peers = peers
--- a/pollenthread/app/switch_coordinator.py
+++ b/pollenthread/app/group_coordinator.py
@@ -14,7 +14,7 @@
 from pollenthread.ports import clock, table
 
 __all__ = [
-    'GroupRow', 'SwitchCounts', 'SwitchCoordinator', 'group_key', 'parse_row',
+    'GroupRow', 'SwitchCounts', 'GroupCoordinator', 'group_key', 'parse_row',
     'wanted_key'
 ]
 
@@ -73,7 +73,7 @@
     return GroupRow(**json.loads(value))
 
 
-class SwitchCoordinator:
+class GroupCoordinator:
     """Runs the map switches of one group.
 
     It is active as long as its fencing number is the highest in the table.
--- a/pollenthread/app/group_member.py
+++ b/pollenthread/app/group_member.py
@@ -14,7 +14,7 @@
 
 from absl import logging
 
-from pollenthread.app import (switch_codec, switch_coordinator,
+from pollenthread.app import (switch_codec, group_coordinator,
                               switch_participant)
 from pollenthread.core import messages, switch, switch_rank
 from pollenthread.ports import clock, link as link_port, rank_engine, table
@@ -83,10 +83,10 @@
             engine=engine,
             read_group_fence=self._read_fence,
             on_reply=self._send_to_coordinator)
-        self._coordinator: switch_coordinator.SwitchCoordinator | None = None
+        self._coordinator: group_coordinator.GroupCoordinator | None = None
         self._local_orders: asyncio.Queue[switch.Order] = asyncio.Queue()
         if identity.index == _COORDINATOR_RANK:
-            self._coordinator = switch_coordinator.SwitchCoordinator(
+            self._coordinator = group_coordinator.GroupCoordinator(
                 group=identity.group,
                 size=identity.size,
                 table_service=table_service,
@@ -235,11 +235,11 @@
 
     async def _read_fence(self) -> int | None:
         read = await self._table.get(
-            switch_coordinator.group_key(self._identity.group))
+            group_coordinator.group_key(self._identity.group))
         if read.is_err():
             return None
         row = read.unwrap()
-        return 0 if row is None else switch_coordinator.parse_row(
+        return 0 if row is None else group_coordinator.parse_row(
             row.value).fence
 
     def _send_order(self, index: int, order: switch.Order) -> None:
--- a/pollenthread/app/order_processor.py
+++ b/pollenthread/app/order_issuer.py
@@ -1,4 +1,4 @@
-"""Processes the orders of the duties that this entry host holds.
+"""Issues the orders of the duties that this entry host holds.
 
 Orders are read from the table, numbered, journalled and sent to the agents of
 their hosts. Their results are recorded in the journal.
@@ -18,14 +18,14 @@
 from pollenthread.core import messages, orders, signing
 from pollenthread.ports import link as link_port, table
 
-__all__ = ['OrderProcessor']
+__all__ = ['OrderIssuer']
 
 _RUN_INTERVAL_S = 1.0
 _MAX_JOURNAL_ROWS = 64
 
 
-class OrderProcessor:
-    """Processes orders from submission to their recorded results.
+class OrderIssuer:
+    """Issues submitted orders and records their results.
 
     Attributes:
         ended_by_state: number of orders that ended here, by final state.
@@ -36,7 +36,7 @@
                  peers: peers_module.Peers,
                  directory: directory_module.Directory,
                  keys: signing.KeyRing) -> None:
-        """Initializes a processor.
+        """Initializes an issuer.
 
         Args:
             leases: the leases of this host's duties; its acquire callback is
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -12,7 +12,7 @@
                                    table_http)
 from pollenthread.app import (claim_keeper, claim_sweeper, config_distributor,
                               config_store, directory, gateway, heartbeats,
-                              lease_manager, order_processor, order_journal, peers as
+                              lease_manager, order_issuer, order_journal, peers as
                               peers_module, pool as pool_module, write_batcher)
 from pollenthread.core import ids, membership, messages, orders
 from pollenthread.roles import bookkeeping, process
@@ -82,7 +82,7 @@
             incarnation=self._hello.incarnation,
             duties=(*orders.all_duties(), claim_sweeper.SWEEP_DUTY))
         self._journal = order_journal.OrderJournal(table_service=table)
-        self._desk = order_processor.OrderProcessor(leases=self._leases,
+        self._desk = order_issuer.OrderIssuer(leases=self._leases,
                                           journal=self._journal,
                                           pool=self._pool,
                                           peers=self._peers,
--- a/tests/fakes/rank_system.py
+++ b/tests/fakes/rank_system.py
@@ -12,7 +12,7 @@
 import yaml
 
 from pollenthread.adapters import http_client, table_http
-from pollenthread.app import switch_coordinator
+from pollenthread.app import group_coordinator
 from tests.fakes import system as system_module
 
 __all__ = ['GROUP', 'RankSystem']
@@ -114,7 +114,7 @@
 
     async def want(self, version: int) -> None:
         """Names the map that the group shall use."""
-        key = switch_coordinator.wanted_key(GROUP)
+        key = group_coordinator.wanted_key(GROUP)
         row = (await self.table.get(key)).unwrap()
         value = json.dumps({'map_version': version}).encode()
         written = await self.table.put(key,
