--- a/pollenthread/app/account_reader.py
+++ b/pollenthread/app/account_reader.py
@@ -1,4 +1,4 @@
-"""Reads the account of some time from the table."""
+"""Reads the request counts of a period from the table."""
 
 from collections.abc import Callable
 
@@ -11,32 +11,41 @@
 
 __all__ = ['AccountReader']
 
-_DAY_S = 86_400
-_SILENT_INTERVALS = 3
+_SECONDS_PER_DAY = 86_400
+_MAX_MISSED_INTERVALS = 3
 
 
 class AccountReader:
-    """Adds up the rows of all entry hosts."""
+    """Sums the account rows of all entry hosts."""
 
     def __init__(self, *, table_service: table.TableService,
                  wall: Callable[[], float], interval_s: float) -> None:
+        """Initializes a reader.
+
+        Args:
+            table_service: the table with the rows.
+            wall: returns the wall-clock time in Unix seconds.
+            interval_s: the seconds between two rows of a host.
+        """
         self._table = table_service
         self._wall = wall
         self._interval_s = interval_s
 
     async def read(self, *,
                    days: int) -> result.Result[ledger.Ledger, table.TableFault]:
-        """The account of today and the days before it.
+        """Returns the counts of today and the preceding days (UTC).
+
+        Rows of the day before are read too, as they may end in the period.
 
         Args:
-            days: how many days, today included.
+            days: the number of days, today included.
         """
         now_s = self._wall()
-        midnight_s = now_s - now_s % _DAY_S
-        from_s = midnight_s - (days - 1) * _DAY_S
+        midnight_s = now_s - now_s % _SECONDS_PER_DAY
+        from_s = midnight_s - (days - 1) * _SECONDS_PER_DAY
         rows: list[ledger.Interval] = []
         for number in range(-1, days):
-            day = account_rows.day_of(from_s + number * _DAY_S)
+            day = account_rows.day_of(from_s + number * _SECONDS_PER_DAY)
             found = await self._table.scan(account_rows.day_prefix(day))
             if isinstance(found, result.Err):
                 return found
@@ -44,16 +53,16 @@
         return result.Ok(
             ledger.settle(rows,
                           now_s=now_s,
-                          silence_s=self._interval_s * _SILENT_INTERVALS,
+                          silence_s=self._interval_s * _MAX_MISSED_INTERVALS,
                           from_s=from_s))
 
 
 def _decode(rows: list[table.Row]) -> list[ledger.Interval]:
-    """Reads rows; one that cannot be read is left out and shows as a gap."""
+    """Decodes rows; omits invalid ones, which then appear as gaps."""
     decoded = []
     for row in rows:
         try:
             decoded.append(account_rows.decode(row.value))
         except ValueError as error:
-            logging.error('account row key=%s error=%s', row.key, error)
+            logging.error('invalid account row key=%s error=%s', row.key, error)
     return decoded
--- a/pollenthread/app/account_rows.py
+++ b/pollenthread/app/account_rows.py
@@ -1,4 +1,4 @@
-"""Rows of the account as the table holds them."""
+"""Encodes the request counts of an interval as table rows."""
 
 import datetime
 from typing import Annotated, Literal
@@ -13,7 +13,7 @@
 
 
 class _CountsRow(pydantic.BaseModel):
-    """Counts of one workspace and class; zeros are left out."""
+    """Counts of one workspace `w` and class `c`; zeros are not stored."""
 
     model_config = pydantic.ConfigDict(extra='forbid', strict=True)
 
@@ -32,7 +32,7 @@
 
 
 class _IntervalRow(pydantic.BaseModel):
-    """One row."""
+    """The stored form of `ledger.Interval`."""
 
     model_config = pydantic.ConfigDict(extra='forbid', strict=True)
 
@@ -48,24 +48,24 @@
 
 
 def day_of(at_s: float) -> str:
-    """The day, in UTC, of a time in Unix seconds."""
+    """Returns the UTC day, as YYYY-MM-DD, of a time in Unix seconds."""
     moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
     return moment.strftime('%Y-%m-%d')
 
 
 def day_prefix(day: str) -> str:
-    """What the keys of a day's rows begin with."""
+    """Returns the key prefix of the rows of a day."""
     return f'account/intervals/{day}/'
 
 
 def row_key(row: ledger.Interval) -> str:
-    """The key of a row: the same row always has the same key."""
+    """Returns the key of a row, which depends only on its content."""
     return (f'{day_prefix(day_of(row.began_s))}{row.host}/{row.incarnation}/'
             f'{row.first:08d}-{row.last:08d}')
 
 
 def encode(row: ledger.Interval) -> bytes:
-    """The bytes of a row."""
+    """Encodes a row."""
     return _IntervalRow(host=row.host,
                         incarnation=row.incarnation,
                         first=row.first,
@@ -74,12 +74,12 @@
                         ended_s=row.ended_s,
                         is_final=row.is_final,
                         counts=[
-                            _counts_row(key, counts)
+                            _encode_counts(key, counts)
                             for key, counts in sorted(row.counts_by_key.items())
                         ]).model_dump_json(exclude_defaults=True).encode()
 
 
-def _counts_row(key: account.TallyKey, counts: account.Counts) -> _CountsRow:
+def _encode_counts(key: account.TallyKey, counts: account.Counts) -> _CountsRow:
     names = account.Counts.names()
     return _CountsRow(w=key.workspace,
                       c=key.work_class,
@@ -87,10 +87,10 @@
 
 
 def decode(data: bytes) -> ledger.Interval:
-    """Reads what `encode` wrote.
+    """Decodes the result of `encode`.
 
     Raises:
-        ValueError: it is not a row.
+        ValueError: the data is not a valid row.
     """
     row = _IntervalRow.model_validate_json(data)
     return ledger.Interval(host=row.host,
@@ -101,11 +101,11 @@
                            ended_s=row.ended_s,
                            is_final=row.is_final,
                            counts_by_key={
-                               account.TallyKey(item.w, item.c): _counts(item)
-                               for item in row.counts
+                               account.TallyKey(item.w, item.c):
+                                   _decode_counts(item) for item in row.counts
                            })
 
 
-def _counts(item: _CountsRow) -> account.Counts:
+def _decode_counts(item: _CountsRow) -> account.Counts:
     return account.Counts(
         **{name: getattr(item, name) for name in account.Counts.names()})
--- a/pollenthread/app/account_writer.py
+++ b/pollenthread/app/account_writer.py
@@ -1,9 +1,9 @@
-"""Hands an entry host's counts to the table, interval by interval.
+"""Writes the request counts of an entry host to the table, a row per interval.
 
-Each row has a key of its own and is written only if it is absent, so that it
-may be sent again. While the table does not answer, one row waits unchanged and
-all later counts gather in the next one: nothing is lost while the process
-lives, and what waits does not grow with time.
+Each row has its own key and is written only if it is absent, so a write may be
+repeated. While the table does not respond, one row waits unchanged and all
+later counts are added to the next row. No counts are lost while the process
+runs, and the number of waiting rows does not grow.
 """
 
 import asyncio
@@ -19,14 +19,19 @@
 
 __all__ = ['AccountWriter']
 
-_FOLD_ROWS = 60
-_FINISH_PAUSE_S = 0.2
+_MERGE_ROWS = 60
+_FINISH_RETRY_S = 0.2
 
-_Written = tuple[ledger.Interval, int]
+_WrittenRow = tuple[ledger.Interval, int]
 
 
 class AccountWriter:
-    """Owns the rows of one start of an entry host."""
+    """Writes the rows of one incarnation of an entry host.
+
+    Attributes:
+        written_at_s: Unix seconds of the last successful write, or None.
+        faults: number of failed table calls, by error.
+    """
 
     def __init__(self,
                  *,
@@ -37,7 +42,19 @@
                  time: clock.Clock,
                  wall: Callable[[], float],
                  interval_s: float,
-                 merge_rows: int = _FOLD_ROWS) -> None:
+                 merge_rows: int = _MERGE_ROWS) -> None:
+        """Initializes a writer that has written nothing.
+
+        Args:
+            table_service: the table with the rows.
+            tally: the counts since the last row.
+            host: this host.
+            incarnation: identifies this start of the process.
+            time: the clock.
+            wall: returns the wall-clock time in Unix seconds.
+            interval_s: the seconds between two rows.
+            merge_rows: the number of rows of one day that are merged into one.
+        """
         self._table = table_service
         self._tally = tally
         self._host = host
@@ -45,55 +62,72 @@
         self._time = time
         self._wall = wall
         self._interval_s = interval_s
-        self._fold_rows = merge_rows
-        self._next = 0
+        self._merge_rows = merge_rows
+        self._next_number = 0
         self._began_s = wall()
         self._pending: ledger.Interval | None = None
-        self._written: list[_Written] = []
-        self._folding: list[_Written] = []
+        self._written: list[_WrittenRow] = []
+        self._rows_in_merge: list[_WrittenRow] = []
         self._lock = asyncio.Lock()
         self.written_at_s: float | None = None
         self.faults = collections.Counter[table.TableFault]()
 
     async def run(self) -> None:
-        """Hands counts over until cancelled; the first row says hello."""
+        """Writes a row per interval until cancelled.
+
+        The first row is written at once and announces the incarnation.
+        """
         while True:
             await self.flush()
             await self._time.sleep(self._interval_s)
 
     async def finish(self, timeout_s: float) -> bool:
-        """Hands over the rest and says that nothing more will come."""
+        """Writes the remaining counts in a row that is marked as final.
+
+        Args:
+            timeout_s: the seconds after which to give up.
+
+        Returns:
+            Whether the final row was written.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 while not await self.flush(is_final=True):
-                    await asyncio.sleep(_FINISH_PAUSE_S)
+                    await asyncio.sleep(_FINISH_RETRY_S)
             return True
         except TimeoutError:
-            logging.warning('account not handed over host=%s', self._host)
+            logging.warning('final account row not written host=%s', self._host)
             return False
 
     async def flush(self, *, is_final: bool = False) -> bool:
-        """Writes what there is; whether the last count is in the table."""
+        """Writes the counts since the last row.
+
+        Args:
+            is_final: whether no more rows will follow.
+
+        Returns:
+            Whether all counts are in the table.
+        """
         async with self._lock:
             if self._pending is not None and not await self._write_pending():
                 return False
-            self._pending = self._cut(is_final)
+            self._pending = self._make_row(is_final)
             if not await self._write_pending():
                 return False
-            await self._fold()
+            await self._merge()
             return True
 
-    def _cut(self, is_final: bool) -> ledger.Interval:
+    def _make_row(self, is_final: bool) -> ledger.Interval:
         now_s = max(self._wall(), self._began_s)
         row = ledger.Interval(host=self._host,
                               incarnation=self._incarnation,
-                              first=self._next,
-                              last=self._next,
+                              first=self._next_number,
+                              last=self._next_number,
                               began_s=self._began_s,
                               ended_s=now_s,
                               is_final=is_final,
                               counts_by_key=self._tally.take())
-        self._next += 1
+        self._next_number += 1
         self._began_s = now_s
         return row
 
@@ -116,36 +150,39 @@
         self.written_at_s = self._wall()
         return True
 
-    async def _fold(self) -> None:
-        """Replaces many rows of a day by one, in one transaction."""
-        if not self._folding:
-            self._folding = self._rows_to_fold()
-        if not self._folding:
+    async def _merge(self) -> None:
+        """Replaces rows of one day by a merged row, in one transaction."""
+        if not self._rows_in_merge:
+            self._rows_in_merge = self._rows_to_merge()
+        if not self._rows_in_merge:
             return
-        folded = ledger.fold([row for row, _ in self._folding])
-        new = table.Write(account_rows.row_key(folded),
-                          account_rows.encode(folded), table.ABSENT)
+        merged = ledger.fold([row for row, _ in self._rows_in_merge])
+        new = table.Write(account_rows.row_key(merged),
+                          account_rows.encode(merged), table.ABSENT)
         old = [
             table.Write(account_rows.row_key(row), None, version)
-            for row, version in self._folding
+            for row, version in self._rows_in_merge
         ]
-        done = await self._table.commit([new, *old])
-        if isinstance(done, result.Err):
-            self.faults[done.err_value] += 1
+        committed = await self._table.commit([new, *old])
+        if isinstance(committed, result.Err):
+            self.faults[committed.err_value] += 1
             found = await self._table.get(new.key)
             if isinstance(found, result.Err) or found.ok_value is None:
                 return
-        del self._written[:len(self._folding)]
-        self._folding = []
+        del self._written[:len(self._rows_in_merge)]
+        self._rows_in_merge = []
+
+    def _rows_to_merge(self) -> list[_WrittenRow]:
+        """Returns the rows of the oldest day if they should be merged.
 
-    def _rows_to_fold(self) -> list[_Written]:
-        """The oldest rows of one day, if they are enough or the day is over."""
+        They are merged when there are enough of them or the day is over.
+        """
         if not self._written:
             return []
         days = [account_rows.day_of(row.began_s) for row, _ in self._written]
         count = days.count(days[0])
         is_over = days[-1] != days[0]
-        if count >= self._fold_rows or (is_over and count > 1):
+        if count >= self._merge_rows or (is_over and count > 1):
             return self._written[:count]
         if is_over:
             del self._written[0]
--- a/pollenthread/app/administration.py
+++ b/pollenthread/app/administration.py
@@ -1,4 +1,4 @@
-"""What operators can see and change, with the rights of each checked."""
+"""Operations of the administration API, with permission checks."""
 
 import copy
 import dataclasses
@@ -17,18 +17,22 @@
 
 _REBASE_ATTEMPTS = 5
 _MAX_DAYS = 31
-_DAY_S = 86_400
-_EMPTY: dict[str, Any] = {'workspaces': {}}
+_SECONDS_PER_DAY = 86_400
+_EMPTY_DOCUMENT: dict[str, Any] = {'workspaces': {}}
 
 _Document = dict[str, Any]
 
 
 class RequestRefused(Exception):
-    """The operator's request is refused."""
+    """The operator's request is refused.
 
-    def __init__(self, problem: errors.Failure) -> None:
-        super().__init__(problem.detail)
-        self.failure = problem
+    Attributes:
+        failure: the error that the operator is sent.
+    """
+
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
 
 
 def _refuse(kind: errors.Kind, detail: str = '') -> RequestRefused:
@@ -36,21 +40,35 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Version:
-    """A version as it is in the table."""
+class _NumberedDocument:
+    """A version of the targets document."""
 
     number: int
     document: _Document
 
 
 class Administration:
-    """Serves operators at one entry host."""
+    """Serves the requests of operators at one entry host.
+
+    All operations raise `RequestRefused` if the operator lacks a permission,
+    the arguments are invalid or the table fails.
+    """
 
     def __init__(self, *, store: config_store.ConfigStore,
                  accounts: account_reader.AccountReader,
                  costs: cost_store.CostStore, status: Callable[[], _Document],
                  wall: Callable[[], float],
                  find_trace: Callable[[str], list[_Document] | None]) -> None:
+        """Initializes the operations.
+
+        Args:
+            store: the versions of the configuration.
+            accounts: reads the request counts.
+            costs: reads the cost rows.
+            status: returns the status document of this host.
+            wall: returns the wall-clock time in Unix seconds.
+            find_trace: returns the spans of a trace by its id, or None.
+        """
         self._store = store
         self._accounts = accounts
         self._costs = costs
@@ -59,7 +77,10 @@
         self._find_trace = find_trace
 
     def status(self, operator: operators.Operator) -> _Document:
-        """What this host knows; only the version for a workspace's operator."""
+        """Returns the status of this host.
+
+        Operators of single workspaces only get the configuration version.
+        """
         if operator.sees_all:
             return self._status()
         return {
@@ -68,7 +89,7 @@
         }
 
     async def config(self, operator: operators.Operator) -> _Document:
-        """The newest version, as far as the operator may see it."""
+        """Returns the parts of the newest version that the operator may see."""
         newest = await self._newest()
         return {
             'version': newest.number,
@@ -77,7 +98,7 @@
 
     async def config_version(self, operator: operators.Operator,
                              version: int) -> _Document:
-        """One version, as far as the operator may see it."""
+        """Returns the parts of a version that the operator may see."""
         stored = await self._read(version)
         return {
             'version': stored.version,
@@ -87,10 +108,14 @@
 
     async def history(self, operator: operators.Operator,
                       limit: int) -> list[_Document]:
-        """The audit record: who changed what, from which version.
+        """Returns the audit record: author, version and changes of each change.
 
-        It is worked out from the versions themselves, so that it cannot
-        differ from what was put in force.
+        It is computed from the stored versions, so it cannot differ from what
+        was applied.
+
+        Args:
+            operator: the operator; only changes that it may see are included.
+            limit: how many entries to return at most, newest first.
         """
         newest = await self._newest()
         entries: list[_Document] = []
@@ -99,7 +124,8 @@
             before = await self._store.read(after.version - 1)
             changes = document_diff.changes(
                 operators.visible(
-                    operator, _EMPTY if before is None else before.document),
+                    operator,
+                    _EMPTY_DOCUMENT if before is None else before.document),
                 operators.visible(operator, after.document))
             if changes:
                 entries.append(_audit_entry(after, changes))
@@ -108,7 +134,7 @@
 
     async def diff(self, operator: operators.Operator, older: int,
                    newer: int) -> list[_Document]:
-        """What differs between two versions."""
+        """Returns the differences between two versions."""
         before, after = await self._read(older), await self._read(newer)
         return [
             dataclasses.asdict(change) for change in document_diff.changes(
@@ -118,25 +144,28 @@
 
     async def put_config(self, operator: operators.Operator,
                          document: _Document, base: int) -> _Document:
-        """Publishes a whole document."""
+        """Publishes a whole document as the version after `base`."""
         _require_all(operator)
         return await self._publish(operator, document, base)
 
     async def put_workspace(self, operator: operators.Operator, workspace: str,
                             document: _Document, base: int) -> _Document:
-        """Publishes one workspace; changes of others are no conflict."""
+        """Publishes one workspace.
+
+        Only changes of the same workspace since `base` are a conflict.
+        """
         if not operator.sees(workspace):
             raise _refuse(errors.Kind.NOT_PERMITTED)
-        _require_change(operator)
-        started_from = (_EMPTY if base == 0 else
+        _require_may_change(operator)
+        started_from = (_EMPTY_DOCUMENT if base == 0 else
                         (await self._read(base)).document)
 
         def change(newest: _Document) -> _Document:
-            mine = started_from.get('workspaces', {}).get(workspace)
-            theirs = newest.get('workspaces', {}).get(workspace)
-            if mine != theirs:
+            before = started_from.get('workspaces', {}).get(workspace)
+            after = newest.get('workspaces', {}).get(workspace)
+            if before != after:
                 raise _refuse(errors.Kind.CONFLICT,
-                              _changes_text(mine or {}, theirs or {}))
+                              _changes_text(before or {}, after or {}))
             newest.setdefault('workspaces', {})[workspace] = document
             return newest
 
@@ -144,14 +173,14 @@
 
     async def roll_back(self, operator: operators.Operator, to_version: int,
                         base: int) -> _Document:
-        """Publishes an old document as a new version."""
+        """Publishes the document of an old version as a new version."""
         _require_all(operator)
         stored = await self._read(to_version)
         return await self._publish(operator, stored.document, base)
 
     async def drain(self, operator: operators.Operator, host: str, *,
                     is_draining: bool) -> _Document:
-        """Takes a host out of service, or back, as a new version."""
+        """Publishes a version in which a host drains, or no longer does."""
         _require_all(operator)
 
         def change(newest: _Document) -> _Document:
@@ -164,31 +193,38 @@
 
     async def report(self, operator: operators.Operator,
                      days: int) -> _Document:
-        """The account of today and the days before."""
+        """Returns the account of today and the preceding days.
+
+        Args:
+            operator: the operator; only its workspaces are included.
+            days: the number of days, today included.
+        """
         if not 1 <= days <= _MAX_DAYS:
             raise _refuse(errors.Kind.BAD_HEADER,
                           f'days must be between 1 and {_MAX_DAYS}.')
-        book = _unwrap(await self._accounts.read(days=days))
+        counts = _unwrap(await self._accounts.read(days=days))
         last_s = self._wall()
-        names = [
-            account_rows.day_of(last_s - number * _DAY_S)
+        days_in_report = [
+            account_rows.day_of(last_s - number * _SECONDS_PER_DAY)
             for number in range(days - 1, -1, -1)
         ]
         rows = [
-            row for day in names for row in _unwrap(await self._costs.read(day))
+            row for day in days_in_report
+            for row in _unwrap(await self._costs.read(day))
         ]
-        made = report_module.build(book=book,
-                                   costs=tuple(rows),
-                                   orders=(),
-                                   current=self._store.current,
-                                   days=(names[0], names[-1]),
-                                   workspaces=operator.workspaces)
-        return report_document.to_document(made)
+        report = report_module.build(book=counts,
+                                     costs=tuple(rows),
+                                     orders=(),
+                                     current=self._store.current,
+                                     days=(days_in_report[0],
+                                           days_in_report[-1]),
+                                     workspaces=operator.workspaces)
+        return report_document.to_document(report)
 
     def trace(self, operator: operators.Operator,
               trace_id: str) -> list[_Document]:
-        """The spans of one request that this host keeps."""
-        _require_sight(operator)
+        """Returns the spans of one trace that this host has stored."""
+        _require_sees_all(operator)
         spans = self._find_trace(trace_id)
         if spans is None:
             raise _refuse(
@@ -197,13 +233,13 @@
                 'or another entry host served it.')
         return spans
 
-    async def _newest(self) -> _Version:
+    async def _newest(self) -> _NumberedDocument:
         if not await self._store.refresh():
             raise _refuse(errors.Kind.TABLE_UNAVAILABLE)
         number = self._store.version
         if number == 0:
-            return _Version(0, copy.deepcopy(_EMPTY))
-        return _Version(number, (await self._read(number)).document)
+            return _NumberedDocument(0, copy.deepcopy(_EMPTY_DOCUMENT))
+        return _NumberedDocument(number, (await self._read(number)).document)
 
     async def _read(self, version: int) -> config_store.StoredVersion:
         stored = await self._store.read(version)
@@ -214,8 +250,8 @@
 
     async def _rebase(self, operator: operators.Operator,
                       change: Callable[[_Document], _Document]) -> _Document:
-        """Makes the change to the newest version, whoever else publishes."""
-        problem = errors.failure(errors.Kind.CONFLICT)
+        """Applies a change to the newest version; retries after conflicts."""
+        failure = errors.failure(errors.Kind.CONFLICT)
         for _ in range(_REBASE_ATTEMPTS):
             newest = await self._newest()
             document = change(copy.deepcopy(newest.document))
@@ -224,50 +260,51 @@
             try:
                 return await self._publish(operator, document, newest.number)
             except RequestRefused as refused:
-                problem = refused.failure
-                if problem.kind is not errors.Kind.CONFLICT:
+                failure = refused.failure
+                if failure.kind is not errors.Kind.CONFLICT:
                     raise
-        raise RequestRefused(problem)
+        raise RequestRefused(failure)
 
     async def _publish(self, operator: operators.Operator, document: _Document,
                        base: int) -> _Document:
         try:
-            done = await self._store.publish(document,
-                                             author=operator.name,
-                                             base=base)
+            published = await self._store.publish(document,
+                                                  author=operator.name,
+                                                  base=base)
         except targets_document.InvalidDocument as invalid:
             raise _refuse(errors.Kind.INVALID_TARGETS,
                           str(invalid)) from invalid
-        if isinstance(done, result.Ok):
-            return {'version': done.ok_value}
-        fault = done.err_value
+        if isinstance(published, result.Ok):
+            return {'version': published.ok_value}
+        fault = published.err_value
         if isinstance(fault, table.TableFault):
             raise RequestRefused(_table_failure(fault))
         raise RequestRefused(await self._conflict(base))
 
     async def _conflict(self, base: int) -> errors.Failure:
         newest = await self._newest()
-        before = _EMPTY if base == 0 else (await self._store.read(base))
-        old = before.document if isinstance(
-            before, config_store.StoredVersion) else _EMPTY
+        before = _EMPTY_DOCUMENT if base == 0 else (await
+                                                    self._store.read(base))
+        base_document = before.document if isinstance(
+            before, config_store.StoredVersion) else _EMPTY_DOCUMENT
         return errors.failure(
             errors.Kind.CONFLICT, f'Version {newest.number} is newer than '
-            f'{base}: {_changes_text(old, newest.document)}')
+            f'{base}: {_changes_text(base_document, newest.document)}')
 
 
-def _require_sight(operator: operators.Operator) -> None:
+def _require_sees_all(operator: operators.Operator) -> None:
     if not operator.sees_all:
         raise _refuse(errors.Kind.NOT_PERMITTED)
 
 
-def _require_change(operator: operators.Operator) -> None:
+def _require_may_change(operator: operators.Operator) -> None:
     if not operator.may_change:
         raise _refuse(errors.Kind.NOT_PERMITTED)
 
 
 def _require_all(operator: operators.Operator) -> None:
-    _require_sight(operator)
-    _require_change(operator)
+    _require_sees_all(operator)
+    _require_may_change(operator)
 
 
 def _audit_entry(stored: config_store.StoredVersion,
--- a/pollenthread/app/config_distributor.py
+++ b/pollenthread/app/config_distributor.py
@@ -1,7 +1,8 @@
-"""Brings the newest configuration to every entry host.
+"""Distributes the newest configuration to all entry hosts.
 
-A few hosts of each data centre read the table. The others ask hosts that they
-have links to. A host whose proof grows old reads the table itself.
+A few hosts of each data centre poll the table. The others ask hosts that they
+are linked to. A host without a recent proof that its version is the newest
+reads the table itself.
 """
 
 import random
@@ -15,24 +16,34 @@
 
 __all__ = ['ConfigDistributor']
 
-_JITTER = 0.2
-_ASKED_AT_ONCE = 2
+_JITTER_RATIO = 0.2
+_MAX_PEERS_ASKED = 2
 _MS_PER_S = 1000
 
 
 class ConfigDistributor:
-    """Asks, answers and announces versions over links."""
+    """Requests, serves and announces versions over links."""
 
     def __init__(self, *, store: config_store.ConfigStore,
                  peers: peers_module.Peers,
                  directory: directory_module.Directory, time: clock.Clock,
                  rng: random.Random) -> None:
+        """Initializes a distributor and subscribes to its messages.
+
+        Args:
+            store: the configuration of this host; its apply callback is set
+                here.
+            peers: links to the other entry hosts.
+            directory: the hosts that poll the table.
+            time: the clock.
+            rng: adds jitter and selects the hosts to ask.
+        """
         self._store = store
         self._peers = peers
         self._directory = directory
         self._time = time
-        self._draw = rng
-        self._asks = 0
+        self._rng = rng
+        self._ask_count = 0
         self._asked_at_by_seq: dict[int, float] = {}
         store.on_apply = self._announce
         peers.subscribe(messages.ConfigAsk, self._on_ask)
@@ -41,14 +52,14 @@
         peers.subscribe(messages.Ping, self._on_ping)
 
     async def run(self) -> None:
-        """Keeps the version in force current until cancelled."""
+        """Keeps the applied version current until cancelled."""
         while True:
             await self.run_once()
-            spread = 1 + _JITTER * (2 * self._draw.random() - 1)
-            await self._time.sleep(versions.POLLER_INTERVAL_S * spread)
+            jitter = 1 + _JITTER_RATIO * (2 * self._rng.random() - 1)
+            await self._time.sleep(versions.POLLER_INTERVAL_S * jitter)
 
     async def run_once(self) -> None:
-        """Asks peers, and reads the table if it is this host's turn."""
+        """Asks peers, and reads the table if this host should poll."""
         for link in self._links_to_ask():
             self._ask(link)
         if versions.should_poll(self._store.freshness,
@@ -64,19 +75,19 @@
             if host in links_by_host
         ]
         rest = list(links_by_host.values())
-        self._draw.shuffle(rest)
-        return (chosen + rest)[:_ASKED_AT_ONCE]
+        self._rng.shuffle(rest)
+        return (chosen + rest)[:_MAX_PEERS_ASKED]
 
     def _ask(self, link: link_port.Link) -> None:
-        self._asks += 1
+        self._ask_count += 1
         now = self._time.monotonic()
         self._asked_at_by_seq = {
             seq: at
             for seq, at in self._asked_at_by_seq.items()
             if now - at < versions.PROOF_LIMIT_S
         }
-        self._asked_at_by_seq[self._asks] = now
-        _send(link, messages.ConfigAsk(self._asks, self._store.version))
+        self._asked_at_by_seq[self._ask_count] = now
+        _send(link, messages.ConfigAsk(self._ask_count, self._store.version))
 
     def _on_ask(self, link: link_port.Link, ask: messages.ConfigAsk) -> None:
         stored = self._store.stored
@@ -103,7 +114,8 @@
                 self._store.apply(
                     config_store.StoredVersion.from_bytes(give.document))
             except ValueError as error:
-                logging.error('a peer sent a malformed version: %s', error)
+                logging.error('invalid configuration version from a peer: %s',
+                              error)
                 return
         if give.is_proved:
             proved_at = versions.proof_from_peer(asked_at=asked_at,
@@ -111,12 +123,12 @@
             self._store.confirm_newest(give.version, proved_at)
 
     def _on_news(self, link: link_port.Link, news: messages.ConfigNews) -> None:
-        self._close_gap(link, news.version)
+        self._ask_if_newer(link, news.version)
 
     def _on_ping(self, link: link_port.Link, ping: messages.Ping) -> None:
-        self._close_gap(link, ping.config_version)
+        self._ask_if_newer(link, ping.config_version)
 
-    def _close_gap(self, link: link_port.Link, announced: int) -> None:
+    def _ask_if_newer(self, link: link_port.Link, announced: int) -> None:
         if versions.must_fetch(self._store.version, announced):
             self._ask(link)
 
--- a/pollenthread/app/config_store.py
+++ b/pollenthread/app/config_store.py
@@ -1,8 +1,8 @@
-"""Versions of the targets in the table, and the one in force here.
+"""Stores versions of the targets in the table and applies the newest here.
 
-The row `config/head` names the newest version. Publishing writes the head and
-the version's own row in one transaction, so that of two operators at once one
-gets a conflict.
+The row `config/head` contains the number of the newest version. Publishing
+writes the head and the row of the version in one transaction, so when two
+operators publish at the same time, one of them gets a conflict.
 """
 
 import dataclasses
@@ -23,18 +23,19 @@
 __all__ = ['ConfigStore', 'VersionConflict', 'StoredVersion']
 
 _HEAD_KEY = 'config/head'
-_HISTORY_KEPT = 256
+_MAX_VERSIONS = 256
 _TOKEN_BYTES = 6
 
 
 class StoredVersion(pydantic.BaseModel):
-    """One version as its row holds it.
+    """One version of the targets, as stored in its row.
 
     Attributes:
-        version: rises by one with each change.
-        author: who published it.
-        document: the document of targets.
-        token: unique to one call of `publish`.
+        version: the version number; each change increments it by one.
+        author: the name of the operator who published it.
+        document: the targets document.
+        token: unique to one call of `publish`; identifies its own write when
+            the outcome is unknown.
     """
 
     version: int
@@ -43,15 +44,15 @@
     token: str = ''
 
     def to_bytes(self) -> bytes:
-        """The compressed form that rows and links carry."""
+        """Returns the compressed encoding that rows and links use."""
         return zlib.compress(self.model_dump_json().encode())
 
     @classmethod
     def from_bytes(cls, data: bytes) -> 'StoredVersion':
-        """Reads what `to_bytes` wrote.
+        """Decodes the result of `to_bytes`.
 
         Raises:
-            ValueError: the bytes are not a stored version.
+            ValueError: the bytes are not a valid stored version.
         """
         try:
             return cls.model_validate_json(zlib.decompress(data))
@@ -61,32 +62,45 @@
 
 @dataclasses.dataclass(frozen=True)
 class VersionConflict:
-    """Somebody else published first.
+    """The base of a change is not the newest version.
 
     Attributes:
-        newest: the version that is newest, or None when it cannot be read.
-        changes: what it changed in the version that the operator started from.
+        newest: the newest version, or None when it cannot be read.
+        changes: the differences between the base version and the newest one.
     """
 
     newest: StoredVersion | None
     changes: tuple[document_diff.Change, ...] = ()
 
 
-def _hear_nobody() -> versions.Reachable:
+def _no_hosts_reachable() -> versions.Reachable:
     return versions.Reachable(heard=0, listed=1)
 
 
 class ConfigStore:
-    """Reads and publishes targets; the version in force never falls."""
+    """Reads and publishes targets; the applied version never decreases.
+
+    Attributes:
+        on_apply: called with the number of a version after it was applied, or
+            None.
+    """
 
     def __init__(
         self,
         *,
         table_service: table.TableService,
         time: clock.Clock,
-        reachable: Callable[[], versions.Reachable] = _hear_nobody,
+        reachable: Callable[[], versions.Reachable] = _no_hosts_reachable,
         on_apply: Callable[[int], None] | None = None,
     ) -> None:
+        """Initializes a store without an applied version.
+
+        Args:
+            table_service: the table with the versions.
+            time: the clock.
+            reachable: returns which entry hosts of the region are reachable.
+            on_apply: called with the number of a version after it was applied.
+        """
         self._table = table_service
         self._time = time
         self._reachable = reachable
@@ -97,44 +111,48 @@
 
     @property
     def current(self) -> targets.Targets | None:
-        """The targets in force here, or None before the first read."""
+        """The applied targets; None before the first read."""
         return self._current
 
     @property
     def usable_targets(self) -> targets.Targets | None:
-        """The targets to serve by; None when new work must be refused."""
+        """The targets for new requests; None when these must be refused."""
         if self.permission is versions.Permission.REFUSE:
             return None
         return self._current
 
     @property
     def permission(self) -> versions.Permission:
-        """What may be done with the version in force."""
+        """What the age of the applied version allows."""
         return versions.permit(self._freshness, self._reachable(),
                                self._time.monotonic())
 
     @property
     def stored(self) -> StoredVersion | None:
-        """The version in force with its document."""
+        """The applied version with its document; None before the first read."""
         return self._stored
 
     @property
     def version(self) -> int:
-        """The version in force here; 0 before the first read."""
+        """The number of the applied version; 0 before the first read."""
         return self._freshness.version
 
     @property
     def freshness(self) -> versions.Freshness:
-        """What can be proved about the version in force."""
+        """When the applied version was last known to be the newest."""
         return self._freshness
 
     @property
     def age_s(self) -> float | None:
-        """Seconds since the version was last proved current."""
+        """Seconds since the version was known to be the newest, or None."""
         return self._freshness.age_s(self._time.monotonic())
 
     async def refresh(self) -> bool:
-        """Reads the head once; False when the table does not answer."""
+        """Reads the head and applies the newest version.
+
+        Returns:
+            Whether the table responded with the newest version.
+        """
         started_at = self._time.monotonic()
         head = await self._table.get(_HEAD_KEY)
         if isinstance(head, result.Err):
@@ -149,14 +167,19 @@
         return True
 
     def confirm_newest(self, version: int, proved_at: float) -> None:
-        """Takes in that `version` was newest at a moment."""
+        """Records a proof that a version was the newest at some time.
+
+        Args:
+            version: the version; ignored if it is newer than the applied one.
+            proved_at: the time of the proof, in monotonic seconds.
+        """
         if version <= self.version:
             self._freshness = versions.merge(self._freshness,
                                              version=version,
                                              proved_at=proved_at)
 
     def apply(self, stored: StoredVersion) -> None:
-        """Puts a version in force if it is newer."""
+        """Applies a version if it is newer than the applied one."""
         if not versions.may_adopt(self.version, stored.version):
             return
         model = targets_document.parse_targets(stored.document)
@@ -169,14 +192,18 @@
             self.on_apply(stored.version)
 
     async def read(self, version: int) -> StoredVersion | None:
-        """Reads one version; None when it cannot be had."""
+        """Reads one version; None when it is missing or cannot be read."""
         found = await self._table.get(_version_key(version))
         if isinstance(found, result.Err) or found.ok_value is None:
             return None
         return StoredVersion.from_bytes(found.ok_value.value)
 
     async def history(self, limit: int = 20) -> list[StoredVersion]:
-        """The newest versions, newest first, as far as they can be read."""
+        """Returns the newest readable versions, newest first.
+
+        Args:
+            limit: how many versions to read at most.
+        """
         found: list[StoredVersion] = []
         for version in range(self.version, max(0, self.version - limit), -1):
             stored = await self.read(version)
@@ -185,12 +212,21 @@
         return found
 
     async def publish(
-            self, document: dict[str, Any], *, author: str,
-            base: int) -> result.Result[int, VersionConflict | table.TableFault]:
+            self, document: dict[str, Any], *, author: str, base: int
+    ) -> result.Result[int, VersionConflict | table.TableFault]:
         """Publishes a document as the version after `base`.
 
+        Args:
+            document: the targets document.
+            author: the name of the operator.
+            base: the version that the document is based on; 0 for none.
+
+        Returns:
+            The new version number, a conflict when `base` is not the newest
+            version, or the error of the table.
+
         Raises:
-            InvalidDocument: the document is not valid; nothing was written.
+            InvalidDocument: the document is invalid; nothing was written.
         """
         targets_document.parse_targets(document)
         found = await self._table.get(_HEAD_KEY)
@@ -203,22 +239,23 @@
                                author=author,
                                document=document,
                                token=secrets.token_hex(_TOKEN_BYTES))
-        written = await self._table.commit(await self._writes(row, stored))
+        written = await self._table.commit(await
+                                           self._publish_writes(row, stored))
         if isinstance(written, result.Ok):
             return result.Ok(stored.version)
         if written.err_value in (table.TableFault.UNAVAILABLE,
                                  table.TableFault.LIMITED):
             return written
-        settled = await self.read(stored.version)
-        if settled is None:
+        existing = await self.read(stored.version)
+        if existing is None:
             return written
-        if settled.token == stored.token:
+        if existing.token == stored.token:
             return result.Ok(stored.version)
-        return result.Err(await self._conflict(base, settled.version))
+        return result.Err(await self._conflict(base, existing.version))
 
-    async def _writes(self, head: table.Row | None,
-                      stored: StoredVersion) -> list[table.Write]:
-        """The transaction that publishes, and drops the oldest version."""
+    async def _publish_writes(self, head: table.Row | None,
+                              stored: StoredVersion) -> list[table.Write]:
+        """Returns the writes that publish a version and drop the oldest."""
         writes = [
             table.Write(_HEAD_KEY,
                         json.dumps({
@@ -229,20 +266,21 @@
                         table.ABSENT)
         ]
         oldest = await self._table.get(
-            _version_key(stored.version - _HISTORY_KEPT))
+            _version_key(stored.version - _MAX_VERSIONS))
         if isinstance(oldest, result.Ok) and oldest.ok_value is not None:
             row = oldest.ok_value
             writes.append(table.Write(row.key, None, row.version))
         return writes
 
     async def _conflict(self, base: int, newest: int) -> VersionConflict:
-        theirs = await self.read(newest)
-        started_from = await self.read(base)
-        if theirs is None:
+        newest_stored = await self.read(newest)
+        base_stored = await self.read(base)
+        if newest_stored is None:
             return VersionConflict(newest=None)
-        before = {} if started_from is None else started_from.document
-        return VersionConflict(newest=theirs,
-                        changes=document_diff.changes(before, theirs.document))
+        before = {} if base_stored is None else base_stored.document
+        return VersionConflict(newest=newest_stored,
+                               changes=document_diff.changes(
+                                   before, newest_stored.document))
 
 
 def _head_version(row: table.Row | None) -> int:
--- a/pollenthread/app/cost_store.py
+++ b/pollenthread/app/cost_store.py
@@ -1,4 +1,4 @@
-"""Keeps the cost side of the account in the table."""
+"""Stores the cost rows of the account in the table."""
 
 import dataclasses
 
@@ -10,25 +10,29 @@
 
 __all__ = ['CostStore']
 
-_ADAPTER = pydantic.TypeAdapter(cost.GroupCost)
+_COST_ADAPTER = pydantic.TypeAdapter(cost.GroupCost)
 
 
 class CostStore:
-    """Rows of cost by day, group and a name that its writer chooses."""
+    """Stores costs of rank groups by day, group and row id."""
 
     def __init__(self, *, table_service: table.TableService) -> None:
+        """Initializes the store in a table."""
         self._table = table_service
 
     async def record(self, row_id: str, row: cost.GroupCost) -> bool:
-        """Writes a row once; whether it is in the table now.
+        """Writes a row unless one with its id exists.
 
         Args:
-            row_id: unique for what the row tells, such as the number of the
-                switch; a row that is sent again must carry the same one.
+            row_id: identifies the recorded event, such as the number of a
+                switch; must be the same when a write is repeated.
             row: the row.
+
+        Returns:
+            Whether a row with this id is in the table.
         """
         key = f'{_prefix(row.day)}{row.group}/{row_id}'
-        value = _ADAPTER.dump_json(row)
+        value = _COST_ADAPTER.dump_json(row)
         written = await self._table.put(key, value, expect=table.ABSENT)
         if isinstance(written, result.Ok):
             return True
@@ -38,10 +42,10 @@
     async def read(
         self, day: str
     ) -> result.Result[tuple[cost.GroupCost, ...], table.TableFault]:
-        """One row for each group of a day."""
+        """Returns the costs of a day, summed up to one row per group."""
         found = await self._table.scan(_prefix(day))
         return found.map(lambda rows: cost.sum_by_group(
-            dataclasses.replace(_ADAPTER.validate_json(row.value), day=day)
+            dataclasses.replace(_COST_ADAPTER.validate_json(row.value), day=day)
             for row in rows))
 
 
--- a/pollenthread/app/lease_manager.py
+++ b/pollenthread/app/lease_manager.py
@@ -1,4 +1,4 @@
-"""Takes, keeps and gives up duties by leases in the table."""
+"""Acquires, renews and releases leases of duties in the table."""
 
 import asyncio
 import contextlib
@@ -14,12 +14,21 @@
 
 __all__ = ['LeaseManager', 'LeaseTiming', 'lease_key', 'parse_lease']
 
-_CANDIDATES = 2
-_LEASE = pydantic.TypeAdapter(leases.Lease)
+_CANDIDATES_PER_DUTY = 2
+_LEASE_ADAPTER = pydantic.TypeAdapter(leases.Lease)
 
 
 class LeaseTiming:
-    """How long a lease lasts and how often it is written and watched."""
+    """Times of leases, in seconds.
+
+    Attributes:
+        DURATION_S: duration of a lease after each write.
+        RENEW_S: minimum interval between renewals.
+        CHECK_S: interval between iterations of the manager.
+        WATCH_S: minimum interval between attempts to acquire a duty.
+        HAND_OVER_S: time after which a holder that is no longer a candidate
+            releases the duty.
+    """
 
     DURATION_S = 5.0
     RENEW_S = 1.5
@@ -29,21 +38,37 @@
 
 
 def lease_key(duty: str) -> str:
-    """The key of a duty's row."""
+    """Returns the table key of a duty's lease."""
     return f'leases/{duty}'
 
 
 def parse_lease(value: bytes) -> leases.Lease:
-    """Reads the value of a duty's row."""
-    return _LEASE.validate_json(value)
+    """Decodes a duty's lease."""
+    return _LEASE_ADAPTER.validate_json(value)
 
 
 class LeaseManager:
-    """The duties of one entry host."""
+    """Competes for duties on behalf of one entry host.
+
+    Attributes:
+        acquired_count: leases that were acquired.
+        lost_count: leases that were lost, without those released.
+        on_acquire: called with the duty after a lease was acquired, or None.
+    """
 
     def __init__(self, *, table_service: table.TableService,
                  directory: directory_module.Directory, time: clock.Clock,
                  host: str, incarnation: str, duties: Sequence[str]) -> None:
+        """Initializes a manager that holds no lease.
+
+        Args:
+            table_service: the table with the leases.
+            directory: the entry hosts that are alive.
+            time: the clock.
+            host: this host.
+            incarnation: identifies this start of the process.
+            duties: the duties to compete for.
+        """
         self._table = table_service
         self._directory = directory
         self._time = time
@@ -51,11 +76,11 @@
         self._holder = f'{host}:{incarnation}'
         self._duties = tuple(duties)
         self._held_by_duty: dict[str, leases.Held] = {}
-        self._known_by_duty: dict[str, leases.Observation] = {}
+        self._observation_by_duty: dict[str, leases.Observation] = {}
         self._version_by_duty: dict[str, int] = {}
         self._renewed_at_by_duty: dict[str, float] = {}
-        self._watched_at_by_duty: dict[str, float] = {}
-        self._preferred_at_by_duty: dict[str, float] = {}
+        self._tried_at_by_duty: dict[str, float] = {}
+        self._last_candidate_at_by_duty: dict[str, float] = {}
         self._locks_by_duty = {duty: asyncio.Lock() for duty in self._duties}
         self._wake = asyncio.Event()
         self._stopping = False
@@ -64,22 +89,22 @@
         self.on_acquire: Callable[[str], None] | None = None
 
     def held_lease(self, duty: str) -> leases.Held | None:
-        """The lease of a duty if this host may act on it now."""
+        """Returns the lease of a duty if this host may act on it now."""
         held = self._held_by_duty.get(duty)
         if held is None or not leases.is_safe(held, self._time.monotonic()):
             return None
         return held
 
     def held_duties(self) -> list[str]:
-        """The duties that this host may act on now."""
+        """Returns the duties that this host may act on now."""
         return [duty for duty in self._held_by_duty if self.held_lease(duty)]
 
     def wake(self) -> None:
-        """Looks at the rows soon, since a holder may be gone."""
+        """Triggers the next iteration now, for example if a holder failed."""
         self._wake.set()
 
     async def run(self) -> None:
-        """Keeps and takes duties until cancelled."""
+        """Renews and acquires leases until cancelled."""
         while True:
             await self.run_once()
             with contextlib.suppress(TimeoutError):
@@ -88,50 +113,52 @@
             self._wake.clear()
 
     async def run_once(self) -> None:
-        """Renews what is held and tries what this host is a candidate for."""
-        live = self._directory.live_entries()
-        await asyncio.gather(*(self._keep(duty, live) for duty in self._duties))
+        """Renews held leases and tries to acquire those this host may have."""
+        live_hosts = self._directory.live_entries()
+        await asyncio.gather(
+            *(self._update(duty, live_hosts) for duty in self._duties))
 
-    async def _keep(self, duty: str, live: Sequence[str]) -> None:
+    async def _update(self, duty: str, live_hosts: Sequence[str]) -> None:
         async with self._locks_by_duty[duty]:
             held = self._held_by_duty.get(duty)
             now = self._time.monotonic()
-            is_candidate = self._is_candidate(duty, live)
+            is_candidate = self._is_candidate(duty, live_hosts)
             if held is not None and not is_candidate and self._may_hand_over(
                     duty, now):
-                await self._let_go(duty, held)
+                await self._release_held(duty, held)
             elif held is not None:
                 if is_candidate:
-                    self._preferred_at_by_duty[duty] = now
+                    self._last_candidate_at_by_duty[duty] = now
                 await self._renew(duty, held)
-            elif is_candidate and self._may_watch(duty, now):
-                self._watched_at_by_duty[duty] = now
-                await self._try(duty)
+            elif is_candidate and self._may_try(duty, now):
+                self._tried_at_by_duty[duty] = now
+                await self._try_acquire(duty)
 
     def _may_hand_over(self, duty: str, now: float) -> bool:
-        """Whether other hosts have been preferred for long enough."""
-        since = self._preferred_at_by_duty.setdefault(duty, now)
+        """Returns whether this host has been no candidate for HAND_OVER_S."""
+        since = self._last_candidate_at_by_duty.setdefault(duty, now)
         return now - since >= LeaseTiming.HAND_OVER_S
 
-    def _may_watch(self, duty: str, now: float) -> bool:
+    def _may_try(self, duty: str, now: float) -> bool:
         if self._stopping:
             return False
-        watched_at = self._watched_at_by_duty.get(duty)
-        return watched_at is None or now - watched_at >= LeaseTiming.WATCH_S
+        tried_at = self._tried_at_by_duty.get(duty)
+        return tried_at is None or now - tried_at >= LeaseTiming.WATCH_S
 
-    def _is_candidate(self, duty: str, live: Sequence[str]) -> bool:
-        return self._host in membership.ranked(live, duty)[:_CANDIDATES]
+    def _is_candidate(self, duty: str, live_hosts: Sequence[str]) -> bool:
+        return self._host in membership.ranked(live_hosts,
+                                               duty)[:_CANDIDATES_PER_DUTY]
 
     async def _renew(self, duty: str, held: leases.Held) -> None:
         now = self._time.monotonic()
-        wanted = leases.renew(held, now=now)
-        if wanted is None:
-            self._lose(duty)
+        new_lease = leases.renew(held, now=now)
+        if new_lease is None:
+            self._record_lost(duty)
         elif now - self._renewed_at_by_duty[duty] >= LeaseTiming.RENEW_S:
-            await self._write(duty, wanted, held.version)
+            await self._write(duty, new_lease, held.version)
 
-    async def _try(self, duty: str) -> None:
-        """Takes a duty whose lease is free or has expired."""
+    async def _try_acquire(self, duty: str) -> None:
+        """Acquires a duty whose lease is free or has expired."""
         found = await self._table.get(lease_key(duty))
         if isinstance(found, result.Err):
             return
@@ -139,22 +166,23 @@
         now = self._time.monotonic()
         if row is not None:
             lease = parse_lease(row.value)
-            known = leases.observe(self._known_by_duty.get(duty), lease, now)
-            self._known_by_duty[duty] = known
-            if known.lease == lease:
+            observation = leases.observe(self._observation_by_duty.get(duty),
+                                         lease, now)
+            self._observation_by_duty[duty] = observation
+            if observation.lease == lease:
                 self._version_by_duty[duty] = row.version
-        wanted = leases.acquire(self._known_by_duty.get(duty),
-                                duty=duty,
-                                holder=self._holder,
-                                duration_s=LeaseTiming.DURATION_S,
-                                now=now)
-        if wanted is None:
+        new_lease = leases.acquire(self._observation_by_duty.get(duty),
+                                   duty=duty,
+                                   holder=self._holder,
+                                   duration_s=LeaseTiming.DURATION_S,
+                                   now=now)
+        if new_lease is None:
             return
         version = self._version_by_duty.get(duty, table.ABSENT)
-        done = await self._write(duty, wanted, version)
-        if isinstance(done, result.Ok):
+        written = await self._write(duty, new_lease, version)
+        if isinstance(written, result.Ok):
             self.acquired_count += 1
-            logging.info('duty=%s acquired fencing=%d', duty, wanted.fencing)
+            logging.info('duty=%s acquired fencing=%d', duty, new_lease.fencing)
             if self.on_acquire is not None:
                 self.on_acquire(duty)
 
@@ -163,71 +191,76 @@
     ) -> result.Result[None, table.TableFault]:
         """Commits writes only if this host still holds a duty.
 
-        The duty's row is renewed in the same transaction, so that the table
-        itself refuses a holder that has been followed by another.
+        The lease is renewed in the same transaction, so that the table rejects
+        the writes of a holder that has been replaced.
+
+        Args:
+            duty: the duty.
+            writes: the writes that depend on it.
 
         Returns:
             An error of CONFLICT when the duty is lost or a row has changed.
         """
         async with self._locks_by_duty[duty]:
             held = self.held_lease(duty)
-            wanted = None
+            new_lease = None
             if held is not None:
-                wanted = leases.renew(held, now=self._time.monotonic())
-            if held is None or wanted is None:
+                new_lease = leases.renew(held, now=self._time.monotonic())
+            if held is None or new_lease is None:
                 return result.Err(table.TableFault.CONFLICT)
-            return await self._write(duty, wanted, held.version, writes)
+            return await self._write(duty, new_lease, held.version, writes)
 
     async def _write(
         self,
         duty: str,
-        wanted: leases.Lease,
+        new_lease: leases.Lease,
         version: int,
         writes: Sequence[table.Write] = ()
     ) -> result.Result[None, table.TableFault]:
-        """Writes a duty's row; a lost answer is settled by reading it."""
+        """Writes a duty's lease; reads it back if the outcome is unknown."""
         sent_at = self._time.monotonic()
-        own = table.Write(lease_key(duty), _LEASE.dump_json(wanted), version)
-        done = await self._table.commit([own, *writes])
-        if isinstance(done, result.Ok):
-            self._hold(duty, wanted, done.ok_value[0], sent_at)
+        own = table.Write(lease_key(duty), _LEASE_ADAPTER.dump_json(new_lease),
+                          version)
+        written = await self._table.commit([own, *writes])
+        if isinstance(written, result.Ok):
+            self._record_held(duty, new_lease, written.ok_value[0], sent_at)
             return result.Ok(None)
-        if done.err_value in (table.TableFault.UNKNOWN,
-                              table.TableFault.CONFLICT):
-            return await self._settle(duty, wanted, sent_at, done)
-        return result.Err(done.err_value)
-
-    async def _settle(
-        self, duty: str, wanted: leases.Lease, sent_at: float,
-        done: result.Err[table.TableFault]
+        if written.err_value in (table.TableFault.UNKNOWN,
+                                 table.TableFault.CONFLICT):
+            return await self._resolve_write(duty, new_lease, sent_at, written)
+        return result.Err(written.err_value)
+
+    async def _resolve_write(
+        self, duty: str, new_lease: leases.Lease, sent_at: float,
+        written: result.Err[table.TableFault]
     ) -> result.Result[None, table.TableFault]:
         found = await self._table.get(lease_key(duty))
         if isinstance(found, result.Err):
-            return done
+            return written
         row = found.ok_value
         lease = None if row is None else parse_lease(row.value)
-        settled = leases.settle(wanted, lease)
-        if settled is leases.Settled.WRITTEN and row is not None:
-            self._hold(duty, wanted, row.version, sent_at)
+        outcome = leases.settle(new_lease, lease)
+        if outcome is leases.Settled.WRITTEN and row is not None:
+            self._record_held(duty, new_lease, row.version, sent_at)
             return result.Ok(None)
         held = self._held_by_duty.get(duty)
         if held is not None and row is not None and lease is not None:
-            self._follow(duty, held, lease, row.version)
-        return done
+            self._update_held(duty, held, lease, row.version)
+        return written
 
-    def _follow(self, duty: str, held: leases.Held, found: leases.Lease,
-                version: int) -> None:
-        """Takes in the row that a held duty has now."""
+    def _update_held(self, duty: str, held: leases.Held, found: leases.Lease,
+                     version: int) -> None:
+        """Updates a held lease from its row; a newer fencing number ends it."""
         if (found.holder == self._holder and
                 found.fencing == held.lease.fencing):
             self._held_by_duty[duty] = leases.Held(lease=found,
                                                    version=version,
                                                    until=held.until)
         elif found.fencing > held.lease.fencing:
-            self._lose(duty)
+            self._record_lost(duty)
 
-    def _hold(self, duty: str, lease: leases.Lease, version: int,
-              sent_at: float) -> None:
+    def _record_held(self, duty: str, lease: leases.Lease, version: int,
+                     sent_at: float) -> None:
         if not lease.holder:
             self._held_by_duty.pop(duty, None)
             return
@@ -237,13 +270,13 @@
                                                until=until)
         self._renewed_at_by_duty[duty] = sent_at
 
-    def _lose(self, duty: str) -> None:
+    def _record_lost(self, duty: str) -> None:
         del self._held_by_duty[duty]
         self.lost_count += 1
         logging.warning('duty=%s lost', duty)
 
     async def release_all(self) -> None:
-        """Lets every duty go, for a planned stop."""
+        """Releases all leases and stops acquiring, for a graceful shutdown."""
         self._stopping = True
         await asyncio.gather(*(self._release(duty) for duty in self._duties))
 
@@ -251,10 +284,10 @@
         async with self._locks_by_duty[duty]:
             held = self._held_by_duty.get(duty)
             if held is not None:
-                await self._let_go(duty, held)
+                await self._release_held(duty, held)
 
-    async def _let_go(self, duty: str, held: leases.Held) -> None:
+    async def _release_held(self, duty: str, held: leases.Held) -> None:
         await self._write(duty, leases.release(held), held.version)
         self._held_by_duty.pop(duty, None)
-        self._preferred_at_by_duty.pop(duty, None)
+        self._last_candidate_at_by_duty.pop(duty, None)
         logging.info('duty=%s released', duty)
--- a/pollenthread/app/report_document.py
+++ b/pollenthread/app/report_document.py
@@ -1,4 +1,4 @@
-"""The report as a document that programs and pages are made from."""
+"""Converts reports to JSON documents."""
 
 import dataclasses
 from typing import Any
@@ -9,26 +9,29 @@
 
 
 def to_document(source: report.Report) -> dict[str, Any]:
-    """The report as keys and values; both departments' views use it."""
+    """Converts a report to a JSON object.
+
+    The views of both departments are made from this object.
+    """
     return {
         'from_day': source.from_day,
         'to_day': source.to_day,
         'targets_version': source.targets_version,
         'adds_up': source.adds_up,
-        'total': _counts(source.total),
-        'classes': [_class(line) for line in source.classes],
-        'costs': [_cost(row) for row in source.costs],
+        'total': _counts_document(source.total),
+        'classes': [_class_document(line) for line in source.classes],
+        'costs': [_cost_document(row) for row in source.costs],
         'orders': [dataclasses.asdict(line) for line in source.orders],
         'gaps': [dataclasses.asdict(gap) for gap in source.gaps],
         'hosts': source.hosts,
     }
 
 
-def _counts(counts: Any) -> dict[str, Any]:
+def _counts_document(counts: Any) -> dict[str, Any]:
     return {**dataclasses.asdict(counts), 'open': counts.open}
 
 
-def _class(line: report.ClassLine) -> dict[str, Any]:
+def _class_document(line: report.ClassLine) -> dict[str, Any]:
     return {
         'workspace': line.workspace,
         'class': line.work_class,
@@ -39,14 +42,14 @@
             'retries': line.retries_limit,
         },
         'at_most_once': line.is_at_most_once,
-        **_counts(line.counts),
+        **_counts_document(line.counts),
         'lost_with_host': line.lost_with_host,
         'in_time_share': line.in_time_share,
         'retries_share': line.retries_share,
     }
 
 
-def _cost(row: cost.GroupCost) -> dict[str, Any]:
+def _cost_document(row: cost.GroupCost) -> dict[str, Any]:
     document = dataclasses.asdict(row)
     document['skew_mean'] = row.skew_mean
     bound = row.skew_bound(0.99)
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -1,4 +1,4 @@
-"""The document of targets that operators edit, checked at the border."""
+"""The targets document that operators edit, and its validation."""
 
 from typing import Annotated, Any, Literal
 
@@ -18,17 +18,23 @@
 
 
 class InvalidDocument(Exception):
-    """The document cannot be used; the text says which key and why."""
+    """A document is invalid; the message lists the keys and their errors."""
 
 
 class StrictModel(pydantic.BaseModel):
-    """Refuses unknown keys and silent conversions."""
+    """Base of models that reject unknown keys and type conversions."""
 
     model_config = pydantic.ConfigDict(extra='forbid', strict=True, frozen=True)
 
 
 class _LatencyModel(StrictModel):
-    """A latency target."""
+    """A latency target; limits that are not set are None.
+
+    Attributes:
+        first_token_ms: time to the first token, in milliseconds.
+        between_tokens_ms: time between tokens, in milliseconds.
+        answer_ms: time to the complete answer, in milliseconds.
+    """
 
     first_token_ms: Annotated[int, pydantic.Field(ge=10, le=600_000)] | None = (
         None)
@@ -37,7 +43,7 @@
     answer_ms: Annotated[int, pydantic.Field(ge=5, le=3_600_000)] | None = None
 
     @pydantic.model_validator(mode='after')
-    def _is_possible(self) -> '_LatencyModel':
+    def _check_consistent(self) -> '_LatencyModel':
         if self.first_token_ms is None and self.answer_ms is None:
             raise ValueError('set first_token_ms or answer_ms')
         if self.between_tokens_ms is not None and self.first_token_ms is None:
@@ -50,7 +56,14 @@
 
 
 class _ClassModel(StrictModel):
-    """One class of work."""
+    """A class of requests in a workspace.
+
+    Attributes:
+        latency: the latency target.
+        retries: how often a request may be retried.
+        repeatable: whether a request may be executed more than once.
+        importance: the importance relative to other classes under overload.
+    """
 
     latency: _LatencyModel
     retries: Annotated[int, pydantic.Field(ge=0, le=10)]
@@ -59,7 +72,13 @@
 
 
 class WorkspaceModel(StrictModel):
-    """One workspace."""
+    """A workspace.
+
+    Attributes:
+        models: the models that it may use.
+        services: the services that it may use.
+        classes: the classes of its requests, by name.
+    """
 
     models: list[Name] = []
     services: list[Name] = []
@@ -67,18 +86,23 @@
 
     @pydantic.field_validator('models', 'services')
     @classmethod
-    def _each_once(cls, names: list[str]) -> list[str]:
+    def _check_names_unique(cls, names: list[str]) -> list[str]:
         return check_unique(names)
 
     @pydantic.model_validator(mode='after')
-    def _has_upstream(self) -> 'WorkspaceModel':
+    def _check_has_upstream(self) -> 'WorkspaceModel':
         if not self.models and not self.services:
             raise ValueError('name at least one entry in models or services')
         return self
 
 
 class _BalanceModel(StrictModel):
-    """How even ranks shall be, and what that may cost."""
+    """Targets of the load balance between ranks.
+
+    Attributes:
+        skew: target load of the busiest rank relative to the mean.
+        rebalancing_budget_percent: share of capacity that rebalancing may use.
+    """
 
     skew: Annotated[float, pydantic.Field(ge=1.0, le=10.0)] = 1.05
     rebalancing_budget_percent: Annotated[float,
@@ -86,7 +110,13 @@
 
 
 class TargetsModel(StrictModel):
-    """The document of targets that operators edit."""
+    """The targets document.
+
+    Attributes:
+        workspaces: the workspaces, by name.
+        draining: the hosts that are taken out of service.
+        balance: targets of the load balance between ranks.
+    """
 
     workspaces: dict[Name, WorkspaceModel]
     draining: list[Name] = []
@@ -94,37 +124,41 @@
 
     @pydantic.field_validator('draining')
     @classmethod
-    def _each_once(cls, names: list[str]) -> list[str]:
+    def _check_names_unique(cls, names: list[str]) -> list[str]:
         return check_unique(names)
 
     def to_targets(self, version: int) -> targets.Targets:
-        """Makes the inner form of this document."""
+        """Converts the document to the internal representation.
+
+        Args:
+            version: the version number of the document.
+        """
         return targets.Targets(version=version,
                                draining=frozenset(self.draining),
-                               balance=_balance(self.balance),
+                               balance=_to_balance(self.balance),
                                workspace_by_name={
-                                   name: _workspace(name, model)
+                                   name: _to_workspace(name, model)
                                    for name, model in self.workspaces.items()
                                })
 
 
-def _balance(model: _BalanceModel) -> targets.Balance:
+def _to_balance(model: _BalanceModel) -> targets.Balance:
     return targets.Balance(skew=model.skew,
                            budget_share=model.rebalancing_budget_percent /
                            _PERCENT)
 
 
-def _workspace(name: str, model: WorkspaceModel) -> targets.Workspace:
-    return targets.Workspace(
-        name=name,
-        models=frozenset(model.models),
-        services=frozenset(model.services),
-        class_by_name={
-            key: _work_class(key, item) for key, item in model.classes.items()
-        })
+def _to_workspace(name: str, model: WorkspaceModel) -> targets.Workspace:
+    return targets.Workspace(name=name,
+                             models=frozenset(model.models),
+                             services=frozenset(model.services),
+                             class_by_name={
+                                 key: _to_work_class(key, item)
+                                 for key, item in model.classes.items()
+                             })
 
 
-def _work_class(name: str, model: _ClassModel) -> targets.WorkClass:
+def _to_work_class(name: str, model: _ClassModel) -> targets.WorkClass:
     return targets.WorkClass(
         name=name,
         latency=targets.Latency(
@@ -137,10 +171,10 @@
 
 
 def check_unique(names: list[str]) -> list[str]:
-    """Returns the names.
+    """Returns the names if all are different.
 
     Raises:
-        ValueError: a name stands twice.
+        ValueError: a name occurs more than once.
     """
     for name in names:
         if names.count(name) > 1:
@@ -149,24 +183,33 @@
 
 
 def parse_targets(
-        document: Any,
-        name: str = 'targets',
-        line_of: validation_errors.LineLookup = validation_errors.unknown_line) -> TargetsModel:
-    """Checks a document of targets.
+    document: Any,
+    name: str = 'targets',
+    line_of: validation_errors.LineLookup = validation_errors.unknown_line
+) -> TargetsModel:
+    """Validates a targets document.
+
+    Args:
+        document: the document, as parsed from JSON or YAML.
+        name: the document's name in error messages.
+        line_of: returns the line number of a key, or None if it is not known.
+
+    Returns:
+        The validated document.
 
     Raises:
-        InvalidDocument: it is not valid.
+        InvalidDocument: the document is invalid.
     """
     try:
         return TargetsModel.model_validate(document)
     except pydantic.ValidationError as error:
         raise InvalidDocument(
             validation_errors.describe_errors(name,
-                                error,
-                                model=TargetsModel,
-                                line_of=line_of)) from error
+                                              error,
+                                              model=TargetsModel,
+                                              line_of=line_of)) from error
 
 
 def describe_errors(name: str, error: pydantic.ValidationError) -> str:
-    """One line for each key that is wrong, without its allowed range."""
+    """Describes validation errors, without the allowed values."""
     return validation_errors.describe_errors(name, error, model=StrictModel)
--- a/pollenthread/app/validation_errors.py
+++ b/pollenthread/app/validation_errors.py
@@ -1,4 +1,4 @@
-"""Explains to an operator what is wrong with a document."""
+"""Describes pydantic validation errors of documents to operators."""
 
 import difflib
 import types
@@ -15,7 +15,7 @@
 Location = tuple[str | int, ...]
 LineLookup = Callable[[Location], int | None]
 
-_PATTERN_WORDS = {
+_DESCRIPTION_BY_PATTERN = {
     r'^[a-z0-9][a-z0-9-]{0,62}$':
         '1 to 63 lower-case letters, digits and hyphens',
     r'^[0-9a-f]{64}$':
@@ -26,48 +26,48 @@
 
 
 def unknown_line(_: Location) -> int | None:
-    """Knows no line of any key."""
+    """Returns None: the line of a key is not known."""
     return None
 
 
 def describe_errors(name: str,
-            error: pydantic.ValidationError,
-            *,
-            model: type[pydantic.BaseModel],
-            line_of: LineLookup = unknown_line) -> str:
-    """One line for each key that is wrong.
+                    error: pydantic.ValidationError,
+                    *,
+                    model: type[pydantic.BaseModel],
+                    line_of: LineLookup = unknown_line) -> str:
+    """Describes validation errors, one line for each invalid key.
 
     Args:
         name: the document's name, such as its path.
-        error: what pydantic found.
-        model: the model that the document was checked with.
-        line_of: the line of a key, if it is known.
+        error: the validation errors.
+        model: the model that the document was validated with.
+        line_of: returns the line number of a key, or None if it is not known.
 
     Returns:
-        Lines `NAME:LINE: KEY: what is wrong (allowed: ...)`.
+        Lines `NAME:LINE: KEY: PROBLEM (allowed: ...)`.
     """
     return '\n'.join(
-        _line(name, item, model, line_of) for item in error.errors())
+        _format_error(name, item, model, line_of) for item in error.errors())
 
 
-def _line(name: str, item: Any, model: type[pydantic.BaseModel],
-          line_of: LineLookup) -> str:
+def _format_error(name: str, item: Any, model: type[pydantic.BaseModel],
+                  line_of: LineLookup) -> str:
     location: Location = item['loc']
     line = line_of(location)
-    place = name if line is None else f'{name}:{line}'
+    position = name if line is None else f'{name}:{line}'
     key = '.'.join(str(part) for part in location) or '(top)'
-    what = item['msg'].removeprefix('Value error, ')
-    allowed = _allowed(item['type'], location, model)
-    return f'{place}: {key}: {what}{allowed}'
+    problem = item['msg'].removeprefix('Value error, ')
+    allowed = _allowed_text(item['type'], location, model)
+    return f'{position}: {key}: {problem}{allowed}'
 
 
-def _allowed(kind: str, location: Location,
-             model: type[pydantic.BaseModel]) -> str:
+def _allowed_text(kind: str, location: Location,
+                  model: type[pydantic.BaseModel]) -> str:
     if kind == 'extra_forbidden':
         return _known_keys(location, model)
     field = _field_at(location, model)
-    words = '' if field is None else ' '.join(_range_words(field))
-    return f' (allowed: {words})' if words else ''
+    constraints = '' if field is None else ' '.join(_constraint_texts(field))
+    return f' (allowed: {constraints})' if constraints else ''
 
 
 def _known_keys(location: Location, model: type[pydantic.BaseModel]) -> str:
@@ -75,12 +75,12 @@
     if owner is None:
         return ''
     known = sorted(owner.model_fields)
-    near = difflib.get_close_matches(str(location[-1]), known, n=1)
-    hint = f'; did you mean {near[0]}?' if near else ''
+    matches = difflib.get_close_matches(str(location[-1]), known, n=1)
+    hint = f'; did you mean {matches[0]}?' if matches else ''
     return f' (allowed: {", ".join(known)}{hint})'
 
 
-def _range_words(field: FieldInfo) -> Iterator[str]:
+def _constraint_texts(field: FieldInfo) -> Iterator[str]:
     values = list(_constraints(field.annotation, field.metadata))
     low = next((v.ge for v in values if isinstance(v, annotated_types.Ge)),
                None)
@@ -91,8 +91,8 @@
     for value in values:
         pattern = getattr(value, 'pattern', None)
         if pattern:
-            yield _PATTERN_WORDS.get(pattern, pattern)
-    yield from _literals(field.annotation)
+            yield _DESCRIPTION_BY_PATTERN.get(pattern, pattern)
+    yield from _literal_texts(field.annotation)
 
 
 def _constraints(annotation: Any, metadata: Sequence[Any]) -> Iterator[Any]:
@@ -107,14 +107,14 @@
             yield from _constraints(part, more)
 
 
-def _literals(annotation: Any) -> Iterator[str]:
+def _literal_texts(annotation: Any) -> Iterator[str]:
     if typing.get_origin(annotation) is typing.Literal:
         yield ', '.join(str(value) for value in typing.get_args(annotation))
 
 
 def _field_at(location: Location,
               model: type[pydantic.BaseModel]) -> FieldInfo | None:
-    """The innermost field on the way to a location."""
+    """Returns the innermost field on the path to a location."""
     found = None
     current: type[pydantic.BaseModel] | None = model
     for part in location:
@@ -135,7 +135,7 @@
 
 
 def _inner_model(annotation: Any) -> type[pydantic.BaseModel] | None:
-    """The model inside an annotation such as `dict[Name, Model] | None`."""
+    """Returns the model in an annotation such as `dict[Name, Model] | None`."""
     if isinstance(annotation,
                   type) and not isinstance(annotation, types.GenericAlias):
         if issubclass(annotation, pydantic.BaseModel):
--- a/pollenthread/app/write_batcher.py
+++ b/pollenthread/app/write_batcher.py
@@ -1,4 +1,4 @@
-"""Gathers single writes into transactions, within a budget of writes."""
+"""Batches single writes into transactions, at a limited rate of rows."""
 
 import asyncio
 import collections
@@ -16,57 +16,71 @@
 
 _MAX_ROWS = 64
 _MAX_IN_FLIGHT = 4
-_MAX_WAIT_S = 0.25
+_MAX_QUEUE_WAIT_S = 0.25
 _BURST_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
-class _Waiting:
-    """One write and who waits for it."""
+class _QueuedWrite:
+    """A write and the future for its result."""
 
     write: table.Write
     answer: asyncio.Future[result.Result[list[int], table.TableFault]]
 
 
 class WriteBatcher(table.TableService):
-    """A table whose single writes go out together.
+    """A table service that batches single writes; a context manager.
 
-    While transactions are on their way, writes gather for the next one. A
-    transaction never holds two writes of one row. If the table refuses one for
-    a conflict nothing of it took effect, and each write goes out by itself. An
-    unknown answer is unknown for every write of the transaction.
+    While transactions are in progress, writes are queued for the next one. A
+    transaction never contains two writes of one row. If the table rejects it
+    because of a conflict, it had no effect and each write is sent separately.
+    If its outcome is unknown, that holds for each of its writes.
+
+    Attributes:
+        rows_count: rows that were sent.
+        transactions_count: transactions that were sent.
+        refused_count: writes of new rows that were refused by the rate limit.
     """
 
     def __init__(self, *, table_service: table.TableService, time: clock.Clock,
                  rows_per_s: Callable[[], float]) -> None:
+        """Initializes a batcher.
+
+        Args:
+            table_service: the table to write to.
+            time: the clock.
+            rows_per_s: returns the current limit of rows per second.
+        """
         self._table = table_service
         self._time = time
         self._rows_per_s = rows_per_s
-        self._waiting = collections.deque[_Waiting]()
+        self._queue = collections.deque[_QueuedWrite]()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._room = asyncio.Semaphore(_MAX_IN_FLIGHT)
-        self._ready = asyncio.Event()
-        self._sender: asyncio.Task[None] | None = None
-        self._budget = budget.Budget(rate_per_s=1.0,
-                                     burst=1.0,
-                                     units=1.0,
-                                     at=time.monotonic())
+        self._transaction_slots = asyncio.Semaphore(_MAX_IN_FLIGHT)
+        self._has_writes = asyncio.Event()
+        self._sender_task: asyncio.Task[None] | None = None
+        self._rate_limit = budget.Budget(rate_per_s=1.0,
+                                         burst=1.0,
+                                         units=1.0,
+                                         at=time.monotonic())
         self.rows_count = 0
         self.transactions_count = 0
         self.refused_count = 0
 
     async def __aenter__(self) -> Self:
-        self._sender = asyncio.create_task(self._send_all())
+        self._sender_task = asyncio.create_task(self._send_all())
         return self
 
     async def __aexit__(self, kind: type[BaseException] | None,
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
-        assert self._sender is not None
-        self._sender.cancel()
+        assert self._sender_task is not None
+        self._sender_task.cancel()
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(self._sender, *self._tasks, return_exceptions=True)
+        await asyncio.gather(self._sender_task,
+                             *self._tasks,
+                             return_exceptions=True)
 
     async def get(
             self,
@@ -86,80 +100,82 @@
         if writes[0].expect == table.ABSENT and self._is_over_budget():
             self.refused_count += 1
             return result.Err(table.TableFault.LIMITED)
-        waiting = _Waiting(writes[0],
-                           asyncio.get_running_loop().create_future())
-        self._waiting.append(waiting)
-        self._ready.set()
-        return await waiting.answer
+        queued = _QueuedWrite(writes[0],
+                              asyncio.get_running_loop().create_future())
+        self._queue.append(queued)
+        self._has_writes.set()
+        return await queued.answer
 
     def _is_over_budget(self) -> bool:
-        """Whether a new row would wait too long behind what is ahead of it."""
+        """Returns whether a new row would wait longer than the limit."""
         now = self._time.monotonic()
         self._set_rate(now)
-        behind = len(self._waiting) / self._budget.rate_per_s
-        return budget.wait_s(self._budget, now) + behind > _MAX_WAIT_S
+        queue_s = len(self._queue) / self._rate_limit.rate_per_s
+        return budget.wait_s(self._rate_limit,
+                             now) + queue_s > _MAX_QUEUE_WAIT_S
 
     def _set_rate(self, now: float) -> None:
         rate = self._rows_per_s()
-        self._budget = dataclasses.replace(budget.refill(self._budget, now),
-                                           rate_per_s=rate,
-                                           burst=max(1.0, rate * _BURST_S))
+        self._rate_limit = dataclasses.replace(budget.refill(
+            self._rate_limit, now),
+                                               rate_per_s=rate,
+                                               burst=max(1.0, rate * _BURST_S))
 
     async def _send_all(self) -> None:
         while True:
-            await self._ready.wait()
+            await self._has_writes.wait()
             now = self._time.monotonic()
             self._set_rate(now)
-            await self._time.sleep(budget.wait_s(self._budget, now))
-            await self._room.acquire()
+            await self._time.sleep(budget.wait_s(self._rate_limit, now))
+            await self._transaction_slots.acquire()
             batch = self._next_batch()
-            self._budget = budget.spend(self._budget, len(batch),
-                                        self._time.monotonic())
+            self._rate_limit = budget.spend(self._rate_limit, len(batch),
+                                            self._time.monotonic())
             task = asyncio.create_task(self._send(batch))
             self._tasks.add(task)
             task.add_done_callback(self._on_sent)
 
     def _on_sent(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        self._room.release()
-
-    def _next_batch(self) -> list[_Waiting]:
-        """Takes writes of different rows, in order."""
-        batch_by_key: dict[str, _Waiting] = {}
-        left: list[_Waiting] = []
-        while self._waiting and len(batch_by_key) < _MAX_ROWS:
-            waiting = self._waiting.popleft()
-            if waiting.write.key in batch_by_key:
-                left.append(waiting)
+        self._transaction_slots.release()
+
+    def _next_batch(self) -> list[_QueuedWrite]:
+        """Removes the next writes of different rows from the queue."""
+        batch_by_key: dict[str, _QueuedWrite] = {}
+        deferred: list[_QueuedWrite] = []
+        while self._queue and len(batch_by_key) < _MAX_ROWS:
+            queued = self._queue.popleft()
+            if queued.write.key in batch_by_key:
+                deferred.append(queued)
             else:
-                batch_by_key[waiting.write.key] = waiting
-        self._waiting.extendleft(reversed(left))
-        if not self._waiting:
-            self._ready.clear()
+                batch_by_key[queued.write.key] = queued
+        self._queue.extendleft(reversed(deferred))
+        if not self._queue:
+            self._has_writes.clear()
         return list(batch_by_key.values())
 
-    async def _send(self, batch: Sequence[_Waiting]) -> None:
-        done = await self._commit(batch)
-        if (isinstance(done, result.Err) and len(batch) > 1 and
-                done.err_value is table.TableFault.CONFLICT):
-            for waiting in batch:
-                _answer(waiting, await self._commit([waiting]))
+    async def _send(self, batch: Sequence[_QueuedWrite]) -> None:
+        committed = await self._commit(batch)
+        if (isinstance(committed, result.Err) and len(batch) > 1 and
+                committed.err_value is table.TableFault.CONFLICT):
+            for queued in batch:
+                _answer(queued, await self._commit([queued]))
             return
-        for i, waiting in enumerate(batch):
-            if isinstance(done, result.Ok):
-                _answer(waiting, result.Ok([done.ok_value[i]]))
+        for i, queued in enumerate(batch):
+            if isinstance(committed, result.Ok):
+                _answer(queued, result.Ok([committed.ok_value[i]]))
             else:
-                _answer(waiting, done)
+                _answer(queued, committed)
 
     async def _commit(
-        self, batch: Sequence[_Waiting]
+        self, batch: Sequence[_QueuedWrite]
     ) -> result.Result[list[int], table.TableFault]:
         self.transactions_count += 1
         self.rows_count += len(batch)
-        return await self._table.commit([waiting.write for waiting in batch])
+        return await self._table.commit([queued.write for queued in batch])
 
 
-def _answer(waiting: _Waiting, answer: result.Result[list[int],
-                                                     table.TableFault]) -> None:
-    if not waiting.answer.done():
-        waiting.answer.set_result(answer)
+def _answer(queued: _QueuedWrite,
+            answer: result.Result[list[int], table.TableFault]) -> None:
+    if not queued.answer.done():
+        queued.answer.set_result(answer)
