--- a/pollenthread/app/administration.py
+++ b/pollenthread/app/administration.py
@@ -108,7 +108,7 @@
 
     async def history(self, operator: operators.Operator,
                       limit: int) -> list[_Document]:
-        """Returns the audit record: author, version and changes of each change.
+        """Returns the audit record: author and differences of each version.
 
         It is computed from the stored versions, so it cannot differ from what
         was applied.
@@ -157,11 +157,11 @@
         if not operator.sees(workspace):
             raise _refuse(errors.Kind.NOT_PERMITTED)
         _require_may_change(operator)
-        started_from = (_EMPTY_DOCUMENT if base == 0 else
-                        (await self._read(base)).document)
+        base_document = (_EMPTY_DOCUMENT if base == 0 else
+                         (await self._read(base)).document)
 
         def change(newest: _Document) -> _Document:
-            before = started_from.get('workspaces', {}).get(workspace)
+            before = base_document.get('workspaces', {}).get(workspace)
             after = newest.get('workspaces', {}).get(workspace)
             if before != after:
                 raise _refuse(errors.Kind.CONFLICT,
--- a/pollenthread/app/lease_manager.py
+++ b/pollenthread/app/lease_manager.py
@@ -52,7 +52,7 @@
 
     Attributes:
         acquired_count: leases that were acquired.
-        lost_count: leases that were lost, without those released.
+        lost_count: leases that were lost, excluding released ones.
         on_acquire: called with the duty after a lease was acquired, or None.
     """
 
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -44,7 +44,7 @@
 class MapCoordinator:
     """Coordinates the expert maps of one group while it holds the group's duty.
 
-    A duty is a task that one process performs at a time.
+    A duty is a role that one process holds at a time.
     """
 
     def __init__(self, *, host: str, incarnation: str,
@@ -100,7 +100,7 @@
         """Runs for election and performs the duty, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._send_heartbeats())
-            tasks.create_task(self._run_elections())
+            tasks.create_task(self._run_duty())
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -114,7 +114,7 @@
         self._registry.update_holder(heartbeat)
         self._network.send_all(self._hosts.agents_beside(self._host), heartbeat)
 
-    async def _run_elections(self) -> None:
+    async def _run_duty(self) -> None:
         while True:
             await self._clock.sleep(_PLAN_INTERVAL_S)
             if not self._log_completeness(self._view.is_complete()):
@@ -209,10 +209,11 @@
                         group=group,
                         term=self._term)
 
-    def _on_choices(self, news: peer_messages.ExpertChoices) -> None:
+    def _on_choices(self, choices: peer_messages.ExpertChoices) -> None:
         if self._demand is not None and self._term:
-            self._demand.add(news.rank, news.first_set * news.experts,
-                             expert_choices.unpack(news.unit, news.packed))
+            self._demand.add(
+                choices.rank, choices.first_set * choices.experts,
+                expert_choices.unpack(choices.unit, choices.packed))
 
     # Planning.
 
--- a/pollenthread/app/report_document.py
+++ b/pollenthread/app/report_document.py
@@ -11,7 +11,7 @@
 def to_document(source: report.Report) -> dict[str, Any]:
     """Converts a report to a JSON object.
 
-    The views of both departments are made from this object.
+    All views of the report are made from this object.
     """
     return {
         'from_day': source.from_day,
