--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -266,14 +266,14 @@
     ]
 
 
-def _host(i: int) -> host_list.Host:
-    return host_list.Host(name=f'agent-engine-{i}',
-                          role='upstream',
-                          address=f'10.0.{i % 250}.{i % 199}:9080',
-                          callers='',
-                          data_centre=f'dc-{i % 21}',
-                          region=f'region-{i % 6}',
-                          leaving=False)
+def _host(i: int) -> host_list.ListedHost:
+    return host_list.ListedHost(name=f'agent-engine-{i}',
+                                role='upstream',
+                                link_address=f'10.0.{i % 250}.{i % 199}:9080',
+                                caller_address='',
+                                data_centre=f'dc-{i % 21}',
+                                region=f'region-{i % 6}',
+                                is_terminating=False)
 
 
 def _state_rows(work: _Work) -> list[dict[str, Any]]:
--- a/pollenthread/adapters/host_list_http.py
+++ b/pollenthread/adapters/host_list_http.py
@@ -46,9 +46,9 @@
         self._address = address
         self._timeout_s = timeout_s
         self._tag: str | None = None
-        self._by_name: dict[str, host_list.Host] = {}
+        self._by_name: dict[str, host_list.ListedHost] = {}
 
-    async def read(self) -> result.Result[dict[str, host_list.Host], str]:
+    async def read(self) -> result.Result[dict[str, host_list.ListedHost], str]:
         headers = [] if self._tag is None else [('if-none-match', self._tag)]
         try:
             async with asyncio.timeout(self._timeout_s):
@@ -69,13 +69,13 @@
         return result.Ok(self._by_name)
 
 
-def _host(model: _HostModel) -> host_list.Host:
-    return host_list.Host(name=model.name,
-                          role=model.role,
-                          data_centre=model.data_centre,
-                          region=model.region,
-                          address=model.address,
-                          callers=model.callers,
-                          admin=model.admin,
-                          serves=model.serves,
-                          leaving=model.state == 'leaving')
+def _host(model: _HostModel) -> host_list.ListedHost:
+    return host_list.ListedHost(name=model.name,
+                                role=model.role,
+                                data_centre=model.data_centre,
+                                region=model.region,
+                                link_address=model.address,
+                                caller_address=model.callers,
+                                admin_address=model.admin,
+                                service_group=model.serves,
+                                is_terminating=model.state == 'leaving')
--- a/pollenthread/adapters/link.py
+++ b/pollenthread/adapters/link.py
@@ -67,7 +67,7 @@
         return self._peer
 
     @property
-    def session(self) -> str:
+    def session_id(self) -> str:
         return self._hello.session if self._accepted else self.peer.session
 
     @property
@@ -77,7 +77,7 @@
 
     def send(self, message: messages.Message) -> None:
         if self._transport is None or self._transport.is_closing():
-            raise link_port.LinkLost(self._close_reason)
+            raise link_port.LinkClosedError(self._close_reason)
         data = wire.encode(message)
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._flush)
@@ -219,7 +219,7 @@
             self.close(f'silent for {silent_s:.1f} s')
             return
         self._ping_seq += 1
-        with contextlib.suppress(link_port.LinkLost):
+        with contextlib.suppress(link_port.LinkClosedError):
             self.send(messages.Ping(self._ping_seq, self._config_version()))
         self._schedule_ping()
 
--- a/pollenthread/adapters/order_http.py
+++ b/pollenthread/adapters/order_http.py
@@ -48,8 +48,8 @@
         except http_client.ConnectFailed as error:
             return orders.Result(done=False, detail=str(error))
         except (ConnectionError, TimeoutError) as error:
-            raise orders_port.OrderOutcomeUnknown(str(error)) from error
+            raise orders_port.OrderOutcomeUnknownError(str(error)) from error
         detail = text.decode('utf-8', 'replace')[:_MAX_DETAIL_CHARS]
         if status >= 500:
-            raise orders_port.OrderOutcomeUnknown(f'{status} {detail}')
+            raise orders_port.OrderOutcomeUnknownError(f'{status} {detail}')
         return orders.Result(done=status == 200, detail=detail)
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -107,8 +107,8 @@
     return document
 
 
-def _table_failure(fault: table.TableFault) -> errors.Failure:
-    if fault is table.TableFault.UNKNOWN:
+def _table_failure(fault: table.TableError) -> errors.Failure:
+    if fault is table.TableError.UNKNOWN:
         return errors.failure(errors.Kind.OUTCOME_UNKNOWN,
                               'Repeat the order with the same id.')
     return errors.failure(errors.Kind.TABLE_UNAVAILABLE)
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -69,8 +69,9 @@
 
     # Datagrams.
 
-    def on_datagram(self, kind: type[Any], take: Callable[[Any], None]) -> None:
-        self._take_by_type[kind] = take
+    def set_datagram_handler(self, message_type: type[Any],
+                             handler: Callable[[Any], None]) -> None:
+        self._take_by_type[message_type] = handler
 
     def send(self, address: str, *messages: Any) -> None:
         for message in messages:
@@ -102,21 +103,22 @@
 
     # Calls.
 
-    def serve_snapshots(
-            self, make: Callable[[], peer_messages.Snapshot | None]) -> None:
-        self._make_snapshot = make
+    def set_snapshot_provider(
+            self, provider: Callable[[],
+                                     peer_messages.Snapshot | None]) -> None:
+        self._make_snapshot = provider
 
-    def serve_states(
-            self,
-            make: Callable[[],
+    def set_rank_state_provider(
+        self,
+        provider: Callable[[],
                            Awaitable[peer_messages.RankState | None]]) -> None:
-        self._make_state = make
+        self._make_state = provider
 
-    def serve_layouts(
-            self,
-            make: Callable[[],
+    def set_rank_layout_provider(
+        self,
+        provider: Callable[[],
                            Awaitable[peer_messages.RankLayout | None]]) -> None:
-        self._make_layout = make
+        self._make_layout = provider
 
     def serve_metrics(self, page: MetricsPage) -> None:
         """Answers scrapes with a content type and a page."""
@@ -148,12 +150,13 @@
         return await self._call('GET', address, _SNAPSHOT_PATH, b'',
                                 peer_messages.Snapshot)
 
-    async def fetch_state(self, address: str) -> peer_messages.RankState | None:
+    async def fetch_rank_state(self,
+                               address: str) -> peer_messages.RankState | None:
         return await self._call('GET', address, _STATE_PATH, b'',
                                 peer_messages.RankState)
 
-    async def fetch_layout(self,
-                           address: str) -> peer_messages.RankLayout | None:
+    async def fetch_rank_layout(
+            self, address: str) -> peer_messages.RankLayout | None:
         return await self._call('GET', address, _LAYOUT_PATH, b'',
                                 peer_messages.RankLayout)
 
--- a/pollenthread/adapters/rank_engine_http.py
+++ b/pollenthread/adapters/rank_engine_http.py
@@ -23,21 +23,22 @@
         self._address = address
         self._path = f'/ranks/{index}'
 
-    async def read(self) -> rank_engine.RankView:
+    async def read_status(self) -> rank_engine.RankEngineStatus:
         _, body = await self._call('GET', '', None, _TIMEOUT_S)
-        return rank_engine.RankView(incarnation=body['incarnation'],
-                                    step=body['step'],
-                                    state=base64.b64decode(body['state']))
+        return rank_engine.RankEngineStatus(incarnation=body['incarnation'],
+                                            step=body['step'],
+                                            state=base64.b64decode(
+                                                body['state']))
 
-    async def write(self, state: bytes, *, incarnation: int) -> bool:
+    async def write_state(self, state: bytes, *, incarnation: int) -> bool:
         status, _ = await self._call('PUT', '/state', {
             'state': base64.b64encode(state).decode(),
             'incarnation': incarnation
         }, _TIMEOUT_S)
         return status == 200
 
-    async def load(self, version: int) -> bool:
-        status, _ = await self._call('POST', '/load', {'version': version},
+    async def load_weights(self, map_version: int) -> bool:
+        status, _ = await self._call('POST', '/load', {'version': map_version},
                                      _LOAD_TIMEOUT_S)
         return status == 200
 
@@ -53,4 +54,4 @@
                     data = await exchange.read_all()
                     return exchange.status, json.loads(data)
         except (OSError, TimeoutError, ValueError) as error:
-            raise rank_engine.RankUnavailable(str(error)) from error
+            raise rank_engine.RankEngineUnavailableError(str(error)) from error
--- a/pollenthread/adapters/table_http.py
+++ b/pollenthread/adapters/table_http.py
@@ -35,7 +35,7 @@
 
     async def get(
             self,
-            key: str) -> result.Result[table.Row | None, table.TableFault]:
+            key: str) -> result.Result[table.TableRow | None, table.TableError]:
         target = f'/rows/{parse.quote(key, safe="")}'
         answer = await self._read(target)
         if isinstance(answer, result.Err):
@@ -46,8 +46,8 @@
         return result.Ok(_row(json.loads(body)))
 
     async def scan(
-            self,
-            prefix: str) -> result.Result[list[table.Row], table.TableFault]:
+            self, prefix: str
+    ) -> result.Result[list[table.TableRow], table.TableError]:
         answer = await self._read(f'/rows?{parse.urlencode({"prefix": prefix})}'
                                  )
         if isinstance(answer, result.Err):
@@ -56,31 +56,31 @@
             [_row(item) for item in json.loads(answer.ok_value[1])])
 
     async def commit(
-        self, writes: Sequence[table.Write]
-    ) -> result.Result[list[int], table.TableFault]:
+        self, writes: Sequence[table.TableWrite]
+    ) -> result.Result[list[int], table.TableError]:
         body = json.dumps([_write(write) for write in writes]).encode()
         try:
             async with asyncio.timeout(self._timeout_s):
                 status, answer = await self._call('POST', '/transactions', body)
         except http_client.ConnectFailed:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         except (ConnectionError, TimeoutError):
-            return result.Err(table.TableFault.UNKNOWN)
+            return result.Err(table.TableError.UNKNOWN)
         if status == 409:
-            return result.Err(table.TableFault.CONFLICT)
+            return result.Err(table.TableError.CONFLICT)
         if status == 429:
-            return result.Err(table.TableFault.LIMITED)
+            return result.Err(table.TableError.LIMITED)
         if status == 503:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         if status != 200:
-            return result.Err(table.TableFault.UNKNOWN)
+            return result.Err(table.TableError.UNKNOWN)
         return result.Ok(json.loads(answer)['versions'])
 
     async def _read(
             self,
-            target: str) -> result.Result[tuple[int, bytes], table.TableFault]:
+            target: str) -> result.Result[tuple[int, bytes], table.TableError]:
         """Reads with a bounded number of attempts."""
-        fault = table.TableFault.UNAVAILABLE
+        fault = table.TableError.UNAVAILABLE
         for _ in range(_READ_ATTEMPTS):
             try:
                 async with asyncio.timeout(self._timeout_s):
@@ -90,7 +90,7 @@
             if status in (200, 404):
                 return result.Ok((status, body))
             if status == 429:
-                fault = table.TableFault.LIMITED
+                fault = table.TableError.LIMITED
         return result.Err(fault)
 
     async def _call(self, method: str, target: str,
@@ -102,16 +102,16 @@
             return exchange.status, await exchange.read_all()
 
 
-def _row(item: dict[str, Any]) -> table.Row:
-    return table.Row(key=item['key'],
-                     value=base64.b64decode(item['value']),
-                     version=item['version'])
+def _row(item: dict[str, Any]) -> table.TableRow:
+    return table.TableRow(key=item['key'],
+                          value=base64.b64decode(item['value']),
+                          version=item['version'])
 
 
-def _write(write: table.Write) -> dict[str, Any]:
+def _write(write: table.TableWrite) -> dict[str, Any]:
     value = write.value
     return {
         'key': write.key,
         'value': None if value is None else base64.b64encode(value).decode(),
-        'expect': write.expect,
+        'expect': write.expected_version,
     }
--- a/pollenthread/adapters/upstream_http.py
+++ b/pollenthread/adapters/upstream_http.py
@@ -5,7 +5,7 @@
 
 from pollenthread.adapters import http_client
 from pollenthread.core import http_headers
-from pollenthread.ports import engine
+from pollenthread.ports import local_upstream
 
 __all__ = ['HttpUpstream']
 
@@ -15,7 +15,7 @@
 })
 
 
-class _HttpExchange(engine.Exchange):
+class _HttpExchange(local_upstream.LocalUpstreamResponse):
     """Adapts an exchange of the HTTP client."""
 
     def __init__(self, *, exchange: http_client.ClientExchange) -> None:
@@ -39,7 +39,7 @@
         return self._exchange.read()
 
 
-class HttpUpstream(engine.Upstream):
+class HttpUpstream(local_upstream.LocalUpstream):
     """Calls one address."""
 
     def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
@@ -48,8 +48,8 @@
 
     @contextlib.asynccontextmanager
     async def _call(
-            self,
-            request: engine.UpstreamRequest) -> AsyncIterator[engine.Exchange]:
+        self, request: local_upstream.LocalUpstreamRequest
+    ) -> AsyncIterator[local_upstream.LocalUpstreamResponse]:
         try:
             async with self._client.request(self._address,
                                             request.method,
@@ -58,9 +58,11 @@
                                             body=request.body) as exchange:
                 yield _HttpExchange(exchange=exchange)
         except http_client.ConnectFailed as error:
-            raise engine.UpstreamUnavailable(str(error)) from error
+            raise local_upstream.LocalUpstreamConnectError(
+                str(error)) from error
 
     def call(
-        self, request: engine.UpstreamRequest
-    ) -> contextlib.AbstractAsyncContextManager[engine.Exchange]:
+        self, request: local_upstream.LocalUpstreamRequest
+    ) -> contextlib.AbstractAsyncContextManager[
+            local_upstream.LocalUpstreamResponse]:
         return self._call(request)
--- a/pollenthread/app/account_keeper.py
+++ b/pollenthread/app/account_keeper.py
@@ -53,7 +53,7 @@
         self._folding: list[_Written] = []
         self._lock = asyncio.Lock()
         self.written_at_s: float | None = None
-        self.faults = collections.Counter[table.TableFault]()
+        self.faults = collections.Counter[table.TableError]()
 
     async def run(self) -> None:
         """Hands counts over until cancelled; the first row says hello."""
@@ -102,7 +102,9 @@
         row = self._pending
         key = account_rows.row_key(row)
         data = account_rows.encode(row)
-        written = await self._table.put(key, data, expect=table.ABSENT)
+        written = await self._table.put(key,
+                                        data,
+                                        expected_version=table.ABSENT_VERSION)
         if isinstance(written, result.Ok):
             version = written.ok_value
         else:
@@ -123,10 +125,11 @@
         if not self._folding:
             return
         folded = ledger.fold([row for row, _ in self._folding])
-        new = table.Write(account_rows.row_key(folded),
-                          account_rows.encode(folded), table.ABSENT)
+        new = table.TableWrite(account_rows.row_key(folded),
+                               account_rows.encode(folded),
+                               table.ABSENT_VERSION)
         old = [
-            table.Write(account_rows.row_key(row), None, version)
+            table.TableWrite(account_rows.row_key(row), None, version)
             for row, version in self._folding
         ]
         done = await self._table.commit([new, *old])
--- a/pollenthread/app/account_reader.py
+++ b/pollenthread/app/account_reader.py
@@ -25,7 +25,7 @@
         self._interval_s = interval_s
 
     async def read(self, *,
-                   days: int) -> result.Result[ledger.Ledger, table.TableFault]:
+                   days: int) -> result.Result[ledger.Ledger, table.TableError]:
         """The account of today and the days before it.
 
         Args:
@@ -48,7 +48,7 @@
                           from_s=from_s))
 
 
-def _decode(rows: list[table.Row]) -> list[ledger.Interval]:
+def _decode(rows: list[table.TableRow]) -> list[ledger.Interval]:
     """Reads rows; one that cannot be read is left out and shows as a gap."""
     decoded = []
     for row in rows:
--- a/pollenthread/app/administration.py
+++ b/pollenthread/app/administration.py
@@ -241,7 +241,7 @@
         if isinstance(done, result.Ok):
             return {'version': done.ok_value}
         fault = done.err_value
-        if isinstance(fault, table.TableFault):
+        if isinstance(fault, table.TableError):
             raise Refused(_table_failure(fault))
         raise Refused(await self._conflict(base))
 
@@ -285,16 +285,16 @@
                      for change in document_diff.changes(before, after))
 
 
-def _table_failure(fault: table.TableFault) -> errors.Failure:
-    if fault is table.TableFault.UNKNOWN:
+def _table_failure(fault: table.TableError) -> errors.Failure:
+    if fault is table.TableError.UNKNOWN:
         return errors.failure(errors.Kind.OUTCOME_UNKNOWN,
                               'Read the configuration before trying again.')
-    if fault is table.TableFault.CONFLICT:
+    if fault is table.TableError.CONFLICT:
         return errors.failure(errors.Kind.CONFLICT)
     return errors.failure(errors.Kind.TABLE_UNAVAILABLE)
 
 
-def _unwrap(found: result.Result[Any, table.TableFault]) -> Any:
+def _unwrap(found: result.Result[Any, table.TableError]) -> Any:
     if isinstance(found, result.Err):
         raise Refused(_table_failure(found.err_value))
     return found.ok_value
--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -7,7 +7,7 @@
 from pollenthread.app import turns as turns_module
 from pollenthread.core import (errors, events, gate_rules, messages, targets,
                                spans)
-from pollenthread.ports import engine, link as link_port
+from pollenthread.ports import local_upstream, link as link_port
 
 _US_PER_S = 1_000_000
 
@@ -96,14 +96,14 @@
         return gate_rules.must_be_kept(self.phase,
                                        repeatable=self.begin.repeatable)
 
-    async def run(self, upstream: engine.Upstream) -> None:
+    async def run(self, upstream: local_upstream.LocalUpstream) -> None:
         """Calls the upstream and passes its answer on."""
         self._began_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout_at(self._deadline):
                 async with upstream.call(_request(self.begin)) as exchange:
                     await self._relay(exchange)
-        except engine.UpstreamUnavailable as error:
+        except local_upstream.LocalUpstreamConnectError as error:
             self.fail(
                 errors.failure(errors.Kind.NO_UPSTREAM,
                                str(error),
@@ -114,7 +114,8 @@
             self.fail(errors.failure(errors.Kind.UPSTREAM_TRUNCATED,
                                      str(error)))
 
-    async def _relay(self, exchange: engine.Exchange) -> None:
+    async def _relay(self,
+                     exchange: local_upstream.LocalUpstreamResponse) -> None:
         if _is_misrouted(exchange, self.begin.attempt):
             self.fail(errors.failure(errors.Kind.UPSTREAM_MISROUTED))
             return
@@ -133,7 +134,8 @@
                 errors.failure(errors.Kind.UPSTREAM_TRUNCATED,
                                'The upstream marked no end of its answer.'))
 
-    async def _relay_events(self, exchange: engine.Exchange) -> None:
+    async def _relay_events(
+            self, exchange: local_upstream.LocalUpstreamResponse) -> None:
         splitter = events.EventSplitter()
         async for data in exchange.read():
             count, whole = splitter.feed(data)
@@ -258,18 +260,19 @@
         loop.call_later(self._limits.resume_grace_s, release)
 
 
-def _request(begin: messages.Begin) -> engine.UpstreamRequest:
+def _request(begin: messages.Begin) -> local_upstream.LocalUpstreamRequest:
     importance = targets.Importance(begin.importance)
     urgency = _URGENCY_BY_IMPORTANCE[importance]
-    return engine.UpstreamRequest(method=begin.method,
-                                  path=begin.path,
-                                  headers=(*begin.headers, (_ID_HEADER,
-                                                            begin.attempt),
-                                           ('priority', f'u={urgency}')),
-                                  body=begin.body)
+    return local_upstream.LocalUpstreamRequest(
+        method=begin.method,
+        path=begin.path,
+        headers=(*begin.headers, (_ID_HEADER, begin.attempt), ('priority',
+                                                               f'u={urgency}')),
+        body=begin.body)
 
 
-def _is_misrouted(exchange: engine.Exchange, attempt: str) -> bool:
+def _is_misrouted(exchange: local_upstream.LocalUpstreamResponse,
+                  attempt: str) -> bool:
     """Whether the upstream answers with another request's id."""
     return any(name == _ID_HEADER and value != attempt
                for name, value in exchange.headers)
--- a/pollenthread/app/choice_teller.py
+++ b/pollenthread/app/choice_teller.py
@@ -58,8 +58,8 @@
         if holder is None or not experts or now < self._due_at:
             return
         try:
-            found = await self._server.counts()
-        except rank_server.RankSilent:
+            found = await self._server.fetch_choice_counts()
+        except rank_server.RankServerUnavailableError:
             return
         pause_s = self._pause_s(state.size, len(found.counts))
         self._due_at = now + pause_s * self._rng.uniform(0.7, 1.3)
--- a/pollenthread/app/claim_keeper.py
+++ b/pollenthread/app/claim_keeper.py
@@ -85,9 +85,8 @@
         """
         wanted = dataclasses.replace(wanted, claimed_at_s=int(self._wall()))
         for _ in range(_MAX_ROUNDS):
-            inserted = await self._table.put(key,
-                                             dump_claim(wanted),
-                                             expect=table.ABSENT)
+            inserted = await self._table.put(
+                key, dump_claim(wanted), expected_version=table.ABSENT_VERSION)
             if isinstance(inserted, result.Ok):
                 return result.Ok(Granted(key, wanted, inserted.ok_value))
             if not _may_have_row(inserted.err_value):
@@ -148,7 +147,7 @@
             Whether it is sure that nobody has taken the claim over.
         """
         released = await self._table.commit(
-            [table.Write(granted.key, None, granted.version)])
+            [table.TableWrite(granted.key, None, granted.version)])
         return isinstance(released, result.Ok)
 
     async def find(
@@ -200,7 +199,7 @@
                 is not claims.ClaimState.CLAIMED)
 
     async def _decide(
-            self, row: table.Row, wanted: claims.Claim
+            self, row: table.TableRow, wanted: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
         """Decides from a row; None asks for another round."""
         claim = parse_claim(row.value)
@@ -221,7 +220,7 @@
                 return result.Err(errors.failure(errors.Kind.OUTCOME_UNKNOWN))
 
     async def _ask_seal(
-            self, row: table.Row, claim: claims.Claim, wanted: claims.Claim
+            self, row: table.TableRow, claim: claims.Claim, wanted: claims.Claim
     ) -> result.Result[Decision, errors.Failure] | None:
         upstream = self._pool.by_host.get(claim.host)
         if upstream is None and self._want_upstream(claim.host):
@@ -252,10 +251,10 @@
                        claim: claims.Claim) -> int | None:
         """Compare-and-set; settles a lost answer by reading again."""
         value = dump_claim(claim)
-        written = await self._table.put(key, value, expect=version)
+        written = await self._table.put(key, value, expected_version=version)
         if isinstance(written, result.Ok):
             return written.ok_value
-        if written.err_value is not table.TableFault.UNKNOWN:
+        if written.err_value is not table.TableError.UNKNOWN:
             return None
         found = await self._table.get(key)
         if isinstance(found, result.Err) or found.ok_value is None:
@@ -276,8 +275,8 @@
     return f'claims/{shard}/'
 
 
-def _may_have_row(fault: table.TableFault) -> bool:
-    return fault in (table.TableFault.CONFLICT, table.TableFault.UNKNOWN)
+def _may_have_row(fault: table.TableError) -> bool:
+    return fault in (table.TableError.CONFLICT, table.TableError.UNKNOWN)
 
 
 def _table_failure() -> errors.Failure:
--- a/pollenthread/app/claim_sweeper.py
+++ b/pollenthread/app/claim_sweeper.py
@@ -44,7 +44,7 @@
             return
         now_s = self._wall()
         writes = [
-            table.Write(row.key, None, row.version)
+            table.TableWrite(row.key, None, row.version)
             for row in found.ok_value
             if claims.is_expired(claim_keeper.parse_claim(row.value), now_s)
         ]
--- a/pollenthread/app/config_spread.py
+++ b/pollenthread/app/config_spread.py
@@ -127,5 +127,5 @@
 def _send(link: link_port.Link, message: messages.Message) -> None:
     try:
         link.send(message)
-    except link_port.LinkLost:
+    except link_port.LinkClosedError:
         pass
--- a/pollenthread/app/config_store.py
+++ b/pollenthread/app/config_store.py
@@ -186,7 +186,7 @@
 
     async def publish(
             self, document: dict[str, Any], *, author: str,
-            base: int) -> result.Result[int, Conflict | table.TableFault]:
+            base: int) -> result.Result[int, Conflict | table.TableError]:
         """Publishes a document as the version after `base`.
 
         Raises:
@@ -206,8 +206,8 @@
         written = await self._table.commit(await self._writes(row, stored))
         if isinstance(written, result.Ok):
             return result.Ok(stored.version)
-        if written.err_value in (table.TableFault.UNAVAILABLE,
-                                 table.TableFault.LIMITED):
+        if written.err_value in (table.TableError.UNAVAILABLE,
+                                 table.TableError.LIMITED):
             return written
         settled = await self.read(stored.version)
         if settled is None:
@@ -216,23 +216,24 @@
             return result.Ok(stored.version)
         return result.Err(await self._conflict(base, settled.version))
 
-    async def _writes(self, head: table.Row | None,
-                      stored: StoredVersion) -> list[table.Write]:
+    async def _writes(self, head: table.TableRow | None,
+                      stored: StoredVersion) -> list[table.TableWrite]:
         """The transaction that publishes, and drops the oldest version."""
         writes = [
-            table.Write(_HEAD_KEY,
-                        json.dumps({
-                            'version': stored.version
-                        }).encode(),
-                        table.ABSENT if head is None else head.version),
-            table.Write(_version_key(stored.version), stored.to_bytes(),
-                        table.ABSENT)
+            table.TableWrite(
+                _HEAD_KEY,
+                json.dumps({
+                    'version': stored.version
+                }).encode(),
+                table.ABSENT_VERSION if head is None else head.version),
+            table.TableWrite(_version_key(stored.version), stored.to_bytes(),
+                             table.ABSENT_VERSION)
         ]
         oldest = await self._table.get(
             _version_key(stored.version - _HISTORY_KEPT))
         if isinstance(oldest, result.Ok) and oldest.ok_value is not None:
             row = oldest.ok_value
-            writes.append(table.Write(row.key, None, row.version))
+            writes.append(table.TableWrite(row.key, None, row.version))
         return writes
 
     async def _conflict(self, base: int, newest: int) -> Conflict:
@@ -245,7 +246,7 @@
                         changes=document_diff.changes(before, theirs.document))
 
 
-def _head_version(row: table.Row | None) -> int:
+def _head_version(row: table.TableRow | None) -> int:
     return 0 if row is None else int(json.loads(row.value)['version'])
 
 
--- a/pollenthread/app/cost_book.py
+++ b/pollenthread/app/cost_book.py
@@ -29,7 +29,9 @@
         """
         key = f'{_prefix(row.day)}{row.group}/{row_id}'
         value = _ADAPTER.dump_json(row)
-        written = await self._table.put(key, value, expect=table.ABSENT)
+        written = await self._table.put(key,
+                                        value,
+                                        expected_version=table.ABSENT_VERSION)
         if isinstance(written, result.Ok):
             return True
         found = await self._table.get(key)
@@ -37,7 +39,7 @@
 
     async def read(
         self, day: str
-    ) -> result.Result[tuple[cost.GroupCost, ...], table.TableFault]:
+    ) -> result.Result[tuple[cost.GroupCost, ...], table.TableError]:
         """One row for each group of a day."""
         found = await self._table.scan(_prefix(day))
         return found.map(lambda rows: cost.sum_by_group(
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -29,7 +29,7 @@
         self._time = time
         self._own = own
         self._heartbeats = heartbeats
-        self.by_name: dict[str, host_list.Host] = {}
+        self.by_name: dict[str, host_list.ListedHost] = {}
         self._members: list[membership.Member] = []
         self._chosen: frozenset[str] = frozenset()
         self._dialed: frozenset[str] = frozenset()
@@ -60,7 +60,7 @@
     def is_leaving(self, name: str) -> bool:
         """Whether the list or the host itself says that it leaves."""
         host = self.by_name.get(name)
-        if host is not None and host.leaving:
+        if host is not None and host.is_terminating:
             return True
         return self._heartbeats.evidence(name).said_leaving
 
@@ -69,7 +69,7 @@
         usable = set(self._view.usable()) - self.draining
         settled = {host for host in usable if not self._may_have_moved(host)}
         return [
-            addresses.EntryHost(host=host.name, address=host.callers)
+            addresses.EntryHost(host=host.name, address=host.caller_address)
             for host in self.by_name.values()
             if host.name in (settled or usable)
         ]
@@ -93,7 +93,7 @@
         }
         wanted = self._upstreams | self._extra_until_by_host.keys()
         return {
-            name: self.by_name[name].address
+            name: self.by_name[name].link_address
             for name in wanted
             if name in self.by_name
         }
@@ -115,7 +115,7 @@
         dials.
         """
         return {
-            host: self.by_name[host].address
+            host: self.by_name[host].link_address
             for host in self._dialed
             if host in self.by_name
         }
@@ -188,8 +188,9 @@
             self._own.data_centre)
 
     def _evidence(self, host: str) -> membership.Evidence:
-        return dataclasses.replace(self._heartbeats.evidence(host),
-                                   listed_leaving=self.by_name[host].leaving)
+        return dataclasses.replace(
+            self._heartbeats.evidence(host),
+            listed_leaving=self.by_name[host].is_terminating)
 
     async def poll(self) -> None:
         """Follows the list until cancelled."""
@@ -205,8 +206,8 @@
             if state is membership.State.DEAD)
 
 
-def _to_member(host: host_list.Host) -> membership.Member:
+def _to_member(host: host_list.ListedHost) -> membership.Member:
     return membership.Member(host=host.name,
                              data_centre=host.data_centre,
                              region=host.region,
-                             serves=host.serves)
+                             serves=host.service_group)
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -50,9 +50,9 @@
         self._id_by_address: dict[str, str] = {}
         self._behind_since: float | None = None
         self.snapshots_taken = 0
-        network.on_datagram(peer_messages.EntryBeat, self._take_beat)
-        network.on_datagram(peer_messages.ServerLoad, self._take_load)
-        network.serve_snapshots(self._snapshot)
+        network.set_datagram_handler(peer_messages.EntryBeat, self._take_beat)
+        network.set_datagram_handler(peer_messages.ServerLoad, self._take_load)
+        network.set_snapshot_provider(self._snapshot)
 
     # Who is alive.
 
@@ -241,7 +241,7 @@
                 self._config.apply(row.value, source='peer')
             elif row.table == self._servers.table:
                 server_rows.append(
-                    row_store.Change(row.key, row.value, row.version))
+                    row_store.RowChange(row.key, row.value, row.version))
             elif row.table == roster.TABLE:
                 if row.key not in self._hosts.records_by_host:
                     self._hosts.take_row(row.key, row.value)
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -9,7 +9,7 @@
                               serving_state)
 from pollenthread.core import (caller_request, errors, event_stream, fleet,
                                lateness, log_events, routing_config)
-from pollenthread.ports import clock, event_log, reply, upstream
+from pollenthread.ports import clock, event_log, caller_response, upstream
 
 __all__ = ['Forwarder']
 
@@ -43,7 +43,8 @@
     """Serves requests by the configuration in force."""
 
     def __init__(self, *, state: serving_state.ServingState,
-                 servers: upstream.Upstream, stop_plan: planned_stop.StopPlan,
+                 servers: upstream.UpstreamClient,
+                 stop_plan: planned_stop.StopPlan,
                  observe: Callable[[str, float], None], time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._state = state
@@ -64,7 +65,7 @@
         self.counts[name] = self.counts.get(name, 0) + 1
 
     async def serve(self, request: caller_request.CallerRequest,
-                    answer: reply.Reply) -> None:
+                    answer: caller_response.CallerResponse) -> None:
         """Answers one request; cancelled when the caller leaves."""
         try:
             job = self._accept(request, answer)
@@ -84,7 +85,8 @@
         return round(self._clock.monotonic() - request.received_at, 4)
 
     async def _fail(self, request: caller_request.CallerRequest,
-                    answer: reply.Reply, failure: errors.Failure) -> None:
+                    answer: caller_response.CallerResponse,
+                    failure: errors.Failure) -> None:
         self._count(failure.kind.value)
         not_run = failure.ran is errors.Ran.NO
         event = (log_events.LogEvent.REQUEST_REFUSED
@@ -94,16 +96,16 @@
                         kind=failure.kind.value,
                         detail=failure.detail,
                         after_s=self._age(request),
-                        begun=answer.has_begun)
-        if answer.has_begun:
-            answer.break_off()
+                        begun=answer.is_started)
+        if answer.is_started:
+            answer.abort()
         else:
-            await answer.refuse(failure)
+            await answer.send_failure(failure)
 
     # Before a server is chosen.
 
     def _accept(self, request: caller_request.CallerRequest,
-                answer: reply.Reply) -> request_job.Job:
+                answer: caller_response.CallerResponse) -> request_job.Job:
         config = self._state.config
         if config is None:
             raise request_job.Failed(
@@ -162,12 +164,12 @@
             if self._clock.monotonic() >= job.deadline:
                 raise request_job.Failed(job.timed_out()) from None
             return False
-        except upstream.ConnectFailed as error:
+        except upstream.UpstreamConnectError as error:
             self._state.loads.fail(server.id, self._clock.monotonic())
             self._note_failure(job, server, str(error), ran=False)
             job.sent -= 1
             return False
-        except upstream.UpstreamBroken as error:
+        except upstream.UpstreamDisconnectedError as error:
             self._note_failure(job, server, str(error), ran=True)
             return False
         finally:
@@ -198,18 +200,18 @@
 
     async def _exchange(self, job: request_job.Job,
                         server: fleet.Server) -> bool:
-        attempt = upstream.UpstreamRequest(
+        attempt = upstream.UpstreamAttempt(
             server=server,
             request=job.request,
             time_left_s=job.deadline - self._clock.monotonic(),
             workspace=job.workspace.name if job.workspace else None,
             last_event_id=job.last_event_id,
-            urgency=job.urgency)
+            priority=job.urgency)
         async with self._servers.send(attempt) as found:
             self._note_load(server, found)
-            if found.is_other_server:
+            if found.is_misdirected:
                 self._state.fleet.replace_dead(server.id)
-            if not found.has_run:
+            if not found.may_have_executed:
                 self._note_failure(job,
                                    server,
                                    f'not run, {found.status}',
@@ -220,14 +222,14 @@
             return await self._pass_whole(job, server, found)
 
     def _note_load(self, server: fleet.Server,
-                   found: upstream.UpstreamAnswer) -> None:
+                   found: upstream.UpstreamResponse) -> None:
         if found.load is not None:
             self._state.loads.count(server.id,
                                     found.load.running + found.load.waiting,
                                     self._clock.monotonic())
 
     async def _pass_whole(self, job: request_job.Job, server: fleet.Server,
-                          found: upstream.UpstreamAnswer) -> bool:
+                          found: upstream.UpstreamResponse) -> bool:
         body = b''.join([part async for part in found.read()])
         if (found.status >= _SERVER_ERROR and job.route.is_repeatable and
                 self._may_repeat(job)):
@@ -238,27 +240,28 @@
             return False
         if found.status < _SERVER_ERROR:
             self._state.loads.succeed(server.id)
-        await job.answer.send_whole(found.status, found.headers, body)
+        await job.answer.send_response(found.status, found.headers, body)
         self._note_answer(job, server, found.status)
         return True
 
     async def _pass_stream(self, job: request_job.Job, server: fleet.Server,
-                           found: upstream.UpstreamAnswer) -> bool:
+                           found: upstream.UpstreamResponse) -> bool:
         body = found.read()
         while (data := await self._next_part(body)) is not None:
             try:
                 events = job.splitter.feed(data)
             except event_stream.EventTooLong as error:
-                raise upstream.UpstreamBroken(str(error)) from error
+                raise upstream.UpstreamDisconnectedError(str(error)) from error
             if not events:
                 continue
             job.timing.note_events(self._clock.monotonic())
-            if not job.answer.has_begun:
+            if not job.answer.is_started:
                 self._observe('first_event', self._age(job.request))
-                await job.answer.begin(found.status, found.headers)
+                await job.answer.start_stream(found.status, found.headers)
             await job.answer.write(events)
-        if job.splitter.has_partial or not job.answer.has_begun:
-            raise upstream.UpstreamBroken('the stream ended within an event')
+        if job.splitter.has_partial or not job.answer.is_started:
+            raise upstream.UpstreamDisconnectedError(
+                'the stream ended within an event')
         self._state.loads.succeed(server.id)
         await job.answer.finish()
         self._note_answer(job, server, found.status)
@@ -269,7 +272,8 @@
             async with asyncio.timeout(_SILENT_STREAM_S):
                 return await anext(body, None)
         except TimeoutError:
-            raise upstream.UpstreamBroken('the stream fell silent') from None
+            raise upstream.UpstreamDisconnectedError(
+                'the stream fell silent') from None
 
     # After an attempt.
 
@@ -331,7 +335,7 @@
         if not budget.take(now, self._state.entry_hosts):
             raise request_job.Failed(
                 job.given_up(errors.Kind.OVERLOADED, self._clock.monotonic()))
-        if job.answer.has_begun:
+        if job.answer.is_started:
             self._log.write(log_events.LogEvent.STREAM_RESUMED,
                             id=job.request.id,
                             last_event_id=job.last_event_id)
@@ -354,5 +358,5 @@
     return workspace
 
 
-def _is_stream(job: request_job.Job, found: upstream.UpstreamAnswer) -> bool:
+def _is_stream(job: request_job.Job, found: upstream.UpstreamResponse) -> bool:
     return job.is_stream and found.status == _OK
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -10,7 +10,7 @@
 
 from pollenthread.app import attempt as attempt_module, turns as turns_module
 from pollenthread.core import errors, gate_rules, messages
-from pollenthread.ports import engine, link as link_port
+from pollenthread.ports import local_upstream, link as link_port
 
 __all__ = ['Gate', 'GateLimits']
 
@@ -34,7 +34,7 @@
     def __init__(
         self,
         *,
-        upstream: engine.Upstream,
+        upstream: local_upstream.LocalUpstream,
         limits: GateLimits = GateLimits(),
         on_order: Callable[[link_port.Link, messages.OrderSend], None] |
         None = None
@@ -70,11 +70,11 @@
     def report_load(self) -> None:
         """Tells every link the load and its part of it."""
         own_by_session = collections.Counter(
-            link.session for attempt in self._attempts_by_id.values()
+            link.session_id for attempt in self._attempts_by_id.values()
             if not attempt.finished for link in attempt.links)
         for link in list(self._links_by_session.values()):
             link_port.send_if_open(
-                link, self._load(link, own_by_session[link.session]))
+                link, self._load(link, own_by_session[link.session_id]))
 
     def _load(self, link: link_port.Link, own: int) -> messages.Load:
         reading = self._turns.reading
@@ -85,7 +85,7 @@
                              first_unit_us=int(reading.first_s * 1e6),
                              token_us=int(reading.token_s * 1e6),
                              own=own,
-                             seen=self._seen_by_session[link.session])
+                             seen=self._seen_by_session[link.session_id])
 
     @property
     def unfinished(self) -> int:
@@ -133,19 +133,19 @@
     # Link events.
 
     def on_open(self, link: link_port.Link) -> None:
-        self._links_by_session[link.session] = link
+        self._links_by_session[link.session_id] = link
         logging.info('link open host=%s session=%s', link.peer.host,
-                     link.session)
+                     link.session_id)
         link_port.send_if_open(link, self._load(link, 0))
         if self._leaving:
             link_port.send_if_open(link, messages.Leaving(''))
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
-        self._links_by_session.pop(link.session, None)
-        self._sealed_by_session.pop(link.session, None)
-        self._seen_by_session.pop(link.session, None)
+        self._links_by_session.pop(link.session_id, None)
+        self._sealed_by_session.pop(link.session_id, None)
+        self._seen_by_session.pop(link.session_id, None)
         logging.info('link closed host=%s session=%s reason=%s', link.peer.host,
-                     link.session, reason)
+                     link.session_id, reason)
         for attempt in list(self._attempts_by_id.values()):
             attempt.detach(link)
 
@@ -185,9 +185,9 @@
     def _refusal(self, link: link_port.Link,
                  begin: messages.Begin) -> errors.Kind | None:
         """Why an attempt must not begin, or None."""
-        sealed = self._sealed_by_session.get(link.session, ())
+        sealed = self._sealed_by_session.get(link.session_id, ())
         if not gate_rules.is_beginnable(bound_session=begin.session,
-                                        link_session=link.session,
+                                        link_session=link.session_id,
                                         is_sealed=begin.attempt in sealed,
                                         phase=self._phase(begin.attempt)):
             return errors.Kind.SEALED
@@ -202,7 +202,7 @@
         return sum(1 for a in self._attempts_by_id.values() if a.kept)
 
     def _begin(self, link: link_port.Link, begin: messages.Begin) -> None:
-        self._seen_by_session[link.session] += 1
+        self._seen_by_session[link.session_id] += 1
         if begin.attempt in self._attempts_by_id:
             return
         kind = self._refusal(link, begin)
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -196,7 +196,7 @@
         wanted = claims.Claim(attempt=str(attempt),
                               host=upstream.hello.host,
                               incarnation=upstream.hello.incarnation,
-                              session=upstream.link.session,
+                              session=upstream.link.session_id,
                               digest=_digest(call))
         if granted is not None:
             moved = await self._keeper.move(granted, wanted)
@@ -357,7 +357,7 @@
         left_s = max(0.0, call.deadline - now)
         due_s = max(_MIN_DUE_S, need.due_at - now)
         return messages.Begin(attempt=str(attempt),
-                              session=upstream.link.session,
+                              session=upstream.link.session_id,
                               workspace=call.workspace,
                               work_class=call.work_class.name,
                               importance=int(call.work_class.importance),
--- a/pollenthread/app/group_member.py
+++ b/pollenthread/app/group_member.py
@@ -127,8 +127,8 @@
                 row = read.unwrap()
                 if row is not None and row.value == value:
                     return
-                expect = table.ABSENT if row is None else row.version
-                await self._table.put(key, value, expect=expect)
+                expect = table.ABSENT_VERSION if row is None else row.version
+                await self._table.put(key, value, expected_version=expect)
             await self._time.sleep(_TICK_S)
 
     def on_open(self, link: link_port.Link) -> None:
@@ -247,7 +247,7 @@
               message: switch_codec.SwitchMessage) -> None:
         try:
             link.send(switch_codec.encode(self._place.group, message))
-        except link_port.LinkLost:
+        except link_port.LinkClosedError:
             logging.debug('rank message lost host=%s', link.peer.host)
 
 
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -105,9 +105,10 @@
         self._clock = time
         self.own_state: peer_messages.RankState | None = None
         self._view_by_group: dict[str, GroupView] = {}
-        network.on_datagram(peer_messages.RankState, self.take)
-        network.on_datagram(peer_messages.ExpertChoices, self.take_choices)
-        network.on_datagram(peer_messages.DutyBeat, self.take_duty)
+        network.set_datagram_handler(peer_messages.RankState, self.take)
+        network.set_datagram_handler(peer_messages.ExpertChoices,
+                                     self.take_choices)
+        network.set_datagram_handler(peer_messages.DutyBeat, self.take_duty)
 
     @property
     def own_group(self) -> str:
--- a/pollenthread/app/knowledge.py
+++ b/pollenthread/app/knowledge.py
@@ -47,14 +47,14 @@
         self.table = table
 
     @abc.abstractmethod
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def take_table(self, rows: Sequence[row_store.RowChange]) -> None:
         ...
 
     @abc.abstractmethod
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def take_changes(self, rows: Sequence[row_store.RowChange]) -> None:
         ...
 
-    def take_fault(self, fault: row_store.StoreFault) -> None:
+    def take_fault(self, fault: row_store.StoreError) -> None:
         if self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_LOST,
                             table=self.table,
@@ -85,10 +85,10 @@
         self.on_applied: list[Callable[[routing_config.RoutingConfig],
                                        None]] = []
 
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def take_table(self, rows: Sequence[row_store.RowChange]) -> None:
         self.take_changes(rows)
 
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def take_changes(self, rows: Sequence[row_store.RowChange]) -> None:
         for row in rows:
             if row.key == self.key and row.value is not None:
                 self.apply(row.value, source='store')
@@ -128,8 +128,8 @@
         self.changed_version = 0
         self.rows_by_key: dict[str, tuple[bytes, int]] = {}
 
-    def take_snapshot(self, rows: Sequence[row_store.Change], version: int, *,
-                      is_fresh: bool) -> None:
+    def take_snapshot(self, rows: Sequence[row_store.RowChange], version: int,
+                      *, is_fresh: bool) -> None:
         """Takes the list of a peer.
 
         Args:
@@ -142,7 +142,7 @@
             self._state.fleet.trust_list()
         self.take_table(rows)
 
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def take_table(self, rows: Sequence[row_store.RowChange]) -> None:
         self.rows_by_key = {
             row.key: (row.value, row.version)
             for row in rows
@@ -159,11 +159,11 @@
             if server.id not in known:
                 self._log_listed(server)
 
-    def _note_versions(self, rows: Sequence[row_store.Change]) -> None:
+    def _note_versions(self, rows: Sequence[row_store.RowChange]) -> None:
         newest = max((row.version for row in rows), default=0)
         self.changed_version = max(self.changed_version, newest)
 
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def take_changes(self, rows: Sequence[row_store.RowChange]) -> None:
         self._note_versions(rows)
         for row in rows:
             if row.value is None:
@@ -174,7 +174,7 @@
             if (server := self._decode_row(row)) is not None:
                 self._put(server)
 
-    def take_fault(self, fault: row_store.StoreFault) -> None:
+    def take_fault(self, fault: row_store.StoreError) -> None:
         super().take_fault(fault)
         self._state.fleet.begin_outage()
 
@@ -186,7 +186,7 @@
         for server_id in self._state.fleet.expire(now):
             self._log_gone(server_id)
 
-    def _decode_row(self, row: row_store.Change) -> fleet.Server | None:
+    def _decode_row(self, row: row_store.RowChange) -> fleet.Server | None:
         if row.value is None:
             return None
         decoded = self._decode(row.key, row.value)
--- a/pollenthread/app/lease_keeper.py
+++ b/pollenthread/app/lease_keeper.py
@@ -150,7 +150,7 @@
                                 now=now)
         if wanted is None:
             return
-        version = self._version_by_duty.get(duty, table.ABSENT)
+        version = self._version_by_duty.get(duty, table.ABSENT_VERSION)
         done = await self._write(duty, wanted, version)
         if isinstance(done, result.Ok):
             self.acquired_count += 1
@@ -159,8 +159,8 @@
                 self.on_acquire(duty)
 
     async def commit_under(
-            self, duty: str, writes: Sequence[table.Write]
-    ) -> result.Result[None, table.TableFault]:
+        self, duty: str, writes: Sequence[table.TableWrite]
+    ) -> result.Result[None, table.TableError]:
         """Commits writes only if this host still holds a duty.
 
         The duty's row is renewed in the same transaction, so that the table
@@ -175,7 +175,7 @@
             if held is not None:
                 wanted = leases.renew(held, now=self._time.monotonic())
             if held is None or wanted is None:
-                return result.Err(table.TableFault.CONFLICT)
+                return result.Err(table.TableError.CONFLICT)
             return await self._write(duty, wanted, held.version, writes)
 
     async def _write(
@@ -183,24 +183,25 @@
         duty: str,
         wanted: leases.Lease,
         version: int,
-        writes: Sequence[table.Write] = ()
-    ) -> result.Result[None, table.TableFault]:
+        writes: Sequence[table.TableWrite] = ()
+    ) -> result.Result[None, table.TableError]:
         """Writes a duty's row; a lost answer is settled by reading it."""
         sent_at = self._time.monotonic()
-        own = table.Write(lease_key(duty), _LEASE.dump_json(wanted), version)
+        own = table.TableWrite(lease_key(duty), _LEASE.dump_json(wanted),
+                               version)
         done = await self._table.commit([own, *writes])
         if isinstance(done, result.Ok):
             self._hold(duty, wanted, done.ok_value[0], sent_at)
             return result.Ok(None)
-        if done.err_value in (table.TableFault.UNKNOWN,
-                              table.TableFault.CONFLICT):
+        if done.err_value in (table.TableError.UNKNOWN,
+                              table.TableError.CONFLICT):
             return await self._settle(duty, wanted, sent_at, done)
         return result.Err(done.err_value)
 
     async def _settle(
         self, duty: str, wanted: leases.Lease, sent_at: float,
-        done: result.Err[table.TableFault]
-    ) -> result.Result[None, table.TableFault]:
+        done: result.Err[table.TableError]
+    ) -> result.Result[None, table.TableError]:
         found = await self._table.get(lease_key(duty))
         if isinstance(found, result.Err):
             return done
--- a/pollenthread/app/map_duty.py
+++ b/pollenthread/app/map_duty.py
@@ -269,7 +269,7 @@
         if self._layouts is not None and self._layouts_of in versions:
             return True
         found = await asyncio.gather(
-            *(self._network.fetch_layout(self._driver.address(rank))
+            *(self._network.fetch_rank_layout(self._driver.address(rank))
               for rank in sorted(states)))
         held = [layout for layout in found if layout is not None]
         if len(held) < len(states) or {
--- a/pollenthread/app/order_desk.py
+++ b/pollenthread/app/order_desk.py
@@ -96,8 +96,8 @@
             if held is None or not incarnation:
                 continue
             entries = self._entries_by_duty.get(duty, {})
-            done = table.Write(order_journal.inbox_key(duty, order.id), None,
-                               version)
+            done = table.TableWrite(order_journal.inbox_key(duty, order.id),
+                                    None, version)
             if order.id in entries:
                 await self._keeper.commit_under(duty, [done])
                 continue
@@ -107,7 +107,7 @@
                                     number=max(numbers, default=0) + 1,
                                     fencing=held.lease.fencing,
                                     incarnation=incarnation))
-            await self._store(duty, row, table.ABSENT, [done])
+            await self._store(duty, row, table.ABSENT_VERSION, [done])
 
     def _incarnation(self, host: str) -> str:
         """The agent's incarnation; asks for a link when there is none."""
@@ -155,7 +155,7 @@
         entries = self._entries_by_duty.get(order.duty, {})
         settled = orders.settled_below(entry.row for entry in entries.values())
         order = dataclasses.replace(order, settled_below=settled)
-        with contextlib.suppress(link_port.LinkLost):
+        with contextlib.suppress(link_port.LinkClosedError):
             upstream.link.send(self._keys.sign(order))
 
     async def _record_replies(self) -> None:
@@ -183,7 +183,7 @@
             self.ended_by_state[row.state] += 1
             logging.info('order=%s state=%s', row.order.id, row.state)
 
-    def _prune(self, duty: str) -> list[table.Write]:
+    def _prune(self, duty: str) -> list[table.TableWrite]:
         """Deletes the oldest ended orders beyond what is kept."""
         entries = sorted(self._entries_by_duty.get(duty, {}).values(),
                          key=lambda entry: entry.row.order.number)
@@ -193,22 +193,22 @@
             if entry.row.state is not orders.OrderState.ISSUED
         ]
         return [
-            table.Write(order_journal.journal_key(duty, e.row.order.id), None,
-                        e.version) for e in ended[:1]
+            table.TableWrite(order_journal.journal_key(duty, e.row.order.id),
+                             None, e.version) for e in ended[:1]
         ]
 
     async def _store(self,
                      duty: str,
                      row: orders.JournalRow,
                      version: int,
-                     more: list[table.Write] | None = None) -> bool:
+                     more: list[table.TableWrite] | None = None) -> bool:
         """Writes a journal row under the duty's lease.
 
         Whatever the outcome, the journal is read again before it is used: the
         table may hold more than this host knows.
         """
-        write = table.Write(order_journal.journal_key(duty, row.order.id),
-                            order_journal.dump(row), version)
+        write = table.TableWrite(order_journal.journal_key(duty, row.order.id),
+                                 order_journal.dump(row), version)
         done = await self._keeper.commit_under(duty, [write, *(more or ())])
         self._entries_by_duty.pop(duty, None)
         return isinstance(done, result.Ok) and await self._load(duty)
--- a/pollenthread/app/order_gate.py
+++ b/pollenthread/app/order_gate.py
@@ -90,7 +90,7 @@
         executor = self._executors_by_kind.get(order.kind, self._executor)
         try:
             ended = await executor.execute(order)
-        except orders_port.OrderOutcomeUnknown as error:
+        except orders_port.OrderOutcomeUnknownError as error:
             logging.error('order=%s outcome unknown: %s', order.id, error)
             ended = orders.Result(False, str(error), is_known=False)
         self._fence = orders.finish(self._fence, order.id, ended)
@@ -110,5 +110,5 @@
     done, detail = (False, '') if ended is None else (ended.done, ended.detail)
     try:
         link.send(messages.OrderReply(order_id, answer, done, detail))
-    except link_port.LinkLost:
+    except link_port.LinkClosedError:
         pass
--- a/pollenthread/app/order_journal.py
+++ b/pollenthread/app/order_journal.py
@@ -61,7 +61,7 @@
 
     async def submit(
             self, *, order_id: str, host: str, kind: str,
-            arguments: str) -> result.Result[Submitted, table.TableFault]:
+            arguments: str) -> result.Result[Submitted, table.TableError]:
         """Takes an order in once, however often it is submitted.
 
         Returns:
@@ -82,20 +82,20 @@
             return known  # type: ignore[return-value]
         written = await self._table.put(inbox_key(duty, order_id),
                                         _ORDER.dump_json(wanted),
-                                        expect=table.ABSENT)
+                                        expected_version=table.ABSENT_VERSION)
         if isinstance(written, result.Ok):
             return result.Ok(Submitted(wanted, None))
-        if written.err_value in (table.TableFault.UNAVAILABLE,
-                                 table.TableFault.LIMITED):
+        if written.err_value in (table.TableError.UNAVAILABLE,
+                                 table.TableError.LIMITED):
             return written
         known = await self.find(host, order_id)
         if isinstance(known, result.Ok) and known.ok_value is not None:
             return result.Ok(known.ok_value)
-        return result.Err(table.TableFault.UNKNOWN)
+        return result.Err(table.TableError.UNKNOWN)
 
     async def find(
             self, host: str,
-            order_id: str) -> result.Result[Submitted | None, table.TableFault]:
+            order_id: str) -> result.Result[Submitted | None, table.TableError]:
         """Where an order stands; None when there is none of this id."""
         duty = orders.duty_of(host)
         found = await self._table.get(inbox_key(duty, order_id))
@@ -114,14 +114,14 @@
 
     async def inbox(
         self, duty: str
-    ) -> result.Result[list[tuple[orders.Order, int]], table.TableFault]:
+    ) -> result.Result[list[tuple[orders.Order, int]], table.TableError]:
         """Orders that wait, with the versions of their rows."""
         found = await self._table.scan(f'inbox/{duty}/')
         return found.map(lambda rows: [(_ORDER.validate_json(row.value), row.
                                         version) for row in rows])
 
     async def entries(
-            self, duty: str) -> result.Result[list[Entry], table.TableFault]:
+            self, duty: str) -> result.Result[list[Entry], table.TableError]:
         """The whole journal of a duty."""
         found = await self._table.scan(f'journal/{duty}/')
         return found.map(
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -199,13 +199,13 @@
         status = None
         cause = ''
         try:
-            status = await server.order(order)
-            state = await self._network.fetch_state(record.peer_address)
+            status = await server.send_order(order)
+            state = await self._network.fetch_rank_state(record.peer_address)
             if state is None:
-                report = await server.report()
+                report = await server.fetch_status()
                 state = dataclasses.replace(report.state, host=record.host)
             self._view.take(state)
-        except rank_server.RankSilent as error:
+        except rank_server.RankServerUnavailableError as error:
             cause = str(error)
             if order.kind in _DIRECT_KINDS:
                 self._network.send(record.peer_address,
--- a/pollenthread/app/order_taker.py
+++ b/pollenthread/app/order_taker.py
@@ -22,7 +22,7 @@
 
 _OrderKey = tuple[peer_messages.OrderKind, int, int]
 
-StateTaker = Callable[[rank_server.RankReport], peer_messages.RankState]
+StateTaker = Callable[[rank_server.RankServerStatus], peer_messages.RankState]
 
 
 class OrderTaker:
@@ -49,7 +49,7 @@
         self._log = log
         self._tasks: asyncio.TaskGroup | None = None
         self._under_way: collections.Counter[_OrderKey] = collections.Counter()
-        network.on_datagram(peer_messages.RankOrder, self.take)
+        network.set_datagram_handler(peer_messages.RankOrder, self.take)
 
     async def run(self) -> None:
         """Carries out what arrives, until cancelled."""
@@ -88,15 +88,15 @@
             Whether the server answered the order.
         """
         try:
-            status = await self._server.order(order)
-        except rank_server.RankSilent as error:
+            status = await self._server.send_order(order)
+        except rank_server.RankServerUnavailableError as error:
             self._note_failed(order, None, str(error))
             return False
         if status not in _DONE_STATUSES:
             self._note_failed(order, status, '')
         try:
-            state = self._take_report(await self._server.report())
-        except rank_server.RankSilent:
+            state = self._take_report(await self._server.fetch_status())
+        except rank_server.RankServerUnavailableError:
             # The state is told with the next look at the server.
             return True
         record = self._hosts.records_by_host.get(order.giver)
--- a/pollenthread/app/peers.py
+++ b/pollenthread/app/peers.py
@@ -47,7 +47,7 @@
         for link in list(self.links_by_host.values()):
             try:
                 link.send(message)
-            except link_port.LinkLost:
+            except link_port.LinkClosedError:
                 continue
 
     def on_open(self, link: link_port.Link) -> None:
--- a/pollenthread/app/pool.py
+++ b/pollenthread/app/pool.py
@@ -178,7 +178,7 @@
             self.link.send(messages.Seal(attempt, session))
             async with asyncio.timeout(_SEAL_TIMEOUT_S):
                 return await answer
-        except (TimeoutError, link_port.LinkLost):
+        except (TimeoutError, link_port.LinkClosedError):
             return None
 
 
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -126,8 +126,8 @@
                                               hosts=hosts,
                                               network=network,
                                               log=log)
-        network.serve_layouts(self._layout)
-        network.serve_states(self._state)
+        network.set_rank_layout_provider(self._layout)
+        network.set_rank_state_provider(self._state)
 
     async def run(self) -> None:
         """Watches and carries out orders until cancelled."""
@@ -141,12 +141,12 @@
 
     async def _poll(self) -> float:
         try:
-            report = await self._server.report()
-        except rank_server.RankSilent:
+            report = await self._server.fetch_status()
+        except rank_server.RankServerUnavailableError:
             return _POLL_S
         state = self._take(report)
         self._tell_entries(report)
-        if not report.is_in_group:
+        if not report.is_group_member:
             return _ALONE_POLL_S if not report.running else _POLL_S
         self._tell_group(state)
         await self._choices.tell(state, self.experts)
@@ -154,7 +154,8 @@
             return _SWITCHING_POLL_S
         return _POLL_S if report.running else _IDLE_POLL_S
 
-    def _take(self, report: rank_server.RankReport) -> peer_messages.RankState:
+    def _take(self,
+              report: rank_server.RankServerStatus) -> peer_messages.RankState:
         now = self._clock.monotonic()
         self._has_work = report.running > 0
         state = dataclasses.replace(report.state, host=self._own.host)
@@ -170,7 +171,8 @@
         self._tell_passes(report, now)
         return state
 
-    def _tell_passes(self, report: rank_server.RankReport, now: float) -> None:
+    def _tell_passes(self, report: rank_server.RankServerStatus,
+                     now: float) -> None:
         """Logs the last second's passes; the ranks of a group share them."""
         window_s = now - self._passes.began_at
         if window_s < _PASSES_LINE_S:
@@ -193,11 +195,11 @@
             return 0.0
         return self._clock.monotonic() - self._stepped_at
 
-    def _tell_entries(self, report: rank_server.RankReport) -> None:
+    def _tell_entries(self, report: rank_server.RankServerStatus) -> None:
         now = self._clock.monotonic()
         stalled_s = self.stalled_s()
         is_stalled = stalled_s > _STALLED_S
-        is_open = report.state.is_open or not report.is_in_group
+        is_open = report.state.is_open or not report.is_group_member
         if not self._load_told.is_due(
             (report.running, report.waiting, is_stalled, is_open),
                 now,
@@ -235,12 +237,12 @@
 
     async def _state(self) -> peer_messages.RankState | None:
         try:
-            return self._take(await self._server.report())
-        except rank_server.RankSilent:
+            return self._take(await self._server.fetch_status())
+        except rank_server.RankServerUnavailableError:
             return None
 
     async def _layout(self) -> peer_messages.RankLayout | None:
         try:
-            return await self._server.layout()
-        except rank_server.RankSilent:
+            return await self._server.fetch_layout()
+        except rank_server.RankServerUnavailableError:
             return None
--- a/pollenthread/app/rank_switch.py
+++ b/pollenthread/app/rank_switch.py
@@ -51,7 +51,7 @@
         try:
             async with self._lock:
                 return await self._handle(order)
-        except rank_engine.RankUnavailable as error:
+        except rank_engine.RankEngineUnavailableError as error:
             logging.debug('rank %d: %s', self._index, error)
             return None
 
@@ -60,7 +60,7 @@
         try:
             async with self._lock:
                 return await self._read()
-        except rank_engine.RankUnavailable:
+        except rank_engine.RankEngineUnavailableError:
             return None
 
     async def _handle(self, order: switch.Order) -> switch.Reply | None:
@@ -77,7 +77,7 @@
         return after.reply
 
     async def _read(self) -> switch.Rank | None:
-        view = await self._engine.read()
+        view = await self._engine.read_status()
         if view.state:
             return dataclasses.replace(switch_codec.decode_rank(view.state),
                                        incarnation=view.incarnation,
@@ -92,8 +92,8 @@
         return rank if await self._write(rank) else None
 
     async def _write(self, rank: switch.Rank) -> bool:
-        return await self._engine.write(switch_codec.encode_rank(rank),
-                                        incarnation=rank.incarnation)
+        return await self._engine.write_state(switch_codec.encode_rank(rank),
+                                              incarnation=rank.incarnation)
 
     def _keep_loading(self, rank: switch.Rank) -> None:
         """Starts the load of a pending switch unless it runs already."""
@@ -110,8 +110,8 @@
 
     async def _load_weights(self, pending: switch.Change) -> None:
         try:
-            ok = await self._engine.load(pending.target)
-        except rank_engine.RankUnavailable as error:
+            ok = await self._engine.load_weights(pending.target)
+        except rank_engine.RankEngineUnavailableError as error:
             logging.warning('load failed rank=%d map=%d reason=%s', self._index,
                             pending.target, error)
             ok = False
@@ -123,7 +123,7 @@
                 after = switch_rank.on_loaded(rank, pending.id, ok=ok)
                 if after.rank != rank and not await self._write(after.rank):
                     return
-        except rank_engine.RankUnavailable as error:
+        except rank_engine.RankEngineUnavailableError as error:
             logging.debug('rank %d: %s', self._index, error)
             return
         if after.reply is not None:
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -4,7 +4,7 @@
 
 from pollenthread.core import (caller_request, errors, event_stream,
                                routing_config, stream_timing)
-from pollenthread.ports import reply
+from pollenthread.ports import caller_response
 
 __all__ = ['Failed', 'Job']
 
@@ -48,7 +48,7 @@
     service: str
     workspace: routing_config.Workspace | None
     deadline: float
-    answer: reply.Reply
+    answer: caller_response.CallerResponse
     is_late: bool = False
     tried: list[str] = dataclasses.field(default_factory=list)
     sent: int = 0
--- a/pollenthread/app/roster.py
+++ b/pollenthread/app/roster.py
@@ -21,10 +21,10 @@
         self.records_by_host: dict[str, host_record.HostRecord] = {}
         self.rejected = 0
 
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def take_table(self, rows: Sequence[row_store.RowChange]) -> None:
         self.take_changes(rows)
 
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def take_changes(self, rows: Sequence[row_store.RowChange]) -> None:
         for row in rows:
             if row.value is not None:
                 self.take_row(row.key, row.value)
@@ -42,7 +42,7 @@
                 del self.records_by_host[other.host]
         self.records_by_host[host] = record
 
-    def take_fault(self, fault: row_store.StoreFault) -> None:
+    def take_fault(self, fault: row_store.StoreError) -> None:
         return
 
     def take_contact(self, version: int) -> None:
@@ -71,7 +71,7 @@
     """Writes a host's record, unless it is there already."""
     value = host_record.encode(record)
     roster.take_row(record.host, value)
-    write = row_store.RowWrite(TABLE, record.host, value, expect=None)
+    write = row_store.RowWrite(TABLE, record.host, value, expected_version=None)
     while True:
         known = await store.read(TABLE)
         if isinstance(known, result.Ok):
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -24,15 +24,15 @@
     """Takes what a follower learns."""
 
     @abc.abstractmethod
-    def take_table(self, rows: Sequence[row_store.Change]) -> None:
+    def take_table(self, rows: Sequence[row_store.RowChange]) -> None:
         """The table holds these rows and no others."""
 
     @abc.abstractmethod
-    def take_changes(self, rows: Sequence[row_store.Change]) -> None:
+    def take_changes(self, rows: Sequence[row_store.RowChange]) -> None:
         """These rows have changed."""
 
     @abc.abstractmethod
-    def take_fault(self, fault: row_store.StoreFault) -> None:
+    def take_fault(self, fault: row_store.StoreError) -> None:
         """The store did not answer."""
 
     @abc.abstractmethod
@@ -72,11 +72,11 @@
             fault = await self._step()
             if fault is None:
                 await self._clock.sleep(self._pause_s)
-            elif fault is not row_store.StoreFault.HISTORY_LOST:
+            elif fault is not row_store.StoreError.HISTORY_LOST:
                 await self._clock.sleep(
                     self._rng.uniform(_RETRY_MIN_S, _RETRY_MAX_S))
 
-    async def _step(self) -> row_store.StoreFault | None:
+    async def _step(self) -> row_store.StoreError | None:
         if self.version == _UNKNOWN:
             answer = await self._store.read(self._table)
         else:
@@ -87,14 +87,14 @@
         self._take(answer.ok_value)
         return None
 
-    def _take_fault(self, fault: row_store.StoreFault) -> row_store.StoreFault:
-        if fault is row_store.StoreFault.HISTORY_LOST:
+    def _take_fault(self, fault: row_store.StoreError) -> row_store.StoreError:
+        if fault is row_store.StoreError.HISTORY_LOST:
             self.version = _UNKNOWN
         else:
             self._listener.take_fault(fault)
         return fault
 
-    def _take(self, found: row_store.Changes) -> None:
+    def _take(self, found: row_store.RowChanges) -> None:
         is_whole = self.version == _UNKNOWN
         if found.version < self.version:
             # The store's counter never falls: this is an old answer.
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -115,8 +115,9 @@
         if record is None:
             return None
         try:
-            report = await self._make_server(record.engine_address).report()
-        except rank_server.RankSilent:
+            report = await self._make_server(record.engine_address
+                                            ).fetch_status()
+        except rank_server.RankServerUnavailableError:
             return None
         state = dataclasses.replace(report.state, host=record.host)
         self._view.take(state)
--- a/pollenthread/app/switch_duty.py
+++ b/pollenthread/app/switch_duty.py
@@ -84,7 +84,7 @@
         self._send = send
         self._decider: switch_decider.Decider | None = None
         self._row = GroupRow(0, 0)
-        self._row_version = table.ABSENT
+        self._row_version = table.ABSENT_VERSION
         self._phase_since = 0.0
         self._started_at = 0.0
         self._sent_at = 0.0
@@ -113,10 +113,10 @@
         found = read.unwrap()
         row = GroupRow(0, 1) if found is None else parse_row(found.value)
         row = dataclasses.replace(row, fence=row.fence + 1)
-        written = await self._table.put(
-            key,
-            _encode(row),
-            expect=table.ABSENT if found is None else found.version)
+        written = await self._table.put(key,
+                                        _encode(row),
+                                        expected_version=table.ABSENT_VERSION
+                                        if found is None else found.version)
         if written.is_err():
             return False
         self._row, self._row_version = row, written.unwrap()
@@ -198,7 +198,7 @@
         row = dataclasses.replace(self._row, map_version=self.map_version)
         written = await self._table.put(group_key(self._group),
                                         _encode(row),
-                                        expect=self._row_version)
+                                        expected_version=self._row_version)
         if written.is_ok():
             self._row, self._row_version = row, written.unwrap()
             return
--- a/pollenthread/app/write_batcher.py
+++ b/pollenthread/app/write_batcher.py
@@ -24,8 +24,8 @@
 class _Waiting:
     """One write and who waits for it."""
 
-    write: table.Write
-    answer: asyncio.Future[result.Result[list[int], table.TableFault]]
+    write: table.TableWrite
+    answer: asyncio.Future[result.Result[list[int], table.TableError]]
 
 
 class WriteBatcher(table.TableService):
@@ -70,22 +70,24 @@
 
     async def get(
             self,
-            key: str) -> result.Result[table.Row | None, table.TableFault]:
+            key: str) -> result.Result[table.TableRow | None, table.TableError]:
         return await self._table.get(key)
 
     async def scan(
-            self,
-            prefix: str) -> result.Result[list[table.Row], table.TableFault]:
+            self, prefix: str
+    ) -> result.Result[list[table.TableRow], table.TableError]:
         return await self._table.scan(prefix)
 
     async def commit(
-        self, writes: Sequence[table.Write]
-    ) -> result.Result[list[int], table.TableFault]:
+        self, writes: Sequence[table.TableWrite]
+    ) -> result.Result[list[int], table.TableError]:
         if len(writes) != 1:
             return await self._table.commit(writes)
-        if writes[0].expect == table.ABSENT and self._is_over_budget():
+        if writes[
+                0].expected_version == table.ABSENT_VERSION and self._is_over_budget(
+                ):
             self.refused_count += 1
-            return result.Err(table.TableFault.LIMITED)
+            return result.Err(table.TableError.LIMITED)
         waiting = _Waiting(writes[0],
                            asyncio.get_running_loop().create_future())
         self._waiting.append(waiting)
@@ -141,7 +143,7 @@
     async def _send(self, batch: Sequence[_Waiting]) -> None:
         done = await self._commit(batch)
         if (isinstance(done, result.Err) and len(batch) > 1 and
-                done.err_value is table.TableFault.CONFLICT):
+                done.err_value is table.TableError.CONFLICT):
             for waiting in batch:
                 _answer(waiting, await self._commit([waiting]))
             return
@@ -153,13 +155,13 @@
 
     async def _commit(
         self, batch: Sequence[_Waiting]
-    ) -> result.Result[list[int], table.TableFault]:
+    ) -> result.Result[list[int], table.TableError]:
         self.transactions_count += 1
         self.rows_count += len(batch)
         return await self._table.commit([waiting.write for waiting in batch])
 
 
 def _answer(waiting: _Waiting, answer: result.Result[list[int],
-                                                     table.TableFault]) -> None:
+                                                     table.TableError]) -> None:
     if not waiting.answer.done():
         waiting.answer.set_result(answer)
--- a/pollenthread/platform/caller_border.py
+++ b/pollenthread/platform/caller_border.py
@@ -6,7 +6,7 @@
 from pollenthread.adapters import http_message
 from pollenthread.core import caller_request, errors, http_headers
 from pollenthread.platform import names
-from pollenthread.ports import reply
+from pollenthread.ports import caller_response
 
 __all__ = ['HttpReply', 'decode']
 
@@ -76,7 +76,7 @@
     return tuple(parts)
 
 
-class HttpReply(reply.Reply):
+class HttpReply(caller_response.CallerResponse):
     """Writes to a caller's HTTP connection."""
 
     def __init__(self, *, response: http_message.Response,
@@ -85,22 +85,22 @@
         self._request_id = request_id
 
     @property
-    def has_begun(self) -> bool:
+    def is_started(self) -> bool:
         return self._response.head_sent
 
-    async def refuse(self, failure: errors.Failure) -> None:
+    async def send_failure(self, failure: errors.Failure) -> None:
         headers = []
         if self._request_id:
             headers.append((names.Header.REQUEST_ID, self._request_id))
         await self._response.send_problem(failure, headers)
 
-    async def send_whole(self, status: int,
-                         headers: Sequence[http_headers.Header],
-                         body: bytes) -> None:
+    async def send_response(self, status: int,
+                            headers: Sequence[http_headers.Header],
+                            body: bytes) -> None:
         await self._response.send(status, headers, body)
 
-    async def begin(self, status: int,
-                    headers: Sequence[http_headers.Header]) -> None:
+    async def start_stream(self, status: int,
+                           headers: Sequence[http_headers.Header]) -> None:
         await self._response.send_head(
             status, [*headers, ('transfer-encoding', 'chunked')])
 
@@ -110,5 +110,5 @@
     async def finish(self) -> None:
         await self._response.finish()
 
-    def break_off(self) -> None:
+    def abort(self) -> None:
         self._response.abort()
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -25,24 +25,25 @@
         self._client = client
         self._address = address
 
-    async def report(self) -> rank_server.RankReport:
+    async def fetch_status(self) -> rank_server.RankServerStatus:
         _, found = await self._call('GET', names.Path.REPORT)
         try:
             return _report(found)
         except _MALFORMED as error:
-            raise rank_server.RankSilent(repr(error)) from error
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
 
-    async def counts(self) -> rank_server.RankCounts:
+    async def fetch_choice_counts(self) -> rank_server.ExpertChoiceCounts:
         _, found = await self._call('GET', names.Path.EXPERT_COUNTS)
         try:
-            return rank_server.RankCounts(step=int(found['step']),
-                                          epoch=int(found['epoch']),
-                                          counts=tuple(map(
-                                              int, found['counts'])))
+            return rank_server.ExpertChoiceCounts(step=int(found['step']),
+                                                  epoch=int(found['epoch']),
+                                                  counts=tuple(
+                                                      map(int,
+                                                          found['counts'])))
         except _MALFORMED as error:
-            raise rank_server.RankSilent(repr(error)) from error
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
 
-    async def layout(self) -> peer_messages.RankLayout:
+    async def fetch_layout(self) -> peer_messages.RankLayout:
         _, found = await self._call('GET',
                                     f'{names.Path.EXPERT_COUNTS}?lists=1')
         try:
@@ -52,9 +53,9 @@
                 experts=tuple(
                     tuple(map(int, held)) for held in found['map']['experts']))
         except _MALFORMED as error:
-            raise rank_server.RankSilent(repr(error)) from error
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
 
-    async def order(self, order: peer_messages.RankOrder) -> int:
+    async def send_order(self, order: peer_messages.RankOrder) -> int:
         body: dict[str, Any] = {
             'operation': order.kind.value,
             'epoch': order.epoch
@@ -87,7 +88,7 @@
                     # asked or ordered here may be repeated.
                     return await self._exchange(method, target, body)
         except (OSError, TimeoutError, ValueError) as error:
-            raise rank_server.RankSilent(repr(error)) from error
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
 
     async def _exchange(self, method: str, target: str,
                         body: bytes) -> tuple[int, Any]:
@@ -100,7 +101,7 @@
             return exchange.status, json.loads(data or b'null')
 
 
-def _report(found: dict[str, Any]) -> rank_server.RankReport:
+def _report(found: dict[str, Any]) -> rank_server.RankServerStatus:
     group = found.get('group') or {}
     armed = found.get('armed') or {}
     state = peer_messages.RankState(
@@ -119,10 +120,10 @@
         held_step=_step(found.get('held')),
         is_busy=bool(found.get('busy')),
         pace_percent=int(float(found.get('pace', 1.0)) * _PERCENT))
-    return rank_server.RankReport(state=state,
-                                  running=int(found['running']),
-                                  waiting=int(found['waiting']),
-                                  is_in_group=bool(group.get('name')))
+    return rank_server.RankServerStatus(state=state,
+                                        running=int(found['running']),
+                                        waiting=int(found['waiting']),
+                                        is_group_member=bool(group.get('name')))
 
 
 def _version(value: Any) -> int:
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -19,10 +19,10 @@
 
 _ANSWER_TIMEOUT_S = 1.0
 _FAULT_BY_STATUS = {
-    410: row_store.StoreFault.HISTORY_LOST,
-    412: row_store.StoreFault.CONFLICT,
-    429: row_store.StoreFault.LIMITED,
-    503: row_store.StoreFault.UNAVAILABLE,
+    410: row_store.StoreError.HISTORY_LOST,
+    412: row_store.StoreError.CONFLICT,
+    429: row_store.StoreError.LIMITED,
+    503: row_store.StoreError.UNAVAILABLE,
 }
 _JSON = (('content-type', 'application/json'),)
 
@@ -37,7 +37,7 @@
         has_more: whether the table goes on.
     """
 
-    changes: tuple[row_store.Change, ...]
+    changes: tuple[row_store.RowChange, ...]
     version: int
     has_more: bool
 
@@ -51,9 +51,9 @@
         self.calls_by_outcome: dict[str, int] = {}
 
     async def read(
-            self, table: str
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
-        changes: list[row_store.Change] = []
+        self, table: str
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
+        changes: list[row_store.RowChange] = []
         start = ''
         while True:
             query = {'table': table, 'part': ''}
@@ -65,37 +65,37 @@
             page = answer.ok_value
             changes += page.changes
             if not page.has_more or not page.changes:
-                return result.Ok(row_store.Changes(tuple(changes),
-                                                   page.version))
+                return result.Ok(
+                    row_store.RowChanges(tuple(changes), page.version))
             start = page.changes[-1].key + '\0'
 
     async def watch(
-        self, table: str, after: int, wait_s: float
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
+        self, table: str, after_version: int, wait_s: float
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         query = {
             'table': table,
-            'after': str(after),
+            'after': str(after_version),
             'wait_ms': str(round(wait_s * 1000))
         }
         answer = await self._get(names.Path.WATCH, query, wait_s)
         return answer.map(
-            lambda page: row_store.Changes(page.changes, page.version))
+            lambda page: row_store.RowChanges(page.changes, page.version))
 
     async def write(
         self, writes: Sequence[row_store.RowWrite]
-    ) -> result.Result[int, row_store.StoreFault]:
+    ) -> result.Result[int, row_store.StoreError]:
         body = json.dumps(_transaction(writes)).encode()
         answer = await self._call('POST', names.Path.COMMIT, body, 0.0)
         return answer.map(lambda page: page.version)
 
     async def _get(self, path: str, query: dict[str, str],
-                   wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
+                   wait_s: float) -> result.Result[_Page, row_store.StoreError]:
         return await self._call('GET', f'{path}?{parse.urlencode(query)}', b'',
                                 wait_s)
 
     async def _call(
             self, method: str, target: str, body: bytes,
-            wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
+            wait_s: float) -> result.Result[_Page, row_store.StoreError]:
         answer = await self._exchange(method, target, body, wait_s)
         outcome = 'ok' if answer.is_ok() else answer.unwrap_err().value
         self.calls_by_outcome[outcome] = self.calls_by_outcome.get(outcome,
@@ -104,7 +104,7 @@
 
     async def _exchange(
             self, method: str, target: str, body: bytes,
-            wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
+            wait_s: float) -> result.Result[_Page, row_store.StoreError]:
         try:
             async with asyncio.timeout(wait_s + _ANSWER_TIMEOUT_S):
                 async with self._client.request(self._address,
@@ -117,13 +117,13 @@
                         return result.Err(
                             _FAULT_BY_STATUS.get(
                                 exchange.status,
-                                row_store.StoreFault.UNAVAILABLE))
+                                row_store.StoreError.UNAVAILABLE))
                     return result.Ok(_page(json.loads(data)))
         except http_client.ConnectFailed:
-            return result.Err(row_store.StoreFault.UNAVAILABLE)
+            return result.Err(row_store.StoreError.UNAVAILABLE)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError,
                 AttributeError):
-            return result.Err(row_store.StoreFault.UNKNOWN)
+            return result.Err(row_store.StoreError.UNKNOWN)
 
 
 def _page(found: Any) -> _Page:
@@ -137,7 +137,7 @@
                  has_more=bool(found.get('has_more')))
 
 
-def _changes(page: dict[str, Any]) -> list[row_store.Change]:
+def _changes(page: dict[str, Any]) -> list[row_store.RowChange]:
     """The rows of an answer; a row that cannot be read has empty bytes."""
     changes = []
     for row in page.get('rows') or ():
@@ -148,8 +148,8 @@
             except (binascii.Error, ValueError):
                 value = b''
         changes.append(
-            row_store.Change(str(row.get('key', '')), value,
-                             int(row.get('ver', 0))))
+            row_store.RowChange(str(row.get('key', '')), value,
+                                int(row.get('ver', 0))))
     return changes
 
 
@@ -158,8 +158,10 @@
     return {
         # Here this field holds the rows that must have a given version.
         'expected_revision': [{
-            **name, 'ver': w.expect
-        } for name, w in zip(names_of, writes) if w.expect is not None],
+            **name, 'ver': w.expected_version
+        }
+                              for name, w in zip(names_of, writes)
+                              if w.expected_version is not None],
         'puts': [{
             **name, 'value': base64.b64encode(w.value).decode()
         } for name, w in zip(names_of, writes) if w.value is not None],
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -21,7 +21,7 @@
 })
 
 
-class HttpUpstream(upstream.Upstream):
+class HttpUpstream(upstream.UpstreamClient):
     """Sends requests over kept connections."""
 
     def __init__(self, *, client: http_client.HttpClient) -> None:
@@ -31,8 +31,8 @@
     # A decorated generator is the context manager that the port asks for.
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
-        self, attempt: upstream.UpstreamRequest
-    ) -> AsyncIterator[upstream.UpstreamAnswer]:
+        self, attempt: upstream.UpstreamAttempt
+    ) -> AsyncIterator[upstream.UpstreamResponse]:
         request = attempt.request
         try:
             async with self._client.request(attempt.server.address,
@@ -43,9 +43,9 @@
                 await self._skip_stale(exchange, request.id)
                 yield _Answer(exchange)
         except http_client.ConnectFailed as error:
-            raise upstream.ConnectFailed(str(error)) from error
+            raise upstream.UpstreamConnectError(str(error)) from error
         except OSError as error:
-            raise upstream.UpstreamBroken(str(error)) from error
+            raise upstream.UpstreamDisconnectedError(str(error)) from error
 
     async def _skip_stale(self, exchange: http_client.ClientExchange,
                           request_id: str) -> None:
@@ -59,13 +59,13 @@
         raise ConnectionError('only answers to other requests came')
 
 
-def _headers(attempt: upstream.UpstreamRequest) -> list[http_headers.Header]:
+def _headers(attempt: upstream.UpstreamAttempt) -> list[http_headers.Header]:
     request = attempt.request
     time_left_ms = max(1, int(attempt.time_left_s * _MS_PER_S))
     headers = [('host', request.host), *request.headers,
                (names.Header.DEADLINE_MS, str(time_left_ms)),
                (names.Header.TARGET_SERVER, attempt.server.id),
-               (names.Header.URGENCY, str(attempt.urgency))]
+               (names.Header.URGENCY, str(attempt.priority))]
     if attempt.workspace is not None:
         headers.append((names.Header.WORKSPACE, attempt.workspace))
     if attempt.last_event_id is not None:
@@ -73,7 +73,7 @@
     return headers
 
 
-class _Answer(upstream.UpstreamAnswer):
+class _Answer(upstream.UpstreamResponse):
     """An answer over HTTP."""
 
     def __init__(self, exchange: http_client.ClientExchange) -> None:
@@ -83,11 +83,11 @@
                              for name, value in exchange.headers
                              if name not in _NOT_PASSED_ON)
         not_run = exchange.header(names.Header.NOT_RUN) is not None
-        self.is_other_server = self.status == _MISDIRECTED
-        self.has_run = not (not_run or self.is_other_server)
+        self.is_misdirected = self.status == _MISDIRECTED
+        self.may_have_executed = not (not_run or self.is_misdirected)
         self.load = _load(exchange.header(names.Header.SERVER_LOAD))
         connection = exchange.header('connection') or ''
-        self.is_leaving = 'close' in connection.lower()
+        self.closes_connection = 'close' in connection.lower()
 
     # An async generator is the iterator that the port asks for.
     # pylint: disable-next=invalid-overridden-method
@@ -97,16 +97,17 @@
             async for data in self._exchange.read():
                 size += len(data)
                 if size > _MAX_ANSWER_BYTES:
-                    raise upstream.UpstreamBroken(
+                    raise upstream.UpstreamDisconnectedError(
                         f'the answer exceeds {_MAX_ANSWER_BYTES} bytes')
                 yield data
         except OSError as error:
-            raise upstream.UpstreamBroken(str(error)) from error
+            raise upstream.UpstreamDisconnectedError(str(error)) from error
 
 
-def _load(value: str | None) -> upstream.ServerLoad | None:
+def _load(value: str | None) -> upstream.ReportedServerLoad | None:
     try:
         running, waiting, slots = (value or '').split(',')
-        return upstream.ServerLoad(int(running), int(waiting), int(slots))
+        return upstream.ReportedServerLoad(int(running), int(waiting),
+                                           int(slots))
     except ValueError:
         return None
--- a/pollenthread/ports/reply.py
+++ b/pollenthread/ports/caller_response.py
@@ -5,30 +5,30 @@
 
 from pollenthread.core import errors, http_headers
 
-__all__ = ['Reply']
+__all__ = ['CallerResponse']
 
 
-class Reply(abc.ABC):
+class CallerResponse(abc.ABC):
     """Takes one answer for one caller."""
 
     @property
     @abc.abstractmethod
-    def has_begun(self) -> bool:
+    def is_started(self) -> bool:
         """Whether the status has left."""
 
     @abc.abstractmethod
-    async def refuse(self, failure: errors.Failure) -> None:
+    async def send_failure(self, failure: errors.Failure) -> None:
         """Answers with a failure of the product's own."""
 
     @abc.abstractmethod
-    async def send_whole(self, status: int,
-                         headers: Sequence[http_headers.Header],
-                         body: bytes) -> None:
+    async def send_response(self, status: int,
+                            headers: Sequence[http_headers.Header],
+                            body: bytes) -> None:
         """Sends a server's whole answer."""
 
     @abc.abstractmethod
-    async def begin(self, status: int,
-                    headers: Sequence[http_headers.Header]) -> None:
+    async def start_stream(self, status: int,
+                           headers: Sequence[http_headers.Header]) -> None:
         """Begins a streamed answer."""
 
     @abc.abstractmethod
@@ -40,5 +40,5 @@
         """Ends a streamed answer as whole."""
 
     @abc.abstractmethod
-    def break_off(self) -> None:
+    def abort(self) -> None:
         """Closes the connection, so that the answer does not look whole."""
--- a/pollenthread/ports/host_list.py
+++ b/pollenthread/ports/host_list.py
@@ -5,11 +5,11 @@
 
 import result
 
-__all__ = ['Host', 'HostList']
+__all__ = ['ListedHost', 'HostList']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Host:
+class ListedHost:
     """One host as the platform lists it.
 
     Attributes:
@@ -29,16 +29,16 @@
     role: str
     data_centre: str
     region: str
-    address: str
-    callers: str = ''
-    admin: str = ''
-    serves: str = ''
-    leaving: bool = False
+    link_address: str
+    caller_address: str = ''
+    admin_address: str = ''
+    service_group: str = ''
+    is_terminating: bool = False
 
 
 class HostList(abc.ABC):
     """The list, which lags behind the truth."""
 
     @abc.abstractmethod
-    async def read(self) -> result.Result[dict[str, Host], str]:
+    async def read(self) -> result.Result[dict[str, ListedHost], str]:
         """Reads all hosts by name, or says why it cannot."""
--- a/pollenthread/ports/link.py
+++ b/pollenthread/ports/link.py
@@ -4,10 +4,10 @@
 
 from pollenthread.core import messages
 
-__all__ = ['Link', 'LinkHandler', 'LinkLost', 'send_if_open']
+__all__ = ['Link', 'LinkHandler', 'LinkClosedError', 'send_if_open']
 
 
-class LinkLost(Exception):
+class LinkClosedError(Exception):
     """The link is closed; what was sent may or may not have arrived."""
 
 
@@ -21,7 +21,7 @@
 
     @property
     @abc.abstractmethod
-    def session(self) -> str:
+    def session_id(self) -> str:
         """The accepting side's name for this link."""
 
     @property
@@ -66,6 +66,6 @@
     """Sends on a link that may have closed meanwhile; whether it was open."""
     try:
         link.send(message)
-    except LinkLost:
+    except LinkClosedError:
         return False
     return True
--- a/pollenthread/ports/engine.py
+++ b/pollenthread/ports/local_upstream.py
@@ -7,15 +7,18 @@
 
 from pollenthread.core import http_headers
 
-__all__ = ['Exchange', 'Upstream', 'UpstreamRequest', 'UpstreamUnavailable']
+__all__ = [
+    'LocalUpstreamResponse', 'LocalUpstream', 'LocalUpstreamRequest',
+    'LocalUpstreamConnectError'
+]
 
 
-class UpstreamUnavailable(Exception):
+class LocalUpstreamConnectError(Exception):
     """The upstream could not be reached, so nothing was sent to it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamRequest:
+class LocalUpstreamRequest:
     """One call."""
 
     method: str
@@ -24,7 +27,7 @@
     body: bytes
 
 
-class Exchange(abc.ABC):
+class LocalUpstreamResponse(abc.ABC):
     """A call in progress."""
 
     @property
@@ -58,13 +61,13 @@
         """
 
 
-class Upstream(abc.ABC):
+class LocalUpstream(abc.ABC):
     """The engine or service."""
 
     @abc.abstractmethod
     def call(
-        self, request: UpstreamRequest
-    ) -> contextlib.AbstractAsyncContextManager[Exchange]:
+        self, request: LocalUpstreamRequest
+    ) -> contextlib.AbstractAsyncContextManager[LocalUpstreamResponse]:
         """Sends a request; leaving the context early cancels it.
 
         Raises:
--- a/pollenthread/ports/orders.py
+++ b/pollenthread/ports/orders.py
@@ -4,10 +4,10 @@
 
 from pollenthread.core import orders
 
-__all__ = ['OrderExecutor', 'OrderOutcomeUnknown']
+__all__ = ['OrderExecutor', 'OrderOutcomeUnknownError']
 
 
-class OrderOutcomeUnknown(Exception):
+class OrderOutcomeUnknownError(Exception):
     """The order may or may not have taken effect."""
 
 
--- a/pollenthread/ports/peers.py
+++ b/pollenthread/ports/peers.py
@@ -13,7 +13,8 @@
     """Sends to peers by address; nothing sent is sure to arrive."""
 
     @abc.abstractmethod
-    def on_datagram(self, kind: type[Any], take: Callable[[Any], None]) -> None:
+    def set_datagram_handler(self, message_type: type[Any],
+                             handler: Callable[[Any], None]) -> None:
         """Hands arriving messages of a type to a function."""
 
     @abc.abstractmethod
@@ -29,31 +30,33 @@
         """
 
     @abc.abstractmethod
-    def serve_snapshots(
-            self, make: Callable[[], peer_messages.Snapshot | None]) -> None:
+    def set_snapshot_provider(
+            self, provider: Callable[[],
+                                     peer_messages.Snapshot | None]) -> None:
         """Answers peers that ask what this host knows of the store."""
 
     @abc.abstractmethod
-    def serve_states(
-            self,
-            make: Callable[[],
+    def set_rank_state_provider(
+        self,
+        provider: Callable[[],
                            Awaitable[peer_messages.RankState | None]]) -> None:
         """Answers peers that ask for the state of this host's rank."""
 
     @abc.abstractmethod
-    async def fetch_state(self, address: str) -> peer_messages.RankState | None:
+    async def fetch_rank_state(self,
+                               address: str) -> peer_messages.RankState | None:
         """Asks for the state of a peer's rank; None without an answer."""
 
     @abc.abstractmethod
-    def serve_layouts(
-            self,
-            make: Callable[[],
+    def set_rank_layout_provider(
+        self,
+        provider: Callable[[],
                            Awaitable[peer_messages.RankLayout | None]]) -> None:
         """Answers peers that ask which experts this host's rank holds."""
 
     @abc.abstractmethod
-    async def fetch_layout(self,
-                           address: str) -> peer_messages.RankLayout | None:
+    async def fetch_rank_layout(
+            self, address: str) -> peer_messages.RankLayout | None:
         """Asks which experts a peer's rank holds; None without an answer."""
 
     @abc.abstractmethod
--- a/pollenthread/ports/rank_engine.py
+++ b/pollenthread/ports/rank_engine.py
@@ -3,15 +3,15 @@
 import abc
 import dataclasses
 
-__all__ = ['RankEngine', 'RankUnavailable', 'RankView']
+__all__ = ['RankEngine', 'RankEngineUnavailableError', 'RankEngineStatus']
 
 
-class RankUnavailable(Exception):
+class RankEngineUnavailableError(Exception):
     """The engine gave no answer; an order may have taken effect."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RankView:
+class RankEngineStatus:
     """What the engine says of its rank.
 
     Attributes:
@@ -29,7 +29,7 @@
     """Keeps the agent's state, steps by it and loads weights."""
 
     @abc.abstractmethod
-    async def read(self) -> RankView:
+    async def read_status(self) -> RankEngineStatus:
         """Reads the rank.
 
         Raises:
@@ -37,7 +37,7 @@
         """
 
     @abc.abstractmethod
-    async def write(self, state: bytes, *, incarnation: int) -> bool:
+    async def write_state(self, state: bytes, *, incarnation: int) -> bool:
         """Stores the state, by which the engine goes from now on.
 
         Returns:
@@ -49,7 +49,7 @@
         """
 
     @abc.abstractmethod
-    async def load(self, version: int) -> bool:
+    async def load_weights(self, map_version: int) -> bool:
         """Loads the weights that a map needs; False when that failed.
 
         Raises:
--- a/pollenthread/ports/rank_server.py
+++ b/pollenthread/ports/rank_server.py
@@ -5,15 +5,18 @@
 
 from pollenthread.core import peer_messages
 
-__all__ = ['RankCounts', 'RankReport', 'RankServer', 'RankSilent']
+__all__ = [
+    'ExpertChoiceCounts', 'RankServerStatus', 'RankServer',
+    'RankServerUnavailableError'
+]
 
 
-class RankSilent(Exception):
+class RankServerUnavailableError(Exception):
     """The server gave no answer; an order may be carried out later."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RankReport:
+class RankServerStatus:
     """What a server says of itself.
 
     Attributes:
@@ -26,11 +29,11 @@
     state: peer_messages.RankState
     running: int
     waiting: int
-    is_in_group: bool
+    is_group_member: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RankCounts:
+class ExpertChoiceCounts:
     """How often a rank's requests have chosen each expert since its start.
 
     Attributes:
@@ -48,7 +51,7 @@
     """One server; free to ask from its own host, priced from elsewhere."""
 
     @abc.abstractmethod
-    async def report(self) -> RankReport:
+    async def fetch_status(self) -> RankServerStatus:
         """Asks for its state.
 
         Raises:
@@ -56,7 +59,7 @@
         """
 
     @abc.abstractmethod
-    async def counts(self) -> RankCounts:
+    async def fetch_choice_counts(self) -> ExpertChoiceCounts:
         """Asks how often experts were chosen.
 
         Raises:
@@ -64,7 +67,7 @@
         """
 
     @abc.abstractmethod
-    async def layout(self) -> peer_messages.RankLayout:
+    async def fetch_layout(self) -> peer_messages.RankLayout:
         """Asks which experts it holds by the map in use.
 
         Raises:
@@ -72,7 +75,7 @@
         """
 
     @abc.abstractmethod
-    async def order(self, order: peer_messages.RankOrder) -> int:
+    async def send_order(self, order: peer_messages.RankOrder) -> int:
         """Gives an order; returns the HTTP status.
 
         Raises:
--- a/pollenthread/ports/row_store.py
+++ b/pollenthread/ports/row_store.py
@@ -7,10 +7,10 @@
 
 import result
 
-__all__ = ['Change', 'Changes', 'RowStore', 'RowWrite', 'StoreFault']
+__all__ = ['RowChange', 'RowChanges', 'RowStore', 'RowWrite', 'StoreError']
 
 
-class StoreFault(enum.Enum):
+class StoreError(enum.Enum):
     """Why the store gave no answer that can be used.
 
     UNKNOWN means that a write may have taken effect, or may yet do so.
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class RowChange:
     """A row as of its newest version.
 
     Attributes:
@@ -39,7 +39,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
+class RowChanges:
     """An answer of the store.
 
     Attributes:
@@ -47,7 +47,7 @@
         version: the newest version that the answer covers.
     """
 
-    changes: tuple[Change, ...]
+    changes: tuple[RowChange, ...]
     version: int
 
 
@@ -66,22 +66,22 @@
     table: str
     key: str
     value: bytes | None
-    expect: int | None
+    expected_version: int | None
 
 
 class RowStore(abc.ABC):
     """Tables of rows."""
 
     @abc.abstractmethod
-    async def read(self, table: str) -> result.Result[Changes, StoreFault]:
+    async def read(self, table: str) -> result.Result[RowChanges, StoreError]:
         """Reads a whole table."""
 
     @abc.abstractmethod
-    async def watch(self, table: str, after: int,
-                    wait_s: float) -> result.Result[Changes, StoreFault]:
+    async def watch(self, table: str, after_version: int,
+                    wait_s: float) -> result.Result[RowChanges, StoreError]:
         """Waits for changes after a version; empty when there are none."""
 
     @abc.abstractmethod
     async def write(
-            self, writes: Sequence[RowWrite]) -> result.Result[int, StoreFault]:
+            self, writes: Sequence[RowWrite]) -> result.Result[int, StoreError]:
         """Applies all writes or none; returns the new version."""
--- a/pollenthread/ports/table.py
+++ b/pollenthread/ports/table.py
@@ -7,13 +7,15 @@
 
 import result
 
-__all__ = ['ABSENT', 'Row', 'TableFault', 'TableService', 'Write']
+__all__ = [
+    'ABSENT_VERSION', 'TableRow', 'TableError', 'TableService', 'TableWrite'
+]
 
-ABSENT = 0
+ABSENT_VERSION = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Row:
+class TableRow:
     """One row as it was read.
 
     Attributes:
@@ -28,7 +30,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Write:
+class TableWrite:
     """A conditional write.
 
     Attributes:
@@ -39,10 +41,10 @@
 
     key: str
     value: bytes | None
-    expect: int
+    expected_version: int
 
 
-class TableFault(enum.Enum):
+class TableError(enum.Enum):
     """Why the table gave no answer that can be used.
 
     UNKNOWN means that the write may have taken effect: read before deciding.
@@ -58,17 +60,18 @@
     """Rows by key, with conditional writes and transactions."""
 
     @abc.abstractmethod
-    async def get(self, key: str) -> result.Result[Row | None, TableFault]:
+    async def get(self, key: str) -> result.Result[TableRow | None, TableError]:
         """Reads one row; None when there is none."""
 
     @abc.abstractmethod
-    async def scan(self, prefix: str) -> result.Result[list[Row], TableFault]:
+    async def scan(self,
+                   prefix: str) -> result.Result[list[TableRow], TableError]:
         """Reads the rows whose keys begin with `prefix`, in key order."""
 
     @abc.abstractmethod
     async def commit(
-            self,
-            writes: Sequence[Write]) -> result.Result[list[int], TableFault]:
+            self, writes: Sequence[TableWrite]
+    ) -> result.Result[list[int], TableError]:
         """Applies all writes or none.
 
         Returns:
@@ -76,7 +79,7 @@
         """
 
     async def put(self, key: str, value: bytes, *,
-                  expect: int) -> result.Result[int, TableFault]:
+                  expected_version: int) -> result.Result[int, TableError]:
         """Writes one row if it has the expected version."""
-        done = await self.commit([Write(key, value, expect)])
+        done = await self.commit([TableWrite(key, value, expected_version)])
         return done.map(lambda versions: versions[0])
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -8,21 +8,21 @@
 from pollenthread.core import caller_request, fleet, http_headers
 
 __all__ = [
-    'ConnectFailed', 'ServerLoad', 'Upstream', 'UpstreamAnswer',
-    'UpstreamBroken', 'UpstreamRequest'
+    'UpstreamConnectError', 'ReportedServerLoad', 'UpstreamClient',
+    'UpstreamResponse', 'UpstreamDisconnectedError', 'UpstreamAttempt'
 ]
 
 
-class ConnectFailed(Exception):
+class UpstreamConnectError(Exception):
     """No connection could be made, so nothing was sent."""
 
 
-class UpstreamBroken(Exception):
+class UpstreamDisconnectedError(Exception):
     """The connection broke after something was sent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ServerLoad:
+class ReportedServerLoad:
     """What a server says of its load in an answer."""
 
     running: int
@@ -31,7 +31,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamRequest:
+class UpstreamAttempt:
     """One attempt at a server.
 
     Attributes:
@@ -48,10 +48,10 @@
     time_left_s: float
     workspace: str | None
     last_event_id: str | None
-    urgency: int
+    priority: int
 
 
-class UpstreamAnswer(abc.ABC):
+class UpstreamResponse(abc.ABC):
     """An answer whose head has come.
 
     Attributes:
@@ -65,10 +65,10 @@
 
     status: int
     headers: tuple[http_headers.Header, ...]
-    has_run: bool
-    is_other_server: bool
-    load: ServerLoad | None
-    is_leaving: bool
+    may_have_executed: bool
+    is_misdirected: bool
+    load: ReportedServerLoad | None
+    closes_connection: bool
 
     @abc.abstractmethod
     def read(self) -> AsyncIterator[bytes]:
@@ -79,13 +79,13 @@
         """
 
 
-class Upstream(abc.ABC):
+class UpstreamClient(abc.ABC):
     """Sends requests to servers."""
 
     @abc.abstractmethod
     def send(
-        self, attempt: UpstreamRequest
-    ) -> contextlib.AbstractAsyncContextManager[UpstreamAnswer]:
+        self, attempt: UpstreamAttempt
+    ) -> contextlib.AbstractAsyncContextManager[UpstreamResponse]:
         """Sends one attempt; leaving the context early cancels it.
 
         Raises:
--- a/tests/agreed/steps/claims.py
+++ b/tests/agreed/steps/claims.py
@@ -200,7 +200,7 @@
             context,
             context.memory.put(claim_keeper.row_key('buna', f'{i}'),
                                row,
-                               expect=table.ABSENT))
+                               expected_version=table.ABSENT_VERSION))
 
 
 @when('the claims are swept')
@@ -232,7 +232,7 @@
                                    context.stack.enter_async_context(batcher))
 
 
-def _write(context: Any, writes: list[table.Write]) -> list[Any]:
+def _write(context: Any, writes: list[table.TableWrite]) -> list[Any]:
 
     async def commit() -> list[Any]:
         return list(await asyncio.gather(
@@ -246,12 +246,14 @@
     writes = []
     for i in range(known):
         key = f'known-{i}'
-        put = scenario.run(context,
-                           context.memory.put(key, b'', expect=table.ABSENT))
-        writes.append(table.Write(key, b'outcome', put.ok_value))
+        put = scenario.run(
+            context,
+            context.memory.put(key, b'', expected_version=table.ABSENT_VERSION))
+        writes.append(table.TableWrite(key, b'outcome', put.ok_value))
     context.outcomes = known
     claims_first = [
-        table.Write(f'new-{i}', b'claim', table.ABSENT) for i in range(new)
+        table.TableWrite(f'new-{i}', b'claim', table.ABSENT_VERSION)
+        for i in range(new)
     ]
     context.written = _write(context, [*claims_first, *writes])
 
@@ -262,7 +264,7 @@
     done = [isinstance(item, result.Ok) for item in context.written]
     assert all(done[split:]), context.written
     assert sum(done[:split]) == count, sum(done[:split])
-    limited = result.Err(table.TableFault.LIMITED)
+    limited = result.Err(table.TableError.LIMITED)
     assert done[:split].count(False) == context.written.count(limited)
 
 
@@ -274,21 +276,23 @@
 
 @given('a claim of the key "{key}" in the table')
 def step_claim_there(context: Any, key: str) -> None:
-    scenario.run(context, context.memory.put(key, b'other',
-                                             expect=table.ABSENT))
+    scenario.run(
+        context,
+        context.memory.put(key, b'other',
+                           expected_version=table.ABSENT_VERSION))
 
 
 @when('claims of the keys "{first}", "{second}" and "{third}" are written at '
       'once')
 def step_write_three(context: Any, first: str, second: str, third: str) -> None:
     context.written = _write(context, [
-        table.Write(key, b'claim', table.ABSENT)
+        table.TableWrite(key, b'claim', table.ABSENT_VERSION)
         for key in (first, second, third)
     ])
 
 
 @then('their answers are conflict, written and conflict')
 def step_three(context: Any) -> None:
-    conflict = result.Err(table.TableFault.CONFLICT)
+    conflict = result.Err(table.TableError.CONFLICT)
     assert context.written[0] == context.written[2] == conflict
     assert isinstance(context.written[1], result.Ok)
--- a/tests/agreed/steps/decisions.py
+++ b/tests/agreed/steps/decisions.py
@@ -84,7 +84,7 @@
 
 @then('no publication was accepted meanwhile')
 def step_none_accepted(context: Any) -> None:
-    unavailable = result.Err(table.TableFault.UNAVAILABLE)
+    unavailable = result.Err(table.TableError.UNAVAILABLE)
     assert all(item == unavailable for item in context.tried)
 
 
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -38,16 +38,16 @@
     events: int = 26
 
 
-class _Answer(upstream.UpstreamAnswer):
+class _Answer(upstream.UpstreamResponse):
     """An answer; one that was not run has no body."""
 
     def __init__(self, servers: 'BusyServers', *, has_run: bool) -> None:
         self.status = _OK if has_run else _NOT_RUN
         self.headers: tuple[http_headers.Header, ...] = ()
-        self.has_run = has_run
-        self.is_other_server = False
+        self.may_have_executed = has_run
+        self.is_misdirected = False
         self.load = None
-        self.is_leaving = False
+        self.closes_connection = False
         self._servers = servers
 
     def read(self) -> AsyncIterator[bytes]:
@@ -100,7 +100,7 @@
         self.running -= 1
 
 
-class BusyServers(upstream.Upstream):
+class BusyServers(upstream.UpstreamClient):
     """Servers of one group, which is closed at times."""
 
     def __init__(self, *, servers: Iterable[fleet.Server], pace: Pace) -> None:
@@ -117,8 +117,8 @@
 
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
-        self, attempt: upstream.UpstreamRequest
-    ) -> AsyncIterator[upstream.UpstreamAnswer]:
+        self, attempt: upstream.UpstreamAttempt
+    ) -> AsyncIterator[upstream.UpstreamResponse]:
         waited_s = (asyncio.get_running_loop().time() -
                     attempt.request.received_at)
         self.longest_wait_s = max(self.longest_wait_s, waited_s)
@@ -126,7 +126,7 @@
         if not self.is_open or server.is_full:
             yield _Answer(self, has_run=False)
             return
-        await server.enter(attempt.urgency)
+        await server.enter(attempt.priority)
         try:
             yield _Answer(self, has_run=True)
         finally:
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -191,11 +191,12 @@
             for total, share in zip(self._choices, flat)
         ]
 
-    def counts(self, rank: int) -> rank_server.RankCounts:
+    def counts(self, rank: int) -> rank_server.ExpertChoiceCounts:
         """How often a rank's requests have chosen each expert."""
-        return rank_server.RankCounts(step=self._ranks[rank].state.step,
-                                      epoch=1,
-                                      counts=tuple(map(int, self._choices)))
+        return rank_server.ExpertChoiceCounts(step=self._ranks[rank].state.step,
+                                              epoch=1,
+                                              counts=tuple(
+                                                  map(int, self._choices)))
 
     def layout(self, rank: int) -> peer_messages.RankLayout:
         """The experts that a rank holds."""
@@ -284,26 +285,27 @@
         self._running = running
         self._late = list(late)
 
-    async def report(self) -> rank_server.RankReport:
+    async def fetch_status(self) -> rank_server.RankServerStatus:
         await asyncio.sleep(_CALL_S)
-        return rank_server.RankReport(state=self._group.states[self._rank],
-                                      running=self._running,
-                                      waiting=0,
-                                      is_in_group=True)
+        return rank_server.RankServerStatus(
+            state=self._group.states[self._rank],
+            running=self._running,
+            waiting=0,
+            is_group_member=True)
 
-    async def counts(self) -> rank_server.RankCounts:
+    async def fetch_choice_counts(self) -> rank_server.ExpertChoiceCounts:
         await asyncio.sleep(_CALL_S)
         return self._group.counts(self._rank)
 
-    async def layout(self) -> peer_messages.RankLayout:
+    async def fetch_layout(self) -> peer_messages.RankLayout:
         await asyncio.sleep(_CALL_S)
         return self._group.layout(self._rank)
 
-    async def order(self, order: peer_messages.RankOrder) -> int:
+    async def send_order(self, order: peer_messages.RankOrder) -> int:
         await asyncio.sleep(_CALL_S)
         late_s = self._late.pop(0) if self._late else 0.0
         if late_s:
             asyncio.get_running_loop().call_later(late_s, self._group.order,
                                                   self._rank, order)
-            raise rank_server.RankSilent('no answer')
+            raise rank_server.RankServerUnavailableError('no answer')
         return self._group.order(self._rank, order)
--- a/tests/fakes/memory.py
+++ b/tests/fakes/memory.py
@@ -39,41 +39,42 @@
 
     def __init__(self) -> None:
         self.is_down = False
-        self._rows_by_key: dict[str, table.Row] = {}
+        self._rows_by_key: dict[str, table.TableRow] = {}
         self._version = 0
 
     async def get(
             self,
-            key: str) -> result.Result[table.Row | None, table.TableFault]:
+            key: str) -> result.Result[table.TableRow | None, table.TableError]:
         if self.is_down:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         return result.Ok(self._rows_by_key.get(key))
 
     async def scan(
-            self,
-            prefix: str) -> result.Result[list[table.Row], table.TableFault]:
+            self, prefix: str
+    ) -> result.Result[list[table.TableRow], table.TableError]:
         if self.is_down:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         return result.Ok([
             row for key, row in sorted(self._rows_by_key.items())
             if key.startswith(prefix)
         ])
 
     async def commit(
-        self, writes: Sequence[table.Write]
-    ) -> result.Result[list[int], table.TableFault]:
+        self, writes: Sequence[table.TableWrite]
+    ) -> result.Result[list[int], table.TableError]:
         if self.is_down:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         for write in writes:
             row = self._rows_by_key.get(write.key)
-            if (table.ABSENT if row is None else row.version) != write.expect:
-                return result.Err(table.TableFault.CONFLICT)
+            if (table.ABSENT_VERSION
+                    if row is None else row.version) != write.expected_version:
+                return result.Err(table.TableError.CONFLICT)
         return result.Ok([self._apply(write) for write in writes])
 
-    def _apply(self, write: table.Write) -> int:
+    def _apply(self, write: table.TableWrite) -> int:
         self._version += 1
         self._rows_by_key.pop(write.key, None)
         if write.value is not None:
-            self._rows_by_key[write.key] = table.Row(write.key, write.value,
-                                                     self._version)
+            self._rows_by_key[write.key] = table.TableRow(
+                write.key, write.value, self._version)
         return self._version
--- a/tests/fakes/operator.py
+++ b/tests/fakes/operator.py
@@ -37,7 +37,7 @@
 
     async def publish(
         self, base: int, retries: int, author: str
-    ) -> result.Result[int, config_store.Conflict | table.TableFault]:
+    ) -> result.Result[int, config_store.Conflict | table.TableError]:
         """Publishes a changed document over a version."""
         return await self.store.publish(changed_targets(retries),
                                         author=author,
--- a/tests/fakes/rank_system.py
+++ b/tests/fakes/rank_system.py
@@ -117,9 +117,8 @@
         key = switch_duty.wanted_key(GROUP)
         row = (await self.table.get(key)).unwrap()
         value = json.dumps({'map_version': version}).encode()
-        written = await self.table.put(key,
-                                       value,
-                                       expect=row.version if row else 0)
+        written = await self.table.put(
+            key, value, expected_version=row.version if row else 0)
         written.expect('the table takes the wanted map')
 
     async def _start_all(self) -> None:
--- a/tests/fakes/running_group.py
+++ b/tests/fakes/running_group.py
@@ -130,21 +130,23 @@
         self._group = group
         self._rank = rank
 
-    async def report(self) -> rank_server.RankReport:
-        return rank_server.RankReport(
+    async def fetch_status(self) -> rank_server.RankServerStatus:
+        return rank_server.RankServerStatus(
             state=self._group.state_by_rank[self._rank],
             running=1,
             waiting=0,
-            is_in_group=True)
+            is_group_member=True)
 
-    async def counts(self) -> rank_server.RankCounts:
-        raise rank_server.RankSilent('counts are not asked from afar')
+    async def fetch_choice_counts(self) -> rank_server.ExpertChoiceCounts:
+        raise rank_server.RankServerUnavailableError(
+            'counts are not asked from afar')
 
-    async def layout(self) -> peer_messages.RankLayout:
-        raise rank_server.RankSilent('layouts are not asked from afar')
+    async def fetch_layout(self) -> peer_messages.RankLayout:
+        raise rank_server.RankServerUnavailableError(
+            'layouts are not asked from afar')
 
-    async def order(self, order: peer_messages.RankOrder) -> int:
+    async def send_order(self, order: peer_messages.RankOrder) -> int:
         answer = await self._group.order(self._rank, order)
         if answer is None:
-            raise rank_server.RankSilent('lost')
+            raise rank_server.RankServerUnavailableError('lost')
         return _OK
--- a/tests/fakes/thin_links.py
+++ b/tests/fakes/thin_links.py
@@ -113,8 +113,9 @@
                                                   None]] | None = None
         fabric.host_by_address[address] = _Host(network=self)
 
-    def on_datagram(self, kind: type[Any], take: Callable[[Any], None]) -> None:
-        self._take_by_type[kind] = take
+    def set_datagram_handler(self, message_type: type[Any],
+                             handler: Callable[[Any], None]) -> None:
+        self._take_by_type[message_type] = handler
 
     def send(self, address: str, *messages: Any) -> None:
         for message in messages:
@@ -134,33 +135,35 @@
         if take is not None:
             take(message)
 
-    def serve_snapshots(
-            self, make: Callable[[], peer_messages.Snapshot | None]) -> None:
+    def set_snapshot_provider(
+            self, provider: Callable[[],
+                                     peer_messages.Snapshot | None]) -> None:
         return
 
-    def serve_states(
-            self,
-            make: Callable[[],
+    def set_rank_state_provider(
+        self,
+        provider: Callable[[],
                            Awaitable[peer_messages.RankState | None]]) -> None:
-        self._make_state = make
+        self._make_state = provider
 
-    def serve_layouts(
-            self,
-            make: Callable[[],
+    def set_rank_layout_provider(
+        self,
+        provider: Callable[[],
                            Awaitable[peer_messages.RankLayout | None]]) -> None:
-        self._make_layout = make
+        self._make_layout = provider
 
     async def fetch_snapshot(self,
                              address: str) -> peer_messages.Snapshot | None:
         return None
 
-    async def fetch_state(self, address: str) -> peer_messages.RankState | None:
+    async def fetch_rank_state(self,
+                               address: str) -> peer_messages.RankState | None:
         found: peer_messages.RankState | None = await self._call(
             address, lambda there: there.answer_state())
         return found
 
-    async def fetch_layout(self,
-                           address: str) -> peer_messages.RankLayout | None:
+    async def fetch_rank_layout(
+            self, address: str) -> peer_messages.RankLayout | None:
         found: peer_messages.RankLayout | None = await self._call(
             address, lambda there: there.answer_layout())
         return found
--- a/tests/platform/steps/endless.py
+++ b/tests/platform/steps/endless.py
@@ -72,7 +72,7 @@
             _EndlessServer(*_BEGIN_AND_REPEAT[what])))
 
 
-def _attempt(address: str) -> upstream.UpstreamRequest:
+def _attempt(address: str) -> upstream.UpstreamAttempt:
     request = caller_request.CallerRequest(id=_ID,
                                            method='POST',
                                            target='/x',
@@ -92,12 +92,12 @@
                           data_centre='a',
                           slots=1,
                           state=fleet.ServerState.READY)
-    return upstream.UpstreamRequest(server=server,
+    return upstream.UpstreamAttempt(server=server,
                                     request=request,
                                     time_left_s=5.0,
                                     workspace=None,
                                     last_event_id=None,
-                                    urgency=5)
+                                    priority=5)
 
 
 async def _ask(context: Any) -> None:
@@ -114,7 +114,8 @@
                         context.taken_bytes += len(data)
                         if context.is_stream:
                             splitter.feed(data)
-        except (upstream.UpstreamBroken, event_stream.EventTooLong) as error:
+        except (upstream.UpstreamDisconnectedError,
+                event_stream.EventTooLong) as error:
             context.broken = error
 
 
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -48,7 +48,7 @@
                 self._view.take(state)
                 return
 
-    async def fetch_state(self, address: str) -> peer_messages.RankState:
+    async def fetch_rank_state(self, address: str) -> peer_messages.RankState:
         return self._group.state_by_rank[_rank(address)]
 
 
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -23,10 +23,11 @@
         self.take_by_type: dict[type[Any], Callable[[Any], None]] = {}
         self.asked: list[str] = []
 
-    def on_datagram(self, kind: type[Any], take: Callable[[Any], None]) -> None:
+    def set_datagram_handler(self, kind: type[Any],
+                             take: Callable[[Any], None]) -> None:
         self.take_by_type[kind] = take
 
-    def serve_snapshots(self, make: Any) -> None:
+    def set_snapshot_provider(self, make: Any) -> None:
         del make
 
     async def fetch_snapshot(self, address: str) -> None:
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -11,7 +11,7 @@
 from pollenthread.app import forwarder, planned_stop, serving_state
 from pollenthread.core import (caller_request, errors, fleet, http_headers,
                                lateness, routing_config)
-from pollenthread.ports import reply
+from pollenthread.ports import caller_response
 from tests.fakes import busy_servers, memory, virtual_time
 
 _BUDGET_S = 8.05
@@ -61,7 +61,7 @@
     workspaces_by_key=None)
 
 
-class _Reply(reply.Reply):
+class _Reply(caller_response.CallerResponse):
     """Notes when the first event came and how the answer ended."""
 
     def __init__(self) -> None:
@@ -70,19 +70,19 @@
         self.failure: errors.Failure | None = None
 
     @property
-    def has_begun(self) -> bool:
+    def is_started(self) -> bool:
         return self.first_at is not None
 
-    async def refuse(self, failure: errors.Failure) -> None:
+    async def send_failure(self, failure: errors.Failure) -> None:
         self.failure = failure
 
-    async def send_whole(self, status: int,
-                         headers: Sequence[http_headers.Header],
-                         body: bytes) -> None:
+    async def send_response(self, status: int,
+                            headers: Sequence[http_headers.Header],
+                            body: bytes) -> None:
         self.is_whole = True
 
-    async def begin(self, status: int,
-                    headers: Sequence[http_headers.Header]) -> None:
+    async def start_stream(self, status: int,
+                           headers: Sequence[http_headers.Header]) -> None:
         self.first_at = asyncio.get_running_loop().time()
 
     async def write(self, data: bytes) -> None:
@@ -91,7 +91,7 @@
     async def finish(self) -> None:
         self.is_whole = True
 
-    def break_off(self) -> None:
+    def abort(self) -> None:
         return
 
 
@@ -225,7 +225,7 @@
         served = asyncio.create_task(
             self._rng.choice(self._hosts).serve(request, answer))
         await asyncio.wait([served], timeout=_SILENCE_S)
-        if not answer.has_begun:
+        if not answer.is_started:
             served.cancel()
         await asyncio.wait([served])
         return answer
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -89,17 +89,17 @@
         self._version = 0
 
     async def read(
-            self, table: str
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
-        return result.Ok(row_store.Changes((), self._version))
+        self, table: str
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
+        return result.Ok(row_store.RowChanges((), self._version))
 
     async def watch(
-        self, table: str, after: int, wait_s: float
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
+        self, table: str, after_version: int, wait_s: float
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         return await self.read(table)
 
     async def write(self,
-                    writes: Any) -> result.Result[int, row_store.StoreFault]:
+                    writes: Any) -> result.Result[int, row_store.StoreError]:
         self._version += 1
         return result.Ok(self._version)
 
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -22,7 +22,7 @@
     """Rows in memory that can be down or lose answers."""
 
     def __init__(self) -> None:
-        self.rows_by_key: dict[str, table.Row] = {}
+        self.rows_by_key: dict[str, table.TableRow] = {}
         self.down = False
         self.lose_every = 0
         self._commits = 0
@@ -30,40 +30,41 @@
 
     async def get(
             self,
-            key: str) -> result.Result[table.Row | None, table.TableFault]:
+            key: str) -> result.Result[table.TableRow | None, table.TableError]:
         if self.down:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         return result.Ok(self.rows_by_key.get(key))
 
     async def scan(
-            self,
-            prefix: str) -> result.Result[list[table.Row], table.TableFault]:
+            self, prefix: str
+    ) -> result.Result[list[table.TableRow], table.TableError]:
         return result.Ok([
             row for key, row in sorted(self.rows_by_key.items())
             if key.startswith(prefix)
         ])
 
     async def commit(
-        self, writes: Sequence[table.Write]
-    ) -> result.Result[list[int], table.TableFault]:
+        self, writes: Sequence[table.TableWrite]
+    ) -> result.Result[list[int], table.TableError]:
         if self.down:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         for write in writes:
             row = self.rows_by_key.get(write.key)
-            if (row.version if row else table.ABSENT) != write.expect:
-                return result.Err(table.TableFault.CONFLICT)
+            if (row.version
+                    if row else table.ABSENT_VERSION) != write.expected_version:
+                return result.Err(table.TableError.CONFLICT)
         versions = [self._apply(write) for write in writes]
         self._commits += 1
         if self.lose_every and self._commits % self.lose_every == 0:
-            return result.Err(table.TableFault.UNKNOWN)
+            return result.Err(table.TableError.UNKNOWN)
         return result.Ok(versions)
 
-    def _apply(self, write: table.Write) -> int:
+    def _apply(self, write: table.TableWrite) -> int:
         self._version += 1
         self.rows_by_key.pop(write.key, None)
         if write.value is not None:
-            self.rows_by_key[write.key] = table.Row(write.key, write.value,
-                                                    self._version)
+            self.rows_by_key[write.key] = table.TableRow(
+                write.key, write.value, self._version)
         return self._version
 
 
