--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -187,7 +187,7 @@
                                     handler=near,
                                     tls=tls_by_host.get('near'))
     async with server, dialers:
-        await dialers.keep({'far': server.address})
+        await dialers.set_addresses({'far': server.address})
         async with asyncio.timeout(10):
             await near.opened.wait()
         assert near.link is not None
@@ -219,7 +219,7 @@
     found = {}
     for host in ('near', 'far'):
         paths = authority.issue(host)
-        found[host] = link_tls.LinkTls(files=link_tls.LinkFiles(
+        found[host] = link_tls.LinkTls(files=link_tls.LinkTlsFiles(
             certificate=pathlib.Path(paths['certificate_file']),
             key=pathlib.Path(paths['key_file']),
             authority=pathlib.Path(paths['authority_file'])))
--- a/pollenthread/adapters/admin_api.py
+++ b/pollenthread/adapters/admin_api.py
@@ -11,7 +11,7 @@
 from urllib import parse
 
 import pollenthread
-from pollenthread.adapters import http_server, operator_guard
+from pollenthread.adapters import http_server, operator_auth
 from pollenthread.app import administration
 from pollenthread.core import errors, operators
 
@@ -196,7 +196,7 @@
 )
 
 
-class AdminApi(http_server.Handler):
+class AdminApi(http_server.RequestHandler):
     """Answers operators."""
 
     def __init__(self, *, admin: administration.Administration,
@@ -204,8 +204,8 @@
         self._admin = admin
         self._operators = operator_list
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.path == '/v1/openapi.json':
             await response.send_json(200, openapi())
             return
@@ -216,7 +216,7 @@
             return
         await response.send_json(200, answer)
 
-    async def _answer(self, request: http_server.Request) -> Any:
+    async def _answer(self, request: http_server.HttpRequest) -> Any:
         operator = self._authenticate(request)
         is_known = False
         for route in _ROUTES:
@@ -234,8 +234,9 @@
         raise _refuse(errors.Kind.METHOD_NOT_ALLOWED if is_known else errors.
                       Kind.NOT_FOUND)
 
-    def _authenticate(self, request: http_server.Request) -> operators.Operator:
-        found = operator_guard.authenticate(self._operators, request)
+    def _authenticate(self,
+                      request: http_server.HttpRequest) -> operators.Operator:
+        found = operator_auth.authenticate(self._operators, request)
         if found is not None:
             return found
         raise _refuse(errors.Kind.NOT_AUTHENTICATED)
--- a/pollenthread/adapters/admin_http.py
+++ b/pollenthread/adapters/admin_http.py
@@ -7,12 +7,12 @@
 from pollenthread.adapters import http_server
 from pollenthread.core import account, errors
 
-__all__ = ['AdminHandler', 'account_rows']
+__all__ = ['AdminRouter', 'account_rows']
 
 _Document = Callable[[], Any]
 
 
-class AdminHandler(http_server.Handler):
+class AdminRouter(http_server.RequestHandler):
     """Answers `GET` of the given documents by path.
 
     Paths below one of `handlers_by_root` go to that handler.
@@ -21,14 +21,14 @@
     def __init__(
         self,
         *,
-        documents_by_path: dict[str, _Document],
-        handlers_by_root: Mapping[str, http_server.Handler] | None = None
+        document_sources_by_path: dict[str, _Document],
+        handlers_by_root: Mapping[str, http_server.RequestHandler] | None = None
     ) -> None:
-        self._documents_by_path = documents_by_path
+        self._documents_by_path = document_sources_by_path
         self._handlers_by_root = dict(handlers_by_root or {})
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         root = request.path.strip('/').partition('/')[0]
         handler = self._handlers_by_root.get(root)
         if handler is not None:
--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -14,7 +14,7 @@
                                pace, spans, targets)
 from pollenthread.ports import clock
 
-__all__ = ['ADDRESS_TTL_S', 'CallerHandler']
+__all__ = ['ADDRESS_TTL_S', 'GatewayHandler']
 
 ADDRESS_TTL_S = 5
 _STREAM_TIMEOUT_S = 120.0
@@ -50,15 +50,15 @@
     stream: bool
 
 
-class CallerHandler(http_server.Handler):
+class GatewayHandler(http_server.RequestHandler):
     """Checks callers' requests and serves them through the gateway."""
 
     def __init__(self, *, gate: gateway.Gateway,
                  config: config_store.ConfigStore, hosts: directory.Directory,
                  request_ids: ids.IdSource, time: clock.Clock,
                  tally: account.Tally, is_refusing: Callable[[], bool],
-                 observe: Callable[[pace.Pace, float],
-                                   None], tracer: tracer_module.Tracer) -> None:
+                 observe_latency: Callable[[pace.Pace, float], None],
+                 tracer: tracer_module.Tracer) -> None:
         self._gateway = gate
         self._config = config
         self._hosts = hosts
@@ -66,12 +66,12 @@
         self._time = time
         self._tally = tally
         self._is_refusing = is_refusing
-        self._observe = observe
+        self._observe = observe_latency
         self._tracer = tracer
         self.open_requests: set[str] = set()
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         request_id = self._ids.acquire()
         try:
             if request.path == '/v1/addresses':
@@ -84,18 +84,18 @@
             return
         await self._serve(call, response)
 
-    async def _answer_addresses(self, request: http_server.Request,
-                                response: http_server.Response) -> None:
+    async def _answer_addresses(self, request: http_server.HttpRequest,
+                                response: http_server.HttpResponse) -> None:
         if request.method != 'GET':
             raise _refuse(errors.Kind.METHOD_NOT_ALLOWED, 'Use GET.')
-        caller = request.header('x-caller') or request.peer
+        caller = request.header('x-caller') or request.client_ip
         hosts = addresses.order(self._hosts.entries(), caller)
         await response.send_json(200, {
             'addresses': [host.address for host in hosts],
             'ttl_s': ADDRESS_TTL_S
         }, [('cache-control', f'max-age={ADDRESS_TTL_S}')])
 
-    def _check(self, request: http_server.Request,
+    def _check(self, request: http_server.HttpRequest,
                request_id: str) -> gateway.Call:
         if self._is_refusing():
             raise _refuse(errors.Kind.LEAVING)
@@ -123,7 +123,7 @@
                             body=request.body)
 
     async def _serve(self, call: gateway.Call,
-                     response: http_server.Response) -> None:
+                     response: http_server.HttpResponse) -> None:
         started_at = self._time.monotonic()
         self._tally.accept(call.tally_key)
         self.open_requests.add(call.request_id)
@@ -175,7 +175,7 @@
 class _ResponseSink(gateway.Sink):
     """Writes an answer to the caller."""
 
-    def __init__(self, *, response: http_server.Response,
+    def __init__(self, *, response: http_server.HttpResponse,
                  request_id: str) -> None:
         self._response = response
         self._request_id = request_id
@@ -200,14 +200,14 @@
         await self._response.write(data)
 
     def data_at_once(self, data: bytes) -> bool:
-        return self._response.write_at_once(data)
+        return self._response.try_write(data)
 
     async def end(self) -> None:
         await self._response.finish()
 
     async def fail(self, problem: errors.Failure, attempts: int) -> None:
         """Reports a failure; never as a short answer that looks whole."""
-        if not self._response.head_sent:
+        if not self._response.is_head_sent:
             await self._response.send_problem(problem,
                                               self._own_headers(attempts))
             return
@@ -222,21 +222,21 @@
     return path == _CHAT_PATH or path.startswith(_SERVICES_PREFIX)
 
 
-def _single_header(request: http_server.Request, name: str) -> str:
+def _single_header(request: http_server.HttpRequest, name: str) -> str:
     if request.header_count(name) != 1:
         raise _refuse(errors.Kind.BAD_HEADER,
                       f'Give the {name} header exactly once.')
     return request.header(name) or ''
 
 
-def _optional_header(request: http_server.Request, name: str) -> str | None:
+def _optional_header(request: http_server.HttpRequest, name: str) -> str | None:
     if request.header_count(name) > 1:
         raise _refuse(errors.Kind.BAD_HEADER,
                       f'Give the {name} header at most once.')
     return request.header(name)
 
 
-def _workspace(request: http_server.Request,
+def _workspace(request: http_server.HttpRequest,
                current: targets.Targets) -> targets.Workspace:
     name = _single_header(request, 'x-workspace')
     workspace = current.workspace_by_name.get(name)
@@ -245,7 +245,7 @@
     return workspace
 
 
-def _work_class(request: http_server.Request,
+def _work_class(request: http_server.HttpRequest,
                 workspace: targets.Workspace) -> targets.WorkClass:
     name = _single_header(request, 'x-class')
     work_class = workspace.class_by_name.get(name)
@@ -254,7 +254,7 @@
     return work_class
 
 
-def _target(request: http_server.Request,
+def _target(request: http_server.HttpRequest,
             workspace: targets.Workspace) -> _Target:
     if request.path == _CHAT_PATH:
         return _chat_target(request, workspace)
@@ -268,7 +268,7 @@
                    stream=False)
 
 
-def _chat_target(request: http_server.Request,
+def _chat_target(request: http_server.HttpRequest,
                  workspace: targets.Workspace) -> _Target:
     if request.method != 'POST':
         raise _refuse(errors.Kind.METHOD_NOT_ALLOWED, 'Use POST.')
@@ -293,7 +293,8 @@
     return document
 
 
-def _key(request: http_server.Request, work_class: targets.WorkClass) -> str:
+def _key(request: http_server.HttpRequest,
+         work_class: targets.WorkClass) -> str:
     key = _optional_header(request, 'idempotency-key') or ''
     if not work_class.repeatable and not key:
         raise _refuse(errors.Kind.KEY_MISSING)
@@ -305,7 +306,7 @@
     return key
 
 
-def _timeout_s(request: http_server.Request, stream: bool) -> float:
+def _timeout_s(request: http_server.HttpRequest, stream: bool) -> float:
     text = _optional_header(request, 'x-timeout-ms')
     if text is None:
         return _STREAM_TIMEOUT_S if stream else _ANSWER_TIMEOUT_S
@@ -315,7 +316,7 @@
     return int(text) / 1000
 
 
-def _passed_headers(request: http_server.Request,
+def _passed_headers(request: http_server.HttpRequest,
                     key: str) -> tuple[http_headers.Header, ...]:
     passed = []
     for name in _PASSED_HEADERS:
--- a/pollenthread/adapters/client_connection.py
+++ b/pollenthread/adapters/client_connection.py
@@ -116,7 +116,7 @@
         self._transport.write(b''.join(part for part in parts if part))
         return await self._read_head()
 
-    async def skip_answer(self) -> h11.Response:
+    async def skip_response(self) -> h11.Response:
         """Drops an answer that belongs to an earlier request.
 
         Returns:
@@ -176,7 +176,7 @@
                 raise ConnectionError(f'{self.address} broke off its answer')
         return b''.join(parts) if parts else None
 
-    def finish(self) -> bool:
+    def finish_exchange(self) -> bool:
         """Readies the connection for the next exchange if it can be."""
         if (self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE or self._incoming or
--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -12,7 +12,7 @@
 from pollenthread.adapters import client_connection
 from pollenthread.core import http_headers
 
-__all__ = ['ClientExchange', 'ConnectFailed', 'HttpClient']
+__all__ = ['ClientResponse', 'HttpConnectError', 'HttpClient']
 
 _MAX_IDLE_PER_ADDRESS = 64
 _DEFAULT_IDLE_S = 4.0
@@ -20,11 +20,11 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
-class ConnectFailed(ConnectionError):
+class HttpConnectError(ConnectionError):
     """No connection could be made, so nothing was sent."""
 
 
-class ClientExchange:
+class ClientResponse:
     """One answer in progress."""
 
     def __init__(self, *, connection: client_connection.ClientConnection,
@@ -50,13 +50,13 @@
                 return value
         return None
 
-    async def skip(self) -> None:
+    async def skip_to_next_response(self) -> None:
         """Drops this answer, which belongs to an earlier request.
 
         Raises:
             ConnectionError: no further answer came.
         """
-        self._head = await self._connection.skip_answer()
+        self._head = await self._connection.skip_response()
         self.headers = _decode_headers(self._head)
 
     async def read(self) -> AsyncIterator[bytes]:
@@ -103,9 +103,9 @@
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
         for address in list(self._idle_by_address):
-            self.forget(address)
+            self.close_idle(address)
 
-    def forget(self, address: str) -> None:
+    def close_idle(self, address: str) -> None:
         """Closes the idle connections to an address."""
         for connection in self._idle_by_address.pop(address, []):
             connection.close()
@@ -117,7 +117,7 @@
                       target: str,
                       *,
                       headers: Sequence[http_headers.Header] = (),
-                      body: bytes = b'') -> AsyncIterator[ClientExchange]:
+                      body: bytes = b'') -> AsyncIterator[ClientResponse]:
         """Sends a request; leaving the context early closes the connection.
 
         Args:
@@ -133,12 +133,12 @@
         """
         connection = await self._acquire(address)
         reusable = False
-        exchange: ClientExchange | None = None
+        exchange: ClientResponse | None = None
         try:
             head = await connection.send(method, target, headers, body)
-            exchange = ClientExchange(connection=connection, head=head)
+            exchange = ClientResponse(connection=connection, head=head)
             yield exchange
-            reusable = connection.finish()
+            reusable = connection.finish_exchange()
         finally:
             self._release(connection, exchange if reusable else None)
 
@@ -155,13 +155,13 @@
             async with asyncio.timeout(self._connect_timeout_s):
                 connection = await client_connection.connect(address)
         except (OSError, TimeoutError) as error:
-            raise ConnectFailed(
+            raise HttpConnectError(
                 f'cannot connect to {address}: {error}') from error
         self.connections_opened += 1
         return connection
 
     def _release(self, connection: client_connection.ClientConnection,
-                 exchange: ClientExchange | None) -> None:
+                 exchange: ClientResponse | None) -> None:
         idle = self._idle_by_address.setdefault(connection.address, [])
         if exchange is None or len(idle) >= _MAX_IDLE_PER_ADDRESS:
             connection.close()
@@ -176,7 +176,7 @@
                  for name, value in head.headers)
 
 
-def _idle_s(exchange: ClientExchange) -> float:
+def _idle_s(exchange: ClientResponse) -> float:
     """How long a connection may be idle before the server may close it."""
     found = _KEEP_ALIVE_TIMEOUT.search(exchange.header('keep-alive') or '')
     timeout_s = float(found.group(1)) if found else _DEFAULT_IDLE_S
--- a/pollenthread/adapters/http_connection.py
+++ b/pollenthread/adapters/http_connection.py
@@ -11,21 +11,21 @@
 from pollenthread.adapters import http_message
 from pollenthread.core import errors
 
-__all__ = ['Budget', 'Connection']
+__all__ = ['BodyBufferQuota', 'ServerConnection']
 
 _MAX_EARLY_BYTES = 64 * 1024
 _PLAIN_SCHEME = 'http://'
 
 
 @dataclasses.dataclass
-class Budget:
+class BodyBufferQuota:
     """What all connections of a server hold together.
 
     Attributes:
         left_bytes: bytes of unfinished bodies that may still be taken.
     """
 
-    left_bytes: int
+    remaining_bytes: int
 
 
 class _BadRequest(Exception):
@@ -36,16 +36,16 @@
         self.problem = problem
 
 
-class Connection(asyncio.Protocol, http_message.Writer):
+class ServerConnection(asyncio.Protocol, http_message.ResponseTransport):
     """Reads requests, runs the handler for each, and writes the answers.
 
     The caller has left when it closes its sending side: the handler is then
     cancelled.
     """
 
-    def __init__(self, *, handler: http_message.Handler,
-                 limits: http_message.Limits, budget: Budget,
-                 on_lost: Callable[['Connection'], None]) -> None:
+    def __init__(self, *, handler: http_message.RequestHandler,
+                 limits: http_message.ServerLimits, budget: BodyBufferQuota,
+                 on_lost: Callable[['ServerConnection'], None]) -> None:
         self._handler = handler
         self._limits = limits
         self._budget = budget
@@ -62,9 +62,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Event | None = None
         self.task: asyncio.Task[None] | None = None
-        self.busy = False
-        self.closing = False
-        self.method = ''
+        self.is_busy = False
+        self.should_close = False
+        self.request_method = ''
 
     # What a response uses.
 
@@ -72,7 +72,7 @@
     def is_writable(self) -> bool:
         return self._writable is None and not self._transport.is_closing()
 
-    def emit(self, *events: h11.Event) -> None:
+    def send_events(self, *events: h11.Event) -> None:
         if self._transport.is_closing():
             raise ConnectionResetError('the caller left')
         if len(events) == 1:
@@ -92,21 +92,23 @@
     def abort(self) -> None:
         self._transport.close()
         if self._writable is not None:
-            self._set_timer(self._limits.linger_s, self._transport.abort)
+            self._set_timer(self._limits.lingering_close_s,
+                            self._transport.abort)
 
-    def refuse(self, problem: errors.Failure) -> None:
+    def reject(self, failure: errors.Failure) -> None:
         """Answers with a failure and reads no further request."""
-        self._set_timer(self._limits.linger_s, self._transport.abort)
+        self._set_timer(self._limits.lingering_close_s, self._transport.abort)
         self._linger_bytes = self._limits.max_body_bytes
-        self.closing = True
+        self.should_close = True
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._transport.abort()
             return
-        self.task = asyncio.create_task(self._send_refusal(problem))
+        self.task = asyncio.create_task(self._send_refusal(failure))
 
     async def _send_refusal(self, problem: errors.Failure) -> None:
         try:
-            await http_message.Response(connection=self).send_problem(problem)
+            await http_message.HttpResponse(connection=self
+                                           ).send_problem(problem)
             self._transport.write_eof()
         except (OSError, h11.LocalProtocolError):
             self._transport.abort()
@@ -151,7 +153,7 @@
         self._cancel_timer()
         self.resume_writing()
         self._forget_body()
-        self.busy = False
+        self.is_busy = False
         if self.task is not None:
             self.task.cancel()
         self._on_lost(self)
@@ -168,26 +170,26 @@
             self._timer = None
 
     def _wait_for_request(self) -> None:
-        self.busy = False
+        self.is_busy = False
         self._set_timer(self._limits.idle_timeout_s, self._transport.close)
 
     def _refuse_slow(self) -> None:
-        self.refuse(errors.failure(errors.Kind.SLOW_REQUEST))
+        self.reject(errors.failure(errors.Kind.SLOW_REQUEST))
 
     def _receive(self, data: bytes) -> None:
         """Feeds bytes to the parser and acts on what they complete."""
         if data:
             self._http.receive_data(data)
-        if not self.busy:
-            self.busy = True
+        if not self.is_busy:
+            self.is_busy = True
             self._set_timer(self._limits.head_timeout_s, self._refuse_slow)
         try:
             while self._take(self._http.next_event()):
                 pass
         except h11.RemoteProtocolError as bad:
-            self.refuse(_framing_failure(bad))
+            self.reject(_framing_failure(bad))
         except _BadRequest as bad:
-            self.refuse(bad.problem)
+            self.reject(bad.problem)
 
     def _take(self, event: Any) -> bool:
         """Handles one event; whether another may follow."""
@@ -202,24 +204,24 @@
             return False
         if event is h11.NEED_DATA:
             if self._http.they_are_waiting_for_100_continue:
-                self.emit(h11.InformationalResponse(status_code=100,
-                                                    headers=[]))
+                self.send_events(
+                    h11.InformationalResponse(status_code=100, headers=[]))
             return False
         self._transport.close()
         return False
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
-        self.method = head.method.decode('ascii')
+        self.request_method = head.method.decode('ascii')
         _check_head(head, self._limits)
         self._set_timer(self._limits.body_timeout_s, self._refuse_slow)
 
     def _take_data(self, data: bytes) -> None:
         self._body_bytes += len(data)
-        self._budget.left_bytes -= len(data)
+        self._budget.remaining_bytes -= len(data)
         if self._body_bytes > self._limits.max_body_bytes:
             raise _BadRequest(_too_large(self._limits))
-        if self._budget.left_bytes < 0:
+        if self._budget.remaining_bytes < 0:
             raise _BadRequest(
                 errors.failure(errors.Kind.OVERLOADED,
                                'Too many bodies arrive at once.'))
@@ -227,7 +229,7 @@
 
     def _forget_body(self) -> None:
         self._parts = []
-        self._budget.left_bytes += self._body_bytes
+        self._budget.remaining_bytes += self._body_bytes
         self._body_bytes = 0
 
     # Serving.
@@ -240,8 +242,8 @@
         self._forget_body()
         self.task = asyncio.create_task(self._serve(request))
 
-    async def _serve(self, request: http_message.Request) -> None:
-        response = http_message.Response(connection=self)
+    async def _serve(self, request: http_message.HttpRequest) -> None:
+        response = http_message.HttpResponse(connection=self)
         try:
             await self._handler.handle(request, response)
         except (asyncio.CancelledError, OSError):
@@ -252,9 +254,10 @@
             await self._report_internal(response)
         self._next_request(response)
 
-    async def _report_internal(self, response: http_message.Response) -> None:
-        self.closing = True
-        if response.head_sent:
+    async def _report_internal(self,
+                               response: http_message.HttpResponse) -> None:
+        self.should_close = True
+        if response.is_head_sent:
             self._transport.close()
             return
         try:
@@ -262,11 +265,11 @@
         except (OSError, h11.LocalProtocolError):
             self._transport.close()
 
-    def _next_request(self, response: http_message.Response) -> None:
+    def _next_request(self, response: http_message.HttpResponse) -> None:
         """Goes on to the connection's next request, or closes it."""
         self.task = None
-        if (self._transport.is_closing() or not response.finished or
-                self.closing or self._http.our_state is not h11.DONE or
+        if (self._transport.is_closing() or not response.is_finished or
+                self.should_close or self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
             self._transport.close()
             return
@@ -279,7 +282,7 @@
             self._receive(early)
 
 
-def _check_head(head: h11.Request, limits: http_message.Limits) -> None:
+def _check_head(head: h11.Request, limits: http_message.ServerLimits) -> None:
     """Refuses what the parser lets pass but no request needs."""
     if head.http_version != b'1.1':
         raise _bad_framing('Use HTTP/1.1.')
@@ -301,25 +304,27 @@
                            'not both.')
 
 
-def _request(head: h11.Request, body: bytes, peer: str) -> http_message.Request:
+def _request(head: h11.Request, body: bytes,
+             peer: str) -> http_message.HttpRequest:
     target = head.target.decode('ascii', 'replace')
     if target[:len(_PLAIN_SCHEME)].lower() == _PLAIN_SCHEME:
         _, slash, path = target[len(_PLAIN_SCHEME):].partition('/')
         target = slash + path if slash else '/'
-    return http_message.Request(method=head.method.decode('ascii'),
-                                target=target,
-                                headers=tuple((name.decode('ascii'),
-                                               value.decode('latin-1'))
-                                              for name, value in head.headers),
-                                body=body,
-                                peer=peer)
+    return http_message.HttpRequest(method=head.method.decode('ascii'),
+                                    target=target,
+                                    headers=tuple(
+                                        (name.decode('ascii'),
+                                         value.decode('latin-1'))
+                                        for name, value in head.headers),
+                                    body=body,
+                                    client_ip=peer)
 
 
 def _bad_framing(detail: str) -> _BadRequest:
     return _BadRequest(errors.failure(errors.Kind.BAD_FRAMING, detail))
 
 
-def _too_large(limits: http_message.Limits) -> errors.Failure:
+def _too_large(limits: http_message.ServerLimits) -> errors.Failure:
     return errors.failure(
         errors.Kind.BODY_TOO_LARGE,
         f'The body may have {limits.max_body_bytes} bytes at most.')
--- a/pollenthread/adapters/http_message.py
+++ b/pollenthread/adapters/http_message.py
@@ -11,11 +11,14 @@
 
 from pollenthread.core import errors, http_headers
 
-__all__ = ['Handler', 'Limits', 'Request', 'Response', 'Writer', 'problem_body']
+__all__ = [
+    'RequestHandler', 'ServerLimits', 'HttpRequest', 'HttpResponse',
+    'ResponseTransport', 'problem_body'
+]
 
 
 @dataclasses.dataclass(frozen=True)
-class Limits:
+class ServerLimits:
     """What connections may take.
 
     Attributes:
@@ -37,12 +40,12 @@
     head_timeout_s: float = 10.0
     body_timeout_s: float = 20.0
     idle_timeout_s: float = 75.0
-    linger_s: float = 1.0
+    lingering_close_s: float = 1.0
     max_unsent_bytes: int = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
-class Request:
+class HttpRequest:
     """One whole request.
 
     Attributes:
@@ -57,7 +60,7 @@
     target: str
     headers: tuple[http_headers.Header, ...]
     body: bytes
-    peer: str
+    client_ip: str
 
     @property
     def path(self) -> str:
@@ -76,11 +79,11 @@
         return sum(1 for key, _ in self.headers if key == name)
 
 
-class Writer(abc.ABC):
+class ResponseTransport(abc.ABC):
     """The connection that an answer is written to."""
 
-    closing: bool
-    method: str
+    should_close: bool
+    request_method: str
 
     @property
     @abc.abstractmethod
@@ -88,7 +91,7 @@
         """Whether the connection is open and few bytes are unsent."""
 
     @abc.abstractmethod
-    def emit(self, *events: h11.Event) -> None:
+    def send_events(self, *events: h11.Event) -> None:
         """Writes events in one go.
 
         Raises:
@@ -107,21 +110,21 @@
         """
 
 
-class Response:
+class HttpResponse:
     """Writes one answer."""
 
-    def __init__(self, *, connection: Writer) -> None:
+    def __init__(self, *, connection: ResponseTransport) -> None:
         self._connection = connection
         self._head_sent = False
         self._finished = False
 
     @property
-    def head_sent(self) -> bool:
+    def is_head_sent(self) -> bool:
         """Whether the status line has left."""
         return self._head_sent
 
     @property
-    def finished(self) -> bool:
+    def is_finished(self) -> bool:
         """Whether the answer is whole."""
         return self._finished
 
@@ -130,38 +133,38 @@
         self._head_sent = True
         encoded = [(name.encode('ascii'), value.encode('latin-1', 'replace'))
                    for name, value in headers]
-        if self._connection.closing:
+        if self._connection.should_close:
             encoded.append((b'connection', b'close'))
         return h11.Response(status_code=status, headers=encoded)
 
     def _data(self, data: bytes) -> list[h11.Event]:
         """The event for a part of the body; none in an answer to HEAD."""
-        if not data or self._connection.method == 'HEAD':
+        if not data or self._connection.request_method == 'HEAD':
             return []
         return [h11.Data(data=data)]
 
     async def send_head(self, status: int,
                         headers: Iterable[http_headers.Header]) -> None:
         """Sends the status line and headers."""
-        self._connection.emit(self._head(status, headers))
+        self._connection.send_events(self._head(status, headers))
         await self._connection.drain()
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the body; waits while the caller is slow."""
-        self._connection.emit(*self._data(data))
+        self._connection.send_events(*self._data(data))
         await self._connection.drain()
 
-    def write_at_once(self, data: bytes) -> bool:
+    def try_write(self, data: bytes) -> bool:
         """Sends a part of the body unless the caller is slow or gone."""
         if not self._connection.is_writable:
             return False
-        self._connection.emit(*self._data(data))
+        self._connection.send_events(*self._data(data))
         return True
 
     async def finish(self, data: bytes = b'') -> None:
         """Sends the last part, if any, and ends the answer."""
         self._finished = True
-        self._connection.emit(*self._data(data), h11.EndOfMessage())
+        self._connection.send_events(*self._data(data), h11.EndOfMessage())
         await self._connection.drain()
 
     async def send(self, status: int, headers: Iterable[http_headers.Header],
@@ -170,7 +173,8 @@
         length = ('content-length', str(len(body)))
         head = self._head(status, [*headers, length])
         self._finished = True
-        self._connection.emit(head, *self._data(body), h11.EndOfMessage())
+        self._connection.send_events(head, *self._data(body),
+                                     h11.EndOfMessage())
         await self._connection.drain()
 
     async def send_json(
@@ -185,17 +189,17 @@
 
     async def send_problem(
         self,
-        problem: errors.Failure,
+        failure: errors.Failure,
         headers: Iterable[http_headers.Header] = ()
     ) -> None:
         """Sends a failure as RFC 9457 problem details."""
-        answer = problem.answer
+        answer = failure.answer
         extra = [('content-type', 'application/problem+json'), *headers]
-        if problem.retry_after_s is not None:
-            extra.append(('retry-after', str(problem.retry_after_s)))
+        if failure.retry_after_s is not None:
+            extra.append(('retry-after', str(failure.retry_after_s)))
         if answer.close:
-            self._connection.closing = True
-        body = json.dumps(problem_body(problem)).encode() + b'\n'
+            self._connection.should_close = True
+        body = json.dumps(problem_body(failure)).encode() + b'\n'
         await self.send(answer.status, extra, body)
 
     def abort(self, last: bytes = b'') -> None:
@@ -205,25 +209,26 @@
             last: a part that the caller still gets if it reads.
         """
         with contextlib.suppress(OSError):
-            self._connection.emit(*self._data(last))
+            self._connection.send_events(*self._data(last))
         self._connection.abort()
 
 
-def problem_body(problem: errors.Failure) -> dict[str, Any]:
+def problem_body(failure: errors.Failure) -> dict[str, Any]:
     """The members of the problem document for a failure."""
     return {
-        'type': f'urn:pollenthread:{problem.kind.value}',
-        'title': problem.answer.title,
-        'status': problem.answer.status,
-        'detail': problem.detail,
-        'kind': problem.kind.value,
-        'ran': problem.ran.value,
+        'type': f'urn:pollenthread:{failure.kind.value}',
+        'title': failure.answer.title,
+        'status': failure.answer.status,
+        'detail': failure.detail,
+        'kind': failure.kind.value,
+        'ran': failure.ran.value,
     }
 
 
-class Handler(abc.ABC):
+class RequestHandler(abc.ABC):
     """Answers requests."""
 
     @abc.abstractmethod
-    async def handle(self, request: Request, response: Response) -> None:
+    async def handle(self, request: HttpRequest,
+                     response: HttpResponse) -> None:
         """Answers one request; cancelled when the caller leaves."""
--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -5,12 +5,14 @@
 from typing import Self
 
 from pollenthread.adapters import http_connection
-from pollenthread.adapters.http_message import (Handler, Limits, Request,
-                                                Response, problem_body)
+from pollenthread.adapters.http_message import (RequestHandler, ServerLimits,
+                                                HttpRequest, HttpResponse,
+                                                problem_body)
 from pollenthread.core import errors
 
 __all__ = [
-    'Handler', 'HttpServer', 'Limits', 'Request', 'Response', 'problem_body'
+    'RequestHandler', 'HttpServer', 'ServerLimits', 'HttpRequest',
+    'HttpResponse', 'problem_body'
 ]
 
 _BACKLOG = 1024
@@ -22,17 +24,18 @@
 
     def __init__(self,
                  *,
-                 handler: Handler,
+                 handler: RequestHandler,
                  host: str = '127.0.0.1',
                  port: int = 0,
-                 limits: Limits = Limits()) -> None:
+                 limits: ServerLimits = ServerLimits()) -> None:
         self._handler = handler
         self._host = host
         self._port = port
         self._limits = limits
-        self._budget = http_connection.Budget(limits.max_buffered_bytes)
+        self._budget = http_connection.BodyBufferQuota(
+            limits.max_buffered_bytes)
         self._server: asyncio.Server | None = None
-        self._open: set[http_connection.Connection] = set()
+        self._open: set[http_connection.ServerConnection] = set()
         self._leaving = False
 
     @property
@@ -42,7 +45,7 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
-    def set_limits(self, limits: Limits) -> None:
+    def set_limits(self, limits: ServerLimits) -> None:
         """Sets what connections that are made from now on may take."""
         self._limits = limits
 
@@ -52,9 +55,9 @@
         return len(self._open)
 
     @property
-    def busy(self) -> int:
+    def busy_connections(self) -> int:
         """Connections with a request in progress."""
-        return sum(1 for connection in self._open if connection.busy)
+        return sum(1 for connection in self._open if connection.is_busy)
 
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
@@ -75,35 +78,35 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def announce_leaving(self) -> None:
+    def disable_keep_alive(self) -> None:
         """Makes every answer from now on the last of its connection."""
         self._leaving = True
         for connection in self._open:
-            connection.closing = True
+            connection.should_close = True
 
     def stop_listening(self) -> None:
         """Takes no new connections; answers what comes on the open ones."""
-        self.announce_leaving()
+        self.disable_keep_alive()
         if self._server is not None:
             self._server.close()
 
     async def wait_idle(self) -> None:
         """Waits until no request is in progress."""
-        while self.busy:
+        while self.busy_connections:
             await asyncio.sleep(_IDLE_CHECK_S)
 
-    def _accept(self) -> http_connection.Connection:
+    def _accept(self) -> http_connection.ServerConnection:
         connection = _ServerConnection(handler=self._handler,
                                        limits=self._limits,
                                        budget=self._budget,
                                        on_lost=self._open.discard)
-        connection.closing = self._leaving
+        connection.should_close = self._leaving
         connection.is_surplus = len(self._open) >= self._limits.max_connections
         self._open.add(connection)
         return connection
 
 
-class _ServerConnection(http_connection.Connection):
+class _ServerConnection(http_connection.ServerConnection):
     """A connection that may be one too many."""
 
     is_surplus = False
@@ -111,6 +114,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         if self.is_surplus:
-            self.refuse(
+            self.reject(
                 errors.failure(errors.Kind.OVERLOADED,
                                'Too many connections are open.'))
--- a/pollenthread/adapters/link.py
+++ b/pollenthread/adapters/link.py
@@ -18,7 +18,7 @@
 from pollenthread.core import messages
 from pollenthread.ports import link as link_port
 
-__all__ = ['Dialer', 'DialerSet', 'LinkServer', 'LinkTimes', 'TcpLink']
+__all__ = ['Dialer', 'DialerSet', 'LinkServer', 'LinkTimeouts', 'TcpLink']
 
 _LENGTH = struct.Struct('>I')
 _MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -26,21 +26,21 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class LinkTimes:
+class LinkTimeouts:
     """When a link is asked for life and when it is given up."""
 
     ping_interval_s: float = 1.0
-    silence_limit_s: float = 2.5
+    receive_timeout_s: float = 2.5
     hello_timeout_s: float = 2.0
-    redial_min_s: float = 0.1
-    redial_max_s: float = 2.0
+    reconnect_min_s: float = 0.1
+    reconnect_max_s: float = 2.0
 
 
 class TcpLink(asyncio.Protocol, link_port.Link):
     """One end of a link."""
 
     def __init__(self, *, hello: messages.Hello, handler: link_port.LinkHandler,
-                 accepted: bool, times: LinkTimes,
+                 accepted: bool, times: LinkTimeouts,
                  config_version: Callable[[], int]) -> None:
         self._hello = hello
         self._handler = handler
@@ -129,7 +129,7 @@
             data = self._buffer + data
         try:
             taken = self._take_frames(data)
-        except wire.MalformedMessage as error:
+        except wire.LinkMessageDecodeError as error:
             self.close(f'malformed message: {error}')
             return
         self._buffer = data[taken:]
@@ -141,7 +141,7 @@
         while len(data) - start >= _LENGTH.size:
             (size,) = _LENGTH.unpack_from(data, start)
             if size > _MAX_FRAME_BYTES:
-                raise wire.MalformedMessage(f'a frame of {size} bytes')
+                raise wire.LinkMessageDecodeError(f'a frame of {size} bytes')
             end = start + _LENGTH.size + size
             if len(data) < end:
                 break
@@ -196,7 +196,7 @@
         if self._transport.get_extra_info('ssl_object') is None:
             return True
         certificate = self._transport.get_extra_info('peercert')
-        return link_tls.names_host(certificate, host)
+        return link_tls.certificate_names_host(certificate, host)
 
     def _check_hello(self) -> None:
         if self._peer is None:
@@ -215,7 +215,7 @@
             # This process was paused: the silence is its own.
             self._heard_at = now
         silent_s = now - self._heard_at
-        if silent_s > self._times.silence_limit_s:
+        if silent_s > self._times.receive_timeout_s:
             self.close(f'silent for {silent_s:.1f} s')
             return
         self._ping_seq += 1
@@ -237,7 +237,7 @@
                  handler: link_port.LinkHandler,
                  host: str = '127.0.0.1',
                  port: int = 0,
-                 times: LinkTimes = LinkTimes(),
+                 times: LinkTimeouts = LinkTimeouts(),
                  config_version: Callable[[], int] = _no_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
@@ -264,7 +264,7 @@
             self._accept,
             self._host,
             self._port,
-            ssl=None if self._tls is None else self._tls.server)
+            ssl=None if self._tls is None else self._tls.server_context)
         return self
 
     async def __aexit__(self, kind: type[BaseException] | None,
@@ -295,7 +295,7 @@
                  *,
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
-                 times: LinkTimes = LinkTimes(),
+                 times: LinkTimeouts = LinkTimeouts(),
                  config_version: Callable[[], int] = _no_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
@@ -311,9 +311,9 @@
     async def __aexit__(self, kind: type[BaseException] | None,
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
-        await self.keep({})
+        await self.set_addresses({})
 
-    async def keep(self, address_by_host: Mapping[str, str]) -> None:
+    async def set_addresses(self, address_by_host: Mapping[str, str]) -> None:
         """Dials what is new or has moved; drops what is not wanted."""
         for host, dialer in list(self._by_host.items()):
             if address_by_host.get(host) != dialer.address:
@@ -342,7 +342,7 @@
                  address: str,
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
-                 times: LinkTimes = LinkTimes(),
+                 times: LinkTimeouts = LinkTimeouts(),
                  config_version: Callable[[], int] = _no_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._address = address
@@ -372,16 +372,16 @@
             self._link.close('the link is no longer wanted')
 
     async def _keep(self) -> None:
-        pause_s = self._times.redial_min_s
+        pause_s = self._times.reconnect_min_s
         while True:
             try:
                 async with asyncio.timeout(self._times.hello_timeout_s):
                     self._link = await self._dial()
                 await self._link.wait_closed()
-                pause_s = self._times.redial_min_s
+                pause_s = self._times.reconnect_min_s
             except (OSError, TimeoutError) as error:
                 logging.debug('dialing %s: %s', self._address, error)
-                pause_s = min(pause_s * 2, self._times.redial_max_s)
+                pause_s = min(pause_s * 2, self._times.reconnect_max_s)
             await asyncio.sleep(pause_s)
 
     async def _dial(self) -> TcpLink:
@@ -395,5 +395,5 @@
                             config_version=self._config_version),
             host,
             int(port),
-            ssl=None if self._tls is None else self._tls.client)
+            ssl=None if self._tls is None else self._tls.client_context)
         return link
--- a/pollenthread/adapters/link_tls.py
+++ b/pollenthread/adapters/link_tls.py
@@ -14,13 +14,13 @@
 
 from absl import logging
 
-__all__ = ['LinkFiles', 'LinkTls', 'names_host']
+__all__ = ['LinkTlsFiles', 'LinkTls', 'certificate_names_host']
 
 _CHECK_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
-class LinkFiles:
+class LinkTlsFiles:
     """Where the PEM files are.
 
     Attributes:
@@ -33,7 +33,7 @@
     key: pathlib.Path
     authority: pathlib.Path
 
-    def stamp(self) -> tuple[int, ...]:
+    def modification_times(self) -> tuple[int, ...]:
         """Changes when a file does."""
         paths = (self.certificate, self.key, self.authority)
         return tuple(path.stat().st_mtime_ns for path in paths)
@@ -42,23 +42,23 @@
 class LinkTls:
     """The contexts of both ends; follows the files."""
 
-    def __init__(self, *, files: LinkFiles) -> None:
+    def __init__(self, *, files: LinkTlsFiles) -> None:
         self._files = files
-        self.server = _context(ssl.PROTOCOL_TLS_SERVER)
-        self.client = _context(ssl.PROTOCOL_TLS_CLIENT)
+        self.server_context = _context(ssl.PROTOCOL_TLS_SERVER)
+        self.client_context = _context(ssl.PROTOCOL_TLS_CLIENT)
         self.reload_count = 0
         self._load()
-        self._stamp = files.stamp()
+        self._stamp = files.modification_times()
 
     def _load(self) -> None:
-        for context in (self.server, self.client):
+        for context in (self.server_context, self.client_context):
             context.load_cert_chain(self._files.certificate, self._files.key)
             context.load_verify_locations(self._files.authority)
 
-    def refresh(self) -> bool:
+    def reload_if_changed(self) -> bool:
         """Reads files that have changed; False while they do not fit."""
         try:
-            stamp = self._files.stamp()
+            stamp = self._files.modification_times()
             if stamp == self._stamp:
                 return True
             self._load()
@@ -72,11 +72,11 @@
         logging.info('link certificate changed count=%d', self.reload_count)
         return True
 
-    async def follow(self) -> None:
+    async def watch_files(self) -> None:
         """Follows the files until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
-            self.refresh()
+            self.reload_if_changed()
 
 
 def _context(protocol: int) -> ssl.SSLContext:
@@ -89,7 +89,8 @@
     return context
 
 
-def names_host(certificate: Mapping[str, Any] | None, host: str) -> bool:
+def certificate_names_host(certificate: Mapping[str, Any] | None,
+                           host: str) -> bool:
     """Whether a peer's certificate is for a host."""
     if not certificate:
         return False
--- a/pollenthread/adapters/metrics.py
+++ b/pollenthread/adapters/metrics.py
@@ -13,7 +13,7 @@
 from pollenthread.adapters import http_server
 from pollenthread.core import account, errors, pace
 
-__all__ = ['Latencies', 'MetricsHandler']
+__all__ = ['RequestLatencyHistograms', 'MetricsHandler']
 
 _MAX_US = 3_600_000_000
 _DIGITS = 2
@@ -22,10 +22,10 @@
              10.0, 30.0, 60.0, 120.0)
 _PREFIX = 'pollenthread'
 
-Gauges = Callable[[], Mapping[str, float]]
+GaugeSource = Callable[[], Mapping[str, float]]
 
 
-class Latencies:
+class RequestLatencyHistograms:
     """Histograms that add up over hosts without loss."""
 
     def __init__(self) -> None:
@@ -62,8 +62,9 @@
 class _Collector(registry.Collector):
     """Makes the series at each scrape."""
 
-    def __init__(self, *, tally: account.Tally, latencies: Latencies,
-                 gauges: Gauges) -> None:
+    def __init__(self, *, tally: account.Tally,
+                 latencies: RequestLatencyHistograms,
+                 gauges: GaugeSource) -> None:
         self._tally = tally
         self._latencies = latencies
         self._gauges = gauges
@@ -111,18 +112,19 @@
                                             sum_value=total_us / _US_PER_S)
 
 
-class MetricsHandler(http_server.Handler):
+class MetricsHandler(http_server.RequestHandler):
     """Answers scrapes."""
 
-    def __init__(self, *, tally: account.Tally, latencies: Latencies,
-                 gauges: Gauges) -> None:
+    def __init__(self, *, tally: account.Tally,
+                 latencies: RequestLatencyHistograms,
+                 gauges: GaugeSource) -> None:
         self._latencies = latencies
         self._registry = prometheus_client.CollectorRegistry()
         self._registry.register(
             _Collector(tally=tally, latencies=latencies, gauges=gauges))
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.method != 'GET':
             await response.send_problem(
                 errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
--- a/pollenthread/adapters/operator_guard.py
+++ b/pollenthread/adapters/operator_auth.py
@@ -5,14 +5,14 @@
 from pollenthread.adapters import http_server
 from pollenthread.core import errors, operators
 
-__all__ = ['OperatorGuard', 'authenticate']
+__all__ = ['OperatorAuthHandler', 'authenticate']
 
 _BEARER = 'Bearer '
 _READING_METHODS = frozenset({'GET', 'HEAD'})
 
 
 def authenticate(operator_list: Sequence[operators.Operator],
-                 request: http_server.Request) -> operators.Operator | None:
+                 request: http_server.HttpRequest) -> operators.Operator | None:
     """The operator whose key the request carries, or None."""
     value = request.header('authorization') or ''
     if (request.header_count('authorization') != 1 or
@@ -21,23 +21,23 @@
     return operators.find(operator_list, value[len(_BEARER):])
 
 
-class OperatorGuard(http_server.Handler):
+class OperatorAuthHandler(http_server.RequestHandler):
     """Passes on what an operator who sees every host may do."""
 
-    def __init__(self, *, handler: http_server.Handler,
+    def __init__(self, *, handler: http_server.RequestHandler,
                  operator_list: Sequence[operators.Operator]) -> None:
         self._handler = handler
         self._operators = operator_list
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         refusal = self._refusal(request)
         if refusal is None:
             await self._handler.handle(request, response)
         else:
             await response.send_problem(errors.failure(refusal))
 
-    def _refusal(self, request: http_server.Request) -> errors.Kind | None:
+    def _refusal(self, request: http_server.HttpRequest) -> errors.Kind | None:
         operator = authenticate(self._operators, request)
         if operator is None:
             return errors.Kind.NOT_AUTHENTICATED
--- a/pollenthread/adapters/order_http.py
+++ b/pollenthread/adapters/order_http.py
@@ -45,7 +45,7 @@
                                                 body=body) as exchange:
                     text = await exchange.read_all()
                     status = exchange.status
-        except http_client.ConnectFailed as error:
+        except http_client.HttpConnectError as error:
             return orders.Result(done=False, detail=str(error))
         except (ConnectionError, TimeoutError) as error:
             raise orders_port.OrderOutcomeUnknownError(str(error)) from error
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -27,7 +27,7 @@
     arguments: dict[str, Any] = {}
 
 
-class OrdersHandler(http_server.Handler):
+class OrdersHandler(http_server.RequestHandler):
     """Takes orders in and shows how they ended."""
 
     def __init__(self, *, journal: order_journal.OrderJournal,
@@ -36,8 +36,8 @@
         self._desk = desk
         self._peers = peers
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         parts = [parse.unquote(part) for part in request.path.split('/')[2:]]
         if len(parts) != 2 or not all(parts):
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
@@ -50,8 +50,8 @@
                 errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
 
     async def _submit(self, host: str, order_id: str,
-                      request: http_server.Request,
-                      response: http_server.Response) -> None:
+                      request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         try:
             model = _OrderModel.model_validate_json(request.body)
         except pydantic.ValidationError as error:
@@ -80,7 +80,7 @@
         await response.send_json(202, _document(submitted))
 
     async def _show(self, host: str, order_id: str,
-                    response: http_server.Response) -> None:
+                    response: http_server.HttpResponse) -> None:
         found = await self._journal.find(host, order_id)
         if isinstance(found, result.Err):
             await response.send_problem(_table_failure(found.err_value))
--- a/pollenthread/adapters/otlp.py
+++ b/pollenthread/adapters/otlp.py
@@ -35,7 +35,7 @@
             'host.name': host
         })
         self._queue = collections.deque[spans.Span]()
-        self.sent_count = 0
+        self.exported_count = 0
         self.dropped_count = 0
 
     def export(self, made: list[spans.Span]) -> None:
@@ -54,7 +54,7 @@
                 count = min(_MAX_BATCH, len(self._queue))
                 batch = [self._queue.popleft() for _ in range(count)]
                 if await self._send(batch):
-                    self.sent_count += count
+                    self.exported_count += count
                 else:
                     self.dropped_count += count
 
--- a/pollenthread/adapters/peer_codec.py
+++ b/pollenthread/adapters/peer_codec.py
@@ -15,7 +15,8 @@
 from pollenthread.core import peer_messages
 
 __all__ = [
-    'MalformedMessage', 'decode', 'decode_datagram', 'encode', 'encode_datagram'
+    'PeerMessageDecodeError', 'decode', 'decode_datagram', 'encode',
+    'encode_datagram'
 ]
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
@@ -32,7 +33,7 @@
 _T = TypeVar('_T')
 
 
-class MalformedMessage(Exception):
+class PeerMessageDecodeError(Exception):
     """The bytes are not a message of the schema."""
 
 
@@ -75,7 +76,7 @@
         found: _T = _read(kind, reader)
         return found
     except (capnp.KjException, ValueError, KeyError) as error:
-        raise MalformedMessage(str(error)) from error
+        raise PeerMessageDecodeError(str(error)) from error
 
 
 def decode_datagram(data: bytes) -> Any:
@@ -89,7 +90,7 @@
         name = str(reader.which())
         return _read(_TYPE_BY_UNION_NAME[name], getattr(reader, name))
     except (capnp.KjException, ValueError, KeyError) as error:
-        raise MalformedMessage(str(error)) from error
+        raise PeerMessageDecodeError(str(error)) from error
 
 
 def _fill(builder: Any, message: Any) -> None:
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -22,10 +22,10 @@
 _CONTENT_TYPE = ('content-type', 'application/octet-stream')
 _MAX_DATAGRAM_BYTES = 60_000
 
-MetricsPage = Callable[[], tuple[str, bytes]]
+MetricsProvider = Callable[[], tuple[str, bytes]]
 
 
-class HttpPeerNetwork(peers.PeerNetwork, http_message.Handler):
+class HttpPeerNetwork(peers.PeerNetwork, http_message.RequestHandler):
     """One UDP socket and one HTTP server on the same port number."""
 
     def __init__(self, *, client: http_client.HttpClient, host: str,
@@ -40,12 +40,12 @@
                                                  None]] | None = None
         self._make_layout: Callable[[], Awaitable[peer_messages.RankLayout |
                                                   None]] | None = None
-        self._metrics: MetricsPage | None = None
+        self._metrics: MetricsProvider | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._server = http_server.HttpServer(handler=self,
                                               host=host,
                                               port=port)
-        self.malformed = 0
+        self.malformed_count = 0
         self.sent_bytes_by_kind: collections.Counter[str] = (
             collections.Counter())
         self.received_bytes_by_kind: collections.Counter[str] = (
@@ -55,7 +55,7 @@
         loop = asyncio.get_running_loop()
         await self._server.__aenter__()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _DatagramProtocol(self.receive),
+            lambda: _DatagramProtocol(self.receive_datagram),
             local_addr=(self._host, self._port),
             family=socket.AF_INET)
         return self
@@ -89,12 +89,12 @@
             self._transport.sendto(data, (host, int(port)))
         return True
 
-    def receive(self, data: bytes) -> None:
+    def receive_datagram(self, data: bytes) -> None:
         """Takes a datagram."""
         try:
             message = peer_codec.decode_datagram(data)
-        except peer_codec.MalformedMessage:
-            self.malformed += 1
+        except peer_codec.PeerMessageDecodeError:
+            self.malformed_count += 1
             return
         self.received_bytes_by_kind[type(message).__name__] += len(data)
         take = self._take_by_type.get(type(message))
@@ -120,12 +120,12 @@
                            Awaitable[peer_messages.RankLayout | None]]) -> None:
         self._make_layout = provider
 
-    def serve_metrics(self, page: MetricsPage) -> None:
+    def set_metrics_provider(self, provider: MetricsProvider) -> None:
         """Answers scrapes with a content type and a page."""
-        self._metrics = page
+        self._metrics = provider
 
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
+    async def handle(self, request: http_message.HttpRequest,
+                     response: http_message.HttpResponse) -> None:
         if request.path == _SNAPSHOT_PATH and self._make_snapshot is not None:
             await self._answer(response, self._make_snapshot())
         elif request.path == _STATE_PATH and self._make_state is not None:
@@ -139,7 +139,8 @@
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
 
     @staticmethod
-    async def _answer(response: http_message.Response, message: Any) -> None:
+    async def _answer(response: http_message.HttpResponse,
+                      message: Any) -> None:
         if message is None:
             await response.send_problem(errors.failure(errors.Kind.NO_UPSTREAM))
             return
@@ -176,8 +177,8 @@
                     if exchange.status != 200:
                         return None
                     return peer_codec.decode(kind, data)
-        except peer_codec.MalformedMessage:
-            self.malformed += 1
+        except peer_codec.PeerMessageDecodeError:
+            self.malformed_count += 1
             return None
         except (OSError, TimeoutError):
             return None
--- a/pollenthread/adapters/platform_metrics.py
+++ b/pollenthread/adapters/platform_metrics.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-__all__ = ['LatencyBook', 'MetricsPage']
+__all__ = ['LatencyHistogramSet', 'MetricsPageRenderer']
 
 _MAX_US = 3_600_000_000
 _DIGITS = 2
@@ -15,10 +15,10 @@
 _PREFIX = 'pollenthread'
 _BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
-Series = Callable[[], Mapping[str, float]]
+SampleSource = Callable[[], Mapping[str, float]]
 
 
-class LatencyBook:
+class LatencyHistogramSet:
     """Latencies by name."""
 
     def __init__(self) -> None:
@@ -56,11 +56,11 @@
         return tuple(self._histogram_by_name)
 
 
-class MetricsPage:
+class MetricsPageRenderer:
     """Makes the page that is scraped."""
 
-    def __init__(self, *, counters: Series, gauges: Series,
-                 latencies: LatencyBook) -> None:
+    def __init__(self, *, counters: SampleSource, gauges: SampleSource,
+                 latencies: LatencyHistogramSet) -> None:
         self._counters = counters
         self._gauges = gauges
         self._latencies = latencies
@@ -76,14 +76,14 @@
         class _Collector(registry.Collector):
 
             def collect(self) -> Any:
-                yield from page.families(core)
+                yield from page.collect_families(core)
 
         found = prometheus_client.CollectorRegistry()
         found.register(_Collector())
         return (prometheus_client.CONTENT_TYPE_LATEST,
                 prometheus_client.generate_latest(found))
 
-    def families(self, core: Any) -> Any:
+    def collect_families(self, core: Any) -> Any:
         """Yields every series.
 
         Args:
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -15,7 +15,7 @@
 __all__ = [
     'AgentSettings', 'EntrySettings', 'LinkSecurity', 'OperatorSettings',
     'OrderKeySettings', 'PlatformSettings', 'RankSettings', 'TraceSettings',
-    'UpstreamSettings', 'check_file', 'load_process', 'load_targets'
+    'UpstreamSettings', 'validate_file', 'load_process_settings', 'load_targets'
 ]
 
 _MAX_PORT = 65_535
@@ -95,10 +95,10 @@
         Raises:
             InvalidDocument: they cannot be used.
         """
-        files = link_tls.LinkFiles(certificate=pathlib.Path(
-            self.certificate_file),
-                                   key=pathlib.Path(self.key_file),
-                                   authority=pathlib.Path(self.authority_file))
+        files = link_tls.LinkTlsFiles(
+            certificate=pathlib.Path(self.certificate_file),
+            key=pathlib.Path(self.key_file),
+            authority=pathlib.Path(self.authority_file))
         try:
             return link_tls.LinkTls(files=files)
         except (OSError, ssl.SSLError) as error:
@@ -132,7 +132,7 @@
     operators: list[OperatorSettings] = []
     link_security: LinkSecurity | None = None
 
-    def link_tls(self) -> link_tls.LinkTls | None:
+    def load_link_tls(self) -> link_tls.LinkTls | None:
         """What links prove themselves with; None when they do not.
 
         Raises:
@@ -226,7 +226,7 @@
 }
 
 
-def load_process(path: pathlib.Path) -> EntrySettings | AgentSettings:
+def load_process_settings(path: pathlib.Path) -> EntrySettings | AgentSettings:
     """Reads the settings of one process.
 
     Raises:
@@ -246,7 +246,7 @@
                                           document.line_of)
 
 
-def check_file(path: pathlib.Path) -> None:
+def validate_file(path: pathlib.Path) -> None:
     """Checks a file of either kind.
 
     Raises:
@@ -255,7 +255,7 @@
     if 'workspaces' in yaml_document.load(path).value:
         load_targets(path)
     else:
-        load_process(path)
+        load_process_settings(path)
 
 
 def _parse_process(
--- a/pollenthread/adapters/table_http.py
+++ b/pollenthread/adapters/table_http.py
@@ -62,7 +62,7 @@
         try:
             async with asyncio.timeout(self._timeout_s):
                 status, answer = await self._call('POST', '/transactions', body)
-        except http_client.ConnectFailed:
+        except http_client.HttpConnectError:
             return result.Err(table.TableError.UNAVAILABLE)
         except (ConnectionError, TimeoutError):
             return result.Err(table.TableError.UNKNOWN)
--- a/pollenthread/adapters/upstream_http.py
+++ b/pollenthread/adapters/upstream_http.py
@@ -7,7 +7,7 @@
 from pollenthread.core import http_headers
 from pollenthread.ports import local_upstream
 
-__all__ = ['HttpUpstream']
+__all__ = ['HttpLocalUpstream']
 
 _HOP_HEADERS = frozenset({
     'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'te',
@@ -18,7 +18,7 @@
 class _HttpExchange(local_upstream.LocalUpstreamResponse):
     """Adapts an exchange of the HTTP client."""
 
-    def __init__(self, *, exchange: http_client.ClientExchange) -> None:
+    def __init__(self, *, exchange: http_client.ClientResponse) -> None:
         self._exchange = exchange
 
     @property
@@ -39,7 +39,7 @@
         return self._exchange.read()
 
 
-class HttpUpstream(local_upstream.LocalUpstream):
+class HttpLocalUpstream(local_upstream.LocalUpstream):
     """Calls one address."""
 
     def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
@@ -57,7 +57,7 @@
                                             headers=request.headers,
                                             body=request.body) as exchange:
                 yield _HttpExchange(exchange=exchange)
-        except http_client.ConnectFailed as error:
+        except http_client.HttpConnectError as error:
             raise local_upstream.LocalUpstreamConnectError(
                 str(error)) from error
 
--- a/pollenthread/adapters/wire.py
+++ b/pollenthread/adapters/wire.py
@@ -15,13 +15,13 @@
 
 from pollenthread.core import errors, http_headers, messages
 
-__all__ = ['MalformedMessage', 'decode', 'encode']
+__all__ = ['LinkMessageDecodeError', 'decode', 'encode']
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('wire.capnp')))
 _MAX_WORDS = 1 << 20
 
 
-class MalformedMessage(Exception):
+class LinkMessageDecodeError(Exception):
     """The bytes are not a message of the schema."""
 
 
@@ -126,4 +126,4 @@
             message: messages.Message = _READER_BY_TAG[tag](body)
             return message
     except (capnp.KjException, ValueError, KeyError) as error:
-        raise MalformedMessage(str(error)) from error
+        raise LinkMessageDecodeError(str(error)) from error
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -46,7 +46,7 @@
 
 
 def _check(path: str) -> None:
-    settings.check_file(pathlib.Path(path))
+    settings.validate_file(pathlib.Path(path))
     print(f'{path}: valid')
 
 
@@ -62,7 +62,7 @@
 
 
 def _run_entry(path: str) -> None:
-    config = settings.load_process(pathlib.Path(path))
+    config = settings.load_process_settings(pathlib.Path(path))
     if not isinstance(config, settings.EntrySettings):
         raise targets_document.InvalidDocument(
             f'{path}:1: role: found {config.role} (allowed: entry)')
@@ -70,7 +70,7 @@
 
 
 def _run_agent(path: str) -> None:
-    config = settings.load_process(pathlib.Path(path))
+    config = settings.load_process_settings(pathlib.Path(path))
     if not isinstance(config, settings.AgentSettings):
         raise targets_document.InvalidDocument(
             f'{path}:1: role: found {config.role} (allowed: agent)')
--- a/pollenthread/platform/caller_border.py
+++ b/pollenthread/platform/caller_border.py
@@ -22,7 +22,7 @@
 })
 
 
-def decode(request: http_message.Request) -> caller_request.CallerRequest:
+def decode(request: http_message.HttpRequest) -> caller_request.CallerRequest:
     """Decodes a request; what is malformed counts as not given."""
     named = set()
     for part in (request.header('connection') or '').split(','):
@@ -79,14 +79,14 @@
 class HttpReply(caller_response.CallerResponse):
     """Writes to a caller's HTTP connection."""
 
-    def __init__(self, *, response: http_message.Response,
+    def __init__(self, *, response: http_message.HttpResponse,
                  request_id: str) -> None:
         self._response = response
         self._request_id = request_id
 
     @property
     def is_started(self) -> bool:
-        return self._response.head_sent
+        return self._response.is_head_sent
 
     async def send_failure(self, failure: errors.Failure) -> None:
         headers = []
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -119,7 +119,7 @@
                                 exchange.status,
                                 row_store.StoreError.UNAVAILABLE))
                     return result.Ok(_page(json.loads(data)))
-        except http_client.ConnectFailed:
+        except http_client.HttpConnectError:
             return result.Err(row_store.StoreError.UNAVAILABLE)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError,
                 AttributeError):
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -42,12 +42,12 @@
                                             body=request.body) as exchange:
                 await self._skip_stale(exchange, request.id)
                 yield _Answer(exchange)
-        except http_client.ConnectFailed as error:
+        except http_client.HttpConnectError as error:
             raise upstream.UpstreamConnectError(str(error)) from error
         except OSError as error:
             raise upstream.UpstreamDisconnectedError(str(error)) from error
 
-    async def _skip_stale(self, exchange: http_client.ClientExchange,
+    async def _skip_stale(self, exchange: http_client.ClientResponse,
                           request_id: str) -> None:
         """Reads on to the answer that bears this request's id."""
         for _ in range(_MAX_STALE_ANSWERS):
@@ -55,7 +55,7 @@
             if echoed is None or echoed == request_id:
                 return
             self.stale_answers += 1
-            await exchange.skip()
+            await exchange.skip_to_next_response()
         raise ConnectionError('only answers to other requests came')
 
 
@@ -76,7 +76,7 @@
 class _Answer(upstream.UpstreamResponse):
     """An answer over HTTP."""
 
-    def __init__(self, exchange: http_client.ClientExchange) -> None:
+    def __init__(self, exchange: http_client.ClientResponse) -> None:
         self._exchange = exchange
         self.status = exchange.status
         self.headers = tuple((name, value)
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -52,7 +52,7 @@
             executor=order_http.HttpOrderExecutor(
                 client=self._client, address=config.upstream.address),
             keys=config.key_ring)
-        self._gate = gate_module.Gate(upstream=upstream_http.HttpUpstream(
+        self._gate = gate_module.Gate(upstream=upstream_http.HttpLocalUpstream(
             client=self._client, address=config.upstream.address),
                                       on_order=self._orders.on_order)
         self._group = (None if config.rank is None else self._join_group(
@@ -61,15 +61,15 @@
         self._rank_dialers = link_module.DialerSet(hello=self._hello,
                                                    handler=router)
         host, port = process.split_address(config.links)
-        self._tls = config.link_tls()
+        self._tls = config.load_link_tls()
         self._links = link_module.LinkServer(hello=self._hello,
                                              handler=router,
                                              host=host,
                                              port=port,
                                              tls=self._tls)
         host, port = process.split_address(config.admin)
-        self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
-            documents_by_path={'/status': self._status}),
+        self._admin = http_server.HttpServer(handler=admin_http.AdminRouter(
+            document_sources_by_path={'/status': self._status}),
                                              host=host,
                                              port=port)
 
@@ -90,7 +90,7 @@
             keep_links=self._dial_ranks)
 
     async def _dial_ranks(self, address_by_host: Mapping[str, str]) -> None:
-        await self._rank_dialers.keep(address_by_host)
+        await self._rank_dialers.set_addresses(address_by_host)
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the parts and says where they listen."""
@@ -103,7 +103,7 @@
             stack.callback(asyncio.create_task(announcing).cancel)
         stack.callback(asyncio.create_task(self._report()).cancel)
         if self._tls is not None:
-            stack.callback(asyncio.create_task(self._tls.follow()).cancel)
+            stack.callback(asyncio.create_task(self._tls.watch_files()).cancel)
         process.announce({
             'event': 'ready',
             'role': 'agent',
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/bookkeeping.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from pollenthread.adapters import (admin_api, http_client, http_server, metrics,
-                                   operator_guard, otlp, settings)
+                                   operator_auth, otlp, settings)
 from pollenthread.app import (account_keeper, account_reader, administration,
                               config_store, cost_book, tracer)
 from pollenthread.core import account
@@ -29,7 +29,7 @@
                                                                         Any]],
                  gauges: Callable[[], Mapping[str, float]]) -> None:
         self.tally = account.Tally()
-        self.latencies = metrics.Latencies()
+        self.latencies = metrics.RequestLatencyHistograms()
         self._gauges = gauges
         self._exporter: otlp.SpanExporter | None = None
         if config.traces.collector is not None:
@@ -64,7 +64,7 @@
             find_trace=self.tracer.find)
 
     @property
-    def handlers_by_root(self) -> dict[str, http_server.Handler]:
+    def handlers_by_root(self) -> dict[str, http_server.RequestHandler]:
         """What answers on the administration port, by first part of the path.
         """
         return {
@@ -77,10 +77,12 @@
                                        gauges=self._all_gauges)
         }
 
-    def guard(self, handler: http_server.Handler) -> http_server.Handler:
+    def guard(
+            self,
+            handler: http_server.RequestHandler) -> http_server.RequestHandler:
         """Lets only operators who see every host reach a handler."""
-        return operator_guard.OperatorGuard(handler=handler,
-                                            operator_list=self._operators)
+        return operator_auth.OperatorAuthHandler(handler=handler,
+                                                 operator_list=self._operators)
 
     def _all_gauges(self) -> dict[str, float]:
         return {
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -46,7 +46,7 @@
                                      incarnation=process.new_incarnation(),
                                      data_centre=config.data_centre,
                                      region=config.region)
-        self._tls = config.link_tls()
+        self._tls = config.load_link_tls()
         self._build_services()
         self._build_borders()
 
@@ -111,7 +111,7 @@
                                         keeper=keeper,
                                         time=time,
                                         draw=draw)
-        self._caller_handler = caller_http.CallerHandler(
+        self._caller_handler = caller_http.GatewayHandler(
             gate=self._gateway,
             config=self._targets,
             hosts=self._directory,
@@ -120,7 +120,7 @@
             time=time,
             tally=self._books.tally,
             is_refusing=lambda: self._refusing,
-            observe=self._books.latencies.observe,
+            observe_latency=self._books.latencies.observe,
             tracer=self._books.tracer)
 
     def _member(self) -> membership.Member:
@@ -142,8 +142,8 @@
                                                host=host,
                                                port=port)
         host, port = process.split_address(config.admin)
-        self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
-            documents_by_path={
+        self._admin = http_server.HttpServer(handler=admin_http.AdminRouter(
+            document_sources_by_path={
                 '/status': self._status,
                 '/account': lambda: admin_http.account_rows(self._books.tally)
             },
@@ -195,7 +195,7 @@
                      self._sweeper.run(), self._books.run()):
             stack.callback(asyncio.create_task(work).cancel)
         if self._tls is not None:
-            stack.callback(asyncio.create_task(self._tls.follow()).cancel)
+            stack.callback(asyncio.create_task(self._tls.watch_files()).cancel)
         process.announce({
             'event': 'ready',
             'role': 'entry',
@@ -208,8 +208,10 @@
     async def _keep_links(self) -> None:
         """Keeps links to the listed upstreams and entry hosts."""
         while True:
-            await self._upstream_dialers.keep(self._directory.upstreams())
-            await self._peer_dialers.keep(self._directory.peers_to_dial())
+            await self._upstream_dialers.set_addresses(
+                self._directory.upstreams())
+            await self._peer_dialers.set_addresses(
+                self._directory.peers_to_dial())
             for name, upstream in self._pool.by_host.items():
                 if self._directory.is_leaving(name):
                     upstream.leaving = True
@@ -256,7 +258,7 @@
         await self._leases.release_all()
         self._heartbeats.tell_own_leaving()
         self._directory.judge()
-        self._callers.announce_leaving()
+        self._callers.disable_keep_alive()
         await self._finish_requests()
         await self._books.finish()
         cut = sorted(self._caller_handler.open_requests)
@@ -274,6 +276,6 @@
         if await self._signal.wait_now(_REFUSE_NOTICE_S):
             return
         self._callers.stop_listening()
-        while self._callers.busy or self._gateway.recordings:
+        while self._callers.busy_connections or self._gateway.recordings:
             if await self._signal.wait_now(_IDLE_CHECK_S):
                 return
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -57,11 +57,11 @@
                                               log=self.log)
         self._incarnation = process.new_incarnation()
         self._duties_by_group: dict[str, map_duty.MapDuty] = {}
-        self._network.serve_metrics(
-            platform_metrics.MetricsPage(
+        self._network.set_metrics_provider(
+            platform_metrics.MetricsPageRenderer(
                 counters=self._counters,
                 gauges=self._gauges,
-                latencies=platform_metrics.LatencyBook()))
+                latencies=platform_metrics.LatencyHistogramSet()))
 
     def _counters(self) -> dict[str, float]:
         """What keeping ranks even has cost, over all duties held here."""
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -66,7 +66,7 @@
         self._stop_plan = planned_stop.StopPlan(grace_s=settings.grace_s,
                                                 caches_s=_TTL_S *
                                                 _MAX_TTL_FACTOR)
-        self._latencies = platform_metrics.LatencyBook()
+        self._latencies = platform_metrics.LatencyHistogramSet()
         forward = forwarder.Forwarder(
             state=self.state,
             servers=upstream_http.HttpUpstream(client=self._server_client),
@@ -79,10 +79,10 @@
         self._caller_server = self._server(settings.caller_address,
                                            self._callers)
         self._config.on_applied.append(self._limit_callers)
-        self._network.serve_metrics(
-            platform_metrics.MetricsPage(counters=self._counters,
-                                         gauges=self._gauges,
-                                         latencies=self._latencies))
+        self._network.set_metrics_provider(
+            platform_metrics.MetricsPageRenderer(counters=self._counters,
+                                                 gauges=self._gauges,
+                                                 latencies=self._latencies))
 
     def _counters(self) -> dict[str, float]:
         found: dict[str, float] = {
@@ -113,14 +113,14 @@
     def _limit_callers(self, config: routing_config.RoutingConfig) -> None:
         limits = config.limits
         self._caller_server.set_limits(
-            http_server.Limits(max_head_bytes=limits.max_header_bytes,
-                               max_body_bytes=limits.max_body_bytes,
-                               head_timeout_s=limits.header_timeout_s,
-                               idle_timeout_s=limits.idle_timeout_s))
+            http_server.ServerLimits(max_head_bytes=limits.max_header_bytes,
+                                     max_body_bytes=limits.max_body_bytes,
+                                     head_timeout_s=limits.header_timeout_s,
+                                     idle_timeout_s=limits.idle_timeout_s))
 
     @staticmethod
     def _server(address: str,
-                handler: http_server.Handler) -> http_server.HttpServer:
+                handler: http_server.RequestHandler) -> http_server.HttpServer:
         host, port = process.split_address(address)
         return http_server.HttpServer(handler=handler, host=host, port=port)
 
@@ -160,7 +160,7 @@
         """Ends what runs, and says that no more should come."""
         began_at = self._clock.monotonic()
         self.state.leaving_since = began_at
-        self._caller_server.announce_leaving()
+        self._caller_server.disable_keep_alive()
         self.peers.beat()
         self.log.write(log_events.LogEvent.STOPPING,
                        in_progress=self._callers.in_progress)
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -10,15 +10,15 @@
 __all__ = ['CallerHandler', 'DirectoryHandler', 'ReadyHandler']
 
 
-class CallerHandler(http_message.Handler):
+class CallerHandler(http_message.RequestHandler):
     """Serves callers."""
 
     def __init__(self, *, forward: forwarder.Forwarder) -> None:
         self._forward = forward
         self.in_progress = 0
 
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
+    async def handle(self, request: http_message.HttpRequest,
+                     response: http_message.HttpResponse) -> None:
         found = caller_border.decode(request)
         answer = caller_border.HttpReply(response=response, request_id=found.id)
         self.in_progress += 1
@@ -28,29 +28,29 @@
             self.in_progress -= 1
 
 
-class ReadyHandler(http_message.Handler):
+class ReadyHandler(http_message.RequestHandler):
     """Says whether the host is ready."""
 
     def __init__(self, *, state: serving_state.ServingState) -> None:
         self._state = state
 
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
+    async def handle(self, request: http_message.HttpRequest,
+                     response: http_message.HttpResponse) -> None:
         if request.path != names.Path.READY:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
             return
         await response.send(200 if self._state.is_ready else 503, [], b'')
 
 
-class DirectoryHandler(http_message.Handler):
+class DirectoryHandler(http_message.RequestHandler):
     """Tells callers which entry hosts to use."""
 
     def __init__(self, *, peers: entry_peers.EntryPeers, ttl_s: float) -> None:
         self._peers = peers
         self._ttl_s = ttl_s
 
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
+    async def handle(self, request: http_message.HttpRequest,
+                     response: http_message.HttpResponse) -> None:
         if request.path != names.Path.RESOLVE:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
             return
--- a/tests/agreed/steps/leases_and_orders.py
+++ b/tests/agreed/steps/leases_and_orders.py
@@ -215,7 +215,7 @@
     async def give() -> None:
         async with link_module.DialerSet(hello=hello, handler=giver) as dialers:
             address = context.system.by_name[_AGENT].ready['links']
-            await dialers.keep({'agent': address})
+            await dialers.set_addresses({'agent': address})
 
             async def answered() -> bool:
                 return bool(giver.answers)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -42,7 +42,7 @@
     return ''.join(expected_tokens(document))
 
 
-def _urgency(request: http_server.Request) -> int:
+def _urgency(request: http_server.HttpRequest) -> int:
     """The urgency of RFC 9218: 0 is served first, 7 last."""
     found = _URGENCY.search(request.header('priority') or '')
     return int(found.group(1)) if found else _DEFAULT_URGENCY
@@ -91,8 +91,8 @@
         self._turns = _Turns()
         self._step: asyncio.Future[None] | None = None
 
-    async def answer(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def answer(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.path == '/counts':
             await response.send_json(200, self._counts)
             return
@@ -110,8 +110,8 @@
             raise
         self._counts['finished'] += 1
 
-    async def _order(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def _order(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         """Takes an order; `GET` shows what took effect, in order.
 
         Faults: `ignores_fencing`, `order_s` seconds before the effect, and
@@ -134,8 +134,8 @@
             return
         await response.send_json(200, {'done': order['kind']})
 
-    async def _complete(self, request: http_server.Request,
-                        response: http_server.Response,
+    async def _complete(self, request: http_server.HttpRequest,
+                        response: http_server.HttpResponse,
                         document: dict[str, Any]) -> None:
         if self.take('crash'):
             response.abort()
@@ -180,7 +180,7 @@
             loop.call_at(at, self._step.set_result, None)
         await asyncio.shield(self._step)
 
-    async def _stream(self, response: http_server.Response,
+    async def _stream(self, response: http_server.HttpResponse,
                       headers: list[tuple[str, str]], tokens: list[str],
                       stamped: bool) -> None:
         await response.send_head(
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -27,8 +27,8 @@
         self._seen: list[dict[str, Any]] = []
         self._cancelled = 0
 
-    async def answer(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def answer(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.path == '/seen':
             await response.send_json(200, {
                 'requests': self._seen,
@@ -58,14 +58,14 @@
         else:
             await self._whole(response, headers)
 
-    async def _whole(self, response: http_server.Response,
+    async def _whole(self, response: http_server.HttpResponse,
                      headers: list[tuple[str, str]]) -> None:
         if self.take('stale'):
             headers = [(_ID, 'another'), *headers[1:]]
         await response.send(200, headers, b'whole ' + headers[0][1].encode())
 
-    async def _stream(self, request: http_server.Request,
-                      response: http_server.Response,
+    async def _stream(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse,
                       headers: list[tuple[str, str]]) -> None:
         count = int(request.path.rstrip('/').rpartition('/')[2])
         first = int(request.header('last-event-id') or 0) + 1
--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -26,8 +26,8 @@
         self._version = 0
         self._row_by_name: dict[tuple[str, str], dict[str, Any]] = {}
 
-    async def answer(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def answer(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         query = dict(parse.parse_qsl(request.target.partition('?')[2]))
         if request.path == '/operator':
             self._put(json.loads(request.body))
@@ -65,7 +65,7 @@
         ]
         return sorted(rows, key=lambda row: row['ver'])
 
-    async def _send_rows(self, response: http_server.Response, table: str,
+    async def _send_rows(self, response: http_server.HttpResponse, table: str,
                          after: int) -> None:
         await response.send_json(
             200, {
@@ -75,7 +75,7 @@
                 'has_more': False
             })
 
-    async def _feed(self, response: http_server.Response,
+    async def _feed(self, response: http_server.HttpResponse,
                     query: dict[str, str]) -> None:
         if self.take('forget'):
             await response.send(410, [], b'')
@@ -92,7 +92,7 @@
         await self._send_rows(response, query['table'], after)
 
     async def _transact(self, call: dict[str, Any],
-                        response: http_server.Response) -> None:
+                        response: http_server.HttpResponse) -> None:
         for expected in call['expected_revision']:
             name = (expected['table'], expected['key'])
             row = self._row_by_name.get(name)
--- a/tests/fakes/rank_group.py
+++ b/tests/fakes/rank_group.py
@@ -71,8 +71,8 @@
         self._ended_at = time.monotonic()
         self._task: asyncio.Task[None] | None = None
 
-    async def answer(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def answer(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if self._task is None:
             self._task = asyncio.create_task(self._run())
         if request.path == '/group':
@@ -93,7 +93,8 @@
         else:
             await response.send(404, [], b'')
 
-    async def _show(self, rank: _Rank, response: http_server.Response) -> None:
+    async def _show(self, rank: _Rank,
+                    response: http_server.HttpResponse) -> None:
         await response.send_json(
             200, {
                 'incarnation': rank.incarnation,
@@ -102,7 +103,7 @@
             })
 
     async def _store(self, rank: _Rank, document: dict[str, Any],
-                     response: http_server.Response) -> None:
+                     response: http_server.HttpResponse) -> None:
         state = base64.b64decode(document['state'])
         new = switch_codec.decode_rank(state)
         is_armed = (new.pending is not None and new.stage is switch.Stage.ARMED)
@@ -117,7 +118,7 @@
         await response.send_json(200, {})
 
     async def _load(self, index: int, document: dict[str, Any],
-                    response: http_server.Response) -> None:
+                    response: http_server.HttpResponse) -> None:
         path = f'/maps/{document["version"]}/{index}'
         try:
             async with self._client.request(self._weight_store, 'GET',
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -26,8 +26,8 @@
         super().__init__()
         self._effects_by_key: dict[str, int] = {}
 
-    async def answer(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def answer(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.path == '/tally':
             await response.send_json(200, self._effects_by_key)
             return
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -12,7 +12,7 @@
 __all__ = ['FakeHandler', 'run']
 
 
-class FakeHandler(http_server.Handler):
+class FakeHandler(http_server.RequestHandler):
     """A stand-in whose faults are ordered with `POST /fault`.
 
     `POST /fault` takes a JSON object of fault names and values, which replaces
@@ -22,8 +22,8 @@
     def __init__(self) -> None:
         self.faults: dict[str, Any] = {}
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.path == '/fault':
             if request.method == 'POST':
                 self.faults = json.loads(request.body or b'{}')
@@ -39,14 +39,14 @@
         return left
 
     @abc.abstractmethod
-    async def answer(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def answer(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         """Answers a request that is not about faults."""
 
 
 async def _serve(handler: FakeHandler) -> None:
-    limits = http_server.Limits(max_body_bytes=8 * 1024 * 1024,
-                                idle_timeout_s=3600.0)
+    limits = http_server.ServerLimits(max_body_bytes=8 * 1024 * 1024,
+                                      idle_timeout_s=3600.0)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/fakes/table.py
+++ b/tests/fakes/table.py
@@ -22,8 +22,8 @@
         self._last_version = 0
         self._counts = {'reads': 0, 'writes': 0, 'transactions': 0}
 
-    async def answer(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def answer(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.path == '/counts':
             await response.send_json(200, self._counts)
             return
@@ -43,8 +43,8 @@
         else:
             await response.send(404, [], b'')
 
-    async def _get(self, request: http_server.Request,
-                   response: http_server.Response) -> None:
+    async def _get(self, request: http_server.HttpRequest,
+                   response: http_server.HttpResponse) -> None:
         self._counts['reads'] += 1
         key = parse.unquote(request.path[len('/rows/'):])
         rows = self._rows_by_key
@@ -56,8 +56,8 @@
         row = _shown(key, rows[key])
         await response.send_json(200, row, [('etag', f'"{row["version"]}"')])
 
-    async def _scan(self, request: http_server.Request,
-                    response: http_server.Response) -> None:
+    async def _scan(self, request: http_server.HttpRequest,
+                    response: http_server.HttpResponse) -> None:
         query = parse.parse_qs(request.target.partition('?')[2])
         prefix = query.get('prefix', [''])[0]
         found = [
@@ -68,8 +68,8 @@
         self._counts['reads'] += max(1, len(found))
         await response.send_json(200, found)
 
-    async def _transact(self, request: http_server.Request,
-                        response: http_server.Response) -> None:
+    async def _transact(self, request: http_server.HttpRequest,
+                        response: http_server.HttpResponse) -> None:
         writes = json.loads(request.body)
         self._counts['transactions'] += 1
         self._counts['writes'] += len(writes)
--- a/tests/fakes/thin_links.py
+++ b/tests/fakes/thin_links.py
@@ -81,8 +81,8 @@
             self.lost_by_kind[kind] += 1
             return
         asyncio.get_running_loop().call_at(
-            self._pass(there.down, arrives_at, size), there.network.receive,
-            data)
+            self._pass(there.down, arrives_at, size),
+            there.network.receive_datagram, data)
 
     async def carry(self, source: str, target: str, size: int) -> None:
         """Carries the bytes of a call, which wait but are not lost."""
@@ -128,7 +128,7 @@
                                   type(message).__name__)
         return True
 
-    def receive(self, data: bytes) -> None:
+    def receive_datagram(self, data: bytes) -> None:
         """Takes a datagram."""
         message = peer_codec.decode_datagram(data)
         take = self._take_by_type.get(type(message))
--- a/tests/path/steps/planned_stop.py
+++ b/tests/path/steps/planned_stop.py
@@ -54,7 +54,7 @@
             for address in await self._addresses(number):
                 try:
                     answer: caller_module.Answer = await send(address)
-                except http_client.ConnectFailed:
+                except http_client.HttpConnectError:
                     continue
                 if (answer.status == 503 and answer.json['ran'] == 'no' and
                         answer.json['kind'] in _REFUSED):
--- a/tests/product/steps/fuzz.py
+++ b/tests/product/steps/fuzz.py
@@ -25,7 +25,7 @@
                       sample[:cut] + data[:8] + sample[cut + 8:]):
             try:
                 wire.decode(mixed)
-            except wire.MalformedMessage:
+            except wire.LinkMessageDecodeError:
                 pass
 
 
--- a/tests/product/steps/metrics.py
+++ b/tests/product/steps/metrics.py
@@ -34,7 +34,7 @@
 
 @then('the histograms of both entry hosts merge into {count:d} answers')
 def step_merge(context: Any, count: int) -> None:
-    merged = metrics.Latencies()
+    merged = metrics.RequestLatencyHistograms()
     for process in context.system.named('entry-'):
         merged.merge(
             scenario.run(
@@ -44,7 +44,8 @@
     assert merged.by_name['answer'].total_count == count
 
 
-def _percentiles(latencies: metrics.Latencies) -> dict[str, list[int]]:
+def _percentiles(
+        latencies: metrics.RequestLatencyHistograms) -> dict[str, list[int]]:
     return {
         name: [
             found.total_count, *(found.get_value_at_percentile(p)
@@ -57,8 +58,8 @@
       'and merged')
 def step_spread(context: Any, count: int, seed: int, hosts: int) -> None:
     draw = random.Random(seed)
-    context.one = metrics.Latencies()
-    by_host = [metrics.Latencies() for _ in range(hosts)]
+    context.one = metrics.RequestLatencyHistograms()
+    by_host = [metrics.RequestLatencyHistograms() for _ in range(hosts)]
     for _ in range(count):
         times = pace.Pace()
         times.observe(draw.expovariate(1.0), 1)
@@ -66,7 +67,7 @@
         total_s = times.last_s + 0.01
         context.one.observe(times, total_s)
         draw.choice(by_host).observe(times, total_s)
-    context.merged = metrics.Latencies()
+    context.merged = metrics.RequestLatencyHistograms()
     for host in by_host:
         context.merged.merge(host.encoded())
 
--- a/tests/product/steps/settings.py
+++ b/tests/product/steps/settings.py
@@ -98,7 +98,7 @@
         path = pathlib.Path(folder) / 'mutant.yaml'
         path.write_bytes(text)
         try:
-            settings.check_file(path)
+            settings.validate_file(path)
         except targets_document.InvalidDocument as error:
             return str(error)
     return None
@@ -109,7 +109,7 @@
     paths = _examples()
     assert len(paths) >= 6, paths
     for path in paths:
-        settings.check_file(path)
+        settings.validate_file(path)
 
 
 @when('{count:d} settings are mutated with seed {seed:d}')
--- a/tests/product/steps/traces.py
+++ b/tests/product/steps/traces.py
@@ -16,14 +16,14 @@
 _CALLER_SPAN = '00f067aa0ba902b7'
 
 
-class _Collector(http_server.Handler):
+class _Collector(http_server.RequestHandler):
     """Counts spans."""
 
     def __init__(self) -> None:
         self.names: list[str] = []
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         message = trace_service_pb2.ExportTraceServiceRequest.FromString(
             request.body)
         for resource in message.resource_spans:
@@ -121,7 +121,7 @@
 @given('a collector')
 def step_collector(context: Any) -> None:
     context.collector = _Collector()
-    limits = http_server.Limits(max_body_bytes=8 * 1024 * 1024)
+    limits = http_server.ServerLimits(max_body_bytes=8 * 1024 * 1024)
     context.server = scenario.run(
         context,
         context.stack.enter_async_context(
@@ -135,7 +135,7 @@
     sending = asyncio.create_task(exporter.run())
 
     async def over() -> bool:
-        return bool(exporter.sent_count + exporter.dropped_count >= done)
+        return bool(exporter.exported_count + exporter.dropped_count >= done)
 
     await scenario.eventually(over)
     sending.cancel()
