Reword the docstrings of the ports for readers

Some docstrings were figurative or gave no meaning, units or conditions. Comments and docstrings change, and one local variable.

--- a/pollenthread/ports/__init__.py
+++ b/pollenthread/ports/__init__.py
@@ -1,1 +1,1 @@
-"""Abstract base classes for everything outside the decisions."""
+"""Abstract base classes of the interfaces to everything outside the core."""
--- a/pollenthread/ports/clock.py
+++ b/pollenthread/ports/clock.py
@@ -1,4 +1,4 @@
-"""Time as the system sees it."""
+"""Interface to the clock and to timed waits."""
 
 import abc
 
@@ -6,12 +6,12 @@
 
 
 class Clock(abc.ABC):
-    """A source of time and of waiting."""
+    """A monotonic clock with an asynchronous sleep."""
 
     @abc.abstractmethod
     def monotonic(self) -> float:
-        """Seconds that never go back."""
+        """Returns the time in seconds; it never decreases."""
 
     @abc.abstractmethod
     async def sleep(self, seconds: float) -> None:
-        """Waits for `seconds`."""
+        """Suspends the current task for `seconds`."""
--- a/pollenthread/ports/event_log.py
+++ b/pollenthread/ports/event_log.py
@@ -1,4 +1,4 @@
-"""The structured log."""
+"""Interface to the structured event log."""
 
 import abc
 from typing import Any
@@ -9,7 +9,7 @@
 
 
 class EventLog(abc.ABC):
-    """Takes one line for each decision; never blocks."""
+    """Writes one line per event without blocking the caller."""
 
     @abc.abstractmethod
     def write(self,
@@ -20,8 +20,9 @@
         """Writes a line.
 
         Args:
-            event: what happened.
-            important: whether the line is kept when lines must be dropped.
-            **fields: inputs of the decision, their age or version, and the
-                outcome.
+            event: the kind of event.
+            important: whether the line takes precedence over ordinary lines
+                when the rate limit requires that lines are dropped.
+            **fields: the keys and values of the line: inputs of the decision,
+                their age or version, and the outcome.
         """
--- a/pollenthread/ports/host_list.py
+++ b/pollenthread/ports/host_list.py
@@ -1,4 +1,4 @@
-"""The platform's list of live and leaving hosts."""
+"""Interface to the platform's list of hosts."""
 
 import abc
 import dataclasses
@@ -10,19 +10,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedHost:
-    """One host as the platform lists it.
+    """An entry of the host list.
 
     Attributes:
         name: the host's name.
         role: 'entry' or 'upstream'.
-        data_centre: where it is.
+        data_centre: the data centre that the host is in.
         region: the region of the data centre.
-        address: `ip:port` of its links.
-        callers: `ip:port` for callers; empty for upstreams.
-        admin: `ip:port` of its administration; may be empty.
-        serves: for an upstream, the name of the group of hosts that serve the
-            same; may be empty.
-        leaving: whether the platform is taking it away.
+        address: `ip:port` of the listener for links.
+        callers: `ip:port` of the listener for callers; empty for
+            upstreams.
+        admin: `ip:port` of the administration listener; may be
+            empty.
+        serves: for an upstream, the name of the group of hosts that
+            provide the same service; may be empty.
+        leaving: whether the platform is removing the host.
     """
 
     name: str
@@ -37,8 +39,12 @@
 
 
 class HostList(abc.ABC):
-    """The list, which lags behind the truth."""
+    """A client of the host list, whose content may be out of date."""
 
     @abc.abstractmethod
     async def read(self) -> result.Result[dict[str, ListedHost], str]:
-        """Reads all hosts by name, or says why it cannot."""
+        """Reads the list.
+
+        Returns:
+            The hosts by name, or the text of an error.
+        """
--- a/pollenthread/ports/link.py
+++ b/pollenthread/ports/link.py
@@ -1,4 +1,4 @@
-"""Links between the system's own processes."""
+"""Interface to links, the connections between processes of the system."""
 
 import abc
 
@@ -8,62 +8,70 @@
 
 
 class LinkClosedError(Exception):
-    """The link is closed; what was sent may or may not have arrived."""
+    """The link is closed; messages sent before may not have been received."""
 
 
 class Link(abc.ABC):
-    """One connection to another process, open until it is lost."""
+    """A connection to another process, which is not reopened once closed."""
 
     @property
     @abc.abstractmethod
     def peer(self) -> messages.Hello:
-        """Who is at the other end."""
+        """The hello message of the process at the other end."""
 
     @property
     @abc.abstractmethod
     def session_id(self) -> str:
-        """The accepting side's name for this link."""
+        """The id that the accepting side assigned to this link."""
 
     @property
     @abc.abstractmethod
     def is_open(self) -> bool:
-        """Whether messages may still be sent."""
+        """Whether messages can be sent."""
 
     @abc.abstractmethod
     def send(self, message: messages.Message) -> None:
-        """Queues a message.
+        """Queues a message for sending.
 
         Raises:
-            LinkLost: the link is closed.
+            LinkClosedError: the link is closed.
         """
 
     @abc.abstractmethod
     async def drain(self) -> None:
-        """Waits until the queue of unsent bytes is short."""
+        """Waits until the send buffer is below its high-water mark."""
 
     @abc.abstractmethod
     def close(self, reason: str) -> None:
-        """Closes the link at once."""
+        """Closes the link immediately.
+
+        Args:
+            reason: the reason, for logs and for the handler.
+        """
 
 
 class LinkHandler(abc.ABC):
-    """What a process does with its links."""
+    """Callbacks for the events of links."""
 
     @abc.abstractmethod
     def on_open(self, link: Link) -> None:
-        """A link is ready."""
+        """Called when both sides have sent their hello message."""
 
     @abc.abstractmethod
     def on_message(self, link: Link, message: messages.Message) -> None:
-        """A message came."""
+        """Called for each message that is received, except hello messages."""
 
     @abc.abstractmethod
     def on_close(self, link: Link, reason: str) -> None:
-        """The link is gone."""
+        """Called when the link has been closed."""
 
 
 def send_if_open(link: Link, message: messages.Message) -> bool:
-    """Sends on a link that may have closed meanwhile; whether it was open."""
+    """Sends a message unless the link is closed.
+
+    Returns:
+        Whether the link was open.
+    """
     try:
         link.send(message)
     except LinkClosedError:
--- a/pollenthread/ports/local_upstream.py
+++ b/pollenthread/ports/local_upstream.py
@@ -1,4 +1,4 @@
-"""What an agent asks of the model engine or plain service beside it."""
+"""Interface of an agent to the model engine or plain service on its host."""
 
 import abc
 import contextlib
@@ -19,7 +19,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LocalUpstreamRequest:
-    """One call."""
+    """An HTTP request to the upstream.
+
+    Attributes:
+        method: the HTTP method.
+        path: the path with its query.
+        headers: the request headers.
+        body: the complete body.
+    """
 
     method: str
     path: str
@@ -28,22 +35,22 @@
 
 
 class LocalUpstreamResponse(abc.ABC):
-    """A call in progress."""
+    """An HTTP response whose body is still being received."""
 
     @property
     @abc.abstractmethod
     def status(self) -> int:
-        """The HTTP status of the answer."""
+        """The HTTP status of the response."""
 
     @property
     @abc.abstractmethod
     def headers(self) -> tuple[http_headers.Header, ...]:
-        """The headers of the answer."""
+        """The headers of the response."""
 
     @property
     @abc.abstractmethod
     def is_delimited(self) -> bool:
-        """Whether a body that breaks off can be told from a whole one."""
+        """Whether a truncated body can be distinguished from a complete one."""
 
     @property
     def is_event_stream(self) -> bool:
@@ -54,15 +61,15 @@
 
     @abc.abstractmethod
     def read(self) -> AsyncIterator[bytes]:
-        """Yields the body as it comes.
+        """Yields the body in chunks as they are received.
 
         Raises:
-            ConnectionError: the answer broke off.
+            ConnectionError: the response ended before its body was complete.
         """
 
 
 class LocalUpstream(abc.ABC):
-    """The engine or service."""
+    """Client of the engine or service on the agent's host."""
 
     @abc.abstractmethod
     def call(
@@ -71,6 +78,6 @@
         """Sends a request; leaving the context early cancels it.
 
         Raises:
-            UpstreamUnavailable: nothing was sent.
+            LocalUpstreamConnectError: nothing was sent.
             ConnectionError: the connection broke after something was sent.
         """
--- a/pollenthread/ports/orders.py
+++ b/pollenthread/ports/orders.py
@@ -1,4 +1,4 @@
-"""What carries an order out beside an agent."""
+"""Interface through which an agent executes orders on its engine."""
 
 import abc
 
@@ -12,12 +12,12 @@
 
 
 class OrderExecutor(abc.ABC):
-    """Carries out orders of one kind or of several."""
+    """Executes orders of one or several kinds."""
 
     @abc.abstractmethod
     async def execute(self, order: orders.Order) -> orders.Result:
-        """Carries an order out once.
+        """Executes an order once.
 
         Raises:
-            OrderOutcomeUnknown: the engine did not answer.
+            OrderOutcomeUnknownError: the engine did not respond.
         """
--- a/pollenthread/ports/peers.py
+++ b/pollenthread/ports/peers.py
@@ -1,4 +1,4 @@
-"""Messages between hosts on the prepared platform."""
+"""Interface to the messages between hosts of the platform deployment."""
 
 import abc
 from collections.abc import Awaitable, Callable, Iterable
@@ -10,56 +10,56 @@
 
 
 class PeerNetwork(abc.ABC):
-    """Sends to peers by address; nothing sent is sure to arrive."""
+    """Exchanges messages with peers by address, without guaranteed delivery."""
 
     @abc.abstractmethod
     def set_datagram_handler(self, message_type: type[Any],
                              handler: Callable[[Any], None]) -> None:
-        """Hands arriving messages of a type to a function."""
+        """Sets the function that handles received messages of a type."""
 
     @abc.abstractmethod
     def send(self, address: str, *messages: Any) -> None:
-        """Sends messages that may get lost."""
+        """Sends messages as datagrams."""
 
     @abc.abstractmethod
     def send_all(self, addresses: Iterable[str], message: Any) -> bool:
-        """Sends one message, which may get lost, to many peers.
+        """Sends one message as a datagram to each of several peers.
 
         Returns:
-            False if the message is too large to be sent in this way.
+            False if the message exceeds the size of a datagram.
         """
 
     @abc.abstractmethod
     def set_snapshot_provider(
             self, provider: Callable[[],
                                      peer_messages.Snapshot | None]) -> None:
-        """Answers peers that ask what this host knows of the store."""
+        """Sets the source of the store snapshot that peers can request."""
 
     @abc.abstractmethod
     def set_rank_state_provider(
         self,
         provider: Callable[[],
                            Awaitable[peer_messages.RankState | None]]) -> None:
-        """Answers peers that ask for the state of this host's rank."""
+        """Sets the source of the rank state that peers can request."""
 
     @abc.abstractmethod
     async def fetch_rank_state(self,
                                address: str) -> peer_messages.RankState | None:
-        """Asks for the state of a peer's rank; None without an answer."""
+        """Requests the state of a peer's rank; None if the request fails."""
 
     @abc.abstractmethod
     def set_rank_layout_provider(
         self,
         provider: Callable[[],
                            Awaitable[peer_messages.RankLayout | None]]) -> None:
-        """Answers peers that ask which experts this host's rank holds."""
+        """Sets the source of the expert layout that peers can request."""
 
     @abc.abstractmethod
     async def fetch_rank_layout(
             self, address: str) -> peer_messages.RankLayout | None:
-        """Asks which experts a peer's rank holds; None without an answer."""
+        """Requests the experts of a peer's rank; None if the request fails."""
 
     @abc.abstractmethod
     async def fetch_snapshot(self,
                              address: str) -> peer_messages.Snapshot | None:
-        """Asks a peer what it knows of the store; None without an answer."""
+        """Requests a peer's store snapshot; None if the request fails."""
--- a/pollenthread/ports/rank_engine.py
+++ b/pollenthread/ports/rank_engine.py
@@ -1,4 +1,4 @@
-"""One rank of a group, as its agent sees it."""
+"""Interface of an agent to the engine of its rank, one member of a group."""
 
 import abc
 import dataclasses
@@ -7,17 +7,18 @@
 
 
 class RankEngineUnavailableError(Exception):
-    """The engine gave no answer; an order may have taken effect."""
+    """The engine did not respond; a write may have taken effect."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankEngineStatus:
-    """What the engine says of its rank.
+    """State of a rank as the engine reports it.
 
     Attributes:
-        incarnation: rises with each restart of the rank.
-        step: the last step that it has entered.
-        state: what the agent has stored there; empty after a restart.
+        incarnation: increases with each restart of the rank.
+        step: the last step that the rank has started.
+        state: the bytes that the agent last stored in the engine; empty after a
+            restart.
     """
 
     incarnation: int
@@ -26,32 +27,42 @@
 
 
 class RankEngine(abc.ABC):
-    """Keeps the agent's state, steps by it and loads weights."""
+    """Client of an engine that stores and applies the agent's state."""
 
     @abc.abstractmethod
     async def read_status(self) -> RankEngineStatus:
-        """Reads the rank.
+        """Reads the state of the rank.
 
         Raises:
-            RankUnavailable: there is no answer.
+            RankEngineUnavailableError: the engine did not respond.
         """
 
     @abc.abstractmethod
     async def write_state(self, state: bytes, *, incarnation: int) -> bool:
-        """Stores the state, by which the engine goes from now on.
+        """Stores the state that the engine applies from the next step on.
+
+        Args:
+            state: the encoded state.
+            incarnation: the incarnation that the rank must have.
 
         Returns:
-            False when the rank has another incarnation, or has already entered
-            the step before which the state tells it to wait.
+            False if the rank has another incarnation, or has already started
+            the step before which the state requires it to wait.
 
         Raises:
-            RankUnavailable: there is no answer.
+            RankEngineUnavailableError: the engine did not respond.
         """
 
     @abc.abstractmethod
     async def load_weights(self, map_version: int) -> bool:
-        """Loads the weights that a map needs; False when that failed.
+        """Loads the weights that an expert map requires.
+
+        Args:
+            map_version: the version of the map.
+
+        Returns:
+            Whether the weights were loaded.
 
         Raises:
-            RankUnavailable: there is no answer.
+            RankEngineUnavailableError: the engine did not respond.
         """
--- a/pollenthread/ports/rank_server.py
+++ b/pollenthread/ports/rank_server.py
@@ -1,4 +1,4 @@
-"""The model server that is a rank of a group."""
+"""Interface of an agent to the model server that is a rank of a group."""
 
 import abc
 import dataclasses
@@ -12,18 +12,18 @@
 
 
 class RankServerUnavailableError(Exception):
-    """The server gave no answer; an order may be carried out later."""
+    """The server did not respond; an order may still be executed later."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankServerStatus:
-    """What a server says of itself.
+    """State of a server as it reports it.
 
     Attributes:
-        state: its rank; the host is empty.
-        running: requests that it works on.
-        waiting: requests in its queue.
-        is_in_group: whether it is a rank of a group at all.
+        state: the state of its rank; the field `host` is empty.
+        running: requests in progress.
+        waiting: queued requests.
+        is_group_member: whether the server is a rank of a group.
     """
 
     state: peer_messages.RankState
@@ -34,12 +34,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpertChoiceCounts:
-    """How often a rank's requests have chosen each expert since its start.
+    """How often requests were routed to each expert since the rank started.
 
     Attributes:
-        step: the last pass that was begun.
-        epoch: the group's epoch.
-        counts: by set and then by expert.
+        step: the last pass that was started.
+        epoch: the epoch of the group, which increases each time that the group
+            is formed.
+        counts: a count for each expert, ordered by expert set and then by
+            expert number.
     """
 
     step: int
@@ -48,36 +50,39 @@
 
 
 class RankServer(abc.ABC):
-    """One server; free to ask from its own host, priced from elsewhere."""
+    """Client of one server; calls from another host incur a cost."""
 
     @abc.abstractmethod
     async def fetch_status(self) -> RankServerStatus:
-        """Asks for its state.
+        """Requests the state of the server.
 
         Raises:
-            RankSilent: there is no answer.
+            RankServerUnavailableError: the server did not respond.
         """
 
     @abc.abstractmethod
     async def fetch_choice_counts(self) -> ExpertChoiceCounts:
-        """Asks how often experts were chosen.
+        """Requests the number of selections of each expert.
 
         Raises:
-            RankSilent: there is no answer.
+            RankServerUnavailableError: the server did not respond.
         """
 
     @abc.abstractmethod
     async def fetch_layout(self) -> peer_messages.RankLayout:
-        """Asks which experts it holds by the map in use.
+        """Requests the experts that the rank holds under the current map.
 
         Raises:
-            RankSilent: there is no answer.
+            RankServerUnavailableError: the server did not respond.
         """
 
     @abc.abstractmethod
     async def send_order(self, order: peer_messages.RankOrder) -> int:
-        """Gives an order; returns the HTTP status.
+        """Sends an order.
+
+        Returns:
+            The HTTP status of the response.
 
         Raises:
-            RankSilent: there is no answer.
+            RankServerUnavailableError: the server did not respond.
         """
--- a/pollenthread/ports/row_store.py
+++ b/pollenthread/ports/row_store.py
@@ -1,4 +1,4 @@
-"""The platform's store of rows, with a feed of changes."""
+"""Interface to the platform's row store, which provides a change feed."""
 
 import abc
 import dataclasses
@@ -11,9 +11,9 @@
 
 
 class StoreError(enum.Enum):
-    """Why the store gave no answer that can be used.
+    """Why a call to the store failed.
 
-    UNKNOWN means that a write may have taken effect, or may yet do so.
+    UNKNOWN means that a write may have taken effect, or may still do so later.
     """
 
     CONFLICT = 'conflict'
@@ -25,12 +25,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowChange:
-    """A row as of its newest version.
+    """The newest version of a changed row.
 
     Attributes:
         key: the row's key.
-        value: its bytes, or None when the row was removed.
-        version: the store's counter at that change.
+        value: the row's bytes, or None if the row was deleted.
+        version: the store-wide change counter at the time of the change.
     """
 
     key: str
@@ -40,11 +40,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowChanges:
-    """An answer of the store.
+    """Rows that the store returned.
 
     Attributes:
-        changes: rows in the order of their versions.
-        version: the newest version that the answer covers.
+        changes: the rows, ordered by version.
+        version: the newest version of the store that the result includes.
     """
 
     changes: tuple[RowChange, ...]
@@ -59,8 +59,8 @@
         table: the row's table.
         key: the row's key.
         value: the new bytes, or None to delete the row.
-        expect: the version that the row must have, 0 for no row, or None to
-            write whatever is there.
+        expected_version: the version that the row must have, 0 if the row must
+            not exist, or None to write unconditionally.
     """
 
     table: str
@@ -70,18 +70,31 @@
 
 
 class RowStore(abc.ABC):
-    """Tables of rows."""
+    """Client of the store, which holds rows in tables."""
 
     @abc.abstractmethod
     async def read(self, table: str) -> result.Result[RowChanges, StoreError]:
-        """Reads a whole table."""
+        """Reads all rows of a table."""
 
     @abc.abstractmethod
     async def watch(self, table: str, after_version: int,
                     wait_s: float) -> result.Result[RowChanges, StoreError]:
-        """Waits for changes after a version; empty when there are none."""
+        """Waits for changes of a table.
+
+        Args:
+            table: the name of the table.
+            after_version: only changes with a later version are returned.
+            wait_s: how long to wait for a change, in seconds.
+
+        Returns:
+            The changes, which are empty if none occurred in time.
+        """
 
     @abc.abstractmethod
     async def write(
             self, writes: Sequence[RowWrite]) -> result.Result[int, StoreError]:
-        """Applies all writes or none; returns the new version."""
+        """Applies all writes atomically.
+
+        Returns:
+            The store's new version.
+        """
--- a/pollenthread/ports/table.py
+++ b/pollenthread/ports/table.py
@@ -1,4 +1,4 @@
-"""The platform's transactional table."""
+"""Interface to the platform's transactional table."""
 
 import abc
 import dataclasses
@@ -11,17 +11,18 @@
     'ABSENT_VERSION', 'TableRow', 'TableError', 'TableService', 'TableWrite'
 ]
 
+# The version of a row that does not exist.
 ABSENT_VERSION = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableRow:
-    """One row as it was read.
+    """A row that was read from the table.
 
     Attributes:
         key: the row's key.
         value: the row's bytes.
-        version: rises with each write; never `ABSENT`.
+        version: increases with each write; never `ABSENT_VERSION`.
     """
 
     key: str
@@ -36,7 +37,8 @@
     Attributes:
         key: the row's key.
         value: the new bytes, or None to delete the row.
-        expect: the version that the row must have, or `ABSENT`.
+        expected_version: the version that the row must have; `ABSENT_VERSION`
+            if it must not exist.
     """
 
     key: str
@@ -45,9 +47,10 @@
 
 
 class TableError(enum.Enum):
-    """Why the table gave no answer that can be used.
+    """Why a call to the table failed.
 
-    UNKNOWN means that the write may have taken effect: read before deciding.
+    UNKNOWN means that the write may have taken effect, so that the row must be
+    read before the next decision.
     """
 
     CONFLICT = 'conflict'
@@ -57,11 +60,11 @@
 
 
 class TableService(abc.ABC):
-    """Rows by key, with conditional writes and transactions."""
+    """Client of a key-value table with conditional writes and transactions."""
 
     @abc.abstractmethod
     async def get(self, key: str) -> result.Result[TableRow | None, TableError]:
-        """Reads one row; None when there is none."""
+        """Reads one row; None if it does not exist."""
 
     @abc.abstractmethod
     async def scan(self,
@@ -72,7 +75,7 @@
     async def commit(
             self, writes: Sequence[TableWrite]
     ) -> result.Result[list[int], TableError]:
-        """Applies all writes or none.
+        """Applies all writes atomically.
 
         Returns:
             The new version of each row, in the order of `writes`.
@@ -80,6 +83,11 @@
 
     async def put(self, key: str, value: bytes, *,
                   expected_version: int) -> result.Result[int, TableError]:
-        """Writes one row if it has the expected version."""
-        done = await self.commit([TableWrite(key, value, expected_version)])
-        return done.map(lambda versions: versions[0])
+        """Writes one row if it has the expected version.
+
+        Returns:
+            The new version of the row.
+        """
+        committed = await self.commit(
+            [TableWrite(key, value, expected_version)])
+        return committed.map(lambda versions: versions[0])
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -1,4 +1,4 @@
-"""Servers that are reached directly."""
+"""Interface of an entry host to the servers that it connects to directly."""
 
 import abc
 import contextlib
@@ -14,7 +14,7 @@
 
 
 class UpstreamConnectError(Exception):
-    """No connection could be made, so nothing was sent."""
+    """No connection could be established, so nothing was sent."""
 
 
 class UpstreamDisconnectedError(Exception):
@@ -23,7 +23,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedServerLoad:
-    """What a server says of its load in an answer."""
+    """Load that a server reports with a response.
+
+    Attributes:
+        running: requests in progress.
+        waiting: queued requests.
+        slots: requests that the server can process concurrently.
+    """
 
     running: int
     waiting: int
@@ -32,15 +38,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamAttempt:
-    """One attempt at a server.
+    """One attempt to execute a request on a server.
 
     Attributes:
-        server: the server that must run it, and no other.
+        server: the only server that may execute the request.
         request: the caller's request.
-        time_left_s: how long the answer is waited for.
-        workspace: the holder of the caller's key, or None.
-        last_event_id: the last event that need not be sent again, or None.
-        urgency: 0 is admitted first, 9 last.
+        time_left_s: the time left until the deadline, in seconds.
+        workspace: the workspace that owns the caller's API key, or None.
+        last_event_id: the id of the last event that the caller received, if it
+            resumes an event stream, or None.
+        priority: from 0, admitted first, to 9, admitted last.
     """
 
     server: fleet.Server
@@ -52,15 +59,18 @@
 
 
 class UpstreamResponse(abc.ABC):
-    """An answer whose head has come.
+    """A response whose status and headers have been received.
 
     Attributes:
         status: the HTTP status.
-        headers: what a caller may see of the headers.
-        has_run: False when the server says that it did not run the request.
-        is_other_server: whether another server has the address by now.
-        load: what the server says of its load, or None.
-        is_leaving: whether the server closes the connection after it.
+        headers: the headers that may be forwarded to the caller.
+        may_have_executed: False if the server reported that it did not execute
+            the request.
+        is_misdirected: whether the address now belongs to another server, which
+            rejected the request.
+        load: the load that the server reports, or None.
+        closes_connection: whether the server closes the connection after this
+            response.
     """
 
     status: int
@@ -72,23 +82,25 @@
 
     @abc.abstractmethod
     def read(self) -> AsyncIterator[bytes]:
-        """Yields the body as it comes.
+        """Yields the body in chunks as they are received.
 
         Raises:
-            UpstreamBroken: the answer broke off.
+            UpstreamDisconnectedError: the response ended before its body was
+                complete.
         """
 
 
 class UpstreamClient(abc.ABC):
-    """Sends requests to servers."""
+    """Client of all servers."""
 
     @abc.abstractmethod
     def send(
         self, attempt: UpstreamAttempt
     ) -> contextlib.AbstractAsyncContextManager[UpstreamResponse]:
-        """Sends one attempt; leaving the context early cancels it.
+        """Sends a request; leaving the context early cancels it.
 
         Raises:
-            ConnectFailed: nothing was sent.
-            UpstreamBroken: the connection broke, so it may have run.
+            UpstreamConnectError: nothing was sent.
+            UpstreamDisconnectedError: the connection broke, so the request may
+                have been executed.
         """
