--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 client on h11 with one exchange in flight per connection."""
+"""HTTP/1.1 client, based on h11, with one request at a time per connection."""
 
 import asyncio
 import contextlib
@@ -15,17 +15,21 @@
 __all__ = ['ClientResponse', 'HttpConnectError', 'HttpClient']
 
 _MAX_IDLE_PER_ADDRESS = 64
-_DEFAULT_IDLE_S = 4.0
-_IDLE_SHARE = 0.7
+_DEFAULT_KEEP_ALIVE_S = 4.0
+_IDLE_FRACTION = 0.7
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
 class HttpConnectError(ConnectionError):
-    """No connection could be made, so nothing was sent."""
+    """No connection could be established, so nothing was sent."""
 
 
 class ClientResponse:
-    """One answer in progress."""
+    """A response whose body is still being received.
+
+    Attributes:
+        headers: the response headers, with names in lower case.
+    """
 
     def __init__(self, *, connection: client_connection.ClientConnection,
                  head: h11.Response) -> None:
@@ -35,35 +39,35 @@
 
     @property
     def status(self) -> int:
-        """The HTTP status."""
+        """The HTTP status of the response."""
         return self._head.status_code
 
     @property
     def is_delimited(self) -> bool:
-        """Whether a body that breaks off can be told from a whole one."""
+        """Whether a truncated body can be distinguished from a complete one."""
         return self._connection.is_delimited(self._head)
 
     def header(self, name: str) -> str | None:
-        """The value of the first header with this lower-case name."""
+        """Returns the value of the first header with a lower-case name."""
         for key, value in self.headers:
             if key == name:
                 return value
         return None
 
     async def skip_to_next_response(self) -> None:
-        """Drops this answer, which belongs to an earlier request.
+        """Discards this response, which belongs to an earlier request.
 
         Raises:
-            ConnectionError: no further answer came.
+            ConnectionError: no further response was received.
         """
         self._head = await self._connection.skip_response()
         self.headers = _decode_headers(self._head)
 
     async def read(self) -> AsyncIterator[bytes]:
-        """Yields the body as it comes.
+        """Yields the body in chunks as they are received.
 
         Raises:
-            ConnectionError: the answer broke off.
+            ConnectionError: the response ended before its body was complete.
         """
         while True:
             data = await self._connection.read_data()
@@ -72,10 +76,13 @@
             yield data
 
     async def read_all(self, max_bytes: int = 64 * 1024 * 1024) -> bytes:
-        """Reads the whole body.
+        """Reads the complete body.
+
+        Args:
+            max_bytes: the maximum size of the body.
 
         Raises:
-            ConnectionError: the answer broke off or is too large.
+            ConnectionError: the response was truncated or is too large.
         """
         parts = []
         size = 0
@@ -88,7 +95,11 @@
 
 
 class HttpClient:
-    """Keeps idle connections by address."""
+    """HTTP client with a pool of idle connections for each address.
+
+    Attributes:
+        connections_opened: connections that were established so far.
+    """
 
     def __init__(self, *, connect_timeout_s: float = 2.0) -> None:
         self._connect_timeout_s = connect_timeout_s
@@ -106,7 +117,7 @@
             self.close_idle(address)
 
     def close_idle(self, address: str) -> None:
-        """Closes the idle connections to an address."""
+        """Closes all idle connections to an address."""
         for connection in self._idle_by_address.pop(address, []):
             connection.close()
 
@@ -123,24 +134,24 @@
         Args:
             address: `ip:port`.
             method: the HTTP method.
-            target: path and query.
-            headers: headers; host and content-length are added if missing.
-            body: the whole body.
+            target: the path with its query.
+            headers: the headers; host and content-length are added if missing.
+            body: the complete body.
 
         Raises:
-            ConnectFailed: nothing was sent.
+            HttpConnectError: nothing was sent.
             ConnectionError: the connection broke after something was sent.
         """
         connection = await self._acquire(address)
-        reusable = False
+        is_reusable = False
         exchange: ClientResponse | None = None
         try:
             head = await connection.send(method, target, headers, body)
             exchange = ClientResponse(connection=connection, head=head)
             yield exchange
-            reusable = connection.finish_exchange()
+            is_reusable = connection.finish_exchange()
         finally:
-            self._release(connection, exchange if reusable else None)
+            self._release(connection, exchange if is_reusable else None)
 
     async def _acquire(self,
                        address: str) -> client_connection.ClientConnection:
@@ -167,7 +178,7 @@
             connection.close()
             return
         now = asyncio.get_running_loop().time()
-        connection.idle_until = now + _idle_s(exchange)
+        connection.idle_until = now + _idle_limit_s(exchange)
         idle.append(connection)
 
 
@@ -176,8 +187,12 @@
                  for name, value in head.headers)
 
 
-def _idle_s(exchange: ClientResponse) -> float:
-    """How long a connection may be idle before the server may close it."""
-    found = _KEEP_ALIVE_TIMEOUT.search(exchange.header('keep-alive') or '')
-    timeout_s = float(found.group(1)) if found else _DEFAULT_IDLE_S
-    return timeout_s * _IDLE_SHARE
+def _idle_limit_s(exchange: ClientResponse) -> float:
+    """Returns how long a connection may be idle before it is reused.
+
+    The limit is below the server's keep-alive timeout, so that a request is not
+    sent on a connection that the server is closing.
+    """
+    match = _KEEP_ALIVE_TIMEOUT.search(exchange.header('keep-alive') or '')
+    timeout_s = float(match.group(1)) if match else _DEFAULT_KEEP_ALIVE_S
+    return timeout_s * _IDLE_FRACTION
--- a/pollenthread/adapters/http_connection.py
+++ b/pollenthread/adapters/http_connection.py
@@ -1,4 +1,4 @@
-"""One connection of the HTTP server, with bounded input."""
+"""A connection of the HTTP server, with limits on its input."""
 
 import asyncio
 import dataclasses
@@ -13,52 +13,58 @@
 
 __all__ = ['BodyBufferQuota', 'ServerConnection']
 
-_MAX_EARLY_BYTES = 64 * 1024
-_PLAIN_SCHEME = 'http://'
+_MAX_PIPELINED_BYTES = 64 * 1024
+_HTTP_SCHEME = 'http://'
 
 
 @dataclasses.dataclass
 class BodyBufferQuota:
-    """What all connections of a server hold together.
+    """Memory for request bodies that all connections of a server share.
 
     Attributes:
-        left_bytes: bytes of unfinished bodies that may still be taken.
+        remaining_bytes: bytes of incomplete bodies that may still be buffered.
     """
 
     remaining_bytes: int
 
 
-class _BadRequest(Exception):
-    """A request that is refused before a handler sees it."""
+class _BadRequestError(Exception):
+    """The request is invalid and is rejected without calling the handler."""
 
-    def __init__(self, problem: errors.Failure) -> None:
-        super().__init__(problem.detail)
-        self.problem = problem
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
 
 
 class ServerConnection(asyncio.Protocol, http_message.ResponseTransport):
-    """Reads requests, runs the handler for each, and writes the answers.
+    """Reads requests, runs the handler for each, and sends the responses.
 
-    The caller has left when it closes its sending side: the handler is then
-    cancelled.
+    If the caller closes its sending side, it is regarded as disconnected and
+    the handler is cancelled.
+
+    Attributes:
+        task: the task that handles the current request, or None.
+        is_busy: whether a request is being received or handled.
+        should_close: whether the connection closes after the current response.
+        request_method: the HTTP method of the current request.
     """
 
     def __init__(self, *, handler: http_message.RequestHandler,
-                 limits: http_message.ServerLimits, budget: BodyBufferQuota,
-                 on_lost: Callable[['ServerConnection'], None]) -> None:
+                 limits: http_message.ServerLimits, quota: BodyBufferQuota,
+                 on_closed: Callable[['ServerConnection'], None]) -> None:
         self._handler = handler
         self._limits = limits
-        self._budget = budget
-        self._on_lost = on_lost
+        self._quota = quota
+        self._on_closed = on_closed
         self._transport: asyncio.Transport
-        self._peer = ''
-        self._http = h11.Connection(
+        self._client_ip = ''
+        self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
-        self._head: h11.Request | None = None
-        self._parts: list[bytes] = []
+        self._request_head: h11.Request | None = None
+        self._body_parts: list[bytes] = []
         self._body_bytes = 0
-        self._early = bytearray()
-        self._linger_bytes: int | None = None
+        self._pipelined = bytearray()
+        self._discard_limit_bytes: int | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Event | None = None
         self.task: asyncio.Task[None] | None = None
@@ -66,7 +72,7 @@
         self.should_close = False
         self.request_method = ''
 
-    # What a response uses.
+    # Interface for HttpResponse.
 
     @property
     def is_writable(self) -> bool:
@@ -76,9 +82,9 @@
         if self._transport.is_closing():
             raise ConnectionResetError('the caller left')
         if len(events) == 1:
-            data = self._http.send(events[0])
+            data = self._parser.send(events[0])
         else:
-            parts = [self._http.send(event) for event in events]
+            parts = [self._parser.send(event) for event in events]
             data = b''.join(part for part in parts if part)
         if data:
             self._transport.write(data)
@@ -92,52 +98,52 @@
     def abort(self) -> None:
         self._transport.close()
         if self._writable is not None:
-            self._set_timer(self._limits.lingering_close_s,
-                            self._transport.abort)
+            self._start_timer(self._limits.lingering_close_s,
+                              self._transport.abort)
 
     def reject(self, failure: errors.Failure) -> None:
-        """Answers with a failure and reads no further request."""
-        self._set_timer(self._limits.lingering_close_s, self._transport.abort)
-        self._linger_bytes = self._limits.max_body_bytes
+        """Sends an error response and closes the connection."""
+        self._start_timer(self._limits.lingering_close_s, self._transport.abort)
+        self._discard_limit_bytes = self._limits.max_body_bytes
         self.should_close = True
-        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._transport.abort()
             return
-        self.task = asyncio.create_task(self._send_refusal(failure))
+        self.task = asyncio.create_task(self._send_rejection(failure))
 
-    async def _send_refusal(self, problem: errors.Failure) -> None:
+    async def _send_rejection(self, failure: errors.Failure) -> None:
         try:
             await http_message.HttpResponse(connection=self
-                                           ).send_problem(problem)
+                                           ).send_problem(failure)
             self._transport.write_eof()
         except (OSError, h11.LocalProtocolError):
             self._transport.abort()
 
-    # Called by the event loop.
+    # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=self._limits.max_unsent_bytes)
         peer = transport.get_extra_info('peername')
-        self._peer = peer[0] if peer else ''
+        self._client_ip = peer[0] if peer else ''
         self._wait_for_request()
 
     def data_received(self, data: bytes) -> None:
-        if self._linger_bytes is not None:
-            self._linger_bytes -= len(data)
-            if self._linger_bytes < 0:
+        if self._discard_limit_bytes is not None:
+            self._discard_limit_bytes -= len(data)
+            if self._discard_limit_bytes < 0:
                 self._transport.abort()
             return
         if self.task is not None:
-            self._early += data
-            if len(self._early) > _MAX_EARLY_BYTES:
+            self._pipelined += data
+            if len(self._pipelined) > _MAX_PIPELINED_BYTES:
                 self._transport.pause_reading()
             return
-        self._receive(data)
+        self._parse(data)
 
     def eof_received(self) -> bool:
-        if self.task is not None and self._linger_bytes is None:
+        if self.task is not None and self._discard_limit_bytes is None:
             self.task.cancel()
         return False
 
@@ -152,17 +158,18 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._cancel_timer()
         self.resume_writing()
-        self._forget_body()
+        self._discard_body()
         self.is_busy = False
         if self.task is not None:
             self.task.cancel()
-        self._on_lost(self)
+        self._on_closed(self)
 
-    # Reading.
+    # Parsing of requests.
 
-    def _set_timer(self, seconds: float, act: Callable[[], None]) -> None:
+    def _start_timer(self, seconds: float, callback: Callable[[],
+                                                              None]) -> None:
         self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(seconds, act)
+        self._timer = asyncio.get_running_loop().call_later(seconds, callback)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -171,75 +178,82 @@
 
     def _wait_for_request(self) -> None:
         self.is_busy = False
-        self._set_timer(self._limits.idle_timeout_s, self._transport.close)
+        self._start_timer(self._limits.idle_timeout_s, self._transport.close)
 
-    def _refuse_slow(self) -> None:
+    def _reject_slow_request(self) -> None:
         self.reject(errors.failure(errors.Kind.SLOW_REQUEST))
 
-    def _receive(self, data: bytes) -> None:
-        """Feeds bytes to the parser and acts on what they complete."""
+    def _parse(self, data: bytes) -> None:
+        """Passes data to the parser and handles the resulting events."""
         if data:
-            self._http.receive_data(data)
+            self._parser.receive_data(data)
         if not self.is_busy:
             self.is_busy = True
-            self._set_timer(self._limits.head_timeout_s, self._refuse_slow)
+            self._start_timer(self._limits.head_timeout_s,
+                              self._reject_slow_request)
         try:
-            while self._take(self._http.next_event()):
+            while self._handle_event(self._parser.next_event()):
                 pass
-        except h11.RemoteProtocolError as bad:
-            self.reject(_framing_failure(bad))
-        except _BadRequest as bad:
-            self.reject(bad.problem)
+        except h11.RemoteProtocolError as error:
+            self.reject(_framing_failure(error))
+        except _BadRequestError as error:
+            self.reject(error.failure)
+
+    def _handle_event(self, event: Any) -> bool:
+        """Handles one event.
 
-    def _take(self, event: Any) -> bool:
-        """Handles one event; whether another may follow."""
+        Returns:
+            Whether to poll the parser for another event.
+        """
         if isinstance(event, h11.Request):
-            self._take_head(event)
+            self._handle_head(event)
             return True
         if isinstance(event, h11.Data):
-            self._take_data(bytes(event.data))
+            self._handle_data(bytes(event.data))
             return True
         if isinstance(event, h11.EndOfMessage):
             self._start_handler()
             return False
         if event is h11.NEED_DATA:
-            if self._http.they_are_waiting_for_100_continue:
+            if self._parser.they_are_waiting_for_100_continue:
                 self.send_events(
                     h11.InformationalResponse(status_code=100, headers=[]))
             return False
         self._transport.close()
         return False
 
-    def _take_head(self, head: h11.Request) -> None:
-        self._head = head
+    def _handle_head(self, head: h11.Request) -> None:
+        self._request_head = head
         self.request_method = head.method.decode('ascii')
         _check_head(head, self._limits)
-        self._set_timer(self._limits.body_timeout_s, self._refuse_slow)
+        self._start_timer(self._limits.body_timeout_s,
+                          self._reject_slow_request)
 
-    def _take_data(self, data: bytes) -> None:
+    def _handle_data(self, data: bytes) -> None:
         self._body_bytes += len(data)
-        self._budget.remaining_bytes -= len(data)
+        self._quota.remaining_bytes -= len(data)
         if self._body_bytes > self._limits.max_body_bytes:
-            raise _BadRequest(_too_large(self._limits))
-        if self._budget.remaining_bytes < 0:
-            raise _BadRequest(
+            raise _BadRequestError(_too_large_failure(self._limits))
+        if self._quota.remaining_bytes < 0:
+            raise _BadRequestError(
                 errors.failure(errors.Kind.OVERLOADED,
                                'Too many bodies arrive at once.'))
-        self._parts.append(data)
+        self._body_parts.append(data)
 
-    def _forget_body(self) -> None:
-        self._parts = []
-        self._budget.remaining_bytes += self._body_bytes
+    def _discard_body(self) -> None:
+        self._body_parts = []
+        self._quota.remaining_bytes += self._body_bytes
         self._body_bytes = 0
 
-    # Serving.
+    # Handling of requests.
 
     def _start_handler(self) -> None:
         self._cancel_timer()
-        assert self._head is not None
-        request = _request(self._head, b''.join(self._parts), self._peer)
-        self._head = None
-        self._forget_body()
+        assert self._request_head is not None
+        request = _make_request(self._request_head, b''.join(self._body_parts),
+                                self._client_ip)
+        self._request_head = None
+        self._discard_body()
         self.task = asyncio.create_task(self._serve(request))
 
     async def _serve(self, request: http_message.HttpRequest) -> None:
@@ -250,12 +264,12 @@
             self._transport.close()
             return
         except Exception:  # pylint: disable=broad-exception-caught
-            logging.exception('a request could not be handled')
-            await self._report_internal(response)
-        self._next_request(response)
+            logging.exception('unhandled exception in a request handler')
+            await self._send_internal_error(response)
+        self._finish_request(response)
 
-    async def _report_internal(self,
-                               response: http_message.HttpResponse) -> None:
+    async def _send_internal_error(self,
+                                   response: http_message.HttpResponse) -> None:
         self.should_close = True
         if response.is_head_sent:
             self._transport.close()
@@ -265,27 +279,32 @@
         except (OSError, h11.LocalProtocolError):
             self._transport.close()
 
-    def _next_request(self, response: http_message.HttpResponse) -> None:
-        """Goes on to the connection's next request, or closes it."""
+    def _finish_request(self, response: http_message.HttpResponse) -> None:
+        """Prepares for the next request, or closes the connection."""
         self.task = None
         if (self._transport.is_closing() or not response.is_finished or
-                self.should_close or self._http.our_state is not h11.DONE or
-                self._http.their_state is not h11.DONE):
+                self.should_close or self._parser.our_state is not h11.DONE or
+                self._parser.their_state is not h11.DONE):
             self._transport.close()
             return
-        self._http.start_next_cycle()
+        self._parser.start_next_cycle()
         self._wait_for_request()
-        early = bytes(self._early)
-        self._early.clear()
+        pipelined = bytes(self._pipelined)
+        self._pipelined.clear()
         self._transport.resume_reading()
-        if early or self._http.trailing_data[0]:
-            self._receive(early)
+        if pipelined or self._parser.trailing_data[0]:
+            self._parse(pipelined)
 
 
 def _check_head(head: h11.Request, limits: http_message.ServerLimits) -> None:
-    """Refuses what the parser lets pass but no request needs."""
+    """Rejects requests that the parser accepts but this server does not.
+
+    Raises:
+        _BadRequestError: the head is too large, or its HTTP version or framing
+            is not supported.
+    """
     if head.http_version != b'1.1':
-        raise _bad_framing('Use HTTP/1.1.')
+        raise _framing_error('Use HTTP/1.1.')
     size = len(head.target)
     lengths = 0
     encodings = 0
@@ -294,21 +313,21 @@
         if name == b'content-length':
             lengths += 1
             if int(value) > limits.max_body_bytes:
-                raise _BadRequest(_too_large(limits))
+                raise _BadRequestError(_too_large_failure(limits))
         elif name == b'transfer-encoding':
             encodings += 1
     if size > limits.max_head_bytes:
-        raise _BadRequest(errors.failure(errors.Kind.HEAD_TOO_LARGE))
+        raise _BadRequestError(errors.failure(errors.Kind.HEAD_TOO_LARGE))
     if lengths and encodings:
-        raise _bad_framing('Give content-length or transfer-encoding, '
-                           'not both.')
+        raise _framing_error('Give content-length or transfer-encoding, '
+                             'not both.')
 
 
-def _request(head: h11.Request, body: bytes,
-             peer: str) -> http_message.HttpRequest:
+def _make_request(head: h11.Request, body: bytes,
+                  peer: str) -> http_message.HttpRequest:
     target = head.target.decode('ascii', 'replace')
-    if target[:len(_PLAIN_SCHEME)].lower() == _PLAIN_SCHEME:
-        _, slash, path = target[len(_PLAIN_SCHEME):].partition('/')
+    if target[:len(_HTTP_SCHEME)].lower() == _HTTP_SCHEME:
+        _, slash, path = target[len(_HTTP_SCHEME):].partition('/')
         target = slash + path if slash else '/'
     return http_message.HttpRequest(method=head.method.decode('ascii'),
                                     target=target,
@@ -320,17 +339,17 @@
                                     client_ip=peer)
 
 
-def _bad_framing(detail: str) -> _BadRequest:
-    return _BadRequest(errors.failure(errors.Kind.BAD_FRAMING, detail))
+def _framing_error(detail: str) -> _BadRequestError:
+    return _BadRequestError(errors.failure(errors.Kind.BAD_FRAMING, detail))
 
 
-def _too_large(limits: http_message.ServerLimits) -> errors.Failure:
+def _too_large_failure(limits: http_message.ServerLimits) -> errors.Failure:
     return errors.failure(
         errors.Kind.BODY_TOO_LARGE,
         f'The body may have {limits.max_body_bytes} bytes at most.')
 
 
-def _framing_failure(bad: h11.RemoteProtocolError) -> errors.Failure:
-    if bad.error_status_hint == 431:
+def _framing_failure(error: h11.RemoteProtocolError) -> errors.Failure:
+    if error.error_status_hint == 431:
         return errors.failure(errors.Kind.HEAD_TOO_LARGE)
-    return errors.failure(errors.Kind.BAD_FRAMING, str(bad))
+    return errors.failure(errors.Kind.BAD_FRAMING, str(error))
--- a/pollenthread/adapters/http_message.py
+++ b/pollenthread/adapters/http_message.py
@@ -1,4 +1,4 @@
-"""Requests and answers of the HTTP server."""
+"""Types of the HTTP server that its request handlers use."""
 
 import abc
 import contextlib
@@ -19,18 +19,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServerLimits:
-    """What connections may take.
+    """Limits of an HTTP server and its connections.
 
     Attributes:
-        max_head_bytes: size of a request's head.
-        max_body_bytes: size of a request's body.
-        max_buffered_bytes: unfinished bodies of all connections together.
-        max_connections: connections open at once.
-        head_timeout_s: seconds from a request's first byte to its head's end.
-        body_timeout_s: seconds from the head's end to the body's end.
-        idle_timeout_s: seconds between requests.
-        linger_s: seconds that a refused connection is still read.
-        max_unsent_bytes: bytes that a slow caller leaves unsent.
+        max_head_bytes: the size of a request's target and headers.
+        max_body_bytes: the size of a request's body.
+        max_buffered_bytes: the total size of incomplete bodies of all
+            connections.
+        max_connections: the number of open connections.
+        head_timeout_s: seconds from a request's first byte to the end of its
+            headers.
+        body_timeout_s: seconds from the end of the headers to the end of the
+            body.
+        idle_timeout_s: seconds that a connection may be idle between requests.
+        lingering_close_s: seconds for which data is still received and
+            discarded after a request was rejected, or for which unsent data is
+            still sent after the connection was closed.
+        max_unsent_bytes: the size of the send buffer above which writing a
+            response waits.
     """
 
     max_head_bytes: int = 16 * 1024
@@ -46,14 +52,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class HttpRequest:
-    """One whole request.
+    """A complete request.
 
     Attributes:
         method: the HTTP method.
         target: the path with its query.
         headers: names in lower case, values as sent.
-        body: the whole body.
-        peer: the caller's IP address.
+        body: the complete body.
+        client_ip: the caller's IP address.
     """
 
     method: str
@@ -68,19 +74,24 @@
         return self.target.partition('?')[0]
 
     def header(self, name: str) -> str | None:
-        """The value of the first header with this name."""
+        """Returns the value of the first header with a lower-case name."""
         for key, value in self.headers:
             if key == name:
                 return value
         return None
 
     def header_count(self, name: str) -> int:
-        """How often the header is given."""
+        """Returns the number of headers with a lower-case name."""
         return sum(1 for key, _ in self.headers if key == name)
 
 
 class ResponseTransport(abc.ABC):
-    """The connection that an answer is written to."""
+    """The connection through which a response is sent.
+
+    Attributes:
+        should_close: whether the connection closes after the current response.
+        request_method: the HTTP method of the current request.
+    """
 
     should_close: bool
     request_method: str
@@ -88,11 +99,11 @@
     @property
     @abc.abstractmethod
     def is_writable(self) -> bool:
-        """Whether the connection is open and few bytes are unsent."""
+        """Whether the connection is open and its send buffer is not full."""
 
     @abc.abstractmethod
     def send_events(self, *events: h11.Event) -> None:
-        """Writes events in one go.
+        """Writes the encoded events with one call to the transport.
 
         Raises:
             ConnectionError: the connection is closed.
@@ -100,45 +111,50 @@
 
     @abc.abstractmethod
     async def drain(self) -> None:
-        """Waits while too many bytes are unsent."""
+        """Waits while the send buffer is full.
+
+        Raises:
+            ConnectionError: the connection was closed meanwhile.
+        """
 
     @abc.abstractmethod
     def abort(self) -> None:
-        """Closes the connection once what was written has left.
+        """Closes the connection once all written data has been sent.
 
-        A caller that does not read has a short time for it.
+        If the caller reads too slowly, the connection is aborted after
+        `ServerLimits.lingering_close_s`.
         """
 
 
 class HttpResponse:
-    """Writes one answer."""
+    """Writes the response to one request."""
 
     def __init__(self, *, connection: ResponseTransport) -> None:
         self._connection = connection
-        self._head_sent = False
-        self._finished = False
+        self._is_head_sent = False
+        self._is_finished = False
 
     @property
     def is_head_sent(self) -> bool:
-        """Whether the status line has left."""
-        return self._head_sent
+        """Whether the status line has been sent."""
+        return self._is_head_sent
 
     @property
     def is_finished(self) -> bool:
-        """Whether the answer is whole."""
-        return self._finished
+        """Whether the complete response has been written."""
+        return self._is_finished
 
-    def _head(self, status: int,
-              headers: Iterable[http_headers.Header]) -> h11.Response:
-        self._head_sent = True
+    def _make_head(self, status: int,
+                   headers: Iterable[http_headers.Header]) -> h11.Response:
+        self._is_head_sent = True
         encoded = [(name.encode('ascii'), value.encode('latin-1', 'replace'))
                    for name, value in headers]
         if self._connection.should_close:
             encoded.append((b'connection', b'close'))
         return h11.Response(status_code=status, headers=encoded)
 
-    def _data(self, data: bytes) -> list[h11.Event]:
-        """The event for a part of the body; none in an answer to HEAD."""
+    def _data_events(self, data: bytes) -> list[h11.Event]:
+        """Returns the event for a part of the body; none for HEAD requests."""
         if not data or self._connection.request_method == 'HEAD':
             return []
         return [h11.Data(data=data)]
@@ -146,34 +162,39 @@
     async def send_head(self, status: int,
                         headers: Iterable[http_headers.Header]) -> None:
         """Sends the status line and headers."""
-        self._connection.send_events(self._head(status, headers))
+        self._connection.send_events(self._make_head(status, headers))
         await self._connection.drain()
 
     async def write(self, data: bytes) -> None:
-        """Sends a part of the body; waits while the caller is slow."""
-        self._connection.send_events(*self._data(data))
+        """Sends a part of the body; waits while the send buffer is full."""
+        self._connection.send_events(*self._data_events(data))
         await self._connection.drain()
 
     def try_write(self, data: bytes) -> bool:
-        """Sends a part of the body unless the caller is slow or gone."""
+        """Sends a part of the body if that is possible without waiting.
+
+        Returns:
+            Whether the part was sent.
+        """
         if not self._connection.is_writable:
             return False
-        self._connection.send_events(*self._data(data))
+        self._connection.send_events(*self._data_events(data))
         return True
 
     async def finish(self, data: bytes = b'') -> None:
-        """Sends the last part, if any, and ends the answer."""
-        self._finished = True
-        self._connection.send_events(*self._data(data), h11.EndOfMessage())
+        """Sends the last part of the body, if any, and ends the response."""
+        self._is_finished = True
+        self._connection.send_events(*self._data_events(data),
+                                     h11.EndOfMessage())
         await self._connection.drain()
 
     async def send(self, status: int, headers: Iterable[http_headers.Header],
                    body: bytes) -> None:
-        """Sends a whole answer."""
+        """Sends a complete response."""
         length = ('content-length', str(len(body)))
-        head = self._head(status, [*headers, length])
-        self._finished = True
-        self._connection.send_events(head, *self._data(body),
+        head = self._make_head(status, [*headers, length])
+        self._is_finished = True
+        self._connection.send_events(head, *self._data_events(body),
                                      h11.EndOfMessage())
         await self._connection.drain()
 
@@ -182,7 +203,7 @@
         status: int,
         value: Any,
         headers: Iterable[http_headers.Header] = ()) -> None:
-        """Sends a whole JSON answer."""
+        """Sends a complete response with a JSON body."""
         body = json.dumps(value).encode() + b'\n'
         await self.send(status,
                         [('content-type', 'application/json'), *headers], body)
@@ -192,29 +213,30 @@
         failure: errors.Failure,
         headers: Iterable[http_headers.Header] = ()
     ) -> None:
-        """Sends a failure as RFC 9457 problem details."""
-        answer = failure.answer
-        extra = [('content-type', 'application/problem+json'), *headers]
+        """Sends a failure as problem details (RFC 9457)."""
+        error_response = failure.answer
+        all_headers = [('content-type', 'application/problem+json'), *headers]
         if failure.retry_after_s is not None:
-            extra.append(('retry-after', str(failure.retry_after_s)))
-        if answer.close:
+            all_headers.append(('retry-after', str(failure.retry_after_s)))
+        if error_response.close:
             self._connection.should_close = True
         body = json.dumps(problem_body(failure)).encode() + b'\n'
-        await self.send(answer.status, extra, body)
+        await self.send(error_response.status, all_headers, body)
 
     def abort(self, last: bytes = b'') -> None:
-        """Breaks the connection, so that no short answer looks whole.
+        """Closes the connection, so that the caller detects the truncation.
 
         Args:
-            last: a part that the caller still gets if it reads.
+            last: a last part of the body, which is sent before the connection
+                closes.
         """
         with contextlib.suppress(OSError):
-            self._connection.send_events(*self._data(last))
+            self._connection.send_events(*self._data_events(last))
         self._connection.abort()
 
 
 def problem_body(failure: errors.Failure) -> dict[str, Any]:
-    """The members of the problem document for a failure."""
+    """Returns the problem details document (RFC 9457) of a failure."""
     return {
         'type': f'urn:pollenthread:{failure.kind.value}',
         'title': failure.answer.title,
@@ -226,9 +248,12 @@
 
 
 class RequestHandler(abc.ABC):
-    """Answers requests."""
+    """Handles requests."""
 
     @abc.abstractmethod
     async def handle(self, request: HttpRequest,
                      response: HttpResponse) -> None:
-        """Answers one request; cancelled when the caller leaves."""
+        """Handles one request.
+
+        The task is cancelled when the caller closes its side of the connection.
+        """
--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 server on h11 with bounded input."""
+"""HTTP/1.1 server, based on h11, with limits on its input."""
 
 import asyncio
 import types
@@ -20,7 +20,7 @@
 
 
 class HttpServer:
-    """Listens and serves connections until it is left."""
+    """An HTTP server that runs while its asynchronous context is active."""
 
     def __init__(self,
                  *,
@@ -32,11 +32,11 @@
         self._host = host
         self._port = port
         self._limits = limits
-        self._budget = http_connection.BodyBufferQuota(
+        self._body_quota = http_connection.BodyBufferQuota(
             limits.max_buffered_bytes)
         self._server: asyncio.Server | None = None
-        self._open: set[http_connection.ServerConnection] = set()
-        self._leaving = False
+        self._connections: set[http_connection.ServerConnection] = set()
+        self._is_keep_alive_disabled = False
 
     @property
     def address(self) -> str:
@@ -46,18 +46,18 @@
         return f'{host}:{port}'
 
     def set_limits(self, limits: ServerLimits) -> None:
-        """Sets what connections that are made from now on may take."""
+        """Sets the limits for connections that are accepted from now on."""
         self._limits = limits
 
     @property
     def open_connections(self) -> int:
-        """Connections that callers hold."""
-        return len(self._open)
+        """The number of open connections."""
+        return len(self._connections)
 
     @property
     def busy_connections(self) -> int:
-        """Connections with a request in progress."""
-        return sum(1 for connection in self._open if connection.is_busy)
+        """The number of connections with a request in progress."""
+        return sum(1 for connection in self._connections if connection.is_busy)
 
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
@@ -71,21 +71,28 @@
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
         self.stop_listening()
-        tasks = [c.task for c in self._open if c.task is not None]
-        for connection in list(self._open):
+        tasks = [
+            connection.task
+            for connection in self._connections
+            if connection.task is not None
+        ]
+        for connection in list(self._connections):
             connection.abort()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def disable_keep_alive(self) -> None:
-        """Makes every answer from now on the last of its connection."""
-        self._leaving = True
-        for connection in self._open:
+        """Closes each connection after its current or next response."""
+        self._is_keep_alive_disabled = True
+        for connection in self._connections:
             connection.should_close = True
 
     def stop_listening(self) -> None:
-        """Takes no new connections; answers what comes on the open ones."""
+        """Stops accepting connections.
+
+        Each open connection is closed after its current or next response.
+        """
         self.disable_keep_alive()
         if self._server is not None:
             self._server.close()
@@ -96,24 +103,25 @@
             await asyncio.sleep(_IDLE_CHECK_S)
 
     def _accept(self) -> http_connection.ServerConnection:
-        connection = _ServerConnection(handler=self._handler,
-                                       limits=self._limits,
-                                       budget=self._budget,
-                                       on_lost=self._open.discard)
-        connection.should_close = self._leaving
-        connection.is_surplus = len(self._open) >= self._limits.max_connections
-        self._open.add(connection)
+        connection = _LimitedConnection(handler=self._handler,
+                                        limits=self._limits,
+                                        quota=self._body_quota,
+                                        on_closed=self._connections.discard)
+        connection.should_close = self._is_keep_alive_disabled
+        connection.is_over_limit = len(
+            self._connections) >= self._limits.max_connections
+        self._connections.add(connection)
         return connection
 
 
-class _ServerConnection(http_connection.ServerConnection):
-    """A connection that may be one too many."""
+class _LimitedConnection(http_connection.ServerConnection):
+    """A connection that rejects requests if it exceeds `max_connections`."""
 
-    is_surplus = False
+    is_over_limit = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if self.is_surplus:
+        if self.is_over_limit:
             self.reject(
                 errors.failure(errors.Kind.OVERLOADED,
                                'Too many connections are open.'))
--- a/pollenthread/adapters/link.py
+++ b/pollenthread/adapters/link.py
@@ -1,7 +1,7 @@
-"""Links over TCP: length-framed messages, pings both ways.
+"""Links over TCP, with length-prefixed messages and pings in both directions.
 
-A link that stays silent for too long is dead. It is closed and a new
-connection is opened; nothing that comes on the old one is read any more.
+A link on which nothing is received for too long is closed, and the dialing side
+opens a new connection. Data that arrives later on the old one is ignored.
 """
 
 import asyncio
@@ -27,7 +27,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class LinkTimeouts:
-    """When a link is asked for life and when it is given up."""
+    """Intervals and timeouts of links, in seconds.
+
+    Attributes:
+        ping_interval_s: time between the pings that each side sends.
+        receive_timeout_s: time without received data after which a link is
+            closed.
+        hello_timeout_s: time limit for connecting and for the peer's hello
+            message.
+        reconnect_min_s: delay before the first attempt to reconnect.
+        reconnect_max_s: upper limit of the delay, which doubles with each
+            failed attempt.
+    """
 
     ping_interval_s: float = 1.0
     receive_timeout_s: float = 2.5
@@ -37,28 +48,28 @@
 
 
 class TcpLink(asyncio.Protocol, link_port.Link):
-    """One end of a link."""
+    """One end of a link over TCP."""
 
     def __init__(self, *, hello: messages.Hello, handler: link_port.LinkHandler,
                  accepted: bool, times: LinkTimeouts,
                  config_version: Callable[[], int]) -> None:
         self._hello = hello
         self._handler = handler
-        self._accepted = accepted
-        self._times = times
+        self._is_accepted = accepted
+        self._timeouts = times
         self._config_version = config_version
         self._transport: asyncio.Transport | None = None
-        self._buffer = b''
-        self._unsent: list[bytes] = []
-        self._unsent_bytes = 0
+        self._incomplete_frame = b''
+        self._send_queue: list[bytes] = []
+        self._queued_bytes = 0
         self._peer: messages.Hello | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._closed = asyncio.get_running_loop().create_future()
         self._close_reason = 'the connection was closed'
-        self._heard_at = 0.0
+        self._received_at = 0.0
         self._ping_seq = 0
-        self._ping_at = 0.0
+        self._next_ping_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -68,7 +79,7 @@
 
     @property
     def session_id(self) -> str:
-        return self._hello.session if self._accepted else self.peer.session
+        return self._hello.session if self._is_accepted else self.peer.session
 
     @property
     def is_open(self) -> bool:
@@ -79,21 +90,21 @@
         if self._transport is None or self._transport.is_closing():
             raise link_port.LinkClosedError(self._close_reason)
         data = wire.encode(message)
-        if not self._unsent:
+        if not self._send_queue:
             asyncio.get_running_loop().call_soon(self._flush)
-        self._unsent.append(_LENGTH.pack(len(data)))
-        self._unsent.append(data)
-        self._unsent_bytes += len(data)
-        if self._unsent_bytes > _HIGH_WATER_BYTES:
+        self._send_queue.append(_LENGTH.pack(len(data)))
+        self._send_queue.append(data)
+        self._queued_bytes += len(data)
+        if self._queued_bytes > _HIGH_WATER_BYTES:
             self._flush()
 
     def _flush(self) -> None:
-        """Writes what was sent since the loop's last turn in one go."""
-        if not self._unsent or self._transport is None:
+        """Writes all queued messages at once, to save system calls."""
+        if not self._send_queue or self._transport is None:
             return
-        data = b''.join(self._unsent)
-        self._unsent.clear()
-        self._unsent_bytes = 0
+        data = b''.join(self._send_queue)
+        self._send_queue.clear()
+        self._queued_bytes = 0
         if not self._transport.is_closing():
             self._transport.write(data)
 
@@ -107,41 +118,46 @@
             self._transport.abort()
 
     async def wait_closed(self) -> None:
-        """Waits until the connection is gone."""
+        """Waits until the connection is closed."""
         await asyncio.shield(self._closed)
 
-    # Called by the event loop.
+    # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
         loop = asyncio.get_running_loop()
-        self._heard_at = loop.time()
-        self._timer = loop.call_later(self._times.hello_timeout_s,
+        self._received_at = loop.time()
+        self._timer = loop.call_later(self._timeouts.hello_timeout_s,
                                       self._check_hello)
-        if not self._accepted:
+        if not self._is_accepted:
             self.send(self._hello)
 
     def data_received(self, data: bytes) -> None:
-        self._heard_at = asyncio.get_running_loop().time()
-        if self._buffer:
-            data = self._buffer + data
+        self._received_at = asyncio.get_running_loop().time()
+        if self._incomplete_frame:
+            data = self._incomplete_frame + data
         try:
-            taken = self._take_frames(data)
+            consumed = self._handle_frames(data)
         except wire.LinkMessageDecodeError as error:
             self.close(f'malformed message: {error}')
             return
-        self._buffer = data[taken:]
+        self._incomplete_frame = data[consumed:]
 
-    def _take_frames(self, data: bytes) -> int:
-        """Handles whole frames; how many bytes they took."""
+    def _handle_frames(self, data: bytes) -> int:
+        """Handles all complete frames.
+
+        Returns:
+            The number of bytes consumed.
+        """
         start = 0
         assert self._transport is not None
         while len(data) - start >= _LENGTH.size:
             (size,) = _LENGTH.unpack_from(data, start)
             if size > _MAX_FRAME_BYTES:
-                raise wire.LinkMessageDecodeError(f'a frame of {size} bytes')
+                raise wire.LinkMessageDecodeError(
+                    f'frame of {size} bytes exceeds the size limit')
             end = start + _LENGTH.size + size
             if len(data) < end:
                 break
@@ -171,27 +187,28 @@
             self.send(messages.Pong(message.seq, self._config_version()))
             self._handler.on_message(self, message)
         elif isinstance(message, messages.Hello):
-            self._greet(message)
+            self._handle_hello(message)
         elif self._peer is None:
-            self.close('the peer did not greet')
+            self.close('the peer sent another message before its hello')
         else:
             self._handler.on_message(self, message)
 
-    def _greet(self, hello: messages.Hello) -> None:
+    def _handle_hello(self, hello: messages.Hello) -> None:
         if self._peer is not None:
-            self.close('the peer greeted twice')
+            self.close('the peer sent a second hello')
             return
-        if not self._is_proved(hello.host):
-            self.close(f'the certificate does not name {hello.host}')
+        if not self._is_certified(hello.host):
+            self.close(
+                f'the peer certificate is not valid for host {hello.host}')
             return
         self._peer = hello
-        if self._accepted:
+        if self._is_accepted:
             self.send(self._hello)
         self._schedule_ping()
         self._handler.on_open(self)
 
-    def _is_proved(self, host: str) -> bool:
-        """Whether the peer is who it says, as far as the link can tell."""
+    def _is_certified(self, host: str) -> bool:
+        """Whether TLS is off or the peer certificate is valid for `host`."""
         assert self._transport is not None
         if self._transport.get_extra_info('ssl_object') is None:
             return True
@@ -200,23 +217,24 @@
 
     def _check_hello(self) -> None:
         if self._peer is None:
-            self.close('the peer did not greet in time')
+            self.close('the peer sent no hello in time')
 
     def _schedule_ping(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
-        self._ping_at = loop.time() + self._times.ping_interval_s
-        self._timer = loop.call_at(self._ping_at, self._ping)
+        self._next_ping_at = loop.time() + self._timeouts.ping_interval_s
+        self._timer = loop.call_at(self._next_ping_at, self._send_ping)
 
-    def _ping(self) -> None:
+    def _send_ping(self) -> None:
         now = asyncio.get_running_loop().time()
-        if now - self._ping_at > self._times.ping_interval_s:
-            # This process was paused: the silence is its own.
-            self._heard_at = now
-        silent_s = now - self._heard_at
-        if silent_s > self._times.receive_timeout_s:
-            self.close(f'silent for {silent_s:.1f} s')
+        if now - self._next_ping_at > self._timeouts.ping_interval_s:
+            # The timer fired late because this process was paused. The pause
+            # does not count as time without data from the peer.
+            self._received_at = now
+        idle_s = now - self._received_at
+        if idle_s > self._timeouts.receive_timeout_s:
+            self.close(f'received nothing for {idle_s:.1f} s')
             return
         self._ping_seq += 1
         with contextlib.suppress(link_port.LinkClosedError):
@@ -224,12 +242,12 @@
         self._schedule_ping()
 
 
-def _no_version() -> int:
+def _zero_version() -> int:
     return 0
 
 
 class LinkServer:
-    """Accepts links and names their sessions."""
+    """Accepts links and assigns their session ids."""
 
     def __init__(self,
                  *,
@@ -238,16 +256,16 @@
                  host: str = '127.0.0.1',
                  port: int = 0,
                  times: LinkTimeouts = LinkTimeouts(),
-                 config_version: Callable[[], int] = _no_version,
+                 config_version: Callable[[], int] = _zero_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
         self._handler = handler
         self._host = host
         self._port = port
-        self._times = times
+        self._timeouts = times
         self._config_version = config_version
         self._tls = tls
-        self._sessions = 0
+        self._session_count = 0
         self._server: asyncio.Server | None = None
         self._links: list[TcpLink] = []
 
@@ -273,15 +291,15 @@
         assert self._server is not None
         self._server.close()
         for link in self._links:
-            link.close('the process stopped')
+            link.close('the process is stopping')
 
     def _accept(self) -> TcpLink:
-        self._sessions += 1
-        session = f'{self._hello.incarnation}:{self._sessions}'
+        self._session_count += 1
+        session = f'{self._hello.incarnation}:{self._session_count}'
         link = TcpLink(hello=dataclasses.replace(self._hello, session=session),
                        handler=self._handler,
                        accepted=True,
-                       times=self._times,
+                       times=self._timeouts,
                        config_version=self._config_version)
         self._links = [old for old in self._links if old.is_open]
         self._links.append(link)
@@ -289,18 +307,18 @@
 
 
 class DialerSet:
-    """Keeps one dialer for each wanted host; owns them."""
+    """Maintains one dialer, and thereby one link, for each of several hosts."""
 
     def __init__(self,
                  *,
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
                  times: LinkTimeouts = LinkTimeouts(),
-                 config_version: Callable[[], int] = _no_version,
+                 config_version: Callable[[], int] = _zero_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
         self._handler = handler
-        self._times = times
+        self._timeouts = times
         self._config_version = config_version
         self._tls = tls
         self._by_host: dict[str, Dialer] = {}
@@ -314,7 +332,12 @@
         await self.set_addresses({})
 
     async def set_addresses(self, address_by_host: Mapping[str, str]) -> None:
-        """Dials what is new or has moved; drops what is not wanted."""
+        """Starts and stops dialers to match a set of hosts.
+
+        Args:
+            address_by_host: `ip:port` of each host that needs a link. A dialer
+                whose address differs is replaced.
+        """
         for host, dialer in list(self._by_host.items()):
             if address_by_host.get(host) != dialer.address:
                 del self._by_host[host]
@@ -327,7 +350,7 @@
         dialer = Dialer(address=address,
                         hello=self._hello,
                         handler=self._handler,
-                        times=self._times,
+                        times=self._timeouts,
                         config_version=self._config_version,
                         tls=self._tls)
         dialer.start()
@@ -335,7 +358,7 @@
 
 
 class Dialer:
-    """Keeps a link to one address: opens a new one when it is lost."""
+    """Maintains a link to one address; reconnects when the link closes."""
 
     def __init__(self,
                  *,
@@ -343,12 +366,12 @@
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
                  times: LinkTimeouts = LinkTimeouts(),
-                 config_version: Callable[[], int] = _no_version,
+                 config_version: Callable[[], int] = _zero_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._address = address
         self._hello = hello
         self._handler = handler
-        self._times = times
+        self._timeouts = times
         self._config_version = config_version
         self._tls = tls
         self._task: asyncio.Task[None] | None = None
@@ -356,42 +379,43 @@
 
     @property
     def address(self) -> str:
-        """The address that is dialed."""
+        """The `ip:port` to connect to."""
         return self._address
 
     def start(self) -> None:
-        """Begins to dial."""
-        self._task = asyncio.create_task(self._keep())
+        """Starts connecting in the background."""
+        self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Closes the link and dials no more."""
+        """Stops connecting and closes the link."""
         assert self._task is not None
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         if self._link is not None:
-            self._link.close('the link is no longer wanted')
+            self._link.close('the link is no longer needed')
 
-    async def _keep(self) -> None:
-        pause_s = self._times.reconnect_min_s
+    async def _run(self) -> None:
+        delay_s = self._timeouts.reconnect_min_s
         while True:
             try:
-                async with asyncio.timeout(self._times.hello_timeout_s):
-                    self._link = await self._dial()
+                async with asyncio.timeout(self._timeouts.hello_timeout_s):
+                    self._link = await self._connect()
                 await self._link.wait_closed()
-                pause_s = self._times.reconnect_min_s
+                delay_s = self._timeouts.reconnect_min_s
             except (OSError, TimeoutError) as error:
-                logging.debug('dialing %s: %s', self._address, error)
-                pause_s = min(pause_s * 2, self._times.reconnect_max_s)
-            await asyncio.sleep(pause_s)
+                logging.debug('connecting to %s failed: %s', self._address,
+                              error)
+                delay_s = min(delay_s * 2, self._timeouts.reconnect_max_s)
+            await asyncio.sleep(delay_s)
 
-    async def _dial(self) -> TcpLink:
+    async def _connect(self) -> TcpLink:
         host, _, port = self._address.rpartition(':')
         loop = asyncio.get_running_loop()
         _, link = await loop.create_connection(
             lambda: TcpLink(hello=self._hello,
                             handler=self._handler,
                             accepted=False,
-                            times=self._times,
+                            times=self._timeouts,
                             config_version=self._config_version),
             host,
             int(port),
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -1,4 +1,4 @@
-"""Messages between hosts: datagrams, and HTTP where an answer is needed."""
+"""Messages between hosts: UDP datagrams, and HTTP for request and response."""
 
 import asyncio
 import collections
@@ -18,7 +18,7 @@
 _LAYOUT_PATH = '/peer/layout'
 _STATE_PATH = '/peer/state'
 _METRICS_PATH = '/metrics'
-_ANSWER_TIMEOUT_S = 0.8
+_RESPONSE_TIMEOUT_S = 0.8
 _CONTENT_TYPE = ('content-type', 'application/octet-stream')
 _MAX_DATAGRAM_BYTES = 60_000
 
@@ -26,21 +26,27 @@
 
 
 class HttpPeerNetwork(peers.PeerNetwork, http_message.RequestHandler):
-    """One UDP socket and one HTTP server on the same port number."""
+    """Peer network over a UDP socket and an HTTP server on the same port.
+
+    Attributes:
+        malformed_count: messages that could not be decoded.
+        sent_bytes_by_kind: bytes sent, by message type or HTTP path.
+        received_bytes_by_kind: bytes received, by message type or HTTP path.
+    """
 
     def __init__(self, *, client: http_client.HttpClient, host: str,
                  port: int) -> None:
         self._client = client
         self._host = host
         self._port = port
-        self._take_by_type: dict[type[Any], Callable[[Any], None]] = {}
-        self._make_snapshot: Callable[[], peer_messages.Snapshot |
-                                      None] | None = None
-        self._make_state: Callable[[], Awaitable[peer_messages.RankState |
+        self._handler_by_type: dict[type[Any], Callable[[Any], None]] = {}
+        self._get_snapshot: Callable[[], peer_messages.Snapshot |
+                                     None] | None = None
+        self._get_state: Callable[[], Awaitable[peer_messages.RankState |
+                                                None]] | None = None
+        self._get_layout: Callable[[], Awaitable[peer_messages.RankLayout |
                                                  None]] | None = None
-        self._make_layout: Callable[[], Awaitable[peer_messages.RankLayout |
-                                                  None]] | None = None
-        self._metrics: MetricsProvider | None = None
+        self._get_metrics: MetricsProvider | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._server = http_server.HttpServer(handler=self,
                                               host=host,
@@ -71,7 +77,7 @@
 
     def set_datagram_handler(self, message_type: type[Any],
                              handler: Callable[[Any], None]) -> None:
-        self._take_by_type[message_type] = handler
+        self._handler_by_type[message_type] = handler
 
     def send(self, address: str, *messages: Any) -> None:
         for message in messages:
@@ -90,57 +96,61 @@
         return True
 
     def receive_datagram(self, data: bytes) -> None:
-        """Takes a datagram."""
+        """Decodes a datagram and passes the message to its handler."""
         try:
             message = peer_codec.decode_datagram(data)
         except peer_codec.PeerMessageDecodeError:
             self.malformed_count += 1
             return
         self.received_bytes_by_kind[type(message).__name__] += len(data)
-        take = self._take_by_type.get(type(message))
-        if take is not None:
-            take(message)
+        handler = self._handler_by_type.get(type(message))
+        if handler is not None:
+            handler(message)
 
-    # Calls.
+    # Requests over HTTP.
 
     def set_snapshot_provider(
             self, provider: Callable[[],
                                      peer_messages.Snapshot | None]) -> None:
-        self._make_snapshot = provider
+        self._get_snapshot = provider
 
     def set_rank_state_provider(
         self,
         provider: Callable[[],
                            Awaitable[peer_messages.RankState | None]]) -> None:
-        self._make_state = provider
+        self._get_state = provider
 
     def set_rank_layout_provider(
         self,
         provider: Callable[[],
                            Awaitable[peer_messages.RankLayout | None]]) -> None:
-        self._make_layout = provider
+        self._get_layout = provider
 
     def set_metrics_provider(self, provider: MetricsProvider) -> None:
-        """Answers scrapes with a content type and a page."""
-        self._metrics = provider
+        """Sets the source of the metrics page.
+
+        Args:
+            provider: returns the content type and the page.
+        """
+        self._get_metrics = provider
 
     async def handle(self, request: http_message.HttpRequest,
                      response: http_message.HttpResponse) -> None:
-        if request.path == _SNAPSHOT_PATH and self._make_snapshot is not None:
-            await self._answer(response, self._make_snapshot())
-        elif request.path == _STATE_PATH and self._make_state is not None:
-            await self._answer(response, await self._make_state())
-        elif request.path == _LAYOUT_PATH and self._make_layout is not None:
-            await self._answer(response, await self._make_layout())
-        elif request.path == _METRICS_PATH and self._metrics is not None:
-            content_type, page = self._metrics()
+        if request.path == _SNAPSHOT_PATH and self._get_snapshot is not None:
+            await self._send_message(response, self._get_snapshot())
+        elif request.path == _STATE_PATH and self._get_state is not None:
+            await self._send_message(response, await self._get_state())
+        elif request.path == _LAYOUT_PATH and self._get_layout is not None:
+            await self._send_message(response, await self._get_layout())
+        elif request.path == _METRICS_PATH and self._get_metrics is not None:
+            content_type, page = self._get_metrics()
             await response.send(200, [('content-type', content_type)], page)
         else:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
 
     @staticmethod
-    async def _answer(response: http_message.HttpResponse,
-                      message: Any) -> None:
+    async def _send_message(response: http_message.HttpResponse,
+                            message: Any) -> None:
         if message is None:
             await response.send_problem(errors.failure(errors.Kind.NO_UPSTREAM))
             return
@@ -148,25 +158,25 @@
 
     async def fetch_snapshot(self,
                              address: str) -> peer_messages.Snapshot | None:
-        return await self._call('GET', address, _SNAPSHOT_PATH, b'',
-                                peer_messages.Snapshot)
+        return await self._request('GET', address, _SNAPSHOT_PATH, b'',
+                                   peer_messages.Snapshot)
 
     async def fetch_rank_state(self,
                                address: str) -> peer_messages.RankState | None:
-        return await self._call('GET', address, _STATE_PATH, b'',
-                                peer_messages.RankState)
+        return await self._request('GET', address, _STATE_PATH, b'',
+                                   peer_messages.RankState)
 
     async def fetch_rank_layout(
             self, address: str) -> peer_messages.RankLayout | None:
-        return await self._call('GET', address, _LAYOUT_PATH, b'',
-                                peer_messages.RankLayout)
+        return await self._request('GET', address, _LAYOUT_PATH, b'',
+                                   peer_messages.RankLayout)
 
-    async def _call(self, method: str, address: str, path: str, body: bytes,
-                    kind: type[Any]) -> Any:
+    async def _request(self, method: str, address: str, path: str, body: bytes,
+                       kind: type[Any]) -> Any:
         if not address:
             return None
         try:
-            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
                 async with self._client.request(address,
                                                 method,
                                                 path,
@@ -185,7 +195,7 @@
 
 
 class _DatagramProtocol(asyncio.DatagramProtocol):
-    """Hands on what arrives; what cannot be sent is lost like any datagram."""
+    """Passes received datagrams on; ignores errors of sending."""
 
     def __init__(self, receive: Callable[[bytes], None]) -> None:
         self._receive = receive
--- a/pollenthread/adapters/wire.py
+++ b/pollenthread/adapters/wire.py
@@ -1,7 +1,8 @@
-"""Encodes messages with Cap'n Proto.
+"""Encodes link messages with Cap'n Proto.
 
-The field names of `core.messages` and of wire.capnp correspond, so that one
-table built from the data classes serves every message.
+The fields in wire.capnp have the names of the fields of the data classes in
+`core.messages`, in camel case, so that one table that is built from the data
+classes covers every message.
 """
 
 import dataclasses
@@ -18,21 +19,28 @@
 __all__ = ['LinkMessageDecodeError', 'decode', 'encode']
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('wire.capnp')))
-_MAX_WORDS = 1 << 20
+_MAX_TRAVERSED_WORDS = 1 << 20
 
 
 class LinkMessageDecodeError(Exception):
-    """The bytes are not a message of the schema."""
+    """The bytes are not a valid message of the schema."""
 
 
-def _camel(name: str) -> str:
+def _camel_case(name: str) -> str:
     first, *rest = name.split('_')
     return first + ''.join(part.capitalize() for part in rest)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Field:
-    """How one field of a message is written and read."""
+    """How one field of a message is encoded and decoded.
+
+    Attributes:
+        name: the name in the data class.
+        wire_name: the name in the schema.
+        write: converts the value for encoding; None if not needed.
+        read: converts the decoded value; None if not needed.
+    """
 
     name: str
     wire_name: str
@@ -67,7 +75,7 @@
     fields = []
     for field in dataclasses.fields(cls):
         write, read = _CONVERSIONS.get(hints[field.name], (None, None))
-        fields.append(_Field(field.name, _camel(field.name), write, read))
+        fields.append(_Field(field.name, _camel_case(field.name), write, read))
     return tuple(fields)
 
 
@@ -78,28 +86,28 @@
 _CLASS_BY_TAG = {tag: cls for cls, tag in _TAG_BY_CLASS.items()}
 
 
-def _reader(cls: type[Any]) -> Callable[[Any], Any]:
-    """Makes a function that reads the body of a message."""
+def _make_reader(cls: type[Any]) -> Callable[[Any], Any]:
+    """Returns a function that decodes the body of a message."""
     fields = _FIELDS_BY_CLASS[cls]
-    reads = [field.read for field in fields]
+    converters = [field.read for field in fields]
     names = [field.wire_name for field in fields]
-    if len(names) > 1 and not any(reads):
+    if len(names) > 1 and not any(converters):
         getter = operator.attrgetter(*names)
         return lambda body: cls(*getter(body))
 
     def read(body: Any) -> Any:
         values = [getattr(body, name) for name in names]
         return cls(*(value if convert is None else convert(value)
-                     for value, convert in zip(values, reads)))
+                     for value, convert in zip(values, converters)))
 
     return read
 
 
-_READER_BY_TAG = {tag: _reader(cls) for tag, cls in _CLASS_BY_TAG.items()}
+_READER_BY_TAG = {tag: _make_reader(cls) for tag, cls in _CLASS_BY_TAG.items()}
 
 
 def encode(message: messages.Message) -> bytes:
-    """Writes one message."""
+    """Encodes a message with its type."""
     cls = type(message)
     frame = _schema.Message.new_message()
     body = frame.init(_TAG_BY_CLASS[cls])
@@ -113,14 +121,14 @@
 
 
 def decode(data: bytes) -> messages.Message:
-    """Reads one message.
+    """Decodes a message.
 
     Raises:
-        MalformedMessage: the bytes do not follow the schema.
+        LinkMessageDecodeError: the bytes are not a valid message.
     """
     try:
         with _schema.Message.from_bytes(
-                data, traversal_limit_in_words=_MAX_WORDS) as frame:
+                data, traversal_limit_in_words=_MAX_TRAVERSED_WORDS) as frame:
             tag = str(frame.which())
             body = getattr(frame, tag)
             message: messages.Message = _READER_BY_TAG[tag](body)
