Reword the HTTP handlers and clients for readers

Docstrings and private names are put in the usual terms; the texts of failures and of the OpenAPI description are unchanged. mypy and pylint pass.

--- a/pollenthread/adapters/admin_api.py
+++ b/pollenthread/adapters/admin_api.py
@@ -1,6 +1,6 @@
-"""The administration API: routes, keys and its OpenAPI description.
+"""The administration API: its routes, authentication and OpenAPI description.
 
-Every route needs `authorization: Bearer KEY`, but for the description itself.
+Every route except the description requires `authorization: Bearer KEY`.
 """
 
 import dataclasses
@@ -22,8 +22,15 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Query:
-    """One checked request to the API."""
+class _ApiRequest:
+    """An authenticated request to a route of the API.
+
+    Attributes:
+        operator: the operator who sent the request.
+        parts: values of the named parts of the path.
+        parameters: values of the query parameters by name.
+        body: the request body.
+    """
 
     operator: operators.Operator
     parts: dict[str, str]
@@ -31,35 +38,42 @@
     body: bytes
 
     def integer(self, name: str, default: int | None = None) -> int:
-        """A parameter that is a whole number.
+        """Returns a path or query parameter as an integer.
+
+        Args:
+            name: the name of the parameter.
+            default: the value if the parameter is missing, or None if it is
+                required.
 
         Raises:
-            Refused: it is missing or no whole number.
+            Refused: the parameter is missing or not an integer.
         """
         text = self.parts.get(name) or self.parameters.get(name, [''])[0]
         if not text and default is not None:
             return default
         if not re.fullmatch('[0-9]{1,9}', text):
-            raise _refuse(errors.Kind.BAD_HEADER,
-                          f'{name} must be a whole number.')
+            raise _rejection(errors.Kind.BAD_HEADER,
+                             f'{name} must be a whole number.')
         return int(text)
 
     def document(self) -> dict[str, Any]:
-        """The body.
+        """Returns the body as a JSON object.
 
         Raises:
-            Refused: it is no JSON object.
+            Refused: the body is not a JSON object.
         """
         try:
             document = json.loads(self.body.decode('utf-8'))
         except (UnicodeDecodeError, ValueError, RecursionError) as error:
-            raise _refuse(errors.Kind.BAD_JSON) from error
+            raise _rejection(errors.Kind.BAD_JSON) from error
         if not isinstance(document, dict):
-            raise _refuse(errors.Kind.BAD_JSON, 'The body must be an object.')
+            raise _rejection(errors.Kind.BAD_JSON,
+                             'The body must be an object.')
         return document
 
 
-_Answer = Callable[[administration.Administration, _Query], Awaitable[Any]]
+_Operation = Callable[[administration.Administration, _ApiRequest],
+                      Awaitable[Any]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,87 +82,101 @@
 
     Attributes:
         method: the HTTP method.
-        path: the path with `{names}`.
-        summary: what it does.
-        answer: does it.
-        parameters: names of whole numbers in the query.
-        has_body: whether it takes a JSON object.
+        path: the path, with named parts as `{name}`.
+        summary: the summary in the OpenAPI description.
+        execute: the function that executes the operation.
+        parameters: the names of the integer query parameters.
+        has_body: whether the request body is a JSON object.
     """
 
     method: str
     path: str
     summary: str
-    answer: _Answer
+    execute: _Operation
     parameters: tuple[str, ...] = ()
     has_body: bool = False
 
     def match(self, path: str) -> dict[str, str] | None:
-        """The parts of a path that this route serves; else None."""
+        """Returns the named parts of a path, or None if it does not match."""
         pattern = re.sub(r'{(\w+)}', r'(?P<\1>[^/]+)', self.path)
-        found = re.fullmatch(pattern, path)
-        if found is None:
+        match = re.fullmatch(pattern, path)
+        if match is None:
             return None
-        return {k: parse.unquote(v) for k, v in found.groupdict().items()}
+        return {k: parse.unquote(v) for k, v in match.groupdict().items()}
 
 
-async def _status(admin: administration.Administration, query: _Query) -> Any:
-    return admin.status(query.operator)
+async def _status(admin: administration.Administration,
+                  api_request: _ApiRequest) -> Any:
+    return admin.status(api_request.operator)
 
 
-async def _config(admin: administration.Administration, query: _Query) -> Any:
-    return await admin.config(query.operator)
+async def _config(admin: administration.Administration,
+                  api_request: _ApiRequest) -> Any:
+    return await admin.config(api_request.operator)
 
 
-async def _version(admin: administration.Administration, query: _Query) -> Any:
-    return await admin.config_version(query.operator, query.integer('version'))
+async def _version(admin: administration.Administration,
+                   api_request: _ApiRequest) -> Any:
+    return await admin.config_version(api_request.operator,
+                                      api_request.integer('version'))
 
 
-async def _history(admin: administration.Administration, query: _Query) -> Any:
-    limit = min(query.integer('limit', _DEFAULT_HISTORY), _MAX_HISTORY)
-    return await admin.history(query.operator, limit)
+async def _history(admin: administration.Administration,
+                   api_request: _ApiRequest) -> Any:
+    limit = min(api_request.integer('limit', _DEFAULT_HISTORY), _MAX_HISTORY)
+    return await admin.history(api_request.operator, limit)
 
 
-async def _diff(admin: administration.Administration, query: _Query) -> Any:
-    return await admin.diff(query.operator, query.integer('from'),
-                            query.integer('to'))
+async def _diff(admin: administration.Administration,
+                api_request: _ApiRequest) -> Any:
+    return await admin.diff(api_request.operator, api_request.integer('from'),
+                            api_request.integer('to'))
 
 
 async def _put_config(admin: administration.Administration,
-                      query: _Query) -> Any:
-    return await admin.put_config(query.operator, query.document(),
-                                  query.integer('base'))
+                      api_request: _ApiRequest) -> Any:
+    return await admin.put_config(api_request.operator, api_request.document(),
+                                  api_request.integer('base'))
 
 
 async def _put_workspace(admin: administration.Administration,
-                         query: _Query) -> Any:
-    return await admin.put_workspace(query.operator, query.parts['workspace'],
-                                     query.document(), query.integer('base'))
+                         api_request: _ApiRequest) -> Any:
+    return await admin.put_workspace(api_request.operator,
+                                     api_request.parts['workspace'],
+                                     api_request.document(),
+                                     api_request.integer('base'))
 
 
 async def _roll_back(admin: administration.Administration,
-                     query: _Query) -> Any:
-    return await admin.roll_back(query.operator, query.integer('to'),
-                                 query.integer('base'))
+                     api_request: _ApiRequest) -> Any:
+    return await admin.roll_back(api_request.operator,
+                                 api_request.integer('to'),
+                                 api_request.integer('base'))
 
 
-async def _drain(admin: administration.Administration, query: _Query) -> Any:
-    return await admin.drain(query.operator,
-                             query.parts['host'],
+async def _drain(admin: administration.Administration,
+                 api_request: _ApiRequest) -> Any:
+    return await admin.drain(api_request.operator,
+                             api_request.parts['host'],
                              is_draining=True)
 
 
-async def _undrain(admin: administration.Administration, query: _Query) -> Any:
-    return await admin.drain(query.operator,
-                             query.parts['host'],
+async def _undrain(admin: administration.Administration,
+                   api_request: _ApiRequest) -> Any:
+    return await admin.drain(api_request.operator,
+                             api_request.parts['host'],
                              is_draining=False)
 
 
-async def _report(admin: administration.Administration, query: _Query) -> Any:
-    return await admin.report(query.operator, query.integer('days', 1))
+async def _report(admin: administration.Administration,
+                  api_request: _ApiRequest) -> Any:
+    return await admin.report(api_request.operator,
+                              api_request.integer('days', 1))
 
 
-async def _trace(admin: administration.Administration, query: _Query) -> Any:
-    return admin.trace(query.operator, query.parts['id'])
+async def _trace(admin: administration.Administration,
+                 api_request: _ApiRequest) -> Any:
+    return admin.trace(api_request.operator, api_request.parts['id'])
 
 
 _ROUTES = (
@@ -197,7 +225,7 @@
 
 
 class AdminApi(http_server.RequestHandler):
-    """Answers operators."""
+    """Handles requests of operators."""
 
     def __init__(self, *, admin: administration.Administration,
                  operator_list: Sequence[operators.Operator]) -> None:
@@ -210,13 +238,13 @@
             await response.send_json(200, openapi())
             return
         try:
-            answer = await self._answer(request)
-        except administration.Refused as refused:
-            await response.send_problem(refused.problem)
+            answer = await self._dispatch(request)
+        except administration.Refused as rejected:
+            await response.send_problem(rejected.problem)
             return
         await response.send_json(200, answer)
 
-    async def _answer(self, request: http_server.HttpRequest) -> Any:
+    async def _dispatch(self, request: http_server.HttpRequest) -> Any:
         operator = self._authenticate(request)
         is_known = False
         for route in _ROUTES:
@@ -225,33 +253,33 @@
                 continue
             is_known = True
             if route.method == request.method:
-                query = _Query(operator=operator,
-                               parts=parts,
-                               parameters=parse.parse_qs(
-                                   request.target.partition('?')[2]),
-                               body=request.body)
-                return await route.answer(self._admin, query)
-        raise _refuse(errors.Kind.METHOD_NOT_ALLOWED if is_known else errors.
-                      Kind.NOT_FOUND)
+                api_request = _ApiRequest(operator=operator,
+                                          parts=parts,
+                                          parameters=parse.parse_qs(
+                                              request.target.partition('?')[2]),
+                                          body=request.body)
+                return await route.execute(self._admin, api_request)
+        raise _rejection(errors.Kind.METHOD_NOT_ALLOWED if is_known else errors.
+                         Kind.NOT_FOUND)
 
     def _authenticate(self,
                       request: http_server.HttpRequest) -> operators.Operator:
-        found = operator_auth.authenticate(self._operators, request)
-        if found is not None:
-            return found
-        raise _refuse(errors.Kind.NOT_AUTHENTICATED)
+        operator = operator_auth.authenticate(self._operators, request)
+        if operator is not None:
+            return operator
+        raise _rejection(errors.Kind.NOT_AUTHENTICATED)
 
 
-def _refuse(kind: errors.Kind, detail: str = '') -> administration.Refused:
+def _rejection(kind: errors.Kind, detail: str = '') -> administration.Refused:
     return administration.Refused(errors.failure(kind, detail))
 
 
 def openapi() -> dict[str, Any]:
-    """The OpenAPI description of this API."""
+    """Returns the OpenAPI description of this API."""
     paths: dict[str, Any] = {}
     for route in _ROUTES:
         paths.setdefault(route.path,
-                         {})[route.method.lower()] = _operation(route)
+                         {})[route.method.lower()] = _openapi_operation(route)
     return {
         'openapi': '3.1.0',
         'info': {
@@ -273,11 +301,12 @@
     }
 
 
-def _operation(route: _Route) -> dict[str, Any]:
+def _openapi_operation(route: _Route) -> dict[str, Any]:
     names = re.findall(r'{(\w+)}', route.path)
-    parameters = [_parameter(name, 'path', 'string') for name in names]
+    parameters = [_openapi_parameter(name, 'path', 'string') for name in names]
     parameters += [
-        _parameter(name, 'query', 'integer') for name in route.parameters
+        _openapi_parameter(name, 'query', 'integer')
+        for name in route.parameters
     ]
     operation: dict[str, Any] = {
         'summary': route.summary,
@@ -308,7 +337,7 @@
     return operation
 
 
-def _parameter(name: str, place: str, kind: str) -> dict[str, Any]:
+def _openapi_parameter(name: str, place: str, kind: str) -> dict[str, Any]:
     return {
         'name': name,
         'in': place,
--- a/pollenthread/adapters/admin_http.py
+++ b/pollenthread/adapters/admin_http.py
@@ -1,4 +1,4 @@
-"""Administration of one process over HTTP."""
+"""HTTP handler of the administration port of a process."""
 
 import dataclasses
 from collections.abc import Callable, Mapping
@@ -9,22 +9,23 @@
 
 __all__ = ['AdminRouter', 'account_rows']
 
-_Document = Callable[[], Any]
+_DocumentSource = Callable[[], Any]
 
 
 class AdminRouter(http_server.RequestHandler):
-    """Answers `GET` of the given documents by path.
+    """Routes requests by path to JSON documents and to other handlers.
 
-    Paths below one of `handlers_by_root` go to that handler.
+    A path whose first part is in `handlers_by_root` is passed to that handler.
+    `GET` of any other known path returns the document of its source.
     """
 
     def __init__(
         self,
         *,
-        document_sources_by_path: dict[str, _Document],
+        document_sources_by_path: dict[str, _DocumentSource],
         handlers_by_root: Mapping[str, http_server.RequestHandler] | None = None
     ) -> None:
-        self._documents_by_path = document_sources_by_path
+        self._document_sources_by_path = document_sources_by_path
         self._handlers_by_root = dict(handlers_by_root or {})
 
     async def handle(self, request: http_server.HttpRequest,
@@ -34,18 +35,18 @@
         if handler is not None:
             await handler.handle(request, response)
             return
-        document = self._documents_by_path.get(request.path)
-        if document is None:
+        source = self._document_sources_by_path.get(request.path)
+        if source is None:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
         elif request.method != 'GET':
             await response.send_problem(
                 errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
         else:
-            await response.send_json(200, document())
+            await response.send_json(200, source())
 
 
 def account_rows(tally: account.Tally) -> list[dict[str, Any]]:
-    """The account as rows, one for each workspace and class."""
+    """Returns the request counts as rows, one for each workspace and class."""
     return [{
         'workspace': key.workspace,
         'class': key.work_class,
--- a/pollenthread/adapters/operator_auth.py
+++ b/pollenthread/adapters/operator_auth.py
@@ -1,4 +1,4 @@
-"""Lets only operators with a valid key reach a handler."""
+"""Authenticates operators by their key and authorizes their requests."""
 
 from collections.abc import Sequence
 
@@ -8,12 +8,12 @@
 __all__ = ['OperatorAuthHandler', 'authenticate']
 
 _BEARER = 'Bearer '
-_READING_METHODS = frozenset({'GET', 'HEAD'})
+_READ_ONLY_METHODS = frozenset({'GET', 'HEAD'})
 
 
 def authenticate(operator_list: Sequence[operators.Operator],
                  request: http_server.HttpRequest) -> operators.Operator | None:
-    """The operator whose key the request carries, or None."""
+    """Returns the operator whose key the request contains, or None."""
     value = request.header('authorization') or ''
     if (request.header_count('authorization') != 1 or
             not value.startswith(_BEARER)):
@@ -22,7 +22,11 @@
 
 
 class OperatorAuthHandler(http_server.RequestHandler):
-    """Passes on what an operator who sees every host may do."""
+    """Passes authorized requests on to another handler.
+
+    The operator must have access to all workspaces and hosts, and must be
+    permitted to make changes unless the request only reads.
+    """
 
     def __init__(self, *, handler: http_server.RequestHandler,
                  operator_list: Sequence[operators.Operator]) -> None:
@@ -31,17 +35,18 @@
 
     async def handle(self, request: http_server.HttpRequest,
                      response: http_server.HttpResponse) -> None:
-        refusal = self._refusal(request)
-        if refusal is None:
+        error_kind = self._authorization_error(request)
+        if error_kind is None:
             await self._handler.handle(request, response)
         else:
-            await response.send_problem(errors.failure(refusal))
+            await response.send_problem(errors.failure(error_kind))
 
-    def _refusal(self, request: http_server.HttpRequest) -> errors.Kind | None:
+    def _authorization_error(
+            self, request: http_server.HttpRequest) -> errors.Kind | None:
         operator = authenticate(self._operators, request)
         if operator is None:
             return errors.Kind.NOT_AUTHENTICATED
-        may_pass = operator.may_change or request.method in _READING_METHODS
+        may_pass = operator.may_change or request.method in _READ_ONLY_METHODS
         if not operator.sees_all or not may_pass:
             return errors.Kind.NOT_PERMITTED
         return None
--- a/pollenthread/adapters/order_http.py
+++ b/pollenthread/adapters/order_http.py
@@ -1,8 +1,8 @@
-"""Orders to an engine over HTTP: `POST /orders`.
+"""Sends orders to an engine over HTTP: `POST /orders`.
 
-The body carries the order's id and its fencing number, which some engines
-check. The engine answers 200 when the order took effect, 409 when it refuses
-the fencing number, and any other 4xx when it refuses the order.
+The body contains the id of the order and its fencing number, which some engines
+check. The engine responds with 200 if the order took effect, with 409 if it
+rejects the fencing number, and with any other 4xx if it rejects the order.
 """
 
 import asyncio
@@ -18,7 +18,7 @@
 
 
 class HttpOrderExecutor(orders_port.OrderExecutor):
-    """Passes orders to the engine beside the agent."""
+    """Sends orders to the engine on the same host as the agent."""
 
     def __init__(self,
                  *,
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -1,7 +1,7 @@
-"""Orders over the administration port.
+"""HTTP handler for orders on the administration port.
 
-`PUT /orders/HOST/ID` with a kind and arguments takes an order in; a repeat of
-the same id never has a second effect. `GET /orders/HOST/ID` shows it.
+`PUT /orders/HOST/ID` with a kind and arguments submits an order; submitting the
+same id again has no further effect. `GET /orders/HOST/ID` returns its state.
 """
 
 import json
@@ -21,14 +21,14 @@
 
 
 class _OrderModel(targets_document.Strict):
-    """The body of an order."""
+    """The request body that submits an order."""
 
     kind: targets_document.Name
     arguments: dict[str, Any] = {}
 
 
 class OrdersHandler(http_server.RequestHandler):
-    """Takes orders in and shows how they ended."""
+    """Accepts orders and returns their state and result."""
 
     def __init__(self, *, journal: order_journal.OrderJournal,
                  desk: order_desk.OrderDesk, peers: peers_module.Peers) -> None:
@@ -61,14 +61,14 @@
                     explanation.explain('order', error, model=_OrderModel)))
             return
         arguments = json.dumps(model.arguments, sort_keys=True)
-        done = await self._journal.submit(order_id=order_id,
-                                          host=host,
-                                          kind=model.kind,
-                                          arguments=arguments)
-        if isinstance(done, result.Err):
-            await response.send_problem(_table_failure(done.err_value))
+        outcome = await self._journal.submit(order_id=order_id,
+                                             host=host,
+                                             kind=model.kind,
+                                             arguments=arguments)
+        if isinstance(outcome, result.Err):
+            await response.send_problem(_failure_of(outcome.err_value))
             return
-        submitted = done.ok_value
+        submitted = outcome.ok_value
         order = submitted.order
         if (order.kind, order.arguments) != (model.kind, arguments):
             await response.send_problem(
@@ -81,13 +81,13 @@
 
     async def _show(self, host: str, order_id: str,
                     response: http_server.HttpResponse) -> None:
-        found = await self._journal.find(host, order_id)
-        if isinstance(found, result.Err):
-            await response.send_problem(_table_failure(found.err_value))
-        elif found.ok_value is None:
+        outcome = await self._journal.find(host, order_id)
+        if isinstance(outcome, result.Err):
+            await response.send_problem(_failure_of(outcome.err_value))
+        elif outcome.ok_value is None:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
         else:
-            await response.send_json(200, _document(found.ok_value))
+            await response.send_json(200, _document(outcome.ok_value))
 
 
 def _document(submitted: order_journal.Submitted) -> dict[str, Any]:
@@ -107,7 +107,7 @@
     return document
 
 
-def _table_failure(fault: table.TableError) -> errors.Failure:
+def _failure_of(fault: table.TableError) -> errors.Failure:
     if fault is table.TableError.UNKNOWN:
         return errors.failure(errors.Kind.OUTCOME_UNKNOWN,
                               'Repeat the order with the same id.')
--- a/pollenthread/adapters/rank_engine_http.py
+++ b/pollenthread/adapters/rank_engine_http.py
@@ -1,4 +1,4 @@
-"""One rank of a group over HTTP on loopback."""
+"""HTTP client of the engine of a rank, over loopback."""
 
 import asyncio
 import base64
@@ -15,7 +15,7 @@
 
 
 class HttpRankEngine(rank_engine.RankEngine):
-    """Calls one address for one rank."""
+    """Sends the requests for one rank to one address."""
 
     def __init__(self, *, client: http_client.HttpClient, address: str,
                  index: int) -> None:
@@ -24,26 +24,27 @@
         self._path = f'/ranks/{index}'
 
     async def read_status(self) -> rank_engine.RankEngineStatus:
-        _, body = await self._call('GET', '', None, _TIMEOUT_S)
+        _, body = await self._request('GET', '', None, _TIMEOUT_S)
         return rank_engine.RankEngineStatus(incarnation=body['incarnation'],
                                             step=body['step'],
                                             state=base64.b64decode(
                                                 body['state']))
 
     async def write_state(self, state: bytes, *, incarnation: int) -> bool:
-        status, _ = await self._call('PUT', '/state', {
+        status, _ = await self._request('PUT', '/state', {
             'state': base64.b64encode(state).decode(),
             'incarnation': incarnation
         }, _TIMEOUT_S)
         return status == 200
 
     async def load_weights(self, map_version: int) -> bool:
-        status, _ = await self._call('POST', '/load', {'version': map_version},
-                                     _LOAD_TIMEOUT_S)
+        status, _ = await self._request('POST', '/load',
+                                        {'version': map_version},
+                                        _LOAD_TIMEOUT_S)
         return status == 200
 
-    async def _call(self, method: str, path: str, document: Any,
-                    timeout_s: float) -> tuple[int, Any]:
+    async def _request(self, method: str, path: str, document: Any,
+                       timeout_s: float) -> tuple[int, Any]:
         body = b'' if document is None else json.dumps(document).encode()
         try:
             async with asyncio.timeout(timeout_s):
--- a/pollenthread/adapters/upstream_http.py
+++ b/pollenthread/adapters/upstream_http.py
@@ -1,4 +1,4 @@
-"""The engine or plain service beside an agent, over HTTP on loopback."""
+"""HTTP client of the engine or plain service on the same host as the agent."""
 
 import contextlib
 from collections.abc import AsyncIterator
@@ -9,45 +9,45 @@
 
 __all__ = ['HttpLocalUpstream']
 
-_HOP_HEADERS = frozenset({
+_HOP_BY_HOP_HEADERS = frozenset({
     'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'te',
     'trailer', 'upgrade', 'proxy-authenticate', 'proxy-connection'
 })
 
 
-class _HttpExchange(local_upstream.LocalUpstreamResponse):
-    """Adapts an exchange of the HTTP client."""
+class _HttpLocalUpstreamResponse(local_upstream.LocalUpstreamResponse):
+    """Adapts a response of the HTTP client; drops hop-by-hop headers."""
 
     def __init__(self, *, exchange: http_client.ClientResponse) -> None:
-        self._exchange = exchange
+        self._response = exchange
 
     @property
     def status(self) -> int:
-        return self._exchange.status
+        return self._response.status
 
     @property
     def headers(self) -> tuple[http_headers.Header, ...]:
         return tuple((name, value)
-                     for name, value in self._exchange.headers
-                     if name not in _HOP_HEADERS)
+                     for name, value in self._response.headers
+                     if name not in _HOP_BY_HOP_HEADERS)
 
     @property
     def is_delimited(self) -> bool:
-        return self._exchange.is_delimited
+        return self._response.is_delimited
 
     def read(self) -> AsyncIterator[bytes]:
-        return self._exchange.read()
+        return self._response.read()
 
 
 class HttpLocalUpstream(local_upstream.LocalUpstream):
-    """Calls one address."""
+    """Sends requests to one address."""
 
     def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
         self._client = client
         self._address = address
 
     @contextlib.asynccontextmanager
-    async def _call(
+    async def _send(
         self, request: local_upstream.LocalUpstreamRequest
     ) -> AsyncIterator[local_upstream.LocalUpstreamResponse]:
         try:
@@ -56,7 +56,7 @@
                                             request.path,
                                             headers=request.headers,
                                             body=request.body) as exchange:
-                yield _HttpExchange(exchange=exchange)
+                yield _HttpLocalUpstreamResponse(exchange=exchange)
         except http_client.HttpConnectError as error:
             raise local_upstream.LocalUpstreamConnectError(
                 str(error)) from error
@@ -65,4 +65,4 @@
         self, request: local_upstream.LocalUpstreamRequest
     ) -> contextlib.AbstractAsyncContextManager[
             local_upstream.LocalUpstreamResponse]:
-        return self._call(request)
+        return self._send(request)
