--- a/pollenthread/adapters/__init__.py
+++ b/pollenthread/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Implementations of the ports, and the borders of the system."""
+"""Implementations of the ports, and the external interfaces of the system."""
--- a/pollenthread/adapters/clock.py
+++ b/pollenthread/adapters/clock.py
@@ -1,4 +1,4 @@
-"""The machine's clock."""
+"""Clock of the operating system."""
 
 import asyncio
 import time
@@ -9,7 +9,7 @@
 
 
 class SystemClock(clock.Clock):
-    """Real time."""
+    """Clock that uses the monotonic clock of the system and asyncio."""
 
     def monotonic(self) -> float:
         return time.monotonic()
--- a/pollenthread/adapters/host_list_http.py
+++ b/pollenthread/adapters/host_list_http.py
@@ -1,7 +1,7 @@
-"""The host list over HTTP: `GET /hosts` answers with JSON.
+"""HTTP client of the host list: `GET /hosts` returns JSON.
 
-The list is large and seldom changes, so a conditional request (RFC 9110) asks
-for it by the entity tag of the last answer.
+The list is large and seldom changes, so it is requested conditionally (RFC
+9110), with the entity tag of the last response.
 """
 
 import asyncio
@@ -18,7 +18,7 @@
 
 
 class _HostModel(pydantic.BaseModel):
-    """One host as the platform writes it."""
+    """A host in the JSON format of the platform."""
 
     name: str
     role: str
@@ -31,11 +31,11 @@
     state: str = 'live'
 
 
-_HOSTS = pydantic.TypeAdapter(list[_HostModel])
+_HOSTS_ADAPTER = pydantic.TypeAdapter(list[_HostModel])
 
 
 class HttpHostList(host_list.HostList):
-    """A client of the host list."""
+    """HTTP client of the host list; caches the last list."""
 
     def __init__(self,
                  *,
@@ -45,11 +45,11 @@
         self._client = client
         self._address = address
         self._timeout_s = timeout_s
-        self._tag: str | None = None
-        self._by_name: dict[str, host_list.ListedHost] = {}
+        self._etag: str | None = None
+        self._hosts: dict[str, host_list.ListedHost] = {}
 
     async def read(self) -> result.Result[dict[str, host_list.ListedHost], str]:
-        headers = [] if self._tag is None else [('if-none-match', self._tag)]
+        headers = [] if self._etag is None else [('if-none-match', self._etag)]
         try:
             async with asyncio.timeout(self._timeout_s):
                 async with self._client.request(self._address,
@@ -58,18 +58,19 @@
                                                 headers=headers) as exchange:
                     body = await exchange.read_all()
             if exchange.status == _NOT_MODIFIED:
-                return result.Ok(self._by_name)
+                return result.Ok(self._hosts)
             if exchange.status != 200:
-                return result.Err(f'the host list answered {exchange.status}')
-            hosts = _HOSTS.validate_json(body)
+                return result.Err(
+                    f'the host list responded with status {exchange.status}')
+            hosts = _HOSTS_ADAPTER.validate_json(body)
         except (ConnectionError, TimeoutError, ValueError) as error:
-            return result.Err(f'the host list cannot be read: {error}')
-        self._by_name = {model.name: _host(model) for model in hosts}
-        self._tag = dict(exchange.headers).get('etag')
-        return result.Ok(self._by_name)
+            return result.Err(f'cannot read the host list: {error}')
+        self._hosts = {model.name: _listed_host(model) for model in hosts}
+        self._etag = dict(exchange.headers).get('etag')
+        return result.Ok(self._hosts)
 
 
-def _host(model: _HostModel) -> host_list.ListedHost:
+def _listed_host(model: _HostModel) -> host_list.ListedHost:
     return host_list.ListedHost(name=model.name,
                                 role=model.role,
                                 data_centre=model.data_centre,
--- a/pollenthread/adapters/json_log.py
+++ b/pollenthread/adapters/json_log.py
@@ -1,7 +1,8 @@
-"""Structured log lines on standard output.
+"""Writes the structured log as JSON lines to standard output.
 
-Lines beyond a rate are dropped and counted, those of ordinary requests first.
-A reader that stops reading costs lines, never time.
+Lines above a rate limit are dropped and counted; unimportant lines are dropped
+first. If the reader of the output stops reading, lines are dropped instead of
+blocking the process.
 """
 
 import json
@@ -16,13 +17,17 @@
 
 _LINES_PER_S = 60.0
 _BURST_LINES = 300.0
-_RESERVED_LINES = 150.0
+_RESERVED_FOR_IMPORTANT_LINES = 150.0
 _MAX_UNSENT_BYTES = 64 * 1024
 _STANDARD_OUTPUT = 1
 
 
 class JsonLog(event_log.EventLog):
-    """Writes JSON lines to a descriptor without ever waiting."""
+    """Writes JSON lines to a non-blocking file descriptor.
+
+    Attributes:
+        dropped: the number of dropped lines.
+    """
 
     def __init__(self,
                  *,
@@ -31,10 +36,10 @@
         self._host = host
         self._descriptor = descriptor
         self._unsent = bytearray()
-        self._budget = budget.Budget(_LINES_PER_S, _BURST_LINES, _BURST_LINES,
-                                     time.monotonic())
+        self._rate_limiter = budget.Budget(_LINES_PER_S, _BURST_LINES,
+                                           _BURST_LINES, time.monotonic())
         self.dropped = 0
-        self._dropped_untold = 0
+        self._unreported_drops = 0
         os.set_blocking(descriptor, False)
 
     def write(self,
@@ -45,21 +50,22 @@
         now = time.monotonic()
         if not self._may_write(important, now):
             self.dropped += 1
-            self._dropped_untold += 1
+            self._unreported_drops += 1
             return
-        if self._dropped_untold:
-            count, self._dropped_untold = self._dropped_untold, 0
+        if self._unreported_drops:
+            count, self._unreported_drops = self._unreported_drops, 0
             self._append(log_events.LogEvent.LINES_DROPPED, now,
                          {'count': count})
         self._append(event, now, fields)
         self._flush()
 
     def _may_write(self, important: bool, now: float) -> bool:
-        self._budget = budget.refill(self._budget, now)
-        floor = 1.0 if important else _RESERVED_LINES
-        if self._budget.units < floor or len(self._unsent) > _MAX_UNSENT_BYTES:
+        self._rate_limiter = budget.refill(self._rate_limiter, now)
+        required_units = 1.0 if important else _RESERVED_FOR_IMPORTANT_LINES
+        if self._rate_limiter.units < required_units or len(
+                self._unsent) > _MAX_UNSENT_BYTES:
             return False
-        self._budget = budget.spend(self._budget, 1.0, now)
+        self._rate_limiter = budget.spend(self._rate_limiter, 1.0, now)
         return True
 
     def _append(self, event: log_events.LogEvent, now: float,
@@ -80,6 +86,6 @@
         except BlockingIOError:
             return
         except OSError:
-            # Nobody can read the lines any more.
+            # The reader has closed the other end.
             self.dropped += 1
             self._unsent.clear()
--- a/pollenthread/adapters/metrics.py
+++ b/pollenthread/adapters/metrics.py
@@ -1,7 +1,8 @@
-"""Latency histograms and the scrape endpoint of a process.
+"""Latency histograms and the Prometheus endpoint of a process.
 
-Counts are by outcome only: a series for each workspace and class would grow
-with the number of workspaces, and the account has those.
+Requests are counted by outcome only. The number of series by workspace and
+class would grow with the number of workspaces; the request accounting has these
+counts.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -16,26 +17,36 @@
 __all__ = ['RequestLatencyHistograms', 'MetricsHandler']
 
 _MAX_US = 3_600_000_000
-_DIGITS = 2
+_SIGNIFICANT_DIGITS = 2
 _US_PER_S = 1_000_000
-_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.07, 0.1, 0.25, 0.5, 1.0, 1.8, 3.0, 5.0,
-             10.0, 30.0, 60.0, 120.0)
+_BUCKET_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.07, 0.1, 0.25, 0.5, 1.0, 1.8,
+                    3.0, 5.0, 10.0, 30.0, 60.0, 120.0)
 _PREFIX = 'pollenthread'
 
 GaugeSource = Callable[[], Mapping[str, float]]
 
 
 class RequestLatencyHistograms:
-    """Histograms that add up over hosts without loss."""
+    """Latency histograms that can be merged across hosts without loss.
+
+    Attributes:
+        by_name: the HDR histograms, in microseconds, by name.
+    """
 
     def __init__(self) -> None:
         self.by_name = {
-            name: histogram.HdrHistogram(1, _MAX_US, _DIGITS)
+            name: histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
             for name in ('first_token', 'between_tokens', 'answer')
         }
 
     def observe(self, times: pace.Pace, total_s: float) -> None:
-        """Takes note of a whole answer."""
+        """Records the latencies of a complete response.
+
+        Args:
+            times: the arrival times of the parts of the response.
+            total_s: the time from the request to the end of the response, in
+                seconds.
+        """
         self._record('answer', total_s)
         if times.first_s is not None:
             self._record('first_token', times.first_s)
@@ -47,32 +58,32 @@
         self.by_name[name].record_value(value)
 
     def encoded(self) -> dict[str, str]:
-        """The histograms in the library's own form, for merging."""
+        """Returns the histograms as encoded by the library, for `merge`."""
         return {
             name: found.encode().decode('ascii')
             for name, found in self.by_name.items()
         }
 
     def merge(self, encoded: Mapping[str, str]) -> None:
-        """Adds histograms of another host."""
+        """Adds the encoded histograms of another host."""
         for name, text in encoded.items():
             self.by_name[name].decode_and_add(text.encode('ascii'))
 
 
 class _Collector(registry.Collector):
-    """Makes the series at each scrape."""
+    """Produces the metrics at each scrape."""
 
     def __init__(self, *, tally: account.Tally,
                  latencies: RequestLatencyHistograms,
                  gauges: GaugeSource) -> None:
-        self._tally = tally
+        self._request_counter = tally
         self._latencies = latencies
         self._gauges = gauges
 
     def collect(self) -> Iterable[prometheus.Metric]:
-        """Yields every series."""
+        """Yields all metric families."""
         total = account.Counts()
-        for counts in self._tally.counts_by_key.values():
+        for counts in self._request_counter.counts_by_key.values():
             total += counts
         ended = prometheus.CounterMetricFamily(f'{_PREFIX}_requests',
                                                'Requests by how they ended.',
@@ -89,22 +100,25 @@
                                                f'Process: {name}.',
                                                value=value)
         for name, found in self._latencies.by_name.items():
-            yield _histogram(name, found)
+            yield _histogram_metric(name, found)
+
 
+def _histogram_metric(name: str,
+                      found: histogram.HdrHistogram) -> prometheus.Metric:
+    """Converts a histogram to cumulative buckets.
 
-def _histogram(name: str, found: histogram.HdrHistogram) -> prometheus.Metric:
-    """Cumulative buckets; their bounds are exact to the library's precision."""
-    counts = [0] * len(_BOUNDS_S)
+    The bucket bounds are accurate to the precision of the HDR histogram.
+    """
+    counts = [0] * len(_BUCKET_BOUNDS_S)
     total_us = 0
     for item in found.get_recorded_iterator():
         value_us = item.value_iterated_to
         total_us += value_us * item.count_added_in_this_iter_step
-        for i, bound in enumerate(_BOUNDS_S):
+        for i, bound in enumerate(_BUCKET_BOUNDS_S):
             if value_us <= bound * _US_PER_S:
                 counts[i] += item.count_added_in_this_iter_step
-    buckets = [
-        (str(bound), float(count)) for bound, count in zip(_BOUNDS_S, counts)
-    ]
+    buckets = [(str(bound), float(count))
+               for bound, count in zip(_BUCKET_BOUNDS_S, counts)]
     buckets.append(('+Inf', float(found.total_count)))
     return prometheus.HistogramMetricFamily(f'{_PREFIX}_{name}_seconds',
                                             f'Whole answers: {name}.',
@@ -113,7 +127,7 @@
 
 
 class MetricsHandler(http_server.RequestHandler):
-    """Answers scrapes."""
+    """Serves the metrics page, and the histograms for merging."""
 
     def __init__(self, *, tally: account.Tally,
                  latencies: RequestLatencyHistograms,
--- a/pollenthread/adapters/otlp.py
+++ b/pollenthread/adapters/otlp.py
@@ -1,8 +1,9 @@
-"""Exports spans to an OTLP/HTTP collector from the process's own loop.
+"""Exports spans to an OTLP/HTTP collector from the event loop of the process.
 
-The SDK's batch processor would export from a thread of its own. Spans are
-therefore queued here, encoded by the library, and sent by this process's HTTP
-client; what the collector does not take in time is dropped and counted.
+The batch processor of the SDK would export from a separate thread. Spans are
+therefore queued here, encoded by the SDK, and sent with the HTTP client of the
+process. Spans that the collector does not accept in time are dropped and
+counted.
 """
 
 import asyncio
@@ -17,14 +18,19 @@
 
 __all__ = ['SpanExporter']
 
-_MAX_QUEUED = 2048
-_MAX_BATCH = 512
-_INTERVAL_S = 1.0
+_MAX_QUEUED_SPANS = 2048
+_MAX_BATCH_SPANS = 512
+_EXPORT_INTERVAL_S = 1.0
 _TIMEOUT_S = 5.0
 
 
 class SpanExporter:
-    """Sends spans in batches; never waits for room."""
+    """Queues spans and exports them in batches.
+
+    Attributes:
+        exported_count: the number of exported spans.
+        dropped_count: the number of dropped spans.
+    """
 
     def __init__(self, *, client: http_client.HttpClient, collector: str,
                  host: str) -> None:
@@ -39,19 +45,19 @@
         self.dropped_count = 0
 
     def export(self, made: list[spans.Span]) -> None:
-        """Queues spans, or drops them when the queue is full."""
+        """Queues spans; drops them if the queue is full."""
         for span in made:
-            if len(self._queue) < _MAX_QUEUED:
+            if len(self._queue) < _MAX_QUEUED_SPANS:
                 self._queue.append(span)
             else:
                 self.dropped_count += 1
 
     async def run(self) -> None:
-        """Sends until cancelled."""
+        """Exports queued spans until cancelled."""
         while True:
-            await asyncio.sleep(_INTERVAL_S)
+            await asyncio.sleep(_EXPORT_INTERVAL_S)
             while self._queue:
-                count = min(_MAX_BATCH, len(self._queue))
+                count = min(_MAX_BATCH_SPANS, len(self._queue))
                 batch = [self._queue.popleft() for _ in range(count)]
                 if await self._send(batch):
                     self.exported_count += count
@@ -59,7 +65,7 @@
                     self.dropped_count += count
 
     async def _send(self, batch: list[spans.Span]) -> bool:
-        made = [self._readable(span) for span in batch]
+        made = [self._to_sdk_span(span) for span in batch]
         body = trace_encoder.encode_spans(made).SerializeToString()
         try:
             async with asyncio.timeout(_TIMEOUT_S):
@@ -76,10 +82,10 @@
         except (OSError, TimeoutError):
             return False
 
-    def _readable(self, span: spans.Span) -> sdk_trace.ReadableSpan:
-        parent = _context(span, span.parent_id) if span.parent_id else None
+    def _to_sdk_span(self, span: spans.Span) -> sdk_trace.ReadableSpan:
+        parent = _span_context(span, span.parent_id) if span.parent_id else None
         return sdk_trace.ReadableSpan(name=span.name,
-                                      context=_context(span, span.span_id),
+                                      context=_span_context(span, span.span_id),
                                       parent=parent,
                                       resource=self._resource,
                                       attributes={
@@ -90,7 +96,7 @@
                                       end_time=span.ended_ns)
 
 
-def _context(span: spans.Span, span_id: str) -> trace.SpanContext:
+def _span_context(span: spans.Span, span_id: str) -> trace.SpanContext:
     return trace.SpanContext(int(span.trace_id, 16),
                              int(span_id, 16),
                              is_remote=False,
--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -1,19 +1,19 @@
 @0xd3f1a8c5b7e24961;
-# What hosts of one deployment tell each other on the prepared platform.
+# Messages between hosts of the platform deployment.
 
 struct EntryBeat {
-  # An entry host is alive.
+  # Heartbeat of an entry host.
   host @0 :Text;
   isReady @1 :Bool;
   isLeaving @2 :Bool;
   configVersion @3 :UInt64;
   storeAgeMs @4 :UInt32;
-  # The store's counter at the newest change of the list of servers.
+  # The store's change counter at the newest known change of the server list.
   serversChanged @5 :UInt64;
 }
 
 struct ServerLoad {
-  # The load of the server beside an agent.
+  # Load of the server on the same host as the agent.
   address @0 :Text;
   running @1 :UInt16;
   waiting @2 :UInt16;
@@ -26,8 +26,8 @@
 }
 
 struct RankState {
-  # One rank of a group, as the agent beside it sees it. The version 0 and the
-  # step 0 stand for none where a rank may have none.
+  # State of one rank of a group, as the agent on its host reports it. In
+  # optional fields, version 0 and step 0 mean none.
   group @0 :Text;
   host @1 :Text;
   rank @2 :UInt16;
@@ -46,20 +46,21 @@
 }
 
 struct DutyBeat {
-  # The holder of a group's duty is alive.
+  # Heartbeat of the process that holds a group's duty.
   group @0 :Text;
   host @1 :Text;
   term @2 :UInt64;
 }
 
 struct ExpertChoices {
-  # How often a rank's requests chose each expert since it last told.
+  # How often a rank's requests were routed to each expert since its last
+  # report.
   group @0 :Text;
   rank @1 :UInt16;
   firstSet @2 :UInt16;
   experts @3 :UInt16;
   unit @4 :UInt32;
-  # Half a byte for each set and expert, in units.
+  # Four bits for each set and expert, in multiples of `unit`.
   packed @5 :Data;
 }
 
@@ -82,7 +83,8 @@
 }
 
 struct Snapshot {
-  # What a host knows of the store, for one that cannot reach it.
+  # Rows of the store that a host has cached, for a peer that cannot reach the
+  # store.
   serversVersion @0 :UInt64;
   storeAgeMs @1 :UInt32;
   rows @2 :List(Row);
@@ -91,23 +93,24 @@
 enum OrderKind { prepare @0; arm @1; disarm @2; hold @3; go @4; }
 
 struct RankOrder {
-  # An order for the server beside an agent.
+  # An order for the server on the same host as the agent.
   kind @0 :OrderKind;
   epoch @1 :UInt64;
   version @2 :UInt64;
   step @3 :UInt64;
-  # The number of sets and of ranks, the bytes of a number, and then for each
-  # set and rank how many experts it holds and which.
+  # Encoded expert map: the number of sets and of ranks (16 bits each), the
+  # width of an expert number in bytes (8 bits), then the number of experts of
+  # each set and rank (8 bits each), then the expert numbers.
   layouts @4 :Data;
-  # The host that is told the state after the order.
+  # The host that receives the state after the order.
   giver @5 :Text;
-  # Peer addresses to which the agent hands the order on.
+  # Peer addresses to which the agent forwards the order.
   relayTo @6 :List(Text);
 }
 
 struct RankLayout {
   epoch @0 :UInt64;
   version @1 :UInt64;
-  # By set.
+  # Expert numbers by set.
   experts @2 :List(List(UInt16));
 }
--- a/pollenthread/adapters/platform_metrics.py
+++ b/pollenthread/adapters/platform_metrics.py
@@ -1,7 +1,7 @@
-"""Counters and latency histograms of a process on the prepared platform.
+"""Counters and latency histograms of a process in the platform deployment.
 
-The libraries are loaded at the first observation or scrape: a restarted host is
-out for as long as its imports take.
+The metrics libraries are imported at the first observation or scrape, because a
+restarted host is unavailable until its imports have finished.
 """
 
 from collections.abc import Callable, Mapping
@@ -10,35 +10,36 @@
 __all__ = ['LatencyHistogramSet', 'MetricsPageRenderer']
 
 _MAX_US = 3_600_000_000
-_DIGITS = 2
+_SIGNIFICANT_DIGITS = 2
 _US_PER_S = 1_000_000
 _PREFIX = 'pollenthread'
-_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+_BUCKET_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+                    10.0)
 
 SampleSource = Callable[[], Mapping[str, float]]
 
 
 class LatencyHistogramSet:
-    """Latencies by name."""
+    """Latency histograms by name."""
 
     def __init__(self) -> None:
         self._histogram_by_name: dict[str, Any] = {}
 
     def observe(self, name: str, seconds: float) -> None:
-        """Takes note of one latency."""
+        """Records a latency in seconds."""
         found = self._histogram_by_name.get(name)
         if found is None:
             # pylint: disable-next=import-outside-toplevel
             from hdrh import histogram
-            found = histogram.HdrHistogram(1, _MAX_US, _DIGITS)
+            found = histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
             self._histogram_by_name[name] = found
         found.record_value(min(max(1, round(seconds * _US_PER_S)), _MAX_US))
 
     def buckets(self, name: str) -> list[tuple[str, float]]:
-        """Cumulative counts by upper bound."""
+        """Returns the upper bound (s) and cumulative count of each bucket."""
         found = self._histogram_by_name[name]
         counts = []
-        for bound in _BOUNDS_S:
+        for bound in _BUCKET_BOUNDS_S:
             below = sum(item.count_added_in_this_iter_step
                         for item in found.get_recorded_iterator()
                         if item.value_iterated_to <= bound * _US_PER_S)
@@ -46,18 +47,18 @@
         return [*counts, ('+Inf', float(found.total_count))]
 
     def sum_s(self, name: str) -> float:
-        """The sum of all latencies of a name."""
+        """Returns the sum of the latencies of a name, in seconds."""
         found = self._histogram_by_name[name]
         return float(found.get_mean_value() * found.total_count / _US_PER_S)
 
     @property
     def names(self) -> tuple[str, ...]:
-        """All names that were observed."""
+        """The names for which latencies were recorded."""
         return tuple(self._histogram_by_name)
 
 
 class MetricsPageRenderer:
-    """Makes the page that is scraped."""
+    """Renders the page that Prometheus scrapes."""
 
     def __init__(self, *, counters: SampleSource, gauges: SampleSource,
                  latencies: LatencyHistogramSet) -> None:
@@ -66,17 +67,17 @@
         self._latencies = latencies
 
     def __call__(self) -> tuple[str, bytes]:
-        """The content type and the page."""
+        """Returns the content type and the page."""
         # pylint: disable=import-outside-toplevel
         import prometheus_client
         from prometheus_client import core, registry
 
-        page = self
+        renderer = self
 
         class _Collector(registry.Collector):
 
             def collect(self) -> Any:
-                yield from page.collect_families(core)
+                yield from renderer.collect_families(core)
 
         found = prometheus_client.CollectorRegistry()
         found.register(_Collector())
@@ -84,10 +85,10 @@
                 prometheus_client.generate_latest(found))
 
     def collect_families(self, core: Any) -> Any:
-        """Yields every series.
+        """Yields all metric families.
 
         Args:
-            core: the library's module of metric families.
+            core: the module `prometheus_client.core`.
         """
         for name, value in sorted(self._counters().items()):
             yield core.CounterMetricFamily(f'{_PREFIX}_{name}',
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a process, and documents of targets, read from YAML."""
+"""Reads and validates YAML files: process settings and targets documents."""
 
 import difflib
 import ipaddress
@@ -36,7 +36,13 @@
 
 
 class PlatformSettings(targets_document.Strict):
-    """Where the platform's services are."""
+    """Addresses of the platform's services.
+
+    Attributes:
+        table: `ip:port` of the transactional table.
+        object_store: `ip:port` of the object store.
+        host_list: `ip:port` of the host list.
+    """
 
     table: _Address
     object_store: _Address
@@ -44,20 +50,29 @@
 
 
 class OrderKeySettings(targets_document.Strict):
-    """A key that signs orders; the first of a list signs, all are valid."""
+    """A key for signing orders.
+
+    Orders are signed with the first key of the list; signatures of all keys in
+    the list are valid.
+
+    Attributes:
+        id: the id of the key.
+        secret: the secret, at least 16 characters.
+    """
 
     id: targets_document.Name
     secret: Annotated[str, pydantic.Field(min_length=16)]
 
 
 class OperatorSettings(targets_document.Strict):
-    """Somebody who may use the administration port.
+    """A person or tool that may use the administration port.
 
     Attributes:
-        name: stands in the audit record.
+        name: the name in the audit record.
         key_sha256: SHA-256 of the operator's key, in hexadecimal.
-        workspaces: what the operator sees; `*` is every workspace and hosts.
-        may: whether the operator may only look.
+        workspaces: the workspaces that the operator may access; `*` is all
+            workspaces and the hosts.
+        may: whether the operator may only read or also make changes.
     """
 
     name: targets_document.Name
@@ -67,7 +82,7 @@
     may: Literal['read', 'change'] = 'read'
 
     def to_operator(self) -> operators.Operator:
-        """Makes the inner form."""
+        """Converts the settings to the type of the core."""
         sees_all = self.workspaces == '*'
         return operators.Operator(
             name=self.name,
@@ -77,12 +92,12 @@
 
 
 class LinkSecurity(targets_document.Strict):
-    """Files with which links prove who they are.
+    """Files for mutual TLS authentication of links.
 
     Attributes:
         certificate_file: this host's certificate, PEM.
         key_file: its private key, PEM.
-        authority_file: the certificates that peers' must be signed by, PEM.
+        authority_file: the CA certificates for peer certificates, PEM.
     """
 
     certificate_file: str
@@ -90,10 +105,10 @@
     authority_file: str
 
     def to_tls(self) -> link_tls.LinkTls:
-        """Reads the files.
+        """Loads the files.
 
         Raises:
-            InvalidDocument: they cannot be used.
+            InvalidDocument: the files cannot be loaded.
         """
         files = link_tls.LinkTlsFiles(
             certificate=pathlib.Path(self.certificate_file),
@@ -103,15 +118,16 @@
             return link_tls.LinkTls(files=files)
         except (OSError, ssl.SSLError) as error:
             raise targets_document.InvalidDocument(
-                f'link_security: the files cannot be used: {error}') from error
+                f'link_security: cannot load the files: {error}') from error
 
 
 class TraceSettings(targets_document.Strict):
-    """Where spans go.
+    """Settings of the trace export.
 
     Attributes:
-        collector: address of an OTLP/HTTP collector.
-        sample_per_thousand: requests of a thousand that are traced.
+        collector: `ip:port` of an OTLP/HTTP collector, or None.
+        sample_per_thousand: the number of requests per thousand that are
+            traced.
     """
 
     collector: _Address | None = None
@@ -119,7 +135,20 @@
 
 
 class _ProcessSettings(targets_document.Strict):
-    """What every process is told."""
+    """Settings that all processes have.
+
+    Attributes:
+        host: the name of this host.
+        data_centre: the data centre that the host is in.
+        region: the region of the data centre.
+        links: `ip:port` of the listener for links.
+        admin: `ip:port` of the administration listener.
+        platform: the addresses of the platform's services.
+        order_keys: the keys for signing orders.
+        operators: the operators of the administration port.
+        link_security: the TLS files of links; without them, links do not use
+            TLS.
+    """
 
     host: targets_document.Name
     data_centre: targets_document.Name
@@ -133,16 +162,16 @@
     link_security: LinkSecurity | None = None
 
     def load_link_tls(self) -> link_tls.LinkTls | None:
-        """What links prove themselves with; None when they do not.
+        """Loads the TLS contexts of links; None if links do not use TLS.
 
         Raises:
-            InvalidDocument: the files cannot be used.
+            InvalidDocument: the files cannot be loaded.
         """
         security = self.link_security
         return None if security is None else security.to_tls()
 
     @pydantic.model_validator(mode='after')
-    def _addresses_differ(self) -> '_ProcessSettings':
+    def _check_distinct_addresses(self) -> '_ProcessSettings':
         key_by_address: dict[str, str] = {}
         for key in ('links', 'admin', 'callers'):
             address = getattr(self, key, None)
@@ -156,7 +185,7 @@
 
     @pydantic.field_validator('operators')
     @classmethod
-    def _operators_differ(
+    def _check_distinct_operators(
             cls, found: list[OperatorSettings]) -> list[OperatorSettings]:
         targets_document.unique([operator.name for operator in found])
         targets_document.unique([operator.key_sha256 for operator in found])
@@ -164,7 +193,7 @@
 
     @property
     def key_ring(self) -> signing.KeyRing:
-        """The keys that sign orders and check them."""
+        """The keys for signing and verifying orders."""
         return signing.KeyRing(
             tuple(
                 signing.Key(key.id, key.secret.encode())
@@ -172,7 +201,14 @@
 
 
 class EntrySettings(_ProcessSettings):
-    """Settings of an entry host."""
+    """Settings of an entry host.
+
+    Attributes:
+        role: always 'entry'.
+        callers: `ip:port` of the listener for callers.
+        account_interval_s: seconds between writes of the request accounting.
+        traces: settings of the trace export.
+    """
 
     role: Literal['entry']
     callers: _Address
@@ -181,7 +217,14 @@
 
 
 class UpstreamSettings(targets_document.Strict):
-    """The engine or plain service beside an agent."""
+    """The engine or plain service on the same host as the agent.
+
+    Attributes:
+        kind: whether it is a model engine or a plain service.
+        name: the name of the engine or service.
+        address: its `ip:port`.
+        models: the models that it serves.
+    """
 
     kind: Literal['engine', 'service']
     name: targets_document.Name
@@ -190,13 +233,14 @@
 
 
 class RankSettings(targets_document.Strict):
-    """The rank beside an agent.
+    """The rank on the same host as the agent.
 
     Attributes:
         group: the rank group's name.
-        index: the rank's number in its group; rank 0's agent decides switches.
-        size: ranks in the group.
-        address: where the rank takes orders.
+        index: the rank's number in its group. The agent of rank 0 decides
+            on map switches.
+        size: the number of ranks in the group.
+        address: `ip:port` at which the rank accepts orders.
     """
 
     group: targets_document.Name
@@ -205,7 +249,7 @@
     address: _Address
 
     @pydantic.model_validator(mode='after')
-    def _is_in_group(self) -> 'RankSettings':
+    def _check_index(self) -> 'RankSettings':
         if self.index >= self.size:
             raise ValueError(f'the index {self.index} is not below the size '
                              f'{self.size}')
@@ -213,7 +257,13 @@
 
 
 class AgentSettings(_ProcessSettings):
-    """Settings of an agent."""
+    """Settings of an agent.
+
+    Attributes:
+        role: always 'agent'.
+        upstream: the engine or service on the same host.
+        rank: the rank on the same host, or None.
+    """
 
     role: Literal['agent']
     upstream: UpstreamSettings
@@ -236,7 +286,7 @@
 
 
 def load_targets(path: pathlib.Path) -> targets_document.TargetsModel:
-    """Reads a document of targets.
+    """Reads a targets document.
 
     Raises:
         InvalidDocument: the file cannot be read or is not valid.
@@ -247,7 +297,7 @@
 
 
 def validate_file(path: pathlib.Path) -> None:
-    """Checks a file of either kind.
+    """Validates a settings file or a targets document.
 
     Raises:
         InvalidDocument: the file cannot be read or is not valid.
@@ -263,7 +313,7 @@
     role = document.value.get('role')
     model = _MODEL_BY_ROLE.get(role) if isinstance(role, str) else None
     if model is None:
-        raise targets_document.InvalidDocument(_without_role(document, role))
+        raise targets_document.InvalidDocument(_role_error(document, role))
     try:
         return model.model_validate(document.value)
     except pydantic.ValidationError as error:
@@ -274,12 +324,12 @@
                                 line_of=document.line_of)) from error
 
 
-def _without_role(document: yaml_document.YamlDocument, role: object) -> str:
+def _role_error(document: yaml_document.YamlDocument, role: object) -> str:
     allowed = f'(allowed: {", ".join(_MODEL_BY_ROLE)})'
     if 'role' in document.value:
         line = document.line_of(('role',))
         return f'{document.name}:{line}: role: found {role!r} {allowed}'
     keys = [str(key) for key in document.value]
-    near = difflib.get_close_matches('role', keys, n=1)
-    hint = f'; {near[0]} is no known key' if near else ''
+    similar_keys = difflib.get_close_matches('role', keys, n=1)
+    hint = f'; {similar_keys[0]} is not a known key' if similar_keys else ''
     return f'{document.name}:1: role: the key is missing {allowed}{hint}'
--- a/pollenthread/adapters/table_http.py
+++ b/pollenthread/adapters/table_http.py
@@ -1,7 +1,8 @@
-"""The table service over HTTP with conditional requests (RFC 9110).
+"""HTTP client of the table service, with conditional writes.
 
-`GET /rows/KEY` answers with an `etag`; `POST /transactions` takes a list of
-conditional writes and answers 200 with the new versions, or 409.
+`GET /rows/KEY` returns a row with an `etag` (RFC 9110). `POST /transactions`
+accepts a list of conditional writes and returns 200 with the new versions, or
+409 if a row does not have its expected version.
 """
 
 import asyncio
@@ -22,7 +23,10 @@
 
 
 class HttpTable(table.TableService):
-    """A client that treats a lost answer to a write as unknown."""
+    """HTTP client of the table.
+
+    If the response to a write is lost, the error is `TableError.UNKNOWN`.
+    """
 
     def __init__(self,
                  *,
@@ -37,31 +41,32 @@
             self,
             key: str) -> result.Result[table.TableRow | None, table.TableError]:
         target = f'/rows/{parse.quote(key, safe="")}'
-        answer = await self._read(target)
-        if isinstance(answer, result.Err):
-            return answer
-        status, body = answer.ok_value
+        response = await self._get(target)
+        if isinstance(response, result.Err):
+            return response
+        status, body = response.ok_value
         if status == 404:
             return result.Ok(None)
-        return result.Ok(_row(json.loads(body)))
+        return result.Ok(_decode_row(json.loads(body)))
 
     async def scan(
             self, prefix: str
     ) -> result.Result[list[table.TableRow], table.TableError]:
-        answer = await self._read(f'/rows?{parse.urlencode({"prefix": prefix})}'
-                                 )
-        if isinstance(answer, result.Err):
-            return answer
+        response = await self._get(
+            f'/rows?{parse.urlencode({"prefix": prefix})}')
+        if isinstance(response, result.Err):
+            return response
         return result.Ok(
-            [_row(item) for item in json.loads(answer.ok_value[1])])
+            [_decode_row(item) for item in json.loads(response.ok_value[1])])
 
     async def commit(
         self, writes: Sequence[table.TableWrite]
     ) -> result.Result[list[int], table.TableError]:
-        body = json.dumps([_write(write) for write in writes]).encode()
+        body = json.dumps([_encode_write(write) for write in writes]).encode()
         try:
             async with asyncio.timeout(self._timeout_s):
-                status, answer = await self._call('POST', '/transactions', body)
+                status, response = await self._request('POST', '/transactions',
+                                                       body)
         except http_client.HttpConnectError:
             return result.Err(table.TableError.UNAVAILABLE)
         except (ConnectionError, TimeoutError):
@@ -74,27 +79,31 @@
             return result.Err(table.TableError.UNAVAILABLE)
         if status != 200:
             return result.Err(table.TableError.UNKNOWN)
-        return result.Ok(json.loads(answer)['versions'])
+        return result.Ok(json.loads(response)['versions'])
 
-    async def _read(
+    async def _get(
             self,
             target: str) -> result.Result[tuple[int, bytes], table.TableError]:
-        """Reads with a bounded number of attempts."""
-        fault = table.TableError.UNAVAILABLE
+        """Sends a GET request; retries it once on failure.
+
+        Returns:
+            The status, 200 or 404, and the body.
+        """
+        error = table.TableError.UNAVAILABLE
         for _ in range(_READ_ATTEMPTS):
             try:
                 async with asyncio.timeout(self._timeout_s):
-                    status, body = await self._call('GET', target, b'')
+                    status, body = await self._request('GET', target, b'')
             except (ConnectionError, TimeoutError):
                 continue
             if status in (200, 404):
                 return result.Ok((status, body))
             if status == 429:
-                fault = table.TableError.LIMITED
-        return result.Err(fault)
+                error = table.TableError.LIMITED
+        return result.Err(error)
 
-    async def _call(self, method: str, target: str,
-                    body: bytes) -> tuple[int, bytes]:
+    async def _request(self, method: str, target: str,
+                       body: bytes) -> tuple[int, bytes]:
         async with self._client.request(self._address,
                                         method,
                                         target,
@@ -102,13 +111,13 @@
             return exchange.status, await exchange.read_all()
 
 
-def _row(item: dict[str, Any]) -> table.TableRow:
+def _decode_row(item: dict[str, Any]) -> table.TableRow:
     return table.TableRow(key=item['key'],
                           value=base64.b64decode(item['value']),
                           version=item['version'])
 
 
-def _write(write: table.TableWrite) -> dict[str, Any]:
+def _encode_write(write: table.TableWrite) -> dict[str, Any]:
     value = write.value
     return {
         'key': write.key,
--- a/pollenthread/adapters/wire.capnp
+++ b/pollenthread/adapters/wire.capnp
@@ -1,5 +1,5 @@
 @0xd3a1c07f5b2e9461;
-# Messages between the system's own processes, one per frame of a link.
+# Messages between processes of the system, one per frame of a link.
 
 struct Header { name @0 :Text; value @1 :Text; }
 
--- a/pollenthread/adapters/yaml_document.py
+++ b/pollenthread/adapters/yaml_document.py
@@ -1,4 +1,4 @@
-"""Reads a YAML file and remembers the line of each key."""
+"""Reads YAML files and provides the line number of each key."""
 
 import dataclasses
 import pathlib
@@ -16,12 +16,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class YamlDocument:
-    """What a file holds.
+    """A parsed YAML file.
 
     Attributes:
-        name: the file's name.
-        value: the keys and values.
-        root: the nodes with their places in the text.
+        name: the name of the file.
+        value: the keys and values of the file.
+        root: the root of the node tree, whose nodes have line numbers.
     """
 
     name: str
@@ -29,21 +29,25 @@
     root: yaml.Node
 
     def line_of(self, location: explanation.Location) -> int | None:
-        """The line, from 1, of the nearest key on the way to `location`."""
+        """Returns the line number of a location, counted from 1.
+
+        If the location does not exist, the line is that of the nearest
+        enclosing key.
+        """
         node: yaml.Node | None = self.root
         line: int = self.root.start_mark.line
         for part in location:
-            step = _child(node, part)
-            if step is not None:
-                line, node = step
+            child = _find_child(node, part)
+            if child is not None:
+                line, node = child
         return line + 1
 
 
 def load(path: pathlib.Path) -> YamlDocument:
-    """Reads a file with keys and values at its top.
+    """Reads a YAML file whose top level is a mapping.
 
     Raises:
-        InvalidDocument: it cannot be read or is not such a file.
+        InvalidDocument: the file cannot be read or is not valid.
     """
     try:
         with path.open('rb') as file:
@@ -57,18 +61,22 @@
 
 
 def parse(text: str, name: str) -> YamlDocument:
-    """Reads text with keys and values at its top.
+    """Parses YAML text whose top level is a mapping.
+
+    Args:
+        text: the text.
+        name: the name of the file, for error messages.
 
     Raises:
-        InvalidDocument: it is not such a text.
+        InvalidDocument: the text is not valid.
     """
     try:
-        _refuse_references(text, name)
+        _reject_aliases(text, name)
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         if not isinstance(root, yaml.MappingNode):
             raise targets_document.InvalidDocument(
                 f'{name}:1: (top): expected keys and values')
-        _refuse_twice(root, name)
+        _reject_duplicate_keys(root, name)
         value = yaml.safe_load(text)
     except yaml.MarkedYAMLError as error:
         mark = error.problem_mark
@@ -81,8 +89,8 @@
     return YamlDocument(name=name, value=value, root=root)
 
 
-def _child(node: yaml.Node | None,
-           part: str | int) -> tuple[int, yaml.Node] | None:
+def _find_child(node: yaml.Node | None,
+                part: str | int) -> tuple[int, yaml.Node] | None:
     if isinstance(node, yaml.MappingNode):
         for key, value in node.value:
             if key.value == str(part):
@@ -94,8 +102,8 @@
     return None
 
 
-def _refuse_references(text: str, name: str) -> None:
-    """Refuses references, with which a small text can grow without bound."""
+def _reject_aliases(text: str, name: str) -> None:
+    """Rejects aliases, with which a small text can expand without limit."""
     for event in yaml.parse(text, Loader=yaml.SafeLoader):
         if isinstance(event, yaml.AliasEvent):
             mark = event.start_mark
@@ -104,21 +112,21 @@
                 f'{name}:{line}: *{event.anchor}: references are not taken')
 
 
-def _refuse_twice(node: yaml.Node, name: str) -> None:
-    """Refuses a key that stands twice."""
+def _reject_duplicate_keys(node: yaml.Node, name: str) -> None:
+    """Rejects mappings with duplicate keys."""
     if isinstance(node, yaml.MappingNode):
         seen: set[str] = set()
         for key, value in node.value:
             if not isinstance(key, yaml.ScalarNode):
                 raise targets_document.InvalidDocument(
                     f'{name}:{key.start_mark.line + 1}: (top): '
-                    'a key must be a plain word')
+                    'a key must be a scalar')
             if key.value in seen:
                 raise targets_document.InvalidDocument(
                     f'{name}:{key.start_mark.line + 1}: {key.value}: '
                     'the key stands twice')
             seen.add(key.value)
-            _refuse_twice(value, name)
+            _reject_duplicate_keys(value, name)
     elif isinstance(node, yaml.SequenceNode):
         for value in node.value:
-            _refuse_twice(value, name)
+            _reject_duplicate_keys(value, name)
