--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -64,19 +64,20 @@
         open_requests: the ids of requests in progress.
     """
 
-    def __init__(self, *, gate: gateway.Gateway,
-                 config: config_store.ConfigStore, hosts: directory.Directory,
-                 request_ids: ids.IdSource, time: clock.Clock,
-                 tally: account.Tally, is_refusing: Callable[[], bool],
+    def __init__(self, *, request_gateway: gateway.Gateway,
+                 config: config_store.ConfigStore,
+                 host_directory: directory.Directory, request_ids: ids.IdSource,
+                 time: clock.Clock, request_counter: account.Tally,
+                 is_rejecting: Callable[[], bool],
                  observe_latency: Callable[[pace.Pace, float], None],
                  tracer: tracer_module.Tracer) -> None:
-        self._gateway = gate
+        self._gateway = request_gateway
         self._config = config
-        self._host_directory = hosts
+        self._host_directory = host_directory
         self._ids = request_ids
         self._time = time
-        self._request_counter = tally
-        self._is_rejecting = is_refusing
+        self._request_counter = request_counter
+        self._is_rejecting = is_rejecting
         self._observe = observe_latency
         self._tracer = tracer
         self.open_requests: set[str] = set()
--- a/pollenthread/adapters/http_message.py
+++ b/pollenthread/adapters/http_message.py
@@ -223,15 +223,15 @@
         body = json.dumps(problem_body(failure)).encode() + b'\n'
         await self.send(error_response.status, all_headers, body)
 
-    def abort(self, last: bytes = b'') -> None:
+    def abort(self, last_chunk: bytes = b'') -> None:
         """Closes the connection, so that the caller detects the truncation.
 
         Args:
-            last: a last part of the body, which is sent before the connection
-                closes.
+            last_chunk: a last part of the body, which is sent before the
+                connection closes.
         """
         with contextlib.suppress(OSError):
-            self._connection.send_events(*self._data_events(last))
+            self._connection.send_events(*self._data_events(last_chunk))
         self._connection.abort()
 
 
--- a/pollenthread/adapters/link.py
+++ b/pollenthread/adapters/link.py
@@ -51,12 +51,12 @@
     """One end of a link over TCP."""
 
     def __init__(self, *, hello: messages.Hello, handler: link_port.LinkHandler,
-                 accepted: bool, times: LinkTimeouts,
+                 is_accepted: bool, timeouts: LinkTimeouts,
                  config_version: Callable[[], int]) -> None:
         self._hello = hello
         self._handler = handler
-        self._is_accepted = accepted
-        self._timeouts = times
+        self._is_accepted = is_accepted
+        self._timeouts = timeouts
         self._config_version = config_version
         self._transport: asyncio.Transport | None = None
         self._incomplete_frame = b''
@@ -255,14 +255,14 @@
                  handler: link_port.LinkHandler,
                  host: str = '127.0.0.1',
                  port: int = 0,
-                 times: LinkTimeouts = LinkTimeouts(),
+                 timeouts: LinkTimeouts = LinkTimeouts(),
                  config_version: Callable[[], int] = _zero_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
         self._handler = handler
         self._host = host
         self._port = port
-        self._timeouts = times
+        self._timeouts = timeouts
         self._config_version = config_version
         self._tls = tls
         self._session_count = 0
@@ -298,8 +298,8 @@
         session = f'{self._hello.incarnation}:{self._session_count}'
         link = TcpLink(hello=dataclasses.replace(self._hello, session=session),
                        handler=self._handler,
-                       accepted=True,
-                       times=self._timeouts,
+                       is_accepted=True,
+                       timeouts=self._timeouts,
                        config_version=self._config_version)
         self._links = [old for old in self._links if old.is_open]
         self._links.append(link)
@@ -313,12 +313,12 @@
                  *,
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
-                 times: LinkTimeouts = LinkTimeouts(),
+                 timeouts: LinkTimeouts = LinkTimeouts(),
                  config_version: Callable[[], int] = _zero_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._hello = hello
         self._handler = handler
-        self._timeouts = times
+        self._timeouts = timeouts
         self._config_version = config_version
         self._tls = tls
         self._by_host: dict[str, Dialer] = {}
@@ -350,7 +350,7 @@
         dialer = Dialer(address=address,
                         hello=self._hello,
                         handler=self._handler,
-                        times=self._timeouts,
+                        timeouts=self._timeouts,
                         config_version=self._config_version,
                         tls=self._tls)
         dialer.start()
@@ -365,13 +365,13 @@
                  address: str,
                  hello: messages.Hello,
                  handler: link_port.LinkHandler,
-                 times: LinkTimeouts = LinkTimeouts(),
+                 timeouts: LinkTimeouts = LinkTimeouts(),
                  config_version: Callable[[], int] = _zero_version,
                  tls: link_tls.LinkTls | None = None) -> None:
         self._address = address
         self._hello = hello
         self._handler = handler
-        self._timeouts = times
+        self._timeouts = timeouts
         self._config_version = config_version
         self._tls = tls
         self._task: asyncio.Task[None] | None = None
@@ -414,8 +414,8 @@
         _, link = await loop.create_connection(
             lambda: TcpLink(hello=self._hello,
                             handler=self._handler,
-                            accepted=False,
-                            times=self._timeouts,
+                            is_accepted=False,
+                            timeouts=self._timeouts,
                             config_version=self._config_version),
             host,
             int(port),
--- a/pollenthread/adapters/metrics.py
+++ b/pollenthread/adapters/metrics.py
@@ -39,19 +39,19 @@
             for name in ('first_token', 'between_tokens', 'answer')
         }
 
-    def observe(self, times: pace.Pace, total_s: float) -> None:
+    def observe(self, timing: pace.Pace, total_s: float) -> None:
         """Records the latencies of a complete response.
 
         Args:
-            times: the arrival times of the parts of the response.
+            timing: the arrival times of the parts of the response.
             total_s: the time from the request to the end of the response, in
                 seconds.
         """
         self._record('answer', total_s)
-        if times.first_s is not None:
-            self._record('first_token', times.first_s)
-        if times.mean_gap_s is not None:
-            self._record('between_tokens', times.mean_gap_s)
+        if timing.first_s is not None:
+            self._record('first_token', timing.first_s)
+        if timing.mean_gap_s is not None:
+            self._record('between_tokens', timing.mean_gap_s)
 
     def _record(self, name: str, seconds: float) -> None:
         value = min(max(1, round(seconds * _US_PER_S)), _MAX_US)
@@ -60,8 +60,8 @@
     def encoded(self) -> dict[str, str]:
         """Returns the histograms as encoded by the library, for `merge`."""
         return {
-            name: found.encode().decode('ascii')
-            for name, found in self.by_name.items()
+            name: hdr_histogram.encode().decode('ascii')
+            for name, hdr_histogram in self.by_name.items()
         }
 
     def merge(self, encoded: Mapping[str, str]) -> None:
@@ -99,19 +99,19 @@
             yield prometheus.GaugeMetricFamily(f'{_PREFIX}_{name}',
                                                f'Process: {name}.',
                                                value=value)
-        for name, found in self._latencies.by_name.items():
-            yield _histogram_metric(name, found)
+        for name, hdr_histogram in self._latencies.by_name.items():
+            yield _histogram_metric(name, hdr_histogram)
 
 
-def _histogram_metric(name: str,
-                      found: histogram.HdrHistogram) -> prometheus.Metric:
+def _histogram_metric(
+        name: str, hdr_histogram: histogram.HdrHistogram) -> prometheus.Metric:
     """Converts a histogram to cumulative buckets.
 
     The bucket bounds are accurate to the precision of the HDR histogram.
     """
     counts = [0] * len(_BUCKET_BOUNDS_S)
     total_us = 0
-    for item in found.get_recorded_iterator():
+    for item in hdr_histogram.get_recorded_iterator():
         value_us = item.value_iterated_to
         total_us += value_us * item.count_added_in_this_iter_step
         for i, bound in enumerate(_BUCKET_BOUNDS_S):
@@ -119,7 +119,7 @@
                 counts[i] += item.count_added_in_this_iter_step
     buckets = [(str(bound), float(count))
                for bound, count in zip(_BUCKET_BOUNDS_S, counts)]
-    buckets.append(('+Inf', float(found.total_count)))
+    buckets.append(('+Inf', float(hdr_histogram.total_count)))
     return prometheus.HistogramMetricFamily(f'{_PREFIX}_{name}_seconds',
                                             f'Whole answers: {name}.',
                                             buckets=buckets,
@@ -129,13 +129,15 @@
 class MetricsHandler(http_server.RequestHandler):
     """Serves the metrics page, and the histograms for merging."""
 
-    def __init__(self, *, tally: account.Tally,
+    def __init__(self, *, request_counter: account.Tally,
                  latencies: RequestLatencyHistograms,
                  gauges: GaugeSource) -> None:
         self._latencies = latencies
         self._registry = prometheus_client.CollectorRegistry()
         self._registry.register(
-            _Collector(tally=tally, latencies=latencies, gauges=gauges))
+            _Collector(tally=request_counter,
+                       latencies=latencies,
+                       gauges=gauges))
 
     async def handle(self, request: http_server.HttpRequest,
                      response: http_server.HttpResponse) -> None:
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -107,8 +107,8 @@
     return document
 
 
-def _failure_of(fault: table.TableError) -> errors.Failure:
-    if fault is table.TableError.UNKNOWN:
+def _failure_of(error: table.TableError) -> errors.Failure:
+    if error is table.TableError.UNKNOWN:
         return errors.failure(errors.Kind.OUTCOME_UNKNOWN,
                               'Repeat the order with the same id.')
     return errors.failure(errors.Kind.TABLE_UNAVAILABLE)
--- a/pollenthread/adapters/otlp.py
+++ b/pollenthread/adapters/otlp.py
@@ -44,9 +44,9 @@
         self.exported_count = 0
         self.dropped_count = 0
 
-    def export(self, made: list[spans.Span]) -> None:
+    def export(self, finished_spans: list[spans.Span]) -> None:
         """Queues spans; drops them if the queue is full."""
-        for span in made:
+        for span in finished_spans:
             if len(self._queue) < _MAX_QUEUED_SPANS:
                 self._queue.append(span)
             else:
--- a/pollenthread/adapters/platform_metrics.py
+++ b/pollenthread/adapters/platform_metrics.py
@@ -27,29 +27,32 @@
 
     def observe(self, name: str, seconds: float) -> None:
         """Records a latency in seconds."""
-        found = self._histogram_by_name.get(name)
-        if found is None:
+        hdr_histogram = self._histogram_by_name.get(name)
+        if hdr_histogram is None:
             # pylint: disable-next=import-outside-toplevel
             from hdrh import histogram
-            found = histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
-            self._histogram_by_name[name] = found
-        found.record_value(min(max(1, round(seconds * _US_PER_S)), _MAX_US))
+            hdr_histogram = histogram.HdrHistogram(1, _MAX_US,
+                                                   _SIGNIFICANT_DIGITS)
+            self._histogram_by_name[name] = hdr_histogram
+        hdr_histogram.record_value(
+            min(max(1, round(seconds * _US_PER_S)), _MAX_US))
 
     def buckets(self, name: str) -> list[tuple[str, float]]:
         """Returns the upper bound (s) and cumulative count of each bucket."""
-        found = self._histogram_by_name[name]
+        hdr_histogram = self._histogram_by_name[name]
         counts = []
         for bound in _BUCKET_BOUNDS_S:
             below = sum(item.count_added_in_this_iter_step
-                        for item in found.get_recorded_iterator()
+                        for item in hdr_histogram.get_recorded_iterator()
                         if item.value_iterated_to <= bound * _US_PER_S)
             counts.append((str(bound), float(below)))
-        return [*counts, ('+Inf', float(found.total_count))]
+        return [*counts, ('+Inf', float(hdr_histogram.total_count))]
 
     def sum_s(self, name: str) -> float:
         """Returns the sum of the latencies of a name, in seconds."""
-        found = self._histogram_by_name[name]
-        return float(found.get_mean_value() * found.total_count / _US_PER_S)
+        hdr_histogram = self._histogram_by_name[name]
+        return float(hdr_histogram.get_mean_value() *
+                     hdr_histogram.total_count / _US_PER_S)
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -79,10 +82,10 @@
             def collect(self) -> Any:
                 yield from renderer.collect_families(core)
 
-        found = prometheus_client.CollectorRegistry()
-        found.register(_Collector())
+        collector_registry = prometheus_client.CollectorRegistry()
+        collector_registry.register(_Collector())
         return (prometheus_client.CONTENT_TYPE_LATEST,
-                prometheus_client.generate_latest(found))
+                prometheus_client.generate_latest(collector_registry))
 
     def collect_families(self, core: Any) -> Any:
         """Yields all metric families.
--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -186,10 +186,11 @@
     @pydantic.field_validator('operators')
     @classmethod
     def _check_distinct_operators(
-            cls, found: list[OperatorSettings]) -> list[OperatorSettings]:
-        targets_document.unique([operator.name for operator in found])
-        targets_document.unique([operator.key_sha256 for operator in found])
-        return found
+            cls, configured: list[OperatorSettings]) -> list[OperatorSettings]:
+        targets_document.unique([operator.name for operator in configured])
+        targets_document.unique(
+            [operator.key_sha256 for operator in configured])
+        return configured
 
     @property
     def key_ring(self) -> signing.KeyRing:
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/bookkeeping.py
@@ -72,7 +72,7 @@
                 admin_api.AdminApi(admin=self._administration,
                                    operator_list=self._operators),
             'metrics':
-                metrics.MetricsHandler(tally=self.tally,
+                metrics.MetricsHandler(request_counter=self.tally,
                                        latencies=self.latencies,
                                        gauges=self._all_gauges)
         }
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -112,14 +112,14 @@
                                         time=time,
                                         draw=draw)
         self._caller_handler = caller_http.GatewayHandler(
-            gate=self._gateway,
+            request_gateway=self._gateway,
             config=self._targets,
-            hosts=self._directory,
+            host_directory=self._directory,
             request_ids=ids.IdSource(host=self._config.host,
                                      incarnation=self._hello.incarnation),
             time=time,
-            tally=self._books.tally,
-            is_refusing=lambda: self._refusing,
+            request_counter=self._books.tally,
+            is_rejecting=lambda: self._refusing,
             observe_latency=self._books.latencies.observe,
             tracer=self._books.tracer)
 
