--- a/pollenthread/cli/admin_client.py
+++ b/pollenthread/cli/admin_client.py
@@ -31,14 +31,14 @@
     try:
         status, body = asyncio.run(_send(method, target, document))
     except (ConnectionError, TimeoutError) as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.UNAVAILABLE,
             f'{_ADMIN.value} does not answer: give the administration port of '
             f'another entry host with --admin ({error}).') from error
     answer = _parse(body)
     if status == 200:
         return answer
-    raise exit_codes.CommandFailed(exit_codes.code_for(answer.get('kind', '')),
+    raise exit_codes.CommandError(exit_codes.exit_code_for(answer.get('kind', '')),
                                    _sentence(answer, status))
 
 
@@ -56,7 +56,7 @@
     try:
         return json.loads(body)
     except ValueError as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.UNAVAILABLE,
             f'{_ADMIN.value} is not an administration port: '
             'its answer is not JSON.') from error
@@ -68,7 +68,7 @@
     try:
         return pathlib.Path(_KEY_FILE.value).read_text('ascii').strip()
     except (OSError, UnicodeDecodeError) as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.NOT_FOUND,
             f'The key cannot be read: {error}.') from error
 
--- a/pollenthread/cli/commands.py
+++ b/pollenthread/cli/commands.py
@@ -10,11 +10,11 @@
 
 from pollenthread.adapters import yaml_document
 from pollenthread.cli import (admin_client, exit_codes, report_html,
-                              report_view, tables)
+                              report_tables, text_tables)
 
 __all__ = [
     'config_diff', 'config_get', 'config_history', 'config_rollback',
-    'config_set', 'drain', 'report', 'show', 'status', 'trace', 'undrain'
+    'config_set', 'drain', 'report', 'write_result', 'status', 'trace', 'undrain'
 ]
 
 FORMAT = flags.DEFINE_enum('format', 'table', ['table', 'json', 'html'],
@@ -28,7 +28,7 @@
                               'File for the result; else standard output.')
 
 
-def show(text: str) -> None:
+def write_result(text: str) -> None:
     """Prints a result, or writes it to the file that --output names."""
     if _OUTPUT.value is None:
         print(text.rstrip('\n'))
@@ -36,14 +36,14 @@
     try:
         pathlib.Path(_OUTPUT.value).write_text(text, 'utf-8')
     except OSError as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.NOT_FOUND,
             f'The result cannot be written: {error}.') from error
     print(f'written: {_OUTPUT.value}')
 
 
 def _show_json(value: Any) -> None:
-    show(json.dumps(value, indent=2, ensure_ascii=False) + '\n')
+    write_result(json.dumps(value, indent=2, ensure_ascii=False) + '\n')
 
 
 def _is_json() -> bool:
@@ -58,12 +58,12 @@
         return
     upstreams = found.pop('upstreams', {})
     facts = [(name, _plain(value)) for name, value in found.items()]
-    text = tables.render('Entry host', ('what', 'value'), facts)
+    text = text_tables.format_table('Entry host', ('what', 'value'), facts)
     names = sorted({name for row in upstreams.values() for name in row})
     rows = [(host, *(_plain(row.get(name))
                      for name in names))
             for host, row in sorted(upstreams.items())]
-    show(text + '\n' + tables.render('Upstreams', ('host', *names), rows))
+    write_result(text + '\n' + text_tables.format_table('Upstreams', ('host', *names), rows))
 
 
 def _plain(value: Any) -> Any:
@@ -81,14 +81,14 @@
         _show_json(found)
         return
     text = yaml.safe_dump(found['document'], sort_keys=False)
-    show(f'# version {found["version"]}\n{text}')
+    write_result(f'# version {found["version"]}\n{text}')
 
 
 def _workspace(document: dict[str, Any], name: str) -> Any:
     try:
         return document['workspaces'][name]
     except KeyError as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.NOT_FOUND,
             f'There is no workspace {name} that your key may see.') from error
 
@@ -116,7 +116,7 @@
     if _is_json():
         _show_json(found)
     else:
-        show(f'version {found["version"]} is accepted')
+        write_result(f'version {found["version"]} is accepted')
 
 
 def config_history() -> None:
@@ -129,8 +129,8 @@
              change['path'], _plain(change['before']), _plain(change['after']))
             for entry in found
             for change in entry['changes']]
-    show(
-        tables.render('Changes',
+    write_result(
+        text_tables.format_table('Changes',
                       ('version', 'from', 'who', 'what', 'before', 'after'),
                       rows))
 
@@ -144,8 +144,8 @@
         return
     rows = [(change['path'], _plain(change['before']), _plain(change['after']))
             for change in found]
-    show(
-        tables.render(f'Version {low} to {high}', ('what', 'before', 'after'),
+    write_result(
+        text_tables.format_table(f'Version {low} to {high}', ('what', 'before', 'after'),
                       rows))
 
 
@@ -157,7 +157,7 @@
 
 def _number(text: str) -> int:
     if not text.isdecimal():
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE,
             f'{text} is no version: give a whole number from '
             '`pollenthread config history`.')
@@ -186,9 +186,9 @@
     if _is_json():
         _show_json(found)
     elif FORMAT.value == 'html':
-        show(report_html.to_html(found))
+        write_result(report_html.to_html(found))
     else:
-        show(report_view.to_text(found))
+        write_result(report_tables.to_text(found))
 
 
 def trace(trace_id: str) -> None:
@@ -199,7 +199,7 @@
         return
     rows = [(span['name'], span['began_ms'], span['took_ms'], span['host'],
              _plain(span['attributes'])) for span in found]
-    show(
-        tables.render(f'Trace {trace_id}',
+    write_result(
+        text_tables.format_table(f'Trace {trace_id}',
                       ('span', 'began ms', 'took ms', 'host', 'attributes'),
                       rows))
--- a/pollenthread/cli/exit_codes.py
+++ b/pollenthread/cli/exit_codes.py
@@ -4,7 +4,7 @@
 
 from pollenthread.core import errors
 
-__all__ = ['CommandFailed', 'ExitCode', 'code_for', 'table']
+__all__ = ['CommandError', 'ExitCode', 'exit_code_for', 'format_help']
 
 
 class ExitCode(enum.IntEnum):
@@ -44,23 +44,23 @@
 }
 
 
-class CommandFailed(Exception):
+class CommandError(Exception):
     """The command ends with one sentence on standard error."""
 
-    def __init__(self, code: ExitCode, sentence: str) -> None:
-        super().__init__(sentence)
+    def __init__(self, code: ExitCode, message: str) -> None:
+        super().__init__(message)
         self.code = code
 
 
-def code_for(kind: str) -> ExitCode:
+def exit_code_for(error_kind: str) -> ExitCode:
     """The exit status for a problem that the administration port names."""
     try:
-        return _CODE_BY_KIND.get(errors.Kind(kind), ExitCode.FAILED)
+        return _CODE_BY_KIND.get(errors.Kind(error_kind), ExitCode.FAILED)
     except ValueError:
         return ExitCode.FAILED
 
 
-def table() -> str:
+def format_help() -> str:
     """The exit statuses for the help text."""
     return '\n'.join(
         f'  {code.value}  {meaning}' for code, meaning in _MEANINGS.items())
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -11,7 +11,7 @@
 import pollenthread
 from pollenthread.adapters import settings
 from pollenthread.app import targets_document
-from pollenthread.cli import commands, exit_codes, explain
+from pollenthread.cli import commands, exit_codes, request_explanation
 from pollenthread.roles import agent, entry
 
 __all__ = ['run']
@@ -51,7 +51,7 @@
 
 
 def _explain(request_id: str) -> None:
-    found = explain.explain(request_id, sys.stdin)
+    found = request_explanation.explain_request(request_id, sys.stdin)
     for line in found.lines:
         print(line)
     print(found.verdict)
@@ -128,7 +128,7 @@
         _main(sys.argv)
     except targets_document.InvalidDocument as error:
         _exit(exit_codes.ExitCode.INVALID, str(error))
-    except exit_codes.CommandFailed as error:
+    except exit_codes.CommandError as error:
         _exit(error.code, str(error))
     except flags.Error as error:
         _exit(exit_codes.ExitCode.USAGE, f'{error}; see `pollenthread --help`.')
@@ -155,15 +155,15 @@
         print(_command_help(command) if command else _help())
         return
     if command is None:
-        raise exit_codes.CommandFailed(exit_codes.ExitCode.USAGE,
+        raise exit_codes.CommandError(exit_codes.ExitCode.USAGE,
                                        _not_understood(args))
     given = args[len(command.words):]
     if len(given) != len(command.arguments):
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE,
             f'Use it as `pollenthread {command.usage}`.')
     if commands.FORMAT.value not in command.formats:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE, f'`{" ".join(command.words)}` prints '
             f'{" or ".join(command.formats)}: change --format.')
     command.run(*given)
@@ -194,7 +194,7 @@
                          if c.words[0] in ('check', 'report', 'drain'))
     return (f'Usage: pollenthread COMMAND [FLAGS]\n\n{usages}\n\n'
             f'Flags:\n{_flags_help()}\n\nExamples:\n{examples}\n\n'
-            f'Exit status:\n{exit_codes.table()}\n\n'
+            f'Exit status:\n{exit_codes.format_help()}\n\n'
             '`pollenthread help COMMAND` says more about one command.')
 
 
@@ -204,7 +204,7 @@
     if len(command.formats) > 1:
         text += (f'\nFlags:\n{_flags_help()}\n\n'
                  f'--format takes {", ".join(command.formats)} here.\n')
-    return text + f'\nExit status:\n{exit_codes.table()}'
+    return text + f'\nExit status:\n{exit_codes.format_help()}'
 
 
 def _flags_help() -> str:
--- a/pollenthread/cli/platform_main.py
+++ b/pollenthread/cli/platform_main.py
@@ -26,6 +26,6 @@
         else:
             print(_USAGE, file=sys.stderr)
             sys.exit(_EXIT_USAGE)
-    except process_settings.InvalidSettings as error:
+    except process_settings.SettingsError as error:
         print(f'pollenthread: {error}', file=sys.stderr)
         sys.exit(_EXIT_INVALID)
--- a/pollenthread/cli/report_html.py
+++ b/pollenthread/cli/report_html.py
@@ -9,7 +9,7 @@
 import io
 from typing import Any
 
-from pollenthread.cli import report_view
+from pollenthread.cli import report_tables
 
 __all__ = ['to_html']
 
@@ -38,7 +38,7 @@
         f'<body><h1>{html.escape(head)}</h1>',
         _summary(report), *_plots(report)
     ]
-    parts += [_table(section) for section in report_view.sections(report)]
+    parts += [_table(section) for section in report_tables.build_sections(report)]
     parts.append('</body></html>\n')
     return '\n'.join(parts)
 
@@ -54,11 +54,11 @@
     return text
 
 
-def _table(section: report_view.Section) -> str:
+def _table(section: report_tables.ReportSection) -> str:
     title = f'<h2>{html.escape(section.title)}</h2>'
     if not section.rows:
         return f'{title}<p>None.</p>'
-    heads = ''.join(f'<th>{html.escape(head)}</th>' for head in section.heads)
+    heads = ''.join(f'<th>{html.escape(head)}</th>' for head in section.headings)
     rows = ''.join(f'<tr>{"".join(_cell(value) for value in row)}</tr>\n'
                    for row in section.rows)
     return f'{title}<table><tr>{heads}</tr>\n{rows}</table>'
--- a/pollenthread/cli/report_view.py
+++ b/pollenthread/cli/report_tables.py
@@ -4,29 +4,29 @@
 import datetime
 from typing import Any
 
-from pollenthread.cli import tables
+from pollenthread.cli import text_tables
 
-__all__ = ['Section', 'sections', 'to_text']
+__all__ = ['ReportSection', 'build_sections', 'to_text']
 
 _OUTCOMES = ('in_time', 'late', 'refused_not_run', 'failed', 'outcome_unknown')
 
 
 @dataclasses.dataclass(frozen=True)
-class Section:
+class ReportSection:
     """One table of the report."""
 
     title: str
-    heads: tuple[str, ...]
+    headings: tuple[str, ...]
     rows: list[tuple[Any, ...]]
 
 
-def sections(report: dict[str, Any]) -> list[Section]:
+def build_sections(report: dict[str, Any]) -> list[ReportSection]:
     """The tables of a report, operators' first."""
     return [
         _outcomes(report),
         _retries(report),
         _at_most_once(report),
-        Section('Orders', ('kind', 'state', 'count'),
+        ReportSection('Orders', ('kind', 'state', 'count'),
                 [(line['kind'], line['state'], line['count'])
                  for line in report['orders']]),
         _skew(report),
@@ -41,13 +41,13 @@
             f'{report["hosts"]} starts of entry hosts, targets version '
             f'{report["targets_version"]}.\n')
     parts = [
-        tables.render(section.title, section.heads, section.rows)
-        for section in sections(report)
+        text_tables.format_table(section.title, section.headings, section.rows)
+        for section in build_sections(report)
     ]
     return head + '\n' + '\n'.join(parts)
 
 
-def _outcomes(report: dict[str, Any]) -> Section:
+def _outcomes(report: dict[str, Any]) -> ReportSection:
     rows = [(line['workspace'], line['class'], _target(line['target']),
              line['accepted'], *(line[name]
                                  for name in _OUTCOMES), line['open'],
@@ -56,15 +56,15 @@
     total = report['total']
     rows.append(('total', '', '', total['accepted'],
                  *(total[name] for name in _OUTCOMES), total['open'], ''))
-    return Section(
+    return ReportSection(
         'For operators: was every request answered in time?',
         ('workspace', 'class', 'target', 'accepted', 'in time', 'late',
          'refused, not run', 'failed', 'outcome unknown', 'open', 'in time %'),
         rows)
 
 
-def _retries(report: dict[str, Any]) -> Section:
-    return Section(
+def _retries(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For operators: retries used against the limit',
         ('workspace', 'class', 'limit each', 'retries', 'allowed', 'used %'),
         [(line['workspace'], line['class'], line['target']['retries'],
@@ -72,8 +72,8 @@
           _percent(line['retries_share'])) for line in report['classes']])
 
 
-def _at_most_once(report: dict[str, Any]) -> Section:
-    return Section(
+def _at_most_once(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For operators: requests that may not be repeated',
         ('workspace', 'class', 'whole answers', 'from a kept outcome',
          'refused, not run', 'outcome unknown', 'of these lost with a host'),
@@ -84,16 +84,16 @@
          if line['at_most_once']])
 
 
-def _skew(report: dict[str, Any]) -> Section:
-    return Section(
+def _skew(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For payers: how even were the ranks?',
         ('day', 'group', 'steps', 'mean skew', 'skew of 99 in 100 at most'),
         [(row['day'], row['group'], row['steps'], row['skew_mean'],
           row['skew_p99_at_most']) for row in report['costs']])
 
 
-def _costs(report: dict[str, Any]) -> Section:
-    return Section(
+def _costs(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For payers: what did keeping the load even cost, and save?',
         ('day', 'group', 'experts moved', 'moved back', 'MB reloaded',
          'steps lost', 'capacity-s lost', 'capacity-s saved', 'net'),
@@ -103,8 +103,8 @@
           row['net_s']) for row in report['costs']])
 
 
-def _gaps(report: dict[str, Any]) -> Section:
-    return Section('Gaps: times that the figures above leave out',
+def _gaps(report: dict[str, Any]) -> ReportSection:
+    return ReportSection('Gaps: times that the figures above leave out',
                    ('host', 'from', 'until', 'why'),
                    [(gap['host'], _moment(
                        gap['began_s']), _moment(gap['ended_s']), gap['reason'])
--- a/pollenthread/cli/explain.py
+++ b/pollenthread/cli/request_explanation.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-__all__ = ['Explanation', 'explain']
+__all__ = ['Explanation', 'explain_request']
 
 _ENDS = ('request_answered', 'request_refused', 'request_failed', 'caller_left')
 _KEYS_NOT_SHOWN = ('t', 'host', 'event', 'id')
@@ -24,14 +24,14 @@
     verdict: str
 
 
-def explain(request_id: str, log: Iterable[str]) -> Explanation:
+def explain_request(request_id: str, log_lines: Iterable[str]) -> Explanation:
     """Gathers what all processes said of a request.
 
     Args:
         request_id: the request's id.
         log: lines of any processes' logs; what is not JSON is passed over.
     """
-    found = [event for line in log if (event := _parse(line, request_id))]
+    found = [event for line in log_lines if (event := _parse(line, request_id))]
     return Explanation(lines=tuple(_shown(event) for event in found),
                        verdict=_verdict(found))
 
--- a/pollenthread/cli/tables.py
+++ b/pollenthread/cli/text_tables.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-__all__ = ['render']
+__all__ = ['format_table']
 
 
-def render(title: str, heads: Sequence[str],
+def format_table(title: str, headings: Sequence[str],
            rows: Sequence[Sequence[Any]]) -> str:
     """A title and aligned columns; numbers to the right."""
     if not rows:
@@ -15,14 +15,14 @@
     widths = [
         max(len(head), *(len(row[i])
                          for row in cells))
-        for i, head in enumerate(heads)
+        for i, head in enumerate(headings)
     ]
     is_number = [
         all(isinstance(row[i], int | float | None)
             for row in rows)
-        for i in range(len(heads))
+        for i in range(len(headings))
     ]
-    lines = [title, _line(heads, widths, is_number)]
+    lines = [title, _line(headings, widths, is_number)]
     lines.append('  ' + '  '.join('-' * width for width in widths))
     lines += [_line(row, widths, is_number) for row in cells]
     return '\n'.join(lines) + '\n'
--- a/pollenthread/platform/caller_border.py
+++ b/pollenthread/platform/caller_codec.py
@@ -5,10 +5,10 @@
 
 from pollenthread.adapters import http_message
 from pollenthread.core import caller_request, errors, http_headers
-from pollenthread.platform import names
+from pollenthread.platform import wire_names
 from pollenthread.ports import reply
 
-__all__ = ['HttpReply', 'decode']
+__all__ = ['HttpCallerResponse', 'decode_request']
 
 _MS_PER_S = 1000.0
 _SCHEME = 'bearer '
@@ -16,21 +16,21 @@
 _NOT_PASSED_ON = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
     'transfer-encoding', 'upgrade', 'content-length', 'expect', 'host',
-    names.Header.AUTHORIZATION, names.Header.DEADLINE_MS,
-    names.Header.TARGET_SERVER, names.Header.WORKSPACE,
-    names.Header.LAST_EVENT_ID, names.Header.URGENCY
+    wire_names.HeaderName.AUTHORIZATION, wire_names.HeaderName.DEADLINE_MS,
+    wire_names.HeaderName.TARGET_SERVER, wire_names.HeaderName.WORKSPACE,
+    wire_names.HeaderName.LAST_EVENT_ID, wire_names.HeaderName.PRIORITY
 })
 
 
-def decode(request: http_message.Request) -> caller_request.CallerRequest:
+def decode_request(request: http_message.Request) -> caller_request.CallerRequest:
     """Decodes a request; what is malformed counts as not given."""
     named = set()
     for part in (request.header('connection') or '').split(','):
         named.add(part.strip().lower())
     host = request.header('host') or ''
-    prompt_tokens, output_tokens = _tokens(request.header(names.Header.TOKENS))
+    prompt_tokens, output_tokens = _tokens(request.header(wire_names.HeaderName.TOKEN_COUNT))
     return caller_request.CallerRequest(
-        id=request.header(names.Header.REQUEST_ID) or '',
+        id=request.header(wire_names.HeaderName.REQUEST_ID) or '',
         method=request.method,
         target=request.target,
         host=host.partition(':')[0].lower(),
@@ -38,12 +38,12 @@
                       for name, value in request.headers
                       if name not in _NOT_PASSED_ON and name not in named),
         body=request.body,
-        key=_key(request.header(names.Header.AUTHORIZATION)),
-        patience_s=_seconds(request.header(names.Header.DEADLINE_MS)),
-        last_event_id=request.header(names.Header.LAST_EVENT_ID),
+        key=_key(request.header(wire_names.HeaderName.AUTHORIZATION)),
+        patience_s=_seconds(request.header(wire_names.HeaderName.DEADLINE_MS)),
+        last_event_id=request.header(wire_names.HeaderName.LAST_EVENT_ID),
         prompt_tokens=prompt_tokens,
         max_output_tokens=output_tokens,
-        prompt_parts=_parts(request.header(names.Header.PROMPT_PARTS)),
+        prompt_parts=_parts(request.header(wire_names.HeaderName.PROMPT_PREFIX)),
         received_at=asyncio.get_running_loop().time())
 
 
@@ -76,7 +76,7 @@
     return tuple(parts)
 
 
-class HttpReply(reply.Reply):
+class HttpCallerResponse(reply.Reply):
     """Writes to a caller's HTTP connection."""
 
     def __init__(self, *, response: http_message.Response,
@@ -91,7 +91,7 @@
     async def refuse(self, failure: errors.Failure) -> None:
         headers = []
         if self._request_id:
-            headers.append((names.Header.REQUEST_ID, self._request_id))
+            headers.append((wire_names.HeaderName.REQUEST_ID, self._request_id))
         await self._response.send_problem(failure, headers)
 
     async def send_whole(self, status: int,
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -5,16 +5,16 @@
 import result
 
 from pollenthread.core import routing_config
-from pollenthread.platform import fields, names
+from pollenthread.platform import field_reader, wire_names
 
-__all__ = ['InvalidConfig', 'decode', 'decode_result']
+__all__ = ['ConfigDocumentError', 'decode', 'try_decode']
 
 _MS_PER_S = 1000.0
 _BITS_PER_BYTE = 8
 _MEGA = 1_000_000.0
 
 
-class InvalidConfig(ValueError):
+class ConfigDocumentError(ValueError):
     """The document is not a configuration."""
 
 
@@ -25,60 +25,60 @@
         InvalidConfig: it is not JSON or lacks what a configuration needs.
     """
     try:
-        return _config(fields.Fields(json.loads(data)))
+        return _config(field_reader.FieldReader(json.loads(data)))
     except (ValueError, KeyError, RecursionError) as error:
-        raise InvalidConfig(str(error)) from error
+        raise ConfigDocumentError(str(error)) from error
 
 
-def decode_result(
+def try_decode(
         data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
     """Decodes a whole document, or says what is wrong with it."""
     try:
         return result.Ok(decode(data))
-    except InvalidConfig as error:
+    except ConfigDocumentError as error:
         return result.Err(str(error))
 
 
-def _config(document: fields.Fields) -> routing_config.RoutingConfig:
+def _config(document: field_reader.FieldReader) -> routing_config.RoutingConfig:
     services = map(_service, _required(document, 'services'))
     return routing_config.RoutingConfig(
-        version=document.whole('version'),
+        version=document.get_int('version'),
         routes_by_host=_by_host(
             [_route(found) for found in _required(document, 'routes')]),
         services_by_name={service.name: service for service in services},
-        limits=_limits(document.fields('limits')),
+        limits=_limits(document.get_object('limits')),
         workspaces_by_key=_workspaces(document))
 
 
-def _required(document: fields.Fields, name: str) -> list[fields.Fields]:
+def _required(document: field_reader.FieldReader, name: str) -> list[field_reader.FieldReader]:
     if not document.has(name):
-        raise fields.InvalidField(f'{name} is missing')
-    return document.each(name)
+        raise field_reader.FieldError(f'{name} is missing')
+    return document.get_objects(name)
 
 
-def _route(found: fields.Fields) -> routing_config.Route:
+def _route(found: field_reader.FieldReader) -> routing_config.Route:
     return routing_config.Route(
-        name=found.text('name', ''),
-        host=found.text('host'),
-        path_prefix=found.text('path_prefix'),
-        kind=names.KIND_WORDS[found.text('kind')],
-        timeout_s=found.number('timeout_ms') / _MS_PER_S,
-        target_s=found.number('target_latency_ms', 1000.0) / _MS_PER_S,
-        priority=found.whole('priority', 0),
+        name=found.get_str('name', ''),
+        host=found.get_str('host'),
+        path_prefix=found.get_str('path_prefix'),
+        kind=wire_names.REQUEST_KIND_BY_NAME[found.get_str('kind')],
+        timeout_s=found.get_float('timeout_ms') / _MS_PER_S,
+        target_s=found.get_float('target_latency_ms', 1000.0) / _MS_PER_S,
+        priority=found.get_int('priority', 0),
         shares=_shares(found),
-        max_attempts=max(1, found.whole('max_attempts', 1)),
-        is_public=found.flag('public', False),
-        is_resumable=found.flag('can_resume', False),
-        max_gap_s=found.number('gap_aim_ms', 0.0) / _MS_PER_S)
+        max_attempts=max(1, found.get_int('max_attempts', 1)),
+        is_public=found.get_bool('public', False),
+        is_resumable=found.get_bool('can_resume', False),
+        max_gap_s=found.get_float('gap_aim_ms', 0.0) / _MS_PER_S)
 
 
-def _shares(route: fields.Fields) -> tuple[routing_config.ServiceShare, ...]:
-    parts = route.each('traffic_split')
+def _shares(route: field_reader.FieldReader) -> tuple[routing_config.ServiceShare, ...]:
+    parts = route.get_objects('traffic_split')
     if not parts:
-        only = routing_config.ServiceShare(route.text('service', ''), 1.0)
+        only = routing_config.ServiceShare(route.get_str('service', ''), 1.0)
         return (only,)
-    shares = (routing_config.ServiceShare(part.text('service'),
-                                          part.number('weight', 1.0))
+    shares = (routing_config.ServiceShare(part.get_str('service'),
+                                          part.get_float('weight', 1.0))
               for part in parts)
     return tuple(share for share in shares if share.weight > 0)
 
@@ -95,60 +95,60 @@
     }
 
 
-def _service(found: fields.Fields) -> routing_config.Service:
-    engine = _engine(found.fields('engine')) if found.has('engine') else None
-    return routing_config.Service(name=found.text('name'),
-                                  health_path=found.text('health_path', '/'),
-                                  max_connections=found.whole(
+def _service(found: field_reader.FieldReader) -> routing_config.Service:
+    engine = _engine(found.get_object('engine')) if found.has('engine') else None
+    return routing_config.Service(name=found.get_str('name'),
+                                  health_path=found.get_str('health_path', '/'),
+                                  max_connections=found.get_int(
                                       'max_connections', 100),
                                   engine=engine)
 
 
-def _engine(found: fields.Fields) -> routing_config.EngineFigures:
-    usual = found.fields('usual')
+def _engine(found: field_reader.FieldReader) -> routing_config.EngineFigures:
+    usual = found.get_object('usual')
     return routing_config.EngineFigures(
-        slots=found.whole('slots', 1),
-        kv_tokens=found.whole('kv_capacity_tokens', 0),
-        step_s=found.number('step_ms', 0.0) / _MS_PER_S,
-        per_sequence_s=found.number('per_seq_ms', 0.0) / _MS_PER_S,
+        slots=found.get_int('slots', 1),
+        kv_tokens=found.get_int('kv_capacity_tokens', 0),
+        step_s=found.get_float('step_ms', 0.0) / _MS_PER_S,
+        per_sequence_s=found.get_float('per_seq_ms', 0.0) / _MS_PER_S,
         # Milliseconds for each 1,000 tokens of context.
-        per_context_token_s=found.number('context_per_k', 0.0) / 1000 /
+        per_context_token_s=found.get_float('context_per_k', 0.0) / 1000 /
         _MS_PER_S,
         # Prompt tokens in a second.
-        prompt_tokens_per_s=found.number('read_per_s', 0.0),
+        prompt_tokens_per_s=found.get_float('read_per_s', 0.0),
         # Milliseconds for each million pairs of tokens.
-        per_pair_s=found.number('pairs_per_m', 0.0) / _MEGA / _MS_PER_S,
-        chunk_tokens=found.whole('chunk', 0),
-        steps_per_pass=found.whole('stride', 1),
-        usual_prompt_tokens=usual.number('prompt', 500.0),
-        usual_answer_tokens=usual.number('answer', 100.0),
-        link_bytes_per_s=found.number('link_mbps', 0.0) * _MEGA /
+        per_pair_s=found.get_float('pairs_per_m', 0.0) / _MEGA / _MS_PER_S,
+        chunk_tokens=found.get_int('chunk', 0),
+        steps_per_pass=found.get_int('stride', 1),
+        usual_prompt_tokens=usual.get_float('prompt', 500.0),
+        usual_answer_tokens=usual.get_float('answer', 100.0),
+        link_bytes_per_s=found.get_float('link_mbps', 0.0) * _MEGA /
         _BITS_PER_BYTE,
-        sets=found.whole('sets', 0),
-        experts=found.whole('experts', 0),
-        places=found.whole('places', 0),
-        spare=found.whole('spare', 0),
-        expert_bytes=found.number('expert_mb', 0.0) * _MEGA,
-        expert_share=found.number('expert_share', 0.0))
+        sets=found.get_int('sets', 0),
+        experts=found.get_int('experts', 0),
+        places=found.get_int('places', 0),
+        spare=found.get_int('spare', 0),
+        expert_bytes=found.get_float('expert_mb', 0.0) * _MEGA,
+        expert_share=found.get_float('expert_share', 0.0))
 
 
-def _limits(found: fields.Fields) -> routing_config.CallerLimits:
+def _limits(found: field_reader.FieldReader) -> routing_config.CallerLimits:
     return routing_config.CallerLimits(
-        max_header_bytes=found.whole('max_header_bytes', 16_384),
-        max_body_bytes=found.whole('max_body_bytes', 4_194_304),
-        header_timeout_s=found.number('header_timeout_ms', 3_000.0) / _MS_PER_S,
-        idle_timeout_s=found.number('idle_timeout_ms', 15_000.0) / _MS_PER_S)
+        max_header_bytes=found.get_int('max_header_bytes', 16_384),
+        max_body_bytes=found.get_int('max_body_bytes', 4_194_304),
+        header_timeout_s=found.get_float('header_timeout_ms', 3_000.0) / _MS_PER_S,
+        idle_timeout_s=found.get_float('idle_timeout_ms', 15_000.0) / _MS_PER_S)
 
 
 def _workspaces(
-        document: fields.Fields) -> dict[str, routing_config.Workspace] | None:
+        document: field_reader.FieldReader) -> dict[str, routing_config.Workspace] | None:
     if not document.has('tenants'):
         return None
     workspaces = {}
-    for tenant in document.each('tenants'):
-        priority = (tenant.whole('priority')
+    for tenant in document.get_objects('tenants'):
+        priority = (tenant.get_int('priority')
                     if tenant.has('priority') else None)
-        workspace = routing_config.Workspace(tenant.text('name'), priority)
-        for key in tenant.texts('api_keys'):
+        workspace = routing_config.Workspace(tenant.get_str('name'), priority)
+        for key in tenant.get_strs('api_keys'):
             workspaces[key] = workspace
     return workspaces
--- a/pollenthread/platform/fields.py
+++ b/pollenthread/platform/field_reader.py
@@ -8,14 +8,14 @@
 from collections.abc import Mapping
 from typing import Any, Self
 
-__all__ = ['Fields', 'InvalidField']
+__all__ = ['FieldReader', 'FieldError']
 
 
-class InvalidField(ValueError):
+class FieldError(ValueError):
     """A field is missing or holds something else than it should."""
 
 
-class Fields:
+class FieldReader:
     """One object with named fields; those it does not know are ignored."""
 
     def __init__(self, found: Any, *, place: str = '') -> None:
@@ -29,7 +29,7 @@
             InvalidField: it is no object.
         """
         if not isinstance(found, Mapping):
-            raise InvalidField(f'{place or "the document"} is no object')
+            raise FieldError(f'{place or "the document"} is no object')
         self._found = found
         self._place = place
 
@@ -45,10 +45,10 @@
         if value is not None:
             return value
         if default is None:
-            raise InvalidField(f'{self._path(name)} is missing')
+            raise FieldError(f'{self._path(name)} is missing')
         return default
 
-    def text(self, name: str, default: str | None = None) -> str:
+    def get_str(self, name: str, default: str | None = None) -> str:
         """A text; a field without a default must be there.
 
         Raises:
@@ -56,7 +56,7 @@
         """
         return self._check(name, self._get(name, default), str, 'text')
 
-    def number(self, name: str, default: float | None = None) -> float:
+    def get_float(self, name: str, default: float | None = None) -> float:
         """A finite number.
 
         Raises:
@@ -65,10 +65,10 @@
         value = self._get(name, default)
         if (isinstance(value, bool) or not isinstance(value, (int, float)) or
                 not math.isfinite(value)):
-            raise InvalidField(f'{self._path(name)} is no number: {value!r}')
+            raise FieldError(f'{self._path(name)} is no number: {value!r}')
         return float(value)
 
-    def whole(self, name: str, default: int | None = None) -> int:
+    def get_int(self, name: str, default: int | None = None) -> int:
         """A whole number.
 
         Raises:
@@ -76,11 +76,11 @@
         """
         value = self._get(name, default)
         if not _is_whole(value):
-            raise InvalidField(
+            raise FieldError(
                 f'{self._path(name)} is no whole number: {value!r}')
         return int(value)
 
-    def flag(self, name: str, default: bool) -> bool:
+    def get_bool(self, name: str, default: bool) -> bool:
         """True or false.
 
         Raises:
@@ -88,7 +88,7 @@
         """
         return self._check(name, self._get(name, default), bool, 'flag')
 
-    def fields(self, name: str) -> Self:
+    def get_object(self, name: str) -> Self:
         """An object; without fields where it is left out.
 
         Raises:
@@ -96,7 +96,7 @@
         """
         return type(self)(self._get(name, {}), place=self._path(name))
 
-    def each(self, name: str) -> list[Self]:
+    def get_objects(self, name: str) -> list[Self]:
         """A list of objects; empty where it is left out.
 
         Raises:
@@ -108,7 +108,7 @@
             for index, value in enumerate(found)
         ]
 
-    def texts(self, name: str) -> tuple[str, ...]:
+    def get_strs(self, name: str) -> tuple[str, ...]:
         """A list of texts; empty where it is left out.
 
         Raises:
@@ -119,7 +119,7 @@
             self._check(f'{name}[{index}]', value, str, 'text')
             for index, value in enumerate(found))
 
-    def wholes(self, name: str, *, count: int) -> tuple[int, ...]:
+    def get_ints(self, name: str, *, count: int) -> tuple[int, ...]:
         """A list of so many whole numbers.
 
         Raises:
@@ -127,11 +127,11 @@
         """
         found = self._check(name, self._get(name, None), list, 'list')
         if len(found) != count or not all(map(_is_whole, found)):
-            raise InvalidField(
+            raise FieldError(
                 f'{self._path(name)} is not {count} whole numbers: {found!r}')
         return tuple(int(value) for value in found)
 
-    def text_by_name(self, name: str) -> dict[str, str]:
+    def get_str_by_name(self, name: str) -> dict[str, str]:
         """An object whose fields are texts; empty where it is left out.
 
         Raises:
@@ -145,7 +145,7 @@
 
     def _check(self, name: str, value: Any, kind: Any, word: str) -> Any:
         if not isinstance(value, kind):
-            raise InvalidField(f'{self._path(name)} is no {word}: {value!r}')
+            raise FieldError(f'{self._path(name)} is no {word}: {value!r}')
         return value
 
 
--- a/pollenthread/platform/process_settings.py
+++ b/pollenthread/platform/process_settings.py
@@ -5,9 +5,9 @@
 import pathlib
 import tomllib
 
-from pollenthread.platform import fields
+from pollenthread.platform import field_reader
 
-__all__ = ['InvalidSettings', 'ProcessSettings', 'load']
+__all__ = ['SettingsError', 'ProcessSettings', 'load']
 
 _PATH_VARIABLE = 'POLLENTHREAD_CONFIG'
 _DEFAULT_PATH = '/etc/pollenthread/settings.toml'
@@ -16,7 +16,7 @@
 _BYTES_PER_MEGABIT = 125_000.0
 
 
-class InvalidSettings(ValueError):
+class SettingsError(ValueError):
     """The settings file cannot be used."""
 
 
@@ -84,43 +84,43 @@
     if path is None:
         path = pathlib.Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
     try:
-        return _settings(fields.Fields(tomllib.loads(path.read_text('utf-8'))))
+        return _settings(field_reader.FieldReader(tomllib.loads(path.read_text('utf-8'))))
     except (OSError, ValueError) as error:
-        raise InvalidSettings(f'{path}: {error}') from error
+        raise SettingsError(f'{path}: {error}') from error
 
 
-def _settings(found: fields.Fields) -> ProcessSettings:
-    bounds = found.fields('bounds')
-    listen = found.fields('listen')
+def _settings(found: field_reader.FieldReader) -> ProcessSettings:
+    bounds = found.get_object('bounds')
+    listen = found.get_object('listen')
     return ProcessSettings(
-        host=found.text('node_name'),
-        ip=found.text('ip'),
-        data_centre=found.text('zone'),
-        region=found.text('region', ''),
-        region_by_data_centre=found.text_by_name('zones'),
+        host=found.get_str('node_name'),
+        ip=found.get_str('ip'),
+        data_centre=found.get_str('zone'),
+        region=found.get_str('region', ''),
+        region_by_data_centre=found.get_str_by_name('zones'),
         peer_ports=_ports(found),
-        seeds=found.texts('seeds'),
-        caller_address=listen.text('front', ''),
-        ready_address=listen.text('ready', ''),
-        directory_address=listen.text('directory', ''),
-        control_address=listen.text('control', ''),
+        seeds=found.get_strs('seeds'),
+        caller_address=listen.get_str('front', ''),
+        ready_address=listen.get_str('ready', ''),
+        directory_address=listen.get_str('directory', ''),
+        control_address=listen.get_str('control', ''),
         # The address of the model server on the same host.
-        engine_address=found.text('app', ''),
-        engine_service=found.text('service', ''),
-        store_address=found.fields('platform').text('address'),
-        drain_s=bounds.number('drain_ms', 2000.0) / _MS_PER_S,
-        grace_s=bounds.number('grace_s', 8.0),
-        config_s=bounds.number('config_ms', 2000.0) / _MS_PER_S,
-        max_ttl_s=bounds.number('ttl_max_s', 5.0),
-        retry_ratio=bounds.number('budget_ratio', 0.2),
-        retry_window_s=bounds.number('budget_window_s', 10.0),
+        engine_address=found.get_str('app', ''),
+        engine_service=found.get_str('service', ''),
+        store_address=found.get_object('platform').get_str('address'),
+        drain_s=bounds.get_float('drain_ms', 2000.0) / _MS_PER_S,
+        grace_s=bounds.get_float('grace_s', 8.0),
+        config_s=bounds.get_float('config_ms', 2000.0) / _MS_PER_S,
+        max_ttl_s=bounds.get_float('ttl_max_s', 5.0),
+        retry_ratio=bounds.get_float('budget_ratio', 0.2),
+        retry_window_s=bounds.get_float('budget_window_s', 10.0),
         # Repeats beyond the ratio, in one window, by all hosts together.
-        retry_extra=bounds.number('budget_extra_tries', 0.0),
-        stall_s=bounds.number('stall_ms', 1500.0) / _MS_PER_S,
-        link_bytes_per_s=found.fields('limits').number(
+        retry_extra=bounds.get_float('budget_extra_tries', 0.0),
+        stall_s=bounds.get_float('stall_ms', 1500.0) / _MS_PER_S,
+        link_bytes_per_s=found.get_object('limits').get_float(
             'link_mbps', _DEFAULT_LINK_MBPS) * _BYTES_PER_MEGABIT)
 
 
-def _ports(found: fields.Fields) -> tuple[int, int]:
-    first, last = found.wholes('internal_ports', count=2)
+def _ports(found: field_reader.FieldReader) -> tuple[int, int]:
+    first, last = found.get_ints('internal_ports', count=2)
     return first, last
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -6,7 +6,7 @@
 
 from pollenthread.adapters import http_client
 from pollenthread.core import peer_messages
-from pollenthread.platform import names
+from pollenthread.platform import wire_names
 from pollenthread.ports import rank_server
 
 __all__ = ['HttpRankServer']
@@ -26,14 +26,14 @@
         self._address = address
 
     async def report(self) -> rank_server.RankReport:
-        _, found = await self._call('GET', names.Path.REPORT)
+        _, found = await self._call('GET', wire_names.UrlPath.RANK_STATUS)
         try:
             return _report(found)
         except _MALFORMED as error:
             raise rank_server.RankSilent(repr(error)) from error
 
     async def counts(self) -> rank_server.RankCounts:
-        _, found = await self._call('GET', names.Path.EXPERT_COUNTS)
+        _, found = await self._call('GET', wire_names.UrlPath.EXPERT_COUNTS)
         try:
             return rank_server.RankCounts(step=int(found['step']),
                                           epoch=int(found['epoch']),
@@ -44,7 +44,7 @@
 
     async def layout(self) -> peer_messages.RankLayout:
         _, found = await self._call('GET',
-                                    f'{names.Path.EXPERT_COUNTS}?lists=1')
+                                    f'{wire_names.UrlPath.EXPERT_COUNTS}?lists=1')
         try:
             return peer_messages.RankLayout(
                 epoch=int(found['epoch']),
@@ -70,7 +70,7 @@
                           peer_messages.OrderKind.GO):
             body['step'] = order.step
         status, _ = await self._call(
-            'POST', names.Path.ORDER,
+            'POST', wire_names.UrlPath.RANK_ORDER,
             json.dumps(body, separators=_COMPACT).encode())
         return status
 
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -12,7 +12,7 @@
 import result
 
 from pollenthread.adapters import http_client
-from pollenthread.platform import names
+from pollenthread.platform import wire_names
 from pollenthread.ports import row_store
 
 __all__ = ['HttpRowStore']
@@ -59,7 +59,7 @@
             query = {'table': table, 'part': ''}
             if start:
                 query['from'] = start
-            answer = await self._get(names.Path.READ, query, 0.0)
+            answer = await self._get(wire_names.UrlPath.READ_ROWS, query, 0.0)
             if isinstance(answer, result.Err):
                 return result.Err(answer.err_value)
             page = answer.ok_value
@@ -77,7 +77,7 @@
             'after': str(after),
             'wait_ms': str(round(wait_s * 1000))
         }
-        answer = await self._get(names.Path.WATCH, query, wait_s)
+        answer = await self._get(wire_names.UrlPath.WATCH_ROWS, query, wait_s)
         return answer.map(
             lambda page: row_store.Changes(page.changes, page.version))
 
@@ -85,7 +85,7 @@
         self, writes: Sequence[row_store.RowWrite]
     ) -> result.Result[int, row_store.StoreFault]:
         body = json.dumps(_transaction(writes)).encode()
-        answer = await self._call('POST', names.Path.COMMIT, body, 0.0)
+        answer = await self._call('POST', wire_names.UrlPath.WRITE_ROWS, body, 0.0)
         return answer.map(lambda page: page.version)
 
     async def _get(self, path: str, query: dict[str, str],
--- a/pollenthread/platform/server_entry.py
+++ b/pollenthread/platform/server_row.py
@@ -5,7 +5,7 @@
 import result
 
 from pollenthread.core import fleet
-from pollenthread.platform import fields, names
+from pollenthread.platform import field_reader, wire_names
 
 __all__ = ['decode']
 
@@ -17,18 +17,18 @@
         The server, or why the entry names none.
     """
     try:
-        entry = fields.Fields(json.loads(data))
-        address = entry.text('address')
+        entry = field_reader.FieldReader(json.loads(data))
+        address = entry.get_str('address')
         host, _, port = address.rpartition(':')
         if not host or not 0 < int(port) < 65536:
             return result.Err(f'address {address!r}')
         return result.Ok(
             fleet.Server(id=server_id,
-                         service=entry.text('service'),
+                         service=entry.get_str('service'),
                          address=address,
-                         data_centre=entry.text('zone'),
-                         slots=max(1, entry.whole('slots', 1)),
-                         state=names.STATE_WORDS[entry.text('state')],
-                         born_ms=entry.whole('born', 0)))
+                         data_centre=entry.get_str('zone'),
+                         slots=max(1, entry.get_int('slots', 1)),
+                         state=wire_names.SERVER_STATE_BY_NAME[entry.get_str('state')],
+                         born_ms=entry.get_int('born', 0)))
     except (ValueError, KeyError, RecursionError) as error:
         return result.Err(str(error))
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -5,10 +5,10 @@
 
 from pollenthread.adapters import http_client
 from pollenthread.core import http_headers
-from pollenthread.platform import names
+from pollenthread.platform import wire_names
 from pollenthread.ports import upstream
 
-__all__ = ['HttpUpstream']
+__all__ = ['HttpUpstreamClient']
 
 _MS_PER_S = 1000
 _MAX_STALE_ANSWERS = 4
@@ -17,16 +17,16 @@
 # Headers that concern one connection, or that the product writes anew.
 _NOT_PASSED_ON = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
-    'transfer-encoding', 'upgrade', 'content-length', names.Header.NOT_RUN
+    'transfer-encoding', 'upgrade', 'content-length', wire_names.HeaderName.NOT_EXECUTED
 })
 
 
-class HttpUpstream(upstream.Upstream):
+class HttpUpstreamClient(upstream.Upstream):
     """Sends requests over kept connections."""
 
     def __init__(self, *, client: http_client.HttpClient) -> None:
         self._client = client
-        self.stale_answers = 0
+        self.stale_responses = 0
 
     # A decorated generator is the context manager that the port asks for.
     @contextlib.asynccontextmanager
@@ -51,10 +51,10 @@
                           request_id: str) -> None:
         """Reads on to the answer that bears this request's id."""
         for _ in range(_MAX_STALE_ANSWERS):
-            echoed = exchange.header(names.Header.REQUEST_ID)
+            echoed = exchange.header(wire_names.HeaderName.REQUEST_ID)
             if echoed is None or echoed == request_id:
                 return
-            self.stale_answers += 1
+            self.stale_responses += 1
             await exchange.skip()
         raise ConnectionError('only answers to other requests came')
 
@@ -63,13 +63,13 @@
     request = attempt.request
     time_left_ms = max(1, int(attempt.time_left_s * _MS_PER_S))
     headers = [('host', request.host), *request.headers,
-               (names.Header.DEADLINE_MS, str(time_left_ms)),
-               (names.Header.TARGET_SERVER, attempt.server.id),
-               (names.Header.URGENCY, str(attempt.urgency))]
+               (wire_names.HeaderName.DEADLINE_MS, str(time_left_ms)),
+               (wire_names.HeaderName.TARGET_SERVER, attempt.server.id),
+               (wire_names.HeaderName.PRIORITY, str(attempt.urgency))]
     if attempt.workspace is not None:
-        headers.append((names.Header.WORKSPACE, attempt.workspace))
+        headers.append((wire_names.HeaderName.WORKSPACE, attempt.workspace))
     if attempt.last_event_id is not None:
-        headers.append((names.Header.LAST_EVENT_ID, attempt.last_event_id))
+        headers.append((wire_names.HeaderName.LAST_EVENT_ID, attempt.last_event_id))
     return headers
 
 
@@ -82,10 +82,10 @@
         self.headers = tuple((name, value)
                              for name, value in exchange.headers
                              if name not in _NOT_PASSED_ON)
-        not_run = exchange.header(names.Header.NOT_RUN) is not None
+        not_run = exchange.header(wire_names.HeaderName.NOT_EXECUTED) is not None
         self.is_other_server = self.status == _MISDIRECTED
         self.has_run = not (not_run or self.is_other_server)
-        self.load = _load(exchange.header(names.Header.SERVER_LOAD))
+        self.load = _load(exchange.header(wire_names.HeaderName.SERVER_LOAD))
         connection = exchange.header('connection') or ''
         self.is_leaving = 'close' in connection.lower()
 
--- a/pollenthread/platform/names.py
+++ b/pollenthread/platform/wire_names.py
@@ -1,11 +1,11 @@
 """Names of headers, paths and words on the wire."""
 
-__all__ = ['Header', 'Path', 'Table', 'KIND_WORDS', 'STATE_WORDS']
+__all__ = ['HeaderName', 'UrlPath', 'StoreTable', 'REQUEST_KIND_BY_NAME', 'SERVER_STATE_BY_NAME']
 
 from pollenthread.core import fleet, routing_config
 
 
-class Header:
+class HeaderName:
     """Header names in lower case, as the HTTP adapters hold them."""
 
     REQUEST_ID = 'pollenthread-request-id'
@@ -14,37 +14,37 @@
     TARGET_SERVER = 'pollenthread-target-instance'
     SERVER_ID = 'pollenthread-instance-id'
     # Present when the server did not run the request.
-    NOT_RUN = 'pollenthread-not-executed'
+    NOT_EXECUTED = 'pollenthread-not-executed'
     # Running, waiting and slots, separated by commas.
     SERVER_LOAD = 'pollenthread-server-load'
-    STAMP = 'pollenthread-response-stamp'
+    RESPONSE_STAMP = 'pollenthread-response-stamp'
     WORKSPACE = 'pollenthread-tenant'
     # Prompt tokens and the greatest number of output tokens.
-    TOKENS = 'pollenthread-token-count'
-    PROMPT_PARTS = 'pollenthread-prompt-prefix'
-    OUTPUT_ESTIMATE = 'pollenthread-length-hint'
+    TOKEN_COUNT = 'pollenthread-token-count'
+    PROMPT_PREFIX = 'pollenthread-prompt-prefix'
+    LENGTH_HINT = 'pollenthread-length-hint'
     # 0 is admitted first, 9 last.
-    URGENCY = 'pollenthread-request-priority'
+    PRIORITY = 'pollenthread-request-priority'
     LAST_EVENT_ID = 'last-event-id'
     AUTHORIZATION = 'authorization'
     RETRY_AFTER = 'retry-after'
     KEEP_ALIVE = 'keep-alive'
 
 
-class Path:
+class UrlPath:
     """Paths of calls."""
 
-    READY = '/pollenthread/readyz'
-    RESOLVE = '/pollenthread/resolve'
-    REPORT = '/pollenthread/report'
+    READINESS = '/pollenthread/readyz'
+    ENTRY_ADDRESSES = '/pollenthread/resolve'
+    RANK_STATUS = '/pollenthread/report'
     EXPERT_COUNTS = '/pollenthread/picked'
-    ORDER = '/pollenthread/order'
-    COMMIT = '/pollenthread/rows-tx'
-    READ = '/pollenthread/rows-get'
-    WATCH = '/pollenthread/rows-feed'
+    RANK_ORDER = '/pollenthread/order'
+    WRITE_ROWS = '/pollenthread/rows-tx'
+    READ_ROWS = '/pollenthread/rows-get'
+    WATCH_ROWS = '/pollenthread/rows-feed'
 
 
-class Table:
+class StoreTable:
     """Tables and keys of the store that the platform writes."""
 
     OPERATOR = 'op'
@@ -52,13 +52,13 @@
     SERVERS = 'servers'
 
 
-KIND_WORDS = {
+REQUEST_KIND_BY_NAME = {
     'idempotent': routing_config.RequestKind.IDEMPOTENT,
     'non_idempotent': routing_config.RequestKind.NON_IDEMPOTENT,
     'streaming': routing_config.RequestKind.STREAM,
 }
 
-STATE_WORDS = {
+SERVER_STATE_BY_NAME = {
     'ready': fleet.ServerState.READY,
     'draining': fleet.ServerState.DRAINING,
 }
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -23,17 +23,17 @@
 
 async def run(config: settings.AgentSettings) -> None:
     """Runs until a stop is done."""
-    agent = _Agent(config=config)
+    agent = _AgentProcess(config=config)
     async with contextlib.AsyncExitStack() as stack:
         await agent.start(stack)
         await agent.stop_when_asked()
 
 
-class _Agent:
+class _AgentProcess:
     """Owns the parts of an agent."""
 
     def __init__(self, *, config: settings.AgentSettings) -> None:
-        self._config = config
+        self._config_listener = config
         self._signal = process.StopSignal()
         self._hello = messages.Hello(host=config.host,
                                      role='agent',
@@ -78,14 +78,14 @@
         place = group_member.Place(group=rank.group,
                                    index=rank.index,
                                    size=rank.size,
-                                   host=self._config.host)
+                                   host=self._config_listener.host)
         return group_member.GroupMember(
             place=place,
             engine=rank_engine_http.HttpRankEngine(client=self._client,
                                                    address=rank.address,
                                                    index=rank.index),
             table_service=table_http.HttpTable(
-                client=self._client, address=self._config.platform.table),
+                client=self._client, address=self._config_listener.platform.table),
             time=clock.SystemClock(),
             keep_links=self._dial_ranks)
 
@@ -104,10 +104,10 @@
         stack.callback(asyncio.create_task(self._report()).cancel)
         if self._tls is not None:
             stack.callback(asyncio.create_task(self._tls.follow()).cancel)
-        process.announce({
+        process.print_event({
             'event': 'ready',
             'role': 'agent',
-            'host': self._config.host,
+            'host': self._config_listener.host,
             'links': self._links.address,
             'admin': self._admin.address
         })
@@ -120,10 +120,10 @@
 
     def _status(self) -> dict[str, Any]:
         return {
-            'host': self._config.host,
+            'host': self._config_listener.host,
             'role': 'agent',
             'incarnation': self._hello.incarnation,
-            'leaving': self._signal.planned.is_set(),
+            'leaving': self._signal.graceful.is_set(),
             'running': self._gate.running,
             'queued': self._gate.queued,
             'limit': self._gate.limit,
@@ -136,15 +136,15 @@
 
     async def stop_when_asked(self) -> None:
         """Stops by plan: refuse new work, finish the work, then go."""
-        await self._signal.planned.wait()
-        self._gate.leave(self._config.host)
-        if not await self._signal.wait_now(_LEAVE_NOTICE_S):
+        await self._signal.graceful.wait()
+        self._gate.leave(self._config_listener.host)
+        if not await self._signal.wait_immediate(_LEAVE_NOTICE_S):
             while (self._gate.unfinished or self._gate.unconfirmed or
                    self._orders.busy):
-                if await self._signal.wait_now(_IDLE_CHECK_S):
+                if await self._signal.wait_immediate(_IDLE_CHECK_S):
                     break
         cut = await self._gate.cancel_all()
-        process.announce({
+        process.print_event({
             'event': 'stopped',
             'cut': len(cut),
             'cut_attempts': cut
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -15,7 +15,7 @@
                               lease_keeper, order_desk, order_journal, peers as
                               peers_module, pool as pool_module, write_batcher)
 from pollenthread.core import ids, membership, messages, orders
-from pollenthread.roles import bookkeeping, process
+from pollenthread.roles import entry_telemetry, process
 
 __all__ = ['run']
 
@@ -28,17 +28,17 @@
 
 async def run(config: settings.EntrySettings) -> None:
     """Runs until a stop is done."""
-    entry = _Entry(config=config)
+    entry = _EntryProcess(config=config)
     async with contextlib.AsyncExitStack() as stack:
         await entry.start(stack)
         await entry.stop_when_asked()
 
 
-class _Entry:
+class _EntryProcess:
     """Owns the parts of an entry host."""
 
     def __init__(self, *, config: settings.EntrySettings) -> None:
-        self._config = config
+        self._config_listener = config
         self._signal = process.StopSignal()
         self._refusing = False
         self._hello = messages.Hello(host=config.host,
@@ -54,14 +54,14 @@
         time = clock.SystemClock()
         self._client = http_client.HttpClient()
         table = table_http.HttpTable(client=self._client,
-                                     address=self._config.platform.table)
+                                     address=self._config_listener.platform.table)
         draw = random.Random()
         self._peers = peers_module.Peers()
         self._heartbeats = heartbeats.Heartbeats(own=self._hello,
                                                  peers=self._peers,
                                                  time=time)
         self._directory = directory.Directory(hosts=host_list_http.HttpHostList(
-            client=self._client, address=self._config.platform.host_list),
+            client=self._client, address=self._config_listener.platform.host_list),
                                               time=time,
                                               own=self._member(),
                                               heartbeats=self._heartbeats)
@@ -72,13 +72,13 @@
                                                   directory=self._directory,
                                                   time=time,
                                                   draw=draw)
-        self._pool = pool_module.Pool(data_centre=self._config.data_centre,
-                                      region=self._config.region)
+        self._pool = pool_module.Pool(data_centre=self._config_listener.data_centre,
+                                      region=self._config_listener.region)
         self._leases = lease_keeper.LeaseKeeper(
             table_service=table,
             directory=self._directory,
             time=time,
-            host=self._config.host,
+            host=self._config_listener.host,
             incarnation=self._hello.incarnation,
             duties=(*orders.all_duties(), claim_sweeper.SWEEP_DUTY))
         self._journal = order_journal.OrderJournal(table_service=table)
@@ -87,9 +87,9 @@
                                           pool=self._pool,
                                           peers=self._peers,
                                           directory=self._directory,
-                                          keys=self._config.key_ring)
-        self._books = bookkeeping.Bookkeeping(
-            config=self._config,
+                                          keys=self._config_listener.key_ring)
+        self._books = entry_telemetry.EntryTelemetry(
+            config=self._config_listener,
             incarnation=self._hello.incarnation,
             client=self._client,
             table_service=table,
@@ -115,18 +115,18 @@
             gate=self._gateway,
             config=self._targets,
             hosts=self._directory,
-            request_ids=ids.IdSource(host=self._config.host,
+            request_ids=ids.IdSource(host=self._config_listener.host,
                                      incarnation=self._hello.incarnation),
             time=time,
-            tally=self._books.tally,
+            tally=self._books.request_counter,
             is_refusing=lambda: self._refusing,
             observe=self._books.latencies.observe,
             tracer=self._books.tracer)
 
     def _member(self) -> membership.Member:
-        return membership.Member(host=self._config.host,
-                                 data_centre=self._config.data_centre,
-                                 region=self._config.region)
+        return membership.Member(host=self._config_listener.host,
+                                 data_centre=self._config_listener.data_centre,
+                                 region=self._config_listener.region)
 
     def _holds(self, duty: str) -> bool:
         return self._leases.held(duty) is not None
@@ -136,7 +136,7 @@
         return _CLAIM_ROWS_PER_S / max(1, len(self._directory.entries()))
 
     def _build_borders(self) -> None:
-        config = self._config
+        config = self._config_listener
         host, port = process.split_address(config.callers)
         self._callers = http_server.HttpServer(handler=self._caller_handler,
                                                host=host,
@@ -145,11 +145,11 @@
         self._admin = http_server.HttpServer(handler=admin_http.AdminHandler(
             documents_by_path={
                 '/status': self._status,
-                '/account': lambda: admin_http.account_rows(self._books.tally)
+                '/account': lambda: admin_http.account_rows(self._books.request_counter)
             },
             handlers_by_root={
                 **self._books.handlers_by_root, 'orders':
-                    self._books.guard(
+                    self._books.require_operator(
                         orders_admin.OrdersHandler(journal=self._journal,
                                                    desk=self._desk,
                                                    peers=self._peers))
@@ -196,10 +196,10 @@
             stack.callback(asyncio.create_task(work).cancel)
         if self._tls is not None:
             stack.callback(asyncio.create_task(self._tls.follow()).cancel)
-        process.announce({
+        process.print_event({
             'event': 'ready',
             'role': 'entry',
-            'host': self._config.host,
+            'host': self._config_listener.host,
             'callers': self._callers.address,
             'links': self._links.address,
             'admin': self._admin.address
@@ -224,10 +224,10 @@
 
     def _status(self) -> dict[str, Any]:
         return {
-            'host': self._config.host,
+            'host': self._config_listener.host,
             'role': 'entry',
             'incarnation': self._hello.incarnation,
-            'leaving': self._signal.planned.is_set(),
+            'leaving': self._signal.graceful.is_set(),
             'targets_version': self._targets.version,
             'targets_age_s': self._targets.age_s,
             'targets_permission': self._targets.permission,
@@ -252,15 +252,15 @@
 
     async def stop_when_asked(self) -> None:
         """Stops by plan: leave the addresses, finish the work, then go."""
-        await self._signal.planned.wait()
+        await self._signal.graceful.wait()
         await self._leases.release_all()
         self._heartbeats.tell_own_leaving()
         self._directory.judge()
         self._callers.announce_leaving()
         await self._finish_requests()
-        await self._books.finish()
+        await self._books.flush()
         cut = sorted(self._caller_handler.open_requests)
-        process.announce({
+        process.print_event({
             'event': 'stopped',
             'cut': len(cut),
             'cut_requests': cut
@@ -268,12 +268,12 @@
 
     async def _finish_requests(self) -> None:
         """Waits out cached addresses, refuses, and finishes what runs."""
-        if await self._signal.wait_now(_LEAVE_NOTICE_S):
+        if await self._signal.wait_immediate(_LEAVE_NOTICE_S):
             return
         self._refusing = True
-        if await self._signal.wait_now(_REFUSE_NOTICE_S):
+        if await self._signal.wait_immediate(_REFUSE_NOTICE_S):
             return
         self._callers.stop_listening()
         while self._callers.busy or self._gateway.recordings:
-            if await self._signal.wait_now(_IDLE_CHECK_S):
+            if await self._signal.wait_immediate(_IDLE_CHECK_S):
                 return
--- a/pollenthread/roles/bookkeeping.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -13,12 +13,12 @@
 from pollenthread.core import account
 from pollenthread.ports import clock, table
 
-__all__ = ['Bookkeeping']
+__all__ = ['EntryTelemetry']
 
 _FINISH_TIMEOUT_S = 5.0
 
 
-class Bookkeeping:
+class EntryTelemetry:
     """Owns the account, the metrics and the administration API."""
 
     def __init__(self, *, config: settings.EntrySettings, incarnation: str,
@@ -28,7 +28,7 @@
                                                                    dict[str,
                                                                         Any]],
                  gauges: Callable[[], Mapping[str, float]]) -> None:
-        self.tally = account.Tally()
+        self.request_counter = account.Tally()
         self.latencies = metrics.Latencies()
         self._gauges = gauges
         self._exporter: otlp.SpanExporter | None = None
@@ -46,7 +46,7 @@
         self._operators = [item.to_operator() for item in config.operators]
         self._keeper = account_keeper.AccountKeeper(
             table_service=table_service,
-            tally=self.tally,
+            tally=self.request_counter,
             host=config.host,
             incarnation=incarnation,
             time=time,
@@ -72,12 +72,12 @@
                 admin_api.AdminApi(admin=self._administration,
                                    operator_list=self._operators),
             'metrics':
-                metrics.MetricsHandler(tally=self.tally,
+                metrics.MetricsHandler(tally=self.request_counter,
                                        latencies=self.latencies,
                                        gauges=self._all_gauges)
         }
 
-    def guard(self, handler: http_server.Handler) -> http_server.Handler:
+    def require_operator(self, handler: http_server.Handler) -> http_server.Handler:
         """Lets only operators who see every host reach a handler."""
         return operator_guard.OperatorGuard(handler=handler,
                                             operator_list=self._operators)
@@ -100,6 +100,6 @@
             group.create_task(self._keeper.run())
             group.create_task(self._exporter.run())
 
-    async def finish(self) -> None:
+    async def flush(self) -> None:
         """Hands the last counts over at a planned stop."""
         await self._keeper.finish(_FINISH_TIMEOUT_S)
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -7,7 +7,7 @@
 from pollenthread.app import (group_view, map_duty, rank_agent, serving_state,
                               stall_watch, switch_driver)
 from pollenthread.core import host_record, log_events, routing_config
-from pollenthread.platform import names, process_settings, rank_server_http
+from pollenthread.platform import wire_names, process_settings, rank_server_http
 from pollenthread.roles import platform_role, process
 
 __all__ = ['run']
@@ -17,13 +17,13 @@
 _FIGURES_CHECK_S = 0.25
 
 
-class _Agent(platform_role.PlatformRole):
+class _PlatformAgent(platform_role.PlatformRole):
     """Wires an agent; a context manager that owns its servers."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
         rng = random.Random(settings.host)
         super().__init__(settings=settings,
-                         own=host_record.HostRecord(
+                         own_record=host_record.HostRecord(
                              host=settings.host,
                              role=host_record.Role.AGENT,
                              data_centre=settings.data_centre,
@@ -40,10 +40,10 @@
         self._book = group_view.GroupBook(network=self._network,
                                           time=self._clock)
         self._agent = rank_agent.RankAgent(
-            own=self._own,
+            own=self._own_record,
             slots=1,
             server=self._server_at(settings.engine_address),
-            hosts=self._hosts,
+            hosts=self._host_registry,
             book=self._book,
             network=self._network,
             link_bytes_per_s=settings.link_bytes_per_s,
@@ -89,7 +89,7 @@
     def _make_driver(self,
                      view: group_view.GroupView) -> switch_driver.SwitchDriver:
         return switch_driver.SwitchDriver(host=self._settings.host,
-                                          hosts=self._hosts,
+                                          hosts=self._host_registry,
                                           view=view,
                                           network=self._network,
                                           make_server=self._server_at,
@@ -101,7 +101,7 @@
         return map_duty.MapDuty(host=self._settings.host,
                                 incarnation=self._incarnation,
                                 store=self._store,
-                                hosts=self._hosts,
+                                hosts=self._host_registry,
                                 book=self._book,
                                 view=view,
                                 driver=self._make_driver(view),
@@ -124,12 +124,12 @@
         """Says that nothing an agent uses can change while it runs."""
         self.log.write(log_events.LogEvent.RELOADED, changed=[])
 
-    async def leave(self) -> None:
+    async def shut_down(self) -> None:
         self.log.write(log_events.LogEvent.STOPPED)
 
-    async def work(self) -> None:
+    async def run(self) -> None:
         """Watches the server and does the group's duty until cancelled."""
-        config = self._follower(names.Table.OPERATOR, self._config,
+        config = self._make_follower(wire_names.StoreTable.OPERATOR, self._config_listener,
                                 _CONFIG_WAIT_S, _CONFIG_PAUSE_S)
         async with asyncio.TaskGroup() as group:
             group.create_task(config.run())
@@ -156,6 +156,6 @@
 async def run() -> None:
     """Serves until SIGTERM."""
     settings = process_settings.load()
-    await platform_role.serve(_Agent(settings=settings),
+    await platform_role.serve(_PlatformAgent(settings=settings),
                               engine=settings.engine_address,
                               service=settings.engine_service)
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -9,7 +9,7 @@
 from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
                               serving_state)
 from pollenthread.core import host_record, log_events, routing_config
-from pollenthread.platform import (names, process_settings, server_entry,
+from pollenthread.platform import (wire_names, process_settings, server_row,
                                    upstream_http)
 from pollenthread.roles import platform_handlers, platform_role, process
 
@@ -28,13 +28,13 @@
 _STOP_CHECK_S = 0.05
 
 
-class _Entry(platform_role.PlatformRole):
+class _PlatformEntry(platform_role.PlatformRole):
     """Wires an entry host; a context manager that owns its servers."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
         rng = random.Random(settings.host)
         super().__init__(settings=settings,
-                         own=host_record.HostRecord(
+                         own_record=host_record.HostRecord(
                              host=settings.host,
                              role=host_record.Role.ENTRY,
                              data_centre=settings.data_centre,
@@ -51,14 +51,14 @@
         self._servers = knowledge.ServerListener(state=self.state,
                                                  time=self._clock,
                                                  log=self.log,
-                                                 table=names.Table.SERVERS,
-                                                 decode=server_entry.decode)
-        self.peers = entry_peers.EntryPeers(own=self._own,
-                                            hosts=self._hosts,
+                                                 table=wire_names.StoreTable.SERVERS,
+                                                 decode=server_row.decode)
+        self.peers = entry_peers.EntryPeers(own=self._own_record,
+                                            hosts=self._host_registry,
                                             seeds=settings.seeds,
                                             network=self._network,
                                             state=self.state,
-                                            config=self._config,
+                                            config=self._config_listener,
                                             servers=self._servers,
                                             time=self._clock,
                                             log=self.log,
@@ -69,16 +69,16 @@
         self._latencies = platform_metrics.LatencyBook()
         forward = forwarder.Forwarder(
             state=self.state,
-            servers=upstream_http.HttpUpstream(client=self._server_client),
+            servers=upstream_http.HttpUpstreamClient(client=self._server_client),
             stop_plan=self._stop_plan,
             observe=self._latencies.observe,
             time=self._clock,
             log=self.log)
         self._forward = forward
-        self._callers = platform_handlers.CallerHandler(forward=forward)
+        self._callers = platform_handlers.ForwardingHandler(request_forwarder=forward)
         self._caller_server = self._server(settings.caller_address,
                                            self._callers)
-        self._config.on_applied.append(self._limit_callers)
+        self._config_listener.on_applied.append(self._limit_callers)
         self._network.serve_metrics(
             platform_metrics.MetricsPage(counters=self._counters,
                                          gauges=self._gauges,
@@ -94,7 +94,7 @@
         found.update(self._peer_counters())
         found['server_connections'] = self._server_client.connections_opened
         found['entries_rejected'] = self._servers.rejected
-        found['configs_rejected'] = self._config.rejected
+        found['configs_rejected'] = self._config_listener.rejected
         found['peer_snapshots'] = self.peers.snapshots_taken
         found['log_lines_dropped'] = self.log.dropped
         return found
@@ -127,8 +127,8 @@
     async def __aenter__(self) -> Self:
         settings = self._settings
         await super().__aenter__()
-        ready = platform_handlers.ReadyHandler(state=self.state)
-        directory = platform_handlers.DirectoryHandler(peers=self.peers,
+        ready = platform_handlers.ReadinessHandler(state=self.state)
+        directory = platform_handlers.EntryAddressHandler(peers=self.peers,
                                                        ttl_s=_TTL_S)
         servers = [
             self._caller_server,
@@ -139,14 +139,14 @@
             servers.append(self._server(settings.control_address,
                                         self._network))
         for server in servers:
-            await self._stack.enter_async_context(server)
+            await self._exit_stack.enter_async_context(server)
         return self
 
-    async def work(self) -> None:
+    async def run(self) -> None:
         """Follows the store and the peers until cancelled."""
-        followers = (self._follower(names.Table.OPERATOR, self._config,
+        followers = (self._make_follower(wire_names.StoreTable.OPERATOR, self._config_listener,
                                     _CONFIG_WAIT_S, _CONFIG_PAUSE_S),
-                     self._follower(names.Table.SERVERS, self._servers,
+                     self._make_follower(wire_names.StoreTable.SERVERS, self._servers,
                                     _SERVERS_WAIT_S, _SERVERS_PAUSE_S))
         async with asyncio.TaskGroup() as group:
             for follower in followers:
@@ -156,7 +156,7 @@
             group.create_task(self.peers.run())
             group.create_task(self.peers.follow_peers())
 
-    async def leave(self) -> None:
+    async def shut_down(self) -> None:
         """Ends what runs, and says that no more should come."""
         began_at = self._clock.monotonic()
         self.state.leaving_since = began_at
@@ -175,7 +175,7 @@
         """Reads the settings again; addresses stay as they are."""
         try:
             found = process_settings.load()
-        except process_settings.InvalidSettings as error:
+        except process_settings.SettingsError as error:
             self.log.write(log_events.LogEvent.RELOADED, error=str(error))
             return
         changed = [
@@ -191,6 +191,6 @@
 async def run() -> None:
     """Serves until SIGTERM."""
     settings = process_settings.load()
-    await platform_role.serve(_Entry(settings=settings),
+    await platform_role.serve(_PlatformEntry(settings=settings),
                               callers=settings.caller_address,
                               data_centre=settings.data_centre)
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -5,22 +5,22 @@
 from pollenthread.adapters import http_message
 from pollenthread.app import entry_peers, forwarder, serving_state
 from pollenthread.core import errors
-from pollenthread.platform import caller_border, names
+from pollenthread.platform import caller_codec, wire_names
 
-__all__ = ['CallerHandler', 'DirectoryHandler', 'ReadyHandler']
+__all__ = ['ForwardingHandler', 'EntryAddressHandler', 'ReadinessHandler']
 
 
-class CallerHandler(http_message.Handler):
+class ForwardingHandler(http_message.Handler):
     """Serves callers."""
 
-    def __init__(self, *, forward: forwarder.Forwarder) -> None:
-        self._forward = forward
+    def __init__(self, *, request_forwarder: forwarder.Forwarder) -> None:
+        self._forward = request_forwarder
         self.in_progress = 0
 
     async def handle(self, request: http_message.Request,
                      response: http_message.Response) -> None:
-        found = caller_border.decode(request)
-        answer = caller_border.HttpReply(response=response, request_id=found.id)
+        found = caller_codec.decode_request(request)
+        answer = caller_codec.HttpCallerResponse(response=response, request_id=found.id)
         self.in_progress += 1
         try:
             await self._forward.serve(found, answer)
@@ -28,7 +28,7 @@
             self.in_progress -= 1
 
 
-class ReadyHandler(http_message.Handler):
+class ReadinessHandler(http_message.Handler):
     """Says whether the host is ready."""
 
     def __init__(self, *, state: serving_state.ServingState) -> None:
@@ -36,13 +36,13 @@
 
     async def handle(self, request: http_message.Request,
                      response: http_message.Response) -> None:
-        if request.path != names.Path.READY:
+        if request.path != wire_names.UrlPath.READINESS:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
             return
         await response.send(200 if self._state.is_ready else 503, [], b'')
 
 
-class DirectoryHandler(http_message.Handler):
+class EntryAddressHandler(http_message.Handler):
     """Tells callers which entry hosts to use."""
 
     def __init__(self, *, peers: entry_peers.EntryPeers, ttl_s: float) -> None:
@@ -51,7 +51,7 @@
 
     async def handle(self, request: http_message.Request,
                      response: http_message.Response) -> None:
-        if request.path != names.Path.RESOLVE:
+        if request.path != wire_names.UrlPath.ENTRY_ADDRESSES:
             await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
             return
         query = parse.parse_qs(request.target.partition('?')[2])
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -11,7 +11,7 @@
 from pollenthread.adapters import clock, http_client, json_log, peer_network
 from pollenthread.app import knowledge, roster, serving_state, store_follower
 from pollenthread.core import host_record, log_events
-from pollenthread.platform import (config_document, names, process_settings,
+from pollenthread.platform import (config_document, wire_names, process_settings,
                                    row_store_http)
 from pollenthread.roles import process
 
@@ -32,13 +32,13 @@
     """Wires a role; a context manager that owns clients and servers."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings,
-                 own: host_record.HostRecord, state: serving_state.ServingState,
+                 own_record: host_record.HostRecord, state: serving_state.ServingState,
                  rng: random.Random) -> None:
         self._settings = settings
-        self._own = own
+        self._own_record = own_record
         self.state = state
         self._rng = rng
-        self._stack = contextlib.AsyncExitStack()
+        self._exit_stack = contextlib.AsyncExitStack()
         self._clock = clock.SystemClock()
         self.log = json_log.JsonLog(host=settings.host)
         self._store_client = http_client.HttpClient(
@@ -53,29 +53,29 @@
             client=self._peer_client,
             host=settings.ip,
             port=settings.peer_ports[0])
-        self._hosts = roster.Roster()
-        self._config = knowledge.ConfigListener(
+        self._host_registry = roster.Roster()
+        self._config_listener = knowledge.ConfigListener(
             state=state,
             time=self._clock,
             log=self.log,
-            table=names.Table.OPERATOR,
-            key=names.Table.CONFIG_KEY,
-            decode=config_document.decode_result)
+            table=wire_names.StoreTable.OPERATOR,
+            key=wire_names.StoreTable.CONFIG_KEY,
+            decode=config_document.try_decode)
 
     async def __aenter__(self) -> Self:
-        await self._stack.__aenter__()
+        await self._exit_stack.__aenter__()
         for client in (self._store_client, self._peer_client,
                        self._server_client):
-            await self._stack.enter_async_context(client)
-        await self._stack.enter_async_context(self._network)
+            await self._exit_stack.enter_async_context(client)
+        await self._exit_stack.enter_async_context(self._network)
         return self
 
     async def __aexit__(self, kind: type[BaseException] | None,
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
-        await self._stack.__aexit__(kind, error, trace)
+        await self._exit_stack.__aexit__(kind, error, trace)
 
-    def _follower(self, table: str, listener: store_follower.TableListener,
+    def _make_follower(self, table: str, listener: store_follower.TableListener,
                   wait_s: float,
                   pause_s: float) -> store_follower.StoreFollower:
         return store_follower.StoreFollower(store=self._store,
@@ -88,14 +88,14 @@
 
     def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
         """Registers this host and follows the others."""
-        hosts = self._follower(roster.TABLE, self._hosts, _HOSTS_WAIT_S,
+        hosts = self._make_follower(roster.TABLE, self._host_registry, _HOSTS_WAIT_S,
                                _HOSTS_PAUSE_S)
         tasks.create_task(hosts.run())
         tasks.create_task(
             roster.register(store=self._store,
                             time=self._clock,
-                            roster=self._hosts,
-                            record=self._own))
+                            roster=self._host_registry,
+                            record=self._own_record))
 
     def _peer_counters(self) -> dict[str, float]:
         """Bytes to and from peers, by kind of message."""
@@ -109,11 +109,11 @@
         }
 
     @abc.abstractmethod
-    async def work(self) -> None:
+    async def run(self) -> None:
         """Does the role's work until cancelled."""
 
     @abc.abstractmethod
-    async def leave(self) -> None:
+    async def shut_down(self) -> None:
         """Ends what runs, before a planned stop."""
 
     @abc.abstractmethod
@@ -121,7 +121,7 @@
         """Takes what may change in the settings while the role runs."""
 
 
-async def serve(role: PlatformRole, **started: Any) -> None:
+async def serve(role: PlatformRole, **started_fields: Any) -> None:
     """Serves until SIGTERM.
 
     Args:
@@ -132,11 +132,11 @@
     async with role:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, role.reload)
-        role.log.write(log_events.LogEvent.STARTED, **started)
-        work = asyncio.create_task(role.work())
-        stopped = asyncio.create_task(stop.planned.wait())
+        role.log.write(log_events.LogEvent.STARTED, **started_fields)
+        work = asyncio.create_task(role.run())
+        stopped = asyncio.create_task(stop.graceful.wait())
         await asyncio.wait((work, stopped), return_when=asyncio.FIRST_COMPLETED)
         if work.done():
             work.result()
-        await role.leave()
+        await role.shut_down()
         work.cancel()
--- a/pollenthread/roles/process.py
+++ b/pollenthread/roles/process.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-__all__ = ['StopSignal', 'announce', 'new_incarnation', 'split_address']
+__all__ = ['StopSignal', 'print_event', 'new_incarnation', 'split_address']
 
 _INCARNATION_BYTES = 6
 
@@ -18,25 +18,25 @@
     """SIGTERM or SIGINT: once for a planned stop, twice for now."""
 
     def __init__(self) -> None:
-        self.planned = asyncio.Event()
-        self.now = asyncio.Event()
+        self.graceful = asyncio.Event()
+        self.immediate = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._receive)
 
     def _receive(self) -> None:
-        if self.planned.is_set():
+        if self.graceful.is_set():
             logging.info('stop now')
-            self.now.set()
+            self.immediate.set()
         else:
             logging.info('planned stop')
-            self.planned.set()
+            self.graceful.set()
 
-    async def wait_now(self, seconds: float) -> bool:
+    async def wait_immediate(self, timeout_s: float) -> bool:
         """Waits for the second signal; whether it came."""
         try:
-            async with asyncio.timeout(seconds):
-                await self.now.wait()
+            async with asyncio.timeout(timeout_s):
+                await self.immediate.wait()
             return True
         except TimeoutError:
             return False
@@ -47,9 +47,9 @@
     return secrets.token_hex(_INCARNATION_BYTES)
 
 
-def announce(document: dict[str, Any]) -> None:
+def print_event(event: dict[str, Any]) -> None:
     """Writes one line of JSON to standard output."""
-    sys.stdout.write(json.dumps(document) + '\n')
+    sys.stdout.write(json.dumps(event) + '\n')
     sys.stdout.flush()
 
 
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -310,7 +310,7 @@
 def step_read_bad(context: Any, field: str, value: str) -> None:
     document: dict[str, Any] = {'version': 1, 'routes': [], 'services': []}
     document[field] = json.loads(value)
-    context.read = config_document.decode_result(json.dumps(document).encode())
+    context.read = config_document.try_decode(json.dumps(document).encode())
 
 
 @then('it is rejected with "{reason}"')
--- a/tests/platform/steps/endless.py
+++ b/tests/platform/steps/endless.py
@@ -105,7 +105,7 @@
     context.broken = None
     splitter = event_stream.EventSplitter()
     async with http_client.HttpClient() as client:
-        servers = upstream_http.HttpUpstream(client=client)
+        servers = upstream_http.HttpUpstreamClient(client=client)
         try:
             async with asyncio.timeout(5.0):
                 async with servers.send(_attempt(
--- a/tests/platform/steps/explain.py
+++ b/tests/platform/steps/explain.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from pollenthread.adapters import json_log
-from pollenthread.cli import explain
+from pollenthread.cli import request_explanation
 from pollenthread.core import log_events
 
 _ID = 'r-1'
@@ -61,7 +61,7 @@
 
 @when('the request is explained')
 def step_explain(context: Any) -> None:
-    context.found = explain.explain(_ID, context.log)
+    context.found = request_explanation.explain_request(_ID, context.log)
 
 
 @then('the verdict says "{words}"')
