--- a/pollenthread/cli/admin_client.py
+++ b/pollenthread/cli/admin_client.py
@@ -35,14 +35,15 @@
             exit_codes.ExitCode.UNAVAILABLE,
             f'{_ADMIN.value} does not answer: give the administration port of '
             f'another entry host with --admin ({error}).') from error
-    answer = _parse(body)
+    response = _parse_json(body)
     if status == 200:
-        return answer
-    raise exit_codes.CommandError(exit_codes.exit_code_for(answer.get('kind', '')),
-                                   _sentence(answer, status))
+        return response
+    raise exit_codes.CommandError(
+        exit_codes.exit_code_for(response.get('kind', '')),
+        _error_message(response, status))
 
 
-def _sentence(problem: dict[str, Any], status: int) -> str:
+def _error_message(problem: dict[str, Any], status: int) -> str:
     detail = problem.get('detail') or f'the answer has status {status}'
     if problem.get('kind') == 'not_authenticated':
         detail += f' Give your key with --key_file or {_KEY_VARIABLE}.'
@@ -52,7 +53,7 @@
     return detail
 
 
-def _parse(body: bytes) -> Any:
+def _parse_json(body: bytes) -> Any:
     try:
         return json.loads(body)
     except ValueError as error:
@@ -62,7 +63,7 @@
             'its answer is not JSON.') from error
 
 
-def _key() -> str:
+def _read_key() -> str:
     if _KEY_FILE.value is None:
         return os.environ.get(_KEY_VARIABLE, '')
     try:
@@ -75,12 +76,12 @@
 
 async def _send(method: str, target: str, document: Any) -> tuple[int, bytes]:
     body = b'' if document is None else json.dumps(document).encode()
-    headers = [('authorization', f'Bearer {_key()}'),
+    headers = [('authorization', f'Bearer {_read_key()}'),
                ('content-type', 'application/json')]
     async with asyncio.timeout(_TIMEOUT_S), http_client.HttpClient() as client:
         async with client.request(_ADMIN.value,
                                   method,
                                   target,
                                   headers=headers,
-                                  body=body) as exchange:
-            return exchange.status, await exchange.read_all()
+                                  body=body) as response:
+            return response.status, await response.read_all()
--- a/pollenthread/cli/commands.py
+++ b/pollenthread/cli/commands.py
@@ -14,7 +14,8 @@
 
 __all__ = [
     'config_diff', 'config_get', 'config_history', 'config_rollback',
-    'config_set', 'drain', 'report', 'write_result', 'status', 'trace', 'undrain'
+    'config_set', 'drain', 'report', 'write_result', 'status', 'trace',
+    'undrain'
 ]
 
 FORMAT = flags.DEFINE_enum('format', 'table', ['table', 'json', 'html'],
@@ -42,7 +43,7 @@
     print(f'written: {_OUTPUT.value}')
 
 
-def _show_json(value: Any) -> None:
+def _write_json(value: Any) -> None:
     write_result(json.dumps(value, indent=2, ensure_ascii=False) + '\n')
 
 
@@ -52,21 +53,23 @@
 
 def status() -> None:
     """Prints who is alive, leaving and stale."""
-    found = admin_client.call('GET', '/v1/status')
+    host_status = admin_client.call('GET', '/v1/status')
     if _is_json():
-        _show_json(found)
+        _write_json(host_status)
         return
-    upstreams = found.pop('upstreams', {})
-    facts = [(name, _plain(value)) for name, value in found.items()]
-    text = text_tables.format_table('Entry host', ('what', 'value'), facts)
-    names = sorted({name for row in upstreams.values() for name in row})
-    rows = [(host, *(_plain(row.get(name))
-                     for name in names))
+    upstreams = host_status.pop('upstreams', {})
+    host_rows = [(name, _to_cell(value)) for name, value in host_status.items()]
+    text = text_tables.format_table('Entry host', ('what', 'value'), host_rows)
+    field_names = sorted({name for row in upstreams.values() for name in row})
+    rows = [(host, *(_to_cell(row.get(name))
+                     for name in field_names))
             for host, row in sorted(upstreams.items())]
-    write_result(text + '\n' + text_tables.format_table('Upstreams', ('host', *names), rows))
+    write_result(text + '\n' +
+                 text_tables.format_table('Upstreams', ('host',
+                                                        *field_names), rows))
 
 
-def _plain(value: Any) -> Any:
+def _to_cell(value: Any) -> Any:
     if isinstance(value, dict | list):
         return json.dumps(value, ensure_ascii=False)
     return value
@@ -74,17 +77,18 @@
 
 def config_get() -> None:
     """Prints the newest targets."""
-    found = admin_client.call('GET', '/v1/config')
+    config = admin_client.call('GET', '/v1/config')
     if _WORKSPACE.value is not None:
-        found['document'] = _workspace(found['document'], _WORKSPACE.value)
+        config['document'] = _get_workspace(config['document'],
+                                            _WORKSPACE.value)
     if _is_json():
-        _show_json(found)
+        _write_json(config)
         return
-    text = yaml.safe_dump(found['document'], sort_keys=False)
-    write_result(f'# version {found["version"]}\n{text}')
+    text = yaml.safe_dump(config['document'], sort_keys=False)
+    write_result(f'# version {config["version"]}\n{text}')
 
 
-def _workspace(document: dict[str, Any], name: str) -> Any:
+def _get_workspace(document: dict[str, Any], name: str) -> Any:
     try:
         return document['workspaces'][name]
     except KeyError as error:
@@ -96,66 +100,68 @@
 def config_set(path: str) -> None:
     """Publishes targets from a YAML or JSON file."""
     document = dict(yaml_document.load(pathlib.Path(path)).value)
-    base = _base()
+    base = _get_base_version()
     if _WORKSPACE.value is None:
         target = f'/v1/config?base={base}'
     else:
         name = parse.quote(_WORKSPACE.value, safe='')
         target = f'/v1/workspaces/{name}?base={base}'
-    _show_version(admin_client.call('PUT', target, document))
+    _print_version(admin_client.call('PUT', target, document))
 
 
-def _base() -> int:
+def _get_base_version() -> int:
     if _BASE.value is not None:
         return _BASE.value
     newest: int = admin_client.call('GET', '/v1/config')['version']
     return newest
 
 
-def _show_version(found: dict[str, Any]) -> None:
+def _print_version(config: dict[str, Any]) -> None:
     if _is_json():
-        _show_json(found)
+        _write_json(config)
     else:
-        write_result(f'version {found["version"]} is accepted')
+        write_result(f'version {config["version"]} is accepted')
 
 
 def config_history() -> None:
     """Prints who changed what, from which version."""
-    found = admin_client.call('GET', '/v1/config/history')
+    versions = admin_client.call('GET', '/v1/config/history')
     if _is_json():
-        _show_json(found)
+        _write_json(versions)
         return
     rows = [(entry['version'], entry['from_version'], entry['author'],
-             change['path'], _plain(change['before']), _plain(change['after']))
-            for entry in found
+             change['path'], _to_cell(change['before']),
+             _to_cell(change['after']))
+            for entry in versions
             for change in entry['changes']]
     write_result(
-        text_tables.format_table('Changes',
-                      ('version', 'from', 'who', 'what', 'before', 'after'),
-                      rows))
+        text_tables.format_table(
+            'Changes', ('version', 'from', 'who', 'what', 'before', 'after'),
+            rows))
 
 
 def config_diff(older: str, newer: str) -> None:
     """Prints what differs between two versions."""
-    low, high = _number(older), _number(newer)
-    found = admin_client.call('GET', f'/v1/config/diff?from={low}&to={high}')
+    older_version, newer_version = _parse_version(older), _parse_version(newer)
+    changes = admin_client.call(
+        'GET', f'/v1/config/diff?from={older_version}&to={newer_version}')
     if _is_json():
-        _show_json(found)
+        _write_json(changes)
         return
-    rows = [(change['path'], _plain(change['before']), _plain(change['after']))
-            for change in found]
+    rows = [(change['path'], _to_cell(change['before']),
+             _to_cell(change['after'])) for change in changes]
     write_result(
-        text_tables.format_table(f'Version {low} to {high}', ('what', 'before', 'after'),
-                      rows))
+        text_tables.format_table(f'Version {older_version} to {newer_version}',
+                                 ('what', 'before', 'after'), rows))
 
 
 def config_rollback(version: str) -> None:
     """Publishes an old version as a new one."""
-    target = f'/v1/config/rollback?to={_number(version)}&base={_base()}'
-    _show_version(admin_client.call('POST', target))
+    target = f'/v1/config/rollback?to={_parse_version(version)}&base={_get_base_version()}'
+    _print_version(admin_client.call('POST', target))
 
 
-def _number(text: str) -> int:
+def _parse_version(text: str) -> int:
     if not text.isdecimal():
         raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE,
@@ -166,14 +172,14 @@
 
 def drain(host: str) -> None:
     """Takes a host out of service."""
-    found = admin_client.call('PUT', f'/v1/hosts/{_quote(host)}/drain')
-    _show_version(found)
+    config = admin_client.call('PUT', f'/v1/hosts/{_quote(host)}/drain')
+    _print_version(config)
 
 
 def undrain(host: str) -> None:
     """Takes a host into service again."""
-    found = admin_client.call('DELETE', f'/v1/hosts/{_quote(host)}/drain')
-    _show_version(found)
+    config = admin_client.call('DELETE', f'/v1/hosts/{_quote(host)}/drain')
+    _print_version(config)
 
 
 def _quote(name: str) -> str:
@@ -182,24 +188,24 @@
 
 def report() -> None:
     """Prints the account for both departments."""
-    found = admin_client.call('GET', f'/v1/report?days={_DAYS.value}')
+    document = admin_client.call('GET', f'/v1/report?days={_DAYS.value}')
     if _is_json():
-        _show_json(found)
+        _write_json(document)
     elif FORMAT.value == 'html':
-        write_result(report_html.to_html(found))
+        write_result(report_html.to_html(document))
     else:
-        write_result(report_tables.to_text(found))
+        write_result(report_tables.to_text(document))
 
 
 def trace(trace_id: str) -> None:
     """Prints the spans of one request."""
-    found = admin_client.call('GET', f'/v1/traces/{_quote(trace_id)}')
+    spans = admin_client.call('GET', f'/v1/traces/{_quote(trace_id)}')
     if _is_json():
-        _show_json(found)
+        _write_json(spans)
         return
     rows = [(span['name'], span['began_ms'], span['took_ms'], span['host'],
-             _plain(span['attributes'])) for span in found]
+             _to_cell(span['attributes'])) for span in spans]
     write_result(
-        text_tables.format_table(f'Trace {trace_id}',
-                      ('span', 'began ms', 'took ms', 'host', 'attributes'),
-                      rows))
+        text_tables.format_table(
+            f'Trace {trace_id}',
+            ('span', 'began ms', 'took ms', 'host', 'attributes'), rows))
--- a/pollenthread/cli/exit_codes.py
+++ b/pollenthread/cli/exit_codes.py
@@ -20,7 +20,7 @@
     NOT_FOUND = 7
 
 
-_MEANINGS = {
+_DESCRIPTIONS = {
     ExitCode.OK: 'done',
     ExitCode.FAILED: 'the command failed in a way that is a fault of ours',
     ExitCode.USAGE: 'the command line was not understood',
@@ -31,7 +31,7 @@
     ExitCode.NOT_FOUND: 'there is no such version, host, trace or file',
 }
 
-_CODE_BY_KIND = {
+_EXIT_CODE_BY_KIND = {
     errors.Kind.INVALID_TARGETS: ExitCode.INVALID,
     errors.Kind.BAD_JSON: ExitCode.INVALID,
     errors.Kind.BAD_HEADER: ExitCode.USAGE,
@@ -55,12 +55,12 @@
 def exit_code_for(error_kind: str) -> ExitCode:
     """The exit status for a problem that the administration port names."""
     try:
-        return _CODE_BY_KIND.get(errors.Kind(error_kind), ExitCode.FAILED)
+        return _EXIT_CODE_BY_KIND.get(errors.Kind(error_kind), ExitCode.FAILED)
     except ValueError:
         return ExitCode.FAILED
 
 
 def format_help() -> str:
     """The exit statuses for the help text."""
-    return '\n'.join(
-        f'  {code.value}  {meaning}' for code, meaning in _MEANINGS.items())
+    return '\n'.join(f'  {code.value}  {description}'
+                     for code, description in _DESCRIPTIONS.items())
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -16,7 +16,7 @@
 
 __all__ = ['run']
 
-_HELP = flags.DEFINE_boolean('help', False, 'Print help and exit.')
+_HELP_FLAG = flags.DEFINE_boolean('help', False, 'Print help and exit.')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,10 +51,10 @@
 
 
 def _explain(request_id: str) -> None:
-    found = request_explanation.explain_request(request_id, sys.stdin)
-    for line in found.lines:
+    explanation = request_explanation.explain_request(request_id, sys.stdin)
+    for line in explanation.lines:
         print(line)
-    print(found.verdict)
+    print(explanation.verdict)
 
 
 def _version() -> None:
@@ -139,8 +139,8 @@
         sys.exit(exit_codes.ExitCode.FAILED)
 
 
-def _exit(code: exit_codes.ExitCode, sentence: str) -> None:
-    print(f'pollenthread: {sentence}', file=sys.stderr)
+def _exit(code: exit_codes.ExitCode, message: str) -> None:
+    print(f'pollenthread: {message}', file=sys.stderr)
     sys.exit(code)
 
 
@@ -150,15 +150,15 @@
     logging.use_absl_handler()
     if 'verbosity' not in flags.FLAGS or not flags.FLAGS['verbosity'].present:
         logging.set_verbosity(logging.INFO)
-    command = _find(args)
-    if _HELP.value or args[:1] == ['help']:
-        print(_command_help(command) if command else _help())
+    command = _find_command(args)
+    if _HELP_FLAG.value or args[:1] == ['help']:
+        print(_format_command_help(command) if command else _format_help())
         return
     if command is None:
         raise exit_codes.CommandError(exit_codes.ExitCode.USAGE,
-                                       _not_understood(args))
-    given = args[len(command.words):]
-    if len(given) != len(command.arguments):
+                                      _describe_usage_error(args))
+    values = args[len(command.words):]
+    if len(values) != len(command.arguments):
         raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE,
             f'Use it as `pollenthread {command.usage}`.')
@@ -166,10 +166,10 @@
         raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE, f'`{" ".join(command.words)}` prints '
             f'{" or ".join(command.formats)}: change --format.')
-    command.run(*given)
+    command.run(*values)
 
 
-def _find(args: Sequence[str]) -> _Command | None:
+def _find_command(args: Sequence[str]) -> _Command | None:
     words = tuple(args[1:] if args[:1] == ['help'] else args)
     for command in _COMMANDS:
         if words[:len(command.words)] == command.words:
@@ -177,40 +177,42 @@
     return None
 
 
-def _not_understood(args: Sequence[str]) -> str:
-    first = args[0] if args else ''
-    near = [c.usage for c in _COMMANDS if first and c.words[0] == first]
-    if near:
-        return f'Use one of: {"; ".join(near)}.'
-    return (f'There is no command {first!r}'
-            if first else 'Give a command') + '; see `pollenthread --help`.'
+def _describe_usage_error(args: Sequence[str]) -> str:
+    first_word = args[0] if args else ''
+    usages = [
+        c.usage for c in _COMMANDS if first_word and c.words[0] == first_word
+    ]
+    if usages:
+        return f'Use one of: {"; ".join(usages)}.'
+    return (f'There is no command {first_word!r}' if first_word else
+            'Give a command') + '; see `pollenthread --help`.'
 
 
-def _help() -> str:
+def _format_help() -> str:
     width = max(len(command.usage) for command in _COMMANDS)
     usages = '\n'.join(
         f'  {c.usage.ljust(width)}  {c.summary}' for c in _COMMANDS)
     examples = '\n'.join(f'  {c.example}' for c in _COMMANDS
                          if c.words[0] in ('check', 'report', 'drain'))
     return (f'Usage: pollenthread COMMAND [FLAGS]\n\n{usages}\n\n'
-            f'Flags:\n{_flags_help()}\n\nExamples:\n{examples}\n\n'
+            f'Flags:\n{_format_flags_help()}\n\nExamples:\n{examples}\n\n'
             f'Exit status:\n{exit_codes.format_help()}\n\n'
             '`pollenthread help COMMAND` says more about one command.')
 
 
-def _command_help(command: _Command) -> str:
+def _format_command_help(command: _Command) -> str:
     text = (f'Usage: pollenthread {command.usage} [FLAGS]\n\n'
             f'  {command.summary}\n\nExample:\n  {command.example}\n')
     if len(command.formats) > 1:
-        text += (f'\nFlags:\n{_flags_help()}\n\n'
+        text += (f'\nFlags:\n{_format_flags_help()}\n\n'
                  f'--format takes {", ".join(command.formats)} here.\n')
     return text + f'\nExit status:\n{exit_codes.format_help()}'
 
 
-def _flags_help() -> str:
-    own = [
+def _format_flags_help() -> str:
+    command_flags = [
         flag for module in (commands, 'pollenthread.cli.admin_client')
         for flag in flags.FLAGS.get_key_flags_for_module(
             module if isinstance(module, str) else module.__name__)
     ]
-    return '\n'.join(f'  --{flag.name}: {flag.help}' for flag in own)
+    return '\n'.join(f'  --{flag.name}: {flag.help}' for flag in command_flags)
--- a/pollenthread/cli/report_html.py
+++ b/pollenthread/cli/report_html.py
@@ -31,19 +31,22 @@
 
 def to_html(report: dict[str, Any]) -> str:
     """Makes the page."""
-    head = f'Account of {report["from_day"]} to {report["to_day"]}'
+    heading = f'Account of {report["from_day"]} to {report["to_day"]}'
     parts = [
         '<!doctype html><html lang="en"><head><meta charset="utf-8">',
-        f'<title>{html.escape(head)}</title><style>{_STYLE}</style></head>',
-        f'<body><h1>{html.escape(head)}</h1>',
-        _summary(report), *_plots(report)
+        f'<title>{html.escape(heading)}</title><style>{_STYLE}</style></head>',
+        f'<body><h1>{html.escape(heading)}</h1>',
+        _render_summary(report), *_render_plots(report)
+    ]
+    parts += [
+        _render_table(section)
+        for section in report_tables.build_sections(report)
     ]
-    parts += [_table(section) for section in report_tables.build_sections(report)]
     parts.append('</body></html>\n')
     return '\n'.join(parts)
 
 
-def _summary(report: dict[str, Any]) -> str:
+def _render_summary(report: dict[str, Any]) -> str:
     total = report['total']
     text = (f'<p>{total["accepted"]:,} requests were accepted; '
             f'{total["in_time"]:,} were answered in time. Days are in UTC. '
@@ -54,17 +57,18 @@
     return text
 
 
-def _table(section: report_tables.ReportSection) -> str:
+def _render_table(section: report_tables.ReportSection) -> str:
     title = f'<h2>{html.escape(section.title)}</h2>'
     if not section.rows:
         return f'{title}<p>None.</p>'
-    heads = ''.join(f'<th>{html.escape(head)}</th>' for head in section.headings)
-    rows = ''.join(f'<tr>{"".join(_cell(value) for value in row)}</tr>\n'
+    header_cells = ''.join(
+        f'<th>{html.escape(heading)}</th>' for heading in section.headings)
+    rows = ''.join(f'<tr>{"".join(_render_cell(value) for value in row)}</tr>\n'
                    for row in section.rows)
-    return f'{title}<table><tr>{heads}</tr>\n{rows}</table>'
+    return f'{title}<table><tr>{header_cells}</tr>\n{rows}</table>'
 
 
-def _cell(value: Any) -> str:
+def _render_cell(value: Any) -> str:
     if value is None:
         return '<td class="number">-</td>'
     if isinstance(value, float):
@@ -74,7 +78,7 @@
     return f'<td>{html.escape(str(value))}</td>'
 
 
-def _plots(report: dict[str, Any]) -> list[str]:
+def _render_plots(report: dict[str, Any]) -> list[str]:
     try:
         # Imported here because only this page needs it.
         # pylint: disable-next=import-outside-toplevel
@@ -83,15 +87,16 @@
         return ['<p>Install matplotlib to see plots on this page.</p>']
     images = []
     if report['classes']:
-        images.append(_image(_plot_outcomes(report, figure), 'Outcomes'))
+        images.append(_render_image(_plot_outcomes(report, figure), 'Outcomes'))
     if report['costs']:
-        images.append(_image(_plot_costs(report, figure), 'Skew and cost'))
+        images.append(
+            _render_image(_plot_costs(report, figure), 'Skew and cost'))
     return images
 
 
-def _image(drawn: Any, title: str) -> str:
+def _render_image(drawing: Any, title: str) -> str:
     buffer = io.BytesIO()
-    drawn.savefig(buffer, format='png', dpi=110, bbox_inches='tight')
+    drawing.savefig(buffer, format='png', dpi=110, bbox_inches='tight')
     data = base64.b64encode(buffer.getvalue()).decode()
     return (f'<h2>{html.escape(title)}</h2>'
             f'<img alt="{html.escape(title)}" '
@@ -102,9 +107,9 @@
     """The largest classes as one bar each, of shares by outcome."""
     lines = sorted((line for line in report['classes'] if line['accepted']),
                    key=lambda line: -int(line['accepted']))[:_MAX_BARS]
-    drawn = figure.Figure(figsize=(9, 1.2 + 0.4 * len(lines)),
-                          layout='constrained')
-    axes = drawn.subplots()
+    drawing = figure.Figure(figsize=(9, 1.2 + 0.4 * len(lines)),
+                            layout='constrained')
+    axes = drawing.subplots()
     names = [f'{line["workspace"]} / {line["class"]}' for line in lines]
     left = [0.0] * len(lines)
     for outcome, colour in zip(_OUTCOMES, _COLOURS):
@@ -118,18 +123,18 @@
     axes.set_xlabel('% of accepted requests')
     axes.set_xlim(0, 100)
     axes.invert_yaxis()
-    drawn.legend(loc='outside lower center',
-                 ncols=len(_OUTCOMES),
-                 frameon=False)
-    return drawn
+    drawing.legend(loc='outside lower center',
+                   ncols=len(_OUTCOMES),
+                   frameon=False)
+    return drawing
 
 
 def _plot_costs(report: dict[str, Any], figure: Any) -> Any:
     """Skew, and capacity saved and lost, of the groups with the least net."""
     rows = sorted(report['costs'], key=lambda row: row['net_s'])[:_MAX_BARS]
     names = [f'{row["group"]} {row["day"]}' for row in rows]
-    drawn = figure.Figure(figsize=(9, 4), layout='constrained')
-    skew, seconds = drawn.subplots(1, 2)
+    drawing = figure.Figure(figsize=(9, 4), layout='constrained')
+    skew, seconds = drawing.subplots(1, 2)
     skew.bar(names, [row['skew_mean'] or 0 for row in rows], color=_COLOURS[2])
     skew.set_ylabel('slowest rank / mean rank')
     skew.set_ylim(bottom=1)
@@ -145,4 +150,4 @@
     seconds.legend(frameon=False)
     for axes in (skew, seconds):
         axes.tick_params(axis='x', rotation=60)
-    return drawn
+    return drawing
--- a/pollenthread/cli/report_tables.py
+++ b/pollenthread/cli/report_tables.py
@@ -27,8 +27,8 @@
         _retries(report),
         _at_most_once(report),
         ReportSection('Orders', ('kind', 'state', 'count'),
-                [(line['kind'], line['state'], line['count'])
-                 for line in report['orders']]),
+                      [(line['kind'], line['state'], line['count'])
+                       for line in report['orders']]),
         _skew(report),
         _costs(report),
         _gaps(report),
@@ -37,21 +37,21 @@
 
 def to_text(report: dict[str, Any]) -> str:
     """The whole report for a terminal."""
-    head = (f'Account of {report["from_day"]} to {report["to_day"]} (UTC), '
-            f'{report["hosts"]} starts of entry hosts, targets version '
-            f'{report["targets_version"]}.\n')
+    header = (f'Account of {report["from_day"]} to {report["to_day"]} (UTC), '
+              f'{report["hosts"]} starts of entry hosts, targets version '
+              f'{report["targets_version"]}.\n')
     parts = [
         text_tables.format_table(section.title, section.headings, section.rows)
         for section in build_sections(report)
     ]
-    return head + '\n' + '\n'.join(parts)
+    return header + '\n' + '\n'.join(parts)
 
 
 def _outcomes(report: dict[str, Any]) -> ReportSection:
-    rows = [(line['workspace'], line['class'], _target(line['target']),
+    rows = [(line['workspace'], line['class'], _format_target(line['target']),
              line['accepted'], *(line[name]
                                  for name in _OUTCOMES), line['open'],
-             _percent(line['in_time_share']))
+             _to_percent(line['in_time_share']))
             for line in report['classes']]
     total = report['total']
     rows.append(('total', '', '', total['accepted'],
@@ -69,7 +69,7 @@
         ('workspace', 'class', 'limit each', 'retries', 'allowed', 'used %'),
         [(line['workspace'], line['class'], line['target']['retries'],
           line['retries'], line['retries_allowed'],
-          _percent(line['retries_share'])) for line in report['classes']])
+          _to_percent(line['retries_share'])) for line in report['classes']])
 
 
 def _at_most_once(report: dict[str, Any]) -> ReportSection:
@@ -105,25 +105,25 @@
 
 def _gaps(report: dict[str, Any]) -> ReportSection:
     return ReportSection('Gaps: times that the figures above leave out',
-                   ('host', 'from', 'until', 'why'),
-                   [(gap['host'], _moment(
-                       gap['began_s']), _moment(gap['ended_s']), gap['reason'])
-                    for gap in report['gaps']])
+                         ('host', 'from', 'until', 'why'),
+                         [(gap['host'], _format_time(gap['began_s']),
+                           _format_time(gap['ended_s']), gap['reason'])
+                          for gap in report['gaps']])
 
 
-def _target(target: dict[str, Any]) -> str:
+def _format_target(target: dict[str, Any]) -> str:
     names = (('first token', 'first_token_ms'),
              ('between', 'between_tokens_ms'), ('answer', 'answer_ms'))
     return ', '.join(f'{name} {target[key]} ms' for name, key in names
                      if target[key] is not None)
 
 
-def _percent(share: float | None) -> float | None:
+def _to_percent(share: float | None) -> float | None:
     return None if share is None else round(100 * share, 3)
 
 
-def _moment(at_s: float | None) -> str:
+def _format_time(at_s: float | None) -> str:
     if at_s is None:
         return 'not known'
-    moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
-    return moment.strftime('%Y-%m-%d %H:%M:%S')
+    time_utc = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
+    return time_utc.strftime('%Y-%m-%d %H:%M:%S')
--- a/pollenthread/cli/request_explanation.py
+++ b/pollenthread/cli/request_explanation.py
@@ -7,8 +7,9 @@
 
 __all__ = ['Explanation', 'explain_request']
 
-_ENDS = ('request_answered', 'request_refused', 'request_failed', 'caller_left')
-_KEYS_NOT_SHOWN = ('t', 'host', 'event', 'id')
+_END_EVENTS = ('request_answered', 'request_refused', 'request_failed',
+               'caller_left')
+_HIDDEN_KEYS = ('t', 'host', 'event', 'id')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,12 +32,14 @@
         request_id: the request's id.
         log: lines of any processes' logs; what is not JSON is passed over.
     """
-    found = [event for line in log_lines if (event := _parse(line, request_id))]
-    return Explanation(lines=tuple(_shown(event) for event in found),
-                       verdict=_verdict(found))
+    events = [
+        event for line in log_lines if (event := _parse_event(line, request_id))
+    ]
+    return Explanation(lines=tuple(_format_event(event) for event in events),
+                       verdict=_describe_outcome(events))
 
 
-def _parse(line: str, request_id: str) -> dict[str, Any] | None:
+def _parse_event(line: str, request_id: str) -> dict[str, Any] | None:
     start = line.find('{')
     if start < 0 or request_id not in line:
         return None
@@ -49,18 +52,18 @@
     return event
 
 
-def _shown(event: dict[str, Any]) -> str:
+def _format_event(event: dict[str, Any]) -> str:
     fields = ' '.join(f'{key}={value}' for key, value in event.items()
-                      if key not in _KEYS_NOT_SHOWN)
+                      if key not in _HIDDEN_KEYS)
     return f'{event.get("t")} {event.get("host")} {event.get("event")} {fields}'
 
 
-def _verdict(events: list[dict[str, Any]]) -> str:
+def _describe_outcome(events: list[dict[str, Any]]) -> str:
     if not events:
         return (
             'No line names this request: it reached no host that logged, or '
             'its lines were left out (see lines_dropped).')
-    ends = [event for event in events if event['event'] in _ENDS]
+    ends = [event for event in events if event['event'] in _END_EVENTS]
     causes = [
         str(event['cause'])
         for event in events
@@ -69,13 +72,13 @@
     if not ends:
         return 'No end was logged: the process ended, or the line was left out.'
     last = ends[-1]
-    after = f'after {last.get("after_s")} s'
-    because = f' Attempts ended by: {"; ".join(causes)}.' if causes else ''
+    elapsed = f'after {last.get("after_s")} s'
+    causes_text = f' Attempts ended by: {"; ".join(causes)}.' if causes else ''
     if last['event'] == 'request_answered':
-        return (f'Answered with {last.get("status")} {after}, '
-                f'{last.get("attempts")} attempts.{because}')
+        return (f'Answered with {last.get("status")} {elapsed}, '
+                f'{last.get("attempts")} attempts.{causes_text}')
     if last['event'] == 'caller_left':
-        return f'The caller left {after}.{because}'
-    ran = 'It did not run' if last['event'] == 'request_refused' else (
+        return f'The caller left {elapsed}.{causes_text}'
+    execution = 'It did not run' if last['event'] == 'request_refused' else (
         'It may have run')
-    return f'{ran}: {last.get("kind")} {after}, {last.get("detail")}.{because}'
+    return f'{execution}: {last.get("kind")} {elapsed}, {last.get("detail")}.{causes_text}'
--- a/pollenthread/platform/caller_codec.py
+++ b/pollenthread/platform/caller_codec.py
@@ -11,9 +11,9 @@
 __all__ = ['HttpCallerResponse', 'decode_request']
 
 _MS_PER_S = 1000.0
-_SCHEME = 'bearer '
+_BEARER_PREFIX = 'bearer '
 # Headers that concern one connection, or that the product sets itself.
-_NOT_PASSED_ON = frozenset({
+_HEADERS_NOT_FORWARDED = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
     'transfer-encoding', 'upgrade', 'content-length', 'expect', 'host',
     wire_names.HeaderName.AUTHORIZATION, wire_names.HeaderName.DEADLINE_MS,
@@ -22,13 +22,15 @@
 })
 
 
-def decode_request(request: http_message.Request) -> caller_request.CallerRequest:
+def decode_request(
+        request: http_message.Request) -> caller_request.CallerRequest:
     """Decodes a request; what is malformed counts as not given."""
-    named = set()
+    connection_headers = set()
     for part in (request.header('connection') or '').split(','):
-        named.add(part.strip().lower())
+        connection_headers.add(part.strip().lower())
     host = request.header('host') or ''
-    prompt_tokens, output_tokens = _tokens(request.header(wire_names.HeaderName.TOKEN_COUNT))
+    prompt_tokens, output_tokens = _parse_token_counts(
+        request.header(wire_names.HeaderName.TOKEN_COUNT))
     return caller_request.CallerRequest(
         id=request.header(wire_names.HeaderName.REQUEST_ID) or '',
         method=request.method,
@@ -36,30 +38,33 @@
         host=host.partition(':')[0].lower(),
         headers=tuple((name, value)
                       for name, value in request.headers
-                      if name not in _NOT_PASSED_ON and name not in named),
+                      if name not in _HEADERS_NOT_FORWARDED and
+                      name not in connection_headers),
         body=request.body,
-        key=_key(request.header(wire_names.HeaderName.AUTHORIZATION)),
-        patience_s=_seconds(request.header(wire_names.HeaderName.DEADLINE_MS)),
+        key=_parse_api_key(request.header(wire_names.HeaderName.AUTHORIZATION)),
+        patience_s=_parse_timeout_s(
+            request.header(wire_names.HeaderName.DEADLINE_MS)),
         last_event_id=request.header(wire_names.HeaderName.LAST_EVENT_ID),
         prompt_tokens=prompt_tokens,
         max_output_tokens=output_tokens,
-        prompt_parts=_parts(request.header(wire_names.HeaderName.PROMPT_PREFIX)),
+        prompt_parts=_parse_prompt_parts(
+            request.header(wire_names.HeaderName.PROMPT_PREFIX)),
         received_at=asyncio.get_running_loop().time())
 
 
-def _key(value: str | None) -> str | None:
-    if value is None or value[:len(_SCHEME)].lower() != _SCHEME:
+def _parse_api_key(value: str | None) -> str | None:
+    if value is None or value[:len(_BEARER_PREFIX)].lower() != _BEARER_PREFIX:
         return None
-    return value[len(_SCHEME):].strip()
+    return value[len(_BEARER_PREFIX):].strip()
 
 
-def _seconds(value: str | None) -> float | None:
+def _parse_timeout_s(value: str | None) -> float | None:
     if value is None or not value.strip().isdecimal():
         return None
     return int(value) / _MS_PER_S
 
 
-def _tokens(value: str | None) -> tuple[int, int]:
+def _parse_token_counts(value: str | None) -> tuple[int, int]:
     try:
         prompt, output = (value or '').split(',')
         return int(prompt), int(output)
@@ -67,7 +72,8 @@
         return 0, 0
 
 
-def _parts(value: str | None) -> tuple[caller_request.PromptPart, ...]:
+def _parse_prompt_parts(
+        value: str | None) -> tuple[caller_request.PromptPart, ...]:
     parts = []
     for item in (value or '').split(','):
         part_id, _, tokens = item.strip().partition(':')
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -25,13 +25,12 @@
         InvalidConfig: it is not JSON or lacks what a configuration needs.
     """
     try:
-        return _config(field_reader.FieldReader(json.loads(data)))
+        return _decode_config(field_reader.FieldReader(json.loads(data)))
     except (ValueError, KeyError, RecursionError) as error:
         raise ConfigDocumentError(str(error)) from error
 
 
-def try_decode(
-        data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
+def try_decode(data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
     """Decodes a whole document, or says what is wrong with it."""
     try:
         return result.Ok(decode(data))
@@ -39,109 +38,125 @@
         return result.Err(str(error))
 
 
-def _config(document: field_reader.FieldReader) -> routing_config.RoutingConfig:
-    services = map(_service, _required(document, 'services'))
+def _decode_config(
+        document: field_reader.FieldReader) -> routing_config.RoutingConfig:
+    services = map(_decode_service, _get_required_objects(document, 'services'))
     return routing_config.RoutingConfig(
         version=document.get_int('version'),
-        routes_by_host=_by_host(
-            [_route(found) for found in _required(document, 'routes')]),
+        routes_by_host=_group_by_host([
+            _decode_route(route)
+            for route in _get_required_objects(document, 'routes')
+        ]),
         services_by_name={service.name: service for service in services},
-        limits=_limits(document.get_object('limits')),
-        workspaces_by_key=_workspaces(document))
+        limits=_decode_limits(document.get_object('limits')),
+        workspaces_by_key=_decode_workspaces(document))
 
 
-def _required(document: field_reader.FieldReader, name: str) -> list[field_reader.FieldReader]:
+def _get_required_objects(document: field_reader.FieldReader,
+                          name: str) -> list[field_reader.FieldReader]:
     if not document.has(name):
         raise field_reader.FieldError(f'{name} is missing')
     return document.get_objects(name)
 
 
-def _route(found: field_reader.FieldReader) -> routing_config.Route:
+def _decode_route(route: field_reader.FieldReader) -> routing_config.Route:
     return routing_config.Route(
-        name=found.get_str('name', ''),
-        host=found.get_str('host'),
-        path_prefix=found.get_str('path_prefix'),
-        kind=wire_names.REQUEST_KIND_BY_NAME[found.get_str('kind')],
-        timeout_s=found.get_float('timeout_ms') / _MS_PER_S,
-        target_s=found.get_float('target_latency_ms', 1000.0) / _MS_PER_S,
-        priority=found.get_int('priority', 0),
-        shares=_shares(found),
-        max_attempts=max(1, found.get_int('max_attempts', 1)),
-        is_public=found.get_bool('public', False),
-        is_resumable=found.get_bool('can_resume', False),
-        max_gap_s=found.get_float('gap_aim_ms', 0.0) / _MS_PER_S)
-
-
-def _shares(route: field_reader.FieldReader) -> tuple[routing_config.ServiceShare, ...]:
+        name=route.get_str('name', ''),
+        host=route.get_str('host'),
+        path_prefix=route.get_str('path_prefix'),
+        kind=wire_names.REQUEST_KIND_BY_NAME[route.get_str('kind')],
+        timeout_s=route.get_float('timeout_ms') / _MS_PER_S,
+        target_s=route.get_float('target_latency_ms', 1000.0) / _MS_PER_S,
+        priority=route.get_int('priority', 0),
+        shares=_decode_shares(route),
+        max_attempts=max(1, route.get_int('max_attempts', 1)),
+        is_public=route.get_bool('public', False),
+        is_resumable=route.get_bool('can_resume', False),
+        max_gap_s=route.get_float('gap_aim_ms', 0.0) / _MS_PER_S)
+
+
+def _decode_shares(
+        route: field_reader.FieldReader
+) -> tuple[routing_config.ServiceShare, ...]:
     parts = route.get_objects('traffic_split')
     if not parts:
-        only = routing_config.ServiceShare(route.get_str('service', ''), 1.0)
-        return (only,)
+        single_share = routing_config.ServiceShare(route.get_str('service', ''),
+                                                   1.0)
+        return (single_share,)
     shares = (routing_config.ServiceShare(part.get_str('service'),
                                           part.get_float('weight', 1.0))
               for part in parts)
     return tuple(share for share in shares if share.weight > 0)
 
 
-def _by_host(
+def _group_by_host(
     routes: list[routing_config.Route]
 ) -> dict[str, tuple[routing_config.Route, ...]]:
-    found: dict[str, list[routing_config.Route]] = {}
+    routes_by_host: dict[str, list[routing_config.Route]] = {}
     for route in routes:
-        found.setdefault(route.host, []).append(route)
+        routes_by_host.setdefault(route.host, []).append(route)
     return {
-        host: tuple(sorted(group, key=lambda route: -len(route.path_prefix)))
-        for host, group in found.items()
+        host:
+            tuple(sorted(host_routes,
+                         key=lambda route: -len(route.path_prefix)))
+        for host, host_routes in routes_by_host.items()
     }
 
 
-def _service(found: field_reader.FieldReader) -> routing_config.Service:
-    engine = _engine(found.get_object('engine')) if found.has('engine') else None
-    return routing_config.Service(name=found.get_str('name'),
-                                  health_path=found.get_str('health_path', '/'),
-                                  max_connections=found.get_int(
-                                      'max_connections', 100),
-                                  engine=engine)
+def _decode_service(
+        service: field_reader.FieldReader) -> routing_config.Service:
+    engine = _decode_engine(
+        service.get_object('engine')) if service.has('engine') else None
+    return routing_config.Service(
+        name=service.get_str('name'),
+        health_path=service.get_str('health_path', '/'),
+        max_connections=service.get_int('max_connections', 100),
+        engine=engine)
 
 
-def _engine(found: field_reader.FieldReader) -> routing_config.EngineFigures:
-    usual = found.get_object('usual')
+def _decode_engine(
+        engine: field_reader.FieldReader) -> routing_config.EngineFigures:
+    typical = engine.get_object('usual')
     return routing_config.EngineFigures(
-        slots=found.get_int('slots', 1),
-        kv_tokens=found.get_int('kv_capacity_tokens', 0),
-        step_s=found.get_float('step_ms', 0.0) / _MS_PER_S,
-        per_sequence_s=found.get_float('per_seq_ms', 0.0) / _MS_PER_S,
+        slots=engine.get_int('slots', 1),
+        kv_tokens=engine.get_int('kv_capacity_tokens', 0),
+        step_s=engine.get_float('step_ms', 0.0) / _MS_PER_S,
+        per_sequence_s=engine.get_float('per_seq_ms', 0.0) / _MS_PER_S,
         # Milliseconds for each 1,000 tokens of context.
-        per_context_token_s=found.get_float('context_per_k', 0.0) / 1000 /
+        per_context_token_s=engine.get_float('context_per_k', 0.0) / 1000 /
         _MS_PER_S,
         # Prompt tokens in a second.
-        prompt_tokens_per_s=found.get_float('read_per_s', 0.0),
+        prompt_tokens_per_s=engine.get_float('read_per_s', 0.0),
         # Milliseconds for each million pairs of tokens.
-        per_pair_s=found.get_float('pairs_per_m', 0.0) / _MEGA / _MS_PER_S,
-        chunk_tokens=found.get_int('chunk', 0),
-        steps_per_pass=found.get_int('stride', 1),
-        usual_prompt_tokens=usual.get_float('prompt', 500.0),
-        usual_answer_tokens=usual.get_float('answer', 100.0),
-        link_bytes_per_s=found.get_float('link_mbps', 0.0) * _MEGA /
+        per_pair_s=engine.get_float('pairs_per_m', 0.0) / _MEGA / _MS_PER_S,
+        chunk_tokens=engine.get_int('chunk', 0),
+        steps_per_pass=engine.get_int('stride', 1),
+        usual_prompt_tokens=typical.get_float('prompt', 500.0),
+        usual_answer_tokens=typical.get_float('answer', 100.0),
+        link_bytes_per_s=engine.get_float('link_mbps', 0.0) * _MEGA /
         _BITS_PER_BYTE,
-        sets=found.get_int('sets', 0),
-        experts=found.get_int('experts', 0),
-        places=found.get_int('places', 0),
-        spare=found.get_int('spare', 0),
-        expert_bytes=found.get_float('expert_mb', 0.0) * _MEGA,
-        expert_share=found.get_float('expert_share', 0.0))
+        sets=engine.get_int('sets', 0),
+        experts=engine.get_int('experts', 0),
+        places=engine.get_int('places', 0),
+        spare=engine.get_int('spare', 0),
+        expert_bytes=engine.get_float('expert_mb', 0.0) * _MEGA,
+        expert_share=engine.get_float('expert_share', 0.0))
 
 
-def _limits(found: field_reader.FieldReader) -> routing_config.CallerLimits:
+def _decode_limits(
+        limits: field_reader.FieldReader) -> routing_config.CallerLimits:
     return routing_config.CallerLimits(
-        max_header_bytes=found.get_int('max_header_bytes', 16_384),
-        max_body_bytes=found.get_int('max_body_bytes', 4_194_304),
-        header_timeout_s=found.get_float('header_timeout_ms', 3_000.0) / _MS_PER_S,
-        idle_timeout_s=found.get_float('idle_timeout_ms', 15_000.0) / _MS_PER_S)
+        max_header_bytes=limits.get_int('max_header_bytes', 16_384),
+        max_body_bytes=limits.get_int('max_body_bytes', 4_194_304),
+        header_timeout_s=limits.get_float('header_timeout_ms', 3_000.0) /
+        _MS_PER_S,
+        idle_timeout_s=limits.get_float('idle_timeout_ms', 15_000.0) /
+        _MS_PER_S)
 
 
-def _workspaces(
-        document: field_reader.FieldReader) -> dict[str, routing_config.Workspace] | None:
+def _decode_workspaces(
+    document: field_reader.FieldReader
+) -> dict[str, routing_config.Workspace] | None:
     if not document.has('tenants'):
         return None
     workspaces = {}
--- a/pollenthread/platform/field_reader.py
+++ b/pollenthread/platform/field_reader.py
@@ -18,7 +18,7 @@
 class FieldReader:
     """One object with named fields; those it does not know are ignored."""
 
-    def __init__(self, found: Any, *, place: str = '') -> None:
+    def __init__(self, document: Any, *, path: str = '') -> None:
         """Takes an object.
 
         Args:
@@ -28,24 +28,24 @@
         Raises:
             InvalidField: it is no object.
         """
-        if not isinstance(found, Mapping):
-            raise FieldError(f'{place or "the document"} is no object')
-        self._found = found
-        self._place = place
+        if not isinstance(document, Mapping):
+            raise FieldError(f'{path or "the document"} is no object')
+        self._document = document
+        self._prefix = path
 
     def has(self, name: str) -> bool:
         """Whether the field is there and not null."""
-        return self._found.get(name) is not None
+        return self._document.get(name) is not None
 
-    def _path(self, name: str) -> str:
-        return f'{self._place}.{name}' if self._place else name
+    def _field_path(self, name: str) -> str:
+        return f'{self._prefix}.{name}' if self._prefix else name
 
-    def _get(self, name: str, default: Any) -> Any:
-        value = self._found.get(name)
+    def _get_value(self, name: str, default: Any) -> Any:
+        value = self._document.get(name)
         if value is not None:
             return value
         if default is None:
-            raise FieldError(f'{self._path(name)} is missing')
+            raise FieldError(f'{self._field_path(name)} is missing')
         return default
 
     def get_str(self, name: str, default: str | None = None) -> str:
@@ -54,7 +54,8 @@
         Raises:
             InvalidField: it is missing or no text.
         """
-        return self._check(name, self._get(name, default), str, 'text')
+        return self._check_type(name, self._get_value(name, default), str,
+                                'text')
 
     def get_float(self, name: str, default: float | None = None) -> float:
         """A finite number.
@@ -62,10 +63,11 @@
         Raises:
             InvalidField: it is missing or no number.
         """
-        value = self._get(name, default)
+        value = self._get_value(name, default)
         if (isinstance(value, bool) or not isinstance(value, (int, float)) or
                 not math.isfinite(value)):
-            raise FieldError(f'{self._path(name)} is no number: {value!r}')
+            raise FieldError(
+                f'{self._field_path(name)} is no number: {value!r}')
         return float(value)
 
     def get_int(self, name: str, default: int | None = None) -> int:
@@ -74,10 +76,10 @@
         Raises:
             InvalidField: it is missing or no whole number.
         """
-        value = self._get(name, default)
-        if not _is_whole(value):
+        value = self._get_value(name, default)
+        if not _is_integer(value):
             raise FieldError(
-                f'{self._path(name)} is no whole number: {value!r}')
+                f'{self._field_path(name)} is no whole number: {value!r}')
         return int(value)
 
     def get_bool(self, name: str, default: bool) -> bool:
@@ -86,7 +88,8 @@
         Raises:
             InvalidField: it is neither.
         """
-        return self._check(name, self._get(name, default), bool, 'flag')
+        return self._check_type(name, self._get_value(name, default), bool,
+                                'flag')
 
     def get_object(self, name: str) -> Self:
         """An object; without fields where it is left out.
@@ -94,7 +97,8 @@
         Raises:
             InvalidField: it is no object.
         """
-        return type(self)(self._get(name, {}), place=self._path(name))
+        return type(self)(self._get_value(name, {}),
+                          path=self._field_path(name))
 
     def get_objects(self, name: str) -> list[Self]:
         """A list of objects; empty where it is left out.
@@ -102,10 +106,10 @@
         Raises:
             InvalidField: it is no list of objects.
         """
-        found = self._check(name, self._get(name, []), list, 'list')
+        items = self._check_type(name, self._get_value(name, []), list, 'list')
         return [
-            type(self)(value, place=f'{self._path(name)}[{index}]')
-            for index, value in enumerate(found)
+            type(self)(value, path=f'{self._field_path(name)}[{index}]')
+            for index, value in enumerate(items)
         ]
 
     def get_strs(self, name: str) -> tuple[str, ...]:
@@ -114,10 +118,10 @@
         Raises:
             InvalidField: it is no list of texts.
         """
-        found = self._check(name, self._get(name, []), list, 'list')
+        items = self._check_type(name, self._get_value(name, []), list, 'list')
         return tuple(
-            self._check(f'{name}[{index}]', value, str, 'text')
-            for index, value in enumerate(found))
+            self._check_type(f'{name}[{index}]', value, str, 'text')
+            for index, value in enumerate(items))
 
     def get_ints(self, name: str, *, count: int) -> tuple[int, ...]:
         """A list of so many whole numbers.
@@ -125,11 +129,13 @@
         Raises:
             InvalidField: it is missing or something else.
         """
-        found = self._check(name, self._get(name, None), list, 'list')
-        if len(found) != count or not all(map(_is_whole, found)):
+        items = self._check_type(name, self._get_value(name, None), list,
+                                 'list')
+        if len(items) != count or not all(map(_is_integer, items)):
             raise FieldError(
-                f'{self._path(name)} is not {count} whole numbers: {found!r}')
-        return tuple(int(value) for value in found)
+                f'{self._field_path(name)} is not {count} whole numbers: {items!r}'
+            )
+        return tuple(int(value) for value in items)
 
     def get_str_by_name(self, name: str) -> dict[str, str]:
         """An object whose fields are texts; empty where it is left out.
@@ -137,18 +143,21 @@
         Raises:
             InvalidField: it is something else.
         """
-        found = self._check(name, self._get(name, {}), Mapping, 'object')
+        mapping = self._check_type(name, self._get_value(name, {}), Mapping,
+                                   'object')
         return {
-            str(key): self._check(f'{name}.{key}', value, str, 'text')
-            for key, value in found.items()
+            str(key): self._check_type(f'{name}.{key}', value, str, 'text')
+            for key, value in mapping.items()
         }
 
-    def _check(self, name: str, value: Any, kind: Any, word: str) -> Any:
-        if not isinstance(value, kind):
-            raise FieldError(f'{self._path(name)} is no {word}: {value!r}')
+    def _check_type(self, name: str, value: Any, expected_type: Any,
+                    type_name: str) -> Any:
+        if not isinstance(value, expected_type):
+            raise FieldError(
+                f'{self._field_path(name)} is no {type_name}: {value!r}')
         return value
 
 
-def _is_whole(value: Any) -> bool:
+def _is_integer(value: Any) -> bool:
     return (isinstance(value, (int, float)) and not isinstance(value, bool) and
             value == value // 1)
--- a/pollenthread/platform/process_settings.py
+++ b/pollenthread/platform/process_settings.py
@@ -84,30 +84,31 @@
     if path is None:
         path = pathlib.Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
     try:
-        return _settings(field_reader.FieldReader(tomllib.loads(path.read_text('utf-8'))))
+        return _decode_settings(
+            field_reader.FieldReader(tomllib.loads(path.read_text('utf-8'))))
     except (OSError, ValueError) as error:
         raise SettingsError(f'{path}: {error}') from error
 
 
-def _settings(found: field_reader.FieldReader) -> ProcessSettings:
-    bounds = found.get_object('bounds')
-    listen = found.get_object('listen')
+def _decode_settings(document: field_reader.FieldReader) -> ProcessSettings:
+    bounds = document.get_object('bounds')
+    listen = document.get_object('listen')
     return ProcessSettings(
-        host=found.get_str('node_name'),
-        ip=found.get_str('ip'),
-        data_centre=found.get_str('zone'),
-        region=found.get_str('region', ''),
-        region_by_data_centre=found.get_str_by_name('zones'),
-        peer_ports=_ports(found),
-        seeds=found.get_strs('seeds'),
+        host=document.get_str('node_name'),
+        ip=document.get_str('ip'),
+        data_centre=document.get_str('zone'),
+        region=document.get_str('region', ''),
+        region_by_data_centre=document.get_str_by_name('zones'),
+        peer_ports=_decode_port_range(document),
+        seeds=document.get_strs('seeds'),
         caller_address=listen.get_str('front', ''),
         ready_address=listen.get_str('ready', ''),
         directory_address=listen.get_str('directory', ''),
         control_address=listen.get_str('control', ''),
         # The address of the model server on the same host.
-        engine_address=found.get_str('app', ''),
-        engine_service=found.get_str('service', ''),
-        store_address=found.get_object('platform').get_str('address'),
+        engine_address=document.get_str('app', ''),
+        engine_service=document.get_str('service', ''),
+        store_address=document.get_object('platform').get_str('address'),
         drain_s=bounds.get_float('drain_ms', 2000.0) / _MS_PER_S,
         grace_s=bounds.get_float('grace_s', 8.0),
         config_s=bounds.get_float('config_ms', 2000.0) / _MS_PER_S,
@@ -117,10 +118,10 @@
         # Repeats beyond the ratio, in one window, by all hosts together.
         retry_extra=bounds.get_float('budget_extra_tries', 0.0),
         stall_s=bounds.get_float('stall_ms', 1500.0) / _MS_PER_S,
-        link_bytes_per_s=found.get_object('limits').get_float(
+        link_bytes_per_s=document.get_object('limits').get_float(
             'link_mbps', _DEFAULT_LINK_MBPS) * _BYTES_PER_MEGABIT)
 
 
-def _ports(found: field_reader.FieldReader) -> tuple[int, int]:
-    first, last = found.get_ints('internal_ports', count=2)
+def _decode_port_range(document: field_reader.FieldReader) -> tuple[int, int]:
+    first, last = document.get_ints('internal_ports', count=2)
     return first, last
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -17,14 +17,14 @@
 
 __all__ = ['HttpRowStore']
 
-_ANSWER_TIMEOUT_S = 1.0
-_FAULT_BY_STATUS = {
+_RESPONSE_TIMEOUT_S = 1.0
+_ERROR_BY_STATUS = {
     410: row_store.StoreFault.HISTORY_LOST,
     412: row_store.StoreFault.CONFLICT,
     429: row_store.StoreFault.LIMITED,
     503: row_store.StoreFault.UNAVAILABLE,
 }
-_JSON = (('content-type', 'application/json'),)
+_JSON_HEADERS = (('content-type', 'application/json'),)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,20 +54,20 @@
             self, table: str
     ) -> result.Result[row_store.Changes, row_store.StoreFault]:
         changes: list[row_store.Change] = []
-        start = ''
+        first_key = ''
         while True:
             query = {'table': table, 'part': ''}
-            if start:
-                query['from'] = start
-            answer = await self._get(wire_names.UrlPath.READ_ROWS, query, 0.0)
-            if isinstance(answer, result.Err):
-                return result.Err(answer.err_value)
-            page = answer.ok_value
+            if first_key:
+                query['from'] = first_key
+            response = await self._get(wire_names.UrlPath.READ_ROWS, query, 0.0)
+            if isinstance(response, result.Err):
+                return result.Err(response.err_value)
+            page = response.ok_value
             changes += page.changes
             if not page.has_more or not page.changes:
                 return result.Ok(row_store.Changes(tuple(changes),
                                                    page.version))
-            start = page.changes[-1].key + '\0'
+            first_key = page.changes[-1].key + '\0'
 
     async def watch(
         self, table: str, after: int, wait_s: float
@@ -77,16 +77,17 @@
             'after': str(after),
             'wait_ms': str(round(wait_s * 1000))
         }
-        answer = await self._get(wire_names.UrlPath.WATCH_ROWS, query, wait_s)
-        return answer.map(
+        response = await self._get(wire_names.UrlPath.WATCH_ROWS, query, wait_s)
+        return response.map(
             lambda page: row_store.Changes(page.changes, page.version))
 
     async def write(
         self, writes: Sequence[row_store.RowWrite]
     ) -> result.Result[int, row_store.StoreFault]:
-        body = json.dumps(_transaction(writes)).encode()
-        answer = await self._call('POST', wire_names.UrlPath.WRITE_ROWS, body, 0.0)
-        return answer.map(lambda page: page.version)
+        body = json.dumps(_encode_transaction(writes)).encode()
+        response = await self._call('POST', wire_names.UrlPath.WRITE_ROWS, body,
+                                    0.0)
+        return response.map(lambda page: page.version)
 
     async def _get(self, path: str, query: dict[str, str],
                    wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
@@ -96,29 +97,29 @@
     async def _call(
             self, method: str, target: str, body: bytes,
             wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
-        answer = await self._exchange(method, target, body, wait_s)
-        outcome = 'ok' if answer.is_ok() else answer.unwrap_err().value
+        response = await self._send(method, target, body, wait_s)
+        outcome = 'ok' if response.is_ok() else response.unwrap_err().value
         self.calls_by_outcome[outcome] = self.calls_by_outcome.get(outcome,
                                                                    0) + 1
-        return answer
+        return response
 
-    async def _exchange(
+    async def _send(
             self, method: str, target: str, body: bytes,
             wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
         try:
-            async with asyncio.timeout(wait_s + _ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(wait_s + _RESPONSE_TIMEOUT_S):
                 async with self._client.request(self._address,
                                                 method,
                                                 target,
-                                                headers=_JSON,
-                                                body=body) as exchange:
-                    data = await exchange.read_all()
-                    if exchange.status != 200:
+                                                headers=_JSON_HEADERS,
+                                                body=body) as response:
+                    data = await response.read_all()
+                    if response.status != 200:
                         return result.Err(
-                            _FAULT_BY_STATUS.get(
-                                exchange.status,
+                            _ERROR_BY_STATUS.get(
+                                response.status,
                                 row_store.StoreFault.UNAVAILABLE))
-                    return result.Ok(_page(json.loads(data)))
+                    return result.Ok(_decode_page(json.loads(data)))
         except http_client.ConnectFailed:
             return result.Err(row_store.StoreFault.UNAVAILABLE)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError,
@@ -126,18 +127,18 @@
             return result.Err(row_store.StoreFault.UNKNOWN)
 
 
-def _page(found: Any) -> _Page:
+def _decode_page(document: Any) -> _Page:
     """Checks an answer.
 
     Raises:
         ValueError, KeyError, TypeError, AttributeError: it is no answer.
     """
-    return _Page(changes=tuple(_changes(found)),
-                 version=int(found['ver']),
-                 has_more=bool(found.get('has_more')))
+    return _Page(changes=tuple(_decode_changes(document)),
+                 version=int(document['ver']),
+                 has_more=bool(document.get('has_more')))
 
 
-def _changes(page: dict[str, Any]) -> list[row_store.Change]:
+def _decode_changes(page: dict[str, Any]) -> list[row_store.Change]:
     """The rows of an answer; a row that cannot be read has empty bytes."""
     changes = []
     for row in page.get('rows') or ():
@@ -153,17 +154,26 @@
     return changes
 
 
-def _transaction(writes: Sequence[row_store.RowWrite]) -> dict[str, Any]:
-    names_of = [{'table': w.table, 'part': '', 'key': w.key} for w in writes]
+def _encode_transaction(writes: Sequence[row_store.RowWrite]) -> dict[str, Any]:
+    row_names = [{
+        'table': write.table,
+        'part': '',
+        'key': write.key
+    } for write in writes]
     return {
         # Here this field holds the rows that must have a given version.
         'expected_revision': [{
-            **name, 'ver': w.expect
-        } for name, w in zip(names_of, writes) if w.expect is not None],
+            **row_name, 'ver': write.expect
+        }
+                              for row_name, write in zip(row_names, writes)
+                              if write.expect is not None],
         'puts': [{
-            **name, 'value': base64.b64encode(w.value).decode()
-        } for name, w in zip(names_of, writes) if w.value is not None],
+            **row_name, 'value': base64.b64encode(write.value).decode()
+        }
+                 for row_name, write in zip(row_names, writes)
+                 if write.value is not None],
         'deletes': [
-            name for name, w in zip(names_of, writes) if w.value is None
+            row_name for row_name, write in zip(row_names, writes)
+            if write.value is None
         ]
     }
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -23,12 +23,13 @@
         if not host or not 0 < int(port) < 65536:
             return result.Err(f'address {address!r}')
         return result.Ok(
-            fleet.Server(id=server_id,
-                         service=entry.get_str('service'),
-                         address=address,
-                         data_centre=entry.get_str('zone'),
-                         slots=max(1, entry.get_int('slots', 1)),
-                         state=wire_names.SERVER_STATE_BY_NAME[entry.get_str('state')],
-                         born_ms=entry.get_int('born', 0)))
+            fleet.Server(
+                id=server_id,
+                service=entry.get_str('service'),
+                address=address,
+                data_centre=entry.get_str('zone'),
+                slots=max(1, entry.get_int('slots', 1)),
+                state=wire_names.SERVER_STATE_BY_NAME[entry.get_str('state')],
+                born_ms=entry.get_int('born', 0)))
     except (ValueError, KeyError, RecursionError) as error:
         return result.Err(str(error))
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -11,13 +11,14 @@
 __all__ = ['HttpUpstreamClient']
 
 _MS_PER_S = 1000
-_MAX_STALE_ANSWERS = 4
-_MISDIRECTED = 421
-_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_MAX_STALE_RESPONSES = 4
+_MISDIRECTED_REQUEST_STATUS = 421
+_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Headers that concern one connection, or that the product writes anew.
-_NOT_PASSED_ON = frozenset({
+_HEADERS_NOT_FORWARDED = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
-    'transfer-encoding', 'upgrade', 'content-length', wire_names.HeaderName.NOT_EXECUTED
+    'transfer-encoding', 'upgrade', 'content-length',
+    wire_names.HeaderName.NOT_EXECUTED
 })
 
 
@@ -38,28 +39,29 @@
             async with self._client.request(attempt.server.address,
                                             request.method,
                                             request.target,
-                                            headers=_headers(attempt),
-                                            body=request.body) as exchange:
-                await self._skip_stale(exchange, request.id)
-                yield _Answer(exchange)
+                                            headers=_build_headers(attempt),
+                                            body=request.body) as response:
+                await self._skip_stale_responses(response, request.id)
+                yield _HttpUpstreamResponse(response)
         except http_client.ConnectFailed as error:
             raise upstream.ConnectFailed(str(error)) from error
         except OSError as error:
             raise upstream.UpstreamBroken(str(error)) from error
 
-    async def _skip_stale(self, exchange: http_client.ClientExchange,
-                          request_id: str) -> None:
+    async def _skip_stale_responses(self, response: http_client.ClientExchange,
+                                    request_id: str) -> None:
         """Reads on to the answer that bears this request's id."""
-        for _ in range(_MAX_STALE_ANSWERS):
-            echoed = exchange.header(wire_names.HeaderName.REQUEST_ID)
-            if echoed is None or echoed == request_id:
+        for _ in range(_MAX_STALE_RESPONSES):
+            echoed_id = response.header(wire_names.HeaderName.REQUEST_ID)
+            if echoed_id is None or echoed_id == request_id:
                 return
             self.stale_responses += 1
-            await exchange.skip()
+            await response.skip()
         raise ConnectionError('only answers to other requests came')
 
 
-def _headers(attempt: upstream.UpstreamRequest) -> list[http_headers.Header]:
+def _build_headers(
+        attempt: upstream.UpstreamRequest) -> list[http_headers.Header]:
     request = attempt.request
     time_left_ms = max(1, int(attempt.time_left_s * _MS_PER_S))
     headers = [('host', request.host), *request.headers,
@@ -69,42 +71,45 @@
     if attempt.workspace is not None:
         headers.append((wire_names.HeaderName.WORKSPACE, attempt.workspace))
     if attempt.last_event_id is not None:
-        headers.append((wire_names.HeaderName.LAST_EVENT_ID, attempt.last_event_id))
+        headers.append(
+            (wire_names.HeaderName.LAST_EVENT_ID, attempt.last_event_id))
     return headers
 
 
-class _Answer(upstream.UpstreamAnswer):
+class _HttpUpstreamResponse(upstream.UpstreamAnswer):
     """An answer over HTTP."""
 
-    def __init__(self, exchange: http_client.ClientExchange) -> None:
-        self._exchange = exchange
-        self.status = exchange.status
+    def __init__(self, response: http_client.ClientExchange) -> None:
+        self._response = response
+        self.status = response.status
         self.headers = tuple((name, value)
-                             for name, value in exchange.headers
-                             if name not in _NOT_PASSED_ON)
-        not_run = exchange.header(wire_names.HeaderName.NOT_EXECUTED) is not None
-        self.is_other_server = self.status == _MISDIRECTED
-        self.has_run = not (not_run or self.is_other_server)
-        self.load = _load(exchange.header(wire_names.HeaderName.SERVER_LOAD))
-        connection = exchange.header('connection') or ''
+                             for name, value in response.headers
+                             if name not in _HEADERS_NOT_FORWARDED)
+        not_executed = response.header(
+            wire_names.HeaderName.NOT_EXECUTED) is not None
+        self.is_other_server = self.status == _MISDIRECTED_REQUEST_STATUS
+        self.has_run = not (not_executed or self.is_other_server)
+        self.load = _parse_load(
+            response.header(wire_names.HeaderName.SERVER_LOAD))
+        connection = response.header('connection') or ''
         self.is_leaving = 'close' in connection.lower()
 
     # An async generator is the iterator that the port asks for.
     # pylint: disable-next=invalid-overridden-method
     async def read(self) -> AsyncIterator[bytes]:
-        size = 0
+        size_bytes = 0
         try:
-            async for data in self._exchange.read():
-                size += len(data)
-                if size > _MAX_ANSWER_BYTES:
+            async for data in self._response.read():
+                size_bytes += len(data)
+                if size_bytes > _MAX_RESPONSE_BYTES:
                     raise upstream.UpstreamBroken(
-                        f'the answer exceeds {_MAX_ANSWER_BYTES} bytes')
+                        f'the answer exceeds {_MAX_RESPONSE_BYTES} bytes')
                 yield data
         except OSError as error:
             raise upstream.UpstreamBroken(str(error)) from error
 
 
-def _load(value: str | None) -> upstream.ServerLoad | None:
+def _parse_load(value: str | None) -> upstream.ServerLoad | None:
     try:
         running, waiting, slots = (value or '').split(',')
         return upstream.ServerLoad(int(running), int(waiting), int(slots))
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -1,6 +1,9 @@
 """Names of headers, paths and words on the wire."""
 
-__all__ = ['HeaderName', 'UrlPath', 'StoreTable', 'REQUEST_KIND_BY_NAME', 'SERVER_STATE_BY_NAME']
+__all__ = [
+    'HeaderName', 'UrlPath', 'StoreTable', 'REQUEST_KIND_BY_NAME',
+    'SERVER_STATE_BY_NAME'
+]
 
 from pollenthread.core import fleet, routing_config
 
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -15,7 +15,7 @@
 
 __all__ = ['EntryTelemetry']
 
-_FINISH_TIMEOUT_S = 5.0
+_FLUSH_TIMEOUT_S = 5.0
 
 
 class EntryTelemetry:
@@ -30,7 +30,7 @@
                  gauges: Callable[[], Mapping[str, float]]) -> None:
         self.request_counter = account.Tally()
         self.latencies = metrics.Latencies()
-        self._gauges = gauges
+        self._entry_gauges = gauges
         self._exporter: otlp.SpanExporter | None = None
         if config.traces.collector is not None:
             self._exporter = otlp.SpanExporter(
@@ -44,7 +44,7 @@
             wall_offset_s=lambda: wall_time.time() - time.monotonic(),
             export=None if self._exporter is None else self._exporter.export)
         self._operators = [item.to_operator() for item in config.operators]
-        self._keeper = account_keeper.AccountKeeper(
+        self._account_writer = account_keeper.AccountKeeper(
             table_service=table_service,
             tally=self.request_counter,
             host=config.host,
@@ -74,32 +74,33 @@
             'metrics':
                 metrics.MetricsHandler(tally=self.request_counter,
                                        latencies=self.latencies,
-                                       gauges=self._all_gauges)
+                                       gauges=self._collect_gauges)
         }
 
-    def require_operator(self, handler: http_server.Handler) -> http_server.Handler:
+    def require_operator(self,
+                         handler: http_server.Handler) -> http_server.Handler:
         """Lets only operators who see every host reach a handler."""
         return operator_guard.OperatorGuard(handler=handler,
                                             operator_list=self._operators)
 
-    def _all_gauges(self) -> dict[str, float]:
+    def _collect_gauges(self) -> dict[str, float]:
         return {
             'account_faults':
-                sum(self._keeper.faults.values()),
+                sum(self._account_writer.faults.values()),
             'spans_dropped':
                 0 if self._exporter is None else self._exporter.dropped_count,
-            **self._gauges()
+            **self._entry_gauges()
         }
 
     async def run(self) -> None:
         """Hands counts and spans over until cancelled."""
         if self._exporter is None:
-            await self._keeper.run()
+            await self._account_writer.run()
             return
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._keeper.run())
+            group.create_task(self._account_writer.run())
             group.create_task(self._exporter.run())
 
     async def flush(self) -> None:
         """Hands the last counts over at a planned stop."""
-        await self._keeper.finish(_FINISH_TIMEOUT_S)
+        await self._account_writer.finish(_FLUSH_TIMEOUT_S)
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -12,9 +12,9 @@
 
 __all__ = ['run']
 
-_CONFIG_WAIT_S = 20.0
-_CONFIG_PAUSE_S = 0.5
-_FIGURES_CHECK_S = 0.25
+_CONFIG_WATCH_TIMEOUT_S = 20.0
+_CONFIG_WATCH_PAUSE_S = 0.5
+_ENGINE_PROFILE_CHECK_S = 0.25
 
 
 class _PlatformAgent(platform_role.PlatformRole):
@@ -37,54 +37,56 @@
                              return_s=0.0,
                              rng=rng),
                          rng=rng)
-        self._book = group_view.GroupBook(network=self._network,
-                                          time=self._clock)
-        self._agent = rank_agent.RankAgent(
+        self._group_registry = group_view.GroupBook(network=self._network,
+                                                    time=self._clock)
+        self._rank_agent = rank_agent.RankAgent(
             own=self._own_record,
             slots=1,
-            server=self._server_at(settings.engine_address),
+            server=self._make_rank_server(settings.engine_address),
             hosts=self._host_registry,
-            book=self._book,
+            book=self._group_registry,
             network=self._network,
             link_bytes_per_s=settings.link_bytes_per_s,
             time=self._clock,
             log=self.log,
             rng=rng)
-        self._stalls = stall_watch.StallWatch(agent=self._agent,
-                                              book=self._book,
-                                              make_driver=self._make_driver,
-                                              time=self._clock,
-                                              log=self.log)
+        self._stall_watch = stall_watch.StallWatch(
+            agent=self._rank_agent,
+            book=self._group_registry,
+            make_driver=self._make_driver,
+            time=self._clock,
+            log=self.log)
         self._incarnation = process.new_incarnation()
-        self._duties_by_group: dict[str, map_duty.MapDuty] = {}
+        self._coordinator_by_group: dict[str, map_duty.MapDuty] = {}
         self._network.serve_metrics(
             platform_metrics.MetricsPage(
-                counters=self._counters,
-                gauges=self._gauges,
+                counters=self._collect_counters,
+                gauges=self._collect_gauges,
                 latencies=platform_metrics.LatencyBook()))
 
-    def _counters(self) -> dict[str, float]:
+    def _collect_counters(self) -> dict[str, float]:
         """What keeping ranks even has cost, over all duties held here."""
-        found = self._peer_counters()
-        found['log_lines_dropped'] = self.log.dropped
-        for duty in self._duties_by_group.values():
-            account = duty.account
-            for name, count in (('map_switches', account.switches),
-                                ('map_switches_abandoned', account.abandoned),
-                                ('experts_copied', account.copies)):
-                found[name] = found.get(name, 0) + count
-            for kind, count in account.orders.items():
+        counters = self._collect_peer_counters()
+        counters['log_lines_dropped'] = self.log.dropped
+        for coordinator in self._coordinator_by_group.values():
+            statistics = coordinator.account
+            for name, count in (('map_switches', statistics.switches),
+                                ('map_switches_abandoned',
+                                 statistics.abandoned), ('experts_copied',
+                                                         statistics.copies)):
+                counters[name] = counters.get(name, 0) + count
+            for kind, count in statistics.orders.items():
                 name = f'rank_orders_{kind}'
-                found[name] = found.get(name, 0) + count
-        return found
+                counters[name] = counters.get(name, 0) + count
+        return counters
 
-    def _gauges(self) -> dict[str, float]:
-        found = {}
-        for group, duty in self._duties_by_group.items():
+    def _collect_gauges(self) -> dict[str, float]:
+        gauges = {}
+        for group, coordinator in self._coordinator_by_group.items():
             name = group.replace('-', '_')
-            found[f'skew_{name}'] = duty.account.skew
-            found[f'skew_seen_{name}'] = duty.account.skew_seen
-        return found
+            gauges[f'skew_{name}'] = coordinator.account.skew
+            gauges[f'skew_seen_{name}'] = coordinator.account.skew_seen
+        return gauges
 
     def _make_driver(self,
                      view: group_view.GroupView) -> switch_driver.SwitchDriver:
@@ -92,31 +94,34 @@
                                           hosts=self._host_registry,
                                           view=view,
                                           network=self._network,
-                                          make_server=self._server_at,
+                                          make_server=self._make_rank_server,
                                           time=self._clock,
                                           log=self.log)
 
-    def _make_duty(self, group: str) -> map_duty.MapDuty:
-        view = self._book.view(group)
+    def _make_coordinator(self, group: str) -> map_duty.MapDuty:
+        view = self._group_registry.view(group)
         return map_duty.MapDuty(host=self._settings.host,
                                 incarnation=self._incarnation,
                                 store=self._store,
                                 hosts=self._host_registry,
-                                book=self._book,
+                                book=self._group_registry,
                                 view=view,
                                 driver=self._make_driver(view),
                                 network=self._network,
-                                figures=self._figures,
+                                figures=self._engine_profile,
                                 time=self._clock,
                                 log=self.log)
 
-    def _figures(self, service: str) -> routing_config.EngineFigures | None:
+    def _engine_profile(self,
+                        service: str) -> routing_config.EngineFigures | None:
         """The figures of a service by the newest configuration."""
         config = self.state.config
-        found = config.services_by_name.get(service) if config else None
-        return found.engine if found is not None else None
+        service_config = config.services_by_name.get(
+            service) if config else None
+        return service_config.engine if service_config is not None else None
 
-    def _server_at(self, address: str) -> rank_server_http.HttpRankServer:
+    def _make_rank_server(self,
+                          address: str) -> rank_server_http.HttpRankServer:
         return rank_server_http.HttpRankServer(client=self._server_client,
                                                address=address)
 
@@ -129,28 +134,30 @@
 
     async def run(self) -> None:
         """Watches the server and does the group's duty until cancelled."""
-        config = self._make_follower(wire_names.StoreTable.OPERATOR, self._config_listener,
-                                _CONFIG_WAIT_S, _CONFIG_PAUSE_S)
+        config_follower = self._make_follower(wire_names.StoreTable.OPERATOR,
+                                              self._config_listener,
+                                              _CONFIG_WATCH_TIMEOUT_S,
+                                              _CONFIG_WATCH_PAUSE_S)
         async with asyncio.TaskGroup() as group:
-            group.create_task(config.run())
+            group.create_task(config_follower.run())
             self._follow_hosts(group)
-            group.create_task(self._agent.run())
-            group.create_task(self._stalls.run())
-            await self._follow_groups(group)
+            group.create_task(self._rank_agent.run())
+            group.create_task(self._stall_watch.run())
+            await self._coordinate_groups(group)
 
-    async def _follow_groups(self, tasks: asyncio.TaskGroup) -> None:
+    async def _coordinate_groups(self, tasks: asyncio.TaskGroup) -> None:
         """Stands for the duty of each group that is heard of."""
         while True:
-            await self._clock.sleep(_FIGURES_CHECK_S)
-            engine = self._figures(self._settings.engine_service)
-            if engine is not None:
-                self._agent.slots = engine.slots
-                self._agent.experts = engine.experts
-            for name in self._book.groups:
-                if name not in self._duties_by_group:
-                    duty = self._make_duty(name)
-                    self._duties_by_group[name] = duty
-                    tasks.create_task(duty.run())
+            await self._clock.sleep(_ENGINE_PROFILE_CHECK_S)
+            profile = self._engine_profile(self._settings.engine_service)
+            if profile is not None:
+                self._rank_agent.slots = profile.slots
+                self._rank_agent.experts = profile.experts
+            for group_name in self._group_registry.groups:
+                if group_name not in self._coordinator_by_group:
+                    coordinator = self._make_coordinator(group_name)
+                    self._coordinator_by_group[group_name] = coordinator
+                    tasks.create_task(coordinator.run())
 
 
 async def run() -> None:
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -15,17 +15,17 @@
 
 __all__ = ['run']
 
-_CONFIG_WAIT_S = 8.0
-_CONFIG_PAUSE_S = 0.05
+_CONFIG_WATCH_TIMEOUT_S = 8.0
+_CONFIG_WATCH_PAUSE_S = 0.05
 # A call that hangs is given up a second after its wait, which must leave time
 # to heed a server that drains.
-_SERVERS_WAIT_S = 1.5
-_SERVERS_PAUSE_S = 0.2
+_SERVERS_WATCH_TIMEOUT_S = 1.5
+_SERVERS_WATCH_PAUSE_S = 0.2
 _RETURN_S = 2.2
-_TTL_S = 1.0
+_ADDRESS_TTL_S = 1.0
 # Some callers keep an address answer three times as long as they were told.
-_MAX_TTL_FACTOR = 3
-_STOP_CHECK_S = 0.05
+_CALLER_CACHE_FACTOR = 3
+_SHUTDOWN_CHECK_INTERVAL_S = 0.05
 
 
 class _PlatformEntry(platform_role.PlatformRole):
@@ -48,69 +48,73 @@
                              return_s=_RETURN_S,
                              rng=rng),
                          rng=rng)
-        self._servers = knowledge.ServerListener(state=self.state,
-                                                 time=self._clock,
-                                                 log=self.log,
-                                                 table=wire_names.StoreTable.SERVERS,
-                                                 decode=server_row.decode)
+        self._server_listener = knowledge.ServerListener(
+            state=self.state,
+            time=self._clock,
+            log=self.log,
+            table=wire_names.StoreTable.SERVERS,
+            decode=server_row.decode)
         self.peers = entry_peers.EntryPeers(own=self._own_record,
                                             hosts=self._host_registry,
                                             seeds=settings.seeds,
                                             network=self._network,
                                             state=self.state,
                                             config=self._config_listener,
-                                            servers=self._servers,
+                                            servers=self._server_listener,
                                             time=self._clock,
                                             log=self.log,
                                             rng=self._rng)
-        self._stop_plan = planned_stop.StopPlan(grace_s=settings.grace_s,
-                                                caches_s=_TTL_S *
-                                                _MAX_TTL_FACTOR)
+        self._shutdown_plan = planned_stop.StopPlan(grace_s=settings.grace_s,
+                                                    caches_s=_ADDRESS_TTL_S *
+                                                    _CALLER_CACHE_FACTOR)
         self._latencies = platform_metrics.LatencyBook()
-        forward = forwarder.Forwarder(
+        request_forwarder = forwarder.Forwarder(
             state=self.state,
-            servers=upstream_http.HttpUpstreamClient(client=self._server_client),
-            stop_plan=self._stop_plan,
+            servers=upstream_http.HttpUpstreamClient(
+                client=self._server_client),
+            stop_plan=self._shutdown_plan,
             observe=self._latencies.observe,
             time=self._clock,
             log=self.log)
-        self._forward = forward
-        self._callers = platform_handlers.ForwardingHandler(request_forwarder=forward)
-        self._caller_server = self._server(settings.caller_address,
-                                           self._callers)
-        self._config_listener.on_applied.append(self._limit_callers)
+        self._forwarder = request_forwarder
+        self._caller_handler = platform_handlers.ForwardingHandler(
+            request_forwarder=request_forwarder)
+        self._caller_server = self._make_server(settings.caller_address,
+                                                self._caller_handler)
+        self._config_listener.on_applied.append(self._apply_caller_limits)
         self._network.serve_metrics(
-            platform_metrics.MetricsPage(counters=self._counters,
-                                         gauges=self._gauges,
+            platform_metrics.MetricsPage(counters=self._collect_counters,
+                                         gauges=self._collect_gauges,
                                          latencies=self._latencies))
 
-    def _counters(self) -> dict[str, float]:
-        found: dict[str, float] = {
+    def _collect_counters(self) -> dict[str, float]:
+        counters: dict[str, float] = {
             f'requests_{name}': count
-            for name, count in self._forward.counts.items()
+            for name, count in self._forwarder.counts.items()
         }
         for outcome, count in self._store.calls_by_outcome.items():
-            found[f'store_calls_{outcome}'] = count
-        found.update(self._peer_counters())
-        found['server_connections'] = self._server_client.connections_opened
-        found['entries_rejected'] = self._servers.rejected
-        found['configs_rejected'] = self._config_listener.rejected
-        found['peer_snapshots'] = self.peers.snapshots_taken
-        found['log_lines_dropped'] = self.log.dropped
-        return found
-
-    def _gauges(self) -> dict[str, float]:
+            counters[f'store_calls_{outcome}'] = count
+        counters.update(self._collect_peer_counters())
+        counters['server_connections'] = self._server_client.connections_opened
+        counters['entries_rejected'] = self._server_listener.rejected
+        counters['configs_rejected'] = self._config_listener.rejected
+        counters['peer_snapshots'] = self.peers.snapshots_taken
+        counters['log_lines_dropped'] = self.log.dropped
+        return counters
+
+    def _collect_gauges(self) -> dict[str, float]:
         config = self.state.config
         return {
-            'in_progress': self._callers.in_progress,
+            'in_progress': self._caller_handler.in_progress,
             'entry_hosts': self.state.entry_hosts,
             'servers': len(self.state.fleet.listed_by_id),
             'config_version': config.version if config else 0,
-            'store_up': float(self._servers.contact.is_up),
+            'store_up': float(self._server_listener.contact.is_up),
             'ready': float(self.state.is_ready)
         }
 
-    def _limit_callers(self, config: routing_config.RoutingConfig) -> None:
+    def _apply_caller_limits(self,
+                             config: routing_config.RoutingConfig) -> None:
         limits = config.limits
         self._caller_server.set_limits(
             http_server.Limits(max_head_bytes=limits.max_header_bytes,
@@ -119,8 +123,8 @@
                                idle_timeout_s=limits.idle_timeout_s))
 
     @staticmethod
-    def _server(address: str,
-                handler: http_server.Handler) -> http_server.HttpServer:
+    def _make_server(address: str,
+                     handler: http_server.Handler) -> http_server.HttpServer:
         host, port = process.split_address(address)
         return http_server.HttpServer(handler=handler, host=host, port=port)
 
@@ -129,62 +133,65 @@
         await super().__aenter__()
         ready = platform_handlers.ReadinessHandler(state=self.state)
         directory = platform_handlers.EntryAddressHandler(peers=self.peers,
-                                                       ttl_s=_TTL_S)
+                                                          ttl_s=_ADDRESS_TTL_S)
         servers = [
             self._caller_server,
-            self._server(settings.ready_address, ready),
-            self._server(settings.directory_address, directory)
+            self._make_server(settings.ready_address, ready),
+            self._make_server(settings.directory_address, directory)
         ]
         if settings.control_address:
-            servers.append(self._server(settings.control_address,
-                                        self._network))
+            servers.append(
+                self._make_server(settings.control_address, self._network))
         for server in servers:
             await self._exit_stack.enter_async_context(server)
         return self
 
     async def run(self) -> None:
         """Follows the store and the peers until cancelled."""
-        followers = (self._make_follower(wire_names.StoreTable.OPERATOR, self._config_listener,
-                                    _CONFIG_WAIT_S, _CONFIG_PAUSE_S),
-                     self._make_follower(wire_names.StoreTable.SERVERS, self._servers,
-                                    _SERVERS_WAIT_S, _SERVERS_PAUSE_S))
+        followers = (self._make_follower(wire_names.StoreTable.OPERATOR,
+                                         self._config_listener,
+                                         _CONFIG_WATCH_TIMEOUT_S,
+                                         _CONFIG_WATCH_PAUSE_S),
+                     self._make_follower(wire_names.StoreTable.SERVERS,
+                                         self._server_listener,
+                                         _SERVERS_WATCH_TIMEOUT_S,
+                                         _SERVERS_WATCH_PAUSE_S))
         async with asyncio.TaskGroup() as group:
             for follower in followers:
                 group.create_task(follower.run())
             self._follow_hosts(group)
-            group.create_task(self._forward.watch())
+            group.create_task(self._forwarder.watch())
             group.create_task(self.peers.run())
             group.create_task(self.peers.follow_peers())
 
     async def shut_down(self) -> None:
         """Ends what runs, and says that no more should come."""
-        began_at = self._clock.monotonic()
-        self.state.leaving_since = began_at
+        started_at = self._clock.monotonic()
+        self.state.leaving_since = started_at
         self._caller_server.announce_leaving()
         self.peers.beat()
         self.log.write(log_events.LogEvent.STOPPING,
-                       in_progress=self._callers.in_progress)
-        while not planned_stop.is_done(self._stop_plan,
-                                       self._clock.monotonic() - began_at,
-                                       self._callers.in_progress):
-            await self._clock.sleep(_STOP_CHECK_S)
+                       in_progress=self._caller_handler.in_progress)
+        while not planned_stop.is_done(self._shutdown_plan,
+                                       self._clock.monotonic() - started_at,
+                                       self._caller_handler.in_progress):
+            await self._clock.sleep(_SHUTDOWN_CHECK_INTERVAL_S)
         self.log.write(log_events.LogEvent.STOPPED,
-                       cut=self._callers.in_progress)
+                       cut=self._caller_handler.in_progress)
 
     def reload(self) -> None:
         """Reads the settings again; addresses stay as they are."""
         try:
-            found = process_settings.load()
+            new_settings = process_settings.load()
         except process_settings.SettingsError as error:
             self.log.write(log_events.LogEvent.RELOADED, error=str(error))
             return
         changed = [
-            field.name
-            for field in dataclasses.fields(found)
-            if getattr(found, field.name) != getattr(self._settings, field.name)
+            field.name for field in dataclasses.fields(new_settings) if getattr(
+                new_settings, field.name) != getattr(self._settings, field.name)
         ]
-        self._settings = found
-        self.peers.seeds = found.seeds
+        self._settings = new_settings
+        self.peers.seeds = new_settings.seeds
         self.log.write(log_events.LogEvent.RELOADED, changed=changed)
 
 
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -14,16 +14,17 @@
     """Serves callers."""
 
     def __init__(self, *, request_forwarder: forwarder.Forwarder) -> None:
-        self._forward = request_forwarder
+        self._forwarder = request_forwarder
         self.in_progress = 0
 
     async def handle(self, request: http_message.Request,
                      response: http_message.Response) -> None:
-        found = caller_codec.decode_request(request)
-        answer = caller_codec.HttpCallerResponse(response=response, request_id=found.id)
+        caller_request = caller_codec.decode_request(request)
+        caller_response = caller_codec.HttpCallerResponse(
+            response=response, request_id=caller_request.id)
         self.in_progress += 1
         try:
-            await self._forward.serve(found, answer)
+            await self._forwarder.serve(caller_request, caller_response)
         finally:
             self.in_progress -= 1
 
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -11,15 +11,15 @@
 from pollenthread.adapters import clock, http_client, json_log, peer_network
 from pollenthread.app import knowledge, roster, serving_state, store_follower
 from pollenthread.core import host_record, log_events
-from pollenthread.platform import (config_document, wire_names, process_settings,
-                                   row_store_http)
+from pollenthread.platform import (config_document, wire_names,
+                                   process_settings, row_store_http)
 from pollenthread.roles import process
 
 __all__ = ['PlatformRole', 'peer_address', 'serve']
 
-_HOSTS_WAIT_S = 20.0
-_HOSTS_PAUSE_S = 0.5
-_CONNECT_TIMEOUT_S = 0.4
+_HOSTS_WATCH_TIMEOUT_S = 20.0
+_HOSTS_WATCH_PAUSE_S = 0.5
+_PEER_CONNECT_TIMEOUT_S = 0.4
 _STORE_CONNECT_TIMEOUT_S = 0.5
 
 
@@ -32,8 +32,8 @@
     """Wires a role; a context manager that owns clients and servers."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings,
-                 own_record: host_record.HostRecord, state: serving_state.ServingState,
-                 rng: random.Random) -> None:
+                 own_record: host_record.HostRecord,
+                 state: serving_state.ServingState, rng: random.Random) -> None:
         self._settings = settings
         self._own_record = own_record
         self.state = state
@@ -44,9 +44,9 @@
         self._store_client = http_client.HttpClient(
             connect_timeout_s=_STORE_CONNECT_TIMEOUT_S)
         self._peer_client = http_client.HttpClient(
-            connect_timeout_s=_CONNECT_TIMEOUT_S)
+            connect_timeout_s=_PEER_CONNECT_TIMEOUT_S)
         self._server_client = http_client.HttpClient(
-            connect_timeout_s=_CONNECT_TIMEOUT_S)
+            connect_timeout_s=_PEER_CONNECT_TIMEOUT_S)
         self._store = row_store_http.HttpRowStore(
             client=self._store_client, address=settings.store_address)
         self._network = peer_network.HttpPeerNetwork(
@@ -76,8 +76,8 @@
         await self._exit_stack.__aexit__(kind, error, trace)
 
     def _make_follower(self, table: str, listener: store_follower.TableListener,
-                  wait_s: float,
-                  pause_s: float) -> store_follower.StoreFollower:
+                       wait_s: float,
+                       pause_s: float) -> store_follower.StoreFollower:
         return store_follower.StoreFollower(store=self._store,
                                             table=table,
                                             listener=listener,
@@ -88,23 +88,25 @@
 
     def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
         """Registers this host and follows the others."""
-        hosts = self._make_follower(roster.TABLE, self._host_registry, _HOSTS_WAIT_S,
-                               _HOSTS_PAUSE_S)
-        tasks.create_task(hosts.run())
+        follower = self._make_follower(roster.TABLE, self._host_registry,
+                                       _HOSTS_WATCH_TIMEOUT_S,
+                                       _HOSTS_WATCH_PAUSE_S)
+        tasks.create_task(follower.run())
         tasks.create_task(
             roster.register(store=self._store,
                             time=self._clock,
                             roster=self._host_registry,
                             record=self._own_record))
 
-    def _peer_counters(self) -> dict[str, float]:
+    def _collect_peer_counters(self) -> dict[str, float]:
         """Bytes to and from peers, by kind of message."""
         return {
-            f'peer_bytes_{way}_{kind.strip("/").replace("/", "_").lower()}':
+            f'peer_bytes_{direction}_{kind.strip("/").replace("/", "_").lower()}':
                 float(count)
-            for way, counts in (('sent', self._network.sent_bytes_by_kind),
-                                ('received',
-                                 self._network.received_bytes_by_kind))
+            for direction, counts in (('sent',
+                                       self._network.sent_bytes_by_kind),
+                                      ('received',
+                                       self._network.received_bytes_by_kind))
             for kind, count in counts.items()
         }
 
@@ -128,15 +130,16 @@
         role: the role, not entered yet.
         **started: what the line of the start tells.
     """
-    stop = process.StopSignal()
+    stop_signal = process.StopSignal()
     async with role:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, role.reload)
         role.log.write(log_events.LogEvent.STARTED, **started_fields)
-        work = asyncio.create_task(role.run())
-        stopped = asyncio.create_task(stop.graceful.wait())
-        await asyncio.wait((work, stopped), return_when=asyncio.FIRST_COMPLETED)
-        if work.done():
-            work.result()
+        run_task = asyncio.create_task(role.run())
+        stop_task = asyncio.create_task(stop_signal.graceful.wait())
+        await asyncio.wait((run_task, stop_task),
+                           return_when=asyncio.FIRST_COMPLETED)
+        if run_task.done():
+            run_task.result()
         await role.shut_down()
-        work.cancel()
+        run_task.cancel()
--- a/pollenthread/roles/process.py
+++ b/pollenthread/roles/process.py
@@ -21,10 +21,10 @@
         self.graceful = asyncio.Event()
         self.immediate = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._receive)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._on_signal)
 
-    def _receive(self) -> None:
+    def _on_signal(self) -> None:
         if self.graceful.is_set():
             logging.info('stop now')
             self.immediate.set()
