--- a/pollenthread/platform/__init__.py
+++ b/pollenthread/platform/__init__.py
@@ -1,5 +1,5 @@
-"""The users' prepared platform: its names, formats and calls.
+"""Adapter to the users' platform: its names, data formats and HTTP calls.
 
-Nothing here decides anything. Each module decodes one thing that the platform
-says into the product's types, or encodes one thing that the product tells it.
+Each module only translates: it decodes platform data into the types of the
+core, or encodes those types for the platform. It holds no load balancing logic.
 """
--- a/pollenthread/platform/caller_codec.py
+++ b/pollenthread/platform/caller_codec.py
@@ -1,4 +1,4 @@
-"""Decodes callers' requests and encodes the answers to them."""
+"""Decodes HTTP requests of callers and writes the HTTP responses."""
 
 import asyncio
 from collections.abc import Sequence
@@ -12,7 +12,8 @@
 
 _MS_PER_S = 1000.0
 _BEARER_PREFIX = 'bearer '
-# Headers that concern one connection, or that the product sets itself.
+# Hop-by-hop headers, and headers that are decoded into fields of the request
+# and set again for each attempt.
 _HEADERS_NOT_FORWARDED = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
     'transfer-encoding', 'upgrade', 'content-length', 'expect', 'host',
@@ -24,7 +25,10 @@
 
 def decode_request(
         request: http_message.Request) -> caller_request.CallerRequest:
-    """Decodes a request; what is malformed counts as not given."""
+    """Decodes a request; malformed optional headers count as missing.
+
+    Must be called in a running event loop, whose time is the receive time.
+    """
     connection_headers = set()
     for part in (request.header('connection') or '').split(','):
         connection_headers.add(part.strip().lower())
@@ -83,7 +87,7 @@
 
 
 class HttpCallerResponse(reply.Reply):
-    """Writes to a caller's HTTP connection."""
+    """Response that is written to a caller's HTTP connection."""
 
     def __init__(self, *, response: http_message.Response,
                  request_id: str) -> None:
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's configuration document."""
+"""Decodes the operator's JSON configuration document."""
 
 import json
 
@@ -15,14 +15,15 @@
 
 
 class ConfigDocumentError(ValueError):
-    """The document is not a configuration."""
+    """The document is not a valid configuration."""
 
 
 def decode(data: bytes) -> routing_config.RoutingConfig:
-    """Decodes a whole document.
+    """Decodes a configuration document.
 
     Raises:
-        InvalidConfig: it is not JSON or lacks what a configuration needs.
+        ConfigDocumentError: The document is not JSON, or a field is missing
+            or invalid.
     """
     try:
         return _decode_config(field_reader.FieldReader(json.loads(data)))
@@ -31,7 +32,11 @@
 
 
 def try_decode(data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
-    """Decodes a whole document, or says what is wrong with it."""
+    """Decodes a configuration document without raising an exception.
+
+    Returns:
+        The configuration, or a description of the first error.
+    """
     try:
         return result.Ok(decode(data))
     except ConfigDocumentError as error:
@@ -122,12 +127,12 @@
         kv_tokens=engine.get_int('kv_capacity_tokens', 0),
         step_s=engine.get_float('step_ms', 0.0) / _MS_PER_S,
         per_sequence_s=engine.get_float('per_seq_ms', 0.0) / _MS_PER_S,
-        # Milliseconds for each 1,000 tokens of context.
+        # In milliseconds per 1,000 tokens of context.
         per_context_token_s=engine.get_float('context_per_k', 0.0) / 1000 /
         _MS_PER_S,
-        # Prompt tokens in a second.
+        # Despite its name, the rate of prompt processing in tokens per second.
         prompt_tokens_per_s=engine.get_float('read_per_s', 0.0),
-        # Milliseconds for each million pairs of tokens.
+        # In milliseconds per million pairs of tokens.
         per_pair_s=engine.get_float('pairs_per_m', 0.0) / _MEGA / _MS_PER_S,
         chunk_tokens=engine.get_int('chunk', 0),
         steps_per_pass=engine.get_int('stride', 1),
--- a/pollenthread/platform/field_reader.py
+++ b/pollenthread/platform/field_reader.py
@@ -1,7 +1,8 @@
-"""Reads fields of decoded JSON or TOML, and says which one is wrong.
+"""Typed access to the fields of decoded JSON or TOML documents.
 
-A process is back sooner after a restart without a library of models: to import
-one and build the models takes a third of the time until it serves.
+Errors contain the path of the invalid field. No validation library is used:
+importing one and building its models takes a third of the time from the start
+of a process until it serves requests, which would delay every restart.
 """
 
 import math
@@ -12,21 +13,26 @@
 
 
 class FieldError(ValueError):
-    """A field is missing or holds something else than it should."""
+    """A field is missing or has a value of the wrong type."""
 
 
 class FieldReader:
-    """One object with named fields; those it does not know are ignored."""
+    """Reads the fields of one object by name and checks their types.
+
+    A field that is null counts as missing. Fields that are never read are
+    ignored.
+    """
 
     def __init__(self, document: Any, *, path: str = '') -> None:
-        """Takes an object.
+        """Initializes the reader.
 
         Args:
-            found: what was decoded.
-            place: where it stands in the document.
+            document: Decoded object.
+            path: Path of the object in the whole document, for error messages;
+                empty for the document itself.
 
         Raises:
-            InvalidField: it is no object.
+            FieldError: `document` is not an object.
         """
         if not isinstance(document, Mapping):
             raise FieldError(f'{path or "the document"} is no object')
@@ -34,7 +40,7 @@
         self._prefix = path
 
     def has(self, name: str) -> bool:
-        """Whether the field is there and not null."""
+        """Returns whether the field is present and not null."""
         return self._document.get(name) is not None
 
     def _field_path(self, name: str) -> str:
@@ -49,19 +55,28 @@
         return default
 
     def get_str(self, name: str, default: str | None = None) -> str:
-        """A text; a field without a default must be there.
+        """Returns a string field.
+
+        Args:
+            name: Name of the field.
+            default: Value of a missing field; None if the field is required.
 
         Raises:
-            InvalidField: it is missing or no text.
+            FieldError: The field is required and missing, or not a string.
         """
         return self._check_type(name, self._get_value(name, default), str,
                                 'text')
 
     def get_float(self, name: str, default: float | None = None) -> float:
-        """A finite number.
+        """Returns a finite number as a float.
+
+        Args:
+            name: Name of the field.
+            default: Value of a missing field; None if the field is required.
 
         Raises:
-            InvalidField: it is missing or no number.
+            FieldError: The field is required and missing, or not a finite
+                number.
         """
         value = self._get_value(name, default)
         if (isinstance(value, bool) or not isinstance(value, (int, float)) or
@@ -71,10 +86,14 @@
         return float(value)
 
     def get_int(self, name: str, default: int | None = None) -> int:
-        """A whole number.
+        """Returns an integer; a float without a fraction is accepted.
+
+        Args:
+            name: Name of the field.
+            default: Value of a missing field; None if the field is required.
 
         Raises:
-            InvalidField: it is missing or no whole number.
+            FieldError: The field is required and missing, or not an integer.
         """
         value = self._get_value(name, default)
         if not _is_integer(value):
@@ -83,28 +102,28 @@
         return int(value)
 
     def get_bool(self, name: str, default: bool) -> bool:
-        """True or false.
+        """Returns a Boolean field, or `default` if it is missing.
 
         Raises:
-            InvalidField: it is neither.
+            FieldError: The field is not a Boolean.
         """
         return self._check_type(name, self._get_value(name, default), bool,
                                 'flag')
 
     def get_object(self, name: str) -> Self:
-        """An object; without fields where it is left out.
+        """Returns a reader of a nested object; of an empty one if missing.
 
         Raises:
-            InvalidField: it is no object.
+            FieldError: The field is not an object.
         """
         return type(self)(self._get_value(name, {}),
                           path=self._field_path(name))
 
     def get_objects(self, name: str) -> list[Self]:
-        """A list of objects; empty where it is left out.
+        """Returns readers of a list of objects; empty if the field is missing.
 
         Raises:
-            InvalidField: it is no list of objects.
+            FieldError: The field is not a list of objects.
         """
         items = self._check_type(name, self._get_value(name, []), list, 'list')
         return [
@@ -113,10 +132,10 @@
         ]
 
     def get_strs(self, name: str) -> tuple[str, ...]:
-        """A list of texts; empty where it is left out.
+        """Returns a list of strings; empty if the field is missing.
 
         Raises:
-            InvalidField: it is no list of texts.
+            FieldError: The field is not a list of strings.
         """
         items = self._check_type(name, self._get_value(name, []), list, 'list')
         return tuple(
@@ -124,10 +143,10 @@
             for index, value in enumerate(items))
 
     def get_ints(self, name: str, *, count: int) -> tuple[int, ...]:
-        """A list of so many whole numbers.
+        """Returns a list of exactly `count` integers.
 
         Raises:
-            InvalidField: it is missing or something else.
+            FieldError: The field is missing or not such a list.
         """
         items = self._check_type(name, self._get_value(name, None), list,
                                  'list')
@@ -138,10 +157,10 @@
         return tuple(int(value) for value in items)
 
     def get_str_by_name(self, name: str) -> dict[str, str]:
-        """An object whose fields are texts; empty where it is left out.
+        """Returns an object whose values are strings; empty if missing.
 
         Raises:
-            InvalidField: it is something else.
+            FieldError: The field is not an object or a value is not a string.
         """
         mapping = self._check_type(name, self._get_value(name, {}), Mapping,
                                    'object')
--- a/pollenthread/platform/process_settings.py
+++ b/pollenthread/platform/process_settings.py
@@ -1,4 +1,7 @@
-"""Reads the settings file that the platform lays for each process."""
+"""Reads the TOML settings file that the platform provides for a process.
+
+The path of the file is in the environment variable POLLENTHREAD_CONFIG.
+"""
 
 import dataclasses
 import os
@@ -17,37 +20,43 @@
 
 
 class SettingsError(ValueError):
-    """The settings file cannot be used."""
+    """The settings file cannot be read or is invalid."""
 
 
 @dataclasses.dataclass(frozen=True)
 class ProcessSettings:
-    """What the platform tells a process.
+    """Settings of a process. Addresses have the form `ip:port`.
 
     Attributes:
-        host: the name of its host.
-        ip: the address that it binds.
-        data_centre: where it is.
-        region: the region of its data centre.
-        region_by_data_centre: all data centres.
-        peer_ports: the first and last port free for links between hosts.
-        seeds: peer addresses of a few entry hosts, perhaps out of date.
-        caller_address: where callers connect; empty without.
-        ready_address: where readiness is asked; empty without.
-        directory_address: where callers ask for addresses; empty without.
-        control_address: where peers connect; empty without.
-        engine_address: the server beside an agent; empty without.
-        engine_service: the service of that server.
-        store_address: the platform's store.
-        drain_s: seconds in which a leaving server must stop getting work.
-        grace_s: seconds from SIGTERM to SIGKILL.
-        config_s: seconds in which a configuration must be in force.
-        max_ttl_s: seconds that callers keep an address answer at most.
-        retry_ratio: repeats allowed for each request of a service.
-        retry_window_s: the window in which repeats are counted.
-        retry_extra: repeats allowed beyond the ratio in a window.
-        stall_s: seconds that a group waits for a lost rank.
-        link_bytes_per_s: the speed of the host's link.
+        host: Name of the host.
+        ip: IP address that the process binds for its peers.
+        data_centre: Data centre of the host.
+        region: Region of the data centre.
+        region_by_data_centre: Regions of all data centres.
+        peer_ports: First and last port available for connections of peers.
+        seeds: Peer addresses of some entry hosts, possibly out of date.
+        caller_address: Address that serves callers; empty if unused.
+        ready_address: Address of the readiness check; empty if unused.
+        directory_address: Address that serves the list of entry hosts to
+            callers; empty if unused.
+        control_address: Additional address that serves peers; empty if unused.
+        engine_address: Address of the model server on the same host; empty if
+            there is none.
+        engine_service: Service of that model server.
+        store_address: Address of the platform's store.
+        drain_s: Time limit in seconds within which a draining server must stop
+            receiving requests.
+        grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        config_s: Time limit in seconds within which a new configuration must be
+            in effect.
+        max_ttl_s: Maximum time in seconds that callers cache the addresses of
+            entry hosts.
+        retry_ratio: Allowed retries per request of a service.
+        retry_window_s: Time window in seconds in which retries are counted.
+        retry_extra: Allowed retries per window in addition to the ratio, for
+            all hosts together.
+        stall_s: Time in seconds that a group waits for a lost rank.
+        link_bytes_per_s: Network bandwidth of the host, in bytes per second.
     """
 
     host: str
@@ -76,10 +85,15 @@
 
 
 def load(path: pathlib.Path | None = None) -> ProcessSettings:
-    """Reads and checks the file.
+    """Reads and validates the settings file.
+
+    Args:
+        path: Path of the file; None for the path in POLLENTHREAD_CONFIG or,
+            without that variable, the default path.
 
     Raises:
-        InvalidSettings: with the file's name and what is wrong.
+        SettingsError: The file cannot be read or is invalid; the message
+            contains its path.
     """
     if path is None:
         path = pathlib.Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
@@ -96,6 +110,7 @@
     return ProcessSettings(
         host=document.get_str('node_name'),
         ip=document.get_str('ip'),
+        # The platform's term for a data centre is "zone".
         data_centre=document.get_str('zone'),
         region=document.get_str('region', ''),
         region_by_data_centre=document.get_str_by_name('zones'),
@@ -105,7 +120,7 @@
         ready_address=listen.get_str('ready', ''),
         directory_address=listen.get_str('directory', ''),
         control_address=listen.get_str('control', ''),
-        # The address of the model server on the same host.
+        # Address of the model server on the same host.
         engine_address=document.get_str('app', ''),
         engine_service=document.get_str('service', ''),
         store_address=document.get_object('platform').get_str('address'),
@@ -115,7 +130,7 @@
         max_ttl_s=bounds.get_float('ttl_max_s', 5.0),
         retry_ratio=bounds.get_float('budget_ratio', 0.2),
         retry_window_s=bounds.get_float('budget_window_s', 10.0),
-        # Repeats beyond the ratio, in one window, by all hosts together.
+        # Per window and for all hosts together.
         retry_extra=bounds.get_float('budget_extra_tries', 0.0),
         stall_s=bounds.get_float('stall_ms', 1500.0) / _MS_PER_S,
         link_bytes_per_s=document.get_object('limits').get_float(
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -1,4 +1,4 @@
-"""Model servers' reports, counts and orders over HTTP."""
+"""HTTP client for the status, expert counts and orders of a model server."""
 
 import asyncio
 import json
@@ -19,7 +19,7 @@
 
 
 class HttpRankServer(rank_server.RankServer):
-    """Asks and orders one server."""
+    """Client of one model server that is a rank of a group."""
 
     def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
         self._client = client
@@ -84,8 +84,8 @@
                 try:
                     return await self._send(method, target, body)
                 except ConnectionError:
-                    # Servers drop idle connections without notice. Whatever is
-                    # asked or ordered here may be repeated.
+                    # Servers close idle connections without notice. All
+                    # requests of this client are idempotent and can be retried.
                     return await self._send(method, target, body)
         except (OSError, TimeoutError, ValueError) as error:
             raise rank_server.RankSilent(repr(error)) from error
@@ -127,14 +127,14 @@
 
 
 def _decode_version(value: Any) -> int:
-    """A version that stands bare or in an object."""
+    """Decodes a version, given as a number or as an object with a version."""
     if isinstance(value, dict):
         value = value.get('version')
     return int(value or 0)
 
 
 def _decode_step(value: Any) -> int:
-    """A pass that stands bare or in an object."""
+    """Decodes the number of a pass, given as a number or in an object."""
     if isinstance(value, dict):
         value = value.get('step')
     return int(value or 0)
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -1,4 +1,4 @@
-"""The platform's store over HTTP."""
+"""HTTP client of the platform's store of table rows."""
 
 import asyncio
 import base64
@@ -29,12 +29,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Page:
-    """One answer of the store.
+    """Decoded response of the store.
 
     Attributes:
-        changes: the rows.
-        version: the store's counter.
-        has_more: whether the table goes on.
+        changes: Rows of the response.
+        version: Version counter of the store.
+        has_more: Whether the table has rows after these.
     """
 
     changes: tuple[row_store.Change, ...]
@@ -43,7 +43,12 @@
 
 
 class HttpRowStore(row_store.RowStore):
-    """Calls the store; counts calls by path and outcome."""
+    """Client of the store.
+
+    Attributes:
+        calls_by_outcome: Number of calls by outcome: 'ok' or the value of the
+            error.
+    """
 
     def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
         self._client = client
@@ -128,10 +133,11 @@
 
 
 def _decode_page(document: Any) -> _Page:
-    """Checks an answer.
+    """Decodes a response.
 
     Raises:
-        ValueError, KeyError, TypeError, AttributeError: it is no answer.
+        ValueError, KeyError, TypeError, AttributeError: The response is
+            malformed.
     """
     return _Page(changes=tuple(_decode_changes(document)),
                  version=int(document['ver']),
@@ -139,7 +145,10 @@
 
 
 def _decode_changes(page: dict[str, Any]) -> list[row_store.Change]:
-    """The rows of an answer; a row that cannot be read has empty bytes."""
+    """Decodes rows; a value that is not valid base64 becomes empty bytes.
+
+    The value of a removed row is None.
+    """
     changes = []
     for row in page.get('rows') or ():
         value: bytes | None = None
@@ -161,7 +170,8 @@
         'key': write.key
     } for write in writes]
     return {
-        # Here this field holds the rows that must have a given version.
+        # Despite its name, this field is a list: the rows that must have the
+        # given version for the transaction to be applied.
         'expected_revision': [{
             **row_name, 'ver': write.expect
         }
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -1,4 +1,4 @@
-"""Decodes entries of the platform's list of servers."""
+"""Decodes rows of the platform's table of servers."""
 
 import json
 
@@ -11,17 +11,21 @@
 
 
 def decode(server_id: str, data: bytes) -> result.Result[fleet.Server, str]:
-    """Decodes one entry.
+    """Decodes the value of one row.
+
+    Args:
+        server_id: ID of the server, which is the key of the row.
+        data: Value of the row, a JSON object.
 
     Returns:
-        The server, or why the entry names none.
+        The server, or a description of the error if the row is invalid.
     """
     try:
         entry = field_reader.FieldReader(json.loads(data))
         address = entry.get_str('address')
         host, _, port = address.rpartition(':')
         if not host or not 0 < int(port) < 65536:
-            return result.Err(f'address {address!r}')
+            return result.Err(f'invalid address {address!r}')
         return result.Ok(
             fleet.Server(
                 id=server_id,
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -1,4 +1,4 @@
-"""Servers over HTTP."""
+"""HTTP client that sends request attempts to servers."""
 
 import contextlib
 from collections.abc import AsyncIterator
@@ -14,7 +14,7 @@
 _MAX_STALE_RESPONSES = 4
 _MISDIRECTED_REQUEST_STATUS = 421
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Headers that concern one connection, or that the product writes anew.
+# Hop-by-hop headers, and headers that are set again for the caller.
 _HEADERS_NOT_FORWARDED = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
     'transfer-encoding', 'upgrade', 'content-length',
@@ -23,13 +23,17 @@
 
 
 class HttpUpstreamClient(upstream.Upstream):
-    """Sends requests over kept connections."""
+    """Sends attempts over persistent connections.
+
+    Attributes:
+        stale_responses: Number of skipped responses to other requests.
+    """
 
     def __init__(self, *, client: http_client.HttpClient) -> None:
         self._client = client
         self.stale_responses = 0
 
-    # A decorated generator is the context manager that the port asks for.
+    # The decorated generator implements the context manager of the port.
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
         self, attempt: upstream.UpstreamRequest
@@ -50,14 +54,18 @@
 
     async def _skip_stale_responses(self, response: http_client.ClientExchange,
                                     request_id: str) -> None:
-        """Reads on to the answer that bears this request's id."""
+        """Skips responses whose request ID belongs to another request.
+
+        Raises:
+            ConnectionError: Too many responses in a row were skipped.
+        """
         for _ in range(_MAX_STALE_RESPONSES):
             echoed_id = response.header(wire_names.HeaderName.REQUEST_ID)
             if echoed_id is None or echoed_id == request_id:
                 return
             self.stale_responses += 1
             await response.skip()
-        raise ConnectionError('only answers to other requests came')
+        raise ConnectionError('received only responses to other requests')
 
 
 def _build_headers(
@@ -77,7 +85,7 @@
 
 
 class _HttpUpstreamResponse(upstream.UpstreamAnswer):
-    """An answer over HTTP."""
+    """HTTP response of a server."""
 
     def __init__(self, response: http_client.ClientExchange) -> None:
         self._response = response
@@ -94,7 +102,7 @@
         connection = response.header('connection') or ''
         self.is_leaving = 'close' in connection.lower()
 
-    # An async generator is the iterator that the port asks for.
+    # The async generator implements the iterator of the port.
     # pylint: disable-next=invalid-overridden-method
     async def read(self) -> AsyncIterator[bytes]:
         size_bytes = 0
@@ -103,7 +111,7 @@
                 size_bytes += len(data)
                 if size_bytes > _MAX_RESPONSE_BYTES:
                     raise upstream.UpstreamBroken(
-                        f'the answer exceeds {_MAX_RESPONSE_BYTES} bytes')
+                        f'response body exceeds {_MAX_RESPONSE_BYTES} bytes')
                 yield data
         except OSError as error:
             raise upstream.UpstreamBroken(str(error)) from error
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -1,4 +1,4 @@
-"""Names of headers, paths and words on the wire."""
+"""Names that the platform defines: HTTP headers, URL paths, tables, values."""
 
 __all__ = [
     'HeaderName', 'UrlPath', 'StoreTable', 'REQUEST_KIND_BY_NAME',
@@ -9,24 +9,26 @@
 
 
 class HeaderName:
-    """Header names in lower case, as the HTTP adapters hold them."""
+    """HTTP header names, in lower case as in the HTTP adapters."""
 
     REQUEST_ID = 'pollenthread-request-id'
     DEADLINE_MS = 'pollenthread-deadline-ms'
-    # The id of the server that a request is for.
+    # ID of the server that must execute the request.
     TARGET_SERVER = 'pollenthread-target-instance'
     SERVER_ID = 'pollenthread-instance-id'
-    # Present when the server did not run the request.
+    # Present, with any value, if the server did not execute the request.
     NOT_EXECUTED = 'pollenthread-not-executed'
-    # Running, waiting and slots, separated by commas.
+    # Running requests, waiting requests and slots, separated by commas.
     SERVER_LOAD = 'pollenthread-server-load'
     RESPONSE_STAMP = 'pollenthread-response-stamp'
+    # The platform's term for a workspace is "tenant".
     WORKSPACE = 'pollenthread-tenant'
-    # Prompt tokens and the greatest number of output tokens.
+    # Prompt tokens and maximum output tokens, separated by a comma.
     TOKEN_COUNT = 'pollenthread-token-count'
+    # Parts of the prompt as `id:tokens`, separated by commas.
     PROMPT_PREFIX = 'pollenthread-prompt-prefix'
     LENGTH_HINT = 'pollenthread-length-hint'
-    # 0 is admitted first, 9 last.
+    # Admission priority from 0, the highest, to 9.
     PRIORITY = 'pollenthread-request-priority'
     LAST_EVENT_ID = 'last-event-id'
     AUTHORIZATION = 'authorization'
@@ -35,11 +37,12 @@
 
 
 class UrlPath:
-    """Paths of calls."""
+    """URL paths of HTTP calls from and to the platform."""
 
     READINESS = '/pollenthread/readyz'
     ENTRY_ADDRESSES = '/pollenthread/resolve'
     RANK_STATUS = '/pollenthread/report'
+    # Numbers of times that each expert was selected.
     EXPERT_COUNTS = '/pollenthread/picked'
     RANK_ORDER = '/pollenthread/order'
     WRITE_ROWS = '/pollenthread/rows-tx'
@@ -48,7 +51,7 @@
 
 
 class StoreTable:
-    """Tables and keys of the store that the platform writes."""
+    """Tables and keys in the platform's store that the platform writes."""
 
     OPERATOR = 'op'
     CONFIG_KEY = 'config'
