Reword docstrings, comments and log lines of roles and cli

Docstrings describe the shutdown, assembly and rendering in usual terms, with arguments, units and errors. Command line texts and outer names are unchanged.

--- a/pollenthread/__main__.py
+++ b/pollenthread/__main__.py
@@ -1,10 +1,13 @@
-"""Runs the command line with `python -m pollenthread`."""
+"""Entry point of `python -m pollenthread`."""
 
 import sys
 
 
 def _run() -> None:
-    """Loads only what the subcommand needs: restarts wait for imports."""
+    """Runs the command line.
+
+    Imports only the modules of the subcommand, since imports delay a restart.
+    """
     # pylint: disable=import-outside-toplevel
     if sys.argv[1:2] == ['platform']:
         from pollenthread.cli import platform_main
--- a/pollenthread/cli/__init__.py
+++ b/pollenthread/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command line."""
+"""Command line interface."""
--- a/pollenthread/cli/admin_client.py
+++ b/pollenthread/cli/admin_client.py
@@ -1,4 +1,4 @@
-"""Calls the administration port of an entry host."""
+"""HTTP client of the administration port of an entry host."""
 
 import asyncio
 import json
@@ -23,10 +23,15 @@
 
 
 def call(method: str, target: str, document: Any = None) -> Any:
-    """Sends one request and returns the JSON answer.
+    """Sends one request and returns the decoded JSON response.
+
+    Args:
+        method: HTTP method.
+        target: Path and query of the request.
+        document: Body that is sent as JSON; None for an empty body.
 
     Raises:
-        CommandFailed: there is no answer, or it is a problem.
+        CommandError: No valid response was received, or its status is not 200.
     """
     try:
         status, body = asyncio.run(_send(method, target, document))
--- a/pollenthread/cli/commands.py
+++ b/pollenthread/cli/commands.py
@@ -1,4 +1,4 @@
-"""The subcommands that talk to the administration port."""
+"""Subcommands that call the administration port."""
 
 import json
 import pathlib
@@ -30,7 +30,11 @@
 
 
 def write_result(text: str) -> None:
-    """Prints a result, or writes it to the file that --output names."""
+    """Prints a result, or writes it to the file given by --output.
+
+    Raises:
+        CommandError: The file cannot be written.
+    """
     if _OUTPUT.value is None:
         print(text.rstrip('\n'))
         return
@@ -52,7 +56,7 @@
 
 
 def status() -> None:
-    """Prints who is alive, leaving and stale."""
+    """Prints the status of an entry host and of its upstreams."""
     host_status = admin_client.call('GET', '/v1/status')
     if _is_json():
         _write_json(host_status)
@@ -124,7 +128,7 @@
 
 
 def config_history() -> None:
-    """Prints who changed what, from which version."""
+    """Prints the changes of each version, with author and base version."""
     versions = admin_client.call('GET', '/v1/config/history')
     if _is_json():
         _write_json(versions)
@@ -141,7 +145,7 @@
 
 
 def config_diff(older: str, newer: str) -> None:
-    """Prints what differs between two versions."""
+    """Prints the differences between two versions."""
     older_version, newer_version = _parse_version(older), _parse_version(newer)
     changes = admin_client.call(
         'GET', f'/v1/config/diff?from={older_version}&to={newer_version}')
@@ -177,7 +181,7 @@
 
 
 def undrain(host: str) -> None:
-    """Takes a host into service again."""
+    """Puts a drained host back into service."""
     config = admin_client.call('DELETE', f'/v1/hosts/{_quote(host)}/drain')
     _print_version(config)
 
@@ -187,7 +191,7 @@
 
 
 def report() -> None:
-    """Prints the account for both departments."""
+    """Prints the report of requests, for operators, and costs, for payers."""
     document = admin_client.call('GET', f'/v1/report?days={_DAYS.value}')
     if _is_json():
         _write_json(document)
--- a/pollenthread/cli/exit_codes.py
+++ b/pollenthread/cli/exit_codes.py
@@ -1,4 +1,4 @@
-"""What the command's exit status tells."""
+"""Exit statuses of the command line."""
 
 import enum
 
@@ -8,7 +8,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """The exit status."""
+    """Exit status of the `pollenthread` command."""
 
     OK = 0
     FAILED = 1
@@ -45,7 +45,11 @@
 
 
 class CommandError(Exception):
-    """The command ends with one sentence on standard error."""
+    """A command failed; its message is printed to standard error.
+
+    Attributes:
+        code: Exit status of the command.
+    """
 
     def __init__(self, code: ExitCode, message: str) -> None:
         super().__init__(message)
@@ -53,7 +57,7 @@
 
 
 def exit_code_for(error_kind: str) -> ExitCode:
-    """The exit status for a problem that the administration port names."""
+    """Returns the exit status for an error kind of the administration API."""
     try:
         return _EXIT_CODE_BY_KIND.get(errors.Kind(error_kind), ExitCode.FAILED)
     except ValueError:
@@ -61,6 +65,6 @@
 
 
 def format_help() -> str:
-    """The exit statuses for the help text."""
+    """Returns the list of exit statuses for the help text."""
     return '\n'.join(f'  {code.value}  {description}'
                      for code, description in _DESCRIPTIONS.items())
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -21,15 +21,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Command:
-    """One subcommand.
+    """Definition of a subcommand.
 
     Attributes:
-        words: the words that name it.
-        arguments: names of its arguments.
-        summary: what it does.
-        example: a command line.
-        run: does it; takes the arguments.
-        formats: values of --format that it takes.
+        words: Words of the command line that select the subcommand.
+        arguments: Names of the positional arguments, for the help text.
+        summary: Short description for the help text.
+        example: Example command line.
+        run: Function that is called with the positional arguments.
+        formats: Supported values of --format.
     """
 
     words: tuple[str, ...]
@@ -41,7 +41,7 @@
 
     @property
     def usage(self) -> str:
-        """The words and arguments."""
+        """Words and argument names, for the help text."""
         return ' '.join((*self.words, *self.arguments))
 
 
--- a/pollenthread/cli/platform_main.py
+++ b/pollenthread/cli/platform_main.py
@@ -1,4 +1,4 @@
-"""The subcommands that the prepared platform starts."""
+"""Subcommands that the users' platform runs: `platform entry` and `agent`."""
 
 import asyncio
 import sys
@@ -12,8 +12,11 @@
 
 
 def run(arguments: Sequence[str]) -> None:
-    """Runs one role and exits."""
-    # Each role imports only what it needs: restarts wait for imports.
+    """Runs the process of one role.
+
+    Exits with status 2 for invalid arguments and 3 for invalid settings.
+    """
+    # Only the modules of the role are imported, since imports delay a restart.
     # pylint: disable=import-outside-toplevel
     from pollenthread.platform import process_settings
     try:
--- a/pollenthread/cli/report_html.py
+++ b/pollenthread/cli/report_html.py
@@ -1,7 +1,7 @@
-"""The report as one HTML page that needs nothing else.
+"""Renders the report as one self-contained HTML page.
 
-Plots are made by matplotlib, which is imported only here and only when a page
-is made. Without it the page has its tables and says what is missing.
+Plots need matplotlib, an optional dependency that is imported only when a page
+is rendered. Without it, the page contains the tables and a note.
 """
 
 import base64
@@ -30,7 +30,11 @@
 
 
 def to_html(report: dict[str, Any]) -> str:
-    """Makes the page."""
+    """Renders the page.
+
+    Args:
+        report: Decoded response of /v1/report.
+    """
     heading = f'Account of {report["from_day"]} to {report["to_day"]}'
     parts = [
         '<!doctype html><html lang="en"><head><meta charset="utf-8">',
@@ -80,7 +84,7 @@
 
 def _render_plots(report: dict[str, Any]) -> list[str]:
     try:
-        # Imported here because only this page needs it.
+        # Optional dependency that only this page needs.
         # pylint: disable-next=import-outside-toplevel
         from matplotlib import figure
     except ImportError:
@@ -104,7 +108,7 @@
 
 
 def _plot_outcomes(report: dict[str, Any], figure: Any) -> Any:
-    """The largest classes as one bar each, of shares by outcome."""
+    """Plots the shares of outcomes for the classes with most requests."""
     lines = sorted((line for line in report['classes'] if line['accepted']),
                    key=lambda line: -int(line['accepted']))[:_MAX_BARS]
     drawing = figure.Figure(figsize=(9, 1.2 + 0.4 * len(lines)),
@@ -130,7 +134,7 @@
 
 
 def _plot_costs(report: dict[str, Any], figure: Any) -> Any:
-    """Skew, and capacity saved and lost, of the groups with the least net."""
+    """Plots skew, and capacity saved and lost, for the lowest net savings."""
     rows = sorted(report['costs'], key=lambda row: row['net_s'])[:_MAX_BARS]
     names = [f'{row["group"]} {row["day"]}' for row in rows]
     drawing = figure.Figure(figsize=(9, 4), layout='constrained')
--- a/pollenthread/cli/report_tables.py
+++ b/pollenthread/cli/report_tables.py
@@ -1,4 +1,4 @@
-"""Both departments' views of the report, as rows of tables."""
+"""Tables of the report, for operators and for those who pay the hosts."""
 
 import dataclasses
 import datetime
@@ -13,7 +13,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReportSection:
-    """One table of the report."""
+    """One table of the report.
+
+    Attributes:
+        title: Title of the table.
+        headings: Column headings.
+        rows: Rows with one value per column.
+    """
 
     title: str
     headings: tuple[str, ...]
@@ -21,7 +27,11 @@
 
 
 def build_sections(report: dict[str, Any]) -> list[ReportSection]:
-    """The tables of a report, operators' first."""
+    """Builds the tables of a report, beginning with those for operators.
+
+    Args:
+        report: Decoded response of /v1/report.
+    """
     return [
         _outcomes(report),
         _retries(report),
@@ -36,7 +46,7 @@
 
 
 def to_text(report: dict[str, Any]) -> str:
-    """The whole report for a terminal."""
+    """Formats the whole report as text for a terminal."""
     header = (f'Account of {report["from_day"]} to {report["to_day"]} (UTC), '
               f'{report["hosts"]} starts of entry hosts, targets version '
               f'{report["targets_version"]}.\n')
--- a/pollenthread/cli/request_explanation.py
+++ b/pollenthread/cli/request_explanation.py
@@ -1,4 +1,4 @@
-"""Tells from structured logs what became of one request."""
+"""Explains the outcome of one request from structured logs."""
 
 import dataclasses
 import json
@@ -14,11 +14,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Explanation:
-    """What logs say of a request.
+    """Explanation of a request's outcome.
 
     Attributes:
-        lines: one for each event, in the order of the logs.
-        verdict: how it ended, and why.
+        lines: One line of text per logged event, in the order of the logs.
+        verdict: Outcome of the request and its cause.
     """
 
     lines: tuple[str, ...]
@@ -26,11 +26,12 @@
 
 
 def explain_request(request_id: str, log_lines: Iterable[str]) -> Explanation:
-    """Gathers what all processes said of a request.
+    """Collects the logged events of a request.
 
     Args:
-        request_id: the request's id.
-        log: lines of any processes' logs; what is not JSON is passed over.
+        request_id: ID of the request.
+        log_lines: Log lines of any number of processes; lines that are not
+            JSON are ignored.
     """
     events = [
         event for line in log_lines if (event := _parse_event(line, request_id))
--- a/pollenthread/cli/text_tables.py
+++ b/pollenthread/cli/text_tables.py
@@ -1,4 +1,4 @@
-"""Tables for people."""
+"""Formats tables as text for a terminal."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -8,7 +8,7 @@
 
 def format_table(title: str, headings: Sequence[str],
                  rows: Sequence[Sequence[Any]]) -> str:
-    """A title and aligned columns; numbers to the right."""
+    """Formats a title and aligned columns; numeric columns align right."""
     if not rows:
         return f'{title}: none\n'
     cells = [[_format_cell(value) for value in row] for row in rows]
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -31,6 +31,7 @@
                 id=server_id,
                 service=entry.get_str('service'),
                 address=address,
+                # The platform's term for a data centre is "zone".
                 data_centre=entry.get_str('zone'),
                 slots=max(1, entry.get_int('slots', 1)),
                 state=wire_names.SERVER_STATE_BY_NAME[entry.get_str('state')],
--- a/pollenthread/roles/__init__.py
+++ b/pollenthread/roles/__init__.py
@@ -1,1 +1,1 @@
-"""The processes: wiring of services and adapters."""
+"""Processes: each module assembles the services and adapters of one role."""
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -1,4 +1,4 @@
-"""The process in the slot of an upstream host."""
+"""Agent process, which runs beside an upstream on the same host."""
 
 import asyncio
 import contextlib
@@ -22,7 +22,7 @@
 
 
 async def run(config: settings.AgentSettings) -> None:
-    """Runs until a stop is done."""
+    """Runs an agent until a stop signal has been handled."""
     agent_process = _AgentProcess(config=config)
     async with contextlib.AsyncExitStack() as stack:
         await agent_process.start(stack)
@@ -30,7 +30,7 @@
 
 
 class _AgentProcess:
-    """Owns the parts of an agent."""
+    """Assembles and owns the components of an agent."""
 
     def __init__(self, *, config: settings.AgentSettings) -> None:
         self._config_listener = config
@@ -96,7 +96,11 @@
         await self._rank_dialers.keep(address_by_host)
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
-        """Starts the parts and says where they listen."""
+        """Starts the components and prints the addresses they listen on.
+
+        Args:
+            stack: Exit stack that stops the components again.
+        """
         for resource in (self._client, self._link_server, self._admin_server,
                          self._rank_dialers):
             await stack.enter_async_context(resource)
@@ -139,7 +143,11 @@
         }
 
     async def stop_on_signal(self) -> None:
-        """Stops by plan: refuse new work, finish the work, then go."""
+        """Waits for a stop signal, then shuts down gracefully.
+
+        Rejects new attempts, and waits until running attempts and orders are
+        done and their results are confirmed. A second signal ends the wait.
+        """
         await self._stop_signal.graceful.wait()
         self._gate.leave(self._config_listener.host)
         if not await self._stop_signal.wait_immediate(_DRAIN_NOTICE_S):
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -1,4 +1,4 @@
-"""The process of an entry host."""
+"""Entry host process."""
 
 import asyncio
 import contextlib
@@ -27,7 +27,7 @@
 
 
 async def run(config: settings.EntrySettings) -> None:
-    """Runs until a stop is done."""
+    """Runs an entry host until a stop signal has been handled."""
     entry_process = _EntryProcess(config=config)
     async with contextlib.AsyncExitStack() as stack:
         await entry_process.start(stack)
@@ -35,7 +35,7 @@
 
 
 class _EntryProcess:
-    """Owns the parts of an entry host."""
+    """Assembles and owns the components of an entry host."""
 
     def __init__(self, *, config: settings.EntrySettings) -> None:
         self._config_listener = config
@@ -139,7 +139,7 @@
         return self._lease_manager.held(duty) is not None
 
     def _claim_rows_per_s(self) -> float:
-        """This host's part of the writes that claims may use."""
+        """Returns this host's share of the limit on claim writes."""
         return _CLAIM_ROWS_PER_S / max(1, len(self._host_directory.entries()))
 
     def _build_servers(self) -> None:
@@ -199,7 +199,11 @@
         return self._targets.version
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
-        """Starts the parts and says where they listen."""
+        """Starts the components and prints the addresses they listen on.
+
+        Args:
+            stack: Exit stack that stops the components again.
+        """
         for resource in (self._client, self._write_batcher, self._caller_server,
                          self._admin_server, self._link_server,
                          self._upstream_dialers, self._peer_dialers):
@@ -221,7 +225,7 @@
         })
 
     async def _maintain_links(self) -> None:
-        """Keeps links to the listed upstreams and entry hosts."""
+        """Connects to the listed upstreams and entry hosts periodically."""
         while True:
             await self._upstream_dialers.keep(self._host_directory.upstreams())
             await self._peer_dialers.keep(self._host_directory.peers_to_dial())
@@ -266,7 +270,11 @@
         }
 
     async def stop_on_signal(self) -> None:
-        """Stops by plan: leave the addresses, finish the work, then go."""
+        """Waits for a stop signal, then shuts down gracefully.
+
+        Releases the leases, withdraws this host from the address list of
+        callers, and finishes the running requests.
+        """
         await self._stop_signal.graceful.wait()
         await self._lease_manager.release_all()
         self._liveness_tracker.tell_own_leaving()
@@ -282,7 +290,12 @@
         })
 
     async def _finish_requests(self) -> None:
-        """Waits out cached addresses, refuses, and finishes what runs."""
+        """Waits until the running requests are done.
+
+        Accepts requests until callers' cached addresses have expired, rejects
+        new requests after that, and stops listening. A second stop signal ends
+        the wait.
+        """
         if await self._stop_signal.wait_immediate(_DRAIN_NOTICE_S):
             return
         self._is_rejecting = True
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -1,4 +1,4 @@
-"""The parts of an entry host that count, report and answer operators."""
+"""Accounting, metrics, tracing and administration API of an entry host."""
 
 import asyncio
 import random
@@ -19,7 +19,13 @@
 
 
 class EntryTelemetry:
-    """Owns the account, the metrics and the administration API."""
+    """Assembles accounting, metrics, tracing and the administration API.
+
+    Attributes:
+        request_counter: Counts requests by their outcome.
+        latencies: Latency histograms of requests.
+        tracer: Records the spans of requests.
+    """
 
     def __init__(self, *, config: settings.EntrySettings, incarnation: str,
                  client: http_client.HttpClient,
@@ -65,8 +71,7 @@
 
     @property
     def handlers_by_root(self) -> dict[str, http_server.Handler]:
-        """What answers on the administration port, by first part of the path.
-        """
+        """Handlers of the administration port by first path segment."""
         return {
             'v1':
                 admin_api.AdminApi(admin=self._administration,
@@ -79,7 +84,7 @@
 
     def require_operator(self,
                          handler: http_server.Handler) -> http_server.Handler:
-        """Lets only operators who see every host reach a handler."""
+        """Restricts a handler to operators who may see every host."""
         return operator_guard.OperatorGuard(handler=handler,
                                             operator_list=self._operators)
 
@@ -93,7 +98,7 @@
         }
 
     async def run(self) -> None:
-        """Hands counts and spans over until cancelled."""
+        """Writes counts and exports spans periodically until cancelled."""
         if self._exporter is None:
             await self._account_writer.run()
             return
@@ -102,5 +107,5 @@
             group.create_task(self._exporter.run())
 
     async def flush(self) -> None:
-        """Hands the last counts over at a planned stop."""
+        """Writes the remaining counts during a graceful shutdown."""
         await self._account_writer.finish(_FLUSH_TIMEOUT_S)
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -1,4 +1,4 @@
-"""The agent beside a model server on the prepared platform."""
+"""Agent process for a model server on the users' platform."""
 
 import asyncio
 import random
@@ -18,7 +18,7 @@
 
 
 class _PlatformAgent(platform_role.PlatformRole):
-    """Wires an agent; a context manager that owns its servers."""
+    """Assembles an agent; a context manager that owns its components."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
         rng = random.Random(settings.host)
@@ -65,7 +65,7 @@
                 latencies=platform_metrics.LatencyBook()))
 
     def _collect_counters(self) -> dict[str, float]:
-        """What keeping ranks even has cost, over all duties held here."""
+        """Returns the cost of load balancing between ranks, over all groups."""
         counters = self._collect_peer_counters()
         counters['log_lines_dropped'] = self.log.dropped
         for coordinator in self._coordinator_by_group.values():
@@ -114,7 +114,8 @@
 
     def _engine_profile(self,
                         service: str) -> routing_config.EngineFigures | None:
-        """The figures of a service by the newest configuration."""
+        """Returns the engine profile of a service, or None if not configured.
+        """
         config = self.state.config
         service_config = config.services_by_name.get(
             service) if config else None
@@ -126,14 +127,14 @@
                                                address=address)
 
     def reload(self) -> None:
-        """Says that nothing an agent uses can change while it runs."""
+        """Logs the reload; no setting of an agent can change while it runs."""
         self.log.write(log_events.LogEvent.RELOADED, changed=[])
 
     async def shut_down(self) -> None:
         self.log.write(log_events.LogEvent.STOPPED)
 
     async def run(self) -> None:
-        """Watches the server and does the group's duty until cancelled."""
+        """Monitors the server and coordinates its groups until cancelled."""
         config_follower = self._make_follower(wire_names.StoreTable.OPERATOR,
                                               self._config_listener,
                                               _CONFIG_WATCH_TIMEOUT_S,
@@ -146,7 +147,10 @@
             await self._coordinate_groups(group)
 
     async def _coordinate_groups(self, tasks: asyncio.TaskGroup) -> None:
-        """Stands for the duty of each group that is heard of."""
+        """Starts a candidate coordinator for each known group.
+
+        Also applies changes of the engine profile to the rank's agent.
+        """
         while True:
             await self._clock.sleep(_ENGINE_PROFILE_CHECK_S)
             profile = self._engine_profile(self._settings.engine_service)
@@ -161,7 +165,7 @@
 
 
 async def run() -> None:
-    """Serves until SIGTERM."""
+    """Runs an agent until SIGTERM or SIGINT."""
     settings = process_settings.load()
     await platform_role.serve(_PlatformAgent(settings=settings),
                               engine=settings.engine_address,
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -1,4 +1,4 @@
-"""An entry host on the prepared platform."""
+"""Entry host process on the users' platform."""
 
 import asyncio
 import dataclasses
@@ -17,19 +17,20 @@
 
 _CONFIG_WATCH_TIMEOUT_S = 8.0
 _CONFIG_WATCH_PAUSE_S = 0.05
-# A call that hangs is given up a second after its wait, which must leave time
-# to heed a server that drains.
+# A watch call without a response fails one second after this timeout. The total
+# must be short enough for a draining server to stop receiving requests in time.
 _SERVERS_WATCH_TIMEOUT_S = 1.5
 _SERVERS_WATCH_PAUSE_S = 0.2
+# Time after an outage of the store within which live servers are listed again.
 _RETURN_S = 2.2
 _ADDRESS_TTL_S = 1.0
-# Some callers keep an address answer three times as long as they were told.
+# Some callers cache the address list for three times its time to live.
 _CALLER_CACHE_FACTOR = 3
 _SHUTDOWN_CHECK_INTERVAL_S = 0.05
 
 
 class _PlatformEntry(platform_role.PlatformRole):
-    """Wires an entry host; a context manager that owns its servers."""
+    """Assembles an entry host; a context manager that owns its components."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
         rng = random.Random(settings.host)
@@ -147,7 +148,7 @@
         return self
 
     async def run(self) -> None:
-        """Follows the store and the peers until cancelled."""
+        """Follows the store tables and the peers until cancelled."""
         followers = (self._make_follower(wire_names.StoreTable.OPERATOR,
                                          self._config_listener,
                                          _CONFIG_WATCH_TIMEOUT_S,
@@ -165,7 +166,7 @@
             group.create_task(self.peers.follow_peers())
 
     async def shut_down(self) -> None:
-        """Ends what runs, and says that no more should come."""
+        """Announces the shutdown and waits for the running requests."""
         started_at = self._clock.monotonic()
         self.state.leaving_since = started_at
         self._caller_server.announce_leaving()
@@ -180,7 +181,10 @@
                        cut=self._caller_handler.in_progress)
 
     def reload(self) -> None:
-        """Reads the settings again; addresses stay as they are."""
+        """Reloads the settings; only the seeds take effect without a restart.
+
+        Logs the names of the changed fields, or the error.
+        """
         try:
             new_settings = process_settings.load()
         except process_settings.SettingsError as error:
@@ -196,7 +200,7 @@
 
 
 async def run() -> None:
-    """Serves until SIGTERM."""
+    """Runs an entry host until SIGTERM or SIGINT."""
     settings = process_settings.load()
     await platform_role.serve(_PlatformEntry(settings=settings),
                               callers=settings.caller_address,
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -1,4 +1,4 @@
-"""What an entry host answers on its addresses of the prepared platform."""
+"""HTTP handlers of an entry host on the users' platform."""
 
 from urllib import parse
 
@@ -11,7 +11,11 @@
 
 
 class ForwardingHandler(http_message.Handler):
-    """Serves callers."""
+    """Passes requests of callers to the forwarder.
+
+    Attributes:
+        in_progress: Number of requests that are being served.
+    """
 
     def __init__(self, *, request_forwarder: forwarder.Forwarder) -> None:
         self._forwarder = request_forwarder
@@ -30,7 +34,7 @@
 
 
 class ReadinessHandler(http_message.Handler):
-    """Says whether the host is ready."""
+    """Serves the readiness check: status 200 if ready, otherwise 503."""
 
     def __init__(self, *, state: serving_state.ServingState) -> None:
         self._state = state
@@ -44,7 +48,7 @@
 
 
 class EntryAddressHandler(http_message.Handler):
-    """Tells callers which entry hosts to use."""
+    """Serves the addresses of the entry hosts that callers should use."""
 
     def __init__(self, *, peers: entry_peers.EntryPeers, ttl_s: float) -> None:
         self._peers = peers
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -1,4 +1,4 @@
-"""What every role on the prepared platform owns, and how it runs."""
+"""Base class and main function of the processes on the users' platform."""
 
 import abc
 import asyncio
@@ -24,12 +24,12 @@
 
 
 def peer_address(settings: process_settings.ProcessSettings) -> str:
-    """Where peers reach a process."""
+    """Returns the address at which peers connect to a process."""
     return f'{settings.ip}:{settings.peer_ports[0]}'
 
 
 class PlatformRole(abc.ABC):
-    """Wires a role; a context manager that owns clients and servers."""
+    """Assembles a process; a context manager that owns clients and servers."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings,
                  own_record: host_record.HostRecord,
@@ -87,7 +87,7 @@
                                             rng=self._rng)
 
     def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
-        """Registers this host and follows the others."""
+        """Starts tasks that register this host and follow the other hosts."""
         follower = self._make_follower(roster.TABLE, self._host_registry,
                                        _HOSTS_WATCH_TIMEOUT_S,
                                        _HOSTS_WATCH_PAUSE_S)
@@ -99,7 +99,7 @@
                             record=self._own_record))
 
     def _collect_peer_counters(self) -> dict[str, float]:
-        """Bytes to and from peers, by kind of message."""
+        """Returns the bytes sent to and received from peers by message kind."""
         return {
             f'peer_bytes_{direction}_{kind.strip("/").replace("/", "_").lower()}':
                 float(count)
@@ -112,23 +112,23 @@
 
     @abc.abstractmethod
     async def run(self) -> None:
-        """Does the role's work until cancelled."""
+        """Runs the tasks of the process until cancelled."""
 
     @abc.abstractmethod
     async def shut_down(self) -> None:
-        """Ends what runs, before a planned stop."""
+        """Shuts down gracefully, before the tasks are cancelled."""
 
     @abc.abstractmethod
     def reload(self) -> None:
-        """Takes what may change in the settings while the role runs."""
+        """Reloads the settings that can change while the process runs."""
 
 
 async def serve(role: PlatformRole, **started_fields: Any) -> None:
-    """Serves until SIGTERM.
+    """Runs a process until SIGTERM or SIGINT; SIGHUP reloads its settings.
 
     Args:
-        role: the role, not entered yet.
-        **started: what the line of the start tells.
+        role: Process to run; its context must not have been entered.
+        **started_fields: Fields of the log event for the start.
     """
     stop_signal = process.StopSignal()
     async with role:
--- a/pollenthread/roles/process.py
+++ b/pollenthread/roles/process.py
@@ -1,4 +1,4 @@
-"""What every process does: say that it is ready, and stop when asked."""
+"""Functions that all processes share: stop signals, events and addresses."""
 
 import asyncio
 import json
@@ -15,7 +15,14 @@
 
 
 class StopSignal:
-    """SIGTERM or SIGINT: once for a planned stop, twice for now."""
+    """Handles SIGTERM and SIGINT.
+
+    Must be created in a running event loop.
+
+    Attributes:
+        graceful: Set by the first signal, which requests a graceful shutdown.
+        immediate: Set by the second signal, which requests an immediate stop.
+    """
 
     def __init__(self) -> None:
         self.graceful = asyncio.Event()
@@ -26,14 +33,21 @@
 
     def _on_signal(self) -> None:
         if self.graceful.is_set():
-            logging.info('stop now')
+            logging.info('second stop signal received; stopping immediately')
             self.immediate.set()
         else:
-            logging.info('planned stop')
+            logging.info('stop signal received; shutting down gracefully')
             self.graceful.set()
 
     async def wait_immediate(self, timeout_s: float) -> bool:
-        """Waits for the second signal; whether it came."""
+        """Waits for the second signal.
+
+        Args:
+            timeout_s: Maximum time to wait, in seconds.
+
+        Returns:
+            Whether the signal was received.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 await self.immediate.wait()
@@ -43,17 +57,17 @@
 
 
 def new_incarnation() -> str:
-    """A name that no other start of any process has."""
+    """Returns a random ID for this start of the process."""
     return secrets.token_hex(_INCARNATION_BYTES)
 
 
 def print_event(event: dict[str, Any]) -> None:
-    """Writes one line of JSON to standard output."""
+    """Prints an event as one line of JSON to standard output."""
     sys.stdout.write(json.dumps(event) + '\n')
     sys.stdout.flush()
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Splits `ip:port`."""
+    """Splits an address of the form `ip:port`."""
     host, _, port = address.rpartition(':')
     return host, int(port)
