--- a/pollenthread/cli/admin_client.py
+++ b/pollenthread/cli/admin_client.py
@@ -38,7 +38,7 @@
     except (ConnectionError, TimeoutError) as error:
         raise exit_codes.CommandError(
             exit_codes.ExitCode.UNAVAILABLE,
-            f'{_ADMIN.value} does not answer: give the administration port of '
+            f'{_ADMIN.value} does not respond: give the administration port of '
             f'another entry host with --admin ({error}).') from error
     response = _parse_json(body)
     if status == 200:
@@ -49,7 +49,7 @@
 
 
 def _error_message(problem: dict[str, Any], status: int) -> str:
-    detail = problem.get('detail') or f'the answer has status {status}'
+    detail = problem.get('detail') or f'the response has status {status}'
     if problem.get('kind') == 'not_authenticated':
         detail += f' Give your key with --key_file or {_KEY_VARIABLE}.'
     if problem.get('kind') == 'conflict':
@@ -65,7 +65,7 @@
         raise exit_codes.CommandError(
             exit_codes.ExitCode.UNAVAILABLE,
             f'{_ADMIN.value} is not an administration port: '
-            'its answer is not JSON.') from error
+            'its response is not JSON.') from error
 
 
 def _read_key() -> str:
--- a/pollenthread/cli/commands.py
+++ b/pollenthread/cli/commands.py
@@ -14,8 +14,8 @@
 
 __all__ = [
     'config_diff', 'config_get', 'config_history', 'config_rollback',
-    'config_set', 'drain', 'report', 'write_result', 'status', 'trace',
-    'undrain'
+    'config_set', 'drain', 'report', 'status', 'trace', 'undrain',
+    'write_result'
 ]
 
 FORMAT = flags.DEFINE_enum('format', 'table', ['table', 'json', 'html'],
@@ -161,7 +161,8 @@
 
 def config_rollback(version: str) -> None:
     """Publishes an old version as a new one."""
-    target = f'/v1/config/rollback?to={_parse_version(version)}&base={_get_base_version()}'
+    target = (f'/v1/config/rollback?to={_parse_version(version)}'
+              f'&base={_get_base_version()}')
     _print_version(admin_client.call('POST', target))
 
 
@@ -169,7 +170,7 @@
     if not text.isdecimal():
         raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE,
-            f'{text} is no version: give a whole number from '
+            f'{text} is not a version: give an integer from '
             '`pollenthread config history`.')
     return int(text)
 
--- a/pollenthread/cli/exit_codes.py
+++ b/pollenthread/cli/exit_codes.py
@@ -21,14 +21,22 @@
 
 
 _DESCRIPTIONS = {
-    ExitCode.OK: 'done',
-    ExitCode.FAILED: 'the command failed in a way that is a fault of ours',
-    ExitCode.USAGE: 'the command line was not understood',
-    ExitCode.INVALID: 'settings or targets are not valid; nothing was changed',
-    ExitCode.NOT_PERMITTED: 'the key is missing, wrong, or does not permit it',
-    ExitCode.CONFLICT: 'somebody else changed it first; nothing was changed',
-    ExitCode.UNAVAILABLE: 'an address or the table service does not answer',
-    ExitCode.NOT_FOUND: 'there is no such version, host, trace or file',
+    ExitCode.OK:
+        'done',
+    ExitCode.FAILED:
+        'the command failed because of an internal error',
+    ExitCode.USAGE:
+        'the command line is invalid',
+    ExitCode.INVALID:
+        'settings or targets are invalid; nothing was changed',
+    ExitCode.NOT_PERMITTED:
+        'the key is missing, invalid, or lacks the permission',
+    ExitCode.CONFLICT:
+        'the version has changed meanwhile; nothing was changed',
+    ExitCode.UNAVAILABLE:
+        'an address or the table service does not respond',
+    ExitCode.NOT_FOUND:
+        'there is no such version, host, trace or file',
 }
 
 _EXIT_CODE_BY_KIND = {
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -92,10 +92,11 @@
     _Command(('config', 'set'), ('FILE',), 'publish targets from a file',
              'pollenthread config set mugs.yaml --workspace=mugs --base=41',
              commands.config_set),
-    _Command(('config', 'history'), (), 'print who changed what',
+    _Command(('config', 'history'), (),
+             'print the changes of each version with their authors',
              'pollenthread config history', commands.config_history),
     _Command(('config', 'diff'), ('OLDER', 'NEWER'),
-             'print what differs between two versions',
+             'print the differences between two versions',
              'pollenthread config diff 41 42', commands.config_diff),
     _Command(('config', 'rollback-as-new-version'), ('VERSION',),
              'publish an old version as a new one',
@@ -103,18 +104,18 @@
              commands.config_rollback),
     _Command(('drain',), ('HOST',), 'take a host out of service',
              'pollenthread drain buna-model-1', commands.drain),
-    _Command(('undrain',), ('HOST',), 'take a host into service again',
+    _Command(('undrain',), ('HOST',), 'put a drained host back into service',
              'pollenthread undrain buna-model-1', commands.undrain),
-    _Command(('status',), (), 'print who is alive, leaving and stale',
+    _Command(('status',), (), 'print the status of hosts and upstreams',
              'pollenthread status --admin=10.0.1.11:9090', commands.status),
-    _Command(('report',), (), 'print the account for both departments',
+    _Command(('report',), (), 'print the report of requests and costs',
              'pollenthread report --days=7 --format=html --output=week.html',
              commands.report, ('table', 'json', 'html')),
     _Command(('trace',), ('ID',), 'print the spans of one request',
              'pollenthread trace 4bf92f3577b34da6a3ce929d0e0e4736',
              commands.trace),
     _Command(('explain',), ('ID',),
-             'tell from logs on standard input what became of a request',
+             'explain the outcome of a request from logs on standard input',
              'cat *.log | pollenthread explain 9c41d07be2a35f68', _explain,
              ('table',)),
     _Command(('version',), (), 'print the version', 'pollenthread version',
@@ -197,7 +198,7 @@
     return (f'Usage: pollenthread COMMAND [FLAGS]\n\n{usages}\n\n'
             f'Flags:\n{_format_flags_help()}\n\nExamples:\n{examples}\n\n'
             f'Exit status:\n{exit_codes.format_help()}\n\n'
-            '`pollenthread help COMMAND` says more about one command.')
+            '`pollenthread help COMMAND` shows the help of one command.')
 
 
 def _format_command_help(command: _Command) -> str:
--- a/pollenthread/cli/request_explanation.py
+++ b/pollenthread/cli/request_explanation.py
@@ -61,9 +61,8 @@
 
 def _describe_outcome(events: list[dict[str, Any]]) -> str:
     if not events:
-        return (
-            'No line names this request: it reached no host that logged, or '
-            'its lines were left out (see lines_dropped).')
+        return ('No line names this request: it reached no host with logs, or '
+                'its log lines were dropped (see lines_dropped).')
     ends = [event for event in events if event['event'] in _END_EVENTS]
     causes = [
         str(event['cause'])
@@ -71,7 +70,8 @@
         if event['event'] == 'attempt_ended'
     ]
     if not ends:
-        return 'No end was logged: the process ended, or the line was left out.'
+        return ('No outcome was logged: the process ended, or the line was '
+                'dropped.')
     last = ends[-1]
     elapsed = f'after {last.get("after_s")} s'
     causes_text = f' Attempts ended by: {"; ".join(causes)}.' if causes else ''
@@ -79,7 +79,8 @@
         return (f'Answered with {last.get("status")} {elapsed}, '
                 f'{last.get("attempts")} attempts.{causes_text}')
     if last['event'] == 'caller_left':
-        return f'The caller left {elapsed}.{causes_text}'
+        return f'The caller disconnected {elapsed}.{causes_text}'
     execution = 'It did not run' if last['event'] == 'request_refused' else (
         'It may have run')
-    return f'{execution}: {last.get("kind")} {elapsed}, {last.get("detail")}.{causes_text}'
+    return (f'{execution}: {last.get("kind")} {elapsed}, '
+            f'{last.get("detail")}.{causes_text}')
--- a/pollenthread/platform/field_reader.py
+++ b/pollenthread/platform/field_reader.py
@@ -152,8 +152,8 @@
                                  'list')
         if len(items) != count or not all(map(_is_integer, items)):
             raise FieldError(
-                f'{self._field_path(name)} is not {count} whole numbers: {items!r}'
-            )
+                f'{self._field_path(name)} is not {count} whole numbers: '
+                f'{items!r}')
         return tuple(int(value) for value in items)
 
     def get_str_by_name(self, name: str) -> dict[str, str]:
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -33,7 +33,7 @@
     """Assembles and owns the components of an agent."""
 
     def __init__(self, *, config: settings.AgentSettings) -> None:
-        self._config_listener = config
+        self._config = config
         self._stop_signal = process.StopSignal()
         self._hello = messages.Hello(host=config.host,
                                      role='agent',
@@ -80,15 +80,14 @@
         place = group_member.Place(group=rank.group,
                                    index=rank.index,
                                    size=rank.size,
-                                   host=self._config_listener.host)
+                                   host=self._config.host)
         return group_member.GroupMember(
             place=place,
             engine=rank_engine_http.HttpRankEngine(client=self._client,
                                                    address=rank.address,
                                                    index=rank.index),
             table_service=table_http.HttpTable(
-                client=self._client,
-                address=self._config_listener.platform.table),
+                client=self._client, address=self._config.platform.table),
             time=clock.SystemClock(),
             keep_links=self._connect_ranks)
 
@@ -115,7 +114,7 @@
         process.print_event({
             'event': 'ready',
             'role': 'agent',
-            'host': self._config_listener.host,
+            'host': self._config.host,
             'links': self._link_server.address,
             'admin': self._admin_server.address
         })
@@ -128,7 +127,7 @@
 
     def _build_status(self) -> dict[str, Any]:
         return {
-            'host': self._config_listener.host,
+            'host': self._config.host,
             'role': 'agent',
             'incarnation': self._hello.incarnation,
             'leaving': self._stop_signal.graceful.is_set(),
@@ -149,7 +148,7 @@
         done and their results are confirmed. A second signal ends the wait.
         """
         await self._stop_signal.graceful.wait()
-        self._gate.leave(self._config_listener.host)
+        self._gate.leave(self._config.host)
         if not await self._stop_signal.wait_immediate(_DRAIN_NOTICE_S):
             while (self._gate.unfinished or self._gate.unconfirmed or
                    self._order_dispatcher.busy):
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -38,7 +38,7 @@
     """Assembles and owns the components of an entry host."""
 
     def __init__(self, *, config: settings.EntrySettings) -> None:
-        self._config_listener = config
+        self._config = config
         self._stop_signal = process.StopSignal()
         self._is_rejecting = False
         self._hello = messages.Hello(host=config.host,
@@ -53,8 +53,8 @@
     def _build_services(self) -> None:
         time = clock.SystemClock()
         self._client = http_client.HttpClient()
-        table = table_http.HttpTable(
-            client=self._client, address=self._config_listener.platform.table)
+        table = table_http.HttpTable(client=self._client,
+                                     address=self._config.platform.table)
         rng = random.Random()
         self._peer_links = peers_module.Peers()
         self._liveness_tracker = heartbeats.Heartbeats(own=self._hello,
@@ -62,8 +62,7 @@
                                                        time=time)
         self._host_directory = directory.Directory(
             hosts=host_list_http.HttpHostList(
-                client=self._client,
-                address=self._config_listener.platform.host_list),
+                client=self._client, address=self._config.platform.host_list),
             time=time,
             own=self._make_own_member(),
             heartbeats=self._liveness_tracker)
@@ -78,13 +77,12 @@
             time=time,
             draw=rng)
         self._upstream_pool = pool_module.Pool(
-            data_centre=self._config_listener.data_centre,
-            region=self._config_listener.region)
+            data_centre=self._config.data_centre, region=self._config.region)
         self._lease_manager = lease_keeper.LeaseKeeper(
             table_service=table,
             directory=self._host_directory,
             time=time,
-            host=self._config_listener.host,
+            host=self._config.host,
             incarnation=self._hello.incarnation,
             duties=(*orders.all_duties(), claim_sweeper.SWEEP_DUTY))
         self._order_journal = order_journal.OrderJournal(table_service=table)
@@ -94,9 +92,9 @@
             pool=self._upstream_pool,
             peers=self._peer_links,
             directory=self._host_directory,
-            keys=self._config_listener.key_ring)
+            keys=self._config.key_ring)
         self._telemetry = entry_telemetry.EntryTelemetry(
-            config=self._config_listener,
+            config=self._config,
             incarnation=self._hello.incarnation,
             client=self._client,
             table_service=table,
@@ -122,7 +120,7 @@
             gate=self._gateway,
             config=self._targets,
             hosts=self._host_directory,
-            request_ids=ids.IdSource(host=self._config_listener.host,
+            request_ids=ids.IdSource(host=self._config.host,
                                      incarnation=self._hello.incarnation),
             time=time,
             tally=self._telemetry.request_counter,
@@ -131,9 +129,9 @@
             tracer=self._telemetry.tracer)
 
     def _make_own_member(self) -> membership.Member:
-        return membership.Member(host=self._config_listener.host,
-                                 data_centre=self._config_listener.data_centre,
-                                 region=self._config_listener.region)
+        return membership.Member(host=self._config.host,
+                                 data_centre=self._config.data_centre,
+                                 region=self._config.region)
 
     def _holds_duty(self, duty: str) -> bool:
         return self._lease_manager.held(duty) is not None
@@ -143,7 +141,7 @@
         return _CLAIM_ROWS_PER_S / max(1, len(self._host_directory.entries()))
 
     def _build_servers(self) -> None:
-        config = self._config_listener
+        config = self._config
         host, port = process.split_address(config.callers)
         self._caller_server = http_server.HttpServer(
             handler=self._caller_handler, host=host, port=port)
@@ -218,7 +216,7 @@
         process.print_event({
             'event': 'ready',
             'role': 'entry',
-            'host': self._config_listener.host,
+            'host': self._config.host,
             'callers': self._caller_server.address,
             'links': self._link_server.address,
             'admin': self._admin_server.address
@@ -243,7 +241,7 @@
 
     def _build_status(self) -> dict[str, Any]:
         return {
-            'host': self._config_listener.host,
+            'host': self._config.host,
             'role': 'entry',
             'incarnation': self._hello.incarnation,
             'leaving': self._stop_signal.graceful.is_set(),
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -7,7 +7,7 @@
 from pollenthread.app import (group_view, map_duty, rank_agent, serving_state,
                               stall_watch, switch_driver)
 from pollenthread.core import host_record, log_events, routing_config
-from pollenthread.platform import wire_names, process_settings, rank_server_http
+from pollenthread.platform import process_settings, rank_server_http, wire_names
 from pollenthread.roles import platform_role, process
 
 __all__ = ['run']
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -9,8 +9,8 @@
 from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
                               serving_state)
 from pollenthread.core import host_record, log_events, routing_config
-from pollenthread.platform import (wire_names, process_settings, server_row,
-                                   upstream_http)
+from pollenthread.platform import (process_settings, server_row, upstream_http,
+                                   wire_names)
 from pollenthread.roles import platform_handlers, platform_role, process
 
 __all__ = ['run']
@@ -22,7 +22,7 @@
 _SERVERS_WATCH_TIMEOUT_S = 1.5
 _SERVERS_WATCH_PAUSE_S = 0.2
 # Time after an outage of the store within which live servers are listed again.
-_RETURN_S = 2.2
+_SERVER_RELIST_S = 2.2
 _ADDRESS_TTL_S = 1.0
 # Some callers cache the address list for three times its time to live.
 _CALLER_CACHE_FACTOR = 3
@@ -46,7 +46,7 @@
                              retry_bounds=serving_state.RetryBounds(
                                  settings.retry_ratio, settings.retry_extra,
                                  settings.retry_window_s),
-                             return_s=_RETURN_S,
+                             return_s=_SERVER_RELIST_S,
                              rng=rng),
                          rng=rng)
         self._server_listener = knowledge.ServerListener(
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -11,8 +11,8 @@
 from pollenthread.adapters import clock, http_client, json_log, peer_network
 from pollenthread.app import knowledge, roster, serving_state, store_follower
 from pollenthread.core import host_record, log_events
-from pollenthread.platform import (config_document, wire_names,
-                                   process_settings, row_store_http)
+from pollenthread.platform import (config_document, process_settings,
+                                   row_store_http, wire_names)
 from pollenthread.roles import process
 
 __all__ = ['PlatformRole', 'peer_address', 'serve']
@@ -101,7 +101,8 @@
     def _collect_peer_counters(self) -> dict[str, float]:
         """Returns the bytes sent to and received from peers by message kind."""
         return {
-            f'peer_bytes_{direction}_{kind.strip("/").replace("/", "_").lower()}':
+            f'peer_bytes_{direction}_'
+            f'{kind.strip("/").replace("/", "_").lower()}':
                 float(count)
             for direction, counts in (('sent',
                                        self._network.sent_bytes_by_kind),
