--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -17,6 +17,7 @@
 __all__ = ['run']
 
 _REPORT_INTERVAL_S = 0.25
+# Time for entry hosts to stop sending attempts to this agent.
 _DRAIN_NOTICE_S = 2.0
 _IDLE_CHECK_INTERVAL_S = 0.05
 
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -20,9 +20,12 @@
 __all__ = ['run']
 
 _CONNECT_INTERVAL_S = 0.2
+# Callers cache the address list for its time to live.
 _DRAIN_NOTICE_S = caller_http.ADDRESS_TTL_S + 1.0
+# New requests are rejected for this time before the port is closed.
 _REJECT_NOTICE_S = 1.0
 _IDLE_CHECK_INTERVAL_S = 0.05
+# Limit for all entry hosts together.
 _CLAIM_ROWS_PER_S = 300.0
 
 
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -34,6 +34,18 @@
                                                                    dict[str,
                                                                         Any]],
                  gauges: Callable[[], Mapping[str, float]]) -> None:
+        """Initializes the components; `run` starts their work.
+
+        Args:
+            config: Settings of the entry host.
+            incarnation: ID of this start of the process.
+            client: HTTP client that exports spans.
+            table_service: Stores the accounting rows and the costs.
+            time: Monotonic clock.
+            store: Versions of the configuration.
+            status: Returns the document of the status page.
+            gauges: Returns the gauges of the entry host by metric name.
+        """
         self.request_counter = account.Tally()
         self.latencies = metrics.Latencies()
         self._entry_gauges = gauges
