--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -29,11 +29,24 @@
 
 
 class PlatformRole(abc.ABC):
-    """Assembles a process; a context manager that owns clients and servers."""
+    """Assembles a process; a context manager that owns clients and servers.
+
+    Attributes:
+        state: Configuration, servers and load that the process has learned.
+        log: Structured log of the process.
+    """
 
     def __init__(self, *, settings: process_settings.ProcessSettings,
                  own_record: host_record.HostRecord,
                  state: serving_state.ServingState, rng: random.Random) -> None:
+        """Initializes the components; entering the context starts them.
+
+        Args:
+            settings: Settings of the process.
+            own_record: Record under which this host is registered.
+            state: Serving state that configuration changes update.
+            rng: Random number generator, for example for retry delays.
+        """
         self._settings = settings
         self._own_record = own_record
         self.state = state
