--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -27,7 +27,7 @@
 from bench import common
 from pollenthread.adapters import link as link_module, link_tls, wire
 from pollenthread.app import account_rows, targets_document
-from pollenthread.core import account, ledger, messages
+from pollenthread.core import account, account_summary, messages
 from pollenthread.ports import host_list, link as link_port
 from tests.fakes import certificates
 
@@ -187,7 +187,7 @@
                                     handler=near,
                                     tls=tls_by_host.get('near'))
     async with server, dialers:
-        await dialers.keep({'far': server.address})
+        await dialers.set_addresses({'far': server.address})
         async with asyncio.timeout(10):
             await near.opened.wait()
         assert near.link is not None
@@ -219,7 +219,7 @@
     found = {}
     for host in ('near', 'far'):
         paths = authority.issue(host)
-        found[host] = link_tls.LinkTls(files=link_tls.LinkFiles(
+        found[host] = link_tls.LinkTls(files=link_tls.LinkTlsFiles(
             certificate=pathlib.Path(paths['certificate_file']),
             key=pathlib.Path(paths['key_file']),
             authority=pathlib.Path(paths['authority_file'])))
@@ -266,41 +266,44 @@
     ]
 
 
-def _host(i: int) -> host_list.Host:
-    return host_list.Host(name=f'agent-engine-{i}',
-                          role='upstream',
-                          address=f'10.0.{i % 250}.{i % 199}:9080',
-                          callers='',
-                          data_centre=f'dc-{i % 21}',
-                          region=f'region-{i % 6}',
-                          leaving=False)
+def _host(i: int) -> host_list.ListedHost:
+    return host_list.ListedHost(name=f'agent-engine-{i}',
+                                role='upstream',
+                                link_address=f'10.0.{i % 250}.{i % 199}:9080',
+                                caller_address='',
+                                data_centre=f'dc-{i % 21}',
+                                region=f'region-{i % 6}',
+                                is_terminating=False)
 
 
 def _state_rows(work: _Work) -> list[dict[str, Any]]:
-    tally = account.Tally()
-    keys = [account.TallyKey(f'workspace-{i}', 'caption') for i in range(1000)]
+    tally = account.RequestCounter()
+    keys = [account.CountKey(f'workspace-{i}', 'caption') for i in range(1000)]
 
     def count() -> None:
         tally.accept(keys[17])
-        tally.end(keys[17], account.Outcome.IN_TIME, attempts=1, repeat=False)
+        tally.end(keys[17],
+                  account.RequestOutcome.IN_TIME,
+                  attempts=1,
+                  repeat=False)
 
     hosts = _held_bytes(
         lambda: {host.name: host for host in map(_host, range(1000))})
-    row = ledger.Interval(host='entry-1',
-                          incarnation='abcdef012345',
-                          first=17,
-                          last=17,
-                          began_s=1.7e9,
-                          ended_s=1.7e9 + 60,
-                          is_final=False,
-                          counts_by_key={
-                              key:
-                                  account.Counts(accepted=1,
-                                                 in_time=1,
-                                                 attempts=1,
-                                                 retries_allowed=2)
-                              for key in keys
-                          })
+    row = account_summary.AccountInterval(
+        host='entry-1',
+        incarnation='abcdef012345',
+        first=17,
+        last=17,
+        began_s=1.7e9,
+        ended_s=1.7e9 + 60,
+        is_final=False,
+        counts_by_key={
+            key:
+                account.RequestCounts(accepted=1,
+                                      in_time=1,
+                                      attempts=1,
+                                      retries_allowed=2) for key in keys
+        })
     encoded = [
         _cpu_us(lambda: account_rows.encode(row), 20) / len(keys)
         for _ in range(_ROUNDS)
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -12,8 +12,9 @@
 from typing import Any
 
 from bench import common
-from pollenthread.core import (addresses, affinity, choice, estimate, health,
-                               slots)
+from pollenthread.core import (addresses, admission_control, load_estimate,
+                               outlier_detection, prefix_hashing,
+                               upstream_selection)
 
 __all__: list[str] = []
 
@@ -26,33 +27,34 @@
 _MAX_GROWTH = 1.5
 
 
-class _Upstream(choice.Candidate):
+class _Upstream(upstream_selection.Candidate):
     """An upstream as an entry host keeps it."""
 
-    def __init__(self, name: str, rng: random.Random, mean: estimate.OthersMean,
-                 book: health.HealthBook) -> None:
+    def __init__(self, name: str, rng: random.Random,
+                 mean: load_estimate.MeanOtherLoad,
+                 book: outlier_detection.OutlierDetector) -> None:
         self._name = name
         self._mean = mean
         self._health = book
-        reading = slots.Reading(rng.randrange(16), (0, 0, 0), 16, 4.0, 0.1,
-                                0.05)
-        self._report = estimate.Report(reading, 0, 0.0)
-        self.sent = estimate.SentLog()
+        reading = admission_control.UpstreamLoad(rng.randrange(16), (0, 0, 0),
+                                                 16, 4.0, 0.1, 0.05)
+        self._report = load_estimate.UpstreamLoadReport(reading, 0, 0.0)
+        self.sent = load_estimate.SentAttemptLog()
         book.add(name)
-        mean.learn(self._report)
+        mean.record(self._report)
 
     @property
     def host(self) -> str:
         return self._name
 
     @property
-    def view(self) -> choice.View:
-        return choice.View(
-            self._report.reading,
-            estimate.expected_load(self._report,
-                                   own=2,
-                                   mean=self._mean,
-                                   now=1.0))
+    def estimate(self) -> upstream_selection.UpstreamEstimate:
+        return upstream_selection.UpstreamEstimate(
+            self._report.load,
+            load_estimate.expected_load(self._report,
+                                        own=2,
+                                        mean=self._mean,
+                                        now=1.0))
 
     @property
     def is_usable(self) -> bool:
@@ -63,13 +65,13 @@
     """What one entry host keeps for one model's upstreams."""
 
     def __init__(self, count: int, rng: random.Random) -> None:
-        mean = estimate.OthersMean()
-        book = health.HealthBook()
+        mean = load_estimate.MeanOtherLoad()
+        book = outlier_detection.OutlierDetector()
         self.upstreams = [
             _Upstream(f'agent-{i}', rng, mean, book) for i in range(count)
         ]
         self.by_host = {u.host: u for u in self.upstreams}
-        self.ring = affinity.PrefixRing(self.by_host)
+        self.ring = prefix_hashing.PrefixHashRing(self.by_host)
         near = self.upstreams[:max(1, count // 3)]
         self.tiers = [near, self.upstreams]
 
@@ -87,11 +89,12 @@
 
     def decide() -> object:
         prefix = prefixes[rng.randrange(_SAMPLES)]
-        return choice.choose(fleet.tiers,
-                             choice.Demand(importance=1, left_s=1.8),
-                             draw=rng.random,
-                             preferred=fleet.by_host.get(
-                                 fleet.ring.host_of(prefix)))
+        return upstream_selection.select(
+            fleet.tiers,
+            upstream_selection.AttemptRequirements(importance=1,
+                                                   time_left_s=1.8),
+            random_unit=rng.random,
+            preferred=fleet.by_host.get(fleet.ring.host_for(prefix)))
 
     return decide
 
@@ -132,9 +135,9 @@
         'addresses_us':
             round(
                 statistics.median(
-                    _microseconds(lambda: addresses.order(hosts, 'caller'),
-                                  max(1, repeats // count))
-                    for _ in range(_BATCHES)), 1)
+                    _microseconds(
+                        lambda: addresses.rank_entry_hosts(hosts, 'caller'),
+                        max(1, repeats // count)) for _ in range(_BATCHES)), 1)
     }
 
 
--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -1,16 +1,18 @@
-"""An HTTP/1.1 server on h11 with bounded input."""
+"""HTTP/1.1 server, based on h11, with limits on its input."""
 
 import asyncio
 import types
 from typing import Self
 
 from pollenthread.adapters import http_connection
-from pollenthread.adapters.http_message import (Handler, Limits, Request,
-                                                Response, problem_body)
+from pollenthread.adapters.http_message import (HttpRequest, HttpResponse,
+                                                problem_body, RequestHandler,
+                                                ServerLimits)
 from pollenthread.core import errors
 
 __all__ = [
-    'Handler', 'HttpServer', 'Limits', 'Request', 'Response', 'problem_body'
+    'RequestHandler', 'HttpServer', 'ServerLimits', 'HttpRequest',
+    'HttpResponse', 'problem_body'
 ]
 
 _BACKLOG = 1024
@@ -18,22 +20,23 @@
 
 
 class HttpServer:
-    """Listens and serves connections until it is left."""
+    """An HTTP server that runs while its asynchronous context is active."""
 
     def __init__(self,
                  *,
-                 handler: Handler,
+                 handler: RequestHandler,
                  host: str = '127.0.0.1',
                  port: int = 0,
-                 limits: Limits = Limits()) -> None:
+                 limits: ServerLimits = ServerLimits()) -> None:
         self._handler = handler
         self._host = host
         self._port = port
         self._limits = limits
-        self._budget = http_connection.Budget(limits.max_buffered_bytes)
+        self._body_quota = http_connection.BodyBufferQuota(
+            limits.max_buffered_bytes)
         self._server: asyncio.Server | None = None
-        self._open: set[http_connection.Connection] = set()
-        self._leaving = False
+        self._connections: set[http_connection.ServerConnection] = set()
+        self._is_keep_alive_disabled = False
 
     @property
     def address(self) -> str:
@@ -42,19 +45,19 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
-    def set_limits(self, limits: Limits) -> None:
-        """Sets what connections that are made from now on may take."""
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Sets the limits for connections that are accepted from now on."""
         self._limits = limits
 
     @property
     def open_connections(self) -> int:
-        """Connections that callers hold."""
-        return len(self._open)
+        """The number of open connections."""
+        return len(self._connections)
 
     @property
-    def busy(self) -> int:
-        """Connections with a request in progress."""
-        return sum(1 for connection in self._open if connection.busy)
+    def busy_connections(self) -> int:
+        """The number of connections with a request in progress."""
+        return sum(1 for connection in self._connections if connection.is_busy)
 
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
@@ -68,49 +71,57 @@
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
         self.stop_listening()
-        tasks = [c.task for c in self._open if c.task is not None]
-        for connection in list(self._open):
+        tasks = [
+            connection.task
+            for connection in self._connections
+            if connection.task is not None
+        ]
+        for connection in list(self._connections):
             connection.abort()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def announce_leaving(self) -> None:
-        """Makes every answer from now on the last of its connection."""
-        self._leaving = True
-        for connection in self._open:
-            connection.closing = True
+    def disable_keep_alive(self) -> None:
+        """Closes each connection after its current or next response."""
+        self._is_keep_alive_disabled = True
+        for connection in self._connections:
+            connection.should_close = True
 
     def stop_listening(self) -> None:
-        """Takes no new connections; answers what comes on the open ones."""
-        self.announce_leaving()
+        """Stops accepting connections.
+
+        Each open connection is closed after its current or next response.
+        """
+        self.disable_keep_alive()
         if self._server is not None:
             self._server.close()
 
     async def wait_idle(self) -> None:
         """Waits until no request is in progress."""
-        while self.busy:
+        while self.busy_connections:
             await asyncio.sleep(_IDLE_CHECK_S)
 
-    def _accept(self) -> http_connection.Connection:
-        connection = _ServerConnection(handler=self._handler,
-                                       limits=self._limits,
-                                       budget=self._budget,
-                                       on_lost=self._open.discard)
-        connection.closing = self._leaving
-        connection.is_surplus = len(self._open) >= self._limits.max_connections
-        self._open.add(connection)
+    def _accept(self) -> http_connection.ServerConnection:
+        connection = _LimitedConnection(handler=self._handler,
+                                        limits=self._limits,
+                                        quota=self._body_quota,
+                                        on_closed=self._connections.discard)
+        connection.should_close = self._is_keep_alive_disabled
+        connection.is_over_limit = len(
+            self._connections) >= self._limits.max_connections
+        self._connections.add(connection)
         return connection
 
 
-class _ServerConnection(http_connection.Connection):
-    """A connection that may be one too many."""
+class _LimitedConnection(http_connection.ServerConnection):
+    """A connection that rejects requests if it exceeds `max_connections`."""
 
-    is_surplus = False
+    is_over_limit = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if self.is_surplus:
-            self.refuse(
-                errors.failure(errors.Kind.OVERLOADED,
-                               'Too many connections are open.'))
+        if self.is_over_limit:
+            self.reject(
+                errors.make_failure(errors.ErrorKind.OVERLOADED,
+                                    'Too many connections are open.'))
--- a/pollenthread/adapters/link_tls.py
+++ b/pollenthread/adapters/link_tls.py
@@ -1,8 +1,8 @@
-"""Keys and certificates of links.
+"""TLS contexts for links.
 
-Both ends of a link show a certificate that the authority has signed and that
-names their host. Files that change are read again: new links use the new ones,
-open links go on.
+Both ends of a link present a certificate that is signed by the configured
+authority and names their host. Files that change are loaded again: new links
+use them, open links are not affected.
 """
 
 import asyncio
@@ -14,83 +14,96 @@
 
 from absl import logging
 
-__all__ = ['LinkFiles', 'LinkTls', 'names_host']
+__all__ = ['LinkTlsFiles', 'LinkTls', 'certificate_names_host']
 
-_CHECK_INTERVAL_S = 2.0
+_FILE_CHECK_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
-class LinkFiles:
-    """Where the PEM files are.
+class LinkTlsFiles:
+    """Paths of the PEM files.
 
     Attributes:
         certificate: this host's certificate.
         key: its private key.
-        authority: certificates that must have signed the peers'.
+        authority: the CA certificates by which peer certificates must be
+            signed.
     """
 
     certificate: pathlib.Path
     key: pathlib.Path
     authority: pathlib.Path
 
-    def stamp(self) -> tuple[int, ...]:
-        """Changes when a file does."""
+    def modification_times(self) -> tuple[int, ...]:
+        """Returns the modification time of each file, in nanoseconds."""
         paths = (self.certificate, self.key, self.authority)
         return tuple(path.stat().st_mtime_ns for path in paths)
 
 
 class LinkTls:
-    """The contexts of both ends; follows the files."""
+    """TLS contexts for both ends of links, reloaded when the files change.
 
-    def __init__(self, *, files: LinkFiles) -> None:
+    Attributes:
+        server_context: the context for accepted links.
+        client_context: the context for links that this process opens.
+        reload_count: how often changed files were loaded.
+    """
+
+    def __init__(self, *, files: LinkTlsFiles) -> None:
         self._files = files
-        self.server = _context(ssl.PROTOCOL_TLS_SERVER)
-        self.client = _context(ssl.PROTOCOL_TLS_CLIENT)
+        self.server_context = _make_context(ssl.PROTOCOL_TLS_SERVER)
+        self.client_context = _make_context(ssl.PROTOCOL_TLS_CLIENT)
         self.reload_count = 0
         self._load()
-        self._stamp = files.stamp()
+        self._loaded_times = files.modification_times()
 
     def _load(self) -> None:
-        for context in (self.server, self.client):
+        for context in (self.server_context, self.client_context):
             context.load_cert_chain(self._files.certificate, self._files.key)
             context.load_verify_locations(self._files.authority)
 
-    def refresh(self) -> bool:
-        """Reads files that have changed; False while they do not fit."""
+    def reload_if_changed(self) -> bool:
+        """Loads the files if they have changed.
+
+        Returns:
+            False if the files cannot be read or loaded, for example because
+            the key does not match the certificate.
+        """
         try:
-            stamp = self._files.stamp()
-            if stamp == self._stamp:
+            current_times = self._files.modification_times()
+            if current_times == self._loaded_times:
                 return True
             self._load()
         except (OSError, ssl.SSLError) as error:
-            logging.log_every_n_seconds(logging.ERROR,
-                                        'link certificate not usable error=%s',
-                                        60, error)
+            logging.log_every_n_seconds(
+                logging.ERROR, 'cannot load link certificate error=%s', 60,
+                error)
             return False
-        self._stamp = stamp
+        self._loaded_times = current_times
         self.reload_count += 1
         logging.info('link certificate changed count=%d', self.reload_count)
         return True
 
-    async def follow(self) -> None:
-        """Follows the files until cancelled."""
+    async def watch_files(self) -> None:
+        """Reloads the files when they change, until cancelled."""
         while True:
-            await asyncio.sleep(_CHECK_INTERVAL_S)
-            self.refresh()
+            await asyncio.sleep(_FILE_CHECK_INTERVAL_S)
+            self.reload_if_changed()
 
 
-def _context(protocol: int) -> ssl.SSLContext:
+def _make_context(protocol: int) -> ssl.SSLContext:
     context = ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_3
-    # Hosts are reached by IP number; the greeting names the host, and it is
-    # compared with the certificate.
+    # Links connect to IP addresses. The hello message contains the host name,
+    # which TcpLink compares with the certificate.
     context.check_hostname = False
     context.verify_mode = ssl.CERT_REQUIRED
     return context
 
 
-def names_host(certificate: Mapping[str, Any] | None, host: str) -> bool:
-    """Whether a peer's certificate is for a host."""
+def certificate_names_host(certificate: Mapping[str, Any] | None,
+                           host: str) -> bool:
+    """Whether a peer certificate has a host as its DNS subject name."""
     if not certificate:
         return False
     names = certificate.get('subjectAltName', ())
--- a/pollenthread/adapters/metrics.py
+++ b/pollenthread/adapters/metrics.py
@@ -1,7 +1,8 @@
-"""Latency histograms and the scrape endpoint of a process.
+"""Latency histograms and the Prometheus endpoint of a process.
 
-Counts are by outcome only: a series for each workspace and class would grow
-with the number of workspaces, and the account has those.
+Requests are counted by outcome only. The number of series by workspace and
+class would grow with the number of workspaces; the request accounting has these
+counts.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -11,72 +12,84 @@
 from prometheus_client import core as prometheus, registry
 
 from pollenthread.adapters import http_server
-from pollenthread.core import account, errors, pace
+from pollenthread.core import account, errors, response_timing
 
-__all__ = ['Latencies', 'MetricsHandler']
+__all__ = ['RequestLatencyHistograms', 'MetricsHandler']
 
 _MAX_US = 3_600_000_000
-_DIGITS = 2
+_SIGNIFICANT_DIGITS = 2
 _US_PER_S = 1_000_000
-_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.07, 0.1, 0.25, 0.5, 1.0, 1.8, 3.0, 5.0,
-             10.0, 30.0, 60.0, 120.0)
+_BUCKET_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.07, 0.1, 0.25, 0.5, 1.0, 1.8,
+                    3.0, 5.0, 10.0, 30.0, 60.0, 120.0)
 _PREFIX = 'pollenthread'
 
-Gauges = Callable[[], Mapping[str, float]]
+GaugeSource = Callable[[], Mapping[str, float]]
 
 
-class Latencies:
-    """Histograms that add up over hosts without loss."""
+class RequestLatencyHistograms:
+    """Latency histograms that can be merged across hosts without loss.
+
+    Attributes:
+        by_name: the HDR histograms, in microseconds, by name.
+    """
 
     def __init__(self) -> None:
         self.by_name = {
-            name: histogram.HdrHistogram(1, _MAX_US, _DIGITS)
+            name: histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
             for name in ('first_token', 'between_tokens', 'answer')
         }
 
-    def observe(self, times: pace.Pace, total_s: float) -> None:
-        """Takes note of a whole answer."""
+    def observe(self, timing: response_timing.ResponseTiming,
+                total_s: float) -> None:
+        """Records the latencies of a complete response.
+
+        Args:
+            timing: the arrival times of the parts of the response.
+            total_s: the time from the request to the end of the response, in
+                seconds.
+        """
         self._record('answer', total_s)
-        if times.first_s is not None:
-            self._record('first_token', times.first_s)
-        if times.mean_gap_s is not None:
-            self._record('between_tokens', times.mean_gap_s)
+        if timing.first_chunk_s is not None:
+            self._record('first_token', timing.first_chunk_s)
+        if timing.mean_gap_s is not None:
+            self._record('between_tokens', timing.mean_gap_s)
 
     def _record(self, name: str, seconds: float) -> None:
         value = min(max(1, round(seconds * _US_PER_S)), _MAX_US)
         self.by_name[name].record_value(value)
 
     def encoded(self) -> dict[str, str]:
-        """The histograms in the library's own form, for merging."""
+        """Returns the histograms as encoded by the library, for `merge`."""
         return {
-            name: found.encode().decode('ascii')
-            for name, found in self.by_name.items()
+            name: hdr_histogram.encode().decode('ascii')
+            for name, hdr_histogram in self.by_name.items()
         }
 
     def merge(self, encoded: Mapping[str, str]) -> None:
-        """Adds histograms of another host."""
+        """Adds the encoded histograms of another host."""
         for name, text in encoded.items():
             self.by_name[name].decode_and_add(text.encode('ascii'))
 
 
 class _Collector(registry.Collector):
-    """Makes the series at each scrape."""
+    """Produces the metrics at each scrape."""
 
-    def __init__(self, *, tally: account.Tally, latencies: Latencies,
-                 gauges: Gauges) -> None:
-        self._tally = tally
+    def __init__(self, *, tally: account.RequestCounter,
+                 latencies: RequestLatencyHistograms,
+                 gauges: GaugeSource) -> None:
+        self._request_counter = tally
         self._latencies = latencies
         self._gauges = gauges
 
     def collect(self) -> Iterable[prometheus.Metric]:
-        """Yields every series."""
-        total = account.Counts()
-        for counts in self._tally.counts_by_key.values():
+        """Yields all metric families."""
+        total = account.RequestCounts()
+        for counts in self._request_counter.counts_by_key.values():
             total += counts
         ended = prometheus.CounterMetricFamily(f'{_PREFIX}_requests',
                                                'Requests by how they ended.',
                                                labels=['outcome'])
-        for outcome in account.Outcome:
+        for outcome in account.RequestOutcome:
             ended.add_metric([outcome.value], getattr(total, outcome.value))
         yield ended
         for name in ('accepted', 'attempts', 'retries', 'repeats'):
@@ -87,45 +100,51 @@
             yield prometheus.GaugeMetricFamily(f'{_PREFIX}_{name}',
                                                f'Process: {name}.',
                                                value=value)
-        for name, found in self._latencies.by_name.items():
-            yield _histogram(name, found)
+        for name, hdr_histogram in self._latencies.by_name.items():
+            yield _histogram_metric(name, hdr_histogram)
 
 
-def _histogram(name: str, found: histogram.HdrHistogram) -> prometheus.Metric:
-    """Cumulative buckets; their bounds are exact to the library's precision."""
-    counts = [0] * len(_BOUNDS_S)
+def _histogram_metric(
+        name: str, hdr_histogram: histogram.HdrHistogram) -> prometheus.Metric:
+    """Converts a histogram to cumulative buckets.
+
+    The bucket bounds are accurate to the precision of the HDR histogram.
+    """
+    counts = [0] * len(_BUCKET_BOUNDS_S)
     total_us = 0
-    for item in found.get_recorded_iterator():
+    for item in hdr_histogram.get_recorded_iterator():
         value_us = item.value_iterated_to
         total_us += value_us * item.count_added_in_this_iter_step
-        for i, bound in enumerate(_BOUNDS_S):
+        for i, bound in enumerate(_BUCKET_BOUNDS_S):
             if value_us <= bound * _US_PER_S:
                 counts[i] += item.count_added_in_this_iter_step
-    buckets = [
-        (str(bound), float(count)) for bound, count in zip(_BOUNDS_S, counts)
-    ]
-    buckets.append(('+Inf', float(found.total_count)))
+    buckets = [(str(bound), float(count))
+               for bound, count in zip(_BUCKET_BOUNDS_S, counts)]
+    buckets.append(('+Inf', float(hdr_histogram.total_count)))
     return prometheus.HistogramMetricFamily(f'{_PREFIX}_{name}_seconds',
                                             f'Whole answers: {name}.',
                                             buckets=buckets,
                                             sum_value=total_us / _US_PER_S)
 
 
-class MetricsHandler(http_server.Handler):
-    """Answers scrapes."""
+class MetricsHandler(http_server.RequestHandler):
+    """Serves the metrics page, and the histograms for merging."""
 
-    def __init__(self, *, tally: account.Tally, latencies: Latencies,
-                 gauges: Gauges) -> None:
+    def __init__(self, *, request_counter: account.RequestCounter,
+                 latencies: RequestLatencyHistograms,
+                 gauges: GaugeSource) -> None:
         self._latencies = latencies
         self._registry = prometheus_client.CollectorRegistry()
         self._registry.register(
-            _Collector(tally=tally, latencies=latencies, gauges=gauges))
+            _Collector(tally=request_counter,
+                       latencies=latencies,
+                       gauges=gauges))
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         if request.method != 'GET':
             await response.send_problem(
-                errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
+                errors.make_failure(errors.ErrorKind.METHOD_NOT_ALLOWED))
         elif request.path == '/metrics':
             await response.send(
                 200, [('content-type', prometheus_client.CONTENT_TYPE_LATEST)],
@@ -133,4 +152,5 @@
         elif request.path == '/metrics/histograms':
             await response.send_json(200, self._latencies.encoded())
         else:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+            await response.send_problem(
+                errors.make_failure(errors.ErrorKind.NOT_FOUND))
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -1,7 +1,7 @@
-"""Orders over the administration port.
+"""HTTP handler for orders on the administration port.
 
-`PUT /orders/HOST/ID` with a kind and arguments takes an order in; a repeat of
-the same id never has a second effect. `GET /orders/HOST/ID` shows it.
+`PUT /orders/HOST/ID` with a kind and arguments submits an order; submitting the
+same id again has no further effect. `GET /orders/HOST/ID` returns its state.
 """
 
 import json
@@ -12,85 +12,91 @@
 import result
 
 from pollenthread.adapters import http_server
-from pollenthread.app import (explanation, order_desk, order_journal, peers as
-                              peers_module, targets_document)
+from pollenthread.app import (order_issuer, order_journal, peer_links as
+                              peers_module, targets_document, validation_errors)
 from pollenthread.core import errors, messages, orders
 from pollenthread.ports import table
 
 __all__ = ['OrdersHandler']
 
 
-class _OrderModel(targets_document.Strict):
-    """The body of an order."""
+class _OrderModel(targets_document.StrictModel):
+    """The request body that submits an order."""
 
     kind: targets_document.Name
     arguments: dict[str, Any] = {}
 
 
-class OrdersHandler(http_server.Handler):
-    """Takes orders in and shows how they ended."""
+class OrdersHandler(http_server.RequestHandler):
+    """Accepts orders and returns their state and result."""
 
     def __init__(self, *, journal: order_journal.OrderJournal,
-                 desk: order_desk.OrderDesk, peers: peers_module.Peers) -> None:
+                 desk: order_issuer.OrderIssuer,
+                 peers: peers_module.PeerLinks) -> None:
         self._journal = journal
         self._desk = desk
         self._peers = peers
 
-    async def handle(self, request: http_server.Request,
-                     response: http_server.Response) -> None:
+    async def handle(self, request: http_server.HttpRequest,
+                     response: http_server.HttpResponse) -> None:
         parts = [parse.unquote(part) for part in request.path.split('/')[2:]]
         if len(parts) != 2 or not all(parts):
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+            await response.send_problem(
+                errors.make_failure(errors.ErrorKind.NOT_FOUND))
         elif request.method == 'PUT':
             await self._submit(parts[0], parts[1], request, response)
         elif request.method == 'GET':
             await self._show(parts[0], parts[1], response)
         else:
             await response.send_problem(
-                errors.failure(errors.Kind.METHOD_NOT_ALLOWED))
+                errors.make_failure(errors.ErrorKind.METHOD_NOT_ALLOWED))
 
     async def _submit(self, host: str, order_id: str,
-                      request: http_server.Request,
-                      response: http_server.Response) -> None:
+                      request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         try:
             model = _OrderModel.model_validate_json(request.body)
         except pydantic.ValidationError as error:
             await response.send_problem(
-                errors.failure(
-                    errors.Kind.BAD_JSON,
-                    explanation.explain('order', error, model=_OrderModel)))
+                errors.make_failure(
+                    errors.ErrorKind.BAD_JSON,
+                    validation_errors.describe_errors('order',
+                                                      error,
+                                                      model=_OrderModel)))
             return
         arguments = json.dumps(model.arguments, sort_keys=True)
-        done = await self._journal.submit(order_id=order_id,
-                                          host=host,
-                                          kind=model.kind,
-                                          arguments=arguments)
-        if isinstance(done, result.Err):
-            await response.send_problem(_table_failure(done.err_value))
+        outcome = await self._journal.submit(order_id=order_id,
+                                             host=host,
+                                             kind=model.kind,
+                                             arguments=arguments)
+        if isinstance(outcome, result.Err):
+            await response.send_problem(_failure_of(outcome.err_value))
             return
-        submitted = done.ok_value
+        submitted = outcome.ok_value
         order = submitted.order
         if (order.kind, order.arguments) != (model.kind, arguments):
             await response.send_problem(
-                errors.failure(errors.Kind.KEY_REUSED,
-                               'This id belongs to another order.'))
+                errors.make_failure(errors.ErrorKind.KEY_REUSED,
+                                    'This id belongs to another order.'))
             return
         self._desk.wake()
-        self._peers.broadcast(messages.DutyNews(orders.duty_of(host)))
+        self._peers.broadcast(
+            messages.DutyNews(orders.order_duty_for_host(host)))
         await response.send_json(202, _document(submitted))
 
     async def _show(self, host: str, order_id: str,
-                    response: http_server.Response) -> None:
-        found = await self._journal.find(host, order_id)
-        if isinstance(found, result.Err):
-            await response.send_problem(_table_failure(found.err_value))
-        elif found.ok_value is None:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+                    response: http_server.HttpResponse) -> None:
+        outcome = await self._journal.find(host, order_id)
+        if isinstance(outcome, result.Err):
+            await response.send_problem(_failure_of(outcome.err_value))
+        elif outcome.ok_value is None:
+            await response.send_problem(
+                errors.make_failure(errors.ErrorKind.NOT_FOUND))
         else:
-            await response.send_json(200, _document(found.ok_value))
+            await response.send_json(200, _document(outcome.ok_value))
 
 
-def _document(submitted: order_journal.Submitted) -> dict[str, Any]:
+def _document(submitted: order_journal.OrderStatus) -> dict[str, Any]:
     order, row = submitted.order, submitted.row
     document: dict[str, Any] = {
         'id': order.id,
@@ -107,8 +113,8 @@
     return document
 
 
-def _table_failure(fault: table.TableFault) -> errors.Failure:
-    if fault is table.TableFault.UNKNOWN:
-        return errors.failure(errors.Kind.OUTCOME_UNKNOWN,
-                              'Repeat the order with the same id.')
-    return errors.failure(errors.Kind.TABLE_UNAVAILABLE)
+def _failure_of(error: table.TableError) -> errors.Failure:
+    if error is table.TableError.UNKNOWN:
+        return errors.make_failure(errors.ErrorKind.OUTCOME_UNKNOWN,
+                                   'Repeat the order with the same id.')
+    return errors.make_failure(errors.ErrorKind.TABLE_UNAVAILABLE)
--- a/pollenthread/app/administration.py
+++ b/pollenthread/app/administration.py
@@ -1,4 +1,4 @@
-"""What operators can see and change, with the rights of each checked."""
+"""Operations of the administration API, with permission checks."""
 
 import copy
 import dataclasses
@@ -8,49 +8,67 @@
 import result
 
 from pollenthread.app import (account_reader, account_rows, config_store,
-                              cost_book, report_document, targets_document)
+                              cost_store, report_document, targets_document)
 from pollenthread.core import (document_diff, errors, operators, report as
                                report_module)
 from pollenthread.ports import table
 
-__all__ = ['Administration', 'Refused']
+__all__ = ['Administration', 'RequestRefused']
 
 _REBASE_ATTEMPTS = 5
 _MAX_DAYS = 31
-_DAY_S = 86_400
-_EMPTY: dict[str, Any] = {'workspaces': {}}
+_SECONDS_PER_DAY = 86_400
+_EMPTY_DOCUMENT: dict[str, Any] = {'workspaces': {}}
 
 _Document = dict[str, Any]
 
 
-class Refused(Exception):
-    """The operator's request is refused."""
+class RequestRefused(Exception):
+    """The operator's request is refused.
 
-    def __init__(self, problem: errors.Failure) -> None:
-        super().__init__(problem.detail)
-        self.problem = problem
+    Attributes:
+        failure: the error that the operator is sent.
+    """
 
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
 
-def _refuse(kind: errors.Kind, detail: str = '') -> Refused:
-    return Refused(errors.failure(kind, detail))
+
+def _refuse(kind: errors.ErrorKind, detail: str = '') -> RequestRefused:
+    return RequestRefused(errors.make_failure(kind, detail))
 
 
 @dataclasses.dataclass(frozen=True)
-class _Version:
-    """A version as it is in the table."""
+class _NumberedDocument:
+    """A version of the targets document."""
 
     number: int
     document: _Document
 
 
 class Administration:
-    """Serves operators at one entry host."""
+    """Serves the requests of operators at one entry host.
+
+    All operations raise `RequestRefused` if the operator lacks a permission,
+    the arguments are invalid or the table fails.
+    """
 
     def __init__(self, *, store: config_store.ConfigStore,
                  accounts: account_reader.AccountReader,
-                 costs: cost_book.CostBook, status: Callable[[], _Document],
+                 costs: cost_store.CostStore, status: Callable[[], _Document],
                  wall: Callable[[], float],
                  find_trace: Callable[[str], list[_Document] | None]) -> None:
+        """Initializes the operations.
+
+        Args:
+            store: the versions of the configuration.
+            accounts: reads the request counts.
+            costs: reads the cost rows.
+            status: returns the status document of this host.
+            wall: returns the wall-clock time in Unix seconds.
+            find_trace: returns the spans of a trace by its id, or None.
+        """
         self._store = store
         self._accounts = accounts
         self._costs = costs
@@ -59,8 +77,11 @@
         self._find_trace = find_trace
 
     def status(self, operator: operators.Operator) -> _Document:
-        """What this host knows; only the version for a workspace's operator."""
-        if operator.sees_all:
+        """Returns the status of this host.
+
+        Operators of single workspaces only get the configuration version.
+        """
+        if operator.can_read_all:
             return self._status()
         return {
             'targets_version': self._store.version,
@@ -68,39 +89,44 @@
         }
 
     async def config(self, operator: operators.Operator) -> _Document:
-        """The newest version, as far as the operator may see it."""
+        """Returns the parts of the newest version that the operator may see."""
         newest = await self._newest()
         return {
             'version': newest.number,
-            'document': operators.visible(operator, newest.document)
+            'document': operators.filter_visible(operator, newest.document)
         }
 
     async def config_version(self, operator: operators.Operator,
                              version: int) -> _Document:
-        """One version, as far as the operator may see it."""
+        """Returns the parts of a version that the operator may see."""
         stored = await self._read(version)
         return {
             'version': stored.version,
             'author': stored.author,
-            'document': operators.visible(operator, stored.document)
+            'document': operators.filter_visible(operator, stored.document)
         }
 
     async def history(self, operator: operators.Operator,
                       limit: int) -> list[_Document]:
-        """The audit record: who changed what, from which version.
+        """Returns the audit record: author and differences of each version.
 
-        It is worked out from the versions themselves, so that it cannot
-        differ from what was put in force.
+        It is computed from the stored versions, so it cannot differ from what
+        was applied.
+
+        Args:
+            operator: the operator; only changes that it may see are included.
+            limit: how many entries to return at most, newest first.
         """
         newest = await self._newest()
         entries: list[_Document] = []
         after = await self._store.read(newest.number)
         while after is not None and len(entries) < limit:
             before = await self._store.read(after.version - 1)
-            changes = document_diff.changes(
-                operators.visible(
-                    operator, _EMPTY if before is None else before.document),
-                operators.visible(operator, after.document))
+            changes = document_diff.diff_documents(
+                operators.filter_visible(
+                    operator,
+                    _EMPTY_DOCUMENT if before is None else before.document),
+                operators.filter_visible(operator, after.document))
             if changes:
                 entries.append(_audit_entry(after, changes))
             after = before
@@ -108,35 +134,39 @@
 
     async def diff(self, operator: operators.Operator, older: int,
                    newer: int) -> list[_Document]:
-        """What differs between two versions."""
+        """Returns the differences between two versions."""
         before, after = await self._read(older), await self._read(newer)
         return [
-            dataclasses.asdict(change) for change in document_diff.changes(
-                operators.visible(operator, before.document),
-                operators.visible(operator, after.document))
+            dataclasses.asdict(change)
+            for change in document_diff.diff_documents(
+                operators.filter_visible(operator, before.document),
+                operators.filter_visible(operator, after.document))
         ]
 
     async def put_config(self, operator: operators.Operator,
                          document: _Document, base: int) -> _Document:
-        """Publishes a whole document."""
+        """Publishes a whole document as the version after `base`."""
         _require_all(operator)
         return await self._publish(operator, document, base)
 
     async def put_workspace(self, operator: operators.Operator, workspace: str,
                             document: _Document, base: int) -> _Document:
-        """Publishes one workspace; changes of others are no conflict."""
-        if not operator.sees(workspace):
-            raise _refuse(errors.Kind.NOT_PERMITTED)
-        _require_change(operator)
-        started_from = (_EMPTY if base == 0 else
-                        (await self._read(base)).document)
+        """Publishes one workspace.
+
+        Only changes of the same workspace since `base` are a conflict.
+        """
+        if not operator.can_read(workspace):
+            raise _refuse(errors.ErrorKind.NOT_PERMITTED)
+        _require_may_change(operator)
+        base_document = (_EMPTY_DOCUMENT if base == 0 else
+                         (await self._read(base)).document)
 
         def change(newest: _Document) -> _Document:
-            mine = started_from.get('workspaces', {}).get(workspace)
-            theirs = newest.get('workspaces', {}).get(workspace)
-            if mine != theirs:
-                raise _refuse(errors.Kind.CONFLICT,
-                              _changes_text(mine or {}, theirs or {}))
+            before = base_document.get('workspaces', {}).get(workspace)
+            after = newest.get('workspaces', {}).get(workspace)
+            if before != after:
+                raise _refuse(errors.ErrorKind.CONFLICT,
+                              _changes_text(before or {}, after or {}))
             newest.setdefault('workspaces', {})[workspace] = document
             return newest
 
@@ -144,14 +174,14 @@
 
     async def roll_back(self, operator: operators.Operator, to_version: int,
                         base: int) -> _Document:
-        """Publishes an old document as a new version."""
+        """Publishes the document of an old version as a new version."""
         _require_all(operator)
         stored = await self._read(to_version)
         return await self._publish(operator, stored.document, base)
 
     async def drain(self, operator: operators.Operator, host: str, *,
                     is_draining: bool) -> _Document:
-        """Takes a host out of service, or back, as a new version."""
+        """Publishes a version in which a host drains, or no longer does."""
         _require_all(operator)
 
         def change(newest: _Document) -> _Document:
@@ -164,58 +194,65 @@
 
     async def report(self, operator: operators.Operator,
                      days: int) -> _Document:
-        """The account of today and the days before."""
+        """Returns the account of today and the preceding days.
+
+        Args:
+            operator: the operator; only its workspaces are included.
+            days: the number of days, today included.
+        """
         if not 1 <= days <= _MAX_DAYS:
-            raise _refuse(errors.Kind.BAD_HEADER,
+            raise _refuse(errors.ErrorKind.BAD_HEADER,
                           f'days must be between 1 and {_MAX_DAYS}.')
-        book = _unwrap(await self._accounts.read(days=days))
+        counts = _unwrap(await self._accounts.read(days=days))
         last_s = self._wall()
-        names = [
-            account_rows.day_of(last_s - number * _DAY_S)
+        days_in_report = [
+            account_rows.day_of(last_s - number * _SECONDS_PER_DAY)
             for number in range(days - 1, -1, -1)
         ]
         rows = [
-            row for day in names for row in _unwrap(await self._costs.read(day))
+            row for day in days_in_report
+            for row in _unwrap(await self._costs.read(day))
         ]
-        made = report_module.build(book=book,
-                                   costs=tuple(rows),
-                                   orders=(),
-                                   current=self._store.current,
-                                   days=(names[0], names[-1]),
-                                   workspaces=operator.workspaces)
-        return report_document.to_document(made)
+        report = report_module.build_report(summary=counts,
+                                            costs=tuple(rows),
+                                            orders=(),
+                                            current_targets=self._store.current,
+                                            days=(days_in_report[0],
+                                                  days_in_report[-1]),
+                                            workspaces=operator.workspaces)
+        return report_document.to_document(report)
 
     def trace(self, operator: operators.Operator,
               trace_id: str) -> list[_Document]:
-        """The spans of one request that this host keeps."""
-        _require_sight(operator)
+        """Returns the spans of one trace that this host has stored."""
+        _require_sees_all(operator)
         spans = self._find_trace(trace_id)
         if spans is None:
             raise _refuse(
-                errors.Kind.NOT_FOUND,
+                errors.ErrorKind.NOT_FOUND,
                 'This host keeps no such trace: it was not sampled, '
                 'or another entry host served it.')
         return spans
 
-    async def _newest(self) -> _Version:
+    async def _newest(self) -> _NumberedDocument:
         if not await self._store.refresh():
-            raise _refuse(errors.Kind.TABLE_UNAVAILABLE)
+            raise _refuse(errors.ErrorKind.TABLE_UNAVAILABLE)
         number = self._store.version
         if number == 0:
-            return _Version(0, copy.deepcopy(_EMPTY))
-        return _Version(number, (await self._read(number)).document)
+            return _NumberedDocument(0, copy.deepcopy(_EMPTY_DOCUMENT))
+        return _NumberedDocument(number, (await self._read(number)).document)
 
     async def _read(self, version: int) -> config_store.StoredVersion:
         stored = await self._store.read(version)
         if stored is None:
-            raise _refuse(errors.Kind.NOT_FOUND,
+            raise _refuse(errors.ErrorKind.NOT_FOUND,
                           f'There is no version {version}.')
         return stored
 
     async def _rebase(self, operator: operators.Operator,
                       change: Callable[[_Document], _Document]) -> _Document:
-        """Makes the change to the newest version, whoever else publishes."""
-        problem = errors.failure(errors.Kind.CONFLICT)
+        """Applies a change to the newest version; retries after conflicts."""
+        failure = errors.make_failure(errors.ErrorKind.CONFLICT)
         for _ in range(_REBASE_ATTEMPTS):
             newest = await self._newest()
             document = change(copy.deepcopy(newest.document))
@@ -223,55 +260,57 @@
                 return {'version': newest.number}
             try:
                 return await self._publish(operator, document, newest.number)
-            except Refused as refused:
-                problem = refused.problem
-                if problem.kind is not errors.Kind.CONFLICT:
+            except RequestRefused as refused:
+                failure = refused.failure
+                if failure.kind is not errors.ErrorKind.CONFLICT:
                     raise
-        raise Refused(problem)
+        raise RequestRefused(failure)
 
     async def _publish(self, operator: operators.Operator, document: _Document,
                        base: int) -> _Document:
         try:
-            done = await self._store.publish(document,
-                                             author=operator.name,
-                                             base=base)
+            published = await self._store.publish(document,
+                                                  author=operator.name,
+                                                  base=base)
         except targets_document.InvalidDocument as invalid:
-            raise _refuse(errors.Kind.INVALID_TARGETS,
+            raise _refuse(errors.ErrorKind.INVALID_TARGETS,
                           str(invalid)) from invalid
-        if isinstance(done, result.Ok):
-            return {'version': done.ok_value}
-        fault = done.err_value
-        if isinstance(fault, table.TableFault):
-            raise Refused(_table_failure(fault))
-        raise Refused(await self._conflict(base))
+        if isinstance(published, result.Ok):
+            return {'version': published.ok_value}
+        fault = published.err_value
+        if isinstance(fault, table.TableError):
+            raise RequestRefused(_table_failure(fault))
+        raise RequestRefused(await self._conflict(base))
 
     async def _conflict(self, base: int) -> errors.Failure:
         newest = await self._newest()
-        before = _EMPTY if base == 0 else (await self._store.read(base))
-        old = before.document if isinstance(
-            before, config_store.StoredVersion) else _EMPTY
-        return errors.failure(
-            errors.Kind.CONFLICT, f'Version {newest.number} is newer than '
-            f'{base}: {_changes_text(old, newest.document)}')
+        before = _EMPTY_DOCUMENT if base == 0 else (await
+                                                    self._store.read(base))
+        base_document = before.document if isinstance(
+            before, config_store.StoredVersion) else _EMPTY_DOCUMENT
+        return errors.make_failure(
+            errors.ErrorKind.CONFLICT, f'Version {newest.number} is newer than '
+            f'{base}: {_changes_text(base_document, newest.document)}')
 
 
-def _require_sight(operator: operators.Operator) -> None:
-    if not operator.sees_all:
-        raise _refuse(errors.Kind.NOT_PERMITTED)
+def _require_sees_all(operator: operators.Operator) -> None:
+    if not operator.can_read_all:
+        raise _refuse(errors.ErrorKind.NOT_PERMITTED)
 
 
-def _require_change(operator: operators.Operator) -> None:
+def _require_may_change(operator: operators.Operator) -> None:
     if not operator.may_change:
-        raise _refuse(errors.Kind.NOT_PERMITTED)
+        raise _refuse(errors.ErrorKind.NOT_PERMITTED)
 
 
 def _require_all(operator: operators.Operator) -> None:
-    _require_sight(operator)
-    _require_change(operator)
+    _require_sees_all(operator)
+    _require_may_change(operator)
 
 
-def _audit_entry(stored: config_store.StoredVersion,
-                 changes: tuple[document_diff.Change, ...]) -> _Document:
+def _audit_entry(
+        stored: config_store.StoredVersion,
+        changes: tuple[document_diff.DocumentChange, ...]) -> _Document:
     return {
         'version': stored.version,
         'from_version': stored.version - 1,
@@ -282,19 +321,20 @@
 
 def _changes_text(before: _Document, after: _Document) -> str:
     return '; '.join(f'{change.path}: {change.before!r} became {change.after!r}'
-                     for change in document_diff.changes(before, after))
+                     for change in document_diff.diff_documents(before, after))
 
 
-def _table_failure(fault: table.TableFault) -> errors.Failure:
-    if fault is table.TableFault.UNKNOWN:
-        return errors.failure(errors.Kind.OUTCOME_UNKNOWN,
-                              'Read the configuration before trying again.')
-    if fault is table.TableFault.CONFLICT:
-        return errors.failure(errors.Kind.CONFLICT)
-    return errors.failure(errors.Kind.TABLE_UNAVAILABLE)
+def _table_failure(fault: table.TableError) -> errors.Failure:
+    if fault is table.TableError.UNKNOWN:
+        return errors.make_failure(
+            errors.ErrorKind.OUTCOME_UNKNOWN,
+            'Read the configuration before trying again.')
+    if fault is table.TableError.CONFLICT:
+        return errors.make_failure(errors.ErrorKind.CONFLICT)
+    return errors.make_failure(errors.ErrorKind.TABLE_UNAVAILABLE)
 
 
-def _unwrap(found: result.Result[Any, table.TableFault]) -> Any:
+def _unwrap(found: result.Result[Any, table.TableError]) -> Any:
     if isinstance(found, result.Err):
-        raise Refused(_table_failure(found.err_value))
+        raise RequestRefused(_table_failure(found.err_value))
     return found.ok_value
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -1,49 +1,55 @@
-"""Takes a caller's request to a server and the answer back."""
+"""Forwards a caller's request to a server and relays the response."""
 
 import asyncio
 import dataclasses
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from pollenthread.app import (place_finder, planned_stop, request_job,
+from pollenthread.app import (graceful_shutdown, request_job, server_selector,
                               serving_state)
-from pollenthread.core import (caller_request, errors, event_stream, fleet,
-                               lateness, log_events, routing_config)
-from pollenthread.ports import clock, event_log, reply, upstream
+from pollenthread.core import (caller_request, caller_wait, errors, log_events,
+                               resumable_events, routing_config,
+                               server_registry)
+from pollenthread.ports import caller_response, clock, event_log, upstream
 
 __all__ = ['Forwarder']
 
 _OK = 200
 _SERVER_ERROR = 500
-_DEFAULT_PATIENCE_S = 30.0
-# The part of a request's time after which a silent server of a request that
-# may be repeated is given up.
-_FIRST_ATTEMPT_SHARE = 0.6
-# Callers give a stream up after two seconds without an event.
-_SILENT_STREAM_S = 1.7
-_WATCH_S = 0.2
+_DEFAULT_TIMEOUT_S = 30.0
+# Share of the remaining time after which an attempt at an idempotent request is
+# abandoned, so that a retry has time to complete.
+_ATTEMPT_TIMEOUT_SHARE = 0.6
+# Callers abandon a stream after 2 s without an event; the rest is for a retry.
+_STREAM_IDLE_TIMEOUT_S = 1.7
+_SILENCE_CHECK_INTERVAL_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
-class _Pending:
-    """An attempt that a server has not ended.
+class _PendingAttempt:
+    """An attempt in progress.
 
     Attributes:
         job: the request.
-        server: where it was sent.
-        timeout: ends the attempt.
+        server: the server it was sent to.
+        timeout: the timeout that ends the attempt.
     """
 
-    job: request_job.Job
-    server: fleet.Server
+    job: request_job.RequestJob
+    server: server_registry.Server
     timeout: asyncio.Timeout
 
 
 class Forwarder:
-    """Serves requests by the configuration in force."""
+    """Forwards requests according to the current configuration.
+
+    Attributes:
+        counts: requests by their result.
+    """
 
     def __init__(self, *, state: serving_state.ServingState,
-                 servers: upstream.Upstream, stop_plan: planned_stop.StopPlan,
+                 servers: upstream.UpstreamClient,
+                 stop_plan: graceful_shutdown.ShutdownPlan,
                  observe: Callable[[str, float], None], time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._state = state
@@ -53,306 +59,359 @@
         self._log = log
         self.counts: dict[str, int] = {}
         self._observe = observe
-        self._pending: set[_Pending] = set()
-        self._patience = lateness.PatienceBook()
-        self._places = place_finder.PlaceFinder(state=state,
-                                                time=time,
-                                                log=log,
-                                                rng=state.rng)
+        self._pending_attempts: set[_PendingAttempt] = set()
+        self._caller_timeouts = caller_wait.CallerWaitEstimator()
+        self._server_selector = server_selector.ServerSelector(state=state,
+                                                               time=time,
+                                                               log=log,
+                                                               rng=state.rng)
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
     async def serve(self, request: caller_request.CallerRequest,
-                    answer: reply.Reply) -> None:
-        """Answers one request; cancelled when the caller leaves."""
+                    response: caller_response.CallerResponse) -> None:
+        """Serves one request to its end.
+
+        The caller of this method cancels it when the client disconnects.
+
+        Args:
+            request: the client's request.
+            response: receives the response or the failure.
+        """
         try:
-            job = self._accept(request, answer)
-            await self._attempt_until_done(job)
+            job = self._accept(request, response)
+            await self._run_attempts(job)
             self._count('answered')
-        except request_job.Failed as failed:
-            await self._fail(request, answer, failed.failure)
+        except request_job.RequestFailed as failed:
+            await self._fail(request, response, failed.failure)
         except asyncio.CancelledError:
             self._count('caller_left')
             self._log.write(log_events.LogEvent.CALLER_LEFT,
                             important=False,
                             id=request.id,
-                            after_s=self._age(request))
+                            after_s=self._age_s(request))
             raise
 
-    def _age(self, request: caller_request.CallerRequest) -> float:
+    def _age_s(self, request: caller_request.CallerRequest) -> float:
         return round(self._clock.monotonic() - request.received_at, 4)
 
     async def _fail(self, request: caller_request.CallerRequest,
-                    answer: reply.Reply, failure: errors.Failure) -> None:
+                    response: caller_response.CallerResponse,
+                    failure: errors.Failure) -> None:
         self._count(failure.kind.value)
-        not_run = failure.ran is errors.Ran.NO
+        not_run = failure.executed is errors.Executed.NO
         event = (log_events.LogEvent.REQUEST_REFUSED
                  if not_run else log_events.LogEvent.REQUEST_FAILED)
         self._log.write(event,
                         id=request.id,
                         kind=failure.kind.value,
                         detail=failure.detail,
-                        after_s=self._age(request),
-                        begun=answer.has_begun)
-        if answer.has_begun:
-            answer.break_off()
+                        after_s=self._age_s(request),
+                        begun=response.is_started)
+        if response.is_started:
+            response.abort()
         else:
-            await answer.refuse(failure)
+            await response.send_failure(failure)
 
-    # Before a server is chosen.
+    # Admission, before a server is selected.
 
-    def _accept(self, request: caller_request.CallerRequest,
-                answer: reply.Reply) -> request_job.Job:
+    def _accept(
+            self, request: caller_request.CallerRequest,
+            response: caller_response.CallerResponse) -> request_job.RequestJob:
         config = self._state.config
         if config is None:
-            raise request_job.Failed(
-                errors.failure(errors.Kind.STALE_CONFIGURATION))
+            raise request_job.RequestFailed(
+                errors.make_failure(errors.ErrorKind.STALE_CONFIGURATION))
         route = routing_config.find_route(config, request.host, request.path)
         if route is None:
-            raise request_job.Failed(errors.failure(errors.Kind.NOT_FOUND))
+            raise request_job.RequestFailed(
+                errors.make_failure(errors.ErrorKind.NOT_FOUND))
         workspace = _authenticate(config, route, request)
-        self._check_leaving(route)
+        self._check_shutdown(route)
         service = self._state.pick_service(route)
         now = self._clock.monotonic()
-        self._state.budget(service).note_request(now)
-        patience_s = (_DEFAULT_PATIENCE_S
-                      if request.patience_s is None else request.patience_s)
+        self._state.retry_budget_for(service).record_request(now)
+        patience_s = (_DEFAULT_TIMEOUT_S
+                      if request.timeout_s is None else request.timeout_s)
         deadline = request.received_at + min(patience_s, route.timeout_s)
-        is_late = (request.patience_s is not None and
-                   self._patience.has_missed_aim(route, request.patience_s))
-        return request_job.Job(request, route, service, workspace, deadline,
-                               answer, is_late)
+        is_late = (request.timeout_s is not None and
+                   self._caller_timeouts.has_missed_target(
+                       route, request.timeout_s))
+        return request_job.RequestJob(request, route, service, workspace,
+                                      deadline, response, is_late)
+
+    def _check_shutdown(self, route: routing_config.Route) -> None:
+        """Refuses a request that could not complete before the shutdown.
 
-    def _check_leaving(self, route: routing_config.Route) -> None:
-        """Refuses what could not end before this host does."""
+        Raises:
+            request_job.RequestFailed: the host shuts down too soon.
+        """
         if self._state.leaving_since is None:
             return
         elapsed_s = self._clock.monotonic() - self._state.leaving_since
         is_stream = route.kind is routing_config.RequestKind.STREAM
-        if not planned_stop.takes_work(
+        if not graceful_shutdown.accepts_request(
                 self._stop_plan, elapsed_s, is_stream=is_stream):
-            raise request_job.Failed(errors.failure(errors.Kind.LEAVING))
+            raise request_job.RequestFailed(
+                errors.make_failure(errors.ErrorKind.LEAVING))
 
     # Attempts.
 
-    async def _attempt_until_done(self, job: request_job.Job) -> None:
+    async def _run_attempts(self, job: request_job.RequestJob) -> None:
         while True:
-            server = await self._places.find(job)
+            server = await self._server_selector.select(job)
             if await self._attempt(job, server):
                 return
-            self._check_repeat(job)
+            self._check_retry(job)
+
+    async def _attempt(self, job: request_job.RequestJob,
+                       server: server_registry.Server) -> bool:
+        """Sends the request to a server.
 
-    async def _attempt(self, job: request_job.Job,
-                       server: fleet.Server) -> bool:
-        """Sends the request to a server; whether the request is done."""
-        job.tried.append(server.id)
-        job.sent += 1
+        Returns:
+            Whether the request is complete; False when it may be retried.
+
+        Raises:
+            request_job.RequestFailed: the request's deadline has passed.
+        """
+        job.tried_server_ids.append(server.id)
+        job.attempt_count += 1
         now = self._clock.monotonic()
-        job.timing.note_place(now)
-        self._state.loads.begin(server.id, now)
-        timeout = asyncio.timeout_at(self._give_up_at(job))
-        pending = _Pending(job, server, timeout)
-        self._pending.add(pending)
+        job.timing.record_sent(now)
+        self._state.server_loads.record_start(server.id, now)
+        timeout = asyncio.timeout_at(self._attempt_deadline(job))
+        pending = _PendingAttempt(job, server, timeout)
+        self._pending_attempts.add(pending)
         try:
             async with timeout:
-                return await self._exchange(job, server)
+                return await self._send_and_relay(job, server)
         except TimeoutError:
-            self._note_failure(job, server, 'silent', ran=True)
+            self._record_failure(job, server, 'silent', ran=True)
             if self._clock.monotonic() >= job.deadline:
-                raise request_job.Failed(job.timed_out()) from None
+                raise request_job.RequestFailed(job.timeout_failure()) from None
             return False
-        except upstream.ConnectFailed as error:
-            self._state.loads.fail(server.id, self._clock.monotonic())
-            self._note_failure(job, server, str(error), ran=False)
-            job.sent -= 1
+        except upstream.UpstreamConnectError as error:
+            self._state.server_loads.record_failure(server.id,
+                                                    self._clock.monotonic())
+            self._record_failure(job, server, str(error), ran=False)
+            job.attempt_count -= 1
             return False
-        except upstream.UpstreamBroken as error:
-            self._note_failure(job, server, str(error), ran=True)
+        except upstream.UpstreamDisconnectedError as error:
+            self._record_failure(job, server, str(error), ran=True)
             return False
         finally:
-            self._pending.discard(pending)
-            self._state.loads.end(server.id)
+            self._pending_attempts.discard(pending)
+            self._state.server_loads.record_end(server.id)
 
-    async def watch(self) -> None:
-        """Gives up servers whose hosts fell silent; until cancelled.
+    async def watch_silent_servers(self) -> None:
+        """Ends attempts at servers whose agents stopped reporting load.
 
-        Only for requests that may be sent to another server.
+        Runs until cancelled. An attempt is ended only when its request may be
+        retried on another server.
         """
         while True:
-            await self._clock.sleep(_WATCH_S)
+            await self._clock.sleep(_SILENCE_CHECK_INTERVAL_S)
             now = self._clock.monotonic()
-            for pending in list(self._pending):
-                if (self._state.loads.is_silent(pending.server.id, now) and
+            for pending in list(self._pending_attempts):
+                if (self._state.server_loads.is_report_overdue(
+                        pending.server.id, now) and
                         pending.job.route.is_repeatable and
-                        self._may_repeat(pending.job)):
+                        self._may_retry(pending.job)):
                     pending.timeout.reschedule(now)
 
-    def _give_up_at(self, job: request_job.Job) -> float:
-        """When a server that has not answered is given up."""
+    def _attempt_deadline(self, job: request_job.RequestJob) -> float:
+        """Returns the monotonic time at which to abandon an attempt."""
         if (job.route.kind is not routing_config.RequestKind.IDEMPOTENT or
-                job.sent >= job.route.max_attempts):
+                job.attempt_count >= job.route.max_attempts):
             return job.deadline
         now = self._clock.monotonic()
-        return now + (job.deadline - now) * _FIRST_ATTEMPT_SHARE
+        return now + (job.deadline - now) * _ATTEMPT_TIMEOUT_SHARE
 
-    async def _exchange(self, job: request_job.Job,
-                        server: fleet.Server) -> bool:
-        attempt = upstream.UpstreamRequest(
+    async def _send_and_relay(self, job: request_job.RequestJob,
+                              server: server_registry.Server) -> bool:
+        attempt = upstream.UpstreamAttempt(
             server=server,
             request=job.request,
             time_left_s=job.deadline - self._clock.monotonic(),
             workspace=job.workspace.name if job.workspace else None,
             last_event_id=job.last_event_id,
-            urgency=job.urgency)
-        async with self._servers.send(attempt) as found:
-            self._note_load(server, found)
-            if found.is_other_server:
-                self._state.fleet.replace_dead(server.id)
-            if not found.has_run:
-                self._note_failure(job,
-                                   server,
-                                   f'not run, {found.status}',
-                                   ran=False)
+            priority=job.urgency)
+        async with self._servers.send(attempt) as response:
+            self._record_load(server, response)
+            if response.is_misdirected:
+                self._state.server_registry.mark_replaced(server.id)
+            if not response.may_have_executed:
+                self._record_failure(job,
+                                     server,
+                                     f'not run, {response.status}',
+                                     ran=False)
                 return False
-            if _is_stream(job, found):
-                return await self._pass_stream(job, server, found)
-            return await self._pass_whole(job, server, found)
-
-    def _note_load(self, server: fleet.Server,
-                   found: upstream.UpstreamAnswer) -> None:
-        if found.load is not None:
-            self._state.loads.count(server.id,
-                                    found.load.running + found.load.waiting,
-                                    self._clock.monotonic())
-
-    async def _pass_whole(self, job: request_job.Job, server: fleet.Server,
-                          found: upstream.UpstreamAnswer) -> bool:
-        body = b''.join([part async for part in found.read()])
-        if (found.status >= _SERVER_ERROR and job.route.is_repeatable and
-                self._may_repeat(job)):
-            self._note_failure(job,
-                               server,
-                               f'answered {found.status}',
-                               ran=True)
+            if _is_stream(job, response):
+                return await self._relay_stream(job, server, response)
+            return await self._relay_whole(job, server, response)
+
+    def _record_load(self, server: server_registry.Server,
+                     response: upstream.UpstreamResponse) -> None:
+        if response.load is not None:
+            self._state.server_loads.record_request_count(
+                server.id, response.load.running + response.load.waiting,
+                self._clock.monotonic())
+
+    async def _relay_whole(self, job: request_job.RequestJob,
+                           server: server_registry.Server,
+                           response: upstream.UpstreamResponse) -> bool:
+        body = b''.join([chunk async for chunk in response.read()])
+        if (response.status >= _SERVER_ERROR and job.route.is_repeatable and
+                self._may_retry(job)):
+            self._record_failure(job,
+                                 server,
+                                 f'answered {response.status}',
+                                 ran=True)
             return False
-        if found.status < _SERVER_ERROR:
-            self._state.loads.succeed(server.id)
-        await job.answer.send_whole(found.status, found.headers, body)
-        self._note_answer(job, server, found.status)
+        if response.status < _SERVER_ERROR:
+            self._state.server_loads.record_success(server.id)
+        await job.caller_response.send_response(response.status,
+                                                response.headers, body)
+        self._record_response(job, server, response.status)
         return True
 
-    async def _pass_stream(self, job: request_job.Job, server: fleet.Server,
-                           found: upstream.UpstreamAnswer) -> bool:
-        body = found.read()
-        while (data := await self._next_part(body)) is not None:
+    async def _relay_stream(self, job: request_job.RequestJob,
+                            server: server_registry.Server,
+                            response: upstream.UpstreamResponse) -> bool:
+        body = response.read()
+        while (data := await self._next_chunk(body)) is not None:
             try:
-                events = job.splitter.feed(data)
-            except event_stream.EventTooLong as error:
-                raise upstream.UpstreamBroken(str(error)) from error
+                events = job.event_splitter.feed(data)
+            except resumable_events.EventTooLongError as error:
+                raise upstream.UpstreamDisconnectedError(str(error)) from error
             if not events:
                 continue
-            job.timing.note_events(self._clock.monotonic())
-            if not job.answer.has_begun:
-                self._observe('first_event', self._age(job.request))
-                await job.answer.begin(found.status, found.headers)
-            await job.answer.write(events)
-        if job.splitter.has_partial or not job.answer.has_begun:
-            raise upstream.UpstreamBroken('the stream ended within an event')
-        self._state.loads.succeed(server.id)
-        await job.answer.finish()
-        self._note_answer(job, server, found.status)
+            job.timing.record_events(self._clock.monotonic())
+            if not job.caller_response.is_started:
+                self._observe('first_event', self._age_s(job.request))
+                await job.caller_response.start_stream(response.status,
+                                                       response.headers)
+            await job.caller_response.write(events)
+        if job.event_splitter.has_partial or not job.caller_response.is_started:
+            raise upstream.UpstreamDisconnectedError(
+                'the stream ended within an event')
+        self._state.server_loads.record_success(server.id)
+        await job.caller_response.finish()
+        self._record_response(job, server, response.status)
         return True
 
-    async def _next_part(self, body: AsyncIterator[bytes]) -> bytes | None:
+    async def _next_chunk(self, body: AsyncIterator[bytes]) -> bytes | None:
         try:
-            async with asyncio.timeout(_SILENT_STREAM_S):
+            async with asyncio.timeout(_STREAM_IDLE_TIMEOUT_S):
                 return await anext(body, None)
         except TimeoutError:
-            raise upstream.UpstreamBroken('the stream fell silent') from None
+            raise upstream.UpstreamDisconnectedError(
+                'the stream fell silent') from None
 
-    # After an attempt.
+    # Recording of results.
 
-    def _note_answer(self, job: request_job.Job, server: fleet.Server,
-                     status: int) -> None:
-        self._observe('answer', self._age(job.request))
-        timing = self._stream_fields(job) if job.is_stream else {}
+    def _record_response(self, job: request_job.RequestJob,
+                         server: server_registry.Server, status: int) -> None:
+        self._observe('answer', self._age_s(job.request))
+        timing = self._stream_log_fields(job) if job.is_stream else {}
         self._log.write(log_events.LogEvent.REQUEST_ANSWERED,
-                        important=job.sent > 1,
+                        important=job.attempt_count > 1,
                         id=job.request.id,
                         route=job.route.name,
                         server=server.id,
                         status=status,
-                        attempts=job.sent,
-                        events=job.splitter.events,
-                        after_s=self._age(job.request),
+                        attempts=job.attempt_count,
+                        events=job.event_splitter.events,
+                        after_s=self._age_s(job.request),
                         **timing)
 
-    def _stream_fields(self, job: request_job.Job) -> dict[str, Any]:
-        """Counts a whole stream by what made it late; what its line tells."""
-        late_by = job.timing.late_by(job.route.target_s, job.route.max_gap_s)
+    def _stream_log_fields(self, job: request_job.RequestJob) -> dict[str, Any]:
+        """Counts a completed stream by the cause of its lateness, if any.
+
+        Returns:
+            Timing fields for the log event.
+        """
+        late_by = job.timing.lateness_cause(job.route.target_s,
+                                            job.route.max_gap_s)
         self._count(f'streams_late_by_{late_by.value}')
         return {
             'late_by': late_by.value,
             'first_s': round(job.timing.first_s() or 0.0, 4),
-            'pause_s': round(job.timing.longest_pause_s, 4)
+            'pause_s': round(job.timing.longest_gap_s, 4)
         }
 
-    def _note_failure(self, job: request_job.Job, server: fleet.Server,
-                      cause: str, *, ran: bool) -> None:
-        job.cause = cause
+    def _record_failure(self, job: request_job.RequestJob,
+                        server: server_registry.Server, cause: str, *,
+                        ran: bool) -> None:
+        job.last_failure = cause
         job.may_have_run = job.may_have_run or ran
-        job.splitter.drop_partial()
+        job.event_splitter.drop_partial()
         if ran:
-            self._state.loads.fail(server.id, self._clock.monotonic())
+            self._state.server_loads.record_failure(server.id,
+                                                    self._clock.monotonic())
         self._log.write(log_events.LogEvent.ATTEMPT_ENDED,
                         id=job.request.id,
                         server=server.id,
                         cause=cause,
                         may_have_run=ran,
-                        events=job.splitter.events)
+                        events=job.event_splitter.events)
 
-    def _may_repeat(self, job: request_job.Job) -> bool:
-        """Whether rules allow one more attempt; takes no budget."""
-        if job.sent >= job.route.max_attempts:
+    def _may_retry(self, job: request_job.RequestJob) -> bool:
+        """Whether the route allows a retry; spends no retry budget."""
+        if job.attempt_count >= job.route.max_attempts:
             return False
         return not job.may_have_run or job.route.is_repeatable
 
-    def _check_repeat(self, job: request_job.Job) -> None:
-        """Ends the request unless it may be sent once more."""
-        if not self._may_repeat(job):
-            raise request_job.Failed(
-                job.given_up(errors.Kind.UPSTREAM_FAILED,
-                             self._clock.monotonic()))
-        if not job.sent:
+    def _check_retry(self, job: request_job.RequestJob) -> None:
+        """Spends retry budget for one more attempt.
+
+        Costs nothing while no attempt has reached a server.
+
+        Raises:
+            request_job.RequestFailed: the route allows no further attempt, or
+                the retry budget is spent.
+        """
+        if not self._may_retry(job):
+            raise request_job.RequestFailed(
+                job.rejection(errors.ErrorKind.UPSTREAM_FAILED,
+                              self._clock.monotonic()))
+        if not job.attempt_count:
             return
-        budget = self._state.budget(job.service)
+        budget = self._state.retry_budget_for(job.service)
         now = self._clock.monotonic()
-        if not budget.take(now, self._state.entry_hosts):
-            raise request_job.Failed(
-                job.given_up(errors.Kind.OVERLOADED, self._clock.monotonic()))
-        if job.answer.has_begun:
+        if not budget.try_acquire(now, self._state.entry_host_count):
+            raise request_job.RequestFailed(
+                job.rejection(errors.ErrorKind.OVERLOADED,
+                              self._clock.monotonic()))
+        if job.caller_response.is_started:
             self._log.write(log_events.LogEvent.STREAM_RESUMED,
                             id=job.request.id,
                             last_event_id=job.last_event_id)
 
 
 def _authenticate(
-        config: routing_config.RoutingConfig, route: routing_config.Route,
-        request: caller_request.CallerRequest
-) -> routing_config.Workspace | None:
-    """The holder of the request's key.
+    config: routing_config.RoutingConfig, route: routing_config.Route,
+    request: caller_request.CallerRequest
+) -> routing_config.KeyWorkspace | None:
+    """Finds the workspace that owns the request's key.
+
+    Returns:
+        The workspace; None when the route needs no key.
 
     Raises:
-        request_job.Failed: the route needs a key that somebody holds.
+        request_job.RequestFailed: the route needs a valid key and the request
+            has none.
     """
-    if config.workspaces_by_key is None or route.is_public:
+    if config.workspaces_by_api_key is None or route.is_public:
         return None
-    workspace = config.workspaces_by_key.get(request.key or '')
+    workspace = config.workspaces_by_api_key.get(request.api_key or '')
     if workspace is None:
-        raise request_job.Failed(errors.failure(errors.Kind.NOT_AUTHENTICATED))
+        raise request_job.RequestFailed(
+            errors.make_failure(errors.ErrorKind.NOT_AUTHENTICATED))
     return workspace
 
 
-def _is_stream(job: request_job.Job, found: upstream.UpstreamAnswer) -> bool:
-    return job.is_stream and found.status == _OK
+def _is_stream(job: request_job.RequestJob,
+               response: upstream.UpstreamResponse) -> bool:
+    return job.is_stream and response.status == _OK
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/gate.py
@@ -1,4 +1,4 @@
-"""The agent's gate: the last check before work begins at the upstream."""
+"""Admits attempts at an agent and sends their responses to entry hosts."""
 
 import asyncio
 import collections
@@ -8,33 +8,40 @@
 
 from absl import logging
 
-from pollenthread.app import attempt as attempt_module, turns as turns_module
-from pollenthread.core import errors, gate_rules, messages
-from pollenthread.ports import engine, link as link_port
+from pollenthread.app import attempt as attempt_module, slot_scheduler
+from pollenthread.core import attempt_rules, errors, messages
+from pollenthread.ports import link as link_port, local_upstream
 
 __all__ = ['Gate', 'GateLimits']
 
 
 @dataclasses.dataclass(frozen=True)
 class GateLimits:
-    """Bounds on what an agent holds.
+    """Limits for the state that an agent holds.
 
     Attributes:
-        max_kept: finished outcomes that wait for a confirmation.
-        attempt: bounds on each attempt.
+        max_retained_attempts: non-repeatable attempts, running or waiting for
+            their confirmation.
+        attempt_limits: limits for each attempt.
     """
 
-    max_kept: int = 4096
-    attempt: attempt_module.AttemptLimits = attempt_module.AttemptLimits()
+    max_retained_attempts: int = 4096
+    attempt_limits: attempt_module.AttemptLimits = attempt_module.AttemptLimits(
+    )
 
 
 class Gate(link_port.LinkHandler):
-    """Begins attempts at most once and streams their answers back."""
+    """Starts each attempt at most once and sends its response back.
+
+    Attributes:
+        started_count: attempts that were started at the upstream.
+        refused_by_kind: attempts that were not started, by reason.
+    """
 
     def __init__(
         self,
         *,
-        upstream: engine.Upstream,
+        upstream: local_upstream.LocalUpstream,
         limits: GateLimits = GateLimits(),
         on_order: Callable[[link_port.Link, messages.OrderSend], None] |
         None = None
@@ -45,62 +52,65 @@
         self._attempts_by_id: dict[str, attempt_module.Attempt] = {}
         self._links_by_session: dict[str, link_port.Link] = {}
         self._sealed_by_session = collections.defaultdict[str, set[str]](set)
-        self._turns = turns_module.Turns()
-        self._seen_by_session = collections.Counter[str]()
-        self._leaving = False
-        self.begun_count = 0
-        self.refused_by_kind = collections.Counter[errors.Kind]()
+        self._scheduler = slot_scheduler.SlotScheduler()
+        self._received_by_session = collections.Counter[str]()
+        self._is_leaving = False
+        self.started_count = 0
+        self.refused_by_kind = collections.Counter[errors.ErrorKind]()
 
     @property
     def running(self) -> int:
-        """Attempts at the upstream."""
-        return self._turns.running
+        """The number of attempts that run at the upstream."""
+        return self._scheduler.running
 
     @property
     def queued(self) -> int:
-        """Attempts that wait for their turn."""
-        return self._turns.queued
+        """The number of attempts that wait for a slot."""
+        return self._scheduler.queued
 
     @property
-    def limit(self) -> int:
-        """Attempts that may run at once; zero while the upstream is stalled.
-        """
-        return self._turns.reading.limit
+    def concurrency_limit(self) -> int:
+        """The number of attempts that may run at once; 0 during a stall."""
+        return self._scheduler.load.limit
 
-    def report_load(self) -> None:
-        """Tells every link the load and its part of it."""
+    def broadcast_load(self) -> None:
+        """Sends every link the load, and how much of it the link caused."""
         own_by_session = collections.Counter(
-            link.session for attempt in self._attempts_by_id.values()
-            if not attempt.finished for link in attempt.links)
+            link.session_id for attempt in self._attempts_by_id.values()
+            if not attempt.is_finished for link in attempt.links)
         for link in list(self._links_by_session.values()):
             link_port.send_if_open(
-                link, self._load(link, own_by_session[link.session]))
+                link, self._load_message(link, own_by_session[link.session_id]))
 
-    def _load(self, link: link_port.Link, own: int) -> messages.Load:
-        reading = self._turns.reading
+    def _load_message(self, link: link_port.Link, own: int) -> messages.Load:
+        reading = self._scheduler.load
         return messages.Load(running=reading.running,
                              queued=reading.queued,
                              limit=reading.limit,
-                             hold_us=int(reading.hold_s * 1e6),
-                             first_unit_us=int(reading.first_s * 1e6),
-                             token_us=int(reading.token_s * 1e6),
+                             hold_us=int(reading.duration_s * 1e6),
+                             first_unit_us=int(reading.first_unit_s * 1e6),
+                             token_us=int(reading.between_tokens_s * 1e6),
                              own=own,
-                             seen=self._seen_by_session[link.session])
+                             seen=self._received_by_session[link.session_id])
 
     @property
     def unfinished(self) -> int:
-        """Attempts that wait or run."""
-        return self._turns.running + self._turns.queued
+        """The number of attempts that wait or run."""
+        return self._scheduler.running + self._scheduler.queued
 
     @property
     def unconfirmed(self) -> int:
-        """Finished answers that no entry host has confirmed yet."""
-        return sum(
-            1 for attempt in self._attempts_by_id.values() if attempt.finished)
+        """The number of finished attempts that are still held."""
+        return sum(1 for attempt in self._attempts_by_id.values()
+                   if attempt.is_finished)
+
+    def start_leaving(self, host: str) -> None:
+        """Refuses new attempts from now on and announces it on every link.
 
-    def leave(self, host: str) -> None:
-        """Refuses new work from now on and tells every link."""
-        self._leaving = True
+        Args:
+            host: the name of this host.
+        """
+        self._is_leaving = True
         self.broadcast(messages.Leaving(host))
 
     def broadcast(self, message: messages.Message) -> None:
@@ -109,21 +119,24 @@
             link_port.send_if_open(link, message)
 
     async def cancel_all(self) -> list[str]:
-        """Cuts everything in progress; returns the ids of what was cut."""
-        cut = [a for a in self._attempts_by_id.values() if not a.finished]
-        for attempt in cut:
+        """Cancels all unfinished attempts and returns their ids."""
+        cancelled = [
+            a for a in self._attempts_by_id.values() if not a.is_finished
+        ]
+        for attempt in cancelled:
             attempt.cancel()
-        await asyncio.gather(*(a.task for a in cut if a.task),
+        await asyncio.gather(*(a.task for a in cancelled if a.task),
                              return_exceptions=True)
-        return [a.begin.attempt for a in cut]
+        return [a.begin.attempt for a in cancelled]
 
     def report_unconfirmed(self) -> None:
-        """Asks a linked entry host to record outcomes that none follows."""
+        """Asks a linked entry host to record responses without a link."""
         links = list(self._links_by_session.values())
         if not links:
             return
         for attempt in self._attempts_by_id.values():
-            if attempt.kept and attempt.finished and not attempt.links:
+            if (attempt.is_retained and attempt.is_finished and
+                    not attempt.links):
                 begin = attempt.begin
                 link_port.send_if_open(
                     links[0],
@@ -133,19 +146,19 @@
     # Link events.
 
     def on_open(self, link: link_port.Link) -> None:
-        self._links_by_session[link.session] = link
+        self._links_by_session[link.session_id] = link
         logging.info('link open host=%s session=%s', link.peer.host,
-                     link.session)
-        link_port.send_if_open(link, self._load(link, 0))
-        if self._leaving:
+                     link.session_id)
+        link_port.send_if_open(link, self._load_message(link, 0))
+        if self._is_leaving:
             link_port.send_if_open(link, messages.Leaving(''))
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
-        self._links_by_session.pop(link.session, None)
-        self._sealed_by_session.pop(link.session, None)
-        self._seen_by_session.pop(link.session, None)
+        self._links_by_session.pop(link.session_id, None)
+        self._sealed_by_session.pop(link.session_id, None)
+        self._received_by_session.pop(link.session_id, None)
         logging.info('link closed host=%s session=%s reason=%s', link.peer.host,
-                     link.session, reason)
+                     link.session_id, reason)
         for attempt in list(self._attempts_by_id.values()):
             attempt.detach(link)
 
@@ -157,7 +170,7 @@
             case messages.Credit():
                 attempt = self._attempts_by_id.get(message.attempt)
                 if attempt is not None:
-                    attempt.credit(message)
+                    attempt.add_credit(message)
             case messages.Cancel():
                 self._cancel(message)
             case messages.Seal():
@@ -174,117 +187,122 @@
                 pass
 
     def _cancel(self, cancel: messages.Cancel) -> None:
-        """Stops work that nobody waits for; what must be kept goes on."""
+        """Cancels a repeatable attempt; other attempts run to their end."""
         attempt = self._attempts_by_id.get(cancel.attempt)
-        if attempt is None or attempt.kept:
+        if attempt is None or attempt.is_retained:
             return
         attempt.cancel()
-        if attempt.finished:
+        if attempt.is_finished:
             del self._attempts_by_id[cancel.attempt]
 
-    def _refusal(self, link: link_port.Link,
-                 begin: messages.Begin) -> errors.Kind | None:
-        """Why an attempt must not begin, or None."""
-        sealed = self._sealed_by_session.get(link.session, ())
-        if not gate_rules.is_beginnable(bound_session=begin.session,
-                                        link_session=link.session,
-                                        is_sealed=begin.attempt in sealed,
-                                        phase=self._phase(begin.attempt)):
-            return errors.Kind.SEALED
-        if self._leaving:
-            return errors.Kind.LEAVING
-        if not begin.repeatable and self._kept >= self._limits.max_kept:
-            return errors.Kind.OVERLOADED
+    def _refusal_kind(self, link: link_port.Link,
+                      begin: messages.Begin) -> errors.ErrorKind | None:
+        """Why an attempt may not start, or None."""
+        sealed = self._sealed_by_session.get(link.session_id, ())
+        if not attempt_rules.may_start(bound_session=begin.session,
+                                       link_session=link.session_id,
+                                       is_sealed=begin.attempt in sealed,
+                                       phase=self._phase(begin.attempt)):
+            return errors.ErrorKind.SEALED
+        if self._is_leaving:
+            return errors.ErrorKind.LEAVING
+        if (not begin.repeatable and
+                self._retained >= self._limits.max_retained_attempts):
+            return errors.ErrorKind.OVERLOADED
         return None
 
     @property
-    def _kept(self) -> int:
-        return sum(1 for a in self._attempts_by_id.values() if a.kept)
+    def _retained(self) -> int:
+        return sum(1 for a in self._attempts_by_id.values() if a.is_retained)
 
     def _begin(self, link: link_port.Link, begin: messages.Begin) -> None:
-        self._seen_by_session[link.session] += 1
+        self._received_by_session[link.session_id] += 1
         if begin.attempt in self._attempts_by_id:
             return
-        kind = self._refusal(link, begin)
+        kind = self._refusal_kind(link, begin)
         if kind is not None:
             self.refused_by_kind[kind] += 1
-            problem = errors.failure(kind)
+            failure = errors.make_failure(kind)
             link_port.send_if_open(
                 link,
-                messages.Fail(begin.attempt, kind, problem.detail,
-                              errors.Ran.NO))
+                messages.Fail(begin.attempt, kind, failure.detail,
+                              errors.Executed.NO))
             return
         attempt = attempt_module.Attempt(begin=begin,
                                          link=link,
-                                         limits=self._limits.attempt,
-                                         turns=self._turns)
+                                         limits=self._limits.attempt_limits,
+                                         scheduler=self._scheduler)
         self._attempts_by_id[begin.attempt] = attempt
-        attempt.task = asyncio.create_task(self._serve(attempt))
+        attempt.task = asyncio.create_task(self._run(attempt))
         attempt.task.add_done_callback(functools.partial(
             self._on_done, attempt))
 
     def _on_done(self, attempt: attempt_module.Attempt,
                  _: asyncio.Task[None]) -> None:
-        """Ends an attempt, also one that was cut before its first step."""
-        if not attempt.started:
-            attempt.fail(errors.failure(errors.Kind.STOPPED, ran=errors.Ran.NO))
-        if not attempt.must_be_kept:
-            # The timer must not hold the request's body.
+        """Cleans up an attempt, even one cancelled before its first step."""
+        if not attempt.has_started:
+            attempt.fail(
+                errors.make_failure(errors.ErrorKind.STOPPED,
+                                    executed=errors.Executed.NO))
+        if not attempt.must_be_remembered:
+            # Captures only the id: the attempt would keep the request's body
+            # in memory until the timer fires.
             attempt_id = attempt.begin.attempt
-            attempt.release_later(
+            attempt.release_after_grace(
                 lambda: self._attempts_by_id.pop(attempt_id, None))
 
-    async def _serve(self, attempt: attempt_module.Attempt) -> None:
-        attempt.started = True
+    async def _run(self, attempt: attempt_module.Attempt) -> None:
+        attempt.has_started = True
         try:
-            if await self._wait_turn(attempt):
+            if await self._wait_for_slot(attempt):
                 try:
                     await attempt.run(self._upstream)
                 finally:
-                    self._turns.release(attempt.begin.attempt)
+                    self._scheduler.release(attempt.begin.attempt)
         except asyncio.CancelledError:
-            attempt.fail(errors.failure(errors.Kind.STOPPED))
+            attempt.fail(errors.make_failure(errors.ErrorKind.STOPPED))
         except Exception as error:  # pylint: disable=broad-exception-caught
             logging.exception('attempt %s failed', attempt.begin.attempt)
-            attempt.fail(errors.failure(errors.Kind.INTERNAL, str(error)))
+            attempt.fail(
+                errors.make_failure(errors.ErrorKind.INTERNAL, str(error)))
 
-    async def _wait_turn(self, attempt: attempt_module.Attempt) -> bool:
-        """Waits in the queue; False when the attempt must not begin."""
-        ticket = turns_module.ticket_of(attempt.begin)
+    async def _wait_for_slot(self, attempt: attempt_module.Attempt) -> bool:
+        """Waits for a slot; False if the attempt was refused or cancelled."""
+        ticket = slot_scheduler.make_ticket(attempt.begin)
         try:
-            kind = await self._turns.acquire(ticket)
+            kind = await self._scheduler.acquire(ticket)
         except asyncio.CancelledError:
-            kind = errors.Kind.STOPPED
+            kind = errors.ErrorKind.STOPPED
         if kind is not None:
             self.refused_by_kind[kind] += 1
-            attempt.fail(errors.failure(kind, ran=errors.Ran.NO))
+            attempt.fail(errors.make_failure(kind, executed=errors.Executed.NO))
             return False
         waited_s = asyncio.get_running_loop().time() - ticket.arrived_at
-        attempt.waited_ms = int(waited_s * 1000)
-        self.begun_count += 1
+        attempt.queued_ms = int(waited_s * 1000)
+        self.started_count += 1
         return True
 
     def _seal(self, seal: messages.Seal) -> messages.SealState:
         phase = self._phase(seal.attempt)
         if phase is None and seal.session in self._links_by_session:
             self._sealed_by_session[seal.session].add(seal.attempt)
-        return gate_rules.seal_answer(phase)
+        return attempt_rules.seal_state(phase)
 
-    def _phase(self, attempt_id: str) -> gate_rules.Phase | None:
+    def _phase(self, attempt_id: str) -> attempt_rules.AttemptPhase | None:
         attempt = self._attempts_by_id.get(attempt_id)
         return None if attempt is None else attempt.phase
 
     def _resume(self, link: link_port.Link, resume: messages.Resume) -> None:
         attempt = self._attempts_by_id.get(resume.attempt)
         if attempt is None or not attempt.attach(link, resume):
-            problem = errors.failure(errors.Kind.LINK_LOST,
-                                     'The answer is no longer held.')
+            failure = errors.make_failure(errors.ErrorKind.LINK_LOST,
+                                          'The answer is no longer held.')
             link_port.send_if_open(
                 link,
-                messages.Fail(resume.attempt, problem.kind, problem.detail,
-                              problem.ran))
+                messages.Fail(resume.attempt, failure.kind, failure.detail,
+                              failure.executed))
 
     def _confirm(self, confirm: messages.Confirm) -> None:
         attempt = self._attempts_by_id.get(confirm.attempt)
-        if attempt is not None and attempt.finished:
+        if attempt is not None and attempt.is_finished:
             del self._attempts_by_id[confirm.attempt]
--- /dev/null
+++ b/pollenthread/app/map_coordinator.py
@@ -0,0 +1,353 @@
+"""Plans the expert maps of a rank group and runs the map switches.
+
+One agent at a time coordinates a group. An agent of another group is preferred:
+if its host fails during a switch, all ranks of the group are still reachable.
+
+Coordinators are elected by a conditional write of one row per group in the
+store. The store's counter at that write is the fencing token (the term). It is
+the high part of every map version, so ranks reject maps of a coordinator that
+has been replaced.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import result
+
+from pollenthread.app import group_view, host_registry, switch_driver
+from pollenthread.core import (expert_choices, expert_demand, log_events,
+                               map_switch, peer_messages, replication,
+                               routing_config, step_limits)
+from pollenthread.ports import clock, event_log, peers, row_store
+
+__all__ = ['MapCoordinator']
+
+TABLE = 'pollenthread_duties'
+_VERSIONS_PER_TERM = 1 << 16
+_PLAN_INTERVAL_S = 0.06
+_HEARTBEAT_INTERVAL_S = 0.25
+_ELECTION_STAGGER_S = 0.15
+# Agents of the group itself wait longer, so that others are elected first.
+_MEMBER_ELECTION_DELAY_S = 3.0
+_ELECTION_RETRY_S = 0.5
+_SKEW_LOG_INTERVAL_S = 0.5
+# On slow links, arming all ranks takes up to two passes, and a rank's
+# step is reported one pass late.
+_SWITCH_LEAD_PASSES = 4
+_PERCENT = 100
+# Ranks below this ratio count as normal: copying experts would not pay off.
+_SLOW_PACE_RATIO = 1.2
+
+FiguresLookup = Callable[[str], routing_config.EngineProfile | None]
+
+
+class MapCoordinator:
+    """Coordinates the expert maps of one group while it holds the group's duty.
+
+    A duty is a role that one process holds at a time.
+    """
+
+    def __init__(self, *, host: str, incarnation: str,
+                 store: row_store.RowStore, hosts: host_registry.HostRegistry,
+                 registry: group_view.GroupRegistry, view: group_view.GroupView,
+                 driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
+                 figures: FiguresLookup, time: clock.Clock,
+                 log: event_log.EventLog) -> None:
+        """Initializes a coordinator that does not hold the duty.
+
+        Args:
+            host: this agent's host.
+            incarnation: identifies this start of the agent process.
+            store: the platform's store, which holds the row of the duty.
+            hosts: the hosts of the deployment.
+            registry: the known state of all groups.
+            view: the known state of the coordinated group.
+            driver: runs map switches of the group.
+            network: sends messages to other agents.
+            figures: returns the engine figures of a service, or None when they
+                are not known.
+            time: the clock.
+            log: the structured log.
+        """
+        self._host = host
+        self._incarnation = incarnation
+        self._store = store
+        self._hosts = hosts
+        self._registry = registry
+        self._view = view
+        self._driver = driver
+        self._network = network
+        self._lookup_figures = figures
+        self._clock = time
+        self._log = log
+        self._term = 0
+        self._was_complete = False
+        self._versions_used = 0
+        self._demand: expert_demand.ExpertDemand | None = None
+        self._skew_logged_at = time.monotonic()
+        self._layouts: tuple[replication.SetLayout, ...] | None = None
+        self._layouts_version = (0, 0)
+        view.subscribe_choices(self._on_choices)
+
+    @property
+    def stats(self) -> switch_driver.MapStats:
+        """Statistics of rebalancing this group."""
+        return self._driver.stats
+
+    # Election.
+
+    async def run(self) -> None:
+        """Runs for election and performs the duty, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._send_heartbeats())
+            tasks.create_task(self._run_duty())
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            if self._term:
+                self._announce_duty()
+            await self._clock.sleep(_HEARTBEAT_INTERVAL_S)
+
+    def _announce_duty(self) -> None:
+        heartbeat = peer_messages.DutyBeat(self._view.name, self._host,
+                                           self._term)
+        self._registry.update_holder(heartbeat)
+        self._network.send_all(self._hosts.other_agent_addresses(self._host),
+                               heartbeat)
+
+    async def _run_duty(self) -> None:
+        while True:
+            await self._clock.sleep(_PLAN_INTERVAL_S)
+            if not self._log_completeness(self._view.is_complete()):
+                continue
+            engine = self._lookup_figures(self._service())
+            if engine is None or not engine.sets:
+                continue
+            if self._holds_duty():
+                await self._plan_and_switch(engine)
+            elif self._may_take_duty():
+                await self._acquire_duty(engine)
+
+    def _log_completeness(self, is_complete: bool) -> bool:
+        """Logs a change of completeness while the duty is held here.
+
+        Returns:
+            The argument, unchanged.
+        """
+        if is_complete != self._was_complete and self._term:
+            states = self._view.states().values()
+            epoch = max((state.epoch for state in states), default=0)
+            self._log.write(log_events.LogEvent.GROUP_WHOLE if is_complete else
+                            log_events.LogEvent.GROUP_BROKEN,
+                            group=self._view.name,
+                            epoch=epoch,
+                            missing=self._view.missing_ranks())
+        self._was_complete = is_complete
+        return is_complete
+
+    def _service(self) -> str:
+        """Returns the service of the group's servers; empty when unknown."""
+        for state in self._view.states().values():
+            record = self._hosts.records_by_host.get(state.host)
+            if record is not None:
+                return record.service
+        return ''
+
+    def _holds_duty(self) -> bool:
+        if not self._term:
+            return False
+        newest_version = max(
+            max(state.map_version, state.prepared_version)
+            for state in self._view.states().values())
+        if (newest_version >= (self._term + 1) * _VERSIONS_PER_TERM or
+                self._view.newest_term > self._term):
+            self._log.write(log_events.LogEvent.DUTY_LOST,
+                            group=self._view.name,
+                            term=self._term,
+                            newer_term=self._view.newest_term,
+                            newest_version=newest_version)
+            self._term = 0
+            return False
+        return True
+
+    def _may_take_duty(self) -> bool:
+        own = self._registry.own_state
+        if own is None or self._view.holder() is not None:
+            return False
+        delay_s = (1 + own.rank) * _ELECTION_STAGGER_S
+        if own.group == self._view.name:
+            delay_s += _MEMBER_ELECTION_DELAY_S
+        return self._view.holder_silence_s() > group_view.HOLDER_TIMEOUT_S + (
+            delay_s)
+
+    async def _acquire_duty(self, engine: routing_config.EngineProfile) -> None:
+        group = self._view.name
+        name = f'{self._host} {self._incarnation}'.encode()
+        known = await self._store.read(TABLE)
+        if isinstance(known, result.Err):
+            await self._clock.sleep(_ELECTION_RETRY_S)
+            return
+        if not self._may_take_duty():
+            # Another agent acquired the duty in the meantime.
+            return
+        row = next((r for r in known.ok_value.changes if r.key == group), None)
+        write = row_store.RowWrite(TABLE, group, name,
+                                   row.version if row else 0)
+        finished = await self._store.write([write])
+        if isinstance(finished, result.Err):
+            # If the response was lost, the write may have succeeded. That term
+            # is then never used, and the next one is higher.
+            await self._clock.sleep(_ELECTION_RETRY_S)
+            return
+        self._term = finished.ok_value
+        self._versions_used = 0
+        self._layouts = None
+        self._demand = expert_demand.ExpertDemand(sets=engine.sets,
+                                                  experts=engine.experts,
+                                                  ranks=len(
+                                                      self._view.states()))
+        self._announce_duty()
+        self._log.write(log_events.LogEvent.DUTY_TAKEN,
+                        group=group,
+                        term=self._term)
+
+    def _on_choices(self, choices: peer_messages.ExpertChoices) -> None:
+        if self._demand is not None and self._term:
+            self._demand.add(
+                choices.rank, choices.first_set * choices.experts,
+                expert_choices.unpack_choices(choices.unit, choices.packed))
+
+    # Planning.
+
+    async def _plan_and_switch(self,
+                               engine: routing_config.EngineProfile) -> None:
+        states = self._view.states()
+        if not await self._fetch_layouts():
+            return
+        assert self._layouts is not None and self._demand is not None
+        if map_switch.needs_recovery(states):
+            await self._recover(states)
+            return
+        if any(state.armed_version for state in states.values()):
+            return
+        self._demand.close_window()
+        self._log_skew()
+        if not self._demand.is_complete:
+            return
+        limits = step_limits.limits_for(engine, len(states))
+        step = replication.plan_replication_step(self._layouts,
+                                                 self._demand.shares_by_set,
+                                                 limits.replication_limits,
+                                                 _pace_ratios(states))
+        self._driver.stats.skew = step.before
+        if not limits.is_worthwhile(step):
+            return
+        self._log.write(log_events.LogEvent.MAP_PLANNED,
+                        important=False,
+                        group=self._view.name,
+                        copies=step.copies,
+                        busiest=step.max_copies_per_rank,
+                        before=round(step.before, 3),
+                        after=round(step.after, 3))
+        await self._switch(step.layouts, step.copies)
+
+    def _log_skew(self) -> None:
+        """Logs the measured skew of the last window, not the planned one."""
+        now = self._clock.monotonic()
+        window_s = now - self._skew_logged_at
+        if window_s < _SKEW_LOG_INTERVAL_S:
+            return
+        assert self._layouts is not None and self._demand is not None
+        seen = self._demand.take_observed_choices()
+        self._skew_logged_at = now
+        if not all(map(any, seen)):
+            return
+        skew = replication.mean_max_rank_load(self._layouts, seen,
+                                              _pace_ratios(self._view.states()))
+        datagrams, self._demand.datagrams = self._demand.datagrams, 0
+        self._driver.stats.skew_seen = skew
+        self._log.write(log_events.LogEvent.SKEW_SEEN,
+                        important=False,
+                        group=self._view.name,
+                        skew=round(skew, 3),
+                        window_s=round(window_s, 2),
+                        choices=int(sum(map(sum, seen))),
+                        datagrams=datagrams,
+                        demand_changes=self._demand.changes,
+                        map=self._layouts_version[1])
+
+    async def _fetch_layouts(self) -> bool:
+        """Fetches the map in use from the ranks unless it is known.
+
+        Returns:
+            Whether all ranks use one map and its layouts are known.
+        """
+        states = self._view.states()
+        versions = {(s.epoch, s.map_version) for s in states.values()}
+        if len(versions) != 1:
+            return False
+        if self._layouts is not None and self._layouts_version in versions:
+            return True
+        found = await asyncio.gather(
+            *(self._network.fetch_rank_layout(self._driver.agent_address(rank))
+              for rank in sorted(states)))
+        reported = [layout for layout in found if layout is not None]
+        if len(reported) < len(states) or {
+            (layout.epoch, layout.version) for layout in reported
+        } != versions:
+            return False
+        self._layouts = tuple(
+            tuple(frozenset(layout.experts[index])
+                  for layout in reported)
+            for index in range(len(reported[0].experts)))
+        self._layouts_version = versions.pop()
+        return True
+
+    def _next_version(self) -> int:
+        self._versions_used += 1
+        return self._term * _VERSIONS_PER_TERM + self._versions_used
+
+    # Switching.
+
+    async def _switch(self, layouts: tuple[replication.SetLayout, ...],
+                      copies: int) -> None:
+        epoch = next(iter(self._view.states().values())).epoch
+        switch = map_switch.MapSwitch(self._next_version(),
+                                      epoch,
+                                      _encode_layouts(layouts),
+                                      lead_passes=_SWITCH_LEAD_PASSES)
+        finished = await self._driver.run(switch)
+        if finished.phase is map_switch.MapSwitchPhase.DONE:
+            self._layouts = layouts
+            self._layouts_version = (epoch, finished.version)
+            self._driver.stats.copies += copies
+        else:
+            self._layouts = None
+
+    async def _recover(self, states: map_switch.RankStates) -> None:
+        assert self._layouts is not None
+        switch = map_switch.recovery_switch(states,
+                                            _encode_layouts(self._layouts),
+                                            self._next_version())
+        self._log.write(log_events.LogEvent.MAP_RECOVERED,
+                        group=self._view.name,
+                        version=switch.version,
+                        phase=switch.phase.value,
+                        held=states[map_switch.HOLDING_RANK].held_step)
+        self._layouts = None
+        await self._driver.run(switch)
+
+
+def _pace_ratios(states: map_switch.RankStates) -> list[float]:
+    """Returns each rank's slowdown relative to normal speed, in rank order."""
+    paces = (states[rank].pace_percent / _PERCENT for rank in sorted(states))
+    return [pace if pace >= _SLOW_PACE_RATIO else 1.0 for pace in paces]
+
+
+def _encode_layouts(
+    layouts: tuple[replication.SetLayout, ...]
+) -> tuple[tuple[tuple[int, ...], ...], ...]:
+    return tuple(
+        tuple(tuple(sorted(experts))
+              for experts in layout)
+        for layout in layouts)
--- /dev/null
+++ b/pollenthread/app/order_receiver.py
@@ -0,0 +1,125 @@
+"""Carries out the orders that an agent receives for its model server.
+
+A repeated order is passed to the server each time it arrives, concurrently if
+necessary, because the response to an earlier one may have been lost. A prepare
+order contains the map and is large, so the agent retries it locally instead of
+having it sent over the link again.
+"""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable
+
+from pollenthread.app import host_registry
+from pollenthread.core import log_events, peer_messages
+from pollenthread.ports import event_log, peers, rank_server
+
+__all__ = ['OrderReceiver']
+
+_MAX_CONCURRENT = 3
+_PREPARE_ATTEMPTS = 5
+_ACCEPTED_STATUSES = (200, 202)
+
+_OrderKey = tuple[peer_messages.OrderKind, int, int]
+
+ReportHandler = Callable[[rank_server.RankServerStatus],
+                         peer_messages.RankState]
+
+
+class OrderReceiver:
+    """Passes orders that arrive as datagrams to the server."""
+
+    def __init__(self, *, host: str, server: rank_server.RankServer,
+                 handle_report: ReportHandler,
+                 hosts: host_registry.HostRegistry, network: peers.PeerNetwork,
+                 log: event_log.EventLog) -> None:
+        """Initializes a receiver; orders are ignored until `run` is called.
+
+        Args:
+            host: this agent's host.
+            server: the client of the model server on this host.
+            handle_report: records a report of the server and returns the rank's
+                state.
+            hosts: the hosts of the deployment.
+            network: delivers orders and returns the rank's state to their
+                senders.
+            log: the structured log.
+        """
+        self._host = host
+        self._server = server
+        self._handle_report = handle_report
+        self._hosts = hosts
+        self._network = network
+        self._log = log
+        self._tasks: asyncio.TaskGroup | None = None
+        self._running_by_key: collections.Counter[
+            _OrderKey] = collections.Counter()
+        network.set_datagram_handler(peer_messages.RankOrder, self.on_order)
+
+    async def run(self) -> None:
+        """Carries out received orders until cancelled."""
+        async with asyncio.TaskGroup() as self._tasks:
+            await asyncio.Event().wait()
+
+    def on_order(self, order: peer_messages.RankOrder) -> None:
+        """Relays an order to other agents and passes it to the server.
+
+        Args:
+            order: the order; ignored while too many equal ones are running.
+        """
+        if self._tasks is None:
+            return
+        if order.relay_to:
+            self._network.send_all(order.relay_to,
+                                   dataclasses.replace(order, relay_to=()))
+        key = (order.kind, order.version, order.step)
+        if self._running_by_key[key] < _MAX_CONCURRENT:
+            self._running_by_key[key] += 1
+            self._tasks.create_task(self._execute(order, key))
+
+    async def _execute(self, order: peer_messages.RankOrder,
+                       key: _OrderKey) -> None:
+        attempts = (_PREPARE_ATTEMPTS
+                    if order.kind is peer_messages.OrderKind.PREPARE else 1)
+        try:
+            for _ in range(attempts):
+                if await self._pass_to_server(order):
+                    break
+        finally:
+            self._running_by_key[key] -= 1
+            if not self._running_by_key[key]:
+                del self._running_by_key[key]
+
+    async def _pass_to_server(self, order: peer_messages.RankOrder) -> bool:
+        """Passes an order to the server and sends its new state to the sender.
+
+        Returns:
+            Whether the server responded to the order.
+        """
+        try:
+            status = await self._server.send_order(order)
+        except rank_server.RankServerUnavailableError as error:
+            self._log_failure(order, None, str(error))
+            return False
+        if status not in _ACCEPTED_STATUSES:
+            self._log_failure(order, status, '')
+        try:
+            state = self._handle_report(await self._server.fetch_status())
+        except rank_server.RankServerUnavailableError:
+            # The next poll of the server sends the state.
+            return True
+        record = self._hosts.records_by_host.get(order.giver)
+        if record is not None and record.host != self._host:
+            self._network.send(record.peer_address, state)
+        return True
+
+    def _log_failure(self, order: peer_messages.RankOrder, status: int | None,
+                     cause: str) -> None:
+        self._log.write(log_events.LogEvent.ORDER_FAILED,
+                        important=False,
+                        order=order.kind.value,
+                        version=order.version,
+                        step=order.step,
+                        status=status,
+                        cause=cause)
--- a/pollenthread/app/report_document.py
+++ b/pollenthread/app/report_document.py
@@ -1,4 +1,4 @@
-"""The report as a document that programs and pages are made from."""
+"""Converts reports to JSON documents."""
 
 import dataclasses
 from typing import Any
@@ -8,27 +8,30 @@
 __all__ = ['to_document']
 
 
-def to_document(made: report.Report) -> dict[str, Any]:
-    """The report as keys and values; both departments' views use it."""
+def to_document(source: report.AccountReport) -> dict[str, Any]:
+    """Converts a report to a JSON object.
+
+    All views of the report are made from this object.
+    """
     return {
-        'from_day': made.from_day,
-        'to_day': made.to_day,
-        'targets_version': made.targets_version,
-        'adds_up': made.adds_up,
-        'total': _counts(made.total),
-        'classes': [_class(line) for line in made.classes],
-        'costs': [_cost(row) for row in made.costs],
-        'orders': [dataclasses.asdict(line) for line in made.orders],
-        'gaps': [dataclasses.asdict(gap) for gap in made.gaps],
-        'hosts': made.hosts,
+        'from_day': source.from_day,
+        'to_day': source.to_day,
+        'targets_version': source.targets_version,
+        'adds_up': source.adds_up,
+        'total': _counts_document(source.total),
+        'classes': [_class_document(line) for line in source.classes],
+        'costs': [_cost_document(row) for row in source.costs],
+        'orders': [dataclasses.asdict(line) for line in source.orders],
+        'gaps': [dataclasses.asdict(gap) for gap in source.gaps],
+        'hosts': source.hosts,
     }
 
 
-def _counts(counts: Any) -> dict[str, Any]:
+def _counts_document(counts: Any) -> dict[str, Any]:
     return {**dataclasses.asdict(counts), 'open': counts.open}
 
 
-def _class(line: report.ClassLine) -> dict[str, Any]:
+def _class_document(line: report.ClassReport) -> dict[str, Any]:
     return {
         'workspace': line.workspace,
         'class': line.work_class,
@@ -39,17 +42,17 @@
             'retries': line.retries_limit,
         },
         'at_most_once': line.is_at_most_once,
-        **_counts(line.counts),
+        **_counts_document(line.counts),
         'lost_with_host': line.lost_with_host,
         'in_time_share': line.in_time_share,
         'retries_share': line.retries_share,
     }
 
 
-def _cost(row: cost.GroupCost) -> dict[str, Any]:
+def _cost_document(row: cost.GroupCost) -> dict[str, Any]:
     document = dataclasses.asdict(row)
     document['skew_mean'] = row.skew_mean
-    bound = row.skew_bound(0.99)
+    bound = row.skew_percentile_bound(0.99)
     document['skew_p99_at_most'] = None if bound == float('inf') else bound
     document['net_s'] = row.net_s
     return document
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -1,22 +1,26 @@
-"""One request on its way from a caller to a server and back."""
+"""The state of one request that an entry host forwards."""
 
 import dataclasses
 
-from pollenthread.core import (caller_request, errors, event_stream,
+from pollenthread.core import (caller_request, errors, resumable_events,
                                routing_config, stream_timing)
-from pollenthread.ports import reply
+from pollenthread.ports import caller_response
 
-__all__ = ['Failed', 'Job']
+__all__ = ['RequestFailed', 'RequestJob']
 
-_URGENCY = 5
+_DEFAULT_URGENCY = 5
 _MAX_URGENCY = 9
-# Servers that restarted take new work again after some seconds.
-_RETURN_S = 2.5
-_RETURN_SHARE = 0.33
+# A restarted server accepts requests again after a few seconds.
+_MAX_RETRY_AFTER_S = 2.5
+_RETRY_AFTER_SHARE = 0.33
 
 
-class Failed(Exception):
-    """The request ends with a failure of the product's own."""
+class RequestFailed(Exception):
+    """The request ends with a failure that the load balancer reports.
+
+    Attributes:
+        failure: the failure to send to the caller.
+    """
 
     def __init__(self, failure: errors.Failure) -> None:
         super().__init__(failure.detail)
@@ -24,38 +28,40 @@
 
 
 @dataclasses.dataclass
-class Job:
-    """One request on its way.
+class RequestJob:
+    """One request with the progress of its attempts.
 
     Attributes:
         request: the caller's request.
-        route: its route.
-        service: the service that serves it.
-        workspace: the holder of its key, or None.
-        deadline: monotonic seconds at which its answer is of no use.
-        answer: where the answer goes.
-        tried: ids of the servers that were tried.
-        sent: how many servers it was sent to.
-        may_have_run: whether a server may have run it.
-        splitter: the events sent to the caller, for a stream.
-        cause: the last failure of an attempt.
-        is_late: whether the caller has missed its aim before this try.
-        timing: when the parts of its answer came, for a stream.
+        route: the route that matches the request.
+        service: the service that the request is sent to.
+        workspace: the owner of the request's key, or None.
+        deadline: monotonic seconds after which the response is of no use.
+        caller_response: receives the response for the caller.
+        has_missed_target: whether the latency target was missed before this
+            request arrived, as a retry by its caller.
+        tried_server_ids: ids of the servers that an attempt was sent to.
+        attempt_count: attempts that may have reached a server.
+        may_have_run: whether a server may have executed the request.
+        event_splitter: splits a stream into events; holds the id of the
+            last one.
+        last_failure: the cause of the latest failed attempt.
+        timing: arrival times of a stream's events.
     """
 
     request: caller_request.CallerRequest
     route: routing_config.Route
     service: str
-    workspace: routing_config.Workspace | None
+    workspace: routing_config.KeyWorkspace | None
     deadline: float
-    answer: reply.Reply
-    is_late: bool = False
-    tried: list[str] = dataclasses.field(default_factory=list)
-    sent: int = 0
+    caller_response: caller_response.CallerResponse
+    has_missed_target: bool = False
+    tried_server_ids: list[str] = dataclasses.field(default_factory=list)
+    attempt_count: int = 0
     may_have_run: bool = False
-    splitter: event_stream.EventSplitter = dataclasses.field(
-        default_factory=event_stream.EventSplitter)
-    cause: str = ''
+    event_splitter: resumable_events.ResumableEventSplitter = dataclasses.field(
+        default_factory=resumable_events.ResumableEventSplitter)
+    last_failure: str = ''
     timing: stream_timing.StreamTiming = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -63,43 +69,51 @@
 
     @property
     def last_event_id(self) -> str | None:
-        """Where a stream goes on."""
-        return self.splitter.last_id or self.request.last_event_id
+        """The id of the last event that the caller has; None at the start."""
+        return self.event_splitter.last_id or self.request.last_event_id
 
     @property
     def is_stream(self) -> bool:
-        """Whether a stream is asked for."""
+        """Whether the response is a stream of events."""
         return self.route.kind is routing_config.RequestKind.STREAM
 
     @property
     def urgency(self) -> int:
-        """The server's order of admission; 0 is first.
+        """The priority for admission at the server, from 0 (first) to 9.
 
-        By workspace, then by route.
+        A priority of the workspace takes precedence over one of the route.
         """
         priority = self.route.priority
         if self.workspace is not None and self.workspace.priority is not None:
             priority = self.workspace.priority
-        return min(_MAX_URGENCY, _URGENCY + priority) if priority else _URGENCY
+        return min(_MAX_URGENCY, _DEFAULT_URGENCY +
+                   priority) if priority else _DEFAULT_URGENCY
 
-    def given_up(self, kind: errors.Kind, now: float) -> errors.Failure:
-        """The failure of a request that no server is asked for any more.
+    def rejection(self, kind: errors.ErrorKind, now: float) -> errors.Failure:
+        """Returns the failure for a request that is not retried any more.
 
         Args:
-            kind: why, if no server may have run it.
+            kind: the kind to report if no server can have executed the request.
             now: monotonic seconds.
+
+        Returns:
+            The failure, with a retry delay if nothing was executed.
         """
         if self.may_have_run:
-            return errors.failure(errors.Kind.UPSTREAM_FAILED, self.cause)
-        if kind is errors.Kind.UPSTREAM_FAILED:
-            kind = errors.Kind.OVERLOADED
-        return_s = min(_RETURN_S, (self.deadline - now) * _RETURN_SHARE)
-        return errors.failure(kind,
-                              self.cause,
-                              retry_after_s=round(return_s, 2))
-
-    def timed_out(self) -> errors.Failure:
-        """The failure of a request whose time is over."""
+            return errors.make_failure(errors.ErrorKind.UPSTREAM_FAILED,
+                                       self.last_failure)
+        if kind is errors.ErrorKind.UPSTREAM_FAILED:
+            kind = errors.ErrorKind.OVERLOADED
+        retry_after_s = min(_MAX_RETRY_AFTER_S,
+                            (self.deadline - now) * _RETRY_AFTER_SHARE)
+        return errors.make_failure(kind,
+                                   self.last_failure,
+                                   retry_after_s=round(retry_after_s, 2))
+
+    def timeout_failure(self) -> errors.Failure:
+        """Returns the failure for a request whose deadline has passed."""
         if self.may_have_run:
-            return errors.failure(errors.Kind.DEADLINE_PASSED, self.cause)
-        return errors.failure(errors.Kind.DEADLINE_TOO_SHORT, self.cause)
+            return errors.make_failure(errors.ErrorKind.DEADLINE_PASSED,
+                                       self.last_failure)
+        return errors.make_failure(errors.ErrorKind.DEADLINE_TOO_SHORT,
+                                   self.last_failure)
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -1,29 +1,30 @@
-"""Gives ranks the orders of a switch until it is done."""
+"""Runs a map switch: sends orders to the ranks until it completes."""
 
 import collections
 import dataclasses
 
-from pollenthread.app import group_view, order_sender, roster
+from pollenthread.app import group_view, host_registry, order_sender
 from pollenthread.core import (host_record, log_events, map_switch,
                                peer_messages)
 from pollenthread.ports import clock, event_log, peers, rank_server
 
-__all__ = ['MapAccount', 'SwitchDriver']
+__all__ = ['MapStats', 'SwitchDriver']
 
-_MAX_PREPARE_S = 4.0
+_PREPARE_TIMEOUT_S = 4.0
 
 
 @dataclasses.dataclass
-class MapAccount:
-    """What keeping ranks even has cost and brought.
+class MapStats:
+    """Statistics of rebalancing one group.
 
     Attributes:
-        switches: maps that came into use.
-        abandoned: switches that did not.
-        copies: experts copied.
-        orders: orders given to ranks, by kind.
-        skew: the mean over sets of the greatest load, as last estimated.
-        skew_seen: the same, from the choices of the last window.
+        switches: completed map switches.
+        abandoned: switches that were abandoned.
+        copies: experts copied to ranks.
+        orders: orders sent to ranks, by kind.
+        skew: estimated load of the busiest rank relative to the mean, averaged
+            over the expert sets.
+        skew_seen: the same ratio, measured over the last window.
     """
 
     switches: int = 0
@@ -36,16 +37,16 @@
 
 
 class _PhaseTimes:
-    """How long a switch has spent in each phase."""
+    """Seconds that a switch has spent in each phase."""
 
     def __init__(self, now: float) -> None:
         self.began_at = now
         self._entered_at = now
-        self._phase = map_switch.Phase.PREPARING
-        self._seconds_by_phase: dict[map_switch.Phase, float] = {}
+        self._phase = map_switch.MapSwitchPhase.PREPARING
+        self._seconds_by_phase: dict[map_switch.MapSwitchPhase, float] = {}
 
-    def note(self, phase: map_switch.Phase, now: float) -> None:
-        """The switch is in a phase now."""
+    def enter(self, phase: map_switch.MapSwitchPhase, now: float) -> None:
+        """Records that the switch is in `phase` at time `now`."""
         if phase is self._phase:
             return
         spent_s = self._seconds_by_phase.get(self._phase, 0.0)
@@ -54,7 +55,7 @@
         self._entered_at = now
 
     def fields(self) -> dict[str, float]:
-        """What a line of the log tells."""
+        """Returns the log fields: seconds spent in each finished phase."""
         return {
             f'{phase.value}_s': round(seconds, 3)
             for phase, seconds in self._seconds_by_phase.items()
@@ -62,12 +63,23 @@
 
 
 class SwitchDriver:
-    """Carries out switches of one group."""
+    """Runs map switches of one group."""
 
-    def __init__(self, *, host: str, hosts: roster.Roster,
+    def __init__(self, *, host: str, hosts: host_registry.HostRegistry,
                  view: group_view.GroupView, network: peers.PeerNetwork,
-                 make_server: order_sender.ServerMaker, time: clock.Clock,
+                 make_server: order_sender.RankServerFactory, time: clock.Clock,
                  log: event_log.EventLog) -> None:
+        """Initializes a driver without a switch.
+
+        Args:
+            host: this agent's host.
+            hosts: the hosts of the deployment.
+            view: the known state of the group.
+            network: sends messages to other agents.
+            make_server: creates a client for the model server at an address.
+            time: the clock.
+            log: the structured log.
+        """
         self._host = host
         self._hosts = hosts
         self._view = view
@@ -75,65 +87,78 @@
         self._make_server = make_server
         self._clock = time
         self._log = log
-        self.account = MapAccount()
+        self.stats = MapStats()
 
-    def _sender(self) -> order_sender.OrderSender:
+    def _make_sender(self) -> order_sender.OrderSender:
         return order_sender.OrderSender(host=self._host,
                                         hosts=self._hosts,
                                         view=self._view,
                                         network=self._network,
                                         make_server=self._make_server,
-                                        counts=self.account.orders,
+                                        counts=self.stats.orders,
                                         time=self._clock,
                                         log=self._log)
 
-    async def drive(self, switch: map_switch.Switch) -> map_switch.Switch:
-        """Gives orders until the switch is done or abandoned."""
+    async def run(self, switch: map_switch.MapSwitch) -> map_switch.MapSwitch:
+        """Sends orders until the switch is done or abandoned.
+
+        Args:
+            switch: the switch, in any phase.
+
+        Returns:
+            The switch in phase DONE or ABANDONED.
+        """
         times = _PhaseTimes(self._clock.monotonic())
-        given = self.account.orders.total()
-        async with self._sender() as sender:
+        orders_before = self.stats.orders.total()
+        async with self._make_sender() as sender:
             while True:
-                switch, orders = map_switch.advance(switch, self._view.states())
+                switch, orders = map_switch.advance_switch(
+                    switch, self._view.states())
                 now = self._clock.monotonic()
-                times.note(switch.phase, now)
-                if switch.phase is map_switch.Phase.DONE:
-                    count = self.account.orders.total() - given
-                    self._note_done(switch, now, times, count)
+                times.enter(switch.phase, now)
+                if switch.phase is map_switch.MapSwitchPhase.DONE:
+                    order_count = self.stats.orders.total() - orders_before
+                    self._record_done(switch, now, times, order_count)
                     return switch
-                if (switch.phase is map_switch.Phase.ABANDONED or
-                    (switch.phase is map_switch.Phase.PREPARING and
-                     now - times.began_at > _MAX_PREPARE_S)):
-                    self._note_abandoned(switch, now - times.began_at)
-                    return dataclasses.replace(switch,
-                                               phase=map_switch.Phase.ABANDONED)
+                if (switch.phase is map_switch.MapSwitchPhase.ABANDONED or
+                    (switch.phase is map_switch.MapSwitchPhase.PREPARING and
+                     now - times.began_at > _PREPARE_TIMEOUT_S)):
+                    self._record_abandoned(switch, now - times.began_at)
+                    return dataclasses.replace(
+                        switch, phase=map_switch.MapSwitchPhase.ABANDONED)
                 sender.send_due(orders)
                 await sender.wait()
 
-    async def look(self, rank: int) -> peer_messages.RankState | None:
-        """Asks a rank's server for its state, past its agent."""
-        record = self._record(rank)
+    async def query_rank(self, rank: int) -> peer_messages.RankState | None:
+        """Queries a rank's server for its state directly, without its agent.
+
+        Returns:
+            The state, or None when the server does not respond.
+        """
+        record = self._host_record(rank)
         if record is None:
             return None
         try:
-            report = await self._make_server(record.engine_address).report()
-        except rank_server.RankSilent:
+            report = await self._make_server(record.engine_address
+                                            ).fetch_status()
+        except rank_server.RankServerUnavailableError:
             return None
         state = dataclasses.replace(report.state, host=record.host)
         self._view.take(state)
         return state
 
-    def address(self, rank: int) -> str:
-        """The peer address of a rank's agent; empty when unknown."""
-        record = self._record(rank)
+    def agent_address(self, rank: int) -> str:
+        """Returns the peer address of a rank's agent; empty when unknown."""
+        record = self._host_record(rank)
         return record.peer_address if record else ''
 
-    def _record(self, rank: int) -> host_record.HostRecord | None:
+    def _host_record(self, rank: int) -> host_record.HostRecord | None:
         state = self._view.states().get(rank)
         return self._hosts.records_by_host.get(state.host) if state else None
 
-    def _note_done(self, switch: map_switch.Switch, now: float,
-                   times: _PhaseTimes, orders: int) -> None:
-        self.account.switches += 1
+    def _record_done(self, switch: map_switch.MapSwitch, now: float,
+                     times: _PhaseTimes, orders: int) -> None:
+        self.stats.switches += 1
         self._log.write(log_events.LogEvent.MAP_SWITCHED,
                         important=False,
                         group=self._view.name,
@@ -143,8 +168,9 @@
                         orders=orders,
                         **times.fields())
 
-    def _note_abandoned(self, switch: map_switch.Switch, took_s: float) -> None:
-        self.account.abandoned += 1
+    def _record_abandoned(self, switch: map_switch.MapSwitch,
+                          took_s: float) -> None:
+        self.stats.abandoned += 1
         self._log.write(log_events.LogEvent.ORDER_FAILED,
                         group=self._view.name,
                         version=switch.version,
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -1,15 +1,15 @@
-"""The document of targets that operators edit, checked at the border."""
+"""The targets document that operators edit, and its validation."""
 
 from typing import Annotated, Any, Literal
 
 import pydantic
 
-from pollenthread.app import explanation
+from pollenthread.app import validation_errors
 from pollenthread.core import targets
 
 __all__ = [
-    'InvalidDocument', 'Name', 'Strict', 'TargetsModel', 'WorkspaceModel',
-    'explain', 'parse_targets', 'unique'
+    'InvalidDocument', 'Name', 'StrictModel', 'TargetsModel', 'WorkspaceModel',
+    'describe_errors', 'parse_targets', 'check_unique'
 ]
 
 _PERCENT = 100.0
@@ -18,17 +18,23 @@
 
 
 class InvalidDocument(Exception):
-    """The document cannot be used; the text says which key and why."""
+    """A document is invalid; the message lists the keys and their errors."""
 
 
-class Strict(pydantic.BaseModel):
-    """Refuses unknown keys and silent conversions."""
+class StrictModel(pydantic.BaseModel):
+    """Base of models that reject unknown keys and type conversions."""
 
     model_config = pydantic.ConfigDict(extra='forbid', strict=True, frozen=True)
 
 
-class _LatencyModel(Strict):
-    """A latency target."""
+class _LatencyModel(StrictModel):
+    """A latency target; limits that are not set are None.
+
+    Attributes:
+        first_token_ms: time to the first token, in milliseconds.
+        between_tokens_ms: time between tokens, in milliseconds.
+        answer_ms: time to the complete answer, in milliseconds.
+    """
 
     first_token_ms: Annotated[int, pydantic.Field(ge=10, le=600_000)] | None = (
         None)
@@ -37,7 +43,7 @@
     answer_ms: Annotated[int, pydantic.Field(ge=5, le=3_600_000)] | None = None
 
     @pydantic.model_validator(mode='after')
-    def _is_possible(self) -> '_LatencyModel':
+    def _check_consistent(self) -> '_LatencyModel':
         if self.first_token_ms is None and self.answer_ms is None:
             raise ValueError('set first_token_ms or answer_ms')
         if self.between_tokens_ms is not None and self.first_token_ms is None:
@@ -49,8 +55,15 @@
         return self
 
 
-class _ClassModel(Strict):
-    """One class of work."""
+class _ClassModel(StrictModel):
+    """A class of requests in a workspace.
+
+    Attributes:
+        latency: the latency target.
+        retries: how often a request may be retried.
+        repeatable: whether a request may be executed more than once.
+        importance: the importance relative to other classes under overload.
+    """
 
     latency: _LatencyModel
     retries: Annotated[int, pydantic.Field(ge=0, le=10)]
@@ -58,8 +71,14 @@
     importance: Literal['low', 'normal', 'high'] = 'normal'
 
 
-class WorkspaceModel(Strict):
-    """One workspace."""
+class WorkspaceModel(StrictModel):
+    """A workspace.
+
+    Attributes:
+        models: the models that it may use.
+        services: the services that it may use.
+        classes: the classes of its requests, by name.
+    """
 
     models: list[Name] = []
     services: list[Name] = []
@@ -67,26 +86,37 @@
 
     @pydantic.field_validator('models', 'services')
     @classmethod
-    def _each_once(cls, names: list[str]) -> list[str]:
-        return unique(names)
+    def _check_names_unique(cls, names: list[str]) -> list[str]:
+        return check_unique(names)
 
     @pydantic.model_validator(mode='after')
-    def _has_upstream(self) -> 'WorkspaceModel':
+    def _check_has_upstream(self) -> 'WorkspaceModel':
         if not self.models and not self.services:
             raise ValueError('name at least one entry in models or services')
         return self
 
 
-class _BalanceModel(Strict):
-    """How even ranks shall be, and what that may cost."""
+class _BalanceModel(StrictModel):
+    """Targets of the load balance between ranks.
+
+    Attributes:
+        skew: target load of the busiest rank relative to the mean.
+        rebalancing_budget_percent: share of capacity that rebalancing may use.
+    """
 
     skew: Annotated[float, pydantic.Field(ge=1.0, le=10.0)] = 1.05
     rebalancing_budget_percent: Annotated[float,
                                           pydantic.Field(ge=0.0, le=50.0)] = 1.0
 
 
-class TargetsModel(Strict):
-    """The document of targets that operators edit."""
+class TargetsModel(StrictModel):
+    """The targets document.
+
+    Attributes:
+        workspaces: the workspaces, by name.
+        draining: the hosts that are taken out of service.
+        balance: targets of the load balance between ranks.
+    """
 
     workspaces: dict[Name, WorkspaceModel]
     draining: list[Name] = []
@@ -94,40 +124,44 @@
 
     @pydantic.field_validator('draining')
     @classmethod
-    def _each_once(cls, names: list[str]) -> list[str]:
-        return unique(names)
+    def _check_names_unique(cls, names: list[str]) -> list[str]:
+        return check_unique(names)
 
     def to_targets(self, version: int) -> targets.Targets:
-        """Makes the inner form of this document."""
+        """Converts the document to the internal representation.
+
+        Args:
+            version: the version number of the document.
+        """
         return targets.Targets(version=version,
                                draining=frozenset(self.draining),
-                               balance=_balance(self.balance),
+                               balance=_to_balance(self.balance),
                                workspace_by_name={
-                                   name: _workspace(name, model)
+                                   name: _to_workspace(name, model)
                                    for name, model in self.workspaces.items()
                                })
 
 
-def _balance(model: _BalanceModel) -> targets.Balance:
-    return targets.Balance(skew=model.skew,
-                           budget_share=model.rebalancing_budget_percent /
-                           _PERCENT)
+def _to_balance(model: _BalanceModel) -> targets.RankBalance:
+    return targets.RankBalance(skew=model.skew,
+                               budget_share=model.rebalancing_budget_percent /
+                               _PERCENT)
 
 
-def _workspace(name: str, model: WorkspaceModel) -> targets.Workspace:
-    return targets.Workspace(
-        name=name,
-        models=frozenset(model.models),
-        services=frozenset(model.services),
-        class_by_name={
-            key: _work_class(key, item) for key, item in model.classes.items()
-        })
+def _to_workspace(name: str, model: WorkspaceModel) -> targets.WorkspaceTargets:
+    return targets.WorkspaceTargets(name=name,
+                                    models=frozenset(model.models),
+                                    services=frozenset(model.services),
+                                    class_by_name={
+                                        key: _to_work_class(key, item)
+                                        for key, item in model.classes.items()
+                                    })
 
 
-def _work_class(name: str, model: _ClassModel) -> targets.WorkClass:
+def _to_work_class(name: str, model: _ClassModel) -> targets.WorkClass:
     return targets.WorkClass(
         name=name,
-        latency=targets.Latency(
+        latency=targets.LatencyTarget(
             first_token_ms=model.latency.first_token_ms,
             between_tokens_ms=model.latency.between_tokens_ms,
             answer_ms=model.latency.answer_ms),
@@ -136,11 +170,11 @@
         importance=targets.Importance[model.importance.upper()])
 
 
-def unique(names: list[str]) -> list[str]:
-    """Returns the names.
+def check_unique(names: list[str]) -> list[str]:
+    """Returns the names if all are different.
 
     Raises:
-        ValueError: a name stands twice.
+        ValueError: a name occurs more than once.
     """
     for name in names:
         if names.count(name) > 1:
@@ -149,24 +183,33 @@
 
 
 def parse_targets(
-        document: Any,
-        name: str = 'targets',
-        line_of: explanation.LineOf = explanation.no_lines) -> TargetsModel:
-    """Checks a document of targets.
+    document: Any,
+    name: str = 'targets',
+    line_of: validation_errors.LineLookup = validation_errors.unknown_line
+) -> TargetsModel:
+    """Validates a targets document.
+
+    Args:
+        document: the document, as parsed from JSON or YAML.
+        name: the document's name in error messages.
+        line_of: returns the line number of a key, or None if it is not known.
+
+    Returns:
+        The validated document.
 
     Raises:
-        InvalidDocument: it is not valid.
+        InvalidDocument: the document is invalid.
     """
     try:
         return TargetsModel.model_validate(document)
     except pydantic.ValidationError as error:
         raise InvalidDocument(
-            explanation.explain(name,
-                                error,
-                                model=TargetsModel,
-                                line_of=line_of)) from error
+            validation_errors.describe_errors(name,
+                                              error,
+                                              model=TargetsModel,
+                                              line_of=line_of)) from error
 
 
-def explain(name: str, error: pydantic.ValidationError) -> str:
-    """One line for each key that is wrong, without its allowed range."""
-    return explanation.explain(name, error, model=Strict)
+def describe_errors(name: str, error: pydantic.ValidationError) -> str:
+    """Describes validation errors, without the allowed values."""
+    return validation_errors.describe_errors(name, error, model=StrictModel)
--- a/pollenthread/cli/admin_client.py
+++ b/pollenthread/cli/admin_client.py
@@ -1,4 +1,4 @@
-"""Calls the administration port of an entry host."""
+"""HTTP client of the administration port of an entry host."""
 
 import asyncio
 import json
@@ -23,27 +23,33 @@
 
 
 def call(method: str, target: str, document: Any = None) -> Any:
-    """Sends one request and returns the JSON answer.
+    """Sends one request and returns the decoded JSON response.
+
+    Args:
+        method: HTTP method.
+        target: Path and query of the request.
+        document: Body that is sent as JSON; None for an empty body.
 
     Raises:
-        CommandFailed: there is no answer, or it is a problem.
+        CommandError: No valid response was received, or its status is not 200.
     """
     try:
         status, body = asyncio.run(_send(method, target, document))
     except (ConnectionError, TimeoutError) as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.UNAVAILABLE,
-            f'{_ADMIN.value} does not answer: give the administration port of '
+            f'{_ADMIN.value} does not respond: give the administration port of '
             f'another entry host with --admin ({error}).') from error
-    answer = _parse(body)
+    response = _parse_json(body)
     if status == 200:
-        return answer
-    raise exit_codes.CommandFailed(exit_codes.code_for(answer.get('kind', '')),
-                                   _sentence(answer, status))
+        return response
+    raise exit_codes.CommandError(
+        exit_codes.exit_code_for(response.get('kind', '')),
+        _error_message(response, status))
 
 
-def _sentence(problem: dict[str, Any], status: int) -> str:
-    detail = problem.get('detail') or f'the answer has status {status}'
+def _error_message(problem: dict[str, Any], status: int) -> str:
+    detail = problem.get('detail') or f'the response has status {status}'
     if problem.get('kind') == 'not_authenticated':
         detail += f' Give your key with --key_file or {_KEY_VARIABLE}.'
     if problem.get('kind') == 'conflict':
@@ -52,35 +58,35 @@
     return detail
 
 
-def _parse(body: bytes) -> Any:
+def _parse_json(body: bytes) -> Any:
     try:
         return json.loads(body)
     except ValueError as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.UNAVAILABLE,
             f'{_ADMIN.value} is not an administration port: '
-            'its answer is not JSON.') from error
+            'its response is not JSON.') from error
 
 
-def _key() -> str:
+def _read_key() -> str:
     if _KEY_FILE.value is None:
         return os.environ.get(_KEY_VARIABLE, '')
     try:
         return pathlib.Path(_KEY_FILE.value).read_text('ascii').strip()
     except (OSError, UnicodeDecodeError) as error:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.NOT_FOUND,
             f'The key cannot be read: {error}.') from error
 
 
 async def _send(method: str, target: str, document: Any) -> tuple[int, bytes]:
     body = b'' if document is None else json.dumps(document).encode()
-    headers = [('authorization', f'Bearer {_key()}'),
+    headers = [('authorization', f'Bearer {_read_key()}'),
                ('content-type', 'application/json')]
     async with asyncio.timeout(_TIMEOUT_S), http_client.HttpClient() as client:
         async with client.request(_ADMIN.value,
                                   method,
                                   target,
                                   headers=headers,
-                                  body=body) as exchange:
-            return exchange.status, await exchange.read_all()
+                                  body=body) as response:
+            return response.status, await response.read_all()
--- a/pollenthread/cli/exit_codes.py
+++ b/pollenthread/cli/exit_codes.py
@@ -1,14 +1,14 @@
-"""What the command's exit status tells."""
+"""Exit statuses of the command line."""
 
 import enum
 
 from pollenthread.core import errors
 
-__all__ = ['CommandFailed', 'ExitCode', 'code_for', 'table']
+__all__ = ['CommandError', 'ExitCode', 'exit_code_for', 'format_help']
 
 
 class ExitCode(enum.IntEnum):
-    """The exit status."""
+    """Exit status of the `pollenthread` command."""
 
     OK = 0
     FAILED = 1
@@ -20,47 +20,60 @@
     NOT_FOUND = 7
 
 
-_MEANINGS = {
-    ExitCode.OK: 'done',
-    ExitCode.FAILED: 'the command failed in a way that is a fault of ours',
-    ExitCode.USAGE: 'the command line was not understood',
-    ExitCode.INVALID: 'settings or targets are not valid; nothing was changed',
-    ExitCode.NOT_PERMITTED: 'the key is missing, wrong, or does not permit it',
-    ExitCode.CONFLICT: 'somebody else changed it first; nothing was changed',
-    ExitCode.UNAVAILABLE: 'an address or the table service does not answer',
-    ExitCode.NOT_FOUND: 'there is no such version, host, trace or file',
+_DESCRIPTIONS = {
+    ExitCode.OK:
+        'done',
+    ExitCode.FAILED:
+        'the command failed because of an internal error',
+    ExitCode.USAGE:
+        'the command line is invalid',
+    ExitCode.INVALID:
+        'settings or targets are invalid; nothing was changed',
+    ExitCode.NOT_PERMITTED:
+        'the key is missing, invalid, or lacks the permission',
+    ExitCode.CONFLICT:
+        'the version has changed meanwhile; nothing was changed',
+    ExitCode.UNAVAILABLE:
+        'an address or the table service does not respond',
+    ExitCode.NOT_FOUND:
+        'there is no such version, host, trace or file',
 }
 
-_CODE_BY_KIND = {
-    errors.Kind.INVALID_TARGETS: ExitCode.INVALID,
-    errors.Kind.BAD_JSON: ExitCode.INVALID,
-    errors.Kind.BAD_HEADER: ExitCode.USAGE,
-    errors.Kind.NOT_AUTHENTICATED: ExitCode.NOT_PERMITTED,
-    errors.Kind.NOT_PERMITTED: ExitCode.NOT_PERMITTED,
-    errors.Kind.CONFLICT: ExitCode.CONFLICT,
-    errors.Kind.TABLE_UNAVAILABLE: ExitCode.UNAVAILABLE,
-    errors.Kind.OUTCOME_UNKNOWN: ExitCode.UNAVAILABLE,
-    errors.Kind.NOT_FOUND: ExitCode.NOT_FOUND,
+_EXIT_CODE_BY_KIND = {
+    errors.ErrorKind.INVALID_TARGETS: ExitCode.INVALID,
+    errors.ErrorKind.BAD_JSON: ExitCode.INVALID,
+    errors.ErrorKind.BAD_HEADER: ExitCode.USAGE,
+    errors.ErrorKind.NOT_AUTHENTICATED: ExitCode.NOT_PERMITTED,
+    errors.ErrorKind.NOT_PERMITTED: ExitCode.NOT_PERMITTED,
+    errors.ErrorKind.CONFLICT: ExitCode.CONFLICT,
+    errors.ErrorKind.TABLE_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    errors.ErrorKind.OUTCOME_UNKNOWN: ExitCode.UNAVAILABLE,
+    errors.ErrorKind.NOT_FOUND: ExitCode.NOT_FOUND,
 }
 
 
-class CommandFailed(Exception):
-    """The command ends with one sentence on standard error."""
+class CommandError(Exception):
+    """A command failed; its message is printed to standard error.
 
-    def __init__(self, code: ExitCode, sentence: str) -> None:
-        super().__init__(sentence)
+    Attributes:
+        code: Exit status of the command.
+    """
+
+    def __init__(self, code: ExitCode, message: str) -> None:
+        super().__init__(message)
         self.code = code
 
 
-def code_for(kind: str) -> ExitCode:
-    """The exit status for a problem that the administration port names."""
+def exit_code_for(error_kind: str) -> ExitCode:
+    """Returns the exit status for an error kind of the administration API."""
     try:
-        return _CODE_BY_KIND.get(errors.Kind(kind), ExitCode.FAILED)
+        return _EXIT_CODE_BY_KIND.get(errors.ErrorKind(error_kind),
+                                      ExitCode.FAILED)
     except ValueError:
         return ExitCode.FAILED
 
 
-def table() -> str:
-    """The exit statuses for the help text."""
-    return '\n'.join(
-        f'  {code.value}  {meaning}' for code, meaning in _MEANINGS.items())
+def format_help() -> str:
+    """Returns the list of exit statuses for the help text."""
+    return '\n'.join(f'  {code.value}  {description}'
+                     for code, description in _DESCRIPTIONS.items())
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -11,25 +11,25 @@
 import pollenthread
 from pollenthread.adapters import settings
 from pollenthread.app import targets_document
-from pollenthread.cli import commands, exit_codes, explain
+from pollenthread.cli import commands, exit_codes, request_explanation
 from pollenthread.roles import agent, entry
 
 __all__ = ['run']
 
-_HELP = flags.DEFINE_boolean('help', False, 'Print help and exit.')
+_HELP_FLAG = flags.DEFINE_boolean('help', False, 'Print help and exit.')
 
 
 @dataclasses.dataclass(frozen=True)
 class _Command:
-    """One subcommand.
+    """Definition of a subcommand.
 
     Attributes:
-        words: the words that name it.
-        arguments: names of its arguments.
-        summary: what it does.
-        example: a command line.
-        run: does it; takes the arguments.
-        formats: values of --format that it takes.
+        words: Words of the command line that select the subcommand.
+        arguments: Names of the positional arguments, for the help text.
+        summary: Short description for the help text.
+        example: Example command line.
+        run: Function that is called with the positional arguments.
+        formats: Supported values of --format.
     """
 
     words: tuple[str, ...]
@@ -41,20 +41,20 @@
 
     @property
     def usage(self) -> str:
-        """The words and arguments."""
+        """Words and argument names, for the help text."""
         return ' '.join((*self.words, *self.arguments))
 
 
 def _check(path: str) -> None:
-    settings.check_file(pathlib.Path(path))
+    settings.validate_file(pathlib.Path(path))
     print(f'{path}: valid')
 
 
 def _explain(request_id: str) -> None:
-    found = explain.explain(request_id, sys.stdin)
-    for line in found.lines:
+    explanation = request_explanation.explain_request(request_id, sys.stdin)
+    for line in explanation.lines:
         print(line)
-    print(found.verdict)
+    print(explanation.verdict)
 
 
 def _version() -> None:
@@ -62,7 +62,7 @@
 
 
 def _run_entry(path: str) -> None:
-    config = settings.load_process(pathlib.Path(path))
+    config = settings.load_process_settings(pathlib.Path(path))
     if not isinstance(config, settings.EntrySettings):
         raise targets_document.InvalidDocument(
             f'{path}:1: role: found {config.role} (allowed: entry)')
@@ -70,7 +70,7 @@
 
 
 def _run_agent(path: str) -> None:
-    config = settings.load_process(pathlib.Path(path))
+    config = settings.load_process_settings(pathlib.Path(path))
     if not isinstance(config, settings.AgentSettings):
         raise targets_document.InvalidDocument(
             f'{path}:1: role: found {config.role} (allowed: agent)')
@@ -92,10 +92,11 @@
     _Command(('config', 'set'), ('FILE',), 'publish targets from a file',
              'pollenthread config set mugs.yaml --workspace=mugs --base=41',
              commands.config_set),
-    _Command(('config', 'history'), (), 'print who changed what',
+    _Command(('config', 'history'), (),
+             'print the changes of each version with their authors',
              'pollenthread config history', commands.config_history),
     _Command(('config', 'diff'), ('OLDER', 'NEWER'),
-             'print what differs between two versions',
+             'print the differences between two versions',
              'pollenthread config diff 41 42', commands.config_diff),
     _Command(('config', 'rollback-as-new-version'), ('VERSION',),
              'publish an old version as a new one',
@@ -103,18 +104,18 @@
              commands.config_rollback),
     _Command(('drain',), ('HOST',), 'take a host out of service',
              'pollenthread drain buna-model-1', commands.drain),
-    _Command(('undrain',), ('HOST',), 'take a host into service again',
+    _Command(('undrain',), ('HOST',), 'put a drained host back into service',
              'pollenthread undrain buna-model-1', commands.undrain),
-    _Command(('status',), (), 'print who is alive, leaving and stale',
+    _Command(('status',), (), 'print the status of hosts and upstreams',
              'pollenthread status --admin=10.0.1.11:9090', commands.status),
-    _Command(('report',), (), 'print the account for both departments',
+    _Command(('report',), (), 'print the report of requests and costs',
              'pollenthread report --days=7 --format=html --output=week.html',
              commands.report, ('table', 'json', 'html')),
     _Command(('trace',), ('ID',), 'print the spans of one request',
              'pollenthread trace 4bf92f3577b34da6a3ce929d0e0e4736',
              commands.trace),
     _Command(('explain',), ('ID',),
-             'tell from logs on standard input what became of a request',
+             'explain the outcome of a request from logs on standard input',
              'cat *.log | pollenthread explain 9c41d07be2a35f68', _explain,
              ('table',)),
     _Command(('version',), (), 'print the version', 'pollenthread version',
@@ -128,7 +129,7 @@
         _main(sys.argv)
     except targets_document.InvalidDocument as error:
         _exit(exit_codes.ExitCode.INVALID, str(error))
-    except exit_codes.CommandFailed as error:
+    except exit_codes.CommandError as error:
         _exit(error.code, str(error))
     except flags.Error as error:
         _exit(exit_codes.ExitCode.USAGE, f'{error}; see `pollenthread --help`.')
@@ -139,8 +140,8 @@
         sys.exit(exit_codes.ExitCode.FAILED)
 
 
-def _exit(code: exit_codes.ExitCode, sentence: str) -> None:
-    print(f'pollenthread: {sentence}', file=sys.stderr)
+def _exit(code: exit_codes.ExitCode, message: str) -> None:
+    print(f'pollenthread: {message}', file=sys.stderr)
     sys.exit(code)
 
 
@@ -150,26 +151,26 @@
     logging.use_absl_handler()
     if 'verbosity' not in flags.FLAGS or not flags.FLAGS['verbosity'].present:
         logging.set_verbosity(logging.INFO)
-    command = _find(args)
-    if _HELP.value or args[:1] == ['help']:
-        print(_command_help(command) if command else _help())
+    command = _find_command(args)
+    if _HELP_FLAG.value or args[:1] == ['help']:
+        print(_format_command_help(command) if command else _format_help())
         return
     if command is None:
-        raise exit_codes.CommandFailed(exit_codes.ExitCode.USAGE,
-                                       _not_understood(args))
-    given = args[len(command.words):]
-    if len(given) != len(command.arguments):
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(exit_codes.ExitCode.USAGE,
+                                      _describe_usage_error(args))
+    values = args[len(command.words):]
+    if len(values) != len(command.arguments):
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE,
             f'Use it as `pollenthread {command.usage}`.')
     if commands.FORMAT.value not in command.formats:
-        raise exit_codes.CommandFailed(
+        raise exit_codes.CommandError(
             exit_codes.ExitCode.USAGE, f'`{" ".join(command.words)}` prints '
             f'{" or ".join(command.formats)}: change --format.')
-    command.run(*given)
+    command.run(*values)
 
 
-def _find(args: Sequence[str]) -> _Command | None:
+def _find_command(args: Sequence[str]) -> _Command | None:
     words = tuple(args[1:] if args[:1] == ['help'] else args)
     for command in _COMMANDS:
         if words[:len(command.words)] == command.words:
@@ -177,40 +178,42 @@
     return None
 
 
-def _not_understood(args: Sequence[str]) -> str:
-    first = args[0] if args else ''
-    near = [c.usage for c in _COMMANDS if first and c.words[0] == first]
-    if near:
-        return f'Use one of: {"; ".join(near)}.'
-    return (f'There is no command {first!r}'
-            if first else 'Give a command') + '; see `pollenthread --help`.'
+def _describe_usage_error(args: Sequence[str]) -> str:
+    first_word = args[0] if args else ''
+    usages = [
+        c.usage for c in _COMMANDS if first_word and c.words[0] == first_word
+    ]
+    if usages:
+        return f'Use one of: {"; ".join(usages)}.'
+    return (f'There is no command {first_word!r}' if first_word else
+            'Give a command') + '; see `pollenthread --help`.'
 
 
-def _help() -> str:
+def _format_help() -> str:
     width = max(len(command.usage) for command in _COMMANDS)
     usages = '\n'.join(
         f'  {c.usage.ljust(width)}  {c.summary}' for c in _COMMANDS)
     examples = '\n'.join(f'  {c.example}' for c in _COMMANDS
                          if c.words[0] in ('check', 'report', 'drain'))
     return (f'Usage: pollenthread COMMAND [FLAGS]\n\n{usages}\n\n'
-            f'Flags:\n{_flags_help()}\n\nExamples:\n{examples}\n\n'
-            f'Exit status:\n{exit_codes.table()}\n\n'
-            '`pollenthread help COMMAND` says more about one command.')
+            f'Flags:\n{_format_flags_help()}\n\nExamples:\n{examples}\n\n'
+            f'Exit status:\n{exit_codes.format_help()}\n\n'
+            '`pollenthread help COMMAND` shows the help of one command.')
 
 
-def _command_help(command: _Command) -> str:
+def _format_command_help(command: _Command) -> str:
     text = (f'Usage: pollenthread {command.usage} [FLAGS]\n\n'
             f'  {command.summary}\n\nExample:\n  {command.example}\n')
     if len(command.formats) > 1:
-        text += (f'\nFlags:\n{_flags_help()}\n\n'
+        text += (f'\nFlags:\n{_format_flags_help()}\n\n'
                  f'--format takes {", ".join(command.formats)} here.\n')
-    return text + f'\nExit status:\n{exit_codes.table()}'
+    return text + f'\nExit status:\n{exit_codes.format_help()}'
 
 
-def _flags_help() -> str:
-    own = [
+def _format_flags_help() -> str:
+    command_flags = [
         flag for module in (commands, 'pollenthread.cli.admin_client')
         for flag in flags.FLAGS.get_key_flags_for_module(
             module if isinstance(module, str) else module.__name__)
     ]
-    return '\n'.join(f'  --{flag.name}: {flag.help}' for flag in own)
+    return '\n'.join(f'  --{flag.name}: {flag.help}' for flag in command_flags)
--- a/pollenthread/cli/report_view.py
+++ b/pollenthread/cli/report_tables.py
@@ -1,34 +1,44 @@
-"""Both departments' views of the report, as rows of tables."""
+"""Tables of the report, for operators and for those who pay the hosts."""
 
 import dataclasses
 import datetime
 from typing import Any
 
-from pollenthread.cli import tables
+from pollenthread.cli import text_tables
 
-__all__ = ['Section', 'sections', 'to_text']
+__all__ = ['ReportSection', 'build_sections', 'to_text']
 
 _OUTCOMES = ('in_time', 'late', 'refused_not_run', 'failed', 'outcome_unknown')
 
 
 @dataclasses.dataclass(frozen=True)
-class Section:
-    """One table of the report."""
+class ReportSection:
+    """One table of the report.
+
+    Attributes:
+        title: Title of the table.
+        headings: Column headings.
+        rows: Rows with one value per column.
+    """
 
     title: str
-    heads: tuple[str, ...]
+    headings: tuple[str, ...]
     rows: list[tuple[Any, ...]]
 
 
-def sections(report: dict[str, Any]) -> list[Section]:
-    """The tables of a report, operators' first."""
+def build_sections(report: dict[str, Any]) -> list[ReportSection]:
+    """Builds the tables of a report, beginning with those for operators.
+
+    Args:
+        report: Decoded response of /v1/report.
+    """
     return [
         _outcomes(report),
         _retries(report),
         _at_most_once(report),
-        Section('Orders', ('kind', 'state', 'count'),
-                [(line['kind'], line['state'], line['count'])
-                 for line in report['orders']]),
+        ReportSection('Orders', ('kind', 'state', 'count'),
+                      [(line['kind'], line['state'], line['count'])
+                       for line in report['orders']]),
         _skew(report),
         _costs(report),
         _gaps(report),
@@ -36,44 +46,44 @@
 
 
 def to_text(report: dict[str, Any]) -> str:
-    """The whole report for a terminal."""
-    head = (f'Account of {report["from_day"]} to {report["to_day"]} (UTC), '
-            f'{report["hosts"]} starts of entry hosts, targets version '
-            f'{report["targets_version"]}.\n')
+    """Formats the whole report as text for a terminal."""
+    header = (f'Account of {report["from_day"]} to {report["to_day"]} (UTC), '
+              f'{report["hosts"]} starts of entry hosts, targets version '
+              f'{report["targets_version"]}.\n')
     parts = [
-        tables.render(section.title, section.heads, section.rows)
-        for section in sections(report)
+        text_tables.format_table(section.title, section.headings, section.rows)
+        for section in build_sections(report)
     ]
-    return head + '\n' + '\n'.join(parts)
+    return header + '\n' + '\n'.join(parts)
 
 
-def _outcomes(report: dict[str, Any]) -> Section:
-    rows = [(line['workspace'], line['class'], _target(line['target']),
+def _outcomes(report: dict[str, Any]) -> ReportSection:
+    rows = [(line['workspace'], line['class'], _format_target(line['target']),
              line['accepted'], *(line[name]
                                  for name in _OUTCOMES), line['open'],
-             _percent(line['in_time_share']))
+             _to_percent(line['in_time_share']))
             for line in report['classes']]
     total = report['total']
     rows.append(('total', '', '', total['accepted'],
                  *(total[name] for name in _OUTCOMES), total['open'], ''))
-    return Section(
+    return ReportSection(
         'For operators: was every request answered in time?',
         ('workspace', 'class', 'target', 'accepted', 'in time', 'late',
          'refused, not run', 'failed', 'outcome unknown', 'open', 'in time %'),
         rows)
 
 
-def _retries(report: dict[str, Any]) -> Section:
-    return Section(
+def _retries(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For operators: retries used against the limit',
         ('workspace', 'class', 'limit each', 'retries', 'allowed', 'used %'),
         [(line['workspace'], line['class'], line['target']['retries'],
           line['retries'], line['retries_allowed'],
-          _percent(line['retries_share'])) for line in report['classes']])
+          _to_percent(line['retries_share'])) for line in report['classes']])
 
 
-def _at_most_once(report: dict[str, Any]) -> Section:
-    return Section(
+def _at_most_once(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For operators: requests that may not be repeated',
         ('workspace', 'class', 'whole answers', 'from a kept outcome',
          'refused, not run', 'outcome unknown', 'of these lost with a host'),
@@ -84,16 +94,16 @@
          if line['at_most_once']])
 
 
-def _skew(report: dict[str, Any]) -> Section:
-    return Section(
+def _skew(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For payers: how even were the ranks?',
         ('day', 'group', 'steps', 'mean skew', 'skew of 99 in 100 at most'),
         [(row['day'], row['group'], row['steps'], row['skew_mean'],
           row['skew_p99_at_most']) for row in report['costs']])
 
 
-def _costs(report: dict[str, Any]) -> Section:
-    return Section(
+def _costs(report: dict[str, Any]) -> ReportSection:
+    return ReportSection(
         'For payers: what did keeping the load even cost, and save?',
         ('day', 'group', 'experts moved', 'moved back', 'MB reloaded',
          'steps lost', 'capacity-s lost', 'capacity-s saved', 'net'),
@@ -103,27 +113,27 @@
           row['net_s']) for row in report['costs']])
 
 
-def _gaps(report: dict[str, Any]) -> Section:
-    return Section('Gaps: times that the figures above leave out',
-                   ('host', 'from', 'until', 'why'),
-                   [(gap['host'], _moment(
-                       gap['began_s']), _moment(gap['ended_s']), gap['reason'])
-                    for gap in report['gaps']])
+def _gaps(report: dict[str, Any]) -> ReportSection:
+    return ReportSection('Gaps: times that the figures above leave out',
+                         ('host', 'from', 'until', 'why'),
+                         [(gap['host'], _format_time(gap['began_s']),
+                           _format_time(gap['ended_s']), gap['reason'])
+                          for gap in report['gaps']])
 
 
-def _target(target: dict[str, Any]) -> str:
+def _format_target(target: dict[str, Any]) -> str:
     names = (('first token', 'first_token_ms'),
              ('between', 'between_tokens_ms'), ('answer', 'answer_ms'))
     return ', '.join(f'{name} {target[key]} ms' for name, key in names
                      if target[key] is not None)
 
 
-def _percent(share: float | None) -> float | None:
+def _to_percent(share: float | None) -> float | None:
     return None if share is None else round(100 * share, 3)
 
 
-def _moment(at_s: float | None) -> str:
+def _format_time(at_s: float | None) -> str:
     if at_s is None:
         return 'not known'
-    moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
-    return moment.strftime('%Y-%m-%d %H:%M:%S')
+    time_utc = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
+    return time_utc.strftime('%Y-%m-%d %H:%M:%S')
--- a/pollenthread/core/membership.py
+++ b/pollenthread/core/membership.py
@@ -1,8 +1,10 @@
-"""Which hosts are alive, and which of them a host keeps links to.
+"""Failure detection of hosts, and selection of the hosts to link to.
 
-The host list gives the candidates and lags; links give heartbeats. Either one
-is enough to stop new work to a host that leaves. Silence alone calls a host
-dead only up to a share of the fleet: beyond it the signal is distrusted.
+The host list contains the candidates but lags; links carry heartbeats. Either
+source suffices to stop new work to a host that leaves. Missed heartbeats alone
+mark a host as dead only while the silent hosts are a limited share of the
+fleet. Beyond `MAX_DEAD_SHARE` the observer's own network is the likelier
+fault.
 """
 
 import dataclasses
@@ -11,31 +13,34 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 __all__ = [
-    'Evidence', 'MAX_DEAD_SHARE', 'Member', 'REPORT_LIFE_S', 'Report', 'State',
-    'View', 'dead_reports', 'hear', 'judge', 'linked_peers', 'pollers',
-    'ranked', 'takes_new_work', 'upstream_subset'
+    'HostEvidence', 'HostReport', 'HostState', 'MAX_DEAD_SHARE', 'Member',
+    'MembershipView', 'REPORT_TTL_S', 'accepts_new_work', 'assess_fleet',
+    'count_dead_reports', 'merge_report', 'rank_by_rendezvous_hash',
+    'select_linked_peers', 'select_pollers', 'select_upstreams'
 ]
 
 SUSPECT_AFTER_S = 1.5
 DEAD_AFTER_S = 3.0
 MAX_DEAD_SHARE = 0.34
-REPORTS_TO_BELIEVE = 2
-REPORT_LIFE_S = 30.0
+# The number of reports that mark a host as dead which is not monitored locally.
+DEAD_REPORT_QUORUM = 2
+REPORT_TTL_S = 30.0
 POLLERS_PER_DATA_CENTRE = 2
 PEERS_IN_DATA_CENTRE = 3
 PEERS_IN_REGION = 4
 PEERS_IN_OTHER_REGION = 1
-UPSTREAM_SUBSET = 16
+UPSTREAM_SUBSET_SIZE = 16
 
 
 @dataclasses.dataclass(frozen=True)
-class Report:
-    """What others have said of one host.
+class HostReport:
+    """The combined reports of other hosts about one host.
 
     Attributes:
-        incarnation: the start of its process that is meant.
-        is_leaving: whether that one leaves.
-        dead_by_reporter: when each host reported it dead, monotonic seconds.
+        incarnation: the incarnation of the reported host.
+        is_leaving: whether that incarnation was reported as leaving.
+        dead_by_reporter: the time of the last report of its failure by
+            reporting host, in monotonic seconds.
     """
 
     incarnation: str
@@ -44,8 +49,8 @@
                               float] = dataclasses.field(default_factory=dict)
 
 
-class State(enum.StrEnum):
-    """What a host is held for."""
+class HostState(enum.StrEnum):
+    """The assessed state of a host."""
 
     LIVE = 'live'
     SUSPECT = 'suspect'
@@ -55,14 +60,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """One host of the list.
+    """An entry of the host list.
 
     Attributes:
-        host: its name.
-        data_centre: where it is.
+        host: the name of the host.
+        data_centre: the data centre of the host.
         region: the region of the data centre.
-        serves: for an upstream, the platform's name of the group of hosts that
-            serve the same; empty when the list does not say.
+        serves: for an upstream, the platform's name of the group of
+            interchangeable hosts; empty if not listed.
     """
 
     host: str
@@ -72,123 +77,134 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Evidence:
-    """What is known of one host.
+class HostEvidence:
+    """The information about one host that its state is derived from.
 
     Attributes:
-        listed_leaving: whether the host list says that it leaves.
-        said_leaving: whether the host itself, or a peer, says so.
-        silent_s: seconds since it was heard; None when it is not watched.
-        dead_reports: how many hosts that watch it report it dead.
+        listed_leaving: whether the host list marks it as leaving.
+        reported_leaving: whether the host itself or a peer reports that it
+            leaves.
+        silent_s: seconds since the last heartbeat; None if the host is not
+            monitored from here.
+        dead_report_count: the number of monitoring hosts that report it dead.
     """
 
     listed_leaving: bool = False
-    said_leaving: bool = False
+    reported_leaving: bool = False
     silent_s: float | None = None
-    dead_reports: int = 0
+    dead_report_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
-class View:
-    """The judgement over a fleet.
+class MembershipView:
+    """The assessed states of a fleet.
 
     Attributes:
-        state_by_host: what each host is held for.
-        is_panic: whether silence is distrusted since too many are silent.
+        state_by_host: the state of each host.
+        is_panic: whether missed heartbeats are ignored because too many hosts
+            are silent.
     """
 
-    state_by_host: Mapping[str, State]
+    state_by_host: Mapping[str, HostState]
     is_panic: bool
 
     def usable(self) -> list[str]:
-        """Hosts that may take new work."""
+        """Returns the hosts that may be sent new work."""
         return [
             host for host, state in self.state_by_host.items()
-            if takes_new_work(state)
+            if accepts_new_work(state)
         ]
 
 
-def takes_new_work(state: State) -> bool:
-    """Whether a host in this state may be sent new work."""
-    return state in (State.LIVE, State.SUSPECT)
+def accepts_new_work(state: HostState) -> bool:
+    """Returns whether a host in this state may be sent new work."""
+    return state in (HostState.LIVE, HostState.SUSPECT)
 
 
-def judge(evidence_by_host: Mapping[str, Evidence]) -> View:
-    """Judges every host of a fleet.
+def assess_fleet(
+        evidence_by_host: Mapping[str, HostEvidence]) -> MembershipView:
+    """Assesses the state of every host of a fleet.
 
-    Panic: when more than `MAX_DEAD_SHARE` of the hosts that this one watches,
-    or of the whole fleet, are silent, the fault is more likely on this side;
-    silent hosts are then only suspects.
-    Leaving hosts stay out in any case, for that is said and not guessed.
+    If more than `MAX_DEAD_SHARE` of the hosts monitored from here, or of the
+    whole fleet, are silent, the fault is more likely local. Silent hosts are
+    then suspect instead of dead (panic mode). Leaving hosts are excluded in
+    any case, because leaving is announced and not inferred.
     """
-    own_watch = [
+    monitored = [
         evidence for evidence in evidence_by_host.values()
         if evidence.silent_s is not None and not _is_leaving(evidence)
     ]
     fleet = [e for e in evidence_by_host.values() if not _is_leaving(e)]
-    is_panic = _too_many_silent(own_watch) or _too_many_silent(fleet)
-    return View(state_by_host={
+    is_panic = _too_many_silent(monitored) or _too_many_silent(fleet)
+    return MembershipView(state_by_host={
         host: _state(evidence, is_panic)
         for host, evidence in evidence_by_host.items()
     },
-                is_panic=is_panic)
+                          is_panic=is_panic)
 
 
-def _is_leaving(evidence: Evidence) -> bool:
-    return evidence.listed_leaving or evidence.said_leaving
+def _is_leaving(evidence: HostEvidence) -> bool:
+    return evidence.listed_leaving or evidence.reported_leaving
 
 
-def _too_many_silent(fleet: Sequence[Evidence]) -> bool:
+def _too_many_silent(fleet: Sequence[HostEvidence]) -> bool:
     silent = sum(1 for evidence in fleet if _is_silent(evidence))
     return silent > 1 and silent > MAX_DEAD_SHARE * len(fleet)
 
 
-def _is_silent(evidence: Evidence) -> bool:
-    """Whether a host seems dead: by one's own watch, or else by reports."""
+def _is_silent(evidence: HostEvidence) -> bool:
+    """Returns whether a host seems dead, by monitoring or else by reports."""
     if evidence.silent_s is None:
-        return evidence.dead_reports >= REPORTS_TO_BELIEVE
+        return evidence.dead_report_count >= DEAD_REPORT_QUORUM
     return evidence.silent_s >= DEAD_AFTER_S
 
 
-def _state(evidence: Evidence, is_panic: bool) -> State:
+def _state(evidence: HostEvidence, is_panic: bool) -> HostState:
     if _is_leaving(evidence):
-        return State.LEAVING
+        return HostState.LEAVING
     if _is_silent(evidence):
-        return State.SUSPECT if is_panic else State.DEAD
+        return HostState.SUSPECT if is_panic else HostState.DEAD
     if evidence.silent_s is not None and evidence.silent_s >= SUSPECT_AFTER_S:
-        return State.SUSPECT
-    return State.LIVE
+        return HostState.SUSPECT
+    return HostState.LIVE
 
 
-def hear(known: Report | None, *, incarnation: str, state: State, reporter: str,
-         now: float) -> Report:
-    """Takes in what a reporter says of a host.
+def merge_report(known: HostReport | None, *, incarnation: str,
+                 state: HostState, reporter: str, now: float) -> HostReport:
+    """Merges the report of one reporter about a host.
 
-    News of another start of the host's process replaces what was known. A host
-    that has said it leaves does not come back in the same start.
+    A report about another incarnation replaces the known reports. A host that
+    was reported as leaving remains so for the same incarnation.
+
+    Args:
+        known: the reports so far, or None.
+        incarnation: the incarnation of the reported host.
+        state: the reported state.
+        reporter: the name of the reporting host.
+        now: the monotonic time, in seconds.
     """
     if known is None or known.incarnation != incarnation:
-        known = Report(incarnation=incarnation)
+        known = HostReport(incarnation=incarnation)
     dead_by_reporter = {
         name: at
         for name, at in known.dead_by_reporter.items()
-        if name != reporter and now - at < REPORT_LIFE_S
+        if name != reporter and now - at < REPORT_TTL_S
     }
-    if state is State.DEAD:
+    if state is HostState.DEAD:
         dead_by_reporter[reporter] = now
-    return Report(incarnation=incarnation,
-                  is_leaving=known.is_leaving or state is State.LEAVING,
-                  dead_by_reporter=dead_by_reporter)
+    return HostReport(incarnation=incarnation,
+                      is_leaving=known.is_leaving or state is HostState.LEAVING,
+                      dead_by_reporter=dead_by_reporter)
 
 
-def dead_reports(known: Report, now: float) -> int:
-    """How many reports of a host's death still count."""
+def count_dead_reports(known: HostReport, now: float) -> int:
+    """Returns the number of unexpired reports that a host is dead."""
     return sum(
-        1 for at in known.dead_by_reporter.values() if now - at < REPORT_LIFE_S)
+        1 for at in known.dead_by_reporter.values() if now - at < REPORT_TTL_S)
 
 
-def ranked(hosts: Iterable[str], subject: str) -> list[str]:
-    """Hosts by rendezvous hashing: the first is preferred for the subject."""
+def rank_by_rendezvous_hash(hosts: Iterable[str], subject: str) -> list[str]:
+    """Orders hosts by rendezvous hashing for a subject, preferred first."""
     return sorted(hosts, key=lambda host: _score(host, subject))
 
 
@@ -197,51 +213,56 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def pollers(members: Iterable[Member], data_centre: str) -> frozenset[str]:
-    """The hosts of a data centre that read the table for the others."""
+def select_pollers(members: Iterable[Member],
+                   data_centre: str) -> frozenset[str]:
+    """Selects the hosts that read the table for their data centre."""
     hosts = (m.host for m in members if m.data_centre == data_centre)
     return frozenset(
-        ranked(hosts, f'poll\0{data_centre}')[:POLLERS_PER_DATA_CENTRE])
+        rank_by_rendezvous_hash(
+            hosts, f'poll\0{data_centre}')[:POLLERS_PER_DATA_CENTRE])
 
 
-def linked_peers(own: Member, members: Iterable[Member]) -> frozenset[str]:
-    """The entry hosts that a host chooses to keep links to.
+def select_linked_peers(own: Member,
+                        members: Iterable[Member]) -> frozenset[str]:
+    """Selects the entry hosts that a host keeps links to.
 
-    A link exists if either end chooses it. The next host on the ring of names
-    is always chosen, so that the links of live hosts connect the region.
+    A link exists if either end selects it. The next hosts on the ring of
+    sorted names are always selected, so that the links of live hosts connect
+    the region.
     """
     others = [member for member in members if member.host != own.host]
     near = [m.host for m in others if m.data_centre == own.data_centre]
     region = [m.host for m in others if m.region == own.region]
-    chosen = set(ranked(near, own.host)[:PEERS_IN_DATA_CENTRE])
-    chosen.update(ranked(region, own.host)[:PEERS_IN_REGION])
+    chosen = set(rank_by_rendezvous_hash(near, own.host)[:PEERS_IN_DATA_CENTRE])
+    chosen.update(rank_by_rendezvous_hash(region, own.host)[:PEERS_IN_REGION])
     chosen.update(_next_on_ring(own.host, region))
     for other_region in {m.region for m in others} - {own.region}:
         far = [m.host for m in others if m.region == other_region]
-        chosen.update(ranked(far, own.host)[:PEERS_IN_OTHER_REGION])
+        chosen.update(
+            rank_by_rendezvous_hash(far, own.host)[:PEERS_IN_OTHER_REGION])
     return frozenset(chosen)
 
 
 def _next_on_ring(host: str, others: Iterable[str]) -> list[str]:
-    """The one or two names that follow a name on the ring."""
+    """Returns the one or two names after a name on the sorted ring."""
     ordered = sorted(others)
     after = [name for name in ordered if name > host]
     return (after + ordered)[:2]
 
 
-def upstream_subset(own: Member,
-                    upstreams: Iterable[Member],
-                    *,
-                    size: int = UPSTREAM_SUBSET) -> frozenset[str]:
-    """The upstreams that an entry host keeps links to.
+def select_upstreams(own: Member,
+                     upstreams: Iterable[Member],
+                     *,
+                     size: int = UPSTREAM_SUBSET_SIZE) -> frozenset[str]:
+    """Selects the upstreams that an entry host keeps links to.
 
-    For each group of upstreams that serve the same, a bounded number within the
-    host's region; or of all regions where its own has none.
+    From each group of interchangeable upstreams it selects up to `size` in the
+    region of the entry host, or in all regions if its own has none.
 
     Args:
         own: the entry host.
-        upstreams: upstream hosts of all regions.
-        size: the bound for each group.
+        upstreams: the upstream hosts of all regions.
+        size: the maximum number for each group.
     """
     by_group: dict[str, list[Member]] = {}
     for member in upstreams:
@@ -250,5 +271,5 @@
     for members in by_group.values():
         near = [m.host for m in members if m.region == own.region]
         hosts = near or [m.host for m in members]
-        chosen.update(ranked(hosts, own.host)[:size])
+        chosen.update(rank_by_rendezvous_hash(hosts, own.host)[:size])
     return frozenset(chosen)
