--- a/pollenthread/core/moves.py
+++ b/pollenthread/core/moves.py
@@ -1,7 +1,7 @@
-"""Single steps that improve the layout of one layer.
+"""Single moves that improve the layout of one layer.
 
-A step puts an expert of the hottest rank on a cool rank, in place of a replica
-that can be spared there or in exchange for another expert.
+A move places an expert of the most loaded rank on a lightly loaded rank, where
+it replaces a redundant replica or is swapped with another expert.
 """
 
 import dataclasses
@@ -10,19 +10,28 @@
 
 from pollenthread.core import placement
 
-__all__ = ['Fixed', 'Load', 'Step', 'best_step', 'place', 'smooth_skew']
+__all__ = [
+    'ExpertLoad', 'LayoutMove', 'MoveConstraints', 'best_move',
+    'optimize_layout', 'smooth_skew'
+]
 
-_MAX_STEPS = 64
-_LEAST_GAIN = 1e-3
-_EXPONENT = 12
-_HOT_EXPERTS = 3
-_COOL_RANKS = 3
-_SWAPS = 1
+_MAX_MOVES = 64
+_MIN_GAIN = 1e-3
+_NORM_EXPONENT = 12
+_MAX_CANDIDATE_EXPERTS = 3
+_MAX_CANDIDATE_RANKS = 3
+_MAX_SWAPS_PER_RANK = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """One expert that a rank has to load, and the one that it drops."""
+class ExpertLoad:
+    """The load of one expert by a rank.
+
+    Attributes:
+        rank: the index of the rank.
+        expert: the expert to load.
+        dropped: the expert that it replaces.
+    """
 
     rank: int
     expert: int
@@ -30,124 +39,140 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Fixed:
-    """What a step must leave alone.
+class MoveConstraints:
+    """Exclusions for moves.
 
     Attributes:
-        experts: experts that are not loaded again.
-        replicas: replicas, as pairs of rank and expert, that are not dropped.
+        experts: the experts that must not be loaded.
+        replicas: the replicas that must not be dropped, as pairs of rank and
+            expert.
     """
 
     experts: frozenset[int] = frozenset()
     replicas: frozenset[tuple[int, int]] = frozenset()
 
-    def allows(self, load: Load) -> bool:
-        """Whether a load leaves them alone."""
+    def allows(self, load: ExpertLoad) -> bool:
+        """Returns whether a load is permitted."""
         return (load.expert not in self.experts and
                 (load.rank, load.dropped) not in self.replicas)
 
 
-_NOTHING = Fixed()
+_UNCONSTRAINED = MoveConstraints()
 
 
 @dataclasses.dataclass(frozen=True)
-class Step:
-    """One step and what it leads to.
+class LayoutMove:
+    """A move and its result.
 
     Attributes:
-        loads: what ranks have to load.
-        layout: the layout after the step.
-        split: the traffic after the step.
+        loads: the loads of the ranks.
+        layout: the layout after the move.
+        split: the traffic split after the move.
     """
 
-    loads: tuple[Load, ...]
-    layout: placement.Layout
-    split: placement.Split
+    loads: tuple[ExpertLoad, ...]
+    layout: placement.LayerLayout
+    split: placement.TrafficSplit
+
 
+def smooth_skew(split: placement.TrafficSplit) -> float:
+    """Returns a smooth approximation of the skew, a p-norm of the loads.
 
-def smooth_skew(split: placement.Split) -> float:
-    """Close to the skew, but lower when fewer ranks share the greatest load."""
-    total = sum(load**_EXPONENT for load in split.load_by_rank)
-    smooth: float = total**(1 / _EXPONENT)
+    It is lower if fewer ranks have the greatest load.
+    """
+    total = sum(load**_NORM_EXPONENT for load in split.load_by_rank)
+    smooth: float = total**(1 / _NORM_EXPONENT)
     return smooth
 
 
-def place(group: placement.Group, shares: Sequence[float]) -> placement.Layout:
-    """The best layout found without regard to what lies where."""
-    layout = placement.pack(group, shares)
-    split = placement.split(layout, shares)
-    for _ in range(_MAX_STEPS):
-        step = best_step(group, layout, shares, split)
-        if step is None:
+def optimize_layout(group: placement.GroupShape,
+                    shares: Sequence[float]) -> placement.LayerLayout:
+    """Returns the best layout found, ignoring the current one."""
+    layout = placement.pack_layout(group, shares)
+    split = placement.split_traffic(layout, shares)
+    for _ in range(_MAX_MOVES):
+        move = best_move(group, layout, shares, split)
+        if move is None:
             break
-        layout, split = step.layout, step.split
+        layout, split = move.layout, move.split
     return layout
 
 
-def best_step(group: placement.Group,
-              layout: placement.Layout,
-              shares: Sequence[float],
-              split: placement.Split,
-              fixed: Fixed = _NOTHING) -> Step | None:
-    """The step that lowers the skew most for each expert loaded, or None.
+def best_move(
+        group: placement.GroupShape,
+        layout: placement.LayerLayout,
+        shares: Sequence[float],
+        split: placement.TrafficSplit,
+        constraints: MoveConstraints = _UNCONSTRAINED) -> LayoutMove | None:
+    """Returns the move with the greatest skew reduction per loaded expert.
 
     Args:
-        group: the shape of the group.
-        layout: what lies where.
-        shares: the share of the layer's traffic by expert.
-        split: the traffic with that layout.
-        fixed: what must be left alone.
+        group: the dimensions of the group.
+        layout: the current layout.
+        shares: the share of the layer's traffic, by expert.
+        split: the traffic split with the current layout.
+        constraints: the exclusions for moves.
+
+    Returns:
+        The move, or None if none improves the skew enough.
     """
     before = smooth_skew(split)
-    best: Step | None = None
+    best: LayoutMove | None = None
     best_rate = 0.0
     for loads in _candidates(group, layout, split):
-        if not all(fixed.allows(load) for load in loads):
+        if not all(constraints.allows(load) for load in loads):
             continue
         after = layout
         for load in loads:
             after = placement.replace_slot(after, load.rank, load.dropped,
                                            load.expert)
-        result = placement.split(after, shares)
+        result = placement.split_traffic(after, shares)
         gain = before - smooth_skew(result)
-        if gain > _LEAST_GAIN and gain / len(loads) > best_rate:
+        if gain > _MIN_GAIN and gain / len(loads) > best_rate:
             best_rate = gain / len(loads)
-            best = Step(loads, after, result)
+            best = LayoutMove(loads, after, result)
     return best
 
 
-def _candidates(group: placement.Group, layout: placement.Layout,
-                split: placement.Split) -> Iterator[tuple[Load, ...]]:
+def _candidates(
+        group: placement.GroupShape, layout: placement.LayerLayout,
+        split: placement.TrafficSplit) -> Iterator[tuple[ExpertLoad, ...]]:
     load = split.load_by_rank
     by_load = sorted(range(group.ranks), key=lambda rank: (load[rank], rank))
-    hot_rank = by_load[-1]
-    for expert in _hottest(layout[hot_rank], hot_rank, split)[:_HOT_EXPERTS]:
-        cool = [
+    max_load_rank = by_load[-1]
+    for expert in _experts_by_load(layout[max_load_rank], max_load_rank,
+                                   split)[:_MAX_CANDIDATE_EXPERTS]:
+        candidate_ranks = [
             rank for rank in by_load[:-1] if expert not in layout[rank] and
             _may_hold(group, rank, expert, split)
         ]
-        for rank in cool[:_COOL_RANKS]:
+        for rank in candidate_ranks[:_MAX_CANDIDATE_RANKS]:
             yield from _replacements(layout, rank, expert, split)
-            swaps = _swaps(group, layout, hot_rank, rank, expert, split)
-            yield from itertools.islice(swaps, _SWAPS)
+            swaps = _swaps(group, layout, max_load_rank, rank, expert, split)
+            yield from itertools.islice(swaps, _MAX_SWAPS_PER_RANK)
 
 
-def _hottest(experts: Sequence[int], rank: int,
-             split: placement.Split) -> list[int]:
-    """The experts that give a rank the most load."""
-    return sorted(experts, key=lambda e: (-_part(split, e, rank), e))
+def _experts_by_load(experts: Sequence[int], rank: int,
+                     split: placement.TrafficSplit) -> list[int]:
+    """Returns the experts of a rank by decreasing load on that rank."""
+    return sorted(experts, key=lambda e: (-_replica_load(split, e, rank), e))
 
 
-def _part(split: placement.Split, expert: int, rank: int) -> float:
+def _replica_load(split: placement.TrafficSplit, expert: int,
+                  rank: int) -> float:
     for holder, part in split.load_by_replica[expert]:
         if holder == rank:
             return part
     return 0.0
 
 
-def _may_hold(group: placement.Group, rank: int, expert: int,
-              split: placement.Split) -> bool:
-    """Whether a replica here is on a host of its own, while there are any."""
+def _may_hold(group: placement.GroupShape, rank: int, expert: int,
+              split: placement.TrafficSplit) -> bool:
+    """Returns whether a rank may hold a further replica of an expert.
+
+    Replicas go to hosts without a replica of the expert as long as there are
+    any.
+    """
     hosts = {
         group.host_by_rank[holder]
         for holder, _ in split.load_by_replica[expert]
@@ -156,26 +181,30 @@
             len(hosts) == len(set(group.host_by_rank)))
 
 
-def _replacements(layout: placement.Layout, rank: int, expert: int,
-                  split: placement.Split) -> Iterator[tuple[Load, ...]]:
+def _replacements(
+        layout: placement.LayerLayout, rank: int, expert: int,
+        split: placement.TrafficSplit) -> Iterator[tuple[ExpertLoad, ...]]:
     spare = [
         held for held in layout[rank] if len(split.load_by_replica[held]) > 1
     ]
     if spare:
-        dropped = min(spare, key=lambda held: (_part(split, held, rank), held))
-        yield (Load(rank, expert, dropped),)
+        dropped = min(spare,
+                      key=lambda held: (_replica_load(split, held, rank), held))
+        yield (ExpertLoad(rank, expert, dropped),)
 
 
-def _swaps(group: placement.Group, layout: placement.Layout, hot_rank: int,
-           rank: int, expert: int,
-           split: placement.Split) -> Iterator[tuple[Load, ...]]:
-    wanted = _part(split, expert, hot_rank) - (split.load_by_rank[hot_rank] -
-                                               split.load_by_rank[rank]) / 2
+def _swaps(group: placement.GroupShape, layout: placement.LayerLayout,
+           max_load_rank: int, rank: int, expert: int,
+           split: placement.TrafficSplit) -> Iterator[tuple[ExpertLoad, ...]]:
+    ideal_load = _replica_load(split, expert, max_load_rank) - (
+        split.load_by_rank[max_load_rank] - split.load_by_rank[rank]) / 2
     others = [
-        held for held in layout[rank] if held not in layout[hot_rank] and
+        held for held in layout[rank] if held not in layout[max_load_rank] and
         (len(split.load_by_replica[held]) == 1 or
-         _may_hold(group, hot_rank, held, split))
+         _may_hold(group, max_load_rank, held, split))
     ]
-    others.sort(key=lambda held: (abs(_part(split, held, rank) - wanted), held))
+    others.sort(key=lambda held:
+                (abs(_replica_load(split, held, rank) - ideal_load), held))
     for other in others:
-        yield (Load(rank, expert, other), Load(hot_rank, other, expert))
+        yield (ExpertLoad(rank, expert,
+                          other), ExpertLoad(max_load_rank, other, expert))
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -1,9 +1,10 @@
-"""Orders to engines: one effect and one recorded result for each order id.
+"""Orders to engines, executed at most once and with one recorded result.
 
-The holder of a duty writes an order to its journal row before it sends it. The
-row names the agent's incarnation that may carry it out. The agent refuses
-fencing numbers below the highest that it has seen, and answers a repeat of an
-order id with the first result.
+The issuer is the process that holds the lease of an order duty. It writes an
+order to a journal row before it sends the order. The row contains the
+incarnation of the agent that may execute the order. The agent refuses fencing
+numbers below the highest that it has seen, and answers a repeated order ID
+with the first result.
 """
 
 import dataclasses
@@ -12,29 +13,32 @@
 from collections.abc import Iterable, Mapping
 
 __all__ = [
-    'Answer', 'Fence', 'JournalRow', 'Order', 'OrderState', 'Result', 'Step',
-    'Verdict', 'all_duties', 'close', 'decide', 'duty_of', 'finish', 'journal',
-    'next_step', 'raise_fence', 'reissue', 'settled_below'
+    'AgentAction', 'AgentOrderState', 'IssuerAction', 'JournalRow', 'Order',
+    'OrderAnswer', 'OrderState', 'Result', 'closed_row', 'handle_order',
+    'new_journal_row', 'next_issuer_action', 'order_duties',
+    'order_duty_for_host', 'record_fencing', 'record_result', 'reissued_row',
+    'settled_below_number'
 ]
 
-MAX_KEPT_ORDERS = 1024
-DUTIES = 16
+MAX_REMEMBERED_ORDERS = 1024
+ORDER_DUTY_COUNT = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """One order as it travels.
+    """An order as sent to an agent.
 
     Attributes:
-        id: unique for ever in its duty.
-        duty: the duty whose holder gives it.
-        number: rises with each order of the duty.
-        host: the upstream host that it is for.
-        kind: what to do, such as 'load_model'.
+        id: the order ID; never reused within a duty.
+        duty: the duty whose lease the issuer holds.
+        number: the sequence number, increasing within the duty.
+        host: the upstream host to execute the order.
+        kind: the action, such as 'load_model'.
         arguments: names and values, as JSON text.
-        fencing: the number of the lease under which it was sent.
-        incarnation: the agent's incarnation that may carry it out.
-        settled_below: every lower number has an ended row in the journal.
+        fencing: the fencing number of the lease under which it was sent.
+        incarnation: the incarnation of the agent that may execute it.
+        settled_below: all orders with a lower number are closed in the
+            journal.
     """
 
     id: str
@@ -50,12 +54,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
-    """How an order ended at the engine.
+    """The outcome of an order at the engine.
 
     Attributes:
-        done: whether it took effect.
-        detail: what the engine said.
-        is_known: whether the engine answered; if not, `done` says nothing.
+        done: whether the order took effect.
+        detail: the text that the engine returned.
+        is_known: whether the engine answered; if not, `done` has no meaning.
     """
 
     done: bool
@@ -63,13 +67,13 @@
     is_known: bool = True
 
     @property
-    def answer(self) -> 'Answer':
-        """What an agent says of an order with this result."""
-        return Answer.ENDED if self.is_known else Answer.UNKNOWN
+    def answer(self) -> 'OrderAnswer':
+        """The answer of an agent to an order with this result."""
+        return OrderAnswer.ENDED if self.is_known else OrderAnswer.UNKNOWN
 
 
 class OrderState(enum.StrEnum):
-    """How far an order is known to have come."""
+    """The state of an order in the journal."""
 
     ISSUED = 'issued'
     ENDED = 'ended'
@@ -78,12 +82,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JournalRow:
-    """One order as the table keeps it.
+    """An order as stored in the table.
 
     Attributes:
-        order: the order as it was sent last.
-        state: how far it came.
-        result: the one result once it has ended.
+        order: the order as last sent.
+        state: the state of the order.
+        result: the result once the order has ended, or None.
     """
 
     order: Order
@@ -91,8 +95,8 @@
     result: Result | None = None
 
 
-class Answer(enum.StrEnum):
-    """What an agent says to an order."""
+class OrderAnswer(enum.StrEnum):
+    """The answer of an agent to an order."""
 
     ENDED = 'ended'
     RUNNING = 'running'
@@ -105,19 +109,19 @@
     FULL = 'full'
 
 
-def duty_of(host: str) -> str:
-    """The duty whose holder gives orders to a host."""
-    shard = zlib.crc32(host.encode()) % DUTIES
+def order_duty_for_host(host: str) -> str:
+    """Returns the duty whose lease holder issues orders to a host."""
+    shard = zlib.crc32(host.encode()) % ORDER_DUTY_COUNT
     return f'orders/{shard:02d}'
 
 
-def all_duties() -> tuple[str, ...]:
-    """Every duty of giving orders."""
-    return tuple(f'orders/{shard:02d}' for shard in range(DUTIES))
+def order_duties() -> tuple[str, ...]:
+    """Returns the names of all order duties."""
+    return tuple(f'orders/{shard:02d}' for shard in range(ORDER_DUTY_COUNT))
 
 
-class Step(enum.Enum):
-    """What the holder of the duty does next about an order."""
+class IssuerAction(enum.Enum):
+    """The next action of an issuer for an order in the journal."""
 
     SEND = 'send'
     REISSUE = 'reissue'
@@ -126,8 +130,8 @@
     STOP = 'stop'
 
 
-class Verdict(enum.Enum):
-    """What an agent does with an order."""
+class AgentAction(enum.Enum):
+    """The action of an agent on an order."""
 
     BEGIN = 'begin'
     REPEAT = 'repeat'
@@ -140,126 +144,137 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Fence:
-    """What one incarnation of an agent remembers.
+class AgentOrderState:
+    """The in-memory state of one incarnation of an agent.
 
     Attributes:
-        incarnation: the agent's incarnation.
-        highest_by_duty: the highest fencing number seen for each duty, from
-            the lease's row and from orders.
-        settled_by_duty: below this number the journal holds every result.
-        result_by_id: results of ended orders; None while one runs.
-        key_by_id: duty and number of the orders in `result_by_id`.
+        incarnation: the incarnation of the agent.
+        highest_fencing_by_duty: the highest fencing number seen for each duty,
+            in the lease row or in orders.
+        settled_below_by_duty: the number below which the journal has closed
+            all orders of a duty.
+        result_by_id: the results of ended orders by order ID; None for an
+            order that is running.
+        duty_and_number_by_id: the duty and number of each order in
+            `result_by_id`.
     """
 
     incarnation: str
-    highest_by_duty: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    settled_by_duty: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    highest_fencing_by_duty: Mapping[str, int] = dataclasses.field(
+        default_factory=dict)
+    settled_below_by_duty: Mapping[str, int] = dataclasses.field(
+        default_factory=dict)
     result_by_id: Mapping[str, Result |
                           None] = dataclasses.field(default_factory=dict)
-    key_by_id: Mapping[str,
-                       tuple[str,
-                             int]] = dataclasses.field(default_factory=dict)
+    duty_and_number_by_id: Mapping[str, tuple[str, int]] = dataclasses.field(
+        default_factory=dict)
 
 
-def journal(order: Order) -> JournalRow:
-    """The row to insert before an order is sent for the first time."""
+def new_journal_row(order: Order) -> JournalRow:
+    """Returns the row to insert before an order is first sent."""
     return JournalRow(order=order)
 
 
-def next_step(row: JournalRow, *, fencing: int, incarnation: str) -> Step:
-    """Decides what a holder does with an order that the journal holds.
+def next_issuer_action(row: JournalRow, *, fencing: int,
+                       incarnation: str) -> IssuerAction:
+    """Returns the next action of an issuer for an order in the journal.
 
     Args:
-        row: the order's row.
-        fencing: the number of the holder's lease.
-        incarnation: the agent's incarnation now; empty when it has no link.
+        row: the row of the order.
+        fencing: the fencing number of the issuer's lease.
+        incarnation: the current incarnation of the agent; empty if there is no
+            link to it.
     """
     if row.state is not OrderState.ISSUED:
-        return Step.REPORT
+        return IssuerAction.REPORT
     if row.order.fencing > fencing:
-        return Step.STOP
+        return IssuerAction.STOP
     if incarnation and incarnation != row.order.incarnation:
-        return Step.CLOSE_UNKNOWN
+        return IssuerAction.CLOSE_UNKNOWN
     if row.order.fencing < fencing:
-        return Step.REISSUE
-    return Step.SEND
+        return IssuerAction.REISSUE
+    return IssuerAction.SEND
 
 
-def reissue(row: JournalRow, *, fencing: int) -> JournalRow:
-    """The row after a successor has taken an order over.
+def reissued_row(row: JournalRow, *, fencing: int) -> JournalRow:
+    """Returns the row of an order that a new lease holder sends again.
 
-    The incarnation stays: only the agent that may have begun the order can
-    prove that it has not.
+    The incarnation is unchanged: only the incarnation that may have started
+    the order can confirm that it has not.
     """
     return dataclasses.replace(row,
                                order=dataclasses.replace(row.order,
                                                          fencing=fencing))
 
 
-def close(row: JournalRow, answer: Answer,
-          result: Result | None) -> JournalRow | None:
-    """The row after an agent's answer; None when the order stays open."""
-    if answer is Answer.ENDED and result is not None:
+def closed_row(row: JournalRow, answer: OrderAnswer,
+               result: Result | None) -> JournalRow | None:
+    """Returns the row closed by an agent's answer; None if it stays open."""
+    if answer is OrderAnswer.ENDED and result is not None:
         return dataclasses.replace(row, state=OrderState.ENDED, result=result)
-    if answer in (Answer.OTHER_INCARNATION, Answer.UNKNOWN):
+    if answer in (OrderAnswer.OTHER_INCARNATION, OrderAnswer.UNKNOWN):
         return dataclasses.replace(row, state=OrderState.UNKNOWN)
     return None
 
 
-def raise_fence(fence: Fence, duty: str, fencing: int) -> Fence:
-    """Remembers a fencing number if it is the highest for its duty."""
-    if fencing <= fence.highest_by_duty.get(duty, -1):
-        return fence
-    return dataclasses.replace(fence,
-                               highest_by_duty={
-                                   **fence.highest_by_duty, duty: fencing
+def record_fencing(state: AgentOrderState, duty: str,
+                   fencing: int) -> AgentOrderState:
+    """Records a fencing number if it is the highest for its duty."""
+    if fencing <= state.highest_fencing_by_duty.get(duty, -1):
+        return state
+    return dataclasses.replace(state,
+                               highest_fencing_by_duty={
+                                   **state.highest_fencing_by_duty, duty:
+                                       fencing
                                })
 
 
-def decide(fence: Fence, order: Order) -> tuple[Fence, Verdict]:
+def handle_order(state: AgentOrderState,
+                 order: Order) -> tuple[AgentOrderState, AgentAction]:
     """Decides what an agent does with an order.
 
-    An agent that has not yet read the duty's lease row reads it first, so that
-    a restart does not forget the highest number.
+    An agent first reads the lease row of the duty if it has no fencing number
+    for it, so that a restarted agent refuses outdated numbers as well.
 
     Returns:
-        What the agent remembers from now on, and what to do. A result of None
-        is remembered for an order that may begin.
+        The new state of the agent, and the action. For an order to begin, the
+        state has a result of None.
     """
-    if order.duty not in fence.highest_by_duty:
-        return fence, Verdict.READ_FENCE
-    if order.fencing < fence.highest_by_duty[order.duty]:
-        return fence, Verdict.REFUSE_OLD
-    fence = raise_fence(fence, order.duty, order.fencing)
-    fence = _settle(fence, order.duty, order.settled_below)
-    if order.number < fence.settled_by_duty.get(order.duty, 0):
-        return fence, Verdict.REFUSE_SETTLED
-    if order.id in fence.result_by_id:
-        known = fence.result_by_id[order.id]
-        return fence, Verdict.RUNNING if known is None else Verdict.REPEAT
-    if order.incarnation != fence.incarnation:
-        return fence, Verdict.REFUSE_INCARNATION
-    if len(fence.result_by_id) >= MAX_KEPT_ORDERS:
-        return fence, Verdict.REFUSE_FULL
-    return _remember(fence, order), Verdict.BEGIN
-
-
-def finish(fence: Fence, order_id: str, result: Result) -> Fence:
-    """Remembers the first result of an order."""
-    if fence.result_by_id.get(order_id, result) is not None:
-        return fence
-    return dataclasses.replace(fence,
+    if order.duty not in state.highest_fencing_by_duty:
+        return state, AgentAction.READ_FENCE
+    if order.fencing < state.highest_fencing_by_duty[order.duty]:
+        return state, AgentAction.REFUSE_OLD
+    state = record_fencing(state, order.duty, order.fencing)
+    state = _discard_settled(state, order.duty, order.settled_below)
+    if order.number < state.settled_below_by_duty.get(order.duty, 0):
+        return state, AgentAction.REFUSE_SETTLED
+    if order.id in state.result_by_id:
+        known = state.result_by_id[order.id]
+        return state, (AgentAction.RUNNING
+                       if known is None else AgentAction.REPEAT)
+    if order.incarnation != state.incarnation:
+        return state, AgentAction.REFUSE_INCARNATION
+    if len(state.result_by_id) >= MAX_REMEMBERED_ORDERS:
+        return state, AgentAction.REFUSE_FULL
+    return _record_started(state, order), AgentAction.BEGIN
+
+
+def record_result(state: AgentOrderState, order_id: str,
+                  result: Result) -> AgentOrderState:
+    """Records the first result of an order; ignores later ones."""
+    if state.result_by_id.get(order_id, result) is not None:
+        return state
+    return dataclasses.replace(state,
                                result_by_id={
-                                   **fence.result_by_id, order_id: result
+                                   **state.result_by_id, order_id: result
                                })
 
 
-def settled_below(rows: Iterable[JournalRow]) -> int:
-    """The number below which the journal holds the end of every order.
+def settled_below_number(rows: Iterable[JournalRow]) -> int:
+    """Returns the number below which all orders in a journal are closed.
 
     Args:
-        rows: the duty's whole journal.
+        rows: all journal rows of one duty.
     """
     numbers = sorted((row.order.number, row.state) for row in rows)
     for number, state in numbers:
@@ -268,34 +283,35 @@
     return numbers[-1][0] + 1 if numbers else 0
 
 
-def _remember(fence: Fence, order: Order) -> Fence:
-    return dataclasses.replace(fence,
+def _record_started(state: AgentOrderState, order: Order) -> AgentOrderState:
+    return dataclasses.replace(state,
                                result_by_id={
-                                   **fence.result_by_id, order.id: None
+                                   **state.result_by_id, order.id: None
                                },
-                               key_by_id={
-                                   **fence.key_by_id, order.id:
+                               duty_and_number_by_id={
+                                   **state.duty_and_number_by_id, order.id:
                                        (order.duty, order.number)
                                })
 
 
-def _settle(fence: Fence, duty: str, number: int) -> Fence:
-    """Forgets orders whose numbers are too low to be begun ever again."""
-    if number <= fence.settled_by_duty.get(duty, 0):
-        return fence
-    key_by_id = {
+def _discard_settled(state: AgentOrderState, duty: str,
+                     number: int) -> AgentOrderState:
+    """Removes the results of orders that the journal has closed."""
+    if number <= state.settled_below_by_duty.get(duty, 0):
+        return state
+    duty_and_number_by_id = {
         order_id: key
-        for order_id, key in fence.key_by_id.items()
+        for order_id, key in state.duty_and_number_by_id.items()
         if key[0] != duty or key[1] >= number
     }
     return dataclasses.replace(
-        fence,
-        settled_by_duty={
-            **fence.settled_by_duty, duty: number
+        state,
+        settled_below_by_duty={
+            **state.settled_below_by_duty, duty: number
         },
-        key_by_id=key_by_id,
+        duty_and_number_by_id=duty_and_number_by_id,
         result_by_id={
             order_id: result
-            for order_id, result in fence.result_by_id.items()
-            if order_id in key_by_id
+            for order_id, result in state.result_by_id.items()
+            if order_id in duty_and_number_by_id
         })
--- a/pollenthread/core/switch_rank.py
+++ b/pollenthread/core/switch_rank.py
@@ -1,31 +1,34 @@
-"""What a rank does in a switch of expert maps; see `switch`."""
+"""State transitions of a rank in a map switch; see `switch`."""
 
 import dataclasses
 
 from pollenthread.core import switch
 
 __all__ = [
-    'RankResult', 'advance', 'answer_ask', 'ask', 'join', 'may_enter', 'on_arm',
-    'on_decide', 'on_loaded', 'on_name', 'on_prepare', 'on_query', 'restart'
+    'RankResult', 'answer_decision_request', 'decision_request',
+    'enter_next_step', 'join_request', 'may_enter_next_step', 'on_arm',
+    'on_decide', 'on_loaded', 'on_name', 'on_prepare', 'on_query',
+    'restarted_rank'
 ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankResult:
-    """A rank after a message, and its answer if it has one."""
+    """A rank after an event, and its reply or None."""
 
     rank: switch.Rank
-    reply: switch.Reply | None = None
+    reply: switch.RankMessage | None = None
 
 
-def restart(rank: switch.Rank, *, fence: int, step: int) -> switch.Rank:
-    """The rank after it has lost its memory.
+def restarted_rank(rank: switch.Rank, *, fence: int, step: int) -> switch.Rank:
+    """Returns the state of a rank after a restart.
 
     Args:
-        rank: what it was.
-        fence: the fencing number that the group's row holds, read after the
-            start, so that a decider replaced meanwhile is refused.
-        step: the last step that the whole group has completed.
+        rank: the state before the restart.
+        fence: the fencing number in the lease row of the group. It is read
+            after the start, so that messages of a replaced coordinator are
+            ignored.
+        step: the last step that all ranks of the group have completed.
     """
     return switch.Rank(index=rank.index,
                        incarnation=rank.incarnation + 1,
@@ -33,8 +36,8 @@
                        step=step)
 
 
-def may_enter(rank: switch.Rank) -> bool:
-    """Whether the rank may enter its next step."""
+def may_enter_next_step(rank: switch.Rank) -> bool:
+    """Returns whether the rank may enter its next step."""
     if rank.held is None:
         return False
     if rank.pending is None or rank.stage is not switch.Stage.ARMED:
@@ -42,13 +45,13 @@
     return rank.step + 1 < rank.pending.step
 
 
-def advance(rank: switch.Rank) -> switch.Rank:
-    """Enters the next step; only if `may_enter`."""
+def enter_next_step(rank: switch.Rank) -> switch.Rank:
+    """Enters the next step; requires `may_enter_next_step`."""
     return dataclasses.replace(rank, step=rank.step + 1)
 
 
 def on_query(rank: switch.Rank, order: switch.Query) -> RankResult:
-    """Raises the fence and reports."""
+    """Raises the fencing number and reports the state of the rank."""
     if order.fence < rank.fence:
         return RankResult(rank)
     rank = dataclasses.replace(rank, fence=order.fence)
@@ -56,16 +59,16 @@
 
 
 def on_prepare(rank: switch.Rank, order: switch.Prepare) -> RankResult:
-    """Begins to load; a repeat is answered from what is there."""
-    held = rank.held
-    if order.id.fence < rank.fence or held is None:
+    """Starts to load a map; answers a repeated request from the state."""
+    map_state = rank.held
+    if order.id.fence < rank.fence or map_state is None:
         return RankResult(rank)
     rank = dataclasses.replace(rank, fence=order.id.fence)
     if rank.pending is not None and rank.pending.id == order.id:
         if rank.stage is switch.Stage.LOADING:
             return RankResult(rank)
         return RankResult(rank, _prepared(rank, order.id, ok=True))
-    if order.id <= held.closed or not _is_free(rank, held):
+    if order.id <= map_state.closed or not _is_free(rank, map_state):
         return RankResult(rank, _prepared(rank, order.id, ok=False))
     return RankResult(
         dataclasses.replace(rank,
@@ -73,17 +76,17 @@
                             stage=switch.Stage.LOADING))
 
 
-def _is_free(rank: switch.Rank, held: switch.Map) -> bool:
-    """Whether no earlier switch is undecided or yet to come into force."""
+def _is_free(rank: switch.Rank, map_state: switch.Map) -> bool:
+    """Returns whether no earlier switch is armed or yet to take effect."""
     if rank.pending is not None and rank.stage is switch.Stage.ARMED:
         return False
-    latest = held.latest
+    latest = map_state.latest
     return latest is None or rank.step >= latest.step
 
 
 def on_loaded(rank: switch.Rank, switch_id: switch.SwitchId, *,
               ok: bool) -> RankResult:
-    """The load of a pending switch's weights has ended."""
+    """Records that loading the weights of the pending switch has ended."""
     if (rank.pending is None or rank.pending.id != switch_id or
             rank.stage is not switch.Stage.LOADING):
         return RankResult(rank)
@@ -95,7 +98,7 @@
 
 
 def on_arm(rank: switch.Rank, order: switch.Arm) -> RankResult:
-    """Promises to wait at the step, unless it was entered already."""
+    """Arms the rank for a step, unless it has entered that step already."""
     if order.id.fence < rank.fence or rank.held is None:
         return RankResult(rank)
     pending = rank.pending
@@ -114,43 +117,45 @@
 
 
 def on_decide(rank: switch.Rank, order: switch.Decide) -> RankResult:
-    """Takes a decision, unless a later decider has been heard since."""
-    held = rank.held
-    if order.fence < rank.fence or held is None:
+    """Applies a decision, unless its fencing number is out of date."""
+    map_state = rank.held
+    if order.fence < rank.fence or map_state is None:
         return RankResult(rank)
     rank = dataclasses.replace(rank, fence=order.fence)
     noted = switch.Noted(order.id, rank.index, rank.incarnation)
-    if order.id <= held.closed:
+    if order.id <= map_state.closed:
         return RankResult(rank, noted)
     pending = rank.pending
-    is_mine = pending is not None and pending.id == order.id
-    if pending is not None and not is_mine and rank.stage is switch.Stage.ARMED:
+    is_pending = pending is not None and pending.id == order.id
+    if (pending is not None and not is_pending and
+            rank.stage is switch.Stage.ARMED):
         return RankResult(rank)
     if not order.commit:
-        held = dataclasses.replace(held, closed=order.id)
+        map_state = dataclasses.replace(map_state, closed=order.id)
         return RankResult(
             dataclasses.replace(rank,
-                                held=held,
-                                pending=None if is_mine else pending,
+                                held=map_state,
+                                pending=None if is_pending else pending,
                                 decided_fence=order.fence), noted)
-    if pending is None or not is_mine or rank.stage is not switch.Stage.ARMED:
+    if (pending is None or not is_pending or
+            rank.stage is not switch.Stage.ARMED):
         return RankResult(rank)
     return RankResult(
         dataclasses.replace(rank,
-                            held=switch.commit(held, pending),
+                            held=switch.map_after_commit(map_state, pending),
                             pending=None,
                             decided_fence=order.fence), noted)
 
 
-def join(rank: switch.Rank) -> switch.Join | None:
-    """What a rank without a map asks the decider."""
+def join_request(rank: switch.Rank) -> switch.Join | None:
+    """Returns the request for the map state; None if the rank has one."""
     if rank.held is not None:
         return None
     return switch.Join(rank.index, rank.incarnation)
 
 
 def on_name(rank: switch.Rank, order: switch.Name) -> RankResult:
-    """Takes the map that the group names."""
+    """Adopts the map state sent by the coordinator."""
     if (order.fence < rank.fence or rank.held is not None or
             order.incarnation != rank.incarnation):
         return RankResult(rank)
@@ -162,24 +167,29 @@
                             decided_fence=order.fence))
 
 
-def ask(rank: switch.Rank) -> switch.Ask | None:
-    """What a rank that waits at its armed step asks the others."""
-    if rank.pending is None or may_enter(rank):
+def decision_request(rank: switch.Rank) -> switch.Ask | None:
+    """Returns the request to other ranks for the decision.
+
+    Returns:
+        The request, or None unless the rank is blocked at its armed step.
+    """
+    if rank.pending is None or may_enter_next_step(rank):
         return None
     return switch.Ask(rank.pending.id)
 
 
-def answer_ask(rank: switch.Rank, question: switch.Ask) -> switch.Decide | None:
-    """Tells a decision with the fencing number that brought it.
+def answer_decision_request(rank: switch.Rank,
+                            request: switch.Ask) -> switch.Decide | None:
+    """Returns the decision on a switch, or None if it is not known.
 
-    A greater number would be a lie: the later decider may not have heard of
-    this decision.
+    The decision carries the fencing number under which it was received, not
+    the current one: a later coordinator may not know this decision.
     """
-    if rank.held is None or rank.held.closed != question.id:
+    if rank.held is None or rank.held.closed != request.id:
         return None
     latest = rank.held.latest
-    commit = latest is not None and latest.id == question.id
-    return switch.Decide(rank.decided_fence, question.id, commit)
+    commit = latest is not None and latest.id == request.id
+    return switch.Decide(rank.decided_fence, request.id, commit)
 
 
 def _prepared(rank: switch.Rank, switch_id: switch.SwitchId, *,
--- /dev/null
+++ b/pollenthread/platform/field_reader.py
@@ -0,0 +1,182 @@
+"""Typed access to the fields of decoded JSON or TOML documents.
+
+Errors contain the path of the invalid field. No validation library is used:
+importing one and building its models takes a third of the time from the start
+of a process until it serves requests, which would delay every restart.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import Any, Self
+
+__all__ = ['FieldReader', 'FieldError']
+
+
+class FieldError(ValueError):
+    """A field is missing or has a value of the wrong type."""
+
+
+class FieldReader:
+    """Reads the fields of one object by name and checks their types.
+
+    A field that is null counts as missing. Fields that are never read are
+    ignored.
+    """
+
+    def __init__(self, document: Any, *, path: str = '') -> None:
+        """Initializes the reader.
+
+        Args:
+            document: Decoded object.
+            path: Path of the object in the whole document, for error messages;
+                empty for the document itself.
+
+        Raises:
+            FieldError: `document` is not an object.
+        """
+        if not isinstance(document, Mapping):
+            raise FieldError(f'{path or "the document"} is no object')
+        self._document = document
+        self._prefix = path
+
+    def has(self, name: str) -> bool:
+        """Returns whether the field is present and not null."""
+        return self._document.get(name) is not None
+
+    def _field_path(self, name: str) -> str:
+        return f'{self._prefix}.{name}' if self._prefix else name
+
+    def _get_value(self, name: str, default: Any) -> Any:
+        value = self._document.get(name)
+        if value is not None:
+            return value
+        if default is None:
+            raise FieldError(f'{self._field_path(name)} is missing')
+        return default
+
+    def get_str(self, name: str, default: str | None = None) -> str:
+        """Returns a string field.
+
+        Args:
+            name: Name of the field.
+            default: Value of a missing field; None if the field is required.
+
+        Raises:
+            FieldError: The field is required and missing, or not a string.
+        """
+        return self._check_type(name, self._get_value(name, default), str,
+                                'text')
+
+    def get_float(self, name: str, default: float | None = None) -> float:
+        """Returns a finite number as a float.
+
+        Args:
+            name: Name of the field.
+            default: Value of a missing field; None if the field is required.
+
+        Raises:
+            FieldError: The field is required and missing, or not a finite
+                number.
+        """
+        value = self._get_value(name, default)
+        if (isinstance(value, bool) or not isinstance(value, (int, float)) or
+                not math.isfinite(value)):
+            raise FieldError(
+                f'{self._field_path(name)} is no number: {value!r}')
+        return float(value)
+
+    def get_int(self, name: str, default: int | None = None) -> int:
+        """Returns an integer; a float without a fraction is accepted.
+
+        Args:
+            name: Name of the field.
+            default: Value of a missing field; None if the field is required.
+
+        Raises:
+            FieldError: The field is required and missing, or not an integer.
+        """
+        value = self._get_value(name, default)
+        if not _is_integer(value):
+            raise FieldError(
+                f'{self._field_path(name)} is no whole number: {value!r}')
+        return int(value)
+
+    def get_bool(self, name: str, default: bool) -> bool:
+        """Returns a Boolean field, or `default` if it is missing.
+
+        Raises:
+            FieldError: The field is not a Boolean.
+        """
+        return self._check_type(name, self._get_value(name, default), bool,
+                                'flag')
+
+    def get_object(self, name: str) -> Self:
+        """Returns a reader of a nested object; of an empty one if missing.
+
+        Raises:
+            FieldError: The field is not an object.
+        """
+        return type(self)(self._get_value(name, {}),
+                          path=self._field_path(name))
+
+    def get_objects(self, name: str) -> list[Self]:
+        """Returns readers of a list of objects; empty if the field is missing.
+
+        Raises:
+            FieldError: The field is not a list of objects.
+        """
+        items = self._check_type(name, self._get_value(name, []), list, 'list')
+        return [
+            type(self)(value, path=f'{self._field_path(name)}[{index}]')
+            for index, value in enumerate(items)
+        ]
+
+    def get_strs(self, name: str) -> tuple[str, ...]:
+        """Returns a list of strings; empty if the field is missing.
+
+        Raises:
+            FieldError: The field is not a list of strings.
+        """
+        items = self._check_type(name, self._get_value(name, []), list, 'list')
+        return tuple(
+            self._check_type(f'{name}[{index}]', value, str, 'text')
+            for index, value in enumerate(items))
+
+    def get_ints(self, name: str, *, count: int) -> tuple[int, ...]:
+        """Returns a list of exactly `count` integers.
+
+        Raises:
+            FieldError: The field is missing or not such a list.
+        """
+        items = self._check_type(name, self._get_value(name, None), list,
+                                 'list')
+        if len(items) != count or not all(map(_is_integer, items)):
+            raise FieldError(
+                f'{self._field_path(name)} is not {count} whole numbers: '
+                f'{items!r}')
+        return tuple(int(value) for value in items)
+
+    def get_str_by_name(self, name: str) -> dict[str, str]:
+        """Returns an object whose values are strings; empty if missing.
+
+        Raises:
+            FieldError: The field is not an object or a value is not a string.
+        """
+        mapping = self._check_type(name, self._get_value(name, {}), Mapping,
+                                   'object')
+        return {
+            str(key): self._check_type(f'{name}.{key}', value, str, 'text')
+            for key, value in mapping.items()
+        }
+
+    def _check_type(self, name: str, value: Any, expected_type: Any,
+                    type_name: str) -> Any:
+        if not isinstance(value, expected_type):
+            raise FieldError(
+                f'{self._field_path(name)} is no {type_name}: {value!r}')
+        return value
+
+
+def _is_integer(value: Any) -> bool:
+    return (isinstance(value, (int, float)) and not isinstance(value, bool) and
+            value == value // 1)
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -1,4 +1,4 @@
-"""Model servers' reports, counts and orders over HTTP."""
+"""HTTP client for the status, expert counts and orders of a model server."""
 
 import asyncio
 import json
@@ -6,55 +6,56 @@
 
 from pollenthread.adapters import http_client
 from pollenthread.core import peer_messages
-from pollenthread.platform import names
+from pollenthread.platform import wire_names
 from pollenthread.ports import rank_server
 
 __all__ = ['HttpRankServer']
 
-_ANSWER_TIMEOUT_S = 0.08
-_JSON = (('content-type', 'application/json'),)
+_RESPONSE_TIMEOUT_S = 0.08
+_JSON_HEADERS = (('content-type', 'application/json'),)
 _PERCENT = 100
-_COMPACT = (',', ':')
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+_COMPACT_SEPARATORS = (',', ':')
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class HttpRankServer(rank_server.RankServer):
-    """Asks and orders one server."""
+    """Client of one model server that is a rank of a group."""
 
     def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
         self._client = client
         self._address = address
 
-    async def report(self) -> rank_server.RankReport:
-        _, found = await self._call('GET', names.Path.REPORT)
+    async def fetch_status(self) -> rank_server.RankServerStatus:
+        _, document = await self._call('GET', wire_names.UrlPath.RANK_STATUS)
         try:
-            return _report(found)
-        except _MALFORMED as error:
-            raise rank_server.RankSilent(repr(error)) from error
+            return _decode_status(document)
+        except _DECODE_ERRORS as error:
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
 
-    async def counts(self) -> rank_server.RankCounts:
-        _, found = await self._call('GET', names.Path.EXPERT_COUNTS)
+    async def fetch_choice_counts(self) -> rank_server.ExpertChoiceCounts:
+        _, document = await self._call('GET', wire_names.UrlPath.EXPERT_COUNTS)
         try:
-            return rank_server.RankCounts(step=int(found['step']),
-                                          epoch=int(found['epoch']),
-                                          counts=tuple(map(
-                                              int, found['counts'])))
-        except _MALFORMED as error:
-            raise rank_server.RankSilent(repr(error)) from error
-
-    async def layout(self) -> peer_messages.RankLayout:
-        _, found = await self._call('GET',
-                                    f'{names.Path.EXPERT_COUNTS}?lists=1')
+            return rank_server.ExpertChoiceCounts(
+                step=int(document['step']),
+                epoch=int(document['epoch']),
+                counts=tuple(map(int, document['counts'])))
+        except _DECODE_ERRORS as error:
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
+
+    async def fetch_layout(self) -> peer_messages.RankLayout:
+        _, document = await self._call(
+            'GET', f'{wire_names.UrlPath.EXPERT_COUNTS}?lists=1')
         try:
             return peer_messages.RankLayout(
-                epoch=int(found['epoch']),
-                version=int(found['map']['version']),
+                epoch=int(document['epoch']),
+                version=int(document['map']['version']),
                 experts=tuple(
-                    tuple(map(int, held)) for held in found['map']['experts']))
-        except _MALFORMED as error:
-            raise rank_server.RankSilent(repr(error)) from error
+                    tuple(map(int, experts))
+                    for experts in document['map']['experts']))
+        except _DECODE_ERRORS as error:
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
 
-    async def order(self, order: peer_messages.RankOrder) -> int:
+    async def send_order(self, order: peer_messages.RankOrder) -> int:
         body: dict[str, Any] = {
             'operation': order.kind.value,
             'epoch': order.epoch
@@ -70,8 +71,8 @@
                           peer_messages.OrderKind.GO):
             body['step'] = order.step
         status, _ = await self._call(
-            'POST', names.Path.ORDER,
-            json.dumps(body, separators=_COMPACT).encode())
+            'POST', wire_names.UrlPath.RANK_ORDER,
+            json.dumps(body, separators=_COMPACT_SEPARATORS).encode())
         return status
 
     async def _call(self,
@@ -79,61 +80,61 @@
                     target: str,
                     body: bytes = b'') -> tuple[int, Any]:
         try:
-            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
                 try:
-                    return await self._exchange(method, target, body)
+                    return await self._send(method, target, body)
                 except ConnectionError:
-                    # Servers drop idle connections without notice. Whatever is
-                    # asked or ordered here may be repeated.
-                    return await self._exchange(method, target, body)
+                    # Servers close idle connections without notice. All
+                    # requests of this client are idempotent and can be retried.
+                    return await self._send(method, target, body)
         except (OSError, TimeoutError, ValueError) as error:
-            raise rank_server.RankSilent(repr(error)) from error
+            raise rank_server.RankServerUnavailableError(repr(error)) from error
 
-    async def _exchange(self, method: str, target: str,
-                        body: bytes) -> tuple[int, Any]:
+    async def _send(self, method: str, target: str,
+                    body: bytes) -> tuple[int, Any]:
         async with self._client.request(self._address,
                                         method,
                                         target,
-                                        headers=_JSON,
-                                        body=body) as exchange:
-            data = await exchange.read_all()
-            return exchange.status, json.loads(data or b'null')
+                                        headers=_JSON_HEADERS,
+                                        body=body) as response:
+            data = await response.read_all()
+            return response.status, json.loads(data or b'null')
 
 
-def _report(found: dict[str, Any]) -> rank_server.RankReport:
-    group = found.get('group') or {}
-    armed = found.get('armed') or {}
+def _decode_status(document: dict[str, Any]) -> rank_server.RankServerStatus:
+    group = document.get('group') or {}
+    armed = document.get('armed') or {}
     state = peer_messages.RankState(
         group=str(group.get('name', '')),
         host='',
         rank=int(group.get('rank', 0)),
-        size=int(found.get('size', 1)),
+        size=int(document.get('size', 1)),
         epoch=int(group.get('epoch', 0)),
         is_open=group.get('state') == 'open',
-        born_ms=int(found.get('born', 0)),
-        step=int(found.get('step') or 0),
-        map_version=int(found.get('map') or 0),
-        prepared_version=_version(found.get('prepared')),
-        armed_version=_version(armed),
+        born_ms=int(document.get('born', 0)),
+        step=int(document.get('step') or 0),
+        map_version=int(document.get('map') or 0),
+        prepared_version=_decode_version(document.get('prepared')),
+        armed_version=_decode_version(armed),
         armed_step=int(armed.get('step', 0)) if isinstance(armed, dict) else 0,
-        held_step=_step(found.get('held')),
-        is_busy=bool(found.get('busy')),
-        pace_percent=int(float(found.get('pace', 1.0)) * _PERCENT))
-    return rank_server.RankReport(state=state,
-                                  running=int(found['running']),
-                                  waiting=int(found['waiting']),
-                                  is_in_group=bool(group.get('name')))
+        held_step=_decode_step(document.get('held')),
+        is_busy=bool(document.get('busy')),
+        pace_percent=int(float(document.get('pace', 1.0)) * _PERCENT))
+    return rank_server.RankServerStatus(state=state,
+                                        running=int(document['running']),
+                                        waiting=int(document['waiting']),
+                                        is_group_member=bool(group.get('name')))
 
 
-def _version(value: Any) -> int:
-    """A version that stands bare or in an object."""
+def _decode_version(value: Any) -> int:
+    """Decodes a version, given as a number or as an object with a version."""
     if isinstance(value, dict):
         value = value.get('version')
     return int(value or 0)
 
 
-def _step(value: Any) -> int:
-    """A pass that stands bare or in an object."""
+def _decode_step(value: Any) -> int:
+    """Decodes the number of a pass, given as a number or in an object."""
     if isinstance(value, dict):
         value = value.get('step')
     return int(value or 0)
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -1,4 +1,4 @@
-"""The platform's store over HTTP."""
+"""HTTP client of the platform's store of table rows."""
 
 import asyncio
 import base64
@@ -12,38 +12,43 @@
 import result
 
 from pollenthread.adapters import http_client
-from pollenthread.platform import names
+from pollenthread.platform import wire_names
 from pollenthread.ports import row_store
 
 __all__ = ['HttpRowStore']
 
-_ANSWER_TIMEOUT_S = 1.0
-_FAULT_BY_STATUS = {
-    410: row_store.StoreFault.HISTORY_LOST,
-    412: row_store.StoreFault.CONFLICT,
-    429: row_store.StoreFault.LIMITED,
-    503: row_store.StoreFault.UNAVAILABLE,
+_RESPONSE_TIMEOUT_S = 1.0
+_ERROR_BY_STATUS = {
+    410: row_store.StoreError.HISTORY_LOST,
+    412: row_store.StoreError.CONFLICT,
+    429: row_store.StoreError.LIMITED,
+    503: row_store.StoreError.UNAVAILABLE,
 }
-_JSON = (('content-type', 'application/json'),)
+_JSON_HEADERS = (('content-type', 'application/json'),)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Page:
-    """One answer of the store.
+    """Decoded response of the store.
 
     Attributes:
-        changes: the rows.
-        version: the store's counter.
-        has_more: whether the table goes on.
+        changes: Rows of the response.
+        version: Version counter of the store.
+        has_more: Whether the table has rows after these.
     """
 
-    changes: tuple[row_store.Change, ...]
+    changes: tuple[row_store.RowChange, ...]
     version: int
     has_more: bool
 
 
 class HttpRowStore(row_store.RowStore):
-    """Calls the store; counts calls by path and outcome."""
+    """Client of the store.
+
+    Attributes:
+        calls_by_outcome: Number of calls by outcome: 'ok' or the value of the
+            error.
+    """
 
     def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
         self._client = client
@@ -51,94 +56,99 @@
         self.calls_by_outcome: dict[str, int] = {}
 
     async def read(
-            self, table: str
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
-        changes: list[row_store.Change] = []
-        start = ''
+        self, table: str
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
+        changes: list[row_store.RowChange] = []
+        first_key = ''
         while True:
             query = {'table': table, 'part': ''}
-            if start:
-                query['from'] = start
-            answer = await self._get(names.Path.READ, query, 0.0)
-            if isinstance(answer, result.Err):
-                return result.Err(answer.err_value)
-            page = answer.ok_value
+            if first_key:
+                query['from'] = first_key
+            response = await self._get(wire_names.UrlPath.READ_ROWS, query, 0.0)
+            if isinstance(response, result.Err):
+                return result.Err(response.err_value)
+            page = response.ok_value
             changes += page.changes
             if not page.has_more or not page.changes:
-                return result.Ok(row_store.Changes(tuple(changes),
-                                                   page.version))
-            start = page.changes[-1].key + '\0'
+                return result.Ok(
+                    row_store.RowChanges(tuple(changes), page.version))
+            first_key = page.changes[-1].key + '\0'
 
     async def watch(
-        self, table: str, after: int, wait_s: float
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
+        self, table: str, after_version: int, wait_s: float
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         query = {
             'table': table,
-            'after': str(after),
+            'after': str(after_version),
             'wait_ms': str(round(wait_s * 1000))
         }
-        answer = await self._get(names.Path.WATCH, query, wait_s)
-        return answer.map(
-            lambda page: row_store.Changes(page.changes, page.version))
+        response = await self._get(wire_names.UrlPath.WATCH_ROWS, query, wait_s)
+        return response.map(
+            lambda page: row_store.RowChanges(page.changes, page.version))
 
     async def write(
         self, writes: Sequence[row_store.RowWrite]
-    ) -> result.Result[int, row_store.StoreFault]:
-        body = json.dumps(_transaction(writes)).encode()
-        answer = await self._call('POST', names.Path.COMMIT, body, 0.0)
-        return answer.map(lambda page: page.version)
+    ) -> result.Result[int, row_store.StoreError]:
+        body = json.dumps(_encode_transaction(writes)).encode()
+        response = await self._call('POST', wire_names.UrlPath.WRITE_ROWS, body,
+                                    0.0)
+        return response.map(lambda page: page.version)
 
     async def _get(self, path: str, query: dict[str, str],
-                   wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
+                   wait_s: float) -> result.Result[_Page, row_store.StoreError]:
         return await self._call('GET', f'{path}?{parse.urlencode(query)}', b'',
                                 wait_s)
 
     async def _call(
             self, method: str, target: str, body: bytes,
-            wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
-        answer = await self._exchange(method, target, body, wait_s)
-        outcome = 'ok' if answer.is_ok() else answer.unwrap_err().value
+            wait_s: float) -> result.Result[_Page, row_store.StoreError]:
+        response = await self._send(method, target, body, wait_s)
+        outcome = 'ok' if response.is_ok() else response.unwrap_err().value
         self.calls_by_outcome[outcome] = self.calls_by_outcome.get(outcome,
                                                                    0) + 1
-        return answer
+        return response
 
-    async def _exchange(
+    async def _send(
             self, method: str, target: str, body: bytes,
-            wait_s: float) -> result.Result[_Page, row_store.StoreFault]:
+            wait_s: float) -> result.Result[_Page, row_store.StoreError]:
         try:
-            async with asyncio.timeout(wait_s + _ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(wait_s + _RESPONSE_TIMEOUT_S):
                 async with self._client.request(self._address,
                                                 method,
                                                 target,
-                                                headers=_JSON,
-                                                body=body) as exchange:
-                    data = await exchange.read_all()
-                    if exchange.status != 200:
+                                                headers=_JSON_HEADERS,
+                                                body=body) as response:
+                    data = await response.read_all()
+                    if response.status != 200:
                         return result.Err(
-                            _FAULT_BY_STATUS.get(
-                                exchange.status,
-                                row_store.StoreFault.UNAVAILABLE))
-                    return result.Ok(_page(json.loads(data)))
-        except http_client.ConnectFailed:
-            return result.Err(row_store.StoreFault.UNAVAILABLE)
+                            _ERROR_BY_STATUS.get(
+                                response.status,
+                                row_store.StoreError.UNAVAILABLE))
+                    return result.Ok(_decode_page(json.loads(data)))
+        except http_client.HttpConnectError:
+            return result.Err(row_store.StoreError.UNAVAILABLE)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError,
                 AttributeError):
-            return result.Err(row_store.StoreFault.UNKNOWN)
+            return result.Err(row_store.StoreError.UNKNOWN)
 
 
-def _page(found: Any) -> _Page:
-    """Checks an answer.
+def _decode_page(document: Any) -> _Page:
+    """Decodes a response.
 
     Raises:
-        ValueError, KeyError, TypeError, AttributeError: it is no answer.
+        ValueError, KeyError, TypeError, AttributeError: The response is
+            malformed.
     """
-    return _Page(changes=tuple(_changes(found)),
-                 version=int(found['ver']),
-                 has_more=bool(found.get('has_more')))
+    return _Page(changes=tuple(_decode_changes(document)),
+                 version=int(document['ver']),
+                 has_more=bool(document.get('has_more')))
+
 
+def _decode_changes(page: dict[str, Any]) -> list[row_store.RowChange]:
+    """Decodes rows; a value that is not valid base64 becomes empty bytes.
 
-def _changes(page: dict[str, Any]) -> list[row_store.Change]:
-    """The rows of an answer; a row that cannot be read has empty bytes."""
+    The value of a removed row is None.
+    """
     changes = []
     for row in page.get('rows') or ():
         value: bytes | None = None
@@ -148,22 +158,32 @@
             except (binascii.Error, ValueError):
                 value = b''
         changes.append(
-            row_store.Change(str(row.get('key', '')), value,
-                             int(row.get('ver', 0))))
+            row_store.RowChange(str(row.get('key', '')), value,
+                                int(row.get('ver', 0))))
     return changes
 
 
-def _transaction(writes: Sequence[row_store.RowWrite]) -> dict[str, Any]:
-    names_of = [{'table': w.table, 'part': '', 'key': w.key} for w in writes]
+def _encode_transaction(writes: Sequence[row_store.RowWrite]) -> dict[str, Any]:
+    row_names = [{
+        'table': write.table,
+        'part': '',
+        'key': write.key
+    } for write in writes]
     return {
-        # Here this field holds the rows that must have a given version.
+        # Despite its name, this field is a list: the rows that must have the
+        # given version for the transaction to be applied.
         'expected_revision': [{
-            **name, 'ver': w.expect
-        } for name, w in zip(names_of, writes) if w.expect is not None],
+            **row_name, 'ver': write.expected_version
+        }
+                              for row_name, write in zip(row_names, writes)
+                              if write.expected_version is not None],
         'puts': [{
-            **name, 'value': base64.b64encode(w.value).decode()
-        } for name, w in zip(names_of, writes) if w.value is not None],
+            **row_name, 'value': base64.b64encode(write.value).decode()
+        }
+                 for row_name, write in zip(row_names, writes)
+                 if write.value is not None],
         'deletes': [
-            name for name, w in zip(names_of, writes) if w.value is None
+            row_name for row_name, write in zip(row_names, writes)
+            if write.value is None
         ]
     }
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -1,112 +1,126 @@
-"""Servers over HTTP."""
+"""HTTP client that sends request attempts to servers."""
 
 import contextlib
 from collections.abc import AsyncIterator
 
 from pollenthread.adapters import http_client
 from pollenthread.core import http_headers
-from pollenthread.platform import names
+from pollenthread.platform import wire_names
 from pollenthread.ports import upstream
 
-__all__ = ['HttpUpstream']
+__all__ = ['HttpUpstreamClient']
 
 _MS_PER_S = 1000
-_MAX_STALE_ANSWERS = 4
-_MISDIRECTED = 421
-_MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Headers that concern one connection, or that the product writes anew.
-_NOT_PASSED_ON = frozenset({
+_MAX_STALE_RESPONSES = 4
+_MISDIRECTED_REQUEST_STATUS = 421
+_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Hop-by-hop headers, and headers that are set again for the caller.
+_HEADERS_NOT_FORWARDED = frozenset({
     'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer',
-    'transfer-encoding', 'upgrade', 'content-length', names.Header.NOT_RUN
+    'transfer-encoding', 'upgrade', 'content-length',
+    wire_names.HeaderName.NOT_EXECUTED
 })
 
 
-class HttpUpstream(upstream.Upstream):
-    """Sends requests over kept connections."""
+class HttpUpstreamClient(upstream.UpstreamClient):
+    """Sends attempts over persistent connections.
+
+    Attributes:
+        stale_responses: Number of skipped responses to other requests.
+    """
 
     def __init__(self, *, client: http_client.HttpClient) -> None:
         self._client = client
-        self.stale_answers = 0
+        self.stale_responses = 0
 
-    # A decorated generator is the context manager that the port asks for.
+    # The decorated generator implements the context manager of the port.
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
-        self, attempt: upstream.UpstreamRequest
-    ) -> AsyncIterator[upstream.UpstreamAnswer]:
+        self, attempt: upstream.UpstreamAttempt
+    ) -> AsyncIterator[upstream.UpstreamResponse]:
         request = attempt.request
         try:
             async with self._client.request(attempt.server.address,
                                             request.method,
                                             request.target,
-                                            headers=_headers(attempt),
-                                            body=request.body) as exchange:
-                await self._skip_stale(exchange, request.id)
-                yield _Answer(exchange)
-        except http_client.ConnectFailed as error:
-            raise upstream.ConnectFailed(str(error)) from error
+                                            headers=_build_headers(attempt),
+                                            body=request.body) as response:
+                await self._skip_stale_responses(response, request.id)
+                yield _HttpUpstreamResponse(response)
+        except http_client.HttpConnectError as error:
+            raise upstream.UpstreamConnectError(str(error)) from error
         except OSError as error:
-            raise upstream.UpstreamBroken(str(error)) from error
-
-    async def _skip_stale(self, exchange: http_client.ClientExchange,
-                          request_id: str) -> None:
-        """Reads on to the answer that bears this request's id."""
-        for _ in range(_MAX_STALE_ANSWERS):
-            echoed = exchange.header(names.Header.REQUEST_ID)
-            if echoed is None or echoed == request_id:
+            raise upstream.UpstreamDisconnectedError(str(error)) from error
+
+    async def _skip_stale_responses(self, response: http_client.ClientResponse,
+                                    request_id: str) -> None:
+        """Skips responses whose request ID belongs to another request.
+
+        Raises:
+            ConnectionError: Too many responses in a row were skipped.
+        """
+        for _ in range(_MAX_STALE_RESPONSES):
+            echoed_id = response.header(wire_names.HeaderName.REQUEST_ID)
+            if echoed_id is None or echoed_id == request_id:
                 return
-            self.stale_answers += 1
-            await exchange.skip()
-        raise ConnectionError('only answers to other requests came')
+            self.stale_responses += 1
+            await response.skip_to_next_response()
+        raise ConnectionError('received only responses to other requests')
 
 
-def _headers(attempt: upstream.UpstreamRequest) -> list[http_headers.Header]:
+def _build_headers(
+        attempt: upstream.UpstreamAttempt) -> list[http_headers.Header]:
     request = attempt.request
     time_left_ms = max(1, int(attempt.time_left_s * _MS_PER_S))
     headers = [('host', request.host), *request.headers,
-               (names.Header.DEADLINE_MS, str(time_left_ms)),
-               (names.Header.TARGET_SERVER, attempt.server.id),
-               (names.Header.URGENCY, str(attempt.urgency))]
+               (wire_names.HeaderName.DEADLINE_MS, str(time_left_ms)),
+               (wire_names.HeaderName.TARGET_SERVER, attempt.server.id),
+               (wire_names.HeaderName.PRIORITY, str(attempt.priority))]
     if attempt.workspace is not None:
-        headers.append((names.Header.WORKSPACE, attempt.workspace))
+        headers.append((wire_names.HeaderName.WORKSPACE, attempt.workspace))
     if attempt.last_event_id is not None:
-        headers.append((names.Header.LAST_EVENT_ID, attempt.last_event_id))
+        headers.append(
+            (wire_names.HeaderName.LAST_EVENT_ID, attempt.last_event_id))
     return headers
 
 
-class _Answer(upstream.UpstreamAnswer):
-    """An answer over HTTP."""
+class _HttpUpstreamResponse(upstream.UpstreamResponse):
+    """HTTP response of a server."""
 
-    def __init__(self, exchange: http_client.ClientExchange) -> None:
-        self._exchange = exchange
-        self.status = exchange.status
+    def __init__(self, response: http_client.ClientResponse) -> None:
+        self._response = response
+        self.status = response.status
         self.headers = tuple((name, value)
-                             for name, value in exchange.headers
-                             if name not in _NOT_PASSED_ON)
-        not_run = exchange.header(names.Header.NOT_RUN) is not None
-        self.is_other_server = self.status == _MISDIRECTED
-        self.has_run = not (not_run or self.is_other_server)
-        self.load = _load(exchange.header(names.Header.SERVER_LOAD))
-        connection = exchange.header('connection') or ''
-        self.is_leaving = 'close' in connection.lower()
-
-    # An async generator is the iterator that the port asks for.
+                             for name, value in response.headers
+                             if name not in _HEADERS_NOT_FORWARDED)
+        not_executed = response.header(
+            wire_names.HeaderName.NOT_EXECUTED) is not None
+        self.is_misdirected = self.status == _MISDIRECTED_REQUEST_STATUS
+        self.may_have_executed = not (not_executed or self.is_misdirected)
+        self.load = _parse_load(
+            response.header(wire_names.HeaderName.SERVER_LOAD))
+        connection = response.header('connection') or ''
+        self.closes_connection = 'close' in connection.lower()
+
+    # The async generator implements the iterator of the port.
     # pylint: disable-next=invalid-overridden-method
     async def read(self) -> AsyncIterator[bytes]:
-        size = 0
+        size_bytes = 0
         try:
-            async for data in self._exchange.read():
-                size += len(data)
-                if size > _MAX_ANSWER_BYTES:
-                    raise upstream.UpstreamBroken(
-                        f'the answer exceeds {_MAX_ANSWER_BYTES} bytes')
+            async for data in self._response.read():
+                size_bytes += len(data)
+                if size_bytes > _MAX_RESPONSE_BYTES:
+                    raise upstream.UpstreamDisconnectedError(
+                        f'response body exceeds {_MAX_RESPONSE_BYTES} bytes')
                 yield data
         except OSError as error:
-            raise upstream.UpstreamBroken(str(error)) from error
+            raise upstream.UpstreamDisconnectedError(str(error)) from error
 
 
-def _load(value: str | None) -> upstream.ServerLoad | None:
+def _parse_load(value: str | None) -> upstream.ReportedServerLoad | None:
     try:
         running, waiting, slots = (value or '').split(',')
-        return upstream.ServerLoad(int(running), int(waiting), int(slots))
+        return upstream.ReportedServerLoad(int(running), int(waiting),
+                                           int(slots))
     except ValueError:
         return None
--- a/pollenthread/ports/host_list.py
+++ b/pollenthread/ports/host_list.py
@@ -1,44 +1,50 @@
-"""The platform's list of live and leaving hosts."""
+"""Interface to the platform's list of hosts."""
 
 import abc
 import dataclasses
 
 import result
 
-__all__ = ['Host', 'HostList']
+__all__ = ['ListedHost', 'HostList']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Host:
-    """One host as the platform lists it.
+class ListedHost:
+    """An entry of the host list.
 
     Attributes:
         name: the host's name.
         role: 'entry' or 'upstream'.
-        data_centre: where it is.
+        data_centre: the data centre that the host is in.
         region: the region of the data centre.
-        address: `ip:port` of its links.
-        callers: `ip:port` for callers; empty for upstreams.
-        admin: `ip:port` of its administration; may be empty.
-        serves: for an upstream, the name of the group of hosts that serve the
-            same; may be empty.
-        leaving: whether the platform is taking it away.
+        address: `ip:port` of the listener for links.
+        callers: `ip:port` of the listener for callers; empty for
+            upstreams.
+        admin: `ip:port` of the administration listener; may be
+            empty.
+        serves: for an upstream, the name of the group of hosts that
+            provide the same service; may be empty.
+        leaving: whether the platform is removing the host.
     """
 
     name: str
     role: str
     data_centre: str
     region: str
-    address: str
-    callers: str = ''
-    admin: str = ''
-    serves: str = ''
-    leaving: bool = False
+    link_address: str
+    caller_address: str = ''
+    admin_address: str = ''
+    service_group: str = ''
+    is_terminating: bool = False
 
 
 class HostList(abc.ABC):
-    """The list, which lags behind the truth."""
+    """A client of the host list, whose content may be out of date."""
 
     @abc.abstractmethod
-    async def read(self) -> result.Result[dict[str, Host], str]:
-        """Reads all hosts by name, or says why it cannot."""
+    async def read(self) -> result.Result[dict[str, ListedHost], str]:
+        """Reads the list.
+
+        Returns:
+            The hosts by name, or the text of an error.
+        """
--- a/pollenthread/ports/orders.py
+++ b/pollenthread/ports/orders.py
@@ -1,23 +1,23 @@
-"""What carries an order out beside an agent."""
+"""Interface through which an agent executes orders on its engine."""
 
 import abc
 
 from pollenthread.core import orders
 
-__all__ = ['OrderExecutor', 'OrderOutcomeUnknown']
+__all__ = ['OrderExecutor', 'OrderOutcomeUnknownError']
 
 
-class OrderOutcomeUnknown(Exception):
+class OrderOutcomeUnknownError(Exception):
     """The order may or may not have taken effect."""
 
 
 class OrderExecutor(abc.ABC):
-    """Carries out orders of one kind or of several."""
+    """Executes orders of one or several kinds."""
 
     @abc.abstractmethod
     async def execute(self, order: orders.Order) -> orders.Result:
-        """Carries an order out once.
+        """Executes an order once.
 
         Raises:
-            OrderOutcomeUnknown: the engine did not answer.
+            OrderOutcomeUnknownError: the engine did not respond.
         """
--- a/pollenthread/ports/row_store.py
+++ b/pollenthread/ports/row_store.py
@@ -1,4 +1,4 @@
-"""The platform's store of rows, with a feed of changes."""
+"""Interface to the platform's row store, which provides a change feed."""
 
 import abc
 import dataclasses
@@ -7,13 +7,13 @@
 
 import result
 
-__all__ = ['Change', 'Changes', 'RowStore', 'RowWrite', 'StoreFault']
+__all__ = ['RowChange', 'RowChanges', 'RowStore', 'RowWrite', 'StoreError']
 
 
-class StoreFault(enum.Enum):
-    """Why the store gave no answer that can be used.
+class StoreError(enum.Enum):
+    """Why a call to the store failed.
 
-    UNKNOWN means that a write may have taken effect, or may yet do so.
+    UNKNOWN means that a write may have taken effect, or may still do so later.
     """
 
     CONFLICT = 'conflict'
@@ -24,13 +24,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A row as of its newest version.
+class RowChange:
+    """The newest version of a changed row.
 
     Attributes:
         key: the row's key.
-        value: its bytes, or None when the row was removed.
-        version: the store's counter at that change.
+        value: the row's bytes, or None if the row was deleted.
+        version: the store-wide change counter at the time of the change.
     """
 
     key: str
@@ -39,15 +39,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """An answer of the store.
+class RowChanges:
+    """Rows that the store returned.
 
     Attributes:
-        changes: rows in the order of their versions.
-        version: the newest version that the answer covers.
+        changes: the rows, ordered by version.
+        version: the newest version of the store that the result includes.
     """
 
-    changes: tuple[Change, ...]
+    changes: tuple[RowChange, ...]
     version: int
 
 
@@ -59,29 +59,42 @@
         table: the row's table.
         key: the row's key.
         value: the new bytes, or None to delete the row.
-        expect: the version that the row must have, 0 for no row, or None to
-            write whatever is there.
+        expected_version: the version that the row must have, 0 if the row must
+            not exist, or None to write unconditionally.
     """
 
     table: str
     key: str
     value: bytes | None
-    expect: int | None
+    expected_version: int | None
 
 
 class RowStore(abc.ABC):
-    """Tables of rows."""
+    """Client of the store, which holds rows in tables."""
 
     @abc.abstractmethod
-    async def read(self, table: str) -> result.Result[Changes, StoreFault]:
-        """Reads a whole table."""
+    async def read(self, table: str) -> result.Result[RowChanges, StoreError]:
+        """Reads all rows of a table."""
 
     @abc.abstractmethod
-    async def watch(self, table: str, after: int,
-                    wait_s: float) -> result.Result[Changes, StoreFault]:
-        """Waits for changes after a version; empty when there are none."""
+    async def watch(self, table: str, after_version: int,
+                    wait_s: float) -> result.Result[RowChanges, StoreError]:
+        """Waits for changes of a table.
+
+        Args:
+            table: the name of the table.
+            after_version: only changes with a later version are returned.
+            wait_s: how long to wait for a change, in seconds.
+
+        Returns:
+            The changes, which are empty if none occurred in time.
+        """
 
     @abc.abstractmethod
     async def write(
-            self, writes: Sequence[RowWrite]) -> result.Result[int, StoreFault]:
-        """Applies all writes or none; returns the new version."""
+            self, writes: Sequence[RowWrite]) -> result.Result[int, StoreError]:
+        """Applies all writes atomically.
+
+        Returns:
+            The store's new version.
+        """
--- a/pollenthread/ports/table.py
+++ b/pollenthread/ports/table.py
@@ -1,4 +1,4 @@
-"""The platform's transactional table."""
+"""Interface to the platform's transactional table."""
 
 import abc
 import dataclasses
@@ -7,19 +7,22 @@
 
 import result
 
-__all__ = ['ABSENT', 'Row', 'TableFault', 'TableService', 'Write']
+__all__ = [
+    'ABSENT_VERSION', 'TableRow', 'TableError', 'TableService', 'TableWrite'
+]
 
-ABSENT = 0
+# The version of a row that does not exist.
+ABSENT_VERSION = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Row:
-    """One row as it was read.
+class TableRow:
+    """A row that was read from the table.
 
     Attributes:
         key: the row's key.
         value: the row's bytes.
-        version: rises with each write; never `ABSENT`.
+        version: increases with each write; never `ABSENT_VERSION`.
     """
 
     key: str
@@ -28,24 +31,26 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Write:
+class TableWrite:
     """A conditional write.
 
     Attributes:
         key: the row's key.
         value: the new bytes, or None to delete the row.
-        expect: the version that the row must have, or `ABSENT`.
+        expected_version: the version that the row must have; `ABSENT_VERSION`
+            if it must not exist.
     """
 
     key: str
     value: bytes | None
-    expect: int
+    expected_version: int
 
 
-class TableFault(enum.Enum):
-    """Why the table gave no answer that can be used.
+class TableError(enum.Enum):
+    """Why a call to the table failed.
 
-    UNKNOWN means that the write may have taken effect: read before deciding.
+    UNKNOWN means that the write may have taken effect, so that the row must be
+    read before the next decision.
     """
 
     CONFLICT = 'conflict'
@@ -55,28 +60,34 @@
 
 
 class TableService(abc.ABC):
-    """Rows by key, with conditional writes and transactions."""
+    """Client of a key-value table with conditional writes and transactions."""
 
     @abc.abstractmethod
-    async def get(self, key: str) -> result.Result[Row | None, TableFault]:
-        """Reads one row; None when there is none."""
+    async def get(self, key: str) -> result.Result[TableRow | None, TableError]:
+        """Reads one row; None if it does not exist."""
 
     @abc.abstractmethod
-    async def scan(self, prefix: str) -> result.Result[list[Row], TableFault]:
+    async def scan(self,
+                   prefix: str) -> result.Result[list[TableRow], TableError]:
         """Reads the rows whose keys begin with `prefix`, in key order."""
 
     @abc.abstractmethod
     async def commit(
-            self,
-            writes: Sequence[Write]) -> result.Result[list[int], TableFault]:
-        """Applies all writes or none.
+            self, writes: Sequence[TableWrite]
+    ) -> result.Result[list[int], TableError]:
+        """Applies all writes atomically.
 
         Returns:
             The new version of each row, in the order of `writes`.
         """
 
     async def put(self, key: str, value: bytes, *,
-                  expect: int) -> result.Result[int, TableFault]:
-        """Writes one row if it has the expected version."""
-        done = await self.commit([Write(key, value, expect)])
-        return done.map(lambda versions: versions[0])
+                  expected_version: int) -> result.Result[int, TableError]:
+        """Writes one row if it has the expected version.
+
+        Returns:
+            The new version of the row.
+        """
+        committed = await self.commit(
+            [TableWrite(key, value, expected_version)])
+        return committed.map(lambda versions: versions[0])
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -1,4 +1,4 @@
-"""An entry host on the prepared platform."""
+"""Entry host process on the users' platform."""
 
 import asyncio
 import dataclasses
@@ -6,35 +6,36 @@
 from typing import Self
 
 from pollenthread.adapters import http_server, platform_metrics
-from pollenthread.app import (entry_peers, forwarder, knowledge, planned_stop,
-                              serving_state)
+from pollenthread.app import (entry_peers, forwarder, graceful_shutdown,
+                              serving_state, store_listeners)
 from pollenthread.core import host_record, log_events, routing_config
-from pollenthread.platform import (names, process_settings, server_entry,
-                                   upstream_http)
+from pollenthread.platform import (process_settings, server_row, upstream_http,
+                                   wire_names)
 from pollenthread.roles import platform_handlers, platform_role, process
 
 __all__ = ['run']
 
-_CONFIG_WAIT_S = 8.0
-_CONFIG_PAUSE_S = 0.05
-# A call that hangs is given up a second after its wait, which must leave time
-# to heed a server that drains.
-_SERVERS_WAIT_S = 1.5
-_SERVERS_PAUSE_S = 0.2
-_RETURN_S = 2.2
-_TTL_S = 1.0
-# Some callers keep an address answer three times as long as they were told.
-_MAX_TTL_FACTOR = 3
-_STOP_CHECK_S = 0.05
+_CONFIG_WATCH_TIMEOUT_S = 8.0
+_CONFIG_WATCH_PAUSE_S = 0.05
+# A watch call without a response fails one second after this timeout. The total
+# must be short enough for a draining server to stop receiving requests in time.
+_SERVERS_WATCH_TIMEOUT_S = 1.5
+_SERVERS_WATCH_PAUSE_S = 0.2
+# Time after an outage of the store within which live servers are listed again.
+_SERVER_RELIST_S = 2.2
+_ADDRESS_TTL_S = 1.0
+# Some callers cache the address list for three times its time to live.
+_CALLER_CACHE_FACTOR = 3
+_SHUTDOWN_CHECK_INTERVAL_S = 0.05
 
 
-class _Entry(platform_role.PlatformRole):
-    """Wires an entry host; a context manager that owns its servers."""
+class _PlatformEntry(platform_role.PlatformRole):
+    """Assembles an entry host; a context manager that owns its components."""
 
     def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
         rng = random.Random(settings.host)
         super().__init__(settings=settings,
-                         own=host_record.HostRecord(
+                         own_record=host_record.HostRecord(
                              host=settings.host,
                              role=host_record.Role.ENTRY,
                              data_centre=settings.data_centre,
@@ -42,155 +43,169 @@
                              caller_address=settings.caller_address),
                          state=serving_state.ServingState(
                              data_centre=settings.data_centre,
-                             retry_bounds=serving_state.RetryBounds(
+                             retry_settings=serving_state.RetryBudgetSettings(
                                  settings.retry_ratio, settings.retry_extra,
                                  settings.retry_window_s),
-                             return_s=_RETURN_S,
+                             return_s=_SERVER_RELIST_S,
                              rng=rng),
                          rng=rng)
-        self._servers = knowledge.ServerListener(state=self.state,
-                                                 time=self._clock,
-                                                 log=self.log,
-                                                 table=names.Table.SERVERS,
-                                                 decode=server_entry.decode)
-        self.peers = entry_peers.EntryPeers(own=self._own,
-                                            hosts=self._hosts,
+        self._server_listener = store_listeners.ServerListener(
+            state=self.state,
+            time=self._clock,
+            log=self.log,
+            table=wire_names.StoreTable.SERVERS,
+            decode=server_row.decode)
+        self.peers = entry_peers.EntryPeers(own=self._own_record,
+                                            hosts=self._host_registry,
                                             seeds=settings.seeds,
                                             network=self._network,
                                             state=self.state,
-                                            config=self._config,
-                                            servers=self._servers,
+                                            config=self._config_listener,
+                                            servers=self._server_listener,
                                             time=self._clock,
                                             log=self.log,
                                             rng=self._rng)
-        self._stop_plan = planned_stop.StopPlan(grace_s=settings.grace_s,
-                                                caches_s=_TTL_S *
-                                                _MAX_TTL_FACTOR)
-        self._latencies = platform_metrics.LatencyBook()
-        forward = forwarder.Forwarder(
+        self._shutdown_plan = graceful_shutdown.ShutdownPlan(
+            grace_s=settings.grace_s,
+            discovery_cache_s=_ADDRESS_TTL_S * _CALLER_CACHE_FACTOR)
+        self._latencies = platform_metrics.LatencyHistogramSet()
+        request_forwarder = forwarder.Forwarder(
             state=self.state,
-            servers=upstream_http.HttpUpstream(client=self._server_client),
-            stop_plan=self._stop_plan,
+            servers=upstream_http.HttpUpstreamClient(
+                client=self._server_client),
+            stop_plan=self._shutdown_plan,
             observe=self._latencies.observe,
             time=self._clock,
             log=self.log)
-        self._forward = forward
-        self._callers = platform_handlers.CallerHandler(forward=forward)
-        self._caller_server = self._server(settings.caller_address,
-                                           self._callers)
-        self._config.on_applied.append(self._limit_callers)
-        self._network.serve_metrics(
-            platform_metrics.MetricsPage(counters=self._counters,
-                                         gauges=self._gauges,
-                                         latencies=self._latencies))
-
-    def _counters(self) -> dict[str, float]:
-        found: dict[str, float] = {
+        self._forwarder = request_forwarder
+        self._caller_handler = platform_handlers.ForwardingHandler(
+            request_forwarder=request_forwarder)
+        self._caller_server = self._make_server(settings.caller_address,
+                                                self._caller_handler)
+        self._config_listener.applied_callbacks.append(
+            self._apply_caller_limits)
+        self._network.set_metrics_provider(
+            platform_metrics.MetricsPageRenderer(
+                counters=self._collect_counters,
+                gauges=self._collect_gauges,
+                latencies=self._latencies))
+
+    def _collect_counters(self) -> dict[str, float]:
+        counters: dict[str, float] = {
             f'requests_{name}': count
-            for name, count in self._forward.counts.items()
+            for name, count in self._forwarder.counts.items()
         }
         for outcome, count in self._store.calls_by_outcome.items():
-            found[f'store_calls_{outcome}'] = count
-        found.update(self._peer_counters())
-        found['server_connections'] = self._server_client.connections_opened
-        found['entries_rejected'] = self._servers.rejected
-        found['configs_rejected'] = self._config.rejected
-        found['peer_snapshots'] = self.peers.snapshots_taken
-        found['log_lines_dropped'] = self.log.dropped
-        return found
-
-    def _gauges(self) -> dict[str, float]:
+            counters[f'store_calls_{outcome}'] = count
+        counters.update(self._collect_peer_counters())
+        counters['server_connections'] = self._server_client.connections_opened
+        counters['entries_rejected'] = self._server_listener.rejected_count
+        counters['configs_rejected'] = self._config_listener.rejected_count
+        counters['peer_snapshots'] = self.peers.applied_snapshot_count
+        counters['log_lines_dropped'] = self.log.dropped
+        return counters
+
+    def _collect_gauges(self) -> dict[str, float]:
         config = self.state.config
         return {
-            'in_progress': self._callers.in_progress,
-            'entry_hosts': self.state.entry_hosts,
-            'servers': len(self.state.fleet.listed_by_id),
+            'in_progress': self._caller_handler.in_progress,
+            'entry_hosts': self.state.entry_host_count,
+            'servers': len(self.state.server_registry.listed_by_id),
             'config_version': config.version if config else 0,
-            'store_up': float(self._servers.contact.is_up),
+            'store_up': float(self._server_listener.contact.is_up),
             'ready': float(self.state.is_ready)
         }
 
-    def _limit_callers(self, config: routing_config.RoutingConfig) -> None:
+    def _apply_caller_limits(self,
+                             config: routing_config.RoutingConfig) -> None:
         limits = config.limits
         self._caller_server.set_limits(
-            http_server.Limits(max_head_bytes=limits.max_header_bytes,
-                               max_body_bytes=limits.max_body_bytes,
-                               head_timeout_s=limits.header_timeout_s,
-                               idle_timeout_s=limits.idle_timeout_s))
+            http_server.ServerLimits(max_head_bytes=limits.max_header_bytes,
+                                     max_body_bytes=limits.max_body_bytes,
+                                     head_timeout_s=limits.header_timeout_s,
+                                     idle_timeout_s=limits.idle_timeout_s))
 
     @staticmethod
-    def _server(address: str,
-                handler: http_server.Handler) -> http_server.HttpServer:
+    def _make_server(
+            address: str,
+            handler: http_server.RequestHandler) -> http_server.HttpServer:
         host, port = process.split_address(address)
         return http_server.HttpServer(handler=handler, host=host, port=port)
 
     async def __aenter__(self) -> Self:
         settings = self._settings
         await super().__aenter__()
-        ready = platform_handlers.ReadyHandler(state=self.state)
-        directory = platform_handlers.DirectoryHandler(peers=self.peers,
-                                                       ttl_s=_TTL_S)
+        ready = platform_handlers.ReadinessHandler(state=self.state)
+        directory = platform_handlers.EntryAddressHandler(peers=self.peers,
+                                                          ttl_s=_ADDRESS_TTL_S)
         servers = [
             self._caller_server,
-            self._server(settings.ready_address, ready),
-            self._server(settings.directory_address, directory)
+            self._make_server(settings.ready_address, ready),
+            self._make_server(settings.directory_address, directory)
         ]
         if settings.control_address:
-            servers.append(self._server(settings.control_address,
-                                        self._network))
+            servers.append(
+                self._make_server(settings.control_address, self._network))
         for server in servers:
-            await self._stack.enter_async_context(server)
+            await self._exit_stack.enter_async_context(server)
         return self
 
-    async def work(self) -> None:
-        """Follows the store and the peers until cancelled."""
-        followers = (self._follower(names.Table.OPERATOR, self._config,
-                                    _CONFIG_WAIT_S, _CONFIG_PAUSE_S),
-                     self._follower(names.Table.SERVERS, self._servers,
-                                    _SERVERS_WAIT_S, _SERVERS_PAUSE_S))
+    async def run(self) -> None:
+        """Follows the store tables and the peers until cancelled."""
+        followers = (self._make_follower(wire_names.StoreTable.OPERATOR,
+                                         self._config_listener,
+                                         _CONFIG_WATCH_TIMEOUT_S,
+                                         _CONFIG_WATCH_PAUSE_S),
+                     self._make_follower(wire_names.StoreTable.SERVERS,
+                                         self._server_listener,
+                                         _SERVERS_WATCH_TIMEOUT_S,
+                                         _SERVERS_WATCH_PAUSE_S))
         async with asyncio.TaskGroup() as group:
             for follower in followers:
                 group.create_task(follower.run())
             self._follow_hosts(group)
-            group.create_task(self._forward.watch())
+            group.create_task(self._forwarder.watch_silent_servers())
             group.create_task(self.peers.run())
-            group.create_task(self.peers.follow_peers())
-
-    async def leave(self) -> None:
-        """Ends what runs, and says that no more should come."""
-        began_at = self._clock.monotonic()
-        self.state.leaving_since = began_at
-        self._caller_server.announce_leaving()
-        self.peers.beat()
+            group.create_task(self.peers.fetch_from_peers())
+
+    async def shut_down(self) -> None:
+        """Announces the shutdown and waits for the running requests."""
+        started_at = self._clock.monotonic()
+        self.state.leaving_since = started_at
+        self._caller_server.disable_keep_alive()
+        self.peers.send_heartbeat()
         self.log.write(log_events.LogEvent.STOPPING,
-                       in_progress=self._callers.in_progress)
-        while not planned_stop.is_done(self._stop_plan,
-                                       self._clock.monotonic() - began_at,
-                                       self._callers.in_progress):
-            await self._clock.sleep(_STOP_CHECK_S)
+                       in_progress=self._caller_handler.in_progress)
+        while not graceful_shutdown.may_exit(
+                self._shutdown_plan,
+                self._clock.monotonic() - started_at,
+                self._caller_handler.in_progress):
+            await self._clock.sleep(_SHUTDOWN_CHECK_INTERVAL_S)
         self.log.write(log_events.LogEvent.STOPPED,
-                       cut=self._callers.in_progress)
+                       cut=self._caller_handler.in_progress)
 
     def reload(self) -> None:
-        """Reads the settings again; addresses stay as they are."""
+        """Reloads the settings; only the seeds take effect without a restart.
+
+        Logs the names of the changed fields, or the error.
+        """
         try:
-            found = process_settings.load()
-        except process_settings.InvalidSettings as error:
+            new_settings = process_settings.load()
+        except process_settings.SettingsError as error:
             self.log.write(log_events.LogEvent.RELOADED, error=str(error))
             return
         changed = [
-            field.name
-            for field in dataclasses.fields(found)
-            if getattr(found, field.name) != getattr(self._settings, field.name)
+            field.name for field in dataclasses.fields(new_settings) if getattr(
+                new_settings, field.name) != getattr(self._settings, field.name)
         ]
-        self._settings = found
-        self.peers.seeds = found.seeds
+        self._settings = new_settings
+        self.peers.seeds = new_settings.seeds
         self.log.write(log_events.LogEvent.RELOADED, changed=changed)
 
 
 async def run() -> None:
-    """Serves until SIGTERM."""
+    """Runs an entry host until SIGTERM or SIGINT."""
     settings = process_settings.load()
-    await platform_role.serve(_Entry(settings=settings),
+    await platform_role.serve(_PlatformEntry(settings=settings),
                               callers=settings.caller_address,
                               data_centre=settings.data_centre)
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -1,62 +1,70 @@
-"""What an entry host answers on its addresses of the prepared platform."""
+"""HTTP handlers of an entry host on the users' platform."""
 
 from urllib import parse
 
 from pollenthread.adapters import http_message
 from pollenthread.app import entry_peers, forwarder, serving_state
 from pollenthread.core import errors
-from pollenthread.platform import caller_border, names
+from pollenthread.platform import caller_codec, wire_names
 
-__all__ = ['CallerHandler', 'DirectoryHandler', 'ReadyHandler']
+__all__ = ['ForwardingHandler', 'EntryAddressHandler', 'ReadinessHandler']
 
 
-class CallerHandler(http_message.Handler):
-    """Serves callers."""
+class ForwardingHandler(http_message.RequestHandler):
+    """Passes requests of callers to the forwarder.
 
-    def __init__(self, *, forward: forwarder.Forwarder) -> None:
-        self._forward = forward
+    Attributes:
+        in_progress: Number of requests that are being served.
+    """
+
+    def __init__(self, *, request_forwarder: forwarder.Forwarder) -> None:
+        self._forwarder = request_forwarder
         self.in_progress = 0
 
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
-        found = caller_border.decode(request)
-        answer = caller_border.HttpReply(response=response, request_id=found.id)
+    async def handle(self, request: http_message.HttpRequest,
+                     response: http_message.HttpResponse) -> None:
+        caller_request = caller_codec.decode_request(request)
+        caller_response = caller_codec.HttpCallerResponse(
+            response=response, request_id=caller_request.id)
         self.in_progress += 1
         try:
-            await self._forward.serve(found, answer)
+            await self._forwarder.serve(caller_request, caller_response)
         finally:
             self.in_progress -= 1
 
 
-class ReadyHandler(http_message.Handler):
-    """Says whether the host is ready."""
+class ReadinessHandler(http_message.RequestHandler):
+    """Serves the readiness check: status 200 if ready, otherwise 503."""
 
     def __init__(self, *, state: serving_state.ServingState) -> None:
         self._state = state
 
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
-        if request.path != names.Path.READY:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+    async def handle(self, request: http_message.HttpRequest,
+                     response: http_message.HttpResponse) -> None:
+        if request.path != wire_names.UrlPath.READINESS:
+            await response.send_problem(
+                errors.make_failure(errors.ErrorKind.NOT_FOUND))
             return
         await response.send(200 if self._state.is_ready else 503, [], b'')
 
 
-class DirectoryHandler(http_message.Handler):
-    """Tells callers which entry hosts to use."""
+class EntryAddressHandler(http_message.RequestHandler):
+    """Serves the addresses of the entry hosts that callers should use."""
 
     def __init__(self, *, peers: entry_peers.EntryPeers, ttl_s: float) -> None:
         self._peers = peers
         self._ttl_s = ttl_s
 
-    async def handle(self, request: http_message.Request,
-                     response: http_message.Response) -> None:
-        if request.path != names.Path.RESOLVE:
-            await response.send_problem(errors.failure(errors.Kind.NOT_FOUND))
+    async def handle(self, request: http_message.HttpRequest,
+                     response: http_message.HttpResponse) -> None:
+        if request.path != wire_names.UrlPath.ENTRY_ADDRESSES:
+            await response.send_problem(
+                errors.make_failure(errors.ErrorKind.NOT_FOUND))
             return
         query = parse.parse_qs(request.target.partition('?')[2])
         data_centre = query.get('zone', [''])[0]
-        await response.send_json(200, {
-            'addresses': self._peers.usable(data_centre),
-            'ttl_s': self._ttl_s
-        })
+        await response.send_json(
+            200, {
+                'addresses': self._peers.usable_addresses(data_centre),
+                'ttl_s': self._ttl_s
+            })
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -1,4 +1,4 @@
-"""What every role on the prepared platform owns, and how it runs."""
+"""Base class and main function of the processes on the users' platform."""
 
 import abc
 import asyncio
@@ -9,75 +9,89 @@
 from typing import Any, Self
 
 from pollenthread.adapters import clock, http_client, json_log, peer_network
-from pollenthread.app import knowledge, roster, serving_state, store_follower
+from pollenthread.app import (host_registry, serving_state, store_follower,
+                              store_listeners)
 from pollenthread.core import host_record, log_events
-from pollenthread.platform import (config_document, names, process_settings,
-                                   row_store_http)
+from pollenthread.platform import (config_document, process_settings,
+                                   row_store_http, wire_names)
 from pollenthread.roles import process
 
 __all__ = ['PlatformRole', 'peer_address', 'serve']
 
-_HOSTS_WAIT_S = 20.0
-_HOSTS_PAUSE_S = 0.5
-_CONNECT_TIMEOUT_S = 0.4
+_HOSTS_WATCH_TIMEOUT_S = 20.0
+_HOSTS_WATCH_PAUSE_S = 0.5
+_PEER_CONNECT_TIMEOUT_S = 0.4
 _STORE_CONNECT_TIMEOUT_S = 0.5
 
 
 def peer_address(settings: process_settings.ProcessSettings) -> str:
-    """Where peers reach a process."""
+    """Returns the address at which peers connect to a process."""
     return f'{settings.ip}:{settings.peer_ports[0]}'
 
 
 class PlatformRole(abc.ABC):
-    """Wires a role; a context manager that owns clients and servers."""
+    """Assembles a process; a context manager that owns clients and servers.
+
+    Attributes:
+        state: Configuration, servers and load that the process has learned.
+        log: Structured log of the process.
+    """
 
     def __init__(self, *, settings: process_settings.ProcessSettings,
-                 own: host_record.HostRecord, state: serving_state.ServingState,
-                 rng: random.Random) -> None:
+                 own_record: host_record.HostRecord,
+                 state: serving_state.ServingState, rng: random.Random) -> None:
+        """Initializes the components; entering the context starts them.
+
+        Args:
+            settings: Settings of the process.
+            own_record: Record under which this host is registered.
+            state: Serving state that configuration changes update.
+            rng: Random number generator, for example for retry delays.
+        """
         self._settings = settings
-        self._own = own
+        self._own_record = own_record
         self.state = state
         self._rng = rng
-        self._stack = contextlib.AsyncExitStack()
+        self._exit_stack = contextlib.AsyncExitStack()
         self._clock = clock.SystemClock()
         self.log = json_log.JsonLog(host=settings.host)
         self._store_client = http_client.HttpClient(
             connect_timeout_s=_STORE_CONNECT_TIMEOUT_S)
         self._peer_client = http_client.HttpClient(
-            connect_timeout_s=_CONNECT_TIMEOUT_S)
+            connect_timeout_s=_PEER_CONNECT_TIMEOUT_S)
         self._server_client = http_client.HttpClient(
-            connect_timeout_s=_CONNECT_TIMEOUT_S)
+            connect_timeout_s=_PEER_CONNECT_TIMEOUT_S)
         self._store = row_store_http.HttpRowStore(
             client=self._store_client, address=settings.store_address)
         self._network = peer_network.HttpPeerNetwork(
             client=self._peer_client,
             host=settings.ip,
             port=settings.peer_ports[0])
-        self._hosts = roster.Roster()
-        self._config = knowledge.ConfigListener(
+        self._host_registry = host_registry.HostRegistry()
+        self._config_listener = store_listeners.ConfigListener(
             state=state,
             time=self._clock,
             log=self.log,
-            table=names.Table.OPERATOR,
-            key=names.Table.CONFIG_KEY,
-            decode=config_document.decode_result)
+            table=wire_names.StoreTable.OPERATOR,
+            key=wire_names.StoreTable.CONFIG_KEY,
+            decode=config_document.try_decode)
 
     async def __aenter__(self) -> Self:
-        await self._stack.__aenter__()
+        await self._exit_stack.__aenter__()
         for client in (self._store_client, self._peer_client,
                        self._server_client):
-            await self._stack.enter_async_context(client)
-        await self._stack.enter_async_context(self._network)
+            await self._exit_stack.enter_async_context(client)
+        await self._exit_stack.enter_async_context(self._network)
         return self
 
     async def __aexit__(self, kind: type[BaseException] | None,
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
-        await self._stack.__aexit__(kind, error, trace)
+        await self._exit_stack.__aexit__(kind, error, trace)
 
-    def _follower(self, table: str, listener: store_follower.TableListener,
-                  wait_s: float,
-                  pause_s: float) -> store_follower.StoreFollower:
+    def _make_follower(self, table: str, listener: store_follower.TableListener,
+                       wait_s: float,
+                       pause_s: float) -> store_follower.StoreFollower:
         return store_follower.StoreFollower(store=self._store,
                                             table=table,
                                             listener=listener,
@@ -87,56 +101,61 @@
                                             rng=self._rng)
 
     def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
-        """Registers this host and follows the others."""
-        hosts = self._follower(roster.TABLE, self._hosts, _HOSTS_WAIT_S,
-                               _HOSTS_PAUSE_S)
-        tasks.create_task(hosts.run())
+        """Starts tasks that register this host and follow the other hosts."""
+        follower = self._make_follower(host_registry.HOSTS_TABLE,
+                                       self._host_registry,
+                                       _HOSTS_WATCH_TIMEOUT_S,
+                                       _HOSTS_WATCH_PAUSE_S)
+        tasks.create_task(follower.run())
         tasks.create_task(
-            roster.register(store=self._store,
-                            time=self._clock,
-                            roster=self._hosts,
-                            record=self._own))
+            host_registry.register(store=self._store,
+                                   time=self._clock,
+                                   registry=self._host_registry,
+                                   record=self._own_record))
 
-    def _peer_counters(self) -> dict[str, float]:
-        """Bytes to and from peers, by kind of message."""
+    def _collect_peer_counters(self) -> dict[str, float]:
+        """Returns the bytes sent to and received from peers by message kind."""
         return {
-            f'peer_bytes_{way}_{kind.strip("/").replace("/", "_").lower()}':
+            f'peer_bytes_{direction}_'
+            f'{kind.strip("/").replace("/", "_").lower()}':
                 float(count)
-            for way, counts in (('sent', self._network.sent_bytes_by_kind),
-                                ('received',
-                                 self._network.received_bytes_by_kind))
+            for direction, counts in (('sent',
+                                       self._network.sent_bytes_by_kind),
+                                      ('received',
+                                       self._network.received_bytes_by_kind))
             for kind, count in counts.items()
         }
 
     @abc.abstractmethod
-    async def work(self) -> None:
-        """Does the role's work until cancelled."""
+    async def run(self) -> None:
+        """Runs the tasks of the process until cancelled."""
 
     @abc.abstractmethod
-    async def leave(self) -> None:
-        """Ends what runs, before a planned stop."""
+    async def shut_down(self) -> None:
+        """Shuts down gracefully, before the tasks are cancelled."""
 
     @abc.abstractmethod
     def reload(self) -> None:
-        """Takes what may change in the settings while the role runs."""
+        """Reloads the settings that can change while the process runs."""
 
 
-async def serve(role: PlatformRole, **started: Any) -> None:
-    """Serves until SIGTERM.
+async def serve(role: PlatformRole, **started_fields: Any) -> None:
+    """Runs a process until SIGTERM or SIGINT; SIGHUP reloads its settings.
 
     Args:
-        role: the role, not entered yet.
-        **started: what the line of the start tells.
+        role: Process to run; its context must not have been entered.
+        **started_fields: Fields of the log event for the start.
     """
-    stop = process.StopSignal()
+    stop_signal = process.StopSignal()
     async with role:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, role.reload)
-        role.log.write(log_events.LogEvent.STARTED, **started)
-        work = asyncio.create_task(role.work())
-        stopped = asyncio.create_task(stop.planned.wait())
-        await asyncio.wait((work, stopped), return_when=asyncio.FIRST_COMPLETED)
-        if work.done():
-            work.result()
-        await role.leave()
-        work.cancel()
+        role.log.write(log_events.LogEvent.STARTED, **started_fields)
+        run_task = asyncio.create_task(role.run())
+        stop_task = asyncio.create_task(stop_signal.graceful.wait())
+        await asyncio.wait((run_task, stop_task),
+                           return_when=asyncio.FIRST_COMPLETED)
+        if run_task.done():
+            run_task.result()
+        await role.shut_down()
+        run_task.cancel()
--- a/pollenthread/roles/process.py
+++ b/pollenthread/roles/process.py
@@ -1,4 +1,4 @@
-"""What every process does: say that it is ready, and stop when asked."""
+"""Functions that all processes share: stop signals, events and addresses."""
 
 import asyncio
 import json
@@ -9,51 +9,65 @@
 
 from absl import logging
 
-__all__ = ['StopSignal', 'announce', 'new_incarnation', 'split_address']
+__all__ = ['StopSignal', 'print_event', 'new_incarnation', 'split_address']
 
 _INCARNATION_BYTES = 6
 
 
 class StopSignal:
-    """SIGTERM or SIGINT: once for a planned stop, twice for now."""
+    """Handles SIGTERM and SIGINT.
+
+    Must be created in a running event loop.
+
+    Attributes:
+        graceful: Set by the first signal, which requests a graceful shutdown.
+        immediate: Set by the second signal, which requests an immediate stop.
+    """
 
     def __init__(self) -> None:
-        self.planned = asyncio.Event()
-        self.now = asyncio.Event()
+        self.graceful = asyncio.Event()
+        self.immediate = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._receive)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._on_signal)
 
-    def _receive(self) -> None:
-        if self.planned.is_set():
-            logging.info('stop now')
-            self.now.set()
+    def _on_signal(self) -> None:
+        if self.graceful.is_set():
+            logging.info('second stop signal received; stopping immediately')
+            self.immediate.set()
         else:
-            logging.info('planned stop')
-            self.planned.set()
+            logging.info('stop signal received; shutting down gracefully')
+            self.graceful.set()
+
+    async def wait_immediate(self, timeout_s: float) -> bool:
+        """Waits for the second signal.
+
+        Args:
+            timeout_s: Maximum time to wait, in seconds.
 
-    async def wait_now(self, seconds: float) -> bool:
-        """Waits for the second signal; whether it came."""
+        Returns:
+            Whether the signal was received.
+        """
         try:
-            async with asyncio.timeout(seconds):
-                await self.now.wait()
+            async with asyncio.timeout(timeout_s):
+                await self.immediate.wait()
             return True
         except TimeoutError:
             return False
 
 
 def new_incarnation() -> str:
-    """A name that no other start of any process has."""
+    """Returns a random ID for this start of the process."""
     return secrets.token_hex(_INCARNATION_BYTES)
 
 
-def announce(document: dict[str, Any]) -> None:
-    """Writes one line of JSON to standard output."""
-    sys.stdout.write(json.dumps(document) + '\n')
+def print_event(event: dict[str, Any]) -> None:
+    """Prints an event as one line of JSON to standard output."""
+    sys.stdout.write(json.dumps(event) + '\n')
     sys.stdout.flush()
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Splits `ip:port`."""
+    """Splits an address of the form `ip:port`."""
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -7,7 +7,7 @@
 import itertools
 from collections.abc import AsyncIterator, Iterable
 
-from pollenthread.core import fleet, http_headers, load_board
+from pollenthread.core import http_headers, server_load, server_registry
 from pollenthread.ports import upstream
 
 __all__ = ['BusyServers', 'Pace']
@@ -38,16 +38,16 @@
     events: int = 26
 
 
-class _Answer(upstream.UpstreamAnswer):
+class _Answer(upstream.UpstreamResponse):
     """An answer; one that was not run has no body."""
 
     def __init__(self, servers: 'BusyServers', *, has_run: bool) -> None:
         self.status = _OK if has_run else _NOT_RUN
         self.headers: tuple[http_headers.Header, ...] = ()
-        self.has_run = has_run
-        self.is_other_server = False
+        self.may_have_executed = has_run
+        self.is_misdirected = False
         self.load = None
-        self.is_leaving = False
+        self.closes_connection = False
         self._servers = servers
 
     def read(self) -> AsyncIterator[bytes]:
@@ -100,10 +100,11 @@
         self.running -= 1
 
 
-class BusyServers(upstream.Upstream):
+class BusyServers(upstream.UpstreamClient):
     """Servers of one group, which is closed at times."""
 
-    def __init__(self, *, servers: Iterable[fleet.Server], pace: Pace) -> None:
+    def __init__(self, *, servers: Iterable[server_registry.Server],
+                 pace: Pace) -> None:
         self.is_open = True
         self.longest_wait_s = 0.0
         self.pace = pace
@@ -117,8 +118,8 @@
 
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
-        self, attempt: upstream.UpstreamRequest
-    ) -> AsyncIterator[upstream.UpstreamAnswer]:
+        self, attempt: upstream.UpstreamAttempt
+    ) -> AsyncIterator[upstream.UpstreamResponse]:
         waited_s = (asyncio.get_running_loop().time() -
                     attempt.request.received_at)
         self.longest_wait_s = max(self.longest_wait_s, waited_s)
@@ -126,18 +127,18 @@
         if not self.is_open or server.is_full:
             yield _Answer(self, has_run=False)
             return
-        await server.enter(attempt.urgency)
+        await server.enter(attempt.priority)
         try:
             yield _Answer(self, has_run=True)
         finally:
             server.leave()
 
-    def report(self, server_id: str) -> load_board.LoadReport:
+    def report(self, server_id: str) -> server_load.ServerLoadReport:
         """What the agent beside a server tells."""
         server = self._server_by_id[server_id]
-        return load_board.LoadReport(running=server.running,
-                                     waiting=server.waiting,
-                                     slots=self.pace.slots,
-                                     is_open=self.is_open,
-                                     group='g',
-                                     pass_s=self.gap_s)
+        return server_load.ServerLoadReport(running=server.running,
+                                            waiting=server.waiting,
+                                            slots=self.pace.slots,
+                                            accepts_requests=self.is_open,
+                                            group='g',
+                                            pass_s=self.gap_s)
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -83,7 +83,7 @@
     """Makes passes until cancelled."""
 
     def __init__(self, *, name: str, ranks: int,
-                 figures: routing_config.EngineFigures, streams_a_rank: float,
+                 figures: routing_config.EngineProfile, streams_a_rank: float,
                  change_s: float, seed: int) -> None:
         """Makes a group that has not begun.
 
@@ -139,14 +139,14 @@
                   for rank in self._ranks)
             for index in range(self.figures.sets)
         ]
-        return replication.mean_greatest_load(layouts, self._demand)
+        return replication.mean_max_rank_load(layouts, self._demand)
 
     def pass_s(self, skew: float) -> float:
         """How long a pass lasts."""
         figures = self.figures
-        writing = figures.per_sequence_s * self._streams
+        writing = figures.step_s_per_sequence * self._streams
         share = figures.expert_share
-        return figures.steps_per_pass * (figures.step_s + writing *
+        return figures.steps_per_pass * (figures.base_step_s + writing *
                                          (1 - share + share * skew))
 
     async def run(self) -> None:
@@ -191,11 +191,12 @@
             for total, share in zip(self._choices, flat)
         ]
 
-    def counts(self, rank: int) -> rank_server.RankCounts:
+    def counts(self, rank: int) -> rank_server.ExpertChoiceCounts:
         """How often a rank's requests have chosen each expert."""
-        return rank_server.RankCounts(step=self._ranks[rank].state.step,
-                                      epoch=1,
-                                      counts=tuple(map(int, self._choices)))
+        return rank_server.ExpertChoiceCounts(step=self._ranks[rank].state.step,
+                                              epoch=1,
+                                              counts=tuple(
+                                                  map(int, self._choices)))
 
     def layout(self, rank: int) -> peer_messages.RankLayout:
         """The experts that a rank holds."""
@@ -242,8 +243,8 @@
             len(after - before) for before, after in zip(
                 rank.held_by_version[state.map_version], held)
         ]
-        if (max(new) > self.figures.spare or
-                max(map(len, held)) > self.figures.places):
+        if (max(new) > self.figures.spare_expert_slots or
+                max(map(len, held)) > self.figures.expert_slots):
             return _CONFLICT
         rank.held_by_version[order.version] = held
         rank.state = dataclasses.replace(state, is_busy=True)
@@ -284,26 +285,27 @@
         self._running = running
         self._late = list(late)
 
-    async def report(self) -> rank_server.RankReport:
+    async def fetch_status(self) -> rank_server.RankServerStatus:
         await asyncio.sleep(_CALL_S)
-        return rank_server.RankReport(state=self._group.states[self._rank],
-                                      running=self._running,
-                                      waiting=0,
-                                      is_in_group=True)
+        return rank_server.RankServerStatus(
+            state=self._group.states[self._rank],
+            running=self._running,
+            waiting=0,
+            is_group_member=True)
 
-    async def counts(self) -> rank_server.RankCounts:
+    async def fetch_choice_counts(self) -> rank_server.ExpertChoiceCounts:
         await asyncio.sleep(_CALL_S)
         return self._group.counts(self._rank)
 
-    async def layout(self) -> peer_messages.RankLayout:
+    async def fetch_layout(self) -> peer_messages.RankLayout:
         await asyncio.sleep(_CALL_S)
         return self._group.layout(self._rank)
 
-    async def order(self, order: peer_messages.RankOrder) -> int:
+    async def send_order(self, order: peer_messages.RankOrder) -> int:
         await asyncio.sleep(_CALL_S)
         late_s = self._late.pop(0) if self._late else 0.0
         if late_s:
             asyncio.get_running_loop().call_later(late_s, self._group.order,
                                                   self._rank, order)
-            raise rank_server.RankSilent('no answer')
+            raise rank_server.RankServerUnavailableError('no answer')
         return self._group.order(self._rank, order)
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -8,9 +8,9 @@
 import result
 from behave import given, then, when
 
-from pollenthread.app import planned_stop
-from pollenthread.core import (addresses, event_stream, fleet, load_board,
-                               retry_budget, service_forecast)
+from pollenthread.app import graceful_shutdown
+from pollenthread.core import (addresses, resumable_events, retry_budget,
+                               server_load, server_registry, service_estimate)
 from pollenthread.platform import config_document
 
 _RETURN_S = 2.2
@@ -18,24 +18,26 @@
 _EXTRA = 94.0
 _WINDOW_S = 10.0
 _HOSTS = 9
-_SHORT = service_forecast.Need(time_left_s=1.0)
+_SHORT = service_estimate.RequestRequirements(time_left_s=1.0)
 
 
-def _server(server_id: str,
-            state: fleet.ServerState = fleet.ServerState.READY) -> fleet.Server:
-    return fleet.Server(id=server_id,
-                        service='llm',
-                        address=f'10.0.0.1:{sum(server_id.encode())}',
-                        data_centre='a',
-                        slots=6,
-                        state=state,
-                        born_ms=1000)
+def _server(
+    server_id: str,
+    state: server_registry.ServerState = server_registry.ServerState.READY
+) -> server_registry.Server:
+    return server_registry.Server(id=server_id,
+                                  service='llm',
+                                  address=f'10.0.0.1:{sum(server_id.encode())}',
+                                  data_centre='a',
+                                  slots=6,
+                                  state=state,
+                                  born_ms=1000)
 
 
 @given('a fleet that lists servers "{names}" of "llm"')
 def step_fleet(context: Any, names: str) -> None:
     context.now = 100.0
-    context.fleet = fleet.Fleet(return_s=_RETURN_S)
+    context.fleet = server_registry.ServerRegistry(relisting_s=_RETURN_S)
     context.fleet.replace_all([_server(name) for name in names.split()],
                               context.now)
 
@@ -52,7 +54,7 @@
 
 @when('a peer that the store answers tells the list')
 def step_peer_list(context: Any) -> None:
-    context.fleet.trust_list()
+    context.fleet.cancel_outage()
 
 
 @when('the entry of "{name}" is gone')
@@ -62,12 +64,12 @@
 
 @when('"{name}" is draining')
 def step_draining(context: Any, name: str) -> None:
-    context.fleet.put(_server(name, fleet.ServerState.DRAINING))
+    context.fleet.put(_server(name, server_registry.ServerState.DRAINING))
 
 
 @when('another server answers at the address of "{name}"')
 def step_reused(context: Any, name: str) -> None:
-    context.fleet.replace_dead(name)
+    context.fleet.mark_replaced(name)
 
 
 @when('"{name}" is listed at the address of "{old}", started at {born_ms:d} ms')
@@ -91,13 +93,13 @@
 
 @when('the agent beside "{name}" tells of a start at {born_ms:d} ms')
 def step_started(context: Any, name: str, born_ms: int) -> None:
-    context.fleet.note_start(_server(name).address, born_ms)
+    context.fleet.record_start(_server(name).address, born_ms)
 
 
 @when('{seconds:d} s pass')
 def step_pass(context: Any, seconds: int) -> None:
     context.now += seconds
-    context.fleet.expire(context.now)
+    context.fleet.drop_expired(context.now)
 
 
 @then('"{names}" take work')
@@ -106,30 +108,33 @@
     assert found == sorted(names.split()), found
 
 
-def _report(waiting: int = 0, *, is_open: bool = True) -> load_board.LoadReport:
-    return load_board.LoadReport(running=0,
-                                 waiting=waiting,
-                                 slots=6,
-                                 is_open=is_open,
-                                 group='g')
+def _report(waiting: int = 0,
+            *,
+            is_open: bool = True) -> server_load.ServerLoadReport:
+    return server_load.ServerLoadReport(running=0,
+                                        waiting=waiting,
+                                        slots=6,
+                                        accepts_requests=is_open,
+                                        group='g')
 
 
 @given('servers "{names}" with an agent each')
 def step_servers(context: Any, names: str) -> None:
     context.now = 100.0
     context.servers = [_server(name) for name in names.split()]
-    context.loads = load_board.LoadBoard(rng=random.Random(1))
+    context.loads = server_load.ServerLoadTracker(rng=random.Random(1))
     for server in context.servers:
-        context.loads.report(server.id, _report(), context.now)
+        context.loads.record_report(server.id, _report(), context.now)
 
 
-def _choose(context: Any) -> fleet.Server | None:
-    found: fleet.Server | None = context.loads.choose(context.servers,
-                                                      excluded=(),
-                                                      data_centre='a',
-                                                      need=_SHORT,
-                                                      hosts=_HOSTS,
-                                                      now=context.now)
+def _choose(context: Any) -> server_registry.Server | None:
+    found: server_registry.Server | None = context.loads.select(
+        context.servers,
+        excluded=(),
+        data_centre='a',
+        requirements=_SHORT,
+        hosts=_HOSTS,
+        now=context.now)
     return found
 
 
@@ -138,19 +143,20 @@
     context.now += seconds
     for server in context.servers:
         if server.id != name:
-            context.loads.report(server.id, _report(), context.now)
+            context.loads.record_report(server.id, _report(), context.now)
 
 
 @when('both say that their group is closed')
 def step_closed(context: Any) -> None:
     for server in context.servers:
-        context.loads.report(server.id, _report(is_open=False), context.now)
+        context.loads.record_report(server.id, _report(is_open=False),
+                                    context.now)
 
 
 @when('{count:d} requests are sent to "{name}" after its report')
 def step_sent(context: Any, count: int, name: str) -> None:
     for _ in range(count):
-        context.loads.begin(name, context.now)
+        context.loads.record_start(name, context.now)
 
 
 @then('{count:d} choices all go to "{name}"')
@@ -174,7 +180,8 @@
     context.now = 100.0
     context.servers = [_server(f's{i}') for i in range(servers)]
     context.boards = [
-        load_board.LoadBoard(rng=random.Random(i)) for i in range(hosts)
+        server_load.ServerLoadTracker(rng=random.Random(i))
+        for i in range(hosts)
     ]
 
 
@@ -183,7 +190,7 @@
     context.chosen = []
     for board in context.boards:
         for server in context.servers:
-            board.report(server.id, _report(), context.now)
+            board.record_report(server.id, _report(), context.now)
         context.loads = board
         found = _choose(context)
         assert found is not None
@@ -201,18 +208,19 @@
     context.now = 100.0
     context.requests = requests
     context.budgets = [
-        retry_budget.RetryBudget(ratio=_RATIO, extra=_EXTRA, window_s=_WINDOW_S)
-        for _ in range(hosts)
+        retry_budget.SharedRetryBudget(ratio=_RATIO,
+                                       extra=_EXTRA,
+                                       window_s=_WINDOW_S) for _ in range(hosts)
     ]
     for i in range(requests):
-        context.budgets[i % hosts].note_request(context.now)
+        context.budgets[i % hosts].record_request(context.now)
 
 
 @when('all repeat as much as they may')
 def step_repeat(context: Any) -> None:
     context.repeats = 0
     for budget in context.budgets:
-        while budget.take(context.now, len(context.budgets)):
+        while budget.try_acquire(context.now, len(context.budgets)):
             context.repeats += 1
 
 
@@ -234,12 +242,12 @@
 
 @then('a repeat is allowed again')
 def step_again(context: Any) -> None:
-    assert context.budgets[0].take(context.now, 1)
+    assert context.budgets[0].try_acquire(context.now, 1)
 
 
 @given('a stream in the parts "{first}", "{second}", "{third}"')
 def step_stream(context: Any, first: str, second: str, third: str) -> None:
-    context.splitter = event_stream.EventSplitter()
+    context.splitter = resumable_events.ResumableEventSplitter()
     context.passed = b''
     for part in (first, second, third):
         data = part.replace(' data', '\ndata').replace(' da', '\nda')
@@ -261,12 +269,13 @@
 
 @given('a planned stop with {grace:d} s of grace')
 def step_stop(context: Any, grace: int) -> None:
-    context.plan = planned_stop.StopPlan(grace_s=grace, caches_s=3.0)
+    context.plan = graceful_shutdown.ShutdownPlan(grace_s=grace,
+                                                  discovery_cache_s=3.0)
 
 
 @then('a stream is taken after {taken:d} s and refused after {refused:d} s')
 def step_stream_taken(context: Any, taken: int, refused: int) -> None:
-    takes = planned_stop.takes_work
+    takes = graceful_shutdown.accepts_request
     assert takes(context.plan, taken, is_stream=True)
     assert not takes(context.plan, refused, is_stream=True)
 
@@ -274,7 +283,7 @@
 @then('a short request is taken after {taken:d} s and refused after '
       '{refused:d} s')
 def step_short_taken(context: Any, taken: int, refused: int) -> None:
-    takes = planned_stop.takes_work
+    takes = graceful_shutdown.accepts_request
     assert takes(context.plan, taken, is_stream=False)
     assert not takes(context.plan, refused, is_stream=False)
 
@@ -282,14 +291,14 @@
 @then('the stop is done after {done:d} s if nothing runs, and not before '
       '{early:d} s')
 def step_done(context: Any, done: int, early: int) -> None:
-    assert planned_stop.is_done(context.plan, done, 0)
-    assert not planned_stop.is_done(context.plan, early - 0.1, 0)
-    assert not planned_stop.is_done(context.plan, done, 1)
+    assert graceful_shutdown.may_exit(context.plan, done, 0)
+    assert not graceful_shutdown.may_exit(context.plan, early - 0.1, 0)
+    assert not graceful_shutdown.may_exit(context.plan, done, 1)
 
 
 @then('the stop is done after {seconds:f} s whatever runs')
 def step_forced(context: Any, seconds: float) -> None:
-    assert planned_stop.is_done(context.plan, seconds, 5)
+    assert graceful_shutdown.may_exit(context.plan, seconds, 5)
 
 
 @given('entry hosts "{names}" in data centres "{places}"')
@@ -302,7 +311,7 @@
 
 @then('a caller in "{place}" is told "{names}"')
 def step_told(context: Any, place: str, names: str) -> None:
-    found = addresses.near(context.entries, place, at_least=2)
+    found = addresses.addresses_near(context.entries, place, min_hosts=2)
     assert found == names.split(), found
 
 
@@ -310,7 +319,7 @@
 def step_read_bad(context: Any, field: str, value: str) -> None:
     document: dict[str, Any] = {'version': 1, 'routes': [], 'services': []}
     document[field] = json.loads(value)
-    context.read = config_document.decode_result(json.dumps(document).encode())
+    context.read = config_document.try_decode(json.dumps(document).encode())
 
 
 @then('it is rejected with "{reason}"')
--- a/tests/platform/steps/endless.py
+++ b/tests/platform/steps/endless.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from pollenthread.adapters import http_client
-from pollenthread.core import caller_request, event_stream, fleet
+from pollenthread.core import caller_request, resumable_events, server_registry
 from pollenthread.platform import upstream_http
 from pollenthread.ports import upstream
 from tests import scenario
@@ -72,40 +72,40 @@
             _EndlessServer(*_BEGIN_AND_REPEAT[what])))
 
 
-def _attempt(address: str) -> upstream.UpstreamRequest:
+def _attempt(address: str) -> upstream.UpstreamAttempt:
     request = caller_request.CallerRequest(id=_ID,
                                            method='POST',
                                            target='/x',
                                            host='h',
                                            headers=(),
                                            body=b'',
-                                           key=None,
-                                           patience_s=5.0,
+                                           api_key=None,
+                                           timeout_s=5.0,
                                            last_event_id=None,
                                            prompt_tokens=0,
                                            max_output_tokens=0,
                                            prompt_parts=(),
                                            received_at=0.0)
-    server = fleet.Server(id='s',
-                          service='llm',
-                          address=address,
-                          data_centre='a',
-                          slots=1,
-                          state=fleet.ServerState.READY)
-    return upstream.UpstreamRequest(server=server,
+    server = server_registry.Server(id='s',
+                                    service='llm',
+                                    address=address,
+                                    data_centre='a',
+                                    slots=1,
+                                    state=server_registry.ServerState.READY)
+    return upstream.UpstreamAttempt(server=server,
                                     request=request,
                                     time_left_s=5.0,
                                     workspace=None,
                                     last_event_id=None,
-                                    urgency=5)
+                                    priority=5)
 
 
 async def _ask(context: Any) -> None:
     context.taken_bytes = 0
     context.broken = None
-    splitter = event_stream.EventSplitter()
+    splitter = resumable_events.ResumableEventSplitter()
     async with http_client.HttpClient() as client:
-        servers = upstream_http.HttpUpstream(client=client)
+        servers = upstream_http.HttpUpstreamClient(client=client)
         try:
             async with asyncio.timeout(5.0):
                 async with servers.send(_attempt(
@@ -114,7 +114,8 @@
                         context.taken_bytes += len(data)
                         if context.is_stream:
                             splitter.feed(data)
-        except (upstream.UpstreamBroken, event_stream.EventTooLong) as error:
+        except (upstream.UpstreamDisconnectedError,
+                resumable_events.EventTooLongError) as error:
             context.broken = error
 
 
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from pollenthread.app import group_view, roster, switch_driver
+from pollenthread.app import group_view, host_registry, switch_driver
 from pollenthread.core import host_record, map_switch, peer_messages
 from tests.fakes import memory, running_group, virtual_time
 
@@ -48,7 +48,7 @@
                 self._view.take(state)
                 return
 
-    async def fetch_state(self, address: str) -> peer_messages.RankState:
+    async def fetch_rank_state(self, address: str) -> peer_messages.RankState:
         return self._group.state_by_rank[_rank(address)]
 
 
@@ -83,7 +83,7 @@
 async def _switch(context: Any) -> None:
     group = context.group
     time = virtual_time.LoopClock()
-    hosts = roster.Roster()
+    hosts = host_registry.HostRegistry()
     for rank in range(context.size):
         record = host_record.HostRecord(host=f'side-{rank}',
                                         role=host_record.Role.AGENT,
@@ -109,7 +109,7 @@
     await asyncio.sleep(_PAUSE_BEFORE_S)
     begun_at = time.monotonic()
     layouts = ((tuple((rank,) for rank in range(context.size))),)
-    switch = await driver.drive(map_switch.Switch(_VERSION, _EPOCH, layouts))
+    switch = await driver.run(map_switch.MapSwitch(_VERSION, _EPOCH, layouts))
     context.phase = switch.phase
     context.took_s = time.monotonic() - begun_at
     await asyncio.sleep(_PAUSE_BEFORE_S)
@@ -128,7 +128,7 @@
 
 @then('all ranks use the new map within {limit:d} ms')
 def step_done(context: Any, limit: int) -> None:
-    assert context.phase is map_switch.Phase.DONE, context.phase
+    assert context.phase is map_switch.MapSwitchPhase.DONE, context.phase
     assert all(state.map_version == _VERSION
                for state in context.group.state_by_rank.values())
     assert context.took_s * _MS_PER_S <= limit, context.took_s
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -8,10 +8,10 @@
 
 from behave import given, then, when
 
-from pollenthread.app import forwarder, planned_stop, serving_state
-from pollenthread.core import (caller_request, errors, fleet, http_headers,
-                               lateness, routing_config)
-from pollenthread.ports import reply
+from pollenthread.app import forwarder, graceful_shutdown, serving_state
+from pollenthread.core import (caller_request, caller_wait, errors,
+                               http_headers, routing_config, server_registry)
+from pollenthread.ports import caller_response
 from tests.fakes import busy_servers, memory, virtual_time
 
 _BUDGET_S = 8.05
@@ -23,22 +23,22 @@
 _SILENCE_S = 2.0
 _LAST_ARRIVAL_S = 14.0
 _REPORT_S = 0.25
-_FIGURES = routing_config.EngineFigures(slots=6,
-                                        kv_tokens=247_000,
-                                        step_s=0.005,
-                                        per_sequence_s=0.0,
-                                        per_context_token_s=0.0,
-                                        prompt_tokens_per_s=74_800.0,
-                                        per_pair_s=0.0,
-                                        chunk_tokens=512,
+_FIGURES = routing_config.EngineProfile(slots=6,
+                                        kv_cache_tokens=247_000,
+                                        base_step_s=0.005,
+                                        step_s_per_sequence=0.0,
+                                        step_s_per_context_token=0.0,
+                                        prefill_tokens_per_s=74_800.0,
+                                        prefill_s_per_token_pair=0.0,
+                                        prefill_chunk_tokens=512,
                                         steps_per_pass=6,
-                                        usual_prompt_tokens=835.0,
-                                        usual_answer_tokens=159.0,
+                                        mean_prompt_tokens=835.0,
+                                        mean_output_tokens=159.0,
                                         link_bytes_per_s=0.0,
                                         sets=0,
                                         experts=0,
-                                        places=0,
-                                        spare=0,
+                                        expert_slots=0,
+                                        spare_expert_slots=0,
                                         expert_bytes=0.0,
                                         expert_share=0.0)
 _ROUTE = routing_config.Route(name='chat',
@@ -58,10 +58,10 @@
     routes_by_host={'h': (_ROUTE,)},
     services_by_name={'llm': routing_config.Service('llm', '/', 258, _FIGURES)},
     limits=routing_config.CallerLimits(),
-    workspaces_by_key=None)
+    workspaces_by_api_key=None)
 
 
-class _Reply(reply.Reply):
+class _Reply(caller_response.CallerResponse):
     """Notes when the first event came and how the answer ended."""
 
     def __init__(self) -> None:
@@ -70,19 +70,19 @@
         self.failure: errors.Failure | None = None
 
     @property
-    def has_begun(self) -> bool:
+    def is_started(self) -> bool:
         return self.first_at is not None
 
-    async def refuse(self, failure: errors.Failure) -> None:
+    async def send_failure(self, failure: errors.Failure) -> None:
         self.failure = failure
 
-    async def send_whole(self, status: int,
-                         headers: Sequence[http_headers.Header],
-                         body: bytes) -> None:
+    async def send_response(self, status: int,
+                            headers: Sequence[http_headers.Header],
+                            body: bytes) -> None:
         self.is_whole = True
 
-    async def begin(self, status: int,
-                    headers: Sequence[http_headers.Header]) -> None:
+    async def start_stream(self, status: int,
+                           headers: Sequence[http_headers.Header]) -> None:
         self.first_at = asyncio.get_running_loop().time()
 
     async def write(self, data: bytes) -> None:
@@ -91,7 +91,7 @@
     async def finish(self) -> None:
         self.is_whole = True
 
-    def break_off(self) -> None:
+    def abort(self) -> None:
         return
 
 
@@ -129,12 +129,13 @@
         self._rng = random.Random(5)
         self._arrivals = random.Random(6)
         self._fleet = [
-            fleet.Server(id=f's{i}',
-                         service='llm',
-                         address=f'10.0.0.{i}:1',
-                         data_centre='a',
-                         slots=pace.slots,
-                         state=fleet.ServerState.READY) for i in range(servers)
+            server_registry.Server(id=f's{i}',
+                                   service='llm',
+                                   address=f'10.0.0.{i}:1',
+                                   data_centre='a',
+                                   slots=pace.slots,
+                                   state=server_registry.ServerState.READY)
+            for i in range(servers)
         ]
         self.servers = busy_servers.BusyServers(servers=self._fleet, pace=pace)
         self._clock = virtual_time.LoopClock()
@@ -142,7 +143,8 @@
         self._hosts = [
             forwarder.Forwarder(state=state,
                                 servers=self.servers,
-                                stop_plan=planned_stop.StopPlan(8.0, 1.0),
+                                stop_plan=graceful_shutdown.ShutdownPlan(
+                                    8.0, 1.0),
                                 observe=lambda name, value: None,
                                 time=self._clock,
                                 log=memory.SilentLog())
@@ -152,13 +154,13 @@
     def _state(self, seed: int, hosts: int) -> serving_state.ServingState:
         state = serving_state.ServingState(
             data_centre='a',
-            retry_bounds=serving_state.RetryBounds(0.2, 94.0, 10.0),
+            retry_settings=serving_state.RetryBudgetSettings(0.2, 94.0, 10.0),
             return_s=2.0,
             rng=random.Random(seed))
         state.config = self._config
-        state.entry_hosts = hosts
+        state.entry_host_count = hosts
         for server in self._fleet:
-            state.fleet.put(server)
+            state.server_registry.put(server)
         return state
 
     async def run(self, closed_at: float, open_at: float) -> None:
@@ -184,12 +186,13 @@
         """Callers by the second in which they first came."""
         return [c for c in self.callers if begin <= c.came_at < end]
 
-    async def _report(self, server: fleet.Server) -> None:
+    async def _report(self, server: server_registry.Server) -> None:
         """What the agent beside a server does."""
         while True:
             news = self.servers.report(server.id)
             for state in self._states:
-                state.loads.report(server.id, news, self._clock.monotonic())
+                state.server_loads.record_report(server.id, news,
+                                                 self._clock.monotonic())
             await asyncio.sleep(_REPORT_S * self._rng.uniform(0.9, 1.1))
 
     async def _call(self, caller: _Caller, start: float) -> None:
@@ -215,8 +218,8 @@
             host='h',
             headers=(),
             body=b'',
-            key=None,
-            patience_s=(deadline - now if self._tells_patience else None),
+            api_key=None,
+            timeout_s=(deadline - now if self._tells_patience else None),
             last_event_id=None,
             prompt_tokens=835,
             max_output_tokens=159,
@@ -225,7 +228,7 @@
         served = asyncio.create_task(
             self._rng.choice(self._hosts).serve(request, answer))
         await asyncio.wait([served], timeout=_SILENCE_S)
-        if not answer.has_begun:
+        if not answer.is_started:
             served.cancel()
         await asyncio.wait([served])
         return answer
@@ -340,12 +343,12 @@
     '{patience:g} s')
 def step_known_patience(context: Any, timeout: float, patience: float) -> None:
     context.route = dataclasses.replace(_ROUTE, timeout_s=timeout)
-    context.book = lateness.PatienceBook()
+    context.book = caller_wait.CallerWaitEstimator()
     context.book.waited_s(context.route, patience)
 
 
 @then('one with patience for {patience:g} s has missed an aim of 403 ms: '
       '{missed}')
 def step_missed(context: Any, patience: float, missed: str) -> None:
-    found = context.book.has_missed_aim(context.route, patience)
+    found = context.book.has_missed_target(context.route, patience)
     assert str(found) == missed, found
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -9,8 +9,8 @@
 from behave import given, then, when
 import result
 
-from pollenthread.app import (group_view, map_duty, rank_agent, roster,
-                              switch_driver)
+from pollenthread.app import (group_view, host_registry, map_coordinator,
+                              rank_agent, switch_driver)
 from pollenthread.core import (host_record, replication, routing_config,
                                step_limits)
 from pollenthread.ports import row_store
@@ -22,22 +22,22 @@
 _STREAMS_A_RANK = 3.0
 _ENTRY_HOSTS = 8
 _SEED = 3
-_FIGURES = routing_config.EngineFigures(slots=5,
-                                        kv_tokens=205_833,
-                                        step_s=0.00484,
-                                        per_sequence_s=0.00087,
-                                        per_context_token_s=0.0,
-                                        prompt_tokens_per_s=74_800.0,
-                                        per_pair_s=0.0,
-                                        chunk_tokens=512,
+_FIGURES = routing_config.EngineProfile(slots=5,
+                                        kv_cache_tokens=205_833,
+                                        base_step_s=0.00484,
+                                        step_s_per_sequence=0.00087,
+                                        step_s_per_context_token=0.0,
+                                        prefill_tokens_per_s=74_800.0,
+                                        prefill_s_per_token_pair=0.0,
+                                        prefill_chunk_tokens=512,
                                         steps_per_pass=7,
-                                        usual_prompt_tokens=835.0,
-                                        usual_answer_tokens=158.0,
+                                        mean_prompt_tokens=835.0,
+                                        mean_output_tokens=158.0,
                                         link_bytes_per_s=11.5e9,
                                         sets=12,
                                         experts=128,
-                                        places=5,
-                                        spare=2,
+                                        expert_slots=5,
+                                        spare_expert_slots=2,
                                         expert_bytes=420e6,
                                         expert_share=0.85)
 _PLACES_BY_RANKS = {8: 11, 32: 5}
@@ -64,20 +64,22 @@
 def step_limited(context: Any, count: int, copy_s: float) -> None:
     ranks = len(context.layouts[0])
     figures = dataclasses.replace(_FIGURES,
-                                  places=_PLACES_BY_RANKS[ranks],
+                                  expert_slots=_PLACES_BY_RANKS[ranks],
                                   expert_bytes=copy_s *
                                   _FIGURES.link_bytes_per_s)
     limits = step_limits.limits_for(figures, ranks)
     for _ in range(count):
-        step = replication.plan_step(context.layouts, context.shares,
-                                     limits.shape, context.paces)
-        if limits.is_worth(step):
+        step = replication.plan_replication_step(context.layouts,
+                                                 context.shares,
+                                                 limits.replication_limits,
+                                                 context.paces)
+        if limits.is_worthwhile(step):
             context.layouts = step.layouts
 
 
 @then('the mean over sets of the greatest load is less than {bound:f}')
 def step_mean_load(context: Any, bound: float) -> None:
-    found = replication.mean_greatest_load(context.layouts, context.shares,
+    found = replication.mean_max_rank_load(context.layouts, context.shares,
                                            context.paces)
     assert found < bound, found
 
@@ -89,17 +91,17 @@
         self._version = 0
 
     async def read(
-            self, table: str
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
-        return result.Ok(row_store.Changes((), self._version))
+        self, table: str
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
+        return result.Ok(row_store.RowChanges((), self._version))
 
     async def watch(
-        self, table: str, after: int, wait_s: float
-    ) -> result.Result[row_store.Changes, row_store.StoreFault]:
+        self, table: str, after_version: int, wait_s: float
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         return await self.read(table)
 
     async def write(self,
-                    writes: Any) -> result.Result[int, row_store.StoreFault]:
+                    writes: Any) -> result.Result[int, row_store.StoreError]:
         self._version += 1
         return result.Ok(self._version)
 
@@ -108,7 +110,7 @@
     """Agents beside one group, and one agent outside that holds its duty."""
 
     def __init__(self, *, agents: int, megabits_per_s: float,
-                 figures: routing_config.EngineFigures) -> None:
+                 figures: routing_config.EngineProfile) -> None:
         self.agents = agents
         self.figures = figures
         self.fabric = thin_links.Fabric(megabits_per_s=megabits_per_s)
@@ -161,23 +163,23 @@
         number = int(own.host.rpartition('-')[2])
         network = thin_links.FabricNetwork(fabric=self.fabric,
                                            address=own.peer_address)
-        hosts = roster.Roster()
+        hosts = host_registry.HostRegistry()
         for record in records:
             hosts.records_by_host[record.host] = record
-        book = group_view.GroupBook(network=network, time=self._time)
+        book = group_view.GroupRegistry(network=network, time=self._time)
         if number == self.agents:
             return [self._hold_duty(own, network, hosts, book)]
         agent = rank_agent.RankAgent(own=own,
                                      slots=self.figures.slots,
                                      server=self._server(own.engine_address),
                                      hosts=hosts,
-                                     book=book,
+                                     registry=book,
                                      network=network,
                                      link_bytes_per_s=self._link_bytes_per_s,
                                      time=self._time,
                                      log=memory.SilentLog(),
                                      rng=random.Random(number))
-        agent.experts = self.figures.experts
+        agent.experts_per_set = self.figures.experts
         return [agent.run()]
 
     def _server(self, address: str) -> emulated_group.EmulatedRank:
@@ -188,8 +190,8 @@
 
     async def _hold_duty(self, own: host_record.HostRecord,
                          network: thin_links.FabricNetwork,
-                         hosts: roster.Roster,
-                         book: group_view.GroupBook) -> None:
+                         hosts: host_registry.HostRegistry,
+                         book: group_view.GroupRegistry) -> None:
         book.own_state = dataclasses.replace(self.group.states[0],
                                              group=_OUTSIDE)
         view = book.view(_GROUP)
@@ -200,17 +202,18 @@
                                             make_server=self._server,
                                             time=self._time,
                                             log=memory.SilentLog())
-        duty = map_duty.MapDuty(host=own.host,
-                                incarnation='1',
-                                store=_Store(),
-                                hosts=hosts,
-                                book=book,
-                                view=view,
-                                driver=driver,
-                                network=network,
-                                figures=lambda service: self.figures,
-                                time=self._time,
-                                log=memory.SilentLog())
+        duty = map_coordinator.MapCoordinator(
+            host=own.host,
+            incarnation='1',
+            store=_Store(),
+            hosts=hosts,
+            registry=book,
+            view=view,
+            driver=driver,
+            network=network,
+            figures=lambda service: self.figures,
+            time=self._time,
+            log=memory.SilentLog())
         await duty.run()
 
 
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from pollenthread.adapters import clock
-from pollenthread.app import account_keeper, account_reader
+from pollenthread.app import account_reader, account_writer
 from pollenthread.core import account
 from pollenthread.ports import table
 from tests import scenario
@@ -22,7 +22,7 @@
     """Rows in memory that can be down or lose answers."""
 
     def __init__(self) -> None:
-        self.rows_by_key: dict[str, table.Row] = {}
+        self.rows_by_key: dict[str, table.TableRow] = {}
         self.down = False
         self.lose_every = 0
         self._commits = 0
@@ -30,40 +30,41 @@
 
     async def get(
             self,
-            key: str) -> result.Result[table.Row | None, table.TableFault]:
+            key: str) -> result.Result[table.TableRow | None, table.TableError]:
         if self.down:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         return result.Ok(self.rows_by_key.get(key))
 
     async def scan(
-            self,
-            prefix: str) -> result.Result[list[table.Row], table.TableFault]:
+            self, prefix: str
+    ) -> result.Result[list[table.TableRow], table.TableError]:
         return result.Ok([
             row for key, row in sorted(self.rows_by_key.items())
             if key.startswith(prefix)
         ])
 
     async def commit(
-        self, writes: Sequence[table.Write]
-    ) -> result.Result[list[int], table.TableFault]:
+        self, writes: Sequence[table.TableWrite]
+    ) -> result.Result[list[int], table.TableError]:
         if self.down:
-            return result.Err(table.TableFault.UNAVAILABLE)
+            return result.Err(table.TableError.UNAVAILABLE)
         for write in writes:
             row = self.rows_by_key.get(write.key)
-            if (row.version if row else table.ABSENT) != write.expect:
-                return result.Err(table.TableFault.CONFLICT)
+            if (row.version
+                    if row else table.ABSENT_VERSION) != write.expected_version:
+                return result.Err(table.TableError.CONFLICT)
         versions = [self._apply(write) for write in writes]
         self._commits += 1
         if self.lose_every and self._commits % self.lose_every == 0:
-            return result.Err(table.TableFault.UNKNOWN)
+            return result.Err(table.TableError.UNKNOWN)
         return result.Ok(versions)
 
-    def _apply(self, write: table.Write) -> int:
+    def _apply(self, write: table.TableWrite) -> int:
         self._version += 1
         self.rows_by_key.pop(write.key, None)
         if write.value is not None:
-            self.rows_by_key[write.key] = table.Row(write.key, write.value,
-                                                    self._version)
+            self.rows_by_key[write.key] = table.TableRow(
+                write.key, write.value, self._version)
         return self._version
 
 
@@ -73,23 +74,23 @@
     def __init__(self, fold_rows: int = 60) -> None:
         self.now_s = _START_S
         self.table = _Table()
-        self.tally = account.Tally()
+        self.tally = account.RequestCounter()
         self.truth = collections.Counter[tuple[str, str]]()
-        self.keeper = account_keeper.AccountKeeper(table_service=self.table,
+        self.keeper = account_writer.AccountWriter(table_service=self.table,
                                                    tally=self.tally,
                                                    host='entry-1',
                                                    incarnation='abc',
                                                    time=clock.SystemClock(),
                                                    wall=lambda: self.now_s,
                                                    interval_s=_INTERVAL_S,
-                                                   fold_rows=fold_rows)
+                                                   merge_rows=fold_rows)
 
     async def serve(self, requests: int, intervals: int, seed: int) -> None:
         draw = random.Random(seed)
-        open_keys: list[account.TallyKey] = []
+        open_keys: list[account.CountKey] = []
         for _ in range(intervals):
             for _ in range(requests // intervals):
-                key = account.TallyKey(draw.choice('ab'), draw.choice('xyz'))
+                key = account.CountKey(draw.choice('ab'), draw.choice('xyz'))
                 self.tally.accept(key)
                 open_keys.append(key)
                 if draw.random() < 0.8:
@@ -102,14 +103,14 @@
         self.now_s += _INTERVAL_S
         await self.keeper.flush()
 
-    def _end(self, key: account.TallyKey, draw: random.Random) -> None:
-        outcome = draw.choice(list(account.Outcome))
+    def _end(self, key: account.CountKey, draw: random.Random) -> None:
+        outcome = draw.choice(list(account.RequestOutcome))
         self.truth[key.workspace + key.work_class, outcome.value] += 1
         self.tally.end(key, outcome, attempts=draw.randint(0, 3), repeat=False)
 
     async def lose(self, requests: int) -> None:
         for _ in range(requests):
-            self.tally.accept(account.TallyKey('a', 'x'))
+            self.tally.accept(account.CountKey('a', 'x'))
         await self._pass_interval()
         self.now_s += 10 * _INTERVAL_S
 
@@ -170,7 +171,7 @@
 @when('{requests:d} requests are accepted and the entry host stops now')
 def step_cut(context: Any, requests: int) -> None:
     for _ in range(requests):
-        context.host.tally.accept(account.TallyKey('a', 'x'))
+        context.host.tally.accept(account.CountKey('a', 'x'))
     assert scenario.run(context, context.host.keeper.finish(5.0))
 
 
@@ -186,7 +187,7 @@
         (key.workspace + key.work_class, outcome.value):
             getattr(counts, outcome.value)
         for key, counts in _run_ledger(context).counts_by_key.items()
-        for outcome in account.Outcome
+        for outcome in account.RequestOutcome
     }
     truth = context.host.truth
     assert {k: n for k, n in found.items() if n} == dict(truth), (found, truth)
