--- a/bench/policy_fakes.py
+++ b/bench/policy_fakes.py
@@ -138,7 +138,7 @@
             self._break(name)
         elif decision is admission_control.AdmissionDecision.RUN:
             self._begin(name)
-        elif decision is admission_control.AdmissionDecision.REFUSE:
+        elif decision is admission_control.AdmissionDecision.REJECT:
             self._refuse(name)
 
     def cancel(self, name: str) -> None:
--- a/models/configuration.py
+++ b/models/configuration.py
@@ -26,7 +26,7 @@
         rereads: whether a lost answer to a publication is settled by reading.
     """
 
-    may_adopt: Callable[[int, int], bool] = config_freshness.may_adopt
+    may_adopt: Callable[[int, int], bool] = config_freshness.may_apply
     merge: Callable[
         ..., config_freshness.ConfigFreshness] = config_freshness.merge_proof
     proof_from_peer: Callable[..., float] = config_freshness.peer_proof_time
--- a/pollenthread/adapters/admin_api.py
+++ b/pollenthread/adapters/admin_api.py
@@ -46,7 +46,7 @@
                 required.
 
         Raises:
-            Refused: the parameter is missing or not an integer.
+            RequestRejected: the parameter is missing or not an integer.
         """
         text = self.parts.get(name) or self.parameters.get(name, [''])[0]
         if not text and default is not None:
@@ -60,7 +60,7 @@
         """Returns the body as a JSON object.
 
         Raises:
-            Refused: the body is not a JSON object.
+            RequestRejected: the body is not a JSON object.
         """
         try:
             document = json.loads(self.body.decode('utf-8'))
@@ -238,11 +238,11 @@
             await response.send_json(200, openapi())
             return
         try:
-            answer = await self._dispatch(request)
-        except administration.RequestRefused as rejected:
+            document = await self._dispatch(request)
+        except administration.RequestRejected as rejected:
             await response.send_problem(rejected.failure)
             return
-        await response.send_json(200, answer)
+        await response.send_json(200, document)
 
     async def _dispatch(self, request: http_server.HttpRequest) -> Any:
         operator = self._authenticate(request)
@@ -271,8 +271,8 @@
 
 
 def _rejection(kind: errors.ErrorKind,
-               detail: str = '') -> administration.RequestRefused:
-    return administration.RequestRefused(errors.make_failure(kind, detail))
+               detail: str = '') -> administration.RequestRejected:
+    return administration.RequestRejected(errors.make_failure(kind, detail))
 
 
 def openapi() -> dict[str, Any]:
@@ -338,11 +338,11 @@
     return operation
 
 
-def _openapi_parameter(name: str, place: str, kind: str) -> dict[str, Any]:
+def _openapi_parameter(name: str, location: str, kind: str) -> dict[str, Any]:
     return {
         'name': name,
-        'in': place,
-        'required': place == 'path' or name in ('base', 'from', 'to'),
+        'in': location,
+        'required': location == 'path' or name in ('base', 'from', 'to'),
         'schema': {
             'type': kind
         }
--- a/pollenthread/adapters/admin_http.py
+++ b/pollenthread/adapters/admin_http.py
@@ -46,11 +46,12 @@
             await response.send_json(200, source())
 
 
-def account_rows(tally: account.RequestCounter) -> list[dict[str, Any]]:
+def account_rows(
+        request_counter: account.RequestCounter) -> list[dict[str, Any]]:
     """Returns the request counts as rows, one for each workspace and class."""
     return [{
         'workspace': key.workspace,
         'class': key.work_class,
         'open': counts.open,
         **dataclasses.asdict(counts)
-    } for key, counts in tally.counts_by_key.items()]
+    } for key, counts in request_counter.counts_by_key.items()]
--- a/pollenthread/adapters/caller_http.py
+++ b/pollenthread/adapters/caller_http.py
@@ -31,9 +31,9 @@
 class _RequestRejected(Exception):
     """The request is rejected before it is passed to the gateway."""
 
-    def __init__(self, problem: errors.Failure) -> None:
-        super().__init__(problem.detail)
-        self.problem = problem
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
 
 
 def _rejection(kind: errors.ErrorKind, detail: str = '') -> _RequestRejected:
@@ -66,7 +66,7 @@
     """
 
     def __init__(self, *, request_gateway: gateway.Gateway,
-                 config: config_store.ConfigStore,
+                 store: config_store.ConfigStore,
                  host_directory: directory.HostDirectory,
                  request_ids: ids.RequestIdGenerator, time: clock.Clock,
                  request_counter: account.RequestCounter,
@@ -74,10 +74,10 @@
                      [response_timing.ResponseTiming, float],
                      None], tracer: tracer_module.Tracer) -> None:
         self._gateway = request_gateway
-        self._config = config
+        self._store = store
         self._host_directory = host_directory
         self._ids = request_ids
-        self._time = time
+        self._clock = time
         self._request_counter = request_counter
         self._is_rejecting = is_rejecting
         self._observe = observe_latency
@@ -91,12 +91,12 @@
             if request.path == '/v1/addresses':
                 await self._send_addresses(request, response)
                 return
-            gateway_call = self._validate(request, request_id)
+            gateway_request = self._validate(request, request_id)
         except _RequestRejected as rejected:
-            await response.send_problem(rejected.problem,
+            await response.send_problem(rejected.failure,
                                         [('x-request-id', request_id)])
             return
-        await self._serve(gateway_call, response)
+        await self._serve(gateway_request, response)
 
     async def _send_addresses(self, request: http_server.HttpRequest,
                               response: http_server.HttpResponse) -> None:
@@ -114,7 +114,7 @@
                   request_id: str) -> gateway.GatewayRequest:
         if self._is_rejecting():
             raise _rejection(errors.ErrorKind.LEAVING)
-        current = self._config.usable_targets
+        current = self._store.usable_targets
         if current is None:
             raise _rejection(errors.ErrorKind.STALE_CONFIGURATION)
         if not _is_served_path(request.path):
@@ -129,7 +129,7 @@
                                       key=key,
                                       kind=target.kind,
                                       name=target.name,
-                                      deadline=self._time.monotonic() +
+                                      deadline=self._clock.monotonic() +
                                       _parse_timeout_s(request, target.stream),
                                       stream=target.stream,
                                       method=request.method,
@@ -137,19 +137,19 @@
                                       headers=_forwarded_headers(request, key),
                                       body=request.body)
 
-    async def _serve(self, gateway_call: gateway.GatewayRequest,
+    async def _serve(self, gateway_request: gateway.GatewayRequest,
                      response: http_server.HttpResponse) -> None:
-        started_at = self._time.monotonic()
-        self._request_counter.accept(gateway_call.count_key)
-        self.open_requests.add(gateway_call.request_id)
+        started_at = self._clock.monotonic()
+        self._request_counter.accept(gateway_request.count_key)
+        self.open_requests.add(gateway_request.request_id)
         sink = _ResponseSink(response=response,
-                             request_id=gateway_call.request_id)
+                             request_id=gateway_request.request_id)
         report = gateway.RequestReport(started_at=started_at)
-        trace = self._tracer.start(gateway_call.headers)
+        trace = self._tracer.start(gateway_request.headers)
         if trace is not None:
-            gateway_call = _with_trace_header(gateway_call, trace)
+            gateway_request = _with_trace_header(gateway_request, trace)
         try:
-            await self._gateway.serve(gateway_call, sink, report)
+            await self._gateway.serve(gateway_request, sink, report)
         except BaseException:
             report.failure = errors.make_failure(
                 errors.ErrorKind.CALLER_GONE,
@@ -157,40 +157,41 @@
                 if report.attempts else errors.Executed.NO)
             raise
         finally:
-            self.open_requests.discard(gateway_call.request_id)
+            self.open_requests.discard(gateway_request.request_id)
             self._request_counter.end(
-                gateway_call.count_key,
-                _classify_outcome(gateway_call.work_class, report, started_at,
-                                  self._time.monotonic()),
+                gateway_request.count_key,
+                _classify_outcome(gateway_request.work_class, report,
+                                  started_at, self._clock.monotonic()),
                 attempts=report.attempts,
                 repeat=report.is_replayed,
-                retries_allowed=gateway_call.work_class.retries)
+                retries_allowed=gateway_request.work_class.retries)
             if trace is not None:
-                self._finish_trace(trace, gateway_call, report)
+                self._finish_trace(trace, gateway_request, report)
         if report.failure is None:
             self._observe(report.response_timing,
-                          self._time.monotonic() - started_at)
+                          self._clock.monotonic() - started_at)
         else:
             await sink.fail(report.failure, report.attempts)
 
     def _finish_trace(self, trace: spans.TraceContext,
-                      gateway_call: gateway.GatewayRequest,
+                      gateway_request: gateway.GatewayRequest,
                       report: gateway.RequestReport) -> None:
         failure = report.failure
         self._tracer.finish(
-            trace, gateway_call.request_id, report.started_at,
-            self._time.monotonic(), report.attempt_traces, {
-                'workspace': gateway_call.workspace,
-                'class': gateway_call.work_class.name,
+            trace, gateway_request.request_id, report.started_at,
+            self._clock.monotonic(), report.attempt_traces, {
+                'workspace': gateway_request.workspace,
+                'class': gateway_request.work_class.name,
                 'result': 'whole' if failure is None else failure.kind.value
             })
 
 
-def _with_trace_header(gateway_call: gateway.GatewayRequest,
+def _with_trace_header(gateway_request: gateway.GatewayRequest,
                        trace: spans.TraceContext) -> gateway.GatewayRequest:
-    headers = tuple(header for header in gateway_call.headers
+    headers = tuple(header for header in gateway_request.headers
                     if header[0] != spans.TRACEPARENT)
-    return dataclasses.replace(gateway_call, headers=(*headers, trace.header))
+    return dataclasses.replace(gateway_request,
+                               headers=(*headers, trace.header))
 
 
 class _ResponseSink(gateway.ResponseSink):
@@ -227,19 +228,19 @@
     async def write_end(self) -> None:
         await self._response.finish()
 
-    async def fail(self, problem: errors.Failure, attempts: int) -> None:
+    async def fail(self, failure: errors.Failure, attempts: int) -> None:
         """Reports a failure to the caller.
 
         After the headers were sent, the response is aborted, so that the caller
         detects the truncation; an event stream first gets an error event.
         """
         if not self._response.is_head_sent:
-            await self._response.send_problem(problem,
+            await self._response.send_problem(failure,
                                               self._generated_headers(attempts))
             return
         last_chunk = b''
         if self._is_event_stream:
-            event = json.dumps(http_server.problem_body(problem))
+            event = json.dumps(http_server.problem_body(failure))
             last_chunk = f'event: error\ndata: {event}\n\n'.encode()
         self._response.abort(last_chunk)
 
--- a/pollenthread/adapters/host_list_http.py
+++ b/pollenthread/adapters/host_list_http.py
@@ -55,18 +55,18 @@
                 async with self._client.request(self._address,
                                                 'GET',
                                                 '/hosts',
-                                                headers=headers) as exchange:
-                    body = await exchange.read_all()
-            if exchange.status == _NOT_MODIFIED:
+                                                headers=headers) as response:
+                    body = await response.read_all()
+            if response.status == _NOT_MODIFIED:
                 return result.Ok(self._hosts)
-            if exchange.status != 200:
+            if response.status != 200:
                 return result.Err(
-                    f'the host list responded with status {exchange.status}')
+                    f'the host list responded with status {response.status}')
             hosts = _HOSTS_ADAPTER.validate_json(body)
         except (ConnectionError, TimeoutError, ValueError) as error:
             return result.Err(f'cannot read the host list: {error}')
         self._hosts = {model.name: _listed_host(model) for model in hosts}
-        self._etag = dict(exchange.headers).get('etag')
+        self._etag = dict(response.headers).get('etag')
         return result.Ok(self._hosts)
 
 
--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -144,14 +144,14 @@
         """
         connection = await self._acquire(address)
         is_reusable = False
-        exchange: ClientResponse | None = None
+        response: ClientResponse | None = None
         try:
             head = await connection.send(method, target, headers, body)
-            exchange = ClientResponse(connection=connection, head=head)
-            yield exchange
+            response = ClientResponse(connection=connection, head=head)
+            yield response
             is_reusable = connection.finish_exchange()
         finally:
-            self._release(connection, exchange if is_reusable else None)
+            self._release(connection, response if is_reusable else None)
 
     async def _acquire(self,
                        address: str) -> client_connection.ClientConnection:
@@ -172,13 +172,13 @@
         return connection
 
     def _release(self, connection: client_connection.ClientConnection,
-                 exchange: ClientResponse | None) -> None:
+                 response: ClientResponse | None) -> None:
         idle = self._idle_by_address.setdefault(connection.address, [])
-        if exchange is None or len(idle) >= _MAX_IDLE_PER_ADDRESS:
+        if response is None or len(idle) >= _MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
         now = asyncio.get_running_loop().time()
-        connection.idle_until = now + _idle_limit_s(exchange)
+        connection.idle_until = now + _idle_limit_s(response)
         idle.append(connection)
 
 
@@ -187,12 +187,12 @@
                  for name, value in head.headers)
 
 
-def _idle_limit_s(exchange: ClientResponse) -> float:
+def _idle_limit_s(response: ClientResponse) -> float:
     """Returns how long a connection may be idle before it is reused.
 
     The limit is below the server's keep-alive timeout, so that a request is not
     sent on a connection that the server is closing.
     """
-    match = _KEEP_ALIVE_TIMEOUT.search(exchange.header('keep-alive') or '')
+    match = _KEEP_ALIVE_TIMEOUT.search(response.header('keep-alive') or '')
     timeout_s = float(match.group(1)) if match else _DEFAULT_KEEP_ALIVE_S
     return timeout_s * _IDLE_FRACTION
--- a/pollenthread/adapters/metrics.py
+++ b/pollenthread/adapters/metrics.py
@@ -74,10 +74,10 @@
 class _Collector(registry.Collector):
     """Produces the metrics at each scrape."""
 
-    def __init__(self, *, tally: account.RequestCounter,
+    def __init__(self, *, request_counter: account.RequestCounter,
                  latencies: RequestLatencyHistograms,
                  gauges: GaugeSource) -> None:
-        self._request_counter = tally
+        self._request_counter = request_counter
         self._latencies = latencies
         self._gauges = gauges
 
@@ -136,7 +136,7 @@
         self._latencies = latencies
         self._registry = prometheus_client.CollectorRegistry()
         self._registry.register(
-            _Collector(tally=request_counter,
+            _Collector(request_counter=request_counter,
                        latencies=latencies,
                        gauges=gauges))
 
--- a/pollenthread/adapters/operator_auth.py
+++ b/pollenthread/adapters/operator_auth.py
@@ -46,7 +46,8 @@
         operator = authenticate(self._operators, request)
         if operator is None:
             return errors.ErrorKind.NOT_AUTHENTICATED
-        may_pass = operator.may_change or request.method in _READ_ONLY_METHODS
-        if not operator.can_read_all or not may_pass:
+        is_method_allowed = (operator.may_change or
+                             request.method in _READ_ONLY_METHODS)
+        if not operator.can_read_all or not is_method_allowed:
             return errors.ErrorKind.NOT_PERMITTED
         return None
--- a/pollenthread/adapters/order_http.py
+++ b/pollenthread/adapters/order_http.py
@@ -1,8 +1,8 @@
 """Sends orders to an engine over HTTP: `POST /orders`.
 
-The body contains the id of the order and its fencing number, which some engines
+The body contains the id of the order and its fencing token, which some engines
 check. The engine responds with 200 if the order took effect, with 409 if it
-rejects the fencing number, and with any other 4xx if it rejects the order.
+rejects the fencing token, and with any other 4xx if it rejects the order.
 """
 
 import asyncio
@@ -42,9 +42,9 @@
                 async with self._client.request(self._address,
                                                 'POST',
                                                 '/orders',
-                                                body=body) as exchange:
-                    text = await exchange.read_all()
-                    status = exchange.status
+                                                body=body) as response:
+                    text = await response.read_all()
+                    status = response.status
         except http_client.HttpConnectError as error:
             return orders.Result(done=False, detail=str(error))
         except (ConnectionError, TimeoutError) as error:
--- a/pollenthread/adapters/orders_admin.py
+++ b/pollenthread/adapters/orders_admin.py
@@ -31,10 +31,10 @@
     """Accepts orders and returns their state and result."""
 
     def __init__(self, *, journal: order_journal.OrderJournal,
-                 desk: order_issuer.OrderIssuer,
+                 issuer: order_issuer.OrderIssuer,
                  peers: peers_module.PeerLinks) -> None:
         self._journal = journal
-        self._desk = desk
+        self._issuer = issuer
         self._peers = peers
 
     async def handle(self, request: http_server.HttpRequest,
@@ -79,7 +79,7 @@
                 errors.make_failure(errors.ErrorKind.KEY_REUSED,
                                     'This id belongs to another order.'))
             return
-        self._desk.wake()
+        self._issuer.wake()
         self._peers.broadcast(
             messages.DutyNews(orders.order_duty_for_host(host)))
         await response.send_json(202, _document(submitted))
--- a/pollenthread/adapters/otlp.py
+++ b/pollenthread/adapters/otlp.py
@@ -76,9 +76,9 @@
                                                     ('content-type',
                                                      'application/x-protobuf')
                                                 ],
-                                                body=body) as exchange:
-                    await exchange.read_all()
-                    return exchange.status == 200
+                                                body=body) as response:
+                    await response.read_all()
+                    return response.status == 200
         except (OSError, TimeoutError):
             return False
 
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -182,11 +182,11 @@
                 async with self._client.request(address,
                                                 method,
                                                 path,
-                                                body=body) as exchange:
+                                                body=body) as response:
                     self.sent_bytes_by_kind[path] += len(body)
-                    data = await exchange.read_all()
+                    data = await response.read_all()
                     self.received_bytes_by_kind[path] += len(data)
-                    if exchange.status != 200:
+                    if response.status != 200:
                         return None
                     return peer_codec.decode(kind, data)
         except peer_codec.PeerMessageDecodeError:
--- a/pollenthread/adapters/rank_engine_http.py
+++ b/pollenthread/adapters/rank_engine_http.py
@@ -51,8 +51,8 @@
                 async with self._client.request(self._address,
                                                 method,
                                                 self._path + path,
-                                                body=body) as exchange:
-                    data = await exchange.read_all()
-                    return exchange.status, json.loads(data)
+                                                body=body) as response:
+                    data = await response.read_all()
+                    return response.status, json.loads(data)
         except (OSError, TimeoutError, ValueError) as error:
             raise rank_engine.RankEngineUnavailableError(str(error)) from error
--- a/pollenthread/adapters/table_http.py
+++ b/pollenthread/adapters/table_http.py
@@ -107,8 +107,8 @@
         async with self._client.request(self._address,
                                         method,
                                         target,
-                                        body=body) as exchange:
-            return exchange.status, await exchange.read_all()
+                                        body=body) as response:
+            return response.status, await response.read_all()
 
 
 def _decode_row(item: dict[str, Any]) -> table.TableRow:
--- a/pollenthread/adapters/upstream_http.py
+++ b/pollenthread/adapters/upstream_http.py
@@ -18,8 +18,8 @@
 class _HttpLocalUpstreamResponse(local_upstream.LocalUpstreamResponse):
     """Adapts a response of the HTTP client; drops hop-by-hop headers."""
 
-    def __init__(self, *, exchange: http_client.ClientResponse) -> None:
-        self._response = exchange
+    def __init__(self, *, response: http_client.ClientResponse) -> None:
+        self._response = response
 
     @property
     def status(self) -> int:
@@ -55,8 +55,8 @@
                                             request.method,
                                             request.path,
                                             headers=request.headers,
-                                            body=request.body) as exchange:
-                yield _HttpLocalUpstreamResponse(exchange=exchange)
+                                            body=request.body) as response:
+                yield _HttpLocalUpstreamResponse(response=response)
         except http_client.HttpConnectError as error:
             raise local_upstream.LocalUpstreamConnectError(
                 str(error)) from error
--- a/pollenthread/app/account_reader.py
+++ b/pollenthread/app/account_reader.py
@@ -19,16 +19,16 @@
     """Sums the account rows of all entry hosts."""
 
     def __init__(self, *, table_service: table.TableService,
-                 wall: Callable[[], float], interval_s: float) -> None:
+                 wall_clock: Callable[[], float], interval_s: float) -> None:
         """Initializes a reader.
 
         Args:
             table_service: the table with the rows.
-            wall: returns the wall-clock time in Unix seconds.
+            wall_clock: returns the wall-clock time in Unix seconds.
             interval_s: the seconds between two rows of a host.
         """
         self._table = table_service
-        self._wall = wall
+        self._wall_clock = wall_clock
         self._interval_s = interval_s
 
     async def read(
@@ -41,7 +41,7 @@
         Args:
             days: the number of days, today included.
         """
-        now_s = self._wall()
+        now_s = self._wall_clock()
         midnight_s = now_s - now_s % _SECONDS_PER_DAY
         from_s = midnight_s - (days - 1) * _SECONDS_PER_DAY
         rows: list[account_summary.AccountInterval] = []
--- a/pollenthread/app/account_rows.py
+++ b/pollenthread/app/account_rows.py
@@ -32,7 +32,7 @@
 
 
 class _IntervalRow(pydantic.BaseModel):
-    """The stored form of `ledger.Interval`."""
+    """The stored form of `account_summary.AccountInterval`."""
 
     model_config = pydantic.ConfigDict(extra='forbid', strict=True)
 
--- a/pollenthread/app/account_writer.py
+++ b/pollenthread/app/account_writer.py
@@ -30,47 +30,47 @@
 
     Attributes:
         written_at_s: Unix seconds of the last successful write, or None.
-        faults: number of failed table calls, by error.
+        error_counts: number of failed table calls, by error.
     """
 
     def __init__(self,
                  *,
                  table_service: table.TableService,
-                 tally: account.RequestCounter,
+                 request_counter: account.RequestCounter,
                  host: str,
                  incarnation: str,
                  time: clock.Clock,
-                 wall: Callable[[], float],
+                 wall_clock: Callable[[], float],
                  interval_s: float,
                  merge_rows: int = _MERGE_ROWS) -> None:
         """Initializes a writer that has written nothing.
 
         Args:
             table_service: the table with the rows.
-            tally: the counts since the last row.
+            request_counter: the counts since the last row.
             host: this host.
             incarnation: identifies this start of the process.
             time: the clock.
-            wall: returns the wall-clock time in Unix seconds.
+            wall_clock: returns the wall-clock time in Unix seconds.
             interval_s: the seconds between two rows.
             merge_rows: the number of rows of one day that are merged into one.
         """
         self._table = table_service
-        self._tally = tally
+        self._request_counter = request_counter
         self._host = host
         self._incarnation = incarnation
-        self._time = time
-        self._wall = wall
+        self._clock = time
+        self._wall_clock = wall_clock
         self._interval_s = interval_s
         self._merge_rows = merge_rows
         self._next_number = 0
-        self._began_s = wall()
+        self._began_s = wall_clock()
         self._pending: account_summary.AccountInterval | None = None
         self._written: list[_WrittenRow] = []
         self._rows_in_merge: list[_WrittenRow] = []
         self._lock = asyncio.Lock()
         self.written_at_s: float | None = None
-        self.faults = collections.Counter[table.TableError]()
+        self.error_counts = collections.Counter[table.TableError]()
 
     async def run(self) -> None:
         """Writes a row per interval until cancelled.
@@ -79,7 +79,7 @@
         """
         while True:
             await self.flush()
-            await self._time.sleep(self._interval_s)
+            await self._clock.sleep(self._interval_s)
 
     async def finish(self, timeout_s: float) -> bool:
         """Writes the remaining counts in a row that is marked as final.
@@ -118,7 +118,7 @@
             return True
 
     def _make_row(self, is_final: bool) -> account_summary.AccountInterval:
-        now_s = max(self._wall(), self._began_s)
+        now_s = max(self._wall_clock(), self._began_s)
         row = account_summary.AccountInterval(
             host=self._host,
             incarnation=self._incarnation,
@@ -127,7 +127,7 @@
             began_s=self._began_s,
             ended_s=now_s,
             is_final=is_final,
-            counts_by_key=self._tally.take_changes())
+            counts_by_key=self._request_counter.take_changes())
         self._next_number += 1
         self._began_s = now_s
         return row
@@ -143,14 +143,14 @@
         if isinstance(written, result.Ok):
             version = written.ok_value
         else:
-            self.faults[written.err_value] += 1
+            self.error_counts[written.err_value] += 1
             found = await self._table.get(key)
             if isinstance(found, result.Err) or found.ok_value is None:
                 return False
             version = found.ok_value.version
         self._pending = None
         self._written.append((row, version))
-        self.written_at_s = self._wall()
+        self.written_at_s = self._wall_clock()
         return True
 
     async def _merge(self) -> None:
@@ -170,7 +170,7 @@
         ]
         committed = await self._table.commit([new, *old])
         if isinstance(committed, result.Err):
-            self.faults[committed.err_value] += 1
+            self.error_counts[committed.err_value] += 1
             found = await self._table.get(new.key)
             if isinstance(found, result.Err) or found.ok_value is None:
                 return
--- a/pollenthread/app/administration.py
+++ b/pollenthread/app/administration.py
@@ -13,7 +13,7 @@
                                report_module)
 from pollenthread.ports import table
 
-__all__ = ['Administration', 'RequestRefused']
+__all__ = ['Administration', 'RequestRejected']
 
 _REBASE_ATTEMPTS = 5
 _MAX_DAYS = 31
@@ -23,8 +23,8 @@
 _Document = dict[str, Any]
 
 
-class RequestRefused(Exception):
-    """The operator's request is refused.
+class RequestRejected(Exception):
+    """The operator's request is rejected.
 
     Attributes:
         failure: the error that the operator is sent.
@@ -35,8 +35,8 @@
         self.failure = failure
 
 
-def _refuse(kind: errors.ErrorKind, detail: str = '') -> RequestRefused:
-    return RequestRefused(errors.make_failure(kind, detail))
+def _rejection(kind: errors.ErrorKind, detail: str = '') -> RequestRejected:
+    return RequestRejected(errors.make_failure(kind, detail))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,14 +50,14 @@
 class Administration:
     """Serves the requests of operators at one entry host.
 
-    All operations raise `RequestRefused` if the operator lacks a permission,
+    All operations raise `RequestRejected` if the operator lacks a permission,
     the arguments are invalid or the table fails.
     """
 
     def __init__(self, *, store: config_store.ConfigStore,
                  accounts: account_reader.AccountReader,
                  costs: cost_store.CostStore, status: Callable[[], _Document],
-                 wall: Callable[[], float],
+                 wall_clock: Callable[[], float],
                  find_trace: Callable[[str], list[_Document] | None]) -> None:
         """Initializes the operations.
 
@@ -66,14 +66,14 @@
             accounts: reads the request counts.
             costs: reads the cost rows.
             status: returns the status document of this host.
-            wall: returns the wall-clock time in Unix seconds.
+            wall_clock: returns the wall-clock time in Unix seconds.
             find_trace: returns the spans of a trace by its id, or None.
         """
         self._store = store
         self._accounts = accounts
         self._costs = costs
         self._status = status
-        self._wall = wall
+        self._wall_clock = wall_clock
         self._find_trace = find_trace
 
     def status(self, operator: operators.Operator) -> _Document:
@@ -156,7 +156,7 @@
         Only changes of the same workspace since `base` are a conflict.
         """
         if not operator.can_read(workspace):
-            raise _refuse(errors.ErrorKind.NOT_PERMITTED)
+            raise _rejection(errors.ErrorKind.NOT_PERMITTED)
         _require_may_change(operator)
         base_document = (_EMPTY_DOCUMENT if base == 0 else
                          (await self._read(base)).document)
@@ -165,8 +165,8 @@
             before = base_document.get('workspaces', {}).get(workspace)
             after = newest.get('workspaces', {}).get(workspace)
             if before != after:
-                raise _refuse(errors.ErrorKind.CONFLICT,
-                              _changes_text(before or {}, after or {}))
+                raise _rejection(errors.ErrorKind.CONFLICT,
+                                 _changes_text(before or {}, after or {}))
             newest.setdefault('workspaces', {})[workspace] = document
             return newest
 
@@ -201,10 +201,10 @@
             days: the number of days, today included.
         """
         if not 1 <= days <= _MAX_DAYS:
-            raise _refuse(errors.ErrorKind.BAD_HEADER,
-                          f'days must be between 1 and {_MAX_DAYS}.')
+            raise _rejection(errors.ErrorKind.BAD_HEADER,
+                             f'days must be between 1 and {_MAX_DAYS}.')
         counts = _unwrap(await self._accounts.read(days=days))
-        last_s = self._wall()
+        last_s = self._wall_clock()
         days_in_report = [
             account_rows.day_of(last_s - number * _SECONDS_PER_DAY)
             for number in range(days - 1, -1, -1)
@@ -228,7 +228,7 @@
         _require_sees_all(operator)
         spans = self._find_trace(trace_id)
         if spans is None:
-            raise _refuse(
+            raise _rejection(
                 errors.ErrorKind.NOT_FOUND,
                 'This host keeps no such trace: it was not sampled, '
                 'or another entry host served it.')
@@ -236,7 +236,7 @@
 
     async def _newest(self) -> _NumberedDocument:
         if not await self._store.refresh():
-            raise _refuse(errors.ErrorKind.TABLE_UNAVAILABLE)
+            raise _rejection(errors.ErrorKind.TABLE_UNAVAILABLE)
         number = self._store.version
         if number == 0:
             return _NumberedDocument(0, copy.deepcopy(_EMPTY_DOCUMENT))
@@ -245,8 +245,8 @@
     async def _read(self, version: int) -> config_store.StoredVersion:
         stored = await self._store.read(version)
         if stored is None:
-            raise _refuse(errors.ErrorKind.NOT_FOUND,
-                          f'There is no version {version}.')
+            raise _rejection(errors.ErrorKind.NOT_FOUND,
+                             f'There is no version {version}.')
         return stored
 
     async def _rebase(self, operator: operators.Operator,
@@ -260,11 +260,11 @@
                 return {'version': newest.number}
             try:
                 return await self._publish(operator, document, newest.number)
-            except RequestRefused as refused:
-                failure = refused.failure
+            except RequestRejected as rejected:
+                failure = rejected.failure
                 if failure.kind is not errors.ErrorKind.CONFLICT:
                     raise
-        raise RequestRefused(failure)
+        raise RequestRejected(failure)
 
     async def _publish(self, operator: operators.Operator, document: _Document,
                        base: int) -> _Document:
@@ -273,14 +273,14 @@
                                                   author=operator.name,
                                                   base=base)
         except targets_document.InvalidDocument as invalid:
-            raise _refuse(errors.ErrorKind.INVALID_TARGETS,
-                          str(invalid)) from invalid
+            raise _rejection(errors.ErrorKind.INVALID_TARGETS,
+                             str(invalid)) from invalid
         if isinstance(published, result.Ok):
             return {'version': published.ok_value}
-        fault = published.err_value
-        if isinstance(fault, table.TableError):
-            raise RequestRefused(_table_failure(fault))
-        raise RequestRefused(await self._conflict(base))
+        error = published.err_value
+        if isinstance(error, table.TableError):
+            raise RequestRejected(_table_failure(error))
+        raise RequestRejected(await self._conflict(base))
 
     async def _conflict(self, base: int) -> errors.Failure:
         newest = await self._newest()
@@ -295,12 +295,12 @@
 
 def _require_sees_all(operator: operators.Operator) -> None:
     if not operator.can_read_all:
-        raise _refuse(errors.ErrorKind.NOT_PERMITTED)
+        raise _rejection(errors.ErrorKind.NOT_PERMITTED)
 
 
 def _require_may_change(operator: operators.Operator) -> None:
     if not operator.may_change:
-        raise _refuse(errors.ErrorKind.NOT_PERMITTED)
+        raise _rejection(errors.ErrorKind.NOT_PERMITTED)
 
 
 def _require_all(operator: operators.Operator) -> None:
@@ -324,17 +324,17 @@
                      for change in document_diff.diff_documents(before, after))
 
 
-def _table_failure(fault: table.TableError) -> errors.Failure:
-    if fault is table.TableError.UNKNOWN:
+def _table_failure(error: table.TableError) -> errors.Failure:
+    if error is table.TableError.UNKNOWN:
         return errors.make_failure(
             errors.ErrorKind.OUTCOME_UNKNOWN,
             'Read the configuration before trying again.')
-    if fault is table.TableError.CONFLICT:
+    if error is table.TableError.CONFLICT:
         return errors.make_failure(errors.ErrorKind.CONFLICT)
     return errors.make_failure(errors.ErrorKind.TABLE_UNAVAILABLE)
 
 
 def _unwrap(found: result.Result[Any, table.TableError]) -> Any:
     if isinstance(found, result.Err):
-        raise RequestRefused(_table_failure(found.err_value))
+        raise RequestRejected(_table_failure(found.err_value))
     return found.ok_value
--- a/pollenthread/app/attempt.py
+++ b/pollenthread/app/attempt.py
@@ -112,8 +112,8 @@
         self._started_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout_at(self._deadline):
-                async with upstream.call(_request(self.begin)) as exchange:
-                    await self._relay(exchange)
+                async with upstream.call(_request(self.begin)) as response:
+                    await self._relay(response)
         except local_upstream.LocalUpstreamConnectError as error:
             self.fail(
                 errors.make_failure(errors.ErrorKind.NO_UPSTREAM,
@@ -127,19 +127,19 @@
                                     str(error)))
 
     async def _relay(self,
-                     exchange: local_upstream.LocalUpstreamResponse) -> None:
-        if _is_misrouted(exchange, self.begin.attempt):
+                     response: local_upstream.LocalUpstreamResponse) -> None:
+        if _is_misrouted(response, self.begin.attempt):
             self.fail(errors.make_failure(errors.ErrorKind.UPSTREAM_MISROUTED))
             return
-        self._head = messages.Head(self.begin.attempt, exchange.status,
-                                   exchange.headers, self.queued_ms)
+        self._head = messages.Head(self.begin.attempt, response.status,
+                                   response.headers, self.queued_ms)
         self._send(self._head)
-        if self.begin.stream and exchange.is_event_stream:
-            await self._relay_events(exchange)
+        if self.begin.stream and response.is_event_stream:
+            await self._relay_events(response)
             return
-        async for data in exchange.read():
+        async for data in response.read():
             await self._send_chunk(len(data), data)
-        if exchange.is_delimited:
+        if response.is_delimited:
             self._end()
         else:
             self.fail(
@@ -148,9 +148,9 @@
                     'The upstream marked no end of its answer.'))
 
     async def _relay_events(
-            self, exchange: local_upstream.LocalUpstreamResponse) -> None:
+            self, response: local_upstream.LocalUpstreamResponse) -> None:
         splitter = event_splitter.CountingEventSplitter()
-        async for data in exchange.read():
+        async for data in response.read():
             count, whole_events = splitter.feed(data)
             if count:
                 await self._send_chunk(count, whole_events)
@@ -297,8 +297,8 @@
         body=begin.body)
 
 
-def _is_misrouted(exchange: local_upstream.LocalUpstreamResponse,
+def _is_misrouted(response: local_upstream.LocalUpstreamResponse,
                   attempt: str) -> bool:
     """Whether the response carries the id of another request."""
     return any(name == _REQUEST_ID_HEADER and value != attempt
-               for name, value in exchange.headers)
+               for name, value in response.headers)
--- a/pollenthread/app/gate.py
+++ b/pollenthread/app/attempt_manager.py
@@ -12,12 +12,12 @@
 from pollenthread.core import attempt_rules, errors, messages
 from pollenthread.ports import link as link_port, local_upstream
 
-__all__ = ['Gate', 'GateLimits']
+__all__ = ['AttemptManager', 'AttemptManagerLimits']
 
 
 @dataclasses.dataclass(frozen=True)
-class GateLimits:
-    """Limits for the state that an agent holds.
+class AttemptManagerLimits:
+    """Limits for the attempts of an agent.
 
     Attributes:
         max_retained_attempts: non-repeatable attempts, running or waiting for
@@ -30,19 +30,19 @@
     )
 
 
-class Gate(link_port.LinkHandler):
+class AttemptManager(link_port.LinkHandler):
     """Starts each attempt at most once and sends its response back.
 
     Attributes:
         started_count: attempts that were started at the upstream.
-        refused_by_kind: attempts that were not started, by reason.
+        rejected_by_kind: attempts that were not started, by reason.
     """
 
     def __init__(
         self,
         *,
         upstream: local_upstream.LocalUpstream,
-        limits: GateLimits = GateLimits(),
+        limits: AttemptManagerLimits = AttemptManagerLimits(),
         on_order: Callable[[link_port.Link, messages.OrderSend], None] |
         None = None
     ) -> None:
@@ -54,9 +54,9 @@
         self._sealed_by_session = collections.defaultdict[str, set[str]](set)
         self._scheduler = slot_scheduler.SlotScheduler()
         self._received_by_session = collections.Counter[str]()
-        self._is_leaving = False
+        self._is_shutting_down = False
         self.started_count = 0
-        self.refused_by_kind = collections.Counter[errors.ErrorKind]()
+        self.rejected_by_kind = collections.Counter[errors.ErrorKind]()
 
     @property
     def running(self) -> int:
@@ -83,13 +83,13 @@
                 link, self._load_message(link, own_by_session[link.session_id]))
 
     def _load_message(self, link: link_port.Link, own: int) -> messages.Load:
-        reading = self._scheduler.load
-        return messages.Load(running=reading.running,
-                             queued=reading.queued,
-                             limit=reading.limit,
-                             hold_us=int(reading.duration_s * 1e6),
-                             first_unit_us=int(reading.first_unit_s * 1e6),
-                             token_us=int(reading.between_tokens_s * 1e6),
+        load = self._scheduler.load
+        return messages.Load(running=load.running,
+                             queued=load.queued,
+                             limit=load.limit,
+                             hold_us=int(load.duration_s * 1e6),
+                             first_unit_us=int(load.first_unit_s * 1e6),
+                             token_us=int(load.between_tokens_s * 1e6),
                              own=own,
                              seen=self._received_by_session[link.session_id])
 
@@ -104,13 +104,13 @@
         return sum(1 for attempt in self._attempts_by_id.values()
                    if attempt.is_finished)
 
-    def start_leaving(self, host: str) -> None:
-        """Refuses new attempts from now on and announces it on every link.
+    def start_shutdown(self, host: str) -> None:
+        """Rejects new attempts from now on and announces it on every link.
 
         Args:
             host: the name of this host.
         """
-        self._is_leaving = True
+        self._is_shutting_down = True
         self.broadcast(messages.Leaving(host))
 
     def broadcast(self, message: messages.Message) -> None:
@@ -150,7 +150,7 @@
         logging.info('link open host=%s session=%s', link.peer.host,
                      link.session_id)
         link_port.send_if_open(link, self._load_message(link, 0))
-        if self._is_leaving:
+        if self._is_shutting_down:
             link_port.send_if_open(link, messages.Leaving(''))
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
@@ -195,8 +195,8 @@
         if attempt.is_finished:
             del self._attempts_by_id[cancel.attempt]
 
-    def _refusal_kind(self, link: link_port.Link,
-                      begin: messages.Begin) -> errors.ErrorKind | None:
+    def _rejection_kind(self, link: link_port.Link,
+                        begin: messages.Begin) -> errors.ErrorKind | None:
         """Why an attempt may not start, or None."""
         sealed = self._sealed_by_session.get(link.session_id, ())
         if not attempt_rules.may_start(bound_session=begin.session,
@@ -204,7 +204,7 @@
                                        is_sealed=begin.attempt in sealed,
                                        phase=self._phase(begin.attempt)):
             return errors.ErrorKind.SEALED
-        if self._is_leaving:
+        if self._is_shutting_down:
             return errors.ErrorKind.LEAVING
         if (not begin.repeatable and
                 self._retained >= self._limits.max_retained_attempts):
@@ -219,9 +219,9 @@
         self._received_by_session[link.session_id] += 1
         if begin.attempt in self._attempts_by_id:
             return
-        kind = self._refusal_kind(link, begin)
+        kind = self._rejection_kind(link, begin)
         if kind is not None:
-            self.refused_by_kind[kind] += 1
+            self.rejected_by_kind[kind] += 1
             failure = errors.make_failure(kind)
             link_port.send_if_open(
                 link,
@@ -267,17 +267,17 @@
                 errors.make_failure(errors.ErrorKind.INTERNAL, str(error)))
 
     async def _wait_for_slot(self, attempt: attempt_module.Attempt) -> bool:
-        """Waits for a slot; False if the attempt was refused or cancelled."""
-        ticket = slot_scheduler.make_ticket(attempt.begin)
+        """Waits for a slot; False if the attempt was rejected or cancelled."""
+        request = slot_scheduler.make_admission_request(attempt.begin)
         try:
-            kind = await self._scheduler.acquire(ticket)
+            kind = await self._scheduler.acquire(request)
         except asyncio.CancelledError:
             kind = errors.ErrorKind.STOPPED
         if kind is not None:
-            self.refused_by_kind[kind] += 1
+            self.rejected_by_kind[kind] += 1
             attempt.fail(errors.make_failure(kind, executed=errors.Executed.NO))
             return False
-        waited_s = asyncio.get_running_loop().time() - ticket.arrived_at
+        waited_s = asyncio.get_running_loop().time() - request.arrived_at
         attempt.queued_ms = int(waited_s * 1000)
         self.started_count += 1
         return True
--- a/pollenthread/app/claim_store.py
+++ b/pollenthread/app/claim_store.py
@@ -152,7 +152,7 @@
             case claims.ClaimAction.REPLAY:
                 assert claim.outcome is not None
                 return result.Ok(ReplayedResponse(claim.outcome))
-            case claims.ClaimAction.REFUSE_REUSED:
+            case claims.ClaimAction.REJECT_REUSED:
                 return result.Err(
                     errors.make_failure(errors.ErrorKind.KEY_REUSED))
             case _:
@@ -245,18 +245,18 @@
     ) -> result.Result[ClaimDecision, errors.Failure] | None:
         """Decides what a row allows; None when the row must be read again."""
         claim = decode_claim(row.value)
-        step = claims.initial_action(claim,
-                                     attempt=new_claim.attempt,
-                                     digest=new_claim.digest)
-        if step is claims.ClaimAction.ASK_SEAL:
+        action = claims.initial_action(claim,
+                                       attempt=new_claim.attempt,
+                                       digest=new_claim.digest)
+        if action is claims.ClaimAction.ASK_SEAL:
             return await self._ask_seal(row, claim, new_claim)
-        match step:
+        match action:
             case claims.ClaimAction.BEGIN:
                 return result.Ok(GrantedClaim(row.key, claim, row.version))
             case claims.ClaimAction.REPLAY:
                 assert claim.outcome is not None
                 return result.Ok(ReplayedResponse(claim.outcome))
-            case claims.ClaimAction.REFUSE_REUSED:
+            case claims.ClaimAction.REJECT_REUSED:
                 return result.Err(
                     errors.make_failure(errors.ErrorKind.KEY_REUSED))
             case _:
@@ -278,15 +278,15 @@
             incarnation = upstream.hello.incarnation
             if incarnation == claim.incarnation:
                 state = await upstream.seal(claim.attempt, claim.session)
-        step = claims.action_after_seal(claim,
-                                        incarnation=incarnation,
-                                        state=state)
-        if step is claims.ClaimAction.TAKE_OVER:
+        action = claims.action_after_seal(claim,
+                                          incarnation=incarnation,
+                                          state=state)
+        if action is claims.ClaimAction.TAKE_OVER:
             version = await self._replace(row.key, row.version, new_claim)
             if version is None:
                 return None
             return result.Ok(GrantedClaim(row.key, new_claim, version))
-        if step is claims.ClaimAction.ATTACH:
+        if action is claims.ClaimAction.ATTACH:
             assert upstream is not None
             return result.Ok(
                 AttachableClaim(row.key, claim, row.version, upstream))
@@ -330,8 +330,8 @@
     return f'claims/{shard}/'
 
 
-def _row_may_exist(fault: table.TableError) -> bool:
-    return fault in (table.TableError.CONFLICT, table.TableError.UNKNOWN)
+def _row_may_exist(error: table.TableError) -> bool:
+    return error in (table.TableError.CONFLICT, table.TableError.UNKNOWN)
 
 
 def _table_failure() -> errors.Failure:
--- a/pollenthread/app/config_distributor.py
+++ b/pollenthread/app/config_distributor.py
@@ -41,14 +41,14 @@
         self._store = store
         self._peers = peers
         self._directory = directory
-        self._time = time
+        self._clock = time
         self._rng = rng
         self._ask_count = 0
         self._asked_at_by_seq: dict[int, float] = {}
         store.on_apply = self._announce
         peers.subscribe(messages.ConfigAsk, self._on_ask)
-        peers.subscribe(messages.ConfigGive, self._on_give)
-        peers.subscribe(messages.ConfigNews, self._on_news)
+        peers.subscribe(messages.ConfigGive, self._on_response)
+        peers.subscribe(messages.ConfigNews, self._on_announcement)
         peers.subscribe(messages.Ping, self._on_ping)
 
     async def run(self) -> None:
@@ -56,7 +56,7 @@
         while True:
             await self.run_once()
             jitter = 1 + _JITTER_RATIO * (2 * self._rng.random() - 1)
-            await self._time.sleep(config_freshness.POLL_INTERVAL_S * jitter)
+            await self._clock.sleep(config_freshness.POLL_INTERVAL_S * jitter)
 
     async def run_once(self) -> None:
         """Asks peers, and reads the table if this host should poll."""
@@ -64,7 +64,7 @@
             self._ask(link)
         if config_freshness.should_poll(self._store.freshness,
                                         is_poller=self._directory.is_poller,
-                                        now=self._time.monotonic()):
+                                        now=self._clock.monotonic()):
             await self._store.refresh()
 
     def _links_to_ask(self) -> list[link_port.Link]:
@@ -80,7 +80,7 @@
 
     def _ask(self, link: link_port.Link) -> None:
         self._ask_count += 1
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         self._asked_at_by_seq = {
             seq: at
             for seq, at in self._asked_at_by_seq.items()
@@ -105,26 +105,28 @@
                 age_ms=0 if age_s is None else int(age_s * _MS_PER_S) + 1,
                 document=document))
 
-    def _on_give(self, _: link_port.Link, give: messages.ConfigGive) -> None:
-        asked_at = self._asked_at_by_seq.pop(give.seq, None)
+    def _on_response(self, _: link_port.Link,
+                     response: messages.ConfigGive) -> None:
+        asked_at = self._asked_at_by_seq.pop(response.seq, None)
         if asked_at is None:
             return
-        if give.document:
+        if response.document:
             try:
                 self._store.apply(
-                    config_store.StoredVersion.from_bytes(give.document))
+                    config_store.StoredVersion.from_bytes(response.document))
             except ValueError as error:
                 logging.error('invalid configuration version from a peer: %s',
                               error)
                 return
-        if give.is_proved:
+        if response.is_proved:
             proved_at = config_freshness.peer_proof_time(asked_at=asked_at,
-                                                         age_s=give.age_ms /
+                                                         age_s=response.age_ms /
                                                          _MS_PER_S)
-            self._store.confirm_newest(give.version, proved_at)
+            self._store.confirm_newest(response.version, proved_at)
 
-    def _on_news(self, link: link_port.Link, news: messages.ConfigNews) -> None:
-        self._ask_if_newer(link, news.version)
+    def _on_announcement(self, link: link_port.Link,
+                         announcement: messages.ConfigNews) -> None:
+        self._ask_if_newer(link, announcement.version)
 
     def _on_ping(self, link: link_port.Link, ping: messages.Ping) -> None:
         self._ask_if_newer(link, ping.config_version)
--- a/pollenthread/app/config_store.py
+++ b/pollenthread/app/config_store.py
@@ -103,7 +103,7 @@
             on_apply: called with the number of a version after it was applied.
         """
         self._table = table_service
-        self._time = time
+        self._clock = time
         self._reachable = reachable
         self.on_apply = on_apply
         self._current: targets.Targets | None = None
@@ -117,8 +117,8 @@
 
     @property
     def usable_targets(self) -> targets.Targets | None:
-        """The targets for new requests; None when these must be refused."""
-        if self.permission is config_freshness.ServingPermission.REFUSE:
+        """The targets for new requests; None when these must be rejected."""
+        if self.permission is config_freshness.ServingPermission.REJECT:
             return None
         return self._current
 
@@ -127,7 +127,7 @@
         """What the age of the applied version allows."""
         return config_freshness.serving_permission(self._freshness,
                                                    self._reachable(),
-                                                   self._time.monotonic())
+                                                   self._clock.monotonic())
 
     @property
     def stored(self) -> StoredVersion | None:
@@ -147,7 +147,7 @@
     @property
     def age_s(self) -> float | None:
         """Seconds since the version was known to be the newest, or None."""
-        return self._freshness.age_s(self._time.monotonic())
+        return self._freshness.age_s(self._clock.monotonic())
 
     async def refresh(self) -> bool:
         """Reads the head and applies the newest version.
@@ -155,12 +155,12 @@
         Returns:
             Whether the table responded with the newest version.
         """
-        started_at = self._time.monotonic()
+        started_at = self._clock.monotonic()
         head = await self._table.get(_HEAD_KEY)
         if isinstance(head, result.Err):
             return False
         newest = _head_version(head.ok_value)
-        if config_freshness.may_adopt(self.version, newest):
+        if config_freshness.may_apply(self.version, newest):
             stored = await self.read(newest)
             if stored is None:
                 return False
@@ -182,7 +182,7 @@
 
     def apply(self, stored: StoredVersion) -> None:
         """Applies a version if it is newer than the applied one."""
-        if not config_freshness.may_adopt(self.version, stored.version):
+        if not config_freshness.may_apply(self.version, stored.version):
             return
         model = targets_document.parse_targets(stored.document)
         self._current = model.to_targets(stored.version)
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -33,7 +33,7 @@
                  own: membership.Member,
                  liveness_tracker: liveness.LivenessTracker) -> None:
         self._hosts = hosts
-        self._time = time
+        self._clock = time
         self._own = own
         self._liveness = liveness_tracker
         self.hosts_by_name: dict[str, host_list.ListedHost] = {}
@@ -52,7 +52,7 @@
         """Seconds since the list was last read; None before the first read."""
         if self._read_at is None:
             return None
-        return self._time.monotonic() - self._read_at
+        return self._clock.monotonic() - self._read_at
 
     @property
     def membership_view(self) -> membership.MembershipView:
@@ -98,7 +98,7 @@
 
     def upstream_addresses(self) -> dict[str, str]:
         """Returns link addresses of the upstreams to link to, by host name."""
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         self._temporary_until_by_host = {
             host: until
             for host, until in self._temporary_until_by_host.items()
@@ -120,7 +120,7 @@
         Returns:
             Whether the host is listed.
         """
-        self._temporary_until_by_host[host] = (self._time.monotonic() +
+        self._temporary_until_by_host[host] = (self._clock.monotonic() +
                                                _TEMPORARY_LINK_LIFETIME_S)
         return host in self.hosts_by_name
 
@@ -154,9 +154,10 @@
             if host in self.hosts_by_name and
             self.hosts_by_name[host].region == self._own.region
         ]
-        heard_count = sum(1 for host in watched
-                          if self._liveness.evidence(host).silent_s == 0.0)
-        return config_freshness.RegionReachability(reachable=heard_count + 1,
+        reachable_count = sum(1 for host in watched
+                              if self._liveness.evidence(host).silent_s == 0.0)
+        return config_freshness.RegionReachability(reachable=reachable_count +
+                                                   1,
                                                    listed=len(watched) + 1)
 
     async def refresh(self) -> bool:
@@ -169,7 +170,7 @@
         if found.ok_value != self.hosts_by_name:
             self.hosts_by_name = found.ok_value
             self._select_links()
-        self._read_at = self._time.monotonic()
+        self._read_at = self._clock.monotonic()
         return True
 
     def _select_links(self) -> None:
@@ -192,7 +193,7 @@
         """Updates the states of the entry hosts and reports dead ones."""
         self._liveness.set_watched_hosts(self._watched_hosts)
         previous_view = self._membership_view
-        self._membership_view = membership.assess_fleet({
+        self._membership_view = membership.assess_hosts({
             member.host: self._evidence(member.host) for member in self._members
         })
         for host, state in self._membership_view.state_by_host.items():
@@ -210,7 +211,7 @@
     def _evidence(self, host: str) -> membership.HostEvidence:
         return dataclasses.replace(
             self._liveness.evidence(host),
-            listed_leaving=self.hosts_by_name[host].is_terminating)
+            listed_terminating=self.hosts_by_name[host].is_terminating)
 
     async def poll(self) -> None:
         """Follows the list until cancelled."""
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -37,16 +37,17 @@
     def __init__(self, *, own: host_record.HostRecord,
                  hosts: host_registry.HostRegistry, seeds: Sequence[str],
                  network: peers.PeerNetwork, state: serving_state.ServingState,
-                 config: store_listeners.ConfigListener,
-                 servers: store_listeners.ServerListener, time: clock.Clock,
-                 log: event_log.EventLog, rng: random.Random) -> None:
+                 config_listener: store_listeners.ConfigListener,
+                 server_listener: store_listeners.ServerListener,
+                 time: clock.Clock, log: event_log.EventLog,
+                 rng: random.Random) -> None:
         self._own = own
         self._hosts = hosts
         self.seeds = seeds
         self._network = network
         self._state = state
-        self._config = config
-        self._servers = servers
+        self._config_listener = config_listener
+        self._server_listener = server_listener
         self._clock = time
         self._log = log
         self._rng = rng
@@ -143,12 +144,13 @@
             is_leaving=self._state.leaving_since is not None,
             config_version=config.version if config else 0,
             store_age_ms=self._store_age_ms(),
-            servers_changed=self._servers.changed_version)
+            servers_changed=self._server_listener.changed_version)
         for record in self._other_records():
             self._network.send(record.peer_address, heartbeat)
 
     def _store_age_ms(self) -> int:
-        age_s = self._clock.monotonic() - self._servers.contact.last_answer_at
+        age_s = self._clock.monotonic(
+        ) - self._server_listener.contact.last_response_at
         return int(min(_MAX_AGE_MS, age_s * _MS_PER_S))
 
     # Load of the servers.
@@ -173,19 +175,21 @@
 
     def _make_snapshot(self) -> peer_messages.Snapshot | None:
         rows = [
-            peer_messages.Row(self._servers.table, key, value, version)
-            for key, (value, version) in self._servers.rows_by_key.items()
+            peer_messages.Row(self._server_listener.table, key, value, version)
+            for key, (value,
+                      version) in self._server_listener.rows_by_key.items()
         ]
-        if self._config.document is not None:
+        if self._config_listener.document is not None:
             rows.append(
-                peer_messages.Row(self._config.table, self._config.key,
-                                  self._config.document, 0))
+                peer_messages.Row(self._config_listener.table,
+                                  self._config_listener.key,
+                                  self._config_listener.document, 0))
         rows += [
             peer_messages.Row(host_registry.HOSTS_TABLE, host, value, 0)
             for host, value in self._hosts.rows()
         ]
         return peer_messages.Snapshot(servers_version=max(
-            0, self._servers.version),
+            0, self._server_listener.version),
                                       store_age_ms=self._store_age_ms(),
                                       rows=tuple(rows))
 
@@ -199,13 +203,14 @@
 
     def _needs_snapshot(self) -> bool:
         now = self._clock.monotonic()
-        return (now - self._servers.contact.last_answer_at > _STORE_TIMEOUT_S or
-                not self._config.contact.is_up or self._state.config is None or
-                self._is_config_behind() or self._are_servers_behind(now))
+        return (now - self._server_listener.contact.last_response_at
+                > _STORE_TIMEOUT_S or not self._config_listener.contact.is_up or
+                self._state.config is None or self._is_config_behind() or
+                self._are_servers_behind(now))
 
     def _are_servers_behind(self, now: float) -> bool:
         """Whether peers have had a newer server list for some time."""
-        known_version = self._servers.version
+        known_version = self._server_listener.version
         if all(heartbeat.servers_changed <= known_version
                for heartbeat in self._heartbeat_by_host.values()):
             self._behind_since = None
@@ -257,16 +262,17 @@
     def _apply(self, snapshot: peer_messages.Snapshot) -> None:
         server_rows = []
         for row in snapshot.rows:
-            if row.table == self._config.table and row.key == self._config.key:
-                self._config.apply_document(row.value, source='peer')
-            elif row.table == self._servers.table:
+            if (row.table == self._config_listener.table and
+                    row.key == self._config_listener.key):
+                self._config_listener.apply_document(row.value, source='peer')
+            elif row.table == self._server_listener.table:
                 server_rows.append(
                     row_store.RowChange(row.key, row.value, row.version))
             elif row.table == host_registry.HOSTS_TABLE:
                 if row.key not in self._hosts.records_by_host:
                     self._hosts.apply_row(row.key, row.value)
-        if snapshot.servers_version > self._servers.version:
+        if snapshot.servers_version > self._server_listener.version:
             is_fresh = snapshot.store_age_ms < _STORE_TIMEOUT_S * _MS_PER_S
-            self._servers.apply_peer_snapshot(server_rows,
-                                              snapshot.servers_version,
-                                              is_fresh=is_fresh)
+            self._server_listener.apply_peer_snapshot(server_rows,
+                                                      snapshot.servers_version,
+                                                      is_fresh=is_fresh)
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -44,17 +44,17 @@
     """Forwards requests according to the current configuration.
 
     Attributes:
-        counts: requests by their result.
+        counts: number of requests by result, and of late streams by cause.
     """
 
     def __init__(self, *, state: serving_state.ServingState,
-                 servers: upstream.UpstreamClient,
-                 stop_plan: graceful_shutdown.ShutdownPlan,
+                 upstream_client: upstream.UpstreamClient,
+                 shutdown_plan: graceful_shutdown.ShutdownPlan,
                  observe: Callable[[str, float], None], time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._state = state
-        self._servers = servers
-        self._stop_plan = stop_plan
+        self._upstream_client = upstream_client
+        self._shutdown_plan = shutdown_plan
         self._clock = time
         self._log = log
         self.counts: dict[str, int] = {}
@@ -132,17 +132,17 @@
         service = self._state.pick_service(route)
         now = self._clock.monotonic()
         self._state.retry_budget_for(service).record_request(now)
-        patience_s = (_DEFAULT_TIMEOUT_S
-                      if request.timeout_s is None else request.timeout_s)
-        deadline = request.received_at + min(patience_s, route.timeout_s)
-        is_late = (request.timeout_s is not None and
-                   self._caller_timeouts.has_missed_target(
-                       route, request.timeout_s))
+        timeout_s = (_DEFAULT_TIMEOUT_S
+                     if request.timeout_s is None else request.timeout_s)
+        deadline = request.received_at + min(timeout_s, route.timeout_s)
+        has_missed_target = (request.timeout_s is not None and
+                             self._caller_timeouts.has_missed_target(
+                                 route, request.timeout_s))
         return request_job.RequestJob(request, route, service, workspace,
-                                      deadline, response, is_late)
+                                      deadline, response, has_missed_target)
 
     def _check_shutdown(self, route: routing_config.Route) -> None:
-        """Refuses a request that could not complete before the shutdown.
+        """Rejects a request that could not complete before the shutdown.
 
         Raises:
             request_job.RequestFailed: the host shuts down too soon.
@@ -152,7 +152,7 @@
         elapsed_s = self._clock.monotonic() - self._state.leaving_since
         is_stream = route.kind is routing_config.RequestKind.STREAM
         if not graceful_shutdown.accepts_request(
-                self._stop_plan, elapsed_s, is_stream=is_stream):
+                self._shutdown_plan, elapsed_s, is_stream=is_stream):
             raise request_job.RequestFailed(
                 errors.make_failure(errors.ErrorKind.LEAVING))
 
@@ -236,8 +236,8 @@
             time_left_s=job.deadline - self._clock.monotonic(),
             workspace=job.workspace.name if job.workspace else None,
             last_event_id=job.last_event_id,
-            priority=job.urgency)
-        async with self._servers.send(attempt) as response:
+            priority=job.priority)
+        async with self._upstream_client.send(attempt) as response:
             self._record_load(server, response)
             if response.is_misdirected:
                 self._state.server_registry.mark_replaced(server.id)
--- a/pollenthread/app/gateway.py
+++ b/pollenthread/app/gateway.py
@@ -12,7 +12,7 @@
 from pollenthread.app import (claim_store, hedge, relay as relay_module,
                               upstream_pool, upstream_selector)
 from pollenthread.core import (account, claims, errors, http_headers, ids,
-                               messages, response_timing as pace_module,
+                               messages, response_timing as timing_module,
                                retries, spans, targets)
 from pollenthread.ports import clock, link as link_port
 
@@ -80,8 +80,8 @@
     failure: errors.Failure | None = None
     is_replayed: bool = False
     started_at: float = 0.0
-    response_timing: pace_module.ResponseTiming = dataclasses.field(
-        default_factory=pace_module.ResponseTiming)
+    response_timing: timing_module.ResponseTiming = dataclasses.field(
+        default_factory=timing_module.ResponseTiming)
     attempt_traces: list[spans.AttemptTrace] = dataclasses.field(
         default_factory=list)
 
@@ -127,7 +127,7 @@
                  rng: random.Random) -> None:
         self._pool = pool
         self._store = store
-        self._time = time
+        self._clock = time
         self.upstream_selector = upstream_selector.UpstreamSelector(pool=pool,
                                                                     time=time,
                                                                     rng=rng)
@@ -153,10 +153,10 @@
                               sink=sink,
                               report=report,
                               requirements=_requirements(
-                                  request, self._time.monotonic()))
+                                  request, self._clock.monotonic()))
         try:
             async with asyncio.timeout(request.deadline -
-                                       self._time.monotonic()):
+                                       self._clock.monotonic()):
                 await self._serve(state)
         except TimeoutError:
             report.failure = errors.make_failure(
@@ -330,7 +330,7 @@
             self.upstream_selector.record_failure(state.requirements,
                                                   sent.upstream, failure)
             return
-        total_s = self._time.monotonic() - sent.sent_at
+        total_s = self._clock.monotonic() - sent.sent_at
         self.upstream_selector.record_success(state.requirements, sent.upstream,
                                               total_s - state.waited_s)
 
@@ -392,7 +392,7 @@
         await upstream.link.drain()
         begin = self._begin_message(state, attempt, upstream)
         stream = upstream.open_stream(begin.attempt)
-        sent_at = self._time.monotonic()
+        sent_at = self._clock.monotonic()
         if not link_port.send_if_open(upstream.link, begin):
             upstream.close_stream(begin.attempt)
             return None
@@ -412,7 +412,7 @@
             upstream: upstream_pool.LinkedUpstream) -> messages.Begin:
         request = state.request
         requirements = state.requirements
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         time_left_s = max(0.0, request.deadline - now)
         target_s = max(_MIN_TARGET_S, requirements.due_at - now)
         return messages.Begin(attempt=str(attempt),
@@ -494,7 +494,7 @@
         """
         pause_s = _MIN_RECORD_RETRY_S
         while not await self._store.record_outcome(held_claim, outcome):
-            await self._time.sleep(pause_s)
+            await self._clock.sleep(pause_s)
             pause_s = min(pause_s * 2, _MAX_RECORD_RETRY_S)
         relay.confirm()
 
@@ -603,9 +603,9 @@
 
     def receive_timing(self, served: messages.Served) -> None:
         now = asyncio.get_running_loop().time()
-        for hop in self.report.attempt_traces:
-            if hop.attempt == served.attempt:
-                hop.record_end(served, now)
+        for trace in self.report.attempt_traces:
+            if trace.attempt == served.attempt:
+                trace.record_end(served, now)
 
     async def deliver_outcome(self, outcome: claims.StoredResponse) -> None:
         """Writes a stored response to the caller."""
--- a/pollenthread/app/graceful_shutdown.py
+++ b/pollenthread/app/graceful_shutdown.py
@@ -1,7 +1,7 @@
 """Graceful shutdown without aborting requests.
 
 Callers cache addresses, so a host keeps serving requests for some time after it
-has announced its shutdown. It refuses streams that could not end in time, as
+has announced its shutdown. It rejects streams that could not end in time, as
 not executed, so that callers retry on another host at once.
 """
 
--- a/pollenthread/app/group_coordinator.py
+++ b/pollenthread/app/group_coordinator.py
@@ -33,7 +33,7 @@
     """The table row of a group.
 
     Attributes:
-        fence: the fencing number of its coordinator.
+        fence: the fencing token of its coordinator.
         map_version: the map that the group uses after a restart.
     """
 
@@ -76,7 +76,7 @@
 class GroupCoordinator:
     """Runs the map switches of one group.
 
-    It is active as long as its fencing number is the highest in the table.
+    It is active as long as its fencing token is the highest in the table.
     """
 
     def __init__(
@@ -95,9 +95,9 @@
         self._group = group
         self._size = size
         self._table = table_service
-        self._time = time
+        self._clock = time
         self._send = send
-        self._decider: switch_coordinator.Coordinator | None = None
+        self._coordinator: switch_coordinator.Coordinator | None = None
         self._row = GroupRow(0, 0)
         self._row_version = table.ABSENT_VERSION
         self._phase_began_at = 0.0
@@ -110,17 +110,18 @@
     @property
     def phase(self) -> str:
         """The phase of the switch; empty while the row is not held."""
-        return '' if self._decider is None else self._decider.phase.value
+        return (''
+                if self._coordinator is None else self._coordinator.phase.value)
 
     @property
     def map_version(self) -> int:
         """The map version committed last; 0 while the row is not held."""
-        if self._decider is None:
+        if self._coordinator is None:
             return 0
-        return switch.map_version(self._decider.map_state, 1 << 62)
+        return switch.map_version(self._coordinator.map_state, 1 << 62)
 
     async def acquire(self) -> bool:
-        """Acquires the group's row with the next fencing number.
+        """Acquires the group's row with the next fencing token.
 
         Returns:
             Whether the row was written.
@@ -150,38 +151,38 @@
 
     def on_reply(self, reply: switch.RankMessage) -> None:
         """Processes a reply from a rank."""
-        if self._decider is None:
+        if self._coordinator is None:
             return
-        decider = self._decider
+        coordinator = self._coordinator
         match reply:
             case switch.Report():
-                self._apply(switch_coordinator.on_report(decider, reply))
+                self._apply(switch_coordinator.on_report(coordinator, reply))
             case switch.Prepared():
                 self._apply(
-                    switch_coordinator.on_prepared(decider,
+                    switch_coordinator.on_prepared(coordinator,
                                                    reply,
                                                    margin_steps=self._margin(
                                                        reply.step)))
             case switch.Armed():
-                self._apply(switch_coordinator.on_armed(decider, reply))
+                self._apply(switch_coordinator.on_armed(coordinator, reply))
             case switch.Noted():
-                self._apply(switch_coordinator.on_noted(decider, reply))
+                self._apply(switch_coordinator.on_noted(coordinator, reply))
             case switch.Join():
-                self._apply(switch_coordinator.on_join(decider, reply))
+                self._apply(switch_coordinator.on_join(coordinator, reply))
 
     def tick(self) -> None:
         """Resends unanswered orders and aborts a switch that timed out."""
-        decider = self._decider
-        if decider is None:
+        coordinator = self._coordinator
+        if coordinator is None:
             return
-        now = self._time.monotonic()
-        if now - self._phase_began_at > _timeout_s(decider.phase):
+        now = self._clock.monotonic()
+        if now - self._phase_began_at > _timeout_s(coordinator.phase):
             logging.warning('group %s: switch timed out phase=%s', self._group,
-                            decider.phase)
-            self._apply(switch_coordinator.abort_undecided(decider))
+                            coordinator.phase)
+            self._apply(switch_coordinator.abort_undecided(coordinator))
         elif now - self._sent_at > RESEND_S:
             self._sent_at = now
-            for item in switch_coordinator.unanswered_messages(decider):
+            for item in switch_coordinator.unanswered_messages(coordinator):
                 self._send(item.rank_index, item.message)
 
     async def pursue_wanted_map(self) -> None:
@@ -189,36 +190,39 @@
 
         A switch that prepares another map is aborted.
         """
-        if self._decider is None:
+        if self._coordinator is None:
             return
         await self._record_map()
         read = await self._table.get(wanted_key(self._group))
         row = read.unwrap_or(None)
-        if row is None or self._decider is None:
+        if row is None or self._coordinator is None:
             return
         target = int(json.loads(row.value)['map_version'])
         self._abandon_unwanted(target)
-        if self._decider.phase is not switch_coordinator.CoordinatorPhase.IDLE:
+        if (self._coordinator.phase
+                is not switch_coordinator.CoordinatorPhase.IDLE):
             return
         if target == self.map_version or not await self._check_fence():
             return
-        if self._decider is not None:
-            self._started_at = self._time.monotonic()
+        if self._coordinator is not None:
+            self._started_at = self._clock.monotonic()
             self.counts.started += 1
-            self._apply(switch_coordinator.start_switch(self._decider, target))
+            self._apply(
+                switch_coordinator.start_switch(self._coordinator, target))
 
     def _abandon_unwanted(self, target: int) -> None:
         """Aborts a switch that prepares a map which is no longer requested."""
-        decider = self._decider
-        if (decider is not None and decider.current_change is not None and
-                decider.phase is switch_coordinator.CoordinatorPhase.PREPARING
-                and decider.current_change.target != target):
-            self._apply(switch_coordinator.abort_undecided(decider))
+        coordinator = self._coordinator
+        if (coordinator is not None and
+                coordinator.current_change is not None and coordinator.phase
+                is switch_coordinator.CoordinatorPhase.PREPARING and
+                coordinator.current_change.target != target):
+            self._apply(switch_coordinator.abort_undecided(coordinator))
 
     async def _record_map(self) -> None:
         """Writes the committed map to the group's row.
 
-        If the write fails, a greater fencing number in the row ends the duty.
+        If the write fails, a greater fencing token in the row ends the duty.
         """
         if self.map_version == self._row.map_version:
             return
@@ -232,7 +236,7 @@
         await self._check_fence()
 
     async def _check_fence(self) -> bool:
-        """Reads the row again; a greater fencing number ends the duty.
+        """Reads the row again; a greater fencing token ends the duty.
 
         Returns:
             Whether this coordinator still holds the row.
@@ -245,15 +249,15 @@
         if fence > self._row.fence:
             logging.info('group %s: replaced by another coordinator fence=%d',
                          self._group, fence)
-            self._decider = None
+            self._coordinator = None
             return False
         self._row_version = found.version
         return True
 
     def _apply(self, after: switch_coordinator.CoordinatorResult) -> None:
-        before = self._decider
-        self._decider = after.coordinator
-        now = self._time.monotonic()
+        before = self._coordinator
+        self._coordinator = after.coordinator
+        now = self._clock.monotonic()
         if before is not None and before.phase is _COLLECTING:
             self._step_sample = (after.coordinator.max_step, now)
         if before is None or before.phase is not after.coordinator.phase:
@@ -269,30 +273,30 @@
         receive the decision: the step rate since the last switch, times twice
         the duration of the last arming.
         """
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         last_step, last_s = self._step_sample
         rate = (step - last_step) / (now - last_s) if step > last_step else 0.0
         return max(MIN_MARGIN_STEPS, math.ceil(rate * self._lead_s))
 
-    def _update_lead(self, decider: switch_coordinator.Coordinator,
+    def _update_lead(self, coordinator: switch_coordinator.Coordinator,
                      now: float) -> None:
         """Updates the expected arming time and the step-rate sample."""
         self._lead_s = min(MAX_LEAD_S,
                            _LEAD_RATIO * (now - self._phase_began_at))
-        self._step_sample = (decider.max_step, now)
+        self._step_sample = (coordinator.max_step, now)
 
-    def _update_counts(self, decider: switch_coordinator.Coordinator,
+    def _update_counts(self, coordinator: switch_coordinator.Coordinator,
                        now: float) -> None:
-        if decider.phase is not switch_coordinator.CoordinatorPhase.DECIDED:
+        if coordinator.phase is not switch_coordinator.CoordinatorPhase.DECIDED:
             return
-        if decider.is_commit:
-            self._update_lead(decider, now)
+        if coordinator.is_commit:
+            self._update_lead(coordinator, now)
             self.counts.committed += 1
             self.counts.last_ms = 1e3 * (now - self._started_at)
         else:
             self.counts.aborted += 1
         logging.info('group %s: switch %s map=%d', self._group,
-                     'committed' if decider.is_commit else 'aborted',
+                     'committed' if coordinator.is_commit else 'aborted',
                      self.map_version)
 
 
--- a/pollenthread/app/group_member.py
+++ b/pollenthread/app/group_member.py
@@ -69,7 +69,7 @@
         """
         self._identity = identity
         self._table = table_service
-        self._time = time
+        self._clock = time
         self._keep_links = keep_links
         self._links_by_host: dict[str, list[link_port.Link]] = {}
         self._address_by_index: dict[int, _AgentAddress] = {}
@@ -145,7 +145,7 @@
                     return
                 expect = table.ABSENT_VERSION if row is None else row.version
                 await self._table.put(key, value, expected_version=expect)
-            await self._time.sleep(_TICK_INTERVAL_S)
+            await self._clock.sleep(_TICK_INTERVAL_S)
 
     def on_open(self, link: link_port.Link) -> None:
         self._links_by_host.setdefault(link.peer.host, []).append(link)
@@ -193,7 +193,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await self._time.sleep(_TICK_INTERVAL_S)
+            await self._clock.sleep(_TICK_INTERVAL_S)
             if self._coordinator is not None:
                 self._coordinator.tick()
             rank = await self._participant.read_rank()
@@ -215,7 +215,7 @@
                     self._is_elected = await self._coordinator.acquire()
                 await self._coordinator.pursue_wanted_map()
             await self._update_links()
-            await self._time.sleep(_TABLE_POLL_INTERVAL_S)
+            await self._clock.sleep(_TABLE_POLL_INTERVAL_S)
 
     async def _update_links(self) -> None:
         """Reads the addresses of other ranks and links to the required ones."""
--- a/pollenthread/app/host_registry.py
+++ b/pollenthread/app/host_registry.py
@@ -52,7 +52,7 @@
                 del self.records_by_host[other.host]
         self.records_by_host[host] = record
 
-    def on_fault(self, fault: row_store.StoreError) -> None:
+    def on_error(self, error: row_store.StoreError) -> None:
         return
 
     def on_contact(self, version: int) -> None:
--- a/pollenthread/app/lease_manager.py
+++ b/pollenthread/app/lease_manager.py
@@ -71,7 +71,7 @@
         """
         self._table = table_service
         self._directory = directory
-        self._time = time
+        self._clock = time
         self._host = host
         self._holder = f'{host}:{incarnation}'
         self._duties = tuple(duties)
@@ -91,7 +91,7 @@
     def held_lease(self, duty: str) -> leases.HeldLease | None:
         """Returns the lease of a duty if this host may act on it now."""
         held = self._held_by_duty.get(duty)
-        if held is None or not leases.may_act(held, self._time.monotonic()):
+        if held is None or not leases.may_act(held, self._clock.monotonic()):
             return None
         return held
 
@@ -121,7 +121,7 @@
     async def _update(self, duty: str, live_hosts: Sequence[str]) -> None:
         async with self._locks_by_duty[duty]:
             held = self._held_by_duty.get(duty)
-            now = self._time.monotonic()
+            now = self._clock.monotonic()
             is_candidate = self._is_candidate(duty, live_hosts)
             if held is not None and not is_candidate and self._may_hand_over(
                     duty, now):
@@ -150,7 +150,7 @@
             live_hosts, duty)[:_CANDIDATES_PER_DUTY]
 
     async def _renew(self, duty: str, held: leases.HeldLease) -> None:
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         new_lease = leases.lease_to_renew(held, now=now)
         if new_lease is None:
             self._record_lost(duty)
@@ -163,7 +163,7 @@
         if isinstance(found, result.Err):
             return
         row = found.ok_value
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         if row is not None:
             lease = parse_lease(row.value)
             observation = leases.update_observation(
@@ -206,7 +206,7 @@
             new_lease = None
             if held is not None:
                 new_lease = leases.lease_to_renew(held,
-                                                  now=self._time.monotonic())
+                                                  now=self._clock.monotonic())
             if held is None or new_lease is None:
                 return result.Err(table.TableError.CONFLICT)
             return await self._write(duty, new_lease, held.row_version, writes)
@@ -219,7 +219,7 @@
         writes: Sequence[table.TableWrite] = ()
     ) -> result.Result[None, table.TableError]:
         """Writes a duty's lease; reads it back if the outcome is unknown."""
-        sent_at = self._time.monotonic()
+        sent_at = self._clock.monotonic()
         own = table.TableWrite(lease_key(duty),
                                _LEASE_ADAPTER.dump_json(new_lease), version)
         written = await self._table.commit([own, *writes])
@@ -251,7 +251,7 @@
 
     def _update_held(self, duty: str, held: leases.HeldLease,
                      found: leases.Lease, version: int) -> None:
-        """Updates a held lease from its row; a newer fencing number ends it."""
+        """Updates a held lease from its row; a newer fencing token ends it."""
         if (found.holder == self._holder and
                 found.fencing == held.lease.fencing):
             self._held_by_duty[duty] = leases.HeldLease(
--- a/pollenthread/app/link_router.py
+++ b/pollenthread/app/link_router.py
@@ -7,14 +7,14 @@
 
 
 class LinkRouter(link_port.LinkHandler):
-    """Routes links from agents to the rank group and all others to the gate.
+    """Routes links from agents to the rank group, all others to the attempts.
 
     Without a rank group, links from agents are ignored.
     """
 
-    def __init__(self, *, gate: link_port.LinkHandler,
+    def __init__(self, *, attempt_handler: link_port.LinkHandler,
                  group: link_port.LinkHandler | None) -> None:
-        self._gate = gate
+        self._attempt_handler = attempt_handler
         self._group = group
 
     def on_open(self, link: link_port.Link) -> None:
@@ -34,4 +34,5 @@
             handler.on_message(link, message)
 
     def _handler(self, link: link_port.Link) -> link_port.LinkHandler | None:
-        return self._group if link.peer.role == 'agent' else self._gate
+        return (self._group
+                if link.peer.role == 'agent' else self._attempt_handler)
--- a/pollenthread/app/liveness.py
+++ b/pollenthread/app/liveness.py
@@ -26,7 +26,7 @@
                  time: clock.Clock) -> None:
         self._own = own
         self._peers = peers
-        self._time = time
+        self._clock = time
         self._last_number = 0
         self._silent_since_by_host: dict[str, float] = {}
         self._incarnation_by_host: dict[str, str] = {}
@@ -40,24 +40,24 @@
 
     def evidence(self, host: str) -> membership.HostEvidence:
         """Returns the evidence about an entry host, without the host list."""
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         report = self._report_by_host.get(host)
-        said_leaving = report is not None and report.is_leaving
+        reported_leaving = report is not None and report.is_leaving
         reports = 0 if report is None else membership.count_dead_reports(
             report, now)
-        return membership.HostEvidence(reported_leaving=said_leaving,
+        return membership.HostEvidence(reported_leaving=reported_leaving,
                                        silent_s=self._silent_s(host, now),
                                        dead_report_count=reports)
 
     def seconds_since_restart(self, host: str) -> float | None:
         """Seconds since a known host was seen to have restarted, or None."""
         at = self._restarted_at_by_host.get(host)
-        return None if at is None else self._time.monotonic() - at
+        return None if at is None else self._clock.monotonic() - at
 
     def _record_incarnation(self, host: str, incarnation: str) -> None:
         previous = self._incarnation_by_host.get(host)
         if previous is not None and previous != incarnation:
-            self._restarted_at_by_host[host] = self._time.monotonic()
+            self._restarted_at_by_host[host] = self._clock.monotonic()
         self._incarnation_by_host[host] = incarnation
 
     def _silent_s(self, host: str, now: float) -> float | None:
@@ -69,7 +69,7 @@
     def set_watched_hosts(self, hosts: Iterable[str]) -> None:
         """Sets the hosts that this one keeps links to and watches."""
         wanted = set(hosts)
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         for host in wanted - self._silent_since_by_host.keys():
             self._silent_since_by_host[host] = now
         for host in self._silent_since_by_host.keys() - wanted:
@@ -84,7 +84,7 @@
         Args:
             dead: names of dead hosts; those not watched are ignored.
         """
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         for host in dead:
             if host not in self._silent_since_by_host:
                 continue
@@ -110,7 +110,7 @@
 
     def on_peer_lost(self, link: link_port.Link) -> None:
         if link.peer.host in self._silent_since_by_host:
-            self._silent_since_by_host[link.peer.host] = self._time.monotonic()
+            self._silent_since_by_host[link.peer.host] = self._clock.monotonic()
 
     def _announce(self, host: str, state: membership.HostState) -> None:
         """Sends a report of this host."""
@@ -150,7 +150,7 @@
                 incarnation=incarnation,
                 state=membership.HostState(host_report.state),
                 reporter=host_report.reporter,
-                now=self._time.monotonic())
+                now=self._clock.monotonic())
         self._peers.broadcast(host_report)
 
     def _contradicts_link(self, host_report: messages.HostNews) -> bool:
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -38,7 +38,7 @@
 # Ranks below this ratio count as normal: copying experts would not pay off.
 _SLOW_PACE_RATIO = 1.2
 
-FiguresLookup = Callable[[str], routing_config.EngineProfile | None]
+EngineProfileLookup = Callable[[str], routing_config.EngineProfile | None]
 
 
 class MapCoordinator:
@@ -51,7 +51,7 @@
                  store: row_store.RowStore, hosts: host_registry.HostRegistry,
                  registry: group_view.GroupRegistry, view: group_view.GroupView,
                  driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
-                 figures: FiguresLookup, time: clock.Clock,
+                 lookup_engine_profile: EngineProfileLookup, time: clock.Clock,
                  log: event_log.EventLog) -> None:
         """Initializes a coordinator that does not hold the duty.
 
@@ -64,8 +64,8 @@
             view: the known state of the coordinated group.
             driver: runs map switches of the group.
             network: sends messages to other agents.
-            figures: returns the engine figures of a service, or None when they
-                are not known.
+            lookup_engine_profile: returns the engine profile of a service, or
+                None when it is not known.
             time: the clock.
             log: the structured log.
         """
@@ -77,7 +77,7 @@
         self._view = view
         self._driver = driver
         self._network = network
-        self._lookup_figures = figures
+        self._lookup_engine_profile = lookup_engine_profile
         self._clock = time
         self._log = log
         self._term = 0
@@ -120,7 +120,7 @@
             await self._clock.sleep(_PLAN_INTERVAL_S)
             if not self._log_completeness(self._view.is_complete()):
                 continue
-            engine = self._lookup_figures(self._service())
+            engine = self._lookup_engine_profile(self._service())
             if engine is None or not engine.sets:
                 continue
             if self._holds_duty():
--- a/pollenthread/app/order_dispatcher.py
+++ b/pollenthread/app/order_dispatcher.py
@@ -13,13 +13,13 @@
 
 __all__ = ['OrderDispatcher']
 
-_REPLY_BY_VERDICT = {
+_ANSWER_BY_ACTION = {
     orders.AgentAction.RUNNING: orders.OrderAnswer.RUNNING,
-    orders.AgentAction.REFUSE_OLD: orders.OrderAnswer.OLD_FENCING,
-    orders.AgentAction.REFUSE_INCARNATION: orders.OrderAnswer.OTHER_INCARNATION,
-    orders.AgentAction.REFUSE_SETTLED: orders.OrderAnswer.SETTLED,
+    orders.AgentAction.REJECT_OLD: orders.OrderAnswer.OLD_FENCING,
+    orders.AgentAction.REJECT_INCARNATION: orders.OrderAnswer.OTHER_INCARNATION,
+    orders.AgentAction.REJECT_SETTLED: orders.OrderAnswer.SETTLED,
     orders.AgentAction.READ_FENCE: orders.OrderAnswer.FENCE_UNKNOWN,
-    orders.AgentAction.REFUSE_FULL: orders.OrderAnswer.FULL,
+    orders.AgentAction.REJECT_FULL: orders.OrderAnswer.FULL,
 }
 
 
@@ -27,7 +27,7 @@
     """Executes each order once, if its sender holds the duty.
 
     Attributes:
-        refused_count: orders that were refused.
+        rejected_count: orders that were rejected.
     """
 
     def __init__(self, *, host: str, incarnation: str,
@@ -51,7 +51,7 @@
         self._keys = keys
         self._fence = orders.AgentOrderState(incarnation=incarnation)
         self._tasks: set[asyncio.Task[None]] = set()
-        self.refused_count = 0
+        self.rejected_count = 0
 
     @property
     def running_count(self) -> int:
@@ -67,11 +67,11 @@
                  message: messages.OrderSend) -> None:
         """Processes an order from a link and replies to it.
 
-        Orders with an invalid signature or for another host are refused.
+        Orders with an invalid signature or for another host are rejected.
         """
         order = self._keys.verify(message)
         if order is None or order.host != self._host:
-            self.refused_count += 1
+            self.rejected_count += 1
             logging.warning('order=%s refused: no valid key', message.id)
             _reply(link, message.id, orders.OrderAnswer.NOT_AUTHENTICATED)
             return
@@ -82,7 +82,7 @@
 
     async def _read_fence_and_dispatch(self, link: link_port.Link,
                                        order: orders.Order) -> None:
-        """Reads the duty's fencing number from the table, then decides."""
+        """Reads the duty's fencing token from the table, then decides."""
         found = await self._table.get(lease_manager.lease_key(order.duty))
         if isinstance(found, result.Ok):
             row = found.ok_value
@@ -94,16 +94,16 @@
         self._dispatch(link, order)
 
     def _dispatch(self, link: link_port.Link, order: orders.Order) -> None:
-        self._fence, verdict = orders.handle_order(self._fence, order)
-        if verdict is orders.AgentAction.BEGIN:
+        self._fence, action = orders.handle_order(self._fence, order)
+        if action is orders.AgentAction.BEGIN:
             self._start_task(self._execute(link, order))
-        elif verdict is orders.AgentAction.REPEAT:
+        elif action is orders.AgentAction.REPEAT:
             outcome = self._fence.result_by_id[order.id]
             assert outcome is not None
             _reply(link, order.id, outcome.answer, outcome)
         else:
-            self.refused_count += verdict is not orders.AgentAction.RUNNING
-            _reply(link, order.id, _REPLY_BY_VERDICT[verdict])
+            self.rejected_count += action is not orders.AgentAction.RUNNING
+            _reply(link, order.id, _ANSWER_BY_ACTION[action])
 
     async def _execute(self, link: link_port.Link, order: orders.Order) -> None:
         executor = self._executors_by_kind.get(order.kind, self._executor)
--- a/pollenthread/app/order_issuer.py
+++ b/pollenthread/app/order_issuer.py
@@ -58,7 +58,7 @@
         self._wake = asyncio.Event()
         self.ended_by_state = collections.Counter[orders.OrderState]()
         leases.on_acquire = self._drop_journal
-        peers.subscribe(messages.DutyNews, self._on_duty_news)
+        peers.subscribe(messages.DutyNews, self._on_duty_announcement)
         pool.subscribe(messages.OrderReply, self._on_reply)
 
     def wake(self) -> None:
@@ -86,7 +86,8 @@
     def _drop_journal(self, duty: str) -> None:
         self._journal_by_duty.pop(duty, None)
 
-    def _on_duty_news(self, _: link_port.Link, __: messages.DutyNews) -> None:
+    def _on_duty_announcement(self, _: link_port.Link,
+                              __: messages.DutyNews) -> None:
         self._wake.set()
 
     def _on_reply(self, _: link_port.Link, reply: messages.OrderReply) -> None:
@@ -154,28 +155,28 @@
         for entry in open_entries:
             if entry.row.order.host not in hosts:
                 hosts.add(entry.row.order.host)
-                await self._run_next_step(duty, entry)
+                await self._run_next_action(duty, entry)
 
-    async def _run_next_step(self, duty: str,
-                             entry: order_journal.JournalEntry) -> None:
+    async def _run_next_action(self, duty: str,
+                               entry: order_journal.JournalEntry) -> None:
         held = self._leases.held_lease(duty)
         if held is None:
             return
         fencing = held.lease.fencing
         row = entry.row
-        step = orders.next_issuer_action(row,
-                                         fencing=fencing,
-                                         incarnation=self._incarnation(
-                                             row.order.host))
-        if step is orders.IssuerAction.CLOSE_UNKNOWN:
+        action = orders.next_issuer_action(row,
+                                           fencing=fencing,
+                                           incarnation=self._incarnation(
+                                               row.order.host))
+        if action is orders.IssuerAction.CLOSE_UNKNOWN:
             await self._record_result(duty, entry,
                                       orders.OrderAnswer.OTHER_INCARNATION,
                                       None)
-        elif step is orders.IssuerAction.REISSUE:
+        elif action is orders.IssuerAction.REISSUE:
             row = orders.reissued_row(row, fencing=fencing)
             if await self._write_row(duty, row, entry.version):
                 self._send(row.order)
-        elif step is orders.IssuerAction.SEND:
+        elif action is orders.IssuerAction.SEND:
             self._send(row.order)
 
     def _send(self, order: orders.Order) -> None:
--- a/pollenthread/app/order_receiver.py
+++ b/pollenthread/app/order_receiver.py
@@ -23,7 +23,7 @@
 
 _OrderKey = tuple[peer_messages.OrderKind, int, int]
 
-ReportHandler = Callable[[rank_server.RankServerStatus],
+StatusHandler = Callable[[rank_server.RankServerStatus],
                          peer_messages.RankState]
 
 
@@ -31,7 +31,7 @@
     """Passes orders that arrive as datagrams to the server."""
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
-                 handle_report: ReportHandler,
+                 handle_status: StatusHandler,
                  hosts: host_registry.HostRegistry, network: peers.PeerNetwork,
                  log: event_log.EventLog) -> None:
         """Initializes a receiver; orders are ignored until `run` is called.
@@ -39,7 +39,7 @@
         Args:
             host: this agent's host.
             server: the client of the model server on this host.
-            handle_report: records a report of the server and returns the rank's
+            handle_status: records a status of the server and returns the rank's
                 state.
             hosts: the hosts of the deployment.
             network: delivers orders and returns the rank's state to their
@@ -48,7 +48,7 @@
         """
         self._host = host
         self._server = server
-        self._handle_report = handle_report
+        self._handle_status = handle_status
         self._hosts = hosts
         self._network = network
         self._log = log
@@ -105,7 +105,7 @@
         if status not in _ACCEPTED_STATUSES:
             self._log_failure(order, status, '')
         try:
-            state = self._handle_report(await self._server.fetch_status())
+            state = self._handle_status(await self._server.fetch_status())
         except rank_server.RankServerUnavailableError:
             # The next poll of the server sends the state.
             return True
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -212,7 +212,7 @@
             if state is None:
                 report = await server.fetch_status()
                 state = dataclasses.replace(report.state, host=record.host)
-            self._view.take(state)
+            self._view.update_state(state)
         except rank_server.RankServerUnavailableError as error:
             cause = str(error)
             if order.kind in _DIRECT_KINDS:
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -140,7 +140,7 @@
         self._order_receiver = order_receiver.OrderReceiver(
             host=own.host,
             server=server,
-            handle_report=self._record_report,
+            handle_status=self._record_status,
             hosts=hosts,
             network=network,
             log=log)
@@ -159,27 +159,27 @@
 
     async def _poll_once(self) -> float:
         try:
-            report = await self._server.fetch_status()
+            status = await self._server.fetch_status()
         except rank_server.RankServerUnavailableError:
             return _POLL_S
-        state = self._record_report(report)
-        self._report_load(report)
-        if not report.is_group_member:
-            return _UNGROUPED_POLL_S if not report.running else _POLL_S
+        state = self._record_status(status)
+        self._report_load(status)
+        if not status.is_group_member:
+            return _UNGROUPED_POLL_S if not status.running else _POLL_S
         self._report_state(state)
         await self._choice_reporter.report_if_due(state, self.experts_per_set)
         if state.is_busy or state.armed_version or state.held_step:
             return _SWITCHING_POLL_S
-        return _POLL_S if report.running else _IDLE_POLL_S
+        return _POLL_S if status.running else _IDLE_POLL_S
 
-    def _record_report(
+    def _record_status(
             self,
-            report: rank_server.RankServerStatus) -> peer_messages.RankState:
+            status: rank_server.RankServerStatus) -> peer_messages.RankState:
         now = self._clock.monotonic()
-        self._has_work = report.running > 0
-        state = dataclasses.replace(report.state, host=self._own.host)
+        self._has_work = status.running > 0
+        state = dataclasses.replace(status.state, host=self._own.host)
         passes = state.step - self._last_step
-        if passes != 0 or not report.running:
+        if passes != 0 or not status.running:
             if 0 < passes < 100 and self._last_step >= 0:
                 pass_s = min(_MAX_PASS_S, (now - self._stepped_at) / passes)
                 self._pass_s += _PASS_SMOOTHING * (pass_s - self._pass_s)
@@ -187,10 +187,10 @@
             self._last_step = state.step
             self._stepped_at = now
         self._registry.update_own_state(state)
-        self._log_passes(report, now)
+        self._log_passes(status, now)
         return state
 
-    def _log_passes(self, report: rank_server.RankServerStatus,
+    def _log_passes(self, status: rank_server.RankServerStatus,
                     now: float) -> None:
         """Logs the passes of the last window.
 
@@ -200,16 +200,16 @@
         if window_s < _PASSES_LOG_INTERVAL_S:
             return
         stats, self._pass_stats = self._pass_stats, _PassStats(began_at=now)
-        if report.state.rank == 0 and stats.passes:
+        if status.state.rank == 0 and stats.passes:
             self._log.write(log_events.LogEvent.PASSES,
                             important=False,
-                            group=report.state.group,
+                            group=status.state.group,
                             passes=stats.passes,
                             mean_s=round(stats.seconds / stats.passes, 4),
                             longest_s=round(stats.longest_s, 4),
-                            running=report.running,
-                            waiting=report.waiting,
-                            map=report.state.map_version)
+                            running=status.running,
+                            waiting=status.waiting,
+                            map=status.state.map_version)
 
     def stalled_s(self) -> float:
         """Returns the seconds since the last pass began; 0 without requests."""
@@ -217,27 +217,27 @@
             return 0.0
         return self._clock.monotonic() - self._stepped_at
 
-    def _report_load(self, report: rank_server.RankServerStatus) -> None:
+    def _report_load(self, status: rank_server.RankServerStatus) -> None:
         now = self._clock.monotonic()
         stalled_s = self.stalled_s()
         is_stalled = stalled_s > _STALL_THRESHOLD_S
-        is_open = report.state.is_open or not report.is_group_member
+        is_open = status.state.is_open or not status.is_group_member
         if not self._load_throttle.is_due(
-            (report.running, report.waiting, is_stalled, is_open),
+            (status.running, status.waiting, is_stalled, is_open),
                 now,
                 same_s=_SAME_LOAD_INTERVAL_S,
                 changed_s=_CHANGED_LOAD_INTERVAL_S):
             return
         message = peer_messages.ServerLoad(
             address=self._own.engine_address,
-            running=report.running,
-            waiting=report.waiting,
+            running=status.running,
+            waiting=status.waiting,
             slots=self.slots,
             stalled_ms=int(stalled_s * _MS_PER_S),
             is_open=is_open,
-            group=report.state.group,
+            group=status.state.group,
             pass_us=int(self._pass_s * _US_PER_S),
-            born_ms=report.state.born_ms)
+            born_ms=status.state.born_ms)
         self._network.send_all(
             (record.peer_address
              for record in self._hosts.with_role(host_record.Role.ENTRY)),
@@ -265,7 +265,7 @@
 
     async def _serve_state(self) -> peer_messages.RankState | None:
         try:
-            return self._record_report(await self._server.fetch_status())
+            return self._record_status(await self._server.fetch_status())
         except rank_server.RankServerUnavailableError:
             return None
 
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -8,8 +8,8 @@
 
 __all__ = ['RequestFailed', 'RequestJob']
 
-_DEFAULT_URGENCY = 5
-_MAX_URGENCY = 9
+_DEFAULT_PRIORITY = 5
+_MAX_PRIORITY = 9
 # A restarted server accepts requests again after a few seconds.
 _MAX_RETRY_AFTER_S = 2.5
 _RETRY_AFTER_SHARE = 0.33
@@ -78,7 +78,7 @@
         return self.route.kind is routing_config.RequestKind.STREAM
 
     @property
-    def urgency(self) -> int:
+    def priority(self) -> int:
         """The priority for admission at the server, from 0 (first) to 9.
 
         A priority of the workspace takes precedence over one of the route.
@@ -86,8 +86,8 @@
         priority = self.route.priority
         if self.workspace is not None and self.workspace.priority is not None:
             priority = self.workspace.priority
-        return min(_MAX_URGENCY, _DEFAULT_URGENCY +
-                   priority) if priority else _DEFAULT_URGENCY
+        return min(_MAX_PRIORITY, _DEFAULT_PRIORITY +
+                   priority) if priority else _DEFAULT_PRIORITY
 
     def rejection(self, kind: errors.ErrorKind, now: float) -> errors.Failure:
         """Returns the failure for a request that is not retried any more.
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -41,7 +41,7 @@
 
         A request that has already missed its latency target first waits for a
         slot that no other request needs: its response is late in any case, and
-        another refusal may make the caller give up.
+        another rejection may make the caller give up.
 
         Args:
             job: the request.
@@ -116,7 +116,7 @@
             excluded=job.tried_server_ids,
             data_centre=self._state.data_centre,
             requirements=requirements,
-            hosts=self._state.entry_host_count,
+            entry_host_count=self._state.entry_host_count,
             now=now)
         if server is not None:
             self._log_attempt(job, server, now)
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RetryBudgetSettings:
-    """Limits on the retries of all entry hosts together; see `RetryBudget`.
+    """Limits on the retries of all entry hosts; see `SharedRetryBudget`.
 
     Attributes:
         ratio: retries per request.
--- a/pollenthread/app/slot_scheduler.py
+++ b/pollenthread/app/slot_scheduler.py
@@ -5,7 +5,7 @@
 from pollenthread.core import (admission_control, admission_queue, errors,
                                messages)
 
-__all__ = ['SlotScheduler', 'make_ticket']
+__all__ = ['SlotScheduler', 'make_admission_request']
 
 _ADVANCE_INTERVAL_S = 0.05
 
@@ -13,11 +13,11 @@
 class SlotScheduler:
     """Lets attempts wait for a slot and starts them by priority.
 
-    `slots.Slots` decides the order and the concurrency limit.
+    An `AdmissionController` decides the order and the concurrency limit.
     """
 
     def __init__(self) -> None:
-        self._slots = admission_control.AdmissionController(now=_now())
+        self._controller = admission_control.AdmissionController(now=_now())
         self._waiters_by_attempt: dict[str, asyncio.Future[errors.ErrorKind |
                                                            None]] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -25,44 +25,44 @@
     @property
     def running(self) -> int:
         """The number of attempts that hold a slot."""
-        return self._slots.running
+        return self._controller.running
 
     @property
     def queued(self) -> int:
         """The number of attempts that wait for a slot."""
-        return self._slots.queued
+        return self._controller.queued
 
     @property
     def load(self) -> admission_control.UpstreamLoad:
         """The current load of the upstream, as reported to entry hosts."""
-        return self._slots.load(_now())
+        return self._controller.load(_now())
 
     async def acquire(
-            self, ticket: admission_queue.AdmissionRequest
+            self, request: admission_queue.AdmissionRequest
     ) -> errors.ErrorKind | None:
         """Waits for a slot.
 
         Args:
-            ticket: the attempt's place in the queue, from `make_ticket`.
+            request: the attempt's request, from `make_admission_request`.
 
         Returns:
-            None once the attempt holds a slot, or why it was refused.
+            None once the attempt holds a slot, or why it was rejected.
         """
-        decision, kind = self._slots.admit(ticket, _now())
-        if decision is admission_control.AdmissionDecision.REFUSE:
+        decision, kind = self._controller.admit(request, _now())
+        if decision is admission_control.AdmissionDecision.REJECT:
             return kind
         if decision is admission_control.AdmissionDecision.RUN:
             return None
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters_by_attempt[ticket.attempt] = waiter
+        self._waiters_by_attempt[request.attempt] = waiter
         self._start_timer()
         try:
             return await waiter
         except asyncio.CancelledError:
-            self.release(ticket.attempt)
+            self.release(request.attempt)
             raise
         finally:
-            self._waiters_by_attempt.pop(ticket.attempt, None)
+            self._waiters_by_attempt.pop(request.attempt, None)
 
     def record_progress(self, attempt: str, units: int) -> None:
         """Records that a chunk of an attempt's response has arrived.
@@ -71,19 +71,19 @@
             attempt: the attempt's id.
             units: the events or bytes in the chunk.
         """
-        self._slots.record_progress(attempt, _now(), units)
+        self._controller.record_progress(attempt, _now(), units)
 
     def release(self, attempt: str) -> None:
         """Releases an attempt's slot, or removes it from the queue."""
-        self._slots.release(attempt, _now())
+        self._controller.release(attempt, _now())
         self._advance()
 
     def _advance(self) -> None:
-        started, refused = self._slots.assign_slots(_now())
+        started, rejected = self._controller.assign_slots(_now())
         for attempt in started:
             if not self._resolve(attempt, None):
-                self._slots.release(attempt, _now())
-        for attempt in refused:
+                self._controller.release(attempt, _now())
+        for attempt in rejected:
             self._resolve(attempt, errors.ErrorKind.DEADLINE_TOO_SHORT)
 
     def _resolve(self, attempt: str, kind: errors.ErrorKind | None) -> bool:
@@ -105,8 +105,9 @@
             self._start_timer()
 
 
-def make_ticket(begin: messages.Begin) -> admission_queue.AdmissionRequest:
-    """Returns the queue ticket of an attempt that has just arrived."""
+def make_admission_request(
+        begin: messages.Begin) -> admission_queue.AdmissionRequest:
+    """Returns the admission request of an attempt that has just arrived."""
     now = _now()
     due_ms = min(begin.target_ms or begin.deadline_ms, begin.deadline_ms)
     return admission_queue.AdmissionRequest(
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -32,12 +32,12 @@
         """Called with changed rows; the value of a deleted row is None."""
 
     @abc.abstractmethod
-    def on_fault(self, fault: row_store.StoreError) -> None:
-        """Called when the store did not answer."""
+    def on_error(self, error: row_store.StoreError) -> None:
+        """Called when a call to the store failed."""
 
     @abc.abstractmethod
     def on_contact(self, version: int) -> None:
-        """Called after each answer of the store.
+        """Called after each response of the store.
 
         Args:
             version: the store's version up to which all changes are known.
@@ -78,10 +78,10 @@
     async def run(self) -> None:
         """Follows until it is cancelled."""
         while True:
-            fault = await self._read_once()
-            if fault is None:
+            error = await self._read_once()
+            if error is None:
                 await self._clock.sleep(self._pause_s)
-            elif fault is not row_store.StoreError.HISTORY_LOST:
+            elif error is not row_store.StoreError.HISTORY_LOST:
                 await self._clock.sleep(
                     self._rng.uniform(_MIN_RETRY_S, _MAX_RETRY_S))
 
@@ -92,22 +92,22 @@
             response = await self._store.watch(self._table, self.version,
                                                self._wait_s)
         if isinstance(response, result.Err):
-            return self._handle_fault(response.err_value)
+            return self._handle_error(response.err_value)
         self._handle_changes(response.ok_value)
         return None
 
-    def _handle_fault(self,
-                      fault: row_store.StoreError) -> row_store.StoreError:
-        if fault is row_store.StoreError.HISTORY_LOST:
+    def _handle_error(self,
+                      error: row_store.StoreError) -> row_store.StoreError:
+        if error is row_store.StoreError.HISTORY_LOST:
             self.version = _NO_VERSION
         else:
-            self._listener.on_fault(fault)
-        return fault
+            self._listener.on_error(error)
+        return error
 
     def _handle_changes(self, found: row_store.RowChanges) -> None:
         is_full_read = self.version == _NO_VERSION
         if found.version < self.version:
-            # The store's version never decreases, so this answer is outdated.
+            # The store's version never decreases, so this response is outdated.
             return
         self.version = found.version
         if is_full_read:
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -27,12 +27,12 @@
     """The availability of the store.
 
     Attributes:
-        last_answer_at: monotonic seconds of the last answer; -inf before the
-            first one.
-        is_up: whether the last call was answered.
+        last_response_at: monotonic seconds of the last response; -inf before
+            the first one.
+        is_up: whether the store responded to the last call.
     """
 
-    last_answer_at: float = float('-inf')
+    last_response_at: float = float('-inf')
     is_up: bool = False
 
 
@@ -62,11 +62,11 @@
     def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
         ...
 
-    def on_fault(self, fault: row_store.StoreError) -> None:
+    def on_error(self, error: row_store.StoreError) -> None:
         if self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_LOST,
                             table=self.table,
-                            fault=fault.value)
+                            fault=error.value)
         self.contact.is_up = False
 
     def on_contact(self, version: int) -> None:
@@ -75,9 +75,10 @@
             self._log.write(log_events.LogEvent.STORE_REGAINED,
                             table=self.table,
                             version=version,
-                            away_s=round(now - self.contact.last_answer_at, 3))
+                            away_s=round(now - self.contact.last_response_at,
+                                         3))
         self.contact.is_up = True
-        self.contact.last_answer_at = now
+        self.contact.last_response_at = now
 
 
 class ConfigListener(_OutageListener):
@@ -175,7 +176,7 @@
         }
         decoded = [self._decode_row(row) for row in rows]
         servers = [server for server in decoded if server is not None]
-        self._note_versions(rows)
+        self._record_versions(rows)
         now = self._clock.monotonic()
         known_ids = set(self._state.server_registry.listed_by_id)
         for server_id in self._state.server_registry.replace_all(servers, now):
@@ -184,12 +185,12 @@
             if server.id not in known_ids:
                 self._log_listed(server)
 
-    def _note_versions(self, rows: Sequence[row_store.RowChange]) -> None:
+    def _record_versions(self, rows: Sequence[row_store.RowChange]) -> None:
         newest = max((row.version for row in rows), default=0)
         self.changed_version = max(self.changed_version, newest)
 
     def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
-        self._note_versions(rows)
+        self._record_versions(rows)
         for row in rows:
             if row.value is None:
                 self.rows_by_key.pop(row.key, None)
@@ -199,8 +200,8 @@
             if (server := self._decode_row(row)) is not None:
                 self._put(server)
 
-    def on_fault(self, fault: row_store.StoreError) -> None:
-        super().on_fault(fault)
+    def on_error(self, error: row_store.StoreError) -> None:
+        super().on_error(error)
         self._state.server_registry.begin_outage()
 
     def on_contact(self, version: int) -> None:
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -139,12 +139,12 @@
         if record is None:
             return None
         try:
-            report = await self._make_server(record.engine_address
+            status = await self._make_server(record.engine_address
                                             ).fetch_status()
         except rank_server.RankServerUnavailableError:
             return None
-        state = dataclasses.replace(report.state, host=record.host)
-        self._view.take(state)
+        state = dataclasses.replace(status.state, host=record.host)
+        self._view.update_state(state)
         return state
 
     def agent_address(self, rank: int) -> str:
--- a/pollenthread/app/switch_participant.py
+++ b/pollenthread/app/switch_participant.py
@@ -28,7 +28,7 @@
         Args:
             index: the rank's number in its group.
             engine: the engine of the rank.
-            read_group_fence: reads the fencing number of the group's row; None
+            read_group_fence: reads the fencing token of the group's row; None
                 when the table does not respond.
             on_reply: receives the reply to `Prepare` when a load has finished.
         """
--- a/pollenthread/app/upstream_pool.py
+++ b/pollenthread/app/upstream_pool.py
@@ -90,8 +90,9 @@
 
     Attributes:
         link: the open link to its agent.
-        is_leaving: whether its agent has announced that it shuts down.
-        load_report: the latest load report, corrected by later refusals.
+        is_leaving: whether its agent has announced its shutdown, or the host
+            list reports it.
+        load_report: the latest load report, corrected by later rejections.
         streams_by_attempt: attempts in progress, by attempt id.
         seals_by_attempt: pending replies to seal requests, by attempt id.
     """
@@ -130,18 +131,19 @@
     def is_usable(self) -> bool:
         return (self.link.is_open and not self.is_leaving and
                 self.host not in self._shared.draining and
-                self._shared.health.is_usable(self.host, self._shared.now()))
+                self._shared.outlier_detector.is_usable(self.host,
+                                                        self._shared.now()))
 
     def record_sent(self) -> None:
         """Records that an attempt was sent."""
         now = self._shared.now()
         self._sent_log.record_sent(now)
-        self._shared.health.record_attempt(self.host, now)
+        self._shared.outlier_detector.record_attempt(self.host, now)
 
     def record_load(self, load: messages.Load) -> None:
         """Records a load report from the agent."""
         made_at = self._sent_log.report_time(load.seen, self._shared.now())
-        reading = admission_control.UpstreamLoad(
+        reported = admission_control.UpstreamLoad(
             running=load.running,
             queued=load.queued,
             limit=load.limit,
@@ -149,21 +151,21 @@
             first_unit_s=load.first_unit_us / 1e6,
             between_tokens_s=load.token_us / 1e6)
         self.load_report = load_estimate.UpstreamLoadReport(
-            reading, load.own, made_at)
+            reported, load.own, made_at)
         self._shared.mean_load.record(self.load_report)
 
-    def record_refusal(self) -> None:
-        """Raises the load estimate after a refusal for lack of capacity."""
+    def record_rejection(self) -> None:
+        """Raises the load estimate after a rejection for lack of capacity."""
         self.load_report = load_estimate.report_after_rejection(
             self.load_report,
             own=len(self.streams_by_attempt),
             now=self._shared.now())
 
     def record_result(self, *, is_success: bool) -> None:
-        """Records the result of an attempt that was not refused."""
-        self._shared.health.record_result(self.host,
-                                          succeeded=is_success,
-                                          now=self._shared.now())
+        """Records the result of an attempt that was not rejected."""
+        self._shared.outlier_detector.record_result(self.host,
+                                                    succeeded=is_success,
+                                                    now=self._shared.now())
 
     def serves(self, kind: str, name: str) -> bool:
         """Whether this upstream serves a model or service.
@@ -224,13 +226,13 @@
 
     Attributes:
         mean_load: the mean load that other entry hosts put on an upstream.
-        health: results of attempts, by host.
+        outlier_detector: results of attempts, by host.
         draining: hosts that operators have taken out of service.
     """
 
     def __init__(self) -> None:
         self.mean_load = load_estimate.MeanOtherLoad()
-        self.health = outlier_detection.OutlierDetector()
+        self.outlier_detector = outlier_detection.OutlierDetector()
         self.draining: frozenset[str] = frozenset()
 
     @staticmethod
@@ -287,7 +289,7 @@
     @property
     def ejected(self) -> list[str]:
         """Hosts that were ejected as unhealthy and get probe requests only."""
-        return self._shared.health.ejected
+        return self._shared.outlier_detector.ejected
 
     def group(self, kind: str, name: str) -> UpstreamGroup:
         """The upstreams of a model or service; cached until links change."""
@@ -314,7 +316,7 @@
             prefix_hashing.PrefixHashRing(u.host for u in all_upstreams))
 
     def has_upstream(self, kind: str, name: str) -> bool:
-        """Whether any upstream serves this name, including leaving ones."""
+        """Whether any upstream serves this name, even while it shuts down."""
         return any(u.serves(kind, name) for u in self.by_host.values())
 
     async def wait_for_link(self, host: str, incarnation: str,
@@ -348,7 +350,7 @@
             replaced.fail_pending()
         self.by_host[link.peer.host] = LinkedUpstream(link=link,
                                                       shared=self._shared)
-        self._shared.health.add(link.peer.host)
+        self._shared.outlier_detector.add(link.peer.host)
         self._group_by_kind_and_name.clear()
         self._links_changed.set()
         logging.info('upstream linked host=%s incarnation=%s', link.peer.host,
@@ -359,7 +361,7 @@
         if upstream is None or upstream.link is not link:
             return
         del self.by_host[link.peer.host]
-        self._shared.health.remove(link.peer.host)
+        self._shared.outlier_detector.remove(link.peer.host)
         self._group_by_kind_and_name.clear()
         self._links_changed.set()
         logging.info('upstream lost host=%s reason=%s', link.peer.host, reason)
--- a/pollenthread/app/upstream_selector.py
+++ b/pollenthread/app/upstream_selector.py
@@ -11,7 +11,7 @@
 
 __all__ = ['UpstreamRequirements', 'UpstreamSelector']
 
-_REFUSAL_KINDS = frozenset(
+_REJECTION_KINDS = frozenset(
     {errors.ErrorKind.OVERLOADED, errors.ErrorKind.DEADLINE_TOO_SHORT})
 _HEDGE_DELAY_SHARE = 0.5
 
@@ -60,7 +60,7 @@
     """Selects upstreams from the pool and limits retries and hedges.
 
     Attributes:
-        refused_count: selections that failed for lack of time.
+        rejected_count: selections that failed for lack of time.
         retried_count: retries that were allowed.
         hedged_count: second attempts that were allowed.
     """
@@ -68,11 +68,11 @@
     def __init__(self, *, pool: upstream_pool.UpstreamPool, time: clock.Clock,
                  rng: random.Random) -> None:
         self._pool = pool
-        self._time = time
+        self._clock = time
         self._rng = rng
         self._retry_budget = retries.RetryTokenBucket()
         self._service_times = service_times.ServiceTimes()
-        self.refused_count = 0
+        self.rejected_count = 0
         self.retried_count = 0
         self.hedged_count = 0
 
@@ -84,9 +84,9 @@
     ) -> result.Result[upstream_pool.LinkedUpstream, errors.Failure]:
         """Selects an upstream for an attempt.
 
-        A request of a class that may not be repeated is not refused here for
+        A request of a class that may not be repeated is not rejected here for
         lack of time: its idempotency key may already have a stored response,
-        which only its claim shows. The agent refuses it instead.
+        which only its claim shows. The agent rejects it instead.
 
         Args:
             requirements: what the request requires.
@@ -98,33 +98,34 @@
             none would respond in time.
         """
         group = self._pool.group(requirements.kind, requirements.name)
-        left_s = requirements.due_at - self._time.monotonic()
-        selected = upstream_selection.select(group.tiers,
-                                             self._demand(requirements, left_s),
-                                             random_unit=self._rng.random,
-                                             preferred=self._preferred(
-                                                 requirements, group))
+        left_s = requirements.due_at - self._clock.monotonic()
+        selected = upstream_selection.select(
+            group.tiers,
+            self._attempt_requirements(requirements, left_s),
+            random_unit=self._rng.random,
+            preferred=self._preferred(requirements, group))
         if selected is None:
             return result.Err(errors.make_failure(errors.ErrorKind.NO_UPSTREAM))
         is_too_late = (
             requirements.work_class.repeatable and
             not upstream_selection.is_worth_sending(selected, left_s))
         if is_too_late or (needs_free_slot and not selected.has_free_slot):
-            self.refused_count += not needs_free_slot
+            self.rejected_count += not needs_free_slot
             return result.Err(
                 errors.make_failure(errors.ErrorKind.DEADLINE_TOO_SHORT))
         return result.Ok(self._pool.by_host[selected.host])
 
-    def _demand(self, requirements: UpstreamRequirements,
-                left_s: float) -> upstream_selection.AttemptRequirements:
-        answer_s = 0.0
+    def _attempt_requirements(
+            self, requirements: UpstreamRequirements,
+            left_s: float) -> upstream_selection.AttemptRequirements:
+        whole_response_s = 0.0
         if requirements.is_whole_response:
-            answer_s = self._service_times.for_class(
+            whole_response_s = self._service_times.for_class(
                 requirements.class_key).duration_s
         return upstream_selection.AttemptRequirements(
             importance=int(requirements.work_class.importance),
             time_left_s=left_s,
-            whole_response_s=answer_s,
+            whole_response_s=whole_response_s,
             avoided_hosts=requirements.failed_hosts)
 
     def _preferred(
@@ -146,7 +147,8 @@
             return None
         return max(
             0.0,
-            _HEDGE_DELAY_SHARE * (requirements.due_at - self._time.monotonic()))
+            _HEDGE_DELAY_SHARE *
+            (requirements.due_at - self._clock.monotonic()))
 
     def select_for_hedge(
         self, requirements: UpstreamRequirements
@@ -190,8 +192,8 @@
         """Records a failed attempt against its upstream and its request."""
         requirements.failed_hosts.add(upstream.host)
         requirements.failure_count += 1
-        if failure.kind in _REFUSAL_KINDS:
-            upstream.record_refusal()
+        if failure.kind in _REJECTION_KINDS:
+            upstream.record_rejection()
         elif failure.kind not in (errors.ErrorKind.LEAVING,
                                   errors.ErrorKind.SEALED):
             upstream.record_result(is_success=False)
@@ -207,6 +209,6 @@
                 requirements.work_class.importance):
             return False
         self.retried_count += 1
-        await self._time.sleep(
+        await self._clock.sleep(
             retries.backoff_s(requirements.failure_count, self._rng.random()))
         return True
--- a/pollenthread/app/write_batcher.py
+++ b/pollenthread/app/write_batcher.py
@@ -25,7 +25,7 @@
     """A write and the future for its result."""
 
     write: table.TableWrite
-    answer: asyncio.Future[result.Result[list[int], table.TableError]]
+    future: asyncio.Future[result.Result[list[int], table.TableError]]
 
 
 class WriteBatcher(table.TableService):
@@ -39,7 +39,7 @@
     Attributes:
         rows_count: rows that were sent.
         transactions_count: transactions that were sent.
-        refused_count: writes of new rows that were refused by the rate limit.
+        rejected_count: writes of new rows that were rejected by the rate limit.
     """
 
     def __init__(self, *, table_service: table.TableService, time: clock.Clock,
@@ -52,7 +52,7 @@
             rows_per_s: returns the current limit of rows per second.
         """
         self._table = table_service
-        self._time = time
+        self._clock = time
         self._rows_per_s = rows_per_s
         self._queue = collections.deque[_QueuedWrite]()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -65,7 +65,7 @@
                                                     updated_at=time.monotonic())
         self.rows_count = 0
         self.transactions_count = 0
-        self.refused_count = 0
+        self.rejected_count = 0
 
     async def __aenter__(self) -> Self:
         self._sender_task = asyncio.create_task(self._send_all())
@@ -99,17 +99,17 @@
             return await self._table.commit(writes)
         if (writes[0].expected_version == table.ABSENT_VERSION and
                 self._is_over_budget()):
-            self.refused_count += 1
+            self.rejected_count += 1
             return result.Err(table.TableError.LIMITED)
         queued = _QueuedWrite(writes[0],
                               asyncio.get_running_loop().create_future())
         self._queue.append(queued)
         self._has_writes.set()
-        return await queued.answer
+        return await queued.future
 
     def _is_over_budget(self) -> bool:
         """Returns whether a new row would wait longer than the limit."""
-        now = self._time.monotonic()
+        now = self._clock.monotonic()
         self._set_rate(now)
         queue_s = len(self._queue) / self._rate_limit.rate_per_s
         return token_bucket.wait_s(self._rate_limit,
@@ -125,13 +125,13 @@
     async def _send_all(self) -> None:
         while True:
             await self._has_writes.wait()
-            now = self._time.monotonic()
+            now = self._clock.monotonic()
             self._set_rate(now)
-            await self._time.sleep(token_bucket.wait_s(self._rate_limit, now))
+            await self._clock.sleep(token_bucket.wait_s(self._rate_limit, now))
             await self._transaction_slots.acquire()
             batch = self._next_batch()
             self._rate_limit = token_bucket.spend(self._rate_limit, len(batch),
-                                                  self._time.monotonic())
+                                                  self._clock.monotonic())
             task = asyncio.create_task(self._send(batch))
             self._tasks.add(task)
             task.add_done_callback(self._on_sent)
@@ -160,13 +160,13 @@
         if (isinstance(committed, result.Err) and len(batch) > 1 and
                 committed.err_value is table.TableError.CONFLICT):
             for queued in batch:
-                _answer(queued, await self._commit([queued]))
+                _resolve(queued, await self._commit([queued]))
             return
         for i, queued in enumerate(batch):
             if isinstance(committed, result.Ok):
-                _answer(queued, result.Ok([committed.ok_value[i]]))
+                _resolve(queued, result.Ok([committed.ok_value[i]]))
             else:
-                _answer(queued, committed)
+                _resolve(queued, committed)
 
     async def _commit(
         self, batch: Sequence[_QueuedWrite]
@@ -176,7 +176,7 @@
         return await self._table.commit([queued.write for queued in batch])
 
 
-def _answer(queued: _QueuedWrite,
-            answer: result.Result[list[int], table.TableError]) -> None:
-    if not queued.answer.done():
-        queued.answer.set_result(answer)
+def _resolve(queued: _QueuedWrite,
+             outcome: result.Result[list[int], table.TableError]) -> None:
+    if not queued.future.done():
+        queued.future.set_result(outcome)
--- a/pollenthread/core/admission_control.py
+++ b/pollenthread/core/admission_control.py
@@ -27,7 +27,7 @@
 
     RUN = 'run'
     WAIT = 'wait'
-    REFUSE = 'refuse'
+    REJECT = 'refuse'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,7 +158,7 @@
             The decision, and the kind of error if the attempt is rejected.
         """
         if self.is_stalled(now):
-            return AdmissionDecision.REFUSE, errors.ErrorKind.OVERLOADED
+            return AdmissionDecision.REJECT, errors.ErrorKind.OVERLOADED
         ahead = self._queue.count_ahead(request)
         if not ahead and self.running < self._limit_for(request.importance,
                                                         now):
@@ -166,11 +166,11 @@
             self._start(request, now)
             return AdmissionDecision.RUN, None
         if len(self._queue) >= _MAX_QUEUED:
-            return AdmissionDecision.REFUSE, errors.ErrorKind.OVERLOADED
+            return AdmissionDecision.REJECT, errors.ErrorKind.OVERLOADED
         wait_s = _WAIT_SAFETY_FACTOR * (ahead + 1) * self._slot_interval_s
         if now + wait_s > self._latest_start(request):
             self._reserves[request.importance].increase(now)
-            return AdmissionDecision.REFUSE, errors.ErrorKind.DEADLINE_TOO_SHORT
+            return AdmissionDecision.REJECT, errors.ErrorKind.DEADLINE_TOO_SHORT
         self._queue.push(request)
         self._waiting_by_attempt[request.attempt] = request
         return AdmissionDecision.WAIT, None
--- a/pollenthread/core/admission_queue.py
+++ b/pollenthread/core/admission_queue.py
@@ -19,7 +19,7 @@
         attempt: the attempt's id.
         workspace: the workspace whose fair share it uses.
         work_class: the name of its class of work.
-        importance: 0 to 2; higher is virtual_start first.
+        importance: 0 to 2; higher is served first.
         arrived_at: monotonic seconds of its arrival.
         due_at: monotonic seconds at which the first unit, or the whole
             response, is due.
--- a/pollenthread/core/claims.py
+++ b/pollenthread/core/claims.py
@@ -74,7 +74,7 @@
     BEGIN = 'begin'
     INSERT = 'insert'
     REPLAY = 'replay'
-    REFUSE_REUSED = 'refuse_reused'
+    REJECT_REUSED = 'refuse_reused'
     ASK_SEAL = 'ask_seal'
     TAKE_OVER = 'take_over'
     ATTACH = 'attach'
@@ -108,7 +108,7 @@
     if claim is None:
         return ClaimAction.INSERT
     if not digest_matches(claim, digest):
-        return ClaimAction.REFUSE_REUSED
+        return ClaimAction.REJECT_REUSED
     if claim.state is ClaimState.DONE:
         return ClaimAction.REPLAY
     if claim.state is ClaimState.UNKNOWN:
--- a/pollenthread/core/config_freshness.py
+++ b/pollenthread/core/config_freshness.py
@@ -1,4 +1,4 @@
-"""Adoption of configuration versions, and serving by the age of their proof.
+"""Application of configuration versions, and serving by the age of their proof.
 
 A read of the table that finds no newer version proves the version current at
 the moment before the read was sent. A peer transmits the age of its proof. The
@@ -11,7 +11,7 @@
 
 __all__ = [
     'ConfigFreshness', 'MAX_PROOF_AGE_S', 'RegionReachability',
-    'ServingPermission', 'may_adopt', 'merge_proof', 'must_fetch',
+    'ServingPermission', 'may_apply', 'merge_proof', 'must_fetch',
     'peer_proof_time', 'serving_permission', 'should_poll'
 ]
 
@@ -61,11 +61,11 @@
 
     SERVE = 'serve'
     SERVE_UNPROVED = 'serve_unproved'
-    REFUSE = 'refuse'
+    REJECT = 'refuse'
 
 
-def may_adopt(current: int, offered: int) -> bool:
-    """Returns whether to adopt an offered version; versions only increase."""
+def may_apply(current: int, offered: int) -> bool:
+    """Returns whether to apply an offered version; versions only increase."""
     return offered > current
 
 
@@ -111,16 +111,16 @@
     Beyond `MAX_PROOF_AGE_S`, a host that reaches a majority of its region
     continues to serve: no host of the majority can read the table, so the table
     or the region's connection to it has failed. A host that reaches fewer hosts
-    is itself isolated and refuses.
+    is itself isolated and rejects requests.
     """
     age_s = known.age_s(now)
     if age_s is None:
-        return ServingPermission.REFUSE
+        return ServingPermission.REJECT
     if age_s <= MAX_PROOF_AGE_S:
         return ServingPermission.SERVE
     if reachable.is_majority:
         return ServingPermission.SERVE_UNPROVED
-    return ServingPermission.REFUSE
+    return ServingPermission.REJECT
 
 
 def should_poll(known: ConfigFreshness, *, is_poller: bool, now: float) -> bool:
--- a/pollenthread/core/leases.py
+++ b/pollenthread/core/leases.py
@@ -1,4 +1,4 @@
-"""Leases with fencing numbers, one table row per duty.
+"""Leases with fencing tokens, one table row per duty.
 
 A duty is a role that at most one process holds at a time. The row contains no
 wall clock time. An observer measures the duration from the moment it first saw
@@ -26,7 +26,7 @@
     Attributes:
         duty: the name of the duty.
         holder: the process that holds the lease; empty after a release.
-        fencing: the fencing number; increases with each acquisition.
+        fencing: the fencing token; increases with each acquisition.
         duration_s: the validity of each write, in seconds.
         renewals: the number of writes by the holder since the acquisition.
     """
@@ -131,7 +131,7 @@
 
 
 def lease_to_release(held: HeldLease) -> Lease:
-    """Returns the lease to write to release it; keeps the fencing number."""
+    """Returns the lease to write to release it; keeps the fencing token."""
     return dataclasses.replace(held.lease,
                                holder='',
                                renewals=held.lease.renewals + 1)
--- a/pollenthread/core/map_switch.py
+++ b/pollenthread/core/map_switch.py
@@ -5,7 +5,7 @@
 
 A switch prepares the map on every rank, makes one rank hold back a future
 pass, arms every rank for that pass, and releases the pass once every rank has
-reported itself armed. An order without an answer may still be executed
+reported itself armed. An order without a response may still be executed
 seconds later, so the logic relies on reported rank states alone.
 
 No pass runs with two maps, even with several coordinators at once:
@@ -16,7 +16,7 @@
 - A rank is disarmed only if another rank has prepared a newer version. That
   rank can no longer be armed with the older version, so no coordinator can
   see all ranks armed with it.
-- A rank refuses to arm for a pass that has begun.
+- A rank rejects an order to arm for a pass that has begun.
 """
 
 import dataclasses
--- a/pollenthread/core/membership.py
+++ b/pollenthread/core/membership.py
@@ -1,10 +1,10 @@
 """Failure detection of hosts, and selection of the hosts to link to.
 
 The host list contains the candidates but lags; links carry heartbeats. Either
-source suffices to stop new work to a host that leaves. Missed heartbeats alone
-mark a host as dead only while the silent hosts are a limited share of the
-fleet. Beyond `MAX_DEAD_SHARE` the observer's own network is the likelier
-fault.
+source suffices to stop new work to a host that shuts down. Missed heartbeats
+alone mark a host as dead only while the silent hosts are a limited share of all
+hosts. Beyond `MAX_DEAD_SHARE` a fault in the network of the observing host is
+more likely.
 """
 
 import dataclasses
@@ -14,7 +14,7 @@
 
 __all__ = [
     'HostEvidence', 'HostReport', 'HostState', 'MAX_DEAD_SHARE', 'Member',
-    'MembershipView', 'REPORT_TTL_S', 'accepts_new_work', 'assess_fleet',
+    'MembershipView', 'REPORT_TTL_S', 'accepts_new_work', 'assess_hosts',
     'count_dead_reports', 'merge_report', 'rank_by_rendezvous_hash',
     'select_linked_peers', 'select_pollers', 'select_upstreams'
 ]
@@ -38,7 +38,7 @@
 
     Attributes:
         incarnation: the incarnation of the reported host.
-        is_leaving: whether that incarnation was reported as leaving.
+        is_leaving: whether that incarnation was reported as shutting down.
         dead_by_reporter: the time of the last report of its failure by
             reporting host, in monotonic seconds.
     """
@@ -81,15 +81,16 @@
     """The information about one host that its state is derived from.
 
     Attributes:
-        listed_leaving: whether the host list marks it as leaving.
+        listed_terminating: whether the host list says that the platform is
+            removing it.
         reported_leaving: whether the host itself or a peer reports that it
-            leaves.
+            shuts down.
         silent_s: seconds since the last heartbeat; None if the host is not
             monitored from here.
         dead_report_count: the number of monitoring hosts that report it dead.
     """
 
-    listed_leaving: bool = False
+    listed_terminating: bool = False
     reported_leaving: bool = False
     silent_s: float | None = None
     dead_report_count: int = 0
@@ -97,7 +98,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class MembershipView:
-    """The assessed states of a fleet.
+    """The assessed states of all entry hosts.
 
     Attributes:
         state_by_host: the state of each host.
@@ -121,21 +122,21 @@
     return state in (HostState.LIVE, HostState.SUSPECT)
 
 
-def assess_fleet(
+def assess_hosts(
         evidence_by_host: Mapping[str, HostEvidence]) -> MembershipView:
-    """Assesses the state of every host of a fleet.
+    """Assesses the state of every entry host.
 
-    If more than `MAX_DEAD_SHARE` of the hosts monitored from here, or of the
-    whole fleet, are silent, the fault is more likely local. Silent hosts are
-    then suspect instead of dead (panic mode). Leaving hosts are excluded in
-    any case, because leaving is announced and not inferred.
+    If more than `MAX_DEAD_SHARE` of the hosts monitored from here, or of all
+    hosts, are silent, the fault is more likely local. Silent hosts are then
+    suspect instead of dead (panic mode). Hosts that shut down are excluded in
+    any case, because a shutdown is announced and not inferred.
     """
     monitored = [
         evidence for evidence in evidence_by_host.values()
         if evidence.silent_s is not None and not _is_leaving(evidence)
     ]
-    fleet = [e for e in evidence_by_host.values() if not _is_leaving(e)]
-    is_panic = _too_many_silent(monitored) or _too_many_silent(fleet)
+    active = [e for e in evidence_by_host.values() if not _is_leaving(e)]
+    is_panic = _too_many_silent(monitored) or _too_many_silent(active)
     return MembershipView(state_by_host={
         host: _state(evidence, is_panic)
         for host, evidence in evidence_by_host.items()
@@ -144,12 +145,12 @@
 
 
 def _is_leaving(evidence: HostEvidence) -> bool:
-    return evidence.listed_leaving or evidence.reported_leaving
+    return evidence.listed_terminating or evidence.reported_leaving
 
 
-def _too_many_silent(fleet: Sequence[HostEvidence]) -> bool:
-    silent = sum(1 for evidence in fleet if _is_silent(evidence))
-    return silent > 1 and silent > MAX_DEAD_SHARE * len(fleet)
+def _too_many_silent(hosts: Sequence[HostEvidence]) -> bool:
+    silent = sum(1 for evidence in hosts if _is_silent(evidence))
+    return silent > 1 and silent > MAX_DEAD_SHARE * len(hosts)
 
 
 def _is_silent(evidence: HostEvidence) -> bool:
@@ -174,7 +175,7 @@
     """Merges the report of one reporter about a host.
 
     A report about another incarnation replaces the known reports. A host that
-    was reported as leaving remains so for the same incarnation.
+    was reported as shutting down remains so for the same incarnation.
 
     Args:
         known: the reports so far, or None.
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -285,7 +285,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigNews:
-    """Announces that the sender has adopted a configuration version."""
+    """Announces that the sender has applied a configuration version."""
 
     version: int
 
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -2,7 +2,7 @@
 
 The issuer is the process that holds the lease of an order duty. It writes an
 order to a journal row before it sends the order. The row contains the
-incarnation of the agent that may execute the order. The agent refuses fencing
+incarnation of the agent that may execute the order. The agent rejects fencing
 numbers below the highest that it has seen, and answers a repeated order ID
 with the first result.
 """
@@ -35,7 +35,7 @@
         host: the upstream host to execute the order.
         kind: the action, such as 'load_model'.
         arguments: names and values, as JSON text.
-        fencing: the fencing number of the lease under which it was sent.
+        fencing: the fencing token of the lease under which it was sent.
         incarnation: the incarnation of the agent that may execute it.
         settled_below: all orders with a lower number are closed in the
             journal.
@@ -136,11 +136,11 @@
     BEGIN = 'begin'
     REPEAT = 'repeat'
     RUNNING = 'running'
-    REFUSE_OLD = 'refuse_old'
-    REFUSE_INCARNATION = 'refuse_incarnation'
-    REFUSE_SETTLED = 'refuse_settled'
+    REJECT_OLD = 'refuse_old'
+    REJECT_INCARNATION = 'refuse_incarnation'
+    REJECT_SETTLED = 'refuse_settled'
     READ_FENCE = 'read_fence'
-    REFUSE_FULL = 'refuse_full'
+    REJECT_FULL = 'refuse_full'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,7 +149,7 @@
 
     Attributes:
         incarnation: the incarnation of the agent.
-        highest_fencing_by_duty: the highest fencing number seen for each duty,
+        highest_fencing_by_duty: the highest fencing token seen for each duty,
             in the lease row or in orders.
         settled_below_by_duty: the number below which the journal has closed
             all orders of a duty.
@@ -181,7 +181,7 @@
 
     Args:
         row: the row of the order.
-        fencing: the fencing number of the issuer's lease.
+        fencing: the fencing token of the issuer's lease.
         incarnation: the current incarnation of the agent; empty if there is no
             link to it.
     """
@@ -219,7 +219,7 @@
 
 def record_fencing(state: AgentOrderState, duty: str,
                    fencing: int) -> AgentOrderState:
-    """Records a fencing number if it is the highest for its duty."""
+    """Records a fencing token if it is the highest for its duty."""
     if fencing <= state.highest_fencing_by_duty.get(duty, -1):
         return state
     return dataclasses.replace(state,
@@ -233,8 +233,8 @@
                  order: Order) -> tuple[AgentOrderState, AgentAction]:
     """Decides what an agent does with an order.
 
-    An agent first reads the lease row of the duty if it has no fencing number
-    for it, so that a restarted agent refuses outdated numbers as well.
+    An agent first reads the lease row of the duty if it has no fencing token
+    for it, so that a restarted agent rejects outdated numbers as well.
 
     Returns:
         The new state of the agent, and the action. For an order to begin, the
@@ -243,19 +243,19 @@
     if order.duty not in state.highest_fencing_by_duty:
         return state, AgentAction.READ_FENCE
     if order.fencing < state.highest_fencing_by_duty[order.duty]:
-        return state, AgentAction.REFUSE_OLD
+        return state, AgentAction.REJECT_OLD
     state = record_fencing(state, order.duty, order.fencing)
     state = _discard_settled(state, order.duty, order.settled_below)
     if order.number < state.settled_below_by_duty.get(order.duty, 0):
-        return state, AgentAction.REFUSE_SETTLED
+        return state, AgentAction.REJECT_SETTLED
     if order.id in state.result_by_id:
         known = state.result_by_id[order.id]
         return state, (AgentAction.RUNNING
                        if known is None else AgentAction.REPEAT)
     if order.incarnation != state.incarnation:
-        return state, AgentAction.REFUSE_INCARNATION
+        return state, AgentAction.REJECT_INCARNATION
     if len(state.result_by_id) >= MAX_REMEMBERED_ORDERS:
-        return state, AgentAction.REFUSE_FULL
+        return state, AgentAction.REJECT_FULL
     return _record_started(state, order), AgentAction.BEGIN
 
 
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -109,7 +109,7 @@
     Attributes:
         group: the name of the group.
         host: the host of the agent.
-        term: the fencing number of the duty.
+        term: the fencing token of the duty.
     """
 
     group: str
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -153,7 +153,7 @@
         balance: the balance targets of the operators.
         costs: the cost parameters of loads and switches.
         interval_s: the time between plans, in seconds.
-        use_history: whether the gain of a load is also evaluated with history
+        use_history: whether the gain of a load is also evaluated with past
             popularity.
         use_split_changes: whether plans may change the split without loads.
         use_load_cooldown: whether experts loaded within `LOAD_COOLDOWN_S` are
--- a/pollenthread/core/spans.py
+++ b/pollenthread/core/spans.py
@@ -146,26 +146,28 @@
     for attempt_trace in attempts:
         attempt_ended_at = (ended_at if attempt_trace.ended_at is None else
                             attempt_trace.ended_at)
-        link = Span(context.trace_id, new_id(), context.span_id, 'link', host,
-                    unix_ns(attempt_trace.sent_at), unix_ns(attempt_ended_at),
-                    {'attempt': attempt_trace.attempt})
-        built.append(link)
+        link_span = Span(context.trace_id, new_id(), context.span_id, 'link',
+                         host, unix_ns(attempt_trace.sent_at),
+                         unix_ns(attempt_ended_at),
+                         {'attempt': attempt_trace.attempt})
+        built.append(link_span)
         if attempt_trace.served is not None:
-            built += _agent_spans(link, attempt_trace.host,
+            built += _agent_spans(link_span, attempt_trace.host,
                                   attempt_trace.served, new_id)
     return built
 
 
-def _agent_spans(link: Span, host: str, served: messages.Served,
+def _agent_spans(link_span: Span, host: str, served: messages.Served,
                  new_id: Callable[[], str]) -> list[Span]:
     queued_ns = served.queued_us * _NS_PER_US
     upstream_ns = served.upstream_us * _NS_PER_US
-    network_ns = link.ended_ns - link.began_ns - queued_ns - upstream_ns
-    began_ns = link.began_ns + max(0, network_ns) // 2
+    network_ns = (link_span.ended_ns - link_span.began_ns - queued_ns -
+                  upstream_ns)
+    began_ns = link_span.began_ns + max(0, network_ns) // 2
     began_upstream_ns = began_ns + queued_ns
     return [
-        Span(link.trace_id, new_id(), link.span_id, 'agent queue', host,
-             began_ns, began_upstream_ns, {}),
-        Span(link.trace_id, new_id(), link.span_id, 'engine', host,
+        Span(link_span.trace_id, new_id(), link_span.span_id, 'agent queue',
+             host, began_ns, began_upstream_ns, {}),
+        Span(link_span.trace_id, new_id(), link_span.span_id, 'engine', host,
              began_upstream_ns, began_upstream_ns + upstream_ns, {})
     ]
--- a/pollenthread/core/step_limits.py
+++ b/pollenthread/core/step_limits.py
@@ -47,22 +47,22 @@
         return step.before - step.after >= min_saving
 
 
-def limits_for(figures: routing_config.EngineProfile, ranks: int) -> StepLimits:
+def limits_for(engine: routing_config.EngineProfile, ranks: int) -> StepLimits:
     """Returns the limits for a group.
 
     Args:
-        figures: the performance figures of its engine.
+        engine: the performance profile of its engine.
         ranks: the number of ranks in the group.
     """
     copy_s = 0.0
-    if figures.link_bytes_per_s:
-        copy_s = figures.expert_bytes / figures.link_bytes_per_s
-    max_copies = figures.sets * figures.spare_expert_slots
+    if engine.link_bytes_per_s:
+        copy_s = engine.expert_bytes / engine.link_bytes_per_s
+    max_copies = engine.sets * engine.spare_expert_slots
     if copy_s:
         max_copies = min(max_copies, math.ceil(_MAX_COPYING_S / copy_s))
     limits = replication.ReplicationLimits(
-        max_experts_per_rank=figures.expert_slots,
-        max_new_per_set=figures.spare_expert_slots,
+        max_experts_per_rank=engine.expert_slots,
+        max_new_per_set=engine.spare_expert_slots,
         max_copies=max(1, max_copies),
         min_gain=_MIN_GAIN_PER_COPYING_S * copy_s / ranks)
     return StepLimits(replication_limits=limits, copy_s=copy_s)
--- a/pollenthread/core/switch.py
+++ b/pollenthread/core/switch.py
@@ -1,7 +1,7 @@
 """State and messages of the two-phase switch of a group's expert map.
 
 All ranks of a group change the map at the same step. One coordinator, which
-holds a fencing number from the group's lease row, asks every rank to prepare
+holds a fencing token from the group's lease row, asks every rank to prepare
 (load the weights) and then to arm for a step. An armed rank blocks at that
 step until it receives the decision. The coordinator commits once every rank is
 armed, and aborts otherwise. A later coordinator first raises the fencing
@@ -30,7 +30,7 @@
     """Identifies one switch of a group; later switches compare greater.
 
     Attributes:
-        fence: the fencing number of the coordinator that started the switch.
+        fence: the fencing token of the coordinator that started the switch.
         number: the sequence number among that coordinator's switches.
     """
 
@@ -107,13 +107,13 @@
     Attributes:
         index: the index of the rank in its group.
         incarnation: increases with each restart of the rank.
-        fence: the highest fencing number seen; messages with a lower number
+        fence: the highest fencing token seen; messages with a lower number
             are ignored.
         step: the last step that the rank has entered; 0 for none.
         held: the map state, or None until received from the coordinator.
         pending: the undecided switch, or None.
         stage: the progress of the pending switch.
-        decided_fence: the fencing number that came with the last decision.
+        decided_fence: the fencing token that came with the last decision.
     """
 
     index: int
@@ -131,7 +131,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Query:
-    """Raises the fencing number at a rank and requests its state."""
+    """Raises the fencing token at a rank and requests its state."""
 
     fence: int
 
@@ -157,7 +157,7 @@
     """Announces a decision; sent by the coordinator or an informed rank.
 
     Attributes:
-        fence: the fencing number under which the decision was made.
+        fence: the fencing token under which the decision was made.
         id: the ID of the switch.
         commit: True to commit the switch, False to abort it.
     """
--- a/pollenthread/core/switch_coordinator.py
+++ b/pollenthread/core/switch_coordinator.py
@@ -30,7 +30,7 @@
     """The state of the coordinator, which holds the lease of a group.
 
     Attributes:
-        fence: the fencing number of the coordinator.
+        fence: the fencing token of the coordinator.
         group_size: the number of ranks in the group.
         map_state: the map that the group uses; taken from the lease row until
             all ranks have reported.
@@ -83,10 +83,10 @@
 
 def start_coordinator(*, fence: int, group_size: int,
                       initial_version: int) -> CoordinatorResult:
-    """Starts a coordinator, which raises the fencing number at every rank.
+    """Starts a coordinator, which raises the fencing token at every rank.
 
     Args:
-        fence: the fencing number just written to the lease row of the group.
+        fence: the fencing token just written to the lease row of the group.
         group_size: the number of ranks in the group.
         initial_version: the map version in the lease row, used if no rank
             holds a map.
--- a/pollenthread/core/switch_rank.py
+++ b/pollenthread/core/switch_rank.py
@@ -25,7 +25,7 @@
 
     Args:
         rank: the state before the restart.
-        fence: the fencing number in the lease row of the group. It is read
+        fence: the fencing token in the lease row of the group. It is read
             after the start, so that messages of a replaced coordinator are
             ignored.
         step: the last step that all ranks of the group have completed.
@@ -51,7 +51,7 @@
 
 
 def on_query(rank: switch.Rank, order: switch.Query) -> RankResult:
-    """Raises the fencing number and reports the state of the rank."""
+    """Raises the fencing token and reports the state of the rank."""
     if order.fence < rank.fence:
         return RankResult(rank)
     rank = dataclasses.replace(rank, fence=order.fence)
@@ -117,7 +117,7 @@
 
 
 def on_decide(rank: switch.Rank, order: switch.Decide) -> RankResult:
-    """Applies a decision, unless its fencing number is out of date."""
+    """Applies a decision, unless its fencing token is out of date."""
     map_state = rank.held
     if order.fence < rank.fence or map_state is None:
         return RankResult(rank)
@@ -182,7 +182,7 @@
                             request: switch.Ask) -> switch.Decide | None:
     """Returns the decision on a switch, or None if it is not known.
 
-    The decision carries the fencing number under which it was received, not
+    The decision carries the fencing token under which it was received, not
     the current one: a later coordinator may not know this decision.
     """
     if rank.held is None or rank.held.closed != request.id:
--- a/pollenthread/ports/host_list.py
+++ b/pollenthread/ports/host_list.py
@@ -17,14 +17,14 @@
         role: 'entry' or 'upstream'.
         data_centre: the data centre that the host is in.
         region: the region of the data centre.
-        address: `ip:port` of the listener for links.
-        callers: `ip:port` of the listener for callers; empty for
+        link_address: `ip:port` of the listener for links.
+        caller_address: `ip:port` of the listener for callers; empty for
             upstreams.
-        admin: `ip:port` of the administration listener; may be
+        admin_address: `ip:port` of the administration listener; may be
             empty.
-        serves: for an upstream, the name of the group of hosts that
+        service_group: for an upstream, the name of the group of hosts that
             provide the same service; may be empty.
-        leaving: whether the platform is removing the host.
+        is_terminating: whether the platform is removing the host.
     """
 
     name: str
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -9,7 +9,7 @@
                                    link as link_module, order_http,
                                    rank_engine_http, settings, table_http,
                                    upstream_http)
-from pollenthread.app import (gate as gate_module, group_member, link_router,
+from pollenthread.app import (attempt_manager, group_member, link_router,
                               order_dispatcher)
 from pollenthread.core import messages
 from pollenthread.roles import process
@@ -53,12 +53,13 @@
             executor=order_http.HttpOrderExecutor(
                 client=self._client, address=config.upstream.address),
             keys=config.key_ring)
-        self._gate = gate_module.Gate(upstream=upstream_http.HttpLocalUpstream(
-            client=self._client, address=config.upstream.address),
-                                      on_order=self._order_dispatcher.on_order)
+        self._attempt_manager = attempt_manager.AttemptManager(
+            upstream=upstream_http.HttpLocalUpstream(
+                client=self._client, address=config.upstream.address),
+            on_order=self._order_dispatcher.on_order)
         self._group_member = (None if config.rank is None else
                               self._make_group_member(config.rank))
-        router = link_router.LinkRouter(gate=self._gate,
+        router = link_router.LinkRouter(attempt_handler=self._attempt_manager,
                                         group=self._group_member)
         self._rank_dialers = link_module.DialerSet(hello=self._hello,
                                                    handler=router)
@@ -78,12 +79,12 @@
 
     def _make_group_member(
             self, rank: settings.RankSettings) -> group_member.GroupMember:
-        place = group_member.RankIdentity(group=rank.group,
-                                          index=rank.index,
-                                          size=rank.size,
-                                          host=self._config.host)
+        identity = group_member.RankIdentity(group=rank.group,
+                                             index=rank.index,
+                                             size=rank.size,
+                                             host=self._config.host)
         return group_member.GroupMember(
-            identity=place,
+            identity=identity,
             engine=rank_engine_http.HttpRankEngine(client=self._client,
                                                    address=rank.address,
                                                    index=rank.index),
@@ -123,8 +124,8 @@
     async def _report_periodically(self) -> None:
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
-            self._gate.broadcast_load()
-            self._gate.report_unconfirmed()
+            self._attempt_manager.broadcast_load()
+            self._attempt_manager.report_unconfirmed()
 
     def _build_status(self) -> dict[str, Any]:
         return {
@@ -132,14 +133,14 @@
             'role': 'agent',
             'incarnation': self._hello.incarnation,
             'leaving': self._stop_signal.graceful.is_set(),
-            'running': self._gate.running,
-            'queued': self._gate.queued,
-            'limit': self._gate.concurrency_limit,
-            'begun': self._gate.started_count,
-            'unconfirmed': self._gate.unconfirmed,
+            'running': self._attempt_manager.running,
+            'queued': self._attempt_manager.queued,
+            'limit': self._attempt_manager.concurrency_limit,
+            'begun': self._attempt_manager.started_count,
+            'unconfirmed': self._attempt_manager.unconfirmed,
             'rank': self._group_member.status() if self._group_member else None,
             'orders_running': self._order_dispatcher.running_count,
-            'orders_refused': self._order_dispatcher.refused_count
+            'orders_refused': self._order_dispatcher.rejected_count
         }
 
     async def stop_on_signal(self) -> None:
@@ -149,14 +150,15 @@
         done and their results are confirmed. A second signal ends the wait.
         """
         await self._stop_signal.graceful.wait()
-        self._gate.start_leaving(self._config.host)
+        self._attempt_manager.start_shutdown(self._config.host)
         if not await self._stop_signal.wait_immediate(_DRAIN_NOTICE_S):
-            while (self._gate.unfinished or self._gate.unconfirmed or
+            while (self._attempt_manager.unfinished or
+                   self._attempt_manager.unconfirmed or
                    self._order_dispatcher.running_count):
                 if await self._stop_signal.wait_immediate(_IDLE_CHECK_INTERVAL_S
                                                          ):
                     break
-        cancelled = await self._gate.cancel_all()
+        cancelled = await self._attempt_manager.cancel_all()
         process.print_event({
             'event': 'stopped',
             'cut': len(cancelled),
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -69,12 +69,12 @@
             time=time,
             own=self._make_own_member(),
             liveness_tracker=self._liveness_tracker)
-        self._targets = config_store.ConfigStore(
+        self._config_store = config_store.ConfigStore(
             table_service=table,
             time=time,
             reachable=self._host_directory.reachability)
         self._config_distributor = config_distributor.ConfigDistributor(
-            store=self._targets,
+            store=self._config_store,
             peers=self._peer_links,
             directory=self._host_directory,
             time=time,
@@ -102,7 +102,7 @@
             client=self._client,
             table_service=table,
             time=time,
-            store=self._targets,
+            store=self._config_store,
             status=self._build_status,
             gauges=self._collect_gauges)
         self._write_batcher = write_batcher.WriteBatcher(
@@ -122,7 +122,7 @@
                                         rng=rng)
         self._caller_handler = caller_http.GatewayHandler(
             request_gateway=self._gateway,
-            config=self._targets,
+            store=self._config_store,
             host_directory=self._host_directory,
             request_ids=ids.RequestIdGenerator(
                 host=self._config.host, incarnation=self._hello.incarnation),
@@ -165,7 +165,7 @@
                         self._telemetry.require_operator(
                             orders_admin.OrdersHandler(
                                 journal=self._order_journal,
-                                desk=self._order_issuer,
+                                issuer=self._order_issuer,
                                 peers=self._peer_links))
                 }),
             host=host,
@@ -191,15 +191,15 @@
 
     def _collect_gauges(self) -> dict[str, float]:
         return {
-            'targets_version': self._targets.version,
-            'targets_age_s': self._targets.age_s or 0.0,
+            'targets_version': self._config_store.version,
+            'targets_age_s': self._config_store.age_s or 0.0,
             'upstream_links': len(self._upstream_pool.by_host),
             'peer_links': len(self._peer_links.links_by_host),
             'caller_connections': self._caller_server.open_connections,
         }
 
     def _get_config_version(self) -> int:
-        return self._targets.version
+        return self._config_store.version
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the components and prints the addresses they listen on.
@@ -241,7 +241,7 @@
             await asyncio.sleep(_CONNECT_INTERVAL_S)
 
     def _apply_drained_hosts(self) -> None:
-        current = self._targets.current
+        current = self._config_store.current
         if current is not None:
             self._upstream_pool.draining = current.draining
             self._host_directory.draining = current.draining
@@ -252,14 +252,14 @@
             'role': 'entry',
             'incarnation': self._hello.incarnation,
             'leaving': self._stop_signal.graceful.is_set(),
-            'targets_version': self._targets.version,
-            'targets_age_s': self._targets.age_s,
-            'targets_permission': self._targets.permission,
+            'targets_version': self._config_store.version,
+            'targets_age_s': self._config_store.age_s,
+            'targets_permission': self._config_store.permission,
             'is_poller': self._host_directory.is_poller,
             'entries': self._host_directory.membership_view.state_by_host,
             'claim_rows': self._write_batcher.rows_count,
             'claim_transactions': self._write_batcher.transactions_count,
-            'claims_refused': self._write_batcher.refused_count,
+            'claims_refused': self._write_batcher.rejected_count,
             'duties': self._lease_manager.held_duties(),
             'duties_acquired': self._lease_manager.acquired_count,
             'duties_lost': self._lease_manager.lost_count,
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -64,21 +64,21 @@
         self._operators = [item.to_operator() for item in config.operators]
         self._account_writer = account_writer.AccountWriter(
             table_service=table_service,
-            tally=self.request_counter,
+            request_counter=self.request_counter,
             host=config.host,
             incarnation=incarnation,
             time=time,
-            wall=wall_time.time,
+            wall_clock=wall_time.time,
             interval_s=config.account_interval_s)
         self._administration = administration.Administration(
             store=store,
             accounts=account_reader.AccountReader(
                 table_service=table_service,
-                wall=wall_time.time,
+                wall_clock=wall_time.time,
                 interval_s=config.account_interval_s),
             costs=cost_store.CostStore(table_service=table_service),
             status=status,
-            wall=wall_time.time,
+            wall_clock=wall_time.time,
             find_trace=self.tracer.find_spans)
 
     @property
@@ -104,7 +104,7 @@
     def _collect_gauges(self) -> dict[str, float]:
         return {
             'account_faults':
-                sum(self._account_writer.faults.values()),
+                sum(self._account_writer.error_counts.values()),
             'spans_dropped':
                 0 if self._exporter is None else self._exporter.dropped_count,
             **self._entry_gauges()
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -50,7 +50,7 @@
             time=self._clock,
             log=self.log,
             rng=rng)
-        self._stall_watch = stall_recovery.StallRecovery(
+        self._stall_recovery = stall_recovery.StallRecovery(
             agent=self._rank_agent,
             registry=self._group_registry,
             make_driver=self._make_driver,
@@ -101,17 +101,18 @@
 
     def _make_coordinator(self, group: str) -> map_coordinator.MapCoordinator:
         view = self._group_registry.view(group)
-        return map_coordinator.MapCoordinator(host=self._settings.host,
-                                              incarnation=self._incarnation,
-                                              store=self._store,
-                                              hosts=self._host_registry,
-                                              registry=self._group_registry,
-                                              view=view,
-                                              driver=self._make_driver(view),
-                                              network=self._network,
-                                              figures=self._engine_profile,
-                                              time=self._clock,
-                                              log=self.log)
+        return map_coordinator.MapCoordinator(
+            host=self._settings.host,
+            incarnation=self._incarnation,
+            store=self._store,
+            hosts=self._host_registry,
+            registry=self._group_registry,
+            view=view,
+            driver=self._make_driver(view),
+            network=self._network,
+            lookup_engine_profile=self._engine_profile,
+            time=self._clock,
+            log=self.log)
 
     def _engine_profile(self,
                         service: str) -> routing_config.EngineProfile | None:
@@ -144,7 +145,7 @@
             group.create_task(config_follower.run())
             self._follow_hosts(group)
             group.create_task(self._rank_agent.run())
-            group.create_task(self._stall_watch.run())
+            group.create_task(self._stall_recovery.run())
             await self._coordinate_groups(group)
 
     async def _coordinate_groups(self, tasks: asyncio.TaskGroup) -> None:
--- a/tests/agreed/steps/decisions.py
+++ b/tests/agreed/steps/decisions.py
@@ -126,7 +126,7 @@
     assert verdict is orders.AgentAction.BEGIN
     assert set(fence.result_by_id) == {'load-2'}
     fence, verdict = orders.handle_order(fence, first)
-    assert verdict is orders.AgentAction.REFUSE_SETTLED
+    assert verdict is orders.AgentAction.REJECT_SETTLED
 
 
 @then('the difference of two documents names the changed keys only')
--- a/tests/agreed/steps/membership.py
+++ b/tests/agreed/steps/membership.py
@@ -167,7 +167,7 @@
             membership.HostEvidence(silent_s=10.0 if i < silent else 0.0)
         for i in range(count)
     }
-    context.view = membership.assess_fleet(evidence)
+    context.view = membership.assess_hosts(evidence)
 
 
 @then('the judgement is {mood} and {usable:d} hosts are usable')
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -98,8 +98,8 @@
                                    seeds=(),
                                    network=host,
                                    state=state,
-                                   config=config,
-                                   servers=servers,
+                                   config_listener=config,
+                                   server_listener=servers,
                                    time=time,
                                    log=memory.SilentLog(),
                                    rng=random.Random(1))
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -142,8 +142,8 @@
         self._states = [self._state(i, hosts) for i in range(hosts)]
         self._hosts = [
             forwarder.Forwarder(state=state,
-                                servers=self.servers,
-                                stop_plan=graceful_shutdown.ShutdownPlan(
+                                upstream_client=self.servers,
+                                shutdown_plan=graceful_shutdown.ShutdownPlan(
                                     8.0, 1.0),
                                 observe=lambda name, value: None,
                                 time=self._clock,
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -211,7 +211,7 @@
             view=view,
             driver=driver,
             network=network,
-            figures=lambda service: self.figures,
+            lookup_engine_profile=lambda service: self.figures,
             time=self._time,
             log=memory.SilentLog())
         await duty.run()
--- a/tests/policy/steps/decisions.py
+++ b/tests/policy/steps/decisions.py
@@ -84,7 +84,7 @@
 @then('it is refused with "{kind}"')
 @then('an attempt is refused with "{kind}"')
 def step_refused(context: Any, kind: str) -> None:
-    assert context.decision is admission_control.AdmissionDecision.REFUSE, context.decision
+    assert context.decision is admission_control.AdmissionDecision.REJECT, context.decision
     assert context.kind is errors.ErrorKind(kind), context.kind
 
 
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -76,14 +76,15 @@
         self.table = _Table()
         self.tally = account.RequestCounter()
         self.truth = collections.Counter[tuple[str, str]]()
-        self.keeper = account_writer.AccountWriter(table_service=self.table,
-                                                   tally=self.tally,
-                                                   host='entry-1',
-                                                   incarnation='abc',
-                                                   time=clock.SystemClock(),
-                                                   wall=lambda: self.now_s,
-                                                   interval_s=_INTERVAL_S,
-                                                   merge_rows=fold_rows)
+        self.keeper = account_writer.AccountWriter(
+            table_service=self.table,
+            request_counter=self.tally,
+            host='entry-1',
+            incarnation='abc',
+            time=clock.SystemClock(),
+            wall_clock=lambda: self.now_s,
+            interval_s=_INTERVAL_S,
+            merge_rows=fold_rows)
 
     async def serve(self, requests: int, intervals: int, seed: int) -> None:
         draw = random.Random(seed)
@@ -116,7 +117,7 @@
 
     async def ledger(self) -> Any:
         reader = account_reader.AccountReader(table_service=self.table,
-                                              wall=lambda: self.now_s,
+                                              wall_clock=lambda: self.now_s,
                                               interval_s=_INTERVAL_S)
         return (await reader.read(days=2)).expect('the table answers')
 
