Distinguish replies, responses and shutdowns in names and comments

Comments called both the reply to a link message and an HTTP response an answer, and leaving stood for the list's mark, a host's own shutdown and both. Docstrings of roles, platform and cli were capitalized unlike those of the other folders.

Uses reply for link messages and response for HTTP, and shutdown for a host's own announcement; leaving is kept for either reason.

--- a/pollenthread/adapters/settings.py
+++ b/pollenthread/adapters/settings.py
@@ -239,8 +239,8 @@
 
     Attributes:
         group: the rank group's name.
-        index: the rank's number in its group. The agent of rank 0 decides
-            on map switches.
+        index: the rank's number in its group. The agent of rank 0 coordinates
+            the map switches.
         size: the number of ranks in the group.
         address: `ip:port` at which the rank accepts orders.
     """
--- a/pollenthread/app/directory.py
+++ b/pollenthread/app/directory.py
@@ -69,7 +69,7 @@
         host = self.hosts_by_name.get(name)
         if host is not None and host.is_terminating:
             return True
-        return self._liveness.evidence(name).reported_leaving
+        return self._liveness.evidence(name).reported_shutdown
 
     def usable_entries(self) -> list[addresses.EntryHost]:
         """Returns the entry hosts that callers may use.
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -141,7 +141,7 @@
         heartbeat = peer_messages.EntryBeat(
             host=self._own.host,
             is_ready=self._state.is_ready,
-            is_leaving=self._state.leaving_since is not None,
+            is_leaving=self._state.shutdown_began_at is not None,
             config_version=config.version if config else 0,
             store_age_ms=self._store_age_ms(),
             servers_changed=self._server_listener.changed_version)
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -147,9 +147,9 @@
         Raises:
             request_job.RequestFailed: the host shuts down too soon.
         """
-        if self._state.leaving_since is None:
+        if self._state.shutdown_began_at is None:
             return
-        elapsed_s = self._clock.monotonic() - self._state.leaving_since
+        elapsed_s = self._clock.monotonic() - self._state.shutdown_began_at
         is_stream = route.kind is routing_config.RequestKind.STREAM
         if not graceful_shutdown.accepts_request(
                 self._shutdown_plan, elapsed_s, is_stream=is_stream):
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -31,7 +31,7 @@
 
     # Ranks.
 
-    def update_state(self, state: peer_messages.RankState) -> None:
+    def take(self, state: peer_messages.RankState) -> None:
         """Records the state of a rank unless a newer one is known."""
         known = self._state_by_rank.get(state.rank)
         if known is not None and _is_older(state, known):
@@ -145,7 +145,7 @@
     def update_state(self, state: peer_messages.RankState) -> None:
         """Records the state of a rank; ignores servers without a group."""
         if state.group:
-            self.view(state.group).update_state(state)
+            self.view(state.group).take(state)
 
     def publish_choices(self, choices: peer_messages.ExpertChoices) -> None:
         """Passes reported expert choices to the subscribers of their group."""
--- a/pollenthread/app/liveness.py
+++ b/pollenthread/app/liveness.py
@@ -42,10 +42,10 @@
         """Returns the evidence about an entry host, without the host list."""
         now = self._clock.monotonic()
         report = self._report_by_host.get(host)
-        reported_leaving = report is not None and report.is_leaving
+        reported_shutdown = report is not None and report.is_shutting_down
         reports = 0 if report is None else membership.count_dead_reports(
             report, now)
-        return membership.HostEvidence(reported_leaving=reported_leaving,
+        return membership.HostEvidence(reported_shutdown=reported_shutdown,
                                        silent_s=self._silent_s(host, now),
                                        dead_report_count=reports)
 
@@ -93,7 +93,7 @@
                 self._reported_at_by_host[host] = now
                 self._announce(host, membership.HostState.DEAD)
 
-    def announce_leaving(self) -> None:
+    def announce_shutdown(self) -> None:
         """Reports to the other entry hosts that this one shuts down."""
         self._incarnation_by_host[self._own.host] = self._own.incarnation
         self._announce(self._own.host, membership.HostState.LEAVING)
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -210,9 +210,10 @@
             status = await server.send_order(order)
             state = await self._network.fetch_rank_state(record.peer_address)
             if state is None:
-                report = await server.fetch_status()
-                state = dataclasses.replace(report.state, host=record.host)
-            self._view.update_state(state)
+                server_status = await server.fetch_status()
+                state = dataclasses.replace(server_status.state,
+                                            host=record.host)
+            self._view.take(state)
         except rank_server.RankServerUnavailableError as error:
             cause = str(error)
             if order.kind in _DIRECT_KINDS:
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -116,7 +116,7 @@
             excluded=job.tried_server_ids,
             data_centre=self._state.data_centre,
             requirements=requirements,
-            entry_host_count=self._state.entry_host_count,
+            hosts=self._state.entry_host_count,
             now=now)
         if server is not None:
             self._log_attempt(job, server, now)
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -34,8 +34,8 @@
         server_loads: the load of each server.
         entry_host_count: the number of registered entry hosts, including this
             one.
-        leaving_since: monotonic seconds at which a graceful shutdown began, or
-            None.
+        shutdown_began_at: monotonic seconds at which a graceful shutdown began,
+            or None.
         rng: random numbers.
     """
 
@@ -47,7 +47,7 @@
             relisting_s=return_s)
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
         self.entry_host_count = 1
-        self.leaving_since: float | None = None
+        self.shutdown_began_at: float | None = None
         self.rng = rng
         self._retry_settings = retry_settings
         self._budget_by_service: dict[str, retry_budget.SharedRetryBudget] = {}
@@ -73,5 +73,5 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should connect to this host."""
-        return (self.config is not None and self.leaving_since is None and
+        return (self.config is not None and self.shutdown_began_at is None and
                 bool(self.server_registry.listed_by_id))
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -144,7 +144,7 @@
         except rank_server.RankServerUnavailableError:
             return None
         state = dataclasses.replace(status.state, host=record.host)
-        self._view.update_state(state)
+        self._view.take(state)
         return state
 
     def agent_address(self, rank: int) -> str:
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -33,7 +33,7 @@
     Attributes:
         first_token_ms: time to the first token, in milliseconds.
         between_tokens_ms: time between tokens, in milliseconds.
-        answer_ms: time to the complete answer, in milliseconds.
+        answer_ms: time to the complete response, in milliseconds.
     """
 
     first_token_ms: Annotated[int, pydantic.Field(ge=10, le=600_000)] | None = (
--- a/pollenthread/cli/admin_client.py
+++ b/pollenthread/cli/admin_client.py
@@ -27,11 +27,11 @@
 
     Args:
         method: HTTP method.
-        target: Path and query of the request.
-        document: Body that is sent as JSON; None for an empty body.
+        target: path and query of the request.
+        document: body that is sent as JSON; None for an empty body.
 
     Raises:
-        CommandError: No valid response was received, or its status is not 200.
+        CommandError: no valid response was received, or its status is not 200.
     """
     try:
         status, body = asyncio.run(_send(method, target, document))
--- a/pollenthread/cli/commands.py
+++ b/pollenthread/cli/commands.py
@@ -33,7 +33,7 @@
     """Prints a result, or writes it to the file given by --output.
 
     Raises:
-        CommandError: The file cannot be written.
+        CommandError: the file cannot be written.
     """
     if _OUTPUT.value is None:
         print(text.rstrip('\n'))
--- a/pollenthread/cli/exit_codes.py
+++ b/pollenthread/cli/exit_codes.py
@@ -56,7 +56,7 @@
     """A command failed; its message is printed to standard error.
 
     Attributes:
-        code: Exit status of the command.
+        code: exit status of the command.
     """
 
     def __init__(self, code: ExitCode, message: str) -> None:
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -24,12 +24,12 @@
     """Definition of a subcommand.
 
     Attributes:
-        words: Words of the command line that select the subcommand.
-        arguments: Names of the positional arguments, for the help text.
-        summary: Short description for the help text.
-        example: Example command line.
-        run: Function that is called with the positional arguments.
-        formats: Supported values of --format.
+        words: words of the command line that select the subcommand.
+        arguments: names of the positional arguments, for the help text.
+        summary: short description for the help text.
+        example: example command line.
+        run: function that is called with the positional arguments.
+        formats: supported values of --format.
     """
 
     words: tuple[str, ...]
--- a/pollenthread/cli/report_html.py
+++ b/pollenthread/cli/report_html.py
@@ -33,7 +33,7 @@
     """Renders the page.
 
     Args:
-        report: Decoded response of /v1/report.
+        report: decoded response of /v1/report.
     """
     heading = f'Account of {report["from_day"]} to {report["to_day"]}'
     parts = [
--- a/pollenthread/cli/report_tables.py
+++ b/pollenthread/cli/report_tables.py
@@ -16,9 +16,9 @@
     """One table of the report.
 
     Attributes:
-        title: Title of the table.
-        headings: Column headings.
-        rows: Rows with one value per column.
+        title: title of the table.
+        headings: column headings.
+        rows: rows with one value per column.
     """
 
     title: str
@@ -30,7 +30,7 @@
     """Builds the tables of a report, beginning with those for operators.
 
     Args:
-        report: Decoded response of /v1/report.
+        report: decoded response of /v1/report.
     """
     return [
         _outcomes(report),
--- a/pollenthread/cli/request_explanation.py
+++ b/pollenthread/cli/request_explanation.py
@@ -17,8 +17,8 @@
     """Explanation of a request's outcome.
 
     Attributes:
-        lines: One line of text per logged event, in the order of the logs.
-        verdict: Outcome of the request and its cause.
+        lines: one line of text per logged event, in the order of the logs.
+        verdict: outcome of the request and its cause.
     """
 
     lines: tuple[str, ...]
@@ -30,7 +30,7 @@
 
     Args:
         request_id: ID of the request.
-        log_lines: Log lines of any number of processes; lines that are not
+        log_lines: log lines of any number of processes; lines that are not
             JSON are ignored.
     """
     events = [
--- a/pollenthread/core/attempt_rules.py
+++ b/pollenthread/core/attempt_rules.py
@@ -33,7 +33,7 @@
 
 
 def seal_state(phase: AttemptPhase | None) -> messages.SealState:
-    """Returns the response to a request to seal an attempt.
+    """Returns the reply to a request to seal an attempt.
 
     Args:
         phase: the phase of the attempt, or None if the agent does not know the
--- a/pollenthread/core/claims.py
+++ b/pollenthread/core/claims.py
@@ -120,13 +120,13 @@
 
 def action_after_seal(claim: Claim, *, incarnation: str,
                       state: messages.SealState | None) -> ClaimAction:
-    """Returns the next action, based on an agent's response to a seal request.
+    """Returns the next action, based on an agent's reply to a seal request.
 
     Args:
         claim: the claim row whose attempt was to be sealed.
-        incarnation: incarnation of the agent that responded; empty if none
+        incarnation: incarnation of the agent that replied; empty if none
             did.
-        state: the state in the response, or None if there was no response.
+        state: the state in the reply, or None if there was no reply.
     """
     if state is None or incarnation != claim.incarnation:
         return ClaimAction.REPORT_UNKNOWN
--- a/pollenthread/core/config_freshness.py
+++ b/pollenthread/core/config_freshness.py
@@ -99,7 +99,7 @@
 
     Args:
         asked_at: the monotonic time before the request was sent, in seconds.
-        age_s: the age of the proof when the peer answered, in seconds.
+        age_s: the age of the proof when the peer replied, in seconds.
     """
     return asked_at - age_s
 
--- a/pollenthread/core/membership.py
+++ b/pollenthread/core/membership.py
@@ -38,13 +38,13 @@
 
     Attributes:
         incarnation: the incarnation of the reported host.
-        is_leaving: whether that incarnation was reported as shutting down.
+        is_shutting_down: whether that incarnation was reported to shut down.
         dead_by_reporter: the time of the last report of its failure by
             reporting host, in monotonic seconds.
     """
 
     incarnation: str
-    is_leaving: bool = False
+    is_shutting_down: bool = False
     dead_by_reporter: Mapping[str,
                               float] = dataclasses.field(default_factory=dict)
 
@@ -83,7 +83,7 @@
     Attributes:
         listed_terminating: whether the host list says that the platform is
             removing it.
-        reported_leaving: whether the host itself or a peer reports that it
+        reported_shutdown: whether the host itself or a peer reports that it
             shuts down.
         silent_s: seconds since the last heartbeat; None if the host is not
             monitored from here.
@@ -91,7 +91,7 @@
     """
 
     listed_terminating: bool = False
-    reported_leaving: bool = False
+    reported_shutdown: bool = False
     silent_s: float | None = None
     dead_report_count: int = 0
 
@@ -145,7 +145,7 @@
 
 
 def _is_leaving(evidence: HostEvidence) -> bool:
-    return evidence.listed_terminating or evidence.reported_leaving
+    return evidence.listed_terminating or evidence.reported_shutdown
 
 
 def _too_many_silent(hosts: Sequence[HostEvidence]) -> bool:
@@ -194,7 +194,8 @@
     if state is HostState.DEAD:
         dead_by_reporter[reporter] = now
     return HostReport(incarnation=incarnation,
-                      is_leaving=known.is_leaving or state is HostState.LEAVING,
+                      is_shutting_down=known.is_shutting_down or
+                      state is HostState.LEAVING,
                       dead_by_reporter=dead_by_reporter)
 
 
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pong:
-    """Answers a `Ping` with the same sequence number."""
+    """Replies to a `Ping` with the same sequence number."""
 
     seq: int
     config_version: int
@@ -200,7 +200,7 @@
 
 
 class SealState(enum.StrEnum):
-    """The state of an attempt in the answer to `Seal`."""
+    """The state of an attempt in the reply to `Seal`."""
 
     SEALED = 'sealed'
     RUNNING = 'running'
@@ -210,7 +210,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sealed:
-    """Answers `Seal` with the state of the attempt."""
+    """Replies to `Seal` with the state of the attempt."""
 
     attempt: str
     state: SealState
@@ -295,7 +295,7 @@
     """Requests the configuration version of the receiver.
 
     Attributes:
-        seq: a sequence number, echoed in the answer.
+        seq: a sequence number, echoed in the reply.
         version: the version in effect at the sender.
     """
 
@@ -305,7 +305,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigGive:
-    """Answers a `ConfigAsk`.
+    """Replies to a `ConfigAsk`.
 
     Attributes:
         seq: the sequence number of the request.
@@ -376,7 +376,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderReply:
-    """The answer to an order; `answer` is a value of `orders.OrderAnswer`."""
+    """The reply to an order; `answer` is a value of `orders.OrderAnswer`."""
 
     id: str
     answer: str
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -3,8 +3,8 @@
 The issuer is the process that holds the lease of an order duty. It writes an
 order to a journal row before it sends the order. The row contains the
 incarnation of the agent that may execute the order. The agent rejects fencing
-numbers below the highest that it has seen, and answers a repeated order ID
-with the first result.
+numbers below the highest that it has seen, and replies to a repeated order
+ID with the first result.
 """
 
 import dataclasses
@@ -59,7 +59,7 @@
     Attributes:
         done: whether the order took effect.
         detail: the text that the engine returned.
-        is_known: whether the engine answered; if not, `done` has no meaning.
+        is_known: whether the engine responded; if not, `done` has no meaning.
     """
 
     done: bool
@@ -68,7 +68,7 @@
 
     @property
     def answer(self) -> 'OrderAnswer':
-        """The answer of an agent to an order with this result."""
+        """The reply code of an agent for an order with this result."""
         return OrderAnswer.ENDED if self.is_known else OrderAnswer.UNKNOWN
 
 
@@ -96,7 +96,7 @@
 
 
 class OrderAnswer(enum.StrEnum):
-    """The answer of an agent to an order."""
+    """The reply code of an agent to an order."""
 
     ENDED = 'ended'
     RUNNING = 'running'
@@ -209,7 +209,7 @@
 
 def closed_row(row: JournalRow, answer: OrderAnswer,
                result: Result | None) -> JournalRow | None:
-    """Returns the row closed by an agent's answer; None if it stays open."""
+    """Returns the row closed by an agent's reply; None if it stays open."""
     if answer is OrderAnswer.ENDED and result is not None:
         return dataclasses.replace(row, state=OrderState.ENDED, result=result)
     if answer in (OrderAnswer.OTHER_INCARNATION, OrderAnswer.UNKNOWN):
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -21,7 +21,7 @@
         is_ready: whether callers should connect to it.
         is_leaving: whether it is shutting down.
         config_version: the version of its configuration, or 0.
-        store_age_ms: milliseconds since the store last answered the host.
+        store_age_ms: milliseconds since the store last responded to the host.
         servers_changed: the store's change counter at the latest known change
             of the server list, or 0.
     """
@@ -154,7 +154,7 @@
 
     Attributes:
         servers_version: the store's change counter at the latest server list.
-        store_age_ms: milliseconds since the store last answered the host.
+        store_age_ms: milliseconds since the store last responded to the host.
         rows: the cached rows.
     """
 
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -184,7 +184,7 @@
         estimate: the estimated popularity of its experts.
         now_s: the current time, in seconds.
         draining: whether the group is being drained.
-        missing_ranks: the number of ranks that do not answer.
+        missing_ranks: the number of ranks that do not respond.
 
     Returns:
         The state after the plan is applied, and the plan.
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -206,8 +206,7 @@
 
     def select(self, servers: Iterable[server_registry.Server], *,
                excluded: Collection[str], data_centre: str,
-               requirements: service_estimate.RequestRequirements,
-               entry_host_count: int,
+               requirements: service_estimate.RequestRequirements, hosts: int,
                now: float) -> server_registry.Server | None:
         """Selects a server for a request.
 
@@ -217,7 +216,7 @@
             data_centre: the data centre of this host; its servers are
                 preferred among equals.
             requirements: the requirements of the request.
-            entry_host_count: number of entry hosts that use these servers.
+            hosts: number of entry hosts that use these servers.
             now: monotonic seconds.
 
         Returns:
@@ -241,9 +240,8 @@
         ]
         # Outside bursts, requests arrive as fast as slots become free.
         total_slots = sum(s.slots for s in candidates)
-        arrivals = min(
-            total_slots * _MAX_TURNOVER,
-            self._rate.per_s(now) * entry_host_count * _REPORT_INTERVAL_S)
+        arrivals = min(total_slots * _MAX_TURNOVER,
+                       self._rate.per_s(now) * hosts * _REPORT_INTERVAL_S)
         parts = spreading.water_fill(loads, max(1.0, arrivals))
         return candidates[spreading.pick_weighted(parts, self._rng)]
 
--- a/pollenthread/core/spans.py
+++ b/pollenthread/core/spans.py
@@ -76,8 +76,8 @@
         attempt: the attempt's id.
         host: the agent's host.
         sent_at: monotonic seconds at which the entry host sent it.
-        ended_at: monotonic seconds at which the entry host learned of its end,
-            or None.
+        ended_at: monotonic seconds at which the entry host was notified of its
+            end, or None.
         served: the durations reported by the agent, or None.
     """
 
--- a/pollenthread/core/switch.py
+++ b/pollenthread/core/switch.py
@@ -181,7 +181,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """Answers `Query` with the complete state of the rank."""
+    """Replies to `Query` with the complete state of the rank."""
 
     fence: int
     rank: Rank
@@ -189,7 +189,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepared:
-    """Answers `Prepare`: whether the weights are loaded, and the last step."""
+    """Replies to `Prepare`: whether weights are loaded, and the last step."""
 
     id: SwitchId
     index: int
@@ -200,7 +200,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Armed:
-    """Answers `Arm`: whether the rank will block at the step."""
+    """Replies to `Arm`: whether the rank will block at the step."""
 
     id: SwitchId
     index: int
--- a/pollenthread/core/switch_coordinator.py
+++ b/pollenthread/core/switch_coordinator.py
@@ -171,7 +171,7 @@
 
     Args:
         coordinator: the coordinator.
-        reply: the answer of the rank.
+        reply: the reply of the rank.
         margin_steps: the number of steps between the greatest reported step
             and the step to arm.
     """
@@ -257,7 +257,7 @@
 
 def unanswered_messages(
         coordinator: Coordinator) -> tuple[OutgoingMessage, ...]:
-    """Returns the unanswered messages, for retransmission."""
+    """Returns the messages without a reply, for retransmission."""
     message = _current_request(coordinator)
     if message is None:
         return ()
--- a/pollenthread/core/switch_rank.py
+++ b/pollenthread/core/switch_rank.py
@@ -59,7 +59,7 @@
 
 
 def on_prepare(rank: switch.Rank, order: switch.Prepare) -> RankResult:
-    """Starts to load a map; answers a repeated request from the state."""
+    """Starts to load a map; replies to a repeated request from the state."""
     map_state = rank.held
     if order.id.fence < rank.fence or map_state is None:
         return RankResult(rank)
@@ -155,7 +155,7 @@
 
 
 def on_name(rank: switch.Rank, order: switch.Name) -> RankResult:
-    """Adopts the map state sent by the coordinator."""
+    """Applies the map state sent by the coordinator."""
     if (order.fence < rank.fence or rank.held is not None or
             order.incarnation != rank.incarnation):
         return RankResult(rank)
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -22,7 +22,7 @@
     """Decodes a configuration document.
 
     Raises:
-        ConfigDocumentError: The document is not JSON, or a field is missing
+        ConfigDocumentError: the document is not JSON, or a field is missing
             or invalid.
     """
     try:
--- a/pollenthread/platform/field_reader.py
+++ b/pollenthread/platform/field_reader.py
@@ -27,8 +27,8 @@
         """Initializes the reader.
 
         Args:
-            document: Decoded object.
-            path: Path of the object in the whole document, for error messages;
+            document: decoded object.
+            path: path of the object in the whole document, for error messages;
                 empty for the document itself.
 
         Raises:
@@ -58,11 +58,11 @@
         """Returns a string field.
 
         Args:
-            name: Name of the field.
-            default: Value of a missing field; None if the field is required.
+            name: name of the field.
+            default: value of a missing field; None if the field is required.
 
         Raises:
-            FieldError: The field is required and missing, or not a string.
+            FieldError: the field is required and missing, or not a string.
         """
         return self._check_type(name, self._get_value(name, default), str,
                                 'text')
@@ -71,11 +71,11 @@
         """Returns a finite number as a float.
 
         Args:
-            name: Name of the field.
-            default: Value of a missing field; None if the field is required.
+            name: name of the field.
+            default: value of a missing field; None if the field is required.
 
         Raises:
-            FieldError: The field is required and missing, or not a finite
+            FieldError: the field is required and missing, or not a finite
                 number.
         """
         value = self._get_value(name, default)
@@ -89,11 +89,11 @@
         """Returns an integer; a float without a fraction is accepted.
 
         Args:
-            name: Name of the field.
-            default: Value of a missing field; None if the field is required.
+            name: name of the field.
+            default: value of a missing field; None if the field is required.
 
         Raises:
-            FieldError: The field is required and missing, or not an integer.
+            FieldError: the field is required and missing, or not an integer.
         """
         value = self._get_value(name, default)
         if not _is_integer(value):
@@ -105,7 +105,7 @@
         """Returns a Boolean field, or `default` if it is missing.
 
         Raises:
-            FieldError: The field is not a Boolean.
+            FieldError: the field is not a Boolean.
         """
         return self._check_type(name, self._get_value(name, default), bool,
                                 'flag')
@@ -114,7 +114,7 @@
         """Returns a reader of a nested object; of an empty one if missing.
 
         Raises:
-            FieldError: The field is not an object.
+            FieldError: the field is not an object.
         """
         return type(self)(self._get_value(name, {}),
                           path=self._field_path(name))
@@ -123,7 +123,7 @@
         """Returns readers of a list of objects; empty if the field is missing.
 
         Raises:
-            FieldError: The field is not a list of objects.
+            FieldError: the field is not a list of objects.
         """
         items = self._check_type(name, self._get_value(name, []), list, 'list')
         return [
@@ -135,7 +135,7 @@
         """Returns a list of strings; empty if the field is missing.
 
         Raises:
-            FieldError: The field is not a list of strings.
+            FieldError: the field is not a list of strings.
         """
         items = self._check_type(name, self._get_value(name, []), list, 'list')
         return tuple(
@@ -146,7 +146,7 @@
         """Returns a list of exactly `count` integers.
 
         Raises:
-            FieldError: The field is missing or not such a list.
+            FieldError: the field is missing or not such a list.
         """
         items = self._check_type(name, self._get_value(name, None), list,
                                  'list')
@@ -160,7 +160,7 @@
         """Returns an object whose values are strings; empty if missing.
 
         Raises:
-            FieldError: The field is not an object or a value is not a string.
+            FieldError: the field is not an object or a value is not a string.
         """
         mapping = self._check_type(name, self._get_value(name, {}), Mapping,
                                    'object')
--- a/pollenthread/platform/process_settings.py
+++ b/pollenthread/platform/process_settings.py
@@ -28,35 +28,35 @@
     """Settings of a process. Addresses have the form `ip:port`.
 
     Attributes:
-        host: Name of the host.
+        host: name of the host.
         ip: IP address that the process binds for its peers.
-        data_centre: Data centre of the host.
-        region: Region of the data centre.
-        region_by_data_centre: Regions of all data centres.
-        peer_ports: First and last port available for connections of peers.
-        seeds: Peer addresses of some entry hosts, possibly out of date.
-        caller_address: Address that serves callers; empty if unused.
-        ready_address: Address of the readiness check; empty if unused.
-        directory_address: Address that serves the list of entry hosts to
+        data_centre: data centre of the host.
+        region: region of the data centre.
+        region_by_data_centre: regions of all data centres.
+        peer_ports: first and last port available for connections of peers.
+        seeds: peer addresses of some entry hosts, possibly out of date.
+        caller_address: address that serves callers; empty if unused.
+        ready_address: address of the readiness check; empty if unused.
+        directory_address: address that serves the list of entry hosts to
             callers; empty if unused.
-        control_address: Additional address that serves peers; empty if unused.
-        engine_address: Address of the model server on the same host; empty if
+        control_address: additional address that serves peers; empty if unused.
+        engine_address: address of the model server on the same host; empty if
             there is none.
-        engine_service: Service of that model server.
-        store_address: Address of the platform's store.
-        drain_s: Time limit in seconds within which a draining server must stop
+        engine_service: service of that model server.
+        store_address: address of the platform's store.
+        drain_s: time limit in seconds within which a draining server must stop
             receiving requests.
-        grace_s: Time from SIGTERM to SIGKILL, in seconds.
-        config_s: Time limit in seconds within which a new configuration must be
+        grace_s: time from SIGTERM to SIGKILL, in seconds.
+        config_s: time limit in seconds within which a new configuration must be
             in effect.
-        max_ttl_s: Maximum time in seconds that callers cache the addresses of
+        max_ttl_s: maximum time in seconds that callers cache the addresses of
             entry hosts.
-        retry_ratio: Allowed retries per request of a service.
-        retry_window_s: Time window in seconds in which retries are counted.
-        retry_extra: Allowed retries per window in addition to the ratio, for
+        retry_ratio: allowed retries per request of a service.
+        retry_window_s: time window in seconds in which retries are counted.
+        retry_extra: allowed retries per window in addition to the ratio, for
             all hosts together.
-        stall_s: Time in seconds that a group waits for a lost rank.
-        link_bytes_per_s: Network bandwidth of the host, in bytes per second.
+        stall_s: time in seconds that a group waits for a lost rank.
+        link_bytes_per_s: network bandwidth of the host, in bytes per second.
     """
 
     host: str
@@ -88,11 +88,11 @@
     """Reads and validates the settings file.
 
     Args:
-        path: Path of the file; None for the path in POLLENTHREAD_CONFIG or,
+        path: path of the file; None for the path in POLLENTHREAD_CONFIG or,
             without that variable, the default path.
 
     Raises:
-        SettingsError: The file cannot be read or is invalid; the message
+        SettingsError: the file cannot be read or is invalid; the message
             contains its path.
     """
     if path is None:
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -32,9 +32,9 @@
     """Decoded response of the store.
 
     Attributes:
-        changes: Rows of the response.
-        version: Version counter of the store.
-        has_more: Whether the table has rows after these.
+        changes: rows of the response.
+        version: version counter of the store.
+        has_more: whether the table has rows after these.
     """
 
     changes: tuple[row_store.RowChange, ...]
@@ -46,7 +46,7 @@
     """Client of the store.
 
     Attributes:
-        calls_by_outcome: Number of calls by outcome: 'ok' or the value of the
+        calls_by_outcome: number of calls by outcome: 'ok' or the value of the
             error.
     """
 
@@ -136,7 +136,7 @@
     """Decodes a response.
 
     Raises:
-        ValueError, KeyError, TypeError, AttributeError: The response is
+        ValueError, KeyError, TypeError, AttributeError: the response is
             malformed.
     """
     return _Page(changes=tuple(_decode_changes(document)),
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -16,7 +16,7 @@
 
     Args:
         server_id: ID of the server, which is the key of the row.
-        data: Value of the row, a JSON object.
+        data: value of the row, a JSON object.
 
     Returns:
         The server, or a description of the error if the row is invalid.
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -26,7 +26,7 @@
     """Sends attempts over persistent connections.
 
     Attributes:
-        stale_responses: Number of skipped responses to other requests.
+        stale_responses: number of skipped responses to other requests.
     """
 
     def __init__(self, *, client: http_client.HttpClient) -> None:
@@ -57,7 +57,7 @@
         """Skips responses whose request ID belongs to another request.
 
         Raises:
-            ConnectionError: Too many responses in a row were skipped.
+            ConnectionError: too many responses in a row were skipped.
         """
         for _ in range(_MAX_STALE_RESPONSES):
             echoed_id = response.header(wire_names.HeaderName.REQUEST_ID)
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -42,7 +42,7 @@
     READINESS = '/pollenthread/readyz'
     ENTRY_ADDRESSES = '/pollenthread/resolve'
     RANK_STATUS = '/pollenthread/report'
-    # Numbers of times that each expert was selected.
+    # How often each expert was chosen.
     EXPERT_COUNTS = '/pollenthread/picked'
     RANK_ORDER = '/pollenthread/order'
     WRITE_ROWS = '/pollenthread/rows-tx'
--- a/pollenthread/ports/rank_server.py
+++ b/pollenthread/ports/rank_server.py
@@ -34,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpertChoiceCounts:
-    """How often requests were routed to each expert since the rank started.
+    """How often each expert was chosen for a request since the rank started.
 
     Attributes:
         step: the last pass that was started.
@@ -62,7 +62,7 @@
 
     @abc.abstractmethod
     async def fetch_choice_counts(self) -> ExpertChoiceCounts:
-        """Requests the number of selections of each expert.
+        """Requests how often each expert was chosen.
 
         Raises:
             RankServerUnavailableError: the server did not respond.
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -100,7 +100,7 @@
         """Starts the components and prints the addresses they listen on.
 
         Args:
-            stack: Exit stack that stops the components again.
+            stack: exit stack that stops the components again.
         """
         for resource in (self._client, self._link_server, self._admin_server,
                          self._rank_dialers):
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -205,7 +205,7 @@
         """Starts the components and prints the addresses they listen on.
 
         Args:
-            stack: Exit stack that stops the components again.
+            stack: exit stack that stops the components again.
         """
         for resource in (self._client, self._write_batcher, self._caller_server,
                          self._admin_server, self._link_server,
@@ -282,7 +282,7 @@
         """
         await self._stop_signal.graceful.wait()
         await self._lease_manager.release_all()
-        self._liveness_tracker.announce_leaving()
+        self._liveness_tracker.announce_shutdown()
         self._host_directory.update_states()
         self._caller_server.disable_keep_alive()
         await self._finish_requests()
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -22,9 +22,9 @@
     """Assembles accounting, metrics, tracing and the administration API.
 
     Attributes:
-        request_counter: Counts requests by their outcome.
-        latencies: Latency histograms of requests.
-        tracer: Records the spans of requests.
+        request_counter: counts requests by their outcome.
+        latencies: latency histograms of requests.
+        tracer: records the spans of requests.
     """
 
     def __init__(self, *, config: settings.EntrySettings, incarnation: str,
@@ -37,14 +37,14 @@
         """Initializes the components; `run` starts their work.
 
         Args:
-            config: Settings of the entry host.
+            config: settings of the entry host.
             incarnation: ID of this start of the process.
             client: HTTP client that exports spans.
-            table_service: Stores the accounting rows and the costs.
-            time: Monotonic clock.
-            store: Versions of the configuration.
-            status: Returns the document of the status page.
-            gauges: Returns the gauges of the entry host by metric name.
+            table_service: stores the accounting rows and the costs.
+            time: monotonic clock.
+            store: versions of the configuration.
+            status: returns the document of the status page.
+            gauges: returns the gauges of the entry host by metric name.
         """
         self.request_counter = account.RequestCounter()
         self.latencies = metrics.RequestLatencyHistograms()
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -172,7 +172,7 @@
     async def shut_down(self) -> None:
         """Announces the shutdown and waits for the running requests."""
         started_at = self._clock.monotonic()
-        self.state.leaving_since = started_at
+        self.state.shutdown_began_at = started_at
         self._caller_server.disable_keep_alive()
         self.peers.send_heartbeat()
         self.log.write(log_events.LogEvent.STOPPING,
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -14,7 +14,7 @@
     """Passes requests of callers to the forwarder.
 
     Attributes:
-        in_progress: Number of requests that are being served.
+        in_progress: number of requests that are being served.
     """
 
     def __init__(self, *, request_forwarder: forwarder.Forwarder) -> None:
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -33,8 +33,8 @@
     """Assembles a process; a context manager that owns clients and servers.
 
     Attributes:
-        state: Configuration, servers and load that the process has learned.
-        log: Structured log of the process.
+        state: configuration, servers and load that the process has learned.
+        log: structured log of the process.
     """
 
     def __init__(self, *, settings: process_settings.ProcessSettings,
@@ -43,10 +43,10 @@
         """Initializes the components; entering the context starts them.
 
         Args:
-            settings: Settings of the process.
-            own_record: Record under which this host is registered.
-            state: Serving state that configuration changes update.
-            rng: Random number generator, for example for retry delays.
+            settings: settings of the process.
+            own_record: record under which this host is registered.
+            state: serving state that configuration changes update.
+            rng: random number generator, for example for retry delays.
         """
         self._settings = settings
         self._own_record = own_record
@@ -143,8 +143,8 @@
     """Runs a process until SIGTERM or SIGINT; SIGHUP reloads its settings.
 
     Args:
-        role: Process to run; its context must not have been entered.
-        **started_fields: Fields of the log event for the start.
+        role: process to run; its context must not have been entered.
+        **started_fields: fields of the log event for the start.
     """
     stop_signal = process.StopSignal()
     async with role:
--- a/pollenthread/roles/process.py
+++ b/pollenthread/roles/process.py
@@ -20,8 +20,8 @@
     Must be created in a running event loop.
 
     Attributes:
-        graceful: Set by the first signal, which requests a graceful shutdown.
-        immediate: Set by the second signal, which requests an immediate stop.
+        graceful: set by the first signal, which requests a graceful shutdown.
+        immediate: set by the second signal, which requests an immediate stop.
     """
 
     def __init__(self) -> None:
@@ -43,7 +43,7 @@
         """Waits for the second signal.
 
         Args:
-            timeout_s: Maximum time to wait, in seconds.
+            timeout_s: maximum time to wait, in seconds.
 
         Returns:
             Whether the signal was received.
--- a/tests/platform/steps/expert_maps.py
+++ b/tests/platform/steps/expert_maps.py
@@ -377,7 +377,7 @@
         for rank in range(ranks)
     ]
     for state in context.heard:
-        context.view.update_state(state)
+        context.view.take(state)
     assert context.view.is_complete() and not context.view.missing_ranks()
 
 
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -45,7 +45,7 @@
         for _ in range(tries):
             state = await self._group.order(rank, order)
             if state is not None:
-                self._view.update_state(state)
+                self._view.take(state)
                 return
 
     async def fetch_rank_state(self, address: str) -> peer_messages.RankState:
@@ -93,7 +93,7 @@
         hosts.records_by_host[record.host] = record
     view = group_view.GroupView(name=_GROUP, time=time)
     for state in group.state_by_rank.values():
-        view.update_state(state)
+        view.take(state)
     network: Any = _Network(group, view)
     driver = switch_driver.SwitchDriver(
         host='holder',
@@ -123,7 +123,7 @@
     while True:
         await asyncio.sleep(_TELL_S)
         for state in group.state_by_rank.values():
-            view.update_state(state)
+            view.take(state)
 
 
 @then('all ranks use the new map within {limit:d} ms')
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -76,15 +76,14 @@
         self.table = _Table()
         self.tally = account.RequestCounter()
         self.truth = collections.Counter[tuple[str, str]]()
-        self.keeper = account_writer.AccountWriter(
-            table_service=self.table,
-            request_counter=self.tally,
-            host='entry-1',
-            incarnation='abc',
-            time=clock.SystemClock(),
-            wall_clock=lambda: self.now_s,
-            interval_s=_INTERVAL_S,
-            merge_rows=fold_rows)
+        self.keeper = account_writer.AccountWriter(table_service=self.table,
+                                                   request_counter=self.tally,
+                                                   host='entry-1',
+                                                   incarnation='abc',
+                                                   time=clock.SystemClock(),
+                                                   wall_clock=lambda: self.now_s,
+                                                   interval_s=_INTERVAL_S,
+                                                   merge_rows=fold_rows)
 
     async def serve(self, requests: int, intervals: int, seed: int) -> None:
         draw = random.Random(seed)
