State the units of constants; write id and slowdown alike everywhere

Some constants gave no unit or scale, docstrings wrote id and ID in different folders, and the coordinator called pace what the planner calls slowdown.

Ran: mypy on pollenthread, bench, models and tests; pylint and lint-imports on pollenthread; no findings.

--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -16,6 +16,7 @@
 
 _MAX_IDLE_PER_ADDRESS = 64
 _DEFAULT_KEEP_ALIVE_S = 4.0
+# Share of the keep-alive timeout for which an idle connection is reused.
 _IDLE_FRACTION = 0.7
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -35,8 +35,8 @@
 # step is reported one pass late.
 _SWITCH_LEAD_PASSES = 4
 _PERCENT = 100
-# Ranks below this ratio count as normal: copying experts would not pay off.
-_SLOW_PACE_RATIO = 1.2
+# Ranks with a lower slowdown count as normal: copying experts would not pay off.
+_MIN_SLOWDOWN = 1.2
 
 EngineProfileLookup = Callable[[str], routing_config.EngineProfile | None]
 
@@ -238,7 +238,7 @@
         step = replication.plan_replication_step(self._layouts,
                                                  self._demand.shares_by_set,
                                                  limits.replication_limits,
-                                                 _pace_ratios(states))
+                                                 _slowdowns(states))
         self._driver.stats.skew = step.before
         if not limits.is_worthwhile(step):
             return
@@ -263,7 +263,7 @@
         if not all(map(any, seen)):
             return
         skew = replication.mean_max_rank_load(self._layouts, seen,
-                                              _pace_ratios(self._view.states()))
+                                              _slowdowns(self._view.states()))
         datagrams, self._demand.datagrams = self._demand.datagrams, 0
         self._driver.stats.skew_seen = skew
         self._log.write(log_events.LogEvent.SKEW_SEEN,
@@ -338,10 +338,13 @@
         await self._driver.run(switch)
 
 
-def _pace_ratios(states: map_switch.RankStates) -> list[float]:
+def _slowdowns(states: map_switch.RankStates) -> list[float]:
     """Returns each rank's slowdown relative to normal speed, in rank order."""
-    paces = (states[rank].pace_percent / _PERCENT for rank in sorted(states))
-    return [pace if pace >= _SLOW_PACE_RATIO else 1.0 for pace in paces]
+    slowdowns = (
+        states[rank].pace_percent / _PERCENT for rank in sorted(states))
+    return [
+        slowdown if slowdown >= _MIN_SLOWDOWN else 1.0 for slowdown in slowdowns
+    ]
 
 
 def _encode_layouts(
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -8,6 +8,7 @@
 
 __all__ = ['RequestFailed', 'RequestJob']
 
+# Admission priority at a server: 0 is admitted first, 9 last.
 _DEFAULT_PRIORITY = 5
 _MAX_PRIORITY = 9
 # A restarted server accepts requests again after a few seconds.
--- a/pollenthread/cli/request_explanation.py
+++ b/pollenthread/cli/request_explanation.py
@@ -29,7 +29,7 @@
     """Collects the logged events of a request.
 
     Args:
-        request_id: ID of the request.
+        request_id: id of the request.
         log_lines: log lines of any number of processes; lines that are not
             JSON are ignored.
     """
--- a/pollenthread/core/concurrency_limit.py
+++ b/pollenthread/core/concurrency_limit.py
@@ -8,6 +8,7 @@
 _MAX_LIMIT = 1024
 _WINDOW_S = 0.25
 _SATURATION_RATIO = 0.95
+# Latency relative to its target that a decrease of the limit aims for.
 _DECREASE_TARGET = 0.9
 _MIN_DECREASE_FACTOR = 0.5
 _SLOW_START_FACTOR = 1.5
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -20,10 +20,10 @@
     Attributes:
         host: the host name of the sender.
         role: 'entry' or 'agent'.
-        incarnation: an ID of the process start; changes with each start.
+        incarnation: an id of the process start; changes with each start.
         data_centre: the data centre of the host.
         region: the region of the data centre.
-        session: the session ID that the accepting side assigns to this link,
+        session: the session id that the accepting side assigns to this link,
             unique within its incarnation; empty from the dialing side.
         kind: 'engine' or 'service' from an agent, else empty.
         name: the name of the model group or service from an agent, else empty.
@@ -62,7 +62,7 @@
     """Starts an attempt at an agent.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         session: the link session that the attempt is bound to.
         workspace: the name of the workspace.
         work_class: the name of the work class.
@@ -107,7 +107,7 @@
     """The head of the upstream's response.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         status: the HTTP status.
         headers: the HTTP headers.
         waited_ms: milliseconds that the attempt was queued at the agent.
@@ -124,7 +124,7 @@
     """A part of the response body.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         offset: the number of units before this part. A unit is an event of a
             stream, else a byte.
         count: the number of units in this part.
@@ -160,7 +160,7 @@
     """The times of a traced attempt at its agent; sent before `End`.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         queued_us: microseconds until the attempt began at the upstream.
         upstream_us: microseconds that the attempt took at the upstream.
     """
@@ -191,7 +191,7 @@
     """Requests the agent never to start an attempt.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         session: the link session that the attempt is bound to.
     """
 
@@ -237,7 +237,7 @@
     """A finished attempt whose outcome no entry host has confirmed.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         workspace: the name of the workspace.
         key: the idempotency key.
         stream: whether the response is a stream of events.
@@ -357,7 +357,7 @@
     """A signed order to an agent; see `orders.Order` for the other fields.
 
     Attributes:
-        key_id: the ID of the signing key; empty if not signed.
+        key_id: the id of the signing key; empty if not signed.
         signature: the HMAC of all other fields; empty if not signed.
     """
 
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -4,7 +4,7 @@
 order to a journal row before it sends the order. The row contains the
 incarnation of the agent that may execute the order. The agent rejects fencing
 numbers below the highest that it has seen, and replies to a repeated order
-ID with the first result.
+id with the first result.
 """
 
 import dataclasses
@@ -29,7 +29,7 @@
     """An order as sent to an agent.
 
     Attributes:
-        id: the order ID; never reused within a duty.
+        id: the order id; never reused within a duty.
         duty: the duty whose lease the issuer holds.
         number: the sequence number, increasing within the duty.
         host: the upstream host to execute the order.
@@ -153,7 +153,7 @@
             in the lease row or in orders.
         settled_below_by_duty: the number below which the journal has closed
             all orders of a duty.
-        result_by_id: the results of ended orders by order ID; None for an
+        result_by_id: the results of ended orders by order id; None for an
             order that is running.
         duty_and_number_by_id: the duty and number of each order in
             `result_by_id`.
--- a/pollenthread/core/placement.py
+++ b/pollenthread/core/placement.py
@@ -14,6 +14,8 @@
 ]
 
 _MAX_SWEEPS = 12
+# Greatest change of a replica load in one sweep, in units of the mean load,
+# below which the split counts as converged.
 _CONVERGED_CHANGE = 1e-3
 
 LayerLayout = tuple[tuple[int, ...], ...]
--- a/pollenthread/core/signing.py
+++ b/pollenthread/core/signing.py
@@ -16,7 +16,7 @@
     """A shared signing key.
 
     Attributes:
-        id: the key ID, sent with each signature.
+        id: the key id, sent with each signature.
         secret: the secret key.
     """
 
--- a/pollenthread/core/switch.py
+++ b/pollenthread/core/switch.py
@@ -54,7 +54,7 @@
     """The parameters of one switch.
 
     Attributes:
-        id: the ID of the switch.
+        id: the id of the switch.
         target: the version of the new map.
         step: the first step that uses the new map; 0 until armed.
     """
@@ -71,7 +71,7 @@
     Attributes:
         base: the version used before `latest` takes effect.
         latest: the last committed switch, or None.
-        closed: the greatest ID of a committed or aborted switch.
+        closed: the greatest id of a committed or aborted switch.
     """
 
     base: int
@@ -96,7 +96,7 @@
 
 
 def latest_switch_id(map_state: Map) -> SwitchId:
-    """Returns the ID of the last committed switch, or `NO_SWITCH`."""
+    """Returns the id of the last committed switch, or `NO_SWITCH`."""
     return NO_SWITCH if map_state.latest is None else map_state.latest.id
 
 
@@ -158,7 +158,7 @@
 
     Attributes:
         fence: the fencing token under which the decision was made.
-        id: the ID of the switch.
+        id: the id of the switch.
         commit: True to commit the switch, False to abort it.
     """
 
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -15,7 +15,7 @@
     """Decodes the value of one row.
 
     Args:
-        server_id: ID of the server, which is the key of the row.
+        server_id: id of the server, which is the key of the row.
         data: value of the row, a JSON object.
 
     Returns:
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -54,7 +54,7 @@
 
     async def _skip_stale_responses(self, response: http_client.ClientResponse,
                                     request_id: str) -> None:
-        """Skips responses whose request ID belongs to another request.
+        """Skips responses whose request id belongs to another request.
 
         Raises:
             ConnectionError: too many responses in a row were skipped.
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -13,7 +13,7 @@
 
     REQUEST_ID = 'pollenthread-request-id'
     DEADLINE_MS = 'pollenthread-deadline-ms'
-    # ID of the server that must execute the request.
+    # Id of the server that must execute the request.
     TARGET_SERVER = 'pollenthread-target-instance'
     SERVER_ID = 'pollenthread-instance-id'
     # Present, with any value, if the server did not execute the request.
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -38,7 +38,7 @@
 
         Args:
             config: settings of the entry host.
-            incarnation: ID of this start of the process.
+            incarnation: id of this start of the process.
             client: HTTP client that exports spans.
             table_service: stores the accounting rows and the costs.
             time: monotonic clock.
--- a/pollenthread/roles/process.py
+++ b/pollenthread/roles/process.py
@@ -57,7 +57,7 @@
 
 
 def new_incarnation() -> str:
-    """Returns a random ID for this start of the process."""
+    """Returns a random id for this start of the process."""
     return secrets.token_hex(_INCARNATION_BYTES)
 
 
