--- a/models/__main__.py
+++ b/models/__main__.py
@@ -9,11 +9,11 @@
 __all__: list[str] = []
 
 
-def _report(finding: checking.Finding) -> None:
-    verdict = 'holds' if finding.holds else 'BROKEN'
-    print(f'{finding.name}: {verdict}; states {finding.states}, '
-          f'depth {finding.depth}, exhaustive {finding.exhaustive}')
-    for invariant, trace in finding.traces_by_invariant.items():
+def _print_result(result: checking.CheckResult) -> None:
+    verdict = 'holds' if result.holds else 'BROKEN'
+    print(f'{result.name}: {verdict}; states {result.states}, '
+          f'depth {result.depth}, exhaustive {result.exhaustive}')
+    for invariant, trace in result.counterexamples.items():
         print(f'  {invariant}')
         _print_trace(trace)
 
@@ -24,18 +24,18 @@
 
 
 def _check(name: str, large: bool) -> bool:
-    subject = suite.SUBJECTS[name]
-    specify = subject.large if large else subject.small
-    finding = checking.check(specify(subject.rules))
-    _report(finding)
-    caught = True
-    for mutant, rules in subject.mutants.items():
-        trace = checking.check_mutant(subject.small(rules))
-        caught = caught and bool(trace)
+    model = suite.MODELS[name]
+    make_specification = model.large if large else model.small
+    result = checking.check(make_specification(model.rules))
+    _print_result(result)
+    all_caught = True
+    for mutant, rules in model.mutants.items():
+        trace = checking.check_mutant(model.small(rules))
+        all_caught = all_caught and bool(trace)
         print(f'  mutant: {mutant}: '
               f'{f"caught in {len(trace) - 1} steps" if trace else "MISSED"}')
         _print_trace(trace[1:])
-    return finding.holds and caught
+    return result.holds and all_caught
 
 
 def main() -> int:
@@ -48,7 +48,7 @@
     parser.add_argument('names', nargs='*', help='default: all')
     parser.add_argument('--large', action='store_true', help='larger bounds')
     args = parser.parse_args()
-    names = args.names or list(suite.SUBJECTS)
+    names = args.names or list(suite.MODELS)
     verdicts = [_check(name, args.large) for name in names]
     return 0 if all(verdicts) else 1
 
--- a/models/checking.py
+++ b/models/checking.py
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Finding:
+class CheckResult:
     """What a check found.
 
     Attributes:
@@ -47,18 +47,18 @@
     states: int
     depth: int
     exhaustive: bool
-    traces_by_invariant: Mapping[str, tuple[str, ...]]
+    counterexamples: Mapping[str, tuple[str, ...]]
 
     @property
     def holds(self) -> bool:
         """Whether every invariant holds in every reachable state."""
-        return self.exhaustive and not self.traces_by_invariant
+        return self.exhaustive and not self.counterexamples
 
 
 def check(specification: Specification,
           max_states: int = _MAX_STATES,
           *,
-          stops_at_violation: bool = False) -> Finding:
+          stop_at_violation: bool = False) -> CheckResult:
     """Visits every reachable state; does not go on from a violation.
 
     Args:
@@ -68,20 +68,20 @@
     """
     depth_by_state = {specification.initial: 0}
     invariants = specification.invariants.values()
-    is_broken = False
+    has_violation = False
 
     def transitions(state: State) -> list[tuple[str, State]]:
-        nonlocal is_broken
+        nonlocal has_violation
         fields = dict(zip(specification.fields, state))
         is_violation = not all(holds(fields) for holds in invariants)
-        is_broken = is_broken or is_violation
-        if is_violation or (is_broken and stops_at_violation):
+        has_violation = has_violation or is_violation
+        if is_violation or (has_violation and stop_at_violation):
             return []
         depth = depth_by_state[state] + 1
-        found = list(specification.transitions(state))
-        for _, successor in found:
+        successors = list(specification.transitions(state))
+        for _, successor in successors:
             depth_by_state.setdefault(successor, depth)
-        return found
+        return successors
 
     protocol = minicheck.Protocol(name=specification.name,
                                   candidate=False,
@@ -90,11 +90,11 @@
                                   transitions=transitions,
                                   invariants=dict(specification.invariants))
     result = minicheck.check_safety(protocol, max_states=max_states)
-    return Finding(name=specification.name,
-                   states=result['reachable_states'],
-                   depth=max(depth_by_state.values()),
-                   exhaustive=result['exhaustive'] and not is_broken,
-                   traces_by_invariant=_traces(result))
+    return CheckResult(name=specification.name,
+                       states=result['reachable_states'],
+                       depth=max(depth_by_state.values()),
+                       exhaustive=result['exhaustive'] and not has_violation,
+                       counterexamples=_traces(result))
 
 
 def _traces(result: dict[str, Any]) -> dict[str, tuple[str, ...]]:
@@ -102,15 +102,15 @@
     return {
         name:
             tuple(step['label'] or 'initial'
-                  for step in found['counterexample'])
-        for name, found in result['properties'].items()
-        if found['counterexample']
+                  for step in details['counterexample'])
+        for name, details in result['properties'].items()
+        if details['counterexample']
     }
 
 
 def check_mutant(specification: Specification,
                  max_states: int = _MAX_STATES) -> tuple[str, ...]:
     """The shortest trace by which a mutant breaks an invariant, or none."""
-    finding = check(specification, max_states, stops_at_violation=True)
-    traces = sorted(finding.traces_by_invariant.values(), key=len)
+    result = check(specification, max_states, stop_at_violation=True)
+    traces = sorted(result.counterexamples.values(), key=len)
     return traces[0] if traces else ()
--- a/models/configuration.py
+++ b/models/configuration.py
@@ -27,11 +27,11 @@
     """
 
     may_adopt: Callable[[int, int], bool] = config_freshness.may_adopt
-    merge: Callable[
+    merge_proof: Callable[
         ..., config_freshness.ConfigFreshness] = config_freshness.merge_proof
-    proof_from_peer: Callable[..., float] = config_freshness.peer_proof_time
-    compares: bool = True
-    rereads: bool = True
+    peer_proof_time: Callable[..., float] = config_freshness.peer_proof_time
+    checks_version: bool = True
+    reads_after_lost_response: bool = True
 
 
 class _Operator(NamedTuple):
@@ -41,10 +41,10 @@
     base: int = 0
 
 
-class _Give(NamedTuple):
+class _PeerReply(NamedTuple):
     """A peer's answer on its way: its version and the age of its proof."""
 
-    to: int
+    host: int
     asked_at: int
     version: int
     age: int
@@ -72,10 +72,10 @@
     operators: tuple[_Operator, ...]
     accepted: frozenset[tuple[int, int]]
     hosts: tuple[config_freshness.ConfigFreshness, ...]
-    gives: frozenset[_Give]
-    has_fallen: bool
-    losses: int
-    old_reads: int
+    peer_replies: frozenset[_PeerReply]
+    has_version_decreased: bool
+    lost_responses: int
+    stale_reads: int
 
 
 _Successors = Iterator[tuple[str, _State]]
@@ -84,116 +84,124 @@
 class _Model:
     """Successors of a state under a set of rules."""
 
-    def __init__(self, *, rules: Rules, max_ticks: int, old_reads: int) -> None:
+    def __init__(self, *, rules: Rules, max_ticks: int,
+                 max_stale_reads: int) -> None:
         self._rules = rules
         self._max_ticks = max_ticks
-        self._old_reads = old_reads
+        self._max_stale_reads = max_stale_reads
 
     def transitions(self, state: _State) -> _Successors:
         """Every step that some part of the system may take."""
         if state.now < self._max_ticks:
             yield 'time passes', state._replace(now=state.now + 1)
-        for number, operator in enumerate(state.operators):
-            yield from self._operate(state, number, operator)
-        for number in range(len(state.hosts)):
-            yield from self._read(state, number)
-            yield from self._ask(state, number)
-        for give in sorted(state.gives):
-            after = state._replace(gives=state.gives - {give})
-            proved_at = self._rules.proof_from_peer(asked_at=give.asked_at,
-                                                    age_s=give.age)
-            yield (f'host {give.to} takes version {give.version} of a peer',
-                   self._take(after, give.to, give.version, proved_at))
-
-    def _operate(self, state: _State, number: int,
-                 operator: _Operator) -> _Successors:
-        name = f'operator {number}'
+        for index, operator in enumerate(state.operators):
+            yield from self._operator_steps(state, index, operator)
+        for index in range(len(state.hosts)):
+            yield from self._read_steps(state, index)
+            yield from self._peer_reply_steps(state, index)
+        for reply in sorted(state.peer_replies):
+            after = state._replace(peer_replies=state.peer_replies - {reply})
+            proved_at = self._rules.peer_proof_time(asked_at=reply.asked_at,
+                                                    age_s=reply.age)
+            yield (f'host {reply.host} takes version {reply.version} of a peer',
+                   self._record_version(after, reply.host, reply.version,
+                                        proved_at))
+
+    def _operator_steps(self, state: _State, index: int,
+                        operator: _Operator) -> _Successors:
+        name = f'operator {index}'
         newest = len(state.authors)
         if operator.pc == 'reads':
             writes = _Operator('writes', newest)
-            yield f'{name} reads version {newest}', _with(state, number, writes)
+            yield f'{name} reads version {newest}', _replace_operator(
+                state, index, writes)
         elif operator.pc == 'writes':
-            yield from self._publish(state, number, operator)
+            yield from self._publish_steps(state, index, operator)
         elif operator.pc == 'settles':
             version = operator.base + 1
-            mine = newest >= version and state.authors[version - 1] == number
-            told = {(number, version)} if mine else set()
-            verdict = 'accepted' if mine else 'conflict'
-            yield f'{name} settles: {verdict}', _with(
-                state._replace(accepted=state.accepted | told), number,
+            is_own_write = newest >= version and state.authors[version -
+                                                               1] == index
+            accepted = {(index, version)} if is_own_write else set()
+            verdict = 'accepted' if is_own_write else 'conflict'
+            yield f'{name} settles: {verdict}', _replace_operator(
+                state._replace(accepted=state.accepted | accepted), index,
                 _Operator('ended'))
 
-    def _publish(self, state: _State, number: int,
-                 operator: _Operator) -> _Successors:
-        name = f'operator {number}'
+    def _publish_steps(self, state: _State, index: int,
+                       operator: _Operator) -> _Successors:
+        name = f'operator {index}'
         version = operator.base + 1
-        if len(state.authors) != operator.base and self._rules.compares:
-            yield f'{name} gets a conflict', _with(state, number,
-                                                   _Operator('ended'))
+        if len(state.authors) != operator.base and self._rules.checks_version:
+            yield f'{name} gets a conflict', _replace_operator(
+                state, index, _Operator('ended'))
             return
         written = state._replace(
-            authors=(*state.authors[:operator.base], number),
+            authors=(*state.authors[:operator.base], index),
             accepted_at=(*state.accepted_at[:operator.base], state.now))
-        told = written._replace(accepted=written.accepted | {(number, version)})
-        yield f'{name} publishes version {version}', _with(
-            told, number, _Operator('ended'))
-        if state.losses:
+        succeeded = written._replace(accepted=written.accepted |
+                                     {(index, version)})
+        yield f'{name} publishes version {version}', _replace_operator(
+            succeeded, index, _Operator('ended'))
+        if state.lost_responses:
             return
-        pc = 'settles' if self._rules.rereads else 'ended'
+        pc = 'settles' if self._rules.reads_after_lost_response else 'ended'
         for label, after in (('took effect', written), ('had none', state)):
-            after = after._replace(losses=1)
-            if not self._rules.rereads:
+            after = after._replace(lost_responses=1)
+            if not self._rules.reads_after_lost_response:
                 after = after._replace(accepted=after.accepted |
-                                       {(number, version)})
+                                       {(index, version)})
             yield (f'{name} loses the answer to a write that {label}',
-                   _with(after, number, operator._replace(pc=pc)))
+                   _replace_operator(after, index, operator._replace(pc=pc)))
 
-    def _read(self, state: _State, number: int) -> _Successors:
+    def _read_steps(self, state: _State, index: int) -> _Successors:
         newest = len(state.authors)
-        yield f'host {number} reads version {newest}', self._take(
-            state, number, newest, state.now)
-        if newest and state.old_reads < self._old_reads:
+        yield f'host {index} reads version {newest}', self._record_version(
+            state, index, newest, state.now)
+        if newest and state.stale_reads < self._max_stale_reads:
             # The read is as old as the version after it.
             proved_at = state.accepted_at[newest - 1]
-            yield f'host {number} reads old version {newest - 1}', self._take(
-                state._replace(old_reads=state.old_reads + 1), number,
+            yield f'host {index} reads old version {newest - 1}', self._record_version(
+                state._replace(stale_reads=state.stale_reads + 1), index,
                 newest - 1, proved_at)
 
-    def _ask(self, state: _State, number: int) -> _Successors:
+    def _peer_reply_steps(self, state: _State, index: int) -> _Successors:
         for peer, known in enumerate(state.hosts):
             age = known.age_s(state.now)
-            if peer == number or age is None:
+            if peer == index or age is None:
                 continue
             for asked_at in range(state.now + 1):
-                give = _Give(number, asked_at, known.version, int(age))
-                if len(state.gives) < 1:
-                    yield f'host {peer} answers host {number}', state._replace(
-                        gives=state.gives | {give})
-
-    def _take(self, state: _State, number: int, version: int,
-              proved_at: float) -> _State:
-        known = state.hosts[number]
-        merged = self._rules.merge(known, version=version, proved_at=proved_at)
+                reply = _PeerReply(index, asked_at, known.version, int(age))
+                if len(state.peer_replies) < 1:
+                    yield f'host {peer} answers host {index}', state._replace(
+                        peer_replies=state.peer_replies | {reply})
+
+    def _record_version(self, state: _State, index: int, version: int,
+                        proved_at: float) -> _State:
+        known = state.hosts[index]
+        merged = self._rules.merge_proof(known,
+                                         version=version,
+                                         proved_at=proved_at)
         if not self._rules.may_adopt(known.version, merged.version):
             merged = dataclasses.replace(merged, version=known.version)
         hosts = list(state.hosts)
-        hosts[number] = merged
-        return state._replace(hosts=tuple(hosts),
-                              has_fallen=state.has_fallen or
-                              merged.version < known.version)
+        hosts[index] = merged
+        return state._replace(
+            hosts=tuple(hosts),
+            has_version_decreased=state.has_version_decreased or
+            merged.version < known.version)
 
 
-def _with(state: _State, number: int, operator: _Operator) -> _State:
+def _replace_operator(state: _State, index: int, operator: _Operator) -> _State:
     operators = list(state.operators)
-    operators[number] = operator
+    operators[index] = operator
     return state._replace(operators=tuple(operators))
 
 
-def _never_falls(state: dict[str, Any]) -> bool:
-    return not state['has_fallen']
+def _versions_never_decrease(state: dict[str, Any]) -> bool:
+    return not state['has_version_decreased']
 
 
-def _accepted_stays(state: dict[str, Any]) -> bool:
+def _accepted_versions_stay(state: dict[str, Any]) -> bool:
     authors = state['authors']
     return all(
         len(authors) >= version and authors[version - 1] == operator
@@ -212,7 +220,7 @@
 def specification(rules: Rules = Rules(), *,
                   large: bool = False) -> checking.Specification:
     """Configuration under the given rules."""
-    model = _Model(rules=rules, max_ticks=2 if large else 1, old_reads=1)
+    model = _Model(rules=rules, max_ticks=2 if large else 1, max_stale_reads=1)
     return checking.Specification(
         name='configuration',
         fields=_State._fields,
@@ -222,25 +230,25 @@
                        operators=(_Operator(), _Operator()),
                        accepted=frozenset(),
                        hosts=(config_freshness.ConfigFreshness(),) * 2,
-                       gives=frozenset(),
-                       has_fallen=False,
-                       losses=0,
-                       old_reads=0),
+                       peer_replies=frozenset(),
+                       has_version_decreased=False,
+                       lost_responses=0,
+                       stale_reads=0),
         transitions=lambda state: model.transitions(_State(*state)),
         invariants={
-            'versions never fall at a host': _never_falls,
-            'an accepted version is never replaced': _accepted_stays,
+            'versions never fall at a host': _versions_never_decrease,
+            'an accepted version is never replaced': _accepted_versions_stay,
             'a proof of freshness is true': _proofs_are_true,
         })
 
 
-def _adopt_anything(current: int, offered: int) -> bool:
+def _apply_any_version(current: int, offered: int) -> bool:
     del current, offered
     return True
 
 
-def _merge_anything(known: config_freshness.ConfigFreshness, *, version: int,
-                    proved_at: float) -> config_freshness.ConfigFreshness:
+def _accept_any_proof(known: config_freshness.ConfigFreshness, *, version: int,
+                      proved_at: float) -> config_freshness.ConfigFreshness:
     del known
     return config_freshness.ConfigFreshness(version, proved_at)
 
@@ -253,18 +261,18 @@
                                         proved_at=proved_at)
 
 
-def _proof_from_answer(*, asked_at: float, age_s: float) -> float:
+def _proof_time_without_age(*, asked_at: float, age_s: float) -> float:
     del age_s
     return asked_at
 
 
 MUTANTS: dict[str, Rules] = {
     'a lower version is adopted':
-        Rules(may_adopt=_adopt_anything, merge=_merge_anything),
+        Rules(may_adopt=_apply_any_version, merge_proof=_accept_any_proof),
     'a peer\'s proof is taken as new':
-        Rules(proof_from_peer=_proof_from_answer),
+        Rules(peer_proof_time=_proof_time_without_age),
     'a version is published without comparing':
-        Rules(compares=False),
+        Rules(checks_version=False),
     'a lost answer is taken for success':
-        Rules(rereads=False),
+        Rules(reads_after_lost_response=False),
 }
--- a/models/leases.py
+++ b/models/leases.py
@@ -16,8 +16,8 @@
 
 _DUTY = 'duty'
 _DURATION_S = 1000.0
-_TICKS_S = (495, 15, 5)
-_RATES = (1 - leases.MAX_CLOCK_DRIFT, 1 + leases.MAX_CLOCK_DRIFT)
+_TIME_STEPS_S = (495, 15, 5)
+_CLOCK_RATES = (1 - leases.MAX_CLOCK_DRIFT, 1 + leases.MAX_CLOCK_DRIFT)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,11 +32,12 @@
         settle: what a read proves about a lost answer.
     """
 
-    acquire: Callable[..., leases.Lease | None] = leases.lease_to_acquire
+    lease_to_acquire: Callable[...,
+                               leases.Lease | None] = leases.lease_to_acquire
     safe_until: Callable[[float, float], float] = leases.safe_until
-    counts_from_answer: bool = False
-    compares: bool = True
-    settle: Callable[..., leases.WriteOutcome] = leases.resolve_write
+    starts_at_response: bool = False
+    checks_version: bool = True
+    resolve_write: Callable[..., leases.WriteOutcome] = leases.resolve_write
 
 
 class _Write(NamedTuple):
@@ -50,9 +51,9 @@
     """
 
     lease: leases.Lease
-    expect: int
+    expected_version: int
     sent_at: float
-    made: int = 0
+    written_version: int = 0
 
 
 class _Process(NamedTuple):
@@ -68,11 +69,11 @@
     """The whole system."""
 
     now: int
-    ticks: int
+    time_steps: int
     row: leases.Lease | None
     version: int
     fencing: int
-    has_fallen: bool
+    has_fencing_decreased: bool
     processes: tuple[_Process, ...]
 
 
@@ -82,167 +83,171 @@
 class _Model:
     """Successors of a state under a set of rules."""
 
-    def __init__(self, *, rules: Rules, max_ticks: int,
+    def __init__(self, *, rules: Rules, max_time_steps: int,
                  max_fencing: int) -> None:
         self._rules = rules
-        self._max_ticks = max_ticks
+        self._max_time_steps = max_time_steps
         self._max_fencing = max_fencing
 
     def transitions(self, state: _State) -> _Successors:
         """Every step that some part of the system may take."""
-        if state.ticks < self._max_ticks:
-            for tick in _TICKS_S:
-                yield f'{tick} s pass', state._replace(now=state.now + tick,
-                                                       ticks=state.ticks + 1)
-        for number, process in enumerate(state.processes):
-            yield from self._steps(state, number, process)
-
-    def _steps(self, state: _State, number: int,
-               process: _Process) -> _Successors:
-        name = f'process {number}'
-        now = state.now * _RATES[number]
+        if state.time_steps < self._max_time_steps:
+            for step_s in _TIME_STEPS_S:
+                yield f'{step_s} s pass', state._replace(
+                    now=state.now + step_s, time_steps=state.time_steps + 1)
+        for index, process in enumerate(state.processes):
+            yield from self._process_steps(state, index, process)
+
+    def _process_steps(self, state: _State, index: int,
+                       process: _Process) -> _Successors:
+        name = f'process {index}'
+        now = state.now * _CLOCK_RATES[index]
         if process.write is not None:
-            yield from self._in_flight(state, number, process, now)
+            yield from self._write_steps(state, index, process, now)
             return
         if state.row is not None and state.version != process.version:
             known = leases.update_observation(process.known, state.row, now)
-            yield f'{name} reads', _with(
-                state, number,
+            yield f'{name} reads', _replace_process(
+                state, index,
                 process._replace(known=known, version=state.version))
-        yield from self._acquire(state, number, process, now)
+        yield from self._acquire_lease(state, index, process, now)
         if process.held is not None:
-            yield from self._keep(state, number, process, now)
+            yield from self._renew_or_release(state, index, process, now)
 
-    def _acquire(self, state: _State, number: int, process: _Process,
-                 now: float) -> _Successors:
+    def _acquire_lease(self, state: _State, index: int, process: _Process,
+                       now: float) -> _Successors:
         if (process.held is not None and leases.may_act(process.held, now) or
                 state.fencing >= self._max_fencing):
             return
-        wanted = self._rules.acquire(process.known,
-                                     duty=_DUTY,
-                                     holder=f'p{number}',
-                                     duration_s=_DURATION_S,
-                                     now=now)
-        if wanted is not None:
-            write = _Write(wanted, process.version, now)
-            yield f'process {number} wants the duty', _with(
-                state, number, process._replace(held=None, write=write))
-
-    def _keep(self, state: _State, number: int, process: _Process,
-              now: float) -> _Successors:
+        lease = self._rules.lease_to_acquire(process.known,
+                                             duty=_DUTY,
+                                             holder=f'p{index}',
+                                             duration_s=_DURATION_S,
+                                             now=now)
+        if lease is not None:
+            write = _Write(lease, process.version, now)
+            yield f'process {index} wants the duty', _replace_process(
+                state, index, process._replace(held=None, write=write))
+
+    def _renew_or_release(self, state: _State, index: int, process: _Process,
+                          now: float) -> _Successors:
         assert process.held is not None
         renewed = leases.lease_to_renew(process.held, now=now)
         if renewed is not None and renewed.renewals <= 1:
             write = _Write(renewed, process.held.row_version, now)
-            yield f'process {number} renews', _with(
-                state, number, process._replace(write=write))
+            yield f'process {index} renews', _replace_process(
+                state, index, process._replace(write=write))
         released = _Write(leases.lease_to_release(process.held),
                           process.held.row_version, now)
-        yield f'process {number} releases', _with(
-            state, number, process._replace(held=None, write=released))
+        yield f'process {index} releases', _replace_process(
+            state, index, process._replace(held=None, write=released))
 
-    def _in_flight(self, state: _State, number: int, process: _Process,
-                   now: float) -> _Successors:
+    def _write_steps(self, state: _State, index: int, process: _Process,
+                     now: float) -> _Successors:
         write = process.write
         assert write is not None
-        name = f'process {number}'
-        if not write.made:
-            yield from self._apply(state, number, process)
+        name = f'process {index}'
+        if not write.written_version:
+            yield from self._apply_write(state, index, process)
         else:
-            yield f'{name} is told', _with(state, number,
-                                           self._told(process, write.made, now))
-        yield from self._settle(state, number, process, now)
+            yield f'{name} is told', _replace_process(
+                state, index,
+                self._receive_response(process, write.written_version, now))
+        yield from self._resolve_lost_response(state, index, process, now)
 
-    def _apply(self, state: _State, number: int,
-               process: _Process) -> _Successors:
+    def _apply_write(self, state: _State, index: int,
+                     process: _Process) -> _Successors:
         write = process.write
         assert write is not None
-        if self._rules.compares and write.expect != state.version:
-            yield f'process {number} is told of a conflict', _with(
-                state, number, process._replace(held=None, write=None))
+        if self._rules.checks_version and write.expected_version != state.version:
+            yield f'process {index} is told of a conflict', _replace_process(
+                state, index, process._replace(held=None, write=None))
             return
-        applied = state._replace(row=write.lease,
-                                 version=state.version + 1,
-                                 fencing=max(state.fencing,
-                                             write.lease.fencing),
-                                 has_fallen=state.has_fallen or
-                                 write.lease.fencing < state.fencing)
-        yield f'the write of process {number} takes effect', _with(
-            applied, number,
-            process._replace(write=write._replace(made=applied.version)))
-
-    def _told(self, process: _Process, version: int, now: float) -> _Process:
+        applied = state._replace(
+            row=write.lease,
+            version=state.version + 1,
+            fencing=max(state.fencing, write.lease.fencing),
+            has_fencing_decreased=state.has_fencing_decreased or
+            write.lease.fencing < state.fencing)
+        yield f'the write of process {index} takes effect', _replace_process(
+            applied, index,
+            process._replace(write=write._replace(
+                written_version=applied.version)))
+
+    def _receive_response(self, process: _Process, version: int,
+                          now: float) -> _Process:
         write = process.write
         assert write is not None
         if not write.lease.holder:
             return process._replace(held=None, write=None)
-        counted_from = now if self._rules.counts_from_answer else write.sent_at
-        until = self._rules.safe_until(counted_from, _DURATION_S)
-        held = leases.HeldLease(write.lease, version, until)
+        start = now if self._rules.starts_at_response else write.sent_at
+        safe_until_s = self._rules.safe_until(start, _DURATION_S)
+        held = leases.HeldLease(write.lease, version, safe_until_s)
         return process._replace(held=held,
                                 write=None,
                                 version=version,
                                 known=leases.update_observation(
                                     process.known, write.lease, write.sent_at))
 
-    def _settle(self, state: _State, number: int, process: _Process,
-                now: float) -> _Successors:
+    def _resolve_lost_response(self, state: _State, index: int,
+                               process: _Process, now: float) -> _Successors:
         """The answer is lost; the process reads the row."""
         write = process.write
         assert write is not None
-        name = f'process {number}'
-        settled = self._rules.settle(write.lease, state.row)
-        if settled is leases.WriteOutcome.WRITTEN:
-            yield f'{name} finds its write', _with(
-                state, number, self._told(process, state.version, now))
-        elif settled is leases.WriteOutcome.LOST:
-            yield f'{name} finds another write', _with(
-                state, number, process._replace(held=None, write=None))
-
-
-def _with(state: _State, number: int, process: _Process) -> _State:
+        name = f'process {index}'
+        outcome = self._rules.resolve_write(write.lease, state.row)
+        if outcome is leases.WriteOutcome.WRITTEN:
+            yield f'{name} finds its write', _replace_process(
+                state, index, self._receive_response(process, state.version,
+                                                     now))
+        elif outcome is leases.WriteOutcome.LOST:
+            yield f'{name} finds another write', _replace_process(
+                state, index, process._replace(held=None, write=None))
+
+
+def _replace_process(state: _State, index: int, process: _Process) -> _State:
     processes = list(state.processes)
-    processes[number] = process
+    processes[index] = process
     return state._replace(processes=tuple(processes))
 
 
 def _has_one_holder(state: dict[str, Any]) -> bool:
-    safe = [
+    holders = [
         process.held
-        for number, process in enumerate(state['processes'])
+        for index, process in enumerate(state['processes'])
         if process.held is not None and
-        leases.may_act(process.held, state['now'] * _RATES[number])
+        leases.may_act(process.held, state['now'] * _CLOCK_RATES[index])
     ]
-    return len(safe) <= 1
+    return len(holders) <= 1
 
 
-def _fencing_rises(state: dict[str, Any]) -> bool:
-    return not state['has_fallen']
+def _fencing_never_decreases(state: dict[str, Any]) -> bool:
+    return not state['has_fencing_decreased']
 
 
 def specification(rules: Rules = Rules(), *,
                   large: bool = False) -> checking.Specification:
     """Leases under the given rules."""
-    model = _Model(rules=rules, max_ticks=4 if large else 3, max_fencing=2)
+    model = _Model(rules=rules, max_time_steps=4 if large else 3, max_fencing=2)
     return checking.Specification(
         name='leases',
         fields=_State._fields,
         initial=_State(now=0,
-                       ticks=0,
+                       time_steps=0,
                        row=None,
                        version=0,
                        fencing=0,
-                       has_fallen=False,
+                       has_fencing_decreased=False,
                        processes=(_Process(), _Process())),
         transitions=lambda state: model.transitions(_State(*state)),
         invariants={
             'at most one process may act under a duty': _has_one_holder,
-            'fencing numbers never fall': _fencing_rises,
+            'fencing numbers never fall': _fencing_never_decreases,
         })
 
 
-def _acquire_at_once(known: leases.LeaseObservation | None,
-                     **named: Any) -> Any:
+def _acquire_unexpired(known: leases.LeaseObservation | None,
+                       **named: Any) -> Any:
     if known is None:
         return leases.lease_to_acquire(known, **named)
     released = dataclasses.replace(known.lease, holder='')
@@ -252,37 +257,37 @@
 
 def _acquire_without_drift(known: leases.LeaseObservation | None, *, duty: str,
                            holder: str, duration_s: float, now: float) -> Any:
-    hurried = now if known is None else (known.first_seen_at +
-                                         (now - known.first_seen_at) *
-                                         (1 + leases.MAX_CLOCK_DRIFT))
+    fast_now = now if known is None else (known.first_seen_at +
+                                          (now - known.first_seen_at) *
+                                          (1 + leases.MAX_CLOCK_DRIFT))
     return leases.lease_to_acquire(known,
                                    duty=duty,
                                    holder=holder,
                                    duration_s=duration_s,
-                                   now=hurried)
+                                   now=fast_now)
 
 
 def _safe_without_drift(sent_at: float, duration_s: float) -> float:
     return sent_at + duration_s
 
 
-def _settle_by_hope(wanted: leases.Lease,
+def _assume_written(lease: leases.Lease,
                     found: leases.Lease | None) -> leases.WriteOutcome:
-    del wanted, found
+    del lease, found
     return leases.WriteOutcome.WRITTEN
 
 
 MUTANTS: dict[str, Rules] = {
     'a duty is taken before its lease has lapsed':
-        Rules(acquire=_acquire_at_once),
+        Rules(lease_to_acquire=_acquire_unexpired),
     'an observer does not allow for drift':
-        Rules(acquire=_acquire_without_drift),
+        Rules(lease_to_acquire=_acquire_without_drift),
     'a holder does not allow for drift':
         Rules(safe_until=_safe_without_drift),
     'a lease is counted from the answer':
-        Rules(counts_from_answer=True),
+        Rules(starts_at_response=True),
     'a lease is replaced without comparing its version':
-        Rules(compares=False),
+        Rules(checks_version=False),
     'a lost answer is taken for success':
-        Rules(settle=_settle_by_hope),
+        Rules(resolve_write=_assume_written),
 }
--- a/models/map_switch.py
+++ b/models/map_switch.py
@@ -22,11 +22,12 @@
 class Rules:
     """The project's decisions; a mutant replaces one of them."""
 
-    advance: Callable[...,
-                      tuple[map_switch.MapSwitch,
-                            map_switch.RankOrders]] = map_switch.advance_switch
-    recover: Callable[..., map_switch.MapSwitch] = map_switch.recovery_switch
-    has_own_versions: bool = True
+    advance_switch: Callable[
+        ..., tuple[map_switch.MapSwitch,
+                   map_switch.RankOrders]] = map_switch.advance_switch
+    recovery_switch: Callable[...,
+                              map_switch.MapSwitch] = map_switch.recovery_switch
+    has_unique_versions: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,12 +43,12 @@
 
     ranks: int
     steps: int
-    deciders: int
-    looks_at_once: bool
+    coordinators: int
+    has_atomic_reads: bool
 
 
-SMALL = Bounds(ranks=2, steps=3, deciders=2, looks_at_once=True)
-LARGE = Bounds(ranks=2, steps=3, deciders=2, looks_at_once=False)
+SMALL_BOUNDS = Bounds(ranks=2, steps=3, coordinators=2, has_atomic_reads=True)
+LARGE_BOUNDS = Bounds(ranks=2, steps=3, coordinators=2, has_atomic_reads=False)
 
 
 class _Rank(NamedTuple):
@@ -76,11 +77,11 @@
     author: int
 
 
-class _Decider(NamedTuple):
+class _Coordinator(NamedTuple):
     """A decider and what it has seen of each rank."""
 
     switch: map_switch.MapSwitch
-    seen: tuple[peer_messages.RankState, ...]
+    observed: tuple[peer_messages.RankState, ...]
 
 
 class _State(NamedTuple):
@@ -96,11 +97,11 @@
     """
 
     step: int
-    held: int
+    held_step: int
     ranks: tuple[_Rank, ...]
-    flight: frozenset[_Order]
-    deciders: tuple[_Decider, ...]
-    was_split: bool
+    in_flight: frozenset[_Order]
+    coordinators: tuple[_Coordinator, ...]
+    was_map_mixed: bool
 
 
 _Successors = Iterator[tuple[str, _State]]
@@ -115,84 +116,87 @@
 
     def transitions(self, state: _State) -> _Successors:
         """Every step that some part of the group may take."""
-        yield from self._passes(state)
-        for order in sorted(state.flight):
-            after = _carry_out(state, order)
+        yield from self._pass_steps(state)
+        for order in sorted(state.in_flight):
+            after = _apply_order(state, order)
             if after != state:
                 yield f'rank {order.rank} {order.kind} {order.version}', after
-        for number in range(len(state.deciders)):
-            yield from self._looks(state, number)
-            yield from self._decides(state, number)
-        if len(state.deciders) < self._bounds.deciders:
-            yield from self._begins(state)
+        for index in range(len(state.coordinators)):
+            yield from self._read_steps(state, index)
+            yield from self._advance_steps(state, index)
+        if len(state.coordinators) < self._bounds.coordinators:
+            yield from self._start_steps(state)
 
-    def _passes(self, state: _State) -> _Successors:
+    def _pass_steps(self, state: _State) -> _Successors:
         step = state.step + 1
-        if step > self._bounds.steps or state.held == step:
+        if step > self._bounds.steps or state.held_step == step:
             return
-        ranks = tuple(_enter(rank, step) for rank in state.ranks)
-        was_split = len({rank.map for rank in ranks}) > 1
-        flight = frozenset(
-            order for order in state.flight if not _is_void(order, step))
+        ranks = tuple(_enter_pass(rank, step) for rank in state.ranks)
+        was_map_mixed = len({rank.map for rank in ranks}) > 1
+        in_flight = frozenset(order for order in state.in_flight
+                              if not _is_ineffective(order, step))
         yield f'pass {step}', state._replace(step=step,
                                              ranks=ranks,
-                                             flight=flight,
-                                             was_split=was_split)
-
-    def _looks(self, state: _State, number: int) -> _Successors:
-        decider = state.deciders[number]
-        if self._bounds.looks_at_once:
-            yield f'{number} looks', _with(state, number,
-                                           decider._replace(seen=_views(state)))
+                                             in_flight=in_flight,
+                                             was_map_mixed=was_map_mixed)
+
+    def _read_steps(self, state: _State, index: int) -> _Successors:
+        coordinator = state.coordinators[index]
+        if self._bounds.has_atomic_reads:
+            yield f'{index} looks', _replace_coordinator(
+                state, index,
+                coordinator._replace(observed=_rank_states(state)))
             return
-        for rank, seen in enumerate(_views(state)):
-            if decider.seen[rank] == seen:
+        for rank, observed in enumerate(_rank_states(state)):
+            if coordinator.observed[rank] == observed:
                 continue
-            views = list(decider.seen)
-            views[rank] = seen
-            yield f'{number} looks at {rank}', _with(
-                state, number, decider._replace(seen=tuple(views)))
-
-    def _decides(self, state: _State, number: int) -> _Successors:
-        decider = state.deciders[number]
-        states = dict(enumerate(decider.seen))
-        switch, orders = self._rules.advance(decider.switch, states)
+            rank_states = list(coordinator.observed)
+            rank_states[rank] = observed
+            yield f'{index} looks at {rank}', _replace_coordinator(
+                state, index, coordinator._replace(observed=tuple(rank_states)))
+
+    def _advance_steps(self, state: _State, index: int) -> _Successors:
+        coordinator = state.coordinators[index]
+        states = dict(enumerate(coordinator.observed))
+        switch, orders = self._rules.advance_switch(coordinator.switch, states)
         if switch.step > self._bounds.steps + 1:
             return
         sent = frozenset(
-            _Order(rank, order.kind.value, order.version, order.step, number)
+            _Order(rank, order.kind.value, order.version, order.step, index)
             for rank, order in orders.items())
-        after = _with(state, number, decider._replace(switch=switch))
+        after = _replace_coordinator(state, index,
+                                     coordinator._replace(switch=switch))
         after = after._replace(
-            flight=state.flight |
-            {order for order in sent if not _is_void(order, state.step)})
+            in_flight=state.in_flight |
+            {order for order in sent if not _is_ineffective(order, state.step)})
         if after != state:
-            yield f'{number} decides {switch.phase.value}', after
+            yield f'{index} decides {switch.phase.value}', after
 
-    def _begins(self, state: _State) -> _Successors:
-        number = len(state.deciders)
-        version = number + 1 if self._rules.has_own_versions else 1
-        seen = _views(state)
-        states = dict(enumerate(seen))
+    def _start_steps(self, state: _State) -> _Successors:
+        index = len(state.coordinators)
+        version = index + 1 if self._rules.has_unique_versions else 1
+        observed = _rank_states(state)
+        states = dict(enumerate(observed))
         if map_switch.needs_recovery(states):
-            switch = self._rules.recover(states, (), version)
+            switch = self._rules.recovery_switch(states, (), version)
         else:
             switch = map_switch.MapSwitch(version, _EPOCH, ())
-        yield f'{number} begins', state._replace(
-            deciders=(*state.deciders, _Decider(switch, seen)))
+        yield f'{index} begins', state._replace(
+            coordinators=(*state.coordinators, _Coordinator(switch, observed)))
 
 
-def _with(state: _State, number: int, decider: _Decider) -> _State:
-    deciders = list(state.deciders)
-    deciders[number] = decider
-    return state._replace(deciders=tuple(deciders))
+def _replace_coordinator(state: _State, index: int,
+                         coordinator: _Coordinator) -> _State:
+    coordinators = list(state.coordinators)
+    coordinators[index] = coordinator
+    return state._replace(coordinators=tuple(coordinators))
 
 
-def _views(state: _State) -> tuple[peer_messages.RankState, ...]:
+def _rank_states(state: _State) -> tuple[peer_messages.RankState, ...]:
     return tuple(
         peer_messages.RankState(group='g',
                                 host='',
-                                rank=number,
+                                rank=index,
                                 size=len(state.ranks),
                                 epoch=_EPOCH,
                                 is_open=True,
@@ -202,32 +206,33 @@
                                 prepared_version=rank.prepared[0],
                                 armed_version=rank.armed_version,
                                 armed_step=rank.armed_step,
-                                held_step=state.held if number == 0 else 0,
+                                held_step=state.held_step if index == 0 else 0,
                                 is_busy=False,
                                 pace_percent=100)
-        for number, rank in enumerate(state.ranks))
+        for index, rank in enumerate(state.ranks))
 
 
-def _enter(rank: _Rank, step: int) -> _Rank:
+def _enter_pass(rank: _Rank, step: int) -> _Rank:
     if rank.armed_version and rank.armed_step == step:
         return _Rank(rank.prepared, (0, 0), 0, 0)
     return rank
 
 
-def _is_void(order: _Order, step: int) -> bool:
+def _is_ineffective(order: _Order, step: int) -> bool:
     """Whether an order can have no effect any more."""
     return order.kind in (_Kind.ARM.value, _Kind.HOLD.value,
                           _Kind.GO.value) and order.step <= step
 
 
-def _carry_out(state: _State, order: _Order) -> _State:
+def _apply_order(state: _State, order: _Order) -> _State:
     rank = state.ranks[order.rank]
     if order.kind == _Kind.HOLD.value:
-        if state.held or order.step <= state.step:
+        if state.held_step or order.step <= state.step:
             return state
-        return state._replace(held=order.step)
+        return state._replace(held_step=order.step)
     if order.kind == _Kind.GO.value:
-        return state._replace(held=0) if state.held == order.step else state
+        return state._replace(
+            held_step=0) if state.held_step == order.step else state
     if order.kind == _Kind.PREPARE.value:
         newest = max(rank.map[0], rank.prepared[0])
         if rank.armed_version or order.version <= newest:
@@ -249,23 +254,24 @@
     model = _Model(rules=rules, bounds=bounds)
     rank = _Rank((0, 0), (0, 0), 0, 0)
     initial = _State(step=1,
-                     held=0,
+                     held_step=0,
                      ranks=(rank,) * bounds.ranks,
-                     flight=frozenset(),
-                     deciders=(),
-                     was_split=False)
+                     in_flight=frozenset(),
+                     coordinators=(),
+                     was_map_mixed=False)
 
     def transitions(state: checking.State) -> _Successors:
         return model.transitions(_State(*state))
 
-    return checking.Specification(name='map switch on the platform',
-                                  fields=_State._fields,
-                                  initial=initial,
-                                  transitions=transitions,
-                                  invariants={
-                                      'all ranks begin a pass with one map':
-                                          lambda fields: not fields['was_split']
-                                  })
+    return checking.Specification(
+        name='map switch on the platform',
+        fields=_State._fields,
+        initial=initial,
+        transitions=transitions,
+        invariants={
+            'all ranks begin a pass with one map':
+                lambda fields: not fields['was_map_mixed']
+        })
 
 
 # What each guard is needed for.
@@ -283,7 +289,7 @@
     return after, orders
 
 
-def _advance_releasing_early(
+def _advance_with_early_release(
     switch: map_switch.MapSwitch, states: map_switch.RankStates
 ) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
     """Releases the pass once an arming was sent to every rank."""
@@ -298,7 +304,7 @@
     return after, orders
 
 
-def _advance_disarming(
+def _advance_with_disarm(
     switch: map_switch.MapSwitch, states: map_switch.RankStates
 ) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
     """Disarms whatever another decider has armed."""
@@ -312,25 +318,25 @@
     return after, orders
 
 
-def _recover_by_releasing(states: map_switch.RankStates,
-                          layouts: tuple[tuple[tuple[int, ...], ...], ...],
-                          version: int) -> map_switch.MapSwitch:
+def _recover_by_release(states: map_switch.RankStates,
+                        layouts: tuple[tuple[tuple[int, ...], ...], ...],
+                        version: int) -> map_switch.MapSwitch:
     """Lets a held pass go without a look at who is armed."""
-    found = map_switch.recovery_switch(states, layouts, version)
-    return dataclasses.replace(found,
+    planned = map_switch.recovery_switch(states, layouts, version)
+    return dataclasses.replace(planned,
                                phase=map_switch.MapSwitchPhase.RELEASING,
                                step=states[map_switch.HOLDING_RANK].held_step)
 
 
 MUTANTS = {
     'arms without holding the pass':
-        Rules(advance=_advance_without_hold),
+        Rules(advance_switch=_advance_without_hold),
     'releases before all are seen armed':
-        Rules(advance=_advance_releasing_early),
+        Rules(advance_switch=_advance_with_early_release),
     'disarms although all may have been seen armed':
-        Rules(advance=_advance_disarming),
+        Rules(advance_switch=_advance_with_disarm),
     'releases what an earlier decider held':
-        Rules(recover=_recover_by_releasing),
+        Rules(recovery_switch=_recover_by_release),
     'gives two maps one version':
-        Rules(has_own_versions=False),
+        Rules(has_unique_versions=False),
 }
--- a/models/suite.py
+++ b/models/suite.py
@@ -11,7 +11,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Subject:
+class CheckedModel:
     """One specification with the mutants that must break it.
 
     Attributes:
@@ -27,39 +27,42 @@
     mutants: Mapping[str, Any]
 
 
-def _subject(module: Any) -> Subject:
-    return Subject(small=module.specification,
-                   large=functools.partial(module.specification, large=True),
-                   rules=module.Rules(),
-                   mutants=module.MUTANTS)
+def _checked_model(module: Any) -> CheckedModel:
+    return CheckedModel(small=module.specification,
+                        large=functools.partial(module.specification,
+                                                large=True),
+                        rules=module.Rules(),
+                        mutants=module.MUTANTS)
 
 
-def _switch(small: switch.Bounds, large: switch.Bounds,
-            mutants: Mapping[str, switch.Rules]) -> Subject:
-    return Subject(small=functools.partial(switch.specification, bounds=small),
-                   large=functools.partial(switch.specification, bounds=large),
-                   rules=switch.Rules(),
-                   mutants=mutants)
+def _checked_switch(small: switch.Bounds, large: switch.Bounds,
+                    mutants: Mapping[str, switch.Rules]) -> CheckedModel:
+    return CheckedModel(small=functools.partial(switch.specification,
+                                                bounds=small),
+                        large=functools.partial(switch.specification,
+                                                bounds=large),
+                        rules=switch.Rules(),
+                        mutants=mutants)
 
 
-SUBJECTS: dict[str, Subject] = {
+MODELS: dict[str, CheckedModel] = {
     'claims':
-        _subject(claims),
+        _checked_model(claims),
     'leases':
-        _subject(leases),
+        _checked_model(leases),
     'configuration':
-        _subject(configuration),
+        _checked_model(configuration),
     'switch with a restart':
-        _switch(switch.WITH_RESTART, switch.THREE_RANKS,
-                switch.RESTART_MUTANTS),
+        _checked_switch(switch.WITH_RESTART, switch.THREE_RANKS,
+                        switch.RESTART_MUTANTS),
     'map switch on the platform':
-        Subject(small=functools.partial(map_switch.specification,
-                                        bounds=map_switch.SMALL),
-                large=functools.partial(map_switch.specification,
-                                        bounds=map_switch.LARGE),
-                rules=map_switch.Rules(),
-                mutants=map_switch.MUTANTS),
+        CheckedModel(small=functools.partial(map_switch.specification,
+                                             bounds=map_switch.SMALL_BOUNDS),
+                     large=functools.partial(map_switch.specification,
+                                             bounds=map_switch.LARGE_BOUNDS),
+                     rules=map_switch.Rules(),
+                     mutants=map_switch.MUTANTS),
     'switch with a takeover':
-        _switch(switch.WITH_TAKEOVER, switch.WITH_BOTH,
-                switch.TAKEOVER_MUTANTS),
+        _checked_switch(switch.WITH_TAKEOVER, switch.WITH_RESTART_AND_TAKEOVER,
+                        switch.TAKEOVER_MUTANTS),
 }
--- a/models/switch.py
+++ b/models/switch.py
@@ -18,11 +18,11 @@
     'WITH_BOTH', 'WITH_RESTART', 'WITH_TAKEOVER', 'specification'
 ]
 
-_BASE = 1
-_TARGET = 2
-_MARGIN = 1
+_BASE_VERSION = 1
+_TARGET_VERSION = 2
+_ARM_MARGIN_STEPS = 1
 
-_Decided = switch_coordinator.CoordinatorResult
+_CoordinatorResult = switch_coordinator.CoordinatorResult
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,26 +33,27 @@
     good, so that such messages need not be kept in flight.
     """
 
-    may_enter: Callable[[switch.Rank], bool] = switch_rank.may_enter_next_step
-    restart: Callable[..., switch.Rank] = switch_rank.restarted_rank
+    may_enter_next_step: Callable[[switch.Rank],
+                                  bool] = switch_rank.may_enter_next_step
+    restarted_rank: Callable[..., switch.Rank] = switch_rank.restarted_rank
     on_arm: Callable[..., switch_rank.RankResult] = switch_rank.on_arm
     on_decide: Callable[..., switch_rank.RankResult] = switch_rank.on_decide
-    answer_ask: Callable[..., switch.Decide |
-                         None] = switch_rank.answer_decision_request
-    on_armed: Callable[..., _Decided] = switch_coordinator.on_armed
-    on_join: Callable[..., _Decided] = switch_coordinator.on_join
-    on_report: Callable[..., _Decided] = switch_coordinator.on_report
-    fenced: bool = True
+    answer_decision_request: Callable[
+        ..., switch.Decide | None] = switch_rank.answer_decision_request
+    on_armed: Callable[..., _CoordinatorResult] = switch_coordinator.on_armed
+    on_join: Callable[..., _CoordinatorResult] = switch_coordinator.on_join
+    on_report: Callable[..., _CoordinatorResult] = switch_coordinator.on_report
+    rejects_lower_fences: bool = True
 
 
 class _ToRank(NamedTuple):
     """An order, or a decision from another rank, on its way."""
 
     rank: int
-    order: switch.CoordinatorMessage
+    payload: switch.CoordinatorMessage
 
 
-class _ToDecider(NamedTuple):
+class _ToCoordinator(NamedTuple):
     """A reply on its way."""
 
     fence: int
@@ -72,9 +73,9 @@
     """
 
     ranks: tuple[switch.Rank, ...]
-    deciders: tuple[switch_coordinator.Coordinator, ...]
-    flight: frozenset[_ToRank | _ToDecider]
-    used: frozenset[tuple[int, int, int]]
+    coordinators: tuple[switch_coordinator.Coordinator, ...]
+    in_flight: frozenset[_ToRank | _ToCoordinator]
+    entered_steps: frozenset[tuple[int, int, int]]
     restarts: int
 
 
@@ -88,13 +89,13 @@
     ranks: int
     steps: int
     restarts: int
-    deciders: int
+    coordinators: int
 
 
-WITH_RESTART = Bounds(ranks=2, steps=2, restarts=1, deciders=1)
-WITH_TAKEOVER = Bounds(ranks=2, steps=2, restarts=0, deciders=2)
-THREE_RANKS = Bounds(ranks=3, steps=2, restarts=1, deciders=1)
-WITH_BOTH = Bounds(ranks=2, steps=2, restarts=1, deciders=2)
+WITH_RESTART = Bounds(ranks=2, steps=2, restarts=1, coordinators=1)
+WITH_TAKEOVER = Bounds(ranks=2, steps=2, restarts=0, coordinators=2)
+THREE_RANKS = Bounds(ranks=3, steps=2, restarts=1, coordinators=1)
+WITH_RESTART_AND_TAKEOVER = Bounds(ranks=2, steps=2, restarts=1, coordinators=2)
 
 
 class _Model:
@@ -107,179 +108,196 @@
     def transitions(self, state: _State) -> _Successors:
         """Every step that some part of the group may take."""
         for label, after in self._all_transitions(state):
-            yield label, self._without_void(after)
+            yield label, self._without_ineffective(after)
 
-    def _without_void(self, state: _State) -> _State:
+    def _without_ineffective(self, state: _State) -> _State:
         """Drops messages that can change nothing any more."""
-        void = {
-            message for message in state.flight
-            if _is_void(state, message, self._rules.fenced)
+        ineffective = {
+            message for message in state.in_flight
+            if _is_ineffective(state, message, self._rules.rejects_lower_fences)
         }
-        return (state._replace(flight=state.flight - void) if void else state)
+        return (state._replace(in_flight=state.in_flight -
+                               ineffective) if ineffective else state)
 
     def _all_transitions(self, state: _State) -> _Successors:
-        yield from self._steps(state)
-        yield from self._loads(state)
-        yield from self._asks(state)
-        for message in sorted(state.flight, key=_sort_key):
-            left = state._replace(flight=state.flight - {message})
+        yield from self._rank_steps(state)
+        yield from self._load_steps(state)
+        yield from self._decision_request_steps(state)
+        for message in sorted(state.in_flight, key=_sort_key):
+            remaining = state._replace(in_flight=state.in_flight - {message})
             if isinstance(message, _ToRank):
-                yield self._to_rank(left, message)
+                yield self._deliver_to_rank(remaining, message)
             else:
-                yield self._to_decider(left, message)
-        yield from self._decider_steps(state)
-        yield from self._faults(state)
+                yield self._deliver_to_coordinator(remaining, message)
+        yield from self._coordinator_steps(state)
+        yield from self._fault_steps(state)
 
-    def _steps(self, state: _State) -> _Successors:
+    def _rank_steps(self, state: _State) -> _Successors:
         slowest = min(rank.step for rank in state.ranks)
         for rank in state.ranks:
             if (rank.step > slowest or rank.step >= self._bounds.steps or
-                    not self._rules.may_enter(rank)):
+                    not self._rules.may_enter_next_step(rank)):
                 continue
             entered = switch_rank.enter_next_step(rank)
             assert entered.held is not None
             version = switch.map_version(entered.held, entered.step)
-            used = state.used | {(rank.index, entered.step, version)}
+            entered_steps = state.entered_steps | {
+                (rank.index, entered.step, version)
+            }
             yield (f'rank {rank.index} enters step {entered.step} '
-                   f'with map {version}', _put(state,
-                                               entered)._replace(used=used))
+                   f'with map {version}',
+                   _replace_rank(state,
+                                 entered)._replace(entered_steps=entered_steps))
 
-    def _loads(self, state: _State) -> _Successors:
+    def _load_steps(self, state: _State) -> _Successors:
         for rank in state.ranks:
             if (rank.pending is None or rank.stage is not switch.Stage.LOADING):
                 continue
             result = switch_rank.on_loaded(rank, rank.pending.id, ok=True)
             yield (f'rank {rank.index} has loaded',
-                   _reply(state, result, rank.pending.id.fence))
+                   _apply_rank_result(state, result, rank.pending.id.fence))
 
-    def _asks(self, state: _State) -> _Successors:
+    def _decision_request_steps(self, state: _State) -> _Successors:
         for rank in state.ranks:
-            question = switch_rank.decision_request(rank)
-            if question is None:
+            request = switch_rank.decision_request(rank)
+            if request is None:
                 continue
-            for other in state.ranks:
-                answer = self._rules.answer_ask(other, question)
-                if answer is not None:
-                    message = _ToRank(rank.index, answer)
-                    yield (f'rank {other.index} tells rank {rank.index}',
-                           state._replace(flight=state.flight | {message}))
-
-    def _to_rank(self, state: _State, message: _ToRank) -> tuple[str, _State]:
+            for peer in state.ranks:
+                decision = self._rules.answer_decision_request(peer, request)
+                if decision is not None:
+                    message = _ToRank(rank.index, decision)
+                    yield (f'rank {peer.index} tells rank {rank.index}',
+                           state._replace(in_flight=state.in_flight |
+                                          {message}))
+
+    def _deliver_to_rank(self, state: _State,
+                         message: _ToRank) -> tuple[str, _State]:
         rank = state.ranks[message.rank]
-        order = message.order
-        match order:
+        payload = message.payload
+        match payload:
             case switch.Query():
-                result = switch_rank.on_query(rank, order)
-                fence = order.fence
+                result = switch_rank.on_query(rank, payload)
+                fence = payload.fence
             case switch.Prepare():
-                result = switch_rank.on_prepare(rank, order)
-                fence = order.id.fence
+                result = switch_rank.on_prepare(rank, payload)
+                fence = payload.id.fence
             case switch.Arm():
-                result = self._rules.on_arm(rank, order)
-                fence = order.id.fence
+                result = self._rules.on_arm(rank, payload)
+                fence = payload.id.fence
             case switch.Decide():
-                result = self._rules.on_decide(rank, order)
-                fence = order.fence
+                result = self._rules.on_decide(rank, payload)
+                fence = payload.fence
             case switch.Name():
-                result = switch_rank.on_name(rank, order)
-                fence = order.fence
-        label = f'rank {rank.index} takes {_shown(order)}'
-        return label, _reply(state, result, fence)
-
-    def _to_decider(self, state: _State,
-                    message: _ToDecider) -> tuple[str, _State]:
-        decider = state.deciders[message.fence - 1]
+                result = switch_rank.on_name(rank, payload)
+                fence = payload.fence
+        label = f'rank {rank.index} takes {_message_label(payload)}'
+        return label, _apply_rank_result(state, result, fence)
+
+    def _deliver_to_coordinator(self, state: _State,
+                                message: _ToCoordinator) -> tuple[str, _State]:
+        coordinator = state.coordinators[message.fence - 1]
         reply = message.reply
         match reply:
             case switch.Report():
-                result = self._rules.on_report(decider, reply)
+                result = self._rules.on_report(coordinator, reply)
             case switch.Prepared():
-                result = switch_coordinator.on_prepared(decider,
-                                                        reply,
-                                                        margin_steps=_MARGIN)
+                result = switch_coordinator.on_prepared(
+                    coordinator, reply, margin_steps=_ARM_MARGIN_STEPS)
             case switch.Armed():
-                result = self._rules.on_armed(decider, reply)
+                result = self._rules.on_armed(coordinator, reply)
             case switch.Noted():
-                result = switch_coordinator.on_noted(decider, reply)
+                result = switch_coordinator.on_noted(coordinator, reply)
             case switch.Join():
-                result = self._rules.on_join(decider, reply)
-        label = f'decider {message.fence} takes {_shown(reply)}'
-        return label, _decided(state, result)
-
-    def _decider_steps(self, state: _State) -> _Successors:
-        for decider in state.deciders:
-            name = f'decider {decider.fence}'
-            if (decider.phase is switch_coordinator.CoordinatorPhase.IDLE and
-                    decider.switch_count == 0 and decider.fence == 1):
+                result = self._rules.on_join(coordinator, reply)
+        label = f'decider {message.fence} takes {_message_label(reply)}'
+        return label, _apply_coordinator_result(state, result)
+
+    def _coordinator_steps(self, state: _State) -> _Successors:
+        for coordinator in state.coordinators:
+            name = f'decider {coordinator.fence}'
+            if (coordinator.phase is switch_coordinator.CoordinatorPhase.IDLE
+                    and coordinator.switch_count == 0 and
+                    coordinator.fence == 1):
                 yield (f'{name} starts a switch',
-                       _decided(
+                       _apply_coordinator_result(
                            state,
-                           switch_coordinator.start_switch(decider, _TARGET)))
-            given_up = switch_coordinator.abort_undecided(decider)
-            if given_up.coordinator is not decider:
-                yield f'{name} gives up', _decided(state, given_up)
-
-    def _faults(self, state: _State) -> _Successors:
-        fence = len(state.deciders)
-        if fence < self._bounds.deciders:
-            taken = switch_coordinator.start_coordinator(
+                           switch_coordinator.start_switch(
+                               coordinator, _TARGET_VERSION)))
+            aborted = switch_coordinator.abort_undecided(coordinator)
+            if aborted.coordinator is not coordinator:
+                yield f'{name} gives up', _apply_coordinator_result(
+                    state, aborted)
+
+    def _fault_steps(self, state: _State) -> _Successors:
+        fence = len(state.coordinators)
+        if fence < self._bounds.coordinators:
+            started = switch_coordinator.start_coordinator(
                 fence=fence + 1,
                 group_size=self._bounds.ranks,
-                initial_version=_BASE)
-            after = state._replace(deciders=(*state.deciders,
-                                             taken.coordinator))
-            yield f'decider {fence + 1} takes over', _decided(after, taken)
+                initial_version=_BASE_VERSION)
+            after = state._replace(coordinators=(*state.coordinators,
+                                                 started.coordinator))
+            yield f'decider {fence + 1} takes over', _apply_coordinator_result(
+                after, started)
         if state.restarts < self._bounds.restarts:
             for rank in state.ranks:
-                yield self._restart(state, rank)
-
-    def _restart(self, state: _State, rank: switch.Rank) -> tuple[str, _State]:
-        done = max(0, min(item.step for item in state.ranks) - 1)
-        fence = len(state.deciders)
-        restarted = self._rules.restart(rank, fence=fence, step=done)
-        used = frozenset(item for item in state.used
-                         if item[0] != rank.index or item[1] <= done)
-        after = _put(state, restarted)._replace(restarts=state.restarts + 1,
-                                                used=used)
+                yield self._restart_rank(state, rank)
+
+    def _restart_rank(self, state: _State,
+                      rank: switch.Rank) -> tuple[str, _State]:
+        last_common_step = max(0, min(item.step for item in state.ranks) - 1)
+        fence = len(state.coordinators)
+        restarted = self._rules.restarted_rank(rank,
+                                               fence=fence,
+                                               step=last_common_step)
+        entered_steps = frozenset(
+            item for item in state.entered_steps
+            if item[0] != rank.index or item[1] <= last_common_step)
+        after = _replace_rank(state,
+                              restarted)._replace(restarts=state.restarts + 1,
+                                                  entered_steps=entered_steps)
         queries = {
-            _ToRank(rank.index, switch.Query(decider.fence))
-            for decider in state.deciders
-            if decider.phase is switch_coordinator.CoordinatorPhase.COLLECTING
+            _ToRank(rank.index, switch.Query(coordinator.fence))
+            for coordinator in state.coordinators
+            if coordinator.phase is
+            switch_coordinator.CoordinatorPhase.COLLECTING
         }
-        after = after._replace(flight=after.flight | queries)
+        after = after._replace(in_flight=after.in_flight | queries)
         request = switch_rank.join_request(restarted)
         if request is not None:
             joins = {
-                _ToDecider(decider.fence, request) for decider in state.deciders
+                _ToCoordinator(coordinator.fence, request)
+                for coordinator in state.coordinators
             }
-            after = after._replace(flight=after.flight | joins)
+            after = after._replace(in_flight=after.in_flight | joins)
         return f'rank {rank.index} restarts', after
 
 
 @functools.cache
-def _sort_key(message: _ToRank | _ToDecider) -> str:
+def _sort_key(message: _ToRank | _ToCoordinator) -> str:
     return repr(message)
 
 
-def _is_void(state: _State, message: _ToRank | _ToDecider,
-             fenced: bool) -> bool:
+def _is_ineffective(state: _State, message: _ToRank | _ToCoordinator,
+                    rejects_lower_fences: bool) -> bool:
     if isinstance(message, _ToRank):
-        if isinstance(message.order, switch.Decide) and not fenced:
+        if isinstance(message.payload,
+                      switch.Decide) and not rejects_lower_fences:
             return False
-        return _is_void_order(state.ranks[message.rank], message.order)
-    decider = state.deciders[message.fence - 1]
-    phase = decider.phase
-    is_over = phase is switch_coordinator.CoordinatorPhase.DECIDED or (
+        return _is_ineffective_order(state.ranks[message.rank], message.payload)
+    coordinator = state.coordinators[message.fence - 1]
+    phase = coordinator.phase
+    is_finished = phase is switch_coordinator.CoordinatorPhase.DECIDED or (
         phase is switch_coordinator.CoordinatorPhase.IDLE and
-        (decider.switch_count > 0 or decider.fence > 1))
+        (coordinator.switch_count > 0 or coordinator.fence > 1))
     match message.reply:
         case switch.Report():
             return phase is not switch_coordinator.CoordinatorPhase.COLLECTING
         case switch.Prepared():
-            return (is_over or
+            return (is_finished or
                     phase is switch_coordinator.CoordinatorPhase.ARMING)
         case switch.Armed():
-            return is_over
+            return is_finished
         case switch.Noted():
             # It only readies the decider for a further switch.
             return True
@@ -287,53 +305,58 @@
             return False
 
 
-def _is_void_order(rank: switch.Rank, order: switch.CoordinatorMessage) -> bool:
+def _is_ineffective_order(rank: switch.Rank,
+                          message: switch.CoordinatorMessage) -> bool:
     closed = switch.NO_SWITCH if rank.held is None else rank.held.closed
-    match order:
+    match message:
         case switch.Prepare() | switch.Arm():
-            return order.id.fence < rank.fence or order.id <= closed
+            return message.id.fence < rank.fence or message.id <= closed
         case switch.Decide():
             # At an equal fence a closed switch changes nothing.
-            return order.fence < rank.fence or (order.fence == rank.fence and
-                                                order.id <= closed)
+            return message.fence < rank.fence or (message.fence == rank.fence
+                                                  and message.id <= closed)
         case switch.Name():
-            return (order.fence < rank.fence or rank.held is not None or
-                    order.incarnation != rank.incarnation)
+            return (message.fence < rank.fence or rank.held is not None or
+                    message.incarnation != rank.incarnation)
         case switch.Query():
-            return order.fence < rank.fence
+            return message.fence < rank.fence
 
 
-def _shown(message: switch.CoordinatorMessage | switch.RankMessage) -> str:
+def _message_label(
+        message: switch.CoordinatorMessage | switch.RankMessage) -> str:
     name = type(message).__name__.lower()
     if isinstance(message, switch.Decide):
         return f'{name} {"commit" if message.commit else "abort"}'
     return name
 
 
-def _put(state: _State, rank: switch.Rank) -> _State:
+def _replace_rank(state: _State, rank: switch.Rank) -> _State:
     ranks = list(state.ranks)
     ranks[rank.index] = rank
     return state._replace(ranks=tuple(ranks))
 
 
-def _reply(state: _State, result: switch_rank.RankResult, fence: int) -> _State:
-    state = _put(state, result.rank)
+def _apply_rank_result(state: _State, result: switch_rank.RankResult,
+                       fence: int) -> _State:
+    state = _replace_rank(state, result.rank)
     if result.reply is None:
         return state
-    message = _ToDecider(fence, result.reply)
-    return state._replace(flight=state.flight | {message})
+    message = _ToCoordinator(fence, result.reply)
+    return state._replace(in_flight=state.in_flight | {message})
 
 
-def _decided(state: _State,
-             result: switch_coordinator.CoordinatorResult) -> _State:
-    deciders = list(state.deciders)
-    deciders[result.coordinator.fence - 1] = result.coordinator
+def _apply_coordinator_result(
+        state: _State, result: switch_coordinator.CoordinatorResult) -> _State:
+    coordinators = list(state.coordinators)
+    coordinators[result.coordinator.fence - 1] = result.coordinator
     sent = {_ToRank(send.rank_index, send.message) for send in result.messages}
-    return state._replace(deciders=tuple(deciders), flight=state.flight | sent)
+    return state._replace(coordinators=tuple(coordinators),
+                          in_flight=state.in_flight | sent)
 
 
-def _is_uniform(state: dict[str, frozenset[tuple[int, int, int]]]) -> bool:
-    maps = {(step, version) for _, step, version in state['used']}
+def _is_map_uniform_per_step(
+        state: dict[str, frozenset[tuple[int, int, int]]]) -> bool:
+    maps = {(step, version) for _, step, version in state['entered_steps']}
     return len({step for step, _ in maps}) == len(maps)
 
 
@@ -342,26 +365,30 @@
     """The switch under the given rules."""
     model = _Model(rules=rules, bounds=bounds)
     ranks = tuple(
-        switch.Rank(
-            index=i, incarnation=1, fence=1, held=switch.Map(base=_BASE))
+        switch.Rank(index=i,
+                    incarnation=1,
+                    fence=1,
+                    held=switch.Map(base=_BASE_VERSION))
         for i in range(bounds.ranks))
-    decider = switch_coordinator.start_coordinator(
-        fence=1, group_size=bounds.ranks, initial_version=_BASE).coordinator
+    coordinator = switch_coordinator.start_coordinator(
+        fence=1, group_size=bounds.ranks,
+        initial_version=_BASE_VERSION).coordinator
     for rank in ranks:
-        decider = switch_coordinator.on_report(decider,
-                                               switch.Report(1,
-                                                             rank)).coordinator
+        coordinator = switch_coordinator.on_report(coordinator,
+                                                   switch.Report(
+                                                       1, rank)).coordinator
     return checking.Specification(
         name='switch',
         fields=_State._fields,
         initial=_State(ranks=ranks,
-                       deciders=(decider,),
-                       flight=frozenset(),
-                       used=frozenset(),
+                       coordinators=(coordinator,),
+                       in_flight=frozenset(),
+                       entered_steps=frozenset(),
                        restarts=0),
         transitions=lambda state: model.transitions(_State(*state)),
         invariants={
-            'in every step all ranks use the same map': _is_uniform,
+            'in every step all ranks use the same map':
+                _is_map_uniform_per_step,
         })
 
 
@@ -369,83 +396,89 @@
     return rank.held is not None
 
 
-def _restart_with_old_map(rank: switch.Rank, *, fence: int,
-                          step: int) -> switch.Rank:
+def _restart_with_initial_map(rank: switch.Rank, *, fence: int,
+                              step: int) -> switch.Rank:
     restarted = switch_rank.restarted_rank(rank, fence=fence, step=step)
-    return dataclasses.replace(restarted, held=switch.Map(base=_BASE))
+    return dataclasses.replace(restarted, held=switch.Map(base=_BASE_VERSION))
 
 
-def _arm_late(rank: switch.Rank, order: switch.Arm) -> switch_rank.RankResult:
+def _arm_at_entered_step(rank: switch.Rank,
+                         message: switch.Arm) -> switch_rank.RankResult:
     """Arms at a step that was entered already."""
-    moved = dataclasses.replace(rank, step=min(rank.step, order.step - 1))
-    result = switch_rank.on_arm(moved, order)
+    at_earlier_step = dataclasses.replace(rank,
+                                          step=min(rank.step, message.step - 1))
+    result = switch_rank.on_arm(at_earlier_step, message)
     return switch_rank.RankResult(
         dataclasses.replace(result.rank, step=rank.step), result.reply)
 
 
 def _decide_unfenced(rank: switch.Rank,
-                     order: switch.Decide) -> switch_rank.RankResult:
-    fence = max(rank.fence, order.fence)
-    return switch_rank.on_decide(rank, dataclasses.replace(order, fence=fence))
+                     message: switch.Decide) -> switch_rank.RankResult:
+    fence = max(rank.fence, message.fence)
+    return switch_rank.on_decide(rank, dataclasses.replace(message,
+                                                           fence=fence))
 
 
 def _commit_at_first_ack(
-        decider: switch_coordinator.Coordinator,
+        coordinator: switch_coordinator.Coordinator,
         reply: switch.Armed) -> switch_coordinator.CoordinatorResult:
     return switch_coordinator.on_armed(
         dataclasses.replace(
-            decider,
-            acknowledged_ranks=frozenset(range(decider.group_size)) -
+            coordinator,
+            acknowledged_ranks=frozenset(range(coordinator.group_size)) -
             {reply.index}), reply)
 
 
-def _ack_of_any_incarnation(
-        decider: switch_coordinator.Coordinator,
+def _accept_ack_of_any_incarnation(
+        coordinator: switch_coordinator.Coordinator,
         reply: switch.Armed) -> switch_coordinator.CoordinatorResult:
-    incarnation = decider.incarnations[reply.index]
+    incarnation = coordinator.incarnations[reply.index]
     return switch_coordinator.on_armed(
-        decider, dataclasses.replace(reply, incarnation=incarnation, ok=True))
+        coordinator, dataclasses.replace(reply,
+                                         incarnation=incarnation,
+                                         ok=True))
 
 
 def _join_without_abort(
-        decider: switch_coordinator.Coordinator,
+        coordinator: switch_coordinator.Coordinator,
         request: switch.Join) -> switch_coordinator.CoordinatorResult:
     """Names the map and goes on with the switch."""
     joined = switch_coordinator.on_join(
-        dataclasses.replace(decider,
+        dataclasses.replace(coordinator,
                             phase=switch_coordinator.CoordinatorPhase.IDLE),
         request)
     return switch_coordinator.CoordinatorResult(
-        dataclasses.replace(joined.coordinator, phase=decider.phase),
+        dataclasses.replace(joined.coordinator, phase=coordinator.phase),
         joined.messages)
 
 
-def _settle_without_all(
-        decider: switch_coordinator.Coordinator,
+def _resolve_from_first_report(
+        coordinator: switch_coordinator.Coordinator,
         report: switch.Report) -> switch_coordinator.CoordinatorResult:
     """Settles from the first report alone."""
-    alone = dataclasses.replace(decider,
-                                rank_reports=(report.rank,) *
-                                decider.group_size)
-    return switch_coordinator.on_report(alone, report)
+    with_one_report = dataclasses.replace(coordinator,
+                                          rank_reports=(report.rank,) *
+                                          coordinator.group_size)
+    return switch_coordinator.on_report(with_one_report, report)
 
 
 RESTART_MUTANTS: dict[str, Rules] = {
     'a rank enters its armed step undecided':
-        Rules(may_enter=_may_enter_undecided),
+        Rules(may_enter_next_step=_may_enter_undecided),
     'a restarted rank goes on with an old map':
-        Rules(restart=_restart_with_old_map),
+        Rules(restarted_rank=_restart_with_initial_map),
     'a rank arms at a step that it has entered':
-        Rules(on_arm=_arm_late),
+        Rules(on_arm=_arm_at_entered_step),
     'the decider commits before every rank has armed':
         Rules(on_armed=_commit_at_first_ack),
     'what a rank promised before its restart counts':
-        Rules(on_armed=_ack_of_any_incarnation, on_join=_join_without_abort),
+        Rules(on_armed=_accept_ack_of_any_incarnation,
+              on_join=_join_without_abort),
 }
 
 TAKEOVER_MUTANTS: dict[str, Rules] = {
     'a decision is taken from a decider that was replaced':
-        Rules(on_decide=_decide_unfenced, fenced=False),
+        Rules(on_decide=_decide_unfenced, rejects_lower_fences=False),
     'a new decider settles before every rank has reported':
-        Rules(on_report=_settle_without_all),
+        Rules(on_report=_resolve_from_first_report),
 }
