Reword the models in plain technical terms

Cause: module docstrings, labels and comments described the protocols in figurative terms, and rules and states had no documented fields. Change: docstrings, labels of steps, names of invariants and comments. The invariants feature was not run yet.

--- a/models/__init__.py
+++ b/models/__init__.py
@@ -1,1 +1,1 @@
-"""The specification of the core protocol and its checker."""
+"""Model checking of the distributed protocols of pollenthread."""
--- a/models/__main__.py
+++ b/models/__main__.py
@@ -1,4 +1,7 @@
-"""Checks every specification: `python -m models [--large] [NAME ...]`."""
+"""Checks the models: `python -m models [--large] [NAME ...]`.
+
+Prints the size of each state space and the counterexample of each mutant.
+"""
 
 import argparse
 import sys
@@ -39,14 +42,18 @@
 
 
 def main() -> int:
-    """Checks the named specifications.
+    """Checks the models that are named on the command line, or all.
 
     Returns:
-        The exit status: 0 when all hold and every mutant is caught.
+        Exit status: 0 if all invariants hold and every mutant violates one.
     """
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('names', nargs='*', help='default: all')
-    parser.add_argument('--large', action='store_true', help='larger bounds')
+    parser.add_argument('names',
+                        nargs='*',
+                        help='models to check (default: all)')
+    parser.add_argument('--large',
+                        action='store_true',
+                        help='use the larger bounds')
     args = parser.parse_args()
     names = args.names or list(suite.MODELS)
     verdicts = [_check(name, args.large) for name in names]
--- a/models/checking.py
+++ b/models/checking.py
@@ -1,4 +1,4 @@
-"""Checks a specification exhaustively, and that each guard is needed."""
+"""Explicit-state model checking of a specification and of its mutants."""
 
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
@@ -6,7 +6,7 @@
 
 import minicheck
 
-__all__ = ['Finding', 'Specification', 'check', 'check_mutant']
+__all__ = ['CheckResult', 'Specification', 'check', 'check_mutant']
 
 State = tuple[Any, ...]
 _MAX_STATES = 5_000_000
@@ -14,14 +14,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Specification:
-    """A state machine whose transitions call the project's own decisions.
+    """A state machine whose transitions call functions of pollenthread.
 
     Attributes:
-        name: what is specified.
-        fields: names of the parts of a state.
-        initial: the first state.
-        transitions: labelled successors of a state.
-        invariants: what must always hold, by name.
+        name: name of the protocol.
+        fields: names of the variables of a state, in the order of the tuple.
+        initial: the initial state.
+        transitions: returns the successors of a state, each with a label.
+        invariants: predicates that must hold in every state, by name. They
+            get the variables of a state by field name.
     """
 
     name: str
@@ -33,14 +34,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class CheckResult:
-    """What a check found.
+    """The result of checking a specification.
 
     Attributes:
-        name: the specification's name.
-        states: how many states were reached.
-        depth: the longest shortest path to a state.
+        name: name of the specification.
+        states: number of states that were reached.
+        depth: number of steps from the initial state to the farthest state.
         exhaustive: whether every reachable state was visited.
-        traces_by_invariant: the steps to a violation, where there is one.
+        counterexamples: for each violated invariant, the labels of the steps
+            from the initial state to a violation.
     """
 
     name: str
@@ -51,7 +53,7 @@
 
     @property
     def holds(self) -> bool:
-        """Whether every invariant holds in every reachable state."""
+        """Whether the check is exhaustive and found no violation."""
         return self.exhaustive and not self.counterexamples
 
 
@@ -59,12 +61,15 @@
           max_states: int = _MAX_STATES,
           *,
           stop_at_violation: bool = False) -> CheckResult:
-    """Visits every reachable state; does not go on from a violation.
+    """Visits the reachable states, without the successors of a violation.
 
     Args:
-        specification: what to check.
-        max_states: states to visit at most.
-        stops_at_violation: whether the first violation is enough.
+        specification: the specification to check.
+        max_states: maximum number of states to visit.
+        stop_at_violation: whether to end the search at the first violation.
+
+    Returns:
+        The number of states, the depth and the counterexamples.
     """
     depth_by_state = {specification.initial: 0}
     invariants = specification.invariants.values()
@@ -98,7 +103,7 @@
 
 
 def _traces(result: dict[str, Any]) -> dict[str, tuple[str, ...]]:
-    """The steps to each violation that a check found."""
+    """Returns the labels of the steps to each violation."""
     return {
         name:
             tuple(step['label'] or 'initial'
@@ -110,7 +115,15 @@
 
 def check_mutant(specification: Specification,
                  max_states: int = _MAX_STATES) -> tuple[str, ...]:
-    """The shortest trace by which a mutant breaks an invariant, or none."""
+    """Searches for a violation in the specification of a mutant.
+
+    Args:
+        specification: the specification under the rules of the mutant.
+        max_states: maximum number of states to visit.
+
+    Returns:
+        The shortest counterexample that was found, or an empty tuple.
+    """
     result = check(specification, max_states, stop_at_violation=True)
     traces = sorted(result.counterexamples.values(), key=len)
     return traces[0] if traces else ()
--- a/models/claims.py
+++ b/models/claims.py
@@ -1,10 +1,20 @@
-"""Claims: two entry hosts, one key, an agent that restarts, a table that loses
-answers.
-
-Messages on a link may be delayed; they come once at most, and are lost with
-its session. A write to
-the table may take effect and its answer be lost. A read may be old. Entry
-hosts may die at any step; interleaving stands for pauses.
+"""Model of the claims that make requests run at most once.
+
+Two entry hosts process requests with the same idempotency key. They claim the
+key in a table and send a begin message to an agent, which may restart.
+
+The faults are:
+    - A message on a link may be delayed. It is delivered at most once, and is
+      lost when the session of the link ends.
+    - The response to a table write may be lost, whether or not the write took
+      effect.
+    - A read of the table may return the row before the last write.
+    - An entry host may crash at any step.
+
+A paused process is a process that takes no step while the others do. The
+invariants are that a non-idempotent request runs at most once, that only the
+response of a request that ran is replayed, and that an attempt that the agent
+rejected as not run did not run.
 """
 
 import dataclasses
@@ -22,17 +32,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rules:
-    """The project's decisions; a mutant replaces one of them.
+    """Decision functions of pollenthread, one of which a mutant replaces.
 
     Attributes:
-        first_step: what an entry host does with a row.
-        after_seal: what it does with an agent's answer.
-        is_beginnable: whether an agent begins.
-        seal_answer: what an agent answers to a seal.
-        must_be_kept: whether an agent must remember an attempt.
-        has_ended: whether a row proves that an agent may forget.
-        rereads: whether a lost answer of the table is settled by reading.
-        compares: whether a write names the version that it replaces.
+        initial_action: selects the action of an entry host for a row.
+        action_after_seal: selects its action for the agent's seal state.
+        may_start: whether an agent may start an attempt.
+        seal_state: the agent's reply to a seal request.
+        must_be_retained: whether an agent must retain an ended attempt.
+        has_ended: whether a row proves that an agent may discard an attempt.
+        reads_after_lost_response: whether an entry host reads the row when
+            the response to its write is lost, rather than assume success.
+        checks_version: whether a write requires that the row still has the
+            version that it replaces.
     """
 
     initial_action: Callable[..., claims.ClaimAction] = claims.initial_action
@@ -47,15 +59,15 @@
 
 
 class _Entry(NamedTuple):
-    """One entry host that serves one request under the key.
+    """One entry host, which processes one request with the key.
 
     Attributes:
-        pc: the next step.
-        claim: the claim that it wants.
+        pc: program counter; names the next step.
+        claim: the claim that the entry host writes.
         row: the row that it read last.
-        version: the version of that row, or of its own claim.
-        incarnation: the incarnation that answered a seal.
-        answer: what that agent answered.
+        version: version of that row, or of its own claim.
+        incarnation: incarnation of the agent that replied to the seal request.
+        agent_seal_state: the reply to the seal request, or None without one.
     """
 
     pc: str = 'start'
@@ -70,10 +82,10 @@
     """The agent.
 
     Attributes:
-        incarnation: rises with each restart.
+        incarnation: increases with each restart.
         sessions: the open session of each entry host; 0 when closed.
-        phases: what is remembered of attempts.
-        sealed: sealed attempts with their sessions.
+        phases: the attempts that the agent knows, each with its phase.
+        sealed: sealed attempts, each with its session.
     """
 
     incarnation: int
@@ -82,12 +94,28 @@
     sealed: frozenset[tuple[str, str]]
 
     def phase(self, attempt: str) -> attempt_rules.AttemptPhase | None:
-        """What is remembered of an attempt."""
+        """Returns the phase of an attempt, or None if it is unknown."""
         return dict(self.phases).get(attempt)
 
 
 class _State(NamedTuple):
-    """The whole system."""
+    """State of the whole system.
+
+    Attributes:
+        entries: the entry hosts.
+        agent: the agent.
+        row: current row of the key in the table.
+        version: version of the row; 0 before the first write.
+        old_row: the row before the last write.
+        old_version: version of `old_row`.
+        begin_messages: claims whose begin messages are in flight.
+        run_count: number of attempts that were started.
+        rejected_as_not_run: attempts that the agent rejected as not run.
+        replayed: whether an entry host replayed a stored response.
+        restarts: number of agent restarts so far.
+        reconnects: number of replaced links so far.
+        lost_responses: number of lost table responses so far.
+    """
 
     entries: tuple[_Entry, ...]
     agent: _Agent
@@ -109,7 +137,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Bounds:
-    """How often each fault may happen."""
+    """Maximum number of times that each fault happens.
+
+    Attributes:
+        restarts: restarts of the agent.
+        reconnects: replacements of a link.
+        lost_responses: lost responses to table writes.
+    """
 
     restarts: int
     reconnects: int
@@ -117,14 +151,14 @@
 
 
 class _Model:
-    """Successors of a state under a set of rules."""
+    """Computes the successors of a state under a set of rules."""
 
     def __init__(self, *, rules: Rules, bounds: _Bounds) -> None:
         self._rules = rules
         self._bounds = bounds
 
     def transitions(self, state: _State) -> _Successors:
-        """Every step that some part of the system may take."""
+        """Yields the label and the resulting state of each possible step."""
         for index, entry in enumerate(state.entries):
             yield from self._entry_steps(state, index, entry)
         yield from self._agent_steps(state)
@@ -155,7 +189,7 @@
             case 'confirm':
                 yield from self._confirm_response(state, index, entry, name)
         if entry.pc not in ('dead', 'ended'):
-            yield (f'{name} dies',
+            yield (f'{name} crashes',
                    _replace_entry(state, index, _Entry(pc='dead')))
 
     def _create_claim(self, state: _State, index: int,
@@ -169,7 +203,7 @@
                              session=f'{index}:{session}',
                              digest=_DIGEST)
         entry = _Entry(pc='insert', claim=claim)
-        yield f'{name} chooses', _replace_entry(state, index, entry)
+        yield f'{name} creates a claim', _replace_entry(state, index, entry)
 
     def _insert_claim(self, state: _State, index: int, entry: _Entry,
                       name: str) -> _Successors:
@@ -185,22 +219,23 @@
 
     def _lose_response(self, state: _State, written: _State, index: int,
                        entry: _Entry, name: str) -> _Successors:
-        """The table's answer to a write is lost, with or without effect."""
+        """Loses the response to a write that did or did not take effect."""
         if state.lost_responses >= self._bounds.lost_responses:
             return
         pc = 'read' if self._rules.reads_after_lost_response else 'granted'
-        for label, after in (('took effect', written), ('had none', state)):
+        for label, after in (('took effect', written), ('had no effect',
+                                                        state)):
             after = after._replace(lost_responses=state.lost_responses + 1)
-            yield (f'{name} loses the answer to a write that {label}',
+            yield (f'{name} loses the response to a write that {label}',
                    _replace_entry(after, index,
                                   entry._replace(pc=pc, version=after.version)))
 
     def _read_row(self, state: _State, index: int, entry: _Entry,
                   name: str) -> _Successors:
         assert entry.claim is not None
-        rows = {('new', state.row, state.version)}
+        rows = {('current', state.row, state.version)}
         if state.old_version:
-            rows.add(('old', state.old_row, state.old_version))
+            rows.add(('stale', state.old_row, state.old_version))
         for age, row, version in sorted(rows, key=lambda item: item[0]):
             action = self._rules.initial_action(row,
                                                 attempt=entry.claim.attempt,
@@ -232,7 +267,7 @@
                       name: str) -> _Successors:
         assert entry.row is not None
         unreplied = entry._replace(pc='after_seal', agent_seal_state=None)
-        yield f'{name} gets no answer to its seal', _replace_entry(
+        yield f'{name} gets no reply to its seal request', _replace_entry(
             state, index, unreplied)
         agent = state.agent
         if not agent.sessions[index]:
@@ -245,7 +280,7 @@
         replied = entry._replace(pc='after_seal',
                                  incarnation=agent.incarnation,
                                  agent_seal_state=self._rules.seal_state(phase))
-        yield (f'{name} asks for a seal: {replied.agent_seal_state}',
+        yield (f'{name} gets a seal state: {replied.agent_seal_state}',
                _replace_entry(state._replace(agent=agent), index, replied))
 
     def _after_seal(self, state: _State, index: int, entry: _Entry,
@@ -261,9 +296,10 @@
                 entry.row.attempt) is attempt_rules.AttemptPhase.DONE and
               state.agent.incarnation == entry.incarnation):
             attached = entry._replace(pc='record', claim=entry.row)
-            yield f'{name} attaches', _replace_entry(state, index, attached)
+            yield f'{name} attaches to the attempt', _replace_entry(
+                state, index, attached)
         else:
-            yield f'{name} reports unknown', _replace_entry(
+            yield f'{name} reports an unknown result', _replace_entry(
                 state, index, _Entry(pc='ended'))
 
     def _take_over(self, state: _State, index: int, entry: _Entry,
@@ -275,7 +311,7 @@
             return
         written = _write_claim(state, entry.claim)
         granted = entry._replace(pc='granted', version=written.version)
-        yield f'{name} takes the claim over', _replace_entry(
+        yield f'{name} takes over the claim', _replace_entry(
             written, index, granted)
         yield from self._lose_response(state, written, index, entry, name)
 
@@ -283,13 +319,13 @@
                          name: str) -> _Successors:
         assert entry.claim is not None
         if state.version != entry.version:
-            yield f'{name} finds it recorded', _replace_entry(
+            yield f'{name} finds the response recorded', _replace_entry(
                 state, index, _Entry(pc='ended'))
             return
         done = dataclasses.replace(entry.claim,
                                    state=claims.ClaimState.DONE,
                                    outcome=claims.StoredResponse(200, (), b''))
-        yield (f'{name} records the outcome',
+        yield (f'{name} records the response',
                _replace_entry(_write_claim(state, done), index,
                               entry._replace(pc='confirm')))
 
@@ -300,8 +336,8 @@
                            for attempt, phase in state.agent.phases
                            if attempt != entry.claim.attempt)
         agent = state.agent._replace(phases=phases)
-        yield f'{name} confirms', _replace_entry(state._replace(agent=agent),
-                                                 index, _Entry(pc='ended'))
+        yield f'{name} confirms the response', _replace_entry(
+            state._replace(agent=agent), index, _Entry(pc='ended'))
 
     def _agent_steps(self, state: _State) -> _Successors:
         agent = state.agent
@@ -314,7 +350,7 @@
                 yield from self._release_retained(state, attempt, phase)
 
     def _deliver_begin(self, state: _State, claim: claims.Claim) -> _Successors:
-        """A begin reaches the agent over the link that carries it."""
+        """Delivers a begin message to the agent."""
         agent = state.agent
         index = int(claim.session.split(':')[0])
         link_session = f'{index}:{agent.sessions[index]}'
@@ -329,12 +365,12 @@
             phases = agent.phases | {
                 (claim.attempt, attempt_rules.AttemptPhase.RUNNING)
             }
-            yield f'agent begins {claim.attempt}', state._replace(
+            yield f'agent starts {claim.attempt}', state._replace(
                 agent=agent._replace(phases=phases),
                 run_count=state.run_count + 1)
         elif (claim.session == link_session and
               agent.phase(claim.attempt) is None):
-            yield f'agent refuses {claim.attempt}', state._replace(
+            yield f'agent rejects {claim.attempt}', state._replace(
                 rejected_as_not_run=state.rejected_as_not_run | {claim.attempt})
 
     def _finish(self, state: _State, attempt: str) -> _Successors:
@@ -353,19 +389,22 @@
                         phase is attempt_rules.AttemptPhase.DONE):
                     after = _replace_entry(after, index,
                                            entry._replace(pc='record'))
-            yield f'{attempt} ends {phase.value}', after
+            yield f'{attempt} ends as {phase.value}', after
 
     def _release_retained(self, state: _State, attempt: str,
                           phase: attempt_rules.AttemptPhase) -> _Successors:
-        """Some entry host reads the row of an outcome nobody confirmed."""
-        rows = {'new': state.row}
+        """Some entry host reads the row of an unconfirmed attempt.
+
+        The agent discards the attempt if the row proves that it may.
+        """
+        rows = {'current': state.row}
         if state.version:
             rows['stale'] = state.old_row
         for age, row in rows.items():
             if self._rules.has_ended(row):
                 agent = state.agent._replace(phases=state.agent.phases -
                                              {(attempt, phase)})
-                yield (f'the {age} row lets the agent forget {attempt}',
+                yield (f'the {age} row lets the agent discard {attempt}',
                        state._replace(agent=agent))
 
     def _fault_steps(self, state: _State) -> _Successors:
@@ -413,7 +452,7 @@
 
 
 def _rejected_attempts_did_not_run(state: dict[str, frozenset[str]]) -> bool:
-    """What was refused as not run is neither running nor done."""
+    """Whether rejected attempts are neither running nor ended."""
     agent = state['agent']
     assert isinstance(agent, _Agent)
     return all(
@@ -423,7 +462,12 @@
 
 def specification(rules: Rules = Rules(), *,
                   large: bool = False) -> checking.Specification:
-    """The claims protocol under the given rules."""
+    """Returns the specification of the claims protocol.
+
+    Args:
+        rules: the decision functions.
+        large: whether to use the larger bounds.
+    """
     bounds = _Bounds(restarts=1,
                      reconnects=2 if large else 1,
                      lost_responses=2 if large else 1)
@@ -450,11 +494,11 @@
         initial=initial,
         transitions=lambda state: model.transitions(_State(*state)),
         invariants={
-            'what may not be repeated runs at most once':
+            'a non-idempotent request runs at most once':
                 _has_run_at_most_once,
-            'a kept outcome is of work that ran':
+            'only the response of a request that ran is replayed':
                 _replay_implies_run,
-            'what is refused as not run did not run':
+            'an attempt rejected as not run did not run':
                 _rejected_attempts_did_not_run,
         })
 
--- a/models/configuration.py
+++ b/models/configuration.py
@@ -1,7 +1,13 @@
-"""Configuration: two operators, old reads, lost answers, a fresh host.
+"""Model of the distribution of configuration versions.
 
-Operator 0 and operator 1 each change the version that they have read. Hosts
-take versions from the table, whose reads may be old, and from each other.
+Two operators each read the newest version and publish a change of it. Two
+hosts, which start without a configuration, receive versions from the table
+and from each other. A read of the table may return the version before the
+newest, and the response to a publication may be lost.
+
+The invariants are that the version of a host never decreases, that an accepted
+version is never replaced, and that a host with a proof of freshness has every
+version that was accepted before the time of the proof.
 """
 
 import dataclasses
@@ -16,14 +22,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rules:
-    """The project's decisions; a mutant replaces one of them.
+    """Decision functions of pollenthread, one of which a mutant replaces.
 
     Attributes:
-        may_adopt: whether a version may come into force.
-        merge: what a proof adds to what a host knows.
-        proof_from_peer: when a peer's version was newest, by the own clock.
-        compares: whether a publication names the version that it follows.
-        rereads: whether a lost answer to a publication is settled by reading.
+        may_adopt: whether a host may apply an offered version.
+        merge_proof: merges a proof into the freshness that a host knows.
+        peer_proof_time: time by the own clock at which the version of a peer
+            was the newest.
+        checks_version: whether a publication requires that the version that
+            it changes is still the newest.
+        reads_after_lost_response: whether an operator reads the table when
+            the response to a publication is lost, rather than assume success.
     """
 
     may_adopt: Callable[[int, int], bool] = config_freshness.may_adopt
@@ -35,14 +44,26 @@
 
 
 class _Operator(NamedTuple):
-    """One operator: what it does next, and on which version."""
+    """One operator.
+
+    Attributes:
+        pc: program counter; names the next step.
+        base: the version that the operator changes.
+    """
 
     pc: str = 'reads'
     base: int = 0
 
 
 class _PeerReply(NamedTuple):
-    """A peer's answer on its way: its version and the age of its proof."""
+    """A peer's reply in flight.
+
+    Attributes:
+        host: index of the host that asked.
+        asked_at: time of the question in ticks.
+        version: version of the peer.
+        age: age of the peer's proof in ticks.
+    """
 
     host: int
     asked_at: int
@@ -51,19 +72,19 @@
 
 
 class _State(NamedTuple):
-    """The whole system.
+    """State of the whole system.
 
     Attributes:
         now: time in ticks.
-        authors: who wrote each version, from version 1 on.
-        accepted_at: when each version was written.
+        authors: operator that wrote each version, from version 1 on.
+        accepted_at: time at which each version was written, in ticks.
         operators: the operators.
-        accepted: operators that were told of success, with their versions.
-        hosts: what each host knows.
-        gives: answers of peers on their way.
-        has_fallen: whether a host went back to a lower version.
-        losses: lost answers so far.
-        old_reads: old reads so far.
+        accepted: operators that got a success, each with its version.
+        hosts: the version of each host and its proof.
+        peer_replies: replies between hosts that are in flight.
+        has_version_decreased: whether a host applied a lower version.
+        lost_responses: number of lost responses so far.
+        stale_reads: number of stale reads so far.
     """
 
     now: int
@@ -82,7 +103,7 @@
 
 
 class _Model:
-    """Successors of a state under a set of rules."""
+    """Computes the successors of a state under a set of rules."""
 
     def __init__(self, *, rules: Rules, max_ticks: int,
                  max_stale_reads: int) -> None:
@@ -91,9 +112,9 @@
         self._max_stale_reads = max_stale_reads
 
     def transitions(self, state: _State) -> _Successors:
-        """Every step that some part of the system may take."""
+        """Yields the label and the resulting state of each possible step."""
         if state.now < self._max_ticks:
-            yield 'time passes', state._replace(now=state.now + 1)
+            yield 'one tick elapses', state._replace(now=state.now + 1)
         for index, operator in enumerate(state.operators):
             yield from self._operator_steps(state, index, operator)
         for index in range(len(state.hosts)):
@@ -103,9 +124,10 @@
             after = state._replace(peer_replies=state.peer_replies - {reply})
             proved_at = self._rules.peer_proof_time(asked_at=reply.asked_at,
                                                     age_s=reply.age)
-            yield (f'host {reply.host} takes version {reply.version} of a peer',
-                   self._record_version(after, reply.host, reply.version,
-                                        proved_at))
+            yield (
+                f'host {reply.host} gets version {reply.version} from a peer',
+                self._record_version(after, reply.host, reply.version,
+                                     proved_at))
 
     def _operator_steps(self, state: _State, index: int,
                         operator: _Operator) -> _Successors:
@@ -117,13 +139,13 @@
                 state, index, writes)
         elif operator.pc == 'writes':
             yield from self._publish_steps(state, index, operator)
-        elif operator.pc == 'settles':
+        elif operator.pc == 'resolves':
             version = operator.base + 1
             is_own_write = newest >= version and state.authors[version -
                                                                1] == index
             accepted = {(index, version)} if is_own_write else set()
             verdict = 'accepted' if is_own_write else 'conflict'
-            yield f'{name} settles: {verdict}', _replace_operator(
+            yield f'{name} reads the result: {verdict}', _replace_operator(
                 state._replace(accepted=state.accepted | accepted), index,
                 _Operator('ended'))
 
@@ -144,13 +166,14 @@
             succeeded, index, _Operator('ended'))
         if state.lost_responses:
             return
-        pc = 'settles' if self._rules.reads_after_lost_response else 'ended'
-        for label, after in (('took effect', written), ('had none', state)):
+        pc = 'resolves' if self._rules.reads_after_lost_response else 'ended'
+        for label, after in (('took effect', written), ('had no effect',
+                                                        state)):
             after = after._replace(lost_responses=1)
             if not self._rules.reads_after_lost_response:
                 after = after._replace(accepted=after.accepted |
                                        {(index, version)})
-            yield (f'{name} loses the answer to a write that {label}',
+            yield (f'{name} loses the response to a write that {label}',
                    _replace_operator(after, index, operator._replace(pc=pc)))
 
     def _read_steps(self, state: _State, index: int) -> _Successors:
@@ -158,11 +181,12 @@
         yield f'host {index} reads version {newest}', self._record_version(
             state, index, newest, state.now)
         if newest and state.stale_reads < self._max_stale_reads:
-            # The read is as old as the version after it.
+            # The stale version was newest until the newest one was accepted.
             proved_at = state.accepted_at[newest - 1]
-            yield f'host {index} reads old version {newest - 1}', self._record_version(
-                state._replace(stale_reads=state.stale_reads + 1), index,
-                newest - 1, proved_at)
+            yield (f'host {index} reads stale version {newest - 1}',
+                   self._record_version(
+                       state._replace(stale_reads=state.stale_reads + 1), index,
+                       newest - 1, proved_at))
 
     def _peer_reply_steps(self, state: _State, index: int) -> _Successors:
         for peer, known in enumerate(state.hosts):
@@ -172,8 +196,9 @@
             for asked_at in range(state.now + 1):
                 reply = _PeerReply(index, asked_at, known.version, int(age))
                 if len(state.peer_replies) < 1:
-                    yield f'host {peer} answers host {index}', state._replace(
-                        peer_replies=state.peer_replies | {reply})
+                    yield (f'host {peer} replies to host {index}',
+                           state._replace(peer_replies=state.peer_replies |
+                                          {reply}))
 
     def _record_version(self, state: _State, index: int, version: int,
                         proved_at: float) -> _State:
@@ -209,7 +234,7 @@
 
 
 def _proofs_are_true(state: dict[str, Any]) -> bool:
-    """A host knows every version that was accepted before its proof."""
+    """Whether each host has the versions accepted before its proof."""
     return all(host.proved_at is None or all(
         version <= host.version
         for version, at in enumerate(state['accepted_at'], start=1)
@@ -219,7 +244,12 @@
 
 def specification(rules: Rules = Rules(), *,
                   large: bool = False) -> checking.Specification:
-    """Configuration under the given rules."""
+    """Returns the specification of the configuration distribution.
+
+    Args:
+        rules: the decision functions.
+        large: whether to use the larger bounds.
+    """
     model = _Model(rules=rules, max_ticks=2 if large else 1, max_stale_reads=1)
     return checking.Specification(
         name='configuration',
@@ -236,9 +266,12 @@
                        stale_reads=0),
         transitions=lambda state: model.transitions(_State(*state)),
         invariants={
-            'versions never fall at a host': _versions_never_decrease,
-            'an accepted version is never replaced': _accepted_versions_stay,
-            'a proof of freshness is true': _proofs_are_true,
+            'the version of a host never decreases':
+                _versions_never_decrease,
+            'an accepted version is never replaced':
+                _accepted_versions_stay,
+            'a host has all versions accepted before its proof':
+                _proofs_are_true,
         })
 
 
@@ -255,7 +288,7 @@
 
 def _merge_old_proof(known: config_freshness.ConfigFreshness, *, version: int,
                      proved_at: float) -> config_freshness.ConfigFreshness:
-    """Lets a proof of an older version refresh a newer one."""
+    """Applies the proof of an older version to a newer one."""
     return config_freshness.merge_proof(known,
                                         version=max(version, known.version),
                                         proved_at=proved_at)
--- a/models/leases.py
+++ b/models/leases.py
@@ -1,8 +1,12 @@
-"""Leases: two processes, clocks that drift, lost answers, pauses.
+"""Model of the leases that elect one process for a duty.
 
-Process 0 has the slowest clock that is allowed for, process 1 the fastest. A
-write may take effect late, and its answer be lost. Interleaving stands for
-pauses.
+Two processes acquire, renew and release the lease of one duty. Process 0 has
+the slowest clock within the allowed drift, process 1 the fastest. A write may
+take effect late, and its response may be lost. A paused process is a process
+that takes no step while the others do.
+
+The invariants are that at most one process may act under the duty at a time,
+and that fencing numbers never decrease.
 """
 
 import dataclasses
@@ -22,14 +26,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rules:
-    """The project's decisions; a mutant replaces one of them.
+    """Decision functions of pollenthread, one of which a mutant replaces.
 
     Attributes:
-        acquire: whether to take the duty.
-        safe_until: until when a holder may act.
-        counts_from_answer: whether a lease is counted from the answer.
-        compares: whether a write names the version that it replaces.
-        settle: what a read proves about a lost answer.
+        lease_to_acquire: returns the lease to write, or None if the process
+            must not acquire the duty.
+        safe_until: time until which a holder may act.
+        starts_at_response: whether the duration of a lease starts at the
+            response to the write rather than when the write was sent.
+        checks_version: whether a write requires that the row still has the
+            version that it replaces.
+        resolve_write: outcome of a write without a response, from a read.
     """
 
     lease_to_acquire: Callable[...,
@@ -41,13 +48,14 @@
 
 
 class _Write(NamedTuple):
-    """A write on its way to the table.
+    """A write in flight to the table.
 
     Attributes:
-        lease: what it writes.
-        expect: the version that it replaces.
-        sent_at: the writer's monotonic seconds before it was sent.
-        made: the version that it made; 0 before it takes effect.
+        lease: the lease that is written.
+        expected_version: version that the row must have.
+        sent_at: monotonic time of the writer before sending, in seconds.
+        written_version: version that the write created; 0 before it takes
+            effect.
     """
 
     lease: leases.Lease
@@ -57,7 +65,14 @@
 
 
 class _Process(NamedTuple):
-    """One process that may hold the duty."""
+    """One process that may hold the duty.
+
+    Attributes:
+        known: the lease that the process last observed.
+        version: version of that row.
+        held: the lease that the process holds.
+        write: its write in flight.
+    """
 
     known: leases.LeaseObservation | None = None
     version: int = 0
@@ -66,7 +81,17 @@
 
 
 class _State(NamedTuple):
-    """The whole system."""
+    """State of the whole system.
+
+    Attributes:
+        now: true time in seconds.
+        time_steps: number of steps of the time so far.
+        row: row of the lease in the table.
+        version: version of the row; 0 before the first write.
+        fencing: highest fencing number written so far.
+        has_fencing_decreased: whether a write lowered the fencing number.
+        processes: the processes.
+    """
 
     now: int
     time_steps: int
@@ -81,7 +106,7 @@
 
 
 class _Model:
-    """Successors of a state under a set of rules."""
+    """Computes the successors of a state under a set of rules."""
 
     def __init__(self, *, rules: Rules, max_time_steps: int,
                  max_fencing: int) -> None:
@@ -90,10 +115,10 @@
         self._max_fencing = max_fencing
 
     def transitions(self, state: _State) -> _Successors:
-        """Every step that some part of the system may take."""
+        """Yields the label and the resulting state of each possible step."""
         if state.time_steps < self._max_time_steps:
             for step_s in _TIME_STEPS_S:
-                yield f'{step_s} s pass', state._replace(
+                yield f'{step_s} s elapse', state._replace(
                     now=state.now + step_s, time_steps=state.time_steps + 1)
         for index, process in enumerate(state.processes):
             yield from self._process_steps(state, index, process)
@@ -107,7 +132,7 @@
             return
         if state.row is not None and state.version != process.version:
             known = leases.update_observation(process.known, state.row, now)
-            yield f'{name} reads', _replace_process(
+            yield f'{name} reads the row', _replace_process(
                 state, index,
                 process._replace(known=known, version=state.version))
         yield from self._acquire_lease(state, index, process, now)
@@ -126,8 +151,9 @@
                                              now=now)
         if lease is not None:
             write = _Write(lease, process.version, now)
-            yield f'process {index} wants the duty', _replace_process(
-                state, index, process._replace(held=None, write=write))
+            yield (f'process {index} sends a write to acquire the lease',
+                   _replace_process(state, index,
+                                    process._replace(held=None, write=write)))
 
     def _renew_or_release(self, state: _State, index: int, process: _Process,
                           now: float) -> _Successors:
@@ -135,11 +161,11 @@
         renewed = leases.lease_to_renew(process.held, now=now)
         if renewed is not None and renewed.renewals <= 1:
             write = _Write(renewed, process.held.row_version, now)
-            yield f'process {index} renews', _replace_process(
+            yield f'process {index} sends a renewal', _replace_process(
                 state, index, process._replace(write=write))
         released = _Write(leases.lease_to_release(process.held),
                           process.held.row_version, now)
-        yield f'process {index} releases', _replace_process(
+        yield f'process {index} sends a release', _replace_process(
             state, index, process._replace(held=None, write=released))
 
     def _write_steps(self, state: _State, index: int, process: _Process,
@@ -150,7 +176,7 @@
         if not write.written_version:
             yield from self._apply_write(state, index, process)
         else:
-            yield f'{name} is told', _replace_process(
+            yield f'{name} gets the response', _replace_process(
                 state, index,
                 self._receive_response(process, write.written_version, now))
         yield from self._resolve_lost_response(state, index, process, now)
@@ -159,8 +185,9 @@
                      process: _Process) -> _Successors:
         write = process.write
         assert write is not None
-        if self._rules.checks_version and write.expected_version != state.version:
-            yield f'process {index} is told of a conflict', _replace_process(
+        if (self._rules.checks_version and
+                write.expected_version != state.version):
+            yield f'process {index} gets a conflict', _replace_process(
                 state, index, process._replace(held=None, write=None))
             return
         applied = state._replace(
@@ -191,17 +218,17 @@
 
     def _resolve_lost_response(self, state: _State, index: int,
                                process: _Process, now: float) -> _Successors:
-        """The answer is lost; the process reads the row."""
+        """Loses the response; the process reads the row instead."""
         write = process.write
         assert write is not None
         name = f'process {index}'
         outcome = self._rules.resolve_write(write.lease, state.row)
         if outcome is leases.WriteOutcome.WRITTEN:
-            yield f'{name} finds its write', _replace_process(
+            yield f'{name} reads that its write took effect', _replace_process(
                 state, index, self._receive_response(process, state.version,
                                                      now))
         elif outcome is leases.WriteOutcome.LOST:
-            yield f'{name} finds another write', _replace_process(
+            yield f'{name} reads that its write is lost', _replace_process(
                 state, index, process._replace(held=None, write=None))
 
 
@@ -227,7 +254,12 @@
 
 def specification(rules: Rules = Rules(), *,
                   large: bool = False) -> checking.Specification:
-    """Leases under the given rules."""
+    """Returns the specification of the leases.
+
+    Args:
+        rules: the decision functions.
+        large: whether to use the larger bounds.
+    """
     model = _Model(rules=rules, max_time_steps=4 if large else 3, max_fencing=2)
     return checking.Specification(
         name='leases',
@@ -242,7 +274,7 @@
         transitions=lambda state: model.transitions(_State(*state)),
         invariants={
             'at most one process may act under a duty': _has_one_holder,
-            'fencing numbers never fall': _fencing_never_decreases,
+            'fencing numbers never decrease': _fencing_never_decreases,
         })
 
 
--- a/models/map_switch.py
+++ b/models/map_switch.py
@@ -1,8 +1,10 @@
-"""The switch of expert maps on the prepared platform.
+"""Model of the map switch of a rank group that is driven by orders to agents.
 
-Ranks do not compare maps, orders may take effect at any later time and more
-than once, deciders see ranks as they were, and a second decider may begin at
-any time while the first goes on.
+Ranks do not compare their maps. An order may take effect at any later time,
+and more than once. A coordinator sees the state of a rank as of its last
+read. A second coordinator may start at any time while the first one continues.
+
+The invariant is that all ranks begin each pass with the same map.
 """
 
 import dataclasses
@@ -12,7 +14,7 @@
 from models import checking
 from pollenthread.core import map_switch, peer_messages
 
-__all__ = ['LARGE', 'MUTANTS', 'Rules', 'SMALL', 'specification']
+__all__ = ['LARGE_BOUNDS', 'MUTANTS', 'Rules', 'SMALL_BOUNDS', 'specification']
 
 _EPOCH = 1
 _Kind = peer_messages.OrderKind
@@ -20,7 +22,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rules:
-    """The project's decisions; a mutant replaces one of them."""
+    """Decision functions of pollenthread, one of which a mutant replaces.
+
+    Attributes:
+        advance_switch: computes the next state of a switch and its orders.
+        recovery_switch: computes the switch that a new coordinator starts with
+            when it finds an unfinished switch.
+        has_unique_versions: whether each coordinator uses its own versions.
+    """
 
     advance_switch: Callable[
         ..., tuple[map_switch.MapSwitch,
@@ -35,10 +44,11 @@
     """Limits of the state space.
 
     Attributes:
-        ranks: ranks in the group.
-        steps: passes that are begun.
-        deciders: deciders that may begin.
-        looks_at_once: whether a decider sees all ranks as of one moment.
+        ranks: number of ranks in the group.
+        steps: number of passes.
+        coordinators: maximum number of coordinators.
+        has_atomic_reads: whether a coordinator reads all ranks at the same
+            time, rather than one by one.
     """
 
     ranks: int
@@ -55,10 +65,10 @@
     """One rank.
 
     Attributes:
-        map: the map in use, as version and author.
-        prepared: the map that is copied, or zeros.
-        armed_version: the map to switch to, or 0.
-        armed_step: the pass with which to switch, or 0.
+        map: version and author of the map in use.
+        prepared: version and author of the prepared map, or zeros.
+        armed_version: version of the map to switch to, or 0.
+        armed_step: the pass at which to switch, or 0.
     """
 
     map: tuple[int, int]
@@ -68,7 +78,15 @@
 
 
 class _Order(NamedTuple):
-    """An order that may take effect at any time."""
+    """An order, which may take effect at any time after it is sent.
+
+    Attributes:
+        rank: index of the rank that the order is for.
+        kind: value of its `OrderKind`.
+        version: version of the map.
+        step: the pass that the order is about, or 0.
+        author: index of the coordinator that sent it.
+    """
 
     rank: int
     kind: str
@@ -78,22 +96,27 @@
 
 
 class _Coordinator(NamedTuple):
-    """A decider and what it has seen of each rank."""
+    """A coordinator.
+
+    Attributes:
+        switch: the switch that it runs.
+        observed: the state of each rank as of its last read.
+    """
 
     switch: map_switch.MapSwitch
     observed: tuple[peer_messages.RankState, ...]
 
 
 class _State(NamedTuple):
-    """The whole group.
+    """State of the whole group.
 
     Attributes:
-        step: the last pass that was begun.
-        held: the pass that rank 0 holds back, or 0.
+        step: the last pass that began.
+        held_step: the pass that rank 0 holds back, or 0.
         ranks: the ranks.
-        flight: orders that were sent.
-        deciders: deciders by number; those that have not begun are missing.
-        was_split: whether a pass began with two maps.
+        in_flight: orders that may still take effect.
+        coordinators: the coordinators that have started, by index.
+        was_map_mixed: whether a pass began with two different maps.
     """
 
     step: int
@@ -108,19 +131,21 @@
 
 
 class _Model:
-    """Successors of a state under a set of rules."""
+    """Computes the successors of a state under a set of rules."""
 
     def __init__(self, *, rules: Rules, bounds: Bounds) -> None:
         self._rules = rules
         self._bounds = bounds
 
     def transitions(self, state: _State) -> _Successors:
-        """Every step that some part of the group may take."""
+        """Yields the label and the resulting state of each possible step."""
         yield from self._pass_steps(state)
         for order in sorted(state.in_flight):
             after = _apply_order(state, order)
             if after != state:
-                yield f'rank {order.rank} {order.kind} {order.version}', after
+                yield (
+                    f'rank {order.rank} executes {order.kind} {order.version}',
+                    after)
         for index in range(len(state.coordinators)):
             yield from self._read_steps(state, index)
             yield from self._advance_steps(state, index)
@@ -143,7 +168,7 @@
     def _read_steps(self, state: _State, index: int) -> _Successors:
         coordinator = state.coordinators[index]
         if self._bounds.has_atomic_reads:
-            yield f'{index} looks', _replace_coordinator(
+            yield f'coordinator {index} reads all ranks', _replace_coordinator(
                 state, index,
                 coordinator._replace(observed=_rank_states(state)))
             return
@@ -152,8 +177,10 @@
                 continue
             rank_states = list(coordinator.observed)
             rank_states[rank] = observed
-            yield f'{index} looks at {rank}', _replace_coordinator(
-                state, index, coordinator._replace(observed=tuple(rank_states)))
+            yield (f'coordinator {index} reads rank {rank}',
+                   _replace_coordinator(
+                       state, index,
+                       coordinator._replace(observed=tuple(rank_states))))
 
     def _advance_steps(self, state: _State, index: int) -> _Successors:
         coordinator = state.coordinators[index]
@@ -170,7 +197,7 @@
             in_flight=state.in_flight |
             {order for order in sent if not _is_ineffective(order, state.step)})
         if after != state:
-            yield f'{index} decides {switch.phase.value}', after
+            yield f'coordinator {index} advances to {switch.phase.value}', after
 
     def _start_steps(self, state: _State) -> _Successors:
         index = len(state.coordinators)
@@ -181,7 +208,7 @@
             switch = self._rules.recovery_switch(states, (), version)
         else:
             switch = map_switch.MapSwitch(version, _EPOCH, ())
-        yield f'{index} begins', state._replace(
+        yield f'coordinator {index} starts', state._replace(
             coordinators=(*state.coordinators, _Coordinator(switch, observed)))
 
 
@@ -219,7 +246,7 @@
 
 
 def _is_ineffective(order: _Order, step: int) -> bool:
-    """Whether an order can have no effect any more."""
+    """Whether an order can no longer have an effect."""
     return order.kind in (_Kind.ARM.value, _Kind.HOLD.value,
                           _Kind.GO.value) and order.step <= step
 
@@ -250,7 +277,12 @@
 
 
 def specification(rules: Rules, bounds: Bounds) -> checking.Specification:
-    """The specification under a set of rules."""
+    """Returns the specification of the map switch.
+
+    Args:
+        rules: the decision functions.
+        bounds: limits of the state space.
+    """
     model = _Model(rules=rules, bounds=bounds)
     rank = _Rank((0, 0), (0, 0), 0, 0)
     initial = _State(step=1,
@@ -269,18 +301,18 @@
         initial=initial,
         transitions=transitions,
         invariants={
-            'all ranks begin a pass with one map':
+            'all ranks begin a pass with the same map':
                 lambda fields: not fields['was_map_mixed']
         })
 
 
-# What each guard is needed for.
+# Mutants, each of which lacks one guard.
 
 
 def _advance_without_hold(
     switch: map_switch.MapSwitch, states: map_switch.RankStates
 ) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
-    """Arms for a coming pass that nobody holds back."""
+    """Arms for a future pass that no rank holds back."""
     after, orders = map_switch.advance_switch(switch, states)
     if after.phase is map_switch.MapSwitchPhase.HOLDING:
         after = dataclasses.replace(after,
@@ -292,7 +324,7 @@
 def _advance_with_early_release(
     switch: map_switch.MapSwitch, states: map_switch.RankStates
 ) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
-    """Releases the pass once an arming was sent to every rank."""
+    """Releases the pass as soon as one rank has reported itself armed."""
     after, orders = map_switch.advance_switch(switch, states)
     if after.phase is map_switch.MapSwitchPhase.ARMING and orders and any(
             s.armed_version == switch.version for s in states.values()):
@@ -307,7 +339,7 @@
 def _advance_with_disarm(
     switch: map_switch.MapSwitch, states: map_switch.RankStates
 ) -> tuple[map_switch.MapSwitch, map_switch.RankOrders]:
-    """Disarms whatever another decider has armed."""
+    """Disarms every rank that is armed with another version."""
     after, orders = map_switch.advance_switch(switch, states)
     if after.phase is map_switch.MapSwitchPhase.PREPARING:
         orders = dict(orders)
@@ -321,7 +353,7 @@
 def _recover_by_release(states: map_switch.RankStates,
                         layouts: tuple[tuple[tuple[int, ...], ...], ...],
                         version: int) -> map_switch.MapSwitch:
-    """Lets a held pass go without a look at who is armed."""
+    """Releases a held pass without checking which ranks are armed."""
     planned = map_switch.recovery_switch(states, layouts, version)
     return dataclasses.replace(planned,
                                phase=map_switch.MapSwitchPhase.RELEASING,
--- a/models/suite.py
+++ b/models/suite.py
@@ -1,4 +1,4 @@
-"""Every specification of the project, its bounds and its mutants."""
+"""All checked models, with their bounds and their mutants."""
 
 import dataclasses
 import functools
@@ -7,18 +7,18 @@
 
 from models import (checking, claims, configuration, leases, map_switch, switch)
 
-__all__ = ['SUBJECTS', 'Subject']
+__all__ = ['MODELS', 'CheckedModel']
 
 
 @dataclasses.dataclass(frozen=True)
 class CheckedModel:
-    """One specification with the mutants that must break it.
+    """A specification with mutants that must violate its invariants.
 
     Attributes:
-        small: makes the specification, at small bounds, from a set of rules.
-        large: the same at larger bounds.
-        rules: the project's own rules.
-        mutants: rules that lack one guard, by what they do wrong.
+        small: creates the specification with small bounds from a set of rules.
+        large: creates the specification with larger bounds.
+        rules: the rules of pollenthread.
+        mutants: by description of the fault, rules that lack one guard.
     """
 
     small: Callable[[Any], checking.Specification]
--- a/models/switch.py
+++ b/models/switch.py
@@ -1,8 +1,12 @@
-"""The switch of expert maps: ranks in lock-step, deciders that are replaced.
+"""Model of the two-phase commit that switches the expert map of a rank group.
 
-Messages may be delayed, overtaken and lost; interleaving stands for late ranks
-and paused deciders. One rank may restart, and one decider may be replaced while
-the old one goes on.
+The ranks of a group execute steps together: no rank enters a step before all
+ranks have entered the step before. A coordinator switches them to another
+map. Messages may be delayed, reordered and lost. A delayed rank or a paused
+coordinator is a process that takes no step while the others do. One rank may
+restart, and a second coordinator may start while the first one continues.
+
+The invariant is that all ranks use the same map in each step.
 """
 
 import dataclasses
@@ -15,7 +19,8 @@
 
 __all__ = [
     'Bounds', 'RESTART_MUTANTS', 'Rules', 'TAKEOVER_MUTANTS', 'THREE_RANKS',
-    'WITH_BOTH', 'WITH_RESTART', 'WITH_TAKEOVER', 'specification'
+    'WITH_RESTART_AND_TAKEOVER', 'WITH_RESTART', 'WITH_TAKEOVER',
+    'specification'
 ]
 
 _BASE_VERSION = 1
@@ -27,10 +32,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rules:
-    """The project's decisions; a mutant replaces one of them.
+    """Decision functions of pollenthread, one of which a mutant replaces.
 
-    `fenced` says whether a rank refuses what has a lower fencing number for
-    good, so that such messages need not be kept in flight.
+    Attributes:
+        may_enter_next_step: whether a rank may enter its next step.
+        restarted_rank: state of a rank after its restart.
+        on_arm: handles a request to arm at a rank.
+        on_decide: handles a decision at a rank.
+        answer_decision_request: reply of a rank to a rank that asks for the
+            decision, or None if it does not know it.
+        on_armed: handles the acknowledgement of a rank at the coordinator.
+        on_join: handles a restarted rank at the coordinator.
+        on_report: handles the state of a rank at a new coordinator.
+        rejects_lower_fences: whether a rank always rejects a decision with a
+            lower fencing number than its own. The model then drops these
+            decisions, which reduces the state space.
     """
 
     may_enter_next_step: Callable[[switch.Rank],
@@ -47,29 +63,40 @@
 
 
 class _ToRank(NamedTuple):
-    """An order, or a decision from another rank, on its way."""
+    """A message to a rank in flight, from a coordinator or another rank.
+
+    Attributes:
+        rank: index of the receiver.
+        payload: the message.
+    """
 
     rank: int
     payload: switch.CoordinatorMessage
 
 
 class _ToCoordinator(NamedTuple):
-    """A reply on its way."""
+    """A message from a rank to a coordinator in flight.
+
+    Attributes:
+        fence: fencing number of the receiver.
+        reply: the message.
+    """
 
     fence: int
     reply: switch.RankMessage
 
 
 class _State(NamedTuple):
-    """The whole group.
+    """State of the whole group.
 
     Attributes:
         ranks: the ranks.
-        deciders: by fencing number less one; the last is the row's.
-        flight: messages that may still be delivered.
-        used: rank, step and map version of each step that was entered, less
-            those that a rank lost by a restart and enters again.
-        restarts: restarts of ranks so far.
+        coordinators: the coordinators in order of their fencing numbers, which
+            start at 1. The last one holds the lease.
+        in_flight: messages that may still be delivered.
+        entered_steps: rank, step and map version of each entered step, except
+            for the steps that a rank lost by a restart and enters again.
+        restarts: number of restarts of ranks so far.
     """
 
     ranks: tuple[switch.Rank, ...]
@@ -84,7 +111,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
-    """Limits of the state space."""
+    """Limits of the state space.
+
+    Attributes:
+        ranks: number of ranks in the group.
+        steps: number of steps that the ranks enter.
+        restarts: maximum number of restarts of ranks.
+        coordinators: maximum number of coordinators.
+    """
 
     ranks: int
     steps: int
@@ -99,19 +133,19 @@
 
 
 class _Model:
-    """Successors of a state under a set of rules."""
+    """Computes the successors of a state under a set of rules."""
 
     def __init__(self, *, rules: Rules, bounds: Bounds) -> None:
         self._rules = rules
         self._bounds = bounds
 
     def transitions(self, state: _State) -> _Successors:
-        """Every step that some part of the group may take."""
+        """Yields the label and the resulting state of each possible step."""
         for label, after in self._all_transitions(state):
             yield label, self._without_ineffective(after)
 
     def _without_ineffective(self, state: _State) -> _State:
-        """Drops messages that can change nothing any more."""
+        """Drops the messages that can no longer have an effect."""
         ineffective = {
             message for message in state.in_flight
             if _is_ineffective(state, message, self._rules.rejects_lower_fences)
@@ -154,7 +188,7 @@
             if (rank.pending is None or rank.stage is not switch.Stage.LOADING):
                 continue
             result = switch_rank.on_loaded(rank, rank.pending.id, ok=True)
-            yield (f'rank {rank.index} has loaded',
+            yield (f'rank {rank.index} has loaded the weights',
                    _apply_rank_result(state, result, rank.pending.id.fence))
 
     def _decision_request_steps(self, state: _State) -> _Successors:
@@ -166,9 +200,9 @@
                 decision = self._rules.answer_decision_request(peer, request)
                 if decision is not None:
                     message = _ToRank(rank.index, decision)
-                    yield (f'rank {peer.index} tells rank {rank.index}',
-                           state._replace(in_flight=state.in_flight |
-                                          {message}))
+                    yield (
+                        f'rank {peer.index} sends its decision to {rank.index}',
+                        state._replace(in_flight=state.in_flight | {message}))
 
     def _deliver_to_rank(self, state: _State,
                          message: _ToRank) -> tuple[str, _State]:
@@ -190,7 +224,7 @@
             case switch.Name():
                 result = switch_rank.on_name(rank, payload)
                 fence = payload.fence
-        label = f'rank {rank.index} takes {_message_label(payload)}'
+        label = f'rank {rank.index} receives {_message_label(payload)}'
         return label, _apply_rank_result(state, result, fence)
 
     def _deliver_to_coordinator(self, state: _State,
@@ -209,12 +243,12 @@
                 result = switch_coordinator.on_noted(coordinator, reply)
             case switch.Join():
                 result = self._rules.on_join(coordinator, reply)
-        label = f'decider {message.fence} takes {_message_label(reply)}'
+        label = f'coordinator {message.fence} receives {_message_label(reply)}'
         return label, _apply_coordinator_result(state, result)
 
     def _coordinator_steps(self, state: _State) -> _Successors:
         for coordinator in state.coordinators:
-            name = f'decider {coordinator.fence}'
+            name = f'coordinator {coordinator.fence}'
             if (coordinator.phase is switch_coordinator.CoordinatorPhase.IDLE
                     and coordinator.switch_count == 0 and
                     coordinator.fence == 1):
@@ -225,7 +259,7 @@
                                coordinator, _TARGET_VERSION)))
             aborted = switch_coordinator.abort_undecided(coordinator)
             if aborted.coordinator is not coordinator:
-                yield f'{name} gives up', _apply_coordinator_result(
+                yield f'{name} aborts', _apply_coordinator_result(
                     state, aborted)
 
     def _fault_steps(self, state: _State) -> _Successors:
@@ -237,8 +271,8 @@
                 initial_version=_BASE_VERSION)
             after = state._replace(coordinators=(*state.coordinators,
                                                  started.coordinator))
-            yield f'decider {fence + 1} takes over', _apply_coordinator_result(
-                after, started)
+            yield (f'coordinator {fence + 1} takes over',
+                   _apply_coordinator_result(after, started))
         if state.restarts < self._bounds.restarts:
             for rank in state.ranks:
                 yield self._restart_rank(state, rank)
@@ -299,7 +333,7 @@
         case switch.Armed():
             return is_finished
         case switch.Noted():
-            # It only readies the decider for a further switch.
+            # It only allows the coordinator to start another switch.
             return True
         case _:
             return False
@@ -312,7 +346,7 @@
         case switch.Prepare() | switch.Arm():
             return message.id.fence < rank.fence or message.id <= closed
         case switch.Decide():
-            # At an equal fence a closed switch changes nothing.
+            # With an equal fence, a decision on a closed switch has no effect.
             return message.fence < rank.fence or (message.fence == rank.fence
                                                   and message.id <= closed)
         case switch.Name():
@@ -362,7 +396,12 @@
 
 def specification(rules: Rules = Rules(), *,
                   bounds: Bounds) -> checking.Specification:
-    """The switch under the given rules."""
+    """Returns the specification of the map switch.
+
+    Args:
+        rules: the decision functions.
+        bounds: limits of the state space.
+    """
     model = _Model(rules=rules, bounds=bounds)
     ranks = tuple(
         switch.Rank(index=i,
@@ -404,7 +443,7 @@
 
 def _arm_at_entered_step(rank: switch.Rank,
                          message: switch.Arm) -> switch_rank.RankResult:
-    """Arms at a step that was entered already."""
+    """Arms at a step that the rank has already entered."""
     at_earlier_step = dataclasses.replace(rank,
                                           step=min(rank.step, message.step - 1))
     result = switch_rank.on_arm(at_earlier_step, message)
@@ -442,7 +481,7 @@
 def _join_without_abort(
         coordinator: switch_coordinator.Coordinator,
         request: switch.Join) -> switch_coordinator.CoordinatorResult:
-    """Names the map and goes on with the switch."""
+    """Sends the map to the rank and continues the switch."""
     joined = switch_coordinator.on_join(
         dataclasses.replace(coordinator,
                             phase=switch_coordinator.CoordinatorPhase.IDLE),
@@ -455,7 +494,7 @@
 def _resolve_from_first_report(
         coordinator: switch_coordinator.Coordinator,
         report: switch.Report) -> switch_coordinator.CoordinatorResult:
-    """Settles from the first report alone."""
+    """Resolves a pending switch from the first report alone."""
     with_one_report = dataclasses.replace(coordinator,
                                           rank_reports=(report.rank,) *
                                           coordinator.group_size)
