--- a/bench/policy_fakes.py
+++ b/bench/policy_fakes.py
@@ -26,10 +26,10 @@
     value = 64
     ratio = 0.0
 
-    def note_running(self, running: int) -> None:
+    def set_running(self, running: int) -> None:
         """Learns nothing."""
 
-    def observe(self, *_: object) -> None:
+    def record_latency(self, *_: object) -> None:
         """Learns nothing."""
 
 
