Rename identifiers of bench.policy to terms of the field

Change: names only, with all uses; fields of Policy that name a mechanism in the results, JSON keys and targets stay.

--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -10,11 +10,11 @@
 
 __all__ = ['Entry']
 
-_CLASS_RETRIES = 2
-_HEDGE_SHARE = 0.5
+_MAX_RETRIES = 2
+_HEDGE_DELAY_SHARE = 0.5
 
 
-class _Peer(upstream_selection.Candidate):
+class _AgentCandidate(upstream_selection.Candidate):
     """One agent as this entry host knows it."""
 
     def __init__(self, entry: 'Entry', agent: fakes.Agent) -> None:
@@ -22,7 +22,7 @@
         self.agent = agent
         self.outstanding = 0
         self.sent = load_estimate.SentAttemptLog()
-        self.load_report = agent.reported.to(entry, self.sent, 0.0)
+        self.load_report = agent.last_reports.report_for(entry, self.sent, 0.0)
         agent.listeners.append(self._on_report)
 
     @property
@@ -33,181 +33,201 @@
     def is_usable(self) -> bool:
         policy, now = self.entry.policy, self.entry.loop.now
         return self.agent.up and (not policy.ejection or
-                                  self.entry.health.is_usable(self.host, now))
+                                  self.entry.outlier_detector.is_usable(
+                                      self.host, now))
 
     @property
     def estimate(self) -> upstream_selection.UpstreamEstimate:
         if self.entry.policy.oracle:
             return self.agent.estimate
-        reading = self.load_report.load
+        load = self.load_report.load
         if not self.entry.policy.unseen:
             return upstream_selection.UpstreamEstimate(
-                reading, reading.running + sum(reading.queued))
+                load, load.running + sum(load.queued))
         return upstream_selection.UpstreamEstimate(
-            reading,
+            load,
             load_estimate.expected_load(self.load_report,
                                         own=self.outstanding,
-                                        mean=self.entry.others_mean,
+                                        mean=self.entry.mean_other_load,
                                         now=self.entry.loop.now))
 
-    def _on_report(self, reports: fakes.Reports) -> None:
-        self.load_report = reports.to(self.entry, self.sent,
-                                      self.entry.loop.now)
-        self.entry.others_mean.record(self.load_report)
+    def _on_report(self, reports: fakes.LoadReports) -> None:
+        self.load_report = reports.report_for(self.entry, self.sent,
+                                              self.entry.loop.now)
+        self.entry.mean_other_load.record(self.load_report)
 
 
-class Entry(fakes.Receiver):
+class Entry(fakes.AttemptListener):
     """Chooses upstreams for the requests that come to it."""
 
-    def __init__(self, *, loop: policy_types.Loop, policy: policy_types.Policy,
-                 agents: Sequence[fakes.Agent], place: int,
-                 rng: random.Random) -> None:
+    def __init__(self, *, loop: policy_types.EventLoop,
+                 policy: policy_types.Policy, agents: Sequence[fakes.Agent],
+                 data_centre: int, rng: random.Random) -> None:
         self.loop = loop
         self.policy = policy
-        self.place = place
-        self.health = outlier_detection.OutlierDetector()
-        self.others_mean = load_estimate.MeanOtherLoad()
-        self._budget = retries.RetryTokenBucket()
-        self._times = service_times.ServiceTimes()
+        self.data_centre = data_centre
+        self.outlier_detector = outlier_detection.OutlierDetector()
+        self.mean_other_load = load_estimate.MeanOtherLoad()
+        self._retry_bucket = retries.RetryTokenBucket()
+        self._service_times = service_times.ServiceTimes()
         self._rng = rng
-        self._turn = rng.randrange(len(agents))
-        self._peers = {agent.host: _Peer(self, agent) for agent in agents}
-        peers = list(self._peers.values())
-        near = [peer for peer in peers if peer.agent.place == place]
-        local = policy.locality and policy.choose == 'ours'
-        self._tiers = [near, peers] if local else [peers]
-        self._ring = prefix_hashing.PrefixHashRing(self._peers)
-        for host in self._peers:
-            self.health.add(host)
-
-    def take(self, request: policy_types.Request) -> None:
+        self._next_index = rng.randrange(len(agents))
+        self._candidates = {
+            agent.host: _AgentCandidate(self, agent) for agent in agents
+        }
+        candidates = list(self._candidates.values())
+        local_candidates = [
+            candidate for candidate in candidates
+            if candidate.agent.data_centre == data_centre
+        ]
+        prefers_local = policy.locality and policy.selection == 'ours'
+        self._tiers = [local_candidates, candidates
+                      ] if prefers_local else [candidates]
+        self._prefix_ring = prefix_hashing.PrefixHashRing(self._candidates)
+        for host in self._candidates:
+            self.outlier_detector.add(host)
+
+    def handle_request(self, request: policy_types.Request) -> None:
         """Makes an attempt, or refuses the request."""
-        if request.done_at is not None:
+        if request.completed_at is not None:
             return
-        host = self._choose(request)
+        host = self._select(request)
         if host is None:
-            request.refused = True
+            request.rejected = True
         else:
-            self._send(request, host)
+            self._send_attempt(request, host)
 
-    def _send(self, request: policy_types.Request, host: str) -> None:
-        peer = self._peers[host]
+    def _send_attempt(self, request: policy_types.Request, host: str) -> None:
+        candidate = self._candidates[host]
         request.attempts += 1
-        name = f'{request.ident}.{request.attempts}'
-        request.live[name] = peer.agent
-        request.near = peer.agent.place == self.place
-        peer.outstanding += 1
-        peer.sent.record_sent(self.loop.now)
-        self.health.record_attempt(host, self.loop.now)
-        if self.policy.hedges and self.policy.choose == 'ours':
-            self._plan_hedge(request)
-        peer.agent.offer(name, request, self)
-
-    def _choose(self,
+        name = f'{request.request_id}.{request.attempts}'
+        request.running_attempts[name] = candidate.agent
+        request.is_local = candidate.agent.data_centre == self.data_centre
+        candidate.outstanding += 1
+        candidate.sent.record_sent(self.loop.now)
+        self.outlier_detector.record_attempt(host, self.loop.now)
+        if self.policy.hedges and self.policy.selection == 'ours':
+            self._schedule_hedge(request)
+        candidate.agent.submit(name, request, self)
+
+    def _select(self,
                 request: policy_types.Request,
                 hedge: bool = False) -> str | None:
-        peers = [p for p in self._tiers[-1] if p.agent.up]
-        if not peers:
+        candidates = [p for p in self._tiers[-1] if p.agent.up]
+        if not candidates:
             return None
-        match self.policy.choose:
+        match self.policy.selection:
             case 'random':
-                return self._rng.choice(peers).host
+                return self._rng.choice(candidates).host
             case 'round_robin':
-                self._turn += 1
-                return peers[self._turn % len(peers)].host
+                self._next_index += 1
+                return candidates[self._next_index % len(candidates)].host
             case 'least_outstanding':
-                return min(peers, key=lambda p: p.outstanding).host
+                return min(candidates, key=lambda p: p.outstanding).host
             case 'two_reported':
-                pair = (self._rng.choice(peers), self._rng.choice(peers))
-                return min(pair,
+                sample = (self._rng.choice(candidates),
+                          self._rng.choice(candidates))
+                return min(sample,
                            key=lambda p: sum((p.load_report.load.running, *p.
                                               load_report.load.queued))).host
-        kind = request.kind
-        preferred = (self._ring.host_for(request.prefix)
+        request_class = request.request_class
+        preferred = (self._prefix_ring.host_for(request.prefix)
                      if self.policy.affinity else '')
-        left_s = request.arrived_at + kind.first_s - self.loop.now
-        demand = upstream_selection.AttemptRequirements(
-            importance=kind.importance,
-            time_left_s=left_s,
-            whole_response_s=0.0
-            if kind.gap_s else self._times.for_class(kind.name).duration_s,
+        time_left_s = request.arrived_at + request_class.latency_target_s - self.loop.now
+        requirements = upstream_selection.AttemptRequirements(
+            importance=request_class.importance,
+            time_left_s=time_left_s,
+            whole_response_s=0.0 if request_class.token_gap_target_s else
+            self._service_times.for_class(request_class.name).duration_s,
             avoided_hosts=request.failed_hosts)
         if self.policy.oracle:
             return min(
-                upstream_selection.score(peer, demand) for peer in peers).host
-        chosen = upstream_selection.select(self._tiers,
-                                           demand,
-                                           random_unit=self._rng.random,
-                                           preferred=self._peers.get(preferred))
-        if chosen is None:
+                upstream_selection.score(candidate, requirements)
+                for candidate in candidates).host
+        selected = upstream_selection.select(
+            self._tiers,
+            requirements,
+            random_unit=self._rng.random,
+            preferred=self._candidates.get(preferred))
+        if selected is None:
             return None
         if (self.policy.entry_admission and
-                not upstream_selection.is_worth_sending(chosen, left_s)):
+                not upstream_selection.is_worth_sending(selected, time_left_s)):
             return None
-        return chosen.host if chosen.has_free_slot or not hedge else None
-
-    def _plan_hedge(self, request: policy_types.Request) -> None:
-        kind = request.kind
-        if kind.repeatable and request.attempts == 1:
-            self.loop.at(self.loop.now + _HEDGE_SHARE * kind.first_s,
-                         lambda: self._hedge(request))
-
-    def _hedge(self, request: policy_types.Request) -> None:
-        if request.first_at is None and len(request.live) == 1:
-            request.failed_hosts.update(a.host for a in request.live.values())
-            host = self._choose(request, hedge=True)
-            importance = targets.Importance(request.kind.importance)
-            if host is not None and self._budget.try_acquire(importance):
-                self._send(request, host)
-
-    def first(self, name: str, request: policy_types.Request,
-              agent: fakes.Agent) -> bool:
-        if request.first_at is not None:
+        return selected.host if selected.has_free_slot or not hedge else None
+
+    def _schedule_hedge(self, request: policy_types.Request) -> None:
+        request_class = request.request_class
+        if request_class.repeatable and request.attempts == 1:
+            self.loop.call_at(
+                self.loop.now +
+                _HEDGE_DELAY_SHARE * request_class.latency_target_s,
+                lambda: self._send_hedge(request))
+
+    def _send_hedge(self, request: policy_types.Request) -> None:
+        if request.first_token_at is None and len(
+                request.running_attempts) == 1:
+            request.failed_hosts.update(
+                a.host for a in request.running_attempts.values())
+            host = self._select(request, hedge=True)
+            importance = targets.Importance(request.request_class.importance)
+            if host is not None and self._retry_bucket.try_acquire(importance):
+                self._send_attempt(request, host)
+
+    def on_first_token(self, name: str, request: policy_types.Request,
+                       agent: fakes.Agent) -> bool:
+        if request.first_token_at is not None:
             return False
-        request.first_at = self.loop.now
-        request.winner = name
-        for other, loser in list(request.live.items()):
-            if other != name:
-                self._end(other, request, loser)
-                self.health.record_result(loser.host,
-                                          succeeded=False,
-                                          now=self.loop.now)
-                loser.cancel(other)
+        request.first_token_at = self.loop.now
+        request.winning_attempt = name
+        for other_name, other_agent in list(request.running_attempts.items()):
+            if other_name != name:
+                self._end_attempt(other_name, request, other_agent)
+                self.outlier_detector.record_result(other_agent.host,
+                                                    succeeded=False,
+                                                    now=self.loop.now)
+                other_agent.cancel(other_name)
         return True
 
-    def done(self, name: str, request: policy_types.Request, agent: fakes.Agent,
-             service_s: float) -> None:
-        self._end(name, request, agent)
-        self._times.record(request.kind.name, 0.0, service_s)
-        request.done_at = self.loop.now
-        self._budget.record_success()
-        self.health.record_result(agent.host, succeeded=True, now=self.loop.now)
-
-    def failed(self, name: str, request: policy_types.Request,
-               agent: fakes.Agent, ran: errors.Executed) -> None:
-        self._end(name, request, agent)
+    def on_done(self, name: str, request: policy_types.Request,
+                agent: fakes.Agent, service_s: float) -> None:
+        self._end_attempt(name, request, agent)
+        self._service_times.record(request.request_class.name, 0.0, service_s)
+        request.completed_at = self.loop.now
+        self._retry_bucket.record_success()
+        self.outlier_detector.record_result(agent.host,
+                                            succeeded=True,
+                                            now=self.loop.now)
+
+    def on_failed(self, name: str, request: policy_types.Request,
+                  agent: fakes.Agent, executed: errors.Executed) -> None:
+        self._end_attempt(name, request, agent)
         request.failed_hosts.add(agent.host)
-        if request.live or name == request.winner:
+        if request.running_attempts or name == request.winning_attempt:
             return
-        peer = self._peers[agent.host]
-        if ran is errors.Executed.NO:
-            peer.load_report = load_estimate.report_after_rejection(
-                peer.load_report, own=peer.outstanding, now=self.loop.now)
+        candidate = self._candidates[agent.host]
+        if executed is errors.Executed.NO:
+            candidate.load_report = load_estimate.report_after_rejection(
+                candidate.load_report,
+                own=candidate.outstanding,
+                now=self.loop.now)
         else:
-            self.health.record_result(agent.host,
-                                      succeeded=False,
-                                      now=self.loop.now)
-        safe = request.kind.repeatable or ran is errors.Executed.NO
-        left = request.attempts <= _CLASS_RETRIES and safe
-        if not left or (self.policy.budget and not self._budget.try_acquire(
-                targets.Importance(request.kind.importance))):
-            request.refused = ran is errors.Executed.NO
+            self.outlier_detector.record_result(agent.host,
+                                                succeeded=False,
+                                                now=self.loop.now)
+        is_retryable = request.request_class.repeatable or executed is errors.Executed.NO
+        may_retry = request.attempts <= _MAX_RETRIES and is_retryable
+        if not may_retry or (
+                self.policy.budget and not self._retry_bucket.try_acquire(
+                    targets.Importance(request.request_class.importance))):
+            request.rejected = executed is errors.Executed.NO
             return
-        pause_s = (retries.backoff_s(request.attempts, self._rng.random())
-                   if self.policy.budget else 0.001)
-        self.loop.at(self.loop.now + pause_s, lambda: self.take(request))
-
-    def _end(self, name: str, request: policy_types.Request,
-             agent: fakes.Agent) -> None:
-        request.live.pop(name, None)
-        self._peers[agent.host].outstanding -= 1
+        backoff_s = (retries.backoff_s(request.attempts, self._rng.random())
+                     if self.policy.budget else 0.001)
+        self.loop.call_at(self.loop.now + backoff_s,
+                          lambda: self.handle_request(request))
+
+    def _end_attempt(self, name: str, request: policy_types.Request,
+                     agent: fakes.Agent) -> None:
+        request.running_attempts.pop(name, None)
+        self._candidates[agent.host].outstanding -= 1
--- a/bench/policy_fakes.py
+++ b/bench/policy_fakes.py
@@ -12,12 +12,12 @@
 from pollenthread.core import (admission_control, admission_queue, errors,
                                load_estimate, upstream_selection)
 
-__all__ = ['Agent', 'Receiver', 'Reports']
+__all__ = ['Agent', 'AttemptListener', 'LoadReports']
 
-_REPORT_S = 0.25
-_TICK_S = 0.1
-_PREFILL_RATE = 10000.0
-_CACHED_PREFIXES = 12
+_REPORT_INTERVAL_S = 0.25
+_TICK_INTERVAL_S = 0.1
+_PREFILL_TOKENS_PER_S = 10000.0
+_MAX_CACHED_PREFIXES = 12
 
 
 class _FixedLimit:
@@ -33,7 +33,7 @@
         """Learns nothing."""
 
 
-class _Agent(admission_control.AdmissionController):
+class _BaselineAdmissionController(admission_control.AdmissionController):
     """Slots without deadlines, for the baselines."""
 
     def _latest_start(self, request: admission_queue.AdmissionRequest) -> float:
@@ -46,66 +46,71 @@
         return False
 
 
-class Receiver(abc.ABC):
+class AttemptListener(abc.ABC):
     """Who gets an attempt's answer."""
 
     @abc.abstractmethod
-    def first(self, name: str, request: policy_types.Request,
-              agent: 'Agent') -> bool:
+    def on_first_token(self, name: str, request: policy_types.Request,
+                       agent: 'Agent') -> bool:
         """Takes the first unit; False when nobody waits for the rest."""
 
     @abc.abstractmethod
-    def done(self, name: str, request: policy_types.Request, agent: 'Agent',
-             service_s: float) -> None:
+    def on_done(self, name: str, request: policy_types.Request, agent: 'Agent',
+                service_s: float) -> None:
         """Takes the end marker and the time without the wait."""
 
     @abc.abstractmethod
-    def failed(self, name: str, request: policy_types.Request, agent: 'Agent',
-               ran: errors.Executed) -> None:
+    def on_failed(self, name: str, request: policy_types.Request,
+                  agent: 'Agent', executed: errors.Executed) -> None:
         """Takes a failure."""
 
 
 class Agent(upstream_selection.Candidate):
     """An agent with its engine: serial prefill, then shared decoding steps."""
 
-    def __init__(self, *, loop: policy_types.Loop, name: str,
+    def __init__(self, *, loop: policy_types.EventLoop, name: str,
                  policy: policy_types.Policy, lag_s: float,
-                 step: tuple[float, float], place: int) -> None:
+                 step_cost_s: tuple[float, float], data_centre: int) -> None:
         self.loop = loop
         self.policy = policy
-        self.place = place
-        self.step = step
-        self.slowness = 1.0
+        self.data_centre = data_centre
+        self.step_cost_s = step_cost_s
+        self.slowdown = 1.0
         self.stalled = False
         self.broken = False
         self.up = True
         self.reports_lost = False
-        self.listeners: list[Callable[['Reports'], None]] = []
+        self.listeners: list[Callable[['LoadReports'], None]] = []
         self._name = name
         self._lag_s = lag_s
         self._cache = collections.OrderedDict[bytes, None]()
-        self._seen_by_entry = collections.Counter[int]()
+        self._received_by_entry = collections.Counter[int]()
         self.reset()
-        loop.at(random.Random(name).random() * _REPORT_S, self._report)
-        loop.at(random.Random(name).random() * _TICK_S, self._tick)
+        loop.call_at(
+            random.Random(name).random() * _REPORT_INTERVAL_S,
+            self._send_reports)
+        loop.call_at(
+            random.Random(name).random() * _TICK_INTERVAL_S, self._tick)
 
     def reset(self) -> None:
         """Starts the processes anew."""
         now = self.loop.now
-        make = (admission_control.AdmissionController
-                if self.policy.deadlines else _Agent)
-        self.slots = make(now=now)
+        controller_class = (admission_control.AdmissionController
+                            if self.policy.deadlines else
+                            _BaselineAdmissionController)
+        self.admission = controller_class(now=now)
         if not self.policy.learned_limit:
-            setattr(self.slots, '_limit', _FixedLimit())
+            setattr(self.admission, '_limit', _FixedLimit())
         self._cache.clear()
         self._prefilling: collections.deque[str] = collections.deque()
         self._decoding: list[tuple[float, str]] = []
-        self._requests: dict[str, tuple[policy_types.Request, Receiver]] = {}
-        self._progress = 0.0
-        self._moved_at = now
+        self._requests: dict[str, tuple[policy_types.Request,
+                                        AttemptListener]] = {}
+        self._steps_done = 0.0
+        self._progress_updated_at = now
         self._epoch = getattr(self, '_epoch', 0) + 1
-        self._version = 0
-        self.reported = self._make_report()
+        self._schedule_version = 0
+        self.last_reports = self._create_reports()
 
     @property
     def host(self) -> str:
@@ -117,61 +122,63 @@
 
     @property
     def estimate(self) -> upstream_selection.UpstreamEstimate:
-        reading = self.slots.load(self.loop.now)
+        load = self.admission.load(self.loop.now)
         return upstream_selection.UpstreamEstimate(
-            reading, reading.running + sum(reading.queued))
+            load, load.running + sum(load.queued))
 
-    def offer(self, name: str, request: policy_types.Request,
-              entry: Receiver) -> None:
+    def submit(self, name: str, request: policy_types.Request,
+               entry: AttemptListener) -> None:
         """Takes an attempt from an entry host."""
         now = self.loop.now
-        kind = request.kind
+        request_class = request.request_class
         self._requests[name] = (request, entry)
-        self._seen_by_entry[id(entry)] += 1
+        self._received_by_entry[id(entry)] += 1
         workspace = request.workspace if self.policy.fairness else 'all'
-        ticket = admission_queue.AdmissionRequest(
-            name, workspace, kind.name,
-            kind.importance if self.policy.deadlines else 0, now,
-            request.arrived_at + kind.first_s, not kind.gap_s, kind.gap_s)
-        decision, _ = self.slots.admit(ticket, now)
+        admission_request = admission_queue.AdmissionRequest(
+            name, workspace, request_class.name,
+            request_class.importance if self.policy.deadlines else 0, now,
+            request.arrived_at + request_class.latency_target_s,
+            not request_class.token_gap_target_s,
+            request_class.token_gap_target_s)
+        decision, _ = self.admission.admit(admission_request, now)
         if self.broken:
-            self._break(name)
+            self._fail_attempt(name)
         elif decision is admission_control.AdmissionDecision.RUN:
-            self._begin(name)
+            self._start_attempt(name)
         elif decision is admission_control.AdmissionDecision.REFUSE:
-            self._refuse(name)
+            self._reject_attempt(name)
 
     def cancel(self, name: str) -> None:
         """Drops an attempt that nobody waits for."""
         if self._requests.pop(name, None) is not None:
-            self._move()
+            self._update_progress()
             self._decoding = [d for d in self._decoding if d[1] != name]
             heapq.heapify(self._decoding)
-            self._free(name)
+            self._release_slot(name)
 
     def crash(self) -> None:
         """Loses everything; entry hosts see their links break."""
         self.up = False
-        lost = list(self._requests.items())
+        aborted = list(self._requests.items())
         self.reset()
-        for name, (request, entry) in lost:
-            entry.failed(name, request, self, errors.Executed.UNKNOWN)
+        for name, (request, entry) in aborted:
+            entry.on_failed(name, request, self, errors.Executed.UNKNOWN)
 
-    def _break(self, name: str) -> None:
-        self.slots.release(name, self.loop.now)
+    def _fail_attempt(self, name: str) -> None:
+        self.admission.release(name, self.loop.now)
         request, entry = self._requests.pop(name)
-        entry.failed(name, request, self, errors.Executed.UNKNOWN)
+        entry.on_failed(name, request, self, errors.Executed.UNKNOWN)
 
-    def _refuse(self, name: str) -> None:
+    def _reject_attempt(self, name: str) -> None:
         request, entry = self._requests.pop(name)
-        entry.failed(name, request, self, errors.Executed.NO)
+        entry.on_failed(name, request, self, errors.Executed.NO)
 
-    def _begin(self, name: str) -> None:
+    def _start_attempt(self, name: str) -> None:
         self._prefilling.append(name)
         if len(self._prefilling) == 1:
-            self._prefill()
+            self._start_prefill()
 
-    def _prefill(self) -> None:
+    def _start_prefill(self) -> None:
         while self._prefilling and self._prefilling[0] not in self._requests:
             self._prefilling.popleft()
         if not self._prefilling:
@@ -179,123 +186,129 @@
         name = self._prefilling[0]
         request = self._requests[name][0]
         cached = request.prefix in self._cache
-        work = request.kind.prompt * (1 if cached else 4)
+        tokens = request.request_class.prompt_tokens * (1 if cached else 4)
         self._cache[request.prefix] = None
         self._cache.move_to_end(request.prefix)
-        if len(self._cache) > _CACHED_PREFIXES:
+        if len(self._cache) > _MAX_CACHED_PREFIXES:
             self._cache.popitem(last=False)
         epoch = self._epoch
-        self.loop.at(self.loop.now + work / _PREFILL_RATE * self.slowness,
-                     lambda: self._prefilled(name, epoch))
+        self.loop.call_at(
+            self.loop.now + tokens / _PREFILL_TOKENS_PER_S * self.slowdown,
+            lambda: self._on_prefilled(name, epoch))
 
-    def _prefilled(self, name: str, epoch: int) -> None:
+    def _on_prefilled(self, name: str, epoch: int) -> None:
         if epoch != self._epoch:
             return
         if self.stalled:
-            self.loop.at(self.loop.now + _TICK_S,
-                         lambda: self._prefilled(name, epoch))
+            self.loop.call_at(self.loop.now + _TICK_INTERVAL_S,
+                              lambda: self._on_prefilled(name, epoch))
             return
         self._prefilling.popleft()
-        self._prefill()
+        self._start_prefill()
         if name in self._requests:
             request, entry = self._requests[name]
-            self.slots.record_progress(name, self.loop.now)
-            if entry.first(name, request, self):
-                self._move()
+            self.admission.record_progress(name, self.loop.now)
+            if entry.on_first_token(name, request, self):
+                self._update_progress()
                 heapq.heappush(self._decoding,
-                               (self._progress + request.tokens, name))
-                self._schedule()
+                               (self._steps_done + request.tokens, name))
+                self._schedule_completion()
 
-    def _step_s(self) -> float:
-        base, each = self.step
-        return (base + each * len(self._decoding)) * self.slowness
+    def _step_duration_s(self) -> float:
+        base_s, per_request_s = self.step_cost_s
+        return (base_s + per_request_s * len(self._decoding)) * self.slowdown
 
-    def _move(self) -> None:
+    def _update_progress(self) -> None:
         if self._decoding and not self.stalled:
-            self._progress += (self.loop.now - self._moved_at) / self._step_s()
-        self._moved_at = self.loop.now
+            self._steps_done += (self.loop.now - self._progress_updated_at
+                                ) / self._step_duration_s()
+        self._progress_updated_at = self.loop.now
 
-    def change(self, **faults: Any) -> None:
+    def set_faults(self, **faults: Any) -> None:
         """Sets faults."""
-        self._move()
+        self._update_progress()
         for name, value in faults.items():
             setattr(self, name, value)
-        self._schedule()
+        self._schedule_completion()
 
-    def _schedule(self) -> None:
-        self._version += 1
+    def _schedule_completion(self) -> None:
+        self._schedule_version += 1
         if self._decoding and not self.stalled:
-            left = max(0.0, self._decoding[0][0] - self._progress)
-            mark = (self._epoch, self._version)
-            self.loop.at(self.loop.now + left * self._step_s(),
-                         lambda: self._decoded(mark))
-
-    def _decoded(self, mark: tuple[int, int]) -> None:
-        if mark != (self._epoch, self._version):
+            remaining_steps = max(0.0, self._decoding[0][0] - self._steps_done)
+            expected_version = (self._epoch, self._schedule_version)
+            self.loop.call_at(
+                self.loop.now + remaining_steps * self._step_duration_s(),
+                lambda: self._on_decoded(expected_version))
+
+    def _on_decoded(self, expected_version: tuple[int, int]) -> None:
+        if expected_version != (self._epoch, self._schedule_version):
             return
-        self._move()
+        self._update_progress()
         _, name = heapq.heappop(self._decoding)
         request, entry = self._requests.pop(name)
-        service_s = self.slots.release(name, self.loop.now)
-        entry.done(name, request, self, service_s)
-        self._schedule()
-        self._advance()
-
-    def _free(self, name: str) -> None:
-        self.slots.release(name, self.loop.now)
-        self._schedule()
-        self._advance()
-
-    def _advance(self) -> None:
-        started, refused = self.slots.assign_slots(self.loop.now)
+        service_s = self.admission.release(name, self.loop.now)
+        entry.on_done(name, request, self, service_s)
+        self._schedule_completion()
+        self._assign_free_slots()
+
+    def _release_slot(self, name: str) -> None:
+        self.admission.release(name, self.loop.now)
+        self._schedule_completion()
+        self._assign_free_slots()
+
+    def _assign_free_slots(self) -> None:
+        started, rejected = self.admission.assign_slots(self.loop.now)
         for name in started:
-            self._begin(name)
-        for name in refused:
-            self._refuse(name)
+            self._start_attempt(name)
+        for name in rejected:
+            self._reject_attempt(name)
 
     def _tick(self) -> None:
-        self.loop.at(self.loop.now + _TICK_S, self._tick)
+        self.loop.call_at(self.loop.now + _TICK_INTERVAL_S, self._tick)
         if self._decoding and not self.stalled:
             names = [name for _, name in self._decoding]
-            self.slots.record_progress(names[0], self.loop.now, 0)
-            target_s = max(self._requests[n][0].kind.gap_s for n in names)
+            self.admission.record_progress(names[0], self.loop.now, 0)
+            target_s = max(self._requests[n][0].request_class.token_gap_target_s
+                           for n in names)
             if target_s:
-                self.slots.record_token_gap(self._step_s(), target_s,
-                                            self.loop.now)
-        self._advance()
+                self.admission.record_token_gap(self._step_duration_s(),
+                                                target_s, self.loop.now)
+        self._assign_free_slots()
 
-    def _report(self) -> None:
-        self.loop.at(self.loop.now + _REPORT_S, self._report)
+    def _send_reports(self) -> None:
+        self.loop.call_at(self.loop.now + _REPORT_INTERVAL_S,
+                          self._send_reports)
         if self.up and not self.reports_lost:
-            reports = self._make_report()
-            self.loop.at(self.loop.now + self._lag_s,
-                         lambda: self._deliver(reports))
+            reports = self._create_reports()
+            self.loop.call_at(self.loop.now + self._lag_s,
+                              lambda: self._deliver_reports(reports))
 
-    def _make_report(self) -> 'Reports':
-        return Reports(
-            self.slots.load(self.loop.now),
+    def _create_reports(self) -> 'LoadReports':
+        return LoadReports(
+            self.admission.load(self.loop.now),
             collections.Counter(
                 id(entry) for _, entry in self._requests.values()),
-            dict(self._seen_by_entry))
+            dict(self._received_by_entry))
 
-    def _deliver(self, reports: 'Reports') -> None:
-        self.reported = reports
+    def _deliver_reports(self, reports: 'LoadReports') -> None:
+        self.last_reports = reports
         for listener in self.listeners:
             listener(reports)
 
 
 @dataclasses.dataclass(frozen=True)
-class Reports:
+class LoadReports:
     """One round of reports to all entry hosts."""
 
-    reading: admission_control.UpstreamLoad
-    own_by_entry: collections.Counter[int]
-    seen_by_entry: dict[int, int]
+    load: admission_control.UpstreamLoad
+    running_by_entry: collections.Counter[int]
+    received_by_entry: dict[int, int]
 
-    def to(self, entry: Receiver, sent: load_estimate.SentAttemptLog,
-           now: float) -> load_estimate.UpstreamLoadReport:
+    def report_for(self, entry: AttemptListener,
+                   sent: load_estimate.SentAttemptLog,
+                   now: float) -> load_estimate.UpstreamLoadReport:
         """The report to one entry host."""
-        seen = self.seen_by_entry.get(id(entry), 0)
-        return load_estimate.UpstreamLoadReport(self.reading,
-                                                self.own_by_entry[id(entry)],
-                                                sent.report_time(seen, now))
+        received = self.received_by_entry.get(id(entry), 0)
+        return load_estimate.UpstreamLoadReport(
+            self.load, self.running_by_entry[id(entry)],
+            sent.report_time(received, now))
--- a/bench/policy_types.py
+++ b/bench/policy_types.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-__all__ = ['Kind', 'Loop', 'Policy', 'Request']
+__all__ = ['EventLoop', 'Policy', 'Request', 'RequestClass']
 
 
 @dataclasses.dataclass(frozen=True)
-class Kind:
+class RequestClass:
     """One class of the users' work."""
 
     name: str
@@ -17,11 +17,11 @@
     pool: str
     importance: int
     tokens: float
-    first_s: float
-    gap_s: float = 0.0
+    latency_target_s: float
+    token_gap_target_s: float = 0.0
     repeatable: bool = True
-    prompt: int = 250
-    spread: float = 0.8
+    prompt_tokens: int = 250
+    token_sigma: float = 0.8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,7 +29,7 @@
     """Which mechanisms are on."""
 
     name: str = 'ours'
-    choose: str = 'ours'
+    selection: str = 'ours'
     unseen: bool = True
     affinity: bool = True
     deadlines: bool = True
@@ -47,47 +47,48 @@
 class Request:
     """One request and what came of it."""
 
-    ident: int
-    kind: Kind
+    request_id: int
+    request_class: RequestClass
     workspace: str
     prefix: bytes
     tokens: int
     arrived_at: float
     attempts: int = 0
     failed_hosts: set[str] = dataclasses.field(default_factory=set)
-    live: dict[str, Any] = dataclasses.field(default_factory=dict)
-    first_at: float | None = None
-    done_at: float | None = None
-    winner: str = ''
-    refused: bool = False
-    near: bool = False
+    running_attempts: dict[str, Any] = dataclasses.field(default_factory=dict)
+    first_token_at: float | None = None
+    completed_at: float | None = None
+    winning_attempt: str = ''
+    rejected: bool = False
+    is_local: bool = False
 
     def in_time(self) -> bool:
         """Whether the answer met its class's targets."""
-        if self.done_at is None or self.first_at is None:
+        if self.completed_at is None or self.first_token_at is None:
             return False
-        if not self.kind.gap_s:
-            return self.done_at - self.arrived_at <= self.kind.first_s
-        gap_s = (self.done_at - self.first_at) / max(1, self.tokens)
-        return (self.first_at - self.arrived_at <= self.kind.first_s and
-                gap_s <= self.kind.gap_s)
+        if not self.request_class.token_gap_target_s:
+            return self.completed_at - self.arrived_at <= self.request_class.latency_target_s
+        gap_s = (self.completed_at - self.first_token_at) / max(1, self.tokens)
+        return (self.first_token_at - self.arrived_at
+                <= self.request_class.latency_target_s and
+                gap_s <= self.request_class.token_gap_target_s)
 
 
-class Loop:
+class EventLoop:
     """Virtual time."""
 
     def __init__(self) -> None:
         self.now = 0.0
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._seq = 0
+        self._sequence_number = 0
 
-    def at(self, time_s: float, act: Callable[[], None]) -> None:
+    def call_at(self, time_s: float, callback: Callable[[], None]) -> None:
         """Calls `act` at a time."""
-        self._seq += 1
-        heapq.heappush(self._heap, (time_s, self._seq, act))
+        self._sequence_number += 1
+        heapq.heappush(self._heap, (time_s, self._sequence_number, callback))
 
-    def run(self, until_s: float) -> None:
+    def run_until(self, until_s: float) -> None:
         """Runs until a time."""
         while self._heap and self._heap[0][0] <= until_s:
-            self.now, _, act = heapq.heappop(self._heap)
-            act()
+            self.now, _, callback = heapq.heappop(self._heap)
+            callback()
