--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,6 +1,9 @@
-"""Measures the policy under load and faults against simpler ones.
+"""Measures the upstream selection policy against baselines in a simulation.
 
-`python -m bench.policy --seed N [--quick]`: one row per cell.
+Each cell is one policy under one mix of requests, load, lag of the load
+reports and fault. It simulates entry hosts and agents in virtual time.
+
+`python -m bench.policy --seed N [--quick]` prints one row for each cell.
 """
 
 import argparse
@@ -99,7 +102,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Cell:
-    """One measured combination."""
+    """One measured combination.
+
+    Attributes:
+        policy: the policy.
+        mix: name of the mix of request classes.
+        load: offered load relative to the capacity of the engines.
+        lag_s: delay of load reports in seconds.
+        fault: name of the fault, or 'none'.
+    """
 
     policy: policy_types.Policy
     mix: str
@@ -109,7 +120,14 @@
 
 
 class _Simulation:
-    """One run of a cell."""
+    """One simulation run of a cell.
+
+    Attributes:
+        cell: the cell.
+        loop: the event loop.
+        engines: the agents of the engines.
+        requests: all requests so far.
+    """
 
     def __init__(self, cell: Cell, seed: int) -> None:
         self.cell = cell
@@ -199,11 +217,12 @@
 
     def _send(self, request: policy_types.Request) -> None:
         entries = self._entries_by_pool[request.request_class.pool]
+        # The exponent gives entry hosts with a lower index more requests.
         entry_index = int(_ENTRY_COUNT * self._rng.random()**1.3)
         entries[entry_index].handle_request(request)
 
     def send_delayed_requests(self) -> None:
-        """Sends at once what was held back during an outage."""
+        """Sends all requests that were delayed during an outage."""
         for request in self._delayed_requests:
             self._send(request)
 
@@ -401,7 +420,7 @@
 
 
 def _goodput_ratios(rows: list[_Row]) -> dict[tuple[Any, ...], float]:
-    """Goodput as a share of the best baseline's, by cell."""
+    """Returns the goodput relative to the best baseline, by cell."""
     baseline_names = {policy.name for policy in _BASELINES}
     best: dict[tuple[Any, ...], float] = {}
     for row in rows:
@@ -416,7 +435,7 @@
 
 
 def main() -> None:
-    """Runs the cells and prints the result."""
+    """Simulates all cells and prints the result."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
--- a/bench/policy_entry.py
+++ b/bench/policy_entry.py
@@ -1,4 +1,7 @@
-"""An entry host in virtual time: core's choice, retries, hedges and health."""
+"""A simulated entry host, for `bench.policy`.
+
+It uses the upstream selection, retries and outlier detection of pollenthread.
+"""
 
 import random
 from collections.abc import Sequence
@@ -15,7 +18,15 @@
 
 
 class _AgentCandidate(upstream_selection.Candidate):
-    """One agent as this entry host knows it."""
+    """An agent as a candidate of the upstream selection of an entry host.
+
+    Attributes:
+        entry: the entry host.
+        agent: the agent.
+        outstanding: number of unfinished attempts of the entry host.
+        sent: times of the attempts that the entry host sent.
+        load_report: the last load report.
+    """
 
     def __init__(self, entry: 'Entry', agent: fakes.Agent) -> None:
         self.entry = entry
@@ -58,7 +69,15 @@
 
 
 class Entry(fakes.AttemptListener):
-    """Chooses upstreams for the requests that come to it."""
+    """An entry host, which sends each request to an upstream.
+
+    Attributes:
+        loop: the event loop.
+        policy: the selection and the enabled mechanisms.
+        data_centre: index of the data centre of the entry host.
+        outlier_detector: ejects failing agents.
+        mean_other_load: mean load from other entry hosts.
+    """
 
     def __init__(self, *, loop: policy_types.EventLoop,
                  policy: policy_types.Policy, agents: Sequence[fakes.Agent],
@@ -88,7 +107,7 @@
             self.outlier_detector.add(host)
 
     def handle_request(self, request: policy_types.Request) -> None:
-        """Makes an attempt, or refuses the request."""
+        """Sends an attempt for a request, or rejects the request."""
         if request.completed_at is not None:
             return
         host = self._select(request)
@@ -133,7 +152,8 @@
         request_class = request.request_class
         preferred = (self._prefix_ring.host_for(request.prefix)
                      if self.policy.affinity else '')
-        time_left_s = request.arrived_at + request_class.latency_target_s - self.loop.now
+        time_left_s = (request.arrived_at + request_class.latency_target_s -
+                       self.loop.now)
         requirements = upstream_selection.AttemptRequirements(
             importance=request_class.importance,
             time_left_s=time_left_s,
@@ -215,7 +235,8 @@
             self.outlier_detector.record_result(agent.host,
                                                 succeeded=False,
                                                 now=self.loop.now)
-        is_retryable = request.request_class.repeatable or executed is errors.Executed.NO
+        is_retryable = (request.request_class.repeatable or
+                        executed is errors.Executed.NO)
         may_retry = request.attempts <= _MAX_RETRIES and is_retryable
         if not may_retry or (
                 self.policy.budget and not self._retry_bucket.try_acquire(
--- a/bench/policy_fakes.py
+++ b/bench/policy_fakes.py
@@ -1,4 +1,7 @@
-"""Engines, agents and entry hosts in virtual time, around core's decisions."""
+"""Simulated agents with their engines, for `bench.policy`.
+
+Admission and load reports are those of pollenthread; time is virtual.
+"""
 
 import abc
 import collections
@@ -21,20 +24,23 @@
 
 
 class _FixedLimit:
-    """The baselines' limit."""
+    """The fixed concurrency limit of the baselines.
+
+    It replaces a `ConcurrencyLimit` and ignores what is recorded.
+    """
 
     value = 64
     ratio = 0.0
 
     def set_running(self, running: int) -> None:
-        """Learns nothing."""
+        """Does nothing."""
 
     def record_latency(self, *_: object) -> None:
-        """Learns nothing."""
+        """Does nothing."""
 
 
 class _BaselineAdmissionController(admission_control.AdmissionController):
-    """Slots without deadlines, for the baselines."""
+    """Admission control without deadlines, for the baselines."""
 
     def _latest_start(self, request: admission_queue.AdmissionRequest) -> float:
         return float('inf')
@@ -47,26 +53,63 @@
 
 
 class AttemptListener(abc.ABC):
-    """Who gets an attempt's answer."""
+    """Receives the progress of attempts."""
 
     @abc.abstractmethod
     def on_first_token(self, name: str, request: policy_types.Request,
                        agent: 'Agent') -> bool:
-        """Takes the first unit; False when nobody waits for the rest."""
+        """Handles the first token of an attempt.
+
+        Returns:
+            False if another attempt has already sent a first token.
+        """
 
     @abc.abstractmethod
     def on_done(self, name: str, request: policy_types.Request, agent: 'Agent',
                 service_s: float) -> None:
-        """Takes the end marker and the time without the wait."""
+        """Handles the end of an attempt.
+
+        Args:
+            name: name of the attempt.
+            request: its request.
+            agent: the agent that ran it.
+            service_s: time without the wait in the queue, in seconds.
+        """
 
     @abc.abstractmethod
     def on_failed(self, name: str, request: policy_types.Request,
                   agent: 'Agent', executed: errors.Executed) -> None:
-        """Takes a failure."""
+        """Handles the failure of an attempt.
+
+        Args:
+            name: name of the attempt.
+            request: its request.
+            agent: the agent that received it.
+            executed: whether the attempt was executed.
+        """
 
 
 class Agent(upstream_selection.Candidate):
-    """An agent with its engine: serial prefill, then shared decoding steps."""
+    """An agent with its engine.
+
+    The engine prefills one prompt at a time and decodes all prefilled requests
+    in common steps.
+
+    Attributes:
+        loop: the event loop.
+        policy: the enabled mechanisms.
+        data_centre: index of the data centre of the agent.
+        step_cost_s: duration of a decoding step in seconds: the fixed part and
+            the part for each request.
+        slowdown: factor on the duration of all work.
+        stalled: whether the engine makes no progress.
+        broken: whether the agent fails each attempt.
+        up: whether the agent runs.
+        reports_lost: whether load reports are lost.
+        listeners: callbacks for load reports.
+        admission: the admission control of the agent.
+        last_reports: the load reports that were delivered last.
+    """
 
     def __init__(self, *, loop: policy_types.EventLoop, name: str,
                  policy: policy_types.Policy, lag_s: float,
@@ -93,7 +136,7 @@
             random.Random(name).random() * _TICK_INTERVAL_S, self._tick)
 
     def reset(self) -> None:
-        """Starts the processes anew."""
+        """Resets the state as after a restart of the agent and its engine."""
         now = self.loop.now
         controller_class = (admission_control.AdmissionController
                             if self.policy.deadlines else
@@ -128,7 +171,13 @@
 
     def submit(self, name: str, request: policy_types.Request,
                entry: AttemptListener) -> None:
-        """Takes an attempt from an entry host."""
+        """Accepts an attempt from an entry host.
+
+        Args:
+            name: name of the attempt.
+            request: its request.
+            entry: receives the progress of the attempt.
+        """
         now = self.loop.now
         request_class = request.request_class
         self._requests[name] = (request, entry)
@@ -149,7 +198,7 @@
             self._reject_attempt(name)
 
     def cancel(self, name: str) -> None:
-        """Drops an attempt that nobody waits for."""
+        """Cancels an attempt."""
         if self._requests.pop(name, None) is not None:
             self._update_progress()
             self._decoding = [d for d in self._decoding if d[1] != name]
@@ -157,7 +206,7 @@
             self._release_slot(name)
 
     def crash(self) -> None:
-        """Loses everything; entry hosts see their links break."""
+        """Stops the agent; all its attempts fail with an unknown result."""
         self.up = False
         aborted = list(self._requests.items())
         self.reset()
@@ -225,7 +274,7 @@
         self._progress_updated_at = self.loop.now
 
     def set_faults(self, **faults: Any) -> None:
-        """Sets faults."""
+        """Sets attributes of the agent that model faults, by name."""
         self._update_progress()
         for name, value in faults.items():
             setattr(self, name, value)
@@ -298,7 +347,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadReports:
-    """One round of reports to all entry hosts."""
+    """The load reports of an agent to all entry hosts at one time.
+
+    Attributes:
+        load: load of the agent.
+        running_by_entry: number of unfinished attempts of each entry host.
+        received_by_entry: number of attempts received from each entry host.
+    """
 
     load: admission_control.UpstreamLoad
     running_by_entry: collections.Counter[int]
@@ -307,7 +362,13 @@
     def report_for(self, entry: AttemptListener,
                    sent: load_estimate.SentAttemptLog,
                    now: float) -> load_estimate.UpstreamLoadReport:
-        """The report to one entry host."""
+        """Returns the report to one entry host.
+
+        Args:
+            entry: the entry host.
+            sent: the attempts that the entry host has sent to the agent.
+            now: current time in seconds.
+        """
         received = self.received_by_entry.get(id(entry), 0)
         return load_estimate.UpstreamLoadReport(
             self.load, self.running_by_entry[id(entry)],
