Rename identifiers of bench.balance to terms of the field

Cause: names such as ours, undone, draw, note, found and even were vague. Change: names only, with all uses; JSON keys, policies, traces and targets stay.

--- a/bench/balance.py
+++ b/bench/balance.py
@@ -18,61 +18,61 @@
 
 __all__: list[str] = []
 
-SMALL = balance_group.Size('8x32', 8, 32, 8, 5, 4)
-LARGE = balance_group.Size('32x64', 32, 64, 58, 3, 4)
+SMALL_SIZE = balance_group.GroupSize('8x32', 8, 32, 8, 5, 4)
+LARGE_SIZE = balance_group.GroupSize('32x64', 32, 64, 58, 3, 4)
 INTERVAL_S = 300.0
-COSTS = rebalance.LoadCosts(expert_bytes=44_000_000,
-                            store_bytes_per_s=33e6,
-                            slowdown=0.2,
-                            stall_s=0.05)
+LOAD_COSTS = rebalance.LoadCosts(expert_bytes=44_000_000,
+                                 store_bytes_per_s=33e6,
+                                 slowdown=0.2,
+                                 stall_s=0.05)
 BUNA = targets.RankBalance(skew=1.10, budget_share=0.005)
 TAGLINE = targets.RankBalance(skew=1.01, budget_share=0.05)
 UNLIMITED = targets.RankBalance(skew=1.0, budget_share=1.0)
-SWEEP = (1.01, 1.03, 1.06, 1.1, 1.2, 1.3)
-_THRESHOLD = 1.2
-_CONTROL_SHARE = 0.027
+SWEPT_SKEWS = (1.01, 1.03, 1.06, 1.1, 1.2, 1.3)
+_REPLAN_SKEW_THRESHOLD = 1.2
+_MAX_PLANNING_CORE_SHARE = 0.027
 _HOURS = 8.0
 _QUICK_HOURS = 2.25
 _LARGE_HOURS = 3.5
 _LARGE_QUICK_HOURS = 0.34
-_QUICK = ('steady', 'drift', 'flip', 'burst', 'seesaw')
-_ALL = ('never', 'full', 'full-instant', 'threshold', 'buna', 'tagline',
-        'tagline-no-history', 'tagline-no-split', 'tagline-no-fixing',
-        'unlimited')
-_MAIN = ('never', 'full', 'full-instant', 'buna', 'tagline')
-
-Decide = Callable[[popularity.Popularity, float, bool],
-                  expert_map.ExpertMap | None]
+_QUICK_TRACES = ('steady', 'drift', 'flip', 'burst', 'seesaw')
+_ALL_POLICIES = ('never', 'full', 'full-instant', 'threshold', 'buna',
+                 'tagline', 'tagline-no-history', 'tagline-no-split',
+                 'tagline-no-fixing', 'unlimited')
+_MAIN_POLICIES = ('never', 'full', 'full-instant', 'buna', 'tagline')
+
+Planner = Callable[[popularity.Popularity, float, bool],
+                   expert_map.ExpertMap | None]
 """Gives the map to switch to, or None, from the estimate, time and load."""
 
 
-class _Ours:
+class _PollenthreadPlanner:
     """The planner of the product."""
 
-    def __init__(self, planner: rebalance.PlannerConfig,
-                 start: expert_map.ExpertMap) -> None:
-        self._planner = planner
-        self._state = rebalance.GroupState(current_map=start)
+    def __init__(self, planner_config: rebalance.PlannerConfig,
+                 initial_map: expert_map.ExpertMap) -> None:
+        self._planner_config = planner_config
+        self._state = rebalance.GroupState(current_map=initial_map)
 
     def __call__(self, estimate: popularity.Popularity, time_s: float,
                  is_loading: bool) -> expert_map.ExpertMap | None:
         if is_loading:
             return None
-        self._state, result = rebalance.plan_rebalance(self._planner,
+        self._state, result = rebalance.plan_rebalance(self._planner_config,
                                                        self._state,
                                                        estimate,
                                                        now_s=time_s)
         return result.target_map
 
 
-class _Replan:
+class _FullReplanner:
     """Plans anew once the skew passes a threshold."""
 
-    def __init__(self, group: placement.GroupShape, threshold: float,
-                 start: expert_map.ExpertMap) -> None:
-        self._group = group
+    def __init__(self, group_shape: placement.GroupShape, threshold: float,
+                 initial_map: expert_map.ExpertMap) -> None:
+        self._group_shape = group_shape
         self._threshold = threshold
-        self._current = start
+        self._current = initial_map
 
     def __call__(self, estimate: popularity.Popularity, time_s: float,
                  is_loading: bool) -> expert_map.ExpertMap | None:
@@ -80,91 +80,109 @@
         if is_loading or expert_map.skew(self._current,
                                          shares) < self._threshold:
             return None
-        layouts = [moves.optimize_layout(self._group, row) for row in shares]
+        layouts = [
+            moves.optimize_layout(self._group_shape, row) for row in shares
+        ]
         self._current = expert_map.build_map(layouts, shares)
         return self._current
 
 
-def _never(_: popularity.Popularity, __: float,
-           ___: bool) -> expert_map.ExpertMap | None:
+def _never_replan(_: popularity.Popularity, __: float,
+                  ___: bool) -> expert_map.ExpertMap | None:
     return None
 
 
-def _policies(size: balance_group.Size,
-              start: expert_map.ExpertMap) -> dict[str, Decide]:
-    group = size.group
-
-    def ours(policy: targets.RankBalance, without: str = '') -> Decide:
-        planner = rebalance.PlannerConfig(group,
-                                          policy,
-                                          COSTS,
-                                          INTERVAL_S,
-                                          use_history=without != 'history',
-                                          use_split_changes=without != 'split',
-                                          use_load_cooldown=without != 'fixing')
-        return _Ours(planner, start)
-
-    swept = {
-        f'skew-{skew}': ours(targets.RankBalance(skew, TAGLINE.budget_share))
-        for skew in SWEEP
+def _planners(size: balance_group.GroupSize,
+              initial_map: expert_map.ExpertMap) -> dict[str, Planner]:
+    group_shape = size.group_shape
+
+    def pollenthread_planner(policy: targets.RankBalance,
+                             without: str = '') -> Planner:
+        planner_config = rebalance.PlannerConfig(group_shape,
+                                                 policy,
+                                                 LOAD_COSTS,
+                                                 INTERVAL_S,
+                                                 use_history=without
+                                                 != 'history',
+                                                 use_split_changes=without
+                                                 != 'split',
+                                                 use_load_cooldown=without
+                                                 != 'fixing')
+        return _PollenthreadPlanner(planner_config, initial_map)
+
+    swept_planners = {
+        f'skew-{skew}':
+            pollenthread_planner(targets.RankBalance(skew,
+                                                     TAGLINE.budget_share))
+        for skew in SWEPT_SKEWS
     }
     return {
-        **swept, 'never': _never,
-        'full': _Replan(group, 0.0, start),
-        'full-instant': _Replan(group, 0.0, start),
-        'threshold': _Replan(group, _THRESHOLD, start),
-        'buna': ours(BUNA),
-        'tagline': ours(TAGLINE),
-        'tagline-no-history': ours(TAGLINE, without='history'),
-        'tagline-no-split': ours(TAGLINE, without='split'),
-        'tagline-no-fixing': ours(TAGLINE, without='fixing'),
-        'unlimited': ours(UNLIMITED)
+        **swept_planners, 'never':
+            _never_replan,
+        'full':
+            _FullReplanner(group_shape, 0.0, initial_map),
+        'full-instant':
+            _FullReplanner(group_shape, 0.0, initial_map),
+        'threshold':
+            _FullReplanner(group_shape, _REPLAN_SKEW_THRESHOLD, initial_map),
+        'buna':
+            pollenthread_planner(BUNA),
+        'tagline':
+            pollenthread_planner(TAGLINE),
+        'tagline-no-history':
+            pollenthread_planner(TAGLINE, without='history'),
+        'tagline-no-split':
+            pollenthread_planner(TAGLINE, without='split'),
+        'tagline-no-fixing':
+            pollenthread_planner(TAGLINE, without='fixing'),
+        'unlimited':
+            pollenthread_planner(UNLIMITED)
     }
 
 
 @functools.lru_cache(maxsize=1)
-def _start_map(size: balance_group.Size,
-               rows: tuple[tuple[float, ...], ...]) -> expert_map.ExpertMap:
+def _initial_map(size: balance_group.GroupSize,
+                 rows: tuple[tuple[float, ...], ...]) -> expert_map.ExpertMap:
     """The map that fits the popularity at the start of a trace."""
-    layouts = [moves.optimize_layout(size.group, row) for row in rows]
+    layouts = [moves.optimize_layout(size.group_shape, row) for row in rows]
     return expert_map.build_map(layouts, rows)
 
 
-def run(size: balance_group.Size, trace_name: str, policy_name: str, seed: int,
-        hours: float) -> dict[str, Any]:
+def run(size: balance_group.GroupSize, trace_name: str, policy_name: str,
+        seed: int, hours: float) -> dict[str, Any]:
     """One row: one policy on one trace."""
-    draw = np.random.default_rng(seed)
-    trace = balance_traces.TRACES[trace_name](draw, size.layers, size.experts)
-    rows = balance_group.rows_of(trace(0.0))
-    start = _start_map(size, tuple(rows))
-    decide = _policies(size, start)[policy_name]
+    rng = np.random.default_rng(seed)
+    trace = balance_traces.TRACES[trace_name](rng, size.layers, size.experts)
+    rows = balance_group.to_rows(trace(0.0))
+    initial_map = _initial_map(size, tuple(rows))
+    planner = _planners(size, initial_map)[policy_name]
     model = balance_group.GroupModel(size=size,
                                      trace=trace,
-                                     costs=COSTS,
+                                     costs=LOAD_COSTS,
                                      interval_s=INTERVAL_S,
                                      seed=seed + 1,
-                                     start=start,
+                                     initial_map=initial_map,
                                      is_instant=policy_name == 'full-instant')
     estimate = popularity.empty_popularity(layers=size.layers,
                                            experts=size.experts,
                                            at_s=0.0)
     for i in range(round(hours * 3600 / INTERVAL_S)):
         time_s = i * INTERVAL_S
-        began = time.process_time()
-        for counts in model.reports(time_s):
+        started_s = time.process_time()
+        for counts in model.receive_reports(time_s):
             estimate = popularity.add_counts(estimate, counts)
-        target = decide(estimate, time_s, model.is_loading)
-        model.totals.planning_s += time.process_time() - began
+        target = planner(estimate, time_s, model.is_loading)
+        model.totals.planning_s += time.process_time() - started_s
         model.totals.plans += 1
         if target is not None:
-            model.switch(target, time_s)
+            model.start_switch(target, time_s)
         model.run_interval(time_s)
     return _row(size, trace_name, policy_name, model.totals)
 
 
-def _row(size: balance_group.Size, trace: str, policy: str,
-         totals: balance_group.Totals) -> dict[str, Any]:
-    mean = statistics.fmean(totals.skews)
+def _row(size: balance_group.GroupSize, trace: str, policy: str,
+         totals: balance_group.RunTotals) -> dict[str, Any]:
+    skew_mean = statistics.fmean(totals.skews)
     return {
         'size':
             size.name,
@@ -173,29 +191,29 @@
         'policy':
             policy,
         'skew_mean':
-            round(mean, 4),
+            round(skew_mean, 4),
         'skew_p99':
             round(float(np.quantile(totals.skews, 0.99)), 4),
         'skew_over_bound':
-            round(mean - statistics.fmean(totals.bounds), 4),
+            round(skew_mean - statistics.fmean(totals.bounds), 4),
         'skew_lost_capacity_s':
-            round(totals.skew_lost_s, 1),
+            round(totals.skew_capacity_s, 1),
         'loading_lost_capacity_s':
-            round(totals.loading_lost_s, 1),
+            round(totals.loading_capacity_s, 1),
         'stalled_capacity_s':
-            round(totals.stalled_s, 1),
+            round(totals.stalled_capacity_s, 1),
         'cost_capacity_s':
-            round(totals.cost_s, 1),
+            round(totals.cost_capacity_s, 1),
         'reloaded_gb':
-            round(totals.loads * COSTS.expert_bytes / 1e9, 3),
+            round(totals.loads * LOAD_COSTS.expert_bytes / 1e9, 3),
         'experts_moved':
             totals.loads,
         'moved_back':
-            totals.undone,
+            totals.reverted_loads,
         'loads_per_expert_hour':
             totals.loads_per_expert_hour,
         'undone_per_expert_hour':
-            totals.undone_per_expert_hour,
+            totals.reverts_per_expert_hour,
         'switches':
             totals.switches,
         'planning_ms':
@@ -205,30 +223,30 @@
     }
 
 
-def _placement_row(size: balance_group.Size, seed: int) -> dict[str, Any]:
+def _placement_row(size: balance_group.GroupSize, seed: int) -> dict[str, Any]:
     """Fresh placements against the lower bound of their skew."""
-    draw = np.random.default_rng(seed)
-    trace = balance_traces.TRACES['drift'](draw, size.layers, size.experts)
-    group = size.group
-    rows = balance_group.rows_of(trace(0.0))
-    bounds = [placement.skew_lower_bound(group, row) for row in rows]
+    rng = np.random.default_rng(seed)
+    trace = balance_traces.TRACES['drift'](rng, size.layers, size.experts)
+    group_shape = size.group_shape
+    rows = balance_group.to_rows(trace(0.0))
+    bounds = [placement.skew_lower_bound(group_shape, row) for row in rows]
     skews = [
-        placement.split_traffic(moves.optimize_layout(group, row), row).skew
-        for row in rows
+        placement.split_traffic(moves.optimize_layout(group_shape, row),
+                                row).skew for row in rows
     ]
-    worst = max(skew / bound for skew, bound in zip(skews, bounds))
+    worst_ratio = max(skew / bound for skew, bound in zip(skews, bounds))
     return {
         'size': size.name,
         'placement_over_bound': round(sum(skews) / sum(bounds), 4),
-        'worst_layer_over_bound': round(worst, 4)
+        'worst_layer_over_bound': round(worst_ratio, 4)
     }
 
 
 def _ratio(rows: Sequence[dict[str, Any]], column: str, policy: str,
-           other: str) -> float:
+           other_policy: str) -> float:
     """The worst ratio of two policies over traces of one size."""
     by_key = {(row['size'], row['trace'], row['policy']): row for row in rows}
-    return max(row[column] / by_key[size, trace, other][column]
+    return max(row[column] / by_key[size, trace, other_policy][column]
                for (size, trace, name), row in by_key.items()
                if name == policy)
 
@@ -239,7 +257,7 @@
 
 def _targets(rows: Sequence[dict[str, Any]],
              placements: Sequence[dict[str, Any]]) -> list[common.Target]:
-    found = [
+    results = [
         _at_most('tagline mean skew over full replan', 1.05,
                  _ratio(rows, 'skew_mean', 'tagline', 'full')),
         _at_most('tagline mean skew over instant full replan', 1.05,
@@ -254,14 +272,15 @@
     planning = [
         row['planning_share']
         for row in rows
-        if row['size'] == LARGE.name and row['policy'] in ('buna', 'tagline')
+        if row['size'] == LARGE_SIZE.name and row['policy'] in ('buna',
+                                                                'tagline')
     ]
     if planning:
-        found.append(
-            _at_most('planning 32x64x58, share of a core', _CONTROL_SHARE,
-                     max(planning)))
+        results.append(
+            _at_most('planning 32x64x58, share of a core',
+                     _MAX_PLANNING_CORE_SHARE, max(planning)))
     for column in ('loads_per_expert_hour', 'undone_per_expert_hour'):
-        found.append(
+        results.append(
             _at_most(
                 f'{column} on burst and see-saw', 1,
                 max((row[column]
@@ -270,10 +289,10 @@
                      ('buna', 'tagline')),
                     default=0)))
     for row in placements:
-        found.append(
+        results.append(
             _at_most(f'placement {row["size"]} over lower bound', 1.03,
                      row['placement_over_bound']))
-    return found
+    return results
 
 
 def main() -> None:
@@ -281,15 +300,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
-    parser.add_argument('--size', choices=(SMALL.name, LARGE.name))
+    parser.add_argument('--size', choices=(SMALL_SIZE.name, LARGE_SIZE.name))
     args = parser.parse_args()
-    small = [(SMALL, trace, policy, _QUICK_HOURS if args.quick else _HOURS)
-             for trace in (_QUICK if args.quick else balance_traces.TRACES)
-             for policy in (_MAIN if args.quick else _ALL)]
-    large = [(LARGE, trace, policy,
+    small = [
+        (SMALL_SIZE, trace, policy, _QUICK_HOURS if args.quick else _HOURS)
+        for trace in (_QUICK_TRACES if args.quick else balance_traces.TRACES)
+        for policy in (_MAIN_POLICIES if args.quick else _ALL_POLICIES)
+    ]
+    large = [(LARGE_SIZE, trace, policy,
               _LARGE_QUICK_HOURS if args.quick else _LARGE_HOURS)
              for trace in (('drift',) if args.quick else ('drift', 'burst'))
-             for policy in _MAIN]
+             for policy in _MAIN_POLICIES]
     rows = []
     for size, trace, policy, hours in small + large:
         if args.size not in (None, size.name):
@@ -297,7 +318,9 @@
         row = run(size, trace, policy, args.seed, hours)
         rows.append(row)
         print(row, flush=True)
-    placements = [_placement_row(size, args.seed) for size in (SMALL, LARGE)]
+    placements = [
+        _placement_row(size, args.seed) for size in (SMALL_SIZE, LARGE_SIZE)
+    ]
     common.emit(args.seed, [*rows, *placements], _targets(rows, placements))
 
 
--- a/bench/balance_group.py
+++ b/bench/balance_group.py
@@ -8,18 +8,18 @@
 from bench import balance_traces
 from pollenthread.core import expert_map, placement, popularity, rebalance
 
-__all__ = ['Size', 'Totals', 'GroupModel']
+__all__ = ['GroupModel', 'GroupSize', 'RunTotals']
 
-_STEP_TOKENS = 32768
+_TOKENS_PER_STEP = 32768
 _STEPS_PER_INTERVAL = 4
-_REPORT_TOKENS = 400_000
-_LOST_REPORT = 0.05
-_LATE_REPORT = 0.1
+_TOKENS_PER_REPORT = 400_000
+_LOST_REPORT_SHARE = 0.05
+_DELAYED_REPORT_SHARE = 0.1
 _HOUR_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True)
-class Size:
+class GroupSize:
     """The shape of a benchmark."""
 
     name: str
@@ -30,7 +30,7 @@
     hosts: int
 
     @property
-    def group(self) -> placement.GroupShape:
+    def group_shape(self) -> placement.GroupShape:
         """The shape for the planner."""
         return placement.GroupShape(
             self.experts, (self.slots,) * self.ranks,
@@ -39,168 +39,183 @@
 
 
 @dataclasses.dataclass
-class Totals:
+class RunTotals:
     """What a run has cost."""
 
     skews: list[float] = dataclasses.field(default_factory=list)
     bounds: list[float] = dataclasses.field(default_factory=list)
-    skew_lost_s: float = 0.0
-    loading_lost_s: float = 0.0
-    stalled_s: float = 0.0
+    skew_capacity_s: float = 0.0
+    loading_capacity_s: float = 0.0
+    stalled_capacity_s: float = 0.0
     loads: int = 0
-    undone: int = 0
+    reverted_loads: int = 0
     switches: int = 0
     planning_s: float = 0.0
     plans: int = 0
     loads_per_expert_hour: int = 0
-    undone_per_expert_hour: int = 0
+    reverts_per_expert_hour: int = 0
 
     @property
-    def cost_s(self) -> float:
+    def cost_capacity_s(self) -> float:
         """Capacity-seconds lost to skew, loads and switches."""
-        return self.skew_lost_s + self.loading_lost_s + self.stalled_s
+        return self.skew_capacity_s + self.loading_capacity_s + self.stalled_capacity_s
 
 
 class GroupModel:
     """Runs a map against the true popularity and reports lagging counts."""
 
-    def __init__(self, *, size: Size, trace: balance_traces.Trace,
+    def __init__(self, *, size: GroupSize, trace: balance_traces.Trace,
                  costs: rebalance.LoadCosts, interval_s: float, seed: int,
-                 start: expert_map.ExpertMap, is_instant: bool) -> None:
+                 initial_map: expert_map.ExpertMap, is_instant: bool) -> None:
         self._size = size
         self._trace = trace
         self._costs = costs
         self._interval_s = interval_s
-        self._draw = np.random.default_rng(seed)
-        self._seq = 0
+        self._rng = np.random.default_rng(seed)
+        self._sequence_number = 0
         self._is_instant = is_instant
         self._pending: tuple[float, expert_map.ExpertMap] | None = None
-        self._loaded_at: dict[tuple[int, int, int], float] = {}
-        self._dropped_at: dict[tuple[int, int, int], float] = {}
-        self._loads_at: dict[tuple[int, int], list[float]] = {}
-        self._undone_at: dict[tuple[int, int], list[float]] = {}
-        self._late: popularity.TokenCounts | None = None
-        self.current = start
-        self.totals = Totals()
+        self._loaded_at_s: dict[tuple[int, int, int], float] = {}
+        self._dropped_at_s: dict[tuple[int, int, int], float] = {}
+        self._load_times: dict[tuple[int, int], list[float]] = {}
+        self._revert_times: dict[tuple[int, int], list[float]] = {}
+        self._delayed_report: popularity.TokenCounts | None = None
+        self.current = initial_map
+        self.totals = RunTotals()
 
     @property
     def is_loading(self) -> bool:
         """Whether a change is under way."""
         return self._pending is not None
 
-    def reports(self, time_s: float) -> list[popularity.TokenCounts]:
+    def receive_reports(self, time_s: float) -> list[popularity.TokenCounts]:
         """The counts that arrive now: some are lost, some come late."""
-        self._seq += 1
+        self._sequence_number += 1
         tokens = tuple(
             tuple(
                 int(n)
-                for n in self._draw.multinomial(_REPORT_TOKENS, layer))
+                for n in self._rng.multinomial(_TOKENS_PER_REPORT, layer))
             for layer in self._trace(time_s - 1.0))
-        counts = popularity.TokenCounts(self._seq, time_s, tokens)
-        chance = self._draw.random()
-        arrived = [] if self._late is None else [self._late]
-        self._late = None
-        if chance < _LOST_REPORT:
-            return arrived
-        if chance < _LOST_REPORT + _LATE_REPORT:
-            self._late = counts
-            return arrived
-        return [counts, *arrived]
-
-    def switch(self, target: expert_map.ExpertMap, time_s: float) -> None:
+        counts = popularity.TokenCounts(self._sequence_number, time_s, tokens)
+        random_unit = self._rng.random()
+        received = [] if self._delayed_report is None else [
+            self._delayed_report
+        ]
+        self._delayed_report = None
+        if random_unit < _LOST_REPORT_SHARE:
+            return received
+        if random_unit < _LOST_REPORT_SHARE + _DELAYED_REPORT_SHARE:
+            self._delayed_report = counts
+            return received
+        return [counts, *received]
+
+    def start_switch(self, target: expert_map.ExpertMap, time_s: float) -> None:
         """Begins to load what a new map needs."""
         if target == self.current:
             return
         loads = self._count_loads(target, time_s)
         load_s = self._costs.load_s(loads)
         self.totals.loads += loads
-        self.totals.loading_lost_s += (load_s * self._costs.slowdown *
-                                       self._size.ranks)
+        self.totals.loading_capacity_s += (load_s * self._costs.slowdown *
+                                           self._size.ranks)
         self.totals.switches += 1
-        self.totals.stalled_s += self._costs.stall_s * self._size.ranks
+        self.totals.stalled_capacity_s += self._costs.stall_s * self._size.ranks
         wait_s = 0.0 if self._is_instant else load_s
         self._pending = (time_s + wait_s, target)
 
     def _count_loads(self, target: expert_map.ExpertMap, time_s: float) -> int:
         count = 0
-        for layer, (old, new) in enumerate(zip(self.current, target)):
+        for layer, (old_layer,
+                    new_layer) in enumerate(zip(self.current, target)):
             loaded: set[int] = set()
-            undone: set[int] = set()
-            for rank, (before, after) in enumerate(zip(old.layout, new.layout)):
-                for expert in set(after) - set(before):
+            reverted: set[int] = set()
+            for rank, (old_experts, new_experts) in enumerate(
+                    zip(old_layer.layout, new_layer.layout)):
+                for expert in set(new_experts) - set(old_experts):
                     count += 1
                     loaded.add(expert)
-                    self._note(self._loaded_at, self._dropped_at,
-                               (layer, rank, expert), time_s, undone)
-                for expert in set(before) - set(after):
-                    self._note(self._dropped_at, self._loaded_at,
-                               (layer, rank, expert), time_s, undone)
+                    self._record_change(self._loaded_at_s, self._dropped_at_s,
+                                        (layer, rank, expert), time_s, reverted)
+                for expert in set(old_experts) - set(new_experts):
+                    self._record_change(self._dropped_at_s, self._loaded_at_s,
+                                        (layer, rank, expert), time_s, reverted)
             totals = self.totals
             totals.loads_per_expert_hour = max(
                 totals.loads_per_expert_hour,
-                _most_in_hour(self._loads_at, layer, loaded, time_s))
-            totals.undone_per_expert_hour = max(
-                totals.undone_per_expert_hour,
-                _most_in_hour(self._undone_at, layer, undone, time_s))
+                _record_and_count_in_hour(self._load_times, layer, loaded,
+                                          time_s))
+            totals.reverts_per_expert_hour = max(
+                totals.reverts_per_expert_hour,
+                _record_and_count_in_hour(self._revert_times, layer, reverted,
+                                          time_s))
         return count
 
-    def _note(self, times: dict[tuple[int, int, int], float],
-              opposite: dict[tuple[int, int, int],
-                             float], key: tuple[int, int, int], time_s: float,
-              undone: set[int]) -> None:
-        if time_s - opposite.get(key, -_HOUR_S) < _HOUR_S:
-            self.totals.undone += 1
-            undone.add(key[2])
-        times[key] = time_s
+    def _record_change(self, last_times: dict[tuple[int, int, int], float],
+                       last_opposite_times: dict[tuple[int, int, int],
+                                                 float], key: tuple[int, int,
+                                                                    int],
+                       time_s: float, reverted: set[int]) -> None:
+        if time_s - last_opposite_times.get(key, -_HOUR_S) < _HOUR_S:
+            self.totals.reverted_loads += 1
+            reverted.add(key[2])
+        last_times[key] = time_s
 
     def run_interval(self, time_s: float) -> None:
         """Makes steps until the next plan."""
         end_s = time_s + self._interval_s
         shares = self._trace(time_s)
         rows = [tuple(float(x) for x in layer) for layer in shares]
-        group = self._size.group
+        group_shape = self._size.group_shape
         self.totals.bounds.append(
-            sum(placement.skew_lower_bound(group, row) for row in rows) /
+            sum(placement.skew_lower_bound(group_shape, row) for row in rows) /
             len(rows))
         if self._pending is not None:
             ready_s, target = self._pending
             if ready_s > time_s:
-                self._steps(shares, min(ready_s, end_s) - time_s)
+                self._sample_steps(shares, min(ready_s, end_s) - time_s)
             if ready_s >= end_s:
                 return
             self.current, self._pending = target, None
             time_s = max(time_s, ready_s)
-        self._steps(shares, end_s - time_s)
+        self._sample_steps(shares, end_s - time_s)
 
-    def _steps(self, shares: balance_traces.Shares, duration_s: float) -> None:
+    def _sample_steps(self, shares: balance_traces.Shares,
+                      duration_s: float) -> None:
         """Samples steps for a time with one map and one popularity."""
         steps = max(1,
                     round(_STEPS_PER_INTERVAL * duration_s / self._interval_s))
-        matrices = [_matrix(layer, self._size) for layer in self.current]
+        matrices = [
+            _traffic_matrix(layer, self._size) for layer in self.current
+        ]
         for _ in range(steps):
-            worst = 0.0
+            max_rank_tokens = 0.0
             for row, matrix in zip(shares, matrices):
-                tokens = self._draw.multinomial(_STEP_TOKENS, row)
-                worst += float((tokens @ matrix).max())
-            skew = worst * self._size.ranks / (_STEP_TOKENS * len(matrices))
+                tokens = self._rng.multinomial(_TOKENS_PER_STEP, row)
+                max_rank_tokens += float((tokens @ matrix).max())
+            skew = max_rank_tokens * self._size.ranks / (_TOKENS_PER_STEP *
+                                                         len(matrices))
             self.totals.skews.append(skew)
-            self.totals.skew_lost_s += (duration_s / steps * self._size.ranks *
-                                        (1 - 1 / skew))
+            self.totals.skew_capacity_s += (duration_s / steps *
+                                            self._size.ranks * (1 - 1 / skew))
 
 
-def _most_in_hour(times: dict[tuple[int, int], list[float]], layer: int,
-                  experts: set[int], time_s: float) -> int:
+def _record_and_count_in_hour(last_times: dict[tuple[int, int],
+                                               list[float]], layer: int,
+                              experts: set[int], time_s: float) -> int:
     """Notes a plan's experts; the most plans of one expert in an hour."""
-    most = 0
+    max_count = 0
     for expert in experts:
         key = (layer, expert)
-        recent = [at for at in times.get(key, []) if time_s - at < _HOUR_S]
-        times[key] = [*recent, time_s]
-        most = max(most, len(times[key]))
-    return most
+        recent = [
+            time for time in last_times.get(key, []) if time_s - time < _HOUR_S
+        ]
+        last_times[key] = [*recent, time_s]
+        max_count = max(max_count, len(last_times[key]))
+    return max_count
 
 
-def _matrix(layer: expert_map.LayerMap, size: Size) -> balance_traces.Shares:
+def _traffic_matrix(layer: expert_map.LayerMap,
+                    size: GroupSize) -> balance_traces.Shares:
     matrix = np.zeros((size.experts, size.ranks))
     for expert, fractions in enumerate(layer.fractions):
         for rank, fraction in fractions:
@@ -208,6 +223,6 @@
     return matrix
 
 
-def rows_of(shares: balance_traces.Shares) -> Sequence[tuple[float, ...]]:
+def to_rows(shares: balance_traces.Shares) -> Sequence[tuple[float, ...]]:
     """The shares as plain tuples."""
     return [tuple(float(x) for x in layer) for layer in shares]
--- a/bench/balance_plot.py
+++ b/bench/balance_plot.py
@@ -13,44 +13,43 @@
 __all__: list[str] = []
 
 _TRACES = ('drift', 'correlated', 'burst', 'seesaw')
-_BASELINES = {
+_MARKER_BY_POLICY = {
     'never': 'o',
     'full': 's',
     'threshold': '^',
     'buna': 'P',
     'tagline': '*'
 }
-_HOURS = 4.0
-_LEAST_GB = 0.05
+_DURATION_HOURS = 4.0
+_MIN_PLOTTED_GB = 0.05
 _DPI = 130
 
 
-def _points(trace: str, policies: Sequence[str],
-            seed: int) -> list[tuple[float, float]]:
+def _simulate_points(trace: str, policies: Sequence[str],
+                     seed: int) -> list[tuple[float, float]]:
     rows = [
-        balance.run(balance.SMALL, trace, policy, seed, _HOURS)
+        balance.run(balance.SMALL_SIZE, trace, policy, seed, _DURATION_HOURS)
         for policy in policies
     ]
-    return [
-        (max(_LEAST_GB, row['reloaded_gb']), row['skew_mean']) for row in rows
-    ]
+    return [(max(_MIN_PLOTTED_GB, row['reloaded_gb']), row['skew_mean'])
+            for row in rows]
 
 
-def _draw(seed: int, path: str) -> None:
+def _plot(seed: int, path: str) -> None:
     figure = figure_module.Figure(figsize=(10, 7.5))
     grid = figure.subplots(2, 2, sharex=True)
-    swept = [f'skew-{skew}' for skew in balance.SWEEP]
+    swept_policies = [f'skew-{skew}' for skew in balance.SWEPT_SKEWS]
     for axes, trace in zip(grid.flat, _TRACES):
-        curve = _points(trace, swept, seed)
+        curve = _simulate_points(trace, swept_policies, seed)
         axes.plot(*zip(*curve), '.-', color='tab:blue', label='ours, by target')
-        for (gigabytes, skew), target in zip(curve, balance.SWEEP):
+        for (gigabytes, skew), target in zip(curve, balance.SWEPT_SKEWS):
             axes.annotate(f'{target}', (gigabytes, skew),
                           fontsize=7,
                           xytext=(3, 4),
                           textcoords='offset points')
-        for (name, marker), point in zip(_BASELINES.items(),
-                                         _points(trace, list(_BASELINES),
-                                                 seed)):
+        for (name, marker), point in zip(
+                _MARKER_BY_POLICY.items(),
+                _simulate_points(trace, list(_MARKER_BY_POLICY), seed)):
             axes.plot(*point, marker, markersize=9, linestyle='', label=name)
         axes.set_xscale('log')
         axes.set_title(trace)
@@ -71,7 +70,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--out', required=True)
     args = parser.parse_args()
-    _draw(args.seed, args.out)
+    _plot(args.seed, args.out)
 
 
 if __name__ == '__main__':
--- a/bench/balance_traces.py
+++ b/bench/balance_traces.py
@@ -14,74 +14,76 @@
 Trace = Callable[[float], Shares]
 """The popularity at a time in seconds."""
 
-_ZIPF = 0.9
+_ZIPF_EXPONENT = 0.9
 _HOUR_S = 3600.0
 _DRIFT_PERIOD_S = 10 * _HOUR_S
-_SEESAW_S = 2400.0
-_FLIP_S = 1.25 * _HOUR_S
+_SEESAW_INTERVAL_S = 2400.0
+_FLIP_TIME_S = 1.25 * _HOUR_S
 _BURST_START_S = _HOUR_S
 _BURST_END_S = 2 * _HOUR_S
 _BURST_FACTOR = 4.0
-_TOPICS = 6
+_TOPIC_COUNT = 6
 
 
-def _zipf(draw: np.random.Generator, layers: int, experts: int) -> Shares:
-    weight = np.arange(1, experts + 1)**-_ZIPF
-    return _even(np.array([draw.permutation(weight) for _ in range(layers)]))
+def _zipf(rng: np.random.Generator, layers: int, experts: int) -> Shares:
+    weights = np.arange(1, experts + 1)**-_ZIPF_EXPONENT
+    return _normalize(
+        np.array([rng.permutation(weights) for _ in range(layers)]))
 
 
-def _even(weight: Shares) -> Shares:
-    return weight / weight.sum(axis=1, keepdims=True)
+def _normalize(weights: Shares) -> Shares:
+    return weights / weights.sum(axis=1, keepdims=True)
 
 
-def _steady(draw: np.random.Generator, layers: int, experts: int) -> Trace:
-    shares = _zipf(draw, layers, experts)
+def _steady(rng: np.random.Generator, layers: int, experts: int) -> Trace:
+    shares = _zipf(rng, layers, experts)
     return lambda _: shares
 
 
-def _drift(draw: np.random.Generator, layers: int, experts: int) -> Trace:
-    base = _zipf(draw, layers, experts)
-    phase = draw.uniform(0, 2 * math.pi, base.shape)
-    period = draw.uniform(0.5, 2.0, base.shape) * _DRIFT_PERIOD_S
-    return lambda t: _even(base * np.exp(
-        np.sin(2 * math.pi * t / period + phase)))
+def _drift(rng: np.random.Generator, layers: int, experts: int) -> Trace:
+    base = _zipf(rng, layers, experts)
+    phase = rng.uniform(0, 2 * math.pi, base.shape)
+    period = rng.uniform(0.5, 2.0, base.shape) * _DRIFT_PERIOD_S
+    return lambda time_s: _normalize(base * np.exp(
+        np.sin(2 * math.pi * time_s / period + phase)))
 
 
-def _flip(draw: np.random.Generator, layers: int, experts: int) -> Trace:
-    before = _zipf(draw, layers, experts)
+def _flip(rng: np.random.Generator, layers: int, experts: int) -> Trace:
+    before = _zipf(rng, layers, experts)
     after = before.copy()
     for layer in after:
-        moved = draw.choice(experts, experts // 3, replace=False)
-        layer[moved] = layer[draw.permutation(moved)]
-    return lambda t: before if t < _FLIP_S else after
+        permuted = rng.choice(experts, experts // 3, replace=False)
+        layer[permuted] = layer[rng.permutation(permuted)]
+    return lambda time_s: before if time_s < _FLIP_TIME_S else after
 
 
-def _burst(draw: np.random.Generator, layers: int, experts: int) -> Trace:
-    base = _zipf(draw, layers, experts)
+def _burst(rng: np.random.Generator, layers: int, experts: int) -> Trace:
+    base = _zipf(rng, layers, experts)
     burst = base.copy()
     for layer in burst:
-        layer[draw.choice(experts, experts // 8,
-                          replace=False)] *= (_BURST_FACTOR)
-    burst = _even(burst)
-    return lambda t: burst if _BURST_START_S <= t < _BURST_END_S else base
+        layer[rng.choice(experts, experts // 8,
+                         replace=False)] *= (_BURST_FACTOR)
+    burst = _normalize(burst)
+    return lambda time_s: burst if _BURST_START_S <= time_s < _BURST_END_S else base
 
 
-def _correlated(draw: np.random.Generator, layers: int, experts: int) -> Trace:
-    topics = np.array([_zipf(draw, layers, experts) for _ in range(_TOPICS)])
-    phase = draw.uniform(0, 2 * math.pi, _TOPICS)
+def _correlated(rng: np.random.Generator, layers: int, experts: int) -> Trace:
+    topics = np.array(
+        [_zipf(rng, layers, experts) for _ in range(_TOPIC_COUNT)])
+    phase = rng.uniform(0, 2 * math.pi, _TOPIC_COUNT)
 
     def shares(time_s: float) -> Shares:
         wave = np.sin(2 * math.pi * time_s / _DRIFT_PERIOD_S + phase)
-        weight = np.exp(2 * wave)
-        mixed: Shares = np.tensordot(weight / weight.sum(), topics, axes=1)
+        weights = np.exp(2 * wave)
+        mixed: Shares = np.tensordot(weights / weights.sum(), topics, axes=1)
         return mixed
 
     return shares
 
 
-def _seesaw(draw: np.random.Generator, layers: int, experts: int) -> Trace:
-    sides = (_zipf(draw, layers, experts), _zipf(draw, layers, experts))
-    return lambda t: sides[int(t // _SEESAW_S) % 2]
+def _seesaw(rng: np.random.Generator, layers: int, experts: int) -> Trace:
+    popularities = (_zipf(rng, layers, experts), _zipf(rng, layers, experts))
+    return lambda time_s: popularities[int(time_s // _SEESAW_INTERVAL_S) % 2]
 
 
 TRACES: dict[str, Callable[[np.random.Generator, int, int], Trace]] = {
