--- a/bench/balance.py
+++ b/bench/balance.py
@@ -1,4 +1,8 @@
-"""Measures skew and its price by policy and trace.
+"""Measures the skew of a rank group and the cost of reducing it.
+
+Each row is one rebalancing policy on one trace of expert popularity, simulated
+with a rank group in process. Costs are in capacity-seconds: the work of one
+rank in a second.
 
 Run `python -m bench.balance --seed N [--quick]`.
 """
@@ -43,11 +47,15 @@
 
 Planner = Callable[[popularity.Popularity, float, bool],
                    expert_map.ExpertMap | None]
-"""Gives the map to switch to, or None, from the estimate, time and load."""
+"""Returns the map to switch to, or None.
+
+The arguments are the estimated popularity, the time in seconds and whether the
+group is loading experts.
+"""
 
 
 class _PollenthreadPlanner:
-    """The planner of the product."""
+    """The planner of pollenthread."""
 
     def __init__(self, planner_config: rebalance.PlannerConfig,
                  initial_map: expert_map.ExpertMap) -> None:
@@ -66,7 +74,7 @@
 
 
 class _FullReplanner:
-    """Plans anew once the skew passes a threshold."""
+    """Plans a new map from scratch when the skew reaches a threshold."""
 
     def __init__(self, group_shape: placement.GroupShape, threshold: float,
                  initial_map: expert_map.ExpertMap) -> None:
@@ -143,14 +151,25 @@
 @functools.lru_cache(maxsize=1)
 def _initial_map(size: balance_group.GroupSize,
                  rows: tuple[tuple[float, ...], ...]) -> expert_map.ExpertMap:
-    """The map that fits the popularity at the start of a trace."""
+    """Returns an optimized map for the popularity at the start of a trace."""
     layouts = [moves.optimize_layout(size.group_shape, row) for row in rows]
     return expert_map.build_map(layouts, rows)
 
 
 def run(size: balance_group.GroupSize, trace_name: str, policy_name: str,
         seed: int, hours: float) -> dict[str, Any]:
-    """One row: one policy on one trace."""
+    """Simulates one policy on one trace.
+
+    Args:
+        size: shape of the group.
+        trace_name: name of the trace.
+        policy_name: name of the policy.
+        seed: seed of the trace; the group uses the next number.
+        hours: duration of the simulation.
+
+    Returns:
+        The row for the results.
+    """
     rng = np.random.default_rng(seed)
     trace = balance_traces.TRACES[trace_name](rng, size.layers, size.experts)
     rows = balance_group.to_rows(trace(0.0))
@@ -224,7 +243,7 @@
 
 
 def _placement_row(size: balance_group.GroupSize, seed: int) -> dict[str, Any]:
-    """Fresh placements against the lower bound of their skew."""
+    """Compares the skew of new placements with its lower bound."""
     rng = np.random.default_rng(seed)
     trace = balance_traces.TRACES['drift'](rng, size.layers, size.experts)
     group_shape = size.group_shape
@@ -244,7 +263,7 @@
 
 def _ratio(rows: Sequence[dict[str, Any]], column: str, policy: str,
            other_policy: str) -> float:
-    """The worst ratio of two policies over traces of one size."""
+    """Returns the largest ratio of two policies over sizes and traces."""
     by_key = {(row['size'], row['trace'], row['policy']): row for row in rows}
     return max(row[column] / by_key[size, trace, other_policy][column]
                for (size, trace, name), row in by_key.items()
@@ -296,7 +315,7 @@
 
 
 def main() -> None:
-    """Runs all rows and prints them."""
+    """Simulates all rows and prints the result."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
--- a/bench/balance_group.py
+++ b/bench/balance_group.py
@@ -1,4 +1,7 @@
-"""A rank group in lock-step, in process, that carries out plans."""
+"""A simulated rank group, for `bench.balance`.
+
+All ranks execute each step together, so the slowest rank determines its time.
+"""
 
 import dataclasses
 from collections.abc import Sequence
@@ -20,7 +23,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class GroupSize:
-    """The shape of a benchmark."""
+    """The size of a simulated group.
+
+    Attributes:
+        name: name in the results.
+        ranks: number of ranks.
+        experts: number of experts of each layer.
+        layers: number of layers.
+        slots: number of experts of a layer that a rank holds.
+        hosts: number of hosts that the ranks are spread over.
+    """
 
     name: str
     ranks: int
@@ -31,7 +43,7 @@
 
     @property
     def group_shape(self) -> placement.GroupShape:
-        """The shape for the planner."""
+        """The shape of the group for the planner."""
         return placement.GroupShape(
             self.experts, (self.slots,) * self.ranks,
             tuple(f'host-{i * self.hosts // self.ranks}'
@@ -40,7 +52,25 @@
 
 @dataclasses.dataclass
 class RunTotals:
-    """What a run has cost."""
+    """The totals of a run.
+
+    Attributes:
+        skews: skew of each sampled step.
+        bounds: lower bound of the skew in each interval.
+        skew_capacity_s: capacity-seconds lost to skew.
+        loading_capacity_s: capacity-seconds lost while experts were loaded.
+        stalled_capacity_s: capacity-seconds lost to stalls at switches.
+        loads: number of loaded experts.
+        reverted_loads: number of loads and drops that reverse an opposite
+            change of less than an hour before.
+        switches: number of map switches.
+        planning_s: processor seconds spent on planning.
+        plans: number of planning runs.
+        loads_per_expert_hour: largest number of plans that load the same
+            expert of a layer within an hour.
+        reverts_per_expert_hour: largest number of plans that reverse a change
+            of the same expert of a layer within an hour.
+    """
 
     skews: list[float] = dataclasses.field(default_factory=list)
     bounds: list[float] = dataclasses.field(default_factory=list)
@@ -58,11 +88,17 @@
     @property
     def cost_capacity_s(self) -> float:
         """Capacity-seconds lost to skew, loads and switches."""
-        return self.skew_capacity_s + self.loading_capacity_s + self.stalled_capacity_s
+        return (self.skew_capacity_s + self.loading_capacity_s +
+                self.stalled_capacity_s)
 
 
 class GroupModel:
-    """Runs a map against the true popularity and reports lagging counts."""
+    """Simulates the steps of a group with a map and its token counts.
+
+    Attributes:
+        current: the map in use.
+        totals: totals of the run.
+    """
 
     def __init__(self, *, size: GroupSize, trace: balance_traces.Trace,
                  costs: rebalance.LoadCosts, interval_s: float, seed: int,
@@ -85,11 +121,14 @@
 
     @property
     def is_loading(self) -> bool:
-        """Whether a change is under way."""
+        """Whether the group is loading experts for another map."""
         return self._pending is not None
 
     def receive_reports(self, time_s: float) -> list[popularity.TokenCounts]:
-        """The counts that arrive now: some are lost, some come late."""
+        """Returns the token counts that arrive at a time in seconds.
+
+        Some reports are lost, and some arrive one interval late.
+        """
         self._sequence_number += 1
         tokens = tuple(
             tuple(
@@ -110,7 +149,12 @@
         return [counts, *received]
 
     def start_switch(self, target: expert_map.ExpertMap, time_s: float) -> None:
-        """Begins to load what a new map needs."""
+        """Starts to load the experts for another map.
+
+        Args:
+            target: the map to switch to.
+            time_s: current time in seconds.
+        """
         if target == self.current:
             return
         loads = self._count_loads(target, time_s)
@@ -161,7 +205,11 @@
         last_times[key] = time_s
 
     def run_interval(self, time_s: float) -> None:
-        """Makes steps until the next plan."""
+        """Simulates the steps of one planning interval.
+
+        Args:
+            time_s: start of the interval in seconds.
+        """
         end_s = time_s + self._interval_s
         shares = self._trace(time_s)
         rows = [tuple(float(x) for x in layer) for layer in shares]
@@ -181,7 +229,7 @@
 
     def _sample_steps(self, shares: balance_traces.Shares,
                       duration_s: float) -> None:
-        """Samples steps for a time with one map and one popularity."""
+        """Samples steps with a constant map and popularity."""
         steps = max(1,
                     round(_STEPS_PER_INTERVAL * duration_s / self._interval_s))
         matrices = [
@@ -202,7 +250,17 @@
 def _record_and_count_in_hour(last_times: dict[tuple[int, int],
                                                list[float]], layer: int,
                               experts: set[int], time_s: float) -> int:
-    """Notes a plan's experts; the most plans of one expert in an hour."""
+    """Records the experts of a plan.
+
+    Args:
+        last_times: times of the plans by layer and expert; it is updated.
+        layer: index of the layer.
+        experts: the experts that the plan changes.
+        time_s: time of the plan in seconds.
+
+    Returns:
+        The largest number of plans for one of the experts in the last hour.
+    """
     max_count = 0
     for expert in experts:
         key = (layer, expert)
@@ -224,5 +282,5 @@
 
 
 def to_rows(shares: balance_traces.Shares) -> Sequence[tuple[float, ...]]:
-    """The shares as plain tuples."""
+    """Converts shares to tuples, one for each layer."""
     return [tuple(float(x) for x in layer) for layer in shares]
--- a/bench/balance_plot.py
+++ b/bench/balance_plot.py
@@ -1,4 +1,6 @@
-"""Draws skew against reloaded bytes for a range of the operators' target.
+"""Plots the mean skew over the reloaded bytes, for `bench.balance`.
+
+The curve has one point for each skew target; other policies are single points.
 
 Run `python -m bench.balance_plot --seed N --out FILE.png`.
 """
@@ -65,7 +67,7 @@
 
 
 def main() -> None:
-    """Draws one figure."""
+    """Writes the figure to a file."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--out', required=True)
--- a/bench/balance_traces.py
+++ b/bench/balance_traces.py
@@ -1,4 +1,7 @@
-"""Traces of expert popularity, made from a seed."""
+"""Random traces of expert popularity, for `bench.balance`.
+
+A trace is a function of time; all randomness is drawn when it is created.
+"""
 
 import math
 from collections.abc import Callable
@@ -9,10 +12,10 @@
 __all__ = ['Shares', 'TRACES', 'Trace']
 
 Shares = npt.NDArray[np.float64]
-"""Popularity by layer and expert; each layer sums to 1."""
+"""Popularity, shaped (layers, experts); the shares of a layer sum to 1."""
 
 Trace = Callable[[float], Shares]
-"""The popularity at a time in seconds."""
+"""Returns the popularity at a time in seconds."""
 
 _ZIPF_EXPONENT = 0.9
 _HOUR_S = 3600.0
@@ -64,7 +67,8 @@
         layer[rng.choice(experts, experts // 8,
                          replace=False)] *= (_BURST_FACTOR)
     burst = _normalize(burst)
-    return lambda time_s: burst if _BURST_START_S <= time_s < _BURST_END_S else base
+    return lambda time_s: (burst
+                           if _BURST_START_S <= time_s < _BURST_END_S else base)
 
 
 def _correlated(rng: np.random.Generator, layers: int, experts: int) -> Trace:
