--- a/bench/build_binary.py
+++ b/bench/build_binary.py
@@ -22,18 +22,18 @@
 _SHEBANG = '/usr/bin/env python3.11'
 
 
-def _pinned() -> list[str]:
+def _required_libraries() -> list[str]:
     """Names of the libraries that a running process needs."""
     lines = (_ROOT / 'requirements.txt').read_text('utf-8').splitlines()
-    names = (re.match(r'[A-Za-z0-9._-]+', line) for line in lines)
-    return [name.group() for name in names if name]
+    matches = (re.match(r'[A-Za-z0-9._-]+', line) for line in lines)
+    return [name.group() for name in matches if name]
 
 
-def _stage(folder: pathlib.Path) -> None:
+def _copy_packages(folder: pathlib.Path) -> None:
     """Copies libraries and the package into a folder."""
-    for name in _pinned():
-        found = importlib.metadata.distribution(name)
-        for file in found.files or ():
+    for name in _required_libraries():
+        distribution = importlib.metadata.distribution(name)
+        for file in distribution.files or ():
             if '..' in file.parts or '__pycache__' in file.parts:
                 continue
             target = folder / file
@@ -52,12 +52,12 @@
     """
     output.parent.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as folder:
-        staged = pathlib.Path(folder) / 'site'
-        _stage(staged)
+        site_packages = pathlib.Path(folder) / 'site'
+        _copy_packages(site_packages)
         subprocess.run([
             sys.executable, '-m', 'shiv', '--site-packages',
-            str(staged), '--entry-point', _ENTRY_POINT, '--python', _SHEBANG,
-            '--compressed', '--reproducible', '--output-file',
+            str(site_packages), '--entry-point', _ENTRY_POINT, '--python',
+            _SHEBANG, '--compressed', '--reproducible', '--output-file',
             str(output)
         ],
                        check=True,
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,11 +21,11 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _PAGE = _ROOT / 'docs' / 'CAPACITY.md'
 _MEASUREMENTS = _ROOT / 'docs' / 'measurements'
-_BEGIN = '<!-- derived: begin -->\n'
-_END = '<!-- derived: end -->\n'
+_BEGIN_MARKER = '<!-- derived: begin -->\n'
+_END_MARKER = '<!-- derived: end -->\n'
 
 
-def _number(value: float | None) -> str:
+def _format_number(value: float | None) -> str:
     if value is None:
         return 'not measured'
     if value >= 100:
@@ -33,29 +33,29 @@
     return f'{value:.3g}'
 
 
-def _verdict(figure: model.Figure) -> str:
+def _format_verdict(figure: model.Figure) -> str:
     if figure.value is None or figure.bound is None:
         return ''
-    bound = f'{_number(figure.bound)} {figure.unit}'
+    bound = f'{_format_number(figure.bound)} {figure.unit}'
     if figure.value <= figure.bound:
         return f'within {bound}'
     return f'**missed: {figure.value / figure.bound:.1f} times {bound}**'
 
 
-def _rows(figures: list[model.Figure]) -> str:
+def _format_table(figures: list[model.Figure]) -> str:
     lines = [
         '| role | what | formula | figure | bound |', '|---|---|---|---|---|'
     ]
     for figure in figures:
-        value = _number(figure.value)
+        value = _format_number(figure.value)
         if figure.value is not None:
             value = f'{value} {figure.unit}'
         lines.append(f'| {figure.role} | {figure.what} | {figure.formula} '
-                     f'| {value} | {_verdict(figure)} |')
+                     f'| {value} | {_format_verdict(figure)} |')
     return '\n'.join(lines) + '\n'
 
 
-def _measured() -> str:
+def _format_measured_bounds() -> str:
     """Every stated bound that a bench has measured itself."""
     lines = [
         '| bench | bound on | bound | measured | |', '|---|---|---|---|---|'
@@ -64,27 +64,29 @@
         document = json.loads(path.read_text('utf-8'))
         for target in document.get('targets', []):
             verdict = 'holds' if target['holds'] else '**missed**'
-            lines.append(f'| {path.stem} (seed {document["seed"]}) '
-                         f'| {target["name"]} | {_number(target["bound"])} '
-                         f'| {_number(target["value"])} | {verdict} |')
+            lines.append(
+                f'| {path.stem} (seed {document["seed"]}) '
+                f'| {target["name"]} | {_format_number(target["bound"])} '
+                f'| {_format_number(target["value"])} | {verdict} |')
     return '\n'.join(lines) + '\n'
 
 
-def _page_with(figures: list[model.Figure]) -> str:
+def _render_page(figures: list[model.Figure]) -> str:
     text = _PAGE.read_text('utf-8')
-    head, _, rest = text.partition(_BEGIN)
-    _, _, tail = rest.partition(_END)
-    derived = (f'{_rows(figures)}\n### Bounds measured by the benches\n\n'
-               f'{_measured()}')
-    return f'{head}{_BEGIN}\n{derived}\n{_END}{tail}'
+    before, _, remainder = text.partition(_BEGIN_MARKER)
+    _, _, after = remainder.partition(_END_MARKER)
+    derived = (
+        f'{_format_table(figures)}\n### Bounds measured by the benches\n\n'
+        f'{_format_measured_bounds()}')
+    return f'{before}{_BEGIN_MARKER}\n{derived}\n{_END_MARKER}{after}'
 
 
 def _targets(figures: list[model.Figure]) -> list[common.Target]:
     return [
-        common.Target(f'{f.role}: {f.what}', f.bound, f.value, f.value
-                      <= f.bound)
-        for f in figures
-        if f.value is not None and f.bound is not None
+        common.Target(f'{figure.role}: {figure.what}', figure.bound,
+                      figure.value, figure.value <= figure.bound)
+        for figure in figures
+        if figure.value is not None and figure.bound is not None
     ]
 
 
@@ -100,9 +102,9 @@
     parser.add_argument('--write', action='store_true')
     parser.add_argument('--check', action='store_true')
     args = parser.parse_args()
-    slopes = model.Slopes.load(_MEASUREMENTS)
-    figures = model.figures(slopes, model.Fleet())
-    page = _page_with(figures)
+    unit_costs = model.UnitCosts.load(_MEASUREMENTS)
+    figures = model.compute_figures(unit_costs, model.SystemSize())
+    page = _render_page(figures)
     if args.write:
         _PAGE.write_text(page, 'utf-8')
     if args.check and page != _PAGE.read_text('utf-8'):
@@ -111,8 +113,9 @@
             '`python -m bench.capacity --write`',
             file=sys.stderr)
         return 1
-    print(_rows(figures))
-    common.emit(args.seed, [f.as_row() for f in figures], _targets(figures))
+    print(_format_table(figures))
+    common.emit(args.seed, [figure.as_row() for figure in figures],
+                _targets(figures))
     return 0
 
 
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -8,16 +8,16 @@
 
 from pollenthread.core import membership
 
-__all__ = ['Figure', 'Fleet', 'Slopes', 'figures']
+__all__ = ['Figure', 'SystemSize', 'UnitCosts', 'figures']
 
-_US = 1e-6
+_S_PER_US = 1e-6
 _DAY_S = 86_400
-_KB = 1000
-_MB = 1_000_000
+_BYTES_PER_KB = 1000
+_BYTES_PER_MB = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
-class Fleet:
+class SystemSize:
     """The size to design for, and what the code does at its intervals."""
 
     entries: int = 400
@@ -39,11 +39,11 @@
     load_interval_s: float = 0.25
     config_poll_s: float = 1.0
     account_interval_s: float = 60
-    control_core: float = 0.027
-    memory_mb: float = 64
-    control_bytes_per_s: float = 30_000
-    table_writes_per_s: float = 300
-    table_reads_per_s: float = 2000
+    max_control_cores: float = 0.027
+    max_memory_mb: float = 64
+    max_control_bytes_per_s: float = 30_000
+    max_table_writes_per_s: float = 300
+    max_table_reads_per_s: float = 2000
 
     @property
     def requests_per_entry(self) -> float:
@@ -56,7 +56,7 @@
         return self.tokens_per_s / self.entries
 
 
-class Slopes:
+class UnitCosts:
     """Measured values by name; reading a missing one leaves a figure open."""
 
     def __init__(self, *, value_by_name: dict[str, float]) -> None:
@@ -76,11 +76,11 @@
         for path in sorted(folder.glob('*.json')):
             document: dict[str, Any] = json.loads(path.read_text('utf-8'))
             for row in document.get('rows', []):
-                values.update(_values(path.stem, row))
+                values.update(_row_values(path.stem, row))
         return cls(value_by_name=values)
 
 
-def _values(stem: str, row: dict[str, Any]) -> dict[str, float]:
+def _row_values(stem: str, row: dict[str, Any]) -> dict[str, float]:
     name = row.get('name')
     if name is None:
         return {}
@@ -118,222 +118,238 @@
         return dataclasses.asdict(self)
 
 
-_Formula = Callable[[Slopes, Fleet], float]
+_Formula = Callable[[UnitCosts, SystemSize], float]
 
 
-def _link_messages_per_s(fleet: Fleet) -> float:
+def _link_messages_per_s(size: SystemSize) -> float:
     """Pings and pongs of both ends."""
-    return 4 / fleet.ping_interval_s
+    return 4 / size.ping_interval_s
 
 
-def _links(fleet: Fleet) -> int:
-    return fleet.entries - 1 + fleet.upstreams
+def _full_mesh_links(size: SystemSize) -> int:
+    return size.entries - 1 + size.upstreams
 
 
-def _entry_messages_per_s(fleet: Fleet) -> float:
-    return (_links(fleet) * _link_messages_per_s(fleet) +
-            fleet.upstreams / fleet.load_interval_s)
+def _full_mesh_entry_messages_per_s(size: SystemSize) -> float:
+    return (_full_mesh_links(size) * _link_messages_per_s(size) +
+            size.upstreams / size.load_interval_s)
 
 
-def _agent_messages_per_s(fleet: Fleet) -> float:
-    return fleet.entries * (_link_messages_per_s(fleet) +
-                            1 / fleet.load_interval_s)
+def _full_mesh_agent_messages_per_s(size: SystemSize) -> float:
+    return size.entries * (_link_messages_per_s(size) +
+                           1 / size.load_interval_s)
 
 
-def _subset_links(fleet: Fleet) -> int:
+def _subset_upstream_links(size: SystemSize) -> int:
     """Upstream links of an entry host."""
-    return fleet.serving_groups * fleet.links_per_group
+    return size.serving_groups * size.links_per_group
 
 
-def _subset_messages_per_s(fleet: Fleet) -> float:
-    upstream = _link_messages_per_s(fleet) + 1 / fleet.load_interval_s
-    return (_subset_links(fleet) * upstream +
-            fleet.peer_links * _link_messages_per_s(fleet))
+def _subset_entry_messages_per_s(size: SystemSize) -> float:
+    upstream = _link_messages_per_s(size) + 1 / size.load_interval_s
+    return (_subset_upstream_links(size) * upstream +
+            size.peer_links * _link_messages_per_s(size))
 
 
-def _agent_subset_messages_per_s(fleet: Fleet) -> float:
-    links = fleet.entries * _subset_links(fleet) / fleet.upstreams
-    return links * (_link_messages_per_s(fleet) + 1 / fleet.load_interval_s)
+def _agent_subset_messages_per_s(size: SystemSize) -> float:
+    links = size.entries * _subset_upstream_links(size) / size.upstreams
+    return links * (_link_messages_per_s(size) + 1 / size.load_interval_s)
 
 
-def _message_bytes(slopes: Slopes) -> float:
-    return slopes['ping_bytes'] + slopes['packet_header_bytes']
+def _message_bytes(unit_costs: UnitCosts) -> float:
+    return unit_costs['ping_bytes'] + unit_costs['packet_header_bytes']
 
 
-def _upstream_link_bytes_per_s(slopes: Slopes, fleet: Fleet) -> float:
-    return _message_bytes(slopes) * (_link_messages_per_s(fleet) +
-                                     1 / fleet.load_interval_s)
+def _upstream_link_bytes_per_s(unit_costs: UnitCosts,
+                               size: SystemSize) -> float:
+    return _message_bytes(unit_costs) * (_link_messages_per_s(size) +
+                                         1 / size.load_interval_s)
 
 
-def _upstream_link_core(slopes: Slopes, fleet: Fleet) -> float:
-    return slopes['link_message_us'] / 2 * _US * (_link_messages_per_s(fleet) +
-                                                  1 / fleet.load_interval_s)
+def _upstream_link_cores(unit_costs: UnitCosts, size: SystemSize) -> float:
+    return unit_costs['link_message_us'] / 2 * _S_PER_US * (
+        _link_messages_per_s(size) + 1 / size.load_interval_s)
 
 
-def _document_bytes(slopes: Slopes, fleet: Fleet) -> float:
-    return slopes['workspace_document_bytes'] * fleet.workspaces
+def _configuration_bytes(unit_costs: UnitCosts, size: SystemSize) -> float:
+    return unit_costs['workspace_document_bytes'] * size.workspaces
 
 
-def _account_keys(fleet: Fleet) -> float:
+def _account_keys(size: SystemSize) -> float:
     """Workspaces and classes that one interval of one host can touch."""
-    return min(fleet.requests_per_entry * fleet.account_interval_s,
-               fleet.workspaces * 3)
+    return min(size.requests_per_entry * size.account_interval_s,
+               size.workspaces * 3)
 
 
-def _account_row_bytes(slopes: Slopes, fleet: Fleet) -> float:
-    return slopes['account_key_bytes'] * _account_keys(fleet)
+def _account_row_bytes(unit_costs: UnitCosts, size: SystemSize) -> float:
+    return unit_costs['account_key_bytes'] * _account_keys(size)
 
 
 # One line each: role, what, formula in words, unit, function, bound.
-_ROWS: list[tuple[
-    str, str, str, str, _Formula, Callable[[Fleet], float] | None]] = [
+_FORMULAS: list[tuple[
+    str, str, str, str, _Formula, Callable[[SystemSize], float] | None]] = [
         ('entry', 'links, linked to all', 'entries - 1 + upstreams', 'links',
-         lambda s, f: _links(f), None),
+         lambda costs, size: _full_mesh_links(size), None),
         ('entry', 'control messages, linked to all',
          'links x 4 / ping interval + upstreams / load interval', '1/s',
-         lambda s, f: _entry_messages_per_s(f), None),
+         lambda costs, size: _full_mesh_entry_messages_per_s(size), None),
         ('entry', 'control CPU, linked to all',
          'control messages x link_message_us / 2', 'core',
-         lambda s, f: _entry_messages_per_s(f) * s['link_message_us'] / 2 * _US,
-         lambda f: f.control_core),
+         lambda costs, size: _full_mesh_entry_messages_per_s(size) * costs[
+             'link_message_us'] / 2 * _S_PER_US,
+         lambda size: size.max_control_cores),
         ('entry', 'control bytes, linked to all',
          'control messages x (ping_bytes + packet_header_bytes)', 'B/s',
-         lambda s, f: _entry_messages_per_s(f) * _message_bytes(s),
-         lambda f: f.control_bytes_per_s),
+         lambda costs, size: _full_mesh_entry_messages_per_s(size) *
+         _message_bytes(costs), lambda size: size.max_control_bytes_per_s),
         ('entry', 'upstream links that 30 KB/s carry',
          'bound / (messages a link x message bytes)', 'links',
-         lambda s, f: f.control_bytes_per_s / _upstream_link_bytes_per_s(s, f),
-         None),
+         lambda costs, size: size.max_control_bytes_per_s /
+         _upstream_link_bytes_per_s(costs, size), None),
         ('entry', 'upstream links that 2.7% of a core carry',
          'bound / (messages a link x link_message_us / 2)', 'links',
-         lambda s, f: f.control_core / _upstream_link_core(s, f), None),
+         lambda costs, size: size.max_control_cores / _upstream_link_cores(
+             costs, size), None),
         ('entry', 'links, as built',
          'serving groups x links a group + peer links', 'links',
-         lambda s, f: _subset_links(f) + f.peer_links, None),
+         lambda costs, size: _subset_upstream_links(size) + size.peer_links,
+         None),
         ('entry', 'control CPU, as built',
          '(upstream links x 8 + peer links x 4) x link_message_us / 2', 'core',
-         lambda s, f: _subset_messages_per_s(f) * s[
-             'link_message_us'] / 2 * _US, lambda f: f.control_core),
+         lambda costs, size: _subset_entry_messages_per_s(size) * costs[
+             'link_message_us'] / 2 * _S_PER_US,
+         lambda size: size.max_control_cores),
         ('entry', 'control CPU, as built, with TLS',
          '(upstream links x 8 + peer links x 4) x link_message_tls_us / 2',
-         'core', lambda s, f: _subset_messages_per_s(f) * s[
-             'link_message_tls_us'] / 2 * _US, lambda f: f.control_core),
+         'core', lambda costs, size: _subset_entry_messages_per_s(size) * costs[
+             'link_message_tls_us'] / 2 * _S_PER_US,
+         lambda size: size.max_control_cores),
         ('entry', 'control bytes, as built',
          '(upstream links x 8 + peer links x 4) x message bytes', 'B/s',
-         lambda s, f: _subset_messages_per_s(f) * _message_bytes(s),
-         lambda f: f.control_bytes_per_s),
+         lambda costs, size: _subset_entry_messages_per_s(size) *
+         _message_bytes(costs), lambda size: size.max_control_bytes_per_s),
         ('agent', 'links, as built', 'entries x upstream links / upstreams',
-         'links', lambda s, f: f.entries * _subset_links(f) / f.upstreams,
-         None),
+         'links', lambda costs, size: size.entries * _subset_upstream_links(
+             size) / size.upstreams, None),
         ('agent', 'control CPU, as built', 'links x 8 x link_message_us / 2',
-         'core', lambda s, f: _agent_subset_messages_per_s(f) * s[
-             'link_message_us'] / 2 * _US, lambda f: f.control_core),
+         'core', lambda costs, size: _agent_subset_messages_per_s(size) * costs[
+             'link_message_us'] / 2 * _S_PER_US,
+         lambda size: size.max_control_cores),
         ('agent', 'control bytes, as built', 'links x 8 x message bytes', 'B/s',
-         lambda s, f: _agent_subset_messages_per_s(f) * _message_bytes(s),
-         lambda f: f.control_bytes_per_s),
+         lambda costs, size: _agent_subset_messages_per_s(size) *
+         _message_bytes(costs), lambda size: size.max_control_bytes_per_s),
         ('entry', 'account CPU', 'requests per entry x tally_request_us',
-         'core',
-         lambda s, f: f.requests_per_entry * s['tally_request_us'] * _US, None),
+         'core', lambda costs, size: size.requests_per_entry * costs[
+             'tally_request_us'] * _S_PER_US, None),
         ('entry', 'messages for answers, one token each',
          'tokens per entry x 2 (part and credit)', '1/s',
-         lambda s, f: f.tokens_per_entry * 2, None),
+         lambda costs, size: size.tokens_per_entry * 2, None),
         ('entry', 'codec CPU for answers, one token each',
          'tokens per entry x (chunk_codec_us + ping_codec_us) / 2', 'core',
-         lambda s, f: f.tokens_per_entry *
-         (s['chunk_codec_us'] + s['ping_codec_us']) / 2 * _US, None),
+         lambda costs, size: size.tokens_per_entry *
+         (costs['chunk_codec_us'] + costs['ping_codec_us']) / 2 * _S_PER_US,
+         None),
         ('entry', 'memory before any state', 'imported_resident_mb', 'MB',
-         lambda s, f: s['imported_resident_mb'], lambda f: f.memory_mb),
+         lambda costs, size: costs['imported_resident_mb'],
+         lambda size: size.max_memory_mb),
         ('entry', 'memory of targets and host list',
          'workspaces x workspace_held_bytes + (entries + upstreams) x '
-         'listed_host_held_bytes', 'MB', lambda s, f:
-         (f.workspaces * s['workspace_held_bytes'] +
-          (f.entries + f.upstreams) * s['listed_host_held_bytes']) / _MB, None),
+         'listed_host_held_bytes', 'MB', lambda costs, size:
+         (size.workspaces * costs['workspace_held_bytes'] +
+          (size.entries + size.upstreams) * costs['listed_host_held_bytes'
+                                                 ]) / _BYTES_PER_MB, None),
         ('entry', 'memory, sum of both rows above', 'sum', 'MB',
-         lambda s, f: s['imported_resident_mb'] +
-         (f.workspaces * s['workspace_held_bytes'] +
-          (f.entries + f.upstreams) * s['listed_host_held_bytes']) / _MB,
-         lambda f: f.memory_mb),
+         lambda costs, size: costs['imported_resident_mb'] +
+         (size.workspaces * costs['workspace_held_bytes'] +
+          (size.entries + size.upstreams) * costs['listed_host_held_bytes']
+         ) / _BYTES_PER_MB, lambda size: size.max_memory_mb),
         ('agent', 'links, linked to all', 'entries', 'links',
-         lambda s, f: f.entries, None),
+         lambda costs, size: size.entries, None),
         ('agent', 'control CPU, linked to all',
          'entries x messages a link x link_message_us / 2', 'core',
-         lambda s, f: _agent_messages_per_s(f) * s['link_message_us'] / 2 * _US,
-         lambda f: f.control_core),
+         lambda costs, size: _full_mesh_agent_messages_per_s(size) * costs[
+             'link_message_us'] / 2 * _S_PER_US,
+         lambda size: size.max_control_cores),
         ('agent', 'control bytes, linked to all',
-         'entries x messages a link x message bytes', 'B/s',
-         lambda s, f: _agent_messages_per_s(f) * _message_bytes(s),
-         lambda f: f.control_bytes_per_s),
+         'entries x messages a link x message bytes', 'B/s', lambda costs, size:
+         _full_mesh_agent_messages_per_s(size) * _message_bytes(costs),
+         lambda size: size.max_control_bytes_per_s),
         ('account', 'CPU to encode rows at each entry host',
          'requests per entry x account_key_encode_us', 'core',
-         lambda s, f: f.requests_per_entry * s['account_key_encode_us'] * _US,
-         None),
+         lambda costs, size: size.requests_per_entry * costs[
+             'account_key_encode_us'] * _S_PER_US, None),
         ('account', 'bytes to the table from each entry host',
          'requests per entry x account_key_bytes', 'B/s',
-         lambda s, f: f.requests_per_entry * s['account_key_bytes'],
-         lambda f: f.control_bytes_per_s),
+         lambda costs, size: size.requests_per_entry * costs[
+             'account_key_bytes'], lambda size: size.max_control_bytes_per_s),
         ('account', 'rows a day after folding',
          'entries x 24 + restarts a day x 30', 'rows',
-         lambda s, f: f.entries * 24 + f.restarts_per_day * 30, None),
+         lambda costs, size: size.entries * 24 + size.restarts_per_day * 30,
+         None),
         ('account', 'seconds to read a day at half of the read budget',
-         'rows a day / (reads / 2)', 's', lambda s, f:
-         (f.entries * 24 + f.restarts_per_day * 30) /
-         (f.table_reads_per_s / 2), None),
+         'rows a day / (reads / 2)', 's', lambda costs, size:
+         (size.entries * 24 + size.restarts_per_day * 30) /
+         (size.max_table_reads_per_s / 2), None),
         ('agent', 'requests', 'requests / upstreams', '1/s',
-         lambda s, f: f.requests_per_s / f.upstreams, None),
+         lambda costs, size: size.requests_per_s / size.upstreams, None),
         ('configuration', 'size of the document',
-         'workspaces x workspace_document_bytes', 'B', _document_bytes, None),
+         'workspaces x workspace_document_bytes', 'B', _configuration_bytes,
+         None),
         ('configuration', 'bytes to each node',
          'changes a day x size of the document / 86,400', 'B/s',
-         lambda s, f: f.changes_per_day * _document_bytes(s, f) / _DAY_S,
-         lambda f: f.control_bytes_per_s),
+         lambda costs, size: size.changes_per_day * _configuration_bytes(
+             costs, size) / _DAY_S, lambda size: size.max_control_bytes_per_s),
         ('configuration', 'CPU to adopt at each node',
          'changes a day x workspaces x workspace_adopt_us / 86,400', 'core',
-         lambda s, f: f.changes_per_day * f.workspaces * s[
-             'workspace_adopt_us'] * _US / _DAY_S, lambda f: f.control_core),
+         lambda costs, size: size.changes_per_day * size.workspaces * costs[
+             'workspace_adopt_us'] * _S_PER_US / _DAY_S,
+         lambda size: size.max_control_cores),
         ('configuration', 'one pause of the loop while a version is adopted',
-         'workspaces x workspace_adopt_us', 'ms',
-         lambda s, f: f.workspaces * s['workspace_adopt_us'] / 1000, None),
+         'workspaces x workspace_adopt_us', 'ms', lambda costs, size: size.
+         workspaces * costs['workspace_adopt_us'] / 1000, None),
         ('table', 'reads for configuration, every entry host polls',
          'entries / poll interval', '1/s',
-         lambda s, f: f.entries / f.config_poll_s,
-         lambda f: f.table_reads_per_s),
+         lambda costs, size: size.entries / size.config_poll_s,
+         lambda size: size.max_table_reads_per_s),
         ('table', 'writes for configuration', 'changes a day x 2 / 86,400',
-         '1/s', lambda s, f: f.changes_per_day * 2 / _DAY_S,
-         lambda f: f.table_writes_per_s),
+         '1/s', lambda costs, size: size.changes_per_day * 2 / _DAY_S,
+         lambda size: size.max_table_writes_per_s),
         ('table', 'writes for the account', 'entries / account interval', '1/s',
-         lambda s, f: f.entries / f.account_interval_s,
-         lambda f: f.table_writes_per_s),
+         lambda costs, size: size.entries / size.account_interval_s,
+         lambda size: size.max_table_writes_per_s),
         ('table', 'bytes of one account row at the peak',
          'requests per entry x account interval x account_key_bytes', 'B',
          _account_row_bytes, None),
         ('table', 'at-most-once requests that the rest carries',
-         '(bound - account - configuration) / 2 writes', '1/s', lambda s, f:
-         (f.table_writes_per_s - f.entries / f.account_interval_s - f.
-          changes_per_day * 2 / _DAY_S) / 2, None),
+         '(bound - account - configuration) / 2 writes', '1/s',
+         lambda costs, size:
+         (size.max_table_writes_per_s - size.entries / size.account_interval_s -
+          size.changes_per_day * 2 / _DAY_S) / 2, None),
         ('table', 'reads after a cold restart of all',
-         '(entries + upstreams) x 2', 'reads', lambda s, f:
-         (f.entries + f.upstreams) * 2, None),
+         '(entries + upstreams) x 2', 'reads', lambda costs, size:
+         (size.entries + size.upstreams) * 2, None),
         ('object store', 'configuration history a day',
          'changes a day x size of the document', 'MB',
-         lambda s, f: f.changes_per_day * _document_bytes(s, f) / _MB, None),
+         lambda costs, size: size.changes_per_day * _configuration_bytes(
+             costs, size) / _BYTES_PER_MB, None),
         ('failures', 'seconds between restarts', '86,400 / restarts a day', 's',
-         lambda s, f: _DAY_S / f.restarts_per_day, None),
+         lambda costs, size: _DAY_S / size.restarts_per_day, None),
         ('failures', 'capacity in one data centre', '100 / data centres', '%',
-         lambda s, f: 100 / f.data_centres, None),
+         lambda costs, size: 100 / size.data_centres, None),
         ('failures', 'capacity in one region', '100 / regions', '%',
-         lambda s, f: 100 / f.regions, None),
+         lambda costs, size: 100 / size.regions, None),
     ]
 
 
-def figures(slopes: Slopes, fleet: Fleet) -> list[Figure]:
+def compute_figures(unit_costs: UnitCosts, size: SystemSize) -> list[Figure]:
     """Works every figure out."""
-    made = []
-    for role, what, formula, unit, compute, bound in _ROWS:
+    result = []
+    for role, what, formula, unit, compute, bound in _FORMULAS:
         try:
-            value: float | None = compute(slopes, fleet)
-        except KeyError as missing:
+            value: float | None = compute(unit_costs, size)
+        except KeyError as error:
             value = None
-            formula = f'{formula} ({missing.args[0]} is not measured)'
-        limit = None if bound is None else bound(fleet)
-        made.append(Figure(role, what, formula, unit, value, limit))
-    return made
+            formula = f'{formula} ({error.args[0]} is not measured)'
+        bound_value = None if bound is None else bound(size)
+        result.append(Figure(role, what, formula, unit, value, bound_value))
+    return result
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -39,7 +39,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Work:
+class _Extent:
     """How much is done in each round."""
 
     calls: int
@@ -47,7 +47,7 @@
     messages: int
 
 
-def _row(name: str, unit: str, values: list[float]) -> dict[str, Any]:
+def _measured_row(name: str, unit: str, values: list[float]) -> dict[str, Any]:
     return {
         'name': name,
         'unit': unit,
@@ -64,23 +64,25 @@
     return (time.process_time() - started) / count * 1e6
 
 
-def _timed(name: str, call: Callable[[], object], count: int) -> dict[str, Any]:
-    return _row(name, 'us', [_cpu_us(call, count) for _ in range(_ROUNDS)])
+def _timed_row(name: str, call: Callable[[], object],
+               count: int) -> dict[str, Any]:
+    return _measured_row(name, 'us',
+                         [_cpu_us(call, count) for _ in range(_ROUNDS)])
 
 
-def _constant(name: str, unit: str, value: float) -> dict[str, Any]:
-    return _row(name, unit, [value])
+def _constant_row(name: str, unit: str, value: float) -> dict[str, Any]:
+    return _measured_row(name, unit, [value])
 
 
-_PRINT_RESIDENT = """
+_PRINT_STATUS_SCRIPT = """
 import pathlib, pollenthread.roles.entry
 print(pathlib.Path('/proc/self/status').read_text('ascii'))
 """
 
 
-def _resident_mb() -> float:
+def _imported_resident_mb() -> float:
     """Resident size of a process that has imported an entry host."""
-    status = subprocess.run([sys.executable, '-c', _PRINT_RESIDENT],
+    status = subprocess.run([sys.executable, '-c', _PRINT_STATUS_SCRIPT],
                             capture_output=True,
                             text=True,
                             check=True).stdout
@@ -90,19 +92,19 @@
     raise RuntimeError('the resident size is not shown')
 
 
-def _held_bytes(build: Callable[[], object]) -> float:
+def _allocated_bytes(create: Callable[[], object]) -> float:
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    held = build()
+    allocated = create()
     gc.collect()
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del held
+    del allocated
     return after - before
 
 
-def _begin() -> messages.Begin:
+def _begin_message() -> messages.Begin:
     return messages.Begin(attempt='entry-1-abcdef012345-123456.1',
                           session='abcdef012345:7',
                           workspace='workspace-17',
@@ -122,33 +124,36 @@
                           body=b'x' * 1024)
 
 
-def _there_and_back(message: messages.Message) -> object:
+def _encode_and_decode(message: messages.Message) -> object:
     return wire.decode(wire.encode(message))
 
 
-def _message_rows(work: _Work) -> list[dict[str, Any]]:
+def _message_rows(extent: _Extent) -> list[dict[str, Any]]:
     samples: dict[str, messages.Message] = {
         'ping':
             messages.Ping(17, 42),
         'load':
             messages.Load(12, (0, 3, 0), 16, 4_000_000, 400_000, 30_000, 2, 99),
         'begin':
-            _begin(),
+            _begin_message(),
         'chunk':
             messages.Chunk('entry-1-abcdef012345-123456.1', 9, 1, b'd' * 160),
     }
     rows = []
     for name, message in samples.items():
         data = wire.encode(message)
-        rows.append(_constant(f'{name}_bytes', 'B', len(data) + _FRAME_BYTES))
         rows.append(
-            _timed(f'{name}_codec_us',
-                   functools.partial(_there_and_back, message), work.calls))
-    rows.append(_constant('packet_header_bytes', 'B', _TCP_HEADER_BYTES))
+            _constant_row(f'{name}_bytes', 'B',
+                          len(data) + _FRAME_BYTES))
+        rows.append(
+            _timed_row(f'{name}_codec_us',
+                       functools.partial(_encode_and_decode, message),
+                       extent.calls))
+    rows.append(_constant_row('packet_header_bytes', 'B', _TCP_HEADER_BYTES))
     return rows
 
 
-class _Counting(link_port.LinkHandler):
+class _ArrivalHandler(link_port.LinkHandler):
     """Counts messages and answers each ping by the link itself."""
 
     def __init__(self) -> None:
@@ -176,10 +181,10 @@
                           region='region-1')
 
 
-async def _link_us(count: int, tls_by_host: dict[str,
-                                                 link_tls.LinkTls]) -> float:
+async def _link_message_us(count: int,
+                           tls_by_host: dict[str, link_tls.LinkTls]) -> float:
     """CPU of both ends for one message that travels alone."""
-    near, far = _Counting(), _Counting()
+    near, far = _ArrivalHandler(), _ArrivalHandler()
     server = link_module.LinkServer(hello=_hello('far'),
                                     handler=far,
                                     tls=tls_by_host.get('far'))
@@ -199,41 +204,42 @@
         return (time.process_time() - started) / (2 * count) * 1e6
 
 
-def _link_rows(work: _Work) -> list[dict[str, Any]]:
+def _link_rows(extent: _Extent) -> list[dict[str, Any]]:
     with tempfile.TemporaryDirectory() as folder:
-        tls_by_host = _certificates(pathlib.Path(folder))
-        plain, encrypted = [], []
+        tls_by_host = _create_tls_settings(pathlib.Path(folder))
+        plain_us, encrypted_us = [], []
         for _ in range(_ROUNDS):
-            plain.append(asyncio.run(_link_us(work.messages, {})))
-            encrypted.append(asyncio.run(_link_us(work.messages, tls_by_host)))
-    ratios = [b / a for a, b in zip(plain, encrypted)]
+            plain_us.append(asyncio.run(_link_message_us(extent.messages, {})))
+            encrypted_us.append(
+                asyncio.run(_link_message_us(extent.messages, tls_by_host)))
+    ratios = [b / a for a, b in zip(plain_us, encrypted_us)]
     return [
-        _row('link_message_us', 'us', plain),
-        _row('link_message_tls_us', 'us', encrypted),
-        _row('link_tls_ratio', '', ratios)
+        _measured_row('link_message_us', 'us', plain_us),
+        _measured_row('link_message_tls_us', 'us', encrypted_us),
+        _measured_row('link_tls_ratio', '', ratios)
     ]
 
 
-def _certificates(folder: pathlib.Path) -> dict[str, link_tls.LinkTls]:
+def _create_tls_settings(folder: pathlib.Path) -> dict[str, link_tls.LinkTls]:
     authority = certificates.Authority(folder=folder, name='authority')
-    found = {}
+    tls_by_host = {}
     for host in ('near', 'far'):
         paths = authority.issue(host)
-        found[host] = link_tls.LinkTls(files=link_tls.LinkTlsFiles(
+        tls_by_host[host] = link_tls.LinkTls(files=link_tls.LinkTlsFiles(
             certificate=pathlib.Path(paths['certificate_file']),
             key=pathlib.Path(paths['key_file']),
             authority=pathlib.Path(paths['authority_file'])))
-    return found
+    return tls_by_host
 
 
-def _targets(workspaces: int, draw: random.Random) -> dict[str, Any]:
+def _targets_document(workspaces: int, rng: random.Random) -> dict[str, Any]:
     classes = {
         f'class-{i}': {
             'latency': {
-                'first_token_ms': draw.randint(500, 1800),
+                'first_token_ms': rng.randint(500, 1800),
                 'between_tokens_ms': 70
             },
-            'retries': draw.randint(0, 3),
+            'retries': rng.randint(0, 3),
             'repeatable': True
         } for i in range(3)
     }
@@ -248,25 +254,25 @@
     }
 
 
-def _targets_rows(work: _Work, draw: random.Random) -> list[dict[str, Any]]:
-    document = _targets(work.workspaces, draw)
+def _targets_rows(extent: _Extent, rng: random.Random) -> list[dict[str, Any]]:
+    document = _targets_document(extent.workspaces, rng)
     text = json.dumps(document)
 
-    def adopt() -> object:
+    def parse() -> object:
         model = targets_document.parse_targets(json.loads(text))
         return model.to_targets(1)
 
-    adopted = [_cpu_us(adopt, 1) / work.workspaces for _ in range(_ROUNDS)]
+    parse_us = [_cpu_us(parse, 1) / extent.workspaces for _ in range(_ROUNDS)]
     return [
-        _constant('workspace_document_bytes', 'B',
-                  len(text) / work.workspaces),
-        _row('workspace_adopt_us', 'us', adopted),
-        _constant('workspace_held_bytes', 'B',
-                  _held_bytes(adopt) / work.workspaces)
+        _constant_row('workspace_document_bytes', 'B',
+                      len(text) / extent.workspaces),
+        _measured_row('workspace_adopt_us', 'us', parse_us),
+        _constant_row('workspace_held_bytes', 'B',
+                      _allocated_bytes(parse) / extent.workspaces)
     ]
 
 
-def _host(i: int) -> host_list.ListedHost:
+def _listed_host(i: int) -> host_list.ListedHost:
     return host_list.ListedHost(name=f'agent-engine-{i}',
                                 role='upstream',
                                 link_address=f'10.0.{i % 250}.{i % 199}:9080',
@@ -276,19 +282,19 @@
                                 is_terminating=False)
 
 
-def _state_rows(work: _Work) -> list[dict[str, Any]]:
-    tally = account.RequestCounter()
+def _state_rows(extent: _Extent) -> list[dict[str, Any]]:
+    counter = account.RequestCounter()
     keys = [account.CountKey(f'workspace-{i}', 'caption') for i in range(1000)]
 
     def count() -> None:
-        tally.accept(keys[17])
-        tally.end(keys[17],
-                  account.RequestOutcome.IN_TIME,
-                  attempts=1,
-                  repeat=False)
-
-    hosts = _held_bytes(
-        lambda: {host.name: host for host in map(_host, range(1000))})
+        counter.accept(keys[17])
+        counter.end(keys[17],
+                    account.RequestOutcome.IN_TIME,
+                    attempts=1,
+                    repeat=False)
+
+    hosts_bytes = _allocated_bytes(
+        lambda: {host.name: host for host in map(_listed_host, range(1000))})
     row = account_summary.AccountInterval(
         host='entry-1',
         incarnation='abcdef012345',
@@ -304,22 +310,23 @@
                                       attempts=1,
                                       retries_allowed=2) for key in keys
         })
-    encoded = [
+    encode_us = [
         _cpu_us(lambda: account_rows.encode(row), 20) / len(keys)
         for _ in range(_ROUNDS)
     ]
     return [
-        _timed('tally_request_us', count, work.calls),
-        _row('account_key_encode_us', 'us', encoded),
-        _constant('account_key_bytes', 'B',
-                  len(account_rows.encode(row)) / len(keys)),
-        _constant('listed_host_held_bytes', 'B', hosts / 1000)
+        _timed_row('tally_request_us', count, extent.calls),
+        _measured_row('account_key_encode_us', 'us', encode_us),
+        _constant_row('account_key_bytes', 'B',
+                      len(account_rows.encode(row)) / len(keys)),
+        _constant_row('listed_host_held_bytes', 'B', hosts_bytes / 1000)
     ]
 
 
-def _reference_row(work: _Work) -> dict[str, Any]:
-    document = _targets(1, random.Random(1))
-    return _timed('reference_json_us', lambda: json.dumps(document), work.calls)
+def _reference_row(extent: _Extent) -> dict[str, Any]:
+    document = _targets_document(1, random.Random(1))
+    return _timed_row('reference_json_us', lambda: json.dumps(document),
+                      extent.calls)
 
 
 def main() -> None:
@@ -328,13 +335,16 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
     args = parser.parse_args()
-    work = _Work(2000, 300, 500) if args.quick else _Work(20_000, 2400, 5000)
-    rows = [_constant('imported_resident_mb', 'MB', _resident_mb())]
-    rows.append(_reference_row(work))
-    rows += _message_rows(work)
-    rows += _link_rows(work)
-    rows += _targets_rows(work, random.Random(args.seed))
-    rows += _state_rows(work)
+    extent = _Extent(2000, 300, 500) if args.quick else _Extent(
+        20_000, 2400, 5000)
+    rows = [
+        _constant_row('imported_resident_mb', 'MB', _imported_resident_mb())
+    ]
+    rows.append(_reference_row(extent))
+    rows += _message_rows(extent)
+    rows += _link_rows(extent)
+    rows += _targets_rows(extent, random.Random(args.seed))
+    rows += _state_rows(extent)
     for row in rows:
         print(f'{row["name"]:28} {row["value"]:12.2f} {row["unit"]:3} '
               f'({row["low"]:.2f} to {row["high"]:.2f})')
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -12,19 +12,22 @@
 __all__: list[str] = []
 
 _ENGINES = 4
-_STREAMS = 240
-_CONNECTIONS = 1000
+_STREAM_COUNT = 240
+_CONNECTION_COUNT = 1000
 _IDLE_S = 20.0
 _QUICK_IDLE_S = 6.0
-_MEMORY_BOUND_MIB = 64.0
-_CPU_BOUND = 0.027
-_ROLES = {'entry': 'entry-1', 'agent': 'agent-engine-1'}
+_MAX_MEMORY_MIB = 64.0
+_MAX_CPU_SHARE = 0.027
+_PROCESS_BY_ROLE = {'entry': 'entry-1', 'agent': 'agent-engine-1'}
 
 
 async def _idle_row(system: system_module.System,
                     seconds: float) -> dict[str, Any]:
     """Processor time and memory of each role without requests."""
-    pids = {role: system.by_name[name].pid for role, name in _ROLES.items()}
+    pids = {
+        role: system.by_name[name].pid
+        for role, name in _PROCESS_BY_ROLE.items()
+    }
     before = {role: processes.cpu_us(pid) for role, pid in pids.items()}
     await asyncio.sleep(seconds)
     row: dict[str, Any] = {'name': 'idle'}
@@ -35,7 +38,7 @@
     return row
 
 
-def _resident(system: system_module.System) -> dict[str, float]:
+def _resident_kib(system: system_module.System) -> dict[str, float]:
     """Resident KiB of the entry host and of all agents of engines."""
     agents = system.named('agent-engine-')
     return {
@@ -58,26 +61,29 @@
     """Memory for streams that have begun and wait for their next token."""
     for process in system.named('engine-'):
         await system.fault(process.name, stall_after_tokens=1)
-    before = _resident(system)
+    before = _resident_kib(system)
     tasks = []
-    for number in range(_STREAMS):
-        document = {**caller.chat_document(10), 'nonce': f'{seed}-{number}'}
+    for request_number in range(_STREAM_COUNT):
+        document = {
+            **caller.chat_document(10), 'nonce': f'{seed}-{request_number}'
+        }
         tasks.append(
             asyncio.create_task(
                 stream_client.Stream.run(
                     system.entry_addresses[0],
                     stream_client.request_bytes(document))))
         await asyncio.sleep(0.01)
-    while await _running(system) < _STREAMS:
+    while await _running_requests(system) < _STREAM_COUNT:
         await asyncio.sleep(0.1)
-    row = _growth_row('open_streams', before, _resident(system), _STREAMS)
+    row = _growth_row('open_streams', before, _resident_kib(system),
+                      _STREAM_COUNT)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     return row
 
 
-async def _running(system: system_module.System) -> int:
+async def _running_requests(system: system_module.System) -> int:
     total = 0
     for process in system.named('agent-engine-'):
         status = await system.call(process.ready['admin'], 'GET', '/status')
@@ -87,15 +93,15 @@
 
 async def _connections_row(system: system_module.System) -> dict[str, Any]:
     """Memory for connections on which nothing has been sent."""
-    before = _resident(system)
+    before = _resident_kib(system)
     host, _, port = system.entry_addresses[0].rpartition(':')
     writers = []
-    for _ in range(_CONNECTIONS):
+    for _ in range(_CONNECTION_COUNT):
         _, writer = await asyncio.open_connection(host, int(port))
         writers.append(writer)
     await asyncio.sleep(1.0)
-    row = _growth_row('idle_connections', before, _resident(system),
-                      _CONNECTIONS)
+    row = _growth_row('idle_connections', before, _resident_kib(system),
+                      _CONNECTION_COUNT)
     for writer in writers:
         writer.close()
     return row
@@ -109,17 +115,17 @@
         rows = [idle, await _streams_row(system, seed)]
     async with system_module.System(entries=1, engines=1, services=1) as system:
         rows.append(await _connections_row(system))
-    found = []
-    for role in _ROLES:
+    targets = []
+    for role in _PROCESS_BY_ROLE:
         memory = idle[f'{role}_mib']
         share = idle[f'{role}_core_share']
-        found += [
-            common.Target(f'idle {role} MiB', _MEMORY_BOUND_MIB, memory, memory
-                          <= _MEMORY_BOUND_MIB),
-            common.Target(f'idle {role} core share', _CPU_BOUND, share, share
-                          <= _CPU_BOUND)
+        targets += [
+            common.Target(f'idle {role} MiB', _MAX_MEMORY_MIB, memory, memory
+                          <= _MAX_MEMORY_MIB),
+            common.Target(f'idle {role} core share', _MAX_CPU_SHARE, share,
+                          share <= _MAX_CPU_SHARE)
         ]
-    return rows, found
+    return rows, targets
 
 
 def main() -> int:
--- a/bench/path.py
+++ b/bench/path.py
@@ -27,12 +27,12 @@
 _PAIR_TOKENS = 20
 _PAIR_TOKEN_S = 0.005
 _SHORT_REQUESTS = 300
-_IDLE_S = 3.0
-_BARE_WRITES = 20000
-_BARE_BYTES = bytes(100)
-_ENTRY_SHARE_BOUND = 0.1
-_FIRST_TOKEN_BOUND_MS = 1800.0
-_GAP_BOUND_MS = 70.0
+_IDLE_DURATION_S = 3.0
+_SOCKET_WRITES = 20000
+_SOCKET_WRITE_DATA = bytes(100)
+_MAX_ENTRY_CORE_SHARE = 0.1
+_MAX_FIRST_TOKEN_MS = 1800.0
+_MAX_TOKEN_GAP_MS = 70.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,16 +47,21 @@
 _FULL = _Plan(pairs=200, load_s=40.0)
 
 
-def _cpu_us(found: list[system_module.Process]) -> float:
+def _total_cpu_us(system_processes: list[system_module.Process]) -> float:
     """Processor time of processes so far, in microseconds."""
-    return sum(processes.cpu_us(process.pid) for process in found)
+    return sum(processes.cpu_us(process.pid) for process in system_processes)
 
 
-def _document(tokens: int, nonce: int, stamped: bool = True) -> dict[str, Any]:
-    return {**caller.chat_document(tokens), 'nonce': nonce, 'stamp': stamped}
+def _document(tokens: int,
+              nonce: int,
+              has_time_stamps: bool = True) -> dict[str, Any]:
+    return {
+        **caller.chat_document(tokens), 'nonce': nonce,
+        'stamp': has_time_stamps
+    }
 
 
-class _Bench:
+class _PathBenchmark:
     """One run against one system."""
 
     def __init__(self, *, system: system_module.System, plan: _Plan,
@@ -67,69 +72,74 @@
         self._entry = system.entry_addresses[0]
         self._engine = system.address('engine-1')
 
-    async def pairs(self) -> list[dict[str, Any]]:
+    async def measure_pairs(self) -> list[dict[str, Any]]:
         """Direct calls and calls through the system, in turn."""
         await self._set_token_s(_PAIR_TOKEN_S)
-        first = {'direct': stream_client.latencies()}
-        first['through'] = stream_client.latencies()
-        token = {'direct': stream_client.latencies()}
-        token['through'] = stream_client.latencies()
-        for number in range(self._plan.pairs):
+        first_token = {'direct': stream_client.create_histogram()}
+        first_token['through'] = stream_client.create_histogram()
+        token = {'direct': stream_client.create_histogram()}
+        token['through'] = stream_client.create_histogram()
+        for request_number in range(self._plan.pairs):
             request = stream_client.request_bytes(
-                _document(_PAIR_TOKENS, number))
-            for way, address in (('direct', self._engine), ('through',
-                                                            self._entry)):
+                _document(_PAIR_TOKENS, request_number))
+            for route, address in (('direct', self._engine), ('through',
+                                                              self._entry)):
                 stream = await stream_client.Stream.run(address, request,
-                                                        token[way])
-                assert stream.whole, way
-                first[way].record_value(stream.first_us)
-        return [_pair_row('first_token', first), _pair_row('per_token', token)]
+                                                        token[route])
+                assert stream.is_complete, route
+                first_token[route].record_value(stream.first_event_us)
+        return [
+            _pair_row('first_token', first_token),
+            _pair_row('per_token', token)
+        ]
 
     async def _set_token_s(self, token_s: float) -> None:
         for process in self._system.named('engine-'):
             await self._system.fault(process.name, token_s=token_s)
 
-    async def short_requests(self) -> dict[str, float]:
+    async def measure_short_requests(self) -> dict[str, float]:
         """Processor time of a request with a single token, by role.
 
         What the roles use without requests is taken off.
         """
         await self._set_token_s(0)
         idle_by_role = await self._idle_us_per_s()
-        before = self._cpu()
+        before = self._cpu_us_by_role()
         started = time.monotonic()
-        for number in range(_SHORT_REQUESTS):
-            request = stream_client.request_bytes(_document(1, number, False))
+        for request_number in range(_SHORT_REQUESTS):
+            request = stream_client.request_bytes(
+                _document(1, request_number, False))
             stream = await stream_client.Stream.run(self._entry, request)
-            assert stream.whole
+            assert stream.is_complete
         elapsed_s = time.monotonic() - started
         return {
             role: (after - before[role] - idle_by_role[role] * elapsed_s) /
-                  _SHORT_REQUESTS for role, after in self._cpu().items()
+                  _SHORT_REQUESTS
+            for role, after in self._cpu_us_by_role().items()
         }
 
     async def _idle_us_per_s(self) -> dict[str, float]:
         """Processor time that the roles use without requests."""
-        before = self._cpu()
-        await asyncio.sleep(_IDLE_S)
+        before = self._cpu_us_by_role()
+        await asyncio.sleep(_IDLE_DURATION_S)
         return {
-            role: (after - before[role]) / _IDLE_S
-            for role, after in self._cpu().items()
+            role: (after - before[role]) / _IDLE_DURATION_S
+            for role, after in self._cpu_us_by_role().items()
         }
 
-    def _cpu(self) -> dict[str, float]:
+    def _cpu_us_by_role(self) -> dict[str, float]:
         return {
-            'entry': _cpu_us(self._system.named('entry-')),
-            'agent': _cpu_us(self._system.named('agent-engine-'))
+            'entry': _total_cpu_us(self._system.named('entry-')),
+            'agent': _total_cpu_us(self._system.named('agent-engine-'))
         }
 
-    async def load(self) -> dict[str, Any]:
+    async def measure_load(self) -> dict[str, Any]:
         """One entry host under the load that a node has to carry."""
         await self._set_token_s(_TOKEN_S)
-        transit = stream_client.latencies()
-        gaps = stream_client.latencies()
+        transit = stream_client.create_histogram()
+        gaps = stream_client.create_histogram()
         tasks: list[asyncio.Task[stream_client.Stream]] = []
-        before = self._cpu()
+        before = self._cpu_us_by_role()
         started = time.monotonic()
         while time.monotonic() - started < self._plan.load_s:
             request = stream_client.request_bytes(
@@ -140,39 +150,42 @@
                                              gaps)))
             await asyncio.sleep(self._random.expovariate(_REQUESTS_PER_S))
         streams = await asyncio.gather(*tasks)
-        first = stream_client.latencies()
+        first_token = stream_client.create_histogram()
         for stream in streams:
-            first.record_value(max(1, stream.first_us))
-        used = {role: at - before[role] for role, at in self._cpu().items()}
+            first_token.record_value(max(1, stream.first_event_us))
+        used_by_role = {
+            role: cpu_us - before[role]
+            for role, cpu_us in self._cpu_us_by_role().items()
+        }
         return {
             'requests': len(streams),
-            'whole': sum(stream.whole for stream in streams),
+            'whole': sum(stream.is_complete for stream in streams),
             'tokens': len(streams) * _TOKENS_PER_REQUEST,
-            'cpu_us': used,
-            'first_token': stream_client.milliseconds(first),
-            'transit': stream_client.milliseconds(transit),
-            'between_tokens': stream_client.milliseconds(gaps)
+            'cpu_us': used_by_role,
+            'first_token': stream_client.percentiles_ms(first_token),
+            'transit': stream_client.percentiles_ms(transit),
+            'between_tokens': stream_client.percentiles_ms(gaps)
         }
 
 
-def _bare_write_us() -> float:
+def _measure_socket_write_us() -> float:
     """Processor time of one bare write of a token's size over loopback."""
     with socket.create_server(('127.0.0.1', 0)) as server:
-        near = socket.create_connection(server.getsockname())
-        far, _ = server.accept()
+        client = socket.create_connection(server.getsockname())
+        server_side, _ = server.accept()
     used_ns = 0
-    with near, far:
-        for _ in range(_BARE_WRITES):
+    with client, server_side:
+        for _ in range(_SOCKET_WRITES):
             started = time.thread_time_ns()
-            near.send(_BARE_BYTES)
+            client.send(_SOCKET_WRITE_DATA)
             used_ns += time.thread_time_ns() - started
-            far.recv(len(_BARE_BYTES))
-    return used_ns / _BARE_WRITES / 1000
+            server_side.recv(len(_SOCKET_WRITE_DATA))
+    return used_ns / _SOCKET_WRITES / 1000
 
 
-def _pair_row(name: str, by_way: dict[str, Any]) -> dict[str, Any]:
-    direct = stream_client.milliseconds(by_way['direct'])
-    through = stream_client.milliseconds(by_way['through'])
+def _pair_row(name: str, histogram_by_route: dict[str, Any]) -> dict[str, Any]:
+    direct = stream_client.percentiles_ms(histogram_by_route['direct'])
+    through = stream_client.percentiles_ms(histogram_by_route['through'])
     return {
         'name': name,
         'direct': direct,
@@ -183,47 +196,54 @@
     }
 
 
-def _cost_rows(short: dict[str, float], load: dict[str, Any],
-               bare_us: float) -> list[dict[str, Any]]:
+def _cost_rows(short_request_us: dict[str, float], load: dict[str, Any],
+               socket_write_us: float) -> list[dict[str, Any]]:
     """Processor time by role, split into what requests and tokens cost."""
     rows = []
     for role, total_us in load['cpu_us'].items():
-        request_us = short[role]
+        request_us = short_request_us[role]
         token_us = (total_us - request_us * load['requests']) / load['tokens']
-        whole_us = total_us / load['tokens']
+        total_token_us = total_us / load['tokens']
         rows.append({
-            'name': f'cost_{role}',
-            'us_per_request': round(request_us, 1),
-            'us_per_token': round(token_us, 2),
-            'core_share_at_size': round(whole_us * _TOKENS_PER_S / 1e6, 4),
-            'bare_writes_per_token': round(token_us / bare_us, 2),
-            'tokens_per_s_of_one_core': round(1e6 / whole_us)
+            'name':
+                f'cost_{role}',
+            'us_per_request':
+                round(request_us, 1),
+            'us_per_token':
+                round(token_us, 2),
+            'core_share_at_size':
+                round(total_token_us * _TOKENS_PER_S / 1e6, 4),
+            'bare_writes_per_token':
+                round(token_us / socket_write_us, 2),
+            'tokens_per_s_of_one_core':
+                round(1e6 / total_token_us)
         })
-    return [{'name': 'bare_write', 'us': round(bare_us, 2)}, *rows]
+    return [{'name': 'bare_write', 'us': round(socket_write_us, 2)}, *rows]
 
 
 async def _run(plan: _Plan,
                seed: int) -> tuple[list[dict[str, Any]], list[common.Target]]:
     async with system_module.System(entries=1, engines=_ENGINES,
                                     services=1) as system:
-        bench = _Bench(system=system, plan=plan, seed=seed)
-        rows = await bench.pairs()
-        short = await bench.short_requests()
-        load = await bench.load()
-        bare_us = _bare_write_us()
-    costs = _cost_rows(short, load, bare_us)
+        benchmark = _PathBenchmark(system=system, plan=plan, seed=seed)
+        rows = await benchmark.measure_pairs()
+        short_request_us = await benchmark.measure_short_requests()
+        load = await benchmark.measure_load()
+        socket_write_us = _measure_socket_write_us()
+    costs = _cost_rows(short_request_us, load, socket_write_us)
     rows += costs
     rows.append({'name': 'load', **load})
-    share = costs[1]['core_share_at_size']
+    entry_share = costs[1]['core_share_at_size']
     first_ms = load['first_token']['p95_ms']
     gap_ms = load['between_tokens']['p95_ms']
     return rows, [
-        common.Target('entry core share at 4,250 tokens/s', _ENTRY_SHARE_BOUND,
-                      share, share <= _ENTRY_SHARE_BOUND),
-        common.Target('first token p95 ms', _FIRST_TOKEN_BOUND_MS, first_ms,
-                      first_ms <= _FIRST_TOKEN_BOUND_MS),
-        common.Target('between tokens p95 ms', _GAP_BOUND_MS, gap_ms, gap_ms
-                      <= _GAP_BOUND_MS),
+        common.Target('entry core share at 4,250 tokens/s',
+                      _MAX_ENTRY_CORE_SHARE, entry_share, entry_share
+                      <= _MAX_ENTRY_CORE_SHARE),
+        common.Target('first token p95 ms', _MAX_FIRST_TOKEN_MS, first_ms,
+                      first_ms <= _MAX_FIRST_TOKEN_MS),
+        common.Target('between tokens p95 ms', _MAX_TOKEN_GAP_MS, gap_ms, gap_ms
+                      <= _MAX_TOKEN_GAP_MS),
         common.Target('answers not whole', 0, load['requests'] - load['whole'],
                       load['requests'] == load['whole'])
     ]
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -18,12 +18,12 @@
 
 __all__: list[str] = []
 
-_CANDIDATES = (16, 64, 256, 1300)
-_ENTRIES = (9, 100, 400)
-_BATCHES = 9
-_DECISIONS = 2000
-_QUICK_DECISIONS = 400
-_SAMPLES = 64
+_CANDIDATE_COUNTS = (16, 64, 256, 1300)
+_ENTRY_HOST_COUNTS = (9, 100, 400)
+_BATCH_COUNT = 9
+_SELECTIONS = 2000
+_QUICK_SELECTIONS = 400
+_PREFIX_COUNT = 64
 _MAX_GROWTH = 1.5
 
 
@@ -31,17 +31,17 @@
     """An upstream as an entry host keeps it."""
 
     def __init__(self, name: str, rng: random.Random,
-                 mean: load_estimate.MeanOtherLoad,
-                 book: outlier_detection.OutlierDetector) -> None:
+                 mean_other_load: load_estimate.MeanOtherLoad,
+                 detector: outlier_detection.OutlierDetector) -> None:
         self._name = name
-        self._mean = mean
-        self._health = book
-        reading = admission_control.UpstreamLoad(rng.randrange(16), (0, 0, 0),
-                                                 16, 4.0, 0.1, 0.05)
-        self._report = load_estimate.UpstreamLoadReport(reading, 0, 0.0)
+        self._mean_other_load = mean_other_load
+        self._detector = detector
+        load = admission_control.UpstreamLoad(rng.randrange(16), (0, 0, 0), 16,
+                                              4.0, 0.1, 0.05)
+        self._load_report = load_estimate.UpstreamLoadReport(load, 0, 0.0)
         self.sent = load_estimate.SentAttemptLog()
-        book.add(name)
-        mean.record(self._report)
+        detector.add(name)
+        mean_other_load.record(self._load_report)
 
     @property
     def host(self) -> str:
@@ -50,76 +50,83 @@
     @property
     def estimate(self) -> upstream_selection.UpstreamEstimate:
         return upstream_selection.UpstreamEstimate(
-            self._report.load,
-            load_estimate.expected_load(self._report,
+            self._load_report.load,
+            load_estimate.expected_load(self._load_report,
                                         own=2,
-                                        mean=self._mean,
+                                        mean=self._mean_other_load,
                                         now=1.0))
 
     @property
     def is_usable(self) -> bool:
-        return self._health.is_usable(self._name, 1.0)
+        return self._detector.is_usable(self._name, 1.0)
 
 
-class _Fleet:
+class _UpstreamSet:
     """What one entry host keeps for one model's upstreams."""
 
     def __init__(self, count: int, rng: random.Random) -> None:
-        mean = load_estimate.MeanOtherLoad()
-        book = outlier_detection.OutlierDetector()
+        mean_other_load = load_estimate.MeanOtherLoad()
+        detector = outlier_detection.OutlierDetector()
         self.upstreams = [
-            _Upstream(f'agent-{i}', rng, mean, book) for i in range(count)
+            _Upstream(f'agent-{i}', rng, mean_other_load, detector)
+            for i in range(count)
         ]
         self.by_host = {u.host: u for u in self.upstreams}
         self.ring = prefix_hashing.PrefixHashRing(self.by_host)
-        near = self.upstreams[:max(1, count // 3)]
-        self.tiers = [near, self.upstreams]
+        local_upstreams = self.upstreams[:max(1, count // 3)]
+        self.tiers = [local_upstreams, self.upstreams]
 
 
-def _microseconds(act: Callable[[], object], repeats: int) -> float:
-    begun_at = time.perf_counter()
+def _time_call_us(callback: Callable[[], object], repeats: int) -> float:
+    started_at = time.perf_counter()
     for _ in range(repeats):
-        act()
-    return (time.perf_counter() - begun_at) / repeats * 1e6
+        callback()
+    return (time.perf_counter() - started_at) / repeats * 1e6
 
 
-def _decision(fleet: _Fleet, seed: int) -> Callable[[], object]:
+def _selection_function(upstream_set: _UpstreamSet,
+                        seed: int) -> Callable[[], object]:
     rng = random.Random(seed)
-    prefixes = [rng.randbytes(8) for _ in range(_SAMPLES)]
+    prefixes = [rng.randbytes(8) for _ in range(_PREFIX_COUNT)]
 
-    def decide() -> object:
-        prefix = prefixes[rng.randrange(_SAMPLES)]
+    def select_upstream() -> object:
+        prefix = prefixes[rng.randrange(_PREFIX_COUNT)]
         return upstream_selection.select(
-            fleet.tiers,
+            upstream_set.tiers,
             upstream_selection.AttemptRequirements(importance=1,
                                                    time_left_s=1.8),
             random_unit=rng.random,
-            preferred=fleet.by_host.get(fleet.ring.host_for(prefix)))
+            preferred=upstream_set.by_host.get(
+                upstream_set.ring.host_for(prefix)))
 
-    return decide
+    return select_upstream
 
 
-def _choice_rows(seed: int, repeats: int) -> list[dict[str, Any]]:
+def _selection_rows(seed: int, repeats: int) -> list[dict[str, Any]]:
     """Times all fleets in turn, so that a busy machine slows all alike."""
     rows = []
-    decisions = []
-    for count in _CANDIDATES:
+    selection_functions = []
+    for count in _CANDIDATE_COUNTS:
         tracemalloc.start()
-        fleet = _Fleet(count, random.Random(seed))
-        state = tracemalloc.get_traced_memory()[0]
+        upstream_set = _UpstreamSet(count, random.Random(seed))
+        state_bytes = tracemalloc.get_traced_memory()[0]
         tracemalloc.stop()
-        decisions.append(_decision(fleet, seed))
+        selection_functions.append(_selection_function(upstream_set, seed))
         rows.append({
             'candidates': count,
-            'state_bytes_per_candidate': round(state / count)
+            'state_bytes_per_candidate': round(state_bytes / count)
         })
-    batches = [[_microseconds(decide, repeats)
-                for decide in decisions]
-               for _ in range(_BATCHES)]
-    for row, times, ratios in zip(
+    batches = [[
+        _time_call_us(select_upstream, repeats)
+        for select_upstream in selection_functions
+    ]
+               for _ in range(_BATCH_COUNT)]
+    for row, times_us, ratios in zip(
             rows, zip(*batches),
-            zip(*([t / batch[0] for t in batch] for batch in batches))):
-        row['decision_us'] = round(statistics.median(times), 1)
+            zip(*([time_us / batch[0]
+                   for time_us in batch]
+                  for batch in batches))):
+        row['decision_us'] = round(statistics.median(times_us), 1)
         row['over_smallest'] = round(statistics.median(ratios), 2)
     return rows
 
@@ -135,9 +142,10 @@
         'addresses_us':
             round(
                 statistics.median(
-                    _microseconds(
+                    _time_call_us(
                         lambda: addresses.rank_entry_hosts(hosts, 'caller'),
-                        max(1, repeats // count)) for _ in range(_BATCHES)), 1)
+                        max(1, repeats // count))
+                    for _ in range(_BATCH_COUNT)), 1)
     }
 
 
@@ -147,10 +155,12 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
     args = parser.parse_args()
-    repeats = _QUICK_DECISIONS if args.quick else _DECISIONS
-    choices = _choice_rows(args.seed, repeats)
-    rows = choices + [_addresses_row(count, repeats) for count in _ENTRIES]
-    growth = choices[-1]['over_smallest']
+    repeats = _QUICK_SELECTIONS if args.quick else _SELECTIONS
+    selection_rows = _selection_rows(args.seed, repeats)
+    rows = selection_rows + [
+        _addresses_row(count, repeats) for count in _ENTRY_HOST_COUNTS
+    ]
+    growth = selection_rows[-1]['over_smallest']
     common.emit(args.seed, rows, [
         common.Target('decision at 1,300 candidates over 16', _MAX_GROWTH,
                       growth, growth <= _MAX_GROWTH)
--- a/bench/stream_client.py
+++ b/bench/stream_client.py
@@ -10,21 +10,21 @@
 
 __all__ = ['Stream', 'latencies', 'milliseconds', 'request_bytes']
 
-_STAMP = re.compile(rb'"at_ns": (\d+)')
-_END = b'data: [DONE]\n\n'
+_SENT_AT_PATTERN = re.compile(rb'"at_ns": (\d+)')
+_END_EVENT = b'data: [DONE]\n\n'
 _MAX_US = 60_000_000
 _PERCENTILES = (50, 95, 99)
 
 
-def latencies() -> histogram.HdrHistogram:
+def create_histogram() -> histogram.HdrHistogram:
     """An empty histogram of microseconds."""
     return histogram.HdrHistogram(1, _MAX_US, 3)
 
 
-def milliseconds(found: histogram.HdrHistogram) -> dict[str, float]:
+def percentiles_ms(values_us: histogram.HdrHistogram) -> dict[str, float]:
     """The percentiles of a histogram of microseconds, in milliseconds."""
     return {
-        f'p{percent}_ms': found.get_value_at_percentile(percent) / 1000
+        f'p{percent}_ms': values_us.get_value_at_percentile(percent) / 1000
         for percent in _PERCENTILES
     }
 
@@ -49,31 +49,33 @@
     """
 
     def __init__(self, *, request: bytes,
-                 transit: histogram.HdrHistogram | None,
-                 gaps: histogram.HdrHistogram | None) -> None:
+                 transit_histogram: histogram.HdrHistogram | None,
+                 gap_histogram: histogram.HdrHistogram | None) -> None:
         self._request = request
-        self._transit = transit
-        self._gaps = gaps
+        self._transit_histogram = transit_histogram
+        self._gap_histogram = gap_histogram
         self._started_ns = 0
-        self._last_ns = 0
-        self._tail = b''
-        self.first_us = 0
+        self._last_event_ns = 0
+        self._received_tail = b''
+        self.first_event_us = 0
         self.events = 0
-        self.whole = False
-        self.ended = asyncio.get_running_loop().create_future()
+        self.is_complete = False
+        self.closed = asyncio.get_running_loop().create_future()
 
     @classmethod
-    async def run(cls,
-                  address: str,
-                  request: bytes,
-                  transit: histogram.HdrHistogram | None = None,
-                  gaps: histogram.HdrHistogram | None = None) -> 'Stream':
+    async def run(
+            cls,
+            address: str,
+            request: bytes,
+            transit_histogram: histogram.HdrHistogram | None = None,
+            gap_histogram: histogram.HdrHistogram | None = None) -> 'Stream':
         """Sends a request and waits for the end of its answer."""
         host, _, port = address.rpartition(':')
         _, stream = await asyncio.get_running_loop().create_connection(
-            lambda: cls(request=request, transit=transit, gaps=gaps), host,
-            int(port))
-        await stream.ended
+            lambda: cls(request=request,
+                        transit_histogram=transit_histogram,
+                        gap_histogram=gap_histogram), host, int(port))
+        await stream.closed
         return stream
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -85,22 +87,23 @@
         now_ns = time.monotonic_ns()
         count = data.count(b'\n\ndata: ') + data.count(b'\r\ndata: ')
         if count:
-            self._observe(now_ns, count)
-        if self._transit is not None:
-            for stamp in _STAMP.findall(data):
-                self._transit.record_value(max(1,
-                                               (now_ns - int(stamp)) // 1000))
-        self._tail = (self._tail + data)[-64:]
-        self.whole = _END in self._tail
-
-    def _observe(self, now_ns: int, count: int) -> None:
+            self._record_events(now_ns, count)
+        if self._transit_histogram is not None:
+            for sent_at_ns in _SENT_AT_PATTERN.findall(data):
+                self._transit_histogram.record_value(
+                    max(1, (now_ns - int(sent_at_ns)) // 1000))
+        self._received_tail = (self._received_tail + data)[-64:]
+        self.is_complete = _END_EVENT in self._received_tail
+
+    def _record_events(self, now_ns: int, count: int) -> None:
         if not self.events:
-            self.first_us = (now_ns - self._started_ns) // 1000
-        elif self._gaps is not None:
-            self._gaps.record_value(max(1, (now_ns - self._last_ns) // 1000))
-        self._last_ns = now_ns
+            self.first_event_us = (now_ns - self._started_ns) // 1000
+        elif self._gap_histogram is not None:
+            self._gap_histogram.record_value(
+                max(1, (now_ns - self._last_event_ns) // 1000))
+        self._last_event_ns = now_ns
         self.events += count
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if not self.ended.done():
-            self.ended.set_result(None)
+        if not self.closed.done():
+            self.closed.set_result(None)
--- a/bench/switch.py
+++ b/bench/switch.py
@@ -17,71 +17,74 @@
 
 __all__: list[str] = []
 
-_SIZES = (4, 8, 16, 32)
-_QUICK_SIZES = (4, 8)
-_SWITCHES = 3
+_GROUP_SIZES = (4, 8, 16, 32)
+_QUICK_GROUP_SIZES = (4, 8)
+_SWITCHES_PER_CASE = 3
 _PAUSE_S = 0.5
-_POLL_S = 0.01
-_LIMIT_S = 60.0
+_POLL_INTERVAL_S = 0.01
+_TIMEOUT_S = 60.0
 
 _Row = dict[str, Any]
 
 
-async def _until(ranks: rank_system.RankSystem, version: int) -> dict[str, Any]:
+async def _wait_until_in_force(ranks: rank_system.RankSystem,
+                               version: int) -> dict[str, Any]:
     """Waits until a map is in force and the leader is free."""
-    async with asyncio.timeout(_LIMIT_S):
+    async with asyncio.timeout(_TIMEOUT_S):
         while True:
             group = await ranks.group()
             if set(group['versions']) == {version}:
                 status = await ranks.status(0)
                 if status['phase'] == 'idle':
                     return group
-            await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-async def _until_pending(ranks: rank_system.RankSystem, index: int) -> None:
+async def _wait_until_pending(ranks: rank_system.RankSystem,
+                              index: int) -> None:
     """Waits until a rank takes part in a switch."""
-    async with asyncio.timeout(_LIMIT_S):
+    async with asyncio.timeout(_TIMEOUT_S):
         while (await ranks.group())['stages'][index] is None:
-            await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-async def _switch(ranks: rank_system.RankSystem, case: str, version: int,
-                  victim: int) -> dict[str, float]:
+async def _measure_switch(ranks: rank_system.RankSystem, case: str,
+                          version: int, affected_rank: int) -> dict[str, float]:
     before = await ranks.group()
-    began_s = time.time()
+    started_s = time.time()
     await ranks.want(version)
     if case != 'well':
-        await _until_pending(ranks, victim)
+        await _wait_until_pending(ranks, affected_rank)
     if case == 'late':
-        ranks.agent(victim).signal(signal.SIGSTOP)
+        ranks.agent(affected_rank).signal(signal.SIGSTOP)
         await asyncio.sleep(_PAUSE_S)
-        ranks.agent(victim).signal(signal.SIGCONT)
+        ranks.agent(affected_rank).signal(signal.SIGCONT)
     elif case == 'killed':
-        await ranks.restart_rank(victim)
-    group = await _until(ranks, version)
+        await ranks.restart_rank(affected_rank)
+    group = await _wait_until_in_force(ranks, version)
     status = await ranks.status(0)
     stalled_s = group['stalled_s'] - before['stalled_s']
     step_s = group['step_s'][str(version)]
     return {
         'stalled_steps': stalled_s / step_s,
-        'in_force_s': group['in_force_at_s'][str(version)] - began_s,
+        'in_force_s': group['in_force_at_s'][str(version)] - started_s,
         'decided_ms': status['switches']['last_ms'],
         'violations': len(group['violations'])
     }
 
 
-async def _measure(size: int, draw: random.Random) -> list[_Row]:
+async def _measure_size(size: int, rng: random.Random) -> list[_Row]:
     rows: list[_Row] = []
     async with rank_system.RankSystem(size=size) as ranks:
-        await _until(ranks, 1)
+        await _wait_until_in_force(ranks, 1)
         version = 1
         for case in ('well', 'late', 'killed'):
             results = []
-            for _ in range(_SWITCHES):
+            for _ in range(_SWITCHES_PER_CASE):
                 version += 1
-                victim = draw.randrange(1, size)
-                results.append(await _switch(ranks, case, version, victim))
+                affected_rank = rng.randrange(1, size)
+                results.append(await _measure_switch(ranks, case, version,
+                                                     affected_rank))
             rows.append(_row(size, case, results))
             print(rows[-1], flush=True)
     return rows
@@ -92,21 +95,21 @@
         f'{key}_median': round(statistics.median(r[key] for r in results), 3)
         for key in ('stalled_steps', 'in_force_s', 'decided_ms')
     }
-    most = max(result['stalled_steps'] for result in results)
+    max_stalled_steps = max(result['stalled_steps'] for result in results)
     return {
         'ranks': size,
         'case': case,
         'switches': len(results),
-        **medians, 'stalled_steps_most': round(most, 1),
+        **medians, 'stalled_steps_most': round(max_stalled_steps, 1),
         'violations': max(result['violations'] for result in results)
     }
 
 
 async def _run(seed: int, is_quick: bool) -> None:
-    draw = random.Random(seed)
+    rng = random.Random(seed)
     rows: list[_Row] = []
-    for size in _QUICK_SIZES if is_quick else _SIZES:
-        rows.extend(await _measure(size, draw))
+    for size in _QUICK_GROUP_SIZES if is_quick else _GROUP_SIZES:
+        rows.extend(await _measure_size(size, rng))
     violations = sum(row['violations'] for row in rows)
     common.emit(seed, rows, [
         common.Target('steps with more than one map', 0, violations, violations
