--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each prints JSON with its seed."""
+"""Benchmarks, each of which prints its seed and results as JSON."""
--- a/bench/binary.py
+++ b/bench/binary.py
@@ -1,4 +1,6 @@
-"""Size, start and memory of the ways to ship one file.
+"""Measures file size, start time and memory of the shipped binary.
+
+It compares the sources, the compressed archive and an uncompressed archive.
 
     python -m bench.binary --seed 1 [--quick]
 """
@@ -46,7 +48,7 @@
 
 
 def _start_s(command: list[str], unpack_folder: pathlib.Path) -> float:
-    """Wall seconds of a whole check."""
+    """Measures the duration of a `check` command, in seconds."""
     started = time.monotonic()
     subprocess.run([*command, 'check', str(_EXAMPLE_TARGETS)],
                    env=_environment(unpack_folder),
@@ -57,7 +59,7 @@
 
 
 def _resident_mb(command: list[str], unpack_folder: pathlib.Path) -> float:
-    """Resident size of an entry host that has just become ready."""
+    """Measures the memory of an entry host that has just become ready."""
     settings = unpack_folder.with_suffix('.yaml')
     settings.write_text(yaml.safe_dump(_SETTINGS), 'utf-8')
     with subprocess.Popen([*command, 'entry', str(settings)],
@@ -94,7 +96,7 @@
 
 
 def _write_uncompressed(source: pathlib.Path, target: pathlib.Path) -> None:
-    """The same archive without compression."""
+    """Writes a copy of an archive without compression."""
     with zipfile.ZipFile(source) as compressed, target.open('wb') as file:
         file.write(b'#!/usr/bin/env python3.11\n')
         with zipfile.ZipFile(file, 'w', zipfile.ZIP_STORED) as uncompressed:
@@ -104,7 +106,7 @@
 
 
 def main() -> None:
-    """Runs the bench."""
+    """Runs the measurement and prints the result."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
--- a/bench/build_binary.py
+++ b/bench/build_binary.py
@@ -1,9 +1,9 @@
-"""Builds the one file that is shipped.
+"""Builds the executable archive that is shipped.
 
     python -m bench.build_binary --output dist/pollenthread
 
-The file is a zip archive with a Python shebang: the package and the pinned
-libraries of this environment, put together by shiv.
+The file is a zip archive with a Python shebang, built by shiv. It contains the
+package and the pinned libraries as installed in this environment.
 """
 
 import argparse
@@ -23,14 +23,14 @@
 
 
 def _required_libraries() -> list[str]:
-    """Names of the libraries that a running process needs."""
+    """Returns the names of the libraries in requirements.txt."""
     lines = (_ROOT / 'requirements.txt').read_text('utf-8').splitlines()
     matches = (re.match(r'[A-Za-z0-9._-]+', line) for line in lines)
     return [name.group() for name in matches if name]
 
 
 def _copy_packages(folder: pathlib.Path) -> None:
-    """Copies libraries and the package into a folder."""
+    """Copies the libraries and the package into a folder."""
     for name in _required_libraries():
         distribution = importlib.metadata.distribution(name)
         for file in distribution.files or ():
@@ -45,7 +45,10 @@
 
 
 def build(output: pathlib.Path) -> None:
-    """Builds the file.
+    """Builds the archive.
+
+    Args:
+        output: path of the archive; its folder is created if necessary.
 
     Raises:
         CalledProcessError: shiv failed.
@@ -65,7 +68,7 @@
 
 
 def main() -> None:
-    """Builds the file that --output names."""
+    """Builds the archive at the path that --output gives."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--output',
                         type=pathlib.Path,
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,12 +1,12 @@
-"""Works out docs/CAPACITY.md from measured slopes.
+"""Computes the figures of docs/CAPACITY.md from measured unit costs.
 
     python -m bench.capacity            prints the derived figures
     python -m bench.capacity --write    writes them into the page
-    python -m bench.capacity --check    fails when the page has drifted
+    python -m bench.capacity --check    fails if the page is out of date
 
-Every figure is a formula over the sizes in `bench.capacity_model` and the JSON
-in docs/measurements/. A slope that no bench has measured yet leaves its figure
-open, and the page says which bench is missing.
+Each figure is a formula over the system size in `bench.capacity_model` and the
+unit costs in docs/measurements/. If a unit cost has not been measured, its
+figures have no value, and the page names the missing unit cost.
 """
 
 import argparse
@@ -56,7 +56,7 @@
 
 
 def _format_measured_bounds() -> str:
-    """Every stated bound that a bench has measured itself."""
+    """Formats the targets of all benchmark results as a table."""
     lines = [
         '| bench | bound on | bound | measured | |', '|---|---|---|---|---|'
     ]
@@ -91,10 +91,10 @@
 
 
 def main() -> int:
-    """Prints, writes or checks the page.
+    """Prints the figures, and writes or checks the page.
 
     Returns:
-        The exit status: 1 when the page has drifted.
+        Exit status: 1 if --check finds that the page is out of date.
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
@@ -109,7 +109,7 @@
         _PAGE.write_text(page, 'utf-8')
     if args.check and page != _PAGE.read_text('utf-8'):
         print(
-            'docs/CAPACITY.md has drifted: run '
+            'docs/CAPACITY.md is out of date; run '
             '`python -m bench.capacity --write`',
             file=sys.stderr)
         return 1
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -1,4 +1,4 @@
-"""The formulas of docs/CAPACITY.md: sizes, slopes and what they give."""
+"""The system size, unit costs and formulas of docs/CAPACITY.md."""
 
 import dataclasses
 import json
@@ -8,7 +8,7 @@
 
 from pollenthread.core import membership
 
-__all__ = ['Figure', 'SystemSize', 'UnitCosts', 'figures']
+__all__ = ['Figure', 'SystemSize', 'UnitCosts', 'compute_figures']
 
 _S_PER_US = 1e-6
 _DAY_S = 86_400
@@ -18,7 +18,32 @@
 
 @dataclasses.dataclass(frozen=True)
 class SystemSize:
-    """The size to design for, and what the code does at its intervals."""
+    """The system size to design for, its intervals and its budgets.
+
+    Attributes:
+        entries: number of entry hosts.
+        upstreams: number of upstreams.
+        regions: number of regions.
+        data_centres: number of data centres.
+        requests_per_s: requests per second of the whole system.
+        tokens_per_s: response tokens per second of the whole system.
+        workspaces: number of workspaces.
+        changes_per_day: configuration changes per day.
+        restarts_per_day: restarts of entry hosts per day.
+        bytes_per_token: size of a token on a link.
+        serving_groups: number of groups of upstreams that an entry host uses.
+        links_per_group: links of an entry host to each group.
+        peer_links: links of an entry host to other entry hosts.
+        ping_interval_s: interval of pings on a link.
+        load_interval_s: interval of load reports on a link.
+        config_poll_s: interval at which an entry host polls the configuration.
+        account_interval_s: interval at which an entry host writes accounts.
+        max_control_cores: budget of control for processor time, in cores.
+        max_memory_mb: budget for the memory of a process.
+        max_control_bytes_per_s: budget of control for traffic of a process.
+        max_table_writes_per_s: budget for writes to the table.
+        max_table_reads_per_s: budget for reads of the table.
+    """
 
     entries: int = 400
     upstreams: int = 1300
@@ -47,17 +72,21 @@
 
     @property
     def requests_per_entry(self) -> float:
-        """Requests a second at one entry host."""
+        """Requests per second at one entry host."""
         return self.requests_per_s / self.entries
 
     @property
     def tokens_per_entry(self) -> float:
-        """Tokens a second through one entry host."""
+        """Tokens per second through one entry host."""
         return self.tokens_per_s / self.entries
 
 
 class UnitCosts:
-    """Measured values by name; reading a missing one leaves a figure open."""
+    """Measured values by name.
+
+    Reading a missing value raises KeyError, which leaves the figure without
+    a value.
+    """
 
     def __init__(self, *, value_by_name: dict[str, float]) -> None:
         self._value_by_name = value_by_name
@@ -67,10 +96,10 @@
 
     @classmethod
     def load(cls, folder: pathlib.Path) -> Self:
-        """Reads every JSON file that a bench wrote.
+        """Reads the JSON results of all benchmarks in a folder.
 
-        A row with a name and a value is known by its name; any other number of
-        a named row is known as FILE.NAME.FIELD.
+        The value of a row with a name and a value has the name of the row. Any
+        other number in a named row has the name FILE.NAME.FIELD.
         """
         values: dict[str, float] = {}
         for path in sorted(folder.glob('*.json')):
@@ -98,11 +127,11 @@
     """One derived figure.
 
     Attributes:
-        role: whose figure it is.
-        what: what is counted.
-        formula: how it is worked out, with the names of the slopes.
-        unit: the unit of value and bound.
-        value: the figure, or None when a slope is not measured.
+        role: the part of the system that the figure is about.
+        what: what the figure is.
+        formula: the formula in words, with the names of the unit costs.
+        unit: unit of value and bound.
+        value: the value, or None if a unit cost has not been measured.
         bound: the budget, or None.
     """
 
@@ -114,7 +143,7 @@
     bound: float | None = None
 
     def as_row(self) -> dict[str, Any]:
-        """The figure as a row of a bench's result."""
+        """Returns the figure as a row of the results."""
         return dataclasses.asdict(self)
 
 
@@ -122,7 +151,7 @@
 
 
 def _link_messages_per_s(size: SystemSize) -> float:
-    """Pings and pongs of both ends."""
+    """Returns the pings and pongs of both ends of a link per second."""
     return 4 / size.ping_interval_s
 
 
@@ -141,7 +170,7 @@
 
 
 def _subset_upstream_links(size: SystemSize) -> int:
-    """Upstream links of an entry host."""
+    """Returns the upstream links of an entry host."""
     return size.serving_groups * size.links_per_group
 
 
@@ -176,7 +205,7 @@
 
 
 def _account_keys(size: SystemSize) -> float:
-    """Workspaces and classes that one interval of one host can touch."""
+    """Returns the account keys that one host can use in one interval."""
     return min(size.requests_per_entry * size.account_interval_s,
                size.workspaces * 3)
 
@@ -185,7 +214,7 @@
     return unit_costs['account_key_bytes'] * _account_keys(size)
 
 
-# One line each: role, what, formula in words, unit, function, bound.
+# Each row: role, what, formula in words, unit, function, bound.
 _FORMULAS: list[tuple[
     str, str, str, str, _Formula, Callable[[SystemSize], float] | None]] = [
         ('entry', 'links, linked to all', 'entries - 1 + upstreams', 'links',
@@ -342,7 +371,12 @@
 
 
 def compute_figures(unit_costs: UnitCosts, size: SystemSize) -> list[Figure]:
-    """Works every figure out."""
+    """Computes all figures.
+
+    Args:
+        unit_costs: the measured unit costs.
+        size: the system size.
+    """
     result = []
     for role, what, formula, unit, compute, bound in _FORMULAS:
         try:
--- a/bench/common.py
+++ b/bench/common.py
@@ -1,4 +1,4 @@
-"""What the measurements share: targets and the last line of output."""
+"""Targets and the output format that all benchmarks share."""
 
 import dataclasses
 import json
@@ -10,7 +10,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """A stated bound and what was measured against it."""
+    """A bound and the value that was measured for it.
+
+    Attributes:
+        name: what is measured.
+        bound: the bound, in the unit that the name or the benchmark states.
+        value: the measured value, in the same unit.
+        holds: whether the value is within the bound.
+    """
 
     name: str
     bound: float
@@ -20,7 +27,13 @@
 
 def emit(seed: int, rows: Sequence[dict[str, Any]],
          targets: Sequence[Target]) -> None:
-    """Prints the result as one JSON object on one line."""
+    """Prints the result as one JSON object on one line.
+
+    Args:
+        seed: seed of the benchmark.
+        rows: the measured rows.
+        targets: the bounds and their measured values.
+    """
     print(
         json.dumps({
             'seed': seed,
--- a/bench/control.py
+++ b/bench/control.py
@@ -1,12 +1,13 @@
-"""Cost and speed of what is agreed and kept.
+"""Measures the cost and speed of the control plane.
 
     python -m bench.control --seed 1 [--quick]
 
-Starts systems of several sizes on loopback. For each size: the time from the
-acceptance of a version to its being in force at every entry host, and what an
-idle system spends on control. The cost of a node at full size needs all sizes
-and is left out with --quick. Then: the time for a duty to move, payments a
-second against the write budget, and a restart of all entry hosts at once.
+Starts systems of several sizes on loopback. For each size, it measures the
+time until an accepted configuration version is in force at every entry host,
+and the resources that an idle system uses. The cost of an entry host at full
+size is extrapolated from all sizes, so --quick omits it. It also measures
+the time until another process takes over a duty, the rate of requests with
+claims and their table writes, and a restart of all entry hosts at once.
 """
 
 import argparse
@@ -68,7 +69,7 @@
 
 
 def _socket_bytes_by_pid() -> dict[int, int]:
-    """Bytes sent and received on the open sockets of each process."""
+    """Returns the bytes sent and received on open sockets, by process ID."""
     completed = subprocess.run(['ss', '-tinpH'],
                                capture_output=True,
                                text=True,
@@ -92,7 +93,10 @@
 
 
 def _applied_at(system: system_module.System) -> dict[int, list[float]]:
-    """When each version came into force at each entry host, by its log."""
+    """Returns when each version came into force at the entry hosts.
+
+    The times, in seconds since the epoch, are from the logs.
+    """
     year = datetime.date.today().year
     times_by_version: dict[int, list[float]] = {}
     for process in system.named('entry-'):
@@ -108,13 +112,16 @@
 
 async def _measure_distribution(system: system_module.System, size: int,
                                 changes: int, rng: random.Random) -> Row:
-    """Publishes and measures until the last entry host has each version."""
+    """Measures the time until published versions are in force everywhere.
+
+    A version that an entry host skips for a newer one is not measured.
+    """
     operator_client = operator.Operator(system=system)
     accepted_at: dict[int, float] = {}
     for base in range(1, changes + 1):
         completed = await operator_client.publish(base, rng.randrange(1, 10),
                                                   'bench')
-        version = completed.expect('the table takes the version')
+        version = completed.expect('the table accepts the version')
         accepted_at[version] = time.time()
         await asyncio.sleep(rng.uniform(0.2, 1.2))
     await asyncio.sleep(_SETTLE_S)
@@ -138,7 +145,7 @@
 
 async def _measure_idle(system: system_module.System, size: int,
                         seconds: float) -> Row:
-    """What an idle system spends."""
+    """Measures the resources that an idle system uses."""
     entries = system.named('entry-')
     pids = [process.pid for process in entries]
     operator_client = operator.Operator(system=system)
@@ -178,7 +185,7 @@
 
 
 async def _measure_failover(system: system_module.System, rounds: int) -> Row:
-    """Kills the holder of a duty and waits until another holds it."""
+    """Measures the time from killing a holder of a duty to a new lease."""
     operator_client = operator.Operator(system=system)
     durations_s = []
     for _ in range(rounds):
@@ -204,7 +211,7 @@
 
 
 async def _measure_restart(system: system_module.System, size: int) -> Row:
-    """Kills all entry hosts at once and starts them again."""
+    """Measures a restart of all entry hosts at once."""
     await asyncio.gather(*(p.kill() for p in system.named('entry-')))
     before = await _table_counts(system)
     started_at = time.monotonic()
@@ -227,10 +234,18 @@
                        seconds: float,
                        prefix: str,
                        pause_s: float = 0.0) -> tuple[list[float], int]:
-    """Sends requests in closed loops with a pause after each.
+    """Sends requests from several callers, each one after the other.
+
+    Args:
+        system: the system.
+        work_class: class of the requests.
+        seconds: duration of the measurement.
+        prefix: prefix of the idempotency keys.
+        pause_s: pause after each request, in seconds.
 
     Returns:
-        Seconds of each whole answer, and how many were refused.
+        The duration of each successful request in seconds, and the number of
+        other requests.
     """
     caller = caller_module.Caller(client=system.client, workspace='buna')
     durations_s: list[float] = []
@@ -268,7 +283,7 @@
 
 async def _measure_claims(system: system_module.System, seconds: float,
                           pause_s: float) -> Row:
-    """Payments with claims beside the same calls without."""
+    """Measures requests that need a claim against requests that do not."""
     name = 'claims_paced' if pause_s else 'claims'
     without_claims, _ = await _run_callers(system, 'status-check', seconds,
                                            f'{name}-plain', pause_s)
@@ -293,7 +308,7 @@
 
 
 def _extrapolate(rows: list[Row], key: str) -> float:
-    """The value at full size by the line through the two largest sizes."""
+    """Returns the value at full size, by the line through the two largest."""
     second_largest, largest = rows[-2], rows[-1]
     slope = (largest[key] - second_largest[key]) / (largest['entries'] -
                                                     second_largest['entries'])
@@ -305,9 +320,11 @@
 
 
 def _fit_node_costs(rows: list[Row], key: str) -> tuple[float, float, float]:
-    """The fixed cost, that of a call of the table, and that of a link.
+    """Fits the costs of an entry host by least squares over all sizes.
 
-    By least squares over the sizes; a cost that comes out negative counts 0.
+    Returns:
+        The fixed cost, the cost of a table call and the cost of a link. A
+        negative cost is replaced by 0.
     """
     counts = [
         (1.0, _calls_per_entry(row), row['links_per_entry']) for row in rows
@@ -320,7 +337,7 @@
 
 
 def _node_cost_at_full_size(rows: list[Row], key: str) -> float:
-    """The cost of a node with the links and calls of the full size."""
+    """Returns the cost of an entry host at full size."""
     fixed, per_call, per_link = _fit_node_costs(rows, key)
     calls = (_extrapolate(rows, 'reads_per_s') +
              _extrapolate(rows, 'writes_per_s')) / _ENTRIES_AT_FULL_SIZE
@@ -389,7 +406,7 @@
 
 
 def main() -> None:
-    """Measures and prints the result."""
+    """Runs the measurement and prints the result."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -1,10 +1,10 @@
-"""Cost of the single parts that docs/CAPACITY.md multiplies.
+"""Measures the unit costs that the formulas of docs/CAPACITY.md use.
 
     python -m bench.footprint --seed 1 [--quick]
 
-Each row is the median of several rounds, with the spread over the rounds. The
-row `reference_json_us` is the cost of a fixed piece of work, so that figures
-from two machines can be compared.
+Each row has the median, minimum and maximum of several rounds. The row
+`reference_json_us` is the cost of a fixed operation, by which results from
+two machines can be compared.
 """
 
 import argparse
@@ -40,7 +40,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Extent:
-    """How much is done in each round."""
+    """Extent of each round.
+
+    Attributes:
+        calls: number of calls of a timed function.
+        workspaces: number of workspaces in the targets document.
+        messages: number of messages sent over a link.
+    """
 
     calls: int
     workspaces: int
@@ -81,7 +87,7 @@
 
 
 def _imported_resident_mb() -> float:
-    """Resident size of a process that has imported an entry host."""
+    """Measures the memory of a process that has imported an entry host."""
     status = subprocess.run([sys.executable, '-c', _PRINT_STATUS_SCRIPT],
                             capture_output=True,
                             text=True,
@@ -89,7 +95,7 @@
     for line in status.splitlines():
         if line.startswith('VmRSS:'):
             return int(line.split()[1]) / 1024
-    raise RuntimeError('the resident size is not shown')
+    raise RuntimeError('/proc/self/status has no VmRSS line')
 
 
 def _allocated_bytes(create: Callable[[], object]) -> float:
@@ -154,7 +160,7 @@
 
 
 class _ArrivalHandler(link_port.LinkHandler):
-    """Counts messages and answers each ping by the link itself."""
+    """Sets events when the link opens and when a message arrives."""
 
     def __init__(self) -> None:
         self.opened = asyncio.Event()
@@ -183,7 +189,18 @@
 
 async def _link_message_us(count: int,
                            tls_by_host: dict[str, link_tls.LinkTls]) -> float:
-    """CPU of both ends for one message that travels alone."""
+    """Measures messages that are sent one at a time over a link.
+
+    The link itself replies to each ping.
+
+    Args:
+        count: number of messages.
+        tls_by_host: TLS settings of both ends, or empty without TLS.
+
+    Returns:
+        Processor time of both ends for a message, in microseconds. A message
+        is a ping or its reply.
+    """
     near, far = _ArrivalHandler(), _ArrivalHandler()
     server = link_module.LinkServer(hello=_hello('far'),
                                     handler=far,
@@ -330,7 +347,7 @@
 
 
 def main() -> None:
-    """Runs the bench."""
+    """Runs the measurement and prints the result."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -1,4 +1,7 @@
-"""What an entry host and an agent use when idle, and for what they hold open.
+"""Measures the resources of an entry host and an agent without load.
+
+It measures processor time and memory when they are idle, and the memory for
+open streams and for open connections.
 """
 
 import argparse
@@ -23,7 +26,7 @@
 
 async def _idle_row(system: system_module.System,
                     seconds: float) -> dict[str, Any]:
-    """Processor time and memory of each role without requests."""
+    """Measures processor time and memory of each role without requests."""
     pids = {
         role: system.by_name[name].pid
         for role, name in _PROCESS_BY_ROLE.items()
@@ -39,7 +42,7 @@
 
 
 def _resident_kib(system: system_module.System) -> dict[str, float]:
-    """Resident KiB of the entry host and of all agents of engines."""
+    """Returns the resident KiB of the entry host and of all engine agents."""
     agents = system.named('agent-engine-')
     return {
         'entry': processes.resident_kib(system.by_name['entry-1'].pid),
@@ -58,7 +61,7 @@
 
 async def _streams_row(system: system_module.System,
                        seed: int) -> dict[str, Any]:
-    """Memory for streams that have begun and wait for their next token."""
+    """Measures memory for streams that have started and then stall."""
     for process in system.named('engine-'):
         await system.fault(process.name, stall_after_tokens=1)
     before = _resident_kib(system)
@@ -92,7 +95,7 @@
 
 
 async def _connections_row(system: system_module.System) -> dict[str, Any]:
-    """Memory for connections on which nothing has been sent."""
+    """Measures memory for connections on which nothing has been sent."""
     before = _resident_kib(system)
     host, _, port = system.entry_addresses[0].rpartition(':')
     writers = []
@@ -129,10 +132,10 @@
 
 
 def main() -> int:
-    """Runs the measurement.
+    """Runs the measurement and prints the result.
 
     Returns:
-        The exit status.
+        Exit status, always 0.
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
--- a/bench/path.py
+++ b/bench/path.py
@@ -1,8 +1,8 @@
-"""What the path through entry host and agent costs a streamed answer.
+"""Measures the overhead of the entry host and the agent on streamed responses.
 
-A direct call to the stand-in engine is compared with the same call through
-entry host and agent, in turn and in one run; then one entry host is given the
-load that a node has to carry.
+It compares requests sent directly to a fake engine with the same requests sent
+through an entry host and an agent, alternating between both. Then it applies
+the load that one entry host must sustain.
 """
 
 import argparse
@@ -37,7 +37,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Plan:
-    """How long each part lasts."""
+    """Extent of the measurements.
+
+    Attributes:
+        pairs: number of pairs of a direct and a forwarded request.
+        load_s: duration of the load in seconds.
+    """
 
     pairs: int
     load_s: float
@@ -48,7 +53,7 @@
 
 
 def _total_cpu_us(system_processes: list[system_module.Process]) -> float:
-    """Processor time of processes so far, in microseconds."""
+    """Returns the processor time of processes so far, in microseconds."""
     return sum(processes.cpu_us(process.pid) for process in system_processes)
 
 
@@ -62,7 +67,7 @@
 
 
 class _PathBenchmark:
-    """One run against one system."""
+    """The measurements of one run, with one system."""
 
     def __init__(self, *, system: system_module.System, plan: _Plan,
                  seed: int) -> None:
@@ -73,7 +78,11 @@
         self._engine = system.address('engine-1')
 
     async def measure_pairs(self) -> list[dict[str, Any]]:
-        """Direct calls and calls through the system, in turn."""
+        """Measures direct and forwarded requests in turn.
+
+        Returns:
+            The rows for the first token and for every token.
+        """
         await self._set_token_s(_PAIR_TOKEN_S)
         first_token = {'direct': stream_client.create_histogram()}
         first_token['through'] = stream_client.create_histogram()
@@ -98,9 +107,11 @@
             await self._system.fault(process.name, token_s=token_s)
 
     async def measure_short_requests(self) -> dict[str, float]:
-        """Processor time of a request with a single token, by role.
+        """Measures the processor time of a request with one token.
 
-        What the roles use without requests is taken off.
+        Returns:
+            Microseconds for each request, by role, without the processor time
+            of an idle system.
         """
         await self._set_token_s(0)
         idle_by_role = await self._idle_us_per_s()
@@ -119,7 +130,7 @@
         }
 
     async def _idle_us_per_s(self) -> dict[str, float]:
-        """Processor time that the roles use without requests."""
+        """Measures the processor time of an idle system, by role."""
         before = self._cpu_us_by_role()
         await asyncio.sleep(_IDLE_DURATION_S)
         return {
@@ -134,7 +145,11 @@
         }
 
     async def measure_load(self) -> dict[str, Any]:
-        """One entry host under the load that a node has to carry."""
+        """Measures one entry host under the load that it must sustain.
+
+        Returns:
+            Counts, processor time by role and latency percentiles.
+        """
         await self._set_token_s(_TOKEN_S)
         transit = stream_client.create_histogram()
         gaps = stream_client.create_histogram()
@@ -169,7 +184,11 @@
 
 
 def _measure_socket_write_us() -> float:
-    """Processor time of one bare write of a token's size over loopback."""
+    """Measures a socket write of the size of a token over loopback.
+
+    Returns:
+        Processor time of one write, in microseconds.
+    """
     with socket.create_server(('127.0.0.1', 0)) as server:
         client = socket.create_connection(server.getsockname())
         server_side, _ = server.accept()
@@ -198,7 +217,7 @@
 
 def _cost_rows(short_request_us: dict[str, float], load: dict[str, Any],
                socket_write_us: float) -> list[dict[str, Any]]:
-    """Processor time by role, split into what requests and tokens cost."""
+    """Splits the processor time of each role into requests and tokens."""
     rows = []
     for role, total_us in load['cpu_us'].items():
         request_us = short_request_us[role]
@@ -250,10 +269,10 @@
 
 
 def main() -> int:
-    """Runs the measurement.
+    """Runs the measurement and prints the result.
 
     Returns:
-        The exit status: 0 when every answer was whole.
+        Exit status, always 0.
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -1,6 +1,8 @@
-"""Measures what a decision costs, by candidates and by entry hosts.
+"""Measures how the cost of a selection grows with the size of the system.
 
-`python -m bench.scale --seed N [--quick]`: microseconds and bytes of state.
+`python -m bench.scale --seed N [--quick]` measures the time of an upstream
+selection and the memory of its state by the number of candidates, and the time
+to rank entry hosts by their number.
 """
 
 import argparse
@@ -28,7 +30,7 @@
 
 
 class _Upstream(upstream_selection.Candidate):
-    """An upstream as an entry host keeps it."""
+    """An upstream with the state that an entry host has of it."""
 
     def __init__(self, name: str, rng: random.Random,
                  mean_other_load: load_estimate.MeanOtherLoad,
@@ -62,7 +64,7 @@
 
 
 class _UpstreamSet:
-    """What one entry host keeps for one model's upstreams."""
+    """The state that an entry host has of the upstreams of one model."""
 
     def __init__(self, count: int, rng: random.Random) -> None:
         mean_other_load = load_estimate.MeanOtherLoad()
@@ -103,7 +105,11 @@
 
 
 def _selection_rows(seed: int, repeats: int) -> list[dict[str, Any]]:
-    """Times all fleets in turn, so that a busy machine slows all alike."""
+    """Measures the selection for each number of candidates.
+
+    All sizes are measured in turn, so that load on the machine affects all of
+    them equally.
+    """
     rows = []
     selection_functions = []
     for count in _CANDIDATE_COUNTS:
@@ -150,7 +156,7 @@
 
 
 def main() -> None:
-    """Measures and prints the result."""
+    """Runs the measurement and prints the result."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
--- a/bench/stream_client.py
+++ b/bench/stream_client.py
@@ -1,4 +1,8 @@
-"""A cheap caller for measurements: counts events and reads their stamps."""
+"""A streaming HTTP client with little overhead, for benchmarks.
+
+It counts the events of a response without parsing them, and reads the time
+stamps that a fake engine writes into them.
+"""
 
 import asyncio
 import json
@@ -8,7 +12,7 @@
 
 from hdrh import histogram
 
-__all__ = ['Stream', 'latencies', 'milliseconds', 'request_bytes']
+__all__ = ['Stream', 'create_histogram', 'percentiles_ms', 'request_bytes']
 
 _SENT_AT_PATTERN = re.compile(rb'"at_ns": (\d+)')
 _END_EVENT = b'data: [DONE]\n\n'
@@ -17,12 +21,12 @@
 
 
 def create_histogram() -> histogram.HdrHistogram:
-    """An empty histogram of microseconds."""
+    """Creates an empty histogram of durations in microseconds."""
     return histogram.HdrHistogram(1, _MAX_US, 3)
 
 
 def percentiles_ms(values_us: histogram.HdrHistogram) -> dict[str, float]:
-    """The percentiles of a histogram of microseconds, in milliseconds."""
+    """Returns percentiles of a histogram of microseconds, in milliseconds."""
     return {
         f'p{percent}_ms': values_us.get_value_at_percentile(percent) / 1000
         for percent in _PERCENTILES
@@ -30,7 +34,11 @@
 
 
 def request_bytes(document: dict[str, Any]) -> bytes:
-    """A streamed chat completion request as it goes over the connection."""
+    """Encodes an HTTP request for a streamed chat completion.
+
+    Args:
+        document: the JSON body.
+    """
     body = json.dumps(document).encode()
     return (f'POST /v1/chat/completions HTTP/1.1\r\nhost: bench\r\n'
             f'content-type: application/json\r\nx-workspace: buna\r\n'
@@ -39,13 +47,14 @@
 
 
 class Stream(asyncio.Protocol):
-    """One streamed answer on its own connection.
+    """A streamed response on its own connection.
 
     Attributes:
-        first_us: microseconds from the request to the first event.
-        events: events so far.
-        whole: whether the end marker has come.
-        ended: done when the connection has closed.
+        first_event_us: time from the request to the first event, in
+            microseconds.
+        events: number of events so far.
+        is_complete: whether the end marker has been received.
+        closed: future that is done when the connection has closed.
     """
 
     def __init__(self, *, request: bytes,
@@ -69,7 +78,19 @@
             request: bytes,
             transit_histogram: histogram.HdrHistogram | None = None,
             gap_histogram: histogram.HdrHistogram | None = None) -> 'Stream':
-        """Sends a request and waits for the end of its answer."""
+        """Sends a request and waits until its connection is closed.
+
+        Args:
+            address: host and port of the server.
+            request: the encoded request.
+            transit_histogram: records the time from the stamp of each event to
+                its arrival, in microseconds.
+            gap_histogram: records the time between two reads with events, in
+                microseconds.
+
+        Returns:
+            The response.
+        """
         host, _, port = address.rpartition(':')
         _, stream = await asyncio.get_running_loop().create_connection(
             lambda: cls(request=request,
--- a/bench/switch.py
+++ b/bench/switch.py
@@ -1,7 +1,9 @@
-"""Measures switches of expert maps with agents over loopback.
+"""Measures switches of the expert map of a rank group over loopback.
 
-Run `python -m bench.switch --seed N [--quick]`. Each size makes switches with
-all ranks well, then with one agent paused, then with one rank restarted.
+For each group size, it measures switches without a fault, with one agent
+paused and with one rank restarted.
+
+Run `python -m bench.switch --seed N [--quick]`.
 """
 
 import argparse
@@ -29,7 +31,11 @@
 
 async def _wait_until_in_force(ranks: rank_system.RankSystem,
                                version: int) -> dict[str, Any]:
-    """Waits until a map is in force and the leader is free."""
+    """Waits until all ranks use a map and the coordinator is idle.
+
+    Returns:
+        The state of the group.
+    """
     async with asyncio.timeout(_TIMEOUT_S):
         while True:
             group = await ranks.group()
@@ -42,7 +48,7 @@
 
 async def _wait_until_pending(ranks: rank_system.RankSystem,
                               index: int) -> None:
-    """Waits until a rank takes part in a switch."""
+    """Waits until a rank participates in a switch."""
     async with asyncio.timeout(_TIMEOUT_S):
         while (await ranks.group())['stages'][index] is None:
             await asyncio.sleep(_POLL_INTERVAL_S)
@@ -118,7 +124,7 @@
 
 
 def main() -> None:
-    """Measures all sizes and prints the rows."""
+    """Runs the measurement and prints the result."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--quick', action='store_true')
