Rename the stand-ins' figurative public names

Names of the test stand-ins such as Following, SilentLog or want said little about what they are. They get the terms that the program uses, in the stand-ins and in all their users.

--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -215,7 +215,8 @@
 
 
 def _certificates(folder: pathlib.Path) -> dict[str, link_tls.LinkTls]:
-    authority = certificates.Authority(folder=folder, name='authority')
+    authority = certificates.CertificateAuthority(folder=folder,
+                                                  name='authority')
     found = {}
     for host in ('near', 'far'):
         paths = authority.issue(host)
--- a/bench/switch.py
+++ b/bench/switch.py
@@ -50,7 +50,7 @@
                   victim: int) -> dict[str, float]:
     before = await ranks.group()
     began_s = time.time()
-    await ranks.want(version)
+    await ranks.set_wanted_map(version)
     if case != 'well':
         await _until_pending(ranks, victim)
     if case == 'late':
--- a/tests/agreed/steps/claims.py
+++ b/tests/agreed/steps/claims.py
@@ -29,9 +29,9 @@
 
 
 async def _pay_or_none(context: Any, key: str,
-                       entry: int) -> caller_module.Answer | None:
+                       entry: int) -> caller_module.ReceivedResponse | None:
     try:
-        answer: caller_module.Answer = await _pay(context, key, entry)
+        answer: caller_module.ReceivedResponse = await _pay(context, key, entry)
     except ConnectionError:
         return None
     return answer
@@ -67,14 +67,14 @@
 def step_pay_again(context: Any) -> None:
     last = len(context.system.entry_addresses)
 
-    async def insist(key: str) -> caller_module.Answer:
+    async def insist(key: str) -> caller_module.ReceivedResponse:
         while True:
             answer = await _pay_or_none(context, key, last)
             if answer is not None and answer.status == 200:
                 return answer
             await asyncio.sleep(_REPEAT_S)
 
-    async def insist_all() -> list[caller_module.Answer]:
+    async def insist_all() -> list[caller_module.ReceivedResponse]:
         return list(await asyncio.gather(*map(insist, context.keys)))
 
     context.answers = scenario.run(context, insist_all(), _TIMEOUT_S)
@@ -157,7 +157,7 @@
 def step_burst(context: Any, count: int) -> None:
     _note(context, *(f'cup-{i}' for i in range(count)))
 
-    async def pay() -> list[caller_module.Answer | None]:
+    async def pay() -> list[caller_module.ReceivedResponse | None]:
         return list(await
                     asyncio.gather(*(_pay_or_none(context, key, 1 + i % 2)
                                      for i, key in enumerate(context.keys))))
--- a/tests/agreed/steps/configuration.py
+++ b/tests/agreed/steps/configuration.py
@@ -160,9 +160,9 @@
     _signal(context, (first, second), signal.SIGCONT)
 
 
-async def _ask(context: Any, number: int) -> caller_module.Answer:
+async def _ask(context: Any, number: int) -> caller_module.ReceivedResponse:
     process = context.system.by_name[f'entry-{number}']
-    answer: caller_module.Answer = await context.caller.chat(
+    answer: caller_module.ReceivedResponse = await context.caller.chat(
         process.ready['callers'], 'caption', _CAPTION)
     return answer
 
@@ -182,7 +182,7 @@
 
     async def check() -> bool:
         answer = await _ask(context, number)
-        return caller_module.Caller.is_own_answer(_CAPTION, answer)
+        return caller_module.Caller.is_expected_response(_CAPTION, answer)
 
     scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
 
--- a/tests/agreed/steps/leases_and_orders.py
+++ b/tests/agreed/steps/leases_and_orders.py
@@ -56,7 +56,7 @@
 
     async def submit() -> None:
         await asyncio.gather(
-            *(context.operator.order_until_taken(order_id, process.name)
+            *(context.operator.order_until_accepted(order_id, process.name)
               for process in context.system.named('entry-')))
 
     scenario.run(context, submit())
@@ -67,7 +67,7 @@
 def step_submit(context: Any, order_id: str) -> None:
     scenario.run(
         context,
-        context.operator.order_until_taken(order_id, _other_entry(context)))
+        context.operator.order_until_accepted(order_id, _other_entry(context)))
 
 
 @then('the order "{order_id}" is refused')
--- a/tests/agreed/steps/membership.py
+++ b/tests/agreed/steps/membership.py
@@ -85,7 +85,7 @@
 
 @when('engine 1 is listed as leaving')
 def step_list_leaving(context: Any) -> None:
-    scenario.run(context, context.system.set_leaving('agent-engine-1'))
+    scenario.run(context, context.system.set_terminating('agent-engine-1'))
 
 
 @then('no entry host sends new work to engine 1')
@@ -126,7 +126,8 @@
                 self._addresses = self._addresses[1:]
                 continue
             if answer.status == 200:
-                assert caller_module.Caller.is_own_answer(_document(8), answer)
+                assert caller_module.Caller.is_expected_response(
+                    _document(8), answer)
             else:
                 assert answer.json['ran'] == 'no', answer
                 self._addresses = self._addresses[1:] + self._addresses[:1]
--- a/tests/balance/steps/switch.py
+++ b/tests/balance/steps/switch.py
@@ -45,7 +45,7 @@
 
 @when('map {version:d} is wanted')
 def step_want(context: Any, version: int) -> None:
-    scenario.run(context, context.ranks.want(version))
+    scenario.run(context, context.ranks.set_wanted_map(version))
 
 
 @given('{count:d} ranks are "{stage}"')
@@ -65,7 +65,7 @@
     """Ranks other than this one load slowly, so that it is prepared first."""
     ranks = context.ranks
     scenario.run(context, ranks.fault('weights', slow_others=index))
-    scenario.run(context, ranks.want(version))
+    scenario.run(context, ranks.set_wanted_map(version))
 
     async def loaded() -> bool:
         return (await ranks.group())['stages'][index] == 'prepared'
--- a/tests/commands.py
+++ b/tests/commands.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-__all__ = ['Done']
+__all__ = ['CommandResult']
 
 
 @dataclasses.dataclass(frozen=True)
-class Done:
+class CommandResult:
     """How a command ended.
 
     Attributes:
@@ -17,4 +17,4 @@
 
     status: int
     output: str
-    said: str
+    error_output: str
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -10,14 +10,14 @@
 from pollenthread.core import http_headers, server_load, server_registry
 from pollenthread.ports import upstream
 
-__all__ = ['BusyServers', 'Pace']
+__all__ = ['BusyServers', 'ServerProfile']
 
 _OK = 200
 _NOT_RUN = 503
 
 
 @dataclasses.dataclass(frozen=True)
-class Pace:
+class ServerProfile:
     """How servers work.
 
     Attributes:
@@ -31,11 +31,11 @@
     """
 
     slots: int = 6
-    queue: int = 6
-    first_s: float = 0.12
-    gap_s: float = 0.035
-    gap_a_request_s: float = 0.006
-    events: int = 26
+    queue_size: int = 6
+    first_event_s: float = 0.12
+    base_interval_s: float = 0.035
+    interval_per_request_s: float = 0.006
+    events_per_response: int = 26
 
 
 class _Answer(upstream.UpstreamResponse):
@@ -54,17 +54,17 @@
         return self._events()
 
     async def _events(self) -> AsyncIterator[bytes]:
-        pace = self._servers.pace
-        await asyncio.sleep(pace.first_s)
-        for number in range(pace.events):
+        pace = self._servers.profile
+        await asyncio.sleep(pace.first_event_s)
+        for number in range(pace.events_per_response):
             yield f'id: {number}\ndata: x\n\n'.encode()
-            await asyncio.sleep(self._servers.gap_s)
+            await asyncio.sleep(self._servers.event_interval_s)
 
 
 class _Server:
     """One server: the most urgent of those who wait gets the next place."""
 
-    def __init__(self, pace: Pace) -> None:
+    def __init__(self, pace: ServerProfile) -> None:
         self.running = 0
         self._pace = pace
         self._numbers = itertools.count()
@@ -79,7 +79,7 @@
     def is_full(self) -> bool:
         """Whether it takes nothing more."""
         return (self.running >= self._pace.slots and
-                self.waiting >= self._pace.queue)
+                self.waiting >= self._pace.queue_size)
 
     async def enter(self, urgency: int) -> None:
         """Waits for a place."""
@@ -104,17 +104,17 @@
     """Servers of one group, which is closed at times."""
 
     def __init__(self, *, servers: Iterable[server_registry.Server],
-                 pace: Pace) -> None:
+                 profile: ServerProfile) -> None:
         self.is_open = True
         self.longest_wait_s = 0.0
-        self.pace = pace
-        self._server_by_id = {server.id: _Server(pace) for server in servers}
+        self.profile = profile
+        self._server_by_id = {server.id: _Server(profile) for server in servers}
 
     @property
-    def gap_s(self) -> float:
+    def event_interval_s(self) -> float:
         """Seconds between events now."""
         fullest = max(s.running for s in self._server_by_id.values())
-        return self.pace.gap_s + self.pace.gap_a_request_s * fullest
+        return self.profile.base_interval_s + self.profile.interval_per_request_s * fullest
 
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
@@ -138,7 +138,7 @@
         server = self._server_by_id[server_id]
         return server_load.ServerLoadReport(running=server.running,
                                             waiting=server.waiting,
-                                            slots=self.pace.slots,
+                                            slots=self.profile.slots,
                                             accepts_requests=self.is_open,
                                             group='g',
-                                            pass_s=self.gap_s)
+                                            pass_s=self.event_interval_s)
--- a/tests/fakes/caller.py
+++ b/tests/fakes/caller.py
@@ -9,8 +9,8 @@
 from tests.fakes import engine
 
 __all__ = [
-    'Answer', 'Caller', 'Following', 'PAYMENT', 'PAYMENT_PATH', 'chat_document',
-    'stream_text'
+    'ReceivedResponse', 'Caller', 'BackgroundRequest', 'PAYMENT',
+    'PAYMENT_PATH', 'chat_document', 'stream_text'
 ]
 
 PAYMENT = b'{"order": "mug", "amount_birr": 450}'
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Answer:
+class ReceivedResponse:
     """One whole answer.
 
     Attributes:
@@ -78,7 +78,7 @@
                       target: str,
                       *,
                       headers: dict[str, str] | None = None,
-                      body: bytes = b'') -> Answer:
+                      body: bytes = b'') -> ReceivedResponse:
         """Sends a request and reads the whole answer.
 
         Raises:
@@ -89,8 +89,8 @@
                                         target,
                                         headers=list((headers or {}).items()),
                                         body=body) as exchange:
-            return Answer(exchange.status, dict(exchange.headers), await
-                          exchange.read_all())
+            return ReceivedResponse(exchange.status, dict(exchange.headers),
+                                    await exchange.read_all())
 
     async def addresses(self, address: str, caller: str = 'demo') -> list[str]:
         """Asks an entry host which addresses to use."""
@@ -101,8 +101,9 @@
         found: list[str] = answer.json['addresses']
         return found
 
-    async def chat(self, address: str, work_class: str,
-                   document: dict[str, Any], **headers: str) -> Answer:
+    async def chat(self, address: str, work_class: str, document: dict[str,
+                                                                       Any],
+                   **headers: str) -> ReceivedResponse:
         """Sends a chat completion request."""
         return await self.request(address,
                                   'POST',
@@ -111,7 +112,7 @@
                                   body=json.dumps(document).encode())
 
     async def post(self, address: str, work_class: str, path: str, body: bytes,
-                   **headers: str) -> Answer:
+                   **headers: str) -> ReceivedResponse:
         """Sends a request to a plain service."""
         return await self.request(address,
                                   'POST',
@@ -119,21 +120,22 @@
                                   headers=self._headers(work_class, headers),
                                   body=body)
 
-    def follow_chat(self, address: str, work_class: str,
-                    document: dict[str, Any], **headers: str) -> 'Following':
+    def start_chat(self, address: str, work_class: str, document: dict[str,
+                                                                       Any],
+                   **headers: str) -> 'BackgroundRequest':
         """Starts a chat completion request in the background."""
-        return Following.start(self._client,
-                               address,
-                               '/v1/chat/completions',
-                               self._headers(work_class, headers),
-                               json.dumps(document).encode(),
-                               document=document)
-
-    def follow_post(self, address: str, work_class: str, path: str, body: bytes,
-                    **headers: str) -> 'Following':
+        return BackgroundRequest.start(self._client,
+                                       address,
+                                       '/v1/chat/completions',
+                                       self._headers(work_class, headers),
+                                       json.dumps(document).encode(),
+                                       document=document)
+
+    def start_post(self, address: str, work_class: str, path: str, body: bytes,
+                   **headers: str) -> 'BackgroundRequest':
         """Starts a request to a plain service in the background."""
-        return Following.start(self._client, address, path,
-                               self._headers(work_class, headers), body)
+        return BackgroundRequest.start(self._client, address, path,
+                                       self._headers(work_class, headers), body)
 
     def _headers(self, work_class: str, more: dict[str, str]) -> dict[str, str]:
         named = {name.replace('_', '-'): value for name, value in more.items()}
@@ -145,7 +147,8 @@
         }
 
     @staticmethod
-    def is_own_answer(document: dict[str, Any], answer: Answer) -> bool:
+    def is_expected_response(document: dict[str, Any],
+                             answer: ReceivedResponse) -> bool:
         """Whether a chat answer is the whole answer to this document."""
         if answer.status != 200:
             return False
@@ -156,7 +159,7 @@
         return text == engine.expected_text(document)
 
 
-class Following:
+class BackgroundRequest:
     """A request in the background and the part of its answer so far.
 
     Attributes:
@@ -168,7 +171,7 @@
 
     def __init__(self, *, document: dict[str, Any] | None) -> None:
         self.document = document
-        self.answer: Answer | None = None
+        self.answer: ReceivedResponse | None = None
         self.error: ConnectionError | None = None
         self.body = b''
         self.task: asyncio.Task[None]
@@ -180,7 +183,7 @@
               target: str,
               headers: dict[str, str],
               body: bytes,
-              document: dict[str, Any] | None = None) -> 'Following':
+              document: dict[str, Any] | None = None) -> 'BackgroundRequest':
         """Sends a request and follows its answer."""
         following = cls(document=document)
         following.task = asyncio.create_task(
@@ -198,7 +201,8 @@
                                       body=body) as exchange:
                 async for data in exchange.read():
                     self.body += data
-                self.answer = Answer(exchange.status, dict(exchange.headers),
-                                     self.body)
+                self.answer = ReceivedResponse(exchange.status,
+                                               dict(exchange.headers),
+                                               self.body)
         except ConnectionError as error:
             self.error = error
--- a/tests/fakes/certificates.py
+++ b/tests/fakes/certificates.py
@@ -8,7 +8,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
 
-__all__ = ['Authority']
+__all__ = ['CertificateAuthority']
 
 _VALID = datetime.timedelta(days=2)
 _BACKDATED = datetime.timedelta(days=1)
@@ -18,7 +18,7 @@
     return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
 
 
-class Authority:
+class CertificateAuthority:
     """Signs certificates and writes them to a folder."""
 
     def __init__(self, *, folder: pathlib.Path, name: str) -> None:
@@ -28,7 +28,9 @@
         certificate = self._sign(name, self._key.public_key(), is_ca=True)
         self._write(f'{name}.pem', certificate)
 
-    def issue(self, host: str, certified: str | None = None) -> dict[str, str]:
+    def issue(self,
+              host: str,
+              certificate_name: str | None = None) -> dict[str, str]:
         """Writes a certificate and a key for a host, over any old ones.
 
         Args:
@@ -39,7 +41,7 @@
             The host's `link_security` settings.
         """
         key = ec.generate_private_key(ec.SECP256R1())
-        certificate = self._sign(certified or host, key.public_key())
+        certificate = self._sign(certificate_name or host, key.public_key())
         self._write(f'{host}.pem', certificate)
         pem = key.private_bytes(serialization.Encoding.PEM,
                                 serialization.PrivateFormat.PKCS8,
--- a/tests/fakes/demo.py
+++ b/tests/fakes/demo.py
@@ -50,7 +50,7 @@
 
 async def _send_caption(caller: caller_module.Caller, address: str) -> None:
     answer = await caller.chat(address, 'caption', _CAPTION)
-    _expect(caller.is_own_answer(_CAPTION, answer),
+    _expect(caller.is_expected_response(_CAPTION, answer),
             'the streamed caption is whole and our own')
     print('    ' + caller_module.stream_text(answer.body))
 
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -16,7 +16,7 @@
 from pollenthread.core import peer_messages, replication, routing_config
 from pollenthread.ports import rank_server
 
-__all__ = ['EmulatedGroup', 'EmulatedRank', 'zipf_shares']
+__all__ = ['EmulatedGroup', 'EmulatedRankServer', 'zipf_shares']
 
 _KIND = peer_messages.OrderKind
 _TOPICS = 9
@@ -83,8 +83,8 @@
     """Makes passes until cancelled."""
 
     def __init__(self, *, name: str, ranks: int,
-                 figures: routing_config.EngineProfile, streams_a_rank: float,
-                 change_s: float, seed: int) -> None:
+                 profile: routing_config.EngineProfile, streams_per_rank: float,
+                 demand_change_interval_s: float, seed: int) -> None:
         """Makes a group that has not begun.
 
         Args:
@@ -95,22 +95,22 @@
             change_s: seconds after which other experts are in demand.
             seed: of all that is random.
         """
-        self.figures = figures
-        self.pass_lengths_s: list[float] = []
+        self.profile = profile
+        self.pass_durations_s: list[float] = []
         self.skew_by_pass: list[float] = []
         self.mixed_passes = 0
         self.copies = 0
-        self._streams = streams_a_rank
-        self._change_s = change_s
+        self._streams = streams_per_rank
+        self._change_s = demand_change_interval_s
         self._rng = random.Random(seed)
-        self._topics = _Topics(self._rng, figures.sets, figures.experts)
+        self._topics = _Topics(self._rng, profile.sets, profile.experts)
         self._demand = self._topics.next_demand()
-        self._choices = [0.0] * (figures.sets * figures.experts)
+        self._choices = [0.0] * (profile.sets * profile.experts)
         self._ranks = [self._rank(name, rank, ranks) for rank in range(ranks)]
         self._skew = self._skew_now()
 
     def _rank(self, name: str, rank: int, ranks: int) -> _Rank:
-        first = frozenset(range(rank, self.figures.experts, ranks))
+        first = frozenset(range(rank, self.profile.experts, ranks))
         state = peer_messages.RankState(group=name,
                                         host='',
                                         rank=rank,
@@ -126,7 +126,7 @@
                                         held_step=0,
                                         is_busy=False,
                                         pace_percent=100)
-        return _Rank(state, {0: (first,) * self.figures.sets})
+        return _Rank(state, {0: (first,) * self.profile.sets})
 
     @property
     def states(self) -> list[peer_messages.RankState]:
@@ -137,13 +137,13 @@
         layouts = [
             tuple(rank.held_by_version[rank.state.map_version][index]
                   for rank in self._ranks)
-            for index in range(self.figures.sets)
+            for index in range(self.profile.sets)
         ]
         return replication.mean_max_rank_load(layouts, self._demand)
 
     def pass_s(self, skew: float) -> float:
         """How long a pass lasts."""
-        figures = self.figures
+        figures = self.profile
         writing = figures.step_s_per_sequence * self._streams
         share = figures.expert_share
         return figures.steps_per_pass * (figures.base_step_s + writing *
@@ -162,7 +162,7 @@
                 change_at += self._change_s
                 self._demand = self._topics.next_demand()
                 self._skew = self._skew_now()
-            self.pass_lengths_s.append(now - last_at)
+            self.pass_durations_s.append(now - last_at)
             self.skew_by_pass.append(self._skew)
             last_at = now
             self._begin(step)
@@ -208,7 +208,7 @@
             experts=tuple(
                 tuple(sorted(held)) for held in found.held_by_version[version]))
 
-    def order(self, rank: int, order: peer_messages.RankOrder) -> int:
+    def execute_order(self, rank: int, order: peer_messages.RankOrder) -> int:
         """Carries out an order; returns the status."""
         found = self._ranks[rank]
         state = found.state
@@ -243,14 +243,14 @@
             len(after - before) for before, after in zip(
                 rank.held_by_version[state.map_version], held)
         ]
-        if (max(new) > self.figures.spare_expert_slots or
-                max(map(len, held)) > self.figures.expert_slots):
+        if (max(new) > self.profile.spare_expert_slots or
+                max(map(len, held)) > self.profile.expert_slots):
             return _CONFLICT
         rank.held_by_version[order.version] = held
         rank.state = dataclasses.replace(state, is_busy=True)
         self.copies += sum(new)
-        copy_s = (sum(new) * self.figures.expert_bytes /
-                  self.figures.link_bytes_per_s)
+        copy_s = (sum(new) * self.profile.expert_bytes /
+                  self.profile.link_bytes_per_s)
         asyncio.get_running_loop().call_later(copy_s, self._copied, rank,
                                               order.version)
         return _BEGUN
@@ -262,7 +262,7 @@
                                          is_busy=False)
 
 
-class EmulatedRank(rank_server.RankServer):
+class EmulatedRankServer(rank_server.RankServer):
     """The server of one rank, asked from its own host."""
 
     def __init__(self,
@@ -270,7 +270,7 @@
                  group: EmulatedGroup,
                  rank: int,
                  running: int,
-                 late: Sequence[float] = ()) -> None:
+                 order_delays_s: Sequence[float] = ()) -> None:
         """Makes a server.
 
         Args:
@@ -283,7 +283,7 @@
         self._group = group
         self._rank = rank
         self._running = running
-        self._late = list(late)
+        self._late = list(order_delays_s)
 
     async def fetch_status(self) -> rank_server.RankServerStatus:
         await asyncio.sleep(_CALL_S)
@@ -305,7 +305,8 @@
         await asyncio.sleep(_CALL_S)
         late_s = self._late.pop(0) if self._late else 0.0
         if late_s:
-            asyncio.get_running_loop().call_later(late_s, self._group.order,
+            asyncio.get_running_loop().call_later(late_s,
+                                                  self._group.execute_order,
                                                   self._rank, order)
             raise rank_server.RankServerUnavailableError('no answer')
-        return self._group.order(self._rank, order)
+        return self._group.execute_order(self._rank, order)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -91,8 +91,8 @@
         self._turns = _Turns()
         self._step: asyncio.Future[None] | None = None
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if request.path == '/counts':
             await response.send_json(200, self._counts)
             return
@@ -129,7 +129,7 @@
             return
         self._highest_by_duty[order['duty']] = max(highest, order['fencing'])
         self._effects.append(order)
-        if self.take('lost_orders'):
+        if self.consume_fault('lost_orders'):
             response.abort()
             return
         await response.send_json(200, {'done': order['kind']})
@@ -137,12 +137,12 @@
     async def _complete(self, request: http_server.HttpRequest,
                         response: http_server.HttpResponse,
                         document: dict[str, Any]) -> None:
-        if self.take('crash'):
+        if self.consume_fault('crash'):
             response.abort()
             return
         request_id = request.header('x-request-id') or 'none'
         tokens = expected_tokens(document)
-        if self.take('crossed'):
+        if self.consume_fault('crossed'):
             request_id = 'another-request'
             tokens = expected_tokens({'another': 'request'})
         await asyncio.sleep(self.faults.get('delay_s', 0))
--- a/tests/fakes/host_list.py
+++ b/tests/fakes/host_list.py
@@ -24,8 +24,8 @@
         self._by_name: dict[str, dict[str, Any]] = {}
         self._shown: list[dict[str, Any]] = []
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if self.faults.get('down'):
             await response.send(503, [], b'')
             return
--- a/tests/fakes/memory.py
+++ b/tests/fakes/memory.py
@@ -7,7 +7,7 @@
 
 from pollenthread.ports import clock, event_log, table
 
-__all__ = ['MemoryClock', 'MemoryTable', 'SilentLog']
+__all__ = ['MemoryClock', 'MemoryTable', 'NullEventLog']
 
 
 class MemoryClock(clock.Clock):
@@ -23,7 +23,7 @@
         self.now += seconds
 
 
-class SilentLog(event_log.EventLog):
+class NullEventLog(event_log.EventLog):
     """Forgets all lines."""
 
     def write(self,
--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -13,8 +13,8 @@
         super().__init__()
         self._objects_by_path: dict[str, bytes] = {}
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if self.faults.get('down'):
             await response.send(503, [], b'')
         elif request.method == 'PUT':
--- a/tests/fakes/operator.py
+++ b/tests/fakes/operator.py
@@ -82,7 +82,7 @@
             await exchange.read_all()
             return exchange.status
 
-    async def order_until_taken(self, order_id: str, entry: str) -> None:
+    async def order_until_accepted(self, order_id: str, entry: str) -> None:
         """Repeats an order until it is taken in."""
         while await self.order(order_id, entry) != 202:
             await asyncio.sleep(_RETRY_S)
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -27,8 +27,8 @@
         self._seen: list[dict[str, Any]] = []
         self._cancelled = 0
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if request.path == '/seen':
             await response.send_json(200, {
                 'requests': self._seen,
@@ -37,10 +37,10 @@
             return
         request_id = request.header(_ID) or ''
         headers = [(_ID, request_id), ('pollenthread-response-stamp', 'stamp')]
-        if self.take('other'):
+        if self.consume_fault('other'):
             await response.send(421, [(_ID, request_id)], b'')
             return
-        if self.take('not_run'):
+        if self.consume_fault('not_run'):
             await response.send(503, [(_ID, request_id),
                                       ('pollenthread-not-executed', '1')], b'')
             return
@@ -49,9 +49,9 @@
             'target': request.target,
             'headers': dict(request.headers)
         })
-        if self.take('lose'):
+        if self.consume_fault('lose'):
             response.abort()
-        elif self.take('fail'):
+        elif self.consume_fault('fail'):
             await response.send(500, headers, b'failed')
         elif '/stream/' in request.path:
             await self._stream(request, response, headers)
@@ -60,7 +60,7 @@
 
     async def _whole(self, response: http_server.HttpResponse,
                      headers: list[tuple[str, str]]) -> None:
-        if self.take('stale'):
+        if self.consume_fault('stale'):
             headers = [(_ID, 'another'), *headers[1:]]
         await response.send(200, headers, b'whole ' + headers[0][1].encode())
 
--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -26,8 +26,8 @@
         self._version = 0
         self._row_by_name: dict[tuple[str, str], dict[str, Any]] = {}
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         query = dict(parse.parse_qsl(request.target.partition('?')[2]))
         if request.path == '/operator':
             self._put(json.loads(request.body))
@@ -77,7 +77,7 @@
 
     async def _feed(self, response: http_server.HttpResponse,
                     query: dict[str, str]) -> None:
-        if self.take('forget'):
+        if self.consume_fault('forget'):
             await response.send(410, [], b'')
             return
         after = int(query['after'])
--- a/tests/fakes/rank_group.py
+++ b/tests/fakes/rank_group.py
@@ -71,8 +71,8 @@
         self._ended_at = time.monotonic()
         self._task: asyncio.Task[None] | None = None
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if self._task is None:
             self._task = asyncio.create_task(self._run())
         if request.path == '/group':
--- a/tests/fakes/rank_system.py
+++ b/tests/fakes/rank_system.py
@@ -112,7 +112,7 @@
         """Orders faults from a stand-in; none ends them."""
         await self._call(name, 'POST', '/fault', faults)
 
-    async def want(self, version: int) -> None:
+    async def set_wanted_map(self, version: int) -> None:
         """Names the map that the group shall use."""
         key = group_coordinator.wanted_key(GROUP)
         row = (await self.table.get(key)).unwrap()
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -4,12 +4,12 @@
 import types
 from typing import Self
 
-__all__ = ['SilentRelay']
+__all__ = ['StallingRelay']
 
 _READ_BYTES = 64 * 1024
 
 
-class SilentRelay:
+class StallingRelay:
     """Relays connections to one address."""
 
     def __init__(self, *, address: str) -> None:
@@ -34,11 +34,11 @@
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
         self._server.close()
-        self.silence()
+        self.stall()
         for writer in self._writers:
             writer.close()
 
-    def silence(self) -> None:
+    def stall(self) -> None:
         """Makes the open connections carry nothing more; new ones work."""
         for task in self._tasks:
             task.cancel()
--- a/tests/fakes/running_group.py
+++ b/tests/fakes/running_group.py
@@ -9,7 +9,7 @@
 from pollenthread.core import peer_messages
 from pollenthread.ports import rank_server
 
-__all__ = ['GroupServer', 'RunningGroup', 'rank_state']
+__all__ = ['RunningRankServer', 'RunningGroup', 'rank_state']
 
 _KIND = peer_messages.OrderKind
 _ORDER_S = 0.004
@@ -42,10 +42,9 @@
     """Begins a pass at fixed intervals, unless the pass is held."""
 
     def __init__(
-            self, *, states: Mapping[int,
-                                     peer_messages.RankState], pass_s: float,
-            lost: collections.Counter[tuple[int,
-                                            peer_messages.OrderKind]]) -> None:
+        self, *, states: Mapping[int, peer_messages.RankState], pass_s: float,
+        lost_orders: collections.Counter[tuple[int, peer_messages.OrderKind]]
+    ) -> None:
         """Makes a group that has not begun.
 
         Args:
@@ -54,15 +53,17 @@
             lost: how many orders are lost, by rank and kind.
         """
         self.state_by_rank = dict(states)
-        self.began_at: list[float] = []
+        self.pass_started_at: list[float] = []
         self.mixed_passes = 0
         self._pass_s = pass_s
-        self._lost = lost
+        self._lost = lost_orders
 
     @property
     def longest_pause_s(self) -> float:
         """Most seconds between the beginnings of two passes."""
-        return max(b - a for a, b in zip(self.began_at, self.began_at[1:]))
+        return max(
+            b - a
+            for a, b in zip(self.pass_started_at, self.pass_started_at[1:]))
 
     async def run(self) -> None:
         """Makes passes until cancelled."""
@@ -73,7 +74,7 @@
                 await asyncio.sleep(_ORDER_S / 4)
                 continue
             self._begin(step)
-            self.began_at.append(loop.time())
+            self.pass_started_at.append(loop.time())
             await asyncio.sleep(self._pass_s)
 
     def _begin(self, step: int) -> None:
@@ -87,7 +88,7 @@
         versions = {s.map_version for s in self.state_by_rank.values()}
         self.mixed_passes += len(versions) > 1
 
-    async def order(
+    async def execute_order(
             self, rank: int,
             order: peer_messages.RankOrder) -> peer_messages.RankState | None:
         """Carries out an order, unless it is one that is lost."""
@@ -123,7 +124,7 @@
                                                        **changes)
 
 
-class GroupServer(rank_server.RankServer):
+class RunningRankServer(rank_server.RankServer):
     """The server of one rank, asked from another host."""
 
     def __init__(self, *, group: RunningGroup, rank: int) -> None:
@@ -146,7 +147,7 @@
             'layouts are not asked from afar')
 
     async def send_order(self, order: peer_messages.RankOrder) -> int:
-        answer = await self._group.order(self._rank, order)
+        answer = await self._group.execute_order(self._rank, order)
         if answer is None:
             raise rank_server.RankServerUnavailableError('lost')
         return _OK
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -26,8 +26,8 @@
         super().__init__()
         self._effects_by_key: dict[str, int] = {}
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if request.path == '/tally':
             await response.send_json(200, self._effects_by_key)
             return
@@ -35,12 +35,12 @@
         if request.method == 'POST':
             key = request.header('idempotency-key') or ''
             self._effects_by_key[key] = self._effects_by_key.get(key, 0) + 1
-        if self.take('crash_after_effect'):
+        if self.consume_fault('crash_after_effect'):
             response.abort()
             return
         await asyncio.sleep(self.faults.get('delay_after_effect_s', 0))
         request_id = request.header('x-request-id') or ''
-        if self.take('crossed'):
+        if self.consume_fault('crossed'):
             request_id = 'another-request'
         body = json.dumps({
             'receipt': expected_receipt(request.body),
@@ -48,7 +48,7 @@
         }).encode()
         headers = [('content-type', 'application/json'),
                    ('x-request-id', request_id)]
-        if self.take('truncate'):
+        if self.consume_fault('truncate'):
             await response.send_head(
                 200, [*headers, ('content-length', str(len(body)))])
             await response.write(body[:-1])
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -29,9 +29,9 @@
                 self.faults = json.loads(request.body or b'{}')
             await response.send_json(200, self.faults)
             return
-        await self.answer(request, response)
+        await self.respond(request, response)
 
-    def take(self, name: str) -> Any:
+    def consume_fault(self, name: str) -> Any:
         """Uses up one occurrence of a fault whose value is a count."""
         left = self.faults.get(name, 0)
         if left:
@@ -39,8 +39,8 @@
         return left
 
     @abc.abstractmethod
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         """Answers a request that is not about faults."""
 
 
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -353,7 +353,7 @@
             **fields
         })
 
-    async def set_leaving(self, host: str) -> None:
+    async def set_terminating(self, host: str) -> None:
         """Lists a host as leaving."""
         await self.call(self.address('host_list'), 'PUT', f'/hosts/{host}',
                         {'state': 'leaving'})
--- a/tests/fakes/table.py
+++ b/tests/fakes/table.py
@@ -22,8 +22,8 @@
         self._last_version = 0
         self._counts = {'reads': 0, 'writes': 0, 'transactions': 0}
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if request.path == '/counts':
             await response.send_json(200, self._counts)
             return
@@ -48,7 +48,7 @@
         self._counts['reads'] += 1
         key = parse.unquote(request.path[len('/rows/'):])
         rows = self._rows_by_key
-        if self.take('old_reads'):
+        if self.consume_fault('old_reads'):
             rows = {**rows, **self._old_rows_by_key}
         if key not in rows:
             await response.send(404, [], b'')
@@ -77,7 +77,7 @@
             await response.send(409, [], b'')
             return
         versions = [self._apply(write) for write in writes]
-        if self.take('lost_answers'):
+        if self.consume_fault('lost_answers'):
             response.abort()
             return
         await response.send_json(200, {'versions': versions})
--- a/tests/fakes/thin_links.py
+++ b/tests/fakes/thin_links.py
@@ -63,8 +63,8 @@
                    for host in self.host_by_address.values()
                    for direction in (host.up, host.down)) / seconds
 
-    def datagram(self, source: str, target: str, data: bytes,
-                 kind: str) -> None:
+    def send_datagram(self, source: str, target: str, data: bytes,
+                      kind: str) -> None:
         """Sends a datagram, which is lost when a link is full."""
         size = len(data) + _DATAGRAM_HEADER_BYTES
         self.sent_by_kind[kind] += 1
@@ -84,7 +84,7 @@
             self._pass(there.down, arrives_at, size),
             there.network.receive_datagram, data)
 
-    async def carry(self, source: str, target: str, size: int) -> None:
+    async def transfer(self, source: str, target: str, size: int) -> None:
         """Carries the bytes of a call, which wait but are not lost."""
         loop = asyncio.get_running_loop()
         size += _CALL_HEADER_BYTES
@@ -124,8 +124,8 @@
     def send_all(self, addresses: Iterable[str], message: Any) -> bool:
         data = peer_codec.encode_datagram(message)
         for address in addresses:
-            self._fabric.datagram(self._address, address, data,
-                                  type(message).__name__)
+            self._fabric.send_datagram(self._address, address, data,
+                                       type(message).__name__)
         return True
 
     def receive_datagram(self, data: bytes) -> None:
@@ -159,13 +159,13 @@
     async def fetch_rank_state(self,
                                address: str) -> peer_messages.RankState | None:
         found: peer_messages.RankState | None = await self._call(
-            address, lambda there: there.answer_state())
+            address, lambda there: there.provide_rank_state())
         return found
 
     async def fetch_rank_layout(
             self, address: str) -> peer_messages.RankLayout | None:
         found: peer_messages.RankLayout | None = await self._call(
-            address, lambda there: there.answer_layout())
+            address, lambda there: there.provide_rank_layout())
         return found
 
     async def _call(self, address: str, ask: Callable[['FabricNetwork'],
@@ -175,19 +175,19 @@
             return None
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
-                await self._fabric.carry(self._address, address, 0)
+                await self._fabric.transfer(self._address, address, 0)
                 answer = await ask(there.network)
                 if answer is not None:
                     size = len(peer_codec.encode(answer))
-                    await self._fabric.carry(address, self._address, size)
+                    await self._fabric.transfer(address, self._address, size)
                 return answer
         except TimeoutError:
             return None
 
-    async def answer_state(self) -> peer_messages.RankState | None:
+    async def provide_rank_state(self) -> peer_messages.RankState | None:
         """Asks the host's handler for its rank's state."""
         return None if self._make_state is None else await self._make_state()
 
-    async def answer_layout(self) -> peer_messages.RankLayout | None:
+    async def provide_rank_layout(self) -> peer_messages.RankLayout | None:
         """Asks the host's handler for its rank's experts."""
         return None if self._make_layout is None else await self._make_layout()
--- a/tests/fakes/virtual_time.py
+++ b/tests/fakes/virtual_time.py
@@ -67,7 +67,7 @@
         await asyncio.sleep(seconds)
 
 
-def run(work: Coroutine[Any, Any, _Result]) -> _Result:
+def run(coroutine: Coroutine[Any, Any, _Result]) -> _Result:
     """Runs to the end, however long that takes in virtual time."""
     with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
-        return runner.run(work)
+        return runner.run(coroutine)
--- a/tests/fakes/weight_store.py
+++ b/tests/fakes/weight_store.py
@@ -25,8 +25,8 @@
         self._turn = asyncio.Lock()
         self._counts = {'loads': 0, 'failed': 0}
 
-    async def answer(self, request: http_server.HttpRequest,
-                     response: http_server.HttpResponse) -> None:
+    async def respond(self, request: http_server.HttpRequest,
+                      response: http_server.HttpResponse) -> None:
         if request.path == '/counts':
             await response.send_json(200, self._counts)
             return
--- a/tests/path/steps/failures.py
+++ b/tests/path/steps/failures.py
@@ -102,7 +102,7 @@
     assert len(found) == 1 and _is_receipt(context.answers[0]), found
 
 
-def _is_receipt(answer: caller_module.Answer) -> bool:
+def _is_receipt(answer: caller_module.ReceivedResponse) -> bool:
     wanted = service.expected_receipt(caller_module.PAYMENT)
     return answer.status == 200 and answer.json['receipt'] == wanted
 
@@ -152,10 +152,10 @@
 
 def _start(context: Any, tokens: int, **headers: str) -> None:
 
-    async def start() -> caller_module.Following:
-        return context.caller.follow_chat(_entry(context), 'caption',
-                                          caller_module.chat_document(tokens),
-                                          **headers)
+    async def start() -> caller_module.BackgroundRequest:
+        return context.caller.start_chat(_entry(context), 'caption',
+                                         caller_module.chat_document(tokens),
+                                         **headers)
 
     context.following = scenario.run(context, start())
 
@@ -173,8 +173,8 @@
 @when('the caller starts the payment "{key}" at entry host {number:d}')
 def step_start_payment(context: Any, key: str, number: int) -> None:
 
-    async def start() -> caller_module.Following:
-        following: caller_module.Following = context.caller.follow_post(
+    async def start() -> caller_module.BackgroundRequest:
+        following: caller_module.BackgroundRequest = context.caller.start_post(
             _entry(context, number),
             'payment-confirmation',
             caller_module.PAYMENT_PATH,
@@ -220,8 +220,8 @@
 def step_started_own(context: Any) -> None:
     scenario.run(context, asyncio.wait([context.following.task]))
     assert context.following.answer is not None, context.following.error
-    assert caller_module.Caller.is_own_answer(context.following.document,
-                                              context.following.answer)
+    assert caller_module.Caller.is_expected_response(context.following.document,
+                                                     context.following.answer)
 
 
 @then('the started answer is a receipt')
@@ -333,10 +333,10 @@
 @given('the link to "{name}" goes through a relay')
 def step_relay(context: Any, name: str) -> None:
 
-    async def start() -> relay.SilentRelay:
+    async def start() -> relay.StallingRelay:
         process = context.system.by_name[name]
-        found: relay.SilentRelay = await context.stack.enter_async_context(
-            relay.SilentRelay(address=process.ready['links']))
+        found: relay.StallingRelay = await context.stack.enter_async_context(
+            relay.StallingRelay(address=process.ready['links']))
         await context.system.list_host(name, {
             'role': 'upstream',
             'address': found.address
@@ -353,10 +353,10 @@
 @when('the relay\'s connections fall silent')
 def step_silence(context: Any) -> None:
 
-    async def silence() -> None:
-        context.relay.silence()
+    async def stall() -> None:
+        context.relay.stall()
 
-    scenario.run(context, silence())
+    scenario.run(context, stall())
 
 
 @then('the relay has carried a new connection')
--- a/tests/path/steps/planned_stop.py
+++ b/tests/path/steps/planned_stop.py
@@ -48,12 +48,13 @@
                 continue
         raise AssertionError('no entry host answers')
 
-    async def _send(self, number: int, send: Any) -> caller_module.Answer:
+    async def _send(self, number: int,
+                    send: Any) -> caller_module.ReceivedResponse:
         """Tries each address; only a refusal before any work moves it on."""
         while True:
             for address in await self._addresses(number):
                 try:
-                    answer: caller_module.Answer = await send(address)
+                    answer: caller_module.ReceivedResponse = await send(address)
                 except http_client.HttpConnectError:
                     continue
                 if (answer.status == 503 and answer.json['ran'] == 'no' and
@@ -73,7 +74,7 @@
                                       lambda address, sent=document: caller.
                                       chat(address, 'caption', sent))
             self.streams += 1
-            if not caller.is_own_answer(document, answer):
+            if not caller.is_expected_response(document, answer):
                 self.wrong.append(answer)
 
     async def _pay(self, number: int) -> None:
@@ -110,11 +111,11 @@
 @when('{number:d} streams of {tokens:d} tokens run')
 def step_streams(context: Any, number: int, tokens: int) -> None:
 
-    async def start() -> list[caller_module.Following]:
+    async def start() -> list[caller_module.BackgroundRequest]:
         following = [
-            context.caller.follow_chat(context.system.entry_addresses[0],
-                                       'caption',
-                                       caller_module.chat_document(tokens + i))
+            context.caller.start_chat(context.system.entry_addresses[0],
+                                      'caption',
+                                      caller_module.chat_document(tokens + i))
             for i in range(number)
         ]
         while not all(f.body for f in following):
--- a/tests/path/steps/whole_path.py
+++ b/tests/path/steps/whole_path.py
@@ -29,7 +29,8 @@
 
 @then('the answer is whole and its own')
 def step_own(context: Any) -> None:
-    assert caller_module.Caller.is_own_answer(context.document, context.answer)
+    assert caller_module.Caller.is_expected_response(context.document,
+                                                     context.answer)
 
 
 @when('the payment "{key}" is sent to each entry host in turn')
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -43,7 +43,7 @@
         """What the agent beside a rank does."""
         tries = 5 if order.kind is peer_messages.OrderKind.PREPARE else 1
         for _ in range(tries):
-            state = await self._group.order(rank, order)
+            state = await self._group.execute_order(rank, order)
             if state is not None:
                 self._view.take(state)
                 return
@@ -76,7 +76,7 @@
         for r in range(context.size)
     },
                                                pass_s=context.pass_s,
-                                               lost=context.lost)
+                                               lost_orders=context.lost)
     virtual_time.run(_switch(context))
 
 
@@ -100,10 +100,10 @@
         hosts=hosts,
         view=view,
         network=network,
-        make_server=lambda address: running_group.GroupServer(
+        make_server=lambda address: running_group.RunningRankServer(
             group=group, rank=_rank(address)),
         time=time,
-        log=memory.SilentLog())
+        log=memory.NullEventLog())
     passes = asyncio.create_task(group.run())
     news = asyncio.create_task(_tell_states(group, view))
     await asyncio.sleep(_PAUSE_BEFORE_S)
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -76,7 +76,7 @@
     common: dict[str, Any] = {
         'state': state,
         'time': time,
-        'log': memory.SilentLog(),
+        'log': memory.NullEventLog(),
         'decode': lambda *data: result.Err('none')
     }
     config = store_listeners.ConfigListener(table='op', key='config', **common)
@@ -101,7 +101,7 @@
                                    config=config,
                                    servers=servers,
                                    time=time,
-                                   log=memory.SilentLog(),
+                                   log=memory.NullEventLog(),
                                    rng=random.Random(1))
     work = asyncio.create_task(found.fetch_from_peers())
     for _ in range(round(seconds / _BEAT_S)):
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -118,7 +118,7 @@
                  servers: int,
                  hosts: int,
                  rate: float,
-                 pace: busy_servers.Pace,
+                 pace: busy_servers.ServerProfile,
                  tells_patience: bool,
                  route: routing_config.Route = _ROUTE) -> None:
         self.callers: list[_Caller] = []
@@ -137,7 +137,8 @@
                                    state=server_registry.ServerState.READY)
             for i in range(servers)
         ]
-        self.servers = busy_servers.BusyServers(servers=self._fleet, pace=pace)
+        self.servers = busy_servers.BusyServers(servers=self._fleet,
+                                                profile=pace)
         self._clock = virtual_time.LoopClock()
         self._states = [self._state(i, hosts) for i in range(hosts)]
         self._hosts = [
@@ -147,7 +148,7 @@
                                     8.0, 1.0),
                                 observe=lambda name, value: None,
                                 time=self._clock,
-                                log=memory.SilentLog())
+                                log=memory.NullEventLog())
             for state in self._states
         ]
 
@@ -237,23 +238,23 @@
 @given('{servers:d} servers and {hosts:d} entry hosts with {rate:d} streams a '
        'second')
 def step_world(context: Any, servers: int, hosts: int, rate: int) -> None:
-    context.world, context.plain_world = (_World(servers=servers,
-                                                 hosts=hosts,
-                                                 rate=rate,
-                                                 pace=busy_servers.Pace(),
-                                                 tells_patience=tells)
-                                          for tells in (True, False))
+    context.world, context.plain_world = (_World(
+        servers=servers,
+        hosts=hosts,
+        rate=rate,
+        pace=busy_servers.ServerProfile(),
+        tells_patience=tells) for tells in (True, False))
 
 
 @given('{servers:d} servers of {slots:d} places and {hosts:d} entry hosts with '
        '{rate:d} streams a second')
 def step_wide_world(context: Any, servers: int, slots: int, hosts: int,
                     rate: int) -> None:
-    pace = busy_servers.Pace(slots=slots,
-                             queue=2 * slots,
-                             gap_s=0.04,
-                             gap_a_request_s=0.007,
-                             events=23)
+    pace = busy_servers.ServerProfile(slots=slots,
+                                      queue_size=2 * slots,
+                                      base_interval_s=0.04,
+                                      interval_per_request_s=0.007,
+                                      events_per_response=23)
     aimless = dataclasses.replace(_ROUTE, target_s=_AIMLESS_S)
     context.world, context.open_world = (_World(servers=servers,
                                                 hosts=hosts,
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -123,9 +123,9 @@
         self.group = emulated_group.EmulatedGroup(
             name=_GROUP,
             ranks=self.agents,
-            figures=self.figures,
-            streams_a_rank=_STREAMS_A_RANK,
-            change_s=change_s,
+            profile=self.figures,
+            streams_per_rank=_STREAMS_A_RANK,
+            demand_change_interval_s=change_s,
             seed=_SEED)
         records = [self._record(i) for i in range(self.agents + 1)]
         records += [
@@ -177,16 +177,16 @@
                                      network=network,
                                      link_bytes_per_s=self._link_bytes_per_s,
                                      time=self._time,
-                                     log=memory.SilentLog(),
+                                     log=memory.NullEventLog(),
                                      rng=random.Random(number))
         agent.experts_per_set = self.figures.experts
         return [agent.run()]
 
-    def _server(self, address: str) -> emulated_group.EmulatedRank:
+    def _server(self, address: str) -> emulated_group.EmulatedRankServer:
         rank = int(address.partition(':')[0].rpartition('.')[2])
-        return emulated_group.EmulatedRank(group=self.group,
-                                           rank=rank,
-                                           running=int(_STREAMS_A_RANK))
+        return emulated_group.EmulatedRankServer(group=self.group,
+                                                 rank=rank,
+                                                 running=int(_STREAMS_A_RANK))
 
     async def _hold_duty(self, own: host_record.HostRecord,
                          network: thin_links.FabricNetwork,
@@ -201,7 +201,7 @@
                                             network=network,
                                             make_server=self._server,
                                             time=self._time,
-                                            log=memory.SilentLog())
+                                            log=memory.NullEventLog())
         duty = map_coordinator.MapCoordinator(
             host=own.host,
             incarnation='1',
@@ -213,7 +213,7 @@
             network=network,
             figures=lambda service: self.figures,
             time=self._time,
-            log=memory.SilentLog())
+            log=memory.NullEventLog())
         await duty.run()
 
 
--- a/tests/policy/steps/faults.py
+++ b/tests/policy/steps/faults.py
@@ -24,10 +24,11 @@
     }
 
 
-def _answer_kind(answer: caller_module.Answer, sent: dict[str, Any]) -> str:
+def _answer_kind(answer: caller_module.ReceivedResponse,
+                 sent: dict[str, Any]) -> str:
     """'whole', or how the request failed."""
     if answer.status == 200:
-        own = caller_module.Caller.is_own_answer(sent, answer)
+        own = caller_module.Caller.is_expected_response(sent, answer)
         return 'whole' if own else 'not its own'
     problem = answer.json
     return f'{problem["kind"]}, ran {problem["ran"]}'
--- a/tests/product/steps/administration.py
+++ b/tests/product/steps/administration.py
@@ -24,7 +24,7 @@
 
 
 async def _command(context: Any, operator: str, args: list[str],
-                   entry: str) -> commands.Done:
+                   entry: str) -> commands.CommandResult:
     admin = context.system.by_name[entry].ready['admin']
     child = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -37,18 +37,19 @@
         },
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE)
-    output, said = await child.communicate()
-    return commands.Done(child.returncode or 0, output.decode(), said.decode())
+    output, error_output = await child.communicate()
+    return commands.CommandResult(child.returncode or 0, output.decode(),
+                                  error_output.decode())
 
 
 def run_command(context: Any,
                 operator: str,
                 *args: str,
-                entry: str = 'entry-1') -> commands.Done:
+                entry: str = 'entry-1') -> commands.CommandResult:
     """Runs the command line as an operator."""
     context.done = scenario.run(context,
                                 _command(context, operator, list(args), entry))
-    done: commands.Done = context.done
+    done: commands.CommandResult = context.done
     return done
 
 
@@ -126,7 +127,7 @@
 @then('the command fails with status {status:d} and says "{text}"')
 def step_fails(context: Any, status: int, text: str) -> None:
     assert context.done.status == status, context.done
-    assert text in context.done.said, context.done
+    assert text in context.done.error_output, context.done
     assert not context.done.output, context.done
 
 
--- a/tests/product/steps/binary.py
+++ b/tests/product/steps/binary.py
@@ -36,7 +36,7 @@
     scenario.start_system(context, entries=entries, engines=1, services=1)
 
 
-async def _check(context: Any) -> commands.Done:
+async def _check(context: Any) -> commands.CommandResult:
     child = await asyncio.create_subprocess_exec(str(context.binary),
                                                  'check',
                                                  str(_ROOT / 'examples' /
@@ -45,7 +45,8 @@
                                                  stdout=asyncio.subprocess.PIPE,
                                                  stderr=asyncio.subprocess.PIPE)
     output, said = await child.communicate()
-    return commands.Done(child.returncode or 0, output.decode(), said.decode())
+    return commands.CommandResult(child.returncode or 0, output.decode(),
+                                  said.decode())
 
 
 @when('the built file checks the examples')
@@ -103,7 +104,7 @@
     answer = scenario.run(
         context,
         context.caller.chat(context.ready['callers'], 'caption', document))
-    assert caller_module.Caller.is_own_answer(document, answer), answer
+    assert caller_module.Caller.is_expected_response(document, answer), answer
 
 
 @then('it is one process with one thread')
--- a/tests/product/steps/link_security.py
+++ b/tests/product/steps/link_security.py
@@ -18,7 +18,8 @@
     folder = pathlib.Path(
         context.stack.enter_context(tempfile.TemporaryDirectory()))
     context.folder = folder
-    context.authority = certificates.Authority(folder=folder, name='authority')
+    context.authority = certificates.CertificateAuthority(folder=folder,
+                                                          name='authority')
     context.issue = context.authority.issue
     scenario.start_system(context,
                           entries=2,
@@ -71,7 +72,8 @@
 
 @when('an entry host comes with a certificate of another authority')
 def step_wrong_authority(context: Any) -> None:
-    other = certificates.Authority(folder=context.folder, name='stranger')
+    other = certificates.CertificateAuthority(folder=context.folder,
+                                              name='stranger')
 
     def issue(host: str) -> dict[str, str]:
         issued = other.issue(host)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -22,13 +22,13 @@
 
 
 def run(context: Any,
-        work: Awaitable[_T],
+        awaitable: Awaitable[_T],
         timeout_s: float = _STEP_TIMEOUT_S) -> _T:
     """Runs a step's work to its end."""
 
     async def bounded() -> _T:
         async with asyncio.timeout(timeout_s):
-            return await work
+            return await awaitable
 
     result: _T = context.runner.run(bounded())
     return result
