--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -254,10 +254,10 @@
     """Lengths and skews of the passes from a second on."""
     group = context.site.group
     elapsed_s = 0.0
-    for index, length_s in enumerate(group.pass_lengths_s):
+    for index, length_s in enumerate(group.pass_durations_s):
         elapsed_s += length_s
         if elapsed_s >= begin:
-            return group.pass_lengths_s[index:], group.skew_by_pass[index:]
+            return group.pass_durations_s[index:], group.skew_by_pass[index:]
     raise AssertionError('no pass was made')
 
 
@@ -278,6 +278,6 @@
 @then('no pass is held back for more than {limit:d} ms')
 def step_held(context: Any, limit: int) -> None:
     group = context.site.group
-    pairs = zip(group.skew_by_pass, group.pass_lengths_s[1:])
+    pairs = zip(group.skew_by_pass, group.pass_durations_s[1:])
     longest_s = max(length - group.pass_s(skew) for skew, length in pairs)
     assert longest_s * 1000 <= limit, longest_s
