--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests, and the stand-ins for what lies outside the system."""
+"""Tests and stand-ins for external systems."""
--- a/tests/commands.py
+++ b/tests/commands.py
@@ -1,4 +1,4 @@
-"""How a command line ended."""
+"""Result of a command line."""
 
 import dataclasses
 
@@ -7,12 +7,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class CommandResult:
-    """How a command ended.
+    """The result of a command.
 
     Attributes:
         status: the exit status.
-        output: what it printed.
-        said: what it wrote to standard error.
+        output: the text on standard output.
+        error_output: the text on standard error.
     """
 
     status: int
--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the platform, the engines and the services."""
+"""Stand-ins for the platform, the engines and the services in tests."""
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -1,4 +1,4 @@
-"""Servers in memory with places and queues, for loads in virtual time."""
+"""Emulates servers with slots and queues in virtual time."""
 
 import asyncio
 import contextlib
@@ -13,21 +13,22 @@
 __all__ = ['BusyServers', 'ServerProfile']
 
 _OK = 200
-_NOT_RUN = 503
+_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True)
 class ServerProfile:
-    """How servers work.
+    """Capacity and speed of the servers.
 
     Attributes:
-        slots: requests that a server works on at once.
-        queue: requests that wait there at most.
-        first_s: seconds from a place to the first event.
-        gap_s: seconds between events while nothing else runs.
-        gap_a_request_s: what each request at the fullest server adds to that:
-            servers of a group make their passes together.
-        events: events of an answer.
+        slots: the number of requests that a server executes concurrently.
+        queue_size: the maximum number of requests in a server's queue.
+        first_event_s: seconds from the start of a request to its first event.
+        base_interval_s: seconds between events without other requests.
+        interval_per_request_s: seconds that each request at the most loaded
+            server adds to the interval, since the servers of a group run their
+            passes together.
+        events_per_response: the number of events in a response.
     """
 
     slots: int = 6
@@ -38,11 +39,11 @@
     events_per_response: int = 26
 
 
-class _Answer(upstream.UpstreamResponse):
-    """An answer; one that was not run has no body."""
+class _Response(upstream.UpstreamResponse):
+    """A response; the status is 503 if the request was not executed."""
 
     def __init__(self, servers: 'BusyServers', *, has_run: bool) -> None:
-        self.status = _OK if has_run else _NOT_RUN
+        self.status = _OK if has_run else _UNAVAILABLE
         self.headers: tuple[http_headers.Header, ...] = ()
         self.may_have_executed = has_run
         self.is_misdirected = False
@@ -62,46 +63,54 @@
 
 
 class _Server:
-    """One server: the most urgent of those who wait gets the next place."""
+    """One server, whose queue is ordered by priority."""
 
     def __init__(self, pace: ServerProfile) -> None:
         self.running = 0
         self._pace = pace
-        self._numbers = itertools.count()
+        self._sequence_numbers = itertools.count()
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
 
     @property
     def waiting(self) -> int:
-        """Requests in the queue."""
-        return sum(not place.cancelled() for _, _, place in self._waiting)
+        """The number of requests in the queue."""
+        return sum(not slot.cancelled() for _, _, slot in self._waiting)
 
     @property
     def is_full(self) -> bool:
-        """Whether it takes nothing more."""
+        """Whether the server rejects further requests."""
         return (self.running >= self._pace.slots and
                 self.waiting >= self._pace.queue_size)
 
-    async def enter(self, urgency: int) -> None:
-        """Waits for a place."""
+    async def acquire_slot(self, priority: int) -> None:
+        """Waits for a slot."""
         if self.running >= self._pace.slots:
-            place = asyncio.get_running_loop().create_future()
-            heapq.heappush(self._waiting, (urgency, next(self._numbers), place))
-            await place
+            slot = asyncio.get_running_loop().create_future()
+            heapq.heappush(self._waiting,
+                           (priority, next(self._sequence_numbers), slot))
+            await slot
         else:
             self.running += 1
 
-    def leave(self) -> None:
-        """Hands the place on."""
+    def release_slot(self) -> None:
+        """Frees the slot, or hands it to the next request in the queue."""
         while self._waiting:
-            _, _, place = heapq.heappop(self._waiting)
-            if not place.done():
-                place.set_result(None)
+            _, _, slot = heapq.heappop(self._waiting)
+            if not slot.done():
+                slot.set_result(None)
                 return
         self.running -= 1
 
 
 class BusyServers(upstream.UpstreamClient):
-    """Servers of one group, which is closed at times."""
+    """Client of the emulated servers of one group.
+
+    Attributes:
+        is_open: whether the group accepts requests.
+        longest_wait_s: the longest time in seconds from the receipt of a
+            request to an attempt at a server.
+        profile: the capacity and speed of the servers.
+    """
 
     def __init__(self, *, servers: Iterable[server_registry.Server],
                  profile: ServerProfile) -> None:
@@ -112,9 +121,10 @@
 
     @property
     def event_interval_s(self) -> float:
-        """Seconds between events now."""
-        fullest = max(s.running for s in self._server_by_id.values())
-        return self.profile.base_interval_s + self.profile.interval_per_request_s * fullest
+        """The current time in seconds between events."""
+        most_running = max(s.running for s in self._server_by_id.values())
+        return (self.profile.base_interval_s +
+                self.profile.interval_per_request_s * most_running)
 
     @contextlib.asynccontextmanager
     async def send(  # pylint: disable=invalid-overridden-method
@@ -125,16 +135,16 @@
         self.longest_wait_s = max(self.longest_wait_s, waited_s)
         server = self._server_by_id[attempt.server.id]
         if not self.is_open or server.is_full:
-            yield _Answer(self, has_run=False)
+            yield _Response(self, has_run=False)
             return
-        await server.enter(attempt.priority)
+        await server.acquire_slot(attempt.priority)
         try:
-            yield _Answer(self, has_run=True)
+            yield _Response(self, has_run=True)
         finally:
-            server.leave()
+            server.release_slot()
 
     def report(self, server_id: str) -> server_load.ServerLoadReport:
-        """What the agent beside a server tells."""
+        """Returns the load report that the agent of a server sends."""
         server = self._server_by_id[server_id]
         return server_load.ServerLoadReport(running=server.running,
                                             waiting=server.waiting,
--- a/tests/fakes/caller.py
+++ b/tests/fakes/caller.py
@@ -1,4 +1,4 @@
-"""A caller that checks its own answers."""
+"""A caller that sends requests and verifies the responses."""
 
 import asyncio
 import dataclasses
@@ -20,12 +20,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReceivedResponse:
-    """One whole answer.
+    """A completely received response.
 
     Attributes:
-        status: the HTTP status.
+        status: the HTTP status code.
         headers: the headers by name.
-        body: the whole body.
+        body: the complete body.
     """
 
     status: int
@@ -34,12 +34,17 @@
 
     @property
     def json(self) -> Any:
-        """The body as JSON."""
+        """The body, decoded as JSON."""
         return json.loads(self.body)
 
 
 def chat_document(tokens: int, stream: bool = True) -> dict[str, Any]:
-    """A chat completion request."""
+    """Returns a chat completion request.
+
+    Args:
+        tokens: the number of tokens to generate.
+        stream: whether the response is to be streamed.
+    """
     return {
         'model': _MODEL,
         'stream': stream,
@@ -52,23 +57,29 @@
 
 
 def stream_text(body: bytes) -> str:
-    """The text of a stream of events.
+    """Returns the text of a streamed chat completion.
 
     Raises:
-        ValueError: the stream does not end with its last event.
+        ValueError: the stream does not end with the `[DONE]` event.
     """
     events = [e for e in body.decode().split('\n\n') if e]
     if not events or events[-1] != 'data: [DONE]':
-        raise ValueError('the stream is not whole')
-    deltas = [json.loads(event[len('data: '):]) for event in events[:-1]]
-    return ''.join(d['choices'][0]['delta']['content'] for d in deltas)
+        raise ValueError('event stream does not end with [DONE]')
+    chunks = [json.loads(event[len('data: '):]) for event in events[:-1]]
+    return ''.join(d['choices'][0]['delta']['content'] for d in chunks)
 
 
 class Caller:
-    """Asks for addresses and sends requests."""
+    """Requests addresses and sends requests to entry hosts."""
 
     def __init__(self, *, client: http_client.HttpClient,
                  workspace: str) -> None:
+        """Initializes the caller.
+
+        Args:
+            client: the HTTP client.
+            workspace: the workspace of all requests.
+        """
         self._client = client
         self._workspace = workspace
 
@@ -79,21 +90,31 @@
                       *,
                       headers: dict[str, str] | None = None,
                       body: bytes = b'') -> ReceivedResponse:
-        """Sends a request and reads the whole answer.
+        """Sends a request and reads the complete response.
+
+        Args:
+            address: the `ip:port` of the server.
+            method: the HTTP method.
+            target: the path and query.
+            headers: the headers by name.
+            body: the request body.
+
+        Returns:
+            The complete response.
 
         Raises:
-            ConnectionError: there is no whole answer.
+            ConnectionError: the response was not received completely.
         """
         async with self._client.request(address,
                                         method,
                                         target,
                                         headers=list((headers or {}).items()),
-                                        body=body) as exchange:
-            return ReceivedResponse(exchange.status, dict(exchange.headers),
-                                    await exchange.read_all())
+                                        body=body) as response:
+            return ReceivedResponse(response.status, dict(response.headers),
+                                    await response.read_all())
 
     async def addresses(self, address: str, caller: str = 'demo') -> list[str]:
-        """Asks an entry host which addresses to use."""
+        """Requests the addresses to use from an entry host."""
         answer = await self.request(address,
                                     'GET',
                                     '/v1/addresses',
@@ -104,7 +125,14 @@
     async def chat(self, address: str, work_class: str, document: dict[str,
                                                                        Any],
                    **headers: str) -> ReceivedResponse:
-        """Sends a chat completion request."""
+        """Sends a chat completion request.
+
+        Args:
+            address: the address of an entry host.
+            work_class: the class of the request.
+            document: the request document.
+            **headers: more headers, with `_` in place of `-`.
+        """
         return await self.request(address,
                                   'POST',
                                   '/v1/chat/completions',
@@ -113,7 +141,15 @@
 
     async def post(self, address: str, work_class: str, path: str, body: bytes,
                    **headers: str) -> ReceivedResponse:
-        """Sends a request to a plain service."""
+        """Sends a `POST` request to a service.
+
+        Args:
+            address: the address of an entry host.
+            work_class: the class of the request.
+            path: the path.
+            body: the request body.
+            **headers: more headers, with `_` in place of `-`.
+        """
         return await self.request(address,
                                   'POST',
                                   path,
@@ -133,23 +169,27 @@
 
     def start_post(self, address: str, work_class: str, path: str, body: bytes,
                    **headers: str) -> 'BackgroundRequest':
-        """Starts a request to a plain service in the background."""
+        """Starts a `POST` request to a service in the background."""
         return BackgroundRequest.start(self._client, address, path,
                                        self._headers(work_class, headers), body)
 
-    def _headers(self, work_class: str, more: dict[str, str]) -> dict[str, str]:
-        named = {name.replace('_', '-'): value for name, value in more.items()}
+    def _headers(self, work_class: str,
+                 header_fields: dict[str, str]) -> dict[str, str]:
+        extra_headers = {
+            name.replace('_', '-'): value
+            for name, value in header_fields.items()
+        }
         return {
             'content-type': 'application/json',
             'x-workspace': self._workspace,
             'x-class': work_class,
-            **named
+            **extra_headers
         }
 
     @staticmethod
     def is_expected_response(document: dict[str, Any],
                              answer: ReceivedResponse) -> bool:
-        """Whether a chat answer is the whole answer to this document."""
+        """Returns whether a chat response is complete and fits its request."""
         if answer.status != 200:
             return False
         if document.get('stream'):
@@ -160,13 +200,14 @@
 
 
 class BackgroundRequest:
-    """A request in the background and the part of its answer so far.
+    """A request in the background and the response received so far.
 
     Attributes:
-        document: the request's document, or None.
-        answer: the whole answer, once it has come.
-        error: why there is no whole answer.
-        body: the part of the body so far.
+        document: the request document, or None.
+        answer: the complete response; None until it has been received.
+        error: why the response is incomplete, or None.
+        body: the part of the body that has been received.
+        task: the task that receives the response.
     """
 
     def __init__(self, *, document: dict[str, Any] | None) -> None:
@@ -184,25 +225,34 @@
               headers: dict[str, str],
               body: bytes,
               document: dict[str, Any] | None = None) -> 'BackgroundRequest':
-        """Sends a request and follows its answer."""
-        following = cls(document=document)
-        following.task = asyncio.create_task(
-            following._follow(client, address, target, headers, body))
-        return following
-
-    async def _follow(self, client: http_client.HttpClient, address: str,
-                      target: str, headers: dict[str,
-                                                 str], body: bytes) -> None:
+        """Sends a `POST` request and receives its response in a task.
+
+        Args:
+            client: the HTTP client.
+            address: the `ip:port` of the server.
+            target: the path and query.
+            headers: the headers by name.
+            body: the request body.
+            document: the request document, or None.
+        """
+        request = cls(document=document)
+        request.task = asyncio.create_task(
+            request._receive_response(client, address, target, headers, body))
+        return request
+
+    async def _receive_response(self, client: http_client.HttpClient,
+                                address: str, target: str,
+                                headers: dict[str, str], body: bytes) -> None:
         try:
             async with client.request(address,
                                       'POST',
                                       target,
                                       headers=list(headers.items()),
-                                      body=body) as exchange:
-                async for data in exchange.read():
+                                      body=body) as response:
+                async for data in response.read():
                     self.body += data
-                self.answer = ReceivedResponse(exchange.status,
-                                               dict(exchange.headers),
+                self.answer = ReceivedResponse(response.status,
+                                               dict(response.headers),
                                                self.body)
         except ConnectionError as error:
             self.error = error
--- a/tests/fakes/certificates.py
+++ b/tests/fakes/certificates.py
@@ -1,4 +1,4 @@
-"""An authority that signs certificates of hosts, for tests."""
+"""A certificate authority for the host certificates of tests."""
 
 import datetime
 import pathlib
@@ -10,8 +10,8 @@
 
 __all__ = ['CertificateAuthority']
 
-_VALID = datetime.timedelta(days=2)
-_BACKDATED = datetime.timedelta(days=1)
+_VALIDITY = datetime.timedelta(days=2)
+_BACKDATING = datetime.timedelta(days=1)
 
 
 def _name(text: str) -> x509.Name:
@@ -19,9 +19,15 @@
 
 
 class CertificateAuthority:
-    """Signs certificates and writes them to a folder."""
+    """Signs certificates and writes them to a directory."""
 
     def __init__(self, *, folder: pathlib.Path, name: str) -> None:
+        """Creates the authority's key and certificate.
+
+        Args:
+            folder: the directory of the certificate and key files.
+            name: the common name and the file name of the authority.
+        """
         self._folder = folder
         self._name = name
         self._key = ec.generate_private_key(ec.SECP256R1())
@@ -31,14 +37,14 @@
     def issue(self,
               host: str,
               certificate_name: str | None = None) -> dict[str, str]:
-        """Writes a certificate and a key for a host, over any old ones.
+        """Writes a certificate and a key for a host, replacing earlier ones.
 
         Args:
-            host: names the files.
-            certified: the name in the certificate; else the host's.
+            host: the host, after which the files are named.
+            certificate_name: the name in the certificate; the host by default.
 
         Returns:
-            The host's `link_security` settings.
+            The `link_security` settings of the host.
         """
         key = ec.generate_private_key(ec.SECP256R1())
         certificate = self._sign(certificate_name or host, key.public_key())
@@ -67,8 +73,8 @@
             subject_name=_name(name),
             public_key=public_key,
             serial_number=x509.random_serial_number(),
-            not_valid_before=now - _BACKDATED,
-            not_valid_after=now + _VALID)
+            not_valid_before=now - _BACKDATING,
+            not_valid_after=now + _VALIDITY)
         builder = builder.add_extension(x509.BasicConstraints(ca=is_ca,
                                                               path_length=None),
                                         critical=True)
--- a/tests/fakes/demo.py
+++ b/tests/fakes/demo.py
@@ -1,4 +1,4 @@
-"""Runs a whole system and acts as a caller; exits non-zero on any fault."""
+"""Runs a system, sends requests to it, and verifies the responses."""
 
 import asyncio
 import sys
@@ -24,14 +24,14 @@
 }
 
 
-class _Failed(Exception):
-    """What the demo found wrong."""
+class _DemoError(Exception):
+    """A check of the demo failed."""
 
 
-def _expect(holds: bool, what: str) -> None:
-    if not holds:
-        raise _Failed(what)
-    print(f'ok: {what}')
+def _expect(condition: bool, description: str) -> None:
+    if not condition:
+        raise _DemoError(description)
+    print(f'ok: {description}')
 
 
 async def _demo() -> None:
@@ -40,32 +40,34 @@
         addresses = await caller.addresses(system.entry_addresses[0])
         _expect(
             set(addresses) == set(system.entry_addresses),
-            f'the addresses to use are {", ".join(addresses)}')
+            f'the entry hosts to use are {", ".join(addresses)}')
         await _send_caption(caller, addresses[0])
         await _send_payment_twice(caller, addresses)
-        tally = await system.call(system.address('service-1'), 'GET', '/tally')
-        _expect(tally == {'payment-1001': 1}, 'one payment taken')
+        executions_by_key = await system.call(system.address('service-1'),
+                                              'GET', '/tally')
+        _expect(executions_by_key == {'payment-1001': 1},
+                'the payment was executed once')
         await _show_account(system)
 
 
 async def _send_caption(caller: caller_module.Caller, address: str) -> None:
-    answer = await caller.chat(address, 'caption', _CAPTION)
-    _expect(caller.is_expected_response(_CAPTION, answer),
-            'the streamed caption is whole and our own')
-    print('    ' + caller_module.stream_text(answer.body))
+    response = await caller.chat(address, 'caption', _CAPTION)
+    _expect(caller.is_expected_response(_CAPTION, response),
+            'the streamed caption is complete and matches the request')
+    print('    ' + caller_module.stream_text(response.body))
 
 
 async def _send_payment_twice(caller: caller_module.Caller,
                               addresses: list[str]) -> None:
     receipt = service.expected_receipt(_PAYMENT)
     for address in addresses[:2]:
-        answer = await caller.post(address,
-                                   'payment-confirmation',
-                                   '/services/orders/payments',
-                                   _PAYMENT,
-                                   idempotency_key='payment-1001')
-        _expect(answer.status == 200 and answer.json['receipt'] == receipt,
-                f'payment answered with receipt {receipt} from {address}')
+        response = await caller.post(address,
+                                     'payment-confirmation',
+                                     '/services/orders/payments',
+                                     _PAYMENT,
+                                     idempotency_key='payment-1001')
+        _expect(response.status == 200 and response.json['receipt'] == receipt,
+                f'payment response with receipt {receipt} from {address}')
 
 
 async def _show_account(system: system_module.System) -> None:
@@ -73,25 +75,26 @@
     for process in system.named('entry-'):
         rows += await system.call(process.ready['admin'], 'GET', '/account')
     accepted = sum(row['accepted'] for row in rows)
-    repeats = sum(row['repeats'] for row in rows)
+    repeated = sum(row['repeats'] for row in rows)
     in_time = sum(row['in_time'] for row in rows)
     print('account:')
     for row in sorted(rows, key=lambda item: str(item['class'])):
         print('    ' + ', '.join(f'{k} {v}' for k, v in row.items() if v))
-    _expect(accepted - repeats == 2 and repeats == 1,
-            'the account shows two requests and a repeat')
-    _expect(in_time == accepted, 'every request was answered in time')
+    _expect(accepted - repeated == 2 and repeated == 1,
+            'the account shows two requests and one repeated request')
+    _expect(in_time == accepted,
+            'all responses arrived within the latency targets')
 
 
 def main() -> int:
     """Runs the demo.
 
     Returns:
-        The exit status: 0 when everything held.
+        The exit status: 0 if all checks passed, otherwise 1.
     """
     try:
         asyncio.run(asyncio.wait_for(_demo(), _DEMO_TIMEOUT_S))
-    except (_Failed, TimeoutError) as error:
+    except (_DemoError, TimeoutError) as error:
         print(f'FAILED: {error}', file=sys.stderr)
         return 1
     return 0
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -1,9 +1,9 @@
-"""A group of ranks with experts in demand, in virtual time.
+"""Emulates a rank group with changing expert demand in virtual time.
 
-A pass lasts the longer the more unevenly the experts' work is spread. Other
-experts come into demand each few seconds. Orders take effect as they do at a
-real server: copies take time, a rank switches its map with the pass that it is
-armed for, a held pass does not begin.
+The duration of a pass grows with the skew of the load over the ranks. The
+demand for the experts changes at a fixed interval. Orders have the effects that
+they have at a real server: copying experts takes time, a rank switches its map
+at the pass for which it is armed, and a held pass does not begin.
 """
 
 import asyncio
@@ -20,42 +20,54 @@
 
 _KIND = peer_messages.OrderKind
 _TOPICS = 9
-_ZIPF = 0.82
+_ZIPF_EXPONENT = 0.82
 _MAIN_TOPIC_SHARE = 0.55
-_CHOICES_A_PASS = 400.0
-_CALL_S = 0.003
-_HELD_LOOK_S = 0.002
-_BEGUN = 202
-_DONE = 200
+_SELECTIONS_PER_PASS = 400.0
+_CALL_DURATION_S = 0.003
+_HELD_POLL_INTERVAL_S = 0.002
+_ACCEPTED = 202
+_OK = 200
 _CONFLICT = 409
 
 
 def zipf_shares(rng: random.Random, experts: int) -> list[float]:
-    """Shares of experts of which few get much, in random places."""
+    """Returns Zipf-distributed shares of the experts, in random order.
+
+    Args:
+        rng: the random number generator.
+        experts: the number of experts.
+
+    Returns:
+        The share of each expert; the sum is 1.
+    """
     shares = [0.0] * experts
     for rank, expert in enumerate(rng.sample(range(experts), experts)):
-        shares[expert] = (rank + 1)**-_ZIPF
+        shares[expert] = (rank + 1)**-_ZIPF_EXPONENT
     total = sum(shares)
     return [share / total for share in shares]
 
 
 class _Topics:
-    """What requests are about, and the experts that they choose then."""
+    """Derives the expert demand from a mix of request topics."""
 
     def __init__(self, rng: random.Random, sets: int, experts: int) -> None:
         self._rng = rng
         self._shares_by_topic = [[
             zipf_shares(rng, experts) for _ in range(sets)
         ] for _ in range(_TOPICS)]
-        self._main = -1
+        self._main_topic = -1
 
     def next_demand(self) -> list[list[float]]:
-        """Another topic is asked for more than the others."""
-        others = [t for t in range(_TOPICS) if t != self._main]
-        self._main = self._rng.choice(others)
+        """Selects another main topic.
+
+        Returns:
+            The share of each expert, by set and expert.
+        """
+        others = [t for t in range(_TOPICS) if t != self._main_topic]
+        self._main_topic = self._rng.choice(others)
         rest = (1 - _MAIN_TOPIC_SHARE) / (_TOPICS - 1)
         weights = [
-            _MAIN_TOPIC_SHARE if topic == self._main else rest
+            _MAIN_TOPIC_SHARE if topic == self._main_topic else rest
             for topic in range(_TOPICS)
         ]
         return [[
@@ -71,8 +83,9 @@
     """One rank.
 
     Attributes:
-        state: what it reports.
-        held: the experts by set that it holds, by version of the map.
+        state: the state that the rank reports.
+        held_by_version: the experts of each set that the rank holds, by map
+            version.
     """
 
     state: peer_messages.RankState
@@ -80,36 +93,49 @@
 
 
 class EmulatedGroup:
-    """Makes passes until cancelled."""
+    """Runs passes until cancelled.
+
+    Attributes:
+        profile: the speed and memory of the engine.
+        pass_durations_s: the seconds from the start of the previous pass to
+            the start of each pass.
+        skew_by_pass: the skew of each pass, which is the mean over the sets of
+            the greatest rank load.
+        mixed_passes: the number of passes in which the ranks used different
+            maps.
+        copies: the number of expert copies that ranks have loaded.
+    """
 
     def __init__(self, *, name: str, ranks: int,
                  profile: routing_config.EngineProfile, streams_per_rank: float,
                  demand_change_interval_s: float, seed: int) -> None:
-        """Makes a group that has not begun.
+        """Initializes the group without starting it.
 
         Args:
-            name: the group's name.
-            ranks: how many ranks it has.
-            figures: the engine's figures.
-            streams_a_rank: streams that each rank works on.
-            change_s: seconds after which other experts are in demand.
-            seed: of all that is random.
+            name: the name of the group.
+            ranks: the number of ranks.
+            profile: the speed and memory of the engine.
+            streams_per_rank: the number of streams that each rank processes.
+            demand_change_interval_s: seconds between changes of the demand.
+            seed: the seed of the random number generator.
         """
         self.profile = profile
         self.pass_durations_s: list[float] = []
         self.skew_by_pass: list[float] = []
         self.mixed_passes = 0
         self.copies = 0
-        self._streams = streams_per_rank
-        self._change_s = demand_change_interval_s
+        self._streams_per_rank = streams_per_rank
+        self._demand_change_interval_s = demand_change_interval_s
         self._rng = random.Random(seed)
         self._topics = _Topics(self._rng, profile.sets, profile.experts)
         self._demand = self._topics.next_demand()
-        self._choices = [0.0] * (profile.sets * profile.experts)
-        self._ranks = [self._rank(name, rank, ranks) for rank in range(ranks)]
-        self._skew = self._skew_now()
+        self._selection_counts = [0.0] * (profile.sets * profile.experts)
+        self._ranks = [
+            self._make_rank(name, rank, ranks) for rank in range(ranks)
+        ]
+        self._skew = self._compute_skew()
 
-    def _rank(self, name: str, rank: int, ranks: int) -> _Rank:
+    def _make_rank(self, name: str, rank: int, ranks: int) -> _Rank:
         first = frozenset(range(rank, self.profile.experts, ranks))
         state = peer_messages.RankState(group=name,
                                         host='',
@@ -130,10 +156,10 @@
 
     @property
     def states(self) -> list[peer_messages.RankState]:
-        """All ranks' states."""
+        """The states of all ranks."""
         return [rank.state for rank in self._ranks]
 
-    def _skew_now(self) -> float:
+    def _compute_skew(self) -> float:
         layouts = [
             tuple(rank.held_by_version[rank.state.map_version][index]
                   for rank in self._ranks)
@@ -142,33 +168,33 @@
         return replication.mean_max_rank_load(layouts, self._demand)
 
     def pass_s(self, skew: float) -> float:
-        """How long a pass lasts."""
-        figures = self.profile
-        writing = figures.step_s_per_sequence * self._streams
-        share = figures.expert_share
-        return figures.steps_per_pass * (figures.base_step_s + writing *
+        """Returns the duration of a pass in seconds."""
+        profile = self.profile
+        sequences_s = profile.step_s_per_sequence * self._streams_per_rank
+        share = profile.expert_share
+        return profile.steps_per_pass * (profile.base_step_s + sequences_s *
                                          (1 - share + share * skew))
 
     async def run(self) -> None:
-        """Makes passes until cancelled."""
+        """Runs passes until cancelled."""
         loop = asyncio.get_running_loop()
-        change_at = loop.time() + self._change_s
-        last_at = loop.time()
+        demand_changes_at = loop.time() + self._demand_change_interval_s
+        last_pass_at = loop.time()
         for step in itertools.count(2):
             while any(r.state.held_step == step for r in self._ranks):
-                await asyncio.sleep(_HELD_LOOK_S)
+                await asyncio.sleep(_HELD_POLL_INTERVAL_S)
             now = loop.time()
-            if now >= change_at:
-                change_at += self._change_s
+            if now >= demand_changes_at:
+                demand_changes_at += self._demand_change_interval_s
                 self._demand = self._topics.next_demand()
-                self._skew = self._skew_now()
-            self.pass_durations_s.append(now - last_at)
+                self._skew = self._compute_skew()
+            self.pass_durations_s.append(now - last_pass_at)
             self.skew_by_pass.append(self._skew)
-            last_at = now
-            self._begin(step)
+            last_pass_at = now
+            self._begin_pass(step)
             await asyncio.sleep(self.pass_s(self._skew))
 
-    def _begin(self, step: int) -> None:
+    def _begin_pass(self, step: int) -> None:
         before = self._ranks[0].state.map_version
         for rank in self._ranks:
             state = dataclasses.replace(rank.state, step=step)
@@ -181,25 +207,26 @@
         versions = {rank.state.map_version for rank in self._ranks}
         self.mixed_passes += len(versions) > 1
         if before != self._ranks[0].state.map_version:
-            self._skew = self._skew_now()
-        self._count_choices()
+            self._skew = self._compute_skew()
+        self._count_selections()
 
-    def _count_choices(self) -> None:
+    def _count_selections(self) -> None:
         flat = itertools.chain.from_iterable(self._demand)
-        self._choices = [
-            total + _CHOICES_A_PASS * share
-            for total, share in zip(self._choices, flat)
+        self._selection_counts = [
+            total + _SELECTIONS_PER_PASS * share
+            for total, share in zip(self._selection_counts, flat)
         ]
 
     def counts(self, rank: int) -> rank_server.ExpertChoiceCounts:
-        """How often a rank's requests have chosen each expert."""
+        """Returns how often each expert has been selected."""
         return rank_server.ExpertChoiceCounts(step=self._ranks[rank].state.step,
                                               epoch=1,
                                               counts=tuple(
-                                                  map(int, self._choices)))
+                                                  map(int,
+                                                      self._selection_counts)))
 
     def layout(self, rank: int) -> peer_messages.RankLayout:
-        """The experts that a rank holds."""
+        """Returns the experts that a rank holds."""
         found = self._ranks[rank]
         version = found.state.map_version
         return peer_messages.RankLayout(
@@ -209,7 +236,7 @@
                 tuple(sorted(held)) for held in found.held_by_version[version]))
 
     def execute_order(self, rank: int, order: peer_messages.RankOrder) -> int:
-        """Carries out an order; returns the status."""
+        """Executes an order; returns the HTTP status of the response."""
         found = self._ranks[rank]
         state = found.state
         if order.kind is _KIND.PREPARE:
@@ -231,7 +258,7 @@
         elif state.held_step == order.step:
             changes = {'held_step': 0}
         found.state = dataclasses.replace(state, **changes)
-        return _DONE
+        return _OK
 
     def _prepare(self, rank: _Rank, order: peer_messages.RankOrder) -> int:
         state = rank.state
@@ -251,19 +278,19 @@
         self.copies += sum(new)
         copy_s = (sum(new) * self.profile.expert_bytes /
                   self.profile.link_bytes_per_s)
-        asyncio.get_running_loop().call_later(copy_s, self._copied, rank,
+        asyncio.get_running_loop().call_later(copy_s, self._finish_copy, rank,
                                               order.version)
-        return _BEGUN
+        return _ACCEPTED
 
     @staticmethod
-    def _copied(rank: _Rank, version: int) -> None:
+    def _finish_copy(rank: _Rank, version: int) -> None:
         rank.state = dataclasses.replace(rank.state,
                                          prepared_version=version,
                                          is_busy=False)
 
 
 class EmulatedRankServer(rank_server.RankServer):
-    """The server of one rank, asked from its own host."""
+    """Client of one rank's server on the same host."""
 
     def __init__(self,
                  *,
@@ -271,42 +298,42 @@
                  rank: int,
                  running: int,
                  order_delays_s: Sequence[float] = ()) -> None:
-        """Makes a server.
+        """Initializes the client.
 
         Args:
-            group: its group.
-            rank: its number there.
-            running: requests that it says it works on.
-            late: seconds by which its next orders are carried out late and
-                left without an answer; 0 for those in time.
+            group: the group of the rank.
+            rank: the index of the rank in the group.
+            running: the number of running requests that the server reports.
+            order_delays_s: delays in seconds of the next orders, in sequence.
+                A delayed order gets no response; 0 means no delay.
         """
         self._group = group
-        self._rank = rank
+        self._rank_index = rank
         self._running = running
-        self._late = list(order_delays_s)
+        self._order_delays_s = list(order_delays_s)
 
     async def fetch_status(self) -> rank_server.RankServerStatus:
-        await asyncio.sleep(_CALL_S)
+        await asyncio.sleep(_CALL_DURATION_S)
         return rank_server.RankServerStatus(
-            state=self._group.states[self._rank],
+            state=self._group.states[self._rank_index],
             running=self._running,
             waiting=0,
             is_group_member=True)
 
     async def fetch_choice_counts(self) -> rank_server.ExpertChoiceCounts:
-        await asyncio.sleep(_CALL_S)
-        return self._group.counts(self._rank)
+        await asyncio.sleep(_CALL_DURATION_S)
+        return self._group.counts(self._rank_index)
 
     async def fetch_layout(self) -> peer_messages.RankLayout:
-        await asyncio.sleep(_CALL_S)
-        return self._group.layout(self._rank)
+        await asyncio.sleep(_CALL_DURATION_S)
+        return self._group.layout(self._rank_index)
 
     async def send_order(self, order: peer_messages.RankOrder) -> int:
-        await asyncio.sleep(_CALL_S)
-        late_s = self._late.pop(0) if self._late else 0.0
-        if late_s:
-            asyncio.get_running_loop().call_later(late_s,
+        await asyncio.sleep(_CALL_DURATION_S)
+        delay_s = self._order_delays_s.pop(0) if self._order_delays_s else 0.0
+        if delay_s:
+            asyncio.get_running_loop().call_later(delay_s,
                                                   self._group.execute_order,
-                                                  self._rank, order)
-            raise rank_server.RankServerUnavailableError('no answer')
-        return self._group.execute_order(self._rank, order)
+                                                  self._rank_index, order)
+            raise rank_server.RankServerUnavailableError('no response')
+        return self._group.execute_order(self._rank_index, order)
--- a/tests/fakes/host_list.py
+++ b/tests/fakes/host_list.py
@@ -1,7 +1,7 @@
-"""Stand-in for the platform's list of hosts.
+"""Stand-in for the host list of the platform.
 
-`GET /hosts` shows the list. `PUT /hosts/NAME` adds or changes a host;
-`DELETE /hosts/NAME` takes it away.
+`GET /hosts` returns the list. `PUT /hosts/NAME` adds or updates a host;
+`DELETE /hosts/NAME` removes it.
 """
 
 import hashlib
@@ -17,12 +17,16 @@
 
 
 class HostListHandler(serving.FakeHandler):
-    """Hosts in memory; the fault `frozen` shows an old list."""
+    """Holds hosts in memory.
+
+    Faults: `down` responds with status 503; `frozen` hides later changes of the
+    list.
+    """
 
     def __init__(self) -> None:
         super().__init__()
-        self._by_name: dict[str, dict[str, Any]] = {}
-        self._shown: list[dict[str, Any]] = []
+        self._host_by_name: dict[str, dict[str, Any]] = {}
+        self._published_hosts: list[dict[str, Any]] = []
 
     async def respond(self, request: http_server.HttpRequest,
                       response: http_server.HttpResponse) -> None:
@@ -31,21 +35,25 @@
             return
         name = request.path[len(_PREFIX):]
         if request.method == 'PUT':
-            known = self._by_name.get(name, {})
-            self._by_name[name] = {
-                **known, 'name': name,
+            previous = self._host_by_name.get(name, {})
+            self._host_by_name[name] = {
+                **previous, 'name': name,
                 **json.loads(request.body)
             }
         elif request.method == 'DELETE':
-            self._by_name.pop(name, None)
+            self._host_by_name.pop(name, None)
         if not self.faults.get('frozen'):
-            self._shown = [dict(host) for host in self._by_name.values()]
-        tag = hashlib.sha256(json.dumps(self._shown).encode()).hexdigest()[:16]
-        if request.header('if-none-match') == f'"{tag}"':
-            await response.send_head(304, [('etag', f'"{tag}"')])
+            self._published_hosts = [
+                dict(host) for host in self._host_by_name.values()
+            ]
+        etag_value = hashlib.sha256(json.dumps(
+            self._published_hosts).encode()).hexdigest()[:16]
+        if request.header('if-none-match') == f'"{etag_value}"':
+            await response.send_head(304, [('etag', f'"{etag_value}"')])
             await response.finish()
             return
-        await response.send_json(200, self._shown, [('etag', f'"{tag}"')])
+        await response.send_json(200, self._published_hosts,
+                                 [('etag', f'"{etag_value}"')])
 
 
 if __name__ == '__main__':
--- a/tests/fakes/memory.py
+++ b/tests/fakes/memory.py
@@ -1,4 +1,4 @@
-"""A clock and a table in memory, for tests without processes."""
+"""In-memory clock, event log and table for tests without processes."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -11,7 +11,11 @@
 
 
 class MemoryClock(clock.Clock):
-    """Time that a test sets."""
+    """A clock that only a test or `sleep` advances.
+
+    Attributes:
+        now: the current time in seconds.
+    """
 
     def __init__(self) -> None:
         self.now = 1000.0
@@ -24,7 +28,7 @@
 
 
 class NullEventLog(event_log.EventLog):
-    """Forgets all lines."""
+    """Discards all events."""
 
     def write(self,
               event: Any,
@@ -35,7 +39,11 @@
 
 
 class MemoryTable(table.TableService):
-    """Rows in memory."""
+    """A table that holds its rows in memory.
+
+    Attributes:
+        is_down: whether all calls fail.
+    """
 
     def __init__(self) -> None:
         self.is_down = False
--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's object store: `PUT` and `GET /objects/KEY`."""
+"""Stand-in for the object store: `PUT` and `GET /objects/KEY`."""
 
 from pollenthread.adapters import http_server
 from tests.fakes import serving
@@ -7,7 +7,7 @@
 
 
 class ObjectStoreHandler(serving.FakeHandler):
-    """Objects in memory."""
+    """Holds objects in memory; the fault `down` responds with status 503."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/tests/fakes/operator.py
+++ b/tests/fakes/operator.py
@@ -1,4 +1,4 @@
-"""An operator who publishes targets, gives orders, and looks at hosts."""
+"""Operator actions: publishing targets, issuing orders, reading status."""
 
 import asyncio
 import copy
@@ -20,7 +20,7 @@
 
 
 def changed_targets(retries: int) -> dict[str, Any]:
-    """The system's targets with one number changed."""
+    """Returns the targets of the system with other retries of one class."""
     document = copy.deepcopy(system_module.TARGETS)
     classes = document['workspaces']['buna']['classes']
     classes['caption']['retries'] = retries
@@ -28,7 +28,11 @@
 
 
 class Operator:
-    """Acts on a running system."""
+    """Performs operator actions on a running system.
+
+    Attributes:
+        store: the configuration store in the table of the system.
+    """
 
     def __init__(self, *, system: system_module.System) -> None:
         self._system = system
@@ -38,35 +42,54 @@
     async def publish(
         self, base: int, retries: int, author: str
     ) -> result.Result[int, config_store.VersionConflict | table.TableError]:
-        """Publishes a changed document over a version."""
+        """Publishes changed targets.
+
+        Args:
+            base: the version that the new document replaces.
+            retries: the retries of the changed class.
+            author: the author of the version.
+
+        Returns:
+            The new version, or the error.
+        """
         return await self.store.publish(changed_targets(retries),
                                         author=author,
                                         base=base)
 
     async def status(self, host: str) -> dict[str, Any]:
-        """What a host says of itself."""
+        """Returns the status that a host reports."""
         admin = self._system.by_name[host].ready['admin']
-        found: dict[str, Any] = await self._system.call(admin, 'GET', '/status')
-        return found
+        response: dict[str,
+                       Any] = await self._system.call(admin, 'GET', '/status')
+        return response
 
     async def versions(self) -> list[int]:
-        """The versions in force at the entry hosts."""
+        """Returns the targets version that each entry host applies."""
         return [(await self.status(process.name))['targets_version']
                 for process in self._system.named('entry-')]
 
     async def lease(self) -> leases.Lease | None:
-        """The lease of the first engine's orders."""
+        """Returns the lease for orders to the first engine, or None."""
         key = lease_manager.lease_key(orders.order_duty_for_host(_ENGINE_HOST))
-        found = await self._system.table.get(key)
-        if isinstance(found, result.Err) or found.ok_value is None:
+        response = await self._system.table.get(key)
+        if isinstance(response, result.Err) or response.ok_value is None:
             return None
-        return lease_manager.parse_lease(found.ok_value.value)
+        return lease_manager.parse_lease(response.ok_value.value)
 
     async def order(self,
                     order_id: str,
                     entry: str,
                     key: str = system_module.ON_CALL_KEY) -> int:
-        """Gives the first engine an order; returns the HTTP status."""
+        """Issues an order to the first engine.
+
+        Args:
+            order_id: the ID of the order.
+            entry: the name of the entry host to which the order is sent.
+            key: the operator's bearer token.
+
+        Returns:
+            The HTTP status.
+        """
         body = json.dumps({
             'kind': 'load-model',
             'arguments': {
@@ -83,20 +106,20 @@
             return exchange.status
 
     async def order_until_accepted(self, order_id: str, entry: str) -> None:
-        """Repeats an order until it is taken in."""
+        """Retries an order until an entry host accepts it."""
         while await self.order(order_id, entry) != 202:
             await asyncio.sleep(_RETRY_S)
 
     async def order_state(self, order_id: str, entry: str) -> str:
-        """How far an order has come."""
-        found = await self._system.call(
+        """Returns the state of an order; `none` if it is unknown."""
+        response = await self._system.call(
             self._system.by_name[entry].ready['admin'], 'GET',
             f'/orders/{_ENGINE_HOST}/{order_id}')
-        state: str = found.get('state', 'none')
+        state: str = response.get('state', 'none')
         return state
 
     async def effects(self) -> list[str]:
-        """Orders that took effect at the first engine."""
-        found = await self._system.call(self._system.address('engine-1'), 'GET',
-                                        '/orders')
-        return [order['id'] for order in found]
+        """Returns the IDs of the orders that the first engine has executed."""
+        response = await self._system.call(self._system.address('engine-1'),
+                                           'GET', '/orders')
+        return [order['id'] for order in response]
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -1,11 +1,18 @@
-"""Stand-in for a server behind the prepared platform.
+"""Stand-in for a server of the users' platform.
 
-Requests to a path with `/stream/` are answered as a stream of events; the
-number in the path is how many. Faults, each used up once for each count:
-`break_after` breaks a stream off within the event that follows so many;
-`stale` answers with the id of another request; `lose` runs the request and
-closes; `not_run` refuses; `other` says that another server has the address;
-`fail` answers 500. `pause_s` is the time between events.
+The response to a path with `/stream/` is a stream of events, whose number is
+the last part of the path. Faults:
+
+    break_after  aborts one stream within the event after this many events
+    stale        responds with the ID of another request
+    lose         executes the request, then closes the connection
+    not_run      rejects the request without executing it
+    other        responds that the address belongs to another server
+    fail         responds with status 500
+    pause_s      seconds between events
+
+The values of `stale`, `lose`, `not_run`, `other` and `fail` are counts: each
+affected request uses up one.
 """
 
 import asyncio
@@ -16,35 +23,37 @@
 
 __all__ = ['PlatformServerHandler']
 
-_ID = 'pollenthread-request-id'
+_REQUEST_ID_HEADER = 'pollenthread-request-id'
 
 
 class PlatformServerHandler(serving.FakeHandler):
-    """Answers requests and remembers them."""
+    """Responds to requests and records them for `GET /seen`."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._seen: list[dict[str, Any]] = []
-        self._cancelled = 0
+        self._received_requests: list[dict[str, Any]] = []
+        self._cancelled_count = 0
 
     async def respond(self, request: http_server.HttpRequest,
                       response: http_server.HttpResponse) -> None:
         if request.path == '/seen':
-            await response.send_json(200, {
-                'requests': self._seen,
-                'cancelled': self._cancelled
-            })
+            await response.send_json(
+                200, {
+                    'requests': self._received_requests,
+                    'cancelled': self._cancelled_count
+                })
             return
-        request_id = request.header(_ID) or ''
-        headers = [(_ID, request_id), ('pollenthread-response-stamp', 'stamp')]
+        request_id = request.header(_REQUEST_ID_HEADER) or ''
+        headers = [(_REQUEST_ID_HEADER, request_id),
+                   ('pollenthread-response-stamp', 'stamp')]
         if self.consume_fault('other'):
-            await response.send(421, [(_ID, request_id)], b'')
+            await response.send(421, [(_REQUEST_ID_HEADER, request_id)], b'')
             return
         if self.consume_fault('not_run'):
-            await response.send(503, [(_ID, request_id),
+            await response.send(503, [(_REQUEST_ID_HEADER, request_id),
                                       ('pollenthread-not-executed', '1')], b'')
             return
-        self._seen.append({
+        self._received_requests.append({
             'id': request_id,
             'target': request.target,
             'headers': dict(request.headers)
@@ -54,36 +63,36 @@
         elif self.consume_fault('fail'):
             await response.send(500, headers, b'failed')
         elif '/stream/' in request.path:
-            await self._stream(request, response, headers)
+            await self._send_stream(request, response, headers)
         else:
-            await self._whole(response, headers)
+            await self._send_whole(response, headers)
 
-    async def _whole(self, response: http_server.HttpResponse,
-                     headers: list[tuple[str, str]]) -> None:
+    async def _send_whole(self, response: http_server.HttpResponse,
+                          headers: list[tuple[str, str]]) -> None:
         if self.consume_fault('stale'):
-            headers = [(_ID, 'another'), *headers[1:]]
+            headers = [(_REQUEST_ID_HEADER, 'another'), *headers[1:]]
         await response.send(200, headers, b'whole ' + headers[0][1].encode())
 
-    async def _stream(self, request: http_server.HttpRequest,
-                      response: http_server.HttpResponse,
-                      headers: list[tuple[str, str]]) -> None:
+    async def _send_stream(self, request: http_server.HttpRequest,
+                           response: http_server.HttpResponse,
+                           headers: list[tuple[str, str]]) -> None:
         count = int(request.path.rstrip('/').rpartition('/')[2])
         first = int(request.header('last-event-id') or 0) + 1
         await response.send_head(200, [
             *headers, ('content-type', 'text/event-stream'),
             ('transfer-encoding', 'chunked')
         ])
-        broken_after = self.faults.pop('break_after', None)
+        break_after = self.faults.pop('break_after', None)
         try:
             for number in range(first, count + 1):
                 event = f'id: {number}\ndata: piece {number}\n\n'.encode()
-                if broken_after is not None and number > broken_after:
+                if break_after is not None and number > break_after:
                     response.abort(event[:7])
                     return
                 await response.write(event)
                 await asyncio.sleep(self.faults.get('pause_s', 0.0))
         except (asyncio.CancelledError, OSError):
-            self._cancelled += 1
+            self._cancelled_count += 1
             raise
         await response.finish()
 
--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -1,6 +1,6 @@
-"""Starts entry hosts and stand-ins as the prepared platform would.
+"""Starts entry hosts and stand-ins as the users' platform does.
 
-Each host has a loopback address of its own, and all use the same ports.
+Each host has its own loopback address, and all use the same ports.
 """
 
 import asyncio
@@ -29,26 +29,26 @@
 _CONTROL_PORT = 18084
 _PEER_PORT = 18090
 _STOP_TIMEOUT_S = 12.0
-_ADDRESS_SPACE = 250
+_OCTET_VALUES = 250
 
 CONFIG: dict[str, Any] = {
     'version': 1,
     'routes': [{
-        'name': kind,
+        'name': route,
         'host': _HOST_NAME,
-        'path_prefix': f'/{kind}/',
-        'kind': word,
+        'path_prefix': f'/{route}/',
+        'kind': kind,
         'timeout_ms': timeout_ms,
         'target_latency_ms': 400,
         'priority': 1,
         'service': 'svc',
         'max_attempts': attempts,
-        'can_resume': kind == 'text',
+        'can_resume': route == 'text',
         'gap_aim_ms': 120
-    } for kind, word, timeout_ms, attempts in (('text', 'streaming', 8000, 2),
-                                               ('pay', 'non_idempotent', 1500,
-                                                1), ('look', 'idempotent', 1500,
-                                                     2))],
+    } for route, kind, timeout_ms, attempts in (('text', 'streaming', 8000, 2),
+                                                ('pay', 'non_idempotent', 1500,
+                                                 1), ('look', 'idempotent',
+                                                      1500, 2))],
     'services': [{
         'name': 'svc',
         'health_path': '/healthz',
@@ -63,25 +63,39 @@
 
 
 class PlatformSite:
-    """Owns the processes of one site."""
+    """Starts and stops the processes of one site.
+
+    Attributes:
+        folder: the directory of the settings and log files.
+        client: an HTTP client for calls to the processes.
+        by_name: the processes of the stand-ins by name.
+        child_by_entry: the process of each entry host by host name.
+    """
 
     def __init__(self, *, entries: int = 2, servers: int = 2) -> None:
+        """Initializes the site without starting it.
+
+        Args:
+            entries: the number of entry hosts.
+            servers: the number of servers.
+        """
         self._entries = entries
         self._servers = servers
-        self._stack = contextlib.AsyncExitStack()
+        self._exit_stack = contextlib.AsyncExitStack()
         self.folder = pathlib.Path()
         self.client = http_client.HttpClient()
         self.by_name: dict[str, system.Process] = {}
         self.child_by_entry: dict[str, aio_subprocess.Process] = {}
-        number = os.getpid()
-        self._net = (f'127.{1 + number // _ADDRESS_SPACE % _ADDRESS_SPACE}.'
-                     f'{1 + number % _ADDRESS_SPACE}')
+        process_id = os.getpid()
+        self._network_prefix = (
+            f'127.{1 + process_id // _OCTET_VALUES % _OCTET_VALUES}.'
+            f'{1 + process_id % _OCTET_VALUES}')
 
     async def __aenter__(self) -> Self:
-        folder = self._stack.enter_context(
+        folder = self._exit_stack.enter_context(
             tempfile.TemporaryDirectory(prefix='pollenthread-site-'))
         self.folder = pathlib.Path(folder)
-        await self._stack.enter_async_context(self.client)
+        await self._exit_stack.enter_async_context(self.client)
         try:
             await self._start_all()
         except BaseException:
@@ -103,13 +117,14 @@
                     await process.child.wait()
             except TimeoutError:
                 await process.kill()
-        await self._stack.aclose()
+        await self._exit_stack.aclose()
 
     async def _start_all(self) -> None:
         for name in ('store', 'store-2'):
-            await self._start_fake(name, 'tests.fakes.platform_store')
+            await self._start_stand_in(name, 'tests.fakes.platform_store')
         for i in range(1, self._servers + 1):
-            await self._start_fake(f'server-{i}', 'tests.fakes.platform_server')
+            await self._start_stand_in(f'server-{i}',
+                                       'tests.fakes.platform_server')
         await self.put_config(CONFIG)
         for i in range(1, self._servers + 1):
             await self.put_server(i)
@@ -117,24 +132,29 @@
             await self.start_entry(i)
         await self.wait_ready()
 
-    async def _start_fake(self, name: str, module: str) -> None:
+    async def _start_stand_in(self, name: str, module: str) -> None:
         self.by_name[name] = await system.Process.start(
             name, [module], self.folder / f'{name}.log')
 
     def address(self, name: str) -> str:
-        """The address of a stand-in."""
-        found: str = self.by_name[name].ready['address']
-        return found
+        """Returns the address of a stand-in."""
+        address: str = self.by_name[name].ready['address']
+        return address
 
     def _ip(self, number: int) -> str:
-        return f'{self._net}.{number}'
+        return f'{self._network_prefix}.{number}'
 
     def callers(self, number: int) -> str:
-        """Where callers reach an entry host."""
+        """Returns the address of an entry host for callers."""
         return f'{self._ip(number)}:{_CALLERS_PORT}'
 
     async def start_entry(self, number: int, *, store: str = 'store') -> None:
-        """Starts, or starts again, an entry host."""
+        """Starts or restarts an entry host.
+
+        Args:
+            number: the number of the host, from 1.
+            store: the name of the store stand-in that the host uses.
+        """
         name = f'entry-{number}'
         path = self.folder / f'{name}.toml'
         path.write_text(self._settings(number, store), 'utf-8')
@@ -173,21 +193,32 @@
         ))
 
     async def put_row(self, table: str, key: str, value: str | None) -> None:
-        """Writes a row as the operator or a server does, in every store."""
+        """Writes a row to all stores, as the operator or a server does.
+
+        Args:
+            table: the table of the row.
+            key: the key of the row.
+            value: the value; None removes the row.
+        """
         body = json.dumps({'table': table, 'key': key, 'value': value})
         for name in ('store', 'store-2'):
             async with self.client.request(self.address(name),
                                            'POST',
                                            '/operator',
-                                           body=body.encode()) as exchange:
-                await exchange.read_all()
+                                           body=body.encode()) as response:
+                await response.read_all()
 
     async def put_config(self, config: dict[str, Any]) -> None:
-        """Publishes a configuration."""
+        """Writes a configuration to all stores."""
         await self.put_row('op', 'config', json.dumps(config))
 
     async def put_server(self, number: int, **changes: Any) -> None:
-        """Lists a server."""
+        """Writes the entry of a server to all stores.
+
+        Args:
+            number: the number of the server, from 1.
+            **changes: fields that differ from the default entry.
+        """
         entry = {
             'service': 'svc',
             'address': self.address(f'server-{number}'),
@@ -199,7 +230,7 @@
         await self.put_row('servers', f'i-{number}', json.dumps(entry))
 
     async def fault(self, name: str, **faults: Any) -> None:
-        """Orders faults from a stand-in; none ends them."""
+        """Replaces the faults of a stand-in; no arguments clear them."""
         await self.call(self.address(name), 'POST', '/fault',
                         json.dumps(faults).encode())
 
@@ -211,14 +242,14 @@
         body: bytes = b'',
         headers: Sequence[tuple[str, str]] = ()
     ) -> tuple[int, bytes]:
-        """One exchange; status 0 when it broke."""
+        """Sends a request; returns status 0 if the connection failed."""
         try:
             async with self.client.request(address,
                                            method,
                                            target,
                                            headers=headers,
-                                           body=body) as exchange:
-                return exchange.status, await exchange.read_all()
+                                           body=body) as response:
+                return response.status, await response.read_all()
         except OSError:
             return 0, b''
 
@@ -229,7 +260,20 @@
                       method: str = 'POST',
                       request_id: str = 'r-1',
                       key: str = KEY) -> tuple[int, bytes]:
-        """Acts as a caller of an entry host."""
+        """Sends a request to an entry host as a caller.
+
+        The request has a forged tenant header, which the host must replace.
+
+        Args:
+            number: the number of the entry host, from 1.
+            target: the path and query.
+            method: the HTTP method.
+            request_id: the request ID.
+            key: the caller's API key.
+
+        Returns:
+            The status, 0 if the connection failed, and the body.
+        """
         headers = [('host', _HOST_NAME),
                    ('pollenthread-request-id', request_id),
                    ('pollenthread-deadline-ms', '8000'),
@@ -241,32 +285,32 @@
                                headers=headers)
 
     async def is_ready(self, number: int) -> bool:
-        """Whether an entry host says that it is ready."""
+        """Returns whether an entry host reports that it is ready."""
         status, _ = await self.call(f'{self._ip(number)}:{_READY_PORT}', 'GET',
                                     '/pollenthread/readyz')
         return status == 200
 
     async def metrics(self, number: int) -> tuple[int, bytes]:
-        """The metrics page of an entry host."""
+        """Returns the status and body of an entry host's metrics page."""
         return await self.call(f'{self._ip(number)}:{_PEER_PORT}', 'GET',
                                '/metrics')
 
     async def directory(self, number: int) -> list[str]:
-        """The addresses that an entry host tells callers."""
+        """Returns the addresses that an entry host resolves for callers."""
         status, body = await self.call(
             f'{self._ip(number)}:{_DIRECTORY_PORT}', 'GET',
             '/pollenthread/resolve?name=site.example&region=r&zone=dc-1')
         return json.loads(body)['addresses'] if status == 200 else []
 
     async def seen(self, number: int) -> dict[str, Any]:
-        """What a server has seen."""
+        """Returns the requests that a server has received."""
         _, body = await self.call(self.address(f'server-{number}'), 'GET',
                                   '/seen')
-        found: dict[str, Any] = json.loads(body)
-        return found
+        report: dict[str, Any] = json.loads(body)
+        return report
 
     async def wait_ready(self) -> None:
-        """Waits until all entry hosts are ready and know each other."""
+        """Waits until all entry hosts are ready and resolve to each other."""
         async with asyncio.timeout(_STOP_TIMEOUT_S):
             for i in range(1, self._entries + 1):
                 while not await self.is_ready(i):
@@ -275,7 +319,7 @@
                     await asyncio.sleep(0.05)
 
     def logs(self, number: int) -> list[dict[str, Any]]:
-        """The structured log of an entry host."""
+        """Returns the entries of an entry host's structured log."""
         text = (self.folder / f'entry-{number}.out').read_text('utf-8')
         return [
             json.loads(line)
--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -1,7 +1,8 @@
-"""Stand-in for the prepared platform's store of rows.
+"""Stand-in for the row store of the users' platform.
 
-Faults: `down` answers 503; `forget` answers 410 to a feed once for each count.
-The operator's tables are written here with `POST /operator` too.
+Faults: `down` responds with status 503 to all calls; `forget` is the number of
+feed calls that get status 410, which means that their history is lost.
+`POST /operator` writes the tables of the operator.
 """
 
 import asyncio
@@ -15,40 +16,40 @@
 
 __all__ = ['PlatformStoreHandler']
 
-_FEED_TICK_S = 0.02
+_FEED_POLL_INTERVAL_S = 0.02
 
 
 class PlatformStoreHandler(serving.FakeHandler):
-    """Rows in memory, with their history."""
+    """Holds rows in memory, including removed ones."""
 
     def __init__(self) -> None:
         super().__init__()
         self._version = 0
-        self._row_by_name: dict[tuple[str, str], dict[str, Any]] = {}
+        self._row_by_id: dict[tuple[str, str], dict[str, Any]] = {}
 
     async def respond(self, request: http_server.HttpRequest,
                       response: http_server.HttpResponse) -> None:
         query = dict(parse.parse_qsl(request.target.partition('?')[2]))
         if request.path == '/operator':
-            self._put(json.loads(request.body))
+            self._write(json.loads(request.body))
             await response.send_json(200, {})
         elif self.faults.get('down'):
             await response.send(503, [], b'')
         elif request.path == '/pollenthread/rows-get':
             await self._send_rows(response, query['table'], 0)
         elif request.path == '/pollenthread/rows-feed':
-            await self._feed(response, query)
+            await self._send_feed(response, query)
         elif request.path == '/pollenthread/rows-tx':
             await self._transact(json.loads(request.body), response)
         else:
             await response.send(404, [], b'')
 
-    def _put(self, row: dict[str, Any]) -> None:
-        """Writes a row whose value is text; None removes it."""
+    def _write(self, row: dict[str, Any]) -> None:
+        """Writes a row whose value is text; the value None removes it."""
         self._version += 1
         name = (row['table'], row['key'])
         value = row['value']
-        self._row_by_name[name] = {
+        self._row_by_id[name] = {
             'table': row['table'],
             'part': '',
             'key': row['key'],
@@ -57,9 +58,9 @@
             'value': base64.b64encode((value or '').encode()).decode()
         }
 
-    def _changed(self, table: str, after: int) -> list[dict[str, Any]]:
+    def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
         rows = [
-            row for (name, _), row in self._row_by_name.items()
+            row for (name, _), row in self._row_by_id.items()
             if name == table and row['ver'] > after and
             (after or not row['removed'])
         ]
@@ -69,23 +70,23 @@
                          after: int) -> None:
         await response.send_json(
             200, {
-                'rows': self._changed(table, after),
+                'rows': self._changed_rows(table, after),
                 'ver': self._version,
                 'now_ms': 0,
                 'has_more': False
             })
 
-    async def _feed(self, response: http_server.HttpResponse,
-                    query: dict[str, str]) -> None:
+    async def _send_feed(self, response: http_server.HttpResponse,
+                         query: dict[str, str]) -> None:
         if self.consume_fault('forget'):
             await response.send(410, [], b'')
             return
         after = int(query['after'])
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query['wait_ms']) / 1000
-        while (not self._changed(query['table'], after) and
+        while (not self._changed_rows(query['table'], after) and
                loop.time() < end and not self.faults.get('down')):
-            await asyncio.sleep(_FEED_TICK_S)
+            await asyncio.sleep(_FEED_POLL_INTERVAL_S)
         if self.faults.get('down'):
             await response.send(503, [], b'')
             return
@@ -95,14 +96,14 @@
                         response: http_server.HttpResponse) -> None:
         for expected in call['expected_revision']:
             name = (expected['table'], expected['key'])
-            row = self._row_by_name.get(name)
+            row = self._row_by_id.get(name)
             found = row['ver'] if row and not row['removed'] else 0
             if found != expected['ver']:
                 await response.send_json(412, {'rows': []})
                 return
         for row in call['puts']:
             value = base64.b64decode(row['value']).decode()
-            self._put({**row, 'value': value})
+            self._write({**row, 'value': value})
         await response.send_json(200, {'ver': self._version, 'now_ms': 0})
 
 
--- a/tests/fakes/rank_group.py
+++ b/tests/fakes/rank_group.py
@@ -1,11 +1,11 @@
 """Stand-in for a rank group whose ranks run in lock-step on an expert map.
 
-A step ends for all ranks once each has entered it. Its time is that of the
-rank with the most tokens on its experts. In every step all ranks must use the
-same map: a step in which they do not is kept in `/group` as a violation.
+A step completes only after all ranks have entered it. Its duration is that of
+the rank whose experts have the highest load. All ranks must use the same map in
+a step; `/group` lists the steps in which they did not as violations.
 
-For each rank: `GET /ranks/I`, `PUT /ranks/I/state`, `POST /ranks/I/load`,
-`POST /ranks/I/restart`. `GET /group` tells about all.
+`GET /ranks/I`, `PUT /ranks/I/state`, `POST /ranks/I/load` and
+`POST /ranks/I/restart` access one rank, `GET /group` the whole group.
 """
 
 import argparse
@@ -25,8 +25,8 @@
 
 _EXPERTS_PER_RANK = 4
 _SPARE_SLOTS = 1
-_STEP_S = 0.002
-_POLL_S = 0.002
+_STEP_DURATION_S = 0.002
+_POLL_INTERVAL_S = 0.002
 
 
 @dataclasses.dataclass
@@ -34,10 +34,10 @@
     """One rank.
 
     Attributes:
-        incarnation: rises with each restart.
-        step: the last step that it has entered.
-        state: what the agent has stored.
-        version: the map that it uses in its step.
+        incarnation: the number of the run, incremented by each restart.
+        step: the last step that the rank has entered.
+        state: the encoded state that the agent has stored.
+        version: the version of the map that the rank uses in `step`.
     """
 
     incarnation: int = 1
@@ -46,8 +46,8 @@
     version: int = 0
 
     @property
-    def known(self) -> switch.Rank | None:
-        """The state with the engine's own step."""
+    def switch_state(self) -> switch.Rank | None:
+        """The stored state with the current step; None if none is stored."""
         if not self.state:
             return None
         return dataclasses.replace(switch_codec.decode_rank(self.state),
@@ -55,26 +55,34 @@
 
 
 class RankGroupHandler(serving.FakeHandler):
-    """Makes steps while every rank may enter them."""
+    """Runs a step whenever all ranks may enter it."""
 
     def __init__(self, *, size: int, weight_store: str) -> None:
+        """Initializes the group.
+
+        Args:
+            size: the number of ranks.
+            weight_store: the address of the weight store.
+        """
         super().__init__()
         self._ranks = [_Rank() for _ in range(size)]
         self._weight_store = weight_store
         self._client = http_client.HttpClient()
-        self._completed = 0
+        self._completed_step = 0
         self._violations: list[dict[str, Any]] = []
         self._stalled_s = 0.0
-        self._in_force: dict[int, float] = {}
-        self._loads = [1 / (i + 1) for i in range(size * _EXPERTS_PER_RANK)]
-        self._step_s_by_version: dict[int, float] = {}
-        self._ended_at = time.monotonic()
-        self._task: asyncio.Task[None] | None = None
+        self._first_used_at_s: dict[int, float] = {}
+        self._expert_loads = [
+            1 / (i + 1) for i in range(size * _EXPERTS_PER_RANK)
+        ]
+        self._step_duration_s_by_version: dict[int, float] = {}
+        self._step_ended_at = time.monotonic()
+        self._step_task: asyncio.Task[None] | None = None
 
     async def respond(self, request: http_server.HttpRequest,
                       response: http_server.HttpResponse) -> None:
-        if self._task is None:
-            self._task = asyncio.create_task(self._run())
+        if self._step_task is None:
+            self._step_task = asyncio.create_task(self._run())
         if request.path == '/group':
             await response.send_json(200, self._describe())
             return
@@ -82,19 +90,19 @@
         rank = self._ranks[int(index)]
         document = json.loads(request.body or b'{}')
         if not action:
-            await self._show(rank, response)
+            await self._send_rank(rank, response)
         elif action == ['state']:
-            await self._store(rank, document, response)
+            await self._store_state(rank, document, response)
         elif action == ['load']:
-            await self._load(int(index), document, response)
+            await self._load_map(int(index), document, response)
         elif action == ['restart']:
             self._restart(rank)
             await response.send_json(200, {})
         else:
             await response.send(404, [], b'')
 
-    async def _show(self, rank: _Rank,
-                    response: http_server.HttpResponse) -> None:
+    async def _send_rank(self, rank: _Rank,
+                         response: http_server.HttpResponse) -> None:
         await response.send_json(
             200, {
                 'incarnation': rank.incarnation,
@@ -102,13 +110,13 @@
                 'state': base64.b64encode(rank.state).decode()
             })
 
-    async def _store(self, rank: _Rank, document: dict[str, Any],
-                     response: http_server.HttpResponse) -> None:
+    async def _store_state(self, rank: _Rank, document: dict[str, Any],
+                           response: http_server.HttpResponse) -> None:
         state = base64.b64decode(document['state'])
         new = switch_codec.decode_rank(state)
         is_armed = (new.pending is not None and new.stage is switch.Stage.ARMED)
-        known = rank.known
-        was_armed = known is not None and known.stage is switch.Stage.ARMED
+        stored = rank.switch_state
+        was_armed = (stored is not None and stored.stage is switch.Stage.ARMED)
         too_late = (is_armed and not was_armed and new.pending is not None and
                     new.pending.step <= rank.step)
         if document['incarnation'] != rank.incarnation or too_late:
@@ -117,8 +125,8 @@
         rank.state = state
         await response.send_json(200, {})
 
-    async def _load(self, index: int, document: dict[str, Any],
-                    response: http_server.HttpResponse) -> None:
+    async def _load_map(self, index: int, document: dict[str, Any],
+                        response: http_server.HttpResponse) -> None:
         path = f'/maps/{document["version"]}/{index}'
         try:
             async with self._client.request(self._weight_store, 'GET',
@@ -130,16 +138,16 @@
         await response.send_json(status, {})
 
     def _restart(self, rank: _Rank) -> None:
-        """The rank loses its memory; the step it was in is made again."""
+        """Resets a rank, which then enters the interrupted step again."""
         rank.incarnation += 1
         rank.state = b''
-        rank.step = self._completed
+        rank.step = self._completed_step
         rank.version = 0
 
     async def _run(self) -> None:
         while True:
-            step = self._completed + 1
-            if not self._enter(step):
+            step = self._completed_step + 1
+            if not self._enter_step(step):
                 await self._wait_to_enter(step)
             versions = {rank.version for rank in self._ranks}
             if len(versions) != 1:
@@ -147,60 +155,62 @@
                     'step': step,
                     'versions': [rank.version for rank in self._ranks]
                 })
-            self._completed = step
-            self._ended_at = time.monotonic()
+            self._completed_step = step
+            self._step_ended_at = time.monotonic()
             version = max(versions)
-            if version not in self._in_force:
-                self._in_force[version] = time.time()
-            await asyncio.sleep(self._step_s(version))
+            if version not in self._first_used_at_s:
+                self._first_used_at_s[version] = time.time()
+            await asyncio.sleep(self._step_duration_s(version))
 
     async def _wait_to_enter(self, step: int) -> None:
-        """The group stalls until its last rank may enter."""
-        began = time.monotonic()
-        while not self._enter(step):
-            await asyncio.sleep(_POLL_S)
-        self._stalled_s += time.monotonic() - began
-
-    def _enter(self, step: int) -> bool:
-        """Lets each rank enter that may; whether all have."""
+        """Waits until all ranks have entered; counts the time as a stall."""
+        started_at = time.monotonic()
+        while not self._enter_step(step):
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        self._stalled_s += time.monotonic() - started_at
+
+    def _enter_step(self, step: int) -> bool:
+        """Enters all ranks that may enter; returns whether all have entered."""
         for rank in self._ranks:
-            known = rank.known
-            if rank.step >= step or known is None or known.held is None:
+            stored = rank.switch_state
+            if rank.step >= step or stored is None or stored.held is None:
                 continue
-            if switch_rank.may_enter_next_step(known):
+            if switch_rank.may_enter_next_step(stored):
                 rank.step = step
-                rank.version = switch.map_version(known.held, step)
+                rank.version = switch.map_version(stored.held, step)
         return all(rank.step >= step for rank in self._ranks)
 
-    def _step_s(self, version: int) -> float:
-        """The time of the slowest rank, from the tokens on its experts."""
-        if version not in self._step_s_by_version:
+    def _step_duration_s(self, version: int) -> float:
+        """Returns the duration of a step, which the most loaded rank sets."""
+        if version not in self._step_duration_s_by_version:
             size = len(self._ranks)
             group = placement.GroupShape(
-                len(self._loads), (_EXPERTS_PER_RANK + _SPARE_SLOTS,) * size,
+                len(self._expert_loads),
+                (_EXPERTS_PER_RANK + _SPARE_SLOTS,) * size,
                 tuple(f'host-{i}' for i in range(size)))
             layout = (placement.initial_layout(group) if version == 1 else
-                      moves.optimize_layout(group, self._loads))
-            layer = expert_map.build_layer_map(layout, self._loads)
-            slowest = max(expert_map.loads_by_rank(layer, self._loads))
-            self._step_s_by_version[version] = _STEP_S * slowest
-        return self._step_s_by_version[version]
+                      moves.optimize_layout(group, self._expert_loads))
+            layer = expert_map.build_layer_map(layout, self._expert_loads)
+            slowest = max(expert_map.loads_by_rank(layer, self._expert_loads))
+            self._step_duration_s_by_version[
+                version] = _STEP_DURATION_S * slowest
+        return self._step_duration_s_by_version[version]
 
     def _describe(self) -> dict[str, Any]:
-        known = [rank.known for rank in self._ranks]
+        states = [rank.switch_state for rank in self._ranks]
         return {
-            'completed': self._completed,
-            'waiting_s': time.monotonic() - self._ended_at,
+            'completed': self._completed_step,
+            'waiting_s': time.monotonic() - self._step_ended_at,
             'violations': self._violations,
             'versions': [rank.version for rank in self._ranks],
             'incarnations': [rank.incarnation for rank in self._ranks],
             'stages': [
                 None if item is None or item.pending is None else item.stage
-                for item in known
+                for item in states
             ],
-            'in_force_at_s': self._in_force,
+            'in_force_at_s': self._first_used_at_s,
             'stalled_s': self._stalled_s,
-            'step_s': self._step_s_by_version
+            'step_s': self._step_duration_s_by_version
         }
 
 
--- a/tests/fakes/rank_system.py
+++ b/tests/fakes/rank_system.py
@@ -1,4 +1,4 @@
-"""Starts a rank group with one agent for each rank, on loopback."""
+"""Starts a rank group and one agent per rank on loopback."""
 
 import asyncio
 import contextlib
@@ -20,25 +20,31 @@
 GROUP = 'group-1'
 _LOOPBACK = '127.0.0.1:0'
 _STOP_TIMEOUT_S = 20.0
-_STARTS_AT_ONCE = 4
+_MAX_CONCURRENT_STARTS = 4
 
 
 class RankSystem:
-    """Owns the processes of one group."""
+    """Starts and stops the processes of one rank group.
+
+    Attributes:
+        size: the number of ranks.
+        by_name: the running processes by name.
+        client: an HTTP client for calls to the processes.
+    """
 
     def __init__(self, *, size: int) -> None:
         self.size = size
         self.by_name: dict[str, system_module.Process] = {}
         self.client = http_client.HttpClient()
-        self._old: list[system_module.Process] = []
-        self._stack = contextlib.AsyncExitStack()
-        self._folder = pathlib.Path()
+        self._replaced_processes: list[system_module.Process] = []
+        self._exit_stack = contextlib.AsyncExitStack()
+        self._directory = pathlib.Path()
 
     async def __aenter__(self) -> Self:
-        self._folder = pathlib.Path(
-            self._stack.enter_context(
+        self._directory = pathlib.Path(
+            self._exit_stack.enter_context(
                 tempfile.TemporaryDirectory(prefix='pollenthread-')))
-        await self._stack.enter_async_context(self.client)
+        await self._exit_stack.enter_async_context(self.client)
         try:
             await self._start_all()
         except BaseException:
@@ -49,7 +55,7 @@
     async def __aexit__(self, kind: type[BaseException] | None,
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
-        processes = [*self.by_name.values(), *self._old]
+        processes = [*self.by_name.values(), *self._replaced_processes]
         for process in processes:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
@@ -61,83 +67,83 @@
                     await process.child.wait()
             except TimeoutError:
                 await process.kill()
-        await self._stack.aclose()
+        await self._exit_stack.aclose()
 
     @property
     def table(self) -> table_http.HttpTable:
-        """A client of the table."""
+        """A client of the table stand-in."""
         return table_http.HttpTable(client=self.client,
                                     address=self._address('table'))
 
     def agent(self, index: int) -> system_module.Process:
-        """The agent of a rank."""
+        """Returns the process of a rank's agent."""
         return self.by_name[f'agent-{index}']
 
     def log_text(self, index: int) -> str:
-        """What the agent of a rank has logged."""
-        return (self._folder / f'agent-{index}.log').read_text('utf-8')
+        """Returns the log of a rank's agent."""
+        return (self._directory / f'agent-{index}.log').read_text('utf-8')
 
     async def start_agent(self, index: int) -> None:
-        """Starts, or starts again, the agent of a rank.
+        """Starts or restarts the agent of a rank.
 
-        An agent that still runs goes on beside the new one.
+        An agent of the rank that is still running is not stopped.
         """
         host = f'agent-{index}'
         if host in self.by_name:
-            self._old.append(self.by_name[host])
-        path = self._folder / f'{host}.yaml'
+            self._replaced_processes.append(self.by_name[host])
+        path = self._directory / f'{host}.yaml'
         path.write_text(yaml.safe_dump(self._settings(host, index)), 'utf-8')
         self.by_name[host] = await system_module.Process.start(
             host, ['pollenthread', 'agent', str(path)],
-            self._folder / f'{host}.log')
+            self._directory / f'{host}.log')
 
     async def group(self) -> dict[str, Any]:
-        """What the group tells about its ranks."""
+        """Returns the state of the group that the stand-in reports."""
         document: dict[str, Any] = await self._call('group', 'GET', '/group')
         return document
 
     async def status(self, index: int) -> dict[str, Any]:
-        """What an agent tells about its rank."""
+        """Returns the state of a rank that its agent reports."""
         address = self.agent(index).ready['admin']
-        async with self.client.request(address, 'GET', '/status') as exchange:
-            document = json.loads(await exchange.read_all())
+        async with self.client.request(address, 'GET', '/status') as response:
+            document = json.loads(await response.read_all())
         rank: dict[str, Any] = document['rank']
         return rank
 
     async def restart_rank(self, index: int) -> None:
-        """Makes a rank lose its memory."""
+        """Restarts a rank, which loses its state."""
         await self._call('group', 'POST', f'/ranks/{index}/restart')
 
     async def fault(self, name: str, **faults: Any) -> None:
-        """Orders faults from a stand-in; none ends them."""
+        """Replaces the faults of a stand-in; no arguments clear them."""
         await self._call(name, 'POST', '/fault', faults)
 
     async def set_wanted_map(self, version: int) -> None:
-        """Names the map that the group shall use."""
+        """Writes the version of the map that the group is to use."""
         key = group_coordinator.wanted_key(GROUP)
         row = (await self.table.get(key)).unwrap()
         value = json.dumps({'map_version': version}).encode()
         written = await self.table.put(
             key, value, expected_version=row.version if row else 0)
-        written.expect('the table takes the wanted map')
+        written.expect('cannot store the wanted map version')
 
     async def _start_all(self) -> None:
-        await self._start_fake('table', 'tests.fakes.table')
-        await self._start_fake('weights', 'tests.fakes.weight_store')
-        await self._start_fake('group', 'tests.fakes.rank_group',
-                               f'--size={self.size}',
-                               f'--weight-store={self._address("weights")}')
-        turns = asyncio.Semaphore(_STARTS_AT_ONCE)
+        await self._start_stand_in('table', 'tests.fakes.table')
+        await self._start_stand_in('weights', 'tests.fakes.weight_store')
+        await self._start_stand_in(
+            'group', 'tests.fakes.rank_group', f'--size={self.size}',
+            f'--weight-store={self._address("weights")}')
+        semaphore = asyncio.Semaphore(_MAX_CONCURRENT_STARTS)
 
         async def start(index: int) -> None:
-            async with turns:
+            async with semaphore:
                 await self.start_agent(index)
 
         await asyncio.gather(*(start(i) for i in range(self.size)))
 
-    async def _start_fake(self, name: str, module: str, *args: str) -> None:
+    async def _start_stand_in(self, name: str, module: str, *args: str) -> None:
         self.by_name[name] = await system_module.Process.start(
-            name, [module, *args], self._folder / f'{name}.log')
+            name, [module, *args], self._directory / f'{name}.log')
 
     def _address(self, name: str) -> str:
         address: str = self.by_name[name].ready['address']
@@ -178,5 +184,5 @@
         async with self.client.request(self._address(name),
                                        method,
                                        target,
-                                       body=body) as exchange:
-            return json.loads(await exchange.read_all())
+                                       body=body) as response:
+            return json.loads(await response.read_all())
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay whose open connections can fall silent for good."""
+"""A TCP relay whose open connections can be stalled permanently."""
 
 import asyncio
 import types
@@ -10,9 +10,18 @@
 
 
 class StallingRelay:
-    """Relays connections to one address."""
+    """Relays TCP connections to one address.
+
+    Attributes:
+        connections: the number of accepted connections.
+    """
 
     def __init__(self, *, address: str) -> None:
+        """Initializes the relay.
+
+        Args:
+            address: the `ip:port` to which connections are relayed.
+        """
         self._host, _, port = address.rpartition(':')
         self._port = int(port)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -22,7 +31,7 @@
 
     @property
     def address(self) -> str:
-        """The relay's `ip:port`."""
+        """The `ip:port` on which the relay listens."""
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
@@ -39,17 +48,18 @@
             writer.close()
 
     def stall(self) -> None:
-        """Makes the open connections carry nothing more; new ones work."""
+        """Stops relaying on open connections; new connections are relayed."""
         for task in self._tasks:
             task.cancel()
 
     async def _serve(self, reader: asyncio.StreamReader,
                      writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        far_reader, far_writer = await asyncio.open_connection(
+        upstream_reader, upstream_writer = await asyncio.open_connection(
             self._host, self._port)
-        self._writers += [writer, far_writer]
-        for source, sink in ((reader, far_writer), (far_reader, writer)):
+        self._writers += [writer, upstream_writer]
+        for source, sink in ((reader, upstream_writer), (upstream_reader,
+                                                         writer)):
             task = asyncio.create_task(_copy(source, sink))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -57,7 +67,7 @@
 
 async def _copy(source: asyncio.StreamReader,
                 sink: asyncio.StreamWriter) -> None:
-    """Copies until the source ends."""
+    """Copies data until the source ends or a connection fails."""
     try:
         while data := await source.read(_READ_BYTES):
             sink.write(data)
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -1,7 +1,7 @@
-"""Stand-in for a plain service whose effects are counted by key.
+"""Stand-in for a service that counts its executions by idempotency key.
 
-Every `POST` has one effect under its `idempotency-key`; the service itself
-does not recognise repeats. `GET /tally` shows the effects.
+Each `POST` is executed, and counted under its `idempotency-key`; the service
+does not detect repeated requests. `GET /tally` returns the counts.
 """
 
 import asyncio
@@ -15,12 +15,12 @@
 
 
 def expected_receipt(body: bytes) -> str:
-    """The receipt that the service gives for a body."""
+    """Returns the receipt in the response to a request body."""
     return hashlib.sha256(body).hexdigest()[:16]
 
 
 class ServiceHandler(serving.FakeHandler):
-    """Counts effects."""
+    """Counts the executed requests by idempotency key."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -1,4 +1,4 @@
-"""What the stand-ins share: serving, faults on order, and the ready line."""
+"""HTTP serving, fault injection and the ready line of the stand-ins."""
 
 import abc
 import asyncio
@@ -13,10 +13,13 @@
 
 
 class FakeHandler(http_server.RequestHandler):
-    """A stand-in whose faults are ordered with `POST /fault`.
+    """Handler of a stand-in whose faults are set with `POST /fault`.
 
     `POST /fault` takes a JSON object of fault names and values, which replaces
-    the faults in force; an empty object ends them. `GET /fault` shows them.
+    the active faults; an empty object clears them. `GET /fault` returns them.
+
+    Attributes:
+        faults: the active faults by name.
     """
 
     def __init__(self) -> None:
@@ -32,16 +35,23 @@
         await self.respond(request, response)
 
     def consume_fault(self, name: str) -> Any:
-        """Uses up one occurrence of a fault whose value is a count."""
-        left = self.faults.get(name, 0)
-        if left:
-            self.faults[name] = left - 1
-        return left
+        """Decrements a fault whose value is a count.
+
+        Args:
+            name: the name of the fault.
+
+        Returns:
+            The count before the call; 0 if the fault is not active.
+        """
+        remaining = self.faults.get(name, 0)
+        if remaining:
+            self.faults[name] = remaining - 1
+        return remaining
 
     @abc.abstractmethod
     async def respond(self, request: http_server.HttpRequest,
                       response: http_server.HttpResponse) -> None:
-        """Answers a request that is not about faults."""
+        """Responds to a request to a path other than `/fault`."""
 
 
 async def _serve(handler: FakeHandler) -> None:
@@ -62,5 +72,5 @@
 
 
 def run(handler: FakeHandler) -> None:
-    """Serves on a port chosen by the system until SIGTERM."""
+    """Serves on a free loopback port until SIGTERM or SIGINT."""
     asyncio.run(_serve(handler))
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -1,7 +1,7 @@
-"""Starts a whole system on loopback: stand-ins, entry hosts and agents.
+"""Starts a complete system on loopback: stand-ins, entry hosts and agents.
 
-Run as a program it prints one JSON object with every address, and stays up
-until SIGTERM.
+As a program, it prints one JSON object with all addresses and runs until
+SIGTERM.
 """
 
 import argparse
@@ -34,7 +34,7 @@
 _LOOPBACK = '127.0.0.1:0'
 _READY_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 20.0
-_SECOND_SIGNAL_S = 0.1
+_SECOND_SIGNAL_DELAY_S = 0.1  # the second SIGTERM stops a process at once
 _DATA_CENTRES = ('dc-1', 'dc-2', 'dc-3')
 _REGION = 'region-1'
 
@@ -91,7 +91,13 @@
 
 
 class Process:
-    """One child process that announces itself with a line of JSON."""
+    """A child process that reports its readiness with a line of JSON.
+
+    Attributes:
+        name: the name of the process within the system.
+        child: the operating system process.
+        ready: the JSON object that the process printed when it was ready.
+    """
 
     def __init__(self, *, name: str, child: aio_subprocess.Process,
                  ready: dict[str, Any]) -> None:
@@ -101,26 +107,26 @@
 
     @property
     def pid(self) -> int:
-        """The process's id."""
+        """The process ID."""
         return self.child.pid
 
     @property
     def is_running(self) -> bool:
-        """Whether it has not exited."""
+        """Whether the process has not exited."""
         return self.child.returncode is None
 
     def signal(self, number: signal.Signals) -> None:
-        """Sends a signal if the process still runs."""
+        """Sends a signal if the process is still running."""
         if self.is_running:
             self.child.send_signal(number)
 
     async def kill(self) -> None:
-        """Kills the process and waits for its end."""
+        """Kills the process and waits until it has exited."""
         self.signal(signal.SIGKILL)
         await self.child.wait()
 
     async def read_line(self) -> dict[str, Any]:
-        """Reads the next line that the process announces."""
+        """Reads the next line of JSON from the standard output."""
         assert self.child.stdout is not None
         line = await self.child.stdout.readline()
         document: dict[str, Any] = json.loads(line)
@@ -131,8 +137,16 @@
                     log_path: pathlib.Path) -> Self:
         """Starts a Python module and waits until it is ready.
 
+        Args:
+            name: the name of the process, for messages.
+            args: the module and its arguments.
+            log_path: the file to which standard error is appended.
+
+        Returns:
+            The running process.
+
         Raises:
-            RuntimeError: it ended or was not ready in time.
+            RuntimeError: the process exited or was not ready in time.
         """
         with log_path.open('ab') as log:
             child = await asyncio.create_subprocess_exec(
@@ -156,7 +170,14 @@
 
 
 class System:
-    """Owns the processes of one system."""
+    """Starts and stops the processes of one system.
+
+    Attributes:
+        by_name: the running processes by name.
+        client: an HTTP client for calls to the processes.
+        order_keys: the keys that sign orders, as in the settings.
+        folder: the directory of the settings and log files.
+    """
 
     def __init__(
             self,
@@ -166,14 +187,24 @@
             services: int = 1,
             targets: Mapping[str, Any] | None = None,
             security: Callable[[str], dict[str, str]] | None = None) -> None:
-        self._counts = {
+        """Initializes the system without starting it.
+
+        Args:
+            entries: the number of entry hosts.
+            engines: the number of engines, each with an agent.
+            services: the number of services, each with an agent.
+            targets: the targets document to publish; TARGETS by default.
+            security: returns the `link_security` settings of a host; links
+                are not secured by default.
+        """
+        self._count_by_kind = {
             'entry': entries,
             'engine': engines,
             'service': services
         }
         self._targets = dict(targets or TARGETS)
-        self._security = security
-        self._stack = contextlib.AsyncExitStack()
+        self._make_link_security = security
+        self._exit_stack = contextlib.AsyncExitStack()
         self.by_name: dict[str, Process] = {}
         self.client = http_client.HttpClient()
         self.order_keys = [{
@@ -183,10 +214,10 @@
         self.folder: pathlib.Path
 
     async def __aenter__(self) -> Self:
-        folder = self._stack.enter_context(
+        folder = self._exit_stack.enter_context(
             tempfile.TemporaryDirectory(prefix='pollenthread-'))
         self.folder = pathlib.Path(folder)
-        await self._stack.enter_async_context(self.client)
+        await self._exit_stack.enter_async_context(self.client)
         try:
             await self._start_all()
         except BaseException:
@@ -200,7 +231,7 @@
         for process in self.by_name.values():
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
-        await asyncio.sleep(_SECOND_SIGNAL_S)
+        await asyncio.sleep(_SECOND_SIGNAL_DELAY_S)
         for process in self.by_name.values():
             process.signal(signal.SIGTERM)
         for process in self.by_name.values():
@@ -209,32 +240,32 @@
                     await process.child.wait()
             except TimeoutError:
                 await process.kill()
-        await self._stack.aclose()
+        await self._exit_stack.aclose()
 
     def named(self, prefix: str) -> list[Process]:
-        """Processes whose names begin with a prefix, in order of number."""
+        """Returns the processes with a name prefix, ordered by number."""
         names = [name for name in self.by_name if name.startswith(prefix)]
         names.sort(key=lambda name: (len(name), name))
         return [self.by_name[name] for name in names]
 
     @property
     def entry_addresses(self) -> list[str]:
-        """Where callers reach the entry hosts."""
+        """The addresses of the entry hosts for callers."""
         return [process.ready['callers'] for process in self.named('entry-')]
 
     @property
     def table(self) -> table_http.HttpTable:
-        """A client of the table."""
+        """A client of the table stand-in."""
         return table_http.HttpTable(client=self.client,
                                     address=self.address('table'))
 
     def address(self, name: str) -> str:
-        """The address of a stand-in."""
+        """Returns the address of a stand-in."""
         address: str = self.by_name[name].ready['address']
         return address
 
     def describe(self) -> dict[str, Any]:
-        """Every address, for people and programs that try the system."""
+        """Returns the addresses and process IDs of all processes."""
         admin = {p.name: p.ready['admin'] for p in self.named('entry-')}
         return {
             'entries': self.entry_addresses,
@@ -265,47 +296,58 @@
                    target: str,
                    document: Any = None,
                    key: str = ON_CALL_KEY) -> Any:
-        """Calls a stand-in or an administration port; returns its JSON."""
+        """Sends a request to a stand-in or an admin port.
+
+        Args:
+            address: the `ip:port` of the server.
+            method: the HTTP method.
+            target: the path and query.
+            document: the JSON body; None sends no body.
+            key: the operator's bearer token.
+
+        Returns:
+            The decoded JSON of the response, or None if it has no body.
+        """
         body = b'' if document is None else json.dumps(document).encode()
         async with self.client.request(address,
                                        method,
                                        target,
                                        headers=[('authorization',
                                                  f'Bearer {key}')],
-                                       body=body) as exchange:
-            data = await exchange.read_all()
+                                       body=body) as response:
+            data = await response.read_all()
         return json.loads(data) if data else None
 
     async def fault(self, name: str, **faults: Any) -> None:
-        """Orders faults from a stand-in; none ends them."""
+        """Replaces the faults of a stand-in; no arguments clear them."""
         await self.call(self.address(name), 'POST', '/fault', faults)
 
     async def _start_all(self) -> None:
         for name in ('table', 'object_store', 'host_list'):
-            await self._start_fake(name, f'tests.fakes.{name}')
+            await self._start_stand_in(name, f'tests.fakes.{name}')
         store = config_store.ConfigStore(table_service=self.table,
                                          time=clock.SystemClock())
         published = await store.publish(self._targets, author='system', base=0)
-        published.expect('the table takes the targets')
-        starts: list[Awaitable[object]] = []
+        published.expect('cannot store the targets')
+        start_calls: list[Awaitable[object]] = []
         for kind in ('engine', 'service'):
-            for i in range(1, self._counts[kind] + 1):
-                starts.append(self._start_upstream(kind, i))
-        for i in range(1, self._counts['entry'] + 1):
-            starts.append(self.start_entry(i))
-        await asyncio.gather(*starts)
+            for i in range(1, self._count_by_kind[kind] + 1):
+                start_calls.append(self._start_upstream(kind, i))
+        for i in range(1, self._count_by_kind['entry'] + 1):
+            start_calls.append(self.start_entry(i))
+        await asyncio.gather(*start_calls)
         await self.wait_until_linked()
 
-    async def _start_fake(self, name: str, module: str) -> None:
+    async def _start_stand_in(self, name: str, module: str) -> None:
         self.by_name[name] = await Process.start(name, [module],
-                                                 self._log(name))
+                                                 self._log_path(name))
 
     async def _start_upstream(self, kind: str, number: int) -> None:
-        await self._start_fake(f'{kind}-{number}', f'tests.fakes.{kind}')
+        await self._start_stand_in(f'{kind}-{number}', f'tests.fakes.{kind}')
         await self.start_agent(kind, number)
 
     async def start_agent(self, kind: str, number: int) -> Process:
-        """Starts, or starts again, the agent of an upstream."""
+        """Starts or restarts the agent of an upstream and lists its host."""
         host = f'agent-{kind}-{number}'
         upstream: dict[str, Any] = {
             'kind': kind,
@@ -326,7 +368,7 @@
         return process
 
     async def start_entry(self, number: int) -> Process:
-        """Starts, or starts again, an entry host."""
+        """Starts or restarts an entry host and lists it."""
         host = f'entry-{number}'
         settings = self._settings('entry', host, number)
         settings['callers'] = _LOOPBACK
@@ -344,17 +386,24 @@
 
     async def list_host(self, host: str, fields: dict[str, Any],
                         number: int) -> None:
-        """Puts a host on the host list."""
-        place = _DATA_CENTRES[number % len(_DATA_CENTRES)]
-        await self.call(self.address('host_list'), 'PUT', f'/hosts/{host}', {
-            'data_centre': place,
-            'region': _REGION,
-            'state': 'live',
-            **fields
-        })
+        """Adds a host to the host list or updates its entry.
+
+        Args:
+            host: the name of the host.
+            fields: the fields of the entry besides location and state.
+            number: the number of the host, which selects its data centre.
+        """
+        data_centre = _DATA_CENTRES[number % len(_DATA_CENTRES)]
+        await self.call(
+            self.address('host_list'), 'PUT', f'/hosts/{host}', {
+                'data_centre': data_centre,
+                'region': _REGION,
+                'state': 'live',
+                **fields
+            })
 
     async def set_terminating(self, host: str) -> None:
-        """Lists a host as leaving."""
+        """Lists a host as being removed by the platform."""
         await self.call(self.address('host_list'), 'PUT', f'/hosts/{host}',
                         {'state': 'leaving'})
 
@@ -376,31 +425,32 @@
 
     async def _start_role(self, role: str, host: str,
                           settings: dict[str, Any]) -> Process:
-        if self._security is not None:
-            settings['link_security'] = self._security(host)
+        if self._make_link_security is not None:
+            settings['link_security'] = self._make_link_security(host)
         path = self.folder / f'{host}.yaml'
         path.write_text(yaml.safe_dump(settings), 'utf-8')
         process = await Process.start(
-            host, ['pollenthread', role, str(path)], self._log(host))
+            host, ['pollenthread', role, str(path)], self._log_path(host))
         self.by_name[host] = process
         return process
 
-    def _log(self, name: str) -> pathlib.Path:
+    def _log_path(self, name: str) -> pathlib.Path:
         return self.folder / f'{name}.log'
 
     def log_text(self, name: str) -> str:
-        """What a process has logged."""
-        return self._log(name).read_text('utf-8')
+        """Returns the log of a process."""
+        return self._log_path(name).read_text('utf-8')
 
     async def wait_until_linked(self) -> None:
-        """Waits until every entry host has targets and all its upstreams."""
-        wanted = self._counts['engine'] + self._counts['service']
+        """Waits until all entry hosts have targets and all upstreams."""
+        expected_upstreams = self._count_by_kind[
+            'engine'] + self._count_by_kind['service']
         async with asyncio.timeout(_READY_TIMEOUT_S):
             for process in self.named('entry-'):
                 while True:
                     status = await self.call(process.ready['admin'], 'GET',
                                              '/status')
-                    if (len(status['upstreams']) >= wanted and
+                    if (len(status['upstreams']) >= expected_upstreams and
                             status['targets_version']):
                         break
                     await asyncio.sleep(0.05)
--- a/tests/fakes/table.py
+++ b/tests/fakes/table.py
@@ -1,4 +1,10 @@
-"""Stand-in for the platform's transactional table."""
+"""Stand-in for the transactional table of the platform.
+
+Faults: `down` responds with status 503, `limited` with status 429; `delay_s`
+delays each call; `lost_answers` is the number of transactions that are applied
+without a response; `old_reads` is the number of reads that return the previous
+version of a row.
+"""
 
 import asyncio
 import base64
@@ -13,12 +19,12 @@
 
 
 class TableHandler(serving.FakeHandler):
-    """Rows in memory with conditional transactions."""
+    """Holds rows in memory; transactions are conditional on row versions."""
 
     def __init__(self) -> None:
         super().__init__()
         self._rows_by_key: dict[str, tuple[bytes, int]] = {}
-        self._old_rows_by_key: dict[str, tuple[bytes, int]] = {}
+        self._previous_rows_by_key: dict[str, tuple[bytes, int]] = {}
         self._last_version = 0
         self._counts = {'reads': 0, 'writes': 0, 'transactions': 0}
 
@@ -49,11 +55,11 @@
         key = parse.unquote(request.path[len('/rows/'):])
         rows = self._rows_by_key
         if self.consume_fault('old_reads'):
-            rows = {**rows, **self._old_rows_by_key}
+            rows = {**rows, **self._previous_rows_by_key}
         if key not in rows:
             await response.send(404, [], b'')
             return
-        row = _shown(key, rows[key])
+        row = _encode_row(key, rows[key])
         await response.send_json(200, row, [('etag', f'"{row["version"]}"')])
 
     async def _scan(self, request: http_server.HttpRequest,
@@ -61,7 +67,7 @@
         query = parse.parse_qs(request.target.partition('?')[2])
         prefix = query.get('prefix', [''])[0]
         found = [
-            _shown(key, row)
+            _encode_row(key, row)
             for key, row in sorted(self._rows_by_key.items())
             if key.startswith(prefix)
         ]
@@ -89,7 +95,7 @@
     def _apply(self, write: dict[str, Any]) -> int:
         key = write['key']
         if key in self._rows_by_key:
-            self._old_rows_by_key[key] = self._rows_by_key.pop(key)
+            self._previous_rows_by_key[key] = self._rows_by_key.pop(key)
         self._last_version += 1
         if write['value'] is not None:
             self._rows_by_key[key] = (base64.b64decode(write['value']),
@@ -97,7 +103,7 @@
         return self._last_version
 
 
-def _shown(key: str, row: tuple[bytes, int]) -> dict[str, Any]:
+def _encode_row(key: str, row: tuple[bytes, int]) -> dict[str, Any]:
     return {
         'key': key,
         'value': base64.b64encode(row[0]).decode(),
--- a/tests/fakes/thin_links.py
+++ b/tests/fakes/thin_links.py
@@ -1,8 +1,8 @@
-"""Hosts that talk over thin links, in virtual time.
+"""Emulates hosts that exchange messages over slow links in virtual time.
 
-Every host has a link with a speed in each direction; what is sent waits until
-the link is free. Datagrams are lost when too much waits. Messages are encoded
-by the product's codec, so their sizes are the real ones.
+Each host has a link with a limited rate in each direction, on which data is
+queued. A datagram is dropped if the queue is too long. The messages are encoded
+with the codec of the program, so that their sizes are realistic.
 """
 
 import asyncio
@@ -18,12 +18,12 @@
 __all__ = ['Fabric', 'FabricNetwork']
 
 _BITS_PER_BYTE = 8
-_MEGA = 1_000_000
-_DELAY_S = 0.0005
+_BITS_PER_MEGABIT = 1_000_000
+_PROPAGATION_DELAY_S = 0.0005
 _DATAGRAM_HEADER_BYTES = 28
 _CALL_HEADER_BYTES = 160
 _MAX_BACKLOG_S = 0.25
-_ANSWER_TIMEOUT_S = 0.8
+_CALL_TIMEOUT_S = 0.8
 
 
 @dataclasses.dataclass
@@ -31,8 +31,8 @@
     """One direction of a link.
 
     Attributes:
-        free_at: when everything that was sent has passed.
-        sent_bytes: all bytes that passed.
+        free_at: the time at which all queued data has been transmitted.
+        sent_bytes: the number of transmitted bytes.
     """
 
     free_at: float = 0.0
@@ -41,7 +41,13 @@
 
 @dataclasses.dataclass
 class _Host:
-    """A host's link and what it answers."""
+    """A host and its link.
+
+    Attributes:
+        network: the host's network interface.
+        up: the direction from the host.
+        down: the direction to the host.
+    """
 
     network: 'FabricNetwork'
     up: _Direction = dataclasses.field(default_factory=_Direction)
@@ -49,51 +55,71 @@
 
 
 class Fabric:
-    """All links."""
+    """The links of all hosts; datagrams can be dropped, calls cannot.
+
+    Attributes:
+        host_by_address: the hosts by address.
+        lost_by_kind: the number of dropped datagrams by message type.
+        sent_by_kind: the number of sent datagrams by message type.
+    """
 
     def __init__(self, *, megabits_per_s: float) -> None:
-        self._bytes_per_s = megabits_per_s * _MEGA / _BITS_PER_BYTE
+        """Initializes the links.
+
+        Args:
+            megabits_per_s: the rate of each link in each direction.
+        """
+        self._bytes_per_s = megabits_per_s * _BITS_PER_MEGABIT / _BITS_PER_BYTE
         self.host_by_address: dict[str, _Host] = {}
         self.lost_by_kind: collections.Counter[str] = collections.Counter()
         self.sent_by_kind: collections.Counter[str] = collections.Counter()
 
     def busiest_bytes_per_s(self, seconds: float) -> float:
-        """The mean use of the link that was used most, in either direction."""
+        """Returns the highest mean rate of a link in one direction.
+
+        Args:
+            seconds: the duration over which to take the mean.
+        """
         return max(direction.sent_bytes
                    for host in self.host_by_address.values()
                    for direction in (host.up, host.down)) / seconds
 
     def send_datagram(self, source: str, target: str, data: bytes,
                       kind: str) -> None:
-        """Sends a datagram, which is lost when a link is full."""
+        """Sends a datagram; drops it if a link's queue is too long."""
         size = len(data) + _DATAGRAM_HEADER_BYTES
         self.sent_by_kind[kind] += 1
-        here = self.host_by_address[source]
-        there = self.host_by_address.get(target)
+        sender = self.host_by_address[source]
+        receiver = self.host_by_address.get(target)
         now = asyncio.get_running_loop().time()
-        if here.up.free_at - now > _MAX_BACKLOG_S:
+        if sender.up.free_at - now > _MAX_BACKLOG_S:
             self.lost_by_kind[kind] += 1
             return
-        arrives_at = self._pass(here.up, now, size) + _DELAY_S
-        if there is None:
+        arrives_at = self._schedule_transmission(sender.up, now,
+                                                 size) + _PROPAGATION_DELAY_S
+        if receiver is None:
             return
-        if there.down.free_at - arrives_at > _MAX_BACKLOG_S:
+        if receiver.down.free_at - arrives_at > _MAX_BACKLOG_S:
             self.lost_by_kind[kind] += 1
             return
         asyncio.get_running_loop().call_at(
-            self._pass(there.down, arrives_at, size),
-            there.network.receive_datagram, data)
+            self._schedule_transmission(receiver.down, arrives_at, size),
+            receiver.network.receive_datagram, data)
 
     async def transfer(self, source: str, target: str, size: int) -> None:
-        """Carries the bytes of a call, which wait but are not lost."""
+        """Waits until the bytes of a call are transmitted; none are dropped."""
         loop = asyncio.get_running_loop()
         size += _CALL_HEADER_BYTES
-        here, there = (self.host_by_address[a] for a in (source, target))
-        sent_at = self._pass(here.up, loop.time(), size) + _DELAY_S
-        await asyncio.sleep(self._pass(there.down, sent_at, size) - loop.time())
-
-    def _pass(self, direction: _Direction, now: float, size: int) -> float:
-        """When bytes that arrive now have passed."""
+        sender, receiver = (self.host_by_address[a] for a in (source, target))
+        sent_at = self._schedule_transmission(sender.up, loop.time(),
+                                              size) + _PROPAGATION_DELAY_S
+        await asyncio.sleep(
+            self._schedule_transmission(receiver.down, sent_at, size) -
+            loop.time())
+
+    def _schedule_transmission(self, direction: _Direction, now: float,
+                               size: int) -> float:
+        """Queues bytes on a link; returns when they have been transmitted."""
         begin = max(now, direction.free_at)
         direction.free_at = begin + size / self._bytes_per_s
         direction.sent_bytes += size
@@ -101,21 +127,21 @@
 
 
 class FabricNetwork(peers.PeerNetwork):
-    """One host's end."""
+    """The network interface of one host."""
 
     def __init__(self, *, fabric: Fabric, address: str) -> None:
         self._fabric = fabric
         self._address = address
-        self._take_by_type: dict[type[Any], Callable[[Any], None]] = {}
-        self._make_state: Callable[[], Awaitable[peer_messages.RankState |
-                                                 None]] | None = None
-        self._make_layout: Callable[[], Awaitable[peer_messages.RankLayout |
-                                                  None]] | None = None
+        self._handler_by_type: dict[type[Any], Callable[[Any], None]] = {}
+        self._get_rank_state: Callable[[], Awaitable[peer_messages.RankState |
+                                                     None]] | None = None
+        self._get_rank_layout: Callable[[], Awaitable[peer_messages.RankLayout |
+                                                      None]] | None = None
         fabric.host_by_address[address] = _Host(network=self)
 
     def set_datagram_handler(self, message_type: type[Any],
                              handler: Callable[[Any], None]) -> None:
-        self._take_by_type[message_type] = handler
+        self._handler_by_type[message_type] = handler
 
     def send(self, address: str, *messages: Any) -> None:
         for message in messages:
@@ -129,11 +155,11 @@
         return True
 
     def receive_datagram(self, data: bytes) -> None:
-        """Takes a datagram."""
+        """Decodes a datagram and passes it to the handler of its type."""
         message = peer_codec.decode_datagram(data)
-        take = self._take_by_type.get(type(message))
-        if take is not None:
-            take(message)
+        handler = self._handler_by_type.get(type(message))
+        if handler is not None:
+            handler(message)
 
     def set_snapshot_provider(
             self, provider: Callable[[],
@@ -144,13 +170,13 @@
         self,
         provider: Callable[[],
                            Awaitable[peer_messages.RankState | None]]) -> None:
-        self._make_state = provider
+        self._get_rank_state = provider
 
     def set_rank_layout_provider(
         self,
         provider: Callable[[],
                            Awaitable[peer_messages.RankLayout | None]]) -> None:
-        self._make_layout = provider
+        self._get_rank_layout = provider
 
     async def fetch_snapshot(self,
                              address: str) -> peer_messages.Snapshot | None:
@@ -158,36 +184,39 @@
 
     async def fetch_rank_state(self,
                                address: str) -> peer_messages.RankState | None:
-        found: peer_messages.RankState | None = await self._call(
-            address, lambda there: there.provide_rank_state())
-        return found
+        response_message: peer_messages.RankState | None = await self._call(
+            address, lambda receiver: receiver.provide_rank_state())
+        return response_message
 
     async def fetch_rank_layout(
             self, address: str) -> peer_messages.RankLayout | None:
-        found: peer_messages.RankLayout | None = await self._call(
-            address, lambda there: there.provide_rank_layout())
-        return found
-
-    async def _call(self, address: str, ask: Callable[['FabricNetwork'],
-                                                      Awaitable[Any]]) -> Any:
-        there = self._fabric.host_by_address.get(address)
-        if there is None:
+        response_message: peer_messages.RankLayout | None = await self._call(
+            address, lambda receiver: receiver.provide_rank_layout())
+        return response_message
+
+    async def _call(
+            self, address: str, send_request: Callable[['FabricNetwork'],
+                                                       Awaitable[Any]]) -> Any:
+        receiver = self._fabric.host_by_address.get(address)
+        if receiver is None:
             return None
         try:
-            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
                 await self._fabric.transfer(self._address, address, 0)
-                answer = await ask(there.network)
-                if answer is not None:
-                    size = len(peer_codec.encode(answer))
+                response = await send_request(receiver.network)
+                if response is not None:
+                    size = len(peer_codec.encode(response))
                     await self._fabric.transfer(address, self._address, size)
-                return answer
+                return response
         except TimeoutError:
             return None
 
     async def provide_rank_state(self) -> peer_messages.RankState | None:
-        """Asks the host's handler for its rank's state."""
-        return None if self._make_state is None else await self._make_state()
+        """Returns the state of the host's rank, or None."""
+        return (None if self._get_rank_state is None else await
+                self._get_rank_state())
 
     async def provide_rank_layout(self) -> peer_messages.RankLayout | None:
-        """Asks the host's handler for its rank's experts."""
-        return None if self._make_layout is None else await self._make_layout()
+        """Returns the expert layout of the host's rank, or None."""
+        return (None if self._get_rank_layout is None else await
+                self._get_rank_layout())
--- a/tests/fakes/virtual_time.py
+++ b/tests/fakes/virtual_time.py
@@ -1,4 +1,4 @@
-"""An event loop whose time passes only while nothing can run."""
+"""An event loop whose clock advances only while no callback is ready."""
 
 import asyncio
 import selectors
@@ -12,53 +12,58 @@
 _Result = TypeVar('_Result')
 
 
-class _JumpingSelector(selectors.BaseSelector):
-    """Never waits: it moves the time on instead."""
+class _VirtualTimeSelector(selectors.BaseSelector):
+    """Advances the virtual time instead of waiting for a timeout.
+
+    Attributes:
+        now: the virtual time in seconds.
+    """
 
     def __init__(self) -> None:
         self.now = 1000.0
-        self._inner = selectors.DefaultSelector()
+        self._selector = selectors.DefaultSelector()
 
     def register(self,
                  fileobj: Any,
                  events: int,
                  data: Any = None) -> selectors.SelectorKey:
-        return self._inner.register(fileobj, events, data)
+        return self._selector.register(fileobj, events, data)
 
     def unregister(self, fileobj: Any) -> selectors.SelectorKey:
-        return self._inner.unregister(fileobj)
+        return self._selector.unregister(fileobj)
 
     def select(
         self,
         timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        found = self._inner.select(0)
-        if not found and timeout is None:
-            raise RuntimeError('nothing can ever happen again')
-        if not found and timeout:
+        ready = self._selector.select(0)
+        if not ready and timeout is None:
+            raise RuntimeError(
+                'deadlock: no callback, timer or ready file descriptor')
+        if not ready and timeout:
             self.now += timeout
-        return found
+        return ready
 
     def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
-        return self._inner.get_map() or {}
+        return self._selector.get_map() or {}
 
     def close(self) -> None:
-        self._inner.close()
+        self._selector.close()
 
 
-class _VirtualLoop(asyncio.SelectorEventLoop):
-    """Runs on a jumping selector's time."""
+class _VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop that runs on virtual time."""
 
     def __init__(self) -> None:
-        self._selector_with_time = _JumpingSelector()
-        super().__init__(self._selector_with_time)
+        self._time_selector = _VirtualTimeSelector()
+        super().__init__(self._time_selector)
 
     def time(self) -> float:
-        return self._selector_with_time.now
+        return self._time_selector.now
 
 
 class LoopClock(clock.Clock):
-    """The time of the running loop."""
+    """A clock that reads the time of the running loop."""
 
     def monotonic(self) -> float:
         return asyncio.get_running_loop().time()
@@ -68,6 +73,6 @@
 
 
 def run(coroutine: Coroutine[Any, Any, _Result]) -> _Result:
-    """Runs to the end, however long that takes in virtual time."""
-    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+    """Runs a coroutine to completion in virtual time; returns its result."""
+    with asyncio.Runner(loop_factory=_VirtualTimeLoop) as runner:
         return runner.run(coroutine)
--- a/tests/fakes/weight_store.py
+++ b/tests/fakes/weight_store.py
@@ -1,8 +1,10 @@
-"""Stand-in for the weight store: rate-limited, and slow or down on order.
+"""Stand-in for the weight store with a limited transfer rate.
 
-`GET /maps/VERSION/RANK` answers once the rank's share of the rate has carried
-the weights. Faults: `down`, `delay_s`, `fail_ranks` (a
-list of ranks), `slow_others` (a rank; all others wait until the fault ends).
+`GET /maps/VERSION/RANK` responds after the time that the transfer of the
+weights takes; transfers run one at a time. Faults: `down` responds with status
+503; `delay_s` delays each response; `fail_ranks` is a list of ranks that get
+status 503; `slow_others` is the only rank that gets responses until the fault
+is cleared.
 """
 
 import asyncio
@@ -14,15 +16,15 @@
 
 _BYTES_PER_S = 400e6
 _MAP_BYTES = 4e6
-_POLL_S = 0.02
+_POLL_INTERVAL_S = 0.02
 
 
 class WeightStoreHandler(serving.FakeHandler):
-    """Serves one load after the other at the limited rate."""
+    """Transfers the weights to one rank at a time at the limited rate."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._turn = asyncio.Lock()
+        self._transfer_lock = asyncio.Lock()
         self._counts = {'loads': 0, 'failed': 0}
 
     async def respond(self, request: http_server.HttpRequest,
@@ -31,7 +33,7 @@
             await response.send_json(200, self._counts)
             return
         rank = int(request.path.rpartition('/')[2])
-        async with self._turn:
+        async with self._transfer_lock:
             await asyncio.sleep(_MAP_BYTES / _BYTES_PER_S)
         await self._delay(rank)
         if self.faults.get('down') or rank in self.faults.get('fail_ranks', []):
@@ -42,12 +44,12 @@
         await response.send_json(200, {'bytes': _MAP_BYTES})
 
     async def _delay(self, rank: int) -> None:
-        left_s = self.faults.get('delay_s', 0)
-        while left_s > 0 and 'delay_s' in self.faults:
-            await asyncio.sleep(_POLL_S)
-            left_s -= _POLL_S
+        remaining_s = self.faults.get('delay_s', 0)
+        while remaining_s > 0 and 'delay_s' in self.faults:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+            remaining_s -= _POLL_INTERVAL_S
         while self.faults.get('slow_others', rank) != rank:
-            await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(_POLL_INTERVAL_S)
 
 
 if __name__ == '__main__':
--- a/tests/pages.py
+++ b/tests/pages.py
@@ -1,7 +1,7 @@
-"""Pages that are generated from the code.
+"""Generates documentation pages from the code.
 
-    python -m tests.pages --write    writes them
-    python -m tests.pages            fails when one is not current
+    python -m tests.pages --write    writes the pages
+    python -m tests.pages            fails if a page is outdated
 """
 
 import argparse
@@ -16,14 +16,14 @@
 __all__: list[str] = []
 
 _DOCS = pathlib.Path(__file__).resolve().parent.parent / 'docs'
-_RAN_WORDS = {
+_EXECUTED_TEXTS = {
     errors.Executed.NO: 'it did not run',
     errors.Executed.YES: 'it ran',
     errors.Executed.UNKNOWN: 'not known',
 }
 
 
-def _kinds() -> str:
+def _render_error_kinds() -> str:
     lines = [
         '# Kinds of errors', '',
         'Generated from `pollenthread/core/errors.py` by '
@@ -36,16 +36,16 @@
         '| repeat after | connection |', '|---|---|---|---|---|---|'
     ]
     for kind in errors.ErrorKind:
-        answer = errors.ERROR_RESPONSES[kind]
-        after = ('' if answer.retry_after_s is None else
-                 f'{answer.retry_after_s} s')
-        lines.append(f'| `{kind.value}` | {answer.status} | {answer.title} '
-                     f'| {_RAN_WORDS[answer.executed]} | {after} '
-                     f'| {"closed" if answer.close else "kept"} |')
+        response = errors.ERROR_RESPONSES[kind]
+        retry_after = ('' if response.retry_after_s is None else
+                       f'{response.retry_after_s} s')
+        lines.append(f'| `{kind.value}` | {response.status} | {response.title} '
+                     f'| {_EXECUTED_TEXTS[response.executed]} | {retry_after} '
+                     f'| {"closed" if response.close else "kept"} |')
     return '\n'.join(lines) + '\n'
 
 
-def _events() -> str:
+def _render_events() -> str:
     lines = [
         '# Events of the structured log', '',
         'Generated from `pollenthread/core/log_events.py` by '
@@ -59,14 +59,14 @@
     return '\n'.join(lines) + '\n'
 
 
-def _openapi() -> str:
+def _render_openapi() -> str:
     return json.dumps(admin_api.openapi(), indent=2) + '\n'
 
 
-_PAGES: dict[str, Callable[[], str]] = {
-    'EVENTS.md': _events,
-    'KINDS.md': _kinds,
-    'openapi.json': _openapi,
+_RENDERER_BY_PAGE: dict[str, Callable[[], str]] = {
+    'EVENTS.md': _render_events,
+    'KINDS.md': _render_error_kinds,
+    'openapi.json': _render_openapi,
 }
 
 
@@ -74,19 +74,19 @@
     """Writes or checks the pages.
 
     Returns:
-        The exit status: 1 when a page is not current.
+        The exit status: 1 if a page is outdated, otherwise 0.
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--write', action='store_true')
     args = parser.parse_args()
     status = 0
-    for name, make in _PAGES.items():
+    for name, render in _RENDERER_BY_PAGE.items():
         path = _DOCS / name
         if args.write:
-            path.write_text(make(), 'utf-8')
-        elif not path.exists() or path.read_text('utf-8') != make():
+            path.write_text(render(), 'utf-8')
+        elif not path.exists() or path.read_text('utf-8') != render():
             print(
-                f'docs/{name} is not current: run '
+                f'docs/{name} is outdated: run '
                 '`python -m tests.pages --write`',
                 file=sys.stderr)
             status = 1
--- a/tests/path/environment.py
+++ b/tests/path/environment.py
@@ -1,4 +1,4 @@
-"""Starts one event loop for each scenario."""
+"""Hooks of behave that open and close an event loop per scenario."""
 
 from typing import Any
 
@@ -8,10 +8,10 @@
 
 
 def before_scenario(context: Any, _: Any) -> None:
-    """Opens the loop."""
+    """Opens the event loop."""
     scenario.open_loop(context)
 
 
 def after_scenario(context: Any, _: Any) -> None:
-    """Stops the system."""
+    """Stops what the scenario started and closes the event loop."""
     scenario.close(context)
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,7 +1,7 @@
-"""Runs every feature with behave and counts scenarios.
+"""Runs the features with behave and counts the scenarios by result.
 
-Scenarios that KNOWN-RED.txt names are passed over and printed. Each line of
-that file which begins with `scenario:` names one, as `scenario: FEATURE: NAME`.
+Scenarios that KNOWN-RED.txt lists do not affect the exit status; their results
+are printed. Each line `scenario: FEATURE: NAME` of the file lists one scenario.
 """
 
 import argparse
@@ -19,46 +19,52 @@
 __all__: list[str] = []
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-_KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
-_KNOWN_PREFIX = 'scenario: '
+_KNOWN_RED_FILE = _ROOT / 'KNOWN-RED.txt'
+_SCENARIO_PREFIX = 'scenario: '
 _FEATURE_TIMEOUT_S = 900
 _DEFAULT_JOBS = max(1, (os.cpu_count() or 2) // 2)
 
 
 @dataclasses.dataclass
-class _Count:
-    """Scenarios by result."""
+class _ResultCounts:
+    """Results of the scenarios.
+
+    Attributes:
+        passed: the number of passed scenarios.
+        failed: the number of failed scenarios and of features without any.
+        known_red: the titles and statuses of the listed scenarios.
+    """
 
     passed: int = 0
     failed: int = 0
     known_red: list[str] = dataclasses.field(default_factory=list)
 
 
-def _known_red() -> set[str]:
-    if not _KNOWN_RED.exists():
+def _read_known_red() -> set[str]:
+    if not _KNOWN_RED_FILE.exists():
         return set()
-    lines = _KNOWN_RED.read_text('utf-8').splitlines()
+    lines = _KNOWN_RED_FILE.read_text('utf-8').splitlines()
     return {
-        line[len(_KNOWN_PREFIX):].strip()
+        line[len(_SCENARIO_PREFIX):].strip()
         for line in lines
-        if line.startswith(_KNOWN_PREFIX)
+        if line.startswith(_SCENARIO_PREFIX)
     }
 
 
-def _features(paths: Sequence[str]) -> list[pathlib.Path]:
+def _feature_paths(paths: Sequence[str]) -> list[pathlib.Path]:
     if paths:
         return [pathlib.Path(path) for path in paths]
     return sorted((_ROOT / 'tests').glob('*/*.feature'))
 
 
-def _run(feature: pathlib.Path) -> tuple[list[dict[str, Any]], str]:
+def _run_feature(feature: pathlib.Path) -> tuple[list[dict[str, Any]], str]:
     """Runs one feature.
 
     Returns:
-        behave's JSON report, and its output for people.
+        The JSON report of behave, empty if there is none, and its text output.
     """
-    with tempfile.TemporaryDirectory() as folder:
-        report = pathlib.Path(folder) / 'report.json'
+    with tempfile.TemporaryDirectory() as directory:
+        report = pathlib.Path(directory) / 'report.json'
         command = [
             sys.executable, '-m', 'behave', '--no-color', '--format', 'plain',
             '--format', 'json', '--outfile', '/dev/stdout', '--outfile',
@@ -67,70 +73,73 @@
         ]
         environment = {**os.environ, 'PYTHONPATH': str(_ROOT)}
         try:
-            done = subprocess.run(command,
-                                  cwd=_ROOT,
-                                  env=environment,
-                                  capture_output=True,
-                                  text=True,
-                                  check=False,
-                                  timeout=_FEATURE_TIMEOUT_S)
+            process = subprocess.run(command,
+                                     cwd=_ROOT,
+                                     env=environment,
+                                     capture_output=True,
+                                     text=True,
+                                     check=False,
+                                     timeout=_FEATURE_TIMEOUT_S)
         except subprocess.TimeoutExpired as error:
             return [], f'{feature}: timed out\n{error.stdout!r}'
-        text = done.stdout + done.stderr
+        output = process.stdout + process.stderr
         if not report.exists() or not report.stat().st_size:
-            return [], text
-        return json.loads(report.read_text('utf-8')), text
+            return [], output
+        return json.loads(report.read_text('utf-8')), output
 
 
-def _count(feature: pathlib.Path, reports: list[dict[str, Any]], text: str,
-           known: set[str], count: _Count) -> None:
-    """Adds one feature's scenarios to the count."""
-    red = False
-    ran = 0
+def _add_results(feature: pathlib.Path, reports: list[dict[str,
+                                                           Any]], output: str,
+                 known_red_titles: set[str], counts: _ResultCounts) -> None:
+    """Adds the results of one feature and prints its status."""
+    has_failed = False
+    scenario_count = 0
     for report in reports:
         for element in report.get('elements', []):
             if element['type'] == 'background':
                 continue
-            ran += 1
+            scenario_count += 1
             title = f'{report["name"]}: {element["name"]}'
             status = element['status']
-            if title in known:
-                count.known_red.append(f'{title} ({status})')
+            if title in known_red_titles:
+                counts.known_red.append(f'{title} ({status})')
             elif status == 'passed':
-                count.passed += 1
+                counts.passed += 1
             else:
-                count.failed += 1
-                red = True
-    if not ran:
-        count.failed += 1
-        red = True
-    print(f'{"FAILED" if red else "ok"}: {feature} ({ran} scenarios)')
-    if red:
-        print(text)
+                counts.failed += 1
+                has_failed = True
+    if not scenario_count:
+        counts.failed += 1
+        has_failed = True
+    print(f'{"FAILED" if has_failed else "ok"}: {feature} '
+          f'({scenario_count} scenarios)')
+    if has_failed:
+        print(output)
 
 
 def main() -> int:
     """Runs the features.
 
     Returns:
-        The exit status: 0 when every scenario passed.
+        The exit status: 0 if scenarios passed and none failed, otherwise 1.
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('paths', nargs='*', help='feature files; default all')
     parser.add_argument('--jobs', type=int, default=_DEFAULT_JOBS)
     args = parser.parse_args()
-    count = _Count()
-    known = _known_red()
-    features = _features(args.paths)
+    counts = _ResultCounts()
+    known_red_titles = _read_known_red()
+    features = _feature_paths(args.paths)
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as executor:
-        for feature, (reports, text) in zip(features,
-                                            executor.map(_run, features)):
-            _count(feature, reports, text, known, count)
+        for feature, (reports,
+                      output) in zip(features,
+                                     executor.map(_run_feature, features)):
+            _add_results(feature, reports, output, known_red_titles, counts)
             sys.stdout.flush()
-    for title in count.known_red:
+    for title in counts.known_red:
         print(f'known red: {title}')
-    print(f'{count.passed} passed, {count.failed} failed')
-    return 0 if count.passed and not count.failed else 1
+    print(f'{counts.passed} passed, {counts.failed} failed')
+    return 0 if counts.passed and not counts.failed else 1
 
 
 if __name__ == '__main__':
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,4 +1,4 @@
-"""What the steps of all features share: one event loop and one system."""
+"""Event loop and system that the steps of a scenario share."""
 
 import asyncio
 import contextlib
@@ -9,33 +9,49 @@
 
 __all__ = ['close', 'eventually', 'open_loop', 'run', 'start_system']
 
-_T = TypeVar('_T')
+_Result = TypeVar('_Result')
 _STEP_TIMEOUT_S = 60.0
 _EVENTUALLY_TIMEOUT_S = 15.0
 
 
 def open_loop(context: Any) -> None:
-    """Gives the context a loop and a stack of owners; call before a scenario.
-    """
+    """Adds an event loop and an exit stack to the context of a scenario."""
     context.runner = asyncio.Runner()
     context.stack = contextlib.AsyncExitStack()
 
 
 def run(context: Any,
-        awaitable: Awaitable[_T],
-        timeout_s: float = _STEP_TIMEOUT_S) -> _T:
-    """Runs a step's work to its end."""
+        awaitable: Awaitable[_Result],
+        timeout_s: float = _STEP_TIMEOUT_S) -> _Result:
+    """Runs an awaitable to completion in the loop of the scenario.
+
+    Args:
+        context: the context of behave.
+        awaitable: the awaitable to run.
+        timeout_s: the timeout in seconds.
+
+    Returns:
+        The result of the awaitable.
 
-    async def bounded() -> _T:
+    Raises:
+        TimeoutError: the awaitable did not complete in time.
+    """
+
+    async def bounded() -> _Result:
         async with asyncio.timeout(timeout_s):
             return await awaitable
 
-    result: _T = context.runner.run(bounded())
+    result: _Result = context.runner.run(bounded())
     return result
 
 
 def start_system(context: Any, **counts: Any) -> system_module.System:
-    """Starts a system that lives until `close`."""
+    """Starts a system that runs until `close`.
+
+    Args:
+        context: the context of behave; gets the system and a caller.
+        **counts: the arguments of the system, such as numbers of hosts.
+    """
     system = run(
         context,
         context.stack.enter_async_context(system_module.System(**counts)))
@@ -46,21 +62,25 @@
 
 
 def close(context: Any) -> None:
-    """Stops everything the scenario started; call after it."""
+    """Stops everything that the scenario started, and its event loop."""
     run(context, context.stack.aclose())
     context.runner.close()
 
 
 async def eventually(check: Callable[[], Awaitable[bool]],
                      timeout_s: float = _EVENTUALLY_TIMEOUT_S) -> None:
-    """Waits until a check holds.
+    """Polls a check until it returns true.
+
+    Args:
+        check: the asynchronous check.
+        timeout_s: the timeout in seconds.
 
     Raises:
-        AssertionError: it did not hold in time.
+        AssertionError: the check did not return true in time.
     """
     try:
         async with asyncio.timeout(timeout_s):
             while not await check():
                 await asyncio.sleep(0.02)
     except TimeoutError:
-        raise AssertionError('the condition did not come to hold') from None
+        raise AssertionError('condition not met before the timeout') from None
