Rename local variables of the test stand-ins

Names such as found or call said nothing of what they hold. A comment gives the reason why a rank rejects a late arming.

The syntax trees without names, docstrings and texts are unchanged.

--- a/tests/fakes/caller.py
+++ b/tests/fakes/caller.py
@@ -114,13 +114,21 @@
                                     await response.read_all())
 
     async def addresses(self, address: str, caller: str = 'demo') -> list[str]:
-        """Requests the addresses to use from an entry host."""
-        answer = await self.request(address,
-                                    'GET',
-                                    '/v1/addresses',
-                                    headers={'x-caller': caller})
-        found: list[str] = answer.json['addresses']
-        return found
+        """Requests the addresses that a caller is to use.
+
+        Args:
+            address: the address of an entry host.
+            caller: the name of the caller.
+
+        Returns:
+            The addresses of entry hosts.
+        """
+        response = await self.request(address,
+                                      'GET',
+                                      '/v1/addresses',
+                                      headers={'x-caller': caller})
+        addresses: list[str] = response.json['addresses']
+        return addresses
 
     async def chat(self, address: str, work_class: str, document: dict[str,
                                                                        Any],
@@ -188,14 +196,14 @@
 
     @staticmethod
     def is_expected_response(document: dict[str, Any],
-                             answer: ReceivedResponse) -> bool:
+                             response: ReceivedResponse) -> bool:
         """Returns whether a chat response is complete and fits its request."""
-        if answer.status != 200:
+        if response.status != 200:
             return False
         if document.get('stream'):
-            text = stream_text(answer.body)
+            text = stream_text(response.body)
         else:
-            text = answer.json['choices'][0]['message']['content']
+            text = response.json['choices'][0]['message']['content']
         return text == engine.expected_text(document)
 
 
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -227,20 +227,21 @@
 
     def layout(self, rank: int) -> peer_messages.RankLayout:
         """Returns the experts that a rank holds."""
-        found = self._ranks[rank]
-        version = found.state.map_version
+        rank_data = self._ranks[rank]
+        version = rank_data.state.map_version
         return peer_messages.RankLayout(
             epoch=1,
             version=version,
             experts=tuple(
-                tuple(sorted(held)) for held in found.held_by_version[version]))
+                tuple(sorted(held))
+                for held in rank_data.held_by_version[version]))
 
     def execute_order(self, rank: int, order: peer_messages.RankOrder) -> int:
         """Executes an order; returns the HTTP status of the response."""
-        found = self._ranks[rank]
-        state = found.state
+        rank_data = self._ranks[rank]
+        state = rank_data.state
         if order.kind is _KIND.PREPARE:
-            return self._prepare(found, order)
+            return self._prepare(rank_data, order)
         changes: dict[str, Any] = {}
         if order.kind is _KIND.ARM:
             if (state.prepared_version != order.version or
@@ -257,7 +258,7 @@
             changes = {'held_step': order.step}
         elif state.held_step == order.step:
             changes = {'held_step': 0}
-        found.state = dataclasses.replace(state, **changes)
+        rank_data.state = dataclasses.replace(state, **changes)
         return _OK
 
     def _prepare(self, rank: _Rank, order: peer_messages.RankOrder) -> int:
@@ -265,18 +266,19 @@
         newest = max(state.map_version, state.prepared_version)
         if state.is_busy or state.armed_version or order.version <= newest:
             return _CONFLICT
-        held = tuple(frozenset(ranks[state.rank]) for ranks in order.layouts)
-        new = [
+        held_experts = tuple(
+            frozenset(ranks[state.rank]) for ranks in order.layouts)
+        added_counts = [
             len(after - before) for before, after in zip(
-                rank.held_by_version[state.map_version], held)
+                rank.held_by_version[state.map_version], held_experts)
         ]
-        if (max(new) > self.profile.spare_expert_slots or
-                max(map(len, held)) > self.profile.expert_slots):
+        if (max(added_counts) > self.profile.spare_expert_slots or
+                max(map(len, held_experts)) > self.profile.expert_slots):
             return _CONFLICT
-        rank.held_by_version[order.version] = held
+        rank.held_by_version[order.version] = held_experts
         rank.state = dataclasses.replace(state, is_busy=True)
-        self.copies += sum(new)
-        copy_s = (sum(new) * self.profile.expert_bytes /
+        self.copies += sum(added_counts)
+        copy_s = (sum(added_counts) * self.profile.expert_bytes /
                   self.profile.link_bytes_per_s)
         asyncio.get_running_loop().call_later(copy_s, self._finish_copy, rank,
                                               order.version)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -44,8 +44,8 @@
 
 def _request_priority(request: http_server.HttpRequest) -> int:
     """Returns the RFC 9218 priority, from 0 (first) to 7 (last)."""
-    found = _PRIORITY_PATTERN.search(request.header('priority') or '')
-    return int(found.group(1)) if found else _DEFAULT_PRIORITY
+    match = _PRIORITY_PATTERN.search(request.header('priority') or '')
+    return int(match.group(1)) if match else _DEFAULT_PRIORITY
 
 
 class _SlotQueue:
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -76,15 +76,15 @@
     async def _send_stream(self, request: http_server.HttpRequest,
                            response: http_server.HttpResponse,
                            headers: list[tuple[str, str]]) -> None:
-        count = int(request.path.rstrip('/').rpartition('/')[2])
-        first = int(request.header('last-event-id') or 0) + 1
+        event_count = int(request.path.rstrip('/').rpartition('/')[2])
+        first_event = int(request.header('last-event-id') or 0) + 1
         await response.send_head(200, [
             *headers, ('content-type', 'text/event-stream'),
             ('transfer-encoding', 'chunked')
         ])
         break_after = self.faults.pop('break_after', None)
         try:
-            for number in range(first, count + 1):
+            for number in range(first_event, event_count + 1):
                 event = f'id: {number}\ndata: piece {number}\n\n'.encode()
                 if break_after is not None and number > break_after:
                     response.abort(event[:7])
--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -47,9 +47,9 @@
     def _write(self, row: dict[str, Any]) -> None:
         """Writes a row whose value is text; the value None removes it."""
         self._version += 1
-        name = (row['table'], row['key'])
+        row_id = (row['table'], row['key'])
         value = row['value']
-        self._row_by_id[name] = {
+        self._row_by_id[row_id] = {
             'table': row['table'],
             'part': '',
             'key': row['key'],
@@ -60,8 +60,8 @@
 
     def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
         rows = [
-            row for (name, _), row in self._row_by_id.items()
-            if name == table and row['ver'] > after and
+            row for (row_table, _), row in self._row_by_id.items()
+            if row_table == table and row['ver'] > after and
             (after or not row['removed'])
         ]
         return sorted(rows, key=lambda row: row['ver'])
@@ -83,25 +83,25 @@
             return
         after = int(query['after'])
         loop = asyncio.get_running_loop()
-        end = loop.time() + int(query['wait_ms']) / 1000
+        deadline = loop.time() + int(query['wait_ms']) / 1000
         while (not self._changed_rows(query['table'], after) and
-               loop.time() < end and not self.faults.get('down')):
+               loop.time() < deadline and not self.faults.get('down')):
             await asyncio.sleep(_FEED_POLL_INTERVAL_S)
         if self.faults.get('down'):
             await response.send(503, [], b'')
             return
         await self._send_rows(response, query['table'], after)
 
-    async def _transact(self, call: dict[str, Any],
+    async def _transact(self, transaction: dict[str, Any],
                         response: http_server.HttpResponse) -> None:
-        for expected in call['expected_revision']:
-            name = (expected['table'], expected['key'])
-            row = self._row_by_id.get(name)
-            found = row['ver'] if row and not row['removed'] else 0
-            if found != expected['ver']:
+        for expected in transaction['expected_revision']:
+            row_id = (expected['table'], expected['key'])
+            row = self._row_by_id.get(row_id)
+            current_version = row['ver'] if row and not row['removed'] else 0
+            if current_version != expected['ver']:
                 await response.send_json(412, {'rows': []})
                 return
-        for row in call['puts']:
+        for row in transaction['puts']:
             value = base64.b64decode(row['value']).decode()
             self._write({**row, 'value': value})
         await response.send_json(200, {'ver': self._version, 'now_ms': 0})
--- a/tests/fakes/rank_group.py
+++ b/tests/fakes/rank_group.py
@@ -113,13 +113,16 @@
     async def _store_state(self, rank: _Rank, document: dict[str, Any],
                            response: http_server.HttpResponse) -> None:
         state = base64.b64decode(document['state'])
-        new = switch_codec.decode_rank(state)
-        is_armed = (new.pending is not None and new.stage is switch.Stage.ARMED)
+        new_state = switch_codec.decode_rank(state)
+        is_armed = (new_state.pending is not None and
+                    new_state.stage is switch.Stage.ARMED)
         stored = rank.switch_state
         was_armed = (stored is not None and stored.stage is switch.Stage.ARMED)
-        too_late = (is_armed and not was_armed and new.pending is not None and
-                    new.pending.step <= rank.step)
-        if document['incarnation'] != rank.incarnation or too_late:
+        # The rank has already entered the step for which it would be armed.
+        is_too_late = (is_armed and not was_armed and
+                       new_state.pending is not None and
+                       new_state.pending.step <= rank.step)
+        if document['incarnation'] != rank.incarnation or is_too_late:
             await response.send_json(409, {})
             return
         rank.state = state
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -59,8 +59,8 @@
                                       idle_timeout_s=3600.0)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
     async with http_server.HttpServer(handler=handler, limits=limits) as server:
         sys.stdout.write(
             json.dumps({
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -115,10 +115,10 @@
         """Whether the process has not exited."""
         return self.child.returncode is None
 
-    def signal(self, number: signal.Signals) -> None:
+    def signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal if the process is still running."""
         if self.is_running:
-            self.child.send_signal(number)
+            self.child.send_signal(signal_number)
 
     async def kill(self) -> None:
         """Kills the process and waits until it has exited."""
@@ -459,8 +459,8 @@
 async def _serve(args: argparse.Namespace) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
     async with System(entries=args.entries,
                       engines=args.engines,
                       services=args.services) as system:
--- a/tests/fakes/table.py
+++ b/tests/fakes/table.py
@@ -66,13 +66,13 @@
                     response: http_server.HttpResponse) -> None:
         query = parse.parse_qs(request.target.partition('?')[2])
         prefix = query.get('prefix', [''])[0]
-        found = [
+        matching_rows = [
             _encode_row(key, row)
             for key, row in sorted(self._rows_by_key.items())
             if key.startswith(prefix)
         ]
-        self._counts['reads'] += max(1, len(found))
-        await response.send_json(200, found)
+        self._counts['reads'] += max(1, len(matching_rows))
+        await response.send_json(200, matching_rows)
 
     async def _transact(self, request: http_server.HttpRequest,
                         response: http_server.HttpResponse) -> None:
--- a/tests/fakes/thin_links.py
+++ b/tests/fakes/thin_links.py
@@ -45,13 +45,13 @@
 
     Attributes:
         network: the host's network interface.
-        up: the direction from the host.
-        down: the direction to the host.
+        uplink: the direction from the host.
+        downlink: the direction to the host.
     """
 
     network: 'FabricNetwork'
-    up: _Direction = dataclasses.field(default_factory=_Direction)
-    down: _Direction = dataclasses.field(default_factory=_Direction)
+    uplink: _Direction = dataclasses.field(default_factory=_Direction)
+    downlink: _Direction = dataclasses.field(default_factory=_Direction)
 
 
 class Fabric:
@@ -82,7 +82,7 @@
         """
         return max(direction.sent_bytes
                    for host in self.host_by_address.values()
-                   for direction in (host.up, host.down)) / seconds
+                   for direction in (host.uplink, host.downlink)) / seconds
 
     def send_datagram(self, source: str, target: str, data: bytes,
                       kind: str) -> None:
@@ -92,18 +92,18 @@
         sender = self.host_by_address[source]
         receiver = self.host_by_address.get(target)
         now = asyncio.get_running_loop().time()
-        if sender.up.free_at - now > _MAX_BACKLOG_S:
+        if sender.uplink.free_at - now > _MAX_BACKLOG_S:
             self.lost_by_kind[kind] += 1
             return
-        arrives_at = self._schedule_transmission(sender.up, now,
+        arrives_at = self._schedule_transmission(sender.uplink, now,
                                                  size) + _PROPAGATION_DELAY_S
         if receiver is None:
             return
-        if receiver.down.free_at - arrives_at > _MAX_BACKLOG_S:
+        if receiver.downlink.free_at - arrives_at > _MAX_BACKLOG_S:
             self.lost_by_kind[kind] += 1
             return
         asyncio.get_running_loop().call_at(
-            self._schedule_transmission(receiver.down, arrives_at, size),
+            self._schedule_transmission(receiver.downlink, arrives_at, size),
             receiver.network.receive_datagram, data)
 
     async def transfer(self, source: str, target: str, size: int) -> None:
@@ -111,17 +111,17 @@
         loop = asyncio.get_running_loop()
         size += _CALL_HEADER_BYTES
         sender, receiver = (self.host_by_address[a] for a in (source, target))
-        sent_at = self._schedule_transmission(sender.up, loop.time(),
+        sent_at = self._schedule_transmission(sender.uplink, loop.time(),
                                               size) + _PROPAGATION_DELAY_S
         await asyncio.sleep(
-            self._schedule_transmission(receiver.down, sent_at, size) -
+            self._schedule_transmission(receiver.downlink, sent_at, size) -
             loop.time())
 
     def _schedule_transmission(self, direction: _Direction, now: float,
                                size: int) -> float:
         """Queues bytes on a link; returns when they have been transmitted."""
-        begin = max(now, direction.free_at)
-        direction.free_at = begin + size / self._bytes_per_s
+        starts_at = max(now, direction.free_at)
+        direction.free_at = starts_at + size / self._bytes_per_s
         direction.sent_bytes += size
         return direction.free_at
 
