Reword the request policy features in plain terms

The scenarios and steps under tests/policy used private words such as tickets, turns, health book and sick upstreams. They now use the terms of pollenthread: admission requests, slots, outlier detector, rejection.

--- a/tests/policy/steps/faults.py
+++ b/tests/policy/steps/faults.py
@@ -1,4 +1,4 @@
-"""Steps for sick upstreams."""
+"""Steps for failing upstreams."""
 
 import asyncio
 from typing import Any
@@ -24,27 +24,27 @@
     }
 
 
-def _answer_kind(answer: caller_module.Answer, sent: dict[str, Any]) -> str:
-    """'whole', or how the request failed."""
+def _result_of(answer: caller_module.Answer, sent: dict[str, Any]) -> str:
+    """Returns 'complete', or how the request failed."""
     if answer.status == 200:
         own = caller_module.Caller.is_own_answer(sent, answer)
-        return 'whole' if own else 'not its own'
-    problem = answer.json
-    return f'{problem["kind"]}, ran {problem["ran"]}'
+        return 'complete' if own else 'response of another request'
+    error = answer.json
+    return f'{error["kind"]}, ran {error["ran"]}'
 
 
 async def send(caller: caller_module.Caller, address: str, work_class: str,
                sent: dict[str, Any]) -> str:
-    """Sends one request; how it ended."""
+    """Sends one request and returns how it ended."""
     try:
         answer = await caller.chat(address, work_class, sent)
-        return _answer_kind(answer, sent)
+        return _result_of(answer, sent)
     except (ConnectionError, ValueError) as error:
-        return f'broken: {error}'
+        return f'connection failed: {error}'
 
 
 async def _send_captions(context: Any, count: int) -> list[str]:
-    """Sends captions that no scenario's step has sent before."""
+    """Sends caption requests that the scenario has not sent before."""
     first = getattr(context, 'sent_count', 0)
     context.sent_count = first + count
     addresses = context.system.entry_addresses
@@ -60,11 +60,11 @@
     return counts
 
 
-def _engines(context: Any) -> int:
+def _engine_count(context: Any) -> int:
     return len(context.system.named('engine-'))
 
 
-def _fault(context: Any, number: int, **faults: Any) -> None:
+def _inject_fault(context: Any, number: int, **faults: Any) -> None:
     scenario.run(context, context.system.fault(f'engine-{number}', **faults))
 
 
@@ -75,30 +75,30 @@
 
 @given('engine {number:d} stalls')
 def step_stall(context: Any, number: int) -> None:
-    _fault(context, number, stall_after_tokens=0)
+    _inject_fault(context, number, stall_after_tokens=0)
 
 
 @given('every engine takes {token_ms:d} ms for a token')
-def step_pace(context: Any, token_ms: int) -> None:
-    for number in range(1, _engines(context) + 1):
-        _fault(context, number, token_s=token_ms / 1000)
+def step_all_token_time(context: Any, token_ms: int) -> None:
+    for number in range(1, _engine_count(context) + 1):
+        _inject_fault(context, number, token_s=token_ms / 1000)
 
 
 @given('engine {number:d} takes {token_ms:d} ms for a token')
-def step_slow(context: Any, number: int, token_ms: int) -> None:
-    _fault(context, number, token_s=token_ms / 1000)
+def step_token_time(context: Any, number: int, token_ms: int) -> None:
+    _inject_fault(context, number, token_s=token_ms / 1000)
 
 
-@given('every engine breaks its next {count:d} answers')
-def step_break(context: Any, count: int) -> None:
-    for number in range(1, _engines(context) + 1):
-        _fault(context, number, crash=count)
+@given('every engine aborts its next {count:d} responses')
+def step_abort_responses(context: Any, count: int) -> None:
+    for number in range(1, _engine_count(context) + 1):
+        _inject_fault(context, number, crash=count)
 
 
-@when('every engine works again')
-def step_mend(context: Any) -> None:
-    for number in range(1, _engines(context) + 1):
-        _fault(context, number)
+@when('no engine has a fault')
+def step_clear_faults(context: Any) -> None:
+    for number in range(1, _engine_count(context) + 1):
+        _inject_fault(context, number)
 
 
 @when('{count:d} captions are sent at once over all entry hosts')
@@ -108,7 +108,7 @@
 
 @when('{count:d} captions are sent at once over all entry hosts, '
       '{times:d} times')
-def step_send_often(context: Any, count: int, times: int) -> None:
+def step_send_repeatedly(context: Any, count: int, times: int) -> None:
     context.ends = []
     for _ in range(times):
         context.ends += scenario.run(context, _send_captions(context, count))
@@ -127,66 +127,67 @@
 
 @when('every agent is killed')
 def step_kill_all(context: Any) -> None:
-    for number in range(1, _engines(context) + 1):
+    for number in range(1, _engine_count(context) + 1):
         step_kill(context, number)
 
 
 @when('every agent is started again')
 def step_start_all(context: Any) -> None:
-    for number in range(1, _engines(context) + 1):
+    for number in range(1, _engine_count(context) + 1):
         step_start(context, number)
 
 
-@then('every caption is answered whole')
-def step_all_whole(context: Any) -> None:
-    assert set(context.ends) == {'whole'}, context.ends
+@then('every caption receives a complete response')
+def step_all_complete(context: Any) -> None:
+    assert set(context.ends) == {'complete'}, context.ends
 
 
-@then('no caption is answered whole')
-def step_none_whole(context: Any) -> None:
-    assert 'whole' not in context.ends, context.ends
+@then('no caption receives a complete response')
+def step_none_complete(context: Any) -> None:
+    assert 'complete' not in context.ends, context.ends
 
 
-@then('every caption is answered whole or refused as not run')
-def step_whole_or_refused(context: Any) -> None:
+@then('every caption receives a complete response or is rejected as '
+      'not executed')
+def step_complete_or_rejected(context: Any) -> None:
     for end in context.ends:
-        assert end == 'whole' or end.endswith('ran no'), context.ends
+        assert end == 'complete' or end.endswith('ran no'), context.ends
 
 
-@then('captions are answered whole again')
-def step_whole_again(context: Any) -> None:
+@then('captions receive complete responses again')
+def step_complete_again(context: Any) -> None:
 
-    async def all_whole() -> bool:
-        ends = await _send_captions(context, _engines(context) * 2)
-        return set(ends) == {'whole'}
+    async def all_complete() -> bool:
+        ends = await _send_captions(context, _engine_count(context) * 2)
+        return set(ends) == {'complete'}
 
-    scenario.run(context, scenario.eventually(all_whole))
+    scenario.run(context, scenario.eventually(all_complete))
 
 
-@then('engine {number:d} has begun less than any other')
-def step_begun_less(context: Any, number: int) -> None:
+@then('engine {number:d} has begun fewer requests than any other')
+def step_begun_fewer(context: Any, number: int) -> None:
     begun = [
         scenario.run(context, _counts(context, i))['begun']
         for i in range(1,
-                       _engines(context) + 1)
+                       _engine_count(context) + 1)
     ]
-    sick = begun.pop(number - 1)
-    assert sick < min(begun), (sick, begun)
+    faulty = begun.pop(number - 1)
+    assert faulty < min(begun), (faulty, begun)
 
 
-@then('engine {number:d} gets work again')
-def step_gets_work(context: Any, number: int) -> None:
+@then('engine {number:d} receives requests again')
+def step_receives_requests(context: Any, number: int) -> None:
     before = scenario.run(context, _counts(context, number))['begun']
 
-    async def has_more() -> bool:
-        await _send_captions(context, 2 * _engines(context))
+    async def has_begun_more() -> bool:
+        await _send_captions(context, 2 * _engine_count(context))
         return (await _counts(context, number))['begun'] > before
 
-    scenario.run(context, scenario.eventually(has_more))
+    scenario.run(context, scenario.eventually(has_begun_more))
 
 
-@then('the account shows at most {count:d} attempts more than requests')
-def step_attempts(context: Any, count: int) -> None:
+@then('the accounting rows show at most {count:d} attempts more than requests')
+def step_extra_attempts(context: Any, count: int) -> None:
 
     async def rows() -> list[dict[str, Any]]:
         found = []
--- a/tests/policy/steps/overload.py
+++ b/tests/policy/steps/overload.py
@@ -1,4 +1,4 @@
-"""Steps for more work than capacity."""
+"""Steps for overload."""
 
 import asyncio
 import collections
@@ -56,7 +56,7 @@
 
 
 async def _has_queue(context: Any) -> bool:
-    """Whether work waits at the agent, or has all ended."""
+    """Returns whether requests are queued at the agent."""
     agent = context.system.by_name['agent-engine-1']
     status = await context.system.call(agent.ready['admin'], 'GET', '/status')
     return bool(status['queued'])
@@ -70,8 +70,8 @@
     scenario.run(context, wait_all())
 
 
-@given(
-    'an engine of {token_ms:d} ms for a token behind {entries:d} entry hosts')
+@given('an engine that takes {token_ms:d} ms for a token, behind {entries:d} '
+       'entry hosts')
 def step_engine(context: Any, token_ms: int, entries: int) -> None:
     scenario.start_system(context,
                           entries=entries,
@@ -84,53 +84,53 @@
     context.ends_by_sender = collections.defaultdict(list)
 
 
-@when('{count:d} questions of low importance come at once')
+@when('{count:d} questions of low importance arrive at once')
 def step_low(context: Any, count: int) -> None:
     scenario.run(context, _start(context, 'large', 'question', count))
 
 
-@when('{count:d} lookups of high importance come while they wait')
+@when('{count:d} lookups of high importance arrive while they wait')
 def step_high(context: Any, count: int) -> None:
     scenario.run(context, _start(context, 'large', 'lookup', count))
     _finish(context)
 
 
-@when('{count:d} questions of the large workspace come at once')
+@when('{count:d} questions of the large workspace arrive at once')
 def step_large(context: Any, count: int) -> None:
     scenario.run(context, _start(context, 'large', 'question', count))
 
 
-@when('{count:d} questions of the small workspace come while they wait')
+@when('{count:d} questions of the small workspace arrive while they wait')
 def step_small(context: Any, count: int) -> None:
     scenario.run(context, _start(context, 'small', 'question', count))
     _finish(context)
 
 
-@then('every lookup is answered whole')
-def step_lookups_whole(context: Any) -> None:
+@then('every lookup receives a complete response')
+def step_lookups_complete(context: Any) -> None:
     ends = context.ends_by_sender['large', 'lookup']
-    assert set(ends) == {'whole'}, ends
+    assert set(ends) == {'complete'}, ends
 
 
-@then('every question of the small workspace is answered whole')
-def step_small_whole(context: Any) -> None:
+@then('every question of the small workspace receives a complete response')
+def step_small_complete(context: Any) -> None:
     ends = context.ends_by_sender['small', 'question']
-    assert set(ends) == {'whole'}, ends
+    assert set(ends) == {'complete'}, ends
 
 
-@then('some questions are refused as not run')
-def step_some_refused(context: Any) -> None:
+@then('some questions are rejected as not executed')
+def step_some_rejected(context: Any) -> None:
     ends = context.ends_by_sender['large', 'question']
-    refused = [end for end in ends if end != 'whole']
-    assert refused
-    assert all(end.endswith('ran no') for end in refused), refused
+    rejected = [end for end in ends if end != 'complete']
+    assert rejected
+    assert all(end.endswith('ran no') for end in rejected), rejected
 
 
-@then('the engine has begun exactly what was not refused')
+@then('the engine has begun exactly the requests that were not rejected')
 def step_begun(context: Any) -> None:
     counts = scenario.run(
         context,
         context.system.call(context.system.address('engine-1'), 'GET',
                             '/counts'))
     ends = [e for found in context.ends_by_sender.values() for e in found]
-    assert counts['begun'] == ends.count('whole'), (counts, ends)
+    assert counts['begun'] == ends.count('complete'), (counts, ends)
