Reword the features of claims, configuration, leases and membership

The features and steps under tests/agreed told stories (hosts that go on, die, are told or refuse) and used one word for several things. They now use the terms of pollenthread: response, stale read, reject, apply a version, graceful shutdown. Each feature states the failure that it guards against.

Step texts changed together with their decorators; assertions, bounds, seeds and the number of scenarios and steps are unchanged.

--- a/tests/agreed/configuration.feature
+++ b/tests/agreed/configuration.feature
@@ -1,45 +1,50 @@
-Feature: Configuration is in force everywhere and never reverts
+Feature: Every entry host applies the newest configuration and never an older one
 
-  Scenario: Two operators at once, a hundred times
+  Operators publish versions to the table; entry hosts read them there and from
+  their peers. Lost responses, stale reads and restarts must not apply an older
+  version, lose an accepted one or accept two conflicting ones. A host that
+  cannot confirm its version rejects requests.
+
+  Scenario: Two operators publish concurrently, a hundred times
     Given a system with 3 entry hosts, 1 engines and 0 service
     When two operators publish at once 100 times
-    Then each time one has won and the other was shown what changed
-    And no entry host has ever gone back
+    Then each time one publication was accepted and the other received the changes
+    And no entry host has applied an older version
     And every entry host has the newest version
 
-  Scenario: The answer to a publication is lost after it took effect
+  Scenario: The response to a publication is lost after it took effect
     Given a system with 2 entry hosts, 1 engines and 0 service
-    When the table loses the answers to the next 1 writes
+    When the table loses the responses to the next 1 writes
     And an operator publishes
-    Then the operator is told that version 2 is accepted
+    Then the publication is accepted as version 2
     And every entry host has the newest version
 
-  Scenario: Old reads do not bring an old version back
+  Scenario: Stale reads do not apply an older version
     Given a system with 2 entry hosts, 1 engines and 0 service
     When an operator publishes
     Then every entry host has the newest version
-    When the next 6 reads of the table are old
-    Then no entry host goes back within 3 seconds
+    When the next 6 reads of the table are stale
+    Then no entry host applies an older version within 3 seconds
 
-  Scenario: A fresh host takes the highest version from its peers
+  Scenario: A restarted host applies the newest version of its peers
     Given a system with 3 entry hosts, 1 engines and 0 service
     When an operator publishes
     Then every entry host has the newest version
-    When the table is down
+    When the table is unavailable
     And entry host 2 is killed and replaced
     Then every entry host has the newest version
     And entry host 2 serves
 
-  Scenario: A host cut off from everything refuses new work and comes back
+  Scenario: An isolated host rejects requests until it confirms its version
     Given a system with 3 entry hosts, 1 engines and 0 service
-    When the table is down
+    When the table is unavailable
     And entry hosts 2 and 3 are paused
-    Then entry host 1 refuses with "stale_configuration"
-    When entry hosts 2 and 3 go on
+    Then entry host 1 rejects requests with "stale_configuration"
+    When entry hosts 2 and 3 resume
     Then entry host 1 serves
-    And entry host 1 shows "serve_unproved"
-    When the table is up
-    Then entry host 1 shows "serve"
+    And entry host 1 reports the permission "serve_unproved"
+    When the table is available again
+    Then entry host 1 reports the permission "serve"
 
   Scenario: Half of the entry hosts are replaced at once
     Given a system with 4 entry hosts, 1 engines and 0 service
--- a/tests/agreed/decisions.feature
+++ b/tests/agreed/decisions.feature
@@ -1,18 +1,22 @@
-Feature: Decisions with a clock that is passed in
+Feature: Lease, configuration and order decisions under a controlled clock
 
-  Scenario: A holder stops before anyone may follow, whatever the drift
-    Then for clock rates within the bound no two hosts act on one lease
+  Clock drift, a long outage of the table and late copies of an order are
+  reproduced exactly: the decisions run without processes and take the time
+  from the test.
 
-  Scenario: The table is down for ten minutes while operators publish
-    Given three configuration stores on one table and a fake clock
-    When the table is down for 600 seconds and an operator tries each 10 seconds
-    Then no publication was accepted meanwhile
-    And each store went on unproved and none went back
-    When the table is up again
-    Then the next publication is in force at each store
+  Scenario: A lease holder stops before another host may acquire the lease
+    Then no two hosts hold one lease at any clock drift within the bound
 
-  Scenario: An agent that forgets settled orders never begins one again
-    Then a late copy of a settled order is refused
+  Scenario: Operators publish while the table is unavailable for ten minutes
+    Given three configuration stores that share a table and a fake clock
+    When the table is unavailable for 600 seconds and an operator publishes every 10 seconds
+    Then no publication was accepted during the outage
+    And each store permitted unproved serving and kept its version
+    When the table recovers
+    Then each store applies the next publication
 
-  Scenario: An operator sees what the other one changed
-    Then the difference of two documents names the changed keys only
+  Scenario: An agent rejects a settled order whose result it has discarded
+    Then a late copy of a settled order is rejected
+
+  Scenario: A document difference lists what another operator changed
+    Then the difference of two documents lists only the changed keys
--- a/tests/agreed/membership.feature
+++ b/tests/agreed/membership.feature
@@ -1,39 +1,44 @@
-Feature: Who is alive and who leaves
+Feature: Hosts detect which hosts are alive and which shut down
 
-  Scenario: A dead entry host leaves the address answers
+  Entry hosts learn of dead, silent and leaving hosts from their links and from
+  the host list. A stale or unavailable list, or silence caused by a network
+  failure, must not remove live hosts, send requests to leaving ones or
+  interrupt requests.
+
+  Scenario: A dead entry host is removed from the advertised addresses
     Given a system with 4 entry hosts, 1 engines and 0 service
     When entry host 2 is killed
-    Then entry host 1 does not name entry host 2
+    Then entry host 1 does not advertise entry host 2
 
-  Scenario: The host list is stale while an upstream leaves
+  Scenario: An upstream shuts down while the host list is stale
     Given a system with 2 entry hosts, 2 engines and 0 service
-    When the host list is frozen
-    And the agent of engine 1 is asked to stop while it has work
-    Then no entry host sends new work to engine 1
+    When the host list stops updating
+    And the agent of engine 1 receives a stop signal during requests
+    Then no entry host sends new requests to engine 1
 
-  Scenario: A silent agent is listed as leaving
+  Scenario: The host list marks an agent as leaving
     Given a system with 2 entry hosts, 2 engines and 0 service
-    When engine 1 is listed as leaving
-    Then no entry host sends new work to engine 1
+    When the host list marks engine 1 as leaving
+    Then no entry host sends new requests to engine 1
 
-  Scenario: The host list is down
+  Scenario: The host list is unavailable
     Given a system with 3 entry hosts, 1 engines and 0 service
-    When the host list is down
+    When the host list is unavailable
     Then entry host 1 serves
 
-  Scenario: Every entry host is replaced, one by one, under load
+  Scenario: Every entry host is replaced in turn under load
     Given a system with 3 entry hosts, 2 engines and 0 service
-    When callers ask without pause while each entry host is replaced by plan
-    Then every request was answered whole or refused as not run
+    When callers send requests while each entry host is replaced gracefully
+    Then every request was completed or rejected as not executed
 
-  Scenario: Silence of most of the fleet is distrusted
+  Scenario: Silence of a large part of the fleet does not remove hosts
     Given 9 entry hosts of which 4 are silent
-    Then the judgement is panic and 9 hosts are usable
+    Then the assessment is panic and 9 hosts are usable
     Given 9 entry hosts of which 3 are silent
-    Then the judgement is calm and 6 hosts are usable
+    Then the assessment is calm and 6 hosts are usable
 
-  Scenario: The links of live hosts connect the whole fleet
+  Scenario: The selected links connect all entry hosts
     Given 400 entry hosts in 21 data centres of 6 regions
-    Then each keeps at most 40 links and all are connected
+    Then each host has at most 40 links and all hosts are connected
     And each data centre has 2 pollers
-    And with 1300 upstreams each entry host keeps at most 48 upstream links
+    And with 1300 upstreams each entry host has at most 48 upstream links
--- a/tests/agreed/steps/claims.py
+++ b/tests/agreed/steps/claims.py
@@ -15,7 +15,7 @@
 _CLASS = 'payment-confirmation'
 _PATH = '/services/orders/payments'
 _NOW_S = 1_000_000
-_REPEAT_S = 0.3
+_RETRY_INTERVAL_S = 0.3
 _TIMEOUT_S = 90.0
 
 
@@ -45,14 +45,14 @@
     return found
 
 
-def _note(context: Any, *keys: str) -> None:
+def _record_keys(context: Any, *keys: str) -> None:
     context.keys = [*getattr(context, 'keys', []), *keys]
 
 
 @when('{count:d} payments are each sent to every entry host at once')
 def step_pay_all(context: Any, count: int) -> None:
     keys = [f'cup-{i}' for i in range(count)]
-    _note(context, *keys)
+    _record_keys(context, *keys)
     hosts = range(1, len(context.system.entry_addresses) + 1)
 
     async def pay() -> None:
@@ -63,21 +63,21 @@
     scenario.run(context, pay())
 
 
-@when('each payment is sent again until it has an answer')
-def step_pay_again(context: Any) -> None:
+@when('each payment is retried until it succeeds')
+def step_retry(context: Any) -> None:
     last = len(context.system.entry_addresses)
 
-    async def insist(key: str) -> caller_module.Answer:
+    async def retry(key: str) -> caller_module.Answer:
         while True:
             answer = await _pay_or_none(context, key, last)
             if answer is not None and answer.status == 200:
                 return answer
-            await asyncio.sleep(_REPEAT_S)
+            await asyncio.sleep(_RETRY_INTERVAL_S)
 
-    async def insist_all() -> list[caller_module.Answer]:
-        return list(await asyncio.gather(*map(insist, context.keys)))
+    async def retry_all() -> list[caller_module.Answer]:
+        return list(await asyncio.gather(*map(retry, context.keys)))
 
-    context.answers = scenario.run(context, insist_all(), _TIMEOUT_S)
+    context.answers = scenario.run(context, retry_all(), _TIMEOUT_S)
 
 
 @then('every payment has had one effect and one receipt')
@@ -88,9 +88,9 @@
         assert answer.json['receipt'] == receipt, answer
 
 
-@then('the payment "{key}" is refused as not run at entry host {entry:d}')
-def step_not_run(context: Any, key: str, entry: int) -> None:
-    _note(context, key)
+@then('the payment "{key}" is rejected as not executed at entry host {entry:d}')
+def step_not_executed(context: Any, key: str, entry: int) -> None:
+    _record_keys(context, key)
     answer = scenario.run(context, _pay(context, key, entry))
     assert answer.status != 200 and answer.json['ran'] == 'no', answer
     assert key not in _effects(context)
@@ -108,37 +108,37 @@
                                       delay_after_effect_s=seconds))
 
 
-async def _pay_and_kill(context: Any, key: str, victim: str) -> None:
+async def _pay_and_kill(context: Any, key: str, process: str) -> None:
     paying = asyncio.create_task(_pay_or_none(context, key, 1))
 
-    async def has_effect() -> bool:
+    async def has_taken_effect() -> bool:
         return key in await context.system.call(
             context.system.address('service-1'), 'GET', '/tally')
 
-    await scenario.eventually(has_effect)
-    await context.system.by_name[victim].kill()
+    await scenario.eventually(has_taken_effect)
+    await context.system.by_name[process].kill()
     await paying
 
 
 @when('the payment "{key}" is sent and entry host 1 is killed')
 def step_kill_entry(context: Any, key: str) -> None:
-    _note(context, key)
+    _record_keys(context, key)
     scenario.run(context, _pay_and_kill(context, key, 'entry-1'))
 
 
 @when('the payment "{key}" is sent and its agent is killed and replaced')
 def step_kill_agent(context: Any, key: str) -> None:
-    _note(context, key)
+    _record_keys(context, key)
 
-    async def act() -> None:
+    async def pay_and_replace() -> None:
         await _pay_and_kill(context, key, 'agent-service-1')
         await context.system.start_agent('service', 1)
 
-    scenario.run(context, act())
+    scenario.run(context, pay_and_replace())
 
 
-@then('the payment "{key}" is answered with "{kind}"')
-def step_kind(context: Any, key: str, kind: str) -> None:
+@then('the payment "{key}" fails with "{kind}"')
+def step_failure(context: Any, key: str, kind: str) -> None:
 
     async def check() -> bool:
         answer = await _pay(context, key, 2)
@@ -155,7 +155,7 @@
 
 @when('{count:d} payments are sent at once')
 def step_burst(context: Any, count: int) -> None:
-    _note(context, *(f'cup-{i}' for i in range(count)))
+    _record_keys(context, *(f'cup-{i}' for i in range(count)))
 
     async def pay() -> list[caller_module.Answer | None]:
         return list(await
@@ -165,18 +165,18 @@
     context.answers = scenario.run(context, pay())
 
 
-@then('those refused as not run had no effect')
-def step_refused_without_effect(context: Any) -> None:
-    refused = [
+@then('payments rejected as not executed had no effect')
+def step_rejected_without_effect(context: Any) -> None:
+    rejected = [
         key for key, answer in zip(context.keys, context.answers)
         if answer is not None and answer.status == 503 and
         answer.json['ran'] == 'no'
     ]
-    assert not set(refused) & set(_effects(context))
+    assert not set(rejected) & set(_effects(context))
 
 
-@then('every payment that was answered has had one effect')
-def step_answered_once(context: Any) -> None:
+@then('every payment that succeeded has had one effect')
+def step_succeeded_once(context: Any) -> None:
     effects = _effects(context)
     for key, answer in zip(context.keys, context.answers):
         if answer is not None and answer.status == 200:
@@ -203,7 +203,7 @@
                                expected_version=table.ABSENT_VERSION))
 
 
-@when('the claims are swept')
+@when('expired claims are swept')
 def step_sweep(context: Any) -> None:
     sweeper = claim_sweeper.ClaimSweeper(table_service=context.memory,
                                          holds_duty=lambda _: True,
@@ -216,8 +216,8 @@
     scenario.run(context, sweep())
 
 
-@then('{count:d} claims are left')
-def step_left(context: Any, count: int) -> None:
+@then('{count:d} claims remain')
+def step_remaining(context: Any, count: int) -> None:
     found = scenario.run(context, context.memory.scan('claims/'))
     assert len(found.ok_value) == count
 
@@ -243,39 +243,39 @@
 
 @when('{new:d} new claims and {known:d} outcomes are written at once')
 def step_write_many(context: Any, new: int, known: int) -> None:
-    writes = []
+    outcome_writes = []
     for i in range(known):
         key = f'known-{i}'
         put = scenario.run(
             context,
             context.memory.put(key, b'', expected_version=table.ABSENT_VERSION))
-        writes.append(table.TableWrite(key, b'outcome', put.ok_value))
+        outcome_writes.append(table.TableWrite(key, b'outcome', put.ok_value))
     context.outcomes = known
-    claims_first = [
+    claim_writes = [
         table.TableWrite(f'new-{i}', b'claim', table.ABSENT_VERSION)
         for i in range(new)
     ]
-    context.written = _write(context, [*claims_first, *writes])
+    context.written = _write(context, [*claim_writes, *outcome_writes])
 
 
-@then('the outcomes are written and {count:d} claims are')
+@then('all outcomes and {count:d} claims are written')
 def step_written(context: Any, count: int) -> None:
     split = len(context.written) - context.outcomes
-    done = [isinstance(item, result.Ok) for item in context.written]
-    assert all(done[split:]), context.written
-    assert sum(done[:split]) == count, sum(done[:split])
+    written = [isinstance(item, result.Ok) for item in context.written]
+    assert all(written[split:]), context.written
+    assert sum(written[:split]) == count, sum(written[:split])
     limited = result.Err(table.TableError.LIMITED)
-    assert done[:split].count(False) == context.written.count(limited)
+    assert written[:split].count(False) == context.written.count(limited)
 
 
-@then('fewer transactions than rows were needed')
-def step_fewer(context: Any) -> None:
+@then('fewer transactions than rows were written')
+def step_fewer_transactions(context: Any) -> None:
     batcher = context.batcher
     assert batcher.transactions_count < batcher.rows_count
 
 
 @given('a claim of the key "{key}" in the table')
-def step_claim_there(context: Any, key: str) -> None:
+def step_existing_claim(context: Any, key: str) -> None:
     scenario.run(
         context,
         context.memory.put(key, b'other',
@@ -291,8 +291,8 @@
     ])
 
 
-@then('their answers are conflict, written and conflict')
-def step_three(context: Any) -> None:
+@then('the writes return conflict, written and conflict')
+def step_three_results(context: Any) -> None:
     conflict = result.Err(table.TableError.CONFLICT)
     assert context.written[0] == context.written[2] == conflict
     assert isinstance(context.written[1], result.Ok)
--- a/tests/agreed/steps/configuration.py
+++ b/tests/agreed/steps/configuration.py
@@ -33,40 +33,41 @@
     context.newest = 1
 
 
-async def _compete(context: Any, base: int) -> list[Any]:
+async def _publish_twice(context: Any, base: int) -> list[Any]:
     return list(await asyncio.gather(
         context.operator.publish(base, base % 10, 'abebe'),
         context.operator.publish(base, (base + 1) % 10, 'dawn')))
 
 
 @when('two operators publish at once {times:d} times')
-def step_compete(context: Any, times: int) -> None:
+def step_concurrent(context: Any, times: int) -> None:
     context.rounds = []
     context.seen_by_entry = []
     for _ in range(times):
         context.rounds.append(
-            scenario.run(context, _compete(context, context.newest)))
+            scenario.run(context, _publish_twice(context, context.newest)))
         context.newest += 1
         context.seen_by_entry.append(
             scenario.run(context, context.operator.versions()))
 
 
-@then('each time one has won and the other was shown what changed')
-def step_one_won(context: Any) -> None:
-    for done in context.rounds:
-        won = [item for item in done if isinstance(item, result.Ok)]
-        lost = [item for item in done if isinstance(item, result.Err)]
-        assert len(won) == len(lost) == 1, done
-        conflict = lost[0].err_value
+@then(
+    'each time one publication was accepted and the other received the changes')
+def step_one_accepted(context: Any) -> None:
+    for results in context.rounds:
+        accepted = [item for item in results if isinstance(item, result.Ok)]
+        rejected = [item for item in results if isinstance(item, result.Err)]
+        assert len(accepted) == len(rejected) == 1, results
+        conflict = rejected[0].err_value
         assert isinstance(conflict, config_store.VersionConflict), conflict
         assert conflict.newest is not None
-        assert conflict.newest.version == won[0].ok_value, done
+        assert conflict.newest.version == accepted[0].ok_value, results
         paths = {change.path for change in conflict.changes}
         assert paths <= {'workspaces/buna/classes/caption/retries'}, paths
 
 
-@then('no entry host has ever gone back')
-def step_never_back(context: Any) -> None:
+@then('no entry host has applied an older version')
+def step_never_older(context: Any) -> None:
     for host_versions in zip(*context.seen_by_entry):
         assert list(host_versions) == sorted(host_versions), host_versions
 
@@ -80,8 +81,8 @@
     scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
 
 
-@when('the table loses the answers to the next {count:d} writes')
-def step_lose(context: Any, count: int) -> None:
+@when('the table loses the responses to the next {count:d} writes')
+def step_lost_responses(context: Any, count: int) -> None:
     scenario.run(context, context.system.fault('table', lost_answers=count))
 
 
@@ -92,18 +93,19 @@
     context.newest += 1
 
 
-@then('the operator is told that version {version:d} is accepted')
-def step_told(context: Any, version: int) -> None:
+@then('the publication is accepted as version {version:d}')
+def step_accepted(context: Any, version: int) -> None:
     assert context.published == result.Ok(version), context.published
 
 
-@when('the next {count:d} reads of the table are old')
-def step_old_reads(context: Any, count: int) -> None:
+@when('the next {count:d} reads of the table are stale')
+def step_stale_reads(context: Any, count: int) -> None:
     scenario.run(context, context.system.fault('table', old_reads=count))
 
 
-@then('no entry host goes back within {seconds:d} seconds')
-def step_not_back_within(context: Any, seconds: int) -> None:
+@then('no entry host applies an older version within '
+      '{seconds:d} seconds')
+def step_not_older_within(context: Any, seconds: int) -> None:
 
     async def watch() -> None:
         for _ in range(seconds * 4):
@@ -114,13 +116,13 @@
     scenario.run(context, watch())
 
 
-@when('the table is down')
-def step_table_down(context: Any) -> None:
+@when('the table is unavailable')
+def step_table_unavailable(context: Any) -> None:
     scenario.run(context, context.system.fault('table', down=True))
 
 
-@when('the table is up')
-def step_table_up(context: Any) -> None:
+@when('the table is available again')
+def step_table_available(context: Any) -> None:
     scenario.run(context, context.system.fault('table'))
 
 
@@ -137,11 +139,11 @@
 @when('entry hosts {first:d} and {second:d} are killed and replaced at once')
 def step_replace_two(context: Any, first: int, second: int) -> None:
 
-    async def both() -> None:
+    async def replace_both() -> None:
         await asyncio.gather(_replace(context, first),
                              _replace(context, second))
 
-    scenario.run(context, both())
+    scenario.run(context, replace_both())
 
 
 def _signal(context: Any, hosts: tuple[int, ...],
@@ -155,23 +157,23 @@
     _signal(context, (first, second), signal.SIGSTOP)
 
 
-@when('entry hosts {first:d} and {second:d} go on')
-def step_continue(context: Any, first: int, second: int) -> None:
+@when('entry hosts {first:d} and {second:d} resume')
+def step_resume(context: Any, first: int, second: int) -> None:
     _signal(context, (first, second), signal.SIGCONT)
 
 
-async def _ask(context: Any, number: int) -> caller_module.Answer:
+async def _send_caption(context: Any, number: int) -> caller_module.Answer:
     process = context.system.by_name[f'entry-{number}']
     answer: caller_module.Answer = await context.caller.chat(
         process.ready['callers'], 'caption', _CAPTION)
     return answer
 
 
-@then('entry host {number:d} refuses with "{kind}"')
-def step_refuses(context: Any, number: int, kind: str) -> None:
+@then('entry host {number:d} rejects requests with "{kind}"')
+def step_rejects(context: Any, number: int, kind: str) -> None:
 
     async def check() -> bool:
-        answer = await _ask(context, number)
+        answer = await _send_caption(context, number)
         return answer.status != 200 and answer.json['kind'] == kind
 
     scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
@@ -181,14 +183,14 @@
 def step_serves(context: Any, number: int) -> None:
 
     async def check() -> bool:
-        answer = await _ask(context, number)
+        answer = await _send_caption(context, number)
         return caller_module.Caller.is_own_answer(_CAPTION, answer)
 
     scenario.run(context, scenario.eventually(check, _SERVE_TIMEOUT_S))
 
 
-@then('entry host {number:d} shows "{permission}"')
-def step_shows(context: Any, number: int, permission: str) -> None:
+@then('entry host {number:d} reports the permission "{permission}"')
+def step_permission(context: Any, number: int, permission: str) -> None:
 
     async def check() -> bool:
         status = await context.operator.status(f'entry-{number}')
--- a/tests/agreed/steps/decisions.py
+++ b/tests/agreed/steps/decisions.py
@@ -1,4 +1,4 @@
-"""Steps for decisions with a fake clock, without processes."""
+"""Steps for decisions that run without processes, on a fake clock."""
 
 import dataclasses
 import random
@@ -18,28 +18,29 @@
 _DURATION_S = 5.0
 
 
-@then('for clock rates within the bound no two hosts act on one lease')
-def step_drift(_: Any) -> None:
-    draw = random.Random(_SEED)
+@then('no two hosts hold one lease at any clock drift within the bound')
+def step_clock_drift(_: Any) -> None:
+    generator = random.Random(_SEED)
     lease = leases.Lease('duty', 'a', 1, _DURATION_S)
     for _ in range(_ROUNDS):
         rates = [
-            1 + draw.uniform(-leases.MAX_CLOCK_DRIFT, leases.MAX_CLOCK_DRIFT)
+            1 +
+            generator.uniform(-leases.MAX_CLOCK_DRIFT, leases.MAX_CLOCK_DRIFT)
             for _ in range(2)
         ]
-        sent_at = draw.uniform(0, 100)
-        seen_at = sent_at + draw.uniform(0, 2)
+        sent_at = generator.uniform(0, 100)
+        seen_at = sent_at + generator.uniform(0, 2)
         until = leases.safe_until(sent_at * rates[0], _DURATION_S) / rates[0]
-        known = leases.update_observation(None, lease, seen_at * rates[1])
-        taken = leases.lease_to_acquire(known,
-                                        duty='duty',
-                                        holder='b',
-                                        duration_s=_DURATION_S,
-                                        now=until * rates[1])
-        assert taken is None, (rates, sent_at, seen_at)
+        observation = leases.update_observation(None, lease, seen_at * rates[1])
+        acquired = leases.lease_to_acquire(observation,
+                                           duty='duty',
+                                           holder='b',
+                                           duration_s=_DURATION_S,
+                                           now=until * rates[1])
+        assert acquired is None, (rates, sent_at, seen_at)
 
 
-@given('three configuration stores on one table and a fake clock')
+@given('three configuration stores that share a table and a fake clock')
 def step_stores(context: Any) -> None:
     context.clock = memory.MemoryClock()
     context.memory = memory.MemoryTable()
@@ -69,42 +70,42 @@
                                            base=base))
 
 
-@when('the table is down for {seconds:d} seconds and an operator tries each '
-      '{step:d} seconds')
+@when('the table is unavailable for {seconds:d} seconds and an operator '
+      'publishes every {step:d} seconds')
 def step_outage(context: Any, seconds: int, step: int) -> None:
     context.memory.is_down = True
-    context.tried = []
-    context.seen = []
+    context.publications = []
+    context.observed = []
     for _ in range(seconds // step):
         context.clock.now += step
         _refresh(context)
-        context.tried.append(_publish(context, 1))
-        context.seen.extend(
+        context.publications.append(_publish(context, 1))
+        context.observed.extend(
             (store.version, store.permission) for store in context.stores)
 
 
-@then('no publication was accepted meanwhile')
+@then('no publication was accepted during the outage')
 def step_none_accepted(context: Any) -> None:
     unavailable = result.Err(table.TableError.UNAVAILABLE)
-    assert all(item == unavailable for item in context.tried)
+    assert all(item == unavailable for item in context.publications)
 
 
-@then('each store went on unproved and none went back')
-def step_went_on(context: Any) -> None:
+@then('each store permitted unproved serving and kept its version')
+def step_kept_version(context: Any) -> None:
     allowed = {
         (1, config_freshness.ServingPermission.SERVE),
         (1, config_freshness.ServingPermission.SERVE_UNPROVED),
     }
-    assert set(context.seen) == allowed, set(context.seen)
+    assert set(context.observed) == allowed, set(context.observed)
 
 
-@when('the table is up again')
-def step_up_again(context: Any) -> None:
+@when('the table recovers')
+def step_table_recovers(context: Any) -> None:
     context.memory.is_down = False
 
 
-@then('the next publication is in force at each store')
-def step_in_force(context: Any) -> None:
+@then('each store applies the next publication')
+def step_applies_next(context: Any) -> None:
     assert _publish(context, 1) == result.Ok(2)
     _refresh(context)
     for store in context.stores:
@@ -112,24 +113,24 @@
         assert store.permission is config_freshness.ServingPermission.SERVE
 
 
-@then('a late copy of a settled order is refused')
+@then('a late copy of a settled order is rejected')
 def step_late_copy(_: Any) -> None:
     first = orders.Order('load-1', 'duty', 1, 'agent', 'load', '{}', 1, 'x')
-    fence = orders.record_fencing(orders.AgentOrderState('x'), 'duty', 1)
-    fence, verdict = orders.handle_order(fence, first)
-    assert verdict is orders.AgentAction.BEGIN
-    fence = orders.record_result(fence, 'load-1', orders.Result(True, ''))
-    fence, verdict = orders.handle_order(fence, first)
-    assert verdict is orders.AgentAction.REPEAT
+    state = orders.record_fencing(orders.AgentOrderState('x'), 'duty', 1)
+    state, action = orders.handle_order(state, first)
+    assert action is orders.AgentAction.BEGIN
+    state = orders.record_result(state, 'load-1', orders.Result(True, ''))
+    state, action = orders.handle_order(state, first)
+    assert action is orders.AgentAction.REPEAT
     second = dataclasses.replace(first, id='load-2', number=2, settled_below=2)
-    fence, verdict = orders.handle_order(fence, second)
-    assert verdict is orders.AgentAction.BEGIN
-    assert set(fence.result_by_id) == {'load-2'}
-    fence, verdict = orders.handle_order(fence, first)
-    assert verdict is orders.AgentAction.REFUSE_SETTLED
+    state, action = orders.handle_order(state, second)
+    assert action is orders.AgentAction.BEGIN
+    assert set(state.result_by_id) == {'load-2'}
+    state, action = orders.handle_order(state, first)
+    assert action is orders.AgentAction.REFUSE_SETTLED
 
 
-@then('the difference of two documents names the changed keys only')
+@then('the difference of two documents lists only the changed keys')
 def step_difference(_: Any) -> None:
     found = document_diff.diff_documents(system_module.TARGETS,
                                          operator.changed_targets(7))
--- a/tests/agreed/steps/leases_and_orders.py
+++ b/tests/agreed/steps/leases_and_orders.py
@@ -39,7 +39,7 @@
 
 
 @given('every duty is held')
-def step_all_held(context: Any) -> None:
+def step_all_duties_held(context: Any) -> None:
 
     async def check() -> bool:
         held = 0
@@ -52,7 +52,7 @@
 
 
 @when('the order "{order_id}" is submitted to every entry host')
-def step_submit_all(context: Any, order_id: str) -> None:
+def step_submit_to_all(context: Any, order_id: str) -> None:
 
     async def submit() -> None:
         await asyncio.gather(
@@ -63,22 +63,22 @@
 
 
 @when('the order "{order_id}" is submitted')
-@when('the order "{order_id}" is submitted again until it is taken')
+@when('the order "{order_id}" is submitted until it is accepted')
 def step_submit(context: Any, order_id: str) -> None:
     scenario.run(
         context,
         context.operator.order_until_taken(order_id, _other_entry(context)))
 
 
-@then('the order "{order_id}" is refused')
-def step_refused(context: Any, order_id: str) -> None:
+@then('the order "{order_id}" is rejected')
+def step_rejected(context: Any, order_id: str) -> None:
     status = scenario.run(
         context, context.operator.order(order_id, _other_entry(context)))
     assert status == 503, status
 
 
 @then('the order "{order_id}" ends as "{state}"')
-def step_ends(context: Any, order_id: str, state: str) -> None:
+def step_ends_as(context: Any, order_id: str, state: str) -> None:
 
     async def check() -> bool:
         found = await context.operator.order_state(order_id,
@@ -111,18 +111,18 @@
     scenario.run(context, _remember_holder(context).kill())
 
 
-@when('the holder of the engine\'s duty is asked to stop')
+@when('the holder of the engine\'s duty receives a stop signal')
 def step_stop_holder(context: Any) -> None:
     _remember_holder(context).signal(signal.SIGTERM)
 
 
-@when('the paused holder goes on')
-def step_holder_goes_on(context: Any) -> None:
+@when('the paused holder resumes')
+def step_resume_holder(context: Any) -> None:
     context.system.by_name[context.holder].signal(signal.SIGCONT)
 
 
-@then('the paused holder knows that it has lost the duty')
-def step_knows(context: Any) -> None:
+@then('the paused holder reports the duty as lost')
+def step_reports_lost(context: Any) -> None:
 
     async def check() -> bool:
         status = await context.operator.status(context.holder)
@@ -132,7 +132,7 @@
 
 
 @then('another host holds the engine\'s duty')
-def step_moved(context: Any) -> None:
+def step_other_holder(context: Any) -> None:
 
     async def check() -> bool:
         lease = await context.operator.lease()
@@ -143,7 +143,7 @@
     _eventually(context, check)
 
 
-@then('the lease was released before it was taken')
+@then('the lease was released before it was acquired')
 def step_released(context: Any) -> None:
     log = context.system.log_text(context.holder)
     assert f'duty={_DUTY} lost' not in log, log
@@ -157,13 +157,13 @@
         context.system.fault('engine-1', ignores_fencing=True, order_s=seconds))
 
 
-@when('the engine loses the answer to the next order')
-def step_lost_order(context: Any) -> None:
+@when('the engine loses the response to the next order')
+def step_lost_response(context: Any) -> None:
     scenario.run(context, context.system.fault('engine-1', lost_orders=1))
 
 
-@when('the agent carries an order out')
-def step_carries(context: Any) -> None:
+@when('the agent is executing an order')
+def step_executing(context: Any) -> None:
 
     async def check() -> bool:
         return bool((await context.operator.status(_AGENT))['orders_running'])
@@ -181,12 +181,12 @@
     scenario.run(context, replace())
 
 
-class _OrderGiver(link_port.LinkHandler):
-    """Sends one order to an agent and keeps its answers."""
+class _OrderSender(link_port.LinkHandler):
+    """Sends one order to an agent and collects its replies."""
 
     def __init__(self, *, keys: signing.KeyRing) -> None:
         self._keys = keys
-        self.answers: list[str] = []
+        self.replies: list[str] = []
 
     def on_open(self, link: link_port.Link) -> None:
         order = orders.Order(id='load-9',
@@ -202,43 +202,44 @@
     def on_message(self, link: link_port.Link,
                    message: messages.Message) -> None:
         if isinstance(message, messages.OrderReply):
-            self.answers.append(message.answer)
+            self.replies.append(message.answer)
 
     def on_close(self, link: link_port.Link, reason: str) -> None:
         pass
 
 
-def _give_signed(context: Any, key: signing.SigningKey) -> None:
+def _send_signed(context: Any, key: signing.SigningKey) -> None:
     hello = messages.Hello('entry-9', 'entry', 'x', 'dc-1', 'region-1')
-    giver = _OrderGiver(keys=signing.KeyRing((key,)))
+    sender = _OrderSender(keys=signing.KeyRing((key,)))
 
-    async def give() -> None:
-        async with link_module.DialerSet(hello=hello, handler=giver) as dialers:
+    async def send() -> None:
+        async with link_module.DialerSet(hello=hello,
+                                         handler=sender) as dialers:
             address = context.system.by_name[_AGENT].ready['links']
             await dialers.set_addresses({'agent': address})
 
-            async def answered() -> bool:
-                return bool(giver.answers)
+            async def has_reply() -> bool:
+                return bool(sender.replies)
 
-            await scenario.eventually(answered)
+            await scenario.eventually(has_reply)
 
-    scenario.run(context, give())
-    context.answers = giver.answers
+    scenario.run(context, send())
+    context.replies = sender.replies
 
 
-@when('an order signed with a key that is not valid is sent to the agent')
+@when('an order signed with an invalid key is sent to the agent')
 def step_bad_key(context: Any) -> None:
-    _give_signed(context, signing.SigningKey('key-1', b'a guess of the secret'))
+    _send_signed(context, signing.SigningKey('key-1', b'a guess of the secret'))
 
 
 @when('an order signed with the second key is sent to the agent')
 def step_second_key(context: Any) -> None:
-    _give_signed(context, signing.SigningKey('key-2', b'order-secret-number-2'))
+    _send_signed(context, signing.SigningKey('key-2', b'order-secret-number-2'))
 
 
-@then('the agent answers "{answer}"')
-def step_agent_answers(context: Any, answer: str) -> None:
-    assert context.answers == [answer], context.answers
+@then('the agent replies "{reply}"')
+def step_agent_replies(context: Any, reply: str) -> None:
+    assert context.replies == [reply], context.replies
 
 
 @when('the order "{order_id}" is submitted with the key "{key}"')
@@ -247,11 +248,11 @@
         context, context.operator.order(order_id, 'entry-1', key))
 
 
-@then('the order "{order_id}" is answered with status {status:d}')
+@then('the submission of "{order_id}" returns status {status:d}')
 def step_order_status(context: Any, order_id: str, status: int) -> None:
     assert context.order_status == status, (order_id, context.order_status)
 
 
-@then('the engine has carried out no order')
+@then('the engine has executed no order')
 def step_no_order(context: Any) -> None:
     assert not scenario.run(context, context.operator.effects())
--- a/tests/agreed/steps/membership.py
+++ b/tests/agreed/steps/membership.py
@@ -14,7 +14,7 @@
 _REQUESTS = 40
 _SETTLE_S = 4.0
 _LOAD_TIMEOUT_S = 150.0
-_PAUSE_S = 0.05
+_REQUEST_INTERVAL_S = 0.05
 
 
 def _document(tokens: int) -> dict[str, Any]:
@@ -31,8 +31,8 @@
     scenario.run(context, context.system.by_name[f'entry-{number}'].kill())
 
 
-@then('entry host {asked:d} does not name entry host {dead:d}')
-def step_not_named(context: Any, asked: int, dead: int) -> None:
+@then('entry host {asked:d} does not advertise entry host {dead:d}')
+def step_not_advertised(context: Any, asked: int, dead: int) -> None:
     callers = context.system.by_name[f'entry-{asked}'].ready['callers']
     address = context.system.by_name[f'entry-{dead}'].ready['callers']
 
@@ -42,13 +42,13 @@
     scenario.run(context, scenario.eventually(check))
 
 
-@when('the host list is frozen')
-def step_frozen(context: Any) -> None:
+@when('the host list stops updating')
+def step_list_stale(context: Any) -> None:
     scenario.run(context, context.system.fault('host_list', frozen=True))
 
 
-@when('the host list is down')
-def step_list_down(context: Any) -> None:
+@when('the host list is unavailable')
+def step_list_unavailable(context: Any) -> None:
     scenario.run(context, context.system.fault('host_list', down=True))
 
 
@@ -59,10 +59,10 @@
     return begun
 
 
-@when('the agent of engine 1 is asked to stop while it has work')
+@when('the agent of engine 1 receives a stop signal during requests')
 def step_stop_agent(context: Any) -> None:
 
-    async def work_and_stop() -> None:
+    async def send_and_stop() -> None:
         await context.system.fault('engine-1', token_s=0.5)
         entry = context.system.entry_addresses[0]
         context.tasks = [
@@ -71,25 +71,25 @@
             for i in range(8)
         ]
 
-        async def has_work() -> bool:
+        async def has_begun() -> bool:
             return await _begun(context) > 0
 
-        await scenario.eventually(has_work)
+        await scenario.eventually(has_begun)
         agent = context.system.by_name['agent-engine-1']
         agent.signal(signal.SIGTERM)
         answers = await asyncio.gather(*context.tasks)
         assert all(answer.status == 200 for answer in answers)
 
-    scenario.run(context, work_and_stop())
+    scenario.run(context, send_and_stop())
 
 
-@when('engine 1 is listed as leaving')
+@when('the host list marks engine 1 as leaving')
 def step_list_leaving(context: Any) -> None:
     scenario.run(context, context.system.set_leaving('agent-engine-1'))
 
 
-@then('no entry host sends new work to engine 1')
-def step_no_new_work(context: Any) -> None:
+@then('no entry host sends new requests to engine 1')
+def step_no_new_requests(context: Any) -> None:
 
     async def send() -> None:
         await asyncio.sleep(_SETTLE_S)
@@ -104,16 +104,17 @@
 
 
 class _Load:
-    """Asks without pause and keeps what came."""
+    """Sends requests one after the other and records the results."""
 
     def __init__(self, *, context: Any) -> None:
         self._context = context
         self._addresses = list(context.system.entry_addresses)
         self.statuses: list[int] = []
-        self.broken: list[str] = []
+        self.errors: list[str] = []
         self.is_done = False
 
     async def run(self) -> None:
+        """Sends requests until `is_done` is set."""
         caller = self._context.caller
         while not self.is_done:
             address = self._addresses[0]
@@ -122,7 +123,7 @@
                 self.statuses.append(answer.status)
                 self._addresses = await caller.addresses(address)
             except ConnectionError as error:
-                self.broken.append(str(error))
+                self.errors.append(str(error))
                 self._addresses = self._addresses[1:]
                 continue
             if answer.status == 200:
@@ -130,12 +131,12 @@
             else:
                 assert answer.json['ran'] == 'no', answer
                 self._addresses = self._addresses[1:] + self._addresses[:1]
-            await asyncio.sleep(_PAUSE_S)
+            await asyncio.sleep(_REQUEST_INTERVAL_S)
 
 
 async def _replace_all(context: Any) -> None:
     load = _Load(context=context)
-    asking = asyncio.create_task(load.run())
+    sending = asyncio.create_task(load.run())
     for number in range(1, 4):
         process = context.system.by_name[f'entry-{number}']
         process.signal(signal.SIGTERM)
@@ -145,23 +146,23 @@
         await context.system.start_entry(number)
         await asyncio.sleep(_SETTLE_S)
     load.is_done = True
-    await asking
+    await sending
     context.load = load
 
 
-@when('callers ask without pause while each entry host is replaced by plan')
+@when('callers send requests while each entry host is replaced gracefully')
 def step_replace_all(context: Any) -> None:
     scenario.run(context, _replace_all(context), _LOAD_TIMEOUT_S)
 
 
-@then('every request was answered whole or refused as not run')
-def step_answered(context: Any) -> None:
-    assert not context.load.broken, context.load.broken
+@then('every request was completed or rejected as not executed')
+def step_completed(context: Any) -> None:
+    assert not context.load.errors, context.load.errors
     assert context.load.statuses.count(200) > _REQUESTS
 
 
 @given('{count:d} entry hosts of which {silent:d} are silent')
-def step_judge(context: Any, count: int, silent: int) -> None:
+def step_silent_hosts(context: Any, count: int, silent: int) -> None:
     evidence = {
         f'entry-{i}':
             membership.HostEvidence(silent_s=10.0 if i < silent else 0.0)
@@ -170,9 +171,9 @@
     context.view = membership.assess_fleet(evidence)
 
 
-@then('the judgement is {mood} and {usable:d} hosts are usable')
-def step_judgement(context: Any, mood: str, usable: int) -> None:
-    assert context.view.is_panic == (mood == 'panic'), context.view
+@then('the assessment is {state} and {usable:d} hosts are usable')
+def step_assessment(context: Any, state: str, usable: int) -> None:
+    assert context.view.is_panic == (state == 'panic'), context.view
     assert len(context.view.usable()) == usable, context.view
 
 
@@ -188,21 +189,21 @@
     context.centres = centres
 
 
-@then('each keeps at most {most:d} links and all are connected')
+@then('each host has at most {most:d} links and all hosts are connected')
 def step_connected(context: Any, most: int) -> None:
     links_by_host: dict[str, set[str]] = {m.host: set() for m in context.members}
     for member in context.members:
         for peer in membership.select_linked_peers(member, context.members):
             links_by_host[member.host].add(peer)
             links_by_host[peer].add(member.host)
-    largest = max(len(links) for links in links_by_host.values())
-    assert largest <= most, largest
+    most_links = max(len(links) for links in links_by_host.values())
+    assert most_links <= most, most_links
     reached = {'entry-0'}
-    edge = ['entry-0']
-    while edge:
-        new = links_by_host[edge.pop()] - reached
+    unvisited = ['entry-0']
+    while unvisited:
+        new = links_by_host[unvisited.pop()] - reached
         reached |= new
-        edge.extend(new)
+        unvisited.extend(new)
     assert len(reached) == len(context.members)
 
 
@@ -213,9 +214,9 @@
         assert len(found) == count, found
 
 
-@then('with {upstreams:d} upstreams each entry host keeps at most {most:d} '
+@then('with {upstreams:d} upstreams each entry host has at most {most:d} '
       'upstream links')
-def step_subset(context: Any, upstreams: int, most: int) -> None:
+def step_upstream_links(context: Any, upstreams: int, most: int) -> None:
     served = [
         membership.Member(host=f'agent-{i}',
                           data_centre=f'dc-{i % 21}',
