Reword the rebalancing, map switch and model checking features

The features and steps under tests/balance and tests/models now use the terms of the code they test: coordinator, aborted switch, cost and saving of a load, violated invariant.

Step texts changed together with their decorators; assertions, bounds and the number of scenarios and steps are unchanged.

--- a/tests/agreed/steps/membership.py
+++ b/tests/agreed/steps/membership.py
@@ -191,17 +191,17 @@
 
 @then('each host has at most {most:d} links and all hosts are connected')
 def step_connected(context: Any, most: int) -> None:
-    links_by_host: dict[str, set[str]] = {m.host: set() for m in context.members}
+    neighbours: dict[str, set[str]] = {m.host: set() for m in context.members}
     for member in context.members:
         for peer in membership.select_linked_peers(member, context.members):
-            links_by_host[member.host].add(peer)
-            links_by_host[peer].add(member.host)
-    most_links = max(len(links) for links in links_by_host.values())
+            neighbours[member.host].add(peer)
+            neighbours[peer].add(member.host)
+    most_links = max(len(links) for links in neighbours.values())
     assert most_links <= most, most_links
     reached = {'entry-0'}
     unvisited = ['entry-0']
     while unvisited:
-        new = links_by_host[unvisited.pop()] - reached
+        new = neighbours[unvisited.pop()] - reached
         reached |= new
         unvisited.extend(new)
     assert len(reached) == len(context.members)
--- a/tests/balance/steps/rebalance.py
+++ b/tests/balance/steps/rebalance.py
@@ -1,4 +1,4 @@
-"""Steps for decisions about experts, with made-up counts."""
+"""Steps for the planning of experts, with generated counts."""
 
 import collections
 import dataclasses
@@ -11,21 +11,22 @@
                                stragglers, targets)
 
 _INTERVAL_S = 300.0
-_TOKENS = 200_000
+_TOKENS_PER_REPORT = 200_000
 
 
-def _planner(context: Any) -> rebalance.PlannerConfig:
+def _planner_config(context: Any) -> rebalance.PlannerConfig:
     return rebalance.PlannerConfig(context.group, context.balance,
                                    context.costs, _INTERVAL_S)
 
 
-def _tokens(context: Any) -> tuple[tuple[int, ...], ...]:
+def _token_counts(context: Any) -> tuple[tuple[int, ...], ...]:
     total = sum(context.weights)
-    row = tuple(int(_TOKENS * weight / total) for weight in context.weights)
+    row = tuple(
+        int(_TOKENS_PER_REPORT * weight / total) for weight in context.weights)
     return (row,) * context.layers
 
 
-def _shares(context: Any) -> list[tuple[float, ...]]:
+def _expert_shares(context: Any) -> list[tuple[float, ...]]:
     total = sum(context.weights)
     return [tuple(weight / total for weight in context.weights)
            ] * context.layers
@@ -40,8 +41,8 @@
     for i in range(1, count + 1):
         now_s = i * _INTERVAL_S
         estimate = popularity.add_counts(
-            estimate, popularity.TokenCounts(i, now_s, _tokens(context)))
-        state, plan = rebalance.plan_rebalance(_planner(context),
+            estimate, popularity.TokenCounts(i, now_s, _token_counts(context)))
+        state, plan = rebalance.plan_rebalance(_planner_config(context),
                                                state,
                                                estimate,
                                                now_s=now_s)
@@ -49,19 +50,19 @@
     return plans
 
 
-def _plan_once(context: Any, **circumstances: Any) -> None:
+def _plan_once(context: Any, **conditions: Any) -> None:
     state = rebalance.GroupState(current_map=context.first_map)
     estimate = popularity.empty_popularity(layers=context.layers,
                                            experts=context.group.experts,
                                            at_s=0.0)
-    if circumstances:
+    if conditions:
         estimate = popularity.add_counts(
-            estimate, popularity.TokenCounts(1, 1.0, _tokens(context)))
-    _, context.plan = rebalance.plan_rebalance(_planner(context),
+            estimate, popularity.TokenCounts(1, 1.0, _token_counts(context)))
+    _, context.plan = rebalance.plan_rebalance(_planner_config(context),
                                                state,
                                                estimate,
                                                now_s=1.0,
-                                               **circumstances)
+                                               **conditions)
 
 
 @given('a group of {ranks:d} ranks on {hosts:d} hosts with {experts:d} experts '
@@ -78,17 +79,18 @@
                                         store_bytes_per_s=33e6,
                                         slowdown=0.2,
                                         stall_s=0.05)
-    rows = _shares(context)
+    rows = _expert_shares(context)
     context.first_map = expert_map.build_map(
         [moves.optimize_layout(context.group, row) for row in rows], rows)
 
 
-@given('expert {expert:d} of each layer becomes {factor:d} times as popular')
-def step_popular(context: Any, expert: int, factor: int) -> None:
+@given('the popularity of expert {expert:d} of each layer is multiplied by '
+       '{factor:d}')
+def step_multiply_popularity(context: Any, expert: int, factor: int) -> None:
     context.weights[expert] *= factor
 
 
-@given('the weight store gives 1 byte a second')
+@given('the weight store delivers 1 byte per second')
 def step_slow_store(context: Any) -> None:
     context.costs = dataclasses.replace(context.costs, store_bytes_per_s=1.0)
 
@@ -108,37 +110,39 @@
     _plan_once(context, draining=True)
 
 
-@when('a rank does not answer')
-def step_short(context: Any) -> None:
+@when('a rank is missing')
+def step_missing_rank(context: Any) -> None:
     _plan_once(context, missing_ranks=1)
 
 
-@then('the plan is "{verdict}" and moves nothing')
-def step_verdict(context: Any, verdict: str) -> None:
+@then('the plan is "{verdict}" and keeps the map')
+def step_keeps_map(context: Any, verdict: str) -> None:
     assert context.plan.verdict == verdict, context.plan.verdict
     assert context.plan.target_map == context.first_map
 
 
-@when('{count:d} plans are carried out')
+@when('{count:d} plans are applied')
 def step_plans(context: Any, count: int) -> None:
     context.plans = _run_plans(context, count)
 
 
 @then('the skew is below {limit:g}')
 def step_skew(context: Any, limit: float) -> None:
-    skew = expert_map.skew(context.plans[-1].target_map, _shares(context))
+    skew = expert_map.skew(context.plans[-1].target_map,
+                           _expert_shares(context))
     assert skew < limit, skew
 
 
 @then('the skew is lower than with the first map')
-def step_lower(context: Any) -> None:
-    after = expert_map.skew(context.plans[-1].target_map, _shares(context))
-    before = expert_map.skew(context.first_map, _shares(context))
+def step_lower_skew(context: Any) -> None:
+    after = expert_map.skew(context.plans[-1].target_map,
+                            _expert_shares(context))
+    before = expert_map.skew(context.first_map, _expert_shares(context))
     assert after < before, (after, before)
 
 
-@then('every load was paid by its saving')
-def step_paid(context: Any) -> None:
+@then('the saving of every load exceeds its cost')
+def step_saving_exceeds_cost(context: Any) -> None:
     layer_loads = [item for plan in context.plans for item in plan.layer_loads]
     assert layer_loads
     assert all(item.saving > item.cost for item in layer_loads)
@@ -149,13 +153,13 @@
     assert not any(plan.experts for plan in context.plans)
 
 
-@then('the same input gives the same maps')
+@then('equal inputs give equal maps')
 def step_deterministic(context: Any) -> None:
     assert _run_plans(context, len(context.plans)) == context.plans
 
 
-@then('every expert with up to {most:d} replicas has each on a host of its own')
-def step_hosts(context: Any, most: int) -> None:
+@then('every expert with up to {most:d} replicas has each on a different host')
+def step_different_hosts(context: Any, most: int) -> None:
     for layer in context.plans[-1].target_map:
         hosts = collections.defaultdict[int, list[str]](list)
         for host, experts in zip(context.group.host_by_rank, layer.layout):
@@ -166,7 +170,7 @@
                 assert len(set(names)) == len(names), (expert, names)
 
 
-@when('report 3 comes before report 2, and report 2 twice')
+@when('report 3 arrives before report 2, and report 2 twice')
 def step_late(context: Any) -> None:
     estimate = popularity.empty_popularity(layers=1, experts=2, at_s=0.0)
     for seq in (1, 3, 2, 2):
@@ -176,14 +180,14 @@
     context.estimate = estimate
 
 
-@then('the estimate counts report 2 once and misses none')
+@then('the estimate includes report 2 once and misses no report')
 def step_once(context: Any) -> None:
-    late = context.estimate.layers[0].weight[1]
-    assert 0 < late <= 1000, late
+    late_tokens = context.estimate.layers[0].weight[1]
+    assert 0 < late_tokens <= 1000, late_tokens
     assert context.estimate.missed == 0
 
 
-@when('report 9 comes next')
+@when('report 9 arrives next')
 def step_gap(context: Any) -> None:
     context.estimate = popularity.add_counts(
         context.estimate, popularity.TokenCounts(9, 90.0, ((1000, 0),)))
@@ -194,26 +198,26 @@
     assert context.estimate.missed == count, context.estimate.missed
 
 
-@given('a rank that takes 30 percent longer for its tokens')
+@given('a rank that takes 30 percent longer for the same tokens')
 def step_slow_rank(context: Any) -> None:
     context.seconds = [1.3, 1.0, 1.0, 1.0]
     context.tokens = [1000, 1000, 1000, 1000]
 
 
-@given('a rank with 30 percent more tokens')
+@given('a rank that has 30 percent more tokens')
 def step_more_tokens(context: Any) -> None:
     context.seconds[1] *= 1.3
     context.tokens[1] = 1300
 
 
-@then('only the first is reported as slow')
+@then('only the first rank is reported as slow')
 def step_only_slow(context: Any) -> None:
     window = stragglers.RankTimes(tuple(context.seconds), tuple(context.tokens))
-    slow = stragglers.find_slow_ranks([window] * stragglers.MIN_WINDOWS)
-    assert [item.rank for item in slow] == [0], slow
+    slow_ranks = stragglers.find_slow_ranks([window] * stragglers.MIN_WINDOWS)
+    assert [item.rank for item in slow_ranks] == [0], slow_ranks
 
 
-@given('groups that want to load from one store')
+@given('groups that request loads from one store')
 def step_requests(context: Any) -> None:
     context.requests = [
         load_schedule.LoadRequest('short', 100, 2.0, 12.0, 1.0),
@@ -222,15 +226,15 @@
     ]
 
 
-@then('the best goes first and one that would wait too long does not load')
-def step_turns(context: Any) -> None:
-    turns = load_schedule.schedule_loads(context.requests,
+@then('the best load is first and one that would wait too long is left out')
+def step_schedule(context: Any) -> None:
+    slots = load_schedule.schedule_loads(context.requests,
                                          store_bytes_per_s=10.0)
-    assert [(turn.group, turn.start_s) for turn in turns] == [('best', 0.0),
+    assert [(slot.group, slot.start_s) for slot in slots] == [('best', 0.0),
                                                               ('good', 10.0)]
 
 
-@given('two models, and demand that has moved to the second')
+@given('two models, and demand that has shifted to the second')
 def step_models(context: Any) -> None:
     context.models = [
         model_placement.GroupModel(f'group-{i}', model)
@@ -238,9 +242,9 @@
     ]
 
 
-@then('one group changes if the demand lasts, and none if it does not')
-def step_changes(context: Any) -> None:
-    for life_s, wanted in ((3600.0, ['b']), (100.0, [])):
+@then('one group changes its model if the demand lasts, otherwise none')
+def step_model_changes(context: Any) -> None:
+    for life_s, expected in ((3600.0, ['b']), (100.0, [])):
         demands = [
             model_placement.ModelDemand('a', 1.6, life_s),
             model_placement.ModelDemand('b', 2.0, life_s)
@@ -249,4 +253,4 @@
                                               demands,
                                               load_s=120.0,
                                               budget=4)
-        assert [change.model for change in changes] == wanted, changes
+        assert [change.model for change in changes] == expected, changes
--- a/tests/balance/steps/switch.py
+++ b/tests/balance/steps/switch.py
@@ -8,16 +8,16 @@
 from tests import scenario
 from tests.fakes import rank_system
 
-_STEPS = 20
+_MIN_STEPS = 20
 
 
-def _until_map(context: Any, version: int) -> None:
+def _wait_for_map(context: Any, version: int) -> None:
 
-    async def runs() -> bool:
+    async def all_on_map() -> bool:
         group = await context.ranks.group()
         return set(group['versions']) == {version}
 
-    scenario.run(context, scenario.eventually(runs, 40.0))
+    scenario.run(context, scenario.eventually(all_on_map, 40.0))
 
 
 @given('a rank group of {size:d} ranks that runs on map 1')
@@ -25,26 +25,26 @@
     context.ranks = scenario.run(
         context,
         context.stack.enter_async_context(rank_system.RankSystem(size=size)))
-    _until_map(context, 1)
+    _wait_for_map(context, 1)
 
 
-@given('the weight store answers after {seconds:d} seconds')
-def step_slow(context: Any, seconds: int) -> None:
+@given('the weight store responds after {seconds:d} seconds')
+def step_slow_store(context: Any, seconds: int) -> None:
     scenario.run(context, context.ranks.fault('weights', delay_s=seconds))
 
 
 @given('the weight store fails for rank {index:d}')
-def step_failing(context: Any, index: int) -> None:
+def step_failing_store(context: Any, index: int) -> None:
     scenario.run(context, context.ranks.fault('weights', fail_ranks=[index]))
 
 
-@when('the weight store is well again')
-def step_well(context: Any) -> None:
+@when('the weight store has no fault')
+def step_clear_store_faults(context: Any) -> None:
     scenario.run(context, context.ranks.fault('weights'))
 
 
-@when('map {version:d} is wanted')
-def step_want(context: Any, version: int) -> None:
+@when('map {version:d} is requested')
+def step_request_map(context: Any, version: int) -> None:
     scenario.run(context, context.ranks.want(version))
 
 
@@ -62,7 +62,7 @@
 @given(
     'the agent of rank {index:d} is paused once it has loaded map {version:d}')
 def step_pause_loaded(context: Any, index: int, version: int) -> None:
-    """Ranks other than this one load slowly, so that it is prepared first."""
+    """Delays the loads of the other ranks, so that this one prepares first."""
     ranks = context.ranks
     scenario.run(context, ranks.fault('weights', slow_others=index))
     scenario.run(context, ranks.want(version))
@@ -81,22 +81,22 @@
     context.paused.signal(signal.SIGSTOP)
 
 
-@when('the agent of rank {index:d} goes on')
-def step_go_on(context: Any, index: int) -> None:
+@when('the agent of rank {index:d} resumes')
+def step_resume(context: Any, index: int) -> None:
     context.ranks.agent(index).signal(signal.SIGCONT)
 
 
-@when('the first agent of rank 0 goes on')
-def step_first_goes_on(context: Any) -> None:
+@when('the first agent of rank 0 resumes')
+def step_resume_first(context: Any) -> None:
     context.paused.signal(signal.SIGCONT)
 
 
-@when('another agent of rank 0 is started')
-def step_another(context: Any) -> None:
+@when('a second agent of rank 0 is started')
+def step_second_agent(context: Any) -> None:
     scenario.run(context, context.ranks.start_agent(0))
 
 
-@when('the {what} of rank {index:d} is killed and started again')
+@when('the {what} of rank {index:d} is killed and restarted')
 def step_kill(context: Any, what: str, index: int) -> None:
     ranks = context.ranks
     if what == 'engine':
@@ -106,44 +106,44 @@
         scenario.run(context, ranks.start_agent(index))
 
 
-@when('the leader has given up a switch')
-def step_given_up(context: Any) -> None:
+@when('the coordinator has aborted a switch')
+def step_aborted(context: Any) -> None:
 
-    async def given_up() -> bool:
+    async def has_aborted() -> bool:
         status = await context.ranks.status(0)
         return status['switches']['aborted'] > 0
 
-    scenario.run(context, scenario.eventually(given_up, 40.0))
+    scenario.run(context, scenario.eventually(has_aborted, 40.0))
 
 
-@then('the group comes to run on map {version:d}')
-def step_runs(context: Any, version: int) -> None:
-    _until_map(context, version)
+@then('all ranks eventually use map {version:d}')
+def step_use_map(context: Any, version: int) -> None:
+    _wait_for_map(context, version)
 
 
-@then('the group makes steps on map {version:d}')
-def step_makes_steps(context: Any, version: int) -> None:
+@then('the group completes steps on map {version:d}')
+def step_completes_steps(context: Any, version: int) -> None:
     first = scenario.run(context, context.ranks.group())['completed']
 
     async def advanced() -> bool:
         group = await context.ranks.group()
         assert set(group['versions']) == {version}, group['versions']
-        return group['completed'] > first + _STEPS
+        return group['completed'] > first + _MIN_STEPS
 
     scenario.run(context, scenario.eventually(advanced))
 
 
-@then('the group makes no step')
+@then('the group completes no step')
 def step_no_step(context: Any) -> None:
 
-    async def stands() -> bool:
+    async def is_waiting() -> bool:
         group = await context.ranks.group()
         return group['waiting_s'] > 0.5
 
-    scenario.run(context, scenario.eventually(stands))
+    scenario.run(context, scenario.eventually(is_waiting))
 
 
-@then('in every step all ranks used the same map')
+@then('all ranks used the same map in every step')
 def step_same_map(context: Any) -> None:
     group = scenario.run(context, context.ranks.group())
     assert group['completed'] > 0
--- a/tests/models/invariants.feature
+++ b/tests/models/invariants.feature
@@ -1,9 +1,13 @@
-Feature: What must always hold, by model checking
+Feature: Model checking of the protocol invariants
 
-  Scenario Outline: The protocol holds and each of its guards is needed
-    When the specification "<name>" is checked within its small bounds
+  A protocol can violate an invariant in an interleaving that no test runs. The
+  checker visits every reachable state of a bounded specification. It also
+  removes each guard in turn, which shows that the invariants detect its loss.
+
+  Scenario Outline: The invariants hold, and every guard is necessary
+    When the specification "<name>" is checked within its bounds
     Then every invariant holds in every reachable state
-    And each mutant of "<name>" breaks an invariant
+    And every mutant of "<name>" violates an invariant
 
     Examples:
       | name                   |
--- a/tests/models/steps/invariants.py
+++ b/tests/models/steps/invariants.py
@@ -7,25 +7,25 @@
 from models import checking, suite
 
 
-@when('the specification "{name}" is checked within its small bounds')
+@when('the specification "{name}" is checked within its bounds')
 def step_check(context: Any, name: str) -> None:
     subject = suite.SUBJECTS[name]
-    context.finding = checking.check(subject.small(subject.rules))
+    context.result = checking.check(subject.small(subject.rules))
 
 
 @then('every invariant holds in every reachable state')
-def step_holds(context: Any) -> None:
-    assert context.finding.exhaustive
-    assert not context.finding.traces_by_invariant, (
-        context.finding.traces_by_invariant)
+def step_invariants_hold(context: Any) -> None:
+    assert context.result.exhaustive
+    assert not context.result.traces_by_invariant, (
+        context.result.traces_by_invariant)
 
 
-@then('each mutant of "{name}" breaks an invariant')
-def step_caught(context: Any, name: str) -> None:
+@then('every mutant of "{name}" violates an invariant')
+def step_mutants_fail(context: Any, name: str) -> None:
     del context
     subject = suite.SUBJECTS[name]
-    missed = [
+    undetected = [
         mutant for mutant, rules in subject.mutants.items()
         if not checking.check_mutant(subject.small(rules))
     ]
-    assert subject.mutants and not missed, missed
+    assert subject.mutants and not undetected, undetected
