Reword the request path features in plain terms

The features and steps under tests/path used figures (crossed answers, planned stop, work that is cut, streams that break off). They now use the terms of pollenthread: response of another request, graceful shutdown, interrupted request, aborted response. Load generators and results in tests/agreed and tests/policy got plainer names.

Step texts changed together with their decorators; assertions, bounds and the number of scenarios and steps are unchanged.

--- a/tests/agreed/steps/membership.py
+++ b/tests/agreed/steps/membership.py
@@ -103,7 +103,7 @@
     scenario.run(context, send())
 
 
-class _Load:
+class _LoadGenerator:
     """Sends requests one after the other and records the results."""
 
     def __init__(self, *, context: Any) -> None:
@@ -135,7 +135,7 @@
 
 
 async def _replace_all(context: Any) -> None:
-    load = _Load(context=context)
+    load = _LoadGenerator(context=context)
     sending = asyncio.create_task(load.run())
     for number in range(1, 4):
         process = context.system.by_name[f'entry-{number}']
--- a/tests/path/bad_input.feature
+++ b/tests/path/bad_input.feature
@@ -1,10 +1,14 @@
-Feature: Bad input towards callers
+Feature: Invalid requests
+
+  An entry host must reject a malformed request with a specific error before
+  any upstream receives it. After a framing error the position of the next
+  request in the byte stream is unknown, so the host closes the connection.
 
   Background:
     Given a system with 1 entry hosts, 1 engines and 1 service
 
-  Scenario: Each bad request gets its own kind and touches no upstream
-    Then these raw requests are answered and the connection stays usable
+  Scenario: Each invalid request gets its error kind and reaches no upstream
+    Then these raw requests get error responses and the connection stays open
       | kind               | status | request                                                                                                     |
       | not_found          | 404    | GET /nothing HTTP/1.1\r\nhost: a\r\n\r\n                                                                     |
       | method_not_allowed | 405    | POST /v1/addresses HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n                                          |
@@ -25,10 +29,10 @@
       | bad_json           | 400    | {chat}content-length: 1\r\n\r\n{                                                                             |
       | bad_json           | 400    | {chat}content-length: 4\r\n\r\n"\xff\xfe"                                                                    |
       | bad_json           | 400    | {chat}content-length: 45\r\n\r\n{"model": "assistant-small", "stream": "yes"}                                |
-    And no upstream was touched
+    And no upstream received an attempt
 
-  Scenario: Bad framing is refused and the connection closed
-    Then these raw requests are answered and the connection is closed
+  Scenario: Invalid framing is rejected and the connection is closed
+    Then these raw requests get error responses and the connection is closed
       | kind           | status | request                                                                                     |
       | bad_framing    | 400    | nonsense\r\n\r\n                                                                            |
       | bad_framing    | 400    | GET / HTTP/1.1\r\n\r\n                                                                      |
@@ -43,21 +47,21 @@
       | body_too_large | 413    | {chat}content-length: 99999999999999999999\r\n\r\n                                          |
       | body_too_large | 413    | {chat}transfer-encoding: chunked\r\n\r\n200000\r\n{many bytes}                              |
       | head_too_large | 431    | GET / HTTP/1.1\r\nhost: a\r\nx: {many bytes}                                                |
-    And no upstream was touched
+    And no upstream received an attempt
 
-  Scenario: A head that comes too slowly is refused
-    Then these raw requests are answered and the connection is closed
+  Scenario: A request head that arrives too slowly is rejected
+    Then these raw requests get error responses and the connection is closed
       | kind         | status | request                        |
       | slow_request | 408    | GET / HTTP/1.1\r\nhost: a\r\n  |
 
-  Scenario: An absolute target and folded headers are understood
+  Scenario: An absolute request target and folded headers are accepted
     When the raw request "GET http://a/v1/addresses HTTP/1.1\r\nhost: a\r\nx-caller: b\r\n c\r\n\r\n" is sent
-    Then the raw answer has status 200
+    Then the raw response has status 200
 
-  Scenario: A problem in answer to HEAD has no body
+  Scenario: An error response to HEAD has no body
     When the raw request "HEAD /nothing HTTP/1.1\r\nhost: a\r\n\r\nGET /v1/addresses HTTP/1.1\r\nhost: a\r\n\r\n" is sent
-    Then the raw answers have statuses 404 and 200
+    Then the raw responses have statuses 404 and 200
 
-  Scenario: Pipelined requests are answered in order
+  Scenario: Responses to pipelined requests keep the order of the requests
     When the raw request "GET /v1/addresses HTTP/1.1\r\nhost: a\r\n\r\nGET /nothing HTTP/1.1\r\nhost: a\r\n\r\n" is sent
-    Then the raw answers have statuses 200 and 404
+    Then the raw responses have statuses 200 and 404
--- a/tests/path/steps/bad_input.py
+++ b/tests/path/steps/bad_input.py
@@ -14,19 +14,19 @@
 _CHAT = ('POST /v1/chat/completions HTTP/1.1\\r\\nhost: a\\r\\n'
          'x-workspace: buna\\r\\nx-class: caption\\r\\n')
 _MANY_BYTES = b'x' * 2_000_000
-_GOOD = b'GET /v1/addresses HTTP/1.1\r\nhost: a\r\n\r\n'
-_ANSWER_TIMEOUT_S = 30.0
+_VALID_REQUEST = b'GET /v1/addresses HTTP/1.1\r\nhost: a\r\n\r\n'
+_RESPONSE_TIMEOUT_S = 30.0
 
 
-def _bytes(text: str) -> bytes:
-    """The bytes that a feature writes with escapes."""
+def _decode_request(text: str) -> bytes:
+    """Returns the bytes of a request that a feature writes with escapes."""
     text = text.replace('{service}', _SERVICE).replace('{chat}', _CHAT)
     raw = text.encode('ascii').decode('unicode_escape').encode('latin-1')
     return raw.replace(b'{many bytes}', _MANY_BYTES)
 
 
-class _Raw:
-    """One connection on which bytes are sent as they are."""
+class _RawConnection:
+    """A connection that sends bytes unchanged."""
 
     def __init__(self, reader: asyncio.StreamReader,
                  writer: asyncio.StreamWriter) -> None:
@@ -34,23 +34,23 @@
         self._writer = writer
 
     @classmethod
-    async def open(cls, context: Any) -> '_Raw':
+    async def open(cls, context: Any) -> '_RawConnection':
         """Connects to the first entry host."""
         host, _, port = context.system.entry_addresses[0].rpartition(':')
-        raw = cls(*await asyncio.open_connection(host, int(port)))
-        context.stack.callback(raw.close)
-        return raw
+        connection = cls(*await asyncio.open_connection(host, int(port)))
+        context.stack.callback(connection.close)
+        return connection
 
     def close(self) -> None:
         """Closes the connection."""
         self._writer.close()
 
     def send(self, data: bytes) -> None:
-        """Sends bytes."""
+
         self._writer.write(data)
 
     async def receive(self, with_body: bool = True) -> tuple[int, bytes]:
-        """Reads one answer; its status and body."""
+        """Reads one response and returns its status and body."""
         head = await self._reader.readuntil(b'\r\n\r\n')
         status = int(head.split(b' ')[1])
         length = re.search(rb'content-length: (\d+)', head)
@@ -59,65 +59,66 @@
         return status, await self._reader.readexactly(int(length.group(1)))
 
     async def is_closed(self) -> bool:
-        """Waits until the other end closes."""
+        """Waits until the peer closes; returns whether it sent no data."""
         try:
             return await self._reader.read() == b''
         except ConnectionError:
             return True
 
 
-async def _check_row(context: Any, row: Any, usable: bool) -> None:
-    raw = await _Raw.open(context)
-    raw.send(_bytes(row['request']))
-    status, body = await raw.receive()
-    problem = json.loads(body)
-    found = (problem['kind'], status, problem['ran'])
-    assert found == (row['kind'], int(row['status']), 'no'), (row, problem)
-    if not usable:
-        assert await raw.is_closed(), row
+async def _check_row(context: Any, row: Any, stays_open: bool) -> None:
+    connection = await _RawConnection.open(context)
+    connection.send(_decode_request(row['request']))
+    status, body = await connection.receive()
+    error = json.loads(body)
+    found = (error['kind'], status, error['ran'])
+    assert found == (row['kind'], int(row['status']), 'no'), (row, error)
+    if not stays_open:
+        assert await connection.is_closed(), row
         return
-    raw.send(_GOOD)
-    status, _ = await raw.receive()
+    connection.send(_VALID_REQUEST)
+    status, _ = await connection.receive()
     assert status == 200, (row, status)
 
 
-def _check_rows(context: Any, usable: bool) -> None:
+def _check_rows(context: Any, stays_open: bool) -> None:
     for row in context.table:
-        scenario.run(context, _check_row(context, row, usable),
-                     _ANSWER_TIMEOUT_S)
+        scenario.run(context, _check_row(context, row, stays_open),
+                     _RESPONSE_TIMEOUT_S)
 
 
-@then('these raw requests are answered and the connection stays usable')
-def step_usable(context: Any) -> None:
-    _check_rows(context, usable=True)
+@then('these raw requests get error responses and the connection stays open')
+def step_stays_open(context: Any) -> None:
+    _check_rows(context, stays_open=True)
 
 
-@then('these raw requests are answered and the connection is closed')
+@then('these raw requests get error responses and the connection is closed')
 def step_closed(context: Any) -> None:
-    _check_rows(context, usable=False)
+    _check_rows(context, stays_open=False)
 
 
 @when('the raw request "{request}" is sent')
 def step_send(context: Any, request: str) -> None:
 
-    async def send() -> _Raw:
-        raw = await _Raw.open(context)
-        raw.send(_bytes(request))
-        return raw
+    async def send() -> _RawConnection:
+        connection = await _RawConnection.open(context)
+        connection.send(_decode_request(request))
+        return connection
 
-    context.raw = scenario.run(context, send())
+    context.connection = scenario.run(context, send())
     context.with_body = not request.startswith('HEAD')
 
 
-@then('the raw answer has status {status:d}')
+@then('the raw response has status {status:d}')
 def step_status(context: Any, status: int) -> None:
-    found, _ = scenario.run(context, context.raw.receive())
+    found, _ = scenario.run(context, context.connection.receive())
     assert found == status, found
 
 
-@then('the raw answers have statuses {first:d} and {second:d}')
+@then('the raw responses have statuses {first:d} and {second:d}')
 def step_statuses(context: Any, first: int, second: int) -> None:
-    found, _ = scenario.run(context, context.raw.receive(context.with_body))
+    found, _ = scenario.run(context,
+                            context.connection.receive(context.with_body))
     assert found == first, found
-    found, _ = scenario.run(context, context.raw.receive())
+    found, _ = scenario.run(context, context.connection.receive())
     assert found == second, found
--- a/tests/path/steps/failures.py
+++ b/tests/path/steps/failures.py
@@ -1,4 +1,4 @@
-"""Steps that bring failures about on the request's path."""
+"""Steps that cause failures between the caller and the upstream."""
 
 import asyncio
 import json
@@ -13,11 +13,11 @@
 from tests.fakes import caller as caller_module, relay, service
 
 _CHUNK_BYTES = 4096
-_HALT_S = 0.5
-# Three processes fill all buffers on the way first, however busy the machine.
+_HALT_INTERVAL_S = 0.5
+# The buffers of three processes fill first, which is slow on a busy machine.
 _HALT_TIMEOUT_S = 50.0
 _UNREAD_TIMEOUT_MS = 20000
-_PAGE_KIB = 1024
+_KIB_PER_MIB = 1024
 
 
 def _entry(context: Any, number: int = 1) -> str:
@@ -96,15 +96,15 @@
     context.answers = scenario.run(context, pay())
 
 
-@then('all answers carry the same receipt')
-def step_all_same(context: Any) -> None:
+@then('all responses contain the same receipt')
+def step_all_same_receipt(context: Any) -> None:
     found = {answer.body for answer in context.answers}
     assert len(found) == 1 and _is_receipt(context.answers[0]), found
 
 
 def _is_receipt(answer: caller_module.Answer) -> bool:
-    wanted = service.expected_receipt(caller_module.PAYMENT)
-    return answer.status == 200 and answer.json['receipt'] == wanted
+    expected = service.expected_receipt(caller_module.PAYMENT)
+    return answer.status == 200 and answer.json['receipt'] == expected
 
 
 @then('the answer is a receipt')
@@ -112,8 +112,8 @@
     assert _is_receipt(context.answer), context.answer
 
 
-@when('the service comes to have one effect under "{key}"')
-def step_comes_to_effect(context: Any, key: str) -> None:
+@when('the service eventually has one effect under "{key}"')
+def step_eventual_effect(context: Any, key: str) -> None:
 
     async def check() -> bool:
         tally = await context.system.call(context.system.address('service-1'),
@@ -132,9 +132,9 @@
     assert key not in tally, tally
 
 
-@then('a repeat of the payment "{key}" at entry host {number:d} comes to the '
-      'same receipt')
-def step_repeat_receipt(context: Any, key: str, number: int) -> None:
+@then('a repeated payment "{key}" at entry host {number:d} eventually returns '
+      'the same receipt')
+def step_repeated_payment(context: Any, key: str, number: int) -> None:
 
     async def check() -> bool:
         answer = await context.caller.post(_entry(context, number),
@@ -147,10 +147,10 @@
     _eventually(context, check)
 
 
-# Requests in the background.
+# Requests that run in the background.
 
 
-def _start(context: Any, tokens: int, **headers: str) -> None:
+def _start_stream(context: Any, tokens: int, **headers: str) -> None:
 
     async def start() -> caller_module.Following:
         return context.caller.follow_chat(_entry(context), 'caption',
@@ -161,13 +161,13 @@
 
 
 @when('the caller starts to stream {tokens:d} tokens')
-def step_start(context: Any, tokens: int) -> None:
-    _start(context, tokens)
+def step_start_stream(context: Any, tokens: int) -> None:
+    _start_stream(context, tokens)
 
 
 @when('the caller starts to stream {tokens:d} tokens with "{name}" "{value}"')
 def step_start_with(context: Any, tokens: int, name: str, value: str) -> None:
-    _start(context, tokens, **{name: value})
+    _start_stream(context, tokens, **{name: value})
 
 
 @when('the caller starts the payment "{key}" at entry host {number:d}')
@@ -188,7 +188,7 @@
     context.following = scenario.run(context, start())
 
 
-@when('some tokens have come')
+@when('some tokens have arrived')
 def step_some_tokens(context: Any) -> None:
 
     async def check() -> bool:
@@ -197,17 +197,17 @@
     _eventually(context, check)
 
 
-@when('the caller leaves')
-def step_leave(context: Any) -> None:
+@when('the caller disconnects')
+def step_disconnect(context: Any) -> None:
 
-    async def leave() -> None:
+    async def disconnect() -> None:
         context.following.task.cancel()
         await asyncio.wait([context.following.task])
 
-    scenario.run(context, leave())
+    scenario.run(context, disconnect())
 
 
-@when('the retry is answered')
+@when('the retry receives a response')
 def step_retry_answered(context: Any) -> None:
     scenario.run(context, asyncio.wait([context.following.task]))
     context.document = context.following.document
@@ -216,7 +216,7 @@
     assert int(context.answer.headers['x-attempts']) >= 2
 
 
-@then('the started answer is whole and its own')
+@then('the response of the started request is complete and belongs to it')
 def step_started_own(context: Any) -> None:
     scenario.run(context, asyncio.wait([context.following.task]))
     assert context.following.answer is not None, context.following.error
@@ -224,21 +224,21 @@
                                               context.following.answer)
 
 
-@then('the started answer is a receipt')
+@then('the started request receives a receipt')
 def step_started_receipt(context: Any) -> None:
     scenario.run(context, asyncio.wait([context.following.task]))
     assert _is_receipt(context.following.answer)
 
 
-@then('the started answer is the problem "{kind}" with ran "{ran}"')
-def step_started_problem(context: Any, kind: str, ran: str) -> None:
+@then('the started request fails with the error "{kind}" with ran "{ran}"')
+def step_started_error(context: Any, kind: str, ran: str) -> None:
     scenario.run(context, asyncio.wait([context.following.task]))
-    problem = context.following.answer.json
-    assert (problem['kind'], problem['ran']) == (kind, ran), problem
+    error = context.following.answer.json
+    assert (error['kind'], error['ran']) == (kind, ran), error
 
 
-@then('the answer breaks off with the problem "{kind}"')
-def step_breaks_off(context: Any, kind: str) -> None:
+@then('the response is aborted with the error "{kind}"')
+def step_aborted(context: Any, kind: str) -> None:
     scenario.run(context, asyncio.wait([context.following.task]))
     following = context.following
     assert following.error is not None, following.answer
@@ -293,24 +293,24 @@
     return found[0]
 
 
-@when('the agent that runs it is paused')
+@when('the agent that runs the attempt is paused')
 def step_pause_running(context: Any) -> None:
     context.paused = _find_running(context)
     step_pause(context, context.paused)
 
 
-@when('the agent that runs it is killed')
+@when('the agent that runs the attempt is killed')
 def step_kill_running(context: Any) -> None:
     step_kill(context, _find_running(context))
 
 
-@when('the paused agent goes on')
-def step_go_on(context: Any) -> None:
+@when('the paused agent resumes')
+def step_resume(context: Any) -> None:
     context.system.by_name[context.paused].signal(signal.SIGCONT)
 
 
-@then('"{name}" comes to hold nothing')
-def step_holds_nothing(context: Any, name: str) -> None:
+@then('"{name}" eventually holds no attempts or outcomes')
+def step_holds_none(context: Any, name: str) -> None:
 
     async def check() -> bool:
         status = await _status(context, name)
@@ -320,7 +320,7 @@
     _eventually(context, check)
 
 
-@then('entry host {number:d} answers with addresses')
+@then('entry host {number:d} returns the entry addresses')
 def step_addresses(context: Any, number: int) -> None:
     found = scenario.run(context,
                          context.caller.addresses(_entry(context, number)))
@@ -343,14 +343,14 @@
         }, 1)
         while not found.connections:
             await asyncio.sleep(0.02)
-        await asyncio.sleep(_HALT_S)
+        await asyncio.sleep(_HALT_INTERVAL_S)
         await context.system.wait_until_linked()
         return found
 
     context.relay = scenario.run(context, start())
 
 
-@when('the relay\'s connections fall silent')
+@when('the connections of the relay fall silent')
 def step_silence(context: Any) -> None:
 
     async def silence() -> None:
@@ -393,7 +393,7 @@
     return found
 
 
-@when('a caller asks for {tokens:d} tokens and reads nothing')
+@when('a caller requests {tokens:d} tokens and does not read the response')
 def step_read_nothing(context: Any, tokens: int) -> None:
     context.resident_kib = _resident_kib(context)
     document = json.dumps({
@@ -411,12 +411,12 @@
     scenario.run(context, ask())
 
 
-@step('the engine\'s tokens come to a halt')
+@step('the engine stops producing tokens')
 def step_halt(context: Any) -> None:
     seen = [-1]
 
     async def check() -> bool:
-        await asyncio.sleep(_HALT_S)
+        await asyncio.sleep(_HALT_INTERVAL_S)
         (count,) = [
             await context.system.call(process.ready['address'], 'GET',
                                       '/counts')
@@ -429,24 +429,23 @@
     assert seen[-1] < 200000, seen
 
 
-@then('no process has grown by more than {limit:d} MiB')
+@then('the memory of no process has grown by more than {limit:d} MiB')
 def step_growth(context: Any, limit: int) -> None:
     before = context.resident_kib
     grown = {
         name: now - before[name] for name, now in _resident_kib(context).items()
     }
     del grown['engine-1']
-    assert max(grown.values()) < limit * _PAGE_KIB, grown
+    assert max(grown.values()) < limit * _KIB_PER_MIB, grown
 
 
 @when('requests of classes "{first}", "{second}", "{third}" wait')
-def step_wait_in_line(context: Any, first: str, second: str,
-                      third: str) -> None:
+def step_queue(context: Any, first: str, second: str, third: str) -> None:
     context.order = []
 
-    async def send(name: str, place: int) -> None:
+    async def send(work_class: str, place: int) -> None:
         answer = await context.caller.chat(_entry(context),
-                                           name,
+                                           work_class,
                                            caller_module.chat_document(
                                                2 + place, stream=False),
                                            idempotency_key=f'k{place}')
@@ -455,8 +454,8 @@
 
     async def send_all() -> None:
         tasks = []
-        for place, name in enumerate((first, second, third)):
-            tasks.append(asyncio.create_task(send(name, place)))
+        for place, work_class in enumerate((first, second, third)):
+            tasks.append(asyncio.create_task(send(work_class, place)))
             while True:
                 (count,) = await asyncio.gather(
                     context.system.call(context.system.address('engine-1'),
@@ -469,6 +468,6 @@
     scenario.run(context, send_all())
 
 
-@then('the last overtakes the one before it')
-def step_overtakes(context: Any) -> None:
+@then('the last request is served before the second')
+def step_served_before(context: Any) -> None:
     assert context.order == [0, 2, 1], context.order
--- a/tests/path/steps/planned_stop.py
+++ b/tests/path/steps/planned_stop.py
@@ -1,4 +1,4 @@
-"""Steps for stopping processes under load."""
+"""Steps for the graceful shutdown of processes under load."""
 
 import asyncio
 import signal
@@ -10,35 +10,35 @@
 from tests import scenario
 from tests.fakes import caller as caller_module, service
 
-_CALLERS = 4
-_PAUSE_S = 0.05
-_REFUSED = frozenset({'leaving', 'no_upstream'})
+_CALLER_COUNT = 4
+_POLL_INTERVAL_S = 0.05
+_RETRYABLE_KINDS = frozenset({'leaving', 'no_upstream'})
 
 
-class _Load:
-    """Callers that send one request after the other until told to end."""
+class _LoadGenerator:
+    """Callers that send requests in sequence until they are stopped."""
 
     def __init__(self, context: Any) -> None:
         self._context = context
-        self._ending = False
+        self._is_ending = False
         self._tasks: list[asyncio.Task[None]] = []
-        self.wrong: list[Any] = []
-        self.paid: list[str] = []
+        self.faulty: list[Any] = []
+        self.paid_keys: list[str] = []
         self.streams = 0
 
     def start(self) -> None:
         """Starts the callers."""
-        for number in range(_CALLERS):
+        for number in range(_CALLER_COUNT):
             for work in (self._stream(number), self._pay(number)):
                 self._tasks.append(asyncio.create_task(work))
 
     async def end(self) -> None:
-        """Lets each caller finish its request."""
-        self._ending = True
+        """Stops the callers after their current requests."""
+        self._is_ending = True
         await asyncio.gather(*self._tasks)
 
     async def _addresses(self, number: int) -> list[str]:
-        """Asks any entry host, as callers do whose addresses are old."""
+        """Asks the entry hosts in turn, since known addresses may be stale."""
         for address in self._context.system.entry_addresses:
             try:
                 found: list[str] = await self._context.caller.addresses(
@@ -46,10 +46,10 @@
                 return found
             except ConnectionError:
                 continue
-        raise AssertionError('no entry host answers')
+        raise AssertionError('no entry host responded')
 
     async def _send(self, number: int, send: Any) -> caller_module.Answer:
-        """Tries each address; only a refusal before any work moves it on."""
+        """Tries each address until one accepts the request."""
         while True:
             for address in await self._addresses(number):
                 try:
@@ -57,14 +57,14 @@
                 except http_client.HttpConnectError:
                     continue
                 if (answer.status == 503 and answer.json['ran'] == 'no' and
-                        answer.json['kind'] in _REFUSED):
+                        answer.json['kind'] in _RETRYABLE_KINDS):
                     continue
                 return answer
 
     async def _stream(self, number: int) -> None:
         caller = self._context.caller
         count = 0
-        while not self._ending:
+        while not self._is_ending:
             count += 1
             document = {
                 **caller_module.chat_document(100), 'nonce': f'{number}-{count}'
@@ -74,12 +74,12 @@
                                       chat(address, 'caption', sent))
             self.streams += 1
             if not caller.is_own_answer(document, answer):
-                self.wrong.append(answer)
+                self.faulty.append(answer)
 
     async def _pay(self, number: int) -> None:
         caller = self._context.caller
-        while not self._ending:
-            key = f'p{number}-{len(self.paid)}'
+        while not self._is_ending:
+            key = f'p{number}-{len(self.paid_keys)}'
             answer = await self._send(number,
                                       lambda address, sent=key: caller.post(
                                           address,
@@ -87,28 +87,28 @@
                                           caller_module.PAYMENT_PATH,
                                           caller_module.PAYMENT,
                                           idempotency_key=sent))
-            self.paid.append(key)
+            self.paid_keys.append(key)
             receipt = service.expected_receipt(caller_module.PAYMENT)
             if answer.status != 200 or answer.json['receipt'] != receipt:
-                self.wrong.append(answer)
-            await asyncio.sleep(_PAUSE_S)
+                self.faulty.append(answer)
+            await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-@when('callers stream 100 tokens and pay at both entry hosts, again and again')
+@when('callers repeatedly stream 100 tokens and pay at both entry hosts')
 def step_load(context: Any) -> None:
 
-    async def start() -> _Load:
-        load = _Load(context)
+    async def start() -> _LoadGenerator:
+        load = _LoadGenerator(context)
         load.start()
-        while load.streams < _CALLERS:
-            await asyncio.sleep(_PAUSE_S)
+        while load.streams < _CALLER_COUNT:
+            await asyncio.sleep(_POLL_INTERVAL_S)
         return load
 
     context.load = scenario.run(context, start())
 
 
-@when('{number:d} streams of {tokens:d} tokens run')
-def step_streams(context: Any, number: int, tokens: int) -> None:
+@when('{number:d} streams of {tokens:d} tokens are running')
+def step_running_streams(context: Any, number: int, tokens: int) -> None:
 
     async def start() -> list[caller_module.Following]:
         following = [
@@ -118,18 +118,18 @@
             for i in range(number)
         ]
         while not all(f.body for f in following):
-            await asyncio.sleep(_PAUSE_S)
+            await asyncio.sleep(_POLL_INTERVAL_S)
         return following
 
     context.streams = scenario.run(context, start())
 
 
-@when('"{name}" is asked to stop')
+@when('"{name}" receives a stop signal')
 def step_stop(context: Any, name: str) -> None:
     context.system.by_name[name].signal(signal.SIGTERM)
 
 
-@when('"{name}" is asked to stop again')
+@when('"{name}" receives a second stop signal')
 def step_stop_again(context: Any, name: str) -> None:
 
     async def is_leaving() -> bool:
@@ -141,34 +141,34 @@
     step_stop(context, name)
 
 
-def _stopped(context: Any, name: str) -> Any:
+def _exit_report(context: Any, name: str) -> Any:
 
     async def wait() -> Any:
         process = context.system.by_name[name]
-        line = await process.read_line()
+        report = await process.read_line()
         assert await process.child.wait() == 0, process.child.returncode
-        return line
+        return report
 
     return scenario.run(context, wait())
 
 
-@then('"{name}" stops with status 0 and has cut nothing')
-def step_stopped(context: Any, name: str) -> None:
-    line = _stopped(context, name)
-    assert line['cut'] == 0, line
+@then('"{name}" exits with status 0 and has interrupted nothing')
+def step_exited(context: Any, name: str) -> None:
+    report = _exit_report(context, name)
+    assert report['cut'] == 0, report
 
 
-@then('"{name}" stops and names what was cut')
-def step_cut(context: Any, name: str) -> None:
-    line = _stopped(context, name)
-    named = line.get('cut_requests') or line.get('cut_attempts')
-    assert line['cut'] == len(named) > 0, line
+@then('"{name}" exits and reports what was interrupted')
+def step_interrupted(context: Any, name: str) -> None:
+    report = _exit_report(context, name)
+    interrupted = report.get('cut_requests') or report.get('cut_attempts')
+    assert report['cut'] == len(interrupted) > 0, report
 
 
-@then('every caller has had whole answers of its own')
-def step_whole(context: Any) -> None:
+@then('every caller has received complete responses to its own requests')
+def step_complete(context: Any) -> None:
     scenario.run(context, context.load.end())
-    assert not context.load.wrong, context.load.wrong[:3]
+    assert not context.load.faulty, context.load.faulty[:3]
 
 
 @then('every payment has had one effect')
@@ -177,11 +177,11 @@
         context,
         context.system.call(context.system.address('service-1'), 'GET',
                             '/tally'))
-    assert tally == dict.fromkeys(context.load.paid, 1), tally
+    assert tally == dict.fromkeys(context.load.paid_keys, 1), tally
 
 
-@then('entry host 2 comes to leave entry host 1 out of its addresses')
-def step_left_out(context: Any) -> None:
+@then('entry host 2 eventually removes entry host 1 from its addresses')
+def step_removed(context: Any) -> None:
     first, second = context.system.entry_addresses
 
     async def check() -> bool:
--- a/tests/path/steps/whole_path.py
+++ b/tests/path/steps/whole_path.py
@@ -1,4 +1,4 @@
-"""Steps for a request's whole path."""
+"""Steps for requests from the caller to the upstream and back."""
 
 from typing import Any
 
@@ -27,8 +27,8 @@
                             context.document))
 
 
-@then('the answer is whole and its own')
-def step_own(context: Any) -> None:
+@then('the response is complete and belongs to the request')
+def step_own_response(context: Any) -> None:
     assert caller_module.Caller.is_own_answer(context.document, context.answer)
 
 
@@ -46,7 +46,7 @@
     ]
 
 
-@then('both answers carry the same receipt')
+@then('both responses contain the same receipt')
 def step_same_receipt(context: Any) -> None:
     receipts = {answer.json['receipt'] for answer in context.answers}
     assert len(receipts) == 1, receipts
@@ -70,14 +70,14 @@
                             caller_module.PAYMENT))
 
 
-@then('the answer is the problem "{kind}" with ran "{ran}"')
-def step_problem(context: Any, kind: str, ran: str) -> None:
-    problem = context.answer.json
-    assert (problem['kind'], problem['ran']) == (kind, ran), problem
+@then('the response is the error "{kind}" with ran "{ran}"')
+def step_error(context: Any, kind: str, ran: str) -> None:
+    error = context.answer.json
+    assert (error['kind'], error['ran']) == (kind, ran), error
 
 
-@then('no upstream was touched')
-def step_untouched(context: Any) -> None:
+@then('no upstream received an attempt')
+def step_no_attempt(context: Any) -> None:
     for process in context.system.named('agent-'):
         status = scenario.run(
             context,
--- a/tests/policy/steps/faults.py
+++ b/tests/policy/steps/faults.py
@@ -103,15 +103,15 @@
 
 @when('{count:d} captions are sent at once over all entry hosts')
 def step_send(context: Any, count: int) -> None:
-    context.ends = scenario.run(context, _send_captions(context, count))
+    context.results = scenario.run(context, _send_captions(context, count))
 
 
 @when('{count:d} captions are sent at once over all entry hosts, '
       '{times:d} times')
 def step_send_repeatedly(context: Any, count: int, times: int) -> None:
-    context.ends = []
+    context.results = []
     for _ in range(times):
-        context.ends += scenario.run(context, _send_captions(context, count))
+        context.results += scenario.run(context, _send_captions(context, count))
 
 
 @when('the agent of engine {number:d} is killed')
@@ -139,27 +139,28 @@
 
 @then('every caption receives a complete response')
 def step_all_complete(context: Any) -> None:
-    assert set(context.ends) == {'complete'}, context.ends
+    assert set(context.results) == {'complete'}, context.results
 
 
 @then('no caption receives a complete response')
 def step_none_complete(context: Any) -> None:
-    assert 'complete' not in context.ends, context.ends
+    assert 'complete' not in context.results, context.results
 
 
 @then('every caption receives a complete response or is rejected as '
       'not executed')
 def step_complete_or_rejected(context: Any) -> None:
-    for end in context.ends:
-        assert end == 'complete' or end.endswith('ran no'), context.ends
+    for result in context.results:
+        assert result == 'complete' or result.endswith(
+            'ran no'), context.results
 
 
 @then('captions receive complete responses again')
 def step_complete_again(context: Any) -> None:
 
     async def all_complete() -> bool:
-        ends = await _send_captions(context, _engine_count(context) * 2)
-        return set(ends) == {'complete'}
+        results = await _send_captions(context, _engine_count(context) * 2)
+        return set(results) == {'complete'}
 
     scenario.run(context, scenario.eventually(all_complete))
 
--- a/tests/policy/steps/overload.py
+++ b/tests/policy/steps/overload.py
@@ -40,9 +40,9 @@
     caller = caller_module.Caller(client=context.system.client,
                                   workspace=workspace)
     addresses = context.system.entry_addresses
-    end = await faults.send(caller, addresses[i % len(addresses)], work_class,
-                            faults.document(i, _TOKENS))
-    context.ends_by_sender[workspace, work_class].append(end)
+    result = await faults.send(caller, addresses[i % len(addresses)],
+                               work_class, faults.document(i, _TOKENS))
+    context.results_by_sender[workspace, work_class].append(result)
 
 
 async def _start(context: Any, workspace: str, work_class: str,
@@ -81,7 +81,7 @@
     scenario.run(context,
                  context.system.fault('engine-1', token_s=token_ms / 1000))
     context.sending = []
-    context.ends_by_sender = collections.defaultdict(list)
+    context.results_by_sender = collections.defaultdict(list)
 
 
 @when('{count:d} questions of low importance arrive at once')
@@ -108,22 +108,22 @@
 
 @then('every lookup receives a complete response')
 def step_lookups_complete(context: Any) -> None:
-    ends = context.ends_by_sender['large', 'lookup']
-    assert set(ends) == {'complete'}, ends
+    results = context.results_by_sender['large', 'lookup']
+    assert set(results) == {'complete'}, results
 
 
 @then('every question of the small workspace receives a complete response')
 def step_small_complete(context: Any) -> None:
-    ends = context.ends_by_sender['small', 'question']
-    assert set(ends) == {'complete'}, ends
+    results = context.results_by_sender['small', 'question']
+    assert set(results) == {'complete'}, results
 
 
 @then('some questions are rejected as not executed')
 def step_some_rejected(context: Any) -> None:
-    ends = context.ends_by_sender['large', 'question']
-    rejected = [end for end in ends if end != 'complete']
+    results = context.results_by_sender['large', 'question']
+    rejected = [result for result in results if result != 'complete']
     assert rejected
-    assert all(end.endswith('ran no') for end in rejected), rejected
+    assert all(result.endswith('ran no') for result in rejected), rejected
 
 
 @then('the engine has begun exactly the requests that were not rejected')
@@ -132,5 +132,5 @@
         context,
         context.system.call(context.system.address('engine-1'), 'GET',
                             '/counts'))
-    ends = [e for found in context.ends_by_sender.values() for e in found]
-    assert counts['begun'] == ends.count('complete'), (counts, ends)
+    results = [r for found in context.results_by_sender.values() for r in found]
+    assert counts['begun'] == results.count('complete'), (counts, results)
