--- a/tests/path/failures.feature
+++ b/tests/path/failures.feature
@@ -73,7 +73,7 @@
     And the retry receives a response
     Then the response is complete and belongs to the request
 
-  Scenario: An agent is killed after the response of the service and the outcome is kept
+  Scenario: An agent is killed after the response of the service and the outcome is retained
     Given a system with 2 entry hosts, 1 engines and 1 service
     And "service-1" has the faults {"delay_after_effect_s": 1.0}
     When the caller starts the payment "k" at entry host 1
