--- a/tests/agreed/membership.feature
+++ b/tests/agreed/membership.feature
@@ -1,9 +1,9 @@
 Feature: Hosts detect which hosts are alive and which shut down
 
-  Entry hosts learn of dead, silent and leaving hosts from their links and from
-  the host list. A stale or unavailable list, or silence caused by a network
-  failure, must not remove live hosts, send requests to leaving ones or
-  interrupt requests.
+  Entry hosts learn of dead, unresponsive and terminating hosts from their links and from
+  the host list. A stale or unavailable list, or hosts that are unresponsive because
+  of a network failure, must not lead to the removal of live hosts, to new
+  requests at terminating ones or to interrupted requests.
 
   Scenario: A dead entry host is removed from the advertised addresses
     Given a system with 4 entry hosts, 1 engines and 0 service
@@ -16,9 +16,9 @@
     And the agent of engine 1 receives a stop signal during requests
     Then no entry host sends new requests to engine 1
 
-  Scenario: The host list marks an agent as leaving
+  Scenario: The host list marks an agent as terminating
     Given a system with 2 entry hosts, 2 engines and 0 service
-    When the host list marks engine 1 as leaving
+    When the host list marks engine 1 as terminating
     Then no entry host sends new requests to engine 1
 
   Scenario: The host list is unavailable
@@ -31,10 +31,10 @@
     When callers send requests while each entry host is replaced gracefully
     Then every request was completed or rejected as not executed
 
-  Scenario: Silence of a large part of the fleet does not remove hosts
-    Given 9 entry hosts of which 4 are silent
+  Scenario: An unresponsive large part of the fleet is not removed
+    Given 9 entry hosts of which 4 are unresponsive
     Then the assessment is panic and 9 hosts are usable
-    Given 9 entry hosts of which 3 are silent
+    Given 9 entry hosts of which 3 are unresponsive
     Then the assessment is calm and 6 hosts are usable
 
   Scenario: The selected links connect all entry hosts
--- a/tests/agreed/steps/membership.py
+++ b/tests/agreed/steps/membership.py
@@ -83,8 +83,8 @@
     scenario.run(context, send_and_stop())
 
 
-@when('the host list marks engine 1 as leaving')
-def step_list_leaving(context: Any) -> None:
+@when('the host list marks engine 1 as terminating')
+def step_list_terminating(context: Any) -> None:
     scenario.run(context, context.system.set_leaving('agent-engine-1'))
 
 
@@ -161,11 +161,12 @@
     assert context.load.statuses.count(200) > _REQUESTS
 
 
-@given('{count:d} entry hosts of which {silent:d} are silent')
-def step_silent_hosts(context: Any, count: int, silent: int) -> None:
+@given('{count:d} entry hosts of which {unresponsive:d} are unresponsive')
+def step_unresponsive_hosts(context: Any, count: int,
+                            unresponsive: int) -> None:
     evidence = {
         f'entry-{i}':
-            membership.HostEvidence(silent_s=10.0 if i < silent else 0.0)
+            membership.HostEvidence(silent_s=10.0 if i < unresponsive else 0.0)
         for i in range(count)
     }
     context.view = membership.assess_fleet(evidence)
--- a/tests/path/failures.feature
+++ b/tests/path/failures.feature
@@ -1,6 +1,6 @@
 Feature: Failures between the caller and the upstream
 
-  Processes are killed or paused, links fall silent, the table loses responses
+  Processes are killed or paused, links stall, the table loses responses
   or is unavailable, and upstreams return faulty responses. The caller must
   never get a response of another request or a partial one as complete, no
   payment may take effect twice, and no outcome that is known may be lost.
@@ -119,13 +119,13 @@
     Then the answer is a receipt
     And the service has had one effect under "k"
 
-  Scenario: A stream continues over a new link after its link falls silent
+  Scenario: A stream continues over a new link after its link stalls
     Given a system with 1 entry hosts, 1 engines and 1 service
     And the link to "agent-engine-1" goes through a relay
     And every engine has the faults {"token_s": 0.05}
     When the caller starts to stream 100 tokens
     And some tokens have arrived
-    And the connections of the relay fall silent
+    And the connections of the relay stall
     Then the response of the started request is complete and belongs to it
     And the relay has carried a new connection
 
--- a/tests/path/steps/failures.py
+++ b/tests/path/steps/failures.py
@@ -350,13 +350,13 @@
     context.relay = scenario.run(context, start())
 
 
-@when('the connections of the relay fall silent')
-def step_silence(context: Any) -> None:
+@when('the connections of the relay stall')
+def step_stall_connections(context: Any) -> None:
 
-    async def silence() -> None:
+    async def stall() -> None:
         context.relay.silence()
 
-    scenario.run(context, silence())
+    scenario.run(context, stall())
 
 
 @then('the relay has carried a new connection')
