--- a/tests/agreed/membership.feature
+++ b/tests/agreed/membership.feature
@@ -1,8 +1,8 @@
 Feature: Hosts detect which hosts are alive and which shut down
 
-  Entry hosts learn of dead, unresponsive and terminating hosts from their links and from
-  the host list. A stale or unavailable list, or hosts that are unresponsive because
-  of a network failure, must not lead to the removal of live hosts, to new
+  Entry hosts learn of dead, unresponsive and terminating hosts from their links
+  and from the host list. A stale or unavailable list, or a network failure that
+  makes hosts unresponsive, must not lead to the removal of live hosts, to new
   requests at terminating ones or to interrupted requests.
 
   Scenario: A dead entry host is removed from the advertised addresses
@@ -31,7 +31,7 @@
     When callers send requests while each entry host is replaced gracefully
     Then every request was completed or rejected as not executed
 
-  Scenario: An unresponsive large part of the fleet is not removed
+  Scenario: Hosts are not removed while a large part of the fleet is unresponsive
     Given 9 entry hosts of which 4 are unresponsive
     Then the assessment is panic and 9 hosts are usable
     Given 9 entry hosts of which 3 are unresponsive
