Reword the platform tests of decisions and server selection

The texts and names of these features and steps were figurative and private to the project. They now use the terms of pollenthread/. Scenarios, steps, checks and their bounds are the same.

--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -1,79 +1,83 @@
-Feature: Decisions on the prepared platform
-
-  Scenario: A server that lapses while the store is away stays usable
-    Given a fleet that lists servers "a b" of "llm"
-    When the store is away
-    And the entry of "a" is gone
-    Then "a b" take work
-    When the store is back
-    And 1 s pass
-    Then "a b" take work
-    When 2 s pass
-    Then "b" take work
-
-  Scenario: A host that alone is cut off from the store trusts its peers' list
-    Given a fleet that lists servers "a b" of "llm"
-    When the store is away
-    And a peer that the store answers tells the list
-    And the entry of "a" is gone
-    Then "b" take work
-
-  Scenario: A server that leaves while the store answers takes no more work
-    Given a fleet that lists servers "a b" of "llm"
-    When the entry of "a" is gone
-    Then "b" take work
-
-  Scenario: A draining server takes no more work
-    Given a fleet that lists servers "a b" of "llm"
+Feature: Decisions of entry hosts on the platform
+
+  Tests decisions that an entry host makes alone: which servers are usable,
+  which server a request goes to, when a retry is allowed, what a graceful
+  shutdown still accepts, and which configuration documents are rejected.
+
+  Scenario: A server whose entry expires while the store is unavailable stays usable
+    Given a registry that lists servers "a b" of "llm"
+    When the store is unavailable
+    And the entry of "a" is removed
+    Then the usable servers are "a b"
+    When the store is available again
+    And 1 s elapse
+    Then the usable servers are "a b"
+    When 2 s elapse
+    Then the usable servers are "b"
+
+  Scenario: A host that alone cannot reach the store uses the server list of its peers
+    Given a registry that lists servers "a b" of "llm"
+    When the store is unavailable
+    And a peer that reaches the store sends its server list
+    And the entry of "a" is removed
+    Then the usable servers are "b"
+
+  Scenario: A server that is removed while the store is available gets no more requests
+    Given a registry that lists servers "a b" of "llm"
+    When the entry of "a" is removed
+    Then the usable servers are "b"
+
+  Scenario: A draining server gets no more requests
+    Given a registry that lists servers "a b" of "llm"
     When "b" is draining
-    Then "a" take work
-
-  Scenario: After a power cut, an old id whose address has a new server is dead
-    Given a fleet that lists servers "old b" of "llm"
-    When another server answers at the address of "old"
-    Then "b" take work
-
-  Scenario: After a power cut, the agent beside a server tells of its new start
-    Given a fleet that lists servers "old b" of "llm"
-    When the agent beside "old" tells of a start at 900 ms
-    Then "old b" take work
-    When the agent beside "old" tells of a start at 1000 ms
-    Then "old b" take work
-    When the agent beside "old" tells of a start at 5000 ms
-    Then "b" take work
-
-  Scenario: After a power cut, old ids are listed for a while beside new ones
-    Given a fleet that lists servers "old b" of "llm"
-    When "new" is listed at the address of "old", started at 5000 ms
-    Then "new b" take work
-    When an entry "odd" of "nobody" is listed at the address of "b", started at 9000 ms
-    Then "new b" take work
-
-  Scenario: A host that freezes takes its server out of the choice
+    Then the usable servers are "a"
+
+  Scenario: After a power cut, a server id whose address now has another server is unusable
+    Given a registry that lists servers "old b" of "llm"
+    When another server responds at the address of "old"
+    Then the usable servers are "b"
+
+  Scenario: After a power cut, the agent beside a server reports a later start of it
+    Given a registry that lists servers "old b" of "llm"
+    When the agent beside "old" reports start time 900 ms
+    Then the usable servers are "old b"
+    When the agent beside "old" reports start time 1000 ms
+    Then the usable servers are "old b"
+    When the agent beside "old" reports start time 5000 ms
+    Then the usable servers are "b"
+
+  Scenario: After a power cut, a newer server at an address replaces the older one
+    Given a registry that lists servers "old b" of "llm"
+    When "new" is listed at the address of "old" with start time 5000 ms
+    Then the usable servers are "new b"
+    When an entry "odd" of "nobody" is listed at the address of "b" with start time 9000 ms
+    Then the usable servers are "new b"
+
+  Scenario: A server whose agent is unresponsive is not selected
     Given servers "a b" with an agent each
-    When the agent of "a" is silent for 2 s
-    Then 20 choices all go to "b"
+    When the agent of "a" sends no report for 2 s
+    Then 20 selections all return "b"
 
-  Scenario: A closed group is refused at once instead of waited for
+  Scenario: No server is selected when all groups are closed
     Given servers "a b" with an agent each
-    When both say that their group is closed
-    Then there is no choice
+    When both report that their group is closed
+    Then no server is selected
 
-  Scenario: Many hosts that decide alone do not all choose one server
+  Scenario: Hosts that select independently do not all select one server
     Given 9 hosts that know 16 idle servers
-    When each host chooses once
-    Then no server is chosen more than 4 times
+    When each host selects a server once
+    Then no server is selected more than 4 times
 
-  Scenario: Own work counts before the next report
+  Scenario: Requests that a host has sent count before the next load report
     Given servers "a b" with an agent each
     When 3 requests are sent to "a" after its report
-    Then 20 choices all go to "b"
+    Then 20 selections all return "b"
 
-  Scenario Outline: All hosts together keep the budget of repeats
-    Given <hosts> hosts that take <requests> requests in all
-    When all repeat as much as they may
-    Then there are at most 0.2 repeats for each request and 94 more
-    And there are at least 20 repeats
+  Scenario Outline: All hosts together stay within the retry budget
+    Given <hosts> hosts that receive <requests> requests in total
+    When each host retries until its budget is used up
+    Then there are at most 0.2 retries per request plus 94
+    And there are at least 20 retries
 
     Examples:
       | hosts | requests |
@@ -81,37 +85,37 @@
       | 9     | 900      |
       | 43    | 400      |
 
-  Scenario: A budget recovers when its window has passed
-    Given 1 hosts that take 10 requests in all
-    When all repeat as much as they may
-    And 12 s pass in the window
-    Then a repeat is allowed again
-
-  Scenario: Only whole events reach a caller
-    Given a stream in the parts "id: 1 data: x|", "id: 2 da", "ta: y|id: 3"
-    Then the caller has got 2 events, the last with id "2"
-    And an unfinished event is held back
-
-  Scenario: A host that stops takes no stream that it could not end
-    Given a planned stop with 8 s of grace
-    Then a stream is taken after 1 s and refused after 3 s
-    And a short request is taken after 5 s and refused after 7 s
-    And the stop is done after 4 s if nothing runs, and not before 3 s
-    And the stop is done after 7.6 s whatever runs
-
-  Scenario: Callers are told hosts of their own data centre first
+  Scenario: A retry budget recovers after its window
+    Given 1 hosts that receive 10 requests in total
+    When each host retries until its budget is used up
+    And 12 s of the budget window elapse
+    Then a retry is allowed again
+
+  Scenario: Only complete events are passed to a caller
+    Given a stream that arrives in the chunks "id: 1 data: x|", "id: 2 da", "ta: y|id: 3"
+    Then the caller has received 2 events, the last with id "2"
+    And an incomplete event is buffered
+
+  Scenario: A host that shuts down accepts no stream that it could not finish
+    Given a graceful shutdown with a grace period of 8 s
+    Then a stream is accepted after 1 s and rejected after 3 s
+    And a short request is accepted after 5 s and rejected after 7 s
+    And the host may exit after 4 s if no request is running, and not before 3 s
+    And the host may exit after 7.6 s even if requests are running
+
+  Scenario: Callers get addresses of hosts in their own data centre first
     Given entry hosts "a1 a2 b1" in data centres "a a b"
-    Then a caller in "a" is told "a1 a2"
-    And a caller in "b" is told "a1 a2 b1"
+    Then a caller in "a" gets the addresses "a1 a2"
+    And a caller in "b" gets the addresses "a1 a2 b1"
 
-  Scenario: A rest of a load report goes stale
+  Scenario: An expired load report leaves only the requests that were sent since
     Given servers "a b" with an agent each
     When 3 requests are sent to "a" after its report
-    And the agent of "a" is silent for 2 s
+    And the agent of "a" sends no report for 2 s
     Then the load of "a" is 3
 
-  Scenario Outline: A document that cannot be used says which field is wrong
-    When a configuration is read whose <field> is <value>
+  Scenario Outline: A rejected configuration document names the invalid field
+    When a configuration whose <field> is <value> is decoded
     Then it is rejected with "<reason>"
 
     Examples:
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -1,4 +1,4 @@
-"""Steps for pure decisions on the prepared platform."""
+"""Steps for decisions of entry hosts on the platform."""
 
 import dataclasses
 import json
@@ -13,12 +13,12 @@
                                server_load, server_registry, service_estimate)
 from pollenthread.platform import config_document
 
-_RETURN_S = 2.2
-_RATIO = 0.2
-_EXTRA = 94.0
-_WINDOW_S = 10.0
+_RELISTING_S = 2.2
+_RETRY_RATIO = 0.2
+_EXTRA_RETRIES = 94.0
+_RETRY_WINDOW_S = 10.0
 _HOSTS = 9
-_SHORT = service_estimate.RequestRequirements(time_left_s=1.0)
+_SHORT_REQUEST = service_estimate.RequestRequirements(time_left_s=1.0)
 
 
 def _server(
@@ -34,77 +34,79 @@
                                   born_ms=1000)
 
 
-@given('a fleet that lists servers "{names}" of "llm"')
-def step_fleet(context: Any, names: str) -> None:
+@given('a registry that lists servers "{names}" of "llm"')
+def step_registry(context: Any, names: str) -> None:
     context.now = 100.0
-    context.fleet = server_registry.ServerRegistry(relisting_s=_RETURN_S)
-    context.fleet.replace_all([_server(name) for name in names.split()],
-                              context.now)
+    context.registry = server_registry.ServerRegistry(relisting_s=_RELISTING_S)
+    context.registry.replace_all([_server(name) for name in names.split()],
+                                 context.now)
 
 
-@when('the store is away')
-def step_away(context: Any) -> None:
-    context.fleet.begin_outage()
+@when('the store is unavailable')
+def step_store_unavailable(context: Any) -> None:
+    context.registry.begin_outage()
 
 
-@when('the store is back')
-def step_back(context: Any) -> None:
-    context.fleet.end_outage(context.now)
+@when('the store is available again')
+def step_store_available(context: Any) -> None:
+    context.registry.end_outage(context.now)
 
 
-@when('a peer that the store answers tells the list')
+@when('a peer that reaches the store sends its server list')
 def step_peer_list(context: Any) -> None:
-    context.fleet.cancel_outage()
+    context.registry.cancel_outage()
 
 
-@when('the entry of "{name}" is gone')
-def step_gone(context: Any, name: str) -> None:
-    context.fleet.remove(name, context.now)
+@when('the entry of "{name}" is removed')
+def step_entry_removed(context: Any, name: str) -> None:
+    context.registry.remove(name, context.now)
 
 
 @when('"{name}" is draining')
 def step_draining(context: Any, name: str) -> None:
-    context.fleet.put(_server(name, server_registry.ServerState.DRAINING))
+    context.registry.put(_server(name, server_registry.ServerState.DRAINING))
 
 
-@when('another server answers at the address of "{name}"')
-def step_reused(context: Any, name: str) -> None:
-    context.fleet.mark_replaced(name)
+@when('another server responds at the address of "{name}"')
+def step_address_reused(context: Any, name: str) -> None:
+    context.registry.mark_replaced(name)
 
 
-@when('"{name}" is listed at the address of "{old}", started at {born_ms:d} ms')
-def step_listed_again(context: Any, name: str, old: str, born_ms: int) -> None:
-    context.fleet.put(
+@when('"{name}" is listed at the address of "{old}" with start time '
+      '{born_ms:d} ms')
+def step_listed_at_address(context: Any, name: str, old: str,
+                           born_ms: int) -> None:
+    context.registry.put(
         dataclasses.replace(_server(name),
                             address=_server(old).address,
                             born_ms=born_ms))
 
 
-@when('an entry "{name}" of "{service}" is listed at the address of "{old}", '
-      'started at {born_ms:d} ms')
-def step_listed_oddly(context: Any, name: str, service: str, old: str,
-                      born_ms: int) -> None:
-    context.fleet.put(
+@when('an entry "{name}" of "{service}" is listed at the address of "{old}" '
+      'with start time {born_ms:d} ms')
+def step_other_service_listed(context: Any, name: str, service: str, old: str,
+                              born_ms: int) -> None:
+    context.registry.put(
         dataclasses.replace(_server(name),
                             service=service,
                             address=_server(old).address,
                             born_ms=born_ms))
 
 
-@when('the agent beside "{name}" tells of a start at {born_ms:d} ms')
-def step_started(context: Any, name: str, born_ms: int) -> None:
-    context.fleet.record_start(_server(name).address, born_ms)
+@when('the agent beside "{name}" reports start time {born_ms:d} ms')
+def step_start_reported(context: Any, name: str, born_ms: int) -> None:
+    context.registry.record_start(_server(name).address, born_ms)
 
 
-@when('{seconds:d} s pass')
-def step_pass(context: Any, seconds: int) -> None:
+@when('{seconds:d} s elapse')
+def step_elapse(context: Any, seconds: int) -> None:
     context.now += seconds
-    context.fleet.drop_expired(context.now)
+    context.registry.drop_expired(context.now)
 
 
-@then('"{names}" take work')
-def step_take_work(context: Any, names: str) -> None:
-    found = sorted(server.id for server in context.fleet.ready('llm'))
+@then('the usable servers are "{names}"')
+def step_usable(context: Any, names: str) -> None:
+    found = sorted(server.id for server in context.registry.ready('llm'))
     assert found == sorted(names.split()), found
 
 
@@ -127,47 +129,47 @@
         context.loads.record_report(server.id, _report(), context.now)
 
 
-def _choose(context: Any) -> server_registry.Server | None:
+def _select(context: Any) -> server_registry.Server | None:
     found: server_registry.Server | None = context.loads.select(
         context.servers,
         excluded=(),
         data_centre='a',
-        requirements=_SHORT,
+        requirements=_SHORT_REQUEST,
         hosts=_HOSTS,
         now=context.now)
     return found
 
 
-@when('the agent of "{name}" is silent for {seconds:d} s')
-def step_silent(context: Any, name: str, seconds: int) -> None:
+@when('the agent of "{name}" sends no report for {seconds:d} s')
+def step_no_report(context: Any, name: str, seconds: int) -> None:
     context.now += seconds
     for server in context.servers:
         if server.id != name:
             context.loads.record_report(server.id, _report(), context.now)
 
 
-@when('both say that their group is closed')
-def step_closed(context: Any) -> None:
+@when('both report that their group is closed')
+def step_group_closed(context: Any) -> None:
     for server in context.servers:
         context.loads.record_report(server.id, _report(is_open=False),
                                     context.now)
 
 
 @when('{count:d} requests are sent to "{name}" after its report')
-def step_sent(context: Any, count: int, name: str) -> None:
+def step_requests_sent(context: Any, count: int, name: str) -> None:
     for _ in range(count):
         context.loads.record_start(name, context.now)
 
 
-@then('{count:d} choices all go to "{name}"')
-def step_choices(context: Any, count: int, name: str) -> None:
-    found = {server.id for _ in range(count) if (server := _choose(context))}
+@then('{count:d} selections all return "{name}"')
+def step_all_selected(context: Any, count: int, name: str) -> None:
+    found = {server.id for _ in range(count) if (server := _select(context))}
     assert found == {name}, found
 
 
-@then('there is no choice')
-def step_no_choice(context: Any) -> None:
-    assert _choose(context) is None
+@then('no server is selected')
+def step_none_selected(context: Any) -> None:
+    assert _select(context) is None
 
 
 @then('the load of "{name}" is {load:d}')
@@ -179,150 +181,154 @@
 def step_hosts_know(context: Any, hosts: int, servers: int) -> None:
     context.now = 100.0
     context.servers = [_server(f's{i}') for i in range(servers)]
-    context.boards = [
+    context.trackers = [
         server_load.ServerLoadTracker(rng=random.Random(i))
         for i in range(hosts)
     ]
 
 
-@when('each host chooses once')
-def step_each_chooses(context: Any) -> None:
-    context.chosen = []
-    for board in context.boards:
+@when('each host selects a server once')
+def step_each_selects(context: Any) -> None:
+    context.selected_ids = []
+    for tracker in context.trackers:
         for server in context.servers:
-            board.record_report(server.id, _report(), context.now)
-        context.loads = board
-        found = _choose(context)
+            tracker.record_report(server.id, _report(), context.now)
+        context.loads = tracker
+        found = _select(context)
         assert found is not None
-        context.chosen.append(found.id)
+        context.selected_ids.append(found.id)
 
 
-@then('no server is chosen more than {count:d} times')
+@then('no server is selected more than {count:d} times')
 def step_spread(context: Any, count: int) -> None:
-    most = max(context.chosen.count(name) for name in context.chosen)
-    assert most <= count, context.chosen
+    most = max(
+        context.selected_ids.count(name) for name in context.selected_ids)
+    assert most <= count, context.selected_ids
 
 
-@given('{hosts:d} hosts that take {requests:d} requests in all')
+@given('{hosts:d} hosts that receive {requests:d} requests in total')
 def step_budget_hosts(context: Any, hosts: int, requests: int) -> None:
     context.now = 100.0
     context.requests = requests
     context.budgets = [
-        retry_budget.SharedRetryBudget(ratio=_RATIO,
-                                       extra=_EXTRA,
-                                       window_s=_WINDOW_S) for _ in range(hosts)
+        retry_budget.SharedRetryBudget(ratio=_RETRY_RATIO,
+                                       extra=_EXTRA_RETRIES,
+                                       window_s=_RETRY_WINDOW_S)
+        for _ in range(hosts)
     ]
     for i in range(requests):
         context.budgets[i % hosts].record_request(context.now)
 
 
-@when('all repeat as much as they may')
-def step_repeat(context: Any) -> None:
-    context.repeats = 0
+@when('each host retries until its budget is used up')
+def step_retry(context: Any) -> None:
+    context.retries = 0
     for budget in context.budgets:
         while budget.try_acquire(context.now, len(context.budgets)):
-            context.repeats += 1
+            context.retries += 1
 
 
-@when('{seconds:d} s pass in the window')
+@when('{seconds:d} s of the budget window elapse')
 def step_window(context: Any, seconds: int) -> None:
     context.now += seconds
 
 
-@then('there are at most {ratio:f} repeats for each request and {extra:d} more')
-def step_bound(context: Any, ratio: float, extra: int) -> None:
+@then('there are at most {ratio:f} retries per request plus {extra:d}')
+def step_max_retries(context: Any, ratio: float, extra: int) -> None:
     bound = ratio * context.requests + extra
-    assert context.repeats <= bound, (context.repeats, bound)
+    assert context.retries <= bound, (context.retries, bound)
 
 
-@then('there are at least {count:d} repeats')
-def step_not_idle(context: Any, count: int) -> None:
-    assert context.repeats >= count, context.repeats
+@then('there are at least {count:d} retries')
+def step_min_retries(context: Any, count: int) -> None:
+    assert context.retries >= count, context.retries
 
 
-@then('a repeat is allowed again')
-def step_again(context: Any) -> None:
+@then('a retry is allowed again')
+def step_retry_allowed(context: Any) -> None:
     assert context.budgets[0].try_acquire(context.now, 1)
 
 
-@given('a stream in the parts "{first}", "{second}", "{third}"')
+@given('a stream that arrives in the chunks "{first}", "{second}", "{third}"')
 def step_stream(context: Any, first: str, second: str, third: str) -> None:
     context.splitter = resumable_events.ResumableEventSplitter()
-    context.passed = b''
-    for part in (first, second, third):
-        data = part.replace(' data', '\ndata').replace(' da', '\nda')
+    context.received = b''
+    for chunk in (first, second, third):
+        data = chunk.replace(' data', '\ndata').replace(' da', '\nda')
         data = data.replace('|', '\n\n')
-        context.passed += context.splitter.feed(data.encode())
+        context.received += context.splitter.feed(data.encode())
 
 
-@then('the caller has got {count:d} events, the last with id "{last}"')
+@then('the caller has received {count:d} events, the last with id "{last}"')
 def step_events(context: Any, count: int, last: str) -> None:
-    assert context.passed.count(b'\n\n') == count, context.passed
-    assert context.passed.endswith(b'\n\n')
+    assert context.received.count(b'\n\n') == count, context.received
+    assert context.received.endswith(b'\n\n')
     assert context.splitter.last_id == last
 
 
-@then('an unfinished event is held back')
-def step_partial(context: Any) -> None:
+@then('an incomplete event is buffered')
+def step_incomplete_event(context: Any) -> None:
     assert context.splitter.has_partial
 
 
-@given('a planned stop with {grace:d} s of grace')
-def step_stop(context: Any, grace: int) -> None:
+@given('a graceful shutdown with a grace period of {grace:d} s')
+def step_shutdown(context: Any, grace: int) -> None:
     context.plan = graceful_shutdown.ShutdownPlan(grace_s=grace,
                                                   discovery_cache_s=3.0)
 
 
-@then('a stream is taken after {taken:d} s and refused after {refused:d} s')
-def step_stream_taken(context: Any, taken: int, refused: int) -> None:
-    takes = graceful_shutdown.accepts_request
-    assert takes(context.plan, taken, is_stream=True)
-    assert not takes(context.plan, refused, is_stream=True)
+@then('a stream is accepted after {accepted_s:d} s and rejected after '
+      '{rejected_s:d} s')
+def step_stream_accepted(context: Any, accepted_s: int,
+                         rejected_s: int) -> None:
+    accepts = graceful_shutdown.accepts_request
+    assert accepts(context.plan, accepted_s, is_stream=True)
+    assert not accepts(context.plan, rejected_s, is_stream=True)
 
 
-@then('a short request is taken after {taken:d} s and refused after '
-      '{refused:d} s')
-def step_short_taken(context: Any, taken: int, refused: int) -> None:
-    takes = graceful_shutdown.accepts_request
-    assert takes(context.plan, taken, is_stream=False)
-    assert not takes(context.plan, refused, is_stream=False)
+@then('a short request is accepted after {accepted_s:d} s and rejected after '
+      '{rejected_s:d} s')
+def step_short_accepted(context: Any, accepted_s: int, rejected_s: int) -> None:
+    accepts = graceful_shutdown.accepts_request
+    assert accepts(context.plan, accepted_s, is_stream=False)
+    assert not accepts(context.plan, rejected_s, is_stream=False)
 
 
-@then('the stop is done after {done:d} s if nothing runs, and not before '
-      '{early:d} s')
-def step_done(context: Any, done: int, early: int) -> None:
-    assert graceful_shutdown.may_exit(context.plan, done, 0)
-    assert not graceful_shutdown.may_exit(context.plan, early - 0.1, 0)
-    assert not graceful_shutdown.may_exit(context.plan, done, 1)
+@then('the host may exit after {exit_s:d} s if no request is running, and not '
+      'before {early_s:d} s')
+def step_may_exit(context: Any, exit_s: int, early_s: int) -> None:
+    assert graceful_shutdown.may_exit(context.plan, exit_s, 0)
+    assert not graceful_shutdown.may_exit(context.plan, early_s - 0.1, 0)
+    assert not graceful_shutdown.may_exit(context.plan, exit_s, 1)
 
 
-@then('the stop is done after {seconds:f} s whatever runs')
-def step_forced(context: Any, seconds: float) -> None:
+@then('the host may exit after {seconds:f} s even if requests are running')
+def step_forced_exit(context: Any, seconds: float) -> None:
     assert graceful_shutdown.may_exit(context.plan, seconds, 5)
 
 
-@given('entry hosts "{names}" in data centres "{places}"')
-def step_entries(context: Any, names: str, places: str) -> None:
+@given('entry hosts "{names}" in data centres "{data_centres}"')
+def step_entries(context: Any, names: str, data_centres: str) -> None:
     context.entries = [
-        addresses.EntryHost(name, name, data_centre=place)
-        for name, place in zip(names.split(), places.split())
+        addresses.EntryHost(name, name, data_centre=data_centre)
+        for name, data_centre in zip(names.split(), data_centres.split())
     ]
 
 
-@then('a caller in "{place}" is told "{names}"')
-def step_told(context: Any, place: str, names: str) -> None:
-    found = addresses.addresses_near(context.entries, place, min_hosts=2)
+@then('a caller in "{data_centre}" gets the addresses "{names}"')
+def step_addresses(context: Any, data_centre: str, names: str) -> None:
+    found = addresses.addresses_near(context.entries, data_centre, min_hosts=2)
     assert found == names.split(), found
 
 
-@when('a configuration is read whose {field} is {value}')
-def step_read_bad(context: Any, field: str, value: str) -> None:
+@when('a configuration whose {field} is {value} is decoded')
+def step_decode(context: Any, field: str, value: str) -> None:
     document: dict[str, Any] = {'version': 1, 'routes': [], 'services': []}
     document[field] = json.loads(value)
-    context.read = config_document.try_decode(json.dumps(document).encode())
+    context.decoded = config_document.try_decode(json.dumps(document).encode())
 
 
 @then('it is rejected with "{reason}"')
 def step_rejected(context: Any, reason: str) -> None:
-    assert isinstance(context.read, result.Err), context.read
-    assert reason in context.read.err_value, context.read
+    assert isinstance(context.decoded, result.Err), context.decoded
+    assert reason in context.decoded.err_value, context.decoded
--- a/tests/platform/steps/heavy_days.py
+++ b/tests/platform/steps/heavy_days.py
@@ -1,4 +1,4 @@
-"""Steps for where work goes on heavy days."""
+"""Steps for server selection under heavy load."""
 
 import collections
 import random
@@ -8,13 +8,13 @@
 
 from pollenthread.core import server_load, server_registry, service_estimate
 
-_SERVERS = 8
+_SERVERS_PER_GROUP = 8
 _SLOTS = 6
-_PASSES = 26.5
-_NEED = service_estimate.RequestRequirements(time_left_s=8.0,
-                                             max_gap_s=0.12,
-                                             passes=_PASSES)
-_SILENCE_S = 2.0
+_PASSES_PER_REQUEST = 26.5
+_REQUIREMENTS = service_estimate.RequestRequirements(time_left_s=8.0,
+                                                     max_gap_s=0.12,
+                                                     passes=_PASSES_PER_REQUEST)
+_REPORT_TIMEOUT_S = 2.0
 _HOSTS = 9
 
 
@@ -46,65 +46,68 @@
                                slots=_SLOTS,
                                state=server_registry.ServerState.READY)
         for group in names.split()
-        for i in range(_SERVERS)
+        for i in range(_SERVERS_PER_GROUP)
     ]
-    context.silent = set()
+    context.unresponsive_ids = set()
 
 
-@given('every server works on {count:d} requests')
-def step_work(context: Any, count: int) -> None:
+@given('every server has {count:d} running requests')
+def step_running(context: Any, count: int) -> None:
     for server in context.servers:
         _report(context, server, count)
 
 
 @given('servers of "{first}" have {many:d} requests each, those of "{second}" '
        '{few:d}')
-def step_loads(context: Any, first: str, many: int, second: str,
-               few: int) -> None:
+def step_group_loads(context: Any, first: str, many: int, second: str,
+                     few: int) -> None:
     for server in context.servers:
         _report(context, server, many if server.id.startswith(first) else few)
     assert second in context.pass_s_by_group
 
 
-@given('{count:d} servers fall silent')
-def step_silent(context: Any, count: int) -> None:
-    context.now += _SILENCE_S
-    context.silent = {server.id for server in context.servers[:count]}
+@given('{count:d} servers stop reporting')
+def step_stop_reporting(context: Any, count: int) -> None:
+    context.now += _REPORT_TIMEOUT_S
+    context.unresponsive_ids = {server.id for server in context.servers[:count]}
     for server in context.servers[count:]:
         _report(context, server, 2)
 
 
-@when('{count:d} streams are placed')
-def step_place(context: Any, count: int) -> None:
-    context.placed = collections.Counter()
+@when('a server is selected for each of {count:d} streams')
+def step_select(context: Any, count: int) -> None:
+    context.count_by_server = collections.Counter()
     for _ in range(count):
         server = context.loads.select(context.servers,
                                       excluded=(),
                                       data_centre='a',
-                                      requirements=_NEED,
+                                      requirements=_REQUIREMENTS,
                                       hosts=_HOSTS,
                                       now=context.now)
-        context.placed[server.id if server else None] += 1
+        context.count_by_server[server.id if server else None] += 1
         if server is not None:
             context.loads.record_start(server.id, context.now)
 
 
 @then('all of them go to "{group}"')
-def step_all_go(context: Any, group: str) -> None:
-    assert all(name and name.startswith(group) for name in context.placed), (
-        context.placed)
+def step_all_in_group(context: Any, group: str) -> None:
+    assert all(
+        name and name.startswith(group) for name in context.count_by_server), (
+            context.count_by_server)
 
 
 @then('no server gets more than {count:d}')
 def step_spread(context: Any, count: int) -> None:
-    assert max(context.placed.values()) <= count, context.placed
+    assert max(
+        context.count_by_server.values()) <= count, context.count_by_server
 
 
-@then('{count:d} streams are refused')
-def step_refused(context: Any, count: int) -> None:
-    assert context.placed[None] == count, context.placed
+@then('{count:d} streams are rejected')
+def step_rejected(context: Any, count: int) -> None:
+    assert context.count_by_server[None] == count, context.count_by_server
 
 
-@then('none of them goes to a silent server')
-def step_none_silent(context: Any) -> None:
-    assert not context.silent & set(context.placed), context.placed
+@then('none of them goes to an unresponsive server')
+def step_none_unresponsive(context: Any) -> None:
+    assert not context.unresponsive_ids & set(
+        context.count_by_server), context.count_by_server
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -1,4 +1,4 @@
-"""Steps for waves of callers, served by the forwarder in virtual time."""
+"""Steps for waves of retries, served by the forwarder in virtual time."""
 
 import asyncio
 import dataclasses
@@ -14,39 +14,39 @@
 from pollenthread.ports import caller_response
 from tests.fakes import busy_servers, memory, virtual_time
 
-_BUDGET_S = 8.05
-_AIM_S = 0.403
-# No queue makes a caller miss this aim, so none is refused for its sake.
-_AIMLESS_S = 7.9
-_RETRY_PAUSE_S = 0.3
-# Callers give a stream up that shows no event for so long.
-_SILENCE_S = 2.0
+_CALLER_TIMEOUT_S = 8.05
+_TARGET_S = 0.403
+# No queue is long enough to miss this target, so no request is rejected for it.
+_LOOSE_TARGET_S = 7.9
+_RETRY_DELAY_S = 0.3
+# Callers abort a stream that sends no event for this long.
+_EVENT_TIMEOUT_S = 2.0
 _LAST_ARRIVAL_S = 14.0
-_REPORT_S = 0.25
-_FIGURES = routing_config.EngineProfile(slots=6,
-                                        kv_cache_tokens=247_000,
-                                        base_step_s=0.005,
-                                        step_s_per_sequence=0.0,
-                                        step_s_per_context_token=0.0,
-                                        prefill_tokens_per_s=74_800.0,
-                                        prefill_s_per_token_pair=0.0,
-                                        prefill_chunk_tokens=512,
-                                        steps_per_pass=6,
-                                        mean_prompt_tokens=835.0,
-                                        mean_output_tokens=159.0,
-                                        link_bytes_per_s=0.0,
-                                        sets=0,
-                                        experts=0,
-                                        expert_slots=0,
-                                        spare_expert_slots=0,
-                                        expert_bytes=0.0,
-                                        expert_share=0.0)
+_REPORT_INTERVAL_S = 0.25
+_ENGINE_PROFILE = routing_config.EngineProfile(slots=6,
+                                               kv_cache_tokens=247_000,
+                                               base_step_s=0.005,
+                                               step_s_per_sequence=0.0,
+                                               step_s_per_context_token=0.0,
+                                               prefill_tokens_per_s=74_800.0,
+                                               prefill_s_per_token_pair=0.0,
+                                               prefill_chunk_tokens=512,
+                                               steps_per_pass=6,
+                                               mean_prompt_tokens=835.0,
+                                               mean_output_tokens=159.0,
+                                               link_bytes_per_s=0.0,
+                                               sets=0,
+                                               experts=0,
+                                               expert_slots=0,
+                                               spare_expert_slots=0,
+                                               expert_bytes=0.0,
+                                               expert_share=0.0)
 _ROUTE = routing_config.Route(name='chat',
                               host='h',
                               path_prefix='/',
                               kind=routing_config.RequestKind.STREAM,
                               timeout_s=8.0,
-                              target_s=_AIM_S,
+                              target_s=_TARGET_S,
                               priority=1,
                               shares=(routing_config.ServiceShare('llm', 1.0),),
                               max_attempts=2,
@@ -56,17 +56,19 @@
 _CONFIG = routing_config.RoutingConfig(
     version=1,
     routes_by_host={'h': (_ROUTE,)},
-    services_by_name={'llm': routing_config.Service('llm', '/', 258, _FIGURES)},
+    services_by_name={
+        'llm': routing_config.Service('llm', '/', 258, _ENGINE_PROFILE)
+    },
     limits=routing_config.CallerLimits(),
     workspaces_by_api_key=None)
 
 
-class _Reply(caller_response.CallerResponse):
-    """Notes when the first event came and how the answer ended."""
+class _RecordingResponse(caller_response.CallerResponse):
+    """Records when the first event arrived and how the response ended."""
 
     def __init__(self) -> None:
         self.first_at: float | None = None
-        self.is_whole = False
+        self.is_complete = False
         self.failure: errors.Failure | None = None
 
     @property
@@ -79,7 +81,7 @@
     async def send_response(self, status: int,
                             headers: Sequence[http_headers.Header],
                             body: bytes) -> None:
-        self.is_whole = True
+        self.is_complete = True
 
     async def start_stream(self, status: int,
                            headers: Sequence[http_headers.Header]) -> None:
@@ -89,7 +91,7 @@
         return
 
     async def finish(self) -> None:
-        self.is_whole = True
+        self.is_complete = True
 
     def abort(self) -> None:
         return
@@ -97,21 +99,21 @@
 
 @dataclasses.dataclass
 class _Caller:
-    """One caller: when it first came, and what became of it."""
+    """Arrival time of a caller and the result of its request."""
 
-    came_at: float
+    arrived_at: float
     first_at: float | None = None
     is_served: bool = False
 
     @property
-    def is_in_aim(self) -> bool:
-        """Whether the first event came in time."""
+    def meets_target(self) -> bool:
+        """Whether the first event met the latency target."""
         return (self.first_at is not None and
-                self.first_at - self.came_at <= _AIM_S)
+                self.first_at - self.arrived_at <= _TARGET_S)
 
 
-class _World:
-    """Entry hosts, servers and callers."""
+class _Simulation:
+    """Simulates entry hosts, servers and callers."""
 
     def __init__(self,
                  *,
@@ -119,16 +121,16 @@
                  hosts: int,
                  rate: float,
                  pace: busy_servers.Pace,
-                 tells_patience: bool,
+                 sends_timeout: bool,
                  route: routing_config.Route = _ROUTE) -> None:
         self.callers: list[_Caller] = []
-        self._tells_patience = tells_patience
+        self._sends_timeout = sends_timeout
         self._config = dataclasses.replace(_CONFIG,
                                            routes_by_host={'h': (route,)})
         self._rate = rate
         self._rng = random.Random(5)
-        self._arrivals = random.Random(6)
-        self._fleet = [
+        self._arrival_rng = random.Random(6)
+        self._server_list = [
             server_registry.Server(id=f's{i}',
                                    service='llm',
                                    address=f'10.0.0.{i}:1',
@@ -137,10 +139,11 @@
                                    state=server_registry.ServerState.READY)
             for i in range(servers)
         ]
-        self.servers = busy_servers.BusyServers(servers=self._fleet, pace=pace)
+        self.servers = busy_servers.BusyServers(servers=self._server_list,
+                                                pace=pace)
         self._clock = virtual_time.LoopClock()
         self._states = [self._state(i, hosts) for i in range(hosts)]
-        self._hosts = [
+        self._forwarders = [
             forwarder.Forwarder(state=state,
                                 servers=self.servers,
                                 stop_plan=graceful_shutdown.ShutdownPlan(
@@ -159,16 +162,17 @@
             rng=random.Random(seed))
         state.config = self._config
         state.entry_host_count = hosts
-        for server in self._fleet:
+        for server in self._server_list:
             state.server_registry.put(server)
         return state
 
     async def run(self, closed_at: float, open_at: float) -> None:
-        """Plays the arrivals, with an outage of all servers."""
+        """Runs all arrivals, with an outage of all servers."""
         loop = asyncio.get_running_loop()
         start = loop.time()
         reports = [
-            asyncio.create_task(self._report(server)) for server in self._fleet
+            asyncio.create_task(self._report(server))
+            for server in self._server_list
         ]
         loop.call_at(start + closed_at, setattr, self.servers, 'is_open',
                      closed_at == open_at)
@@ -178,39 +182,40 @@
             while at < _LAST_ARRIVAL_S:
                 await asyncio.sleep(start + at - loop.time())
                 group.create_task(self._call(_Caller(at), start))
-                at += self._arrivals.expovariate(self._rate)
+                at += self._arrival_rng.expovariate(self._rate)
         for task in reports:
             task.cancel()
 
-    def came_between(self, begin: float, end: float) -> list[_Caller]:
-        """Callers by the second in which they first came."""
-        return [c for c in self.callers if begin <= c.came_at < end]
+    def arrived_between(self, begin: float, end: float) -> list[_Caller]:
+        """Returns the callers that arrived in a period."""
+        return [c for c in self.callers if begin <= c.arrived_at < end]
 
     async def _report(self, server: server_registry.Server) -> None:
-        """What the agent beside a server does."""
+        """Reports the load of a server, as the agent beside it does."""
         while True:
-            news = self.servers.report(server.id)
+            load_report = self.servers.report(server.id)
             for state in self._states:
-                state.server_loads.record_report(server.id, news,
+                state.server_loads.record_report(server.id, load_report,
                                                  self._clock.monotonic())
-            await asyncio.sleep(_REPORT_S * self._rng.uniform(0.9, 1.1))
+            await asyncio.sleep(_REPORT_INTERVAL_S *
+                                self._rng.uniform(0.9, 1.1))
 
     async def _call(self, caller: _Caller, start: float) -> None:
         self.callers.append(caller)
-        deadline = start + caller.came_at + _BUDGET_S
-        answer = await self._try(deadline)
-        if answer.failure is not None:
+        deadline = start + caller.arrived_at + _CALLER_TIMEOUT_S
+        response = await self._send_request(deadline)
+        if response.failure is not None:
             left_s = deadline - self._clock.monotonic()
-            told_s = answer.failure.retry_after_s or _RETRY_PAUSE_S
-            await asyncio.sleep(min(told_s, left_s / 3))
-            answer = await self._try(deadline)
-        caller.is_served = answer.is_whole
-        if answer.first_at is not None:
-            caller.first_at = answer.first_at - start
-
-    async def _try(self, deadline: float) -> _Reply:
+            retry_after_s = response.failure.retry_after_s or _RETRY_DELAY_S
+            await asyncio.sleep(min(retry_after_s, left_s / 3))
+            response = await self._send_request(deadline)
+        caller.is_served = response.is_complete
+        if response.first_at is not None:
+            caller.first_at = response.first_at - start
+
+    async def _send_request(self, deadline: float) -> _RecordingResponse:
         now = self._clock.monotonic()
-        answer = _Reply()
+        response = _RecordingResponse()
         request = caller_request.CallerRequest(
             id='r',
             method='POST',
@@ -219,136 +224,143 @@
             headers=(),
             body=b'',
             api_key=None,
-            timeout_s=(deadline - now if self._tells_patience else None),
+            timeout_s=(deadline - now if self._sends_timeout else None),
             last_event_id=None,
             prompt_tokens=835,
             max_output_tokens=159,
             prompt_parts=(),
             received_at=now)
         served = asyncio.create_task(
-            self._rng.choice(self._hosts).serve(request, answer))
-        await asyncio.wait([served], timeout=_SILENCE_S)
-        if not answer.is_started:
+            self._rng.choice(self._forwarders).serve(request, response))
+        await asyncio.wait([served], timeout=_EVENT_TIMEOUT_S)
+        if not response.is_started:
             served.cancel()
         await asyncio.wait([served])
-        return answer
+        return response
 
 
-@given('{servers:d} servers and {hosts:d} entry hosts with {rate:d} streams a '
-       'second')
-def step_world(context: Any, servers: int, hosts: int, rate: int) -> None:
-    context.world, context.plain_world = (_World(servers=servers,
-                                                 hosts=hosts,
-                                                 rate=rate,
-                                                 pace=busy_servers.Pace(),
-                                                 tells_patience=tells)
-                                          for tells in (True, False))
+@given('{servers:d} servers and {hosts:d} entry hosts with {rate:d} streams '
+       'per second')
+def step_simulation(context: Any, servers: int, hosts: int, rate: int) -> None:
+    context.simulation, context.no_timeout_simulation = (_Simulation(
+        servers=servers,
+        hosts=hosts,
+        rate=rate,
+        pace=busy_servers.Pace(),
+        sends_timeout=sends_timeout) for sends_timeout in (True, False))
 
 
-@given('{servers:d} servers of {slots:d} places and {hosts:d} entry hosts with '
-       '{rate:d} streams a second')
-def step_wide_world(context: Any, servers: int, slots: int, hosts: int,
-                    rate: int) -> None:
+@given('{servers:d} servers with {slots:d} slots and {hosts:d} entry hosts '
+       'with {rate:d} streams per second')
+def step_slots_simulation(context: Any, servers: int, slots: int, hosts: int,
+                          rate: int) -> None:
     pace = busy_servers.Pace(slots=slots,
                              queue=2 * slots,
                              gap_s=0.04,
                              gap_a_request_s=0.007,
                              events=23)
-    aimless = dataclasses.replace(_ROUTE, target_s=_AIMLESS_S)
-    context.world, context.open_world = (_World(servers=servers,
-                                                hosts=hosts,
-                                                rate=rate,
-                                                pace=pace,
-                                                tells_patience=True,
-                                                route=route)
-                                         for route in (_ROUTE, aimless))
+    loose_route = dataclasses.replace(_ROUTE, target_s=_LOOSE_TARGET_S)
+    context.simulation, context.unlimited_simulation = (_Simulation(
+        servers=servers,
+        hosts=hosts,
+        rate=rate,
+        pace=pace,
+        sends_timeout=True,
+        route=route) for route in (_ROUTE, loose_route))
 
 
-@when('callers come for a while')
+@when('callers arrive at that rate')
 def step_steady(context: Any) -> None:
-    virtual_time.run(context.world.run(1, 1))
+    virtual_time.run(context.simulation.run(1, 1))
 
 
-@when('more callers come than can be served')
+@when('more callers arrive than can be served')
 def step_overload(context: Any) -> None:
-    for world in (context.world, context.open_world):
-        virtual_time.run(world.run(1, 1))
+    for simulation in (context.simulation, context.unlimited_simulation):
+        virtual_time.run(simulation.run(1, 1))
 
 
-def _both(context: Any, begin: int, end: int) -> tuple[list[_Caller], ...]:
-    """Callers of a time, with refusals and as if all were let in."""
+def _arrived_in_both(context: Any, begin: int,
+                     end: int) -> tuple[list[_Caller], ...]:
+    """Returns the callers of a period, with and without admission control."""
     return tuple(
-        world.came_between(begin, end)
-        for world in (context.world, context.open_world))
+        simulation.arrived_between(begin, end)
+        for simulation in (context.simulation, context.unlimited_simulation))
 
 
-@then(
-    'from second {begin:d} to {end:d} half as many again are in aim as if all '
-    'were let in')
-def step_more_in_aim(context: Any, begin: int, end: int) -> None:
-    in_aim, open_in_aim = (
-        sum(c.is_in_aim for c in found) for found in _both(context, begin, end))
-    assert in_aim >= 1.5 * open_in_aim, (in_aim, open_in_aim)
+@then('1.5 times as many callers of second {begin:d} to {end:d} meet the '
+      'target as without admission control')
+def step_more_meet_target(context: Any, begin: int, end: int) -> None:
+    on_time, unlimited_on_time = (
+        sum(c.meets_target
+            for c in found)
+        for found in _arrived_in_both(context, begin, end))
+    assert on_time >= 1.5 * unlimited_on_time, (on_time, unlimited_on_time)
 
 
-@then('from second {begin:d} to {end:d} no fewer are served than if all were '
-      'let in')
+@then('no fewer callers of second {begin:d} to {end:d} are served than '
+      'without admission control')
 def step_no_fewer_served(context: Any, begin: int, end: int) -> None:
-    served, open_served = (
-        sum(c.is_served for c in found) for found in _both(context, begin, end))
-    assert served >= open_served, (served, open_served)
+    served, unlimited_served = (
+        sum(c.is_served
+            for c in found)
+        for found in _arrived_in_both(context, begin, end))
+    assert served >= unlimited_served, (served, unlimited_served)
 
 
-@when('no server works from second {closed_at:d} to {open_at:d} and callers '
-      'come back once')
-def step_wave(context: Any, closed_at: int, open_at: int) -> None:
-    for world in (context.world, context.plain_world):
-        virtual_time.run(world.run(closed_at, open_at))
+@when('all servers are down from second {closed_at:d} to {open_at:d} and '
+      'callers retry once')
+def step_outage(context: Any, closed_at: int, open_at: int) -> None:
+    for simulation in (context.simulation, context.no_timeout_simulation):
+        virtual_time.run(simulation.run(closed_at, open_at))
 
 
-@then('of those who first came from second {begin:d} to {end:d} over '
-      '{percent:d} in 100 are in aim')
-def step_in_aim(context: Any, begin: int, end: int, percent: int) -> None:
-    found = context.world.came_between(begin, end)
-    in_aim = sum(c.is_in_aim for c in found)
-    assert in_aim > len(found) * percent / 100, (in_aim, len(found))
+@then('over {percent:d}% of the callers of second {begin:d} to {end:d} meet '
+      'the target')
+def step_meet_target(context: Any, begin: int, end: int, percent: int) -> None:
+    found = context.simulation.arrived_between(begin, end)
+    on_time = sum(c.meets_target for c in found)
+    assert on_time > len(found) * percent / 100, (on_time, len(found))
 
 
-@then('of those who first came from second {begin:d} to {end:d} a fifth fewer '
-      'miss the aim than if nobody told its patience')
+@then('a fifth fewer callers of second {begin:d} to {end:d} miss the target '
+      'than if no caller sent its timeout')
 def step_fewer_late(context: Any, begin: int, end: int) -> None:
-    late, plain_late = (sum(not c.is_in_aim
-                            for c in world.came_between(begin, end))
-                        for world in (context.world, context.plain_world))
-    assert plain_late > 0
-    assert late <= plain_late * 0.8, (late, plain_late)
+    late_count, no_timeout_late = (
+        sum(not c.meets_target
+            for c in simulation.arrived_between(begin, end))
+        for simulation in (context.simulation, context.no_timeout_simulation))
+    assert no_timeout_late > 0
+    assert late_count <= no_timeout_late * 0.8, (late_count, no_timeout_late)
 
 
-@then('nobody waited over {limit:d} ms before a server was asked')
+@then('no request waited over {limit:d} ms before it was sent to a server')
 def step_waited(context: Any, limit: int) -> None:
-    longest_s = context.world.servers.longest_wait_s
+    longest_s = context.simulation.servers.longest_wait_s
     assert 0 < longest_s * 1000 <= limit + 1, longest_s
 
 
-@then('at most {percent:d} in 100 callers more go without an answer than then')
+@then('the share of served callers is at most {percent:d} percentage points '
+      'lower than if no caller sent its timeout')
 def step_served(context: Any, percent: int) -> None:
-    served, plain = (sum(c.is_served
-                         for c in world.callers) / len(world.callers)
-                     for world in (context.world, context.plain_world))
-    assert served >= plain - percent / 100, (served, plain)
+    served, no_timeout_served = (
+        sum(c.is_served
+            for c in simulation.callers) / len(simulation.callers)
+        for simulation in (context.simulation, context.no_timeout_simulation))
+    assert served >= no_timeout_served - percent / 100, (served,
+                                                         no_timeout_served)
 
 
-@given(
-    'callers of a route with a timeout of {timeout:f} s who had patience for '
-    '{patience:g} s')
-def step_known_patience(context: Any, timeout: float, patience: float) -> None:
+@given('an estimator that saw a timeout of {timeout_s:g} s on a route with a '
+       'timeout of {timeout:f} s')
+def step_known_timeout(context: Any, timeout: float, timeout_s: float) -> None:
     context.route = dataclasses.replace(_ROUTE, timeout_s=timeout)
-    context.book = caller_wait.CallerWaitEstimator()
-    context.book.waited_s(context.route, patience)
+    context.estimator = caller_wait.CallerWaitEstimator()
+    context.estimator.waited_s(context.route, timeout_s)
 
 
-@then('one with patience for {patience:g} s has missed an aim of 403 ms: '
+@then('a request that sends {timeout_s:g} s has missed a target of 403 ms: '
       '{missed}')
-def step_missed(context: Any, patience: float, missed: str) -> None:
-    found = context.book.has_missed_target(context.route, patience)
+def step_missed(context: Any, timeout_s: float, missed: str) -> None:
+    found = context.estimator.has_missed_target(context.route, timeout_s)
     assert str(found) == missed, found
--- a/tests/platform/waves.feature
+++ b/tests/platform/waves.feature
@@ -1,22 +1,23 @@
 Feature: Callers who come back all at once
 
-  After an outage everybody who was turned away comes back within the same few
-  seconds, while new callers go on to come. No answer can be in time for those
-  who come back; for new callers it can.
+  After an outage, callers whose requests failed retry within the same few
+  seconds while new callers keep arriving. A retried request can no longer meet
+  its latency target, because its caller has already waited; a new one still can.
+  Serving both alike makes the new ones miss the target too.
 
   Scenario: New callers are in time while the returned ones are served
-    Given 16 servers and 9 entry hosts with 37 streams a second
-    When no server works from second 3 to 5 and callers come back once
-    Then of those who first came from second 6 to 12 a fifth fewer miss the aim than if nobody told its patience
-    And nobody waited over 400 ms before a server was asked
-    And at most 1 in 100 callers more go without an answer than then
+    Given 16 servers and 9 entry hosts with 37 streams per second
+    When all servers are down from second 3 to 5 and callers retry once
+    Then a fifth fewer callers of second 6 to 12 miss the target than if no caller sent its timeout
+    And no request waited over 400 ms before it was sent to a server
+    And the share of served callers is at most 1 percentage points lower than if no caller sent its timeout
 
-  Scenario Outline: Who has waited already is known by its patience
-    Given callers of a route with a timeout of 8.0 s who had patience for <known> s
-    Then one with patience for <patience> s has missed an aim of 403 ms: <missed>
+  Scenario Outline: The timeout that a request sends shows how long its caller has waited
+    Given an estimator that saw a timeout of <known> s on a route with a timeout of 8.0 s
+    Then a request that sends <timeout> s has missed a target of 403 ms: <missed>
 
     Examples:
-      | known | patience | missed |
+      | known | timeout  | missed |
       | 8.05  | 8.05     | False  |
       | 8.05  | 7.9      | False  |
       | 8.05  | 7.6      | True   |
@@ -26,25 +27,25 @@
       | 9000  | 8.05     | False  |
       | 9000  | 7.6      | True   |
 
-  Scenario: Steady load stays in time
-    Given 16 servers and 9 entry hosts with 37 streams a second
-    When no server works from second 1 to 1 and callers come back once
-    Then of those who first came from second 1 to 12 over 95 in 100 are in aim
+  Scenario: Requests meet the target under steady load
+    Given 16 servers and 9 entry hosts with 37 streams per second
+    When all servers are down from second 1 to 1 and callers retry once
+    Then over 95% of the callers of second 1 to 12 meet the target
 
-  # Guards against a spread that was right for 9 hosts and 16 servers only.
-  Scenario: Steady load stays in time where many hosts choose among many servers
-    Given 64 servers of 5 places and 43 entry hosts with 120 streams a second
-    When callers come for a while
-    Then of those who first came from second 2 to 12 over 95 in 100 are in aim
+  # Guards against load balancing that works for 9 hosts and 16 servers only.
+  Scenario: Requests meet the target under steady load with many hosts and servers
+    Given 64 servers with 5 slots and 43 entry hosts with 120 streams per second
+    When callers arrive at that rate
+    Then over 95% of the callers of second 2 to 12 meet the target
 
-  # Guards against letting all in when more come than can be served: all are late.
-  Scenario: More callers come than can be served
-    Given 16 servers of 5 places and 11 entry hosts with 50 streams a second
-    When more callers come than can be served
-    Then from second 3 to 13 half as many again are in aim as if all were let in
+  # Guards against admitting every request under overload: then all are late.
+  Scenario: Overload admission control keeps more callers within the target
+    Given 16 servers with 5 slots and 11 entry hosts with 50 streams per second
+    When more callers arrive than can be served
+    Then 1.5 times as many callers of second 3 to 13 meet the target as without admission control
 
-  # Guards against refusals that cost callers their answer.
+  # Guards against rejections that leave callers without a response.
   Scenario: Refusing those who would be late costs nobody an answer
-    Given 16 servers of 5 places and 11 entry hosts with 50 streams a second
-    When more callers come than can be served
-    Then from second 3 to 13 no fewer are served than if all were let in
+    Given 16 servers with 5 slots and 11 entry hosts with 50 streams per second
+    When more callers arrive than can be served
+    Then no fewer callers of second 3 to 13 are served than without admission control
