--- a/tests/platform/endless.feature
+++ b/tests/platform/endless.feature
@@ -1,22 +1,22 @@
-Feature: Bytes without end that are no answer
+Feature: Responses without end
 
-  A server in trouble may send bytes until its caller closes. They must cost
-  neither memory without bound nor the time that another server needs.
+  A faulty server may send bytes until the connection is closed. This must cost
+  neither unbounded memory nor the time that a retry at another server needs.
 
-  # Guards against servers that never come to the end of what they send.
-  Scenario Outline: The caller gives up long before its time is over
-    Given a server that answers with <what> without end
-    When it is asked with 5 s of patience, as by an entry host
-    Then it is given up as broken after less than <limit> bytes
+  # Guards against a response, or a part of one, that never ends.
+  Scenario Outline: The client aborts well before its timeout
+    Given a server that sends <what> without end
+    When an entry host's client sends it a request with a timeout of 5 s
+    Then the response is aborted as broken after less than <limit> bytes
     And the connection is closed
 
     Examples:
       | what                       | limit    |
       | bytes in the head          | 1000000  |
       | header lines               | 1000000  |
-      | interim answers            | 1000000  |
+      | interim responses          | 1000000  |
       | a body                     | 20000000 |
       | chunks                     | 20000000 |
       | a chunk head               | 1000000  |
       | an event                   | 2000000  |
-      | an answer to somebody else | 2000000  |
+      | another request's response | 2000000  |
--- a/tests/platform/peers.feature
+++ b/tests/platform/peers.feature
@@ -1,17 +1,20 @@
-Feature: Hosts that the store leaves waiting learn from their peers
+Feature: Entry hosts fetch newer server lists from peers
 
-  # Guards against a call to the store that hangs while others are answered.
-  Scenario: A host whose peers know of a change of the servers asks one of them
-    Given an entry host that the store answered just now
-    When a peer tells a newer change of the servers for 1.5 s
-    Then the peer was asked for what it knows
+  An entry host whose store call hangs misses changes that its peers have read.
+  Heartbeats carry the version of the last change, so it can tell.
 
-  Scenario: A change that reaches the host itself soon is not asked for
-    Given an entry host that the store answered just now
-    When a peer tells a newer change of the servers for 0.4 s
-    Then no peer was asked
+  # Guards against a store call that hangs while those of other hosts return.
+  Scenario: A host fetches a change of the servers that only its peers have
+    Given an entry host that has just read from the store
+    When heartbeats of a peer carry a newer change of the servers for 1.5 s
+    Then the host fetched a snapshot from the peer
 
-  Scenario: Peers that know nothing newer are not asked
-    Given an entry host that the store answered just now
-    When a peer tells no newer change of the servers for 1.5 s
-    Then no peer was asked
+  Scenario: A host does not fetch a change that may still reach it from the store
+    Given an entry host that has just read from the store
+    When heartbeats of a peer carry a newer change of the servers for 0.4 s
+    Then the host fetched no snapshot
+
+  Scenario: A host fetches nothing from peers that have no newer change
+    Given an entry host that has just read from the store
+    When heartbeats of a peer carry no newer change of the servers for 1.5 s
+    Then the host fetched no snapshot
--- a/tests/platform/steps/endless.py
+++ b/tests/platform/steps/endless.py
@@ -1,4 +1,4 @@
-"""Steps for servers that send bytes without end."""
+"""Steps for responses without end."""
 
 import asyncio
 from typing import Any
@@ -11,31 +11,34 @@
 from pollenthread.ports import upstream
 from tests import scenario
 
-_ID = 'r1'
+_REQUEST_ID = 'r1'
 _BLOCK_BYTES = 16_384
-_OK = b'HTTP/1.1 200 OK\r\n'
-_OWN = b'pollenthread-request-id: r1\r\n'
-_OTHER = b'pollenthread-request-id: r0\r\n'
-_BEGIN_AND_REPEAT: dict[str, tuple[bytes, bytes]] = {
+_STATUS_LINE = b'HTTP/1.1 200 OK\r\n'
+_OWN_ID_HEADER = b'pollenthread-request-id: r1\r\n'
+_OTHER_ID_HEADER = b'pollenthread-request-id: r0\r\n'
+_START_AND_REPEAT_BY_CASE: dict[str, tuple[bytes, bytes]] = {
     'bytes in the head': (b'', b'x' * _BLOCK_BYTES),
-    'header lines': (_OK, b'a: b\r\n' * 2_000),
-    'interim answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 500),
-    'a body': (_OK + _OWN + b'\r\n', b'x' * _BLOCK_BYTES),
-    'chunks': (_OK + _OWN + b'transfer-encoding: chunked\r\n\r\n',
-               b'4000\r\n' + b'x' * _BLOCK_BYTES + b'\r\n'),
-    'a chunk head':
-        (_OK + _OWN + b'transfer-encoding: chunked\r\n\r\n4000;', b'x' * 4_096),
-    'an event': (_OK + _OWN + b'content-type: text/event-stream\r\n\r\ndata: ',
-                 b'x' * _BLOCK_BYTES),
-    'an answer to somebody else': (_OK + _OTHER + b'\r\n', b'x' * _BLOCK_BYTES),
+    'header lines': (_STATUS_LINE, b'a: b\r\n' * 2_000),
+    'interim responses': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 500),
+    'a body': (_STATUS_LINE + _OWN_ID_HEADER + b'\r\n', b'x' * _BLOCK_BYTES),
+    'chunks':
+        (_STATUS_LINE + _OWN_ID_HEADER + b'transfer-encoding: chunked\r\n\r\n',
+         b'4000\r\n' + b'x' * _BLOCK_BYTES + b'\r\n'),
+    'a chunk head': (_STATUS_LINE + _OWN_ID_HEADER +
+                     b'transfer-encoding: chunked\r\n\r\n4000;', b'x' * 4_096),
+    'an event':
+        (_STATUS_LINE + _OWN_ID_HEADER +
+         b'content-type: text/event-stream\r\n\r\ndata: ', b'x' * _BLOCK_BYTES),
+    "another request's response":
+        (_STATUS_LINE + _OTHER_ID_HEADER + b'\r\n', b'x' * _BLOCK_BYTES),
 }
 
 
 class _EndlessServer:
-    """Sends until the connection is closed."""
+    """Server that sends bytes until the connection is closed."""
 
-    def __init__(self, begin: bytes, repeat: bytes) -> None:
-        self._begin = begin
+    def __init__(self, start: bytes, repeat: bytes) -> None:
+        self._start = start
         self._repeat = repeat
         self.closed = asyncio.Event()
         self.address = ''
@@ -55,7 +58,7 @@
                      writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b'\r\n\r\n')
         try:
-            writer.write(self._begin)
+            writer.write(self._start)
             while True:
                 writer.write(self._repeat)
                 await writer.drain()
@@ -63,17 +66,17 @@
             self.closed.set()
 
 
-@given('a server that answers with {what} without end')
-def step_server(context: Any, what: str) -> None:
-    context.is_stream = what == 'an event'
+@given('a server that sends {case} without end')
+def step_server(context: Any, case: str) -> None:
+    context.is_stream = case == 'an event'
     context.server = scenario.run(
         context,
         context.stack.enter_async_context(
-            _EndlessServer(*_BEGIN_AND_REPEAT[what])))
+            _EndlessServer(*_START_AND_REPEAT_BY_CASE[case])))
 
 
 def _attempt(address: str) -> upstream.UpstreamAttempt:
-    request = caller_request.CallerRequest(id=_ID,
+    request = caller_request.CallerRequest(id=_REQUEST_ID,
                                            method='POST',
                                            target='/x',
                                            host='h',
@@ -100,34 +103,34 @@
                                     priority=5)
 
 
-async def _ask(context: Any) -> None:
-    context.taken_bytes = 0
-    context.broken = None
+async def _send_request(context: Any) -> None:
+    context.received_bytes = 0
+    context.error = None
     splitter = resumable_events.ResumableEventSplitter()
     async with http_client.HttpClient() as client:
         servers = upstream_http.HttpUpstreamClient(client=client)
         try:
             async with asyncio.timeout(5.0):
                 async with servers.send(_attempt(
-                        context.server.address)) as found:
-                    async for data in found.read():
-                        context.taken_bytes += len(data)
+                        context.server.address)) as response:
+                    async for data in response.read():
+                        context.received_bytes += len(data)
                         if context.is_stream:
                             splitter.feed(data)
         except (upstream.UpstreamDisconnectedError,
                 resumable_events.EventTooLongError) as error:
-            context.broken = error
+            context.error = error
 
 
-@when('it is asked with 5 s of patience, as by an entry host')
-def step_ask(context: Any) -> None:
-    scenario.run(context, _ask(context))
+@when("an entry host's client sends it a request with a timeout of 5 s")
+def step_send_request(context: Any) -> None:
+    scenario.run(context, _send_request(context))
 
 
-@then('it is given up as broken after less than {limit:d} bytes')
-def step_broken(context: Any, limit: int) -> None:
-    assert context.broken is not None
-    assert context.taken_bytes < limit, context.taken_bytes
+@then('the response is aborted as broken after less than {limit:d} bytes')
+def step_aborted(context: Any, limit: int) -> None:
+    assert context.error is not None
+    assert context.received_bytes < limit, context.received_bytes
 
 
 @then('the connection is closed')
--- a/tests/platform/steps/explain.py
+++ b/tests/platform/steps/explain.py
@@ -10,7 +10,7 @@
 from pollenthread.cli import request_explanation
 from pollenthread.core import log_events
 
-_ID = 'r-1'
+_REQUEST_ID = 'r-1'
 _PIPE_BYTES = 1 << 16
 
 
@@ -19,12 +19,12 @@
         't': 1.0,
         'host': 'edge-1',
         'event': event,
-        'id': _ID,
+        'id': _REQUEST_ID,
         **fields
     })
 
 
-_LINES_BY_END = {
+_LINES_BY_OUTCOME = {
     'refused': [
         _line('request_refused',
               kind='no_upstream',
@@ -48,10 +48,11 @@
 }
 
 
-@given('the logs of two hosts with a {end} request among others')
-def step_logs(context: Any, end: str) -> None:
+@given('the logs of two hosts with a request that ended as {outcome}, among '
+       'others')
+def step_logs(context: Any, outcome: str) -> None:
     other = json.dumps({'event': 'request_answered', 'id': 'r-12', 't': 0.0})
-    context.log = [other, *_LINES_BY_END[end], other]
+    context.log = [other, *_LINES_BY_OUTCOME[outcome], other]
 
 
 @given('lines that are not JSON')
@@ -61,17 +62,18 @@
 
 @when('the request is explained')
 def step_explain(context: Any) -> None:
-    context.found = request_explanation.explain_request(_ID, context.log)
+    context.explanation = request_explanation.explain_request(
+        _REQUEST_ID, context.log)
 
 
 @then('the verdict says "{words}"')
 def step_verdict(context: Any, words: str) -> None:
-    assert words in context.found.verdict, context.found.verdict
+    assert words in context.explanation.verdict, context.explanation.verdict
 
 
 @then('{count:d} lines are shown')
 def step_shown(context: Any, count: int) -> None:
-    assert len(context.found.lines) == count, context.found.lines
+    assert len(context.explanation.lines) == count, context.explanation.lines
 
 
 def _open_log(context: Any) -> None:
@@ -79,21 +81,21 @@
     context.log = json_log.JsonLog(host='edge-1', descriptor=context.writer)
 
 
-@given('a structured log whose reader has stopped')
+@given('a structured log whose reader does not read')
 def step_stopped_reader(context: Any) -> None:
     _open_log(context)
 
 
-@given('a structured log that is read')
-def step_reader(context: Any) -> None:
+@given('a structured log whose reader reads later')
+def step_reading_reader(context: Any) -> None:
     _open_log(context)
 
 
-@when('{count:d} lines are written')
+@when('{count:d} lines are logged')
 def step_write(context: Any, count: int) -> None:
     for _ in range(count):
         context.log.write(log_events.LogEvent.REQUEST_FAILED,
-                          id=_ID,
+                          id=_REQUEST_ID,
                           detail='x' * 500)
 
 
@@ -104,25 +106,27 @@
     os.close(context.writer)
 
 
-@when('{ordinary:d} ordinary lines and {important:d} important ones are '
-      'written at once')
+@when('{ordinary:d} ordinary and {important:d} important lines are logged '
+      'without a pause')
 def step_mixed(context: Any, ordinary: int, important: int) -> None:
     for _ in range(ordinary):
         context.log.write(log_events.LogEvent.ATTEMPT, important=False)
     for _ in range(important):
-        context.log.write(log_events.LogEvent.REQUEST_FAILED, id=_ID)
+        context.log.write(log_events.LogEvent.REQUEST_FAILED, id=_REQUEST_ID)
     os.close(context.writer)
     data = os.read(context.reader, _PIPE_BYTES)
     os.close(context.reader)
     context.lines = [json.loads(line) for line in data.splitlines()]
 
 
-@then('all {count:d} important lines are there')
-def step_important(context: Any, count: int) -> None:
-    found = [l for l in context.lines if l['event'] == 'request_failed']
+@then('all {count:d} important lines were written')
+def step_important_written(context: Any, count: int) -> None:
+    found = [
+        line for line in context.lines if line['event'] == 'request_failed'
+    ]
     assert len(found) == count, len(found)
 
 
-@then('the count of lines that were left out is told')
-def step_left_out(context: Any) -> None:
-    assert any(l['event'] == 'lines_dropped' for l in context.lines)
+@then('a line with the number of dropped lines was written')
+def step_drop_count(context: Any) -> None:
+    assert any(line['event'] == 'lines_dropped' for line in context.lines)
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -1,4 +1,4 @@
-"""Steps for the driver of switches, in virtual time."""
+"""Steps for running map switches, in virtual time."""
 
 import asyncio
 import collections
@@ -15,12 +15,12 @@
 _EPOCH = 1
 _VERSION = 7
 _MS_PER_S = 1000
-_PAUSE_BEFORE_S = 0.2
-_TELL_S = 0.05
+_SETTLE_S = 0.2
+_REPORT_INTERVAL_S = 0.05
 
 
 class _Network:
-    """The part of the peers' network that a driver uses."""
+    """Delivers the orders of a switch driver to a group of ranks."""
 
     def __init__(self, group: running_group.RunningGroup,
                  view: group_view.GroupView) -> None:
@@ -40,9 +40,9 @@
         return True
 
     async def _order(self, rank: int, order: peer_messages.RankOrder) -> None:
-        """What the agent beside a rank does."""
-        tries = 5 if order.kind is peer_messages.OrderKind.PREPARE else 1
-        for _ in range(tries):
+        """Sends an order to a rank, as the agent beside it does."""
+        attempts = 5 if order.kind is peer_messages.OrderKind.PREPARE else 1
+        for _ in range(attempts):
             state = await self._group.order(rank, order)
             if state is not None:
                 self._view.take(state)
@@ -56,27 +56,27 @@
     return int(address.rpartition(':')[2])
 
 
-@given('a group of {size:d} ranks that begins a pass each {pass_ms:d} ms')
+@given('a group of {size:d} ranks that begins a pass every {pass_ms:d} ms')
 def step_running(context: Any, size: int, pass_ms: int) -> None:
     context.size = size
-    context.lost = collections.Counter()
+    context.lost_orders = collections.Counter()
     context.pass_s = pass_ms / _MS_PER_S
 
 
-@given('the first {count:d} orders to {kind} get no answer, at each rank')
-def step_lost(context: Any, count: int, kind: str) -> None:
+@given('the first {count:d} orders to {kind} get no response from each rank')
+def step_unanswered(context: Any, count: int, kind: str) -> None:
     for rank in range(context.size):
-        context.lost[rank, peer_messages.OrderKind(kind)] = count
+        context.lost_orders[rank, peer_messages.OrderKind(kind)] = count
 
 
-@when('its map is switched')
+@when('the map of the group is switched')
 def step_switch(context: Any) -> None:
     context.group = running_group.RunningGroup(states={
         r: running_group.rank_state(r, size=context.size, step=1)
         for r in range(context.size)
     },
                                                pass_s=context.pass_s,
-                                               lost=context.lost)
+                                               lost=context.lost_orders)
     virtual_time.run(_switch(context))
 
 
@@ -105,23 +105,23 @@
         time=time,
         log=memory.SilentLog())
     passes = asyncio.create_task(group.run())
-    news = asyncio.create_task(_tell_states(group, view))
-    await asyncio.sleep(_PAUSE_BEFORE_S)
-    begun_at = time.monotonic()
+    reports = asyncio.create_task(_report_states(group, view))
+    await asyncio.sleep(_SETTLE_S)
+    started_at = time.monotonic()
     layouts = ((tuple((rank,) for rank in range(context.size))),)
     switch = await driver.run(map_switch.MapSwitch(_VERSION, _EPOCH, layouts))
     context.phase = switch.phase
-    context.took_s = time.monotonic() - begun_at
-    await asyncio.sleep(_PAUSE_BEFORE_S)
+    context.took_s = time.monotonic() - started_at
+    await asyncio.sleep(_SETTLE_S)
     passes.cancel()
-    news.cancel()
+    reports.cancel()
 
 
-async def _tell_states(group: running_group.RunningGroup,
-                       view: group_view.GroupView) -> None:
-    """What the agents beside the ranks do."""
+async def _report_states(group: running_group.RunningGroup,
+                         view: group_view.GroupView) -> None:
+    """Reports the states of all ranks, as the agents beside them do."""
     while True:
-        await asyncio.sleep(_TELL_S)
+        await asyncio.sleep(_REPORT_INTERVAL_S)
         for state in group.state_by_rank.values():
             view.take(state)
 
@@ -135,11 +135,11 @@
 
 
 @then('no pass ran with two maps')
-def step_unmixed(context: Any) -> None:
+def step_one_map(context: Any) -> None:
     assert not context.group.mixed_passes
 
 
-@then('no two passes began more than {limit:d} ms apart')
-def step_pause(context: Any, limit: int) -> None:
+@then('passes begin at most {limit:d} ms apart')
+def step_max_pause(context: Any, limit: int) -> None:
     longest_s = context.group.longest_pause_s
     assert longest_s * _MS_PER_S <= limit, longest_s
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -1,4 +1,4 @@
-"""Steps for what entry hosts learn from each other, in virtual time."""
+"""Steps for server lists fetched from peers, in virtual time."""
 
 import asyncio
 import random
@@ -14,25 +14,25 @@
 from tests.fakes import memory, virtual_time
 
 _KNOWN_VERSION = 100
-_BEAT_S = 0.2
+_HEARTBEAT_INTERVAL_S = 0.2
 
 
 class _Network:
-    """Hands on beats, and notes who was asked."""
+    """Delivers heartbeats and records the peers asked for snapshots."""
 
     def __init__(self) -> None:
-        self.take_by_type: dict[type[Any], Callable[[Any], None]] = {}
-        self.asked: list[str] = []
+        self.handler_by_type: dict[type[Any], Callable[[Any], None]] = {}
+        self.fetched: list[str] = []
 
     def set_datagram_handler(self, kind: type[Any],
-                             take: Callable[[Any], None]) -> None:
-        self.take_by_type[kind] = take
+                             handler: Callable[[Any], None]) -> None:
+        self.handler_by_type[kind] = handler
 
     def set_snapshot_provider(self, make: Any) -> None:
         del make
 
     async def fetch_snapshot(self, address: str) -> None:
-        self.asked.append(address)
+        self.fetched.append(address)
 
 
 def _record(name: str) -> host_record.HostRecord:
@@ -42,7 +42,7 @@
                                   peer_address=f'{name}:1')
 
 
-def _beat(version: int) -> peer_messages.EntryBeat:
+def _heartbeat(version: int) -> peer_messages.EntryBeat:
     return peer_messages.EntryBeat(host='other',
                                    is_ready=True,
                                    is_leaving=False,
@@ -51,22 +51,24 @@
                                    servers_changed=version)
 
 
-@given('an entry host that the store answered just now')
+@given('an entry host that has just read from the store')
 def step_host(context: Any) -> None:
     context.network = _Network()
 
 
-@when('a peer tells a newer change of the servers for {seconds:f} s')
-def step_newer(context: Any, seconds: float) -> None:
-    virtual_time.run(_play(context.network, _KNOWN_VERSION + 5, seconds))
+@when('heartbeats of a peer carry a newer change of the servers for '
+      '{seconds:f} s')
+def step_newer_change(context: Any, seconds: float) -> None:
+    virtual_time.run(_run_host(context.network, _KNOWN_VERSION + 5, seconds))
 
 
-@when('a peer tells no newer change of the servers for {seconds:f} s')
-def step_same(context: Any, seconds: float) -> None:
-    virtual_time.run(_play(context.network, _KNOWN_VERSION, seconds))
+@when('heartbeats of a peer carry no newer change of the servers for '
+      '{seconds:f} s')
+def step_no_newer_change(context: Any, seconds: float) -> None:
+    virtual_time.run(_run_host(context.network, _KNOWN_VERSION, seconds))
 
 
-async def _play(network: _Network, version: int, seconds: float) -> None:
+async def _run_host(network: _Network, version: int, seconds: float) -> None:
     time = virtual_time.LoopClock()
     state = serving_state.ServingState(
         data_centre='dc',
@@ -92,30 +94,30 @@
     hosts = host_registry.HostRegistry()
     for name in ('own', 'other'):
         hosts.records_by_host[name] = _record(name)
-    host: Any = network
-    found = entry_peers.EntryPeers(own=_record('own'),
+    peer_network: Any = network
+    peers = entry_peers.EntryPeers(own=_record('own'),
                                    hosts=hosts,
                                    seeds=(),
-                                   network=host,
+                                   network=peer_network,
                                    state=state,
                                    config=config,
                                    servers=servers,
                                    time=time,
                                    log=memory.SilentLog(),
                                    rng=random.Random(1))
-    work = asyncio.create_task(found.fetch_from_peers())
-    for _ in range(round(seconds / _BEAT_S)):
-        network.take_by_type[peer_messages.EntryBeat](_beat(version))
-        await asyncio.sleep(_BEAT_S)
-    assert not work.done(), work
-    work.cancel()
+    fetching = asyncio.create_task(peers.fetch_from_peers())
+    for _ in range(round(seconds / _HEARTBEAT_INTERVAL_S)):
+        network.handler_by_type[peer_messages.EntryBeat](_heartbeat(version))
+        await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
+    assert not fetching.done(), fetching
+    fetching.cancel()
 
 
-@then('the peer was asked for what it knows')
-def step_asked(context: Any) -> None:
-    assert 'other:1' in context.network.asked, context.network.asked
+@then('the host fetched a snapshot from the peer')
+def step_fetched(context: Any) -> None:
+    assert 'other:1' in context.network.fetched, context.network.fetched
 
 
-@then('no peer was asked')
-def step_not_asked(context: Any) -> None:
-    assert not context.network.asked, context.network.asked
+@then('the host fetched no snapshot')
+def step_not_fetched(context: Any) -> None:
+    assert not context.network.fetched, context.network.fetched
--- a/tests/platform/steps/whole_path.py
+++ b/tests/platform/steps/whole_path.py
@@ -1,4 +1,4 @@
-"""Steps for the whole path on the prepared platform."""
+"""Steps for end-to-end requests on the platform."""
 
 import asyncio
 import copy
@@ -11,11 +11,11 @@
 from tests import scenario
 from tests.fakes import platform_site
 
-_SEEN_S = 1.6
+_PROPAGATION_S = 1.6
 _EVENT_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
 
 
-def _start(context: Any, **options: Any) -> None:
+def _start_site(context: Any, **options: Any) -> None:
     context.site = scenario.run(
         context,
         context.stack.enter_async_context(
@@ -26,12 +26,12 @@
     return scenario.run(context, work)
 
 
-def _fault_both(context: Any, **faults: Any) -> None:
+def _set_fault_on_both(context: Any, **faults: Any) -> None:
     for i in (1, 2):
         _run(context, context.site.fault(f'server-{i}', **faults))
 
 
-def _seen(context: Any) -> list[dict[str, Any]]:
+def _received_requests(context: Any) -> list[dict[str, Any]]:
     found = []
     for i in (1, 2):
         found += _run(context, context.site.seen(i))['requests']
@@ -40,14 +40,15 @@
 
 @given('a site')
 def step_site(context: Any) -> None:
-    _start(context)
+    _start_site(context)
 
 
 @given('a site whose second entry host has a store of its own')
 def step_two_stores(context: Any) -> None:
-    _start(context, entries=1)
+    _start_site(context, entries=1)
     _run(context, context.site.start_entry(2, store='store-2'))
-    # Both register where they can; the second learns of the first by its seed.
+    # Each host registers in its own store; the second one finds the first
+    # through its configured seed address.
     _run(context, _until_ready(context, 2))
 
 
@@ -59,87 +60,88 @@
     await scenario.eventually(ready)
 
 
-@given('server 1 breaks its first stream off after {count:d} events')
-def step_break(context: Any, count: int) -> None:
+@given('server 1 aborts its first stream after {count:d} events')
+def step_abort_stream(context: Any, count: int) -> None:
     _run(context, context.site.fault('server-1', break_after=count))
 
 
-@when('callers ask for {streams:d} streams of {count:d} events')
+@when('callers request {streams:d} streams of {count:d} events')
 def step_streams(context: Any, streams: int, count: int) -> None:
 
-    async def ask() -> Any:
+    async def request_all() -> Any:
         return await asyncio.gather(*(context.site.request(
             1 + i % 2, f'/text/stream/{count}', request_id=f'r-{i}')
                                       for i in range(streams)))
 
-    context.answers = _run(context, ask())
+    context.responses = _run(context, request_all())
 
 
-@then('each caller gets events {first:d} to {last:d} once each')
+@then('each caller receives events {first:d} to {last:d} once each')
 def step_each(context: Any, first: int, last: int) -> None:
-    for context.answer in context.answers:
+    for context.response in context.responses:
         step_events(context, first, last)
 
 
-@then('server 1 broke a stream off')
-def step_broke(context: Any) -> None:
+@then('server 1 aborted one stream')
+def step_stream_aborted(context: Any) -> None:
     resumed = [
-        request for request in _seen(context)
+        request for request in _received_requests(context)
         if 'last-event-id' in request['headers']
     ]
     assert len(resumed) == 1, resumed
 
 
-@given('both servers lose an answer')
-def step_lose(context: Any) -> None:
-    _fault_both(context, lose=1)
+@given('both servers lose one response')
+def step_lose_response(context: Any) -> None:
+    _set_fault_on_both(context, lose=1)
 
 
-@given('both servers refuse {count:d} requests as not run')
-def step_refuse(context: Any, count: int) -> None:
-    _fault_both(context, not_run=count)
+@given('both servers reject {count:d} requests as not executed')
+def step_reject_unexecuted(context: Any, count: int) -> None:
+    _set_fault_on_both(context, not_run=count)
 
 
-@given('both servers answer with the id of another request')
-def step_stale(context: Any) -> None:
-    _fault_both(context, stale=5)
+@given('both servers respond with the id of another request')
+def step_wrong_id(context: Any) -> None:
+    _set_fault_on_both(context, stale=5)
 
 
-@given('events come each {pause:d} ms')
-def step_pause(context: Any, pause: int) -> None:
-    _fault_both(context, pause_s=pause / 1000)
+@given('servers send an event every {interval_ms:d} ms')
+def step_event_interval(context: Any, interval_ms: int) -> None:
+    _set_fault_on_both(context, pause_s=interval_ms / 1000)
 
 
-@when('a caller asks for a stream of {count:d} events')
+@when('a caller requests a stream of {count:d} events')
 def step_stream(context: Any, count: int) -> None:
-    context.answer = _run(context,
-                          context.site.request(1, f'/text/stream/{count}'))
+    context.response = _run(context,
+                            context.site.request(1, f'/text/stream/{count}'))
 
 
-@then('a caller that asks for a stream of {count:d} events gets them')
+@then('a caller that requests a stream of {count:d} events receives all of '
+      'them')
 def step_stream_works(context: Any, count: int) -> None:
     step_stream(context, count)
     step_events(context, 1, count)
 
 
-@then('the caller gets events {first:d} to {last:d} once each')
+@then('the caller receives events {first:d} to {last:d} once each')
 def step_events(context: Any, first: int, last: int) -> None:
-    status, body = context.answer
-    assert status == 200, context.answer
+    status, body = context.response
+    assert status == 200, context.response
     found = [int(number) for number in _EVENT_ID.findall(body)]
     assert found == list(range(first, last + 1)), body
 
 
-@then('the server got the workspace "{workspace}" and no key')
+@then('the server received the workspace "{workspace}" and no API key')
 def step_workspace(context: Any, workspace: str) -> None:
-    headers = _seen(context)[-1]['headers']
+    headers = _received_requests(context)[-1]['headers']
     assert headers['pollenthread-tenant'] == workspace, headers
     assert 'authorization' not in headers
 
 
-@then('the server was named in the request, with the time that is left')
-def step_named(context: Any) -> None:
-    headers = _seen(context)[-1]['headers']
+@then('the request names the server and the remaining time')
+def step_server_named(context: Any) -> None:
+    headers = _received_requests(context)[-1]['headers']
     assert headers['pollenthread-target-instance'].startswith('i-')
     assert 7000 < int(headers['pollenthread-deadline-ms']) <= 8000, headers
 
@@ -154,13 +156,13 @@
     assert 'pollenthread_ready 1.0' in lines, lines
 
 
-@then('a request with an unknown key is answered {status:d}')
+@then('a request with an unknown key gets status {status:d}')
 def step_unknown_key(context: Any, status: int) -> None:
     found = _run(context, context.site.request(1, '/look/x', key='unknown'))
     assert found[0] == status, found
 
 
-@then('a request without a route is answered {status:d}')
+@then('a request without a route gets status {status:d}')
 def step_no_route(context: Any, status: int) -> None:
     found = _run(context, context.site.request(1, '/nowhere/x'))
     assert found[0] == status, found
@@ -168,50 +170,50 @@
 
 @when('a caller sends a payment')
 def step_pay(context: Any) -> None:
-    context.answer = _run(context, context.site.request(1, '/pay/x'))
+    context.response = _run(context, context.site.request(1, '/pay/x'))
 
 
-@when('a caller looks something up')
-def step_look(context: Any) -> None:
-    context.answer = _run(context,
-                          context.site.request(1, '/look/x', method='GET'))
+@when('a caller sends an idempotent lookup')
+def step_lookup(context: Any) -> None:
+    context.response = _run(context,
+                            context.site.request(1, '/look/x', method='GET'))
 
 
-@then('the answer is {status:d}')
+@then('the response has status {status:d}')
 def step_status(context: Any, status: int) -> None:
-    assert context.answer[0] == status, context.answer
+    assert context.response[0] == status, context.response
 
 
-@then('the answer is 502 or 200, after two servers at most')
-def step_after_two(context: Any) -> None:
-    assert context.answer[0] in (200, 502), context.answer
-    assert len(_seen(context)) == 2, _seen(context)
+@then('the response has status 502 or 200, and both attempts reached a server')
+def step_two_attempts(context: Any) -> None:
+    assert context.response[0] in (200, 502), context.response
+    assert len(_received_requests(context)) == 2, _received_requests(context)
 
 
-@then('the payment has reached one server, once')
-def step_once(context: Any) -> None:
-    assert len(_seen(context)) == 1, _seen(context)
+@then('the payment reached one server once')
+def step_reached_once(context: Any) -> None:
+    assert len(_received_requests(context)) == 1, _received_requests(context)
 
 
-@then('the payment has reached no server')
-def step_none(context: Any) -> None:
-    assert not _seen(context)
+@then('the payment reached no server')
+def step_reached_none(context: Any) -> None:
+    assert not _received_requests(context)
 
 
-@when('a caller asks for a stream of {count:d} events and leaves')
-def step_leave(context: Any, count: int) -> None:
+@when('a caller requests a stream of {count:d} events and disconnects')
+def step_disconnect(context: Any, count: int) -> None:
 
-    async def leave() -> None:
+    async def disconnect() -> None:
         try:
             async with asyncio.timeout(0.7):
                 await context.site.request(1, f'/text/stream/{count}')
         except TimeoutError:
             return
 
-    _run(context, leave())
+    _run(context, disconnect())
 
 
-@then("the server's work is cancelled")
+@then('the server cancels the request')
 def step_cancelled(context: Any) -> None:
 
     async def cancelled() -> bool:
@@ -226,9 +228,9 @@
     _run(context, context.site.put_server(number, state='draining'))
 
 
-@when('entry hosts have had time to see it')
-def step_time(context: Any) -> None:
-    _run(context, asyncio.sleep(_SEEN_S))
+@when('entry hosts have had time to read the change')
+def step_propagate(context: Any) -> None:
+    _run(context, asyncio.sleep(_PROPAGATION_S))
 
 
 @then('{count:d} requests all reach server {number:d}')
@@ -240,25 +242,25 @@
     assert len(seen) == count, seen
 
 
-@when('the store is down')
+@when('the store is unavailable for entry hosts')
 def step_store_down(context: Any) -> None:
     _run(context, context.site.fault('store', down=True))
-    _run(context, asyncio.sleep(_SEEN_S))
+    _run(context, asyncio.sleep(_PROPAGATION_S))
 
 
-@then('the entry host logs that it lost the store')
-def step_logs(context: Any) -> None:
+@then('the entry host logs that it lost contact with the store')
+def step_logs_store_lost(context: Any) -> None:
     events = {line['event'] for line in context.site.logs(1)}
     assert 'store_lost' in events, events
 
 
-@when('the store of the second entry host is down')
+@when('the store of the second entry host is unavailable')
 def step_second_store_down(context: Any) -> None:
     _run(context, context.site.fault('store-2', down=True))
-    _run(context, asyncio.sleep(_SEEN_S))
+    _run(context, asyncio.sleep(_PROPAGATION_S))
 
 
-@when('the key is taken away')
+@when('the API key is revoked')
 def step_revoke(context: Any) -> None:
     config = copy.deepcopy(platform_site.CONFIG)
     config['version'] = 2
@@ -266,35 +268,35 @@
     _run(context, context.site.put_config(config))
 
 
-@then('the second entry host answers {status:d} within seconds')
-def step_answers(context: Any, status: int) -> None:
+@then('the second entry host responds with status {status:d} within seconds')
+def step_second_status(context: Any, status: int) -> None:
 
-    async def refused() -> bool:
+    async def has_status() -> bool:
         found, _ = await context.site.request(2, '/look/x', method='GET')
         return bool(found == status)
 
-    _run(context, scenario.eventually(refused))
+    _run(context, scenario.eventually(has_status))
 
 
-@when('the store forgets its history')
-def step_forget(context: Any) -> None:
+@when('the store loses its change history')
+def step_lose_history(context: Any) -> None:
     _run(context, context.site.fault('store', forget=6))
 
 
-@when('the list of servers gains unreadable entries')
-def step_bad_entries(context: Any) -> None:
+@when('invalid entries are added to the list of servers')
+def step_invalid_entries(context: Any) -> None:
     for i, value in enumerate(('', '{', '[]', '{"service": 3}', 'null')):
         _run(context, context.site.put_row('servers', f'bad-{i}', value))
     _run(context, context.site.put_server(2, address='nowhere'))
 
 
-@when('the configuration becomes unreadable')
-def step_bad_config(context: Any) -> None:
+@when('the configuration becomes invalid')
+def step_invalid_config(context: Any) -> None:
     _run(context, context.site.put_row('op', 'config', '{"version": "x"'))
-    _run(context, asyncio.sleep(_SEEN_S))
+    _run(context, asyncio.sleep(_PROPAGATION_S))
 
 
-@when('entry host {number:d} is told to stop while it streams {count:d} events')
+@when('entry host {number:d} gets SIGTERM while it streams {count:d} events')
 def step_stop(context: Any, number: int, count: int) -> None:
 
     async def stop() -> Any:
@@ -305,19 +307,20 @@
         child.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.3)
         context.ready = await context.site.is_ready(number)
-        context.told = await context.site.directory(2)
+        context.listed_addresses = await context.site.directory(2)
         return await task
 
-    context.answer = _run(context, stop())
+    context.response = _run(context, stop())
 
 
-@then('it is not ready, and the other tells callers of itself only')
+@then('it is not ready, and the other host gives callers only its own address')
 def step_not_ready(context: Any) -> None:
     assert not context.ready
-    assert context.told == [context.site.callers(2)], context.told
+    assert context.listed_addresses == [context.site.callers(2)
+                                       ], context.listed_addresses
 
 
-@then('the process ends by itself')
-def step_ends(context: Any) -> None:
+@then('the process exits with status 0')
+def step_process_exits(context: Any) -> None:
     status = _run(context, context.site.child_by_entry['entry-1'].wait())
     assert status == 0, status
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -1,4 +1,4 @@
-"""Steps for groups of many ranks on thin links, in virtual time."""
+"""Steps for groups of many ranks on links of low bandwidth, in virtual time."""
 
 import asyncio
 import dataclasses
@@ -19,73 +19,73 @@
 _GROUP = 'wide'
 _OUTSIDE = 'outside'
 _SERVICE = 'llm'
-_STREAMS_A_RANK = 3.0
+_STREAMS_PER_RANK = 3.0
 _ENTRY_HOSTS = 8
 _SEED = 3
-_FIGURES = routing_config.EngineProfile(slots=5,
-                                        kv_cache_tokens=205_833,
-                                        base_step_s=0.00484,
-                                        step_s_per_sequence=0.00087,
-                                        step_s_per_context_token=0.0,
-                                        prefill_tokens_per_s=74_800.0,
-                                        prefill_s_per_token_pair=0.0,
-                                        prefill_chunk_tokens=512,
-                                        steps_per_pass=7,
-                                        mean_prompt_tokens=835.0,
-                                        mean_output_tokens=158.0,
-                                        link_bytes_per_s=11.5e9,
-                                        sets=12,
-                                        experts=128,
-                                        expert_slots=5,
-                                        spare_expert_slots=2,
-                                        expert_bytes=420e6,
-                                        expert_share=0.85)
-_PLACES_BY_RANKS = {8: 11, 32: 5}
-
-
-@when('few experts get much of the demand')
-def step_few(context: Any) -> None:
+_ENGINE_PROFILE = routing_config.EngineProfile(slots=5,
+                                               kv_cache_tokens=205_833,
+                                               base_step_s=0.00484,
+                                               step_s_per_sequence=0.00087,
+                                               step_s_per_context_token=0.0,
+                                               prefill_tokens_per_s=74_800.0,
+                                               prefill_s_per_token_pair=0.0,
+                                               prefill_chunk_tokens=512,
+                                               steps_per_pass=7,
+                                               mean_prompt_tokens=835.0,
+                                               mean_output_tokens=158.0,
+                                               link_bytes_per_s=11.5e9,
+                                               sets=12,
+                                               experts=128,
+                                               expert_slots=5,
+                                               spare_expert_slots=2,
+                                               expert_bytes=420e6,
+                                               expert_share=0.85)
+_SLOTS_BY_RANKS = {8: 11, 32: 5}
+
+
+@when('a few experts get most of the demand')
+def step_uneven_demand(context: Any) -> None:
     rng = random.Random(_SEED)
-    context.paces = ()
+    context.slowdowns = ()
     context.shares = [
         emulated_group.zipf_shares(rng, context.experts)
         for _ in context.layouts
     ]
 
 
-@when('rank {rank:d} takes {pace:f} times as long as the others')
-def step_slow(context: Any, rank: int, pace: float) -> None:
-    context.paces = [1.0] * len(context.layouts[0])
-    context.paces[rank] = pace
+@when('rank {rank:d} is {slowdown:f} times as slow as the others')
+def step_slow(context: Any, rank: int, slowdown: float) -> None:
+    context.slowdowns = [1.0] * len(context.layouts[0])
+    context.slowdowns[rank] = slowdown
 
 
-@when('{count:d} steps are planned with the limits in force for copies of '
-      '{copy_s:f} s')
-def step_limited(context: Any, count: int, copy_s: float) -> None:
+@when('{count:d} replication steps are planned with the configured limits for '
+      'copies of {copy_s:f} s')
+def step_plan_with_limits(context: Any, count: int, copy_s: float) -> None:
     ranks = len(context.layouts[0])
-    figures = dataclasses.replace(_FIGURES,
-                                  expert_slots=_PLACES_BY_RANKS[ranks],
+    figures = dataclasses.replace(_ENGINE_PROFILE,
+                                  expert_slots=_SLOTS_BY_RANKS[ranks],
                                   expert_bytes=copy_s *
-                                  _FIGURES.link_bytes_per_s)
+                                  _ENGINE_PROFILE.link_bytes_per_s)
     limits = step_limits.limits_for(figures, ranks)
     for _ in range(count):
         step = replication.plan_replication_step(context.layouts,
                                                  context.shares,
                                                  limits.replication_limits,
-                                                 context.paces)
+                                                 context.slowdowns)
         if limits.is_worthwhile(step):
             context.layouts = step.layouts
 
 
-@then('the mean over sets of the greatest load is less than {bound:f}')
+@then('the maximum load, averaged over sets, is less than {bound:f}')
 def step_mean_load(context: Any, bound: float) -> None:
     found = replication.mean_max_rank_load(context.layouts, context.shares,
-                                           context.paces)
+                                           context.slowdowns)
     assert found < bound, found
 
 
 class _Store(row_store.RowStore):
-    """Takes every write."""
+    """Accepts every write and stores nothing."""
 
     def __init__(self) -> None:
         self._version = 0
@@ -106,8 +106,8 @@
         return result.Ok(self._version)
 
 
-class _Site:
-    """Agents beside one group, and one agent outside that holds its duty."""
+class _GroupSimulation:
+    """Agents beside one group, and its coordinator on an agent elsewhere."""
 
     def __init__(self, *, agents: int, megabits_per_s: float,
                  figures: routing_config.EngineProfile) -> None:
@@ -119,12 +119,12 @@
         self.group: emulated_group.EmulatedGroup
 
     async def run(self, change_s: float, seconds: float) -> None:
-        """Plays the group and its agents."""
+        """Runs the group and its agents for a number of seconds."""
         self.group = emulated_group.EmulatedGroup(
             name=_GROUP,
             ranks=self.agents,
             figures=self.figures,
-            streams_a_rank=_STREAMS_A_RANK,
+            streams_a_rank=_STREAMS_PER_RANK,
             change_s=change_s,
             seed=_SEED)
         records = [self._record(i) for i in range(self.agents + 1)]
@@ -135,10 +135,10 @@
                                    peer_address=f'10.1.0.{i}:1')
             for i in range(_ENTRY_HOSTS)
         ]
-        works = [self.group.run()]
+        coroutines = [self.group.run()]
         for record in records[:self.agents + 1]:
-            works += self._agent(record, records)
-        tasks = [asyncio.create_task(work) for work in works]
+            coroutines += self._agent(record, records)
+        tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
         await asyncio.wait(tasks,
                            timeout=seconds,
                            return_when=asyncio.FIRST_EXCEPTION)
@@ -159,21 +159,21 @@
 
     def _agent(self, own: host_record.HostRecord,
                records: list[host_record.HostRecord]) -> list[Any]:
-        """The tasks of one agent."""
+        """Returns the coroutines of one agent."""
         number = int(own.host.rpartition('-')[2])
         network = thin_links.FabricNetwork(fabric=self.fabric,
                                            address=own.peer_address)
         hosts = host_registry.HostRegistry()
         for record in records:
             hosts.records_by_host[record.host] = record
-        book = group_view.GroupRegistry(network=network, time=self._time)
+        registry = group_view.GroupRegistry(network=network, time=self._time)
         if number == self.agents:
-            return [self._hold_duty(own, network, hosts, book)]
+            return [self._coordinate_maps(own, network, hosts, registry)]
         agent = rank_agent.RankAgent(own=own,
                                      slots=self.figures.slots,
                                      server=self._server(own.engine_address),
                                      hosts=hosts,
-                                     registry=book,
+                                     registry=registry,
                                      network=network,
                                      link_bytes_per_s=self._link_bytes_per_s,
                                      time=self._time,
@@ -186,15 +186,15 @@
         rank = int(address.partition(':')[0].rpartition('.')[2])
         return emulated_group.EmulatedRank(group=self.group,
                                            rank=rank,
-                                           running=int(_STREAMS_A_RANK))
-
-    async def _hold_duty(self, own: host_record.HostRecord,
-                         network: thin_links.FabricNetwork,
-                         hosts: host_registry.HostRegistry,
-                         book: group_view.GroupRegistry) -> None:
-        book.own_state = dataclasses.replace(self.group.states[0],
-                                             group=_OUTSIDE)
-        view = book.view(_GROUP)
+                                           running=int(_STREAMS_PER_RANK))
+
+    async def _coordinate_maps(self, own: host_record.HostRecord,
+                               network: thin_links.FabricNetwork,
+                               hosts: host_registry.HostRegistry,
+                               registry: group_view.GroupRegistry) -> None:
+        registry.own_state = dataclasses.replace(self.group.states[0],
+                                                 group=_OUTSIDE)
+        view = registry.view(_GROUP)
         driver = switch_driver.SwitchDriver(host=own.host,
                                             hosts=hosts,
                                             view=view,
@@ -202,82 +202,86 @@
                                             make_server=self._server,
                                             time=self._time,
                                             log=memory.SilentLog())
-        duty = map_coordinator.MapCoordinator(
+        coordinator = map_coordinator.MapCoordinator(
             host=own.host,
             incarnation='1',
             store=_Store(),
             hosts=hosts,
-            registry=book,
+            registry=registry,
             view=view,
             driver=driver,
             network=network,
             figures=lambda service: self.figures,
             time=self._time,
             log=memory.SilentLog())
-        await duty.run()
+        await coordinator.run()
 
 
-@given('{agents:d} agents on links of {speed:d} Mbit/s beside a group with '
-       '{sets:d} sets of {experts:d} experts')
-def step_site(context: Any, agents: int, speed: int, sets: int,
-              experts: int) -> None:
-    figures = dataclasses.replace(_FIGURES, sets=sets, experts=experts)
-    context.site = _Site(agents=agents, megabits_per_s=speed, figures=figures)
-    context.link_bytes_per_s = speed * 1e6 / 8
+@given('a group with {sets:d} sets of {experts:d} experts and {agents:d} '
+       'agents on links of {megabits_per_s:d} Mbit/s')
+def step_simulation(context: Any, agents: int, megabits_per_s: int, sets: int,
+                    experts: int) -> None:
+    figures = dataclasses.replace(_ENGINE_PROFILE, sets=sets, experts=experts)
+    context.simulation = _GroupSimulation(agents=agents,
+                                          megabits_per_s=megabits_per_s,
+                                          figures=figures)
+    context.link_bytes_per_s = megabits_per_s * 1e6 / 8
 
 
-@when('other experts are in demand each {change_s:f} s, for {seconds:d} s')
-def step_play(context: Any, change_s: float, seconds: int) -> None:
+@when('the demand moves to other experts every {change_s:f} s, for '
+      '{seconds:d} s')
+def step_run_simulation(context: Any, change_s: float, seconds: int) -> None:
     context.seconds = seconds
-    virtual_time.run(context.site.run(change_s, seconds))
+    virtual_time.run(context.simulation.run(change_s, seconds))
 
 
-@then('no link carries more than {share:f} of its speed')
+@then('no link uses more than {share:f} of its bandwidth')
 def step_links(context: Any, share: float) -> None:
-    used = context.site.fabric.busiest_bytes_per_s(context.seconds)
+    used = context.simulation.fabric.busiest_bytes_per_s(context.seconds)
     assert used <= share * context.link_bytes_per_s, used
 
 
-@then('fewer than 1 in 100 datagrams are lost')
-def step_lost(context: Any) -> None:
-    fabric = context.site.fabric
+@then('fewer than 1% of the datagrams are lost')
+def step_datagrams_lost(context: Any) -> None:
+    fabric = context.simulation.fabric
     lost, sent = fabric.lost_by_kind.total(), fabric.sent_by_kind.total()
     assert lost * 100 < sent, (fabric.lost_by_kind, fabric.sent_by_kind)
 
 
-@then('no pass ran with two maps in the group')
-def step_unmixed(context: Any) -> None:
-    assert not context.site.group.mixed_passes
+@then('no pass of the group ran with two maps')
+def step_group_one_map(context: Any) -> None:
+    assert not context.simulation.group.mixed_passes
 
 
-def _later(context: Any, begin: int) -> tuple[list[float], list[float]]:
-    """Lengths and skews of the passes from a second on."""
-    group = context.site.group
+def _passes_from(context: Any, begin: int) -> tuple[list[float], list[float]]:
+    """Returns the lengths and skews of the passes from a second on."""
+    group = context.simulation.group
     elapsed_s = 0.0
     for index, length_s in enumerate(group.pass_lengths_s):
         elapsed_s += length_s
         if elapsed_s >= begin:
             return group.pass_lengths_s[index:], group.skew_by_pass[index:]
-    raise AssertionError('no pass was made')
+    raise AssertionError('no pass ended')
 
 
-@then('9 of 10 passes from second {begin:d} on last less than {limit:d} ms')
+@then('at least 90% of the passes from second {begin:d} on last less than '
+      '{limit:d} ms')
 def step_passes(context: Any, begin: int, limit: int) -> None:
-    lengths, _ = _later(context, begin)
+    lengths, _ = _passes_from(context, begin)
     in_time = sum(length * 1000 < limit for length in lengths)
     assert in_time >= len(lengths) * 0.9, (in_time, len(lengths))
 
 
-@then('the mean greatest load from second {begin:d} on is less than {bound:f}')
+@then('the mean maximum load from second {begin:d} on is less than {bound:f}')
 def step_mean_skew(context: Any, begin: int, bound: float) -> None:
-    _, skews = _later(context, begin)
+    _, skews = _passes_from(context, begin)
     mean = statistics.fmean(skews)
     assert mean < bound, mean
 
 
-@then('no pass is held back for more than {limit:d} ms')
-def step_held(context: Any, limit: int) -> None:
-    group = context.site.group
+@then('no pass is delayed by more than {limit:d} ms')
+def step_max_delay(context: Any, limit: int) -> None:
+    group = context.simulation.group
     pairs = zip(group.skew_by_pass, group.pass_lengths_s[1:])
     longest_s = max(length - group.pass_s(skew) for skew, length in pairs)
     assert longest_s * 1000 <= limit, longest_s
--- a/tests/platform/timing.feature
+++ b/tests/platform/timing.feature
@@ -1,9 +1,12 @@
-Feature: The log tells what made a stream late
+Feature: The log names the cause of a late stream
 
-  Scenario Outline: A stream is late by what came first
-    Given a stream that was placed after <placed> ms
-    When its events come after "<events>" ms
-    Then with an aim of 400 ms and pauses of 120 ms it is late by <cause>
+  Guards against logs of late streams that name the wrong cause, and against a
+  logged skew that includes expert choices from before the last log line.
+
+  Scenario Outline: The first delay beyond its limit is the cause
+    Given a stream that was sent to a server after <placed> ms
+    When its events arrive after "<events>" ms
+    Then with a target of 400 ms and a maximum gap of 120 ms the cause is <cause>
 
     Examples:
       | placed | events       | cause       |
@@ -13,8 +16,8 @@
       | 5      | 90 240       | pause       |
       | 5      |              | first_event |
 
-  Scenario: The skew that is logged is that of the last choices
-    Given demand that was for expert 3 in 50 windows
-    When it is for expert 9 in 1 window
-    And the choices seen since then are taken
-    Then they are none
+  Scenario: The logged skew covers only choices since the last log line
+    Given demand for expert 3 in 50 windows
+    When the demand is for expert 9 in 1 window
+    And the choices observed since then are taken twice
+    Then the second time there are none
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -1,96 +1,100 @@
-Feature: The whole path on the prepared platform
+Feature: End-to-end requests on the platform
 
-  Scenario: A streamed answer, whole and in order
+  Entry hosts run as processes against stand-ins of the store and the servers.
+  Guards against lost or repeated events and work, against requests to servers
+  that should get none, and against outages that stop serving.
+
+  Scenario: A streamed response is complete and in order
     Given a site
-    When a caller asks for a stream of 5 events
-    Then the caller gets events 1 to 5 once each
-    And the server got the workspace "buna" and no key
-    And the server was named in the request, with the time that is left
+    When a caller requests a stream of 5 events
+    Then the caller receives events 1 to 5 once each
+    And the server received the workspace "buna" and no API key
+    And the request names the server and the remaining time
 
-  Scenario: Counters and latencies are served
+  Scenario: The metrics page shows counters and latencies
     Given a site
-    When a caller asks for a stream of 5 events
+    When a caller requests a stream of 5 events
     Then the metrics page counts 1 answered request and its first event
 
-  Scenario: Who may ask for what
+  Scenario: Requests with an unknown key or route are rejected
     Given a site
-    Then a request with an unknown key is answered 401
-    And a request without a route is answered 404
+    Then a request with an unknown key gets status 401
+    And a request without a route gets status 404
 
-  Scenario: A stream that breaks off within an event goes on elsewhere
+  Scenario: A stream that is aborted within an event resumes at another server
     Given a site
-    And server 1 breaks its first stream off after 2 events
-    When callers ask for 8 streams of 6 events
-    Then each caller gets events 1 to 6 once each
-    And server 1 broke a stream off
+    And server 1 aborts its first stream after 2 events
+    When callers request 8 streams of 6 events
+    Then each caller receives events 1 to 6 once each
+    And server 1 aborted one stream
 
-  Scenario: Work that may run once is not sent again
+  Scenario: A request that is not idempotent is not retried
     Given a site
-    And both servers lose an answer
+    And both servers lose one response
     When a caller sends a payment
-    Then the answer is 502
-    And the payment has reached one server, once
+    Then the response has status 502
+    And the payment reached one server once
 
-  Scenario: A refusal that nothing has run is true, and says when to return
+  Scenario: A request that every server rejects unexecuted fails with 503
     Given a site
-    And both servers refuse 5 requests as not run
+    And both servers reject 5 requests as not executed
     When a caller sends a payment
-    Then the answer is 503
-    And the payment has reached no server
+    Then the response has status 503
+    And the payment reached no server
 
-  Scenario: Work that may be repeated is tried elsewhere
+  Scenario: An idempotent request is retried at another server
     Given a site
-    And both servers lose an answer
-    When a caller looks something up
-    Then the answer is 502 or 200, after two servers at most
+    And both servers lose one response
+    When a caller sends an idempotent lookup
+    Then the response has status 502 or 200, and both attempts reached a server
 
-  Scenario: The answer to another request does not reach the caller
+  Scenario: The response to another request does not reach the caller
     Given a site
-    And both servers answer with the id of another request
+    And both servers respond with the id of another request
     When a caller sends a payment
-    Then the answer is 504
+    Then the response has status 504
 
-  Scenario: A caller that leaves takes its request from the server
+  Scenario: A request is cancelled at the server when its caller disconnects
     Given a site
-    And events come each 200 ms
-    When a caller asks for a stream of 50 events and leaves
-    Then the server's work is cancelled
+    And servers send an event every 200 ms
+    When a caller requests a stream of 50 events and disconnects
+    Then the server cancels the request
 
-  Scenario: A draining server gets no new work
+  Scenario: A draining server gets no new requests
     Given a site
     When server 1 is listed as draining
-    And entry hosts have had time to see it
+    And entry hosts have had time to read the change
     Then 8 requests all reach server 2
 
-  Scenario: The store is away, and serving goes on
+  Scenario: Serving continues while the store is unavailable
     Given a site
-    When the store is down
-    Then a caller that asks for a stream of 3 events gets them
-    And the entry host logs that it lost the store
+    When the store is unavailable for entry hosts
+    Then a caller that requests a stream of 3 events receives all of them
+    And the entry host logs that it lost contact with the store
 
-  Scenario: A key taken away reaches a host that cannot reach the store
+  Scenario: A revoked key is rejected by a host that cannot reach the store
     Given a site whose second entry host has a store of its own
-    When the store of the second entry host is down
-    And the key is taken away
-    Then the second entry host answers 401 within seconds
+    When the store of the second entry host is unavailable
+    And the API key is revoked
+    Then the second entry host responds with status 401 within seconds
 
-  Scenario: The history of the store is gone
+  Scenario: Entry hosts recover when the store loses its change history
     Given a site
-    When the store forgets its history
+    When the store loses its change history
     And server 1 is listed as draining
-    And entry hosts have had time to see it
+    And entry hosts have had time to read the change
     Then 8 requests all reach server 2
 
-  Scenario: What cannot be read names no server and disturbs nothing
+  Scenario: Invalid rows in the store are ignored
     Given a site
-    When the list of servers gains unreadable entries
-    And the configuration becomes unreadable
-    Then a caller that asks for a stream of 3 events gets them
+    When invalid entries are added to the list of servers
+    And the configuration becomes invalid
+    Then a caller that requests a stream of 3 events receives all of them
 
-  Scenario: A planned stop cuts nothing and is known at once
+  Scenario: A graceful shutdown aborts no stream and is announced at once
     Given a site
-    And events come each 200 ms
-    When entry host 1 is told to stop while it streams 10 events
-    Then it is not ready, and the other tells callers of itself only
-    And the caller gets events 1 to 10 once each
-    And the process ends by itself
+    And servers send an event every 200 ms
+    When entry host 1 gets SIGTERM while it streams 10 events
+    Then it is not ready, and the other host gives callers only its own address
+    And the caller receives events 1 to 10 once each
+    And the process exits with status 0
