Reword the product tests

The texts and names of these features and steps were figurative and private to the project. They now use the terms of pollenthread/. Scenarios, steps, checks and their bounds are the same.

--- a/tests/product/binary.feature
+++ b/tests/product/binary.feature
@@ -1,11 +1,14 @@
-Feature: One binary
+Feature: The built executable
 
-  Scenario: The built file checks settings and serves a request as one process
-    Given the built file
-    And a system with 1 entry host of the sources
-    When the built file checks the examples
+  Guards against an executable that lacks files of the sources or that starts
+  more than one process or thread.
+
+  Scenario: The executable checks settings and serves a request in one process
+    Given the built executable
+    And a system with 1 entry host that runs from the sources
+    When the executable checks the example targets
     Then the command prints "valid"
-    When an entry host runs from the built file
-    Then a caption through it is whole and the caller's own
-    And it is one process with one thread
-    And it stops by plan without cutting a request
+    When an entry host runs from the executable
+    Then a caption request through it gets the complete response to that request
+    And it has one thread and no child process
+    And it shuts down gracefully without aborting a request
--- a/tests/product/documents.feature
+++ b/tests/product/documents.feature
@@ -1,15 +1,17 @@
-Feature: Pages cannot drift from the code
+Feature: Documentation matches the code
 
-  Scenario: Every derived figure follows from the measured slopes
-    Then the page of capacity is what its formulas give
+  Guards against pages with computed or generated content that is out of date.
 
-  Scenario: Generated pages are current
-    Then the pages of error kinds and of the administration API are current
+  Scenario: Computed figures follow from the measurements
+    Then the capacity page contains the results of its formulas
 
-  Scenario: The served description is the committed one
+  Scenario: Generated pages are up to date
+    Then the pages of error kinds and of the administration API are up to date
+
+  Scenario: The served API description is the committed one
     Given a system with operators' keys
     Then an entry host serves the committed description of its API
 
-  Scenario: The command line explains itself
+  Scenario: The command line prints help and reports wrong usage
     Then the help shows every command with flags, examples and exit statuses
-    And a command line that is not understood ends with status 2 and a sentence
+    And wrong usage exits with status 2 and one line on standard error
--- a/tests/product/fuzz.feature
+++ b/tests/product/fuzz.feature
@@ -1,8 +1,11 @@
-Feature: Parsers of our own take any bytes
+Feature: Parsers accept arbitrary bytes
 
-  Scenario Outline: Any bytes are read or refused, never more
-    When <parser> reads 400 made-up inputs with seed 11
-    Then each is read or refused in its own words
+  Guards against parsers that raise an unexpected exception for malformed input,
+  which comes from other hosts, callers, upstreams or the table.
+
+  Scenario Outline: Arbitrary bytes are parsed or rejected
+    When the parser of <parser> reads 400 random inputs with seed 11
+    Then each input is parsed or rejected with the parser's own error
 
     Examples:
       | parser            |
@@ -12,6 +15,6 @@
       | account rows      |
       | attempt ids       |
 
-  Scenario: What is cut anywhere is put together again
-    When 200 event streams are cut at random places with seed 12
-    Then every stream comes out whole
+  Scenario: Event streams in chunks of any size are reassembled
+    When 200 event streams are split into random chunks with seed 12
+    Then every stream is reassembled completely
--- a/tests/product/metrics.feature
+++ b/tests/product/metrics.feature
@@ -1,11 +1,14 @@
 Feature: Metrics
 
-  Scenario: A scrape shows what the callers saw
+  Guards against counters and latency histograms that differ from the responses
+  that callers received, and against merging that loses observations.
+
+  Scenario: A scrape shows the responses that callers received
     Given a system with operators' keys
-    When each entry host answers 5 captions and a payment sent twice
-    Then the scrape of "entry-1" shows 6 answers in time
-    And the histograms of both entry hosts merge into 12 answers
+    When each entry host serves 5 captions and a payment that is sent twice
+    Then the scrape of "entry-1" shows 6 responses in time
+    And the merged histograms of both entry hosts count 12 responses
 
-  Scenario: Merging loses nothing
-    When 500 latencies with seed 4 are spread over 9 hosts and merged
-    Then the merged histograms equal those of one host that saw all
+  Scenario: Merging histograms loses no observation
+    When 500 latencies with seed 4 are observed on 9 hosts and merged
+    Then the merged histograms equal those of one host that observed all latencies
--- a/tests/product/settings.feature
+++ b/tests/product/settings.feature
@@ -1,15 +1,18 @@
-Feature: Settings are strict
+Feature: Validation of settings
 
-  Scenario: The examples of both users are valid
+  Guards against invalid settings that are accepted, and against errors that do
+  not name the file, line, key and allowed values.
+
+  Scenario: All example settings are valid
     Then every file in examples is valid
 
-  Scenario: Mutated settings are refused with the key named
-    When 200 settings are mutated with seed 7
-    Then each is refused with its file, line and key
+  Scenario: Mutated settings are rejected with the invalid key
+    When 200 settings documents are mutated with seed 7
+    Then each is rejected with its file, line and key
 
-  Scenario Outline: A refusal says what is allowed
-    Given the targets of Tagline with <key> set to <value>
-    Then it is refused with "<text>"
+  Scenario Outline: The error of invalid targets says what is allowed
+    Given the example targets of Tagline with <key> set to <value>
+    Then it is rejected with the error "<text>"
 
     Examples:
       | key                                                    | value | text                                   |
@@ -20,9 +23,9 @@
       | workspaces.arena.classes.tag-lookup.latency.first_token_ms | 900 | must not exceed answer_ms            |
       | workspaces.arena.models                                | ["a", "a"] | a stands twice                    |
 
-  Scenario Outline: Settings that cannot work are refused
-    Given the entry settings of Buna with <key> set to <value>
-    Then it is refused with "<text>"
+  Scenario Outline: Settings of an entry host that cannot work are rejected
+    Given the example entry settings of Buna with <key> set to <value>
+    Then it is rejected with the error "<text>"
 
     Examples:
       | key            | value             | text                             |
@@ -32,9 +35,9 @@
       | role           | "proxy"           | (allowed: entry, agent)          |
       | account_interval_s | 0             | (allowed: 1 to 600)              |
 
-  Scenario Outline: Text that is not settings is refused
+  Scenario Outline: Text that is not a settings document is rejected
     Given a file with the text <text>
-    Then it is refused with "<reason>"
+    Then it is rejected with the error "<reason>"
 
     Examples:
       | text                        | reason                     |
@@ -45,6 +48,6 @@
       | "!!python/object:os.x {}"   | not YAML                   |
       | ""                          | expected keys and values   |
 
-  Scenario: Any bytes at all are refused in words
-    When 300 texts are made up with seed 3
-    Then none of them crashes the check
+  Scenario: Arbitrary bytes are rejected with an error
+    When 300 random texts with seed 3 are checked
+    Then each is rejected without an unexpected exception
--- a/tests/product/steps/administration.py
+++ b/tests/product/steps/administration.py
@@ -1,4 +1,4 @@
-"""Steps for operators and their command line."""
+"""Steps for administration by command line."""
 
 import asyncio
 import copy
@@ -14,7 +14,7 @@
 from tests import commands, scenario
 from tests.fakes import system as system_module
 
-_KEYS = {
+_KEY_BY_OPERATOR = {
     'on-call': system_module.ON_CALL_KEY,
     'buna-operator': system_module.WORKSPACE_KEY,
     'other-operator': system_module.OTHER_KEY,
@@ -33,29 +33,30 @@
         *args,
         f'--admin={admin}',
         env={
-            **os.environ, 'POLLENTHREAD_KEY': _KEYS[operator]
+            **os.environ, 'POLLENTHREAD_KEY': _KEY_BY_OPERATOR[operator]
         },
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE)
-    output, said = await child.communicate()
-    return commands.Done(child.returncode or 0, output.decode(), said.decode())
+    output, errors = await child.communicate()
+    return commands.Done(child.returncode or 0, output.decode(),
+                         errors.decode())
 
 
 def run_command(context: Any,
                 operator: str,
                 *args: str,
                 entry: str = 'entry-1') -> commands.Done:
-    """Runs the command line as an operator."""
+    """Runs a command as an operator."""
     context.done = scenario.run(context,
                                 _command(context, operator, list(args), entry))
     done: commands.Done = context.done
     return done
 
 
-def _publish(context: Any, operator: str, document: Any, *more: str) -> None:
+def _publish(context: Any, operator: str, document: Any, *flags: str) -> None:
     path = pathlib.Path(context.system.folder) / 'published.yaml'
     path.write_text(yaml.safe_dump(document), 'utf-8')
-    run_command(context, operator, 'config', 'set', str(path), *more)
+    run_command(context, operator, 'config', 'set', str(path), *flags)
 
 
 def _workspace(retries: int) -> dict[str, Any]:
@@ -81,9 +82,10 @@
     _publish(context, operator, document)
 
 
-@when('"{operator}" sets the retries of "caption" to {retries:d} '
-      'over version {base:d}')
-def step_set_over(context: Any, operator: str, retries: int, base: int) -> None:
+@when('"{operator}" sets the retries of "caption" to {retries:d} based on '
+      'version {base:d}')
+def step_set_based_on(context: Any, operator: str, retries: int,
+                      base: int) -> None:
     document = {'workspaces': {'buna': _workspace(retries)}}
     _publish(context, operator, document, f'--base={base}')
 
@@ -94,9 +96,9 @@
 
 
 @when('"{operator}" publishes workspace "{name}" with retries {retries:d} '
-      'over version {base:d}')
-def step_publish_over(context: Any, operator: str, name: str, retries: int,
-                      base: int) -> None:
+      'based on version {base:d}')
+def step_publish_based_on(context: Any, operator: str, name: str, retries: int,
+                          base: int) -> None:
     _publish(context, operator, _workspace(retries), f'--workspace={name}',
              f'--base={base}')
 
@@ -106,8 +108,8 @@
     _publish(context, operator, _workspace(2), f'--workspace={name}')
 
 
-@when('the table goes down')
-def step_down(context: Any) -> None:
+@when('the table becomes unavailable')
+def step_table_unavailable(context: Any) -> None:
     scenario.run(context, context.system.fault('table', down=True))
 
 
@@ -123,7 +125,7 @@
     assert text not in context.done.output, context.done
 
 
-@then('the command fails with status {status:d} and says "{text}"')
+@then('the command fails with status {status:d} and the error "{text}"')
 def step_fails(context: Any, status: int, text: str) -> None:
     assert context.done.status == status, context.done
     assert text in context.done.said, context.done
@@ -136,8 +138,8 @@
     return found
 
 
-@then('every entry host has version {version:d} in force')
-def step_in_force(context: Any, version: int) -> None:
+@then('every entry host applies version {version:d}')
+def step_version_applied(context: Any, version: int) -> None:
 
     async def check() -> bool:
         found = [
@@ -160,8 +162,8 @@
     }
 
 
-async def _reached(context: Any, host: str, requests: int) -> int:
-    """How many of some requests a host begins."""
+async def _count_reaching(context: Any, host: str, requests: int) -> int:
+    """Sends requests and returns how many of them a host started."""
     process = context.system.by_name[host]
     before = (await _status(context, process))['begun']
     for i in range(requests):
@@ -170,43 +172,44 @@
     return int((await _status(context, process))['begun']) - int(before)
 
 
-@then('no new work reaches "{host}"')
-def step_no_work(context: Any, host: str) -> None:
+@then('no new request reaches "{host}"')
+def step_no_request(context: Any, host: str) -> None:
 
     async def check() -> bool:
-        return await _reached(context, host, 20) == 0
+        return await _count_reaching(context, host, 20) == 0
 
     scenario.run(context, scenario.eventually(check))
 
 
-@then('new work reaches "{host}"')
-def step_work(context: Any, host: str) -> None:
+@then('new requests reach "{host}"')
+def step_requests_reach(context: Any, host: str) -> None:
 
     async def check() -> bool:
-        return await _reached(context, host, 20) > 0
+        return await _count_reaching(context, host, 20) > 0
 
     scenario.run(context, scenario.eventually(check))
 
 
-@then('callers are no longer given the address of "{host}"')
+@then('callers no longer get the address of "{host}"')
 def step_no_address(context: Any, host: str) -> None:
-    gone = context.system.by_name[host].ready['callers']
+    drained_address = context.system.by_name[host].ready['callers']
 
     async def check() -> bool:
-        given_by = [
+        address_lists = [
             await context.caller.addresses(address)
             for address in context.system.entry_addresses
         ]
-        return all(gone not in addresses for addresses in given_by)
+        return all(
+            drained_address not in addresses for addresses in address_lists)
 
     scenario.run(context, scenario.eventually(check))
 
 
-async def _answer(context: Any, captions: int) -> None:
+async def _serve(context: Any, captions: int) -> None:
     for address in context.system.entry_addresses:
         for _ in range(captions):
-            answer = await context.caller.chat(address, 'caption', _caption())
-            assert answer.status == 200, answer
+            response = await context.caller.chat(address, 'caption', _caption())
+            assert response.status == 200, response
         await context.caller.post(address,
                                   'payment-confirmation',
                                   '/services/orders/payments',
@@ -214,9 +217,10 @@
                                   idempotency_key='order-1')
 
 
-@when('each entry host answers {captions:d} captions and a payment sent twice')
-def step_answer(context: Any, captions: int) -> None:
-    scenario.run(context, _answer(context, captions))
+@when('each entry host serves {captions:d} captions and a payment that is '
+      'sent twice')
+def step_serve(context: Any, captions: int) -> None:
+    scenario.run(context, _serve(context, captions))
 
 
 def _report(context: Any) -> dict[str, Any]:
@@ -231,12 +235,12 @@
     return report
 
 
-def _line(report: dict[str, Any], work_class: str) -> dict[str, Any]:
+def _class_line(report: dict[str, Any], work_class: str) -> dict[str, Any]:
     return next(
         (line for line in report['classes'] if line['class'] == work_class), {})
 
 
-@then('every outcome in the report is what the callers saw')
+@then('every outcome in the report equals that at the callers')
 def step_outcomes(context: Any) -> None:
 
     async def check() -> bool:
@@ -244,8 +248,8 @@
                               ['report', '--days=2', '--format=json'],
                               'entry-2')
         report = json.loads(done.output)
-        caption = _line(report, 'caption')
-        payment = _line(report, 'payment-confirmation')
+        caption = _class_line(report, 'caption')
+        payment = _class_line(report, 'payment-confirmation')
         return (caption.get('accepted') == caption.get('in_time') == 10 and
                 payment.get('accepted') == payment.get('in_time') == 2 and
                 payment.get('repeats') == 1 and not report['gaps'])
@@ -254,22 +258,22 @@
 
 
 async def _kill_with_request(context: Any) -> None:
-    """Kills the first entry host after it has handed over an open request."""
+    """Kills the first entry host after the report shows its open request."""
     process = context.system.by_name['entry-1']
     await context.system.fault('engine-1', stall_after_tokens=1)
     await context.system.fault('engine-2', stall_after_tokens=1)
-    asking = asyncio.create_task(
+    request = asyncio.create_task(
         context.caller.chat(process.ready['callers'], 'caption', _caption()))
 
-    async def handed_over() -> bool:
+    async def is_reported() -> bool:
         done = await _command(context, 'accounts',
                               ['report', '--days=2', '--format=json'],
                               'entry-2')
-        return bool(_line(json.loads(done.output), 'caption').get('open'))
+        return bool(_class_line(json.loads(done.output), 'caption').get('open'))
 
-    await scenario.eventually(handed_over)
+    await scenario.eventually(is_reported)
     await process.kill()
-    await asyncio.gather(asking, return_exceptions=True)
+    await asyncio.gather(request, return_exceptions=True)
 
 
 @when('the first entry host is killed with a request in progress')
@@ -293,15 +297,15 @@
 @then('every accepted request has one outcome')
 def step_one_outcome(context: Any) -> None:
     report = _report(context)
-    caption = _line(report, 'caption')
+    caption = _class_line(report, 'caption')
     assert caption['accepted'] == 11, caption
     assert caption['in_time'] == 10, caption
     assert caption['outcome_unknown'] == caption['lost_with_host'] == 1, caption
     assert caption['open'] == 0 and report['adds_up'], caption
 
 
-@then('the report can be read as a table and as one page')
-def step_views(context: Any) -> None:
+@then('the report is available as a table and as an HTML page')
+def step_report_formats(context: Any) -> None:
     table = run_command(context,
                         'accounts',
                         'report',
--- a/tests/product/steps/binary.py
+++ b/tests/product/steps/binary.py
@@ -1,4 +1,4 @@
-"""Steps for the one file that is shipped."""
+"""Steps for the built executable."""
 
 import asyncio
 import json
@@ -23,7 +23,7 @@
     return {**os.environ, 'SHIV_ROOT': str(context.folder / 'unpacked')}
 
 
-@given('the built file')
+@given('the built executable')
 def step_built(context: Any) -> None:
     context.folder = pathlib.Path(
         context.stack.enter_context(tempfile.TemporaryDirectory()))
@@ -31,7 +31,7 @@
     build_binary.build(context.binary)
 
 
-@given('a system with {entries:d} entry host of the sources')
+@given('a system with {entries:d} entry host that runs from the sources')
 def step_system(context: Any, entries: int) -> None:
     scenario.start_system(context, entries=entries, engines=1, services=1)
 
@@ -44,11 +44,12 @@
                                                  env=_environment(context),
                                                  stdout=asyncio.subprocess.PIPE,
                                                  stderr=asyncio.subprocess.PIPE)
-    output, said = await child.communicate()
-    return commands.Done(child.returncode or 0, output.decode(), said.decode())
+    output, errors = await child.communicate()
+    return commands.Done(child.returncode or 0, output.decode(),
+                         errors.decode())
 
 
-@when('the built file checks the examples')
+@when('the executable checks the example targets')
 def step_check(context: Any) -> None:
     context.done = scenario.run(context, _check(context))
 
@@ -71,11 +72,11 @@
     async with asyncio.timeout(_START_TIMEOUT_S):
         context.ready = json.loads(await context.child.stdout.readline())
 
-    async def linked() -> bool:
+    async def is_linked() -> bool:
         status = await system.call(context.ready['admin'], 'GET', '/status')
         return bool(len(status['upstreams']) >= 2 and status['targets_version'])
 
-    await scenario.eventually(linked)
+    await scenario.eventually(is_linked)
 
 
 async def _end(child: Any) -> None:
@@ -84,13 +85,13 @@
     await child.wait()
 
 
-@when('an entry host runs from the built file')
+@when('an entry host runs from the executable')
 def step_start(context: Any) -> None:
     scenario.run(context, _start(context))
 
 
-@then("a caption through it is whole and the caller's own")
-def step_serves(context: Any) -> None:
+@then('a caption request through it gets the complete response to that request')
+def step_serve(context: Any) -> None:
     document = {
         'model': system_module.MODEL,
         'stream': True,
@@ -100,23 +101,23 @@
             'content': 'five words'
         }]
     }
-    answer = scenario.run(
+    response = scenario.run(
         context,
         context.caller.chat(context.ready['callers'], 'caption', document))
-    assert caller_module.Caller.is_own_answer(document, answer), answer
+    assert caller_module.Caller.is_own_answer(document, response), response
 
 
-@then('it is one process with one thread')
-def step_one(context: Any) -> None:
+@then('it has one thread and no child process')
+def step_one_thread(context: Any) -> None:
     process = pathlib.Path(f'/proc/{context.child.pid}')
     threads = list((process / 'task').iterdir())
-    children = [(t / 'children').read_text('ascii') for t in threads]
+    children = [(thread / 'children').read_text('ascii') for thread in threads]
     assert not any(children), children
     assert len(threads) == 1, threads
 
 
-@then('it stops by plan without cutting a request')
-def step_stops(context: Any) -> None:
+@then('it shuts down gracefully without aborting a request')
+def step_shut_down(context: Any) -> None:
 
     async def stop() -> dict[str, Any]:
         context.child.send_signal(signal.SIGTERM)
--- a/tests/product/steps/documents.py
+++ b/tests/product/steps/documents.py
@@ -1,4 +1,4 @@
-"""Steps for pages that are worked out or generated."""
+"""Steps for computed and generated pages and for the command line help."""
 
 import json
 import pathlib
@@ -22,13 +22,13 @@
                           timeout=60)
 
 
-@then('the page of capacity is what its formulas give')
+@then('the capacity page contains the results of its formulas')
 def step_capacity(_: Any) -> None:
     done = _run('bench.capacity', '--check')
     assert done.returncode == 0, done.stderr
 
 
-@then('the pages of error kinds and of the administration API are current')
+@then('the pages of error kinds and of the administration API are up to date')
 def step_generated(_: Any) -> None:
     done = _run('tests.pages')
     assert done.returncode == 0, done.stderr
@@ -48,18 +48,18 @@
 def step_help(_: Any) -> None:
     done = _run('pollenthread', '--help')
     assert done.returncode == 0, done.stderr
-    words = ('entry', 'agent', 'check', 'get', 'set', 'history', 'diff',
+    terms = ('entry', 'agent', 'check', 'get', 'set', 'history', 'diff',
              'rollback-as-new-version', 'drain', 'undrain', 'status', 'report',
              'trace', 'version', '--format', '--admin', 'Examples', 'status')
-    for word in words:
-        assert word in done.stdout, word
+    for term in terms:
+        assert term in done.stdout, term
     for command in ('report', 'config set', 'drain'):
         done = _run('pollenthread', 'help', *command.split())
         assert done.returncode == 0 and 'Example' in done.stdout, done
 
 
-@then('a command line that is not understood ends with status 2 and a sentence')
-def step_not_understood(_: Any) -> None:
+@then('wrong usage exits with status 2 and one line on standard error')
+def step_wrong_usage(_: Any) -> None:
     for args in ((), ('confg',), ('config',), ('drain',), ('status',
                                                            '--fromat=json'),
                  ('status', '--format=html'), ('version', '--days=x')):
--- a/tests/product/steps/link_security.py
+++ b/tests/product/steps/link_security.py
@@ -1,4 +1,4 @@
-"""Steps for keys and certificates of links."""
+"""Steps for the authentication of links by certificates."""
 
 import asyncio
 import pathlib
@@ -10,10 +10,10 @@
 from tests import scenario
 from tests.fakes import certificates
 
-_SETTLE_S = 2.0
+_OBSERVATION_S = 2.0
 
 
-@given('a system whose links need certificates')
+@given('a system whose links require certificates')
 def step_system(context: Any) -> None:
     folder = pathlib.Path(
         context.stack.enter_context(tempfile.TemporaryDirectory()))
@@ -28,14 +28,14 @@
 
 
 @when('every host gets a new certificate')
-def step_rotate(context: Any) -> None:
+def step_renew(context: Any) -> None:
     for name in context.system.by_name:
         if name.startswith(('entry-', 'agent-')):
             context.authority.issue(name)
 
 
-@then('hosts take the new certificates into use without a stop')
-def step_rotated(context: Any) -> None:
+@then('hosts use the new certificates without a restart')
+def step_renewed(context: Any) -> None:
 
     async def check() -> bool:
         return all('link certificate changed count=1' in
@@ -46,30 +46,30 @@
     scenario.run(context, scenario.eventually(check))
 
 
-async def _upstreams(context: Any, host: str) -> int:
+async def _count_upstreams(context: Any, host: str) -> int:
     process = context.system.by_name[host]
     status = await context.system.call(process.ready['admin'], 'GET', '/status')
     return len(status['upstreams'])
 
 
-@then('a new entry host joins with a certificate of its own')
-def step_joins(context: Any) -> None:
+@then('a new entry host with its own certificate joins')
+def step_join(context: Any) -> None:
 
     async def check() -> bool:
-        return await _upstreams(context, 'entry-3') == 2
+        return await _count_upstreams(context, 'entry-3') == 2
 
     scenario.run(context, context.system.start_entry(3))
     scenario.run(context, scenario.eventually(check))
 
 
-@when('an entry host comes with the certificate of another host')
+@when('an entry host starts with the certificate of another host')
 def step_wrong_name(context: Any) -> None:
     context.issue = lambda host: context.authority.issue(host, 'entry-1')
     scenario.run(context, context.system.start_entry(8))
-    context.stranger = 'entry-8'
+    context.untrusted_host = 'entry-8'
 
 
-@when('an entry host comes with a certificate of another authority')
+@when('an entry host starts with a certificate of another authority')
 def step_wrong_authority(context: Any) -> None:
     other = certificates.Authority(folder=context.folder, name='stranger')
 
@@ -80,15 +80,15 @@
 
     context.issue = issue
     scenario.run(context, context.system.start_entry(9))
-    context.stranger = 'entry-9'
+    context.untrusted_host = 'entry-9'
 
 
 @then('it has no link to any upstream')
 def step_no_link(context: Any) -> None:
 
-    async def stays_out() -> None:
+    async def stays_unlinked() -> None:
         for _ in range(10):
-            assert await _upstreams(context, context.stranger) == 0
-            await asyncio.sleep(_SETTLE_S / 10)
+            assert await _count_upstreams(context, context.untrusted_host) == 0
+            await asyncio.sleep(_OBSERVATION_S / 10)
 
-    scenario.run(context, stays_out())
+    scenario.run(context, stays_unlinked())
--- a/tests/product/steps/metrics.py
+++ b/tests/product/steps/metrics.py
@@ -23,7 +23,7 @@
     }
 
 
-@then('the scrape of "{host}" shows {count:d} answers in time')
+@then('the scrape of "{host}" shows {count:d} responses in time')
 def step_scrape(context: Any, host: str, count: int) -> None:
     found = scenario.run(context, _scrape(context, host))
     assert found['pollenthread_requests_totalin_time'] == count, found
@@ -32,7 +32,7 @@
     assert found['pollenthread_targets_version'] == 1, found
 
 
-@then('the histograms of both entry hosts merge into {count:d} answers')
+@then('the merged histograms of both entry hosts count {count:d} responses')
 def step_merge(context: Any, count: int) -> None:
     merged = metrics.RequestLatencyHistograms()
     for process in context.system.named('entry-'):
@@ -54,24 +54,26 @@
     }
 
 
-@when('{count:d} latencies with seed {seed:d} are spread over {hosts:d} hosts '
+@when('{count:d} latencies with seed {seed:d} are observed on {hosts:d} hosts '
       'and merged')
-def step_spread(context: Any, count: int, seed: int, hosts: int) -> None:
-    draw = random.Random(seed)
-    context.one = metrics.RequestLatencyHistograms()
+def step_observe_and_merge(context: Any, count: int, seed: int,
+                           hosts: int) -> None:
+    rng = random.Random(seed)
+    context.single_host = metrics.RequestLatencyHistograms()
     by_host = [metrics.RequestLatencyHistograms() for _ in range(hosts)]
     for _ in range(count):
-        times = response_timing.ResponseTiming()
-        times.record(draw.expovariate(1.0), 1)
-        times.record(times.last_chunk_s + draw.expovariate(10.0), 4)
-        total_s = times.last_chunk_s + 0.01
-        context.one.observe(times, total_s)
-        draw.choice(by_host).observe(times, total_s)
+        timing = response_timing.ResponseTiming()
+        timing.record(rng.expovariate(1.0), 1)
+        timing.record(timing.last_chunk_s + rng.expovariate(10.0), 4)
+        total_s = timing.last_chunk_s + 0.01
+        context.single_host.observe(timing, total_s)
+        rng.choice(by_host).observe(timing, total_s)
     context.merged = metrics.RequestLatencyHistograms()
     for host in by_host:
         context.merged.merge(host.encoded())
 
 
-@then('the merged histograms equal those of one host that saw all')
+@then('the merged histograms equal those of one host that observed all '
+      'latencies')
 def step_equal(context: Any) -> None:
-    assert _percentiles(context.merged) == _percentiles(context.one)
+    assert _percentiles(context.merged) == _percentiles(context.single_host)
--- a/tests/product/steps/settings.py
+++ b/tests/product/steps/settings.py
@@ -1,4 +1,4 @@
-"""Steps for settings and documents of targets."""
+"""Steps for the validation of settings and targets."""
 
 import copy
 import dataclasses
@@ -18,7 +18,7 @@
 from pollenthread.app import targets_document
 
 _EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / 'examples'
-_WRONG_BY_TYPE: dict[type, list[Any]] = {
+_INVALID_VALUES_BY_TYPE: dict[type, list[Any]] = {
     int: ['many', -1, 10**12, 1.5, None, [1]],
     str: [17, None, 'No Spaces Or Capitals', {
         'a': 1
@@ -36,8 +36,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Mutant:
-    """One document with one thing wrong under one key."""
+class _MutatedSettings:
+    """A document with an invalid value, an unknown key or a missing key."""
 
     key: str
     document: Any
@@ -63,37 +63,37 @@
         yield from _leaves(value, (*path, key))
 
 
-def _owner(document: Any, path: tuple[Any, ...]) -> Any:
+def _parent(document: Any, path: tuple[Any, ...]) -> Any:
     for part in path[:-1]:
         document = document[part]
     return document
 
 
-def _mutate(draw: random.Random) -> _Mutant:
-    document = _load(draw.choice(_examples()))
-    path = draw.choice(list(_leaves(document)))
-    owner = _owner(document, path)
+def _mutate(rng: random.Random) -> _MutatedSettings:
+    document = _load(rng.choice(_examples()))
+    path = rng.choice(list(_leaves(document)))
+    parent = _parent(document, path)
     key = path[-1]
-    named = next(str(p) for p in reversed(path) if isinstance(p, str))
-    how = draw.choice(['value', 'value', 'rename', 'remove'])
-    if how == 'rename' and key in _KNOWN_KEYS:
-        owner[f'{key}_s'] = owner.pop(key)
-        return _Mutant(f'{key}_s', document)
-    if how == 'remove' and key in _KNOWN_KEYS - {'operators'} and not (key in (
-            'account_interval_s', 'sample_per_thousand')):
-        del owner[key]
-        return _Mutant(named, document)
-    wrong = [
-        w for w in _WRONG_BY_TYPE[type(owner[key])]
-        if not (w is None and key in ('collector', 'first_token_ms',
-                                      'between_tokens_ms', 'answer_ms'))
+    key_name = next(str(p) for p in reversed(path) if isinstance(p, str))
+    mutation = rng.choice(['value', 'value', 'rename', 'remove'])
+    if mutation == 'rename' and key in _KNOWN_KEYS:
+        parent[f'{key}_s'] = parent.pop(key)
+        return _MutatedSettings(f'{key}_s', document)
+    if mutation == 'remove' and key in _KNOWN_KEYS - {'operators'} and not (
+            key in ('account_interval_s', 'sample_per_thousand')):
+        del parent[key]
+        return _MutatedSettings(key_name, document)
+    invalid_values = [
+        invalid for invalid in _INVALID_VALUES_BY_TYPE[type(parent[key])]
+        if not (invalid is None and key in ('collector', 'first_token_ms',
+                                            'between_tokens_ms', 'answer_ms'))
     ]
-    owner[key] = draw.choice(wrong)
-    return _Mutant(named, document)
+    parent[key] = rng.choice(invalid_values)
+    return _MutatedSettings(key_name, document)
 
 
-def _refusal(text: bytes) -> str | None:
-    """What the check says about a text; None when it is valid."""
+def _validation_error(text: bytes) -> str | None:
+    """Returns the validation error of a text, or None if it is valid."""
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / 'mutant.yaml'
         path.write_bytes(text)
@@ -112,37 +112,39 @@
         settings.validate_file(path)
 
 
-@when('{count:d} settings are mutated with seed {seed:d}')
+@when('{count:d} settings documents are mutated with seed {seed:d}')
 def step_mutate(context: Any, count: int, seed: int) -> None:
-    draw = random.Random(seed)
-    context.mutants = [_mutate(draw) for _ in range(count)]
+    rng = random.Random(seed)
+    context.mutated_settings = [_mutate(rng) for _ in range(count)]
 
 
-@then('each is refused with its file, line and key')
-def step_refused(context: Any) -> None:
-    for mutant in context.mutants:
-        text = yaml.safe_dump(mutant.document)
-        said = _refusal(text.encode())
-        assert said is not None, f'{mutant.key} was taken:\n{text}'
-        assert mutant.key in said, (mutant.key, said)
-        assert all('mutant.yaml:' in line for line in said.splitlines()), said
+@then('each is rejected with its file, line and key')
+def step_rejected(context: Any) -> None:
+    for mutated in context.mutated_settings:
+        text = yaml.safe_dump(mutated.document)
+        message = _validation_error(text.encode())
+        assert message is not None, f'{mutated.key} was accepted:\n{text}'
+        assert mutated.key in message, (mutated.key, message)
+        assert all(
+            'mutant.yaml:' in line for line in message.splitlines()), message
 
 
-def _with(path: pathlib.Path, key: str, value: str) -> bytes:
+def _with_value(path: pathlib.Path, key: str, value: str) -> bytes:
     document = copy.deepcopy(_load(path))
     parts = tuple(key.split('.'))
-    _owner(document, parts)[parts[-1]] = json.loads(value)
+    _parent(document, parts)[parts[-1]] = json.loads(value)
     return yaml.safe_dump(document).encode()
 
 
-@given('the targets of Tagline with {key} set to {value}')
+@given('the example targets of Tagline with {key} set to {value}')
 def step_targets_with(context: Any, key: str, value: str) -> None:
-    context.source = _with(_EXAMPLES / 'tagline' / 'targets.yaml', key, value)
+    context.source = _with_value(_EXAMPLES / 'tagline' / 'targets.yaml', key,
+                                 value)
 
 
-@given('the entry settings of Buna with {key} set to {value}')
+@given('the example entry settings of Buna with {key} set to {value}')
 def step_entry_with(context: Any, key: str, value: str) -> None:
-    context.source = _with(_EXAMPLES / 'buna' / 'entry.yaml', key, value)
+    context.source = _with_value(_EXAMPLES / 'buna' / 'entry.yaml', key, value)
 
 
 @given('a file with the text {text}')
@@ -150,15 +152,15 @@
     context.source = json.loads(text).encode()
 
 
-@then('it is refused with "{text}"')
-def step_refused_with(context: Any, text: str) -> None:
-    said = _refusal(context.source)
-    assert said is not None, 'it was taken'
-    assert text in said, said
+@then('it is rejected with the error "{text}"')
+def step_rejected_with(context: Any, text: str) -> None:
+    message = _validation_error(context.source)
+    assert message is not None, 'it was accepted'
+    assert text in message, message
 
 
-@when('{count:d} texts are made up with seed {seed:d}')
-def step_make_up(context: Any, count: int, seed: int) -> None:
+@when('{count:d} random texts with seed {seed:d} are checked')
+def step_random_texts(context: Any, count: int, seed: int) -> None:
 
     @hypothesis.seed(seed)
     @hypothesis.settings(max_examples=count, database=None, deadline=None)
@@ -166,11 +168,11 @@
         strategies.one_of(strategies.binary(),
                           strategies.text().map(str.encode)))
     def check(text: bytes) -> None:
-        assert _refusal(text) is not None
+        assert _validation_error(text) is not None
 
     context.check = check
 
 
-@then('none of them crashes the check')
+@then('each is rejected without an unexpected exception')
 def step_no_crash(context: Any) -> None:
     context.check()
--- a/tests/product/steps/traces.py
+++ b/tests/product/steps/traces.py
@@ -1,4 +1,4 @@
-"""Steps for traces."""
+"""Steps for tracing."""
 
 import asyncio
 import json
@@ -12,15 +12,15 @@
 from tests import scenario
 from tests.fakes import system as system_module
 
-_TRACE = '4bf92f3577b34da6a3ce929d0e0e47'
-_CALLER_SPAN = '00f067aa0ba902b7'
+_TRACE_ID_PREFIX = '4bf92f3577b34da6a3ce929d0e0e47'
+_CALLER_SPAN_ID = '00f067aa0ba902b7'
 
 
 class _Collector(http_server.RequestHandler):
-    """Counts spans."""
+    """Collector that records the names of the spans it receives."""
 
     def __init__(self) -> None:
-        self.names: list[str] = []
+        self.span_names: list[str] = []
 
     async def handle(self, request: http_server.HttpRequest,
                      response: http_server.HttpResponse) -> None:
@@ -28,13 +28,14 @@
             request.body)
         for resource in message.resource_spans:
             for scope in resource.scope_spans:
-                self.names += [span.name for span in scope.spans]
+                self.span_names += [span.name for span in scope.spans]
         await response.send(200, [], b'')
 
 
 async def _send(context: Any, work_class: str) -> None:
-    context.trace = _TRACE + ('aa' if work_class == 'caption' else 'bb')
-    header = f'00-{context.trace}-{_CALLER_SPAN}-01'
+    context.trace_id = _TRACE_ID_PREFIX + ('aa'
+                                           if work_class == 'caption' else 'bb')
+    header = f'00-{context.trace_id}-{_CALLER_SPAN_ID}-01'
     address = context.system.by_name['entry-1'].ready['callers']
     if work_class == 'caption':
         document = {
@@ -46,21 +47,21 @@
                 'content': 'x'
             }]
         }
-        answer = await context.caller.chat(address,
-                                           work_class,
-                                           document,
-                                           traceparent=header)
+        response = await context.caller.chat(address,
+                                             work_class,
+                                             document,
+                                             traceparent=header)
     else:
-        answer = await context.caller.post(address,
-                                           work_class,
-                                           '/services/orders/payments',
-                                           b'{}',
-                                           idempotency_key='traced',
-                                           traceparent=header)
-    assert answer.status == 200, answer
+        response = await context.caller.post(address,
+                                             work_class,
+                                             '/services/orders/payments',
+                                             b'{}',
+                                             idempotency_key='traced',
+                                             traceparent=header)
+    assert response.status == 200, response
 
 
-@when('a caller sends a {kind} in a trace of its own')
+@when('a caller sends a {kind} request with its own trace id')
 def step_send(context: Any, kind: str) -> None:
     scenario.run(
         context,
@@ -68,34 +69,33 @@
               'caption' if kind == 'caption' else 'payment-confirmation'))
 
 
-async def _ask(context: Any) -> list[dict[str, Any]]:
+async def _fetch_trace(context: Any) -> list[dict[str, Any]]:
     admin = context.system.by_name['entry-1'].ready['admin']
     key = ('authorization', f'Bearer {system_module.ON_CALL_KEY}')
     async with context.system.client.request(admin,
                                              'GET',
-                                             f'/v1/traces/{context.trace}',
+                                             f'/v1/traces/{context.trace_id}',
                                              headers=[key]) as exchange:
         found = json.loads(await exchange.read_all())
     return found if exchange.status == 200 else []
 
 
-@when('"on-call" asks for that trace')
-def step_ask(context: Any) -> None:
+@when('"on-call" fetches that trace')
+def step_fetch(context: Any) -> None:
 
-    async def there() -> bool:
-        context.spans = await _ask(context)
+    async def is_available() -> bool:
+        context.spans = await _fetch_trace(context)
         return bool(context.spans)
 
-    scenario.run(context, scenario.eventually(there))
+    scenario.run(context, scenario.eventually(is_available))
 
 
-@then('it has the spans entry, link, agent queue and engine, '
-      'one inside the other')
+@then('it has the nested spans entry, link, agent queue and engine')
 def step_spans(context: Any) -> None:
     by_name = {span['name']: span for span in context.spans}
     assert set(by_name) == {'entry', 'link', 'agent queue', 'engine'}, by_name
     entry, link = by_name['entry'], by_name['link']
-    assert entry['parent_id'] == _CALLER_SPAN, entry
+    assert entry['parent_id'] == _CALLER_SPAN_ID, entry
     assert link['parent_id'] == entry['span_id'], link
     for name in ('agent queue', 'engine'):
         span = by_name[name]
@@ -129,16 +129,17 @@
     scenario.run(context, _make_exporter(context, context.server.address))
 
 
-async def _export(context: Any, count: int, done: int) -> None:
+async def _export(context: Any, count: int, expected_count: int) -> None:
     exporter = context.exporter
     exporter.export(_spans(count))
-    sending = asyncio.create_task(exporter.run())
+    exporting = asyncio.create_task(exporter.run())
 
-    async def over() -> bool:
-        return bool(exporter.exported_count + exporter.dropped_count >= done)
+    async def is_done() -> bool:
+        return bool(exporter.exported_count +
+                    exporter.dropped_count >= expected_count)
 
-    await scenario.eventually(over)
-    sending.cancel()
+    await scenario.eventually(is_done)
+    exporting.cancel()
 
 
 @when('{count:d} spans are exported')
@@ -148,15 +149,15 @@
 
 @then('the collector has {count:d} spans')
 def step_collected(context: Any, count: int) -> None:
-    assert len(context.collector.names) == count
+    assert len(context.collector.span_names) == count
     assert context.exporter.dropped_count == 0
 
 
-@when('the collector is gone and {count:d} spans are exported')
-def step_gone(context: Any, count: int) -> None:
+@when('the collector is unreachable and {count:d} spans are exported')
+def step_unreachable(context: Any, count: int) -> None:
     scenario.run(context, _make_exporter(context, '127.0.0.1:1'))
-    done = count
-    scenario.run(context, _export(context, count, done))
+    expected_count = count
+    scenario.run(context, _export(context, count, expected_count))
 
 
 @then('{count:d} spans are counted as dropped')
--- a/tests/product/traces.feature
+++ b/tests/product/traces.feature
@@ -1,17 +1,20 @@
-Feature: Traces
+Feature: Tracing
+
+  Guards against spans that are missing or have the wrong parent, and against a
+  collector outage that blocks the export.
 
   Scenario: A sampled request has a span for each hop
     Given a system with operators' keys
-    When a caller sends a caption in a trace of its own
-    And "on-call" asks for that trace
-    Then it has the spans entry, link, agent queue and engine, one inside the other
-    When a caller sends a payment in a trace of its own
-    And "on-call" asks for that trace
-    Then it has the spans entry, link, agent queue and engine, one inside the other
+    When a caller sends a caption request with its own trace id
+    And "on-call" fetches that trace
+    Then it has the nested spans entry, link, agent queue and engine
+    When a caller sends a payment request with its own trace id
+    And "on-call" fetches that trace
+    Then it has the nested spans entry, link, agent queue and engine
 
-  Scenario: Spans reach a collector, and a collector that fails holds nothing up
+  Scenario: Spans are exported, and are dropped while the collector is unreachable
     Given a collector
     When 600 spans are exported
     Then the collector has 600 spans
-    When the collector is gone and 3000 spans are exported
+    When the collector is unreachable and 3000 spans are exported
     Then 3000 spans are counted as dropped
