--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -58,7 +58,7 @@
     When the agent of "a" sends no report for 2 s
     Then 20 selections all return "b"
 
-  Scenario: No server is selected when all groups are closed
+  Scenario: A request for a closed group is rejected at once instead of queued
     Given servers "a b" with an agent each
     When both report that their group is closed
     Then no server is selected
--- a/tests/platform/explain.feature
+++ b/tests/platform/explain.feature
@@ -5,14 +5,14 @@
   reader that delays requests.
 
   Scenario Outline: The logs explain how a request ended
-    Given the logs of two hosts with a request that ended as <end>, among others
+    Given the logs of two hosts with a request that ended as <outcome>, among others
     When the request is explained
     Then the verdict says "<words>"
 
     Examples:
-      | end      | words                                        |
-      | refused  | It did not run: no_upstream                  |
-      | lost     | It may have run: upstream_failed             |
+      | outcome  | words                                        |
+      | rejected | It did not run: no_upstream                  |
+      | failed   | It may have run: upstream_failed             |
       | late     | Answered with 200 after 1.9 s, 2 attempts    |
       | unknown  | No line names this request                   |
 
--- a/tests/platform/lost_orders.feature
+++ b/tests/platform/lost_orders.feature
@@ -1,8 +1,8 @@
 Feature: Orders without a response delay no pass
 
   All streams of a group wait while a pass is held, and a stream is late after a
-  pause of 120 ms. Guards against a coordinator that waits too long before it
-  repeats an order that got no response.
+  pause of 120 ms. Guards against a switch that holds a pass too long because
+  orders get no response.
 
   Scenario: Every order gets a response
     Given a group of 8 ranks that begins a pass every 60 ms
--- a/tests/platform/steps/expert_maps.py
+++ b/tests/platform/steps/expert_maps.py
@@ -38,7 +38,7 @@
 
 
 @when('every expert gets the same number of choices')
-def step_even(context: Any) -> None:
+def step_even_demand(context: Any) -> None:
     context.shares = [[1.0] * context.experts] * len(context.layouts)
 
 
@@ -107,31 +107,31 @@
 
 
 @then('the maximum load falls from more than {high:f} to less than {low:f}')
-def step_falls(context: Any, high: float, low: float) -> None:
+def step_max_load_falls(context: Any, high: float, low: float) -> None:
     assert context.initial_load > high, context.initial_load
     assert context.step.after < low, context.step.after
 
 
 @then('the maximum load is less than {low:f}')
-def step_low(context: Any, low: float) -> None:
+def step_max_load_below(context: Any, low: float) -> None:
     assert _max_load(context) < low, _max_load(context)
 
 
 @then('the maximum load falls by more than half')
-def step_half(context: Any) -> None:
+def step_max_load_halved(context: Any) -> None:
     assert _max_load(context) < context.initial_load / 2, _max_load(context)
 
 
 @then('every expert is held by a rank, and no rank holds more than '
       '{expert_slots:d} of a set')
-def step_held(context: Any, expert_slots: int) -> None:
+def step_all_held(context: Any, expert_slots: int) -> None:
     for layout in context.layouts:
         assert frozenset().union(*layout) == set(range(context.experts))
         assert max(map(len, layout)) <= expert_slots
 
 
 @then('nothing is copied')
-def step_nothing(context: Any) -> None:
+def step_no_copies(context: Any) -> None:
     assert context.step.copies == 0, context.step
 
 
@@ -179,7 +179,7 @@
 
 
 @when('rank 0 restarts and its counters start at 0')
-def step_restarts(context: Any) -> None:
+def step_rank_restarts(context: Any) -> None:
     _report_counts(context, 0, (2, 1), [0] * context.experts)
     context.counts[0] = [0] * context.experts
     context.demand.close_window()
@@ -348,7 +348,8 @@
 
 @then('ranks {first:d} and {second:d} are ordered to disarm version '
       '{version:d}')
-def step_disarm(context: Any, first: int, second: int, version: int) -> None:
+def step_ranks_disarm(context: Any, first: int, second: int,
+                      version: int) -> None:
     found = {
         rank: order.version
         for rank, order in context.orders.items()
--- a/tests/platform/steps/explain.py
+++ b/tests/platform/steps/explain.py
@@ -25,13 +25,13 @@
 
 
 _LINES_BY_OUTCOME = {
-    'refused': [
+    'rejected': [
         _line('request_refused',
               kind='no_upstream',
               detail='all groups are closed',
               after_s=0.01)
     ],
-    'lost': [
+    'failed': [
         _line('attempt', server='i-1', load=2.0),
         _line('attempt_ended', server='i-1', cause='reset', may_have_run=True),
         _line('request_failed',
--- a/tests/platform/steps/map_driver.py
+++ b/tests/platform/steps/map_driver.py
@@ -96,7 +96,7 @@
         view.take(state)
     network: Any = _Network(group, view)
     driver = switch_driver.SwitchDriver(
-        host='holder',
+        host='coordinator',
         hosts=hosts,
         view=view,
         network=network,
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -52,7 +52,7 @@
 
 
 @given('an entry host that has just read from the store')
-def step_host(context: Any) -> None:
+def step_read_host(context: Any) -> None:
     context.network = _Network()
 
 
--- a/tests/platform/steps/timing.py
+++ b/tests/platform/steps/timing.py
@@ -28,20 +28,20 @@
 
 @then('with a target of {target_ms:d} ms and a maximum gap of {max_gap_ms:d} '
       'ms the cause is {cause}')
-def step_late(context: Any, target_ms: int, max_gap_ms: int,
-              cause: str) -> None:
+def step_lateness_cause(context: Any, target_ms: int, max_gap_ms: int,
+                        cause: str) -> None:
     found = context.timing.lateness_cause(target_ms / _MS_PER_S,
                                           max_gap_ms / _MS_PER_S)
     assert found.value == cause, found
 
 
 @when('the choices observed since then are taken twice')
-def step_take(context: Any) -> None:
+def step_take_choices(context: Any) -> None:
     observed = context.demand.take_observed_choices()
     assert all(map(any, observed)), observed
     context.observed = context.demand.take_observed_choices()
 
 
 @then('the second time there are none')
-def step_none(context: Any) -> None:
+def step_none_left(context: Any) -> None:
     assert not any(map(any, context.observed)), context.observed
--- a/tests/platform/steps/whole_path.py
+++ b/tests/platform/steps/whole_path.py
@@ -77,7 +77,7 @@
 
 
 @then('each caller receives events {first:d} to {last:d} once each')
-def step_each(context: Any, first: int, last: int) -> None:
+def step_each_receives(context: Any, first: int, last: int) -> None:
     for context.response in context.responses:
         step_events(context, first, last)
 
@@ -169,7 +169,7 @@
 
 
 @when('a caller sends a payment')
-def step_pay(context: Any) -> None:
+def step_send_payment(context: Any) -> None:
     context.response = _run(context, context.site.request(1, '/pay/x'))
 
 
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -54,7 +54,7 @@
 
 
 @when('rank {rank:d} is {slowdown:f} times as slow as the others')
-def step_slow(context: Any, rank: int, slowdown: float) -> None:
+def step_slow_rank(context: Any, rank: int, slowdown: float) -> None:
     context.slowdowns = [1.0] * len(context.layouts[0])
     context.slowdowns[rank] = slowdown
 
@@ -236,7 +236,7 @@
 
 
 @then('no link uses more than {share:f} of its bandwidth')
-def step_links(context: Any, share: float) -> None:
+def step_link_use(context: Any, share: float) -> None:
     used = context.simulation.fabric.busiest_bytes_per_s(context.seconds)
     assert used <= share * context.link_bytes_per_s, used
 
@@ -266,7 +266,7 @@
 
 @then('at least 90% of the passes from second {begin:d} on last less than '
       '{limit:d} ms')
-def step_passes(context: Any, begin: int, limit: int) -> None:
+def step_pass_lengths(context: Any, begin: int, limit: int) -> None:
     lengths, _ = _passes_from(context, begin)
     in_time = sum(length * 1000 < limit for length in lengths)
     assert in_time >= len(lengths) * 0.9, (in_time, len(lengths))
--- a/tests/platform/timing.feature
+++ b/tests/platform/timing.feature
@@ -4,12 +4,12 @@
   logged skew that includes expert choices from before the last log line.
 
   Scenario Outline: The first delay beyond its limit is the cause
-    Given a stream that was sent to a server after <placed> ms
+    Given a stream that was sent to a server after <sent> ms
     When its events arrive after "<events>" ms
     Then with a target of 400 ms and a maximum gap of 120 ms the cause is <cause>
 
     Examples:
-      | placed | events       | cause       |
+      | sent   | events       | cause       |
       | 5      | 90 180 260   | nothing     |
       | 250    | 450 500      | place       |
       | 5      | 450 700      | first_event |
--- a/tests/platform/waves.feature
+++ b/tests/platform/waves.feature
@@ -17,15 +17,15 @@
     Then a request that sends <timeout> s has missed a target of 403 ms: <missed>
 
     Examples:
-      | known | timeout  | missed |
-      | 8.05  | 8.05     | False  |
-      | 8.05  | 7.9      | False  |
-      | 8.05  | 7.6      | True   |
-      | 8.05  | 2.0      | True   |
-      | 2.0   | 8.05     | False  |
-      | 4.0   | 3.9      | False  |
-      | 9000  | 8.05     | False  |
-      | 9000  | 7.6      | True   |
+      | known | timeout | missed |
+      | 8.05  | 8.05    | False  |
+      | 8.05  | 7.9     | False  |
+      | 8.05  | 7.6     | True   |
+      | 8.05  | 2.0     | True   |
+      | 2.0   | 8.05    | False  |
+      | 4.0   | 3.9     | False  |
+      | 9000  | 8.05    | False  |
+      | 9000  | 7.6     | True   |
 
   Scenario: Requests meet the target under steady load
     Given 16 servers and 9 entry hosts with 37 streams per second
--- a/tests/product/binary.feature
+++ b/tests/product/binary.feature
@@ -1,7 +1,7 @@
 Feature: The built executable
 
-  Guards against an executable that lacks files of the sources or that starts
-  more than one process or thread.
+  Guards against an executable that cannot check settings or serve requests, or
+  that starts more than one process or thread.
 
   Scenario: The executable checks settings and serves a request in one process
     Given the built executable
--- a/tests/product/steps/account.py
+++ b/tests/product/steps/account.py
@@ -86,7 +86,7 @@
                                                    merge_rows=merge_rows)
 
     async def serve(self, requests: int, intervals: int, seed: int) -> None:
-        """Accepts requests over intervals and ends each with a random outcome."""
+        """Accepts requests over intervals and ends all, at random."""
         rng = random.Random(seed)
         open_keys: list[account.CountKey] = []
         for _ in range(intervals):
