--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -41,7 +41,7 @@
 
         A request that has already missed its latency target first waits for a
         slot that no other request needs: its response is late in any case, and
-        another refusal may make the caller give up.
+        another rejection may make the caller give up.
 
         Args:
             job: the request.
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -139,11 +139,11 @@
         if record is None:
             return None
         try:
-            report = await self._make_server(record.engine_address
+            status = await self._make_server(record.engine_address
                                             ).fetch_status()
         except rank_server.RankServerUnavailableError:
             return None
-        state = dataclasses.replace(report.state, host=record.host)
+        state = dataclasses.replace(status.state, host=record.host)
         self._view.take(state)
         return state
 
--- a/pollenthread/core/messages.py
+++ b/pollenthread/core/messages.py
@@ -20,10 +20,10 @@
     Attributes:
         host: the host name of the sender.
         role: 'entry' or 'agent'.
-        incarnation: an ID of the process start; changes with each start.
+        incarnation: an id of the process start; changes with each start.
         data_centre: the data centre of the host.
         region: the region of the data centre.
-        session: the session ID that the accepting side assigns to this link,
+        session: the session id that the accepting side assigns to this link,
             unique within its incarnation; empty from the dialing side.
         kind: 'engine' or 'service' from an agent, else empty.
         name: the name of the model group or service from an agent, else empty.
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pong:
-    """Answers a `Ping` with the same sequence number."""
+    """Replies to a `Ping` with the same sequence number."""
 
     seq: int
     config_version: int
@@ -62,7 +62,7 @@
     """Starts an attempt at an agent.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         session: the link session that the attempt is bound to.
         workspace: the name of the workspace.
         work_class: the name of the work class.
@@ -107,7 +107,7 @@
     """The head of the upstream's response.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         status: the HTTP status.
         headers: the HTTP headers.
         waited_ms: milliseconds that the attempt was queued at the agent.
@@ -124,7 +124,7 @@
     """A part of the response body.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         offset: the number of units before this part. A unit is an event of a
             stream, else a byte.
         count: the number of units in this part.
@@ -160,7 +160,7 @@
     """The times of a traced attempt at its agent; sent before `End`.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         queued_us: microseconds until the attempt began at the upstream.
         upstream_us: microseconds that the attempt took at the upstream.
     """
@@ -191,7 +191,7 @@
     """Requests the agent never to start an attempt.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         session: the link session that the attempt is bound to.
     """
 
@@ -200,7 +200,7 @@
 
 
 class SealState(enum.StrEnum):
-    """The state of an attempt in the answer to `Seal`."""
+    """The state of an attempt in the reply to `Seal`."""
 
     SEALED = 'sealed'
     RUNNING = 'running'
@@ -210,7 +210,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sealed:
-    """Answers `Seal` with the state of the attempt."""
+    """Replies to `Seal` with the state of the attempt."""
 
     attempt: str
     state: SealState
@@ -237,7 +237,7 @@
     """A finished attempt whose outcome no entry host has confirmed.
 
     Attributes:
-        attempt: the attempt ID.
+        attempt: the attempt id.
         workspace: the name of the workspace.
         key: the idempotency key.
         stream: whether the response is a stream of events.
@@ -285,7 +285,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigNews:
-    """Announces that the sender has adopted a configuration version."""
+    """Announces that the sender has applied a configuration version."""
 
     version: int
 
@@ -295,7 +295,7 @@
     """Requests the configuration version of the receiver.
 
     Attributes:
-        seq: a sequence number, echoed in the answer.
+        seq: a sequence number, echoed in the reply.
         version: the version in effect at the sender.
     """
 
@@ -305,7 +305,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigGive:
-    """Answers a `ConfigAsk`.
+    """Replies to a `ConfigAsk`.
 
     Attributes:
         seq: the sequence number of the request.
@@ -357,7 +357,7 @@
     """A signed order to an agent; see `orders.Order` for the other fields.
 
     Attributes:
-        key_id: the ID of the signing key; empty if not signed.
+        key_id: the id of the signing key; empty if not signed.
         signature: the HMAC of all other fields; empty if not signed.
     """
 
@@ -376,7 +376,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderReply:
-    """The answer to an order; `answer` is a value of `orders.OrderAnswer`."""
+    """The reply to an order; `answer` is a value of `orders.OrderAnswer`."""
 
     id: str
     answer: str
--- a/pollenthread/core/orders.py
+++ b/pollenthread/core/orders.py
@@ -2,9 +2,9 @@
 
 The issuer is the process that holds the lease of an order duty. It writes an
 order to a journal row before it sends the order. The row contains the
-incarnation of the agent that may execute the order. The agent refuses fencing
-numbers below the highest that it has seen, and answers a repeated order ID
-with the first result.
+incarnation of the agent that may execute the order. The agent rejects fencing
+numbers below the highest that it has seen, and replies to a repeated order
+id with the first result.
 """
 
 import dataclasses
@@ -29,13 +29,13 @@
     """An order as sent to an agent.
 
     Attributes:
-        id: the order ID; never reused within a duty.
+        id: the order id; never reused within a duty.
         duty: the duty whose lease the issuer holds.
         number: the sequence number, increasing within the duty.
         host: the upstream host to execute the order.
         kind: the action, such as 'load_model'.
         arguments: names and values, as JSON text.
-        fencing: the fencing number of the lease under which it was sent.
+        fencing: the fencing token of the lease under which it was sent.
         incarnation: the incarnation of the agent that may execute it.
         settled_below: all orders with a lower number are closed in the
             journal.
@@ -59,7 +59,7 @@
     Attributes:
         done: whether the order took effect.
         detail: the text that the engine returned.
-        is_known: whether the engine answered; if not, `done` has no meaning.
+        is_known: whether the engine responded; if not, `done` has no meaning.
     """
 
     done: bool
@@ -68,7 +68,7 @@
 
     @property
     def answer(self) -> 'OrderAnswer':
-        """The answer of an agent to an order with this result."""
+        """The reply code of an agent for an order with this result."""
         return OrderAnswer.ENDED if self.is_known else OrderAnswer.UNKNOWN
 
 
@@ -96,7 +96,7 @@
 
 
 class OrderAnswer(enum.StrEnum):
-    """The answer of an agent to an order."""
+    """The reply code of an agent to an order."""
 
     ENDED = 'ended'
     RUNNING = 'running'
@@ -136,11 +136,11 @@
     BEGIN = 'begin'
     REPEAT = 'repeat'
     RUNNING = 'running'
-    REFUSE_OLD = 'refuse_old'
-    REFUSE_INCARNATION = 'refuse_incarnation'
-    REFUSE_SETTLED = 'refuse_settled'
+    REJECT_OLD = 'refuse_old'
+    REJECT_INCARNATION = 'refuse_incarnation'
+    REJECT_SETTLED = 'refuse_settled'
     READ_FENCE = 'read_fence'
-    REFUSE_FULL = 'refuse_full'
+    REJECT_FULL = 'refuse_full'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,11 +149,11 @@
 
     Attributes:
         incarnation: the incarnation of the agent.
-        highest_fencing_by_duty: the highest fencing number seen for each duty,
+        highest_fencing_by_duty: the highest fencing token seen for each duty,
             in the lease row or in orders.
         settled_below_by_duty: the number below which the journal has closed
             all orders of a duty.
-        result_by_id: the results of ended orders by order ID; None for an
+        result_by_id: the results of ended orders by order id; None for an
             order that is running.
         duty_and_number_by_id: the duty and number of each order in
             `result_by_id`.
@@ -181,7 +181,7 @@
 
     Args:
         row: the row of the order.
-        fencing: the fencing number of the issuer's lease.
+        fencing: the fencing token of the issuer's lease.
         incarnation: the current incarnation of the agent; empty if there is no
             link to it.
     """
@@ -209,7 +209,7 @@
 
 def closed_row(row: JournalRow, answer: OrderAnswer,
                result: Result | None) -> JournalRow | None:
-    """Returns the row closed by an agent's answer; None if it stays open."""
+    """Returns the row closed by an agent's reply; None if it stays open."""
     if answer is OrderAnswer.ENDED and result is not None:
         return dataclasses.replace(row, state=OrderState.ENDED, result=result)
     if answer in (OrderAnswer.OTHER_INCARNATION, OrderAnswer.UNKNOWN):
@@ -219,7 +219,7 @@
 
 def record_fencing(state: AgentOrderState, duty: str,
                    fencing: int) -> AgentOrderState:
-    """Records a fencing number if it is the highest for its duty."""
+    """Records a fencing token if it is the highest for its duty."""
     if fencing <= state.highest_fencing_by_duty.get(duty, -1):
         return state
     return dataclasses.replace(state,
@@ -233,8 +233,8 @@
                  order: Order) -> tuple[AgentOrderState, AgentAction]:
     """Decides what an agent does with an order.
 
-    An agent first reads the lease row of the duty if it has no fencing number
-    for it, so that a restarted agent refuses outdated numbers as well.
+    An agent first reads the lease row of the duty if it has no fencing token
+    for it, so that a restarted agent rejects outdated numbers as well.
 
     Returns:
         The new state of the agent, and the action. For an order to begin, the
@@ -243,19 +243,19 @@
     if order.duty not in state.highest_fencing_by_duty:
         return state, AgentAction.READ_FENCE
     if order.fencing < state.highest_fencing_by_duty[order.duty]:
-        return state, AgentAction.REFUSE_OLD
+        return state, AgentAction.REJECT_OLD
     state = record_fencing(state, order.duty, order.fencing)
     state = _discard_settled(state, order.duty, order.settled_below)
     if order.number < state.settled_below_by_duty.get(order.duty, 0):
-        return state, AgentAction.REFUSE_SETTLED
+        return state, AgentAction.REJECT_SETTLED
     if order.id in state.result_by_id:
         known = state.result_by_id[order.id]
         return state, (AgentAction.RUNNING
                        if known is None else AgentAction.REPEAT)
     if order.incarnation != state.incarnation:
-        return state, AgentAction.REFUSE_INCARNATION
+        return state, AgentAction.REJECT_INCARNATION
     if len(state.result_by_id) >= MAX_REMEMBERED_ORDERS:
-        return state, AgentAction.REFUSE_FULL
+        return state, AgentAction.REJECT_FULL
     return _record_started(state, order), AgentAction.BEGIN
 
 
--- a/pollenthread/core/rebalance.py
+++ b/pollenthread/core/rebalance.py
@@ -153,7 +153,7 @@
         balance: the balance targets of the operators.
         costs: the cost parameters of loads and switches.
         interval_s: the time between plans, in seconds.
-        use_history: whether the gain of a load is also evaluated with history
+        use_history: whether the gain of a load is also evaluated with past
             popularity.
         use_split_changes: whether plans may change the split without loads.
         use_load_cooldown: whether experts loaded within `LOAD_COOLDOWN_S` are
@@ -184,7 +184,7 @@
         estimate: the estimated popularity of its experts.
         now_s: the current time, in seconds.
         draining: whether the group is being drained.
-        missing_ranks: the number of ranks that do not answer.
+        missing_ranks: the number of ranks that do not respond.
 
     Returns:
         The state after the plan is applied, and the plan.
--- a/pollenthread/core/switch.py
+++ b/pollenthread/core/switch.py
@@ -1,7 +1,7 @@
 """State and messages of the two-phase switch of a group's expert map.
 
 All ranks of a group change the map at the same step. One coordinator, which
-holds a fencing number from the group's lease row, asks every rank to prepare
+holds a fencing token from the group's lease row, asks every rank to prepare
 (load the weights) and then to arm for a step. An armed rank blocks at that
 step until it receives the decision. The coordinator commits once every rank is
 armed, and aborts otherwise. A later coordinator first raises the fencing
@@ -30,7 +30,7 @@
     """Identifies one switch of a group; later switches compare greater.
 
     Attributes:
-        fence: the fencing number of the coordinator that started the switch.
+        fence: the fencing token of the coordinator that started the switch.
         number: the sequence number among that coordinator's switches.
     """
 
@@ -54,7 +54,7 @@
     """The parameters of one switch.
 
     Attributes:
-        id: the ID of the switch.
+        id: the id of the switch.
         target: the version of the new map.
         step: the first step that uses the new map; 0 until armed.
     """
@@ -71,7 +71,7 @@
     Attributes:
         base: the version used before `latest` takes effect.
         latest: the last committed switch, or None.
-        closed: the greatest ID of a committed or aborted switch.
+        closed: the greatest id of a committed or aborted switch.
     """
 
     base: int
@@ -96,7 +96,7 @@
 
 
 def latest_switch_id(map_state: Map) -> SwitchId:
-    """Returns the ID of the last committed switch, or `NO_SWITCH`."""
+    """Returns the id of the last committed switch, or `NO_SWITCH`."""
     return NO_SWITCH if map_state.latest is None else map_state.latest.id
 
 
@@ -107,13 +107,13 @@
     Attributes:
         index: the index of the rank in its group.
         incarnation: increases with each restart of the rank.
-        fence: the highest fencing number seen; messages with a lower number
+        fence: the highest fencing token seen; messages with a lower number
             are ignored.
         step: the last step that the rank has entered; 0 for none.
         held: the map state, or None until received from the coordinator.
         pending: the undecided switch, or None.
         stage: the progress of the pending switch.
-        decided_fence: the fencing number that came with the last decision.
+        decided_fence: the fencing token that came with the last decision.
     """
 
     index: int
@@ -131,7 +131,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Query:
-    """Raises the fencing number at a rank and requests its state."""
+    """Raises the fencing token at a rank and requests its state."""
 
     fence: int
 
@@ -157,8 +157,8 @@
     """Announces a decision; sent by the coordinator or an informed rank.
 
     Attributes:
-        fence: the fencing number under which the decision was made.
-        id: the ID of the switch.
+        fence: the fencing token under which the decision was made.
+        id: the id of the switch.
         commit: True to commit the switch, False to abort it.
     """
 
@@ -181,7 +181,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """Answers `Query` with the complete state of the rank."""
+    """Replies to `Query` with the complete state of the rank."""
 
     fence: int
     rank: Rank
@@ -189,7 +189,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepared:
-    """Answers `Prepare`: whether the weights are loaded, and the last step."""
+    """Replies to `Prepare`: whether weights are loaded, and the last step."""
 
     id: SwitchId
     index: int
@@ -200,7 +200,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Armed:
-    """Answers `Arm`: whether the rank will block at the step."""
+    """Replies to `Arm`: whether the rank will block at the step."""
 
     id: SwitchId
     index: int
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -15,8 +15,8 @@
     """Decodes the value of one row.
 
     Args:
-        server_id: ID of the server, which is the key of the row.
-        data: Value of the row, a JSON object.
+        server_id: id of the server, which is the key of the row.
+        data: value of the row, a JSON object.
 
     Returns:
         The server, or a description of the error if the row is invalid.
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -26,7 +26,7 @@
     """Sends attempts over persistent connections.
 
     Attributes:
-        stale_responses: Number of skipped responses to other requests.
+        stale_responses: number of skipped responses to other requests.
     """
 
     def __init__(self, *, client: http_client.HttpClient) -> None:
@@ -54,10 +54,10 @@
 
     async def _skip_stale_responses(self, response: http_client.ClientResponse,
                                     request_id: str) -> None:
-        """Skips responses whose request ID belongs to another request.
+        """Skips responses whose request id belongs to another request.
 
         Raises:
-            ConnectionError: Too many responses in a row were skipped.
+            ConnectionError: too many responses in a row were skipped.
         """
         for _ in range(_MAX_STALE_RESPONSES):
             echoed_id = response.header(wire_names.HeaderName.REQUEST_ID)
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -13,7 +13,7 @@
 
     REQUEST_ID = 'pollenthread-request-id'
     DEADLINE_MS = 'pollenthread-deadline-ms'
-    # ID of the server that must execute the request.
+    # Id of the server that must execute the request.
     TARGET_SERVER = 'pollenthread-target-instance'
     SERVER_ID = 'pollenthread-instance-id'
     # Present, with any value, if the server did not execute the request.
@@ -42,7 +42,7 @@
     READINESS = '/pollenthread/readyz'
     ENTRY_ADDRESSES = '/pollenthread/resolve'
     RANK_STATUS = '/pollenthread/report'
-    # Numbers of times that each expert was selected.
+    # How often each expert was chosen.
     EXPERT_COUNTS = '/pollenthread/picked'
     RANK_ORDER = '/pollenthread/order'
     WRITE_ROWS = '/pollenthread/rows-tx'
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -22,9 +22,9 @@
     """Assembles accounting, metrics, tracing and the administration API.
 
     Attributes:
-        request_counter: Counts requests by their outcome.
-        latencies: Latency histograms of requests.
-        tracer: Records the spans of requests.
+        request_counter: counts requests by their outcome.
+        latencies: latency histograms of requests.
+        tracer: records the spans of requests.
     """
 
     def __init__(self, *, config: settings.EntrySettings, incarnation: str,
@@ -37,14 +37,14 @@
         """Initializes the components; `run` starts their work.
 
         Args:
-            config: Settings of the entry host.
-            incarnation: ID of this start of the process.
+            config: settings of the entry host.
+            incarnation: id of this start of the process.
             client: HTTP client that exports spans.
-            table_service: Stores the accounting rows and the costs.
-            time: Monotonic clock.
-            store: Versions of the configuration.
-            status: Returns the document of the status page.
-            gauges: Returns the gauges of the entry host by metric name.
+            table_service: stores the accounting rows and the costs.
+            time: monotonic clock.
+            store: versions of the configuration.
+            status: returns the document of the status page.
+            gauges: returns the gauges of the entry host by metric name.
         """
         self.request_counter = account.RequestCounter()
         self.latencies = metrics.RequestLatencyHistograms()
@@ -64,21 +64,21 @@
         self._operators = [item.to_operator() for item in config.operators]
         self._account_writer = account_writer.AccountWriter(
             table_service=table_service,
-            tally=self.request_counter,
+            request_counter=self.request_counter,
             host=config.host,
             incarnation=incarnation,
             time=time,
-            wall=wall_time.time,
+            wall_clock=wall_time.time,
             interval_s=config.account_interval_s)
         self._administration = administration.Administration(
             store=store,
             accounts=account_reader.AccountReader(
                 table_service=table_service,
-                wall=wall_time.time,
+                wall_clock=wall_time.time,
                 interval_s=config.account_interval_s),
             costs=cost_store.CostStore(table_service=table_service),
             status=status,
-            wall=wall_time.time,
+            wall_clock=wall_time.time,
             find_trace=self.tracer.find_spans)
 
     @property
@@ -104,7 +104,7 @@
     def _collect_gauges(self) -> dict[str, float]:
         return {
             'account_faults':
-                sum(self._account_writer.faults.values()),
+                sum(self._account_writer.error_counts.values()),
             'spans_dropped':
                 0 if self._exporter is None else self._exporter.dropped_count,
             **self._entry_gauges()
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -55,25 +55,26 @@
             log=self.log,
             table=wire_names.StoreTable.SERVERS,
             decode=server_row.decode)
-        self.peers = entry_peers.EntryPeers(own=self._own_record,
-                                            hosts=self._host_registry,
-                                            seeds=settings.seeds,
-                                            network=self._network,
-                                            state=self.state,
-                                            config=self._config_listener,
-                                            servers=self._server_listener,
-                                            time=self._clock,
-                                            log=self.log,
-                                            rng=self._rng)
+        self.peers = entry_peers.EntryPeers(
+            own=self._own_record,
+            hosts=self._host_registry,
+            seeds=settings.seeds,
+            network=self._network,
+            state=self.state,
+            config_listener=self._config_listener,
+            server_listener=self._server_listener,
+            time=self._clock,
+            log=self.log,
+            rng=self._rng)
         self._shutdown_plan = graceful_shutdown.ShutdownPlan(
             grace_s=settings.grace_s,
             discovery_cache_s=_ADDRESS_TTL_S * _CALLER_CACHE_FACTOR)
         self._latencies = platform_metrics.LatencyHistogramSet()
         request_forwarder = forwarder.Forwarder(
             state=self.state,
-            servers=upstream_http.HttpUpstreamClient(
+            upstream_client=upstream_http.HttpUpstreamClient(
                 client=self._server_client),
-            stop_plan=self._shutdown_plan,
+            shutdown_plan=self._shutdown_plan,
             observe=self._latencies.observe,
             time=self._clock,
             log=self.log)
@@ -171,7 +172,7 @@
     async def shut_down(self) -> None:
         """Announces the shutdown and waits for the running requests."""
         started_at = self._clock.monotonic()
-        self.state.leaving_since = started_at
+        self.state.shutdown_began_at = started_at
         self._caller_server.disable_keep_alive()
         self.peers.send_heartbeat()
         self.log.write(log_events.LogEvent.STOPPING,
