Restore two texts that callers are sent

Cause: the message of a broken upstream exchange is the `detail` of the 502 answer and the `cause` in the log; texts on the wire stay. Change: 'only answers to other requests came' and 'the answer exceeds N bytes' are as they were.

--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -65,7 +65,7 @@
                 return
             self.stale_responses += 1
             await response.skip_to_next_response()
-        raise ConnectionError('received only responses to other requests')
+        raise ConnectionError('only answers to other requests came')
 
 
 def _build_headers(
@@ -111,7 +111,7 @@
                 size_bytes += len(data)
                 if size_bytes > _MAX_RESPONSE_BYTES:
                     raise upstream.UpstreamDisconnectedError(
-                        f'response body exceeds {_MAX_RESPONSE_BYTES} bytes')
+                        f'the answer exceeds {_MAX_RESPONSE_BYTES} bytes')
                 yield data
         except OSError as error:
             raise upstream.UpstreamDisconnectedError(str(error)) from error
