Log prompt parts, the stage of broken attempts, and crashes of servers

Cause: logs named no part of a prompt, and a crashed server, one that hung up and one whose group lost a rank looked alike, so the hypotheses of docs/incidents/poison-requests.md could not be told apart. Change: an attempt logs the shared parts of its prompt, its end the stage of the response, and CrashWatch logs server_crashed when a listed server that broke off refuses connections.

--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -154,6 +154,21 @@
         finally:
             self._release(connection, response if is_reusable else None)
 
+    async def is_refusing(self, address: str) -> bool:
+        """Returns whether the peer refuses a new connection to an address.
+
+        False if the connection is accepted, or if there is no reply in time.
+        """
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                connection = await client_connection.connect(address)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        connection.close()
+        return False
+
     async def _acquire(self,
                        address: str) -> client_connection.ClientConnection:
         idle = self._idle_by_address.get(address, [])
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from pollenthread.app import (graceful_shutdown, pending_attempt, request_job,
-                              server_selector, serving_state)
-from pollenthread.core import (caller_request, caller_wait, errors, log_events,
-                               resumable_events, routing_config,
-                               server_registry)
+from pollenthread.app import (crash_watch, graceful_shutdown, pending_attempt,
+                              request_job, server_selector, serving_state)
+from pollenthread.core import (caller_request, caller_wait, crash_evidence,
+                               errors, log_events, resumable_events,
+                               routing_config, server_registry)
 from pollenthread.ports import caller_response, clock, event_log, upstream
 
 __all__ = ['Forwarder']
@@ -47,6 +47,12 @@
                                                                time=time,
                                                                log=log,
                                                                rng=state.rng)
+        self._crash_watch = crash_watch.CrashWatch(
+            upstream_client=upstream_client,
+            registry=state.server_registry,
+            on_crash=self._record_crash,
+            time=time,
+            log=log)
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -169,18 +175,19 @@
             async with timeout:
                 return await self._send_and_relay(pending)
         except TimeoutError:
-            self._record_failure(job, server, 'silent', ran=True)
+            self._record_failure(pending, 'silent', ran=True)
             if self._clock.monotonic() >= job.deadline:
                 raise request_job.RequestFailed(job.timeout_failure()) from None
             return False
         except upstream.UpstreamConnectError as error:
             self._state.server_loads.record_failure(server.id,
                                                     self._clock.monotonic())
-            self._record_failure(job, server, str(error), ran=False)
+            self._record_failure(pending, str(error), ran=False)
             job.attempt_count -= 1
             return False
         except upstream.UpstreamDisconnectedError as error:
-            self._record_failure(job, server, str(error), ran=True)
+            self._record_failure(pending, str(error), ran=True)
+            await self._crash_watch.examine(pending)
             return False
         finally:
             self._pending_attempts.discard(pending)
@@ -226,14 +233,13 @@
             if response.is_misdirected:
                 self._state.server_registry.mark_replaced(server.id)
             if not response.may_have_executed:
-                self._record_failure(job,
-                                     server,
+                self._record_failure(pending,
                                      f'not run, {response.status}',
                                      ran=False)
                 return False
             if _is_stream(job, response):
                 return await self._relay_stream(pending, response)
-            return await self._relay_whole(job, server, response)
+            return await self._relay_whole(pending, response)
 
     def _record_load(self, server: server_registry.Server,
                      response: upstream.UpstreamResponse) -> None:
@@ -242,14 +248,13 @@
                 server.id, response.load.running + response.load.waiting,
                 self._clock.monotonic())
 
-    async def _relay_whole(self, job: request_job.RequestJob,
-                           server: server_registry.Server,
+    async def _relay_whole(self, pending: pending_attempt.PendingAttempt,
                            response: upstream.UpstreamResponse) -> bool:
+        job, server = pending.job, pending.server
         body = b''.join([chunk async for chunk in response.read()])
         if (response.status >= _SERVER_ERROR and job.route.is_repeatable and
                 self._may_retry(job)):
-            self._record_failure(job,
-                                 server,
+            self._record_failure(pending,
                                  f'answered {response.status}',
                                  ran=True)
             return False
@@ -264,6 +269,7 @@
                             response: upstream.UpstreamResponse) -> bool:
         job, server = pending.job, pending.server
         body = response.read()
+        pending.stage = crash_evidence.AttemptStage.BEGUN
         pending.record_progress(self._clock.monotonic())
         while (data := await pending.next_chunk(body)) is not None:
             try:
@@ -272,6 +278,7 @@
                 raise upstream.UpstreamDisconnectedError(str(error)) from error
             if not events:
                 continue
+            pending.stage = crash_evidence.AttemptStage.STREAMING
             job.timing.record_events(self._clock.monotonic())
             if not job.caller_response.is_started:
                 self._observe('first_event', self._age_s(job.request))
@@ -320,9 +327,13 @@
             'pause_s': round(job.timing.longest_gap_s, 4)
         }
 
-    def _record_failure(self, job: request_job.RequestJob,
-                        server: server_registry.Server, cause: str, *,
-                        ran: bool) -> None:
+    def _record_crash(self, crash: crash_evidence.Crash) -> None:
+        del crash
+        self._count('server_crashes')
+
+    def _record_failure(self, pending: pending_attempt.PendingAttempt,
+                        cause: str, *, ran: bool) -> None:
+        job, server = pending.job, pending.server
         job.last_failure = cause
         job.may_have_run = job.may_have_run or ran
         job.event_splitter.drop_partial()
@@ -334,6 +345,7 @@
                         server=server.id,
                         cause=cause,
                         may_have_run=ran,
+                        stage=pending.stage.value,
                         events=job.event_splitter.events)
 
     def _may_retry(self, job: request_job.RequestJob) -> bool:
--- a/pollenthread/app/pending_attempt.py
+++ b/pollenthread/app/pending_attempt.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator
 
 from pollenthread.app import request_job
-from pollenthread.core import server_registry
+from pollenthread.core import crash_evidence, server_registry
 from pollenthread.ports import upstream
 
 __all__ = ['PendingAttempt']
@@ -26,12 +26,14 @@
         server: the server it was sent to.
         timeout: the timeout that ends the attempt.
         progressed_at: monotonic seconds of the last event, or of the start.
+        stage: how much of the response has arrived.
     """
 
     job: request_job.RequestJob
     server: server_registry.Server
     timeout: asyncio.Timeout
     progressed_at: float
+    stage: crash_evidence.AttemptStage = crash_evidence.AttemptStage.SENT
 
     def record_progress(self, now: float) -> None:
         """Records that the attempt made progress."""
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from pollenthread.core import (caller_request, errors, resumable_events,
-                               routing_config, stream_timing)
+from pollenthread.core import (caller_request, crash_evidence, errors,
+                               resumable_events, routing_config, stream_timing)
 from pollenthread.ports import caller_response
 
 __all__ = ['RequestFailed', 'RequestJob']
@@ -48,6 +48,8 @@
             last one.
         last_failure: the cause of the latest failed attempt.
         timing: arrival times of a stream's events.
+        shared_parts: ids of the parts of its prompt that other requests may
+            also have.
     """
 
     request: caller_request.CallerRequest
@@ -64,8 +66,11 @@
         default_factory=resumable_events.ResumableEventSplitter)
     last_failure: str = ''
     timing: stream_timing.StreamTiming = dataclasses.field(init=False)
+    shared_parts: tuple[str, ...] = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.shared_parts = crash_evidence.shared_part_ids(
+            self.request.prompt_parts)
         self.timing = stream_timing.StreamTiming(self.request.received_at)
 
     @property
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -132,7 +132,8 @@
                         **self._state.server_loads.log_fields(server, now),
                         config=config.version if config else None,
                         is_late=job.has_missed_target,
-                        left_s=round(job.deadline - now, 3))
+                        left_s=round(job.deadline - now, 3),
+                        parts=job.shared_parts)
 
     def _requirements(self, job: request_job.RequestJob,
                       now: float) -> service_estimate.RequestRequirements:
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -44,7 +44,12 @@
     ATTEMPT = ('attempt', 'A server was chosen, with the load, configuration '
                'and time at the decision.')
     ATTEMPT_ENDED = ('attempt_ended', 'A server did not answer the request; '
-                     '`cause` is the reason.')
+                     '`cause` is the reason, `stage` how far the answer had '
+                     'come.')
+    SERVER_CRASHED = ('server_crashed', 'A server broke off its answers and '
+                      'refuses connections. `begun` has the prompt parts of '
+                      'requests that it had begun to answer without a complete '
+                      'event, `sent` those of requests without any answer.')
     STREAM_RESUMED = ('stream_resumed', 'A stream continues at another server.')
     DUTY_TAKEN = ('duty_taken', 'This agent now plans the maps of `group`.')
     DUTY_LOST = ('duty_lost', 'Another agent holds the duty with a newer term.')
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 from pollenthread.adapters import http_client
-from pollenthread.core import http_headers
+from pollenthread.core import http_headers, server_registry
 from pollenthread.platform import wire_names
 from pollenthread.ports import upstream
 
@@ -52,6 +52,9 @@
         except OSError as error:
             raise upstream.UpstreamDisconnectedError(str(error)) from error
 
+    async def is_refusing(self, server: server_registry.Server) -> bool:
+        return await self._client.is_refusing(server.address)
+
     async def _skip_stale_responses(self, response: http_client.ClientResponse,
                                     request_id: str) -> None:
         """Skips responses whose request id belongs to another request.
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -104,3 +104,11 @@
             UpstreamDisconnectedError: the connection broke, so the request may
                 have been executed.
         """
+
+    @abc.abstractmethod
+    async def is_refusing(self, server: server_registry.Server) -> bool:
+        """Returns whether the host of a server refuses connections to it.
+
+        Then the server has ended. One that hung up on a single request, or
+        cannot be reached, does not refuse.
+        """
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -143,6 +143,9 @@
         finally:
             server.release_slot()
 
+    async def is_refusing(self, server: server_registry.Server) -> bool:
+        return False
+
     def report(self, server_id: str) -> server_load.ServerLoadReport:
         """Returns the load report that the agent of a server sends."""
         server = self._server_by_id[server_id]
--- a/tests/platform/steps/silence.py
+++ b/tests/platform/steps/silence.py
@@ -97,6 +97,9 @@
         first_event = int(attempt.last_event_id or 0) + 1
         yield _ScriptedResponse(script, first_event, self.event_times)
 
+    async def is_refusing(self, server: server_registry.Server) -> bool:
+        return False
+
 
 class _Simulation:
     """One entry host, two servers and one stream.
