Quarantine prompt parts under which servers crash

What callers saw: from the fourth second on nine tenths of all requests were late, refused or failed, while requests with one part of a prompt crashed one server after the other. Cause: a request that saw a crash was sent to the next server within milliseconds, and no host learned from a crash, its own or another's, so each request with the part cost a group of servers anew. Change: CrashEvidence weighs which parts explain the crashes that hosts report; answered requests clear their parts. PromptQuarantine refuses requests with the suspected parts and lets single ones through as tests after a while, or when other parts explain the crashes as well. EvidenceExchange tells all entry hosts at once and repeats it to a few. Requests that wait at a server with such a part are recalled. Why it works: each crash has exactly one request that the server had begun to answer without a complete event, so one crash names the part unless all its parts are new.

--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -25,6 +25,27 @@
   hosts @1 :List(Text);
 }
 
+struct CrashNews {
+  # Evidence of requests that crash servers.
+  crashes @0 :List(CrashRecord);
+  cleared @1 :List(ClearedPart);
+  # Where a sender that wants evidence receives it.
+  replyTo @2 :Text;
+}
+
+struct CrashRecord {
+  server @0 :Text;
+  ageMs @1 :UInt32;
+  # Prompt parts of requests by how far their response had come.
+  begun @2 :List(Text);
+  sent @3 :List(Text);
+}
+
+struct ClearedPart {
+  part @0 :Text;
+  ageMs @1 :UInt32;
+}
+
 struct ServerLoad {
   # Load of the server on the same host as the agent.
   address @0 :Text;
@@ -86,6 +107,7 @@
     dutyBeat @4 :DutyBeat;
     rankOrder @5 :RankOrder;
     usableHosts @6 :UsableHosts;
+    crashNews @7 :CrashNews;
   }
 }
 
--- a/pollenthread/adapters/peer_codec.py
+++ b/pollenthread/adapters/peer_codec.py
@@ -24,7 +24,7 @@
 _DATAGRAM_TYPES = (peer_messages.EntryBeat, peer_messages.ServerLoad,
                    peer_messages.RankState, peer_messages.ExpertChoices,
                    peer_messages.DutyBeat, peer_messages.RankOrder,
-                   peer_messages.UsableHosts)
+                   peer_messages.UsableHosts, peer_messages.CrashNews)
 
 _WIDE_BYTES = 2
 _MAX_NARROW_NUMBER = 255
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from pollenthread.app import (crash_watch, graceful_shutdown, pending_attempt,
+from pollenthread.app import (graceful_shutdown, pending_attempt, poison_guard,
                               request_job, server_selector, serving_state)
 from pollenthread.core import (caller_request, caller_wait, crash_evidence,
                                errors, log_events, resumable_events,
@@ -47,12 +47,14 @@
                                                                time=time,
                                                                log=log,
                                                                rng=state.rng)
-        self._crash_watch = crash_watch.CrashWatch(
+        self._guard = poison_guard.PoisonGuard(
+            log_of_evidence=state.evidence_log,
             upstream_client=upstream_client,
             registry=state.server_registry,
-            on_crash=self._record_crash,
             time=time,
             log=log)
+        state.evidence_log.suspected_callbacks.append(
+            lambda: self._guard.recall(self._pending_attempts))
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -148,9 +150,11 @@
 
     async def _run_attempts(self, job: request_job.RequestJob) -> None:
         while True:
+            self._guard.check(job)
             server = await self._server_selector.select(job)
-            if await self._attempt(job, server):
-                return
+            with self._guard.admit(job):
+                if await self._attempt(job, server):
+                    return
             self._check_retry(job)
 
     async def _attempt(self, job: request_job.RequestJob,
@@ -175,7 +179,8 @@
             async with timeout:
                 return await self._send_and_relay(pending)
         except TimeoutError:
-            self._record_failure(pending, 'silent', ran=True)
+            cause = 'recalled' if pending.is_recalled else 'silent'
+            self._record_failure(pending, cause, ran=True)
             if self._clock.monotonic() >= job.deadline:
                 raise request_job.RequestFailed(job.timeout_failure()) from None
             return False
@@ -187,7 +192,7 @@
             return False
         except upstream.UpstreamDisconnectedError as error:
             self._record_failure(pending, str(error), ran=True)
-            await self._crash_watch.examine(pending)
+            await self._guard.examine(pending)
             return False
         finally:
             self._pending_attempts.discard(pending)
@@ -278,7 +283,7 @@
                 raise upstream.UpstreamDisconnectedError(str(error)) from error
             if not events:
                 continue
-            pending.stage = crash_evidence.AttemptStage.STREAMING
+            self._guard.record_events(pending)
             job.timing.record_events(self._clock.monotonic())
             if not job.caller_response.is_started:
                 self._observe('first_event', self._age_s(job.request))
@@ -327,10 +332,6 @@
             'pause_s': round(job.timing.longest_gap_s, 4)
         }
 
-    def _record_crash(self, crash: crash_evidence.Crash) -> None:
-        del crash
-        self._count('server_crashes')
-
     def _record_failure(self, pending: pending_attempt.PendingAttempt,
                         cause: str, *, ran: bool) -> None:
         job, server = pending.job, pending.server
--- a/pollenthread/app/pending_attempt.py
+++ b/pollenthread/app/pending_attempt.py
@@ -27,6 +27,7 @@
         timeout: the timeout that ends the attempt.
         progressed_at: monotonic seconds of the last event, or of the start.
         stage: how much of the response has arrived.
+        is_recalled: whether this host ended the attempt because of its prompt.
     """
 
     job: request_job.RequestJob
@@ -34,6 +35,7 @@
     timeout: asyncio.Timeout
     progressed_at: float
     stage: crash_evidence.AttemptStage = crash_evidence.AttemptStage.SENT
+    is_recalled: bool = False
 
     def record_progress(self, now: float) -> None:
         """Records that the attempt made progress."""
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -95,12 +95,17 @@
         return min(_MAX_PRIORITY, _DEFAULT_PRIORITY +
                    priority) if priority else _DEFAULT_PRIORITY
 
-    def rejection(self, kind: errors.ErrorKind, now: float) -> errors.Failure:
+    def rejection(self,
+                  kind: errors.ErrorKind,
+                  now: float,
+                  *,
+                  retry_after_s: float | None = None) -> errors.Failure:
         """Returns the failure for a request that is not retried any more.
 
         Args:
             kind: the kind to report if no server can have executed the request.
             now: monotonic seconds.
+            retry_after_s: seconds after which a retry may succeed, if known.
 
         Returns:
             The failure, with a retry delay if nothing was executed.
@@ -110,8 +115,9 @@
                                        self.last_failure)
         if kind is errors.ErrorKind.UPSTREAM_FAILED:
             kind = errors.ErrorKind.OVERLOADED
-        retry_after_s = min(_MAX_RETRY_AFTER_S,
-                            (self.deadline - now) * _RETRY_AFTER_SHARE)
+        if retry_after_s is None:
+            retry_after_s = min(_MAX_RETRY_AFTER_S,
+                                (self.deadline - now) * _RETRY_AFTER_SHARE)
         return errors.make_failure(kind,
                                    self.last_failure,
                                    retry_after_s=round(retry_after_s, 2))
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -3,11 +3,15 @@
 import dataclasses
 import random
 
+from pollenthread.app import evidence_log
 from pollenthread.core import (retry_budget, routing_config, server_load,
                                server_registry)
 
 __all__ = ['RetryBudgetSettings', 'ServingState']
 
+# The longest quarantine of a host, relative to the shortest.
+_MAX_PATIENCE = 1.5
+
 
 @dataclasses.dataclass(frozen=True)
 class RetryBudgetSettings:
@@ -36,6 +40,7 @@
             one.
         shutdown_began_at: monotonic seconds at which a graceful shutdown began,
             or None.
+        evidence_log: evidence of requests that crash servers.
         rng: random numbers.
     """
 
@@ -48,6 +53,8 @@
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
+        self.evidence_log = evidence_log.EvidenceLog(
+            patience=rng.uniform(1.0, _MAX_PATIENCE))
         self.rng = rng
         self._retry_settings = retry_settings
         self._budget_by_service: dict[str, retry_budget.SharedRetryBudget] = {}
--- a/pollenthread/core/errors.py
+++ b/pollenthread/core/errors.py
@@ -41,6 +41,7 @@
     OVERLOADED = 'overloaded'
     DEADLINE_TOO_SHORT = 'deadline_too_short'
     NO_UPSTREAM = 'no_upstream'
+    QUARANTINED = 'quarantined'
     LEAVING = 'leaving'
     STALE_CONFIGURATION = 'stale_configuration'
     TABLE_UNAVAILABLE = 'table_unavailable'
@@ -127,6 +128,10 @@
         ErrorResponse(503,
                       'No upstream can take this request now.',
                       retry_after_s=1),
+    ErrorKind.QUARANTINED:
+        ErrorResponse(503,
+                      'Servers have crashed under a part of this prompt.',
+                      retry_after_s=10),
     ErrorKind.LEAVING:
         ErrorResponse(503, 'This host is leaving.', retry_after_s=0,
                       close=True),
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -50,6 +50,9 @@
                       'refuses connections. `begun` has the prompt parts of '
                       'requests that it had begun to answer without a complete '
                       'event, `sent` those of requests without any answer.')
+    PARTS_TESTED = ('parts_tested',
+                    'A request with `parts` under which servers '
+                    'may have crashed is sent, one at a time.')
     STREAM_RESUMED = ('stream_resumed', 'A stream continues at another server.')
     DUTY_TAKEN = ('duty_taken', 'This agent now plans the maps of `group`.')
     DUTY_LOST = ('duty_lost', 'Another agent holds the duty with a newer term.')
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -4,9 +4,10 @@
 import enum
 
 __all__ = [
-    'DutyBeat', 'EntryBeat', 'ExpertChoices', 'Layouts', 'OrderKind',
-    'RankLayout', 'RankOrder', 'RankState', 'Row', 'ServerLoad', 'Snapshot',
-    'SnapshotRequest', 'UsableHosts'
+    'ClearedPart', 'CrashNews', 'CrashRecord', 'DutyBeat', 'EntryBeat',
+    'ExpertChoices', 'Layouts', 'OrderKind', 'RankLayout', 'RankOrder',
+    'RankState', 'Row', 'ServerLoad', 'Snapshot', 'SnapshotRequest',
+    'UsableHosts'
 ]
 
 Layouts = tuple[tuple[tuple[int, ...], ...], ...]
@@ -57,6 +58,52 @@
     hosts: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A crash of a server, as known to the sender.
+
+    Attributes:
+        server: the id and start time of the server.
+        age_ms: milliseconds since the crash.
+        begun: shared prompt parts of the requests that it had begun to answer.
+        sent: those of the requests of which it had sent no response.
+    """
+
+    server: str
+    age_ms: int
+    begun: tuple[str, ...]
+    sent: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearedPart:
+    """A prompt part of a request that a server has answered.
+
+    Attributes:
+        part: the id of the part.
+        age_ms: milliseconds since the latest such response.
+    """
+
+    part: str
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Evidence of requests that crash servers.
+
+    Attributes:
+        crashes: crashes of servers.
+        cleared: parts that do not crash servers.
+        reply_to: the peer address of a sender that wants the receiver's
+            evidence; empty if it wants none.
+    """
+
+    crashes: tuple[CrashRecord, ...]
+    cleared: tuple[ClearedPart, ...]
+    reply_to: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
     """The load of the server that runs next to an agent.
--- /dev/null
+++ b/pollenthread/core/prompt_quarantine.py
@@ -0,0 +1,114 @@
+"""Decides which requests are refused because their prompt crashes servers."""
+
+import dataclasses
+from collections.abc import Iterable, Sequence
+
+from pollenthread.core import crash_evidence
+
+__all__ = ['PromptQuarantine', 'QuarantineVerdict']
+
+# One crash under a request that the server began to answer, or two others.
+_SUSPECT_WEIGHT = 2
+# The first crash may have had another cause. A wrong suspicion costs callers
+# with that part; a deadly part that is tried again costs those of a group.
+_FIRST_QUARANTINE_S = 20.0
+_QUARANTINE_GROWTH = 6.0
+_MAX_QUARANTINE_S = 3600.0
+_MIN_RETRY_AFTER_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineVerdict:
+    """Whether a request may be sent to a server.
+
+    Attributes:
+        suspects: the parts of the request that may crash a server.
+        retry_after_s: seconds after which it may be sent; None for now.
+    """
+
+    suspects: tuple[str, ...] = ()
+    retry_after_s: float | None = None
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request must not be sent now."""
+        return self.retry_after_s is not None
+
+
+_HARMLESS = QuarantineVerdict()
+
+
+class PromptQuarantine:
+    """Keeps requests with suspected parts away from the servers of a host.
+
+    A quarantine ends by itself, or when a request with the part is answered.
+    After its end, and while another part explains the same crashes as well, one
+    request at a time is a test of the part.
+
+    Attributes:
+        evidence: the known crashes and cleared parts.
+    """
+
+    def __init__(self, *, patience: float = 1.0) -> None:
+        """Creates a quarantine without evidence.
+
+        Args:
+            patience: factor on the length of quarantines. It differs between
+                hosts, so that they do not try the same part at the same time.
+        """
+        self.evidence = crash_evidence.CrashEvidence()
+        self._patience = patience
+        self._parts_in_test: set[str] = set()
+
+    def check(self, parts: Sequence[str], now: float) -> QuarantineVerdict:
+        """Decides whether a request may be sent.
+
+        Args:
+            parts: its shared parts.
+            now: monotonic seconds.
+        """
+        if not self.evidence.crash_by_server:
+            return _HARMLESS
+        suspicions = self.evidence.suspicion_by_part()
+        suspects = tuple(part for part in parts if part in suspicions and
+                         suspicions[part].weight >= _SUSPECT_WEIGHT)
+        if not suspects:
+            return _HARMLESS
+        wait_s = max(self._wait_s(part, suspects, now) for part in suspects)
+        return QuarantineVerdict(suspects, wait_s if wait_s > 0 else None)
+
+    def begin_test(self, suspects: Iterable[str]) -> None:
+        """Marks parts as being tested by a request that is sent now."""
+        self._parts_in_test.update(suspects)
+
+    def end_test(self, suspects: Iterable[str]) -> None:
+        """Ends the test of parts."""
+        self._parts_in_test.difference_update(suspects)
+
+    def _wait_s(self, part: str, suspects: Sequence[str], now: float) -> float:
+        """Returns the seconds for which a part keeps its request back."""
+        if part in self._parts_in_test:
+            return _MIN_RETRY_AFTER_S
+        suspicion = self.evidence.suspicion_by_part()[part]
+        if self._is_explained(suspicion, suspects):
+            return 0.0
+        left_s = (suspicion.last_crash_at +
+                  self._patience * _quarantine_s(suspicion.weight) - now)
+        return max(_MIN_RETRY_AFTER_S, left_s) if left_s > 0 else 0.0
+
+    def _is_explained(self, suspicion: crash_evidence.Suspicion,
+                      suspects: Sequence[str]) -> bool:
+        """Whether parts that the request lacks may explain all the crashes."""
+        suspicions = self.evidence.suspicion_by_part()
+        return all(
+            any(suspicions[other].weight >= suspicion.weight
+                for other in candidates
+                if other not in suspects)
+            for candidates in suspicion.suspects_by_server.values())
+
+
+def _quarantine_s(weight: int) -> float:
+    """Returns how long a part is kept away after its latest crash."""
+    repeats = weight // _SUSPECT_WEIGHT - 1
+    return min(_MAX_QUARANTINE_S,
+               _FIRST_QUARANTINE_S * _QUARANTINE_GROWTH**repeats)
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -6,8 +6,8 @@
 from typing import Self
 
 from pollenthread.adapters import http_server, platform_metrics
-from pollenthread.app import (entry_liveness, entry_peers, forwarder,
-                              graceful_shutdown, serving_state,
+from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
+                              forwarder, graceful_shutdown, serving_state,
                               snapshot_exchange, store_listeners, store_watch)
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (process_settings, server_row, upstream_http,
@@ -92,6 +92,13 @@
             region_by_data_centre=settings.region_by_data_centre,
             time=self._clock,
             rng=self._rng)
+        self._evidence_exchange = evidence_exchange.EvidenceExchange(
+            own=self._own_record,
+            liveness=self._liveness,
+            network=self._network,
+            log_of_evidence=self.state.evidence_log,
+            time=self._clock,
+            rng=self._rng)
         self._shutdown_plan = graceful_shutdown.ShutdownPlan(
             grace_s=settings.grace_s,
             discovery_cache_s=_ADDRESS_TTL_S * _CALLER_CACHE_FACTOR)
@@ -139,13 +146,24 @@
     def _collect_gauges(self) -> dict[str, float]:
         config = self.state.config
         return {
-            'in_progress': self._caller_handler.in_progress,
-            'entry_hosts': self.state.entry_host_count,
-            'servers': len(self.state.server_registry.listed_by_id),
-            'config_version': config.version if config else 0,
-            'store_up': float(self._server_listener.contact.is_up),
-            'ready': float(self.state.is_ready),
-            'store_watcher': float(self._watch.is_watcher)
+            'in_progress':
+                self._caller_handler.in_progress,
+            'entry_hosts':
+                self.state.entry_host_count,
+            'servers':
+                len(self.state.server_registry.listed_by_id),
+            'config_version':
+                config.version if config else 0,
+            'crashes_known':
+                len(self.state.evidence_log.evidence.crash_by_server),
+            'parts_suspected':
+                len(self.state.evidence_log.evidence.suspicion_by_part()),
+            'store_up':
+                float(self._server_listener.contact.is_up),
+            'ready':
+                float(self.state.is_ready),
+            'store_watcher':
+                float(self._watch.is_watcher)
         }
 
     def _apply_caller_limits(self,
@@ -199,6 +217,7 @@
             group.create_task(self._forwarder.watch_silent_servers())
             group.create_task(self._peers.run())
             group.create_task(self._watch.run())
+            group.create_task(self._evidence_exchange.run())
 
     async def shut_down(self) -> None:
         """Announces the shutdown and waits for the running requests."""
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -165,7 +165,7 @@
 
 
 async def _no_events() -> AsyncIterator[bytes]:
-    for data in ():
+    for data in tuple[bytes, ...]():
         yield data
 
 
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -14,9 +14,9 @@
 import result
 
 from pollenthread.adapters import peer_codec
-from pollenthread.app import (entry_liveness, entry_peers, host_registry,
-                              serving_state, snapshot_exchange, store_follower,
-                              store_listeners, store_watch)
+from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
+                              host_registry, serving_state, snapshot_exchange,
+                              store_follower, store_listeners, store_watch)
 from pollenthread.core import (host_record, peer_messages, routing_config,
                                server_registry)
 from pollenthread.ports import peers, row_store
@@ -310,6 +310,13 @@
                                        region_by_data_centre={},
                                        time=time,
                                        rng=rng)
+        evidence = evidence_exchange.EvidenceExchange(
+            own=record,
+            liveness=liveness,
+            network=network,
+            log_of_evidence=state.evidence_log,
+            time=time,
+            rng=rng)
         store = _HostStore(self.store, record.host)
         followers = [
             store_follower.StoreFollower(store=store,
@@ -329,6 +336,7 @@
         coroutines += [
             watch.run(),
             entry.run(),
+            evidence.run(),
             host_registry.register(store=store,
                                    time=time,
                                    registry=hosts,
