Keep confirmed evidence in the store, recall attempts that have begun

An attempt whose server is examined was ended once more by a recall, which failed its request with an exception. Change: EvidenceStore writes the crashes of parts with two of them and reads them after a start; attempts are recalled until their first event; an examined attempt is no longer pending.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -149,12 +149,13 @@
     # Attempts.
 
     async def _run_attempts(self, job: request_job.RequestJob) -> None:
+        self._guard.check(job)
         while True:
-            self._guard.check(job)
             server = await self._server_selector.select(job)
             with self._guard.admit(job):
                 if await self._attempt(job, server):
                     return
+            self._guard.check(job)
             self._check_retry(job)
 
     async def _attempt(self, job: request_job.RequestJob,
@@ -192,6 +193,8 @@
             return False
         except upstream.UpstreamDisconnectedError as error:
             self._record_failure(pending, str(error), ran=True)
+            # Its timeout has ended, so it must not be ended once more.
+            self._pending_attempts.discard(pending)
             await self._guard.examine(pending)
             return False
         finally:
--- a/pollenthread/app/poison_guard.py
+++ b/pollenthread/app/poison_guard.py
@@ -79,16 +79,16 @@
 
     def recall(self,
                attempts: Iterable[pending_attempt.PendingAttempt]) -> None:
-        """Ends attempts with a part in quarantine that no server has answered.
+        """Ends attempts with a part in quarantine that have no event yet.
 
         Args:
             attempts: the attempts of this host.
         """
         now = self._clock.monotonic()
         for pending in attempts:
-            if (pending.stage is crash_evidence.AttemptStage.SENT and
-                    self._quarantine.check(pending.job.shared_parts,
-                                           now).is_refused):
+            if (pending.stage is not crash_evidence.AttemptStage.STREAMING and
+                    self._quarantine.is_in_quarantine(pending.job.shared_parts,
+                                                      now)):
                 pending.is_recalled = True
                 pending.timeout.reschedule(now)
 
--- a/pollenthread/core/prompt_quarantine.py
+++ b/pollenthread/core/prompt_quarantine.py
@@ -1,7 +1,7 @@
 """Decides which requests are refused because their prompt crashes servers."""
 
 import dataclasses
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from pollenthread.core import crash_evidence
 
@@ -9,6 +9,7 @@
 
 # One crash under a request that the server began to answer, or two others.
 _SUSPECT_WEIGHT = 2
+_CONFIRMED_WEIGHT = 4
 # The first crash may have had another cause. A wrong suspicion costs callers
 # with that part; a deadly part that is tried again costs those of a group.
 _FIRST_QUARANTINE_S = 20.0
@@ -67,16 +68,18 @@
             parts: its shared parts.
             now: monotonic seconds.
         """
-        if not self.evidence.crash_by_server:
-            return _HARMLESS
-        suspicions = self.evidence.suspicion_by_part()
-        suspects = tuple(part for part in parts if part in suspicions and
-                         suspicions[part].weight >= _SUSPECT_WEIGHT)
+        suspects = self._suspects(parts)
         if not suspects:
             return _HARMLESS
-        wait_s = max(self._wait_s(part, suspects, now) for part in suspects)
+        wait_s = self._wait_s(suspects, now)
+        if not self._parts_in_test.isdisjoint(suspects):
+            wait_s = max(wait_s, _MIN_RETRY_AFTER_S)
         return QuarantineVerdict(suspects, wait_s if wait_s > 0 else None)
 
+    def is_in_quarantine(self, parts: Sequence[str], now: float) -> bool:
+        """Returns whether a request is kept back, even if it is a test."""
+        return self._wait_s(self._suspects(parts), now) > 0
+
     def begin_test(self, suspects: Iterable[str]) -> None:
         """Marks parts as being tested by a request that is sent now."""
         self._parts_in_test.update(suspects)
@@ -85,10 +88,36 @@
         """Ends the test of parts."""
         self._parts_in_test.difference_update(suspects)
 
-    def _wait_s(self, part: str, suspects: Sequence[str], now: float) -> float:
-        """Returns the seconds for which a part keeps its request back."""
-        if part in self._parts_in_test:
-            return _MIN_RETRY_AFTER_S
+    def confirming_servers(self, own_servers: Collection[str]) -> set[str]:
+        """Returns the crashes of confirmed parts, by their servers.
+
+        Args:
+            own_servers: only parts with a crash of one of these are considered.
+        """
+        found: set[str] = set()
+        for suspicion in self.evidence.suspicion_by_part().values():
+            servers = suspicion.suspects_by_server.keys()
+            if suspicion.weight >= _CONFIRMED_WEIGHT and not servers.isdisjoint(
+                    own_servers):
+                found |= servers
+        return found
+
+    def _suspects(self, parts: Sequence[str]) -> tuple[str, ...]:
+        """Returns the parts that have the weight of a quarantine."""
+        if not self.evidence.crash_by_server:
+            return ()
+        suspicions = self.evidence.suspicion_by_part()
+        return tuple(part for part in parts if part in suspicions and
+                     suspicions[part].weight >= _SUSPECT_WEIGHT)
+
+    def _wait_s(self, suspects: Sequence[str], now: float) -> float:
+        """Returns the seconds for which suspects keep their request back."""
+        return max(
+            (self._part_wait_s(part, suspects, now) for part in suspects),
+            default=0.0)
+
+    def _part_wait_s(self, part: str, suspects: Sequence[str],
+                     now: float) -> float:
         suspicion = self.evidence.suspicion_by_part()[part]
         if self._is_explained(suspicion, suspects):
             return 0.0
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -7,8 +7,9 @@
 
 from pollenthread.adapters import http_server, platform_metrics
 from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
-                              forwarder, graceful_shutdown, serving_state,
-                              snapshot_exchange, store_listeners, store_watch)
+                              evidence_store, forwarder, graceful_shutdown,
+                              serving_state, snapshot_exchange, store_listeners,
+                              store_watch)
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (process_settings, server_row, upstream_http,
                                    wire_names)
@@ -99,6 +100,11 @@
             log_of_evidence=self.state.evidence_log,
             time=self._clock,
             rng=self._rng)
+        self._evidence_store = evidence_store.EvidenceStore(
+            store=self._store,
+            log_of_evidence=self.state.evidence_log,
+            is_watcher=lambda: self._watch.is_watcher,
+            time=self._clock)
         self._shutdown_plan = graceful_shutdown.ShutdownPlan(
             grace_s=settings.grace_s,
             discovery_cache_s=_ADDRESS_TTL_S * _CALLER_CACHE_FACTOR)
@@ -218,6 +224,7 @@
             group.create_task(self._peers.run())
             group.create_task(self._watch.run())
             group.create_task(self._evidence_exchange.run())
+            group.create_task(self._evidence_store.run())
 
     async def shut_down(self) -> None:
         """Announces the shutdown and waits for the running requests."""
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -15,8 +15,9 @@
 
 from pollenthread.adapters import peer_codec
 from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
-                              host_registry, serving_state, snapshot_exchange,
-                              store_follower, store_listeners, store_watch)
+                              evidence_store, host_registry, serving_state,
+                              snapshot_exchange, store_follower,
+                              store_listeners, store_watch)
 from pollenthread.core import (host_record, peer_messages, routing_config,
                                server_registry)
 from pollenthread.ports import peers, row_store
@@ -318,6 +319,11 @@
             time=time,
             rng=rng)
         store = _HostStore(self.store, record.host)
+        stored_evidence = evidence_store.EvidenceStore(
+            store=store,
+            log_of_evidence=state.evidence_log,
+            is_watcher=lambda: watch.is_watcher,
+            time=time)
         followers = [
             store_follower.StoreFollower(store=store,
                                          table=table,
@@ -337,6 +343,7 @@
             watch.run(),
             entry.run(),
             evidence.run(),
+            stored_evidence.run(),
             host_registry.register(store=store,
                                    time=time,
                                    registry=hosts,
