Believe no answer without an id on a connection that was used before

What callers saw: nothing yet; reported by operators of similar systems. Cause: an answer without a request id was taken for the answer to the present request, also on a kept connection, so a refusal that a faulty server wrote once more told a caller 'not run' for a request that ran (REFUSED), and let it run at a second server (TWICE). Change: on a connection that has carried an exchange, an answer without an id ends the attempt as broken. Answers with another id were skipped already.

--- a/pollenthread/adapters/client_connection.py
+++ b/pollenthread/adapters/client_connection.py
@@ -37,11 +37,13 @@
     Attributes:
         address: `ip:port` of the server.
         idle_until: the loop time until which the connection may be reused.
+        is_reused: whether it has carried an earlier exchange.
     """
 
     def __init__(self, *, address: str) -> None:
         self.address = address
         self.idle_until = 0.0
+        self.is_reused = False
         self._transport: asyncio.Transport
         self._unparsed = bytearray()
         self._received = asyncio.Event()
@@ -198,6 +200,7 @@
             return False
         self._parser.start_next_cycle()
         self._is_in_exchange = False
+        self.is_reused = True
         return True
 
     def close(self) -> None:
--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -43,6 +43,11 @@
         """The HTTP status of the response."""
         return self._head.status_code
 
+    @property
+    def is_on_reused_connection(self) -> bool:
+        """Whether the connection has carried an earlier exchange."""
+        return self._connection.is_reused
+
     @property
     def is_delimited(self) -> bool:
         """Whether a truncated body can be distinguished from a complete one."""
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -60,10 +60,14 @@
         """Skips responses whose request id belongs to another request.
 
         Raises:
-            ConnectionError: too many responses in a row were skipped.
+            ConnectionError: too many responses in a row were skipped, or a
+                response has no id and may belong to an earlier request.
         """
         for _ in range(_MAX_STALE_RESPONSES):
             echoed_id = response.header(wire_names.HeaderName.REQUEST_ID)
+            if echoed_id is None and request_id and (
+                    response.is_on_reused_connection):
+                raise ConnectionError('the response names no request')
             if echoed_id is None or echoed_id == request_id:
                 return
             self.stale_responses += 1
