Break off a stream whose next server does not continue it

Cause: the forwarder relayed whatever the next server sent. Change: after events were relayed, only an event stream continues a stream, and the numeric ids of events must increase; anything else ends the attempt, which is retried or broken off.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -15,6 +15,7 @@
 
 _OK = 200
 _SERVER_ERROR = 500
+_EVENT_STREAM_TYPE = 'text/event-stream'
 _DEFAULT_TIMEOUT_S = 30.0
 # Share of the remaining time after which an attempt at an idempotent request is
 # abandoned, so that a retry has time to complete.
@@ -247,6 +248,9 @@
                 return False
             if _is_stream(job, response):
                 return await self._relay_stream(pending, response)
+            if job.caller_response.is_started:
+                raise upstream.UpstreamDisconnectedError(
+                    f'answered {response.status} to a stream that had begun')
             return await self._relay_whole(pending, response)
 
     def _record_load(self, server: server_registry.Server,
@@ -282,7 +286,7 @@
         while (data := await pending.next_chunk(body)) is not None:
             try:
                 events = job.event_splitter.feed(data)
-            except resumable_events.EventTooLongError as error:
+            except resumable_events.EventError as error:
                 raise upstream.UpstreamDisconnectedError(str(error)) from error
             if not events:
                 continue
@@ -409,4 +413,13 @@
 
 def _is_stream(job: request_job.RequestJob,
                response: upstream.UpstreamResponse) -> bool:
-    return job.is_stream and response.status == _OK
+    return (job.is_stream and response.status == _OK and
+            (not job.caller_response.is_started or _has_events(response)))
+
+
+def _has_events(response: upstream.UpstreamResponse) -> bool:
+    """Returns False if the response says that its body has no events."""
+    types = [
+        value for name, value in response.headers if name == 'content-type'
+    ]
+    return not types or types[0].lower().startswith(_EVENT_STREAM_TYPE)
--- a/pollenthread/core/resumable_events.py
+++ b/pollenthread/core/resumable_events.py
@@ -3,17 +3,28 @@
 The id of the last event is tracked, so that the stream can be resumed.
 """
 
-__all__ = ['ResumableEventSplitter', 'EventTooLongError']
+__all__ = [
+    'EventError', 'EventOrderError', 'EventTooLongError',
+    'ResumableEventSplitter'
+]
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 _MAX_EVENT_BYTES = 1024 * 1024
 
 
-class EventTooLongError(ValueError):
+class EventError(ValueError):
+    """The bytes do not continue the stream."""
+
+
+class EventTooLongError(EventError):
     """An event did not end within the size limit."""
 
 
+class EventOrderError(EventError):
+    """The id of an event is not greater than that of the one before it."""
+
+
 class ResumableEventSplitter:
     """Buffers an incomplete event until the rest of it arrives.
 
@@ -47,6 +58,7 @@
 
         Raises:
             EventTooLongError: the incomplete event exceeds the size limit.
+            EventOrderError: an event is a repetition of an earlier one.
         """
         data = self._partial + data
         end = data.rfind(_EVENT_END)
@@ -62,8 +74,20 @@
         return complete
 
     def _record_ids(self, complete: bytes) -> None:
-        self.events += complete.count(_EVENT_END)
+        last_id = self.last_id
         for line in complete.split(b'\n'):
             if line.startswith(_ID_FIELD):
-                event_id = line[len(_ID_FIELD):].strip()
-                self.last_id = event_id.decode('latin-1')
+                event_id = line[len(_ID_FIELD):].strip().decode('latin-1')
+                if not _may_follow(event_id, last_id):
+                    raise EventOrderError(
+                        f'event {event_id} came after {last_id}')
+                last_id = event_id
+        self.last_id = last_id
+        self.events += complete.count(_EVENT_END)
+
+
+def _may_follow(event_id: str, last_id: str | None) -> bool:
+    """Returns False if both ids are numbers and do not increase."""
+    if last_id is None or not (event_id.isdecimal() and last_id.isdecimal()):
+        return True
+    return int(event_id) > int(last_id)
--- a/tests/platform/faulty_servers.feature
+++ b/tests/platform/faulty_servers.feature
@@ -29,6 +29,32 @@
     Then the caller receives status 200
     And the request reached two servers
 
+  # Guards against an error of the next server, or its head, in the middle of a
+  # stream, and against a stream that ends there as if it were complete.
+  Scenario Outline: A stream that cannot be resumed is broken off
+    Given a server that breaks off a stream after 2 events
+    And the next server answers <with>
+    When a stream is requested of faulty servers
+    Then the caller has received 2 events and nothing else
+    And the stream does not look complete
+    And no request handler has failed
+
+    Examples:
+      | with                           |
+      | status 500 and a text          |
+      | status 404 and a text          |
+      | status 200 and a text          |
+      | status 200 and events to begin |
+      | half of a head                 |
+
+  # Guards against streams that are given up although another server resumes them.
+  Scenario: A stream that broke off is resumed by the next server
+    Given a server that breaks off a stream after 2 events
+    And the next server answers with events from 3 to 5
+    When a stream is requested of faulty servers
+    Then the caller has received 5 events and nothing else
+    And the stream looks complete
+
   # Guards against a short or empty answer with a length that fits it.
   Scenario Outline: An answer that was cut off is not passed on as a whole one
     Given a server that sends <what> and then <ends>
