Count crashes of servers whose entries expired in an outage of the store

What callers saw: while the store is away a deadly part would crash server after server, as before the quarantine. Cause: a crash counted only if the server was listed, and entries of live servers expire in an outage. Change: servers that may be listed again count too.

--- a/pollenthread/app/crash_watch.py
+++ b/pollenthread/app/crash_watch.py
@@ -46,7 +46,7 @@
 
         Args:
             upstream_client: asks whether a server still accepts connections.
-            registry: the listed servers.
+            registry: the known servers.
             on_crash: receives each crash.
             time: the clock.
             log: the structured log.
@@ -100,6 +100,6 @@
                                  frozenset(broken.sent)))
 
     def _is_expected_to_run(self, server: server_registry.Server) -> bool:
-        listed = self._registry.listed_by_id.get(server.id)
-        return (listed is not None and
-                listed.state is server_registry.ServerState.READY)
+        known = self._registry.get(server.id)
+        return (known is not None and
+                known.state is server_registry.ServerState.READY)
--- a/tests/platform/poison.feature
+++ b/tests/platform/poison.feature
@@ -57,6 +57,15 @@
     Then "d" crashes at most 4 servers
     And of the requests that share a part with "d" after second 14, 95 in 100 are answered at the first attempt
 
+  # Guards against crashes that do not count because the entry of their server
+  # expired while the store was away.
+  Scenario: A deadly part is found during an outage of the store
+    Given 9 entry hosts and 2 groups of 8 servers
+    And from second 4 to 26 a request each second has the deadly part "d"
+    And all servers' entries expire in an outage of the store at second 3
+    When 30 requests a second come for 30 s
+    Then "d" crashes at most 4 servers
+
   # Guards against a sound first part in quarantine because no request with it was
   # answered before the first crash.
   Scenario: A first part that is new when the crashes begin is cleared by a test
--- a/tests/platform/steps/poison.py
+++ b/tests/platform/steps/poison.py
@@ -55,6 +55,8 @@
         rolling_restart_at: second at which the entry hosts begin to restart,
             one after the other; None for never.
         restart_at: second at which all entry hosts restart; None for never.
+        outage_at: second at which the entries of all servers expire because
+            the store is away; None for never.
         parent_from: second before which no sound request has the first part of
             the deadly ones.
         crashes_while_reading: whether servers crash before they respond.
@@ -72,6 +74,7 @@
         self.crash_at: list[float] = []
         self.rolling_restart_at: float | None = None
         self.restart_at: float | None = None
+        self.outage_at: float | None = None
         self.parent_from = 0.0
         self.crashes_while_reading = False
         self.sent: list[_Sent] = []
@@ -110,6 +113,8 @@
         if self.restart_at is not None:
             tasks.append(asyncio.create_task(self._restart_all(
                 self.restart_at)))
+        if self.outage_at is not None:
+            tasks.append(asyncio.create_task(self._expire_all(self.outage_at)))
         await asyncio.gather(*tasks)
         await asyncio.sleep(_DRAINING_S)
         reports.cancel()
@@ -184,6 +189,13 @@
         ]
         self.servers.crash(self._rng.choice(up))
 
+    async def _expire_all(self, at: float) -> None:
+        await asyncio.sleep(at)
+        for host in self._fleet.host_by_name.values():
+            host.state.server_registry.begin_outage()
+            for name in self.servers.group_by_server:
+                host.state.server_registry.remove(name, _now())
+
     async def _restart_all(self, at: float) -> None:
         await asyncio.sleep(at)
         records = [host.record for host in self._fleet.host_by_name.values()]
@@ -266,6 +278,12 @@
     context.simulation.parent_from = start
 
 
+@given("all servers' entries expire in an outage of the store at second "
+       '{at:g}')
+def step_outage(context: Any, at: float) -> None:
+    context.simulation.outage_at = at
+
+
 @given('servers crash before they send the head of a response')
 def step_reading(context: Any) -> None:
     context.simulation.crashes_while_reading = True
