--- a/pollenthread/app/evidence_exchange.py
+++ b/pollenthread/app/evidence_exchange.py
@@ -32,19 +32,18 @@
 
     def __init__(self, *, own: host_record.HostRecord,
                  liveness: entry_liveness.EntryLiveness,
-                 network: peers.PeerNetwork,
-                 log_of_evidence: evidence_log.EvidenceLog, time: clock.Clock,
-                 rng: random.Random) -> None:
+                 network: peers.PeerNetwork, evidence: evidence_log.EvidenceLog,
+                 time: clock.Clock, rng: random.Random) -> None:
         self._own = own
         self._liveness = liveness
         self._network = network
-        self._log = log_of_evidence
+        self._evidence = evidence
         self._clock = time
         self._rng = rng
         self._parts_to_clear: set[str] = set()
         self._news = asyncio.Event()
         network.set_datagram_handler(peer_messages.CrashNews, self._on_news)
-        log_of_evidence.observed_callbacks.append(self._on_observation)
+        evidence.observed_callbacks.append(self._on_observation)
 
     async def run(self) -> None:
         """Sends what other hosts may not know, until cancelled."""
@@ -57,8 +56,8 @@
         while True:
             now = self._clock.monotonic()
             is_new = now < questions_until
-            self._log.evidence.expire(now)
-            suspicions = self._log.evidence.suspicion_by_part()
+            self._evidence.known.expire(now)
+            suspicions = self._evidence.known.suspicion_by_part()
             servers = {
                 server for suspicion in suspicions.values()
                 for server in suspicion.suspects_by_server
@@ -94,7 +93,7 @@
               cleared_parts: Iterable[str] = (),
               *,
               wants_reply: bool = False) -> None:
-        evidence = self._log.evidence
+        evidence = self._evidence.known
         now = self._clock.monotonic()
         crashes = [
             evidence.crash_by_server[server]
@@ -118,20 +117,20 @@
         for cleared in news.cleared:
             self._parts_to_clear.discard(cleared.part)
             at = now - cleared.age_ms / _MS_PER_S
-            if self._log.evidence.is_cleared_news(cleared.part, at):
-                self._log.evidence.record_cleared(cleared.part, at)
+            if self._evidence.known.is_cleared_news(cleared.part, at):
+                self._evidence.known.record_cleared(cleared.part, at)
         told = {cleared.part for cleared in news.cleared}
         for record in news.crashes:
             crash = _from_record(record, now)
-            if self._log.record_crash(crash):
+            if self._evidence.record_crash(crash):
                 self._tell_if_cleared(_leading_parts(crash) - told)
         if news.reply_to:
-            self._send((news.reply_to,), self._log.evidence.crash_by_server)
+            self._send((news.reply_to,), self._evidence.known.crash_by_server)
 
     def _tell_if_cleared(self, parts: Iterable[str]) -> None:
         """Notes which of the parts this host has seen answered."""
         for part in parts:
-            if self._log.evidence.cleared_at(part) is not None:
+            if self._evidence.known.cleared_at(part) is not None:
                 self._parts_to_clear.add(part)
                 self._news.set()
 
--- a/pollenthread/app/evidence_log.py
+++ b/pollenthread/app/evidence_log.py
@@ -41,7 +41,7 @@
         self.suspected_callbacks: list[Callable[[], None]] = []
 
     @property
-    def evidence(self) -> crash_evidence.CrashEvidence:
+    def known(self) -> crash_evidence.CrashEvidence:
         """The known crashes and cleared parts."""
         return self.quarantine.evidence
 
@@ -52,13 +52,13 @@
 
     def observe_answer(self, parts: Iterable[str], now: float) -> None:
         """Records that a request with some parts was answered."""
-        cleared = self.evidence.record_answer(parts, now)
+        cleared = self.known.record_answer(parts, now)
         if cleared:
             self._tell(Observation(cleared_parts=tuple(cleared)))
 
     def record_crash(self, crash: crash_evidence.Crash) -> bool:
         """Records a crash; returns whether it was news."""
-        is_news = self.evidence.record_crash(crash)
+        is_news = self.known.record_crash(crash)
         if is_news:
             for callback in self.suspected_callbacks:
                 callback()
--- a/pollenthread/app/evidence_store.py
+++ b/pollenthread/app/evidence_store.py
@@ -32,24 +32,24 @@
     """
 
     def __init__(self, *, store: row_store.RowStore,
-                 log_of_evidence: evidence_log.EvidenceLog,
+                 evidence: evidence_log.EvidenceLog,
                  is_watcher: Callable[[], bool], time: clock.Clock) -> None:
         """Creates a store of evidence.
 
         Args:
             store: the platform's store.
-            log_of_evidence: the evidence of this host.
+            evidence: the evidence of this host.
             is_watcher: whether this host reads the store for the others.
             time: the clock.
         """
         self._store = store
-        self._log = log_of_evidence
+        self._evidence = evidence
         self._is_watcher = is_watcher
         self._clock = time
         self._own_servers: set[str] = set()
         self._stored_servers: set[str] = set()
         self.rejected_count = 0
-        log_of_evidence.observed_callbacks.append(self._on_observation)
+        evidence.observed_callbacks.append(self._on_observation)
 
     def _on_observation(self, observation: evidence_log.Observation) -> None:
         self._own_servers.update(observation.crashed_servers)
@@ -77,14 +77,15 @@
             if crash is None:
                 self.rejected_count += 1
             else:
-                self._log.record_crash(crash)
+                self._evidence.record_crash(crash)
 
     async def _write(self) -> None:
         """Writes crashes of confirmed parts that this host has noticed."""
         if not self._own_servers:
             return
-        evidence = self._log.evidence
-        confirmed = self._log.quarantine.confirming_servers(self._own_servers)
+        evidence = self._evidence.known
+        confirmed = self._evidence.quarantine.confirming_servers(
+            self._own_servers)
         missing = sorted(confirmed - self._stored_servers)
         missing = missing[:_MAX_WRITES_PER_CALL]
         if not missing:
@@ -103,7 +104,7 @@
     async def _delete_expired(self) -> None:
         """Deletes rows of crashes that are no longer evidence."""
         expired = sorted(self._stored_servers -
-                         self._log.evidence.crash_by_server.keys())
+                         self._evidence.known.crash_by_server.keys())
         expired = expired[:_MAX_WRITES_PER_CALL]
         if not expired:
             return
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -48,12 +48,11 @@
                                                                time=time,
                                                                log=log,
                                                                rng=state.rng)
-        self._guard = poison_guard.PoisonGuard(
-            log_of_evidence=state.evidence_log,
-            upstream_client=upstream_client,
-            registry=state.server_registry,
-            time=time,
-            log=log)
+        self._guard = poison_guard.PoisonGuard(evidence=state.evidence_log,
+                                               upstream_client=upstream_client,
+                                               registry=state.server_registry,
+                                               time=time,
+                                               log=log)
         state.evidence_log.suspected_callbacks.append(
             lambda: self._guard.recall(self._pending_attempts))
 
--- a/pollenthread/app/poison_guard.py
+++ b/pollenthread/app/poison_guard.py
@@ -15,27 +15,27 @@
 class PoisonGuard:
     """Applies the quarantine of prompt parts to the requests of a host."""
 
-    def __init__(self, *, log_of_evidence: evidence_log.EvidenceLog,
+    def __init__(self, *, evidence: evidence_log.EvidenceLog,
                  upstream_client: upstream.UpstreamClient,
                  registry: server_registry.ServerRegistry, time: clock.Clock,
                  log: event_log.EventLog) -> None:
         """Creates a guard.
 
         Args:
-            log_of_evidence: the evidence of this host and its peers.
+            evidence: the evidence of this host and its peers.
             upstream_client: asks whether servers still run.
             registry: the listed servers.
             time: the clock.
             log: the structured log.
         """
-        self._evidence_log = log_of_evidence
-        self._quarantine = log_of_evidence.quarantine
+        self._evidence = evidence
+        self._quarantine = evidence.quarantine
         self._clock = time
         self._log = log
         self._crash_watch = crash_watch.CrashWatch(
             upstream_client=upstream_client,
             registry=registry,
-            on_crash=log_of_evidence.observe_crash,
+            on_crash=evidence.observe_crash,
             time=time,
             log=log)
 
@@ -96,8 +96,8 @@
         """Records that complete events of a response have arrived."""
         if pending.stage is not crash_evidence.AttemptStage.STREAMING:
             pending.stage = crash_evidence.AttemptStage.STREAMING
-            self._evidence_log.observe_answer(pending.job.shared_parts,
-                                              self._clock.monotonic())
+            self._evidence.observe_answer(pending.job.shared_parts,
+                                          self._clock.monotonic())
 
     async def examine(self, pending: pending_attempt.PendingAttempt) -> None:
         """Examines an attempt that its server broke off.
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -97,12 +97,12 @@
             own=self._own_record,
             liveness=self._liveness,
             network=self._network,
-            log_of_evidence=self.state.evidence_log,
+            evidence=self.state.evidence_log,
             time=self._clock,
             rng=self._rng)
         self._evidence_store = evidence_store.EvidenceStore(
             store=self._store,
-            log_of_evidence=self.state.evidence_log,
+            evidence=self.state.evidence_log,
             is_watcher=lambda: self._watch.is_watcher,
             time=self._clock)
         self._shutdown_plan = graceful_shutdown.ShutdownPlan(
@@ -161,9 +161,9 @@
             'config_version':
                 config.version if config else 0,
             'crashes_known':
-                len(self.state.evidence_log.evidence.crash_by_server),
+                len(self.state.evidence_log.known.crash_by_server),
             'parts_suspected':
-                len(self.state.evidence_log.evidence.suspicion_by_part()),
+                len(self.state.evidence_log.known.suspicion_by_part()),
             'store_up':
                 float(self._server_listener.contact.is_up),
             'ready':
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -315,13 +315,13 @@
             own=record,
             liveness=liveness,
             network=network,
-            log_of_evidence=state.evidence_log,
+            evidence=state.evidence_log,
             time=time,
             rng=rng)
         store = _HostStore(self.store, record.host)
         stored_evidence = evidence_store.EvidenceStore(
             store=store,
-            log_of_evidence=state.evidence_log,
+            evidence=state.evidence_log,
             is_watcher=lambda: watch.is_watcher,
             time=time)
         followers = [
