--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -5,10 +5,11 @@
 from typing import Any
 
 from pollenthread.app import (graceful_shutdown, pending_attempt, poison_guard,
-                              request_job, server_selector, serving_state)
-from pollenthread.core import (caller_request, caller_wait, crash_evidence,
-                               errors, log_events, resumable_events,
-                               routing_config, server_registry)
+                              request_admission, request_job, server_selector,
+                              serving_state)
+from pollenthread.core import (caller_request, crash_evidence, errors,
+                               log_events, resumable_events, routing_config,
+                               server_registry)
 from pollenthread.ports import caller_response, clock, event_log, upstream
 
 __all__ = ['Forwarder']
@@ -16,7 +17,6 @@
 _OK = 200
 _SERVER_ERROR = 500
 _EVENT_STREAM_TYPE = 'text/event-stream'
-_DEFAULT_TIMEOUT_S = 30.0
 # Share of the remaining time after which an attempt at an idempotent request is
 # abandoned, so that a retry has time to complete.
 _ATTEMPT_TIMEOUT_SHARE = 0.6
@@ -37,13 +37,13 @@
                  log: event_log.EventLog) -> None:
         self._state = state
         self._upstream_client = upstream_client
-        self._shutdown_plan = shutdown_plan
         self._clock = time
         self._log = log
         self.counts: dict[str, int] = {}
         self._observe = observe
         self._pending_attempts: set[pending_attempt.PendingAttempt] = set()
-        self._caller_timeouts = caller_wait.CallerWaitEstimator()
+        self._admission = request_admission.RequestAdmission(
+            state=state, shutdown_plan=shutdown_plan, time=time)
         self._server_selector = server_selector.ServerSelector(state=state,
                                                                time=time,
                                                                log=log,
@@ -70,7 +70,7 @@
             response: receives the response or the failure.
         """
         try:
-            job = self._accept(request, response)
+            job = self._admission.admit(request, response)
             await self._run_attempts(job)
             self._count('answered')
         except request_job.RequestFailed as failed:
@@ -104,48 +104,6 @@
         else:
             await response.send_failure(failure)
 
-    # Admission, before a server is selected.
-
-    def _accept(
-            self, request: caller_request.CallerRequest,
-            response: caller_response.CallerResponse) -> request_job.RequestJob:
-        config = self._state.config
-        if config is None:
-            raise request_job.RequestFailed(
-                errors.make_failure(errors.ErrorKind.STALE_CONFIGURATION))
-        route = routing_config.find_route(config, request.host, request.path)
-        if route is None:
-            raise request_job.RequestFailed(
-                errors.make_failure(errors.ErrorKind.NOT_FOUND))
-        workspace = _authenticate(config, route, request)
-        self._check_shutdown(route)
-        service = self._state.pick_service(route)
-        now = self._clock.monotonic()
-        self._state.retry_budget_for(service).record_request(now)
-        timeout_s = (_DEFAULT_TIMEOUT_S
-                     if request.timeout_s is None else request.timeout_s)
-        deadline = request.received_at + min(timeout_s, route.timeout_s)
-        has_missed_target = (request.timeout_s is not None and
-                             self._caller_timeouts.has_missed_target(
-                                 route, request.timeout_s))
-        return request_job.RequestJob(request, route, service, workspace,
-                                      deadline, response, has_missed_target)
-
-    def _check_shutdown(self, route: routing_config.Route) -> None:
-        """Rejects a request that could not complete before the shutdown.
-
-        Raises:
-            request_job.RequestFailed: the host shuts down too soon.
-        """
-        if self._state.shutdown_began_at is None:
-            return
-        elapsed_s = self._clock.monotonic() - self._state.shutdown_began_at
-        is_stream = route.kind is routing_config.RequestKind.STREAM
-        if not graceful_shutdown.accepts_request(
-                self._shutdown_plan, elapsed_s, is_stream=is_stream):
-            raise request_job.RequestFailed(
-                errors.make_failure(errors.ErrorKind.LEAVING))
-
     # Attempts.
 
     async def _run_attempts(self, job: request_job.RequestJob) -> None:
@@ -388,28 +346,6 @@
                             last_event_id=job.last_event_id)
 
 
-def _authenticate(
-    config: routing_config.RoutingConfig, route: routing_config.Route,
-    request: caller_request.CallerRequest
-) -> routing_config.KeyWorkspace | None:
-    """Finds the workspace that owns the request's key.
-
-    Returns:
-        The workspace; None when the route needs no key.
-
-    Raises:
-        request_job.RequestFailed: the route needs a valid key and the request
-            has none.
-    """
-    if config.workspaces_by_api_key is None or route.is_public:
-        return None
-    workspace = config.workspaces_by_api_key.get(request.api_key or '')
-    if workspace is None:
-        raise request_job.RequestFailed(
-            errors.make_failure(errors.ErrorKind.NOT_AUTHENTICATED))
-    return workspace
-
-
 def _is_stream(job: request_job.RequestJob,
                response: upstream.UpstreamResponse) -> bool:
     return (job.is_stream and response.status == _OK and
