Say in crash_evidence what its constants mean

Cause: the last reading of the change stopped at three constants whose comments did not stand alone. Change: comments only, no behaviour and no bound changed.

--- a/pollenthread/core/crash_evidence.py
+++ b/pollenthread/core/crash_evidence.py
@@ -21,10 +21,12 @@
 _MAX_PARTS_PER_CRASH = 64
 _MAX_PARTS_PER_REQUEST = 16
 _MAX_CLEARED_PARTS = 4096
-# Crashes older than this cannot be told from those of earlier software.
+# Software that crashed longer ago may have been replaced since.
 _CRASH_TTL_S = 7200.0
-# Delivery of news takes this long at most; clocks of hosts are not compared.
+# A clearing that seems later by less than this is the known one, delayed on its
+# way: hosts exchange ages, since their clocks are not compared.
 _SAME_CLEARING_S = 0.5
+# Of a crash under a request that the server had begun to answer, and of others.
 _STRONG_WEIGHT = 2
 _WEAK_WEIGHT = 1
 
