Log the limits that servers name

The logs could not tell whether hosts knew of the limit.

Change: the header is decoded in platform/, what a server said last is kept in core/server_limits.py, and two log lines show it. The choice of servers is unchanged.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -9,7 +9,7 @@
                               serving_state)
 from pollenthread.core import (caller_request, crash_evidence, errors,
                                log_events, resumable_events, routing_config,
-                               server_registry)
+                               server_limits, server_registry)
 from pollenthread.ports import caller_response, clock, event_log, upstream
 
 __all__ = ['Forwarder']
@@ -196,6 +196,7 @@
             priority=job.priority)
         async with self._upstream_client.send(attempt) as response:
             self._record_load(server, response)
+            self._record_limit(server, response)
             if response.is_misdirected:
                 self._state.server_registry.mark_replaced(server.id)
             if not response.may_have_executed:
@@ -217,6 +218,20 @@
                 server.id, response.load.running + response.load.waiting,
                 self._clock.monotonic())
 
+    def _record_limit(self, server: server_registry.Server,
+                      response: upstream.UpstreamResponse) -> None:
+        if response.is_misdirected or response.limit_per_s is None:
+            return
+        limit = server_limits.RateLimit(server_id=server.id,
+                                        born_ms=server.born_ms,
+                                        per_s=response.limit_per_s,
+                                        named_at=self._clock.monotonic())
+        if self._state.server_limits.record(limit):
+            self._log.write(log_events.LogEvent.SERVER_LIMIT,
+                            server=server.id,
+                            per_s=limit.per_s if limit.is_limited else None,
+                            source='server')
+
     async def _relay_whole(self, pending: pending_attempt.PendingAttempt,
                            response: upstream.UpstreamResponse) -> bool:
         job, server = pending.job, pending.server
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -125,6 +125,7 @@
     def _log_attempt(self, job: request_job.RequestJob,
                      server: server_registry.Server, now: float) -> None:
         config = self._state.config
+        limit = self._state.server_limits.get(server)
         self._log.write(log_events.LogEvent.ATTEMPT,
                         important=False,
                         id=job.request.id,
@@ -133,7 +134,8 @@
                         config=config.version if config else None,
                         is_late=job.has_missed_target,
                         left_s=round(job.deadline - now, 3),
-                        parts=job.shared_parts)
+                        parts=job.shared_parts,
+                        limit_per_s=limit.per_s if limit else None)
 
     def _requirements(self, job: request_job.RequestJob,
                       now: float) -> service_estimate.RequestRequirements:
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -4,8 +4,8 @@
 import random
 
 from pollenthread.app import evidence_log
-from pollenthread.core import (retry_budget, routing_config, server_load,
-                               server_registry)
+from pollenthread.core import (retry_budget, routing_config, server_limits,
+                               server_load, server_registry)
 
 __all__ = ['RetryBudgetSettings', 'ServingState']
 
@@ -36,6 +36,7 @@
         config: the current configuration; None before the first.
         server_registry: the servers that are listed in the store.
         server_loads: the load of each server.
+        server_limits: the request rates that servers accept.
         entry_host_count: the number of registered entry hosts, including this
             one.
         shutdown_began_at: monotonic seconds at which a graceful shutdown began,
@@ -51,6 +52,7 @@
         self.server_registry = server_registry.ServerRegistry(
             relisting_s=return_s)
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
+        self.server_limits = server_limits.ServerLimits()
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
         self.evidence_log = evidence_log.EvidenceLog(
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -307,4 +307,5 @@
 
     def _log_gone(self, server_id: str) -> None:
         self._state.server_loads.remove(server_id)
+        self._state.server_limits.remove(server_id)
         self._log.write(log_events.LogEvent.SERVER_GONE, server=server_id)
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -27,6 +27,10 @@
     SERVER_LISTED = ('server_listed', 'A server appeared in the list.')
     SERVER_DRAINING = ('server_draining', 'A server changed its state.')
     SERVER_GONE = ('server_gone', 'A server no longer receives new work.')
+    SERVER_LIMIT = ('server_limit', 'A server named how many requests per '
+                    'second it accepts from all hosts together; without '
+                    '`per_s` it no longer names a limit. `source` is the '
+                    'server or a peer.')
     SERVER_ENTRY_REJECTED = ('server_entry_rejected', 'An entry of the list '
                              'could not be read and is ignored.')
     PEER_FOUND = ('peer_found', 'Another entry host was detected.')
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -1,6 +1,7 @@
 """HTTP client that sends request attempts to servers."""
 
 import contextlib
+import math
 from collections.abc import AsyncIterator
 
 from pollenthread.adapters import http_client
@@ -106,6 +107,9 @@
         self.may_have_executed = not (not_executed or self.is_misdirected)
         self.load = _parse_load(
             response.header(wire_names.HeaderName.SERVER_LOAD))
+        self.limit_per_s = _parse_limit(
+            response.header(wire_names.HeaderName.SERVER_LIMIT),
+            may_have_executed=self.may_have_executed)
         connection = response.header('connection') or ''
         self.closes_connection = 'close' in connection.lower()
 
@@ -131,3 +135,17 @@
                                            int(slots))
     except ValueError:
         return None
+
+
+def _parse_limit(value: str | None, *, may_have_executed: bool) -> float | None:
+    """Returns the limit of a server, in requests per second.
+
+    Rejections do not always name it, so one without it tells nothing.
+    """
+    if value is None:
+        return math.inf if may_have_executed else None
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s < math.inf else None
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -20,6 +20,8 @@
     NOT_EXECUTED = 'pollenthread-not-executed'
     # Running requests, waiting requests and slots, separated by commas.
     SERVER_LOAD = 'pollenthread-server-load'
+    # Requests per second that the server accepts from all hosts together.
+    SERVER_LIMIT = 'server-limit'
     RESPONSE_STAMP = 'pollenthread-response-stamp'
     # The platform's term for a workspace is "tenant".
     WORKSPACE = 'pollenthread-tenant'
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -69,6 +69,9 @@
         is_misdirected: whether the address now belongs to another server, which
             rejected the request.
         load: the load that the server reports, or None.
+        limit_per_s: requests per second that the server accepts from all hosts
+            together; infinite if it names no limit, None if the response does
+            not tell.
         closes_connection: whether the server closes the connection after this
             response.
     """
@@ -78,6 +81,7 @@
     may_have_executed: bool
     is_misdirected: bool
     load: ReportedServerLoad | None
+    limit_per_s: float | None
     closes_connection: bool
 
     @abc.abstractmethod
--- a/tests/fakes/busy_servers.py
+++ b/tests/fakes/busy_servers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from collections.abc import AsyncIterator, Iterable
 
 from pollenthread.core import http_headers, server_load, server_registry
@@ -49,6 +50,7 @@
         self.is_misdirected = False
         self.load = None
         self.closes_connection = False
+        self.limit_per_s = math.inf
         self._servers = servers
 
     def read(self) -> AsyncIterator[bytes]:
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 from collections.abc import AsyncIterator
 
 from pollenthread.core import caller_request, http_headers, server_registry
@@ -43,6 +44,7 @@
         self.is_misdirected = False
         self.load = None
         self.closes_connection = False
+        self.limit_per_s = math.inf
         self._events = events
 
     def read(self) -> AsyncIterator[bytes]:
--- a/tests/platform/steps/silence.py
+++ b/tests/platform/steps/silence.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import random
 from collections.abc import AsyncIterator
 from typing import Any
@@ -49,6 +50,7 @@
         self.is_misdirected = False
         self.load = None
         self.closes_connection = False
+        self.limit_per_s = math.inf
         self._script = script
         self._first_event = first_event
         self._event_times = event_times
