Keep all hosts together within the limits of servers

Cause: the limit was decoded by nobody, so the choice of servers went by load alone, and each host learned of a limit only from its own answers, up to 13 s after the first one.

Change: what a server says is told to all entry hosts. Before a request goes to a server with a limit, its host asks the issuer of that server, one entry host selected by rendezvous hashing over the usable hosts, which paces permits by GCRA. A refused server is no candidate until its next permit; if nothing else is left, a request waits for one as long as it can still be in time, else it is rejected at once. Ways weighed: an even split rounds 1 per second over 99 hosts up to 99; a subset of holders leaves hosts of a service whose servers are all limited without any; leases from agents do not exist for plain services.

Why it works: one pacer counts for all hosts, so 4 s take 4.5 limits and one request at most; a new issuer waits 0.5 s or one interval before its first permit.

--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -59,6 +59,30 @@
   bornMs @8 :UInt64;
 }
 
+struct LimitRecord {
+  # What a server has said about the request rate that it accepts from all entry
+  # hosts together; infinite for none.
+  server @0 :Text;
+  bornMs @1 :UInt64;
+  perS @2 :Float64;
+  ageMs @3 :UInt32;
+}
+
+struct PermitRequest {
+  # A question for the permit to send one request to a limited server.
+  number @0 :UInt64;
+  replyTo @1 :Text;
+  maxWaitMs @2 :UInt32;
+  limit @3 :LimitRecord;
+}
+
+struct PermitReply {
+  number @0 :UInt64;
+  isGranted @1 :Bool;
+  waitMs @2 :UInt32;
+  limit @3 :LimitRecord;
+}
+
 struct RankState {
   # State of one rank of a group, as the agent on its host reports it. In
   # optional fields, version 0 and step 0 mean none.
@@ -108,6 +132,9 @@
     rankOrder @5 :RankOrder;
     usableHosts @6 :UsableHosts;
     crashNews @7 :CrashNews;
+    limitRecord @8 :LimitRecord;
+    permitRequest @9 :PermitRequest;
+    permitReply @10 :PermitReply;
   }
 }
 
--- a/pollenthread/adapters/peer_codec.py
+++ b/pollenthread/adapters/peer_codec.py
@@ -24,7 +24,9 @@
 _DATAGRAM_TYPES = (peer_messages.EntryBeat, peer_messages.ServerLoad,
                    peer_messages.RankState, peer_messages.ExpertChoices,
                    peer_messages.DutyBeat, peer_messages.RankOrder,
-                   peer_messages.UsableHosts, peer_messages.CrashNews)
+                   peer_messages.UsableHosts, peer_messages.CrashNews,
+                   peer_messages.LimitRecord, peer_messages.PermitRequest,
+                   peer_messages.PermitReply)
 
 _WIDE_BYTES = 2
 _MAX_NARROW_NUMBER = 255
--- a/pollenthread/app/entry_liveness.py
+++ b/pollenthread/app/entry_liveness.py
@@ -104,6 +104,13 @@
         return peer_messages.UsableHosts(self._own.data_centre,
                                          tuple(sorted(hosts)))
 
+    def usable_records(self) -> list[host_record.HostRecord]:
+        """Returns the hosts of all data centres that callers can use."""
+        records = [r for r in self.other_records() if self._is_usable(r)]
+        if self._state.is_ready:
+            records.append(self._own)
+        return records
+
     def usable_addresses(self, data_centre: str) -> list[str]:
         """Returns the addresses that callers in a data centre can use.
 
@@ -113,9 +120,7 @@
         Args:
             data_centre: the data centre of the callers.
         """
-        records = [r for r in self.other_records() if self._is_usable(r)]
-        if self._state.is_ready:
-            records.append(self._own)
+        records = self.usable_records()
         if not records:
             # Without any heartbeat, this host itself may be cut off.
             records = [*self.other_records(), self._own]
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from pollenthread.app import (graceful_shutdown, pending_attempt, poison_guard,
-                              request_admission, request_job, server_selector,
-                              serving_state)
+                              rate_permits, request_admission, request_job,
+                              server_selector, serving_state)
 from pollenthread.core import (caller_request, crash_evidence, errors,
                                log_events, resumable_events, routing_config,
-                               server_limits, server_registry)
+                               server_registry)
 from pollenthread.ports import caller_response, clock, event_log, upstream
 
 __all__ = ['Forwarder']
@@ -32,11 +32,13 @@
 
     def __init__(self, *, state: serving_state.ServingState,
                  upstream_client: upstream.UpstreamClient,
+                 permits: rate_permits.RatePermits,
                  shutdown_plan: graceful_shutdown.ShutdownPlan,
                  observe: Callable[[str, float], None], time: clock.Clock,
                  log: event_log.EventLog) -> None:
         self._state = state
         self._upstream_client = upstream_client
+        self._permits = permits
         self._clock = time
         self._log = log
         self.counts: dict[str, int] = {}
@@ -45,6 +47,7 @@
         self._admission = request_admission.RequestAdmission(
             state=state, shutdown_plan=shutdown_plan, time=time)
         self._server_selector = server_selector.ServerSelector(state=state,
+                                                               permits=permits,
                                                                time=time,
                                                                log=log,
                                                                rng=state.rng)
@@ -220,17 +223,8 @@
 
     def _record_limit(self, server: server_registry.Server,
                       response: upstream.UpstreamResponse) -> None:
-        if response.is_misdirected or response.limit_per_s is None:
-            return
-        limit = server_limits.RateLimit(server_id=server.id,
-                                        born_ms=server.born_ms,
-                                        per_s=response.limit_per_s,
-                                        named_at=self._clock.monotonic())
-        if self._state.server_limits.record(limit):
-            self._log.write(log_events.LogEvent.SERVER_LIMIT,
-                            server=server.id,
-                            per_s=limit.per_s if limit.is_limited else None,
-                            source='server')
+        if not response.is_misdirected and response.limit_per_s is not None:
+            self._permits.observe(server, response.limit_per_s)
 
     async def _relay_whole(self, pending: pending_attempt.PendingAttempt,
                            response: upstream.UpstreamResponse) -> bool:
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 import random
+from collections.abc import Sequence
 
-from pollenthread.app import request_job, serving_state
+from pollenthread.app import rate_permits, request_job, serving_state
 from pollenthread.core import (errors, log_events, server_registry,
                                service_estimate)
 from pollenthread.ports import clock, event_log
@@ -18,6 +19,11 @@
 # Equals the interval at which agents report their load.
 _SLOT_POLL_INTERVAL_S = 0.25
 _RESERVED_SLOT_SHARE = 0.3
+# Share of the time to the latency target that a request may wait for a permit;
+# the rest is for the server.
+_PERMIT_WAIT_SHARE = 0.5
+# Bounds the time for questions to issuers of permits.
+_MAX_PERMIT_QUESTIONS = 4
 
 
 class ServerSelector:
@@ -27,9 +33,11 @@
     requests to the same servers.
     """
 
-    def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
+    def __init__(self, *, state: serving_state.ServingState,
+                 permits: rate_permits.RatePermits, time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
         self._state = state
+        self._permits = permits
         self._clock = time
         self._log = log
         self._rng = rng
@@ -56,9 +64,10 @@
         server = await self._wait_for_free_slot(job) if _waits_for_free_slot(
             job) else None
         if server is None:
-            now = self._clock.monotonic()
-            server = self._try_select(job, now)
+            server = (await self._select_permitted(job) or
+                      await self._wait_for_permit(job))
             if server is None:
+                now = self._clock.monotonic()
                 has_servers = any(self._state.server_registry.ready(
                     job.service))
                 kind = (errors.ErrorKind.OVERLOADED
@@ -76,8 +85,8 @@
         try:
             while now < wait_until:
                 if self._wins_draw(job, now):
-                    server = self._try_select(
-                        job, now, reserved_share=_RESERVED_SLOT_SHARE)
+                    server = await self._select_permitted(
+                        job, reserved_share=_RESERVED_SLOT_SHARE)
                     if server is not None:
                         return server
                 pause_s = _SLOT_POLL_INTERVAL_S * self._rng.uniform(0.5, 1.5)
@@ -95,15 +104,97 @@
         every entry host as on this one.
         """
         free_slots = self._state.server_loads.free_slots(
-            self._state.server_registry.ready(job.service),
+            self._permitted(job, now),
             reserved_share=_RESERVED_SLOT_SHARE,
             now=now)
         waiting_count = self._waiting_count * self._state.entry_host_count
         return self._rng.random() * waiting_count < free_slots
 
+    async def _select_permitted(
+            self,
+            job: request_job.RequestJob,
+            *,
+            reserved_share: float = 0.0) -> server_registry.Server | None:
+        """Selects a server that a request may be sent to now, or None.
+
+        A server that refuses a permit is no candidate until the next one.
+        """
+        for _ in range(_MAX_PERMIT_QUESTIONS):
+            now = self._clock.monotonic()
+            server = self._try_select(job,
+                                      self._permitted(job, now),
+                                      now,
+                                      reserved_share=reserved_share)
+            if server is None:
+                return None
+            permit = await self._permits.acquire(server, 0.0)
+            if permit.is_granted:
+                return self._selected(job, server)
+        server = self._try_select(job,
+                                  self._unlimited(job),
+                                  self._clock.monotonic(),
+                                  reserved_share=reserved_share)
+        return self._selected(job, server)
+
+    async def _wait_for_permit(
+            self, job: request_job.RequestJob) -> server_registry.Server | None:
+        """Waits for a permit of a server that limits its request rate.
+
+        Returns:
+            The server, or None if no permit will be available in time.
+        """
+        for _ in range(_MAX_PERMIT_QUESTIONS):
+            now = self._clock.monotonic()
+            wait_until = now + _max_permit_wait_s(job, now)
+            limited = [
+                server for server in self._ready(job)
+                if self._state.server_limits.get(server) is not None and
+                self._permits.available_at(server) <= wait_until
+            ]
+            server = self._try_select(job, limited, now)
+            if server is None:
+                return None
+            permit = await self._permits.acquire(
+                server, wait_until - self._clock.monotonic())
+            if permit.is_granted:
+                await self._clock.sleep(permit.wait_s)
+                if server in self._ready(job):
+                    return self._selected(job, server)
+        return None
+
+    def _ready(
+            self,
+            job: request_job.RequestJob) -> tuple[server_registry.Server, ...]:
+        return self._state.server_registry.ready(job.service)
+
+    def _permitted(self, job: request_job.RequestJob,
+                   now: float) -> list[server_registry.Server]:
+        """Returns the servers for which a permit may be available now."""
+        return [
+            server for server in self._ready(job)
+            if self._permits.available_at(server) <= now
+        ]
+
+    def _unlimited(self,
+                   job: request_job.RequestJob) -> list[server_registry.Server]:
+        return [
+            server for server in self._ready(job)
+            if self._state.server_limits.get(server) is None
+        ]
+
+    def _selected(
+            self, job: request_job.RequestJob,
+            server: server_registry.Server | None
+    ) -> server_registry.Server | None:
+        """Logs the selected server, if there is one, and returns it."""
+        if server is not None:
+            self._log_attempt(job, server, self._clock.monotonic())
+        return server
+
     def _try_select(
             self,
             job: request_job.RequestJob,
+            servers: Sequence[server_registry.Server],
             now: float,
             *,
             reserved_share: float = 0.0) -> server_registry.Server | None:
@@ -111,16 +202,13 @@
             raise request_job.RequestFailed(job.timeout_failure())
         requirements = dataclasses.replace(self._requirements(job, now),
                                            reserved_share=reserved_share)
-        server = self._state.server_loads.select(
-            self._state.server_registry.ready(job.service),
+        return self._state.server_loads.select(
+            servers,
             excluded=job.tried_server_ids,
             data_centre=self._state.data_centre,
             requirements=requirements,
             hosts=self._state.entry_host_count,
             now=now)
-        if server is not None:
-            self._log_attempt(job, server, now)
-        return server
 
     def _log_attempt(self, job: request_job.RequestJob,
                      server: server_registry.Server, now: float) -> None:
@@ -166,3 +254,11 @@
 def _waits_for_free_slot(job: request_job.RequestJob) -> bool:
     """Whether to wait for a slot that no other request needs."""
     return job.has_missed_target and job.is_stream and not job.attempt_count
+
+
+def _max_permit_wait_s(job: request_job.RequestJob, now: float) -> float:
+    """Returns how long a request may wait for a permit, in seconds."""
+    target_left_s = job.request.received_at + job.route.target_s - now
+    if job.has_missed_target or target_left_s <= 0:
+        return min(_MAX_SLOT_WAIT_S, (job.deadline - now) * _SLOT_WAIT_SHARE)
+    return target_left_s * _PERMIT_WAIT_SHARE
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -5,9 +5,9 @@
 
 __all__ = [
     'ClearedPart', 'CrashNews', 'CrashRecord', 'DutyBeat', 'EntryBeat',
-    'ExpertChoices', 'Layouts', 'OrderKind', 'RankLayout', 'RankOrder',
-    'RankState', 'Row', 'ServerLoad', 'Snapshot', 'SnapshotRequest',
-    'UsableHosts'
+    'ExpertChoices', 'Layouts', 'LimitRecord', 'OrderKind', 'PermitReply',
+    'PermitRequest', 'RankLayout', 'RankOrder', 'RankState', 'Row',
+    'ServerLoad', 'Snapshot', 'SnapshotRequest', 'UsableHosts'
 ]
 
 Layouts = tuple[tuple[tuple[int, ...], ...], ...]
@@ -132,6 +132,58 @@
     born_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitRecord:
+    """What a server has said about the request rate that it accepts.
+
+    Attributes:
+        server: the id of the server.
+        born_ms: the start time of the server, in Unix milliseconds, or 0.
+        per_s: requests per second; infinite if it named no limit.
+        age_ms: milliseconds since it was said.
+    """
+
+    server: str
+    born_ms: int
+    per_s: float
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """A question for the permit to send one request to a limited server.
+
+    Attributes:
+        number: identifies the question at its sender.
+        reply_to: the peer address of the sender.
+        max_wait_ms: milliseconds for which the request can wait.
+        limit: the limit of the server as the sender knows it.
+    """
+
+    number: int
+    reply_to: str
+    max_wait_ms: int
+    limit: LimitRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitReply:
+    """The answer to a question for a permit.
+
+    Attributes:
+        number: the number of the question.
+        is_granted: whether the request may be sent.
+        wait_ms: milliseconds until it may be sent, or until another permit may
+            be available.
+        limit: the limit of the server as the issuer knows it.
+    """
+
+    number: int
+    is_granted: bool
+    wait_ms: int
+    limit: LimitRecord
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankState:
     """The state of one rank of a group, as reported by its agent.
--- a/pollenthread/core/server_limits.py
+++ b/pollenthread/core/server_limits.py
@@ -49,6 +49,10 @@
             return None
         return limit
 
+    def last_named(self, server_id: str) -> RateLimit | None:
+        """Returns what a server last said, even if it no longer limits."""
+        return self._limit_by_id.get(server_id)
+
     def record(self, limit: RateLimit) -> bool:
         """Records what a server said; returns whether its limit changed."""
         known = self._limit_by_id.get(limit.server_id)
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -8,8 +8,8 @@
 from pollenthread.adapters import http_server, platform_metrics
 from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
                               evidence_store, forwarder, graceful_shutdown,
-                              serving_state, snapshot_exchange, store_listeners,
-                              store_watch)
+                              rate_permits, serving_state, snapshot_exchange,
+                              store_listeners, store_watch)
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (process_settings, server_row, upstream_http,
                                    wire_names)
@@ -108,11 +108,18 @@
         self._shutdown_plan = graceful_shutdown.ShutdownPlan(
             grace_s=settings.grace_s,
             discovery_cache_s=_ADDRESS_TTL_S * _CALLER_CACHE_FACTOR)
+        permits = rate_permits.SharedRatePermits(own=self._own_record,
+                                                 liveness=self._liveness,
+                                                 network=self._network,
+                                                 state=self.state,
+                                                 time=self._clock,
+                                                 log=self.log)
         self._latencies = platform_metrics.LatencyHistogramSet()
         request_forwarder = forwarder.Forwarder(
             state=self.state,
             upstream_client=upstream_http.HttpUpstreamClient(
                 client=self._server_client),
+            permits=permits,
             shutdown_plan=self._shutdown_plan,
             observe=self._latencies.observe,
             time=self._clock,
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -15,8 +15,8 @@
 
 from pollenthread.adapters import peer_codec
 from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
-                              evidence_store, host_registry, serving_state,
-                              snapshot_exchange, store_follower,
+                              evidence_store, host_registry, rate_permits,
+                              serving_state, snapshot_exchange, store_follower,
                               store_listeners, store_watch)
 from pollenthread.core import (host_record, peer_messages, routing_config,
                                server_registry)
@@ -211,6 +211,7 @@
         state: configuration and servers that it knows.
         watch: its part in following the store.
         liveness: the entry hosts that it knows.
+        permits: permits for servers that limit their request rate.
         tasks: the tasks of the host.
     """
 
@@ -218,6 +219,7 @@
     state: serving_state.ServingState
     watch: store_watch.EntryStoreWatch
     liveness: entry_liveness.EntryLiveness
+    permits: rate_permits.RatePermits
     tasks: list[asyncio.Task[None]]
 
 
@@ -318,6 +320,12 @@
             evidence=state.evidence_log,
             time=time,
             rng=rng)
+        permits = rate_permits.SharedRatePermits(own=record,
+                                                 liveness=liveness,
+                                                 network=network,
+                                                 state=state,
+                                                 time=time,
+                                                 log=log)
         store = _HostStore(self.store, record.host)
         stored_evidence = evidence_store.EvidenceStore(
             store=store,
@@ -350,7 +358,7 @@
                                    record=record)
         ]
         self.host_by_name[record.host] = EntryHost(
-            record, state, watch, liveness,
+            record, state, watch, liveness, permits,
             [asyncio.create_task(coroutine) for coroutine in coroutines])
 
     async def stop_host(self, name: str) -> None:
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -3,13 +3,16 @@
 import asyncio
 from collections.abc import Sequence
 
+from pollenthread.app import (forwarder, graceful_shutdown, rate_permits,
+                              serving_state)
 from pollenthread.core import (caller_request, errors, http_headers,
                                routing_config)
-from pollenthread.ports import caller_response
+from pollenthread.ports import caller_response, clock, upstream
+from tests.fakes import memory
 
 __all__ = [
     'CONFIG', 'ENGINE_PROFILE', 'ROUTE', 'TARGET_S', 'RecordingResponse',
-    'make_request'
+    'make_forwarder', 'make_request'
 ]
 
 TARGET_S = 0.403
@@ -118,3 +121,30 @@
                                         max_output_tokens=159,
                                         prompt_parts=(),
                                         received_at=received_at)
+
+
+def make_forwarder(
+        *,
+        state: serving_state.ServingState,
+        upstream_client: upstream.UpstreamClient,
+        time: clock.Clock,
+        permits: rate_permits.RatePermits | None = None) -> forwarder.Forwarder:
+    """Returns a forwarder that logs nothing.
+
+    Args:
+        state: the state of its host.
+        upstream_client: the servers.
+        time: the clock.
+        permits: permits for limited servers; by default those of a host that
+            shares its servers with no other one.
+    """
+    log = memory.NullEventLog()
+    return forwarder.Forwarder(
+        state=state,
+        upstream_client=upstream_client,
+        permits=permits or
+        rate_permits.LocalRatePermits(state=state, time=time, log=log),
+        shutdown_plan=graceful_shutdown.ShutdownPlan(8.0, 1.0),
+        observe=lambda name, value: None,
+        time=time,
+        log=log)
--- a/tests/platform/steps/faulty_servers.py
+++ b/tests/platform/steps/faulty_servers.py
@@ -14,12 +14,12 @@
 from behave import given, then, when
 
 from pollenthread.adapters import clock, http_client, http_server
-from pollenthread.app import forwarder, graceful_shutdown, serving_state
+from pollenthread.app import serving_state
 from pollenthread.core import routing_config, server_registry
 from pollenthread.platform import upstream_http
 from pollenthread.roles import platform_handlers
 from tests import scenario
-from tests.fakes import forwarding, memory
+from tests.fakes import forwarding
 
 _OK_LINE = b'HTTP/1.1 200 OK\r\n'
 _EVENT = re.compile(rb'id: (\d+)\ndata: x\n\n')
@@ -97,14 +97,11 @@
             ]
             state = self._state(servers)
             async with http_client.HttpClient() as client:
-                request_forwarder = forwarder.Forwarder(
+                request_forwarder = forwarding.make_forwarder(
                     state=state,
                     upstream_client=upstream_http.HttpUpstreamClient(
                         client=client),
-                    shutdown_plan=graceful_shutdown.ShutdownPlan(8.0, 1.0),
-                    observe=lambda name, value: None,
-                    time=clock.SystemClock(),
-                    log=memory.NullEventLog())
+                    time=clock.SystemClock())
                 handler = platform_handlers.ForwardingHandler(
                     request_forwarder=request_forwarder)
                 async with http_server.HttpServer(handler=handler) as entry:
--- a/tests/platform/steps/poison.py
+++ b/tests/platform/steps/poison.py
@@ -7,9 +7,9 @@
 
 from behave import given, then, when
 
-from pollenthread.app import forwarder, graceful_shutdown
+from pollenthread.app import forwarder
 from pollenthread.core import caller_request, crash_evidence, server_load
-from tests.fakes import (crashing_servers, entry_fleet, forwarding, memory,
+from tests.fakes import (crashing_servers, entry_fleet, forwarding,
                          virtual_time)
 
 _REPORT_INTERVAL_S = 0.25
@@ -126,13 +126,11 @@
     def _start_forwarder(self, name: str) -> None:
         host = self._fleet.host_by_name[name]
         host.state.config = forwarding.CONFIG
-        self._forwarder_by_host[name] = forwarder.Forwarder(
+        self._forwarder_by_host[name] = forwarding.make_forwarder(
             state=host.state,
             upstream_client=self.servers.client(name),
-            shutdown_plan=graceful_shutdown.ShutdownPlan(8.0, 1.0),
-            observe=lambda name, value: None,
             time=virtual_time.LoopClock(),
-            log=memory.NullEventLog())
+            permits=host.permits)
 
     async def _report(self) -> None:
         """Reports the load of all servers to all hosts."""
--- a/tests/platform/steps/server_limits.py
+++ b/tests/platform/steps/server_limits.py
@@ -9,10 +9,9 @@
 
 from behave import given, then, when
 
-from pollenthread.app import forwarder, graceful_shutdown
+from pollenthread.app import forwarder
 from pollenthread.core import server_load
-from tests.fakes import (entry_fleet, forwarding, limited_servers, memory,
-                         virtual_time)
+from tests.fakes import (entry_fleet, forwarding, limited_servers, virtual_time)
 
 _DATA_CENTRES = 3
 _SLOTS = 6
@@ -111,13 +110,11 @@
     def _start_forwarder(self, name: str) -> None:
         host = self._fleet.host_by_name[name]
         host.state.config = forwarding.CONFIG
-        self._forwarder_by_host[name] = forwarder.Forwarder(
+        self._forwarder_by_host[name] = forwarding.make_forwarder(
             state=host.state,
             upstream_client=self.servers.client(name),
-            shutdown_plan=graceful_shutdown.ShutdownPlan(8.0, 1.0),
-            observe=lambda name, value: None,
             time=virtual_time.LoopClock(),
-            log=memory.NullEventLog())
+            permits=host.permits)
 
     async def _report(self) -> None:
         """Reports the load of all servers to all hosts."""
--- a/tests/platform/steps/silence.py
+++ b/tests/platform/steps/silence.py
@@ -10,10 +10,10 @@
 
 from behave import given, then, when
 
-from pollenthread.app import forwarder, graceful_shutdown, serving_state
+from pollenthread.app import serving_state
 from pollenthread.core import http_headers, server_load, server_registry
 from pollenthread.ports import upstream
-from tests.fakes import forwarding, memory, virtual_time
+from tests.fakes import forwarding, virtual_time
 
 _OK = 200
 _REPORT_INTERVAL_S = 0.25
@@ -136,13 +136,8 @@
                                        slots=6,
                                        state=server_registry.ServerState.READY))
         clock = virtual_time.LoopClock()
-        request_forwarder = forwarder.Forwarder(
-            state=state,
-            upstream_client=self.servers,
-            shutdown_plan=graceful_shutdown.ShutdownPlan(8.0, 1.0),
-            observe=lambda name, value: None,
-            time=clock,
-            log=memory.NullEventLog())
+        request_forwarder = forwarding.make_forwarder(
+            state=state, upstream_client=self.servers, time=clock)
         tasks = [
             asyncio.create_task(request_forwarder.watch_silent_servers()),
             asyncio.create_task(self._report(state, clock,
--- a/tests/platform/steps/waves.py
+++ b/tests/platform/steps/waves.py
@@ -7,9 +7,9 @@
 
 from behave import given, then, when
 
-from pollenthread.app import forwarder, graceful_shutdown, serving_state
+from pollenthread.app import serving_state
 from pollenthread.core import (caller_wait, routing_config, server_registry)
-from tests.fakes import busy_servers, forwarding, memory, virtual_time
+from tests.fakes import busy_servers, forwarding, virtual_time
 
 _CALLER_TIMEOUT_S = 8.05
 # No queue is long enough to miss this target, so no request is rejected for it.
@@ -68,13 +68,9 @@
         self._clock = virtual_time.LoopClock()
         self._states = [self._state(i, hosts) for i in range(hosts)]
         self._forwarders = [
-            forwarder.Forwarder(state=state,
-                                upstream_client=self.servers,
-                                shutdown_plan=graceful_shutdown.ShutdownPlan(
-                                    8.0, 1.0),
-                                observe=lambda name, value: None,
-                                time=self._clock,
-                                log=memory.NullEventLog())
+            forwarding.make_forwarder(state=state,
+                                      upstream_client=self.servers,
+                                      time=self._clock)
             for state in self._states
         ]
 
