--- a/tests/fakes/limited_servers.py
+++ b/tests/fakes/limited_servers.py
@@ -96,22 +96,15 @@
             if told_host == host:
                 del self._told_at[server, told_host]
 
-    def most_in_window(self, server: str, since: float, window_s: float) -> int:
-        """Returns the most requests in any window, from hosts that were told.
-
-        Args:
-            server: the id of the server.
-            since: the time in seconds before which no window ends.
-            window_s: the length of a window.
-        """
-        times = [
+    def times_of_told(self, server: str) -> list[float]:
+        """Returns when requests came from hosts that knew the limit."""
+        return [
             a.at for a in self.arrivals if a.server == server and a.was_told
         ]
-        return max((sum(end - window_s < at <= end
-                        for at in times)
-                    for end in times
-                    if end >= since),
-                   default=0)
+
+    def count_told(self, server: str, start: float, end: float) -> int:
+        """Counts the requests after `start` of hosts that knew the limit."""
+        return sum(start < at <= end for at in self.times_of_told(server))
 
 
 class _Client(upstream.UpstreamClient):
--- a/tests/platform/steps/server_limits.py
+++ b/tests/platform/steps/server_limits.py
@@ -4,13 +4,13 @@
 import dataclasses
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 from behave import given, then, when
 
 from pollenthread.app import forwarder
-from pollenthread.core import server_load
+from pollenthread.core import server_limits, server_load, server_registry
 from tests.fakes import (entry_fleet, forwarding, limited_servers, virtual_time)
 
 _DATA_CENTRES = 3
@@ -19,6 +19,8 @@
 _SETTLING_S = 3.0
 _DRAINING_S = 10.0
 _CALLER_TIMEOUT_S = 8.0
+_DOWN_S = 0.3
+_START_S = 0.7
 # The users' bound on the requests at a limited server.
 _WINDOW_S = 4.0
 _BOUND_FACTOR = 1.5
@@ -56,6 +58,7 @@
         sent: all requests.
         events: what happens besides, by second.
         started_at: the time at which second 0 began.
+        limits_by_server: when each server named which limit, in order.
     """
 
     def __init__(self, hosts: int, servers: int) -> None:
@@ -63,7 +66,7 @@
         self.sent: list[_Sent] = []
         self.events: list[tuple[float, Callable[[], Awaitable[None]]]] = []
         self.started_at = 0.0
-        self.limited_at: dict[str, float] = {}
+        self.limits_by_server: dict[str, list[tuple[float, float]]] = {}
         self._hosts = hosts
         self._rng = random.Random(11)
         self._forwarder_by_host: dict[str, forwarder.Forwarder] = {}
@@ -74,11 +77,22 @@
         """Lets a server name a limit, or none, from a second on."""
 
         async def name() -> None:
-            self.limited_at.setdefault(server, _now())
+            limits = self.limits_by_server.setdefault(server, [])
+            limits.append((_now(), limit_per_s))
             self.servers.limit_by_server[server] = limit_per_s
 
         self.events.append((at, name))
 
+    def allowed(self, server: str, start: float, end: float) -> float:
+        """Returns the requests that a server's limits allow in a time span."""
+        total = 0.0
+        limits = self.limits_by_server[server]
+        ends = [at for at, _ in limits[1:]] + [math.inf]
+        for (named_at, limit_per_s), ended_at in zip(limits, ends):
+            overlap_s = min(end, ended_at) - max(start, named_at)
+            total += limit_per_s * max(0.0, overlap_s)
+        return total
+
     async def run(self, per_s: float, seconds: float) -> None:
         """Sends requests for some seconds and waits for their responses."""
         self._fleet = entry_fleet.EntryFleet(
@@ -116,6 +130,27 @@
             time=virtual_time.LoopClock(),
             permits=host.permits)
 
+    async def restart(self, names: Sequence[str], *, gap_s: float) -> None:
+        """Restarts entry hosts, each some time after the one before."""
+        for name in names:
+            self._tasks.append(asyncio.create_task(self._restart(name)))
+            await asyncio.sleep(gap_s)
+
+    async def _restart(self, name: str) -> None:
+        record = self._fleet.host_by_name[name].record
+        del self._forwarder_by_host[name]
+        await self._fleet.stop_host(name)
+        self.servers.forget(name)
+        await asyncio.sleep(_DOWN_S)
+        self._fleet.start_host(record)
+        await asyncio.sleep(_START_S)
+        self._start_forwarder(name)
+
+    @property
+    def host_names(self) -> list[str]:
+        """The names of the entry hosts."""
+        return list(self._fleet.host_by_name)
+
     async def _report(self) -> None:
         """Reports the load of all servers to all hosts."""
         while True:
@@ -169,14 +204,17 @@
 @then('no server gets more requests than its limit allows')
 def step_within_limits(context: Any) -> None:
     simulation = context.simulation
-    assert simulation.limited_at
-    for server, limited_at in simulation.limited_at.items():
-        limit_per_s = simulation.servers.limit_by_server[server]
-        found = simulation.servers.most_in_window(server,
-                                                  limited_at + _BOUND_AFTER_S,
-                                                  _WINDOW_S)
-        allowed = _WINDOW_S * limit_per_s * _BOUND_FACTOR + _BOUND_EXTRA
-        assert found <= allowed, (server, found, allowed)
+    assert simulation.limits_by_server
+    for server, limits in simulation.limits_by_server.items():
+        bound_from = limits[0][0] + _BOUND_AFTER_S
+        for end in simulation.servers.times_of_told(server):
+            if end < bound_from:
+                continue
+            found = simulation.servers.count_told(server, end - _WINDOW_S, end)
+            allowed = _BOUND_EXTRA + _BOUND_FACTOR * simulation.allowed(
+                server, max(end - _WINDOW_S, limits[0][0]), end)
+            assert found <= allowed, (server, end - simulation.started_at,
+                                      found, allowed)
 
 
 @then('{percent:d} in 100 requests receive their first event in time')
@@ -184,3 +222,121 @@
     sent = context.simulation.sent
     in_time = sum(s.is_in_time for s in sent)
     assert sent and in_time * 100 >= percent * len(sent), (in_time, len(sent))
+
+
+@given('at second {at:g} each of {count:d} servers names no limit any more')
+def step_no_limits(context: Any, at: float, count: int) -> None:
+    step_limits(context, at, count, math.inf)
+
+
+@given('the limits of {count:d} servers cannot be read')
+def step_unreadable(context: Any, count: int) -> None:
+    servers = context.simulation.servers
+    servers.unreadable.update(list(servers.running_by_server)[:count])
+
+
+@given('from second {at:g} on each entry host restarts in turn')
+def step_restart_in_turn(context: Any, at: float) -> None:
+    simulation = context.simulation
+    simulation.events.append(
+        (at, lambda: simulation.restart(simulation.host_names, gap_s=1.5)))
+
+
+@given('from second {at:g} on five entry hosts restart at once')
+def step_restart_at_once(context: Any, at: float) -> None:
+    simulation = context.simulation
+    simulation.events.append(
+        (at, lambda: simulation.restart(simulation.host_names[:5], gap_s=0.0)))
+
+
+def _arrivals_by_server(simulation: _Simulation, start: float,
+                        end: float) -> dict[str, int]:
+    """Counts the requests of each server between two seconds."""
+    return {
+        server:
+            sum(a.server == server and start <= a.at -
+                simulation.started_at < end
+                for a in simulation.servers.arrivals)
+        for server in simulation.servers.running_by_server
+    }
+
+
+@then('from second {start:g} to {end:g} servers get at least {percent:d} in '
+      '100 requests that their limits allow')
+def step_used(context: Any, start: float, end: float, percent: int) -> None:
+    simulation = context.simulation
+    found = sum(_arrivals_by_server(simulation, start, end).values())
+    allowed = sum(
+        simulation.allowed(server, simulation.started_at +
+                           start, simulation.started_at + end)
+        for server in simulation.limits_by_server)
+    assert found * 100 >= percent * allowed, (found, allowed)
+
+
+@then('from second {start:g} to {end:g} each server gets at least half of the '
+      'mean')
+def step_even(context: Any, start: float, end: float) -> None:
+    counts = _arrivals_by_server(context.simulation, start, end)
+    mean = sum(counts.values()) / len(counts)
+    assert mean and min(counts.values()) >= mean / 2, counts
+
+
+@then('{percent:d} in 100 answered requests receive their first event in time')
+def step_answered_in_time(context: Any, percent: int) -> None:
+    answered = [s for s in context.simulation.sent if s.response.is_complete]
+    in_time = sum(s.is_in_time for s in answered)
+    assert answered and in_time * 100 >= percent * len(answered), (
+        in_time, len(answered))
+
+
+@then('rejected requests after second {after:g} have waited for at most '
+      '{seconds:g} s')
+def step_rejected_soon(context: Any, after: float, seconds: float) -> None:
+    simulation = context.simulation
+    waits = [
+        s.ended_at - s.at
+        for s in simulation.sent
+        if s.response.failure is not None and s.at -
+        simulation.started_at > after
+    ]
+    assert waits and max(waits) <= seconds, max(waits, default=None)
+
+
+# What servers have said.
+
+
+def _server(born_ms: int) -> server_registry.Server:
+    return server_registry.Server(id='s',
+                                  service='llm',
+                                  address='s:1',
+                                  data_centre='a',
+                                  slots=6,
+                                  state=server_registry.ServerState.READY,
+                                  born_ms=born_ms)
+
+
+@given('a server that was started at {born_ms:d} and named a limit of '
+       '{limit:g} per second')
+def step_named(context: Any, born_ms: int, limit: float) -> None:
+    context.limits = server_limits.ServerLimits()
+    assert context.limits.record(
+        server_limits.RateLimit('s', born_ms, limit, named_at=1.0))
+
+
+@then('a server with its id that was started at {born_ms:d} has a limit')
+def step_has_limit(context: Any, born_ms: int) -> None:
+    assert context.limits.get(_server(born_ms)) is not None
+
+
+@then('a server with its id that was started at {born_ms:d} has none')
+def step_has_none(context: Any, born_ms: int) -> None:
+    assert context.limits.get(_server(born_ms)) is None
+
+
+@then('what the earlier start says afterwards is not recorded for the later '
+      'one')
+def step_earlier_start(context: Any) -> None:
+    context.limits.record(server_limits.RateLimit('s', 6, 2.0, named_at=2.0))
+    context.limits.record(server_limits.RateLimit('s', 5, 1.0, named_at=3.0))
+    found = context.limits.get(_server(6))
+    assert found is not None and found.per_s == 2.0, found
