Log the era of the store, lost history and outdated configurations

The logs did not show what hosts asked the store for, nor that it had come back from a copy.

Change: the era in the store's answers is decoded; three log lines. No logic changes.

--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -145,6 +145,11 @@
         config = decoded.ok_value
         current = self._state.config
         if current is not None and config.version <= current.version:
+            self._log.write(log_events.LogEvent.CONFIG_OUTDATED,
+                            important=False,
+                            version=config.version,
+                            current=current.version,
+                            source=source)
             return
         self._state.config = config
         self.document = document
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -20,8 +20,15 @@
     STORE_LOST = ('store_lost', 'A call to the store for `table` failed.')
     STORE_REGAINED = ('store_regained', 'The store answers for `table` again, '
                       'after `away_s` seconds.')
+    STORE_RESTORED = ('store_restored', 'The store came back from an older '
+                      'copy of itself; it is in `era` now.')
+    STORE_HISTORY_LOST = ('store_history_lost', 'The store does not have the '
+                          'changes of `table` after the version `after`, so '
+                          'the table is read again.')
     CONFIG_APPLIED = ('config_applied', 'A configuration was adopted; `source` '
                       'is the store or a peer.')
+    CONFIG_OUTDATED = ('config_outdated', 'A configuration that is not newer '
+                       'than the current one was ignored.')
     CONFIG_REJECTED = ('config_rejected', 'A configuration could not be read; '
                        'the previous one remains in effect.')
     SERVER_LISTED = ('server_listed', 'A server appeared in the list.')
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -12,8 +12,9 @@
 import result
 
 from pollenthread.adapters import http_client
+from pollenthread.core import log_events
 from pollenthread.platform import wire_names
-from pollenthread.ports import row_store
+from pollenthread.ports import event_log, row_store
 
 __all__ = ['HttpRowStore']
 
@@ -50,9 +51,12 @@
             error.
     """
 
-    def __init__(self, *, client: http_client.HttpClient, address: str) -> None:
+    def __init__(self, *, client: http_client.HttpClient, address: str,
+                 log: event_log.EventLog) -> None:
         self._client = client
         self._address = address
+        self._log = log
+        self._era: int | None = None
         self.calls_by_outcome: dict[str, int] = {}
 
     async def read(
@@ -83,6 +87,11 @@
             'wait_ms': str(round(wait_s * 1000))
         }
         response = await self._get(wire_names.UrlPath.WATCH_ROWS, query, wait_s)
+        if response.err() is row_store.StoreError.HISTORY_LOST:
+            self._log.write(log_events.LogEvent.STORE_HISTORY_LOST,
+                            table=table,
+                            after=after_version,
+                            era=self._era)
         return response.map(
             lambda page: row_store.RowChanges(page.changes, page.version))
 
@@ -108,6 +117,14 @@
                                                                    0) + 1
         return response
 
+    def _record_era(self, value: str | None) -> None:
+        era = _parse_era(value)
+        if era is None or (self._era is not None and era <= self._era):
+            return
+        if self._era is not None:
+            self._log.write(log_events.LogEvent.STORE_RESTORED, era=era)
+        self._era = era
+
     async def _send(
             self, method: str, target: str, body: bytes,
             wait_s: float) -> result.Result[_Page, row_store.StoreError]:
@@ -118,6 +135,8 @@
                                                 target,
                                                 headers=_JSON_HEADERS,
                                                 body=body) as response:
+                    self._record_era(
+                        response.header(wire_names.HeaderName.STORE_ERA))
                     data = await response.read_all()
                     if response.status != 200:
                         return result.Err(
@@ -132,6 +151,12 @@
             return result.Err(row_store.StoreError.UNKNOWN)
 
 
+def _parse_era(value: str | None) -> int | None:
+    if value is None or not (value.isascii() and value.isdecimal()):
+        return None
+    return int(value)
+
+
 def _decode_page(document: Any) -> _Page:
     """Decodes a response.
 
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -35,6 +35,8 @@
     LAST_EVENT_ID = 'last-event-id'
     AUTHORIZATION = 'authorization'
     RETRY_AFTER = 'retry-after'
+    # Rises each time the store comes back from an older copy of itself.
+    STORE_ERA = 'store-era'
     KEEP_ALIVE = 'keep-alive'
 
 
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -62,7 +62,9 @@
         self._server_client = http_client.HttpClient(
             connect_timeout_s=_PEER_CONNECT_TIMEOUT_S)
         self._store = row_store_http.HttpRowStore(
-            client=self._store_client, address=settings.store_address)
+            client=self._store_client,
+            address=settings.store_address,
+            log=self.log)
         self._network = peer_network.HttpPeerNetwork(
             client=self._peer_client,
             host=settings.ip,
