--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import result
@@ -23,7 +23,7 @@
 from pollenthread.ports import peers, row_store
 from tests.fakes import memory, virtual_time
 
-__all__ = ['EntryFleet', 'EntryHost', 'FleetStore']
+__all__ = ['EntryFleet', 'EntryHost', 'FleetStore', 'StoreCopy']
 
 SERVERS_TABLE = 'servers'
 CONFIG_TABLE = 'op'
@@ -33,6 +33,19 @@
 _CALL_TIMEOUT_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the store at one time.
+
+    Attributes:
+        version: the version of the store.
+        row_by_id: the rows by table and key.
+    """
+
+    version: int
+    row_by_id: Mapping[tuple[str, str], row_store.RowChange]
+
+
 class FleetStore:
     """Rows with a feed; counts the calls.
 
@@ -56,6 +69,19 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the present content."""
+        return StoreCopy(self._version, dict(self._row_by_id))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replaces the content by that of a copy."""
+        self._version = copy.version
+        self._row_by_id = dict(copy.row_by_id)
+
+    def has_version(self, version: int) -> bool:
+        """Returns whether the store has reached a version."""
+        return version <= self._version
+
     def changes(self, table: str, after: int) -> row_store.RowChanges:
         """Returns the rows of a table that changed after a version."""
         rows = [
@@ -104,6 +130,8 @@
     ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         if (error := await self._call(f'watch {table}')) is not None:
             return result.Err(error)
+        if not self._store.has_version(after_version):
+            return result.Err(row_store.StoreError.HISTORY_LOST)
         await self._store.wait_for_change(table, after_version, wait_s)
         if self._host in self._store.rejected_hosts:
             return result.Err(row_store.StoreError.UNAVAILABLE)
