--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -17,6 +17,9 @@
   isStoreUp @8 :Bool;
   # Where other hosts reach this one.
   peerAddress @9 :Text;
+  # The eras of the counters above.
+  serversEra @10 :UInt32;
+  hostsEra @11 :UInt32;
 }
 
 struct UsableHosts {
@@ -144,6 +147,7 @@
   value @2 :Data;
   version @3 :UInt64;
   isRemoved @4 :Bool;
+  era @5 :UInt32;
 }
 
 struct Snapshot {
@@ -156,6 +160,9 @@
   # Whether the rows of a table are all its rows, or changes only.
   hasAllServers @4 :Bool;
   hasAllHosts @5 :Bool;
+  # The eras of the versions above.
+  serversEra @6 :UInt32;
+  hostsEra @7 :UInt32;
 }
 
 struct SnapshotRequest {
@@ -164,6 +171,9 @@
   hostsAfter @1 :UInt64;
   configAfter @2 :UInt64;
   wantsServers @3 :Bool;
+  # The eras of the versions above.
+  serversEra @4 :UInt32;
+  hostsEra @5 :UInt32;
 }
 
 enum OrderKind { prepare @0; arm @1; disarm @2; hold @3; go @4; }
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -89,7 +89,8 @@
         heartbeat = self._make_heartbeat()
         self._network.send_all(
             (record.peer_address for record in self._listeners()), heartbeat)
-        content = (heartbeat.config_version, heartbeat.hosts_changed)
+        content = (heartbeat.config_version, heartbeat.hosts_era,
+                   heartbeat.hosts_changed)
         if self._watch.is_watcher and self._agents_throttle.is_due(
                 content,
                 self._clock.monotonic(),
@@ -102,17 +103,21 @@
 
     def _make_heartbeat(self) -> peer_messages.EntryBeat:
         config = self._state.config
+        servers_version = self._server_listener.cache.changed_version
+        hosts_version = self._hosts.cache.changed_version
         return peer_messages.EntryBeat(
             host=self._own.host,
             is_ready=self._state.is_ready,
             is_leaving=self._state.shutdown_began_at is not None,
             config_version=config.version if config else 0,
             store_age_ms=self._exchange.store_age_ms(),
-            servers_changed=self._server_listener.cache.changed_version,
-            hosts_changed=self._hosts.cache.changed_version,
+            servers_changed=servers_version.counter,
+            hosts_changed=hosts_version.counter,
             is_watcher=self._watch.is_watcher,
             is_store_up=self._watch.is_store_up,
-            peer_address=self._own.peer_address)
+            peer_address=self._own.peer_address,
+            servers_era=servers_version.era,
+            hosts_era=hosts_version.era)
 
     def _listeners(self) -> Iterator[host_record.HostRecord]:
         """Yields the entry hosts that get the heartbeats of this one."""
--- a/pollenthread/app/evidence_store.py
+++ b/pollenthread/app/evidence_store.py
@@ -32,19 +32,23 @@
     """
 
     def __init__(self, *, store: row_store.RowStore,
-                 evidence: evidence_log.EvidenceLog,
-                 is_watcher: Callable[[], bool], time: clock.Clock) -> None:
+                 evidence: evidence_log.EvidenceLog, is_watcher: Callable[[],
+                                                                          bool],
+                 store_era: Callable[[], int], time: clock.Clock) -> None:
         """Creates a store of evidence.
 
         Args:
             store: the platform's store.
             evidence: the evidence of this host.
             is_watcher: whether this host reads the store for the others.
+            store_era: the era of the store as far as this host knows.
             time: the clock.
         """
         self._store = store
         self._evidence = evidence
         self._is_watcher = is_watcher
+        self._store_era = store_era
+        self._era = 0
         self._clock = time
         self._own_servers: set[str] = set()
         self._stored_servers: set[str] = set()
@@ -55,15 +59,23 @@
         self._own_servers.update(observation.crashed_servers)
 
     async def run(self) -> None:
-        """Reads the table once, then writes what is confirmed."""
+        """Reads the table in each era, and writes what is confirmed."""
         await self._clock.sleep(_START_DELAY_S)
-        if self._is_watcher():
-            await self._read()
+        await self._begin_era()
         while True:
             await self._clock.sleep(_CHECK_INTERVAL_S)
+            if self._store_era() > self._era:
+                await self._begin_era()
             await self._write()
             await self._delete_expired()
 
+    async def _begin_era(self) -> None:
+        """Reads the table; what it has lost is written again later."""
+        self._era = self._store_era()
+        self._stored_servers.clear()
+        if self._is_watcher():
+            await self._read()
+
     async def _read(self) -> None:
         while isinstance(rows := await self._store.read(CRASHES_TABLE),
                          result.Err):
--- a/pollenthread/app/host_registry.py
+++ b/pollenthread/app/host_registry.py
@@ -5,13 +5,14 @@
 import result
 
 from pollenthread.app import row_cache, store_follower
-from pollenthread.core import host_record, membership
+from pollenthread.core import host_record, membership, store_version
 from pollenthread.ports import clock, row_store
 
-__all__ = ['HostRegistry', 'register']
+__all__ = ['HostRegistry', 'keep_registered']
 
 HOSTS_TABLE = 'pollenthread_hosts'
 _RETRY_INTERVAL_S = 0.5
+_CHECK_INTERVAL_S = 1.0
 # Enough for some of them to live after most hosts have failed at once.
 _DUTY_CANDIDATES = 8
 
@@ -30,18 +31,18 @@
     def __init__(self) -> None:
         self.records_by_host: dict[str, host_record.HostRecord] = {}
         self.revision = 0
-        self.version = -1
+        self.version = store_version.START
         self.cache = row_cache.RowCache()
         self.rejected_count = 0
         self._candidates_revision = -1
         self._candidates_by_group: dict[str, list[host_record.HostRecord]] = {}
 
     @property
-    def known_version(self) -> int:
+    def known_version(self) -> store_version.StoreVersion:
         return self.version
 
     def on_full_read(self, rows: Sequence[row_store.RowChange],
-                     version: int) -> None:
+                     version: store_version.StoreVersion) -> None:
         self.cache.replace_all(rows, version)
         self._apply_rows(rows)
 
@@ -54,7 +55,8 @@
             if row.value is not None:
                 self._apply_value(row.value)
 
-    def apply_peer_rows(self, delta: row_cache.RowDelta, version: int) -> None:
+    def apply_peer_rows(self, delta: row_cache.RowDelta,
+                        version: store_version.StoreVersion) -> None:
         """Applies rows of a peer unless as much is known already.
 
         Args:
@@ -89,7 +91,7 @@
     def on_error(self, error: row_store.StoreError) -> None:
         return
 
-    def on_contact(self, version: int) -> None:
+    def on_contact(self, version: store_version.StoreVersion) -> None:
         self.version = max(self.version, version)
 
     def with_role(self, role: host_record.Role) -> list[host_record.HostRecord]:
@@ -125,18 +127,39 @@
         ]
 
 
-async def register(*, store: row_store.RowStore, time: clock.Clock,
-                   registry: HostRegistry,
-                   record: host_record.HostRecord) -> None:
-    """Writes a host's record to the store; retries until it is there.
+async def keep_registered(*, store: row_store.RowStore, time: clock.Clock,
+                          registry: HostRegistry,
+                          record: host_record.HostRecord) -> None:
+    """Keeps a host's record in the store, until cancelled.
 
     It is written without reading the table first: the table of a large
-    deployment is much larger than one row.
+    deployment is much larger than one row. It is written again if the store has
+    come back from a copy without it.
     """
     registry.put(record)
+    value = host_record.encode(record)
     write = row_store.RowWrite(HOSTS_TABLE,
                                record.host,
-                               host_record.encode(record),
+                               value,
                                expected_version=None)
-    while isinstance(await store.write([write]), result.Err):
+    era = await _write(store, time, write)
+    while True:
+        await time.sleep(_CHECK_INTERVAL_S)
+        if registry.version.era <= era:
+            continue
+        era = registry.version.era
+        row = registry.cache.get(record.host)
+        if row is None or row.value != value:
+            era = max(era, await _write(store, time, write))
+
+
+async def _write(store: row_store.RowStore, time: clock.Clock,
+                 write: row_store.RowWrite) -> int:
+    """Writes a row, retrying until it is there.
+
+    Returns:
+        The era of the store in which it was written.
+    """
+    while isinstance(written := await store.write([write]), result.Err):
         await time.sleep(_RETRY_INTERVAL_S)
+    return written.ok_value.era
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -4,9 +4,10 @@
 if its host fails during a switch, all ranks of the group are still reachable.
 
 Coordinators are elected by a conditional write of one row per group in the
-store. The store's counter at that write is the fencing token (the term). It is
+store. The store's version at that write is the fencing token (the term). It is
 the high part of every map version, so ranks reject maps of a coordinator that
-has been replaced.
+has been replaced. The version begins with the era of the store: after it has
+come back from an older copy, its counter would give a term out twice.
 """
 
 import asyncio
@@ -17,13 +18,15 @@
 from pollenthread.app import group_view, host_registry, switch_driver
 from pollenthread.core import (expert_choices, expert_demand, log_events,
                                map_switch, peer_messages, replication,
-                               routing_config, step_limits)
+                               routing_config, step_limits, store_version)
 from pollenthread.ports import clock, event_log, peers, row_store
 
-__all__ = ['MapCoordinator']
+__all__ = ['MapCoordinator', 'VERSIONS_PER_TERM', 'map_version']
+
+VERSIONS_PER_TERM = 1 << 16
+"""Map versions that a coordinator can give out in one term."""
 
 TABLE = 'pollenthread_duties'
-_VERSIONS_PER_TERM = 1 << 16
 _PLAN_INTERVAL_S = 0.06
 _HEARTBEAT_INTERVAL_S = 0.25
 _ELECTION_STAGGER_S = 0.15
@@ -41,6 +44,16 @@
 EngineProfileLookup = Callable[[str], routing_config.EngineProfile | None]
 
 
+def map_version(term: int, number: int) -> int:
+    """Returns the version of a map.
+
+    Args:
+        term: the fencing token of the coordinator.
+        number: the number of the map in this term, from 1.
+    """
+    return term * VERSIONS_PER_TERM + number
+
+
 class MapCoordinator:
     """Coordinates the expert maps of one group while it holds the group's duty.
 
@@ -179,7 +192,7 @@
         newest_version = max(
             max(state.map_version, state.prepared_version)
             for state in self._view.states().values())
-        if (newest_version >= (self._term + 1) * _VERSIONS_PER_TERM or
+        if (newest_version >= (self._term + 1) * VERSIONS_PER_TERM or
                 self._view.newest_term > self._term):
             self._log.write(log_events.LogEvent.DUTY_LOST,
                             group=self._view.name,
@@ -217,14 +230,17 @@
             return
         row = next((r for r in known.ok_value.changes if r.key == group), None)
         write = row_store.RowWrite(TABLE, group, name,
-                                   row.version if row else 0)
+                                   row.version if row else store_version.START)
         finished = await self._store.write([write])
         if isinstance(finished, result.Err):
             # If the response was lost, the write may have succeeded. That term
             # is then never used, and the next one is higher.
             await self._clock.sleep(_ELECTION_RETRY_S)
             return
-        self._term = finished.ok_value
+        if finished.ok_value.era != known.ok_value.version.era:
+            # The condition was met by another row than the one that was read.
+            return
+        self._term = finished.ok_value.token
         self._versions_used = 0
         self._layouts = None
         self._demand = expert_demand.ExpertDemand(sets=engine.sets,
@@ -330,7 +346,7 @@
 
     def _next_version(self) -> int:
         self._versions_used += 1
-        return self._term * _VERSIONS_PER_TERM + self._versions_used
+        return map_version(self._term, self._versions_used)
 
     # Switching.
 
--- a/pollenthread/app/row_cache.py
+++ b/pollenthread/app/row_cache.py
@@ -8,6 +8,7 @@
 import dataclasses
 from collections.abc import Iterable
 
+from pollenthread.core import store_version
 from pollenthread.ports import row_store
 
 __all__ = ['RowCache', 'RowDelta']
@@ -37,14 +38,14 @@
     """
 
     def __init__(self) -> None:
-        self.changed_version = 0
+        self.changed_version = store_version.START
         self._row_by_key: dict[str, row_store.RowChange] = {}
         self._removed_by_key: dict[str, row_store.RowChange] = {}
         # Removals up to this version may be unknown.
-        self._removals_known_from = 0
+        self._removals_known_from = store_version.START
 
     def replace_all(self, rows: Iterable[row_store.RowChange],
-                    version: int) -> None:
+                    version: store_version.StoreVersion) -> None:
         """Replaces all rows by those of the whole table.
 
         Args:
@@ -54,6 +55,9 @@
         self._row_by_key = {r.key: r for r in rows if r.value is not None}
         self._removed_by_key.clear()
         self._removals_known_from = version
+        # Peers must notice the rows of a new era, even if there are none.
+        self.changed_version = max(self.changed_version,
+                                   store_version.StoreVersion(version.era, 0))
         self._record_versions(self._row_by_key.values())
 
     def apply(self, rows: Iterable[row_store.RowChange]) -> None:
@@ -70,8 +74,8 @@
         self._forget_oldest_removals()
 
     def _record_versions(self, rows: Iterable[row_store.RowChange]) -> None:
-        newest = max((row.version for row in rows), default=0)
-        self.changed_version = max(self.changed_version, newest)
+        for row in rows:
+            self.changed_version = max(self.changed_version, row.version)
 
     def _forget_oldest_removals(self) -> None:
         excess = len(self._removed_by_key) - _MAX_REMOVED_ROWS
@@ -84,9 +88,13 @@
         self._removals_known_from = max(self._removals_known_from,
                                         oldest[-1].version)
 
-    def changes_after(self, version: int) -> RowDelta:
+    def get(self, key: str) -> row_store.RowChange | None:
+        """Returns the row of a key, or None if there is none."""
+        return self._row_by_key.get(key)
+
+    def changes_after(self, version: store_version.StoreVersion) -> RowDelta:
         """Returns what a peer needs that knows all changes up to a version."""
-        if version < self._removals_known_from or version <= 0:
+        if version < self._removals_known_from or not version.counter:
             return RowDelta(tuple(self._row_by_key.values()), is_whole=True)
         known = (*self._row_by_key.values(), *self._removed_by_key.values())
         changed = [row for row in known if row.version > version]
--- a/pollenthread/app/snapshot_exchange.py
+++ b/pollenthread/app/snapshot_exchange.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from pollenthread.app import host_registry, row_cache, store_listeners
-from pollenthread.core import log_events, peer_messages
+from pollenthread.core import log_events, peer_messages, store_version
 from pollenthread.ports import clock, event_log, peers, row_store
 
 __all__ = ['STORE_TIMEOUT_S', 'SnapshotExchange', 'is_fresh']
@@ -62,30 +62,39 @@
         Args:
             known: what the peer knows.
         """
-        hosts = self._hosts.cache.changes_after(known.hosts_after)
+        hosts = self._hosts.cache.changes_after(
+            store_version.told_version(known.hosts_era, known.hosts_after,
+                                       self._hosts.version))
         rows = _encode_rows(host_registry.HOSTS_TABLE, hosts.rows)
         servers = row_cache.RowDelta((), is_whole=False)
-        servers_version = 0
+        servers_version = store_version.START
         if known.wants_servers and self._server_listener is not None:
+            servers_version = self._server_listener.version
             servers = self._server_listener.cache.changes_after(
-                known.servers_after)
-            servers_version = max(0, self._server_listener.version)
+                store_version.told_version(known.servers_era,
+                                           known.servers_after,
+                                           servers_version))
             rows += _encode_rows(self._server_listener.table, servers.rows)
         rows += self._encode_config(known.config_after)
-        return peer_messages.Snapshot(servers_version=servers_version,
+        return peer_messages.Snapshot(servers_version=servers_version.counter,
                                       store_age_ms=self.store_age_ms(),
                                       rows=tuple(rows),
-                                      hosts_version=max(0, self._hosts.version),
+                                      hosts_version=self._hosts.version.counter,
                                       has_all_servers=servers.is_whole,
-                                      has_all_hosts=hosts.is_whole)
+                                      has_all_hosts=hosts.is_whole,
+                                      servers_era=servers_version.era,
+                                      hosts_era=self._hosts.version.era)
 
     def _encode_config(self, known_version: int) -> list[peer_messages.Row]:
         listener = self._config_listener
         if listener.document is None or listener.version <= known_version:
             return []
         return [
-            peer_messages.Row(listener.table, listener.key, listener.document,
-                              max(0, listener.row_version))
+            peer_messages.Row(listener.table,
+                              listener.key,
+                              listener.document,
+                              listener.row_version.counter,
+                              era=listener.row_version.era)
         ]
 
     # Rows of peers.
@@ -114,27 +123,36 @@
 
     def _known(self) -> peer_messages.SnapshotRequest:
         listener = self._server_listener
+        servers = listener.version if listener else store_version.START
         return peer_messages.SnapshotRequest(
-            servers_after=max(0, listener.version) if listener else 0,
-            hosts_after=max(0, self._hosts.version),
+            servers_after=servers.counter,
+            hosts_after=self._hosts.version.counter,
             config_after=self._config_listener.version,
-            wants_servers=listener is not None)
+            wants_servers=listener is not None,
+            servers_era=servers.era,
+            hosts_era=self._hosts.version.era)
 
     def _apply(self, snapshot: peer_messages.Snapshot) -> None:
         config = self._config_listener
-        for row in _rows_of(snapshot, config.table):
+        for row in _rows_of(snapshot, config.table, config.row_version):
             if row.key == config.key and row.value is not None:
                 config.apply_document(row.value, row.version, source='peer')
+        known = self._hosts.version
         self._hosts.apply_peer_rows(
-            row_cache.RowDelta(_rows_of(snapshot, host_registry.HOSTS_TABLE),
-                               snapshot.has_all_hosts), snapshot.hosts_version)
-        if self._server_listener is not None:
-            self._server_listener.apply_peer_rows(row_cache.RowDelta(
-                _rows_of(snapshot, self._server_listener.table),
-                snapshot.has_all_servers),
-                                                  snapshot.servers_version,
-                                                  is_fresh=snapshot.store_age_ms
-                                                  < STORE_TIMEOUT_S * _MS_PER_S)
+            row_cache.RowDelta(
+                _rows_of(snapshot, host_registry.HOSTS_TABLE, known),
+                snapshot.has_all_hosts),
+            store_version.told_version(snapshot.hosts_era,
+                                       snapshot.hosts_version, known))
+        servers = self._server_listener
+        if servers is not None:
+            known = servers.version
+            servers.apply_peer_rows(
+                row_cache.RowDelta(_rows_of(snapshot, servers.table, known),
+                                   snapshot.has_all_servers),
+                store_version.told_version(snapshot.servers_era,
+                                           snapshot.servers_version, known),
+                is_fresh=is_fresh(snapshot.store_age_ms))
 
 
 def is_fresh(store_age_ms: int) -> bool:
@@ -149,15 +167,18 @@
         peer_messages.Row(table,
                           row.key,
                           row.value or b'',
-                          row.version,
-                          is_removed=row.value is None) for row in rows
+                          row.version.counter,
+                          is_removed=row.value is None,
+                          era=row.version.era) for row in rows
     ]
 
 
-def _rows_of(snapshot: peer_messages.Snapshot,
-             table: str) -> tuple[row_store.RowChange, ...]:
+def _rows_of(
+        snapshot: peer_messages.Snapshot, table: str,
+        known: store_version.StoreVersion) -> tuple[row_store.RowChange, ...]:
     return tuple(
-        row_store.RowChange(row.key, None if row.is_removed else row.value,
-                            row.version)
+        row_store.RowChange(
+            row.key, None if row.is_removed else row.value,
+            store_version.told_version(row.era, row.version, known))
         for row in snapshot.rows
         if row.table == table)
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -11,7 +11,8 @@
 import result
 
 from pollenthread.app import row_cache, serving_state, store_follower
-from pollenthread.core import log_events, routing_config, server_registry
+from pollenthread.core import (log_events, routing_config, server_registry,
+                               store_version)
 from pollenthread.ports import clock, event_log, row_store
 
 __all__ = ['ConfigListener', 'ServerListener', 'StoreContact']
@@ -59,7 +60,7 @@
 
     @abc.abstractmethod
     def on_full_read(self, rows: Sequence[row_store.RowChange],
-                     version: int) -> None:
+                     version: store_version.StoreVersion) -> None:
         ...
 
     @abc.abstractmethod
@@ -74,12 +75,13 @@
         self.contact.is_up = False
         self.contact.failed_at = self._clock.monotonic()
 
-    def on_contact(self, version: int) -> None:
+    def on_contact(self, version: store_version.StoreVersion) -> None:
         now = self._clock.monotonic()
         if not self.contact.is_up:
             self._log.write(log_events.LogEvent.STORE_REGAINED,
                             table=self.table,
-                            version=version,
+                            version=version.counter,
+                            era=version.era,
                             away_s=round(now - self.contact.last_response_at,
                                          3))
         self.contact.is_up = True
@@ -92,8 +94,7 @@
     Attributes:
         key: the key of the configuration's row.
         document: the current configuration document; None before the first.
-        row_version: the store's version of that document's row; -1 before the
-            first.
+        row_version: the store's version of that document's row.
         applied_callbacks: functions called with each new configuration.
     """
 
@@ -104,7 +105,7 @@
         self.key = key
         self._decode = decode
         self.document: bytes | None = None
-        self.row_version = -1
+        self.row_version = store_version.START
         self.applied_callbacks: list[Callable[[routing_config.RoutingConfig],
                                               None]] = []
 
@@ -114,11 +115,11 @@
         return self._state.config.version if self._state.config else 0
 
     @property
-    def known_version(self) -> int:
+    def known_version(self) -> store_version.StoreVersion:
         return self.row_version
 
     def on_full_read(self, rows: Sequence[row_store.RowChange],
-                     version: int) -> None:
+                     version: store_version.StoreVersion) -> None:
         self.on_changes(rows)
 
     def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
@@ -126,10 +127,14 @@
             if row.key == self.key and row.value is not None:
                 self.apply_document(row.value, row.version, source='store')
 
-    def apply_document(self, document: bytes, row_version: int, *,
+    def apply_document(self, document: bytes,
+                       row_version: store_version.StoreVersion, *,
                        source: str) -> None:
         """Applies a document if its version is higher than the current one.
 
+        The operator numbers the configurations, so that holds for a store that
+        has come back from a copy too: an older one in it is written again.
+
         Args:
             document: the encoded configuration.
             row_version: the store's version of the document's row.
@@ -176,16 +181,17 @@
                  decode: ServerDecoder) -> None:
         super().__init__(state=state, time=time, log=log, table=table)
         self._decode = decode
-        self.version = -1
+        self.version = store_version.START
         self.cache = row_cache.RowCache()
         self.changed_callbacks: list[Callable[[], None]] = []
         self._is_general_outage = False
 
     @property
-    def known_version(self) -> int:
+    def known_version(self) -> store_version.StoreVersion:
         return self.version
 
-    def apply_peer_rows(self, delta: row_cache.RowDelta, version: int, *,
+    def apply_peer_rows(self, delta: row_cache.RowDelta,
+                        version: store_version.StoreVersion, *,
                         is_fresh: bool) -> None:
         """Applies rows of a peer unless as much is known already.
 
@@ -234,7 +240,11 @@
             self._log_gone(server_id)
 
     def on_full_read(self, rows: Sequence[row_store.RowChange],
-                     version: int) -> None:
+                     version: store_version.StoreVersion) -> None:
+        if store_version.START < self.version and (version.era
+                                                   > self.version.era):
+            self._state.server_registry.record_restoration(
+                self._clock.monotonic())
         self.cache.replace_all(rows, version)
         decoded = [self._decode_row(row) for row in rows]
         servers = [server for server in decoded if server is not None]
@@ -264,7 +274,7 @@
         super().on_error(error)
         self._state.server_registry.begin_outage()
 
-    def on_contact(self, version: int) -> None:
+    def on_contact(self, version: store_version.StoreVersion) -> None:
         super().on_contact(version)
         self.version = max(self.version, version)
         self._state.server_registry.end_outage(self._clock.monotonic())
--- a/pollenthread/app/store_watch.py
+++ b/pollenthread/app/store_watch.py
@@ -124,9 +124,10 @@
         self._server_listener.record_peer_contact(answered_at)
 
     def _is_behind(self, heartbeat: peer_messages.EntryBeat) -> bool:
-        return (heartbeat.servers_changed > self._server_listener.version or
+        servers, hosts = self._server_listener.version, self._hosts.version
+        return (heartbeat.servers_version(servers) > servers or
                 heartbeat.config_version > self._config_listener.version or
-                heartbeat.hosts_changed > self._hosts.version)
+                heartbeat.hosts_version(hosts) > hosts)
 
     async def run(self) -> None:
         """Fetches content from peers when this host is behind."""
@@ -157,8 +158,9 @@
     def _are_servers_behind(self, now: float) -> bool:
         """Whether peers have had a newer server list for some time."""
         version = self._server_listener.version
-        if all(h.servers_changed <= version
-               for h in self._liveness.heartbeats()):
+        if all(
+                h.servers_version(version) <= version
+                for h in self._liveness.heartbeats()):
             self._behind_since = None
             return False
         if self._behind_since is None:
@@ -185,10 +187,11 @@
         heartbeat = self._liveness.heartbeat_of(record.host)
         assert heartbeat is not None
         age_ms = heartbeat.store_age_ms
+        servers = heartbeat.servers_version(self._server_listener.version)
+        hosts = heartbeat.hosts_version(self._hosts.version)
         return (0 if snapshot_exchange.is_fresh(age_ms) else age_ms,
-                -heartbeat.config_version, -heartbeat.servers_changed,
-                -heartbeat.hosts_changed, record.data_centre
-                != self._own.data_centre)
+                -heartbeat.config_version, -servers.token, -hosts.token,
+                record.data_centre != self._own.data_centre)
 
 
 class AgentStoreWatch:
@@ -216,7 +219,8 @@
         """Notes what a heartbeat says of the store's content."""
         self._heard_at = self._clock.monotonic()
         if (heartbeat.config_version > self._config_listener.version or
-                heartbeat.hosts_changed > self._hosts.version):
+                heartbeat.hosts_version(
+                    self._hosts.version) > self._hosts.version):
             self._newest = heartbeat
             self._news.set()
 
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from pollenthread.core import store_version
+
 __all__ = [
     'ClearedPart', 'CrashNews', 'CrashRecord', 'DutyBeat', 'EntryBeat',
     'ExpertChoices', 'Layouts', 'LimitRecord', 'OrderKind', 'PermitReply',
@@ -31,6 +33,8 @@
         is_store_up: whether the store has answered the host's last calls; True
             if it made none.
         peer_address: the host's address for its peers.
+        servers_era: the era of `servers_changed`; 0 if the sender has none.
+        hosts_era: the era of `hosts_changed`.
     """
 
     host: str
@@ -43,6 +47,22 @@
     is_watcher: bool = False
     is_store_up: bool = True
     peer_address: str = ''
+    servers_era: int = 0
+    hosts_era: int = 0
+
+    def servers_version(
+            self,
+            known: store_version.StoreVersion) -> store_version.StoreVersion:
+        """Returns the version of the latest known change of the servers."""
+        return store_version.told_version(self.servers_era,
+                                          self.servers_changed, known)
+
+    def hosts_version(
+            self,
+            known: store_version.StoreVersion) -> store_version.StoreVersion:
+        """Returns the version of the latest known change of the hosts."""
+        return store_version.told_version(self.hosts_era, self.hosts_changed,
+                                          known)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -270,6 +290,7 @@
         value: the value; empty for a removed row.
         version: the store's change counter at the row's latest change.
         is_removed: whether the row was removed.
+        era: the era of `version`; 0 if the sender has none.
     """
 
     table: str
@@ -277,6 +298,7 @@
     value: bytes
     version: int
     is_removed: bool = False
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -288,12 +310,16 @@
         hosts_after: the same for the registered hosts.
         config_after: the version of its configuration; 0 for none.
         wants_servers: whether it needs the servers at all.
+        servers_era: the era of `servers_after`; 0 if the sender has none.
+        hosts_era: the era of `hosts_after`.
     """
 
     servers_after: int = 0
     hosts_after: int = 0
     config_after: int = 0
     wants_servers: bool = True
+    servers_era: int = 0
+    hosts_era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -307,6 +333,8 @@
         hosts_version: the store's change counter at the latest list of hosts.
         has_all_servers: whether the rows of servers are the whole list.
         has_all_hosts: whether the rows of hosts are the whole list.
+        servers_era: the era of `servers_version`; 0 if the sender has none.
+        hosts_era: the era of `hosts_version`.
     """
 
     servers_version: int
@@ -315,6 +343,8 @@
     hosts_version: int = 0
     has_all_servers: bool = True
     has_all_hosts: bool = True
+    servers_era: int = 0
+    hosts_era: int = 0
 
 
 class OrderKind(enum.Enum):
--- a/pollenthread/core/server_registry.py
+++ b/pollenthread/core/server_registry.py
@@ -5,14 +5,24 @@
 expire because live servers could not renew them: such a server stays usable for
 a short time, unless it was draining. If two servers of a service are listed
 with the same address, the older one has ended.
+
+After the store has come back from an older copy, its list may lack servers that
+have joined since and contain servers that have left. The former stay usable for
+the time in which they are listed again, the latter are not used meanwhile.
 """
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Iterable, Mapping
 
 __all__ = ['ServerRegistry', 'Server', 'ServerState']
 
+# Time after the store has come back from a copy in which it lists servers that
+# had left: three missed heartbeats remove them again.
+_DEPARTED_HOLD_S = 8.0
+_MAX_DEPARTED = 1024
+
 
 class ServerState(enum.Enum):
     """The state that a server reports in its entry."""
@@ -60,6 +70,11 @@
         self._outage_ended_at: float | None = None
         self._in_outage = False
         self._replaced: set[str] = set()
+        self._restored_at: float | None = None
+        # Start times of servers that drained or left, the latest last.
+        self._departed_born_ms_by_id: collections.OrderedDict[
+            str, int] = collections.OrderedDict()
+        self._held_born_ms_by_id: dict[str, int] = {}
         self._ready_by_service: dict[str, tuple[Server, ...]] | None = None
         self._id_by_address: dict[str, str] | None = None
 
@@ -86,6 +101,23 @@
         """
         self._in_outage = False
 
+    def record_restoration(self, now: float) -> None:
+        """Records that the next list is that of an older copy of the store."""
+        self._restored_at = now
+        self._held_born_ms_by_id = dict(self._departed_born_ms_by_id)
+        self._invalidate_indexes()
+
+    def _record_departure(self, server: Server) -> None:
+        self._departed_born_ms_by_id[server.id] = server.born_ms
+        self._departed_born_ms_by_id.move_to_end(server.id)
+        if len(self._departed_born_ms_by_id) > _MAX_DEPARTED:
+            self._departed_born_ms_by_id.popitem(last=False)
+
+    def _is_held(self, server: Server) -> bool:
+        """Whether a server had left before the store came back from a copy."""
+        born_ms = self._held_born_ms_by_id.get(server.id)
+        return born_ms is not None and server.born_ms <= born_ms
+
     def replace_all(self, servers: Iterable[Server], now: float) -> list[str]:
         """Replaces the list of servers; returns the ids that were removed."""
         new_by_id = {server.id: server for server in servers}
@@ -100,6 +132,10 @@
         """Adds or updates a listed server."""
         self._expired_by_id.pop(server.id, None)
         self._listed_by_id[server.id] = server
+        if server.state is ServerState.DRAINING:
+            self._record_departure(server)
+        elif not self._is_held(server):
+            self._departed_born_ms_by_id.pop(server.id, None)
         self._invalidate_indexes()
 
     def remove(self, server_id: str, now: float) -> None:
@@ -107,18 +143,32 @@
         server = self._listed_by_id.pop(server_id, None)
         self._replaced.discard(server_id)
         self._invalidate_indexes()
-        if server is not None and self._may_have_expired_wrongly(server, now):
+        if server is None:
+            return
+        if self._may_have_expired_wrongly(server, now):
             self._expired_by_id[server_id] = server
+        else:
+            self._record_departure(server)
 
     def drop_expired(self, now: float) -> list[str]:
         """Drops expired servers that were not listed again in time.
 
+        Also uses servers again that are still listed long after the store has
+        come back from a copy.
+
         Returns:
             The ids of the dropped servers.
         """
+        if self._restored_at is not None and (now - self._restored_at
+                                              > _DEPARTED_HOLD_S):
+            self._restored_at = None
+            self._held_born_ms_by_id.clear()
+            self._invalidate_indexes()
         if not self._expired_by_id or self._is_list_unreliable(now):
             return []
         expired = list(self._expired_by_id)
+        for server in self._expired_by_id.values():
+            self._record_departure(server)
         self._expired_by_id.clear()
         self._invalidate_indexes()
         return expired
@@ -185,6 +235,7 @@
             newest_ms = newest_ms_by_endpoint[server.service, server.address]
             if (server.state is ServerState.READY and
                     server.id not in self._replaced and
+                    not self._is_held(server) and
                     not 0 < server.born_ms < newest_ms):
                 found.setdefault(server.service, []).append(server)
         return {service: tuple(servers) for service, servers in found.items()}
@@ -192,9 +243,10 @@
     def _is_list_unreliable(self, now: float) -> bool:
         if self._in_outage:
             return True
-        return (self._outage_ended_at is not None and
-                now - self._outage_ended_at < self._relisting_s)
+        ends = (self._outage_ended_at, self._restored_at)
+        return any(
+            at is not None and now - at < self._relisting_s for at in ends)
 
     def _may_have_expired_wrongly(self, server: Server, now: float) -> bool:
-        return server.state is ServerState.READY and self._is_list_unreliable(
-            now)
+        return (server.state is ServerState.READY and
+                not self._is_held(server) and self._is_list_unreliable(now))
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -12,7 +12,7 @@
 import result
 
 from pollenthread.adapters import http_client
-from pollenthread.core import log_events
+from pollenthread.core import log_events, store_version
 from pollenthread.platform import wire_names
 from pollenthread.ports import event_log, row_store
 
@@ -34,12 +34,12 @@
 
     Attributes:
         changes: rows of the response.
-        version: version counter of the store.
+        version: version of the store.
         has_more: whether the table has rows after these.
     """
 
     changes: tuple[row_store.RowChange, ...]
-    version: int
+    version: store_version.StoreVersion
     has_more: bool
 
 
@@ -56,7 +56,7 @@
         self._client = client
         self._address = address
         self._log = log
-        self._era: int | None = None
+        self._newest_era = 0
         self.calls_by_outcome: dict[str, int] = {}
 
     async def read(
@@ -64,6 +64,7 @@
     ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         changes: list[row_store.RowChange] = []
         first_key = ''
+        era: int | None = None
         while True:
             query = {'table': table, 'part': ''}
             if first_key:
@@ -72,6 +73,9 @@
             if isinstance(response, result.Err):
                 return result.Err(response.err_value)
             page = response.ok_value
+            if era not in (None, page.version.era):
+                return result.Err(row_store.StoreError.HISTORY_LOST)
+            era = page.version.era
             changes += page.changes
             if not page.has_more or not page.changes:
                 return result.Ok(
@@ -79,25 +83,27 @@
             first_key = page.changes[-1].key + '\0'
 
     async def watch(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after_version: store_version.StoreVersion,
+        wait_s: float
     ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         query = {
             'table': table,
-            'after': str(after_version),
+            'after': str(after_version.counter),
             'wait_ms': str(round(wait_s * 1000))
         }
         response = await self._get(wire_names.UrlPath.WATCH_ROWS, query, wait_s)
         if response.err() is row_store.StoreError.HISTORY_LOST:
             self._log.write(log_events.LogEvent.STORE_HISTORY_LOST,
                             table=table,
-                            after=after_version,
-                            era=self._era)
+                            after=after_version.counter,
+                            after_era=after_version.era,
+                            era=self._newest_era)
         return response.map(
             lambda page: row_store.RowChanges(page.changes, page.version))
 
     async def write(
         self, writes: Sequence[row_store.RowWrite]
-    ) -> result.Result[int, row_store.StoreError]:
+    ) -> result.Result[store_version.StoreVersion, row_store.StoreError]:
         body = json.dumps(_encode_transaction(writes)).encode()
         response = await self._call('POST', wire_names.UrlPath.WRITE_ROWS, body,
                                     0.0)
@@ -117,13 +123,19 @@
                                                                    0) + 1
         return response
 
-    def _record_era(self, value: str | None) -> None:
+    def _record_era(self, value: str | None) -> int:
+        """Records the era of a response; returns it.
+
+        A response that does not tell it is taken to be of the newest one.
+        """
         era = _parse_era(value)
-        if era is None or (self._era is not None and era <= self._era):
-            return
-        if self._era is not None:
-            self._log.write(log_events.LogEvent.STORE_RESTORED, era=era)
-        self._era = era
+        if era is None:
+            return self._newest_era
+        if era > self._newest_era:
+            if self._newest_era:
+                self._log.write(log_events.LogEvent.STORE_RESTORED, era=era)
+            self._newest_era = era
+        return era
 
     async def _send(
             self, method: str, target: str, body: bytes,
@@ -135,7 +147,7 @@
                                                 target,
                                                 headers=_JSON_HEADERS,
                                                 body=body) as response:
-                    self._record_era(
+                    era = self._record_era(
                         response.header(wire_names.HeaderName.STORE_ERA))
                     data = await response.read_all()
                     if response.status != 200:
@@ -143,7 +155,7 @@
                             _ERROR_BY_STATUS.get(
                                 response.status,
                                 row_store.StoreError.UNAVAILABLE))
-                    return result.Ok(_decode_page(json.loads(data)))
+                    return result.Ok(_decode_page(json.loads(data), era))
         except http_client.HttpConnectError:
             return result.Err(row_store.StoreError.UNAVAILABLE)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError,
@@ -157,19 +169,20 @@
     return int(value)
 
 
-def _decode_page(document: Any) -> _Page:
+def _decode_page(document: Any, era: int) -> _Page:
     """Decodes a response.
 
     Raises:
         ValueError, KeyError, TypeError, AttributeError: the response is
             malformed.
     """
-    return _Page(changes=tuple(_decode_changes(document)),
-                 version=int(document['ver']),
+    return _Page(changes=tuple(_decode_changes(document, era)),
+                 version=store_version.StoreVersion(era, int(document['ver'])),
                  has_more=bool(document.get('has_more')))
 
 
-def _decode_changes(page: dict[str, Any]) -> list[row_store.RowChange]:
+def _decode_changes(page: dict[str, Any],
+                    era: int) -> list[row_store.RowChange]:
     """Decodes rows; a value that is not valid base64 becomes empty bytes.
 
     The value of a removed row is None.
@@ -183,8 +196,9 @@
             except (binascii.Error, ValueError):
                 value = b''
         changes.append(
-            row_store.RowChange(str(row.get('key', '')), value,
-                                int(row.get('ver', 0))))
+            row_store.RowChange(
+                str(row.get('key', '')), value,
+                store_version.StoreVersion(era, int(row.get('ver', 0)))))
     return changes
 
 
@@ -198,7 +212,7 @@
         # Despite its name, this field is a list: the rows that must have the
         # given version for the transaction to be applied.
         'expected_revision': [{
-            **row_name, 'ver': write.expected_version
+            **row_name, 'ver': write.expected_version.counter
         }
                               for row_name, write in zip(row_names, writes)
                               if write.expected_version is not None],
--- a/pollenthread/ports/row_store.py
+++ b/pollenthread/ports/row_store.py
@@ -7,6 +7,8 @@
 
 import result
 
+from pollenthread.core import store_version
+
 __all__ = ['RowChange', 'RowChanges', 'RowStore', 'RowWrite', 'StoreError']
 
 
@@ -30,12 +32,12 @@
     Attributes:
         key: the row's key.
         value: the row's bytes, or None if the row was deleted.
-        version: the store-wide change counter at the time of the change.
+        version: the version of the store at the time of the change.
     """
 
     key: str
     value: bytes | None
-    version: int
+    version: store_version.StoreVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +50,7 @@
     """
 
     changes: tuple[RowChange, ...]
-    version: int
+    version: store_version.StoreVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,14 +61,16 @@
         table: the row's table.
         key: the row's key.
         value: the new bytes, or None to delete the row.
-        expected_version: the version that the row must have, 0 if the row must
-            not exist, or None to write unconditionally.
+        expected_version: the version that the row must have, `START` if the
+            row must not exist, or None to write unconditionally. The store
+            compares the counters only: if the era of the result differs, the
+            condition has meant another row.
     """
 
     table: str
     key: str
     value: bytes | None
-    expected_version: int | None
+    expected_version: store_version.StoreVersion | None
 
 
 class RowStore(abc.ABC):
@@ -77,13 +81,14 @@
         """Reads all rows of a table."""
 
     @abc.abstractmethod
-    async def watch(self, table: str, after_version: int,
+    async def watch(self, table: str, after_version: store_version.StoreVersion,
                     wait_s: float) -> result.Result[RowChanges, StoreError]:
         """Waits for changes of a table.
 
         Args:
             table: the name of the table.
-            after_version: only changes with a later version are returned.
+            after_version: only changes with a greater counter are returned,
+                whatever the era.
             wait_s: how long to wait for a change, in seconds.
 
         Returns:
@@ -92,7 +97,8 @@
 
     @abc.abstractmethod
     async def write(
-            self, writes: Sequence[RowWrite]) -> result.Result[int, StoreError]:
+        self, writes: Sequence[RowWrite]
+    ) -> result.Result[store_version.StoreVersion, StoreError]:
         """Applies all writes atomically.
 
         Returns:
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -104,6 +104,7 @@
             store=self._store,
             evidence=self.state.evidence_log,
             is_watcher=lambda: self._watch.is_watcher,
+            store_era=lambda: self._server_listener.version.era,
             time=self._clock)
         self._shutdown_plan = graceful_shutdown.ShutdownPlan(
             grace_s=settings.grace_s,
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -116,10 +116,10 @@
                                        _HOSTS_WATCH_PAUSE_S)
         tasks.create_task(follower.run())
         tasks.create_task(
-            host_registry.register(store=self._store,
-                                   time=self._clock,
-                                   registry=self._host_registry,
-                                   record=self._own_record))
+            host_registry.keep_registered(store=self._store,
+                                          time=self._clock,
+                                          registry=self._host_registry,
+                                          record=self._own_record))
 
     def _collect_peer_counters(self) -> dict[str, float]:
         """Returns the bytes sent to and received from peers by message kind."""
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -19,7 +19,7 @@
                               serving_state, snapshot_exchange, store_follower,
                               store_listeners, store_watch)
 from pollenthread.core import (host_record, peer_messages, routing_config,
-                               server_registry)
+                               server_registry, store_version)
 from pollenthread.ports import peers, row_store
 from tests.fakes import memory, virtual_time
 
@@ -38,7 +38,7 @@
     """A copy of the store at one time.
 
     Attributes:
-        version: the version of the store.
+        version: the version of the store, as a counter.
         row_by_id: the rows by table and key.
     """
 
@@ -58,6 +58,8 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.rejected_hosts: set[str] = set()
         self._version = 0
+        self._era = 1
+        self._outages = 0
         self._row_by_id: dict[tuple[str, str], row_store.RowChange] = {}
         self._changed = asyncio.Condition()
 
@@ -65,18 +67,30 @@
         """Writes or removes a row."""
         self._version += 1
         self._row_by_id[table,
-                        key] = row_store.RowChange(key, value, self._version)
+                        key] = row_store.RowChange(key, value, self.version)
         async with self._changed:
             self._changed.notify_all()
 
+    @property
+    def version(self) -> store_version.StoreVersion:
+        """The present version."""
+        return store_version.StoreVersion(self._era, self._version)
+
     def copy(self) -> StoreCopy:
         """Returns a copy of the present content."""
         return StoreCopy(self._version, dict(self._row_by_id))
 
     def restore(self, copy: StoreCopy) -> None:
-        """Replaces the content by that of a copy."""
+        """Replaces the content by that of a copy; begins a new era."""
+        self._era += 1
         self._version = copy.version
-        self._row_by_id = dict(copy.row_by_id)
+        self._row_by_id = {
+            row_id:
+                dataclasses.replace(row,
+                                    version=store_version.StoreVersion(
+                                        self._era, row.version.counter))
+            for row_id, row in copy.row_by_id.items()
+        }
 
     def has_version(self, version: int) -> bool:
         """Returns whether the store has reached a version."""
@@ -86,22 +100,35 @@
         """Returns the rows of a table that changed after a version."""
         rows = [
             row for (row_table, _), row in self._row_by_id.items()
-            if row_table == table and row.version > after and
+            if row_table == table and row.version.counter > after and
             (after >= 0 or row.value is not None)
         ]
         return row_store.RowChanges(
-            tuple(sorted(rows, key=lambda row: row.version)), self._version)
+            tuple(sorted(rows, key=lambda row: row.version)), self.version)
+
+    async def break_calls(self) -> None:
+        """Ends all waiting calls without a response, as an outage does."""
+        self._outages += 1
+        async with self._changed:
+            self._changed.notify_all()
 
     async def wait_for_change(self, table: str, after: int,
-                              wait_s: float) -> None:
-        """Waits until a table changes, for a limited time."""
+                              wait_s: float) -> bool:
+        """Waits until a table changes, for a limited time.
+
+        Returns:
+            False if the call was broken off.
+        """
+        outages = self._outages
         try:
             async with asyncio.timeout(wait_s):
                 async with self._changed:
                     await self._changed.wait_for(
-                        lambda: self.changes(table, after).changes)
+                        lambda: self._outages > outages or self.changes(
+                            table, after).changes)
         except TimeoutError:
             pass
+        return self._outages == outages
 
 
 class _HostStore(row_store.RowStore):
@@ -126,25 +153,28 @@
         return result.Ok(self._store.changes(table, -1))
 
     async def watch(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after_version: store_version.StoreVersion,
+        wait_s: float
     ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         if (error := await self._call(f'watch {table}')) is not None:
             return result.Err(error)
-        if not self._store.has_version(after_version):
+        after = after_version.counter
+        if not self._store.has_version(after):
             return result.Err(row_store.StoreError.HISTORY_LOST)
-        await self._store.wait_for_change(table, after_version, wait_s)
+        if not await self._store.wait_for_change(table, after, wait_s):
+            return result.Err(row_store.StoreError.UNKNOWN)
         if self._host in self._store.rejected_hosts:
             return result.Err(row_store.StoreError.UNAVAILABLE)
-        return result.Ok(self._store.changes(table, after_version))
+        return result.Ok(self._store.changes(table, after))
 
     async def write(
         self, writes: Sequence[row_store.RowWrite]
-    ) -> result.Result[int, row_store.StoreError]:
+    ) -> result.Result[store_version.StoreVersion, row_store.StoreError]:
         if (error := await self._call('write')) is not None:
             return result.Err(error)
         for row in writes:
             await self._store.put(row.table, row.key, row.value)
-        return result.Ok(0)
+        return result.Ok(self._store.version)
 
 
 class _Network(peers.PeerNetwork):
@@ -359,6 +389,7 @@
             store=store,
             evidence=state.evidence_log,
             is_watcher=lambda: watch.is_watcher,
+            store_era=lambda: servers.version.era,
             time=time)
         followers = [
             store_follower.StoreFollower(store=store,
@@ -380,10 +411,10 @@
             entry.run(),
             evidence.run(),
             stored_evidence.run(),
-            host_registry.register(store=store,
-                                   time=time,
-                                   registry=hosts,
-                                   record=record)
+            host_registry.keep_registered(store=store,
+                                          time=time,
+                                          registry=hosts,
+                                          record=record)
         ]
         self.host_by_name[record.host] = EntryHost(
             record, state, watch, liveness, permits,
--- a/tests/platform/restored_store.feature
+++ b/tests/platform/restored_store.feature
@@ -57,3 +57,46 @@
     And the store answers every host
     And 1.5 s later server "s-4" is listed again
     Then for 4 s every host uses "s-4"
+
+  # Guards against hosts that nobody finds, since their registration was lost.
+  Scenario: A host whose registration was lost registers again
+    Given 3 data centres with 3 entry hosts each
+    When the store is copied
+    And the hosts have run for 6 s without a change
+    And the store is away for 2 s and comes back from the copy
+    And the store answers every host
+    Then within 4 s the store has the registrations of all hosts
+
+  # Guards against a server that is kept from use for good, because it had been
+  # unreachable for a while before the store came back from a copy.
+  Scenario: A server that is still listed long after the restoration is used
+    Given 3 data centres with 3 entry hosts each
+    When the hosts have run for 6 s without a change
+    And the store is copied
+    And server "s-2" is removed
+    And the hosts have run for 1 s without a change
+    And the store is away for 2 s and comes back from the copy
+    And the store answers every host
+    And the hosts have run for 12 s without a change
+    Then for 1 s every host uses "s-2"
+
+  # Guards against hosts that take content of before the restoration for newer,
+  # since its counter is higher.
+  Scenario: A later era precedes every counter of an earlier one
+    Given versions 67 of era 1, 60 of era 2 and 61 of era 2
+    Then each is greater than the one before, and so are their tokens
+    And a peer that tells no era is taken to be in the known one
+
+  # Guards against a follower that gives content of an earlier era to its listener.
+  Scenario: A table read in an earlier era than a peer has told of is dropped
+    Given a follower whose listener knows version 3 of era 2
+    When the store responds with version 90 of era 1
+    Then the listener receives nothing
+
+  # Guards against two coordinators of one group with the same fencing token: the
+  # duty is acquired in the copy at the counter at which it was acquired before.
+  Scenario: A fencing token is not given out twice
+    Given a duty that was acquired at version 66 of era 1
+    When another agent acquires it at version 66 of era 2
+    Then its term is greater than the first one
+    And maps of the first one have lower versions
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -9,7 +9,8 @@
 
 from pollenthread.app import (entry_liveness, host_registry, serving_state,
                               snapshot_exchange, store_listeners, store_watch)
-from pollenthread.core import host_record, peer_messages, routing_config
+from pollenthread.core import (host_record, peer_messages, routing_config,
+                               store_version)
 from tests.fakes import memory, virtual_time
 
 _KNOWN_VERSION = 100
@@ -82,7 +83,7 @@
         limits=routing_config.CallerLimits(),
         workspaces_by_api_key=None)
     for listener in (config, servers):
-        listener.on_contact(_KNOWN_VERSION)
+        listener.on_contact(store_version.StoreVersion(1, _KNOWN_VERSION))
     hosts = host_registry.HostRegistry()
     for name in ('own', 'other'):
         hosts.records_by_host[name] = _record(name)
--- a/tests/platform/steps/restored_store.py
+++ b/tests/platform/steps/restored_store.py
@@ -1,13 +1,21 @@
 """Steps for a store that comes back from an older copy, in virtual time."""
 
 import asyncio
+import itertools
+import random
+from collections.abc import Sequence
 from typing import Any
 
-from behave import then, when
+import result
+from behave import given, then, when
 
-from tests.fakes import entry_fleet
+from pollenthread.app import host_registry, map_coordinator, store_follower
+from pollenthread.core import store_version
+from pollenthread.ports import row_store
+from tests.fakes import entry_fleet, virtual_time
 
 _CHECK_INTERVAL_S = 0.02
+_FOLLOW_S = 5.0
 
 
 async def _put_server(context: Any, server: str, state: bytes | None) -> None:
@@ -30,6 +38,7 @@
     async def restore() -> None:
         store = context.script.fleet.store
         store.rejected_hosts.update(context.script.fleet.host_by_name)
+        await store.break_calls()
         await asyncio.sleep(seconds)
         store.restore(context.copy)
 
@@ -103,3 +112,150 @@
 @then('for {seconds:g} s every host uses "{server}"')
 def step_always_used(context: Any, seconds: float, server: str) -> None:
     context.script.run(lambda: _check_for(context, seconds, {server}, set()))
+
+
+@then('within {seconds:g} s the store has the registrations of all hosts')
+def step_registered(context: Any, seconds: float) -> None:
+    script = context.script
+
+    async def check() -> None:
+        await asyncio.sleep(seconds)
+        rows = script.fleet.store.changes(host_registry.HOSTS_TABLE, -1).changes
+        assert {row.key for row in rows} == set(script.fleet.host_by_name), rows
+
+    script.run(check)
+
+
+# Versions.
+
+
+@given(
+    'versions {first:d} of era 1, {second:d} of era 2 and {third:d} of era 2')
+def step_versions(context: Any, first: int, second: int, third: int) -> None:
+    context.versions = [
+        store_version.START,
+        store_version.StoreVersion(1, first),
+        store_version.StoreVersion(2, second),
+        store_version.StoreVersion(2, third)
+    ]
+
+
+@then('each is greater than the one before, and so are their tokens')
+def step_greater(context: Any) -> None:
+    for earlier, later in itertools.pairwise(context.versions):
+        assert earlier < later and earlier.token < later.token, (earlier, later)
+
+
+@then('a peer that tells no era is taken to be in the known one')
+def step_no_era(context: Any) -> None:
+    known = context.versions[-1]
+    assert store_version.told_version(0, known.counter, known) == known
+
+
+class _Listener(store_follower.TableListener):
+    """Records what a follower gives to it.
+
+    Attributes:
+        received: the versions of all reads and changes.
+    """
+
+    def __init__(self, known: store_version.StoreVersion) -> None:
+        self._known = known
+        self.received: list[object] = []
+
+    def on_full_read(self, rows: Sequence[row_store.RowChange],
+                     version: store_version.StoreVersion) -> None:
+        self.received.append(version)
+
+    def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
+        self.received.append(rows)
+
+    def on_error(self, error: row_store.StoreError) -> None:
+        self.received.append(error)
+
+    def on_contact(self, version: store_version.StoreVersion) -> None:
+        self.received.append(version)
+
+    @property
+    def known_version(self) -> store_version.StoreVersion:
+        return self._known
+
+
+class _LateStore(row_store.RowStore):
+    """Responds with the content of one version."""
+
+    def __init__(self, version: store_version.StoreVersion) -> None:
+        self._version = version
+
+    async def read(
+        self, table: str
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
+        row = row_store.RowChange('k', b'v', self._version)
+        return result.Ok(row_store.RowChanges((row,), self._version))
+
+    async def watch(
+        self, table: str, after_version: store_version.StoreVersion,
+        wait_s: float
+    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
+        return await self.read(table)
+
+    async def write(
+        self, writes: Sequence[row_store.RowWrite]
+    ) -> result.Result[store_version.StoreVersion, row_store.StoreError]:
+        return result.Ok(self._version)
+
+
+@given('a follower whose listener knows version {counter:d} of era {era:d}')
+def step_follower(context: Any, counter: int, era: int) -> None:
+    context.listener = _Listener(store_version.StoreVersion(era, counter))
+
+
+@when('the store responds with version {counter:d} of era {era:d}')
+def step_late_response(context: Any, counter: int, era: int) -> None:
+    follower = store_follower.StoreFollower(store=_LateStore(
+        store_version.StoreVersion(era, counter)),
+                                            table='t',
+                                            listener=context.listener,
+                                            time=virtual_time.LoopClock(),
+                                            wait_s=1.0,
+                                            pause_s=0.1,
+                                            rng=random.Random(1))
+
+    async def follow() -> None:
+        try:
+            async with asyncio.timeout(_FOLLOW_S):
+                await follower.run()
+        except TimeoutError:
+            pass
+
+    virtual_time.run(follow())
+
+
+@then('the listener receives nothing')
+def step_nothing_received(context: Any) -> None:
+    assert not context.listener.received, context.listener.received
+
+
+@given('a duty that was acquired at version {counter:d} of era {era:d}')
+def step_first_duty(context: Any, counter: int, era: int) -> None:
+    context.terms = [store_version.StoreVersion(era, counter).token]
+
+
+@when('another agent acquires it at version {counter:d} of era {era:d}')
+def step_second_duty(context: Any, counter: int, era: int) -> None:
+    context.terms.append(store_version.StoreVersion(era, counter).token)
+
+
+@then('its term is greater than the first one')
+def step_greater_term(context: Any) -> None:
+    first, second = context.terms
+    assert second > first, context.terms
+
+
+@then('maps of the first one have lower versions')
+def step_lower_maps(context: Any) -> None:
+    first, second = context.terms
+    last_of_first = map_coordinator.map_version(
+        first, map_coordinator.VERSIONS_PER_TERM - 1)
+    assert last_of_first < map_coordinator.map_version(second, 1)
+    assert map_coordinator.map_version(second, 1) < 1 << 64
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -13,7 +13,7 @@
 from pollenthread.app import (group_view, host_registry, map_coordinator,
                               rank_agent, switch_driver)
 from pollenthread.core import (host_record, membership, replication,
-                               routing_config, step_limits)
+                               routing_config, step_limits, store_version)
 from pollenthread.ports import row_store
 from tests.fakes import emulated_group, memory, thin_links, virtual_time
 
@@ -99,7 +99,7 @@
     """Accepts every write and stores nothing."""
 
     def __init__(self) -> None:
-        self._version = 0
+        self._version = store_version.StoreVersion(1, 0)
 
     async def read(
         self, table: str
@@ -107,13 +107,16 @@
         return result.Ok(row_store.RowChanges((), self._version))
 
     async def watch(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after_version: store_version.StoreVersion,
+        wait_s: float
     ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         return await self.read(table)
 
-    async def write(self,
-                    writes: Any) -> result.Result[int, row_store.StoreError]:
-        self._version += 1
+    async def write(
+        self, writes: Any
+    ) -> result.Result[store_version.StoreVersion, row_store.StoreError]:
+        self._version = dataclasses.replace(self._version,
+                                            counter=self._version.counter + 1)
         return result.Ok(self._version)
 
 
