Ignore odd entries of the store's tables

Cause: decoders accepted numbers that later code cannot represent (slots of 400 digits or 70,000,000, a start time of 2^70, which also made the sound server at its address seem replaced), lone surrogates, ports like 8_0 or in other digits; records of hosts with deep nesting raised RecursionError in the follower, one with port 65536 OverflowError in the heartbeat, a timeout of 10^400 OverflowError in the configuration; messages with such values raised errors that nobody expects.

Change: ranges, valid text and IPv4 addresses are checked where rows are decoded; a record of a host must have its key; a message that cannot be encoded is counted and not sent.

--- a/pollenthread/adapters/peer_codec.py
+++ b/pollenthread/adapters/peer_codec.py
@@ -16,8 +16,8 @@
 from pollenthread.core import peer_messages
 
 __all__ = [
-    'PeerMessageDecodeError', 'decode', 'decode_datagram', 'encode',
-    'encode_datagram'
+    'PeerMessageDecodeError', 'PeerMessageEncodeError', 'decode',
+    'decode_datagram', 'encode', 'encode_datagram'
 ]
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
@@ -41,6 +41,10 @@
     """The bytes are not a valid message of the schema."""
 
 
+class PeerMessageEncodeError(Exception):
+    """A field has a value that the schema cannot represent."""
+
+
 def _camel_case(name: str) -> str:
     first, *rest = name.split('_')
     return first + ''.join(part.capitalize() for part in rest)
@@ -54,17 +58,25 @@
 
 
 def encode(message: Any) -> bytes:
-    """Encodes an instance of a data class without its type."""
+    """Encodes an instance of a data class without its type.
+
+    Raises:
+        PeerMessageEncodeError: a value is out of range, or not valid text.
+    """
     builder = getattr(_schema, type(message).__name__).new_message()
-    _fill_builder(builder, message)
+    _fill_checked(builder, message)
     data: bytes = builder.to_bytes_packed()
     return data
 
 
 def encode_datagram(message: Any) -> bytes:
-    """Encodes an instance of a data class as a datagram, which has its type."""
+    """Encodes an instance of a data class as a datagram, which has its type.
+
+    Raises:
+        PeerMessageEncodeError: a value is out of range, or not valid text.
+    """
     builder = _schema.Datagram.new_message()
-    _fill_builder(builder.init(_UNION_NAME_BY_TYPE[type(message)]), message)
+    _fill_checked(builder.init(_UNION_NAME_BY_TYPE[type(message)]), message)
     data: bytes = builder.to_bytes_packed()
     return data
 
@@ -97,6 +109,13 @@
         raise PeerMessageDecodeError(str(error)) from error
 
 
+def _fill_checked(builder: Any, message: Any) -> None:
+    try:
+        _fill_builder(builder, message)
+    except (capnp.KjException, OverflowError, ValueError) as error:
+        raise PeerMessageEncodeError(str(error)) from error
+
+
 def _fill_builder(builder: Any, message: Any) -> None:
     for field, name, hint in _fields_of(type(message)):
         value = getattr(message, field)
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -29,7 +29,7 @@
     """Peer network over a UDP socket and an HTTP server on the same port.
 
     Attributes:
-        malformed_count: messages that could not be decoded.
+        malformed_count: messages that could not be decoded or encoded.
         sent_bytes_by_kind: bytes sent, by message type or HTTP path.
         received_bytes_by_kind: bytes received, by message type or HTTP path.
     """
@@ -56,6 +56,13 @@
         self.received_bytes_by_kind: collections.Counter[str] = (
             collections.Counter())
 
+    @property
+    def address(self) -> str:
+        """The address at which peers reach this network."""
+        assert self._transport is not None
+        host, port = self._transport.get_extra_info('sockname')[:2]
+        return f'{host}:{port}'
+
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
         await self._server.__aenter__()
@@ -79,7 +86,11 @@
         self._handler_by_type[message_type] = handler
 
     def send_all(self, addresses: Iterable[str], message: Any) -> bool:
-        data = peer_codec.encode_datagram(message)
+        try:
+            data = peer_codec.encode_datagram(message)
+        except peer_codec.PeerMessageEncodeError:
+            self.malformed_count += 1
+            return False
         if len(data) > _MAX_DATAGRAM_BYTES:
             return False
         if self._transport is None or self._transport.is_closing():
@@ -155,14 +166,18 @@
             return
         await self._send_message(response, provider(known))
 
-    @staticmethod
-    async def _send_message(response: http_message.HttpResponse,
+    async def _send_message(self, response: http_message.HttpResponse,
                             message: Any) -> None:
+        try:
+            body = b'' if message is None else peer_codec.encode(message)
+        except peer_codec.PeerMessageEncodeError:
+            self.malformed_count += 1
+            message = None
         if message is None:
             await response.send_problem(
                 errors.make_failure(errors.ErrorKind.NO_UPSTREAM))
             return
-        await response.send(200, [_CONTENT_TYPE], peer_codec.encode(message))
+        await response.send(200, [_CONTENT_TYPE], body)
 
     async def fetch_snapshot(
             self, address: str, known: peer_messages.SnapshotRequest
--- a/pollenthread/app/evidence_store.py
+++ b/pollenthread/app/evidence_store.py
@@ -142,10 +142,12 @@
     """Decodes a crash, as if it had just happened; None if it is malformed."""
     try:
         fields = json.loads(value)
-        return crash_evidence.Crash(
-            server=server,
-            at=now,
-            begun=frozenset(str(part) for part in fields['begun']),
-            sent=frozenset(str(part) for part in fields['sent']))
-    except (ValueError, KeyError, TypeError):
+        begun = frozenset(str(part) for part in fields['begun'])
+        sent = frozenset(str(part) for part in fields['sent'])
+        ''.join((*begun, *sent)).encode()
+        return crash_evidence.Crash(server=server,
+                                    at=now,
+                                    begun=begun,
+                                    sent=sent)
+    except (ValueError, KeyError, TypeError, RecursionError):
         return None
--- a/pollenthread/app/host_registry.py
+++ b/pollenthread/app/host_registry.py
@@ -53,7 +53,7 @@
     def _apply_rows(self, rows: Sequence[row_store.RowChange]) -> None:
         for row in rows:
             if row.value is not None:
-                self._apply_value(row.value)
+                self._apply_row(row.key, row.value)
 
     def apply_peer_rows(self, delta: row_cache.RowDelta,
                         version: store_version.StoreVersion) -> None:
@@ -72,9 +72,9 @@
             self.on_changes(delta.rows)
         self.version = version
 
-    def _apply_value(self, value: bytes) -> None:
+    def _apply_row(self, key: str, value: bytes) -> None:
         decoded = host_record.decode(value)
-        if isinstance(decoded, result.Err):
+        if isinstance(decoded, result.Err) or decoded.ok_value.host != key:
             self.rejected_count += 1
             return
         self.put(decoded.ok_value)
--- a/pollenthread/core/host_record.py
+++ b/pollenthread/core/host_record.py
@@ -6,6 +6,8 @@
 
 import result
 
+from pollenthread.core import socket_address
+
 __all__ = ['HostRecord', 'Role', 'decode', 'encode']
 
 
@@ -58,9 +60,14 @@
         string_fields = {
             name: str(fields[name]) for name in names if name != 'role'
         }
+        ''.join(string_fields.values()).encode()
         record = HostRecord(role=Role(fields['role']), **string_fields)
-        if not record.peer_address.rpartition(':')[2].isdecimal():
-            return result.Err(f'peer address {record.peer_address!r}')
+        for address in (record.peer_address, record.caller_address,
+                        record.engine_address):
+            if address and not socket_address.is_socket_address(address):
+                return result.Err(f'invalid address {address!r}')
+        if not record.peer_address:
+            return result.Err('no peer address')
         return result.Ok(record)
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         return result.Err(repr(error))
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -47,7 +47,7 @@
         document: field_reader.FieldReader) -> routing_config.RoutingConfig:
     services = map(_decode_service, _get_required_objects(document, 'services'))
     return routing_config.RoutingConfig(
-        version=document.get_int('version'),
+        version=document.get_int('version', least=0),
         routes_by_host=_group_by_host([
             _decode_route(route)
             for route in _get_required_objects(document, 'routes')
--- a/pollenthread/platform/field_reader.py
+++ b/pollenthread/platform/field_reader.py
@@ -5,12 +5,17 @@
 of a process until it serves requests, which would delay every restart.
 """
 
-import math
+import sys
 from collections.abc import Mapping
 from typing import Any, Self
 
 __all__ = ['FieldReader', 'FieldError']
 
+_MAX_FLOAT = sys.float_info.max
+# Integers are sent to peers with 64 bits.
+_MAX_INT = 2**63 - 1
+_MAX_SHOWN = 80
+
 
 class FieldError(ValueError):
     """A field is missing or has a value of the wrong type."""
@@ -64,8 +69,7 @@
         Raises:
             FieldError: the field is required and missing, or not a string.
         """
-        return self._check_type(name, self._get_value(name, default), str,
-                                'text')
+        return self._check_text(name, self._get_value(name, default))
 
     def get_float(self, name: str, default: float | None = None) -> float:
         """Returns a finite number as a float.
@@ -80,25 +84,33 @@
         """
         value = self._get_value(name, default)
         if (isinstance(value, bool) or not isinstance(value, (int, float)) or
-                not math.isfinite(value)):
+                not -_MAX_FLOAT <= value <= _MAX_FLOAT):
             raise FieldError(
-                f'{self._field_path(name)} is no number: {value!r}')
+                f'{self._field_path(name)} is no number: {_shorten(value)}')
         return float(value)
 
-    def get_int(self, name: str, default: int | None = None) -> int:
+    def get_int(self,
+                name: str,
+                default: int | None = None,
+                *,
+                least: int = -_MAX_INT,
+                most: int = _MAX_INT) -> int:
         """Returns an integer; a float without a fraction is accepted.
 
         Args:
             name: name of the field.
             default: value of a missing field; None if the field is required.
+            least: smallest valid value.
+            most: greatest valid value.
 
         Raises:
-            FieldError: the field is required and missing, or not an integer.
+            FieldError: the field is required and missing, not an integer, or
+                out of range.
         """
         value = self._get_value(name, default)
-        if not _is_integer(value):
-            raise FieldError(
-                f'{self._field_path(name)} is no whole number: {value!r}')
+        if not _is_integer(value) or not least <= value <= most:
+            raise FieldError(f'{self._field_path(name)} is no whole number '
+                             f'from {least} to {most}: {_shorten(value)}')
         return int(value)
 
     def get_bool(self, name: str, default: bool) -> bool:
@@ -139,7 +151,7 @@
         """
         items = self._check_type(name, self._get_value(name, []), list, 'list')
         return tuple(
-            self._check_type(f'{name}[{index}]', value, str, 'text')
+            self._check_text(f'{name}[{index}]', value)
             for index, value in enumerate(items))
 
     def get_ints(self, name: str, *, count: int) -> tuple[int, ...]:
@@ -165,18 +177,36 @@
         mapping = self._check_type(name, self._get_value(name, {}), Mapping,
                                    'object')
         return {
-            str(key): self._check_type(f'{name}.{key}', value, str, 'text')
+            self._check_text(name, key):
+                self._check_text(f'{name}.{key}', value)
             for key, value in mapping.items()
         }
 
     def _check_type(self, name: str, value: Any, expected_type: Any,
                     type_name: str) -> Any:
         if not isinstance(value, expected_type):
-            raise FieldError(
-                f'{self._field_path(name)} is no {type_name}: {value!r}')
+            raise FieldError(f'{self._field_path(name)} is no {type_name}: '
+                             f'{_shorten(value)}')
         return value
 
+    def _check_text(self, name: str, value: Any) -> str:
+        """Returns a string that can be encoded."""
+        text: str = self._check_type(name, value, str, 'text')
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            raise FieldError(
+                f'{self._field_path(name)} is no valid text') from error
+        return text
+
 
 def _is_integer(value: Any) -> bool:
     return (isinstance(value, (int, float)) and not isinstance(value, bool) and
             value == value // 1)
+
+
+def _shorten(value: Any) -> str:
+    """Returns a value for an error message."""
+    if isinstance(value, int) and not -_MAX_INT <= value <= _MAX_INT:
+        return 'a number that is too large'
+    return repr(value)[:_MAX_SHOWN]
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -181,14 +181,28 @@
                  has_more=bool(document.get('has_more')))
 
 
+def _is_valid_text(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _decode_changes(page: dict[str, Any],
                     era: int) -> list[row_store.RowChange]:
     """Decodes rows; a value that is not valid base64 becomes empty bytes.
 
+    Rows whose keys are no valid text are left out: no peer could be told of
+    them.
+
     The value of a removed row is None.
     """
     changes = []
     for row in page.get('rows') or ():
+        key = str(row.get('key', ''))
+        if not _is_valid_text(key):
+            continue
         value: bytes | None = None
         if not row.get('removed'):
             try:
@@ -197,7 +211,7 @@
                 value = b''
         changes.append(
             row_store.RowChange(
-                str(row.get('key', '')), value,
+                key, value,
                 store_version.StoreVersion(era, int(row.get('ver', 0)))))
     return changes
 
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -4,11 +4,17 @@
 
 import result
 
-from pollenthread.core import server_registry
+from pollenthread.core import server_registry, socket_address
 from pollenthread.platform import field_reader, wire_names
 
 __all__ = ['decode']
 
+# Load reports have 16 bits for it.
+_MAX_SLOTS = 65_535
+# In the year 5138. An entry with a greater start time would seem to replace
+# every other server at its address.
+_MAX_BORN_MS = 10**14
+
 
 def decode(server_id: str,
            data: bytes) -> result.Result[server_registry.Server, str]:
@@ -24,8 +30,7 @@
     try:
         entry = field_reader.FieldReader(json.loads(data))
         address = entry.get_str('address')
-        host, _, port = address.rpartition(':')
-        if not host or not 0 < int(port) < 65536:
+        if not socket_address.is_socket_address(address):
             return result.Err(f'invalid address {address!r}')
         return result.Ok(
             server_registry.Server(
@@ -34,8 +39,9 @@
                 address=address,
                 # The platform's term for a data centre is "zone".
                 data_centre=entry.get_str('zone'),
-                slots=max(1, entry.get_int('slots', 1)),
+                slots=max(1, entry.get_int('slots', 1, least=0,
+                                           most=_MAX_SLOTS)),
                 state=wire_names.SERVER_STATE_BY_NAME[entry.get_str('state')],
-                born_ms=entry.get_int('born', 0)))
+                born_ms=entry.get_int('born', 0, least=0, most=_MAX_BORN_MS)))
     except (ValueError, KeyError, RecursionError) as error:
         return result.Err(str(error))
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -76,6 +76,10 @@
         """The present version."""
         return store_version.StoreVersion(self._era, self._version)
 
+    def client(self, host: str) -> row_store.RowStore:
+        """Returns the store as a host sees it."""
+        return _HostStore(self, host)
+
     def copy(self) -> StoreCopy:
         """Returns a copy of the present content."""
         return StoreCopy(self._version, dict(self._row_by_id))
