Accept a request at a stopping host only if it will end before the exit

Cause: a whole request was accepted for three quarters of the grace period, whatever its route allows it to take. At 8 s of grace and an exit after 7.5 s, a request with a timeout of 3 s was cut if it took longer than 1.5 s; one on a route with a short timeout was refused although it fitted.

Streams that a caller can resume elsewhere keep their share of the grace period; streams that cannot be resumed follow the deadline.

--- a/pollenthread/app/request_admission.py
+++ b/pollenthread/app/request_admission.py
@@ -43,31 +43,35 @@
             raise request_job.RequestFailed(
                 errors.make_failure(errors.ErrorKind.NOT_FOUND))
         workspace = _authenticate(config, route, request)
-        self._check_shutdown(route)
-        service = self._state.pick_service(route)
-        now = self._clock.monotonic()
-        self._state.retry_budget_for(service).record_request(now)
         timeout_s = (_DEFAULT_TIMEOUT_S
                      if request.timeout_s is None else request.timeout_s)
         deadline = request.received_at + min(timeout_s, route.timeout_s)
+        self._check_shutdown(route, deadline)
+        service = self._state.pick_service(route)
+        self._state.retry_budget_for(service).record_request(
+            self._clock.monotonic())
         has_missed_target = (request.timeout_s is not None and
                              self._caller_timeouts.has_missed_target(
                                  route, request.timeout_s))
         return request_job.RequestJob(request, route, service, workspace,
                                       deadline, response, has_missed_target)
 
-    def _check_shutdown(self, route: routing_config.Route) -> None:
-        """Rejects a request that could not complete before the shutdown.
+    def _check_shutdown(self, route: routing_config.Route,
+                        deadline: float) -> None:
+        """Rejects a request that might not end before the process exits.
 
         Raises:
             request_job.RequestFailed: the host shuts down too soon.
         """
         if self._state.shutdown_began_at is None:
             return
-        elapsed_s = self._clock.monotonic() - self._state.shutdown_began_at
+        now = self._clock.monotonic()
         is_stream = route.kind is routing_config.RequestKind.STREAM
         if not graceful_shutdown.accepts_request(
-                self._shutdown_plan, elapsed_s, is_stream=is_stream):
+                self._shutdown_plan,
+                now - self._state.shutdown_began_at,
+                longest_s=deadline - now,
+                is_resumable=is_stream and route.is_resumable):
             raise request_job.RequestFailed(
                 errors.make_failure(errors.ErrorKind.LEAVING))
 
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -11,11 +11,12 @@
 from tests.fakes import memory
 
 __all__ = [
-    'CONFIG', 'ENGINE_PROFILE', 'ROUTE', 'TARGET_S', 'RecordingResponse',
-    'make_forwarder', 'make_request'
+    'CONFIG', 'ENGINE_PROFILE', 'ROUTE', 'SHUTDOWN_PLAN', 'TARGET_S',
+    'RecordingResponse', 'make_forwarder', 'make_request'
 ]
 
 TARGET_S = 0.403
+SHUTDOWN_PLAN = graceful_shutdown.ShutdownPlan(8.0, 1.0)
 ENGINE_PROFILE = routing_config.EngineProfile(slots=6,
                                               kv_cache_tokens=247_000,
                                               base_step_s=0.005,
@@ -124,11 +125,13 @@
 
 
 def make_forwarder(
-        *,
-        state: serving_state.ServingState,
-        upstream_client: upstream.UpstreamClient,
-        time: clock.Clock,
-        permits: rate_permits.RatePermits | None = None) -> forwarder.Forwarder:
+    *,
+    state: serving_state.ServingState,
+    upstream_client: upstream.UpstreamClient,
+    time: clock.Clock,
+    permits: rate_permits.RatePermits | None = None,
+    shutdown_plan: graceful_shutdown.ShutdownPlan = SHUTDOWN_PLAN
+) -> forwarder.Forwarder:
     """Returns a forwarder that logs nothing.
 
     Args:
@@ -137,6 +140,7 @@
         time: the clock.
         permits: permits for limited servers; by default those of a host that
             shares its servers with no other one.
+        shutdown_plan: the times of a graceful shutdown.
     """
     log = memory.NullEventLog()
     return forwarder.Forwarder(
@@ -144,7 +148,7 @@
         upstream_client=upstream_client,
         permits=permits or
         rate_permits.LocalRatePermits(state=state, time=time, log=log),
-        shutdown_plan=graceful_shutdown.ShutdownPlan(8.0, 1.0),
+        shutdown_plan=shutdown_plan,
         observe=lambda name, value: None,
         time=time,
         log=log)
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -281,17 +281,23 @@
       '{rejected_s:d} s')
 def step_stream_accepted(context: Any, accepted_s: int,
                          rejected_s: int) -> None:
-    accepts = graceful_shutdown.accepts_request
-    assert accepts(context.plan, accepted_s, is_stream=True)
-    assert not accepts(context.plan, rejected_s, is_stream=True)
+    assert _accepts(context, accepted_s, 8.0, is_resumable=True)
+    assert not _accepts(context, rejected_s, 8.0, is_resumable=True)
 
 
 @then('a short request is accepted after {accepted_s:d} s and rejected after '
       '{rejected_s:d} s')
 def step_short_accepted(context: Any, accepted_s: int, rejected_s: int) -> None:
-    accepts = graceful_shutdown.accepts_request
-    assert accepts(context.plan, accepted_s, is_stream=False)
-    assert not accepts(context.plan, rejected_s, is_stream=False)
+    assert _accepts(context, accepted_s, 1.0, is_resumable=False)
+    assert not _accepts(context, rejected_s, 1.0, is_resumable=False)
+
+
+def _accepts(context: Any, elapsed_s: float, longest_s: float, *,
+             is_resumable: bool) -> bool:
+    return graceful_shutdown.accepts_request(context.plan,
+                                             elapsed_s,
+                                             longest_s=longest_s,
+                                             is_resumable=is_resumable)
 
 
 @then('the host may exit after {exit_s:d} s if no request is running, and not '
--- /dev/null
+++ b/tests/platform/steps/stopping_host.py
@@ -0,0 +1,174 @@
+"""Steps for requests at a host that stops, in virtual time."""
+
+import asyncio
+import contextlib
+import dataclasses
+import math
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+
+from behave import given, then, when
+
+from pollenthread.app import graceful_shutdown, serving_state
+from pollenthread.core import (errors, http_headers, routing_config,
+                               server_registry)
+from pollenthread.ports import upstream
+from tests.fakes import forwarding, virtual_time
+
+_OK = 200
+_MAX_REJECTION_S = 0.01
+
+
+@dataclasses.dataclass
+class _Sent:
+    """A request.
+
+    Attributes:
+        after_s: seconds from the begin of the stop to its arrival.
+        response: what its caller received.
+        ended_after_s: seconds from the begin of the stop to its end.
+    """
+
+    after_s: float
+    response: forwarding.RecordingResponse
+    ended_after_s: float = math.inf
+
+    @property
+    def is_rejected(self) -> bool:
+        """Whether the host says that the request has not run."""
+        failure = self.response.failure
+        return failure is not None and failure.executed is errors.Executed.NO
+
+
+class _Response(upstream.UpstreamResponse):
+    """A complete response."""
+
+    def __init__(self) -> None:
+        self.status = _OK
+        self.headers: tuple[http_headers.Header, ...] = ()
+        self.may_have_executed = True
+        self.is_misdirected = False
+        self.load = None
+        self.limit_per_s = math.inf
+        self.closes_connection = False
+
+    async def read(self) -> AsyncIterator[bytes]:  # pylint: disable=invalid-overridden-method
+        yield b'x'
+
+
+class _SlowServers(upstream.UpstreamClient):
+    """Servers that respond after some time.
+
+    Attributes:
+        run_ids: the ids of the requests that have reached a server.
+    """
+
+    def __init__(self, work_s: float) -> None:
+        self._work_s = work_s
+        self.run_ids: set[str] = set()
+
+    @contextlib.asynccontextmanager
+    async def send(  # pylint: disable=invalid-overridden-method
+        self, attempt: upstream.UpstreamAttempt
+    ) -> AsyncIterator[upstream.UpstreamResponse]:
+        self.run_ids.add(attempt.request.id)
+        await asyncio.sleep(self._work_s)
+        yield _Response()
+
+    async def is_refusing(self, server: server_registry.Server) -> bool:
+        return False
+
+
+@given('a host that has begun to stop, with a grace period of {grace:g} s')
+def step_stopping(context: Any, grace: float) -> None:
+    context.plan = graceful_shutdown.ShutdownPlan(grace_s=grace,
+                                                  discovery_cache_s=3.0)
+
+
+@given('a route of kind "{kind}" with a timeout of {timeout:g} s, whose '
+       'servers take {work:g} s')
+def step_route(context: Any, kind: str, timeout: float, work: float) -> None:
+    route = dataclasses.replace(forwarding.ROUTE,
+                                kind=routing_config.RequestKind(kind),
+                                timeout_s=timeout,
+                                is_resumable=False)
+    context.configuration = dataclasses.replace(forwarding.CONFIG,
+                                                routes_by_host={'h': (route,)})
+    context.servers = _SlowServers(work)
+
+
+@when('a request arrives every {interval:g} s until the host exits')
+def step_run(context: Any, interval: float) -> None:
+    context.sent = []
+    virtual_time.run(_run(context, interval))
+
+
+async def _run(context: Any, interval_s: float) -> None:
+    time = virtual_time.LoopClock()
+    state = serving_state.ServingState(
+        data_centre='a',
+        retry_settings=serving_state.RetryBudgetSettings(0.2, 94.0, 10.0),
+        return_s=2.0,
+        rng=random.Random(1))
+    state.config = context.configuration
+    for name in ('s1', 's2'):
+        state.server_registry.put(
+            server_registry.Server(id=name,
+                                   service='llm',
+                                   address=f'{name}:1',
+                                   data_centre='a',
+                                   slots=100,
+                                   state=server_registry.ServerState.READY))
+    host = forwarding.make_forwarder(state=state,
+                                     upstream_client=context.servers,
+                                     time=time,
+                                     shutdown_plan=context.plan)
+    began_at = time.monotonic()
+    state.shutdown_began_at = began_at
+
+    async def serve(sent: _Sent, number: int) -> None:
+        request = dataclasses.replace(forwarding.make_request(
+            received_at=time.monotonic(), timeout_s=None),
+                                      id=str(number))
+        await host.serve(request, sent.response)
+        sent.ended_after_s = time.monotonic() - began_at
+
+    tasks = []
+    while True:
+        after_s = time.monotonic() - began_at
+        running = sum(math.isinf(s.ended_after_s) for s in context.sent)
+        if after_s > 3.0 and graceful_shutdown.may_exit(context.plan, after_s,
+                                                        max(1, running)):
+            break
+        sent = _Sent(after_s, forwarding.RecordingResponse())
+        context.sent.append(sent)
+        tasks.append(asyncio.create_task(serve(sent, len(context.sent))))
+        await asyncio.sleep(interval_s)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@then('each of them has an answer or a rejection before that')
+def step_all_ended(context: Any) -> None:
+    cut = [s.after_s for s in context.sent if math.isinf(s.ended_after_s)]
+    assert not cut, cut
+
+
+@then('rejected requests have not waited and have not run')
+def step_rejected(context: Any) -> None:
+    for number, sent in enumerate(context.sent, start=1):
+        if sent.is_rejected:
+            waited_s = sent.ended_after_s - sent.after_s
+            assert waited_s < _MAX_REJECTION_S, (sent.after_s, waited_s)
+            assert str(number) not in context.servers.run_ids, sent.after_s
+
+
+@then('requests are accepted until second {seconds:g}')
+def step_accepted_until(context: Any, seconds: float) -> None:
+    early = [s.after_s for s in context.sent if s.after_s < seconds]
+    rejected = [
+        s.after_s for s in context.sent if s.is_rejected and s.after_s < seconds
+    ]
+    assert not rejected, (rejected, early)
