--- a/models/suite.py
+++ b/models/suite.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from models import (checking, claims, configuration, leases, map_switch, switch)
+from models import (checking, claims, configuration, leases, map_switch,
+                    store_restoration, switch)
 
 __all__ = ['MODELS', 'CheckedModel']
 
@@ -52,6 +53,8 @@
         _checked_model(leases),
     'configuration':
         _checked_model(configuration),
+    'restored store':
+        _checked_model(store_restoration),
     'switch with a restart':
         _checked_switch(switch.WITH_RESTART, switch.THREE_RANKS,
                         switch.RESTART_MUTANTS),
--- a/tests/models/invariants.feature
+++ b/tests/models/invariants.feature
@@ -14,6 +14,7 @@
       | claims                 |
       | leases                 |
       | configuration          |
+      | restored store         |
       | switch with a restart  |
       | switch with a takeover |
       | map switch on the platform |
