Restore the store of the whole-path tests from a copy

The stand-in of the platform's store names its era, refuses versions that it does not have, and can come back from a copy.

--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -2,7 +2,8 @@
 
 Faults: `down` responds with status 503 to all calls; `forget` is the number of
 feed calls that get status 410, which means that their history is lost.
-`POST /operator` writes the tables of the operator.
+`POST /operator` writes the tables of the operator. `POST /copy` copies the
+store, and `POST /restore` lets it come back from the copy in a new era.
 """
 
 import asyncio
@@ -25,7 +26,13 @@
     def __init__(self) -> None:
         super().__init__()
         self._version = 0
+        self._era = 1
         self._row_by_id: dict[tuple[str, str], dict[str, Any]] = {}
+        self._copy: tuple[int, dict[tuple[str, str], dict[str, Any]]] = (0, {})
+
+    @property
+    def _era_header(self) -> tuple[str, str]:
+        return 'store-era', str(self._era)
 
     async def respond(self, request: http_server.HttpRequest,
                       response: http_server.HttpResponse) -> None:
@@ -33,6 +40,13 @@
         if request.path == '/operator':
             self._write(json.loads(request.body))
             await response.send_json(200, {})
+        elif request.path == '/copy':
+            self._copy = (self._version, dict(self._row_by_id))
+            await response.send_json(200, {})
+        elif request.path == '/restore':
+            self._era += 1
+            self._version, self._row_by_id = self._copy
+            await response.send_json(200, {})
         elif self.faults.get('down'):
             await response.send(503, [], b'')
         elif request.path == '/pollenthread/rows-get':
@@ -74,21 +88,22 @@
                 'ver': self._version,
                 'now_ms': 0,
                 'has_more': False
-            })
+            }, [self._era_header])
 
     async def _send_feed(self, response: http_server.HttpResponse,
                          query: dict[str, str]) -> None:
-        if self.consume_fault('forget'):
-            await response.send(410, [], b'')
+        after, era = int(query['after']), self._era
+        if self.consume_fault('forget') or after > self._version:
+            await response.send(410, [self._era_header], b'')
             return
-        after = int(query['after'])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query['wait_ms']) / 1000
         while (not self._changed_rows(query['table'], after) and
-               loop.time() < deadline and not self.faults.get('down')):
+               loop.time() < deadline and not self.faults.get('down') and
+               self._era == era):
             await asyncio.sleep(_FEED_POLL_INTERVAL_S)
-        if self.faults.get('down'):
-            await response.send(503, [], b'')
+        if self.faults.get('down') or self._era != era:
+            await response.send(503, [self._era_header], b'')
             return
         await self._send_rows(response, query['table'], after)
 
@@ -99,12 +114,15 @@
             row = self._row_by_id.get(row_id)
             current_version = row['ver'] if row and not row['removed'] else 0
             if current_version != expected['ver']:
-                await response.send_json(412, {'rows': []})
+                await response.send_json(412, {'rows': []}, [self._era_header])
                 return
         for row in transaction['puts']:
             value = base64.b64decode(row['value']).decode()
             self._write({**row, 'value': value})
-        await response.send_json(200, {'ver': self._version, 'now_ms': 0})
+        await response.send_json(200, {
+            'ver': self._version,
+            'now_ms': 0
+        }, [self._era_header])
 
 
 if __name__ == '__main__':
--- a/tests/platform/steps/whole_path.py
+++ b/tests/platform/steps/whole_path.py
@@ -283,6 +283,50 @@
     _run(context, context.site.fault('store', forget=6))
 
 
+async def _call_store(context: Any, path: str) -> None:
+    await context.site.call(context.site.address('store'), 'POST', path)
+
+
+@when('the store is copied at a version')
+def step_copy_store(context: Any) -> None:
+    _run(context, context.site.put_server(1, state='draining'))
+    _run(context, asyncio.sleep(_PROPAGATION_S))
+    _run(context, _call_store(context, '/copy'))
+
+
+@when('servers are listed anew and the configuration changes')
+def step_change_before_restoration(context: Any) -> None:
+    for slots in (5, 6):
+        _run(context, context.site.put_server(2, slots=slots))
+    _run(context, _put_config(context, 2, platform_site.KEY))
+    _run(context, asyncio.sleep(_PROPAGATION_S))
+
+
+async def _put_config(context: Any, version: int, key: str) -> None:
+    config = copy.deepcopy(platform_site.CONFIG)
+    config['version'] = version
+    config['tenants'][0]['api_keys'] = [key]
+    await context.site.put_config(config)
+
+
+@when('the store comes back from that copy and all of it is written again')
+def step_restore_store(context: Any) -> None:
+    _run(context, _call_store(context, '/restore'))
+    _run(context, _put_config(context, 2, platform_site.KEY))
+
+
+@when('the API key is revoked at once')
+def step_revoke_at_once(context: Any) -> None:
+    _run(context, _put_config(context, 3, 'another-key'))
+    for slots in (5, 6):
+        _run(context, context.site.put_server(2, slots=slots))
+
+
+@then('a server that was drained before the copy was made gets no requests')
+def step_drained_unused(context: Any) -> None:
+    assert not _run(context, context.site.seen(1))['requests']
+
+
 @when('invalid entries are added to the list of servers')
 def step_invalid_entries(context: Any) -> None:
     for i, value in enumerate(('', '{', '[]', '{"service": 3}', 'null')):
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -85,6 +85,17 @@
     And entry hosts have had time to read the change
     Then 8 requests all reach server 2
 
+  # Guards against a change that is never in force, since its row has a version
+  # that the hosts knew before the store came back from a copy.
+  Scenario: A key that is revoked after the store came back from a copy is rejected
+    Given a site
+    When the store is copied at a version
+    And servers are listed anew and the configuration changes
+    And the store comes back from that copy and all of it is written again
+    And the API key is revoked at once
+    Then the second entry host responds with status 401 within seconds
+    And a server that was drained before the copy was made gets no requests
+
   Scenario: Invalid rows in the store are ignored
     Given a site
     When invalid entries are added to the list of servers
