--- a/tests/platform/steps/odd_entries.py
+++ b/tests/platform/steps/odd_entries.py
@@ -9,7 +9,7 @@
 from pollenthread.adapters import (http_client, http_server, peer_codec,
                                    peer_network)
 from pollenthread.app import (evidence_log, evidence_store, host_registry,
-                              serving_state, snapshot_exchange, store_listeners)
+                              snapshot_exchange, store_listeners)
 from pollenthread.core import (peer_messages, service_estimate, store_version)
 from pollenthread.platform import (config_document, row_store_http, server_row)
 from pollenthread.ports import row_store
--- a/tests/platform/steps/store_watch.py
+++ b/tests/platform/steps/store_watch.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from pollenthread.core import host_record
 from tests.fakes import entry_fleet, virtual_time
 
 _SERVERS = ('s-1', 's-2', 's-3')
@@ -30,6 +31,7 @@
         self.datagrams = 0
         self.seconds = 0.0
         self.restarted: str = ''
+        self._stopped: host_record.HostRecord
 
     def add(self, action: Callable[[], Awaitable[None]]) -> None:
         """Adds an action."""
--- a/tests/product/steps/binary.py
+++ b/tests/product/steps/binary.py
@@ -25,8 +25,10 @@
 
 @given('the built executable')
 def step_built(context: Any) -> None:
-    context.folder = pathlib.Path(
-        context.stack.enter_context(tempfile.TemporaryDirectory()))
+    # The stack of the scenario owns it.
+    # pylint: disable-next=consider-using-with
+    folder = tempfile.TemporaryDirectory()
+    context.folder = pathlib.Path(context.stack.enter_context(folder))
     context.binary = context.folder / 'pollenthread'
     build_binary.build(context.binary)
 
--- a/tests/product/steps/fuzz.py
+++ b/tests/product/steps/fuzz.py
@@ -74,7 +74,8 @@
     def check(data: Any) -> None:
         read(data)
 
-    check()
+    # Hypothesis passes the argument.
+    check()  # pylint: disable=no-value-for-parameter
 
 
 @when('the parser of {parser} reads {count:d} random inputs with seed {seed:d}')
--- a/tests/product/steps/link_security.py
+++ b/tests/product/steps/link_security.py
@@ -15,8 +15,10 @@
 
 @given('a system whose links require certificates')
 def step_system(context: Any) -> None:
-    folder = pathlib.Path(
-        context.stack.enter_context(tempfile.TemporaryDirectory()))
+    # The stack of the scenario owns it.
+    # pylint: disable-next=consider-using-with
+    directory = tempfile.TemporaryDirectory()
+    folder = pathlib.Path(context.stack.enter_context(directory))
     context.folder = folder
     context.authority = certificates.CertificateAuthority(folder=folder,
                                                           name='authority')
