Pause the agent of a rank only once the coordinator has its reply

Cause: the scenarios paused an agent as soon as its engine had stored "prepared". The agent tells the coordinator after that write. Paused in between, it never does, and the coordinator waits 60 s for it, while the step waits 40 s. No switch is aborted then, which rules out an arming that came too late.

Change: the status of a coordinator names the ranks that have accepted its request, and the step waits for the paused one among them. The checks are the same.

--- a/pollenthread/app/group_coordinator.py
+++ b/pollenthread/app/group_coordinator.py
@@ -113,6 +113,12 @@
         return (''
                 if self._coordinator is None else self._coordinator.phase.value)
 
+    @property
+    def acknowledged_ranks(self) -> frozenset[int]:
+        """The ranks that have accepted the current request."""
+        return (frozenset() if self._coordinator is None else
+                self._coordinator.acknowledged_ranks)
+
     @property
     def map_version(self) -> int:
         """The map version committed last; 0 while the row is not held."""
--- a/pollenthread/app/group_member.py
+++ b/pollenthread/app/group_member.py
@@ -122,6 +122,8 @@
         }
         if self._coordinator is not None:
             document['phase'] = self._coordinator.phase
+            document['acknowledged'] = sorted(
+                self._coordinator.acknowledged_ranks)
             document['map_version'] = self._coordinator.map_version
             document['switches'] = dataclasses.asdict(self._coordinator.counts)
         return document
--- a/tests/balance/steps/switch.py
+++ b/tests/balance/steps/switch.py
@@ -62,13 +62,19 @@
 @given(
     'the agent of rank {index:d} is paused once it has loaded map {version:d}')
 def step_pause_loaded(context: Any, index: int, version: int) -> None:
-    """Delays the loads of the other ranks, so that this one prepares first."""
+    """Delays the loads of the other ranks, so that this one prepares first.
+
+    The coordinator must know of it: an agent that is paused between the write
+    of its state and its reply would keep the switch from being armed.
+    """
     ranks = context.ranks
     scenario.run(context, ranks.fault('weights', slow_others=index))
     scenario.run(context, ranks.set_wanted_map(version))
 
     async def loaded() -> bool:
-        return (await ranks.group())['stages'][index] == 'prepared'
+        coordinator = await ranks.status(0)
+        return (coordinator['phase'] == 'preparing' and
+                index in coordinator['acknowledged'])
 
     scenario.run(context, scenario.eventually(loaded, 40.0))
     ranks.agent(index).signal(signal.SIGSTOP)
