--- a/tests/platform/restored_store.feature
+++ b/tests/platform/restored_store.feature
@@ -100,3 +100,9 @@
     When another agent acquires it at version 66 of era 2
     Then its term is greater than the first one
     And maps of the first one have lower versions
+
+  # Guards against combinations of changes, restarts and restorations after which a
+  # host goes back, or never learns of something.
+  Scenario: Hosts know the truth at the end of random histories of the store
+    When the histories with seeds 0 to 9 are run
+    Then no host goes back and all know the truth at their ends
--- a/tests/platform/server_limits.feature
+++ b/tests/platform/server_limits.feature
@@ -82,3 +82,9 @@
     Then a server with its id that was started at 5 has a limit
     And a server with its id that was started at 6 has none
     And what the earlier start says afterwards is not recorded for the later one
+
+  # Guards against combinations of limits, changes and restarts under which hosts
+  # do not keep together.
+  Scenario: Limits hold in random histories
+    When the histories of limits with seeds 0 to 7 are run
+    Then in none of them a server gets more requests than its limits allow
--- a/tests/platform/steps/restored_store.py
+++ b/tests/platform/steps/restored_store.py
@@ -12,7 +12,7 @@
 from pollenthread.app import host_registry, map_coordinator, store_follower
 from pollenthread.core import store_version
 from pollenthread.ports import row_store
-from tests.fakes import entry_fleet, virtual_time
+from tests.fakes import entry_fleet, store_history, virtual_time
 
 _CHECK_INTERVAL_S = 0.02
 _FOLLOW_S = 5.0
@@ -259,3 +259,25 @@
         first, map_coordinator.VERSIONS_PER_TERM - 1)
     assert last_of_first < map_coordinator.map_version(second, 1)
     assert map_coordinator.map_version(second, 1) < 1 << 64
+
+
+# Random histories.
+
+
+@when('the histories with seeds {first:d} to {last:d} are run')
+def step_histories(context: Any, first: int, last: int) -> None:
+    context.problems_by_seed = {}
+    for seed in range(first, last + 1):
+        virtual_time.run(_run_history(context, seed))
+
+
+async def _run_history(context: Any, seed: int) -> None:
+    history = store_history.StoreHistory(seed=seed)
+    await history.run()
+    if history.problems:
+        context.problems_by_seed[seed] = history.problems
+
+
+@then('no host goes back and all know the truth at their ends')
+def step_no_problems(context: Any) -> None:
+    assert not context.problems_by_seed, context.problems_by_seed
--- a/tests/platform/steps/server_limits.py
+++ b/tests/platform/steps/server_limits.py
@@ -332,3 +332,42 @@
     context.limits.record(server_limits.RateLimit('s', 5, 1.0, named_at=3.0))
     found = context.limits.get(forwarding.make_server('s', born_ms=6))
     assert found is not None and found.per_s == 2.0, found
+
+
+# Random histories.
+
+
+def _random_history(seed: int) -> tuple[_Simulation, float]:
+    """Returns a simulation with random limits and restarts, and its rate."""
+    rng = random.Random(seed)
+    hosts = rng.choice([6, 9, 12])
+    simulation = _Simulation(hosts, rng.choice([3, 8, 16]))
+    servers = list(simulation.servers.running_by_server)
+    for server in servers[:rng.randint(1, len(servers))]:
+        at = rng.uniform(1.0, 6.0)
+        simulation.name_limit(at, server, rng.choice([0.3, 0.8, 1.2, 3.0, 8.0]))
+        if rng.random() < 0.4:
+            simulation.name_limit(at + rng.uniform(3.0, 8.0), server,
+                                  rng.choice([0.5, 2.0, 6.0]))
+    if rng.random() < 0.6:
+        restarted = rng.randint(1, hosts)
+        gap_s = rng.choice([0.0, 0.5, 1.5])
+        simulation.events.append(
+            (rng.uniform(4.0, 12.0), lambda: simulation.restart(
+                simulation.host_names[:restarted], gap_s=gap_s)))
+    return simulation, rng.choice([10.0, 25.0, 50.0])
+
+
+@when('the histories of limits with seeds {first:d} to {last:d} are run')
+def step_histories(context: Any, first: int, last: int) -> None:
+    context.simulations = []
+    for seed in range(first, last + 1):
+        simulation, per_s = _random_history(seed)
+        virtual_time.run(simulation.run(per_s, 20.0))
+        context.simulations.append(simulation)
+
+
+@then('in none of them a server gets more requests than its limits allow')
+def step_within_all_limits(context: Any) -> None:
+    for context.simulation in context.simulations:
+        step_within_limits(context)
