Rename ServerLimits of core to RateLimits

The HTTP server has a class of that name. A rename only; lint, types, and the features of limits, of the whole path and of poison requests pass.

--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -52,7 +52,7 @@
         self.server_registry = server_registry.ServerRegistry(
             relisting_s=return_s)
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
-        self.server_limits = server_limits.ServerLimits()
+        self.server_limits = server_limits.RateLimits()
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
         self.evidence_log = evidence_log.EvidenceLog(
--- a/pollenthread/core/server_limits.py
+++ b/pollenthread/core/server_limits.py
@@ -10,7 +10,7 @@
 
 from pollenthread.core import server_registry
 
-__all__ = ['RateLimit', 'ServerLimits']
+__all__ = ['RateLimit', 'RateLimits']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +35,7 @@
         return self.per_s < math.inf
 
 
-class ServerLimits:
+class RateLimits:
     """What servers have last said about their limits, by server id."""
 
     def __init__(self) -> None:
--- a/tests/platform/steps/server_limits.py
+++ b/tests/platform/steps/server_limits.py
@@ -308,7 +308,7 @@
 @given('a server that was started at {born_ms:d} and named a limit of '
        '{limit:g} per second')
 def step_named(context: Any, born_ms: int, limit: float) -> None:
-    context.limits = server_limits.ServerLimits()
+    context.limits = server_limits.RateLimits()
     assert context.limits.record(
         server_limits.RateLimit('s', born_ms, limit, named_at=1.0))
 
