Move the listener of the configuration into a module of its own

Change: ConfigListener stands in config_listeners.py, and the base class of both listeners is public. No behaviour changes.

--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -10,8 +10,9 @@
 import random
 from collections.abc import Iterator, Mapping
 
-from pollenthread.app import (entry_liveness, host_registry, serving_state,
-                              snapshot_exchange, store_listeners, store_watch)
+from pollenthread.app import (config_listeners, entry_liveness, host_registry,
+                              serving_state, snapshot_exchange, store_listeners,
+                              store_watch)
 from pollenthread.core import (host_record, membership, peer_messages,
                                report_throttle, server_load)
 from pollenthread.ports import clock, peers
@@ -36,7 +37,7 @@
                  watch: store_watch.EntryStoreWatch,
                  exchange: snapshot_exchange.SnapshotExchange,
                  network: peers.PeerNetwork, state: serving_state.ServingState,
-                 config_listener: store_listeners.ConfigListener,
+                 config_listener: config_listeners.ConfigListener,
                  server_listener: store_listeners.ServerListener,
                  region_by_data_centre: Mapping[str, str], time: clock.Clock,
                  rng: random.Random) -> None:
--- a/pollenthread/app/snapshot_exchange.py
+++ b/pollenthread/app/snapshot_exchange.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from pollenthread.app import host_registry, row_cache, store_listeners
+from pollenthread.app import (config_listeners, host_registry, row_cache,
+                              store_listeners)
 from pollenthread.core import log_events, peer_messages, store_version
 from pollenthread.ports import clock, event_log, peers, row_store
 
@@ -25,7 +26,7 @@
 
     def __init__(self, *, network: peers.PeerNetwork,
                  hosts: host_registry.HostRegistry,
-                 config_listener: store_listeners.ConfigListener,
+                 config_listener: config_listeners.ConfigListener,
                  server_listener: store_listeners.ServerListener | None,
                  time: clock.Clock, log: event_log.EventLog) -> None:
         """Initializes an exchange.
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -1,6 +1,6 @@
-"""Applies configuration and server rows from the store to the serving state.
+"""Applies rows of servers from the store to the serving state.
 
-The decoders come from the platform's adapter. A row that cannot be decoded is
+The decoder comes from the platform's adapter. A row that cannot be decoded is
 counted and logged, and the previous state stays in effect.
 """
 
@@ -11,14 +11,11 @@
 import result
 
 from pollenthread.app import row_cache, serving_state, store_follower
-from pollenthread.core import (log_events, routing_config, server_registry,
-                               store_version)
+from pollenthread.core import log_events, server_registry, store_version
 from pollenthread.ports import clock, event_log, row_store
 
-__all__ = ['ConfigListener', 'ServerListener', 'StoreContact']
+__all__ = ['OutageListener', 'ServerListener', 'StoreContact']
 
-ConfigDecoder = Callable[[bytes], result.Result[routing_config.RoutingConfig,
-                                                str]]
 ServerDecoder = Callable[[str, bytes], result.Result[server_registry.Server,
                                                      str]]
 
@@ -40,7 +37,7 @@
     failed_at: float = float('-inf')
 
 
-class _OutageListener(store_follower.TableListener):
+class OutageListener(store_follower.TableListener):
     """Base of listeners that track outages of the store.
 
     Attributes:
@@ -88,86 +85,7 @@
         self.contact.last_response_at = now
 
 
-class ConfigListener(_OutageListener):
-    """Applies new versions of the configuration; ignores older ones.
-
-    Attributes:
-        key: the key of the configuration's row.
-        document: the current configuration document; None before the first.
-        row_version: the store's version of that document's row.
-        applied_callbacks: functions called with each new configuration.
-    """
-
-    def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
-                 log: event_log.EventLog, table: str, key: str,
-                 decode: ConfigDecoder) -> None:
-        super().__init__(state=state, time=time, log=log, table=table)
-        self.key = key
-        self._decode = decode
-        self.document: bytes | None = None
-        self.row_version = store_version.START
-        self.applied_callbacks: list[Callable[[routing_config.RoutingConfig],
-                                              None]] = []
-
-    @property
-    def version(self) -> int:
-        """The version of the current configuration; 0 before the first."""
-        return self._state.config.version if self._state.config else 0
-
-    @property
-    def known_version(self) -> store_version.StoreVersion:
-        return self.row_version
-
-    def on_full_read(self, rows: Sequence[row_store.RowChange],
-                     version: store_version.StoreVersion) -> None:
-        self.on_changes(rows)
-
-    def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
-        for row in rows:
-            if row.key == self.key and row.value is not None:
-                self.apply_document(row.value, row.version, source='store')
-
-    def apply_document(self, document: bytes,
-                       row_version: store_version.StoreVersion, *,
-                       source: str) -> None:
-        """Applies a document if its version is higher than the current one.
-
-        The operator numbers the configurations, so that holds for a store that
-        has come back from a copy too: an older one in it is written again.
-
-        Args:
-            document: the encoded configuration.
-            row_version: the store's version of the document's row.
-            source: where it came from, for the log.
-        """
-        decoded = self._decode(document)
-        if isinstance(decoded, result.Err):
-            self.rejected_count += 1
-            self._log.write(log_events.LogEvent.CONFIG_REJECTED,
-                            source=source,
-                            reason=decoded.err_value)
-            return
-        config = decoded.ok_value
-        current = self._state.config
-        if current is not None and config.version <= current.version:
-            self._log.write(log_events.LogEvent.CONFIG_OUTDATED,
-                            important=False,
-                            version=config.version,
-                            current=current.version,
-                            source=source)
-            return
-        self._state.config = config
-        self.document = document
-        self.row_version = row_version
-        for callback in self.applied_callbacks:
-            callback(config)
-        self._log.write(log_events.LogEvent.CONFIG_APPLIED,
-                        version=config.version,
-                        before=current.version if current else None,
-                        source=source)
-
-
-class ServerListener(_OutageListener):
+class ServerListener(OutageListener):
     """Maintains the list of servers.
 
     Attributes:
--- a/pollenthread/app/store_watch.py
+++ b/pollenthread/app/store_watch.py
@@ -11,8 +11,8 @@
 import random
 from collections.abc import Sequence
 
-from pollenthread.app import (entry_liveness, host_registry, serving_state,
-                              snapshot_exchange, store_listeners)
+from pollenthread.app import (config_listeners, entry_liveness, host_registry,
+                              serving_state, snapshot_exchange, store_listeners)
 from pollenthread.core import host_record, membership, peer_messages
 from pollenthread.ports import clock
 
@@ -42,7 +42,7 @@
                  liveness: entry_liveness.EntryLiveness, seeds: Sequence[str],
                  exchange: snapshot_exchange.SnapshotExchange,
                  state: serving_state.ServingState,
-                 config_listener: store_listeners.ConfigListener,
+                 config_listener: config_listeners.ConfigListener,
                  server_listener: store_listeners.ServerListener,
                  time: clock.Clock, rng: random.Random) -> None:
         self._own = own
@@ -199,7 +199,7 @@
 
     def __init__(self, *, hosts: host_registry.HostRegistry,
                  exchange: snapshot_exchange.SnapshotExchange,
-                 config_listener: store_listeners.ConfigListener,
+                 config_listener: config_listeners.ConfigListener,
                  time: clock.Clock, rng: random.Random) -> None:
         self._hosts = hosts
         self._exchange = exchange
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -9,8 +9,8 @@
 from typing import Any, Self
 
 from pollenthread.adapters import clock, http_client, json_log, peer_network
-from pollenthread.app import (host_registry, serving_state, store_follower,
-                              store_listeners)
+from pollenthread.app import (config_listeners, host_registry, serving_state,
+                              store_follower)
 from pollenthread.core import host_record, log_events
 from pollenthread.platform import (config_document, process_settings,
                                    row_store_http, wire_names)
@@ -70,7 +70,7 @@
             host=settings.ip,
             port=settings.peer_ports[0])
         self._host_registry = host_registry.HostRegistry()
-        self._config_listener = store_listeners.ConfigListener(
+        self._config_listener = config_listeners.ConfigListener(
             state=state,
             time=self._clock,
             log=self.log,
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -14,10 +14,10 @@
 import result
 
 from pollenthread.adapters import peer_codec
-from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
-                              evidence_store, host_registry, rate_permits,
-                              serving_state, snapshot_exchange, store_follower,
-                              store_listeners, store_watch)
+from pollenthread.app import (config_listeners, entry_liveness, entry_peers,
+                              evidence_exchange, evidence_store, host_registry,
+                              rate_permits, serving_state, snapshot_exchange,
+                              store_follower, store_listeners, store_watch)
 from pollenthread.core import (host_record, peer_messages, routing_config,
                                server_registry, store_version)
 from pollenthread.ports import peers, row_store
@@ -330,12 +330,12 @@
             return_s=2.2,
             rng=rng)
         hosts = host_registry.HostRegistry()
-        config = store_listeners.ConfigListener(state=state,
-                                                time=time,
-                                                log=log,
-                                                table=CONFIG_TABLE,
-                                                key=CONFIG_KEY,
-                                                decode=_decode_config)
+        config = config_listeners.ConfigListener(state=state,
+                                                 time=time,
+                                                 log=log,
+                                                 table=CONFIG_TABLE,
+                                                 key=CONFIG_KEY,
+                                                 decode=_decode_config)
         servers = store_listeners.ServerListener(state=state,
                                                  time=time,
                                                  log=log,
--- a/tests/platform/steps/odd_entries.py
+++ b/tests/platform/steps/odd_entries.py
@@ -8,8 +8,8 @@
 
 from pollenthread.adapters import (http_client, http_server, peer_codec,
                                    peer_network)
-from pollenthread.app import (evidence_log, evidence_store, host_registry,
-                              snapshot_exchange, store_listeners)
+from pollenthread.app import (config_listeners, evidence_log, evidence_store,
+                              host_registry, snapshot_exchange, store_listeners)
 from pollenthread.core import (peer_messages, service_estimate, store_version)
 from pollenthread.platform import (config_document, row_store_http, server_row)
 from pollenthread.ports import row_store
@@ -163,7 +163,7 @@
     exchange = snapshot_exchange.SnapshotExchange(
         network=_no_network(),
         hosts=host_registry.HostRegistry(),
-        config_listener=store_listeners.ConfigListener(
+        config_listener=config_listeners.ConfigListener(
             state=context.state,
             time=virtual_time.LoopClock(),
             log=memory.NullEventLog(),
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -7,8 +7,8 @@
 from behave import given, then, when
 import result
 
-from pollenthread.app import (entry_liveness, host_registry, snapshot_exchange,
-                              store_listeners, store_watch)
+from pollenthread.app import (config_listeners, entry_liveness, host_registry,
+                              snapshot_exchange, store_listeners, store_watch)
 from pollenthread.core import (host_record, peer_messages, routing_config,
                                store_version)
 from tests.fakes import forwarding, memory, virtual_time
@@ -70,7 +70,7 @@
         'log': memory.NullEventLog(),
         'decode': lambda *data: result.Err('none')
     }
-    config = store_listeners.ConfigListener(table='op', key='config', **common)
+    config = config_listeners.ConfigListener(table='op', key='config', **common)
     servers = store_listeners.ServerListener(table='servers', **common)
     state.config = routing_config.RoutingConfig(
         version=1,
