--- a/pollenthread/app/config_listeners.py
+++ b/pollenthread/app/config_listeners.py
@@ -70,7 +70,9 @@
             row_version: the store's version of the document's row.
             source: where it came from, for the log.
         """
+        started_at = self._clock.monotonic()
         decoded = self._decode(document)
+        decode_s = round(self._clock.monotonic() - started_at, 4)
         if isinstance(decoded, result.Err):
             self.rejected_count += 1
             self._log.write(log_events.LogEvent.CONFIG_REJECTED,
@@ -94,4 +96,6 @@
         self._log.write(log_events.LogEvent.CONFIG_APPLIED,
                         version=config.version,
                         before=current.version if current else None,
-                        source=source)
+                        source=source,
+                        bytes=len(document),
+                        decode_s=decode_s)
--- a/pollenthread/app/snapshot_exchange.py
+++ b/pollenthread/app/snapshot_exchange.py
@@ -109,8 +109,14 @@
         Returns:
             Whether the peer sent them.
         """
+        asked_at = self._clock.monotonic()
         snapshot = await self._network.fetch_snapshot(address, self._known())
+        took_s = round(self._clock.monotonic() - asked_at, 3)
         if snapshot is None:
+            self._log.write(log_events.LogEvent.PEER_FETCH_FAILED,
+                            important=False,
+                            peer=address,
+                            took_s=took_s)
             return False
         self.applied_count += 1
         self._log.write(log_events.LogEvent.PEER_SNAPSHOT,
@@ -118,7 +124,8 @@
                         peer=address,
                         servers_version=snapshot.servers_version,
                         rows=len(snapshot.rows),
-                        store_age_ms=snapshot.store_age_ms)
+                        store_age_ms=snapshot.store_age_ms,
+                        took_s=took_s)
         self._apply(snapshot)
         return True
 
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -25,8 +25,9 @@
     STORE_HISTORY_LOST = ('store_history_lost', 'The store does not have the '
                           'changes of `table` after the version `after`, so '
                           'the table is read again.')
-    CONFIG_APPLIED = ('config_applied', 'A configuration was adopted; `source` '
-                      'is the store or a peer.')
+    CONFIG_APPLIED = ('config_applied', 'A configuration of `bytes` was '
+                      'adopted; `source` is the store or a peer, `decode_s` '
+                      'how long it took to decode.')
     CONFIG_OUTDATED = ('config_outdated', 'A configuration that is not newer '
                        'than the current one was ignored.')
     CONFIG_REJECTED = ('config_rejected', 'A configuration could not be read; '
@@ -43,7 +44,9 @@
     PEER_FOUND = ('peer_found', 'Another entry host was detected.')
     PEER_SILENT = ('peer_silent', 'Heartbeats of another entry host stopped.')
     PEER_SNAPSHOT = ('peer_snapshot',
-                     'A peer sent its cached rows of the store.')
+                     'A peer sent its cached rows of the store in `took_s`.')
+    PEER_FETCH_FAILED = ('peer_fetch_failed', 'A peer did not send its cached '
+                         'rows of the store; given up after `took_s`.')
     REQUEST_REFUSED = ('request_refused',
                        'A request was refused; it was not and '
                        'will not be executed.')
