Reproduce large configurations that do not reach the hosts

What callers saw: routes that had been confirmed got 404, and small changes after a large one were not in force 3 s after their confirmation (CONFIG, DENIED).

Change: scenarios of 42 entry hosts and 63 agents on links of 20 and 4 Mbit/s in virtual time, with agents that get the configuration as the program's do.

--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -1,7 +1,9 @@
 """Emulates entry hosts that share a store, in virtual time.
 
-Datagrams between hosts that reach each other arrive after a short delay. Each
-host has the parts that follow the store and exchange its content.
+Datagrams between hosts that reach each other arrive after a short delay, or when
+the links have transmitted them if the fleet has links. Each host has the parts
+that follow the store and exchange its content. Agents have those that get the
+configuration and the hosts.
 """
 
 import asyncio
@@ -21,9 +23,9 @@
 from pollenthread.core import (host_record, peer_messages, routing_config,
                                server_registry, store_version)
 from pollenthread.ports import peers, row_store
-from tests.fakes import memory, virtual_time
+from tests.fakes import fleet_links, memory, virtual_time
 
-__all__ = ['EntryFleet', 'EntryHost', 'FleetStore', 'StoreCopy']
+__all__ = ['AgentHost', 'EntryFleet', 'EntryHost', 'FleetStore', 'StoreCopy']
 
 SERVERS_TABLE = 'servers'
 CONFIG_TABLE = 'op'
@@ -31,6 +33,7 @@
 _DATAGRAM_DELAY_S = 0.001
 _CALL_DURATION_S = 0.004
 _CALL_TIMEOUT_S = 1.0
+_RESPONSE_TIMEOUT_S = 0.8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -216,8 +219,16 @@
         snapshot = receiver.provider(known)
         if snapshot is None:
             return None
-        return peer_codec.decode(peer_messages.Snapshot,
-                                 peer_codec.encode(snapshot))
+        data = peer_codec.encode(snapshot)
+        if self._fleet.links is not None:
+            try:
+                await self._fleet.links.transfer(address,
+                                                 self._address,
+                                                 len(data),
+                                                 timeout_s=_RESPONSE_TIMEOUT_S)
+            except TimeoutError:
+                return None
+        return peer_codec.decode(peer_messages.Snapshot, data)
 
     def set_rank_state_provider(
         self,
@@ -242,9 +253,9 @@
 
 def _decode_config(
         data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
-    """Decodes a configuration that consists of its version only."""
+    """Decodes a configuration; before any brace, it has its version."""
     return result.Ok(
-        routing_config.RoutingConfig(version=int(data),
+        routing_config.RoutingConfig(version=int(data.partition(b'{')[0]),
                                      routes_by_host={},
                                      services_by_name={},
                                      limits=routing_config.CallerLimits(),
@@ -285,20 +296,45 @@
     tasks: list[asyncio.Task[None]]
 
 
+@dataclasses.dataclass
+class AgentHost:
+    """One emulated agent.
+
+    Attributes:
+        record: its registration.
+        state: the configuration that it knows.
+        tasks: the tasks of the agent.
+    """
+
+    record: host_record.HostRecord
+    state: serving_state.ServingState
+    tasks: list[asyncio.Task[None]]
+
+
 class EntryFleet:
-    """Entry hosts in several data centres of one region.
+    """Entry hosts in several data centres of one region, and agents.
 
     Attributes:
         store: the store that they share.
-        host_by_name: the hosts.
+        host_by_name: the entry hosts.
+        agent_by_name: the agents.
+        links: the links of all hosts; None if data arrives at once.
         datagrams: the number of delivered datagrams.
+        log: the events of the entry hosts.
     """
 
-    def __init__(self, *, data_centres: int, hosts_per_data_centre: int,
-                 seed: int) -> None:
+    def __init__(self,
+                 *,
+                 data_centres: int,
+                 hosts_per_data_centre: int,
+                 seed: int,
+                 links: fleet_links.FleetLinks | None = None) -> None:
         self.store = FleetStore()
         self.host_by_name: dict[str, EntryHost] = {}
+        self.agent_by_name: dict[str, AgentHost] = {}
+        self.links = links
         self.datagrams = 0
+        self.log = memory.CountingEventLog()
         self._frozen_addresses: set[str] = set()
         self._network_by_address: dict[str, _Network] = {}
         self._rng = random.Random(seed)
@@ -320,7 +356,7 @@
     def start_host(self, record: host_record.HostRecord) -> None:
         """Starts a host that knows nothing yet; replaces one of its name."""
         time = virtual_time.LoopClock()
-        log = memory.NullEventLog()
+        log = self.log
         rng = random.Random(self._rng.random())
         network = _Network(self, record.peer_address)
         self._network_by_address[record.peer_address] = network
@@ -424,6 +460,71 @@
             record, state, watch, liveness, permits,
             [asyncio.create_task(coroutine) for coroutine in coroutines])
 
+    def start_agent(self, record: host_record.HostRecord) -> None:
+        """Starts an agent that knows nothing yet."""
+        time = virtual_time.LoopClock()
+        rng = random.Random(self._rng.random())
+        network = _Network(self, record.peer_address)
+        self._network_by_address[record.peer_address] = network
+        state = serving_state.ServingState(
+            data_centre=record.data_centre,
+            retry_settings=serving_state.RetryBudgetSettings(0.0, 0.0, 1.0),
+            return_s=0.0,
+            rng=rng)
+        hosts = host_registry.HostRegistry()
+        config = config_listeners.ConfigListener(state=state,
+                                                 time=time,
+                                                 log=memory.NullEventLog(),
+                                                 table=CONFIG_TABLE,
+                                                 key=CONFIG_KEY,
+                                                 decode=_decode_config)
+        watch = store_watch.AgentStoreWatch(
+            hosts=hosts,
+            exchange=snapshot_exchange.SnapshotExchange(
+                network=network,
+                hosts=hosts,
+                config_listener=config,
+                server_listener=None,
+                time=time,
+                log=memory.NullEventLog()),
+            config_listener=config,
+            time=time,
+            rng=rng)
+        network.set_datagram_handler(peer_messages.EntryBeat,
+                                     watch.on_heartbeat)
+        store = _HostStore(self.store, record.host)
+        coroutines = [
+            store_follower.StoreFollower(
+                store=store,
+                table=table,
+                listener=listener,
+                time=time,
+                wait_s=20.0,
+                pause_s=0.5,
+                rng=rng,
+                is_needed=lambda: watch.is_watcher).run()
+            for table, listener in ((CONFIG_TABLE, config),
+                                    (host_registry.HOSTS_TABLE, hosts))
+        ]
+        coroutines += [
+            watch.run(),
+            host_registry.keep_registered(store=store,
+                                          time=time,
+                                          registry=hosts,
+                                          record=record)
+        ]
+        self.agent_by_name[record.host] = AgentHost(
+            record, state,
+            [asyncio.create_task(coroutine) for coroutine in coroutines])
+
+    async def stop_agent(self, name: str) -> None:
+        """Ends an agent's process."""
+        agent = self.agent_by_name.pop(name)
+        for task in agent.tasks:
+            task.cancel()
+        await asyncio.gather(*agent.tasks, return_exceptions=True)
+        del self._network_by_address[agent.record.peer_address]
+
     async def stop_host(self, name: str) -> None:
         """Ends a host's process."""
         host = self.host_by_name.pop(name)
@@ -454,8 +555,11 @@
         """Delivers a datagram after a short delay."""
         if source in self._frozen_addresses:
             return
-        asyncio.get_running_loop().call_later(_DATAGRAM_DELAY_S, self._receive,
-                                              target, data)
+        delay_s = _DATAGRAM_DELAY_S
+        if self.links is not None:
+            delay_s = self.links.transmit(source, target, len(data))
+        asyncio.get_running_loop().call_later(delay_s, self._receive, target,
+                                              data)
 
     def _receive(self, target: str, data: bytes) -> None:
         network = self.network_at(target)
@@ -463,4 +567,6 @@
             return
         self.datagrams += 1
         message = peer_codec.decode_datagram(data)
-        network.handler_by_type[type(message)](message)
+        handler = network.handler_by_type.get(type(message))
+        if handler is not None:
+            handler(message)
--- a/tests/fakes/memory.py
+++ b/tests/fakes/memory.py
@@ -1,5 +1,6 @@
 """In-memory clock, event log and table for tests without processes."""
 
+import collections
 from collections.abc import Sequence
 from typing import Any
 
@@ -7,7 +8,7 @@
 
 from pollenthread.ports import clock, event_log, table
 
-__all__ = ['MemoryClock', 'MemoryTable', 'NullEventLog']
+__all__ = ['CountingEventLog', 'MemoryClock', 'MemoryTable', 'NullEventLog']
 
 
 class MemoryClock(clock.Clock):
@@ -38,6 +39,24 @@
         return
 
 
+class CountingEventLog(event_log.EventLog):
+    """Counts the events.
+
+    Attributes:
+        counts: how often each event was written.
+    """
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter[Any] = collections.Counter()
+
+    def write(self,
+              event: Any,
+              *,
+              important: bool = True,
+              **fields: Any) -> None:
+        self.counts[event] += 1
+
+
 class MemoryTable(table.TableService):
     """A table that holds its rows in memory.
 
