Give up a transfer only when it makes no progress

Cause: a fetch from a peer ended 0.8 s and a call to the store 1 s after it began, however much had arrived, and threw that away. 490 kB take 0.98 s on an agent's link of 4 Mbit/s alone, so an agent could never get them, asked again, and filled the link of the host that it asked. Class of fault: a fixed limit on work whose size has no bound.

Change: the limit holds until a response begins and between its parts.

--- a/pollenthread/adapters/http_client.py
+++ b/pollenthread/adapters/http_client.py
@@ -81,24 +81,35 @@
                 return
             yield data
 
-    async def read_all(self, max_bytes: int = 64 * 1024 * 1024) -> bytes:
+    async def read_all(self,
+                       max_bytes: int = 64 * 1024 * 1024,
+                       *,
+                       stall_timeout_s: float | None = None) -> bytes:
         """Reads the complete body.
 
         Args:
             max_bytes: the maximum size of the body.
+            stall_timeout_s: seconds within which more of the body must arrive,
+                however long all of it takes; None for no limit.
 
         Raises:
             ConnectionError: the response was truncated or is too large.
+            TimeoutError: nothing more has arrived in time.
         """
         parts = []
         size = 0
-        async for data in self.read():
+        while (data := await self._read_data(stall_timeout_s)) is not None:
             size += len(data)
             if size > max_bytes:
                 raise ConnectionError(f'the answer exceeds {max_bytes} bytes')
             parts.append(data)
         return b''.join(parts)
 
+    async def _read_data(self, timeout_s: float | None) -> bytes | None:
+        """Returns the next part of the body; None at its end."""
+        async with asyncio.timeout(timeout_s):
+            return await self._connection.read_data()
+
 
 class HttpClient:
     """HTTP client with a pool of idle connections for each address.
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import socket
 import types
 from collections.abc import Awaitable, Callable, Iterable
@@ -18,6 +19,7 @@
 _LAYOUT_PATH = '/peer/layout'
 _STATE_PATH = '/peer/state'
 _METRICS_PATH = '/metrics'
+# Until a response begins, and between its parts: slow links take their time.
 _RESPONSE_TIMEOUT_S = 0.8
 _CONTENT_TYPE = ('content-type', 'application/octet-stream')
 _MAX_DATAGRAM_BYTES = 60_000
@@ -201,17 +203,17 @@
         if not address:
             return None
         try:
-            async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
-                async with self._client.request(address,
-                                                method,
-                                                path,
-                                                body=body) as response:
-                    self.sent_bytes_by_kind[path] += len(body)
-                    data = await response.read_all()
-                    self.received_bytes_by_kind[path] += len(data)
-                    if response.status != 200:
-                        return None
-                    return peer_codec.decode(kind, data)
+            async with contextlib.AsyncExitStack() as stack:
+                async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
+                    response = await stack.enter_async_context(
+                        self._client.request(address, method, path, body=body))
+                self.sent_bytes_by_kind[path] += len(body)
+                data = await response.read_all(
+                    stall_timeout_s=_RESPONSE_TIMEOUT_S)
+                self.received_bytes_by_kind[path] += len(data)
+                if response.status != 200:
+                    return None
+                return peer_codec.decode(kind, data)
         except peer_codec.PeerMessageDecodeError:
             self.malformed_count += 1
             return None
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import contextlib
 import dataclasses
 import json
 from collections.abc import Sequence
@@ -18,6 +19,7 @@
 
 __all__ = ['HttpRowStore']
 
+# Until a response begins, and between its parts: slow links take their time.
 _RESPONSE_TIMEOUT_S = 1.0
 _ERROR_BY_STATUS = {
     410: row_store.StoreError.HISTORY_LOST,
@@ -141,21 +143,23 @@
             self, method: str, target: str, body: bytes,
             wait_s: float) -> result.Result[_Page, row_store.StoreError]:
         try:
-            async with asyncio.timeout(wait_s + _RESPONSE_TIMEOUT_S):
-                async with self._client.request(self._address,
-                                                method,
-                                                target,
-                                                headers=_JSON_HEADERS,
-                                                body=body) as response:
-                    era = self._record_era(
-                        response.header(wire_names.HeaderName.STORE_ERA))
-                    data = await response.read_all()
-                    if response.status != 200:
-                        return result.Err(
-                            _ERROR_BY_STATUS.get(
-                                response.status,
-                                row_store.StoreError.UNAVAILABLE))
-                    return result.Ok(_decode_page(json.loads(data), era))
+            async with contextlib.AsyncExitStack() as stack:
+                async with asyncio.timeout(wait_s + _RESPONSE_TIMEOUT_S):
+                    response = await stack.enter_async_context(
+                        self._client.request(self._address,
+                                             method,
+                                             target,
+                                             headers=_JSON_HEADERS,
+                                             body=body))
+                era = self._record_era(
+                    response.header(wire_names.HeaderName.STORE_ERA))
+                data = await response.read_all(
+                    stall_timeout_s=_RESPONSE_TIMEOUT_S)
+                if response.status != 200:
+                    return result.Err(
+                        _ERROR_BY_STATUS.get(response.status,
+                                             row_store.StoreError.UNAVAILABLE))
+                return result.Ok(_decode_page(json.loads(data), era))
         except http_client.HttpConnectError:
             return result.Err(row_store.StoreError.UNAVAILABLE)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError,
