Pass the configuration between hosts as patches

Cause: each host that lacked a version got the whole document, 490 kB with 1,564 routes. A watcher sent 17 MB for one change, one route more or 1,500, and again for whoever had given up. Heartbeats and load reports waited behind it. Class of fault: the cost of a change is that of the whole state, times the hosts.

Change: a patch between two versions copies the pieces that the earlier document has and carries the others, compressed; the whole document is a patch of the empty one. Each host keeps the patches to its version and gives a peer those after the peer's. A checksum guards the result; what does not fit is requested whole. Processes of an earlier release get the row as before.

--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -163,8 +163,24 @@
   # The eras of the versions above.
   serversEra @6 :UInt32;
   hostsEra @7 :UInt32;
+  # The configuration, and the version and era of its row.
+  configPatches @8 :List(DocumentPatch);
+  configRowVersion @9 :UInt64;
+  configRowEra @10 :UInt32;
 }
 
+struct DocumentPatch {
+  # A patch between two versions of a document; base 0 is the empty document.
+  base @0 :UInt64;
+  version @1 :UInt64;
+  # Compressed instructions.
+  content @2 :Data;
+  # CRC-32 of the resulting document.
+  checksum @3 :UInt32;
+}
+
+enum ConfigForm { row @0; patches @1; }
+
 struct SnapshotRequest {
   # Up to which versions the receiver knows the rows.
   serversAfter @0 :UInt64;
@@ -174,6 +190,8 @@
   # The eras of the versions above.
   serversEra @4 :UInt32;
   hostsEra @5 :UInt32;
+  # How the receiver wants the configuration.
+  configForm @6 :ConfigForm;
 }
 
 enum OrderKind { prepare @0; arm @1; disarm @2; hold @3; go @4; }
--- a/pollenthread/app/config_listeners.py
+++ b/pollenthread/app/config_listeners.py
@@ -8,8 +8,9 @@
 
 import result
 
-from pollenthread.app import serving_state, store_listeners
-from pollenthread.core import log_events, routing_config, store_version
+from pollenthread.app import (document_history, serving_state, store_listeners)
+from pollenthread.core import (document_patch, log_events, routing_config,
+                               store_version)
 from pollenthread.ports import clock, event_log, row_store
 
 __all__ = ['ConfigListener']
@@ -23,7 +24,7 @@
 
     Attributes:
         key: the key of the configuration's row.
-        document: the current configuration document; None before the first.
+        history: the current configuration document, and patches to it.
         row_version: the store's version of that document's row.
         applied_callbacks: functions called with each new configuration.
     """
@@ -34,8 +35,9 @@
         super().__init__(state=state, time=time, log=log, table=table)
         self.key = key
         self._decode = decode
-        self.document: bytes | None = None
+        self.history = document_history.DocumentHistory()
         self.row_version = store_version.START
+        self._needs_whole = False
         self.applied_callbacks: list[Callable[[routing_config.RoutingConfig],
                                               None]] = []
 
@@ -44,6 +46,11 @@
         """The version of the current configuration; 0 before the first."""
         return self._state.config.version if self._state.config else 0
 
+    @property
+    def patched_version(self) -> int:
+        """The version that patches of peers may apply to; 0 for none."""
+        return 0 if self._needs_whole else self.history.version
+
     @property
     def known_version(self) -> store_version.StoreVersion:
         return self.row_version
@@ -57,9 +64,45 @@
             if row.key == self.key and row.value is not None:
                 self.apply_document(row.value, row.version, source='store')
 
-    def apply_document(self, document: bytes,
-                       row_version: store_version.StoreVersion, *,
-                       source: str) -> None:
+    def apply_patches(self, patches: Sequence[document_patch.DocumentPatch],
+                      row_version: store_version.StoreVersion) -> None:
+        """Applies patches of a peer.
+
+        If they do not fit, the whole document is requested next time.
+
+        Args:
+            patches: each applies to the result of the one before it, the first
+                one to `patched_version` or to the empty document.
+            row_version: the store's version of the resulting document's row.
+        """
+        if not patches:
+            return
+        document = b'' if patches[0].is_whole else self.history.document
+        try:
+            if patches[0].base not in (0, self.history.version):
+                raise document_patch.PatchError('it is of another version')
+            for patch in patches:
+                document = patch.apply(document)
+        except document_patch.PatchError as error:
+            self._needs_whole = True
+            self._log.write(log_events.LogEvent.CONFIG_PATCH_REJECTED,
+                            base=patches[0].base,
+                            version=patches[-1].version,
+                            reason=str(error))
+            return
+        self._needs_whole = False
+        self.apply_document(document,
+                            row_version,
+                            source='peer',
+                            patches=patches)
+
+    def apply_document(
+        self,
+        document: bytes,
+        row_version: store_version.StoreVersion,
+        *,
+        source: str,
+        patches: Sequence[document_patch.DocumentPatch] = ()) -> None:
         """Applies a document if its version is higher than the current one.
 
         The operator numbers the configurations, so that holds for a store that
@@ -69,6 +112,7 @@
             document: the encoded configuration.
             row_version: the store's version of the document's row.
             source: where it came from, for the log.
+            patches: those that led to it, if it came from a peer.
         """
         started_at = self._clock.monotonic()
         decoded = self._decode(document)
@@ -89,7 +133,7 @@
                             source=source)
             return
         self._state.config = config
-        self.document = document
+        self.history.record(document, config.version, patches)
         self.row_version = row_version
         for callback in self.applied_callbacks:
             callback(config)
--- a/pollenthread/app/snapshot_exchange.py
+++ b/pollenthread/app/snapshot_exchange.py
@@ -4,7 +4,8 @@
 
 from pollenthread.app import (config_listeners, host_registry, row_cache,
                               store_listeners)
-from pollenthread.core import log_events, peer_messages, store_version
+from pollenthread.core import (document_patch, log_events, peer_messages,
+                               store_version)
 from pollenthread.ports import clock, event_log, peers, row_store
 
 __all__ = ['STORE_TIMEOUT_S', 'SnapshotExchange', 'is_fresh']
@@ -76,24 +77,33 @@
                                            known.servers_after,
                                            servers_version))
             rows += _encode_rows(self._server_listener.table, servers.rows)
-        rows += self._encode_config(known.config_after)
-        return peer_messages.Snapshot(servers_version=servers_version.counter,
-                                      store_age_ms=self.store_age_ms(),
-                                      rows=tuple(rows),
-                                      hosts_version=self._hosts.version.counter,
-                                      has_all_servers=servers.is_whole,
-                                      has_all_hosts=hosts.is_whole,
-                                      servers_era=servers_version.era,
-                                      hosts_era=self._hosts.version.era)
+        config = self._config_listener
+        patches: tuple[document_patch.DocumentPatch, ...] = ()
+        if known.config_form is peer_messages.ConfigForm.PATCHES:
+            patches = tuple(config.history.patches_after(known.config_after))
+        else:
+            rows += self._encode_config(known.config_after)
+        return peer_messages.Snapshot(
+            servers_version=servers_version.counter,
+            store_age_ms=self.store_age_ms(),
+            rows=tuple(rows),
+            hosts_version=self._hosts.version.counter,
+            has_all_servers=servers.is_whole,
+            has_all_hosts=hosts.is_whole,
+            servers_era=servers_version.era,
+            hosts_era=self._hosts.version.era,
+            config_patches=patches,
+            config_row_version=config.row_version.counter,
+            config_row_era=config.row_version.era)
 
     def _encode_config(self, known_version: int) -> list[peer_messages.Row]:
         listener = self._config_listener
-        if listener.document is None or listener.version <= known_version:
+        if listener.version <= known_version:
             return []
         return [
             peer_messages.Row(listener.table,
                               listener.key,
-                              listener.document,
+                              listener.history.document,
                               listener.row_version.counter,
                               era=listener.row_version.era)
         ]
@@ -135,16 +145,22 @@
         return peer_messages.SnapshotRequest(
             servers_after=servers.counter,
             hosts_after=self._hosts.version.counter,
-            config_after=self._config_listener.version,
+            config_after=self._config_listener.patched_version,
             wants_servers=listener is not None,
             servers_era=servers.era,
-            hosts_era=self._hosts.version.era)
+            hosts_era=self._hosts.version.era,
+            config_form=peer_messages.ConfigForm.PATCHES)
 
     def _apply(self, snapshot: peer_messages.Snapshot) -> None:
         config = self._config_listener
         for row in _rows_of(snapshot, config.table, config.row_version):
             if row.key == config.key and row.value is not None:
                 config.apply_document(row.value, row.version, source='peer')
+        config.apply_patches(
+            snapshot.config_patches,
+            store_version.told_version(snapshot.config_row_era,
+                                       snapshot.config_row_version,
+                                       config.row_version))
         known = self._hosts.version
         self._hosts.apply_peer_rows(
             row_cache.RowDelta(
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -32,6 +32,9 @@
                        'than the current one was ignored.')
     CONFIG_REJECTED = ('config_rejected', 'A configuration could not be read; '
                        'the previous one remains in effect.')
+    CONFIG_PATCH_REJECTED = ('config_patch_rejected', 'Patches of a peer did '
+                             'not fit the configuration; the whole one is '
+                             'requested.')
     SERVER_LISTED = ('server_listed', 'A server appeared in the list.')
     SERVER_DRAINING = ('server_draining', 'A server changed its state.')
     SERVER_GONE = ('server_gone', 'A server no longer receives new work.')
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -3,13 +3,13 @@
 import dataclasses
 import enum
 
-from pollenthread.core import store_version
+from pollenthread.core import document_patch, store_version
 
 __all__ = [
-    'ClearedPart', 'CrashNews', 'CrashRecord', 'DutyBeat', 'EntryBeat',
-    'ExpertChoices', 'Layouts', 'LimitRecord', 'OrderKind', 'PermitReply',
-    'PermitRequest', 'RankLayout', 'RankOrder', 'RankState', 'Row',
-    'ServerLoad', 'Snapshot', 'SnapshotRequest', 'UsableHosts'
+    'ClearedPart', 'ConfigForm', 'CrashNews', 'CrashRecord', 'DutyBeat',
+    'EntryBeat', 'ExpertChoices', 'Layouts', 'LimitRecord', 'OrderKind',
+    'PermitReply', 'PermitRequest', 'RankLayout', 'RankOrder', 'RankState',
+    'Row', 'ServerLoad', 'Snapshot', 'SnapshotRequest', 'UsableHosts'
 ]
 
 Layouts = tuple[tuple[tuple[int, ...], ...], ...]
@@ -301,6 +301,18 @@
     era: int = 0
 
 
+class ConfigForm(enum.Enum):
+    """How a host wants the configuration.
+
+    Attributes:
+        ROW: as the store's row; what processes of earlier releases get.
+        PATCHES: as patches of the version that it knows.
+    """
+
+    ROW = 'row'
+    PATCHES = 'patches'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotRequest:
     """What the receiver of a snapshot knows already.
@@ -312,6 +324,7 @@
         wants_servers: whether it needs the servers at all.
         servers_era: the era of `servers_after`; 0 if the sender has none.
         hosts_era: the era of `hosts_after`.
+        config_form: how it wants the configuration.
     """
 
     servers_after: int = 0
@@ -320,6 +333,7 @@
     wants_servers: bool = True
     servers_era: int = 0
     hosts_era: int = 0
+    config_form: ConfigForm = ConfigForm.ROW
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -335,6 +349,12 @@
         has_all_hosts: whether the rows of hosts are the whole list.
         servers_era: the era of `servers_version`; 0 if the sender has none.
         hosts_era: the era of `hosts_version`.
+        config_patches: patches of the configuration, each of the result of the
+            one before it; empty if the receiver has the sender's version or
+            wants the row.
+        config_row_version: the store's change counter at the configuration's
+            row.
+        config_row_era: the era of `config_row_version`.
     """
 
     servers_version: int
@@ -345,6 +365,9 @@
     has_all_hosts: bool = True
     servers_era: int = 0
     hosts_era: int = 0
+    config_patches: tuple[document_patch.DocumentPatch, ...] = ()
+    config_row_version: int = 0
+    config_row_era: int = 0
 
 
 class OrderKind(enum.Enum):
