Give agents the services of a configuration only

Cause: agents read the engine profile of their service, but got routes and keys too: 64 agents, each with a link of 4 Mbit/s, asked for each version whole. Keys of callers stood in the memory of hosts that have no use for them.

Change: a host says how it wants the configuration. An agent gets a document with the services only, about 4 kB, made once for each version. What a configuration document is like stays behind a port.

--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -179,7 +179,7 @@
   checksum @3 :UInt32;
 }
 
-enum ConfigForm { row @0; patches @1; }
+enum ConfigForm { row @0; patches @1; services @2; }
 
 struct SnapshotRequest {
   # Up to which versions the receiver knows the rows.
--- a/pollenthread/app/config_listeners.py
+++ b/pollenthread/app/config_listeners.py
@@ -9,15 +9,12 @@
 import result
 
 from pollenthread.app import (document_history, serving_state, store_listeners)
-from pollenthread.core import (document_patch, log_events, routing_config,
-                               store_version)
-from pollenthread.ports import clock, event_log, row_store
+from pollenthread.core import (document_patch, log_events, peer_messages,
+                               routing_config, store_version)
+from pollenthread.ports import clock, config_decoder, event_log, row_store
 
 __all__ = ['ConfigListener']
 
-ConfigDecoder = Callable[[bytes], result.Result[routing_config.RoutingConfig,
-                                                str]]
-
 
 class ConfigListener(store_listeners.OutageListener):
     """Applies new versions of the configuration; ignores older ones.
@@ -31,13 +28,14 @@
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog, table: str, key: str,
-                 decode: ConfigDecoder) -> None:
+                 decoder: config_decoder.ConfigDecoder) -> None:
         super().__init__(state=state, time=time, log=log, table=table)
         self.key = key
-        self._decode = decode
+        self._decoder = decoder
         self.history = document_history.DocumentHistory()
         self.row_version = store_version.START
         self._needs_whole = False
+        self._services: document_patch.DocumentPatch | None = None
         self.applied_callbacks: list[Callable[[routing_config.RoutingConfig],
                                               None]] = []
 
@@ -55,6 +53,30 @@
     def known_version(self) -> store_version.StoreVersion:
         return self.row_version
 
+    def patches_for(
+        self, known_version: int, form: peer_messages.ConfigForm
+    ) -> tuple[document_patch.DocumentPatch, ...]:
+        """Returns the patches for a peer.
+
+        Args:
+            known_version: the version that the peer knows; 0 for none.
+            form: how it wants the configuration.
+        """
+        if known_version >= self.version:
+            return ()
+        if form is peer_messages.ConfigForm.SERVICES:
+            return (self._services_patch(),)
+        return tuple(self.history.patches_after(known_version))
+
+    def _services_patch(self) -> document_patch.DocumentPatch:
+        if self._services is None or self._services.version != self.version:
+            self._services = document_patch.make_patch(
+                b'',
+                self._decoder.extract_services(self.history.document),
+                base=document_patch.EMPTY_VERSION,
+                version=self.version)
+        return self._services
+
     def on_full_read(self, rows: Sequence[row_store.RowChange],
                      version: store_version.StoreVersion) -> None:
         self.on_changes(rows)
@@ -115,7 +137,7 @@
             patches: those that led to it, if it came from a peer.
         """
         started_at = self._clock.monotonic()
-        decoded = self._decode(document)
+        decoded = self._decoder.decode(document)
         decode_s = round(self._clock.monotonic() - started_at, 4)
         if isinstance(decoded, result.Err):
             self.rejected_count += 1
--- a/pollenthread/app/snapshot_exchange.py
+++ b/pollenthread/app/snapshot_exchange.py
@@ -25,11 +25,17 @@
         applied_count: snapshots fetched from peers.
     """
 
-    def __init__(self, *, network: peers.PeerNetwork,
-                 hosts: host_registry.HostRegistry,
-                 config_listener: config_listeners.ConfigListener,
-                 server_listener: store_listeners.ServerListener | None,
-                 time: clock.Clock, log: event_log.EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        network: peers.PeerNetwork,
+        hosts: host_registry.HostRegistry,
+        config_listener: config_listeners.ConfigListener,
+        server_listener: store_listeners.ServerListener | None,
+        time: clock.Clock,
+        log: event_log.EventLog,
+        config_form: peer_messages.ConfigForm = peer_messages.ConfigForm.PATCHES
+    ) -> None:
         """Initializes an exchange.
 
         Args:
@@ -39,7 +45,9 @@
             server_listener: the servers; None if this host needs none.
             time: the clock.
             log: the structured log.
+            config_form: how this host wants the configuration.
         """
+        self._config_form = config_form
         self._network = network
         self._hosts = hosts
         self._config_listener = config_listener
@@ -79,10 +87,10 @@
             rows += _encode_rows(self._server_listener.table, servers.rows)
         config = self._config_listener
         patches: tuple[document_patch.DocumentPatch, ...] = ()
-        if known.config_form is peer_messages.ConfigForm.PATCHES:
-            patches = tuple(config.history.patches_after(known.config_after))
-        else:
+        if known.config_form is peer_messages.ConfigForm.ROW:
             rows += self._encode_config(known.config_after)
+        else:
+            patches = config.patches_for(known.config_after, known.config_form)
         return peer_messages.Snapshot(
             servers_version=servers_version.counter,
             store_age_ms=self.store_age_ms(),
@@ -149,7 +157,7 @@
             wants_servers=listener is not None,
             servers_era=servers.era,
             hosts_era=self._hosts.version.era,
-            config_form=peer_messages.ConfigForm.PATCHES)
+            config_form=self._config_form)
 
     def _apply(self, snapshot: peer_messages.Snapshot) -> None:
         config = self._config_listener
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -307,10 +307,12 @@
     Attributes:
         ROW: as the store's row; what processes of earlier releases get.
         PATCHES: as patches of the version that it knows.
+        SERVICES: the services only, as a patch of the empty document.
     """
 
     ROW = 'row'
     PATCHES = 'patches'
+    SERVICES = 'services'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -6,8 +6,11 @@
 
 from pollenthread.core import routing_config
 from pollenthread.platform import field_reader, wire_names
+from pollenthread.ports import config_decoder
 
-__all__ = ['ConfigDocumentError', 'decode', 'try_decode']
+__all__ = [
+    'ConfigDocumentDecoder', 'ConfigDocumentError', 'decode', 'try_decode'
+]
 
 _MS_PER_S = 1000.0
 _BITS_PER_BYTE = 8
@@ -18,6 +21,23 @@
     """The document is not a valid configuration."""
 
 
+class ConfigDocumentDecoder(config_decoder.ConfigDecoder):
+    """Decodes the versions of the operator's document."""
+
+    def decode(
+            self, document: bytes
+    ) -> result.Result[routing_config.RoutingConfig, str]:
+        return try_decode(document)
+
+    def extract_services(self, document: bytes) -> bytes:
+        content = json.loads(document)
+        return json.dumps({
+            'version': content['version'],
+            'routes': [],
+            'services': content['services']
+        }).encode()
+
+
 def decode(data: bytes) -> routing_config.RoutingConfig:
     """Decodes a configuration document.
 
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -47,7 +47,8 @@
                 config_listener=self._config_listener,
                 server_listener=None,
                 time=self._clock,
-                log=self.log),
+                log=self.log,
+                config_form=peer_messages.ConfigForm.SERVICES),
             config_listener=self._config_listener,
             time=self._clock,
             rng=rng)
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -76,7 +76,7 @@
             log=self.log,
             table=wire_names.StoreTable.OPERATOR,
             key=wire_names.StoreTable.CONFIG_KEY,
-            decode=config_document.try_decode)
+            decoder=config_document.ConfigDocumentDecoder())
 
     async def __aenter__(self) -> Self:
         await self._exit_stack.__aenter__()
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -20,10 +20,10 @@
                               evidence_exchange, evidence_store, host_registry,
                               rate_permits, serving_state, snapshot_exchange,
                               store_follower, store_listeners, store_watch)
-from pollenthread.core import (host_record, peer_messages, routing_config,
-                               server_registry, store_version)
+from pollenthread.core import (host_record, peer_messages, server_registry,
+                               store_version)
 from pollenthread.ports import peers, row_store
-from tests.fakes import fleet_links, memory, virtual_time
+from tests.fakes import config_versions, fleet_links, memory, virtual_time
 
 __all__ = ['AgentHost', 'EntryFleet', 'EntryHost', 'FleetStore', 'StoreCopy']
 
@@ -252,17 +252,6 @@
         return None
 
 
-def _decode_config(
-        data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
-    """Decodes a configuration; before any brace, it has its version."""
-    return result.Ok(
-        routing_config.RoutingConfig(version=int(data.partition(b'{')[0]),
-                                     routes_by_host={},
-                                     services_by_name={},
-                                     limits=routing_config.CallerLimits(),
-                                     workspaces_by_api_key=None))
-
-
 def _decode_server(key: str,
                    data: bytes) -> result.Result[server_registry.Server, str]:
     """Decodes a server whose entry consists of its state only."""
@@ -367,12 +356,13 @@
             return_s=2.2,
             rng=rng)
         hosts = host_registry.HostRegistry()
-        config = config_listeners.ConfigListener(state=state,
-                                                 time=time,
-                                                 log=log,
-                                                 table=CONFIG_TABLE,
-                                                 key=CONFIG_KEY,
-                                                 decode=_decode_config)
+        config = config_listeners.ConfigListener(
+            state=state,
+            time=time,
+            log=log,
+            table=CONFIG_TABLE,
+            key=CONFIG_KEY,
+            decoder=config_versions.VersionDecoder())
         servers = store_listeners.ServerListener(state=state,
                                                  time=time,
                                                  log=log,
@@ -473,12 +463,13 @@
             return_s=0.0,
             rng=rng)
         hosts = host_registry.HostRegistry()
-        config = config_listeners.ConfigListener(state=state,
-                                                 time=time,
-                                                 log=memory.NullEventLog(),
-                                                 table=CONFIG_TABLE,
-                                                 key=CONFIG_KEY,
-                                                 decode=_decode_config)
+        config = config_listeners.ConfigListener(
+            state=state,
+            time=time,
+            log=memory.NullEventLog(),
+            table=CONFIG_TABLE,
+            key=CONFIG_KEY,
+            decoder=config_versions.VersionDecoder())
         watch = store_watch.AgentStoreWatch(
             hosts=hosts,
             exchange=snapshot_exchange.SnapshotExchange(
@@ -487,7 +478,8 @@
                 config_listener=config,
                 server_listener=None,
                 time=time,
-                log=memory.NullEventLog()),
+                log=memory.NullEventLog(),
+                config_form=peer_messages.ConfigForm.SERVICES),
             config_listener=config,
             time=time,
             rng=rng)
--- a/tests/platform/large_configuration.feature
+++ b/tests/platform/large_configuration.feature
@@ -43,6 +43,12 @@
     And 10 s pass
     Then every agent has version 2 and received at most 30 kB per second
 
+  # Guards against keys of callers at hosts that have no use for them.
+  Scenario: An agent gets the services only
+    Given a document with 3 routes, 2 services and 2 workspaces
+    When an agent fetches it from an entry host
+    Then it has version 7 with the services, and neither routes nor workspaces
+
   # Guards against a large document that only the lost watchers had.
   Scenario: A large configuration is in force in time although watchers are cut off
     Given a fleet with links and the configuration version 1
--- a/tests/platform/steps/document_patches.py
+++ b/tests/platform/steps/document_patches.py
@@ -4,15 +4,13 @@
 import random
 from typing import Any
 
-import result
 from behave import given, then, when
 
 from pollenthread.adapters import peer_codec
 from pollenthread.app import (config_listeners, document_history, host_registry,
                               snapshot_exchange)
-from pollenthread.core import (document_patch, peer_messages, routing_config,
-                               store_version)
-from tests.fakes import forwarding, memory, virtual_time
+from pollenthread.core import document_patch, peer_messages, store_version
+from tests.fakes import config_versions, forwarding, memory, virtual_time
 
 _SEED = 11
 _PIECES = [b'{', b'}', b'{"a":1}', b'{"b":2},', b'x', b'{"c":{"d":3}}', b'[]']
@@ -73,7 +71,7 @@
 
 
 def _document(version: int, routes: list[bytes]) -> bytes:
-    return b'{"version":%d,"routes":[%s]}' % (version, b','.join(routes))
+    return b'%d{"routes":[%s]}' % (version, b','.join(routes))
 
 
 @given('a document of {count:d} routes and one with another route')
@@ -129,17 +127,6 @@
 # Hosts.
 
 
-def _decode(data: bytes) -> result.Result[routing_config.RoutingConfig, str]:
-    """Decodes a configuration whose first number is its version."""
-    return result.Ok(
-        routing_config.RoutingConfig(version=int(
-            data.partition(b',')[0].partition(b':')[2]),
-                                     routes_by_host={},
-                                     services_by_name={},
-                                     limits=routing_config.CallerLimits(),
-                                     workspaces_by_api_key=None))
-
-
 class _OnePeer:
     """A network in which all requests go to one exchange."""
 
@@ -169,7 +156,7 @@
             state=forwarding.make_state(data_centre='dc'),
             table='op',
             key='config',
-            decode=_decode,
+            decoder=config_versions.VersionDecoder(),
             **common)
         any_network: Any = network
         self.exchange = snapshot_exchange.SnapshotExchange(
--- a/tests/platform/steps/large_configuration.py
+++ b/tests/platform/steps/large_configuration.py
@@ -1,14 +1,17 @@
 """Steps for large configurations in a fleet with slow links, in virtual time."""
 
 import asyncio
+import json
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from behave import given, then, when
 
-from pollenthread.core import host_record, log_events
-from tests.fakes import entry_fleet, fleet_links, virtual_time
+from pollenthread.app import config_listeners
+from pollenthread.core import host_record, log_events, peer_messages, store_version
+from pollenthread.platform import config_document
+from tests.fakes import entry_fleet, fleet_links, forwarding, memory, virtual_time
 
 _SEED = 7
 _DATA_CENTRES = 3
@@ -199,3 +202,67 @@
 def step_agents(context: Any, version: int, kilobytes: int) -> None:
     script = context.script
     script.run(lambda: script.check_agents(version, kilobytes * 1000))
+
+
+@given('a document with 3 routes, 2 services and 2 workspaces')
+def step_document(context: Any) -> None:
+    context.document = json.dumps({
+        'version':
+            7,
+        'routes': [{
+            'name': f'r-{number}',
+            'host': 'a.example',
+            'path_prefix': f'/{number}/',
+            'kind': 'idempotent',
+            'timeout_ms': 500,
+            'service': 'llm'
+        } for number in range(3)],
+        'services': [{
+            'name': 'llm',
+            'engine': {
+                'slots': 5,
+                'experts': 128
+            }
+        }, {
+            'name': 'shop'
+        }],
+        'tenants': [{
+            'name': f'w-{number}',
+            'api_keys': [f'key-{number}']
+        } for number in range(2)]
+    }).encode()
+
+
+@when('an agent fetches it from an entry host')
+def step_agent_fetches(context: Any) -> None:
+    context.configs = []
+
+    async def fetch() -> None:
+        listeners = [
+            config_listeners.ConfigListener(
+                state=forwarding.make_state(data_centre='dc'),
+                time=virtual_time.LoopClock(),
+                log=memory.NullEventLog(),
+                table='op',
+                key='config',
+                decoder=config_document.ConfigDocumentDecoder())
+            for _ in range(2)
+        ]
+        for listener in listeners:
+            listener.applied_callbacks.append(context.configs.append)
+        version = store_version.StoreVersion(1, 1)
+        listeners[0].apply_document(context.document, version, source='store')
+        listeners[1].apply_patches(
+            listeners[0].patches_for(0, peer_messages.ConfigForm.SERVICES),
+            version)
+
+    virtual_time.run(fetch())
+
+
+@then('it has version 7 with the services, and neither routes nor workspaces')
+def step_services_only(context: Any) -> None:
+    whole, found = context.configs
+    assert whole.version == found.version == 7
+    assert found.services_by_name == whole.services_by_name
+    assert whole.routes_by_host and whole.workspaces_by_api_key
+    assert not found.routes_by_host and found.workspaces_by_api_key is None
--- a/tests/platform/steps/odd_entries.py
+++ b/tests/platform/steps/odd_entries.py
@@ -169,7 +169,7 @@
             log=memory.NullEventLog(),
             table='op',
             key='config',
-            decode=config_document.try_decode),
+            decoder=config_document.ConfigDocumentDecoder()),
         server_listener=context.servers,
         time=virtual_time.LoopClock(),
         log=memory.NullEventLog())
--- a/tests/platform/steps/peers.py
+++ b/tests/platform/steps/peers.py
@@ -11,7 +11,7 @@
                               snapshot_exchange, store_listeners, store_watch)
 from pollenthread.core import (host_record, peer_messages, routing_config,
                                store_version)
-from tests.fakes import forwarding, memory, virtual_time
+from tests.fakes import config_versions, forwarding, memory, virtual_time
 
 _KNOWN_VERSION = 100
 _HEARTBEAT_INTERVAL_S = 0.2
@@ -67,11 +67,15 @@
     common: dict[str, Any] = {
         'state': state,
         'time': time,
-        'log': memory.NullEventLog(),
-        'decode': lambda *data: result.Err('none')
+        'log': memory.NullEventLog()
     }
-    config = config_listeners.ConfigListener(table='op', key='config', **common)
-    servers = store_listeners.ServerListener(table='servers', **common)
+    config = config_listeners.ConfigListener(
+        table='op',
+        key='config',
+        decoder=config_versions.VersionDecoder(),
+        **common)
+    servers = store_listeners.ServerListener(
+        table='servers', decode=lambda *_: result.Err('none'), **common)
     state.config = routing_config.RoutingConfig(
         version=1,
         routes_by_host={},
