Decode a configuration beside the requests, and only what changed

Class of fault: work that grows with the state, on the path of requests.

Change: what is offered by the store and by peers is applied one after the other by a task of its own; a later offer of the same source replaces one that waits. Routes are decoded in slices, between which requests run, and one that the version before had is not decoded again. A document that is known is not decoded at all.

Before, no other task ran while a document was decoded; a change of one route of 1,500 made all of them new objects.

--- a/pollenthread/app/config_listeners.py
+++ b/pollenthread/app/config_listeners.py
@@ -2,9 +2,16 @@
 
 The decoder comes from the platform's adapter. A document that cannot be decoded
 is counted and logged, and the previous version stays in effect.
+
+Documents are offered by the store and by peers and applied one after the other,
+since a large one takes some time. One that is replaced by a later offer before
+its turn is left out.
 """
 
+import asyncio
+import dataclasses
 from collections.abc import Callable, Sequence
+from typing import Self
 
 import result
 
@@ -16,6 +23,31 @@
 __all__ = ['ConfigListener']
 
 
+@dataclasses.dataclass(frozen=True, eq=False, slots=True, kw_only=True)
+class _OfferedConfig:
+    """A document that may have to be applied.
+
+    Attributes:
+        document: the encoded configuration.
+        row_version: the store's version of the document's row.
+        source: where it came from.
+        version: its version; `EMPTY_VERSION` if that is not known yet.
+        patches: those that led to it, if it came from a peer.
+    """
+
+    document: bytes
+    row_version: store_version.StoreVersion
+    source: str
+    version: int = document_patch.EMPTY_VERSION
+    patches: Sequence[document_patch.DocumentPatch] = ()
+
+    def replaces(self, other: Self) -> bool:
+        """Whether another document need not be applied before this one."""
+        return (other.source == self.source and
+                other.row_version.era == self.row_version.era and
+                other.row_version <= self.row_version)
+
+
 class ConfigListener(store_listeners.OutageListener):
     """Applies new versions of the configuration; ignores older ones.
 
@@ -34,6 +66,8 @@
         self._decoder = decoder
         self.history = document_history.DocumentHistory()
         self.row_version = store_version.START
+        self._offers: list[_OfferedConfig] = []
+        self._has_offers = asyncio.Event()
         self._needs_whole = False
         self._services: document_patch.DocumentPatch | None = None
         self.applied_callbacks: list[Callable[[routing_config.RoutingConfig],
@@ -44,10 +78,16 @@
         """The version of the current configuration; 0 before the first."""
         return self._state.config.version if self._state.config else 0
 
+    @property
+    def offered_version(self) -> int:
+        """The newest version that is applied or about to be; 0 for none."""
+        return max((offer.version for offer in self._offers),
+                   default=0) or self.version
+
     @property
     def patched_version(self) -> int:
         """The version that patches of peers may apply to; 0 for none."""
-        return 0 if self._needs_whole else self.history.version
+        return 0 if self._needs_whole else self.offered_version
 
     @property
     def known_version(self) -> store_version.StoreVersion:
@@ -84,11 +124,31 @@
     def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
         for row in rows:
             if row.key == self.key and row.value is not None:
-                self.apply_document(row.value, row.version, source='store')
+                self.offer_document(row.value, row.version, source='store')
+
+    # Offers.
+
+    def offer_document(self, document: bytes,
+                       row_version: store_version.StoreVersion, *,
+                       source: str) -> None:
+        """Offers a whole document.
 
-    def apply_patches(self, patches: Sequence[document_patch.DocumentPatch],
+        Args:
+            document: the encoded configuration.
+            row_version: the store's version of the document's row.
+            source: where it came from, for the log.
+        """
+        known = (self.history.document,
+                 *(offer.document for offer in self._offers))
+        if document not in known:
+            self._offer(
+                _OfferedConfig(document=document,
+                               row_version=row_version,
+                               source=source))
+
+    def offer_patches(self, patches: Sequence[document_patch.DocumentPatch],
                       row_version: store_version.StoreVersion) -> None:
-        """Applies patches of a peer.
+        """Offers the result of a peer's patches.
 
         If they do not fit, the whole document is requested next time.
 
@@ -97,12 +157,10 @@
                 one to `patched_version` or to the empty document.
             row_version: the store's version of the resulting document's row.
         """
-        if not patches:
+        if not patches or patches[-1].version <= self.offered_version:
             return
-        document = b'' if patches[0].is_whole else self.history.document
         try:
-            if patches[0].base not in (0, self.history.version):
-                raise document_patch.PatchError('it is of another version')
+            document = self._find_document(patches[0].base)
             for patch in patches:
                 document = patch.apply(document)
         except document_patch.PatchError as error:
@@ -113,36 +171,61 @@
                             reason=str(error))
             return
         self._needs_whole = False
-        self.apply_document(document,
-                            row_version,
-                            source='peer',
-                            patches=patches)
-
-    def apply_document(
-        self,
-        document: bytes,
-        row_version: store_version.StoreVersion,
-        *,
-        source: str,
-        patches: Sequence[document_patch.DocumentPatch] = ()) -> None:
+        self._offer(
+            _OfferedConfig(document=document,
+                           row_version=row_version,
+                           source='peer',
+                           version=patches[-1].version,
+                           patches=tuple(patches)))
+
+    def _find_document(self, version: int) -> bytes:
+        """Returns the document of a version.
+
+        Raises:
+            document_patch.PatchError: it is not known.
+        """
+        if version == document_patch.EMPTY_VERSION:
+            return b''
+        if version == self.history.version:
+            return self.history.document
+        for offer in self._offers:
+            if offer.version == version:
+                return offer.document
+        raise document_patch.PatchError(f'version {version} is not known')
+
+    def _offer(self, offered: _OfferedConfig) -> None:
+        self._offers = [
+            offer for offer in self._offers if not offered.replaces(offer)
+        ]
+        self._offers.append(offered)
+        self._has_offers.set()
+
+    # Application.
+
+    async def run(self) -> None:
+        """Applies what is offered, until cancelled."""
+        while True:
+            await self._has_offers.wait()
+            self._has_offers.clear()
+            while self._offers:
+                offered = self._offers[0]
+                await self._apply(offered)
+                if offered in self._offers:
+                    self._offers.remove(offered)
+
+    async def _apply(self, offered: _OfferedConfig) -> None:
         """Applies a document if its version is higher than the current one.
 
         The operator numbers the configurations, so that holds for a store that
         has come back from a copy too: an older one in it is written again.
-
-        Args:
-            document: the encoded configuration.
-            row_version: the store's version of the document's row.
-            source: where it came from, for the log.
-            patches: those that led to it, if it came from a peer.
         """
         started_at = self._clock.monotonic()
-        decoded = self._decoder.decode(document)
+        decoded = await self._decoder.decode(offered.document)
         decode_s = round(self._clock.monotonic() - started_at, 4)
         if isinstance(decoded, result.Err):
             self.rejected_count += 1
             self._log.write(log_events.LogEvent.CONFIG_REJECTED,
-                            source=source,
+                            source=offered.source,
                             reason=decoded.err_value)
             return
         config = decoded.ok_value
@@ -152,16 +235,16 @@
                             important=False,
                             version=config.version,
                             current=current.version,
-                            source=source)
+                            source=offered.source)
             return
         self._state.config = config
-        self.history.record(document, config.version, patches)
-        self.row_version = row_version
+        self.history.record(offered.document, config.version, offered.patches)
+        self.row_version = offered.row_version
         for callback in self.applied_callbacks:
             callback(config)
         self._log.write(log_events.LogEvent.CONFIG_APPLIED,
                         version=config.version,
                         before=current.version if current else None,
-                        source=source,
-                        bytes=len(document),
+                        source=offered.source,
+                        bytes=len(offered.document),
                         decode_s=decode_s)
--- a/pollenthread/app/snapshot_exchange.py
+++ b/pollenthread/app/snapshot_exchange.py
@@ -163,8 +163,8 @@
         config = self._config_listener
         for row in _rows_of(snapshot, config.table, config.row_version):
             if row.key == config.key and row.value is not None:
-                config.apply_document(row.value, row.version, source='peer')
-        config.apply_patches(
+                config.offer_document(row.value, row.version, source='peer')
+        config.offer_patches(
             snapshot.config_patches,
             store_version.told_version(snapshot.config_row_era,
                                        snapshot.config_row_version,
--- a/pollenthread/app/store_watch.py
+++ b/pollenthread/app/store_watch.py
@@ -126,8 +126,8 @@
     def _is_behind(self, heartbeat: peer_messages.EntryBeat) -> bool:
         servers, hosts = self._server_listener.version, self._hosts.version
         return (heartbeat.servers_version(servers) > servers or
-                heartbeat.config_version > self._config_listener.version or
-                heartbeat.hosts_version(hosts) > hosts)
+                heartbeat.config_version > self._config_listener.offered_version
+                or heartbeat.hosts_version(hosts) > hosts)
 
     async def run(self) -> None:
         """Fetches content from peers when this host is behind."""
@@ -152,7 +152,7 @@
         if not self._is_watcher:
             return any(map(self._is_behind, heartbeats))
         return (not self._config_listener.contact.is_up or
-                any(h.config_version > self._config_listener.version
+                any(h.config_version > self._config_listener.offered_version
                     for h in heartbeats) or self._are_servers_behind(now))
 
     def _are_servers_behind(self, now: float) -> bool:
@@ -218,7 +218,7 @@
     def on_heartbeat(self, heartbeat: peer_messages.EntryBeat) -> None:
         """Notes what a heartbeat says of the store's content."""
         self._heard_at = self._clock.monotonic()
-        if (heartbeat.config_version > self._config_listener.version or
+        if (heartbeat.config_version > self._config_listener.offered_version or
                 heartbeat.hosts_version(
                     self._hosts.version) > self._hosts.version):
             self._newest = heartbeat
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -1,5 +1,6 @@
 """Decodes the operator's JSON configuration document."""
 
+import asyncio
 import json
 
 import result
@@ -15,6 +16,8 @@
 _MS_PER_S = 1000.0
 _BITS_PER_BYTE = 8
 _MEGA = 1_000_000.0
+# Decoded at a time, between which requests are served.
+_ROUTES_PER_SLICE = 16
 
 
 class ConfigDocumentError(ValueError):
@@ -22,12 +25,39 @@
 
 
 class ConfigDocumentDecoder(config_decoder.ConfigDecoder):
-    """Decodes the versions of the operator's document."""
+    """Decodes the versions of the operator's document.
 
-    def decode(
+    Routes that the version before had too are not decoded again.
+    """
+
+    def __init__(self) -> None:
+        self._route_by_fingerprint: dict[bytes, routing_config.Route] = {}
+
+    async def decode(
             self, document: bytes
     ) -> result.Result[routing_config.RoutingConfig, str]:
-        return try_decode(document)
+        try:
+            content = field_reader.FieldReader(json.loads(document))
+            return result.Ok(
+                _make_config(content, await self._decode_routes(content)))
+        except (ValueError, KeyError, RecursionError) as error:
+            return result.Err(str(error))
+
+    async def _decode_routes(
+            self,
+            content: field_reader.FieldReader) -> list[routing_config.Route]:
+        known = self._route_by_fingerprint
+        self._route_by_fingerprint = {}
+        routes = []
+        for number, reader in enumerate(_get_required_objects(
+                content, 'routes')):
+            if number % _ROUTES_PER_SLICE == 0:
+                await asyncio.sleep(0)
+            fingerprint = reader.fingerprint()
+            route = known.get(fingerprint) or _decode_route(reader)
+            self._route_by_fingerprint[fingerprint] = route
+            routes.append(route)
+        return routes
 
     def extract_services(self, document: bytes) -> bytes:
         content = json.loads(document)
@@ -46,7 +76,10 @@
             or invalid.
     """
     try:
-        return _decode_config(field_reader.FieldReader(json.loads(data)))
+        content = field_reader.FieldReader(json.loads(data))
+        return _make_config(
+            content,
+            list(map(_decode_route, _get_required_objects(content, 'routes'))))
     except (ValueError, KeyError, RecursionError) as error:
         raise ConfigDocumentError(str(error)) from error
 
@@ -63,15 +96,13 @@
         return result.Err(str(error))
 
 
-def _decode_config(
-        document: field_reader.FieldReader) -> routing_config.RoutingConfig:
+def _make_config(
+        document: field_reader.FieldReader,
+        routes: list[routing_config.Route]) -> routing_config.RoutingConfig:
     services = map(_decode_service, _get_required_objects(document, 'services'))
     return routing_config.RoutingConfig(
         version=document.get_int('version', least=0),
-        routes_by_host=_group_by_host([
-            _decode_route(route)
-            for route in _get_required_objects(document, 'routes')
-        ]),
+        routes_by_host=_group_by_host(routes),
         services_by_name={service.name: service for service in services},
         limits=_decode_limits(document.get_object('limits')),
         workspaces_by_api_key=_decode_workspaces(document))
--- a/pollenthread/platform/field_reader.py
+++ b/pollenthread/platform/field_reader.py
@@ -5,6 +5,7 @@
 of a process until it serves requests, which would delay every restart.
 """
 
+import marshal
 import sys
 from collections.abc import Mapping
 from typing import Any, Self
@@ -15,6 +16,8 @@
 # Integers are sent to peers with 64 bits.
 _MAX_INT = 2**63 - 1
 _MAX_SHOWN = 80
+# Later versions encode how often an object is used.
+_MARSHAL_VERSION = 2
 
 
 class FieldError(ValueError):
@@ -44,6 +47,13 @@
         self._document = document
         self._prefix = path
 
+    def fingerprint(self) -> bytes:
+        """Returns bytes that only objects of equal content have.
+
+        Unlike a comparison of the objects, they tell 1 from 1.0 and from true.
+        """
+        return marshal.dumps(dict(self._document), _MARSHAL_VERSION)
+
     def has(self, name: str) -> bool:
         """Returns whether the field is present and not null."""
         return self._document.get(name) is not None
--- a/pollenthread/ports/config_decoder.py
+++ b/pollenthread/ports/config_decoder.py
@@ -13,10 +13,10 @@
     """Decodes the versions of a configuration document."""
 
     @abc.abstractmethod
-    def decode(
+    async def decode(
             self, document: bytes
     ) -> result.Result[routing_config.RoutingConfig, str]:
-        """Decodes a document.
+        """Decodes a document; other tasks run meanwhile if it is large.
 
         Returns:
             The configuration, or a description of the first error.
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -168,6 +168,7 @@
                                               _CONFIG_WATCH_PAUSE_S)
         async with asyncio.TaskGroup() as group:
             group.create_task(config_follower.run())
+            group.create_task(self._config_listener.run())
             group.create_task(self._watch.run())
             self._follow_hosts(group)
             group.create_task(self._rank_agent.run())
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -227,6 +227,7 @@
         async with asyncio.TaskGroup() as group:
             for follower in followers:
                 group.create_task(follower.run())
+            group.create_task(self._config_listener.run())
             self._follow_hosts(group)
             group.create_task(self._forwarder.watch_silent_servers())
             group.create_task(self._peers.run())
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -438,6 +438,7 @@
         ]
         coroutines = [follower.run() for follower in followers]
         coroutines += [
+            config.run(),
             watch.run(),
             entry.run(),
             evidence.run(),
@@ -500,6 +501,7 @@
                                     (host_registry.HOSTS_TABLE, hosts))
         ]
         coroutines += [
+            config.run(),
             watch.run(),
             host_registry.keep_registered(store=store,
                                           time=time,
--- a/tests/platform/steps/document_patches.py
+++ b/tests/platform/steps/document_patches.py
@@ -166,9 +166,10 @@
             server_listener=None,
             **common)
 
-    def apply(self, document: bytes) -> None:
+    async def apply(self, document: bytes) -> None:
         """Applies a document as from the store."""
-        self.listener.apply_document(document, _ROW_VERSION, source='store')
+        async with config_versions.applying(self.listener):
+            self.listener.offer_document(document, _ROW_VERSION, source='store')
 
 
 async def _make_hosts(versions: list[bytes]) -> tuple[_Host, _Host]:
@@ -176,7 +177,7 @@
     host, peer = _Host(network), _Host(network)
     network.peer = peer.exchange
     for document in versions:
-        peer.apply(document)
+        await peer.apply(document)
     return host, peer
 
 
@@ -201,9 +202,10 @@
 
     async def fetch() -> config_listeners.ConfigListener:
         host, _ = await _make_hosts(context.others)
-        host.apply(context.own)
+        await host.apply(context.own)
         for _ in range(2):
-            assert await host.exchange.fetch('peer:1')
+            async with config_versions.applying(host.listener):
+                assert await host.exchange.fetch('peer:1')
         return host.listener
 
     context.listener = virtual_time.run(fetch())
--- a/tests/platform/steps/large_configuration.py
+++ b/tests/platform/steps/large_configuration.py
@@ -11,7 +11,8 @@
 from pollenthread.app import config_listeners
 from pollenthread.core import host_record, log_events, peer_messages, store_version
 from pollenthread.platform import config_document
-from tests.fakes import entry_fleet, fleet_links, forwarding, memory, virtual_time
+from tests.fakes import (config_versions, entry_fleet, fleet_links, forwarding,
+                         memory, virtual_time)
 
 _SEED = 7
 _DATA_CENTRES = 3
@@ -251,10 +252,14 @@
         for listener in listeners:
             listener.applied_callbacks.append(context.configs.append)
         version = store_version.StoreVersion(1, 1)
-        listeners[0].apply_document(context.document, version, source='store')
-        listeners[1].apply_patches(
-            listeners[0].patches_for(0, peer_messages.ConfigForm.SERVICES),
-            version)
+        async with config_versions.applying(listeners[0]):
+            listeners[0].offer_document(context.document,
+                                        version,
+                                        source='store')
+        async with config_versions.applying(listeners[1]):
+            listeners[1].offer_patches(
+                listeners[0].patches_for(0, peer_messages.ConfigForm.SERVICES),
+                version)
 
     virtual_time.run(fetch())
 
