--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -557,13 +557,14 @@
 
     def count_fetch(self, receiver: str, provider: str) -> None:
         """Counts a snapshot that a host gets from another one."""
-        data_centres = [
-            host.record.data_centre
-            for host in (*self.host_by_name.values(),
-                         *self.agent_by_name.values())
-            if host.record.peer_address in (receiver, provider)
-        ]
-        self.fetches[len(set(data_centres)) == 1] += 1
+        records = [host.record for host in self.host_by_name.values()]
+        records += [agent.record for agent in self.agent_by_name.values()]
+        data_centres = {
+            record.data_centre
+            for record in records
+            if record.peer_address in (receiver, provider)
+        }
+        self.fetches[len(data_centres) == 1] += 1
 
     def deliver(self, source: str, target: str, data: bytes) -> None:
         """Delivers a datagram after a short delay."""
