--- a/pollenthread/core/caller_request.py
+++ b/pollenthread/core/caller_request.py
@@ -1,11 +1,17 @@
 """The data of a caller's request."""
 
 import dataclasses
+import functools
+import hashlib
 
 from pollenthread.core import http_headers
 
 __all__ = ['CallerRequest', 'PromptPart']
 
+_DIGEST_BYTES = 8
+# Occurs in none of the fields before the body.
+_FIELD_END = b'\0'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -20,7 +26,7 @@
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class CallerRequest:
     """One request of a caller.
 
@@ -55,6 +61,19 @@
     prompt_parts: tuple[PromptPart, ...]
     received_at: float
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """Identifies the request when its caller sends it again.
+
+        It covers what a repeated request has in common with the first one, and
+        is the same on all hosts. It does not tell the body or the key.
+        """
+        digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        for field in (self.method, self.host, self.target, self.api_key or ''):
+            digest.update(field.encode() + _FIELD_END)
+        digest.update(self.body)
+        return digest.hexdigest()
+
     @property
     def path(self) -> str:
         """The request target without the query."""
