Reproduce requests that crash servers by themselves

A request that shares a part with a deadly one is looked at only if it is not deadly itself. KNOWN-RED.txt can list examples of an outline, whose names end with a space.

--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -1,22 +1,23 @@
 """Emulates groups of servers that crash when they answer a certain request."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from pollenthread.core import caller_request, http_headers, server_registry
 from pollenthread.ports import upstream
 
-__all__ = ['Arrival', 'CrashingServers']
+__all__ = ['DOWN_S', 'Arrival', 'CrashingServers']
 
 _OK = 200
 _UNAVAILABLE = 503
 _FIRST_EVENT_S = 0.12
 _EVENT_INTERVAL_S = 0.05
 _EVENTS = 20
-_DOWN_S = 3.0
+DOWN_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,8 +57,14 @@
 
     Attributes:
         deadly_parts: parts of prompts that crash a server.
+        deadly_bodies: bodies of requests that crash a server.
+        crashes_left_by_body: how many servers a request crashes before one
+            serves it.
+        has_whole_responses: whether responses have no events.
         crashes_while_reading: whether a server crashes before the head of the
             response is sent.
+        crashed_callbacks: functions called with the id of each crashed server.
+        most_down: the greatest number of servers that were down at once.
         crash_times: the times of the crashes, in seconds.
         crash_parts: the deadly part of each crash.
         arrivals: all requests that reached a server.
@@ -65,7 +72,13 @@
 
     def __init__(self, *, groups: int, servers_per_group: int) -> None:
         self.deadly_parts: set[str] = set()
+        self.deadly_bodies: set[str] = set()
+        self.crashes_left_by_body: collections.Counter[str] = (
+            collections.Counter())
+        self.has_whole_responses = False
         self.crashes_while_reading = False
+        self.crashed_callbacks: list[Callable[[str], None]] = []
+        self.most_down = 0
         self.crash_times: list[float] = []
         self.crash_parts: list[str] = []
         self.arrivals: list[Arrival] = []
@@ -95,11 +108,15 @@
         """
         self.crash_times.append(_now())
         self.crash_parts.append(part)
-        self._down_until[server_id] = _now() + _DOWN_S
+        self._down_until[server_id] = _now() + DOWN_S
         self._group_down_until[
-            self.group_by_server[server_id]] = _now() + _DOWN_S
+            self.group_by_server[server_id]] = _now() + DOWN_S
+        self.most_down = max(self.most_down,
+                             sum(map(self.is_down, self.group_by_server)))
         self._crashed[server_id].set()
         self._crashed[server_id] = asyncio.Event()
+        for callback in self.crashed_callbacks:
+            callback(server_id)
 
     def client(self, host: str) -> upstream.UpstreamClient:
         """Returns the client of an entry host."""
@@ -120,15 +137,24 @@
 
     def crash_if_deadly(self, server_id: str,
                         request: caller_request.CallerRequest) -> None:
-        """Crashes a server that answers a request with a deadly part.
+        """Crashes a server that answers a deadly request.
 
         Raises:
             upstream.UpstreamDisconnectedError: the server crashed.
         """
-        for part in request.prompt_parts:
-            if part.id in self.deadly_parts:
-                self.crash(server_id, part.id)
-                raise upstream.UpstreamDisconnectedError('broke off its answer')
+        body = request.body.decode()
+        is_crash = body in self.deadly_bodies
+        if self.crashes_left_by_body[body]:
+            self.crashes_left_by_body[body] -= 1
+            is_crash = True
+        deadly = [body] if is_crash else [
+            part.id
+            for part in request.prompt_parts
+            if part.id in self.deadly_parts
+        ]
+        if deadly:
+            self.crash(server_id, deadly[0])
+            raise upstream.UpstreamDisconnectedError('broke off its answer')
 
 
 class _Client(upstream.UpstreamClient):
@@ -150,8 +176,11 @@
             yield _Response(_UNAVAILABLE, _no_events())
             return
         await servers.wait(name, _FIRST_EVENT_S)
-        if servers.crashes_while_reading:
+        if servers.crashes_while_reading or servers.has_whole_responses:
             servers.crash_if_deadly(name, attempt.request)
+        if servers.has_whole_responses:
+            yield _Response(_OK, _no_events())
+            return
         yield _Response(_OK, self._events(attempt))
 
     async def _events(
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -260,15 +260,16 @@
 
 def _decode_server(key: str,
                    data: bytes) -> result.Result[server_registry.Server, str]:
-    """Decodes a server whose entry consists of its state only."""
+    """Decodes a server whose entry is its state and, after '@', its start."""
+    state, _, born_ms = data.decode().partition('@')
     return result.Ok(
         server_registry.Server(id=key,
                                service='llm',
                                address=f'{key}:1',
                                data_centre='dc-0',
                                slots=6,
-                               state=server_registry.ServerState(
-                                   data.decode())))
+                               state=server_registry.ServerState(state),
+                               born_ms=int(born_ms or 0)))
 
 
 @dataclasses.dataclass
--- a/tests/run.py
+++ b/tests/run.py
@@ -99,7 +99,7 @@
             if element['type'] == 'background':
                 continue
             scenario_count += 1
-            title = f'{report["name"]}: {element["name"]}'
+            title = f'{report["name"]}: {element["name"]}'.strip()
             status = element['status']
             if title in known_red_titles:
                 counts.known_red.append(f'{title} ({status})')
