Keep requests away that crash servers by themselves

Cause: a crash was held against the parts that a request shares with others, and against nothing else. Requests of plain services have no such part, so their crashes left no evidence; for streams, a sound shared part was blamed instead of the request. Class of fault: evidence without a place for its smallest suspect.

Change: the request itself is a part, its own one, in the same evidence, quarantine and exchange. Whole responses clear parts as events do. A crash under requests without a response weighs a third of one under a response that had begun; two of them keep a part away for as long as servers take to come back, after which one request is a test. A suspect that breaks off waits for the verdict before it is sent again. Where two parts explain the same crashes, hosts test one after the other.

--- a/pollenthread/app/crash_watch.py
+++ b/pollenthread/app/crash_watch.py
@@ -20,8 +20,8 @@
 
     Attributes:
         server: the server.
-        begun: shared parts of requests whose response had begun.
-        sent: shared parts of requests without a response.
+        begun: parts of requests whose response had begun.
+        sent: parts of requests without a response.
         check: finds out whether the server has crashed.
     """
 
@@ -58,25 +58,28 @@
         self._log = log
         self._broken_by_id: dict[str, _BrokenServer] = {}
 
-    async def examine(self, pending: pending_attempt.PendingAttempt) -> None:
+    async def examine(self, pending: pending_attempt.PendingAttempt, *,
+                      is_suspect: bool) -> None:
         """Examines an attempt that its server broke off.
 
-        Waits for the result if the request may have crashed the server.
+        Waits for the result if the request may well have crashed the server.
+
+        Args:
+            pending: the attempt.
+            is_suspect: whether a server has crashed before with the request.
         """
         stage = pending.stage
-        parts = pending.job.shared_parts
-        if stage is crash_evidence.AttemptStage.STREAMING or not parts:
+        parts = pending.job.parts
+        if stage is crash_evidence.AttemptStage.STREAMING:
             return
         broken = self._broken_by_id.get(pending.server.id)
         if broken is None:
             broken = _BrokenServer(pending.server)
             self._broken_by_id[pending.server.id] = broken
             broken.check = asyncio.create_task(self._check(broken))
-        if stage is crash_evidence.AttemptStage.SENT:
-            broken.sent.update(parts)
-            return
-        broken.begun.update(parts)
-        if broken.check is not None:
+        is_begun = stage is crash_evidence.AttemptStage.BEGUN
+        (broken.begun if is_begun else broken.sent).update(parts)
+        if broken.check is not None and (is_begun or is_suspect):
             await asyncio.shield(broken.check)
 
     async def _check(self, broken: _BrokenServer) -> None:
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -230,6 +230,7 @@
                            response: upstream.UpstreamResponse) -> bool:
         job, server = pending.job, pending.server
         body = b''.join([chunk async for chunk in response.read()])
+        self._guard.record_answer(pending)
         if (response.status >= _SERVER_ERROR and job.route.is_repeatable and
                 self._may_retry(job)):
             self._record_failure(pending,
@@ -256,7 +257,7 @@
                 raise upstream.UpstreamDisconnectedError(str(error)) from error
             if not events:
                 continue
-            self._guard.record_events(pending)
+            self._guard.record_answer(pending)
             job.timing.record_events(self._clock.monotonic())
             if not job.caller_response.is_started:
                 self._observe('first_event', self._age_s(job.request))
--- a/pollenthread/app/poison_guard.py
+++ b/pollenthread/app/poison_guard.py
@@ -13,7 +13,7 @@
 
 
 class PoisonGuard:
-    """Applies the quarantine of prompt parts to the requests of a host."""
+    """Applies the quarantine of parts to the requests of a host."""
 
     def __init__(self, *, evidence: evidence_log.EvidenceLog,
                  upstream_client: upstream.UpstreamClient,
@@ -69,7 +69,7 @@
 
     def _suspects(self, job: request_job.RequestJob) -> tuple[str, ...]:
         now = self._clock.monotonic()
-        verdict = self._quarantine.check(job.shared_parts, now)
+        verdict = self._quarantine.check(job.parts, now)
         if verdict.is_refused:
             failure = job.rejection(errors.ErrorKind.QUARANTINED,
                                     now,
@@ -87,16 +87,15 @@
         now = self._clock.monotonic()
         for pending in attempts:
             if (pending.stage is not crash_evidence.AttemptStage.STREAMING and
-                    self._quarantine.is_in_quarantine(pending.job.shared_parts,
-                                                      now)):
+                    self._quarantine.is_in_quarantine(pending.job.parts, now)):
                 pending.is_recalled = True
                 pending.timeout.reschedule(now)
 
-    def record_events(self, pending: pending_attempt.PendingAttempt) -> None:
-        """Records that complete events of a response have arrived."""
+    def record_answer(self, pending: pending_attempt.PendingAttempt) -> None:
+        """Records that a whole response, or complete events, have arrived."""
         if pending.stage is not crash_evidence.AttemptStage.STREAMING:
             pending.stage = crash_evidence.AttemptStage.STREAMING
-            self._evidence.observe_answer(pending.job.shared_parts,
+            self._evidence.observe_answer(pending.job.parts,
                                           self._clock.monotonic())
 
     async def examine(self, pending: pending_attempt.PendingAttempt) -> None:
@@ -104,4 +103,7 @@
 
         Waits for the result if the request may have crashed the server.
         """
-        await self._crash_watch.examine(pending)
+        suspicions = self._evidence.known.suspicion_by_part()
+        await self._crash_watch.examine(
+            pending,
+            is_suspect=not suspicions.keys().isdisjoint(pending.job.parts))
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -48,8 +48,7 @@
             last one.
         last_failure: the cause of the latest failed attempt.
         timing: arrival times of a stream's events.
-        shared_parts: ids of the parts of its prompt that other requests may
-            also have.
+        parts: ids of the parts that may crash servers; see `crash_evidence`.
     """
 
     request: caller_request.CallerRequest
@@ -66,11 +65,10 @@
         default_factory=resumable_events.ResumableEventSplitter)
     last_failure: str = ''
     timing: stream_timing.StreamTiming = dataclasses.field(init=False)
-    shared_parts: tuple[str, ...] = dataclasses.field(init=False)
+    parts: tuple[str, ...] = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
-        self.shared_parts = crash_evidence.shared_part_ids(
-            self.request.prompt_parts)
+        self.parts = crash_evidence.part_ids(self.request)
         self.timing = stream_timing.StreamTiming(self.request.received_at)
 
     @property
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -222,8 +222,7 @@
                         config=config.version if config else None,
                         is_late=job.has_missed_target,
                         left_s=round(job.deadline - now, 3),
-                        parts=job.shared_parts,
-                        request=job.request.digest,
+                        parts=job.parts,
                         limit_per_s=limit.per_s if limit else None)
 
     def _requirements(self, job: request_job.RequestJob,
--- a/pollenthread/core/crash_evidence.py
+++ b/pollenthread/core/crash_evidence.py
@@ -1,25 +1,28 @@
-"""Evidence of which parts of prompts crash the servers that answer them.
-
-A poison request crashes each server that begins to answer it, because of one
-part of its prompt. Each crash is a test of a group of parts, those of the
-requests that the server was about to answer; each answered request clears its
-parts. The last part of a prompt belongs to one request and is not recorded.
+"""Evidence of which requests crash the servers that run them.
+
+A poison request crashes each server that begins to run it, because of one part
+of its prompt that other requests have too, or because of what only it holds.
+The latter is a part as well, its own one: a digest that stands for the last
+part of the prompt, the path, the caller and the body. Each crash is a test of a
+group of parts, those of the requests that the server was about to answer; each
+answered request clears its parts.
 """
 
 import collections
 import dataclasses
 import enum
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping
 
 from pollenthread.core import caller_request
 
 __all__ = [
-    'AttemptStage', 'Crash', 'CrashEvidence', 'Suspicion', 'shared_part_ids'
+    'STRONG_WEIGHT', 'AttemptStage', 'Crash', 'CrashEvidence', 'Suspicion',
+    'part_ids'
 ]
 
 _MAX_CRASHES = 64
-_MAX_PARTS_PER_CRASH = 64
-_MAX_PARTS_PER_REQUEST = 16
+_MAX_PARTS_PER_CRASH = 128
+_MAX_SHARED_PARTS_PER_REQUEST = 16
 _MAX_CLEARED_PARTS = 4096
 # Software that crashed longer ago may have been replaced since.
 _CRASH_TTL_S = 7200.0
@@ -27,8 +30,10 @@
 # way: hosts exchange ages, since their clocks are not compared.
 _SAME_CLEARING_S = 0.5
 # Of a crash under a request that the server had begun to answer, and of others.
-_STRONG_WEIGHT = 2
+STRONG_WEIGHT = 3
 _WEAK_WEIGHT = 1
+# No part of a prompt has a colon in its id.
+_OWN_PREFIX = 'own:'
 
 
 class AttemptStage(enum.Enum):
@@ -73,10 +78,18 @@
     suspects_by_server: Mapping[str, frozenset[str]]
 
 
-def shared_part_ids(
-        parts: Sequence[caller_request.PromptPart]) -> tuple[str, ...]:
-    """Returns the ids of the parts that other requests may also have."""
-    return tuple(part.id for part in parts[:-1][:_MAX_PARTS_PER_REQUEST])
+def part_ids(request: caller_request.CallerRequest) -> tuple[str, ...]:
+    """Returns the ids of a request's parts.
+
+    The last one is its own; other requests may have the others too.
+    """
+    shared = request.prompt_parts[:-1][:_MAX_SHARED_PARTS_PER_REQUEST]
+    return (*(part.id for part in shared), _OWN_PREFIX + request.digest)
+
+
+def _is_own(part: str) -> bool:
+    """Whether a part belongs to one request."""
+    return part.startswith(_OWN_PREFIX)
 
 
 class CrashEvidence:
@@ -104,13 +117,18 @@
         """Records that a server has begun to answer a request and still runs.
 
         Args:
-            parts: the shared parts of the request.
+            parts: the parts of the request.
             now: monotonic seconds.
 
         Returns:
             The parts on which a suspicion ends.
         """
-        return [part for part in parts if self.record_cleared(part, now)]
+        # Most requests come once: their own parts would displace the others.
+        return [
+            part for part in parts
+            if not _is_own(part) or part in self.suspicion_by_part()
+            if self.record_cleared(part, now)
+        ]
 
     def record_cleared(self, part: str, at: float) -> bool:
         """Records that a request with a part was answered.
@@ -206,7 +224,7 @@
             suspects = self._not_cleared_since(crash.begun, crash.at)
             new = self._never_cleared(suspects)
             if new:
-                return new, _STRONG_WEIGHT
+                return new, STRONG_WEIGHT
             return suspects, _WEAK_WEIGHT
         suspects = self._not_cleared_since(crash.sent, crash.at)
         return self._never_cleared(suspects), _WEAK_WEIGHT
--- a/pollenthread/core/document_patch.py
+++ b/pollenthread/core/document_patch.py
@@ -1,9 +1,9 @@
 """Patches that turn one version of a document into another one.
 
 A document is cut into pieces at each opening brace, so that the objects of a
-JSON document are pieces of their own. A patch copies the pieces that the earlier
-document has and carries the others. A whole document is a patch of the empty
-one.
+JSON document are pieces of their own. A patch copies the pieces that the
+earlier document has and carries the others. A whole document is a patch of the
+empty one.
 """
 
 import dataclasses
--- a/pollenthread/core/errors.py
+++ b/pollenthread/core/errors.py
@@ -129,9 +129,10 @@
                       'No upstream can take this request now.',
                       retry_after_s=1),
     ErrorKind.QUARANTINED:
-        ErrorResponse(503,
-                      'Servers have crashed under a part of this prompt.',
-                      retry_after_s=10),
+        ErrorResponse(
+            503,
+            'Servers have crashed under this request or a part of it.',
+            retry_after_s=10),
     ErrorKind.LEAVING:
         ErrorResponse(503, 'This host is leaving.', retry_after_s=0,
                       close=True),
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -64,7 +64,7 @@
                      '`cause` is the reason, `stage` how far the answer had '
                      'come.')
     SERVER_CRASHED = ('server_crashed', 'A server broke off its answers and '
-                      'refuses connections. `begun` has the prompt parts of '
+                      'refuses connections. `begun` has the parts of '
                       'requests that it had begun to answer without a complete '
                       'event, `sent` those of requests without any answer.')
     PARTS_TESTED = ('parts_tested',
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -85,7 +85,7 @@
     Attributes:
         server: the id and start time of the server.
         age_ms: milliseconds since the crash.
-        begun: shared prompt parts of the requests that it had begun to answer.
+        begun: parts of the requests that it had begun to answer.
         sent: those of the requests of which it had sent no response.
     """
 
@@ -97,7 +97,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClearedPart:
-    """A prompt part of a request that a server has answered.
+    """A part of a request that a server has answered.
 
     Attributes:
         part: the id of the part.
--- a/pollenthread/core/prompt_quarantine.py
+++ b/pollenthread/core/prompt_quarantine.py
@@ -1,4 +1,4 @@
-"""Decides which requests are refused because their prompt crashes servers."""
+"""Decides which requests are refused because they may crash servers."""
 
 import dataclasses
 from collections.abc import Collection, Iterable, Sequence
@@ -10,9 +10,15 @@
 # One crash under a request that the server began to answer, or two others.
 _SUSPECT_WEIGHT = 2
 _CONFIRMED_WEIGHT = 4
+# Two crashes for other reasons may hit the same request. Until its next test,
+# the servers are back.
+_WEAK_QUARANTINE_S = 4.0
 # The first crash may have had another cause. A wrong suspicion costs callers
 # with that part; a deadly part that is tried again costs those of a group.
 _FIRST_QUARANTINE_S = 20.0
+# Hosts test a part one after the other within this time, relative to their
+# patience beyond 1, so that one test tells all of them.
+_TEST_SPREAD_S = 4.0
 _QUARANTINE_GROWTH = 6.0
 _MAX_QUARANTINE_S = 3600.0
 _MIN_RETRY_AFTER_S = 0.3
@@ -65,7 +71,7 @@
         """Decides whether a request may be sent.
 
         Args:
-            parts: its shared parts.
+            parts: its parts.
             now: monotonic seconds.
         """
         suspects = self._suspects(parts)
@@ -120,9 +126,10 @@
                      now: float) -> float:
         suspicion = self.evidence.suspicion_by_part()[part]
         if self._is_explained(suspicion, suspects):
-            return 0.0
-        left_s = (suspicion.last_crash_at +
-                  self._patience * _quarantine_s(suspicion.weight) - now)
+            kept_s = (self._patience - 1.0) * _TEST_SPREAD_S
+        else:
+            kept_s = self._patience * _quarantine_s(suspicion.weight)
+        left_s = suspicion.last_crash_at + kept_s - now
         return max(_MIN_RETRY_AFTER_S, left_s) if left_s > 0 else 0.0
 
     def _is_explained(self, suspicion: crash_evidence.Suspicion,
@@ -138,6 +145,8 @@
 
 def _quarantine_s(weight: int) -> float:
     """Returns how long a part is kept away after its latest crash."""
-    repeats = weight // _SUSPECT_WEIGHT - 1
+    if weight < crash_evidence.STRONG_WEIGHT:
+        return _WEAK_QUARANTINE_S
+    repeats = weight // crash_evidence.STRONG_WEIGHT - 1
     return min(_MAX_QUARANTINE_S,
                _FIRST_QUARANTINE_S * _QUARANTINE_GROWTH**repeats)
--- a/tests/platform/deadly_requests.feature
+++ b/tests/platform/deadly_requests.feature
@@ -89,3 +89,15 @@
     And the request "s" comes again at second 10.5
     When 30 requests a second come for 14 s
     Then the last request "s" is answered
+
+  Scenario: A request is the same one on all hosts, for its caller only
+    Given two requests that differ in their ids and headers only
+    Then they have the same own part
+    And it changes with the path, the caller, the body and the method
+    And it holds neither the key nor the body
+
+  # Guards against a caller that puts another one's request into quarantine by a
+  # part with the id of that request.
+  Scenario: A part of a prompt is never taken for a request
+    Given a request, and another one with a part that has the id of the first
+    Then the two have no part in common
--- a/tests/platform/steps/deadly_requests.py
+++ b/tests/platform/steps/deadly_requests.py
@@ -1,11 +1,16 @@
 """Steps for requests that crash servers by themselves."""
 
+import dataclasses
 from typing import Any
 
 from behave import given, then
 
-from pollenthread.core import routing_config
-from tests.fakes import poison_simulation
+from pollenthread.core import caller_request, crash_evidence, routing_config
+from tests.fakes import forwarding, poison_simulation
+
+_KEY = 'a-secret-key'
+_BODY = b'a body of the caller'
+_OWN_PREFIX = 'own:'
 
 
 @given('from second {start:g} to {end:g} the same request "{name}" comes each '
@@ -71,3 +76,69 @@
 def step_last_answered(context: Any, name: str) -> None:
     sent = [s for s in context.simulation.sent if s.parts == (name,)]
     assert len(sent) == 2 and sent[-1].response.is_complete, sent
+
+
+# Identity.
+
+
+def _request(**fields: Any) -> caller_request.CallerRequest:
+    return dataclasses.replace(
+        forwarding.make_request(received_at=0.0, timeout_s=1.0), **{
+            'api_key': _KEY,
+            'body': _BODY,
+            **fields
+        })
+
+
+def _own_part(request: caller_request.CallerRequest) -> str:
+    return crash_evidence.part_ids(request)[-1]
+
+
+@given('two requests that differ in their ids and headers only')
+def step_same(context: Any) -> None:
+    context.requests = [
+        _request(id='a', received_at=1.0),
+        _request(id='b', headers=(('x', 'y'),), last_event_id='7')
+    ]
+
+
+@then('they have the same own part')
+def step_same_part(context: Any) -> None:
+    assert len(set(map(_own_part, context.requests))) == 1
+
+
+@then('it changes with the path, the caller, the body and the method')
+def step_changes(context: Any) -> None:
+    variants = [
+        _request(target='/y'),
+        _request(api_key='other'),
+        _request(body=b'other'),
+        _request(method='PUT'),
+        # The border between two fields counts.
+        _request(api_key=_KEY + 'a', body=_BODY[1:])
+    ]
+    parts = {_own_part(request) for request in (*context.requests, *variants)}
+    assert len(parts) == 1 + len(variants), parts
+
+
+@then('it holds neither the key nor the body')
+def step_holds_nothing(context: Any) -> None:
+    part = _own_part(context.requests[0])
+    assert _KEY not in part and _BODY.decode() not in part
+    assert len(part) <= len(_OWN_PREFIX) + 16, part
+
+
+@given('a request, and another one with a part that has the id of the first')
+def step_forged(context: Any) -> None:
+    request = _request()
+    digest = _own_part(request).removeprefix(_OWN_PREFIX)
+    forged = _request(body=b'other',
+                      prompt_parts=(caller_request.PromptPart(digest, 1),
+                                    caller_request.PromptPart('last', 1)))
+    context.requests = [request, forged]
+
+
+@then('the two have no part in common')
+def step_nothing_common(context: Any) -> None:
+    first, second = map(crash_evidence.part_ids, context.requests)
+    assert not set(first) & set(second), (first, second)
