Count an old offer of a configuration for what it is

Cause: the version that a host tells peers it has was that of its latest offer in the queue, also if a newer configuration had been applied from another source meanwhile; it would then ask for patches that it does not need. Found while the code was read again; no run has shown it.

Change: the newest of what is applied and what is offered counts.

Measured: config_decoding.feature and large_configuration.feature pass as before.

--- a/pollenthread/app/config_listeners.py
+++ b/pollenthread/app/config_listeners.py
@@ -81,8 +81,7 @@
     @property
     def offered_version(self) -> int:
         """The newest version that is applied or about to be; 0 for none."""
-        return max((offer.version for offer in self._offers),
-                   default=0) or self.version
+        return max((self.version, *(o.version for o in self._offers)))
 
     @property
     def patched_version(self) -> int:
