Wrap long lines of tests, and let the slow server send headers

Change: lines wrapped; status and headers of the slow server can be set.

Measured: slow_transfers.feature passes as before.

--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -1,9 +1,9 @@
 """Emulates entry hosts that share a store, in virtual time.
 
-Datagrams between hosts that reach each other arrive after a short delay, or when
-the links have transmitted them if the fleet has links. Each host has the parts
-that follow the store and exchange its content. Agents have those that get the
-configuration and the hosts.
+Datagrams between hosts that reach each other arrive after a short delay, or
+when the links have transmitted them if the fleet has links. Each host has the
+parts that follow the store and exchange its content. Agents have those that get
+the configuration and the hosts.
 """
 
 import asyncio
--- a/tests/fakes/poison_simulation.py
+++ b/tests/fakes/poison_simulation.py
@@ -5,7 +5,8 @@
 import random
 
 from pollenthread.app import forwarder
-from pollenthread.core import caller_request, errors, routing_config, server_load
+from pollenthread.core import (caller_request, errors, routing_config,
+                               server_load)
 from tests.fakes import (crashing_servers, entry_fleet, forwarding,
                          virtual_time)
 
@@ -27,8 +28,8 @@
     """A time in which deadly requests come.
 
     Attributes:
-        part: what is deadly: a part of their prompts, or the body if all of them
-            are the same request.
+        part: what is deadly: a part of their prompts, or the body if all of
+            them are the same request.
         start_s: the second of the first one.
         end_s: the second after the last one.
         interval_s: seconds between two of them.
@@ -74,8 +75,8 @@
         crashes_while_reading: whether servers crash before they respond.
         kind: the kind of the requests.
         caller_retries: how often a caller repeats a request that failed.
-        single_requests: seconds and names of further requests; those of one name
-            are the same request.
+        single_requests: seconds and names of further requests; those of one
+            name are the same request.
         unlucky_crashes: how many servers crash under such a request before one
             answers it, by name.
         sent: all requests.
--- a/tests/fakes/slow_server.py
+++ b/tests/fakes/slow_server.py
@@ -2,16 +2,26 @@
 
 import asyncio
 import types
+from collections.abc import Sequence
 from typing import Self
 
+from pollenthread.core import http_headers
+
 __all__ = ['SlowServer']
 
 
 class SlowServer:
     """Sends one body to every request, slowly."""
 
-    def __init__(self, *, body: bytes, parts: int, pause_s: float,
-                 sent_parts: int | None) -> None:
+    def __init__(
+        self,
+        *,
+        body: bytes,
+        parts: int,
+        pause_s: float,
+        sent_parts: int | None,
+        status: int = 200,
+        headers: Sequence[http_headers.Header] = ()) -> None:
         """Initializes the server.
 
         Args:
@@ -20,7 +30,11 @@
             pause_s: the pause before each part, in seconds.
             sent_parts: the number of parts after which nothing more is sent;
                 None if all are.
+            status: the status of each response.
+            headers: further headers of each response.
         """
+        self._status = status
+        self._headers = headers
         self._body = body
         self._part_bytes = -(-len(body) // parts)
         self._pause_s = pause_s
@@ -49,8 +63,10 @@
                      writer: asyncio.StreamWriter) -> None:
         self._writers.append(writer)
         await reader.readuntil(b'\r\n\r\n')
-        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' %
-                     len(self._body))
+        fields = [*self._headers, ('content-length', str(len(self._body)))]
+        lines = [f'HTTP/1.1 {self._status} .']
+        lines += [f'{name}: {value}' for name, value in fields]
+        writer.write('\r\n'.join([*lines, '', '']).encode())
         for number in range(self._sent_parts):
             await asyncio.sleep(self._pause_s)
             start = number * self._part_bytes
--- a/tests/platform/steps/large_configuration.py
+++ b/tests/platform/steps/large_configuration.py
@@ -1,4 +1,4 @@
-"""Steps for large configurations in a fleet with slow links, in virtual time."""
+"""Steps for large configurations in a fleet with slow links."""
 
 import asyncio
 import json
@@ -9,7 +9,8 @@
 from behave import given, then, when
 
 from pollenthread.app import config_listeners
-from pollenthread.core import host_record, log_events, peer_messages, store_version
+from pollenthread.core import (host_record, log_events, peer_messages,
+                               store_version)
 from pollenthread.platform import config_document
 from tests.fakes import (config_versions, entry_fleet, fleet_links, forwarding,
                          memory, virtual_time)
