Send nothing new to a server that says that it leaves

Cause: a host read the load and the limit in a response and nothing else; the server list alone told who leaves, and it may be late, away or old.

Change: what one start of a server has said of itself is kept at the host that got the response, and asked where a server is selected. A later start under the same id has said nothing; what another server at the address says does not count.

Evidence: server_statements.feature: on the code before, responses had no such field, and a leaving server that is listed as ready got a third of all requests.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -200,6 +200,7 @@
         async with self._upstream_client.send(attempt) as response:
             self._record_load(server, response)
             self._record_limit(server, response)
+            self._record_statement(server, response)
             if response.is_misdirected:
                 self._state.server_registry.mark_replaced(server.id)
             if not response.may_have_executed:
@@ -226,6 +227,16 @@
         if not response.is_misdirected and response.limit_per_s is not None:
             self._permits.observe(server, response.limit_per_s)
 
+    def _record_statement(self, server: server_registry.Server,
+                          response: upstream.UpstreamResponse) -> None:
+        """Records what a server says about the requests that it wants."""
+        if response.is_misdirected:
+            return
+        statements = self._state.server_statements
+        if response.is_leaving and statements.record_leaving(server):
+            self._log.write(log_events.LogEvent.SERVER_LEAVING,
+                            server=server.id)
+
     async def _relay_whole(self, pending: pending_attempt.PendingAttempt,
                            response: upstream.UpstreamResponse) -> bool:
         job, server = pending.job, pending.server
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -67,14 +67,18 @@
             server = (await self._select_permitted(job) or
                       await self._wait_for_permit(job))
             if server is None:
-                now = self._clock.monotonic()
-                has_servers = any(self._state.server_registry.ready(
-                    job.service))
-                kind = (errors.ErrorKind.OVERLOADED
-                        if has_servers else errors.ErrorKind.NO_UPSTREAM)
-                raise request_job.RequestFailed(job.rejection(kind, now))
+                raise request_job.RequestFailed(self._rejection(job))
         return server
 
+    def _rejection(self, job: request_job.RequestJob) -> errors.Failure:
+        """Returns the failure for a request that no server can take now."""
+        now = self._clock.monotonic()
+        listed = self._state.server_registry.ready(job.service)
+        statements = self._state.server_statements
+        if any(statements.accepts(server, now) for server in listed):
+            return job.rejection(errors.ErrorKind.OVERLOADED, now)
+        return job.rejection(errors.ErrorKind.NO_UPSTREAM, now)
+
     async def _wait_for_free_slot(
             self, job: request_job.RequestJob) -> server_registry.Server | None:
         """Waits for a slot no other request needs; None after a timeout."""
@@ -165,7 +169,11 @@
     def _ready(
             self,
             job: request_job.RequestJob) -> tuple[server_registry.Server, ...]:
-        return self._state.server_registry.ready(job.service)
+        now = self._clock.monotonic()
+        statements = self._state.server_statements
+        return tuple(
+            server for server in self._state.server_registry.ready(job.service)
+            if statements.accepts(server, now))
 
     def _permitted(self, job: request_job.RequestJob,
                    now: float) -> list[server_registry.Server]:
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -5,7 +5,7 @@
 
 from pollenthread.app import evidence_log
 from pollenthread.core import (retry_budget, routing_config, server_limits,
-                               server_load, server_registry)
+                               server_load, server_registry, server_statements)
 
 __all__ = ['RetryBudgetSettings', 'ServingState']
 
@@ -37,6 +37,7 @@
         server_registry: the servers that are listed in the store.
         server_loads: the load of each server.
         server_limits: the request rates that servers accept.
+        server_statements: which servers have said that they want no request.
         entry_host_count: the number of registered entry hosts, including this
             one.
         shutdown_began_at: monotonic seconds at which a graceful shutdown began,
@@ -53,6 +54,7 @@
             relisting_s=return_s)
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
         self.server_limits = server_limits.RateLimits()
+        self.server_statements = server_statements.ServerStatements()
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
         self.evidence_log = evidence_log.EvidenceLog(
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -38,6 +38,8 @@
     SERVER_LISTED = ('server_listed', 'A server appeared in the list.')
     SERVER_DRAINING = ('server_draining', 'A server changed its state.')
     SERVER_GONE = ('server_gone', 'A server no longer receives new work.')
+    SERVER_LEAVING = ('server_leaving', 'A server said that it leaves; it gets '
+                      'no new work from this host.')
     SERVER_LIMIT = ('server_limit', 'A server named how many requests per '
                     'second it accepts from all hosts together; without '
                     '`per_s` it no longer names a limit. `source` is the '
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -14,6 +14,7 @@
 _MS_PER_S = 1000
 _MAX_STALE_RESPONSES = 4
 _MISDIRECTED_REQUEST_STATUS = 421
+_IS_LEAVING = '1'
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Hop-by-hop headers, and headers that are set again for the caller.
 _HEADERS_NOT_FORWARDED = frozenset({
@@ -110,6 +111,8 @@
         self.limit_per_s = _parse_limit(
             response.header(wire_names.HeaderName.SERVER_LIMIT),
             may_have_executed=self.may_have_executed)
+        self.is_leaving = (response.header(
+            wire_names.HeaderName.SERVER_LEAVING) == _IS_LEAVING)
         connection = response.header('connection') or ''
         self.closes_connection = 'close' in connection.lower()
 
--- a/pollenthread/platform/wire_names.py
+++ b/pollenthread/platform/wire_names.py
@@ -22,6 +22,8 @@
     SERVER_LOAD = 'pollenthread-server-load'
     # Requests per second that the server accepts from all hosts together.
     SERVER_LIMIT = 'server-limit'
+    # '1' in the responses of a server that leaves.
+    SERVER_LEAVING = 'server-leaving'
     RESPONSE_STAMP = 'pollenthread-response-stamp'
     # The platform's term for a workspace is "tenant".
     WORKSPACE = 'pollenthread-tenant'
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -74,6 +74,7 @@
             not tell.
         closes_connection: whether the server closes the connection after this
             response.
+        is_leaving: whether the server says that it leaves.
     """
 
     status: int
@@ -83,6 +84,7 @@
     load: ReportedServerLoad | None
     limit_per_s: float | None
     closes_connection: bool
+    is_leaving: bool = False
 
     @abc.abstractmethod
     def read(self) -> AsyncIterator[bytes]:
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -172,6 +172,9 @@
                 len(self.state.evidence_log.known.crash_by_server),
             'parts_suspected':
                 len(self.state.evidence_log.known.suspicion_by_part()),
+            'servers_paused':
+                self.state.server_statements.count_paused(
+                    self._clock.monotonic()),
             'store_up':
                 float(self._server_listener.contact.is_up),
             'ready':
