Leave a server alone for as long as it asks for

Cause: Retry-After of a server's 503 was read by nobody.

Change: the time is kept with what else the server has said, and lengthened by up to a fifth so that hosts do not return in one instant. If no server of a service wants a request, callers hear so at once, with the time until the first one does.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -21,6 +21,8 @@
 # abandoned, so that a retry has time to complete.
 _ATTEMPT_TIMEOUT_SHARE = 0.6
 _SILENCE_CHECK_INTERVAL_S = 0.2
+# The longest time for which a server is left alone, relative to its own pause.
+_MAX_PAUSE_FACTOR = 1.2
 
 
 class Forwarder:
@@ -236,6 +238,15 @@
         if response.is_leaving and statements.record_leaving(server):
             self._log.write(log_events.LogEvent.SERVER_LEAVING,
                             server=server.id)
+        if response.pause_s is not None:
+            # Hosts return one after the other.
+            pause_s = response.pause_s * self._state.rng.uniform(
+                1.0, _MAX_PAUSE_FACTOR)
+            if statements.record_pause(server, pause_s,
+                                       self._clock.monotonic()):
+                self._log.write(log_events.LogEvent.SERVER_PAUSED,
+                                server=server.id,
+                                for_s=round(pause_s, 3))
 
     async def _relay_whole(self, pending: pending_attempt.PendingAttempt,
                            response: upstream.UpstreamResponse) -> bool:
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -1,6 +1,7 @@
 """Selects a server for a request, or waits until one has a free slot."""
 
 import dataclasses
+import math
 import random
 from collections.abc import Sequence
 
@@ -77,6 +78,11 @@
         statements = self._state.server_statements
         if any(statements.accepts(server, now) for server in listed):
             return job.rejection(errors.ErrorKind.OVERLOADED, now)
+        resumes_at = min(map(statements.paused_until, listed), default=math.inf)
+        if resumes_at < math.inf:
+            return job.rejection(errors.ErrorKind.OVERLOADED,
+                                 now,
+                                 retry_after_s=resumes_at - now)
         return job.rejection(errors.ErrorKind.NO_UPSTREAM, now)
 
     async def _wait_for_free_slot(
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -40,6 +40,8 @@
     SERVER_GONE = ('server_gone', 'A server no longer receives new work.')
     SERVER_LEAVING = ('server_leaving', 'A server said that it leaves; it gets '
                       'no new work from this host.')
+    SERVER_PAUSED = ('server_paused', 'A server that rejected a request wants '
+                     'no other one; it gets none from this host for `for_s`.')
     SERVER_LIMIT = ('server_limit', 'A server named how many requests per '
                     'second it accepts from all hosts together; without '
                     '`per_s` it no longer names a limit. `source` is the '
--- a/pollenthread/core/server_statements.py
+++ b/pollenthread/core/server_statements.py
@@ -14,6 +14,7 @@
 __all__ = ['ServerStatements']
 
 _MAX_SERVERS = 4096
+_MAX_PAUSE_S = 86_400.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +44,24 @@
         self._record(server, math.inf)
         return is_news
 
+    def record_pause(self, server: server_registry.Server, seconds: float,
+                     now: float) -> bool:
+        """Records that a server wants no request for some time.
+
+        Args:
+            server: the server.
+            seconds: the length of the pause.
+            now: monotonic seconds.
+
+        Returns:
+            Whether the server accepted requests until now.
+        """
+        known_until = self.paused_until(server)
+        until = now + min(seconds, _MAX_PAUSE_S)
+        if until > known_until:
+            self._record(server, until)
+        return known_until <= now < until
+
     def paused_until(self, server: server_registry.Server) -> float:
         """Returns the monotonic seconds until which to send it no request.
 
--- a/pollenthread/platform/upstream_http.py
+++ b/pollenthread/platform/upstream_http.py
@@ -14,6 +14,7 @@
 _MS_PER_S = 1000
 _MAX_STALE_RESPONSES = 4
 _MISDIRECTED_REQUEST_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 _IS_LEAVING = '1'
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Hop-by-hop headers, and headers that are set again for the caller.
@@ -113,6 +114,9 @@
             may_have_executed=self.may_have_executed)
         self.is_leaving = (response.header(
             wire_names.HeaderName.SERVER_LEAVING) == _IS_LEAVING)
+        if self.status == _UNAVAILABLE_STATUS:
+            self.pause_s = _parse_pause(
+                response.header(wire_names.HeaderName.RETRY_AFTER))
         connection = response.header('connection') or ''
         self.closes_connection = 'close' in connection.lower()
 
@@ -152,3 +156,12 @@
     except ValueError:
         return None
     return limit_per_s if 0 <= limit_per_s < math.inf else None
+
+
+def _parse_pause(value: str | None) -> float | None:
+    """Returns a pause in seconds; None if there is none or it is malformed."""
+    try:
+        pause_s = float(value or '')
+    except ValueError:
+        return None
+    return pause_s if 0 < pause_s < math.inf else None
--- a/pollenthread/ports/upstream.py
+++ b/pollenthread/ports/upstream.py
@@ -75,6 +75,8 @@
         closes_connection: whether the server closes the connection after this
             response.
         is_leaving: whether the server says that it leaves.
+        pause_s: seconds for which the server wants no other request of this
+            host; None if it does not say.
     """
 
     status: int
@@ -85,6 +87,7 @@
     limit_per_s: float | None
     closes_connection: bool
     is_leaving: bool = False
+    pause_s: float | None = None
 
     @abc.abstractmethod
     def read(self) -> AsyncIterator[bytes]:
--- a/tests/fakes/outspoken_servers.py
+++ b/tests/fakes/outspoken_servers.py
@@ -11,6 +11,7 @@
 __all__ = ['OutspokenServers']
 
 _OK = 200
+_UNAVAILABLE = 503
 _MISDIRECTED = 421
 _WORK_S = 0.05
 
@@ -38,6 +39,8 @@
 
     Attributes:
         leaving: servers that say that they leave.
+        pause_by_server: seconds for which servers that reject all requests want
+            no other one.
         other_at_address: servers at whose address another one answers, which
             leaves.
         arrivals_by_server: when requests reached each server, in seconds.
@@ -45,6 +48,7 @@
 
     def __init__(self) -> None:
         self.leaving: set[str] = set()
+        self.pause_by_server: dict[str, float] = {}
         self.other_at_address: set[str] = set()
         self.arrivals_by_server: collections.defaultdict[
             str, list[float]] = collections.defaultdict(list)
@@ -55,7 +59,10 @@
     ) -> AsyncIterator[upstream.UpstreamResponse]:
         name = attempt.server.id
         self.arrivals_by_server[name].append(asyncio.get_running_loop().time())
-        if name in self.other_at_address:
+        if name in self.pause_by_server:
+            response = _Response(_UNAVAILABLE)
+            response.pause_s = self.pause_by_server[name]
+        elif name in self.other_at_address:
             response = _Response(_MISDIRECTED)
             response.is_leaving = True
         else:
--- a/tests/platform/steps/server_statements.py
+++ b/tests/platform/steps/server_statements.py
@@ -17,6 +17,7 @@
                          virtual_time)
 
 _CALLER_TIMEOUT_S = 2.0
+_TOLD_AFTER_S = 0.5
 
 
 @dataclasses.dataclass
@@ -138,6 +139,58 @@
     assert not failures, failures
 
 
+@when('{per_s:d} requests a second come for {seconds:d} s, and "{name}" wants '
+      'nothing for {pause:g} s after {after:d} s')
+def step_pause(context: Any, per_s: int, seconds: int, name: str, pause: float,
+               after: int) -> None:
+    host = context.host
+
+    async def run() -> None:
+        serving = host.start()
+        await host.send_many(serving, per_s, after)
+        host.servers.pause_by_server[name] = pause
+        host.said_at = _now()
+        await host.send_many(serving, per_s, seconds - after)
+
+    virtual_time.run(run())
+
+
+@then('in each {pause:g} s after it has said so "{name}" gets at most {most:d} '
+      'requests')
+def step_left_alone(context: Any, pause: float, name: str, most: int) -> None:
+    host = context.host
+    rejected = [
+        at for at in host.servers.arrivals_by_server[name] if at > host.said_at
+    ]
+    assert rejected
+    for at in rejected:
+        found = [a for a in rejected if at + _TOLD_AFTER_S < a < at + pause]
+        assert len(found) <= most, found
+    # The first requests may be on their way together.
+    gaps = [b - a for a, b in zip(rejected, rejected[1:]) if b - a > 0.1]
+    assert all(gap >= pause for gap in gaps), gaps
+
+
+@then('"{name}" gets a request within {seconds:g} s after that')
+def step_returns(context: Any, name: str, seconds: float) -> None:
+    host = context.host
+    rejected = [
+        at for at in host.servers.arrivals_by_server[name] if at > host.said_at
+    ]
+    pause = host.servers.pause_by_server[name]
+    gaps = [b - a for a, b in zip(rejected, rejected[1:]) if b - a > 0.1]
+    assert gaps and max(gaps) <= pause + seconds, gaps
+
+
+@when('all servers want nothing for {pause:g} s')
+def step_all_pause(context: Any, pause: float) -> None:
+    host = context.host
+    host.servers.pause_by_server = {
+        f's-{number}': pause for number in range(host.count)
+    }
+    _run_last(context, 4)
+
+
 @when('all servers leave')
 def step_all_leave(context: Any) -> None:
     host = context.host
@@ -160,6 +213,14 @@
     virtual_time.run(run())
 
 
+@then('a request is rejected at once, as not run, with a delay of {least:g} to '
+      '{most:g} s')
+def step_rejected_with_delay(context: Any, least: float, most: float) -> None:
+    failure = _check_rejected(context)
+    assert failure.retry_after_s is not None
+    assert least <= failure.retry_after_s <= most, failure.retry_after_s
+
+
 @then('a request is rejected at once, as not run')
 def step_rejected(context: Any) -> None:
     _check_rejected(context)
@@ -226,7 +287,7 @@
                                                priority=5)
             async with upstream_http.HttpUpstreamClient(
                     client=client).send(attempt) as response:
-                return None, response.is_leaving
+                return response.pause_s, response.is_leaving
 
     context.said = scenario.run(context, send())
 
