Put the emulated store of a fleet into a module of its own

Change: the store moves to fleet_store.py; hosts get their view of it by client(). No behaviour changes.

--- a/tests/fakes/store_history.py
+++ b/tests/fakes/store_history.py
@@ -12,7 +12,7 @@
 from collections.abc import Awaitable, Callable
 
 from pollenthread.app import host_registry
-from tests.fakes import entry_fleet
+from tests.fakes import (entry_fleet, fleet_store)
 
 __all__ = ['StoreHistory']
 
@@ -44,7 +44,7 @@
         }
         self._next_server = _FIRST_SERVERS
         self._left: set[str] = set()
-        self._copy: entry_fleet.StoreCopy | None = None
+        self._copy: fleet_store.StoreCopy | None = None
         # By process of a host: its configuration, and servers it has dropped.
         self._version_by_process: dict[int, int] = {}
         self._dropped_by_process: dict[int, set[str]] = {}
--- a/tests/platform/steps/odd_entries.py
+++ b/tests/platform/steps/odd_entries.py
@@ -13,7 +13,7 @@
 from pollenthread.core import (peer_messages, service_estimate, store_version)
 from pollenthread.platform import (config_document, row_store_http, server_row)
 from pollenthread.ports import row_store
-from tests.fakes import (entry_fleet, forwarding, memory, serving, virtual_time)
+from tests.fakes import (fleet_store, forwarding, memory, serving, virtual_time)
 
 _NESTED = b'[' * 100_000
 _SURROGATE = '\ud800'
@@ -294,7 +294,7 @@
 def step_read_evidence(context: Any) -> None:
 
     async def read() -> None:
-        store = entry_fleet.FleetStore()
+        store = fleet_store.FleetStore()
         await store.put(evidence_store.CRASHES_TABLE, 's', context.value)
         stored = evidence_store.EvidenceStore(
             store=store.client('edge'),
