List is_own among the public names of crash_evidence

Cause: prompt_quarantine uses it, and the module's __all__ lacked it.

Change: the name is listed. No behaviour changes.

--- a/pollenthread/core/crash_evidence.py
+++ b/pollenthread/core/crash_evidence.py
@@ -17,7 +17,7 @@
 
 __all__ = [
     'STRONG_WEIGHT', 'AttemptStage', 'Crash', 'CrashEvidence', 'Suspicion',
-    'part_ids'
+    'is_own', 'part_ids'
 ]
 
 _MAX_CRASHES = 64
