--- a/review/lab.py
+++ b/review/lab.py
@@ -600,7 +600,8 @@
         self.agents.append(program)
         return program
 
-    def put_config(self, routes, services, version=1):
+    def put_config(self, routes, services, version=1, *,
+                   max_body_bytes=4194304):
         self.store.put_json(
             'op', 'config', {
                 'version': version,
@@ -608,7 +609,7 @@
                 'services': services,
                 'limits': {
                     'max_header_bytes': 16384,
-                    'max_body_bytes': 4194304,
+                    'max_body_bytes': max_body_bytes,
                     'header_timeout_ms': 3000,
                     'idle_timeout_ms': 15000
                 },
