Fix the interfaces of admission, routing and demand before they are built

Heartbeats carry the demand by level and the emptied data centres, load reports the cache and the pace, requests the caller's length hint. UsableServers is the one place that knows why a listed server gets no request; ServerSelector had three such lists of its own.

--- a/pollenthread/adapters/peer.capnp
+++ b/pollenthread/adapters/peer.capnp
@@ -20,6 +20,21 @@
   # The eras of the counters above.
   serversEra @10 :UInt32;
   hostsEra @11 :UInt32;
+  # Requests that wait at the host, and arrivals there in a second, by service.
+  demand @12 :List(ServiceDemand);
+  # The data centres that operators have emptied, and the store's version of
+  # that list.
+  evacuated @13 :List(Text);
+  evacuationsChanged @14 :UInt64;
+  evacuationsEra @15 :UInt32;
+}
+
+struct ServiceDemand {
+  # Demand for a service at one entry host, by level of importance; the first is
+  # the most important.
+  service @0 :Text;
+  waiting @1 :List(UInt16);
+  arrivalsPerS @2 :List(Float32);
 }
 
 struct UsableHosts {
@@ -60,6 +75,11 @@
   passUs @6 :UInt32;
   isOpen @7 :Bool;
   bornMs @8 :UInt64;
+  # Tokens in the key-value cache and its capacity, and the time for the same
+  # work relative to normal speed; 0 if unknown.
+  kvTokens @9 :UInt32;
+  kvCapacityTokens @10 :UInt32;
+  pacePercent @11 :UInt32;
 }
 
 struct LimitRecord {
--- /dev/null
+++ b/pollenthread/app/routing/usable_servers.py
@@ -0,0 +1,76 @@
+"""The servers that may get a new request now, and why others may not.
+
+All reasons against a server are known here alone: the store's list, what the
+server has said, and limits of its request rate.
+"""
+
+import enum
+
+from pollenthread.app import rate_permits, serving_state
+from pollenthread.core import server_registry
+from pollenthread.ports import clock
+
+__all__ = ['UsableServers', 'Unusable']
+
+
+class Unusable(enum.Enum):
+    """Why a listed server gets no new request now."""
+
+    PAUSED = 'it wants no request now, or leaves'
+    NO_PERMIT = 'its request rate is used up'
+
+
+class UsableServers:
+    """The servers that may get a new request."""
+
+    def __init__(self, *, state: serving_state.ServingState,
+                 permits: rate_permits.RatePermits, time: clock.Clock) -> None:
+        self._state = state
+        self._permits = permits
+        self._clock = time
+
+    def accepting(self, service: str) -> tuple[server_registry.Server, ...]:
+        """Returns the servers that accept requests, with a permit or without.
+        """
+        now = self._clock.monotonic()
+        return tuple(
+            server for server in self._state.server_registry.ready(service)
+            if self._state.server_statements.accepts(server, now))
+
+    def permitted(self, service: str) -> list[server_registry.Server]:
+        """Returns the servers for which a permit may be available now."""
+        now = self._clock.monotonic()
+        return [
+            server for server in self.accepting(service)
+            if self._permits.available_at(server) <= now
+        ]
+
+    def unlimited(self, service: str) -> list[server_registry.Server]:
+        """Returns the servers that need no permit."""
+        return [
+            server for server in self.accepting(service)
+            if self._state.server_limits.get(server) is None
+        ]
+
+    def limited(self, service: str,
+                until: float) -> list[server_registry.Server]:
+        """Returns the servers that need a permit and may grant one in time.
+
+        Args:
+            service: the name of the service.
+            until: monotonic seconds.
+        """
+        return [
+            server for server in self.accepting(service)
+            if self._state.server_limits.get(server) is not None and
+            self._permits.available_at(server) <= until
+        ]
+
+    def reason_against(self, server: server_registry.Server) -> Unusable | None:
+        """Returns why a listed server gets no new request now, or None."""
+        now = self._clock.monotonic()
+        if not self._state.server_statements.accepts(server, now):
+            return Unusable.PAUSED
+        if self._permits.available_at(server) > now:
+            return Unusable.NO_PERMIT
+        return None
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from pollenthread.app import rate_permits, request_job, serving_state
+from pollenthread.app.routing import usable_servers
 from pollenthread.core import (errors, log_events, server_registry,
                                service_estimate)
 from pollenthread.ports import clock, event_log
@@ -39,6 +40,9 @@
                  log: event_log.EventLog, rng: random.Random) -> None:
         self._state = state
         self._permits = permits
+        self._usable = usable_servers.UsableServers(state=state,
+                                                    permits=permits,
+                                                    time=time)
         self._clock = time
         self._log = log
         self._rng = rng
@@ -114,7 +118,7 @@
         every entry host as on this one.
         """
         free_slots = self._state.server_loads.free_slots(
-            self._permitted(job, now),
+            self._usable.permitted(job.service),
             reserved_share=_RESERVED_SLOT_SHARE,
             now=now)
         waiting_count = self._waiting_count * self._state.entry_host_count
@@ -132,7 +136,7 @@
         for _ in range(_MAX_PERMIT_QUESTIONS):
             now = self._clock.monotonic()
             server = self._try_select(job,
-                                      self._permitted(job, now),
+                                      self._usable.permitted(job.service),
                                       now,
                                       reserved_share=reserved_share)
             if server is None:
@@ -141,7 +145,7 @@
             if permit.is_granted:
                 return self._selected(job, server)
         server = self._try_select(job,
-                                  self._unlimited(job),
+                                  self._usable.unlimited(job.service),
                                   self._clock.monotonic(),
                                   reserved_share=reserved_share)
         return self._selected(job, server)
@@ -156,11 +160,7 @@
         for _ in range(_MAX_PERMIT_QUESTIONS):
             now = self._clock.monotonic()
             wait_until = now + _max_permit_wait_s(job, now)
-            limited = [
-                server for server in self._ready(job)
-                if self._state.server_limits.get(server) is not None and
-                self._permits.available_at(server) <= wait_until
-            ]
+            limited = self._usable.limited(job.service, wait_until)
             server = self._try_select(job, limited, now)
             if server is None:
                 return None
@@ -168,34 +168,10 @@
                 server, wait_until - self._clock.monotonic())
             if permit.is_granted:
                 await self._clock.sleep(permit.wait_s)
-                if server in self._ready(job):
+                if server in self._usable.accepting(job.service):
                     return self._selected(job, server)
         return None
 
-    def _ready(
-            self,
-            job: request_job.RequestJob) -> tuple[server_registry.Server, ...]:
-        now = self._clock.monotonic()
-        statements = self._state.server_statements
-        return tuple(
-            server for server in self._state.server_registry.ready(job.service)
-            if statements.accepts(server, now))
-
-    def _permitted(self, job: request_job.RequestJob,
-                   now: float) -> list[server_registry.Server]:
-        """Returns the servers for which a permit may be available now."""
-        return [
-            server for server in self._ready(job)
-            if self._permits.available_at(server) <= now
-        ]
-
-    def _unlimited(self,
-                   job: request_job.RequestJob) -> list[server_registry.Server]:
-        return [
-            server for server in self._ready(job)
-            if self._state.server_limits.get(server) is None
-        ]
-
     def _selected(
             self, job: request_job.RequestJob,
             server: server_registry.Server | None
--- a/pollenthread/core/caller_request.py
+++ b/pollenthread/core/caller_request.py
@@ -45,6 +45,8 @@
         max_output_tokens: maximum number of output tokens; 0 if unknown.
         prompt_parts: the parts of the prompt, in order.
         received_at: monotonic seconds at which the request arrived.
+        output_tokens_hint: the caller's estimate of the output tokens, which
+            may be far off; 0 if it gave none.
     """
 
     id: str
@@ -60,6 +62,7 @@
     max_output_tokens: int
     prompt_parts: tuple[PromptPart, ...]
     received_at: float
+    output_tokens_hint: int = 0
 
     @functools.cached_property
     def digest(self) -> str:
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -9,13 +9,31 @@
     'ClearedPart', 'ConfigForm', 'CrashNews', 'CrashRecord', 'DutyBeat',
     'EntryBeat', 'ExpertChoices', 'Layouts', 'LimitRecord', 'OrderKind',
     'PermitReply', 'PermitRequest', 'RankLayout', 'RankOrder', 'RankState',
-    'Row', 'ServerLoad', 'Snapshot', 'SnapshotRequest', 'UsableHosts'
+    'Row', 'ServerLoad', 'ServiceDemand', 'Snapshot', 'SnapshotRequest',
+    'UsableHosts'
 ]
 
 Layouts = tuple[tuple[tuple[int, ...], ...], ...]
 """The experts of a map by set and rank."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceDemand:
+    """The demand for a service at one entry host.
+
+    Levels of importance are in order; the first is the most important.
+
+    Attributes:
+        service: the name of the service.
+        waiting: the requests that wait at the host, by level.
+        arrivals_per_s: the recent arrivals at the host per second, by level.
+    """
+
+    service: str
+    waiting: tuple[int, ...]
+    arrivals_per_s: tuple[float, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryBeat:
     """A heartbeat of an entry host.
@@ -35,6 +53,11 @@
         peer_address: the host's address for its peers.
         servers_era: the era of `servers_changed`; 0 if the sender has none.
         hosts_era: the era of `hosts_changed`.
+        demand: the demand at the host, by service; bounded in length.
+        evacuated: the data centres that operators have emptied.
+        evacuations_changed: the store's change counter at the latest known
+            change of `evacuated`, or 0.
+        evacuations_era: the era of `evacuations_changed`.
     """
 
     host: str
@@ -49,6 +72,10 @@
     peer_address: str = ''
     servers_era: int = 0
     hosts_era: int = 0
+    demand: tuple[ServiceDemand, ...] = ()
+    evacuated: tuple[str, ...] = ()
+    evacuations_changed: int = 0
+    evacuations_era: int = 0
 
     def servers_version(
             self,
@@ -139,6 +166,10 @@
         group: the name of its group.
         pass_us: the recent duration of a pass of its group, in microseconds.
         born_ms: the start time of the server, in Unix milliseconds, or 0.
+        kv_tokens: tokens in its key-value cache that cannot be evicted.
+        kv_capacity_tokens: the capacity of that cache, or 0 if unknown.
+        pace_percent: its time for the same work relative to normal speed, in
+            percent; 0 if unknown.
     """
 
     address: str
@@ -150,6 +181,9 @@
     group: str
     pass_us: int
     born_ms: int = 0
+    kv_tokens: int = 0
+    kv_capacity_tokens: int = 0
+    pace_percent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenthread/platform/caller_codec.py
+++ b/pollenthread/platform/caller_codec.py
@@ -12,6 +12,7 @@
 
 _MS_PER_S = 1000.0
 _BEARER_PREFIX = 'bearer '
+_MAX_HINT_DIGITS = 9
 # Hop-by-hop headers, and headers that are decoded into fields of the request
 # and set again for each attempt.
 _HEADERS_NOT_FORWARDED = frozenset({
@@ -54,7 +55,9 @@
         max_output_tokens=output_tokens,
         prompt_parts=_parse_prompt_parts(
             request.header(wire_names.HeaderName.PROMPT_PREFIX)),
-        received_at=asyncio.get_running_loop().time())
+        received_at=asyncio.get_running_loop().time(),
+        output_tokens_hint=_parse_length_hint(
+            request.header(wire_names.HeaderName.LENGTH_HINT)))
 
 
 def _parse_api_key(value: str | None) -> str | None:
@@ -77,6 +80,12 @@
         return 0, 0
 
 
+def _parse_length_hint(value: str | None) -> int:
+    if value is None or len(value) > _MAX_HINT_DIGITS or not value.isdecimal():
+        return 0
+    return int(value)
+
+
 def _parse_prompt_parts(
         value: str | None) -> tuple[caller_request.PromptPart, ...]:
     parts = []
