Forecast the room of a group from its passes as they are now

Entry hosts went on admitting by slots while a group had stopped or ran passes several times as long. The passes of a group are now tracked over all its ranks: a stop is known within a few passes, a slower pace after two measurements, and what was measured before a group closed is forgotten. ServerLoadTracker.forecast gives slots at which passes keep the allowed gap, free slots, slots freed a second, the known share and the age. Agents report cache and pace.

--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -12,6 +12,7 @@
                               load_reporter, map_relay, order_receiver)
 from pollenthread.core import (host_record, log_events, peer_messages,
                                report_throttle)
+from pollenthread.core.routing import pass_meter
 from pollenthread.ports import clock, event_log, peers, rank_server
 
 __all__ = ['RankAgent']
@@ -25,8 +26,6 @@
 _BROADCAST_INTERVAL_S = 1.0
 _MS_PER_S = 1000
 _US_PER_S = 1_000_000
-_PASS_SMOOTHING = 0.3
-_MAX_PASS_S = 2.0
 _PASSES_LOG_INTERVAL_S = 1.0
 
 
@@ -89,10 +88,7 @@
         self._registry = registry
         self._network = network
         self._clock = time
-        self._stepped_at = time.monotonic()
-        self._last_step = -1
-        self._has_work = False
-        self._pass_s = 0.0
+        self._pass_meter = pass_meter.PassMeter(now=time.monotonic())
         self._pass_stats = _PassStats(began_at=time.monotonic())
         self._log = log
         self.experts_per_set = 0
@@ -153,16 +149,13 @@
             self,
             status: rank_server.RankServerStatus) -> peer_messages.RankState:
         now = self._clock.monotonic()
-        self._has_work = status.running > 0
         state = dataclasses.replace(status.state, host=self._own.host)
-        passes = state.step - self._last_step
-        if passes != 0 or not status.running:
-            if 0 < passes < 100 and self._last_step >= 0:
-                pass_s = min(_MAX_PASS_S, (now - self._stepped_at) / passes)
-                self._pass_s += _PASS_SMOOTHING * (pass_s - self._pass_s)
-                self._pass_stats.add(passes, pass_s)
-            self._last_step = state.step
-            self._stepped_at = now
+        sample = self._pass_meter.record(step=state.step,
+                                         epoch=state.epoch,
+                                         has_work=status.running > 0,
+                                         now=now)
+        if sample is not None:
+            self._pass_stats.add(sample.passes, sample.pass_s)
         self._registry.update_own_state(state)
         self._log_passes(status, now)
         return state
@@ -190,9 +183,7 @@
 
     def stalled_s(self) -> float:
         """Returns the seconds since the last pass began; 0 without requests."""
-        if not self._has_work:
-            return 0.0
-        return self._clock.monotonic() - self._stepped_at
+        return self._pass_meter.stalled_s(self._clock.monotonic())
 
     def _report_load(self, status: rank_server.RankServerStatus) -> None:
         state = status.state
@@ -205,8 +196,11 @@
                 stalled_ms=int(self.stalled_s() * _MS_PER_S),
                 is_open=state.is_open or not status.is_group_member,
                 group=state.group,
-                pass_us=int(self._pass_s * _US_PER_S),
-                born_ms=state.born_ms))
+                pass_us=int(self._pass_meter.pass_s * _US_PER_S),
+                born_ms=state.born_ms,
+                kv_tokens=status.kv_tokens,
+                kv_capacity_tokens=status.kv_capacity_tokens,
+                pace_percent=state.pace_percent))
 
     def _report_state(self, state: peer_messages.RankState) -> None:
         """Reports the state to the group's coordinator.
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -7,9 +7,12 @@
 """
 
 import dataclasses
+import statistics
 from collections.abc import Collection, Iterable, Sequence
 
-from pollenthread.core import server_registry, service_estimate, spreading
+from pollenthread.core import (routing_config, server_registry,
+                               service_estimate, spreading)
+from pollenthread.core.routing import group_pace, pass_model, room_forecast
 
 __all__ = ['ServerLoadTracker', 'ServerLoadReport']
 
@@ -18,8 +21,6 @@
 _MAX_LOGGED_AGE_S = 99.0
 # Agents report the load at least every 0.6 s.
 _REPORT_OVERDUE_S = 1.0
-_STALLED_S = 0.5
-_PASS_SMOOTHING = 0.2
 # Penalty for a server whose reports are overdue or whose group is stalled.
 _UNRESPONSIVE_PENALTY_S = 20.0
 # Load equivalent to the cost of sending a request to another data centre.
@@ -34,6 +35,8 @@
 # Weight of a queued request in addition to its wait. A queued request always
 # delays the next one, while a running request only slows the others down.
 _QUEUED_REQUEST_WEIGHT = 2.0
+# Duration of a request whose response is short.
+_SHORT_REQUEST_S = 0.1
 _FAILURE_PAUSE_S = 1.0
 _MAX_FAILURE_PAUSE_S = 8.0
 
@@ -70,9 +73,9 @@
     Attributes:
         reported: requests at the server according to the last report.
         reported_at: monotonic seconds at which the last report arrived.
+        running: requests that the server was processing then.
         change: requests of this host started minus ended since the report.
         own: requests of this host at the server.
-        stalled_s: stall time in the last report, in seconds.
         accepts_requests: whether the group accepted requests in the last
             report.
         has_agent: whether an agent reports the load periodically.
@@ -83,9 +86,9 @@
 
     reported: float = 0.0
     reported_at: float = -1e9
+    running: float = 0.0
     change: int = 0
     own: int = 0
-    stalled_s: float = 0.0
     accepts_requests: bool = True
     has_agent: bool = False
     group: str = ''
@@ -100,7 +103,7 @@
         self._rng = rng
         self._load_by_id: dict[str, _TrackedLoad] = {}
         self._rate = spreading.ArrivalRate()
-        self._pass_s_by_group: dict[str, float] = {}
+        self._pace_by_group: dict[str, group_pace.GroupPace] = {}
 
     def _get(self, server_id: str) -> _TrackedLoad:
         return self._load_by_id.setdefault(server_id, _TrackedLoad())
@@ -116,15 +119,18 @@
         load.reported = report.running + report.waiting
         load.reported_at = now
         load.change = 0
-        load.stalled_s = report.stalled_s
+        load.running = report.running
         load.accepts_requests = report.accepts_requests
         load.has_agent = load.has_agent or bool(report.group)
         load.group = report.group
-        if report.group and report.pass_s:
-            average_s = self._pass_s_by_group.get(report.group, report.pass_s)
-            self._pass_s_by_group[
-                report.group] = average_s + _PASS_SMOOTHING * (report.pass_s -
-                                                               average_s)
+        if report.group:
+            self._pace_by_group.setdefault(
+                report.group, group_pace.GroupPace()).record(
+                    pass_s=report.pass_s,
+                    stalled_s=report.stalled_s,
+                    has_work=report.running > 0,
+                    accepts_requests=report.accepts_requests,
+                    now=now)
 
     def record_request_count(self, server_id: str, requests: int,
                              now: float) -> None:
@@ -135,7 +141,7 @@
         load = self._get(server_id)
         if load.has_agent and now - load.reported_at < _REPORT_TTL_S:
             return
-        load.reported = requests
+        load.reported = load.running = requests
         load.reported_at = now
         load.change = 0
 
@@ -199,10 +205,8 @@
 
         Returns 0 if there is no recent report.
         """
-        load = self._get(server_id)
-        if now - load.reported_at > _REPORT_TTL_S:
-            return 0.0
-        return load.stalled_s
+        pace = self._pace_by_group.get(self._get(server_id).group)
+        return pace.stalled_s(now) if pace else 0.0
 
     def select(self, servers: Iterable[server_registry.Server], *,
                excluded: Collection[str], data_centre: str,
@@ -265,6 +269,74 @@
             if self._accepts_requests(s, now)) / self._reported_share(
                 all_servers, now)
 
+    def forecast(self, servers: Iterable[server_registry.Server], *,
+                 passes: float, max_gap_s: float,
+                 engine: routing_config.EngineProfile | None,
+                 now: float) -> room_forecast.RoomForecast:
+        """Returns the room of some servers for further requests.
+
+        Servers without a recent report count as unknown.
+
+        Args:
+            servers: the servers.
+            passes: passes that a response is expected to take; 0 if it is
+                short.
+            max_gap_s: longest allowed time between events, in seconds; 0 if
+                unlimited.
+            engine: the profile of their engine, or None.
+            now: monotonic seconds.
+        """
+        all_servers = tuple(servers)
+        known = [
+            s for s in all_servers
+            if now - self._get(s.id).reported_at < _REPORT_TTL_S
+        ]
+        stretch_by_group = self._stretch_by_group(known, engine, now)
+        rooms = []
+        for server in known:
+            load = self._get(server.id)
+            slots = float(server.slots)
+            if engine and max_gap_s and load.group in stretch_by_group:
+                slots = pass_model.slots_within_gap(
+                    engine,
+                    slots=server.slots,
+                    stretch=stretch_by_group[load.group],
+                    max_gap_s=max_gap_s)
+            estimate = self._estimate(server, now)
+            request_s = (passes * estimate.pass_or_default_s()
+                         if passes else _SHORT_REQUEST_S)
+            rooms.append(
+                room_forecast.ServerRoom(
+                    slots=slots,
+                    load=estimate.load,
+                    frees_per_s=min(estimate.load, server.slots) / request_s,
+                    is_available=(load.accepts_requests and
+                                  not self.stalled_s(server.id, now)),
+                    age_s=now - load.reported_at))
+        return room_forecast.add_rooms(rooms, len(all_servers))
+
+    def _stretch_by_group(self, servers: Sequence[server_registry.Server],
+                          engine: routing_config.EngineProfile | None,
+                          now: float) -> dict[str, float]:
+        """Returns the measured duration of a pass over the predicted one.
+
+        Groups whose passes have not been measured are missing.
+        """
+        if engine is None:
+            return {}
+        running_by_group: dict[str, list[float]] = {}
+        for server in servers:
+            load = self._get(server.id)
+            running_by_group.setdefault(load.group, []).append(load.running)
+        stretch_by_group = {}
+        for group, running in running_by_group.items():
+            pace = self._pace_by_group.get(group)
+            if pace is not None and pace.pass_s(now):
+                stretch_by_group[group] = pace.pass_s(
+                    now) / pass_model.predict_pass_s(engine,
+                                                     statistics.fmean(running))
+        return stretch_by_group
+
     def _reported(self, servers: Sequence[server_registry.Server],
                   now: float) -> list[server_registry.Server]:
         """Returns the servers whose agents have reported recently."""
@@ -302,11 +374,15 @@
 
     def _estimate(self, server: server_registry.Server,
                   now: float) -> service_estimate.ServerEstimate:
-        group = self._get(server.id).group
         return service_estimate.ServerEstimate(load=self.load(server.id, now),
                                                slots=server.slots,
-                                               pass_s=self._pass_s_by_group.get(
-                                                   group, 0.0))
+                                               pass_s=self._pass_s(
+                                                   server.id, now))
+
+    def _pass_s(self, server_id: str, now: float) -> float:
+        """Returns the duration of a pass of the server; 0 if unknown."""
+        pace = self._pace_by_group.get(self._get(server_id).group)
+        return pace.pass_s(now) if pace else 0.0
 
     def _effective_load(self, server: server_registry.Server, data_centre: str,
                         requirements: service_estimate.RequestRequirements,
@@ -319,7 +395,7 @@
         estimate = self._estimate(server, now)
         penalty_s = service_estimate.penalty_s(requirements, estimate)
         if (self.is_report_overdue(server.id, now) or
-                self.stalled_s(server.id, now) > _STALLED_S):
+                self.stalled_s(server.id, now)):
             penalty_s += _UNRESPONSIVE_PENALTY_S
         load = estimate.load + _OWN_REQUEST_WEIGHT * self.own_requests(
             server.id)
--- a/pollenthread/platform/rank_server_http.py
+++ b/pollenthread/platform/rank_server_http.py
@@ -136,10 +136,13 @@
         held_step=_decode_step(document.get('held')),
         is_busy=bool(document.get('busy')),
         pace_percent=int(float(document.get('pace', 1.0)) * _PERCENT))
-    return rank_server.RankServerStatus(state=state,
-                                        running=int(document['running']),
-                                        waiting=int(document['waiting']),
-                                        is_group_member=bool(group.get('name')))
+    return rank_server.RankServerStatus(
+        state=state,
+        running=int(document['running']),
+        waiting=int(document['waiting']),
+        is_group_member=bool(group.get('name')),
+        kv_tokens=int(document.get('kv_used') or 0),
+        kv_capacity_tokens=int(document.get('kv_total') or 0))
 
 
 def _decode_version(value: Any) -> int:
--- a/pollenthread/ports/rank_server.py
+++ b/pollenthread/ports/rank_server.py
@@ -24,12 +24,16 @@
         running: requests in progress.
         waiting: queued requests.
         is_group_member: whether the server is a rank of a group.
+        kv_tokens: tokens in its key-value cache that cannot be evicted.
+        kv_capacity_tokens: the capacity of that cache, or 0 if unknown.
     """
 
     state: peer_messages.RankState
     running: int
     waiting: int
     is_group_member: bool
+    kv_tokens: int = 0
+    kv_capacity_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
