--- a/pollenthread/app/load_reporter.py
+++ b/pollenthread/app/load_reporter.py
@@ -11,11 +11,13 @@
 
 _CHANGED_INTERVAL_S = 0.25
 _SAME_INTERVAL_S = 0.6
-_STALL_THRESHOLD_MS = 500
+_MIN_STALL_MS = 250
+_STALL_PASSES = 4
+_US_PER_MS = 1000
 
 
 class LoadReporter:
-    """Sends load reports; changed ones sooner than others."""
+    """Sends load reports: changed ones soon, a stopped group at once."""
 
     def __init__(self, *, own: host_record.HostRecord,
                  hosts: host_registry.HostRegistry, network: peers.PeerNetwork,
@@ -25,17 +27,21 @@
         self._network = network
         self._clock = time
         self._throttle = report_throttle.ReportThrottle()
+        self._state = (True, False)
         self._audience: list[str] = []
         self._audience_revision = -1
 
     def report(self, load: peer_messages.ServerLoad) -> None:
         """Sends a report if one is due."""
-        content = (load.running, load.waiting, load.stalled_ms
-                   > _STALL_THRESHOLD_MS, load.is_open)
-        if self._throttle.is_due(content,
+        stall_ms = max(_MIN_STALL_MS, _STALL_PASSES * load.pass_us / _US_PER_MS)
+        state = (load.is_open, load.stalled_ms > stall_ms)
+        # Requests that are sent to a group that has stopped only wait there.
+        changed_s = _CHANGED_INTERVAL_S if state == self._state else 0.0
+        self._state = state
+        if self._throttle.is_due((load.running, load.waiting, state),
                                  self._clock.monotonic(),
                                  same_s=_SAME_INTERVAL_S,
-                                 changed_s=_CHANGED_INTERVAL_S):
+                                 changed_s=changed_s):
             self._network.send_all(self._addresses(), load)
 
     def _addresses(self) -> list[str]:
