Estimate the work of each request from its caller's hint

Every request counted as the service's mean length, the hint was not used and prompts and memory entered no choice. What is learned of a route's complete responses corrects its hints by size; the wait for a slot goes by others' mean. A response that would not end in time at the present pace is refused at once, so that the slots of a slow group serve shorter ones. Requests go where the cache has room. The loads and pauses of one server move to core/routing.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -135,7 +135,8 @@
         job.attempt_count += 1
         now = self._clock.monotonic()
         job.timing.record_sent(now)
-        self._state.server_loads.record_start(server.id, now)
+        self._state.server_loads.record_start(server.id, now,
+                                              job.work.kv_tokens)
         timeout = asyncio.timeout_at(self._attempt_deadline(job))
         pending = pending_attempt.PendingAttempt(job, server, timeout, now)
         self._pending_attempts.add(pending)
@@ -302,6 +303,7 @@
                          server: server_registry.Server, status: int) -> None:
         self._observe('answer', self._age_s(job.request))
         timing = self._stream_log_fields(job) if job.is_stream else {}
+        self._record_length(job)
         self._log.write(log_events.LogEvent.REQUEST_ANSWERED,
                         important=job.attempt_count > 1,
                         id=job.request.id,
@@ -313,6 +315,16 @@
                         after_s=self._age_s(job.request),
                         **timing)
 
+    def _record_length(self, job: request_job.RequestJob) -> None:
+        """Records the length of a stream that was sent from its start."""
+        config = self._state.config
+        service = config.services_by_name.get(job.service) if config else None
+        if (service is not None and service.engine is not None and
+                job.is_stream and job.request.last_event_id is None):
+            self._state.work_estimator.record(
+                job.request, job.route.name, service.engine,
+                job.event_splitter.events * service.engine.steps_per_pass)
+
     def _stream_log_fields(self, job: request_job.RequestJob) -> dict[str, Any]:
         """Counts a completed stream by the cause of its lateness, if any.
 
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -4,6 +4,7 @@
 
 from pollenthread.core import (caller_request, crash_evidence, errors,
                                resumable_events, routing_config, stream_timing)
+from pollenthread.core.routing import work_estimate
 from pollenthread.ports import caller_response
 
 __all__ = ['RequestFailed', 'RequestJob']
@@ -48,6 +49,7 @@
             last one.
         last_failure: the cause of the latest failed attempt.
         timing: arrival times of a stream's events.
+        work: the work that it is expected to cause at a server.
         parts: ids of the parts that may crash servers; see `crash_evidence`.
     """
 
@@ -64,6 +66,7 @@
     event_splitter: resumable_events.ResumableEventSplitter = dataclasses.field(
         default_factory=resumable_events.ResumableEventSplitter)
     last_failure: str = ''
+    work: work_estimate.WorkEstimate = work_estimate.WorkEstimate(0.0)
     timing: stream_timing.StreamTiming = dataclasses.field(init=False)
     parts: tuple[str, ...] = dataclasses.field(init=False)
 
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -213,6 +213,8 @@
                         is_late=job.has_missed_target,
                         left_s=round(job.deadline - now, 3),
                         parts=job.parts,
+                        passes=round(job.work.passes, 1),
+                        prompt_tokens=job.work.prompt_tokens,
                         limit_per_s=limit.per_s if limit else None)
 
     def _requirements(self, job: request_job.RequestJob,
@@ -222,11 +224,16 @@
         if service is None or service.engine is None or not job.is_stream:
             return service_estimate.RequestRequirements(job.deadline - now)
         engine = service.engine
+        work = job.work = self._state.work_estimator.estimate(
+            job.request, job.route.name, engine)
         return service_estimate.RequestRequirements(
             time_left_s=job.deadline - now,
             max_gap_s=job.route.max_gap_s,
             target_left_s=_target_left_s(job, now),
-            passes=engine.mean_output_tokens / engine.steps_per_pass)
+            passes=work.passes,
+            low_passes=0.0 if job.last_event_id else work.low_passes,
+            others_passes=engine.mean_output_tokens / engine.steps_per_pass,
+            kv_tokens=work.kv_tokens)
 
 
 def _target_left_s(job: request_job.RequestJob, now: float) -> float:
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -6,6 +6,7 @@
 from pollenthread.app import evidence_log
 from pollenthread.core import (retry_budget, routing_config, server_limits,
                                server_load, server_registry, server_statements)
+from pollenthread.core.routing import work_estimate
 
 __all__ = ['RetryBudgetSettings', 'ServingState']
 
@@ -36,6 +37,7 @@
         config: the current configuration; None before the first.
         server_registry: the servers that are listed in the store.
         server_loads: the load of each server.
+        work_estimator: the expected work of requests.
         server_limits: the request rates that servers accept.
         server_statements: which servers have said that they want no request.
         entry_host_count: the number of registered entry hosts, including this
@@ -53,6 +55,7 @@
         self.server_registry = server_registry.ServerRegistry(
             relisting_s=return_s)
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
+        self.work_estimator = work_estimate.WorkEstimator()
         self.server_limits = server_limits.RateLimits()
         self.server_statements = server_statements.ServerStatements()
         self.entry_host_count = 1
--- a/pollenthread/core/routing/group_pace.py
+++ b/pollenthread/core/routing/group_pace.py
@@ -11,8 +11,13 @@
 """
 
 import math
+import statistics
+from collections.abc import Mapping, Sequence
 
-__all__ = ['GroupPace']
+from pollenthread.core import routing_config
+from pollenthread.core.routing import pass_model
+
+__all__ = ['GroupPace', 'GroupPaces']
 
 # Ranks report at moments of their own; this spans several of their reports.
 _SMOOTHING_S = 0.15
@@ -66,14 +71,10 @@
         self._pass_s += weight * (pass_s - self._pass_s)
         self._measured_at = now
 
-    def pass_s(self, now: float) -> float:
-        """Returns the duration of a pass in seconds; 0 if unknown.
-
-        A pass that is under way for longer counts with its time so far.
-        """
-        if not self._pass_s:
-            return 0.0
-        return max(self._pass_s, self.stalled_s(now))
+    @property
+    def pass_s(self) -> float:
+        """The duration of a pass in seconds; 0 if unknown."""
+        return self._pass_s
 
     def stalled_s(self, now: float) -> float:
         """Returns the seconds for which the group has made no pass.
@@ -85,3 +86,36 @@
         elapsed_s = self._reported_at - self._pass_began_at
         limit_s = max(_MIN_STALL_S, _STALL_PASSES * self._pass_s)
         return elapsed_s if elapsed_s > limit_s else 0.0
+
+
+class GroupPaces:
+    """The pace of all groups, by name."""
+
+    def __init__(self) -> None:
+        self._pace_by_group: dict[str, GroupPace] = {}
+
+    def get(self, group: str) -> GroupPace:
+        """Returns the pace of a group."""
+        if not group:
+            return GroupPace()
+        return self._pace_by_group.setdefault(group, GroupPace())
+
+    def stretch_by_group(
+            self, engine: routing_config.EngineProfile,
+            running_by_group: Mapping[str,
+                                      Sequence[float]]) -> dict[str, float]:
+        """Returns how much longer than predicted the passes of each group take.
+
+        Groups whose passes have not been measured are missing.
+
+        Args:
+            engine: the profile of the engine.
+            running_by_group: requests that the ranks of each group run.
+        """
+        return {
+            group:
+                self.get(group).pass_s /
+                pass_model.predict_pass_s(engine, statistics.fmean(running))
+            for group, running in running_by_group.items()
+            if self.get(group).pass_s
+        }
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -6,21 +6,18 @@
 module `spreading` distributes the requests of all hosts between two reports.
 """
 
-import dataclasses
-import statistics
 from collections.abc import Collection, Iterable, Sequence
 
 from pollenthread.core import (routing_config, server_registry,
                                service_estimate, spreading)
-from pollenthread.core.routing import group_pace, pass_model, room_forecast
+from pollenthread.core.routing import (group_pace, pass_model, room_forecast,
+                                       tracked_load)
 
 __all__ = ['ServerLoadTracker', 'ServerLoadReport']
 
-_REPORT_TTL_S = 1.5
+ServerLoadReport = tracked_load.ServerLoadReport
 # Upper bound of the report age that is written to the log.
 _MAX_LOGGED_AGE_S = 99.0
-# Agents report the load at least every 0.6 s.
-_REPORT_OVERDUE_S = 1.0
 # Penalty for a server whose reports are overdue or whose group is stalled.
 _UNRESPONSIVE_PENALTY_S = 20.0
 # Load equivalent to the cost of sending a request to another data centre.
@@ -37,63 +34,6 @@
 _QUEUED_REQUEST_WEIGHT = 2.0
 # Duration of a request whose response is short.
 _SHORT_REQUEST_S = 0.1
-_FAILURE_PAUSE_S = 1.0
-_MAX_FAILURE_PAUSE_S = 8.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerLoadReport:
-    """The load reported by a server or by the agent on its host.
-
-    Attributes:
-        running: requests that the server is processing.
-        waiting: requests in the server's queue.
-        slots: requests that the server can process concurrently.
-        stalled_s: seconds since the last pass of its group began, while the
-            group has work.
-        accepts_requests: whether its group accepts requests.
-        group: the model group that it is a rank of; empty if it has none.
-        pass_s: recent duration of a pass of its group in seconds; 0 if
-            unknown.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    stalled_s: float = 0.0
-    accepts_requests: bool = True
-    group: str = ''
-    pass_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class _TrackedLoad:
-    """The tracked load of one server.
-
-    Attributes:
-        reported: requests at the server according to the last report.
-        reported_at: monotonic seconds at which the last report arrived.
-        running: requests that the server was processing then.
-        change: requests of this host started minus ended since the report.
-        own: requests of this host at the server.
-        accepts_requests: whether the group accepted requests in the last
-            report.
-        has_agent: whether an agent reports the load periodically.
-        group: the model group that it is a rank of; empty if it has none.
-        failures: number of consecutive failures.
-        paused_until: monotonic seconds until which it is avoided.
-    """
-
-    reported: float = 0.0
-    reported_at: float = -1e9
-    running: float = 0.0
-    change: int = 0
-    own: int = 0
-    accepts_requests: bool = True
-    has_agent: bool = False
-    group: str = ''
-    failures: int = 0
-    paused_until: float = -1e9
 
 
 class ServerLoadTracker:
@@ -101,12 +41,13 @@
 
     def __init__(self, *, rng: spreading.RandomSource) -> None:
         self._rng = rng
-        self._load_by_id: dict[str, _TrackedLoad] = {}
+        self._load_by_id: dict[str, tracked_load.TrackedLoad] = {}
         self._rate = spreading.ArrivalRate()
-        self._pace_by_group: dict[str, group_pace.GroupPace] = {}
+        self._paces = group_pace.GroupPaces()
 
-    def _get(self, server_id: str) -> _TrackedLoad:
-        return self._load_by_id.setdefault(server_id, _TrackedLoad())
+    def _get(self, server_id: str) -> tracked_load.TrackedLoad:
+        return self._load_by_id.setdefault(server_id,
+                                           tracked_load.TrackedLoad())
 
     def remove(self, server_id: str) -> None:
         """Removes a server that no longer exists."""
@@ -115,22 +56,14 @@
     def record_report(self, server_id: str, report: ServerLoadReport,
                       now: float) -> None:
         """Records a load report of a server."""
-        load = self._get(server_id)
-        load.reported = report.running + report.waiting
-        load.reported_at = now
-        load.change = 0
-        load.running = report.running
-        load.accepts_requests = report.accepts_requests
-        load.has_agent = load.has_agent or bool(report.group)
-        load.group = report.group
+        self._get(server_id).record_report(report, now)
         if report.group:
-            self._pace_by_group.setdefault(
-                report.group, group_pace.GroupPace()).record(
-                    pass_s=report.pass_s,
-                    stalled_s=report.stalled_s,
-                    has_work=report.running > 0,
-                    accepts_requests=report.accepts_requests,
-                    now=now)
+            self._paces.get(report.group).record(
+                pass_s=report.pass_s,
+                stalled_s=report.stalled_s,
+                has_work=report.running > 0,
+                accepts_requests=report.accepts_requests,
+                now=now)
 
     def record_request_count(self, server_id: str, requests: int,
                              now: float) -> None:
@@ -138,46 +71,31 @@
 
         The count is ignored while a recent report of its agent is available.
         """
-        load = self._get(server_id)
-        if load.has_agent and now - load.reported_at < _REPORT_TTL_S:
-            return
-        load.reported = load.running = requests
-        load.reported_at = now
-        load.change = 0
-
-    def record_start(self, server_id: str, now: float) -> None:
+        self._get(server_id).record_request_count(requests, now)
+
+    def record_start(self,
+                     server_id: str,
+                     now: float,
+                     kv_tokens: float = 0.0) -> None:
         """Records that this host has sent a request to the server."""
         self._rate.record_request(now)
-        load = self._get(server_id)
-        load.own += 1
-        load.change += 1
+        self._get(server_id).record_start(kv_tokens)
 
     def record_end(self, server_id: str) -> None:
         """Records that a request of this host has ended at the server."""
-        load = self._get(server_id)
-        load.own -= 1
-        load.change -= 1
+        self._get(server_id).record_end()
 
     def record_success(self, server_id: str) -> None:
         """Records a response of the server and ends its failure pause."""
-        load = self._get(server_id)
-        load.failures = 0
-        load.paused_until = -1e9
+        self._get(server_id).record_success()
 
     def record_failure(self, server_id: str, now: float) -> None:
         """Records a failure and pauses the server with exponential back-off."""
-        load = self._get(server_id)
-        load.failures += 1
-        pause_s = min(_MAX_FAILURE_PAUSE_S,
-                      _FAILURE_PAUSE_S * 2**(load.failures - 1))
-        load.paused_until = now + pause_s * self._rng.uniform(0.5, 1.0)
+        self._get(server_id).record_failure(now, self._rng.uniform(0.5, 1.0))
 
     def load(self, server_id: str, now: float) -> float:
         """Returns the estimated number of requests at the server."""
-        load = self._get(server_id)
-        if now - load.reported_at > _REPORT_TTL_S:
-            return float(load.own)
-        return max(float(load.own), load.reported + load.change)
+        return self._get(server_id).requests(now)
 
     def log_fields(self, server: server_registry.Server,
                    now: float) -> dict[str, float]:
@@ -197,16 +115,14 @@
 
     def is_report_overdue(self, server_id: str, now: float) -> bool:
         """Returns whether the agent of a server has stopped reporting."""
-        load = self._get(server_id)
-        return load.has_agent and now - load.reported_at > _REPORT_OVERDUE_S
+        return self._get(server_id).is_report_overdue(now)
 
     def stalled_s(self, server_id: str, now: float) -> float:
         """Returns the seconds for which the server's group has made no pass.
 
         Returns 0 if there is no recent report.
         """
-        pace = self._pace_by_group.get(self._get(server_id).group)
-        return pace.stalled_s(now) if pace else 0.0
+        return self._paces.get(self._get(server_id).group).stalled_s(now)
 
     def select(self, servers: Iterable[server_registry.Server], *,
                excluded: Collection[str], data_centre: str,
@@ -230,7 +146,7 @@
         all_servers = tuple(servers)
         usable = [
             s for s in all_servers
-            if s.id not in excluded and self._accepts_requests(s, now)
+            if s.id not in excluded and self._get(s.id).is_accepting(now)
         ]
         not_paused = [s for s in usable if self._get(s.id).paused_until <= now]
         candidates = [
@@ -239,6 +155,7 @@
         ]
         if not candidates:
             return None
+        candidates = self._with_memory(candidates, requirements) or candidates
         # Without reports of its agent, the load of a server is not known.
         candidates = self._reported(candidates, now) or candidates
         sharing_hosts = hosts * self._reported_share(all_servers, now)
@@ -266,7 +183,7 @@
         return sum(
             service_estimate.free_slots(self._estimate(s, now), reserved_share)
             for s in known
-            if self._accepts_requests(s, now)) / self._reported_share(
+            if self._get(s.id).is_accepting(now)) / self._reported_share(
                 all_servers, now)
 
     def forecast(self, servers: Iterable[server_registry.Server], *,
@@ -287,64 +204,63 @@
             now: monotonic seconds.
         """
         all_servers = tuple(servers)
-        known = [
-            s for s in all_servers
-            if now - self._get(s.id).reported_at < _REPORT_TTL_S
-        ]
-        stretch_by_group = self._stretch_by_group(known, engine, now)
+        known = [s for s in all_servers if self._get(s.id).is_known(now)]
+        stretch_by_group = self._stretch_by_group(known, engine)
         rooms = []
         for server in known:
-            load = self._get(server.id)
+            stretch = stretch_by_group.get(self._get(server.id).group)
             slots = float(server.slots)
-            if engine and max_gap_s and load.group in stretch_by_group:
-                slots = pass_model.slots_within_gap(
-                    engine,
-                    slots=server.slots,
-                    stretch=stretch_by_group[load.group],
-                    max_gap_s=max_gap_s)
-            estimate = self._estimate(server, now)
-            request_s = (passes * estimate.pass_or_default_s()
-                         if passes else _SHORT_REQUEST_S)
-            rooms.append(
-                room_forecast.ServerRoom(
-                    slots=slots,
-                    load=estimate.load,
-                    frees_per_s=min(estimate.load, server.slots) / request_s,
-                    is_available=(load.accepts_requests and
-                                  not self.stalled_s(server.id, now)),
-                    age_s=now - load.reported_at))
+            if engine and max_gap_s and stretch:
+                slots = pass_model.slots_within_gap(engine,
+                                                    slots=server.slots,
+                                                    stretch=stretch,
+                                                    max_gap_s=max_gap_s)
+            rooms.append(self._room(server, slots, passes, now))
         return room_forecast.add_rooms(rooms, len(all_servers))
 
-    def _stretch_by_group(self, servers: Sequence[server_registry.Server],
-                          engine: routing_config.EngineProfile | None,
-                          now: float) -> dict[str, float]:
-        """Returns the measured duration of a pass over the predicted one.
-
-        Groups whose passes have not been measured are missing.
-        """
+    def _stretch_by_group(
+            self, servers: Sequence[server_registry.Server],
+            engine: routing_config.EngineProfile | None) -> dict[str, float]:
         if engine is None:
             return {}
         running_by_group: dict[str, list[float]] = {}
         for server in servers:
             load = self._get(server.id)
             running_by_group.setdefault(load.group, []).append(load.running)
-        stretch_by_group = {}
-        for group, running in running_by_group.items():
-            pace = self._pace_by_group.get(group)
-            if pace is not None and pace.pass_s(now):
-                stretch_by_group[group] = pace.pass_s(
-                    now) / pass_model.predict_pass_s(engine,
-                                                     statistics.fmean(running))
-        return stretch_by_group
+        return self._paces.stretch_by_group(engine, running_by_group)
+
+    def _room(self, server: server_registry.Server, slots: float, passes: float,
+              now: float) -> room_forecast.ServerRoom:
+        load = self._get(server.id)
+        estimate = self._estimate(server, now)
+        request_s = (passes * estimate.pass_or_default_s()
+                     if passes else _SHORT_REQUEST_S)
+        return room_forecast.ServerRoom(
+            slots=slots,
+            load=estimate.load,
+            frees_per_s=min(estimate.load, server.slots) / request_s,
+            is_available=(load.is_accepting(now) and
+                          not self.stalled_s(server.id, now)),
+            age_s=now - load.reported_at)
 
     def _reported(self, servers: Sequence[server_registry.Server],
                   now: float) -> list[server_registry.Server]:
         """Returns the servers whose agents have reported recently."""
-        return [s for s in servers if self._is_reported(s.id, now)]
+        loads = ((server, self._get(server.id)) for server in servers)
+        return [s for s, load in loads if load.has_agent and load.is_known(now)]
+
+    def _with_memory(
+        self, servers: Sequence[server_registry.Server],
+        requirements: service_estimate.RequestRequirements
+    ) -> list[server_registry.Server]:
+        """Returns the servers with memory for the request.
 
-    def _is_reported(self, server_id: str, now: float) -> bool:
-        load = self._get(server_id)
-        return load.has_agent and now - load.reported_at < _REPORT_TTL_S
+        Elsewhere it would displace another one, whose prompt is read again.
+        """
+        return [
+            s for s in servers
+            if self._get(s.id).kv_free_tokens >= requirements.kv_tokens
+        ]
 
     def _reported_share(self, servers: Sequence[server_registry.Server],
                         now: float) -> float:
@@ -363,26 +279,18 @@
         return (
             service_estimate.keeps_reserved_slots(requirements, estimate) and
             not service_estimate.cannot_start_in_time(requirements, estimate)
-            and not service_estimate.misses_first_event_target(
+            and
+            not service_estimate.cannot_end_in_time(requirements, estimate) and
+            not service_estimate.misses_first_event_target(
                 requirements, estimate))
 
-    def _accepts_requests(self, server: server_registry.Server,
-                          now: float) -> bool:
-        """Returns False if a recent report says that the group rejects work."""
-        load = self._get(server.id)
-        return load.accepts_requests or now - load.reported_at > _REPORT_TTL_S
-
     def _estimate(self, server: server_registry.Server,
                   now: float) -> service_estimate.ServerEstimate:
-        return service_estimate.ServerEstimate(load=self.load(server.id, now),
+        load = self._get(server.id)
+        return service_estimate.ServerEstimate(load=load.requests(now),
                                                slots=server.slots,
-                                               pass_s=self._pass_s(
-                                                   server.id, now))
-
-    def _pass_s(self, server_id: str, now: float) -> float:
-        """Returns the duration of a pass of the server; 0 if unknown."""
-        pace = self._pace_by_group.get(self._get(server_id).group)
-        return pace.pass_s(now) if pace else 0.0
+                                               pass_s=self._paces.get(
+                                                   load.group).pass_s)
 
     def _effective_load(self, server: server_registry.Server, data_centre: str,
                         requirements: service_estimate.RequestRequirements,
--- a/pollenthread/core/service_estimate.py
+++ b/pollenthread/core/service_estimate.py
@@ -9,6 +9,9 @@
 * More requests arrive than can be served: a request that would miss its target
   for the first event in every queue is rejected with a retry delay, so that
   later requests do not miss theirs.
+* Passes take several times as long, because one rank of the group is slow: a
+  response that would not be complete in time is rejected at once, so that the
+  slots serve shorter ones.
 """
 
 import dataclasses
@@ -16,7 +19,7 @@
 __all__ = [
     'RequestRequirements', 'ServerEstimate', 'cannot_start_in_time',
     'keeps_reserved_slots', 'misses_first_event_target', 'penalty_s',
-    'cost_per_request_s', 'free_slots'
+    'cannot_end_in_time', 'cost_per_request_s', 'free_slots'
 ]
 
 _DEFAULT_PASS_S = 0.06
@@ -37,6 +40,10 @@
         max_gap_s: longest allowed time between events, in seconds; 0 if
             unlimited.
         passes: passes that the response is expected to take; 0 if it is short.
+        low_passes: passes that it takes more than, most likely.
+        others_passes: passes that other responses take on average; as many as
+            this one if 0.
+        kv_tokens: tokens that it needs in the server's key-value cache.
         reserved_share: share of the slots that the request must leave free for
             other requests.
         target_left_s: seconds until the first event is late; 0 if it is late
@@ -46,9 +53,17 @@
     time_left_s: float
     max_gap_s: float = 0.0
     passes: float = 0.0
+    low_passes: float = 0.0
+    others_passes: float = 0.0
+    kv_tokens: float = 0.0
     reserved_share: float = 0.0
     target_left_s: float = 0.0
 
+    @property
+    def passes_ahead(self) -> float:
+        """Passes that a request ahead of this one takes on average."""
+        return self.others_passes or self.passes
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerEstimate:
@@ -70,12 +85,9 @@
 
 
 def _wait_s(requirements: RequestRequirements, server: ServerEstimate) -> float:
-    """Returns seconds until a slot is free.
-
-    Assumes that all responses take as many passes as this one.
-    """
+    """Returns seconds until a slot is free."""
     ahead = max(0.0, server.load - server.slots + 1)
-    return (ahead / server.slots * requirements.passes *
+    return (ahead / server.slots * requirements.passes_ahead *
             server.pass_or_default_s())
 
 
@@ -88,7 +100,7 @@
     """
     if not requirements.passes:
         return _SHORT_REQUEST_COST_S
-    return requirements.passes * _DEFAULT_PASS_S / server.slots
+    return requirements.passes_ahead * _DEFAULT_PASS_S / server.slots
 
 
 def penalty_s(requirements: RequestRequirements,
@@ -133,6 +145,15 @@
     return start_s > requirements.time_left_s * _START_TIME_SHARE
 
 
+def cannot_end_in_time(requirements: RequestRequirements,
+                       server: ServerEstimate) -> bool:
+    """Returns whether the response would most likely not be complete in time.
+
+    Assumes that passes go on to take as long as now.
+    """
+    return requirements.low_passes * server.pass_s > requirements.time_left_s
+
+
 def misses_first_event_target(requirements: RequestRequirements,
                               server: ServerEstimate) -> bool:
     """Returns whether waiting for a slot would make the first event late."""
