Keep background tasks of a process running when one item fails

The attempt now knows whether its time is over. The class of fault is met by a supervisor that counts and logs a failed task and starts it again, in all four roles.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -179,7 +179,7 @@
                         pending.server.id, now) and pending.is_silent(now) and
                         pending.job.route.is_repeatable and
                         self._may_retry(pending.job)):
-                    pending.timeout.reschedule(now)
+                    pending.end(now)
 
     def _attempt_deadline(self, job: request_job.RequestJob) -> float:
         """Returns the monotonic time at which to abandon an attempt."""
--- a/pollenthread/app/pending_attempt.py
+++ b/pollenthread/app/pending_attempt.py
@@ -41,6 +41,15 @@
         """Records that the attempt made progress."""
         self.progressed_at = now
 
+    def end(self, now: float) -> None:
+        """Ends the attempt now, unless its time is over already.
+
+        Args:
+            now: monotonic seconds.
+        """
+        if not self.timeout.expired():
+            self.timeout.reschedule(now)
+
     def is_silent(self, now: float) -> bool:
         """Returns whether the server has sent nothing for some time."""
         return now - self.progressed_at > _SILENT_ATTEMPT_S
--- a/pollenthread/app/poison_guard.py
+++ b/pollenthread/app/poison_guard.py
@@ -89,7 +89,7 @@
             if (pending.stage is not crash_evidence.AttemptStage.STREAMING and
                     self._quarantine.is_in_quarantine(pending.job.parts, now)):
                 pending.is_recalled = True
-                pending.timeout.reschedule(now)
+                pending.end(now)
 
     def record_answer(self, pending: pending_attempt.PendingAttempt) -> None:
         """Records that a whole response, or complete events, have arrived."""
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -93,6 +93,8 @@
     ORDER_FAILED = ('order_failed',
                     'A rank refused an order or did not answer; '
                     'it is repeated or the switch is abandoned.')
+    TASK_FAILED = ('task_failed', 'A background task failed and is started '
+                   'again; `error` says where.')
     LINES_DROPPED = ('lines_dropped',
                      '`count` lines before this one were dropped.')
 
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -5,12 +5,12 @@
 from collections.abc import Mapping
 from typing import Any
 
-from pollenthread.adapters import (admin_http, clock, http_client, http_server,
-                                   link as link_module, order_http,
+from pollenthread.adapters import (absl_log, admin_http, clock, http_client,
+                                   http_server, link as link_module, order_http,
                                    rank_engine_http, settings, table_http,
                                    upstream_http)
 from pollenthread.app import (attempt_manager, group_member, link_router,
-                              order_dispatcher)
+                              order_dispatcher, supervision)
 from pollenthread.core import messages
 from pollenthread.roles import process
 
@@ -110,9 +110,11 @@
             registration = self._group_member.publish_address(
                 self._link_server.address)
             stack.callback(asyncio.create_task(registration).cancel)
-        stack.callback(asyncio.create_task(self._report_periodically()).cancel)
+        supervisor = await stack.enter_async_context(
+            supervision.TaskSupervisor(log=absl_log.AbslLog()))
+        supervisor.start('report load', self._report_periodically)
         if self._tls is not None:
-            stack.callback(asyncio.create_task(self._tls.watch_files()).cancel)
+            supervisor.start('watch certificates', self._tls.watch_files)
         process.print_event({
             'event': 'ready',
             'role': 'agent',
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -6,15 +6,15 @@
 import time as wall_time
 from typing import Any
 
-from pollenthread.adapters import (admin_http, caller_http, clock,
+from pollenthread.adapters import (absl_log, admin_http, caller_http, clock,
                                    host_list_http, http_client, http_server,
                                    link as link_module, orders_admin, settings,
                                    table_http)
 from pollenthread.app import (claim_store, claim_sweeper, config_distributor,
                               config_store, directory, gateway, lease_manager,
                               liveness, order_issuer, order_journal, peer_links
-                              as peers_module, upstream_pool as pool_module,
-                              write_batcher)
+                              as peers_module, supervision, upstream_pool as
+                              pool_module, write_batcher)
 from pollenthread.core import ids, membership, messages, orders
 from pollenthread.roles import entry_telemetry, process
 
@@ -201,6 +201,20 @@
     def _get_config_version(self) -> int:
         return self._config_store.version
 
+    def _background_work(self) -> dict[str, supervision.BackgroundWork]:
+        work: dict[str, supervision.BackgroundWork] = {
+            'distribute targets': self._config_distributor.run,
+            'poll host list': self._host_directory.poll,
+            'maintain links': self._maintain_links,
+            'renew leases': self._lease_manager.run,
+            'issue orders': self._order_issuer.run,
+            'sweep claims': self._claim_sweeper.run,
+            **self._telemetry.background_work()
+        }
+        if self._tls is not None:
+            work['watch certificates'] = self._tls.watch_files
+        return work
+
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the components and prints the addresses they listen on.
 
@@ -211,13 +225,10 @@
                          self._admin_server, self._link_server,
                          self._upstream_dialers, self._peer_dialers):
             await stack.enter_async_context(resource)
-        for coroutine in (self._config_distributor.run(),
-                          self._host_directory.poll(), self._maintain_links(),
-                          self._lease_manager.run(), self._order_issuer.run(),
-                          self._claim_sweeper.run(), self._telemetry.run()):
-            stack.callback(asyncio.create_task(coroutine).cancel)
-        if self._tls is not None:
-            stack.callback(asyncio.create_task(self._tls.watch_files()).cancel)
+        supervisor = await stack.enter_async_context(
+            supervision.TaskSupervisor(log=absl_log.AbslLog()))
+        for name, work in self._background_work().items():
+            supervisor.start(name, work)
         process.print_event({
             'event': 'ready',
             'role': 'entry',
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -1,6 +1,5 @@
 """Accounting, metrics, tracing and administration API of an entry host."""
 
-import asyncio
 import random
 import time as wall_time
 from collections.abc import Callable, Mapping
@@ -9,7 +8,7 @@
 from pollenthread.adapters import (admin_api, http_client, http_server, metrics,
                                    operator_auth, otlp, settings)
 from pollenthread.app import (account_reader, account_writer, administration,
-                              config_store, cost_store, tracer)
+                              config_store, cost_store, supervision, tracer)
 from pollenthread.core import account
 from pollenthread.ports import clock, table
 
@@ -110,14 +109,14 @@
             **self._entry_gauges()
         }
 
-    async def run(self) -> None:
-        """Writes counts and exports spans periodically until cancelled."""
-        if self._exporter is None:
-            await self._account_writer.run()
-            return
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._account_writer.run())
-            group.create_task(self._exporter.run())
+    def background_work(self) -> dict[str, supervision.BackgroundWork]:
+        """Returns the work that writes counts and exports spans."""
+        work: dict[str, supervision.BackgroundWork] = {
+            'write account': self._account_writer.run
+        }
+        if self._exporter is not None:
+            work['export spans'] = self._exporter.run
+        return work
 
     async def flush(self) -> None:
         """Writes the remaining counts during a graceful shutdown."""
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -1,28 +1,33 @@
 """Agent process for a model server on the users' platform."""
 
-import asyncio
 import random
 
-from pollenthread.adapters import platform_metrics
+from pollenthread.adapters import clock, platform_metrics
 from pollenthread.app import (group_view, map_coordinator, rank_agent,
                               serving_state, snapshot_exchange, stall_recovery,
-                              store_watch, switch_driver)
+                              store_watch, supervision, switch_driver)
 from pollenthread.core import (host_record, log_events, peer_messages,
                                routing_config)
 from pollenthread.platform import process_settings, rank_server_http, wire_names
+from pollenthread.ports import clock as clock_port
 from pollenthread.roles import platform_role, process
 
-__all__ = ['run']
+__all__ = ['PlatformAgent', 'run']
 
 _CONFIG_WATCH_TIMEOUT_S = 20.0
 _CONFIG_WATCH_PAUSE_S = 0.5
 _ENGINE_PROFILE_CHECK_S = 0.25
 
 
-class _PlatformAgent(platform_role.PlatformRole):
-    """Assembles an agent; a context manager that owns its components."""
+class PlatformAgent(platform_role.PlatformRole):
+    """Assembles an agent; a context manager that owns its components.
 
-    def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
+    Attributes:
+        watch: keeps the agent up to date with the store.
+    """
+
+    def __init__(self, *, settings: process_settings.ProcessSettings,
+                 time: clock_port.Clock) -> None:
         rng = random.Random(settings.host)
         super().__init__(settings=settings,
                          own_record=host_record.HostRecord(
@@ -38,22 +43,23 @@
                                  0.0, 0.0, 1.0),
                              return_s=0.0,
                              rng=rng),
-                         rng=rng)
-        self._watch = store_watch.AgentStoreWatch(
+                         rng=rng,
+                         time=time)
+        self.watch = store_watch.AgentStoreWatch(
             hosts=self._host_registry,
             exchange=snapshot_exchange.SnapshotExchange(
                 network=self._network,
                 hosts=self._host_registry,
-                config_listener=self._config_listener,
+                config_listener=self.config_listener,
                 server_listener=None,
                 time=self._clock,
                 log=self.log,
                 config_form=peer_messages.ConfigForm.SERVICES),
-            config_listener=self._config_listener,
+            config_listener=self.config_listener,
             time=self._clock,
             rng=rng)
         self._network.set_datagram_handler(peer_messages.EntryBeat,
-                                           self._watch.on_heartbeat)
+                                           self.watch.on_heartbeat)
         self._group_registry = group_view.GroupRegistry(network=self._network,
                                                         time=self._clock)
         self._rank_agent = rank_agent.RankAgent(
@@ -84,12 +90,13 @@
 
     @property
     def _is_watcher(self) -> bool:
-        return self._watch.is_watcher
+        return self.watch.is_watcher
 
     def _collect_counters(self) -> dict[str, float]:
         """Returns the cost of load balancing between ranks, over all groups."""
         counters = self._collect_peer_counters()
         counters['log_lines_dropped'] = self.log.dropped
+        counters['task_failures'] = self._supervisor.failures
         for coordinator in self._coordinator_by_group.values():
             statistics = coordinator.stats
             for name, count in (('map_switches', statistics.switches),
@@ -160,22 +167,21 @@
     async def shut_down(self) -> None:
         self.log.write(log_events.LogEvent.STOPPED)
 
-    async def run(self) -> None:
-        """Monitors the server and coordinates its groups until cancelled."""
+    def background_work(self) -> dict[str, supervision.BackgroundWork]:
         config_follower = self._make_follower(wire_names.StoreTable.OPERATOR,
-                                              self._config_listener,
+                                              self.config_listener,
                                               _CONFIG_WATCH_TIMEOUT_S,
                                               _CONFIG_WATCH_PAUSE_S)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(config_follower.run())
-            group.create_task(self._config_listener.run())
-            group.create_task(self._watch.run())
-            self._follow_hosts(group)
-            group.create_task(self._rank_agent.run())
-            group.create_task(self._stall_recovery.run())
-            await self._coordinate_groups(group)
-
-    async def _coordinate_groups(self, tasks: asyncio.TaskGroup) -> None:
+        return {
+            'follow configuration': config_follower.run,
+            'apply configuration': self.config_listener.run,
+            'watch store': self.watch.run,
+            **self._host_work(), 'monitor server': self._rank_agent.run,
+            'watch stalls': self._stall_recovery.run,
+            'coordinate groups': self._coordinate_groups
+        }
+
+    async def _coordinate_groups(self) -> None:
         """Starts a candidate coordinator for each known group.
 
         Also applies changes of the engine profile to the rank's agent.
@@ -190,12 +196,14 @@
                 if group_name not in self._coordinator_by_group:
                     coordinator = self._make_coordinator(group_name)
                     self._coordinator_by_group[group_name] = coordinator
-                    tasks.create_task(coordinator.run())
+                    self._supervisor.start(f'coordinate {group_name}',
+                                           coordinator.run)
 
 
 async def run() -> None:
     """Runs an agent until SIGTERM or SIGINT."""
     settings = process_settings.load()
-    await platform_role.serve(_PlatformAgent(settings=settings),
+    await platform_role.serve(PlatformAgent(settings=settings,
+                                            time=clock.SystemClock()),
                               engine=settings.engine_address,
                               service=settings.engine_service)
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -1,21 +1,21 @@
 """Entry host process on the users' platform."""
 
-import asyncio
 import dataclasses
 import random
 from typing import Self
 
-from pollenthread.adapters import http_server, platform_metrics
+from pollenthread.adapters import clock, http_server, platform_metrics
 from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
                               evidence_store, forwarder, graceful_shutdown,
                               rate_permits, serving_state, snapshot_exchange,
-                              store_listeners, store_watch)
+                              store_listeners, store_watch, supervision)
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (process_settings, server_row, upstream_http,
                                    wire_names)
+from pollenthread.ports import clock as clock_port
 from pollenthread.roles import platform_handlers, platform_role, process
 
-__all__ = ['run']
+__all__ = ['PlatformEntry', 'run']
 
 _CONFIG_WATCH_TIMEOUT_S = 8.0
 _CONFIG_WATCH_PAUSE_S = 0.05
@@ -31,10 +31,11 @@
 _SHUTDOWN_CHECK_INTERVAL_S = 0.05
 
 
-class _PlatformEntry(platform_role.PlatformRole):
+class PlatformEntry(platform_role.PlatformRole):
     """Assembles an entry host; a context manager that owns its components."""
 
-    def __init__(self, *, settings: process_settings.ProcessSettings) -> None:
+    def __init__(self, *, settings: process_settings.ProcessSettings,
+                 time: clock_port.Clock) -> None:
         rng = random.Random(settings.host)
         super().__init__(settings=settings,
                          own_record=host_record.HostRecord(
@@ -50,7 +51,8 @@
                                  settings.retry_window_s),
                              return_s=_SERVER_RELIST_S,
                              rng=rng),
-                         rng=rng)
+                         rng=rng,
+                         time=time)
         self._server_listener = store_listeners.ServerListener(
             state=self.state,
             time=self._clock,
@@ -65,7 +67,7 @@
         self._exchange = snapshot_exchange.SnapshotExchange(
             network=self._network,
             hosts=self._host_registry,
-            config_listener=self._config_listener,
+            config_listener=self.config_listener,
             server_listener=self._server_listener,
             time=self._clock,
             log=self.log)
@@ -76,7 +78,7 @@
             seeds=settings.seeds,
             exchange=self._exchange,
             state=self.state,
-            config_listener=self._config_listener,
+            config_listener=self.config_listener,
             server_listener=self._server_listener,
             time=self._clock,
             rng=self._rng)
@@ -88,7 +90,7 @@
             exchange=self._exchange,
             network=self._network,
             state=self.state,
-            config_listener=self._config_listener,
+            config_listener=self.config_listener,
             server_listener=self._server_listener,
             region_by_data_centre=settings.region_by_data_centre,
             time=self._clock,
@@ -130,8 +132,7 @@
             request_forwarder=request_forwarder)
         self._caller_server = self._make_server(settings.caller_address,
                                                 self._caller_handler)
-        self._config_listener.applied_callbacks.append(
-            self._apply_caller_limits)
+        self.config_listener.applied_callbacks.append(self._apply_caller_limits)
         self._network.set_metrics_provider(
             platform_metrics.MetricsPageRenderer(
                 counters=self._collect_counters,
@@ -152,9 +153,10 @@
         counters.update(self._collect_peer_counters())
         counters['server_connections'] = self._server_client.connections_opened
         counters['entries_rejected'] = self._server_listener.rejected_count
-        counters['configs_rejected'] = self._config_listener.rejected_count
+        counters['configs_rejected'] = self.config_listener.rejected_count
         counters['peer_snapshots'] = self._exchange.applied_count
         counters['log_lines_dropped'] = self.log.dropped
+        counters['task_failures'] = self._supervisor.failures
         return counters
 
     def _collect_gauges(self) -> dict[str, float]:
@@ -217,26 +219,33 @@
             await self._exit_stack.enter_async_context(server)
         return self
 
-    async def run(self) -> None:
-        """Follows the store tables and the peers until cancelled."""
-        followers = (self._make_follower(wire_names.StoreTable.OPERATOR,
-                                         self._config_listener,
-                                         _CONFIG_WATCH_TIMEOUT_S,
-                                         _CONFIG_WATCH_PAUSE_S),
-                     self._make_follower(wire_names.StoreTable.SERVERS,
-                                         self._server_listener,
-                                         _SERVERS_WATCH_TIMEOUT_S,
-                                         _SERVERS_WATCH_PAUSE_S))
-        async with asyncio.TaskGroup() as group:
-            for follower in followers:
-                group.create_task(follower.run())
-            group.create_task(self._config_listener.run())
-            self._follow_hosts(group)
-            group.create_task(self._forwarder.watch_silent_servers())
-            group.create_task(self._peers.run())
-            group.create_task(self._watch.run())
-            group.create_task(self._evidence_exchange.run())
-            group.create_task(self._evidence_store.run())
+    def background_work(self) -> dict[str, supervision.BackgroundWork]:
+        config_follower = self._make_follower(wire_names.StoreTable.OPERATOR,
+                                              self.config_listener,
+                                              _CONFIG_WATCH_TIMEOUT_S,
+                                              _CONFIG_WATCH_PAUSE_S)
+        server_follower = self._make_follower(wire_names.StoreTable.SERVERS,
+                                              self._server_listener,
+                                              _SERVERS_WATCH_TIMEOUT_S,
+                                              _SERVERS_WATCH_PAUSE_S)
+        return {
+            'follow configuration':
+                config_follower.run,
+            'follow servers':
+                server_follower.run,
+            'apply configuration':
+                self.config_listener.run,
+            **self._host_work(), 'watch silent servers':
+                self._forwarder.watch_silent_servers,
+            'exchange heartbeats':
+                self._peers.run,
+            'watch store':
+                self._watch.run,
+            'exchange evidence':
+                self._evidence_exchange.run,
+            'store evidence':
+                self._evidence_store.run
+        }
 
     async def shut_down(self) -> None:
         """Announces the shutdown and waits for the running requests."""
@@ -276,6 +285,7 @@
 async def run() -> None:
     """Runs an entry host until SIGTERM or SIGINT."""
     settings = process_settings.load()
-    await platform_role.serve(_PlatformEntry(settings=settings),
+    await platform_role.serve(PlatformEntry(settings=settings,
+                                            time=clock.SystemClock()),
                               callers=settings.caller_address,
                               data_centre=settings.data_centre)
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -3,17 +3,19 @@
 import abc
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import types
 from typing import Any, Self
 
-from pollenthread.adapters import clock, http_client, json_log, peer_network
+from pollenthread.adapters import http_client, json_log, peer_network
 from pollenthread.app import (config_listeners, host_registry, serving_state,
-                              store_follower)
+                              store_follower, supervision)
 from pollenthread.core import host_record, log_events
 from pollenthread.platform import (config_document, process_settings,
                                    row_store_http, wire_names)
+from pollenthread.ports import clock as clock_port
 from pollenthread.roles import process
 
 __all__ = ['PlatformRole', 'peer_address', 'serve']
@@ -35,11 +37,13 @@
     Attributes:
         state: configuration, servers and load that the process has learned.
         log: structured log of the process.
+        config_listener: applies the configuration.
     """
 
     def __init__(self, *, settings: process_settings.ProcessSettings,
                  own_record: host_record.HostRecord,
-                 state: serving_state.ServingState, rng: random.Random) -> None:
+                 state: serving_state.ServingState, rng: random.Random,
+                 time: clock_port.Clock) -> None:
         """Initializes the components; entering the context starts them.
 
         Args:
@@ -47,14 +51,16 @@
             own_record: record under which this host is registered.
             state: serving state that configuration changes update.
             rng: random number generator, for example for retry delays.
+            time: the clock.
         """
         self._settings = settings
         self._own_record = own_record
         self.state = state
         self._rng = rng
         self._exit_stack = contextlib.AsyncExitStack()
-        self._clock = clock.SystemClock()
+        self._clock = time
         self.log = json_log.JsonLog(host=settings.host)
+        self._supervisor = supervision.TaskSupervisor(log=self.log)
         self._store_client = http_client.HttpClient(
             connect_timeout_s=_STORE_CONNECT_TIMEOUT_S)
         self._peer_client = http_client.HttpClient(
@@ -70,7 +76,7 @@
             host=settings.ip,
             port=settings.peer_ports[0])
         self._host_registry = host_registry.HostRegistry()
-        self._config_listener = config_listeners.ConfigListener(
+        self.config_listener = config_listeners.ConfigListener(
             state=state,
             time=self._clock,
             log=self.log,
@@ -108,18 +114,22 @@
                                             rng=self._rng,
                                             is_needed=lambda: self._is_watcher)
 
-    def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
-        """Starts tasks that register this host and follow the other hosts."""
+    def _host_work(self) -> dict[str, supervision.BackgroundWork]:
+        """Returns the work that registers this host and follows the others."""
         follower = self._make_follower(host_registry.HOSTS_TABLE,
                                        self._host_registry,
                                        _HOSTS_WATCH_TIMEOUT_S,
                                        _HOSTS_WATCH_PAUSE_S)
-        tasks.create_task(follower.run())
-        tasks.create_task(
-            host_registry.keep_registered(store=self._store,
-                                          time=self._clock,
-                                          registry=self._host_registry,
-                                          record=self._own_record))
+        return {
+            'follow hosts':
+                follower.run,
+            'register':
+                functools.partial(host_registry.keep_registered,
+                                  store=self._store,
+                                  time=self._clock,
+                                  registry=self._host_registry,
+                                  record=self._own_record)
+        }
 
     def _collect_peer_counters(self) -> dict[str, float]:
         """Returns the bytes sent to and received from peers by message kind."""
@@ -135,8 +145,15 @@
         }
 
     @abc.abstractmethod
+    def background_work(self) -> dict[str, supervision.BackgroundWork]:
+        """Returns the background tasks of the process, by name."""
+
     async def run(self) -> None:
-        """Runs the tasks of the process until cancelled."""
+        """Runs the background tasks until cancelled."""
+        async with self._supervisor:
+            for name, work in self.background_work().items():
+                self._supervisor.start(name, work)
+            await self._supervisor.wait()
 
     @abc.abstractmethod
     async def shut_down(self) -> None:
