Tie what is known of a server to its run

The mark now belongs to a start time, told by id or address; entries and load reports of earlier runs change nothing, and failures end with the run. A server whose entry is missing after an outage keeps its request rate limit and load while it goes on being used.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -204,7 +204,7 @@
             self._record_limit(server, response)
             self._record_statement(server, response)
             if response.is_misdirected:
-                self._state.server_registry.mark_replaced(server.id)
+                self._state.server_registry.mark_ended(server)
             if not response.may_have_executed:
                 self._record_failure(pending,
                                      f'not run, {response.status}',
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -167,12 +167,11 @@
         decoded = [self._decode_row(row) for row in rows]
         servers = [server for server in decoded if server is not None]
         now = self._clock.monotonic()
-        known_ids = set(self._state.server_registry.listed_by_id)
+        known_by_id = dict(self._state.server_registry.listed_by_id)
         for server_id in self._state.server_registry.replace_all(servers, now):
-            self._log_gone(server_id)
+            self._record_removal(server_id)
         for server in servers:
-            if server.id not in known_ids:
-                self._log_listed(server)
+            self._record_entry(known_by_id.get(server.id), server)
         self._notify()
 
     def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
@@ -217,9 +216,17 @@
         if before == server:
             return
         self._state.server_registry.put(server)
+        self._record_entry(before, server)
+
+    def _record_entry(self, before: server_registry.Server | None,
+                      server: server_registry.Server) -> None:
+        """Records the difference between an entry and the one before."""
         if before is None:
             self._log_listed(server)
-        elif before.state is not server.state:
+            return
+        if before.born_ms < server.born_ms:
+            self._state.server_loads.record_restart(server.id)
+        if before.state is not server.state:
             self._log.write(log_events.LogEvent.SERVER_DRAINING,
                             server=server.id,
                             state=server.state.value)
@@ -228,6 +235,10 @@
         if server_id not in self._state.server_registry.listed_by_id:
             return
         self._state.server_registry.remove(server_id, self._clock.monotonic())
+        self._record_removal(server_id)
+
+    def _record_removal(self, server_id: str) -> None:
+        """Forgets a server unless it goes on being used without its entry."""
         if self._state.server_registry.get(server_id) is None:
             self._log_gone(server_id)
 
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -109,6 +109,11 @@
         """Removes a server that no longer exists."""
         self._load_by_id.pop(server_id, None)
 
+    def record_restart(self, server_id: str) -> None:
+        """Forgets what is known of a server, except for requests under way."""
+        own = self.own_requests(server_id)
+        self._load_by_id[server_id] = _TrackedLoad(own=own, change=own)
+
     def record_report(self, server_id: str, report: ServerLoadReport,
                       now: float) -> None:
         """Records a load report of a server."""
--- a/pollenthread/core/server_registry.py
+++ b/pollenthread/core/server_registry.py
@@ -9,6 +9,9 @@
 After the store has come back from an older copy, its list may lack servers that
 have joined since and contain servers that have left. The former stay usable for
 the time in which they are listed again, the latter are not used meanwhile.
+
+A server may start again under its id. Its agent may tell that before its entry
+does; then it is not used until the entry tells the later start too.
 """
 
 import collections
@@ -69,7 +72,10 @@
         self._expired_by_id: dict[str, Server] = {}
         self._outage_ended_at: float | None = None
         self._in_outage = False
-        self._replaced: set[str] = set()
+        # The latest start of a server that is known to have ended, and the
+        # latest one that was told by the agent at an address.
+        self._ended_born_ms_by_id: dict[str, int] = {}
+        self._told_born_ms_by_address: dict[str, int] = {}
         self._restored_at: float | None = None
         # Start times of servers that drained or left, the latest last.
         self._departed_born_ms_by_id: collections.OrderedDict[
@@ -129,7 +135,10 @@
         return removed
 
     def put(self, server: Server) -> None:
-        """Adds or updates a listed server."""
+        """Adds or updates a listed server, unless its entry is outdated."""
+        known = self.get(server.id)
+        if known is not None and 0 < server.born_ms < known.born_ms:
+            return
         self._expired_by_id.pop(server.id, None)
         self._listed_by_id[server.id] = server
         if server.state is ServerState.DRAINING:
@@ -141,14 +150,19 @@
     def remove(self, server_id: str, now: float) -> None:
         """Removes a server from the list."""
         server = self._listed_by_id.pop(server_id, None)
-        self._replaced.discard(server_id)
         self._invalidate_indexes()
         if server is None:
             return
         if self._may_have_expired_wrongly(server, now):
             self._expired_by_id[server_id] = server
         else:
-            self._record_departure(server)
+            self._forget(server)
+
+    def _forget(self, server: Server) -> None:
+        """Forgets a server that has left."""
+        self._record_departure(server)
+        self._ended_born_ms_by_id.pop(server.id, None)
+        self._told_born_ms_by_address.pop(server.address, None)
 
     def drop_expired(self, now: float) -> list[str]:
         """Drops expired servers that were not listed again in time.
@@ -168,19 +182,28 @@
             return []
         expired = list(self._expired_by_id)
         for server in self._expired_by_id.values():
-            self._record_departure(server)
+            self._forget(server)
         self._expired_by_id.clear()
         self._invalidate_indexes()
         return expired
 
-    def mark_replaced(self, server_id: str) -> None:
-        """Marks a server as ended because another one uses its address.
+    def mark_ended(self, server: Server) -> None:
+        """Marks a run of a server as ended because another uses its address.
 
-        Its entry stays in the store until its heartbeats time out.
+        Its entry stays in the store until its heartbeats time out, or a later
+        run writes it again.
         """
-        self._replaced.add(server_id)
+        if self.get(server.id) is None:
+            return
+        known_ms = self._ended_born_ms_by_id.get(server.id, 0)
+        self._ended_born_ms_by_id[server.id] = max(known_ms, server.born_ms)
         self._invalidate_indexes()
 
+    def _has_ended(self, server: Server) -> bool:
+        ended_ms = self._ended_born_ms_by_id.get(server.id, -1)
+        told_ms = self._told_born_ms_by_address.get(server.address, 0)
+        return server.born_ms <= ended_ms or 0 < server.born_ms < told_ms
+
     def record_start(self, address: str, born_ms: int) -> Server | None:
         """Records the start time of the server at an address.
 
@@ -190,13 +213,16 @@
 
         Returns:
             The listed server, or None if no server is listed with the address
-            or the listed one was replaced by a newer one.
+            or the start is that of an earlier or a later run.
         """
         server = self.get_by_address(address)
-        if server is not None and 0 < server.born_ms < born_ms:
-            self.mark_replaced(server.id)
-            return None
-        return server
+        if server is None or not server.born_ms or not born_ms:
+            return server
+        if server.born_ms < born_ms:
+            self._told_born_ms_by_address[address] = max(
+                born_ms, self._told_born_ms_by_address.get(address, 0))
+            self._invalidate_indexes()
+        return server if server.born_ms == born_ms else None
 
     def get(self, server_id: str) -> Server | None:
         """Returns a server that is listed or may be listed again."""
@@ -234,7 +260,7 @@
         for server in known:
             newest_ms = newest_ms_by_endpoint[server.service, server.address]
             if (server.state is ServerState.READY and
-                    server.id not in self._replaced and
+                    not self._has_ended(server) and
                     not self._is_held(server) and
                     not 0 < server.born_ms < newest_ms):
                 found.setdefault(server.service, []).append(server)
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -69,7 +69,7 @@
 
 @when('another server responds at the address of "{name}"')
 def step_address_reused(context: Any, name: str) -> None:
-    context.registry.mark_replaced(name)
+    context.registry.mark_ended(context.registry.get(name))
 
 
 @when('"{name}" is listed at the address of "{old}" with start time '
