Ignore late responses of the store; survive an early SIGHUP

Rows older than what a peer told since the call began are left out, a read in several calls has the version of its first one, and SIGHUP is remembered from before the imports until the role handles it.

--- a/pollenthread/__main__.py
+++ b/pollenthread/__main__.py
@@ -10,6 +10,8 @@
     """
     # pylint: disable=import-outside-toplevel
     if sys.argv[1:2] == ['platform']:
+        from pollenthread.roles import reload_signal
+        reload_signal.PENDING.listen()
         from pollenthread.cli import platform_main
         platform_main.run(sys.argv[2:])
     else:
--- a/pollenthread/app/store_follower.py
+++ b/pollenthread/app/store_follower.py
@@ -141,8 +141,11 @@
             return row_store.StoreError.HISTORY_LOST
         if found.version >= after:
             self.version = found.version
-            if found.changes:
-                self._listener.on_changes(found.changes)
+            # Peers may have told of later changes since the call began.
+            known = self._listener.known_version
+            changes = [row for row in found.changes if row.version > known]
+            if changes:
+                self._listener.on_changes(changes)
             self._listener.on_contact(found.version)
         return None
 
@@ -152,8 +155,8 @@
         if isinstance(response, result.Err):
             return self._handle_error(response.err_value)
         found = response.ok_value
-        if found.version.era < self._listener.known_version.era:
-            # A peer has told of a later era since the call began.
+        if found.version < self._listener.known_version:
+            # A peer has told of later content since the call began.
             return row_store.StoreError.HISTORY_LOST
         self.version = found.version
         self._listener.on_full_read(found.changes, found.version)
--- a/pollenthread/platform/row_store_http.py
+++ b/pollenthread/platform/row_store_http.py
@@ -66,7 +66,8 @@
     ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
         changes: list[row_store.RowChange] = []
         first_key = ''
-        era: int | None = None
+        # Changes between two calls are read again, as changes after this one.
+        version: store_version.StoreVersion | None = None
         while True:
             query = {'table': table, 'part': ''}
             if first_key:
@@ -75,13 +76,12 @@
             if isinstance(response, result.Err):
                 return result.Err(response.err_value)
             page = response.ok_value
-            if era not in (None, page.version.era):
+            version = version or page.version
+            if version.era != page.version.era:
                 return result.Err(row_store.StoreError.HISTORY_LOST)
-            era = page.version.era
             changes += page.changes
             if not page.has_more or not page.changes:
-                return result.Ok(
-                    row_store.RowChanges(tuple(changes), page.version))
+                return result.Ok(row_store.RowChanges(tuple(changes), version))
             first_key = page.changes[-1].key + '\0'
 
     async def watch(
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -14,7 +14,7 @@
 from pollenthread.core import host_record, log_events
 from pollenthread.platform import (config_document, process_settings,
                                    row_store_http, wire_names)
-from pollenthread.roles import process
+from pollenthread.roles import process, reload_signal
 
 __all__ = ['PlatformRole', 'peer_address', 'serve']
 
@@ -159,6 +159,8 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, role.reload)
         role.log.write(log_events.LogEvent.STARTED, **started_fields)
+        if reload_signal.PENDING.take():
+            role.reload()
         run_task = asyncio.create_task(role.run())
         stop_task = asyncio.create_task(stop_signal.graceful.wait())
         await asyncio.wait((run_task, stop_task),
