Empty a data centre when an operator asks for it

The list of emptied data centres comes with the operator's table to the watchers and with every heartbeat to all others; the greatest version of the store holds. A host is ready once it knows the list, and keeps what a restored store has lost for 8 s. Servers of an emptied data centre are no candidates; waiting work that may be repeated is recalled while a server elsewhere has room. Agents report to the hosts that need their servers then.

--- /dev/null
+++ b/pollenthread/app/data_centres/__init__.py
@@ -0,0 +1,1 @@
+"""Applies the requests of operators for whole data centres."""
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -13,6 +13,8 @@
 from pollenthread.app import (config_listeners, entry_liveness, host_registry,
                               serving_state, snapshot_exchange, store_listeners,
                               store_watch)
+from pollenthread.app.data_centres import (evacuation_listener as
+                                           evacuation_listeners)
 from pollenthread.core import (host_record, membership, peer_messages,
                                report_throttle, server_load)
 from pollenthread.ports import clock, peers
@@ -39,6 +41,7 @@
                  network: peers.PeerNetwork, state: serving_state.ServingState,
                  config_listener: config_listeners.ConfigListener,
                  server_listener: store_listeners.ServerListener,
+                 evacuation_listener: evacuation_listeners.EvacuationListener,
                  region_by_data_centre: Mapping[str, str], time: clock.Clock,
                  rng: random.Random) -> None:
         self._own = own
@@ -49,6 +52,7 @@
         self._network = network
         self._state = state
         self._server_listener = server_listener
+        self._evacuation_listener = evacuation_listener
         self._region_by_data_centre = region_by_data_centre
         self._clock = time
         self._rng = rng
@@ -64,12 +68,14 @@
         network.set_snapshot_provider(exchange.make_snapshot)
         config_listener.applied_callbacks.append(lambda _: self._news.set())
         server_listener.changed_callbacks.append(self._news.set)
+        evacuation_listener.changed_callbacks.append(lambda _: self._news.set())
 
     async def run(self) -> None:
         """Sends heartbeats until cancelled; at once when the store changed."""
         while True:
             self._liveness.drop_silent_hosts()
             self._watch.update()
+            self._evacuation_listener.drop_expired()
             self.send_heartbeat()
             self._send_usable_hosts()
             try:
@@ -83,15 +89,17 @@
 
     def _on_heartbeat(self, heartbeat: peer_messages.EntryBeat) -> None:
         self._liveness.record_heartbeat(heartbeat)
+        self._evacuation_listener.record_heartbeat(heartbeat)
         self._watch.on_heartbeat(heartbeat)
 
     def send_heartbeat(self) -> None:
         """Sends a heartbeat to the hosts that listen to this one."""
-        heartbeat = self._make_heartbeat()
+        heartbeat = self._evacuation_listener.add_to_heartbeat(
+            self._make_heartbeat())
         self._network.send_all(
             (record.peer_address for record in self._listeners()), heartbeat)
         content = (heartbeat.config_version, heartbeat.hosts_era,
-                   heartbeat.hosts_changed)
+                   heartbeat.hosts_changed, heartbeat.evacuated)
         if self._watch.is_watcher and self._agents_throttle.is_due(
                 content,
                 self._clock.monotonic(),
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -7,6 +7,7 @@
 from pollenthread.app import (graceful_shutdown, pending_attempt, poison_guard,
                               rate_permits, request_admission, request_job,
                               server_selector, serving_state)
+from pollenthread.app.data_centres import attempt_recall
 from pollenthread.core import (caller_request, crash_evidence, errors,
                                log_events, resumable_events, routing_config,
                                server_registry)
@@ -53,6 +54,11 @@
                                                                time=time,
                                                                log=log,
                                                                rng=state.rng)
+        self._recall = attempt_recall.AttemptRecall(
+            state=state,
+            may_retry=self._may_retry,
+            has_room=self._server_selector.has_room,
+            time=time)
         self._guard = poison_guard.PoisonGuard(evidence=state.evidence_log,
                                                upstream_client=upstream_client,
                                                registry=state.server_registry,
@@ -167,12 +173,15 @@
     async def watch_silent_servers(self) -> None:
         """Ends attempts at servers that are as silent as their agents.
 
+        Also recalls attempts from data centres that have been emptied.
+
         Runs until cancelled. An attempt is ended only when its request may be
         retried on another server. Missing load reports alone do not end it: the
         server may be working while its agent restarts or cannot be heard.
         """
         while True:
             await self._clock.sleep(_SILENCE_CHECK_INTERVAL_S)
+            self._recall.recall(list(self._pending_attempts))
             now = self._clock.monotonic()
             for pending in list(self._pending_attempts):
                 if (self._state.server_loads.is_report_overdue(
--- a/pollenthread/app/load_reporter.py
+++ b/pollenthread/app/load_reporter.py
@@ -5,6 +5,7 @@
 from pollenthread.app import host_registry
 from pollenthread.core import (host_record, load_audience, peer_messages,
                                report_throttle)
+from pollenthread.core.routing import evacuations as evacuations_module
 from pollenthread.ports import clock, peers
 
 __all__ = ['LoadReporter']
@@ -18,15 +19,17 @@
     """Sends load reports; changed ones sooner than others."""
 
     def __init__(self, *, own: host_record.HostRecord,
-                 hosts: host_registry.HostRegistry, network: peers.PeerNetwork,
-                 time: clock.Clock) -> None:
+                 hosts: host_registry.HostRegistry,
+                 evacuations: evacuations_module.Evacuations,
+                 network: peers.PeerNetwork, time: clock.Clock) -> None:
         self._own = own
         self._hosts = hosts
+        self._evacuations = evacuations
         self._network = network
         self._clock = time
         self._throttle = report_throttle.ReportThrottle()
         self._audience: list[str] = []
-        self._audience_revision = -1
+        self._audience_basis: tuple[int, frozenset[str]] | None = None
 
     def report(self, load: peer_messages.ServerLoad) -> None:
         """Sends a report if one is due."""
@@ -40,8 +43,9 @@
 
     def _addresses(self) -> list[str]:
         """Returns the addresses of the entry hosts that follow this server."""
-        if self._audience_revision != self._hosts.revision:
-            self._audience_revision = self._hosts.revision
+        basis = (self._hosts.revision, self._evacuations.data_centres)
+        if self._audience_basis != basis:
+            self._audience_basis = basis
             self._audience = self._find_audience()
         return self._audience
 
@@ -49,7 +53,8 @@
         servers = collections.Counter(
             record.data_centre
             for record in self._hosts.with_role(host_record.Role.AGENT)
-            if record.service == self._own.service)
+            if record.service == self._own.service and
+            record.data_centre not in self._evacuations.data_centres)
         servers[self._own.data_centre] = max(1, servers[self._own.data_centre])
         entries = self._hosts.with_role(host_record.Role.ENTRY)
         following = {
--- a/pollenthread/app/pending_attempt.py
+++ b/pollenthread/app/pending_attempt.py
@@ -27,7 +27,8 @@
         timeout: the timeout that ends the attempt.
         progressed_at: monotonic seconds of the last event, or of the start.
         stage: how much of the response has arrived.
-        is_recalled: whether this host ended the attempt because of its prompt.
+        is_recalled: whether this host ended the attempt because of its prompt,
+            or to place it elsewhere.
     """
 
     job: request_job.RequestJob
@@ -45,6 +46,12 @@
         """Returns whether the server has sent nothing for some time."""
         return now - self.progressed_at > _SILENT_ATTEMPT_S
 
+    def recall(self, now: float) -> None:
+        """Ends the attempt, unless it is about to end."""
+        if not self.timeout.expired():
+            self.is_recalled = True
+            self.timeout.reschedule(now)
+
     async def next_chunk(self, body: AsyncIterator[bytes]) -> bytes | None:
         """Returns the next bytes of a stream, or None at its end.
 
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -12,6 +12,7 @@
                               load_reporter, map_relay, order_receiver)
 from pollenthread.core import (host_record, log_events, peer_messages,
                                report_throttle)
+from pollenthread.core.routing import evacuations as evacuations_module
 from pollenthread.ports import clock, event_log, peers, rank_server
 
 __all__ = ['RankAgent']
@@ -65,9 +66,11 @@
     def __init__(self, *, own: host_record.HostRecord, slots: int,
                  server: rank_server.RankServer,
                  hosts: host_registry.HostRegistry,
-                 registry: group_view.GroupRegistry, network: peers.PeerNetwork,
-                 link_bytes_per_s: float, time: clock.Clock,
-                 log: event_log.EventLog, rng: random.Random) -> None:
+                 registry: group_view.GroupRegistry,
+                 evacuations: evacuations_module.Evacuations,
+                 network: peers.PeerNetwork, link_bytes_per_s: float,
+                 time: clock.Clock, log: event_log.EventLog,
+                 rng: random.Random) -> None:
         """Initializes an agent that has not polled the server.
 
         Args:
@@ -76,6 +79,7 @@
             server: the client of the model server on this host.
             hosts: the hosts of the deployment.
             registry: the known state of all groups.
+            evacuations: the data centres that operators have emptied.
             network: sends messages to other hosts and serves their queries.
             link_bytes_per_s: the bandwidth of this host's link.
             time: the clock.
@@ -96,10 +100,12 @@
         self._pass_stats = _PassStats(began_at=time.monotonic())
         self._log = log
         self.experts_per_set = 0
-        self._load_reporter = load_reporter.LoadReporter(own=own,
-                                                         hosts=hosts,
-                                                         network=network,
-                                                         time=time)
+        self._load_reporter = load_reporter.LoadReporter(
+            own=own,
+            hosts=hosts,
+            evacuations=evacuations,
+            network=network,
+            time=time)
         self._state_throttle = report_throttle.ReportThrottle()
         self._broadcast_throttle = report_throttle.ReportThrottle()
         self._choice_reporter = choice_reporter.ChoiceReporter(
--- a/pollenthread/app/request_admission.py
+++ b/pollenthread/app/request_admission.py
@@ -35,7 +35,7 @@
                 accept the request.
         """
         config = self._state.config
-        if config is None:
+        if config is None or not self._state.is_configured:
             raise request_job.RequestFailed(
                 errors.make_failure(errors.ErrorKind.STALE_CONFIGURATION))
         route = routing_config.find_route(config, request.host, request.path)
--- a/pollenthread/app/routing/usable_servers.py
+++ b/pollenthread/app/routing/usable_servers.py
@@ -16,6 +16,7 @@
 class Unusable(enum.Enum):
     """Why a listed server gets no new request now."""
 
+    EVACUATED = 'an operator has emptied its data centre'
     PAUSED = 'it wants no request now, or leaves'
     NO_PERMIT = 'its request rate is used up'
 
@@ -33,9 +34,17 @@
         """Returns the servers that accept requests, with a permit or without.
         """
         now = self._clock.monotonic()
-        return tuple(
-            server for server in self._state.server_registry.ready(service)
-            if self._state.server_statements.accepts(server, now))
+        return tuple(server for server in self.outside_evacuations(service)
+                     if self._state.server_statements.accepts(server, now))
+
+    def outside_evacuations(self,
+                            service: str) -> tuple[server_registry.Server, ...]:
+        """Returns the listed servers whose data centres are not emptied."""
+        listed = self._state.server_registry.ready(service)
+        emptied = self._state.evacuations.data_centres
+        if not emptied:
+            return listed
+        return tuple(s for s in listed if s.data_centre not in emptied)
 
     def permitted(self, service: str) -> list[server_registry.Server]:
         """Returns the servers for which a permit may be available now."""
@@ -69,6 +78,8 @@
     def reason_against(self, server: server_registry.Server) -> Unusable | None:
         """Returns why a listed server gets no new request now, or None."""
         now = self._clock.monotonic()
+        if server.data_centre in self._state.evacuations.data_centres:
+            return Unusable.EVACUATED
         if not self._state.server_statements.accepts(server, now):
             return Unusable.PAUSED
         if self._permits.available_at(server) > now:
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -78,7 +78,7 @@
     def _rejection(self, job: request_job.RequestJob) -> errors.Failure:
         """Returns the failure for a request that no server can take now."""
         now = self._clock.monotonic()
-        listed = self._state.server_registry.ready(job.service)
+        listed = self._usable.outside_evacuations(job.service)
         statements = self._state.server_statements
         if any(statements.accepts(server, now) for server in listed):
             return job.rejection(errors.ErrorKind.OVERLOADED, now)
@@ -172,6 +172,15 @@
                     return self._selected(job, server)
         return None
 
+    def has_room(self, job: request_job.RequestJob) -> bool:
+        """Returns whether a server has a slot that no other request needs."""
+        now = self._clock.monotonic()
+        return (job.deadline - now > _MIN_TIME_LEFT_S and self._try_select(
+            job,
+            self._usable.permitted(job.service),
+            now,
+            reserved_share=_RESERVED_SLOT_SHARE) is not None)
+
     def _selected(
             self, job: request_job.RequestJob,
             server: server_registry.Server | None
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -6,6 +6,7 @@
 from pollenthread.app import evidence_log
 from pollenthread.core import (retry_budget, routing_config, server_limits,
                                server_load, server_registry, server_statements)
+from pollenthread.core.routing import evacuations
 
 __all__ = ['RetryBudgetSettings', 'ServingState']
 
@@ -38,6 +39,7 @@
         server_loads: the load of each server.
         server_limits: the request rates that servers accept.
         server_statements: which servers have said that they want no request.
+        evacuations: the data centres that operators have emptied.
         entry_host_count: the number of registered entry hosts, including this
             one.
         shutdown_began_at: monotonic seconds at which a graceful shutdown began,
@@ -55,6 +57,7 @@
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
         self.server_limits = server_limits.RateLimits()
         self.server_statements = server_statements.ServerStatements()
+        self.evacuations = evacuations.Evacuations()
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
         self.evidence_log = evidence_log.EvidenceLog(
@@ -84,5 +87,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should connect to this host."""
-        return (self.config is not None and self.shutdown_began_at is None and
+        return (self.is_configured and self.shutdown_began_at is None and
                 bool(self.server_registry.listed_by_id))
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether this host knows what operators want of it."""
+        return self.config is not None and self.evacuations.is_known
--- a/pollenthread/core/load_audience.py
+++ b/pollenthread/core/load_audience.py
@@ -24,7 +24,7 @@
     Args:
         own: the data centre of the host.
         server_count_by_data_centre: the number of servers of a service in each
-            data centre.
+            data centre, without those that get no requests.
     """
     others = sorted(server_count_by_data_centre.keys() - {own})
     ring = [
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -48,6 +48,12 @@
                     'server or a peer.')
     SERVER_ENTRY_REJECTED = ('server_entry_rejected', 'An entry of the list '
                              'could not be read and is ignored.')
+    DATA_CENTRE_EMPTIED = ('data_centre_emptied', 'The servers of a data '
+                           'centre get no new requests from this host, since '
+                           'an operator has emptied it; `source` is the store '
+                           'or the peer that told it.')
+    DATA_CENTRE_RESTORED = ('data_centre_restored', 'The servers of a data '
+                            'centre that was emptied may get requests again.')
     PEER_FOUND = ('peer_found', 'Another entry host was detected.')
     PEER_SILENT = ('peer_silent', 'Heartbeats of another entry host stopped.')
     PEER_SNAPSHOT = ('peer_snapshot',
--- a/pollenthread/core/retry_budget.py
+++ b/pollenthread/core/retry_budget.py
@@ -47,14 +47,18 @@
             now: monotonic seconds.
             entry_host_count: number of entry hosts that share the budget.
         """
-        self._drop_old_buckets(now)
-        allowed = (self._ratio * self._requests_by_bucket.total() +
-                   math.floor(self._extra / max(1, entry_host_count)))
-        if self._retries_by_bucket.total() + 1 > allowed:
+        if not self.allows(now, entry_host_count):
             return False
         self._retries_by_bucket[self._bucket_of(now)] += 1
         return True
 
+    def allows(self, now: float, entry_host_count: int) -> bool:
+        """Returns whether the budget has a retry left, without taking it."""
+        self._drop_old_buckets(now)
+        allowed = (self._ratio * self._requests_by_bucket.total() +
+                   math.floor(self._extra / max(1, entry_host_count)))
+        return self._retries_by_bucket.total() + 1 <= allowed
+
     def _bucket_of(self, now: float) -> int:
         return math.floor(now / self._bucket_s)
 
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -53,7 +53,7 @@
             time=self._clock,
             rng=rng)
         self._network.set_datagram_handler(peer_messages.EntryBeat,
-                                           self._watch.on_heartbeat)
+                                           self._on_heartbeat)
         self._group_registry = group_view.GroupRegistry(network=self._network,
                                                         time=self._clock)
         self._rank_agent = rank_agent.RankAgent(
@@ -62,6 +62,7 @@
             server=self._make_rank_server(settings.engine_address),
             hosts=self._host_registry,
             registry=self._group_registry,
+            evacuations=self.state.evacuations,
             network=self._network,
             link_bytes_per_s=settings.link_bytes_per_s,
             time=self._clock,
@@ -86,6 +87,10 @@
     def _is_watcher(self) -> bool:
         return self._watch.is_watcher
 
+    def _on_heartbeat(self, heartbeat: peer_messages.EntryBeat) -> None:
+        self._evacuation_listener.record_heartbeat(heartbeat)
+        self._watch.on_heartbeat(heartbeat)
+
     def _collect_counters(self) -> dict[str, float]:
         """Returns the cost of load balancing between ranks, over all groups."""
         counters = self._collect_peer_counters()
@@ -163,7 +168,7 @@
     async def run(self) -> None:
         """Monitors the server and coordinates its groups until cancelled."""
         config_follower = self._make_follower(wire_names.StoreTable.OPERATOR,
-                                              self._config_listener,
+                                              self._operator_listener,
                                               _CONFIG_WATCH_TIMEOUT_S,
                                               _CONFIG_WATCH_PAUSE_S)
         async with asyncio.TaskGroup() as group:
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -25,6 +25,8 @@
 _SERVERS_WATCH_PAUSE_S = 0.2
 # Time after an outage of the store within which live servers are listed again.
 _SERVER_RELIST_S = 2.2
+# Time in which peers tell a host what operators have emptied.
+_MAX_UNINFORMED_S = 1.0
 _ADDRESS_TTL_S = 1.0
 # Some callers cache the address list for three times its time to live.
 _CALLER_CACHE_FACTOR = 3
@@ -69,6 +71,7 @@
             server_listener=self._server_listener,
             time=self._clock,
             log=self.log)
+        self._started_at = self._clock.monotonic()
         self._watch = store_watch.EntryStoreWatch(
             own=self._own_record,
             hosts=self._host_registry,
@@ -90,6 +93,7 @@
             state=self.state,
             config_listener=self._config_listener,
             server_listener=self._server_listener,
+            evacuation_listener=self._evacuation_listener,
             region_by_data_centre=settings.region_by_data_centre,
             time=self._clock,
             rng=self._rng)
@@ -142,6 +146,14 @@
     def _is_watcher(self) -> bool:
         return self._watch.is_watcher
 
+    def _must_follow(self, table: str) -> bool:
+        # Peers of an earlier release do not tell what operators have emptied.
+        is_uninformed = (not self.state.evacuations.is_known and
+                         self._clock.monotonic() - self._started_at
+                         > _MAX_UNINFORMED_S)
+        return super()._must_follow(table) or (
+            table == wire_names.StoreTable.OPERATOR and is_uninformed)
+
     def _collect_counters(self) -> dict[str, float]:
         counters: dict[str, float] = {
             f'requests_{name}': count
@@ -220,7 +232,7 @@
     async def run(self) -> None:
         """Follows the store tables and the peers until cancelled."""
         followers = (self._make_follower(wire_names.StoreTable.OPERATOR,
-                                         self._config_listener,
+                                         self._operator_listener,
                                          _CONFIG_WATCH_TIMEOUT_S,
                                          _CONFIG_WATCH_PAUSE_S),
                      self._make_follower(wire_names.StoreTable.SERVERS,
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -9,11 +9,12 @@
 from typing import Any, Self
 
 from pollenthread.adapters import clock, http_client, json_log, peer_network
-from pollenthread.app import (config_listeners, host_registry, serving_state,
-                              store_follower)
+from pollenthread.app import (config_listeners, host_registry, listener_group,
+                              serving_state, store_follower)
+from pollenthread.app.data_centres import evacuation_listener
 from pollenthread.core import host_record, log_events
-from pollenthread.platform import (config_document, process_settings,
-                                   row_store_http, wire_names)
+from pollenthread.platform import (config_document, evacuation_row,
+                                   process_settings, row_store_http, wire_names)
 from pollenthread.roles import process, reload_signal
 
 __all__ = ['PlatformRole', 'peer_address', 'serve']
@@ -77,6 +78,13 @@
             table=wire_names.StoreTable.OPERATOR,
             key=wire_names.StoreTable.CONFIG_KEY,
             decoder=config_document.ConfigDocumentDecoder())
+        self._evacuation_listener = evacuation_listener.EvacuationListener(
+            state=state,
+            time=self._clock,
+            log=self.log,
+            decode_key=evacuation_row.decode_key)
+        self._operator_listener = listener_group.ListenerGroup(
+            listeners=(self._config_listener, self._evacuation_listener))
 
     async def __aenter__(self) -> Self:
         await self._exit_stack.__aenter__()
@@ -99,14 +107,20 @@
     def _make_follower(self, table: str, listener: store_follower.TableListener,
                        wait_s: float,
                        pause_s: float) -> store_follower.StoreFollower:
-        return store_follower.StoreFollower(store=self._store,
-                                            table=table,
-                                            listener=listener,
-                                            time=self._clock,
-                                            wait_s=wait_s,
-                                            pause_s=pause_s,
-                                            rng=self._rng,
-                                            is_needed=lambda: self._is_watcher)
+        return store_follower.StoreFollower(
+            store=self._store,
+            table=table,
+            listener=listener,
+            time=self._clock,
+            wait_s=wait_s,
+            pause_s=pause_s,
+            rng=self._rng,
+            is_needed=lambda: self._must_follow(table))
+
+    def _must_follow(self, table: str) -> bool:
+        """Returns whether this host has to follow a table itself now."""
+        del table
+        return self._is_watcher
 
     def _follow_hosts(self, tasks: asyncio.TaskGroup) -> None:
         """Starts tasks that register this host and follow the other hosts."""
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -18,9 +18,12 @@
 from pollenthread.adapters import peer_codec
 from pollenthread.app import (config_listeners, entry_liveness, entry_peers,
                               evidence_exchange, evidence_store, host_registry,
-                              rate_permits, serving_state, snapshot_exchange,
-                              store_follower, store_listeners, store_watch)
+                              listener_group, rate_permits, serving_state,
+                              snapshot_exchange, store_follower,
+                              store_listeners, store_watch)
+from pollenthread.app.data_centres import evacuation_listener
 from pollenthread.core import host_record, peer_messages, server_registry
+from pollenthread.platform import evacuation_row
 from pollenthread.ports import peers
 from tests.fakes import (config_versions, fleet_links, fleet_store, memory,
                          virtual_time)
@@ -163,6 +166,7 @@
         host_by_name: the entry hosts.
         agent_by_name: the agents.
         links: the links of all hosts; None if data arrives at once.
+        lost_every: the inverse share of datagrams that are lost; 0 for none.
         datagrams: the number of delivered datagrams.
         fetches: the number of snapshots, by whether they came from the own data
             centre.
@@ -179,6 +183,7 @@
         self.host_by_name: dict[str, EntryHost] = {}
         self.agent_by_name: dict[str, AgentHost] = {}
         self.links = links
+        self.lost_every = 0
         self.datagrams = 0
         self.fetches: collections.Counter[bool] = collections.Counter()
         self.log = memory.CountingEventLog()
@@ -225,6 +230,12 @@
                                                  log=log,
                                                  table=SERVERS_TABLE,
                                                  decode=_decode_server)
+        evacuations = evacuation_listener.EvacuationListener(
+            state=state,
+            time=time,
+            log=log,
+            decode_key=evacuation_row.decode_key)
+        operator = listener_group.ListenerGroup(listeners=(config, evacuations))
         liveness = entry_liveness.EntryLiveness(own=record,
                                                 hosts=hosts,
                                                 state=state,
@@ -256,16 +267,10 @@
                                        state=state,
                                        config_listener=config,
                                        server_listener=servers,
+                                       evacuation_listener=evacuations,
                                        region_by_data_centre={},
                                        time=time,
                                        rng=rng)
-        evidence = evidence_exchange.EvidenceExchange(
-            own=record,
-            liveness=liveness,
-            network=network,
-            evidence=state.evidence_log,
-            time=time,
-            rng=rng)
         permits = rate_permits.SharedRatePermits(own=record,
                                                  liveness=liveness,
                                                  network=network,
@@ -273,12 +278,6 @@
                                                  time=time,
                                                  log=log)
         store = self.store.client(record.host)
-        stored_evidence = evidence_store.EvidenceStore(
-            store=store,
-            evidence=state.evidence_log,
-            is_watcher=lambda: watch.is_watcher,
-            store_era=lambda: servers.version.era,
-            time=time)
         followers = [
             store_follower.StoreFollower(store=store,
                                          table=table,
@@ -288,7 +287,7 @@
                                          pause_s=0.2,
                                          rng=rng,
                                          is_needed=lambda: watch.is_watcher)
-            for table, listener, wait_s in ((CONFIG_TABLE, config, 8.0),
+            for table, listener, wait_s in ((CONFIG_TABLE, operator, 8.0),
                                             (SERVERS_TABLE, servers,
                                              1.5), (host_registry.HOSTS_TABLE,
                                                     hosts, 20.0))
@@ -298,8 +297,17 @@
             config.run(),
             watch.run(),
             entry.run(),
-            evidence.run(),
-            stored_evidence.run(),
+            evidence_exchange.EvidenceExchange(own=record,
+                                               liveness=liveness,
+                                               network=network,
+                                               evidence=state.evidence_log,
+                                               time=time,
+                                               rng=rng).run(),
+            evidence_store.EvidenceStore(store=store,
+                                         evidence=state.evidence_log,
+                                         is_watcher=lambda: watch.is_watcher,
+                                         store_era=lambda: servers.version.era,
+                                         time=time).run(),
             host_registry.keep_registered(store=store,
                                           time=time,
                                           registry=hosts,
@@ -418,6 +426,8 @@
         """Delivers a datagram after a short delay."""
         if source in self._frozen_addresses:
             return
+        if self.lost_every and not self._rng.randrange(self.lost_every):
+            return
         delay_s = _DATAGRAM_DELAY_S
         if self.links is not None:
             delay_s = self.links.transmit(source, target, len(data))
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -7,7 +7,7 @@
 from pollenthread.app import (forwarder, graceful_shutdown, rate_permits,
                               serving_state)
 from pollenthread.core import (caller_request, errors, http_headers,
-                               routing_config, server_registry)
+                               routing_config, server_registry, store_version)
 from pollenthread.ports import caller_response, clock, upstream
 from tests.fakes import memory
 
@@ -161,32 +161,38 @@
                seed: int = 1) -> serving_state.ServingState:
     """Returns the state of a host that knows no configuration and no server.
 
+    It knows that no data centre is emptied.
+
     Args:
         data_centre: the data centre of the host.
         seed: the seed of its random numbers.
     """
-    return serving_state.ServingState(
+    state = serving_state.ServingState(
         data_centre=data_centre,
         retry_settings=serving_state.RetryBudgetSettings(0.2, 94.0, 10.0),
         return_s=2.0,
         rng=random.Random(seed))
+    state.evacuations.update((), store_version.StoreVersion(1, 1), 0.0)
+    return state
 
 
 def make_server(name: str,
                 *,
                 slots: int = 6,
-                born_ms: int = 0) -> server_registry.Server:
+                born_ms: int = 0,
+                data_centre: str = 'a') -> server_registry.Server:
     """Returns a server of `ROUTE`'s service that accepts requests.
 
     Args:
         name: its id, which is a part of its address too.
         slots: requests that it processes concurrently.
         born_ms: its start time in Unix milliseconds; 0 if unknown.
+        data_centre: the data centre that it runs in.
     """
     return server_registry.Server(id=name,
                                   service='llm',
                                   address=f'{name}:1',
-                                  data_centre='a',
+                                  data_centre=data_centre,
                                   slots=slots,
                                   state=server_registry.ServerState.READY,
                                   born_ms=born_ms)
--- a/tests/platform/steps/large_fleet.py
+++ b/tests/platform/steps/large_fleet.py
@@ -9,6 +9,7 @@
 from pollenthread.app import host_registry, load_reporter
 from pollenthread.core import (host_record, peer_messages, server_load,
                                server_registry, service_estimate)
+from pollenthread.core.routing import evacuations
 from tests.fakes import virtual_time
 
 _SERVICE = 'llm'
@@ -60,6 +61,7 @@
 async def _audience(context: Any, own: host_record.HostRecord) -> list[str]:
     network: Any = _Network()
     reporter = load_reporter.LoadReporter(own=own,
+                                          evacuations=evacuations.Evacuations(),
                                           hosts=context.registry,
                                           network=network,
                                           time=virtual_time.LoopClock())
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -14,6 +14,7 @@
                               rank_agent, switch_driver)
 from pollenthread.core import (host_record, membership, replication,
                                routing_config, step_limits, store_version)
+from pollenthread.core.routing import evacuations
 from pollenthread.ports import row_store
 from tests.fakes import emulated_group, memory, thin_links, virtual_time
 
@@ -193,6 +194,7 @@
         if number == self.agents:
             return [self._coordinate_maps(own, network, hosts, registry)]
         agent = rank_agent.RankAgent(own=own,
+                                     evacuations=evacuations.Evacuations(),
                                      slots=self.figures.slots,
                                      server=self._server(own.engine_address),
                                      hosts=hosts,
