Switch maps sooner: relay by halves, watch copying, lead by pass time

Half of the time from a shift of demand to the map in force went to the relay of the map (three sends a level, four levels), to the poll that noticed the end of copying (0.14 s) and to four lead passes however long they are. A map now travels in halves, an agent follows the copying that it started, the lead covers the time to arm, and reports hold the choices of the last 0.15 s only.

--- a/pollenthread/app/choice_reporter.py
+++ b/pollenthread/app/choice_reporter.py
@@ -11,7 +11,7 @@
 
 _MIN_INTERVAL_S = 0.13
 # Demand shifts at once, so choices from before that time would hide a shift.
-_MAX_CHOICE_AGE_S = 0.5
+_MAX_CHOICE_AGE_S = 0.15
 # All ranks of a group report to one host, which is assumed to have a link of
 # the same bandwidth as this one.
 _MAX_LINK_SHARE = 1 / 3
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -14,11 +14,39 @@
 # Spans two lost reports of a rank with work.
 _FRESHNESS_LIMIT_S = 1.0
 HOLDER_TIMEOUT_S = 0.8
+# The shortest time over which the duration of a pass is measured.
+_MIN_PASS_WINDOW_S = 0.3
 
 StateHandler = Callable[[peer_messages.RankState], None]
 ChoicesHandler = Callable[[peer_messages.ExpertChoices], None]
 
 
+class _PassTimer:
+    """Measures the duration of passes by the steps that ranks report.
+
+    Attributes:
+        pass_s: the duration in seconds; 0 while unknown.
+    """
+
+    def __init__(self) -> None:
+        self.pass_s = 0.0
+        self._epoch = 0
+        self._step = 0
+        self._at = 0.0
+
+    def update(self, state: peer_messages.RankState, now: float) -> None:
+        """Takes the step of a rank's state, received at time `now`."""
+        if state.epoch < self._epoch:
+            return
+        passes = state.step - self._step
+        elapsed_s = now - self._at
+        if state.epoch == self._epoch:
+            if passes <= 0 or elapsed_s < _MIN_PASS_WINDOW_S:
+                return
+            self.pass_s = elapsed_s / passes
+        self._epoch, self._step, self._at = state.epoch, state.step, now
+
+
 class GroupView:
     """The last known rank states and the coordinator of one group."""
 
@@ -27,6 +55,7 @@
         self._clock = time
         self._state_by_rank: dict[int, peer_messages.RankState] = {}
         self._received_at_by_rank: dict[int, float] = {}
+        self._pass_timer = _PassTimer()
         self._heartbeat: peer_messages.DutyBeat | None = None
         self._heartbeat_received_at = time.monotonic()
         self._choice_handlers: list[ChoicesHandler] = []
@@ -50,7 +79,14 @@
         if known is not None and _is_older(state, known):
             return
         self._state_by_rank[state.rank] = state
-        self._received_at_by_rank[state.rank] = self._clock.monotonic()
+        now = self._clock.monotonic()
+        self._received_at_by_rank[state.rank] = now
+        self._pass_timer.update(state, now)
+
+    @property
+    def pass_s(self) -> float:
+        """The recent duration of a pass in seconds; 0 while unknown."""
+        return self._pass_timer.pass_s
 
     def states(self) -> dict[int, peer_messages.RankState]:
         """Returns the newest state of each rank that has reported one."""
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import result
@@ -34,9 +35,10 @@
 _MEMBER_ELECTION_DELAY_S = 3.0
 _ELECTION_RETRY_S = 0.5
 _SKEW_LOG_INTERVAL_S = 0.5
-# On slow links, arming all ranks takes up to two passes, and a rank's
-# step is reported one pass late.
-_SWITCH_LEAD_PASSES = 4
+# The time to hold a pass and to arm all ranks for it, on slow links.
+_ARMING_S = 0.1
+_MIN_LEAD_PASSES = 2
+_MAX_LEAD_PASSES = 4
 _PERCENT = 100
 # Ranks below this ratio count as normal: copying experts would not pay off.
 _MIN_SLOWDOWN = 1.2
@@ -356,7 +358,7 @@
         switch = map_switch.MapSwitch(self._next_version(),
                                       epoch,
                                       _encode_layouts(layouts),
-                                      lead_passes=_SWITCH_LEAD_PASSES)
+                                      lead_passes=self._lead_passes())
         finished = await self._driver.run(switch)
         if finished.phase is map_switch.MapSwitchPhase.DONE:
             self._layouts = layouts
@@ -365,6 +367,17 @@
         else:
             self._layouts = None
 
+    def _lead_passes(self) -> int:
+        """Returns how many passes ahead of the current one the ranks switch.
+
+        The last pass has begun, but may not have been reported.
+        """
+        pass_s = self._view.pass_s
+        if not pass_s:
+            return _MAX_LEAD_PASSES
+        lead = 1 + math.ceil(_ARMING_S / pass_s)
+        return min(_MAX_LEAD_PASSES, max(_MIN_LEAD_PASSES, lead))
+
     async def _recover(self, states: map_switch.RankStates) -> None:
         assert self._layouts is not None
         switch = map_switch.recovery_switch(states,
--- a/pollenthread/app/map_relay.py
+++ b/pollenthread/app/map_relay.py
@@ -2,7 +2,9 @@
 
 A map is large for an agent's link, and a link that gets several at once drops
 some of them. Each agent therefore sends a map to a few others only, one after
-the other, and they pass it on in the same way.
+the other, and they pass it on in the same way. The first of them gets half of
+the agents to pass it on to, the next half of the rest and so on, so that all
+links are in use until the last agent has the map.
 """
 
 import asyncio
@@ -15,7 +17,6 @@
 
 __all__ = ['MapRelay']
 
-_FAN_OUT = 3
 # The rest of the link is for heartbeats, states and the server's responses.
 _LINK_SHARE = 0.7
 
@@ -36,7 +37,7 @@
                    addresses: Sequence[str]) -> None:
         """Sends an order with a map to agents, directly or through others."""
         async with self._sending:
-            for first, *others in _split(addresses):
+            for first, *others in _halves(addresses):
                 self._network.send_all(
                     (first,), dataclasses.replace(order,
                                                   relay_to=tuple(others)))
@@ -44,8 +45,7 @@
 
     def delivery_s(self, order: peer_messages.RankOrder, agents: int) -> float:
         """Returns how long it takes until all agents have a map, in seconds."""
-        levels = math.ceil(math.log(agents + 1, _FAN_OUT))
-        return levels * _FAN_OUT * self._send_s(order)
+        return math.ceil(math.log2(agents + 1)) * self._send_s(order)
 
     def _send_s(self, order: peer_messages.RankOrder) -> float:
         size = self._bytes_by_version.get(order.version)
@@ -55,13 +55,14 @@
         return size / (self._link_bytes_per_s * _LINK_SHARE)
 
 
-def _split(addresses: Sequence[str]) -> list[Sequence[str]]:
-    """Divides addresses into at most `_FAN_OUT` parts of about equal size."""
-    size = max(1, math.ceil(len(addresses) / _FAN_OUT))
-    return [
-        addresses[begin:begin + size]
-        for begin in range(0, len(addresses), size)
-    ]
+def _halves(addresses: Sequence[str]) -> list[Sequence[str]]:
+    """Divides addresses into parts of which each is half of what is left."""
+    parts = []
+    while addresses:
+        size = math.ceil(len(addresses) / 2)
+        parts.append(addresses[:size])
+        addresses = addresses[size:]
+    return parts
 
 
 def _map_bytes(layouts: peer_messages.Layouts) -> int:
--- a/pollenthread/app/order_receiver.py
+++ b/pollenthread/app/order_receiver.py
@@ -12,13 +12,16 @@
 
 from pollenthread.app import host_registry, map_relay
 from pollenthread.core import log_events, peer_messages
-from pollenthread.ports import event_log, peers, rank_server
+from pollenthread.ports import clock, event_log, peers, rank_server
 
 __all__ = ['OrderReceiver']
 
 _MAX_CONCURRENT = 3
 _PREPARE_ATTEMPTS = 5
 _ACCEPTED_STATUSES = (200, 202)
+# A map cannot be switched before the last rank is known to have copied it.
+_COPYING_POLL_S = 0.02
+_MAX_COPYING_POLLS = 25
 
 _OrderKey = tuple[peer_messages.OrderKind, int, int]
 
@@ -32,7 +35,8 @@
     def __init__(self, *, host: str, server: rank_server.RankServer,
                  handle_status: StatusHandler,
                  hosts: host_registry.HostRegistry, network: peers.PeerNetwork,
-                 relay: map_relay.MapRelay, log: event_log.EventLog) -> None:
+                 relay: map_relay.MapRelay, time: clock.Clock,
+                 log: event_log.EventLog) -> None:
         """Initializes a receiver; orders are ignored until `run` is called.
 
         Args:
@@ -44,6 +48,7 @@
             network: delivers orders and returns the rank's state to their
                 senders.
             relay: passes maps on to other agents.
+            time: the clock.
             log: the structured log.
         """
         self._host = host
@@ -52,6 +57,7 @@
         self._hosts = hosts
         self._network = network
         self._relay = relay
+        self._clock = time
         self._log = log
         self._tasks: asyncio.TaskGroup | None = None
         self._running_by_key: collections.Counter[
@@ -105,14 +111,34 @@
         if status not in _ACCEPTED_STATUSES:
             self._log_failure(order, status, '')
         try:
-            state = self._handle_status(await self._server.fetch_status())
+            await self._report_effect(order)
         except rank_server.RankServerUnavailableError:
             # The next poll of the server sends the state.
-            return True
+            pass
+        return True
+
+    async def _report_effect(self, order: peer_messages.RankOrder) -> None:
+        """Sends the state after an order, and once more after it has copied.
+
+        Raises:
+            RankServerUnavailableError: the server does not respond.
+        """
+        state = self._handle_status(await self._server.fetch_status())
+        self._send_state(order, state)
+        if not state.is_busy:
+            return
+        for _ in range(_MAX_COPYING_POLLS):
+            if not state.is_busy:
+                break
+            await self._clock.sleep(_COPYING_POLL_S)
+            state = self._handle_status(await self._server.fetch_status())
+        self._send_state(order, state)
+
+    def _send_state(self, order: peer_messages.RankOrder,
+                    state: peer_messages.RankState) -> None:
         record = self._hosts.records_by_host.get(order.giver)
         if record is not None and record.host != self._host:
             self._network.send(record.peer_address, state)
-        return True
 
     def _log_failure(self, order: peer_messages.RankOrder, status: int | None,
                      cause: str) -> None:
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -120,6 +120,7 @@
             relay=map_relay.MapRelay(network=network,
                                      link_bytes_per_s=link_bytes_per_s,
                                      time=time),
+            time=time,
             log=log)
         network.set_rank_layout_provider(self._serve_layout)
         network.set_rank_state_provider(self._serve_state)
