--- a/pollenthread/core/routing/tracked_load.py
+++ b/pollenthread/core/routing/tracked_load.py
@@ -1,6 +1,7 @@
 """The tracked load of one server."""
 
 import dataclasses
+from typing import Self
 
 __all__ = ['ServerLoadReport', 'TrackedLoad']
 
@@ -72,6 +73,13 @@
     failures: int = 0
     paused_until: float = -1e9
 
+    def after_restart(self) -> Self:
+        """Returns what remains known once the server has started again.
+
+        Requests of this host count until they end.
+        """
+        return type(self)(own=self.own, change=self.own)
+
     def record_report(self, report: ServerLoadReport, now: float) -> None:
         """Records a load report."""
         self._record_count(report.running + report.waiting, now)
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -55,8 +55,7 @@
 
     def record_restart(self, server_id: str) -> None:
         """Forgets what is known of a server, except for requests under way."""
-        own = self.own_requests(server_id)
-        self._load_by_id[server_id] = _TrackedLoad(own=own, change=own)
+        self._load_by_id[server_id] = self._get(server_id).after_restart()
 
     def record_report(self, server_id: str, report: ServerLoadReport,
                       now: float) -> None:
