Empty a data centre from the command line

pollenthread evacuate and restore publish a version of the targets in which a data centre is emptied or used; its upstreams get no new work, as if each was drained, while its entry hosts go on. status shows it.

--- a/pollenthread/adapters/admin_api.py
+++ b/pollenthread/adapters/admin_api.py
@@ -168,6 +168,20 @@
                              is_draining=False)
 
 
+async def _empty_data_centre(admin: administration.Administration,
+                             api_request: _ApiRequest) -> Any:
+    return await admin.empty_data_centre(api_request.operator,
+                                         api_request.parts['data_centre'],
+                                         is_emptied=True)
+
+
+async def _restore_data_centre(admin: administration.Administration,
+                               api_request: _ApiRequest) -> Any:
+    return await admin.empty_data_centre(api_request.operator,
+                                         api_request.parts['data_centre'],
+                                         is_emptied=False)
+
+
 async def _report(admin: administration.Administration,
                   api_request: _ApiRequest) -> Any:
     return await admin.report(api_request.operator,
@@ -215,6 +229,10 @@
            _drain),
     _Route('DELETE', '/v1/hosts/{host}/drain', 'Take a host into service',
            _undrain),
+    _Route('PUT', '/v1/data-centres/{data_centre}/evacuation',
+           'Empty a data centre', _empty_data_centre),
+    _Route('DELETE', '/v1/data-centres/{data_centre}/evacuation',
+           'Use a data centre again', _restore_data_centre),
     _Route('GET',
            '/v1/report',
            'The account of today and the days before',
--- a/pollenthread/app/administration.py
+++ b/pollenthread/app/administration.py
@@ -182,12 +182,29 @@
     async def drain(self, operator: operators.Operator, host: str, *,
                     is_draining: bool) -> _Document:
         """Publishes a version in which a host drains, or no longer does."""
+        return await self._set_member(operator,
+                                      'draining',
+                                      host,
+                                      is_member=is_draining)
+
+    async def empty_data_centre(self, operator: operators.Operator,
+                                data_centre: str, *,
+                                is_emptied: bool) -> _Document:
+        """Publishes a version in which a data centre is emptied, or used."""
+        return await self._set_member(operator,
+                                      'emptied_data_centres',
+                                      data_centre,
+                                      is_member=is_emptied)
+
+    async def _set_member(self, operator: operators.Operator, key: str,
+                          name: str, *, is_member: bool) -> _Document:
+        """Publishes a version in which a list has a name, or lacks it."""
         _require_all(operator)
 
         def change(newest: _Document) -> _Document:
-            hosts = set(newest.get('draining', []))
-            hosts = hosts | {host} if is_draining else hosts - {host}
-            newest['draining'] = sorted(hosts)
+            names = set(newest.get(key, []))
+            names = names | {name} if is_member else names - {name}
+            newest[key] = sorted(names)
             return newest
 
         return await self._rebase(operator, change)
--- a/pollenthread/app/targets_document.py
+++ b/pollenthread/app/targets_document.py
@@ -115,14 +115,16 @@
     Attributes:
         workspaces: the workspaces, by name.
         draining: the hosts that are taken out of service.
+        emptied_data_centres: the data centres whose upstreams get no new work.
         balance: targets of the load balance between ranks.
     """
 
     workspaces: dict[Name, WorkspaceModel]
     draining: list[Name] = []
+    emptied_data_centres: list[Name] = []
     balance: _BalanceModel = _BalanceModel()
 
-    @pydantic.field_validator('draining')
+    @pydantic.field_validator('draining', 'emptied_data_centres')
     @classmethod
     def _check_names_unique(cls, names: list[str]) -> list[str]:
         return check_unique(names)
@@ -135,6 +137,8 @@
         """
         return targets.Targets(version=version,
                                draining=frozenset(self.draining),
+                               emptied_data_centres=frozenset(
+                                   self.emptied_data_centres),
                                balance=_to_balance(self.balance),
                                workspace_by_name={
                                    name: _to_workspace(name, model)
--- a/pollenthread/app/upstream_pool.py
+++ b/pollenthread/app/upstream_pool.py
@@ -131,8 +131,9 @@
     def is_usable(self) -> bool:
         return (self.link.is_open and not self.is_leaving and
                 self.host not in self._shared.draining and
-                self._shared.outlier_detector.is_usable(self.host,
-                                                        self._shared.now()))
+                self.hello.data_centre not in self._shared.emptied_data_centres
+                and self._shared.outlier_detector.is_usable(
+                    self.host, self._shared.now()))
 
     def record_sent(self) -> None:
         """Records that an attempt was sent."""
@@ -228,12 +229,14 @@
         mean_load: the mean load that other entry hosts put on an upstream.
         outlier_detector: results of attempts, by host.
         draining: hosts that operators have taken out of service.
+        emptied_data_centres: data centres that operators have emptied.
     """
 
     def __init__(self) -> None:
         self.mean_load = load_estimate.MeanOtherLoad()
         self.outlier_detector = outlier_detection.OutlierDetector()
         self.draining: frozenset[str] = frozenset()
+        self.emptied_data_centres: frozenset[str] = frozenset()
 
     @staticmethod
     def now() -> float:
@@ -286,6 +289,15 @@
     def draining(self, hosts: frozenset[str]) -> None:
         self._shared.draining = hosts
 
+    @property
+    def emptied_data_centres(self) -> frozenset[str]:
+        """Data centres whose upstreams get no new work."""
+        return self._shared.emptied_data_centres
+
+    @emptied_data_centres.setter
+    def emptied_data_centres(self, names: frozenset[str]) -> None:
+        self._shared.emptied_data_centres = names
+
     @property
     def ejected(self) -> list[str]:
         """Hosts that were ejected as unhealthy and get probe requests only."""
--- a/pollenthread/cli/commands.py
+++ b/pollenthread/cli/commands.py
@@ -14,8 +14,8 @@
 
 __all__ = [
     'config_diff', 'config_get', 'config_history', 'config_rollback',
-    'config_set', 'drain', 'report', 'status', 'trace', 'undrain',
-    'write_result'
+    'config_set', 'drain', 'evacuate', 'report', 'restore', 'status', 'trace',
+    'undrain', 'write_result'
 ]
 
 FORMAT = flags.DEFINE_enum('format', 'table', ['table', 'json', 'html'],
@@ -187,6 +187,20 @@
     _print_version(config)
 
 
+def evacuate(data_centre: str) -> None:
+    """Empties a data centre: its upstreams get no new work."""
+    config = admin_client.call(
+        'PUT', f'/v1/data-centres/{_quote(data_centre)}/evacuation')
+    _print_version(config)
+
+
+def restore(data_centre: str) -> None:
+    """Uses the upstreams of an emptied data centre again."""
+    config = admin_client.call(
+        'DELETE', f'/v1/data-centres/{_quote(data_centre)}/evacuation')
+    _print_version(config)
+
+
 def _quote(name: str) -> str:
     return parse.quote(name, safe='')
 
--- a/pollenthread/core/targets.py
+++ b/pollenthread/core/targets.py
@@ -104,10 +104,13 @@
         version: version number; increases by one with each accepted change.
         workspace_by_name: all workspaces, by name.
         draining: names of the hosts that operators are draining.
+        emptied_data_centres: names of the data centres whose upstreams get no
+            new work.
         balance: the target of all rank groups.
     """
 
     version: int
     workspace_by_name: Mapping[str, WorkspaceTargets]
     draining: frozenset[str] = frozenset()
+    emptied_data_centres: frozenset[str] = frozenset()
     balance: RankBalance = RankBalance()
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -244,27 +244,48 @@
         current = self._config_store.current
         if current is not None:
             self._upstream_pool.draining = current.draining
+            self._upstream_pool.emptied_data_centres = (
+                current.emptied_data_centres)
             self._host_directory.draining = current.draining
 
     def _build_status(self) -> dict[str, Any]:
         return {
-            'host': self._config.host,
-            'role': 'entry',
-            'incarnation': self._hello.incarnation,
-            'leaving': self._stop_signal.graceful.is_set(),
-            'targets_version': self._config_store.version,
-            'targets_age_s': self._config_store.age_s,
-            'targets_permission': self._config_store.permission,
-            'is_poller': self._host_directory.is_poller,
-            'entries': self._host_directory.membership_view.state_by_host,
-            'claim_rows': self._write_batcher.rows_count,
-            'claim_transactions': self._write_batcher.transactions_count,
-            'claims_refused': self._write_batcher.rejected_count,
-            'duties': self._lease_manager.held_duties(),
-            'duties_acquired': self._lease_manager.acquired_count,
-            'duties_lost': self._lease_manager.lost_count,
-            'membership_panic': self._host_directory.membership_view.is_panic,
-            'peers': sorted(self._peer_links.links_by_host),
+            'host':
+                self._config.host,
+            'role':
+                'entry',
+            'incarnation':
+                self._hello.incarnation,
+            'leaving':
+                self._stop_signal.graceful.is_set(),
+            'targets_version':
+                self._config_store.version,
+            'targets_age_s':
+                self._config_store.age_s,
+            'targets_permission':
+                self._config_store.permission,
+            'is_poller':
+                self._host_directory.is_poller,
+            'entries':
+                self._host_directory.membership_view.state_by_host,
+            'claim_rows':
+                self._write_batcher.rows_count,
+            'claim_transactions':
+                self._write_batcher.transactions_count,
+            'claims_refused':
+                self._write_batcher.rejected_count,
+            'duties':
+                self._lease_manager.held_duties(),
+            'duties_acquired':
+                self._lease_manager.acquired_count,
+            'duties_lost':
+                self._lease_manager.lost_count,
+            'membership_panic':
+                self._host_directory.membership_view.is_panic,
+            'peers':
+                sorted(self._peer_links.links_by_host),
+            'emptied_data_centres':
+                sorted(self._upstream_pool.emptied_data_centres),
             'upstreams': {
                 name: {
                     'running': upstream.load_report.load.running,
--- a/tests/product/administration.feature
+++ b/tests/product/administration.feature
@@ -60,6 +60,16 @@
     When "on-call" runs "drain entry-1"
     Then callers no longer get the address of "entry-1"
 
+  Scenario: The upstreams of an emptied data centre get no new requests
+    When "on-call" runs "evacuate dc-2"
+    Then no new request reaches "agent-engine-1"
+    When "on-call" runs "status"
+    Then the command prints "dc-2"
+    When "on-call" runs "restore dc-2"
+    Then new requests reach "agent-engine-1"
+    When "accounts" runs "evacuate dc-1"
+    Then the command fails with status 4 and the error "does not permit"
+
   Scenario: The command line reports that the table is unavailable
     When the table becomes unavailable
     And "on-call" runs "config get"
