Give servers that warm up few requests

Services may say for how long their servers are slow after a start and how many requests they bear then. A server may also become slow without a word, so what it gets in a second is limited all the time: each host has an equal part, kept by a sliding window in front of the permits, without messages and without an issuer. With more hosts than requests, each server is left to some hosts. Servers known to warm up (by their entry, their start, or a data centre that was restored) are used once no warm one has room. Services without a warm-up are served as before.

--- a/pollenthread/app/data_centres/evacuation_listener.py
+++ b/pollenthread/app/data_centres/evacuation_listener.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from pollenthread.app import serving_state, store_follower
 from pollenthread.core import log_events, peer_messages, store_version
@@ -95,12 +95,24 @@
                                    evacuations_changed=version.counter,
                                    evacuations_era=version.era)
 
+    def count_informed(self,
+                       heartbeats: Sequence[peer_messages.EntryBeat]) -> int:
+        """Returns how many hosts know the list, including this one.
+
+        Args:
+            heartbeats: the last ones of the other hosts that this one hears.
+        """
+        listed = self._evacuations.listed
+        return 1 + sum(
+            bool(h.evacuations_changed) and listed == frozenset(h.evacuated)
+            for h in heartbeats)
+
     def drop_expired(self) -> None:
         """Gives up what was kept only because the store had lost it."""
         self._record(self._evacuations.drop_expired(self._clock.monotonic()),
                      source='timeout')
 
-    def _update(self, listed: Sequence[str] | set[str],
+    def _update(self, listed: Iterable[str],
                 version: store_version.StoreVersion, *, source: str) -> None:
         self._record(self._evacuations.update(listed, version,
                                               self._clock.monotonic()),
--- a/pollenthread/app/entry_liveness.py
+++ b/pollenthread/app/entry_liveness.py
@@ -9,7 +9,7 @@
 
 from pollenthread.app import host_registry, serving_state
 from pollenthread.core import (addresses, host_record, log_events,
-                               peer_messages)
+                               peer_messages, store_version)
 from pollenthread.ports import clock, event_log
 
 __all__ = ['EntryLiveness']
@@ -77,6 +77,11 @@
         heard = self._heard_by_host.get(host)
         return heard.heartbeat if heard is not None else None
 
+    @property
+    def are_hosts_known(self) -> bool:
+        """Whether the registered hosts were learned since the start."""
+        return self._hosts.version > store_version.START
+
     def other_records(self) -> list[host_record.HostRecord]:
         """Returns the records of all other registered entry hosts."""
         return [
--- a/pollenthread/app/rate_permits.py
+++ b/pollenthread/app/rate_permits.py
@@ -8,6 +8,10 @@
 
 If the issuer changes, the new one waits before its first permit, since the old
 one may have issued some just before.
+
+Servers that have a warm-up need a permit at any time too, since they may become
+slow without anyone knowing. Their rate is high enough for a static split, which
+costs no messages and needs no issuer (`core.routing.send_windows`).
 """
 
 import abc
@@ -20,6 +24,7 @@
 from pollenthread.core import (host_record, log_events, membership,
                                peer_messages, rate_pacer, server_limits,
                                server_registry)
+from pollenthread.core.routing import send_windows
 from pollenthread.ports import clock, event_log, peers
 
 __all__ = ['LocalRatePermits', 'Permit', 'RatePermits', 'SharedRatePermits']
@@ -30,6 +35,8 @@
 _UNANSWERED_PAUSE_S = 0.3
 # Time before the first permit of an issuer, if the limit allows one sooner.
 _MIN_START_DELAY_S = 0.5
+# Pause before a server is tried again to which this host may send nothing.
+_FULL_SHARE_PAUSE_S = 0.3
 _MS_PER_S = 1000
 _MAX_AGE_MS = 2**31
 
@@ -53,7 +60,9 @@
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog) -> None:
+        self._state = state
         self._limits = state.server_limits
+        self._windows = send_windows.SendWindows()
         self._clock = time
         self._log = log
         self._refused_until_by_id: dict[str, float] = {}
@@ -85,14 +94,16 @@
     def available_at(self, server: server_registry.Server) -> float:
         """Returns the monotonic seconds before which no permit is available.
 
-        Returns negative infinity if the server names no limit, or if a permit
-        may be available now.
+        Returns negative infinity if a permit may be available now, or the
+        server needs none.
         """
-        if self._limits.get(server) is None:
-            return -math.inf
-        refused_until = self._refused_until_by_id.get(server.id, -math.inf)
-        return (refused_until
-                if refused_until > self._clock.monotonic() else -math.inf)
+        available_at = self._windows.open_at(server.id)
+        if self._limits.get(server) is not None:
+            available_at = max(
+                available_at,
+                self._refused_until_by_id.get(server.id, -math.inf))
+        return (available_at
+                if available_at > self._clock.monotonic() else -math.inf)
 
     async def acquire(self, server: server_registry.Server,
                       max_wait_s: float) -> Permit:
@@ -103,17 +114,43 @@
             max_wait_s: how long the request can wait, in seconds.
 
         Returns:
-            The permit, which is granted at once if the server names no limit.
+            The permit, which is granted at once if the server needs none.
         """
+        now = self._clock.monotonic()
+        wait_s = max(0.0, self._windows.open_at(server.id) - now)
+        if wait_s > max_wait_s:
+            return Permit(False, wait_s)
+        permit = Permit(True, wait_s)
         limit = self._limits.get(server)
-        if limit is None:
-            return Permit(True)
-        permit = await self._request(limit, max_wait_s)
-        if not permit.is_granted:
-            self._refused_until_by_id[server.id] = (self._clock.monotonic() +
-                                                    permit.wait_s)
+        if limit is not None:
+            issued = await self._request(limit, max_wait_s)
+            if not issued.is_granted:
+                self._refused_until_by_id[server.id] = (
+                    self._clock.monotonic() + issued.wait_s)
+                return issued
+            permit = Permit(True, max(wait_s, issued.wait_s))
+        if not self._reserve_share(server, permit.wait_s):
+            return Permit(False, _FULL_SHARE_PAUSE_S)
         return permit
 
+    def _reserve_share(self, server: server_registry.Server,
+                       wait_s: float) -> bool:
+        """Reserves a request in this host's part of what a server may get."""
+        per_s = self._state.server_limit_per_s(server.service)
+        if per_s is None:
+            return True
+        return self._windows.reserve(server.id, self._share(server, per_s),
+                                     self._clock.monotonic() + wait_s)
+
+    def drop_idle(self) -> None:
+        """Forgets servers to which no request was sent recently."""
+        self._windows.drop_idle(self._clock.monotonic())
+
+    def _share(self, server: server_registry.Server, per_s: float) -> int:
+        """Returns the requests in a second that this host may send."""
+        del server
+        return math.floor(per_s)
+
     @abc.abstractmethod
     async def _request(self, limit: server_limits.RateLimit,
                        max_wait_s: float) -> Permit:
@@ -211,6 +248,14 @@
             del self._reply_by_number[number]
         return Permit(found.is_granted, found.wait_ms / _MS_PER_S)
 
+    def _share(self, server: server_registry.Server, per_s: float) -> int:
+        if not self._liveness.are_hosts_known:
+            return 1
+        return send_windows.host_share(
+            per_s, self._own.host,
+            [record.host for record in self._liveness.other_records()],
+            server.id)
+
     def _issuer_of(self, server_id: str) -> host_record.HostRecord | None:
         """Returns the host that issues permits, or None for this host."""
         record_by_host = {
--- a/pollenthread/app/routing/usable_servers.py
+++ b/pollenthread/app/routing/usable_servers.py
@@ -49,10 +49,24 @@
     def permitted(self, service: str) -> list[server_registry.Server]:
         """Returns the servers for which a permit may be available now."""
         now = self._clock.monotonic()
-        return [
+        return self._without_warming([
             server for server in self.accepting(service)
             if self._permits.available_at(server) <= now
-        ]
+        ])
+
+    def _without_warming(
+            self, servers: list[server_registry.Server]
+    ) -> list[server_registry.Server]:
+        """Returns the warm servers if they have room, otherwise all."""
+        warming = self._state.warming_servers
+        if not warming.count:
+            return servers
+        now = self._clock.monotonic()
+        warm = [s for s in servers if not warming.is_warming(s, now)]
+        free_slots = self._state.server_loads.free_slots(warm,
+                                                         reserved_share=0.0,
+                                                         now=now)
+        return warm if warm and free_slots >= 1 else servers
 
     def unlimited(self, service: str) -> list[server_registry.Server]:
         """Returns the servers that need no permit."""
@@ -69,9 +83,11 @@
             service: the name of the service.
             until: monotonic seconds.
         """
+        now = self._clock.monotonic()
         return [
             server for server in self.accepting(service)
-            if self._state.server_limits.get(server) is not None and
+            if (self._state.server_limits.get(server) is not None or
+                self._permits.available_at(server) > now) and
             self._permits.available_at(server) <= until
         ]
 
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -148,7 +148,10 @@
                                   self._usable.unlimited(job.service),
                                   self._clock.monotonic(),
                                   reserved_share=reserved_share)
-        return self._selected(job, server)
+        if server is None:
+            return None
+        permit = await self._permits.acquire(server, 0.0)
+        return self._selected(job, server) if permit.is_granted else None
 
     async def _wait_for_permit(
             self, job: request_job.RequestJob) -> server_registry.Server | None:
@@ -173,13 +176,12 @@
         return None
 
     def has_room(self, job: request_job.RequestJob) -> bool:
-        """Returns whether a server has a slot that no other request needs."""
+        """Returns whether another server can start a request in time."""
         now = self._clock.monotonic()
-        return (job.deadline - now > _MIN_TIME_LEFT_S and self._try_select(
-            job,
-            self._usable.permitted(job.service),
-            now,
-            reserved_share=_RESERVED_SLOT_SHARE) is not None)
+        if job.deadline - now < _MIN_TIME_LEFT_S:
+            return False
+        servers = self._usable.permitted(job.service)
+        return self._try_select(job, servers, now) is not None
 
     def _selected(
             self, job: request_job.RequestJob,
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -6,9 +6,9 @@
 from pollenthread.app import evidence_log
 from pollenthread.core import (retry_budget, routing_config, server_limits,
                                server_load, server_registry, server_statements)
-from pollenthread.core.routing import evacuations
+from pollenthread.core.routing import evacuations, warm_up
 
-__all__ = ['RetryBudgetSettings', 'ServingState']
+__all__ = ['RetryBudgetSettings', 'ServingState', 'WarmUpSettings']
 
 # The longest quarantine of a host, relative to the shortest.
 _MAX_PATIENCE = 1.5
@@ -29,6 +29,19 @@
     window_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class WarmUpSettings:
+    """What servers may get, relative to what they bear while they warm up.
+
+    Attributes:
+        factor: requests in a second, relative to that.
+        extra: further requests in a second.
+    """
+
+    factor: float = 1.0
+    extra: float = 0.0
+
+
 class ServingState:
     """Configuration, servers, load and retry budgets of an entry host.
 
@@ -40,6 +53,7 @@
         server_limits: the request rates that servers accept.
         server_statements: which servers have said that they want no request.
         evacuations: the data centres that operators have emptied.
+        warming_servers: the servers that are slow after a start.
         entry_host_count: the number of registered entry hosts, including this
             one.
         shutdown_began_at: monotonic seconds at which a graceful shutdown began,
@@ -48,8 +62,15 @@
         rng: random numbers.
     """
 
-    def __init__(self, *, data_centre: str, retry_settings: RetryBudgetSettings,
-                 return_s: float, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        retry_settings: RetryBudgetSettings,
+        return_s: float,
+        rng: random.Random,
+        warm_up_settings: WarmUpSettings = WarmUpSettings()
+    ) -> None:
         self.data_centre = data_centre
         self.config: routing_config.RoutingConfig | None = None
         self.server_registry = server_registry.ServerRegistry(
@@ -58,12 +79,14 @@
         self.server_limits = server_limits.RateLimits()
         self.server_statements = server_statements.ServerStatements()
         self.evacuations = evacuations.Evacuations()
+        self.warming_servers = warm_up.WarmingServers()
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
         self.evidence_log = evidence_log.EvidenceLog(
             patience=rng.uniform(1.0, _MAX_PATIENCE))
         self.rng = rng
         self._retry_settings = retry_settings
+        self._warm_up_settings = warm_up_settings
         self._budget_by_service: dict[str, retry_budget.SharedRetryBudget] = {}
 
     def retry_budget_for(self, service: str) -> retry_budget.SharedRetryBudget:
@@ -77,6 +100,24 @@
             self._budget_by_service[service] = found
         return found
 
+    def warm_up_of(self, service: str) -> routing_config.WarmUp | None:
+        """Returns the warm-up of the servers of a service, or None."""
+        config = self.config
+        found = config.services_by_name.get(service) if config else None
+        return found.warm_up if found is not None else None
+
+    def server_limit_per_s(self, service: str) -> float | None:
+        """Returns what a server may get in a second from all hosts, or None.
+
+        Args:
+            service: the name of the service.
+        """
+        found = self.warm_up_of(service)
+        if found is None:
+            return None
+        settings = self._warm_up_settings
+        return found.requests_per_s * settings.factor + settings.extra
+
     def pick_service(self, route: routing_config.Route) -> str:
         """Picks one of the route's services at random by weight."""
         if len(route.shares) == 1:
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -92,6 +92,8 @@
         version: the store's version that the list is complete up to.
         cache: the rows of the list, for peers.
         changed_callbacks: functions called after each change of the list.
+        entry_callbacks: functions called with each new or changed entry, and
+            whether its server has started since this host read the list first.
     """
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
@@ -102,6 +104,8 @@
         self.version = store_version.START
         self.cache = row_cache.RowCache()
         self.changed_callbacks: list[Callable[[], None]] = []
+        self.entry_callbacks: list[Callable[[server_registry.Server, bool],
+                                            None]] = []
         self._is_general_outage = False
 
     @property
@@ -167,11 +171,16 @@
         decoded = [self._decode_row(row) for row in rows]
         servers = [server for server in decoded if server is not None]
         now = self._clock.monotonic()
-        known_by_id = dict(self._state.server_registry.listed_by_id)
-        for server_id in self._state.server_registry.replace_all(servers, now):
+        registry = self._state.server_registry
+        is_first_list = not registry.listed_by_id
+        known_by_id = {s.id: registry.get(s.id) for s in servers}
+        for server_id in registry.replace_all(servers, now):
             self._record_removal(server_id)
         for server in servers:
-            self._record_entry(known_by_id.get(server.id), server)
+            if known_by_id.get(server.id) != server:
+                self._record_entry(known_by_id.get(server.id),
+                                   server,
+                                   is_first_list=is_first_list)
         self._notify()
 
     def on_changes(self, rows: Sequence[row_store.RowChange]) -> None:
@@ -212,15 +221,21 @@
         return decoded.ok_value
 
     def _put(self, server: server_registry.Server) -> None:
-        before = self._state.server_registry.listed_by_id.get(server.id)
-        if before == server:
+        if self._state.server_registry.listed_by_id.get(server.id) == server:
             return
+        before = self._state.server_registry.get(server.id)
         self._state.server_registry.put(server)
         self._record_entry(before, server)
 
-    def _record_entry(self, before: server_registry.Server | None,
-                      server: server_registry.Server) -> None:
+    def _record_entry(self,
+                      before: server_registry.Server | None,
+                      server: server_registry.Server,
+                      *,
+                      is_first_list: bool = False) -> None:
         """Records the difference between an entry and the one before."""
+        is_new_run = before is None or before.born_ms < server.born_ms
+        for callback in self.entry_callbacks:
+            callback(server, is_new_run and not is_first_list)
         if before is None:
             self._log_listed(server)
             return
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -46,6 +46,11 @@
                     'second it accepts from all hosts together; without '
                     '`per_s` it no longer names a limit. `source` is the '
                     'server or a peer.')
+    SERVER_WARMING = ('server_warming', 'A server warms up for `for_s`; it '
+                      'gets a request only if no warm one has room. `cause` '
+                      'is its start, its entry, or that its data centre was '
+                      'taken back.')
+    SERVER_WARM = ('server_warm', 'A server has warmed up.')
     SERVER_ENTRY_REJECTED = ('server_entry_rejected', 'An entry of the list '
                              'could not be read and is ignored.')
     DATA_CENTRE_EMPTIED = ('data_centre_emptied', 'The servers of a data '
--- a/pollenthread/core/routing_config.py
+++ b/pollenthread/core/routing_config.py
@@ -9,7 +9,7 @@
 
 __all__ = [
     'CallerLimits', 'EngineProfile', 'RequestKind', 'Route', 'RoutingConfig',
-    'Service', 'ServiceShare', 'KeyWorkspace', 'find_route'
+    'Service', 'ServiceShare', 'KeyWorkspace', 'WarmUp', 'find_route'
 ]
 
 # The platform's callers abandon a stream after the longest of these: a fixed
@@ -136,6 +136,19 @@
     expert_share: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WarmUp:
+    """What a server of a service bears shortly after its start.
+
+    Attributes:
+        duration_s: seconds for which it is slow.
+        requests_per_s: requests that it then bears in a second.
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A group of servers with the same software.
@@ -145,12 +158,14 @@
         health_path: the path of the servers' health check.
         max_connections: maximum number of connections to one server.
         engine: the profile of the model engine; None for a plain service.
+        warm_up: the warm-up of its servers; None if they have none.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineProfile | None
+    warm_up: WarmUp | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenthread/core/server_registry.py
+++ b/pollenthread/core/server_registry.py
@@ -46,6 +46,7 @@
         slots: requests that it can process concurrently.
         state: whether it accepts new requests.
         born_ms: start time of the process in Unix milliseconds; 0 if unknown.
+        warm_up_s: seconds for which it is still slow; 0 if it is warm.
     """
 
     id: str
@@ -55,6 +56,7 @@
     slots: int
     state: ServerState
     born_ms: int = 0
+    warm_up_s: float = 0.0
 
 
 class ServerRegistry:
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -167,7 +167,17 @@
         name=service.get_str('name'),
         health_path=service.get_str('health_path', '/'),
         max_connections=service.get_int('max_connections', 100),
-        engine=engine)
+        engine=engine,
+        warm_up=_decode_warm_up(service))
+
+
+def _decode_warm_up(
+        service: field_reader.FieldReader) -> routing_config.WarmUp | None:
+    duration_s = service.get_float('cold_start_s', 0.0)
+    requests_per_s = service.get_float('cold_per_s', 0.0)
+    if duration_s <= 0 or requests_per_s <= 0:
+        return None
+    return routing_config.WarmUp(duration_s, requests_per_s)
 
 
 def _decode_engine(
--- a/pollenthread/platform/process_settings.py
+++ b/pollenthread/platform/process_settings.py
@@ -55,6 +55,9 @@
         retry_window_s: time window in seconds in which retries are counted.
         retry_extra: allowed retries per window in addition to the ratio, for
             all hosts together.
+        warm_up_factor: requests in a second that a server may get, relative to
+            what it bears while it warms up.
+        warm_up_extra: further requests in a second that it may get.
         stall_s: time in seconds that a group waits for a lost rank.
         link_bytes_per_s: network bandwidth of the host, in bytes per second.
     """
@@ -80,6 +83,8 @@
     retry_ratio: float
     retry_window_s: float
     retry_extra: float
+    warm_up_factor: float
+    warm_up_extra: float
     stall_s: float
     link_bytes_per_s: float
 
@@ -132,6 +137,8 @@
         retry_window_s=bounds.get_float('budget_window_s', 10.0),
         # Per window and for all hosts together.
         retry_extra=bounds.get_float('budget_extra_tries', 0.0),
+        warm_up_factor=bounds.get_float('cold_over', 1.0),
+        warm_up_extra=bounds.get_float('cold_slack', 0.0),
         stall_s=bounds.get_float('stall_ms', 1500.0) / _MS_PER_S,
         link_bytes_per_s=document.get_object('limits').get_float(
             'link_mbps', _DEFAULT_LINK_MBPS) * _BYTES_PER_MEGABIT)
--- a/pollenthread/platform/server_row.py
+++ b/pollenthread/platform/server_row.py
@@ -14,6 +14,8 @@
 # In the year 5138. An entry with a greater start time would seem to replace
 # every other server at its address.
 _MAX_BORN_MS = 10**14
+_MS_PER_S = 1000
+_MAX_WARM_UP_MS = 600_000
 
 
 def decode(server_id: str,
@@ -42,6 +44,12 @@
                 slots=max(1, entry.get_int('slots', 1, least=0,
                                            most=_MAX_SLOTS)),
                 state=wire_names.SERVER_STATE_BY_NAME[entry.get_str('state')],
-                born_ms=entry.get_int('born', 0, least=0, most=_MAX_BORN_MS)))
+                born_ms=entry.get_int('born', 0, least=0, most=_MAX_BORN_MS),
+                warm_up_s=_decode_warm_up_s(entry)))
     except (ValueError, KeyError, RecursionError) as error:
         return result.Err(str(error))
+
+
+def _decode_warm_up_s(entry: field_reader.FieldReader) -> float:
+    remaining_ms = entry.get_float('cold_remaining_ms', 0.0)
+    return max(0.0, min(remaining_ms, _MAX_WARM_UP_MS)) / _MS_PER_S
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -10,6 +10,7 @@
                               evidence_store, forwarder, graceful_shutdown,
                               rate_permits, serving_state, snapshot_exchange,
                               store_listeners, store_watch)
+from pollenthread.app.data_centres import warm_up_watch
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (process_settings, server_row, upstream_http,
                                    wire_names)
@@ -30,6 +31,7 @@
 _ADDRESS_TTL_S = 1.0
 # Some callers cache the address list for three times its time to live.
 _CALLER_CACHE_FACTOR = 3
+_CLEAN_UP_INTERVAL_S = 0.5
 _SHUTDOWN_CHECK_INTERVAL_S = 0.05
 
 
@@ -50,6 +52,9 @@
                              retry_settings=serving_state.RetryBudgetSettings(
                                  settings.retry_ratio, settings.retry_extra,
                                  settings.retry_window_s),
+                             warm_up_settings=serving_state.WarmUpSettings(
+                                 settings.warm_up_factor,
+                                 settings.warm_up_extra),
                              return_s=_SERVER_RELIST_S,
                              rng=rng),
                          rng=rng)
@@ -59,6 +64,12 @@
             log=self.log,
             table=wire_names.StoreTable.SERVERS,
             decode=server_row.decode)
+        self._warm_up = warm_up_watch.WarmUpWatch(state=self.state,
+                                                  time=self._clock,
+                                                  log=self.log)
+        self._server_listener.entry_callbacks.append(self._warm_up.on_entry)
+        self._evacuation_listener.changed_callbacks.append(
+            self._warm_up.on_evacuation)
         self._liveness = entry_liveness.EntryLiveness(own=self._own_record,
                                                       hosts=self._host_registry,
                                                       state=self.state,
@@ -113,18 +124,18 @@
         self._shutdown_plan = graceful_shutdown.ShutdownPlan(
             grace_s=settings.grace_s,
             discovery_cache_s=_ADDRESS_TTL_S * _CALLER_CACHE_FACTOR)
-        permits = rate_permits.SharedRatePermits(own=self._own_record,
-                                                 liveness=self._liveness,
-                                                 network=self._network,
-                                                 state=self.state,
-                                                 time=self._clock,
-                                                 log=self.log)
+        self._permits = rate_permits.SharedRatePermits(own=self._own_record,
+                                                       liveness=self._liveness,
+                                                       network=self._network,
+                                                       state=self.state,
+                                                       time=self._clock,
+                                                       log=self.log)
         self._latencies = platform_metrics.LatencyHistogramSet()
         request_forwarder = forwarder.Forwarder(
             state=self.state,
             upstream_client=upstream_http.HttpUpstreamClient(
                 client=self._server_client),
-            permits=permits,
+            permits=self._permits,
             shutdown_plan=self._shutdown_plan,
             observe=self._latencies.observe,
             time=self._clock,
@@ -187,6 +198,13 @@
             'servers_paused':
                 self.state.server_statements.count_paused(
                     self._clock.monotonic()),
+            'servers_warming':
+                self.state.warming_servers.count,
+            'data_centres_emptied':
+                len(self.state.evacuations.data_centres),
+            'hosts_that_know_evacuations':
+                self._evacuation_listener.count_informed(
+                    self._liveness.heartbeats()),
             'store_up':
                 float(self._server_listener.contact.is_up),
             'ready':
@@ -249,6 +267,14 @@
             group.create_task(self._watch.run())
             group.create_task(self._evidence_exchange.run())
             group.create_task(self._evidence_store.run())
+            group.create_task(self._clean_up())
+
+    async def _clean_up(self) -> None:
+        """Forgets what is over, until cancelled."""
+        while True:
+            await self._clock.sleep(_CLEAN_UP_INTERVAL_S)
+            self._warm_up.drop_warm()
+            self._permits.drop_idle()
 
     async def shut_down(self) -> None:
         """Announces the shutdown and waits for the running requests."""
