--- a/pollenthread/app/entry_liveness.py
+++ b/pollenthread/app/entry_liveness.py
@@ -18,6 +18,8 @@
 # Spans the time until another watcher replaces one that fell silent.
 _USABLE_HOSTS_TTL_S = 5.0
 _MIN_NEARBY_HOSTS = 2
+# Time in which a host that is not cut off hears the heartbeats of others.
+_HEARING_TIME_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +42,7 @@
         self._state = state
         self._clock = time
         self._log = log
+        self._started_at = time.monotonic()
         self._heard_by_host: dict[str, _Heard] = {}
         self._usable_by_data_centre: dict[str, tuple[peer_messages.UsableHosts,
                                                      float]] = {}
@@ -119,16 +122,17 @@
     def usable_addresses(self, data_centre: str) -> list[str]:
         """Returns the addresses that callers in a data centre can use.
 
-        If no entry host is known to be ready, returns those of all registered
-        ones.
+        If no entry host is known to be ready, returns those of the live ones. A
+        host that has not had time to hear them returns all registered ones.
 
         Args:
             data_centre: the data centre of the callers.
         """
         records = self.usable_records()
         if not records:
-            # Without any heartbeat, this host itself may be cut off.
-            records = [*self.other_records(), self._own]
+            others = (self.live_records()
+                      if self._has_had_time_to_hear() else self.other_records())
+            records = [*others, self._own]
         found = [
             addresses.EntryHost(record.host,
                                 record.caller_address,
@@ -139,6 +143,10 @@
                                         data_centre,
                                         min_hosts=_MIN_NEARBY_HOSTS)
 
+    def _has_had_time_to_hear(self) -> bool:
+        return (bool(self._heard_by_host) or
+                self._clock.monotonic() - self._started_at > _HEARING_TIME_S)
+
     def _is_usable(self, record: host_record.HostRecord) -> bool:
         heartbeat = self.heartbeat_of(record.host)
         if heartbeat is not None:
--- a/tests/platform/steps/store_watch.py
+++ b/tests/platform/steps/store_watch.py
@@ -333,3 +333,39 @@
         assert fetches[False] * share <= fetches.total(), fetches
 
     script.run(check)
+
+
+@when('every server is removed')
+def step_remove_all(context: Any) -> None:
+    for server in _SERVERS:
+        context.script.add(lambda server=server: context.script.remove(server))
+
+
+@when('the hosts of data centre {centre} end except for {left:d}')
+def step_end(context: Any, centre: str, left: int) -> None:
+    script = context.script
+
+    async def end() -> None:
+        ending = [
+            name for name, host in script.fleet.host_by_name.items()
+            if centre in ('any', host.record.data_centre[-1])
+        ]
+        for name in ending[left:]:
+            await script.fleet.stop_host(name)
+
+    script.add(end)
+
+
+@then('no host names one that has ended')
+def step_none_ended(context: Any) -> None:
+    script = context.script
+
+    async def check() -> None:
+        hosts = script.fleet.host_by_name.values()
+        running = {host.record.caller_address for host in hosts}
+        for host in hosts:
+            for centre in range(3):
+                found = host.liveness.usable_addresses(f'dc-{centre}')
+                assert set(found) <= running, (host.record.host, found)
+
+    script.run(check)
--- a/tests/platform/store_watch.feature
+++ b/tests/platform/store_watch.feature
@@ -82,3 +82,19 @@
     Given 5 data centres with 4 entry hosts each
     When the hosts have run for 10 s without a change
     Then every host gives callers of each data centre its 4 addresses
+
+  # Guards against callers that are sent to hosts which ended long ago.
+  Scenario Outline: Hosts that ended are not named any more
+    Given 3 data centres with 3 entry hosts each
+    When the hosts have run for 10 s without a change
+    And <change>
+    And the hosts of data centre <centre> end except for <left>
+    And the hosts have run for 6 s without a change
+    Then no host names one that has ended
+
+    Examples: changes
+      | change                                   | centre | left |
+      | every server is removed                  | 1      | 1    |
+      | every server is removed                  | 1      | 0    |
+      | the configuration changes to version 2   | 1      | 0    |
+      | every server is removed                  | any    | 1    |
