Send responses to their end before a host exits

Cause: a planned stop waited for running handlers only.

Change: the host also waits, within the grace period, for connections with unsent bytes. Callers that read slowly are told from callers that do not read: without progress for 2 s the host does not wait any longer. A connection is listed once it has its transport.

--- a/pollenthread/adapters/http_connection.py
+++ b/pollenthread/adapters/http_connection.py
@@ -1,7 +1,11 @@
 """A connection of the HTTP server, with limits on its input."""
 
 import asyncio
+import contextlib
 import dataclasses
+import fcntl
+import struct
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +19,7 @@
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HTTP_SCHEME = 'http://'
+_INT = struct.Struct('i')
 
 
 @dataclasses.dataclass
@@ -51,10 +56,12 @@
 
     def __init__(self, *, handler: http_message.RequestHandler,
                  limits: http_message.ServerLimits, quota: BodyBufferQuota,
+                 on_opened: Callable[['ServerConnection'], None],
                  on_closed: Callable[['ServerConnection'], None]) -> None:
         self._handler = handler
         self._limits = limits
         self._quota = quota
+        self._on_opened = on_opened
         self._on_closed = on_closed
         self._transport: asyncio.Transport
         self._client_ip = ''
@@ -72,6 +79,18 @@
         self.should_close = False
         self.request_method = ''
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the caller has not acknowledged.
+
+        0 if the operating system holds all of them: it also sends them after
+        the process has exited.
+        """
+        written = self._transport.get_write_buffer_size()
+        if not written:
+            return 0
+        return written + _unacknowledged_bytes(self._transport)
+
     # Interface for HttpResponse.
 
     @property
@@ -124,6 +143,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._on_opened(self)
         transport.set_write_buffer_limits(high=self._limits.max_unsent_bytes)
         peer = transport.get_extra_info('peername')
         self._client_ip = peer[0] if peer else ''
@@ -297,6 +317,15 @@
             self._parse(pipelined)
 
 
+def _unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Returns the size of the socket's send queue; 0 if it is not known."""
+    sock = transport.get_extra_info('socket')
+    with contextlib.suppress(OSError):
+        return int(
+            _INT.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, _INT.pack(0)))[0])
+    return 0
+
+
 def _check_head(head: h11.Request, limits: http_message.ServerLimits) -> None:
     """Rejects requests that the parser accepts but this server does not.
 
--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -59,6 +59,15 @@
         """The number of connections with a request in progress."""
         return sum(1 for connection in self._connections if connection.is_busy)
 
+    @property
+    def unsent_bytes_by_id(self) -> dict[int, int]:
+        """Bytes of responses that are not sent yet, by id of the connection."""
+        return {
+            id(connection): unsent
+            for connection in self._connections
+            if (unsent := connection.unsent_bytes)
+        }
+
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._accept,
@@ -106,13 +115,16 @@
         connection = _LimitedConnection(handler=self._handler,
                                         limits=self._limits,
                                         quota=self._body_quota,
+                                        on_opened=self._add,
                                         on_closed=self._connections.discard)
-        connection.should_close = self._is_keep_alive_disabled
         connection.is_over_limit = len(
             self._connections) >= self._limits.max_connections
-        self._connections.add(connection)
         return connection
 
+    def _add(self, connection: http_connection.ServerConnection) -> None:
+        connection.should_close = self._is_keep_alive_disabled
+        self._connections.add(connection)
+
 
 class _LimitedConnection(http_connection.ServerConnection):
     """A connection that rejects requests if it exceeds `max_connections`."""
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -239,17 +239,20 @@
             group.create_task(self._evidence_store.run())
 
     async def shut_down(self) -> None:
-        """Announces the shutdown and waits for the running requests."""
+        """Announces the shutdown and waits until the responses are sent."""
         started_at = self._clock.monotonic()
         self.state.shutdown_began_at = started_at
         self._caller_server.disable_keep_alive()
         self._peers.send_heartbeat()
         self.log.write(log_events.LogEvent.STOPPING,
                        in_progress=self._caller_handler.in_progress)
+        unsent_responses = graceful_shutdown.UnsentResponses()
         while not graceful_shutdown.may_exit(
                 self._shutdown_plan,
                 self._clock.monotonic() - started_at,
-                self._caller_handler.in_progress):
+                self._caller_handler.in_progress + unsent_responses.update(
+                    self._clock.monotonic(),
+                    self._caller_server.unsent_bytes_by_id)):
             await self._clock.sleep(_SHUTDOWN_CHECK_INTERVAL_S)
         self.log.write(log_events.LogEvent.STOPPED,
                        cut=self._caller_handler.in_progress)
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -1,7 +1,8 @@
 """Stand-in for a server of the users' platform.
 
 The response to a path with `/stream/` is a stream of events, whose number is
-the last part of the path. Faults:
+the last part of the path. The response to a path with `/bytes/` has as many
+bytes as the last part of the path says. Faults:
 
     break_after  aborts one stream within the event after this many events
     stale        responds with the ID of another request
@@ -65,13 +66,17 @@
         elif '/stream/' in request.path:
             await self._send_stream(request, response, headers)
         else:
-            await self._send_whole(response, headers)
+            await self._send_whole(request, response, headers)
 
-    async def _send_whole(self, response: http_server.HttpResponse,
+    async def _send_whole(self, request: http_server.HttpRequest,
+                          response: http_server.HttpResponse,
                           headers: list[tuple[str, str]]) -> None:
         if self.consume_fault('stale'):
             headers = [(_REQUEST_ID_HEADER, 'another'), *headers[1:]]
-        await response.send(200, headers, b'whole ' + headers[0][1].encode())
+        body = b'whole ' + headers[0][1].encode()
+        if '/bytes/' in request.path:
+            body = b'x' * int(request.path.rpartition('/')[2])
+        await response.send(200, headers, body)
 
     async def _send_stream(self, request: http_server.HttpRequest,
                            response: http_server.HttpResponse,
--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -284,6 +284,28 @@
                                target,
                                headers=headers)
 
+    def raw_head(self,
+                 target: str,
+                 *headers: tuple[str, str],
+                 method: str = 'POST',
+                 request_id: str = 'r-1') -> bytes:
+        """Returns the head of a valid request of a caller.
+
+        Args:
+            target: the path and query.
+            *headers: further headers; without any, the body is empty.
+            method: the HTTP method.
+            request_id: the request ID.
+        """
+        all_headers = [('host', _HOST_NAME),
+                       ('pollenthread-request-id', request_id),
+                       ('pollenthread-deadline-ms', '8000'),
+                       ('authorization', f'Bearer {KEY}'),
+                       *(headers or [('content-length', '0')])]
+        lines = [f'{method} {target} HTTP/1.1']
+        lines += [f'{name}: {value}' for name, value in all_headers]
+        return '\r\n'.join(lines).encode('ascii') + b'\r\n\r\n'
+
     async def is_ready(self, number: int) -> bool:
         """Returns whether an entry host reports that it is ready."""
         status, _ = await self.call(f'{self._ip(number)}:{_READY_PORT}', 'GET',
--- a/tests/platform/steps/stopping_host.py
+++ b/tests/platform/steps/stopping_host.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
+import itertools
 import math
+import signal
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -13,10 +17,16 @@
 from pollenthread.core import (errors, http_headers, routing_config,
                                server_registry)
 from pollenthread.ports import upstream
-from tests.fakes import forwarding, virtual_time
+from tests import scenario
+from tests.fakes import (forwarding, platform_site, raw_client, virtual_time)
 
 _OK = 200
 _MAX_REJECTION_S = 0.01
+_RESPONSE_BYTES = 300_000
+_FLOAT_TOLERANCE = 1e-9
+_SMALL_WINDOW_BYTES = 8 * 1024
+_READ_BYTES = 1_000
+_HEAD_END = b'\r\n\r\n'
 
 
 @dataclasses.dataclass
@@ -161,3 +171,100 @@
         s.after_s for s in context.sent if s.is_rejected and s.after_s < seconds
     ]
     assert not rejected, (rejected, early)
+
+
+@given('a response of which a caller reads {share:d} of a hundred in each '
+       'second')
+def step_response_share(context: Any, share: int) -> None:
+    context.read_share_per_s = share / 100
+
+
+@when('the host checks every {interval:g} s whether it may exit')
+def step_check_exit(context: Any, interval: float) -> None:
+    unsent_responses = graceful_shutdown.UnsentResponses()
+    for i in itertools.count():
+        context.exit_s = i * interval
+        unsent_share = 1 - context.read_share_per_s * context.exit_s
+        unsent_bytes_by_id = {}
+        if unsent_share > _FLOAT_TOLERANCE:
+            unsent_bytes_by_id[1] = math.ceil(_RESPONSE_BYTES * unsent_share)
+        in_progress = unsent_responses.update(context.exit_s,
+                                              unsent_bytes_by_id)
+        if graceful_shutdown.may_exit(context.plan, context.exit_s,
+                                      in_progress):
+            return
+
+
+@then('it exits {seconds:g} s after it has begun to stop')
+def step_exits_after(context: Any, seconds: float) -> None:
+    assert math.isclose(context.exit_s, seconds), context.exit_s
+
+
+@given('a site with one entry host and a timeout of {seconds:g} s')
+def step_one_entry(context: Any, seconds: float) -> None:
+    context.site = scenario.run(
+        context,
+        context.stack.enter_async_context(
+            platform_site.PlatformSite(entries=1, servers=1)))
+    config = copy.deepcopy(platform_site.CONFIG)
+    config['version'] = 2
+    for route in config['routes']:
+        route['timeout_ms'] = seconds * 1000
+    scenario.run(context, context.site.put_config(config))
+    scenario.run(context, scenario.eventually(lambda: _is_applied(context)))
+
+
+async def _is_applied(context: Any) -> bool:
+    _, page = await context.site.metrics(1)
+    return b'pollenthread_config_version 2' in page
+
+
+@when('it gets SIGTERM and callers ask {delay:g} s later for {sizes} bytes, '
+      'which they read in {seconds:d} s')
+def step_slow_read(context: Any, delay: float, sizes: str,
+                   seconds: int) -> None:
+    context.response_sizes = [int(size) for size in sizes.split(', ')]
+    context.site.child_by_entry['entry-1'].send_signal(signal.SIGTERM)
+
+    async def read_all() -> list[int]:
+        await asyncio.sleep(delay)
+        return await asyncio.gather(*(_read_slowly(context.site, size, seconds)
+                                      for size in context.response_sizes))
+
+    context.received_sizes = scenario.run(context, read_all())
+
+
+async def _receive(sock: socket.socket) -> bytes:
+    """Receives data; none if the connection was closed or reset."""
+    try:
+        return await asyncio.get_running_loop().sock_recv(sock, _READ_BYTES)
+    except OSError:
+        return b''
+
+
+async def _read_slowly(site: platform_site.PlatformSite, size: int,
+                       seconds: int) -> int:
+    """Reads a response at a steady rate; returns the size of its body."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    data = b''
+    body_begin = -1
+    with raw_client.connect(site.callers(1),
+                            receive_buffer_bytes=_SMALL_WINDOW_BYTES) as sock:
+        await loop.sock_sendall(sock, site.raw_head(f'/pay/bytes/{size}'))
+        while part := await _receive(sock):
+            data += part
+            if body_begin < 0 and _HEAD_END in data:
+                body_begin = data.index(_HEAD_END) + len(_HEAD_END)
+            if 0 <= body_begin <= len(data) - size:
+                break
+            next_read_at = started_at + seconds * len(data) / size
+            await asyncio.sleep(next_read_at - loop.time())
+    assert body_begin >= 0, (data, site.logs(1)[-5:])
+    return len(data) - body_begin
+
+
+@then('the callers have received the whole responses')
+def step_whole_responses(context: Any) -> None:
+    assert context.received_sizes == context.response_sizes, (
+        context.received_sizes)
--- a/tests/platform/stopping_host.feature
+++ b/tests/platform/stopping_host.feature
@@ -20,3 +20,24 @@
       | non_idempotent | 1.5     | 0.1  | 5.5      |
       | idempotent     | 0.6     | 9    | 6.5      |
       | non_idempotent | 20      | 0.1  | 0        |
+
+  # Guards against answers that are cut in the send buffers of a host that exits: LOST.
+  Scenario Outline: A host exits when its responses are sent, or its callers stop reading
+    Given a host that has begun to stop, with a grace period of 8 s
+    And a response of which a caller reads <share> of a hundred in each second
+    When the host checks every 0.05 s whether it may exit
+    Then it exits <exit> s after it has begun to stop
+
+    Examples: callers
+      | share | exit |
+      | 50    | 3    |
+      | 20    | 5    |
+      | 1     | 7.5  |
+      | 0     | 3    |
+
+  # Callers need longer for their responses than the host needs to stop. Which part of a
+  # response stays in the host's own send buffer depends on its size.
+  Scenario: Callers that read slowly get their whole responses from a host that stops
+    Given a site with one entry host and a timeout of 5.5 s
+    When it gets SIGTERM and callers ask 1.5 s later for 300000, 320000, 340000, 360000, 380000, 400000, 420000, 440000 bytes, which they read in 5 s
+    Then the callers have received the whole responses
