--- a/tests/fakes/store_history.py
+++ b/tests/fakes/store_history.py
@@ -3,7 +3,7 @@
 The operator changes the configuration and may empty data centres, servers join,
 drain and leave, entry hosts restart, and the store comes back from copies; what
 was lost is written again after a while. The history checks all the time that no
-running host goes back to an older configuration, uses a server again that it had
+running host goes back to an older configuration, uses a server that it had
 stopped using, or forgets that a data centre is emptied, and at its end that all
 hosts know the truth.
 """
