Relieve slow ranks, change maps while agents are silent

Slow ranks count as normal again after a probation that doubles with each relapse. They are named in the log and gauges.

One silent agent stopped all changes of the map, and the election of the next coordinator: the group was never complete. Servers of silent ranks are now asked directly, and a majority is enough for an election. Where all candidates belong to the group, none waits for others (3 s). A new coordinator has the map from the last order that its agent received, so it asks no rank for it.

--- /dev/null
+++ b/pollenthread/app/expert_maps/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the coordination of a group's expert maps."""
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -14,6 +14,11 @@
 # Spans two lost reports of a rank with work.
 _FRESHNESS_LIMIT_S = 1.0
 HOLDER_TIMEOUT_S = 0.8
+# Spans two lost reports of an agent.
+_AGENT_TIMEOUT_S = 0.6
+_QUORUM_SHARE = 0.75
+# The map in use and the one that is prepared.
+_REMEMBERED_MAPS = 2
 # The shortest time over which the duration of a pass is measured.
 _MIN_PASS_WINDOW_S = 0.3
 
@@ -22,28 +27,38 @@
 
 
 class _PassTimer:
-    """Measures the duration of passes by the steps that ranks report.
-
-    Attributes:
-        pass_s: the duration in seconds; 0 while unknown.
-    """
+    """Measures the duration of passes by the steps that ranks report."""
 
     def __init__(self) -> None:
-        self.pass_s = 0.0
+        self._pass_s = 0.0
         self._epoch = 0
         self._step = 0
         self._at = 0.0
+        self._newest_step = 0
+        self._advanced_at = 0.0
+
+    def pass_s(self, now: float) -> float:
+        """Returns the duration in seconds, at least that of the current pass.
+
+        Returns 0 while no pass was measured.
+        """
+        if not self._pass_s:
+            return 0.0
+        return max(self._pass_s, now - self._advanced_at)
 
     def update(self, state: peer_messages.RankState, now: float) -> None:
         """Takes the step of a rank's state, received at time `now`."""
         if state.epoch < self._epoch:
             return
+        if state.epoch > self._epoch or state.step > self._newest_step:
+            self._newest_step = state.step
+            self._advanced_at = now
         passes = state.step - self._step
         elapsed_s = now - self._at
         if state.epoch == self._epoch:
             if passes <= 0 or elapsed_s < _MIN_PASS_WINDOW_S:
                 return
-            self.pass_s = elapsed_s / passes
+            self._pass_s = elapsed_s / passes
         self._epoch, self._step, self._at = state.epoch, state.step, now
 
 
@@ -55,7 +70,10 @@
         self._clock = time
         self._state_by_rank: dict[int, peer_messages.RankState] = {}
         self._received_at_by_rank: dict[int, float] = {}
+        self._agent_heard_at_by_rank: dict[int, float] = {}
         self._pass_timer = _PassTimer()
+        self._layouts_by_version: dict[tuple[int, int],
+                                       peer_messages.Layouts] = {}
         self._heartbeat: peer_messages.DutyBeat | None = None
         self._heartbeat_received_at = time.monotonic()
         self._choice_handlers: list[ChoicesHandler] = []
@@ -70,6 +88,7 @@
     def publish_state(self, state: peer_messages.RankState) -> None:
         """Records a state that another agent reports; tells subscribers."""
         self.take(state)
+        self._agent_heard_at_by_rank[state.rank] = self._clock.monotonic()
         for handler in self._state_handlers:
             handler(state)
 
@@ -86,7 +105,7 @@
     @property
     def pass_s(self) -> float:
         """The recent duration of a pass in seconds; 0 while unknown."""
-        return self._pass_timer.pass_s
+        return self._pass_timer.pass_s(self._clock.monotonic())
 
     def states(self) -> dict[int, peer_messages.RankState]:
         """Returns the newest state of each rank that has reported one."""
@@ -98,6 +117,24 @@
         return (received_at is not None and
                 self._clock.monotonic() - received_at < _FRESHNESS_LIMIT_S)
 
+    def is_agent_silent(self, rank: int) -> bool:
+        """Returns whether the agent of a rank has stopped to report.
+
+        Its server may run on and may have been asked directly.
+        """
+        heard_at = self._agent_heard_at_by_rank.get(rank)
+        return (heard_at is not None and
+                self._clock.monotonic() - heard_at > _AGENT_TIMEOUT_S)
+
+    def has_quorum(self) -> bool:
+        """Returns whether most ranks report that the group is open."""
+        fresh = [
+            s for s in self._state_by_rank.values() if self.is_fresh(s.rank)
+        ]
+        return (bool(fresh) and len(fresh) >= _QUORUM_SHARE * fresh[0].size and
+                len({state.epoch for state in fresh}) == 1 and
+                all(state.is_open for state in fresh))
+
     def is_complete(self) -> bool:
         """Returns whether all ranks report, are open and in the same epoch."""
         states = self._state_by_rank.values()
@@ -115,6 +152,19 @@
             if not self.is_fresh(rank) or not self._state_by_rank[rank].is_open
         ]
 
+    # Maps.
+
+    def remember_map(self, order: peer_messages.RankOrder) -> None:
+        """Keeps the map of an order to prepare it, and the one before."""
+        self._layouts_by_version[order.epoch, order.version] = order.layouts
+        while len(self._layouts_by_version) > _REMEMBERED_MAPS:
+            del self._layouts_by_version[min(self._layouts_by_version)]
+
+    def remembered_map(self, epoch: int,
+                       version: int) -> peer_messages.Layouts | None:
+        """Returns the experts of a map by set and rank, or None."""
+        return self._layouts_by_version.get((epoch, version))
+
     # Choices of experts.
 
     def subscribe_choices(self, handler: ChoicesHandler) -> None:
@@ -197,6 +247,11 @@
         if state.group:
             self.view(state.group).take(state)
 
+    def remember_map(self, order: peer_messages.RankOrder) -> None:
+        """Keeps the map that the rank on this host is ordered to prepare."""
+        if self.own_group:
+            self.view(self.own_group).remember_map(order)
+
     def _publish_state(self, state: peer_messages.RankState) -> None:
         if state.group:
             self.view(state.group).publish_state(state)
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -11,12 +11,12 @@
 """
 
 import asyncio
-import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import result
 
 from pollenthread.app import group_view, host_registry, switch_driver
+from pollenthread.app.expert_maps import silent_rank_query, slow_rank_watch
 from pollenthread.core import (expert_choices, expert_demand, log_events,
                                map_switch, peer_messages, replication,
                                routing_config, step_limits, store_version)
@@ -31,17 +31,12 @@
 _PLAN_INTERVAL_S = 0.06
 _HEARTBEAT_INTERVAL_S = 0.25
 _ELECTION_STAGGER_S = 0.15
-# Agents of the group itself wait longer, so that others are elected first.
+# Agents of the group itself wait longer for the candidates outside it.
 _MEMBER_ELECTION_DELAY_S = 3.0
 _ELECTION_RETRY_S = 0.5
 _SKEW_LOG_INTERVAL_S = 0.5
-# The time to hold a pass and to arm all ranks for it, on slow links.
-_ARMING_S = 0.1
-_MIN_LEAD_PASSES = 2
-_MAX_LEAD_PASSES = 4
-_PERCENT = 100
-# Ranks below this ratio count as normal: copying experts would not pay off.
-_MIN_SLOWDOWN = 1.2
+# The map with which a group forms; the same in each epoch.
+_INITIAL_VERSION = 0
 
 EngineProfileLookup = Callable[[str], routing_config.EngineProfile | None]
 
@@ -65,7 +60,9 @@
     def __init__(self, *, host: str, incarnation: str,
                  store: row_store.RowStore, hosts: host_registry.HostRegistry,
                  registry: group_view.GroupRegistry, view: group_view.GroupView,
-                 driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
+                 driver: switch_driver.SwitchDriver,
+                 silent_ranks: silent_rank_query.SilentRankQuery,
+                 network: peers.PeerNetwork,
                  lookup_engine_profile: EngineProfileLookup, time: clock.Clock,
                  log: event_log.EventLog) -> None:
         """Initializes a coordinator that does not hold the duty.
@@ -78,6 +75,7 @@
             registry: the known state of all groups.
             view: the known state of the coordinated group.
             driver: runs map switches of the group.
+            silent_ranks: asks the servers of ranks whose agents are silent.
             network: sends messages to other agents.
             lookup_engine_profile: returns the engine profile of a service, or
                 None when it is not known.
@@ -91,6 +89,7 @@
         self._registry = registry
         self._view = view
         self._driver = driver
+        self._silent_ranks = silent_ranks
         self._network = network
         self._lookup_engine_profile = lookup_engine_profile
         self._clock = time
@@ -102,6 +101,10 @@
         self._skew_logged_at = time.monotonic()
         self._layouts: tuple[replication.SetLayout, ...] | None = None
         self._layouts_version = (0, 0)
+        self._initial_layouts: tuple[replication.SetLayout, ...] | None = None
+        self._slow_ranks = slow_rank_watch.SlowRankWatch(group=view.name,
+                                                         time=time,
+                                                         log=log)
         view.subscribe_choices(self._on_choices)
         view.subscribe_states(self._on_state)
 
@@ -117,6 +120,13 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._send_heartbeats())
             tasks.create_task(self._run_duty())
+            tasks.create_task(self._follow_silent_ranks())
+
+    async def _follow_silent_ranks(self) -> None:
+        while True:
+            await self._clock.sleep(_PLAN_INTERVAL_S)
+            if self._term and self._view.has_quorum():
+                await self._silent_ranks.query_due(self._service())
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -153,15 +163,17 @@
     async def _run_duty(self) -> None:
         while True:
             await self._clock.sleep(_PLAN_INTERVAL_S)
-            if not self._log_completeness(self._view.is_complete()):
+            is_complete = self._log_completeness(self._view.is_complete())
+            if not is_complete and not self._view.has_quorum():
                 continue
             engine = self._lookup_engine_profile(self._service())
             if engine is None or not engine.sets:
                 continue
-            if self._holds_duty():
+            if not self._holds_duty():
+                if self._may_take_duty():
+                    await self._acquire_duty(engine)
+            elif is_complete:
                 await self._plan_and_switch(engine)
-            elif self._may_take_duty():
-                await self._acquire_duty(engine)
 
     def _log_completeness(self, is_complete: bool) -> bool:
         """Logs a change of completeness while the duty is held here.
@@ -215,7 +227,8 @@
                 self._view.holder() is not None):
             return False
         delay_s = (1 + candidates.index(self._host)) * _ELECTION_STAGGER_S
-        if own.group == self._view.name:
+        members = {state.host for state in self._view.states().values()}
+        if own.group == self._view.name and not members.issuperset(candidates):
             delay_s += _MEMBER_ELECTION_DELAY_S
         return self._view.holder_silence_s() > group_view.HOLDER_TIMEOUT_S + (
             delay_s)
@@ -245,10 +258,10 @@
         self._term = finished.ok_value.token
         self._versions_used = 0
         self._layouts = None
+        size = next(iter(self._view.states().values())).size
         self._demand = expert_demand.ExpertDemand(sets=engine.sets,
                                                   experts=engine.experts,
-                                                  ranks=len(
-                                                      self._view.states()))
+                                                  ranks=size)
         self._announce_duty()
         self._log.write(log_events.LogEvent.DUTY_TAKEN,
                         group=group,
@@ -265,7 +278,7 @@
     async def _plan_and_switch(self,
                                engine: routing_config.EngineProfile) -> None:
         states = self._view.states()
-        if not await self._fetch_layouts():
+        if not await self._find_layouts():
             return
         assert self._layouts is not None and self._demand is not None
         if map_switch.needs_recovery(states):
@@ -274,16 +287,22 @@
         if any(state.armed_version for state in states.values()):
             return
         self._demand.close_window()
-        self._log_skew()
+        slowdowns = self._slow_ranks.update(states, engine.expert_share)
+        self._driver.stats.slow_ranks = self._slow_ranks.slow_ranks
+        self._log_skew(slowdowns)
         if not self._demand.is_complete:
             return
         limits = step_limits.limits_for(engine, len(states))
         step = replication.plan_replication_step(self._layouts,
                                                  self._demand.shares_by_set,
                                                  limits.replication_limits,
-                                                 _slowdowns(states))
+                                                 slowdowns)
         self._driver.stats.skew = step.before
         if not limits.is_worthwhile(step):
+            self._slow_ranks.check_relief(
+                replication.mean_rank_loads(self._layouts,
+                                            self._demand.shares_by_set,
+                                            slowdowns))
             return
         self._log.write(log_events.LogEvent.MAP_PLANNED,
                         important=False,
@@ -294,7 +313,7 @@
                         after=round(step.after, 3))
         await self._switch(step.layouts, step.copies)
 
-    def _log_skew(self) -> None:
+    def _log_skew(self, slowdowns: Sequence[float]) -> None:
         """Logs the measured skew of the last window, not the planned one."""
         now = self._clock.monotonic()
         window_s = now - self._skew_logged_at
@@ -305,8 +324,7 @@
         self._skew_logged_at = now
         if not all(map(any, seen)):
             return
-        skew = replication.mean_max_rank_load(self._layouts, seen,
-                                              _slowdowns(self._view.states()))
+        skew = replication.mean_max_rank_load(self._layouts, seen, slowdowns)
         datagrams, self._demand.datagrams = self._demand.datagrams, 0
         self._driver.stats.skew_seen = skew
         self._log.write(log_events.LogEvent.SKEW_SEEN,
@@ -319,8 +337,8 @@
                         demand_changes=self._demand.changes,
                         map=self._layouts_version[1])
 
-    async def _fetch_layouts(self) -> bool:
-        """Fetches the map in use from the ranks unless it is known.
+    async def _find_layouts(self) -> bool:
+        """Finds the map in use; asks the ranks for it unless it is known.
 
         Returns:
             Whether all ranks use one map and its layouts are known.
@@ -331,20 +349,43 @@
             return False
         if self._layouts is not None and self._layouts_version in versions:
             return True
-        found = await asyncio.gather(
-            *(self._network.fetch_rank_layout(self._driver.agent_address(rank))
-              for rank in sorted(states)))
+        self._layouts_version = versions.pop()
+        self._layouts = self._remembered_layouts(*self._layouts_version)
+        if self._layouts is None:
+            self._layouts = await self._fetch_all_layouts(sorted(states))
+        if self._layouts_version[1] == _INITIAL_VERSION:
+            self._initial_layouts = self._layouts
+        return self._layouts is not None
+
+    def _remembered_layouts(
+            self, epoch: int,
+            version: int) -> tuple[replication.SetLayout, ...] | None:
+        if version == _INITIAL_VERSION:
+            return self._initial_layouts
+        found = self._view.remembered_map(epoch, version)
+        if found is None:
+            return None
+        return tuple(tuple(map(frozenset, by_rank)) for by_rank in found)
+
+    async def _fetch_all_layouts(
+            self,
+            ranks: Sequence[int]) -> tuple[replication.SetLayout, ...] | None:
+        found = await asyncio.gather(*map(self._fetch_layout, ranks))
         reported = [layout for layout in found if layout is not None]
-        if len(reported) < len(states) or {
+        if len(reported) < len(ranks) or {
             (layout.epoch, layout.version) for layout in reported
-        } != versions:
-            return False
-        self._layouts = tuple(
+        } != {self._layouts_version}:
+            return None
+        return tuple(
             tuple(frozenset(layout.experts[index])
                   for layout in reported)
             for index in range(len(reported[0].experts)))
-        self._layouts_version = versions.pop()
-        return True
+
+    async def _fetch_layout(self, rank: int) -> peer_messages.RankLayout | None:
+        if self._view.is_agent_silent(rank):
+            return await self._silent_ranks.fetch_layout(rank)
+        return await self._network.fetch_rank_layout(
+            self._driver.agent_address(rank))
 
     def _next_version(self) -> int:
         self._versions_used += 1
@@ -355,10 +396,8 @@
     async def _switch(self, layouts: tuple[replication.SetLayout, ...],
                       copies: int) -> None:
         epoch = next(iter(self._view.states().values())).epoch
-        switch = map_switch.MapSwitch(self._next_version(),
-                                      epoch,
-                                      _encode_layouts(layouts),
-                                      lead_passes=self._lead_passes())
+        switch = map_switch.MapSwitch(self._next_version(), epoch,
+                                      _encode_layouts(layouts))
         finished = await self._driver.run(switch)
         if finished.phase is map_switch.MapSwitchPhase.DONE:
             self._layouts = layouts
@@ -367,17 +406,6 @@
         else:
             self._layouts = None
 
-    def _lead_passes(self) -> int:
-        """Returns how many passes ahead of the current one the ranks switch.
-
-        The last pass has begun, but may not have been reported.
-        """
-        pass_s = self._view.pass_s
-        if not pass_s:
-            return _MAX_LEAD_PASSES
-        lead = 1 + math.ceil(_ARMING_S / pass_s)
-        return min(_MAX_LEAD_PASSES, max(_MIN_LEAD_PASSES, lead))
-
     async def _recover(self, states: map_switch.RankStates) -> None:
         assert self._layouts is not None
         switch = map_switch.recovery_switch(states,
@@ -392,15 +420,6 @@
         await self._driver.run(switch)
 
 
-def _slowdowns(states: map_switch.RankStates) -> list[float]:
-    """Returns each rank's slowdown relative to normal speed, in rank order."""
-    slowdowns = (
-        states[rank].pace_percent / _PERCENT for rank in sorted(states))
-    return [
-        slowdown if slowdown >= _MIN_SLOWDOWN else 1.0 for slowdown in slowdowns
-    ]
-
-
 def _encode_layouts(
     layouts: tuple[replication.SetLayout, ...]
 ) -> tuple[tuple[tuple[int, ...], ...], ...]:
--- a/pollenthread/app/order_receiver.py
+++ b/pollenthread/app/order_receiver.py
@@ -10,7 +10,7 @@
 import collections
 from collections.abc import Callable
 
-from pollenthread.app import host_registry, map_relay
+from pollenthread.app import group_view, host_registry, map_relay
 from pollenthread.core import log_events, peer_messages
 from pollenthread.ports import clock, event_log, peers, rank_server
 
@@ -34,7 +34,8 @@
 
     def __init__(self, *, host: str, server: rank_server.RankServer,
                  handle_status: StatusHandler,
-                 hosts: host_registry.HostRegistry, network: peers.PeerNetwork,
+                 hosts: host_registry.HostRegistry,
+                 registry: group_view.GroupRegistry, network: peers.PeerNetwork,
                  relay: map_relay.MapRelay, time: clock.Clock,
                  log: event_log.EventLog) -> None:
         """Initializes a receiver; orders are ignored until `run` is called.
@@ -45,6 +46,7 @@
             handle_status: records a status of the server and returns the rank's
                 state.
             hosts: the hosts of the deployment.
+            registry: the known state of all groups.
             network: delivers orders and returns the rank's state to their
                 senders.
             relay: passes maps on to other agents.
@@ -55,6 +57,7 @@
         self._server = server
         self._handle_status = handle_status
         self._hosts = hosts
+        self._registry = registry
         self._network = network
         self._relay = relay
         self._clock = time
@@ -77,6 +80,8 @@
         """
         if self._tasks is None:
             return
+        if order.kind is peer_messages.OrderKind.PREPARE:
+            self._registry.remember_map(order)
         if order.relay_to:
             self._tasks.create_task(self._relay.send(order, order.relay_to))
         key = (order.kind, order.version, order.step)
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -113,11 +113,12 @@
             if times is None:
                 times = _SendTimes(now, now, now)
                 self._times_by_order[rank, order.kind] = times
-            elif not self._may_resend(order, times, now, len(orders)):
+            elif not self._may_resend(rank, order, times, now, len(orders)):
                 continue
             times.last_at = now
             self._counts[order.kind.value] += 1
-            if order.kind in _DIRECT_KINDS:
+            if (order.kind in _DIRECT_KINDS or
+                    self._view.is_agent_silent(rank)):
                 self._start_task(self._send_directly(rank, order))
                 continue
             ranks_by_order.setdefault(order, []).append(rank)
@@ -128,10 +129,13 @@
         for order, ranks in ranks_by_order.items():
             self._send_through_agents(order, ranks)
 
-    def _may_resend(self, order: peer_messages.RankOrder, times: _SendTimes,
-                    now: float, ranks: int) -> bool:
+    def _may_resend(self, rank: int, order: peer_messages.RankOrder,
+                    times: _SendTimes, now: float, ranks: int) -> bool:
         """Returns whether to send an order without a visible effect again."""
         wait_s = _RESEND_S
+        if (order.kind not in _DIRECT_KINDS and
+                self._view.is_agent_silent(rank)):
+            wait_s = _AGENT_TIMEOUT_S
         if order.kind is peer_messages.OrderKind.PREPARE:
             wait_s = (_PREPARE_RESEND_S +
                       self._map_relay.delivery_s(order, ranks))
@@ -205,7 +209,10 @@
         cause = ''
         try:
             status = await server.send_order(order)
-            state = await self._network.fetch_rank_state(record.peer_address)
+            state = None
+            if not self._view.is_agent_silent(rank):
+                state = await self._network.fetch_rank_state(record.peer_address
+                                                            )
             if state is None:
                 server_status = await server.fetch_status()
                 state = dataclasses.replace(server_status.state,
--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -116,6 +116,7 @@
             server=server,
             handle_status=self._record_status,
             hosts=hosts,
+            registry=registry,
             network=network,
             relay=map_relay.MapRelay(network=network,
                                      link_bytes_per_s=link_bytes_per_s,
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -2,15 +2,21 @@
 
 import collections
 import dataclasses
+import math
+from collections.abc import Sequence
 
 from pollenthread.app import group_view, host_registry, order_sender
 from pollenthread.core import (host_record, log_events, map_switch,
                                peer_messages)
+from pollenthread.core.expert_maps import rank_speed
 from pollenthread.ports import clock, event_log, peers, rank_server
 
 __all__ = ['MapStats', 'SwitchDriver']
 
 _PREPARE_TIMEOUT_S = 4.0
+# The time to hold a pass and to arm all ranks for it, on slow links.
+_ARMING_S = 0.1
+_MAX_LEAD_PASSES = 4
 
 
 @dataclasses.dataclass
@@ -25,6 +31,7 @@
         skew: estimated load of the busiest rank relative to the mean, averaged
             over the expert sets.
         skew_seen: the same ratio, measured over the last window.
+        slow_ranks: the slow ranks, the slowest first.
     """
 
     switches: int = 0
@@ -34,6 +41,7 @@
         default_factory=collections.Counter)
     skew: float = 0.0
     skew_seen: float = 0.0
+    slow_ranks: Sequence[rank_speed.SlowRank] = ()
 
 
 class _PhaseTimes:
@@ -116,6 +124,9 @@
         orders_before = self.stats.orders.total()
         async with self._make_sender() as sender:
             while True:
+                switch = dataclasses.replace(switch,
+                                             lead_passes=_lead_passes(
+                                                 self._view.pass_s))
                 switch, orders = map_switch.advance_switch(
                     switch, self._view.states())
                 now = self._clock.monotonic()
@@ -181,3 +192,20 @@
                         abandoned_in=switch.phase.value,
                         open_ranks=sorted(orders),
                         took_s=round(took_s, 3))
+
+
+def _lead_passes(pass_s: float) -> int:
+    """Returns how many passes ahead of the last known one the ranks switch.
+
+    All ranks should be armed before that pass is due. The next pass may have
+    begun without being known, unless passes are long.
+
+    Args:
+        pass_s: the duration of a pass in seconds; 0 while unknown.
+    """
+    if not pass_s:
+        return _MAX_LEAD_PASSES
+    lead = math.ceil(_ARMING_S / pass_s)
+    if pass_s < 2 * _ARMING_S:
+        lead += 1
+    return min(_MAX_LEAD_PASSES, lead)
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -88,6 +88,14 @@
                    'greatest loads falls from `before` to `after`.')
     MAP_SWITCHED = ('map_switched', 'All ranks switch to a map at `step`; '
                     'duration of each phase in seconds.')
+    RANK_SLOW = ('rank_slow', 'A rank works `slowdown` times as long as normal '
+                 'and holds its group back; its host is `of`. Its experts move '
+                 'to other ranks; `own_part` of a normal pass is left to it.')
+    RANK_UNRELIEVED = ('rank_unrelieved',
+                       'No map takes enough work from a slow '
+                       'rank: it keeps `load` times the mean.')
+    RANK_RECOVERED = ('rank_recovered', 'A rank is as fast as normal again, '
+                      'after `slow_s` seconds, and gets experts again.')
     MAP_RECOVERED = ('map_recovered', 'A pass left held by an earlier '
                      'coordinator is completed.')
     ORDER_FAILED = ('order_failed',
--- a/pollenthread/core/replication.py
+++ b/pollenthread/core/replication.py
@@ -10,11 +10,12 @@
 
 import dataclasses
 import heapq
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 __all__ = [
     'ReplicationLimits', 'ReplicationStep', 'SetLayout', 'max_rank_load',
-    'mean_max_rank_load', 'plan_replication_step', 'rank_loads'
+    'mean_max_rank_load', 'mean_rank_loads', 'plan_replication_step',
+    'rank_loads'
 ]
 
 SetLayout = tuple[frozenset[int], ...]
@@ -98,6 +99,16 @@
         [max_rank_load(l, s, slowdowns) for l, s in zip(layouts, shares)])
 
 
+def mean_rank_loads(
+    layouts: Sequence[SetLayout],
+    shares: Sequence[Sequence[float]],
+    slowdowns: Sequence[float] = ()
+) -> list[float]:
+    """Returns the load of each rank, averaged over sets."""
+    by_set = [rank_loads(l, s, slowdowns) for l, s in zip(layouts, shares)]
+    return [_mean(loads) for loads in zip(*by_set)]
+
+
 def _loads(layout: SetLayout, shares: Sequence[float],
            replica_counts: Sequence[int],
            slowdowns: Sequence[float]) -> list[float]:
@@ -143,13 +154,13 @@
     ]
     heap = [(-best.gain, index, best)
             for index, planner in enumerate(sets)
-            if (best := planner.best_replica()) is not None]
+            if (best := planner.best_change()) is not None]
     heapq.heapify(heap)
     while heap:
-        _, index, replica = heapq.heappop(heap)
-        if copies_left[replica.rank] > 0:
-            sets[index].add(replica)
-        better = sets[index].best_replica()
+        _, index, change = heapq.heappop(heap)
+        if change.added is None or copies_left[change.rank] > 0:
+            sets[index].apply(change)
+        better = sets[index].best_change()
         if better is not None:
             heapq.heappush(heap, (-better.gain, index, better))
     copies = [limits.max_copies - left for left in copies_left]
@@ -166,14 +177,21 @@
     return sum(values) / len(values)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class _Replica:
-    """A candidate replica, and the replica that it replaces, if any."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """A candidate change of one rank's experts.
+
+    Attributes:
+        gain: the reduction of the load norm of the set.
+        rank: the rank.
+        added: the expert to copy to the rank, or None.
+        removed: the expert that the rank gives up, or None.
+    """
 
     gain: float
     rank: int
-    expert: int
-    evicted: int | None
+    added: int | None
+    removed: int | None
 
 
 class _SetPlanner:
@@ -196,22 +214,42 @@
         self.loads = _loads(layout, shares, self._replica_counts, slowdowns)
 
     def layout(self) -> SetLayout:
-        """Returns the layout with all added replicas."""
+        """Returns the layout with all changes."""
         return tuple(frozenset(experts) for experts in self._held)
 
-    def best_replica(self) -> _Replica | None:
-        """Returns the replica that improves the balance most, or None."""
+    def best_change(self) -> _Change | None:
+        """Returns the change that improves the balance most, or None."""
+        candidates = [*self._removals(), *self._additions()]
+        best = max(candidates, key=lambda change: change.gain, default=None)
+        if best is None or best.gain < self._limits.min_gain:
+            return None
+        return best
+
+    def _removals(self) -> Iterator[_Change]:
+        """Yields changes that only remove a replica from the busiest rank.
+
+        The other replicas take over the load, and nothing is copied.
+        """
+        rank = self._busiest_rank()
+        norm_before = _load_norm(self.loads)
+        for expert in self._spare_experts(rank):
+            loads = list(self.loads)
+            self._apply_change(loads, expert, rank, -1)
+            yield _Change(norm_before - _load_norm(loads), rank, None, expert)
+
+    def _additions(self) -> Iterator[_Change]:
+        """Yields changes that copy an expert of the busiest rank to another."""
         norm_before = _load_norm(self.loads)
-        best: _Replica | None = None
         ranks = self._free_ranks()
         for expert in self._heaviest_experts():
             for rank in [r for r in ranks if expert not in self._held[r]
                         ][:_MAX_CANDIDATE_RANKS]:
-                candidate = self._evaluate(rank, expert, norm_before)
-                if candidate is not None and (best is None or
-                                              candidate.gain > best.gain):
-                    best = candidate
-        return best
+                change = self._addition(rank, expert, norm_before)
+                if change is not None:
+                    yield change
+
+    def _busiest_rank(self) -> int:
+        return max(range(len(self.loads)), key=lambda r: self.loads[r])
 
     def _free_ranks(self) -> list[int]:
         """Returns the ranks that may copy more, the least loaded first."""
@@ -222,40 +260,35 @@
         return sorted(ranks, key=lambda r: self.loads[r])
 
     def _heaviest_experts(self) -> list[int]:
-        """Returns the experts with the highest load on the most loaded rank."""
-        rank = max(range(len(self.loads)), key=lambda r: self.loads[r])
+        """Returns the experts with the highest load on the busiest rank."""
         return heapq.nlargest(_MAX_CANDIDATE_EXPERTS,
-                              self._held[rank],
+                              self._held[self._busiest_rank()],
                               key=self._load_per_replica)
 
     def _load_per_replica(self, expert: int) -> float:
         """Returns the load of each replica of an expert."""
         return self._normalized_shares[expert] / self._replica_counts[expert]
 
-    def _evaluate(self, rank: int, expert: int,
-                  norm_before: float) -> _Replica | None:
-        evicted: int | None = None
+    def _addition(self, rank: int, expert: int,
+                  norm_before: float) -> _Change | None:
+        removed: int | None = None
         loads = list(self.loads)
         if len(self._held[rank]) >= self._limits.max_experts_per_rank:
-            evicted = self._choose_evicted(rank)
-            if evicted is None:
+            removed = min(self._spare_experts(rank),
+                          key=lambda e: (self._load_per_replica(e), e),
+                          default=None)
+            if removed is None:
                 return None
-            self._apply_change(loads, evicted, rank, -1)
+            self._apply_change(loads, removed, rank, -1)
         self._apply_change(loads, expert, rank, 1)
-        gain = norm_before - _load_norm(loads)
-        if gain < self._limits.min_gain:
-            return None
-        return _Replica(gain, rank, expert, evicted)
+        return _Change(norm_before - _load_norm(loads), rank, expert, removed)
 
-    def _choose_evicted(self, rank: int) -> int | None:
-        """Returns the replica to evict from a rank, the least loaded one."""
-        spare = [
+    def _spare_experts(self, rank: int) -> list[int]:
+        """Returns the experts of a rank that it may give up."""
+        return [
             e for e in self._held[rank]
             if self._replica_counts[e] > 1 and (rank, e) not in self._added
         ]
-        return min(spare,
-                   key=lambda e: (self._load_per_replica(e), e),
-                   default=None)
 
     def _apply_change(self, loads: list[float], expert: int, rank: int,
                       change: int) -> None:
@@ -269,18 +302,20 @@
         loads[rank] += (after
                         if change > 0 else -before) * self._slowdowns[rank]
 
-    def add(self, replica: _Replica) -> None:
-        """Adds a replica and removes the one that it replaces."""
-        if replica.evicted is not None:
-            self._apply_change(self.loads, replica.evicted, replica.rank, -1)
-            self._held[replica.rank].discard(replica.evicted)
-            self._replica_counts[replica.evicted] -= 1
-        self._apply_change(self.loads, replica.expert, replica.rank, 1)
-        self._held[replica.rank].add(replica.expert)
-        self._replica_counts[replica.expert] += 1
-        self._added.add((replica.rank, replica.expert))
-        self._new_counts[replica.rank] += 1
-        self._copies_left[replica.rank] -= 1
+    def apply(self, change: _Change) -> None:
+        """Applies a change to the layout."""
+        rank = change.rank
+        if change.removed is not None:
+            self._apply_change(self.loads, change.removed, rank, -1)
+            self._held[rank].discard(change.removed)
+            self._replica_counts[change.removed] -= 1
+        if change.added is not None:
+            self._apply_change(self.loads, change.added, rank, 1)
+            self._held[rank].add(change.added)
+            self._replica_counts[change.added] += 1
+            self._added.add((rank, change.added))
+            self._new_counts[rank] += 1
+            self._copies_left[rank] -= 1
 
 
 def _load_norm(loads: Sequence[float]) -> float:
--- a/pollenthread/core/step_limits.py
+++ b/pollenthread/core/step_limits.py
@@ -39,8 +39,6 @@
 
     def is_worthwhile(self, step: replication.ReplicationStep) -> bool:
         """Returns whether the benefit of a step justifies its cost."""
-        if not step.copies:
-            return False
         copying_s = step.max_copies_per_rank * self.copy_s
         min_saving = (_MIN_SAVING_PER_SWITCH +
                       _MIN_SAVING_PER_COPYING_S * copying_s)
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -7,6 +7,7 @@
 from pollenthread.app import (group_view, map_coordinator, rank_agent,
                               serving_state, snapshot_exchange, stall_recovery,
                               store_watch, switch_driver)
+from pollenthread.app.expert_maps import silent_rank_query
 from pollenthread.core import (host_record, log_events, peer_messages,
                                routing_config)
 from pollenthread.platform import process_settings, rank_server_http, wire_names
@@ -108,6 +109,12 @@
             name = group.replace('-', '_')
             gauges[f'skew_{name}'] = coordinator.stats.skew
             gauges[f'skew_seen_{name}'] = coordinator.stats.skew_seen
+            slow_ranks = coordinator.stats.slow_ranks
+            gauges[f'slow_ranks_{name}'] = len(slow_ranks)
+            if slow_ranks:
+                gauges[f'slowest_rank_{name}'] = slow_ranks[0].rank
+                gauges[f'slowest_rank_slowdown_{name}'] = (
+                    slow_ranks[0].slowdown)
         return gauges
 
     def _make_driver(self,
@@ -132,6 +139,11 @@
             registry=self._group_registry,
             view=view,
             driver=self._make_driver(view),
+            silent_ranks=silent_rank_query.SilentRankQuery(
+                view=view,
+                hosts=self._host_registry,
+                make_server=self._make_rank_server,
+                time=self._clock),
             network=self._network,
             lookup_engine_profile=self._engine_profile,
             time=self._clock,
--- a/tests/fakes/emulated_group.py
+++ b/tests/fakes/emulated_group.py
@@ -3,7 +3,8 @@
 The duration of a pass grows with the skew of the load over the ranks. The
 demand for the experts changes at a fixed interval. Orders have the effects that
 they have at a real server: copying experts takes time, a rank switches its map
-at the pass for which it is armed, and a held pass does not begin.
+at the pass for which it is armed, and a held pass does not begin. A group that
+loses a rank stalls, and forms again without maps once the rank is back.
 """
 
 import asyncio
@@ -28,6 +29,8 @@
 _ACCEPTED = 202
 _OK = 200
 _CONFLICT = 409
+_STALL_S = 1.5
+_FORM_S = 0.6
 
 
 def zipf_shares(rng: random.Random, experts: int) -> list[float]:
@@ -101,6 +104,10 @@
             the start of each pass.
         skew_by_pass: the skew of each pass, which is the mean over the sets of
             the greatest rank load.
+        ideal_skew_by_pass: the skew with a map that is planned with the true
+            demand and without limits on copies.
+        began_at: the virtual time at which each pass began.
+        formed_at: the virtual time at which the group formed last.
         mixed_passes: the number of passes in which the ranks used different
             maps.
         copies: the number of expert copies that ranks have loaded.
@@ -122,6 +129,9 @@
         self.profile = profile
         self.pass_durations_s: list[float] = []
         self.skew_by_pass: list[float] = []
+        self.ideal_skew_by_pass: list[float] = []
+        self.began_at: list[float] = []
+        self.formed_at = 0.0
         self.mixed_passes = 0
         self.copies = 0
         self._streams_per_rank = streams_per_rank
@@ -133,7 +143,11 @@
         self._ranks = [
             self._make_rank(name, rank, ranks) for rank in range(ranks)
         ]
-        self._skew = self._compute_skew()
+        self._slowdowns = [1.0] * ranks
+        self._lost_rank: int | None = None
+        self._lost_for_s = 0.0
+        self._ideal_skew = self._compute_ideal_skew()
+        self._update_skew()
 
     def _make_rank(self, name: str, rank: int, ranks: int) -> _Rank:
         first = frozenset(range(rank, self.profile.experts, ranks))
@@ -159,21 +173,60 @@
         """The states of all ranks."""
         return [rank.state for rank in self._ranks]
 
-    def _compute_skew(self) -> float:
-        layouts = [
-            tuple(rank.held_by_version[rank.state.map_version][index]
-                  for rank in self._ranks)
+    def set_slowdown(self, rank: int, slowdown: float) -> None:
+        """Sets the time that a rank takes, relative to normal."""
+        self._slowdowns[rank] = slowdown
+        self._ranks[rank].state = dataclasses.replace(self._ranks[rank].state,
+                                                      pace_percent=round(
+                                                          slowdown * 100))
+        self._update_skew()
+
+    def lose_rank(self, rank: int, seconds: float) -> None:
+        """Makes a rank unreachable for some seconds."""
+        self._lost_rank = rank
+        self._lost_for_s = seconds
+
+    def is_lost(self, rank: int) -> bool:
+        """Returns whether a rank is unreachable."""
+        return rank == self._lost_rank
+
+    def held_experts(self, rank: int) -> int:
+        """Returns the number of experts of all sets in use at a rank."""
+        held = self._ranks[rank]
+        return sum(map(len, held.held_by_version[held.state.map_version]))
+
+    def _update_skew(self) -> None:
+        layouts = self._layouts([r.state.map_version for r in self._ranks])
+        self._skew = replication.mean_max_rank_load(layouts, self._demand,
+                                                    self._slowdowns)
+
+    def _compute_ideal_skew(self) -> float:
+        profile = self.profile
+        layouts = self._layouts([0] * len(self._ranks))
+        limits = replication.ReplicationLimits(
+            max_experts_per_rank=profile.expert_slots,
+            max_new_per_set=profile.expert_slots,
+            max_copies=profile.sets * profile.expert_slots,
+            min_gain=0.0001)
+        return replication.plan_replication_step(layouts, self._demand, limits,
+                                                 self._slowdowns).after
+
+    def _layouts(self, versions: Sequence[int]) -> list[replication.SetLayout]:
+        """Returns the layouts of maps, whose versions are given by rank."""
+        return [
+            tuple(rank.held_by_version[version][index]
+                  for rank, version in zip(self._ranks, versions))
             for index in range(self.profile.sets)
         ]
-        return replication.mean_max_rank_load(layouts, self._demand)
 
     def pass_s(self, skew: float) -> float:
         """Returns the duration of a pass in seconds."""
         profile = self.profile
         sequences_s = profile.step_s_per_sequence * self._streams_per_rank
         share = profile.expert_share
-        return profile.steps_per_pass * (profile.base_step_s + sequences_s *
-                                         (1 - share + share * skew))
+        own_part_s = profile.base_step_s + sequences_s * (1 - share)
+        return profile.steps_per_pass * (own_part_s * max(self._slowdowns) +
+                                         sequences_s * share * skew)
 
     async def run(self) -> None:
         """Runs passes until cancelled."""
@@ -181,19 +234,48 @@
         demand_changes_at = loop.time() + self._demand_change_interval_s
         last_pass_at = loop.time()
         for step in itertools.count(2):
+            if self._lost_rank is not None:
+                await self._form_again()
+                last_pass_at = loop.time()
             while any(r.state.held_step == step for r in self._ranks):
                 await asyncio.sleep(_HELD_POLL_INTERVAL_S)
             now = loop.time()
             if now >= demand_changes_at:
                 demand_changes_at += self._demand_change_interval_s
                 self._demand = self._topics.next_demand()
-                self._skew = self._compute_skew()
+                self._ideal_skew = self._compute_ideal_skew()
+                self._update_skew()
             self.pass_durations_s.append(now - last_pass_at)
             self.skew_by_pass.append(self._skew)
+            self.ideal_skew_by_pass.append(self._ideal_skew)
+            self.began_at.append(now)
             last_pass_at = now
             self._begin_pass(step)
             await asyncio.sleep(self.pass_s(self._skew))
 
+    async def _form_again(self) -> None:
+        """Stalls, breaks and opens the group in the next epoch with map 0."""
+        await asyncio.sleep(_STALL_S)
+        for rank in self._ranks:
+            rank.state = dataclasses.replace(rank.state, is_open=False)
+        await asyncio.sleep(max(0.0, self._lost_for_s - _STALL_S))
+        self._lost_rank = None
+        await asyncio.sleep(_FORM_S)
+        self.formed_at = asyncio.get_running_loop().time()
+        self._selection_counts = [0.0] * len(self._selection_counts)
+        for rank in self._ranks:
+            rank.held_by_version = {0: rank.held_by_version[0]}
+            rank.state = dataclasses.replace(rank.state,
+                                             is_open=True,
+                                             epoch=rank.state.epoch + 1,
+                                             map_version=0,
+                                             prepared_version=0,
+                                             armed_version=0,
+                                             armed_step=0,
+                                             held_step=0,
+                                             is_busy=False)
+        self._update_skew()
+
     def _begin_pass(self, step: int) -> None:
         before = self._ranks[0].state.map_version
         for rank in self._ranks:
@@ -207,7 +289,7 @@
         versions = {rank.state.map_version for rank in self._ranks}
         self.mixed_passes += len(versions) > 1
         if before != self._ranks[0].state.map_version:
-            self._skew = self._compute_skew()
+            self._update_skew()
         self._count_selections()
 
     def _count_selections(self) -> None:
@@ -220,7 +302,7 @@
     def counts(self, rank: int) -> rank_server.ExpertChoiceCounts:
         """Returns how often each expert has been selected."""
         return rank_server.ExpertChoiceCounts(step=self._ranks[rank].state.step,
-                                              epoch=1,
+                                              epoch=self._ranks[0].state.epoch,
                                               counts=tuple(
                                                   map(int,
                                                       self._selection_counts)))
@@ -230,7 +312,7 @@
         rank_data = self._ranks[rank]
         version = rank_data.state.map_version
         return peer_messages.RankLayout(
-            epoch=1,
+            epoch=rank_data.state.epoch,
             version=version,
             experts=tuple(
                 tuple(sorted(held))
@@ -240,6 +322,8 @@
         """Executes an order; returns the HTTP status of the response."""
         rank_data = self._ranks[rank]
         state = rank_data.state
+        if order.epoch != state.epoch or not state.is_open:
+            return _CONFLICT
         if order.kind is _KIND.PREPARE:
             return self._prepare(rank_data, order)
         changes: dict[str, Any] = {}
@@ -286,6 +370,9 @@
 
     @staticmethod
     def _finish_copy(rank: _Rank, version: int) -> None:
+        if version not in rank.held_by_version:
+            # The group has formed again in the meantime.
+            return
         rank.state = dataclasses.replace(rank.state,
                                          prepared_version=version,
                                          is_busy=False)
@@ -314,8 +401,13 @@
         self._running = running
         self._order_delays_s = list(order_delays_s)
 
-    async def fetch_status(self) -> rank_server.RankServerStatus:
+    async def _call(self) -> None:
         await asyncio.sleep(_CALL_DURATION_S)
+        if self._group.is_lost(self._rank_index):
+            raise rank_server.RankServerUnavailableError('unreachable')
+
+    async def fetch_status(self) -> rank_server.RankServerStatus:
+        await self._call()
         return rank_server.RankServerStatus(
             state=self._group.states[self._rank_index],
             running=self._running,
@@ -323,15 +415,15 @@
             is_group_member=True)
 
     async def fetch_choice_counts(self) -> rank_server.ExpertChoiceCounts:
-        await asyncio.sleep(_CALL_DURATION_S)
+        await self._call()
         return self._group.counts(self._rank_index)
 
     async def fetch_layout(self) -> peer_messages.RankLayout:
-        await asyncio.sleep(_CALL_DURATION_S)
+        await self._call()
         return self._group.layout(self._rank_index)
 
     async def send_order(self, order: peer_messages.RankOrder) -> int:
-        await asyncio.sleep(_CALL_DURATION_S)
+        await self._call()
         delay_s = self._order_delays_s.pop(0) if self._order_delays_s else 0.0
         if delay_s:
             asyncio.get_running_loop().call_later(delay_s,
--- a/tests/fakes/thin_links.py
+++ b/tests/fakes/thin_links.py
@@ -94,8 +94,10 @@
         if self.lossy_kinds[kind]:
             self.lossy_kinds[kind] -= 1
             return
-        sender = self.host_by_address[source]
+        sender = self.host_by_address.get(source)
         receiver = self.host_by_address.get(target)
+        if sender is None:
+            return
         now = asyncio.get_running_loop().time()
         if sender.uplink.free_at - now > _MAX_BACKLOG_S:
             self.lost_by_kind[kind] += 1
@@ -115,7 +117,10 @@
         """Waits until the bytes of a call are transmitted; none are dropped."""
         loop = asyncio.get_running_loop()
         size += _CALL_HEADER_BYTES
-        sender, receiver = (self.host_by_address[a] for a in (source, target))
+        sender = self.host_by_address.get(source)
+        receiver = self.host_by_address.get(target)
+        if sender is None or receiver is None:
+            raise TimeoutError
         sent_at = self._schedule_transmission(sender.uplink, loop.time(),
                                               size) + _PROPAGATION_DELAY_S
         await asyncio.sleep(
--- a/tests/platform/steps/wide_groups.py
+++ b/tests/platform/steps/wide_groups.py
@@ -1,27 +1,14 @@
 """Steps for groups of many ranks on links of low bandwidth, in virtual time."""
 
-import asyncio
 import dataclasses
-import itertools
 import random
 import statistics
 from typing import Any
 
 from behave import given, then, when
-import result
-
-from pollenthread.app import (group_view, host_registry, map_coordinator,
-                              rank_agent, switch_driver)
-from pollenthread.core import (host_record, membership, replication,
-                               routing_config, step_limits, store_version)
-from pollenthread.ports import row_store
-from tests.fakes import emulated_group, memory, thin_links, virtual_time
-
-_GROUP = 'wide'
-_OUTSIDE = 'outside'
-_SERVICE = 'llm'
-_STREAMS_PER_RANK = 3.0
-_ENTRY_HOSTS = 8
+from pollenthread.core import (replication, routing_config, step_limits)
+from tests.fakes import emulated_group, group_simulation, virtual_time
+
 _SEED = 3
 # About the square root of 96 ranks.
 _RELAYED_MAPS = 10
@@ -95,162 +82,14 @@
     assert found < bound, found
 
 
-class _Store(row_store.RowStore):
-    """Accepts every write and stores nothing."""
-
-    def __init__(self) -> None:
-        self._version = store_version.StoreVersion(1, 0)
-
-    async def read(
-        self, table: str
-    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
-        return result.Ok(row_store.RowChanges((), self._version))
-
-    async def watch(
-        self, table: str, after_version: store_version.StoreVersion,
-        wait_s: float
-    ) -> result.Result[row_store.RowChanges, row_store.StoreError]:
-        return await self.read(table)
-
-    async def write(
-        self, writes: Any
-    ) -> result.Result[store_version.StoreVersion, row_store.StoreError]:
-        self._version = dataclasses.replace(self._version,
-                                            counter=self._version.counter + 1)
-        return result.Ok(self._version)
-
-
-class _GroupSimulation:
-    """Agents beside one group, and its coordinator on an agent elsewhere."""
-
-    def __init__(self, *, agents: int, megabits_per_s: float,
-                 figures: routing_config.EngineProfile) -> None:
-        self.agents = agents
-        self.figures = figures
-        self.fabric = thin_links.Fabric(megabits_per_s=megabits_per_s)
-        self._time = virtual_time.LoopClock()
-        self._link_bytes_per_s = megabits_per_s * 1e6 / 8
-        self.group: emulated_group.EmulatedGroup
-
-    async def run(self, change_s: float, seconds: float) -> None:
-        """Runs the group and its agents for a number of seconds."""
-        self.group = emulated_group.EmulatedGroup(
-            name=_GROUP,
-            ranks=self.agents,
-            profile=self.figures,
-            streams_per_rank=_STREAMS_PER_RANK,
-            demand_change_interval_s=change_s,
-            seed=_SEED)
-        records = [self._record(i) for i in range(self.agents + 1)]
-        records += [
-            host_record.HostRecord(host=f'entry-{i}',
-                                   role=host_record.Role.ENTRY,
-                                   data_centre='dc',
-                                   peer_address=f'10.1.0.{i}:1')
-            for i in range(_ENTRY_HOSTS)
-        ]
-        coroutines = [self.group.run()]
-        for record in records[:self.agents + 1]:
-            coroutines += self._agent(record, records)
-        tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
-        await asyncio.wait(tasks,
-                           timeout=seconds,
-                           return_when=asyncio.FIRST_EXCEPTION)
-        for task in tasks:
-            if task.done():
-                task.result()
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    def _record(self, number: int) -> host_record.HostRecord:
-        host = (self._coordinator_name()
-                if number == self.agents else f'side-{number}')
-        return host_record.HostRecord(host=host,
-                                      role=host_record.Role.AGENT,
-                                      data_centre='dc',
-                                      peer_address=f'10.0.0.{number}:1',
-                                      engine_address=f'10.0.0.{number}:2',
-                                      service=_SERVICE)
-
-    def _coordinator_name(self) -> str:
-        """Returns a name that is the first candidate for the group's duty."""
-        agents = [f'side-{i}' for i in range(self.agents)]
-        names = (f'other-{i}' for i in itertools.count())
-        return next(name for name in names
-                    if membership.rank_by_rendezvous_hash((
-                        *agents, name), f'duty\0{_GROUP}')[0] == name)
-
-    def _agent(self, own: host_record.HostRecord,
-               records: list[host_record.HostRecord]) -> list[Any]:
-        """Returns the coroutines of one agent."""
-        number = int(own.peer_address.partition(':')[0].rpartition('.')[2])
-        network = thin_links.FabricNetwork(fabric=self.fabric,
-                                           address=own.peer_address)
-        hosts = host_registry.HostRegistry()
-        for record in records:
-            hosts.put(record)
-        registry = group_view.GroupRegistry(network=network, time=self._time)
-        if number == self.agents:
-            return [self._coordinate_maps(own, network, hosts, registry)]
-        agent = rank_agent.RankAgent(own=own,
-                                     slots=self.figures.slots,
-                                     server=self._server(own.engine_address),
-                                     hosts=hosts,
-                                     registry=registry,
-                                     network=network,
-                                     link_bytes_per_s=self._link_bytes_per_s,
-                                     time=self._time,
-                                     log=memory.NullEventLog(),
-                                     rng=random.Random(number))
-        agent.experts_per_set = self.figures.experts
-        return [agent.run()]
-
-    def _server(self, address: str) -> emulated_group.EmulatedRankServer:
-        rank = int(address.partition(':')[0].rpartition('.')[2])
-        return emulated_group.EmulatedRankServer(group=self.group,
-                                                 rank=rank,
-                                                 running=int(_STREAMS_PER_RANK))
-
-    async def _coordinate_maps(self, own: host_record.HostRecord,
-                               network: thin_links.FabricNetwork,
-                               hosts: host_registry.HostRegistry,
-                               registry: group_view.GroupRegistry) -> None:
-        registry.own_state = dataclasses.replace(self.group.states[0],
-                                                 group=_OUTSIDE)
-        view = registry.view(_GROUP)
-        driver = switch_driver.SwitchDriver(
-            host=own.host,
-            hosts=hosts,
-            view=view,
-            network=network,
-            make_server=self._server,
-            link_bytes_per_s=self._link_bytes_per_s,
-            time=self._time,
-            log=memory.NullEventLog())
-        coordinator = map_coordinator.MapCoordinator(
-            host=own.host,
-            incarnation='1',
-            store=_Store(),
-            hosts=hosts,
-            registry=registry,
-            view=view,
-            driver=driver,
-            network=network,
-            lookup_engine_profile=lambda service: self.figures,
-            time=self._time,
-            log=memory.NullEventLog())
-        await coordinator.run()
-
-
 @given('a group with {sets:d} sets of {experts:d} experts and {agents:d} '
        'agents on links of {megabits_per_s:d} Mbit/s')
 def step_simulation(context: Any, agents: int, megabits_per_s: int, sets: int,
                     experts: int) -> None:
     base = _ENGINE_PROFILE if sets == 12 else _LARGE_ENGINE_PROFILE
     figures = dataclasses.replace(base, sets=sets, experts=experts)
-    context.simulation = _GroupSimulation(agents=agents,
-                                          megabits_per_s=megabits_per_s,
-                                          figures=figures)
+    context.simulation = group_simulation.GroupSimulation(
+        agents=agents, megabits_per_s=megabits_per_s, figures=figures)
     context.link_bytes_per_s = megabits_per_s * 1e6 / 8
 
 
