--- a/models/map_switch.py
+++ b/models/map_switch.py
@@ -17,6 +17,8 @@
 __all__ = ['LARGE_BOUNDS', 'MUTANTS', 'Rules', 'SMALL_BOUNDS', 'specification']
 
 _EPOCH = 1
+# A coordinator may change the lead until it holds a pass.
+_LEAD_PASSES = (1, 2)
 _Kind = peer_messages.OrderKind
 
 
@@ -183,9 +185,18 @@
                        coordinator._replace(observed=tuple(rank_states))))
 
     def _advance_steps(self, state: _State, index: int) -> _Successors:
+        for lead_passes in _LEAD_PASSES:
+            yield from self._advance_with_lead(state, index, lead_passes)
+
+    def _advance_with_lead(self, state: _State, index: int,
+                           lead_passes: int) -> _Successors:
         coordinator = state.coordinators[index]
         states = dict(enumerate(coordinator.observed))
-        switch, orders = self._rules.advance_switch(coordinator.switch, states)
+        switch, orders = self._rules.advance_switch(
+            dataclasses.replace(coordinator.switch, lead_passes=lead_passes),
+            states)
+        # The lead is chosen anew each time, so it is no part of the state.
+        switch = dataclasses.replace(switch, lead_passes=min(_LEAD_PASSES))
         if switch.step > self._bounds.steps + 1:
             return
         sent = frozenset(
@@ -208,6 +219,7 @@
             switch = self._rules.recovery_switch(states, (), version)
         else:
             switch = map_switch.MapSwitch(version, _EPOCH, ())
+        switch = dataclasses.replace(switch, lead_passes=min(_LEAD_PASSES))
         yield f'coordinator {index} starts', state._replace(
             coordinators=(*state.coordinators, _Coordinator(switch, observed)))
 
