Take the limits of callers from the configuration in force

The copies were max_head_bytes in the check and in the HTTP parser, max_body_bytes, the times of running timers, the size of the send buffer, and the limit on connections, which a change reset to its default.

Change: a connection asks its server for the limits. The parser has no limit of its own any more; incomplete heads, chunk headers and trailers are checked where the other limits are. Timers that run are scheduled again after a change. The product's own interface takes no limit of its server from the targets.

--- a/pollenthread/adapters/http_connection.py
+++ b/pollenthread/adapters/http_connection.py
@@ -1,10 +1,12 @@
 """A connection of the HTTP server, with limits on its input."""
 
+import abc
 import asyncio
 import contextlib
 import dataclasses
 import fcntl
 import struct
+import sys
 import termios
 from collections.abc import Callable
 from typing import Any
@@ -15,11 +17,13 @@
 from pollenthread.adapters import http_message
 from pollenthread.core import errors
 
-__all__ = ['BodyBufferQuota', 'ServerConnection']
+__all__ = ['BodyBufferQuota', 'ConnectionOwner', 'ServerConnection']
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HTTP_SCHEME = 'http://'
 _INT = struct.Struct('i')
+# The limits change while the parser is in use, so they are checked outside.
+_PARSER_BYTES = sys.maxsize
 
 
 @dataclasses.dataclass
@@ -33,6 +37,24 @@
     remaining_bytes: int
 
 
+class ConnectionOwner(abc.ABC):
+    """The server that accepts a connection.
+
+    Attributes:
+        limits: the limits in force, which can change at any time.
+    """
+
+    limits: http_message.ServerLimits
+
+    @abc.abstractmethod
+    def add(self, connection: 'ServerConnection') -> None:
+        """Adds an open connection."""
+
+    @abc.abstractmethod
+    def discard(self, connection: 'ServerConnection') -> None:
+        """Removes a connection that is closed."""
+
+
 class _BadRequestError(Exception):
     """The request is invalid and is rejected without calling the handler."""
 
@@ -41,6 +63,28 @@
         self.failure = failure
 
 
+class _Timer:
+    """A timer whose duration is a limit that can change."""
+
+    def __init__(self, *, limit: str, callback: Callable[[], None]) -> None:
+        self._limit = limit
+        self._callback = callback
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
+        self._handle: asyncio.TimerHandle | None = None
+
+    def schedule(self, limits: http_message.ServerLimits) -> None:
+        """Schedules the timer as its limit says now."""
+        self.cancel()
+        self._handle = self._loop.call_at(
+            self._started_at + getattr(limits, self._limit), self._callback)
+
+    def cancel(self) -> None:
+        """Stops the timer."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+
 class ServerConnection(asyncio.Protocol, http_message.ResponseTransport):
     """Reads requests, runs the handler for each, and sends the responses.
 
@@ -55,30 +99,30 @@
     """
 
     def __init__(self, *, handler: http_message.RequestHandler,
-                 limits: http_message.ServerLimits, quota: BodyBufferQuota,
-                 on_opened: Callable[['ServerConnection'], None],
-                 on_closed: Callable[['ServerConnection'], None]) -> None:
+                 owner: ConnectionOwner, quota: BodyBufferQuota) -> None:
         self._handler = handler
-        self._limits = limits
+        self._owner = owner
         self._quota = quota
-        self._on_opened = on_opened
-        self._on_closed = on_closed
         self._transport: asyncio.Transport
         self._client_ip = ''
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
+        self._parser = h11.Connection(h11.SERVER,
+                                      max_incomplete_event_size=_PARSER_BYTES)
         self._request_head: h11.Request | None = None
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
         self._pipelined = bytearray()
         self._discard_limit_bytes: int | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: _Timer | None = None
         self._writable: asyncio.Event | None = None
         self.task: asyncio.Task[None] | None = None
         self.is_busy = False
         self.should_close = False
         self.request_method = ''
 
+    @property
+    def _limits(self) -> http_message.ServerLimits:
+        return self._owner.limits
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the caller has not acknowledged.
@@ -117,12 +161,11 @@
     def abort(self) -> None:
         self._transport.close()
         if self._writable is not None:
-            self._start_timer(self._limits.lingering_close_s,
-                              self._transport.abort)
+            self._start_timer('lingering_close_s', self._transport.abort)
 
     def reject(self, failure: errors.Failure) -> None:
         """Sends an error response and closes the connection."""
-        self._start_timer(self._limits.lingering_close_s, self._transport.abort)
+        self._start_timer('lingering_close_s', self._transport.abort)
         self._discard_limit_bytes = self._limits.max_body_bytes
         self.should_close = True
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -143,7 +186,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._on_opened(self)
+        self._owner.add(self)
         transport.set_write_buffer_limits(high=self._limits.max_unsent_bytes)
         peer = transport.get_extra_info('peername')
         self._client_ip = peer[0] if peer else ''
@@ -182,14 +225,27 @@
         self.is_busy = False
         if self.task is not None:
             self.task.cancel()
-        self._on_closed(self)
+        self._owner.discard(self)
 
     # Parsing of requests.
 
-    def _start_timer(self, seconds: float, callback: Callable[[],
-                                                              None]) -> None:
+    def apply_limits(self) -> None:
+        """Applies limits that have changed to what is in progress."""
+        self._transport.set_write_buffer_limits(
+            high=self._limits.max_unsent_bytes)
+        if self._timer is not None:
+            self._timer.schedule(self._limits)
+
+    def _start_timer(self, limit: str, callback: Callable[[], None]) -> None:
+        """Starts a timer in place of the current one.
+
+        Args:
+            limit: the name of the limit in seconds after which it fires.
+            callback: the function that it calls.
+        """
         self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(seconds, callback)
+        self._timer = _Timer(limit=limit, callback=callback)
+        self._timer.schedule(self._limits)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -198,7 +254,7 @@
 
     def _wait_for_request(self) -> None:
         self.is_busy = False
-        self._start_timer(self._limits.idle_timeout_s, self._transport.close)
+        self._start_timer('idle_timeout_s', self._transport.close)
 
     def _reject_slow_request(self) -> None:
         self.reject(errors.make_failure(errors.ErrorKind.SLOW_REQUEST))
@@ -209,8 +265,7 @@
             self._parser.receive_data(data)
         if not self.is_busy:
             self.is_busy = True
-            self._start_timer(self._limits.head_timeout_s,
-                              self._reject_slow_request)
+            self._start_timer('head_timeout_s', self._reject_slow_request)
         try:
             while self._handle_event(self._parser.next_event()):
                 pass
@@ -235,6 +290,9 @@
             self._start_handler()
             return False
         if event is h11.NEED_DATA:
+            if len(self._parser.trailing_data[0]) > self._limits.max_head_bytes:
+                raise _BadRequestError(
+                    errors.make_failure(errors.ErrorKind.HEAD_TOO_LARGE))
             if self._parser.they_are_waiting_for_100_continue:
                 self.send_events(
                     h11.InformationalResponse(status_code=100, headers=[]))
@@ -246,8 +304,7 @@
         self._request_head = head
         self.request_method = head.method.decode('ascii')
         _check_head(head, self._limits)
-        self._start_timer(self._limits.body_timeout_s,
-                          self._reject_slow_request)
+        self._start_timer('body_timeout_s', self._reject_slow_request)
 
     def _handle_data(self, data: bytes) -> None:
         self._body_bytes += len(data)
--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -19,8 +19,12 @@
 _IDLE_CHECK_S = 0.02
 
 
-class HttpServer:
-    """An HTTP server that runs while its asynchronous context is active."""
+class HttpServer(http_connection.ConnectionOwner):
+    """An HTTP server that runs while its asynchronous context is active.
+
+    Attributes:
+        limits: the limits in force; `set_limits` changes them.
+    """
 
     def __init__(self,
                  *,
@@ -31,7 +35,7 @@
         self._handler = handler
         self._host = host
         self._port = port
-        self._limits = limits
+        self.limits = limits
         self._body_quota = http_connection.BodyBufferQuota(
             limits.max_buffered_bytes)
         self._server: asyncio.Server | None = None
@@ -46,8 +50,10 @@
         return f'{host}:{port}'
 
     def set_limits(self, limits: ServerLimits) -> None:
-        """Sets the limits for connections that are accepted from now on."""
-        self._limits = limits
+        """Sets the limits of all connections, also of the open ones."""
+        self.limits = limits
+        for connection in self._connections:
+            connection.apply_limits()
 
     @property
     def open_connections(self) -> int:
@@ -113,18 +119,19 @@
 
     def _accept(self) -> http_connection.ServerConnection:
         connection = _LimitedConnection(handler=self._handler,
-                                        limits=self._limits,
-                                        quota=self._body_quota,
-                                        on_opened=self._add,
-                                        on_closed=self._connections.discard)
+                                        owner=self,
+                                        quota=self._body_quota)
         connection.is_over_limit = len(
-            self._connections) >= self._limits.max_connections
+            self._connections) >= self.limits.max_connections
         return connection
 
-    def _add(self, connection: http_connection.ServerConnection) -> None:
+    def add(self, connection: http_connection.ServerConnection) -> None:
         connection.should_close = self._is_keep_alive_disabled
         self._connections.add(connection)
 
+    def discard(self, connection: http_connection.ServerConnection) -> None:
+        self._connections.discard(connection)
+
 
 class _LimitedConnection(http_connection.ServerConnection):
     """A connection that rejects requests if it exceeds `max_connections`."""
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -187,10 +187,11 @@
                              config: routing_config.RoutingConfig) -> None:
         limits = config.limits
         self._caller_server.set_limits(
-            http_server.ServerLimits(max_head_bytes=limits.max_header_bytes,
-                                     max_body_bytes=limits.max_body_bytes,
-                                     head_timeout_s=limits.header_timeout_s,
-                                     idle_timeout_s=limits.idle_timeout_s))
+            dataclasses.replace(self._caller_server.limits,
+                                max_head_bytes=limits.max_header_bytes,
+                                max_body_bytes=limits.max_body_bytes,
+                                head_timeout_s=limits.header_timeout_s,
+                                idle_timeout_s=limits.idle_timeout_s))
 
     @staticmethod
     def _make_server(
