--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -361,7 +361,11 @@
             self, epoch: int,
             version: int) -> tuple[replication.SetLayout, ...] | None:
         if version == _INITIAL_VERSION:
-            return self._initial_layouts
+            known = self._initial_layouts
+            # A group may form anew with another number of ranks.
+            is_current = known is not None and len(known[0]) == len(
+                self._view.states())
+            return known if is_current else None
         found = self._view.remembered_map(epoch, version)
         if found is None:
             return None
