--- a/pollenthread/app/pending_attempt.py
+++ b/pollenthread/app/pending_attempt.py
@@ -27,7 +27,8 @@
         timeout: the timeout that ends the attempt.
         progressed_at: monotonic seconds of the last event, or of the start.
         stage: how much of the response has arrived.
-        is_recalled: whether this host ended the attempt because of its prompt.
+        is_recalled: whether this host ended the attempt because of its prompt,
+            or to place it elsewhere.
     """
 
     job: request_job.RequestJob
@@ -41,10 +42,25 @@
         """Records that the attempt made progress."""
         self.progressed_at = now
 
+    def end(self, now: float) -> None:
+        """Ends the attempt now, unless its time is over already.
+
+        Args:
+            now: monotonic seconds.
+        """
+        if not self.timeout.expired():
+            self.timeout.reschedule(now)
+
     def is_silent(self, now: float) -> bool:
         """Returns whether the server has sent nothing for some time."""
         return now - self.progressed_at > _SILENT_ATTEMPT_S
 
+    def recall(self, now: float) -> None:
+        """Ends the attempt, unless it is about to end."""
+        if not self.timeout.expired():
+            self.is_recalled = True
+            self.timeout.reschedule(now)
+
     async def next_chunk(self, body: AsyncIterator[bytes]) -> bytes | None:
         """Returns the next bytes of a stream, or None at its end.
 
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -78,7 +78,7 @@
     def _rejection(self, job: request_job.RequestJob) -> errors.Failure:
         """Returns the failure for a request that no server can take now."""
         now = self._clock.monotonic()
-        listed = self._state.server_registry.ready(job.service)
+        listed = self._usable.outside_evacuations(job.service)
         statements = self._state.server_statements
         if any(statements.accepts(server, now) for server in listed):
             return job.rejection(errors.ErrorKind.OVERLOADED, now)
@@ -148,7 +148,10 @@
                                   self._usable.unlimited(job.service),
                                   self._clock.monotonic(),
                                   reserved_share=reserved_share)
-        return self._selected(job, server)
+        if server is None:
+            return None
+        permit = await self._permits.acquire(server, 0.0)
+        return self._selected(job, server) if permit.is_granted else None
 
     async def _wait_for_permit(
             self, job: request_job.RequestJob) -> server_registry.Server | None:
@@ -172,6 +175,14 @@
                     return self._selected(job, server)
         return None
 
+    def has_room(self, job: request_job.RequestJob) -> bool:
+        """Returns whether another server can start a request in time."""
+        now = self._clock.monotonic()
+        if job.deadline - now < _MIN_TIME_LEFT_S:
+            return False
+        servers = self._usable.permitted(job.service)
+        return self._try_select(job, servers, now) is not None
+
     def _selected(
             self, job: request_job.RequestJob,
             server: server_registry.Server | None
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -60,6 +60,10 @@
         """Sets which requests to a service go to other data centres."""
         self._spill_plan_by_service[service] = plan
 
+    def record_restart(self, server_id: str) -> None:
+        """Forgets what is known of a server, except for requests under way."""
+        self._load_by_id[server_id] = self._get(server_id).after_restart()
+
     def record_report(self, server_id: str, report: ServerLoadReport,
                       now: float) -> None:
         """Records a load report of a server."""
