Admit streams by level while there is too little room

A burst of the least important class made the most important one late: all waited alike in servers' queues, and late callers after an outage filled them.

Entry hosts now hold streams back while the room is needed by more important levels, or by requests that can still be in time. Room counts what is queued at servers; each host takes its share, from heartbeats. While slots are scarce a host fills servers of its own first, so that hosts with the same reports do not send to the same slots.

--- a/pollenthread/app/entry_liveness.py
+++ b/pollenthread/app/entry_liveness.py
@@ -66,7 +66,13 @@
                 self._log.write(log_events.LogEvent.PEER_SILENT,
                                 peer=host,
                                 silent_s=round(silent_s, 3))
-        self._state.entry_host_count = len(self.other_records()) + 1
+        others = self.other_records()
+        self._state.entry_host_count = len(others) + 1
+        self._state.host = self._own.host
+        self._state.near_hosts = tuple(
+            record.host
+            for record in others
+            if record.data_centre == self._own.data_centre)
 
     def heartbeats(self) -> list[peer_messages.EntryBeat]:
         """Returns the last heartbeat of each live host."""
--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -84,6 +84,7 @@
     def _on_heartbeat(self, heartbeat: peer_messages.EntryBeat) -> None:
         self._liveness.record_heartbeat(heartbeat)
         self._watch.on_heartbeat(heartbeat)
+        self._state.demand.record_heartbeat(heartbeat, self._clock.monotonic())
 
     def send_heartbeat(self) -> None:
         """Sends a heartbeat to the hosts that listen to this one."""
@@ -118,7 +119,8 @@
             is_store_up=self._watch.is_store_up,
             peer_address=self._own.peer_address,
             servers_era=servers_version.era,
-            hosts_era=hosts_version.era)
+            hosts_era=hosts_version.era,
+            demand=self._state.demand.own_demand(self._clock.monotonic()))
 
     def _listeners(self) -> Iterator[host_record.HostRecord]:
         """Yields the entry hosts that get the heartbeats of this one."""
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -48,11 +48,13 @@
         self._pending_attempts: set[pending_attempt.PendingAttempt] = set()
         self._admission = request_admission.RequestAdmission(
             state=state, shutdown_plan=shutdown_plan, time=time)
-        self._server_selector = server_selector.ServerSelector(state=state,
-                                                               permits=permits,
-                                                               time=time,
-                                                               log=log,
-                                                               rng=state.rng)
+        self._server_selector = server_selector.ServerSelector(
+            state=state,
+            permits=permits,
+            count=self._count,
+            time=time,
+            log=log,
+            rng=state.rng)
         self._guard = poison_guard.PoisonGuard(evidence=state.evidence_log,
                                                upstream_client=upstream_client,
                                                registry=state.server_registry,
--- a/pollenthread/app/request_job.py
+++ b/pollenthread/app/request_job.py
@@ -4,6 +4,7 @@
 
 from pollenthread.core import (caller_request, crash_evidence, errors,
                                resumable_events, routing_config, stream_timing)
+from pollenthread.core.admission import levels
 from pollenthread.ports import caller_response
 
 __all__ = ['RequestFailed', 'RequestJob']
@@ -83,13 +84,8 @@
 
     @property
     def priority(self) -> int:
-        """The priority for admission at the server, from 0 (first) to 9.
-
-        A priority of the workspace takes precedence over one of the route.
-        """
-        priority = self.route.priority
-        if self.workspace is not None and self.workspace.priority is not None:
-            priority = self.workspace.priority
+        """The priority for admission at the server, from 0 (first) to 9."""
+        priority = levels.configured_priority(self.route, self.workspace)
         return min(_MAX_PRIORITY, _DEFAULT_PRIORITY +
                    priority) if priority else _DEFAULT_PRIORITY
 
@@ -114,12 +110,16 @@
         if kind is errors.ErrorKind.UPSTREAM_FAILED:
             kind = errors.ErrorKind.OVERLOADED
         if retry_after_s is None:
-            retry_after_s = min(_MAX_RETRY_AFTER_S,
-                                (self.deadline - now) * _RETRY_AFTER_SHARE)
+            retry_after_s = self.max_retry_after_s(now)
         return errors.make_failure(kind,
                                    self.last_failure,
                                    retry_after_s=round(retry_after_s, 2))
 
+    def max_retry_after_s(self, now: float) -> float:
+        """Returns the longest retry delay that leaves time for a response."""
+        return min(_MAX_RETRY_AFTER_S,
+                   max(0.0, self.deadline - now) * _RETRY_AFTER_SHARE)
+
     def timeout_failure(self) -> errors.Failure:
         """Returns the failure for a request whose deadline has passed."""
         if self.may_have_run:
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -3,24 +3,26 @@
 import dataclasses
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from pollenthread.app import rate_permits, request_job, serving_state
+from pollenthread.app.admission import admission_gate
 from pollenthread.app.routing import usable_servers
 from pollenthread.core import (errors, log_events, server_registry,
                                service_estimate)
+from pollenthread.core.admission import home_servers
 from pollenthread.ports import clock, event_log
 
 __all__ = ['ServerSelector']
 
 _MIN_TIME_LEFT_S = 0.02
-# Callers abandon a stream after 2 s without an event, and a silent server is
-# detected after 1.2 s; the rest is left for another server to start.
-_MAX_SLOT_WAIT_S = 0.4
-_SLOT_WAIT_SHARE = 0.25
-# Equals the interval at which agents report their load.
-_SLOT_POLL_INTERVAL_S = 0.25
-_RESERVED_SLOT_SHARE = 0.3
+# The longest wait of a late request for a permit.
+_MAX_PERMIT_WAIT_S = 0.4
+_PERMIT_WAIT_DEADLINE_SHARE = 0.25
+# A stream that was sent before may wait as long for its next event.
+_MIN_PATIENCE_S = 0.4
+# So short that no wait in the queue of a server is within it.
+_NO_QUEUE_S = 0.001
 # Share of the time to the latency target that a request may wait for a permit;
 # the rest is for the server.
 _PERMIT_WAIT_SHARE = 0.5
@@ -36,7 +38,8 @@
     """
 
     def __init__(self, *, state: serving_state.ServingState,
-                 permits: rate_permits.RatePermits, time: clock.Clock,
+                 permits: rate_permits.RatePermits,
+                 count: Callable[[str], None], time: clock.Clock,
                  log: event_log.EventLog, rng: random.Random) -> None:
         self._state = state
         self._permits = permits
@@ -46,15 +49,14 @@
         self._clock = time
         self._log = log
         self._rng = rng
-        self._waiting_count = 0
+        self._count = count
+        self._gate_by_service: dict[str, admission_gate.AdmissionGate] = {}
 
     async def select(self,
                      job: request_job.RequestJob) -> server_registry.Server:
         """Selects a server for the next attempt of a request.
 
-        A request that has already missed its latency target first waits for a
-        slot that no other request needs: its response is late in any case, and
-        another rejection may make the caller give up.
+        A stream of a model engine may first wait for its turn.
 
         Args:
             job: the request.
@@ -66,15 +68,52 @@
             request_job.RequestFailed: no server would start the request in
                 time.
         """
-        server = await self._wait_for_free_slot(job) if _waits_for_free_slot(
-            job) else None
+        if self._has_gate(job):
+            return await self._select_through_gate(job)
+        return await self._select_at_once(job)
+
+    async def _select_at_once(
+            self, job: request_job.RequestJob) -> server_registry.Server:
+        server = await self._select_now(job)
         if server is None:
-            server = (await self._select_permitted(job) or
-                      await self._wait_for_permit(job))
-            if server is None:
-                raise request_job.RequestFailed(self._rejection(job))
+            raise request_job.RequestFailed(self._rejection(job))
         return server
 
+    def _has_gate(self, job: request_job.RequestJob) -> bool:
+        config = self._state.config
+        service = config.services_by_name.get(job.service) if config else None
+        return (job.is_stream and service is not None and
+                service.engine is not None)
+
+    async def _select_through_gate(
+            self, job: request_job.RequestJob) -> server_registry.Server:
+        gate = self._gate_by_service.get(job.service)
+        if gate is None:
+            gate = admission_gate.AdmissionGate(service=job.service,
+                                                state=self._state,
+                                                usable=self._usable,
+                                                count=self._count,
+                                                time=self._clock,
+                                                log=self._log,
+                                                rng=self._rng)
+            self._gate_by_service[job.service] = gate
+        if not job.tried_server_ids:
+            gate.record_arrival(job)
+        if not await gate.has_reports(job):
+            return await self._select_at_once(job)
+        if gate.may_send_at_once(job):
+            server = await self._select_now(job)
+            if server is not None:
+                gate.record_sent(job)
+                return server
+        return await gate.wait(job, lambda: self._select_now(job))
+
+    async def _select_now(
+            self, job: request_job.RequestJob) -> server_registry.Server | None:
+        """Selects a server, or returns None if none can take the request."""
+        return (await self._select_permitted(job) or
+                await self._wait_for_permit(job))
+
     def _rejection(self, job: request_job.RequestJob) -> errors.Failure:
         """Returns the failure for a request that no server can take now."""
         now = self._clock.monotonic()
@@ -89,65 +128,23 @@
                                  retry_after_s=resumes_at - now)
         return job.rejection(errors.ErrorKind.NO_UPSTREAM, now)
 
-    async def _wait_for_free_slot(
-            self, job: request_job.RequestJob) -> server_registry.Server | None:
-        """Waits for a slot no other request needs; None after a timeout."""
-        now = self._clock.monotonic()
-        wait_until = now + min(_MAX_SLOT_WAIT_S,
-                               (job.deadline - now) * _SLOT_WAIT_SHARE)
-        self._waiting_count += 1
-        try:
-            while now < wait_until:
-                if self._wins_draw(job, now):
-                    server = await self._select_permitted(
-                        job, reserved_share=_RESERVED_SLOT_SHARE)
-                    if server is not None:
-                        return server
-                pause_s = _SLOT_POLL_INTERVAL_S * self._rng.uniform(0.5, 1.5)
-                await self._clock.sleep(min(pause_s, wait_until - now))
-                now = self._clock.monotonic()
-        finally:
-            self._waiting_count -= 1
-        return None
-
-    def _wins_draw(self, job: request_job.RequestJob, now: float) -> bool:
-        """Draws at random whether this request may take a free slot now.
-
-        All entry hosts see the same free slots, so without the draw they would
-        all send a request to one slot. Assumes that as many requests wait on
-        every entry host as on this one.
-        """
-        free_slots = self._state.server_loads.free_slots(
-            self._usable.permitted(job.service),
-            reserved_share=_RESERVED_SLOT_SHARE,
-            now=now)
-        waiting_count = self._waiting_count * self._state.entry_host_count
-        return self._rng.random() * waiting_count < free_slots
-
     async def _select_permitted(
-            self,
-            job: request_job.RequestJob,
-            *,
-            reserved_share: float = 0.0) -> server_registry.Server | None:
+            self, job: request_job.RequestJob) -> server_registry.Server | None:
         """Selects a server that a request may be sent to now, or None.
 
         A server that refuses a permit is no candidate until the next one.
         """
         for _ in range(_MAX_PERMIT_QUESTIONS):
             now = self._clock.monotonic()
-            server = self._try_select(job,
-                                      self._usable.permitted(job.service),
-                                      now,
-                                      reserved_share=reserved_share)
+            server = self._try_select(job, self._usable.permitted(job.service),
+                                      now)
             if server is None:
                 return None
             permit = await self._permits.acquire(server, 0.0)
             if permit.is_granted:
                 return self._selected(job, server)
-        server = self._try_select(job,
-                                  self._usable.unlimited(job.service),
-                                  self._clock.monotonic(),
-                                  reserved_share=reserved_share)
+        server = self._try_select(job, self._usable.unlimited(job.service),
+                                  self._clock.monotonic())
         return self._selected(job, server)
 
     async def _wait_for_permit(
@@ -181,17 +178,26 @@
             self._log_attempt(job, server, self._clock.monotonic())
         return server
 
-    def _try_select(
-            self,
-            job: request_job.RequestJob,
-            servers: Sequence[server_registry.Server],
-            now: float,
-            *,
-            reserved_share: float = 0.0) -> server_registry.Server | None:
+    def _try_select(self, job: request_job.RequestJob,
+                    servers: Sequence[server_registry.Server],
+                    now: float) -> server_registry.Server | None:
         if job.deadline - now < _MIN_TIME_LEFT_S:
             raise request_job.RequestFailed(job.timeout_failure())
-        requirements = dataclasses.replace(self._requirements(job, now),
-                                           reserved_share=reserved_share)
+        requirements = self._requirements(job, now)
+        home = self._home_servers(job, servers)
+        if home:
+            server = self._select_loaded(
+                job, home,
+                dataclasses.replace(requirements, target_left_s=_NO_QUEUE_S),
+                now)
+            if server is not None:
+                return server
+        return self._select_loaded(job, servers, requirements, now)
+
+    def _select_loaded(self, job: request_job.RequestJob,
+                       servers: Sequence[server_registry.Server],
+                       requirements: service_estimate.RequestRequirements,
+                       now: float) -> server_registry.Server | None:
         return self._state.server_loads.select(
             servers,
             excluded=job.tried_server_ids,
@@ -200,6 +206,20 @@
             hosts=self._state.entry_host_count,
             now=now)
 
+    def _home_servers(
+        self, job: request_job.RequestJob,
+        servers: Sequence[server_registry.Server]
+    ) -> list[server_registry.Server]:
+        """Returns the servers to fill first; none while there is room."""
+        gate = self._gate_by_service.get(job.service)
+        if gate is None or not self._state.near_hosts or not gate.is_scarce(
+                job):
+            return []
+        return home_servers.home_servers(
+            (s for s in servers if s.data_centre == self._state.data_centre),
+            host=self._state.host,
+            hosts=self._state.near_hosts)
+
     def _log_attempt(self, job: request_job.RequestJob,
                      server: server_registry.Server, now: float) -> None:
         config = self._state.config
@@ -225,30 +245,32 @@
         return service_estimate.RequestRequirements(
             time_left_s=job.deadline - now,
             max_gap_s=job.route.max_gap_s,
-            target_left_s=_target_left_s(job, now),
+            target_left_s=self._max_first_event_s(job, now),
             passes=engine.mean_output_tokens / engine.steps_per_pass)
 
+    def _max_first_event_s(self, job: request_job.RequestJob,
+                           now: float) -> float:
+        """Returns within which time the first event has to arrive, in seconds.
 
-def _target_left_s(job: request_job.RequestJob, now: float) -> float:
-    """Seconds until the first event is due.
-
-    Returns 0 for a retry, a resumed stream, and a request that has already
-    missed its target.
-    """
-    if (job.has_missed_target or job.attempt_count or
-            job.request.last_event_id is not None):
-        return 0.0
-    return max(0.0, job.request.received_at + job.route.target_s - now)
-
-
-def _waits_for_free_slot(job: request_job.RequestJob) -> bool:
-    """Whether to wait for a slot that no other request needs."""
-    return job.has_missed_target and job.is_stream and not job.attempt_count
+        Only a request of the first level that can still be in time may wait in
+        the queue of a server, and one that was sent before or resumes a stream,
+        until its caller gives up.
+        """
+        if job.attempt_count or job.request.last_event_id is not None:
+            return max(
+                _MIN_PATIENCE_S,
+                job.request.received_at + job.route.stream_patience_s - now)
+        gate = self._gate_by_service.get(job.service)
+        if gate is not None and gate.is_first_in_time(job):
+            return max(_NO_QUEUE_S,
+                       job.request.received_at + job.route.target_s - now)
+        return _NO_QUEUE_S
 
 
 def _max_permit_wait_s(job: request_job.RequestJob, now: float) -> float:
     """Returns how long a request may wait for a permit, in seconds."""
     target_left_s = job.request.received_at + job.route.target_s - now
     if job.has_missed_target or target_left_s <= 0:
-        return min(_MAX_SLOT_WAIT_S, (job.deadline - now) * _SLOT_WAIT_SHARE)
+        return min(_MAX_PERMIT_WAIT_S,
+                   (job.deadline - now) * _PERMIT_WAIT_DEADLINE_SHARE)
     return target_left_s * _PERMIT_WAIT_SHARE
--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -6,6 +6,7 @@
 from pollenthread.app import evidence_log
 from pollenthread.core import (retry_budget, routing_config, server_limits,
                                server_load, server_registry, server_statements)
+from pollenthread.core.admission import fleet_demand
 
 __all__ = ['RetryBudgetSettings', 'ServingState']
 
@@ -38,10 +39,13 @@
         server_loads: the load of each server.
         server_limits: the request rates that servers accept.
         server_statements: which servers have said that they want no request.
+        host: the name of this host; empty before it is known.
+        near_hosts: the names of the entry hosts of the data centre.
         entry_host_count: the number of registered entry hosts, including this
             one.
         shutdown_began_at: monotonic seconds at which a graceful shutdown began,
             or None.
+        demand: the demand for services at this host and at others.
         evidence_log: evidence of requests that crash servers.
         rng: random numbers.
     """
@@ -55,6 +59,9 @@
         self.server_loads = server_load.ServerLoadTracker(rng=rng)
         self.server_limits = server_limits.RateLimits()
         self.server_statements = server_statements.ServerStatements()
+        self.demand = fleet_demand.DemandTracker()
+        self.host = ''
+        self.near_hosts: tuple[str, ...] = ()
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
         self.evidence_log = evidence_log.EvidenceLog(
--- a/pollenthread/core/admission_queue.py
+++ b/pollenthread/core/admission_queue.py
@@ -6,6 +6,8 @@
 import collections
 import dataclasses
 
+from pollenthread.core.admission import fair_shares
+
 __all__ = ['AdmissionQueue', 'IMPORTANCE_LEVELS', 'AdmissionRequest']
 
 IMPORTANCE_LEVELS = 3
@@ -41,10 +43,6 @@
 class AdmissionQueue:
     """Orders requests by importance, then by fair shares of the workspaces.
 
-    Uses start-time fair queueing: a workspace that was idle starts at the
-    current virtual time, so its unused share goes to others and does not
-    accumulate.
-
     Attributes:
         lengths: number of queued requests, indexed by importance.
     """
@@ -53,8 +51,7 @@
         self._levels: list[dict[str, collections.deque[AdmissionRequest]]] = [
             {} for _ in range(IMPORTANCE_LEVELS)
         ]
-        self._virtual_start_by_workspace: dict[str, float] = {}
-        self._virtual_time = 0.0
+        self._shares = fair_shares.FairShares()
         self.lengths = [0] * IMPORTANCE_LEVELS
 
     def __len__(self) -> int:
@@ -80,15 +77,13 @@
         level = self._levels[request.importance]
         if request.workspace not in level:
             level[request.workspace] = collections.deque()
-            self._activate(request.workspace)
+            self._shares.activate(request.workspace)
         level[request.workspace].append(request)
         self.lengths[request.importance] += 1
 
     def record_served(self, workspace: str) -> None:
         """Counts a granted slot against the workspace's fair share."""
-        self._activate(workspace)
-        self._virtual_time = self._virtual_start_by_workspace[workspace]
-        self._virtual_start_by_workspace[workspace] += 1.0
+        self._shares.record_served(workspace)
 
     def pop(self) -> AdmissionRequest | None:
         """Removes and returns the next request; None if the queue is empty."""
@@ -96,7 +91,7 @@
         if importance is None:
             return None
         level = self._levels[importance]
-        workspace = min(level, key=self._virtual_start_by_workspace.__getitem__)
+        workspace = min(level, key=self._shares.virtual_start)
         request = level[workspace].popleft()
         self._remove_if_empty(importance, workspace)
         self.lengths[importance] -= 1
@@ -125,21 +120,7 @@
             self.remove(request)
         return overdue
 
-    def _activate(self, workspace: str) -> None:
-        virtual_start = self._virtual_start_by_workspace.get(workspace, 0.0)
-        self._virtual_start_by_workspace[workspace] = max(
-            virtual_start, self._virtual_time)
-
     def _remove_if_empty(self, importance: int, workspace: str) -> None:
         if not self._levels[importance][workspace]:
             del self._levels[importance][workspace]
-        if len(self._virtual_start_by_workspace) > _MAX_IDLE_WORKSPACES:
-            waiting = {w for level in self._levels for w in level}
-            self._virtual_start_by_workspace = {
-                w: virtual_start for w, virtual_start in
-                self._virtual_start_by_workspace.items() if w in waiting or
-                virtual_start > self._virtual_time or w == workspace
-            }
-
-
-_MAX_IDLE_WORKSPACES = 64
+        self._shares.forget_idle(w for level in self._levels for w in level)
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -57,6 +57,9 @@
     REQUEST_REFUSED = ('request_refused',
                        'A request was refused; it was not and '
                        'will not be executed.')
+    REQUEST_WAITED = ('request_waited', 'A request waited for room at the '
+                      'servers and was then sent or refused, with the room '
+                      'and the demand by which that was decided.')
     REQUEST_FAILED = ('request_failed',
                       'A request failed; it may have been executed.')
     REQUEST_ANSWERED = ('request_answered', 'The complete response of a server '
--- a/pollenthread/core/peer_messages.py
+++ b/pollenthread/core/peer_messages.py
@@ -21,7 +21,8 @@
 class ServiceDemand:
     """The demand for a service at one entry host.
 
-    Levels of importance are in order; the first is the most important.
+    Levels of importance are in order; the first is the most important. A class
+    of requests that are late in any case follows the last level.
 
     Attributes:
         service: the name of the service.
