--- a/pollenthread/app/serving_state.py
+++ b/pollenthread/app/serving_state.py
@@ -6,6 +6,7 @@
 from pollenthread.app import evidence_log
 from pollenthread.core import (retry_budget, routing_config, server_limits,
                                server_load, server_registry, server_statements)
+from pollenthread.core.admission import fleet_demand
 from pollenthread.core.routing import evacuations, warm_up, work_estimate
 
 __all__ = ['RetryBudgetSettings', 'ServingState', 'WarmUpSettings']
@@ -55,10 +56,13 @@
         server_statements: which servers have said that they want no request.
         evacuations: the data centres that operators have emptied.
         warming_servers: the servers that are slow after a start.
+        host: the name of this host; empty before it is known.
+        near_hosts: the names of the entry hosts of the data centre.
         entry_host_count: the number of registered entry hosts, including this
             one.
         shutdown_began_at: monotonic seconds at which a graceful shutdown began,
             or None.
+        demand: the demand for services at this host and at others.
         evidence_log: evidence of requests that crash servers.
         rng: random numbers.
     """
@@ -82,6 +86,9 @@
         self.server_statements = server_statements.ServerStatements()
         self.evacuations = evacuations.Evacuations()
         self.warming_servers = warm_up.WarmingServers()
+        self.demand = fleet_demand.DemandTracker()
+        self.host = ''
+        self.near_hosts: tuple[str, ...] = ()
         self.entry_host_count = 1
         self.shutdown_began_at: float | None = None
         self.evidence_log = evidence_log.EvidenceLog(
