Keep long prompts apart from each other and from short requests

A server's choice knows the prompts of this host that are unread there: two long ones in one pass would exceed the allowed gap. Where one alone takes over half of the gap to read, such prompts prefer some servers or groups, in rendezvous order, and others avoid these; their number follows the work of the last minute.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -141,10 +141,13 @@
         job.attempt_count += 1
         now = self._clock.monotonic()
         job.timing.record_sent(now)
-        self._state.server_loads.record_start(server.id, now,
-                                              job.work.kv_tokens)
+        self._state.server_loads.record_start(server.id, now, job.work)
         timeout = asyncio.timeout_at(self._attempt_deadline(job))
-        pending = pending_attempt.PendingAttempt(job, server, timeout, now)
+        pending = pending_attempt.PendingAttempt(job,
+                                                 server,
+                                                 timeout,
+                                                 now,
+                                                 unread_s=job.work.prompt_s)
         self._pending_attempts.add(pending)
         try:
             async with timeout:
@@ -169,6 +172,7 @@
             return False
         finally:
             self._pending_attempts.discard(pending)
+            self._record_prompt_read(pending)
             self._state.server_loads.record_end(server.id)
 
     async def watch_silent_servers(self) -> None:
@@ -290,6 +294,7 @@
             if not events:
                 continue
             self._guard.record_answer(pending)
+            self._record_prompt_read(pending)
             job.timing.record_events(self._clock.monotonic())
             if not job.caller_response.is_started:
                 self._observe('first_event', self._age_s(job.request))
@@ -366,6 +371,14 @@
                         stage=pending.stage.value,
                         events=job.event_splitter.events)
 
+    def _record_prompt_read(self,
+                            pending: pending_attempt.PendingAttempt) -> None:
+        """Records, once, that the server reads the prompt no longer."""
+        if pending.unread_s:
+            self._state.server_loads.record_prompt_read(pending.server.id,
+                                                        pending.unread_s)
+            pending.unread_s = 0.0
+
     def _may_retry(self, job: request_job.RequestJob) -> bool:
         """Whether the route allows a retry; spends no retry budget."""
         if job.attempt_count >= job.route.max_attempts:
--- a/pollenthread/app/pending_attempt.py
+++ b/pollenthread/app/pending_attempt.py
@@ -29,6 +29,7 @@
         stage: how much of the response has arrived.
         is_recalled: whether this host ended the attempt because of its prompt,
             or to place it elsewhere.
+        unread_s: seconds that reading the prompt takes; 0 once it was read.
     """
 
     job: request_job.RequestJob
@@ -37,6 +38,7 @@
     progressed_at: float
     stage: crash_evidence.AttemptStage = crash_evidence.AttemptStage.SENT
     is_recalled: bool = False
+    unread_s: float = 0.0
 
     def record_progress(self, now: float) -> None:
         """Records that the attempt made progress."""
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -244,6 +244,7 @@
             passes=work.passes,
             low_passes=0.0 if job.last_event_id else work.low_passes,
             others_passes=engine.mean_output_tokens / engine.steps_per_pass,
+            prompt_s=work.prompt_s,
             kv_tokens=work.kv_tokens)
 
 
--- a/pollenthread/core/routing/known_loads.py
+++ b/pollenthread/core/routing/known_loads.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 
 from pollenthread.core import server_registry, service_estimate, spreading
-from pollenthread.core.routing import group_pace, tracked_load
+from pollenthread.core.routing import group_pace, tracked_load, work_estimate
 
 __all__ = ['KnownLoads']
 
@@ -63,13 +63,24 @@
         """
         self.get(server_id).record_request_count(requests, now)
 
-    def record_start(self,
-                     server_id: str,
-                     now: float,
-                     kv_tokens: float = 0.0) -> None:
+    def record_start(
+        self,
+        server_id: str,
+        now: float,
+        work: work_estimate.WorkEstimate = work_estimate.WorkEstimate(0.0)
+    ) -> None:
         """Records that this host has sent a request to the server."""
         self._rate.record_request(now)
-        self.get(server_id).record_start(kv_tokens)
+        self.get(server_id).record_start(work)
+
+    def record_prompt_read(self, server_id: str, prompt_s: float) -> None:
+        """Records that the server has read a prompt, or will not read it.
+
+        Args:
+            server_id: the id of the server.
+            prompt_s: the seconds that were expected for it.
+        """
+        self.get(server_id).record_prompt_read(prompt_s)
 
     def record_end(self, server_id: str) -> None:
         """Records that a request of this host has ended at the server."""
@@ -125,7 +136,8 @@
         return service_estimate.ServerEstimate(load=load.requests(now),
                                                slots=server.slots,
                                                pass_s=self.paces.get(
-                                                   load.group).pass_s)
+                                                   load.group).pass_s,
+                                               unread_s=load.unread_s)
 
     def reported(self, servers: Sequence[server_registry.Server],
                  now: float) -> list[server_registry.Server]:
--- a/pollenthread/core/routing/tracked_load.py
+++ b/pollenthread/core/routing/tracked_load.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import Self
 
+from pollenthread.core.routing import work_estimate
+
 __all__ = ['ServerLoadReport', 'TrackedLoad']
 
 _REPORT_TTL_S = 1.5
@@ -57,6 +59,8 @@
         group: the model group that it is a rank of; empty if it has none.
         kv_free_tokens: free tokens of its key-value cache, less those that this
             host's requests since the report need; infinite if unknown.
+        unread_s: seconds that reading the prompts takes which this host has
+            sent and of which no event has arrived.
         failures: number of consecutive failures.
         paused_until: monotonic seconds until which it is avoided.
     """
@@ -70,6 +74,7 @@
     has_agent: bool = False
     group: str = ''
     kv_free_tokens: float = float('inf')
+    unread_s: float = 0.0
     failures: int = 0
     paused_until: float = -1e9
 
@@ -78,7 +83,7 @@
 
         Requests of this host count until they end.
         """
-        return type(self)(own=self.own, change=self.own)
+        return type(self)(own=self.own, change=self.own, unread_s=self.unread_s)
 
     def record_report(self, report: ServerLoadReport, now: float) -> None:
         """Records a load report."""
@@ -104,11 +109,20 @@
         self.reported_at = now
         self.change = 0
 
-    def record_start(self, kv_tokens: float) -> None:
+    def record_start(self, work: work_estimate.WorkEstimate) -> None:
         """Records that this host has sent a request to the server."""
         self.own += 1
         self.change += 1
-        self.kv_free_tokens -= kv_tokens
+        self.kv_free_tokens -= work.kv_tokens
+        self.unread_s += work.prompt_s
+
+    def record_prompt_read(self, prompt_s: float) -> None:
+        """Records that the server has read a prompt, or will not read it.
+
+        Args:
+            prompt_s: the seconds that were expected for it.
+        """
+        self.unread_s = max(0.0, self.unread_s - prompt_s)
 
     def record_end(self) -> None:
         """Records that a request of this host has ended at the server."""
--- a/pollenthread/core/routing/work_estimate.py
+++ b/pollenthread/core/routing/work_estimate.py
@@ -33,6 +33,7 @@
     Attributes:
         passes: forward passes until its response is complete; 0 if it is short.
         prompt_tokens: tokens that the server reads before the first event.
+        prompt_s: seconds that reading them takes.
         kv_tokens: tokens that it keeps in the key-value cache at its end.
         low_passes: passes that its response takes more than with a probability
             of three quarters.
@@ -40,6 +41,7 @@
 
     passes: float
     prompt_tokens: float = 0.0
+    prompt_s: float = 0.0
     kv_tokens: float = 0.0
     low_passes: float = 0.0
 
@@ -112,6 +114,7 @@
         prompt_tokens = request.prompt_tokens or engine.mean_prompt_tokens
         return WorkEstimate(passes=tokens / engine.steps_per_pass,
                             prompt_tokens=prompt_tokens,
+                            prompt_s=_prompt_s(prompt_tokens, engine),
                             kv_tokens=prompt_tokens + tokens,
                             low_passes=low_tokens / engine.steps_per_pass)
 
@@ -130,6 +133,15 @@
             request, engine), _LengthRatios()).record(output_tokens / expected)
 
 
+def _prompt_s(tokens: float, engine: routing_config.EngineProfile) -> float:
+    """Returns the seconds that reading a prompt takes."""
+    if not engine.prefill_tokens_per_s:
+        return 0.0
+    pairs = tokens * tokens / 2
+    return (tokens / engine.prefill_tokens_per_s +
+            pairs * engine.prefill_s_per_token_pair)
+
+
 def _hint_class(request: caller_request.CallerRequest,
                 engine: routing_config.EngineProfile) -> int:
     """Returns the class of the request's hint by size."""
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -9,8 +9,8 @@
 from pollenthread.core import (routing_config, server_registry,
                                service_estimate, spreading)
 from pollenthread.core.routing import (data_centre_choice, known_loads,
-                                       room_estimation, room_forecast, spill,
-                                       tracked_load)
+                                       long_prompts, room_estimation,
+                                       room_forecast, spill, tracked_load)
 
 __all__ = ['ServerLoadTracker', 'ServerLoadReport']
 
@@ -23,6 +23,9 @@
 # Extra weight of a request sent by this host, which is already counted in the
 # load. Other hosts also have requests there that the next report will show.
 _OWN_REQUEST_WEIGHT = 0.5
+# Requests more that a server may have and still be preferred, so that short
+# requests and long prompts do not meet.
+_APART_LOAD = 3.0
 # Time for which all hosts select servers from the same report.
 _REPORT_INTERVAL_S = 0.3
 # Largest share of all slots that requests may fill between two reports.
@@ -37,6 +40,8 @@
 
     def __init__(self, *, rng: spreading.RandomSource) -> None:
         super().__init__(rng=rng)
+        self._long_prompts_by_service: dict[
+            str, long_prompts.LongPromptPlacement] = {}
         self._data_centres = data_centre_choice.DataCentreChoice(loads=self,
                                                                  rng=rng)
 
@@ -86,10 +91,10 @@
         candidates = self.reported(candidates, now) or candidates
         sharing_hosts = hosts * self._sharing_share(all_servers, candidates,
                                                     now)
-        loads = [
+        loads = self._keep_long_prompts_apart(candidates, [
             self._effective_load(s, data_centre, requirements, now)
             for s in candidates
-        ]
+        ], requirements, now)
         # Outside bursts, requests arrive as fast as slots become free.
         total_slots = sum(s.slots for s in candidates)
         arrivals = min(total_slots * _MAX_TURNOVER,
@@ -126,6 +131,26 @@
         """Returns the mean duration of a pass of some servers in seconds."""
         return room_estimation.mean_pass_s(self, servers, now)
 
+    def _keep_long_prompts_apart(
+            self, servers: Sequence[server_registry.Server],
+            loads: Sequence[float],
+            requirements: service_estimate.RequestRequirements,
+            now: float) -> Sequence[float]:
+        """Adds load where the request and long prompts would meet."""
+        is_long = long_prompts.is_long_prompt(requirements.prompt_s,
+                                              requirements.max_gap_s)
+        placement = self._long_prompts_by_service.setdefault(
+            servers[0].service, long_prompts.LongPromptPlacement())
+        placement.record(requirements.passes, is_long=is_long, now=now)
+        units = [self.get(s.id).group or s.id for s in servers]
+        preferred = placement.preferred(frozenset(units))
+        if not preferred:
+            return loads
+        return [
+            load + _APART_LOAD * ((unit in preferred) != is_long)
+            for unit, load in zip(units, loads)
+        ]
+
     def _arrivals(self, hosts: float, now: float) -> float:
         """Returns the requests that some hosts send before the next reports."""
         return self._rate.per_s(now) * hosts * _REPORT_INTERVAL_S
--- a/pollenthread/core/service_estimate.py
+++ b/pollenthread/core/service_estimate.py
@@ -43,6 +43,7 @@
         low_passes: passes that it takes more than, most likely.
         others_passes: passes that other responses take on average; as many as
             this one if 0.
+        prompt_s: seconds that reading its prompt takes.
         kv_tokens: tokens that it needs in the server's key-value cache.
         reserved_share: share of the slots that the request must leave free for
             other requests.
@@ -55,6 +56,7 @@
     passes: float = 0.0
     low_passes: float = 0.0
     others_passes: float = 0.0
+    prompt_s: float = 0.0
     kv_tokens: float = 0.0
     reserved_share: float = 0.0
     target_left_s: float = 0.0
@@ -73,11 +75,13 @@
         load: estimated number of requests at the server.
         slots: requests that it can process concurrently.
         pass_s: duration of a pass in seconds; 0 if unknown.
+        unread_s: seconds that reading the prompts takes that wait there.
     """
 
     load: float
     slots: int
     pass_s: float
+    unread_s: float = 0.0
 
     def pass_or_default_s(self) -> float:
         """Returns the duration of a pass, or the default if unknown."""
@@ -108,7 +112,8 @@
     """Returns the expected delay at a server beyond that of its load.
 
     Includes fixed penalties if the server's passes exceed the allowed time
-    between events, or if the response would exceed the timeout.
+    between events, if they would because several prompts are read in one, or if
+    the response would exceed the timeout.
     """
     if not requirements.passes:
         return 0.0
@@ -116,7 +121,8 @@
     wait_s = _wait_s(requirements, server)
     default_wait_s = wait_s * _DEFAULT_PASS_S / pass_s
     total = _PASSES_TO_FIRST_EVENT * pass_s + wait_s - default_wait_s
-    if not keeps_gap(requirements, server):
+    total += server.unread_s
+    if not keeps_gap(requirements, server) or _delays_gap(requirements, server):
         total += _EVENT_GAP_PENALTY_S
     if wait_s + requirements.passes * pass_s > requirements.time_left_s:
         total += _TIMEOUT_PENALTY_S
@@ -131,6 +137,15 @@
             server.pass_or_default_s() <= requirements.max_gap_s)
 
 
+def _delays_gap(requirements: RequestRequirements,
+                server: ServerEstimate) -> bool:
+    """Returns whether a pass that reads this prompt too would be too long."""
+    if not requirements.max_gap_s or not server.unread_s:
+        return False
+    read_s = server.unread_s + requirements.prompt_s
+    return server.pass_or_default_s() + read_s > requirements.max_gap_s
+
+
 def keeps_reserved_slots(requirements: RequestRequirements,
                          server: ServerEstimate) -> bool:
     """Returns whether the reserved share of slots would stay free."""
