--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -264,6 +264,7 @@
             passes=work.passes,
             low_passes=0.0 if job.last_event_id else work.low_passes,
             others_passes=engine.mean_output_tokens / engine.steps_per_pass,
+            prompt_s=work.prompt_s,
             kv_tokens=work.kv_tokens)
 
     def _max_first_event_s(self, job: request_job.RequestJob,
