Leave servers to the hosts that have a share of them

With more hosts than a server may get requests, hosts tried servers of which they have no share and were refused; a service with few servers could be out of reach of a host for good.

--- a/pollenthread/app/rate_permits.py
+++ b/pollenthread/app/rate_permits.py
@@ -19,8 +19,10 @@
 import dataclasses
 import itertools
 import math
+from collections.abc import Sequence
 
 from pollenthread.app import entry_liveness, serving_state
+from pollenthread.app.routing import server_shares
 from pollenthread.core import (host_record, log_events, membership,
                                peer_messages, rate_pacer, server_limits,
                                server_registry)
@@ -35,7 +37,7 @@
 _UNANSWERED_PAUSE_S = 0.3
 # Time before the first permit of an issuer, if the limit allows one sooner.
 _MIN_START_DELAY_S = 0.5
-# Pause before a server is tried again to which this host may send nothing.
+# Pause after another request has taken the last one of a share.
 _FULL_SHARE_PAUSE_S = 0.3
 _MS_PER_S = 1000
 _MAX_AGE_MS = 2**31
@@ -63,6 +65,9 @@
         self._state = state
         self._limits = state.server_limits
         self._windows = send_windows.SendWindows()
+        self._shares = server_shares.ServerShares(state=state,
+                                                  other_hosts=self._other_hosts,
+                                                  own=self._own_name)
         self._clock = time
         self._log = log
         self._refused_until_by_id: dict[str, float] = {}
@@ -95,9 +100,12 @@
         """Returns the monotonic seconds before which no permit is available.
 
         Returns a time in the past if one may be available now, and negative
-        infinity if the server needs none.
+        infinity if the server needs none. Returns infinity if the server is
+        left to other hosts.
         """
         available_at = self._windows.open_at(server.id)
+        if self._shares.share_of(server) == 0:
+            return math.inf
         if self._limits.get(server) is None:
             return available_at
         return max(available_at,
@@ -115,6 +123,9 @@
             The permit, which is granted at once if the server needs none.
         """
         now = self._clock.monotonic()
+        share = self._shares.share_of(server)
+        if share == 0:
+            return Permit(False, math.inf)
         wait_s = max(0.0, self._windows.open_at(server.id) - now)
         if wait_s > max_wait_s:
             return Permit(False, wait_s)
@@ -127,27 +138,25 @@
                     self._clock.monotonic() + issued.wait_s)
                 return issued
             permit = Permit(True, max(wait_s, issued.wait_s))
-        if not self._reserve_share(server, permit.wait_s):
+        if share is not None and not self._windows.reserve(
+                server.id, share,
+                self._clock.monotonic() + permit.wait_s):
             return Permit(False, _FULL_SHARE_PAUSE_S)
         return permit
 
-    def _reserve_share(self, server: server_registry.Server,
-                       wait_s: float) -> bool:
-        """Reserves a request in this host's part of what a server may get."""
-        per_s = self._state.server_limit_per_s(server.service)
-        if per_s is None:
-            return True
-        return self._windows.reserve(server.id, self._share(server, per_s),
-                                     self._clock.monotonic() + wait_s)
-
     def drop_idle(self) -> None:
-        """Forgets servers to which no request was sent recently."""
+        """Forgets what is over, and shares that have changed."""
         self._windows.drop_idle(self._clock.monotonic())
+        self._shares.refresh()
+
+    @property
+    def _own_name(self) -> str:
+        """The name of this host."""
+        return ''
 
-    def _share(self, server: server_registry.Server, per_s: float) -> int:
-        """Returns the requests in a second that this host may send."""
-        del server
-        return math.floor(per_s)
+    def _other_hosts(self) -> Sequence[str] | None:
+        """Returns the other hosts that use the servers; None if unknown."""
+        return ()
 
     @abc.abstractmethod
     async def _request(self, limit: server_limits.RateLimit,
@@ -205,9 +214,9 @@
                  liveness: entry_liveness.EntryLiveness,
                  network: peers.PeerNetwork, state: serving_state.ServingState,
                  time: clock.Clock, log: event_log.EventLog) -> None:
-        super().__init__(state=state, time=time, log=log)
         self._own = own
         self._liveness = liveness
+        super().__init__(state=state, time=time, log=log)
         self._network = network
         self._numbers = itertools.count(1)
         self._reply_by_number: dict[
@@ -246,13 +255,14 @@
             del self._reply_by_number[number]
         return Permit(found.is_granted, found.wait_ms / _MS_PER_S)
 
-    def _share(self, server: server_registry.Server, per_s: float) -> int:
+    @property
+    def _own_name(self) -> str:
+        return self._own.host
+
+    def _other_hosts(self) -> Sequence[str] | None:
         if not self._liveness.are_hosts_known:
-            return 1
-        return send_windows.host_share(
-            per_s, self._own.host,
-            [record.host for record in self._liveness.other_records()],
-            server.id)
+            return None
+        return [record.host for record in self._liveness.other_records()]
 
     def _issuer_of(self, server_id: str) -> host_record.HostRecord | None:
         """Returns the host that issues permits, or None for this host."""
--- a/pollenthread/core/routing/send_windows.py
+++ b/pollenthread/core/routing/send_windows.py
@@ -13,12 +13,13 @@
 
 from pollenthread.core import membership
 
-__all__ = ['SendWindows', 'host_share']
+__all__ = ['MAX_SERVERS', 'SendWindows', 'host_share']
+
+MAX_SERVERS = 4096
+"""Servers of which a host keeps what it may send to them."""
 
 # A second, and the time by which requests may bunch up on their way.
 _WINDOW_S = 1.1
-# Time for which a server is left to the hosts that have a share of it.
-_NO_SHARE_PAUSE_S = 10.0
 
 
 def host_share(limit: float, own: str, hosts: Iterable[str],
@@ -38,7 +39,7 @@
     if equal_part:
         return equal_part
     ranked = membership.rank_by_rendezvous_hash(names, f'share\0{server_id}')
-    return int(own in ranked[:math.floor(limit)])
+    return int(own in ranked[:max(1, math.floor(limit))])
 
 
 class SendWindows:
@@ -60,7 +61,8 @@
 
         Args:
             server_id: the id of the server.
-            share: the requests that this host may send in a second.
+            share: the requests that this host may send in a second; at least
+                one.
             at: monotonic seconds at which it will be sent.
 
         Returns:
@@ -69,9 +71,6 @@
         sent_at = self._sent_at_by_id.setdefault(server_id, collections.deque())
         while sent_at and sent_at[0] <= at - _WINDOW_S:
             sent_at.popleft()
-        if not share:
-            self._open_at_by_id[server_id] = at + _NO_SHARE_PAUSE_S
-            return False
         if len(sent_at) >= share:
             self._open_at_by_id[server_id] = sent_at[-share] + _WINDOW_S
             return False
--- a/tests/platform/steps/warm_up.py
+++ b/tests/platform/steps/warm_up.py
@@ -5,7 +5,7 @@
 import dataclasses
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import hypothesis
@@ -83,11 +83,17 @@
                                   caller_address=f'{name}:2')
 
 
-def _make_permits(name: str, known: int,
-                  limit: float) -> rate_permits.RatePermits:
+def _make_permits(
+    name: str,
+    known: int,
+    limit: float,
+    servers: Sequence[server_registry.Server] = ()
+) -> rate_permits.RatePermits:
     """Returns the permits of a host that knows some hosts by their records."""
     time, log = virtual_time.LoopClock(), memory.NullEventLog()
     state = _make_state(limit)
+    for server in servers:
+        state.server_registry.put(server)
     hosts = host_registry.HostRegistry()
     for number in range(known):
         hosts.put(_record(f'host-{number}'))
@@ -115,19 +121,21 @@
         forwarding.make_server(f's-{number}') for number in range(servers)
     ]
     context.arrivals = collections.defaultdict(list)
+    context.senders = set()
 
 
 async def _send(context: Any, host: str, seconds: float, delay_s: float,
                 rng: random.Random) -> None:
     """Sends requests as often as the permits of a host allow."""
     loop = asyncio.get_running_loop()
-    permits = _make_permits(host, context.hosts, context.limit)
+    permits = _make_permits(host, context.hosts, context.limit, context.servers)
     ends_at = loop.time() + seconds
     await asyncio.sleep(rng.uniform(0.0, 0.3))
     while loop.time() < ends_at:
         for server in context.servers:
             permit = await permits.acquire(server, rng.choice((0.0, 0.2)))
             if permit.is_granted:
+                context.senders.add(host)
                 arrives_at = (loop.time() + permit.wait_s +
                               rng.uniform(0.0, delay_s))
                 context.arrivals[server.id].append(arrives_at)
@@ -172,6 +180,11 @@
     assert found * 100 >= least * allowed, (found, allowed)
 
 
+@then('every host could send to some server')
+def step_all_could(context: Any) -> None:
+    assert len(context.senders) == context.hosts, len(context.senders)
+
+
 @when('{count:d} random sequences of reservations are made at one host')
 def step_random(context: Any, count: int) -> None:
     context.excesses = []
--- a/tests/platform/warm_up.feature
+++ b/tests/platform/warm_up.feature
@@ -19,6 +19,13 @@
       | 99    | 12      | 44    |                               | 85    |
       | 1     | 2       | 5     |                               | 85    |
 
+  # Guards against a host that can serve nobody, since all servers of a service are
+  # left to others.
+  Scenario: With few servers and many hosts every host can send to one
+    Given 99 hosts that know each other and 1 servers with a limit of 44 per second
+    When each host sends to the servers as often as it may for 3 s
+    Then every host could send to some server
+
   Scenario: Random reservations keep within the share
     When 300 random sequences of reservations are made at one host
     Then no window of a second has more than the share
