--- a/tests/platform/steps/server_limits.py
+++ b/tests/platform/steps/server_limits.py
@@ -1,6 +1,7 @@
 """Steps for servers that limit the request rate, in virtual time."""
 
 import asyncio
+import collections
 import dataclasses
 import math
 import random
@@ -10,7 +11,7 @@
 from behave import given, then, when
 
 from pollenthread.app import forwarder
-from pollenthread.core import server_limits, server_load
+from pollenthread.core import routing_config, server_limits, server_load
 from tests.fakes import (entry_fleet, forwarding, limited_servers, virtual_time)
 
 _DATA_CENTRES = 3
@@ -59,6 +60,7 @@
         events: what happens besides, by second.
         started_at: the time at which second 0 began.
         limits_by_server: when each server named which limit, in order.
+        config: the configuration of the hosts.
     """
 
     def __init__(self, hosts: int, servers: int) -> None:
@@ -67,6 +69,7 @@
         self.events: list[tuple[float, Callable[[], Awaitable[None]]]] = []
         self.started_at = 0.0
         self.limits_by_server: dict[str, list[tuple[float, float]]] = {}
+        self.config = forwarding.CONFIG
         self._hosts = hosts
         self._rng = random.Random(11)
         self._forwarder_by_host: dict[str, forwarder.Forwarder] = {}
@@ -123,7 +126,7 @@
 
     def _start_forwarder(self, name: str) -> None:
         host = self._fleet.host_by_name[name]
-        host.state.config = forwarding.CONFIG
+        host.state.config = self.config
         self._forwarder_by_host[name] = forwarding.make_forwarder(
             state=host.state,
             upstream_client=self.servers.client(name),
@@ -189,6 +192,14 @@
     context.simulation = _Simulation(hosts, servers)
 
 
+@given('a warm-up in which a server may get {limit:g} requests per second')
+def step_warm_up(context: Any, limit: float) -> None:
+    service = dataclasses.replace(forwarding.CONFIG.services_by_name['llm'],
+                                  warm_up=routing_config.WarmUp(3.0, limit))
+    context.simulation.config = dataclasses.replace(
+        forwarding.CONFIG, services_by_name={'llm': service})
+
+
 @given('at second {at:g} each of {count:d} servers names a limit of {limit:g} '
        'per second')
 def step_limits(context: Any, at: float, count: int, limit: float) -> None:
@@ -199,6 +210,9 @@
 @when('{per_s:g} requests per second arrive for {seconds:g} s')
 def step_run(context: Any, per_s: float, seconds: float) -> None:
     virtual_time.run(context.simulation.run(per_s, seconds))
+    context.arrivals = collections.defaultdict(list)
+    for arrival in context.simulation.servers.arrivals:
+        context.arrivals[arrival.server].append(arrival.at)
 
 
 @then('no server gets more requests than its limit allows')
--- a/tests/platform/warm_up.feature
+++ b/tests/platform/warm_up.feature
@@ -19,6 +19,20 @@
       | 99    | 12      | 44    |                               | 85    |
       | 1     | 2       | 5     |                               | 85    |
 
+  # Guards against hosts that forget what they sent, and against issuers of permits
+  # on which the limit would depend.
+  Scenario Outline: The limit holds while entry hosts restart, for repeats too
+    Given 9 entry hosts and 3 servers
+    And a warm-up in which a server may get 10 requests per second
+    And from second 3 on <what>
+    When 90 requests per second arrive for 12 s
+    Then no server gets more than 10 requests within a second
+
+    Examples: restarts
+      | what                             |
+      | each entry host restarts in turn |
+      | five entry hosts restart at once |
+
   # Guards against a host that can serve nobody, since all servers of a service are
   # left to others.
   Scenario: With few servers and many hosts every host can send to one
