--- a/bench/balance_traces.py
+++ b/bench/balance_traces.py
@@ -9,7 +9,7 @@
 import numpy as np
 import numpy.typing as npt
 
-__all__ = ['Shares', 'TRACES', 'Trace']
+__all__ = ['Shares', 'TRACES', 'Trace', 'make_shifting_trace']
 
 Shares = npt.NDArray[np.float64]
 """Popularity, shaped (layers, experts); the shares of a layer sum to 1."""
@@ -26,6 +26,8 @@
 _BURST_END_S = 2 * _HOUR_S
 _BURST_FACTOR = 4.0
 _TOPIC_COUNT = 6
+_SHIFTING_TOPIC_COUNT = 9
+_MAIN_TOPIC_SHARE = 0.55
 
 
 def _zipf(rng: np.random.Generator, layers: int, experts: int) -> Shares:
@@ -90,6 +92,31 @@
     return lambda time_s: popularities[int(time_s // _SEESAW_INTERVAL_S) % 2]
 
 
+def make_shifting_trace(rng: np.random.Generator, layers: int, experts: int,
+                        interval_s: float) -> Trace:
+    """Returns a trace whose main topic changes at a fixed interval.
+
+    Args:
+        rng: the source of randomness.
+        layers: the number of layers.
+        experts: the number of experts of a layer.
+        interval_s: the time between two changes, in seconds.
+    """
+    topics = np.array(
+        [_zipf(rng, layers, experts) for _ in range(_SHIFTING_TOPIC_COUNT)])
+    order = rng.permutation(_SHIFTING_TOPIC_COUNT)
+
+    def shares(time_s: float) -> Shares:
+        weights = np.full(_SHIFTING_TOPIC_COUNT,
+                          (1 - _MAIN_TOPIC_SHARE) / (_SHIFTING_TOPIC_COUNT - 1))
+        weights[order[int(time_s // interval_s) %
+                      _SHIFTING_TOPIC_COUNT]] = _MAIN_TOPIC_SHARE
+        mixed: Shares = np.tensordot(weights, topics, axes=1)
+        return mixed
+
+    return shares
+
+
 TRACES: dict[str, Callable[[np.random.Generator, int, int], Trace]] = {
     'steady': _steady,
     'drift': _drift,
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -28,7 +28,7 @@
 """Map versions that a coordinator can give out in one term."""
 
 TABLE = 'pollenthread_duties'
-_PLAN_INTERVAL_S = 0.06
+_PLAN_INTERVAL_S = 0.03
 _HEARTBEAT_INTERVAL_S = 0.25
 _ELECTION_STAGGER_S = 0.15
 # Agents of the group itself wait longer for the candidates outside it.
@@ -101,6 +101,8 @@
         self._skew_logged_at = time.monotonic()
         self._layouts: tuple[replication.SetLayout, ...] | None = None
         self._layouts_version = (0, 0)
+        self._planned_inputs: tuple[int, tuple[int, int], list[float]] | None
+        self._planned_inputs = None
         self._initial_layouts: tuple[replication.SetLayout, ...] | None = None
         self._slow_ranks = slow_rank_watch.SlowRankWatch(group=view.name,
                                                          time=time,
@@ -272,6 +274,7 @@
             self._demand.add(
                 choices.rank, choices.first_set * choices.experts,
                 expert_choices.unpack_choices(choices.unit, choices.packed))
+            self._demand.close_window()
 
     # Planning.
 
@@ -286,12 +289,15 @@
             return
         if any(state.armed_version for state in states.values()):
             return
-        self._demand.close_window()
         slowdowns = self._slow_ranks.update(states, engine.expert_share)
         self._driver.stats.slow_ranks = self._slow_ranks.slow_ranks
         self._log_skew(slowdowns)
-        if not self._demand.is_complete:
+        if not self._demand.is_complete or self._demand.is_moving:
             return
+        inputs = (self._demand.windows, self._layouts_version, slowdowns)
+        if inputs == self._planned_inputs:
+            return
+        self._planned_inputs = inputs
         limits = step_limits.limits_for(engine, len(states))
         step = replication.plan_replication_step(self._layouts,
                                                  self._demand.shares_by_set,
--- a/pollenthread/core/expert_demand.py
+++ b/pollenthread/core/expert_demand.py
@@ -14,6 +14,10 @@
 _SHIFT_DISTANCE = 0.35
 _POSSIBLE_SHIFT_DISTANCE = 0.2
 _RETAINED_SHARE = 0.7
+# A mean distance of the sets that exceeds the usual one by this is a motion.
+_USUAL_VARIATION = 1.3
+_MIN_MOTION = 0.05
+_DISTANCE_SMOOTHING = 0.2
 _MIN_WINDOW_CHOICES = 2_000
 _MIN_REPORTING_SHARE = 0.75
 # The requests of this many ranks represent a group of any size.
@@ -26,6 +30,10 @@
     Attributes:
         changes: the number of windows that replaced the estimate of a set.
         datagrams: the number of reports received.
+        windows: the number of windows that changed the estimate.
+        is_moving: whether the last window differed more than usual from the
+            ones before. It may then cover choices from before a shift and from
+            after it, and the next one tells.
     """
 
     def __init__(self, *, sets: int, experts: int, ranks: int = 1) -> None:
@@ -43,6 +51,9 @@
         ]
         self.changes = 0
         self.datagrams = 0
+        self.windows = 0
+        self.is_moving = False
+        self._usual_distance = 0.0
         self._ranks = ranks
         self._reporting_ranks: set[int] = set()
         self._observed_by_set: list[list[float]] = [
@@ -93,27 +104,51 @@
             return
         self._reporting_ranks.clear()
         experts = self._experts
+        distances = []
         for index, estimate in enumerate(self._estimate_by_set):
             begin = index * experts
             window = self._window[begin:begin + experts]
             if sum(window) < _MIN_WINDOW_CHOICES:
                 continue
             self._window[begin:begin + experts] = [0.0] * experts
-            self._estimate_by_set[index] = self._merge(estimate, window)
+            distances.append(_distance(estimate, window))
+            self._estimate_by_set[index] = self._merge(estimate, window,
+                                                       distances[-1])
             self._observed_by_set[index] = [
                 a + b for a, b in zip(self._observed_by_set[index], window)
             ]
-
-    def _merge(self, estimate: list[float], window: list[float]) -> list[float]:
-        total = sum(estimate)
-        if not total:
+        if distances:
+            self.windows += 1
+            self._detect_motion(sum(distances) / len(distances))
+
+    def _detect_motion(self, distance: float) -> None:
+        """Compares the distance of a window with that of earlier ones."""
+        excess = distance - _USUAL_VARIATION * self._usual_distance
+        if excess > _MIN_MOTION and not self.is_moving:
+            self.is_moving = True
+            return
+        self.is_moving = False
+        if distance < _SHIFT_DISTANCE:
+            self._usual_distance += _DISTANCE_SMOOTHING * (distance -
+                                                           self._usual_distance)
+
+    def _merge(self, estimate: list[float], window: list[float],
+               distance: float) -> list[float]:
+        if not any(estimate):
             return window
-        window_total = sum(window)
-        distance = sum(
-            abs(a / total - b / window_total) for a, b in zip(estimate, window))
-        if distance > _SHIFT_DISTANCE:
+        is_possible_shift = distance > _POSSIBLE_SHIFT_DISTANCE
+        if distance > _SHIFT_DISTANCE or (is_possible_shift and self.is_moving):
             self.changes += 1
             return window
-        retained = (_RETAINED_SHARE if distance < _POSSIBLE_SHIFT_DISTANCE else
-                    _RETAINED_SHARE / 2)
+        retained = (_RETAINED_SHARE /
+                    2 if is_possible_shift else _RETAINED_SHARE)
         return [a * retained + b for a, b in zip(estimate, window)]
+
+
+def _distance(estimate: Sequence[float], window: Sequence[float]) -> float:
+    """Returns the sum of the absolute differences of the shares."""
+    total, window_total = sum(estimate), sum(window)
+    if not total:
+        return 0.0
+    return sum(
+        abs(a / total - b / window_total) for a, b in zip(estimate, window))
