--- a/bench/balance_shifts.py
+++ b/bench/balance_shifts.py
@@ -26,6 +26,7 @@
 _SWITCH_S = 0.3
 _DURATION_S = 30.0
 _REPORTING_RANKS = 24
+_EXACT_CHOICES = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -144,11 +145,13 @@
     def _report(self, shares: balance_traces.Shares) -> None:
         """Adds the choices of a tick to the window."""
         choices = self._reaction.choices * _TICK_S / _WINDOW_S
-        counts = (self._rng.poisson(shares * choices) if choices else shares *
-                  1e6)
-        for rank in range(_REPORTING_RANKS):
-            self._demand.add(rank, 0,
-                             counts.ravel().tolist() if not rank else ())
+        if choices:
+            counts = self._rng.poisson(shares * choices).ravel().tolist()
+        else:
+            counts = (shares * _EXACT_CHOICES).astype(int).ravel().tolist()
+        self._demand.add(0, 0, counts)
+        for rank in range(1, _REPORTING_RANKS):
+            self._demand.add(rank, 0, ())
 
     def _known_shares(self, shares: balance_traces.Shares) -> Any:
         if not self._reaction.has_windows:
