Ask few servers for silent ranks, and bring them one map at a time

A coordinator that has been deaf itself would have asked all ranks at once, and several maps at once take longer on its link than their time limit. Whether candidates outside the group exist is told by the number of agents, since not all ranks may be known after a restart.

--- a/pollenthread/app/expert_maps/silent_rank_query.py
+++ b/pollenthread/app/expert_maps/silent_rank_query.py
@@ -18,6 +18,7 @@
 _INTERVAL_S = 0.4
 # While a rank carries out orders, the others may wait for it.
 _SWITCHING_INTERVAL_S = 0.05
+_MAX_SILENT_SHARE = 0.25
 
 
 class SilentRankQuery:
@@ -49,10 +50,14 @@
             service: the service of the group's servers.
         """
         now = self._clock.monotonic()
+        states = self._view.states()
         silent = [
-            state for rank, state in self._view.states().items()
+            state for rank, state in states.items()
             if self._view.is_agent_silent(rank)
         ]
+        if len(silent) > _MAX_SILENT_SHARE * len(states):
+            # This host is the one that hears nobody.
+            return
         is_switching = any(
             state.is_busy or state.armed_version for state in silent)
         interval_s = _SWITCHING_INTERVAL_S if is_switching else _INTERVAL_S
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -17,9 +17,10 @@
 
 from pollenthread.app import group_view, host_registry, switch_driver
 from pollenthread.app.expert_maps import silent_rank_query, slow_rank_watch
-from pollenthread.core import (expert_choices, expert_demand, log_events,
-                               map_switch, peer_messages, replication,
-                               routing_config, step_limits, store_version)
+from pollenthread.core import (expert_choices, expert_demand, host_record,
+                               log_events, map_switch, peer_messages,
+                               replication, routing_config, step_limits,
+                               store_version)
 from pollenthread.ports import clock, event_log, peers, row_store
 
 __all__ = ['MapCoordinator', 'VERSIONS_PER_TERM', 'map_version']
@@ -229,8 +230,8 @@
                 self._view.holder() is not None):
             return False
         delay_s = (1 + candidates.index(self._host)) * _ELECTION_STAGGER_S
-        members = {state.host for state in self._view.states().values()}
-        if own.group == self._view.name and not members.issuperset(candidates):
+        agents = self._hosts.with_role(host_record.Role.AGENT)
+        if own.group == self._view.name and len(agents) > own.size:
             delay_s += _MEMBER_ELECTION_DELAY_S
         return self._view.holder_silence_s() > group_view.HOLDER_TIMEOUT_S + (
             delay_s)
--- a/pollenthread/app/order_sender.py
+++ b/pollenthread/app/order_sender.py
@@ -89,6 +89,8 @@
                                    _SendTimes] = {}
         self._rng = random.Random(host)
         self._tasks: set[asyncio.Task[None]] = set()
+        # Several maps at once would take too long on this host's link.
+        self._sending_map = asyncio.Lock()
 
     async def __aenter__(self) -> Self:
         return self
@@ -208,7 +210,11 @@
         status = None
         cause = ''
         try:
-            status = await server.send_order(order)
+            if order.kind is peer_messages.OrderKind.PREPARE:
+                async with self._sending_map:
+                    status = await server.send_order(order)
+            else:
+                status = await server.send_order(order)
             state = None
             if not self._view.is_agent_silent(rank):
                 state = await self._network.fetch_rank_state(record.peer_address
