--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -78,7 +78,7 @@
     def _rejection(self, job: request_job.RequestJob) -> errors.Failure:
         """Returns the failure for a request that no server can take now."""
         now = self._clock.monotonic()
-        listed = self._state.server_registry.ready(job.service)
+        listed = self._usable.outside_evacuations(job.service)
         statements = self._state.server_statements
         if any(statements.accepts(server, now) for server in listed):
             return job.rejection(errors.ErrorKind.OVERLOADED, now)
@@ -148,7 +148,10 @@
                                   self._usable.unlimited(job.service),
                                   self._clock.monotonic(),
                                   reserved_share=reserved_share)
-        return self._selected(job, server)
+        if server is None:
+            return None
+        permit = await self._permits.acquire(server, 0.0)
+        return self._selected(job, server) if permit.is_granted else None
 
     async def _wait_for_permit(
             self, job: request_job.RequestJob) -> server_registry.Server | None:
@@ -172,6 +175,14 @@
                     return self._selected(job, server)
         return None
 
+    def has_room(self, job: request_job.RequestJob) -> bool:
+        """Returns whether another server can start a request in time."""
+        now = self._clock.monotonic()
+        if job.deadline - now < _MIN_TIME_LEFT_S:
+            return False
+        servers = self._usable.permitted(job.service)
+        return self._try_select(job, servers, now) is not None
+
     def _selected(
             self, job: request_job.RequestJob,
             server: server_registry.Server | None
@@ -213,6 +224,8 @@
                         is_late=job.has_missed_target,
                         left_s=round(job.deadline - now, 3),
                         parts=job.parts,
+                        passes=round(job.work.passes, 1),
+                        prompt_tokens=job.work.prompt_tokens,
                         limit_per_s=limit.per_s if limit else None)
 
     def _requirements(self, job: request_job.RequestJob,
@@ -222,11 +235,16 @@
         if service is None or service.engine is None or not job.is_stream:
             return service_estimate.RequestRequirements(job.deadline - now)
         engine = service.engine
+        work = job.work = self._state.work_estimator.estimate(
+            job.request, job.route.name, engine)
         return service_estimate.RequestRequirements(
             time_left_s=job.deadline - now,
             max_gap_s=job.route.max_gap_s,
             target_left_s=_target_left_s(job, now),
-            passes=engine.mean_output_tokens / engine.steps_per_pass)
+            passes=work.passes,
+            low_passes=0.0 if job.last_event_id else work.low_passes,
+            others_passes=engine.mean_output_tokens / engine.steps_per_pass,
+            kv_tokens=work.kv_tokens)
 
 
 def _target_left_s(job: request_job.RequestJob, now: float) -> float:
--- a/tests/fakes/group_simulation.py
+++ b/tests/fakes/group_simulation.py
@@ -18,6 +18,7 @@
 from pollenthread.app.expert_maps import silent_rank_query
 from pollenthread.core import (host_record, log_events, membership,
                                routing_config, store_version)
+from pollenthread.core.routing import evacuations
 from pollenthread.ports import event_log, row_store
 from tests.fakes import emulated_group, thin_links, virtual_time
 
@@ -243,6 +244,7 @@
                                      slots=self.figures.slots,
                                      server=self._server(own.engine_address),
                                      hosts=hosts,
+                                     evacuations=evacuations.Evacuations(),
                                      registry=registry,
                                      network=network,
                                      link_bytes_per_s=self._link_bytes_per_s,
