--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -16,7 +16,8 @@
 import result
 
 from pollenthread.app import group_view, host_registry, switch_driver
-from pollenthread.app.expert_maps import silent_rank_query, slow_rank_watch
+from pollenthread.app.expert_maps import (map_in_use, silent_rank_query,
+                                          slow_rank_watch)
 from pollenthread.core import (expert_choices, expert_demand, host_record,
                                log_events, map_switch, peer_messages,
                                replication, routing_config, step_limits,
@@ -36,8 +37,6 @@
 _MEMBER_ELECTION_DELAY_S = 3.0
 _ELECTION_RETRY_S = 0.5
 _SKEW_LOG_INTERVAL_S = 0.5
-# The map with which a group forms; the same in each epoch.
-_INITIAL_VERSION = 0
 
 EngineProfileLookup = Callable[[str], routing_config.EngineProfile | None]
 
@@ -100,11 +99,12 @@
         self._versions_used = 0
         self._demand: expert_demand.ExpertDemand | None = None
         self._skew_logged_at = time.monotonic()
-        self._layouts: tuple[replication.SetLayout, ...] | None = None
-        self._layouts_version = (0, 0)
-        self._planned_inputs: tuple[int, tuple[int, int], list[float]] | None
+        self._map = map_in_use.MapInUse(view=view,
+                                        driver=driver,
+                                        silent_ranks=silent_ranks,
+                                        network=network)
+        self._planned_inputs: tuple[int, int, int, list[float]] | None
         self._planned_inputs = None
-        self._initial_layouts: tuple[replication.SetLayout, ...] | None = None
         self._slow_ranks = slow_rank_watch.SlowRankWatch(group=view.name,
                                                          time=time,
                                                          log=log)
@@ -260,7 +260,8 @@
             return
         self._term = finished.ok_value.token
         self._versions_used = 0
-        self._layouts = None
+        self._map.forget()
+        self._planned_inputs = None
         size = next(iter(self._view.states().values())).size
         self._demand = expert_demand.ExpertDemand(sets=engine.sets,
                                                   experts=engine.experts,
@@ -282,33 +283,34 @@
     async def _plan_and_switch(self,
                                engine: routing_config.EngineProfile) -> None:
         states = self._view.states()
-        if not await self._find_layouts():
+        layouts = await self._map.find()
+        if layouts is None:
             return
-        assert self._layouts is not None and self._demand is not None
+        assert self._demand is not None
         if map_switch.needs_recovery(states):
-            await self._recover(states)
+            await self._recover(states, layouts)
             return
         if any(state.armed_version for state in states.values()):
             return
         slowdowns = self._slow_ranks.update(states, engine.expert_share)
         self._driver.stats.slow_ranks = self._slow_ranks.slow_ranks
-        self._log_skew(slowdowns)
+        self._log_skew(layouts, slowdowns)
         if not self._demand.is_complete or self._demand.is_moving:
             return
-        inputs = (self._demand.windows, self._layouts_version, slowdowns)
+        inputs = (self._demand.windows, self._map.epoch, self._map.version,
+                  slowdowns)
         if inputs == self._planned_inputs:
             return
         self._planned_inputs = inputs
         limits = step_limits.limits_for(engine, len(states))
-        step = replication.plan_replication_step(self._layouts,
+        step = replication.plan_replication_step(layouts,
                                                  self._demand.shares_by_set,
                                                  limits.replication_limits,
                                                  slowdowns)
         self._driver.stats.skew = step.before
         if not limits.is_worthwhile(step):
             self._slow_ranks.check_relief(
-                replication.mean_rank_loads(self._layouts,
-                                            self._demand.shares_by_set,
+                replication.mean_rank_loads(layouts, self._demand.shares_by_set,
                                             slowdowns))
             return
         self._log.write(log_events.LogEvent.MAP_PLANNED,
@@ -320,18 +322,19 @@
                         after=round(step.after, 3))
         await self._switch(step.layouts, step.copies)
 
-    def _log_skew(self, slowdowns: Sequence[float]) -> None:
+    def _log_skew(self, layouts: Sequence[replication.SetLayout],
+                  slowdowns: Sequence[float]) -> None:
         """Logs the measured skew of the last window, not the planned one."""
         now = self._clock.monotonic()
         window_s = now - self._skew_logged_at
         if window_s < _SKEW_LOG_INTERVAL_S:
             return
-        assert self._layouts is not None and self._demand is not None
+        assert self._demand is not None
         seen = self._demand.take_observed_choices()
         self._skew_logged_at = now
         if not all(map(any, seen)):
             return
-        skew = replication.mean_max_rank_load(self._layouts, seen, slowdowns)
+        skew = replication.mean_max_rank_load(layouts, seen, slowdowns)
         datagrams, self._demand.datagrams = self._demand.datagrams, 0
         self._driver.stats.skew_seen = skew
         self._log.write(log_events.LogEvent.SKEW_SEEN,
@@ -342,61 +345,7 @@
                         choices=int(sum(map(sum, seen))),
                         datagrams=datagrams,
                         demand_changes=self._demand.changes,
-                        map=self._layouts_version[1])
-
-    async def _find_layouts(self) -> bool:
-        """Finds the map in use; asks the ranks for it unless it is known.
-
-        Returns:
-            Whether all ranks use one map and its layouts are known.
-        """
-        states = self._view.states()
-        versions = {(s.epoch, s.map_version) for s in states.values()}
-        if len(versions) != 1:
-            return False
-        if self._layouts is not None and self._layouts_version in versions:
-            return True
-        self._layouts_version = versions.pop()
-        self._layouts = self._remembered_layouts(*self._layouts_version)
-        if self._layouts is None:
-            self._layouts = await self._fetch_all_layouts(sorted(states))
-        if self._layouts_version[1] == _INITIAL_VERSION:
-            self._initial_layouts = self._layouts
-        return self._layouts is not None
-
-    def _remembered_layouts(
-            self, epoch: int,
-            version: int) -> tuple[replication.SetLayout, ...] | None:
-        if version == _INITIAL_VERSION:
-            known = self._initial_layouts
-            # A group may form anew with another number of ranks.
-            is_current = known is not None and len(known[0]) == len(
-                self._view.states())
-            return known if is_current else None
-        found = self._view.remembered_map(epoch, version)
-        if found is None:
-            return None
-        return tuple(tuple(map(frozenset, by_rank)) for by_rank in found)
-
-    async def _fetch_all_layouts(
-            self,
-            ranks: Sequence[int]) -> tuple[replication.SetLayout, ...] | None:
-        found = await asyncio.gather(*map(self._fetch_layout, ranks))
-        reported = [layout for layout in found if layout is not None]
-        if len(reported) < len(ranks) or {
-            (layout.epoch, layout.version) for layout in reported
-        } != {self._layouts_version}:
-            return None
-        return tuple(
-            tuple(frozenset(layout.experts[index])
-                  for layout in reported)
-            for index in range(len(reported[0].experts)))
-
-    async def _fetch_layout(self, rank: int) -> peer_messages.RankLayout | None:
-        if self._view.is_agent_silent(rank):
-            return await self._silent_ranks.fetch_layout(rank)
-        return await self._network.fetch_rank_layout(
-            self._driver.agent_address(rank))
+                        map=self._map.version)
 
     def _next_version(self) -> int:
         self._versions_used += 1
@@ -411,23 +360,22 @@
                                       _encode_layouts(layouts))
         finished = await self._driver.run(switch)
         if finished.phase is map_switch.MapSwitchPhase.DONE:
-            self._layouts = layouts
-            self._layouts_version = (epoch, finished.version)
+            self._map.set(layouts, epoch, finished.version)
             self._driver.stats.copies += copies
         else:
-            self._layouts = None
+            self._map.forget()
+            self._planned_inputs = None
 
-    async def _recover(self, states: map_switch.RankStates) -> None:
-        assert self._layouts is not None
-        switch = map_switch.recovery_switch(states,
-                                            _encode_layouts(self._layouts),
+    async def _recover(self, states: map_switch.RankStates,
+                       layouts: tuple[replication.SetLayout, ...]) -> None:
+        switch = map_switch.recovery_switch(states, _encode_layouts(layouts),
                                             self._next_version())
         self._log.write(log_events.LogEvent.MAP_RECOVERED,
                         group=self._view.name,
                         version=switch.version,
                         phase=switch.phase.value,
                         held=states[map_switch.HOLDING_RANK].held_step)
-        self._layouts = None
+        self._map.forget()
         await self._driver.run(switch)
 
 
