--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -91,6 +91,7 @@
         self._liveness.record_heartbeat(heartbeat)
         self._evacuation_listener.record_heartbeat(heartbeat)
         self._watch.on_heartbeat(heartbeat)
+        self._state.demand.record_heartbeat(heartbeat, self._clock.monotonic())
 
     def send_heartbeat(self) -> None:
         """Sends a heartbeat to the hosts that listen to this one."""
@@ -126,7 +127,8 @@
             is_store_up=self._watch.is_store_up,
             peer_address=self._own.peer_address,
             servers_era=servers_version.era,
-            hosts_era=hosts_version.era)
+            hosts_era=hosts_version.era,
+            demand=self._state.demand.own_demand(self._clock.monotonic()))
 
     def _listeners(self) -> Iterator[host_record.HostRecord]:
         """Yields the entry hosts that get the heartbeats of this one."""
