Plan what is moved between data centres; log the pace of groups

Entry hosts start the planner of shares, with the demand that their heartbeats carry, and log each change of it, each stop of a group and each great change of its pace; counters requests_moved and group_stops.

--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -143,6 +143,8 @@
         job.attempt_count += 1
         now = self._clock.monotonic()
         job.timing.record_sent(now)
+        if server.data_centre != self._state.data_centre:
+            self._count('moved')
         self._state.server_loads.record_start(server.id, now, job.work)
         timeout = asyncio.timeout_at(self._attempt_deadline(job))
         pending = pending_attempt.PendingAttempt(job,
--- a/pollenthread/app/routing/spill_planner.py
+++ b/pollenthread/app/routing/spill_planner.py
@@ -77,7 +77,7 @@
     def update(self) -> None:
         """Updates the shares of all services with a model engine."""
         config = self._state.config
-        if config is None:
+        if config is None or len(self._region_data_centres()) < 2:
             return
         for name, service in config.services_by_name.items():
             if service.engine is not None:
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -89,6 +89,9 @@
                     'A request with `parts` under which servers '
                     'may have crashed is sent, one at a time.')
     STREAM_RESUMED = ('stream_resumed', 'A stream continues at another server.')
+    GROUP_PACE = ('group_pace', 'The passes of `group` have stopped, go on, or '
+                  'take much longer or shorter than before; `pass_s` is 0 '
+                  'until they were measured.')
     SPILL_CHANGED = ('spill_changed',
                      'The shares of requests to `service` that '
                      'this host moves to other data centres, with the slots '
--- a/pollenthread/core/routing/group_pace.py
+++ b/pollenthread/core/routing/group_pace.py
@@ -89,16 +89,20 @@
 
 
 class GroupPaces:
-    """The pace of all groups, by name."""
+    """The pace of all groups.
+
+    Attributes:
+        by_group: the pace of each group, by its name.
+    """
 
     def __init__(self) -> None:
-        self._pace_by_group: dict[str, GroupPace] = {}
+        self.by_group: dict[str, GroupPace] = {}
 
     def get(self, group: str) -> GroupPace:
         """Returns the pace of a group."""
         if not group:
             return GroupPace()
-        return self._pace_by_group.setdefault(group, GroupPace())
+        return self.by_group.setdefault(group, GroupPace())
 
     def stretch_by_group(
             self, engine: routing_config.EngineProfile,
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -10,6 +10,7 @@
                               rate_permits, serving_state, snapshot_exchange,
                               store_listeners, store_watch, supervision)
 from pollenthread.app.data_centres import warm_up_watch
+from pollenthread.app.routing import pace_watch, spill_planner, usable_servers
 from pollenthread.core import host_record, log_events, routing_config
 from pollenthread.platform import (process_settings, server_row, upstream_http,
                                    wire_names)
@@ -132,6 +133,21 @@
                                                        state=self.state,
                                                        time=self._clock,
                                                        log=self.log)
+        self._pace_watch = pace_watch.PaceWatch(state=self.state,
+                                                time=self._clock,
+                                                log=self.log)
+        self._spill_planner = spill_planner.SpillPlanner(
+            own=self._own_record,
+            state=self.state,
+            usable=usable_servers.UsableServers(state=self.state,
+                                                permits=self._permits,
+                                                time=self._clock),
+            hosts=self._host_registry,
+            liveness=self._liveness,
+            own_demand=self.state.demand.own_demand,
+            region_by_data_centre=settings.region_by_data_centre,
+            time=self._clock,
+            log=self.log)
         self._latencies = platform_metrics.LatencyHistogramSet()
         request_forwarder = forwarder.Forwarder(
             state=self.state,
@@ -179,6 +195,7 @@
         counters['configs_rejected'] = self.config_listener.rejected_count
         counters['peer_snapshots'] = self._exchange.applied_count
         counters['log_lines_dropped'] = self.log.dropped
+        counters['group_stops'] = self._pace_watch.stops
         counters['task_failures'] = self._supervisor.failures
         return counters
 
@@ -274,6 +291,10 @@
                 self._watch.run,
             'exchange evidence':
                 self._evidence_exchange.run,
+            'watch groups':
+                self._pace_watch.run,
+            'plan spill':
+                self._spill_planner.run,
             'store evidence':
                 self._evidence_store.run,
             'clean up':
--- a/tests/platform/room.feature
+++ b/tests/platform/room.feature
@@ -50,3 +50,10 @@
     When its agents stop reporting at second 4
     Then at second 4 the reports are at most 0.3 s old on average
     And at second 6 nothing is known of its room
+
+  Scenario: Operators see a stop and its end in one line each
+    Given a group of 24 ranks with 4 of 5 slots in use that report every 0.25 s
+    When it makes no pass for 1 s from second 4
+    And its pace is watched every 0.1 s from second 3 to 8
+    Then 1 stop is counted
+    And the log has 3 lines about its pace, the first for its usual pace
--- a/tests/platform/steps/room.py
+++ b/tests/platform/steps/room.py
@@ -6,9 +6,10 @@
 
 from behave import given, then, when
 
-from pollenthread.core import server_load, service_estimate
+from pollenthread.app.routing import pace_watch
+from pollenthread.core import log_events, server_load, service_estimate
 from pollenthread.core.routing import pass_model, room_forecast
-from tests.fakes import forwarding, polled_group
+from tests.fakes import forwarding, memory, polled_group
 
 _ENGINE = dataclasses.replace(forwarding.ENGINE_PROFILE,
                               slots=5,
@@ -183,6 +184,34 @@
         assert server in context.other.servers, server
 
 
+@when('its pace is watched every {interval_s:g} s from second {start:d} to '
+      '{end:d}')
+def step_watch(context: Any, interval_s: float, start: int, end: int) -> None:
+    state = forwarding.make_state()
+    state.server_loads = context.loads
+    context.log = memory.CountingEventLog()
+    time = memory.MemoryClock()
+    context.watch = pace_watch.PaceWatch(state=state,
+                                         time=time,
+                                         log=context.log)
+    for number in range(round((end - start) / interval_s)):
+        time.now = start + number * interval_s
+        _advance_to(context, time.now)
+        context.watch.check()
+
+
+@then('{count:d} stop is counted')
+def step_stops(context: Any, count: int) -> None:
+    assert context.watch.stops == count, context.watch.stops
+
+
+@then('the log has {count:d} lines about its pace, the first for its usual '
+      'pace')
+def step_lines(context: Any, count: int) -> None:
+    found = context.log.counts[log_events.LogEvent.GROUP_PACE]
+    assert found == count, found
+
+
 @then('at second {second:d} nothing is known of its room')
 def step_unknown(context: Any, second: int) -> None:
     _advance_to(context, second)
