--- a/pollenthread/app/entry_peers.py
+++ b/pollenthread/app/entry_peers.py
@@ -178,16 +178,16 @@
             load.address, load.born_ms)
         if server is None:
             return
-        self._state.server_loads.record_report(
-            server.id,
-            server_load.ServerLoadReport(
-                running=load.running,
-                waiting=load.waiting,
-                slots=load.slots,
-                stalled_s=load.stalled_ms / _MS_PER_S,
-                accepts_requests=load.is_open,
-                group=load.group,
-                pass_s=load.pass_us / _US_PER_S,
-                kv_tokens=load.kv_tokens,
-                kv_capacity_tokens=load.kv_capacity_tokens),
-            self._clock.monotonic())
+        report = server_load.ServerLoadReport(
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            stalled_s=load.stalled_ms / _MS_PER_S,
+            accepts_requests=load.is_open,
+            group=load.group,
+            pass_s=load.pass_us / _US_PER_S,
+            kv_tokens=load.kv_tokens,
+            kv_capacity_tokens=load.kv_capacity_tokens,
+            pace_percent=load.pace_percent)
+        self._state.server_loads.record_report(server.id, report,
+                                               self._clock.monotonic())
--- a/pollenthread/app/routing/pace_watch.py
+++ b/pollenthread/app/routing/pace_watch.py
@@ -1,5 +1,7 @@
 """Logs when a model group stops, runs again, or changes its pace much."""
 
+from typing import Any
+
 from pollenthread.app import serving_state
 from pollenthread.core import log_events
 from pollenthread.ports import clock, event_log
@@ -8,6 +10,7 @@
 
 _CHECK_INTERVAL_S = 0.1
 _CHANGE_FACTOR = 1.5
+_MAX_LOGGED_RANKS = 8
 
 
 class PaceWatch:
@@ -51,7 +54,25 @@
                             group=group,
                             is_stopped=bool(stalled_s),
                             stalled_s=round(stalled_s, 3),
-                            pass_s=round(pace.pass_s, 4))
+                            pass_s=round(pace.pass_s, 4),
+                            **self._causes(group, now))
+
+    def _causes(self, group: str, now: float) -> dict[str, Any]:
+        """Returns log fields with the ranks that may hold the group back."""
+        load_by_id = self._state.server_loads.group_members(group)
+        silent = sorted(server_id for server_id, load in load_by_id.items()
+                        if load.is_report_overdue(now))
+        slowest = max(load_by_id,
+                      key=lambda server_id: load_by_id[server_id].pace_percent,
+                      default=None)
+        return {
+            'silent':
+                silent[:_MAX_LOGGED_RANKS],
+            'slowest':
+                slowest,
+            'slowest_percent':
+                load_by_id[slowest].pace_percent if slowest else 0
+        }
 
 
 def _differs(pass_s: float, logged_s: float | None) -> bool:
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -91,7 +91,8 @@
     STREAM_RESUMED = ('stream_resumed', 'A stream continues at another server.')
     GROUP_PACE = ('group_pace', 'The passes of `group` have stopped, go on, or '
                   'take much longer or shorter than before; `pass_s` is 0 '
-                  'until they were measured.')
+                  'until they were measured. `silent` ranks do not report, the '
+                  '`slowest` takes `slowest_percent` of its normal time.')
     SPILL_CHANGED = ('spill_changed',
                      'The shares of requests to `service` that '
                      'this host moves to other data centres, with the slots '
--- a/pollenthread/core/routing/known_loads.py
+++ b/pollenthread/core/routing/known_loads.py
@@ -139,6 +139,14 @@
                                                    load.group).pass_s,
                                                unread_s=load.unread_s)
 
+    def group_members(self, group: str) -> dict[str, tracked_load.TrackedLoad]:
+        """Returns what is known of the ranks of a group, by server id."""
+        return {
+            server_id: load
+            for server_id, load in self._load_by_id.items()
+            if load.group == group
+        }
+
     def reported(self, servers: Sequence[server_registry.Server],
                  now: float) -> list[server_registry.Server]:
         """Returns the servers whose agents have reported recently."""
--- a/pollenthread/core/routing/tracked_load.py
+++ b/pollenthread/core/routing/tracked_load.py
@@ -30,6 +30,8 @@
             unknown.
         kv_tokens: tokens in its key-value cache that cannot be evicted.
         kv_capacity_tokens: the capacity of that cache; 0 if unknown.
+        pace_percent: its time for the same work relative to normal speed, in
+            percent; 0 if unknown.
     """
 
     running: int
@@ -41,6 +43,7 @@
     pass_s: float = 0.0
     kv_tokens: int = 0
     kv_capacity_tokens: int = 0
+    pace_percent: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +60,8 @@
             report.
         has_agent: whether an agent reports the load periodically.
         group: the model group that it is a rank of; empty if it has none.
+        pace_percent: the time for the same work in the last report, relative to
+            normal speed, in percent; 0 if unknown.
         kv_free_tokens: free tokens of its key-value cache, less those that this
             host's requests since the report need; infinite if unknown.
         unread_s: seconds that reading the prompts takes which this host has
@@ -73,6 +78,7 @@
     accepts_requests: bool = True
     has_agent: bool = False
     group: str = ''
+    pace_percent: int = 0
     kv_free_tokens: float = float('inf')
     unread_s: float = 0.0
     failures: int = 0
@@ -92,6 +98,7 @@
         self.accepts_requests = report.accepts_requests
         self.has_agent = self.has_agent or bool(report.group)
         self.group = report.group
+        self.pace_percent = report.pace_percent
         if report.kv_capacity_tokens:
             self.kv_free_tokens = report.kv_capacity_tokens - report.kv_tokens
 
