Prefer warm servers only if reports tell that they have room

After a loss of power, entries of servers that have not started again look warm, and hosts would have tried them before those that are back. Fails before: one row of warm_up.feature.

--- a/pollenthread/app/routing/usable_servers.py
+++ b/pollenthread/app/routing/usable_servers.py
@@ -57,16 +57,19 @@
     def _without_warming(
             self, servers: list[server_registry.Server]
     ) -> list[server_registry.Server]:
-        """Returns the warm servers if they have room, otherwise all."""
-        warming = self._state.warming_servers
+        """Returns the warm servers if they have room, otherwise all.
+
+        Only reports tell that a server has room: after a loss of power, entries
+        of servers that have not started again look warm.
+        """
+        warming, loads = self._state.warming_servers, self._state.server_loads
         if not warming.count:
             return servers
         now = self._clock.monotonic()
         warm = [s for s in servers if not warming.is_warming(s, now)]
-        free_slots = self._state.server_loads.free_slots(warm,
-                                                         reserved_share=0.0,
-                                                         now=now)
-        return warm if warm and free_slots >= 1 else servers
+        known = [s for s in warm if loads.is_known(s.id, now)]
+        free_slots = loads.free_slots(known, reserved_share=0.0, now=now)
+        return warm if free_slots >= 1 else servers
 
     def unlimited(self, service: str) -> list[server_registry.Server]:
         """Returns the servers that need no permit."""
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -124,6 +124,10 @@
         """Returns the number of requests of this host at the server."""
         return self._get(server_id).own
 
+    def is_known(self, server_id: str, now: float) -> bool:
+        """Returns whether the load of a server was reported recently."""
+        return self._get(server_id).is_known(now)
+
     def is_report_overdue(self, server_id: str, now: float) -> bool:
         """Returns whether the agent of a server has stopped reporting."""
         return self._get(server_id).is_report_overdue(now)
--- a/tests/platform/steps/warm_up.py
+++ b/tests/platform/steps/warm_up.py
@@ -333,6 +333,12 @@
                 context.clock.now)
 
 
+@given('the other servers have no requests each')
+def step_no_reports(context: Any) -> None:
+    # Nobody has reported their loads.
+    del context
+
+
 @then('"{name}" is left out')
 def step_left_out(context: Any, name: str) -> None:
     found = [server.id for server in context.usable.permitted(_SERVICE)]
--- a/tests/platform/warm_up.feature
+++ b/tests/platform/warm_up.feature
@@ -67,6 +67,7 @@
       | started again                         | 1    | left out |
       | is in a data centre that is restored  | 1    | left out |
       | was slow and is warm again            | 1    | used     |
+      | is listed as warming up               | no   | used     |
       | was slow before it started again warm | 1    | left out |
 
   Scenario Outline: An entry says how long a server warms up
