--- a/pollenthread/core/routing/known_loads.py
+++ b/pollenthread/core/routing/known_loads.py
@@ -114,6 +114,10 @@
         """Returns the number of requests of this host at the server."""
         return self.get(server_id).own
 
+    def is_known(self, server_id: str, now: float) -> bool:
+        """Returns whether the load of a server was reported recently."""
+        return self.get(server_id).is_known(now)
+
     def is_report_overdue(self, server_id: str, now: float) -> bool:
         """Returns whether the agent of a server has stopped reporting."""
         return self.get(server_id).is_report_overdue(now)
