--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -46,6 +46,10 @@
             return 0.0
         return max(self._pass_s, now - self._advanced_at)
 
+    def remaining_s(self, now: float) -> float:
+        """Returns the seconds until the next pass is due; 0 if unknown."""
+        return max(0.0, self._advanced_at + self._pass_s - now)
+
     def update(self, state: peer_messages.RankState, now: float) -> None:
         """Takes the step of a rank's state, received at time `now`."""
         if state.epoch < self._epoch:
@@ -107,6 +111,11 @@
         """The recent duration of a pass in seconds; 0 while unknown."""
         return self._pass_timer.pass_s(self._clock.monotonic())
 
+    @property
+    def next_pass_s(self) -> float:
+        """The seconds until the next pass is due; 0 if that is not known."""
+        return self._pass_timer.remaining_s(self._clock.monotonic())
+
     def states(self) -> dict[int, peer_messages.RankState]:
         """Returns the newest state of each rank that has reported one."""
         return dict(self._state_by_rank)
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -31,6 +31,7 @@
 
 TABLE = 'pollenthread_duties'
 _PLAN_INTERVAL_S = 0.03
+_WATCH_INTERVAL_S = 0.06
 _HEARTBEAT_INTERVAL_S = 0.25
 _ELECTION_STAGGER_S = 0.15
 # Agents of the group itself wait longer for the candidates outside it.
@@ -127,7 +128,7 @@
 
     async def _follow_silent_ranks(self) -> None:
         while True:
-            await self._clock.sleep(_PLAN_INTERVAL_S)
+            await self._clock.sleep(_WATCH_INTERVAL_S)
             if self._term and self._view.has_quorum():
                 await self._silent_ranks.query_due(self._service())
 
@@ -165,7 +166,8 @@
 
     async def _run_duty(self) -> None:
         while True:
-            await self._clock.sleep(_PLAN_INTERVAL_S)
+            await self._clock.sleep(
+                _PLAN_INTERVAL_S if self._term else _WATCH_INTERVAL_S)
             is_complete = self._log_completeness(self._view.is_complete())
             if not is_complete and not self._view.has_quorum():
                 continue
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -126,7 +126,8 @@
             while True:
                 switch = dataclasses.replace(switch,
                                              lead_passes=_lead_passes(
-                                                 self._view.pass_s))
+                                                 self._view.pass_s,
+                                                 self._view.next_pass_s))
                 switch, orders = map_switch.advance_switch(
                     switch, self._view.states())
                 now = self._clock.monotonic()
@@ -194,18 +195,19 @@
                         took_s=round(took_s, 3))
 
 
-def _lead_passes(pass_s: float) -> int:
+def _lead_passes(pass_s: float, next_pass_s: float) -> int:
     """Returns how many passes ahead of the last known one the ranks switch.
 
-    All ranks should be armed before that pass is due. The next pass may have
-    begun without being known, unless passes are long.
+    All ranks should be armed before that pass is due. If passes are long, the
+    next one is delayed a little rather than the map by a whole pass.
 
     Args:
         pass_s: the duration of a pass in seconds; 0 while unknown.
+        next_pass_s: the seconds until the next pass is due.
     """
     if not pass_s:
         return _MAX_LEAD_PASSES
-    lead = math.ceil(_ARMING_S / pass_s)
-    if pass_s < 2 * _ARMING_S:
-        lead += 1
-    return min(_MAX_LEAD_PASSES, lead)
+    if pass_s >= 2 * _ARMING_S:
+        return 1
+    missing_s = max(0.0, _ARMING_S - next_pass_s)
+    return min(_MAX_LEAD_PASSES, 1 + math.ceil(missing_s / pass_s))
