--- a/pollenthread/app/expert_maps/map_in_use.py
+++ b/pollenthread/app/expert_maps/map_in_use.py
@@ -86,7 +86,7 @@
             is_current = known is not None and len(known[0]) == len(
                 self._view.states())
             return known if is_current else None
-        found = self._view.remembered_map(self.epoch, self.version)
+        found = self._view.remembered_map(self.version)
         if found is None:
             return None
         return tuple(tuple(map(frozenset, by_rank)) for by_rank in found)
--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -76,8 +76,7 @@
         self._received_at_by_rank: dict[int, float] = {}
         self._agent_heard_at_by_rank: dict[int, float] = {}
         self._pass_timer = _PassTimer()
-        self._layouts_by_version: dict[tuple[int, int],
-                                       peer_messages.Layouts] = {}
+        self._layouts_by_version: dict[int, peer_messages.Layouts] = {}
         self._heartbeat: peer_messages.DutyBeat | None = None
         self._heartbeat_received_at = time.monotonic()
         self._choice_handlers: list[ChoicesHandler] = []
@@ -165,14 +164,13 @@
 
     def remember_map(self, order: peer_messages.RankOrder) -> None:
         """Keeps the map of an order to prepare it, and the one before."""
-        self._layouts_by_version[order.epoch, order.version] = order.layouts
+        self._layouts_by_version[order.version] = order.layouts
         while len(self._layouts_by_version) > _REMEMBERED_MAPS:
             del self._layouts_by_version[min(self._layouts_by_version)]
 
-    def remembered_map(self, epoch: int,
-                       version: int) -> peer_messages.Layouts | None:
+    def remembered_map(self, version: int) -> peer_messages.Layouts | None:
         """Returns the experts of a map by set and rank, or None."""
-        return self._layouts_by_version.get((epoch, version))
+        return self._layouts_by_version.get(version)
 
     # Choices of experts.
 
--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -219,6 +219,7 @@
                             newer_term=self._view.newest_term,
                             newest_version=newest_version)
             self._term = 0
+            self._driver.stats.slow_ranks = ()
             return False
         return True
 
