--- a/pollenthread/app/group_view.py
+++ b/pollenthread/app/group_view.py
@@ -46,6 +46,10 @@
             return 0.0
         return max(self._pass_s, now - self._advanced_at)
 
+    def remaining_s(self, now: float) -> float:
+        """Returns the seconds until the next pass is due; 0 if unknown."""
+        return max(0.0, self._advanced_at + self._pass_s - now)
+
     def update(self, state: peer_messages.RankState, now: float) -> None:
         """Takes the step of a rank's state, received at time `now`."""
         if state.epoch < self._epoch:
@@ -72,8 +76,7 @@
         self._received_at_by_rank: dict[int, float] = {}
         self._agent_heard_at_by_rank: dict[int, float] = {}
         self._pass_timer = _PassTimer()
-        self._layouts_by_version: dict[tuple[int, int],
-                                       peer_messages.Layouts] = {}
+        self._layouts_by_version: dict[int, peer_messages.Layouts] = {}
         self._heartbeat: peer_messages.DutyBeat | None = None
         self._heartbeat_received_at = time.monotonic()
         self._choice_handlers: list[ChoicesHandler] = []
@@ -107,6 +110,11 @@
         """The recent duration of a pass in seconds; 0 while unknown."""
         return self._pass_timer.pass_s(self._clock.monotonic())
 
+    @property
+    def next_pass_s(self) -> float:
+        """The seconds until the next pass is due; 0 if that is not known."""
+        return self._pass_timer.remaining_s(self._clock.monotonic())
+
     def states(self) -> dict[int, peer_messages.RankState]:
         """Returns the newest state of each rank that has reported one."""
         return dict(self._state_by_rank)
@@ -156,14 +164,13 @@
 
     def remember_map(self, order: peer_messages.RankOrder) -> None:
         """Keeps the map of an order to prepare it, and the one before."""
-        self._layouts_by_version[order.epoch, order.version] = order.layouts
+        self._layouts_by_version[order.version] = order.layouts
         while len(self._layouts_by_version) > _REMEMBERED_MAPS:
             del self._layouts_by_version[min(self._layouts_by_version)]
 
-    def remembered_map(self, epoch: int,
-                       version: int) -> peer_messages.Layouts | None:
+    def remembered_map(self, version: int) -> peer_messages.Layouts | None:
         """Returns the experts of a map by set and rank, or None."""
-        return self._layouts_by_version.get((epoch, version))
+        return self._layouts_by_version.get(version)
 
     # Choices of experts.
 
