Count only the slots given up since the reports as room

Slots that are still to be given up were counted against sends that had used earlier ones, so that less important requests took every slot as it came. The head-room lasts until the next report and is added up by class.

--- a/pollenthread/core/admission/home_servers.py
+++ b/pollenthread/core/admission/home_servers.py
@@ -18,7 +18,8 @@
                  hosts: Iterable[str]) -> list[server_registry.Server]:
     """Returns the servers that a host fills first.
 
-    Each server has two hosts, so that a host has twice its share to choose from.
+    Each server has two hosts, so that a host has twice its share to choose
+    from.
 
     Args:
         servers: the servers in the data centre of the host.
--- a/pollenthread/core/admission/send_allowance.py
+++ b/pollenthread/core/admission/send_allowance.py
@@ -19,14 +19,13 @@
 
 __all__ = ['Room', 'SendAllowance', 'estimate_room']
 
-# The time from a choice to the report that shows it, beyond the mean age of
-# the reports.
-_REPORT_DELAY_S = 0.15
-_MAX_BLIND_S = 1.0
+# The time until the next report, for which the head-room has to last.
+_REPORT_INTERVAL_S = 0.3
+_MAX_UNSEEN_S = 1.0
 # Standard deviations of random arrivals that the head-room covers.
 _ARRIVAL_DEVIATIONS = 2.0
-# Share of the slots expected to be given up that is sent for in advance; some
-# streams take longer than expected.
+# Share of the slots expected to be given up that is counted; some streams take
+# longer than expected.
 _COMPLETION_SHARE = 0.8
 # Share of the slots given up that is left to each class, so that the last one
 # is served while the others fill all room.
@@ -43,10 +42,10 @@
             are given up there.
         head_room: the slots that requests of more important classes need.
         own_need: the slots that further requests of the class itself need.
-        completions: the slots that will be given up within `blind_s`.
+        completions: the slots that were given up since the reports.
         frees_per_s: slots that are given up in a second.
         ahead_per_s: the arrivals of more important classes per second.
-        blind_s: the time for which hosts cannot see each other's choices.
+        unseen_s: the time whose changes the reports do not show.
         own_share: the part of this host in the demand of the class.
         waiting: the requests of the class and of more important ones that wait
             at all hosts.
@@ -59,7 +58,7 @@
     completions: float
     frees_per_s: float
     ahead_per_s: float
-    blind_s: float
+    unseen_s: float
     own_share: float
     waiting: float
 
@@ -71,7 +70,7 @@
 
     @property
     def slots(self) -> float:
-        """The requests of the class that all hosts may send in `blind_s`."""
+        """The requests of the class that all hosts may send in `unseen_s`."""
         return max(
             self.completions * _FLOOR_SHARE,
             self.free_slots - self.queued + self.completions - self.head_room)
@@ -101,23 +100,23 @@
         queued: the requests in the queues of these servers.
         class_index: the class, in the order of the demand.
     """
-    blind_s = min(_MAX_BLIND_S, forecast.age_s + _REPORT_DELAY_S)
+    unseen_s = min(_MAX_UNSEEN_S, forecast.age_s)
+    blind_s = unseen_s + _REPORT_INTERVAL_S
     scale = 1.0 / forecast.known_share if forecast.known_share else 0.0
     ahead_per_s = sum(demand.arrivals_per_s[:class_index])
-    head_room = (_slots_for_arrivals(ahead_per_s * blind_s) +
-                 sum(demand.waiting[:class_index]))
-    up_to_per_s = ahead_per_s + demand.arrivals_per_s[class_index]
-    need = (_slots_for_arrivals(up_to_per_s * blind_s) +
-            sum(demand.waiting[:class_index + 1]))
+    needs = [
+        _slots_for_arrivals(per_s * blind_s) + waiting for per_s, waiting in
+        zip(demand.arrivals_per_s, demand.waiting, strict=True)
+    ]
     frees_per_s = forecast.frees_per_s * scale
     return Room(free_slots=forecast.free_slots * scale,
                 queued=queued * scale,
-                head_room=head_room,
-                own_need=need - head_room,
-                completions=frees_per_s * blind_s * _COMPLETION_SHARE,
+                head_room=sum(needs[:class_index]),
+                own_need=needs[class_index],
+                completions=frees_per_s * unseen_s * _COMPLETION_SHARE,
                 frees_per_s=frees_per_s,
                 ahead_per_s=ahead_per_s,
-                blind_s=blind_s,
+                unseen_s=unseen_s,
                 own_share=demand.own_share(class_index, blind_s),
                 waiting=sum(demand.waiting[:class_index + 1]))
 
@@ -141,7 +140,7 @@
         Fractions are rounded at random, so that the sum over many hosts, each
         with a share below one request, fits the room.
         """
-        while self._sent_at and self._sent_at[0] <= now - room.blind_s:
+        while self._sent_at and self._sent_at[0] <= now - room.unseen_s:
             self._sent_at.popleft()
             self._rounding = self._rng.random()
         sent = len(self._sent_at)
--- a/tests/fakes/busy_fleet.py
+++ b/tests/fakes/busy_fleet.py
@@ -24,7 +24,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class FleetShape:
-    """The size of the fleet and the age of its news."""
+    """The size of the fleet and the age of its news.
+
+    With one host, it hears all servers.
+    """
 
     servers: int = 63
     hosts: int = 32
@@ -239,7 +242,8 @@
     async def _report(self, server: server_registry.Server) -> None:
         """Reports the load of a server, as the agent beside it does."""
         near = _DATA_CENTRES.index(server.data_centre)
-        listening = {server.data_centre, _DATA_CENTRES[near - 1]}
+        listening = ({server.data_centre, _DATA_CENTRES[near - 1]}
+                     if self._shape.hosts > 1 else set(_DATA_CENTRES))
         while True:
             await asyncio.sleep(
                 self._rng.uniform(self._shape.min_report_s,
@@ -272,6 +276,13 @@
                             index not in self._deaf_hosts):
                         other.demand.record_heartbeat(beat, now)
 
+    @property
+    def waits(self) -> int:
+        """The requests that waited at a host before they were sent."""
+        return sum(
+            found.counts.get('sent_after_wait', 0)
+            for found in self._forwarders)
+
     def shares(self, attribute: str, begin_s: float,
                end_s: float) -> dict[str, float]:
         """Returns the share of callers with an attribute, by route.
