--- a/pollenthread/app/map_coordinator.py
+++ b/pollenthread/app/map_coordinator.py
@@ -11,14 +11,17 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import result
 
 from pollenthread.app import group_view, host_registry, switch_driver
-from pollenthread.core import (expert_choices, expert_demand, log_events,
-                               map_switch, peer_messages, replication,
-                               routing_config, step_limits, store_version)
+from pollenthread.app.expert_maps import (map_in_use, silent_rank_query,
+                                          slow_rank_watch)
+from pollenthread.core import (expert_choices, expert_demand, host_record,
+                               log_events, map_switch, peer_messages,
+                               replication, routing_config, step_limits,
+                               store_version)
 from pollenthread.ports import clock, event_log, peers, row_store
 
 __all__ = ['MapCoordinator', 'VERSIONS_PER_TERM', 'map_version']
@@ -27,19 +30,13 @@
 """Map versions that a coordinator can give out in one term."""
 
 TABLE = 'pollenthread_duties'
-_PLAN_INTERVAL_S = 0.06
+_PLAN_INTERVAL_S = 0.03
 _HEARTBEAT_INTERVAL_S = 0.25
 _ELECTION_STAGGER_S = 0.15
-# Agents of the group itself wait longer, so that others are elected first.
+# Agents of the group itself wait longer for the candidates outside it.
 _MEMBER_ELECTION_DELAY_S = 3.0
 _ELECTION_RETRY_S = 0.5
 _SKEW_LOG_INTERVAL_S = 0.5
-# On slow links, arming all ranks takes up to two passes, and a rank's
-# step is reported one pass late.
-_SWITCH_LEAD_PASSES = 4
-_PERCENT = 100
-# Ranks below this ratio count as normal: copying experts would not pay off.
-_MIN_SLOWDOWN = 1.2
 
 EngineProfileLookup = Callable[[str], routing_config.EngineProfile | None]
 
@@ -63,7 +60,9 @@
     def __init__(self, *, host: str, incarnation: str,
                  store: row_store.RowStore, hosts: host_registry.HostRegistry,
                  registry: group_view.GroupRegistry, view: group_view.GroupView,
-                 driver: switch_driver.SwitchDriver, network: peers.PeerNetwork,
+                 driver: switch_driver.SwitchDriver,
+                 silent_ranks: silent_rank_query.SilentRankQuery,
+                 network: peers.PeerNetwork,
                  lookup_engine_profile: EngineProfileLookup, time: clock.Clock,
                  log: event_log.EventLog) -> None:
         """Initializes a coordinator that does not hold the duty.
@@ -76,6 +75,7 @@
             registry: the known state of all groups.
             view: the known state of the coordinated group.
             driver: runs map switches of the group.
+            silent_ranks: asks the servers of ranks whose agents are silent.
             network: sends messages to other agents.
             lookup_engine_profile: returns the engine profile of a service, or
                 None when it is not known.
@@ -89,6 +89,7 @@
         self._registry = registry
         self._view = view
         self._driver = driver
+        self._silent_ranks = silent_ranks
         self._network = network
         self._lookup_engine_profile = lookup_engine_profile
         self._clock = time
@@ -98,8 +99,15 @@
         self._versions_used = 0
         self._demand: expert_demand.ExpertDemand | None = None
         self._skew_logged_at = time.monotonic()
-        self._layouts: tuple[replication.SetLayout, ...] | None = None
-        self._layouts_version = (0, 0)
+        self._map = map_in_use.MapInUse(view=view,
+                                        driver=driver,
+                                        silent_ranks=silent_ranks,
+                                        network=network)
+        self._planned_inputs: tuple[int, int, int, list[float]] | None
+        self._planned_inputs = None
+        self._slow_ranks = slow_rank_watch.SlowRankWatch(group=view.name,
+                                                         time=time,
+                                                         log=log)
         view.subscribe_choices(self._on_choices)
         view.subscribe_states(self._on_state)
 
@@ -115,6 +123,13 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._send_heartbeats())
             tasks.create_task(self._run_duty())
+            tasks.create_task(self._follow_silent_ranks())
+
+    async def _follow_silent_ranks(self) -> None:
+        while True:
+            await self._clock.sleep(_PLAN_INTERVAL_S)
+            if self._term and self._view.has_quorum():
+                await self._silent_ranks.query_due(self._service())
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -151,15 +166,17 @@
     async def _run_duty(self) -> None:
         while True:
             await self._clock.sleep(_PLAN_INTERVAL_S)
-            if not self._log_completeness(self._view.is_complete()):
+            is_complete = self._log_completeness(self._view.is_complete())
+            if not is_complete and not self._view.has_quorum():
                 continue
             engine = self._lookup_engine_profile(self._service())
             if engine is None or not engine.sets:
                 continue
-            if self._holds_duty():
+            if not self._holds_duty():
+                if self._may_take_duty():
+                    await self._acquire_duty(engine)
+            elif is_complete:
                 await self._plan_and_switch(engine)
-            elif self._may_take_duty():
-                await self._acquire_duty(engine)
 
     def _log_completeness(self, is_complete: bool) -> bool:
         """Logs a change of completeness while the duty is held here.
@@ -213,7 +230,8 @@
                 self._view.holder() is not None):
             return False
         delay_s = (1 + candidates.index(self._host)) * _ELECTION_STAGGER_S
-        if own.group == self._view.name:
+        agents = self._hosts.with_role(host_record.Role.AGENT)
+        if own.group == self._view.name and len(agents) > own.size:
             delay_s += _MEMBER_ELECTION_DELAY_S
         return self._view.holder_silence_s() > group_view.HOLDER_TIMEOUT_S + (
             delay_s)
@@ -242,11 +260,12 @@
             return
         self._term = finished.ok_value.token
         self._versions_used = 0
-        self._layouts = None
+        self._map.forget()
+        self._planned_inputs = None
+        size = next(iter(self._view.states().values())).size
         self._demand = expert_demand.ExpertDemand(sets=engine.sets,
                                                   experts=engine.experts,
-                                                  ranks=len(
-                                                      self._view.states()))
+                                                  ranks=size)
         self._announce_duty()
         self._log.write(log_events.LogEvent.DUTY_TAKEN,
                         group=group,
@@ -257,31 +276,42 @@
             self._demand.add(
                 choices.rank, choices.first_set * choices.experts,
                 expert_choices.unpack_choices(choices.unit, choices.packed))
+            self._demand.close_window()
 
     # Planning.
 
     async def _plan_and_switch(self,
                                engine: routing_config.EngineProfile) -> None:
         states = self._view.states()
-        if not await self._fetch_layouts():
+        layouts = await self._map.find()
+        if layouts is None:
             return
-        assert self._layouts is not None and self._demand is not None
+        assert self._demand is not None
         if map_switch.needs_recovery(states):
-            await self._recover(states)
+            await self._recover(states, layouts)
             return
         if any(state.armed_version for state in states.values()):
             return
-        self._demand.close_window()
-        self._log_skew()
-        if not self._demand.is_complete:
+        slowdowns = self._slow_ranks.update(states, engine.expert_share)
+        self._driver.stats.slow_ranks = self._slow_ranks.slow_ranks
+        self._log_skew(layouts, slowdowns)
+        if not self._demand.is_complete or self._demand.is_moving:
+            return
+        inputs = (self._demand.windows, self._map.epoch, self._map.version,
+                  slowdowns)
+        if inputs == self._planned_inputs:
             return
+        self._planned_inputs = inputs
         limits = step_limits.limits_for(engine, len(states))
-        step = replication.plan_replication_step(self._layouts,
+        step = replication.plan_replication_step(layouts,
                                                  self._demand.shares_by_set,
                                                  limits.replication_limits,
-                                                 _slowdowns(states))
+                                                 slowdowns)
         self._driver.stats.skew = step.before
         if not limits.is_worthwhile(step):
+            self._slow_ranks.check_relief(
+                replication.mean_rank_loads(layouts, self._demand.shares_by_set,
+                                            slowdowns))
             return
         self._log.write(log_events.LogEvent.MAP_PLANNED,
                         important=False,
@@ -292,19 +322,19 @@
                         after=round(step.after, 3))
         await self._switch(step.layouts, step.copies)
 
-    def _log_skew(self) -> None:
+    def _log_skew(self, layouts: Sequence[replication.SetLayout],
+                  slowdowns: Sequence[float]) -> None:
         """Logs the measured skew of the last window, not the planned one."""
         now = self._clock.monotonic()
         window_s = now - self._skew_logged_at
         if window_s < _SKEW_LOG_INTERVAL_S:
             return
-        assert self._layouts is not None and self._demand is not None
+        assert self._demand is not None
         seen = self._demand.take_observed_choices()
         self._skew_logged_at = now
         if not all(map(any, seen)):
             return
-        skew = replication.mean_max_rank_load(self._layouts, seen,
-                                              _slowdowns(self._view.states()))
+        skew = replication.mean_max_rank_load(layouts, seen, slowdowns)
         datagrams, self._demand.datagrams = self._demand.datagrams, 0
         self._driver.stats.skew_seen = skew
         self._log.write(log_events.LogEvent.SKEW_SEEN,
@@ -315,34 +345,7 @@
                         choices=int(sum(map(sum, seen))),
                         datagrams=datagrams,
                         demand_changes=self._demand.changes,
-                        map=self._layouts_version[1])
-
-    async def _fetch_layouts(self) -> bool:
-        """Fetches the map in use from the ranks unless it is known.
-
-        Returns:
-            Whether all ranks use one map and its layouts are known.
-        """
-        states = self._view.states()
-        versions = {(s.epoch, s.map_version) for s in states.values()}
-        if len(versions) != 1:
-            return False
-        if self._layouts is not None and self._layouts_version in versions:
-            return True
-        found = await asyncio.gather(
-            *(self._network.fetch_rank_layout(self._driver.agent_address(rank))
-              for rank in sorted(states)))
-        reported = [layout for layout in found if layout is not None]
-        if len(reported) < len(states) or {
-            (layout.epoch, layout.version) for layout in reported
-        } != versions:
-            return False
-        self._layouts = tuple(
-            tuple(frozenset(layout.experts[index])
-                  for layout in reported)
-            for index in range(len(reported[0].experts)))
-        self._layouts_version = versions.pop()
-        return True
+                        map=self._map.version)
 
     def _next_version(self) -> int:
         self._versions_used += 1
@@ -353,41 +356,29 @@
     async def _switch(self, layouts: tuple[replication.SetLayout, ...],
                       copies: int) -> None:
         epoch = next(iter(self._view.states().values())).epoch
-        switch = map_switch.MapSwitch(self._next_version(),
-                                      epoch,
-                                      _encode_layouts(layouts),
-                                      lead_passes=_SWITCH_LEAD_PASSES)
+        switch = map_switch.MapSwitch(self._next_version(), epoch,
+                                      _encode_layouts(layouts))
         finished = await self._driver.run(switch)
         if finished.phase is map_switch.MapSwitchPhase.DONE:
-            self._layouts = layouts
-            self._layouts_version = (epoch, finished.version)
+            self._map.set(layouts, epoch, finished.version)
             self._driver.stats.copies += copies
         else:
-            self._layouts = None
+            self._map.forget()
+            self._planned_inputs = None
 
-    async def _recover(self, states: map_switch.RankStates) -> None:
-        assert self._layouts is not None
-        switch = map_switch.recovery_switch(states,
-                                            _encode_layouts(self._layouts),
+    async def _recover(self, states: map_switch.RankStates,
+                       layouts: tuple[replication.SetLayout, ...]) -> None:
+        switch = map_switch.recovery_switch(states, _encode_layouts(layouts),
                                             self._next_version())
         self._log.write(log_events.LogEvent.MAP_RECOVERED,
                         group=self._view.name,
                         version=switch.version,
                         phase=switch.phase.value,
                         held=states[map_switch.HOLDING_RANK].held_step)
-        self._layouts = None
+        self._map.forget()
         await self._driver.run(switch)
 
 
-def _slowdowns(states: map_switch.RankStates) -> list[float]:
-    """Returns each rank's slowdown relative to normal speed, in rank order."""
-    slowdowns = (
-        states[rank].pace_percent / _PERCENT for rank in sorted(states))
-    return [
-        slowdown if slowdown >= _MIN_SLOWDOWN else 1.0 for slowdown in slowdowns
-    ]
-
-
 def _encode_layouts(
     layouts: tuple[replication.SetLayout, ...]
 ) -> tuple[tuple[tuple[int, ...], ...], ...]:
--- a/pollenthread/app/rate_permits.py
+++ b/pollenthread/app/rate_permits.py
@@ -8,6 +8,10 @@
 
 If the issuer changes, the new one waits before its first permit, since the old
 one may have issued some just before.
+
+Servers that have a warm-up need a permit at any time too, since they may become
+slow without anyone knowing. Their rate is high enough for a static split, which
+costs no messages and needs no issuer (`core.routing.send_windows`).
 """
 
 import abc
@@ -15,11 +19,14 @@
 import dataclasses
 import itertools
 import math
+from collections.abc import Sequence
 
 from pollenthread.app import entry_liveness, serving_state
+from pollenthread.app.routing import server_shares
 from pollenthread.core import (host_record, log_events, membership,
                                peer_messages, rate_pacer, server_limits,
                                server_registry)
+from pollenthread.core.routing import send_windows
 from pollenthread.ports import clock, event_log, peers
 
 __all__ = ['LocalRatePermits', 'Permit', 'RatePermits', 'SharedRatePermits']
@@ -30,6 +37,8 @@
 _UNANSWERED_PAUSE_S = 0.3
 # Time before the first permit of an issuer, if the limit allows one sooner.
 _MIN_START_DELAY_S = 0.5
+# Pause after another request has taken the last one of a share.
+_FULL_SHARE_PAUSE_S = 0.3
 _MS_PER_S = 1000
 _MAX_AGE_MS = 2**31
 
@@ -53,7 +62,12 @@
 
     def __init__(self, *, state: serving_state.ServingState, time: clock.Clock,
                  log: event_log.EventLog) -> None:
+        self._state = state
         self._limits = state.server_limits
+        self._windows = send_windows.SendWindows()
+        self._shares = server_shares.ServerShares(state=state,
+                                                  other_hosts=self._other_hosts,
+                                                  own=self._own_name)
         self._clock = time
         self._log = log
         self._refused_until_by_id: dict[str, float] = {}
@@ -85,14 +99,17 @@
     def available_at(self, server: server_registry.Server) -> float:
         """Returns the monotonic seconds before which no permit is available.
 
-        Returns negative infinity if the server names no limit, or if a permit
-        may be available now.
+        Returns a time in the past if one may be available now, and negative
+        infinity if the server needs none. Returns infinity if the server is
+        left to other hosts.
         """
+        available_at = self._windows.open_at(server.id)
+        if self._shares.share_of(server) == 0:
+            return math.inf
         if self._limits.get(server) is None:
-            return -math.inf
-        refused_until = self._refused_until_by_id.get(server.id, -math.inf)
-        return (refused_until
-                if refused_until > self._clock.monotonic() else -math.inf)
+            return available_at
+        return max(available_at,
+                   self._refused_until_by_id.get(server.id, -math.inf))
 
     async def acquire(self, server: server_registry.Server,
                       max_wait_s: float) -> Permit:
@@ -103,17 +120,44 @@
             max_wait_s: how long the request can wait, in seconds.
 
         Returns:
-            The permit, which is granted at once if the server names no limit.
+            The permit, which is granted at once if the server needs none.
         """
+        now = self._clock.monotonic()
+        share = self._shares.share_of(server)
+        if share == 0:
+            return Permit(False, math.inf)
+        wait_s = max(0.0, self._windows.open_at(server.id) - now)
+        if wait_s > max_wait_s:
+            return Permit(False, wait_s)
+        permit = Permit(True, wait_s)
         limit = self._limits.get(server)
-        if limit is None:
-            return Permit(True)
-        permit = await self._request(limit, max_wait_s)
-        if not permit.is_granted:
-            self._refused_until_by_id[server.id] = (self._clock.monotonic() +
-                                                    permit.wait_s)
+        if limit is not None:
+            issued = await self._request(limit, max_wait_s)
+            if not issued.is_granted:
+                self._refused_until_by_id[server.id] = (
+                    self._clock.monotonic() + issued.wait_s)
+                return issued
+            permit = Permit(True, max(wait_s, issued.wait_s))
+        if share is not None and not self._windows.reserve(
+                server.id, share,
+                self._clock.monotonic() + permit.wait_s):
+            return Permit(False, _FULL_SHARE_PAUSE_S)
         return permit
 
+    def drop_idle(self) -> None:
+        """Forgets what is over, and shares that have changed."""
+        self._windows.drop_idle(self._clock.monotonic())
+        self._shares.refresh()
+
+    @property
+    def _own_name(self) -> str:
+        """The name of this host."""
+        return ''
+
+    def _other_hosts(self) -> Sequence[str] | None:
+        """Returns the other hosts that use the servers; None if unknown."""
+        return ()
+
     @abc.abstractmethod
     async def _request(self, limit: server_limits.RateLimit,
                        max_wait_s: float) -> Permit:
@@ -170,9 +214,9 @@
                  liveness: entry_liveness.EntryLiveness,
                  network: peers.PeerNetwork, state: serving_state.ServingState,
                  time: clock.Clock, log: event_log.EventLog) -> None:
-        super().__init__(state=state, time=time, log=log)
         self._own = own
         self._liveness = liveness
+        super().__init__(state=state, time=time, log=log)
         self._network = network
         self._numbers = itertools.count(1)
         self._reply_by_number: dict[
@@ -211,6 +255,15 @@
             del self._reply_by_number[number]
         return Permit(found.is_granted, found.wait_ms / _MS_PER_S)
 
+    @property
+    def _own_name(self) -> str:
+        return self._own.host
+
+    def _other_hosts(self) -> Sequence[str] | None:
+        if not self._liveness.are_hosts_known:
+            return None
+        return [record.host for record in self._liveness.other_records()]
+
     def _issuer_of(self, server_id: str) -> host_record.HostRecord | None:
         """Returns the host that issues permits, or None for this host."""
         record_by_host = {
--- a/pollenthread/core/log_events.py
+++ b/pollenthread/core/log_events.py
@@ -46,8 +46,19 @@
                     'second it accepts from all hosts together; without '
                     '`per_s` it no longer names a limit. `source` is the '
                     'server or a peer.')
+    SERVER_WARMING = ('server_warming', 'A server warms up for `for_s`; it '
+                      'gets a request only if no warm one has room. `cause` '
+                      'is its start, its entry, or that its data centre was '
+                      'taken back.')
+    SERVER_WARM = ('server_warm', 'A server has warmed up.')
     SERVER_ENTRY_REJECTED = ('server_entry_rejected', 'An entry of the list '
                              'could not be read and is ignored.')
+    DATA_CENTRE_EMPTIED = ('data_centre_emptied', 'The servers of a data '
+                           'centre get no new requests from this host, since '
+                           'an operator has emptied it; `source` is the store '
+                           'or the peer that told it.')
+    DATA_CENTRE_RESTORED = ('data_centre_restored', 'The servers of a data '
+                            'centre that was emptied may get requests again.')
     PEER_FOUND = ('peer_found', 'Another entry host was detected.')
     PEER_SILENT = ('peer_silent', 'Heartbeats of another entry host stopped.')
     PEER_SNAPSHOT = ('peer_snapshot',
@@ -78,6 +89,10 @@
                     'A request with `parts` under which servers '
                     'may have crashed is sent, one at a time.')
     STREAM_RESUMED = ('stream_resumed', 'A stream continues at another server.')
+    SPILL_CHANGED = ('spill_changed',
+                     'The shares of requests to `service` that '
+                     'this host moves to other data centres, with the slots '
+                     'and the demand of each that they are derived from.')
     DUTY_TAKEN = ('duty_taken', 'This agent now plans the maps of `group`.')
     DUTY_LOST = ('duty_lost', 'Another agent holds the duty with a newer term.')
     GROUP_BROKEN = ('group_broken', 'The group of a duty held here is '
@@ -91,11 +106,21 @@
                    'greatest loads falls from `before` to `after`.')
     MAP_SWITCHED = ('map_switched', 'All ranks switch to a map at `step`; '
                     'duration of each phase in seconds.')
+    RANK_SLOW = ('rank_slow', 'A rank works `slowdown` times as long as normal '
+                 'and holds its group back; its host is `of`. Its experts move '
+                 'to other ranks; `own_part` of a normal pass is left to it.')
+    RANK_UNRELIEVED = ('rank_unrelieved',
+                       'No map takes enough work from a slow '
+                       'rank: it keeps `load` times the mean.')
+    RANK_RECOVERED = ('rank_recovered', 'A rank is as fast as normal again, '
+                      'after `slow_s` seconds, and gets experts again.')
     MAP_RECOVERED = ('map_recovered', 'A pass left held by an earlier '
                      'coordinator is completed.')
     ORDER_FAILED = ('order_failed',
                     'A rank refused an order or did not answer; '
                     'it is repeated or the switch is abandoned.')
+    TASK_FAILED = ('task_failed', 'A background task failed and is started '
+                   'again; `error` says where.')
     LINES_DROPPED = ('lines_dropped',
                      '`count` lines before this one were dropped.')
 
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -1,33 +1,31 @@
-"""Tracks the load of each server and selects the server for a request.
+"""Selects the server for a request by the load of all servers.
 
-Load reports arrive with a delay. Between two reports each entry host adds the
-requests that it has sent since the last one and subtracts those that have
-ended, so that slots used by its own requests are not counted as free. The
-module `spreading` distributes the requests of all hosts between two reports.
+What is known of the load is in `routing.known_loads`; the module `spreading`
+distributes the requests of all hosts between two reports.
 """
 
-import dataclasses
-import statistics
 from collections.abc import Collection, Iterable, Sequence
 
 from pollenthread.core import (routing_config, server_registry,
                                service_estimate, spreading)
-from pollenthread.core.routing import group_pace, pass_model, room_forecast
+from pollenthread.core.routing import (data_centre_choice, known_loads,
+                                       long_prompts, room_estimation,
+                                       room_forecast, spill, tracked_load)
 
 __all__ = ['ServerLoadTracker', 'ServerLoadReport']
 
-_REPORT_TTL_S = 1.5
-# Upper bound of the report age that is written to the log.
-_MAX_LOGGED_AGE_S = 99.0
-# Agents report the load at least every 0.6 s.
-_REPORT_OVERDUE_S = 1.0
+ServerLoadReport = tracked_load.ServerLoadReport
 # Penalty for a server whose reports are overdue or whose group is stalled.
 _UNRESPONSIVE_PENALTY_S = 20.0
-# Load equivalent to the cost of sending a request to another data centre.
-_OTHER_DATA_CENTRE_LOAD = 0.25
+# A request that has to queue moves to another data centre only if this many
+# fewer requests are there.
+_MOVE_QUEUE_REQUESTS = 1.0
 # Extra weight of a request sent by this host, which is already counted in the
 # load. Other hosts also have requests there that the next report will show.
 _OWN_REQUEST_WEIGHT = 0.5
+# Requests more that a server may have and still be preferred, so that short
+# requests and long prompts do not meet.
+_APART_LOAD = 3.0
 # Time for which all hosts select servers from the same report.
 _REPORT_INTERVAL_S = 0.3
 # Largest share of all slots that requests may fill between two reports.
@@ -35,178 +33,21 @@
 # Weight of a queued request in addition to its wait. A queued request always
 # delays the next one, while a running request only slows the others down.
 _QUEUED_REQUEST_WEIGHT = 2.0
-# Duration of a request whose response is short.
-_SHORT_REQUEST_S = 0.1
-_FAILURE_PAUSE_S = 1.0
-_MAX_FAILURE_PAUSE_S = 8.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerLoadReport:
-    """The load reported by a server or by the agent on its host.
-
-    Attributes:
-        running: requests that the server is processing.
-        waiting: requests in the server's queue.
-        slots: requests that the server can process concurrently.
-        stalled_s: seconds since the last pass of its group began, while the
-            group has work.
-        accepts_requests: whether its group accepts requests.
-        group: the model group that it is a rank of; empty if it has none.
-        pass_s: recent duration of a pass of its group in seconds; 0 if
-            unknown.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    stalled_s: float = 0.0
-    accepts_requests: bool = True
-    group: str = ''
-    pass_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class _TrackedLoad:
-    """The tracked load of one server.
-
-    Attributes:
-        reported: requests at the server according to the last report.
-        reported_at: monotonic seconds at which the last report arrived.
-        running: requests that the server was processing then.
-        change: requests of this host started minus ended since the report.
-        own: requests of this host at the server.
-        accepts_requests: whether the group accepted requests in the last
-            report.
-        has_agent: whether an agent reports the load periodically.
-        group: the model group that it is a rank of; empty if it has none.
-        failures: number of consecutive failures.
-        paused_until: monotonic seconds until which it is avoided.
-    """
-
-    reported: float = 0.0
-    reported_at: float = -1e9
-    running: float = 0.0
-    change: int = 0
-    own: int = 0
-    accepts_requests: bool = True
-    has_agent: bool = False
-    group: str = ''
-    failures: int = 0
-    paused_until: float = -1e9
-
-
-class ServerLoadTracker:
-    """Tracks the load of all servers, by server id."""
+class ServerLoadTracker(known_loads.KnownLoads):
+    """Tracks the load of all servers, and selects servers by it."""
 
     def __init__(self, *, rng: spreading.RandomSource) -> None:
-        self._rng = rng
-        self._load_by_id: dict[str, _TrackedLoad] = {}
-        self._rate = spreading.ArrivalRate()
-        self._pace_by_group: dict[str, group_pace.GroupPace] = {}
-
-    def _get(self, server_id: str) -> _TrackedLoad:
-        return self._load_by_id.setdefault(server_id, _TrackedLoad())
-
-    def remove(self, server_id: str) -> None:
-        """Removes a server that no longer exists."""
-        self._load_by_id.pop(server_id, None)
-
-    def record_report(self, server_id: str, report: ServerLoadReport,
-                      now: float) -> None:
-        """Records a load report of a server."""
-        load = self._get(server_id)
-        load.reported = report.running + report.waiting
-        load.reported_at = now
-        load.change = 0
-        load.running = report.running
-        load.accepts_requests = report.accepts_requests
-        load.has_agent = load.has_agent or bool(report.group)
-        load.group = report.group
-        if report.group:
-            self._pace_by_group.setdefault(
-                report.group, group_pace.GroupPace()).record(
-                    pass_s=report.pass_s,
-                    stalled_s=report.stalled_s,
-                    has_work=report.running > 0,
-                    accepts_requests=report.accepts_requests,
-                    now=now)
-
-    def record_request_count(self, server_id: str, requests: int,
-                             now: float) -> None:
-        """Records the request count that a server sends with a response.
-
-        The count is ignored while a recent report of its agent is available.
-        """
-        load = self._get(server_id)
-        if load.has_agent and now - load.reported_at < _REPORT_TTL_S:
-            return
-        load.reported = load.running = requests
-        load.reported_at = now
-        load.change = 0
+        super().__init__(rng=rng)
+        self._long_prompts_by_service: dict[
+            str, long_prompts.LongPromptPlacement] = {}
+        self._data_centres = data_centre_choice.DataCentreChoice(loads=self,
+                                                                 rng=rng)
 
-    def record_start(self, server_id: str, now: float) -> None:
-        """Records that this host has sent a request to the server."""
-        self._rate.record_request(now)
-        load = self._get(server_id)
-        load.own += 1
-        load.change += 1
-
-    def record_end(self, server_id: str) -> None:
-        """Records that a request of this host has ended at the server."""
-        load = self._get(server_id)
-        load.own -= 1
-        load.change -= 1
-
-    def record_success(self, server_id: str) -> None:
-        """Records a response of the server and ends its failure pause."""
-        load = self._get(server_id)
-        load.failures = 0
-        load.paused_until = -1e9
-
-    def record_failure(self, server_id: str, now: float) -> None:
-        """Records a failure and pauses the server with exponential back-off."""
-        load = self._get(server_id)
-        load.failures += 1
-        pause_s = min(_MAX_FAILURE_PAUSE_S,
-                      _FAILURE_PAUSE_S * 2**(load.failures - 1))
-        load.paused_until = now + pause_s * self._rng.uniform(0.5, 1.0)
-
-    def load(self, server_id: str, now: float) -> float:
-        """Returns the estimated number of requests at the server."""
-        load = self._get(server_id)
-        if now - load.reported_at > _REPORT_TTL_S:
-            return float(load.own)
-        return max(float(load.own), load.reported + load.change)
-
-    def log_fields(self, server: server_registry.Server,
-                   now: float) -> dict[str, float]:
-        """Returns the load data of a server as fields for a log event."""
-        estimate = self._estimate(server, now)
-        age_s = now - self._get(server.id).reported_at
-        return {
-            'load': estimate.load,
-            'own': self.own_requests(server.id),
-            'pass_s': round(estimate.pass_s, 4),
-            'news_age_s': round(min(age_s, _MAX_LOGGED_AGE_S), 3)
-        }
-
-    def own_requests(self, server_id: str) -> int:
-        """Returns the number of requests of this host at the server."""
-        return self._get(server_id).own
-
-    def is_report_overdue(self, server_id: str, now: float) -> bool:
-        """Returns whether the agent of a server has stopped reporting."""
-        load = self._get(server_id)
-        return load.has_agent and now - load.reported_at > _REPORT_OVERDUE_S
-
-    def stalled_s(self, server_id: str, now: float) -> float:
-        """Returns the seconds for which the server's group has made no pass.
-
-        Returns 0 if there is no recent report.
-        """
-        pace = self._pace_by_group.get(self._get(server_id).group)
-        return pace.stalled_s(now) if pace else 0.0
+    def set_spill_plan(self, service: str, plan: spill.SpillPlan) -> None:
+        """Sets which requests to a service go to other data centres."""
+        self._data_centres.set_plan(service, plan)
 
     def select(self, servers: Iterable[server_registry.Server], *,
                excluded: Collection[str], data_centre: str,
@@ -217,8 +58,8 @@
         Args:
             servers: the candidates.
             excluded: ids of servers that must not be used.
-            data_centre: the data centre of this host; its servers are
-                preferred among equals.
+            data_centre: the data centre of this host. The request stays there
+                if it is served in time, but for the share that is moved.
             requirements: the requirements of the request.
             hosts: number of entry hosts that use these servers.
             now: monotonic seconds.
@@ -230,45 +71,37 @@
         all_servers = tuple(servers)
         usable = [
             s for s in all_servers
-            if s.id not in excluded and self._accepts_requests(s, now)
+            if s.id not in excluded and self.get(s.id).is_accepting(now)
         ]
-        not_paused = [s for s in usable if self._get(s.id).paused_until <= now]
-        candidates = [
+        not_paused = [s for s in usable if self.get(s.id).paused_until <= now]
+        candidates: Sequence[server_registry.Server] = [
             s for s in not_paused or usable
             if self._can_serve(s, requirements, now)
         ]
         if not candidates:
             return None
+        candidates = self._with_memory(candidates, requirements) or candidates
+        candidates = self._data_centres.narrow(candidates,
+                                               own=data_centre,
+                                               requirements=requirements,
+                                               arrivals=self._arrivals(
+                                                   hosts, now),
+                                               now=now)
         # Without reports of its agent, the load of a server is not known.
-        candidates = self._reported(candidates, now) or candidates
-        sharing_hosts = hosts * self._reported_share(all_servers, now)
-        loads = [
+        candidates = self.reported(candidates, now) or candidates
+        sharing_hosts = hosts * self._sharing_share(all_servers, candidates,
+                                                    now)
+        loads = self._keep_long_prompts_apart(candidates, [
             self._effective_load(s, data_centre, requirements, now)
             for s in candidates
-        ]
+        ], requirements, now)
         # Outside bursts, requests arrive as fast as slots become free.
         total_slots = sum(s.slots for s in candidates)
-        arrivals = min(
-            total_slots * _MAX_TURNOVER,
-            self._rate.per_s(now) * sharing_hosts * _REPORT_INTERVAL_S)
+        arrivals = min(total_slots * _MAX_TURNOVER,
+                       self._arrivals(sharing_hosts, now))
         parts = spreading.water_fill(loads, max(1.0, arrivals))
         return candidates[spreading.pick_weighted(parts, self._rng)]
 
-    def free_slots(self, servers: Iterable[server_registry.Server], *,
-                   reserved_share: float, now: float) -> float:
-        """Returns the total of free slots beyond the reserved share.
-
-        Servers whose group accepts no requests are not counted. If the load of
-        a part of the servers is known, the total of all is extrapolated.
-        """
-        all_servers = tuple(servers)
-        known = self._reported(all_servers, now) or all_servers
-        return sum(
-            service_estimate.free_slots(self._estimate(s, now), reserved_share)
-            for s in known
-            if self._accepts_requests(s, now)) / self._reported_share(
-                all_servers, now)
-
     def forecast(self, servers: Iterable[server_registry.Server], *,
                  passes: float, max_gap_s: float,
                  engine: routing_config.EngineProfile | None,
@@ -286,104 +119,93 @@
             engine: the profile of their engine, or None.
             now: monotonic seconds.
         """
-        all_servers = tuple(servers)
-        known = [
-            s for s in all_servers
-            if now - self._get(s.id).reported_at < _REPORT_TTL_S
+        return room_estimation.forecast(self,
+                                        servers,
+                                        passes=passes,
+                                        max_gap_s=max_gap_s,
+                                        engine=engine,
+                                        now=now)
+
+    def mean_pass_s(self, servers: Sequence[server_registry.Server],
+                    now: float) -> float:
+        """Returns the mean duration of a pass of some servers in seconds."""
+        return room_estimation.mean_pass_s(self, servers, now)
+
+    def _keep_long_prompts_apart(
+            self, servers: Sequence[server_registry.Server],
+            loads: Sequence[float],
+            requirements: service_estimate.RequestRequirements,
+            now: float) -> Sequence[float]:
+        """Adds load where the request and long prompts would meet."""
+        is_long = long_prompts.is_long_prompt(requirements.prompt_s,
+                                              requirements.max_gap_s)
+        placement = self._long_prompts_by_service.setdefault(
+            servers[0].service, long_prompts.LongPromptPlacement())
+        placement.record(requirements.passes, is_long=is_long, now=now)
+        units = [self.get(s.id).group or s.id for s in servers]
+        preferred = placement.preferred(frozenset(units))
+        if not preferred:
+            return loads
+        return [
+            load + _APART_LOAD * ((unit in preferred) != is_long)
+            for unit, load in zip(units, loads)
         ]
-        stretch_by_group = self._stretch_by_group(known, engine, now)
-        rooms = []
-        for server in known:
-            load = self._get(server.id)
-            slots = float(server.slots)
-            if engine and max_gap_s and load.group in stretch_by_group:
-                slots = pass_model.slots_within_gap(
-                    engine,
-                    slots=server.slots,
-                    stretch=stretch_by_group[load.group],
-                    max_gap_s=max_gap_s)
-            estimate = self._estimate(server, now)
-            request_s = (passes * estimate.pass_or_default_s()
-                         if passes else _SHORT_REQUEST_S)
-            rooms.append(
-                room_forecast.ServerRoom(
-                    slots=slots,
-                    load=estimate.load,
-                    frees_per_s=min(estimate.load, server.slots) / request_s,
-                    is_available=(load.accepts_requests and
-                                  not self.stalled_s(server.id, now)),
-                    age_s=now - load.reported_at))
-        return room_forecast.add_rooms(rooms, len(all_servers))
 
-    def _stretch_by_group(self, servers: Sequence[server_registry.Server],
-                          engine: routing_config.EngineProfile | None,
-                          now: float) -> dict[str, float]:
-        """Returns the measured duration of a pass over the predicted one.
+    def _arrivals(self, hosts: float, now: float) -> float:
+        """Returns the requests that some hosts send before the next reports."""
+        return self._rate.per_s(now) * hosts * _REPORT_INTERVAL_S
 
-        Groups whose passes have not been measured are missing.
+    def _sharing_share(self, servers: Sequence[server_registry.Server],
+                       candidates: Sequence[server_registry.Server],
+                       now: float) -> float:
+        """Returns the share of all hosts that send requests to the candidates.
+
+        A data centre that serves its own callers is not shared with others.
         """
-        if engine is None:
-            return {}
-        running_by_group: dict[str, list[float]] = {}
-        for server in servers:
-            load = self._get(server.id)
-            running_by_group.setdefault(load.group, []).append(load.running)
-        stretch_by_group = {}
-        for group, running in running_by_group.items():
-            pace = self._pace_by_group.get(group)
-            if pace is not None and pace.pass_s(now):
-                stretch_by_group[group] = pace.pass_s(
-                    now) / pass_model.predict_pass_s(engine,
-                                                     statistics.fmean(running))
-        return stretch_by_group
+        data_centres = {s.data_centre for s in candidates}
+        near = sum(s.data_centre in data_centres for s in servers)
+        return min(near / len(servers), self.reported_share(servers, now))
 
-    def _reported(self, servers: Sequence[server_registry.Server],
-                  now: float) -> list[server_registry.Server]:
-        """Returns the servers whose agents have reported recently."""
-        return [s for s in servers if self._is_reported(s.id, now)]
+    def free_slots(self, servers: Iterable[server_registry.Server], *,
+                   reserved_share: float, now: float) -> float:
+        """Returns the total of free slots beyond the reserved share.
 
-    def _is_reported(self, server_id: str, now: float) -> bool:
-        load = self._get(server_id)
-        return load.has_agent and now - load.reported_at < _REPORT_TTL_S
+        Servers whose group accepts no requests are not counted. If the load of
+        a part of the servers is known, the total of all is extrapolated.
+        """
+        all_servers = tuple(servers)
+        known = self.reported(all_servers, now) or all_servers
+        return sum(
+            service_estimate.free_slots(self.estimate(s, now), reserved_share)
+            for s in known
+            if self.get(s.id).is_accepting(now)) / self.reported_share(
+                all_servers, now)
 
-    def _reported_share(self, servers: Sequence[server_registry.Server],
-                        now: float) -> float:
-        """Returns the share of the servers whose agents report to this host.
+    def _with_memory(
+        self, servers: Sequence[server_registry.Server],
+        requirements: service_estimate.RequestRequirements
+    ) -> list[server_registry.Server]:
+        """Returns the servers with memory for the request.
 
-        Other hosts hear other servers, and send their requests there. Returns 1
-        if no agent reports.
+        Elsewhere it would displace another one, whose prompt is read again.
         """
-        reported = len(self._reported(servers, now))
-        return reported / len(servers) if reported else 1.0
+        return [
+            s for s in servers
+            if self.get(s.id).kv_free_tokens >= requirements.kv_tokens
+        ]
 
     def _can_serve(self, server: server_registry.Server,
                    requirements: service_estimate.RequestRequirements,
                    now: float) -> bool:
-        estimate = self._estimate(server, now)
+        estimate = self.estimate(server, now)
         return (
             service_estimate.keeps_reserved_slots(requirements, estimate) and
             not service_estimate.cannot_start_in_time(requirements, estimate)
-            and not service_estimate.misses_first_event_target(
+            and
+            not service_estimate.cannot_end_in_time(requirements, estimate) and
+            not service_estimate.misses_first_event_target(
                 requirements, estimate))
 
-    def _accepts_requests(self, server: server_registry.Server,
-                          now: float) -> bool:
-        """Returns False if a recent report says that the group rejects work."""
-        load = self._get(server.id)
-        return load.accepts_requests or now - load.reported_at > _REPORT_TTL_S
-
-    def _estimate(self, server: server_registry.Server,
-                  now: float) -> service_estimate.ServerEstimate:
-        return service_estimate.ServerEstimate(load=self.load(server.id, now),
-                                               slots=server.slots,
-                                               pass_s=self._pass_s(
-                                                   server.id, now))
-
-    def _pass_s(self, server_id: str, now: float) -> float:
-        """Returns the duration of a pass of the server; 0 if unknown."""
-        pace = self._pace_by_group.get(self._get(server_id).group)
-        return pace.pass_s(now) if pace else 0.0
-
     def _effective_load(self, server: server_registry.Server, data_centre: str,
                         requirements: service_estimate.RequestRequirements,
                         now: float) -> float:
@@ -392,10 +214,9 @@
         A healthy server in this data centre with this load is an equally good
         choice.
         """
-        estimate = self._estimate(server, now)
+        estimate = self.estimate(server, now)
         penalty_s = service_estimate.penalty_s(requirements, estimate)
-        if (self.is_report_overdue(server.id, now) or
-                self.stalled_s(server.id, now)):
+        if self.is_unresponsive(server.id, now):
             penalty_s += _UNRESPONSIVE_PENALTY_S
         load = estimate.load + _OWN_REQUEST_WEIGHT * self.own_requests(
             server.id)
@@ -404,5 +225,5 @@
         load += penalty_s / service_estimate.cost_per_request_s(
             requirements, estimate)
         if server.data_centre != data_centre:
-            load += _OTHER_DATA_CENTRE_LOAD
+            load += _MOVE_QUEUE_REQUESTS
         return load
