Count arrivals of a service alone where its data centre is chosen

A plain service beside a busy one looked as if its few slots were about to be taken, and its requests moved. The new scenario fails on the code before.

--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -40,6 +40,7 @@
 
     def __init__(self, *, rng: spreading.RandomSource) -> None:
         super().__init__(rng=rng)
+        self._rate_by_service: dict[str, spreading.ArrivalRate] = {}
         self._long_prompts_by_service: dict[
             str, long_prompts.LongPromptPlacement] = {}
         self._data_centres = data_centre_choice.DataCentreChoice(loads=self,
@@ -81,12 +82,15 @@
         if not candidates:
             return None
         candidates = self._with_memory(candidates, requirements) or candidates
-        candidates = self._data_centres.narrow(candidates,
-                                               own=data_centre,
-                                               requirements=requirements,
-                                               arrivals=self._arrivals(
-                                                   hosts, now),
-                                               now=now)
+        service_rate = self._rate_by_service.setdefault(candidates[0].service,
+                                                        spreading.ArrivalRate())
+        service_rate.record_request(now)
+        candidates = self._data_centres.narrow(
+            candidates,
+            own=data_centre,
+            requirements=requirements,
+            arrivals=service_rate.per_s(now) * hosts * _REPORT_INTERVAL_S,
+            now=now)
         # Without reports of its agent, the load of a server is not known.
         candidates = self.reported(candidates, now) or candidates
         sharing_hosts = hosts * self._sharing_share(all_servers, candidates,
@@ -97,8 +101,9 @@
         ], requirements, now)
         # Outside bursts, requests arrive as fast as slots become free.
         total_slots = sum(s.slots for s in candidates)
-        arrivals = min(total_slots * _MAX_TURNOVER,
-                       self._arrivals(sharing_hosts, now))
+        arrivals = min(
+            total_slots * _MAX_TURNOVER,
+            self._rate.per_s(now) * sharing_hosts * _REPORT_INTERVAL_S)
         parts = spreading.water_fill(loads, max(1.0, arrivals))
         return candidates[spreading.pick_weighted(parts, self._rng)]
 
@@ -151,10 +156,6 @@
             for unit, load in zip(units, loads)
         ]
 
-    def _arrivals(self, hosts: float, now: float) -> float:
-        """Returns the requests that some hosts send before the next reports."""
-        return self._rate.per_s(now) * hosts * _REPORT_INTERVAL_S
-
     def _sharing_share(self, servers: Sequence[server_registry.Server],
                        candidates: Sequence[server_registry.Server],
                        now: float) -> float:
--- a/tests/platform/spill.feature
+++ b/tests/platform/spill.feature
@@ -37,6 +37,12 @@
     And passes in "a" take 300 ms
     Then 30 requests of "a" all go to "b"
 
+  # Requests to one service say nothing of the arrivals of another.
+  Scenario: A plain service with few slots beside a busy one stays where it is
+    Given servers in "a" with 1 of 6 slots in use and in "b" with 0
+    And 3000 requests to another service within 3 s
+    Then 30 requests of "a" all go to "a"
+
   Scenario: A request is not sent to a data centre that moves work away
     Given servers in "a" with 6 of 6 slots in use and in "b" with 5
     And "b" moves work away
--- a/tests/platform/steps/spill.py
+++ b/tests/platform/steps/spill.py
@@ -99,6 +99,12 @@
                 pass_ms / 1000 if name == data_centre else _PASS_S)
 
 
+@given('{count:d} requests to another service within {seconds:d} s')
+def step_other_service(context: Any, count: int, seconds: int) -> None:
+    for number in range(count):
+        context.loads.record_start('elsewhere', _NOW - seconds * number / count)
+
+
 @given('"{data_centre}" moves work away')
 def step_full(context: Any, data_centre: str) -> None:
     context.loads.set_spill_plan(
