--- a/tests/platform/steps/spill.py
+++ b/tests/platform/steps/spill.py
@@ -102,7 +102,8 @@
 @given('{count:d} requests to another service within {seconds:d} s')
 def step_other_service(context: Any, count: int, seconds: int) -> None:
     for number in range(count):
-        context.loads.record_start('elsewhere', _NOW - seconds * number / count)
+        context.loads.record_start('elsewhere',
+                                   _NOW - seconds * (1 - number / count))
 
 
 @given('"{data_centre}" moves work away')
