--- a/pollenthread/app/routing/usable_servers.py
+++ b/pollenthread/app/routing/usable_servers.py
@@ -12,6 +12,10 @@
 
 __all__ = ['UsableServers', 'Unusable']
 
+# Share of their slots that warm servers must have free to be used alone. Hosts
+# that see fewer would send to the same ones.
+_MIN_FREE_SHARE = 0.2
+
 
 class Unusable(enum.Enum):
     """Why a listed server gets no new request now."""
@@ -69,7 +73,8 @@
         warm = [s for s in servers if not warming.is_warming(s, now)]
         known = [s for s in warm if loads.is_known(s.id, now)]
         free_slots = loads.free_slots(known, reserved_share=0.0, now=now)
-        return warm if free_slots >= 1 else servers
+        needed = max(1.0, _MIN_FREE_SHARE * sum(s.slots for s in known))
+        return warm if free_slots >= needed else servers
 
     def unlimited(self, service: str) -> list[server_registry.Server]:
         """Returns the servers that need no permit."""
