Add tests of clients outside the limits

They start an entry host and an agent on loopback addresses, with 80 MB of memory and 320 descriptors, and let a crowd of 30 to 250 clients send or read as it should not. Checked are that the process lives, its peak memory, its sockets, and that an ordinary request is answered while the crowd is there; no times and no shares. Features with the tag @alone run one at a time, after the others.

--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -11,6 +11,7 @@
     other        responds that the address belongs to another server
     fail         responds with status 500
     pause_s      seconds between events
+    delay_s      seconds before a response that is not a stream
 
 The values of `stale`, `lose`, `not_run`, `other` and `fail` are counts: each
 affected request uses up one.
@@ -71,6 +72,7 @@
     async def _send_whole(self, request: http_server.HttpRequest,
                           response: http_server.HttpResponse,
                           headers: list[tuple[str, str]]) -> None:
+        await asyncio.sleep(self.faults.get('delay_s', 0.0))
         if self.consume_fault('stale'):
             headers = [(_REQUEST_ID_HEADER, 'another'), *headers[1:]]
         body = b'whole ' + headers[0][1].encode()
--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -13,7 +13,7 @@
 import sys
 import tempfile
 import types
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, Self
 
 from pollenthread.adapters import http_client
@@ -30,6 +30,7 @@
 _PEER_PORT = 18090
 _STOP_TIMEOUT_S = 12.0
 _OCTET_VALUES = 250
+_AGENT_OCTET = 100
 
 CONFIG: dict[str, Any] = {
     'version': 1,
@@ -70,15 +71,22 @@
         client: an HTTP client for calls to the processes.
         by_name: the processes of the stand-ins by name.
         child_by_entry: the process of each entry host by host name.
+        child_by_agent: the process of each agent by host name.
     """
 
-    def __init__(self, *, entries: int = 2, servers: int = 2) -> None:
+    def __init__(self,
+                 *,
+                 entries: int = 2,
+                 servers: int = 2,
+                 limits: Mapping[str, int] | None = None) -> None:
         """Initializes the site without starting it.
 
         Args:
             entries: the number of entry hosts.
             servers: the number of servers.
+            limits: the limits of a host by their names in its settings.
         """
+        self._limits = dict(limits or {})
         self._entries = entries
         self._servers = servers
         self._exit_stack = contextlib.AsyncExitStack()
@@ -86,6 +94,7 @@
         self.client = http_client.HttpClient()
         self.by_name: dict[str, system.Process] = {}
         self.child_by_entry: dict[str, aio_subprocess.Process] = {}
+        self.child_by_agent: dict[str, aio_subprocess.Process] = {}
         process_id = os.getpid()
         self._network_prefix = (
             f'127.{1 + process_id // _OCTET_VALUES % _OCTET_VALUES}.'
@@ -106,7 +115,8 @@
     async def __aexit__(self, kind: type[BaseException] | None,
                         error: BaseException | None,
                         trace: types.TracebackType | None) -> None:
-        for child in self.child_by_entry.values():
+        for child in (*self.child_by_entry.values(),
+                      *self.child_by_agent.values()):
             if child.returncode is None:
                 child.kill()
                 await child.wait()
@@ -148,6 +158,29 @@
         """Returns the address of an entry host for callers."""
         return f'{self._ip(number)}:{_CALLERS_PORT}'
 
+    def _agent_ip(self, number: int) -> str:
+        return self._ip(_AGENT_OCTET + number)
+
+    def ready_address(self, number: int) -> str:
+        """Returns the address of an entry host's readiness check."""
+        return f'{self._ip(number)}:{_READY_PORT}'
+
+    def directory_address(self, number: int) -> str:
+        """Returns the address at which an entry host lists entry hosts."""
+        return f'{self._ip(number)}:{_DIRECTORY_PORT}'
+
+    def control_address(self, number: int) -> str:
+        """Returns the additional address of an entry host for peers."""
+        return f'{self._ip(number)}:{_CONTROL_PORT}'
+
+    def peer_address(self, number: int) -> str:
+        """Returns the address of an entry host for peers."""
+        return f'{self._ip(number)}:{_PEER_PORT}'
+
+    def agent_address(self, number: int) -> str:
+        """Returns the address of an agent for peers."""
+        return f'{self._agent_ip(number)}:{_PEER_PORT}'
+
     async def start_entry(self, number: int, *, store: str = 'store') -> None:
         """Starts or restarts an entry host.
 
@@ -156,36 +189,56 @@
             store: the name of the store stand-in that the host uses.
         """
         name = f'entry-{number}'
+        listen = (f'front = "{self._ip(number)}:{_CALLERS_PORT}"',
+                  f'ready = "{self._ip(number)}:{_READY_PORT}"',
+                  f'directory = "{self._ip(number)}:{_DIRECTORY_PORT}"',
+                  f'control = "{self._ip(number)}:{_CONTROL_PORT}"')
+        settings = self._settings(name, self._ip(number), listen, store)
+        self.child_by_entry[name] = await self._start_host(
+            'entry', name, settings)
+
+    async def start_agent(self, number: int) -> None:
+        """Starts an agent of a server, on an address of its own.
+
+        Args:
+            number: the number of the server, from 1.
+        """
+        name = f'agent-{number}'
+        settings = self._settings(name, self._agent_ip(number), (), 'store')
+        server = self.address(f'server-{number}')
+        self.child_by_agent[name] = await self._start_host(
+            'agent', name, f'app = "{server}"\nservice = "svc"\n{settings}')
+
+    async def _start_host(self, role: str, name: str,
+                          settings: str) -> aio_subprocess.Process:
         path = self.folder / f'{name}.toml'
-        path.write_text(self._settings(number, store), 'utf-8')
+        path.write_text(settings, 'utf-8')
         with (self.folder / f'{name}.out').open('ab') as log:
-            child = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
                 'pollenthread',
                 'platform',
-                'entry',
+                role,
                 stdout=log,
                 stderr=log,
                 env={
                     **os.environ, 'POLLENTHREAD_CONFIG': str(path)
                 })
-        self.child_by_entry[name] = child
 
-    def _settings(self, number: int, store: str) -> str:
-        ip = self._ip(number)
+    def _settings(self, name: str, ip: str, listen: Sequence[str],
+                  store: str) -> str:
         return '\n'.join((
-            f'node_name = "entry-{number}"',
+            f'node_name = "{name}"',
             f'ip = "{ip}"',
             'zone = "dc-1"',
             f'internal_ports = [{_PEER_PORT}, {_PEER_PORT + 5}]',
             f'seeds = ["{self._ip(1)}:{_CONTROL_PORT}"]',
             'an_unknown_field = true',
             '[listen]',
-            f'front = "{ip}:{_CALLERS_PORT}"',
-            f'ready = "{ip}:{_READY_PORT}"',
-            f'directory = "{ip}:{_DIRECTORY_PORT}"',
-            f'control = "{ip}:{_CONTROL_PORT}"',
+            *listen,
+            '[limits]',
+            *(f'{key} = {value}' for key, value in self._limits.items()),
             '[bounds]',
             'budget_extra_tries = 94',
             '[platform]',
@@ -308,19 +361,18 @@
 
     async def is_ready(self, number: int) -> bool:
         """Returns whether an entry host reports that it is ready."""
-        status, _ = await self.call(f'{self._ip(number)}:{_READY_PORT}', 'GET',
+        status, _ = await self.call(self.ready_address(number), 'GET',
                                     '/pollenthread/readyz')
         return status == 200
 
     async def metrics(self, number: int) -> tuple[int, bytes]:
         """Returns the status and body of an entry host's metrics page."""
-        return await self.call(f'{self._ip(number)}:{_PEER_PORT}', 'GET',
-                               '/metrics')
+        return await self.call(self.peer_address(number), 'GET', '/metrics')
 
     async def directory(self, number: int) -> list[str]:
         """Returns the addresses that an entry host resolves for callers."""
         status, body = await self.call(
-            f'{self._ip(number)}:{_DIRECTORY_PORT}', 'GET',
+            self.directory_address(number), 'GET',
             '/pollenthread/resolve?name=site.example&region=r&zone=dc-1')
         return json.loads(body)['addresses'] if status == 200 else []
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -2,6 +2,9 @@
 
 Scenarios that KNOWN-RED.txt lists do not affect the exit status; their results
 are printed. Each line `scenario: FEATURE: NAME` of the file lists one scenario.
+
+Features whose first line is the tag `@alone` run one at a time, after the
+others.
 """
 
 import argparse
@@ -13,7 +16,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 __all__: list[str] = []
@@ -21,6 +24,7 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _KNOWN_RED_FILE = _ROOT / 'KNOWN-RED.txt'
 _SCENARIO_PREFIX = 'scenario: '
+_ALONE_TAG = '@alone'
 _FEATURE_TIMEOUT_S = 900
 _DEFAULT_JOBS = max(1, (os.cpu_count() or 2) // 2)
 
@@ -57,6 +61,26 @@
     return sorted((_ROOT / 'tests').glob('*/*.feature'))
 
 
+def _runs_alone(feature: pathlib.Path) -> bool:
+    return feature.read_text('utf-8').startswith(_ALONE_TAG)
+
+
+def _run_features(
+    features: Sequence[pathlib.Path], jobs: int
+) -> Iterator[tuple[pathlib.Path, tuple[list[dict[str, Any]], str]]]:
+    """Runs features in parallel, then those that run alone one at a time.
+
+    Yields:
+        Each feature with what `_run_feature` returns.
+    """
+    shared = [feature for feature in features if not _runs_alone(feature)]
+    with concurrent.futures.ThreadPoolExecutor(jobs) as executor:
+        yield from zip(shared, executor.map(_run_feature, shared))
+    for feature in features:
+        if _runs_alone(feature):
+            yield feature, _run_feature(feature)
+
+
 def _run_feature(feature: pathlib.Path) -> tuple[list[dict[str, Any]], str]:
     """Runs one feature.
 
@@ -130,12 +154,9 @@
     counts = _ResultCounts()
     known_red_titles = _read_known_red()
     features = _feature_paths(args.paths)
-    with concurrent.futures.ThreadPoolExecutor(args.jobs) as executor:
-        for feature, (reports,
-                      output) in zip(features,
-                                     executor.map(_run_feature, features)):
-            _add_results(feature, reports, output, known_red_titles, counts)
-            sys.stdout.flush()
+    for feature, (reports, output) in _run_features(features, args.jobs):
+        _add_results(feature, reports, output, known_red_titles, counts)
+        sys.stdout.flush()
     for title in counts.known_red:
         print(f'known red: {title}')
     print(f'{counts.passed} passed, {counts.failed} failed')
