Bound the memory and connections of clients for the process as a whole

Cause: nothing bounded bodies kept for repeats, requests sent ahead, unread answers, parsed heads, connections and descriptors; incomplete bodies shared a constant.

Change: all servers of a process share a budget that follows from the machine's memory and descriptors. Bodies at paths without a route, and at addresses that need none, are not received. Data is read into one buffer of 64 KiB for all connections.

--- a/pollenthread/adapters/client_connection.py
+++ b/pollenthread/adapters/client_connection.py
@@ -14,7 +14,8 @@
 __all__ = ['ClientConnection', 'connect']
 
 _MAX_HEAD_BYTES = 32 * 1024
-_MAX_UNREAD_BYTES = 256 * 1024
+_MAX_UNREAD_BYTES = 64 * 1024
+_READ_BUFFER_BYTES = 64 * 1024
 _MAX_INTERIM_RESPONSES = 8
 _MAX_SKIPPED_BYTES = 1024 * 1024
 _CHUNK_END_BYTES = len(b'\r\n')
@@ -28,7 +29,7 @@
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A connection to a server.
 
     Data that is received between exchanges belongs to no request, so the
@@ -40,6 +41,9 @@
         is_reused: whether it has carried an earlier exchange.
     """
 
+    # Holds received data until the same callback has copied it.
+    _read_buffer = bytearray(_READ_BUFFER_BYTES)
+
     def __init__(self, *, address: str) -> None:
         self.address = address
         self.idle_until = 0.0
@@ -66,11 +70,15 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         if not self._is_in_exchange:
             self._transport.abort()
             return
-        self._unparsed += data
+        with memoryview(self._read_buffer) as received:
+            self._unparsed += received[:nbytes]
         if len(self._unparsed
               ) > _MAX_UNREAD_BYTES and not self._is_reading_paused:
             self._is_reading_paused = True
--- a/pollenthread/adapters/http_message.py
+++ b/pollenthread/adapters/http_message.py
@@ -24,9 +24,7 @@
     Attributes:
         max_head_bytes: the size of a request's target and headers.
         max_body_bytes: the size of a request's body.
-        max_buffered_bytes: the total size of incomplete bodies of all
-            connections.
-        max_connections: the number of open connections.
+        max_head_fields: the number of a request's headers.
         head_timeout_s: seconds from a request's first byte to the end of its
             headers.
         body_timeout_s: seconds from the end of the headers to the end of the
@@ -37,17 +35,19 @@
             still sent after the connection was closed.
         max_unsent_bytes: the size of the send buffer above which writing a
             response waits.
+        send_stall_timeout_s: seconds without progress after which a connection
+            is closed whose client does not read a response.
     """
 
     max_head_bytes: int = 16 * 1024
     max_body_bytes: int = 1024 * 1024
-    max_buffered_bytes: int = 64 * 1024 * 1024
-    max_connections: int = 8192
+    max_head_fields: int = 1024
     head_timeout_s: float = 10.0
     body_timeout_s: float = 20.0
     idle_timeout_s: float = 75.0
     lingering_close_s: float = 1.0
     max_unsent_bytes: int = 64 * 1024
+    send_stall_timeout_s: float = 20.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,6 +109,15 @@
             ConnectionError: the connection is closed.
         """
 
+    @abc.abstractmethod
+    def hold_answer(self, size_bytes: int) -> None:
+        """Records how much of a response is held until it is complete.
+
+        Raises:
+            ConnectionError: too much memory is in use; the connection is
+                closed.
+        """
+
     @abc.abstractmethod
     async def drain(self) -> None:
         """Waits while the send buffer is full.
@@ -223,6 +232,15 @@
         body = json.dumps(problem_body(failure)).encode() + b'\n'
         await self.send(error_response.status, all_headers, body)
 
+    def hold(self, size_bytes: int) -> None:
+        """Records how much of the body is held until it is complete.
+
+        Raises:
+            ConnectionError: too much memory is in use; the connection is
+                closed.
+        """
+        self._connection.hold_answer(size_bytes)
+
     def abort(self, last_chunk: bytes = b'') -> None:
         """Closes the connection, so that the caller detects the truncation.
 
@@ -250,6 +268,19 @@
 class RequestHandler(abc.ABC):
     """Handles requests."""
 
+    # pylint: disable-next=useless-return
+    def check_head(self, request: HttpRequest) -> errors.Failure | None:
+        """Checks a request before its body is received.
+
+        Args:
+            request: the request without its body.
+
+        Returns:
+            The failure with which it is rejected; None to receive the body.
+        """
+        del request
+        return None
+
     @abc.abstractmethod
     async def handle(self, request: HttpRequest,
                      response: HttpResponse) -> None:
--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -1,14 +1,14 @@
 """HTTP/1.1 server, based on h11, with limits on its input."""
 
 import asyncio
+import socket
 import types
 from typing import Self
 
-from pollenthread.adapters import http_connection
+from pollenthread.adapters import client_budget, http_connection
 from pollenthread.adapters.http_message import (HttpRequest, HttpResponse,
                                                 problem_body, RequestHandler,
                                                 ServerLimits)
-from pollenthread.core import errors
 
 __all__ = [
     'RequestHandler', 'HttpServer', 'ServerLimits', 'HttpRequest',
@@ -16,6 +16,9 @@
 ]
 
 _BACKLOG = 1024
+# Connections that are accepted before the budget can close others.
+_MAX_ACCEPTED_AT_ONCE = 16
+_READ_BUFFER_BYTES = 64 * 1024
 _IDLE_CHECK_S = 0.02
 
 
@@ -24,6 +27,8 @@
 
     Attributes:
         limits: the limits in force; `set_limits` changes them.
+        budget: what the clients of the process may hold together.
+        read_buffer: receives data, which is used before the next read.
     """
 
     def __init__(self,
@@ -31,13 +36,24 @@
                  handler: RequestHandler,
                  host: str = '127.0.0.1',
                  port: int = 0,
-                 limits: ServerLimits = ServerLimits()) -> None:
+                 limits: ServerLimits = ServerLimits(),
+                 budget: client_budget.ClientBudget | None = None) -> None:
+        """Initializes a server that does not listen yet.
+
+        Args:
+            handler: handles the requests.
+            host: the IP address to listen on.
+            port: the port to listen on; 0 for any free port.
+            limits: the limits of its connections.
+            budget: what all clients of the process may hold; None for a budget
+                of this server's own.
+        """
         self._handler = handler
         self._host = host
         self._port = port
         self.limits = limits
-        self._body_quota = http_connection.BodyBufferQuota(
-            limits.max_buffered_bytes)
+        self.budget = budget or client_budget.ClientBudget()
+        self.read_buffer = bytearray(_READ_BUFFER_BYTES)
         self._server: asyncio.Server | None = None
         self._connections: set[http_connection.ServerConnection] = set()
         self._is_keep_alive_disabled = False
@@ -75,11 +91,12 @@
         }
 
     async def __aenter__(self) -> Self:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept,
-                                                self._host,
-                                                self._port,
-                                                backlog=_BACKLOG)
+        sock = socket.create_server((self._host, self._port), backlog=_BACKLOG)
+        # The event loop accepts as many connections at once as the backlog is
+        # long, so it gets a shorter one than the operating system.
+        self._server = await asyncio.get_running_loop().create_server(
+            self._accept, sock=sock, backlog=_MAX_ACCEPTED_AT_ONCE)
+        sock.listen(_BACKLOG)
         return self
 
     async def __aexit__(self, kind: type[BaseException] | None,
@@ -118,12 +135,8 @@
             await asyncio.sleep(_IDLE_CHECK_S)
 
     def _accept(self) -> http_connection.ServerConnection:
-        connection = _LimitedConnection(handler=self._handler,
-                                        owner=self,
-                                        quota=self._body_quota)
-        connection.is_over_limit = len(
-            self._connections) >= self.limits.max_connections
-        return connection
+        return http_connection.ServerConnection(handler=self._handler,
+                                                owner=self)
 
     def add(self, connection: http_connection.ServerConnection) -> None:
         connection.should_close = self._is_keep_alive_disabled
@@ -131,16 +144,3 @@
 
     def discard(self, connection: http_connection.ServerConnection) -> None:
         self._connections.discard(connection)
-
-
-class _LimitedConnection(http_connection.ServerConnection):
-    """A connection that rejects requests if it exceeds `max_connections`."""
-
-    is_over_limit = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        if self.is_over_limit:
-            self.reject(
-                errors.make_failure(errors.ErrorKind.OVERLOADED,
-                                    'Too many connections are open.'))
--- a/pollenthread/adapters/peer_network.py
+++ b/pollenthread/adapters/peer_network.py
@@ -8,12 +8,12 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, Self
 
-from pollenthread.adapters import (http_client, http_message, http_server,
-                                   peer_codec)
+from pollenthread.adapters import (client_budget, http_client, http_message,
+                                   http_server, peer_codec)
 from pollenthread.core import errors, peer_messages
 from pollenthread.ports import peers
 
-__all__ = ['HttpPeerNetwork']
+__all__ = ['MAX_BODY_BYTES', 'HttpPeerNetwork']
 
 _SNAPSHOT_PATH = '/peer/snapshot'
 _LAYOUT_PATH = '/peer/layout'
@@ -23,6 +23,8 @@
 _RESPONSE_TIMEOUT_S = 0.8
 _CONTENT_TYPE = ('content-type', 'application/octet-stream')
 _MAX_DATAGRAM_BYTES = 60_000
+MAX_BODY_BYTES = 4 * 1024
+"""Size of the body of a peer's request; a snapshot request has under 100."""
 
 MetricsProvider = Callable[[], tuple[str, bytes]]
 
@@ -36,8 +38,21 @@
         received_bytes_by_kind: bytes received, by message type or HTTP path.
     """
 
-    def __init__(self, *, client: http_client.HttpClient, host: str,
-                 port: int) -> None:
+    def __init__(self,
+                 *,
+                 client: http_client.HttpClient,
+                 host: str,
+                 port: int,
+                 budget: client_budget.ClientBudget | None = None) -> None:
+        """Initializes a network that does not listen yet.
+
+        Args:
+            client: sends requests to peers.
+            host: the IP address to listen on.
+            port: the port to listen on.
+            budget: what all clients of the process may hold; None for a budget
+                of this network's own.
+        """
         self._client = client
         self._host = host
         self._port = port
@@ -49,9 +64,12 @@
                                                  None]] | None = None
         self._get_metrics: MetricsProvider | None = None
         self._transport: asyncio.DatagramTransport | None = None
-        self._server = http_server.HttpServer(handler=self,
-                                              host=host,
-                                              port=port)
+        self._server = http_server.HttpServer(
+            handler=self,
+            host=host,
+            port=port,
+            limits=http_server.ServerLimits(max_body_bytes=MAX_BODY_BYTES),
+            budget=budget)
         self.malformed_count = 0
         self.sent_bytes_by_kind: collections.Counter[str] = (
             collections.Counter())
--- a/pollenthread/app/forwarder.py
+++ b/pollenthread/app/forwarder.py
@@ -251,7 +251,7 @@
     async def _relay_whole(self, pending: pending_attempt.PendingAttempt,
                            response: upstream.UpstreamResponse) -> bool:
         job, server = pending.job, pending.server
-        body = b''.join([chunk async for chunk in response.read()])
+        body = await _read_body(response, job.caller_response)
         self._guard.record_answer(pending)
         if (response.status >= _SERVER_ERROR and job.route.is_repeatable and
                 self._may_retry(job)):
@@ -378,6 +378,18 @@
                             last_event_id=job.last_event_id)
 
 
+async def _read_body(response: upstream.UpstreamResponse,
+                     holder: caller_response.CallerResponse) -> bytes:
+    """Reads a complete body, which its caller's response holds meanwhile."""
+    chunks = []
+    size_bytes = 0
+    async for chunk in response.read():
+        chunks.append(chunk)
+        size_bytes += len(chunk)
+        holder.hold(size_bytes)
+    return b''.join(chunks)
+
+
 def _is_stream(job: request_job.RequestJob,
                response: upstream.UpstreamResponse) -> bool:
     return (job.is_stream and response.status == _OK and
--- a/pollenthread/platform/caller_codec.py
+++ b/pollenthread/platform/caller_codec.py
@@ -12,7 +12,7 @@
 
 _MS_PER_S = 1000.0
 _BEARER_PREFIX = 'bearer '
-_MAX_HINT_DIGITS = 9
+_MAX_NUMBER_DIGITS = 9
 # Hop-by-hop headers, and headers that are decoded into fields of the request
 # and set again for each attempt.
 _HEADERS_NOT_FORWARDED = frozenset({
@@ -67,21 +67,26 @@
 
 
 def _parse_timeout_s(value: str | None) -> float | None:
-    if value is None or not value.strip().isdecimal():
+    if value is None or not _is_number(value.strip()):
         return None
     return int(value) / _MS_PER_S
 
 
+def _is_number(value: str) -> bool:
+    """Whether a value is a number that is not unreasonably long."""
+    return len(value) <= _MAX_NUMBER_DIGITS and value.isdecimal()
+
+
 def _parse_token_counts(value: str | None) -> tuple[int, int]:
-    try:
-        prompt, output = (value or '').split(',')
-        return int(prompt), int(output)
-    except ValueError:
+    prompt, _, output = (value or '').partition(',')
+    prompt, output = prompt.strip(), output.strip()
+    if not (_is_number(prompt) and _is_number(output)):
         return 0, 0
+    return int(prompt), int(output)
 
 
 def _parse_length_hint(value: str | None) -> int:
-    if value is None or len(value) > _MAX_HINT_DIGITS or not value.isdecimal():
+    if value is None or not _is_number(value):
         return 0
     return int(value)
 
@@ -91,7 +96,7 @@
     parts = []
     for item in (value or '').split(','):
         part_id, _, tokens = item.strip().partition(':')
-        if part_id and tokens.isdecimal():
+        if part_id and _is_number(tokens):
             parts.append(caller_request.PromptPart(part_id, int(tokens)))
     return tuple(parts)
 
@@ -114,6 +119,9 @@
             headers.append((wire_names.HeaderName.REQUEST_ID, self._request_id))
         await self._response.send_problem(failure, headers)
 
+    def hold(self, size_bytes: int) -> None:
+        self._response.hold(size_bytes)
+
     async def send_response(self, status: int,
                             headers: Sequence[http_headers.Header],
                             body: bytes) -> None:
--- a/pollenthread/platform/process_settings.py
+++ b/pollenthread/platform/process_settings.py
@@ -16,6 +16,9 @@
 _DEFAULT_PATH = '/etc/pollenthread/settings.toml'
 _MS_PER_S = 1000.0
 _DEFAULT_LINK_MBPS = 10.0
+_DEFAULT_MEMORY_MB = 256.0
+_DEFAULT_MAX_DESCRIPTORS = 4096
+_BYTES_PER_MEGABYTE = 1_000_000.0
 _BYTES_PER_MEGABIT = 125_000.0
 
 
@@ -57,6 +60,8 @@
             all hosts together.
         stall_s: time in seconds that a group waits for a lost rank.
         link_bytes_per_s: network bandwidth of the host, in bytes per second.
+        memory_bytes: memory that the process may use.
+        max_descriptors: descriptors that the process may have open.
     """
 
     host: str
@@ -82,6 +87,8 @@
     retry_extra: float
     stall_s: float
     link_bytes_per_s: float
+    memory_bytes: float
+    max_descriptors: int
 
 
 def load(path: pathlib.Path | None = None) -> ProcessSettings:
@@ -107,6 +114,7 @@
 def _decode_settings(document: field_reader.FieldReader) -> ProcessSettings:
     bounds = document.get_object('bounds')
     listen = document.get_object('listen')
+    limits = document.get_object('limits')
     return ProcessSettings(
         host=document.get_str('node_name'),
         ip=document.get_str('ip'),
@@ -133,8 +141,11 @@
         # Per window and for all hosts together.
         retry_extra=bounds.get_float('budget_extra_tries', 0.0),
         stall_s=bounds.get_float('stall_ms', 1500.0) / _MS_PER_S,
-        link_bytes_per_s=document.get_object('limits').get_float(
-            'link_mbps', _DEFAULT_LINK_MBPS) * _BYTES_PER_MEGABIT)
+        link_bytes_per_s=limits.get_float('link_mbps', _DEFAULT_LINK_MBPS) *
+        _BYTES_PER_MEGABIT,
+        memory_bytes=limits.get_float('memory_mb', _DEFAULT_MEMORY_MB) *
+        _BYTES_PER_MEGABYTE,
+        max_descriptors=limits.get_int('max_fds', _DEFAULT_MAX_DESCRIPTORS))
 
 
 def _decode_port_range(document: field_reader.FieldReader) -> tuple[int, int]:
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -6,10 +6,10 @@
 import time as wall_time
 from typing import Any
 
-from pollenthread.adapters import (admin_http, caller_http, clock,
-                                   host_list_http, http_client, http_server,
-                                   link as link_module, orders_admin, settings,
-                                   table_http)
+from pollenthread.adapters import (client_budget, admin_http, caller_http,
+                                   clock, host_list_http, http_client,
+                                   http_server, link as link_module,
+                                   orders_admin, settings, table_http)
 from pollenthread.app import (claim_store, claim_sweeper, config_distributor,
                               config_store, directory, gateway, lease_manager,
                               liveness, order_issuer, order_journal, peer_links
@@ -148,8 +148,9 @@
     def _build_servers(self) -> None:
         config = self._config
         host, port = process.split_address(config.callers)
+        budget = client_budget.ClientBudget()
         self._caller_server = http_server.HttpServer(
-            handler=self._caller_handler, host=host, port=port)
+            handler=self._caller_handler, host=host, port=port, budget=budget)
         host, port = process.split_address(config.admin)
         self._admin_server = http_server.HttpServer(
             handler=admin_http.AdminRouter(
@@ -169,7 +170,8 @@
                                 peers=self._peer_links))
                 }),
             host=host,
-            port=port)
+            port=port,
+            budget=budget)
         host, port = process.split_address(config.links)
         self._link_server = link_module.LinkServer(
             hello=self._hello,
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -90,6 +90,7 @@
         """Returns the cost of load balancing between ranks, over all groups."""
         counters = self._collect_peer_counters()
         counters['log_lines_dropped'] = self.log.dropped
+        counters.update(self._collect_client_counters())
         for coordinator in self._coordinator_by_group.values():
             statistics = coordinator.stats
             for name, count in (('map_switches', statistics.switches),
@@ -103,7 +104,7 @@
         return counters
 
     def _collect_gauges(self) -> dict[str, float]:
-        gauges = {}
+        gauges = self._collect_client_gauges()
         for group, coordinator in self._coordinator_by_group.items():
             name = group.replace('-', '_')
             gauges[f'skew_{name}'] = coordinator.stats.skew
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -5,7 +5,7 @@
 import random
 from typing import Self
 
-from pollenthread.adapters import http_server, platform_metrics
+from pollenthread.adapters import (http_server, peer_network, platform_metrics)
 from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
                               evidence_store, forwarder, graceful_shutdown,
                               rate_permits, serving_state, snapshot_exchange,
@@ -29,6 +29,8 @@
 # Some callers cache the address list for three times its time to live.
 _CALLER_CACHE_FACTOR = 3
 _SHUTDOWN_CHECK_INTERVAL_S = 0.05
+# For addresses whose requests need no body.
+_BODILESS_LIMITS = http_server.ServerLimits(max_body_bytes=1024)
 
 
 class _PlatformEntry(platform_role.PlatformRole):
@@ -127,9 +129,10 @@
             log=self.log)
         self._forwarder = request_forwarder
         self._caller_handler = platform_handlers.ForwardingHandler(
-            request_forwarder=request_forwarder)
+            request_forwarder=request_forwarder, state=self.state)
         self._caller_server = self._make_server(settings.caller_address,
-                                                self._caller_handler)
+                                                self._caller_handler,
+                                                http_server.ServerLimits())
         self._config_listener.applied_callbacks.append(
             self._apply_caller_limits)
         self._network.set_metrics_provider(
@@ -155,6 +158,7 @@
         counters['configs_rejected'] = self._config_listener.rejected_count
         counters['peer_snapshots'] = self._exchange.applied_count
         counters['log_lines_dropped'] = self.log.dropped
+        counters.update(self._collect_client_counters())
         return counters
 
     def _collect_gauges(self) -> dict[str, float]:
@@ -180,7 +184,8 @@
             'ready':
                 float(self.state.is_ready),
             'store_watcher':
-                float(self._watch.is_watcher)
+                float(self._watch.is_watcher),
+            **self._collect_client_gauges()
         }
 
     def _apply_caller_limits(self,
@@ -193,12 +198,18 @@
                                 head_timeout_s=limits.header_timeout_s,
                                 idle_timeout_s=limits.idle_timeout_s))
 
-    @staticmethod
     def _make_server(
-            address: str,
-            handler: http_server.RequestHandler) -> http_server.HttpServer:
+        self,
+        address: str,
+        handler: http_server.RequestHandler,
+        limits: http_server.ServerLimits = _BODILESS_LIMITS
+    ) -> http_server.HttpServer:
         host, port = process.split_address(address)
-        return http_server.HttpServer(handler=handler, host=host, port=port)
+        return http_server.HttpServer(handler=handler,
+                                      host=host,
+                                      port=port,
+                                      limits=limits,
+                                      budget=self._client_budget)
 
     async def __aenter__(self) -> Self:
         settings = self._settings
@@ -213,7 +224,10 @@
         ]
         if settings.control_address:
             servers.append(
-                self._make_server(settings.control_address, self._network))
+                self._make_server(
+                    settings.control_address, self._network,
+                    http_server.ServerLimits(
+                        max_body_bytes=peer_network.MAX_BODY_BYTES)))
         for server in servers:
             await self._exit_stack.enter_async_context(server)
         return self
--- a/pollenthread/roles/platform_handlers.py
+++ b/pollenthread/roles/platform_handlers.py
@@ -4,7 +4,7 @@
 
 from pollenthread.adapters import http_message
 from pollenthread.app import entry_liveness, forwarder, serving_state
-from pollenthread.core import errors
+from pollenthread.core import errors, routing_config
 from pollenthread.platform import caller_codec, wire_names
 
 __all__ = ['ForwardingHandler', 'EntryAddressHandler', 'ReadinessHandler']
@@ -17,10 +17,23 @@
         in_progress: number of requests that are being served.
     """
 
-    def __init__(self, *, request_forwarder: forwarder.Forwarder) -> None:
+    def __init__(self, *, request_forwarder: forwarder.Forwarder,
+                 state: serving_state.ServingState) -> None:
         self._forwarder = request_forwarder
+        self._state = state
         self.in_progress = 0
 
+    def check_head(self,
+                   request: http_message.HttpRequest) -> errors.Failure | None:
+        config = self._state.config
+        if config is None:
+            return errors.make_failure(errors.ErrorKind.STALE_CONFIGURATION)
+        caller_request = caller_codec.decode_request(request)
+        if routing_config.find_route(config, caller_request.host,
+                                     caller_request.path) is None:
+            return errors.make_failure(errors.ErrorKind.NOT_FOUND)
+        return None
+
     async def handle(self, request: http_message.HttpRequest,
                      response: http_message.HttpResponse) -> None:
         caller_request = caller_codec.decode_request(request)
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -8,10 +8,11 @@
 import types
 from typing import Any, Self
 
-from pollenthread.adapters import clock, http_client, json_log, peer_network
+from pollenthread.adapters import (client_budget, clock, http_client, json_log,
+                                   peer_network)
 from pollenthread.app import (config_listeners, host_registry, serving_state,
                               store_follower)
-from pollenthread.core import host_record, log_events
+from pollenthread.core import client_eviction, host_record, log_events
 from pollenthread.platform import (config_document, process_settings,
                                    row_store_http, wire_names)
 from pollenthread.roles import process
@@ -65,10 +66,14 @@
             client=self._store_client,
             address=settings.store_address,
             log=self.log)
+        self._client_budget = client_budget.ClientBudget(
+            client_eviction.derive_limits(int(settings.memory_bytes),
+                                          settings.max_descriptors))
         self._network = peer_network.HttpPeerNetwork(
             client=self._peer_client,
             host=settings.ip,
-            port=settings.peer_ports[0])
+            port=settings.peer_ports[0],
+            budget=self._client_budget)
         self._host_registry = host_registry.HostRegistry()
         self._config_listener = config_listeners.ConfigListener(
             state=state,
@@ -134,6 +139,21 @@
             for kind, count in counts.items()
         }
 
+    def _collect_client_gauges(self) -> dict[str, float]:
+        """Returns what the clients of this process hold."""
+        return {
+            'client_connections': self._client_budget.connections,
+            'client_bytes': self._client_budget.total_bytes
+        }
+
+    def _collect_client_counters(self) -> dict[str, float]:
+        """Returns the clients that had to release something, by what it was."""
+        evictions = self._client_budget.evictions
+        return {
+            f'client_evictions_{name}': evictions[name]
+            for name in ('connections', 'memory')
+        }
+
     @abc.abstractmethod
     async def run(self) -> None:
         """Runs the tasks of the process until cancelled."""
--- a/tests/platform/steps/faulty_servers.py
+++ b/tests/platform/steps/faulty_servers.py
@@ -102,7 +102,7 @@
                         client=client),
                     time=clock.SystemClock())
                 handler = platform_handlers.ForwardingHandler(
-                    request_forwarder=request_forwarder)
+                    request_forwarder=request_forwarder, state=state)
                 async with http_server.HttpServer(handler=handler) as entry:
                     for number in range(requests):
                         call = group.create_task(
