Reckon a data centre's arrivals by all its servers, full ones included

With few free slots left, a data centre seemed to get few of the requests, and kept too many for them: 10 of 60 for one slot. The new scenario fails there.

--- a/pollenthread/core/routing/data_centre_choice.py
+++ b/pollenthread/core/routing/data_centre_choice.py
@@ -31,7 +31,8 @@
         """Returns the plan for the service of some servers."""
         return self._plan_by_service.get(servers[0].service, spill.SpillPlan())
 
-    def narrow(self, servers: Sequence[server_registry.Server], *, own: str,
+    def narrow(self, servers: Sequence[server_registry.Server], *,
+               listed: Sequence[server_registry.Server], own: str,
                requirements: service_estimate.RequestRequirements,
                arrivals: float, now: float) -> Sequence[server_registry.Server]:
         """Returns the servers of the data centre that is to serve a request.
@@ -45,10 +46,10 @@
 
         Args:
             servers: the servers that can serve the request; not empty.
+            listed: all servers, full ones included.
             own: the data centre of this host.
             requirements: the requirements of the request.
-            arrivals: requests that all hosts send to these servers before the
-                next reports.
+            arrivals: requests that all hosts send before the next reports.
             now: monotonic seconds.
         """
         if len({s.data_centre for s in servers}) == 1:
@@ -58,8 +59,7 @@
             s for s in servers if s.data_centre == data_centre and
             self._is_in_time(s, requirements, now, free_slots=1)
         ]
-        share = sum(
-            s.data_centre == data_centre for s in servers) / len(servers)
+        share = sum(s.data_centre == data_centre for s in listed) / len(listed)
         free_slots = sum(s.slots - self._loads.load(s.id, now) for s in near)
         plan = self.plan(servers)
         if near and (plan.is_receiver or
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -87,6 +87,7 @@
         service_rate.record_request(now)
         candidates = self._data_centres.narrow(
             candidates,
+            listed=all_servers,
             own=data_centre,
             requirements=requirements,
             arrivals=service_rate.per_s(now) * hosts * _REPORT_INTERVAL_S,
--- a/tests/platform/spill.feature
+++ b/tests/platform/spill.feature
@@ -32,6 +32,11 @@
     Given servers in "a" with 6 of 6 slots in use and in "b" with 3
     Then 30 requests of "a" all go to "b"
 
+  Scenario: Few free slots are left to a part of the requests
+    Given servers in "a" with 6 of 6 slots in use and in "b" with 3
+    And one slot is free in "a" while 10 requests arrive there per report
+    Then at most 8 of 60 requests of "a" that must not queue go to "a"
+
   Scenario: A request leaves a data centre whose passes are too long
     Given servers in "a" with 1 of 6 slots in use and in "b" with 3
     And passes in "a" take 300 ms
--- a/tests/platform/steps/spill.py
+++ b/tests/platform/steps/spill.py
@@ -8,13 +8,15 @@
 
 from behave import given, then, when
 
-from pollenthread.core import server_load, service_estimate
+from pollenthread.core import server_load, server_registry, service_estimate
 from pollenthread.core.routing import spill
 from tests.fakes import forwarding, uneven_centres
 
 _HOSTS = 4
 _NOW = 100.0
 _PASS_S = 0.06
+# So short that no wait in a queue is within it.
+_NO_QUEUE_S = 0.001
 
 
 @given('data centres with room for {slots:d} requests and demands of {a:d}, '
@@ -74,6 +76,7 @@
         for i in range(4)
     ]
     context.running = {first: many, second: few}
+    context.hosts = 1
     for name in (first, second):
         _report(context, name, _PASS_S)
 
@@ -113,21 +116,50 @@
         spill.SpillPlan(full_data_centres=frozenset((data_centre,))))
 
 
+@given('one slot is free in "{data_centre}" while {count:d} requests arrive '
+       'there per report')
+def step_one_free(context: Any, data_centre: str, count: int) -> None:
+    context.hosts = 2 * count
+    first = next(s for s in context.servers if s.data_centre == data_centre)
+    context.running[data_centre] = first.slots - 1
+    context.servers, others = [first], context.servers
+    _report(context, data_centre, _PASS_S)
+    context.servers = others
+
+
+def _select(context: Any,
+            own: str,
+            target_left_s: float = 0.0) -> server_registry.Server | None:
+    found: server_registry.Server | None = context.loads.select(
+        context.servers,
+        excluded=(),
+        data_centre=own,
+        requirements=service_estimate.RequestRequirements(
+            time_left_s=8.0,
+            max_gap_s=0.12,
+            passes=26.5,
+            target_left_s=target_left_s),
+        hosts=context.hosts,
+        now=_NOW)
+    return found
+
+
 @then('{count:d} requests of "{own}" all go to "{found}"')
 def step_all_go(context: Any, count: int, own: str, found: str) -> None:
     for _ in range(count):
-        server = context.loads.select(
-            context.servers,
-            excluded=(),
-            data_centre=own,
-            requirements=service_estimate.RequestRequirements(time_left_s=8.0,
-                                                              max_gap_s=0.12,
-                                                              passes=26.5),
-            hosts=1,
-            now=_NOW)
+        server = _select(context, own)
         assert server is not None and server.data_centre == found, server
 
 
+@then('at most {most:d} of {count:d} requests of "{own}" that must not queue '
+      'go to "{found}"')
+def step_few_go(context: Any, most: int, count: int, own: str,
+                found: str) -> None:
+    servers = [_select(context, own, _NO_QUEUE_S) for _ in range(count)]
+    stayed = sum(s is not None and s.data_centre == found for s in servers)
+    assert stayed <= most, stayed
+
+
 def _make_centres(
         context: Any, load: Callable[[str, float],
                                      float]) -> uneven_centres.UnevenCentres:
