Check a configuration for entries without effect before it is sent

Exit status 0, 8 for warnings only, 3 for errors as before.

A data centre without servers is not found: the documents do not name servers.

--- a/pollenthread/cli/exit_codes.py
+++ b/pollenthread/cli/exit_codes.py
@@ -18,6 +18,7 @@
     CONFLICT = 5
     UNAVAILABLE = 6
     NOT_FOUND = 7
+    WARNINGS = 8
 
 
 _DESCRIPTIONS = {
@@ -37,6 +38,8 @@
         'an address or the table service does not respond',
     ExitCode.NOT_FOUND:
         'there is no such version, host, trace or file',
+    ExitCode.WARNINGS:
+        'the checked file is valid, but parts of it have no effect',
 }
 
 _EXIT_CODE_BY_KIND = {
--- a/pollenthread/cli/main.py
+++ b/pollenthread/cli/main.py
@@ -11,12 +11,14 @@
 import pollenthread
 from pollenthread.adapters import settings
 from pollenthread.app import targets_document
-from pollenthread.cli import commands, exit_codes, request_explanation
+from pollenthread.cli import (commands, config_checker, exit_codes,
+                              request_explanation)
 from pollenthread.roles import agent, entry
 
 __all__ = ['run']
 
 _HELP_FLAG = flags.DEFINE_boolean('help', False, 'Print help and exit.')
+_JSON_FLAG = flags.DEFINE_boolean('json', False, 'Same as --format=json.')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,11 +47,6 @@
         return ' '.join((*self.words, *self.arguments))
 
 
-def _check(path: str) -> None:
-    settings.validate_file(pathlib.Path(path))
-    print(f'{path}: valid')
-
-
 def _explain(request_id: str) -> None:
     explanation = request_explanation.explain_request(request_id, sys.stdin)
     for line in explanation.lines:
@@ -84,9 +81,10 @@
     _Command(('agent',), ('FILE',), 'run the agent of an upstream host',
              'pollenthread agent examples/buna/agent.yaml', _run_agent,
              ('table',)),
-    _Command(('check',), ('FILE',), 'check a file of settings or targets',
-             'pollenthread check examples/buna/targets.yaml', _check,
-             ('table',)),
+    _Command(('check',), ('FILE',),
+             'check settings, targets or a configuration before it is sent',
+             'pollenthread check examples/buna/targets.yaml --against=old.yaml',
+             config_checker.check),
     _Command(('config', 'get'), (), 'print the newest targets',
              'pollenthread config get --workspace=mugs', commands.config_get),
     _Command(('config', 'set'), ('FILE',), 'publish targets from a file',
@@ -152,6 +150,8 @@
     if 'verbosity' not in flags.FLAGS or not flags.FLAGS['verbosity'].present:
         logging.set_verbosity(logging.INFO)
     command = _find_command(args)
+    if _JSON_FLAG.value:
+        flags.FLAGS['format'].value = 'json'
     if _HELP_FLAG.value or args[:1] == ['help']:
         print(_format_command_help(command) if command else _format_help())
         return
@@ -212,7 +212,8 @@
 
 def _format_flags_help() -> str:
     command_flags = [
-        flag for module in (commands, 'pollenthread.cli.admin_client')
+        flag for module in (commands, config_checker,
+                            'pollenthread.cli.admin_client')
         for flag in flags.FLAGS.get_key_flags_for_module(
             module if isinstance(module, str) else module.__name__)
     ]
--- a/pollenthread/platform/config_document.py
+++ b/pollenthread/platform/config_document.py
@@ -10,7 +10,8 @@
 from pollenthread.ports import config_decoder
 
 __all__ = [
-    'ConfigDocumentDecoder', 'ConfigDocumentError', 'decode', 'try_decode'
+    'ConfigDocumentDecoder', 'ConfigDocumentError', 'decode', 'decode_limits',
+    'decode_route', 'decode_service', 'try_decode'
 ]
 
 _MS_PER_S = 1000.0
@@ -54,7 +55,7 @@
             if number % _ROUTES_PER_SLICE == 0:
                 await asyncio.sleep(0)
             fingerprint = reader.fingerprint()
-            route = known.get(fingerprint) or _decode_route(reader)
+            route = known.get(fingerprint) or decode_route(reader)
             self._route_by_fingerprint[fingerprint] = route
             routes.append(route)
         return routes
@@ -79,7 +80,7 @@
         content = field_reader.FieldReader(json.loads(data))
         return _make_config(
             content,
-            list(map(_decode_route, _get_required_objects(content, 'routes'))))
+            list(map(decode_route, _get_required_objects(content, 'routes'))))
     except (ValueError, KeyError, RecursionError) as error:
         raise ConfigDocumentError(str(error)) from error
 
@@ -99,12 +100,12 @@
 def _make_config(
         document: field_reader.FieldReader,
         routes: list[routing_config.Route]) -> routing_config.RoutingConfig:
-    services = map(_decode_service, _get_required_objects(document, 'services'))
+    services = map(decode_service, _get_required_objects(document, 'services'))
     return routing_config.RoutingConfig(
         version=document.get_int('version', least=0),
         routes_by_host=_group_by_host(routes),
         services_by_name={service.name: service for service in services},
-        limits=_decode_limits(document.get_object('limits')),
+        limits=decode_limits(document.get_object('limits')),
         workspaces_by_api_key=_decode_workspaces(document))
 
 
@@ -115,7 +116,13 @@
     return document.get_objects(name)
 
 
-def _decode_route(route: field_reader.FieldReader) -> routing_config.Route:
+def decode_route(route: field_reader.FieldReader) -> routing_config.Route:
+    """Decodes a route.
+
+    Raises:
+        FieldError: a field is missing or invalid.
+        KeyError: there is no such kind of requests.
+    """
     return routing_config.Route(
         name=route.get_str('name', ''),
         host=route.get_str('host'),
@@ -159,8 +166,12 @@
     }
 
 
-def _decode_service(
-        service: field_reader.FieldReader) -> routing_config.Service:
+def decode_service(service: field_reader.FieldReader) -> routing_config.Service:
+    """Decodes a service.
+
+    Raises:
+        FieldError: a field is missing or invalid.
+    """
     engine = _decode_engine(
         service.get_object('engine')) if service.has('engine') else None
     return routing_config.Service(
@@ -200,8 +211,13 @@
         expert_share=engine.get_float('expert_share', 0.0))
 
 
-def _decode_limits(
+def decode_limits(
         limits: field_reader.FieldReader) -> routing_config.CallerLimits:
+    """Decodes the limits of callers.
+
+    Raises:
+        FieldError: a field is invalid.
+    """
     return routing_config.CallerLimits(
         max_header_bytes=limits.get_int('max_header_bytes', 16_384),
         max_body_bytes=limits.get_int('max_body_bytes', 4_194_304),
