Let outdated entries of servers end no warm-up

An entry of an earlier run was ignored by the registry, but still told as a change to what watches entries: one with a longer warm-up ended that of the later run. Also splits the acquisition of permits. One scenario, which fails with the listener as it was.

--- a/pollenthread/app/rate_permits.py
+++ b/pollenthread/app/rate_permits.py
@@ -129,19 +129,25 @@
         wait_s = max(0.0, self._windows.open_at(server.id) - now)
         if wait_s > max_wait_s:
             return Permit(False, wait_s)
-        permit = Permit(True, wait_s)
-        limit = self._limits.get(server)
-        if limit is not None:
-            issued = await self._request(limit, max_wait_s)
-            if not issued.is_granted:
-                self._refused_until_by_id[server.id] = (
-                    self._clock.monotonic() + issued.wait_s)
-                return issued
-            permit = Permit(True, max(wait_s, issued.wait_s))
+        permit = await self._acquire_from_issuer(server, max_wait_s)
+        if not permit.is_granted:
+            return permit
+        wait_s = max(wait_s, permit.wait_s)
         if share is not None and not self._windows.reserve(
                 server.id, share,
-                self._clock.monotonic() + permit.wait_s):
+                self._clock.monotonic() + wait_s):
             return Permit(False, _FULL_SHARE_PAUSE_S)
+        return Permit(True, wait_s)
+
+    async def _acquire_from_issuer(self, server: server_registry.Server,
+                                   max_wait_s: float) -> Permit:
+        limit = self._limits.get(server)
+        if limit is None:
+            return Permit(True)
+        permit = await self._request(limit, max_wait_s)
+        if not permit.is_granted:
+            self._refused_until_by_id[server.id] = (self._clock.monotonic() +
+                                                    permit.wait_s)
         return permit
 
     def drop_idle(self) -> None:
--- a/pollenthread/app/store_listeners.py
+++ b/pollenthread/app/store_listeners.py
@@ -177,8 +177,8 @@
         for server_id in registry.replace_all(servers, now):
             self._record_removal(server_id)
         for server in servers:
-            if known_by_id.get(server.id) != server:
-                self._record_entry(known_by_id.get(server.id),
+            if known_by_id[server.id] != server:
+                self._record_entry(known_by_id[server.id],
                                    server,
                                    is_first_list=is_first_list)
         self._notify()
@@ -233,6 +233,9 @@
                       *,
                       is_first_list: bool = False) -> None:
         """Records the difference between an entry and the one before."""
+        if self._state.server_registry.get(server.id) is not server:
+            # It is outdated, and was ignored.
+            return
         is_new_run = before is None or before.born_ms < server.born_ms
         for callback in self.entry_callbacks:
             callback(server, is_new_run and not is_first_list)
--- a/pollenthread/core/routing/send_windows.py
+++ b/pollenthread/core/routing/send_windows.py
@@ -20,6 +20,8 @@
 
 # A second, and the time by which requests may bunch up on their way.
 _WINDOW_S = 1.1
+# A request that waited for the end of a window comes after it.
+_ROUNDING_S = 1e-6
 
 
 def host_share(limit: float, own: str, hosts: Iterable[str],
@@ -69,7 +71,7 @@
             False if the share is used up; then nothing is reserved.
         """
         sent_at = self._sent_at_by_id.setdefault(server_id, collections.deque())
-        while sent_at and sent_at[0] <= at - _WINDOW_S:
+        while sent_at and sent_at[0] <= at - _WINDOW_S + _ROUNDING_S:
             sent_at.popleft()
         if len(sent_at) >= share:
             self._open_at_by_id[server_id] = sent_at[-share] + _WINDOW_S
--- a/tests/platform/server_runs.feature
+++ b/tests/platform/server_runs.feature
@@ -32,6 +32,11 @@
     When the list tells start 2 of that server
     Then the host selects it
 
+  Scenario: An entry of an earlier run does not end a warm-up
+    Given a host that has seen a server of start 2 warm up
+    When the list tells start 1 of that server and that it warms up for 9 s
+    Then the server of start 2 still warms up
+
   # Guards against a limit that is forgotten while its server goes on being used.
   Scenario: The limit of a server holds while its entry is missing after an outage
     Given a host that knows a limit of a listed server
--- a/tests/platform/steps/server_runs.py
+++ b/tests/platform/steps/server_runs.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies
 
 from pollenthread.app import store_listeners
-from pollenthread.core import (server_limits, server_registry, service_estimate,
-                               store_version)
+from pollenthread.app.data_centres import warm_up_watch
+from pollenthread.core import (routing_config, server_limits, server_registry,
+                               service_estimate, store_version)
 from pollenthread.platform import server_row
 from pollenthread.ports import row_store
 from tests.fakes import forwarding, memory
@@ -30,9 +31,10 @@
                                state=state)
 
 
-def _row(born_ms: int) -> row_store.RowChange:
+def _row(born_ms: int, warm_up_ms: int = 0) -> row_store.RowChange:
     value = (f'{{"service": "{_SERVICE}", "address": "10.0.0.1:1", '
-             f'"zone": "a", "state": "ready", "born": {born_ms}}}')
+             f'"zone": "a", "state": "ready", "born": {born_ms}, '
+             f'"cold_remaining_ms": {warm_up_ms}}}')
     return row_store.RowChange(_ID, value.encode(),
                                store_version.StoreVersion(1, born_ms))
 
@@ -100,9 +102,37 @@
                                                  context.clock.now)
 
 
-@when('the list tells start 2 of that server')
-def step_started_again(context: Any) -> None:
-    context.listener.on_changes([_row(2)])
+@given('a host that has seen a server of start {born_ms:d} warm up')
+def step_warming(context: Any, born_ms: int) -> None:
+    context.listener = _make_listener(context)
+    service = dataclasses.replace(forwarding.CONFIG.services_by_name[_SERVICE],
+                                  warm_up=routing_config.WarmUp(3.0, 26.0))
+    context.state.config = dataclasses.replace(
+        forwarding.CONFIG, services_by_name={_SERVICE: service})
+    watch = warm_up_watch.WarmUpWatch(state=context.state,
+                                      time=context.clock,
+                                      log=memory.NullEventLog())
+    context.listener.entry_callbacks.append(watch.on_entry)
+    context.listener.on_full_read([], store_version.StoreVersion(1, 1))
+    context.listener.on_changes([_row(born_ms)])
+
+
+@then('the server of start {born_ms:d} still warms up')
+def step_still_warming(context: Any, born_ms: int) -> None:
+    (server,) = context.state.server_registry.ready(_SERVICE)
+    assert server.born_ms == born_ms
+    assert context.state.warming_servers.is_warming(server, context.clock.now)
+
+
+@when('the list tells start {born_ms:d} of that server and that it warms up '
+      'for {seconds:d} s')
+def step_older_warming(context: Any, born_ms: int, seconds: int) -> None:
+    context.listener.on_changes([_row(born_ms, seconds * 1000)])
+
+
+@when('the list tells start {born_ms:d} of that server')
+def step_started_again(context: Any, born_ms: int) -> None:
+    context.listener.on_changes([_row(born_ms)])
 
 
 @then('the host selects it')
