--- a/pollenthread/core/replication.py
+++ b/pollenthread/core/replication.py
@@ -26,6 +26,9 @@
 # The exponent of the load norm: accounts for all heavily loaded ranks, not
 # only for the most loaded one.
 _NORM_EXPONENT = 8
+# All ranks wait for the one that copies most, so a rank counts as more loaded
+# by this for each copy that it has been given, in units of the mean load.
+_COPY_PENALTY = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -252,12 +255,16 @@
         return max(range(len(self.loads)), key=lambda r: self.loads[r])
 
     def _free_ranks(self) -> list[int]:
-        """Returns the ranks that may copy more, the least loaded first."""
+        """Returns the ranks that may copy more, the best ones first."""
         ranks = [
             r for r in range(len(self._held)) if self._copies_left[r] > 0 and
             self._new_counts[r] < self._limits.max_new_per_set
         ]
-        return sorted(ranks, key=lambda r: self.loads[r])
+
+        def cost(rank: int) -> float:
+            return self.loads[rank] - _COPY_PENALTY * self._copies_left[rank]
+
+        return sorted(ranks, key=cost)
 
     def _heaviest_experts(self) -> list[int]:
         """Returns the experts with the highest load on the busiest rank."""
