--- a/pollenthread/core/admission/fleet_demand.py
+++ b/pollenthread/core/admission/fleet_demand.py
@@ -18,7 +18,7 @@
 # A host is taken as silent after as long.
 _DEMAND_TTL_S = 1.3
 # Bounds the size of a heartbeat.
-_MAX_SERVICES = 16
+_MAX_SERVICES = 8
 _MAX_COUNT = 65_535
 
 
