--- a/pollenthread/core/routing/group_pace.py
+++ b/pollenthread/core/routing/group_pace.py
@@ -100,9 +100,12 @@
 
     def get(self, group: str) -> GroupPace:
         """Returns the pace of a group."""
-        if not group:
-            return GroupPace()
-        return self.by_group.setdefault(group, GroupPace())
+        pace = self.by_group.get(group)
+        if pace is None:
+            pace = GroupPace()
+            if group:
+                self.by_group[group] = pace
+        return pace
 
     def stretch_by_group(
             self, engine: routing_config.EngineProfile,
--- a/pollenthread/core/routing/known_loads.py
+++ b/pollenthread/core/routing/known_loads.py
@@ -31,8 +31,10 @@
 
     def get(self, server_id: str) -> tracked_load.TrackedLoad:
         """Returns what is known of a server."""
-        return self._load_by_id.setdefault(server_id,
-                                           tracked_load.TrackedLoad())
+        load = self._load_by_id.get(server_id)
+        if load is None:
+            load = self._load_by_id[server_id] = tracked_load.TrackedLoad()
+        return load
 
     def remove(self, server_id: str) -> None:
         """Removes a server that no longer exists."""
