Round the share of each host anew, and keep turns for all levels

A host whose share of the room is below one request kept its random rounding until it had sent something: of room for 20 requests 32 hosts used 2.5. The floor of the turns went to the least important level alone, and the expected wait of a level ignored its floor, so the middle level was refused.

--- a/pollenthread/app/admission/admission_gate.py
+++ b/pollenthread/app/admission/admission_gate.py
@@ -124,6 +124,7 @@
         """Counts a request that was sent without a wait."""
         view = self._observer.current(job)
         self._allowance(_class_of(job, view)).record_sent(view.at)
+        self._queue.record_turn(view.level_of(job))
 
     async def wait(self, job: request_job.RequestJob,
                    select: Selection) -> server_registry.Server:
@@ -184,10 +185,16 @@
         self._dispatched_at = now
         view = self._observer.current(job)
         self._apply_config(view)
-        while (head := self._queue.next(now)) is not None:
+        full_classes: set[int] = set()
+
+        def may_go(waiting: waiting_queue.WaitingRequest) -> bool:
+            return _waiting_class(waiting, view) not in full_classes
+
+        while (head := self._queue.next(now, may_go)) is not None:
             class_index = _waiting_class(head, view)
             if not self._may_send(class_index, view):
-                return
+                full_classes.add(class_index)
+                continue
             self._allowance(class_index).record_sent(now)
             self._granted_class[head] = class_index
             head.not_before = math.inf
--- a/pollenthread/core/admission/send_allowance.py
+++ b/pollenthread/core/admission/send_allowance.py
@@ -49,6 +49,7 @@
         own_share: the part of this host in the demand of the class.
         waiting: the requests of the class and of more important ones that wait
             at all hosts.
+        own_waiting: those of the class alone.
     """
 
     free_slots: float
@@ -61,6 +62,7 @@
     unseen_s: float
     own_share: float
     waiting: float
+    own_waiting: float
 
     @property
     def is_plentiful(self) -> bool:
@@ -84,9 +86,13 @@
         excess = self.waiting + self.queued - self.free_slots
         if excess <= 0:
             return 0.0
-        per_s = max(self.frees_per_s * _FLOOR_SHARE,
-                    self.frees_per_s - self.ahead_per_s)
-        return excess / per_s if per_s > 0 else math.inf
+        if self.frees_per_s <= 0:
+            return math.inf
+        floor_wait_s = self.own_waiting / (self.frees_per_s * _FLOOR_SHARE)
+        spare_per_s = self.frees_per_s - self.ahead_per_s
+        if spare_per_s <= 0:
+            return floor_wait_s
+        return min(floor_wait_s, excess / spare_per_s)
 
 
 def estimate_room(forecast: room_forecast.RoomForecast,
@@ -118,7 +124,8 @@
                 ahead_per_s=ahead_per_s,
                 unseen_s=unseen_s,
                 own_share=demand.own_share(class_index, blind_s),
-                waiting=sum(demand.waiting[:class_index + 1]))
+                waiting=sum(demand.waiting[:class_index + 1]),
+                own_waiting=demand.waiting[class_index])
 
 
 def _slots_for_arrivals(expected: float) -> float:
@@ -132,17 +139,21 @@
     def __init__(self, *, rng: spreading.RandomSource) -> None:
         self._rng = rng
         self._sent_at: collections.deque[float] = collections.deque()
-        self._rounding = rng.random()
+        self._rounding = 0.0
+        self._rounded_at = -math.inf
 
     def allows(self, room: Room, now: float) -> bool:
         """Returns whether the host may send one more request.
 
-        Fractions are rounded at random, so that the sum over many hosts, each
-        with a share below one request, fits the room.
+        Fractions are rounded at random, anew for each time that the reports do
+        not show, so that the sum over many hosts, each with a share below one
+        request, fits the room.
         """
         while self._sent_at and self._sent_at[0] <= now - room.unseen_s:
             self._sent_at.popleft()
+        if self._rounded_at <= now - room.unseen_s:
             self._rounding = self._rng.random()
+            self._rounded_at = now
         sent = len(self._sent_at)
         allowed = (room.slots + sent) * room.own_share
         return sent + 1 <= allowed + self._rounding
@@ -150,7 +161,6 @@
     def record_sent(self, now: float) -> None:
         """Records that the host sends a request."""
         self._sent_at.append(now)
-        self._rounding = self._rng.random()
 
     def cancel_last(self) -> None:
         """Withdraws the last record: its request was not sent after all."""
--- a/pollenthread/core/admission/waiting_queue.py
+++ b/pollenthread/core/admission/waiting_queue.py
@@ -6,13 +6,14 @@
 Within a rank the workspaces take turns, and each sends its most pressing
 request first.
 
-Strict ranks alone would starve the last level while the others fill all room,
-so a fixed share of the turns goes to the least important level that waits.
+Strict ranks alone would starve the last levels while the others fill all room,
+so those behind the first get a fixed share of the turns for each level that
+waits, in their order.
 """
 
 import dataclasses
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from pollenthread.core.admission import fair_shares
 
@@ -82,7 +83,8 @@
         self._max_bytes = max_bytes
         self._requests: list[WaitingRequest] = []
         self._shares = fair_shares.FairShares()
-        self._floor_turns = 0.0
+        # Turns due to the levels behind the first, which waited for others.
+        self._due_turns = 0.0
         self._bytes = 0
 
     def __len__(self) -> int:
@@ -116,26 +118,35 @@
             self._bytes -= request.size_bytes
             self._shares.forget_idle(r.workspace for r in self._requests)
 
-    def next(self, now: float) -> WaitingRequest | None:
-        """Returns the request to be sent next; None if there is none now."""
-        ready = [r for r in self._requests if r.not_before <= now]
-        if not ready:
-            return None
-        if self._floor_turns >= 1:
-            last_level = max(r.level for r in ready)
-            ready = [r for r in ready if r.level == last_level]
-        return min(ready,
+    def next(
+        self,
+        now: float,
+        may_go: Callable[[WaitingRequest], bool] = lambda request: True
+    ) -> WaitingRequest | None:
+        """Returns the request to be sent next; None if there is none now.
+
+        Args:
+            now: monotonic seconds.
+            may_go: returns whether there is room for a request.
+        """
+        ready = [r for r in self._requests if r.not_before <= now and may_go(r)]
+        due = [r for r in ready if r.level > 0 and self._due_turns >= 1.0]
+        return min(due or ready,
                    key=lambda r:
                    (r.rank(now), self._shares.virtual_start(r.workspace), r.
-                    in_time_until, r.leaves_at))
+                    in_time_until, r.leaves_at),
+                   default=None)
+
+    def record_turn(self, level: int) -> None:
+        """Records that a request of a level was sent, from the queue or not."""
+        if level > 0:
+            self._due_turns = max(0.0, self._due_turns - 1.0)
+        waiting_levels = {r.level for r in self._requests if r.level > level}
+        self._due_turns += _FLOOR_SHARE * len(waiting_levels)
 
     def record_sent(self, request: WaitingRequest) -> None:
         """Removes a request that was sent, and charges its workspace."""
-        last_level = max((r.level for r in self._requests), default=0)
-        if request.level >= last_level:
-            self._floor_turns = 0.0
-        else:
-            self._floor_turns += _FLOOR_SHARE
+        self.record_turn(request.level)
         self._shares.record_served(request.workspace)
         self.remove(request)
 
--- a/tests/fakes/busy_fleet.py
+++ b/tests/fakes/busy_fleet.py
@@ -145,7 +145,18 @@
                 key: routing_config.KeyWorkspace(name, None)
                 for key, name in self._workspace_by_key.items()
             }
+        pace = self._shape.pace
+        steps = forwarding.ENGINE_PROFILE.steps_per_pass
+        engine = dataclasses.replace(
+            forwarding.ENGINE_PROFILE,
+            slots=pace.slots,
+            base_step_s=pace.base_interval_s / steps,
+            step_s_per_sequence=pace.interval_per_request_s / steps,
+            mean_output_tokens=pace.events_per_response * steps)
+        service = dataclasses.replace(forwarding.CONFIG.services_by_name['llm'],
+                                      engine=engine)
         config = dataclasses.replace(forwarding.CONFIG,
+                                     services_by_name={'llm': service},
                                      version=version,
                                      routes_by_host={'h': tuple(routes)},
                                      workspaces_by_api_key=workspaces)
