Send requests to a slow rank only if the others are full

A map takes the experts off a slow rank, but its own part of each pass remains and all ranks wait for it. Its load now counts its slowness as used slots.

--- a/pollenthread/core/routing/tracked_load.py
+++ b/pollenthread/core/routing/tracked_load.py
@@ -10,6 +10,8 @@
 _REPORT_TTL_S = 1.5
 # Agents report the load at least every 0.6 s.
 _REPORT_OVERDUE_S = 1.0
+_PERCENT = 100
+_MIN_SLOWNESS = 0.2
 _FAILURE_PAUSE_S = 1.0
 _MAX_FAILURE_PAUSE_S = 8.0
 
@@ -84,6 +86,17 @@
     failures: int = 0
     paused_until: float = -1e9
 
+    @property
+    def slowness(self) -> float:
+        """How much longer this rank takes than normal, relative to normal.
+
+        All ranks of its group wait for it in each pass, so every request there
+        holds up the whole group. Returns 0 for a server without a group, and
+        for small deviations.
+        """
+        slowness = self.pace_percent / _PERCENT - 1.0
+        return slowness if self.group and slowness > _MIN_SLOWNESS else 0.0
+
     def after_restart(self) -> Self:
         """Returns what remains known once the server has started again.
 
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -226,6 +226,7 @@
                                              estimate.load - estimate.slots + 1)
         load += penalty_s / service_estimate.cost_per_request_s(
             requirements, estimate)
+        load += self.get(server.id).slowness * estimate.slots
         if server.data_centre != data_centre:
             load += _MOVE_QUEUE_REQUESTS
         return load
--- a/tests/platform/decisions.feature
+++ b/tests/platform/decisions.feature
@@ -58,6 +58,20 @@
     When the agent of "a" sends no report for 2 s
     Then 20 selections all return "b"
 
+  # All ranks of a group wait for the slow one in each pass, so a request there
+  # delays the requests of all.
+  Scenario Outline: A slow rank gets requests only if the others are full
+    Given servers "a b" with an agent each
+    When "a" takes <percent> percent of its normal time, and "b" has <running> requests
+    Then 20 selections all return "<server>"
+
+    Examples:
+      | percent | running | server |
+      | 400     | 5       | b      |
+      | 160     | 2       | b      |
+      | 160     | 6       | a      |
+      | 110     | 1       | a      |
+
   Scenario: A request for a closed group is rejected at once instead of queued
     Given servers "a b" with an agent each
     When both report that their group is closed
--- a/tests/platform/steps/decisions.py
+++ b/tests/platform/steps/decisions.py
@@ -112,8 +112,11 @@
 
 def _report(waiting: int = 0,
             *,
+            running: int = 0,
+            pace_percent: int = 100,
             is_open: bool = True) -> server_load.ServerLoadReport:
-    return server_load.ServerLoadReport(running=0,
+    return server_load.ServerLoadReport(running=running,
+                                        pace_percent=pace_percent,
                                         waiting=waiting,
                                         slots=6,
                                         accepts_requests=is_open,
@@ -167,6 +170,16 @@
     assert found == {name}, found
 
 
+@when(
+    '"{name}" takes {percent:d} percent of its normal time, and "{other}" has '
+    '{running:d} requests')
+def step_slow_rank(context: Any, name: str, percent: int, other: str,
+                   running: int) -> None:
+    context.loads.record_report(name, _report(pace_percent=percent),
+                                context.now)
+    context.loads.record_report(other, _report(running=running), context.now)
+
+
 @then('no server is selected')
 def step_none_selected(context: Any) -> None:
     assert _select(context) is None
