Send small parts of responses at once on accepted connections

Cause: the listening socket that limits how many connections are accepted at once was made without its protocol, so the event loop did not set TCP_NODELAY on what it accepts.

--- a/pollenthread/adapters/http_connection.py
+++ b/pollenthread/adapters/http_connection.py
@@ -150,6 +150,9 @@
     def send_events(self, *events: h11.Event) -> None:
         if self._transport.is_closing():
             raise ConnectionResetError('the caller left')
+        if len(events) == 1:
+            self._write(self._parser.send(events[0]) or b'')
+            return
         small_parts = []
         for event in events:
             part = self._parser.send(event) or b''
--- a/pollenthread/adapters/http_server.py
+++ b/pollenthread/adapters/http_server.py
@@ -91,7 +91,11 @@
         }
 
     async def __aenter__(self) -> Self:
-        sock = socket.create_server((self._host, self._port), backlog=_BACKLOG)
+        # The event loop sends at once on connections whose protocol is given.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM,
+                             socket.IPPROTO_TCP)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((self._host, self._port))
         # The event loop accepts as many connections at once as the backlog is
         # long, so it gets a shorter one than the operating system.
         self._server = await asyncio.get_running_loop().create_server(
