Leave out of load reports what decides nothing

Links of agents are thin. The cache is told while more than half is used, the pace of a server while it is slow; a report without the cache makes it unknown.

--- a/pollenthread/app/rank_agent.py
+++ b/pollenthread/app/rank_agent.py
@@ -28,6 +28,7 @@
 _MS_PER_S = 1000
 _US_PER_S = 1_000_000
 _PASSES_LOG_INTERVAL_S = 1.0
+_MIN_SLOW_PERCENT = 115
 
 
 @dataclasses.dataclass(slots=True)
@@ -195,6 +196,9 @@
 
     def _report_load(self, status: rank_server.RankServerStatus) -> None:
         state = status.state
+        # Reports are frequent and links thin, so only what matters is in them.
+        is_cache_filling = 2 * status.kv_tokens > status.kv_capacity_tokens
+        is_slow = state.pace_percent >= _MIN_SLOW_PERCENT
         self._load_reporter.report(
             peer_messages.ServerLoad(
                 address=self._own.engine_address,
@@ -206,9 +210,10 @@
                 group=state.group,
                 pass_us=int(self._pass_meter.pass_s * _US_PER_S),
                 born_ms=state.born_ms,
-                kv_tokens=status.kv_tokens,
-                kv_capacity_tokens=status.kv_capacity_tokens,
-                pace_percent=state.pace_percent))
+                kv_tokens=status.kv_tokens if is_cache_filling else 0,
+                kv_capacity_tokens=status.kv_capacity_tokens
+                if is_cache_filling else 0,
+                pace_percent=state.pace_percent if is_slow else 0))
 
     def _report_state(self, state: peer_messages.RankState) -> None:
         """Reports the state to the group's coordinator.
--- a/pollenthread/core/routing/tracked_load.py
+++ b/pollenthread/core/routing/tracked_load.py
@@ -1,6 +1,7 @@
 """The tracked load of one server."""
 
 import dataclasses
+import math
 from typing import Self
 
 from pollenthread.core.routing import work_estimate
@@ -99,8 +100,8 @@
         self.has_agent = self.has_agent or bool(report.group)
         self.group = report.group
         self.pace_percent = report.pace_percent
-        if report.kv_capacity_tokens:
-            self.kv_free_tokens = report.kv_capacity_tokens - report.kv_tokens
+        self.kv_free_tokens = (report.kv_capacity_tokens - report.kv_tokens
+                               if report.kv_capacity_tokens else math.inf)
 
     def record_request_count(self, requests: int, now: float) -> None:
         """Records the request count that a server sends with a response.
