--- a/pollenthread/core/routing/pass_model.py
+++ b/pollenthread/core/routing/pass_model.py
@@ -46,7 +46,7 @@
     empty_s = stretch * predict_pass_s(engine, 0)
     full_s = stretch * predict_pass_s(engine, slots)
     allowed_s = max_gap_s * _GAP_SHARE
-    if full_s <= allowed_s:
+    if full_s <= allowed_s or full_s <= empty_s:
         return float(slots)
     in_time = max(0.0, slots * (allowed_s - empty_s) / (full_s - empty_s))
     if in_time < 1 or in_time / allowed_s < _LATE_VALUE * slots / full_s:
