Space the states of ranks that have copied a map

Since the copies of a change are spread, all ranks end copying at the same time, and the coordinator's link lost 1.0 to 1.25 in 100 datagrams in a group of 96 (bound 1).

--- a/pollenthread/app/order_receiver.py
+++ b/pollenthread/app/order_receiver.py
@@ -22,6 +22,7 @@
 # A map cannot be switched before the last rank is known to have copied it.
 _COPYING_POLL_S = 0.02
 _MAX_COPYING_POLLS = 25
+_REPORT_SPACING_S = 0.0005
 
 _OrderKey = tuple[peer_messages.OrderKind, int, int]
 
@@ -129,14 +130,20 @@
             RankServerUnavailableError: the server does not respond.
         """
         state = self._handle_status(await self._server.fetch_status())
-        self._send_state(order, state)
+        # Ranks that copy equally much end at the same time, and a coordinator's
+        # link does not take the states of all at once.
+        spacing_s = state.rank * _REPORT_SPACING_S
         if not state.is_busy:
+            self._send_state(order, state)
             return
+        await self._clock.sleep(spacing_s)
+        self._send_state(order, state)
         for _ in range(_MAX_COPYING_POLLS):
             if not state.is_busy:
                 break
             await self._clock.sleep(_COPYING_POLL_S)
             state = self._handle_status(await self._server.fetch_status())
+        await self._clock.sleep(spacing_s)
         self._send_state(order, state)
 
     def _send_state(self, order: peer_messages.RankOrder,
