--- a/pollenthread/app/admission/admission_gate.py
+++ b/pollenthread/app/admission/admission_gate.py
@@ -103,6 +103,16 @@
         """
         return _class_of(job, self._observer.current(job)) == 0
 
+    def keeps_last_slots(self, job: request_job.RequestJob) -> bool:
+        """Whether a request must leave the last free slot of its server."""
+        if not self.is_scarce(job):
+            return False
+        view = self._observer.current(job)
+        class_index = next(
+            (granted for waiting, granted in self._granted_class.items()
+             if self._job_by_waiting[waiting] is job), _class_of(job, view))
+        return view.keeps_last_slots(class_index)
+
     def is_scarce(self, job: request_job.RequestJob) -> bool:
         """Whether there is too little room for all requests of the service."""
         view = self._observer.current(job)
--- a/pollenthread/app/admission/service_view.py
+++ b/pollenthread/app/admission/service_view.py
@@ -26,6 +26,7 @@
         levels: the levels of importance of its requests.
         forecast: the room at the servers that this host knows.
         queued: the requests in the queues of these servers.
+        last_slots: the servers that have a free slot.
         demand: the demand of all hosts.
         at: the monotonic seconds at which it was true.
     """
@@ -34,6 +35,7 @@
     levels: levels.ServiceLevels
     forecast: room_forecast.RoomForecast
     queued: float
+    last_slots: int
     demand: fleet_demand.FleetDemand
     at: float
 
@@ -58,8 +60,14 @@
         return send_allowance.estimate_room(self.forecast,
                                             self.demand,
                                             queued=self.queued,
+                                            last_slots=self.last_slots,
                                             class_index=class_index)
 
+    def keeps_last_slots(self, class_index: int) -> bool:
+        """Whether a class leaves the last free slot of each server alone."""
+        return send_allowance.keeps_last_slots(self.forecast, self.demand,
+                                               class_index)
+
     def log_fields(self, room: send_allowance.Room) -> dict[str, Any]:
         """Returns the inputs of a decision, with their age, for the log."""
         return {
@@ -126,6 +134,9 @@
                 max(0.0,
                     loads.load(server.id, now) - server.slots)
                 for server in servers),
+            last_slots=sum(
+                loads.load(server.id, now) + 1 <= server.slots
+                for server in servers),
             demand=self._state.demand.of_fleet(
                 self._service,
                 classes=service_levels.count + 1,
--- a/pollenthread/app/server_selector.py
+++ b/pollenthread/app/server_selector.py
@@ -255,11 +255,15 @@
         if service is None or service.engine is None or not job.is_stream:
             return service_estimate.RequestRequirements(job.deadline - now)
         engine = service.engine
+        gate = self._gate_by_service.get(job.service)
+        is_reserving = (gate is not None and not job.attempt_count and
+                        gate.keeps_last_slots(job))
         work = job.work = self._state.work_estimator.estimate(
             job.request, job.route.name, engine)
         return service_estimate.RequestRequirements(
             time_left_s=job.deadline - now,
             max_gap_s=job.route.max_gap_s,
+            reserved_share=1 / engine.slots if is_reserving else 0.0,
             target_left_s=self._max_first_event_s(job, now),
             passes=work.passes,
             low_passes=0.0 if job.last_event_id else work.low_passes,
--- a/pollenthread/core/admission/send_allowance.py
+++ b/pollenthread/core/admission/send_allowance.py
@@ -17,7 +17,7 @@
 from pollenthread.core.admission import fleet_demand
 from pollenthread.core.routing import room_forecast
 
-__all__ = ['Room', 'SendAllowance', 'estimate_room']
+__all__ = ['Room', 'SendAllowance', 'estimate_room', 'keeps_last_slots']
 
 # The time until the next report, for which the head-room has to last.
 _REPORT_INTERVAL_S = 0.3
@@ -31,6 +31,10 @@
 # is served while the others fill all room.
 _FLOOR_SHARE = 0.1
 
+# Arrivals of more important classes, relative to the slots that are given up,
+# from which on the last free slot of each server is kept for them.
+_MIN_AHEAD_SHARE = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Room:
@@ -38,6 +42,8 @@
 
     Attributes:
         free_slots: the free slots, according to the reports.
+        kept_slots: those of them that the class leaves to more important ones
+            while there is too little room for all.
         queued: the requests in the queues of servers, which take the slots that
             are given up there.
         head_room: the slots that requests of more important classes need.
@@ -53,6 +59,7 @@
     """
 
     free_slots: float
+    kept_slots: float
     queued: float
     head_room: float
     own_need: float
@@ -74,8 +81,8 @@
     def slots(self) -> float:
         """The requests of the class that all hosts may send in `unseen_s`."""
         return max(
-            self.completions * _FLOOR_SHARE,
-            self.free_slots - self.queued + self.completions - self.head_room)
+            self.completions * _FLOOR_SHARE, self.free_slots - self.queued +
+            self.completions - self.head_room - self.kept_slots)
 
     @property
     def wait_s(self) -> float:
@@ -83,7 +90,8 @@
 
         Infinite if the servers make no progress.
         """
-        excess = self.waiting + self.queued - self.free_slots
+        excess = (self.waiting + self.queued + self.kept_slots -
+                  self.free_slots)
         if excess <= 0:
             return 0.0
         if self.frees_per_s <= 0:
@@ -95,17 +103,43 @@
         return min(floor_wait_s, excess / spare_per_s)
 
 
+def keeps_last_slots(forecast: room_forecast.RoomForecast,
+                     demand: fleet_demand.FleetDemand,
+                     class_index: int) -> bool:
+    """Returns whether a class leaves the last free slot of each server alone.
+
+    Hosts cannot see each other's choices, so a more important request may be
+    sent to a server whose last slot was just taken, and would have to wait there
+    until another one is given up.
+
+    Args:
+        forecast: the room at the servers that this host knows.
+        demand: the demand of all hosts.
+        class_index: the class, in the order of the demand.
+    """
+    if not forecast.known_share:
+        return False
+    ahead_per_s = sum(demand.arrivals_per_s[:class_index])
+    frees_per_s = forecast.frees_per_s / forecast.known_share
+    # If those ahead take all slots that are given up, none is left to keep.
+    return _MIN_AHEAD_SHARE * frees_per_s < ahead_per_s < frees_per_s
+
+
 def estimate_room(forecast: room_forecast.RoomForecast,
                   demand: fleet_demand.FleetDemand, *, queued: float,
-                  class_index: int) -> Room:
+                  last_slots: float, class_index: int) -> Room:
     """Returns the room for one class of requests.
 
     Args:
         forecast: the room at the servers that this host knows.
         demand: the demand of all hosts.
         queued: the requests in the queues of these servers.
+        last_slots: the servers that have a free slot; see `keeps_last_slots`.
         class_index: the class, in the order of the demand.
     """
+    kept_slots = 0.0
+    if keeps_last_slots(forecast, demand, class_index):
+        kept_slots = min(last_slots, forecast.free_slots)
     unseen_s = min(_MAX_UNSEEN_S, forecast.age_s)
     blind_s = unseen_s + _REPORT_INTERVAL_S
     scale = 1.0 / forecast.known_share if forecast.known_share else 0.0
@@ -116,6 +150,7 @@
     ]
     frees_per_s = forecast.frees_per_s * scale
     return Room(free_slots=forecast.free_slots * scale,
+                kept_slots=kept_slots * scale,
                 queued=queued * scale,
                 head_room=sum(needs[:class_index]),
                 own_need=needs[class_index],
--- a/pollenthread/core/server_load.py
+++ b/pollenthread/core/server_load.py
@@ -10,7 +10,8 @@
                                service_estimate, spreading)
 from pollenthread.core.routing import (data_centre_choice, known_loads,
                                        long_prompts, room_estimation,
-                                       room_forecast, spill, tracked_load)
+                                       room_forecast, spill, tracked_load,
+                                       work_estimate)
 
 __all__ = ['ServerLoadTracker', 'ServerLoadReport']
 
@@ -41,11 +42,32 @@
     def __init__(self, *, rng: spreading.RandomSource) -> None:
         super().__init__(rng=rng)
         self._rate_by_service: dict[str, spreading.ArrivalRate] = {}
+        self._service_by_id: dict[str, str] = {}
         self._long_prompts_by_service: dict[
             str, long_prompts.LongPromptPlacement] = {}
         self._data_centres = data_centre_choice.DataCentreChoice(loads=self,
                                                                  rng=rng)
 
+    def remove(self, server_id: str) -> None:
+        super().remove(server_id)
+        self._service_by_id.pop(server_id, None)
+
+    def record_start(
+        self,
+        server_id: str,
+        now: float,
+        work: work_estimate.WorkEstimate = work_estimate.WorkEstimate(0.0)
+    ) -> None:
+        super().record_start(server_id, now, work)
+        service = self._service_by_id.get(server_id)
+        if service is not None:
+            self._service_rate(service).record_request(now)
+
+    def _service_rate(self, service: str) -> spreading.ArrivalRate:
+        """Returns the rate at which this host sends requests to a service."""
+        return self._rate_by_service.setdefault(service,
+                                                spreading.ArrivalRate())
+
     def set_spill_plan(self, service: str, plan: spill.SpillPlan) -> None:
         """Sets which requests to a service go to other data centres."""
         self._data_centres.set_plan(service, plan)
@@ -82,9 +104,7 @@
         if not candidates:
             return None
         candidates = self._with_memory(candidates, requirements) or candidates
-        service_rate = self._rate_by_service.setdefault(candidates[0].service,
-                                                        spreading.ArrivalRate())
-        service_rate.record_request(now)
+        service_rate = self._service_rate(candidates[0].service)
         candidates = self._data_centres.narrow(
             candidates,
             listed=all_servers,
@@ -106,7 +126,9 @@
             total_slots * _MAX_TURNOVER,
             self._rate.per_s(now) * sharing_hosts * _REPORT_INTERVAL_S)
         parts = spreading.water_fill(loads, max(1.0, arrivals))
-        return candidates[spreading.pick_weighted(parts, self._rng)]
+        selected = candidates[spreading.pick_weighted(parts, self._rng)]
+        self._service_by_id[selected.id] = selected.service
+        return selected
 
     def forecast(self, servers: Iterable[server_registry.Server], *,
                  passes: float, max_gap_s: float,
--- a/tests/platform/steps/spill.py
+++ b/tests/platform/steps/spill.py
@@ -141,6 +141,10 @@
             target_left_s=target_left_s),
         hosts=context.hosts,
         now=_NOW)
+    if found is not None:
+        # It is sent, but ends at once: only its arrival counts.
+        context.loads.record_start(found.id, _NOW)
+        context.loads.record_end(found.id)
     return found
 
 
--- a/tests/platform/steps/waiting_order.py
+++ b/tests/platform/steps/waiting_order.py
@@ -169,6 +169,7 @@
         send_allowance.SendAllowance(rng=rng) for _ in range(hosts)
     ]
     context.room = send_allowance.Room(free_slots=slots,
+                                       kept_slots=0.0,
                                        queued=0.0,
                                        head_room=0.0,
                                        own_need=0.0,
