--- a/pollenthread/core/admission/send_allowance.py
+++ b/pollenthread/core/admission/send_allowance.py
@@ -109,8 +109,8 @@
     """Returns whether a class leaves the last free slot of each server alone.
 
     Hosts cannot see each other's choices, so a more important request may be
-    sent to a server whose last slot was just taken, and would have to wait there
-    until another one is given up.
+    sent to a server whose last slot was just taken, and would have to wait
+    there until another one is given up.
 
     Args:
         forecast: the room at the servers that this host knows.
