Give the new parts of app and core folders; one class named SlowRank

Four new modules lay flat in app/ and core/, and two classes had one name. The modules move to app/background, app/store, core/clients and core/configuration; the slow rank of a platform group is RankSlowdown.

--- a/pollenthread/adapters/client_budget.py
+++ b/pollenthread/adapters/client_budget.py
@@ -4,7 +4,7 @@
 import asyncio
 import collections
 
-from pollenthread.core import client_eviction
+from pollenthread.core.clients import client_eviction
 
 __all__ = ['BudgetMember', 'ClientBudget']
 
--- /dev/null
+++ b/pollenthread/app/background/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the background tasks of a process."""
--- a/pollenthread/app/expert_maps/slow_rank_watch.py
+++ b/pollenthread/app/expert_maps/slow_rank_watch.py
@@ -36,7 +36,7 @@
         self._unrelieved_ranks: set[int] = set()
 
     @property
-    def slow_ranks(self) -> list[rank_speed.SlowRank]:
+    def slow_ranks(self) -> list[rank_speed.RankSlowdown]:
         """The slow ranks, the slowest first."""
         return self._speeds.slow_ranks
 
--- /dev/null
+++ b/pollenthread/app/store/__init__.py
@@ -0,0 +1,1 @@
+"""Follows the tables of the platform's store."""
--- a/pollenthread/app/switch_driver.py
+++ b/pollenthread/app/switch_driver.py
@@ -41,7 +41,7 @@
         default_factory=collections.Counter)
     skew: float = 0.0
     skew_seen: float = 0.0
-    slow_ranks: Sequence[rank_speed.SlowRank] = ()
+    slow_ranks: Sequence[rank_speed.RankSlowdown] = ()
 
 
 class _PhaseTimes:
--- a/pollenthread/cli/config_checker.py
+++ b/pollenthread/cli/config_checker.py
@@ -11,7 +11,8 @@
 
 from pollenthread.adapters import settings, yaml_document
 from pollenthread.cli import admin_client, commands, exit_codes
-from pollenthread.core import config_check, document_diff
+from pollenthread.core import document_diff
+from pollenthread.core.configuration import config_check
 from pollenthread.platform import config_check as platform_check
 
 __all__ = ['check']
--- /dev/null
+++ b/pollenthread/core/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what the clients of a process may hold."""
--- /dev/null
+++ b/pollenthread/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Checks configurations before they are in force."""
--- a/pollenthread/core/expert_maps/rank_speed.py
+++ b/pollenthread/core/expert_maps/rank_speed.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-__all__ = ['RankSpeeds', 'SlowRank']
+__all__ = ['RankSpeeds', 'RankSlowdown']
 
 _NORMAL = 1.0
 # Below this slowdown, the other ranks of a well balanced map wait as long for
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class SlowRank:
+class RankSlowdown:
     """A rank that is slow, or was so until recently.
 
     Attributes:
@@ -50,12 +50,12 @@
     """The slow ranks of one group."""
 
     def __init__(self) -> None:
-        self._slow_by_rank: dict[int, SlowRank] = {}
+        self._slow_by_rank: dict[int, RankSlowdown] = {}
         # The probation of ranks that have recovered, and when they did.
         self._served_by_rank: dict[int, tuple[float, float]] = {}
 
     @property
-    def slow_ranks(self) -> list[SlowRank]:
+    def slow_ranks(self) -> list[RankSlowdown]:
         """The slow ranks, the slowest first."""
         return sorted(self._slow_by_rank.values(), key=lambda s: -s.slowdown)
 
@@ -67,7 +67,7 @@
         ]
 
     def update(self, slowdown_by_rank: Mapping[int, float],
-               now: float) -> tuple[list[SlowRank], list[SlowRank]]:
+               now: float) -> tuple[list[RankSlowdown], list[RankSlowdown]]:
         """Takes the slowdowns that the ranks report.
 
         Args:
@@ -85,10 +85,10 @@
                 if known is not None and known.normal_since is None:
                     known.normal_since = now
             elif known is None:
-                known = SlowRank(rank,
-                                 slowdown,
-                                 now,
-                                 probation_s=self._probation_s(rank, now))
+                known = RankSlowdown(rank,
+                                     slowdown,
+                                     now,
+                                     probation_s=self._probation_s(rank, now))
                 self._slow_by_rank[rank] = known
                 became_slow.append(known)
             else:
@@ -102,7 +102,7 @@
             return _FIRST_PROBATION_S
         return min(_MAX_PROBATION_S, served_s * _PROBATION_GROWTH)
 
-    def _release(self, now: float) -> list[SlowRank]:
+    def _release(self, now: float) -> list[RankSlowdown]:
         """Removes and returns the ranks that have recovered."""
         recovered = [
             slow for slow in self._slow_by_rank.values()
@@ -114,7 +114,7 @@
         return recovered
 
 
-def _renew(slow: SlowRank, slowdown: float) -> None:
+def _renew(slow: RankSlowdown, slowdown: float) -> None:
     """Takes a slowdown of a rank that is slow already."""
     if slow.normal_since is not None:
         slow.normal_since = None
--- a/pollenthread/platform/config_check.py
+++ b/pollenthread/platform/config_check.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, TypeVar
 
-from pollenthread.core import config_check, routing_config
+from pollenthread.core import routing_config
+from pollenthread.core.configuration import config_check
 from pollenthread.platform import config_document, field_reader
 
 __all__ = ['check', 'comparable_document']
--- a/pollenthread/roles/agent.py
+++ b/pollenthread/roles/agent.py
@@ -10,7 +10,8 @@
                                    rank_engine_http, settings, table_http,
                                    upstream_http)
 from pollenthread.app import (attempt_manager, group_member, link_router,
-                              order_dispatcher, supervision)
+                              order_dispatcher)
+from pollenthread.app.background import supervision
 from pollenthread.core import messages
 from pollenthread.roles import process
 
--- a/pollenthread/roles/entry.py
+++ b/pollenthread/roles/entry.py
@@ -14,8 +14,9 @@
 from pollenthread.app import (claim_store, claim_sweeper, config_distributor,
                               config_store, directory, gateway, lease_manager,
                               liveness, order_issuer, order_journal, peer_links
-                              as peers_module, supervision, upstream_pool as
-                              pool_module, write_batcher)
+                              as peers_module, upstream_pool as pool_module,
+                              write_batcher)
+from pollenthread.app.background import supervision
 from pollenthread.core import ids, membership, messages, orders
 from pollenthread.roles import entry_telemetry, process
 
--- a/pollenthread/roles/entry_telemetry.py
+++ b/pollenthread/roles/entry_telemetry.py
@@ -8,7 +8,8 @@
 from pollenthread.adapters import (admin_api, http_client, http_server, metrics,
                                    operator_auth, otlp, settings)
 from pollenthread.app import (account_reader, account_writer, administration,
-                              config_store, cost_store, supervision, tracer)
+                              config_store, cost_store, tracer)
+from pollenthread.app.background import supervision
 from pollenthread.core import account
 from pollenthread.ports import clock, table
 
--- a/pollenthread/roles/platform_agent.py
+++ b/pollenthread/roles/platform_agent.py
@@ -5,7 +5,8 @@
 from pollenthread.adapters import clock, platform_metrics
 from pollenthread.app import (group_view, map_coordinator, rank_agent,
                               serving_state, snapshot_exchange, stall_recovery,
-                              store_watch, supervision, switch_driver)
+                              store_watch, switch_driver)
+from pollenthread.app.background import supervision
 from pollenthread.app.expert_maps import silent_rank_query
 from pollenthread.core import (host_record, log_events, peer_messages,
                                routing_config)
--- a/pollenthread/roles/platform_entry.py
+++ b/pollenthread/roles/platform_entry.py
@@ -9,7 +9,8 @@
 from pollenthread.app import (entry_liveness, entry_peers, evidence_exchange,
                               evidence_store, forwarder, graceful_shutdown,
                               rate_permits, serving_state, snapshot_exchange,
-                              store_listeners, store_watch, supervision)
+                              store_listeners, store_watch)
+from pollenthread.app.background import supervision
 from pollenthread.app.data_centres import warm_up_watch
 from pollenthread.app.routing import pace_watch, spill_planner, usable_servers
 from pollenthread.core import host_record, log_events, routing_config
--- a/pollenthread/roles/platform_role.py
+++ b/pollenthread/roles/platform_role.py
@@ -11,10 +11,13 @@
 
 from pollenthread.adapters import (client_budget, http_client, json_log,
                                    peer_network)
-from pollenthread.app import (config_listeners, host_registry, listener_group,
-                              serving_state, store_follower, supervision)
+from pollenthread.app import (config_listeners, host_registry, serving_state,
+                              store_follower)
+from pollenthread.app.store import listener_group
+from pollenthread.app.background import supervision
 from pollenthread.app.data_centres import evacuation_listener
-from pollenthread.core import client_eviction, host_record, log_events
+from pollenthread.core import host_record, log_events
+from pollenthread.core.clients import client_eviction
 from pollenthread.platform import (config_document, evacuation_row,
                                    process_settings, row_store_http, wire_names)
 from pollenthread.ports import clock as clock_port
--- a/tests/fakes/entry_fleet.py
+++ b/tests/fakes/entry_fleet.py
@@ -18,9 +18,9 @@
 from pollenthread.adapters import peer_codec
 from pollenthread.app import (config_listeners, entry_liveness, entry_peers,
                               evidence_exchange, evidence_store, host_registry,
-                              listener_group, rate_permits, serving_state,
-                              snapshot_exchange, store_follower,
-                              store_listeners, store_watch)
+                              rate_permits, serving_state, snapshot_exchange,
+                              store_follower, store_listeners, store_watch)
+from pollenthread.app.store import listener_group
 from pollenthread.app.data_centres import evacuation_listener
 from pollenthread.core import host_record, peer_messages, server_registry
 from pollenthread.platform import evacuation_row
--- a/tests/platform/steps/background_tasks.py
+++ b/tests/platform/steps/background_tasks.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from pollenthread.app import supervision
+from pollenthread.app.background import supervision
 from pollenthread.core import (log_events, peer_messages, routing_config,
                                server_load, server_registry, store_version)
 from pollenthread.platform import process_settings
--- a/tests/platform/steps/client_budget.py
+++ b/tests/platform/steps/client_budget.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from pollenthread.adapters import client_budget
-from pollenthread.core import client_eviction
+from pollenthread.core.clients import client_eviction
 from tests.fakes import virtual_time
 
 _KIB = 1024
