Show the gone server in use whatever the time of the followers' calls

A new server joins 0.3 s before the cut, as in a release, so the three followers' calls to the store are fresh as it begins. Before, they were at any point of their time.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -12,12 +12,15 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 ZONES = ('za', 'zb', 'zc')
+SERVER_ZONES = ('za', 'zb', 'zc', 'za', 'za')
 ENTRIES = 9
 CUT = 3  # a share of 0.35 of nine machines
 CUT_S = 8.0
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 SETTLE_S = 8.0
+JOINED_S = 0.3
+CUT_BEFORE_S = 0.1
 RATE_PER_HOST_S = 20.0
 
 
@@ -48,9 +51,10 @@
     record = s.Record(FOLDER)
     store = s.Store()
     await store.start()
-    servers = [s.Server(f'i-{n}', 'svc') for n in range(1, 5)]
-    for server, zone in zip(servers, ('za', 'zb', 'zc', 'za')):
+    servers = [s.Server(f'i-{n}', 'svc') for n in range(1, 6)]
+    for server, zone in zip(servers, SERVER_ZONES):
         await server.start()
+    for server, zone in zip(servers[:-1], SERVER_ZONES):
         await store.put('servers', server.id, server.entry(zone))
     routes = [s.route('look', 'svc'), s.route('gone', 'svc')]
     await store.put('op', 'config', s.manifest(3, routes, ['svc']))
@@ -91,11 +95,16 @@
         send_requests(front, name, sent, record, until))
         for name, front in fronts.items()]
     await asyncio.sleep(1.0)
+    # The first server is replaced: the new one starts first.
+    await store.put('servers', servers[-1].id,
+                    servers[-1].entry(SERVER_ZONES[-1]))
+    record.write(f'the store acknowledges that {servers[-1].id} has joined')
+    await asyncio.sleep(JOINED_S)
     if TROUBLE:
         for name in followers:
             links[name].cut()
         record.write(f'cut off from the store: {followers}')
-    await asyncio.sleep(0.2)
+    await asyncio.sleep(CUT_BEFORE_S)
     # A server that never reports that it drains leaves; it serves on.
     removed_at = await store.put('servers', servers[0].id, None)
     record.write(f'the store acknowledges that {servers[0].id} is gone')
